Define the routing and admission interfaces; settle open points of the design

Ruled out: a block on any lost connection, since a partition would refuse innocent requests. Conclusion: the parts can be built independently.

--- /dev/null
+++ b/packages/core/src/bluebellusher_core/admission/__init__.py
@@ -0,0 +1,5 @@
+"""Queue of admitted requests that wait for an endpoint."""
+
+from bluebellusher_core.admission._protocol import AdmissionQueue, FifoQueue
+
+__all__ = ["AdmissionQueue", "FifoQueue"]
--- /dev/null
+++ b/packages/core/src/bluebellusher_core/routing/_protocol.py
@@ -0,0 +1,70 @@
+"""What every routing policy receives and returns."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from random import Random
+from typing import Protocol
+
+from bluebellusher_core.events import EndpointInfo, LoadReported, RequestSpec
+
+
+@dataclass(slots=True)
+class EndpointView:
+    """What one entry knows about one endpoint.
+
+    Parameters
+    ----------
+    info : EndpointInfo
+        What the agent said when the connection opened.
+    report : LoadReported or None
+        The latest load report.
+    reported_at_ms : int
+        When that report was received; its reading is older by ``report.age_ms``.
+    n_own_in_flight : int
+        Attempts of this entry that are running there.
+    own_dispatched_at_ms : list of int
+        Times of this entry's dispatches that the report cannot include yet.
+    n_own_queued_tokens : int
+        Prompt tokens of own attempts that have not started to answer.
+    is_draining : bool
+        The endpoint takes no new work.
+    is_isolating : bool
+        A suspect runs there alone.
+    cached_prefixes : set of int
+        Prefix hashes that the endpoint is believed to hold.
+    """
+
+    info: EndpointInfo
+    report: LoadReported | None = None
+    reported_at_ms: int = 0
+    n_own_in_flight: int = 0
+    own_dispatched_at_ms: list[int] = field(default_factory=list)
+    n_own_queued_tokens: int = 0
+    is_draining: bool = False
+    is_isolating: bool = False
+    cached_prefixes: set[int] = field(default_factory=set)
+
+
+class RoutingPolicy(Protocol):
+    """Choose one of the endpoints that can run a request."""
+
+    def choose(
+        self,
+        request: RequestSpec,
+        candidates: Sequence[EndpointView],
+        now_ms: int,
+        random_state: Random,
+    ) -> str | None:
+        """Return the id of the chosen endpoint, or ``None`` when none should be used.
+
+        Parameters
+        ----------
+        request : RequestSpec
+            The request to place.
+        candidates : sequence of EndpointView
+            Endpoints that offer the service and model and take new work.
+        now_ms : int
+            Monotonic time.
+        random_state : random.Random
+            Seeded generator of the entry.
+        """
