Add settings, log lines, metrics and trace context of an entry

Cause: the entry needs checked settings and one-line log events before it can serve. Settings report every problem at once with file, path, value and expectation, and hide secrets. Log values are escaped to one ASCII line. The OpenTelemetry SDK is loaded only at debug level to save memory.

--- /dev/null
+++ b/packages/entry/src/bluebellusher/observability/_metrics.py
@@ -0,0 +1,73 @@
+"""Counters and latency quantiles as Prometheus text."""
+
+from collections import Counter
+from collections.abc import Mapping
+
+from hdrh.histogram import HdrHistogram
+
+_MAX_MS = 600_000
+_N_DIGITS = 2
+_QUANTILES = (50, 95, 99)
+
+
+class Metrics:
+    """Figures of one entry; durations are in milliseconds.
+
+    The histograms are ``time_to_first_token_ms``, ``time_between_chunks_ms`` and
+    ``time_total_ms``.
+    """
+
+    def __init__(self) -> None:
+        self.first_token = HdrHistogram(1, _MAX_MS, _N_DIGITS)
+        self.between_chunks = HdrHistogram(1, _MAX_MS, _N_DIGITS)
+        self.total = HdrHistogram(1, _MAX_MS, _N_DIGITS)
+        self._n_by_label: Counter[tuple[str, str, str]] = Counter()
+
+    def count(self, name: str, label: str = "", value: str = "", n: int = 1) -> None:
+        """Add ``n`` to a counter; ``label`` and ``value`` select its series."""
+        self._n_by_label[name, label, value] += n
+
+    def quantiles(self) -> dict[str, dict[str, float]]:
+        """Return the quantiles of each histogram by name."""
+        return {
+            name: {f"p{q}": histogram.get_value_at_percentile(q) for q in _QUANTILES}
+            for name, histogram in self._histograms().items()
+            if histogram.get_total_count()
+        }
+
+    def to_prometheus(self, gauges: Mapping[str, float]) -> str:
+        """Return every figure in Prometheus text format."""
+        lines: list[str] = []
+        for name, value in sorted(gauges.items()):
+            lines += [f"# TYPE {name} gauge", f"{name} {value:g}"]
+        last_name = ""
+        for (name, label, value), n in sorted(self._n_by_label.items()):
+            if name != last_name:
+                lines.append(f"# TYPE {name} counter")
+            last_name = name
+            selector = f'{{{label}="{_escape_label(value)}"}}' if label else ""
+            lines.append(f"{name}{selector} {n}")
+        for name, histogram in self._histograms().items():
+            lines += _summary_lines(f"bluebellusher_{name}", histogram)
+        return "\n".join(lines) + "\n"
+
+    def _histograms(self) -> dict[str, HdrHistogram]:
+        return {
+            "time_to_first_token_ms": self.first_token,
+            "time_between_chunks_ms": self.between_chunks,
+            "time_total_ms": self.total,
+        }
+
+
+def _summary_lines(name: str, histogram: HdrHistogram) -> list[str]:
+    n_values = histogram.get_total_count()
+    lines = [f"# TYPE {name} summary"]
+    for quantile in _QUANTILES:
+        value = histogram.get_value_at_percentile(quantile) if n_values else 0
+        lines.append(f'{name}{{quantile="{quantile / 100:g}"}} {value}')
+    mean = histogram.get_mean_value() if n_values else 0.0
+    return [*lines, f"{name}_sum {mean * n_values:.0f}", f"{name}_count {n_values}"]
+
+
+def _escape_label(value: str) -> str:
+    return value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
--- /dev/null
+++ b/packages/entry/src/bluebellusher/observability/_trace.py
@@ -0,0 +1,94 @@
+"""W3C trace context, with one span per hop."""
+
+import re
+import secrets
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from bluebellusher.observability._log import KeyValueLog
+
+_TRACEPARENT = re.compile(r"^00-([0-9a-f]{32})-([0-9a-f]{16})-([0-9a-f]{2})$")
+
+
+def parse_traceparent(value: str) -> tuple[str, str, str] | None:
+    """Return trace id, parent span id and flags, or ``None`` when malformed.
+
+    Source: W3C Trace Context, section 3.2; ids of only zeros are invalid.
+    """
+    match = _TRACEPARENT.match(value.strip())
+    if match is None:
+        return None
+    trace_id, span_id, flags = match.groups()
+    is_zero = not trace_id.strip("0") or not span_id.strip("0")
+    return None if is_zero else (trace_id, span_id, flags)
+
+
+@dataclass(slots=True)
+class Span:
+    """One hop of a request."""
+
+    trace_id: str
+    span_id: str
+    flags: str = "01"
+    _inner: Any = field(default=None, repr=False)
+
+    @property
+    def traceparent(self) -> str:
+        """Return the header for the next hop."""
+        return f"00-{self.trace_id}-{self.span_id}-{self.flags}"
+
+    def end(self, **attributes: str | int) -> None:
+        """End the span; later calls do nothing."""
+        if self._inner is not None:
+            self._inner.set_attributes(attributes)
+            self._inner.end()
+            self._inner = None
+
+
+class Tracer:
+    """Open spans, and write them to the log when it is at debug level.
+
+    The OpenTelemetry SDK is loaded only at debug level: at other levels no span is
+    recorded, and its ids are made without the 5 MB that the SDK takes.
+    """
+
+    def __init__(self, log: "KeyValueLog") -> None:
+        self._recorder = _make_recorder(log) if log.is_debug else None
+
+    def start(self, name: str, traceparent: str = "") -> Span:
+        """Open a span under the hop that sent ``traceparent``."""
+        parent = parse_traceparent(traceparent)
+        if self._recorder is not None:
+            return _start_recorded(self._recorder, name, parent)
+        trace_id = parent[0] if parent else secrets.token_hex(16)
+        flags = parent[2] if parent else "00"
+        return Span(trace_id, secrets.token_hex(8), flags)
+
+
+def _make_recorder(log: "KeyValueLog") -> Any:
+    from opentelemetry.sdk.trace import TracerProvider
+    from opentelemetry.sdk.trace.export import SimpleSpanProcessor
+
+    from bluebellusher.observability._exporter import LogSpanExporter
+
+    provider = TracerProvider(shutdown_on_exit=False)
+    provider.add_span_processor(SimpleSpanProcessor(LogSpanExporter(log)))
+    return provider.get_tracer("bluebellusher")
+
+
+def _start_recorded(
+    recorder: Any, name: str, parent: tuple[str, str, str] | None
+) -> Span:
+    from opentelemetry import trace
+
+    context = None
+    if parent is not None:
+        trace_id, span_id, flags = (int(part, 16) for part in parent)
+        remote = trace.SpanContext(
+            trace_id, span_id, is_remote=True, trace_flags=trace.TraceFlags(flags)
+        )
+        context = trace.set_span_in_context(trace.NonRecordingSpan(remote))
+    inner = recorder.start_span(name, context=context)
+    own = inner.get_span_context()
+    return Span(f"{own.trace_id:032x}", f"{own.span_id:016x}", "01", inner)
--- /dev/null
+++ b/packages/entry/src/bluebellusher/observability/tests/test_observability.py
@@ -0,0 +1,59 @@
+"""Guards against forged log lines, broken metrics text and lost trace ids."""
+
+import io
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bluebellusher.observability import (
+    KeyValueLog,
+    Metrics,
+    Tracer,
+    format_line,
+    parse_traceparent,
+)
+
+TRACEPARENT = "00-" + "a" * 32 + "-" + "b" * 16 + "-01"
+
+
+@given(st.text(), st.text())
+def test_property_a_value_cannot_forge_a_line_or_a_field(name, value):
+    """Guards against caller input that looks like another log event."""
+    line = format_line({"message_type": name, "peer": value, "timestamp": 1.0})
+    assert line.isascii()
+    assert len(line.splitlines()) == 1
+    unquoted = line.replace('\\"', "").split('"')[::2]
+    assert " ".join(unquoted).count(" peer=") == 1
+
+
+def test_a_span_is_logged_with_its_parent_at_debug_level():
+    """Guards against a trace that breaks at the entry."""
+    stream = io.StringIO()
+    log = KeyValueLog.from_config("debug", stream)
+    try:
+        span = Tracer(log).start("request", TRACEPARENT)
+        span.end(status=200)
+        span.end(status=500)
+    finally:
+        log.close()
+    assert span.traceparent.startswith("00-" + "a" * 32)
+    assert span.span_id != "b" * 16
+    assert stream.getvalue().count("event=span") == 1
+    assert f"parent_id={'b' * 16}" in stream.getvalue()
+
+
+def test_without_debug_the_trace_id_still_passes_through():
+    """Guards against a lost trace when spans are not recorded."""
+    log = KeyValueLog("info", io.StringIO())
+    assert Tracer(log).start("request", TRACEPARENT).trace_id == "a" * 32
+    assert parse_traceparent("00-" + "0" * 32 + "-" + "b" * 16 + "-01") is None
+
+
+def test_metrics_text_has_counters_and_quantiles():
+    """Guards against a /metrics page that Prometheus cannot read."""
+    metrics = Metrics()
+    metrics.count("requests_total", "outcome", 'a"b\n')
+    metrics.first_token.record_value(20)
+    text = metrics.to_prometheus({"members": 2})
+    assert 'requests_total{outcome="a\\"b\\n"} 1' in text
+    assert 'bluebellusher_time_to_first_token_ms{quantile="0.95"} 20' in text
--- /dev/null
+++ b/packages/entry/src/bluebellusher/settings/__init__.py
@@ -0,0 +1,25 @@
+"""Settings of an entry: JSON with comments, checked as a whole."""
+
+from bluebellusher.settings._load import SettingsError, SettingsProblem, load_settings
+from bluebellusher.settings._models import (
+    AddressSettings,
+    CustomerSettings,
+    LimitSettings,
+    OperatorSettings,
+    ServiceKind,
+    ServiceSettings,
+    Settings,
+)
+
+__all__ = [
+    "AddressSettings",
+    "CustomerSettings",
+    "LimitSettings",
+    "OperatorSettings",
+    "ServiceKind",
+    "ServiceSettings",
+    "Settings",
+    "SettingsError",
+    "SettingsProblem",
+    "load_settings",
+]
--- /dev/null
+++ b/packages/entry/src/bluebellusher/settings/_models.py
@@ -0,0 +1,144 @@
+"""Pydantic models of the settings file."""
+
+from collections import Counter
+from collections.abc import Iterable
+from enum import StrEnum
+from ipaddress import ip_address
+from typing import Annotated, Literal
+
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    ConfigDict,
+    Field,
+    SecretStr,
+    model_validator,
+)
+
+Identifier = Annotated[
+    str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$", max_length=64)
+]
+
+
+def _check_ip(value: str) -> str:
+    try:
+        ip_address(value)
+    except ValueError:
+        raise ValueError("expected an IPv4 or IPv6 address") from None
+    return value
+
+
+IpAddress = Annotated[str, AfterValidator(_check_ip)]
+
+
+class _Model(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True, hide_input_in_errors=True)
+
+
+class AddressSettings(_Model):
+    """An IP address and a TCP port; port 0 lets the system choose one."""
+
+    host: IpAddress
+    port: Annotated[int, Field(ge=0, le=65535)]
+
+    def __str__(self) -> str:
+        """Return ``host:port``."""
+        return f"{self.host}:{self.port}"
+
+
+class ServiceKind(StrEnum):
+    """Kind of a service."""
+
+    MODEL = "model"
+    PLAIN = "plain"
+
+
+class ServiceSettings(_Model):
+    """One service and the models that belong to it."""
+
+    service_id: Identifier
+    kind: ServiceKind
+    is_idempotent: bool = False
+    models: tuple[str, ...] = ()
+
+    @model_validator(mode="after")
+    def _check_models(self) -> "ServiceSettings":
+        if (self.kind is ServiceKind.MODEL) != bool(self.models):
+            raise ValueError(
+                "models: expected at least one name for kind=model, none for kind=plain"
+            )
+        return self
+
+
+class CustomerSettings(_Model):
+    """A customer and the credentials that authenticate it."""
+
+    customer_id: Identifier
+    credentials: Annotated[tuple[SecretStr, ...], Field(min_length=1)]
+    weight: Annotated[float, Field(gt=0, le=1000)] = 1.0
+
+
+class OperatorSettings(_Model):
+    """An operator and the credential for the /admin paths."""
+
+    name: Identifier
+    credential: SecretStr
+
+
+class LimitSettings(_Model):
+    """Bounds that protect the process; lengths in bytes, times in milliseconds."""
+
+    max_body_bytes: Annotated[int, Field(ge=1024, le=16_000_000)] = 4_000_000
+    slow_sender_timeout_ms: Annotated[int, Field(ge=100, le=600_000)] = 10_000
+    stream_window_bytes: Annotated[int, Field(ge=131_072, le=16_000_000)] = 262_144
+    max_kept_answer_bytes: Annotated[int, Field(ge=0, le=16_000_000)] = 1_048_576
+    max_connections: Annotated[int, Field(ge=1, le=1_000_000)] = 20_000
+    n_default_output_tokens: Annotated[int, Field(ge=1, le=1_000_000)] = 1024
+    claim_timeout_ms: Annotated[int, Field(ge=100, le=60_000)] = 2_000
+
+
+class Settings(_Model):
+    """Everything that an entry must be told."""
+
+    instance_id: Identifier
+    failure_domain: Identifier
+    shared_secret: Annotated[SecretStr, Field(min_length=16)]
+    http: AddressSettings
+    peer_listen: AddressSettings
+    platform_url: Annotated[str, Field(pattern=r"^http://[^\s/]+$")]
+    agents: tuple[AddressSettings, ...] = ()
+    peers: tuple[AddressSettings, ...] = ()
+    services: Annotated[tuple[ServiceSettings, ...], Field(min_length=1)]
+    customers: Annotated[tuple[CustomerSettings, ...], Field(min_length=1)]
+    operators: tuple[OperatorSettings, ...] = ()
+    limits: LimitSettings = LimitSettings()
+    log_level: Literal["debug", "info", "error"] = "info"
+
+    @model_validator(mode="after")
+    def _check_names(self) -> "Settings":
+        problems = [
+            *_repeated("services", (s.service_id for s in self.services)),
+            *_repeated("models", (m for s in self.services for m in s.models)),
+            *_repeated("customers", (c.customer_id for c in self.customers)),
+            *_repeated("agents", (str(a) for a in self.agents)),
+            *_repeated("peers", (str(p) for p in self.peers)),
+        ]
+        credentials = [c for customer in self.customers for c in customer.credentials]
+        credentials += [operator.credential for operator in self.operators]
+        values = [credential.get_secret_value() for credential in credentials]
+        if len(set(values)) < len(values):
+            problems.append("credentials: expected each credential only once")
+        if any(not value or not value.isascii() for value in values):
+            problems.append("credentials: expected non-empty ASCII text")
+        if problems:
+            raise ValueError("; ".join(problems))
+        return self
+
+
+def _repeated(name: str, values: Iterable[str]) -> list[str]:
+    n_by_value = Counter(values)
+    return [
+        f"{name}: {value!r} appears {n} times, expected once"
+        for value, n in n_by_value.items()
+        if n > 1
+    ]
