--- a/packages/entry/src/bluebellusher/cli/_view.py
+++ b/packages/entry/src/bluebellusher/cli/_view.py
@@ -111,6 +111,10 @@
                     "services": sorted(hello.services or ()),
                     "state": "draining" if is_draining else "connected",
                     "n_attempts": len(link.relay_by_attempt_id),
+                    "n_started": sum(
+                        relay.answer.owner_attempt_id == attempt_id
+                        for attempt_id, relay in link.relay_by_attempt_id.items()
+                    ),
                     "age_ms": now_ms - link.connection.received_at_ms,
                 }
             )
--- a/packages/entry/src/bluebellusher/runtime/_dispatch.py
+++ b/packages/entry/src/bluebellusher/runtime/_dispatch.py
@@ -46,6 +46,7 @@
         link.dispatch(relay, message)
         exchange.n_attempts += 1
         exchange.attempt_spans[effect.attempt_id] = span
+        exchange.endpoint_by_attempt_id[effect.attempt_id] = effect.endpoint_id
         self._exchange_by_attempt_id[effect.attempt_id] = exchange
         return True
 
@@ -67,7 +68,12 @@
             exchange.n_attempts -= 1
             span = exchange.attempt_spans.pop(attempt_id, None)
             if span is not None:
-                span.end(attempt_id=attempt_id, n_bytes=exchange.answer.n_bytes)
+                span.end(
+                    request_id=exchange.spec.request_id,
+                    attempt_id=attempt_id,
+                    endpoint_id=exchange.endpoint_by_attempt_id[attempt_id],
+                    n_bytes=exchange.answer.n_bytes,
+                )
         return exchange
 
     def _to_message(self, effect: Dispatch, exchange: Exchange, trace: str) -> object:
--- a/packages/entry/src/bluebellusher/runtime/_exchange.py
+++ b/packages/entry/src/bluebellusher/runtime/_exchange.py
@@ -29,6 +29,7 @@
     n_attempts: int = 0
     is_caller_served: bool = False
     attempt_spans: dict[str, Span] = field(default_factory=dict)
+    endpoint_by_attempt_id: dict[str, str] = field(default_factory=dict)
 
     def keep(self) -> KeptAnswer:
         """Return the answer for a repeat of the idempotency key."""
--- a/packages/entry/src/bluebellusher/settings/tests/test_settings.py
+++ b/packages/entry/src/bluebellusher/settings/tests/test_settings.py
@@ -1,12 +1,14 @@
 """Guards against settings that are accepted wrongly or leak a secret."""
 
 import copy
+import json
+from pathlib import Path
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from bluebellusher.settings import SettingsError
+from bluebellusher.settings import SettingsError, load_settings
 from bluebellusher.settings._load import parse_settings
 
 VALID = {
@@ -22,7 +24,6 @@
 
 
 def _parse(document):
-    import json
 
     return parse_settings("// comment\n" + json.dumps(document), "entry.json5")
 
@@ -74,3 +75,10 @@
     """Guards against a traceback on a damaged settings file."""
     with pytest.raises(SettingsError):
         parse_settings(text, "entry.json5")
+
+
+def test_the_example_can_be_used():
+    """Guards against an example that no longer fits the settings."""
+    root = Path(__file__).resolve().parents[6]
+    settings = load_settings(root / "examples/settings/entry-obihiro-1.json5")
+    assert settings.failure_domain == "obihiro"
--- /dev/null
+++ b/packages/standins/src/bluebellusher_standins/demo.py
@@ -0,0 +1,293 @@
+"""Demonstration: a whole deployment as separate processes over loopback.
+
+Run it with ``make demo``. It starts a platform, 4 entries in 3 failure domains,
+4 engines and a plain service with their agents, shows what happens to requests
+under a drain and a kill, and stops everything again. The exit code is 0 only if
+every shown expectation held.
+"""
+
+import asyncio
+import importlib.util
+import json
+import pathlib
+import signal
+import sys
+import time
+from collections import Counter
+
+import aiohttp
+
+from bluebellusher_standins.cluster import Cluster, ManagedProcess
+from bluebellusher_standins.engine import expect_answer
+
+DOMAIN_BY_ENTRY = {
+    "entry-1": "obihiro",
+    "entry-2": "obihiro",
+    "entry-3": "otofuke",
+    "entry-4": "memuro",
+}
+DOMAIN_BY_ENGINE = {
+    "engine-1": "obihiro",
+    "engine-2": "obihiro",
+    "engine-3": "otofuke",
+    "engine-4": "memuro",
+}
+HEADERS = {"Authorization": "Bearer key-of-c1"}
+MODEL_PATH = "/v1/chat/completions"
+BOOKING_PATH = "/services/order-desk/bookings"
+RULES = pathlib.Path("examples/rules/tokachi.rules")
+
+
+class Demo:
+    """The steps of the demonstration and the count of failed expectations."""
+
+    def __init__(self, cluster: Cluster, session: aiohttp.ClientSession) -> None:
+        self.cluster = cluster
+        self.session = session
+        self.n_failed = 0
+
+    def say(self, text: str) -> None:
+        """Print a line of the story."""
+        print(f"  {text}", flush=True)
+
+    def expect(self, is_met: bool, text: str) -> None:
+        """Print an expectation and whether it held."""
+        self.n_failed += 0 if is_met else 1
+        print(f"  [{'ok' if is_met else 'FAILED'}] {text}", flush=True)
+
+    def process(self, name: str) -> ManagedProcess:
+        """Return a process by its name."""
+        return self.cluster.process_by_name[name]
+
+    def url(self, entry: str, path: str) -> str:
+        """Return the address of a path at an entry."""
+        return f"http://127.0.0.1:{self.process(entry).port}{path}"
+
+    async def start(self) -> None:
+        """Start every process."""
+        print("Starting 15 processes", flush=True)
+        await self.cluster.start_platform()
+        engines = [
+            self.cluster.start_engine(name, domain, token_interval_ms=10)
+            for name, domain in DOMAIN_BY_ENGINE.items()
+        ]
+        desk = self.cluster.start_plain("desk-1", "obihiro")
+        await asyncio.gather(desk, *engines)
+        ports = self.cluster.reserve_peer_ports(len(DOMAIN_BY_ENTRY))
+        entries = [
+            self.cluster.start_entry(name, domain, port)
+            for (name, domain), port in zip(DOMAIN_BY_ENTRY.items(), ports, strict=True)
+        ]
+        await asyncio.gather(*entries)
+        for name, process in self.cluster.process_by_name.items():
+            self.say(f"{name:16} process {process.pid}, port {process.port}")
+
+    async def show_stream(self) -> None:
+        """Send one streamed request and follow it hop by hop."""
+        print("A streamed request, hop by hop", flush=True)
+        entry = self.process("entry-1")
+        n_lines = len(entry.lines)
+        body = make_body("What grows in Memuro?", 20)
+        self.say("1. the caller sends POST " + MODEL_PATH + " to entry-1 (obihiro)")
+        started = time.monotonic()
+        first_ms = 0.0
+        answer = b""
+        async with self.session.post(self.url("entry-1", MODEL_PATH), data=body) as r:
+            async for part in r.content.iter_any():
+                first_ms = first_ms or (time.monotonic() - started) * 1000
+                answer += part
+        total_ms = (time.monotonic() - started) * 1000
+        line = await entry.wait_for("span=attempt", n_lines)
+        endpoint = read_field(line, "a_endpoint_id")
+        attempt = read_field(line, "a_attempt_id")
+        self.say(f"2. entry-1 chooses {endpoint} and sends Dispatch {attempt}")
+        self.say(f"3. the agent of {endpoint} asks its engine over HTTP")
+        self.say("4. tokens come back in batches; entry-1 checks offset and CRC-32")
+        self.say(f"5. the caller has the first token after {first_ms:.0f} ms")
+        self.say(f"6. the whole answer, {len(answer)} bytes, after {total_ms:.0f} ms")
+        self.say(f"   one trace joins the hops: {read_field(line, 'trace_id')}")
+        self.expect(answer == expect_answer(body), "the answer is whole, byte for byte")
+
+    async def show_booking(self) -> None:
+        """Send a request that may not be repeated twice with the same key."""
+        print("A booking that must not run twice", flush=True)
+        body = b'{"room": 12, "night": "2027-02-14"}'
+        headers = {"Idempotency-Key": "booking-77"}
+        bodies = []
+        for entry in ("entry-1", "entry-4"):
+            url = self.url(entry, BOOKING_PATH)
+            async with self.session.post(url, data=body, headers=headers) as answer:
+                bodies.append(await answer.read())
+                is_replayed = "x-replayed" in answer.headers
+                text = "replayed the kept answer" if is_replayed else "ran it"
+                self.say(f"{entry} claimed key booking-77 in the table and {text}")
+            await self._wait_for_done()
+        n_executions = await self._count_executions(body)
+        self.say(f"the service counted {n_executions} execution")
+        self.expect(n_executions == 1, "the booking ran exactly once")
+        self.expect(bodies[0] == bodies[1], "both callers have the same answer")
+
+    async def _wait_for_done(self) -> None:
+        """Ask for the outcome until the row of the claim holds the answer."""
+        url = self.url("entry-2", "/v1/requests/booking-77")
+        async with asyncio.timeout(10):
+            while True:
+                async with self.session.get(url) as answer:
+                    if (await answer.json()).get("state") == "done":
+                        return
+
+    async def _count_executions(self, body: bytes) -> int:
+        port = self.process("desk-1.service").port
+        url = f"http://127.0.0.1:{port}/executions"
+        async with self.session.get(url, params={"body": body.decode()}) as answer:
+            return int((await answer.json())["n_executions"])
+
+    async def show_drain(self) -> None:
+        """Drain an endpoint while it streams."""
+        print("A drain: engine-2 leaves while it streams", flush=True)
+        starts = self._line_counts()
+        streams = [asyncio.create_task(self._stream(i, 120)) for i in range(12)]
+        await self._wait_for_starts("engine-2")
+        agent = self.process("engine-2")
+        agent.signal(signal.SIGTERM)
+        for entry in DOMAIN_BY_ENTRY:
+            await self.process(entry).wait_for("event=agent-lost.*peer=engine-2")
+        whole = sum(await asyncio.gather(*streams))
+        counts = self._endpoint_counts(starts)
+        self.say("12 streams ran on " + describe(counts))
+        self.expect(whole == 12, "every stream in progress was finished whole")
+        self.expect(counts["engine-2"] > 0, "engine-2 had streams when it left")
+        starts = self._line_counts()
+        whole = sum(await asyncio.gather(*(self._stream(i, 5) for i in range(12))))
+        counts = self._endpoint_counts(starts)
+        self.say("12 new requests ran on " + describe(counts))
+        self.expect(whole == 12, "every new request was answered")
+        self.expect(counts["engine-2"] == 0, "none of them went to engine-2")
+
+    async def show_kill(self) -> None:
+        """Kill an engine while it streams."""
+        print(
+            "A kill: the engine process of engine-3 dies while it streams", flush=True
+        )
+        streams = [asyncio.create_task(self._stream(i, 120)) for i in range(12)]
+        await self._wait_for_starts("engine-3")
+        self.process("engine-3.engine").signal(signal.SIGKILL)
+        whole = await asyncio.gather(*streams)
+        n_cut = whole.count(False)
+        self.say(f"{whole.count(True)} streams were whole, {n_cut} ended with an error")
+        self.expect(n_cut > 0, "the streams of engine-3 ended with an error event")
+        self.expect(n_cut < 12, "the streams of the other engines went on")
+        whole = list(await asyncio.gather(*(self._stream(i, 5) for i in range(12))))
+        self.expect(all(whole), "12 new requests were answered by the other engines")
+
+    async def _stream(self, number: int, n_tokens: int) -> bool:
+        """Send a request to one of the entries; return whether it was whole.
+
+        A cut answer that looks whole counts as a failed expectation.
+        """
+        body = make_body(f"question {number}", n_tokens)
+        entry = f"entry-{number % 4 + 1}"
+        async with self.session.post(self.url(entry, MODEL_PATH), data=body) as answer:
+            data = await answer.read()
+        is_whole = data == expect_answer(body)
+        if not is_whole and b"data: [DONE]" in data:
+            self.expect(False, "an answer that is cut does not look whole")
+        return is_whole
+
+    async def _wait_for_starts(self, endpoint: str) -> None:
+        """Wait until entries report attempts in progress at an endpoint."""
+        headers = {"Authorization": "Bearer key-of-op"}
+        async with asyncio.timeout(10):
+            while True:
+                for entry in DOMAIN_BY_ENTRY:
+                    url = self.url(entry, "/admin/status")
+                    async with self.session.get(url, headers=headers) as answer:
+                        status = await answer.json()
+                    is_busy = any(
+                        e["endpoint_id"] == endpoint and e["n_started"]
+                        for e in status["endpoints"]
+                    )
+                    if is_busy:
+                        return
+
+    def _line_counts(self) -> dict[str, int]:
+        return {name: len(self.process(name).lines) for name in DOMAIN_BY_ENTRY}
+
+    def _endpoint_counts(self, starts: dict[str, int]) -> Counter[str]:
+        counts: Counter[str] = Counter()
+        for name, start in starts.items():
+            for line in self.process(name).lines[start:]:
+                if "span=attempt" in line:
+                    counts[read_field(line, "a_endpoint_id")] += 1
+        return counts
+
+    async def show_forecast(self) -> None:
+        """Show next month's bill, as the rules allow it."""
+        has_rules = importlib.util.find_spec("bluebellusher.cli.rules_commands")
+        if not has_rules:
+            return
+        print("Next month's bill, read from " + str(RULES), flush=True)
+        process = await asyncio.create_subprocess_exec(
+            *(sys.executable, "-m", "bluebellusher.cli", "rules", "forecast"),
+            str(RULES),
+            stdout=asyncio.subprocess.PIPE,
+        )
+        output, _ = await process.communicate()
+        for line in output.decode().splitlines()[:16]:
+            self.say(line)
+        self.expect(process.returncode == 0, "the forecast could be made")
+
+
+def make_body(text: str, n_tokens: int) -> bytes:
+    """Return the body of a streamed model request."""
+    message = {"role": "user", "content": text}
+    body = {"model": "model-a", "messages": [message], "stream": True}
+    return json.dumps({**body, "max_tokens": n_tokens}).encode()
+
+
+def read_field(line: str, name: str) -> str:
+    """Return the value of a field in a log line."""
+    for part in line.split():
+        if part.startswith(name + "="):
+            return part.removeprefix(name + "=")
+    return ""
+
+
+def describe(counts: Counter[str]) -> str:
+    """Return counts by name as text."""
+    return ", ".join(f"{name}: {n}" for name, n in sorted(counts.items()))
+
+
+async def run_demo() -> int:
+    """Run every step; return how many expectations failed."""
+    timeout = aiohttp.ClientTimeout(total=20)
+    async with (
+        Cluster() as cluster,
+        aiohttp.ClientSession(headers=HEADERS, timeout=timeout) as session,
+    ):
+        demo = Demo(cluster, session)
+        await demo.start()
+        await demo.show_stream()
+        await demo.show_booking()
+        await demo.show_drain()
+        await demo.show_kill()
+        await demo.show_forecast()
+        print("Stopping everything", flush=True)
+        for name in DOMAIN_BY_ENTRY:
+            code = await demo.process(name).stop()
+            demo.expect(code == 0, f"{name} stopped by itself after SIGTERM")
+    return demo.n_failed
+
+
+def main() -> int:
+    """Run the demonstration; return 0 only if every expectation held."""
+    started = time.monotonic()
+    n_failed = asyncio.run(run_demo())
+    duration_s = time.monotonic() - started
+    verdict = "every expectation held" if not n_failed else f"{n_failed} failed"
+    print(f"{verdict} after {duration_s:.1f} s", flush=True)
+    return 1 if n_failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
