--- /dev/null
+++ b/packages/core/src/bluebellusher_core/lease/tests/test_lease_machine.py
@@ -0,0 +1,174 @@
+"""Guards against two holders at a time and against a token that is used twice."""
+
+from dataclasses import dataclass
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from bluebellusher_core.lease import (
+    GUARD_MS,
+    TERM_MS,
+    LeaseRow,
+    LeaseTracker,
+    LeaseWrite,
+)
+
+N_ENTRIES = 2
+entry_indexes = st.integers(0, N_ENTRIES - 1)
+
+
+@dataclass
+class FakeRow:
+    version: int = 0
+    row: LeaseRow | None = None
+
+    def apply(self, write: LeaseWrite) -> bool:
+        if write.row_version != self.version:
+            return False
+        self.version += 1
+        self.row = write.row
+        return True
+
+
+class LeaseMachine(RuleBasedStateMachine):
+    """Entries with clocks of their own, lost answers, delayed writes and old reads."""
+
+    def __init__(self):
+        super().__init__()
+        self.table = FakeRow()
+        self.history = [(0, None)]
+        self.now_ms = 0
+        self.offsets = [0, 1_000_000]
+        self.trackers = [
+            LeaseTracker("balance/g", f"entry-{i}/1") for i in range(N_ENTRIES)
+        ]
+        self.delayed: list[LeaseWrite] = []
+        self.answers: list[tuple[int, int]] = []
+        self.holder_by_token: dict[int, str] = {}
+
+    def clock(self, index):
+        return self.now_ms + self.offsets[index]
+
+    def apply(self, write):
+        is_applied = self.table.apply(write)
+        if is_applied:
+            self.history.append((self.table.version, self.table.row))
+        return is_applied
+
+    @rule(duration_ms=st.sampled_from([400, 1_500, 4_000, 7_000, 11_000]))
+    def time_passes(self, duration_ms):
+        self.now_ms += duration_ms
+
+    @rule(
+        index=entry_indexes,
+        age=st.sampled_from([0, 0, 0, 1, 2]),
+        fate=st.sampled_from(["answered", "slow answer", "lost answer", "delayed"]),
+    )
+    def poll(self, index, age, fate):
+        """Read the row, from an old copy when ``age`` is not 0, then write."""
+        tracker = self.trackers[index]
+        version, row = self.history[max(0, len(self.history) - 1 - age)]
+        tracker.observe(version, row, self.clock(index))
+        write = tracker.plan_write(self.clock(index))
+        if write is None:
+            return
+        if fate == "delayed":
+            self.delayed.append(write)
+            return
+        is_applied = self.apply(write)
+        if fate == "lost answer":
+            return
+        if fate == "slow answer" and is_applied:
+            self.answers.append((index, self.table.version))
+        elif is_applied:
+            tracker.write_succeeded(self.table.version, self.clock(index))
+        else:
+            now_ms = self.clock(index)
+            tracker.write_conflicted(self.table.version, self.table.row, now_ms)
+
+    @precondition(lambda self: self.delayed)
+    @rule()
+    def delayed_write_lands(self):
+        self.apply(self.delayed.pop(0))
+
+    @precondition(lambda self: self.answers)
+    @rule()
+    def slow_answer_arrives(self):
+        index, version = self.answers.pop(0)
+        self.trackers[index].write_succeeded(version, self.clock(index))
+
+    @precondition(lambda self: self.now_ms > 20_000)
+    @rule(index=entry_indexes)
+    def release(self, index):
+        write = self.trackers[index].plan_release(self.clock(index))
+        if write is not None:
+            self.apply(write)
+
+    @precondition(lambda self: self.now_ms > 20_000)
+    @rule(index=entry_indexes)
+    def restart(self, index):
+        self.answers = [answer for answer in self.answers if answer[0] != index]
+        holder = f"entry-{index}/{self.now_ms}-{len(self.history)}"
+        self.trackers[index] = LeaseTracker("balance/g", holder)
+
+    @invariant()
+    def at_most_one_holder(self):
+        """Guards against two entries that act as holder at the same moment."""
+        held = [
+            (i, token)
+            for i, tracker in enumerate(self.trackers)
+            if (token := tracker.held_token(self.clock(i))) is not None
+        ]
+        assert len(held) <= 1, held
+
+    @invariant()
+    def token_belongs_to_one_holder(self):
+        """Guards against a fencing token that two holders share."""
+        row = self.table.row
+        if row is not None and row.holder:
+            known = self.holder_by_token.setdefault(row.fencing_token, row.holder)
+            assert known == row.holder
+
+
+LeaseMachine.TestCase.settings = settings(max_examples=300, stateful_step_count=40)
+TestLeaseMachine = LeaseMachine.TestCase
+
+
+def test_lapsed_lease_is_taken_over_with_a_higher_token():
+    """Guards against a lease that stays with a dead holder for ever."""
+    table = FakeRow()
+    first = LeaseTracker("x", "a/1")
+    first.observe(0, None, 0)
+    assert table.apply(first.plan_write(0))
+    second = LeaseTracker("x", "b/1")
+    second.observe(table.version, table.row, 100)
+    assert second.plan_write(100 + TERM_MS) is None
+    write = second.plan_write(100 + TERM_MS + 1_000)
+    assert write.row.fencing_token == 2
+    assert first.held_token(TERM_MS) is None
+
+
+@given(
+    answer_ms=st.integers(0, 2 * TERM_MS),
+    resend_ms=st.none() | st.integers(0, 2 * TERM_MS),
+    first_seen_ms=st.integers(0, TERM_MS),
+)
+def test_property_slow_or_lost_answer_does_not_extend_the_term(
+    answer_ms, resend_ms, first_seen_ms
+):
+    """Guards against a term that counts from the answer or from a repeated write."""
+    table = FakeRow()
+    first = LeaseTracker("x", "a/1")
+    second = LeaseTracker("x", "b/1")
+    first.observe(0, None, 0)
+    assert table.apply(first.plan_write(0))
+    second.observe(table.version, table.row, first_seen_ms)
+    if resend_ms is None:
+        first.write_succeeded(table.version, answer_ms)
+    else:
+        assert not table.apply(first.plan_write(resend_ms))
+        first.write_conflicted(table.version, table.row, resend_ms)
+    takeover_ms = first_seen_ms + TERM_MS + GUARD_MS
+    assert second.plan_write(takeover_ms) is not None
+    assert first.held_token(takeover_ms) is None
