Add budgets as granted allowances

Cause: entries must share a customer's limit without a coordination service, and the sum must hold while entries are paused, killed or cut off. Ruled out: reclaiming the grant of an entry that seems dead, since a paused one would spend it again; closed grants count as spent.

--- /dev/null
+++ b/packages/core/src/bluebellusher_core/allowance/_row.py
@@ -0,0 +1,74 @@
+"""The table row that all holders of one budget share."""
+
+from collections.abc import Collection
+from dataclasses import dataclass, field, replace
+from typing import Self
+
+
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """What one holder was granted in total.
+
+    ``sequence`` grows with each write of the holder, so that it recognises a write
+    whose answer was lost.
+    """
+
+    sequence: int
+    amount: int
+
+
+@dataclass(frozen=True, slots=True)
+class AllowanceRow:
+    """Grants of one customer in one period, in whole smallest units.
+
+    Parameters
+    ----------
+    limit : int
+        Budget of the period, from the rules of ``config_version``.
+    config_version : int
+        Highest configuration version that wrote the limit. An entry that still has
+        older rules keeps this limit.
+    grant_by_holder : dict of str to Grant
+        Grants of holders that are or may be alive.
+    n_closed_units : int
+        Sum of the grants of holders that are gone; they count as spent.
+    """
+
+    limit: int
+    config_version: int
+    grant_by_holder: dict[str, Grant] = field(default_factory=dict)
+    n_closed_units: int = 0
+
+    @property
+    def n_granted_units(self) -> int:
+        """Return everything that was granted and not returned."""
+        open_units = sum(grant.amount for grant in self.grant_by_holder.values())
+        return open_units + self.n_closed_units
+
+    @property
+    def n_free_units(self) -> int:
+        """Return what can still be granted; 0 when the limit was lowered below it."""
+        return max(0, self.limit - self.n_granted_units)
+
+    def with_limit(self, limit: int, config_version: int) -> Self:
+        """Return the row with the limit of the newer of both configurations."""
+        if config_version <= self.config_version:
+            return self
+        return replace(self, limit=limit, config_version=config_version)
+
+    def with_grant(self, holder_id: str, grant: Grant) -> Self:
+        """Return the row with the grant of one holder replaced."""
+        grants = {**self.grant_by_holder, holder_id: grant}
+        return replace(self, grant_by_holder=grants)
+
+    def with_holders_closed(self, holder_ids: Collection[str]) -> Self:
+        """Return the row with the grants of these holders summed up as spent.
+
+        This bounds the row. It is safe for a holder that is alive after all: its
+        grant still counts, and it can only no longer enlarge or return it.
+        """
+        closed = [h for h in holder_ids if h in self.grant_by_holder]
+        n_units = sum(self.grant_by_holder[h].amount for h in closed)
+        grants = {h: g for h, g in self.grant_by_holder.items() if h not in closed}
+        n_closed_units = self.n_closed_units + n_units
+        return replace(self, grant_by_holder=grants, n_closed_units=n_closed_units)
