Add stand-ins for the engine, a plain service and the platform

Cause: tests of the entry, the agent and the platform client need the outside systems of sections 5.2 and 5.3 of the design. Change: aiohttp servers that start inside an event loop on a port chosen by the kernel, with faults that can be set in process or over HTTP.

--- /dev/null
+++ b/packages/standins/src/bluebellusher_standins/_batching.py
@@ -0,0 +1,121 @@
+"""Continuous batching of the engine stand-in."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+
+from bluebellusher_standins._generation import Generation
+from bluebellusher_standins._prefix_cache import BLOCK_BYTES, PrefixCache
+
+BLOCK_TOKENS = BLOCK_BYTES // 4
+CacheListener = Callable[[list[int], list[int]], None]
+
+
+class Batcher:
+    """Run generations in a bounded batch, one step at a time.
+
+    In each step every generation whose prompt is loaded gets one token, and the
+    others share the prefill budget of the step in order of arrival.
+
+    Parameters
+    ----------
+    n_slots : int
+        Generations that run at once.
+    token_interval_ms : float
+        Duration of a step.
+    prefill_tokens_per_ms : float
+        Prefill pace, shared by all prompts that are being loaded.
+    cache : PrefixCache
+        Prompt blocks in memory.
+    on_cache_change : callable
+        Receives the blocks that were added and removed.
+    on_admit : callable
+        Receives each generation as it enters the batch; may crash the engine.
+    """
+
+    def __init__(
+        self,
+        n_slots: int,
+        token_interval_ms: float,
+        prefill_tokens_per_ms: float,
+        cache: PrefixCache,
+        on_cache_change: CacheListener,
+        on_admit: Callable[[Generation], None],
+    ) -> None:
+        self.n_slots = n_slots
+        self.token_interval_ms = token_interval_ms
+        self.prefill_tokens_per_ms = prefill_tokens_per_ms
+        self.is_stalled = False
+        self._cache = cache
+        self._on_cache_change = on_cache_change
+        self._on_admit = on_admit
+        self._waiting: list[Generation] = []
+        self._running: list[Generation] = []
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def running(self) -> Sequence[Generation]:
+        """Return the generations in the batch."""
+        return self._running
+
+    @property
+    def n_waiting(self) -> int:
+        """Return how many generations wait for a slot."""
+        return len(self._waiting)
+
+    def count_queued_tokens(self) -> int:
+        """Return prompt tokens that are not loaded yet."""
+        waiting = sum(g.n_prompt_tokens for g in self._waiting)
+        return waiting + int(sum(g.n_uncached_tokens for g in self._running))
+
+    def submit(self, generation: Generation) -> None:
+        """Queue a generation; the highest priority and earliest goes first."""
+        self._waiting.append(generation)
+        self._waiting.sort(key=lambda item: item.priority)
+        if self._task is None or self._task.done():
+            self._task = asyncio.get_running_loop().create_task(self._run())
+
+    def clear(self) -> None:
+        """Cancel everything, as a crash does."""
+        for generation in (*self._waiting, *self._running):
+            generation.cancel()
+        self._waiting.clear()
+        self._running.clear()
+        if self._task is not None:
+            self._task.cancel()
+            self._task = None
+
+    async def _run(self) -> None:
+        loop = asyncio.get_running_loop()
+        due = loop.time()
+        while self._waiting or self._running:
+            self._admit()
+            due = max(due + self.token_interval_ms / 1000, loop.time())
+            await asyncio.sleep(due - loop.time())
+            if not self.is_stalled:
+                self._step()
+
+    def _admit(self) -> None:
+        self._waiting = [g for g in self._waiting if not g.is_cancelled]
+        while self._waiting and len(self._running) < self.n_slots:
+            generation = self._waiting.pop(0)
+            n_found, added, removed = self._cache.use(generation.prefix_hashes)
+            n_cached = min(n_found * BLOCK_TOKENS, generation.n_prompt_tokens)
+            generation.n_cached_tokens = n_cached
+            generation.n_uncached_tokens = generation.n_prompt_tokens - n_cached
+            if added or removed:
+                self._on_cache_change(added, removed)
+            self._running.append(generation)
+            self._on_admit(generation)
+
+    def _step(self) -> None:
+        budget = self.prefill_tokens_per_ms * self.token_interval_ms
+        for generation in self._running:
+            if generation.n_uncached_tokens > 0:
+                used = min(budget, generation.n_uncached_tokens)
+                generation.n_uncached_tokens -= used
+                budget -= used
+            elif not generation.is_cancelled:
+                generation.emit_token()
+        self._running = [
+            g for g in self._running if not (g.is_finished or g.is_cancelled)
+        ]
--- /dev/null
+++ b/packages/standins/src/bluebellusher_standins/_generation.py
@@ -0,0 +1,161 @@
+"""One generation of the engine stand-in and the answer it is to give."""
+
+import asyncio
+import hashlib
+import json
+from dataclasses import dataclass, field
+from typing import Any
+
+N_DEFAULT_OUTPUT_TOKENS = 16
+N_MAX_OUTPUT_TOKENS = 8192
+BYTES_PER_TOKEN = 4
+
+
+def read_prompt(body: dict[str, Any]) -> bytes:
+    """Return the text of all messages, which is what the prefix cache hashes."""
+    parts = [
+        f"{message.get('role', '')}:{message.get('content', '')}\n"
+        for message in body.get("messages", ())
+    ]
+    return "".join(parts).encode()
+
+
+def count_prompt_tokens(body: dict[str, Any]) -> int:
+    """Return the prompt length in tokens, with a fixed number of bytes each."""
+    return max(1, len(read_prompt(body)) // BYTES_PER_TOKEN)
+
+
+def read_n_output_tokens(body: dict[str, Any]) -> int:
+    """Return how many tokens the answer has."""
+    wanted = int(body.get("max_tokens") or N_DEFAULT_OUTPUT_TOKENS)
+    return max(1, min(wanted, N_MAX_OUTPUT_TOKENS))
+
+
+def expect_tokens(raw_body: bytes) -> list[str]:
+    """Return the tokens of the answer, which depend on the request body only."""
+    digest = hashlib.sha256(raw_body).hexdigest()[:8]
+    n_tokens = read_n_output_tokens(json.loads(raw_body))
+    return [f"{digest}.{index} " for index in range(n_tokens)]
+
+
+def expect_answer(raw_body: bytes) -> bytes:
+    """Return the whole answer, byte for byte, streamed or not.
+
+    Tests compare what a caller received with this.
+    """
+    body = json.loads(raw_body)
+    if body.get("stream"):
+        return b"".join(_stream_events(raw_body, body))
+    return _json_answer(raw_body, body)
+
+
+def _usage(body: dict[str, Any]) -> dict[str, int]:
+    n_prompt = count_prompt_tokens(body)
+    n_output = read_n_output_tokens(body)
+    return {
+        "prompt_tokens": n_prompt,
+        "completion_tokens": n_output,
+        "total_tokens": n_prompt + n_output,
+    }
+
+
+def _event(identifier: str, model: str, choice: dict[str, Any], **extra: Any) -> bytes:
+    chunk = {
+        "id": identifier,
+        "object": "chat.completion.chunk",
+        "created": 0,
+        "model": model,
+        "choices": [choice] if choice else [],
+        **extra,
+    }
+    return b"data: " + json.dumps(chunk).encode() + b"\n\n"
+
+
+def _stream_events(raw_body: bytes, body: dict[str, Any]) -> list[bytes]:
+    identifier = "cmpl-" + hashlib.sha256(raw_body).hexdigest()[:16]
+    model = str(body.get("model", ""))
+    events = [
+        _event(identifier, model, {"index": 0, "delta": {"content": token}})
+        for token in expect_tokens(raw_body)
+    ]
+    stop = {"index": 0, "delta": {}, "finish_reason": "stop"}
+    last = _event(identifier, model, stop)
+    usage = _event(identifier, model, {}, usage=_usage(body))
+    events[-1] += last + usage + b"data: [DONE]\n\n"
+    return events
+
+
+def _json_answer(raw_body: bytes, body: dict[str, Any]) -> bytes:
+    message = {"role": "assistant", "content": "".join(expect_tokens(raw_body))}
+    answer = {
+        "id": "cmpl-" + hashlib.sha256(raw_body).hexdigest()[:16],
+        "object": "chat.completion",
+        "created": 0,
+        "model": str(body.get("model", "")),
+        "choices": [{"index": 0, "message": message, "finish_reason": "stop"}],
+        "usage": _usage(body),
+    }
+    return json.dumps(answer).encode()
+
+
+@dataclass(slots=True, eq=False)
+class Generation:
+    """State of one request in the engine."""
+
+    attempt_id: str
+    raw_body: bytes
+    priority: int
+    n_prompt_tokens: int
+    n_output_tokens: int
+    prefix_hashes: list[int]
+    is_stream: bool
+    events: list[bytes]
+    n_uncached_tokens: float = 0
+    n_cached_tokens: int = 0
+    n_tokens_done: int = 0
+    data: bytearray = field(default_factory=bytearray)
+    is_started: bool = False
+    is_finished: bool = False
+    is_cancelled: bool = False
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    @classmethod
+    def from_request(
+        cls, attempt_id: str, raw_body: bytes, priority: int, hashes: list[int]
+    ) -> "Generation":
+        """Read the parameters of the request body."""
+        body = json.loads(raw_body)
+        is_stream = bool(body.get("stream"))
+        events = (
+            _stream_events(raw_body, body)
+            if is_stream
+            else [_json_answer(raw_body, body)]
+        )
+        return cls(
+            attempt_id=attempt_id,
+            raw_body=raw_body,
+            priority=priority,
+            n_prompt_tokens=count_prompt_tokens(body),
+            n_output_tokens=read_n_output_tokens(body),
+            prefix_hashes=hashes,
+            is_stream=is_stream,
+            events=events,
+        )
+
+    def emit_token(self) -> None:
+        """Produce one token; the last one finishes the answer."""
+        if self.is_stream:
+            self.data += self.events[self.n_tokens_done]
+        self.n_tokens_done += 1
+        self.is_started = True
+        if self.n_tokens_done >= self.n_output_tokens:
+            if not self.is_stream:
+                self.data += self.events[0]
+            self.is_finished = True
+        if self.is_stream or self.is_finished:
+            self.changed.set()
+
+    def cancel(self) -> None:
+        """Stop; nothing more is produced."""
+        self.is_cancelled = True
+        self.changed.set()
--- /dev/null
+++ b/packages/standins/src/bluebellusher_standins/_server.py
@@ -0,0 +1,99 @@
+"""Common base of the HTTP stand-ins."""
+
+import argparse
+import asyncio
+import signal
+from typing import Self
+
+from aiohttp import web
+
+MAX_BODY_BYTES = 16 * 1024 * 1024
+
+
+class StandInServer:
+    """An HTTP server that runs inside the current event loop.
+
+    Examples
+    --------
+    ``async with PlainServiceServer() as service: ...`` starts the service on a port
+    chosen by the kernel; ``service.base_url`` names it.
+    """
+
+    def __init__(self, host: str = "127.0.0.1", port: int = 0) -> None:
+        self.host = host
+        self.port = port
+        self._runner: web.AppRunner | None = None
+
+    @property
+    def base_url(self) -> str:
+        """Return the address for clients."""
+        return f"http://{self.host}:{self.port}"
+
+    def build_app(self) -> web.Application:
+        """Return the application that is served."""
+        raise NotImplementedError
+
+    async def start(self) -> Self:
+        """Listen; a port of 0 is replaced by the one that the kernel chose."""
+        runner = web.AppRunner(self.build_app(), access_log=None, shutdown_timeout=0.1)
+        await runner.setup()
+        site = web.TCPSite(runner, self.host, self.port, reuse_address=True)
+        await site.start()
+        self.port = int(runner.addresses[0][1])
+        self._runner = runner
+        return self
+
+    async def stop(self) -> None:
+        """Abort every connection and stop listening."""
+        runner, self._runner = self._runner, None
+        if runner is None:
+            return
+        # Sites are stopped first so that nobody connects in between.
+        for site in list(runner.sites):
+            await site.stop()
+        self._abort_connections(runner)
+        await runner.cleanup()
+
+    def _abort_connections(self, runner: web.AppRunner) -> None:
+        server = runner.server
+        if server is None:
+            return
+        for connection in list(server.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
+
+    async def __aenter__(self) -> Self:
+        return await self.start()
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.stop()
+
+
+def abort_request(request: web.Request) -> web.Response:
+    """Cut the connection without an answer, as a crash or a lost answer does."""
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response(status=500)
+
+
+def build_parser(description: str) -> argparse.ArgumentParser:
+    """Return a command line parser with the options that all stand-ins have."""
+    parser = argparse.ArgumentParser(description=description)
+    parser.add_argument("--host", default="127.0.0.1")
+    parser.add_argument("--port", type=int, default=0)
+    return parser
+
+
+def run_server(server: StandInServer) -> None:
+    """Serve until SIGTERM or SIGINT; print the port once it is known."""
+    asyncio.run(_serve(server))
+
+
+async def _serve(server: StandInServer) -> None:
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signal_number, stopped.set)
+    async with server:
+        print(f"event=listening host={server.host} port={server.port}", flush=True)
+        await stopped.wait()
--- /dev/null
+++ b/packages/standins/src/bluebellusher_standins/plain_service.py
@@ -0,0 +1,106 @@
+"""Stand-in of a plain HTTP service that counts what it executes."""
+
+import asyncio
+import hashlib
+from collections import Counter
+from dataclasses import dataclass, fields
+
+from aiohttp import web
+
+from bluebellusher_standins._server import (
+    MAX_BODY_BYTES,
+    StandInServer,
+    abort_request,
+    build_parser,
+    run_server,
+)
+
+
+@dataclass(slots=True)
+class PlainServiceFaults:
+    """Faults that are in force.
+
+    Parameters
+    ----------
+    stall_ms : int
+        Each call waits this long after it was executed and before its answer.
+    drop_after_execute : int
+        That many next calls are executed and then lose their connection.
+    drop_before_execute : int
+        That many next calls lose their connection without being executed.
+    """
+
+    stall_ms: int = 0
+    drop_after_execute: int = 0
+    drop_before_execute: int = 0
+
+
+class PlainServiceServer(StandInServer):
+    """Execute GET and POST on any path and count executions by body.
+
+    ``n_executions_by_body`` holds POST bodies; ``n_executions_by_path`` holds all
+    calls. ``GET /executions?body=TEXT`` tells the count over HTTP.
+    """
+
+    def __init__(self, host: str = "127.0.0.1", port: int = 0) -> None:
+        super().__init__(host, port)
+        self.faults = PlainServiceFaults()
+        self.n_executions_by_body: Counter[bytes] = Counter()
+        self.n_executions_by_path: Counter[str] = Counter()
+
+    def build_app(self) -> web.Application:
+        """Return the application; fixed paths go before the catch-all."""
+        app = web.Application(client_max_size=MAX_BODY_BYTES)
+        app.router.add_get("/healthz", self._get_health)
+        app.router.add_get("/executions", self._get_executions)
+        app.router.add_post("/faults", self._set_faults)
+        app.router.add_route("*", "/{path:.*}", self._execute)
+        return app
+
+    async def _get_health(self, request: web.Request) -> web.Response:
+        return web.json_response({"status": "ok"})
+
+    async def _get_executions(self, request: web.Request) -> web.Response:
+        body = request.query["body"].encode()
+        return web.json_response({"n_executions": self.n_executions_by_body[body]})
+
+    async def _set_faults(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        known = {item.name for item in fields(PlainServiceFaults)}
+        if set(body) - known:
+            return web.json_response({"error": "unknown fault"}, status=400)
+        for name, value in body.items():
+            setattr(self.faults, name, value)
+        return web.json_response({})
+
+    async def _execute(self, request: web.Request) -> web.Response:
+        body = await request.read()
+        if self.faults.drop_before_execute > 0:
+            self.faults.drop_before_execute -= 1
+            return abort_request(request)
+        self.n_executions_by_path[request.path] += 1
+        if request.method != "GET":
+            self.n_executions_by_body[body] += 1
+        if self.faults.stall_ms:
+            await asyncio.sleep(self.faults.stall_ms / 1000)
+        if self.faults.drop_after_execute > 0:
+            self.faults.drop_after_execute -= 1
+            return abort_request(request)
+        return web.json_response(
+            {
+                "method": request.method,
+                "path": request.path_qs,
+                "body_sha256": hashlib.sha256(body).hexdigest(),
+                "n_executions": self.n_executions_by_body[body],
+            }
+        )
+
+
+def main() -> None:
+    """Run the plain service as a process."""
+    options = build_parser("plain service stand-in").parse_args()
+    run_server(PlainServiceServer(options.host, options.port))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/standins/src/bluebellusher_standins/platform.py
@@ -0,0 +1,270 @@
+"""Stand-in of the platform: table, object store, instance list, weight store."""
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field, fields
+from typing import Any
+
+from aiohttp import web
+from bluebellusher_core.clock import Clock, SystemClock
+
+from bluebellusher_standins._server import (
+    MAX_BODY_BYTES,
+    StandInServer,
+    abort_request,
+    build_parser,
+    run_server,
+)
+from bluebellusher_standins._table import Table, TableRow
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+DOMAIN_HEADER = "X-Failure-Domain"
+
+
+@dataclass(slots=True)
+class PlatformFaults:
+    """Faults that are in force.
+
+    Parameters
+    ----------
+    is_down : bool
+        Every request gets 503 and has no effect.
+    delay_ms : int
+        Each request waits this long before it takes effect.
+    lose_answers : int
+        That many next writes take effect and then lose their answer.
+    stale_ms : int
+        Age of the copy that eventual reads see.
+    refuse_objects : bool
+        Object writes get 503.
+    cut_off_domains : list of str
+        Requests whose ``X-Failure-Domain`` is listed get no answer and no effect.
+    """
+
+    is_down: bool = False
+    delay_ms: int = 0
+    lose_answers: int = 0
+    stale_ms: int = 0
+    refuse_objects: bool = False
+    cut_off_domains: list[str] = field(default_factory=list)
+
+
+class WeightBudget:
+    """Token bucket of the weight store, in bytes."""
+
+    def __init__(self, n_bytes_per_second: int, clock: Clock) -> None:
+        self._rate = n_bytes_per_second
+        self._clock = clock
+        self._available = float(n_bytes_per_second)
+        self._at_ms = clock.now_ms()
+
+    def take(self, n_bytes: int) -> int:
+        """Take the bytes and return 0, or return the wait in milliseconds."""
+        now_ms = self._clock.now_ms()
+        earned = (now_ms - self._at_ms) * self._rate / 1000
+        self._available = min(float(self._rate), self._available + earned)
+        self._at_ms = now_ms
+        # A fetch larger than one second's budget is let through on a full bucket
+        # and leaves a debt; otherwise it could never succeed.
+        if self._available >= min(n_bytes, self._rate):
+            self._available -= n_bytes
+            return 0
+        missing = min(n_bytes, self._rate) - self._available
+        return max(1, int(missing * 1000 / self._rate))
+
+
+class PlatformServer(StandInServer):
+    """All four services of the platform on one port.
+
+    Parameters
+    ----------
+    host, port : str, int
+        Where to listen; port 0 lets the kernel choose.
+    clock : Clock or None
+        Time source for lag and staleness.
+    instance_lag_ms : int
+        Age of the instance list that is shown.
+    weight_bytes_per_second : int
+        Rate limit of the weight store.
+    """
+
+    def __init__(
+        self,
+        host: str = "127.0.0.1",
+        port: int = 0,
+        clock: Clock | None = None,
+        instance_lag_ms: int = 1000,
+        weight_bytes_per_second: int = 1_000_000_000,
+    ) -> None:
+        super().__init__(host, port)
+        self.clock = clock or SystemClock()
+        self.table = Table(self.clock)
+        self.faults = PlatformFaults()
+        self.object_by_name: dict[str, bytes] = {}
+        self.n_requests = 0
+        self._instance_lag_ms = instance_lag_ms
+        self._instance_by_id: dict[str, dict[str, Any]] = {}
+        self._instance_copies: list[tuple[int, list[dict[str, Any]]]] = []
+        self._weights = WeightBudget(weight_bytes_per_second, self.clock)
+
+    def set_instance(self, instance: dict[str, Any]) -> None:
+        """Add or replace an instance by its ``instance_id``."""
+        self._instance_by_id[instance["instance_id"]] = instance
+        self._copy_instances()
+
+    def remove_instance(self, instance_id: str) -> None:
+        """Take an instance off the list."""
+        self._instance_by_id.pop(instance_id, None)
+        self._copy_instances()
+
+    def _copy_instances(self) -> None:
+        copy = [dict(instance) for instance in self._instance_by_id.values()]
+        self._instance_copies.append((self.clock.now_ms(), copy))
+        del self._instance_copies[:-200]
+
+    def build_app(self) -> web.Application:
+        """Return the application with all routes."""
+        app = web.Application(
+            middlewares=[self._apply_faults], client_max_size=MAX_BODY_BYTES
+        )
+        app.router.add_post("/table/transact", self._transact)
+        app.router.add_get("/table/row", self._get_row)
+        app.router.add_get("/table/rows", self._get_rows)
+        app.router.add_get("/objects", self._list_objects)
+        app.router.add_put("/objects/{name:.+}", self._put_object)
+        app.router.add_get("/objects/{name:.+}", self._get_object, allow_head=False)
+        app.router.add_get("/instances", self._get_instances)
+        app.router.add_put("/instances/{id}", self._put_instance)
+        app.router.add_delete("/instances/{id}", self._delete_instance)
+        app.router.add_post("/weights/fetch", self._fetch_weights)
+        app.router.add_post("/faults", self._set_faults)
+        return app
+
+    @web.middleware
+    async def _apply_faults(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        if request.path == "/faults":
+            return await handler(request)
+        self.n_requests += 1
+        if request.headers.get(DOMAIN_HEADER) in self.faults.cut_off_domains:
+            return abort_request(request)
+        if self.faults.delay_ms:
+            await asyncio.sleep(self.faults.delay_ms / 1000)
+        if self.faults.is_down:
+            return web.json_response({"error": "down"}, status=503)
+        try:
+            return await handler(request)
+        except (KeyError, TypeError, ValueError) as error:
+            reason = f"{type(error).__name__}: {error}"
+            return web.json_response({"error": reason}, status=400)
+
+    def _answer_write(
+        self, request: web.Request, response: web.Response
+    ) -> web.Response:
+        if self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            return abort_request(request)
+        return response
+
+    async def _transact(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        conditions = {c["key"]: int(c["version"]) for c in body.get("conditions", ())}
+        puts = {put["key"]: put["value"] for put in body.get("puts", ())}
+        result = self.table.transact(conditions, puts, body.get("deletes", ()))
+        if isinstance(result, int):
+            response = web.json_response({"version": result})
+            return self._answer_write(request, response)
+        conflicts = [_row_to_json(row) for row in result]
+        return web.json_response({"conflicts": conflicts}, status=409)
+
+    async def _get_row(self, request: web.Request) -> web.Response:
+        is_eventual = request.query.get("consistency", "strong") == "eventual"
+        stale_ms = self.faults.stale_ms if is_eventual else 0
+        row = self.table.read(request.query["key"], stale_ms)
+        return web.json_response(_row_to_json(row))
+
+    async def _get_rows(self, request: web.Request) -> web.Response:
+        rows = self.table.read_prefix(request.query["prefix"])
+        return web.json_response({"rows": [_row_to_json(row) for row in rows]})
+
+    async def _put_object(self, request: web.Request) -> web.Response:
+        if self.faults.refuse_objects:
+            return web.json_response({"error": "refused"}, status=503)
+        name = request.match_info["name"]
+        data = await request.read()
+        is_create = request.headers.get("If-None-Match") == "*"
+        if is_create and name in self.object_by_name:
+            return web.json_response({"error": "exists"}, status=412)
+        self.object_by_name[name] = data
+        return self._answer_write(request, web.json_response({"name": name}))
+
+    async def _get_object(self, request: web.Request) -> web.Response:
+        data = self.object_by_name.get(request.match_info["name"])
+        if data is None:
+            return web.json_response({"error": "absent"}, status=404)
+        return web.Response(body=data, content_type="application/octet-stream")
+
+    async def _list_objects(self, request: web.Request) -> web.Response:
+        prefix = request.query.get("prefix", "")
+        names = sorted(n for n in self.object_by_name if n.startswith(prefix))
+        return web.json_response({"objects": names})
+
+    async def _get_instances(self, request: web.Request) -> web.Response:
+        at_ms = self.clock.now_ms() - self._instance_lag_ms
+        shown: list[dict[str, Any]] = []
+        for changed_at_ms, copy in self._instance_copies:
+            if changed_at_ms <= at_ms:
+                shown = copy
+        return web.json_response({"instances": shown})
+
+    async def _put_instance(self, request: web.Request) -> web.Response:
+        instance = await request.json()
+        self.set_instance({**instance, "instance_id": request.match_info["id"]})
+        return web.json_response({})
+
+    async def _delete_instance(self, request: web.Request) -> web.Response:
+        self.remove_instance(request.match_info["id"])
+        return web.json_response({})
+
+    async def _fetch_weights(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        wait_ms = self._weights.take(int(body["n_bytes"]))
+        if not wait_ms:
+            return web.json_response({"expert_id": body["expert_id"]})
+        headers = {"Retry-After": str(-(-wait_ms // 1000))}
+        return web.json_response({"error": "rate"}, status=429, headers=headers)
+
+    async def _set_faults(self, request: web.Request) -> web.Response:
+        body = json.loads(await request.text())
+        known = {item.name for item in fields(PlatformFaults)}
+        unknown = set(body) - known
+        if unknown:
+            return web.json_response({"error": f"unknown {unknown}"}, status=400)
+        for name, value in body.items():
+            setattr(self.faults, name, value)
+        return web.json_response({})
+
+
+def _row_to_json(row: TableRow) -> dict[str, Any]:
+    return {"key": row.key, "version": row.version, "value": row.value}
+
+
+def main() -> None:
+    """Run the platform stand-in as a process."""
+    parser = build_parser("platform stand-in")
+    parser.add_argument("--instance-lag-ms", type=int, default=1000)
+    parser.add_argument("--weight-bytes-per-second", type=int, default=10**9)
+    options = parser.parse_args()
+    server = PlatformServer(
+        options.host,
+        options.port,
+        instance_lag_ms=options.instance_lag_ms,
+        weight_bytes_per_second=options.weight_bytes_per_second,
+    )
+    run_server(server)
+
+
+if __name__ == "__main__":
+    main()
