Add the platform client

Change: each operation returns a Result; its error is PlatformNotDoneError when the operation certainly had no effect, PlatformOutcomeUnknownError otherwise.

--- /dev/null
+++ b/packages/entry/src/bluebellusher/platform/_client.py
@@ -0,0 +1,267 @@
+"""Operations of the platform as typed results."""
+
+import json
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any, Self, TypeVar
+from urllib.parse import quote
+
+from expression import Error, Ok, Result
+
+from bluebellusher.platform._errors import (
+    ObjectExistsError,
+    PlatformError,
+    PlatformNotDoneError,
+    PlatformOutcomeUnknownError,
+    TransactConflictError,
+    WeightRateLimitedError,
+)
+from bluebellusher.platform._transport import PlatformTransport, Reply
+from bluebellusher.platform._types import Consistency, Instance, Row
+
+T = TypeVar("T")
+DEFAULT_DEADLINE_MS = 2_000
+
+
+class PlatformClient:
+    """Client of the table, the object store, the instance list and the weight store.
+
+    Every operation returns a ``Result`` and never raises for a platform fault. An
+    error is a ``PlatformNotDoneError`` when the operation certainly had no effect and a
+    ``PlatformOutcomeUnknownError`` when it may have had one.
+
+    Parameters
+    ----------
+    base_url : str
+        Address of the platform, such as ``"http://10.0.0.5:8080"``.
+    failure_domain : str
+        Failure domain of this instance.
+    deadline_ms : int
+        Time for one operation unless the call names another.
+
+    Examples
+    --------
+    ::
+
+        result = await client.transact({"a": 0}, {"a": 1})
+        match result:
+            case Result(tag="ok", ok=version): ...
+            case Result(tag="error", error=TransactConflictError(conflicts=rows)): ...
+    """
+
+    def __init__(
+        self,
+        base_url: str,
+        failure_domain: str = "",
+        deadline_ms: int = DEFAULT_DEADLINE_MS,
+    ) -> None:
+        self._transport = PlatformTransport(base_url, failure_domain, deadline_ms)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._transport.close()
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.close()
+
+    async def transact(
+        self,
+        conditions: Mapping[str, int],
+        puts: Mapping[str, Any],
+        deletes: Sequence[str] = (),
+        deadline_ms: int | None = None,
+    ) -> Result[int, PlatformError]:
+        """Write all rows if all conditions hold; return the version written.
+
+        Parameters
+        ----------
+        conditions : mapping of str to int
+            Required version by key; 0 means "absent".
+        puts : mapping of str to JSON value
+            Values to write by key.
+        deletes : sequence of str
+            Keys to delete.
+        deadline_ms : int or None
+            Time for this operation.
+        """
+        body = {
+            "conditions": [
+                {"key": key, "version": version} for key, version in conditions.items()
+            ],
+            "puts": [{"key": key, "value": value} for key, value in puts.items()],
+            "deletes": list(deletes),
+        }
+        result = await self._transport.exchange(
+            "table-transact", "POST", "/table/transact", deadline_ms, json=body
+        )
+        return result.bind(self._read_transact)
+
+    def _read_transact(self, reply: Reply) -> Result[int, PlatformError]:
+        step = "table-transact"
+        if reply.status == 409:
+            return self._parse(step, reply, _read_conflicts).bind(
+                lambda rows: Error(
+                    TransactConflictError(step, self._transport.peer, rows)
+                )
+            )
+        return self._parse(step, reply, lambda data: int(data["version"]))
+
+    async def read_row(
+        self,
+        key: str,
+        consistency: Consistency = Consistency.STRONG,
+        deadline_ms: int | None = None,
+    ) -> Result[Row, PlatformError]:
+        """Return a row; it has version 0 when it is absent."""
+        step = "table-read"
+        params = {"key": key, "consistency": consistency.value}
+        result = await self._transport.exchange(
+            step, "GET", "/table/row", deadline_ms, params=params
+        )
+        return result.bind(lambda reply: self._parse(step, reply, Row.from_json))
+
+    async def read_rows(
+        self, prefix: str, deadline_ms: int | None = None
+    ) -> Result[tuple[Row, ...], PlatformError]:
+        """Return all rows whose key starts with ``prefix``."""
+        step = "table-scan"
+        result = await self._transport.exchange(
+            step, "GET", "/table/rows", deadline_ms, params={"prefix": prefix}
+        )
+        return result.bind(lambda reply: self._parse(step, reply, _read_rows))
+
+    async def put_object(
+        self, name: str, data: bytes, deadline_ms: int | None = None
+    ) -> Result[None, PlatformError]:
+        """Create an object that does not exist yet.
+
+        An object with the same content counts as created: its write may have lost
+        its answer, in this call or in an earlier one.
+        """
+        step = "object-put"
+        result = await self._transport.exchange(
+            step,
+            "PUT",
+            _object_path(name),
+            deadline_ms,
+            data=data,
+            headers={"If-None-Match": "*"},
+        )
+        if not result.is_ok():
+            return Error(result.error)
+        if result.ok.status == 412:
+            return await self._compare_object(name, data, deadline_ms)
+        return self._parse(step, result.ok, lambda _: None)
+
+    async def _compare_object(
+        self, name: str, data: bytes, deadline_ms: int | None
+    ) -> Result[None, PlatformError]:
+        found = await self.get_object(name, deadline_ms)
+        if not found.is_ok():
+            # The write itself is settled by the 412 only when the content is known.
+            error = found.error
+            unknown = PlatformOutcomeUnknownError(
+                "object-put", error.peer, error.reason
+            )
+            return Error(unknown)
+        if found.ok == data:
+            return Ok(None)
+        reason = f"{name} exists with other content"
+        return Error(ObjectExistsError("object-put", self._transport.peer, reason))
+
+    async def get_object(
+        self, name: str, deadline_ms: int | None = None
+    ) -> Result[bytes | None, PlatformError]:
+        """Return the content of an object, or ``None`` when it does not exist."""
+        step = "object-get"
+        result = await self._transport.exchange(
+            step, "GET", _object_path(name), deadline_ms
+        )
+        return result.bind(lambda reply: self._read_object(step, reply))
+
+    def _read_object(
+        self, step: str, reply: Reply
+    ) -> Result[bytes | None, PlatformError]:
+        if reply.status == 404:
+            return Ok(None)
+        if reply.status != 200:
+            return Error(self._unexpected(step, reply))
+        return Ok(reply.body)
+
+    async def list_objects(
+        self, prefix: str, deadline_ms: int | None = None
+    ) -> Result[tuple[str, ...], PlatformError]:
+        """Return the names of all objects that start with ``prefix``."""
+        step = "object-list"
+        result = await self._transport.exchange(
+            step, "GET", "/objects", deadline_ms, params={"prefix": prefix}
+        )
+        return result.bind(lambda reply: self._parse(step, reply, _read_names))
+
+    async def list_instances(
+        self, deadline_ms: int | None = None
+    ) -> Result[tuple[Instance, ...], PlatformError]:
+        """Return the instance list, which lags."""
+        step = "instance-list"
+        result = await self._transport.exchange(step, "GET", "/instances", deadline_ms)
+        return result.bind(lambda reply: self._parse(step, reply, _read_instances))
+
+    async def fetch_weights(
+        self, expert_id: str, n_bytes: int, deadline_ms: int | None = None
+    ) -> Result[None, PlatformError]:
+        """Ask the weight store for the weights of one expert."""
+        step = "weight-fetch"
+        body = {"expert_id": expert_id, "n_bytes": n_bytes}
+        result = await self._transport.exchange(
+            step, "POST", "/weights/fetch", deadline_ms, json=body
+        )
+        return result.bind(lambda reply: self._read_fetch(step, reply))
+
+    def _read_fetch(self, step: str, reply: Reply) -> Result[None, PlatformError]:
+        if reply.status != 429:
+            return self._parse(step, reply, lambda _: None)
+        wait = reply.headers.get("Retry-After", "1")
+        wait_ms = int(wait) * 1000 if wait.isdigit() else 1000
+        return Error(WeightRateLimitedError(step, self._transport.peer, wait_ms))
+
+    def _parse(
+        self, step: str, reply: Reply, read: Callable[[Any], T]
+    ) -> Result[T, PlatformError]:
+        if reply.status not in (200, 409):
+            return Error(self._unexpected(step, reply))
+        try:
+            return Ok(read(json.loads(reply.body)))
+        except (AttributeError, KeyError, TypeError, ValueError) as error:
+            # A malformed answer to a write does not tell whether it was executed.
+            reason = f"malformed answer: {type(error).__name__}: {error}"[:200]
+            return Error(
+                PlatformOutcomeUnknownError(step, self._transport.peer, reason)
+            )
+
+    def _unexpected(self, step: str, reply: Reply) -> PlatformError:
+        reason = f"status {reply.status}: expected 200"
+        if 400 <= reply.status < 500:
+            return PlatformNotDoneError(step, self._transport.peer, reason)
+        return PlatformOutcomeUnknownError(step, self._transport.peer, reason)
+
+
+def _object_path(name: str) -> str:
+    return "/objects/" + quote(name, safe="/")
+
+
+def _read_conflicts(data: Any) -> tuple[Row, ...]:
+    return tuple(Row.from_json(row) for row in data["conflicts"])
+
+
+def _read_rows(data: Any) -> tuple[Row, ...]:
+    return tuple(Row.from_json(row) for row in data["rows"])
+
+
+def _read_names(data: Any) -> tuple[str, ...]:
+    return tuple(str(name) for name in data["objects"])
+
+
+def _read_instances(data: Any) -> tuple[Instance, ...]:
+    return tuple(Instance.from_json(item) for item in data["instances"])
--- /dev/null
+++ b/packages/entry/src/bluebellusher/platform/_errors.py
@@ -0,0 +1,41 @@
+"""Errors of the platform client, by what is known about the operation."""
+
+from bluebellusher_core.errors import StepError
+
+from bluebellusher.platform._types import Row
+
+
+class PlatformError(StepError):
+    """A platform operation that did not succeed."""
+
+
+class PlatformNotDoneError(PlatformError):
+    """The operation certainly had no effect and may be repeated."""
+
+
+class PlatformOutcomeUnknownError(PlatformError):
+    """The operation may have taken effect; read back before repeating it."""
+
+
+class TransactConflictError(PlatformNotDoneError):
+    """A condition of a transaction did not hold; nothing was written.
+
+    ``conflicts`` holds the present rows of the conditions that failed.
+    """
+
+    def __init__(self, step: str, peer: str, conflicts: tuple[Row, ...]) -> None:
+        keys = ", ".join(f"{row.key} at version {row.version}" for row in conflicts)
+        super().__init__(step, peer, f"conflict: {keys}")
+        self.conflicts = conflicts
+
+
+class ObjectExistsError(PlatformNotDoneError):
+    """An object of that name with other content exists."""
+
+
+class WeightRateLimitedError(PlatformNotDoneError):
+    """The weight store asks to come back after ``retry_after_ms``."""
+
+    def __init__(self, step: str, peer: str, retry_after_ms: int) -> None:
+        super().__init__(step, peer, f"rate limited for {retry_after_ms} ms")
+        self.retry_after_ms = retry_after_ms
