--- /dev/null
+++ b/packages/agent/src/bluebellusher_agent/_agent.py
@@ -0,0 +1,466 @@
+"""The agent: connections of entries on one side, the target on the other."""
+
+import asyncio
+import contextlib
+from collections.abc import Coroutine
+from typing import Any
+
+from bluebellusher_core.clock import Clock, SystemClock
+from bluebellusher_core.errors import Reason, StepError
+from bluebellusher_core.wire import messages
+
+from bluebellusher_agent._checks import (
+    find_dispatch_problem,
+    find_id_problem,
+    is_id,
+    is_order,
+)
+from bluebellusher_agent._connection import EntryConnection
+from bluebellusher_agent._executor import Executor
+from bluebellusher_agent._http import HttpClient
+from bluebellusher_agent._log import log
+from bluebellusher_agent._monitor import TargetMonitor
+from bluebellusher_agent._orders import OrderDesk
+from bluebellusher_agent._reports import CacheReader, LoadReader
+from bluebellusher_agent._run import Run
+from bluebellusher_agent._runs import Decision, RunTable, Verdict
+from bluebellusher_agent._settings import AgentSettings
+
+TICK_MS = 500
+FINISH_TIMEOUT_MS = 2_000
+MAX_CONNECTIONS = 512
+NOT_RUN_RETRY_MS = 1_000
+# Answers that were sent whole are held for entries that lose them on the way.
+MAX_HELD_BYTES = 8 * 1024 * 1024
+
+
+class Agent:
+    """Endpoint agent; one per endpoint instance.
+
+    Parameters
+    ----------
+    settings : AgentSettings
+        What the agent is told.
+    clock : Clock or None
+        Time source.
+
+    Examples
+    --------
+    ::
+
+        agent = Agent(AgentSettings.from_file("agent.json"))
+        await agent.start()
+        agent.start_drain()
+        await agent.wait_idle()
+        await agent.stop()
+    """
+
+    def __init__(self, settings: AgentSettings, clock: Clock | None = None) -> None:
+        self.settings = settings
+        self.clock = clock or SystemClock()
+        self.secret = settings.shared_secret.encode()
+        self.port = settings.listen.port
+        self.incarnation = self.clock.wall_ms()
+        self.is_model = settings.kind == "model"
+        self.runs = RunTable(settings.max_runs)
+        self._client = HttpClient(settings.target.host, settings.target.port)
+        self._monitor = TargetMonitor(self._client, self.clock, self._on_crash)
+        self._executor = Executor(self._client, self._monitor, self, self.is_model)
+        self._load = LoadReader(
+            self._client, settings.models, settings.adapters, settings.n_slots
+        )
+        self._cache = CacheReader(self._client)
+        self._orders = OrderDesk(self._client)
+        self._connections: set[EntryConnection] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._server: asyncio.Server | None = None
+        self._changed = asyncio.Event()
+        self._is_target_answering = True
+
+    async def start(self) -> None:
+        """Listen for entries and start reporting."""
+        loop = asyncio.get_running_loop()
+        listen = self.settings.listen
+        self._server = await loop.create_server(
+            lambda: EntryConnection(self), listen.host, listen.port
+        )
+        self.port = int(self._server.sockets[0].getsockname()[1])
+        if self.settings.is_draining:
+            self.start_drain()
+        self._spawn(self._tick_forever())
+        self._spawn(self._report_forever())
+        log("listening", host=listen.host, port=self.port)
+
+    async def stop(self) -> None:
+        """Close everything at once."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self._connections):
+            connection.close("agent stops")
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self._client.close_idle(is_all=True)
+
+    def start_drain(self) -> None:
+        """Take no new work from now on and say so to all entries."""
+        if self.runs.is_draining:
+            return
+        self.runs.is_draining = True
+        log("draining", n_runs=len(self.runs))
+        self._broadcast(messages.Drain(self.settings.instance_id))
+
+    async def wait_idle(self) -> None:
+        """Wait until every answer was sent whole or is no longer wanted."""
+        while any(not run.is_finish_queued for run in self.runs):
+            self._changed.clear()
+            await self._changed.wait()
+
+    async def finish_connections(self) -> None:
+        """Deliver what is queued; entries that do not close are cut off later."""
+        for connection in self._connections:
+            connection.finish()
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + FINISH_TIMEOUT_MS / 1000
+        while self._connections and loop.time() < end_s:
+            self._changed.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout_at(end_s):
+                    await self._changed.wait()
+
+    def build_hello(self) -> Any:
+        """Return the ``Hello`` of this agent without nonce and MAC."""
+        return messages.Hello(
+            protocol_version=1,
+            instance_id=self.settings.instance_id,
+            incarnation=self.incarnation,
+            failure_domain=self.settings.failure_domain,
+            role=messages.Role.AGENT,
+            services=list(self.settings.services),
+            models=self._load.models,
+            adapters=self._load.adapters,
+            n_slots=self._load.n_slots,
+            is_draining=self.runs.is_draining,
+        )
+
+    def on_open(self, connection: EntryConnection) -> None:
+        """Watch a new connection, which must authenticate itself soon."""
+        self._connections.add(connection)
+        if len(self._connections) > MAX_CONNECTIONS:
+            connection.close("too many connections")
+
+    def on_ready(self, connection: EntryConnection) -> None:
+        """Tell an entry what it needs to know at once."""
+        log("entry_connected", peer=connection.peer_id, address=connection.address)
+        for message in (self._load.report, self._cache.snapshot()):
+            if message is not None:
+                connection.send(message)
+        if self.runs.is_draining:
+            connection.send(messages.Drain(self.settings.instance_id))
+
+    def on_closed(self, connection: EntryConnection) -> None:
+        """Hold the answers of a lost connection for resumption."""
+        self._connections.discard(connection)
+        held = [run for run in self.runs if run.connection is connection]
+        for run in held:
+            run.detach()
+            self._hold(run)
+        self._changed.set()
+        log("entry_lost", peer=connection.peer_id or "-", n_held=len(held))
+
+    def on_writable(self, connection: EntryConnection) -> None:
+        """Send what waited for room."""
+        for run in self.runs:
+            if run.connection is connection:
+                run.pump()
+        self._changed.set()
+
+    def on_message(self, connection: EntryConnection, message: Any) -> None:
+        """Handle one message of an entry."""
+        if isinstance(message, messages.Dispatch):
+            self._on_dispatch(connection, message)
+        elif isinstance(message, messages.Credit):
+            self._on_credit(connection, message)
+        elif isinstance(message, messages.Cancel):
+            self._on_cancel(connection, message)
+        elif isinstance(message, messages.Order):
+            self._on_order(connection, message)
+        else:
+            log("unexpected_message", kind=type(message).__name__)
+
+    def _on_dispatch(self, connection: EntryConnection, dispatch: Any) -> None:
+        problem = find_id_problem(dispatch)
+        if problem:
+            connection.close(problem)
+            return
+        now_ms = self.clock.now_ms()
+        problem = find_dispatch_problem(dispatch, self.is_model)
+        decision = (
+            Decision(Verdict.REFUSE)
+            if problem and self.runs.get(dispatch.attempt_id) is None
+            else self.runs.decide(dispatch, connection, now_ms)
+        )
+        if problem:
+            log("bad_dispatch", attempt_id=dispatch.attempt_id, reason=problem)
+        self._apply(decision, connection, dispatch, now_ms)
+
+    def _apply(
+        self,
+        decision: Decision,
+        connection: EntryConnection,
+        dispatch: Any,
+        now_ms: int,
+    ) -> None:
+        verdict, run = decision.verdict, decision.run
+        attempt_id = dispatch.attempt_id
+        if verdict is not Verdict.START:
+            log(
+                "dispatch_" + verdict.value,
+                attempt_id=attempt_id,
+                reason=decision.reason,
+            )
+        if verdict is Verdict.CLOSE:
+            connection.close(f"attempt {attempt_id} belongs to another request")
+        elif verdict is Verdict.REFUSE:
+            reason, retry_ms = decision.reason.value, decision.retry_after_ms
+            connection.send(messages.Refuse(attempt_id, reason, retry_ms))
+        elif verdict is Verdict.BREAK:
+            connection.send(messages.Broken(attempt_id, decision.reason.value, False))
+        elif verdict is Verdict.RESUME and run is not None:
+            self._resume(run, connection, dispatch, now_ms)
+        elif verdict in (Verdict.START, Verdict.REPLACE):
+            if run is not None:
+                self._cancel(run)
+            self._start(connection, dispatch, now_ms)
+
+    def _start(self, connection: EntryConnection, dispatch: Any, now_ms: int) -> None:
+        keep_bytes = self.settings.resume_buffer_bytes
+        run = Run(dispatch, connection.peer_id, now_ms, keep_bytes)
+        run.attach(connection, run.attempt_id, 0, dispatch.credit_bytes)
+        self.runs.add(run)
+        run.task = self._spawn(self._executor.execute(run))
+        loop = asyncio.get_running_loop()
+        delay_s = dispatch.remaining_ms / 1000
+        run.deadline_handle = loop.call_later(delay_s, self._on_deadline, run)
+
+    def _resume(
+        self, run: Run, connection: EntryConnection, dispatch: Any, now_ms: int
+    ) -> None:
+        if run.attempt_id != dispatch.attempt_id:
+            self.runs.rename(run, dispatch.attempt_id, now_ms)
+        offset, credit = dispatch.resume_offset, dispatch.credit_bytes
+        run.attach(connection, dispatch.attempt_id, offset, credit)
+        if run.is_complete:
+            self._hold(run)
+        self._changed.set()
+
+    def _on_credit(self, connection: EntryConnection, message: Any) -> None:
+        run = self._find(connection, message.attempt_id)
+        n_bytes = message.n_bytes
+        if run is not None and n_bytes is not None and n_bytes > 0:
+            run.add_credit(n_bytes)
+            self._changed.set()
+
+    def _on_cancel(self, connection: EntryConnection, message: Any) -> None:
+        run = self._find(connection, message.attempt_id)
+        if run is not None:
+            log("cancelled", attempt_id=run.attempt_id)
+            self._cancel(run)
+
+    def _find(self, connection: EntryConnection, attempt_id: Any) -> Run | None:
+        """Return a run of this connection; others may not touch it."""
+        run = self.runs.get(attempt_id) if is_id(attempt_id) else None
+        return run if run is not None and run.connection is connection else None
+
+    def _cancel(self, run: Run) -> None:
+        """Stop a run; it counts as running until the target was told."""
+        if run.is_cancelled or run.is_ended:
+            return
+        run.is_cancelled = True
+        connection, run.connection = run.connection, None
+        if isinstance(connection, EntryConnection):
+            connection.drop_queued(run.attempt_id)
+        self.runs.unlink(run)
+        if run.task is not None:
+            run.task.cancel()
+        self._spawn(self._finish_cancel(run))
+
+    async def _finish_cancel(self, run: Run) -> None:
+        await self._executor.cancel_on_target(run)
+        self._end(run)
+
+    def _on_order(self, connection: EntryConnection, order: Any) -> None:
+        if not is_order(order) or not self.is_model:
+            reason = "malformed order, or not an engine"
+            result = messages.OrderResult(order.order_id or "", False, reason, 0)
+            connection.send(result)
+            return
+        self._spawn(self._execute_order(connection, order))
+
+    async def _execute_order(self, connection: EntryConnection, order: Any) -> None:
+        connection.send(await self._orders.execute(order))
+
+    def on_not_run(self, run: Run) -> None:
+        """Refuse an attempt of which no byte was sent to the target."""
+        connection = run.connection
+        if connection is not None:
+            reason = Reason.ENGINE_ERROR.value
+            refusal = messages.Refuse(run.attempt_id, reason, NOT_RUN_RETRY_MS)
+            self._send_last(connection, run, refusal)
+        self._end(run)
+
+    def on_broken(self, run: Run, reason: Reason) -> None:
+        """Tell the entry that an answer ended early."""
+        connection = run.connection
+        if connection is not None:
+            broken = messages.Broken(run.attempt_id, reason.value, False)
+            self._send_last(connection, run, broken)
+        self._end(run)
+
+    def _send_last(self, connection: Any, run: Run, message: Any) -> None:
+        connection.flush()
+        connection.send(message)
+
+    def on_complete(self, run: Run) -> None:
+        """Hold a whole answer for a while."""
+        log(
+            "run_complete",
+            attempt_id=run.attempt_id,
+            status=run.status,
+            n_bytes=run.buffer.end,
+        )
+        self._limit_held()
+        self._hold(run)
+        self._changed.set()
+
+    def _limit_held(self) -> None:
+        held = [run for run in self.runs if run.is_finish_queued]
+        n_bytes = sum(len(run.buffer) for run in held)
+        for run in held:
+            if n_bytes <= MAX_HELD_BYTES:
+                return
+            n_bytes -= len(run.buffer)
+            self._end(run)
+
+    def _hold(self, run: Run) -> None:
+        loop = asyncio.get_running_loop()
+        delay_s = self.settings.resume_window_ms / 1000
+        loop.call_later(delay_s, self._release, run, run.connection)
+
+    def _release(self, run: Run, connection: Any) -> None:
+        """End a run whose answer nobody asked for within the resume window."""
+        is_wanted = run.connection is not connection or run.is_ended
+        if is_wanted:
+            return
+        if run.connection is not None and not run.is_finish_queued:
+            self._hold(run)
+            return
+        if run.is_complete:
+            self._end(run)
+        elif run.is_idempotent:
+            log("run_abandoned", attempt_id=run.attempt_id)
+            self._cancel(run)
+        # A call that must not be repeated goes on until its deadline, so that it is
+        # not cut in the middle of its work.
+
+    def _on_deadline(self, run: Run) -> None:
+        if run.is_ended or run.is_finish_queued:
+            return
+        log("deadline_exceeded", attempt_id=run.attempt_id)
+        if run.connection is not None:
+            reason = Reason.DEADLINE_EXCEEDED.value
+            broken = messages.Broken(run.attempt_id, reason, False)
+            self._send_last(run.connection, run, broken)
+        self._cancel(run)
+
+    def _end(self, run: Run) -> None:
+        """Forget a run and stop its execution."""
+        if run.is_ended:
+            return
+        run.is_ended = True
+        run.release()
+        self.runs.remove(run, self.clock.now_ms())
+        task = run.task
+        if task is not None and task is not asyncio.current_task():
+            task.cancel()
+        self._changed.set()
+
+    def _on_crash(self, at_ms: int) -> None:
+        """Tell all entries which attempts were running when the target died."""
+        victims = [
+            run
+            for run in self.runs.running()
+            if run.is_sent and run.started_at_ms <= at_ms
+        ]
+        if victims:
+            isolated = next((r.fingerprint for r in victims if r.is_isolated), None)
+            crash = messages.EngineCrash(
+                attempt_ids=[run.attempt_id for run in victims],
+                fingerprints=sorted({run.fingerprint for run in victims}),
+                isolated_fingerprint=isolated,
+            )
+            for connection in self._connections:
+                connection.flush()
+            self._broadcast(crash)
+            log("engine_crash", n_attempts=len(victims), isolated=isolated or "-")
+        for run in victims:
+            self._end(run)
+        if self.is_model:
+            self._broadcast(self._cache.reset())
+
+    def _broadcast(self, message: Any) -> None:
+        for connection in list(self._connections):
+            if connection.is_ready:
+                connection.send(message)
+
+    async def _tick_forever(self) -> None:
+        while True:
+            now_ms = self.clock.now_ms()
+            for connection in list(self._connections):
+                connection.tick(now_ms)
+            self._client.close_idle()
+            await asyncio.sleep(TICK_MS / 1000)
+
+    async def _report_forever(self) -> None:
+        while True:
+            try:
+                await self._report()
+                self._note_target(True, "")
+            except StepError as error:
+                self._note_target(False, error.reason)
+            await asyncio.sleep(TICK_MS / 1000)
+
+    def _note_target(self, is_answering: bool, reason: str) -> None:
+        if is_answering != self._is_target_answering:
+            self._is_target_answering = is_answering
+            log("target_reports", is_answering=is_answering, reason=reason)
+
+    async def _report(self) -> None:
+        if not self.is_model:
+            counts = [len(self.runs.running()), 0, 0]
+            report = self._load.update(counts, 0.0, 0, self.runs.is_draining)
+            self._send_report(report)
+            return
+        report = await self._load.read_engine(self.runs.is_draining)
+        self._monitor.observe_boot_id(self._load.boot_id)
+        if self._load.is_engine_draining:
+            self.start_drain()
+        self._send_report(report)
+        self._send_report(await self._cache.read())
+
+    def _send_report(self, report: Any) -> None:
+        if report is not None:
+            self._broadcast(report)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._on_task_done)
+        return task
+
+    def _on_task_done(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            # A fault in one run must not stop the others.
+            log("task_failed", error=repr(task.exception()))
--- /dev/null
+++ b/packages/agent/src/bluebellusher_agent/_connection.py
@@ -0,0 +1,280 @@
+"""Connection of one entry: handshake, frames, batches, silence."""
+
+import asyncio
+import os
+from typing import Any, Protocol
+
+from bluebellusher_core.clock import Clock
+from bluebellusher_core.errors import StepError
+from bluebellusher_core.wire import (
+    NONCE_BYTES,
+    FrameDecoder,
+    compute_hello_mac,
+    encode,
+    messages,
+    read_message,
+    verify_hello,
+)
+
+from bluebellusher_agent._log import log
+
+PROTOCOL_VERSION = 1
+FLUSH_S = 0.005
+SILENCE_LIMIT_MS = 2_000
+# An entry that does not read for this long is broken even if it sends heartbeats.
+BLOCKED_LIMIT_MS = 10_000
+MAX_HELLO_BYTES = 16_384
+MAX_BATCH_BYTES = 1_048_576
+WRITE_HIGH_WATER_BYTES = 1_048_576
+
+
+class ConnectionOwner(Protocol):
+    """The agent, as a connection sees it."""
+
+    secret: bytes
+    clock: Clock
+
+    def build_hello(self) -> Any:
+        """Return the ``Hello`` of this agent without nonce and MAC."""
+
+    def on_open(self, connection: "EntryConnection") -> None:
+        """Handle a connection that has not authenticated itself yet."""
+
+    def on_ready(self, connection: "EntryConnection") -> None:
+        """Handle the end of a handshake."""
+
+    def on_message(self, connection: "EntryConnection", message: Any) -> None:
+        """Handle one message of an authenticated entry."""
+
+    def on_writable(self, connection: "EntryConnection") -> None:
+        """Send what waited for room."""
+
+    def on_closed(self, connection: "EntryConnection") -> None:
+        """Handle the loss of the connection."""
+
+
+class EntryConnection(asyncio.Protocol):
+    """Accepting side of a connection from an entry.
+
+    Parameters
+    ----------
+    owner : ConnectionOwner
+        Receives messages and events.
+    """
+
+    def __init__(self, owner: ConnectionOwner) -> None:
+        self._owner = owner
+        self._transport: asyncio.Transport | None = None
+        self._nonce = os.urandom(NONCE_BYTES)
+        self._hello_buffer = bytearray()
+        self._decoder: FrameDecoder | None = None
+        self._started: list[Any] = []
+        self._chunk_parts_by_id: dict[str, tuple[int, list[bytes]]] = {}
+        self._finished: list[Any] = []
+        self._n_batch_bytes = 0
+        self._flush_handle: asyncio.TimerHandle | None = None
+        self._blocked_since_ms = 0
+        self._is_blocked = False
+        self._sequence = 0
+        self._opened_at_ms = self._last_received_ms = owner.clock.now_ms()
+        self.address = "-"
+        self.peer_id = ""
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether the handshake is complete and the connection open."""
+        return self._decoder is not None and self._transport is not None
+
+    @property
+    def is_writable(self) -> bool:
+        """Return whether more chunks may be queued."""
+        return not self._is_blocked and self._transport is not None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Send the challenge."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        peer = transport.get_extra_info("peername") or ("-", 0)
+        self.address = f"{peer[0]}:{peer[1]}"
+        transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
+        self._owner.on_open(self)
+        hello = self._owner.build_hello()
+        hello.nonce = self._nonce
+        hello.mac = b""
+        self.send(hello)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tell the owner, which holds the answers for resumption."""
+        self._transport = None
+        if self._flush_handle is not None:
+            self._flush_handle.cancel()
+            self._flush_handle = None
+        self._owner.on_closed(self)
+
+    def pause_writing(self) -> None:
+        """Stop queueing chunks; the entry does not keep up."""
+        self._is_blocked = True
+        self._blocked_since_ms = self._owner.clock.now_ms()
+
+    def resume_writing(self) -> None:
+        """Go on with what waited."""
+        self._is_blocked = False
+        self._owner.on_writable(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Handle received frames; a malformed one closes the connection."""
+        now_ms = self._owner.clock.now_ms()
+        # After a pause of this process the entry has given its requests up; the
+        # frames that it sent before are not executed any more.
+        if now_ms - self._last_received_ms > SILENCE_LIMIT_MS:
+            self.close("silent")
+            return
+        self._last_received_ms = now_ms
+        try:
+            if self._decoder is None:
+                self._receive_hello(data)
+            else:
+                self._receive(data)
+        except StepError as error:
+            self.close(f"{error.step}: {error.reason}")
+
+    def _receive_hello(self, data: bytes) -> None:
+        self._hello_buffer += data
+        if len(self._hello_buffer) < 4:
+            return
+        length = int.from_bytes(self._hello_buffer[:4], "big")
+        if length > MAX_HELLO_BYTES:
+            reason = f"frame of {length} bytes: expected at most {MAX_HELLO_BYTES}"
+            raise StepError("handshake", self.address, reason)
+        if len(self._hello_buffer) < 4 + length:
+            return
+        hello = read_message(bytes(self._hello_buffer[4 : 4 + length]), self.address)
+        rest = bytes(self._hello_buffer[4 + length :])
+        self._hello_buffer.clear()
+        self._authenticate(hello)
+        if rest:
+            self._receive(rest)
+
+    def _authenticate(self, hello: Any) -> None:
+        if not isinstance(hello, messages.Hello):
+            raise StepError("handshake", self.address, "expected Hello")
+        texts = (hello.instance_id, hello.failure_domain, hello.incarnation)
+        is_whole = None not in texts and hello.role == messages.Role.ENTRY
+        nonce = hello.nonce or b""
+        if not is_whole or hello.protocol_version != PROTOCOL_VERSION:
+            reason = f"expected Hello of an entry, protocol {PROTOCOL_VERSION}"
+            raise StepError("handshake", self.address, reason)
+        if len(nonce) != NONCE_BYTES or not hello.instance_id:
+            reason = "expected an instance id and a nonce of 16 bytes"
+            raise StepError("handshake", self.address, reason)
+        if not verify_hello(self._owner.secret, self._nonce, hello):
+            raise StepError("handshake", self.address, "wrong MAC")
+        answer = self._owner.build_hello()
+        answer.nonce = self._nonce
+        answer.mac = compute_hello_mac(self._owner.secret, nonce, answer)
+        self.send(answer)
+        self.peer_id = hello.instance_id
+        self._decoder = FrameDecoder(self.address)
+        self._owner.on_ready(self)
+
+    def _receive(self, data: bytes) -> None:
+        assert self._decoder is not None
+        for message in self._decoder.feed(data):
+            if self._transport is None or self._transport.is_closing():
+                return
+            if not isinstance(message, messages.Heartbeat):
+                self._owner.on_message(self, message)
+
+    def send(self, message: Any) -> None:
+        """Send one message now."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(encode(message))
+
+    def queue_started(self, message: Any) -> None:
+        """Send ``Started`` before the next batch."""
+        self._started.append(message)
+        self._schedule_flush()
+
+    def queue_chunk(self, attempt_id: str, offset: int, data: bytes) -> None:
+        """Send a part of an answer with the next batch."""
+        queued = self._chunk_parts_by_id.get(attempt_id)
+        if queued is None:
+            self._chunk_parts_by_id[attempt_id] = (offset, [data])
+        else:
+            queued[1].append(data)
+        self._n_batch_bytes += len(data)
+        if self._n_batch_bytes >= MAX_BATCH_BYTES:
+            self.flush()
+        else:
+            self._schedule_flush()
+
+    def queue_finish(self, message: Any) -> None:
+        """Send ``Finish`` after the next batch."""
+        self._finished.append(message)
+        self._schedule_flush()
+
+    def drop_queued(self, attempt_id: str) -> None:
+        """Forget what is queued for an attempt that ended early."""
+        queued = self._chunk_parts_by_id.pop(attempt_id, None)
+        if queued is not None:
+            self._n_batch_bytes -= sum(len(part) for part in queued[1])
+        self._started = [m for m in self._started if m.attempt_id != attempt_id]
+        self._finished = [m for m in self._finished if m.attempt_id != attempt_id]
+
+    def _schedule_flush(self) -> None:
+        if self._flush_handle is None:
+            loop = asyncio.get_running_loop()
+            self._flush_handle = loop.call_later(FLUSH_S, self.flush)
+
+    def flush(self) -> None:
+        """Write everything that is queued, in the order that entries rely on."""
+        if self._flush_handle is not None:
+            self._flush_handle.cancel()
+            self._flush_handle = None
+        frames = [encode(message) for message in self._started]
+        if self._chunk_parts_by_id:
+            chunks = [
+                messages.Chunk(attempt_id, offset, b"".join(parts))
+                for attempt_id, (offset, parts) in self._chunk_parts_by_id.items()
+            ]
+            frames.append(encode(messages.ChunkBatch(chunks)))
+        frames += [encode(message) for message in self._finished]
+        self._started.clear()
+        self._chunk_parts_by_id.clear()
+        self._finished.clear()
+        self._n_batch_bytes = 0
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(b"".join(frames))
+
+    def tick(self, now_ms: int) -> None:
+        """Send a heartbeat; close the connection when the entry is silent."""
+        if now_ms - self._last_received_ms > SILENCE_LIMIT_MS:
+            self.close("silent")
+            return
+        if self._is_blocked and now_ms - self._blocked_since_ms > BLOCKED_LIMIT_MS:
+            self.close("entry does not read")
+            return
+        if self.is_ready:
+            self._sequence += 1
+            self.send(messages.Heartbeat(self._sequence))
+        elif now_ms - self._opened_at_ms > SILENCE_LIMIT_MS:
+            self.close("no handshake")
+
+    def finish(self) -> None:
+        """Send what is queued, then the end of the stream; the entry closes.
+
+        Closing with unread input would reset the connection and could destroy
+        frames that the entry has not read yet.
+        """
+        self.flush()
+        transport = self._transport
+        if transport is not None and not transport.is_closing():
+            transport.write_eof()
+
+    def close(self, reason: str) -> None:
+        """Abort the connection."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        peer = self.peer_id or self.address
+        log("connection_closed", peer=peer, address=self.address, reason=reason)
+        self._transport.abort()
--- /dev/null
+++ b/packages/agent/src/bluebellusher_agent/_executor.py
@@ -0,0 +1,228 @@
+"""Execution of one attempt on the target."""
+
+import json
+from typing import Protocol
+
+from bluebellusher_core.errors import Reason, StepError
+
+from bluebellusher_agent._http import Exchange, ExchangeError, HttpClient, NotSentError
+from bluebellusher_agent._log import log
+from bluebellusher_agent._monitor import TargetMonitor, TargetState
+from bluebellusher_agent._run import Run
+
+# Reconnections to an engine that holds the stream, per attempt.
+N_STREAM_RESUMES = 3
+USAGE_TAIL_BYTES = 4_096
+PRIORITY_NAMES = ("high", "normal", "low")
+HOP_HEADERS = frozenset(
+    (
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "x-attempt-id",
+        "x-resume-offset",
+    )
+)
+
+
+class RunListener(Protocol):
+    """Receives the end of a run."""
+
+    def on_not_run(self, run: Run) -> None:
+        """Handle an attempt of which no byte was sent to the target."""
+
+    def on_broken(self, run: Run, reason: Reason) -> None:
+        """Handle an attempt that ended without a whole answer."""
+
+    def on_complete(self, run: Run) -> None:
+        """Handle an attempt whose answer is whole."""
+
+
+class _CorruptError(StepError):
+    """The answer is not that of this attempt."""
+
+
+class Executor:
+    """Send attempts to the target and receive their answers.
+
+    Parameters
+    ----------
+    client : HttpClient
+        Connections to the target.
+    monitor : TargetMonitor
+        Decides what a broken exchange means.
+    listener : RunListener
+        Receives the end of each run.
+    is_model : bool
+        Whether the target is an engine, which can resume streams.
+    """
+
+    def __init__(
+        self,
+        client: HttpClient,
+        monitor: TargetMonitor,
+        listener: RunListener,
+        is_model: bool,
+    ) -> None:
+        self._client = client
+        self._monitor = monitor
+        self._listener = listener
+        self._is_model = is_model
+
+    async def execute(self, run: Run) -> None:
+        """Run one attempt to its end."""
+        for _ in range(N_STREAM_RESUMES + 1):
+            try:
+                await self._exchange(run)
+                self._listener.on_complete(run)
+                return
+            except NotSentError as error:
+                if not run.is_sent:
+                    self._listener.on_not_run(run)
+                    return
+                self._log_break(run, error)
+            except _CorruptError as error:
+                self._log_break(run, error)
+                self._listener.on_broken(run, Reason.STREAM_CORRUPT)
+                return
+            except ExchangeError as error:
+                self._log_break(run, error)
+            state = await self._monitor.probe()
+            # A crash ends every run that it hit, this one included.
+            if run.is_ended:
+                return
+            if state is not TargetState.ALIVE or not self._is_resumable(run):
+                break
+        self._listener.on_broken(run, Reason.ENGINE_ERROR)
+
+    async def cancel_on_target(self, run: Run) -> None:
+        """Tell an engine that an answer is no longer wanted."""
+        if not self._is_model or run.is_complete:
+            return
+        try:
+            await self._client.fetch("DELETE", "/attempts/" + run.target_attempt_id)
+        except StepError as error:
+            log("cancel_failed", attempt_id=run.attempt_id, reason=error.reason)
+
+    def _is_resumable(self, run: Run) -> bool:
+        content_type = run.header_by_name.get("content-type", "")
+        is_stream = content_type.startswith("text/event-stream")
+        return self._is_model and run.status == 200 and is_stream
+
+    def _log_break(self, run: Run, error: StepError) -> None:
+        log(
+            "exchange_broken",
+            step=error.step,
+            peer=error.peer,
+            attempt_id=run.attempt_id,
+            n_bytes=run.buffer.end,
+            reason=error.reason,
+        )
+
+    async def _exchange(self, run: Run) -> None:
+        offset = run.buffer.end
+        connection = await self._client.acquire(run.is_idempotent)
+        run.is_sent = True
+        header_by_name = self._build_headers(run, offset)
+        exchange = await self._client.send(
+            connection, run.method, run.path, header_by_name, run.body
+        )
+        try:
+            status = await exchange.read_head()
+            self._check_head(run, exchange, status, offset)
+            if not run.has_output:
+                run.set_head(status, _end_to_end(exchange.header_by_name))
+                if not self._is_resumable(run):
+                    run.body = b""
+            await self._receive_body(run, exchange)
+        finally:
+            exchange.close()
+        self._check_end(run)
+        run.complete(self._read_usage(run, exchange))
+
+    async def _receive_body(self, run: Run, exchange: Exchange) -> None:
+        while True:
+            if not run.room.is_set():
+                await run.room.wait()
+            data = await exchange.read_body()
+            if not data:
+                return
+            run.append(data)
+
+    def _build_headers(self, run: Run, offset: int) -> dict[str, str]:
+        header_by_name = _end_to_end(
+            {name.lower(): value for name, value in run.request_header_by_name.items()}
+        )
+        if run.traceparent:
+            header_by_name["traceparent"] = run.traceparent
+        if self._is_model:
+            header_by_name["x-attempt-id"] = run.target_attempt_id
+            header_by_name["x-priority"] = PRIORITY_NAMES[run.priority]
+            if offset:
+                header_by_name["x-resume-offset"] = str(offset)
+        return header_by_name
+
+    def _check_head(
+        self, run: Run, exchange: Exchange, status: int, offset: int
+    ) -> None:
+        if not self._is_model:
+            return
+        peer = self._client.peer
+        answered = exchange.header_by_name.get("x-attempt-id", run.target_attempt_id)
+        if answered != run.target_attempt_id:
+            reason = f"answer of attempt {answered}: expected {run.target_attempt_id}"
+            raise _CorruptError("read-answer", peer, reason)
+        if not run.has_output:
+            return
+        resumed_at = exchange.header_by_name.get("x-resume-offset", "0")
+        if status != run.status or resumed_at != str(offset):
+            reason = f"status {status} at offset {resumed_at}: expected {offset}"
+            raise ExchangeError("resume-stream", peer, reason)
+
+    def _check_end(self, run: Run) -> None:
+        """Refuse an event stream that ends without its terminating event."""
+        if not self._is_resumable(run):
+            return
+        tail_start = max(run.buffer.start, run.buffer.end - 64)
+        tail = run.buffer.read(tail_start, 64)
+        if not tail.rstrip().endswith(b"data: [DONE]"):
+            raise ExchangeError("read-answer", self._client.peer, "stream cut short")
+
+    def _read_usage(self, run: Run, exchange: Exchange) -> tuple[int, int, int]:
+        """Return input, cached and output tokens from the end of the answer."""
+        if not self._is_model:
+            return (0, 0, 0)
+        tail_start = max(run.buffer.start, run.buffer.end - USAGE_TAIL_BYTES)
+        tail = run.buffer.read(tail_start, USAGE_TAIL_BYTES)
+        cached = exchange.header_by_name.get("x-cached-tokens", "0")
+        n_cached = int(cached) if cached.isascii() and cached.isdigit() else 0
+        return parse_usage(tail, n_cached)
+
+
+def parse_usage(tail: bytes, n_cached_tokens: int) -> tuple[int, int, int]:
+    """Return the token counts in the last ``usage`` object of an answer."""
+    position = tail.rfind(b'"usage":')
+    if position < 0:
+        return (0, 0, 0)
+    text = tail[position + 8 :].decode("utf-8", "replace").lstrip()
+    try:
+        usage, _ = json.JSONDecoder().raw_decode(text)
+        details = usage.get("prompt_tokens_details") or {}
+        n_cached = int(details.get("cached_tokens", n_cached_tokens))
+        n_input = int(usage["prompt_tokens"])
+        return (n_input, n_cached, int(usage["completion_tokens"]))
+    except (AttributeError, KeyError, TypeError, ValueError, RecursionError):
+        return (0, 0, 0)
+
+
+def _end_to_end(header_by_name: dict[str, str]) -> dict[str, str]:
+    return {n: v for n, v in header_by_name.items() if n not in HOP_HEADERS}
--- /dev/null
+++ b/packages/agent/src/bluebellusher_agent/_http.py
@@ -0,0 +1,311 @@
+"""Small HTTP/1.1 client for the engine or plain service on the same instance."""
+
+import asyncio
+import time
+from collections import deque
+from typing import Any
+
+import httptools
+from bluebellusher_core.errors import StepError
+
+CONNECT_TIMEOUT_S = 1.0
+READ_BYTES = 65_536
+MAX_HEADER_BYTES = 65_536
+MAX_CONTROL_BODY_BYTES = 4 * 1024 * 1024
+# Servers commonly close idle connections after 5 s or more; reusing only younger
+# ones avoids the race between their close and our next request.
+MAX_IDLE_S = 2.0
+MAX_IDLE_CONNECTIONS = 64
+
+
+class NotSentError(StepError):
+    """No byte of the request was written; it has certainly not run."""
+
+
+class ExchangeError(StepError):
+    """The exchange failed after the first byte; the request may have run."""
+
+
+class HttpConnection:
+    """One TCP connection with the parser state of its current answer."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.reader = reader
+        self.writer = writer
+        self.idle_since_s = 0.0
+
+    def is_fresh(self, now_s: float) -> bool:
+        """Return whether the connection can carry another request."""
+        is_open = not (self.reader.at_eof() or self.writer.is_closing())
+        return is_open and now_s - self.idle_since_s < MAX_IDLE_S
+
+    def close(self) -> None:
+        """Abort the connection."""
+        self.writer.transport.abort()
+
+
+class Exchange:
+    """One request that was written and the answer that is being read.
+
+    The methods whose names start with ``on_`` are called by the parser.
+    """
+
+    def __init__(
+        self, client: "HttpClient", connection: HttpConnection, is_bodiless: bool
+    ) -> None:
+        self._client = client
+        self._is_bodiless = is_bodiless
+        self._connection: HttpConnection | None = connection
+        self._parser = httptools.HttpResponseParser(self)
+        self._parts: deque[bytes] = deque()
+        self._n_header_bytes = 0
+        self._is_head_complete = False
+        self._is_complete = False
+        self._is_delimited = False
+        self.status = 0
+        self.header_by_name: dict[str, str] = {}
+
+    def on_message_begin(self) -> None:
+        """Refuse bytes after the answer; they belong to no request."""
+        if self._is_complete:
+            raise ValueError("bytes after the answer")
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Store one header; names are lower case."""
+        self._n_header_bytes += len(name) + len(value)
+        if self._n_header_bytes > MAX_HEADER_BYTES:
+            raise ValueError("headers too long")
+        key = name.decode("latin-1").lower()
+        self.header_by_name[key] = value.decode("latin-1")
+
+    def on_headers_complete(self) -> None:
+        """Note the status; informational answers precede the real one."""
+        self.status = self._parser.get_status_code()
+        if self.status < 200:
+            self.header_by_name.clear()
+            return
+        self._is_head_complete = True
+        # The parser cannot know that an answer to HEAD has no body.
+        self._is_complete = self._is_bodiless
+        names = ("content-length", "transfer-encoding")
+        self._is_delimited = any(name in self.header_by_name for name in names)
+
+    def on_body(self, data: bytes) -> None:
+        """Keep a part of the body until it is read."""
+        self._parts.append(data)
+
+    def on_message_complete(self) -> None:
+        """Note the end of the answer."""
+        if self._is_head_complete:
+            self._is_complete = True
+
+    async def read_head(self) -> int:
+        """Wait for the status and headers; return the status."""
+        while not self._is_head_complete:
+            await self._receive()
+        return self.status
+
+    async def read_body(self) -> bytes:
+        """Return the next part of the body; empty at the end of the answer."""
+        while not self._parts and not self._is_complete:
+            await self._receive()
+        if self._parts:
+            data = b"".join(self._parts)
+            self._parts.clear()
+            return data
+        self._release()
+        return b""
+
+    def close(self) -> None:
+        """Give the connection up unless the answer was read to its end."""
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            connection.close()
+
+    async def _receive(self) -> None:
+        if self._connection is None:
+            raise ExchangeError("read-answer", self._client.peer, "closed")
+        try:
+            data = await self._connection.reader.read(READ_BYTES)
+            if data:
+                self._parser.feed_data(data)
+                return
+        except (OSError, ValueError, httptools.HttpParserError) as error:
+            self.close()
+            reason = f"{type(error).__name__}: expected an HTTP answer"
+            raise ExchangeError("read-answer", self._client.peer, reason) from error
+        if self._is_head_complete and not self._is_delimited:
+            self._is_complete = True
+            return
+        self.close()
+        raise ExchangeError("read-answer", self._client.peer, "connection closed")
+
+    def _release(self) -> None:
+        connection, self._connection = self._connection, None
+        if connection is None:
+            return
+        is_reusable = self._is_delimited and not self._is_bodiless
+        if is_reusable and self._parser.should_keep_alive():
+            self._client.keep(connection)
+        else:
+            connection.close()
+
+
+class HttpClient:
+    """Connections to one address.
+
+    Parameters
+    ----------
+    host, port : str, int
+        The engine or plain service.
+    """
+
+    def __init__(self, host: str, port: int) -> None:
+        self.peer = f"{host}:{port}"
+        self._host = host
+        self._port = port
+        self._idle: deque[HttpConnection] = deque()
+
+    async def acquire(self, is_idempotent: bool = True) -> HttpConnection:
+        """Return a connection on which nothing was written for the next request.
+
+        A request that is not idempotent gets a connection of its own, because on a
+        kept connection the server may close just as the request is written.
+
+        Raises
+        ------
+        NotSentError
+            When no connection could be made.
+        """
+        connection = self._take_idle() if is_idempotent else None
+        return connection or await self._connect()
+
+    async def send(
+        self,
+        connection: HttpConnection,
+        method: str,
+        path: str,
+        header_by_name: dict[str, str],
+        body: bytes,
+    ) -> Exchange:
+        """Write a request; the answer is read from the returned exchange.
+
+        Raises
+        ------
+        ExchangeError
+            When writing failed.
+        """
+        head = self._encode_head(method, path, header_by_name, len(body))
+        try:
+            connection.writer.write(head + body)
+            await connection.writer.drain()
+        except OSError as error:
+            connection.close()
+            reason = type(error).__name__
+            raise ExchangeError("write-request", self.peer, reason) from error
+        except asyncio.CancelledError:
+            connection.close()
+            raise
+        return Exchange(self, connection, method == "HEAD")
+
+    async def fetch(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        timeout_ms: int = 1000,
+    ) -> tuple[int, bytes]:
+        """Return status and whole body of a short exchange.
+
+        Raises
+        ------
+        NotSentError, ExchangeError
+            As ``acquire`` and ``send`` do; a timeout is an ``ExchangeError``.
+        """
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                return await self._fetch(method, path, body)
+        except TimeoutError as error:
+            reason = f"no answer within {timeout_ms} ms"
+            raise ExchangeError("read-answer", self.peer, reason) from error
+
+    async def _fetch(self, method: str, path: str, body: bytes) -> tuple[int, bytes]:
+        header_by_name = {"content-type": "application/json"} if body else {}
+        is_idempotent = method in ("GET", "DELETE")
+        connection = await self.acquire(is_idempotent)
+        exchange = await self.send(connection, method, path, header_by_name, body)
+        try:
+            status = await exchange.read_head()
+            parts = bytearray()
+            while data := await exchange.read_body():
+                parts += data
+                if len(parts) > MAX_CONTROL_BODY_BYTES:
+                    raise ExchangeError("read-answer", self.peer, "answer too long")
+            return status, bytes(parts)
+        finally:
+            exchange.close()
+
+    def keep(self, connection: HttpConnection) -> None:
+        """Keep a connection for the next request."""
+        connection.idle_since_s = time.monotonic()
+        self._idle.append(connection)
+        if len(self._idle) > MAX_IDLE_CONNECTIONS:
+            self._idle.popleft().close()
+
+    def close_idle(self, is_all: bool = False) -> None:
+        """Close connections that were kept too long, or all of them."""
+        now_s = time.monotonic()
+        while self._idle and (is_all or not self._idle[0].is_fresh(now_s)):
+            self._idle.popleft().close()
+
+    def _take_idle(self) -> HttpConnection | None:
+        now_s = time.monotonic()
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_fresh(now_s):
+                return connection
+            connection.close()
+        return None
+
+    async def _connect(self) -> HttpConnection:
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                streams = await asyncio.open_connection(
+                    self._host, self._port, limit=READ_BYTES
+                )
+        except (OSError, TimeoutError) as error:
+            reason = f"{type(error).__name__}: expected a connection"
+            raise NotSentError("connect", self.peer, reason) from error
+        return HttpConnection(*streams)
+
+    def _encode_head(
+        self, method: str, path: str, header_by_name: dict[str, str], n_bytes: int
+    ) -> bytes:
+        lines = [f"{method} {path} HTTP/1.1", f"host: {self.peer}"]
+        lines += [f"{name}: {value}" for name, value in header_by_name.items()]
+        if n_bytes or method in ("POST", "PUT", "PATCH"):
+            lines.append(f"content-length: {n_bytes}")
+        return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
+
+def is_token(text: Any) -> bool:
+    """Return whether ``text`` may be a method or a header name."""
+    if not isinstance(text, str) or not 0 < len(text) <= 256:
+        return False
+    return all(c.isascii() and (c.isalnum() or c in "!#$%&'*+-.^_`|~") for c in text)
+
+
+def is_header_value(text: Any) -> bool:
+    """Return whether ``text`` can be sent as a header value."""
+    if not isinstance(text, str) or len(text) > 16_384:
+        return False
+    return all(c == "\t" or (" " <= c <= "ÿ" and c != "\x7f") for c in text)
+
+
+def is_path(text: Any) -> bool:
+    """Return whether ``text`` is a request target in origin form."""
+    if not isinstance(text, str) or not 0 < len(text) <= 16_384:
+        return False
+    return text[0] == "/" and all("!" <= c <= "~" for c in text)
--- /dev/null
+++ b/packages/agent/src/bluebellusher_agent/_orders.py
@@ -0,0 +1,107 @@
+"""Orders to the engine under fencing tokens."""
+
+import asyncio
+import json
+from collections import OrderedDict
+from typing import Any
+
+from bluebellusher_core.errors import StepError
+from bluebellusher_core.wire import messages
+
+from bluebellusher_agent._http import HttpClient, NotSentError
+from bluebellusher_agent._log import log
+
+ORDER_TIMEOUT_MS = 10_000
+MAX_REMEMBERED_ORDERS = 256
+MAX_LEASES = 1_024
+
+
+class OrderDesk:
+    """Forward orders one at a time, never one with an old fencing token.
+
+    Orders are serialised: an order with a lower token that is still on its way to
+    the engine could otherwise arrive after one with a higher token, and an engine
+    that ignores tokens would execute it last.
+
+    Parameters
+    ----------
+    client : HttpClient
+        Connections to the engine.
+    """
+
+    def __init__(self, client: HttpClient) -> None:
+        self._client = client
+        self._lock = asyncio.Lock()
+        self._floor_by_lease: dict[str, int] = {}
+        self._result_by_id: OrderedDict[str, Any] = OrderedDict()
+
+    async def execute(self, order: Any) -> Any:
+        """Return the ``OrderResult``; a repeated order is not executed again."""
+        # The floor is raised before waiting, so that a queued older order is refused.
+        floor = self._raise_floor(order)
+        if order.fencing_token < floor:
+            return self._refuse(order, floor)
+        async with self._lock:
+            known = self._result_by_id.get(order.order_id)
+            if known is not None:
+                return known
+            floor = self._floor_by_lease.get(order.lease_name, 0)
+            if order.fencing_token < floor:
+                return self._refuse(order, floor)
+            return await self._forward(order)
+
+    def _raise_floor(self, order: Any) -> int:
+        floor = self._floor_by_lease.get(order.lease_name, 0)
+        if floor == 0 and len(self._floor_by_lease) >= MAX_LEASES:
+            return order.fencing_token + 1
+        floor = max(floor, order.fencing_token)
+        self._floor_by_lease[order.lease_name] = floor
+        return floor
+
+    def _refuse(self, order: Any, floor: int) -> Any:
+        log("order_refused", order_id=order.order_id, token=order.fencing_token)
+        reason = f"fencing_token={order.fencing_token}: expected at least {floor}"
+        return messages.OrderResult(order.order_id, False, reason, floor)
+
+    async def _forward(self, order: Any) -> Any:
+        token = order.fencing_token
+        body = {
+            "order_id": order.order_id,
+            "lease_name": order.lease_name,
+            "fencing_token": token,
+            "action": order.action,
+            "arguments": order.arguments or {},
+        }
+        data = json.dumps(body).encode()
+        try:
+            status, answer = await self._client.fetch(
+                "POST", "/orders", data, ORDER_TIMEOUT_MS
+            )
+        except NotSentError as error:
+            reason = f"not sent: {error.reason}"
+            return messages.OrderResult(order.order_id, False, reason, token)
+        except StepError as error:
+            reason = f"outcome unknown: {error.reason}"
+            return self._remember(order, False, reason, token)
+        if status == 409:
+            token = _read_token(answer, token)
+            floor = max(self._floor_by_lease[order.lease_name], token)
+            self._floor_by_lease[order.lease_name] = floor
+        is_accepted = status == 200
+        reason = "" if is_accepted else f"engine answered {status}"
+        return self._remember(order, is_accepted, reason, token)
+
+    def _remember(self, order: Any, is_accepted: bool, reason: str, token: int) -> Any:
+        """Keep the result of an order that may have been executed."""
+        result = messages.OrderResult(order.order_id, is_accepted, reason, token)
+        self._result_by_id[order.order_id] = result
+        if len(self._result_by_id) > MAX_REMEMBERED_ORDERS:
+            self._result_by_id.popitem(last=False)
+        return result
+
+
+def _read_token(answer: bytes, default: int) -> int:
+    try:
+        return int(json.loads(answer)["fencing_token"])
+    except (KeyError, TypeError, ValueError):
+        return default
--- /dev/null
+++ b/packages/agent/src/bluebellusher_agent/_reports.py
@@ -0,0 +1,185 @@
+"""Load and cache reports of the target for the entries."""
+
+import json
+from typing import Any
+
+from bluebellusher_core.errors import StepError
+from bluebellusher_core.wire import messages
+
+from bluebellusher_agent._http import HttpClient
+
+# Blocks that are told to an entry that connects later; older ones are forgotten.
+MAX_KNOWN_BLOCKS = 4_096
+MAX_NAMES = 1_000
+
+
+class LoadReader:
+    """Read ``GET /load`` and tell which readings differ.
+
+    Parameters
+    ----------
+    client : HttpClient
+        Connections to the engine.
+    models, adapters : tuple of str
+        What the endpoint offers until the engine reports.
+    n_slots : int
+        Batch limit until the engine reports.
+    """
+
+    def __init__(
+        self,
+        client: HttpClient,
+        models: tuple[str, ...],
+        adapters: tuple[str, ...],
+        n_slots: int,
+    ) -> None:
+        self._client = client
+        self._sequence = 0
+        self._content: tuple[Any, ...] = ()
+        self.models = list(models)
+        self.adapters = list(adapters)
+        self.n_slots = n_slots
+        self.boot_id = ""
+        self.is_engine_draining = False
+        self.report: Any = None
+
+    async def read_engine(self, is_draining: bool) -> Any:
+        """Return a ``LoadReport`` when the reading changed, otherwise ``None``.
+
+        Raises
+        ------
+        StepError
+            When the engine does not answer as expected.
+        """
+        status, body = await self._client.fetch("GET", "/load")
+        try:
+            data = json.loads(body)
+            self.models = _read_names(data["models"])
+            self.adapters = _read_names(data["adapters"])
+            self.n_slots = int(data["n_slots"])
+            self.is_engine_draining = bool(data.get("is_draining"))
+            self.boot_id = str(data.get("boot_id") or "")
+            counts = [int(data[key]) for key in ("n_running", "n_queued")]
+            counts.append(int(data["n_queued_tokens"]))
+            kv_use = float(data["kv_use"])
+            age_ms = int(data.get("age_ms", 0))
+        except (AttributeError, KeyError, TypeError, ValueError) as error:
+            reason = f"status {status}, {type(error).__name__}: expected a load reading"
+            raise StepError("read-load", self._client.peer, reason) from error
+        return self.update(counts, kv_use, age_ms, is_draining)
+
+    def update(
+        self, counts: list[int], kv_use: float, age_ms: int, is_draining: bool
+    ) -> Any:
+        """Return a ``LoadReport`` when anything but the age changed."""
+        is_draining = is_draining or self.is_engine_draining
+        content = (
+            *counts,
+            self.n_slots,
+            kv_use,
+            tuple(self.models),
+            tuple(self.adapters),
+            is_draining,
+        )
+        if content == self._content:
+            return None
+        self._content = content
+        self._sequence += 1
+        self.report = messages.LoadReport(
+            sequence=self._sequence,
+            n_running=counts[0],
+            n_queued=counts[1],
+            n_queued_tokens=counts[2],
+            n_slots=self.n_slots,
+            kv_use=kv_use,
+            models=self.models,
+            adapters=self.adapters,
+            is_draining=is_draining,
+            age_ms=age_ms,
+        )
+        return self.report
+
+
+class CacheReader:
+    """Read ``GET /cache-events`` and keep what a later entry needs to know."""
+
+    def __init__(self, client: HttpClient) -> None:
+        self._client = client
+        self._last_sequence = 0
+        self._known: dict[int, None] = {}
+
+    async def read(self) -> Any:
+        """Return a ``CacheReport`` when there are new events, otherwise ``None``.
+
+        Raises
+        ------
+        StepError
+            When the engine does not answer as expected.
+        """
+        path = f"/cache-events?after={self._last_sequence}"
+        status, body = await self._client.fetch("GET", path)
+        try:
+            events = json.loads(body)["events"]
+            rows = [
+                (
+                    int(event["sequence"]),
+                    _read_hashes(event["added"]),
+                    _read_hashes(event["removed"]),
+                )
+                for event in events
+            ]
+        except (KeyError, TypeError, ValueError) as error:
+            reason = f"status {status}, {type(error).__name__}: expected cache events"
+            raise StepError("read-cache", self._client.peer, reason) from error
+        rows = [row for row in rows if row[0] > self._last_sequence]
+        return self._merge(rows) if rows else None
+
+    def _merge(self, rows: list[tuple[int, list[int], list[int]]]) -> Any:
+        has_gap = False
+        is_added_by_hash: dict[int, bool] = {}
+        first = rows[0][0]
+        for sequence, added, removed in rows:
+            has_gap = has_gap or sequence != self._last_sequence + 1
+            self._last_sequence = sequence
+            is_added_by_hash.update(dict.fromkeys(added, True))
+            is_added_by_hash.update(dict.fromkeys(removed, False))
+        added = [value for value, is_added in is_added_by_hash.items() if is_added]
+        removed = [v for v, is_added in is_added_by_hash.items() if not is_added]
+        self._update_known(added, removed)
+        return messages.CacheReport(added, removed, first, self._last_sequence, has_gap)
+
+    def _update_known(self, added: list[int], removed: list[int]) -> None:
+        for value in removed:
+            self._known.pop(value, None)
+        for value in added:
+            self._known.pop(value, None)
+            self._known[value] = None
+        while len(self._known) > MAX_KNOWN_BLOCKS:
+            del self._known[next(iter(self._known))]
+
+    def reset(self) -> Any:
+        """Forget everything after a crash; return the report that says so."""
+        removed = list(self._known)
+        self._known.clear()
+        self._last_sequence = 0
+        return messages.CacheReport([], removed, 0, 0, True)
+
+    def snapshot(self) -> Any:
+        """Return a report of the known blocks for an entry that connects."""
+        if not self._known:
+            return None
+        known = list(self._known)
+        return messages.CacheReport(known, [], 0, self._last_sequence, True)
+
+
+def _read_names(data: Any) -> list[str]:
+    if not isinstance(data, list) or len(data) > MAX_NAMES:
+        raise ValueError("expected a list of names")
+    return [str(name) for name in data]
+
+
+def _read_hashes(data: Any) -> list[int]:
+    values = [int(value) for value in data]
+    if any(not -(2**63) <= value < 2**63 for value in values):
+        raise ValueError("expected 64-bit hashes")
+    return values
--- /dev/null
+++ b/packages/agent/src/bluebellusher_agent/_run.py
@@ -0,0 +1,252 @@
+"""One attempt that runs on the target, and the relay of its answer."""
+
+import asyncio
+import zlib
+from typing import Any, Protocol
+
+from bluebellusher_core.wire import messages
+
+# Bytes that are read ahead of what an entry has taken, per attempt.
+MAX_UNSENT_BYTES = 262_144
+
+
+class Relay(Protocol):
+    """The connection to the entry that receives an answer."""
+
+    peer_id: str
+
+    @property
+    def is_writable(self) -> bool:
+        """Return whether more may be queued."""
+
+    def queue_started(self, message: Any) -> None:
+        """Send ``Started`` before any chunk that is queued later."""
+
+    def queue_chunk(self, attempt_id: str, offset: int, data: bytes) -> None:
+        """Send a part of an answer with the next batch."""
+
+    def queue_finish(self, message: Any) -> None:
+        """Send ``Finish`` after every chunk that was queued earlier."""
+
+
+class StreamBuffer:
+    """The held part of an answer; offsets count from its first byte."""
+
+    def __init__(self) -> None:
+        self._data = bytearray()
+        self.start = 0
+        self.end = 0
+        self.crc32 = 0
+
+    def append(self, data: bytes) -> None:
+        """Add received bytes."""
+        self._data += data
+        self.end += len(data)
+        self.crc32 = zlib.crc32(data, self.crc32)
+
+    def read(self, offset: int, n_bytes: int) -> bytes:
+        """Return up to ``n_bytes`` from ``offset``, which must be held."""
+        begin = offset - self.start
+        return bytes(self._data[begin : begin + n_bytes])
+
+    def trim(self, offset: int) -> None:
+        """Drop the bytes before ``offset``."""
+        if offset > self.start:
+            del self._data[: offset - self.start]
+            self.start = offset
+
+    def holds(self, offset: int) -> bool:
+        """Return whether sending can go on at ``offset``."""
+        return self.start <= offset <= self.end
+
+    def __len__(self) -> int:
+        return len(self._data)
+
+
+class Run:
+    """State of one attempt.
+
+    The target knows the attempt by ``target_attempt_id``. The entry knows it by
+    ``attempt_id``, which changes when the entry resumes the answer with a new
+    attempt after it lost its connection.
+
+    Parameters
+    ----------
+    dispatch : Dispatch
+        The message that asked for the run.
+    entry_id : str
+        Instance id of the entry.
+    now_ms : int
+        Monotonic time.
+    keep_bytes : int
+        Sent bytes that stay held for resumption.
+    """
+
+    __slots__ = (
+        "attempt_id",
+        "body",
+        "buffer",
+        "connection",
+        "credit_end",
+        "deadline_handle",
+        "deadline_ms",
+        "entry_id",
+        "fingerprint",
+        "header_by_name",
+        "is_cancelled",
+        "is_complete",
+        "is_ended",
+        "is_finish_queued",
+        "is_idempotent",
+        "is_isolated",
+        "is_sent",
+        "is_started_queued",
+        "keep_bytes",
+        "method",
+        "n_sent",
+        "path",
+        "priority",
+        "request_header_by_name",
+        "request_id",
+        "room",
+        "started_at_ms",
+        "status",
+        "target_attempt_id",
+        "task",
+        "traceparent",
+        "usage",
+    )
+
+    def __init__(
+        self, dispatch: Any, entry_id: str, now_ms: int, keep_bytes: int
+    ) -> None:
+        self.attempt_id: str = dispatch.attempt_id
+        self.target_attempt_id: str = dispatch.attempt_id
+        self.request_id: str = dispatch.request_id
+        self.entry_id = entry_id
+        self.fingerprint: str = dispatch.fingerprint or ""
+        self.method: str = dispatch.method
+        self.path: str = dispatch.path
+        self.request_header_by_name: dict[str, str] = dispatch.headers or {}
+        self.body: bytes = dispatch.body or b""
+        self.priority: int = dispatch.priority or 0
+        self.traceparent: str = dispatch.traceparent or ""
+        self.is_idempotent = bool(dispatch.is_idempotent)
+        self.is_isolated = bool(dispatch.is_isolated)
+        self.deadline_ms: int = now_ms + dispatch.remaining_ms
+        self.started_at_ms = now_ms
+        self.keep_bytes = keep_bytes
+        self.buffer = StreamBuffer()
+        self.status = 0
+        self.header_by_name: dict[str, str] = {}
+        self.usage = (0, 0, 0)
+        self.is_sent = False
+        self.is_complete = False
+        self.is_cancelled = False
+        self.is_ended = False
+        self.deadline_handle: asyncio.TimerHandle | None = None
+        self.task: asyncio.Task[None] | None = None
+        self.connection: Relay | None = None
+        self.room = asyncio.Event()
+        self._reset_relay(0, 0)
+
+    def _reset_relay(self, offset: int, credit_bytes: int) -> None:
+        self.n_sent = offset
+        self.credit_end = offset + credit_bytes
+        self.is_started_queued = False
+        self.is_finish_queued = False
+
+    @property
+    def has_output(self) -> bool:
+        """Return whether the target has begun to answer."""
+        return self.status != 0
+
+    def attach(
+        self, connection: Relay, attempt_id: str, offset: int, credit_bytes: int
+    ) -> None:
+        """Send the answer from ``offset`` on to this connection."""
+        self.connection = connection
+        self.attempt_id = attempt_id
+        self._reset_relay(offset, credit_bytes)
+        self.pump()
+
+    def detach(self) -> None:
+        """Hold the answer; its connection was lost, and with it perhaps the end."""
+        self.connection = None
+        self.is_finish_queued = False
+        self._update_room()
+
+    def add_credit(self, n_bytes: int) -> None:
+        """Allow further bytes to be sent."""
+        self.credit_end += n_bytes
+        self.pump()
+
+    def set_head(self, status: int, header_by_name: dict[str, str]) -> None:
+        """Record the start of the answer."""
+        self.status = status
+        self.header_by_name = header_by_name
+        self.pump()
+
+    def append(self, data: bytes) -> None:
+        """Record received bytes and send what may be sent."""
+        self.buffer.append(data)
+        self.pump()
+
+    def complete(self, usage: tuple[int, int, int]) -> None:
+        """Record that the answer is whole."""
+        self.usage = usage
+        self.is_complete = True
+        self.pump()
+
+    def pump(self) -> None:
+        """Send what credit and the connection allow."""
+        connection = self.connection
+        if connection is not None and self.has_output:
+            self._send(connection)
+        self.buffer.trim(self.n_sent - self.keep_bytes)
+        self._update_room()
+
+    def _send(self, connection: Relay) -> None:
+        if not self.is_started_queued:
+            self.is_started_queued = True
+            connection.queue_started(
+                messages.Started(self.attempt_id, self.status, self.header_by_name)
+            )
+        n_bytes = min(self.buffer.end, self.credit_end) - self.n_sent
+        if n_bytes > 0 and connection.is_writable:
+            data = self.buffer.read(self.n_sent, n_bytes)
+            connection.queue_chunk(self.attempt_id, self.n_sent, data)
+            self.n_sent += n_bytes
+        is_all_sent = self.is_complete and self.n_sent == self.buffer.end
+        if is_all_sent and not self.is_finish_queued:
+            self.is_finish_queued = True
+            connection.queue_finish(self._finish_message())
+
+    def _finish_message(self) -> Any:
+        n_input, n_cached, n_output = self.usage
+        return messages.Finish(
+            attempt_id=self.attempt_id,
+            status=self.status,
+            headers=self.header_by_name,
+            n_bytes=self.buffer.end,
+            crc32=self.buffer.crc32,
+            n_input_tokens=n_input,
+            n_cached_tokens=n_cached,
+            n_output_tokens=n_output,
+        )
+
+    def release(self) -> None:
+        """Free what the run holds; timers may refer to it for a while."""
+        self.connection = None
+        self.body = b""
+        self.buffer = StreamBuffer()
+        if self.deadline_handle is not None:
+            self.deadline_handle.cancel()
+
+    def _update_room(self) -> None:
+        n_unsent = self.buffer.end - self.n_sent
+        has_credit = self.connection is None or self.credit_end > self.buffer.end
+        if has_credit and n_unsent < MAX_UNSENT_BYTES:
+            self.room.set()
+        else:
+            self.room.clear()
--- /dev/null
+++ b/packages/agent/src/bluebellusher_agent/_runs.py
@@ -0,0 +1,186 @@
+"""The attempts of an agent: which may start, resume or be refused."""
+
+from collections import OrderedDict
+from collections.abc import Iterator
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+from bluebellusher_core.errors import Reason
+
+from bluebellusher_agent._run import Run
+
+# An entry never repeats an attempt id on purpose; a repeat can only come from a
+# connection that was replaced, and a connection is dropped after 2 s of silence.
+ATTEMPT_MEMORY_MS = 60_000
+MAX_REMEMBERED_ATTEMPTS = 50_000
+ISOLATION_RETRY_MS = 200
+DRAIN_RETRY_MS = 1_000
+ROOM_RETRY_MS = 500
+
+
+class Verdict(Enum):
+    """What to do with a dispatch."""
+
+    START = "start"
+    RESUME = "resume"
+    REPLACE = "replace"
+    REFUSE = "refuse"
+    BREAK = "break"
+    IGNORE = "ignore"
+    CLOSE = "close"
+
+
+@dataclass(frozen=True, slots=True)
+class Decision:
+    """A verdict with the run it concerns or the reason for it."""
+
+    verdict: Verdict
+    run: Run | None = None
+    reason: Reason = Reason.BAD_REQUEST
+    retry_after_ms: int = 0
+
+
+class RunTable:
+    """All attempts that run or whose answers are held.
+
+    An entry that lost its connection resumes an answer by a new ``Dispatch`` of the
+    same request id and fingerprint with a new attempt id and the offset it has. The
+    run goes on under the new attempt id. Only the entry that started a run can
+    resume it.
+
+    Parameters
+    ----------
+    max_runs : int
+        Attempts that may run at once.
+    """
+
+    def __init__(self, max_runs: int) -> None:
+        self._max_runs = max_runs
+        self._run_by_attempt: dict[str, Run] = {}
+        self._run_by_request: dict[tuple[str, str], Run] = {}
+        self._expiry_ms_by_attempt: OrderedDict[str, int] = OrderedDict()
+        self.is_draining = False
+
+    def __iter__(self) -> Iterator[Run]:
+        return iter(list(self._run_by_attempt.values()))
+
+    def __len__(self) -> int:
+        return len(self._run_by_attempt)
+
+    def get(self, attempt_id: str) -> Run | None:
+        """Return the run that an entry knows by this attempt id."""
+        return self._run_by_attempt.get(attempt_id)
+
+    def running(self) -> list[Run]:
+        """Return the runs whose answer is not whole yet."""
+        return [run for run in self if not (run.is_complete or run.is_ended)]
+
+    @property
+    def isolated(self) -> Run | None:
+        """Return the isolated run that is in progress."""
+        return next((run for run in self.running() if run.is_isolated), None)
+
+    def decide(self, dispatch: Any, connection: Any, now_ms: int) -> Decision:
+        """Return what to do with a dispatch that was checked for form."""
+        known = self._run_by_attempt.get(dispatch.attempt_id)
+        if known is not None:
+            return self._decide_repeat(known, dispatch, connection)
+        self._forget(now_ms)
+        if dispatch.attempt_id in self._expiry_ms_by_attempt:
+            return Decision(Verdict.BREAK, reason=Reason.OUTCOME_UNKNOWN)
+        held = self._run_by_request.get((connection.peer_id, dispatch.request_id))
+        if held is not None:
+            return self._decide_resume(held, dispatch, connection)
+        if dispatch.resume_offset:
+            return Decision(Verdict.BREAK, reason=Reason.ENDPOINT_LOST)
+        return self._decide_start(dispatch)
+
+    def _decide_repeat(self, run: Run, dispatch: Any, connection: Any) -> Decision:
+        if run.is_cancelled:
+            return Decision(Verdict.BREAK, run, Reason.OUTCOME_UNKNOWN)
+        is_same = (run.entry_id, run.request_id, run.fingerprint) == (
+            connection.peer_id,
+            dispatch.request_id,
+            dispatch.fingerprint or "",
+        )
+        if not is_same:
+            return Decision(Verdict.CLOSE, run)
+        if run.connection is connection:
+            return Decision(Verdict.IGNORE, run)
+        return self._decide_offset(run, dispatch)
+
+    def _decide_resume(self, run: Run, dispatch: Any, connection: Any) -> Decision:
+        if run.fingerprint != (dispatch.fingerprint or ""):
+            return Decision(Verdict.CLOSE, run)
+        is_fresh_start = dispatch.is_idempotent and not dispatch.resume_offset
+        is_rejected = run.connection is connection
+        if is_fresh_start and (is_rejected or not run.buffer.holds(0)):
+            # The entry rejects the answer that it has, such as a corrupt one, or
+            # the start of the answer is no longer held.
+            decision = self._decide_start(dispatch)
+            is_start = decision.verdict is Verdict.START
+            return Decision(Verdict.REPLACE, run) if is_start else decision
+        return self._decide_offset(run, dispatch)
+
+    def _decide_offset(self, run: Run, dispatch: Any) -> Decision:
+        if run.buffer.holds(dispatch.resume_offset):
+            return Decision(Verdict.RESUME, run)
+        return Decision(Verdict.BREAK, run, Reason.ENDPOINT_LOST)
+
+    def _decide_start(self, dispatch: Any) -> Decision:
+        if self.is_draining:
+            return _refuse(Reason.ENDPOINT_DRAINING, DRAIN_RETRY_MS)
+        if dispatch.remaining_ms <= 0:
+            return _refuse(Reason.DEADLINE_EXCEEDED, 0)
+        running = self.running()
+        if any(run.is_isolated for run in running):
+            return _refuse(Reason.ENDPOINT_ISOLATING, ISOLATION_RETRY_MS)
+        if dispatch.is_isolated and not all(run.has_output for run in running):
+            return _refuse(Reason.ENDPOINT_ISOLATING, ISOLATION_RETRY_MS)
+        n_remembered = len(self._expiry_ms_by_attempt)
+        has_room = len(running) < self._max_runs
+        if not has_room or n_remembered >= MAX_REMEMBERED_ATTEMPTS:
+            return _refuse(Reason.NO_ENDPOINT, ROOM_RETRY_MS)
+        return Decision(Verdict.START)
+
+    def add(self, run: Run) -> None:
+        """Add a run that is to start."""
+        self._run_by_attempt[run.attempt_id] = run
+        self._run_by_request[run.entry_id, run.request_id] = run
+
+    def rename(self, run: Run, attempt_id: str, now_ms: int) -> None:
+        """Give a resumed run its new attempt id; the old one is not run again."""
+        del self._run_by_attempt[run.attempt_id]
+        self._remember(run.attempt_id, now_ms)
+        run.attempt_id = attempt_id
+        self._run_by_attempt[attempt_id] = run
+
+    def remove(self, run: Run, now_ms: int) -> None:
+        """Remove a run; its attempt id is remembered unless it was never sent."""
+        if self._run_by_attempt.get(run.attempt_id) is run:
+            del self._run_by_attempt[run.attempt_id]
+        self.unlink(run)
+        if run.is_sent:
+            self._remember(run.attempt_id, now_ms)
+
+    def unlink(self, run: Run) -> None:
+        """Make sure that no later dispatch resumes this run."""
+        key = (run.entry_id, run.request_id)
+        if self._run_by_request.get(key) is run:
+            del self._run_by_request[key]
+
+    def _remember(self, attempt_id: str, now_ms: int) -> None:
+        self._expiry_ms_by_attempt[attempt_id] = now_ms + ATTEMPT_MEMORY_MS
+
+    def _forget(self, now_ms: int) -> None:
+        expiry_ms_by_attempt = self._expiry_ms_by_attempt
+        while expiry_ms_by_attempt:
+            attempt_id = next(iter(expiry_ms_by_attempt))
+            if expiry_ms_by_attempt[attempt_id] > now_ms:
+                return
+            del expiry_ms_by_attempt[attempt_id]
+
+
+def _refuse(reason: Reason, retry_after_ms: int) -> Decision:
+    return Decision(Verdict.REFUSE, reason=reason, retry_after_ms=retry_after_ms)
--- /dev/null
+++ b/packages/agent/src/bluebellusher_agent/_settings.py
@@ -0,0 +1,216 @@
+"""Settings of the agent: JSON with comments, checked by hand."""
+
+import json
+from collections.abc import Callable
+from dataclasses import dataclass, field, fields
+from typing import Any
+
+from bluebellusher_core.errors import StepError
+
+Check = Callable[[Any], bool]
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """An IP address and a TCP port."""
+
+    host: str
+    port: int
+
+
+@dataclass(frozen=True, slots=True)
+class AgentSettings:
+    """Everything that an agent must be told.
+
+    Parameters
+    ----------
+    instance_id, failure_domain : str
+        Identity of the endpoint instance.
+    shared_secret : str
+        Known to all processes of the system; at least 16 characters.
+    listen : Address
+        Where entries connect; port 0 lets the system choose.
+    target : Address
+        The engine or plain service on the same instance.
+    kind : str
+        ``"model"`` for an engine, ``"plain"`` for a plain service.
+    services, models, adapters : tuple of str
+        What the endpoint offers until the engine reports otherwise.
+    n_slots : int
+        Batch limit until the engine reports otherwise.
+    is_draining : bool
+        Take no new work; read again while the agent runs.
+    max_runs : int
+        Attempts that may run at once; further ones are refused as not run.
+    resume_window_ms : int
+        How long an answer is held after its connection was lost or it was sent.
+    resume_buffer_bytes : int
+        Bytes of each answer that are held for resumption.
+    """
+
+    instance_id: str
+    failure_domain: str
+    shared_secret: str = field(repr=False)
+    listen: Address
+    target: Address
+    kind: str = "model"
+    services: tuple[str, ...] = ()
+    models: tuple[str, ...] = ()
+    adapters: tuple[str, ...] = ()
+    n_slots: int = 8
+    is_draining: bool = False
+    max_runs: int = 1024
+    resume_window_ms: int = 5_000
+    resume_buffer_bytes: int = 262_144
+
+    @classmethod
+    def from_file(cls, path: str) -> "AgentSettings":
+        """Read a settings file.
+
+        Raises
+        ------
+        StepError
+            With one line for each problem: file, key, value and expectation.
+        """
+        try:
+            with open(path, encoding="utf-8") as file:
+                text = file.read()
+        except (OSError, UnicodeDecodeError) as error:
+            raise StepError("read-settings", path, str(error)) from error
+        return cls.from_text(text, path)
+
+    @classmethod
+    def from_text(cls, text: str, path: str) -> "AgentSettings":
+        """Read settings from text; ``path`` is named in errors."""
+        try:
+            data = json.loads(strip_comments(text))
+        except ValueError as error:
+            raise StepError("read-settings", path, f"{error}") from error
+        if not isinstance(data, dict):
+            raise StepError("read-settings", path, "expected a JSON object")
+        problems = _find_problems(data)
+        if problems:
+            raise StepError("read-settings", path, "; ".join(problems))
+        return cls(**{key: _convert(value) for key, value in data.items()})
+
+
+def strip_comments(text: str) -> str:
+    """Replace ``//`` and ``/* */`` comments by spaces and drop trailing commas.
+
+    Positions are kept so that JSON errors name the right line and column.
+    """
+    characters = list(text)
+    position = 0
+    last_comma = -1
+    while position < len(text):
+        character = text[position]
+        if character == '"':
+            position = _find_string_end(text, position)
+            last_comma = -1
+            continue
+        end = _find_comment_end(text, position)
+        if end > position:
+            blank = (c if c == "\n" else " " for c in text[position:end])
+            characters[position:end] = blank
+            position = end
+            continue
+        if character in "]}" and last_comma >= 0:
+            characters[last_comma] = " "
+        if character == ",":
+            last_comma = position
+        elif not character.isspace():
+            last_comma = -1
+        position += 1
+    return "".join(characters)
+
+
+def _find_string_end(text: str, position: int) -> int:
+    position += 1
+    while position < len(text) and text[position] != '"':
+        position += 2 if text[position] == "\\" else 1
+    return position + 1
+
+
+def _find_comment_end(text: str, position: int) -> int:
+    if text.startswith("//", position):
+        end = text.find("\n", position)
+        return len(text) if end < 0 else end
+    if text.startswith("/*", position):
+        end = text.find("*/", position + 2)
+        return len(text) if end < 0 else end + 2
+    return position
+
+
+def _convert(value: Any) -> Any:
+    if isinstance(value, dict):
+        return Address(value["host"], value["port"])
+    return tuple(value) if isinstance(value, list) else value
+
+
+def _is_name(value: Any) -> bool:
+    is_text = isinstance(value, str) and 0 < len(value) <= 128
+    return is_text and all("!" <= c <= "~" for c in value)
+
+
+def _is_names(value: Any) -> bool:
+    return isinstance(value, list) and all(_is_name(item) for item in value)
+
+
+def _is_int(value: Any, low: int, high: int) -> bool:
+    is_number = isinstance(value, int) and not isinstance(value, bool)
+    return is_number and low <= value <= high
+
+
+def _is_ip(value: Any) -> bool:
+    # The ipaddress module alone would cost about 1 MB of resident memory.
+    if not isinstance(value, str):
+        return False
+    parts = value.split(".")
+    if len(parts) == 4:
+        return all(part.isdigit() and int(part) < 256 for part in parts)
+    return ":" in value and all(c in "0123456789abcdefABCDEF:." for c in value)
+
+
+def _is_address(value: Any) -> bool:
+    is_pair = isinstance(value, dict) and set(value) == {"host", "port"}
+    return is_pair and _is_ip(value["host"]) and _is_int(value["port"], 0, 65535)
+
+
+_CHECK_BY_KEY: dict[str, tuple[Check, str]] = {
+    "instance_id": (_is_name, "1 to 128 printable ASCII characters without spaces"),
+    "failure_domain": (_is_name, "1 to 128 printable ASCII characters without spaces"),
+    "shared_secret": (
+        lambda value: isinstance(value, str) and len(value) >= 16,
+        "a string of at least 16 characters",
+    ),
+    "listen": (_is_address, '{"host": IP address, "port": 0 to 65535}'),
+    "target": (_is_address, '{"host": IP address, "port": 0 to 65535}'),
+    "kind": (lambda value: value in ("model", "plain"), '"model" or "plain"'),
+    "services": (_is_names, "a list of names"),
+    "models": (_is_names, "a list of names"),
+    "adapters": (_is_names, "a list of names"),
+    "n_slots": (lambda value: _is_int(value, 1, 100_000), "1 to 100000"),
+    "is_draining": (lambda value: isinstance(value, bool), "true or false"),
+    "max_runs": (lambda value: _is_int(value, 1, 100_000), "1 to 100000"),
+    "resume_window_ms": (lambda value: _is_int(value, 0, 60_000), "0 to 60000"),
+    "resume_buffer_bytes": (
+        lambda value: _is_int(value, 65_536, 16_777_216),
+        "65536 to 16777216",
+    ),
+}
+_SECRET_KEYS = frozenset(("shared_secret",))
+
+
+def _find_problems(data: dict[str, Any]) -> list[str]:
+    required = ("instance_id", "failure_domain", "shared_secret", "listen", "target")
+    problems = [f"{key}: missing" for key in required if key not in data]
+    known = {item.name for item in fields(AgentSettings)}
+    for key, value in data.items():
+        if key not in known:
+            problems.append(f"{key}: unknown key")
+            continue
+        is_valid, expectation = _CHECK_BY_KEY[key]
+        if not is_valid(value):
+            shown = "(hidden)" if key in _SECRET_KEYS else repr(value)[:100]
+            problems.append(f"{key}={shown}: expected {expectation}")
+    return problems
--- /dev/null
+++ b/packages/agent/src/bluebellusher_agent/main.py
@@ -0,0 +1,79 @@
+"""Command ``bluebellusher-agent --settings FILE``."""
+
+import asyncio
+import os
+import signal
+import sys
+
+import uvloop
+from bluebellusher_core.errors import StepError
+
+from bluebellusher_agent._agent import Agent
+from bluebellusher_agent._log import log
+from bluebellusher_agent._settings import AgentSettings
+
+SETTINGS_POLL_S = 1.0
+
+
+async def run_agent(path: str) -> None:
+    """Run until SIGTERM or SIGINT, then drain and return."""
+    agent = Agent(AgentSettings.from_file(path))
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signal_number, stopped.set)
+    await agent.start()
+    watcher = loop.create_task(_watch_settings(path, agent))
+    await stopped.wait()
+    watcher.cancel()
+    agent.start_drain()
+    await agent.wait_idle()
+    await agent.finish_connections()
+    await agent.stop()
+    log("stopped")
+
+
+async def _watch_settings(path: str, agent: Agent) -> None:
+    """Start draining when the settings file comes to say so."""
+    read_at = _modified_at(path)
+    while not agent.runs.is_draining:
+        await asyncio.sleep(SETTINGS_POLL_S)
+        modified_at = _modified_at(path)
+        if modified_at == read_at:
+            continue
+        read_at = modified_at
+        try:
+            settings = AgentSettings.from_file(path)
+        except StepError as error:
+            log("bad_settings", peer=error.peer, reason=error.reason)
+            continue
+        if settings.is_draining:
+            agent.start_drain()
+
+
+def _modified_at(path: str) -> int:
+    try:
+        return os.stat(path).st_mtime_ns
+    except OSError:
+        return 0
+
+
+def main() -> int:
+    """Run the agent; return 2 when the settings cannot be used."""
+    arguments = sys.argv[1:]
+    if len(arguments) != 2 or arguments[0] != "--settings":
+        print("usage: bluebellusher-agent --settings FILE", file=sys.stderr)
+        return 2
+    try:
+        uvloop.run(run_agent(arguments[1]))
+    except StepError as error:
+        print(f"bluebellusher-agent: {error}", file=sys.stderr)
+        return 2
+    except OSError as error:
+        print(f"bluebellusher-agent: cannot listen: {error}", file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
