--- a/packages/agent/src/bluebellusher_agent/_agent.py
+++ b/packages/agent/src/bluebellusher_agent/_agent.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from bluebellusher_core.clock import Clock, SystemClock
-from bluebellusher_core.errors import Reason, StepError
+from bluebellusher_core.errors import StepError
 from bluebellusher_core.wire import messages
 
 from bluebellusher_agent._checks import (
@@ -18,7 +18,9 @@
 from bluebellusher_agent._connection import EntryConnection
 from bluebellusher_agent._executor import Executor
 from bluebellusher_agent._http import HttpClient
+from bluebellusher_agent._keeper import RunKeeper
 from bluebellusher_agent._log import log
+from bluebellusher_agent._memory import trim_memory
 from bluebellusher_agent._monitor import TargetMonitor
 from bluebellusher_agent._orders import OrderDesk
 from bluebellusher_agent._reports import CacheReader, LoadReader
@@ -27,11 +29,9 @@
 from bluebellusher_agent._settings import AgentSettings
 
 TICK_MS = 500
+TRIM_TICKS = 20
 FINISH_TIMEOUT_MS = 2_000
 MAX_CONNECTIONS = 512
-NOT_RUN_RETRY_MS = 1_000
-# Answers that were sent whole are held for entries that lose them on the way.
-MAX_HELD_BYTES = 8 * 1024 * 1024
 
 
 class Agent:
@@ -65,7 +65,12 @@
         self.runs = RunTable(settings.max_runs)
         self._client = HttpClient(settings.target.host, settings.target.port)
         self._monitor = TargetMonitor(self._client, self.clock, self._on_crash)
-        self._executor = Executor(self._client, self._monitor, self, self.is_model)
+        self._changed = asyncio.Event()
+        self._keeper = RunKeeper(
+            self.runs, settings, self.clock, self._spawn, self._changed.set
+        )
+        executor = Executor(self._client, self._monitor, self._keeper, self.is_model)
+        self._keeper.bind(executor)
         self._load = LoadReader(
             self._client, settings.models, settings.adapters, settings.n_slots
         )
@@ -74,7 +79,6 @@
         self._connections: set[EntryConnection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
-        self._changed = asyncio.Event()
         self._is_target_answering = True
 
     async def start(self) -> None:
@@ -165,7 +169,7 @@
         held = [run for run in self.runs if run.connection is connection]
         for run in held:
             run.detach()
-            self._hold(run)
+            self._keeper.hold(run)
         self._changed.set()
         log("entry_lost", peer=connection.peer_id or "-", n_held=len(held))
 
@@ -228,32 +232,11 @@
         elif verdict is Verdict.BREAK:
             connection.send(messages.Broken(attempt_id, decision.reason.value, False))
         elif verdict is Verdict.RESUME and run is not None:
-            self._resume(run, connection, dispatch, now_ms)
+            self._keeper.resume(run, connection, dispatch, now_ms)
         elif verdict in (Verdict.START, Verdict.REPLACE):
             if run is not None:
-                self._cancel(run)
-            self._start(connection, dispatch, now_ms)
-
-    def _start(self, connection: EntryConnection, dispatch: Any, now_ms: int) -> None:
-        keep_bytes = self.settings.resume_buffer_bytes
-        run = Run(dispatch, connection.peer_id, now_ms, keep_bytes)
-        run.attach(connection, run.attempt_id, 0, dispatch.credit_bytes)
-        self.runs.add(run)
-        run.task = self._spawn(self._executor.execute(run))
-        loop = asyncio.get_running_loop()
-        delay_s = dispatch.remaining_ms / 1000
-        run.deadline_handle = loop.call_later(delay_s, self._on_deadline, run)
-
-    def _resume(
-        self, run: Run, connection: EntryConnection, dispatch: Any, now_ms: int
-    ) -> None:
-        if run.attempt_id != dispatch.attempt_id:
-            self.runs.rename(run, dispatch.attempt_id, now_ms)
-        offset, credit = dispatch.resume_offset, dispatch.credit_bytes
-        run.attach(connection, dispatch.attempt_id, offset, credit)
-        if run.is_complete:
-            self._hold(run)
-        self._changed.set()
+                self._keeper.cancel(run)
+            self._keeper.start(connection, dispatch, now_ms)
 
     def _on_credit(self, connection: EntryConnection, message: Any) -> None:
         run = self._find(connection, message.attempt_id)
@@ -266,30 +249,13 @@
         run = self._find(connection, message.attempt_id)
         if run is not None:
             log("cancelled", attempt_id=run.attempt_id)
-            self._cancel(run)
+            self._keeper.cancel(run)
 
     def _find(self, connection: EntryConnection, attempt_id: Any) -> Run | None:
         """Return a run of this connection; others may not touch it."""
         run = self.runs.get(attempt_id) if is_id(attempt_id) else None
         return run if run is not None and run.connection is connection else None
 
-    def _cancel(self, run: Run) -> None:
-        """Stop a run; it counts as running until the target was told."""
-        if run.is_cancelled or run.is_ended:
-            return
-        run.is_cancelled = True
-        connection, run.connection = run.connection, None
-        if isinstance(connection, EntryConnection):
-            connection.drop_queued(run.attempt_id)
-        self.runs.unlink(run)
-        if run.task is not None:
-            run.task.cancel()
-        self._spawn(self._finish_cancel(run))
-
-    async def _finish_cancel(self, run: Run) -> None:
-        await self._executor.cancel_on_target(run)
-        self._end(run)
-
     def _on_order(self, connection: EntryConnection, order: Any) -> None:
         if not is_order(order) or not self.is_model:
             reason = "malformed order, or not an engine"
@@ -301,91 +267,6 @@
     async def _execute_order(self, connection: EntryConnection, order: Any) -> None:
         connection.send(await self._orders.execute(order))
 
-    def on_not_run(self, run: Run) -> None:
-        """Refuse an attempt of which no byte was sent to the target."""
-        connection = run.connection
-        if connection is not None:
-            reason = Reason.ENGINE_ERROR.value
-            refusal = messages.Refuse(run.attempt_id, reason, NOT_RUN_RETRY_MS)
-            self._send_last(connection, run, refusal)
-        self._end(run)
-
-    def on_broken(self, run: Run, reason: Reason) -> None:
-        """Tell the entry that an answer ended early."""
-        connection = run.connection
-        if connection is not None:
-            broken = messages.Broken(run.attempt_id, reason.value, False)
-            self._send_last(connection, run, broken)
-        self._end(run)
-
-    def _send_last(self, connection: Any, run: Run, message: Any) -> None:
-        connection.flush()
-        connection.send(message)
-
-    def on_complete(self, run: Run) -> None:
-        """Hold a whole answer for a while."""
-        log(
-            "run_complete",
-            attempt_id=run.attempt_id,
-            status=run.status,
-            n_bytes=run.buffer.end,
-        )
-        self._limit_held()
-        self._hold(run)
-        self._changed.set()
-
-    def _limit_held(self) -> None:
-        held = [run for run in self.runs if run.is_finish_queued]
-        n_bytes = sum(len(run.buffer) for run in held)
-        for run in held:
-            if n_bytes <= MAX_HELD_BYTES:
-                return
-            n_bytes -= len(run.buffer)
-            self._end(run)
-
-    def _hold(self, run: Run) -> None:
-        loop = asyncio.get_running_loop()
-        delay_s = self.settings.resume_window_ms / 1000
-        loop.call_later(delay_s, self._release, run, run.connection)
-
-    def _release(self, run: Run, connection: Any) -> None:
-        """End a run whose answer nobody asked for within the resume window."""
-        is_wanted = run.connection is not connection or run.is_ended
-        if is_wanted:
-            return
-        if run.connection is not None and not run.is_finish_queued:
-            self._hold(run)
-            return
-        if run.is_complete:
-            self._end(run)
-        elif run.is_idempotent:
-            log("run_abandoned", attempt_id=run.attempt_id)
-            self._cancel(run)
-        # A call that must not be repeated goes on until its deadline, so that it is
-        # not cut in the middle of its work.
-
-    def _on_deadline(self, run: Run) -> None:
-        if run.is_ended or run.is_finish_queued:
-            return
-        log("deadline_exceeded", attempt_id=run.attempt_id)
-        if run.connection is not None:
-            reason = Reason.DEADLINE_EXCEEDED.value
-            broken = messages.Broken(run.attempt_id, reason, False)
-            self._send_last(run.connection, run, broken)
-        self._cancel(run)
-
-    def _end(self, run: Run) -> None:
-        """Forget a run and stop its execution."""
-        if run.is_ended:
-            return
-        run.is_ended = True
-        run.release()
-        self.runs.remove(run, self.clock.now_ms())
-        task = run.task
-        if task is not None and task is not asyncio.current_task():
-            task.cancel()
-        self._changed.set()
-
     def _on_crash(self, at_ms: int) -> None:
         """Tell all entries which attempts were running when the target died."""
         victims = [
@@ -405,7 +286,7 @@
             self._broadcast(crash)
             log("engine_crash", n_attempts=len(victims), isolated=isolated or "-")
         for run in victims:
-            self._end(run)
+            self._keeper.end(run)
         if self.is_model:
             self._broadcast(self._cache.reset())
 
@@ -415,11 +296,15 @@
                 connection.send(message)
 
     async def _tick_forever(self) -> None:
+        n_ticks = 0
         while True:
             now_ms = self.clock.now_ms()
             for connection in list(self._connections):
                 connection.tick(now_ms)
             self._client.close_idle()
+            n_ticks += 1
+            if n_ticks % TRIM_TICKS == 0 and not len(self.runs):
+                trim_memory()
             await asyncio.sleep(TICK_MS / 1000)
 
     async def _report_forever(self) -> None:
--- /dev/null
+++ b/packages/agent/src/bluebellusher_agent/_keeper.py
@@ -0,0 +1,186 @@
+"""Life of runs: start, resumption, holding, cancellation, end."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from bluebellusher_core.clock import Clock
+from bluebellusher_core.errors import Reason
+from bluebellusher_core.wire import messages
+
+from bluebellusher_agent._connection import EntryConnection
+from bluebellusher_agent._executor import Executor
+from bluebellusher_agent._log import log
+from bluebellusher_agent._run import Run
+from bluebellusher_agent._runs import RunTable
+from bluebellusher_agent._settings import AgentSettings
+
+NOT_RUN_RETRY_MS = 1_000
+# Answers that were sent whole are held for entries that lose them on the way.
+MAX_HELD_BYTES = 8 * 1024 * 1024
+Spawn = Callable[[Coroutine[Any, Any, None]], asyncio.Task[None]]
+
+
+class RunKeeper:
+    """Own the runs of an agent and the timers that end them.
+
+    Parameters
+    ----------
+    runs : RunTable
+        The runs.
+    settings : AgentSettings
+        Resume window and buffer.
+    clock : Clock
+        Time source.
+    spawn : callable
+        Starts a task that the agent awaits when it stops.
+    on_change : callable
+        Called when a run ended or was sent whole.
+    """
+
+    def __init__(
+        self,
+        runs: RunTable,
+        settings: AgentSettings,
+        clock: Clock,
+        spawn: Spawn,
+        on_change: Callable[[], None],
+    ) -> None:
+        self._runs = runs
+        self._settings = settings
+        self._clock = clock
+        self._spawn = spawn
+        self._on_change = on_change
+        self._executor: Executor | None = None
+
+    def bind(self, executor: Executor) -> None:
+        """Set the executor, which in turn reports to this object."""
+        self._executor = executor
+
+    def start(self, connection: EntryConnection, dispatch: Any, now_ms: int) -> None:
+        """Run a dispatch that was accepted."""
+        keep_bytes = self._settings.resume_buffer_bytes
+        run = Run(dispatch, connection.peer_id, now_ms, keep_bytes)
+        run.attach(connection, run.attempt_id, 0, dispatch.credit_bytes)
+        assert self._executor is not None
+        self._runs.add(run)
+        run.task = self._spawn(self._executor.execute(run))
+        loop = asyncio.get_running_loop()
+        delay_s = dispatch.remaining_ms / 1000
+        run.deadline_handle = loop.call_later(delay_s, self._on_deadline, run)
+
+    def resume(
+        self, run: Run, connection: EntryConnection, dispatch: Any, now_ms: int
+    ) -> None:
+        """Send the rest of an answer to the connection that asks for it."""
+        if run.attempt_id != dispatch.attempt_id:
+            self._runs.rename(run, dispatch.attempt_id, now_ms)
+        offset, credit = dispatch.resume_offset, dispatch.credit_bytes
+        run.attach(connection, dispatch.attempt_id, offset, credit)
+        if run.is_complete:
+            self.hold(run)
+        self._on_change()
+
+    def cancel(self, run: Run) -> None:
+        """Stop a run; it counts as running until the target was told."""
+        if run.is_cancelled or run.is_ended:
+            return
+        run.is_cancelled = True
+        connection, run.connection = run.connection, None
+        if isinstance(connection, EntryConnection):
+            connection.drop_queued(run.attempt_id)
+        self._runs.unlink(run)
+        if run.task is not None:
+            run.task.cancel()
+        self._spawn(self._finish_cancel(run))
+
+    async def _finish_cancel(self, run: Run) -> None:
+        assert self._executor is not None
+        await self._executor.cancel_on_target(run)
+        self.end(run)
+
+    def on_not_run(self, run: Run) -> None:
+        """Refuse an attempt of which no byte was sent to the target."""
+        connection = run.connection
+        if connection is not None:
+            reason = Reason.ENGINE_ERROR.value
+            refusal = messages.Refuse(run.attempt_id, reason, NOT_RUN_RETRY_MS)
+            self._send_last(connection, run, refusal)
+        self.end(run)
+
+    def on_broken(self, run: Run, reason: Reason) -> None:
+        """Tell the entry that an answer ended early."""
+        connection = run.connection
+        if connection is not None:
+            broken = messages.Broken(run.attempt_id, reason.value, False)
+            self._send_last(connection, run, broken)
+        self.end(run)
+
+    def _send_last(self, connection: Any, run: Run, message: Any) -> None:
+        connection.flush()
+        connection.send(message)
+
+    def on_complete(self, run: Run) -> None:
+        """Hold a whole answer for a while."""
+        log(
+            "run_complete",
+            attempt_id=run.attempt_id,
+            status=run.status,
+            n_bytes=run.buffer.end,
+        )
+        self._limit_held()
+        self.hold(run)
+        self._on_change()
+
+    def _limit_held(self) -> None:
+        held = [run for run in self._runs if run.is_finish_queued]
+        n_bytes = sum(len(run.buffer) for run in held)
+        for run in held:
+            if n_bytes <= MAX_HELD_BYTES:
+                return
+            n_bytes -= len(run.buffer)
+            self.end(run)
+
+    def hold(self, run: Run) -> None:
+        """End the run after the resume window unless it is wanted again."""
+        loop = asyncio.get_running_loop()
+        delay_s = self._settings.resume_window_ms / 1000
+        loop.call_later(delay_s, self._release, run, run.connection)
+
+    def _release(self, run: Run, connection: Any) -> None:
+        """End a run whose answer nobody asked for within the resume window."""
+        is_wanted = run.connection is not connection or run.is_ended
+        if is_wanted:
+            return
+        if run.connection is not None and not run.is_finish_queued:
+            self.hold(run)
+            return
+        if run.is_complete:
+            self.end(run)
+        elif run.is_idempotent:
+            log("run_abandoned", attempt_id=run.attempt_id)
+            self.cancel(run)
+        # A call that must not be repeated goes on until its deadline, so that it is
+        # not cut in the middle of its work.
+
+    def _on_deadline(self, run: Run) -> None:
+        if run.is_ended or run.is_finish_queued:
+            return
+        log("deadline_exceeded", attempt_id=run.attempt_id)
+        if run.connection is not None:
+            reason = Reason.DEADLINE_EXCEEDED.value
+            broken = messages.Broken(run.attempt_id, reason, False)
+            self._send_last(run.connection, run, broken)
+        self.cancel(run)
+
+    def end(self, run: Run) -> None:
+        """Forget a run and stop its execution."""
+        if run.is_ended:
+            return
+        run.is_ended = True
+        run.release()
+        self._runs.remove(run, self._clock.now_ms())
+        task = run.task
+        if task is not None and task is not asyncio.current_task():
+            task.cancel()
+        self._on_change()
--- a/packages/agent/src/bluebellusher_agent/tests/entry_client.py
+++ b/packages/agent/src/bluebellusher_agent/tests/entry_client.py
@@ -58,9 +58,11 @@
             task.cancel()
 
     def abort(self):
+        """Lose the connection."""
         self.writer.transport.abort()
 
     def send(self, message):
+        """Send one message."""
         self.writer.write(encode(message))
 
     async def _beat(self):
@@ -96,6 +98,7 @@
                 await self._changed.wait()
 
     def find(self, kind, attempt_id=None):
+        """Return a received message of this kind, or None."""
         for message in self.received:
             is_kind = isinstance(message, kind)
             if is_kind and attempt_id in (None, getattr(message, "attempt_id", None)):
@@ -111,9 +114,11 @@
         return message
 
     def data(self, attempt_id):
+        """Return the bytes received for an attempt."""
         return bytes(self.data_by_attempt.get(attempt_id, (0, b""))[1])
 
     def dispatch(self, attempt_id, body, **changes):
+        """Send a dispatch with usual values."""
         values = {
             "attempt_id": attempt_id,
             "request_id": "r-" + attempt_id,
