Test the agent against faults, hostile input and a drain; run it on uvloop

Cause: the agent failed on uvloop, whose transport is not an asyncio.Transport; the first tests ran on the standard loop only and did not see it. Change: tests run on uvloop as the process does.

--- /dev/null
+++ b/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
@@ -0,0 +1,285 @@
+"""Guards against work that runs twice, is refused wrongly or outlives a drain."""
+
+import asyncio
+import json
+import os
+import signal
+import sys
+
+import pytest
+import uvloop
+from bluebellusher_core.wire import messages
+from bluebellusher_standins.engine import EngineServer, EngineSettings, expect_answer
+from bluebellusher_standins.plain_service import PlainServiceServer
+
+from bluebellusher_agent.tests.entry_client import (
+    SECRET,
+    EntryClient,
+    make_body,
+    run_agent,
+    with_engine,
+)
+
+CALL = {"path": "/book", "is_idempotent": False}
+
+
+def with_service(scenario, **changes):
+    """Run ``scenario(entry, agent, service)`` with a plain service."""
+
+    async def main():
+        async with (
+            PlainServiceServer() as service,
+            run_agent(service.port, kind="plain", **changes) as agent,
+            EntryClient(agent.port) as entry,
+        ):
+            await scenario(entry, agent, service)
+
+    uvloop.run(main())
+
+
+def test_duplicate_attempt_runs_once():
+    """Guards against a booking that is made twice (I4)."""
+
+    async def scenario(entry, agent, service):
+        service.faults.stall_ms = 50
+        for _ in range(3):
+            entry.dispatch("a1", b"booking", **CALL)
+        await entry.finish("a1")
+        entry.dispatch("a1", b"booking", **CALL)
+        entry.abort()
+        async with EntryClient(agent.port) as again:
+            again.dispatch("a1", b"booking", **CALL)
+            await again.finish("a1")
+            again.dispatch("a2", b"booking", request_id="r-a1", **CALL)
+            await again.finish("a2")
+            again.dispatch("a1", b"booking", request_id="r-a1", **CALL)
+            assert (await again.next(messages.Broken)).reason == "outcome_unknown"
+        assert service.n_executions_by_body[b"booking"] == 1
+
+    with_service(scenario)
+
+
+@pytest.mark.parametrize("fault", ["drop_after_execute", "drop_before_execute"])
+def test_call_with_a_lost_answer_is_not_repeated_or_called_not_run(fault):
+    """Guards against a second execution and a false "not run" (I3, I4)."""
+
+    async def scenario(entry, agent, service):
+        setattr(service.faults, fault, 1)
+        entry.dispatch("a1", b"booking", **CALL)
+        assert (await entry.next(messages.Broken)).reason == "engine_error"
+        expected = 1 if fault == "drop_after_execute" else 0
+        assert service.n_executions_by_body[b"booking"] == expected
+
+    with_service(scenario)
+
+
+def test_call_in_progress_survives_the_loss_of_its_entry():
+    """Guards against a call that is cut in the middle of its work."""
+
+    async def scenario(entry, agent, service):
+        service.faults.stall_ms = 300
+        entry.dispatch("a1", b"booking", **CALL)
+        await entry.wait(lambda: agent.runs.get("a1"))
+        entry.abort()
+        async with EntryClient(agent.port) as again:
+            await again.wait(lambda: len(agent.runs) == 0)
+        assert service.n_executions_by_body[b"booking"] == 1
+
+    with_service(scenario, resume_window_ms=50)
+
+
+def test_crash_is_told_to_all_entries_with_its_victims():
+    """Guards against requests that crash one endpoint after another."""
+
+    async def scenario(entry, agent, engine):
+        async with EntryClient(agent.port, "entry-2") as other:
+            other.dispatch("b1", make_body("innocent", 4000), fingerprint="f-innocent")
+            await other.next(messages.Started, "b1")
+            entry.dispatch("a1", make_body("CRASH"), fingerprint="f-crash")
+            for client in (entry, other):
+                crash = await client.next(messages.EngineCrash)
+                assert sorted(crash.attempt_ids) == ["a1", "b1"]
+                assert crash.fingerprints == ["f-crash", "f-innocent"]
+                assert crash.isolated_fingerprint is None
+        assert engine.n_crashes == 1
+
+    with_engine(scenario)
+
+
+def test_fast_restart_of_the_engine_is_seen_as_a_crash():
+    """Guards against a crash that looks like a broken stream."""
+
+    async def scenario(entry, agent, engine):
+        entry.dispatch("a1", make_body("CRASH"))
+        assert (await entry.next(messages.EngineCrash)).attempt_ids == ["a1"]
+        assert entry.find(messages.Finish) is None
+
+    with_engine(scenario, settings={"restart_ms": 0})
+
+
+def test_isolated_run_excludes_new_work_and_names_the_culprit():
+    """Guards against innocent requests that share the fate of a suspect."""
+
+    async def scenario(entry, agent, engine):
+        entry.dispatch("a1", make_body("x" * 4000, 10))
+        entry.dispatch("a2", make_body("CRASH"), is_isolated=True, fingerprint="f2")
+        refusal = await entry.next(messages.Refuse, "a2")
+        assert refusal.reason == "endpoint_isolating"
+        await entry.next(messages.Started, "a1")
+        engine.set_faults(is_stalled=True)
+        entry.dispatch("a3", make_body("CRASH"), is_isolated=True, fingerprint="f3")
+        entry.dispatch("a4", make_body("innocent"))
+        entry.dispatch("a5", make_body("innocent"), is_isolated=True)
+        for attempt_id in ("a4", "a5"):
+            refusal = await entry.next(messages.Refuse, attempt_id)
+            assert refusal.reason == "endpoint_isolating"
+        engine.set_faults(is_stalled=False)
+        crash = await entry.next(messages.EngineCrash)
+        assert crash.isolated_fingerprint == "f3"
+        assert make_body("innocent") not in engine.received_bodies
+
+    with_engine(scenario, settings={"prefill_tokens_per_ms": 2.0})
+
+
+def test_isolation_ends_with_the_suspect():
+    """Guards against an endpoint that refuses all work for ever."""
+
+    async def scenario(entry, agent, engine):
+        entry.dispatch("a1", make_body(), is_isolated=True)
+        await entry.finish("a1")
+        entry.dispatch("a2", make_body("x", 4000), is_isolated=True)
+        await entry.next(messages.Started, "a2")
+        entry.send(messages.Cancel("a2"))
+        await entry.wait(lambda: len(agent.runs.running()) == 0)
+        entry.dispatch("a3", make_body())
+        assert await entry.finish("a3") == expect_answer(make_body())
+
+    with_engine(scenario)
+
+
+def test_drain_refuses_new_work_and_finishes_the_old():
+    """Guards against interrupted answers and late work on leaving (I5, I6)."""
+
+    async def scenario(entry, agent, engine):
+        body = make_body(n_tokens=60)
+        entry.dispatch("a1", body)
+        await entry.next(messages.Started, "a1")
+        engine.set_faults(is_draining=True)
+        assert (await entry.next(messages.Drain)).endpoint_id == "endpoint-1"
+        entry.dispatch("a2", make_body())
+        refusal = await entry.next(messages.Refuse, "a2")
+        assert refusal.reason == "endpoint_draining"
+        assert await entry.finish("a1") == expect_answer(body)
+        async with EntryClient(agent.port) as later:
+            assert later.hello.is_draining
+
+    with_engine(scenario, settings={"token_interval_ms": 20.0})
+
+
+def test_sigterm_drains_the_process_and_ends_it(tmp_path):
+    """Guards against a process that exits before its streams were delivered."""
+
+    async def main():
+        engine_settings = EngineSettings(token_interval_ms=10.0)
+        async with EngineServer(engine_settings) as engine:
+            path = tmp_path / "agent.json"
+            path.write_text(_settings_text(engine.port))
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "bluebellusher_agent.main",
+                "--settings",
+                str(path),
+                env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)},
+                stderr=asyncio.subprocess.PIPE,
+            )
+            port = await _read_port(process)
+            drain = asyncio.create_task(process.stderr.read())
+            async with EntryClient(port) as entry:
+                body = make_body(n_tokens=50)
+                entry.dispatch("a1", body)
+                await entry.next(messages.Started, "a1")
+                process.send_signal(signal.SIGTERM)
+                await entry.next(messages.Drain)
+                assert await entry.finish("a1") == expect_answer(body)
+                await entry.wait(lambda: entry.is_closed)
+            assert SECRET.encode() not in await drain
+            assert await process.wait() == 0
+
+    uvloop.run(main())
+
+
+def _settings_text(port):
+    settings = {
+        "instance_id": "endpoint-1",
+        "failure_domain": "a",
+        "shared_secret": SECRET,
+        "listen": {"host": "127.0.0.1", "port": 0},
+        "target": {"host": "127.0.0.1", "port": port},
+    }
+    return "// settings of a test\n" + json.dumps(settings)
+
+
+async def _read_port(process):
+    while line := await process.stderr.readline():
+        if b"event=listening" in line:
+            return int(line.split(b"port=")[1])
+    raise AssertionError("the agent did not start")
+
+
+def test_old_token_is_refused_for_an_engine_that_ignores_tokens():
+    """Guards against a paused lease holder that acts after it was replaced."""
+
+    async def scenario(entry, agent, engine):
+        async def order(order_id, lease, token):
+            message = messages.Order(
+                order_id, lease, token, "load_model", {"name": "m"}
+            )
+            entry.send(message)
+            await entry.wait(lambda: _find_result(entry, order_id))
+            return _find_result(entry, order_id)
+
+        assert (await order("o1", "role/a", 7)).is_accepted
+        refused = await order("o2", "role/a", 6)
+        assert (refused.is_accepted, refused.fencing_token) == (False, 7)
+        assert (await order("o3", "role/b", 1)).is_accepted
+        assert (await order("o1", "role/a", 7)).is_accepted
+        executed = [item["order_id"] for item in engine.orders.executed]
+        assert executed == ["o1", "o3"]
+
+    with_engine(scenario, settings={"checks_fencing_token": False})
+
+
+def _find_result(entry, order_id):
+    for message in entry.received:
+        is_result = isinstance(message, messages.OrderResult)
+        if is_result and message.order_id == order_id:
+            return message
+    return None
+
+
+def test_deadline_ends_an_attempt_on_a_stalled_engine():
+    """Guards against attempts that occupy a stalled engine for ever."""
+
+    async def scenario(entry, agent, engine):
+        engine.set_faults(is_stalled=True)
+        entry.dispatch("a1", make_body(), remaining_ms=100)
+        assert (await entry.next(messages.Broken)).reason == "deadline_exceeded"
+        entry.dispatch("a2", make_body(), remaining_ms=0)
+        assert (await entry.next(messages.Refuse)).reason == "deadline_exceeded"
+
+    with_engine(scenario)
+
+
+def test_cache_changes_reach_entries_that_connect_later():
+    """Guards against a cache report that only the first entry receives."""
+
+    async def scenario(entry, agent, engine):
+        entry.dispatch("a1", make_body("x" * 200))
+        report = await entry.next(messages.CacheReport)
+        assert len(report.added) == 3
+        async with EntryClient(agent.port) as later:
+            snapshot = await later.next(messages.CacheReport)
+            assert (snapshot.added, snapshot.has_gap) == (report.added, True)
+
+    with_engine(scenario, settings={"cache_event_lag_ms": 0})
