--- a/packages/agent/src/bluebellusher_agent/_agent.py
+++ b/packages/agent/src/bluebellusher_agent/_agent.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from bluebellusher_core.clock import Clock, SystemClock
-from bluebellusher_core.errors import StepError
+from bluebellusher_core.errors import Reason, StepError
 from bluebellusher_core.wire import messages
 
 from bluebellusher_agent._checks import (
@@ -286,7 +286,7 @@
             self._broadcast(crash)
             log("engine_crash", n_attempts=len(victims), isolated=isolated or "-")
         for run in victims:
-            self._keeper.end(run)
+            self._keeper.on_broken(run, Reason.ENGINE_ERROR)
         if self.is_model:
             self._broadcast(self._cache.reset())
 
--- a/packages/agent/src/bluebellusher_agent/_runs.py
+++ b/packages/agent/src/bluebellusher_agent/_runs.py
@@ -93,7 +93,8 @@
         if held is not None:
             return self._decide_resume(held, dispatch, connection)
         if dispatch.resume_offset:
-            return Decision(Verdict.BREAK, reason=Reason.ENDPOINT_LOST)
+            # The answer is no longer held, or this agent started after it.
+            return Decision(Verdict.BREAK, reason=Reason.OUTCOME_UNKNOWN)
         return self._decide_start(dispatch)
 
     def _decide_repeat(self, run: Run, dispatch: Any, connection: Any) -> Decision:
@@ -126,7 +127,7 @@
     def _decide_offset(self, run: Run, dispatch: Any) -> Decision:
         if run.buffer.holds(dispatch.resume_offset):
             return Decision(Verdict.RESUME, run)
-        return Decision(Verdict.BREAK, run, Reason.ENDPOINT_LOST)
+        return Decision(Verdict.BREAK, run, Reason.OUTCOME_UNKNOWN)
 
     def _decide_start(self, dispatch: Any) -> Decision:
         if self.is_draining:
--- a/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
+++ b/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
@@ -101,6 +101,8 @@
                 assert sorted(crash.attempt_ids) == ["a1", "b1"]
                 assert crash.fingerprints == ["f-crash", "f-innocent"]
                 assert crash.isolated_fingerprint is None
+            broken = await other.next(messages.Broken, "b1")
+            assert broken.reason == "engine_error"
         assert engine.n_crashes == 1
 
     with_engine(scenario)
