Replace silent engine connections; blame only runs that a crash hit

Cause: a stream on a dead connection hung to its deadline, and after a fast restart of the engine new runs counted as running at the crash. Change: a begun stream without progress for 5 s gets a new connection at its offset; a crash hits runs whose connection ended. A stream may be resumed as long as it makes progress.

--- a/packages/agent/src/bluebellusher_agent/_agent.py
+++ b/packages/agent/src/bluebellusher_agent/_agent.py
@@ -20,7 +20,7 @@
 from bluebellusher_agent._http import HttpClient
 from bluebellusher_agent._keeper import RunKeeper
 from bluebellusher_agent._log import log
-from bluebellusher_agent._memory import trim_memory
+from bluebellusher_agent._memory import MemoryTrimmer
 from bluebellusher_agent._monitor import TargetMonitor
 from bluebellusher_agent._orders import OrderDesk
 from bluebellusher_agent._reports import CacheReader, LoadReader
@@ -64,7 +64,7 @@
         self.is_model = settings.kind == "model"
         self.runs = RunTable(settings.max_runs)
         self._client = HttpClient(settings.target.host, settings.target.port)
-        self._monitor = TargetMonitor(self._client, self.clock, self._on_crash)
+        self._monitor = TargetMonitor(self._client, self._on_crash)
         self._changed = asyncio.Event()
         self._keeper = RunKeeper(
             self.runs, settings, self.clock, self._spawn, self._changed.set
@@ -80,6 +80,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
         self._is_target_answering = True
+        self._memory = MemoryTrimmer()
 
     async def start(self) -> None:
         """Listen for entries and start reporting."""
@@ -93,6 +94,7 @@
             self.start_drain()
         self._spawn(self._tick_forever())
         self._spawn(self._report_forever())
+        self._memory.trim()
         log("listening", host=listen.host, port=self.port)
 
     async def stop(self) -> None:
@@ -267,13 +269,9 @@
     async def _execute_order(self, connection: EntryConnection, order: Any) -> None:
         connection.send(await self._orders.execute(order))
 
-    def _on_crash(self, at_ms: int) -> None:
+    def _on_crash(self) -> None:
         """Tell all entries which attempts were running when the target died."""
-        victims = [
-            run
-            for run in self.runs.running()
-            if run.is_sent and run.started_at_ms <= at_ms
-        ]
+        victims = [run for run in self.runs.running() if run.is_hit_by_crash]
         if victims:
             isolated = next((r.fingerprint for r in victims if r.is_isolated), None)
             crash = messages.EngineCrash(
@@ -301,10 +299,11 @@
             now_ms = self.clock.now_ms()
             for connection in list(self._connections):
                 connection.tick(now_ms)
+            self._keeper.resume_silent(TICK_MS)
             self._client.close_idle()
             n_ticks += 1
             if n_ticks % TRIM_TICKS == 0 and not len(self.runs):
-                trim_memory()
+                self._memory.trim()
             await asyncio.sleep(TICK_MS / 1000)
 
     async def _report_forever(self) -> None:
--- a/packages/agent/src/bluebellusher_agent/_executor.py
+++ b/packages/agent/src/bluebellusher_agent/_executor.py
@@ -1,5 +1,6 @@
 """Execution of one attempt on the target."""
 
+import asyncio
 import json
 from typing import Protocol
 
@@ -10,8 +11,9 @@
 from bluebellusher_agent._monitor import TargetMonitor, TargetState
 from bluebellusher_agent._run import Run
 
-# Reconnections to an engine that holds the stream, per attempt.
+# Reconnections in a row to an engine that holds the stream, without progress.
 N_STREAM_RESUMES = 3
+RESUME_DELAY_S = 0.01
 USAGE_TAIL_BYTES = 4_096
 PRIORITY_NAMES = ("high", "normal", "low")
 HOP_HEADERS = frozenset(
@@ -80,7 +82,9 @@
 
     async def execute(self, run: Run) -> None:
         """Run one attempt to its end."""
-        for _ in range(N_STREAM_RESUMES + 1):
+        n_failures = 0
+        while n_failures <= N_STREAM_RESUMES:
+            offset = run.buffer.end
             try:
                 await self._exchange(run)
                 self._listener.on_complete(run)
@@ -96,14 +100,22 @@
                 return
             except ExchangeError as error:
                 self._log_break(run, error)
+            n_failures = 1 if run.buffer.end > offset else n_failures + 1
             state = await self._monitor.probe()
             # A crash ends every run that it hit, this one included.
             if run.is_ended:
                 return
             if state is not TargetState.ALIVE or not self._is_resumable(run):
                 break
+            await asyncio.sleep(RESUME_DELAY_S * n_failures)
         self._listener.on_broken(run, Reason.ENGINE_ERROR)
 
+    def resume_silent(self, run: Run) -> None:
+        """Replace a connection to an engine on which a stream fell silent."""
+        if run.exchange is not None and self._is_resumable(run):
+            log("stream_silent", attempt_id=run.attempt_id, n_bytes=run.buffer.end)
+            run.exchange.close()
+
     async def cancel_on_target(self, run: Run) -> None:
         """Tell an engine that an answer is no longer wanted."""
         if not self._is_model or run.is_complete:
@@ -136,6 +148,7 @@
         exchange = await self._client.send(
             connection, run.method, run.path, header_by_name, run.body
         )
+        run.exchange = exchange
         try:
             status = await exchange.read_head()
             self._check_head(run, exchange, status, offset)
--- a/packages/agent/src/bluebellusher_agent/_http.py
+++ b/packages/agent/src/bluebellusher_agent/_http.py
@@ -36,10 +36,15 @@
         self.writer = writer
         self.idle_since_s = 0.0
 
+    @property
+    def is_dead(self) -> bool:
+        """Return whether the peer ended the connection."""
+        has_failed = self.reader.exception() is not None or self.reader.at_eof()
+        return has_failed or self.writer.is_closing()
+
     def is_fresh(self, now_s: float) -> bool:
         """Return whether the connection can carry another request."""
-        is_open = not (self.reader.at_eof() or self.writer.is_closing())
-        return is_open and now_s - self.idle_since_s < MAX_IDLE_S
+        return not self.is_dead and now_s - self.idle_since_s < MAX_IDLE_S
 
     def close(self) -> None:
         """Abort the connection."""
@@ -101,6 +106,14 @@
         if self._is_head_complete:
             self._is_complete = True
 
+    @property
+    def is_broken(self) -> bool:
+        """Return whether the connection ended before the answer did."""
+        if self._is_complete:
+            return False
+        connection = self._connection
+        return connection is None or connection.is_dead
+
     async def read_head(self) -> int:
         """Wait for the status and headers; return the status."""
         while not self._is_head_complete:
--- a/packages/agent/src/bluebellusher_agent/_keeper.py
+++ b/packages/agent/src/bluebellusher_agent/_keeper.py
@@ -141,6 +141,15 @@
             n_bytes -= len(run.buffer)
             self.end(run)
 
+    def resume_silent(self, tick_ms: int) -> None:
+        """Replace engine connections that are silent while others may work."""
+        assert self._executor is not None
+        n_max_ticks = max(1, self._settings.stream_silence_ms // tick_ms)
+        for run in self._runs:
+            if run.count_silent_ticks() >= n_max_ticks:
+                run.n_silent_ticks = 0
+                self._executor.resume_silent(run)
+
     def hold(self, run: Run) -> None:
         """End the run after the resume window unless it is wanted again."""
         loop = asyncio.get_running_loop()
--- a/packages/agent/src/bluebellusher_agent/_memory.py
+++ b/packages/agent/src/bluebellusher_agent/_memory.py
@@ -6,6 +6,7 @@
 
 # The bound for control on a node is 32 MB; the margin is for what follows.
 TRIM_ABOVE_BYTES = 29_000_000
+TRIM_STEP_BYTES = 1_000_000
 
 
 def read_resident_bytes() -> int:
@@ -17,20 +18,27 @@
         return 0
 
 
-def trim_memory() -> None:
+class MemoryTrimmer:
     """Give free heap pages back when the process is larger than it should be.
 
     Compiling modules without a bytecode cache, or a burst of load, leaves about
     8 MB of free heap that the C library keeps. ``ctypes`` is imported only then,
     because it costs more than 1 MB itself.
     """
-    before = read_resident_bytes()
-    if before <= TRIM_ABOVE_BYTES:
-        return
-    import ctypes
-
-    trim = getattr(ctypes.CDLL(None), "malloc_trim", None)
-    if trim is None:
-        return
-    trim(0)
-    log("memory_trimmed", before_bytes=before, after_bytes=read_resident_bytes())
+
+    def __init__(self) -> None:
+        self._limit_bytes = TRIM_ABOVE_BYTES
+
+    def trim(self) -> None:
+        """Trim when memory has grown since the last time."""
+        before = read_resident_bytes()
+        if before <= self._limit_bytes:
+            return
+        import ctypes
+
+        trim = getattr(ctypes.CDLL(None), "malloc_trim", None)
+        if trim is not None:
+            trim(0)
+        after = read_resident_bytes()
+        self._limit_bytes = max(TRIM_ABOVE_BYTES, after + TRIM_STEP_BYTES)
+        log("memory_trimmed", before_bytes=before, after_bytes=after)
--- a/packages/agent/src/bluebellusher_agent/_monitor.py
+++ b/packages/agent/src/bluebellusher_agent/_monitor.py
@@ -5,8 +5,6 @@
 from collections.abc import Callable
 from enum import Enum
 
-from bluebellusher_core.clock import Clock
-
 from bluebellusher_agent._http import ExchangeError, HttpClient, NotSentError
 from bluebellusher_agent._log import log
 
@@ -32,35 +30,29 @@
     ----------
     client : HttpClient
         Connections to the target.
-    clock : Clock
-        Time source.
     on_crash : callable
-        Receives the time of the first break that led to the probe.
+        Called once for each crash, while the runs that it hit are still known.
     """
 
-    def __init__(
-        self, client: HttpClient, clock: Clock, on_crash: Callable[[int], None]
-    ) -> None:
+    def __init__(self, client: HttpClient, on_crash: Callable[[], None]) -> None:
         self._client = client
-        self._clock = clock
         self._on_crash = on_crash
         self._probe: asyncio.Task[TargetState] | None = None
-        self._first_break_ms = 0
         self.boot_id = ""
 
     async def probe(self) -> TargetState:
         """Return the state of the target; concurrent callers share one probe."""
         if self._probe is None:
-            self._first_break_ms = self._clock.now_ms()
             loop = asyncio.get_running_loop()
             self._probe = loop.create_task(self._run_probe())
         return await asyncio.shield(self._probe)
 
     def observe_boot_id(self, boot_id: str) -> None:
         """Take note of a boot id that a report carried."""
-        if self.boot_id and boot_id and boot_id != self.boot_id:
-            self._declare_crash(self._clock.now_ms())
+        is_restarted = bool(self.boot_id and boot_id) and boot_id != self.boot_id
         self.boot_id = boot_id or self.boot_id
+        if is_restarted:
+            self._declare_crash()
 
     async def _run_probe(self) -> TargetState:
         try:
@@ -68,7 +60,7 @@
             is_restarted = bool(self.boot_id and boot_id) and boot_id != self.boot_id
             if state is TargetState.CRASHED or is_restarted:
                 self.boot_id = boot_id
-                self._declare_crash(self._first_break_ms)
+                self._declare_crash()
                 return TargetState.CRASHED
             self.boot_id = boot_id or self.boot_id
             return state
@@ -85,10 +77,10 @@
             return TargetState.SILENT if is_silent else TargetState.CRASHED, ""
         return TargetState.ALIVE, read_boot_id(body)
 
-    def _declare_crash(self, at_ms: int) -> None:
+    def _declare_crash(self) -> None:
         log("target_crashed", peer=self._client.peer)
         self._client.close_idle(is_all=True)
-        self._on_crash(at_ms)
+        self._on_crash()
 
 
 def read_boot_id(body: bytes) -> str:
--- a/packages/agent/src/bluebellusher_agent/_run.py
+++ b/packages/agent/src/bluebellusher_agent/_run.py
@@ -6,6 +6,8 @@
 
 from bluebellusher_core.wire import messages
 
+from bluebellusher_agent._http import Exchange
+
 # Bytes that are read ahead of what an entry has taken, per attempt.
 MAX_UNSENT_BYTES = 262_144
 
@@ -91,6 +93,7 @@
         "deadline_handle",
         "deadline_ms",
         "entry_id",
+        "exchange",
         "fingerprint",
         "header_by_name",
         "is_cancelled",
@@ -104,6 +107,8 @@
         "keep_bytes",
         "method",
         "n_sent",
+        "n_silent_ticks",
+        "n_ticked",
         "path",
         "priority",
         "request_header_by_name",
@@ -140,6 +145,9 @@
         self.status = 0
         self.header_by_name: dict[str, str] = {}
         self.usage = (0, 0, 0)
+        self.exchange: Exchange | None = None
+        self.n_ticked = 0
+        self.n_silent_ticks = 0
         self.is_sent = False
         self.is_complete = False
         self.is_cancelled = False
@@ -235,6 +243,27 @@
             n_output_tokens=n_output,
         )
 
+    @property
+    def is_hit_by_crash(self) -> bool:
+        """Return whether a crash of the target that was just found ended this run.
+
+        A connection that is not being read, for want of credit, does not show its
+        end; such a run counts as hit.
+        """
+        if not self.is_sent or self.exchange is None:
+            return False
+        return self.exchange.is_broken or not self.room.is_set()
+
+    def count_silent_ticks(self) -> int:
+        """Return how many calls in a row found a begun answer without progress."""
+        is_waiting = self.has_output and self.room.is_set() and not self.is_complete
+        if is_waiting and self.n_ticked == self.buffer.end:
+            self.n_silent_ticks += 1
+        else:
+            self.n_silent_ticks = 0
+        self.n_ticked = self.buffer.end
+        return self.n_silent_ticks
+
     def release(self) -> None:
         """Free what the run holds; timers may refer to it for a while."""
         self.connection = None
--- a/packages/agent/src/bluebellusher_agent/_settings.py
+++ b/packages/agent/src/bluebellusher_agent/_settings.py
@@ -46,6 +46,9 @@
         How long an answer is held after its connection was lost or it was sent.
     resume_buffer_bytes : int
         Bytes of each answer that are held for resumption.
+    stream_silence_ms : int
+        A connection to the engine on which a begun stream makes no progress for
+        this long is replaced.
     """
 
     instance_id: str
@@ -62,6 +65,7 @@
     max_runs: int = 1024
     resume_window_ms: int = 5_000
     resume_buffer_bytes: int = 262_144
+    stream_silence_ms: int = 5_000
 
     @classmethod
     def from_file(cls, path: str) -> "AgentSettings":
@@ -193,6 +197,7 @@
     "is_draining": (lambda value: isinstance(value, bool), "true or false"),
     "max_runs": (lambda value: _is_int(value, 1, 100_000), "1 to 100000"),
     "resume_window_ms": (lambda value: _is_int(value, 0, 60_000), "0 to 60000"),
+    "stream_silence_ms": (lambda value: _is_int(value, 500, 60_000), "500 to 60000"),
     "resume_buffer_bytes": (
         lambda value: _is_int(value, 65_536, 16_777_216),
         "65536 to 16777216",
--- a/packages/agent/src/bluebellusher_agent/main.py
+++ b/packages/agent/src/bluebellusher_agent/main.py
@@ -10,7 +10,6 @@
 
 from bluebellusher_agent._agent import Agent
 from bluebellusher_agent._log import log
-from bluebellusher_agent._memory import trim_memory
 from bluebellusher_agent._settings import AgentSettings
 
 SETTINGS_POLL_S = 1.0
@@ -24,7 +23,6 @@
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stopped.set)
     await agent.start()
-    trim_memory()
     watcher = loop.create_task(_watch_settings(path, agent))
     await stopped.wait()
     watcher.cancel()
--- a/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
+++ b/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
@@ -8,6 +8,7 @@
 
 import pytest
 import uvloop
+from bluebellusher_core.clock import SystemClock
 from bluebellusher_core.wire import messages
 from bluebellusher_standins.engine import EngineServer, EngineSettings, expect_answer
 from bluebellusher_standins.plain_service import PlainServiceServer
@@ -119,6 +120,50 @@
     with_engine(scenario, settings={"restart_ms": 0})
 
 
+def test_runs_on_a_restarted_engine_are_not_blamed_for_the_crash():
+    """Guards against innocent requests that are suspected after a fast restart."""
+
+    async def scenario(entry, agent, engine):
+        body = make_body(n_tokens=300)
+        entry.dispatch("a1", body)
+        await entry.next(messages.Started, "a1")
+        engine.boot_id = "restarted"
+        assert await entry.finish("a1") == expect_answer(body)
+        await entry.next(messages.CacheReport)
+        assert entry.find(messages.EngineCrash) is None
+
+    with_engine(scenario, settings={"token_interval_ms": 4.0})
+
+
+def test_frames_received_before_a_pause_of_the_agent_are_not_executed():
+    """Guards against stale work after the entry gave its requests up."""
+
+    async def main():
+        clock = PausedClock()
+        async with EngineServer() as engine, run_agent(engine.port, clock) as agent:
+            async with EntryClient(agent.port) as entry:
+                await entry.next(messages.LoadReport)
+                clock.offset_ms = 3_000
+                entry.dispatch("a1", make_body())
+                await entry.wait(lambda: entry.is_closed)
+            async with EntryClient(agent.port) as again:
+                again.dispatch("a2", make_body("after"))
+                await again.finish("a2")
+            assert engine.received_bodies == [make_body("after")]
+
+    uvloop.run(main())
+
+
+class PausedClock(SystemClock):
+    """A clock that jumps as it does for a process that was stopped."""
+
+    offset_ms = 0
+
+    def now_ms(self):
+        """Return the jumped time."""
+        return super().now_ms() + self.offset_ms
+
+
 def test_isolated_run_excludes_new_work_and_names_the_culprit():
     """Guards against innocent requests that share the fate of a suspect."""
 
