Add the reducer with the plain path of a request

Cause: the entry process needs EntryState and reduce to run against. Change: arrival, queueing by pool, dispatch, started, finished, refused, broken, caller left, endpoint lost and the deadline timer; views of endpoints and subset selection by rendezvous hashing. EndpointInfo gains incarnation and is_draining; attempt events gain endpoint_id, the connection on which they came.

--- a/packages/core/src/bluebellusher_core/events/_endpoint_events.py
+++ b/packages/core/src/bluebellusher_core/events/_endpoint_events.py
@@ -21,6 +21,10 @@
         Adapters that are loaded.
     n_slots : int
         Requests that the engine batches at once.
+    incarnation : int
+        Grows with each start of the agent; a higher one proves a restart.
+    is_draining : bool
+        The endpoint was already draining when the connection opened.
     """
 
     endpoint_id: str
@@ -29,6 +33,8 @@
     models: frozenset[str]
     adapters: frozenset[str]
     n_slots: int
+    incarnation: int = 0
+    is_draining: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,7 +46,12 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointLost:
-    """The connection to an agent closed or went silent past its deadline."""
+    """The connection to an agent closed or went silent past its deadline.
+
+    The runtime first sends ``AttemptBroken`` with reason ``ENDPOINT_LOST`` for each
+    attempt of the connection, because only the relay knows how many bytes each
+    caller has. An attempt without such an event counts as not resumable.
+    """
 
     endpoint_id: str
 
--- a/packages/core/src/bluebellusher_core/events/_request_events.py
+++ b/packages/core/src/bluebellusher_core/events/_request_events.py
@@ -88,9 +88,14 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptStarted:
-    """The first bytes of an attempt's answer arrived."""
+    """The first bytes of an attempt's answer arrived.
+
+    In every attempt event ``endpoint_id`` is the connection on which the message
+    came; an empty one is not checked.
+    """
 
     attempt_id: str
+    endpoint_id: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,6 +106,7 @@
     status: int
     n_bytes: int
     usage: Usage
+    endpoint_id: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,6 +116,7 @@
     attempt_id: str
     reason: Reason
     retry_after_ms: int
+    endpoint_id: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,9 +133,12 @@
         How many bytes the caller has already received.
     is_resumable : bool
         Whether the engine may still hold the stream at that offset.
+    endpoint_id : str
+        The connection on which the message came; empty when not checked.
     """
 
     attempt_id: str
     reason: Reason
     n_bytes_relayed: int
     is_resumable: bool
+    endpoint_id: str = ""
--- /dev/null
+++ b/packages/core/src/bluebellusher_core/membership/_subset.py
@@ -0,0 +1,58 @@
+"""Bounded subset of endpoints by rendezvous hashing."""
+
+from collections.abc import Iterable
+from hashlib import blake2b
+
+from bluebellusher_core.events import EndpointInfo
+
+OWN_DOMAIN_SHARE = 0.75
+
+
+def choose_subset(
+    entry_id: str,
+    failure_domain: str,
+    endpoints: Iterable[EndpointInfo],
+    n_per_service: int,
+) -> frozenset[str]:
+    """Return the ids of the endpoints that an entry connects to.
+
+    Rendezvous hashing changes one member of the subset when one endpoint comes or
+    goes. The own failure domain fills at most three quarters while others have
+    endpoints, so that the loss of the own domain leaves some connections.
+
+    Parameters
+    ----------
+    entry_id : str
+        Id of the entry; different entries get different subsets.
+    failure_domain : str
+        Where the entry runs.
+    endpoints : iterable of EndpointInfo
+        All endpoints in the member view.
+    n_per_service : int
+        Upper bound for each service.
+    """
+    by_service: dict[str, list[EndpointInfo]] = {}
+    for info in endpoints:
+        for service_id in info.services:
+            by_service.setdefault(service_id, []).append(info)
+    chosen: set[str] = set()
+    for infos in by_service.values():
+        chosen |= _choose_for_service(entry_id, failure_domain, infos, n_per_service)
+    return frozenset(chosen)
+
+
+def _choose_for_service(
+    entry_id: str, failure_domain: str, infos: list[EndpointInfo], n_wanted: int
+) -> set[str]:
+    ranked = sorted((i.endpoint_id for i in infos), key=lambda e: _score(entry_id, e))
+    own = {i.endpoint_id for i in infos if i.failure_domain == failure_domain}
+    near = [e for e in ranked if e in own]
+    far = [e for e in ranked if e not in own]
+    n_near = max(1, int(n_wanted * OWN_DOMAIN_SHARE))
+    n_near = max(n_near, n_wanted - len(far))
+    picked = near[:n_near]
+    return set(picked + far[: n_wanted - len(picked)])
+
+
+def _score(entry_id: str, endpoint_id: str) -> bytes:
+    return blake2b(f"{entry_id}\0{endpoint_id}".encode(), digest_size=8).digest()
--- /dev/null
+++ b/packages/core/src/bluebellusher_core/reducer/_config.py
@@ -0,0 +1,50 @@
+"""Settings of the decisions of one entry."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class EntryConfig:
+    """Settings of the decisions.
+
+    Parameters
+    ----------
+    entry_id : str
+        Instance id of the entry.
+    incarnation : int
+        Grows with each start of the entry, so that ids are never used twice.
+    seed : int
+        Seed of the generator for random choices.
+    n_max_endpoints : int
+        Upper bound of connected endpoints.
+    n_max_requests : int
+        Upper bound of requests without a final answer.
+    n_max_attempts : int
+        Upper bound of broken attempts for each request.
+    n_max_refusals : int
+        Upper bound of refused attempts for each request.
+    no_endpoint_grace_ms : int
+        How long requests wait when the last endpoint of their pool is gone, in ms;
+        a silent connection is replaced within this time.
+    retry_after_ms : int
+        What a caller is told when nothing better is known, in ms.
+    """
+
+    entry_id: str
+    incarnation: int = 0
+    seed: int = 0
+    n_max_endpoints: int = 256
+    n_max_requests: int = 20_000
+    n_max_attempts: int = 3
+    n_max_refusals: int = 8
+    no_endpoint_grace_ms: int = 1_000
+    retry_after_ms: int = 1_000
+
+    def __post_init__(self) -> None:
+        """Refuse values that leave no room to work."""
+        if not self.entry_id:
+            raise ValueError(f"entry_id={self.entry_id!r}: expected a non-empty id")
+        for name in ("n_max_endpoints", "n_max_requests", "n_max_attempts"):
+            value = getattr(self, name)
+            if value < 1:
+                raise ValueError(f"{name}={value}: expected 1 or more")
--- /dev/null
+++ b/packages/core/src/bluebellusher_core/requests/_arrival.py
@@ -0,0 +1,73 @@
+"""Arrival of a request, its deadline, and a caller that leaves."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from bluebellusher_core.effects import Effect, Reject, SetTimer
+from bluebellusher_core.errors import Reason, Refusal
+from bluebellusher_core.events import RequestSpec
+from bluebellusher_core.membership import pool_of
+from bluebellusher_core.requests import _final, _placing
+from bluebellusher_core.requests._model import Phase, Request
+
+if TYPE_CHECKING:
+    from bluebellusher_core.reducer import EntryState
+
+
+def arrive(state: EntryState, spec: RequestSpec, now_ms: int) -> list[Effect]:
+    """Admit a request or refuse it at once."""
+    if spec.request_id in state.request_by_id:
+        return []
+    refusal = _refusal_on_arrival(state, spec, now_ms)
+    if refusal is not None:
+        return [Reject(spec.request_id, refusal)]
+    request = Request(spec)
+    state.request_by_id[spec.request_id] = request
+    timer = SetTimer(f"deadline:{spec.request_id}", spec.deadline_ms)
+    return [timer, *_placing.enqueue(state, request, now_ms)]
+
+
+def _refusal_on_arrival(
+    state: EntryState, spec: RequestSpec, now_ms: int
+) -> Refusal | None:
+    if state.is_shutting_down:
+        return _final.refusal(state, Reason.SHUTTING_DOWN, "admission")
+    if spec.deadline_ms <= now_ms:
+        return _final.refusal(state, Reason.DEADLINE_EXCEEDED, "admission")
+    if len(state.request_by_id) >= state.config.n_max_requests:
+        return _final.refusal(state, Reason.DEADLINE_UNREACHABLE, "admission")
+    if not state.endpoints.views_of(pool_of(spec)):
+        return _final.refusal(state, Reason.NO_ENDPOINT, "admission")
+    return None
+
+
+def caller_left(state: EntryState, request_id: str, now_ms: int) -> list[Effect]:
+    """Stop work for a caller that is gone."""
+    request = state.request_by_id.get(request_id)
+    if request is None or request.phase is Phase.DETACHED:
+        return []
+    _placing.withdraw(state, request)
+    return _final.give_up(state, request, Reason.CALLER_LEFT, "relay")
+
+
+def timer_fired(state: EntryState, timer_id: str, now_ms: int) -> list[Effect]:
+    """Handle a timer; one whose request has ended does nothing."""
+    kind, _, subject = timer_id.partition(":")
+    if kind == "deadline":
+        return _deadline(state, subject, now_ms)
+    if kind == "pool":
+        return _placing.refuse_unserved(state, now_ms)
+    return []
+
+
+def _deadline(state: EntryState, request_id: str, now_ms: int) -> list[Effect]:
+    request = state.request_by_id.get(request_id)
+    if request is None or request.phase is Phase.DETACHED:
+        return []
+    if now_ms < request.spec.deadline_ms:
+        return [SetTimer(f"deadline:{request_id}", request.spec.deadline_ms)]
+    _placing.withdraw(state, request)
+    peer = request.attempts[0].endpoint_id if request.attempts else ""
+    step = request.phase.name.lower()
+    return _final.give_up(state, request, Reason.DEADLINE_EXCEEDED, step, peer)
