Add claims, poison isolation, retries, resume and hedging to the reducer

Change: retry budget as a token count; grouped claims with repeats; suspects that run isolated, blocks and holds; resume on the endpoint that holds the stream; hedges that run isolated; detached attempts whose outcome is still recorded. Ruled out: charging isolated retries after a loss to the budget, because an innocent request could then be refused for the crash of another one.

--- a/packages/core/src/bluebellusher_core/membership/__init__.py
+++ b/packages/core/src/bluebellusher_core/membership/__init__.py
@@ -3,9 +3,8 @@
 from bluebellusher_core.membership._endpoints import (
     Endpoints,
     Pool,
-    has_room,
     pool_of,
 )
 from bluebellusher_core.membership._subset import choose_subset
 
-__all__ = ["Endpoints", "Pool", "choose_subset", "has_room", "pool_of"]
+__all__ = ["Endpoints", "Pool", "choose_subset", "pool_of"]
--- a/packages/core/src/bluebellusher_core/membership/_endpoints.py
+++ b/packages/core/src/bluebellusher_core/membership/_endpoints.py
@@ -6,7 +6,6 @@
 from bluebellusher_core.events import (
     CacheReported,
     EndpointConnected,
-    EndpointDraining,
     EndpointInfo,
     LoadReported,
     RequestSpec,
@@ -40,6 +39,7 @@
 
     n_max: int
     view_by_id: dict[str, EndpointView] = field(default_factory=dict)
+    _deferred_until_ms: dict[str, int] = field(default_factory=dict)
     _views_by_pool: dict[Pool, list[EndpointView]] = field(default_factory=dict)
 
     def connect(self, event: EndpointConnected) -> list[Effect]:
@@ -57,11 +57,36 @@
     def remove(self, endpoint_id: str) -> EndpointView | None:
         """Forget a lost endpoint."""
         self._views_by_pool.clear()
+        self._deferred_until_ms.pop(endpoint_id, None)
         return self.view_by_id.pop(endpoint_id, None)
 
-    def drain(self, event: EndpointDraining) -> None:
+    def defer(self, endpoint_id: str, until_ms: int) -> None:
+        """Start nothing there before ``until_ms``, as the endpoint asked."""
+        if endpoint_id in self.view_by_id:
+            self._deferred_until_ms[endpoint_id] = until_ms
+
+    def next_undeferred_ms(self, now_ms: int) -> int | None:
+        """Return when the next endpoint may be used again."""
+        if not self._deferred_until_ms:
+            return None
+        ended = [e for e, at in self._deferred_until_ms.items() if at <= now_ms]
+        for endpoint_id in ended:
+            del self._deferred_until_ms[endpoint_id]
+        return min(self._deferred_until_ms.values(), default=None)
+
+    def views_with_room(self, pool: Pool, now_ms: int) -> list[EndpointView]:
+        """Return the endpoints of a pool that can start another attempt now."""
+        deferred = self._deferred_until_ms
+        return [
+            view
+            for view in self.views_of(pool)
+            if _has_room(view, now_ms)
+            and deferred.get(view.info.endpoint_id, 0) <= now_ms
+        ]
+
+    def drain(self, endpoint_id: str) -> None:
         """Give the endpoint no new work from now on."""
-        view = self.view_by_id.get(event.endpoint_id)
+        view = self.view_by_id.get(endpoint_id)
         if view is not None:
             view.is_draining = True
             self._views_by_pool.clear()
@@ -130,7 +155,7 @@
             view.n_own_in_flight -= 1
 
 
-def has_room(view: EndpointView, now_ms: int) -> bool:
+def _has_room(view: EndpointView, now_ms: int) -> bool:
     """Return whether another attempt fits, by own attempts and the last report."""
     if view.is_isolating or view.n_own_in_flight >= view.info.n_slots:
         return False
--- a/packages/core/src/bluebellusher_core/reducer/_config.py
+++ b/packages/core/src/bluebellusher_core/reducer/_config.py
@@ -22,7 +22,21 @@
     n_max_attempts : int
         Upper bound of broken attempts for each request.
     n_max_refusals : int
-        Upper bound of refused attempts for each request.
+        Upper bound of refused attempts for each request; refusals by an endpoint that
+        is isolating do not count.
+    n_min_retries : int
+        Retries that are allowed before any fresh request has earned one.
+    retry_percent : int
+        Retries and hedges allowed for 100 fresh requests.
+    claim_wait_ms : int
+        How long a request waits for its claim, in ms.
+    resume_wait_ms : int
+        How long a broken stream waits for its endpoint to reconnect, in ms.
+    hedge_after_ms : int
+        Time without output after which idempotent work is hedged, in ms; 0 for never.
+    detach_ms : int
+        How long the outcome of a claimed attempt is awaited after its caller got the
+        final answer, in ms.
     no_endpoint_grace_ms : int
         How long requests wait when the last endpoint of their pool is gone, in ms;
         a silent connection is replaced within this time.
@@ -36,7 +50,13 @@
     n_max_endpoints: int = 256
     n_max_requests: int = 20_000
     n_max_attempts: int = 3
-    n_max_refusals: int = 8
+    n_max_refusals: int = 20
+    n_min_retries: int = 10
+    retry_percent: int = 10
+    claim_wait_ms: int = 1_000
+    resume_wait_ms: int = 3_000
+    hedge_after_ms: int = 0
+    detach_ms: int = 600_000
     no_endpoint_grace_ms: int = 1_000
     retry_after_ms: int = 1_000
 
--- a/packages/core/src/bluebellusher_core/reducer/_reduce.py
+++ b/packages/core/src/bluebellusher_core/reducer/_reduce.py
@@ -8,17 +8,32 @@
     AttemptStarted,
     CacheReported,
     CallerLeft,
+    ClaimsAnswered,
+    ClaimsUnanswered,
+    DigestReceived,
     EndpointConnected,
+    EndpointCrashed,
     EndpointDraining,
     EndpointLost,
     Event,
     LoadReported,
+    PolicyChanged,
     RequestArrived,
     ShutdownStarted,
     TimerFired,
 )
 from bluebellusher_core.reducer._state import EntryState
-from bluebellusher_core.requests import _arrival, _attempts, _links, _placing
+from bluebellusher_core.requests import (
+    _arrival,
+    _attempts,
+    _claiming,
+    _isolation,
+    _links,
+    _placing,
+    _recovery,
+)
+
+CLAIM_RETRY = "claims:retry:"
 
 
 def reduce(state: EntryState, event: Event, now_ms: int) -> list[Effect]:
@@ -46,25 +61,68 @@
             return _attempts.started(state, event, now_ms)
         case AttemptFinished():
             return _attempts.finished(state, event, now_ms)
+        case TimerFired():
+            return _handle_timer(state, event.timer_id, now_ms)
+        case LoadReported():
+            state.endpoints.report_load(event, now_ms)
+        case CacheReported():
+            state.endpoints.report_cache(event)
         case AttemptRefused():
             return _attempts.refused(state, event, now_ms)
         case AttemptBroken():
             return _attempts.broken(state, event, now_ms)
         case CallerLeft():
             return _arrival.caller_left(state, event.request_id, now_ms)
-        case TimerFired():
-            return _arrival.timer_fired(state, event.timer_id, now_ms)
-        case LoadReported():
-            state.endpoints.report_load(event, now_ms)
-        case CacheReported():
-            state.endpoints.report_cache(event)
+        case ClaimsAnswered():
+            return _claiming.answered(state, event, now_ms)
+        case ClaimsUnanswered():
+            return state.claims.unanswered(event.batch_id, now_ms)
         case EndpointConnected():
             return _links.connected(state, event, now_ms)
         case EndpointLost():
             return _links.lost(state, event.endpoint_id, now_ms)
         case EndpointDraining():
-            state.endpoints.drain(event)
-            return _placing.watch_unserved(state, now_ms)
+            state.endpoints.drain(event.endpoint_id)
+        case EndpointCrashed():
+            return _links.crashed(state, event, now_ms)
+        case DigestReceived():
+            return _isolation.digest_received(state, event, now_ms)
+        case PolicyChanged():
+            _change_policy(state, event)
         case ShutdownStarted():
             state.is_shutting_down = True
     return []
+
+
+def _handle_timer(state: EntryState, timer_id: str, now_ms: int) -> list[Effect]:
+    """Handle a timer; one whose subject has ended does nothing."""
+    kind, _, subject = timer_id.partition(":")
+    match kind:
+        case "deadline":
+            return _arrival.deadline_passed(state, subject, now_ms)
+        case "claim":
+            return _claiming.claim_timed_out(state, subject, now_ms)
+        case "claims":
+            if timer_id.startswith(CLAIM_RETRY):
+                return state.claims.send_again(timer_id.removeprefix(CLAIM_RETRY))
+            return state.claims.flush()
+        case "resume":
+            return _recovery.resume_timed_out(state, subject, now_ms)
+        case "hedge":
+            return _recovery.hedge_due(state, subject, now_ms)
+        case "detach":
+            return _arrival.detach_ended(state, subject, now_ms)
+        case "crash":
+            return _links.crash_wait_ended(state, subject, now_ms)
+        case "wake":
+            state.wake_at_ms = 0
+    return []
+
+
+def _change_policy(state: EntryState, event: PolicyChanged) -> None:
+    if event.config_version <= state.config_version:
+        return
+    state.config_version = event.config_version
+    weights = {policy.customer_id: policy.weight for policy in event.customers}
+    state.weight_by_customer = weights
+    _placing.set_weights(state)
--- a/packages/core/src/bluebellusher_core/reducer/_state.py
+++ b/packages/core/src/bluebellusher_core/reducer/_state.py
@@ -6,26 +6,79 @@
 from random import Random
 
 from bluebellusher_core.admission import AdmissionQueue, FifoQueue
+from bluebellusher_core.claims import ClaimTable
 from bluebellusher_core.membership import Endpoints, Pool
+from bluebellusher_core.poison import PoisonTable
 from bluebellusher_core.reducer._config import EntryConfig
 from bluebellusher_core.requests import Attempt, Request
+from bluebellusher_core.retry import RetryBudget
 from bluebellusher_core.routing import LeastInFlight, RoutingPolicy
 
 
 @dataclass(slots=True)
 class EntryState:
-    """Everything that one entry decides from; only ``reduce`` changes it."""
+    """Everything that one entry decides from; only ``reduce`` changes it.
+
+    Parameters
+    ----------
+    config : EntryConfig
+        Settings.
+    random_state : random.Random
+        Generator for random choices.
+    policy : RoutingPolicy
+        Chooses endpoints.
+    make_queue : callable
+        Returns an empty admission queue; each pool has its own, so that a service
+        without room does not hold up the others.
+    endpoints : Endpoints
+        Connected endpoints.
+    retry_budget : RetryBudget
+        Tokens for retries and hedges.
+    claims : ClaimTable
+        Claims that wait or are in flight.
+    poison : PoisonTable
+        Suspect and blocked fingerprints.
+    request_by_id, attempt_by_id : dict
+        Requests without a final answer (or detached) and attempts in flight.
+    ended_attempts : OrderedDict of str to str
+        Endpoint of each of the last ended attempts, to tell late from foreign.
+    queue_by_pool, service_ms_by_pool, unserved_since_ms : dict
+        Waiting requests, mean service time and time of the loss of the last endpoint.
+    waiting_pools : set of Pool
+        Pools whose queue is not empty.
+    isolate_at_ms : dict of str to int
+        Suspect requests that wait, with the earliest time of the next attempt.
+    weight_by_customer : dict of str to float
+        Shares in the admission queues.
+    config_version : int
+        Version of the configuration that the weights come from.
+    wake_at_ms : int
+        When the earliest pending ``wake`` timer fires; 0 for none.
+    n_attempts_made : int
+        Counter behind attempt ids.
+    is_shutting_down : bool
+        New requests are refused.
+    """
 
     config: EntryConfig
     random_state: Random
     policy: RoutingPolicy
     make_queue: Callable[[], AdmissionQueue]
     endpoints: Endpoints
+    retry_budget: RetryBudget
+    claims: ClaimTable
+    poison: PoisonTable = field(default_factory=PoisonTable)
     request_by_id: dict[str, Request] = field(default_factory=dict)
     attempt_by_id: dict[str, Attempt] = field(default_factory=dict)
     ended_attempts: OrderedDict[str, str] = field(default_factory=OrderedDict)
     queue_by_pool: dict[Pool, AdmissionQueue] = field(default_factory=dict)
     service_ms_by_pool: dict[Pool, float] = field(default_factory=dict)
+    waiting_pools: set[Pool] = field(default_factory=set)
+    unserved_since_ms: dict[Pool, int] = field(default_factory=dict)
+    isolate_at_ms: dict[str, int] = field(default_factory=dict)
+    weight_by_customer: dict[str, float] = field(default_factory=dict)
+    config_version: int = 0
+    wake_at_ms: int = 0
     n_attempts_made: int = 0
     is_shutting_down: bool = False
 
@@ -50,4 +103,15 @@
             policy=policy or LeastInFlight(),
             make_queue=make_queue,
             endpoints=Endpoints(n_max=config.n_max_endpoints),
+            retry_budget=RetryBudget(config.n_min_retries, config.retry_percent),
+            claims=ClaimTable(f"{config.entry_id}.{config.incarnation}"),
         )
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether the entry may exit: nothing in progress, nothing left to write."""
+        return not self.request_by_id and self.claims.is_idle
+
+    def digest(self, now_ms: int) -> tuple[tuple[str, ...], tuple[str, ...]]:
+        """Return the blocked and suspect fingerprints to tell to peers."""
+        return self.poison.digest(now_ms)
--- a/packages/core/src/bluebellusher_core/requests/_arrival.py
+++ b/packages/core/src/bluebellusher_core/requests/_arrival.py
@@ -24,8 +24,15 @@
         return [Reject(spec.request_id, refusal)]
     request = Request(spec)
     state.request_by_id[spec.request_id] = request
-    timer = SetTimer(f"deadline:{spec.request_id}", spec.deadline_ms)
-    return [timer, *_placing.enqueue(state, request, now_ms)]
+    state.retry_budget.earn()
+    effects: list[Effect] = []
+    effects.append(SetTimer(f"deadline:{spec.request_id}", spec.deadline_ms))
+    if spec.is_idempotent or spec.idempotency_key is None:
+        return effects + _placing.enqueue(state, request, now_ms)
+    request.phase = Phase.CLAIMING
+    due_ms = now_ms + state.config.claim_wait_ms
+    effects.append(SetTimer(f"claim:{spec.request_id}", due_ms))
+    return effects + state.claims.claim(spec, now_ms)
 
 
 def _refusal_on_arrival(
@@ -35,6 +42,8 @@
         return _final.refusal(state, Reason.SHUTTING_DOWN, "admission")
     if spec.deadline_ms <= now_ms:
         return _final.refusal(state, Reason.DEADLINE_EXCEEDED, "admission")
+    if state.poison.is_blocked(spec.fingerprint, now_ms):
+        return _final.refusal(state, Reason.CRASHES_ENDPOINTS, "admission")
     if len(state.request_by_id) >= state.config.n_max_requests:
         return _final.refusal(state, Reason.DEADLINE_UNREACHABLE, "admission")
     if not state.endpoints.views_of(pool_of(spec)):
@@ -48,20 +57,11 @@
     if request is None or request.phase is Phase.DETACHED:
         return []
     _placing.withdraw(state, request)
-    return _final.give_up(state, request, Reason.CALLER_LEFT, "relay")
+    return _final.give_up(state, request, Reason.CALLER_LEFT, "relay", now_ms)
 
 
-def timer_fired(state: EntryState, timer_id: str, now_ms: int) -> list[Effect]:
-    """Handle a timer; one whose request has ended does nothing."""
-    kind, _, subject = timer_id.partition(":")
-    if kind == "deadline":
-        return _deadline(state, subject, now_ms)
-    if kind == "pool":
-        return _placing.refuse_unserved(state, now_ms)
-    return []
-
-
-def _deadline(state: EntryState, request_id: str, now_ms: int) -> list[Effect]:
+def deadline_passed(state: EntryState, request_id: str, now_ms: int) -> list[Effect]:
+    """Give the request its final answer, whatever it waits for."""
     request = state.request_by_id.get(request_id)
     if request is None or request.phase is Phase.DETACHED:
         return []
@@ -70,4 +70,12 @@
     _placing.withdraw(state, request)
     peer = request.attempts[0].endpoint_id if request.attempts else ""
     step = request.phase.name.lower()
-    return _final.give_up(state, request, Reason.DEADLINE_EXCEEDED, step, peer)
+    return _final.give_up(state, request, Reason.DEADLINE_EXCEEDED, step, now_ms, peer)
+
+
+def detach_ended(state: EntryState, request_id: str, now_ms: int) -> list[Effect]:
+    """Stop waiting for the outcome of a claimed attempt."""
+    request = state.request_by_id.get(request_id)
+    if request is None or request.phase is not Phase.DETACHED:
+        return []
+    return _final.drop(state, request, now_ms)
--- a/packages/core/src/bluebellusher_core/requests/_attempts.py
+++ b/packages/core/src/bluebellusher_core/requests/_attempts.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from bluebellusher_core.effects import CloseConnection, Effect
+from bluebellusher_core.effects import ClaimState, CloseConnection, Effect
 from bluebellusher_core.errors import Reason
 from bluebellusher_core.events import (
     AttemptBroken,
@@ -12,102 +12,124 @@
     AttemptRefused,
     AttemptStarted,
 )
-from bluebellusher_core.requests import _final, _placing
-from bluebellusher_core.requests._model import Attempt, Request
+from bluebellusher_core.requests import _final, _isolation, _placing, _recovery
+from bluebellusher_core.requests._model import Attempt, Phase, Request
 
 if TYPE_CHECKING:
     from bluebellusher_core.reducer import EntryState
 
 AttemptEvent = AttemptStarted | AttemptFinished | AttemptRefused | AttemptBroken
 
+MIN_DEFER_MS = 20
+MAX_DEFER_MS = 1_000
+
 
 def started(state: EntryState, event: AttemptStarted, now_ms: int) -> list[Effect]:
     """Let the attempt that answers first win."""
-    attempt = state.attempt_by_id.get(event.attempt_id)
-    if attempt is None or _is_crossed(attempt, event):
+    attempt = _find(state, event)
+    if attempt is None:
         return _stray(state, event)
     if attempt.is_started:
         return []
     request = state.request_by_id[attempt.request_id]
     attempt.is_started = True
     state.endpoints.leave_queue(attempt.endpoint_id, request.spec)
-    return _cancel_others(state, request, attempt)
+    effects: list[Effect] = []
+    for other in [a for a in request.attempts if a is not attempt]:
+        effects += _final.cancel(state, request, other, now_ms)
+    return effects
 
 
 def finished(state: EntryState, event: AttemptFinished, now_ms: int) -> list[Effect]:
     """Complete the request with the attempt's whole answer."""
-    attempt = state.attempt_by_id.get(event.attempt_id)
-    if attempt is None or _is_crossed(attempt, event):
+    attempt = _find(state, event)
+    if attempt is None:
         return _stray(state, event)
     request = state.request_by_id[attempt.request_id]
-    return _final.complete(state, request, attempt)
+    return _final.complete(state, request, attempt, now_ms)
 
 
 def refused(state: EntryState, event: AttemptRefused, now_ms: int) -> list[Effect]:
     """Go elsewhere with an attempt that certainly did not run."""
-    attempt = state.attempt_by_id.get(event.attempt_id)
-    if attempt is None or _is_crossed(attempt, event):
+    attempt = _find(state, event)
+    if attempt is None:
         return _stray(state, event)
     request = state.request_by_id[attempt.request_id]
+    endpoint_id = attempt.endpoint_id
     _final.end_attempt(state, request, attempt)
-    request.n_refused += 1
-    request.avoided.add(attempt.endpoint_id)
+    _avoid(state, event, endpoint_id, now_ms)
     if request.attempts:
         return []
+    if request.phase is Phase.DETACHED:
+        return _abandon(state, request, now_ms)
+    if attempt.is_resumed:
+        return _final.give_up(
+            state, request, Reason.ENDPOINT_LOST, "resume", now_ms, endpoint_id
+        )
+    if attempt.is_isolated:
+        retry_after_ms = event.retry_after_ms
+        return _isolation.refused(state, request, attempt, retry_after_ms, now_ms)
+    request.avoided.add(endpoint_id)
+    request.n_refused += event.reason is not Reason.ENDPOINT_ISOLATING
     if request.n_refused > state.config.n_max_refusals:
-        peer = attempt.endpoint_id
-        return _final.give_up(state, request, event.reason, "dispatch", peer)
-    return _placing.enqueue(state, request, now_ms)
+        return _final.give_up(
+            state, request, event.reason, "dispatch", now_ms, endpoint_id
+        )
+    return _placing.requeue(state, request, now_ms)
 
 
 def broken(state: EntryState, event: AttemptBroken, now_ms: int) -> list[Effect]:
-    """Retry an attempt that may have run, where that is safe, or give up."""
-    attempt = state.attempt_by_id.get(event.attempt_id)
-    if attempt is None or _is_crossed(attempt, event):
+    """Recover from an attempt that may have run."""
+    attempt = _find(state, event)
+    if attempt is None:
         return _stray(state, event)
-    return break_attempt(state, attempt, event.reason, event.n_bytes_relayed, now_ms)
+    return _recovery.break_attempt(state, attempt, event, now_ms)
 
 
-def break_attempt(
-    state: EntryState,
-    attempt: Attempt,
-    reason: Reason,
-    n_bytes_relayed: int,
-    now_ms: int,
-) -> list[Effect]:
-    """End an attempt that may have run."""
-    request = state.request_by_id[attempt.request_id]
-    _final.end_attempt(state, request, attempt)
-    request.may_have_run = True
-    request.n_broken += 1
-    request.avoided.add(attempt.endpoint_id)
-    if request.attempts:
-        return []
-    can_retry = request.spec.is_idempotent and not n_bytes_relayed
-    if not can_retry or request.n_broken >= state.config.n_max_attempts:
-        peer = attempt.endpoint_id
-        return _final.give_up(state, request, reason, "attempt", peer)
-    return _placing.enqueue(state, request, now_ms)
+def _avoid(
+    state: EntryState, event: AttemptRefused, endpoint_id: str, now_ms: int
+) -> None:
+    if event.reason is Reason.ENDPOINT_DRAINING:
+        state.endpoints.drain(endpoint_id)
+        return
+    pause_ms = min(max(event.retry_after_ms, MIN_DEFER_MS), MAX_DEFER_MS)
+    state.endpoints.defer(endpoint_id, now_ms + pause_ms)
 
 
-def _cancel_others(
-    state: EntryState, request: Request, winner: Attempt
-) -> list[Effect]:
+def _abandon(state: EntryState, request: Request, now_ms: int) -> list[Effect]:
+    """Free the key of a request that turned out not to have run."""
     effects: list[Effect] = []
-    for attempt in list(request.attempts):
-        if attempt is not winner:
-            effects += _final.cancel(state, request, attempt)
-    return effects
+    if request.claim is not None and not request.may_have_run:
+        effects = state.claims.record(request.claim, ClaimState.ABANDONED, "", now_ms)
+    return effects + _final.drop(state, request, now_ms)
 
 
-def _is_crossed(attempt: Attempt, event: AttemptEvent) -> bool:
-    return bool(event.endpoint_id) and event.endpoint_id != attempt.endpoint_id
+def _find(state: EntryState, event: AttemptEvent) -> Attempt | None:
+    """Return the attempt that the message is about, if it came from its endpoint."""
+    attempt = state.attempt_by_id.get(event.attempt_id)
+    if attempt is None:
+        return None
+    is_crossed = bool(event.endpoint_id) and event.endpoint_id != attempt.endpoint_id
+    return None if is_crossed else attempt
 
 
 def _stray(state: EntryState, event: AttemptEvent) -> list[Effect]:
     """Ignore a late message; close a connection that names a foreign attempt."""
     if not event.endpoint_id:
         return []
-    if state.ended_attempts.get(event.attempt_id) == event.endpoint_id:
+    ended_at = state.ended_attempts.get(event.attempt_id)
+    if ended_at == event.endpoint_id:
+        return []
+    is_known = ended_at is not None or event.attempt_id in state.attempt_by_id
+    if not is_known and _was_made_here(state, event.attempt_id):
+        # Too old to be remembered.
         return []
     return [CloseConnection(event.endpoint_id)]
+
+
+def _was_made_here(state: EntryState, attempt_id: str) -> bool:
+    prefix = f"{state.config.entry_id}.{state.config.incarnation}."
+    number = attempt_id.removeprefix(prefix)
+    if number == attempt_id or not number.isdecimal():
+        return False
+    return 0 < int(number) <= state.n_attempts_made
--- /dev/null
+++ b/packages/core/src/bluebellusher_core/requests/_claiming.py
@@ -0,0 +1,67 @@
+"""Requests that wait for their claim."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from bluebellusher_core.effects import ClaimWrite, Effect, ReplayAnswer
+from bluebellusher_core.errors import Reason
+from bluebellusher_core.events import ClaimOutcome, ClaimResult, ClaimsAnswered
+from bluebellusher_core.requests import _final, _placing
+from bluebellusher_core.requests._model import Phase, Request
+
+if TYPE_CHECKING:
+    from bluebellusher_core.reducer import EntryState
+
+STEP = "claim"
+PEER = "table"
+
+
+def answered(state: EntryState, event: ClaimsAnswered, now_ms: int) -> list[Effect]:
+    """Go on with the requests whose claims were resolved."""
+    results, effects = state.claims.answered(event)
+    for write, result in results:
+        request = state.request_by_id.get(write.request_id)
+        if request is not None and request.phase is Phase.CLAIMING:
+            effects += _resolve(state, request, write, result, now_ms)
+    return effects
+
+
+def claim_timed_out(state: EntryState, request_id: str, now_ms: int) -> list[Effect]:
+    """Refuse a request whose claim was not answered in time."""
+    request = state.request_by_id.get(request_id)
+    if request is None or request.phase is not Phase.CLAIMING:
+        return []
+    reason = Reason.CLAIM_STORE_UNAVAILABLE
+    return _final.give_up(state, request, reason, STEP, now_ms, PEER)
+
+
+def _resolve(
+    state: EntryState,
+    request: Request,
+    write: ClaimWrite,
+    result: ClaimResult,
+    now_ms: int,
+) -> list[Effect]:
+    match result.outcome:
+        case ClaimOutcome.GRANTED:
+            request.claim = write
+            return _start(state, request, now_ms)
+        case ClaimOutcome.DONE:
+            request_id = request.spec.request_id
+            _final.drop(state, request, now_ms)
+            return [ReplayAnswer(request_id, result.answer_ref)]
+        case ClaimOutcome.IN_PROGRESS:
+            reason = Reason.CLAIM_IN_PROGRESS
+        case ClaimOutcome.KEY_REUSED:
+            reason = Reason.CLAIM_KEY_REUSED
+    return _final.give_up(state, request, reason, STEP, now_ms, PEER)
+
+
+def _start(state: EntryState, request: Request, now_ms: int) -> list[Effect]:
+    """Queue a claimed request; the entry may have been paused meanwhile."""
+    if request.spec.deadline_ms <= now_ms:
+        request.phase = Phase.WAITING
+        reason = Reason.DEADLINE_EXCEEDED
+        return _final.give_up(state, request, reason, STEP, now_ms, PEER)
+    return _placing.enqueue(state, request, now_ms)
--- a/packages/core/src/bluebellusher_core/requests/_links.py
+++ b/packages/core/src/bluebellusher_core/requests/_links.py
@@ -1,33 +1,85 @@
-"""Endpoints that connect and are lost."""
+"""Endpoints that connect, crash and are lost."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
-from bluebellusher_core.effects import Effect
+from bluebellusher_core.effects import Effect, SetTimer
 from bluebellusher_core.errors import Reason
-from bluebellusher_core.events import EndpointConnected
-from bluebellusher_core.requests import _attempts, _placing
+from bluebellusher_core.events import (
+    AttemptBroken,
+    EndpointConnected,
+    EndpointCrashed,
+)
+from bluebellusher_core.requests import _final, _isolation, _recovery
+from bluebellusher_core.requests._model import Attempt
 
 if TYPE_CHECKING:
     from bluebellusher_core.reducer import EntryState
 
+# The agent tells of each broken attempt right after the crash.
+CRASH_WAIT_MS = 500
+N_MAX_CRASHED = 4_096
+
 
 def connected(state: EntryState, event: EndpointConnected, now_ms: int) -> list[Effect]:
     """Use a new connection; attempts of an earlier one are over."""
-    effects = lost(state, event.endpoint.endpoint_id, now_ms)
-    return effects + state.endpoints.connect(event)
+    info = event.endpoint
+    effects = lost(state, info.endpoint_id, now_ms)
+    effects += state.endpoints.connect(event)
+    convicted = state.poison.resolve_holds(info.endpoint_id, info.incarnation, now_ms)
+    for fingerprint in convicted:
+        effects += _isolation.block(state, fingerprint, info.endpoint_id, True, now_ms)
+    if info.endpoint_id in state.endpoints.view_by_id:
+        effects += _recovery.resume_waiting(state, info, now_ms)
+    return effects
 
 
 def lost(state: EntryState, endpoint_id: str, now_ms: int) -> list[Effect]:
     """Break every attempt of a connection that is gone."""
-    state.endpoints.remove(endpoint_id)
-    effects: list[Effect] = []
+    _final.forget_endpoint(state, endpoint_id)
     there = [a for a in state.attempt_by_id.values() if a.endpoint_id == endpoint_id]
-    for attempt in there:
+    return _break_all(state, there, Reason.ENDPOINT_LOST, now_ms)
+
+
+def crashed(state: EntryState, event: EndpointCrashed, now_ms: int) -> list[Effect]:
+    """Suspect what was running when the engine died; block what ran isolated."""
+    effects: list[Effect] = []
+    for fingerprint in event.fingerprints[:N_MAX_CRASHED]:
+        state.poison.suspect(fingerprint, now_ms, is_own=True)
+    if event.isolated_fingerprint:
+        effects += _isolation.block(
+            state, event.isolated_fingerprint, event.endpoint_id, True, now_ms
+        )
+    n_marked = 0
+    for attempt_id in event.attempt_ids[:N_MAX_CRASHED]:
+        attempt = state.attempt_by_id.get(attempt_id)
+        if attempt is not None and attempt.endpoint_id == event.endpoint_id:
+            attempt.is_crashed = True
+            n_marked += 1
+    due_ms = now_ms + CRASH_WAIT_MS
+    state.endpoints.defer(event.endpoint_id, due_ms)
+    if n_marked:
+        effects.append(SetTimer(f"crash:{event.endpoint_id}", due_ms))
+    return effects
+
+
+def crash_wait_ended(state: EntryState, endpoint_id: str, now_ms: int) -> list[Effect]:
+    """Break the crashed attempts that the agent said nothing more about."""
+    attempts = state.attempt_by_id.values()
+    there = [a for a in attempts if a.endpoint_id == endpoint_id and a.is_crashed]
+    return _break_all(state, there, Reason.ENGINE_ERROR, now_ms)
+
+
+def _break_all(
+    state: EntryState, attempts: list[Attempt], reason: Reason, now_ms: int
+) -> list[Effect]:
+    effects: list[Effect] = []
+    for attempt in attempts:
+        if attempt.attempt_id not in state.attempt_by_id:
+            continue
         # Without word from the relay an attempt that started counts as relayed.
         n_bytes = 1 if attempt.is_started else 0
-        effects += _attempts.break_attempt(
-            state, attempt, Reason.ENDPOINT_LOST, n_bytes, now_ms
-        )
-    return effects + _placing.watch_unserved(state, now_ms)
+        event = AttemptBroken(attempt.attempt_id, reason, n_bytes, False)
+        effects += _recovery.break_attempt(state, attempt, event, now_ms)
+    return effects
--- a/packages/core/src/bluebellusher_core/requests/_model.py
+++ b/packages/core/src/bluebellusher_core/requests/_model.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from enum import IntEnum
 
+from bluebellusher_core.effects import ClaimWrite
 from bluebellusher_core.events import RequestSpec
 
 
@@ -18,13 +19,20 @@
 
 @dataclass(slots=True)
 class Attempt:
-    """One dispatch of a request."""
+    """One dispatch of a request.
+
+    ``incarnation`` is that of the agent; ``is_crashed`` is set when the agent told
+    that the engine died with this attempt.
+    """
 
     attempt_id: str
     request_id: str
     endpoint_id: str
     dispatched_at_ms: int
+    incarnation: int = 0
     is_isolated: bool = False
+    is_resumed: bool = False
+    is_crashed: bool = False
     is_started: bool = False
 
 
@@ -51,10 +59,14 @@
         Endpoints that refused or broke an attempt of this request.
     n_bytes_relayed : int
         Bytes that the caller has.
-    resume_endpoint_id : str
+    resume_endpoint_id, resume_incarnation : str, int
         The endpoint that may still hold the stream.
-    claim_id : str
-        Claim of a non-idempotent request with a key; empty without a claim.
+    reserved_endpoint_id : str
+        The endpoint that this entry keeps free for the request's isolated run.
+    n_reserved_tries : int
+        Refused tries on the reserved endpoint.
+    claim : ClaimWrite or None
+        The granted claim of a non-idempotent request with a key.
     """
 
     spec: RequestSpec
@@ -66,4 +78,7 @@
     avoided: set[str] = field(default_factory=set)
     n_bytes_relayed: int = 0
     resume_endpoint_id: str = ""
-    claim_id: str = ""
+    resume_incarnation: int = 0
+    reserved_endpoint_id: str = ""
+    n_reserved_tries: int = 0
+    claim: ClaimWrite | None = None
--- a/packages/core/src/bluebellusher_core/requests/_placing.py
+++ b/packages/core/src/bluebellusher_core/requests/_placing.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol, runtime_checkable
 
+from bluebellusher_core.admission import AdmissionQueue
 from bluebellusher_core.effects import Dispatch, Effect, SetTimer
 from bluebellusher_core.errors import Reason, Refusal
-from bluebellusher_core.membership import Pool, has_room, pool_of
-from bluebellusher_core.requests import _final
+from bluebellusher_core.membership import Pool, pool_of
+from bluebellusher_core.requests import _final, _isolation
 from bluebellusher_core.requests._model import Attempt, Phase, Request
 from bluebellusher_core.routing import EndpointView
 
@@ -15,61 +16,149 @@
     from bluebellusher_core.reducer import EntryState
 
 
+@runtime_checkable
+class WeightedQueue(Protocol):
+    """A queue that shares by customer."""
+
+    def set_weights(self, weight_by_customer: dict[str, float]) -> None:
+        """Replace the customers' weights."""
+
+
 def enqueue(state: EntryState, request: Request, now_ms: int) -> list[Effect]:
-    """Offer a request to the queue of its pool."""
-    pool = pool_of(request.spec)
-    queue = state.queue_by_pool.get(pool)
-    if queue is None:
-        queue = state.queue_by_pool[pool] = state.make_queue()
+    """Offer a request to the queue of its pool; suspects wait apart."""
     request.phase = Phase.WAITING
-    refusal = queue.offer(request.spec, now_ms)
+    spec = request.spec
+    if state.poison.is_blocked(spec.fingerprint, now_ms):
+        reason = Reason.CRASHES_ENDPOINTS
+        return _final.give_up(state, request, reason, "isolation", now_ms)
+    if state.poison.is_suspect(spec.fingerprint, now_ms):
+        state.isolate_at_ms[spec.request_id] = now_ms
+        return []
+    pool = pool_of(spec)
+    queue = _queue_of(state, pool)
+    _tell_rate(state, pool, queue, now_ms)
+    refusal = queue.offer(spec, now_ms)
     if refusal is None:
+        state.waiting_pools.add(pool)
         return []
-    return reject_waiting(state, request, refusal)
+    return _reject_waiting(state, request, refusal, now_ms)
 
 
-def reject_waiting(
-    state: EntryState, request: Request, refusal: Refusal
-) -> list[Effect]:
-    """Give up a request that the queue refused."""
-    return _final.give_up(state, request, refusal.reason, refusal.step, refusal.peer)
+def requeue(state: EntryState, request: Request, now_ms: int) -> list[Effect]:
+    """Let a request that was placed before go first; it is not predicted again."""
+    request.phase = Phase.WAITING
+    spec = request.spec
+    if state.poison.is_suspect(spec.fingerprint, now_ms):
+        state.isolate_at_ms[spec.request_id] = now_ms
+        return []
+    pool = pool_of(spec)
+    _queue_of(state, pool).put_back(spec, now_ms)
+    state.waiting_pools.add(pool)
+    return []
 
 
 def withdraw(state: EntryState, request: Request) -> None:
     """Take a request out of its queue."""
-    if request.phase is Phase.WAITING:
-        queue = state.queue_by_pool.get(pool_of(request.spec))
-        if queue is not None:
-            queue.remove(request.spec.request_id)
+    if request.phase is not Phase.WAITING:
+        return
+    queue = state.queue_by_pool.get(pool_of(request.spec))
+    if queue is not None:
+        queue.remove(request.spec.request_id)
+
+
+def set_weights(state: EntryState) -> None:
+    """Pass the customers' weights to every queue that uses them."""
+    for queue in state.queue_by_pool.values():
+        if isinstance(queue, WeightedQueue):
+            queue.set_weights(state.weight_by_customer)
 
 
 def place_waiting(state: EntryState, now_ms: int) -> list[Effect]:
     """Dispatch waiting requests while endpoints have room."""
-    effects: list[Effect] = []
-    for pool in [p for p, queue in state.queue_by_pool.items() if len(queue)]:
+    if not state.waiting_pools and not state.isolate_at_ms:
+        return []
+    effects = _isolation.place_suspects(state, now_ms)
+    n_suspects = len(state.isolate_at_ms)
+    for pool in sorted(state.waiting_pools):
         effects += _place_pool(state, pool, now_ms)
+        if not len(state.queue_by_pool[pool]):
+            state.waiting_pools.discard(pool)
+    if len(state.isolate_at_ms) > n_suspects:
+        effects += _isolation.place_suspects(state, now_ms)
+    effects += _refuse_unserved(state, now_ms)
+    return effects + _set_wake(state, now_ms)
+
+
+def dispatch(
+    state: EntryState,
+    request: Request,
+    endpoint_id: str,
+    now_ms: int,
+    is_isolated: bool = False,
+    is_resumed: bool = False,
+) -> list[Effect]:
+    """Start an attempt on an endpoint."""
+    state.n_attempts_made += 1
+    config = state.config
+    attempt_id = f"{config.entry_id}.{config.incarnation}.{state.n_attempts_made}"
+    request_id = request.spec.request_id
+    view = state.endpoints.view_by_id[endpoint_id]
+    attempt = Attempt(
+        attempt_id=attempt_id,
+        request_id=request_id,
+        endpoint_id=endpoint_id,
+        dispatched_at_ms=now_ms,
+        incarnation=view.info.incarnation,
+        is_isolated=is_isolated,
+        is_resumed=is_resumed,
+    )
+    if is_isolated:
+        view.is_isolating = True
+    request.phase = Phase.RUNNING
+    request.attempts.append(attempt)
+    state.attempt_by_id[attempt_id] = attempt
+    state.poison.start(request.spec.fingerprint)
+    state.endpoints.start_attempt(endpoint_id, request.spec, now_ms)
+    offset = request.n_bytes_relayed
+    effects: list[Effect] = []
+    effects.append(Dispatch(attempt_id, request_id, endpoint_id, offset, is_isolated))
+    may_hedge = request.spec.is_idempotent and not is_isolated and not is_resumed
+    if config.hedge_after_ms and may_hedge:
+        due_ms = now_ms + config.hedge_after_ms
+        effects.append(SetTimer(f"hedge:{attempt_id}", due_ms))
     return effects
 
 
+def choose(
+    state: EntryState, request: Request, views: list[EndpointView], now_ms: int
+) -> str | None:
+    """Choose an endpoint, one that has not failed the request where possible."""
+    if request.avoided:
+        fresh = [v for v in views if v.info.endpoint_id not in request.avoided]
+        views = fresh or views
+    return state.policy.choose(request.spec, views, now_ms, state.random_state)
+
+
 def _place_pool(state: EntryState, pool: Pool, now_ms: int) -> list[Effect]:
     queue = state.queue_by_pool[pool]
     effects: list[Effect] = []
     for spec, refusal in queue.expire(now_ms):
-        effects += reject_waiting(state, state.request_by_id[spec.request_id], refusal)
+        request = state.request_by_id[spec.request_id]
+        effects += _reject_waiting(state, request, refusal, now_ms)
     while len(queue):
-        views = [v for v in state.endpoints.views_of(pool) if has_room(v, now_ms)]
-        if not views:
-            break
-        taken = queue.take(now_ms)
+        views = state.endpoints.views_with_room(pool, now_ms)
+        taken = queue.take(now_ms) if views else None
         if taken is None:
             break
         request = state.request_by_id[taken.request_id]
         if taken.deadline_ms <= now_ms:
-            effects += _final.give_up(
-                state, request, Reason.DEADLINE_EXCEEDED, "admission"
-            )
+            reason = Reason.DEADLINE_EXCEEDED
+            effects += _final.give_up(state, request, reason, "admission", now_ms)
             continue
-        endpoint_id = _choose(state, request, views, now_ms)
+        if state.poison.is_suspect(taken.fingerprint, now_ms):
+            state.isolate_at_ms[taken.request_id] = now_ms
+            continue
+        endpoint_id = choose(state, request, views, now_ms)
         if endpoint_id is None:
             queue.put_back(taken, now_ms)
             break
@@ -77,55 +166,93 @@
     return effects
 
 
-def _choose(
-    state: EntryState, request: Request, views: list[EndpointView], now_ms: int
-) -> str | None:
-    if request.avoided:
-        fresh = [v for v in views if v.info.endpoint_id not in request.avoided]
-        views = fresh or views
-    return state.policy.choose(request.spec, views, now_ms, state.random_state)
+def _queue_of(state: EntryState, pool: Pool) -> AdmissionQueue:
+    queue = state.queue_by_pool.get(pool)
+    if queue is None:
+        queue = state.queue_by_pool[pool] = state.make_queue()
+        if isinstance(queue, WeightedQueue):
+            queue.set_weights(state.weight_by_customer)
+    return queue
 
 
-def dispatch(
-    state: EntryState, request: Request, endpoint_id: str, now_ms: int
+def _tell_rate(
+    state: EntryState, pool: Pool, queue: AdmissionQueue, now_ms: int
+) -> None:
+    """Tell a queue that is not empty how fast it is served.
+
+    An endpoint without room counts with the attempts of this entry only, because the
+    other entries use the rest of it.
+    """
+    service_ms = state.service_ms_by_pool.get(pool)
+    if service_ms is None or not len(queue):
+        return
+    views = state.endpoints.views_of(pool)
+    n_slots = sum(view.n_own_in_flight for view in views)
+    free = state.endpoints.views_with_room(pool, now_ms)
+    n_slots += sum(view.info.n_slots - view.n_own_in_flight for view in free)
+    queue.observe_service(max(1, n_slots), service_ms)
+
+
+def _reject_waiting(
+    state: EntryState, request: Request, refusal: Refusal, now_ms: int
 ) -> list[Effect]:
-    """Start an attempt on an endpoint."""
-    state.n_attempts_made += 1
-    config = state.config
-    attempt_id = f"{config.entry_id}.{config.incarnation}.{state.n_attempts_made}"
-    request_id = request.spec.request_id
-    attempt = Attempt(attempt_id, request_id, endpoint_id, now_ms)
-    request.phase = Phase.RUNNING
-    request.attempts.append(attempt)
-    state.attempt_by_id[attempt_id] = attempt
-    state.endpoints.start_attempt(endpoint_id, request.spec, now_ms)
-    return [Dispatch(attempt_id, request_id, endpoint_id, request.n_bytes_relayed)]
+    return _final.give_up(
+        state,
+        request,
+        refusal.reason,
+        refusal.step,
+        now_ms,
+        refusal.peer,
+        refusal.retry_after_ms,
+    )
 
 
-def watch_unserved(state: EntryState, now_ms: int) -> list[Effect]:
-    """Set a timer for every pool whose last endpoint is gone."""
+def _refuse_unserved(state: EntryState, now_ms: int) -> list[Effect]:
+    """Refuse the requests of pools that had no endpoint for the grace period."""
+    waiting = set(state.waiting_pools)
+    for request_id in state.isolate_at_ms:
+        waiting.add(pool_of(state.request_by_id[request_id].spec))
     effects: list[Effect] = []
-    due_ms = now_ms + state.config.no_endpoint_grace_ms
-    for pool, queue in list(state.queue_by_pool.items()):
+    for pool in sorted(waiting):
         if state.endpoints.views_of(pool):
+            state.unserved_since_ms.pop(pool, None)
             continue
-        if len(queue):
-            effects.append(SetTimer("pool:", due_ms))
-        else:
-            del state.queue_by_pool[pool]
-            state.service_ms_by_pool.pop(pool, None)
-    return effects[:1]
+        since_ms = state.unserved_since_ms.setdefault(pool, now_ms)
+        if now_ms - since_ms >= state.config.no_endpoint_grace_ms:
+            effects += _refuse_pool(state, pool, now_ms)
+    for pool in [p for p in state.unserved_since_ms if p not in waiting]:
+        del state.unserved_since_ms[pool]
+    return effects
 
 
-def refuse_unserved(state: EntryState, now_ms: int) -> list[Effect]:
-    """Refuse the requests of pools that still have no endpoint."""
+def _refuse_pool(state: EntryState, pool: Pool, now_ms: int) -> list[Effect]:
+    queue = state.queue_by_pool.pop(pool, None)
+    state.waiting_pools.discard(pool)
+    state.service_ms_by_pool.pop(pool, None)
+    del state.unserved_since_ms[pool]
+    requests = [state.request_by_id[r] for r in state.isolate_at_ms]
+    refused = [r for r in requests if pool_of(r.spec) == pool]
+    while queue is not None and (spec := queue.take(now_ms)) is not None:
+        refused.append(state.request_by_id[spec.request_id])
     effects: list[Effect] = []
-    for pool, queue in list(state.queue_by_pool.items()):
-        if state.endpoints.views_of(pool):
-            continue
-        while (spec := queue.take(now_ms)) is not None:
-            request = state.request_by_id[spec.request_id]
-            effects += _final.give_up(state, request, Reason.NO_ENDPOINT, "routing")
-        del state.queue_by_pool[pool]
-        state.service_ms_by_pool.pop(pool, None)
+    for request in refused:
+        reason = Reason.NO_ENDPOINT
+        effects += _final.give_up(state, request, reason, "routing", now_ms)
     return effects
+
+
+def _set_wake(state: EntryState, now_ms: int) -> list[Effect]:
+    """Set a timer for the next moment at which a waiting request may move."""
+    due: list[int] = _isolation.next_due_ms(state, now_ms)
+    grace_ms = state.config.no_endpoint_grace_ms
+    due += [since_ms + grace_ms for since_ms in state.unserved_since_ms.values()]
+    undeferred_ms = state.endpoints.next_undeferred_ms(now_ms)
+    if undeferred_ms is not None:
+        due.append(undeferred_ms)
+    if not due:
+        return []
+    due_ms = min(due)
+    if state.wake_at_ms > now_ms and state.wake_at_ms <= due_ms:
+        return []
+    state.wake_at_ms = due_ms
+    return [SetTimer("wake", due_ms)]
--- /dev/null
+++ b/packages/core/src/bluebellusher_core/requests/_recovery.py
@@ -0,0 +1,151 @@
+"""What follows when an attempt breaks: resume, retry or the final answer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from bluebellusher_core.effects import Effect, SetTimer
+from bluebellusher_core.errors import Reason
+from bluebellusher_core.events import AttemptBroken, EndpointInfo
+from bluebellusher_core.requests import _final, _isolation, _placing
+from bluebellusher_core.requests._model import Attempt, Phase, Request
+
+if TYPE_CHECKING:
+    from bluebellusher_core.reducer import EntryState
+
+
+def break_attempt(
+    state: EntryState, attempt: Attempt, event: AttemptBroken, now_ms: int
+) -> list[Effect]:
+    """End an attempt that may have run."""
+    request = state.request_by_id[attempt.request_id]
+    is_loss = event.reason is Reason.ENDPOINT_LOST or attempt.is_crashed
+    if event.reason is Reason.ENDPOINT_LOST:
+        # The relay speaks before the connection's own event; nothing may be placed
+        # there in between.
+        _final.forget_endpoint(state, attempt.endpoint_id)
+    _final.end_attempt(state, request, attempt)
+    request.may_have_run = True
+    request.n_broken += 1
+    request.avoided.add(attempt.endpoint_id)
+    request.n_bytes_relayed = max(request.n_bytes_relayed, event.n_bytes_relayed)
+    is_fatal = is_loss or event.reason is Reason.ENGINE_ERROR
+    if is_fatal:
+        state.poison.suspect(request.spec.fingerprint, now_ms, is_own=True)
+    if is_fatal and attempt.is_isolated:
+        is_lost = event.reason is Reason.ENDPOINT_LOST
+        _final.hold(state, request, attempt, is_lost, now_ms)
+    if request.attempts:
+        return []
+    if request.phase is Phase.DETACHED:
+        return _final.drop(state, request, now_ms)
+    if is_fatal and attempt.is_isolated:
+        return _give_up(state, request, attempt, event.reason, now_ms)
+    return _recover(state, request, attempt, event, is_loss, now_ms)
+
+
+def _recover(
+    state: EntryState,
+    request: Request,
+    attempt: Attempt,
+    event: AttemptBroken,
+    is_loss: bool,
+    now_ms: int,
+) -> list[Effect]:
+    can_go_on = request.n_broken < state.config.n_max_attempts
+    if not request.spec.is_idempotent or not can_go_on:
+        return _give_up(state, request, attempt, event.reason, now_ms)
+    if request.n_bytes_relayed:
+        if event.is_resumable:
+            return _resume(state, request, attempt, now_ms)
+        return _give_up(state, request, attempt, event.reason, now_ms)
+    # Retries after a loss run isolated, one for each endpoint, which bounds them;
+    # with the budget on top a request could be refused for another one's crash.
+    if not is_loss and not state.retry_budget.try_spend():
+        reason = Reason.RETRY_BUDGET_EXHAUSTED
+        return _give_up(state, request, attempt, reason, now_ms)
+    return _placing.requeue(state, request, now_ms)
+
+
+def _give_up(
+    state: EntryState,
+    request: Request,
+    attempt: Attempt,
+    reason: Reason,
+    now_ms: int,
+) -> list[Effect]:
+    peer = attempt.endpoint_id
+    return _final.give_up(state, request, reason, "attempt", now_ms, peer)
+
+
+def _resume(
+    state: EntryState, request: Request, attempt: Attempt, now_ms: int
+) -> list[Effect]:
+    """Fetch the rest of the stream from the endpoint that holds it."""
+    endpoint_id = attempt.endpoint_id
+    if endpoint_id in state.endpoints.view_by_id:
+        return _placing.dispatch(state, request, endpoint_id, now_ms, is_resumed=True)
+    request.phase = Phase.RESUMING
+    request.resume_endpoint_id = endpoint_id
+    request.resume_incarnation = attempt.incarnation
+    due_ms = now_ms + state.config.resume_wait_ms
+    return [SetTimer(f"resume:{request.spec.request_id}", due_ms)]
+
+
+def resume_waiting(state: EntryState, info: EndpointInfo, now_ms: int) -> list[Effect]:
+    """Resume streams of an endpoint that is back; a new agent holds none."""
+    effects: list[Effect] = []
+    for request in list(state.request_by_id.values()):
+        is_waiting = request.phase is Phase.RESUMING
+        if not is_waiting or request.resume_endpoint_id != info.endpoint_id:
+            continue
+        if info.incarnation == request.resume_incarnation:
+            effects += _placing.dispatch(
+                state, request, info.endpoint_id, now_ms, is_resumed=True
+            )
+        else:
+            effects += _give_up_resume(state, request, now_ms)
+    return effects
+
+
+def resume_timed_out(state: EntryState, request_id: str, now_ms: int) -> list[Effect]:
+    """Give up a stream whose endpoint did not come back."""
+    request = state.request_by_id.get(request_id)
+    if request is None or request.phase is not Phase.RESUMING:
+        return []
+    return _give_up_resume(state, request, now_ms)
+
+
+def _give_up_resume(state: EntryState, request: Request, now_ms: int) -> list[Effect]:
+    peer = request.resume_endpoint_id
+    reason = Reason.ENDPOINT_LOST
+    return _final.give_up(state, request, reason, "resume", now_ms, peer)
+
+
+def hedge_due(state: EntryState, attempt_id: str, now_ms: int) -> list[Effect]:
+    """Start a second attempt of idempotent work that produced no output yet.
+
+    The hedge runs isolated: if the request crashes endpoints, the second crash then
+    convicts it, and no third endpoint is lost.
+    """
+    attempt = state.attempt_by_id.get(attempt_id)
+    if attempt is None or attempt.is_started:
+        return []
+    request = state.request_by_id[attempt.request_id]
+    spec = request.spec
+    is_single = state.poison.n_running(spec.fingerprint) == 1
+    if not is_single or state.poison.is_suspect(spec.fingerprint, now_ms):
+        return []
+    pool = _placing.pool_of(spec)
+    if pool in state.waiting_pools or not _isolation.has_free_share(state, pool):
+        return []
+    views = state.endpoints.views_with_room(pool, now_ms)
+    others = [v for v in views if v.info.endpoint_id != attempt.endpoint_id]
+    if not others:
+        return []
+    endpoint_id = _placing.choose(state, request, others, now_ms)
+    # The minimum is kept for retries.
+    n_reserved = state.config.n_min_retries
+    if endpoint_id is None or not state.retry_budget.try_spend(n_reserved):
+        return []
+    return _placing.dispatch(state, request, endpoint_id, now_ms, is_isolated=True)
