Add routing baselines and a tracker that keeps endpoint views current

Ruled out: updating the fields inside the policies, which see no events. Change: RoundRobin, TwoChoices, PrefixHash; EndpointView gains six fields with defaults; EndpointTracker updates every field from events and dispatches. Conclusion: the reducer can use the tracker as it is.

--- a/packages/core/src/bluebellusher_core/routing/__init__.py
+++ b/packages/core/src/bluebellusher_core/routing/__init__.py
@@ -1,6 +1,20 @@
 """Choice of an endpoint for a request."""
 
-from bluebellusher_core.routing._baselines import LeastInFlight
+from bluebellusher_core.routing._baselines import (
+    LeastInFlight,
+    PrefixHash,
+    RoundRobin,
+    TwoChoices,
+)
 from bluebellusher_core.routing._protocol import EndpointView, RoutingPolicy
+from bluebellusher_core.routing._tracker import EndpointTracker
 
-__all__ = ["EndpointView", "LeastInFlight", "RoutingPolicy"]
+__all__ = [
+    "EndpointTracker",
+    "EndpointView",
+    "LeastInFlight",
+    "PrefixHash",
+    "RoundRobin",
+    "RoutingPolicy",
+    "TwoChoices",
+]
--- a/packages/core/src/bluebellusher_core/routing/_baselines.py
+++ b/packages/core/src/bluebellusher_core/routing/_baselines.py
@@ -2,11 +2,39 @@
 
 from collections.abc import Sequence
 from random import Random
+from zlib import crc32
 
 from bluebellusher_core.events import RequestSpec
 from bluebellusher_core.routing._protocol import EndpointView
 
 
+def usable(candidates: Sequence[EndpointView]) -> list[EndpointView]:
+    """Return the candidates that may receive ordinary new work."""
+    return [v for v in candidates if not (v.is_draining or v.is_isolating)]
+
+
+class RoundRobin:
+    """Choose the endpoints in turn, ordered by id."""
+
+    def __init__(self) -> None:
+        self._last_endpoint_id = ""
+
+    def choose(
+        self,
+        request: RequestSpec,
+        candidates: Sequence[EndpointView],
+        now_ms: int,
+        random_state: Random,
+    ) -> str | None:
+        """Return the next id after the one chosen last, or the first id."""
+        ids = [view.info.endpoint_id for view in usable(candidates)]
+        if not ids:
+            return None
+        later = [one for one in ids if one > self._last_endpoint_id]
+        self._last_endpoint_id = min(later or ids)
+        return self._last_endpoint_id
+
+
 class LeastInFlight:
     """Choose the endpoint with the fewest attempts of this entry in flight."""
 
@@ -18,8 +46,80 @@
         random_state: Random,
     ) -> str | None:
         """Return the least used endpoint; ties are broken at random."""
-        if not candidates:
+        views = usable(candidates)
+        if not views:
             return None
-        fewest = min(view.n_own_in_flight for view in candidates)
-        tied = [view for view in candidates if view.n_own_in_flight == fewest]
+        fewest = min(view.n_own_in_flight for view in views)
+        tied = [view for view in views if view.n_own_in_flight == fewest]
         return random_state.choice(tied).info.endpoint_id
+
+
+class TwoChoices:
+    """Draw two endpoints at random and choose the one that reported less load."""
+
+    def choose(
+        self,
+        request: RequestSpec,
+        candidates: Sequence[EndpointView],
+        now_ms: int,
+        random_state: Random,
+    ) -> str | None:
+        """Return the less loaded of two; without reports own attempts decide."""
+        views = usable(candidates)
+        if not views:
+            return None
+        drawn = random_state.sample(views, min(2, len(views)))
+        if any(view.report is None for view in drawn):
+            return min(drawn, key=_own_load).info.endpoint_id
+        return min(drawn, key=_reported_load).info.endpoint_id
+
+
+class PrefixHash:
+    """Choose by rendezvous hash of the prompt's first blocks.
+
+    Parameters
+    ----------
+    n_blocks : int
+        How many leading blocks identify the shared part of a prompt.
+    """
+
+    def __init__(self, n_blocks: int = 2) -> None:
+        if n_blocks < 1:
+            raise ValueError(f"n_blocks={n_blocks}: expected at least 1")
+        self.n_blocks = n_blocks
+
+    def choose(
+        self,
+        request: RequestSpec,
+        candidates: Sequence[EndpointView],
+        now_ms: int,
+        random_state: Random,
+    ) -> str | None:
+        """Return the endpoint with the highest hash; no prefix means random."""
+        views = usable(candidates)
+        if not views:
+            return None
+        if not request.prefix_hashes:
+            return random_state.choice(views).info.endpoint_id
+        index = min(self.n_blocks, len(request.prefix_hashes)) - 1
+        key = request.prefix_hashes[index]
+        ids = [view.info.endpoint_id for view in views]
+        return max(ids, key=lambda one: (_rendezvous(key, one), one))
+
+
+def _own_load(view: EndpointView) -> int:
+    return view.n_own_in_flight
+
+
+def _reported_load(view: EndpointView) -> int:
+    report = view.report
+    return report.n_running + report.n_queued if report else 0
+
+
+def _rendezvous(key: int, endpoint_id: str) -> int:
+    # CRC-32 alone is linear, so that two ids would keep their order for most keys;
+    # the multiplication and shift mix the high bits into the low ones.
+    mixed = (crc32(endpoint_id.encode()) ^ (key & 0xFFFFFFFF)) * 0x9E3779B97F4A7C15
+    mixed &= 0xFFFFFFFFFFFFFFFF
+    mixed = (mixed ^ (mixed >> 29)) * 0xBF58476D1CE4E5B9 & 0xFFFFFFFFFFFFFFFF
+    return mixed ^ (mixed >> 32)
--- a/packages/core/src/bluebellusher_core/routing/_protocol.py
+++ b/packages/core/src/bluebellusher_core/routing/_protocol.py
@@ -32,6 +32,26 @@
         A suspect runs there alone.
     cached_prefixes : set of int
         Prefix hashes that the endpoint is believed to hold.
+    own_ended_at_ms : list of int
+        Times at which own attempts ended that the report may still count.
+    unanswered_at_ms : dict of str to int
+        Dispatch time of each own attempt without a first byte, oldest first.
+    last_progress_at_ms : int
+        Time of the last first byte or end of an own attempt.
+    slowness : float
+        Observed over predicted time to first token of own attempts, as an
+        exponentially weighted mean; 1 when nothing was observed.
+    slowness_at_ms : int
+        When ``slowness`` was last updated.
+    own_service_ms : float
+        Exponentially weighted time from dispatch to end of own attempts; 0 when
+        nothing was observed.
+
+    Notes
+    -----
+    ``EndpointTracker`` updates every field. An entry that keeps views without it
+    may leave the last six fields at their defaults; policies then do not detect
+    slow or frozen endpoints.
     """
 
     info: EndpointInfo
@@ -43,6 +63,12 @@
     is_draining: bool = False
     is_isolating: bool = False
     cached_prefixes: set[int] = field(default_factory=set)
+    own_ended_at_ms: list[int] = field(default_factory=list)
+    unanswered_at_ms: dict[str, int] = field(default_factory=dict)
+    last_progress_at_ms: int = 0
+    slowness: float = 1.0
+    slowness_at_ms: int = 0
+    own_service_ms: float = 0.0
 
 
 class RoutingPolicy(Protocol):
--- /dev/null
+++ b/packages/core/src/bluebellusher_core/routing/_tracker.py
@@ -0,0 +1,224 @@
+"""Keeps ``EndpointView`` objects up to date from the entry's own events."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from bluebellusher_core.events import (
+    AttemptBroken,
+    AttemptFinished,
+    AttemptRefused,
+    AttemptStarted,
+    CacheReported,
+    EndpointConnected,
+    EndpointDraining,
+    EndpointInfo,
+    EndpointLost,
+    Event,
+    LoadReported,
+    RequestSpec,
+)
+from bluebellusher_core.routing._protocol import EndpointView
+
+SMOOTHING = 0.2
+# One very late first byte must not exclude an endpoint for minutes.
+MAX_SLOWNESS = 20.0
+# A missing stream of reports must not let the history grow without bound.
+MAX_HISTORY = 1024
+MAX_CACHED_PREFIXES = 65_536
+
+
+@dataclass(slots=True)
+class _Attempt:
+    endpoint_id: str
+    dispatched_at_ms: int
+    predicted_ms: float
+    n_tokens: int
+    prefix_hashes: tuple[int, ...]
+    is_answered: bool = False
+
+
+@dataclass(slots=True)
+class EndpointTracker:
+    """Views of all connected endpoints and the own attempts that run there.
+
+    The reducer calls ``record_dispatch`` for each ``Dispatch`` effect,
+    ``record_cancel`` for each ``CancelAttempt`` effect, and ``apply`` for every
+    event, before the event's own handler looks at a view.
+
+    Parameters
+    ----------
+    view_by_id : dict of str to EndpointView
+        Views by endpoint id.
+
+    Examples
+    --------
+    >>> tracker = EndpointTracker()
+    >>> tracker.apply(EndpointDraining("unknown"), now_ms=0)
+    >>> tracker.view_by_id
+    {}
+    """
+
+    view_by_id: dict[str, EndpointView] = field(default_factory=dict)
+    _attempt_by_id: dict[str, _Attempt] = field(default_factory=dict)
+
+    def record_dispatch(
+        self,
+        attempt_id: str,
+        endpoint_id: str,
+        request: RequestSpec,
+        predicted_ms: float,
+        now_ms: int,
+    ) -> None:
+        """Note an own attempt at the moment it is sent.
+
+        Parameters
+        ----------
+        attempt_id, endpoint_id : str
+            The attempt and where it goes.
+        request : RequestSpec
+            The request that it runs.
+        predicted_ms : float
+            What the attempt takes to its first token on an endpoint of normal speed
+            (``PredictedLatency.predict_normal_ms``); 0 skips the speed estimate.
+        now_ms : int
+            Monotonic time.
+        """
+        view = self.view_by_id[endpoint_id]
+        self._attempt_by_id[attempt_id] = _Attempt(
+            endpoint_id,
+            now_ms,
+            predicted_ms,
+            request.n_input_tokens,
+            request.prefix_hashes,
+        )
+        view.n_own_in_flight += 1
+        view.n_own_queued_tokens += request.n_input_tokens
+        view.unanswered_at_ms[attempt_id] = now_ms
+        _append_bounded(view.own_dispatched_at_ms, now_ms)
+
+    def record_cancel(self, attempt_id: str, now_ms: int) -> None:
+        """Note that an own attempt was cancelled; this is no sign of progress."""
+        self._end(attempt_id, now_ms)
+
+    def apply(self, event: Event, now_ms: int) -> None:
+        """Update the views from any event; other events change nothing."""
+        match event:
+            case AttemptStarted():
+                self._start(event.attempt_id, now_ms)
+            case AttemptFinished():
+                self._finish(event.attempt_id, now_ms)
+            case AttemptRefused() | AttemptBroken():
+                self._end(event.attempt_id, now_ms)
+            case EndpointConnected():
+                self._connect(event.endpoint, now_ms)
+            case EndpointLost():
+                self._lose(event.endpoint_id)
+            case EndpointDraining():
+                self._drain(event.endpoint_id)
+            case LoadReported():
+                self._report_load(event, now_ms)
+            case CacheReported():
+                self._report_cache(event)
+
+    def _start(self, attempt_id: str, now_ms: int) -> None:
+        attempt = self._attempt_by_id.get(attempt_id)
+        if attempt is None or attempt.is_answered:
+            return
+        attempt.is_answered = True
+        view = self.view_by_id[attempt.endpoint_id]
+        view.n_own_queued_tokens -= attempt.n_tokens
+        view.unanswered_at_ms.pop(attempt_id, None)
+        view.last_progress_at_ms = now_ms
+        _add_prefixes(view, attempt.prefix_hashes)
+        if attempt.predicted_ms > 0:
+            waited_ms = max(1, now_ms - attempt.dispatched_at_ms)
+            _observe_slowness(view, waited_ms / attempt.predicted_ms, now_ms)
+
+    def _finish(self, attempt_id: str, now_ms: int) -> None:
+        self._start(attempt_id, now_ms)
+        attempt = self._end(attempt_id, now_ms)
+        if attempt is None:
+            return
+        view = self.view_by_id[attempt.endpoint_id]
+        view.last_progress_at_ms = now_ms
+        service_ms = float(now_ms - attempt.dispatched_at_ms)
+        if view.own_service_ms == 0:
+            view.own_service_ms = service_ms
+        view.own_service_ms += SMOOTHING * (service_ms - view.own_service_ms)
+
+    def _end(self, attempt_id: str, now_ms: int) -> _Attempt | None:
+        attempt = self._attempt_by_id.pop(attempt_id, None)
+        if attempt is None:
+            return None
+        view = self.view_by_id[attempt.endpoint_id]
+        view.n_own_in_flight -= 1
+        if not attempt.is_answered:
+            view.n_own_queued_tokens -= attempt.n_tokens
+            view.unanswered_at_ms.pop(attempt_id, None)
+        _append_bounded(view.own_ended_at_ms, now_ms)
+        return attempt
+
+    def _connect(self, info: EndpointInfo, now_ms: int) -> None:
+        # A new connection starts with no attempts of this entry; those of the old
+        # one were reported as broken.
+        self._lose(info.endpoint_id)
+        view = EndpointView(info=info, last_progress_at_ms=now_ms)
+        self.view_by_id[info.endpoint_id] = view
+
+    def _lose(self, endpoint_id: str) -> None:
+        if self.view_by_id.pop(endpoint_id, None) is None:
+            return
+        items = self._attempt_by_id.items()
+        ended = [key for key, one in items if one.endpoint_id == endpoint_id]
+        for attempt_id in ended:
+            del self._attempt_by_id[attempt_id]
+
+    def _drain(self, endpoint_id: str) -> None:
+        view = self.view_by_id.get(endpoint_id)
+        if view is not None:
+            view.is_draining = True
+
+    def _report_load(self, report: LoadReported, now_ms: int) -> None:
+        view = self.view_by_id.get(report.endpoint_id)
+        if view is None:
+            return
+        if view.report is not None and view.report.sequence >= report.sequence:
+            return
+        view.report = report
+        view.reported_at_ms = now_ms
+        read_at_ms = now_ms - report.age_ms
+        _drop_until(view.own_dispatched_at_ms, read_at_ms)
+        _drop_until(view.own_ended_at_ms, read_at_ms)
+
+    def _report_cache(self, event: CacheReported) -> None:
+        view = self.view_by_id.get(event.endpoint_id)
+        if view is None:
+            return
+        if event.has_gap:
+            # The lost part may have removed any of them.
+            view.cached_prefixes.clear()
+        view.cached_prefixes.difference_update(event.removed)
+        _add_prefixes(view, event.added)
+
+
+def _add_prefixes(view: EndpointView, prefixes: Iterable[int]) -> None:
+    if len(view.cached_prefixes) > MAX_CACHED_PREFIXES:
+        view.cached_prefixes.clear()
+    view.cached_prefixes.update(prefixes)
+
+
+def _observe_slowness(view: EndpointView, ratio: float, now_ms: int) -> None:
+    change = SMOOTHING * (min(ratio, MAX_SLOWNESS) - view.slowness)
+    view.slowness += change
+    view.slowness_at_ms = now_ms
+
+
+def _append_bounded(times_ms: list[int], now_ms: int) -> None:
+    times_ms.append(now_ms)
+    if len(times_ms) > MAX_HISTORY:
+        del times_ms[: MAX_HISTORY // 2]
+
+
+def _drop_until(times_ms: list[int], read_at_ms: int) -> None:
+    n_old = sum(1 for time_ms in times_ms if time_ms <= read_at_ms)
+    del times_ms[:n_old]
