--- a/packages/core/src/bluebellusher_core/admission/__init__.py
+++ b/packages/core/src/bluebellusher_core/admission/__init__.py
@@ -1,5 +1,6 @@
 """Queue of admitted requests that wait for an endpoint."""
 
+from bluebellusher_core.admission._fair_queue import FairQueue
 from bluebellusher_core.admission._protocol import AdmissionQueue, FifoQueue
 
-__all__ = ["AdmissionQueue", "FifoQueue"]
+__all__ = ["AdmissionQueue", "FairQueue", "FifoQueue"]
--- a/packages/core/src/bluebellusher_core/routing/__init__.py
+++ b/packages/core/src/bluebellusher_core/routing/__init__.py
@@ -6,6 +6,7 @@
     RoundRobin,
     TwoChoices,
 )
+from bluebellusher_core.routing._predicted_latency import PredictedLatency
 from bluebellusher_core.routing._protocol import EndpointView, RoutingPolicy
 from bluebellusher_core.routing._tracker import EndpointTracker
 
@@ -13,6 +14,7 @@
     "EndpointTracker",
     "EndpointView",
     "LeastInFlight",
+    "PredictedLatency",
     "PrefixHash",
     "RoundRobin",
     "RoutingPolicy",
--- /dev/null
+++ b/packages/core/src/bluebellusher_core/routing/_predicted_latency.py
@@ -0,0 +1,234 @@
+"""Routing by the predicted time to first token."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from math import erf, exp, pi, sqrt
+from random import Random
+
+from bluebellusher_core.events import RequestSpec
+from bluebellusher_core.routing._baselines import usable
+from bluebellusher_core.routing._protocol import EndpointView
+
+# Assumed before any own attempt has ended.
+DEFAULT_SERVICE_MS = 3_000.0
+# Requests come and go within seconds, so that a reading loses its value as fast.
+LOAD_MEMORY_MS = 2_000.0
+# Prompts wait for their prefill far shorter than a request runs.
+QUEUE_MEMORY_MS = 300.0
+# An endpoint that was slow is tried again after some of these periods.
+SLOWNESS_MEMORY_MS = 20_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class _Load:
+    """Estimated load of one endpoint at this moment."""
+
+    view: EndpointView
+    # Share of the report that still holds, 0 to 1.
+    trust: float
+    # Requests of other entries according to the report.
+    n_reported_others: float
+
+
+class PredictedLatency:
+    """Choose the lowest predicted time to first token in a random sample.
+
+    The load of an endpoint is the entry's own attempts, which are known exactly,
+    plus those of other entries. The latter are the reported load less the own
+    attempts at the time of the reading; as the report ages, the estimate moves to
+    the mean over the sample. Own dispatches and ends since the reading are thereby
+    corrected, other entries' are expected to be average, and without reports only
+    own attempts count. This also keeps several entries with the same stale report
+    from all preferring the same endpoint.
+
+    The prediction is scaled by the observed speed of the endpoint. An endpoint from
+    which own attempts wait for a first byte is predicted to take at least as long
+    as it has made no progress, so that a frozen one loses new work in about the
+    time that an answer normally takes.
+
+    Parameters
+    ----------
+    failure_domain : str
+        The entry's own failure domain; empty when it is not known.
+    prefill_tokens_per_ms : float
+        Pace of an engine of normal speed; an error is corrected by observed speed.
+    base_ms : float
+        Time to first token of an idle endpoint with the whole prompt cached.
+    remote_domain_ms : float
+        Added for endpoints in other failure domains.
+    load_ms : float
+        Added for each request in the batch, which slows every step.
+    n_sample : int
+        Candidates that are drawn; the best prefix match is added.
+    n_queue_allowed : int
+        Requests that may wait in an engine beyond its batch, so that a slot that
+        becomes free is used at once.
+    """
+
+    def __init__(
+        self,
+        failure_domain: str = "",
+        prefill_tokens_per_ms: float = 8.0,
+        base_ms: float = 30.0,
+        remote_domain_ms: float = 2.0,
+        load_ms: float = 2.0,
+        n_sample: int = 12,
+        n_queue_allowed: int = 1,
+    ) -> None:
+        if not prefill_tokens_per_ms > 0:
+            name = "prefill_tokens_per_ms"
+            raise ValueError(f"{name}={prefill_tokens_per_ms}: expected above 0")
+        if n_sample < 1:
+            raise ValueError(f"n_sample={n_sample}: expected at least 1")
+        self.failure_domain = failure_domain
+        self.prefill_tokens_per_ms = prefill_tokens_per_ms
+        self.base_ms = base_ms
+        self.remote_domain_ms = remote_domain_ms
+        self.load_ms = load_ms
+        self.n_sample = n_sample
+        self.n_queue_allowed = n_queue_allowed
+
+    def choose(
+        self,
+        request: RequestSpec,
+        candidates: Sequence[EndpointView],
+        now_ms: int,
+        random_state: Random,
+    ) -> str | None:
+        """Return the best endpoint of a sample, or ``None`` when all are full."""
+        views = usable(candidates)
+        if not views:
+            return None
+        sample = self._draw(request, views, random_state)
+        loads = [_estimate(view, now_ms) for view in sample]
+        n_mean_others = _mean_others(loads)
+        best_id = None
+        best_ms = float("inf")
+        for load in loads:
+            n_others = _blend(load, n_mean_others)
+            if not self._has_room(load.view, n_others):
+                continue
+            predicted_ms = self._predict_ms(request, load, n_others, now_ms)
+            if predicted_ms < best_ms:
+                best_ms = predicted_ms
+                best_id = load.view.info.endpoint_id
+        return best_id
+
+    def predict_normal_ms(
+        self, request: RequestSpec, view: EndpointView, now_ms: int
+    ) -> float:
+        """Predict the time to first token if the endpoint had normal speed.
+
+        The value goes to ``EndpointTracker.record_dispatch``, which compares it with
+        what is observed.
+        """
+        load = _estimate(view, now_ms)
+        return self._normal_ms(request, load, load.n_reported_others)
+
+    def _draw(
+        self, request: RequestSpec, views: list[EndpointView], random_state: Random
+    ) -> list[EndpointView]:
+        if len(views) <= self.n_sample:
+            return random_state.sample(views, len(views))
+        sample = random_state.sample(views, self.n_sample)
+        if request.prefix_hashes:
+            # The first hash is looked up before the whole prefix is compared.
+            first = request.prefix_hashes[0]
+            holders = [view for view in views if first in view.cached_prefixes]
+            if holders:
+                best = max(holders, key=lambda v: v.count_cached_tokens(request))
+                sample.append(best)
+        return sample
+
+    def _has_room(self, view: EndpointView, n_others: float) -> bool:
+        n_slots = _n_slots(view)
+        # Other entries may hold every slot; a small share of each endpoint lets an
+        # entry in that starts late.
+        if view.n_own_in_flight < max(1, n_slots // 8):
+            return True
+        return view.n_own_in_flight + n_others < n_slots + self.n_queue_allowed
+
+    def _predict_ms(
+        self, request: RequestSpec, load: _Load, n_others: float, now_ms: int
+    ) -> float:
+        view = load.view
+        normal_ms = self._normal_ms(request, load, n_others)
+        predicted_ms = normal_ms * _current_slowness(view, now_ms)
+        predicted_ms = max(predicted_ms, _stalled_ms(view, now_ms))
+        if view.info.failure_domain != self.failure_domain:
+            predicted_ms += self.remote_domain_ms
+        return predicted_ms
+
+    def _normal_ms(self, request: RequestSpec, load: _Load, n_others: float) -> float:
+        view = load.view
+        n_tokens = request.n_input_tokens - view.count_cached_tokens(request)
+        n_tokens_ahead = view.n_own_queued_tokens + _others_tokens(load)
+        prefill_ms = (n_tokens + n_tokens_ahead) / self.prefill_tokens_per_ms
+        n_in_flight = view.n_own_in_flight + n_others
+        n_slots = _n_slots(view)
+        deviation = sqrt((1 - load.trust * load.trust) * n_others)
+        n_excess = _mean_excess(n_in_flight - (n_slots - 1), deviation)
+        service_ms = view.own_service_ms or DEFAULT_SERVICE_MS
+        slot_wait_ms = n_excess * service_ms / n_slots
+        return self.base_ms + self.load_ms * n_in_flight + prefill_ms + slot_wait_ms
+
+
+def _estimate(view: EndpointView, now_ms: int) -> _Load:
+    report = view.report
+    if report is None:
+        return _Load(view, 0.0, 0.0)
+    age_ms = now_ms - view.reported_at_ms + report.age_ms
+    n_dispatched = len(view.own_dispatched_at_ms)
+    n_own_then = view.n_own_in_flight - n_dispatched + len(view.own_ended_at_ms)
+    n_others = report.n_running + report.n_queued - n_own_then
+    return _Load(view, exp(-age_ms / LOAD_MEMORY_MS), float(max(0, n_others)))
+
+
+def _mean_others(loads: list[_Load]) -> float:
+    """Return the mean load by other entries, each report weighted by its trust."""
+    weight = sum(load.trust for load in loads)
+    if weight <= 0:
+        return 0.0
+    return sum(load.trust * load.n_reported_others for load in loads) / weight
+
+
+def _blend(load: _Load, n_mean_others: float) -> float:
+    return load.trust * load.n_reported_others + (1 - load.trust) * n_mean_others
+
+
+def _others_tokens(load: _Load) -> float:
+    """Return queued prompt tokens of other entries, from their share of requests."""
+    report = load.view.report
+    if report is None or report.n_queued_tokens == 0:
+        return 0.0
+    n_total = report.n_running + report.n_queued
+    share = load.n_reported_others / n_total if n_total else 0.0
+    # trust = exp(-age / LOAD_MEMORY_MS), from which the faster decay follows.
+    trust = load.trust ** (LOAD_MEMORY_MS / QUEUE_MEMORY_MS)
+    return trust * share * report.n_queued_tokens
+
+
+def _n_slots(view: EndpointView) -> int:
+    return max(1, view.report.n_slots if view.report else view.info.n_slots)
+
+
+def _mean_excess(mean: float, deviation: float) -> float:
+    """Return the mean of the positive part of a normal variable."""
+    if deviation < 0.05:
+        return max(0.0, mean)
+    z = mean / deviation
+    density = exp(-z * z / 2) / sqrt(2 * pi)
+    return deviation * density + mean * (1 + erf(z / sqrt(2))) / 2
+
+
+def _current_slowness(view: EndpointView, now_ms: int) -> float:
+    age_ms = now_ms - view.ttft_observed_at_ms
+    return 1 + (view.slowness - 1) * exp(-age_ms / SLOWNESS_MEMORY_MS)
+
+
+def _stalled_ms(view: EndpointView, now_ms: int) -> float:
+    """Return for how long own attempts have waited without any progress."""
+    if not view.unanswered_at_ms:
+        return 0.0
+    oldest_at_ms = next(iter(view.unanswered_at_ms.values()))
+    return float(now_ms - max(oldest_at_ms, view.last_progress_at_ms))
--- a/packages/core/src/bluebellusher_core/routing/_protocol.py
+++ b/packages/core/src/bluebellusher_core/routing/_protocol.py
@@ -25,7 +25,8 @@
     own_dispatched_at_ms : list of int
         Times of this entry's dispatches that the report cannot include yet.
     n_own_queued_tokens : int
-        Prompt tokens of own attempts that have not started to answer.
+        Prompt tokens of own attempts that have not started to answer, less those
+        that were believed to be cached there.
     is_draining : bool
         The endpoint takes no new work.
     is_isolating : bool
@@ -38,11 +39,13 @@
         Dispatch time of each own attempt without a first byte, oldest first.
     last_progress_at_ms : int
         Time of the last first byte or end of an own attempt.
-    slowness : float
-        Observed over predicted time to first token of own attempts, as an
-        exponentially weighted mean; 1 when nothing was observed.
-    slowness_at_ms : int
-        When ``slowness`` was last updated.
+    own_ttft_ms : float
+        Exponentially weighted time to first token of own attempts.
+    own_predicted_ms : float
+        Exponentially weighted prediction for the same attempts on an endpoint of
+        normal speed; 0 when nothing was observed.
+    ttft_observed_at_ms : int
+        When these two were last updated.
     own_service_ms : float
         Exponentially weighted time from dispatch to end of own attempts; 0 when
         nothing was observed.
@@ -50,7 +53,7 @@
     Notes
     -----
     ``EndpointTracker`` updates every field. An entry that keeps views without it
-    may leave the last six fields at their defaults; policies then do not detect
+    may leave the last seven fields at their defaults; policies then do not detect
     slow or frozen endpoints.
     """
 
@@ -66,10 +69,37 @@
     own_ended_at_ms: list[int] = field(default_factory=list)
     unanswered_at_ms: dict[str, int] = field(default_factory=dict)
     last_progress_at_ms: int = 0
-    slowness: float = 1.0
-    slowness_at_ms: int = 0
+    own_ttft_ms: float = 0.0
+    own_predicted_ms: float = 0.0
+    ttft_observed_at_ms: int = 0
     own_service_ms: float = 0.0
 
+    @property
+    def slowness(self) -> float:
+        """Observed over predicted time to first token; 1 when nothing is known.
+
+        The ratio of means is used because the mean of ratios is dominated by single
+        short predictions that met an evicted prefix.
+        """
+        if self.own_predicted_ms <= 0:
+            return 1.0
+        return self.own_ttft_ms / self.own_predicted_ms
+
+    def count_cached_tokens(self, request: RequestSpec) -> int:
+        """Return how many prompt tokens the endpoint is believed to hold.
+
+        Blocks are counted from the start of the prompt to the first missing one and
+        are taken to be equally long.
+        """
+        n_blocks = 0
+        for prefix in request.prefix_hashes:
+            if prefix not in self.cached_prefixes:
+                break
+            n_blocks += 1
+        if n_blocks == 0:
+            return 0
+        return request.n_input_tokens * n_blocks // len(request.prefix_hashes)
+
 
 class RoutingPolicy(Protocol):
     """Choose one of the endpoints that can run a request."""
--- a/packages/core/src/bluebellusher_core/routing/_tracker.py
+++ b/packages/core/src/bluebellusher_core/routing/_tracker.py
@@ -21,7 +21,7 @@
 
 SMOOTHING = 0.2
 # One very late first byte must not exclude an endpoint for minutes.
-MAX_SLOWNESS = 20.0
+MAX_TTFT_RATIO = 20.0
 # A missing stream of reports must not let the history grow without bound.
 MAX_HISTORY = 1024
 MAX_CACHED_PREFIXES = 65_536
@@ -84,15 +84,12 @@
             Monotonic time.
         """
         view = self.view_by_id[endpoint_id]
+        n_tokens = request.n_input_tokens - view.count_cached_tokens(request)
         self._attempt_by_id[attempt_id] = _Attempt(
-            endpoint_id,
-            now_ms,
-            predicted_ms,
-            request.n_input_tokens,
-            request.prefix_hashes,
+            endpoint_id, now_ms, predicted_ms, n_tokens, request.prefix_hashes
         )
         view.n_own_in_flight += 1
-        view.n_own_queued_tokens += request.n_input_tokens
+        view.n_own_queued_tokens += n_tokens
         view.unanswered_at_ms[attempt_id] = now_ms
         _append_bounded(view.own_dispatched_at_ms, now_ms)
 
@@ -131,8 +128,8 @@
         view.last_progress_at_ms = now_ms
         _add_prefixes(view, attempt.prefix_hashes)
         if attempt.predicted_ms > 0:
-            waited_ms = max(1, now_ms - attempt.dispatched_at_ms)
-            _observe_slowness(view, waited_ms / attempt.predicted_ms, now_ms)
+            ttft_ms = float(now_ms - attempt.dispatched_at_ms)
+            _observe_ttft(view, ttft_ms, attempt.predicted_ms, now_ms)
 
     def _finish(self, attempt_id: str, now_ms: int) -> None:
         self._start(attempt_id, now_ms)
@@ -207,10 +204,16 @@
     view.cached_prefixes.update(prefixes)
 
 
-def _observe_slowness(view: EndpointView, ratio: float, now_ms: int) -> None:
-    change = SMOOTHING * (min(ratio, MAX_SLOWNESS) - view.slowness)
-    view.slowness += change
-    view.slowness_at_ms = now_ms
+def _observe_ttft(
+    view: EndpointView, ttft_ms: float, predicted_ms: float, now_ms: int
+) -> None:
+    ttft_ms = min(ttft_ms, MAX_TTFT_RATIO * predicted_ms)
+    if view.own_predicted_ms <= 0:
+        # The first observation counts as any later one, not as the whole truth.
+        view.own_ttft_ms = view.own_predicted_ms = predicted_ms
+    view.own_ttft_ms += SMOOTHING * (ttft_ms - view.own_ttft_ms)
+    view.own_predicted_ms += SMOOTHING * (predicted_ms - view.own_predicted_ms)
+    view.ttft_observed_at_ms = now_ms
 
 
 def _append_bounded(times_ms: list[int], now_ms: int) -> None:
