--- /dev/null
+++ b/bench/system_model.py
@@ -0,0 +1,368 @@
+"""Four entries before twelve engines in virtual time, for the measurements only."""
+
+import heapq
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from bluebellusher_core.admission import AdmissionQueue
+from bluebellusher_core.events import (
+    AttemptBroken,
+    AttemptFinished,
+    AttemptStarted,
+    CacheReported,
+    EndpointConnected,
+    EndpointInfo,
+    EndpointLost,
+    LoadReported,
+    Usage,
+)
+from bluebellusher_core.errors import Reason
+from bluebellusher_core.routing import (
+    EndpointTracker,
+    EndpointView,
+    PredictedLatency,
+    RoutingPolicy,
+)
+
+from bench.engine_model import N_SLOTS, PREFILL_TOKENS_PER_MS, Engine, Job
+
+N_ENTRIES = 4
+N_ENGINES = 12
+DOMAINS = ("north", "middle", "south")
+REPORT_PERIOD_MS = 250.0
+CACHE_REPORT_PERIOD_MS = 1_000.0
+CACHE_REPORT_DELAY_MS = 1_000.0
+# One in this many cache reports is lost; the next one has the gap flag.
+CACHE_REPORT_LOSS = 20
+# A silent connection is closed after this time.
+LOSS_DETECTION_MS = 2_000.0
+ONE_WAY_LOCAL_MS = 0.2
+ONE_WAY_REMOTE_MS = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """What happens in one run; ``fault`` is none, slow, frozen or lost."""
+
+    fault: str = "none"
+    report_lag_ms: float = 0.0
+    fault_at_ms: float = 15_000.0
+    end_ms: float = 60_000.0
+
+
+@dataclass(slots=True, eq=False)
+class Entry:
+    """One entry with its own queue, views and random state."""
+
+    index: int
+    failure_domain: str
+    queue: AdmissionQueue
+    policy: RoutingPolicy | None
+    random_state: Random
+    tracker: EndpointTracker = field(default_factory=EndpointTracker)
+    job_by_attempt: dict[str, Job] = field(default_factory=dict)
+    job_by_request: dict[str, Job] = field(default_factory=dict)
+    deadlines: list[tuple[int, str]] = field(default_factory=list)
+    service_ms: float = 0.0
+    predictor: PredictedLatency = field(
+        default_factory=lambda: PredictedLatency(
+            prefill_tokens_per_ms=PREFILL_TOKENS_PER_MS
+        )
+    )
+
+
+class System:
+    """The served system; ``run`` moves it through all arrivals.
+
+    Entries with no policy use perfect and instant knowledge of the engines.
+    """
+
+    def __init__(
+        self,
+        scenario: Scenario,
+        make_queue: Callable[[], AdmissionQueue],
+        make_policy: Callable[[str], RoutingPolicy | None],
+        seed: int,
+    ) -> None:
+        self.scenario = scenario
+        self.now = 0.0
+        self._events: list[tuple[float, int, Callable[..., None], tuple]] = []
+        self._n_events = 0
+        self._n_attempts = 0
+        self._sequence = 0
+        self._cache_random = Random(seed + 1)
+        self._has_gap: set[str] = set()
+        self.engines = [
+            Engine(f"engine-{i:02}", DOMAINS[i % len(DOMAINS)])
+            for i in range(N_ENGINES)
+        ]
+        self.engine_by_id = {engine.engine_id: engine for engine in self.engines}
+        self.entries = []
+        for index in range(N_ENTRIES):
+            domain = DOMAINS[index % len(DOMAINS)]
+            random_state = Random(seed * 100 + index)
+            policy = make_policy(domain)
+            entry = Entry(index, domain, make_queue(), policy, random_state)
+            self.entries.append(entry)
+            self._connect(entry)
+        self.skews: list[float] = []
+
+    def run(self, jobs: list[Job]) -> None:
+        """Run all arrivals, the reports and the fault."""
+        for job in jobs:
+            self._at(job.arrived_at, self._arrive, job)
+        self._at(self.scenario.fault_at_ms, self._fail)
+        self._at(REPORT_PERIOD_MS, self._tick)
+        self._at(CACHE_REPORT_PERIOD_MS, self._report_caches)
+        while self._events and self._events[0][0] <= self.scenario.end_ms:
+            self.now, _, action, arguments = heapq.heappop(self._events)
+            action(*arguments)
+
+    def _at(self, time: float, action: Callable[..., None], *arguments: object) -> None:
+        self._n_events += 1
+        heapq.heappush(self._events, (time, self._n_events, action, arguments))
+
+    def _connect(self, entry: Entry) -> None:
+        for engine in self.engines:
+            names = frozenset({"chat"}), frozenset({"model"}), frozenset[str]()
+            info = EndpointInfo(
+                engine.engine_id, engine.failure_domain, *names, n_slots=N_SLOTS
+            )
+            entry.tracker.apply(EndpointConnected(info), now_ms=0)
+
+    def _arrive(self, job: Job) -> None:
+        entry = self.entries[job.entry_index]
+        if entry.queue.offer(job.request, int(self.now)) is not None:
+            job.outcome = "refused"
+            return
+        entry.job_by_request[job.request.request_id] = job
+        self._pump(entry)
+
+    def _pump(self, entry: Entry) -> None:
+        """Dispatch waiting requests until no endpoint takes more."""
+        now_ms = int(self.now)
+        for request, _ in entry.queue.expire(now_ms):
+            entry.job_by_request.pop(request.request_id).outcome = "expired"
+        while True:
+            request = entry.queue.take(now_ms)
+            if request is None:
+                return
+            job = entry.job_by_request[request.request_id]
+            engine_id = self._choose(entry, job, now_ms)
+            if engine_id is None:
+                entry.queue.put_back(request, now_ms)
+                return
+            self._dispatch(entry, job, engine_id, now_ms)
+
+    def _choose(self, entry: Entry, job: Job, now_ms: int) -> str | None:
+        if entry.policy is None:
+            return self._choose_perfectly(entry, job)
+        views = list(entry.tracker.view_by_id.values())
+        if not isinstance(entry.policy, PredictedLatency):
+            # The baselines have no limit of their own; an entry does not send more
+            # than a whole batch of its own to an endpoint.
+            views = [view for view in views if view.n_own_in_flight < N_SLOTS]
+        random_state = entry.random_state
+        return entry.policy.choose(job.request, views, now_ms, random_state)
+
+    def _choose_perfectly(self, entry: Entry, job: Job) -> str | None:
+        best_id, best_ms = None, float("inf")
+        for engine in self.engines:
+            if engine.is_lost or engine.speed <= 0:
+                continue
+            if engine.n_running + len(engine.queue) >= N_SLOTS:
+                continue
+            engine.advance(self.now)
+            n_tokens = engine.prefill_left if engine.prefills else 0.0
+            for ahead in list(engine.prefills)[1:]:
+                n_tokens += engine.uncached_tokens(ahead.request)
+            n_tokens += engine.uncached_tokens(job.request)
+            ttft_ms = n_tokens / PREFILL_TOKENS_PER_MS / engine.speed
+            ttft_ms += 2 * _one_way_ms(entry, engine)
+            if ttft_ms < best_ms:
+                best_id, best_ms = engine.engine_id, ttft_ms
+        return best_id
+
+    def _dispatch(self, entry: Entry, job: Job, engine_id: str, now_ms: int) -> None:
+        self._n_attempts += 1
+        job.attempt_id = f"a{self._n_attempts}"
+        job.dispatched_at = self.now
+        view = entry.tracker.view_by_id[engine_id]
+        predicted_ms = entry.predictor.predict_normal_ms(job.request, view, now_ms)
+        entry.tracker.record_dispatch(
+            job.attempt_id, engine_id, job.request, predicted_ms, now_ms
+        )
+        entry.job_by_attempt[job.attempt_id] = job
+        heapq.heappush(entry.deadlines, (job.request.deadline_ms, job.attempt_id))
+        engine = self.engine_by_id[engine_id]
+        engine.advance(self.now)
+        engine.submit(job)
+        self._schedule(engine)
+
+    def _schedule(self, engine: Engine) -> None:
+        engine.version += 1
+        time = engine.next_event_at()
+        if time is not None:
+            self._at(max(time, self.now), self._move, engine, engine.version)
+
+    def _move(self, engine: Engine, version: int) -> None:
+        if engine.version != version:
+            return
+        engine.advance(self.now)
+        started = engine.end_prefill()
+        if started is not None:
+            self._start(started)
+        has_finished = False
+        while (finished := engine.end_decode()) is not None:
+            has_finished = True
+            self._finish(finished)
+        self._schedule(engine)
+        if has_finished and self.entries[0].policy is None:
+            first = int(self.now) % N_ENTRIES
+            for offset in range(N_ENTRIES):
+                self._pump(self.entries[(first + offset) % N_ENTRIES])
+
+    def _start(self, job: Job) -> None:
+        entry = self.entries[job.entry_index]
+        assert job.engine is not None
+        job.first_at = self.now + 2 * _one_way_ms(entry, job.engine)
+        entry.tracker.apply(AttemptStarted(job.attempt_id), int(self.now))
+
+    def _finish(self, job: Job) -> None:
+        entry = self.entries[job.entry_index]
+        job.finished_at = self.now
+        job.outcome = "completed"
+        event = AttemptFinished(job.attempt_id, 200, 0, Usage())
+        entry.tracker.apply(event, int(self.now))
+        del entry.job_by_attempt[job.attempt_id]
+        del entry.job_by_request[job.request.request_id]
+        self._observe_service(entry, job)
+        self._pump(entry)
+
+    def _observe_service(self, entry: Entry, job: Job) -> None:
+        service_ms = job.finished_at - job.dispatched_at
+        entry.service_ms = entry.service_ms or service_ms
+        entry.service_ms += 0.05 * (service_ms - entry.service_ms)
+        n_in_flight = max(1, len(entry.job_by_attempt) + 1)
+        entry.queue.observe_service(n_in_flight, max(1.0, entry.service_ms))
+
+
+    def _tick(self) -> None:
+        """Read all loads, cancel overdue attempts and note the skew."""
+        self._at(self.now + REPORT_PERIOD_MS, self._tick)
+        self._sequence += 1
+        reports = []
+        for engine in self.engines:
+            if not engine.is_lost:
+                engine.advance(self.now)
+                reports.append(self._read_load(engine))
+        lag_ms = self.scenario.report_lag_ms
+        self._at(self.now + lag_ms, self._deliver_loads, reports)
+        for entry in self.entries:
+            self._cancel_overdue(entry)
+            self._pump(entry)
+        self._note_skew()
+
+    def _read_load(self, engine: Engine) -> LoadReported:
+        # The agent of a frozen engine goes on reporting the last reading.
+        return LoadReported(
+            endpoint_id=engine.engine_id,
+            sequence=self._sequence,
+            n_running=engine.n_running,
+            n_queued=len(engine.queue),
+            n_queued_tokens=engine.n_queued_tokens,
+            n_slots=N_SLOTS,
+            kv_use=engine.n_running / N_SLOTS,
+            models=frozenset(),
+            adapters=frozenset(),
+            age_ms=int(self.scenario.report_lag_ms),
+        )
+
+    def _deliver_loads(self, reports: list[LoadReported]) -> None:
+        for entry in self.entries:
+            for report in reports:
+                entry.tracker.apply(report, int(self.now))
+            self._pump(entry)
+
+    def _cancel_overdue(self, entry: Entry) -> None:
+        while entry.deadlines and entry.deadlines[0][0] <= self.now:
+            attempt_id = heapq.heappop(entry.deadlines)[1]
+            job = entry.job_by_attempt.pop(attempt_id, None)
+            if job is None or job.attempt_id != attempt_id:
+                continue
+            del entry.job_by_request[job.request.request_id]
+            job.outcome = "late"
+            entry.tracker.record_cancel(attempt_id, int(self.now))
+            assert job.engine is not None
+            if not job.engine.is_lost:
+                job.engine.advance(self.now)
+                job.engine.cancel(job)
+                self._schedule(job.engine)
+
+    def _note_skew(self) -> None:
+        live = [engine for engine in self.engines if not engine.is_lost]
+        loads = [engine.n_running + len(engine.queue) for engine in live]
+        if self.now >= self.scenario.fault_at_ms and sum(loads):
+            self.skews.append(max(loads) * len(loads) / sum(loads))
+
+    def _report_caches(self) -> None:
+        self._at(self.now + CACHE_REPORT_PERIOD_MS, self._report_caches)
+        events = []
+        for engine in self.engines:
+            added, removed = tuple(engine.added), tuple(engine.removed)
+            engine.added.clear()
+            engine.removed.clear()
+            if engine.is_lost or not (added or removed):
+                continue
+            if self._cache_random.randrange(CACHE_REPORT_LOSS) == 0:
+                self._has_gap.add(engine.engine_id)
+                continue
+            has_gap = engine.engine_id in self._has_gap
+            self._has_gap.discard(engine.engine_id)
+            events.append(CacheReported(engine.engine_id, added, removed, has_gap))
+        self._at(self.now + CACHE_REPORT_DELAY_MS, self._deliver_caches, events)
+
+    def _deliver_caches(self, events: list[CacheReported]) -> None:
+        for entry in self.entries:
+            for event in events:
+                entry.tracker.apply(event, int(self.now))
+
+    def _fail(self) -> None:
+        """Apply the fault to the first engine."""
+        engine = self.engines[0]
+        engine.advance(self.now)
+        fault = self.scenario.fault
+        if fault == "slow":
+            engine.speed = 1 / 3
+        elif fault == "frozen":
+            engine.speed = 0.0
+        elif fault == "lost":
+            engine.is_lost = True
+            for entry in self.entries:
+                is_instant = entry.policy is None
+                delay_ms = 0.0 if is_instant else LOSS_DETECTION_MS
+                self._at(self.now + delay_ms, self._detect_loss, entry, engine)
+        self._schedule(engine)
+
+    def _detect_loss(self, entry: Entry, engine: Engine) -> None:
+        """Retry what has not answered; a broken answer is a failure."""
+        for attempt_id, job in list(entry.job_by_attempt.items()):
+            if job.engine is not engine:
+                continue
+            del entry.job_by_attempt[attempt_id]
+            reason = Reason.ENDPOINT_LOST
+            event = AttemptBroken(attempt_id, reason, 0, is_resumable=False)
+            entry.tracker.apply(event, int(self.now))
+            if job.first_at < 0:
+                entry.queue.put_back(job.request, int(self.now))
+            else:
+                del entry.job_by_request[job.request.request_id]
+                job.outcome = "broken"
+        entry.tracker.apply(EndpointLost(engine.engine_id), int(self.now))
+        self._pump(entry)
+
+
+def _one_way_ms(entry: Entry, engine: Engine) -> float:
+    is_local = entry.failure_domain == engine.failure_domain
+    return ONE_WAY_LOCAL_MS if is_local else ONE_WAY_REMOTE_MS
--- /dev/null
+++ b/bench/workload_model.py
@@ -0,0 +1,94 @@
+"""Seeded arrivals of about ten customers, for the measurements only."""
+
+from dataclasses import dataclass
+from random import Random
+
+from bluebellusher_core.events import Priority, RequestSpec
+
+from bench.engine_model import BLOCK_TOKENS, Job
+
+# Three large customers and seven small ones; shares of the arrivals.
+SHARE_BY_CUSTOMER = {
+    "big-a": 0.30,
+    "big-b": 0.25,
+    "big-c": 0.15,
+    **{f"small-{i}": 0.30 / 7 for i in range(7)},
+}
+N_PREFIXES_BIG = 12
+N_PREFIXES_SMALL = 4
+DEADLINE_MS_BY_PRIORITY = {
+    Priority.HIGH: 8_000,
+    Priority.NORMAL: 15_000,
+    Priority.LOW: 30_000,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class _Prefix:
+    """A prompt prefix that many requests of a customer share."""
+
+    hashes: tuple[int, ...]
+
+
+def make_jobs(rate_per_s: float, duration_ms: float, seed: int) -> list[Job]:
+    """Return Poisson arrivals at ``rate_per_s`` over four entries.
+
+    The number of arrivals is exact and their order does not depend on the rate, so
+    that two rates see the same requests.
+    """
+    random = Random(seed)
+    prefixes_by_customer = _make_prefixes(random)
+    customers = list(SHARE_BY_CUSTOMER)
+    shares = list(SHARE_BY_CUSTOMER.values())
+    jobs: list[Job] = []
+    now = 0.0
+    while True:
+        now += random.expovariate(1.0) * 1000.0 / rate_per_s
+        if now >= duration_ms:
+            return jobs
+        customer_id = random.choices(customers, shares)[0]
+        prefixes = prefixes_by_customer[customer_id]
+        jobs.append(_make_job(random, customer_id, prefixes, now, len(jobs)))
+
+
+def _make_prefixes(random: Random) -> dict[str, list[_Prefix]]:
+    prefixes_by_customer = {}
+    for customer_id in SHARE_BY_CUSTOMER:
+        is_big = customer_id.startswith("big")
+        n_prefixes = N_PREFIXES_BIG if is_big else N_PREFIXES_SMALL
+        prefixes_by_customer[customer_id] = [
+            _Prefix(_make_hashes(random, random.randint(4, 12)))
+            for _ in range(n_prefixes)
+        ]
+    return prefixes_by_customer
+
+
+def _make_job(
+    random: Random, customer_id: str, prefixes: list[_Prefix], now: float, index: int
+) -> Job:
+    # The n-th prefix is used in proportion to 1 / n.
+    weights = [1.0 / (n + 1) for n in range(len(prefixes))]
+    prefix = random.choices(prefixes, weights)[0]
+    hashes = prefix.hashes + _make_hashes(random, random.randint(1, 3))
+    n_output = max(10, min(600, int(random.lognormvariate(4.6, 0.6))))
+    priority = random.choices(list(Priority), (0.2, 0.6, 0.2))[0]
+    request = RequestSpec(
+        request_id=f"r{index}",
+        customer_id=customer_id,
+        service_id="chat",
+        model="model",
+        adapter="",
+        priority=priority,
+        deadline_ms=int(now) + DEADLINE_MS_BY_PRIORITY[priority],
+        is_idempotent=True,
+        idempotency_key=None,
+        fingerprint=f"f{index}",
+        prefix_hashes=hashes,
+        n_input_tokens=len(hashes) * BLOCK_TOKENS,
+        n_max_output_tokens=int(n_output / random.uniform(0.5, 1.0)),
+    )
+    return Job(request, random.randrange(4), now, n_output)
+
+
+def _make_hashes(random: Random, n_blocks: int) -> tuple[int, ...]:
+    return tuple(random.getrandbits(48) for _ in range(n_blocks))
--- a/packages/core/src/bluebellusher_core/routing/_predicted_latency.py
+++ b/packages/core/src/bluebellusher_core/routing/_predicted_latency.py
@@ -13,6 +13,8 @@
 DEFAULT_SERVICE_MS = 3_000.0
 # Requests come and go within seconds, so that a reading loses its value as fast.
 LOAD_MEMORY_MS = 2_000.0
+# An older report says nothing, not even about the mean load.
+REPORT_TIMEOUT_MS = 15_000
 # Prompts wait for their prefill far shorter than a request runs.
 QUEUE_MEMORY_MS = 300.0
 # An endpoint that was slow is tried again after some of these periods.
@@ -178,6 +180,8 @@
     if report is None:
         return _Load(view, 0.0, 0.0)
     age_ms = now_ms - view.reported_at_ms + report.age_ms
+    if age_ms > REPORT_TIMEOUT_MS:
+        return _Load(view, 0.0, 0.0)
     n_dispatched = len(view.own_dispatched_at_ms)
     n_own_then = view.n_own_in_flight - n_dispatched + len(view.own_ended_at_ms)
     n_others = report.n_running + report.n_queued - n_own_then
