Add common checks and properties for the admission queues

Cause: the queues had no tests. Ruled out: examples alone, which miss orders of put_back, remove and expire. Change: one suite for every queue; fairness and starvation as properties; the tracker keeps prefix beliefs after a gap; others' load is assumed to follow own.

--- a/bench/system_model.py
+++ b/bench/system_model.py
@@ -226,7 +226,9 @@
     def _start(self, job: Job) -> None:
         entry = self.entries[job.entry_index]
         assert job.engine is not None
-        job.first_at = self.now + 2 * _one_way_ms(entry, job.engine)
+        # The first token leaves with the step that follows the prefill.
+        step_ms = job.engine.step_ms() / job.engine.speed
+        job.first_at = self.now + step_ms + 2 * _one_way_ms(entry, job.engine)
         entry.tracker.apply(AttemptStarted(job.attempt_id), int(self.now))
 
     def _finish(self, job: Job) -> None:
--- /dev/null
+++ b/packages/core/src/bluebellusher_core/admission/tests/test_queues.py
@@ -0,0 +1,252 @@
+"""Common checks for every queue, and properties of the fair queue."""
+
+from collections import Counter
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bluebellusher_core.admission import FairQueue, FifoQueue
+from bluebellusher_core.errors import Outcome, Reason
+from bluebellusher_core.events import Priority, RequestSpec
+
+QUEUES = [FifoQueue, FairQueue]
+
+
+def make_request(
+    request_id, customer_id="c", deadline_ms=10**9, priority=Priority.NORMAL, cost=100
+):
+    return RequestSpec(
+        request_id=request_id,
+        customer_id=customer_id,
+        service_id="chat",
+        model="model",
+        adapter="",
+        priority=priority,
+        deadline_ms=deadline_ms,
+        is_idempotent=True,
+        idempotency_key=None,
+        fingerprint=request_id,
+        prefix_hashes=(),
+        n_input_tokens=0,
+        n_max_output_tokens=cost - 1,
+    )
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["offer", "take", "put_back", "remove", "expire", "serve"]),
+        st.integers(0, 400),
+        st.sampled_from(["a", "b", "c"]),
+        st.sampled_from(list(Priority)),
+        st.integers(-5, 3000),
+    ),
+    max_size=80,
+)
+
+
+class Ledger:
+    """Drives a queue and keeps account of where each request is."""
+
+    def __init__(self, queue):
+        self.queue = queue
+        self.now_ms = 0
+        self.waiting = {}
+        self.taken = None
+
+    def check_refusal(self, refusal):
+        assert refusal.outcome is Outcome.NOT_RUN
+        assert refusal.retry_after_ms > 0
+        assert refusal.step == "admission"
+
+    def offer(self, index, customer_id, priority, margin_ms):
+        deadline_ms = self.now_ms + margin_ms
+        request = make_request(f"r{index}", customer_id, deadline_ms, priority)
+        refusal = self.queue.offer(request, self.now_ms)
+        assert refusal is not None or margin_ms > 0
+        if refusal is None:
+            self.waiting[request.request_id] = request
+        else:
+            self.check_refusal(refusal)
+
+    def take(self):
+        self.taken = self.queue.take(self.now_ms)
+        if self.taken is not None:
+            assert self.waiting.pop(self.taken.request_id) is self.taken
+
+    def put_back(self):
+        if self.taken is None:
+            return
+        self.queue.put_back(self.taken, self.now_ms)
+        self.waiting[self.taken.request_id] = self.taken
+        if self.taken.deadline_ms > self.now_ms:
+            again = self.queue.take(self.now_ms)
+            assert again is self.taken
+            self.queue.put_back(again, self.now_ms)
+        self.taken = None
+
+    def remove(self, index):
+        is_removed = self.queue.remove(f"r{index}")
+        assert is_removed == (self.waiting.pop(f"r{index}", None) is not None)
+
+    def expire(self):
+        for request, refusal in self.queue.expire(self.now_ms):
+            self.check_refusal(refusal)
+            assert self.waiting.pop(request.request_id) is request
+        assert all(r.deadline_ms > self.now_ms for r in self.waiting.values())
+
+
+@pytest.mark.parametrize("queue_type", QUEUES)
+@given(steps=STEPS)
+def test_property_nothing_is_lost_or_duplicated(queue_type, steps):
+    """Guards against a request that leaves twice, never, or without a refusal."""
+    ledger = Ledger(queue_type())
+    for index, (step, value, customer_id, priority, margin_ms) in enumerate(steps):
+        ledger.now_ms += value if step in ("take", "expire") else 0
+        match step:
+            case "offer":
+                ledger.offer(index, customer_id, priority, margin_ms)
+            case "take":
+                ledger.take()
+            case "put_back":
+                ledger.put_back()
+            case "remove":
+                ledger.remove(value % (index + 1))
+            case "expire":
+                ledger.expire()
+            case "serve":
+                ledger.queue.observe_service(1 + value % 8, 1.0 + value)
+        assert len(ledger.queue) == len(ledger.waiting)
+    ledger.now_ms += 10_000
+    ledger.expire()
+    assert len(ledger.queue) == 0
+
+
+@pytest.mark.parametrize("queue_type", QUEUES)
+@given(margins=st.lists(st.integers(1, 50), max_size=30), elapsed_ms=st.integers(0, 60))
+def test_property_expire_removes_exactly_what_is_overdue(
+    queue_type, margins, elapsed_ms
+):
+    """Guards against waiting requests that are held past their deadline."""
+    queue = queue_type()
+    for index, margin_ms in enumerate(margins):
+        assert queue.offer(make_request(f"r{index}", "c", margin_ms), 0) is None
+    expired = {request.request_id for request, _ in queue.expire(elapsed_ms)}
+    assert expired == {f"r{i}" for i, m in enumerate(margins) if m <= elapsed_ms}
+    assert queue.expire(elapsed_ms) == []
+
+
+@given(
+    weights=st.lists(st.sampled_from([0.5, 1.0, 2.0, 5.0]), min_size=2, max_size=5),
+    costs=st.lists(st.integers(20, 200), min_size=5, max_size=5),
+    priorities=st.lists(st.sampled_from(list(Priority)), min_size=5, max_size=5),
+    n_taken=st.integers(1, 120),
+)
+def test_property_shares_follow_weights(weights, costs, priorities, n_taken):
+    """Guards against a customer that gains a larger share by priority or load.
+
+    While all have requests waiting, the work per weight of two customers differs by
+    at most the bound of start-time fair queueing plus the head starts.
+    """
+    weight_by_customer = {f"c{i}": weight for i, weight in enumerate(weights)}
+    queue = FairQueue(weight_by_customer)
+    for index, customer_id in enumerate(weight_by_customer):
+        for n in range(n_taken):
+            name = f"{customer_id}-{n}"
+            spec = (name, customer_id, 10**9, priorities[index], costs[index])
+            assert queue.offer(make_request(*spec), 0) is None
+    work = Counter()
+    for _ in range(n_taken):
+        request = queue.take(0)
+        work[request.customer_id] += request.n_max_output_tokens + 1
+    head_start = 2 * 2.0 * max(costs)
+    for i, one in enumerate(weights):
+        for j, other in enumerate(weights):
+            gap = work[f"c{i}"] / one - work[f"c{j}"] / other
+            assert gap <= costs[i] / one + costs[j] / other + head_start
+
+
+@given(
+    rivals=st.lists(st.sampled_from([1.0, 4.0]), min_size=1, max_size=4),
+    priority=st.sampled_from(list(Priority)),
+)
+def test_property_no_request_starves(rivals, priority):
+    """Guards against a low priority that waits for ever behind new high ones.
+
+    Every taken request is replaced by a new one with the highest priority, from the
+    customer's own side and from rivals.
+    """
+    queue = FairQueue({f"c{i}": weight for i, weight in enumerate(rivals)})
+    now_ms = 0
+    for customer_id in ["own", *(f"c{i}" for i in range(len(rivals)))]:
+        for n in range(3):
+            name = f"{customer_id}-{n}"
+            queue.offer(make_request(name, customer_id, 10**9, Priority.HIGH), 0)
+    queue.offer(make_request("slow", "own", 10**9, priority), 0)
+    for n in range(2000):
+        now_ms += 20
+        taken = queue.take(now_ms)
+        if taken.request_id == "slow":
+            return
+        new = make_request(f"n{n}", taken.customer_id, 10**9, Priority.HIGH)
+        assert queue.offer(new, now_ms) is None
+    raise AssertionError("the request was never taken")
+
+
+def test_priority_orders_requests_of_a_customer_and_between_customers():
+    """Guards against priorities that have no effect."""
+    queue = FairQueue()
+    queue.offer(make_request("low", "a", priority=Priority.LOW), 0)
+    queue.offer(make_request("high", "a", priority=Priority.HIGH), 1)
+    queue.offer(make_request("other", "b", priority=Priority.NORMAL), 1)
+    assert [queue.take(2).request_id for _ in range(3)] == ["high", "other", "low"]
+
+
+def test_request_is_refused_early_when_the_wait_exceeds_its_deadline():
+    """Guards against requests that wait for a deadline they cannot meet."""
+    queue = FairQueue()
+    assert queue.offer(make_request("first"), 0) is None
+    queue.observe_service(n_slots=1, service_ms=100.0)
+    for n in range(9):
+        assert queue.offer(make_request(f"r{n}"), 0) is None
+    refusal = queue.offer(make_request("late", deadline_ms=600), 0)
+    assert refusal.reason is Reason.DEADLINE_UNREACHABLE
+    assert 500 <= refusal.retry_after_ms <= 2000
+    small = make_request("small", "other", deadline_ms=600)
+    assert queue.offer(small, 0) is None, "its own share leaves at once"
+
+
+def test_take_passes_over_what_can_no_longer_meet_its_deadline():
+    """Guards against capacity spent on answers that come too late."""
+    queue = FairQueue()
+    queue.offer(make_request("first"), 0)
+    queue.observe_service(n_slots=1, service_ms=100.0)
+    queue.offer(make_request("tight", deadline_ms=250), 0)
+    assert queue.take(200).request_id == "first"
+    assert queue.take(200) is None
+    [(request, refusal)] = queue.expire(200)
+    assert request.request_id == "tight"
+    assert refusal.reason is Reason.DEADLINE_UNREACHABLE
+
+
+def test_memory_is_bounded_when_callers_leave_and_customers_change():
+    """Guards against heaps that keep entries of requests that are gone."""
+    queue = FairQueue()
+    queue.offer(make_request("keep", "keeper"), 0)
+    for n in range(5000):
+        queue.offer(make_request(f"r{n}", f"c{n}"), n)
+        assert queue.remove(f"r{n}")
+        queue.offer(make_request(f"k{n}", "keeper"), n)
+        assert queue.remove(f"k{n}")
+    sizes = [len(queue._deadline_heap), len(queue._flow_heap)]
+    sizes += [len(queue._flow_by_customer)]
+    sizes += [len(queue._flow_by_customer["keeper"].heap)]
+    assert max(sizes) < 300
+
+
+def test_invalid_weight_and_service_are_refused():
+    """Guards against a division by zero far from its cause."""
+    with pytest.raises(ValueError, match="weight of a=0"):
+        FairQueue({"a": 0.0})
+    with pytest.raises(ValueError, match="service_ms=0"):
+        FairQueue().observe_service(1, 0.0)
--- a/packages/core/src/bluebellusher_core/routing/_predicted_latency.py
+++ b/packages/core/src/bluebellusher_core/routing/_predicted_latency.py
@@ -15,6 +15,9 @@
 LOAD_MEMORY_MS = 2_000.0
 # An older report says nothing, not even about the mean load.
 REPORT_TIMEOUT_MS = 15_000
+# Weight of the wait for a slot. A full weight moves requests away from cached
+# prefixes for waits that often do not come true; see docs/decisions/routing.md.
+SLOT_WAIT_WEIGHT = 0.6
 # Prompts wait for their prefill far shorter than a request runs.
 QUEUE_MEMORY_MS = 300.0
 # An endpoint that was slow is tried again after some of these periods.
@@ -37,11 +40,11 @@
 
     The load of an endpoint is the entry's own attempts, which are known exactly,
     plus those of other entries. The latter are the reported load less the own
-    attempts at the time of the reading; as the report ages, the estimate moves to
-    the mean over the sample. Own dispatches and ends since the reading are thereby
-    corrected, other entries' are expected to be average, and without reports only
-    own attempts count. This also keeps several entries with the same stale report
-    from all preferring the same endpoint.
+    attempts at the time of the reading. As the report ages, it is replaced by the
+    assumption that other entries spread their requests as this one does. Own
+    dispatches and ends since the reading are thereby corrected, and without reports
+    only own attempts count. Several entries with the same stale report then do not
+    all prefer the same endpoint: each evens out its own part, and with it the sum.
 
     The prediction is scaled by the observed speed of the endpoint. An endpoint from
     which own attempts wait for a first byte is predicted to take at least as long
@@ -103,11 +106,11 @@
             return None
         sample = self._draw(request, views, random_state)
         loads = [_estimate(view, now_ms) for view in sample]
-        n_mean_others = _mean_others(loads)
+        n_others_per_own = _others_per_own(loads)
         best_id = None
         best_ms = float("inf")
         for load in loads:
-            n_others = _blend(load, n_mean_others)
+            n_others = _blend(load, n_others_per_own)
             if not self._has_room(load.view, n_others):
                 continue
             predicted_ms = self._predict_ms(request, load, n_others, now_ms)
@@ -171,7 +174,7 @@
         deviation = sqrt((1 - load.trust * load.trust) * n_others)
         n_excess = _mean_excess(n_in_flight - (n_slots - 1), deviation)
         service_ms = view.own_service_ms or DEFAULT_SERVICE_MS
-        slot_wait_ms = n_excess * service_ms / n_slots
+        slot_wait_ms = SLOT_WAIT_WEIGHT * n_excess * service_ms / n_slots
         return self.base_ms + self.load_ms * n_in_flight + prefill_ms + slot_wait_ms
 
 
@@ -188,16 +191,16 @@
     return _Load(view, exp(-age_ms / LOAD_MEMORY_MS), float(max(0, n_others)))
 
 
-def _mean_others(loads: list[_Load]) -> float:
-    """Return the mean load by other entries, each report weighted by its trust."""
-    weight = sum(load.trust for load in loads)
-    if weight <= 0:
-        return 0.0
-    return sum(load.trust * load.n_reported_others for load in loads) / weight
+def _others_per_own(loads: list[_Load]) -> float:
+    """Return how many attempts other entries have for each own one."""
+    n_own = sum(load.view.n_own_in_flight for load in loads if load.trust > 0)
+    n_others = sum(load.n_reported_others for load in loads)
+    return n_others / n_own if n_own else 0.0
 
 
-def _blend(load: _Load, n_mean_others: float) -> float:
-    return load.trust * load.n_reported_others + (1 - load.trust) * n_mean_others
+def _blend(load: _Load, n_others_per_own: float) -> float:
+    n_alike = load.view.n_own_in_flight * n_others_per_own
+    return load.trust * load.n_reported_others + (1 - load.trust) * n_alike
 
 
 def _others_tokens(load: _Load) -> float:
--- a/packages/core/src/bluebellusher_core/routing/_tracker.py
+++ b/packages/core/src/bluebellusher_core/routing/_tracker.py
@@ -24,7 +24,8 @@
 MAX_TTFT_RATIO = 20.0
 # A missing stream of reports must not let the history grow without bound.
 MAX_HISTORY = 1024
-MAX_CACHED_PREFIXES = 65_536
+# Removals can be lost in gaps. About 0.3 MB for each endpoint.
+MAX_CACHED_PREFIXES = 4_096
 
 
 @dataclass(slots=True)
@@ -191,17 +192,16 @@
         view = self.view_by_id.get(event.endpoint_id)
         if view is None:
             return
-        if event.has_gap:
-            # The lost part may have removed any of them.
-            view.cached_prefixes.clear()
+        # After a gap the beliefs are kept: a prefix that is believed and missing costs
+        # one prefill and is then there, a forgotten one costs a prefill elsewhere.
         view.cached_prefixes.difference_update(event.removed)
         _add_prefixes(view, event.added)
 
 
 def _add_prefixes(view: EndpointView, prefixes: Iterable[int]) -> None:
-    if len(view.cached_prefixes) > MAX_CACHED_PREFIXES:
-        view.cached_prefixes.clear()
     view.cached_prefixes.update(prefixes)
+    while len(view.cached_prefixes) > MAX_CACHED_PREFIXES:
+        view.cached_prefixes.pop()
 
 
 def _observe_ttft(
