--- a/bench/figures.py
+++ b/bench/figures.py
@@ -39,7 +39,9 @@
 def compute_figures(system: System, jobs: list[Job], scenario: Scenario) -> Figures:
     """Return the figures of the requests between the fault and the last deadlines."""
     start, end = scenario.fault_at_ms, scenario.end_ms
-    measured = [job for job in jobs if start <= job.arrived_at and _is_decided(job, end)]
+    measured = [
+        job for job in jobs if start <= job.arrived_at and _is_decided(job, end)
+    ]
     ttfts = [_ttft_ms(job) for job in measured if job.outcome != "refused"]
     answered = [j for j in measured if j.outcome == "completed"]
     tbts = [_time_between_tokens(job) for job in answered if job.n_output_tokens > 1]
--- a/bench/system_model.py
+++ b/bench/system_model.py
@@ -6,6 +6,7 @@
 from random import Random
 
 from bluebellusher_core.admission import AdmissionQueue
+from bluebellusher_core.errors import Reason
 from bluebellusher_core.events import (
     AttemptBroken,
     AttemptFinished,
@@ -17,10 +18,8 @@
     LoadReported,
     Usage,
 )
-from bluebellusher_core.errors import Reason
 from bluebellusher_core.routing import (
     EndpointTracker,
-    EndpointView,
     PredictedLatency,
     RoutingPolicy,
 )
@@ -249,7 +248,6 @@
         n_in_flight = max(1, len(entry.job_by_attempt) + 1)
         entry.queue.observe_service(n_in_flight, max(1.0, entry.service_ms))
 
-
     def _tick(self) -> None:
         """Read all loads, cancel overdue attempts and note the skew."""
         self._at(self.now + REPORT_PERIOD_MS, self._tick)
