--- a/packages/core/src/bluebellusher_core/admission/tests/test_queues.py
+++ b/packages/core/src/bluebellusher_core/admission/tests/test_queues.py
@@ -16,6 +16,7 @@
 def make_request(
     request_id, customer_id="c", deadline_ms=10**9, priority=Priority.NORMAL, cost=100
 ):
+    """Return a request of the given cost in the units of the queue."""
     return RequestSpec(
         request_id=request_id,
         customer_id=customer_id,
@@ -55,11 +56,13 @@
         self.taken = None
 
     def check_refusal(self, refusal):
+        """Check what every refusal of a queue must say."""
         assert refusal.outcome is Outcome.NOT_RUN
         assert refusal.retry_after_ms > 0
         assert refusal.step == "admission"
 
     def offer(self, index, customer_id, priority, margin_ms):
+        """Offer a request; one without remaining time must be refused."""
         deadline_ms = self.now_ms + margin_ms
         request = make_request(f"r{index}", customer_id, deadline_ms, priority)
         refusal = self.queue.offer(request, self.now_ms)
@@ -70,11 +73,13 @@
             self.check_refusal(refusal)
 
     def take(self):
+        """Take the next request."""
         self.taken = self.queue.take(self.now_ms)
         if self.taken is not None:
             assert self.waiting.pop(self.taken.request_id) is self.taken
 
     def put_back(self):
+        """Put the taken request back; it must come out first."""
         if self.taken is None:
             return
         self.queue.put_back(self.taken, self.now_ms)
@@ -86,10 +91,12 @@
         self.taken = None
 
     def remove(self, index):
+        """Remove a request that may be waiting."""
         is_removed = self.queue.remove(f"r{index}")
         assert is_removed == (self.waiting.pop(f"r{index}", None) is not None)
 
     def expire(self):
+        """Expire; nothing overdue may stay."""
         for request, refusal in self.queue.expire(self.now_ms):
             self.check_refusal(refusal)
             assert self.waiting.pop(request.request_id) is request
--- a/packages/core/src/bluebellusher_core/routing/tests/test_policies.py
+++ b/packages/core/src/bluebellusher_core/routing/tests/test_policies.py
@@ -22,6 +22,7 @@
 
 
 def make_request(prefix_hashes=PREFIXES, n_input_tokens=2560):
+    """Return a request with the given prompt."""
     return RequestSpec(
         request_id="r",
         customer_id="c",
@@ -40,6 +41,7 @@
 
 
 def make_report(endpoint_id, n_running=0, age_ms=0, sequence=1):
+    """Return a load report of an engine with 16 slots."""
     names = frozenset({"model"}), frozenset()
     return LoadReported(
         endpoint_id, sequence, n_running, 0, 0, 16, 0.5, *names, age_ms=age_ms
@@ -47,6 +49,7 @@
 
 
 def make_view(endpoint_id, n_running=None, **fields):
+    """Return a view; without ``n_running`` it has no report."""
     sets = frozenset({"chat"}), frozenset({"model"}), frozenset()
     view = EndpointView(EndpointInfo(endpoint_id, "north", *sets, n_slots=16))
     if n_running is not None:
@@ -58,6 +61,7 @@
 
 @st.composite
 def any_views(draw):
+    """Return views in any state, including ones that do not fit together."""
     views = []
     for index in range(draw(st.integers(0, 20))):
         n_running = draw(st.none() | st.integers(0, 40))
@@ -108,6 +112,7 @@
 
 
 def choose(views, now_ms=0, seed=1, **parameters):
+    """Return the choice of ``PredictedLatency`` in the domain of all views."""
     policy = PredictedLatency("north", **parameters)
     return policy.choose(make_request(), views, now_ms, Random(seed))
 
--- a/packages/core/src/bluebellusher_core/routing/tests/test_tracker.py
+++ b/packages/core/src/bluebellusher_core/routing/tests/test_tracker.py
@@ -24,12 +24,14 @@
 
 
 def make_tracker():
+    """Return a tracker with one connected endpoint."""
     tracker = EndpointTracker()
     tracker.apply(EndpointConnected(INFO), now_ms=0)
     return tracker
 
 
 def end_events(attempt_id):
+    """Return one event of each kind by its step name."""
     return {
         "start": AttemptStarted(attempt_id),
         "finish": AttemptFinished(attempt_id, 200, 1, Usage()),
