--- a/bench/system_model.py
+++ b/bench/system_model.py
@@ -141,8 +141,8 @@
     def _pump(self, entry: Entry) -> None:
         """Dispatch waiting requests until no endpoint takes more."""
         now_ms = int(self.now)
-        for request, _ in entry.queue.expire(now_ms):
-            entry.job_by_request.pop(request.request_id).outcome = "expired"
+        for expired, _ in entry.queue.expire(now_ms):
+            entry.job_by_request.pop(expired.request_id).outcome = "expired"
         while True:
             request = entry.queue.take(now_ms)
             if request is None:
@@ -303,7 +303,7 @@
     def _note_skew(self) -> None:
         live = [engine for engine in self.engines if not engine.is_lost]
         loads = [engine.n_running + len(engine.queue) for engine in live]
-        if self.now >= self.scenario.fault_at_ms and sum(loads):
+        if self.now >= self.scenario.fault_at_ms and any(loads):
             self.skews.append(max(loads) * len(loads) / sum(loads))
 
     def _report_caches(self) -> None:
