--- /dev/null
+++ b/packages/core/src/bluebellusher_core/rules/__init__.py
@@ -0,0 +1,58 @@
+"""Grammar of the rules file, checks, and the difference between two files."""
+
+from bluebellusher_core.rules._cursor import RuleError
+from bluebellusher_core.rules._difference import Change, diff_rules
+from bluebellusher_core.rules._model import (
+    Budget,
+    Capacity,
+    Currency,
+    Customer,
+    EnginePrice,
+    Engines,
+    ExhaustedAction,
+    Limit,
+    Load,
+    Model,
+    MonthZone,
+    Priority,
+    Rate,
+    Rule,
+    Share,
+    TokenKind,
+    TokenPrice,
+    Weight,
+    WhenExhausted,
+)
+from bluebellusher_core.rules._parser import parse_rules
+from bluebellusher_core.rules._ruleset import RuleSet
+from bluebellusher_core.rules._schedule import DateRange, Schedule, local_to_utc_s
+
+__all__ = [
+    "Budget",
+    "Capacity",
+    "Change",
+    "Currency",
+    "Customer",
+    "DateRange",
+    "EnginePrice",
+    "Engines",
+    "ExhaustedAction",
+    "Limit",
+    "Load",
+    "Model",
+    "MonthZone",
+    "Priority",
+    "Rate",
+    "Rule",
+    "RuleError",
+    "RuleSet",
+    "Schedule",
+    "Share",
+    "TokenKind",
+    "TokenPrice",
+    "Weight",
+    "WhenExhausted",
+    "diff_rules",
+    "local_to_utc_s",
+    "parse_rules",
+]
--- /dev/null
+++ b/packages/core/src/bluebellusher_core/rules/_check.py
@@ -0,0 +1,187 @@
+"""Checks between the rules of a file."""
+
+import re
+from collections import defaultdict
+from collections.abc import Collection, Iterator, Sequence
+
+from bluebellusher_core.rules._check_limits import check_limits
+from bluebellusher_core.rules._cursor import RuleError
+from bluebellusher_core.rules._model import (
+    Budget,
+    Capacity,
+    Currency,
+    Customer,
+    EnginePrice,
+    Engines,
+    Load,
+    Model,
+    MonthZone,
+    Priority,
+    Rate,
+    Rule,
+    Share,
+    TokenKind,
+    TokenPrice,
+    WhenExhausted,
+)
+from bluebellusher_core.rules._overlap import overlaps
+from bluebellusher_core.rules._ruleset import RuleSet
+
+Finding = tuple[Rule, str, str, str]
+
+
+def check_rules(
+    rules: RuleSet, lines: Sequence[str], excused_words: Collection[str]
+) -> list[RuleError]:
+    """Return the errors between rules.
+
+    Parameters
+    ----------
+    rules : RuleSet
+        The rules whose own lines have no fault.
+    lines : sequence of str
+        The lines of the file, for the columns.
+    excused_words : collection of str
+        Words of lines that have a fault; these lines may declare the names.
+    """
+    errors = [
+        RuleError(rule.line, _column(lines, rule, word), found, expected)
+        for rule, word, found, expected in _find(rules, excused_words)
+    ]
+    for needed in (Currency, MonthZone):
+        if not rules.of(needed) and needed.KEYWORD not in excused_words:
+            found = f"no rule '{needed.KEYWORD}'"
+            errors.append(RuleError(1, 1, found, "one such rule in the file"))
+    return errors
+
+
+def _column(lines: Sequence[str], rule: Rule, word: str) -> int:
+    statement = lines[rule.line - 1].partition("#")[0]
+    match = re.search(rf"(?<!\S){re.escape(word)}(?!\S)", statement)
+    return match.start() + 1 if match else 1
+
+
+def _find(rules: RuleSet, excused_words: Collection[str]) -> Iterator[Finding]:
+    yield from _duplicates(rules)
+    yield from _unknown_names(rules, excused_words)
+    yield from _ambiguous_names(rules)
+    yield from _engines(rules, excused_words)
+    yield from _prices(rules, excused_words)
+    yield from _loads(rules)
+    yield from check_limits(rules, excused_words)
+
+
+def _duplicates(rules: RuleSet) -> Iterator[Finding]:
+    first_by_key: dict[tuple[str, ...], Rule] = {}
+    for rule in rules.rules:
+        first = first_by_key.setdefault(rule.key(), rule)
+        if first is not rule:
+            about = " ".join(part for part in rule.key() if part)
+            expected = f"one rule; the first is on line {first.line}"
+            yield rule, rule.KEYWORD, f"a second rule for '{about}'", expected
+
+
+def _unknown_names(rules: RuleSet, excused: Collection[str]) -> Iterator[Finding]:
+    customers = {*rules.customers, *excused}
+    models = {*rules.service_by_model, *excused}
+    services = {rule.service for rule in rules.of(Capacity)} | set(excused)
+    for rule in rules.rules:
+        if isinstance(rule, Budget | Rate | Priority | Share | Load | WhenExhausted):
+            yield from _unknown(rule, "customer", rule.customer, customers)
+        if isinstance(rule, Engines | EnginePrice | Model):
+            yield from _unknown(rule, "service", rule.service, services, "capacity")
+        if isinstance(rule, TokenPrice):
+            yield from _unknown(rule, "model", rule.model, models)
+        if isinstance(rule, WhenExhausted) and rule.model:
+            yield from _unknown(rule, "model", rule.model, models)
+        if isinstance(rule, Load) and rule.target not in models | services:
+            expected = "a model or a service; declare it with 'model' or 'capacity'"
+            yield rule, rule.target, f"the unknown name '{rule.target}'", expected
+
+
+def _unknown(
+    rule: Rule, what: str, name: str, known: set[str], keyword: str = ""
+) -> Iterator[Finding]:
+    if name not in known:
+        expected = f"a {what} of the file; declare it with '{keyword or what}'"
+        yield rule, name, f"the unknown {what} '{name}'", expected
+
+
+def _ambiguous_names(rules: RuleSet) -> Iterator[Finding]:
+    services = {rule.service for rule in rules.of(Capacity)}
+    for rule in rules.of(Model):
+        if rule.model in services:
+            found = f"'{rule.model}', which is also a service"
+            yield rule, rule.model, found, "different names for models and services"
+
+
+def _engines(rules: RuleSet, excused: Collection[str]) -> Iterator[Finding]:
+    yield from _capacity(rules)
+    n_by_service: dict[str, int] = defaultdict(int)
+    for rule in rules.of(Capacity):
+        n_by_service[rule.service] += rule.n_engines
+    for service, group in rules.engines_by_service.items():
+        for i, engines in enumerate(group):
+            n_existing = n_by_service.get(service)
+            if n_existing is not None and engines.n_engines > n_existing:
+                expected = f"at most {n_existing}, the capacity of '{service}'"
+                count = str(engines.n_engines)
+                yield engines, count, f"{count} engines", expected
+            yield from _engine_windows(engines, group[:i])
+        is_priced = service in rules.engine_price_by_service or service in excused
+        if not is_priced:
+            expected = f"a rule 'engine-price {service} ... per hour'"
+            yield group[0], service, f"no engine price of '{service}'", expected
+
+
+def _engine_windows(rule: Engines, earlier: list[Engines]) -> Iterator[Finding]:
+    zone = rule.schedule.zone
+    if earlier and earlier[0].schedule.zone != zone:
+        expected = f"{earlier[0].schedule.zone} as on line {earlier[0].line}"
+        found = f"another zone for the same service, {zone}"
+        yield rule, zone, found, expected
+        return
+    for other in earlier:
+        is_same = other.key() == rule.key()
+        if not is_same and overlaps(rule.schedule, other.schedule):
+            found = f"a window that overlaps line {other.line}"
+            expected = "windows of a service that do not overlap"
+            yield rule, "from" if rule.schedule.hours else "on", found, expected
+
+
+def _capacity(rules: RuleSet) -> Iterator[Finding]:
+    first_by_service: dict[str, Capacity] = {}
+    for rule in rules.of(Capacity):
+        first = first_by_service.setdefault(rule.service, rule)
+        if (first.domain is None) != (rule.domain is None):
+            found = "capacity both in total and by failure domain"
+            expected = f"one way for '{rule.service}'; see line {first.line}"
+            yield rule, rule.service, found, expected
+
+
+def _prices(rules: RuleSet, excused: Collection[str]) -> Iterator[Finding]:
+    for model in rules.of(Model):
+        if model.model in excused:
+            continue
+        priced = rules.price_by_model.get(model.model, {})
+        missing = [str(kind) for kind in TokenKind if kind not in priced]
+        if missing:
+            found = f"no price of {', '.join(missing)} tokens of '{model.model}'"
+            expected = f"a rule 'token-price {model.model} {missing[0]} ...'"
+            yield model, model.model, found, expected
+    for customer in rules.of(Customer):
+        if customer.customer in rules.service_by_model:
+            found = f"'{customer.customer}', which is also a model"
+            yield customer, customer.customer, found, "different names"
+
+
+def _loads(rules: RuleSet) -> Iterator[Finding]:
+    services = {rule.service for rule in rules.of(Capacity)}
+    for rule in rules.of(Load):
+        is_model = rule.target in rules.service_by_model
+        if is_model and rule.n_tokens == 0:
+            expected = "'input', 'cached' and 'output' tokens of a request"
+            yield rule, rule.target, "load of a model without tokens", expected
+        if not is_model and rule.target in services and rule.n_tokens:
+            expected = "a model, because only models have token prices"
+            yield rule, rule.target, f"tokens for the service '{rule.target}'", expected
--- /dev/null
+++ b/packages/core/src/bluebellusher_core/rules/_check_limits.py
@@ -0,0 +1,123 @@
+"""Checks of budgets, rates and of what follows a budget."""
+
+from collections.abc import Collection, Iterator
+from decimal import Decimal
+
+from bluebellusher_core.rules._model import (
+    TOKENS_UNIT,
+    Budget,
+    Customer,
+    ExhaustedAction,
+    Limit,
+    Load,
+    Rule,
+    TokenKind,
+    WhenExhausted,
+)
+from bluebellusher_core.rules._ruleset import RuleSet
+from bluebellusher_core.rules._schedule import MINUTES_PER_DAY, Schedule
+
+Finding = tuple[Rule, str, str, str]
+
+
+def check_limits(rules: RuleSet, excused: Collection[str]) -> Iterator[Finding]:
+    """Yield the faults of limits."""
+    for budget in rules.of(Budget):
+        yield from _unit(rules, budget, budget.limit)
+    for exhausted in rules.of(WhenExhausted):
+        yield from _exhausted(rules, exhausted, excused)
+    for customer in rules.of(Customer):
+        yield from _unlimited(rules, customer, excused)
+    for load in rules.of(Load):
+        yield from _load_above_rate(rules, load)
+
+
+def _unit(rules: RuleSet, rule: Rule, limit: Limit) -> Iterator[Finding]:
+    if rules.currency and not limit.is_tokens and limit.unit != rules.currency:
+        expected = f"{rules.currency}, the currency of the file, or tokens"
+        yield rule, limit.unit, f"the currency {limit.unit}", expected
+
+
+def _exhausted(
+    rules: RuleSet, rule: WhenExhausted, excused: Collection[str]
+) -> Iterator[Finding]:
+    customer = rule.customer
+    if customer not in rules.budget_by_customer and customer not in excused:
+        found = f"no budget of '{customer}' that could end"
+        yield rule, customer, found, f"a rule 'budget {customer} ... per month'"
+    if rule.limit:
+        yield from _unit(rules, rule, rule.limit)
+    if rule.model and rule.model in rules.service_by_model:
+        yield from _cheaper(rules, rule, rule.model)
+
+
+def _cheaper(rules: RuleSet, rule: WhenExhausted, model: str) -> Iterator[Finding]:
+    loads = rules.loads_by_customer.get(rule.customer, [])
+    targets = [load.target for load in loads if load.target in rules.service_by_model]
+    others = set(targets or rules.service_by_model) - {model}
+    priced = _prices(rules, model)
+    # A model without prices is reported at its declaration.
+    if priced is None or any(_prices(rules, other) is None for other in others):
+        return
+    if not any(_is_cheaper(priced, _prices(rules, other)) for other in others):
+        found = f"'{model}', which is not cheaper than what '{rule.customer}' uses"
+        yield rule, model, found, "a model with lower token prices"
+        return
+    for other in sorted(set(targets) - {model}):
+        if not _is_cheaper(priced, _prices(rules, other)):
+            found = f"'{model}', which is not cheaper than '{other}'"
+            yield rule, model, found, "no token price higher, and one lower"
+
+
+def _prices(rules: RuleSet, model: str) -> tuple[Decimal, ...] | None:
+    prices = rules.price_by_model.get(model, {})
+    if len(prices) < len(TokenKind):
+        return None
+    return tuple(prices[kind].price for kind in TokenKind)
+
+
+def _is_cheaper(
+    prices: tuple[Decimal, ...], others: tuple[Decimal, ...] | None
+) -> bool:
+    if others is None:
+        return False
+    pairs = list(zip(prices, others, strict=True))
+    return prices != others and all(price <= other for price, other in pairs)
+
+
+def _unlimited(
+    rules: RuleSet, rule: Customer, excused: Collection[str]
+) -> Iterator[Finding]:
+    customer = rule.customer
+    has_rate = (customer, TOKENS_UNIT) in rules.rate_by_customer
+    if has_rate or customer in excused:
+        return
+    if customer not in rules.budget_by_customer:
+        found = f"no limit on what '{customer}' can spend"
+        expected = f"a rule 'budget {customer} ...' or 'rate {customer} N tokens ...'"
+        yield rule, customer, found, expected
+    exhausted = rules.exhausted_by_customer.get(customer)
+    if exhausted is None or exhausted.action is ExhaustedAction.REFUSE:
+        return
+    if exhausted.limit is None:
+        found = f"no limit on what '{customer}' can spend after its budget"
+        expected = f"'up to AMOUNT UNIT', or 'rate {customer} N tokens ...'"
+        yield exhausted, exhausted.action, found, expected
+
+
+def _load_above_rate(rules: RuleSet, load: Load) -> Iterator[Finding]:
+    for unit, n_per_request in (("requests", 1), (TOKENS_UNIT, load.n_tokens)):
+        rate = rules.rate_by_customer.get((load.customer, unit))
+        if rate is None:
+            continue
+        n_per_day = load.n_requests * n_per_request
+        n_allowed = rate.n_units * _seconds_per_day(load.schedule) // rate.period_s
+        if n_per_day > n_allowed:
+            found = f"{n_per_day} {unit} a day"
+            expected = f"at most {n_allowed}, which the rate on line {rate.line} allows"
+            yield load, str(load.n_requests), found, expected
+
+
+def _seconds_per_day(schedule: Schedule) -> int:
+    begin, end = schedule.hours or (0, MINUTES_PER_DAY)
+    return ((end - begin - 1) % MINUTES_PER_DAY + 1) * 60
--- /dev/null
+++ b/packages/core/src/bluebellusher_core/rules/_cursor.py
@@ -0,0 +1,213 @@
+"""Words of one line with their columns, and the values that words stand for."""
+
+import re
+from collections.abc import Iterable
+from dataclasses import dataclass
+from datetime import date
+from decimal import Decimal
+from functools import lru_cache
+from zoneinfo import ZoneInfo
+
+from bluebellusher_core.rules._schedule import WEEKDAYS, DateRange
+
+_WORD = re.compile(r"\S+")
+_NAME = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}\Z")
+_COUNT = re.compile(r"[0-9]{1,12}\Z")
+_AMOUNT = re.compile(r"[0-9]{1,12}(\.[0-9]{1,6})?\Z")
+_CLOCK = re.compile(r"([01][0-9]|2[0-3]):([0-5][0-9])\Z")
+_CURRENCY = re.compile(r"[A-Z]{3}\Z")
+_ZONE = re.compile(r"(UTC|[A-Z][A-Za-z_+-]+(/[A-Za-z0-9_+-]+){1,2})\Z")
+# Dates outside these years are typing errors, and the arithmetic of zones stays
+# within the range of the standard library.
+FIRST_YEAR = 2000
+LAST_YEAR = 2199
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class RuleError:
+    """One fault of a rules file.
+
+    Parameters
+    ----------
+    line, column : int
+        Place of the fault, both from 1.
+    found : str
+        What stands there.
+    expected : str
+        What would be right.
+    """
+
+    line: int
+    column: int
+    found: str
+    expected: str
+
+    def render(self) -> str:
+        """Return the error as one line."""
+        return (
+            f"line {self.line}, column {self.column}: "
+            f"found {self.found}; expected {self.expected}"
+        )
+
+
+class WordError(Exception):
+    """A word that does not fit; caught by the parser of the line."""
+
+    def __init__(self, column: int, found: str, expected: str) -> None:
+        super().__init__(expected)
+        self.column = column
+        self.found = found
+        self.expected = expected
+
+
+class Cursor:
+    """Reads the words of a statement from left to right.
+
+    Parameters
+    ----------
+    text : str
+        The line without its comment.
+    """
+
+    def __init__(self, text: str) -> None:
+        self._words = [(m.start() + 1, m.group()) for m in _WORD.finditer(text)]
+        self._end = len(text.rstrip()) + 1
+        self._position = 0
+
+    def peek(self) -> str:
+        """Return the next word, or an empty text at the end."""
+        if self._position < len(self._words):
+            return self._words[self._position][1]
+        return ""
+
+    def take(self) -> str:
+        """Return the next word and go past it."""
+        word = self.peek()
+        self._position += 1
+        return word
+
+    def fail(self, expected: str) -> WordError:
+        """Return the error that the next word is not what is expected."""
+        if self._position < len(self._words):
+            column, word = self._words[self._position]
+            return WordError(column, repr(word), expected)
+        return WordError(self._end, "the end of the rule", expected)
+
+    def _match(self, pattern: re.Pattern[str], expected: str) -> str:
+        if not pattern.match(self.peek()):
+            raise self.fail(expected)
+        return self.take()
+
+    def name(self, what: str) -> str:
+        """Take a name."""
+        return self._match(
+            _NAME, f"the name of a {what} (a-z, 0-9, '.', '_' and '-', at most 63)"
+        )
+
+    def count(self, what: str) -> int:
+        """Take a whole number."""
+        return int(self._match(_COUNT, f"{what}, a whole number"))
+
+    def amount(self, what: str) -> Decimal:
+        """Take a number with at most six decimals."""
+        expected = f"{what}, such as 12 or 12.50, with at most 6 decimals"
+        return Decimal(self._match(_AMOUNT, expected))
+
+    def currency(self) -> str:
+        """Take a currency code."""
+        return self._match(_CURRENCY, "a currency code of three capitals, such as JPY")
+
+    def word(self, *words: str) -> str:
+        """Take one of the words."""
+        if self.peek() not in words:
+            raise self.fail(_one_of(words))
+        return self.take()
+
+    def skip(self, word: str) -> bool:
+        """Go past the word when it is next; return whether it was."""
+        if self.peek() != word:
+            return False
+        self._position += 1
+        return True
+
+    def clock(self) -> int:
+        """Take a time of day; return it in minutes."""
+        text = self._match(_CLOCK, "a time of day, HH:MM from 00:00 to 23:59")
+        return int(text[:2]) * 60 + int(text[3:])
+
+    def zone(self) -> str:
+        """Take the name of a time zone."""
+        if not is_zone(self.peek()):
+            raise self.fail("an IANA time zone, such as Asia/Tokyo")
+        return self.take()
+
+    def days(self) -> tuple[tuple[int, ...], tuple[DateRange, ...]]:
+        """Take a list of weekdays or of dates."""
+        parts = self.peek().split(",")
+        weekdays = [_weekdays(part) for part in parts]
+        if all(weekdays):
+            self._position += 1
+            return tuple(sorted({day for group in weekdays for day in group})), ()
+        ranges = [_date_range(part) for part in parts]
+        found = [r for r in ranges if r is not None]
+        if len(found) < len(ranges):
+            raise self.fail(
+                "weekdays such as Mon-Fri or Sat,Sun, or dates such as 2027-01-01 "
+                "or 2027-01-01..2027-01-03"
+            )
+        self._position += 1
+        return (), tuple(sorted(set(found)))
+
+    def end(self, expected: str = "the comment '# NAME: REASON'") -> None:
+        """Require that no word is left."""
+        if self._position < len(self._words):
+            raise self.fail(expected)
+
+
+def _one_of(words: Iterable[str]) -> str:
+    quoted = [f"'{word}'" for word in words]
+    if len(quoted) == 1:
+        return quoted[0]
+    return f"{', '.join(quoted[:-1])} or {quoted[-1]}"
+
+
+@lru_cache(maxsize=1024)
+def is_zone(name: str) -> bool:
+    """Return whether the time zone is known."""
+    if not _ZONE.match(name):
+        return False
+    try:
+        ZoneInfo(name)
+    except (KeyError, ValueError, OSError):
+        return False
+    return True
+
+
+def _weekdays(text: str) -> tuple[int, ...]:
+    first, _, last = text.partition("-")
+    if first not in WEEKDAYS or (last or first) not in WEEKDAYS:
+        return ()
+    if text.endswith("-"):
+        return ()
+    begin = WEEKDAYS.index(first)
+    n_days = (WEEKDAYS.index(last or first) - begin) % 7 + 1
+    return tuple((begin + i) % 7 for i in range(n_days))
+
+
+def _date_range(text: str) -> DateRange | None:
+    first, separator, last = text.partition("..")
+    begin = _date(first)
+    end = _date(last) if separator else begin
+    if begin is None or end is None or end < begin:
+        return None
+    return DateRange(begin, end)
+
+
+def _date(text: str) -> date | None:
+    if not re.match(r"[0-9]{4}-[0-9]{2}-[0-9]{2}\Z", text):
+        return None
+    try:
+        day = date.fromisoformat(text)
+    except ValueError:
+        return None
+    return day if FIRST_YEAR <= day.year <= LAST_YEAR else None
--- /dev/null
+++ b/packages/core/src/bluebellusher_core/rules/_overlap.py
@@ -0,0 +1,45 @@
+"""Whether two schedules of the same zone and precedence can hold at once."""
+
+from datetime import timedelta
+
+from bluebellusher_core.rules._schedule import MINUTES_PER_DAY, Schedule
+
+
+def overlaps(a: Schedule, b: Schedule) -> bool:
+    """Return whether some moment lies in a window of both schedules.
+
+    Schedules of different precedence never contradict each other, because one of
+    them wins. Windows that pass midnight are compared with the neighbouring days.
+    """
+    if a.rank != b.rank:
+        return False
+    return any(
+        _has_day_pair(a, b, n_days) and _hours_meet(a, b, n_days)
+        for n_days in (-1, 0, 1)
+    )
+
+
+def _has_day_pair(a: Schedule, b: Schedule, n_days: int) -> bool:
+    """Return whether ``b`` holds ``n_days`` after some day on which ``a`` holds."""
+    if a.dates:
+        shift = timedelta(days=n_days)
+        return any(
+            first.first + shift <= second.last and second.first <= first.last + shift
+            for first in a.dates
+            for second in b.dates
+        )
+    days_a = a.weekdays or tuple(range(7))
+    days_b = b.weekdays or tuple(range(7))
+    return any((day + n_days) % 7 in days_b for day in days_a)
+
+
+def _hours_meet(a: Schedule, b: Schedule, n_days: int) -> bool:
+    begin_a, end_a = _minutes(a)
+    begin_b, end_b = _minutes(b)
+    shift = n_days * MINUTES_PER_DAY
+    return begin_a < end_b + shift and begin_b + shift < end_a
+
+
+def _minutes(schedule: Schedule) -> tuple[int, int]:
+    begin, end = schedule.hours or (0, MINUTES_PER_DAY)
+    return begin, end if end > begin else end + MINUTES_PER_DAY
--- /dev/null
+++ b/packages/core/src/bluebellusher_core/rules/_parser.py
@@ -0,0 +1,72 @@
+"""From text to rules: lines, comments, statements, then the checks between rules."""
+
+from expression import Error, Ok, Result
+
+from bluebellusher_core.rules._check import check_rules
+from bluebellusher_core.rules._cursor import Cursor, RuleError, WordError
+from bluebellusher_core.rules._grammar import parse_statement
+from bluebellusher_core.rules._model import Rule
+from bluebellusher_core.rules._ruleset import RuleSet
+
+
+def parse_rules(text: str) -> Result[RuleSet, tuple[RuleError, ...]]:
+    """Parse and check a rules file.
+
+    Parameters
+    ----------
+    text : str
+        The whole file; any text is accepted, none raises.
+
+    Returns
+    -------
+    Result
+        The rules, or every error of the file in the order of its lines. A line with
+        a fault takes part in no check between rules; the names in it are not
+        reported as unknown elsewhere, so that one fault is reported once.
+
+    Examples
+    --------
+    >>> result = parse_rules("currency yen # Aiko Mori: billing")
+    >>> result.error[0].column
+    10
+    """
+    rules: list[Rule] = []
+    errors: list[RuleError] = []
+    excused_words: set[str] = set()
+    lines = [content.rstrip("\r") for content in text.split("\n")]
+    for line, content in enumerate(lines, start=1):
+        try:
+            rule = _parse_line(content, line)
+        except WordError as e:
+            errors.append(RuleError(line, e.column, e.found, e.expected))
+            excused_words.update(content.partition("#")[0].split())
+            continue
+        if rule is not None:
+            rules.append(rule)
+    rule_set = RuleSet(rules)
+    errors += check_rules(rule_set, lines, excused_words)
+    if errors:
+        return Error(tuple(sorted(errors)))
+    return Ok(rule_set)
+
+
+def _parse_line(content: str, line: int) -> Rule | None:
+    statement, separator, comment = content.partition("#")
+    if not statement.strip():
+        return None
+    cursor = Cursor(statement)
+    author, reason = _parse_comment(statement, separator, comment)
+    return parse_statement(cursor, author, reason, line)
+
+
+def _parse_comment(statement: str, separator: str, comment: str) -> tuple[str, str]:
+    column = len(statement) + 1
+    expected = "a comment '# NAME: REASON' that names who asked for the rule"
+    if not separator:
+        raise WordError(len(statement.rstrip()) + 1, "no comment", expected)
+    author, colon, reason = comment.partition(":")
+    if not author.strip() or not colon:
+        raise WordError(column, "a comment that names nobody", expected)
+    if not reason.strip():
+        raise WordError(column, "a comment without a reason", expected)
+    return author.strip(), reason.strip()
--- /dev/null
+++ b/packages/core/src/bluebellusher_core/rules/_ruleset.py
@@ -0,0 +1,132 @@
+"""The rules of one file, with the look-ups that the other modules need."""
+
+from collections import defaultdict
+from collections.abc import Iterable
+from functools import cached_property
+from typing import TypeVar
+
+from bluebellusher_core.rules._model import (
+    Budget,
+    Currency,
+    Customer,
+    EnginePrice,
+    Engines,
+    Load,
+    Model,
+    MonthZone,
+    Rate,
+    Rule,
+    TokenKind,
+    TokenPrice,
+    WhenExhausted,
+)
+
+R = TypeVar("R", bound=Rule)
+
+
+class RuleSet:
+    """An immutable, ordered set of rules.
+
+    Parameters
+    ----------
+    rules : iterable of Rule
+        The rules in the order of the file. ``parse_rules`` checks that they fit
+        together; a set that is put together by hand is not checked.
+    """
+
+    def __init__(self, rules: Iterable[Rule]) -> None:
+        self.rules = tuple(rules)
+
+    def __eq__(self, other: object) -> bool:
+        return isinstance(other, RuleSet) and self.rules == other.rules
+
+    def __hash__(self) -> int:
+        return hash(self.rules)
+
+    def __repr__(self) -> str:
+        return f"RuleSet({len(self.rules)} rules)"
+
+    def render(self) -> str:
+        """Return a text that parses to the same rules, one rule a line."""
+        return "".join(f"{rule.render()}\n" for rule in self.rules)
+
+    @cached_property
+    def rule_by_key(self) -> dict[tuple[str, ...], Rule]:
+        """Rules by what they are about."""
+        return {rule.key(): rule for rule in self.rules}
+
+    @cached_property
+    def _rules_by_class(self) -> dict[type, list[Rule]]:
+        rules: dict[type, list[Rule]] = defaultdict(list)
+        for rule in self.rules:
+            rules[type(rule)].append(rule)
+        return rules
+
+    def of(self, kind: type[R]) -> list[R]:
+        """Return the rules of one kind in the order of the file."""
+        found = self._rules_by_class.get(kind, [])
+        return [rule for rule in found if isinstance(rule, kind)]
+
+    @property
+    def currency(self) -> str:
+        """Code of the currency, or an empty text."""
+        return next((rule.code for rule in self.of(Currency)), "")
+
+    @property
+    def month_zone(self) -> str:
+        """Time zone of the billing month."""
+        return next((rule.zone for rule in self.of(MonthZone)), "UTC")
+
+    @cached_property
+    def customers(self) -> tuple[str, ...]:
+        """Declared customers in the order of the file."""
+        return tuple(rule.customer for rule in self.of(Customer))
+
+    @cached_property
+    def service_by_model(self) -> dict[str, str]:
+        """The service that runs each model."""
+        return {rule.model: rule.service for rule in self.of(Model)}
+
+    @cached_property
+    def price_by_model(self) -> dict[str, dict[TokenKind, TokenPrice]]:
+        """Token prices by model and kind."""
+        prices: dict[str, dict[TokenKind, TokenPrice]] = defaultdict(dict)
+        for rule in self.of(TokenPrice):
+            prices[rule.model][rule.kind] = rule
+        return dict(prices)
+
+    @cached_property
+    def engine_price_by_service(self) -> dict[str, EnginePrice]:
+        """Prices of an engine hour by service."""
+        return {rule.service: rule for rule in self.of(EnginePrice)}
+
+    @cached_property
+    def engines_by_service(self) -> dict[str, list[Engines]]:
+        """Engine rules by service."""
+        engines: dict[str, list[Engines]] = defaultdict(list)
+        for rule in self.of(Engines):
+            engines[rule.service].append(rule)
+        return dict(engines)
+
+    @cached_property
+    def budget_by_customer(self) -> dict[str, Budget]:
+        """Budgets by customer."""
+        return {rule.customer: rule for rule in self.of(Budget)}
+
+    @cached_property
+    def exhausted_by_customer(self) -> dict[str, WhenExhausted]:
+        """What happens after the budget, by customer."""
+        return {rule.customer: rule for rule in self.of(WhenExhausted)}
+
+    @cached_property
+    def rate_by_customer(self) -> dict[tuple[str, str], Rate]:
+        """Rates by customer and unit."""
+        return {(rule.customer, rule.unit): rule for rule in self.of(Rate)}
+
+    @cached_property
+    def loads_by_customer(self) -> dict[str, list[Load]]:
+        """Expected load by customer."""
+        loads: dict[str, list[Load]] = defaultdict(list)
+        for rule in self.of(Load):
+            loads[rule.customer].append(rule)
+        return dict(loads)
--- /dev/null
+++ b/packages/core/src/bluebellusher_core/rules/_schedule.py
@@ -0,0 +1,148 @@
+"""Hours and days in a time zone, exact across changes of daylight saving time."""
+
+from dataclasses import dataclass
+from datetime import UTC, date, datetime, timedelta
+from functools import lru_cache
+from zoneinfo import ZoneInfo
+
+WEEKDAYS = ("Mon", "Tue", "Wed", "Thu", "Fri", "Sat", "Sun")
+MINUTES_PER_DAY = 24 * 60
+_ONE_DAY = timedelta(days=1)
+
+Span = tuple[int, int]
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class DateRange:
+    """Days from ``first`` to ``last``, both included."""
+
+    first: date
+    last: date
+
+    def render(self) -> str:
+        """Return one date, or two with ``..`` between them."""
+        if self.first == self.last:
+            return self.first.isoformat()
+        return f"{self.first.isoformat()}..{self.last.isoformat()}"
+
+
+@dataclass(frozen=True, slots=True)
+class Schedule:
+    """When a rule holds.
+
+    Parameters
+    ----------
+    zone : str
+        IANA name of the time zone.
+    hours : tuple of int or None
+        Begin and end in minutes of the day. An end that is not after the begin is
+        on the next day. ``None`` means the whole day.
+    weekdays : tuple of int
+        Days of the week, 0 is Monday; a window belongs to the day it begins on.
+    dates : tuple of DateRange
+        Dates; only one of ``weekdays`` and ``dates`` is set. Neither means every day.
+    """
+
+    zone: str
+    hours: tuple[int, int] | None = None
+    weekdays: tuple[int, ...] = ()
+    dates: tuple[DateRange, ...] = ()
+
+    @property
+    def rank(self) -> int:
+        """Precedence among rules: dates over hours and weekdays over always."""
+        if self.dates:
+            return 2
+        return 1 if self.weekdays or self.hours else 0
+
+    def holds_on(self, day: date) -> bool:
+        """Return whether a window begins on ``day``."""
+        if self.dates:
+            return any(r.first <= day <= r.last for r in self.dates)
+        return not self.weekdays or day.weekday() in self.weekdays
+
+    def render_window(self) -> str:
+        """Return hours and days without the zone."""
+        parts = []
+        if self.hours:
+            parts.append(f"from {_clock(self.hours[0])} to {_clock(self.hours[1])}")
+        if self.weekdays:
+            parts.append("on " + ",".join(WEEKDAYS[day] for day in self.weekdays))
+        if self.dates:
+            parts.append("on " + ",".join(r.render() for r in self.dates))
+        return " ".join(parts)
+
+    def render(self) -> str:
+        """Return hours, days and zone."""
+        return f"{self.render_window()} {self.zone}".strip()
+
+    def spans(self, begin_s: int, end_s: int) -> list[Span]:
+        """Return the windows that touch an interval, unclipped, one for each day.
+
+        Parameters
+        ----------
+        begin_s, end_s : int
+            Interval in seconds since 1970 UTC.
+        """
+        zone = ZoneInfo(self.zone)
+        day = datetime.fromtimestamp(begin_s, zone).date() - _ONE_DAY
+        last = datetime.fromtimestamp(end_s, zone).date()
+        spans = []
+        while day <= last:
+            if self.holds_on(day):
+                span = self._span_on(day)
+                if span[0] < end_s and span[1] > begin_s and span[0] < span[1]:
+                    spans.append(span)
+            day += _ONE_DAY
+        return spans
+
+    def _span_on(self, day: date) -> Span:
+        first, last = self.hours or (0, MINUTES_PER_DAY)
+        if last <= first:
+            last += MINUTES_PER_DAY
+        return (
+            local_to_utc_s(self.zone, day, first),
+            local_to_utc_s(self.zone, day, last),
+        )
+
+
+@lru_cache(maxsize=65536)
+def local_to_utc_s(zone: str, day: date, minute: int) -> int:
+    """Return the instant of a local time in seconds since 1970 UTC.
+
+    A time that occurs twice means its first occurrence. A time that a change of
+    the clocks skips means the instant of that change; windows that meet at a
+    boundary therefore neither overlap nor leave a gap.
+    """
+    info = ZoneInfo(zone)
+    day += timedelta(days=minute // MINUTES_PER_DAY)
+    minute %= MINUTES_PER_DAY
+    wall = datetime(day.year, day.month, day.day, minute // 60, minute % 60)
+    early = _timestamp(wall.replace(tzinfo=info, fold=0))
+    late = _timestamp(wall.replace(tzinfo=info, fold=1))
+    if late >= early:
+        return early
+    return _find_offset_change(info, late, early)
+
+
+def _timestamp(moment: datetime) -> int:
+    return int(moment.timestamp())
+
+
+def _find_offset_change(info: ZoneInfo, low_s: int, high_s: int) -> int:
+    before = _offset_at(info, low_s)
+    while high_s - low_s > 1:
+        middle = (low_s + high_s) // 2
+        if _offset_at(info, middle) == before:
+            low_s = middle
+        else:
+            high_s = middle
+    return high_s
+
+
+def _offset_at(info: ZoneInfo, at_s: int) -> timedelta | None:
+    return datetime.fromtimestamp(at_s, UTC).astimezone(info).utcoffset()
+
+
+def _clock(minute: int) -> str:
+    return f"{minute // 60:02d}:{minute % 60:02d}"
--- /dev/null
+++ b/packages/core/src/bluebellusher_core/rules/tests/test_rules.py
@@ -0,0 +1,178 @@
+"""Tests of the grammar, the checks and the difference of rules files."""
+
+import pathlib
+from datetime import date
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bluebellusher_core.rules import RuleSet, Schedule, diff_rules, parse_rules
+from bluebellusher_core.rules.tests.strategies import HEAD, rules_texts
+
+EXAMPLES = pathlib.Path(__file__).parents[6] / "examples" / "rules"
+BASE = HEAD.format(zone="UTC")
+CUSTOMER = "customer alder # A: b\nbudget alder 10 JPY per month # A: b\n"
+
+
+def parse(text: str) -> RuleSet:
+    """Return the rules of a text that has no fault."""
+    result = parse_rules(text)
+    assert result.is_ok(), [e.render() for e in result.error]
+    return result.ok
+
+
+def errors_of(line: str, base: str = BASE + CUSTOMER) -> list[str]:
+    """Return the errors of a file that ends with the line."""
+    result = parse_rules(base + line + "\n")
+    assert result.is_error(), f"accepted: {line}"
+    return [error.render() for error in result.error]
+
+
+@given(st.text(max_size=200))
+def test_property_any_text_is_answered(text: str) -> None:
+    """Guards against text that raises instead of giving errors."""
+    parse_rules(text)
+
+
+WORD_TEXT = (
+    "currency JPY month-zone capacity engines load budget rate alder writer large 1 0 "
+    "9999999999999 1.5 from 08:00 to 24:00 on Mon Mon-Fri 2027-02-29 2027-01-01.. UTC "
+    "Asia/Tokyo America ../etc # : A: b per month tokens input when-exhausted up "
+    "cheaper-model refuse \x00 \x85 \u2028 \u0663"
+)
+WORDS = st.sampled_from(WORD_TEXT.split(" "))
+
+
+@given(st.lists(st.lists(WORDS, max_size=12).map(" ".join), max_size=6))
+def test_property_any_words_are_answered(lines: list[str]) -> None:
+    """Guards against known words in a wrong order that raise."""
+    text = "\n".join(lines)
+    result = parse_rules(text)
+    if result.is_error():
+        n_lines = len(lines) or 1
+        assert all(1 <= e.line <= n_lines and e.column >= 1 for e in result.error)
+
+
+@given(rules_texts())
+def test_property_rendering_keeps_rules(text: str) -> None:
+    """Guards against a rendering that loses or alters a part of a rule."""
+    rules = parse(text)
+    assert parse(rules.render()) == rules
+    assert diff_rules(rules, parse(rules.render())) == ()
+
+
+@pytest.mark.parametrize("name", ["tokachi", "oaxaca"])
+def test_examples_pass(name: str) -> None:
+    """Guards against documented files that the checks refuse."""
+    text = (EXAMPLES / f"{name}.rules").read_text(encoding="utf-8")
+    rules = parse(text)
+    assert parse(rules.render()) == rules
+
+
+@pytest.mark.parametrize(
+    ("line", "place", "expected"),
+    [
+        ("share alder 2", "column 14", "names who asked"),
+        ("share alder 2 # because", "column 15", "names who asked"),
+        ("share alder 2 # A:", "column 15", "names who asked"),
+        ("share alder 0 # A: b", "column 13", "above 0"),
+        ("shares alder 2 # A: b", "column 1", "'share'"),
+        ("share alderr 2 # A: b", "unknown customer 'alderr'", "declare it"),
+        ("budget alder 9 JPY per month # A: b", "second rule", "first is on line 16"),
+        ("engines writer 21 UTC # A: b", "column 16", "at most 20"),
+        ("engines writer 1 Mars/Base # A: b", "column 18", "IANA"),
+        ("engines other 1 UTC # A: b", "unknown service 'other'", "capacity"),
+        ("engines writer 1 on 2027-02-29 UTC # A: b", "column 21", "dates such as"),
+        ("budget alder 9 EUR per month # A: b", "currency EUR", "JPY"),
+        ("load alder desk 5 requests per day input 4 UTC # A: b", "tokens", "model"),
+        ("load alder large 5 requests per day UTC # A: b", "without tokens", "input"),
+        ("customer birch # A: b", "no limit", "budget birch"),
+        ("model tiny on writer # A: b", "no price of input", "token-price tiny"),
+        ("when-exhausted alder lower-priority # A: b", "after its budget", "up to"),
+        (
+            "when-exhausted alder cheaper-model large up to 5 JPY # A: b",
+            "not cheaper",
+            "lower token prices",
+        ),
+        ("capacity writer 3 in oak # A: b", "both in total", "one way"),
+        (
+            "rate alder 1 requests per minute # A: b\n"
+            "load alder large 1441 requests per day input 1 UTC # A: b",
+            "1441 requests a day",
+            "at most 1440",
+        ),
+    ],
+)
+def test_faults_are_reported(line: str, place: str, expected: str) -> None:
+    """Guards against a fault that passes, or is reported at a wrong place."""
+    text = "\n".join(errors_of(line))
+    assert place in text
+    assert expected in text
+
+
+@pytest.mark.parametrize(
+    ("first", "second", "is_refused"),
+    [
+        ("from 08:00 to 12:00", "from 11:59 to 13:00", True),
+        ("from 08:00 to 12:00", "from 12:00 to 13:00", False),
+        ("from 22:00 to 06:00 on Mon", "from 05:00 to 07:00 on Tue", True),
+        ("from 22:00 to 06:00 on Mon", "from 05:00 to 07:00 on Mon", False),
+        ("on 2027-01-01..2027-01-05", "on 2027-01-05", True),
+        ("on 2027-01-01", "from 08:00 to 12:00 on Fri", False),
+        ("", "on Sun", False),
+    ],
+)
+def test_overlapping_engine_windows(first: str, second: str, is_refused: bool) -> None:
+    """Guards against two windows that give one moment two engine counts."""
+    rules = f"engines writer 1 {first} UTC # A: b\nengines writer 2 {second} UTC # A: b"
+    assert parse_rules(BASE + rules).is_error() is is_refused
+
+
+def test_all_errors_are_reported_at_once() -> None:
+    """Guards against a check that stops at the first fault."""
+    text = "share oak\nbudget alder x JPY per month # A: b\npriority elm high # A: b"
+    assert [error.line for error in parse_rules(text).error] == [1, 1, 1, 2, 3]
+
+
+def test_a_faulty_declaration_is_reported_once() -> None:
+    """Guards against one typing error that hides among unknown names."""
+    errors = errors_of("customer birch now # A: b\nshare birch 2 # A: b")
+    assert len(errors) == 1
+
+
+@pytest.mark.parametrize(
+    ("day", "n_hours"), [(date(2027, 3, 28), 23), (date(2027, 10, 31), 25)]
+)
+def test_days_of_clock_changes(day: date, n_hours: int) -> None:
+    """Guards against days that are taken as 24 hours when the clocks change."""
+    begin, end = Schedule("Europe/Berlin")._span_on(day)
+    assert end - begin == n_hours * 3600
+
+
+def test_windows_around_a_skipped_hour_meet() -> None:
+    """Guards against windows that overlap or leave a gap at a clock change."""
+    day = date(2027, 3, 28)
+    spans = [
+        Schedule("Europe/Berlin", hours)._span_on(day)
+        for hours in ((0, 150), (150, 180), (180, 0))
+    ]
+    assert [end - begin for begin, end in spans] == [7200, 0, 21 * 3600]
+    assert spans[0][1] == spans[1][0] == spans[2][0]
+
+
+def test_difference_names_kinds() -> None:
+    """Guards against a change that is shown as another kind of change."""
+    old = parse(BASE + CUSTOMER + "share alder 2 # A: b")
+    new = parse(
+        BASE
+        + CUSTOMER.replace("# A: b", "# C: d", 1)
+        + "priority alder low # A: b\nengines desk 1 UTC # A: b"
+    )
+    kinds = [(change.kind, change.rule.KEYWORD) for change in diff_rules(old, new)]
+    assert kinds == [
+        ("removed", "share"),
+        ("comment", "customer"),
+        ("added", "priority"),
+        ("added", "engines"),
+    ]
