Add forecast, bill and explanation of a difference

Ruled out: floating point and per-line rounding (sums would not add up); attribution in one order only (the result would depend on that order). Change: month slices by version, engine schedules, expected spending with budgets, ceilings, actual bill, attribution by change.

--- /dev/null
+++ b/packages/core/src/bluebellusher_core/billing/_bill.py
@@ -0,0 +1,150 @@
+"""The actual bill from recorded usage."""
+
+from collections import defaultdict
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from decimal import Decimal
+from fractions import Fraction
+
+from bluebellusher_core.billing._money import (
+    SECONDS_PER_HOUR,
+    TOKENS_PER_PRICE,
+    add,
+    round_down,
+)
+from bluebellusher_core.billing._month import (
+    Month,
+    Slice,
+    Version,
+    as_versions,
+    slice_month,
+)
+from bluebellusher_core.rules import Rule, RuleSet, TokenKind
+
+
+@dataclass(frozen=True, slots=True)
+class EngineUsage:
+    """Engines of a service that ran from ``begin_s`` to ``end_s``."""
+
+    service: str
+    begin_s: int
+    end_s: int
+    n_engines: int
+
+
+@dataclass(frozen=True, slots=True)
+class TokenUsage:
+    """Tokens that a customer used on a model at the moment ``at_s``."""
+
+    customer: str
+    model: str
+    at_s: int
+    n_input: int
+    n_cached: int
+    n_output: int
+
+    def count(self, kind: TokenKind) -> int:
+        """Return the tokens of one kind."""
+        if kind is TokenKind.INPUT:
+            return self.n_input
+        return self.n_cached if kind is TokenKind.CACHED else self.n_output
+
+
+Usage = EngineUsage | TokenUsage
+
+
+@dataclass(frozen=True, slots=True)
+class BillLine:
+    """Cost of one price rule for one customer; no customer pays for engines."""
+
+    rule: Rule
+    customer: str
+    service: str
+    amount: Decimal
+    version: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Bill:
+    """The bill of a month; its lines add up to ``total`` exactly."""
+
+    month: Month
+    currency: str
+    lines: tuple[BillLine, ...]
+
+    @property
+    def total(self) -> Decimal:
+        """Sum of all lines."""
+        return add(line.amount for line in self.lines)
+
+
+def bill(
+    rules: RuleSet | Iterable[Version], usage: Iterable[Usage], month: Month
+) -> Bill:
+    """Return the bill of a month from usage records.
+
+    Usage outside the month is not part of the bill. Each line is rounded down, so
+    that roundings never lift a bill above the ceiling of its forecast.
+
+    Raises
+    ------
+    ValueError
+        If usage of the month has no price at its time.
+    """
+    versions = as_versions(rules)
+    slices = slice_month(versions, month)
+    cost_by_key: dict[tuple[Slice, Rule, str, str], Fraction] = defaultdict(Fraction)
+    for record in usage:
+        if isinstance(record, EngineUsage):
+            _add_engines(record, slices, month, cost_by_key)
+        elif month.begin_s <= record.at_s < month.end_s:
+            _add_tokens(record, slices, cost_by_key)
+    lines = (
+        BillLine(rule, customer, service, round_down(cost), part.version.number)
+        for (part, rule, customer, service), cost in cost_by_key.items()
+    )
+    currency = versions[-1].rules.currency if versions else ""
+    return Bill(month, currency, tuple(lines))
+
+
+def _add_engines(
+    record: EngineUsage,
+    slices: Sequence[Slice],
+    month: Month,
+    cost_by_key: dict[tuple[Slice, Rule, str, str], Fraction],
+) -> None:
+    n_left = min(record.end_s, month.end_s) - max(record.begin_s, month.begin_s)
+    for part in slices:
+        n_seconds = min(record.end_s, part.end_s) - max(record.begin_s, part.begin_s)
+        price = part.rules.engine_price_by_service.get(record.service)
+        if n_seconds <= 0 or price is None:
+            continue
+        n_left -= n_seconds
+        cost = Fraction(price.price) * record.n_engines * n_seconds / SECONDS_PER_HOUR
+        cost_by_key[part, price, "", record.service] += cost
+    if n_left > 0:
+        raise ValueError(
+            f"service={record.service!r}: expected an engine price at every moment "
+            f"of its usage, but {n_left} s have none"
+        )
+
+
+def _add_tokens(
+    record: TokenUsage,
+    slices: Sequence[Slice],
+    cost_by_key: dict[tuple[Slice, Rule, str, str], Fraction],
+) -> None:
+    held = [part for part in slices if part.begin_s <= record.at_s < part.end_s]
+    prices = held[0].rules.price_by_model.get(record.model, {}) if held else {}
+    for kind in TokenKind:
+        n_tokens = record.count(kind)
+        if not n_tokens:
+            continue
+        if kind not in prices:
+            raise ValueError(
+                f"model={record.model!r}: expected a price of {kind} tokens at "
+                f"{record.at_s} s"
+            )
+        service = held[0].rules.service_by_model.get(record.model, "")
+        cost = Fraction(prices[kind].price) * n_tokens / TOKENS_PER_PRICE
+        cost_by_key[held[0], prices[kind], record.customer, service] += cost
--- /dev/null
+++ b/packages/core/src/bluebellusher_core/billing/_ceiling.py
@@ -0,0 +1,171 @@
+"""The most that one customer can spend on tokens in a month."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from fractions import Fraction
+
+from bluebellusher_core.billing._money import TOKENS_PER_PRICE
+from bluebellusher_core.billing._month import Slice
+from bluebellusher_core.rules import (
+    TOKENS_UNIT,
+    Budget,
+    ExhaustedAction,
+    Limit,
+    Rate,
+    Rule,
+    RuleSet,
+    WhenExhausted,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Bound:
+    """An amount that cannot be exceeded, and the last rule that sets it."""
+
+    amount: Fraction
+    rule: Rule | None
+
+
+@dataclass(frozen=True, slots=True)
+class Ceiling:
+    """Bounds of one customer.
+
+    Either ``normal`` and ``extra`` bound the spending within and after the budget,
+    or ``whole`` bounds both together because the token rate is the lower limit.
+    """
+
+    normal: Bound
+    extra: Bound
+    whole: Bound | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class _Terms:
+    """What one customer may do during a slice."""
+
+    budget: Budget | None
+    exhausted: WhenExhausted | None
+    rate: Rate | None
+    price: Fraction
+    extra_price: Fraction
+
+
+def bound_spending(customer: str, slices: Sequence[Slice]) -> Ceiling:
+    """Return bounds for any spending that respects the rules of each slice.
+
+    Raises
+    ------
+    ValueError
+        If the customer has neither a budget nor a token rate; the checks of a
+        rules file refuse this.
+    """
+    normal = extra = Bound(Fraction(0), None)
+    whole: Bound | None = Bound(Fraction(0), None)
+    tokens_base, n_tokens, price = Fraction(0), Fraction(0), Fraction(0)
+    for terms, spans in _merge(customer, slices):
+        by_rate = _bound_by_rate(terms, spans)
+        if by_rate is None or whole is None:
+            whole = None
+        else:
+            whole = Bound(whole.amount + by_rate, terms.rate)
+        budget = terms.budget
+        if budget is not None and budget.limit.is_tokens:
+            # All tokens of adjoining slices count against the largest of their
+            # budgets, so that a change of a price does not double the bound.
+            n_tokens = max(n_tokens, Fraction(budget.limit.amount))
+            price = max(price, terms.price)
+            normal = Bound(tokens_base + n_tokens * price, budget)
+        else:
+            normal = _bound_by_money(customer, normal, terms, by_rate)
+            tokens_base, n_tokens, price = normal.amount, Fraction(0), Fraction(0)
+        extra = _bound_extra(customer, extra, terms, by_rate)
+    if whole is not None and whole.amount < normal.amount + extra.amount:
+        return Ceiling(normal, extra, whole)
+    return Ceiling(normal, extra)
+
+
+def _merge(
+    customer: str, slices: Sequence[Slice]
+) -> list[tuple[_Terms, list[tuple[int, int]]]]:
+    """Join adjoining slices in which the customer's terms are equal."""
+    merged: list[tuple[_Terms, list[tuple[int, int]]]] = []
+    for part in slices:
+        if customer not in part.rules.customers:
+            continue
+        terms = _terms(customer, part.rules)
+        if not merged or merged[-1][0] != terms:
+            merged.append((terms, []))
+        spans = merged[-1][1]
+        if spans and spans[-1][1] == part.begin_s:
+            spans[-1] = (spans[-1][0], part.end_s)
+        else:
+            spans.append((part.begin_s, part.end_s))
+    return merged
+
+
+def _terms(customer: str, rules: RuleSet) -> _Terms:
+    exhausted = rules.exhausted_by_customer.get(customer)
+    price = _highest_price(rules, None)
+    model = exhausted.model if exhausted else None
+    return _Terms(
+        budget=rules.budget_by_customer.get(customer),
+        exhausted=exhausted,
+        rate=rules.rate_by_customer.get((customer, TOKENS_UNIT)),
+        price=price,
+        extra_price=_highest_price(rules, model) if model else price,
+    )
+
+
+def _highest_price(rules: RuleSet, model: str | None) -> Fraction:
+    """Return the highest price of one token, of one model or of all."""
+    groups = rules.price_by_model
+    chosen = groups.values() if model is None else [groups.get(model, {})]
+    prices = [rule.price for group in chosen for rule in group.values()]
+    return Fraction(max(prices, default=0)) / TOKENS_PER_PRICE
+
+
+def _bound_by_rate(terms: _Terms, spans: list[tuple[int, int]]) -> Fraction | None:
+    if terms.rate is None:
+        return None
+    period_s = terms.rate.period_s
+    # A period that a slice touches counts in full, because the customer may use
+    # its whole amount in the part inside the slice.
+    n_periods = sum(-(-end // period_s) - begin // period_s for begin, end in spans)
+    return n_periods * terms.rate.n_units * max(terms.price, terms.extra_price)
+
+
+def _bound_by_money(
+    customer: str, bound: Bound, terms: _Terms, by_rate: Fraction | None
+) -> Bound:
+    if terms.budget is not None:
+        amount = Fraction(terms.budget.limit.amount)
+        return Bound(max(bound.amount, amount), terms.budget)
+    return _add_rate(customer, bound, terms, by_rate)
+
+
+def _bound_extra(
+    customer: str, bound: Bound, terms: _Terms, by_rate: Fraction | None
+) -> Bound:
+    rule = terms.exhausted
+    if rule is None or rule.action is ExhaustedAction.REFUSE:
+        return bound
+    if rule.limit is None:
+        return _add_rate(customer, bound, terms, by_rate)
+    return Bound(_extend(bound.amount, rule.limit, terms.extra_price), rule)
+
+
+def _extend(amount: Fraction, limit: Limit, price: Fraction) -> Fraction:
+    if limit.is_tokens:
+        return amount + Fraction(limit.amount) * price
+    return max(amount, Fraction(limit.amount))
+
+
+def _add_rate(
+    customer: str, bound: Bound, terms: _Terms, by_rate: Fraction | None
+) -> Bound:
+    if by_rate is None:
+        raise ValueError(
+            f"customer={customer!r}: expected a budget or a token rate that bounds "
+            "its spending"
+        )
+    return Bound(bound.amount + by_rate, terms.rate)
--- /dev/null
+++ b/packages/core/src/bluebellusher_core/billing/_demand.py
@@ -0,0 +1,87 @@
+"""The expected load of one customer as rates that are constant in each segment."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from decimal import Decimal
+from fractions import Fraction
+
+from bluebellusher_core.billing._money import TOKENS_PER_PRICE
+from bluebellusher_core.billing._month import Slice
+from bluebellusher_core.rules import Load, RuleSet, TokenKind
+
+
+@dataclass(frozen=True, slots=True)
+class Flow:
+    """Requests of one load rule that come at a constant rate.
+
+    Parameters
+    ----------
+    load : Load
+        The rule.
+    n_requests : Fraction
+        Requests per second.
+    """
+
+    load: Load
+    n_requests: Fraction
+
+    @property
+    def n_tokens(self) -> Fraction:
+        """Tokens per second."""
+        return self.n_requests * self.load.n_tokens
+
+
+@dataclass(frozen=True, slots=True)
+class Segment:
+    """Seconds in which the same flows come."""
+
+    n_seconds: int
+    flows: tuple[Flow, ...]
+
+
+def price_request(rules: RuleSet, model: str, load: Load) -> Fraction:
+    """Return the price of one request on a model; 0 where no price is set."""
+    prices = rules.price_by_model.get(model)
+    if not prices:
+        return Fraction(0)
+    counts = {
+        TokenKind.INPUT: load.n_input,
+        TokenKind.CACHED: load.n_cached,
+        TokenKind.OUTPUT: load.n_output,
+    }
+    amounts = (rule.price * counts[kind] for kind, rule in prices.items())
+    return Fraction(sum(amounts, Decimal(0))) / TOKENS_PER_PRICE
+
+
+def count_requests(load: Load, part: Slice) -> Fraction:
+    """Return how many requests of a load fall into a slice."""
+    total = Fraction(0)
+    n_whole = 0
+    for begin_s, end_s in load.schedule.spans(part.begin_s, part.end_s):
+        n_inside = min(end_s, part.end_s) - max(begin_s, part.begin_s)
+        if n_inside == end_s - begin_s:
+            n_whole += 1
+        else:
+            total += Fraction(n_inside, end_s - begin_s)
+    return (total + n_whole) * load.n_requests
+
+
+def iterate_segments(loads: list[Load], part: Slice) -> Iterator[Segment]:
+    """Yield the segments of a slice in order of time."""
+    marks: list[tuple[int, int, int, Flow]] = []
+    for index, load in enumerate(loads):
+        for begin_s, end_s in load.schedule.spans(part.begin_s, part.end_s):
+            flow = Flow(load, Fraction(load.n_requests, end_s - begin_s))
+            marks.append((max(begin_s, part.begin_s), 1, index, flow))
+            marks.append((min(end_s, part.end_s), -1, index, flow))
+    marks.sort(key=lambda mark: mark[0])
+    open_flows: list[Flow] = []
+    previous_s = part.begin_s
+    for at_s, step, _, flow in marks:
+        if at_s > previous_s and open_flows:
+            yield Segment(at_s - previous_s, tuple(open_flows))
+        previous_s = max(previous_s, at_s)
+        if step > 0:
+            open_flows.append(flow)
+        else:
+            open_flows.remove(flow)
--- /dev/null
+++ b/packages/core/src/bluebellusher_core/billing/_explain.py
@@ -0,0 +1,295 @@
+"""Why the expected bill differs between two points in time."""
+
+from collections import defaultdict
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from decimal import Decimal
+from fractions import Fraction
+
+from bluebellusher_core.billing._engines import price_engines, services_of
+from bluebellusher_core.billing._forecast import customers_of
+from bluebellusher_core.billing._money import (
+    ZERO,
+    add,
+    from_steps,
+    round_down,
+    round_up,
+    subtract,
+)
+from bluebellusher_core.billing._month import (
+    Month,
+    Slice,
+    Version,
+    as_versions,
+    slice_month,
+)
+from bluebellusher_core.billing._spending import spend
+from bluebellusher_core.rules import (
+    Budget,
+    Change,
+    EnginePrice,
+    Engines,
+    Load,
+    Model,
+    Rate,
+    Rule,
+    RuleSet,
+    TokenPrice,
+    WhenExhausted,
+    diff_rules,
+)
+
+AmountByName = dict[tuple[str, str], Decimal]
+
+
+@dataclass(frozen=True, slots=True)
+class Part:
+    """The part of a difference that one change of a rule causes.
+
+    Parameters
+    ----------
+    change : Change or None
+        The change, with authors and reasons of the rules; ``None`` when the two
+        months differ in their calendar.
+    amount : Decimal
+        What the change adds to the expected bill; negative when it saves.
+    version : int
+        Version that made the change; 0 for a file that was not applied.
+    accepted_s : int or None
+        When it was accepted, in seconds since 1970 UTC.
+    """
+
+    change: Change | None
+    amount: Decimal
+    version: int = 0
+    accepted_s: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Explanation:
+    """A difference and its parts, which add up to it exactly."""
+
+    before: Decimal
+    after: Decimal
+    parts: tuple[Part, ...]
+
+    @property
+    def difference(self) -> Decimal:
+        """``after - before``."""
+        return subtract(self.after, self.before)
+
+
+def explain(
+    rules_a: RuleSet, rules_b: RuleSet, month: Month, month_b: Month | None = None
+) -> Explanation:
+    """Explain the expected bill of ``rules_b`` in contrast to ``rules_a``.
+
+    Parameters
+    ----------
+    rules_a, rules_b : RuleSet
+        Two files, each of which holds all month.
+    month : Month
+        The month of both bills.
+    month_b : Month, optional
+        The month of the second bill when it is another one.
+    """
+    steps = [_Step((), Version(rules_a), Version(rules_b))]
+    return _explain((Version(rules_a),), steps, month, month_b or month)
+
+
+def explain_history(
+    versions: Iterable[Version],
+    number_a: int,
+    number_b: int,
+    month: Month,
+    month_b: Month | None = None,
+) -> Explanation:
+    """Explain why a month's bill differs between two versions of a history.
+
+    The bill as of a version is that of the month in which all versions up to it
+    hold from their times of acceptance, and the last of them until the end.
+
+    Parameters
+    ----------
+    versions : iterable of Version
+        The history with increasing numbers and times.
+    number_a, number_b : int
+        Numbers of two versions, the first not after the second.
+    month, month_b : Month
+        Months of the first and of the second bill.
+
+    Raises
+    ------
+    ValueError
+        If a number is not in the history or the numbers are not in order.
+    """
+    history = as_versions(versions)
+    index_by_number = {version.number: i for i, version in enumerate(history)}
+    for number in (number_a, number_b):
+        if number not in index_by_number:
+            raise ValueError(f"version={number}: expected a version of the history")
+    if number_a > number_b:
+        raise ValueError(f"version={number_b}: expected one not before {number_a}")
+    first, last = index_by_number[number_a], index_by_number[number_b]
+    steps = [
+        _Step(history[:i], history[i - 1], history[i])
+        for i in range(first + 1, last + 1)
+    ]
+    return _explain(history[: first + 1], steps, month, month_b or month)
+
+
+@dataclass(frozen=True, slots=True)
+class _Step:
+    """A version that follows another; ``earlier`` versions stay as they are."""
+
+    earlier: tuple[Version, ...]
+    before: Version
+    after: Version
+
+
+def _explain(
+    start: tuple[Version, ...], steps: list[_Step], month: Month, month_b: Month
+) -> Explanation:
+    # The calendar is the first step; all changes of rules are priced in month_b.
+    before = _total(start, month)
+    amount = _total(start, month_b)
+    parts = []
+    if month != month_b:
+        parts.append(Part(None, subtract(amount, before)))
+    for step in steps:
+        parts += _attribute(step, month_b)
+    end = (*steps[-1].earlier, steps[-1].after) if steps else start
+    return Explanation(before, _total(end, month_b), tuple(parts))
+
+
+def _total(versions: Sequence[Version], month: Month) -> Decimal:
+    return add(_amounts(slice_month(versions, month)).values())
+
+
+def _amounts(slices: Sequence[Slice]) -> AmountByName:
+    names = [("service", service) for service in services_of(slices)]
+    names += [("customer", customer) for customer in customers_of(slices)]
+    return {name: _amount(name, slices) for name in names}
+
+
+def _amount(name: tuple[str, str], slices: Sequence[Slice]) -> Decimal:
+    """Return the expected amount of a customer or a service, as in a forecast."""
+    kind, subject = name
+    if kind == "service":
+        parts = (price_engines(part, subject).values() for part in slices)
+        return round_up(sum((c for costs in parts for c in costs), Fraction(0)))
+    spending = spend(subject, slices)
+    found = (*spending.normal_by_key.values(), *spending.extra_by_key.values())
+    return round_down(sum(found, Fraction(0)))
+
+
+def _attribute(step: _Step, month: Month) -> list[Part]:
+    """Return the parts of one step by change.
+
+    Each part is the mean of what the change adds in the order of the changes and in
+    the reverse order, so that a price and a quantity that change together share
+    their joint effect equally. Prices and limits of a new customer, model or service
+    come before its load in both orders, and those of a removed one go after it.
+    """
+    changes = diff_rules(step.before.rules, step.after.rules)
+    early, middle, late = _by_phase(step, changes)
+    forward = _walk(step, month, (*early, *middle, *late))
+    backward = _walk(step, month, (*early, *middle[::-1], *late))
+    doubled = [add((forward[c], backward[c])) for c in changes]
+    return [
+        Part(change, amount, step.after.number, step.after.accepted_s)
+        for change, amount in zip(changes, _halve(doubled), strict=True)
+    ]
+
+
+def _halve(doubled: Iterable[Decimal]) -> list[Decimal]:
+    """Return halves in steps of 0.01; left-over steps go to every second one."""
+    halves = []
+    n_left = 0
+    for amount in doubled:
+        n_steps = int(amount.scaleb(2)) + n_left
+        halves.append(from_steps(n_steps // 2))
+        n_left = n_steps % 2
+    return halves
+
+
+Phases = tuple[tuple[Change, ...], tuple[Change, ...], tuple[Change, ...]]
+
+
+def _by_phase(step: _Step, changes: Iterable[Change]) -> Phases:
+    old = _subjects(step.before.rules)
+    new = _subjects(step.after.rules)
+    early, middle, late = [], [], []
+    for change in changes:
+        is_quantity = isinstance(change.rule, Load | Engines)
+        subject = _subject(change.rule)
+        if change.before is None and subject not in old and not is_quantity:
+            early.append(change)
+        elif change.after is None and subject not in new and not is_quantity:
+            late.append(change)
+        else:
+            middle.append(change)
+    return tuple(early), tuple(middle), tuple(late)
+
+
+def _subjects(rules: RuleSet) -> set[str]:
+    return {_subject(rule) for rule in rules.rules}
+
+
+def _subject(rule: Rule) -> str:
+    """Return the customer, model or service that a rule is about."""
+    return rule.key()[1] if len(rule.key()) > 1 else ""
+
+
+def _walk(
+    step: _Step, month: Month, changes: Sequence[Change]
+) -> dict[Change, Decimal]:
+    """Return what each change adds when they are made one after the other."""
+    rule_by_key = dict(step.before.rules.rule_by_key)
+    names_by_model = _names_by_model(step)
+    start = slice_month((*step.earlier, step.before), month)
+    amount_by_name = _amounts(start)
+    added = {}
+    for change in changes:
+        if change.after is None:
+            del rule_by_key[change.rule.key()]
+        else:
+            rule_by_key[change.rule.key()] = change.after
+        names = _affected(change.rule, names_by_model)
+        added[change] = ZERO
+        if not names:
+            continue
+        rules = RuleSet(rule_by_key.values())
+        mixed = Version(rules, step.after.accepted_s, step.after.number)
+        slices = slice_month((*step.earlier, mixed), month)
+        for name in names:
+            amount = _amount(name, slices)
+            old = amount_by_name.get(name, ZERO)
+            added[change] = add((added[change], subtract(amount, old)))
+            amount_by_name[name] = amount
+    return added
+
+
+def _affected(
+    rule: Rule, names_by_model: dict[str, set[tuple[str, str]]]
+) -> set[tuple[str, str]]:
+    """Return the customers and services whose expected amount a rule can change."""
+    if isinstance(rule, Engines | EnginePrice):
+        return {("service", rule.service)}
+    if isinstance(rule, TokenPrice | Model):
+        return names_by_model.get(rule.model, set())
+    if isinstance(rule, Budget | Load | Rate | WhenExhausted):
+        return {("customer", rule.customer)}
+    return set()
+
+
+def _names_by_model(step: _Step) -> dict[str, set[tuple[str, str]]]:
+    """Return the customers that use each model in either version."""
+    names: dict[str, set[tuple[str, str]]] = defaultdict(set)
+    for rules in (step.before.rules, step.after.rules):
+        for load in rules.of(Load):
+            names[load.target].add(("customer", load.customer))
+        for rule in rules.of(WhenExhausted):
+            if rule.model:
+                names[rule.model].add(("customer", rule.customer))
+    return names
--- /dev/null
+++ b/packages/core/src/bluebellusher_core/billing/_month.py
@@ -0,0 +1,118 @@
+"""Billing months and the versions of the rules that hold in them."""
+
+import re
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from datetime import date
+
+from bluebellusher_core.rules import RuleSet, local_to_utc_s
+
+FIRST_YEAR = 2000
+LAST_YEAR = 2199
+
+
+@dataclass(frozen=True, slots=True)
+class Month:
+    """A calendar month in a time zone.
+
+    Parameters
+    ----------
+    year, month : int
+        From January 2000 to December 2199.
+    zone : str
+        IANA name of the zone whose midnight begins the month.
+    """
+
+    year: int
+    month: int
+    zone: str
+
+    @classmethod
+    def from_text(cls, text: str, zone: str) -> "Month":
+        """Return the month of a text such as ``2027-01``.
+
+        Raises
+        ------
+        ValueError
+            If the text is not a month of the years 2000 to 2199.
+        """
+        match = re.match(r"([0-9]{4})-(0[1-9]|1[0-2])\Z", text)
+        if not match or not FIRST_YEAR <= int(match[1]) <= LAST_YEAR:
+            raise ValueError(f"month={text!r}: expected YYYY-MM, such as 2027-01")
+        return cls(int(match[1]), int(match[2]), zone)
+
+    def __str__(self) -> str:
+        return f"{self.year:04d}-{self.month:02d}"
+
+    @property
+    def begin_s(self) -> int:
+        """First instant in seconds since 1970 UTC."""
+        return local_to_utc_s(self.zone, date(self.year, self.month, 1), 0)
+
+    @property
+    def end_s(self) -> int:
+        """First instant after the month in seconds since 1970 UTC."""
+        n_months = self.year * 12 + self.month
+        first = date(n_months // 12, n_months % 12 + 1, 1)
+        return local_to_utc_s(self.zone, first, 0)
+
+
+@dataclass(frozen=True, slots=True)
+class Version:
+    """Rules that hold from the moment of their acceptance.
+
+    Parameters
+    ----------
+    rules : RuleSet
+        The rules.
+    accepted_s : int or None
+        Seconds since 1970 UTC; ``None`` means since ever.
+    number : int
+        Version number in the table; 0 for a file that was not applied.
+    """
+
+    rules: RuleSet
+    accepted_s: int | None = None
+    number: int = 0
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class Slice:
+    """A part of a month in which one version holds; compared by identity."""
+
+    begin_s: int
+    end_s: int
+    version: Version
+
+    @property
+    def rules(self) -> RuleSet:
+        """The rules that hold."""
+        return self.version.rules
+
+
+def slice_month(versions: Sequence[Version], month: Month) -> tuple[Slice, ...]:
+    """Return the parts of the month by version, without empty parts.
+
+    Of versions with the same time of acceptance the last one holds. A part of the
+    month before the first version belongs to no slice.
+    """
+    starts = [_start(version, month) for version in versions]
+    ends = [*starts[1:], month.end_s]
+    return tuple(
+        Slice(begin_s, min(end_s, month.end_s), version)
+        for version, begin_s, end_s in zip(versions, starts, ends, strict=True)
+        if begin_s < min(end_s, month.end_s)
+    )
+
+
+def _start(version: Version, month: Month) -> int:
+    if version.accepted_s is None:
+        return month.begin_s
+    return max(version.accepted_s, month.begin_s)
+
+
+def as_versions(rules: RuleSet | Iterable[Version]) -> tuple[Version, ...]:
+    """Return rules as one version that holds since ever, or versions by time."""
+    if isinstance(rules, RuleSet):
+        return (Version(rules),)
+    return tuple(sorted(rules, key=lambda v: (v.accepted_s or 0, v.number)))
--- a/packages/core/src/bluebellusher_core/rules/__init__.py
+++ b/packages/core/src/bluebellusher_core/rules/__init__.py
@@ -3,6 +3,7 @@
 from bluebellusher_core.rules._cursor import RuleError
 from bluebellusher_core.rules._difference import Change, diff_rules
 from bluebellusher_core.rules._model import (
+    TOKENS_UNIT,
     Budget,
     Capacity,
     Currency,
@@ -28,6 +29,7 @@
 from bluebellusher_core.rules._schedule import DateRange, Schedule, local_to_utc_s
 
 __all__ = [
+    "TOKENS_UNIT",
     "Budget",
     "Capacity",
     "Change",
