Test the forecast against a simulated month and any usage within limits

Cause: ceiling and expected value must hold for usage that billing did not compute itself. Ruled out: a simulation built on the same interval arithmetic; the tests walk minute by minute instead. Change: a meter that enforces limits on recorded usage, properties for sums, order of values, ceiling, expected value and parts.

--- /dev/null
+++ b/packages/core/src/bluebellusher_core/billing/tests/simulation.py
@@ -0,0 +1,112 @@
+"""A month walked minute by minute, without the interval arithmetic of billing."""
+
+from collections import defaultdict
+from datetime import datetime, timedelta
+from fractions import Fraction
+from zoneinfo import ZoneInfo
+
+from bluebellusher_core.billing import EngineUsage, Month, TokenUsage, Usage
+from bluebellusher_core.rules import Load, RuleSet, Schedule, TokenKind
+
+
+def window_day(schedule: Schedule, at_s: int) -> object:
+    """Return the local day whose window holds at a moment, or ``None``."""
+    local = datetime.fromtimestamp(at_s, ZoneInfo(schedule.zone))
+    minute = local.hour * 60 + local.minute
+    begin, end = schedule.hours or (0, 1440)
+    day = local.date()
+    if begin < end:
+        return day if begin <= minute < end and schedule.holds_on(day) else None
+    if minute >= begin and schedule.holds_on(day):
+        return day
+    day -= timedelta(days=1)
+    return day if minute < end and schedule.holds_on(day) else None
+
+
+def simulate_engines(rules: RuleSet, month: Month) -> list[Usage]:
+    """Run the scheduled engines of each service."""
+    usage: list[Usage] = []
+    for service, group in rules.engines_by_service.items():
+        run: list[int] = [0, 0, 0]
+        for at_s in range(month.begin_s, month.end_s, 60):
+            held = [r for r in group if window_day(r.schedule, at_s) is not None]
+            winner = max(held, key=lambda rule: rule.schedule.rank, default=None)
+            n_engines = winner.n_engines if winner else 0
+            if run[2] != n_engines:
+                usage.append(EngineUsage(service, *run))
+                run = [at_s, at_s, n_engines]
+            run[1] = at_s + 60
+        usage.append(EngineUsage(service, *run))
+    return usage
+
+
+class Meter:
+    """Admits requests of one customer as long as its rules allow them."""
+
+    def __init__(self, customer: str) -> None:
+        self.customer = customer
+        self.normal = [Fraction(0), Fraction(0)]
+        self.extra = [Fraction(0), Fraction(0)]
+        self.n_in_period: dict[int, int] = defaultdict(int)
+
+    def admit(
+        self,
+        rules: RuleSet,
+        model: str,
+        at_s: int,
+        counts: tuple[int, int, int],
+        n_requests: int = 1,
+    ) -> list[TokenUsage]:
+        """Return the usage of those requests that the rules let through."""
+        rate = rules.rate_by_customer.get((self.customer, "tokens"))
+        n_tokens = max(sum(counts), 1)
+        if rate:
+            n_free = rate.n_units * 60 - self.n_in_period[at_s]
+            n_requests = min(n_requests, n_free // n_tokens)
+        self.n_in_period[at_s] += n_requests * n_tokens
+        budget = rules.budget_by_customer.get(self.customer)
+        limit = budget and budget.limit
+        n_normal = self._use(rules, model, counts, self.normal, limit, n_requests)
+        usage = [self._record(model, at_s, counts, n_normal)]
+        rule = rules.exhausted_by_customer.get(self.customer)
+        if n_normal < n_requests and rule and rule.action != "refuse":
+            model = rule.model or model
+            n_left = n_requests - n_normal
+            n_left = self._use(rules, model, counts, self.extra, rule.limit, n_left)
+            usage.append(self._record(model, at_s, counts, n_left))
+        return usage
+
+    def _use(self, rules, model, counts, used, limit, n_requests) -> int:
+        prices = rules.price_by_model[model]
+        pairs = zip(TokenKind, counts, strict=True)
+        cost = sum(Fraction(prices[kind].price) * n for kind, n in pairs) / 10**6
+        each = (cost, sum(counts))
+        if limit:
+            is_tokens = limit.unit == "tokens"
+            left = Fraction(limit.amount) - used[is_tokens]
+            if each[is_tokens]:
+                n_requests = max(0, min(n_requests, int(left // each[is_tokens])))
+        for i in range(2):
+            used[i] += each[i] * n_requests
+        return n_requests
+
+    def _record(self, model, at_s, counts, n_requests) -> TokenUsage:
+        return TokenUsage(self.customer, model, at_s, *(n * n_requests for n in counts))
+
+
+def simulate_load(rules: RuleSet, load: Load, month: Month, meter: Meter) -> list:
+    """Send the expected requests of a load, spread over each window."""
+    minutes_by_day = defaultdict(list)
+    for at_s in range(month.begin_s - 86400, month.end_s + 86400, 60):
+        day = window_day(load.schedule, at_s)
+        if day is not None:
+            minutes_by_day[day].append(at_s)
+    counts = (load.n_input, load.n_cached, load.n_output)
+    usage = []
+    for minutes in minutes_by_day.values():
+        for i, at_s in enumerate(minutes):
+            n_before = i * load.n_requests // len(minutes)
+            n_now = (i + 1) * load.n_requests // len(minutes) - n_before
+            if n_now and month.begin_s <= at_s < month.end_s:
+                usage += meter.admit(rules, load.target, at_s, counts, n_now)
+    return usage
--- /dev/null
+++ b/packages/core/src/bluebellusher_core/billing/tests/test_billing.py
@@ -0,0 +1,229 @@
+"""Tests of forecast, bill and explanation."""
+
+from decimal import Decimal
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bluebellusher_core.billing import (
+    EngineUsage,
+    Month,
+    TokenUsage,
+    Version,
+    bill,
+    explain,
+    explain_history,
+    forecast,
+)
+from bluebellusher_core.billing.tests.simulation import (
+    Meter,
+    simulate_engines,
+    simulate_load,
+)
+from bluebellusher_core.rules import RuleSet, parse_rules
+from bluebellusher_core.rules.tests.strategies import HEAD, rules_texts
+
+MONTHS = st.sampled_from(["2027-01", "2027-02", "2027-03", "2027-10", "2028-02"])
+# One example walks through 44,000 minutes for each customer.
+SLOW = settings(max_examples=12)
+
+
+def parse(text: str) -> RuleSet:
+    """Return the rules of a text that has no fault."""
+    result = parse_rules(text)
+    assert result.is_ok(), [e.render() for e in result.error]
+    return result.ok
+
+
+def with_lines(*lines: str, zone: str = "UTC") -> RuleSet:
+    """Return a rule set with prices and two models, and the lines."""
+    text = "".join(f"{line} # Mio Kato: test\n" for line in lines)
+    return parse(HEAD.format(zone=zone) + text)
+
+
+RULES = rules_texts().map(parse)
+
+
+@given(RULES, MONTHS)
+def test_property_forecast_adds_up(rules: RuleSet, text: str) -> None:
+    """Guards against sums that differ by view, and against values out of order."""
+    found = forecast(rules, Month.from_text(text, rules.month_zone))
+    for groups in (found.by_rule(), found.by_customer(), found.by_service()):
+        amounts = list(groups.values())
+        for field in ("minimum", "expected", "ceiling"):
+            total = sum((getattr(a, field) for a in amounts), Decimal(0))
+            assert total == getattr(found.total, field)
+        assert all(0 <= a.minimum <= a.expected <= a.ceiling for a in amounts)
+
+
+@SLOW
+@given(RULES, MONTHS)
+def test_property_simulated_month_meets_forecast(rules: RuleSet, text: str) -> None:
+    """Guards against an expected value that the assumed load does not produce."""
+    month = Month.from_text(text, rules.month_zone)
+    usage = simulate_engines(rules, month)
+    for customer, loads in rules.loads_by_customer.items():
+        meter = Meter(customer)
+        for load in loads:
+            usage += simulate_load(rules, load, month, meter)
+    actual = bill(rules, usage, month)
+    found = forecast(rules, month)
+    for customer, amount in found.by_customer().items():
+        lines = [line.amount for line in actual.lines if line.customer == customer]
+        # One request of 900 tokens costs up to 0.15, one per window may be cut off.
+        allowed = amount.expected / 100 + 1
+        assert abs(sum(lines) - amount.expected) <= allowed, customer
+    assert actual.total <= found.total.ceiling
+
+
+ATTEMPTS = st.lists(
+    st.tuples(
+        st.integers(0, 2),
+        st.sampled_from(["large", "small"]),
+        st.integers(0, 31 * 86400 - 1),
+        st.tuples(*[st.integers(0, 10**8)] * 3),
+    ),
+    max_size=40,
+)
+
+
+@given(RULES, RULES, st.integers(0, 31 * 86400), ATTEMPTS)
+def test_property_usage_within_limits_stays_below_ceiling(
+    first: RuleSet, second: RuleSet, changed_s: int, attempts: list
+) -> None:
+    """Guards against a bill above the ceiling, also when the rules change."""
+    month = Month.from_text("2027-01", "UTC")
+    moment_s = month.begin_s + changed_s
+    versions = [Version(first, None, 1), Version(second, moment_s, 2)]
+    meters = [Meter(f"c{i}") for i in range(3)]
+    usage = []
+    for index, model, after_s, counts in sorted(attempts, key=lambda a: a[2]):
+        at_s = month.begin_s + after_s // 60 * 60
+        rules = first if at_s < moment_s else second
+        # Small counts pass token rates, large ones meet budgets.
+        shrunk = tuple(n // 10**4 for n in counts)
+        for batch in (counts, shrunk):
+            if meters[index].customer in rules.customers:
+                usage += meters[index].admit(rules, model, at_s, batch)
+    actual = bill(versions, usage, month)
+    ceilings = forecast(versions, month).by_customer()
+    for line in actual.lines:
+        lines = [x.amount for x in actual.lines if x.customer == line.customer]
+        assert sum(lines) <= ceilings[line.customer].ceiling
+
+
+@given(RULES, RULES, MONTHS, MONTHS)
+def test_property_parts_add_up(
+    first: RuleSet, second: RuleSet, text_a: str, text_b: str
+) -> None:
+    """Guards against a difference that its parts do not explain in full."""
+    month_a = Month.from_text(text_a, first.month_zone)
+    month_b = Month.from_text(text_b, second.month_zone)
+    found = explain(first, second, month_a, month_b)
+    assert found.before == forecast(first, month_a).total.expected
+    assert found.after == forecast(second, month_b).total.expected
+    assert sum(part.amount for part in found.parts) == found.difference
+
+
+@given(st.lists(RULES, min_size=2, max_size=4), st.integers(0, 40 * 86400), st.data())
+def test_property_parts_add_up_over_versions(
+    group: list[RuleSet], step_s: int, data: st.DataObject
+) -> None:
+    """Guards against parts that miss a version accepted within the month."""
+    month = Month.from_text("2027-03", "Europe/Berlin")
+    versions = [
+        Version(rules, month.begin_s - 86400 + i * step_s, i + 1)
+        for i, rules in enumerate(group)
+    ]
+    number = data.draw(st.integers(1, len(group)))
+    found = explain_history(versions, number, len(group), month)
+    assert found.before == forecast(versions[:number], month).total.expected
+    assert found.after == forecast(versions, month).total.expected
+    assert sum(part.amount for part in found.parts) == found.difference
+
+
+@pytest.mark.parametrize(
+    ("text", "zone", "n_hours"),
+    [
+        ("2027-02", "Asia/Tokyo", 672),
+        ("2028-02", "Asia/Tokyo", 696),
+        ("2027-03", "Europe/Berlin", 743),
+        ("2027-10", "Europe/Berlin", 745),
+    ],
+)
+def test_months_have_their_real_length(text: str, zone: str, n_hours: int) -> None:
+    """Guards against months of a fixed length and against lost clock changes."""
+    rules = with_lines(f"engines desk 2 {zone}", zone=zone)
+    found = forecast(rules, Month.from_text(text, zone))
+    assert found.total.expected == n_hours * 2 * 3
+
+
+def test_windows_follow_their_precedence() -> None:
+    """Guards against hours that count for two rules of one service."""
+    rules = with_lines(
+        "engines desk 1 UTC",
+        "engines desk 3 from 08:00 to 18:00 on Mon-Fri UTC",
+        "engines desk 0 on 2027-02-01 UTC",
+    )
+    found = forecast(rules, Month.from_text("2027-02", "UTC"))
+    n_hours = 27 * 24 + 19 * 10 * 2
+    assert found.total.expected == n_hours * 3
+
+
+def test_rate_limits_the_expected_value() -> None:
+    """Guards against an expected value above what a token rate lets through."""
+    rules = with_lines(
+        "customer c0",
+        "rate c0 100 tokens per second",
+        # The hour that begins at 02:00 has no second on 2027-03-28 in Berlin.
+        "load c0 large 800 requests per day input 900 "
+        "from 01:00 to 03:00 Europe/Berlin",
+    )
+    month = Month.from_text("2027-03", "Europe/Berlin")
+    n_tokens = 30 * 720_000 + 360_000
+    assert forecast(rules, month).total.expected == Decimal(n_tokens) * 60 / 10**6
+
+
+def test_overlapping_versions_price_usage_at_its_time() -> None:
+    """Guards against usage that is priced by a version of another time."""
+    month = Month.from_text("2027-01", "UTC")
+    middle_s = month.begin_s + 86400
+    first = with_lines("engines desk 1 UTC")
+    dearer = first.render().replace("desk 3 per hour", "desk 5 per hour")
+    second = parse(dearer.replace("320 per million", "400 per million"))
+    versions = [Version(first, None, 1), Version(second, middle_s, 2)]
+    usage = [
+        EngineUsage("desk", middle_s - 3600, middle_s + 3600, 1),
+        TokenUsage("c0", "large", middle_s - 1, 0, 0, 10**6),
+        TokenUsage("c0", "large", middle_s, 0, 0, 10**6),
+    ]
+    found = bill(versions, usage, month)
+    assert sorted(line.amount for line in found.lines) == [3, 5, 320, 400]
+    with pytest.raises(ValueError, match="price of input"):
+        bill(first, [TokenUsage("c0", "oak", middle_s, 1, 0, 0)], month)
+
+
+def test_parts_name_rule_author_and_time() -> None:
+    """Guards against a part that is credited to another change."""
+    month = Month.from_text("2027-01", "UTC")
+    old = with_lines("engines desk 1 UTC")
+    text = old.render().replace("3 per hour # Aiko Mori: lease", "4 per hour # Ai: up")
+    text += "customer c0 # Yui: new\nbudget c0 500 JPY per month # Yui: new\n"
+    text += "load c0 large 1000 requests per day output 100 UTC # Yui: new\n"
+    versions = [Version(old, 0, 1), Version(parse(text), month.begin_s + 86400, 2)]
+    found = explain_history(versions, 1, 2, month)
+    amount_by_author = {p.change.rule.author: p.amount for p in found.parts if p.amount}
+    assert amount_by_author == {"Ai": 30 * 24, "Yui": 500}
+    assert {part.accepted_s for part in found.parts} == {month.begin_s + 86400}
+
+
+def test_price_and_quantity_share_their_joint_effect() -> None:
+    """Guards against parts that depend on the order of the lines."""
+    old = with_lines("engines desk 1 UTC")
+    text = old.render().replace("3 per hour", "4 per hour").replace("desk 1", "desk 2")
+    parts = explain(old, parse(text), Month.from_text("2027-01", "UTC")).parts
+    assert {p.change.rule.KEYWORD: p.amount for p in parts} == {
+        "engine-price": Decimal(744) * 3 / 2,
+        "engines": Decimal(744) * 7 / 2,
+    }
