Route by predicted latency with fair queues; test links with a scripted agent

Cause: the entry used the baseline policy and queue, and no test covered foreign, late and silent connections. Change: PredictedLatency and FairQueue with the weights of the settings; tests of foreign and late attempts, silence, and refused handshakes.

--- a/packages/entry/src/bluebellusher/cli/_entry.py
+++ b/packages/entry/src/bluebellusher/cli/_entry.py
@@ -11,9 +11,10 @@
 from typing import Any
 
 import uvloop
+from bluebellusher_core.admission import FairQueue
 from bluebellusher_core.clock import Clock, SystemClock
-from bluebellusher_core.events import CustomerPolicy, PolicyChanged
 from bluebellusher_core.reducer import EntryConfig, EntryState
+from bluebellusher_core.routing import PredictedLatency
 
 from bluebellusher.cli._view import EntryView
 from bluebellusher.links import AgentLinks, Identity, LinkTicker, PeerLinks
@@ -43,7 +44,12 @@
             incarnation=self.incarnation,
             seed=seed.getrandbits(32),
         )
-        self.state = EntryState.from_config(config)
+        policy = PredictedLatency(failure_domain=settings.failure_domain)
+        self.state = EntryState.from_config(config, policy, FairQueue)
+        # In force until the first version of the rules replaces them.
+        self.state.weight_by_customer = {
+            customer.customer_id: customer.weight for customer in settings.customers
+        }
         limits = settings.limits
         self.runtime = Runtime(
             self.state, clock, log, Metrics(), Tracer(log), limits.stream_window_bytes
@@ -86,10 +92,6 @@
         http_port = await self.server.start()
         self.agents.dial(_pairs(self.settings.agents))
         self.peers.dial(_pairs(self.settings.peers))
-        customers = tuple(
-            CustomerPolicy(c.customer_id, c.weight) for c in self.settings.customers
-        )
-        self.runtime.post(PolicyChanged(0, customers))
         self.log.event(
             "listening",
             instance=self.settings.instance_id,
--- /dev/null
+++ b/packages/entry/src/bluebellusher/links/tests/test_connections.py
@@ -0,0 +1,214 @@
+"""Guards against forged, silent, crossed and late messages on connections."""
+
+import asyncio
+import zlib
+from random import Random
+
+from bluebellusher_core.clock import ManualClock
+from bluebellusher_core.events import (
+    AttemptBroken,
+    AttemptFinished,
+    EndpointConnected,
+    EndpointLost,
+)
+from bluebellusher_core.wire import messages
+
+from bluebellusher.links import (
+    AgentLinks,
+    AnswerStream,
+    AttemptRelay,
+    FrameConnection,
+    Identity,
+    LinkTicker,
+)
+
+SECRET = b"s3cr3t-of-this-test"
+ENTRY = Identity("entry-1", 1, "a", SECRET)
+AGENT = Identity("engine-1", 7, "a", SECRET, messages.Role.AGENT, ("desk",))
+HEADERS = {"content-type": "text/event-stream"}
+
+
+class Sink:
+    """Collect events and tell when one has come."""
+
+    def __init__(self) -> None:
+        self.events = []
+        self._came = asyncio.Event()
+
+    def post(self, event) -> None:
+        """Collect an event."""
+        self.events.append(event)
+        self._came.set()
+
+    def log(self, name, **fields) -> None:
+        """Drop a log line."""
+
+    async def wait_for(self, kind, n_events=1):
+        """Return the ``n_events``-th event of a kind."""
+        async with asyncio.timeout(20):
+            while True:
+                found = [event for event in self.events if isinstance(event, kind)]
+                if len(found) >= n_events:
+                    return found[n_events - 1]
+                self._came.clear()
+                await self._came.wait()
+
+
+class FakeAgent:
+    """The accepting side, driven by the test."""
+
+    def __init__(self, identity: Identity = AGENT) -> None:
+        self.identity = identity
+        self.connections: list[FrameConnection] = []
+        self.received: list[object] = []
+
+    def on_open(self, connection) -> None:
+        """Remember the connection."""
+        self.connections.append(connection)
+
+    def on_message(self, connection, message) -> None:
+        """Remember the message."""
+        self.received.append(message)
+
+    def on_closed(self, connection, error) -> None:
+        """Do nothing."""
+
+    async def listen(self) -> int:
+        """Accept connections; return the port."""
+        role, clock = messages.Role.ENTRY, ManualClock()
+        self.server = await asyncio.get_running_loop().create_server(
+            lambda: FrameConnection(self.identity, role, True, self, clock, "entry"),
+            "127.0.0.1",
+        )
+        return self.server.sockets[0].getsockname()[1]
+
+    def send(self, message) -> None:
+        """Send on the newest connection."""
+        self.connections[-1].send(message)
+
+
+def run(scenario, identity: Identity = AGENT, clock=None) -> None:
+    """Connect an entry's links to a fake agent and run a scenario."""
+
+    async def inner() -> None:
+        sink, agent, used_clock = Sink(), FakeAgent(identity), clock or ManualClock()
+        ticker = LinkTicker(used_clock, asyncio.get_running_loop())
+        links = AgentLinks(ENTRY, sink, ticker, used_clock, Random(1))
+        links.dial([("127.0.0.1", await agent.listen())])
+        try:
+            await scenario(agent, links, sink, ticker)
+        finally:
+            await links.close()
+            agent.server.close()
+
+    asyncio.run(inner())
+
+
+async def dispatch(links, sink, attempt_id="a1", answer=None) -> AnswerStream:
+    """Send an attempt to the fake agent."""
+    await sink.wait_for(EndpointConnected)
+    relay = AttemptRelay(attempt_id, "r1", "f", answer or AnswerStream())
+    message = messages.Dispatch(attempt_id=attempt_id, request_id="r1")
+    links.link_by_endpoint_id["engine-1"].dispatch(relay, message)
+    return relay.answer
+
+
+def start(attempt_id: str):
+    """Return the head of an answer."""
+    return messages.Started(attempt_id=attempt_id, status=200, headers=HEADERS)
+
+
+def batch(attempt_id: str, offset: int, data: bytes):
+    """Return one part of an answer."""
+    part = messages.Chunk(attempt_id=attempt_id, offset=offset, data=data)
+    return messages.ChunkBatch(chunks=[part])
+
+
+def end(attempt_id: str, data: bytes):
+    """Return the end of an answer that consists of ``data``."""
+    return messages.Finish(
+        attempt_id=attempt_id,
+        status=200,
+        headers=HEADERS,
+        n_bytes=len(data),
+        crc32=zlib.crc32(data),
+    )
+
+
+def test_an_answer_of_a_foreign_attempt_closes_the_connection():
+    """Guards against another caller's answer (I2)."""
+
+    async def scenario(agent, links, sink, ticker):
+        answer = await dispatch(links, sink)
+        agent.send(start("a1"))
+        agent.send(batch("a1", 0, b"data: own\n\n"))
+        agent.send(batch("other", 0, b"data: foreign\n\n"))
+        agent.send(end("a1", b"data: own\n\n"))
+        broken = await sink.wait_for(AttemptBroken)
+        await sink.wait_for(EndpointLost)
+        assert (broken.attempt_id, broken.n_bytes_relayed) == ("a1", 0)
+        assert not any(isinstance(e, AttemptFinished) for e in sink.events)
+        assert b"foreign" not in b"".join(answer._ready)
+
+    run(scenario)
+
+
+def test_late_bytes_of_a_cancelled_attempt_are_dropped():
+    """Guards against late bytes in a later answer, and a needless disconnect."""
+
+    async def scenario(agent, links, sink, ticker):
+        answer = await dispatch(links, sink)
+        links.link_by_endpoint_id["engine-1"].cancel("a1")
+        await dispatch(links, sink, "a2", answer)
+        for message in (
+            start("a1"),
+            batch("a1", 0, b"late"),
+            end("a1", b"late"),
+            start("a2"),
+            batch("a2", 0, b"data: new\n\n"),
+            end("a2", b"data: new\n\n"),
+        ):
+            agent.send(message)
+        finished = await sink.wait_for(AttemptFinished)
+        assert (finished.attempt_id, finished.endpoint_id) == ("a2", "engine-1")
+        answer.complete()
+        assert await answer.take() == b"data: new\n\n"
+        assert not any(isinstance(e, EndpointLost) for e in sink.events)
+
+    run(scenario)
+
+
+def test_a_silent_connection_is_replaced():
+    """Guards against a connection that stays open without a sign of life."""
+    clock = ManualClock()
+
+    async def scenario(agent, links, sink, ticker):
+        await dispatch(links, sink)
+        connection = links.link_by_endpoint_id["engine-1"].connection
+        clock.advance(2_001)
+        # The entry itself was paused: what the agent sent may be unread.
+        connection.tick(clock.now_ms(), has_paused=True)
+        assert not connection.closed.is_set()
+        connection.tick(clock.now_ms(), has_paused=False)
+        await sink.wait_for(EndpointLost)
+        await sink.wait_for(EndpointConnected, 2)
+
+    run(scenario, clock=clock)
+
+
+def test_wrong_secret_wrong_role_and_own_id_are_refused():
+    """Guards against a process that is not an agent of this deployment."""
+    forged = Identity("engine-1", 7, "a", b"other-secret", messages.Role.AGENT)
+    entry = Identity("entry-9", 7, "a", SECRET)
+    mirror = Identity("entry-1", 7, "a", SECRET, messages.Role.AGENT)
+    for identity in (forged, entry, mirror):
+
+        async def scenario(agent, links, sink, ticker):
+            logged = asyncio.Event()
+            sink.log = lambda name, **fields: logged.set()
+            async with asyncio.timeout(20):
+                await logged.wait()
+            assert not links.link_by_endpoint_id
+            assert sink.events == []
+
+        run(scenario, identity)
