Harden links and server against peers and callers that misbehave

Cause: a message with missing fields, an endless handshake, two addresses of one endpoint or an internal error could disturb others or give a wrong outcome. Change: limits on the handshake; any error of a handler closes only its connection; a second connection to an endpoint is refused; short-lived connections back off; an internal error answers unknown, since the request may have run; no dispatch after a final answer; limit on connections.

--- a/packages/entry/src/bluebellusher/links/_agents.py
+++ b/packages/entry/src/bluebellusher/links/_agents.py
@@ -251,11 +251,16 @@
             link.connection.close(error)
 
     def on_open(self, connection: FrameConnection) -> None:
-        """Report the endpoint; a newer connection replaces an older one."""
+        """Report the endpoint; a second connection to it is closed.
+
+        A dialer connects again only after its connection ended, so that a second
+        one means that two addresses lead to one endpoint id.
+        """
         hello = connection.hello
-        old = self.link_by_endpoint_id.pop(hello.instance_id, None)
-        if old is not None:
-            self._lose(old, "replaced by a new connection")
+        if hello.instance_id in self.link_by_endpoint_id:
+            self._sink.log("agent-duplicate", step="connect", peer=hello.instance_id)
+            connection.close("another connection to this endpoint is open")
+            return
         self.link_by_endpoint_id[hello.instance_id] = AgentLink(connection, self._sink)
         self._sink.log("agent-connected", peer=connection.peer)
         self._sink.post(EndpointConnected(_to_endpoint_info(hello)))
--- a/packages/entry/src/bluebellusher/links/_connection.py
+++ b/packages/entry/src/bluebellusher/links/_connection.py
@@ -18,6 +18,8 @@
 
 PROTOCOL_VERSION = 1
 SILENCE_LIMIT_MS = 2_000
+# Who has not proved to know the secret must not make this process buffer much.
+MAX_HANDSHAKE_BYTES = 16_384
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,6 +101,7 @@
         self.is_open = False
         self.is_closed = False
         self.received_at_ms = clock.now_ms()
+        self.made_at_ms = clock.now_ms()
         self.closed = asyncio.Event()
         self._identity = identity
         self._expected_role = expected_role
@@ -111,6 +114,7 @@
         self._transport: asyncio.Transport | None = None
         self._error = ""
         self._sequence = 0
+        self._n_handshake_bytes = 0
 
     def send(self, message: Any) -> None:
         """Write one message; it is dropped when the connection is closed."""
@@ -132,8 +136,11 @@
         the other side sent meanwhile has not been read yet, so that silence is not
         judged until the next tick.
         """
-        if now_ms - self.received_at_ms > SILENCE_LIMIT_MS and not has_paused:
-            self.close(f"silent for {now_ms - self.received_at_ms} ms")
+        silent_ms = now_ms - self.received_at_ms
+        if silent_ms > SILENCE_LIMIT_MS and not has_paused:
+            self.close(f"silent for {silent_ms} ms")
+        elif not self.is_open and now_ms - self.made_at_ms > SILENCE_LIMIT_MS:
+            self.close(f"no handshake within {SILENCE_LIMIT_MS} ms")
         elif self.is_open:
             self._sequence += 1
             self.send(messages.Heartbeat(sequence=self._sequence))
@@ -141,7 +148,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the handshake."""
         self._transport = cast(asyncio.Transport, transport)
-        self.received_at_ms = self._clock.now_ms()
+        self.received_at_ms = self.made_at_ms = self._clock.now_ms()
         if self._is_accepting:
             self.send(self._identity.make_hello(self._nonce, None))
 
@@ -149,12 +156,18 @@
         """Handle what arrived; a message that must not come closes the connection."""
         self.received_at_ms = self._clock.now_ms()
         try:
+            if not self.is_open:
+                self._count_handshake(len(data))
             for message in self._decoder.feed(data):
                 if self.is_closed or self._error:
                     return
                 self._receive(message)
         except StepError as error:
             self.close(str(error))
+        except Exception as error:
+            # A message with missing fields can fail anywhere in a handler; the
+            # other connections must not suffer from it.
+            self.close(f"message not understood: {type(error).__name__}: {error}")
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell the handler once that the connection is gone."""
@@ -163,6 +176,12 @@
         self.closed.set()
         self._handler.on_closed(self, self._error or str(exc or "closed by peer"))
 
+    def _count_handshake(self, n_bytes: int) -> None:
+        self._n_handshake_bytes += n_bytes
+        if self._n_handshake_bytes > MAX_HANDSHAKE_BYTES:
+            reason = f"more than {MAX_HANDSHAKE_BYTES} bytes: expected a Hello"
+            raise StepError("handshake", self.peer, reason)
+
     def _receive(self, message: Any) -> None:
         if not self.is_open:
             self._shake_hands(message)
--- a/packages/entry/src/bluebellusher/links/_dialer.py
+++ b/packages/entry/src/bluebellusher/links/_dialer.py
@@ -10,6 +10,9 @@
 FIRST_BACKOFF_MS = 100
 MAX_BACKOFF_MS = 5_000
 CONNECT_TIMEOUT_MS = 2_000
+# A connection that ends sooner counts as a failure, so that two processes which
+# always drop each other do not do so ten times a second.
+STABLE_MS = 2_000
 
 
 class Dialer:
@@ -37,12 +40,12 @@
         """Keep the connection open until cancelled."""
         n_failures = 0
         while True:
-            was_open = await self._connect_once()
-            n_failures = 0 if was_open else n_failures + 1
+            is_stable = await self._connect_once()
+            n_failures = 0 if is_stable else n_failures + 1
             await asyncio.sleep(self._backoff_ms(n_failures) / 1000)
 
     async def _connect_once(self) -> bool:
-        """Return whether the connection got through its handshake."""
+        """Return whether the connection was open for a while."""
         connection = self._make_connection()
         loop = asyncio.get_running_loop()
         try:
@@ -51,11 +54,13 @@
         except (OSError, TimeoutError):
             return False
         self._ticker.add(connection)
+        opened_s = loop.time()
         try:
             await connection.closed.wait()
         finally:
             connection.close("shutdown")
-        return connection.hello is not None
+        lived_ms = (loop.time() - opened_s) * 1000
+        return connection.hello is not None and lived_ms >= STABLE_MS
 
     def _backoff_ms(self, n_failures: int) -> float:
         limit_ms = min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS * 2 ** min(n_failures, 16))
--- a/packages/entry/src/bluebellusher/links/tests/test_connections.py
+++ b/packages/entry/src/bluebellusher/links/tests/test_connections.py
@@ -8,6 +8,7 @@
 from bluebellusher_core.events import (
     AttemptBroken,
     AttemptFinished,
+    AttemptStarted,
     EndpointConnected,
     EndpointLost,
 )
@@ -188,7 +189,9 @@
         clock.advance(2_001)
         # The entry itself was paused: what the agent sent may be unread.
         connection.tick(clock.now_ms(), has_paused=True)
-        assert not connection.closed.is_set()
+        agent.send(start("a1"))
+        await sink.wait_for(AttemptStarted)
+        clock.advance(2_001)
         connection.tick(clock.now_ms(), has_paused=False)
         await sink.wait_for(EndpointLost)
         await sink.wait_for(EndpointConnected, 2)
--- a/packages/entry/src/bluebellusher/links/tests/test_relay.py
+++ b/packages/entry/src/bluebellusher/links/tests/test_relay.py
@@ -132,8 +132,8 @@
     winner.start(started())
     loser = make_relay("a2", winner.answer)
     assert loser.start(started()) == ""
-    winner.accept(chunk(0, b"data: 1\n\n"))
     loser.accept(chunk(0, b"data: 2\n\n"))
+    winner.accept(chunk(0, b"data: 1\n\n"))
     assert take_all(winner.answer) == b"data: 1\n\n"
     assert loser.finish(finish(b"data: 2\n\n")) != ""
 
--- a/packages/entry/src/bluebellusher/runtime/_runtime.py
+++ b/packages/entry/src/bluebellusher/runtime/_runtime.py
@@ -166,7 +166,7 @@
             effects = reduce(self.state, event, self._clock.now_ms())
         except Exception as error:
             effects = []
-            self._report_fault("reduce", event, error)
+            self.report_fault("reduce", event, error)
             self._refuse_after_fault(event)
         for effect in effects:
             self._execute(effect)
@@ -178,9 +178,10 @@
             self._executor_by_type[type(effect)](effect)
         except Exception as error:
             # One faulty effect must not stop the loop that serves all callers.
-            self._report_fault("execute", effect, error)
+            self.report_fault("execute", effect, error)
 
-    def _report_fault(self, step: str, subject: object, error: Exception) -> None:
+    def report_fault(self, step: str, subject: object, error: Exception) -> None:
+        """Count and log an error that should not have happened."""
         self.metrics.count("bluebellusher_internal_faults_total")
         self._log.event(
             "internal-fault",
@@ -209,14 +210,20 @@
 
     def _forget_if_over(self, exchange: Exchange) -> None:
         if exchange.is_caller_served and not exchange.n_attempts:
-            self.exchange_by_request_id.pop(exchange.spec.request_id, None)
+            request_id = exchange.spec.request_id
+            self.exchange_by_request_id.pop(request_id, None)
+            timer = self._timer_by_id.pop(f"deadline:{request_id}", None)
+            if timer is not None:
+                timer.cancel()
             self.request_ended.set()
 
     def _dispatch(self, effect: Dispatch) -> None:
         exchange = self.exchange_by_request_id.get(effect.request_id)
         is_sent = False
         try:
-            is_sent = exchange is not None and self._dispatcher.start(effect, exchange)
+            # A caller that has its final answer was told what ran.
+            if exchange is not None and exchange.answer.refusal is None:
+                is_sent = self._dispatcher.start(effect, exchange)
         finally:
             if not is_sent:
                 refused = AttemptRefused(
--- a/packages/entry/src/bluebellusher/server/_app.py
+++ b/packages/entry/src/bluebellusher/server/_app.py
@@ -35,7 +35,11 @@
 from bluebellusher.settings import Settings
 
 _METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
-_REASON_BY_STATUS = {408: Reason.SLOW_SENDER, 413: Reason.BODY_TOO_LARGE}
+_REASON_BY_STATUS = {
+    404: Reason.UNKNOWN_SERVICE,
+    408: Reason.SLOW_SENDER,
+    413: Reason.BODY_TOO_LARGE,
+}
 # Longer than any deadline, which ends every request earlier.
 _RESPONSE_TIMEOUT_S = 3_600
 _KEEP_ALIVE_TIMEOUT_S = 75
@@ -127,8 +131,9 @@
             f"entry-{id(self):x}",
             config=self._make_config(),
             configure_logging=False,
-            error_handler=_FinalErrorHandler(),
+            error_handler=_FinalErrorHandler(self._runtime),
         )
+        app.ctx.n_max_connections = self._settings.limits.max_connections
         self._add_caller_routes(app)
         self._operator_pages.add_to(app)
         return app
@@ -256,18 +261,26 @@
 class _FinalErrorHandler(ErrorHandler):
     """Answer every error that sanic finds in the form of a refusal."""
 
+    def __init__(self, runtime: Runtime) -> None:
+        super().__init__()
+        self._runtime = runtime
+
     def response(self, request: Request, exception: Exception) -> HTTPResponse:
         """Return a refusal; the exception's text is not shown to the caller."""
         status = getattr(exception, "status_code", 500)
-        is_known = isinstance(exception, SanicException) and status < 500
-        if isinstance(exception, asyncio.CancelledError):
-            status, is_known = 503, False
-        reason = _REASON_BY_STATUS.get(status, Reason.BAD_REQUEST)
-        if not is_known:
-            reason = Reason.SHUTTING_DOWN
-        answer = make_refusal(reason, "", type(exception).__name__)
-        answer.status = status if is_known else 503
-        return answer
+        detail = type(exception).__name__
+        if isinstance(exception, SanicException) and status < 500:
+            reason = _REASON_BY_STATUS.get(status, Reason.BAD_REQUEST)
+            answer = make_refusal(reason, "", detail)
+            answer.status = status
+            return answer
+        if not isinstance(exception, asyncio.CancelledError):
+            self._runtime.report_fault("serve", request, exception)
+        # The request may have been dispatched before the fault.
+        reason = Reason.OUTCOME_UNKNOWN
+        refusal = Refusal(Outcome.UNKNOWN, reason, "serve", "", None)
+        body = refusal_body(refusal, "", detail)
+        return HTTPResponse(body, 500, None, "application/json")
 
 
 def _to_spec(draft: RequestDraft, request_id: str, now_ms: int) -> RequestSpec:
--- a/packages/entry/src/bluebellusher/server/_body.py
+++ b/packages/entry/src/bluebellusher/server/_body.py
@@ -20,32 +20,17 @@
     stream: Any = request.stream
     timeout_ms = limits.slow_sender_timeout_ms
     stream.request_max_size = limits.max_body_bytes
-    _check_size(stream.request_bytes_left, limits, stream)
     parts = []
-    n_bytes = 0
     try:
         async with asyncio.timeout(timeout_ms / 1000):
             while stream.request_body:
                 data = await stream.read()
                 if data:
                     parts.append(data)
-                    n_bytes += len(data)
-                    _check_size(n_bytes, limits, stream)
     except TimeoutError:
-        _give_up(stream)
+        # The rest is not awaited, and the connection closes after the answer.
+        stream.request_body = None
+        stream.keep_alive = False
         detail = f"body: expected within {timeout_ms} ms"
         raise BadRequestError(Reason.SLOW_SENDER, detail) from None
     return b"".join(parts)
-
-
-def _check_size(n_bytes: int, limits: LimitSettings, stream: Any) -> None:
-    if n_bytes > limits.max_body_bytes:
-        _give_up(stream)
-        detail = f"body: expected at most {limits.max_body_bytes} bytes"
-        raise BadRequestError(Reason.BODY_TOO_LARGE, detail)
-
-
-def _give_up(stream: Any) -> None:
-    """Await no further part of the body; the connection closes after the answer."""
-    stream.request_body = None
-    stream.keep_alive = False
--- a/packages/entry/src/bluebellusher/server/_protocol.py
+++ b/packages/entry/src/bluebellusher/server/_protocol.py
@@ -13,6 +13,12 @@
     second could hold a connection for hours.
     """
 
+    def connection_made(self, transport: Any) -> None:
+        """Close a connection above the limit at once."""
+        super().connection_made(transport)
+        if len(self.connections) > self.app.ctx.n_max_connections:
+            self.close()
+
     def data_received(self, data: bytes) -> None:
         """Keep the time of the first byte while the head is incomplete."""
         before = self._time
--- a/packages/entry/src/bluebellusher/server/tests/test_http.py
+++ b/packages/entry/src/bluebellusher/server/tests/test_http.py
@@ -128,7 +128,7 @@
         ("GET", "/services/writer/a", KEY, b"", 404, "unknown_service"),
         ("GET", "/services/desk", {**KEY, "X-Priority": "?"}, b"", 400, "bad_request"),
         ("PUT", "/services/desk/a%20b", KEY, b"x", 503, "no_endpoint"),
-        ("POST", "/nothing", KEY, b"", 404, "bad_request"),
+        ("POST", "/nothing", KEY, b"", 404, "unknown_service"),
         ("DELETE", MODEL, KEY, b"", 405, "bad_request"),
         (
             "POST",
