--- a/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
+++ b/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
@@ -55,6 +55,12 @@
             await again.finish("a2")
             again.dispatch("a1", b"booking", request_id="r-a1", **CALL)
             assert (await again.next(messages.Broken)).reason == "outcome_unknown"
+            service.faults.stall_ms = 1_500
+            again.dispatch("a3", b"reading", path="/read")
+            await again.wait(lambda: service.n_executions_by_body[b"reading"])
+            again.dispatch("a3", b"reading", path="/read")
+            await again.finish("a3")
+        assert service.n_executions_by_body[b"reading"] == 1
         assert service.n_executions_by_body[b"booking"] == 1
 
     with_service(scenario)
--- a/packages/standins/src/bluebellusher_standins/_server.py
+++ b/packages/standins/src/bluebellusher_standins/_server.py
@@ -45,17 +45,19 @@
 
     async def stop(self) -> None:
         """Abort every connection and stop listening."""
-        runner, self._runner = self._runner, None
+        runner = self._runner
         if runner is None:
             return
         # Sites are stopped first so that nobody connects in between.
         for site in list(runner.sites):
             await site.stop()
-        self._abort_connections(runner)
+        self.abort_connections()
+        self._runner = None
         await runner.cleanup()
 
-    def _abort_connections(self, runner: web.AppRunner) -> None:
-        server = runner.server
+    def abort_connections(self) -> None:
+        """Drop every open connection."""
+        server = self._runner.server if self._runner is not None else None
         if server is None:
             return
         for connection in list(server.connections):
--- a/packages/standins/src/bluebellusher_standins/engine.py
+++ b/packages/standins/src/bluebellusher_standins/engine.py
@@ -58,7 +58,8 @@
     crash_marker : str
         A request whose body contains it crashes the engine; empty for none.
     restart_ms : int
-        Time from a crash until the engine listens again.
+        Time from a crash until the engine listens again; with 0 it never stops
+        listening and only loses its connections and state.
     hold_ms : int
         How long a stream without a reader is held for resumption.
     exits_on_crash : bool
@@ -200,6 +201,10 @@
         if self.settings.exits_on_crash:
             os._exit(70)
         self.batcher.clear()
+        if self.settings.restart_ms == 0:
+            self._reset()
+            self.abort_connections()
+            return
         await self.stop()
         self._reset()
         await asyncio.sleep(self.settings.restart_ms / 1000)
