Prove the reducer against an independent world with state machines

They found: a stream resumed after the request's deadline; and an innocent request convicted because its isolated attempt was still on the way when a poison request killed the agent. The second needed a new event, AttemptAccepted, which the agent sends before it starts an isolated run. Ruled out: convicting by the time since dispatch, which cannot tell the two apart.

--- a/packages/core/src/bluebellusher_core/events/__init__.py
+++ b/packages/core/src/bluebellusher_core/events/__init__.py
@@ -10,6 +10,7 @@
     LoadReported,
 )
 from bluebellusher_core.events._request_events import (
+    AttemptAccepted,
     AttemptBroken,
     AttemptFinished,
     AttemptRefused,
@@ -35,6 +36,7 @@
 Event = (
     RequestArrived
     | CallerLeft
+    | AttemptAccepted
     | AttemptStarted
     | AttemptFinished
     | AttemptRefused
@@ -54,6 +56,7 @@
 )
 
 __all__ = [
+    "AttemptAccepted",
     "AttemptBroken",
     "AttemptFinished",
     "AttemptRefused",
--- a/packages/core/src/bluebellusher_core/events/_request_events.py
+++ b/packages/core/src/bluebellusher_core/events/_request_events.py
@@ -98,6 +98,19 @@
     endpoint_id: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class AttemptAccepted:
+    """The agent is about to start an isolated attempt.
+
+    The agent writes this to the connection before it hands the request to the
+    engine. If the endpoint is lost afterwards, the request was running there alone;
+    without this message it may have been lost on the way.
+    """
+
+    attempt_id: str
+    endpoint_id: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptFinished:
     """An attempt's whole answer arrived and passed the length and CRC checks."""
--- a/packages/core/src/bluebellusher_core/poison/__init__.py
+++ b/packages/core/src/bluebellusher_core/poison/__init__.py
@@ -1,5 +1,5 @@
 """Fingerprints of requests that crash endpoints or may do so."""
 
-from bluebellusher_core.poison._table import PoisonTable
+from bluebellusher_core.poison._table import HOLD_MS, PoisonTable
 
-__all__ = ["PoisonTable"]
+__all__ = ["HOLD_MS", "PoisonTable"]
--- a/packages/core/src/bluebellusher_core/poison/_table.py
+++ b/packages/core/src/bluebellusher_core/poison/_table.py
@@ -1,7 +1,7 @@
 """Suspected, blocked and held fingerprints."""
 
 from collections import OrderedDict
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 BLOCK_MS = 600_000
@@ -124,15 +124,15 @@
         self, endpoint_id: str, incarnation: int, now_ms: int
     ) -> list[str]:
         """Return the fingerprints that a restart of the endpoint convicts."""
-        here = [f for f, h in self._holds.items() if h.endpoint_id == endpoint_id]
-        holds = {fingerprint: self._holds.pop(fingerprint) for fingerprint in here}
-        return [
-            fingerprint
-            for fingerprint, hold in holds.items()
-            if hold.is_lost
-            and incarnation > hold.incarnation
-            and hold.until_ms > now_ms
-        ]
+        convicted: list[str] = []
+        for fingerprint, hold in list(self._holds.items()):
+            if hold.endpoint_id != endpoint_id or not hold.is_lost:
+                continue
+            if incarnation > hold.incarnation and hold.until_ms > now_ms:
+                convicted.append(fingerprint)
+            # The agent lived on, so that a later restart has another cause.
+            self._holds[fingerprint] = replace(hold, is_lost=False)
+        return convicted
 
     def start(self, fingerprint: str) -> None:
         """Count a running copy."""
--- a/packages/core/src/bluebellusher_core/reducer/_reduce.py
+++ b/packages/core/src/bluebellusher_core/reducer/_reduce.py
@@ -2,6 +2,7 @@
 
 from bluebellusher_core.effects import Effect
 from bluebellusher_core.events import (
+    AttemptAccepted,
     AttemptBroken,
     AttemptFinished,
     AttemptRefused,
@@ -67,6 +68,8 @@
             state.endpoints.report_load(event, now_ms)
         case CacheReported():
             state.endpoints.report_cache(event)
+        case AttemptAccepted():
+            return _attempts.accepted(state, event)
         case AttemptRefused():
             return _attempts.refused(state, event, now_ms)
         case AttemptBroken():
--- /dev/null
+++ b/packages/core/src/bluebellusher_core/reducer/tests/_model.py
@@ -0,0 +1,130 @@
+"""Fakes that the world is made of: endpoints that run requests, and the table."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from bluebellusher_core.effects import ClaimState
+from bluebellusher_core.errors import Reason
+from bluebellusher_core.events import ClaimOutcome, ClaimResult, RequestSpec
+
+CHUNK = 4
+
+
+def answer_to(fingerprint):
+    """Return the only right answer to a request."""
+    return (fingerprint * 12)[: 3 * CHUNK]
+
+
+@dataclass
+class Run:
+    """One execution on an endpoint."""
+
+    attempt_id: str
+    entry_id: str
+    spec: RequestSpec
+    is_isolated: bool
+    n_sent: int = 0
+    is_over: bool = False
+
+
+@dataclass
+class Endpoint:
+    """An agent and its engine."""
+
+    endpoint_id: str
+    incarnation: int = 1
+    is_up: bool = True
+    is_draining: bool = False
+    run_by_attempt: dict = field(default_factory=dict)
+
+    def active(self):
+        """Return the runs that have not ended."""
+        return [run for run in self.run_by_attempt.values() if not run.is_over]
+
+    def accept(self, entry_id, effect, spec):
+        """Run, resume or refuse what an entry sent; return the message for it."""
+        if effect.resume_offset:
+            return self._resume(entry_id, effect, spec)
+        reason = self._refusal(effect)
+        if reason is not None:
+            return ("refused", effect.attempt_id, reason)
+        run = Run(effect.attempt_id, entry_id, spec, effect.is_isolated)
+        self.run_by_attempt[effect.attempt_id] = run
+        return ("accepted", effect.attempt_id) if effect.is_isolated else None
+
+    def _refusal(self, effect):
+        runs = self.active()
+        if self.is_draining:
+            return Reason.ENDPOINT_DRAINING
+        if any(run.is_isolated for run in runs):
+            return Reason.ENDPOINT_ISOLATING
+        if effect.is_isolated and any(run.n_sent == 0 for run in runs):
+            return Reason.ENDPOINT_ISOLATING
+        return None
+
+    def _resume(self, entry_id, effect, spec):
+        for run in list(self.run_by_attempt.values()):
+            if (run.entry_id, run.spec.request_id) == (entry_id, spec.request_id):
+                del self.run_by_attempt[run.attempt_id]
+                run.attempt_id = effect.attempt_id
+                run.n_sent, run.is_over = effect.resume_offset, False
+                self.run_by_attempt[run.attempt_id] = run
+                return ("started", effect.attempt_id)
+        return ("refused", effect.attempt_id, Reason.ENDPOINT_LOST)
+
+    def produce(self, run):
+        """Return the next messages of a run."""
+        answer = answer_to(run.spec.fingerprint)
+        if run.n_sent == len(answer):
+            run.is_over = True
+            return [("finished", run.attempt_id, len(answer))]
+        messages = [("started", run.attempt_id)] if run.n_sent == 0 else []
+        data = answer[run.n_sent : run.n_sent + CHUNK]
+        messages.append(("chunk", run.attempt_id, run.n_sent, data))
+        run.n_sent += len(data)
+        return messages
+
+
+@dataclass
+class Link:
+    """A connection; ``is_noticed`` tells whether the entry knows that it is cut."""
+
+    is_open: bool = False
+    is_noticed: bool = True
+    to_endpoint: deque = field(default_factory=deque)
+    to_entry: deque = field(default_factory=deque)
+
+
+class Table:
+    """Claim rows, as the platform and the runtime resolve them."""
+
+    def __init__(self):
+        self.row_by_key = {}
+
+    def has_row(self, write):
+        """Return whether the key of a write has a row."""
+        return (write.customer_id, write.idempotency_key) in self.row_by_key
+
+    def apply(self, write):
+        """Write a row where its condition holds; return what the runtime reports."""
+        key = (write.customer_id, write.idempotency_key)
+        row = self.row_by_key.get(key)
+        is_ours = row is not None and row.claim_id == write.claim_id
+        if write.state is not ClaimState.CLAIMED:
+            if row is None or is_ours:
+                self.row_by_key[key] = write
+            return ClaimResult(write.request_id, ClaimOutcome.GRANTED)
+        is_free = row is None or row.state is ClaimState.ABANDONED
+        if is_free and not is_ours:
+            self.row_by_key[key] = row = write
+        return ClaimResult(write.request_id, *_read(row, write))
+
+
+def _read(row, write):
+    if row.claim_id == write.claim_id and row.state is ClaimState.CLAIMED:
+        return (ClaimOutcome.GRANTED,)
+    if row.fingerprint != write.fingerprint:
+        return (ClaimOutcome.KEY_REUSED,)
+    if row.state is ClaimState.DONE:
+        return ClaimOutcome.DONE, row.fingerprint
+    return (ClaimOutcome.IN_PROGRESS,)
--- /dev/null
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_machine_poison.py
@@ -0,0 +1,150 @@
+"""Two requests that crash endpoints, among innocent ones, at two entries."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from bluebellusher_core.effects import Complete, Reject
+from bluebellusher_core.errors import Reason
+from bluebellusher_core.reducer.tests._world import World
+
+ENTRIES = st.sampled_from(["e0", "e1"])
+ENDPOINTS = st.sampled_from([f"x{i}" for i in range(6)])
+POISON = st.sampled_from(["p.", "q."])
+LIFETIME_MS = 3_600_000
+REVIVAL_MS = 3_000
+
+
+class PoisonMachine(RuleBasedStateMachine):
+    """Guards against more than 2 lost endpoints and against refused innocents.
+
+    Each caller of a poison request sends it again, to any entry, after its final
+    answer and the Retry-After. What is under way then reaches the entries first,
+    because the limit holds for entries that can exchange digests.
+    """
+
+    @initialize(hedge_after_ms=st.sampled_from([0, 10]))
+    def start(self, hedge_after_ms):
+        """Start with healthy endpoints."""
+        self.world = World(2, 6, hedge_after_ms, poison={"p.", "q."})
+        self.request_by_poison = {}
+        self.innocent_ids = []
+        self.died_at_ms = {}
+
+    @rule(entry_id=ENTRIES, n=st.integers(1, 5), number=st.integers(0, 5))
+    def ask_innocently(self, entry_id, n, number):
+        """Send requests, several of them with the same body."""
+        for i in range(n):
+            spec = self.world.make_spec(f"i{number + i % 3}.", True, None, LIFETIME_MS)
+            self.innocent_ids.append(spec.request_id)
+            self.world.arrive(entry_id, spec)
+
+    @rule(entry_id=ENTRIES, name=POISON)
+    def ask_for_trouble(self, entry_id, name):
+        """Send a poison request, or send it again when that is allowed."""
+        before = self.request_by_poison.get(name)
+        if before is not None and not self.may_repeat(before):
+            return
+        self.hear_news()
+        spec = self.world.make_spec(name, True, None, LIFETIME_MS)
+        self.request_by_poison[name] = spec.request_id
+        self.world.arrive(entry_id, spec)
+
+    def may_repeat(self, request_id):
+        """Return whether the caller has its answer and waited as it was told."""
+        finals = self.world.finals[request_id]
+        if not finals:
+            return False
+        pause_ms = finals[0].refusal.retry_after_ms or 0
+        return self.world.now_ms >= self.world.final_at_ms[request_id] + pause_ms
+
+    def hear_news(self):
+        """Let both entries learn what the endpoints and the other entry know."""
+        for key in self.world.links:
+            self.world.notice(*key)
+            while self.world.deliver_to_entry(*key):
+                pass
+        self.world.exchange_digests()
+
+    @rule(entry_id=ENTRIES, endpoint_id=ENDPOINTS)
+    def accept(self, entry_id, endpoint_id):
+        """Deliver one message to an endpoint."""
+        self.world.deliver_to_endpoint(entry_id, endpoint_id)
+
+    @rule(entry_id=ENTRIES, endpoint_id=ENDPOINTS, n=st.integers(1, 4))
+    def answer(self, entry_id, endpoint_id, n):
+        """Deliver a few messages to an entry."""
+        for _ in range(n):
+            self.world.deliver_to_entry(entry_id, endpoint_id)
+
+    @rule(endpoint_id=ENDPOINTS, is_agent_dying=st.booleans())
+    def progress(self, endpoint_id, is_agent_dying):
+        """Let the runs of an endpoint go on."""
+        endpoint = self.world.endpoint_by_id[endpoint_id]
+        for run in endpoint.active():
+            if run.attempt_id in endpoint.run_by_attempt:
+                self.world.progress(endpoint, run, is_agent_dying)
+        if not endpoint.is_up:
+            self.died_at_ms.setdefault(endpoint_id, self.world.now_ms)
+
+    @rule(n=st.integers(1, 5), is_agent_dying=st.booleans())
+    def work(self, n, is_agent_dying):
+        """Let everything go on by a few steps."""
+        for _ in range(n):
+            for key in self.world.links:
+                while self.world.deliver_to_endpoint(*key):
+                    pass
+            for endpoint_id in self.world.endpoint_by_id:
+                self.progress(endpoint_id, is_agent_dying)
+            self.pass_time(6)
+            self.hear_news()
+
+    @rule(endpoint_id=ENDPOINTS)
+    def revive(self, endpoint_id):
+        """Start a dead agent again."""
+        self.world.revive(self.world.endpoint_by_id[endpoint_id])
+        self.died_at_ms.pop(endpoint_id, None)
+        for entry_id in self.world.entry_by_id:
+            self.world.connect(entry_id, endpoint_id)
+
+    @rule(ms=st.sampled_from([1, 20, 500, 2_000]))
+    def pass_time(self, ms):
+        """Pass time; a dead agent is back within ``REVIVAL_MS``."""
+        self.world.now_ms += ms
+        for endpoint_id, at_ms in list(self.died_at_ms.items()):
+            if self.world.now_ms - at_ms > REVIVAL_MS:
+                self.revive(endpoint_id)
+        for entry in self.world.entry_by_id.values():
+            while self.world.fire_timer(entry):
+                pass
+
+    @invariant()
+    def promises_hold(self):
+        """Check the bound on lost endpoints and that no innocent is blocked."""
+        if not hasattr(self, "world"):
+            return
+        self.world.check()
+        assert all(n <= 2 for n in self.world.lost_to.values()), "third endpoint lost"
+        for request_id in self.innocent_ids:
+            for final in self.world.finals[request_id]:
+                is_blocked = (
+                    isinstance(final, Reject)
+                    and final.refusal.reason is Reason.CRASHES_ENDPOINTS
+                )
+                assert not is_blocked, "innocent blocked"
+
+    def teardown(self):
+        """Run to the end; innocents complete unless their stream was broken."""
+        if not hasattr(self, "world"):
+            return
+        self.world.settle()
+        self.promises_hold()
+        self.world.check_at_rest()
+        for request_id in self.innocent_ids:
+            final = self.world.finals[request_id][0]
+            is_whole = isinstance(final, Complete)
+            assert is_whole or request_id in self.world.had_bytes, "innocent refused"
+
+
+TestPoisonMachine = PoisonMachine.TestCase
+TestPoisonMachine.settings = settings(max_examples=300, stateful_step_count=40)
--- a/packages/core/src/bluebellusher_core/requests/_attempts.py
+++ b/packages/core/src/bluebellusher_core/requests/_attempts.py
@@ -7,6 +7,7 @@
 from bluebellusher_core.effects import ClaimState, CloseConnection, Effect
 from bluebellusher_core.errors import Reason
 from bluebellusher_core.events import (
+    AttemptAccepted,
     AttemptBroken,
     AttemptFinished,
     AttemptRefused,
@@ -18,12 +19,23 @@
 if TYPE_CHECKING:
     from bluebellusher_core.reducer import EntryState
 
-AttemptEvent = AttemptStarted | AttemptFinished | AttemptRefused | AttemptBroken
+AttemptEvent = (
+    AttemptAccepted | AttemptStarted | AttemptFinished | AttemptRefused | AttemptBroken
+)
 
 MIN_DEFER_MS = 20
 MAX_DEFER_MS = 1_000
 
 
+def accepted(state: EntryState, event: AttemptAccepted) -> list[Effect]:
+    """Note that an isolated run begins."""
+    attempt = _find(state, event)
+    if attempt is None:
+        return _stray(state, event)
+    attempt.is_accepted = True
+    return []
+
+
 def started(state: EntryState, event: AttemptStarted, now_ms: int) -> list[Effect]:
     """Let the attempt that answers first win."""
     attempt = _find(state, event)
@@ -32,7 +44,7 @@
     if attempt.is_started:
         return []
     request = state.request_by_id[attempt.request_id]
-    attempt.is_started = True
+    attempt.is_accepted = attempt.is_started = True
     state.endpoints.leave_queue(attempt.endpoint_id, request.spec)
     effects: list[Effect] = []
     for other in [a for a in request.attempts if a is not attempt]:
--- a/packages/core/src/bluebellusher_core/requests/_model.py
+++ b/packages/core/src/bluebellusher_core/requests/_model.py
@@ -21,7 +21,8 @@
 class Attempt:
     """One dispatch of a request.
 
-    ``incarnation`` is that of the agent; ``is_crashed`` is set when the agent told
+    ``incarnation`` is that of the agent; ``is_accepted`` is set when an isolated run
+    is known to have begun; ``is_crashed`` is set when the agent told
     that the engine died with this attempt.
     """
 
@@ -32,6 +33,7 @@
     incarnation: int = 0
     is_isolated: bool = False
     is_resumed: bool = False
+    is_accepted: bool = False
     is_crashed: bool = False
     is_started: bool = False
 
--- a/packages/core/src/bluebellusher_core/requests/_placing.py
+++ b/packages/core/src/bluebellusher_core/requests/_placing.py
@@ -243,6 +243,8 @@
 
 def _set_wake(state: EntryState, now_ms: int) -> list[Effect]:
     """Set a timer for the next moment at which a waiting request may move."""
+    if not state.waiting_pools and not state.isolate_at_ms:
+        return []
     due: list[int] = _isolation.next_due_ms(state, now_ms)
     grace_ms = state.config.no_endpoint_grace_ms
     due += [since_ms + grace_ms for since_ms in state.unserved_since_ms.values()]
--- a/packages/core/src/bluebellusher_core/requests/_recovery.py
+++ b/packages/core/src/bluebellusher_core/requests/_recovery.py
@@ -7,6 +7,7 @@
 from bluebellusher_core.effects import Effect, SetTimer
 from bluebellusher_core.errors import Reason
 from bluebellusher_core.events import AttemptBroken, EndpointInfo
+from bluebellusher_core.poison import HOLD_MS
 from bluebellusher_core.requests import _final, _isolation, _placing
 from bluebellusher_core.requests._model import Attempt, Phase, Request
 
@@ -32,15 +33,21 @@
     is_fatal = is_loss or event.reason is Reason.ENGINE_ERROR
     if is_fatal:
         state.poison.suspect(request.spec.fingerprint, now_ms, is_own=True)
-    if is_fatal and attempt.is_isolated:
+    # An isolated attempt that was lost on the way tells nothing about the request.
+    is_convicting = is_fatal and attempt.is_isolated and attempt.is_accepted
+    if is_convicting:
         is_lost = event.reason is Reason.ENDPOINT_LOST
         _final.hold(state, request, attempt, is_lost, now_ms)
     if request.attempts:
         return []
     if request.phase is Phase.DETACHED:
         return _final.drop(state, request, now_ms)
-    if is_fatal and attempt.is_isolated:
-        return _give_up(state, request, attempt, event.reason, now_ms)
+    if is_convicting:
+        # A repeat before the evidence is in could cost a further endpoint.
+        reason, peer = event.reason, attempt.endpoint_id
+        return _final.give_up(
+            state, request, reason, "isolation", now_ms, peer, HOLD_MS
+        )
     return _recover(state, request, attempt, event, is_loss, now_ms)
 
 
@@ -52,6 +59,9 @@
     is_loss: bool,
     now_ms: int,
 ) -> list[Effect]:
+    if request.spec.deadline_ms <= now_ms:
+        reason = Reason.DEADLINE_EXCEEDED
+        return _give_up(state, request, attempt, reason, now_ms)
     can_go_on = request.n_broken < state.config.n_max_attempts
     if not request.spec.is_idempotent or not can_go_on:
         return _give_up(state, request, attempt, event.reason, now_ms)
@@ -99,6 +109,9 @@
         is_waiting = request.phase is Phase.RESUMING
         if not is_waiting or request.resume_endpoint_id != info.endpoint_id:
             continue
+        if request.spec.deadline_ms <= now_ms:
+            # Its timer gives the final answer.
+            continue
         if info.incarnation == request.resume_incarnation:
             effects += _placing.dispatch(
                 state, request, info.endpoint_id, now_ms, is_resumed=True
@@ -133,6 +146,8 @@
         return []
     request = state.request_by_id[attempt.request_id]
     spec = request.spec
+    if spec.deadline_ms <= now_ms:
+        return []
     is_single = state.poison.n_running(spec.fingerprint) == 1
     if not is_single or state.poison.is_suspect(spec.fingerprint, now_ms):
         return []
