Check claim rows and shutdown in the world of the reducer tests

Cause: nothing checked that a key is freed or its outcome recorded, nor that a stopping entry refuses. Change: rows are compared with what the caller was told; arrivals after the stop must be refused as not run.

--- a/packages/core/src/bluebellusher_core/reducer/tests/_entries.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/_entries.py
@@ -17,6 +17,7 @@
     SetTimer,
     WriteClaims,
 )
+from bluebellusher_core.errors import Outcome
 from bluebellusher_core.events import (
     Priority,
     RequestArrived,
@@ -49,6 +50,7 @@
     crashed: set = field(default_factory=set)
     n_fresh: int = 0
     n_budgeted: int = 0
+    is_stopping: bool = False
 
 
 class EntryWorld:
@@ -108,6 +110,9 @@
         entry.n_fresh += 1
         self.finals[spec.request_id] = []
         self.step(entry, RequestArrived(spec))
+        if entry.is_stopping:
+            final = self.finals[spec.request_id][0]
+            assert final.refusal.outcome is Outcome.NOT_RUN, "accepted while stopping"
 
     def make_spec(self, fingerprint, is_idempotent, key, lifetime_ms):
         """Return a request with a new id."""
--- a/packages/core/src/bluebellusher_core/reducer/tests/_world.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/_world.py
@@ -1,6 +1,8 @@
 """The rest of the world: connections, endpoints, table and promises."""
 
 from bluebellusher_core.effects import (
+    ClaimState,
+    Complete,
     Reject,
 )
 from bluebellusher_core.errors import Outcome, Reason
@@ -260,6 +262,19 @@
                 if is_reject and final.refusal.outcome is Outcome.NOT_RUN:
                     assert self.n_runs[request_id] == 0, "I3"
 
+    def check_row(self, row):
+        """Check that a row says what the caller was told, if its entry lived on."""
+        owners = [
+            e for e in self.entry_by_id.values() if row.request_id in e.spec_by_id
+        ]
+        if not owners:
+            return
+        final = self.finals[row.request_id][0]
+        if isinstance(final, Complete):
+            assert row.state is ClaimState.DONE, "outcome not recorded"
+        elif final.refusal.outcome is Outcome.NOT_RUN:
+            assert row.state is ClaimState.ABANDONED, "key not freed"
+
     def exchange_digests(self):
         """Let the entries tell each other what they saw."""
         for entry in self.entry_by_id.values():
@@ -328,6 +343,8 @@
         """Check that every request was answered and that nothing is left over."""
         for request_id, finals in self.finals.items():
             assert len(finals) == 1, f"{request_id} has no final answer"
+        for row in self.table.row_by_key.values():
+            self.check_row(row)
         for entry in self.entry_by_id.values():
             state = entry.state
             assert state.is_idle, "work left over"
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_machine_requests.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_machine_requests.py
@@ -200,7 +200,9 @@
     @rule(entry_id=ENTRIES)
     def shut_down(self, entry_id):
         """Tell an entry to stop."""
-        self.world.step(self.world.entry_by_id[entry_id], ShutdownStarted())
+        entry = self.world.entry_by_id[entry_id]
+        entry.is_stopping = True
+        self.world.step(entry, ShutdownStarted())
 
     @invariant()
     def promises_hold(self):
