Exclude endpoints that stopped to answer; strengthen two tests

Cause: with the report timeout or the guard against a repeated first byte removed, no test failed; a frozen endpoint took work when all others were full. Ruled out: excluding endpoints that never answered, whose usual time is unknown. Change: suspect endpoints take no work; constants of PredictedLatency that were chosen by measurement became parameters; exact token count in the property. Conclusion: the removed rules are now seen.

--- a/packages/core/src/bluebellusher_core/routing/_predicted_latency.py
+++ b/packages/core/src/bluebellusher_core/routing/_predicted_latency.py
@@ -11,20 +11,13 @@
 
 # Assumed before any own attempt has ended.
 DEFAULT_SERVICE_MS = 3_000.0
-# With a longer memory, entries react to each other's past and loads oscillate;
-# 2,000 ms gave a p95 1.4 times as high at a report lag of 1 s.
-LOAD_MEMORY_MS = 500.0
 # An older report says nothing, not even about the mean load.
 REPORT_TIMEOUT_MS = 15_000
-# Weight of the wait for a slot. A full weight moves requests away from cached
-# prefixes for waits that often do not come true; see docs/decisions/routing.md.
-SLOT_WAIT_WEIGHT = 0.4
+# Long enough for the prefill of a long prompt.
+SUSPECT_AFTER_MS = 3_000.0
+SUSPECT_TTFT_FACTOR = 3.0
 # Prompts wait for their prefill far shorter than a request runs.
 QUEUE_MEMORY_MS = 200.0
-# Up to this ratio of observed to predicted time an endpoint counts as normal. The
-# prediction misses evicted prefixes and other entries' prompts, and reacting to such
-# noise moves requests away from their cached prefixes.
-TOLERATED_SLOWNESS = 1.5
 # An endpoint that was slow is tried again after some of these periods.
 SLOWNESS_MEMORY_MS = 20_000.0
 
@@ -36,6 +29,7 @@
     view: EndpointView
     # Share of the report that still holds, 0 to 1.
     trust: float
+    age_ms: int
     # Requests of other entries according to the report.
     n_reported_others: float
 
@@ -73,6 +67,20 @@
     n_queue_allowed : int
         Requests that may wait in an engine beyond its batch, so that a slot that
         becomes free is used at once.
+    load_memory_ms : float
+        Time constant with which a load report loses its weight. Longer, entries react
+        to each other's past, and loads oscillate.
+    slot_wait_weight : float
+        Weight of the predicted wait for a free slot. A full weight moves requests
+        away from cached prefixes for waits that often do not come true.
+    tolerated_slowness : float
+        Up to this ratio of observed to predicted time an endpoint counts as normal.
+        The prediction misses evicted prefixes and other entries' prompts; reacting to
+        such noise also moves requests away from cached prefixes.
+
+    Notes
+    -----
+    docs/decisions/routing.md has the measurements behind the defaults.
     """
 
     def __init__(
@@ -84,10 +92,18 @@
         load_ms: float = 4.0,
         n_sample: int = 12,
         n_queue_allowed: int = 1,
+        load_memory_ms: float = 500.0,
+        slot_wait_weight: float = 0.4,
+        tolerated_slowness: float = 1.5,
     ) -> None:
         if not prefill_tokens_per_ms > 0:
             name = "prefill_tokens_per_ms"
             raise ValueError(f"{name}={prefill_tokens_per_ms}: expected above 0")
+        if not load_memory_ms > 0:
+            raise ValueError(f"load_memory_ms={load_memory_ms}: expected above 0")
+        if not tolerated_slowness >= 1:
+            name = "tolerated_slowness"
+            raise ValueError(f"{name}={tolerated_slowness}: expected at least 1")
         if n_sample < 1:
             raise ValueError(f"n_sample={n_sample}: expected at least 1")
         self.failure_domain = failure_domain
@@ -97,6 +113,9 @@
         self.load_ms = load_ms
         self.n_sample = n_sample
         self.n_queue_allowed = n_queue_allowed
+        self.load_memory_ms = load_memory_ms
+        self.slot_wait_weight = slot_wait_weight
+        self.tolerated_slowness = tolerated_slowness
 
     def choose(
         self,
@@ -110,7 +129,7 @@
         if not views:
             return None
         sample = self._draw(request, views, random_state)
-        loads = [_estimate(view, now_ms) for view in sample]
+        loads = [self._estimate(view, now_ms) for view in sample]
         n_others_per_own = _others_per_own(loads)
         best_id = None
         best_ms = float("inf")
@@ -118,6 +137,8 @@
             n_others = _blend(load, n_others_per_own)
             if not self._has_room(load.view, n_others):
                 continue
+            if _is_suspect(load.view, now_ms):
+                continue
             predicted_ms = self._predict_ms(request, load, n_others, now_ms)
             if predicted_ms < best_ms:
                 best_ms = predicted_ms
@@ -132,7 +153,7 @@
         The value goes to ``EndpointTracker.record_dispatch``, which compares it with
         what is observed.
         """
-        load = _estimate(view, now_ms)
+        load = self._estimate(view, now_ms)
         return self._normal_ms(request, load, load.n_reported_others)
 
     def _draw(
@@ -152,6 +173,19 @@
                 sample.append(best)
         return sample
 
+    def _estimate(self, view: EndpointView, now_ms: int) -> _Load:
+        report = view.report
+        if report is None:
+            return _Load(view, 0.0, 0, 0.0)
+        age_ms = max(0, now_ms - view.reported_at_ms + report.age_ms)
+        if age_ms > REPORT_TIMEOUT_MS:
+            return _Load(view, 0.0, 0, 0.0)
+        n_dispatched = len(view.own_dispatched_at_ms)
+        n_own_then = view.n_own_in_flight - n_dispatched + len(view.own_ended_at_ms)
+        n_others = report.n_running + report.n_queued - n_own_then
+        trust = exp(-age_ms / self.load_memory_ms)
+        return _Load(view, trust, age_ms, float(max(0, n_others)))
+
     def _has_room(self, view: EndpointView, n_others: float) -> bool:
         n_slots = _n_slots(view)
         # Other entries may hold every slot; a small share of each endpoint lets an
@@ -165,7 +199,8 @@
     ) -> float:
         view = load.view
         normal_ms = self._normal_ms(request, load, n_others)
-        predicted_ms = normal_ms * _current_slowness(view, now_ms)
+        slowness = _current_slowness(view, now_ms) / self.tolerated_slowness
+        predicted_ms = normal_ms * max(1.0, slowness)
         predicted_ms = max(predicted_ms, _stalled_ms(view, now_ms))
         if view.info.failure_domain != self.failure_domain:
             predicted_ms += self.remote_domain_ms
@@ -181,23 +216,10 @@
         deviation = sqrt((1 - load.trust * load.trust) * n_others)
         n_excess = _mean_excess(n_in_flight - (n_slots - 1), deviation)
         service_ms = view.own_service_ms or DEFAULT_SERVICE_MS
-        slot_wait_ms = SLOT_WAIT_WEIGHT * n_excess * service_ms / n_slots
+        slot_wait_ms = self.slot_wait_weight * n_excess * service_ms / n_slots
         return self.base_ms + self.load_ms * n_in_flight + prefill_ms + slot_wait_ms
 
 
-def _estimate(view: EndpointView, now_ms: int) -> _Load:
-    report = view.report
-    if report is None:
-        return _Load(view, 0.0, 0.0)
-    age_ms = max(0, now_ms - view.reported_at_ms + report.age_ms)
-    if age_ms > REPORT_TIMEOUT_MS:
-        return _Load(view, 0.0, 0.0)
-    n_dispatched = len(view.own_dispatched_at_ms)
-    n_own_then = view.n_own_in_flight - n_dispatched + len(view.own_ended_at_ms)
-    n_others = report.n_running + report.n_queued - n_own_then
-    return _Load(view, exp(-age_ms / LOAD_MEMORY_MS), float(max(0, n_others)))
-
-
 def _others_per_own(loads: list[_Load]) -> float:
     """Return how many attempts other entries have for each own one."""
     n_own = sum(load.view.n_own_in_flight for load in loads if load.trust > 0)
@@ -217,8 +239,7 @@
         return 0.0
     n_total = report.n_running + report.n_queued
     share = load.n_reported_others / n_total if n_total else 0.0
-    # trust = exp(-age / LOAD_MEMORY_MS), from which the faster decay follows.
-    trust = load.trust ** (LOAD_MEMORY_MS / QUEUE_MEMORY_MS)
+    trust = exp(-load.age_ms / QUEUE_MEMORY_MS)
     return trust * share * report.n_queued_tokens
 
 
@@ -237,8 +258,19 @@
 
 def _current_slowness(view: EndpointView, now_ms: int) -> float:
     age_ms = now_ms - view.ttft_observed_at_ms
-    slowness = 1 + (view.slowness - 1) * exp(-age_ms / SLOWNESS_MEMORY_MS)
-    return max(1.0, slowness / TOLERATED_SLOWNESS)
+    return 1 + (view.slowness - 1) * exp(-age_ms / SLOWNESS_MEMORY_MS)
+
+
+def _is_suspect(view: EndpointView, now_ms: int) -> bool:
+    """Return whether an endpoint that used to answer has stopped to answer.
+
+    It then takes no work even when all others are full. Without an earlier answer
+    its usual time is not known, and it only ranks behind others.
+    """
+    if view.own_predicted_ms <= 0:
+        return False
+    limit_ms = SUSPECT_AFTER_MS + SUSPECT_TTFT_FACTOR * view.own_ttft_ms
+    return _stalled_ms(view, now_ms) > limit_ms
 
 
 def _stalled_ms(view: EndpointView, now_ms: int) -> float:
--- a/packages/core/src/bluebellusher_core/routing/tests/test_policies.py
+++ b/packages/core/src/bluebellusher_core/routing/tests/test_policies.py
@@ -151,6 +151,15 @@
     assert used["e0"] <= 16, "the batch of the idle endpoint overflows"
 
 
+def test_endpoint_that_stopped_to_answer_takes_no_work_when_others_are_full():
+    """Guards against a frozen endpoint that collects requests under overload."""
+    frozen = make_view("e0", 3, own_ttft_ms=100.0, own_predicted_ms=100.0)
+    frozen.unanswered_at_ms = {"a": 0}
+    full = make_view("e1", 17, n_own_in_flight=3)
+    assert choose([frozen, full], now_ms=300) == "e0"
+    assert choose([frozen, full], now_ms=4_000) is None
+
+
 @pytest.mark.parametrize("age_ms", [None, 20_000])
 def test_without_reports_own_attempts_decide(age_ms):
     """Guards against old reports that hide the entry's own knowledge."""
@@ -162,6 +171,13 @@
     assert choose(views) == "e1"
 
 
+def test_full_endpoint_is_used_again_when_its_report_is_too_old():
+    """Guards against reports that stopped during overload and block new work."""
+    view = make_view("e0", 17, n_own_in_flight=3)
+    assert choose([view], now_ms=1_000) is None
+    assert choose([view], now_ms=20_000) == "e0"
+
+
 def test_frozen_and_slow_endpoints_lose_new_work_and_get_it_back():
     """Guards against one bad endpoint that holds the 95th percentile."""
     frozen = make_view("e0", 0, unanswered_at_ms={"a": 0})
--- a/packages/core/src/bluebellusher_core/routing/tests/test_tracker.py
+++ b/packages/core/src/bluebellusher_core/routing/tests/test_tracker.py
@@ -48,7 +48,7 @@
     st.lists(
         st.tuples(
             st.sampled_from(["dispatch", "cancel", *end_events("")]),
-            st.integers(0, 5),
+            st.integers(0, 2),
         ),
         max_size=60,
     )
@@ -62,7 +62,8 @@
         if step == "dispatch":
             if "e" not in tracker.view_by_id or attempt_id in unanswered_by_id:
                 continue
-            tracker.record_dispatch(attempt_id, "e", make_request(), 9.0, now_ms)
+            request = make_request((), n_input_tokens=50)
+            tracker.record_dispatch(attempt_id, "e", request, 9.0, now_ms)
             unanswered_by_id[attempt_id] = True
             continue
         if step == "cancel":
@@ -80,8 +81,7 @@
             assert view.n_own_in_flight == len(unanswered_by_id)
             waiting = {key for key, is_new in unanswered_by_id.items() if is_new}
             assert set(view.unanswered_at_ms) == waiting
-            assert view.n_own_queued_tokens >= 0
-            assert view.n_own_queued_tokens > 0 or not waiting
+            assert view.n_own_queued_tokens == 50 * len(waiting)
 
 
 def test_report_keeps_only_what_it_cannot_include():
