--- a/packages/core/src/bluebellusher_core/rules/_schedule.py
+++ b/packages/core/src/bluebellusher_core/rules/_schedule.py
@@ -67,7 +67,7 @@
         if self.hours:
             parts.append(f"from {_clock(self.hours[0])} to {_clock(self.hours[1])}")
         if self.weekdays:
-            parts.append("on " + ",".join(WEEKDAYS[day] for day in self.weekdays))
+            parts.append("on " + _render_weekdays(self.weekdays))
         if self.dates:
             parts.append("on " + ",".join(r.render() for r in self.dates))
         return " ".join(parts)
@@ -144,5 +144,15 @@
     return datetime.fromtimestamp(at_s, UTC).astimezone(info).utcoffset()
 
 
+def _render_weekdays(days: tuple[int, ...]) -> str:
+    """Return ``Fri-Mon`` for three or more days in a row, else ``Tue,Sat``."""
+    n_days = len(days)
+    for first in days:
+        run = {(first + i) % 7 for i in range(n_days)}
+        if n_days > 2 and run == set(days):
+            return f"{WEEKDAYS[first]}-{WEEKDAYS[(first + n_days - 1) % 7]}"
+    return ",".join(WEEKDAYS[day] for day in days)
+
+
 def _clock(minute: int) -> str:
     return f"{minute // 60:02d}:{minute % 60:02d}"
--- a/packages/core/src/bluebellusher_core/rules/tests/test_rules.py
+++ b/packages/core/src/bluebellusher_core/rules/tests/test_rules.py
@@ -4,7 +4,7 @@
 from datetime import date
 
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from bluebellusher_core.rules import RuleSet, Schedule, diff_rules, parse_rules
@@ -44,6 +44,8 @@
 WORDS = st.sampled_from(WORD_TEXT.split(" "))
 
 
+@example(["engines writer 1 America/Indiana # A: b"])
+@example(["engines writer 1 Mars/Base # A: b"])
 @given(st.lists(st.lists(WORDS, max_size=12).map(" ".join), max_size=6))
 def test_property_any_words_are_answered(lines: list[str]) -> None:
     """Guards against known words in a wrong order that raise."""
--- /dev/null
+++ b/packages/entry/src/bluebellusher/cli/rules_client.py
@@ -0,0 +1,165 @@
+"""HTTP client of an entry's ``/admin/rules``."""
+
+import asyncio
+import os
+from typing import Literal, TypeVar
+
+import aiohttp
+from bluebellusher.cli.rules_base import CommandError, ExitCode, parse_or_fail
+from bluebellusher_core.billing import Version
+from pydantic import BaseModel, ValidationError
+
+TOKEN_VARIABLE = "BLUEBELLUSHER_ADMIN_TOKEN"
+# Staging waits for one entry in each failure domain, some of them slow.
+ANSWER_TIMEOUT_S = 30.0
+CONNECT_TIMEOUT_S = 5.0
+_UNKNOWN_STATUSES = (502, 503, 504)
+
+M = TypeVar("M", bound=BaseModel)
+
+
+class Head(BaseModel):
+    """The version in force."""
+
+    version: int
+    rules_text: str
+    author: str = ""
+    accepted_wall_ms: int = 0
+
+
+class VersionList(BaseModel):
+    """All versions, in any order."""
+
+    versions: list[Head]
+
+
+class ChangeState(BaseModel):
+    """What became of one change."""
+
+    state: Literal["accepted", "refused", "unknown"]
+    version: int = 0
+    reason: str = ""
+    head_version: int = 0
+    rules_text: str = ""
+
+
+class ChangeRequest(BaseModel):
+    """A change to the rules, with an id that makes a repeat safe."""
+
+    change_id: str
+    base_version: int
+    rules_text: str
+    author: str
+    without_domains: list[str]
+
+
+class RulesClient:
+    """Talks to one entry.
+
+    Parameters
+    ----------
+    url : str
+        Address of the entry, such as ``http://10.0.0.4:8080``.
+    timeout_s : float
+        Longest wait for an answer, in seconds.
+    """
+
+    def __init__(self, url: str, timeout_s: float = ANSWER_TIMEOUT_S) -> None:
+        self._url = url.rstrip("/") + "/admin/rules"
+        self._timeout = aiohttp.ClientTimeout(
+            total=timeout_s, sock_connect=CONNECT_TIMEOUT_S
+        )
+
+    def read_head(self) -> Head:
+        """Return the version in force."""
+        return self._read("", Head)
+
+    def read_versions(self) -> list[Head]:
+        """Return all versions by number."""
+        found = self._read("/versions", VersionList).versions
+        return sorted(found, key=lambda head: head.version)
+
+    def read_change(self, change_id: str) -> ChangeState | None:
+        """Return what became of a change; ``None`` when the entry knows none."""
+        status, body = self._get(f"/changes/{change_id}")
+        if status == 404:
+            return None
+        return self._parse(status, body, ChangeState)
+
+    def send_change(self, change: ChangeRequest) -> ChangeState:
+        """Send a change; a lost or late answer gives the state ``unknown``."""
+        try:
+            status, body = asyncio.run(
+                self._request("POST", "", change.model_dump_json())
+            )
+        except aiohttp.ClientConnectorError as e:
+            # Without a connection nothing was sent.
+            raise self._error(f"no connection: {e}") from e
+        except (aiohttp.ClientError, TimeoutError) as e:
+            return ChangeState(state="unknown", reason=f"no answer: {e!r}")
+        if status in _UNKNOWN_STATUSES:
+            return ChangeState(state="unknown", reason=f"HTTP status {status}")
+        if status not in (200, 409):
+            raise self._error(f"HTTP status {status}: {body[:2000]}")
+        try:
+            return ChangeState.model_validate_json(body)
+        except ValidationError as e:
+            return ChangeState(state="unknown", reason=f"unreadable answer: {e}")
+
+    def _read(self, path: str, kind: type[M]) -> M:
+        status, body = self._get(path)
+        return self._parse(status, body, kind)
+
+    def _get(self, path: str) -> tuple[int, str]:
+        try:
+            return asyncio.run(self._request("GET", path, None))
+        except (aiohttp.ClientError, TimeoutError) as e:
+            raise self._error(f"no answer: {e!r}") from e
+
+    def _parse(self, status: int, body: str, kind: type[M]) -> M:
+        if status != 200:
+            raise self._error(f"HTTP status {status}: {body[:2000]}")
+        try:
+            return kind.model_validate_json(body)
+        except ValidationError as e:
+            raise self._error(f"unreadable answer: {e}") from e
+
+    def _error(self, message: str) -> CommandError:
+        return CommandError(ExitCode.ENTRY_FAILED, f"{self._url}: {message}")
+
+    async def _request(
+        self, method: str, path: str, body: str | None
+    ) -> tuple[int, str]:
+        headers = {"Content-Type": "application/json"}
+        token = os.environ.get(TOKEN_VARIABLE)
+        if token:
+            headers["Authorization"] = f"Bearer {token}"
+        async with (
+            aiohttp.ClientSession(timeout=self._timeout) as session,
+            session.request(
+                method, self._url + path, data=body, headers=headers
+            ) as answer,
+        ):
+            return answer.status, await answer.text(errors="replace")
+
+
+def parse_history(text: str, source: str) -> list[Head]:
+    """Return the versions of a history file, by number."""
+    try:
+        found = VersionList.model_validate_json(text).versions
+    except ValidationError as e:
+        message = f"{source}: expected the output of 'rules history --format json': {e}"
+        raise CommandError(ExitCode.WRONG_USE, message) from e
+    return sorted(found, key=lambda head: head.version)
+
+
+def to_versions(heads: list[Head], source: str) -> list[Version]:
+    """Return versions with parsed rules."""
+    return [
+        Version(
+            parse_or_fail(head.rules_text, f"{source}, version {head.version}"),
+            head.accepted_wall_ms // 1000,
+            head.version,
+        )
+        for head in heads
+    ]
--- /dev/null
+++ b/packages/entry/src/bluebellusher/cli/rules_commands.py
@@ -0,0 +1,240 @@
+"""Commands that read rules files: check, plan, forecast and why."""
+
+from datetime import UTC, datetime
+from typing import ClassVar
+
+from bluebellusher.cli.rules_base import (
+    EXIT_CODES_HELP,
+    CommandError,
+    ExitCode,
+    RulesCommand,
+    read_rules,
+    read_text,
+)
+from bluebellusher.cli.rules_client import RulesClient, parse_history, to_versions
+from bluebellusher.cli.rules_remote import (
+    RulesApplyCommand,
+    RulesHistoryCommand,
+    RulesStatusCommand,
+)
+from bluebellusher.cli.rules_text import (
+    format_changes,
+    format_explanation,
+    format_forecast_chart,
+    format_forecast_json,
+    format_forecast_table,
+    format_plan,
+)
+from bluebellusher_core.billing import (
+    Explanation,
+    Month,
+    Version,
+    explain,
+    explain_history,
+    forecast,
+)
+from bluebellusher_core.rules import RuleSet, diff_rules
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
+
+_FORMAT_BY_NAME = {
+    "table": format_forecast_table,
+    "json": format_forecast_json,
+    "chart": format_forecast_chart,
+}
+_MONTH_HELP = "Month of the bill, such as 2027-01; the next month by default"
+
+
+class RulesCheckCommand(RulesCommand):
+    """Print every error of a rules file."""
+
+    name = "rules check"
+    description = "Checks a rules file and prints every error with line and column"
+    help = (
+        "Reads one rules file and changes nothing. docs/rules.md has the grammar.\n"
+        + EXIT_CODES_HELP
+    )
+    arguments: ClassVar[list[Argument]] = [argument("file", "Rules file to check")]
+
+    def run_rules(self) -> ExitCode:
+        """Check the file and count its rules."""
+        path = self.argument("file")
+        rules = read_rules(path)
+        n_rules, n_customers = len(rules.rules), len(rules.customers)
+        self.write_lines(
+            [f"{path}: no errors, {n_rules} rules, {n_customers} customers"]
+        )
+        return ExitCode.DONE
+
+
+class RulesPlanCommand(RulesCommand):
+    """Print the difference of two files and its effect on the bill."""
+
+    name = "rules plan"
+    description = "Shows how two rules files differ and what that does to the bill"
+    help = (
+        "Lists added (+), removed (-) and changed (~) rules, and rules with only a "
+        "new comment (#).\nThen compares the month's expected bill and its ceiling "
+        "by service and by customer.\n" + EXIT_CODES_HELP
+    )
+    arguments: ClassVar[list[Argument]] = [
+        argument("old", "Rules file in force"),
+        argument("new", "Rules file to compare with it"),
+    ]
+    options: ClassVar[list[Option]] = [option("month", None, _MONTH_HELP, flag=False)]
+
+    def run_rules(self) -> ExitCode:
+        """Compare the two files."""
+        old = read_rules(self.argument("old"))
+        new = read_rules(self.argument("new"))
+        changes = diff_rules(old, new)
+        if not changes:
+            self.write_lines(["The files have the same rules."])
+            return ExitCode.DONE
+        self.write_lines(format_changes(changes))
+        _require_one_currency(old, new)
+        month = self.month(new)
+        self.write_lines(["", f"Bill of {month} ({month.zone}) in {new.currency}"])
+        self.write_lines(format_plan(forecast(old, month), forecast(new, month)))
+        return ExitCode.DONE
+
+
+class RulesForecastCommand(RulesCommand):
+    """Print the bill of a month in advance."""
+
+    name = "rules forecast"
+    description = "Computes the bill of a month from a rules file"
+    help = (
+        "Prints three amounts by service, by customer and by rule:\n"
+        "  minimum   all scheduled engines and no request\n"
+        "  expected  engines and the tokens of the expected load, within budgets\n"
+        "  ceiling   the most that the rules allow; no bill is higher\n"
+        "Every table adds up to the same total. A budget's line shows what may be "
+        "spent\nbeyond the expected load.\n" + EXIT_CODES_HELP
+    )
+    arguments: ClassVar[list[Argument]] = [argument("file", "Rules file")]
+    options: ClassVar[list[Option]] = [
+        option("month", None, _MONTH_HELP, flag=False),
+        option("format", None, "table, json or chart", flag=False, default="table"),
+    ]
+
+    def run_rules(self) -> ExitCode:
+        """Compute and print the forecast."""
+        name = self.option("format")
+        if name not in _FORMAT_BY_NAME:
+            message = f"--format={name}: expected table, json or chart"
+            raise CommandError(ExitCode.WRONG_USE, message)
+        rules = read_rules(self.argument("file"))
+        self.write_lines(_FORMAT_BY_NAME[name](forecast(rules, self.month(rules))))
+        return ExitCode.DONE
+
+
+class RulesWhyCommand(RulesCommand):
+    """Explain a difference between two bills."""
+
+    name = "rules why"
+    description = "Explains by rule, author and reason why two bills differ"
+    help = (
+        "A and B are two rules files. With --history or --url they are two versions, "
+        "given as\nversion numbers or as times such as 2027-01-12T09:00+09:00; the "
+        "bill as of a version\ncounts each earlier version from its time of "
+        "acceptance. The parts add up to the\ndifference exactly.\n" + EXIT_CODES_HELP
+    )
+    arguments: ClassVar[list[Argument]] = [
+        argument("a", "Rules file, version or time of the first bill"),
+        argument("b", "Rules file, version or time of the second bill"),
+    ]
+    options: ClassVar[list[Option]] = [
+        option("month", None, _MONTH_HELP, flag=False),
+        option("month-b", None, "Month of the second bill, if another", flag=False),
+        option("history", None, "File of 'rules history --format json'", flag=False),
+        option("url", None, "Address of an entry that has the history", flag=False),
+    ]
+
+    def run_rules(self) -> ExitCode:
+        """Explain the difference of two files or of two versions."""
+        if self.option("history") or self.option("url"):
+            rules, explanation = self._explain_versions()
+        else:
+            old = read_rules(self.argument("a"))
+            rules = read_rules(self.argument("b"))
+            _require_one_currency(old, rules)
+            month, month_b = self.month(old), self._month_b(rules)
+            explanation = explain(old, rules, month, month_b)
+        self.write_lines([f"Amounts in {rules.currency}"])
+        self.write_lines(format_explanation(explanation, rules.month_zone))
+        return ExitCode.DONE
+
+    def _explain_versions(self) -> tuple[RuleSet, Explanation]:
+        path, url = self.option("history"), self.option("url")
+        source = path or url
+        heads = (
+            parse_history(read_text(path), path)
+            if path
+            else RulesClient(url).read_versions()
+        )
+        versions = to_versions(heads, source)
+        first = _find_version(versions, self.argument("a"))
+        last = _find_version(versions, self.argument("b"))
+        _require_one_currency(first.rules, last.rules)
+        month, month_b = self.month(last.rules), self._month_b(last.rules)
+        try:
+            found = explain_history(versions, first.number, last.number, month, month_b)
+        except ValueError as e:
+            raise CommandError(ExitCode.WRONG_USE, str(e)) from e
+        return last.rules, found
+
+    def _month_b(self, rules: RuleSet) -> Month:
+        name = "month-b" if self.option("month-b") else "month"
+        return self.month(rules, name)
+
+
+def _find_version(versions: list[Version], text: str) -> Version:
+    """Return the version with a number, or the one in force at a time."""
+    if text.isascii() and text.isdigit():
+        found = [v for v in versions if str(v.number) == text]
+        expected = "the number of a version in the history"
+    else:
+        at_s = _parse_time(text)
+        found = [v for v in versions if v.accepted_s is not None]
+        found = [v for v in found if (v.accepted_s or 0) <= at_s]
+        expected = "a time not before the first version"
+    if not found:
+        raise CommandError(ExitCode.WRONG_USE, f"{text}: expected {expected}")
+    return found[-1]
+
+
+def _parse_time(text: str) -> float:
+    try:
+        moment = datetime.fromisoformat(text)
+    except ValueError:
+        moment = None
+    if moment is None or moment.tzinfo is None:
+        message = (
+            f"{text}: expected a version number, or a time with its offset from UTC "
+            "such as 2027-01-12T09:00+09:00"
+        )
+        raise CommandError(ExitCode.WRONG_USE, message)
+    return moment.astimezone(UTC).timestamp()
+
+
+def _require_one_currency(old: RuleSet, new: RuleSet) -> None:
+    if old.currency != new.currency:
+        message = (
+            f"bills in {old.currency} and {new.currency} cannot be compared: "
+            "expected one currency"
+        )
+        raise CommandError(ExitCode.WRONG_USE, message)
+
+
+RULES_COMMANDS: list[type[Command]] = [
+    RulesCheckCommand,
+    RulesPlanCommand,
+    RulesForecastCommand,
+    RulesWhyCommand,
+    RulesHistoryCommand,
+    RulesApplyCommand,
+    RulesStatusCommand,
+]
--- /dev/null
+++ b/packages/entry/src/bluebellusher/cli/rules_remote.py
@@ -0,0 +1,260 @@
+"""Commands that talk to an entry: history, apply and status."""
+
+import json
+import re
+import uuid
+from typing import ClassVar
+
+from bluebellusher.cli.rules_base import (
+    EXIT_CODES_HELP,
+    CommandError,
+    ExitCode,
+    RulesCommand,
+    parse_or_fail,
+    read_text,
+)
+from bluebellusher.cli.rules_client import (
+    TOKEN_VARIABLE,
+    ChangeRequest,
+    ChangeState,
+    Head,
+    RulesClient,
+)
+from bluebellusher.cli.rules_text import (
+    count_changes,
+    format_changes,
+    format_table,
+    format_time,
+)
+from bluebellusher_core.rules import RuleSet, diff_rules, parse_rules
+from cleo.helpers import argument, option
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
+
+_BASE_LINE = re.compile(r"# version ([0-9]{1,12})\Z")
+_CHANGE_ID = re.compile(r"[A-Za-z0-9_-]{1,64}\Z")
+_URL_OPTION = option("url", None, "Address of an entry (required)", flag=False)
+_TOKEN_HELP = f"The operator's token is read from the variable {TOKEN_VARIABLE}.\n"
+
+
+def required_url(command: RulesCommand) -> str:
+    """Return the address of the entry."""
+    url = str(command.option("url") or "")
+    if not url.startswith(("http://", "https://")):
+        message = f"--url={url}: expected an address such as http://10.0.0.4:8080"
+        raise CommandError(ExitCode.WRONG_USE, message)
+    return url
+
+
+class RulesHistoryCommand(RulesCommand):
+    """Print the versions of the rules."""
+
+    name = "rules history"
+    description = "Lists the accepted versions of the rules with time and author"
+    help = (
+        "Each line counts the rules that a version added (+), removed (-) and changed "
+        "(~).\n--format json prints a file for 'rules why --history'. --version N "
+        "prints the text of\none version below a line '# version N', from which 'rules "
+        "apply' knows what the\nedited text is based on.\n"
+        + _TOKEN_HELP
+        + EXIT_CODES_HELP
+    )
+    options: ClassVar[list[Option]] = [
+        _URL_OPTION,
+        option("format", None, "table or json", flag=False, default="table"),
+        option("version", None, "Print the text of this version", flag=False),
+    ]
+
+    def run_rules(self) -> ExitCode:
+        """Print all versions, or the text of one."""
+        form, number = self.option("format"), self.option("version")
+        if form not in ("table", "json"):
+            message = f"--format={form}: expected table or json"
+            raise CommandError(ExitCode.WRONG_USE, message)
+        heads = RulesClient(required_url(self)).read_versions()
+        if number is not None:
+            self.write_lines(_text_to_edit(heads, number))
+        elif form == "json":
+            content = {"versions": [head.model_dump() for head in heads]}
+            text = json.dumps(content, indent=2, ensure_ascii=False)
+            self.write_lines(text.split("\n"))
+        else:
+            self.write_lines(_history_table(heads))
+        return ExitCode.DONE
+
+
+def _text_to_edit(heads: list[Head], number: str) -> list[str]:
+    for head in heads:
+        if str(head.version) == number:
+            lines = head.rules_text.rstrip("\n").split("\n")
+            # The text may still name the version that it was based on.
+            kept = [line for line in lines if not _BASE_LINE.match(line.rstrip())]
+            return [f"# version {number}", *kept]
+    message = f"--version={number}: expected the number of an accepted version"
+    raise CommandError(ExitCode.WRONG_USE, message)
+
+
+def _history_table(heads: list[Head]) -> list[str]:
+    rows = []
+    previous = RuleSet(())
+    for head in heads:
+        rules = parse_or_fail(head.rules_text, f"version {head.version}")
+        moment = format_time(head.accepted_wall_ms // 1000, rules.month_zone)
+        changes = count_changes(previous, rules)
+        rows.append([str(head.version), moment, changes, head.author])
+        previous = rules
+    return format_table(["Version", "Accepted", "Rules", "Author"], rows)
+
+
+class RulesApplyCommand(RulesCommand):
+    """Send a rules file to an entry."""
+
+    name = "rules apply"
+    description = "Puts a rules file into force through an entry"
+    help = (
+        "Checks the file, shows how it differs from the version in force, and sends "
+        "it. The\nchange is accepted only while the version in force is still the one "
+        "that the file is\nbased on: the number of --base-version, else of a line "
+        "'# version N' in the file (see\n'rules history --version'), else the version "
+        "that is shown. A refused change leaves\nyour file as it is and shows what "
+        "the other operator changed.\n\nThe change has an id before it is sent. When "
+        "no answer comes, ask with 'rules status ID',\nor repeat the command with "
+        "--change-id ID; the change takes effect at most once.\n"
+        + _TOKEN_HELP
+        + EXIT_CODES_HELP
+    )
+    arguments: ClassVar[list[Argument]] = [argument("file", "Rules file to apply")]
+    options: ClassVar[list[Option]] = [
+        _URL_OPTION,
+        option("author", None, "Who makes the change (required)", flag=False),
+        option(
+            "without-domain",
+            None,
+            "Failure domain that is cut off and is not waited for; may be repeated",
+            flag=False,
+            multiple=True,
+        ),
+        option("base-version", None, "Version that the file is based on", flag=False),
+        option("change-id", None, "Id of a change that is repeated", flag=False),
+    ]
+
+    def run_rules(self) -> ExitCode:
+        """Check, show and send the change."""
+        path, url = self.argument("file"), required_url(self)
+        author = self.option("author")
+        if not author:
+            message = "--author: expected the name of the one who makes the change"
+            raise CommandError(ExitCode.WRONG_USE, message)
+        change_id = self._change_id()
+        text = read_text(path)
+        rules = parse_or_fail(text, path)
+        client = RulesClient(url)
+        head = client.read_head()
+        self._show_difference(head, rules)
+        change = ChangeRequest(
+            change_id=change_id,
+            base_version=self._base_version(text, head),
+            rules_text=text,
+            author=author,
+            without_domains=self.option("without-domain"),
+        )
+        self.write_lines([f"change id {change_id}, based on {change.base_version}"])
+        return self._report(client.send_change(change), change, rules, url)
+
+    def _change_id(self) -> str:
+        change_id = self.option("change-id") or str(uuid.uuid4())
+        if not _CHANGE_ID.match(change_id):
+            message = f"--change-id={change_id}: expected letters, digits, '_' and '-'"
+            raise CommandError(ExitCode.WRONG_USE, message)
+        return str(change_id)
+
+    def _base_version(self, text: str, head: Head) -> int:
+        number = self.option("base-version")
+        if number is None:
+            matches = [_BASE_LINE.match(line.rstrip()) for line in text.split("\n")]
+            number = next((match[1] for match in matches if match), None)
+        if number is None:
+            return head.version
+        if not re.match(r"[0-9]{1,12}\Z", number):
+            message = f"--base-version={number}: expected a number"
+            raise CommandError(ExitCode.WRONG_USE, message)
+        return int(number)
+
+    def _show_difference(self, head: Head, rules: RuleSet) -> None:
+        current = parse_rules(head.rules_text)
+        if head.version == 0 or current.is_error():
+            self.write_lines([f"{len(rules.rules)} rules; none are in force yet"])
+            return
+        changes = diff_rules(current.ok, rules)
+        self.write_lines([f"Changes to version {head.version}:"])
+        self.write_lines(format_changes(changes) or ["  none"])
+
+    def _report(
+        self, state: ChangeState, change: ChangeRequest, rules: RuleSet, url: str
+    ) -> ExitCode:
+        if state.state == "accepted":
+            self.write_lines([f"Accepted as version {state.version}."])
+            return ExitCode.DONE
+        if state.state == "refused":
+            self.write_error_line(f"Refused: {state.reason}")
+            self._show_other(state, change, rules)
+            return ExitCode.REFUSED
+        self.write_error_line(
+            f"It is not known whether the change was accepted: {state.reason}"
+        )
+        self.write_error_line("Ask again with:")
+        self.write_error_line(
+            f"  bluebellusher rules status {change.change_id} --url {url}"
+        )
+        return ExitCode.STATE_UNKNOWN
+
+    def _show_other(
+        self, state: ChangeState, change: ChangeRequest, rules: RuleSet
+    ) -> None:
+        """Show how the sent file differs from the version that won."""
+        other = parse_rules(state.rules_text)
+        if state.head_version == change.base_version or other.is_error():
+            return
+        self.write_error_line(
+            f"Version {state.head_version} is in force; your file is unchanged. "
+            "From that version to your file:"
+        )
+        for line in format_changes(diff_rules(other.ok, rules)):
+            self.write_error_line(line)
+        self.write_error_line(
+            "Take over what you want to keep, then repeat with "
+            f"--base-version {state.head_version}."
+        )
+
+
+class RulesStatusCommand(RulesCommand):
+    """Tell what became of a change."""
+
+    name = "rules status"
+    description = "Tells whether a change was accepted"
+    help = (
+        "Asks for a change by the id that 'rules apply' printed. An id that the entry "
+        "does not know\nmay still arrive; to settle it, repeat 'rules apply' with "
+        "--change-id.\n" + _TOKEN_HELP + EXIT_CODES_HELP
+    )
+    arguments: ClassVar[list[Argument]] = [argument("change-id", "Id of the change")]
+    options: ClassVar[list[Option]] = [_URL_OPTION]
+
+    def run_rules(self) -> ExitCode:
+        """Print the state of the change."""
+        change_id = self.argument("change-id")
+        if not _CHANGE_ID.match(change_id):
+            message = f"{change_id}: expected letters, digits, '_' and '-'"
+            raise CommandError(ExitCode.WRONG_USE, message)
+        state = RulesClient(required_url(self)).read_change(change_id)
+        if state is None or state.state == "unknown":
+            self.write_error_line(
+                f"Change {change_id} is not accepted so far. It may still arrive; "
+                f"repeat 'rules apply' with --change-id {change_id} to settle it."
+            )
+            return ExitCode.STATE_UNKNOWN
+        if state.state == "refused":
+            self.write_error_line(f"Refused: {state.reason}")
+            return ExitCode.REFUSED
+        self.write_lines([f"Accepted as version {state.version}."])
+        return ExitCode.DONE
--- /dev/null
+++ b/packages/entry/src/bluebellusher/cli/rules_text.py
@@ -0,0 +1,230 @@
+"""Texts of the rules commands: tables, charts and differences."""
+
+import json
+from collections.abc import Iterable, Sequence
+from datetime import UTC, datetime
+from decimal import Decimal
+from zoneinfo import ZoneInfo
+
+from bluebellusher_core.billing import Explanation, Forecast, Part, Range
+from bluebellusher_core.rules import Change, RuleSet, diff_rules
+
+ENGINES_ROW = "(engines, all customers)"
+ANY_SERVICE_ROW = "(any service)"
+CHART_WIDTH = 48
+_MAX_TEXT_WIDTH = 72
+_MARK_BY_KIND = {"added": "+", "removed": "-", "changed": "~", "comment": "#"}
+
+
+def format_table(header: Sequence[str], rows: Iterable[Sequence[str]]) -> list[str]:
+    """Return the lines of a table; the first column is left aligned."""
+    table = [list(header), *(list(row) for row in rows)]
+    widths = [max(len(row[i]) for row in table) for i in range(len(header))]
+    lines = []
+    for row in table:
+        cells = [row[0].ljust(widths[0])]
+        cells += [
+            cell.rjust(width) for cell, width in zip(row[1:], widths[1:], strict=True)
+        ]
+        lines.append("  ".join(cells).rstrip())
+    lines.insert(1, "  ".join("-" * width for width in widths))
+    return lines
+
+
+def format_money(amount: Decimal) -> str:
+    """Return an amount with two decimals and separators of thousands."""
+    return f"{amount:,.2f}"
+
+
+def format_change_of_money(amount: Decimal) -> str:
+    """Return an amount with its sign; zero has none."""
+    return f"{amount:+,.2f}" if amount else "0.00"
+
+
+def format_time(at_s: int | None, zone: str) -> str:
+    """Return a moment in a time zone with its offset from UTC."""
+    if at_s is None:
+        return "-"
+    local = datetime.fromtimestamp(at_s, UTC).astimezone(ZoneInfo(zone))
+    return local.isoformat(sep=" ", timespec="seconds")
+
+
+def shorten(text: str) -> str:
+    """Return a text that fits into a column."""
+    if len(text) <= _MAX_TEXT_WIDTH:
+        return text
+    return text[: _MAX_TEXT_WIDTH - 3] + "..."
+
+
+def format_changes(changes: Iterable[Change]) -> list[str]:
+    """Return the rules that changed, marked with ``+``, ``-``, ``~`` or ``#``."""
+    lines = []
+    for change in changes:
+        if change.kind in ("changed", "comment") and change.before:
+            lines.append(f"  was {change.before.render()}")
+        lines.append(f"{_MARK_BY_KIND[change.kind]}     {change.rule.render()}")
+    return lines
+
+
+def count_changes(before: RuleSet, after: RuleSet) -> str:
+    """Return how many rules were added, removed and changed."""
+    kinds = [change.kind for change in diff_rules(before, after)]
+    n_changed = kinds.count("changed") + kinds.count("comment")
+    return f"+{kinds.count('added')} -{kinds.count('removed')} ~{n_changed}"
+
+
+def _money_row(name: str, amount: Range) -> list[str]:
+    amounts = (amount.minimum, amount.expected, amount.ceiling)
+    return [name, *map(format_money, amounts)]
+
+
+def _named_amounts(forecast: Forecast) -> list[tuple[str, dict[str, Range]]]:
+    services = {k or ANY_SERVICE_ROW: v for k, v in forecast.by_service().items()}
+    customers = {k or ENGINES_ROW: v for k, v in forecast.by_customer().items()}
+    rules = {
+        shorten(f"{rule.line}: {rule.statement()}"): amount
+        for (_, rule), amount in sorted(
+            forecast.by_rule().items(), key=lambda item: (item[0][0], item[0][1].line)
+        )
+    }
+    return [("Service", services), ("Customer", customers), ("Line and rule", rules)]
+
+
+def format_forecast_table(forecast: Forecast) -> list[str]:
+    """Return tables by service, customer and rule, each with its total."""
+    lines = [f"Bill of {forecast.month} ({forecast.month.zone}) in {forecast.currency}"]
+    for title, amounts in _named_amounts(forecast):
+        rows = [_money_row(name, amount) for name, amount in amounts.items()]
+        rows.append(_money_row("Total", forecast.total))
+        header = [title, "Minimum", "Expected", "Ceiling"]
+        lines += ["", *format_table(header, rows)]
+    return lines
+
+
+def format_forecast_json(forecast: Forecast) -> list[str]:
+    """Return the forecast as JSON; amounts are texts, so that none loses a digit."""
+    contributions = [
+        {
+            "rule": c.rule.statement(),
+            "line": c.rule.line,
+            "author": c.rule.author,
+            "reason": c.rule.reason,
+            "customer": c.customer or None,
+            "service": c.service or None,
+            **_amounts(c.amount),
+        }
+        for c in forecast.contributions
+    ]
+    content = {
+        "month": str(forecast.month),
+        "zone": forecast.month.zone,
+        "currency": forecast.currency,
+        "total": _amounts(forecast.total),
+        "by_service": [
+            {"service": name or None, **_amounts(amount)}
+            for name, amount in forecast.by_service().items()
+        ],
+        "by_customer": [
+            {"customer": name or None, **_amounts(amount)}
+            for name, amount in forecast.by_customer().items()
+        ],
+        "contributions": contributions,
+    }
+    return json.dumps(content, indent=2, ensure_ascii=False).split("\n")
+
+
+def _amounts(amount: Range) -> dict[str, str]:
+    return {
+        "minimum": str(amount.minimum),
+        "expected": str(amount.expected),
+        "ceiling": str(amount.ceiling),
+    }
+
+
+def format_forecast_chart(forecast: Forecast) -> list[str]:
+    """Return one bar for each service and customer, drawn to one scale."""
+    groups = _named_amounts(forecast)[:2]
+    rows = [("Total", {"Total": forecast.total}), *groups]
+    width = max(len(name) for _, amounts in rows for name in amounts)
+    largest = forecast.total.ceiling
+    lines = [
+        f"Bill of {forecast.month} ({forecast.month.zone}) in {forecast.currency}",
+        "# minimum   = up to expected   . up to ceiling",
+    ]
+    for title, amounts in rows:
+        lines += ["", title] if title != "Total" else [""]
+        for name, amount in amounts.items():
+            bar = _bar(amount, largest)
+            expected = format_money(amount.expected)
+            ceiling = format_money(amount.ceiling)
+            line = f"{name.ljust(width)} |{bar}| {expected} of at most {ceiling}"
+            lines.append(line)
+    return lines
+
+
+def _bar(amount: Range, largest: Decimal) -> str:
+    if not largest:
+        return " " * CHART_WIDTH
+    n_minimum = round(amount.minimum / largest * CHART_WIDTH)
+    n_expected = round(amount.expected / largest * CHART_WIDTH)
+    n_ceiling = round(amount.ceiling / largest * CHART_WIDTH)
+    bar = "#" * n_minimum + "=" * (n_expected - n_minimum)
+    return (bar + "." * (n_ceiling - n_expected)).ljust(CHART_WIDTH)
+
+
+def format_plan(before: Forecast, after: Forecast) -> list[str]:
+    """Return the effect of a change on expected value and ceiling."""
+    lines = []
+    pairs = zip(_named_amounts(before)[:2], _named_amounts(after)[:2], strict=True)
+    for (title, old), (_, new) in pairs:
+        names = list(dict.fromkeys([*old, *new]))
+        rows = [
+            _plan_row(name, old.get(name, Range()), new.get(name, Range()))
+            for name in names
+        ]
+        rows.append(_plan_row("Total", before.total, after.total))
+        header = [title, "Expected old", "new", "change", "Ceiling old", "new"]
+        lines += ["", *format_table([*header, "change"], rows)]
+    return lines
+
+
+def _plan_row(name: str, old: Range, new: Range) -> list[str]:
+    row = [name]
+    for a, b in ((old.expected, new.expected), (old.ceiling, new.ceiling)):
+        row += [format_money(a), format_money(b), format_change_of_money(b - a)]
+    return row
+
+
+def format_explanation(explanation: Explanation, zone: str) -> list[str]:
+    """Return each part with its rule, author, comment and time, and the sum."""
+    parts = [part for part in explanation.parts if part.amount]
+    n_without = len(explanation.parts) - len(parts)
+    amounts = [format_change_of_money(part.amount) for part in parts]
+    width = max(
+        (len(text) for text in [*amounts, format_money(explanation.after)]), default=0
+    )
+    lines = [f"{format_money(explanation.before).rjust(width)}  expected before"]
+    for part, amount in zip(parts, amounts, strict=True):
+        texts = _describe_part(part, zone)
+        lines.append(f"{amount.rjust(width)}  {texts[0]}")
+        lines += [f"{' ' * width}  {text}" for text in texts[1:]]
+    lines.append(f"{format_money(explanation.after).rjust(width)}  expected after")
+    difference = format_change_of_money(explanation.difference)
+    lines.append(f"{difference.rjust(width)}  difference, the sum of the parts above")
+    if n_without:
+        lines.append(f"Changes without effect on the bill: {n_without}")
+    return lines
+
+
+def _describe_part(part: Part, zone: str) -> list[str]:
+    if part.change is None:
+        return ["calendar: the two months differ in their days"]
+    change = part.change
+    texts = [f"{change.kind}: {change.rule.statement()}"]
+    if change.before and change.after:
+        texts.append(f"was: {change.before.statement()}")
+    texts.append(f"{change.rule.author}: {change.rule.reason}")
+    if part.accepted_s is not None:
+        moment = format_time(part.accepted_s, zone)
+        texts.append(f"version {part.version}, accepted {moment}")
+    return texts
