--- a/packages/entry/src/bluebellusher/cli/rules_remote.py
+++ b/packages/entry/src/bluebellusher/cli/rules_remote.py
@@ -53,7 +53,7 @@
     description = "Lists the accepted versions of the rules with time and author"
     help = (
         "Each line counts the rules that a version added (+), removed (-) and changed "
-        "(~).\n--format json prints a file for 'rules why --history'. --version N "
+        "(~).\n--format json prints a file for 'rules why --history'. --show N "
         "prints the text of\none version below a line '# version N', from which 'rules "
         "apply' knows what the\nedited text is based on.\n"
         + _TOKEN_HELP
@@ -62,12 +62,12 @@
     options: ClassVar[list[Option]] = [
         _URL_OPTION,
         option("format", None, "table or json", flag=False, default="table"),
-        option("version", None, "Print the text of this version", flag=False),
+        option("show", None, "Print the text of this version", flag=False),
     ]
 
     def run_rules(self) -> ExitCode:
         """Print all versions, or the text of one."""
-        form, number = self.option("format"), self.option("version")
+        form, number = self.option("format"), self.option("show")
         if form not in ("table", "json"):
             message = f"--format={form}: expected table or json"
             raise CommandError(ExitCode.WRONG_USE, message)
@@ -90,7 +90,7 @@
             # The text may still name the version that it was based on.
             kept = [line for line in lines if not _BASE_LINE.match(line.rstrip())]
             return [f"# version {number}", *kept]
-    message = f"--version={number}: expected the number of an accepted version"
+    message = f"--show={number}: expected the number of an accepted version"
     raise CommandError(ExitCode.WRONG_USE, message)
 
 
@@ -115,7 +115,7 @@
         "Checks the file, shows how it differs from the version in force, and sends "
         "it. The\nchange is accepted only while the version in force is still the one "
         "that the file is\nbased on: the number of --base-version, else of a line "
-        "'# version N' in the file (see\n'rules history --version'), else the version "
+        "'# version N' in the file (see\n'rules history --show'), else the version "
         "that is shown. A refused change leaves\nyour file as it is and shows what "
         "the other operator changed.\n\nThe change has an id before it is sent. When "
         "no answer comes, ask with 'rules status ID',\nor repeat the command with "
--- /dev/null
+++ b/packages/entry/src/bluebellusher/cli/tests/test_rules_commands.py
@@ -0,0 +1,232 @@
+"""Tests of the rules commands against a small stand-in of an entry."""
+
+import json
+import pathlib
+import threading
+from collections.abc import Iterator
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+import pytest
+from bluebellusher.cli.rules_commands import RULES_COMMANDS
+from cleo.application import Application
+from cleo.testers.command_tester import CommandTester
+
+EXAMPLES = pathlib.Path(__file__).parents[6] / "examples" / "rules"
+TOKACHI = EXAMPLES / "tokachi.rules"
+TEXT = TOKACHI.read_text(encoding="utf-8")
+
+
+class FakeEntry(ThreadingHTTPServer):
+    """Keeps versions in memory; can lose or delay the answer to a change."""
+
+    def __init__(self) -> None:
+        super().__init__(("127.0.0.1", 0), Handler)
+        self.versions = [version(1, TEXT, "Haruka Sato")]
+        self.state_by_change_id: dict[str, dict] = {}
+        self.requests: list[dict] = []
+        self.fault = ""
+
+    @property
+    def url(self) -> str:
+        """Address of the server."""
+        return f"http://127.0.0.1:{self.server_address[1]}"
+
+    def change(self, change: dict) -> tuple[int, dict]:
+        """Accept a change that is based on the head, once for each id."""
+        self.requests.append(change)
+        head = self.versions[-1]
+        state = self.state_by_change_id.get(change["change_id"])
+        if state is None and change["base_version"] != head["version"]:
+            reason = "another change was accepted first"
+            text, number = head["rules_text"], head["version"]
+            return 409, {
+                "state": "refused",
+                "reason": reason,
+                "head_version": number,
+                "rules_text": text,
+            }
+        if state is None:
+            number = head["version"] + 1
+            self.versions.append(
+                version(number, change["rules_text"], change["author"])
+            )
+            state = {"state": "accepted", "version": number}
+            self.state_by_change_id[change["change_id"]] = state
+        return 200, state
+
+
+def version(number: int, text: str, author: str) -> dict:
+    """Return a version as the entry shows it."""
+    accepted_wall_ms = 1_800_000_000_000 + number * 86_400_000
+    return {
+        "version": number,
+        "rules_text": text,
+        "author": author,
+        "accepted_wall_ms": accepted_wall_ms,
+    }
+
+
+class Handler(BaseHTTPRequestHandler):
+    """Routes of ``/admin/rules``."""
+
+    server: FakeEntry
+
+    def do_GET(self) -> None:
+        """Answer head, versions and changes."""
+        name = self.path.removeprefix("/admin/rules")
+        if name == "":
+            self.answer(200, self.server.versions[-1])
+        elif name == "/versions":
+            self.answer(200, {"versions": self.server.versions[::-1]})
+        else:
+            state = self.server.state_by_change_id.get(name.rpartition("/")[2])
+            self.answer(200 if state else 404, state or {})
+
+    def do_POST(self) -> None:
+        """Take a change."""
+        body = self.rfile.read(int(self.headers["Content-Length"]))
+        status, content = self.server.change(json.loads(body))
+        if self.server.fault == "lose":
+            self.close_connection = True
+            return
+        self.answer(504 if self.server.fault == "504" else status, content)
+
+    def answer(self, status: int, content: dict) -> None:
+        """Send JSON."""
+        body = json.dumps(content).encode()
+        self.send_response(status)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, *args: object) -> None:
+        """Keep the test output clean."""
+
+
+@pytest.fixture
+def entry() -> Iterator[FakeEntry]:
+    """Run a stand-in of an entry."""
+    server = FakeEntry()
+    thread = threading.Thread(
+        target=server.serve_forever, kwargs={"poll_interval": 0.01}
+    )
+    thread.start()
+    yield server
+    server.shutdown()
+    thread.join()
+    server.server_close()
+
+
+def run(name: str, arguments: str) -> tuple[int, str, str]:
+    """Run a command; return exit code, output and error output."""
+    application = Application("bluebellusher")
+    for command in RULES_COMMANDS:
+        application.add(command())
+    tester = CommandTester(application.find(name))
+    code = tester.execute(arguments)
+    return code, tester.io.fetch_output(), tester.io.fetch_error()
+
+
+def apply(path: pathlib.Path, url: str, more: str = "") -> tuple[int, str, str]:
+    """Apply a rules file in the name of Mio."""
+    return run("rules apply", f"{path} --url {url} --author Mio {more}")
+
+
+@pytest.fixture
+def edited(tmp_path: pathlib.Path) -> pathlib.Path:
+    """Return a file with one engine less than the example."""
+    path = tmp_path / "new.rules"
+    path.write_text(TEXT.replace("engines order-desk 3 ", "engines order-desk 2 "))
+    return path
+
+
+def test_check_prints_every_error(tmp_path: pathlib.Path) -> None:
+    """Guards against errors that are not shown or an exit code of success."""
+    path = tmp_path / "bad.rules"
+    path.write_text(TEXT + "share nobody 2 # Mio: x\nshare kitami-mart\n")
+    code, _, errors = run("rules check", str(path))
+    assert code == 1
+    assert "unknown customer 'nobody'" in errors
+    assert "2 errors" in errors
+    assert run("rules check", str(TOKACHI))[0] == 0
+    assert run("rules check", str(tmp_path / "absent"))[0] == 2
+
+
+def test_forecast_formats_agree() -> None:
+    """Guards against formats that show different amounts."""
+    base = f"{TOKACHI} --month 2027-01 --format"
+    content = json.loads(run("rules forecast", f"{base} json")[1])
+    assert content["total"]["expected"] == "3258550.60"
+    for form in ("table", "chart"):
+        assert "3,258,550.60" in run("rules forecast", f"{base} {form}")[1]
+    assert run("rules forecast", f"{base} pie")[0] == 2
+    assert run("rules forecast", f"{TOKACHI} --month 2027-13")[0] == 2
+
+
+def test_plan_and_why_show_the_effect(edited: pathlib.Path) -> None:
+    """Guards against a difference whose rule or amount is not shown."""
+    arguments = f"{TOKACHI} {edited} --month 2027-01"
+    for name in ("rules plan", "rules why"):
+        code, output, _ = run(name, arguments)
+        assert code == 0
+        assert "engines order-desk 2" in output
+        assert "-13,764.00" in output
+
+
+def test_history_feeds_why(
+    entry: FakeEntry, edited: pathlib.Path, tmp_path: pathlib.Path
+) -> None:
+    """Guards against a history file that ``why`` cannot read."""
+    apply(edited, entry.url)
+    code, table, _ = run("rules history", f"--url {entry.url}")
+    assert code == 0
+    assert "+0 -0 ~1" in table
+    path = tmp_path / "history.json"
+    output = run("rules history", f"--url {entry.url} --format json")[1]
+    path.write_text(output)
+    code, text, _ = run("rules why", f"1 2 --history {path} --month 2027-02")
+    assert code == 0
+    assert "version 2, accepted 2027-01-17 17:00:00+09:00" in text
+    assert run("rules why", f"1 9 --history {path}")[0] == 2
+
+
+def test_lost_race_shows_the_difference(
+    entry: FakeEntry, edited: pathlib.Path, tmp_path: pathlib.Path
+) -> None:
+    """Guards against a second operator who silently undoes the first one's change."""
+    text = run("rules history", f"--url {entry.url} --show 1")[1]
+    mine = tmp_path / "mine.rules"
+    mine.write_text(text.replace("weight skew 3 ", "weight skew 5 "))
+    assert apply(edited, entry.url)[0] == 0
+    code, _, errors = apply(mine, entry.url)
+    assert code == 3
+    assert "Version 2 is in force" in errors
+    assert "~     engines order-desk 3" in errors
+    assert "~     weight skew 5" in errors
+    assert len(entry.versions) == 2
+
+
+@pytest.mark.parametrize("fault", ["lose", "504"])
+def test_unknown_state_can_be_settled(
+    entry: FakeEntry, edited: pathlib.Path, fault: str
+) -> None:
+    """Guards against a lost answer that is taken for a refusal or applied twice."""
+    entry.fault = fault
+    code, _, errors = apply(edited, entry.url, "--without-domain memuro")
+    assert code == 4
+    sent = entry.requests[0]
+    assert sent["without_domains"] == ["memuro"]
+    assert f"rules status {sent['change_id']} --url {entry.url}" in errors
+    entry.fault = ""
+    status = f"{sent['change_id']} --url {entry.url}"
+    assert run("rules status", status)[:2] == (0, "Accepted as version 2.\n")
+    again = f"--change-id {sent['change_id']} --base-version 1"
+    assert apply(edited, entry.url, again)[0] == 0
+    assert len(entry.versions) == 2
+    assert run("rules status", f"never-sent --url {entry.url}")[0] == 4
+
+
+def test_unreachable_entry_is_no_unknown_state(edited: pathlib.Path) -> None:
+    """Guards against a change that counts as unknown though nothing was sent."""
+    assert apply(edited, "http://127.0.0.1:9")[0] == 5
+    assert apply(edited, "nowhere")[0] == 2
