--- /dev/null
+++ b/bench/bench_rules.py
@@ -0,0 +1,94 @@
+"""Time to check and to forecast rules files of four sizes."""
+
+import time
+from collections.abc import Callable
+from functools import partial
+
+from bluebellusher_core.billing import Month, forecast
+from bluebellusher_core.rules import parse_rules
+
+from bench.report import print_figure
+
+# Customers and models: the current users, two sizes between, the target.
+SIZES = ((10, 2), (50, 6), (150, 12), (470, 27))
+N_REPEATS = 3
+COMMENT = "# Kenji Ono: size of a measurement"
+ZONE = "Asia/Tokyo"
+
+
+def build_rules(n_customers: int, n_models: int) -> str:
+    """Return a rules file; every third customer uses up its budget."""
+    lines = ["currency JPY", f"month-zone {ZONE}"]
+    lines += _model_lines(n_models)
+    for i in range(n_customers):
+        lines += _customer_lines(i, n_models)
+    return "".join(f"{line} {COMMENT}\n" for line in lines)
+
+
+def _model_lines(n_models: int) -> list[str]:
+    lines = []
+    for i in range(n_models):
+        service, model = f"service-{i}", f"model-{i}"
+        lines += [
+            f"capacity {service} 400",
+            f"engine-price {service} 410 per hour",
+            f"engines {service} 200 {ZONE}",
+            f"engines {service} 370 from 07:00 to 21:00 on Mon-Sat {ZONE}",
+            f"model {model} on {service}",
+            f"token-price {model} input {20 + i} per million",
+            f"token-price {model} cached {4 + i} per million",
+            f"token-price {model} output {80 + i} per million",
+        ]
+    return lines
+
+
+def _customer_lines(i: int, n_models: int) -> list[str]:
+    customer = f"customer-{i}"
+    first, second = 1 + i % (n_models - 1), 1 + (i + 1) % (n_models - 1)
+    budget = 10_000 if i % 3 == 0 else 1_000_000
+    counts = "2000 requests per day input 900 cached 400 output 1100"
+    return [
+        f"customer {customer}",
+        f"budget {customer} {budget} JPY per month",
+        f"when-exhausted {customer} cheaper-model model-0 up to 5000 JPY",
+        f"rate {customer} 600 requests per minute",
+        f"share {customer} 2",
+        f"load {customer} model-{first} {counts} from 08:00 to 22:00 {ZONE}",
+        f"load {customer} model-{second} {counts} on Mon-Fri {ZONE}",
+    ]
+
+
+def best_ms(action: Callable[[], object]) -> float:
+    """Return the shortest of several runs, the one least disturbed by others."""
+    times = []
+    for _ in range(N_REPEATS):
+        begin = time.perf_counter()
+        action()
+        times.append((time.perf_counter() - begin) * 1000)
+    return min(times)
+
+
+def main() -> None:
+    """Print the time for each size, and how time per rule grows with size."""
+    month = Month(2027, 1, ZONE)
+    per_rule: dict[str, list[float]] = {"check": [], "forecast": []}
+    for n_customers, n_models in SIZES:
+        text = build_rules(n_customers, n_models)
+        rules = parse_rules(text).ok
+        size = f"{n_customers}_customers"
+        print_figure(f"rules_{size}", len(rules.rules), "rules")
+        elapsed_ms = {
+            "check": best_ms(partial(parse_rules, text)),
+            "forecast": best_ms(partial(forecast, rules, month)),
+        }
+        for name, value in elapsed_ms.items():
+            print_figure(f"rules_{name}_{size}", value, "ms")
+            per_rule[name].append(value / len(rules.rules))
+    for name, values in per_rule.items():
+        ratio = values[-1] / values[0]
+        label = f"rules_{name}_time_per_rule_largest_to_smallest"
+        print_figure(label, ratio, "ratio", target="<=2", baseline="1")
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/core/src/bluebellusher_core/rules/tests/test_rules.py
+++ b/packages/core/src/bluebellusher_core/rules/tests/test_rules.py
@@ -70,6 +70,8 @@
     text = (EXAMPLES / f"{name}.rules").read_text(encoding="utf-8")
     rules = parse(text)
     assert parse(rules.render()) == rules
+    page = (EXAMPLES.parents[1] / "docs" / "rules.md").read_text(encoding="utf-8")
+    assert f"```\n{text}```" in page
 
 
 @pytest.mark.parametrize(
