--- a/packages/entry/src/bluebellusher/cli/_entry.py
+++ b/packages/entry/src/bluebellusher/cli/_entry.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import ctypes
 import gc
 import itertools
 import signal
@@ -11,9 +12,10 @@
 from typing import Any
 
 import uvloop
+from bluebellusher_core.admission import FairQueue
 from bluebellusher_core.clock import Clock, SystemClock
-from bluebellusher_core.events import CustomerPolicy, PolicyChanged
 from bluebellusher_core.reducer import EntryConfig, EntryState
+from bluebellusher_core.routing import PredictedLatency
 
 from bluebellusher.cli._view import EntryView
 from bluebellusher.links import AgentLinks, Identity, LinkTicker, PeerLinks
@@ -43,7 +45,12 @@
             incarnation=self.incarnation,
             seed=seed.getrandbits(32),
         )
-        self.state = EntryState.from_config(config)
+        policy = PredictedLatency(failure_domain=settings.failure_domain)
+        self.state = EntryState.from_config(config, policy, FairQueue)
+        # In force until the first version of the rules replaces them.
+        self.state.weight_by_customer = {
+            customer.customer_id: customer.weight for customer in settings.customers
+        }
         limits = settings.limits
         self.runtime = Runtime(
             self.state, clock, log, Metrics(), Tracer(log), limits.stream_window_bytes
@@ -86,10 +93,6 @@
         http_port = await self.server.start()
         self.agents.dial(_pairs(self.settings.agents))
         self.peers.dial(_pairs(self.settings.peers))
-        customers = tuple(
-            CustomerPolicy(c.customer_id, c.weight) for c in self.settings.customers
-        )
-        self.runtime.post(PolicyChanged(0, customers))
         self.log.event(
             "listening",
             instance=self.settings.instance_id,
@@ -136,13 +139,25 @@
         loop.add_signal_handler(number, is_told_to_stop.set)
     entry = Entry(settings, SystemClock(), log)
     await entry.start()
-    # What was allocated at the start lives as long as the process.
-    gc.collect()
-    gc.freeze()
+    _return_free_memory()
     await is_told_to_stop.wait()
     await entry.stop()
 
 
+def _return_free_memory() -> None:
+    """Give back what the start needed only for a while.
+
+    Without a bytecode cache, compiling the modules leaves about 25 MB of free heap
+    that the C library would keep. What is left lives as long as the process, hence
+    the garbage collector need not look at it again.
+    """
+    gc.collect()
+    gc.freeze()
+    trim = getattr(ctypes.CDLL(None), "malloc_trim", None)
+    if trim is not None:
+        trim(0)
+
+
 def _make_fault_logger(log: KeyValueLog) -> Any:
     def report(_loop: asyncio.AbstractEventLoop, context: Mapping[str, Any]) -> None:
         error = context.get("exception")
