--- a/bench/bench_admission.py
+++ b/bench/bench_admission.py
@@ -3,14 +3,13 @@
 from collections.abc import Callable
 from functools import cache
 
-from bluebellusher_core.admission import FairQueue, FifoQueue
-
 from bench.engine_model import Job
 from bench.figures import Figures, compute_figures, is_good
 from bench.report import print_figure
 from bench.routing_runs import SEEDS_AT_TARGET, make_policy, mean, measure_capacity
 from bench.system_model import Scenario, System
 from bench.workload_model import make_jobs
+from bluebellusher_core.admission import FairQueue, FifoQueue
 
 QUEUES = {"fair": FairQueue, "fifo": FifoQueue}
 LOADS = (0.5, 0.8, 1.0, 1.2, 1.5, 2.0)
--- a/bench/bench_entry.py
+++ b/bench/bench_entry.py
@@ -6,9 +6,9 @@
 import pathlib
 
 import aiohttp
-from bluebellusher_standins.cluster import Cluster, ManagedProcess
 
 from bench.report import print_figure
+from bluebellusher_standins.cluster import Cluster, ManagedProcess
 
 IDLE_S = 10.0
 N_STREAMS = 64
--- a/bench/bench_routing.py
+++ b/bench/bench_routing.py
@@ -3,9 +3,6 @@
 from random import Random
 from time import process_time_ns
 
-from bluebellusher_core.events import EndpointInfo, LoadReported, RequestSpec
-from bluebellusher_core.routing import EndpointView, PredictedLatency
-
 from bench.report import print_figure
 from bench.routing_runs import (
     FAULTS,
@@ -20,6 +17,8 @@
     ttft_ratio,
 )
 from bench.workload_model import make_jobs
+from bluebellusher_core.events import EndpointInfo, LoadReported, RequestSpec
+from bluebellusher_core.routing import EndpointView, PredictedLatency
 
 CHOSEN = "predicted-latency"
 TARGET_RATIO = 1.3
--- a/bench/bench_rules.py
+++ b/bench/bench_rules.py
@@ -4,11 +4,10 @@
 from collections.abc import Callable
 from functools import partial
 
+from bench.report import print_figure
 from bluebellusher_core.billing import Month, forecast
 from bluebellusher_core.rules import parse_rules
 
-from bench.report import print_figure
-
 # Customers and models: the current users, two sizes between, the target.
 SIZES = ((10, 2), (50, 6), (150, 12), (470, 27))
 N_REPEATS = 3
--- a/bench/routing_runs.py
+++ b/bench/routing_runs.py
@@ -3,6 +3,10 @@
 from collections.abc import Callable
 from functools import cache
 
+from bench.engine_model import PREFILL_TOKENS_PER_MS
+from bench.figures import Figures, compute_figures
+from bench.system_model import Scenario, System
+from bench.workload_model import make_jobs
 from bluebellusher_core.admission import AdmissionQueue, FairQueue, FifoQueue
 from bluebellusher_core.routing import (
     LeastInFlight,
@@ -13,11 +17,6 @@
     TwoChoices,
 )
 
-from bench.engine_model import PREFILL_TOKENS_PER_MS
-from bench.figures import Figures, compute_figures
-from bench.system_model import Scenario, System
-from bench.workload_model import make_jobs
-
 LOADS = (0.5, 0.8, 1.0, 1.5)
 FAULTS = ("none", "slow", "frozen", "lost")
 LAGS_MS = (0.0, 1000.0, 5000.0)
--- a/bench/system_model.py
+++ b/bench/system_model.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from bench.engine_model import N_SLOTS, PREFILL_TOKENS_PER_MS, Engine, Job
 from bluebellusher_core.admission import AdmissionQueue
 from bluebellusher_core.errors import Reason
 from bluebellusher_core.events import (
@@ -24,8 +25,6 @@
     RoutingPolicy,
 )
 
-from bench.engine_model import N_SLOTS, PREFILL_TOKENS_PER_MS, Engine, Job
-
 N_ENTRIES = 4
 N_ENGINES = 12
 DOMAINS = ("north", "middle", "south")
--- a/bench/workload_model.py
+++ b/bench/workload_model.py
@@ -3,9 +3,8 @@
 from dataclasses import dataclass
 from random import Random
 
-from bluebellusher_core.events import Priority, RequestSpec
-
 from bench.engine_model import BLOCK_TOKENS, Job
+from bluebellusher_core.events import Priority, RequestSpec
 
 # Three large customers and seven small ones; shares of the arrivals.
 SHARE_BY_CUSTOMER = {
--- a/features/environment.py
+++ b/features/environment.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import aiohttp
+
 from bluebellusher_standins.cluster import Cluster
 
 
--- a/features/steps/main_path.py
+++ b/features/steps/main_path.py
@@ -5,6 +5,7 @@
 import signal
 
 from behave import given, step, then, when
+
 from bluebellusher_standins.engine import expect_answer
 
 
--- a/packages/agent/src/bluebellusher_agent/_agent.py
+++ b/packages/agent/src/bluebellusher_agent/_agent.py
@@ -5,10 +5,6 @@
 from collections.abc import Coroutine
 from typing import Any
 
-from bluebellusher_core.clock import Clock, SystemClock
-from bluebellusher_core.errors import Reason, StepError
-from bluebellusher_core.wire import messages
-
 from bluebellusher_agent._checks import (
     find_dispatch_problem,
     find_id_problem,
@@ -27,6 +23,9 @@
 from bluebellusher_agent._run import Run
 from bluebellusher_agent._runs import Decision, RunTable, Verdict
 from bluebellusher_agent._settings import AgentSettings
+from bluebellusher_core.clock import Clock, SystemClock
+from bluebellusher_core.errors import Reason, StepError
+from bluebellusher_core.wire import messages
 
 TICK_MS = 500
 TRIM_TICKS = 20
--- a/packages/agent/src/bluebellusher_agent/_connection.py
+++ b/packages/agent/src/bluebellusher_agent/_connection.py
@@ -4,6 +4,7 @@
 import os
 from typing import Any, Protocol, cast
 
+from bluebellusher_agent._log import log
 from bluebellusher_core.clock import Clock
 from bluebellusher_core.errors import StepError
 from bluebellusher_core.wire import (
@@ -16,8 +17,6 @@
     verify_hello,
 )
 
-from bluebellusher_agent._log import log
-
 PROTOCOL_VERSION = 1
 FLUSH_S = 0.005
 SILENCE_LIMIT_MS = 2_000
--- a/packages/agent/src/bluebellusher_agent/_executor.py
+++ b/packages/agent/src/bluebellusher_agent/_executor.py
@@ -4,12 +4,11 @@
 import json
 from typing import Protocol
 
-from bluebellusher_core.errors import Reason, StepError
-
 from bluebellusher_agent._http import Exchange, ExchangeError, HttpClient, NotSentError
 from bluebellusher_agent._log import log
 from bluebellusher_agent._monitor import TargetMonitor, TargetState
 from bluebellusher_agent._run import Run
+from bluebellusher_core.errors import Reason, StepError
 
 # Reconnections in a row to an engine that holds the stream, without progress.
 N_STREAM_RESUMES = 3
--- a/packages/agent/src/bluebellusher_agent/_http.py
+++ b/packages/agent/src/bluebellusher_agent/_http.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import httptools
+
 from bluebellusher_core.errors import StepError
 
 CONNECT_TIMEOUT_S = 1.0
--- a/packages/agent/src/bluebellusher_agent/_keeper.py
+++ b/packages/agent/src/bluebellusher_agent/_keeper.py
@@ -4,16 +4,15 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from bluebellusher_core.clock import Clock
-from bluebellusher_core.errors import Reason
-from bluebellusher_core.wire import messages
-
 from bluebellusher_agent._connection import EntryConnection
 from bluebellusher_agent._executor import Executor
 from bluebellusher_agent._log import log
 from bluebellusher_agent._run import Run
 from bluebellusher_agent._runs import RunTable
 from bluebellusher_agent._settings import AgentSettings
+from bluebellusher_core.clock import Clock
+from bluebellusher_core.errors import Reason
+from bluebellusher_core.wire import messages
 
 NOT_RUN_RETRY_MS = 1_000
 # Answers that were sent whole are held for entries that lose them on the way.
--- a/packages/agent/src/bluebellusher_agent/_orders.py
+++ b/packages/agent/src/bluebellusher_agent/_orders.py
@@ -5,11 +5,10 @@
 from collections import OrderedDict
 from typing import Any
 
-from bluebellusher_core.errors import StepError
-from bluebellusher_core.wire import messages
-
 from bluebellusher_agent._http import HttpClient, NotSentError
 from bluebellusher_agent._log import log
+from bluebellusher_core.errors import StepError
+from bluebellusher_core.wire import messages
 
 ORDER_TIMEOUT_MS = 10_000
 MAX_REMEMBERED_ORDERS = 256
--- a/packages/agent/src/bluebellusher_agent/_reports.py
+++ b/packages/agent/src/bluebellusher_agent/_reports.py
@@ -3,11 +3,10 @@
 import json
 from typing import Any
 
+from bluebellusher_agent._http import HttpClient
 from bluebellusher_core.errors import StepError
 from bluebellusher_core.wire import messages
 
-from bluebellusher_agent._http import HttpClient
-
 # Blocks that are told to an entry that connects later; older ones are forgotten.
 MAX_KNOWN_BLOCKS = 4_096
 MAX_NAMES = 1_000
--- a/packages/agent/src/bluebellusher_agent/_run.py
+++ b/packages/agent/src/bluebellusher_agent/_run.py
@@ -4,9 +4,8 @@
 import zlib
 from typing import Any, Protocol
 
-from bluebellusher_core.wire import messages
-
 from bluebellusher_agent._http import Exchange
+from bluebellusher_core.wire import messages
 
 # Bytes that are read ahead of what an entry has taken, per attempt.
 MAX_UNSENT_BYTES = 262_144
--- a/packages/agent/src/bluebellusher_agent/_runs.py
+++ b/packages/agent/src/bluebellusher_agent/_runs.py
@@ -6,9 +6,8 @@
 from enum import Enum
 from typing import Any
 
-from bluebellusher_core.errors import Reason
-
 from bluebellusher_agent._run import Run
+from bluebellusher_core.errors import Reason
 
 # An entry never repeats an attempt id on purpose; a repeat can only come from a
 # connection that was replaced, and a connection is dropped after 2 s of silence.
--- a/packages/agent/src/bluebellusher_agent/main.py
+++ b/packages/agent/src/bluebellusher_agent/main.py
@@ -6,11 +6,11 @@
 import sys
 
 import uvloop
-from bluebellusher_core.errors import StepError
 
 from bluebellusher_agent._agent import Agent
 from bluebellusher_agent._log import log
 from bluebellusher_agent._settings import AgentSettings
+from bluebellusher_core.errors import StepError
 
 SETTINGS_POLL_S = 1.0
 
--- a/packages/agent/src/bluebellusher_agent/tests/entry_client.py
+++ b/packages/agent/src/bluebellusher_agent/tests/entry_client.py
@@ -6,6 +6,8 @@
 import zlib
 
 import uvloop
+
+from bluebellusher_agent import Address, Agent, AgentSettings
 from bluebellusher_core.wire import (
     FrameDecoder,
     compute_hello_mac,
@@ -15,8 +17,6 @@
 )
 from bluebellusher_standins.engine import EngineServer, EngineSettings
 
-from bluebellusher_agent import Address, Agent, AgentSettings
-
 SECRET = "a shared secret of tests"
 CREDIT = 1 << 20
 
--- a/packages/agent/src/bluebellusher_agent/tests/test_agent_border.py
+++ b/packages/agent/src/bluebellusher_agent/tests/test_agent_border.py
@@ -3,8 +3,6 @@
 import asyncio
 
 import pytest
-from bluebellusher_core.errors import StepError
-from bluebellusher_core.wire import encode, messages
 
 from bluebellusher_agent import AgentSettings
 from bluebellusher_agent._settings import strip_comments
@@ -14,6 +12,8 @@
     make_body,
     with_engine,
 )
+from bluebellusher_core.errors import StepError
+from bluebellusher_core.wire import encode, messages
 
 HOSTILE_FRAMES = {
     "oversize": b"\xff\xff\xff\xff",
--- a/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
+++ b/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
@@ -8,10 +8,6 @@
 
 import pytest
 import uvloop
-from bluebellusher_core.clock import SystemClock
-from bluebellusher_core.wire import messages
-from bluebellusher_standins.engine import EngineServer, EngineSettings, expect_answer
-from bluebellusher_standins.plain_service import PlainServiceServer
 
 from bluebellusher_agent.tests.entry_client import (
     SECRET,
@@ -20,6 +16,10 @@
     run_agent,
     with_engine,
 )
+from bluebellusher_core.clock import SystemClock
+from bluebellusher_core.wire import messages
+from bluebellusher_standins.engine import EngineServer, EngineSettings, expect_answer
+from bluebellusher_standins.plain_service import PlainServiceServer
 
 CALL = {"path": "/book", "is_idempotent": False}
 
--- a/packages/agent/src/bluebellusher_agent/tests/test_agent_streams.py
+++ b/packages/agent/src/bluebellusher_agent/tests/test_agent_streams.py
@@ -3,8 +3,6 @@
 import asyncio
 
 import uvloop
-from bluebellusher_core.wire import messages
-from bluebellusher_standins.engine import expect_answer
 
 from bluebellusher_agent.tests.entry_client import (
     EntryClient,
@@ -12,6 +10,8 @@
     run_agent,
     with_engine,
 )
+from bluebellusher_core.wire import messages
+from bluebellusher_standins.engine import expect_answer
 
 
 def test_concurrent_answers_arrive_whole_and_unmixed():
--- a/packages/entry/src/bluebellusher/cli/_entry.py
+++ b/packages/entry/src/bluebellusher/cli/_entry.py
@@ -12,10 +12,6 @@
 from typing import Any
 
 import uvloop
-from bluebellusher_core.admission import FairQueue
-from bluebellusher_core.clock import Clock, SystemClock
-from bluebellusher_core.reducer import EntryConfig, EntryState
-from bluebellusher_core.routing import PredictedLatency
 
 from bluebellusher.cli._view import EntryView
 from bluebellusher.links import AgentLinks, Identity, LinkTicker, PeerLinks
@@ -24,6 +20,10 @@
 from bluebellusher.runtime import ClaimWriter, PeerExchange, PlatformStore, Runtime
 from bluebellusher.server import HttpServer
 from bluebellusher.settings import AddressSettings, Settings
+from bluebellusher_core.admission import FairQueue
+from bluebellusher_core.clock import Clock, SystemClock
+from bluebellusher_core.reducer import EntryConfig, EntryState
+from bluebellusher_core.routing import PredictedLatency
 
 _POLL_S = 0.02
 # After the last request, claims that are not settled yet get this long; a row that
--- a/packages/entry/src/bluebellusher/cli/rules_base.py
+++ b/packages/entry/src/bluebellusher/cli/rules_base.py
@@ -7,11 +7,12 @@
 from enum import IntEnum
 from zoneinfo import ZoneInfo
 
-from bluebellusher_core.billing import Month
-from bluebellusher_core.rules import RuleSet, parse_rules
 from cleo.commands.command import Command
 from cleo.io.outputs.output import Type
 
+from bluebellusher_core.billing import Month
+from bluebellusher_core.rules import RuleSet, parse_rules
+
 
 class ExitCode(IntEnum):
     """Exit codes of all rules commands."""
--- a/packages/entry/src/bluebellusher/links/_agents.py
+++ b/packages/entry/src/bluebellusher/links/_agents.py
@@ -6,6 +6,11 @@
 from random import Random
 from typing import Any, Protocol
 
+from bluebellusher.links._connection import FrameConnection, Identity
+from bluebellusher.links._dialer import Dialer
+from bluebellusher.links._relay import AttemptRelay
+from bluebellusher.links._reports import to_cache_event, to_crash_event, to_load_event
+from bluebellusher.links._ticker import LinkTicker
 from bluebellusher_core.clock import Clock
 from bluebellusher_core.errors import Reason, StepError
 from bluebellusher_core.events import (
@@ -22,12 +27,6 @@
 )
 from bluebellusher_core.wire import messages
 
-from bluebellusher.links._connection import FrameConnection, Identity
-from bluebellusher.links._dialer import Dialer
-from bluebellusher.links._relay import AttemptRelay
-from bluebellusher.links._reports import to_cache_event, to_crash_event, to_load_event
-from bluebellusher.links._ticker import LinkTicker
-
 # Ended attempts that may still send: late bytes of these are dropped, while an
 # attempt id that was never used on a connection closes it.
 _MAX_ENDED_ATTEMPTS = 4096
--- a/packages/entry/src/bluebellusher/links/_peers.py
+++ b/packages/entry/src/bluebellusher/links/_peers.py
@@ -5,13 +5,12 @@
 from random import Random
 from typing import Any, Protocol
 
-from bluebellusher_core.clock import Clock
-from bluebellusher_core.wire import messages
-
 from bluebellusher.links._agents import EventSink
 from bluebellusher.links._connection import FrameConnection, Identity
 from bluebellusher.links._dialer import Dialer
 from bluebellusher.links._ticker import LinkTicker
+from bluebellusher_core.clock import Clock
+from bluebellusher_core.wire import messages
 
 
 class PeerHandler(Protocol):
--- a/packages/entry/src/bluebellusher/links/_ticker.py
+++ b/packages/entry/src/bluebellusher/links/_ticker.py
@@ -3,9 +3,8 @@
 import asyncio
 from collections.abc import Callable
 
-from bluebellusher_core.clock import Clock
-
 from bluebellusher.links._connection import FrameConnection
+from bluebellusher_core.clock import Clock
 
 HEARTBEAT_INTERVAL_MS = 500
 # A tick that is late by this much means that the process was paused.
--- a/packages/entry/src/bluebellusher/links/tests/test_connections.py
+++ b/packages/entry/src/bluebellusher/links/tests/test_connections.py
@@ -4,15 +4,6 @@
 import zlib
 from random import Random
 
-from bluebellusher_core.clock import ManualClock
-from bluebellusher_core.events import (
-    AttemptBroken,
-    AttemptFinished,
-    EndpointConnected,
-    EndpointLost,
-)
-from bluebellusher_core.wire import messages
-
 from bluebellusher.links import (
     AgentLinks,
     AnswerStream,
@@ -21,6 +12,14 @@
     Identity,
     LinkTicker,
 )
+from bluebellusher_core.clock import ManualClock
+from bluebellusher_core.events import (
+    AttemptBroken,
+    AttemptFinished,
+    EndpointConnected,
+    EndpointLost,
+)
+from bluebellusher_core.wire import messages
 
 SECRET = b"s3cr3t-of-this-test"
 ENTRY = Identity("entry-1", 1, "a", SECRET)
--- a/packages/entry/src/bluebellusher/links/tests/test_relay.py
+++ b/packages/entry/src/bluebellusher/links/tests/test_relay.py
@@ -3,12 +3,12 @@
 import asyncio
 import zlib
 
-from bluebellusher_core.errors import Outcome, Reason, Refusal
-from bluebellusher_core.wire import messages
 from hypothesis import given
 from hypothesis import strategies as st
 
 from bluebellusher.links import AnswerStream, AttemptRelay
+from bluebellusher_core.errors import Outcome, Reason, Refusal
+from bluebellusher_core.wire import messages
 
 EVENTS = {"content-type": "text/event-stream"}
 REFUSAL = Refusal(Outcome.UNKNOWN, Reason.STREAM_CORRUPT, "relay")
--- a/packages/entry/src/bluebellusher/platform/_errors.py
+++ b/packages/entry/src/bluebellusher/platform/_errors.py
@@ -1,8 +1,7 @@
 """Errors of the platform client, by what is known about the operation."""
 
-from bluebellusher_core.errors import StepError
-
 from bluebellusher.platform._types import Row
+from bluebellusher_core.errors import StepError
 
 
 class PlatformError(StepError):
--- a/packages/entry/src/bluebellusher/platform/tests/test_platform_client.py
+++ b/packages/entry/src/bluebellusher/platform/tests/test_platform_client.py
@@ -2,9 +2,6 @@
 
 import asyncio
 
-from bluebellusher_core.clock import ManualClock
-from bluebellusher_standins.platform import PlatformServer
-
 from bluebellusher.platform import (
     Consistency,
     ObjectExistsError,
@@ -14,6 +11,8 @@
     TransactConflictError,
     WeightRateLimitedError,
 )
+from bluebellusher_core.clock import ManualClock
+from bluebellusher_standins.platform import PlatformServer
 
 
 def run(scenario, **options):
--- a/packages/entry/src/bluebellusher/runtime/_claims.py
+++ b/packages/entry/src/bluebellusher/runtime/_claims.py
@@ -5,6 +5,9 @@
 from collections.abc import Coroutine
 from typing import Any
 
+from bluebellusher.links import EventSink
+from bluebellusher.runtime._kept import KeptAnswer
+from bluebellusher.runtime._store import ClaimStore, Committed, Row, StoreError
 from bluebellusher_core.effects import ClaimState, ClaimWrite
 from bluebellusher_core.events import (
     ClaimOutcome,
@@ -13,10 +16,6 @@
     ClaimsUnanswered,
 )
 
-from bluebellusher.links import EventSink
-from bluebellusher.runtime._kept import KeptAnswer
-from bluebellusher.runtime._store import ClaimStore, Committed, Row, StoreError
-
 _MAX_STASHED = 1_000
 _MAX_STASHED_BYTES = 32 * 1024 * 1024
 # A row changes at most twice after it was claimed; more conflicts than this mean
--- a/packages/entry/src/bluebellusher/runtime/_dispatch.py
+++ b/packages/entry/src/bluebellusher/runtime/_dispatch.py
@@ -2,12 +2,11 @@
 
 from typing import TYPE_CHECKING
 
-from bluebellusher_core.effects import CancelAttempt, Dispatch
-from bluebellusher_core.wire import messages
-
 from bluebellusher.links import AgentLinks, AttemptRelay
 from bluebellusher.observability import Tracer
 from bluebellusher.runtime._exchange import Exchange
+from bluebellusher_core.effects import CancelAttempt, Dispatch
+from bluebellusher_core.wire import messages
 
 if TYPE_CHECKING:
     from bluebellusher.links._agents import AgentLink
--- a/packages/entry/src/bluebellusher/runtime/_exchange.py
+++ b/packages/entry/src/bluebellusher/runtime/_exchange.py
@@ -3,11 +3,10 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from bluebellusher_core.events import RequestSpec
-
 from bluebellusher.links import AnswerStream
 from bluebellusher.observability import Span
 from bluebellusher.runtime._kept import KeptAnswer
+from bluebellusher_core.events import RequestSpec
 
 
 @dataclass(slots=True)
--- a/packages/entry/src/bluebellusher/runtime/_peers.py
+++ b/packages/entry/src/bluebellusher/runtime/_peers.py
@@ -3,12 +3,11 @@
 from collections.abc import Callable
 from typing import Any
 
+from bluebellusher.links import EventSink, PeerLinks
 from bluebellusher_core.clock import Clock
 from bluebellusher_core.events import DigestReceived
 from bluebellusher_core.wire import messages
 
-from bluebellusher.links import EventSink, PeerLinks
-
 DIGEST_INTERVAL_MS = 2_000
 MessageHandler = Callable[[str, Any], None]
 
--- a/packages/entry/src/bluebellusher/runtime/_replay.py
+++ b/packages/entry/src/bluebellusher/runtime/_replay.py
@@ -2,11 +2,10 @@
 
 from typing import Any
 
-from bluebellusher_core.errors import Outcome, Reason, Refusal
-
 from bluebellusher.links import AnswerStream
 from bluebellusher.runtime._kept import read_kept
 from bluebellusher.runtime._store import ClaimStore, StoreError
+from bluebellusher_core.errors import Outcome, Reason, Refusal
 
 
 async def replay(answer: AnswerStream, row: Any, store: ClaimStore) -> None:
--- a/packages/entry/src/bluebellusher/runtime/_runtime.py
+++ b/packages/entry/src/bluebellusher/runtime/_runtime.py
@@ -5,6 +5,13 @@
 from collections.abc import Callable
 from typing import Any
 
+from bluebellusher.links import AgentLinks
+from bluebellusher.observability import KeyValueLog, Metrics, Tracer
+from bluebellusher.runtime._claims import ClaimWriter
+from bluebellusher.runtime._dispatch import Dispatcher
+from bluebellusher.runtime._exchange import Exchange
+from bluebellusher.runtime._replay import replay
+from bluebellusher.runtime._store import ClaimStore
 from bluebellusher_core.clock import Clock
 from bluebellusher_core.effects import (
     CancelAttempt,
@@ -31,14 +38,6 @@
 )
 from bluebellusher_core.reducer import EntryState, reduce
 
-from bluebellusher.links import AgentLinks
-from bluebellusher.observability import KeyValueLog, Metrics, Tracer
-from bluebellusher.runtime._claims import ClaimWriter
-from bluebellusher.runtime._dispatch import Dispatcher
-from bluebellusher.runtime._exchange import Exchange
-from bluebellusher.runtime._replay import replay
-from bluebellusher.runtime._store import ClaimStore
-
 # Events handled before other callbacks of the event loop get a turn.
 _MAX_EVENTS_PER_TURN = 200
 
--- a/packages/entry/src/bluebellusher/runtime/tests/test_claims.py
+++ b/packages/entry/src/bluebellusher/runtime/tests/test_claims.py
@@ -2,10 +2,6 @@
 
 import asyncio
 
-from bluebellusher_core.clock import ManualClock
-from bluebellusher_core.effects import ClaimState, ClaimWrite
-from bluebellusher_core.events import ClaimOutcome, ClaimsAnswered, ClaimsUnanswered
-from bluebellusher_standins._table import Table
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -18,6 +14,10 @@
     StoreError,
 )
 from bluebellusher.runtime._kept import MAX_ROW_ANSWER_BYTES, read_kept
+from bluebellusher_core.clock import ManualClock
+from bluebellusher_core.effects import ClaimState, ClaimWrite
+from bluebellusher_core.events import ClaimOutcome, ClaimsAnswered, ClaimsUnanswered
+from bluebellusher_standins._table import Table
 
 
 class LossyStore:
--- a/packages/entry/src/bluebellusher/server/_app.py
+++ b/packages/entry/src/bluebellusher/server/_app.py
@@ -6,8 +6,6 @@
 from collections.abc import Callable
 from typing import Any
 
-from bluebellusher_core.errors import Outcome, Reason, Refusal
-from bluebellusher_core.events import RequestSpec
 from sanic import Request, Sanic
 from sanic.application.state import ApplicationServerInfo
 from sanic.config import Config
@@ -33,6 +31,8 @@
 from bluebellusher.server._status import StatusSource
 from bluebellusher.server._stream import AnswerSender
 from bluebellusher.settings import Settings
+from bluebellusher_core.errors import Outcome, Reason, Refusal
+from bluebellusher_core.events import RequestSpec
 
 _METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
 _REASON_BY_STATUS = {408: Reason.SLOW_SENDER, 413: Reason.BODY_TOO_LARGE}
--- a/packages/entry/src/bluebellusher/server/_body.py
+++ b/packages/entry/src/bluebellusher/server/_body.py
@@ -3,11 +3,11 @@
 import asyncio
 from typing import Any
 
-from bluebellusher_core.errors import Reason
 from sanic import Request
 
 from bluebellusher.server._parse import BadRequestError
 from bluebellusher.settings import LimitSettings
+from bluebellusher_core.errors import Reason
 
 
 async def read_body(request: Request, limits: LimitSettings) -> bytes:
--- a/packages/entry/src/bluebellusher/server/_operator.py
+++ b/packages/entry/src/bluebellusher/server/_operator.py
@@ -4,7 +4,6 @@
 from typing import Any
 from urllib.parse import unquote
 
-from bluebellusher_core.errors import Outcome, Reason
 from sanic import Request, Sanic
 from sanic.response import HTTPResponse, text
 
@@ -12,6 +11,7 @@
 from bluebellusher.server._parse import BadRequestError, RequestParser, read_key
 from bluebellusher.server._respond import status_of
 from bluebellusher.server._status import StatusSource
+from bluebellusher_core.errors import Outcome, Reason
 
 _OUTCOME_BY_STATE = {
     "claimed": Outcome.UNKNOWN,
--- a/packages/entry/src/bluebellusher/server/_parse.py
+++ b/packages/entry/src/bluebellusher/server/_parse.py
@@ -6,16 +6,15 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from bluebellusher_core.errors import Reason
-from bluebellusher_core.events import Priority
-from bluebellusher_core.prefix import read_prompt
-
 from bluebellusher.server._prompt import (
     compute_fingerprint,
     count_tokens,
     hash_prefix,
 )
 from bluebellusher.settings import ServiceKind, ServiceSettings, Settings
+from bluebellusher_core.errors import Reason
+from bluebellusher_core.events import Priority
+from bluebellusher_core.prefix import read_prompt
 
 MODEL_PATH = "/v1/chat/completions"
 DEFAULT_DEADLINE_MS = 60_000
--- a/packages/entry/src/bluebellusher/server/_stream.py
+++ b/packages/entry/src/bluebellusher/server/_stream.py
@@ -3,7 +3,6 @@
 from time import monotonic_ns
 from typing import Any
 
-from bluebellusher_core.errors import Refusal
 from sanic import Request
 from sanic.response import HTTPResponse
 
@@ -15,6 +14,7 @@
     returned_headers,
     status_of,
 )
+from bluebellusher_core.errors import Refusal
 
 
 class AnswerSender:
--- a/packages/entry/src/bluebellusher/server/tests/test_http.py
+++ b/packages/entry/src/bluebellusher/server/tests/test_http.py
@@ -9,13 +9,13 @@
 
 import pytest
 import uvloop
-from bluebellusher_core.clock import SystemClock
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from bluebellusher.cli._entry import Entry
 from bluebellusher.observability import KeyValueLog
 from bluebellusher.settings import Settings
+from bluebellusher_core.clock import SystemClock
 
 SETTINGS = {
     "instance_id": "entry-1",
--- a/packages/entry/src/bluebellusher/tests/test_processes.py
+++ b/packages/entry/src/bluebellusher/tests/test_processes.py
@@ -6,6 +6,7 @@
 import socket
 
 import aiohttp
+
 from bluebellusher_standins.cluster import Cluster
 from bluebellusher_standins.engine import expect_answer
 
--- a/packages/standins/src/bluebellusher_standins/_batching.py
+++ b/packages/standins/src/bluebellusher_standins/_batching.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable, Sequence
 
 from bluebellusher_core.prefix import BLOCK_BYTES
-
 from bluebellusher_standins._generation import BYTES_PER_TOKEN, Generation
 from bluebellusher_standins._prefix_cache import PrefixCache
 
--- a/packages/standins/src/bluebellusher_standins/engine.py
+++ b/packages/standins/src/bluebellusher_standins/engine.py
@@ -7,8 +7,8 @@
 from typing import Any
 
 from aiohttp import web
-from bluebellusher_core.clock import Clock, SystemClock
 
+from bluebellusher_core.clock import Clock, SystemClock
 from bluebellusher_standins._batching import Batcher
 from bluebellusher_standins._engine_state import CacheEventLog, LoadLog, OrderBook
 from bluebellusher_standins._generation import (
--- a/packages/standins/src/bluebellusher_standins/platform.py
+++ b/packages/standins/src/bluebellusher_standins/platform.py
@@ -7,8 +7,8 @@
 from typing import Any
 
 from aiohttp import web
-from bluebellusher_core.clock import Clock, SystemClock
 
+from bluebellusher_core.clock import Clock, SystemClock
 from bluebellusher_standins._server import (
     MAX_BODY_BYTES,
     StandInServer,
