--- a/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
+++ b/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
@@ -8,10 +8,6 @@
 
 import pytest
 import uvloop
-from bluebellusher_core.clock import SystemClock
-from bluebellusher_core.wire import messages
-from bluebellusher_standins.engine import EngineServer, EngineSettings, expect_answer
-from bluebellusher_standins.plain_service import PlainServiceServer
 
 from bluebellusher_agent.tests.entry_client import (
     SECRET,
@@ -20,6 +16,10 @@
     run_agent,
     with_engine,
 )
+from bluebellusher_core.clock import SystemClock
+from bluebellusher_core.wire import messages
+from bluebellusher_standins.engine import EngineServer, EngineSettings, expect_answer
+from bluebellusher_standins.plain_service import PlainServiceServer
 
 CALL = {"path": "/book", "is_idempotent": False}
 
@@ -55,6 +55,12 @@
             await again.finish("a2")
             again.dispatch("a1", b"booking", request_id="r-a1", **CALL)
             assert (await again.next(messages.Broken)).reason == "outcome_unknown"
+            service.faults.stall_ms = 1_500
+            again.dispatch("a3", b"reading", path="/read")
+            await again.wait(lambda: service.n_executions_by_body[b"reading"])
+            again.dispatch("a3", b"reading", path="/read")
+            await again.finish("a3")
+        assert service.n_executions_by_body[b"reading"] == 1
         assert service.n_executions_by_body[b"booking"] == 1
 
     with_service(scenario)
--- a/packages/entry/src/bluebellusher/links/tests/test_connections.py
+++ b/packages/entry/src/bluebellusher/links/tests/test_connections.py
@@ -4,6 +4,14 @@
 import zlib
 from random import Random
 
+from bluebellusher.links import (
+    AgentLinks,
+    AnswerStream,
+    AttemptRelay,
+    FrameConnection,
+    Identity,
+    LinkTicker,
+)
 from bluebellusher_core.clock import ManualClock
 from bluebellusher_core.events import (
     AttemptBroken,
@@ -14,15 +22,6 @@
 )
 from bluebellusher_core.wire import messages
 
-from bluebellusher.links import (
-    AgentLinks,
-    AnswerStream,
-    AttemptRelay,
-    FrameConnection,
-    Identity,
-    LinkTicker,
-)
-
 SECRET = b"s3cr3t-of-this-test"
 ENTRY = Identity("entry-1", 1, "a", SECRET)
 AGENT = Identity("engine-1", 7, "a", SECRET, messages.Role.AGENT, ("desk",))
