--- a/packages/entry/src/bluebellusher/cli/_main.py
+++ b/packages/entry/src/bluebellusher/cli/_main.py
@@ -1,7 +1,6 @@
 """Commands and their registration."""
 
-import importlib
-import importlib.util
+import sys
 
 from cleo.application import Application
 from cleo.commands.command import Command
@@ -9,23 +8,24 @@
 from bluebellusher.cli._commands import ConfigCheckCommand, ServeCommand, StatusCommand
 
 
-def build_application() -> Application:
-    """Return the application with every command that is installed."""
+def build_application(is_serving: bool = False) -> Application:
+    """Return the application with its commands.
+
+    A process that serves registers only ``serve``: the modules of the other
+    commands would stay in its memory.
+    """
     application = Application("bluebellusher", "0.1.0")
-    commands: list[Command] = [ServeCommand(), ConfigCheckCommand(), StatusCommand()]
-    for command in commands + _rules_commands():
+    commands: list[Command] = [ServeCommand()]
+    if not is_serving:
+        from bluebellusher.cli.rules_commands import RULES_COMMANDS
+
+        commands += [ConfigCheckCommand(), StatusCommand()]
+        commands += [make_command() for make_command in RULES_COMMANDS]
+    for command in commands:
         application.add(command)
     return application
 
 
-def _rules_commands() -> list[Command]:
-    name = "bluebellusher.cli.rules_commands"
-    if importlib.util.find_spec(name) is None:
-        return []
-    module = importlib.import_module(name)
-    return list(getattr(module, "COMMANDS", ()))
-
-
 def main() -> int:
     """Run the command named on the command line; return its exit code."""
-    return build_application().run()
+    return build_application(is_serving=sys.argv[1:2] == ["serve"]).run()
--- a/packages/standins/src/bluebellusher_standins/demo.py
+++ b/packages/standins/src/bluebellusher_standins/demo.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import importlib.util
 import json
 import pathlib
 import signal
@@ -223,9 +222,6 @@
 
     async def show_forecast(self) -> None:
         """Show next month's bill, as the rules allow it."""
-        has_rules = importlib.util.find_spec("bluebellusher.cli.rules_commands")
-        if not has_rules:
-            return
         print("Next month's bill, read from " + str(RULES), flush=True)
         process = await asyncio.create_subprocess_exec(
             *(sys.executable, "-m", "bluebellusher.cli", "rules", "forecast"),
