Decide on configuration changes and their spread

Cause: a change must hold everywhere once accepted, never revert, and an operator whose answer was lost must learn the outcome. Ruled out: acceptance by the table alone (a cut-off site would not run it) and by every instance (one dead instance would block all changes).

--- /dev/null
+++ b/packages/core/src/bluebellusher_core/rollout/_change.py
@@ -0,0 +1,281 @@
+"""Acceptance of one configuration change.
+
+The change is staged at one entry in each failure domain and then written by one
+transaction, which accepts it. A lost answer is resolved by the id of the change.
+"""
+
+from collections.abc import Collection, Mapping
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from bluebellusher_core.rollout._versions import ConfigVersion
+
+STAGE_TIMEOUT_MS = 1_000
+CHANGE_DEADLINE_MS = 10_000
+WRITE_RETRY_MS = 250
+
+
+class ChangeState(StrEnum):
+    """What is known about a change."""
+
+    STAGING = "staging"
+    WRITING = "writing"
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+class WriteStatus(StrEnum):
+    """Result of the transaction that accepts a change."""
+
+    APPLIED = "applied"
+    CONFLICT = "conflict"
+    NO_ANSWER = "no_answer"
+
+
+@dataclass(frozen=True, slots=True)
+class RowRead:
+    """The rows that decide about a change, as the table gave them.
+
+    ``head`` is ``None`` when no version was accepted yet; ``change_version`` is the
+    version that the row of this change names, 0 when the row is absent, and -1 when
+    it says that the change was refused.
+    """
+
+    head_row_version: int
+    head: ConfigVersion | None
+    change_version: int
+
+
+@dataclass(frozen=True, slots=True)
+class WriteResult:
+    """Answer to `WriteChange`; ``rows`` is given on a conflict."""
+
+    status: WriteStatus
+    rows: RowRead | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class StagedReply:
+    """Answer of an entry that was asked to stage the change."""
+
+    peer_id: str
+    failure_domain: str
+    is_staged: bool
+    reason: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class StageAt:
+    """Effect: send the change to this entry for staging."""
+
+    peer_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class WriteChange:
+    """Effect: write head, version and change rows in one transaction.
+
+    The conditions are ``head_row_version`` of the head row and absence of the row of
+    the change, so that a repeated write cannot take effect twice.
+    """
+
+    head_row_version: int
+    config: ConfigVersion
+
+
+@dataclass(frozen=True, slots=True)
+class WriteRefusal:
+    """Effect: write the row of the change as refused, on condition of its absence.
+
+    A late `WriteChange` then fails, so that the refusal is final.
+    """
+
+    change_id: str
+
+
+ProposalStep = StageAt | WriteChange
+
+
+def resolve_change(change_id: str, rows: RowRead) -> ChangeState | WriteRefusal:
+    """Return the final state of a change whose state is unknown.
+
+    A change without a row is made final by the write that is returned; when that
+    write conflicts, the rows of the conflict are resolved in turn.
+
+    Parameters
+    ----------
+    change_id : str
+        The change that is asked about.
+    rows : RowRead
+        A strongly consistent read.
+    """
+    if rows.change_version > 0:
+        return ChangeState.ACCEPTED
+    if rows.change_version < 0:
+        return ChangeState.REFUSED
+    return WriteRefusal(change_id)
+
+
+@dataclass(slots=True)
+class _Domain:
+    """Progress of staging in one failure domain."""
+
+    candidates: list[str]
+    asked_peer: str = ""
+    asked_at_ms: int = 0
+    is_staged: bool = False
+
+
+@dataclass(slots=True)
+class ChangeProposal:
+    """Progress of one change at the entry that received it from the operator.
+
+    Call `advance` after each input and at short intervals and execute the effects
+    that it returns, until ``state`` is final.
+
+    Parameters
+    ----------
+    change_id : str
+        Id from the operator's command.
+    base_version : int
+        Version that the operator edited.
+    rules_text : str
+        The new rules, already checked.
+    author : str
+        The operator.
+    rows : RowRead
+        A strongly consistent read.
+    peers_by_domain : mapping of str to collection of str
+        Entries to ask in each other failure domain, without those that the operator
+        named as cut off.
+    started_at_ms : int
+        Monotonic time.
+    wall_ms : int
+        Wall time, kept as the time of acceptance.
+    """
+
+    change_id: str
+    base_version: int
+    rules_text: str
+    author: str
+    rows: RowRead
+    peers_by_domain: Mapping[str, Collection[str]]
+    started_at_ms: int
+    wall_ms: int
+    state: ChangeState = ChangeState.STAGING
+    reason: str = ""
+    accepted_version: int = 0
+    _domain_by_id: dict[str, _Domain] = field(default_factory=dict)
+    _written_at_ms: int | None = None
+
+    def __post_init__(self) -> None:
+        """Decide at once where the rows leave nothing to stage."""
+        self._domain_by_id = {
+            domain: _Domain(sorted(peers))
+            for domain, peers in self.peers_by_domain.items()
+        }
+        self._judge_rows(self.rows)
+
+    @property
+    def is_final(self) -> bool:
+        """Return whether the operator can be answered."""
+        return self.state not in (ChangeState.STAGING, ChangeState.WRITING)
+
+    def receive_staged(self, reply: StagedReply) -> None:
+        """Take in the answer of an entry that was asked to stage the change."""
+        domain = self._domain_by_id.get(reply.failure_domain)
+        if domain is None or self.state is not ChangeState.STAGING:
+            return
+        if reply.is_staged:
+            domain.is_staged = True
+        else:
+            # The rules passed here and not there: the entries differ in software,
+            # and the change must not be accepted for some sites only.
+            self._refuse(f"{reply.peer_id} refused to stage it: {reply.reason}")
+
+    def receive_write(self, result: WriteResult) -> None:
+        """Take in the answer of the table."""
+        if self.state is not ChangeState.WRITING:
+            return
+        if result.status is WriteStatus.APPLIED:
+            self._accept(self._next_version())
+        elif result.status is WriteStatus.CONFLICT and result.rows is not None:
+            self.rows = result.rows
+            self._written_at_ms = None
+            self._judge_rows(result.rows)
+
+    def advance(self, now_ms: int) -> list[ProposalStep]:
+        """Return the effects that are due at ``now_ms``."""
+        if self.state is ChangeState.STAGING:
+            steps = self._advance_staging(now_ms)
+            if steps or self.state is not ChangeState.WRITING:
+                return steps
+        if self.state is ChangeState.WRITING:
+            return self._advance_writing(now_ms)
+        return []
+
+    def _advance_staging(self, now_ms: int) -> list[ProposalStep]:
+        steps: list[ProposalStep] = []
+        for domain_id, domain in self._domain_by_id.items():
+            if domain.is_staged:
+                continue
+            is_waiting = now_ms - domain.asked_at_ms < STAGE_TIMEOUT_MS
+            if domain.asked_peer and is_waiting:
+                continue
+            if not domain.candidates:
+                self._refuse(
+                    f"failure domain {domain_id} does not answer; name it as cut off "
+                    "to apply the change without it"
+                )
+                return []
+            domain.asked_peer = domain.candidates.pop(0)
+            domain.asked_at_ms = now_ms
+            steps.append(StageAt(domain.asked_peer))
+        if all(domain.is_staged for domain in self._domain_by_id.values()):
+            self.state = ChangeState.WRITING
+        return steps
+
+    def _advance_writing(self, now_ms: int) -> list[ProposalStep]:
+        if now_ms - self.started_at_ms >= CHANGE_DEADLINE_MS:
+            self.state = ChangeState.UNKNOWN
+            self.reason = "the table did not answer; ask again with the change id"
+            return []
+        written_at_ms = self._written_at_ms
+        if written_at_ms is not None and now_ms - written_at_ms < WRITE_RETRY_MS:
+            return []
+        self._written_at_ms = now_ms
+        config = ConfigVersion(
+            self._next_version(),
+            self.change_id,
+            self.rules_text,
+            self.author,
+            self.wall_ms,
+        )
+        return [WriteChange(self.rows.head_row_version, config)]
+
+    def _next_version(self) -> int:
+        return self.base_version + 1
+
+    def _judge_rows(self, rows: RowRead) -> None:
+        """Decide from rows that were read or that made a write fail."""
+        head_version = rows.head.version if rows.head else 0
+        if rows.change_version > 0:
+            self._accept(rows.change_version)
+        elif rows.change_version < 0:
+            self._refuse("it was refused before")
+        elif head_version != self.base_version:
+            # Writes of this change that are still on their way are conditional on
+            # the earlier head and fail, so that the refusal is certain.
+            self._refuse(
+                f"base version {self.base_version}: the head is {head_version}"
+            )
+
+    def _accept(self, version: int) -> None:
+        self.state = ChangeState.ACCEPTED
+        self.accepted_version = version
+        self.reason = ""
+
+    def _refuse(self, reason: str) -> None:
+        self.state = ChangeState.REFUSED
+        self.reason = reason
--- /dev/null
+++ b/packages/core/src/bluebellusher_core/rollout/_versions.py
@@ -0,0 +1,71 @@
+"""The configuration version that an entry runs."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigVersion:
+    """One accepted version of the rules.
+
+    Parameters
+    ----------
+    version : int
+        1 for the first accepted version; 0 means that there is none yet.
+    change_id : str
+        Id that the operator's command gave to the change.
+    rules_text : str
+        The whole rules file.
+    author : str
+        Operator who applied the change.
+    accepted_wall_ms : int
+        Wall time of acceptance.
+    """
+
+    version: int
+    change_id: str
+    rules_text: str
+    author: str
+    accepted_wall_ms: int
+
+
+class VersionTracker:
+    """Hold the highest version seen; a lower one is never taken.
+
+    Older versions arrive from old copies of the table, late messages and peers that
+    were cut off.
+    """
+
+    def __init__(self) -> None:
+        self._current: ConfigVersion | None = None
+
+    @property
+    def current(self) -> ConfigVersion | None:
+        """Return the version in force."""
+        return self._current
+
+    @property
+    def version(self) -> int:
+        """Return the number of the version in force; 0 when there is none."""
+        return self._current.version if self._current else 0
+
+    def offer(self, offered: ConfigVersion) -> bool:
+        """Put ``offered`` in force if it is newer; return whether it is.
+
+        Raises
+        ------
+        ValueError
+            When the same version number comes with another change, which means that
+            two changes were accepted as one version.
+        """
+        if offered.version == self.version and self._current is not None:
+            if offered.change_id != self._current.change_id:
+                expected = f"expected change_id={self._current.change_id!r}"
+                raise ValueError(
+                    f"version={offered.version} change_id={offered.change_id!r}: "
+                    + expected
+                )
+            return False
+        if offered.version < self.version:
+            return False
+        self._current = offered
+        return True
