Test the engine stand-in

Cause: a stand-in that is kinder than an engine would hide faults of the system. Change: tests of batch limit, priorities, limited cache, gaps, resumption, crash, fencing and malformed input.

--- a/packages/standins/src/bluebellusher_standins/_batching.py
+++ b/packages/standins/src/bluebellusher_standins/_batching.py
@@ -53,6 +53,7 @@
         self._waiting: list[Generation] = []
         self._running: list[Generation] = []
         self._task: asyncio.Task[None] | None = None
+        self._changed = asyncio.Event()
 
     @property
     def running(self) -> Sequence[Generation]:
@@ -72,10 +73,17 @@
     def submit(self, generation: Generation) -> None:
         """Queue a generation; the highest priority and earliest goes first."""
         self._waiting.append(generation)
+        self._changed.set()
         self._waiting.sort(key=lambda item: item.priority)
         if self._task is None or self._task.done():
             self._task = asyncio.get_running_loop().create_task(self._run())
 
+    async def wait_for(self, n_running: int, n_waiting: int) -> None:
+        """Wait until so many generations run and wait, as tests need it."""
+        while (len(self._running), len(self._waiting)) != (n_running, n_waiting):
+            self._changed.clear()
+            await self._changed.wait()
+
     def clear(self) -> None:
         """Cancel everything, as a crash does."""
         for generation in (*self._waiting, *self._running):
@@ -107,6 +115,7 @@
             if added or removed:
                 self._on_cache_change(added, removed)
             self._running.append(generation)
+            self._changed.set()
             self._on_admit(generation)
 
     def _step(self) -> None:
--- /dev/null
+++ b/packages/standins/src/bluebellusher_standins/tests/test_engine.py
@@ -0,0 +1,155 @@
+"""Guards against a stand-in that is kinder than the engines it stands for."""
+
+import asyncio
+import json
+from itertools import pairwise
+
+import aiohttp
+import pytest
+
+from bluebellusher_standins.engine import EngineServer, EngineSettings, expect_answer
+
+
+def make_body(text="hello", n_tokens=4, is_stream=True):
+    """Return a chat completion request."""
+    messages = [{"role": "user", "content": text}]
+    body = {"model": "m", "stream": is_stream, "max_tokens": n_tokens}
+    return json.dumps({**body, "messages": messages}).encode()
+
+
+def run(scenario, **settings):
+    """Run ``scenario(engine, post)``; ``post`` sends a chat completion."""
+
+    async def main():
+        async with (
+            EngineServer(EngineSettings(token_interval_ms=2.0, **settings)) as engine,
+            aiohttp.ClientSession(engine.base_url) as session,
+        ):
+
+            async def post(body, attempt_id, **headers):
+                headers = {"X-Attempt-Id": attempt_id, **headers}
+                path = "/v1/chat/completions"
+                async with session.post(path, data=body, headers=headers) as answer:
+                    return answer.status, answer.headers, await answer.read()
+
+            engine.session = session
+            await scenario(engine, post)
+
+    asyncio.run(main())
+
+
+def test_answer_depends_on_the_body_only():
+    """Guards against tests that cannot tell whose answer arrived."""
+
+    async def scenario(engine, post):
+        for is_stream in (True, False):
+            body = make_body("one", is_stream=is_stream)
+            first = await post(body, f"a{is_stream}")
+            second = await post(body, f"b{is_stream}")
+            assert first[2] == second[2] == expect_answer(body)
+            assert first[2] != expect_answer(make_body("two", is_stream=is_stream))
+
+    run(scenario)
+
+
+def test_batch_is_bounded_and_priorities_go_first():
+    """Guards against an engine with unlimited room."""
+
+    async def scenario(engine, post):
+        ends = []
+
+        async def call(attempt_id, priority):
+            body = make_body(attempt_id, 20)
+            await post(body, attempt_id, **{"X-Priority": priority})
+            ends.append(attempt_id)
+
+        running = asyncio.create_task(call("first", "low"))
+        await engine.batcher.wait_for(1, 0)
+        others = [asyncio.create_task(call(p, p)) for p in ("low", "normal", "high")]
+        await engine.batcher.wait_for(1, 3)
+        await asyncio.gather(running, *others)
+        assert ends == ["first", "high", "normal", "low"]
+
+    run(scenario, n_slots=1)
+
+
+def test_cache_memory_is_limited_and_events_have_gaps():
+    """Guards against a cache that never forgets and events that are complete."""
+
+    async def scenario(engine, post):
+        prompts = [make_body(f"{i}" * 250) for i in (1, 2, 3)]
+        cached = []
+        for index, body in enumerate([prompts[0], *prompts, prompts[0]]):
+            _, headers, _ = await post(body, f"a{index}")
+            cached.append(int(headers["X-Cached-Tokens"]))
+        assert cached == [0, 64, 0, 0, 0]
+        assert len(engine.cache) == 8
+        async with engine.session.get("/cache-events?after=0") as answer:
+            events = (await answer.json())["events"]
+        sequences = [event["sequence"] for event in events]
+        assert any(b - a > 1 for a, b in pairwise(sequences))
+
+    run(scenario, n_cache_blocks=8, cache_event_lag_ms=0, cache_gap_every=2)
+
+
+def test_stream_resumes_at_its_offset_until_it_is_released():
+    """Guards against a resumed stream that starts again or never ends."""
+
+    async def scenario(engine, post):
+        body = make_body(n_tokens=30)
+        engine.set_faults(break_streams=1)
+        with pytest.raises(aiohttp.ClientError):
+            await post(body, "a1")
+        _, _, rest = await post(b"", "a1", **{"X-Resume-Offset": "100"})
+        assert rest == expect_answer(body)[100:]
+        status, _, _ = await post(b"", "unknown", **{"X-Resume-Offset": "1"})
+        assert status == 410
+        assert (await post(body, "a1"))[0] == 409
+        async with engine.session.delete("/attempts/a1") as answer:
+            assert answer.status == 200
+        assert (await post(b"", "a1", **{"X-Resume-Offset": "1"}))[0] == 410
+
+    run(scenario)
+
+
+def test_crash_drops_all_connections_and_the_cache():
+    """Guards against a crash that leaves innocent streams running."""
+
+    async def scenario(engine, post):
+        innocent = asyncio.create_task(post(make_body("x" * 500, 500), "a1"))
+        await engine.batcher.wait_for(1, 0)
+        results = await asyncio.gather(
+            innocent, post(make_body("CRASH"), "a2"), return_exceptions=True
+        )
+        assert all(isinstance(item, aiohttp.ClientError) for item in results)
+        boot_id = engine.boot_id
+        async with engine.session.get("/healthz") as answer:
+            assert (await answer.json())["boot_id"] == boot_id
+        assert (engine.n_crashes, len(engine.cache)) == (1, 0)
+
+    run(scenario, crash_marker="CRASH", restart_ms=0)
+
+
+@pytest.mark.parametrize(("is_checked", "status"), [(True, 409), (False, 200)])
+def test_orders_with_and_without_a_check_of_the_token(is_checked, status):
+    """Guards against an engine that always checks the fencing token."""
+
+    async def scenario(engine, post):
+        for order_id, token, expected in (("o1", 5, 200), ("o2", 4, status)):
+            order = {"order_id": order_id, "lease_name": "l", "action": "load_model"}
+            order |= {"fencing_token": token, "arguments": {"name": order_id}}
+            async with engine.session.post("/orders", json=order) as answer:
+                assert answer.status == expected
+        assert ("o2" in engine.models) == (not is_checked)
+
+    run(scenario, checks_fencing_token=is_checked)
+
+
+@pytest.mark.parametrize("body", [b"", b"[]", b"{", b'{"messages": [1]}', b"\xff"])
+def test_malformed_body_gets_400(body):
+    """Guards against a traceback on hostile input."""
+
+    async def scenario(engine, post):
+        assert (await post(body, "a1"))[0] == 400
+
+    run(scenario)
