--- a/packages/agent/src/bluebellusher_agent/_agent.py
+++ b/packages/agent/src/bluebellusher_agent/_agent.py
@@ -202,13 +202,13 @@
             return
         now_ms = self.clock.now_ms()
         problem = find_dispatch_problem(dispatch, self.is_model)
-        decision = (
-            Decision(Verdict.REFUSE)
-            if problem and self.runs.get(dispatch.attempt_id) is None
-            else self.runs.decide(dispatch, connection, now_ms)
-        )
         if problem:
             log("bad_dispatch", attempt_id=dispatch.attempt_id, reason=problem)
+            # Work that runs under this id cannot be called "not run".
+            is_known = self.runs.get(dispatch.attempt_id) is not None
+            decision = Decision(Verdict.CLOSE if is_known else Verdict.REFUSE)
+        else:
+            decision = self.runs.decide(dispatch, connection, now_ms)
         self._apply(decision, connection, dispatch, now_ms)
 
     def _apply(
--- a/packages/agent/src/bluebellusher_agent/_connection.py
+++ b/packages/agent/src/bluebellusher_agent/_connection.py
@@ -138,6 +138,9 @@
                 self._receive(data)
         except StepError as error:
             self.close(f"{error.step}: {error.reason}")
+        except Exception as error:
+            # A message that meets a fault of this process ends one connection only.
+            self.close(f"handle-message: {type(error).__name__}: {error}")
 
     def _receive_hello(self, data: bytes) -> None:
         self._hello_buffer += data
--- a/packages/agent/src/bluebellusher_agent/_http.py
+++ b/packages/agent/src/bluebellusher_agent/_http.py
@@ -99,7 +99,8 @@
 
     def on_body(self, data: bytes) -> None:
         """Keep a part of the body until it is read."""
-        self._parts.append(data)
+        if data:
+            self._parts.append(data)
 
     def on_message_complete(self) -> None:
         """Note the end of the answer."""
--- a/packages/agent/src/bluebellusher_agent/_keeper.py
+++ b/packages/agent/src/bluebellusher_agent/_keeper.py
@@ -65,10 +65,16 @@
         assert self._executor is not None
         self._runs.add(run)
         run.task = self._spawn(self._executor.execute(run))
+        run.task.add_done_callback(lambda task: self._on_task_done(run, task))
         loop = asyncio.get_running_loop()
         delay_s = dispatch.remaining_ms / 1000
         run.deadline_handle = loop.call_later(delay_s, self._on_deadline, run)
 
+    def _on_task_done(self, run: Run, task: asyncio.Task[None]) -> None:
+        """End a run whose task failed, so that its entry does not wait for it."""
+        if not task.cancelled() and task.exception() is not None:
+            self.on_broken(run, Reason.ENGINE_ERROR)
+
     def resume(
         self, run: Run, connection: EntryConnection, dispatch: Any, now_ms: int
     ) -> None:
@@ -89,7 +95,7 @@
         connection, run.connection = run.connection, None
         if isinstance(connection, EntryConnection):
             connection.drop_queued(run.attempt_id)
-        self._runs.unlink(run)
+        self._runs.unlink(run, self._clock.now_ms())
         if run.task is not None:
             run.task.cancel()
         self._spawn(self._finish_cancel(run))
--- a/packages/agent/src/bluebellusher_agent/_runs.py
+++ b/packages/agent/src/bluebellusher_agent/_runs.py
@@ -89,9 +89,12 @@
         self._forget(now_ms)
         if dispatch.attempt_id in self._expiry_ms_by_attempt:
             return Decision(Verdict.BREAK, reason=Reason.OUTCOME_UNKNOWN)
-        held = self._run_by_request.get((connection.peer_id, dispatch.request_id))
+        key = (connection.peer_id, dispatch.request_id)
+        held = self._run_by_request.get(key)
         if held is not None:
             return self._decide_resume(held, dispatch, connection)
+        if _name_request(key) in self._expiry_ms_by_attempt:
+            return Decision(Verdict.BREAK, reason=Reason.OUTCOME_UNKNOWN)
         if dispatch.resume_offset:
             # The answer is no longer held, or this agent started after it.
             return Decision(Verdict.BREAK, reason=Reason.OUTCOME_UNKNOWN)
@@ -161,18 +164,20 @@
         """Remove a run; its attempt id is remembered unless it was never sent."""
         if self._run_by_attempt.get(run.attempt_id) is run:
             del self._run_by_attempt[run.attempt_id]
-        self.unlink(run)
+        self.unlink(run, now_ms)
         if run.is_sent:
             self._remember(run.attempt_id, now_ms)
 
-    def unlink(self, run: Run) -> None:
-        """Make sure that no later dispatch resumes this run."""
+    def unlink(self, run: Run, now_ms: int) -> None:
+        """Make sure that no later dispatch resumes or repeats this run."""
         key = (run.entry_id, run.request_id)
         if self._run_by_request.get(key) is run:
             del self._run_by_request[key]
+        if run.is_sent and not run.is_idempotent:
+            self._remember(_name_request(key), now_ms)
 
-    def _remember(self, attempt_id: str, now_ms: int) -> None:
-        self._expiry_ms_by_attempt[attempt_id] = now_ms + ATTEMPT_MEMORY_MS
+    def _remember(self, name: str, now_ms: int) -> None:
+        self._expiry_ms_by_attempt[name] = now_ms + ATTEMPT_MEMORY_MS
 
     def _forget(self, now_ms: int) -> None:
         expiry_ms_by_attempt = self._expiry_ms_by_attempt
@@ -183,5 +188,10 @@
             del expiry_ms_by_attempt[attempt_id]
 
 
+def _name_request(key: tuple[str, str]) -> str:
+    # A space cannot occur in an attempt id, so the two kinds of names differ.
+    return f"{key[0]} {key[1]}"
+
+
 def _refuse(reason: Reason, retry_after_ms: int) -> Decision:
     return Decision(Verdict.REFUSE, reason=reason, retry_after_ms=retry_after_ms)
--- a/packages/agent/src/bluebellusher_agent/tests/test_agent_border.py
+++ b/packages/agent/src/bluebellusher_agent/tests/test_agent_border.py
@@ -1,12 +1,14 @@
 """Guards against hostile input that stops the agent or reaches the target."""
 
 import asyncio
+import os
 
 import pytest
 from bluebellusher_core.errors import StepError
 from bluebellusher_core.wire import encode, messages
 
 from bluebellusher_agent import AgentSettings
+from bluebellusher_agent._log import LogWriter
 from bluebellusher_agent._settings import strip_comments
 from bluebellusher_agent.tests.entry_client import (
     SECRET,
@@ -128,6 +130,34 @@
     with_engine(scenario)
 
 
+def test_malformed_repeat_of_a_running_attempt_is_not_called_not_run():
+    """Guards against a false "not run" for work in progress (I3)."""
+
+    async def scenario(entry, agent, engine):
+        async with EntryClient(agent.port, "entry-2") as other:
+            other.dispatch("a1", make_body(n_tokens=500))
+            await other.next(messages.Started, "a1")
+            other.dispatch("a1", make_body(), resume_offset=None)
+            await other.wait(lambda: other.is_closed)
+            assert other.find(messages.Refuse) is None
+
+    with_engine(scenario)
+
+
+def test_log_never_waits_for_its_reader():
+    """Guards against an agent that stops because nobody reads its log."""
+    reader, writer = os.pipe()
+    log_writer = LogWriter(writer)
+    for _ in range(100):
+        log_writer.write("x" * 3_999)
+    received = os.read(reader, 1 << 20)
+    assert 0 < received.count(b"\n") < 100
+    log_writer.write("after")
+    assert b"after n_lines_dropped=" in os.read(reader, 1 << 20)
+    os.close(reader)
+    os.close(writer)
+
+
 def test_settings_errors_name_file_key_value_and_expectation():
     """Guards against settings that are accepted or refused without a reason."""
     text = '{"instance_id": "e 1", "n_slots": 0, "colour": 1, "shared_secret": "abc"}'
--- a/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
+++ b/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
@@ -66,6 +66,22 @@
     with_service(scenario)
 
 
+def test_cancelled_call_is_not_run_again_for_its_request():
+    """Guards against a second execution by a new attempt of a booking (I4)."""
+
+    async def scenario(entry, agent, service):
+        service.faults.stall_ms = 2_000
+        entry.dispatch("a1", b"booking", request_id="r1", **CALL)
+        await entry.wait(lambda: service.n_executions_by_body[b"booking"])
+        entry.send(messages.Cancel("a1"))
+        entry.dispatch("a2", b"booking", request_id="r1", **CALL)
+        broken = await entry.next(messages.Broken, "a2")
+        assert broken.reason == "outcome_unknown"
+        assert service.n_executions_by_body[b"booking"] == 1
+
+    with_service(scenario)
+
+
 @pytest.mark.parametrize("fault", ["drop_after_execute", "drop_before_execute"])
 def test_call_with_a_lost_answer_is_not_repeated_or_called_not_run(fault):
     """Guards against a second execution and a false "not run" (I3, I4)."""
