Measure against a stronger oracle

Cause: the greedy oracle was beaten under faults; it copies prefixes to every engine and forgets others, so that it was no bound. Ruled out: keeping it alone, which would have shown the target as met too easily. Change: a second oracle that also counts the load; the better of both is the reference.

--- a/bench/bench_routing.py
+++ b/bench/bench_routing.py
@@ -11,6 +11,7 @@
     FAULTS,
     LAGS_MS,
     LOADS,
+    ORACLES,
     POLICIES,
     POLICIES_WITH_REPORTS,
     TARGET_LOAD,
@@ -50,7 +51,7 @@
 
 def print_ratios() -> None:
     """Print the target figures; the baseline is the best simple policy."""
-    simple = [name for name in POLICIES if name not in ("oracle", CHOSEN)]
+    simple = [name for name in POLICIES if name not in (*ORACLES, CHOSEN)]
     for fault in FAULTS:
         for lag_ms in LAGS_MS:
             value = ttft_ratio(CHOSEN, TARGET_LOAD, fault, lag_ms)
--- a/bench/routing_runs.py
+++ b/bench/routing_runs.py
@@ -15,7 +15,7 @@
 
 from bench.engine_model import PREFILL_TOKENS_PER_MS
 from bench.figures import Figures, compute_figures
-from bench.system_model import Scenario, System
+from bench.system_model import PerfectKnowledge, Scenario, System
 from bench.workload_model import make_jobs
 
 LOADS = (0.5, 0.8, 1.0, 1.5)
@@ -28,13 +28,17 @@
 END_MS = 45_000.0
 END_AT_TARGET_MS = 60_000.0
 
+ORACLES = ("oracle-greedy", "oracle-balanced")
+ORACLE_LOAD_MS = 4.0
+
 Key = tuple[str, float, str, float]
 
 
-def make_policy(name: str) -> Callable[[str], RoutingPolicy | None]:
+def make_policy(name: str) -> Callable[[str], RoutingPolicy | PerfectKnowledge]:
     """Return what makes the policy of an entry from its failure domain."""
-    makers: dict[str, Callable[[str], RoutingPolicy | None]] = {
-        "oracle": lambda domain: None,
+    makers: dict[str, Callable[[str], RoutingPolicy | PerfectKnowledge]] = {
+        "oracle-greedy": lambda domain: PerfectKnowledge(),
+        "oracle-balanced": lambda domain: PerfectKnowledge(ORACLE_LOAD_MS),
         "round-robin": lambda domain: RoundRobin(),
         "least-in-flight": lambda domain: LeastInFlight(),
         "two-choices": lambda domain: TwoChoices(),
@@ -47,7 +51,8 @@
 
 
 POLICIES = (
-    "oracle",
+    "oracle-greedy",
+    "oracle-balanced",
     "round-robin",
     "least-in-flight",
     "two-choices",
@@ -78,13 +83,13 @@
     """Return the requests per second of a system that is never without work.
 
     Twice the load that it can serve waits in the order of arrival with deadlines
-    that nothing reaches, so that no kind of request is preferred. The better of the
-    oracle and the chosen policy counts.
+    that nothing reaches, so that no kind of request is preferred. The best of the
+    oracles and the chosen policy counts.
     """
     scenario = Scenario(end_ms=END_AT_TARGET_MS)
     runs = [
         run_once(policy, 110.0, scenario, SEEDS[0], FifoQueue, deadline_factor=100.0)
-        for policy in ("oracle", "predicted-latency")
+        for policy in (*ORACLES, "predicted-latency")
     ]
     return max(figures.goodput_per_s for figures in runs)
 
@@ -126,6 +131,7 @@
 
 
 def ttft_ratio(policy: str, load: float, fault: str, lag_ms: float) -> float:
-    """Return the 95th percentile of time to first token over the oracle's."""
+    """Return the 95th percentile of time to first token over the better oracle's."""
     own = mean(lookup((policy, load, fault, lag_ms)), "ttft_p95_ms")
-    return own / mean(lookup(("oracle", load, fault, lag_ms)), "ttft_p95_ms")
+    cells = [lookup((oracle, load, fault, lag_ms)) for oracle in ORACLES]
+    return own / min(mean(runs, "ttft_p95_ms") for runs in cells)
--- a/bench/system_model.py
+++ b/bench/system_model.py
@@ -40,6 +40,17 @@
 ONE_WAY_REMOTE_MS = 1.0
 
 
+@dataclass(frozen=True, slots=True)
+class PerfectKnowledge:
+    """Choice with perfect and instant knowledge of every engine.
+
+    The lowest time to first token alone fills caches with copies and forgets what
+    later requests need; ``load_ms`` for each request in the batch counters that.
+    """
+
+    load_ms: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class Scenario:
     """What happens in one run; ``fault`` is none, slow, frozen or lost."""
@@ -57,7 +68,7 @@
     index: int
     failure_domain: str
     queue: AdmissionQueue
-    policy: RoutingPolicy | None
+    policy: RoutingPolicy | PerfectKnowledge
     random_state: Random
     tracker: EndpointTracker = field(default_factory=EndpointTracker)
     job_by_attempt: dict[str, Job] = field(default_factory=dict)
@@ -72,16 +83,13 @@
 
 
 class System:
-    """The served system; ``run`` moves it through all arrivals.
-
-    Entries with no policy use perfect and instant knowledge of the engines.
-    """
+    """The served system; ``run`` moves it through all arrivals."""
 
     def __init__(
         self,
         scenario: Scenario,
         make_queue: Callable[[], AdmissionQueue],
-        make_policy: Callable[[str], RoutingPolicy | None],
+        make_policy: Callable[[str], RoutingPolicy | PerfectKnowledge],
         seed: int,
     ) -> None:
         self.scenario = scenario
@@ -157,8 +165,8 @@
             self._dispatch(entry, job, engine_id, now_ms)
 
     def _choose(self, entry: Entry, job: Job, now_ms: int) -> str | None:
-        if entry.policy is None:
-            return self._choose_perfectly(entry, job)
+        if isinstance(entry.policy, PerfectKnowledge):
+            return self._choose_perfectly(entry, job, entry.policy.load_ms)
         views = list(entry.tracker.view_by_id.values())
         if not isinstance(entry.policy, PredictedLatency):
             # The baselines have no limit of their own; an entry does not send more
@@ -167,7 +175,7 @@
         random_state = entry.random_state
         return entry.policy.choose(job.request, views, now_ms, random_state)
 
-    def _choose_perfectly(self, entry: Entry, job: Job) -> str | None:
+    def _choose_perfectly(self, entry: Entry, job: Job, load_ms: float) -> str | None:
         best_id, best_ms = None, float("inf")
         for engine in self.engines:
             if engine.is_lost or engine.speed <= 0:
@@ -181,6 +189,7 @@
             n_tokens += engine.uncached_tokens(job.request)
             ttft_ms = n_tokens / PREFILL_TOKENS_PER_MS / engine.speed
             ttft_ms += 2 * _one_way_ms(entry, engine)
+            ttft_ms += load_ms * (engine.n_running + len(engine.queue))
             if ttft_ms < best_ms:
                 best_id, best_ms = engine.engine_id, ttft_ms
         return best_id
@@ -219,7 +228,7 @@
             has_finished = True
             self._finish(finished)
         self._schedule(engine)
-        if has_finished and self.entries[0].policy is None:
+        if has_finished and isinstance(self.entries[0].policy, PerfectKnowledge):
             first = int(self.now) % N_ENTRIES
             for offset in range(N_ENTRIES):
                 self._pump(self.entries[(first + offset) % N_ENTRIES])
@@ -342,7 +351,7 @@
         elif fault == "lost":
             engine.is_lost = True
             for entry in self.entries:
-                is_instant = entry.policy is None
+                is_instant = isinstance(entry.policy, PerfectKnowledge)
                 delay_ms = 0.0 if is_instant else LOSS_DETECTION_MS
                 self._at(self.now + delay_ms, self._detect_loss, entry, engine)
         self._schedule(engine)
--- a/bench/write_notes.py
+++ b/bench/write_notes.py
@@ -12,6 +12,7 @@
     FAULTS,
     LAGS_MS,
     LOADS,
+    ORACLES,
     POLICIES,
     POLICIES_WITH_REPORTS,
     TARGET_LOAD,
@@ -59,7 +60,7 @@
 
 def ratio_table() -> str:
     """Return p95 time to first token over the oracle's, with the verdict."""
-    names = [name for name in POLICIES if name != "oracle"]
+    names = [name for name in POLICIES if name not in ORACLES]
     rows = []
     for fault in FAULTS:
         for lag_ms in LAGS_MS:
@@ -101,7 +102,7 @@
 def routing_chart() -> Chart:
     """Return the target ratio over all faults and lags."""
     conditions = [(fault, lag_ms) for fault in FAULTS for lag_ms in LAGS_MS]
-    names = [name for name in POLICIES if name != "oracle"]
+    names = [name for name in POLICIES if name not in ORACLES]
     return Chart(
         title="p95 time to first token over the oracle's, 80% load",
         x_label="n, s, f, l: no fault, slow, frozen, lost; number: report lag in s",
--- a/packages/core/src/bluebellusher_core/routing/_predicted_latency.py
+++ b/packages/core/src/bluebellusher_core/routing/_predicted_latency.py
@@ -22,7 +22,7 @@
 SLOWNESS_MEMORY_MS = 20_000.0
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class _Load:
     """Estimated load of one endpoint at this moment."""
 
@@ -188,11 +188,11 @@
 
     def _has_room(self, view: EndpointView, n_others: float) -> bool:
         n_slots = _n_slots(view)
+        if view.n_own_in_flight + n_others < n_slots + self.n_queue_allowed:
+            return True
         # Other entries may hold every slot; a small share of each endpoint lets an
         # entry in that starts late.
-        if view.n_own_in_flight < max(1, n_slots // 8):
-            return True
-        return view.n_own_in_flight + n_others < n_slots + self.n_queue_allowed
+        return view.n_own_in_flight < max(1, n_slots // 8)
 
     def _predict_ms(
         self, request: RequestSpec, load: _Load, n_others: float, now_ms: int
@@ -244,13 +244,16 @@
 
 
 def _n_slots(view: EndpointView) -> int:
-    return max(1, view.report.n_slots if view.report else view.info.n_slots)
+    n_slots = view.info.n_slots if view.report is None else view.report.n_slots
+    return n_slots or 1
 
 
 def _mean_excess(mean: float, deviation: float) -> float:
     """Return the mean of the positive part of a normal variable."""
     if deviation < 0.05:
         return max(0.0, mean)
+    if mean < -4 * deviation:
+        return 0.0
     z = mean / deviation
     density = exp(-z * z / 2) / sqrt(2 * pi)
     return deviation * density + mean * (1 + erf(z / sqrt(2))) / 2
