--- /dev/null
+++ b/packages/agent/src/bluebellusher_agent/_monitor.py
@@ -0,0 +1,93 @@
+"""Health of the target: tells a crash from a broken stream."""
+
+import asyncio
+import json
+from collections.abc import Callable
+from enum import Enum
+
+from bluebellusher_agent._http import ExchangeError, HttpClient, NotSentError
+from bluebellusher_agent._log import log
+
+PROBE_TIMEOUT_MS = 1_000
+
+
+class TargetState(Enum):
+    """What a probe found."""
+
+    ALIVE = "alive"
+    CRASHED = "crashed"
+    SILENT = "silent"
+
+
+class TargetMonitor:
+    """Probe the target after a stream broke.
+
+    A target that refuses connections, or answers with another boot id than before,
+    has crashed. One that accepts a connection and does not answer is silent, which
+    proves nothing about the requests that run there.
+
+    Parameters
+    ----------
+    client : HttpClient
+        Connections to the target.
+    on_crash : callable
+        Called once for each crash, while the runs that it hit are still known.
+    """
+
+    def __init__(self, client: HttpClient, on_crash: Callable[[], None]) -> None:
+        self._client = client
+        self._on_crash = on_crash
+        self._probe: asyncio.Task[TargetState] | None = None
+        self.boot_id = ""
+
+    async def probe(self) -> TargetState:
+        """Return the state of the target; concurrent callers share one probe."""
+        if self._probe is None:
+            loop = asyncio.get_running_loop()
+            self._probe = loop.create_task(self._run_probe())
+        return await asyncio.shield(self._probe)
+
+    def observe_boot_id(self, boot_id: str) -> None:
+        """Take note of a boot id that a report carried."""
+        is_restarted = bool(self.boot_id and boot_id) and boot_id != self.boot_id
+        self.boot_id = boot_id or self.boot_id
+        if is_restarted:
+            self._declare_crash()
+
+    async def _run_probe(self) -> TargetState:
+        try:
+            state, boot_id = await self._ask()
+            is_restarted = bool(self.boot_id and boot_id) and boot_id != self.boot_id
+            if state is TargetState.CRASHED or is_restarted:
+                self.boot_id = boot_id
+                self._declare_crash()
+                return TargetState.CRASHED
+            self.boot_id = boot_id or self.boot_id
+            return state
+        finally:
+            self._probe = None
+
+    async def _ask(self) -> tuple[TargetState, str]:
+        try:
+            _, body = await self._client.fetch("GET", "/healthz", b"", PROBE_TIMEOUT_MS)
+        except NotSentError:
+            return TargetState.CRASHED, ""
+        except ExchangeError as error:
+            is_silent = "no answer" in error.reason
+            return TargetState.SILENT if is_silent else TargetState.CRASHED, ""
+        return TargetState.ALIVE, read_boot_id(body)
+
+    def _declare_crash(self) -> None:
+        log("target_crashed", peer=self._client.peer)
+        self._client.close_idle(is_all=True)
+        self._on_crash()
+
+
+def read_boot_id(body: bytes) -> str:
+    """Return the boot id in a JSON answer, or an empty string."""
+    try:
+        data = json.loads(body)
+    except ValueError:
+        return ""
+    boot_id = data.get("boot_id") if isinstance(data, dict) else None
+    return boot_id if isinstance(boot_id, str) else ""
