Test that used-up limits meet the ceiling

Ruled out: more examples; one version and one flood decide it. Change: ten cases of budget and action in which the bill meets the ceiling within 0.01. Conclusion: the bound after a budget is guarded, in both directions.

--- a/packages/core/src/bluebellusher_core/billing/tests/test_billing.py
+++ b/packages/core/src/bluebellusher_core/billing/tests/test_billing.py
@@ -187,6 +187,28 @@
     assert forecast(rules, month).total.expected == Decimal(n_tokens) * 60 / 10**6
 
 
+@pytest.mark.parametrize("budget", ["500 JPY", "1000000 tokens"])
+@pytest.mark.parametrize(
+    "action",
+    [
+        "refuse",
+        "lower-priority up to 300 JPY",
+        "lower-priority up to 2000000 tokens",
+        "cheaper-model small up to 300 JPY",
+        "cheaper-model small up to 2000000 tokens",
+    ],
+)
+def test_used_up_limits_meet_the_ceiling(budget: str, action: str) -> None:
+    """Guards against a ceiling that is too low, or higher than any usage."""
+    rules = with_lines(
+        "customer c0", f"budget c0 {budget} per month", f"when-exhausted c0 {action}"
+    )
+    month = Month.from_text("2027-01", "UTC")
+    usage = Meter("c0").admit(rules, "large", month.begin_s, (0, 0, 1), 10**9)
+    left = forecast(rules, month).total.ceiling - bill(rules, usage, month).total
+    assert 0 <= left <= Decimal("0.01")
+
+
 @pytest.mark.parametrize("action", ["refuse", "cheaper-model small"])
 def test_full_use_of_a_rate_reaches_the_ceiling(action: str) -> None:
     """Guards against a ceiling below what a token rate lets through."""
--- a/packages/entry/src/bluebellusher/cli/rules_client.py
+++ b/packages/entry/src/bluebellusher/cli/rules_client.py
@@ -5,10 +5,11 @@
 from typing import Literal, TypeVar
 
 import aiohttp
-from bluebellusher.cli.rules_base import CommandError, ExitCode, parse_or_fail
 from bluebellusher_core.billing import Version
 from pydantic import BaseModel, ValidationError
 
+from bluebellusher.cli.rules_base import CommandError, ExitCode, parse_or_fail
+
 TOKEN_VARIABLE = "BLUEBELLUSHER_ADMIN_TOKEN"
 # Staging waits for one entry in each failure domain, some of them slow.
 ANSWER_TIMEOUT_S = 30.0
--- a/packages/entry/src/bluebellusher/cli/rules_commands.py
+++ b/packages/entry/src/bluebellusher/cli/rules_commands.py
@@ -3,6 +3,20 @@
 from datetime import UTC, datetime
 from typing import ClassVar
 
+from bluebellusher_core.billing import (
+    Explanation,
+    Month,
+    Version,
+    explain,
+    explain_history,
+    forecast,
+)
+from bluebellusher_core.rules import RuleSet, diff_rules
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
+
 from bluebellusher.cli.rules_base import (
     EXIT_CODES_HELP,
     CommandError,
@@ -25,19 +39,6 @@
     format_forecast_table,
     format_plan,
 )
-from bluebellusher_core.billing import (
-    Explanation,
-    Month,
-    Version,
-    explain,
-    explain_history,
-    forecast,
-)
-from bluebellusher_core.rules import RuleSet, diff_rules
-from cleo.commands.command import Command
-from cleo.helpers import argument, option
-from cleo.io.inputs.argument import Argument
-from cleo.io.inputs.option import Option
 
 _FORMAT_BY_NAME = {
     "table": format_forecast_table,
--- a/packages/entry/src/bluebellusher/cli/rules_remote.py
+++ b/packages/entry/src/bluebellusher/cli/rules_remote.py
@@ -5,6 +5,11 @@
 import uuid
 from typing import ClassVar
 
+from bluebellusher_core.rules import RuleSet, diff_rules, parse_rules
+from cleo.helpers import argument, option
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
+
 from bluebellusher.cli.rules_base import (
     EXIT_CODES_HELP,
     CommandError,
@@ -26,10 +31,6 @@
     format_table,
     format_time,
 )
-from bluebellusher_core.rules import RuleSet, diff_rules, parse_rules
-from cleo.helpers import argument, option
-from cleo.io.inputs.argument import Argument
-from cleo.io.inputs.option import Option
 
 _BASE_LINE = re.compile(r"# version ([0-9]{1,12})\Z")
 _CHANGE_ID = re.compile(r"[A-Za-z0-9_-]{1,64}\Z")
--- a/packages/entry/src/bluebellusher/cli/tests/test_rules_commands.py
+++ b/packages/entry/src/bluebellusher/cli/tests/test_rules_commands.py
@@ -7,10 +7,11 @@
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 import pytest
-from bluebellusher.cli.rules_commands import RULES_COMMANDS
 from cleo.application import Application
 from cleo.testers.command_tester import CommandTester
 
+from bluebellusher.cli.rules_commands import RULES_COMMANDS
+
 EXAMPLES = pathlib.Path(__file__).parents[6] / "examples" / "rules"
 TOKACHI = EXAMPLES / "tokachi.rules"
 TEXT = TOKACHI.read_text(encoding="utf-8")
