--- a/packages/standins/src/bluebellusher_standins/cluster.py
+++ b/packages/standins/src/bluebellusher_standins/cluster.py
@@ -128,9 +128,11 @@
 
     async def __aexit__(self, *_: object) -> None:
         # Entries first: they finish their streams before the endpoints go.
-        names = sorted(self.process_by_name, key=lambda n: not n.startswith("entry"))
-        for name in names:
-            await self.process_by_name[name].stop()
+        processes = self.process_by_name.values()
+        entries = [p for p in processes if p.name.startswith("entry")]
+        others = [p for p in processes if not p.name.startswith("entry")]
+        for group in (entries, others):
+            await asyncio.gather(*(process.stop() for process in group))
         self._directory.cleanup()
 
     async def start(self, name: str, module: str, *arguments: str) -> ManagedProcess:
