Serve what began to arrive before a stop; cut off callers that never read

Cause: a request whose body was still arriving at SIGTERM was refused; a caller that neither read nor left held its connection and a shutdown for up to an hour; a log reader that stopped would have stopped the entry. Change: the decisions learn of the shutdown only after the last request; each request has a limit 5 s past its deadline; log lines are dropped and counted when the reader does not keep up. Conclusion: a stop neither cuts nor refuses a request that has begun.

--- a/packages/entry/src/bluebellusher/cli/_entry.py
+++ b/packages/entry/src/bluebellusher/cli/_entry.py
@@ -6,7 +6,6 @@
 import gc
 import itertools
 import signal
-import sys
 from collections.abc import Mapping
 from random import Random
 from typing import Any
@@ -22,6 +21,7 @@
 from bluebellusher.settings import AddressSettings, Settings
 from bluebellusher_core.admission import FairQueue
 from bluebellusher_core.clock import Clock, SystemClock
+from bluebellusher_core.events import ShutdownStarted
 from bluebellusher_core.reducer import EntryConfig, EntryState
 from bluebellusher_core.routing import PredictedLatency
 
@@ -102,12 +102,17 @@
         )
 
     async def stop(self) -> None:
-        """Finish every request in progress, then close everything."""
+        """Finish every request in progress, then close everything.
+
+        Requests on connections that are already open are served to their end, also
+        when they began to arrive only a moment ago.
+        """
         self.log.event("stopping", n_requests=len(self.runtime.exchange_by_request_id))
-        self.runtime.shut_down()
+        self.runtime.is_shutting_down = True
         self.server.stop_accepting()
         while self.runtime.exchange_by_request_id or self.server.close_idle():
             await self._wait_for_progress()
+        self.runtime.post(ShutdownStarted())
         until_ms = self.clock.now_ms() + _CLAIMS_GRACE_MS
         while not self.runtime.is_settled and self.clock.now_ms() < until_ms:
             await self._wait_for_progress()
@@ -131,7 +136,7 @@
 
 
 async def _run(settings: Settings) -> None:
-    log = KeyValueLog.from_config(settings.log_level, sys.stdout)
+    log = KeyValueLog.from_config(settings.log_level)
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(_make_fault_logger(log))
     is_told_to_stop = asyncio.Event()
--- a/packages/entry/src/bluebellusher/observability/_log.py
+++ b/packages/entry/src/bluebellusher/observability/_log.py
@@ -1,8 +1,10 @@
 """Log events as one line of key=value pairs each."""
 
+import os
 import re
+import select
 import sys
-from typing import Any, TextIO
+from typing import Any, Protocol
 
 import eliot
 
@@ -10,6 +12,8 @@
 _KEY = re.compile(r"[^A-Za-z0-9_]")
 _RANK_BY_LEVEL = {"debug": 0, "info": 1, "error": 2}
 _MAX_VALUE_CHARS = 512
+# A pipe that is ready for writing takes this much at once.
+_MAX_LINE_CHARS = 4_000
 # Fields that eliot adds for its task tree; one line per event needs none of them.
 _TASK_FIELDS = frozenset(("task_uuid", "task_level", "message_type", "timestamp"))
 
@@ -41,36 +45,70 @@
     return " ".join(parts)
 
 
+class LineWriter(Protocol):
+    """Where log lines go."""
+
+    def write(self, text: str) -> object:
+        """Write one line with its line feed."""
+
+
+class DescriptorWriter:
+    """Write lines to a descriptor without ever waiting for its reader.
+
+    A log reader that stops reading would otherwise stop the entry. Lines that
+    cannot be written are counted, and the next line tells how many were lost.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        self._descriptor = descriptor
+        self._poll = select.poll()
+        self._poll.register(descriptor, select.POLLOUT)
+        self._n_dropped = 0
+
+    def write(self, text: str) -> None:
+        """Write one line, or drop it when the reader does not keep up."""
+        if not self._poll.poll(0):
+            self._n_dropped += 1
+            return
+        line = text.rstrip("\n")[:_MAX_LINE_CHARS]
+        if self._n_dropped:
+            line += f" n_lines_dropped={self._n_dropped}"
+            self._n_dropped = 0
+        try:
+            os.write(self._descriptor, line.encode("ascii") + b"\n")
+        except OSError:
+            self._n_dropped += 1
+
+
 class KeyValueLog:
-    """Write eliot events to a text stream.
+    """Write eliot events as lines.
 
     Parameters
     ----------
     level : str
         ``debug``, ``info`` or ``error``; lower events are dropped.
-    stream : text stream
+    writer : LineWriter
         Where lines go.
     """
 
-    def __init__(self, level: str, stream: TextIO) -> None:
+    def __init__(self, level: str, writer: LineWriter) -> None:
         self._rank = _RANK_BY_LEVEL[level]
-        self._stream = stream
+        self._writer = writer
         self.is_debug = level == "debug"
 
     @classmethod
-    def from_config(cls, level: str, stream: TextIO | None = None) -> "KeyValueLog":
-        """Return a log that receives every eliot event of the process."""
-        log = cls(level, stream or sys.stderr)
+    def from_config(cls, level: str, writer: LineWriter | None = None) -> "KeyValueLog":
+        """Return a log that receives every eliot event of the process.
+
+        Without a ``writer`` the lines go to standard output.
+        """
+        log = cls(level, writer or DescriptorWriter(sys.stdout.fileno()))
         eliot.add_destinations(log.write_message)
         return log
 
     def write_message(self, message: dict[str, Any]) -> None:
-        """Write one eliot message; a closed stream loses it without an error."""
-        try:
-            self._stream.write(format_line(message) + "\n")
-            self._stream.flush()
-        except (OSError, ValueError):
-            return
+        """Write one eliot message."""
+        self._writer.write(format_line(message) + "\n")
 
     def close(self) -> None:
         """Receive no further events."""
--- a/packages/entry/src/bluebellusher/observability/tests/test_observability.py
+++ b/packages/entry/src/bluebellusher/observability/tests/test_observability.py
@@ -1,12 +1,14 @@
 """Guards against forged log lines, broken metrics text and lost trace ids."""
 
 import io
+import os
 import re
 
 from hypothesis import given
 from hypothesis import strategies as st
 
 from bluebellusher.observability import (
+    DescriptorWriter,
     KeyValueLog,
     Metrics,
     Tracer,
@@ -51,6 +53,20 @@
     assert parse_traceparent("00-" + "0" * 32 + "-" + "b" * 16 + "-01") is None
 
 
+def test_a_reader_that_stops_does_not_stop_the_log():
+    """Guards against an entry that waits for the reader of its log."""
+    reader, descriptor = os.pipe()
+    writer = DescriptorWriter(descriptor)
+    for _ in range(100):
+        writer.write("x" * 3_999 + "\n")
+    os.read(reader, 1_000_000)
+    writer.write("last\n")
+    assert b"last n_lines_dropped=" in os.read(reader, 1_000_000)
+    os.close(reader)
+    writer.write("nobody reads\n")
+    os.close(descriptor)
+
+
 def test_metrics_text_has_counters_and_quantiles():
     """Guards against a /metrics page that Prometheus cannot read."""
     metrics = Metrics()
--- a/packages/entry/src/bluebellusher/runtime/_runtime.py
+++ b/packages/entry/src/bluebellusher/runtime/_runtime.py
@@ -33,7 +33,6 @@
     CallerLeft,
     Event,
     RequestArrived,
-    ShutdownStarted,
     TimerFired,
 )
 from bluebellusher_core.reducer import EntryState, reduce
@@ -62,6 +61,7 @@
         self.metrics = metrics
         self.tracer = tracer
         self.exchange_by_request_id: dict[str, Exchange] = {}
+        # Set while the entry stops: it reports unready and keeps no connection.
         self.is_shutting_down = False
         self.request_ended = asyncio.Event()
         self._clock = clock
@@ -136,11 +136,6 @@
             self.post(CallerLeft(exchange.spec.request_id))
         self._forget_if_over(exchange)
 
-    def shut_down(self) -> None:
-        """Accept no new request; those in progress go on."""
-        self.is_shutting_down = True
-        self.post(ShutdownStarted())
-
     def close(self) -> None:
         """Cancel timers and tasks."""
         for handle in self._timer_by_id.values():
--- a/packages/entry/src/bluebellusher/server/_app.py
+++ b/packages/entry/src/bluebellusher/server/_app.py
@@ -4,7 +4,7 @@
 import logging
 import socket
 from collections.abc import Callable
-from typing import Any
+from typing import Any, cast
 
 from sanic import Request, Sanic
 from sanic.application.state import ApplicationServerInfo
@@ -45,6 +45,9 @@
 _KEEP_ALIVE_TIMEOUT_S = 75
 _BACKLOG = 1024
 _SEND_BUFFER_BYTES = 128 * 1024
+# A caller that has not read its answer this long after the deadline is cut off; it
+# would otherwise hold its connection for as long as it likes.
+_DELIVERY_GRACE_MS = 5_000
 
 
 class HttpServer:
@@ -200,17 +203,22 @@
         limits = self._settings.limits
         try:
             self._parser.authenticate(request.headers)
-            self._check_not_stopping()
             draft = parse(await read_body(request, limits))
         except BadRequestError as error:
             return self._refuse(error, request_id)
+        if self._runtime.is_shutting_down:
+            # The caller is told to use another connection for its next request.
+            cast(Any, request.stream).keep_alive = False
         exchange = self._make_exchange(draft, request_id, request)
         self._runtime.submit(exchange)
         outcome = "caller_left"
+        limit_s = (draft.remaining_ms + _DELIVERY_GRACE_MS) / 1000
+        watchdog = asyncio.get_running_loop().call_later(limit_s, _cut_off, request)
         try:
             sender = AnswerSender(request, exchange, self._runtime.metrics)
             outcome = await sender.send()
         finally:
+            watchdog.cancel()
             self._runtime.end(exchange)
             self._runtime.metrics.count(
                 "bluebellusher_requests_total", "outcome", outcome
@@ -218,10 +226,6 @@
             exchange.span.end(request_id=request_id, outcome=outcome)
         return None
 
-    def _check_not_stopping(self) -> None:
-        if self._runtime.is_shutting_down:
-            raise BadRequestError(Reason.SHUTTING_DOWN, "this entry is stopping")
-
     def _refuse(self, error: BadRequestError, request_id: str) -> HTTPResponse:
         self._runtime.metrics.count(
             "bluebellusher_bad_requests_total", "reason", error.reason.value
@@ -283,6 +287,13 @@
         return HTTPResponse(body, 500, None, "application/json")
 
 
+def _cut_off(request: Request) -> None:
+    """End the connection of a caller that does not read its answer."""
+    transport: Any = request.transport
+    if transport is not None:
+        transport.abort()
+
+
 def _to_spec(draft: RequestDraft, request_id: str, now_ms: int) -> RequestSpec:
     return RequestSpec(
         request_id=request_id,
--- a/packages/entry/src/bluebellusher/tests/test_processes.py
+++ b/packages/entry/src/bluebellusher/tests/test_processes.py
@@ -36,6 +36,21 @@
     return data
 
 
+async def open_raw(entry, body: bytes, deadline_ms: int = 60_000):
+    """Send the head of a request and return the connection, which buffers little."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    sock.connect(("127.0.0.1", entry.port))
+    reader, writer = await asyncio.open_connection(sock=sock, limit=4096)
+    head = (
+        f"POST /v1/chat/completions HTTP/1.1\r\nHost: e\r\n"
+        f"Authorization: Bearer key-of-c1\r\nX-Deadline-Ms: {deadline_ms}\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
+    writer.write(head.encode())
+    return reader, writer
+
+
 async def set_faults(process, **faults) -> None:
     """Switch faults of a stand-in on or off."""
     async with aiohttp.ClientSession() as session:
@@ -109,6 +124,8 @@
         entry = await cluster.start_entry("entry-1", "a")
         body = model_body(100)
         target = url(entry, "/v1/chat/completions")
+        # One more request has sent its head and waits with its body.
+        reader, writer = await open_raw(entry, body)
         async with session.post(target, data=body) as response:
             data = await read_until(response, 2)
             entry.signal(signal.SIGTERM)
@@ -122,7 +139,10 @@
                 else:
                     raise AssertionError("a stopping entry accepted a connection")
             data += await response.content.read()
+            writer.write(body)
+            late = await reader.read()
         assert data == expect_answer(body)
+        assert b"connection: close" in late and b"data: [DONE]" in late
         assert await entry.wait() == 0
 
     run(scenario)
@@ -198,15 +218,8 @@
         )
         body = model_body(8000)
         n_bytes = len(expect_answer(body))
-        sock = socket.socket()
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-        sock.connect(("127.0.0.1", entry.port))
-        reader, writer = await asyncio.open_connection(sock=sock, limit=4096)
-        head = (
-            f"POST /v1/chat/completions HTTP/1.1\r\nHost: e\r\nConnection: close\r\n"
-            f"Authorization: Bearer key-of-c1\r\nContent-Length: {len(body)}\r\n\r\n"
-        )
-        writer.write(head.encode() + body)
+        reader, writer = await open_raw(entry, body)
+        writer.write(body)
         await reader.readuntil(b"\n\n")
         status_url = url(entry, "/admin/status")
         operator = {"Authorization": "Bearer key-of-op"}
@@ -219,6 +232,11 @@
         assert seen[-1] < n_bytes / 2
         writer.close()
         await entry.wait_for("a_outcome=caller_left")
+        n_lines = len(entry.lines)
+        _, writer = await open_raw(entry, body, deadline_ms=500)
+        writer.write(body)
+        # This one neither reads nor leaves; the entry cuts it off.
+        await entry.wait_for("a_outcome=caller_left", n_lines)
 
     run(scenario)
 
