--- a/packages/entry/src/bluebellusher/tests/test_processes.py
+++ b/packages/entry/src/bluebellusher/tests/test_processes.py
@@ -233,7 +233,7 @@
         writer.close()
         await entry.wait_for("a_outcome=caller_left")
         n_lines = len(entry.lines)
-        _, writer = await open_raw(entry, body, deadline_ms=500)
+        _, writer = await open_raw(entry, body, deadline_ms=8_000)
         writer.write(body)
         # This one neither reads nor leaves; the entry cuts it off.
         await entry.wait_for("a_outcome=caller_left", n_lines)
