Reuse connections to the engine; guard those of calls

Cause: the parser was asked whether a connection stays open only after it had forgotten it, so that no connection was ever reused. A new test of connection use found this. Change: the answer is taken when the message is complete. Calls that must not be repeated keep a connection of their own, and such a call is not cut when its entry is lost; the plain service stand-in tells both.

--- a/packages/agent/src/bluebellusher_agent/_http.py
+++ b/packages/agent/src/bluebellusher_agent/_http.py
@@ -69,6 +69,7 @@
         self._is_head_complete = False
         self._is_complete = False
         self._is_delimited = False
+        self._is_kept_alive = False
         self.status = 0
         self.header_by_name: dict[str, str] = {}
 
@@ -106,6 +107,8 @@
         """Note the end of the answer."""
         if self._is_head_complete:
             self._is_complete = True
+            # The parser forgets this when it is ready for the next answer.
+            self._is_kept_alive = self._parser.should_keep_alive()
 
     @property
     def is_broken(self) -> bool:
@@ -161,7 +164,7 @@
         if connection is None:
             return
         is_reusable = self._is_delimited and not self._is_bodiless
-        if is_reusable and self._parser.should_keep_alive():
+        if is_reusable and self._is_kept_alive:
             self._client.keep(connection)
         else:
             connection.close()
--- a/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
+++ b/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
@@ -100,17 +100,33 @@
     """Guards against a call that is cut in the middle of its work."""
 
     async def scenario(entry, agent, service):
-        service.faults.stall_ms = 300
+        service.faults.stall_ms = 1_500
         entry.dispatch("a1", b"booking", **CALL)
-        await entry.wait(lambda: agent.runs.get("a1"))
+        await entry.wait(lambda: service.n_executions_by_body[b"booking"])
         entry.abort()
         async with EntryClient(agent.port) as again:
-            await again.wait(lambda: len(agent.runs) == 0)
+            await again.wait(lambda: service.n_finished_calls)
         assert service.n_executions_by_body[b"booking"] == 1
+        assert service.n_cut_calls == 0
 
     with_service(scenario, resume_window_ms=50)
 
 
+def test_call_gets_a_connection_of_its_own():
+    """Guards against a call lost on a kept connection that is just being closed."""
+
+    async def scenario(entry, agent, service):
+        for attempt_id in ("a1", "a2"):
+            entry.dispatch(attempt_id, b"", method="GET", path="/read")
+            await entry.finish(attempt_id)
+        entry.dispatch("a3", b"booking", **CALL)
+        await entry.finish("a3")
+        first, second, third = service.client_ports
+        assert first == second != third
+
+    with_service(scenario)
+
+
 def test_crash_is_told_to_all_entries_with_its_victims():
     """Guards against requests that crash one endpoint after another."""
 
--- a/packages/standins/src/bluebellusher_standins/plain_service.py
+++ b/packages/standins/src/bluebellusher_standins/plain_service.py
@@ -39,7 +39,9 @@
     """Execute GET and POST on any path and count executions by body.
 
     ``n_executions_by_body`` holds POST bodies; ``n_executions_by_path`` holds all
-    calls. ``GET /executions?body=TEXT`` tells the count over HTTP.
+    calls. ``n_cut_calls`` counts finished calls whose connection was closed before they were
+    answered; ``client_ports`` tells the connection of each call.
+    ``GET /executions?body=TEXT`` tells the count over HTTP.
     """
 
     def __init__(self, host: str = "127.0.0.1", port: int = 0) -> None:
@@ -47,6 +49,9 @@
         self.faults = PlainServiceFaults()
         self.n_executions_by_body: Counter[bytes] = Counter()
         self.n_executions_by_path: Counter[str] = Counter()
+        self.n_finished_calls = 0
+        self.n_cut_calls = 0
+        self.client_ports: list[int] = []
 
     def build_app(self) -> web.Application:
         """Return the application; fixed paths go before the catch-all."""
@@ -79,10 +84,15 @@
             self.faults.drop_before_execute -= 1
             return abort_request(request)
         self.n_executions_by_path[request.path] += 1
+        if request.transport is not None:
+            self.client_ports.append(request.transport.get_extra_info("peername")[1])
         if request.method != "GET":
             self.n_executions_by_body[body] += 1
         if self.faults.stall_ms:
             await asyncio.sleep(self.faults.stall_ms / 1000)
+        self.n_finished_calls += 1
+        if request.transport is None or request.transport.is_closing():
+            self.n_cut_calls += 1
         if self.faults.drop_after_execute > 0:
             self.faults.drop_after_execute -= 1
             return abort_request(request)
