--- a/packages/standins/src/bluebellusher_standins/plain_service.py
+++ b/packages/standins/src/bluebellusher_standins/plain_service.py
@@ -39,8 +39,8 @@
     """Execute GET and POST on any path and count executions by body.
 
     ``n_executions_by_body`` holds POST bodies; ``n_executions_by_path`` holds all
-    calls. ``n_cut_calls`` counts finished calls whose connection was closed before they were
-    answered; ``client_ports`` tells the connection of each call.
+    calls. ``n_cut_calls`` counts finished calls whose connection was closed before
+    they were answered; ``client_ports`` tells the connection of each call.
     ``GET /executions?body=TEXT`` tells the count over HTTP.
     """
 
