--- a/packages/agent/src/bluebellusher_agent/tests/test_agent_border.py
+++ b/packages/agent/src/bluebellusher_agent/tests/test_agent_border.py
@@ -4,8 +4,6 @@
 import os
 
 import pytest
-from bluebellusher_core.errors import StepError
-from bluebellusher_core.wire import encode, messages
 
 from bluebellusher_agent import AgentSettings
 from bluebellusher_agent._log import LogWriter
@@ -16,6 +14,8 @@
     make_body,
     with_engine,
 )
+from bluebellusher_core.errors import StepError
+from bluebellusher_core.wire import encode, messages
 
 HOSTILE_FRAMES = {
     "oversize": b"\xff\xff\xff\xff",
--- a/packages/entry/src/bluebellusher/links/_agents.py
+++ b/packages/entry/src/bluebellusher/links/_agents.py
@@ -6,6 +6,11 @@
 from random import Random
 from typing import Any, Protocol
 
+from bluebellusher.links._connection import FrameConnection, Identity
+from bluebellusher.links._dialer import Dialer
+from bluebellusher.links._relay import AttemptRelay
+from bluebellusher.links._reports import to_cache_event, to_crash_event, to_load_event
+from bluebellusher.links._ticker import LinkTicker
 from bluebellusher_core.clock import Clock
 from bluebellusher_core.errors import Reason, StepError
 from bluebellusher_core.events import (
@@ -22,12 +27,6 @@
 )
 from bluebellusher_core.wire import messages
 
-from bluebellusher.links._connection import FrameConnection, Identity
-from bluebellusher.links._dialer import Dialer
-from bluebellusher.links._relay import AttemptRelay
-from bluebellusher.links._reports import to_cache_event, to_crash_event, to_load_event
-from bluebellusher.links._ticker import LinkTicker
-
 # Ended attempts that may still send: late bytes of these are dropped, while an
 # attempt id that was never used on a connection closes it.
 _MAX_ENDED_ATTEMPTS = 4096
@@ -251,11 +250,16 @@
             link.connection.close(error)
 
     def on_open(self, connection: FrameConnection) -> None:
-        """Report the endpoint; a newer connection replaces an older one."""
+        """Report the endpoint; a second connection to it is closed.
+
+        A dialer connects again only after its connection ended, so that a second
+        one means that two addresses lead to one endpoint id.
+        """
         hello = connection.hello
-        old = self.link_by_endpoint_id.pop(hello.instance_id, None)
-        if old is not None:
-            self._lose(old, "replaced by a new connection")
+        if hello.instance_id in self.link_by_endpoint_id:
+            self._sink.log("agent-duplicate", step="connect", peer=hello.instance_id)
+            connection.close("another connection to this endpoint is open")
+            return
         self.link_by_endpoint_id[hello.instance_id] = AgentLink(connection, self._sink)
         self._sink.log("agent-connected", peer=connection.peer)
         self._sink.post(EndpointConnected(_to_endpoint_info(hello)))
--- a/packages/entry/src/bluebellusher/links/tests/test_relay.py
+++ b/packages/entry/src/bluebellusher/links/tests/test_relay.py
@@ -3,12 +3,12 @@
 import asyncio
 import zlib
 
-from bluebellusher_core.errors import Outcome, Reason, Refusal
-from bluebellusher_core.wire import messages
 from hypothesis import given
 from hypothesis import strategies as st
 
 from bluebellusher.links import AnswerStream, AttemptRelay
+from bluebellusher_core.errors import Outcome, Reason, Refusal
+from bluebellusher_core.wire import messages
 
 EVENTS = {"content-type": "text/event-stream"}
 REFUSAL = Refusal(Outcome.UNKNOWN, Reason.STREAM_CORRUPT, "relay")
@@ -132,8 +132,8 @@
     winner.start(started())
     loser = make_relay("a2", winner.answer)
     assert loser.start(started()) == ""
-    winner.accept(chunk(0, b"data: 1\n\n"))
     loser.accept(chunk(0, b"data: 2\n\n"))
+    winner.accept(chunk(0, b"data: 1\n\n"))
     assert take_all(winner.answer) == b"data: 1\n\n"
     assert loser.finish(finish(b"data: 2\n\n")) != ""
 
--- a/packages/entry/src/bluebellusher/runtime/_dispatch.py
+++ b/packages/entry/src/bluebellusher/runtime/_dispatch.py
@@ -2,12 +2,11 @@
 
 from typing import TYPE_CHECKING
 
-from bluebellusher_core.effects import CancelAttempt, Dispatch
-from bluebellusher_core.wire import messages
-
 from bluebellusher.links import AgentLinks, AttemptRelay
 from bluebellusher.observability import Tracer
 from bluebellusher.runtime._exchange import Exchange
+from bluebellusher_core.effects import CancelAttempt, Dispatch
+from bluebellusher_core.wire import messages
 
 if TYPE_CHECKING:
     from bluebellusher.links._agents import AgentLink
@@ -46,6 +45,7 @@
         link.dispatch(relay, message)
         exchange.n_attempts += 1
         exchange.attempt_spans[effect.attempt_id] = span
+        exchange.endpoint_by_attempt_id[effect.attempt_id] = effect.endpoint_id
         self._exchange_by_attempt_id[effect.attempt_id] = exchange
         return True
 
@@ -67,7 +67,12 @@
             exchange.n_attempts -= 1
             span = exchange.attempt_spans.pop(attempt_id, None)
             if span is not None:
-                span.end(attempt_id=attempt_id, n_bytes=exchange.answer.n_bytes)
+                span.end(
+                    request_id=exchange.spec.request_id,
+                    attempt_id=attempt_id,
+                    endpoint_id=exchange.endpoint_by_attempt_id[attempt_id],
+                    n_bytes=exchange.answer.n_bytes,
+                )
         return exchange
 
     def _to_message(self, effect: Dispatch, exchange: Exchange, trace: str) -> object:
--- a/packages/entry/src/bluebellusher/runtime/_exchange.py
+++ b/packages/entry/src/bluebellusher/runtime/_exchange.py
@@ -3,11 +3,10 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from bluebellusher_core.events import RequestSpec
-
 from bluebellusher.links import AnswerStream
 from bluebellusher.observability import Span
 from bluebellusher.runtime._kept import KeptAnswer
+from bluebellusher_core.events import RequestSpec
 
 
 @dataclass(slots=True)
@@ -29,6 +28,7 @@
     n_attempts: int = 0
     is_caller_served: bool = False
     attempt_spans: dict[str, Span] = field(default_factory=dict)
+    endpoint_by_attempt_id: dict[str, str] = field(default_factory=dict)
 
     def keep(self) -> KeptAnswer:
         """Return the answer for a repeat of the idempotency key."""
