Keep isolation while a cancelled suspect may still run

Cause: a cancel that a silent engine did not hear ended the isolation, so that other work could run beside the suspect. Change: the cancel is repeated until the engine answers or the deadline has passed.

--- a/packages/agent/src/bluebellusher_agent/_executor.py
+++ b/packages/agent/src/bluebellusher_agent/_executor.py
@@ -115,14 +115,21 @@
             log("stream_silent", attempt_id=run.attempt_id, n_bytes=run.buffer.end)
             run.exchange.close()
 
-    async def cancel_on_target(self, run: Run) -> None:
-        """Tell an engine that an answer is no longer wanted."""
-        if not self._is_model or run.is_complete:
-            return
+    async def cancel_on_target(self, run: Run) -> bool:
+        """Tell an engine that an answer is no longer wanted.
+
+        Returns whether the run is certainly over or cannot be ended this way.
+        """
+        if not self._is_model or run.is_complete or not run.is_sent:
+            return True
         try:
             await self._client.fetch("DELETE", "/attempts/" + run.target_attempt_id)
+        except NotSentError:
+            return True
         except StepError as error:
             log("cancel_failed", attempt_id=run.attempt_id, reason=error.reason)
+            return False
+        return True
 
     def _is_resumable(self, run: Run) -> bool:
         content_type = run.header_by_name.get("content-type", "")
--- a/packages/agent/src/bluebellusher_agent/_keeper.py
+++ b/packages/agent/src/bluebellusher_agent/_keeper.py
@@ -15,6 +15,7 @@
 from bluebellusher_core.wire import messages
 
 NOT_RUN_RETRY_MS = 1_000
+CANCEL_RETRY_S = 0.5
 # Answers that were sent whole are held for entries that lose them on the way.
 MAX_HELD_BYTES = 8 * 1024 * 1024
 Spawn = Callable[[Coroutine[Any, Any, None]], asyncio.Task[None]]
@@ -101,9 +102,16 @@
 
     async def _finish_cancel(self, run: Run) -> None:
         assert self._executor is not None
-        await self._executor.cancel_on_target(run)
+        is_over = await self._executor.cancel_on_target(run)
+        # A suspect that may still run on a silent engine goes on excluding others.
+        while run.is_isolated and not is_over and not self._is_overdue(run):
+            await asyncio.sleep(CANCEL_RETRY_S)
+            is_over = await self._executor.cancel_on_target(run)
         self.end(run)
 
+    def _is_overdue(self, run: Run) -> bool:
+        return self._clock.now_ms() >= run.deadline_ms
+
     def on_not_run(self, run: Run) -> None:
         """Refuse an attempt of which no byte was sent to the target."""
         connection = run.connection
--- a/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
+++ b/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
@@ -242,6 +242,28 @@
     with_engine(scenario)
 
 
+def test_isolation_outlives_a_cancel_that_the_engine_did_not_hear():
+    """Guards against work beside a suspect that still runs on a silent engine."""
+
+    async def scenario(entry, agent, engine):
+        entry.dispatch("a1", make_body("x", 4000), is_isolated=True)
+        await entry.next(messages.Started, "a1")
+        engine.set_faults(is_frozen=True)
+        entry.send(messages.Cancel("a1"))
+        # A request to the engine times out after 1 s; a heartbeat comes each 500 ms.
+        for _ in range(5):
+            await entry.next(messages.Heartbeat)
+        entry.dispatch("a2", make_body())
+        refusal = await entry.next(messages.Refuse, "a2")
+        assert refusal.reason == "endpoint_isolating"
+        engine.set_faults(is_frozen=False)
+        await entry.wait(lambda: len(agent.runs.running()) == 0)
+        entry.dispatch("a3", make_body())
+        await entry.finish("a3")
+
+    with_engine(scenario)
+
+
 def test_drain_refuses_new_work_and_finishes_the_old():
     """Guards against interrupted answers and late work on leaving (I5, I6)."""
 
