--- a/packages/agent/src/bluebellusher_agent/main.py
+++ b/packages/agent/src/bluebellusher_agent/main.py
@@ -23,7 +23,7 @@
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stopped.set)
     await agent.start()
-    watcher = loop.create_task(_watch_settings(path, agent))
+    watcher = loop.create_task(watch_settings(path, agent))
     await stopped.wait()
     watcher.cancel()
     agent.start_drain()
@@ -33,7 +33,7 @@
     log("stopped")
 
 
-async def _watch_settings(path: str, agent: Agent) -> None:
+async def watch_settings(path: str, agent: Agent) -> None:
     """Start draining when the settings file comes to say so."""
     read_at = _modified_at(path)
     while not agent.runs.is_draining:
--- a/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
+++ b/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
@@ -9,6 +9,7 @@
 import pytest
 import uvloop
 
+from bluebellusher_agent.main import watch_settings
 from bluebellusher_agent.tests.entry_client import (
     SECRET,
     EntryClient,
@@ -316,6 +317,25 @@
     uvloop.run(main())
 
 
+def test_settings_file_starts_a_drain(tmp_path):
+    """Guards against an operator's drain that a running agent ignores."""
+
+    async def scenario(entry, agent, engine):
+        path = tmp_path / "agent.json"
+        path.write_text(_settings_text(engine.port))
+        watcher = asyncio.create_task(watch_settings(str(path), agent))
+        await entry.next(messages.Heartbeat)
+        path.write_text("{ malformed")
+        for _ in range(3):
+            await entry.next(messages.Heartbeat)
+        text = _settings_text(engine.port).replace("{", '{"is_draining": true, ', 1)
+        path.write_text(text)
+        await entry.next(messages.Drain)
+        await watcher
+
+    with_engine(scenario)
+
+
 def _settings_text(port):
     settings = {
         "instance_id": "endpoint-1",
