--- /dev/null
+++ b/packages/core/src/bluebellusher_core/routing/_predicted_latency.py
@@ -0,0 +1,284 @@
+"""Routing by the predicted time to first token."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from math import erf, exp, pi, sqrt
+from random import Random
+
+from bluebellusher_core.events import RequestSpec
+from bluebellusher_core.routing._baselines import usable
+from bluebellusher_core.routing._protocol import EndpointView
+
+# Assumed before any own attempt has ended.
+DEFAULT_SERVICE_MS = 3_000.0
+# An older report says nothing, not even about the mean load.
+REPORT_TIMEOUT_MS = 15_000
+# Long enough for the prefill of a long prompt.
+SUSPECT_AFTER_MS = 3_000.0
+SUSPECT_TTFT_FACTOR = 3.0
+# Prompts wait for their prefill far shorter than a request runs.
+QUEUE_MEMORY_MS = 200.0
+# An endpoint that was slow is tried again after some of these periods.
+SLOWNESS_MEMORY_MS = 20_000.0
+
+
+@dataclass(slots=True)
+class _Load:
+    """Estimated load of one endpoint at this moment."""
+
+    view: EndpointView
+    # Share of the report that still holds, 0 to 1.
+    trust: float
+    age_ms: int
+    # Requests of other entries according to the report.
+    n_reported_others: float
+
+
+class PredictedLatency:
+    """Choose the lowest predicted time to first token in a random sample.
+
+    The load of an endpoint is the entry's own attempts, which are known exactly,
+    plus those of other entries. The latter are the reported load less the own
+    attempts at the time of the reading. As the report ages, it is replaced by the
+    assumption that other entries spread their requests as this one does. Own
+    dispatches and ends since the reading are thereby corrected, and without reports
+    only own attempts count. Several entries with the same stale report then do not
+    all prefer the same endpoint: each evens out its own part, and with it the sum.
+
+    The prediction is scaled by the observed speed of the endpoint. An endpoint from
+    which own attempts wait for a first byte is predicted to take at least as long
+    as it has made no progress, so that a frozen one loses new work in about the
+    time that an answer normally takes.
+
+    Parameters
+    ----------
+    failure_domain : str
+        The entry's own failure domain; empty when it is not known.
+    prefill_tokens_per_ms : float
+        Pace of an engine of normal speed; an error is corrected by observed speed.
+    base_ms : float
+        Time to first token of an idle endpoint with the whole prompt cached.
+    remote_domain_ms : float
+        Added for endpoints in other failure domains.
+    load_ms : float
+        Added for each request in the batch, which slows every step.
+    n_sample : int
+        Candidates that are drawn; the best prefix match is added.
+    n_queue_allowed : int
+        Requests that may wait in an engine beyond its batch, so that a slot that
+        becomes free is used at once.
+    load_memory_ms : float
+        Time constant with which a load report loses its weight. Longer, entries react
+        to each other's past, and loads oscillate.
+    slot_wait_weight : float
+        Weight of the predicted wait for a free slot. A full weight moves requests
+        away from cached prefixes for waits that often do not come true.
+    tolerated_slowness : float
+        Up to this ratio of observed to predicted time an endpoint counts as normal.
+        The prediction misses evicted prefixes and other entries' prompts; reacting to
+        such noise also moves requests away from cached prefixes.
+
+    Notes
+    -----
+    docs/decisions/routing.md has the measurements behind the defaults.
+    """
+
+    def __init__(
+        self,
+        failure_domain: str = "",
+        prefill_tokens_per_ms: float = 8.0,
+        base_ms: float = 30.0,
+        remote_domain_ms: float = 2.0,
+        load_ms: float = 4.0,
+        n_sample: int = 12,
+        n_queue_allowed: int = 1,
+        load_memory_ms: float = 500.0,
+        slot_wait_weight: float = 0.4,
+        tolerated_slowness: float = 1.5,
+    ) -> None:
+        if not prefill_tokens_per_ms > 0:
+            name = "prefill_tokens_per_ms"
+            raise ValueError(f"{name}={prefill_tokens_per_ms}: expected above 0")
+        if not load_memory_ms > 0:
+            raise ValueError(f"load_memory_ms={load_memory_ms}: expected above 0")
+        if not tolerated_slowness >= 1:
+            name = "tolerated_slowness"
+            raise ValueError(f"{name}={tolerated_slowness}: expected at least 1")
+        if n_sample < 1:
+            raise ValueError(f"n_sample={n_sample}: expected at least 1")
+        self.failure_domain = failure_domain
+        self.prefill_tokens_per_ms = prefill_tokens_per_ms
+        self.base_ms = base_ms
+        self.remote_domain_ms = remote_domain_ms
+        self.load_ms = load_ms
+        self.n_sample = n_sample
+        self.n_queue_allowed = n_queue_allowed
+        self.load_memory_ms = load_memory_ms
+        self.slot_wait_weight = slot_wait_weight
+        self.tolerated_slowness = tolerated_slowness
+
+    def choose(
+        self,
+        request: RequestSpec,
+        candidates: Sequence[EndpointView],
+        now_ms: int,
+        random_state: Random,
+    ) -> str | None:
+        """Return the best endpoint of a sample, or ``None`` when all are full."""
+        views = usable(candidates)
+        if not views:
+            return None
+        sample = self._draw(request, views, random_state)
+        loads = [self._estimate(view, now_ms) for view in sample]
+        n_others_per_own = _others_per_own(loads)
+        best_id = None
+        best_ms = float("inf")
+        for load in loads:
+            n_others = _blend(load, n_others_per_own)
+            if not self._has_room(load.view, n_others):
+                continue
+            if _is_suspect(load.view, now_ms):
+                continue
+            predicted_ms = self._predict_ms(request, load, n_others, now_ms)
+            if predicted_ms < best_ms:
+                best_ms = predicted_ms
+                best_id = load.view.info.endpoint_id
+        return best_id
+
+    def predict_normal_ms(
+        self, request: RequestSpec, view: EndpointView, now_ms: int
+    ) -> float:
+        """Predict the time to first token if the endpoint had normal speed.
+
+        The value goes to ``EndpointTracker.record_dispatch``, which compares it with
+        what is observed.
+        """
+        load = self._estimate(view, now_ms)
+        return self._normal_ms(request, load, load.n_reported_others)
+
+    def _draw(
+        self, request: RequestSpec, views: list[EndpointView], random_state: Random
+    ) -> list[EndpointView]:
+        if len(views) <= self.n_sample:
+            # A random start breaks ties at random without a draw for each view.
+            start = random_state.randrange(len(views))
+            return views[start:] + views[:start]
+        sample = random_state.sample(views, self.n_sample)
+        if request.prefix_hashes:
+            # The first hash is looked up before the whole prefix is compared.
+            first = request.prefix_hashes[0]
+            holders = [view for view in views if first in view.cached_prefixes]
+            if holders:
+                best = max(holders, key=lambda v: v.count_cached_tokens(request))
+                sample.append(best)
+        return sample
+
+    def _estimate(self, view: EndpointView, now_ms: int) -> _Load:
+        report = view.report
+        if report is None:
+            return _Load(view, 0.0, 0, 0.0)
+        age_ms = max(0, now_ms - view.reported_at_ms + report.age_ms)
+        if age_ms > REPORT_TIMEOUT_MS:
+            return _Load(view, 0.0, 0, 0.0)
+        n_dispatched = len(view.own_dispatched_at_ms)
+        n_own_then = view.n_own_in_flight - n_dispatched + len(view.own_ended_at_ms)
+        n_others = report.n_running + report.n_queued - n_own_then
+        trust = exp(-age_ms / self.load_memory_ms)
+        return _Load(view, trust, age_ms, float(max(0, n_others)))
+
+    def _has_room(self, view: EndpointView, n_others: float) -> bool:
+        n_slots = _n_slots(view)
+        if view.n_own_in_flight + n_others < n_slots + self.n_queue_allowed:
+            return True
+        # Other entries may hold every slot; a small share of each endpoint lets an
+        # entry in that starts late.
+        return view.n_own_in_flight < max(1, n_slots // 8)
+
+    def _predict_ms(
+        self, request: RequestSpec, load: _Load, n_others: float, now_ms: int
+    ) -> float:
+        view = load.view
+        normal_ms = self._normal_ms(request, load, n_others)
+        slowness = _current_slowness(view, now_ms) / self.tolerated_slowness
+        predicted_ms = normal_ms * max(1.0, slowness)
+        predicted_ms = max(predicted_ms, _stalled_ms(view, now_ms))
+        if view.info.failure_domain != self.failure_domain:
+            predicted_ms += self.remote_domain_ms
+        return predicted_ms
+
+    def _normal_ms(self, request: RequestSpec, load: _Load, n_others: float) -> float:
+        view = load.view
+        n_tokens = request.n_input_tokens - view.count_cached_tokens(request)
+        n_tokens_ahead = view.n_own_queued_tokens + _others_tokens(load)
+        prefill_ms = (n_tokens + n_tokens_ahead) / self.prefill_tokens_per_ms
+        n_in_flight = view.n_own_in_flight + n_others
+        n_slots = _n_slots(view)
+        deviation = sqrt((1 - load.trust * load.trust) * n_others)
+        n_excess = _mean_excess(n_in_flight - (n_slots - 1), deviation)
+        service_ms = view.own_service_ms or DEFAULT_SERVICE_MS
+        slot_wait_ms = self.slot_wait_weight * n_excess * service_ms / n_slots
+        return self.base_ms + self.load_ms * n_in_flight + prefill_ms + slot_wait_ms
+
+
+def _others_per_own(loads: list[_Load]) -> float:
+    """Return how many attempts other entries have for each own one."""
+    n_own = sum(load.view.n_own_in_flight for load in loads if load.trust > 0)
+    n_others = sum(load.n_reported_others for load in loads)
+    return n_others / n_own if n_own else 0.0
+
+
+def _blend(load: _Load, n_others_per_own: float) -> float:
+    n_alike = load.view.n_own_in_flight * n_others_per_own
+    return load.trust * load.n_reported_others + (1 - load.trust) * n_alike
+
+
+def _others_tokens(load: _Load) -> float:
+    """Return queued prompt tokens of other entries, from their share of requests."""
+    report = load.view.report
+    if report is None or report.n_queued_tokens == 0:
+        return 0.0
+    n_total = report.n_running + report.n_queued
+    share = load.n_reported_others / n_total if n_total else 0.0
+    trust = exp(-load.age_ms / QUEUE_MEMORY_MS)
+    return trust * share * report.n_queued_tokens
+
+
+def _n_slots(view: EndpointView) -> int:
+    n_slots = view.info.n_slots if view.report is None else view.report.n_slots
+    return n_slots or 1
+
+
+def _mean_excess(mean: float, deviation: float) -> float:
+    """Return the mean of the positive part of a normal variable."""
+    if deviation < 0.05:
+        return max(0.0, mean)
+    if mean < -4 * deviation:
+        return 0.0
+    z = mean / deviation
+    density = exp(-z * z / 2) / sqrt(2 * pi)
+    return deviation * density + mean * (1 + erf(z / sqrt(2))) / 2
+
+
+def _current_slowness(view: EndpointView, now_ms: int) -> float:
+    age_ms = now_ms - view.ttft_observed_at_ms
+    return 1 + (view.slowness - 1) * exp(-age_ms / SLOWNESS_MEMORY_MS)
+
+
+def _is_suspect(view: EndpointView, now_ms: int) -> bool:
+    """Return whether an endpoint that used to answer has stopped to answer.
+
+    It then takes no work even when all others are full. Without an earlier answer
+    its usual time is not known, and it only ranks behind others.
+    """
+    if view.own_predicted_ms <= 0:
+        return False
+    limit_ms = SUSPECT_AFTER_MS + SUSPECT_TTFT_FACTOR * view.own_ttft_ms
+    return _stalled_ms(view, now_ms) > limit_ms
+
+
+def _stalled_ms(view: EndpointView, now_ms: int) -> float:
+    """Return for how long own attempts have waited without any progress."""
+    if not view.unanswered_at_ms:
+        return 0.0
+    oldest_at_ms = next(iter(view.unanswered_at_ms.values()))
+    return float(now_ms - max(oldest_at_ms, view.last_progress_at_ms))
