Keep endpoint views with EndpointTracker and measure the reducer

Change: Endpoints wraps the tracker and tells it only of events that were found valid; predictions of the policy are passed to it; queues are asked every 100 ms for what they can no longer serve; service times are at least 1 ms because the fair queue rejects 0. The machines run with FairQueue and PredictedLatency too. Ruled out: letting the tracker see raw events, because crossed answers would end attempts of other endpoints in its count.

--- a/bench/bench_reducer.py
+++ b/bench/bench_reducer.py
@@ -5,6 +5,7 @@
 import time
 import tracemalloc
 
+from bench.report import print_figure
 from bluebellusher_core.effects import Dispatch
 from bluebellusher_core.events import (
     AttemptFinished,
@@ -18,8 +19,6 @@
 )
 from bluebellusher_core.reducer import EntryConfig, EntryState, reduce
 
-from bench.report import print_figure
-
 # Endpoints and requests in flight. An entry tracks a subset of the endpoints, so the
 # last size is the largest that an entry meets.
 SIZES = ((4, 20), (16, 200), (64, 2_000), (256, 8_000))
--- a/packages/core/src/bluebellusher_core/membership/_endpoints.py
+++ b/packages/core/src/bluebellusher_core/membership/_endpoints.py
@@ -7,16 +7,16 @@
     CacheReported,
     EndpointConnected,
     EndpointInfo,
+    EndpointLost,
     LoadReported,
     RequestSpec,
 )
-from bluebellusher_core.routing import EndpointView
+from bluebellusher_core.routing import EndpointTracker, EndpointView
 
 Pool = tuple[str, str, str]
 """Service, model and adapter; requests of one pool share candidates and a queue."""
 
 REPORT_MAX_AGE_MS = 5_000
-MAX_CACHED_PREFIXES = 65_536
 # The engine may hold one further batch in its queue, so that a slot that becomes
 # free is filled without a round trip.
 ENGINE_QUEUE_FACTOR = 2
@@ -37,32 +37,38 @@
     ----------
     n_max : int
         Upper bound of connected endpoints; a further connection is closed.
+    tracker : EndpointTracker
+        Keeps the views; it is told only of events that were found valid.
     """
 
     n_max: int
-    view_by_id: dict[str, EndpointView] = field(default_factory=dict)
+    tracker: EndpointTracker = field(default_factory=EndpointTracker)
     _deferred_until_ms: dict[str, int] = field(default_factory=dict)
     _n_refusals: dict[str, int] = field(default_factory=dict)
     _views_by_pool: dict[Pool, list[EndpointView]] = field(default_factory=dict)
 
-    def connect(self, event: EndpointConnected) -> list[Effect]:
+    @property
+    def view_by_id(self) -> dict[str, EndpointView]:
+        """Views by endpoint id."""
+        return self.tracker.view_by_id
+
+    def connect(self, event: EndpointConnected, now_ms: int) -> list[Effect]:
         """Add an endpoint, or replace its view after a reconnect."""
-        endpoint_id = event.endpoint.endpoint_id
-        is_new = endpoint_id not in self.view_by_id
+        info = event.endpoint
+        is_new = info.endpoint_id not in self.view_by_id
         if is_new and len(self.view_by_id) >= self.n_max:
-            return [CloseConnection(endpoint_id)]
-        self.view_by_id[endpoint_id] = EndpointView(
-            info=event.endpoint, is_draining=event.endpoint.is_draining
-        )
+            return [CloseConnection(info.endpoint_id)]
+        self.tracker.apply(event, now_ms)
+        self.view_by_id[info.endpoint_id].is_draining = info.is_draining
         self._views_by_pool.clear()
         return []
 
-    def remove(self, endpoint_id: str) -> EndpointView | None:
+    def remove(self, endpoint_id: str, now_ms: int) -> None:
         """Forget a lost endpoint."""
         self._views_by_pool.clear()
         self._deferred_until_ms.pop(endpoint_id, None)
         self._n_refusals.pop(endpoint_id, None)
-        return self.view_by_id.pop(endpoint_id, None)
+        self.tracker.apply(EndpointLost(endpoint_id), now_ms)
 
     def defer(self, endpoint_id: str, pause_ms: int, now_ms: int) -> None:
         """Start nothing there for a while; the pause doubles with each refusal."""
@@ -101,32 +107,19 @@
 
     def report_load(self, event: LoadReported, now_ms: int) -> None:
         """Take a load report unless a newer one is known."""
+        self.tracker.apply(event, now_ms)
         view = self.view_by_id.get(event.endpoint_id)
-        if view is None:
-            return
-        if view.report is not None and event.sequence <= view.report.sequence:
+        if view is None or view.report is not event:
             return
-        view.report = event
-        view.reported_at_ms = now_ms
-        read_at_ms = now_ms - event.age_ms
-        later = [at for at in view.own_dispatched_at_ms if at > read_at_ms]
-        view.own_dispatched_at_ms = later
         info = view.info
         loaded = (info.models, info.adapters, info.n_slots)
         if loaded != (event.models, event.adapters, event.n_slots):
             view.info = _with_loaded(info, event)
             self._views_by_pool.clear()
 
-    def report_cache(self, event: CacheReported) -> None:
+    def report_cache(self, event: CacheReported, now_ms: int) -> None:
         """Add and remove cached prefixes; forget all of them after a gap."""
-        view = self.view_by_id.get(event.endpoint_id)
-        if view is None:
-            return
-        if event.has_gap:
-            view.cached_prefixes.clear()
-        view.cached_prefixes.difference_update(event.removed)
-        n_free = MAX_CACHED_PREFIXES - len(view.cached_prefixes)
-        view.cached_prefixes.update(event.added[:n_free])
+        self.tracker.apply(event, now_ms)
 
     def views_of(self, pool: Pool) -> list[EndpointView]:
         """Return the endpoints that serve a pool and are not draining."""
@@ -138,34 +131,10 @@
                 self._views_by_pool[pool] = views
         return views
 
-    def start_attempt(
-        self, endpoint_id: str, request: RequestSpec, now_ms: int
-    ) -> None:
-        """Count a dispatch."""
-        view = self.view_by_id[endpoint_id]
-        view.n_own_in_flight += 1
-        view.n_own_queued_tokens += request.n_input_tokens
-        view.own_dispatched_at_ms.append(now_ms)
-        # Without reports nothing else would shorten the list.
-        if len(view.own_dispatched_at_ms) > 2 * view.info.n_slots + 16:
-            del view.own_dispatched_at_ms[0]
-
     def note_output(self, endpoint_id: str) -> None:
         """Forget earlier refusals; the endpoint works."""
         self._n_refusals.pop(endpoint_id, None)
 
-    def leave_queue(self, endpoint_id: str, request: RequestSpec) -> None:
-        """Count the first output or the end of an attempt without output."""
-        view = self.view_by_id.get(endpoint_id)
-        if view is not None:
-            view.n_own_queued_tokens -= request.n_input_tokens
-
-    def end_attempt(self, endpoint_id: str) -> None:
-        """Count the end of an attempt."""
-        view = self.view_by_id.get(endpoint_id)
-        if view is not None:
-            view.n_own_in_flight -= 1
-
 
 def _has_room(view: EndpointView, now_ms: int) -> bool:
     """Return whether another attempt fits, by own attempts and the last report."""
--- a/packages/core/src/bluebellusher_core/reducer/_reduce.py
+++ b/packages/core/src/bluebellusher_core/reducer/_reduce.py
@@ -67,7 +67,7 @@
         case LoadReported():
             state.endpoints.report_load(event, now_ms)
         case CacheReported():
-            state.endpoints.report_cache(event)
+            state.endpoints.report_cache(event, now_ms)
         case AttemptAccepted():
             return _attempts.accepted(state, event)
         case AttemptRefused():
--- a/packages/core/src/bluebellusher_core/reducer/_state.py
+++ b/packages/core/src/bluebellusher_core/reducer/_state.py
@@ -4,15 +4,27 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
+from typing import Protocol, runtime_checkable
 
 from bluebellusher_core.admission import AdmissionQueue, FifoQueue
 from bluebellusher_core.claims import ClaimTable
+from bluebellusher_core.events import RequestSpec
 from bluebellusher_core.membership import Endpoints, Pool
 from bluebellusher_core.poison import PoisonTable
 from bluebellusher_core.reducer._config import EntryConfig
 from bluebellusher_core.requests import Attempt, Request
 from bluebellusher_core.retry import RetryBudget
-from bluebellusher_core.routing import LeastInFlight, RoutingPolicy
+from bluebellusher_core.routing import EndpointView, LeastInFlight, RoutingPolicy
+
+
+@runtime_checkable
+class Predictor(Protocol):
+    """A policy whose predictions the tracker compares with what is observed."""
+
+    def predict_normal_ms(
+        self, request: RequestSpec, view: EndpointView, now_ms: int
+    ) -> float:
+        """Return the time to first token on an endpoint of normal speed, in ms."""
 
 
 @dataclass(slots=True)
@@ -27,6 +39,8 @@
         Generator for random choices.
     policy : RoutingPolicy
         Chooses endpoints.
+    predictor : Predictor or None
+        The policy, when it predicts times.
     make_queue : callable
         Returns an empty admission queue; each pool has its own, so that a service
         without room does not hold up the others.
@@ -63,6 +77,7 @@
     config: EntryConfig
     random_state: Random
     policy: RoutingPolicy
+    predictor: Predictor | None
     make_queue: Callable[[], AdmissionQueue]
     endpoints: Endpoints
     retry_budget: RetryBudget
@@ -97,10 +112,12 @@
         >>> len(state.request_by_id)
         0
         """
+        policy = policy or LeastInFlight()
         return cls(
             config=config,
             random_state=Random(config.seed),
-            policy=policy or LeastInFlight(),
+            policy=policy,
+            predictor=policy if isinstance(policy, Predictor) else None,
             make_queue=make_queue,
             endpoints=Endpoints(n_max=config.n_max_endpoints),
             retry_budget=RetryBudget(config.n_min_retries, config.retry_percent),
--- a/packages/core/src/bluebellusher_core/reducer/tests/_entries.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/_entries.py
@@ -7,7 +7,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from bluebellusher_core.admission import FifoQueue
+from bluebellusher_core.admission import FairQueue
 from bluebellusher_core.effects import (
     CancelAttempt,
     CloseConnection,
@@ -27,6 +27,7 @@
 )
 from bluebellusher_core.reducer import EntryConfig, EntryState, reduce
 from bluebellusher_core.reducer.tests._model import Endpoint, Link, Table, answer_to
+from bluebellusher_core.routing import PredictedLatency
 
 N_MIN_RETRIES = 1
 
@@ -61,7 +62,8 @@
         self.now_ms = 1_000
         self.retry_percent = options.get("retry_percent", 10)
         self.hedge_after_ms = options.get("hedge_after_ms", 0)
-        self.make_queue = options.get("make_queue", FifoQueue)
+        self.make_queue = options.get("make_queue", FairQueue)
+        self.make_policy = options.get("make_policy", PredictedLatency)
         self.poison = set(poison)
         self.table = Table()
         self.n_runs = Counter()
@@ -90,7 +92,7 @@
             retry_percent=self.retry_percent,
             hedge_after_ms=self.hedge_after_ms,
         )
-        state = EntryState.from_config(config, make_queue=self.make_queue)
+        state = EntryState.from_config(config, self.make_policy(), self.make_queue)
         self.entry_by_id[entry_id] = Entry(entry_id, incarnation, state)
         for endpoint_id in self.endpoint_by_id:
             self.links[entry_id, endpoint_id] = Link()
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_machine_requests.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_machine_requests.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from bluebellusher_core.admission import FifoQueue
+from bluebellusher_core.admission import FairQueue, FifoQueue
 from bluebellusher_core.events import (
     AttemptFinished,
     CallerLeft,
@@ -14,6 +14,7 @@
     Usage,
 )
 from bluebellusher_core.reducer.tests._world import World
+from bluebellusher_core.routing import LeastInFlight, PredictedLatency
 
 ENTRIES = ("e0", "e1")
 ENDPOINTS = ("x0", "x1", "x2")
@@ -66,7 +67,8 @@
     @initialize(
         hedge_after_ms=st.sampled_from([0, 40]),
         retry_percent=st.sampled_from([1, 30]),
-        make_queue=st.sampled_from([FifoQueue, LazyQueue]),
+        make_queue=st.sampled_from([FairQueue, LazyQueue]),
+        make_policy=st.sampled_from([PredictedLatency, LeastInFlight]),
     )
     def start(self, **options):
         """Start with healthy endpoints."""
--- a/packages/core/src/bluebellusher_core/requests/_attempts.py
+++ b/packages/core/src/bluebellusher_core/requests/_attempts.py
@@ -43,7 +43,7 @@
     request = state.request_by_id[attempt.request_id]
     attempt.is_accepted = attempt.is_started = True
     state.endpoints.note_output(attempt.endpoint_id)
-    state.endpoints.leave_queue(attempt.endpoint_id, request.spec)
+    state.endpoints.tracker.apply(event, now_ms)
     effects: list[Effect] = []
     for other in [a for a in request.attempts if a is not attempt]:
         effects += _final.cancel(state, request, other, now_ms)
@@ -56,6 +56,7 @@
     if attempt is None:
         return _stray(state, event)
     request = state.request_by_id[attempt.request_id]
+    state.endpoints.tracker.apply(event, now_ms)
     return _final.complete(state, request, attempt, now_ms)
 
 
@@ -66,7 +67,7 @@
         return _stray(state, event)
     request = state.request_by_id[attempt.request_id]
     endpoint_id = attempt.endpoint_id
-    _final.end_attempt(state, request, attempt)
+    _final.end_attempt(state, request, attempt, now_ms)
     _avoid(state, event, endpoint_id, now_ms)
     if request.attempts:
         return []
--- a/packages/core/src/bluebellusher_core/requests/_final.py
+++ b/packages/core/src/bluebellusher_core/requests/_final.py
@@ -67,7 +67,7 @@
     effects: list[Effect] = []
     if request.phase is not Phase.DETACHED:
         effects.append(Complete(request.spec.request_id, winner.attempt_id))
-    end_attempt(state, request, winner)
+    end_attempt(state, request, winner, now_ms)
     observe_service(state, request, winner, now_ms)
     state.poison.clear(request.spec.fingerprint, now_ms)
     if request.claim is not None:
@@ -92,7 +92,7 @@
     state: EntryState, request: Request, attempt: Attempt, now_ms: int
 ) -> list[Effect]:
     """Stop an attempt whose answer is no longer wanted."""
-    end_attempt(state, request, attempt)
+    end_attempt(state, request, attempt, now_ms)
     request.may_have_run = True
     if attempt.is_isolated:
         # The cancel may come too late to keep the endpoint from dying.
@@ -117,7 +117,9 @@
     )
 
 
-def end_attempt(state: EntryState, request: Request, attempt: Attempt) -> None:
+def end_attempt(
+    state: EntryState, request: Request, attempt: Attempt, now_ms: int
+) -> None:
     """Forget an attempt that ended; later messages about it are ignored."""
     request.attempts.remove(attempt)
     del state.attempt_by_id[attempt.attempt_id]
@@ -125,16 +127,14 @@
     if len(state.ended_attempts) > MAX_ENDED_ATTEMPTS:
         state.ended_attempts.popitem(last=False)
     state.poison.end(request.spec.fingerprint)
-    if not attempt.is_started:
-        state.endpoints.leave_queue(attempt.endpoint_id, request.spec)
-    state.endpoints.end_attempt(attempt.endpoint_id)
+    state.endpoints.tracker.record_cancel(attempt.attempt_id, now_ms)
     if attempt.is_isolated:
         _set_isolating(state, attempt.endpoint_id, False)
 
 
-def forget_endpoint(state: EntryState, endpoint_id: str) -> None:
+def forget_endpoint(state: EntryState, endpoint_id: str, now_ms: int) -> None:
     """Forget a lost endpoint and what was reserved there."""
-    state.endpoints.remove(endpoint_id)
+    state.endpoints.remove(endpoint_id, now_ms)
     for request_id in state.isolate_at_ms:
         request = state.request_by_id[request_id]
         if request.reserved_endpoint_id == endpoint_id:
@@ -166,7 +166,7 @@
 ) -> None:
     """Update the mean service time of the request's pool."""
     pool = pool_of(request.spec)
-    service_ms = float(now_ms - attempt.dispatched_at_ms)
+    service_ms = max(1.0, float(now_ms - attempt.dispatched_at_ms))
     mean_ms = state.service_ms_by_pool.get(pool)
     if mean_ms is None:
         # Pools without a queue have no prediction to feed.
--- a/packages/core/src/bluebellusher_core/requests/_links.py
+++ b/packages/core/src/bluebellusher_core/requests/_links.py
@@ -26,7 +26,7 @@
     """Use a new connection; attempts of an earlier one are over."""
     info = event.endpoint
     effects = lost(state, info.endpoint_id, now_ms)
-    effects += state.endpoints.connect(event)
+    effects += state.endpoints.connect(event, now_ms)
     convicted = state.poison.resolve_holds(info.endpoint_id, info.incarnation, now_ms)
     for fingerprint in convicted:
         effects += _isolation.block(state, fingerprint, info.endpoint_id, True, now_ms)
@@ -37,7 +37,7 @@
 
 def lost(state: EntryState, endpoint_id: str, now_ms: int) -> list[Effect]:
     """Break every attempt of a connection that is gone."""
-    _final.forget_endpoint(state, endpoint_id)
+    _final.forget_endpoint(state, endpoint_id, now_ms)
     there = [a for a in state.attempt_by_id.values() if a.endpoint_id == endpoint_id]
     return _break_all(state, there, Reason.ENDPOINT_LOST, now_ms)
 
--- a/packages/core/src/bluebellusher_core/requests/_placing.py
+++ b/packages/core/src/bluebellusher_core/requests/_placing.py
@@ -16,6 +16,9 @@
     from bluebellusher_core.reducer import EntryState
 
 
+EXPIRY_CHECK_MS = 100
+
+
 @runtime_checkable
 class WeightedQueue(Protocol):
     """A queue that shares by customer."""
@@ -118,7 +121,12 @@
     request.attempts.append(attempt)
     state.attempt_by_id[attempt_id] = attempt
     state.poison.start(request.spec.fingerprint)
-    state.endpoints.start_attempt(endpoint_id, request.spec, now_ms)
+    predicted_ms = 0.0
+    if state.predictor is not None and not is_resumed:
+        predicted_ms = state.predictor.predict_normal_ms(request.spec, view, now_ms)
+    state.endpoints.tracker.record_dispatch(
+        attempt_id, endpoint_id, request.spec, predicted_ms, now_ms
+    )
     offset = request.n_bytes_relayed
     effects: list[Effect] = []
     effects.append(Dispatch(attempt_id, request_id, endpoint_id, offset, is_isolated))
@@ -226,14 +234,12 @@
 
 
 def _refuse_pool(state: EntryState, pool: Pool, now_ms: int) -> list[Effect]:
-    queue = state.queue_by_pool.pop(pool, None)
+    state.queue_by_pool.pop(pool, None)
     state.waiting_pools.discard(pool)
     state.service_ms_by_pool.pop(pool, None)
     del state.unserved_since_ms[pool]
-    requests = [state.request_by_id[r] for r in state.isolate_at_ms]
-    refused = [r for r in requests if pool_of(r.spec) == pool]
-    while queue is not None and (spec := queue.take(now_ms)) is not None:
-        refused.append(state.request_by_id[spec.request_id])
+    waiting = [r for r in state.request_by_id.values() if r.phase is Phase.WAITING]
+    refused = [r for r in waiting if pool_of(r.spec) == pool]
     effects: list[Effect] = []
     for request in refused:
         reason = Reason.NO_ENDPOINT
@@ -248,6 +254,9 @@
     due: list[int] = _isolation.next_due_ms(state, now_ms)
     grace_ms = state.config.no_endpoint_grace_ms
     due += [since_ms + grace_ms for since_ms in state.unserved_since_ms.values()]
+    if state.waiting_pools:
+        # A queue refuses what can no longer be served only when it is asked.
+        due.append(now_ms + EXPIRY_CHECK_MS)
     undeferred_ms = state.endpoints.next_undeferred_ms(now_ms)
     if undeferred_ms is not None:
         due.append(undeferred_ms)
--- a/packages/core/src/bluebellusher_core/requests/_recovery.py
+++ b/packages/core/src/bluebellusher_core/requests/_recovery.py
@@ -24,8 +24,8 @@
     if event.reason is Reason.ENDPOINT_LOST:
         # The relay speaks before the connection's own event; nothing may be placed
         # there in between.
-        _final.forget_endpoint(state, attempt.endpoint_id)
-    _final.end_attempt(state, request, attempt)
+        _final.forget_endpoint(state, attempt.endpoint_id, now_ms)
+    _final.end_attempt(state, request, attempt, now_ms)
     request.may_have_run = True
     request.n_broken += 1
     request.avoided.add(attempt.endpoint_id)
