Test single rules of requests, claims, poison and membership

Cause: some rules are reached by the state machines too rarely to rely on. Change: one test for each of late answers, resume timeouts, a table that is down, holds, hedges, expiry of blocks, bounds of tables, grace period, budget, subsets and load reports.

--- /dev/null
+++ b/packages/core/src/bluebellusher_core/membership/tests/test_membership.py
@@ -0,0 +1,57 @@
+"""Guards against subsets that are unbounded, unstable or far away."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bluebellusher_core.events import (
+    EndpointConnected,
+    EndpointInfo,
+    LoadReported,
+)
+from bluebellusher_core.membership import Endpoints, choose_subset
+
+
+def make_info(number, failure_domain, services=("s",)):
+    """Return an endpoint."""
+    names = frozenset(services), frozenset("m"), frozenset()
+    return EndpointInfo(f"x{number}", failure_domain, *names, 2)
+
+
+@given(st.lists(st.sampled_from("abc"), max_size=60), st.integers(1, 20), st.data())
+def test_property_subset_is_bounded_near_and_stable(domains, n_wanted, data):
+    """Guards against reconnecting everything when one endpoint leaves."""
+    infos = [make_info(i, domain) for i, domain in enumerate(domains)]
+    subset = choose_subset("e", "a", infos, n_wanted)
+    assert len(subset) == min(n_wanted, len(infos))
+    n_own = sum(1 for info in infos if info.failure_domain == "a")
+    n_chosen_own = sum(1 for i in infos if i.endpoint_id in subset and _is_own(i))
+    assert n_chosen_own >= min(n_own, max(1, int(n_wanted * 0.75)))
+    if infos:
+        gone = data.draw(st.sampled_from(infos))
+        rest = [info for info in infos if info is not gone]
+        after = choose_subset("e", "a", rest, n_wanted)
+        assert len(subset - after - {gone.endpoint_id}) == 0
+
+
+def _is_own(info):
+    return info.failure_domain == "a"
+
+
+def test_late_report_is_ignored_and_a_loaded_model_opens_its_pool():
+    """Guards against an old report that undoes a newer one."""
+    endpoints = Endpoints(n_max=4)
+    endpoints.connect(EndpointConnected(make_info(0, "a")), 0)
+    pool = ("s", "n", "")
+    assert not endpoints.views_of(pool)
+
+    def report(sequence, models):
+        names = frozenset(models), frozenset()
+        event = LoadReported("x0", sequence, 0, 0, 0, 2, 0.0, *names, 0)
+        endpoints.report_load(event, 10)
+
+    report(2, "mn")
+    assert endpoints.views_of(pool)
+    report(1, "m")
+    assert endpoints.views_of(pool)
+    report(3, "m")
+    assert not endpoints.views_of(pool)
--- /dev/null
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_reduce.py
@@ -0,0 +1,230 @@
+"""Single rules that the state machines reach too rarely to rely on."""
+
+from bluebellusher_core.claims import ClaimTable
+from bluebellusher_core.effects import (
+    ClaimState,
+    CloseConnection,
+    Complete,
+    Dispatch,
+    Reject,
+    WriteClaims,
+)
+from bluebellusher_core.errors import Outcome, Reason
+from bluebellusher_core.events import (
+    AttemptAccepted,
+    AttemptBroken,
+    AttemptFinished,
+    ClaimsUnanswered,
+    DigestReceived,
+    EndpointConnected,
+    EndpointDraining,
+    EndpointInfo,
+    EndpointLost,
+    Priority,
+    RequestArrived,
+    RequestSpec,
+    TimerFired,
+    Usage,
+)
+from bluebellusher_core.poison import PoisonTable
+from bluebellusher_core.reducer import EntryConfig, EntryState, reduce
+from bluebellusher_core.retry import RetryBudget
+
+
+def make_spec(request_id, fingerprint="f", key=None, deadline_ms=60_000):
+    """Return a request; one with a key is not idempotent."""
+    return RequestSpec(
+        request_id=request_id,
+        customer_id="c",
+        service_id="s",
+        model="m",
+        adapter="",
+        priority=Priority.NORMAL,
+        deadline_ms=deadline_ms,
+        is_idempotent=key is None,
+        idempotency_key=key,
+        fingerprint=fingerprint,
+        prefix_hashes=(),
+        n_input_tokens=1,
+        n_max_output_tokens=1,
+    )
+
+
+def connect(state, endpoint_id, incarnation=1, now_ms=0):
+    """Connect an endpoint."""
+    names = frozenset("s"), frozenset("m"), frozenset()
+    info = EndpointInfo(endpoint_id, "d", *names, 4, incarnation)
+    return reduce(state, EndpointConnected(info), now_ms)
+
+
+def start(n_endpoints=3, **options):
+    """Return an entry with endpoints ``x0``, ``x1``, ..."""
+    state = EntryState.from_config(EntryConfig("e", **options))
+    for i in range(n_endpoints):
+        connect(state, f"x{i}")
+    return state
+
+
+def arrive(state, spec, now_ms=0):
+    """Hand in a request; return its dispatch, if it was dispatched."""
+    effects = reduce(state, RequestArrived(spec), now_ms)
+    return next((e for e in effects if isinstance(e, Dispatch)), None)
+
+
+def lose(state, dispatch, now_ms, n_bytes=0):
+    """Lose the endpoint of an attempt, as the runtime reports it."""
+    event = AttemptBroken(
+        dispatch.attempt_id, Reason.ENDPOINT_LOST, n_bytes, True, dispatch.endpoint_id
+    )
+    effects = reduce(state, event, now_ms)
+    return effects + reduce(state, EndpointLost(dispatch.endpoint_id), now_ms)
+
+
+def pick(effects, kind):
+    """Return the effects of one kind."""
+    return [effect for effect in effects if isinstance(effect, kind)]
+
+
+def test_late_answer_is_ignored_and_unknown_attempt_closes_the_connection():
+    """Guards against a second answer and against closing on a mere delay."""
+    state = start()
+    sent = arrive(state, make_spec("r"))
+    done = AttemptFinished(sent.attempt_id, 200, 1, Usage(), sent.endpoint_id)
+    assert pick(reduce(state, done, 1), Complete)
+    assert reduce(state, done, 2) == []
+    foreign = AttemptFinished("other.1.1", 200, 1, Usage(), "x0")
+    assert reduce(state, foreign, 3) == [CloseConnection("x0")]
+
+
+def test_stream_that_cannot_be_resumed_is_given_up_before_its_deadline():
+    """Guards against a caller held until the deadline, and against a restart."""
+    state = start()
+    for request_id, event in (("a", TimerFired("resume:a")), ("b", None)):
+        sent = arrive(state, make_spec(request_id, request_id), 10)
+        assert not pick(lose(state, sent, 20, n_bytes=9), (Dispatch, Reject))
+        if event is not None:
+            effects = reduce(state, event, 3_020)
+            connect(state, sent.endpoint_id, 1, 3_030)
+        else:
+            effects = connect(state, sent.endpoint_id, 2, 30)
+        (final,) = pick(effects, Reject)
+        assert final.refusal.outcome is Outcome.UNKNOWN
+        assert final.refusal.reason is Reason.ENDPOINT_LOST
+
+
+def test_table_that_is_down_refuses_keyed_requests_only_and_promptly():
+    """Guards against claims that hold callers until their deadline."""
+    state = start()
+    assert arrive(state, make_spec("keyed", key="k")) is None
+    (write,) = pick(reduce(state, TimerFired("claims:flush"), 5), WriteClaims)
+    reduce(state, ClaimsUnanswered(write.batch_id), 6)
+    assert arrive(state, make_spec("later", key="l"), 7) is None
+    assert not pick(reduce(state, TimerFired("claims:flush"), 12), WriteClaims)
+    assert arrive(state, make_spec("idempotent"), 13) is not None
+    for request_id in ("keyed", "later"):
+        (final,) = reduce(state, TimerFired(f"claim:{request_id}"), 1_010)[:1]
+        assert final.refusal.reason is Reason.CLAIM_STORE_UNAVAILABLE
+        assert final.refusal.outcome is Outcome.NOT_RUN
+    (again,) = pick(reduce(state, TimerFired("claims:flush"), 1_020), WriteClaims)
+    # A claim that was never sent needs no further write.
+    assert [w.request_id for w in again.writes] == ["keyed"]
+    assert again.writes[0].state is ClaimState.ABANDONED
+
+
+def test_no_copy_runs_before_the_end_of_an_isolated_run_is_understood():
+    """Guards against a third endpoint lost while the evidence is on its way."""
+    state = start()
+    reduce(state, DigestReceived("peer", 1, (), ("p",)), 0)
+    sent = arrive(state, make_spec("r1", "p"), 1)
+    assert sent.is_isolated
+    reduce(state, AttemptAccepted(sent.attempt_id, sent.endpoint_id), 2)
+    (final,) = pick(lose(state, sent, 3), Reject)
+    assert final.refusal.reason is Reason.ENDPOINT_LOST
+    assert arrive(state, make_spec("r2", "p"), 4) is None
+    effects = connect(state, sent.endpoint_id, 2, 5)
+    (final,) = pick(effects, Reject)
+    assert final.request_id == "r2"
+    assert final.refusal.reason is Reason.CRASHES_ENDPOINTS
+
+
+def test_hedge_runs_isolated_and_keeps_the_minimum_of_the_budget():
+    """Guards against a hedge that loses a third endpoint or eats the retries."""
+    state = start(hedge_after_ms=10)
+    first = arrive(state, make_spec("r0", "f0"))
+    assert not pick(
+        reduce(state, TimerFired(f"hedge:{first.attempt_id}"), 10), Dispatch
+    )
+    for i in range(1, 10):
+        sent = arrive(state, make_spec(f"r{i}", f"f{i}"))
+    effects = reduce(state, TimerFired(f"hedge:{sent.attempt_id}"), 10)
+    (hedge,) = pick(effects, Dispatch)
+    assert hedge.is_isolated
+    assert hedge.endpoint_id != sent.endpoint_id
+
+
+def test_block_expires_though_peers_repeat_it_and_tables_stay_bounded():
+    """Guards against a block that entries keep alive among themselves."""
+    table = PoisonTable(n_max=2)
+    for now_ms in range(0, 600_000, 100_000):
+        table.block("f", now_ms, is_own=False)
+    assert table.digest(599_999) == ((), ())
+    assert table.is_blocked("f", 599_999)
+    assert not table.is_blocked("f", 600_000)
+    for name in "abcd":
+        table.block(name, 0, is_own=True)
+        table.suspect(name + name, 0, is_own=True)
+        table.hold(name, "x", 1, True, 0)
+    assert table.digest(1) == (("c", "d"), ("cc", "dd"))
+    assert len(table._holds) == 2
+
+
+def test_restart_convicts_only_right_after_the_loss():
+    """Guards against blocking an innocent for a later, unrelated restart."""
+    table = PoisonTable()
+    table.hold("f", "x", 1, True, 0)
+    assert table.resolve_holds("x", 1, 10) == []
+    assert table.resolve_holds("x", 2, 20) == []
+    table.hold("f", "x", 1, True, 30)
+    assert table.resolve_holds("x", 2, 40) == ["f"]
+
+
+def test_requests_of_a_pool_without_endpoints_are_refused_after_the_grace_period():
+    """Guards against requests that wait for their deadline without a chance."""
+    state = start(n_endpoints=1)
+    for i in range(5):
+        arrive(state, make_spec(f"r{i}", f"f{i}"))
+    reduce(state, EndpointDraining("x0"), 10)
+    (final,) = pick(reduce(state, TimerFired("wake"), 1_010), Reject)
+    assert final.refusal.reason is Reason.NO_ENDPOINT
+    (final,) = reduce(state, RequestArrived(make_spec("late")), 1_011)
+    assert final.refusal.reason is Reason.NO_ENDPOINT
+
+
+def test_every_table_is_bounded():
+    """Guards against memory that grows with traffic or with a long outage."""
+    state = start(n_endpoints=2, n_max_requests=3, n_max_endpoints=2)
+    assert connect(state, "x2") == [CloseConnection("x2")]
+    for i in range(9_000):
+        sent = arrive(state, make_spec(f"r{i}", f"f{i}"))
+        reduce(state, AttemptFinished(sent.attempt_id, 200, 1, Usage()), 1)
+    assert len(state.ended_attempts) <= 4_096
+    assert not state.request_by_id and not state.poison._n_running
+    for i in range(4):
+        arrive(state, make_spec(f"held{i}", f"f{i}"))
+    assert len(state.request_by_id) == 3
+    claims = ClaimTable("e")
+    for i in range(20_050):
+        claims.claim(make_spec(f"r{i}", key=f"k{i}"), 0)
+        write = claims._unsent.pop(f"r{i}")
+        claims.record(write, ClaimState.ABANDONED, "", 0)
+    assert len(claims._outcomes) == 20_000
+
+
+def test_budget_spends_its_minimum_and_a_tenth_of_fresh_requests():
+    """Guards against retry storms."""
+    budget = RetryBudget(n_min=2, percent=10)
+    n_spent = sum(budget.try_spend() for _ in range(5))
+    for _ in range(100):
+        budget.earn()
+        n_spent += budget.try_spend()
+    assert n_spent == 12
