--- a/packages/core/src/bluebellusher_core/admission/tests/test_queues.py
+++ b/packages/core/src/bluebellusher_core/admission/tests/test_queues.py
@@ -209,6 +209,17 @@
     assert [queue.take(2).request_id for _ in range(3)] == ["high", "other", "low"]
 
 
+@pytest.mark.parametrize("queue_type", QUEUES)
+def test_request_that_was_put_back_goes_first(queue_type):
+    """Guards against a taken request that loses its turn for lack of an endpoint."""
+    queue = queue_type()
+    queue.offer(make_request("low", "a", priority=Priority.LOW), 0)
+    taken = queue.take(1)
+    queue.offer(make_request("high", "b", priority=Priority.HIGH), 1)
+    queue.put_back(taken, 2)
+    assert [queue.take(3).request_id for _ in range(2)] == ["low", "high"]
+
+
 def test_request_is_refused_early_when_the_wait_exceeds_its_deadline():
     """Guards against requests that wait for a deadline they cannot meet."""
     queue = FairQueue()
--- a/packages/core/src/bluebellusher_core/routing/_predicted_latency.py
+++ b/packages/core/src/bluebellusher_core/routing/_predicted_latency.py
@@ -89,11 +89,11 @@
         prefill_tokens_per_ms: float = 8.0,
         base_ms: float = 30.0,
         remote_domain_ms: float = 2.0,
-        load_ms: float = 4.0,
+        load_ms: float = 5.0,
         n_sample: int = 12,
-        n_queue_allowed: int = 1,
+        n_queue_allowed: int = 3,
         load_memory_ms: float = 500.0,
-        slot_wait_weight: float = 0.4,
+        slot_wait_weight: float = 0.3,
         tolerated_slowness: float = 1.5,
     ) -> None:
         if not prefill_tokens_per_ms > 0:
