Compare the observed speed of an endpoint with the median

Cause: observed over predicted time to first token was about 0.4 on normal endpoints, because the prediction included the load term, so that an endpoint three times as slow stayed below the tolerance of 1.5. Ruled out: a lower tolerance, which depends on the error of the prediction. Change: the load term is no part of the prediction; speed is relative to the median.

--- a/packages/core/src/bluebellusher_core/routing/_predicted_latency.py
+++ b/packages/core/src/bluebellusher_core/routing/_predicted_latency.py
@@ -45,7 +45,8 @@
     only own attempts count. Several entries with the same stale report then do not
     all prefer the same endpoint: each evens out its own part, and with it the sum.
 
-    The prediction is scaled by the observed speed of the endpoint. An endpoint from
+    The prediction is scaled by the observed speed of the endpoint relative to the
+    median. An endpoint from
     which own attempts wait for a first byte is predicted to take at least as long
     as it has made no progress, so that a frozen one loses new work in about the
     time that an answer normally takes.
@@ -131,6 +132,7 @@
         sample = self._draw(request, views, random_state)
         loads = [self._estimate(view, now_ms) for view in sample]
         n_others_per_own = _others_per_own(loads)
+        usual_slowness = _usual_slowness(sample)
         best_id = None
         best_ms = float("inf")
         for load in loads:
@@ -139,7 +141,9 @@
                 continue
             if _is_suspect(load.view, now_ms):
                 continue
-            predicted_ms = self._predict_ms(request, load, n_others, now_ms)
+            predicted_ms = self._predict_ms(
+                request, load, n_others, usual_slowness, now_ms
+            )
             if predicted_ms < best_ms:
                 best_ms = predicted_ms
                 best_id = load.view.info.endpoint_id
@@ -195,12 +199,18 @@
         return view.n_own_in_flight < max(1, n_slots // 8)
 
     def _predict_ms(
-        self, request: RequestSpec, load: _Load, n_others: float, now_ms: int
+        self,
+        request: RequestSpec,
+        load: _Load,
+        n_others: float,
+        usual_slowness: float,
+        now_ms: int,
     ) -> float:
         view = load.view
-        normal_ms = self._normal_ms(request, load, n_others)
-        slowness = _current_slowness(view, now_ms) / self.tolerated_slowness
-        predicted_ms = normal_ms * max(1.0, slowness)
+        predicted_ms = self._normal_ms(request, load, n_others)
+        predicted_ms += self.load_ms * (view.n_own_in_flight + n_others)
+        slowness = _current_slowness(view, usual_slowness, now_ms)
+        predicted_ms *= max(1.0, slowness / self.tolerated_slowness)
         predicted_ms = max(predicted_ms, _stalled_ms(view, now_ms))
         if view.info.failure_domain != self.failure_domain:
             predicted_ms += self.remote_domain_ms
@@ -217,7 +227,7 @@
         n_excess = _mean_excess(n_in_flight - (n_slots - 1), deviation)
         service_ms = view.own_service_ms or DEFAULT_SERVICE_MS
         slot_wait_ms = self.slot_wait_weight * n_excess * service_ms / n_slots
-        return self.base_ms + self.load_ms * n_in_flight + prefill_ms + slot_wait_ms
+        return self.base_ms + prefill_ms + slot_wait_ms
 
 
 def _others_per_own(loads: list[_Load]) -> float:
@@ -259,9 +269,17 @@
     return deviation * density + mean * (1 + erf(z / sqrt(2))) / 2
 
 
-def _current_slowness(view: EndpointView, now_ms: int) -> float:
+def _usual_slowness(views: list[EndpointView]) -> float:
+    """Return the median, which removes a common error of the prediction."""
+    observed = sorted(view.slowness for view in views if view.own_predicted_ms > 0)
+    return observed[len(observed) // 2] if observed else 1.0
+
+
+def _current_slowness(view: EndpointView, usual: float, now_ms: int) -> float:
+    if view.own_predicted_ms <= 0 or usual <= 0:
+        return 1.0
     age_ms = now_ms - view.ttft_observed_at_ms
-    return 1 + (view.slowness - 1) * exp(-age_ms / SLOWNESS_MEMORY_MS)
+    return 1 + (view.slowness / usual - 1) * exp(-age_ms / SLOWNESS_MEMORY_MS)
 
 
 def _is_suspect(view: EndpointView, now_ms: int) -> bool:
