--- /dev/null
+++ b/bench/bench_balance.py
@@ -0,0 +1,114 @@
+"""Expert balance: skew and moved bytes of all policies, and time of a plan.
+
+All figures but the processor times repeat to the digit. Sizes of the comparison:
+32 ranks, 256 experts, 9 slots, 4 layers, 40 intervals, 3 seeds.
+"""
+
+from random import Random
+from time import process_time_ns
+
+from bench.balance_runs import (
+    BUDGET,
+    INTERVAL_MS,
+    N_EXPERT_BYTES,
+    N_EXPERTS,
+    N_RANKS,
+    N_SLOTS,
+    POLICIES,
+    SEEDS,
+    Popularity,
+    RunResult,
+    run_policy,
+)
+from bench.report import print_figure
+from bluebellusher_core.balance import (
+    Conditions,
+    GroupShape,
+    IncrementalPlanner,
+    MoveBudget,
+    make_initial_placement,
+)
+
+KINDS = ("drifting", "bursty", "adversarial")
+REFERENCE = "full-resolve"
+CHOSEN = "incremental"
+MAX_SKEW_RATIO = 1.02
+MAX_BYTES_RATIO = 0.1
+MAX_PLAN_MS = 100.0
+N_PLAN_LAYERS = 58
+N_PLANS = 12
+
+
+def main() -> None:
+    """Print every figure."""
+    for kind in KINDS:
+        print_comparison(kind)
+    print_plan_times()
+
+
+def print_comparison(kind: str) -> None:
+    """Print the figures of all policies on one kind of popularity."""
+    result_by_policy = {name: run_seeds(kind, name) for name in POLICIES}
+    reference = result_by_policy[REFERENCE]
+    for name, result in result_by_policy.items():
+        is_chosen = name == CHOSEN
+        print_figure(f"balance.{kind}.skew.{name}", result.mean_skew, "max/mean")
+        print_figure(f"balance.{kind}.moved.{name}", result.n_bytes / 1e9, "GB")
+        print_figure(
+            f"balance.{kind}.skew_over_full.{name}",
+            result.mean_skew / reference.mean_skew,
+            "ratio",
+            target=f"<={MAX_SKEW_RATIO}" if is_chosen else "none",
+        )
+        print_figure(
+            f"balance.{kind}.moved_over_full.{name}",
+            result.n_bytes / reference.n_bytes,
+            "ratio",
+            target=f"<={MAX_BYTES_RATIO}" if is_chosen else "none",
+        )
+
+
+def run_seeds(kind: str, name: str) -> RunResult:
+    """Return the means over all seeds."""
+    results = [run_policy(kind, POLICIES[name], seed) for seed in SEEDS]
+    skew = sum(result.mean_skew for result in results) / len(results)
+    return RunResult(skew, sum(result.n_bytes for result in results) // len(results))
+
+
+def print_plan_times() -> None:
+    """Print processor time of plans of 32 ranks, 256 experts and 58 layers."""
+    shape = GroupShape(N_RANKS, N_PLAN_LAYERS, N_EXPERTS, N_SLOTS, N_EXPERT_BYTES)
+    times_ms = measure_plan_times_ms(shape)
+    target = f"<={MAX_PLAN_MS:.0f}"
+    print_figure("balance.plan_cpu.first", times_ms[0], "ms", target)
+    later = sorted(times_ms[1:])
+    print_figure("balance.plan_cpu.median", later[len(later) // 2], "ms", target)
+    print_figure("balance.plan_cpu.max", max(times_ms), "ms", target)
+
+
+def measure_plan_times_ms(shape: GroupShape) -> list[float]:
+    """Return the processor time of ``observe`` and ``plan`` in each interval."""
+    scale = N_PLAN_LAYERS // 4 + 1
+    budget = MoveBudget(
+        BUDGET.max_loads * scale,
+        BUDGET.max_bytes * scale,
+        BUDGET.store_bytes_per_s * scale,
+        BUDGET.store_burst_bytes * scale,
+    )
+    policy = IncrementalPlanner(shape, budget)
+    popularity = Popularity("drifting", shape, seed=1)
+    placement = make_initial_placement(shape)
+    random_state = Random(1)
+    times_ms: list[float] = []
+    for interval in range(N_PLANS):
+        loads = popularity.advance(placement)
+        start_ns = process_time_ns()
+        policy.observe(loads)
+        plan = policy.plan(placement, Conditions(interval * INTERVAL_MS), random_state)
+        times_ms.append((process_time_ns() - start_ns) / 1e6)
+        placement = plan.placement
+    return times_ms
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/core/src/bluebellusher_core/balance/__init__.py
@@ -0,0 +1,46 @@
+"""Placement and replication of experts on the ranks of a group.
+
+A policy observes the load of every expert and plans the next placement as a list of
+moves. The placement takes effect through ``bluebellusher_core.mapswitch``.
+"""
+
+from bluebellusher_core.balance._baselines import FullResolve, NoRebalancing
+from bluebellusher_core.balance._incremental import IncrementalPlanner
+from bluebellusher_core.balance._limits import MoveBudget
+from bluebellusher_core.balance._model import (
+    GroupShape,
+    LayerPlacement,
+    Loads,
+    Move,
+    Placement,
+    apply_moves,
+    compute_moves,
+    compute_rank_loads,
+    compute_skew,
+    make_initial_placement,
+    validate_loads,
+    validate_placement,
+)
+from bluebellusher_core.balance._protocol import Conditions, PlacementPolicy, Plan
+
+__all__ = [
+    "Conditions",
+    "FullResolve",
+    "GroupShape",
+    "IncrementalPlanner",
+    "LayerPlacement",
+    "Loads",
+    "Move",
+    "MoveBudget",
+    "NoRebalancing",
+    "Placement",
+    "PlacementPolicy",
+    "Plan",
+    "apply_moves",
+    "compute_moves",
+    "compute_rank_loads",
+    "compute_skew",
+    "make_initial_placement",
+    "validate_loads",
+    "validate_placement",
+]
--- /dev/null
+++ b/packages/core/src/bluebellusher_core/balance/_baselines.py
@@ -0,0 +1,180 @@
+"""Policies that the chosen one is compared with."""
+
+from collections.abc import Sequence
+from heapq import heapify, heappop, heappush
+from random import Random
+
+from bluebellusher_core.balance._limits import MoveBudget, MoveLimiter
+from bluebellusher_core.balance._model import (
+    GroupShape,
+    LayerPlacement,
+    Loads,
+    Move,
+    Placement,
+    compute_moves,
+    validate_loads,
+)
+from bluebellusher_core.balance._protocol import Conditions, Plan
+
+
+class NoRebalancing:
+    """Keeps the placement as it is."""
+
+    def __init__(self, shape: GroupShape, budget: MoveBudget) -> None:
+        self._shape = shape
+
+    def observe(self, loads: Loads) -> None:
+        """Check the loads and ignore them."""
+        validate_loads(self._shape, loads)
+
+    def plan(
+        self, placement: Placement, conditions: Conditions, random_state: Random
+    ) -> Plan:
+        """Return the placement in force."""
+        return Plan(placement)
+
+
+class FullResolve:
+    """Solves every layer from scratch for the loads of the last interval.
+
+    Replicas go one by one to the expert with the highest load per replica; then the
+    replicas are packed, largest first, each on the least loaded rank with a free
+    slot (R. L. Graham, "Bounds on multiprocessing timing anomalies", 1969). A layer
+    whose moves do not fit the budget keeps its placement.
+
+    Parameters
+    ----------
+    shape : GroupShape
+        Sizes of the group.
+    budget : MoveBudget
+        Limits of one plan.
+    is_relabelled : bool
+        Whether packed ranks are matched with the ranks in force that already hold
+        most of their experts, which saves moves at the same skew.
+    """
+
+    def __init__(
+        self, shape: GroupShape, budget: MoveBudget, is_relabelled: bool = False
+    ) -> None:
+        self._shape = shape
+        self._limiter = MoveLimiter(budget, shape.n_expert_bytes)
+        self._is_relabelled = is_relabelled
+        self._loads: Loads | None = None
+
+    def observe(self, loads: Loads) -> None:
+        """Keep the loads of the last interval."""
+        validate_loads(self._shape, loads)
+        self._loads = loads
+
+    def plan(
+        self, placement: Placement, conditions: Conditions, random_state: Random
+    ) -> Plan:
+        """Return the solved layers as far as the budget allows, in random order."""
+        max_loads = self._limiter.compute_max_loads(conditions)
+        if self._loads is None or max_loads == 0:
+            return Plan(placement)
+        layers = list(placement)
+        moves: list[Move] = []
+        n_left = max_loads
+        for layer in random_state.sample(range(len(layers)), len(layers)):
+            solved = self._solve(self._loads[layer], placement[layer])
+            changed = (*layers[:layer], solved, *layers[layer + 1 :])
+            of_layer = compute_moves(self._shape, placement, changed, [layer])
+            n_loads = sum(1 for move in of_layer if move.to_rank is not None)
+            if n_loads <= n_left:
+                n_left -= n_loads
+                layers[layer] = solved
+                moves += of_layer
+        plan = Plan(tuple(layers), tuple(moves))
+        self._limiter.take(plan.n_bytes)
+        return plan
+
+    def _solve(self, loads: Sequence[float], old: LayerPlacement) -> LayerPlacement:
+        n_replicas = replicate_greedily(self._shape, loads)
+        packed = pack_largest_first(self._shape, loads, n_replicas)
+        if self._is_relabelled:
+            packed = relabel_ranks(self._shape, packed, old)
+        ranks: list[list[int]] = [[] for _ in loads]
+        for rank, experts in enumerate(packed):
+            for expert in experts:
+                ranks[expert].append(rank)
+        return tuple(tuple(held) for held in ranks)
+
+
+def replicate_greedily(shape: GroupShape, loads: Sequence[float]) -> list[int]:
+    """Return the number of replicas of each expert that together fill all slots."""
+    n_replicas = [1] * shape.n_experts
+    heap = [(-load, expert) for expert, load in enumerate(loads)]
+    heapify(heap)
+    n_free = shape.n_ranks * shape.n_slots - shape.n_experts
+    while n_free and heap:
+        _, expert = heappop(heap)
+        if n_replicas[expert] == shape.n_ranks:
+            continue
+        n_replicas[expert] += 1
+        n_free -= 1
+        heappush(heap, (-loads[expert] / n_replicas[expert], expert))
+    return n_replicas
+
+
+def pack_largest_first(
+    shape: GroupShape, loads: Sequence[float], n_replicas: Sequence[int]
+) -> list[set[int]]:
+    """Return the experts of each rank, packed by falling load of a replica."""
+    packed: list[set[int]] = [set() for _ in range(shape.n_ranks)]
+    rank_loads = [0.0] * shape.n_ranks
+    shares = [load / n for load, n in zip(loads, n_replicas, strict=True)]
+    replicas = [e for e, n in enumerate(n_replicas) for _ in range(n)]
+    replicas.sort(key=lambda e: -shares[e])
+    for expert in replicas:
+        free = [r for r in range(shape.n_ranks) if len(packed[r]) < shape.n_slots]
+        fitting = [r for r in free if expert not in packed[r]]
+        if fitting:
+            rank = min(fitting, key=rank_loads.__getitem__)
+        else:
+            rank = _free_a_slot(shape, packed, rank_loads, shares, expert, free[0])
+        packed[rank].add(expert)
+        rank_loads[rank] += shares[expert]
+    return packed
+
+
+def _free_a_slot(
+    shape: GroupShape,
+    packed: list[set[int]],
+    rank_loads: list[float],
+    shares: Sequence[float],
+    expert: int,
+    free_rank: int,
+) -> int:
+    # Every rank with a free slot has the expert already. A full rank without it has
+    # more experts than the free rank, so at least one of them can go there.
+    ranks = [r for r in range(shape.n_ranks) if expert not in packed[r]]
+    rank = min(ranks, key=rank_loads.__getitem__)
+    moved = min(packed[rank] - packed[free_rank])
+    packed[rank].remove(moved)
+    packed[free_rank].add(moved)
+    rank_loads[rank] -= shares[moved]
+    rank_loads[free_rank] += shares[moved]
+    return rank
+
+
+def relabel_ranks(
+    shape: GroupShape, packed: list[set[int]], old: LayerPlacement
+) -> list[set[int]]:
+    """Return the packed ranks in the order that keeps most experts in place."""
+    held: list[set[int]] = [set() for _ in range(shape.n_ranks)]
+    for expert, ranks in enumerate(old):
+        for rank in ranks:
+            held[rank].add(expert)
+    pairs = [
+        (-len(packed[new] & held[rank]), rank, new)
+        for rank in range(shape.n_ranks)
+        for new in range(shape.n_ranks)
+    ]
+    packed_by_rank: dict[int, int] = {}
+    used: set[int] = set()
+    for _, rank, new in sorted(pairs):
+        if rank not in packed_by_rank and new not in used:
+            packed_by_rank[rank] = new
+            used.add(new)
+    return [packed[packed_by_rank[rank]] for rank in range(shape.n_ranks)]
--- /dev/null
+++ b/packages/core/src/bluebellusher_core/balance/_incremental.py
@@ -0,0 +1,156 @@
+"""Placement in small steps: the chosen policy."""
+
+from collections.abc import Sequence
+from random import Random
+
+from bluebellusher_core.balance._layer_search import LayerSearch, Step
+from bluebellusher_core.balance._limits import MoveBudget, MoveLimiter
+from bluebellusher_core.balance._model import (
+    GroupShape,
+    LayerPlacement,
+    Loads,
+    Placement,
+    compute_moves,
+    compute_rank_loads,
+    compute_skew,
+    validate_loads,
+)
+from bluebellusher_core.balance._protocol import Conditions, Plan
+
+SMOOTHING = 0.5
+"""Weight of the last interval in the smoothed popularity."""
+
+SKEW_PER_LOAD = 0.002
+"""Skew of a layer that one expert load must save when both weights are equal."""
+
+MIN_GAIN = 0.01
+"""Weighted gain below which a layer stays as it is. It keeps the noise of the loads
+from moving experts back and forth."""
+
+
+class IncrementalPlanner:
+    """Changes few replicas in each interval, those that lower the skew most.
+
+    The cost of a layer is its skew (maximum over mean of the rank loads) plus the
+    price of its expert loads. Each layer is searched for the changes of lowest cost;
+    the layers with the largest gain for each load come first while the budget lasts.
+
+    Parameters
+    ----------
+    shape : GroupShape
+        Sizes of the group.
+    budget : MoveBudget
+        Limits of one plan.
+    skew_weight, move_weight : float
+        Arguments of the rules ``weight skew`` and ``weight moves``. Their ratio
+        scales the price of an expert load.
+    smoothing : float
+        Weight of the last interval in the smoothed popularity, above 0 and at most 1.
+    min_gain : float
+        Gain below which a layer stays as it is.
+
+    Raises
+    ------
+    ValueError
+        When a weight is not positive, or another parameter is out of range.
+    """
+
+    def __init__(
+        self,
+        shape: GroupShape,
+        budget: MoveBudget,
+        skew_weight: float = 1.0,
+        move_weight: float = 1.0,
+        smoothing: float = SMOOTHING,
+        min_gain: float = MIN_GAIN,
+    ) -> None:
+        if skew_weight <= 0:
+            raise ValueError(f"skew_weight is {skew_weight}, expected above 0")
+        if move_weight < 0:
+            raise ValueError(f"move_weight is {move_weight}, expected at least 0")
+        if not 0 < smoothing <= 1:
+            raise ValueError(f"smoothing is {smoothing}, expected above 0, at most 1")
+        if min_gain < 0:
+            raise ValueError(f"min_gain is {min_gain}, expected at least 0")
+        self._shape = shape
+        self._limiter = MoveLimiter(budget, shape.n_expert_bytes)
+        self._price = SKEW_PER_LOAD * move_weight / skew_weight
+        self._smoothing = smoothing
+        self._min_gain = min_gain
+        self._popularity: list[list[float]] = []
+
+    def observe(self, loads: Loads) -> None:
+        """Smooth the popularity of each expert exponentially."""
+        validate_loads(self._shape, loads)
+        if not self._popularity:
+            self._popularity = [list(of_layer) for of_layer in loads]
+            return
+        new, old = self._smoothing, 1 - self._smoothing
+        self._popularity = [
+            [old * before + new * load for before, load in zip(a, b, strict=True)]
+            for a, b in zip(self._popularity, loads, strict=True)
+        ]
+
+    def plan(
+        self, placement: Placement, conditions: Conditions, random_state: Random
+    ) -> Plan:
+        """Return the changes with the largest gain for each expert load.
+
+        Layers of equal gain are taken in random order, so that a small budget does
+        not always go to the first layers.
+        """
+        max_loads = self._limiter.compute_max_loads(conditions)
+        if not self._popularity or max_loads == 0:
+            return Plan(placement)
+        found: list[tuple[float, int, float, list[Step]]] = []
+        for layer in random_state.sample(range(len(placement)), len(placement)):
+            before, steps = self._search(layer, placement[layer], max_loads)
+            if steps:
+                gain = (before - steps[-1].cost) / max(1, steps[-1].n_loads)
+                found.append((gain, layer, before, steps))
+        found.sort(key=lambda one: -one[0])
+        changed: dict[int, LayerPlacement] = {}
+        for _, layer, before, steps in found:
+            steps = self._cut(before, steps, max_loads)
+            if steps:
+                max_loads -= steps[-1].n_loads
+                changed[layer] = _apply_steps(placement[layer], steps)
+        return self._finish(placement, changed)
+
+    def _search(
+        self, layer: int, ranks: LayerPlacement, max_loads: int
+    ) -> tuple[float, list[Step]]:
+        loads = self._popularity[layer]
+        rank_loads = compute_rank_loads(self._shape.n_ranks, ranks, loads)
+        before = compute_skew(rank_loads)
+        if before - 1.0 < self._min_gain:
+            return before, []
+        steps = LayerSearch(self._shape, ranks, loads).run(self._price, max_loads)
+        return before, self._cut(before, steps, max_loads)
+
+    def _cut(self, before: float, steps: list[Step], max_loads: int) -> list[Step]:
+        """Return the best first steps within the budget, if they gain enough."""
+        allowed: Sequence[Step] = [s for s in steps if s.n_loads <= max_loads]
+        if not allowed:
+            return []
+        n_best = min(range(len(allowed)), key=lambda n: allowed[n].cost) + 1
+        if before - allowed[n_best - 1].cost < self._min_gain:
+            return []
+        return steps[:n_best]
+
+    def _finish(self, placement: Placement, changed: dict[int, LayerPlacement]) -> Plan:
+        if not changed:
+            return Plan(placement)
+        new = tuple(changed.get(n, ranks) for n, ranks in enumerate(placement))
+        moves = compute_moves(self._shape, placement, new, sorted(changed))
+        plan = Plan(new, tuple(moves))
+        self._limiter.take(plan.n_bytes)
+        return plan
+
+
+def _apply_steps(ranks: LayerPlacement, steps: Sequence[Step]) -> LayerPlacement:
+    result = list(ranks)
+    for step in steps:
+        for expert, after in step.updates:
+            result[expert] = after
+    return tuple(result)
