--- a/packages/core/src/bluebellusher_core/balance/_incremental.py
+++ b/packages/core/src/bluebellusher_core/balance/_incremental.py
@@ -102,41 +102,26 @@
         max_loads = self._limiter.compute_max_loads(conditions)
         if not self._popularity or max_loads == 0:
             return Plan(placement)
-        found: list[tuple[float, int, float, list[Step]]] = []
+        steps_by_layer: dict[int, list[Step]] = {}
         for layer in random_state.sample(range(len(placement)), len(placement)):
-            before, steps = self._search(layer, placement[layer], max_loads)
+            steps = self._search(layer, placement[layer], max_loads)
             if steps:
-                gain = (before - steps[-1].cost) / max(1, steps[-1].n_loads)
-                found.append((gain, layer, before, steps))
-        found.sort(key=lambda one: -one[0])
-        changed: dict[int, LayerPlacement] = {}
-        for _, layer, before, steps in found:
-            steps = self._cut(before, steps, max_loads)
-            if steps:
-                max_loads -= steps[-1].n_loads
-                changed[layer] = _apply_steps(placement[layer], steps)
+                steps_by_layer[layer] = steps
+        changed = {
+            layer: _apply_steps(placement[layer], steps)
+            for layer, steps in share_budget(steps_by_layer, max_loads).items()
+            if steps[0].cost - steps[-1].cost >= self._min_gain
+        }
         return self._finish(placement, changed)
 
-    def _search(
-        self, layer: int, ranks: LayerPlacement, max_loads: int
-    ) -> tuple[float, list[Step]]:
+    def _search(self, layer: int, ranks: LayerPlacement, max_loads: int) -> list[Step]:
+        """Return the steps of a layer; none when they gain less than the minimum."""
         loads = self._popularity[layer]
         rank_loads = compute_rank_loads(self._shape.n_ranks, ranks, loads)
-        before = compute_skew(rank_loads)
-        if before - 1.0 < self._min_gain:
-            return before, []
-        steps = LayerSearch(self._shape, ranks, loads).run(self._price, max_loads)
-        return before, self._cut(before, steps, max_loads)
-
-    def _cut(self, before: float, steps: list[Step], max_loads: int) -> list[Step]:
-        """Return the best first steps within the budget, if they gain enough."""
-        allowed: Sequence[Step] = [s for s in steps if s.n_loads <= max_loads]
-        if not allowed:
+        if compute_skew(rank_loads) - 1.0 < self._min_gain:
             return []
-        n_best = min(range(len(allowed)), key=lambda n: allowed[n].cost) + 1
-        if before - allowed[n_best - 1].cost < self._min_gain:
-            return []
-        return steps[:n_best]
+        steps = LayerSearch(self._shape, ranks, loads).run(self._price, max_loads)
+        return steps if steps[0].cost - steps[-1].cost >= self._min_gain else []
 
     def _finish(self, placement: Placement, changed: dict[int, LayerPlacement]) -> Plan:
         if not changed:
@@ -148,6 +133,53 @@
         return plan
 
 
+def share_budget(
+    steps_by_layer: dict[int, list[Step]], max_loads: int
+) -> dict[int, list[Step]]:
+    """Return the first steps of each layer that together gain most for their loads.
+
+    The points of the lower convex hull of cost over loads are taken in the order of
+    their gain for each load over all layers. A long search of one layer for small
+    gains so cannot use up the budget of the others.
+    """
+    segments = [
+        (-gain_per_load, layer, n_steps)
+        for layer, steps in steps_by_layer.items()
+        for gain_per_load, n_steps in compute_hull(steps)
+    ]
+    segments.sort(key=lambda one: one[0])
+    n_steps_by_layer = dict.fromkeys(steps_by_layer, 1)
+    full: set[int] = set()
+    for _, layer, n_steps in segments:
+        steps = steps_by_layer[layer]
+        n_before = steps[n_steps_by_layer[layer] - 1].n_loads
+        n_more = steps[n_steps - 1].n_loads - n_before
+        if layer in full or n_more > max_loads:
+            full.add(layer)
+            continue
+        max_loads -= n_more
+        n_steps_by_layer[layer] = n_steps
+    return {layer: steps_by_layer[layer][:n] for layer, n in n_steps_by_layer.items()}
+
+
+def compute_hull(steps: Sequence[Step]) -> list[tuple[float, int]]:
+    """Return the gain for each load and the number of steps of each hull point."""
+    hull: list[tuple[float, int]] = []
+    at = 0
+    while at < len(steps) - 1:
+        start = steps[at]
+        gain, after = max(
+            ((start.cost - one.cost) / (one.n_loads - start.n_loads), n)
+            for n, one in enumerate(steps)
+            if n > at
+        )
+        if gain <= 0:
+            break
+        hull.append((gain, after + 1))
+        at = after
+    return hull
+
+
 def _apply_steps(ranks: LayerPlacement, steps: Sequence[Step]) -> LayerPlacement:
     result = list(ranks)
     for step in steps:
--- a/packages/core/src/bluebellusher_core/balance/_layer_search.py
+++ b/packages/core/src/bluebellusher_core/balance/_layer_search.py
@@ -16,7 +16,7 @@
 """Ranks that are tried as the target of a step; more of them cost time and gave no
 lower skew in the measurement."""
 
-MAX_IDLE_STEPS = 4
+MAX_IDLE_STEPS = 8
 """Steps without a better result after which a search ends."""
 
 
@@ -62,7 +62,7 @@
         self._mean = sum(self._rank_loads) / shape.n_ranks
 
     def run(self, price: float, max_loads: int) -> list[Step]:
-        """Return the steps up to the one with the lowest cost; none when none helps.
+        """Return the state in force as a step, and the steps up to the lowest cost.
 
         Parameters
         ----------
@@ -71,8 +71,8 @@
         max_loads : int
             Limit of expert loads.
         """
-        steps: list[Step] = []
-        best_cost, n_best, n_loads = self._skew(), 0, 0
+        steps = [Step((), 0, self._skew())]
+        n_best, n_loads = 1, 0
         while len(steps) - n_best < MAX_IDLE_STEPS:
             n_more, updates = self._find_step()
             n_loads += n_more
@@ -81,8 +81,8 @@
             self._change(updates)
             cost = self._skew() + price * n_loads
             steps.append(Step(updates, n_loads, cost))
-            if cost < best_cost:
-                best_cost, n_best = cost, len(steps)
+            if cost < steps[n_best - 1].cost:
+                n_best = len(steps)
         return steps[:n_best]
 
     def _skew(self) -> float:
@@ -105,9 +105,11 @@
         rank_loads = self._rank_loads
         order = sorted(range(len(rank_loads)), key=rank_loads.__getitem__)
         hot = order[-1]
-        best_gain, best = 0.0, (0, ())
-        best_step: tuple[int, Updates] = best
-        for cool in order[: min(N_COOLEST_RANKS, len(order) - 1)]:
+        best_gain = 0.0
+        best_step: tuple[int, Updates] = (0, ())
+        for n_tried, cool in enumerate(order[:-1]):
+            if n_tried >= N_COOLEST_RANKS and best_gain:
+                break
             for gain, n_loads, updates in (
                 self._find_load(hot, cool),
                 self._find_exchange(hot, cool),
--- a/packages/core/src/bluebellusher_core/balance/_model.py
+++ b/packages/core/src/bluebellusher_core/balance/_model.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
+from itertools import pairwise
 from math import isfinite
 
 Loads = Sequence[Sequence[float]]
@@ -109,7 +110,7 @@
         place = f"placement of layer {layer}, expert {expert} is {held}"
         if not held:
             raise ValueError(f"{place}, expected at least one rank")
-        if any(a >= b for a, b in zip(held, held[1:], strict=False)):
+        if any(a >= b for a, b in pairwise(held)):
             raise ValueError(f"{place}, expected different ranks in rising order")
         if held[0] < 0 or held[-1] >= shape.n_ranks:
             raise ValueError(f"{place}, expected ranks 0 to {shape.n_ranks - 1}")
