--- a/packages/core/src/bluebellusher_core/balance/_layer_search.py
+++ b/packages/core/src/bluebellusher_core/balance/_layer_search.py
@@ -9,6 +9,9 @@
     compute_rank_loads,
 )
 
+MAX_LARGE_COPIES = 3
+"""Copies in one search of experts that alone exceed the mean rank load."""
+
 Updates = tuple[tuple[int, tuple[int, ...]], ...]
 """Experts and the ranks that hold them after a step."""
 
@@ -16,7 +19,7 @@
 """Ranks that are tried as the target of a step; more of them cost time and gave no
 lower skew in the measurement."""
 
-MAX_IDLE_STEPS = 8
+MAX_IDLE_STEPS = 12
 """Steps without a better result after which a search ends."""
 
 
@@ -59,6 +62,7 @@
         for expert, held in enumerate(ranks):
             for rank in held:
                 self._held[rank].add(expert)
+        self._n_copies = 0
         self._mean = sum(self._rank_loads) / shape.n_ranks
 
     def run(self, price: float, max_loads: int) -> list[Step]:
@@ -116,7 +120,34 @@
             ):
                 if gain > best_gain:
                     best_gain, best_step = gain, (n_loads, updates)
-        return best_step
+        return best_step if best_gain else self._find_copy_of_large(hot, order)
+
+    def _find_copy_of_large(self, hot: int, order: list[int]) -> tuple[int, Updates]:
+        """Return a copy of an expert that alone exceeds the mean rank load.
+
+        No single step helps such a layer: each rank that gets a replica is above the
+        mean until later steps have relieved it of its other experts.
+        """
+        expert = max(self._held[hot], key=lambda e: (self._shares[e], e))
+        if self._n_copies == MAX_LARGE_COPIES or self._shares[expert] <= self._mean:
+            return 0, ()
+        self._n_copies += 1
+        cool = next((r for r in order if expert not in self._held[r]), None)
+        if cool is None:
+            return 0, ()
+        copy = (expert, tuple(sorted((*self._ranks[expert], cool))))
+        if len(self._held[cool]) < self._n_slots:
+            return 1, (copy,)
+        victim = self._find_redundant(cool)
+        if victim is not None:
+            return 1, (copy, (victim, _remove(self._ranks[victim], cool)))
+        for other in order:
+            movable = self._held[cool] - self._held[other]
+            if len(self._held[other]) < self._n_slots and movable:
+                moved = min(movable, key=lambda e: (self._shares[e], e))
+                room = (moved, _replace(self._ranks[moved], cool, other))
+                return 2, (copy, room)
+        return 0, ()
 
     def _find_exchange(self, hot: int, cool: int) -> tuple[float, int, Updates]:
         """Return the gain for each load, the loads and the changes."""
@@ -147,8 +178,8 @@
             victim = self._find_redundant(cool)
             if victim is None:
                 return 0.0, 0, ()
-        best_gain, best_updates = 0.0, ()
-        result: Updates = best_updates
+        best_gain = 0.0
+        result: Updates = ()
         for expert in sorted(self._held[hot] - self._held[cool]):
             held = self._ranks[expert]
             for after in (_replace(held, hot, cool), tuple(sorted((*held, cool)))):
@@ -156,7 +187,7 @@
                 if gain > best_gain:
                     best_gain, result = gain, ((expert, after),)
         if result and victim is not None:
-            left = tuple(rank for rank in self._ranks[victim] if rank != cool)
+            left = _remove(self._ranks[victim], cool)
             result = (*result, (victim, left))
         return best_gain, 1, result
 
@@ -191,5 +222,9 @@
         return top - max(hot_load, cool_load, *others)
 
 
+def _remove(ranks: tuple[int, ...], old: int) -> tuple[int, ...]:
+    return tuple(rank for rank in ranks if rank != old)
+
+
 def _replace(ranks: tuple[int, ...], old: int, new: int) -> tuple[int, ...]:
     return tuple(sorted(new if rank == old else rank for rank in ranks))
