--- a/packages/core/src/bluebellusher_core/balance/_layer_search.py
+++ b/packages/core/src/bluebellusher_core/balance/_layer_search.py
@@ -1,5 +1,6 @@
 """Search for few changes of one layer that lower its maximum rank load."""
 
+from bisect import bisect
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -15,11 +16,7 @@
 Updates = tuple[tuple[int, tuple[int, ...]], ...]
 """Experts and the ranks that hold them after a step."""
 
-N_COOLEST_RANKS = 2
-"""Ranks that are tried as the target of a step; more of them cost time and gave no
-lower skew in the measurement."""
-
-MAX_IDLE_STEPS = 12
+MAX_IDLE_STEPS = 6
 """Steps without a better result after which a search ends."""
 
 
@@ -77,7 +74,9 @@
         """
         steps = [Step((), 0, self._skew())]
         n_best, n_loads = 1, 0
-        while len(steps) - n_best < MAX_IDLE_STEPS:
+        while len(steps) - n_best < MAX_IDLE_STEPS * (1 + self._n_copies):
+            if 1.0 + price * (n_loads + 1) >= steps[n_best - 1].cost:
+                break  # Even a layer without skew would cost more.
             n_more, updates = self._find_step()
             n_loads += n_more
             if not updates or n_loads > max_loads:
@@ -111,8 +110,8 @@
         hot = order[-1]
         best_gain = 0.0
         best_step: tuple[int, Updates] = (0, ())
-        for n_tried, cool in enumerate(order[:-1]):
-            if n_tried >= N_COOLEST_RANKS and best_gain:
+        for cool in order[:-1]:
+            if best_gain:
                 break
             for gain, n_loads, updates in (
                 self._find_load(hot, cool),
@@ -152,24 +151,25 @@
     def _find_exchange(self, hot: int, cool: int) -> tuple[float, int, Updates]:
         """Return the gain for each load, the loads and the changes."""
         shares = self._shares
-        gap = self._rank_loads[hot] - self._rank_loads[cool]
-        ours = self._held[hot] - self._held[cool]
-        theirs = [(shares[e], e) for e in self._held[cool] - self._held[hot]]
-        half = gap / 2
-        # The maximum of both ranks falls most when half of the gap is exchanged.
-        pairs = [
-            (abs(shares[e] - share - half), e, other)
-            for e in ours
-            for share, other in theirs
-        ]
-        if not pairs:
+        half = (self._rank_loads[hot] - self._rank_loads[cool]) / 2
+        theirs = sorted((shares[e], e) for e in self._held[cool] - self._held[hot])
+        best_error, best = half, (-1, -1)
+        for expert in self._held[hot] - self._held[cool]:
+            # The maximum of both ranks falls most when half of the gap is exchanged.
+            wanted = shares[expert] - half
+            at = bisect(theirs, (wanted, -1))
+            for share, other in theirs[max(0, at - 1) : at + 1]:
+                error = abs(share - wanted)
+                if error < best_error or (error == best_error and expert < best[0]):
+                    best_error, best = error, (expert, other)
+        if best[0] < 0:
             return 0.0, 0, ()
-        error, expert, other = min(pairs)
+        expert, other = best
         updates = (
             (expert, _replace(self._ranks[expert], hot, cool)),
             (other, _replace(self._ranks[other], cool, hot)),
         )
-        return (half - error) / 2, 2, updates
+        return (half - best_error) / 2, 2, updates
 
     def _find_load(self, hot: int, cool: int) -> tuple[float, int, Updates]:
         """Return the best copy or move of an expert of the hot rank."""
@@ -178,18 +178,39 @@
             victim = self._find_redundant(cool)
             if victim is None:
                 return 0.0, 0, ()
-        best_gain = 0.0
-        result: Updates = ()
+        hot_base, cool_base, others = self._loads_without(victim, hot, cool)
+        best, best_expert, is_copy = self._rank_loads[hot], -1, False
         for expert in sorted(self._held[hot] - self._held[cool]):
-            held = self._ranks[expert]
-            for after in (_replace(held, hot, cool), tuple(sorted((*held, cool)))):
-                gain = self._gain_of_load(hot, cool, expert, len(after), victim)
-                if gain > best_gain:
-                    best_gain, result = gain, ((expert, after),)
-        if result and victim is not None:
-            left = _remove(self._ranks[victim], cool)
-            result = (*result, (victim, left))
-        return best_gain, 1, result
+            share, load = self._shares[expert], self._loads[expert]
+            copied = load / (len(self._ranks[expert]) + 1)
+            after_move = max(hot_base - share, cool_base + share, others)
+            after_copy = max(hot_base - share + copied, cool_base + copied, others)
+            if min(after_move, after_copy) < best:
+                best, best_expert = min(after_move, after_copy), expert
+                is_copy = after_copy < after_move
+        if best_expert < 0:
+            return 0.0, 0, ()
+        held = self._ranks[best_expert]
+        after = tuple(sorted((*held, cool))) if is_copy else _replace(held, hot, cool)
+        updates: Updates = ((best_expert, after),)
+        if victim is not None:
+            updates = (*updates, (victim, _remove(self._ranks[victim], cool)))
+        return self._rank_loads[hot] - best, 1, updates
+
+    def _loads_without(
+        self, victim: int | None, hot: int, cool: int
+    ) -> tuple[float, float, float]:
+        """Return the loads of both ranks and the highest other load that rises."""
+        rank_loads = self._rank_loads
+        hot_load, cool_load = rank_loads[hot], rank_loads[cool]
+        if victim is None:
+            return hot_load, cool_load, 0.0
+        held, share = self._ranks[victim], self._shares[victim]
+        added = share / (len(held) - 1)
+        if hot in held:
+            hot_load += added
+        others = [rank_loads[r] + added for r in held if r != cool and r != hot]
+        return hot_load, cool_load - share, max(others, default=0.0)
 
     def _find_redundant(self, rank: int) -> int | None:
         ranks, shares = self._ranks, self._shares
@@ -200,27 +221,6 @@
         ]
         return min(added)[1] if added else None
 
-    def _gain_of_load(
-        self, hot: int, cool: int, expert: int, n_after: int, victim: int | None
-    ) -> float:
-        rank_loads, share = self._rank_loads, self._shares[expert]
-        top = rank_loads[hot]
-        if n_after == len(self._ranks[expert]):
-            given, taken = share, share
-        else:
-            taken = self._loads[expert] / n_after
-            given = share - taken
-        hot_load, cool_load = top - given, rank_loads[cool] + taken
-        if victim is None:
-            return top - max(hot_load, cool_load)
-        held = self._ranks[victim]
-        cool_load -= self._shares[victim]
-        added = self._shares[victim] / (len(held) - 1)
-        if hot in held:
-            hot_load += added
-        others = [rank_loads[r] + added for r in held if r != cool and r != hot]
-        return top - max(hot_load, cool_load, *others)
-
 
 def _remove(ranks: tuple[int, ...], old: int) -> tuple[int, ...]:
     return tuple(rank for rank in ranks if rank != old)
