Run configuration changes in the entry

Cause: the decisions on configuration versions existed, but no entry executed them; /admin/rules was missing, and rules never came into force. Change: operators' pages, staging and writing of changes, settling of unknown ones, announcement by digest and pull of the text, poll of the head, version in force with its rules, status.

--- a/packages/entry/src/bluebellusher/cli/_entry.py
+++ b/packages/entry/src/bluebellusher/cli/_entry.py
@@ -7,7 +7,7 @@
 import itertools
 import signal
 import sys
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from random import Random
 from typing import Any
 
@@ -17,6 +17,7 @@
 from bluebellusher.links import AgentLinks, Identity, LinkTicker, PeerLinks
 from bluebellusher.observability import KeyValueLog, Metrics, Tracer
 from bluebellusher.platform import PlatformClient
+from bluebellusher.rollout import ConfigRollout
 from bluebellusher.runtime import ClaimWriter, PeerExchange, PlatformStore, Runtime
 from bluebellusher.server import HttpServer
 from bluebellusher.settings import AddressSettings, Settings
@@ -74,6 +75,15 @@
         store = PlatformStore(self.platform)
         claims = ClaimWriter(store, self.runtime, settings.instance_id)
         self.runtime.attach(self.agents, claims, store)
+        self.rollout = ConfigRollout.from_parts(
+            settings,
+            self.runtime,
+            clock,
+            self.peers,
+            self.platform,
+            self.view.make_digest,
+            seed,
+        )
         counter = itertools.count(1)
         prefix = f"{settings.instance_id}.{self.incarnation}"
         self.server = HttpServer(
@@ -82,6 +92,7 @@
             store,
             self.view,
             lambda: f"{prefix}.r{next(counter)}",
+            (self.rollout.pages,),
         )
 
     async def start(self) -> None:
@@ -92,6 +103,7 @@
         peer_port = await self.peers.listen(address.host, address.port)
         http_port = await self.server.start()
         self.agents.dial(_pairs(self.settings.agents))
+        self.rollout.start(self.peer_exchange, self.ticker)
         self.peers.dial(_pairs(self.settings.peers))
         self.log.event(
             "listening",
@@ -113,6 +125,7 @@
             await self._wait_for_progress()
         self.ticker.stop()
         await self.agents.close()
+        await self.rollout.close()
         await self.peers.close()
         await self.platform.close()
         self.runtime.close()
@@ -126,7 +139,7 @@
                 await self.runtime.request_ended.wait()
 
 
-def _pairs(addresses: tuple[AddressSettings, ...]) -> list[tuple[str, int]]:
+def _pairs(addresses: Iterable[AddressSettings]) -> list[tuple[str, int]]:
     return [(address.host, address.port) for address in addresses]
 
 
--- a/packages/entry/src/bluebellusher/cli/_view.py
+++ b/packages/entry/src/bluebellusher/cli/_view.py
@@ -24,6 +24,7 @@
         """Return members, endpoints, configuration version, claims and ages."""
         entry = self._entry
         now_ms = entry.clock.now_ms()
+        config = entry.rollout.in_force.status()
         return {
             "instance_id": entry.settings.instance_id,
             "failure_domain": entry.settings.failure_domain,
@@ -38,7 +39,8 @@
             "n_connections": entry.server.n_connections,
             "n_claims_in_flight": entry.runtime.n_claims_in_flight,
             "config_version": self._config_version(),
-            "config_age_ms": now_ms - self._started_at_ms,
+            "config_age_ms": config["in_force_ms"],
+            "config": config,
             "members": self._members(now_ms),
             "endpoints": self._endpoints(now_ms),
             "latency_ms": entry.runtime.metrics.quantiles(),
@@ -69,7 +71,7 @@
         )
 
     def _config_version(self) -> int:
-        return self._entry.state.config_version
+        return self._entry.rollout.in_force.version
 
     def _own_member(self) -> Any:
         settings = self._entry.settings
--- a/packages/entry/src/bluebellusher/cli/rules_client.py
+++ b/packages/entry/src/bluebellusher/cli/rules_client.py
@@ -99,7 +99,8 @@
         except (aiohttp.ClientError, TimeoutError) as e:
             return ChangeState(state="unknown", reason=f"no answer: {e!r}")
         if status in _UNKNOWN_STATUSES:
-            return ChangeState(state="unknown", reason=f"HTTP status {status}")
+            reason = f"HTTP status {status}: {body[:2000]}"
+            return ChangeState(state="unknown", reason=reason)
         if status not in (200, 409):
             raise self._error(f"HTTP status {status}: {body[:2000]}")
         try:
--- /dev/null
+++ b/packages/entry/src/bluebellusher/rollout/_in_force.py
@@ -0,0 +1,160 @@
+"""The version that this entry runs, with its parsed rules."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from bluebellusher.links import EventSink
+from bluebellusher.settings import Settings
+from bluebellusher_core.clock import Clock
+from bluebellusher_core.events import CustomerPolicy, PolicyChanged
+from bluebellusher_core.rollout import ConfigVersion, VersionTracker
+from bluebellusher_core.rules import RuleSet, Share, parse_rules
+
+RulesListener = Callable[[ConfigVersion, RuleSet], None]
+_N_ERRORS_SHOWN = 20
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigSource:
+    """Where a version came from: ``settings``, ``table``, ``operator`` or a peer."""
+
+    name: str
+
+
+SETTINGS_SOURCE = ConfigSource("settings")
+
+
+def find_rules_errors(rules_text: str) -> list[str]:
+    """Return the errors of a rules text, each with line and column."""
+    result = parse_rules(rules_text)
+    if result.is_ok():
+        return []
+    return [error.render() for error in result.error]
+
+
+class ConfigInForce:
+    """Check versions that arrive from anywhere and put newer ones into force.
+
+    Parameters
+    ----------
+    settings : Settings
+        Customers whose weights hold where the rules give none.
+    sink : EventSink
+        Receives ``PolicyChanged`` and log lines.
+    clock : Clock
+        Times the age of the version.
+    """
+
+    def __init__(self, settings: Settings, sink: EventSink, clock: Clock) -> None:
+        self.rules = RuleSet(())
+        self._settings = settings
+        self._sink = sink
+        self._clock = clock
+        self._tracker = VersionTracker()
+        self._source = SETTINGS_SOURCE
+        self._changed_at_ms = clock.now_ms()
+        self._confirmed_at_ms: int | None = None
+        self._rejected_version = 0
+        self._listeners: list[RulesListener] = []
+
+    @property
+    def current(self) -> ConfigVersion | None:
+        """Return the version in force."""
+        return self._tracker.current
+
+    @property
+    def version(self) -> int:
+        """Return the number of the version in force; 0 when there is none."""
+        return self._tracker.version
+
+    @property
+    def seen_version(self) -> int:
+        """Return the highest version that was offered, in force or rejected.
+
+        A version that this entry cannot parse is not fetched again.
+        """
+        return max(self.version, self._rejected_version)
+
+    def add_listener(self, listener: RulesListener) -> None:
+        """Call ``listener(config, rules)`` with each version that comes into force."""
+        self._listeners.append(listener)
+
+    def confirm(self) -> None:
+        """Note that the table named no higher version than the one in force."""
+        self._confirmed_at_ms = self._clock.now_ms()
+
+    def offer(self, config: ConfigVersion, source: ConfigSource) -> bool:
+        """Put a newer version into force; return whether it is."""
+        if config.version < self.seen_version:
+            return False
+        if config.version == self._rejected_version:
+            return False
+        result = parse_rules(config.rules_text)
+        if not result.is_ok():
+            self._reject(config, [error.render() for error in result.error], source)
+            return False
+        try:
+            if not self._tracker.offer(config):
+                return False
+        except ValueError as error:
+            self._sink.log("config-conflict", source=source.name, error=str(error))
+            return False
+        self.rules = result.ok
+        self._source = source
+        self._changed_at_ms = self._clock.now_ms()
+        self._announce(config)
+        return True
+
+    def status(self) -> dict[str, Any]:
+        """Return version, source and ages in milliseconds.
+
+        ``age_ms`` counts from acceptance, by wall clocks; ``in_force_ms`` counts from
+        when this entry took the version, and ``confirmed_age_ms`` from when the table
+        last named no higher one.
+        """
+        now_ms = self._clock.now_ms()
+        current, confirmed_at_ms = self.current, self._confirmed_at_ms
+        accepted_wall_ms = current.accepted_wall_ms if current else None
+        return {
+            "version": self.version,
+            "change_id": current.change_id if current else "",
+            "author": current.author if current else "",
+            "source": self._source.name,
+            "age_ms": accepted_wall_ms and self._clock.wall_ms() - accepted_wall_ms,
+            "in_force_ms": now_ms - self._changed_at_ms,
+            "confirmed_age_ms": confirmed_at_ms and now_ms - confirmed_at_ms,
+            "rejected_version": self._rejected_version,
+        }
+
+    def _reject(
+        self, config: ConfigVersion, errors: list[str], source: ConfigSource
+    ) -> None:
+        self._rejected_version = config.version
+        self._sink.log(
+            "config-rejected",
+            version=config.version,
+            kept_version=self.version,
+            source=source.name,
+            error="; ".join(errors[:_N_ERRORS_SHOWN]),
+        )
+
+    def _announce(self, config: ConfigVersion) -> None:
+        self._sink.log(
+            "config-in-force",
+            version=config.version,
+            change_id=config.change_id,
+            source=self._source.name,
+        )
+        self._sink.post(PolicyChanged(config.version, self._policies()))
+        for listener in self._listeners:
+            listener(config, self.rules)
+
+    def _policies(self) -> tuple[CustomerPolicy, ...]:
+        """Return the weights of all customers of the settings and of the rules."""
+        weights = {c.customer_id: c.weight for c in self._settings.customers}
+        for customer in self.rules.customers:
+            weights.setdefault(customer, 1.0)
+        for share in self.rules.of(Share):
+            weights[share.customer] = float(share.weight)
+        return tuple(CustomerPolicy(name, weights[name]) for name in sorted(weights))
--- /dev/null
+++ b/packages/entry/src/bluebellusher/rollout/_rollout.py
@@ -0,0 +1,80 @@
+"""All parts of the configuration of one entry, connected."""
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from bluebellusher.links import EventSink, LinkTicker, PeerLinks
+from bluebellusher.platform import PlatformClient
+from bluebellusher.rollout._changes import ChangeRunner
+from bluebellusher.rollout._domains import DomainView
+from bluebellusher.rollout._in_force import ConfigInForce
+from bluebellusher.rollout._pages import RulesPages
+from bluebellusher.rollout._spread import ConfigSpread
+from bluebellusher.rollout._table import ConfigTable
+from bluebellusher.runtime import PeerExchange
+from bluebellusher.server import RequestParser
+from bluebellusher.settings import Settings
+from bluebellusher_core.clock import Clock
+from bluebellusher_core.wire import messages
+
+
+class ConfigRollout:
+    """Take, spread and accept versions of the rules.
+
+    ``in_force`` gives the version and its rules to the rest of the entry, and
+    ``pages`` serves the operators.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        in_force: ConfigInForce,
+        spread: ConfigSpread,
+        runner: ChangeRunner,
+        pages: RulesPages,
+    ) -> None:
+        self.in_force = in_force
+        self.pages = pages
+        self._settings = settings
+        self._spread = spread
+        self._runner = runner
+        self._task: asyncio.Task[None] | None = None
+
+    @classmethod
+    def from_parts(
+        cls,
+        settings: Settings,
+        sink: EventSink,
+        clock: Clock,
+        links: PeerLinks,
+        platform: PlatformClient,
+        make_digest: Callable[[], Any],
+        random_state: Random,
+    ) -> "ConfigRollout":
+        """Build everything from the parts of an entry."""
+        in_force = ConfigInForce(settings, sink, clock)
+        table = ConfigTable(platform)
+        domains = DomainView(settings, links, platform)
+        spread = ConfigSpread(
+            in_force, table, domains, links, make_digest, clock, random_state
+        )
+        runner = ChangeRunner(in_force, table, domains, links, sink, clock)
+        pages = RulesPages(RequestParser(settings), runner, table)
+        return cls(settings, in_force, spread, runner, pages)
+
+    def start(self, exchange: PeerExchange, ticker: LinkTicker) -> None:
+        """Handle the messages of peers, and poll the table."""
+        exchange.register(messages.ConfigStage, self._runner.receive_stage)
+        exchange.register(messages.ConfigStaged, self._runner.receive_staged)
+        self._spread.register(exchange)
+        ticker.add_callback(self._spread.tick)
+        self._task = asyncio.create_task(self._spread.poll(self._settings.instance_id))
+
+    async def close(self) -> None:
+        """End all tasks."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        await self._runner.close()
--- /dev/null
+++ b/packages/entry/src/bluebellusher/rollout/_spread.py
@@ -0,0 +1,159 @@
+"""Spread of versions between entries and from the table."""
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from bluebellusher.links import PeerLinks
+from bluebellusher.platform import PlatformError
+from bluebellusher.rollout._domains import DomainView
+from bluebellusher.rollout._in_force import ConfigInForce, ConfigSource
+from bluebellusher.rollout._table import ConfigTable
+from bluebellusher.runtime import PeerExchange
+from bluebellusher_core.clock import Clock
+from bluebellusher_core.rollout import ConfigVersion, choose_fan_out, is_poller
+from bluebellusher_core.rules import RuleSet
+from bluebellusher_core.wire import messages
+
+POLL_INTERVAL_MS = 1_000
+# A pull without an answer is sent to another peer after this time.
+PULL_TIMEOUT_MS = 1_000
+
+
+class ConfigSpread:
+    """Tell peers about a new version, fetch newer ones, and poll the table.
+
+    A new version is announced by a digest, and a peer that lacks it pulls the text
+    from one peer at a time. The text, which is the large part, therefore reaches
+    each entry once, although several peers announce it.
+
+    Parameters
+    ----------
+    in_force : ConfigInForce
+        Takes every version that arrives.
+    table : ConfigTable
+        Polled for the head.
+    domains : DomainView
+        Members for the choice of pollers and of peers to tell.
+    links : PeerLinks
+        Sends to peers.
+    make_digest : callable
+        Returns the current ``Digest`` message.
+    clock : Clock
+        Times the pulls.
+    random_state : Random
+        Chooses peers and jitter.
+    """
+
+    def __init__(
+        self,
+        in_force: ConfigInForce,
+        table: ConfigTable,
+        domains: DomainView,
+        links: PeerLinks,
+        make_digest: Callable[[], Any],
+        clock: Clock,
+        random_state: Random,
+    ) -> None:
+        self._in_force = in_force
+        self._table = table
+        self._domains = domains
+        self._links = links
+        self._make_digest = make_digest
+        self._clock = clock
+        self._random_state = random_state
+        self._version_by_peer_id: dict[str, int] = {}
+        self._pulled_at_ms: int | None = None
+
+    def register(self, exchange: PeerExchange) -> None:
+        """Handle the messages of peers."""
+        exchange.register(messages.Digest, self._receive_digest)
+        exchange.register(messages.ConfigPull, self._receive_pull)
+        exchange.register(messages.ConfigPush, self._receive_push)
+        self._in_force.add_listener(self._announce)
+
+    def tick(self, now_ms: int) -> None:
+        """Repeat a pull that was not answered."""
+        pulled_at_ms = self._pulled_at_ms
+        if pulled_at_ms is not None and now_ms - pulled_at_ms >= PULL_TIMEOUT_MS:
+            self._pulled_at_ms = None
+            self._pull()
+
+    async def poll(self, own_id: str) -> None:
+        """Read the head once at the start, and then every second as a poller."""
+        await self._poll_once()
+        while True:
+            jitter = 0.8 + 0.4 * self._random_state.random()
+            await asyncio.sleep(POLL_INTERVAL_MS / 1000 * jitter)
+            if is_poller(own_id, self._domains.own_members()):
+                await self._poll_once()
+
+    async def _poll_once(self) -> None:
+        try:
+            _, head = await self._table.read_head()
+            if head is not None and head.version > self._in_force.seen_version:
+                config = await self._table.read_version(head.version)
+                self._in_force.offer(config, ConfigSource("table"))
+        except PlatformError:
+            # The age of the last confirmation shows in the status.
+            return
+        if head is None or head.version <= self._in_force.version:
+            self._in_force.confirm()
+
+    def _announce(self, _config: ConfigVersion, _rules: RuleSet) -> None:
+        connected = self._domains.connected()
+        own = self._domains.own_domain
+        for peer_id in choose_fan_out(connected, own, self._random_state):
+            self._links.send(peer_id, self._make_digest())
+
+    def _receive_digest(self, peer_id: str, digest: Any) -> None:
+        members = digest.members or ()
+        self._domains.learn(
+            peer_id,
+            (f"{m.host}:{m.port}" for m in members if m.instance_id == peer_id),
+        )
+        self._version_by_peer_id[peer_id] = digest.config_version or 0
+        if self._pulled_at_ms is None:
+            self._pull()
+
+    def _pull(self) -> None:
+        """Ask one of the connected peers that run a newer version."""
+        seen = self._in_force.seen_version
+        connected = self._domains.connected()
+        newer = [
+            peer_id
+            for peer_id, version in sorted(self._version_by_peer_id.items())
+            if version > seen and peer_id in connected
+        ]
+        if newer:
+            peer_id = self._random_state.choice(newer)
+            self._pulled_at_ms = self._clock.now_ms()
+            self._links.send(peer_id, messages.ConfigPull(above_version=seen))
+
+    def _receive_pull(self, peer_id: str, pull: Any) -> None:
+        current = self._in_force.current
+        if current is not None and current.version > (pull.above_version or 0):
+            push = messages.ConfigPush(
+                version=current.version,
+                change_id=current.change_id,
+                rules_text=current.rules_text,
+                author=current.author,
+                accepted_wall_ms=current.accepted_wall_ms,
+            )
+            self._links.send(peer_id, push)
+
+    def _receive_push(self, peer_id: str, push: Any) -> None:
+        self._pulled_at_ms = None
+        version = push.version or 0
+        # What the peer can give; a digest that claimed more is not asked again.
+        self._version_by_peer_id[peer_id] = version
+        config = ConfigVersion(
+            version,
+            push.change_id or "",
+            push.rules_text or "",
+            push.author or "",
+            push.accepted_wall_ms or 0,
+        )
+        self._in_force.offer(config, ConfigSource(f"peer:{peer_id}"))
+        self._pull()
--- /dev/null
+++ b/packages/entry/src/bluebellusher/rollout/_table.py
@@ -0,0 +1,139 @@
+"""The rows of the configuration in the table."""
+
+from typing import Any
+
+from bluebellusher.platform import (
+    PlatformClient,
+    PlatformError,
+    Row,
+    TransactConflictError,
+)
+from bluebellusher_core.rollout import (
+    ConfigVersion,
+    RowRead,
+    WriteChange,
+    WriteResult,
+    WriteStatus,
+)
+
+HEAD_KEY = "config/head"
+VERSION_PREFIX = "config/version/"
+_CHANGE_PREFIX = "config/change/"
+# All versions come in one answer, which grows with the history.
+_HISTORY_DEADLINE_MS = 20_000
+
+
+class ConfigTable:
+    """Read and write head, version and change rows; faults raise ``PlatformError``.
+
+    The head row names the version without its text, because pollers read it every
+    second; the text is in the row of the version, which never changes.
+    """
+
+    def __init__(self, client: PlatformClient) -> None:
+        self._client = client
+
+    async def read_head(self) -> tuple[int, ConfigVersion | None]:
+        """Return row version and head; the head has no rules text."""
+        row = await self._read(HEAD_KEY)
+        return row.version, _read_version(row) if row.version else None
+
+    async def read_version(self, version: int) -> ConfigVersion:
+        """Return an accepted version with its text."""
+        row = await self._read(f"{VERSION_PREFIX}{version}")
+        if not row.version:
+            raise _malformed(row, "the row is absent")
+        return _read_version(row)
+
+    async def read_all(self) -> list[ConfigVersion]:
+        """Return all accepted versions by number."""
+        result = await self._client.read_rows(VERSION_PREFIX, _HISTORY_DEADLINE_MS)
+        if not result.is_ok():
+            raise result.error
+        versions = [_read_version(row) for row in result.ok]
+        return sorted(versions, key=lambda config: config.version)
+
+    async def read_change(self, change_id: str) -> int:
+        """Return the version of a change, 0 without a row, -1 for a refused one."""
+        row = await self._read(_CHANGE_PREFIX + change_id)
+        if not row.version:
+            return 0
+        try:
+            return int(row.value["version"])
+        except (KeyError, TypeError, ValueError) as error:
+            raise _malformed(row, str(error)) from None
+
+    async def read_rows(self, change_id: str) -> RowRead:
+        """Return what decides about a change.
+
+        The head is read first: a head that this change has written is then always
+        seen together with the row of the change.
+        """
+        head_row_version, head = await self.read_head()
+        return RowRead(head_row_version, head, await self.read_change(change_id))
+
+    async def write_change(self, write: WriteChange, operator: str) -> WriteResult:
+        """Accept a change in one transaction, unless a row contradicts."""
+        config = write.config
+        change_key = _CHANGE_PREFIX + config.change_id
+        head = _to_value(config)
+        change = {"version": config.version, "operator": operator}
+        puts = {
+            HEAD_KEY: head,
+            f"{VERSION_PREFIX}{config.version}": {
+                **head,
+                "rules_text": config.rules_text,
+            },
+            change_key: change,
+        }
+        conditions = {HEAD_KEY: write.head_row_version, change_key: 0}
+        result = await self._client.transact(conditions, puts)
+        if result.is_ok():
+            return WriteResult(WriteStatus.APPLIED)
+        if not isinstance(result.error, TransactConflictError):
+            return WriteResult(WriteStatus.NO_ANSWER)
+        try:
+            rows = await self.read_rows(config.change_id)
+        except PlatformError:
+            return WriteResult(WriteStatus.NO_ANSWER)
+        return WriteResult(WriteStatus.CONFLICT, rows)
+
+    async def write_refusal(self, change_id: str) -> None:
+        """Make a change without a row final as refused; a row is left as it is."""
+        key = _CHANGE_PREFIX + change_id
+        result = await self._client.transact({key: 0}, {key: {"version": -1}})
+        if not result.is_ok() and not isinstance(result.error, TransactConflictError):
+            raise result.error
+
+    async def _read(self, key: str) -> Row:
+        result = await self._client.read_row(key)
+        if not result.is_ok():
+            raise result.error
+        return result.ok
+
+
+def _to_value(config: ConfigVersion) -> dict[str, Any]:
+    return {
+        "version": config.version,
+        "change_id": config.change_id,
+        "author": config.author,
+        "accepted_wall_ms": config.accepted_wall_ms,
+    }
+
+
+def _read_version(row: Row) -> ConfigVersion:
+    value = row.value
+    try:
+        return ConfigVersion(
+            version=int(value["version"]),
+            change_id=str(value["change_id"]),
+            rules_text=str(value.get("rules_text", "")),
+            author=str(value["author"]),
+            accepted_wall_ms=int(value["accepted_wall_ms"]),
+        )
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        raise _malformed(row, f"{type(error).__name__}: {error}") from None
+
+
+def _malformed(row: Row, reason: str) -> PlatformError:
+    return PlatformError("config-read", "table", f"row {row.key}: {reason}")
--- a/packages/entry/src/bluebellusher/server/_app.py
+++ b/packages/entry/src/bluebellusher/server/_app.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from sanic import Request, Sanic
@@ -28,7 +28,7 @@
 )
 from bluebellusher.server._protocol import EntryProtocol
 from bluebellusher.server._respond import refusal_body, refusal_headers, status_of
-from bluebellusher.server._status import StatusSource
+from bluebellusher.server._status import Pages, StatusSource
 from bluebellusher.server._stream import AnswerSender
 from bluebellusher.settings import Settings
 from bluebellusher_core.errors import Outcome, Reason, Refusal
@@ -62,6 +62,8 @@
         Shown to operators.
     make_request_id : callable
         Returns a new id with each call.
+    more_pages : sequence of Pages
+        Routes of other parts of the entry.
     """
 
     def __init__(
@@ -71,12 +73,14 @@
         store: ClaimStore,
         status: StatusSource,
         make_request_id: Callable[[], str],
+        more_pages: Sequence[Pages] = (),
     ) -> None:
         self._settings = settings
         self._runtime = runtime
         self._make_request_id = make_request_id
         self._parser = RequestParser(settings)
         self._operator_pages = OperatorPages(self._parser, runtime, store, status)
+        self._more_pages = more_pages
         self._server: AsyncioServer | None = None
 
     async def start(self) -> int:
@@ -136,6 +140,8 @@
         app.ctx.n_max_connections = self._settings.limits.max_connections
         self._add_caller_routes(app)
         self._operator_pages.add_to(app)
+        for pages in self._more_pages:
+            pages.add_to(app)
         return app
 
     def _add_caller_routes(self, app: Sanic[Any, Any]) -> None:
--- a/packages/entry/src/bluebellusher/server/_status.py
+++ b/packages/entry/src/bluebellusher/server/_status.py
@@ -3,6 +3,8 @@
 from collections.abc import Mapping
 from typing import Any, Protocol
 
+from sanic import Sanic
+
 
 class StatusSource(Protocol):
     """State of the entry for operators and load balancers."""
@@ -15,3 +17,10 @@
 
     def gauges(self) -> Mapping[str, float]:
         """Return current figures by Prometheus name."""
+
+
+class Pages(Protocol):
+    """Routes that another part of the entry serves."""
+
+    def add_to(self, app: Sanic[Any, Any]) -> None:
+        """Register the routes."""
--- a/packages/entry/src/bluebellusher/settings/_models.py
+++ b/packages/entry/src/bluebellusher/settings/_models.py
@@ -46,6 +46,16 @@
         return f"{self.host}:{self.port}"
 
 
+class PeerSettings(AddressSettings):
+    """Where another entry listens for peers.
+
+    ``failure_domain`` lets a change name the domain that does not answer even when
+    its entries were never connected.
+    """
+
+    failure_domain: Identifier | None = None
+
+
 class ServiceKind(StrEnum):
     """Kind of a service."""
 
@@ -107,7 +117,7 @@
     peer_listen: AddressSettings
     platform_url: Annotated[str, Field(pattern=r"^http://[^\s/]+$")]
     agents: tuple[AddressSettings, ...] = ()
-    peers: tuple[AddressSettings, ...] = ()
+    peers: tuple[PeerSettings, ...] = ()
     services: Annotated[tuple[ServiceSettings, ...], Field(min_length=1)]
     customers: Annotated[tuple[CustomerSettings, ...], Field(min_length=1)]
     operators: tuple[OperatorSettings, ...] = ()
