Test configuration changes with several entries

Cause: no test ran a change through real entries. Ruled out: mocks of links and table, which would not show lost answers or silence. Change: a network of entries in one loop with wires that can be cut, and one test with frozen real processes.

--- /dev/null
+++ b/packages/entry/src/bluebellusher/rollout/tests/network.py
@@ -0,0 +1,208 @@
+"""Several entries over loopback, whose failure domains can be cut off."""
+
+import asyncio
+import contextlib
+import io
+
+import aiohttp
+
+from bluebellusher.cli._entry import Entry
+from bluebellusher.observability import KeyValueLog
+from bluebellusher.settings import Settings
+from bluebellusher_core.clock import SystemClock
+from bluebellusher_standins.cluster import HOST, SHARED_SECRET, find_free_port
+from bluebellusher_standins.platform import PlatformServer
+
+# Looks at a condition, 10 ms apart.
+N_LOOKS = 2_000
+OPERATOR = {"Authorization": "Bearer key-of-op"}
+
+
+def rules(weight: int, name: str = "Mio") -> str:
+    """Return a rules text in which customer c1 has this weight."""
+    return (
+        "currency JPY # Haruka: books\n"
+        "month-zone Asia/Tokyo # Haruka: invoices\n"
+        "customer c1 # Yuta: contract\n"
+        "budget c1 1000 JPY per month # Yuta: contract\n"
+        f"share c1 {weight} # {name}: agreed\n"
+    )
+
+
+class Wire:
+    """Forward connections to a port until it is cut."""
+
+    def __init__(self, target_port: int) -> None:
+        self.port = 0
+        self._target_port = target_port
+        self._is_cut = False
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> "Wire":
+        """Listen on a port of its own."""
+        self._server = await asyncio.start_server(self._accept, HOST, 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+        return self
+
+    def cut(self) -> None:
+        """Drop every connection and refuse new ones."""
+        self._is_cut = True
+        for writer in self._writers:
+            writer.transport.abort()
+
+    def heal(self) -> None:
+        """Forward again."""
+        self._is_cut = False
+
+    async def stop(self) -> None:
+        """End."""
+        self.cut()
+        self._server.close()
+
+    async def _accept(self, reader, writer) -> None:
+        if self._is_cut:
+            writer.transport.abort()
+            return
+        with contextlib.suppress(OSError):
+            far_reader, far_writer = await asyncio.open_connection(
+                HOST, self._target_port
+            )
+            self._writers |= {writer, far_writer}
+            await asyncio.gather(
+                self._copy(reader, far_writer), self._copy(far_reader, writer)
+            )
+
+    async def _copy(self, reader, writer) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(65_536):
+                writer.write(data)
+        writer.close()
+        self._writers.discard(writer)
+
+
+class Network:
+    """A platform and entries by name; the domain is the first letter of the name.
+
+    Peers of another domain are reached through a wire of each domain pair.
+    """
+
+    def __init__(self) -> None:
+        self.platform = PlatformServer(instance_lag_ms=0)
+        self.entry_by_name: dict[str, Entry] = {}
+        self.log_by_name: dict[str, io.StringIO] = {}
+        self.url_by_name: dict[str, str] = {}
+        self._peer_port_by_name: dict[str, int] = {}
+        self._wires: list[tuple[str, str, Wire]] = []
+
+    async def __aenter__(self) -> "Network":
+        await self.platform.start()
+        self.session = aiohttp.ClientSession(headers=OPERATOR)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.session.close()
+        for name in list(self.entry_by_name):
+            await self.stop(name)
+        for _, _, wire in self._wires:
+            await wire.stop()
+        await self.platform.stop()
+
+    async def start(self, *names: str) -> None:
+        """Start entries that know each other and those that run."""
+        for name in names:
+            self._peer_port_by_name[name] = find_free_port()
+        for name in names:
+            peers = []
+            for peer, port in self._peer_port_by_name.items():
+                if peer != name:
+                    wire = await Wire(port).start()
+                    self._wires.append((name[0], peer[0], wire))
+                    address = {"host": HOST, "port": wire.port}
+                    peers.append({**address, "failure_domain": peer[0]})
+            await self._start_one(name, peers)
+
+    async def _start_one(self, name: str, peers: list[dict]) -> None:
+        port = self._peer_port_by_name[name]
+        settings = {
+            "instance_id": name,
+            "failure_domain": name[0],
+            "shared_secret": SHARED_SECRET,
+            "http": {"host": HOST, "port": 0},
+            "peer_listen": {"host": HOST, "port": port},
+            "platform_url": self.platform.base_url,
+            "peers": peers,
+            "services": [{"service_id": "s", "kind": "model", "models": ["m"]}],
+            "customers": [{"customer_id": "c1", "credentials": ["key-of-c1"]}],
+            "operators": [{"name": "op", "credential": "key-of-op"}],
+            "limits": {"platform_timeout_ms": 500},
+        }
+        log = self.log_by_name[name] = io.StringIO()
+        entry = Entry(
+            Settings.model_validate(settings),
+            SystemClock(),
+            KeyValueLog.from_config("info", log),
+        )
+        await entry.start()
+        self.entry_by_name[name] = entry
+        http_port = log.getvalue().split(" port=")[1].split()[0]
+        self.url_by_name[name] = f"http://{HOST}:{http_port}/admin"
+
+    async def stop(self, name: str) -> None:
+        """Stop an entry."""
+        await self.entry_by_name.pop(name).stop()
+
+    def cut_off(self, domain: str) -> None:
+        """Separate a domain from the other domains and from the platform."""
+        self.platform.faults.cut_off_domains = [domain]
+        for ends in self._wires:
+            if domain in ends[:2] and ends[0] != ends[1]:
+                ends[2].cut()
+
+    def heal(self) -> None:
+        """Connect every domain again."""
+        self.platform.faults.cut_off_domains = []
+        for _, _, wire in self._wires:
+            wire.heal()
+
+    def version(self, name: str) -> int:
+        """Return the version in force at an entry."""
+        return self.entry_by_name[name].rollout.in_force.version
+
+    async def until(self, condition) -> None:
+        """Wait for a condition, within a bound."""
+        for _ in range(N_LOOKS):
+            if condition():
+                return
+            await asyncio.sleep(0.01)
+        raise TimeoutError("the condition did not come true")
+
+    async def until_in_force(self, version: int) -> None:
+        """Wait until every entry runs a version."""
+        names = list(self.entry_by_name)
+        await self.until(lambda: all(self.version(n) == version for n in names))
+
+    async def until_connected(self) -> None:
+        """Wait until every entry has told every other one its version."""
+        n_peers = len(self.entry_by_name) - 1
+        entries = list(self.entry_by_name.values())
+        await self.until(
+            lambda: all(
+                len(e.peer_exchange.config_version_by_peer_id) >= n_peers
+                and len(e.peers.connections_by_peer_id) == n_peers
+                for e in entries
+            )
+        )
+
+    async def apply(self, name: str, change_id: str, base: int, text: str, **more):
+        """Send a change; return the status code and the answer."""
+        body = {"change_id": change_id, "base_version": base, "rules_text": text}
+        body = {**body, "author": f"author of {change_id}", **more}
+        url = self.url_by_name[name] + "/rules"
+        async with self.session.post(url, json=body) as answer:
+            return answer.status, await answer.json()
+
+    async def get(self, name: str, path: str):
+        """Return the status code and the body of an operator's page."""
+        async with self.session.get(self.url_by_name[name] + path) as answer:
+            return answer.status, await answer.json()
--- /dev/null
+++ b/packages/entry/src/bluebellusher/rollout/tests/test_frozen_entry.py
@@ -0,0 +1,63 @@
+"""Guards, with real processes, against changes while an entry is frozen."""
+
+import asyncio
+import json
+import signal
+
+import aiohttp
+
+from bluebellusher.rollout.tests.network import OPERATOR, rules
+from bluebellusher_standins.cluster import HOST, Cluster
+
+
+async def apply(session, entry, change_id, base):
+    """Send a change; return the status code and the answer."""
+    body = {
+        "change_id": change_id,
+        "base_version": base,
+        "rules_text": rules(3 + base),
+        "author": "Mio",
+    }
+    url = f"http://{HOST}:{entry.port}/admin/rules"
+    async with session.post(url, data=json.dumps(body)) as answer:
+        return answer.status, await answer.json()
+
+
+def test_frozen_entry_refuses_the_change_and_takes_the_next():
+    """Guards against acceptance while the only entry of a domain is silent."""
+
+    async def scenario(cluster, session):
+        await cluster.start_platform()
+        ports = cluster.reserve_peer_ports(3)
+        entries = [
+            await cluster.start_entry(f"entry-{domain}", domain, port)
+            for domain, port in zip("abc", ports, strict=True)
+        ]
+        for domain in "bc":
+            await entries[0].wait_for(f"event=peer-connected peer=entry-{domain}")
+        assert (await apply(session, entries[0], "one", 0))[0] == 200
+        for entry in entries:
+            await entry.wait_for("event=config-in-force version=1")
+        entries[2].signal(signal.SIGSTOP)
+        status, answer = await apply(session, entries[0], "two", 1)
+        assert (status, answer["version"]) == (409, 0)
+        assert "failure domain c does not answer" in answer["reason"]
+        entries[2].signal(signal.SIGCONT)
+        # The frozen entry lost its connections meanwhile, or has them still.
+        for i in range(200):
+            status, answer = await apply(session, entries[0], f"three-{i}", 1)
+            if status == 200:
+                break
+            await asyncio.sleep(0.1)
+        assert (status, answer["version"]) == (200, 2)
+        for entry in entries:
+            await entry.wait_for("event=config-in-force version=2")
+
+    async def inner():
+        async with (
+            Cluster() as cluster,
+            aiohttp.ClientSession(headers=OPERATOR) as session,
+        ):
+            await scenario(cluster, session)
+
+    asyncio.run(inner())
--- /dev/null
+++ b/packages/entry/src/bluebellusher/rollout/tests/test_rollout.py
@@ -0,0 +1,276 @@
+"""Guards against a change that is lost, reverted or in force at some sites only."""
+
+import asyncio
+from dataclasses import replace
+
+from bluebellusher.rollout import ConfigSource, _changes
+from bluebellusher.rollout.tests.network import Network, rules
+from bluebellusher_core.rollout import ConfigVersion, WriteChange, _change
+from bluebellusher_core.rules import Share
+from bluebellusher_core.wire import messages
+
+
+def run(scenario, *names: str) -> None:
+    """Run a scenario in a network of connected entries."""
+
+    async def inner() -> None:
+        async with Network() as network:
+            await network.start(*names)
+            await network.until_connected()
+            await scenario(network)
+
+    asyncio.run(inner())
+
+
+def test_change_comes_into_force_at_all_entries():
+    """Guards against entries that keep old rules, and against a wrong operator."""
+
+    async def scenario(network):
+        answer = await network.apply("a1", "one", 0, rules(3))
+        assert answer[0] == 200 and answer[1]["version"] == 1
+        await network.until_in_force(1)
+        for name, entry in network.entry_by_name.items():
+            await network.until(lambda e=entry: e.state.config_version == 1)
+            assert entry.state.weight_by_customer == {"c1": 3.0}, name
+            assert entry.rollout.in_force.rules.customers == ("c1",)
+        _, status = await network.get("b1", "/status")
+        assert status["config_version"] == status["config"]["version"] == 1
+        assert status["config"]["source"].startswith(("table", "peer:"))
+        _, head = await network.get("c1", "/rules")
+        assert (head["version"], head["author"]) == (1, "author of one")
+        assert head["rules_text"] == rules(3)
+        _, versions = await network.get("c1", "/rules/versions")
+        assert [v["version"] for v in versions["versions"]] == [1]
+        assert await network.get("c1", "/rules/changes/one") == (
+            200,
+            {"state": "accepted", "version": 1},
+        )
+        assert (await network.get("c1", "/rules/changes/two"))[0] == 404
+        assert (await network.apply("a1", "bad", 1, "nonsense\n"))[0] == 400
+        network.session.headers["Authorization"] = "Bearer key-of-c1"
+        assert (await network.apply("a1", "two", 1, rules(4)))[0] == 401
+
+    run(scenario, "a1", "a2", "b1", "c1")
+
+
+def test_two_operators_race():
+    """Guards against an accepted change that another one overwrites."""
+
+    async def scenario(network):
+        answers = await asyncio.gather(
+            network.apply("a1", "one", 0, rules(3)),
+            network.apply("b1", "two", 0, rules(4)),
+        )
+        assert sorted(status for status, _ in answers) == [200, 409]
+        won, lost = sorted(answers, key=lambda answer: answer[0])
+        weight = 3 if answers[0] is won else 4
+        assert lost[1]["head_version"] == 1
+        assert lost[1]["rules_text"] == rules(weight)
+        await network.until_in_force(1)
+        status, answer = await network.apply("a1", "three", 1, rules(5))
+        assert (status, answer["version"]) == (200, 2)
+        _, versions = await network.get("a1", "/rules/versions")
+        texts = [v["rules_text"] for v in versions["versions"]]
+        assert texts == [rules(weight), rules(5)]
+
+    run(scenario, "a1", "b1")
+
+
+def test_lost_answer_of_the_table_is_resolved():
+    """Guards against a change that is written twice or reported as refused."""
+
+    async def scenario(network):
+        network.platform.faults.lose_answers = 1
+        status, answer = await network.apply("a1", "one", 0, rules(3))
+        assert (status, answer["version"]) == (200, 1)
+        await network.until_in_force(1)
+        assert await network.apply("b1", "one", 0, rules(3)) == (status, answer)
+        status, answer = await network.apply("b1", "one", 0, rules(9))
+        assert (status, answer["state"]) == (409, "refused")
+        _, versions = await network.get("a1", "/rules/versions")
+        assert len(versions["versions"]) == 1
+
+    run(scenario, "a1", "b1")
+
+
+def test_unknown_change_is_settled(monkeypatch):
+    """Guards against a change that stays unknown, or is refused and then written."""
+    monkeypatch.setattr(_change, "CHANGE_DEADLINE_MS", 500)
+    monkeypatch.setattr(_changes, "_SETTLE_INTERVAL_S", 0.05)
+
+    async def scenario(network):
+        network.platform.faults.is_down = True
+        status, answer = await network.apply("a1", "one", 0, rules(3))
+        assert (status, answer["state"]) == (503, "unknown")
+        network.platform.faults.is_down = False
+        read_rows = network.entry_by_name["a1"].rollout._runner._table.read_rows
+
+        async def read_then_fail(change_id):
+            rows = await read_rows(change_id)
+            network.platform.faults.is_down = True
+            return rows
+
+        table = network.entry_by_name["a1"].rollout._runner._table
+        table.read_rows = read_then_fail
+        status, answer = await network.apply("a1", "two", 0, rules(3))
+        assert (status, answer["state"]) == (503, "unknown")
+        table.read_rows = read_rows
+        network.platform.faults.is_down = False
+        key = "config/change/two"
+        await network.until(lambda: network.platform.table.read(key).version)
+        status, answer = await network.get("b1", "/rules/changes/two")
+        assert (status, answer["state"]) == (200, "refused")
+        status, answer = await network.apply("b1", "two", 0, rules(3))
+        assert (status, answer["state"]) == (409, "refused")
+        late = WriteChange(0, ConfigVersion(1, "two", rules(3), "Mio", 1))
+        result = await table.write_change(late, "op")
+        assert (result.status, result.rows.change_version) == ("conflict", -1)
+
+    run(scenario, "a1", "b1")
+
+
+def test_cut_off_domain_refuses_the_change_by_name():
+    """Guards against a change that a silent site does not run, and one it misses."""
+
+    async def scenario(network):
+        network.cut_off("c")
+        # Refused while the loss is not noticed yet, and after.
+        for change_id in ("one", "two"):
+            status, answer = await network.apply("a1", change_id, 0, rules(3))
+            assert (status, answer["state"]) == (409, "refused")
+            assert "failure domain c does not answer" in answer["reason"]
+            a1 = network.entry_by_name["a1"]
+            await network.until(lambda e=a1: "c1" not in e.peers.connections_by_peer_id)
+        status, answer = await network.apply(
+            "a1", "two", 0, rules(3), without_domains=["c"]
+        )
+        assert (status, answer["version"]) == (200, 1)
+        await network.until(lambda: network.version("b1") == 1)
+        assert network.version("c1") == 0
+        network.heal()
+        await network.until_in_force(1)
+
+    run(scenario, "a1", "b1", "c1")
+
+
+def test_domain_known_only_from_the_instance_list_must_answer():
+    """Guards against a domain that is overlooked because no peer is configured."""
+
+    async def scenario(network):
+        network.platform.set_instance(
+            {
+                "instance_id": "d1",
+                "role": "entry",
+                "state": "running",
+                "failure_domain": "d",
+                "host": "127.0.0.1",
+                "port": 9,
+            }
+        )
+        status, answer = await network.apply("a1", "one", 0, rules(3))
+        assert status == 409 and "failure domain d" in answer["reason"]
+
+    run(scenario, "a1", "b1")
+
+
+def test_old_copy_of_the_table_never_lowers_a_version():
+    """Guards against rules that revert when the table answers from an old copy."""
+
+    async def scenario(network):
+        await network.apply("a1", "one", 0, rules(3))
+        old_rows = dict(network.platform.table._row_by_key)
+        await network.apply("a1", "two", 1, rules(4))
+        await network.until_in_force(2)
+        network.platform.table._row_by_key = old_rows
+        a1, b1 = (network.entry_by_name[name].rollout for name in ("a1", "b1"))
+        for rollout in (a1, b1):
+            await rollout._spread._poll_once()
+        b1._spread._receive_push(
+            "a1",
+            _changes.messages.ConfigPush(
+                version=1,
+                change_id="one",
+                rules_text=rules(3),
+                author="",
+                accepted_wall_ms=1,
+            ),
+        )
+        for rollout in (a1, b1):
+            assert rollout.in_force.version == 2
+            assert rollout.in_force.current.rules_text == rules(4)
+        _, head = await network.get("b1", "/rules")
+        assert head["version"] == 2
+
+    run(scenario, "a1", "b1")
+
+
+def test_entry_starts_from_peers_while_the_table_is_down():
+    """Guards against an entry without rules after a restart in an outage."""
+
+    async def scenario(network):
+        await network.apply("a1", "one", 0, rules(3))
+        await network.until_in_force(1)
+        network.platform.faults.is_down = True
+        await network.start("b1")
+        await network.until_in_force(1)
+        _, status = await network.get("b1", "/status")
+        assert status["config"]["source"].startswith("peer:a")
+        assert status["config"]["confirmed_age_ms"] is None
+
+    run(scenario, "a1", "a2")
+
+
+def test_entry_alone_takes_versions_from_the_table():
+    """Guards against an entry that no peer reaches and that never polls."""
+
+    async def scenario(network):
+        network.cut_off("b")
+        network.platform.faults.cut_off_domains = []
+        await network.apply("a1", "one", 0, rules(3), without_domains=["b"])
+        await network.until_in_force(1)
+        assert (
+            network.entry_by_name["b1"].rollout.in_force.status()["source"] == "table"
+        )
+
+    run(scenario, "a1", "b1")
+
+
+def test_rules_that_one_entry_cannot_parse():
+    """Guards against rules in force that an entry with other software cannot run."""
+
+    async def scenario(network):
+        await network.apply("a1", "one", 0, rules(3))
+        await network.until_in_force(1)
+        b1 = network.entry_by_name["b1"].rollout.in_force
+        text = rules(5) + "newer-keyword 1 # Mio: later software\n"
+        offered = replace(b1.current, version=2, rules_text=text, change_id="two")
+        for _ in range(2):
+            assert not b1.offer(offered, ConfigSource("table"))
+        assert (b1.version, b1.seen_version) == (1, 2)
+        assert b1.rules.of(Share)[0].weight == 3
+        assert network.log_by_name["b1"].getvalue().count("config-rejected") == 1
+        newest = replace(offered, version=3, rules_text=rules(6), change_id="three")
+        assert b1.offer(newest, ConfigSource("table"))
+
+    run(scenario, "a1", "b1")
+
+
+def test_change_that_a_peer_cannot_parse_is_refused(monkeypatch):
+    """Guards against an accepted change that one site cannot put into force."""
+
+    async def scenario(network):
+        runner = network.entry_by_name["b1"].rollout._runner
+        links, send = runner._links, runner._links.send
+
+        def send_refusal(peer_id, message):
+            if isinstance(message, messages.ConfigStaged):
+                message.is_staged, message.reason = False, "line 4: unknown keyword"
+            return send(peer_id, message)
+
+        monkeypatch.setattr(links, "send", send_refusal)
+        status, answer = await network.apply("a1", "one", 0, rules(3))
+        assert (status, answer["state"]) == (409, "refused")
+        assert "b1 refused to stage it: line 4" in answer["reason"]
+        assert network.platform.table.read("config/head").version == 0
+
+    run(scenario, "a1", "b1")
