Find endpoints in the platform's instance list

Cause: instances are replaced all the time, and an entry knew only the agents that its settings name. Change: the list is read every 5 s; a bounded subset is dialed (rendezvous hashing of bluebellusher_core.membership); an address that is no longer listed is given up once its connection has ended. Conclusion: new endpoints are used without a restart of the entries.

--- a/packages/entry/src/bluebellusher/cli/_entry.py
+++ b/packages/entry/src/bluebellusher/cli/_entry.py
@@ -17,7 +17,13 @@
 from bluebellusher.observability import KeyValueLog, Metrics, Tracer
 from bluebellusher.platform import PlatformClient
 from bluebellusher.rollout import ConfigRollout
-from bluebellusher.runtime import ClaimWriter, PeerExchange, PlatformStore, Runtime
+from bluebellusher.runtime import (
+    ClaimWriter,
+    EndpointDiscovery,
+    PeerExchange,
+    PlatformStore,
+    Runtime,
+)
 from bluebellusher.server import HttpServer
 from bluebellusher.settings import AddressSettings, Settings
 from bluebellusher_core.admission import FairQueue
@@ -45,6 +51,9 @@
             entry_id=settings.instance_id,
             incarnation=self.incarnation,
             seed=seed.getrandbits(32),
+            n_max_endpoints=max(
+                256, settings.limits.n_endpoints_per_service * len(settings.services)
+            ),
         )
         policy = PredictedLatency(failure_domain=settings.failure_domain)
         self.state = EntryState.from_config(config, policy, FairQueue)
@@ -84,6 +93,17 @@
             self.view.make_digest,
             seed,
         )
+        self.discovery = EndpointDiscovery(
+            self.platform,
+            self.agents,
+            self.runtime,
+            settings.instance_id,
+            settings.failure_domain,
+            (service.service_id for service in settings.services),
+            limits.n_endpoints_per_service,
+            _pairs(settings.agents),
+        )
+        self._discovering: asyncio.Task[None] | None = None
         counter = itertools.count(1)
         prefix = f"{settings.instance_id}.{self.incarnation}"
         self.server = HttpServer(
@@ -103,6 +123,7 @@
         peer_port = await self.peers.listen(address.host, address.port)
         http_port = await self.server.start()
         self.agents.dial(_pairs(self.settings.agents))
+        self._discovering = asyncio.create_task(self.discovery.run())
         self.rollout.start(self.peer_exchange, self.ticker)
         self.peers.dial(_pairs(self.settings.peers))
         self.log.event(
@@ -128,6 +149,8 @@
         until_ms = self.clock.now_ms() + _CLAIMS_GRACE_MS
         while not self.runtime.is_settled and self.clock.now_ms() < until_ms:
             await self._wait_for_progress()
+        if self._discovering is not None:
+            self._discovering.cancel()
         self.ticker.stop()
         await self.agents.close()
         await self.rollout.close()
--- a/packages/entry/src/bluebellusher/links/_agents.py
+++ b/packages/entry/src/bluebellusher/links/_agents.py
@@ -228,6 +228,7 @@
         self._clock = clock
         self._random_state = random_state
         self._task_by_address: dict[tuple[str, int], asyncio.Task[None]] = {}
+        self._connection_by_address: dict[tuple[str, int], FrameConnection] = {}
 
     def dial(self, addresses: Iterable[tuple[str, int]]) -> None:
         """Keep a connection to each address; known ones are left alone."""
@@ -236,6 +237,17 @@
                 task = asyncio.create_task(self._run_dialer(*address))
                 self._task_by_address[address] = task
 
+    def forget(self, address: tuple[str, int]) -> bool:
+        """Stop dialing an address; return False when its connection is open."""
+        connection = self._connection_by_address.get(address)
+        if connection is not None and connection.is_open:
+            return False
+        self._connection_by_address.pop(address, None)
+        task = self._task_by_address.pop(address, None)
+        if task is not None:
+            task.cancel()
+        return True
+
     async def close(self) -> None:
         """Stop dialing and close every connection."""
         tasks = list(self._task_by_address.values())
@@ -299,7 +311,11 @@
         def make_connection() -> FrameConnection:
             peer = f"{host}:{port}"
             role = messages.Role.AGENT
-            return FrameConnection(self._identity, role, False, self, self._clock, peer)
+            connection = FrameConnection(
+                self._identity, role, False, self, self._clock, peer
+            )
+            self._connection_by_address[host, port] = connection
+            return connection
 
         dialer = Dialer(host, port, make_connection, self._ticker, self._random_state)
         await dialer.run()
--- a/packages/entry/src/bluebellusher/runtime/__init__.py
+++ b/packages/entry/src/bluebellusher/runtime/__init__.py
@@ -1,6 +1,7 @@
 """Integration of decisions and input and output: events in, effects out."""
 
 from bluebellusher.runtime._claims import ClaimWriter
+from bluebellusher.runtime._discovery import EndpointDiscovery
 from bluebellusher.runtime._exchange import Exchange
 from bluebellusher.runtime._kept import KeptAnswer
 from bluebellusher.runtime._peers import PeerExchange
@@ -19,6 +20,7 @@
     "ClaimWriter",
     "Committed",
     "Conflict",
+    "EndpointDiscovery",
     "Exchange",
     "KeptAnswer",
     "PeerExchange",
--- /dev/null
+++ b/packages/entry/src/bluebellusher/runtime/_discovery.py
@@ -0,0 +1,99 @@
+"""Endpoints that the platform's instance list names."""
+
+import asyncio
+from collections.abc import Iterable
+
+from bluebellusher.links import AgentLinks, EventSink
+from bluebellusher.platform import Instance, PlatformClient
+from bluebellusher_core.events import EndpointInfo
+from bluebellusher_core.membership import choose_subset
+
+POLL_INTERVAL_S = 5.0
+Address = tuple[str, int]
+
+
+class EndpointDiscovery:
+    """Connect to a bounded subset of the listed endpoints.
+
+    The list lags, so that it only tells where to look: whether an endpoint runs or
+    drains is learnt from its agent. A connection stays open when its endpoint is no
+    longer listed, and while the list cannot be read nothing changes.
+
+    Parameters
+    ----------
+    client : PlatformClient
+        Reads the instance list.
+    agents : AgentLinks
+        Connects to agents.
+    sink : EventSink
+        Takes log lines.
+    entry_id, failure_domain : str
+        Decide, with the endpoint ids, which endpoints this entry uses.
+    service_ids : iterable of str
+        Services of this deployment; endpoints of others are not used.
+    n_per_service : int
+        Upper bound of endpoints for each service.
+    configured : iterable of tuple
+        Addresses that are dialed whatever the list says.
+    """
+
+    def __init__(
+        self,
+        client: PlatformClient,
+        agents: AgentLinks,
+        sink: EventSink,
+        entry_id: str,
+        failure_domain: str,
+        service_ids: Iterable[str],
+        n_per_service: int,
+        configured: Iterable[Address],
+    ) -> None:
+        self._client = client
+        self._agents = agents
+        self._sink = sink
+        self._entry_id = entry_id
+        self._failure_domain = failure_domain
+        self._service_ids = frozenset(service_ids)
+        self._n_per_service = n_per_service
+        self._configured = frozenset(configured)
+        self._dialed: set[Address] = set()
+
+    async def run(self) -> None:
+        """Read the list at an interval until cancelled."""
+        while True:
+            await self.poll()
+            await asyncio.sleep(POLL_INTERVAL_S)
+
+    async def poll(self) -> None:
+        """Read the list once and follow it."""
+        result = await self._client.list_instances()
+        if not result.is_ok():
+            self._sink.log("instances-unread", step="list", error=str(result.error))
+            return
+        wanted = self._choose(result.ok) - self._configured
+        gone = self._dialed - wanted
+        kept = {address for address in gone if not self._agents.forget(address)}
+        self._agents.dial(wanted)
+        self._dialed = wanted | kept
+
+    def _choose(self, instances: Iterable[Instance]) -> set[Address]:
+        instance_by_id = {
+            instance.instance_id: instance
+            for instance in instances
+            if instance.role == "endpoint" and instance.state == "running"
+        }
+        infos = [self._to_info(instance) for instance in instance_by_id.values()]
+        chosen = choose_subset(
+            self._entry_id, self._failure_domain, infos, self._n_per_service
+        )
+        return {(instance_by_id[i].host, instance_by_id[i].port) for i in chosen}
+
+    def _to_info(self, instance: Instance) -> EndpointInfo:
+        return EndpointInfo(
+            endpoint_id=instance.instance_id,
+            failure_domain=instance.failure_domain,
+            services=self._service_ids.intersection(instance.services),
+            models=frozenset(),
+            adapters=frozenset(),
+            n_slots=1,
+        )
--- a/packages/entry/src/bluebellusher/settings/_models.py
+++ b/packages/entry/src/bluebellusher/settings/_models.py
@@ -104,6 +104,7 @@
     max_kept_answer_bytes: Annotated[int, Field(ge=0, le=16_000_000)] = 1_048_576
     max_connections: Annotated[int, Field(ge=1, le=1_000_000)] = 20_000
     n_default_output_tokens: Annotated[int, Field(ge=1, le=1_000_000)] = 1024
+    n_endpoints_per_service: Annotated[int, Field(ge=1, le=10_000)] = 64
     platform_timeout_ms: Annotated[int, Field(ge=100, le=60_000)] = 1_000
 
 
