--- a/packages/agent/src/bluebellusher_agent/_http.py
+++ b/packages/agent/src/bluebellusher_agent/_http.py
@@ -234,9 +234,12 @@
         path: str,
         body: bytes = b"",
         timeout_ms: int = 1000,
+        is_reusing: bool = True,
     ) -> tuple[int, bytes]:
         """Return status and whole body of a short exchange.
 
+        With ``is_reusing`` a kept connection may carry a GET or DELETE.
+
         Raises
         ------
         NotSentError, ExchangeError
@@ -244,15 +247,17 @@
         """
         try:
             async with asyncio.timeout(timeout_ms / 1000):
-                return await self._fetch(method, path, body)
+                return await self._fetch(method, path, body, is_reusing)
         except TimeoutError as error:
             reason = f"no answer within {timeout_ms} ms"
             raise ExchangeError("read-answer", self.peer, reason) from error
 
-    async def _fetch(self, method: str, path: str, body: bytes) -> tuple[int, bytes]:
+    async def _fetch(
+        self, method: str, path: str, body: bytes, is_reusing: bool
+    ) -> tuple[int, bytes]:
         header_by_name = {"content-type": "application/json"} if body else {}
         is_idempotent = method in ("GET", "DELETE")
-        connection = await self.acquire(is_idempotent)
+        connection = await self.acquire(is_idempotent and is_reusing)
         exchange = await self.send(connection, method, path, header_by_name, body)
         try:
             status = await exchange.read_head()
--- a/packages/agent/src/bluebellusher_agent/_monitor.py
+++ b/packages/agent/src/bluebellusher_agent/_monitor.py
@@ -69,7 +69,10 @@
 
     async def _ask(self) -> tuple[TargetState, str]:
         try:
-            _, body = await self._client.fetch("GET", "/healthz", b"", PROBE_TIMEOUT_MS)
+            # The end of a kept connection would prove nothing.
+            _, body = await self._client.fetch(
+                "GET", "/healthz", b"", PROBE_TIMEOUT_MS, is_reusing=False
+            )
         except NotSentError:
             return TargetState.CRASHED, ""
         except ExchangeError as error:
--- a/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
+++ b/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
@@ -1,8 +1,12 @@
 """Guards against work that runs twice, is refused wrongly or outlives a drain."""
 
+import asyncio
+
 import pytest
 import uvloop
 
+from bluebellusher_agent._http import HttpClient
+from bluebellusher_agent._monitor import TargetMonitor, TargetState
 from bluebellusher_agent.tests.entry_client import (
     EntryClient,
     make_body,
@@ -195,6 +199,29 @@
         return super().now_ms() + self.offset_ms
 
 
+def test_probe_does_not_take_the_end_of_a_kept_connection_for_a_crash():
+    """Guards against requests that are suspected because a connection was idle."""
+
+    async def answer_once(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}")
+        await reader.readuntil(b"\r\n\r\n")
+        writer.close()
+
+    async def main():
+        server = await asyncio.start_server(answer_once, "127.0.0.1", 0)
+        client = HttpClient("127.0.0.1", server.sockets[0].getsockname()[1])
+        crashes = []
+        monitor = TargetMonitor(client, lambda: crashes.append(1))
+        for _ in range(3):
+            assert await monitor.probe() is TargetState.ALIVE
+        assert crashes == []
+        client.close_idle(is_all=True)
+        server.close()
+
+    uvloop.run(main())
+
+
 def test_isolated_run_excludes_new_work_and_names_the_culprit():
     """Guards against innocent requests that share the fate of a suspect."""
 
--- a/packages/standins/src/bluebellusher_standins/platform.py
+++ b/packages/standins/src/bluebellusher_standins/platform.py
@@ -18,6 +18,8 @@
 )
 from bluebellusher_standins._table import Table, TableRow
 
+__all__ = ["PlatformFaults", "PlatformServer", "Table", "TableRow"]
+
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 DOMAIN_HEADER = "X-Failure-Domain"
 
