--- a/packages/entry/src/bluebellusher/server/_app.py
+++ b/packages/entry/src/bluebellusher/server/_app.py
@@ -3,8 +3,8 @@
 import asyncio
 import logging
 import socket
-from collections.abc import Callable
-from typing import Any
+from collections.abc import Callable, Sequence
+from typing import Any, cast
 
 from sanic import Request, Sanic
 from sanic.application.state import ApplicationServerInfo
@@ -28,7 +28,7 @@
 )
 from bluebellusher.server._protocol import EntryProtocol
 from bluebellusher.server._respond import refusal_body, refusal_headers, status_of
-from bluebellusher.server._status import StatusSource
+from bluebellusher.server._status import Pages, StatusSource
 from bluebellusher.server._stream import AnswerSender
 from bluebellusher.settings import Settings
 from bluebellusher_core.errors import Outcome, Reason, Refusal
@@ -45,6 +45,9 @@
 _KEEP_ALIVE_TIMEOUT_S = 75
 _BACKLOG = 1024
 _SEND_BUFFER_BYTES = 128 * 1024
+# A caller that has not read its answer this long after the deadline is cut off; it
+# would otherwise hold its connection for as long as it likes.
+_DELIVERY_GRACE_MS = 5_000
 
 
 class HttpServer:
@@ -62,6 +65,8 @@
         Shown to operators.
     make_request_id : callable
         Returns a new id with each call.
+    more_pages : sequence of Pages
+        Routes of other parts of the entry.
     """
 
     def __init__(
@@ -71,12 +76,14 @@
         store: ClaimStore,
         status: StatusSource,
         make_request_id: Callable[[], str],
+        more_pages: Sequence[Pages] = (),
     ) -> None:
         self._settings = settings
         self._runtime = runtime
         self._make_request_id = make_request_id
         self._parser = RequestParser(settings)
         self._operator_pages = OperatorPages(self._parser, runtime, store, status)
+        self._more_pages = more_pages
         self._server: AsyncioServer | None = None
 
     async def start(self) -> int:
@@ -136,6 +143,8 @@
         app.ctx.n_max_connections = self._settings.limits.max_connections
         self._add_caller_routes(app)
         self._operator_pages.add_to(app)
+        for pages in self._more_pages:
+            pages.add_to(app)
         return app
 
     def _add_caller_routes(self, app: Sanic[Any, Any]) -> None:
@@ -200,17 +209,22 @@
         limits = self._settings.limits
         try:
             self._parser.authenticate(request.headers)
-            self._check_not_stopping()
             draft = parse(await read_body(request, limits))
         except BadRequestError as error:
             return self._refuse(error, request_id)
+        if self._runtime.is_shutting_down:
+            # The caller is told to use another connection for its next request.
+            cast(Any, request.stream).keep_alive = False
         exchange = self._make_exchange(draft, request_id, request)
         self._runtime.submit(exchange)
         outcome = "caller_left"
+        limit_s = (draft.remaining_ms + _DELIVERY_GRACE_MS) / 1000
+        watchdog = asyncio.get_running_loop().call_later(limit_s, _cut_off, request)
         try:
             sender = AnswerSender(request, exchange, self._runtime.metrics)
             outcome = await sender.send()
         finally:
+            watchdog.cancel()
             self._runtime.end(exchange)
             self._runtime.metrics.count(
                 "bluebellusher_requests_total", "outcome", outcome
@@ -218,10 +232,6 @@
             exchange.span.end(request_id=request_id, outcome=outcome)
         return None
 
-    def _check_not_stopping(self) -> None:
-        if self._runtime.is_shutting_down:
-            raise BadRequestError(Reason.SHUTTING_DOWN, "this entry is stopping")
-
     def _refuse(self, error: BadRequestError, request_id: str) -> HTTPResponse:
         self._runtime.metrics.count(
             "bluebellusher_bad_requests_total", "reason", error.reason.value
@@ -283,6 +293,13 @@
         return HTTPResponse(body, 500, None, "application/json")
 
 
+def _cut_off(request: Request) -> None:
+    """End the connection of a caller that does not read its answer."""
+    transport: Any = request.transport
+    if transport is not None:
+        transport.abort()
+
+
 def _to_spec(draft: RequestDraft, request_id: str, now_ms: int) -> RequestSpec:
     return RequestSpec(
         request_id=request_id,
