--- a/packages/entry/src/bluebellusher/cli/_entry.py
+++ b/packages/entry/src/bluebellusher/cli/_entry.py
@@ -6,8 +6,7 @@
 import gc
 import itertools
 import signal
-import sys
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from random import Random
 from typing import Any
 
@@ -17,11 +16,13 @@
 from bluebellusher.links import AgentLinks, Identity, LinkTicker, PeerLinks
 from bluebellusher.observability import KeyValueLog, Metrics, Tracer
 from bluebellusher.platform import PlatformClient
+from bluebellusher.rollout import ConfigRollout
 from bluebellusher.runtime import ClaimWriter, PeerExchange, PlatformStore, Runtime
 from bluebellusher.server import HttpServer
 from bluebellusher.settings import AddressSettings, Settings
 from bluebellusher_core.admission import FairQueue
 from bluebellusher_core.clock import Clock, SystemClock
+from bluebellusher_core.events import ShutdownStarted
 from bluebellusher_core.reducer import EntryConfig, EntryState
 from bluebellusher_core.routing import PredictedLatency
 
@@ -74,6 +75,15 @@
         store = PlatformStore(self.platform)
         claims = ClaimWriter(store, self.runtime, settings.instance_id)
         self.runtime.attach(self.agents, claims, store)
+        self.rollout = ConfigRollout.from_parts(
+            settings,
+            self.runtime,
+            clock,
+            self.peers,
+            self.platform,
+            self.view.make_digest,
+            seed,
+        )
         counter = itertools.count(1)
         prefix = f"{settings.instance_id}.{self.incarnation}"
         self.server = HttpServer(
@@ -82,6 +92,7 @@
             store,
             self.view,
             lambda: f"{prefix}.r{next(counter)}",
+            (self.rollout.pages,),
         )
 
     async def start(self) -> None:
@@ -92,6 +103,7 @@
         peer_port = await self.peers.listen(address.host, address.port)
         http_port = await self.server.start()
         self.agents.dial(_pairs(self.settings.agents))
+        self.rollout.start(self.peer_exchange, self.ticker)
         self.peers.dial(_pairs(self.settings.peers))
         self.log.event(
             "listening",
@@ -102,17 +114,23 @@
         )
 
     async def stop(self) -> None:
-        """Finish every request in progress, then close everything."""
+        """Finish every request in progress, then close everything.
+
+        Requests on connections that are already open are served to their end, also
+        when they began to arrive only a moment ago.
+        """
         self.log.event("stopping", n_requests=len(self.runtime.exchange_by_request_id))
-        self.runtime.shut_down()
+        self.runtime.is_shutting_down = True
         self.server.stop_accepting()
         while self.runtime.exchange_by_request_id or self.server.close_idle():
             await self._wait_for_progress()
+        self.runtime.post(ShutdownStarted())
         until_ms = self.clock.now_ms() + _CLAIMS_GRACE_MS
         while not self.runtime.is_settled and self.clock.now_ms() < until_ms:
             await self._wait_for_progress()
         self.ticker.stop()
         await self.agents.close()
+        await self.rollout.close()
         await self.peers.close()
         await self.platform.close()
         self.runtime.close()
@@ -126,12 +144,12 @@
                 await self.runtime.request_ended.wait()
 
 
-def _pairs(addresses: tuple[AddressSettings, ...]) -> list[tuple[str, int]]:
+def _pairs(addresses: Iterable[AddressSettings]) -> list[tuple[str, int]]:
     return [(address.host, address.port) for address in addresses]
 
 
 async def _run(settings: Settings) -> None:
-    log = KeyValueLog.from_config(settings.log_level, sys.stdout)
+    log = KeyValueLog.from_config(settings.log_level)
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(_make_fault_logger(log))
     is_told_to_stop = asyncio.Event()
