Count an attempt as ended in the test world once its engine's crash is known

Cause: fuzzing with fresh seeds reported two copies of a suspect after the agent had told of the crash but not yet of the broken attempt; the first copy was dead. Ruled out: a fault of the reducer; its crash timer had ended the attempt rightly. Change: the check of copies skips attempts that the crash message names. Conclusion: the check is as strict for attempts that run.

--- a/packages/core/src/bluebellusher_core/reducer/tests/_entries.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/_entries.py
@@ -207,6 +207,9 @@
         if not effect.is_isolated:
             return
         for attempt_id, request_id in entry.open_attempts.items():
+            if attempt_id in entry.crashed:
+                # It died with its engine; the word on the attempt is on its way.
+                continue
             other = entry.spec_by_id[request_id]
             is_copy = other.fingerprint == spec.fingerprint
             is_hedge = request_id == effect.request_id
