--- /dev/null
+++ b/packages/entry/src/bluebellusher/cli/_main.py
@@ -0,0 +1,31 @@
+"""Commands and their registration."""
+
+import sys
+
+from cleo.application import Application
+from cleo.commands.command import Command
+
+from bluebellusher.cli._commands import ConfigCheckCommand, ServeCommand, StatusCommand
+
+
+def build_application(is_serving: bool = False) -> Application:
+    """Return the application with its commands.
+
+    A process that serves registers only ``serve``: the modules of the other
+    commands would stay in its memory.
+    """
+    application = Application("bluebellusher", "0.1.0")
+    commands: list[Command] = [ServeCommand()]
+    if not is_serving:
+        from bluebellusher.cli.rules_commands import RULES_COMMANDS
+
+        commands += [ConfigCheckCommand(), StatusCommand()]
+        commands += [make_command() for make_command in RULES_COMMANDS]
+    for command in commands:
+        application.add(command)
+    return application
+
+
+def main() -> int:
+    """Run the command named on the command line; return its exit code."""
+    return build_application(is_serving=sys.argv[1:2] == ["serve"]).run()
