--- a/packages/core/src/bluebellusher_core/balance/_incremental.py
+++ b/packages/core/src/bluebellusher_core/balance/_incremental.py
@@ -11,8 +11,6 @@
     Loads,
     Placement,
     compute_moves,
-    compute_rank_loads,
-    compute_skew,
     validate_loads,
 )
 from bluebellusher_core.balance._protocol import Conditions, Plan
@@ -116,11 +114,10 @@
 
     def _search(self, layer: int, ranks: LayerPlacement, max_loads: int) -> list[Step]:
         """Return the steps of a layer; none when they gain less than the minimum."""
-        loads = self._popularity[layer]
-        rank_loads = compute_rank_loads(self._shape.n_ranks, ranks, loads)
-        if compute_skew(rank_loads) - 1.0 < self._min_gain:
+        search = LayerSearch(self._shape, ranks, self._popularity[layer])
+        if search.compute_skew() - 1.0 < self._min_gain:
             return []
-        steps = LayerSearch(self._shape, ranks, loads).run(self._price, max_loads)
+        steps = search.run(self._price, max_loads)
         return steps if steps[0].cost - steps[-1].cost >= self._min_gain else []
 
     def _finish(self, placement: Placement, changed: dict[int, LayerPlacement]) -> Plan:
--- a/packages/core/src/bluebellusher_core/balance/_layer_search.py
+++ b/packages/core/src/bluebellusher_core/balance/_layer_search.py
@@ -4,11 +4,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from bluebellusher_core.balance._model import (
-    GroupShape,
-    LayerPlacement,
-    compute_rank_loads,
-)
+from bluebellusher_core.balance._model import GroupShape, LayerPlacement
 
 MAX_LARGE_COPIES = 3
 """Copies in one search of experts that alone exceed the mean rank load."""
@@ -53,11 +49,13 @@
         self._n_slots = shape.n_slots
         self._ranks = list(ranks)
         self._loads = loads
-        self._shares = [x / len(r) for x, r in zip(loads, ranks, strict=True)]
-        self._rank_loads = compute_rank_loads(shape.n_ranks, ranks, loads)
-        self._held: list[set[int]] = [set() for _ in range(shape.n_ranks)]
-        for expert, held in enumerate(ranks):
+        self._shares = [0.0] * shape.n_experts
+        self._rank_loads = rank_loads = [0.0] * shape.n_ranks
+        self._held: list[set[int]] = [set() for _ in rank_loads]
+        for expert, (held, load) in enumerate(zip(ranks, loads, strict=True)):
+            self._shares[expert] = share = load / len(held)
             for rank in held:
+                rank_loads[rank] += share
                 self._held[rank].add(expert)
         self._n_copies = 0
         self._mean = sum(self._rank_loads) / shape.n_ranks
@@ -72,7 +70,7 @@
         max_loads : int
             Limit of expert loads.
         """
-        steps = [Step((), 0, self._skew())]
+        steps = [Step((), 0, self.compute_skew())]
         n_best, n_loads = 1, 0
         while len(steps) - n_best < MAX_IDLE_STEPS * (1 + self._n_copies):
             if 1.0 + price * (n_loads + 1) >= steps[n_best - 1].cost:
@@ -82,13 +80,14 @@
             if not updates or n_loads > max_loads:
                 break
             self._change(updates)
-            cost = self._skew() + price * n_loads
+            cost = self.compute_skew() + price * n_loads
             steps.append(Step(updates, n_loads, cost))
             if cost < steps[n_best - 1].cost:
                 n_best = len(steps)
         return steps[:n_best]
 
-    def _skew(self) -> float:
+    def compute_skew(self) -> float:
+        """Return the maximum over the mean of the rank loads; 1 without any load."""
         return max(self._rank_loads) / self._mean if self._mean else 1.0
 
     def _change(self, updates: Updates) -> None:
@@ -108,18 +107,17 @@
         rank_loads = self._rank_loads
         order = sorted(range(len(rank_loads)), key=rank_loads.__getitem__)
         hot = order[-1]
-        best_gain = 0.0
-        best_step: tuple[int, Updates] = (0, ())
         for cool in order[:-1]:
-            if best_gain:
-                break
-            for gain, n_loads, updates in (
-                self._find_load(hot, cool),
-                self._find_exchange(hot, cool),
-            ):
+            half = (self._rank_loads[hot] - self._rank_loads[cool]) / 2
+            best_gain, n_loads, best = self._find_load(hot, cool)
+            # An exchange gains at most half of the gap for its two loads.
+            if best_gain < half / 2:
+                gain, updates = self._find_exchange(hot, cool)
                 if gain > best_gain:
-                    best_gain, best_step = gain, (n_loads, updates)
-        return best_step if best_gain else self._find_copy_of_large(hot, order)
+                    best_gain, n_loads, best = gain, 2, updates
+            if best_gain:
+                return n_loads, best
+        return self._find_copy_of_large(hot, order)
 
     def _find_copy_of_large(self, hot: int, order: list[int]) -> tuple[int, Updates]:
         """Return a copy of an expert that alone exceeds the mean rank load.
@@ -148,8 +146,8 @@
                 return 2, (copy, room)
         return 0, ()
 
-    def _find_exchange(self, hot: int, cool: int) -> tuple[float, int, Updates]:
-        """Return the gain for each load, the loads and the changes."""
+    def _find_exchange(self, hot: int, cool: int) -> tuple[float, Updates]:
+        """Return the gain for each of two loads, and the changes."""
         shares = self._shares
         half = (self._rank_loads[hot] - self._rank_loads[cool]) / 2
         theirs = sorted((shares[e], e) for e in self._held[cool] - self._held[hot])
@@ -163,13 +161,13 @@
                 if error < best_error or (error == best_error and expert < best[0]):
                     best_error, best = error, (expert, other)
         if best[0] < 0:
-            return 0.0, 0, ()
+            return 0.0, ()
         expert, other = best
         updates = (
             (expert, _replace(self._ranks[expert], hot, cool)),
             (other, _replace(self._ranks[other], cool, hot)),
         )
-        return (half - best_error) / 2, 2, updates
+        return (half - best_error) / 2, updates
 
     def _find_load(self, hot: int, cool: int) -> tuple[float, int, Updates]:
         """Return the best copy or move of an expert of the hot rank."""
