--- a/packages/core/src/bluebellusher_core/balance/_layer_search.py
+++ b/packages/core/src/bluebellusher_core/balance/_layer_search.py
@@ -7,7 +7,10 @@
 from bluebellusher_core.balance._model import GroupShape, LayerPlacement
 
 MAX_LARGE_COPIES = 3
-"""Copies in one search of experts that alone exceed the mean rank load."""
+"""Copies of large experts in one search that no gain of a single step justifies."""
+
+LARGE_SHARE = 0.5
+"""Part of the mean rank load from which a replica counts as large."""
 
 Updates = tuple[tuple[int, tuple[int, ...]], ...]
 """Experts and the ranks that hold them after a step."""
@@ -120,32 +123,41 @@
         return self._find_copy_of_large(hot, order)
 
     def _find_copy_of_large(self, hot: int, order: list[int]) -> tuple[int, Updates]:
-        """Return a copy of an expert that alone exceeds the mean rank load.
+        """Return a copy of a large expert of the hot rank.
 
         No single step helps such a layer: each rank that gets a replica is above the
         mean until later steps have relieved it of its other experts.
         """
         expert = max(self._held[hot], key=lambda e: (self._shares[e], e))
-        if self._n_copies == MAX_LARGE_COPIES or self._shares[expert] <= self._mean:
+        is_large = self._shares[expert] > LARGE_SHARE * self._mean
+        if self._n_copies == MAX_LARGE_COPIES or not is_large:
             return 0, ()
         self._n_copies += 1
         cool = next((r for r in order if expert not in self._held[r]), None)
         if cool is None:
             return 0, ()
         copy = (expert, tuple(sorted((*self._ranks[expert], cool))))
-        if len(self._held[cool]) < self._n_slots:
-            return 1, (copy,)
-        victim = self._find_redundant(cool)
-        if victim is not None:
-            return 1, (copy, (victim, _remove(self._ranks[victim], cool)))
+        has_slot, freed = self._find_slot(cool, expert)
+        if has_slot:
+            return 1, (copy, *freed)
         for other in order:
             movable = self._held[cool] - self._held[other]
-            if len(self._held[other]) < self._n_slots and movable:
+            has_slot, freed = self._find_slot(other, expert)
+            if has_slot and movable:
                 moved = min(movable, key=lambda e: (self._shares[e], e))
                 room = (moved, _replace(self._ranks[moved], cool, other))
-                return 2, (copy, room)
+                return 2, (copy, room, *freed)
         return 0, ()
 
+    def _find_slot(self, rank: int, kept: int) -> tuple[bool, Updates]:
+        """Return whether a rank can take an expert, and the removal that it needs."""
+        if len(self._held[rank]) < self._n_slots:
+            return True, ()
+        victim = self._find_redundant(rank, kept)
+        if victim is None:
+            return False, ()
+        return True, ((victim, _remove(self._ranks[victim], rank)),)
+
     def _find_exchange(self, hot: int, cool: int) -> tuple[float, Updates]:
         """Return the gain for each of two loads, and the changes."""
         shares = self._shares
@@ -210,12 +222,12 @@
         others = [rank_loads[r] + added for r in held if r != cool and r != hot]
         return hot_load, cool_load - share, max(others, default=0.0)
 
-    def _find_redundant(self, rank: int) -> int | None:
+    def _find_redundant(self, rank: int, kept: int = -1) -> int | None:
         ranks, shares = self._ranks, self._shares
         added = [
             (shares[e] / (len(ranks[e]) - 1), e)
             for e in self._held[rank]
-            if len(ranks[e]) > 1
+            if len(ranks[e]) > 1 and e != kept
         ]
         return min(added)[1] if added else None
 
--- /dev/null
+++ b/packages/core/src/bluebellusher_core/balance/tests/test_model.py
@@ -0,0 +1,103 @@
+"""Early errors that name parameter, value and expectation."""
+
+import pytest
+
+from bluebellusher_core.balance import (
+    GroupShape,
+    IncrementalPlanner,
+    Move,
+    MoveBudget,
+    NoRebalancing,
+    apply_moves,
+    compute_moves,
+    make_initial_placement,
+    validate_loads,
+    validate_placement,
+)
+
+SHAPE = GroupShape(2, 1, 3, 2, 10)
+BUDGET = MoveBudget(1, 1, 1, 1)
+START = (((0, 1), (0,), (1,)),)
+
+
+@pytest.mark.parametrize(
+    ("sizes", "message"),
+    [
+        ((0, 1, 1, 1, 1), "n_ranks is 0, expected at least 1"),
+        ((2, 1, 3, 4, 1), "n_slots is 4, expected at most n_experts=3"),
+        ((2, 1, 3, 1, 1), "n_slots is 1, expected at least 2"),
+    ],
+)
+def test_shape_is_checked(sizes, message):
+    """Guards against a group that cannot hold its experts."""
+    with pytest.raises(ValueError, match=message):
+        GroupShape(*sizes)
+
+
+@pytest.mark.parametrize(
+    ("placement", "message"),
+    [
+        ((), "0 layers, expected 1"),
+        ((((0,), (1,)),), "2 experts, expected 3"),
+        ((((0,), (1,), ()),), "expected at least one rank"),
+        ((((0, 0), (1,), (1,)),), "expected different ranks in rising order"),
+        ((((0,), (1,), (2,)),), "expected ranks 0 to 1"),
+        ((((0,), (0,), (0,)),), "3 experts on rank 0, expected at most n_slots=2"),
+    ],
+)
+def test_placement_is_checked(placement, message):
+    """Guards against checks that pass on an impossible placement."""
+    validate_placement(SHAPE, START)
+    with pytest.raises(ValueError, match=message):
+        validate_placement(SHAPE, placement)
+
+
+@pytest.mark.parametrize(
+    "loads", [[], [[1.0]], [[1.0, -1.0, 2.0]], [[1.0, float("nan"), 0.0]]]
+)
+def test_loads_are_checked(loads):
+    """Guards against reports that would spoil the smoothed popularity for good."""
+    for check in (
+        lambda: validate_loads(SHAPE, loads),
+        lambda: NoRebalancing(SHAPE, BUDGET).observe(loads),
+        lambda: IncrementalPlanner(SHAPE, BUDGET).observe(loads),
+    ):
+        with pytest.raises(ValueError, match="expected"):
+            check()
+
+
+@pytest.mark.parametrize(
+    "move", [Move(0, 1, 1, None, 0), Move(0, 1, 0, None, 0), Move(0, 1, None, 0, 10)]
+)
+def test_moves_that_do_not_fit_are_refused(move):
+    """Guards against moves from a rank without the expert, or that lose it."""
+    with pytest.raises(ValueError, match="rank"):
+        apply_moves(SHAPE, START, [move])
+
+
+def test_moves_are_paired_and_removals_cost_nothing():
+    """Guards against bytes that are counted for a removed replica."""
+    new = (((0,), (1,), (1,)),)
+    moves = compute_moves(SHAPE, START, new, [0])
+    assert moves == [Move(0, 0, 1, None, 0), Move(0, 1, 0, 1, 10)]
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        ("skew_weight", 0.0),
+        ("move_weight", -1.0),
+        ("smoothing", 0.0),
+        ("min_gain", -0.1),
+    ],
+)
+def test_planner_parameters_are_checked(name, value):
+    """Guards against a price that is negative or not defined."""
+    with pytest.raises(ValueError, match=f"{name} is {value}, expected"):
+        IncrementalPlanner(SHAPE, BUDGET, **{name: value})
+
+
+def test_initial_placement_is_possible_for_uneven_sizes():
+    """Guards against an expert twice on a rank when the sizes do not divide."""
+    shape = GroupShape(5, 2, 7, 6, 1)
+    validate_placement(shape, make_initial_placement(shape))
