--- a/packages/core/src/bluebellusher_core/balance/_incremental.py
+++ b/packages/core/src/bluebellusher_core/balance/_incremental.py
@@ -25,6 +25,10 @@
 """Weighted gain below which a layer stays as it is. It keeps the noise of the loads
 from moving experts back and forth."""
 
+CONCENTRATION_WEIGHT = 0.03
+"""Skew that one unit of concentration counts as. Without it single replicas carry up
+to 0.7 of the mean load of a rank, and a change of one expert shows in the skew."""
+
 
 class IncrementalPlanner:
     """Changes few replicas in each interval, those that lower the skew most.
@@ -46,6 +50,8 @@
         Weight of the last interval in the smoothed popularity, above 0 and at most 1.
     min_gain : float
         Gain below which a layer stays as it is.
+    concentration_weight : float
+        Skew that one unit of concentration counts as; see ``LayerSearch``.
 
     Raises
     ------
@@ -61,6 +67,7 @@
         move_weight: float = 1.0,
         smoothing: float = SMOOTHING,
         min_gain: float = MIN_GAIN,
+        concentration_weight: float = CONCENTRATION_WEIGHT,
     ) -> None:
         if skew_weight <= 0:
             raise ValueError(f"skew_weight is {skew_weight}, expected above 0")
@@ -70,11 +77,16 @@
             raise ValueError(f"smoothing is {smoothing}, expected above 0, at most 1")
         if min_gain < 0:
             raise ValueError(f"min_gain is {min_gain}, expected at least 0")
+        if concentration_weight < 0:
+            raise ValueError(
+                f"concentration_weight is {concentration_weight}, expected at least 0"
+            )
         self._shape = shape
         self._limiter = MoveLimiter(budget, shape.n_expert_bytes)
         self._price = SKEW_PER_LOAD * move_weight / skew_weight
         self._smoothing = smoothing
         self._min_gain = min_gain
+        self._concentration_weight = concentration_weight
         self._popularity: list[list[float]] = []
 
     def observe(self, loads: Loads) -> None:
@@ -114,8 +126,9 @@
 
     def _search(self, layer: int, ranks: LayerPlacement, max_loads: int) -> list[Step]:
         """Return the steps of a layer; none when they gain less than the minimum."""
-        search = LayerSearch(self._shape, ranks, self._popularity[layer])
-        if search.compute_skew() - 1.0 < self._min_gain:
+        loads = self._popularity[layer]
+        search = LayerSearch(self._shape, ranks, loads, self._concentration_weight)
+        if search.compute_cost() - 1.0 < self._min_gain:
             return []
         steps = search.run(self._price, max_loads)
         return steps if steps[0].cost - steps[-1].cost >= self._min_gain else []
--- a/packages/core/src/bluebellusher_core/balance/_layer_search.py
+++ b/packages/core/src/bluebellusher_core/balance/_layer_search.py
@@ -12,6 +12,13 @@
 LARGE_SHARE = 0.5
 """Part of the mean rank load from which a replica counts as large."""
 
+MAX_SPLITS = 3
+"""Copies in one search that only lower the concentration."""
+
+MIN_SPLIT_RATIO = 1.5
+"""Ratio of the largest share to the share that a removal leaves, for a copy. It keeps
+two experts of similar load from taking the slot of each other in turn."""
+
 Updates = tuple[tuple[int, tuple[int, ...]], ...]
 """Experts and the ranks that hold them after a step."""
 
@@ -47,21 +54,29 @@
     """
 
     def __init__(
-        self, shape: GroupShape, ranks: LayerPlacement, loads: Sequence[float]
+        self,
+        shape: GroupShape,
+        ranks: LayerPlacement,
+        loads: Sequence[float],
+        concentration_weight: float = 0.0,
     ) -> None:
         self._n_slots = shape.n_slots
         self._ranks = list(ranks)
         self._loads = loads
+        self._mean = sum(loads) / shape.n_ranks
+        self._concentration_weight = concentration_weight
+        self._squares = 0.0
         self._shares = [0.0] * shape.n_experts
         self._rank_loads = rank_loads = [0.0] * shape.n_ranks
         self._held: list[set[int]] = [set() for _ in rank_loads]
         for expert, (held, load) in enumerate(zip(ranks, loads, strict=True)):
             self._shares[expert] = share = load / len(held)
+            self._squares += load * share
             for rank in held:
                 rank_loads[rank] += share
                 self._held[rank].add(expert)
         self._n_copies = 0
-        self._mean = sum(self._rank_loads) / shape.n_ranks
+        self._n_splits = 0
 
     def run(self, price: float, max_loads: int) -> list[Step]:
         """Return the state in force as a step, and the steps up to the lowest cost.
@@ -73,25 +88,34 @@
         max_loads : int
             Limit of expert loads.
         """
-        steps = [Step((), 0, self.compute_skew())]
+        steps = [Step((), 0, self.compute_cost())]
         n_best, n_loads = 1, 0
         while len(steps) - n_best < MAX_IDLE_STEPS * (1 + self._n_copies):
             if 1.0 + price * (n_loads + 1) >= steps[n_best - 1].cost:
                 break  # Even a layer without skew would cost more.
-            n_more, updates = self._find_step()
+            n_more, updates = self._find_split() or self._find_step()
             n_loads += n_more
             if not updates or n_loads > max_loads:
                 break
             self._change(updates)
-            cost = self.compute_skew() + price * n_loads
+            cost = self.compute_cost() + price * n_loads
             steps.append(Step(updates, n_loads, cost))
             if cost < steps[n_best - 1].cost:
                 n_best = len(steps)
         return steps[:n_best]
 
-    def compute_skew(self) -> float:
-        """Return the maximum over the mean of the rank loads; 1 without any load."""
-        return max(self._rank_loads) / self._mean if self._mean else 1.0
+    def compute_cost(self) -> float:
+        """Return the skew plus the weighted concentration of the load.
+
+        The concentration is the sum of the squared loads of all replicas, each as a
+        part of the mean rank load. The variance of a rank load grows with it when the
+        load of each expert changes in proportion.
+        """
+        if not self._mean:
+            return 1.0
+        concentration = self._squares / self._mean / self._mean
+        skew = max(self._rank_loads) / self._mean
+        return skew + self._concentration_weight * concentration
 
     def _change(self, updates: Updates) -> None:
         rank_loads = self._rank_loads
@@ -100,12 +124,47 @@
             for rank in before:
                 rank_loads[rank] -= share
                 self._held[rank].discard(expert)
-            share = self._loads[expert] / len(after)
+            load = self._loads[expert]
+            self._squares -= load * share
+            share = load / len(after)
+            self._squares += load * share
             for rank in after:
                 rank_loads[rank] += share
                 self._held[rank].add(expert)
             self._ranks[expert], self._shares[expert] = after, share
 
+    def _find_split(self) -> tuple[int, Updates] | None:
+        """Return a copy of the expert with the largest replicas to a coolest rank.
+
+        It takes a free slot or that of the replica whose removal leaves the smallest
+        replicas, if these are clearly smaller.
+        """
+        if self._n_splits == MAX_SPLITS or not self._concentration_weight:
+            return None
+        self._n_splits += 1
+        shares, ranks, rank_loads = self._shares, self._ranks, self._rank_loads
+        expert = max(range(len(shares)), key=shares.__getitem__)
+        held = ranks[expert]
+        fitting = [r for r in range(len(rank_loads)) if r not in held]
+        free = [r for r in fitting if len(self._held[r]) < self._n_slots]
+        if free:
+            rank = min(free, key=rank_loads.__getitem__)
+            return 1, ((expert, tuple(sorted((*held, rank)))),)
+        left = [
+            (self._loads[e] / (len(r) - 1), e)
+            for e, r in enumerate(ranks)
+            if len(r) > 1 and e != expert
+        ]
+        share, victim = min(left, default=(0.0, -1))
+        if victim < 0 or share * MIN_SPLIT_RATIO > shares[expert]:
+            return None
+        targets = [r for r in ranks[victim] if r not in held]
+        if not targets:
+            return None
+        rank = min(targets, key=rank_loads.__getitem__)
+        copy = (expert, tuple(sorted((*held, rank))))
+        return 1, (copy, (victim, _remove(ranks[victim], rank)))
+
     def _find_step(self) -> tuple[int, Updates]:
         rank_loads = self._rank_loads
         order = sorted(range(len(rank_loads)), key=rank_loads.__getitem__)
