--- a/bench/balance_runs.py
+++ b/bench/balance_runs.py
@@ -26,7 +26,8 @@
 N_LAYERS = 4
 N_INTERVALS = 40
 INTERVAL_MS = 60_000
-SEEDS = (1, 2, 3)
+SEEDS = (11, 12, 13)
+"""Not used while the constants of the planner were chosen (seed 1 was)."""
 
 POPULARITY_SPREAD = 0.8
 """Standard deviation of the logarithm of an expert's popularity."""
--- a/packages/core/src/bluebellusher_core/balance/_incremental.py
+++ b/packages/core/src/bluebellusher_core/balance/_incremental.py
@@ -15,7 +15,7 @@
 )
 from bluebellusher_core.balance._protocol import Conditions, Plan
 
-SMOOTHING = 0.5
+SMOOTHING = 0.85
 """Weight of the last interval in the smoothed popularity."""
 
 SKEW_PER_LOAD = 0.002
--- a/packages/core/src/bluebellusher_core/balance/_layer_search.py
+++ b/packages/core/src/bluebellusher_core/balance/_layer_search.py
@@ -12,7 +12,7 @@
 LARGE_SHARE = 0.5
 """Part of the mean rank load from which a replica counts as large."""
 
-MAX_SPLITS = 3
+MAX_SPLITS = 2
 """Copies in one search that only lower the concentration."""
 
 MIN_SPLIT_RATIO = 1.5
--- a/packages/core/src/bluebellusher_core/balance/tests/test_policies.py
+++ b/packages/core/src/bluebellusher_core/balance/tests/test_policies.py
@@ -19,6 +19,8 @@
     make_initial_placement,
     validate_placement,
 )
+from bluebellusher_core.balance._incremental import share_budget
+from bluebellusher_core.balance._layer_search import Step
 
 POLICIES = {
     "no-rebalancing": NoRebalancing,
@@ -182,13 +184,16 @@
     assert compute_skew(compute_rank_loads(8, placement[0], loads[0])) < 1.15
 
 
-def test_small_budget_reaches_every_layer():
+def test_budget_goes_to_the_largest_gain_for_each_load():
     """Guards against a layer that uses up the budget for its last small gains."""
-    shape = GroupShape(8, 6, 32, 5, N_BYTES)
-    loads = HOT_FIRST * 3
-    budget = MoveBudget(12, 10**9, 10**9, 10**9)
-    ((_, plan),) = run("incremental", shape, budget, [(loads, Conditions(0), True)], 1)
-    assert {move.layer for move in plan.moves} == set(range(6))
+    costs_by_layer = {0: [2.0, 1.5, 1.45, 1.44], 1: [2.0, 1.95, 1.6], 2: [2.0, 1.99]}
+    steps_by_layer = {
+        layer: [Step((), n_loads, cost) for n_loads, cost in enumerate(costs)]
+        for layer, costs in costs_by_layer.items()
+    }
+    for max_loads, expected in ((0, [0, 0, 0]), (3, [1, 2, 0]), (4, [2, 2, 0])):
+        shared = share_budget(steps_by_layer, max_loads)
+        assert [shared[n][-1].n_loads for n in range(3)] == expected
 
 
 def test_equal_layers_take_turns_by_the_random_state():
