--- a/packages/entry/src/bluebellusher/rollout/_changes.py
+++ b/packages/entry/src/bluebellusher/rollout/_changes.py
@@ -13,6 +13,7 @@
     ConfigSource,
     find_rules_errors,
 )
+from bluebellusher.rollout._packed import pack_text, unpack_text
 from bluebellusher.rollout._table import ConfigTable
 from bluebellusher_core.clock import Clock
 from bluebellusher_core.rollout import (
@@ -37,7 +38,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ChangeOrder:
-    """A change as an operator sent it."""
+    """A change as an operator sent it, with rules that were found without errors."""
 
     change_id: str
     base_version: int
@@ -129,7 +130,7 @@
 
     def receive_stage(self, peer_id: str, stage: Any) -> None:
         """Answer a peer whether this entry can run the rules."""
-        errors = find_rules_errors(stage.rules_text or "")
+        errors = find_rules_errors(unpack_text(stage.rules_text or ""))
         staged = messages.ConfigStaged(
             change_id=stage.change_id,
             failure_domain=self._domains.own_domain,
@@ -150,9 +151,6 @@
             running.woken.set()
 
     async def _run(self, order: ChangeOrder) -> ChangeAnswer:
-        errors = find_rules_errors(order.rules_text)
-        if errors:
-            return ChangeAnswer(ChangeState.REFUSED, reason="; ".join(errors))
         try:
             rows = await self._table.read_rows(order.change_id)
         except PlatformError as error:
@@ -274,6 +272,6 @@
     return messages.ConfigStage(
         change_id=order.change_id,
         base_version=order.base_version,
-        rules_text=order.rules_text,
+        rules_text=pack_text(order.rules_text),
         author=order.author,
     )
--- a/packages/entry/src/bluebellusher/rollout/_spread.py
+++ b/packages/entry/src/bluebellusher/rollout/_spread.py
@@ -9,6 +9,7 @@
 from bluebellusher.platform import PlatformError
 from bluebellusher.rollout._domains import DomainView
 from bluebellusher.rollout._in_force import ConfigInForce, ConfigSource
+from bluebellusher.rollout._packed import pack_text, unpack_text
 from bluebellusher.rollout._table import ConfigTable
 from bluebellusher.runtime import PeerExchange
 from bluebellusher_core.clock import Clock
@@ -137,7 +138,7 @@
             push = messages.ConfigPush(
                 version=current.version,
                 change_id=current.change_id,
-                rules_text=current.rules_text,
+                rules_text=pack_text(current.rules_text),
                 author=current.author,
                 accepted_wall_ms=current.accepted_wall_ms,
             )
@@ -151,7 +152,7 @@
         config = ConfigVersion(
             version,
             push.change_id or "",
-            push.rules_text or "",
+            unpack_text(push.rules_text or ""),
             push.author or "",
             push.accepted_wall_ms or 0,
         )
