Keep customers within their budgets in the entry

Cause: the decisions on allowances existed, but no request was charged to one. Ruled out: a hook in the reducer, because a request may wait for a grant before it is admitted; the estimated prompt length as worst case, because it is an estimate. Change: the worst cost is reserved before admission and settled with the usage of the engine; grants are taken and returned in grouped transactions; when-exhausted rules; usage records in the object store under names that are never reused.

--- /dev/null
+++ b/packages/entry/src/bluebellusher/allowance/__init__.py
@@ -0,0 +1,8 @@
+"""Spending of customers: budgets as granted allowances, and usage records."""
+
+from bluebellusher.allowance._book import Allowance, AllowanceBook
+from bluebellusher.allowance._grants import GrantWriter
+from bluebellusher.allowance._spending import Spending
+from bluebellusher.allowance._usage import UsageWriter
+
+__all__ = ["Allowance", "AllowanceBook", "GrantWriter", "Spending", "UsageWriter"]
--- /dev/null
+++ b/packages/entry/src/bluebellusher/allowance/_grants.py
@@ -0,0 +1,206 @@
+"""Taking and returning grants through the table."""
+
+import asyncio
+import contextlib
+from random import Random
+from typing import Any
+
+from bluebellusher.allowance._book import Allowance, AllowanceBook
+from bluebellusher.platform import PlatformClient, TransactConflictError
+from bluebellusher_core.allowance import AllowanceRow, AllowanceWrite, Grant
+from bluebellusher_core.clock import Clock
+
+IDLE_INTERVAL_S = 1.0
+MIN_INTERVAL_S = 0.05
+MAX_BACKOFF_S = 5.0
+# A row without free units is read again after this time, for returned grants.
+READ_INTERVAL_MS = 1_000
+GRANT_WAIT_MS = 1_500
+RETURN_LIMIT_MS = 3_000
+# A single lost answer must not refuse customers.
+_N_FAILURES_DOWN = 2
+_MAX_CONFLICTS = 4
+
+
+class GrantWriter:
+    """Write all due grants of an entry in one transaction at a time.
+
+    Parameters
+    ----------
+    book : AllowanceBook
+        Allowances of this entry.
+    platform : PlatformClient
+        The table.
+    clock : Clock
+        Monotonic time for idleness and waits, wall time for the end of a month.
+    random_state : Random
+        Jitter, so that entries that conflict do not meet again.
+    """
+
+    def __init__(
+        self,
+        book: AllowanceBook,
+        platform: PlatformClient,
+        clock: Clock,
+        random_state: Random,
+    ) -> None:
+        self._book = book
+        self._platform = platform
+        self._clock = clock
+        self._random_state = random_state
+        self._woken = asyncio.Event()
+        self._cycle_ended = asyncio.Event()
+        self._n_failures = 0
+
+    @property
+    def is_table_down(self) -> bool:
+        """Return whether the table has not answered lately."""
+        return self._n_failures >= _N_FAILURES_DOWN
+
+    async def reserve(
+        self, allowance: Allowance, request_id: str, n_units: int
+    ) -> bool:
+        """Reserve units, with a larger grant if needed; return whether it worked."""
+        until_ms = self._clock.now_ms() + GRANT_WAIT_MS
+        while True:
+            now_ms = allowance.used_at_ms = self._clock.now_ms()
+            wall_ms = self._clock.wall_ms()
+            if allowance.holder.reserve(request_id, n_units, wall_ms):
+                return True
+            empty_at_ms = allowance.empty_at_ms
+            is_empty = empty_at_ms is not None and (
+                now_ms - empty_at_ms < READ_INTERVAL_MS
+            )
+            is_over = wall_ms >= allowance.period_end_ms or now_ms >= until_ms
+            if is_empty or is_over or self.is_table_down:
+                return False
+            allowance.demand += n_units
+            try:
+                await self._wait_for_cycle((until_ms - now_ms) / 1000)
+            finally:
+                allowance.demand -= n_units
+
+    async def run(self) -> None:
+        """Write what is due until cancelled."""
+        while True:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(IDLE_INTERVAL_S * self._jitter()):
+                    await self._woken.wait()
+            self._woken.clear()
+            self._book.drop_ended()
+            await self.write_due(is_returning=False)
+            pause_s = MIN_INTERVAL_S * 2 ** min(self._n_failures, 16)
+            await asyncio.sleep(min(pause_s, MAX_BACKOFF_S) * self._jitter())
+
+    async def return_all(self) -> None:
+        """Give back what is not used, at shutdown; ends after a while."""
+        until_ms = self._clock.now_ms() + RETURN_LIMIT_MS
+        while self._clock.now_ms() < until_ms:
+            if not await self.write_due(is_returning=True):
+                return
+            await asyncio.sleep(MIN_INTERVAL_S)
+
+    async def write_due(self, is_returning: bool) -> bool:
+        """Plan and write once; return whether something was due."""
+        is_any_due = False
+        for _ in range(_MAX_CONFLICTS):
+            write_by_key = await self._plan(is_returning)
+            is_any_due = is_any_due or bool(write_by_key)
+            if not write_by_key or await self._write(write_by_key):
+                break
+            await asyncio.sleep(MIN_INTERVAL_S * self._random_state.random())
+        ended, self._cycle_ended = self._cycle_ended, asyncio.Event()
+        ended.set()
+        return is_any_due
+
+    async def _wait_for_cycle(self, limit_s: float) -> None:
+        ended = self._cycle_ended
+        self._woken.set()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(limit_s):
+                await ended.wait()
+
+    async def _plan(self, is_returning: bool) -> dict[str, AllowanceWrite]:
+        write_by_key = {}
+        now_ms = self._clock.now_ms()
+        for key, allowance in list(self._book.allowance_by_key.items()):
+            if is_returning or allowance.is_idle(now_ms):
+                write = allowance.holder.plan_return()
+            else:
+                write = await self._plan_grant(allowance)
+            if write is not None:
+                write_by_key[key] = write
+        return write_by_key
+
+    async def _plan_grant(self, allowance: Allowance) -> AllowanceWrite | None:
+        holder, demand = allowance.holder, allowance.demand
+        write = holder.plan_grant(demand)
+        if write is not None or holder.n_free_units >= demand:
+            return write
+        now_ms = self._clock.now_ms()
+        read_at_ms = allowance.read_at_ms
+        if read_at_ms is None or now_ms - read_at_ms >= READ_INTERVAL_MS:
+            result = await self._platform.read_row(allowance.key)
+            self._note(result.is_ok())
+            if not result.is_ok():
+                return None
+            allowance.read_at_ms = now_ms
+            holder.observe(result.ok.version, _read_row(result.ok.value))
+            write = holder.plan_grant(demand)
+        if write is None:
+            allowance.empty_at_ms = now_ms
+        return write
+
+    async def _write(self, write_by_key: dict[str, AllowanceWrite]) -> bool:
+        """Send the writes; return False when they should be planned again."""
+        conditions = {key: write.row_version for key, write in write_by_key.items()}
+        puts = {key: _to_value(write.row) for key, write in write_by_key.items()}
+        result = await self._platform.transact(conditions, puts)
+        holder_by_key = {
+            key: self._book.allowance_by_key[key].holder
+            for key in write_by_key
+            if key in self._book.allowance_by_key
+        }
+        if result.is_ok():
+            self._note(True)
+            for holder in holder_by_key.values():
+                holder.write_succeeded(result.ok)
+            return True
+        error = result.error
+        if not isinstance(error, TransactConflictError):
+            # The writes stay pending and are sent again as they are; their sequence
+            # numbers tell whether they took effect.
+            self._note(False)
+            return True
+        self._note(True)
+        for row in error.conflicts:
+            if row.key in holder_by_key:
+                value = _read_row(row.value)
+                holder_by_key[row.key].write_conflicted(row.version, value)
+        return False
+
+    def _note(self, is_answered: bool) -> None:
+        self._n_failures = 0 if is_answered else self._n_failures + 1
+
+    def _jitter(self) -> float:
+        return 0.5 + self._random_state.random()
+
+
+def _to_value(row: AllowanceRow) -> dict[str, Any]:
+    return {
+        "limit": row.limit,
+        "config_version": row.config_version,
+        "n_closed_units": row.n_closed_units,
+        "grants": {h: [g.sequence, g.amount] for h, g in row.grant_by_holder.items()},
+    }
+
+
+def _read_row(value: Any) -> AllowanceRow | None:
+    if value is None:
+        return None
+    return AllowanceRow(
+        int(value["limit"]),
+        int(value["config_version"]),
+        {h: Grant(int(s), int(a)) for h, (s, a) in value["grants"].items()},
+        int(value["n_closed_units"]),
+    )
--- /dev/null
+++ b/packages/entry/src/bluebellusher/allowance/_usage.py
@@ -0,0 +1,147 @@
+"""Usage records in the object store."""
+
+import asyncio
+import json
+from collections import deque
+from dataclasses import dataclass
+from random import Random
+from typing import Any
+
+from bluebellusher.platform import ObjectExistsError, PlatformClient
+from bluebellusher_core.clock import Clock
+from bluebellusher_core.events import Usage
+
+WRITE_INTERVAL_S = 5.0
+_HOUR_MS = 3_600_000
+# Sealed objects that wait while the object store refuses; later usage is added up
+# in the open one, which is bounded by customers, models and hours.
+_MAX_SEALED = 4
+
+
+@dataclass(frozen=True, slots=True)
+class UsageKey:
+    """What usage is added up by."""
+
+    customer_id: str
+    model: str
+    config_version: int
+    hour: int
+    part: str
+    unit: str
+    is_estimated: bool
+
+
+@dataclass(slots=True)
+class UsageSum:
+    """Requests, tokens and charged units with one key."""
+
+    n_requests: int = 0
+    n_input_tokens: int = 0
+    n_cached_tokens: int = 0
+    n_output_tokens: int = 0
+    n_charged_units: int = 0
+
+
+class UsageWriter:
+    """Add usage up and store each sum exactly once.
+
+    An object is sealed before it is sent, under a name of its own that is never used
+    for other content. A lost answer is therefore resolved by sending it again.
+
+    Parameters
+    ----------
+    prefix : str
+        ``usage/{domain}/{instance}/{incarnation}``.
+    platform : PlatformClient
+        The object store.
+    clock : Clock
+        Wall time gives the hour of a request.
+    random_state : Random
+        Jitter between writes.
+    """
+
+    def __init__(
+        self, prefix: str, platform: PlatformClient, clock: Clock, random_state: Random
+    ) -> None:
+        self._prefix = prefix
+        self._platform = platform
+        self._clock = clock
+        self._random_state = random_state
+        self._sum_by_key: dict[UsageKey, UsageSum] = {}
+        self._sealed: deque[tuple[str, bytes]] = deque()
+        self._n_sealed = 0
+
+    def add(
+        self,
+        customer_id: str,
+        model: str,
+        config_version: int,
+        charge: tuple[str, str, int],
+        usage: Usage | None,
+    ) -> None:
+        """Add one request.
+
+        Parameters
+        ----------
+        customer_id, model : str
+            Who used what.
+        config_version : int
+            Version of the rules that priced it.
+        charge : tuple of str, str and int
+            Part of the budget, its unit, and the charged units.
+        usage : Usage or None
+            Tokens; ``None`` when they are unknown and the charge is the worst case.
+        """
+        part, unit, n_units = charge
+        hour = self._clock.wall_ms() // _HOUR_MS
+        key = UsageKey(
+            customer_id, model, config_version, hour, part, unit, usage is None
+        )
+        total = self._sum_by_key.setdefault(key, UsageSum())
+        total.n_requests += 1
+        total.n_charged_units += n_units
+        if usage is not None:
+            total.n_input_tokens += usage.n_input_tokens
+            total.n_cached_tokens += usage.n_cached_tokens
+            total.n_output_tokens += usage.n_output_tokens
+
+    async def run(self) -> None:
+        """Store usage every few seconds until cancelled."""
+        while True:
+            jitter = 0.8 + 0.4 * self._random_state.random()
+            await asyncio.sleep(WRITE_INTERVAL_S * jitter)
+            await self.flush()
+
+    async def flush(self) -> bool:
+        """Seal what was added and send what is sealed; return whether all is stored."""
+        self._seal()
+        while self._sealed:
+            name, data = self._sealed[0]
+            result = await self._platform.put_object(name, data)
+            if not result.is_ok() and not isinstance(result.error, ObjectExistsError):
+                return False
+            # Other content under the name means that another process has this
+            # instance id and incarnation; the record is kept under the next name.
+            self._sealed.popleft()
+            if not result.is_ok():
+                self._sealed.appendleft((self._next_name(), data))
+        return not self._sum_by_key
+
+    def _seal(self) -> None:
+        if not self._sum_by_key or len(self._sealed) >= _MAX_SEALED:
+            return
+        records = [_to_json(key, total) for key, total in self._sum_by_key.items()]
+        self._sum_by_key = {}
+        data = json.dumps({"records": records}, sort_keys=True).encode()
+        self._sealed.append((self._next_name(), data))
+
+    def _next_name(self) -> str:
+        self._n_sealed += 1
+        return f"{self._prefix}/{self._n_sealed}"
+
+
+def _to_json(key: UsageKey, total: UsageSum) -> dict[str, Any]:
+    return {
+        **{name: getattr(key, name) for name in UsageKey.__slots__},
+        **{name: getattr(total, name) for name in UsageSum.__slots__},
+    }
--- a/packages/entry/src/bluebellusher/cli/_entry.py
+++ b/packages/entry/src/bluebellusher/cli/_entry.py
@@ -13,6 +13,7 @@
 
 import uvloop
 
+from bluebellusher.allowance import Spending
 from bluebellusher.cli._view import EntryView
 from bluebellusher.links import AgentLinks, Identity, LinkTicker, PeerLinks
 from bluebellusher.observability import KeyValueLog, Metrics, Tracer
@@ -84,6 +85,14 @@
             self.view.make_digest,
             seed,
         )
+        self.spending = Spending.from_parts(
+            settings,
+            self.incarnation,
+            self.rollout.in_force,
+            self.platform,
+            clock,
+            seed,
+        )
         counter = itertools.count(1)
         prefix = f"{settings.instance_id}.{self.incarnation}"
         self.server = HttpServer(
@@ -93,6 +102,7 @@
             self.view,
             lambda: f"{prefix}.r{next(counter)}",
             (self.rollout.pages,),
+            self.spending,
         )
 
     async def start(self) -> None:
@@ -104,6 +114,7 @@
         http_port = await self.server.start()
         self.agents.dial(_pairs(self.settings.agents))
         self.rollout.start(self.peer_exchange, self.ticker)
+        self.spending.start()
         self.peers.dial(_pairs(self.settings.peers))
         self.log.event(
             "listening",
@@ -126,6 +137,7 @@
         self.ticker.stop()
         await self.agents.close()
         await self.rollout.close()
+        await self.spending.close()
         await self.peers.close()
         await self.platform.close()
         self.runtime.close()
--- a/packages/entry/src/bluebellusher/rollout/tests/test_rollout.py
+++ b/packages/entry/src/bluebellusher/rollout/tests/test_rollout.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 from bluebellusher.rollout import ConfigSource, _changes
+from bluebellusher.rollout._packed import pack_text, unpack_text
 from bluebellusher.rollout.tests.network import Network, rules
 from bluebellusher_core.rollout import ConfigVersion, WriteChange, _change
 from bluebellusher_core.rules import Share
@@ -187,14 +188,9 @@
             await rollout._spread._poll_once()
         b1._spread._receive_push(
             "a1",
-            _changes.messages.ConfigPush(
-                version=1,
-                change_id="one",
-                rules_text=rules(3),
-                author="",
-                accepted_wall_ms=1,
-            ),
+            messages.ConfigPush(version=1, change_id="one", rules_text=rules(3)),
         )
+        assert unpack_text(pack_text(rules(3))) == rules(3)
         for rollout in (a1, b1):
             assert rollout.in_force.version == 2
             assert rollout.in_force.current.rules_text == rules(4)
--- a/packages/entry/src/bluebellusher/runtime/_exchange.py
+++ b/packages/entry/src/bluebellusher/runtime/_exchange.py
@@ -6,7 +6,7 @@
 from bluebellusher.links import AnswerStream
 from bluebellusher.observability import Span
 from bluebellusher.runtime._kept import KeptAnswer
-from bluebellusher_core.events import RequestSpec
+from bluebellusher_core.events import RequestSpec, Usage
 
 
 @dataclass(slots=True)
@@ -14,7 +14,8 @@
     """What the runtime holds of a request while it is in progress.
 
     ``n_attempts`` counts attempts whose end the reducer has not handled yet; the
-    exchange is forgotten when the caller is served and no attempt is left.
+    exchange is forgotten when the caller is served and no attempt is left. ``usage`` is
+    that of the attempt whose whole answer arrived.
     """
 
     spec: RequestSpec
@@ -27,6 +28,7 @@
     is_kept: bool = False
     n_attempts: int = 0
     is_caller_served: bool = False
+    usage: Usage | None = None
     attempt_spans: dict[str, Span] = field(default_factory=dict)
     endpoint_by_attempt_id: dict[str, str] = field(default_factory=dict)
 
--- a/packages/entry/src/bluebellusher/runtime/_runtime.py
+++ b/packages/entry/src/bluebellusher/runtime/_runtime.py
@@ -161,6 +161,7 @@
     def _handle(self, event: Event) -> None:
         if isinstance(event, AttemptFinished):
             self._keep_answer(event.attempt_id)
+            self._note_usage(event)
         try:
             effects = reduce(self.state, event, self._clock.now_ms())
         except Exception as error:
@@ -201,6 +202,11 @@
         if exchange is not None and exchange.is_kept and self._claims is not None:
             self._claims.keep(exchange.spec.request_id, exchange.keep())
 
+    def _note_usage(self, event: AttemptFinished) -> None:
+        exchange = self._dispatcher.find(event.attempt_id)
+        if exchange is not None and exchange.usage is None:
+            exchange.usage = event.usage
+
     def _end_attempt(self, attempt_id: str) -> None:
         """Forget an attempt whose end the reducer has handled."""
         exchange = self._dispatcher.end(attempt_id)
--- a/packages/entry/src/bluebellusher/server/_app.py
+++ b/packages/entry/src/bluebellusher/server/_app.py
@@ -28,7 +28,7 @@
 )
 from bluebellusher.server._protocol import EntryProtocol
 from bluebellusher.server._respond import refusal_body, refusal_headers, status_of
-from bluebellusher.server._status import Pages, StatusSource
+from bluebellusher.server._status import Pages, SpendingGate, StatusSource
 from bluebellusher.server._stream import AnswerSender
 from bluebellusher.settings import Settings
 from bluebellusher_core.errors import Outcome, Reason, Refusal
@@ -64,6 +64,8 @@
         Returns a new id with each call.
     more_pages : sequence of Pages
         Routes of other parts of the entry.
+    spending : SpendingGate or None
+        Lets requests in within the budgets.
     """
 
     def __init__(
@@ -74,6 +76,7 @@
         status: StatusSource,
         make_request_id: Callable[[], str],
         more_pages: Sequence[Pages] = (),
+        spending: SpendingGate | None = None,
     ) -> None:
         self._settings = settings
         self._runtime = runtime
@@ -81,6 +84,7 @@
         self._parser = RequestParser(settings)
         self._operator_pages = OperatorPages(self._parser, runtime, store, status)
         self._more_pages = more_pages
+        self._spending = spending
         self._server: AsyncioServer | None = None
 
     async def start(self) -> int:
@@ -208,6 +212,8 @@
             self._parser.authenticate(request.headers)
             self._check_not_stopping()
             draft = parse(await read_body(request, limits))
+            if self._spending is not None:
+                draft = await self._spending.admit(request_id, draft, parse)
         except BadRequestError as error:
             return self._refuse(error, request_id)
         exchange = self._make_exchange(draft, request_id, request)
@@ -218,6 +224,8 @@
             outcome = await sender.send()
         finally:
             self._runtime.end(exchange)
+            if self._spending is not None:
+                self._spending.settle(request_id, outcome, exchange)
             self._runtime.metrics.count(
                 "bluebellusher_requests_total", "outcome", outcome
             )
@@ -232,7 +240,9 @@
         self._runtime.metrics.count(
             "bluebellusher_bad_requests_total", "reason", error.reason.value
         )
-        return make_refusal(error.reason, request_id, error.detail)
+        return make_refusal(
+            error.reason, request_id, error.detail, error.retry_after_ms
+        )
 
     def _make_exchange(
         self, draft: RequestDraft, request_id: str, request: Request
@@ -252,9 +262,12 @@
         )
 
 
-def make_refusal(reason: Reason, request_id: str, detail: str) -> HTTPResponse:
+def make_refusal(
+    reason: Reason, request_id: str, detail: str, retry_after_ms: int | None = None
+) -> HTTPResponse:
     """Return the answer to a request that was not admitted."""
-    retry_after_ms = 1_000 if status_of(reason) in (408, 429, 503) else None
+    if retry_after_ms is None and status_of(reason) in (408, 429, 503):
+        retry_after_ms = 1_000
     refusal = Refusal(Outcome.NOT_RUN, reason, "receive", "", retry_after_ms)
     return HTTPResponse(
         refusal_body(refusal, request_id, detail),
--- a/packages/entry/src/bluebellusher/server/_parse.py
+++ b/packages/entry/src/bluebellusher/server/_parse.py
@@ -51,10 +51,13 @@
 class BadRequestError(Exception):
     """A request that is refused before it is admitted."""
 
-    def __init__(self, reason: Reason, detail: str) -> None:
+    def __init__(
+        self, reason: Reason, detail: str, retry_after_ms: int | None = None
+    ) -> None:
         super().__init__(detail)
         self.reason = reason
         self.detail = detail
+        self.retry_after_ms = retry_after_ms
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/entry/src/bluebellusher/server/_status.py
+++ b/packages/entry/src/bluebellusher/server/_status.py
@@ -1,10 +1,13 @@
 """What the server shows of the entry."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any, Protocol
 
 from sanic import Sanic
 
+from bluebellusher.runtime import Exchange
+from bluebellusher.server._parse import RequestDraft
+
 
 class StatusSource(Protocol):
     """State of the entry for operators and load balancers."""
@@ -24,3 +27,18 @@
 
     def add_to(self, app: Sanic[Any, Any]) -> None:
         """Register the routes."""
+
+
+class SpendingGate(Protocol):
+    """Budgets of the customers."""
+
+    async def admit(
+        self,
+        request_id: str,
+        draft: RequestDraft,
+        reparse: Callable[[bytes], RequestDraft],
+    ) -> RequestDraft:
+        """Return the request to run, or raise ``BadRequestError``."""
+
+    def settle(self, request_id: str, outcome: str, exchange: Exchange | None) -> None:
+        """Charge what an admitted request used."""
