--- /dev/null
+++ b/packages/entry/src/bluebellusher/allowance/tests/test_budget_processes.py
@@ -0,0 +1,159 @@
+"""Guards, with real processes, against spending above a budget."""
+
+import asyncio
+import json
+import signal
+
+import aiohttp
+
+from bluebellusher.allowance.tests.fakes import rules
+from bluebellusher_standins.cluster import HOST, Cluster
+
+KEY = {"Authorization": "Bearer key-of-c1"}
+OPERATOR = {"Authorization": "Bearer key-of-op"}
+TIMEOUT = aiohttp.ClientTimeout(total=60)
+N_TOKENS = 20
+
+
+def run(scenario, n_entries: int, budget: int) -> None:
+    """Run a scenario with entries of one domain that have the rules in force."""
+
+    async def inner() -> None:
+        async with (
+            Cluster() as cluster,
+            aiohttp.ClientSession(timeout=TIMEOUT) as session,
+        ):
+            await cluster.start_platform()
+            await cluster.start_engine("engine-1", "a", token_interval_ms=0.1)
+            ports = cluster.reserve_peer_ports(n_entries)
+            entries = [
+                await cluster.start_entry(f"entry-{i}", "a", port)
+                for i, port in enumerate(ports)
+            ]
+            body = {"change_id": "one", "base_version": 0, "author": "Mio"}
+            body = {**body, "rules_text": rules(f"{budget} tokens")}
+            url = f"http://{HOST}:{entries[0].port}/admin/rules"
+            async with session.post(url, json=body, headers=OPERATOR) as answer:
+                assert answer.status == 200, await answer.text()
+            for entry in entries:
+                await entry.wait_for("event=config-in-force version=1")
+            await scenario(cluster, session, entries)
+
+    asyncio.run(inner())
+
+
+async def ask(session, entry):
+    """Send a request; return status, headers and whether tokens were generated."""
+    message = {"role": "user", "content": "hello"}
+    body = {"model": "model-a", "messages": [message], "max_tokens": N_TOKENS}
+    url = f"http://{HOST}:{entry.port}/v1/chat/completions"
+    async with session.post(url, json=body, headers=KEY) as answer:
+        await answer.read()
+        return answer.status, answer.headers
+
+
+async def spend(session, entry, n_requests: int) -> int:
+    """Send requests, some at a time, until one is refused; return how many ran."""
+    n_done = 0
+    for _ in range(0, n_requests, 5):
+        answers = await asyncio.gather(*(ask(session, entry) for _ in range(5)))
+        assert {status for status, _ in answers} <= {200, 429}
+        n_done += sum(status == 200 for status, _ in answers)
+        if any(status == 429 for status, _ in answers):
+            break
+    return n_done
+
+
+async def read_platform(session, cluster, path: str, **params):
+    """Return a page of the platform."""
+    url = f"http://{HOST}:{cluster.platform_port}{path}"
+    async with session.get(url, params=params) as answer:
+        return json.loads(await answer.read())
+
+
+async def read_usage(session, cluster) -> list[dict]:
+    """Return all usage records."""
+    names = await read_platform(session, cluster, "/objects", prefix="usage/")
+    pages = [
+        await read_platform(session, cluster, f"/objects/{name}")
+        for name in names["objects"]
+    ]
+    return [record for page in pages for record in page["records"]]
+
+
+async def read_granted(session, cluster) -> int:
+    """Return the sum of grants in the table."""
+    rows = await read_platform(session, cluster, "/table/rows", prefix="allowance/")
+    (row,) = rows["rows"]
+    return sum(amount for _, amount in row["value"]["grants"].values())
+
+
+async def set_faults(session, cluster, **faults) -> None:
+    """Switch faults of the platform."""
+    url = f"http://{HOST}:{cluster.platform_port}/faults"
+    async with session.post(url, json=faults) as answer:
+        assert answer.status == 200
+
+
+def test_budget_holds_with_an_entry_killed_and_one_frozen():
+    """Guards against an entry that spends what another one was granted meanwhile."""
+    budget = 4_000
+
+    async def scenario(cluster, session, entries):
+        n_done = sum([await spend(session, entry, 20) for entry in entries])
+        assert n_done == 60
+        entries[1].signal(signal.SIGSTOP)
+        entries[2].signal(signal.SIGKILL)
+        n_done += await spend(session, entries[0], 1_000)
+        status, headers = await ask(session, entries[0])
+        assert status == 429 and int(headers["Retry-After"]) > 0
+        entries[1].signal(signal.SIGCONT)
+        n_done += await spend(session, entries[1], 1_000)
+        assert (await ask(session, entries[1]))[0] == 429
+        assert await read_granted(session, cluster) <= budget
+        # Every answer has all its output tokens, and at least one of input.
+        assert n_done * (N_TOKENS + 1) <= budget
+        for entry in entries[:2]:
+            await entry.stop()
+        records = await read_usage(session, cluster)
+        n_recorded = sum(r["n_charged_units"] for r in records)
+        assert n_recorded <= await read_granted(session, cluster) <= budget
+
+    run(scenario, 3, budget)
+
+
+def test_grant_serves_while_the_table_is_down():
+    """Guards against an outage that stops paid work, and against work beyond it."""
+
+    async def scenario(cluster, session, entries):
+        assert (await ask(session, entries[0]))[0] == 200
+        await set_faults(session, cluster, is_down=True)
+        assert await spend(session, entries[0], 5) > 0
+        assert await spend(session, entries[0], 1_000) < 200
+        status, headers = await ask(session, entries[0])
+        assert status == 429 and int(headers["Retry-After"]) <= 5
+        await set_faults(session, cluster, is_down=False)
+        for _ in range(200):
+            if (await ask(session, entries[0]))[0] == 200:
+                break
+            await asyncio.sleep(0.05)
+        assert (await ask(session, entries[0]))[0] == 200
+
+    run(scenario, 1, 20_000)
+
+
+def test_usage_and_returned_grant_agree_after_shutdown():
+    """Guards against usage that is lost or counted twice when answers are lost."""
+
+    async def scenario(cluster, session, entries):
+        assert await spend(session, entries[0], 30) == 30
+        await set_faults(session, cluster, lose_answers=3)
+        assert await spend(session, entries[0], 30) == 30
+        assert await entries[0].stop() == 0
+        records = await read_usage(session, cluster)
+        assert sum(r["n_requests"] for r in records) == 60
+        assert sum(r["n_output_tokens"] for r in records) == 60 * N_TOKENS
+        n_charged = sum(r["n_charged_units"] for r in records)
+        assert n_charged == await read_granted(session, cluster)
+
+    run(scenario, 1, 100_000)
--- /dev/null
+++ b/packages/entry/src/bluebellusher/allowance/tests/test_grants.py
@@ -0,0 +1,238 @@
+"""Guards against a sum of spending above a budget, and against lost usage."""
+
+import asyncio
+import json
+from decimal import Decimal
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bluebellusher.allowance import AllowanceBook, GrantWriter, Spending, UsageWriter
+from bluebellusher.allowance._costs import cost_of, worst_cost_of
+from bluebellusher.allowance.tests.fakes import FakePlatform, rules
+from bluebellusher.rollout import ConfigInForce, ConfigSource
+from bluebellusher.server import BadRequestError, RequestParser
+from bluebellusher.settings import Settings
+from bluebellusher_core.clock import ManualClock
+from bluebellusher_core.events import Usage
+from bluebellusher_core.rollout import ConfigVersion
+from bluebellusher_core.rules import Limit, parse_rules
+
+LIMIT = 1_000
+ENTRIES = 3
+WALL_MS = 1_796_000_000_000
+RULES = parse_rules(rules("1000 tokens")).ok
+FAULTS = st.lists(st.sampled_from(["ok", "ok", "lost", "down"]), max_size=4)
+ACTIONS = st.tuples(
+    st.sampled_from(["spend", "spend", "spend", "settle", "return", "kill", "idle"]),
+    st.integers(0, ENTRIES - 1),
+    st.integers(1, 300),
+    FAULTS,
+)
+
+
+class Spender:
+    """One entry; a killed one is replaced by one with another holder id."""
+
+    def __init__(self, name: str, platform: FakePlatform, clock: ManualClock) -> None:
+        self.clock = clock
+        book = AllowanceBook(name, ENTRIES, clock)
+        self.writer = GrantWriter(book, platform, clock, Random(name))
+        limit = Limit(Decimal(LIMIT), "tokens")
+        self.allowance = book.find("c1", "budget", limit, RULES, 1)
+        self.reserved: dict[str, int] = {}
+        self.n_spent = 0
+        self._n_requests = 0
+
+    async def act(self, action: str, amount: int) -> None:
+        """Do one action."""
+        holder = self.allowance.holder
+        if action == "spend":
+            self._n_requests += 1
+            request_id = f"r{self._n_requests}"
+            self.allowance.used_at_ms = self.clock.now_ms()
+            self.allowance.demand = amount
+            await self.writer.write_due(is_returning=False)
+            self.allowance.demand = 0
+            if holder.reserve(request_id, amount, self.clock.wall_ms()):
+                self.reserved[request_id] = amount
+        elif action == "settle" and self.reserved:
+            request_id, reserved = self.reserved.popitem()
+            self.n_spent += holder.settle(request_id, min(amount, reserved))
+        elif action in ("return", "idle"):
+            if action == "idle":
+                self.clock.advance(40_000)
+            await self.writer.write_due(is_returning=action == "return")
+
+    @property
+    def n_used(self) -> int:
+        """Return what was spent and what may still be spent."""
+        return self.n_spent + sum(self.reserved.values())
+
+
+async def play(actions) -> int:
+    """Play actions; return the units used at the end, after a check of each step."""
+    clock = ManualClock(0, WALL_MS)
+    platform = FakePlatform(clock)
+    spenders = [Spender(f"e{i}/1", platform, clock) for i in range(ENTRIES)]
+    n_used = n_used_by_killed = 0
+    for step, (action, index, amount, faults) in enumerate(actions):
+        platform.faults = list(faults)
+        if action == "kill":
+            n_used_by_killed += spenders[index].n_used
+            spenders[index] = Spender(f"e{index}/{step + 2}", platform, clock)
+        else:
+            await spenders[index].act(action, amount)
+        n_used = n_used_by_killed + sum(s.n_used for s in spenders)
+        assert n_used <= LIMIT
+    return n_used
+
+
+@given(st.lists(ACTIONS, max_size=40))
+def test_property_sum_over_entries_stays_within_the_budget(actions):
+    """Guards against a bill above the ceiling when answers are lost or entries die."""
+    asyncio.run(play(actions))
+
+
+def test_budget_can_be_used_up():
+    """Guards against grants that strand the budget, which would hide an excess."""
+    actions = [("spend", i % ENTRIES, 10, []) for i in range(150)]
+    assert asyncio.run(play(actions)) >= LIMIT * 0.95
+
+
+def test_costs_follow_the_prices():
+    """Guards against a worst case below the real cost."""
+    usage = Usage(100, 40, 7)
+    assert cost_of(RULES, "model-a", usage, is_tokens=False) == 60 * 200 + 4000 + 3500
+    assert cost_of(RULES, "model-a", usage, is_tokens=True) == 107
+    assert worst_cost_of(RULES, "model-a", 100, 7, is_tokens=False) == 20_000 + 3500
+    assert worst_cost_of(RULES, "model-a", 100, 7, is_tokens=True) == 107
+
+
+class World:
+    """Spending of one entry with rules in force."""
+
+    def __init__(self, rules_text: str) -> None:
+        self.clock = ManualClock(0, WALL_MS)
+        self.platform = FakePlatform(self.clock)
+        models = ["model-a", "model-b"]
+        service = {"service_id": "reply-writer", "kind": "model", "models": models}
+        address = {"host": "127.0.0.1", "port": 0}
+        settings = Settings.model_validate(
+            {
+                "instance_id": "e1",
+                "failure_domain": "a",
+                "shared_secret": "s3cr3t-of-this-test",
+                "http": address,
+                "peer_listen": address,
+                "platform_url": "http://127.0.0.1:9",
+                "services": [service],
+                "customers": [{"customer_id": "c1", "credentials": ["k"]}],
+            }
+        )
+        self.parser = RequestParser(settings)
+        in_force = ConfigInForce(settings, self, self.clock)
+        config = ConfigVersion(1, "one", rules_text, "Mio", 1)
+        assert in_force.offer(config, ConfigSource("table"))
+        parts = (settings, 7, in_force, self.platform, self.clock, Random(1))
+        self.spending = Spending.from_parts(*parts)
+
+    def post(self, _event) -> None:
+        """Drop an event."""
+
+    def log(self, *_args, **_fields) -> None:
+        """Drop a log line."""
+
+    async def admit(self, request_id: str, n_tokens: int):
+        """Send a request of 1 to ``n_tokens`` tokens; return what would run."""
+        headers = {"authorization": "Bearer k", "x-priority": "high"}
+        message = {"role": "user", "content": "x"}
+        body = {"model": "model-a", "messages": [message], "max_tokens": n_tokens}
+
+        def parse(data):
+            return self.parser.parse_model(headers, data)
+
+        draft = parse(json.dumps(body).encode())
+        return await self.spending.admit(request_id, draft, parse)
+
+
+def run_spending(rules_text: str, scenario) -> None:
+    """Run a scenario while grants are written."""
+
+    async def inner() -> None:
+        world = World(rules_text)
+        world.spending.start()
+        await scenario(world)
+        await world.spending.close()
+
+    asyncio.run(inner())
+
+
+@pytest.mark.parametrize(
+    ("exhausted", "priority", "model"),
+    [
+        ("lower-priority up to 500 tokens", "LOW", "model-a"),
+        ("cheaper-model model-b up to 500 tokens", "HIGH", "model-b"),
+    ],
+)
+def test_when_exhausted_applies_after_the_budget(exhausted, priority, model):
+    """Guards against a customer that is refused, or served freely, too early."""
+
+    async def scenario(world):
+        first = await world.admit("r1", 300)
+        assert (first.priority.name, first.model) == ("HIGH", "model-a")
+        second = await world.admit("r2", 300)
+        assert (second.priority.name, second.model) == (priority, model)
+        assert json.loads(second.body)["model"] == model
+        with pytest.raises(BadRequestError) as caught:
+            await world.admit("r3", 300)
+        assert caught.value.reason == "budget_exhausted"
+        # WALL_MS is on 2026-11-30 in Tokyo.
+        assert 0 < caught.value.retry_after_ms < 86_400_000
+
+    run_spending(rules("500 tokens", exhausted), scenario)
+
+
+def test_settled_request_gives_its_reservation_back_once():
+    """Guards against a refused request that costs money, or one that is paid twice."""
+
+    async def scenario(world):
+        for _ in range(5):
+            await world.admit("r1", 300)
+            world.spending.settle("r1", "not_run", None)
+            world.spending.settle("r1", "not_run", None)
+        await world.spending.close()
+        (key,) = world.spending._book.allowance_by_key
+        grants = world.platform.table.read(key).value["grants"]
+        assert [amount for _, amount in grants.values()] == [0]
+        assert world.platform.object_by_name == {}
+
+    run_spending(rules("500 tokens"), scenario)
+
+
+@given(st.lists(st.tuples(st.integers(1, 9), FAULTS), max_size=30))
+def test_property_usage_is_stored_exactly_once(steps):
+    """Guards against usage that a lost answer loses or doubles."""
+
+    async def scenario():
+        clock = ManualClock(0, WALL_MS)
+        platform = FakePlatform(clock)
+        writer = UsageWriter("usage/a/e1/7", platform, clock, Random(1))
+        for amount, faults in steps:
+            platform.faults = list(faults)
+            usage = Usage(amount, 0, amount)
+            writer.add("c1", "model-a", 1, ("budget", "tokens", 2 * amount), usage)
+            await writer.flush()
+        platform.faults = []
+        while not await writer.flush():
+            pass
+        stored = [json.loads(data) for data in platform.object_by_name.values()]
+        records = [record for item in stored for record in item["records"]]
+        n_units = sum(amount for amount, _ in steps)
+        assert sum(r["n_output_tokens"] for r in records) == n_units
+        assert sum(r["n_charged_units"] for r in records) == 2 * n_units
+        assert sum(r["n_requests"] for r in records) == len(steps)
+
+    asyncio.run(scenario())
