--- a/packages/entry/src/bluebellusher/cli/_entry.py
+++ b/packages/entry/src/bluebellusher/cli/_entry.py
@@ -6,7 +6,6 @@
 import gc
 import itertools
 import signal
-import sys
 from collections.abc import Iterable, Mapping
 from random import Random
 from typing import Any
@@ -19,11 +18,18 @@
 from bluebellusher.observability import KeyValueLog, Metrics, Tracer
 from bluebellusher.platform import PlatformClient
 from bluebellusher.rollout import ConfigRollout
-from bluebellusher.runtime import ClaimWriter, PeerExchange, PlatformStore, Runtime
+from bluebellusher.runtime import (
+    ClaimWriter,
+    EndpointDiscovery,
+    PeerExchange,
+    PlatformStore,
+    Runtime,
+)
 from bluebellusher.server import HttpServer
 from bluebellusher.settings import AddressSettings, Settings
 from bluebellusher_core.admission import FairQueue
 from bluebellusher_core.clock import Clock, SystemClock
+from bluebellusher_core.events import ShutdownStarted
 from bluebellusher_core.reducer import EntryConfig, EntryState
 from bluebellusher_core.routing import PredictedLatency
 
@@ -46,6 +52,9 @@
             entry_id=settings.instance_id,
             incarnation=self.incarnation,
             seed=seed.getrandbits(32),
+            n_max_endpoints=max(
+                256, settings.limits.n_endpoints_per_service * len(settings.services)
+            ),
         )
         policy = PredictedLatency(failure_domain=settings.failure_domain)
         self.state = EntryState.from_config(config, policy, FairQueue)
@@ -93,6 +102,17 @@
             clock,
             seed,
         )
+        self.discovery = EndpointDiscovery(
+            self.platform,
+            self.agents,
+            self.runtime,
+            settings.instance_id,
+            settings.failure_domain,
+            (service.service_id for service in settings.services),
+            limits.n_endpoints_per_service,
+            _pairs(settings.agents),
+        )
+        self._discovering: asyncio.Task[None] | None = None
         counter = itertools.count(1)
         prefix = f"{settings.instance_id}.{self.incarnation}"
         self.server = HttpServer(
@@ -113,6 +133,7 @@
         peer_port = await self.peers.listen(address.host, address.port)
         http_port = await self.server.start()
         self.agents.dial(_pairs(self.settings.agents))
+        self._discovering = asyncio.create_task(self.discovery.run())
         self.rollout.start(self.peer_exchange, self.ticker)
         self.spending.start()
         self.peers.dial(_pairs(self.settings.peers))
@@ -125,15 +146,22 @@
         )
 
     async def stop(self) -> None:
-        """Finish every request in progress, then close everything."""
+        """Finish every request in progress, then close everything.
+
+        Requests on connections that are already open are served to their end, also
+        when they began to arrive only a moment ago.
+        """
         self.log.event("stopping", n_requests=len(self.runtime.exchange_by_request_id))
-        self.runtime.shut_down()
+        self.runtime.is_shutting_down = True
         self.server.stop_accepting()
         while self.runtime.exchange_by_request_id or self.server.close_idle():
             await self._wait_for_progress()
+        self.runtime.post(ShutdownStarted())
         until_ms = self.clock.now_ms() + _CLAIMS_GRACE_MS
         while not self.runtime.is_settled and self.clock.now_ms() < until_ms:
             await self._wait_for_progress()
+        if self._discovering is not None:
+            self._discovering.cancel()
         self.ticker.stop()
         await self.agents.close()
         await self.rollout.close()
@@ -156,7 +184,7 @@
 
 
 async def _run(settings: Settings) -> None:
-    log = KeyValueLog.from_config(settings.log_level, sys.stdout)
+    log = KeyValueLog.from_config(settings.log_level)
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(_make_fault_logger(log))
     is_told_to_stop = asyncio.Event()
