--- a/packages/entry/src/bluebellusher/cli/_entry.py
+++ b/packages/entry/src/bluebellusher/cli/_entry.py
@@ -12,6 +12,7 @@
 
 import uvloop
 
+from bluebellusher.allowance import Spending
 from bluebellusher.cli._view import EntryView
 from bluebellusher.links import AgentLinks, Identity, LinkTicker, PeerLinks
 from bluebellusher.observability import KeyValueLog, Metrics, Tracer
@@ -93,6 +94,14 @@
             self.view.make_digest,
             seed,
         )
+        self.spending = Spending.from_parts(
+            settings,
+            self.incarnation,
+            self.rollout.in_force,
+            self.platform,
+            clock,
+            seed,
+        )
         self.discovery = EndpointDiscovery(
             self.platform,
             self.agents,
@@ -113,6 +122,7 @@
             self.view,
             lambda: f"{prefix}.r{next(counter)}",
             (self.rollout.pages,),
+            self.spending,
         )
 
     async def start(self) -> None:
@@ -125,6 +135,7 @@
         self.agents.dial(_pairs(self.settings.agents))
         self._discovering = asyncio.create_task(self.discovery.run())
         self.rollout.start(self.peer_exchange, self.ticker)
+        self.spending.start()
         self.peers.dial(_pairs(self.settings.peers))
         self.log.event(
             "listening",
@@ -154,6 +165,7 @@
         self.ticker.stop()
         await self.agents.close()
         await self.rollout.close()
+        await self.spending.close()
         await self.peers.close()
         await self.platform.close()
         self.runtime.close()
