Tell the entry when an isolated attempt is accepted

Cause: an agent that died during an isolated run left the entry unable to tell whether the suspect had arrived, which could cost a third endpoint. Ruled out: conviction without evidence, which would block requests that were lost on the way. Change: message Accepted from agent to entry before the engine is called; the reducer already had the event.

--- a/packages/agent/src/bluebellusher_agent/_agent.py
+++ b/packages/agent/src/bluebellusher_agent/_agent.py
@@ -237,6 +237,10 @@
         elif verdict in (Verdict.START, Verdict.REPLACE):
             if run is not None:
                 self._keeper.cancel(run)
+            if dispatch.is_isolated:
+                # If this process dies during the run, the entry knows from this
+                # message that the suspect had arrived and was running alone.
+                connection.send(messages.Accepted(attempt_id))
             self._keeper.start(connection, dispatch, now_ms)
 
     def _on_credit(self, connection: EntryConnection, message: Any) -> None:
--- a/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
+++ b/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
@@ -246,6 +246,24 @@
     with_engine(scenario, settings={"prefill_tokens_per_ms": 2.0})
 
 
+def test_isolated_run_is_accepted_before_it_starts():
+    """Guards against an agent that dies with a suspect of which no entry knows."""
+
+    async def scenario(entry, agent, engine):
+        entry.dispatch("a1", make_body(), is_isolated=True)
+        await entry.next(messages.Started, "a1")
+        kinds = [type(message) for message in entry.received]
+        accepted = await entry.next(messages.Accepted, "a1")
+        assert accepted.attempt_id == "a1"
+        assert messages.Accepted in kinds, "Started came before Accepted"
+        await entry.finish("a1")
+        entry.dispatch("a2", make_body())
+        await entry.finish("a2")
+        assert entry.find(messages.Accepted) is None
+
+    with_engine(scenario)
+
+
 def test_isolation_ends_with_the_suspect():
     """Guards against an endpoint that refuses all work for ever."""
 
--- a/packages/core/src/bluebellusher_core/wire/_generated/bluebellusher/ttypes.py
+++ b/packages/core/src/bluebellusher_core/wire/_generated/bluebellusher/ttypes.py
@@ -1002,6 +1002,74 @@
         return not (self == other)
 
 
+class Accepted(object):
+    """
+    Attributes:
+     - attempt_id
+
+    """
+
+    __slots__ = (
+        'attempt_id',
+    )
+
+
+    def __init__(self, attempt_id=None,):
+        self.attempt_id = attempt_id
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.attempt_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Accepted')
+        if self.attempt_id is not None:
+            oprot.writeFieldBegin('attempt_id', TType.STRING, 1)
+            oprot.writeString(self.attempt_id.encode('utf-8') if sys.version_info[0] == 2 else self.attempt_id)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Refuse(object):
     """
     Attributes:
@@ -3548,6 +3616,7 @@
      - config_push
      - config_pull
      - started
+     - accepted
 
     """
 
@@ -3579,10 +3648,11 @@
         'config_push',
         'config_pull',
         'started',
+        'accepted',
     )
 
 
-    def __init__(self, hello=None, heartbeat=None, dispatch=None, chunk_batch=None, finish=None, refuse=None, broken=None, cancel=None, credit=None, load_report=None, cache_report=None, engine_crash=None, drain=None, order=None, order_result=None, map_prepare=None, map_prepared=None, map_commit=None, map_abort=None, map_query=None, map_state=None, digest=None, config_stage=None, config_staged=None, config_push=None, config_pull=None, started=None,):
+    def __init__(self, hello=None, heartbeat=None, dispatch=None, chunk_batch=None, finish=None, refuse=None, broken=None, cancel=None, credit=None, load_report=None, cache_report=None, engine_crash=None, drain=None, order=None, order_result=None, map_prepare=None, map_prepared=None, map_commit=None, map_abort=None, map_query=None, map_state=None, digest=None, config_stage=None, config_staged=None, config_push=None, config_pull=None, started=None, accepted=None,):
         self.hello = hello
         self.heartbeat = heartbeat
         self.dispatch = dispatch
@@ -3610,6 +3680,7 @@
         self.config_push = config_push
         self.config_pull = config_pull
         self.started = started
+        self.accepted = accepted
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3782,6 +3853,12 @@
                     self.started.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 28:
+                if ftype == TType.STRUCT:
+                    self.accepted = Accepted()
+                    self.accepted.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3900,6 +3977,10 @@
             oprot.writeFieldBegin('started', TType.STRUCT, 27)
             self.started.write(oprot)
             oprot.writeFieldEnd()
+        if self.accepted is not None:
+            oprot.writeFieldBegin('accepted', TType.STRUCT, 28)
+            self.accepted.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3994,6 +4075,11 @@
     (2, TType.I32, 'status', None, None, ),  # 2
     (3, TType.MAP, 'headers', (TType.STRING, 'UTF8', TType.STRING, 'UTF8', False), None, ),  # 3
 )
+all_structs.append(Accepted)
+Accepted.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'attempt_id', 'UTF8', None, ),  # 1
+)
 all_structs.append(Refuse)
 Refuse.thrift_spec = (
     None,  # 0
@@ -4210,6 +4296,7 @@
     (25, TType.STRUCT, 'config_push', [ConfigPush, None], None, ),  # 25
     (26, TType.STRUCT, 'config_pull', [ConfigPull, None], None, ),  # 26
     (27, TType.STRUCT, 'started', [Started, None], None, ),  # 27
+    (28, TType.STRUCT, 'accepted', [Accepted, None], None, ),  # 28
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/core/src/bluebellusher_core/wire/bluebellusher.thrift
+++ b/packages/core/src/bluebellusher_core/wire/bluebellusher.thrift
@@ -29,6 +29,8 @@
 }
 
 struct Started { 1: string attempt_id, 2: i32 status, 3: map<string, string> headers }
+/* Sent before an isolated attempt is handed to the engine. */
+struct Accepted { 1: string attempt_id }
 struct Refuse { 1: string attempt_id, 2: string reason, 3: i64 retry_after_ms }
 struct Broken { 1: string attempt_id, 2: string reason, 3: bool is_resumable }
 struct Cancel { 1: string attempt_id }
@@ -114,5 +116,6 @@
   20: optional MapQuery map_query, 21: optional MapState map_state,
   22: optional Digest digest, 23: optional ConfigStage config_stage,
   24: optional ConfigStaged config_staged, 25: optional ConfigPush config_push,
-  26: optional ConfigPull config_pull, 27: optional Started started
+  26: optional ConfigPull config_pull, 27: optional Started started,
+  28: optional Accepted accepted
 }
--- a/packages/entry/src/bluebellusher/links/_agents.py
+++ b/packages/entry/src/bluebellusher/links/_agents.py
@@ -14,6 +14,7 @@
 from bluebellusher_core.clock import Clock
 from bluebellusher_core.errors import Reason, StepError
 from bluebellusher_core.events import (
+    AttemptAccepted,
     AttemptBroken,
     AttemptFinished,
     AttemptRefused,
@@ -54,6 +55,7 @@
         self._ended: OrderedDict[str, None] = OrderedDict()
         self._handler_by_type = {
             messages.ChunkBatch: self._on_chunks,
+            messages.Accepted: self._on_accepted,
             messages.Started: self._on_started,
             messages.Finish: self._on_finish,
             messages.Refuse: self._on_refuse,
@@ -130,6 +132,11 @@
             if problem:
                 self._fail_check(chunk.attempt_id, problem)
 
+    def _on_accepted(self, accepted: Any) -> None:
+        if self._find(accepted.attempt_id) is not None:
+            event = AttemptAccepted(accepted.attempt_id, self.endpoint_id)
+            self._sink.post(event)
+
     def _on_started(self, started: Any) -> None:
         relay = self._find(started.attempt_id)
         if relay is None:
--- a/packages/entry/src/bluebellusher/links/tests/test_connections.py
+++ b/packages/entry/src/bluebellusher/links/tests/test_connections.py
@@ -14,6 +14,7 @@
 )
 from bluebellusher_core.clock import ManualClock
 from bluebellusher_core.events import (
+    AttemptAccepted,
     AttemptBroken,
     AttemptFinished,
     AttemptStarted,
@@ -153,6 +154,18 @@
     run(scenario)
 
 
+def test_acceptance_reaches_the_decisions():
+    """Guards against a suspect whose isolated run counts as never started."""
+
+    async def scenario(agent, links, sink, ticker):
+        await dispatch(links, sink)
+        agent.send(messages.Accepted("a1"))
+        event = await sink.wait_for(AttemptAccepted)
+        assert (event.attempt_id, event.endpoint_id) == ("a1", "engine-1")
+
+    run(scenario)
+
+
 def test_late_bytes_of_a_cancelled_attempt_are_dropped():
     """Guards against late bytes in a later answer, and a needless disconnect."""
 
