Count ended attempts when an endpoint's room is judged

Cause: the room of an endpoint was judged by the last load report and all attempts sent since, also those that had ended. Sixteen short requests between two reports filled an endpoint of eight slots on paper, and the next ones waited for 5 s. Ruled out: the budgets; the stall is there without rules in force. Change: attempts that ended since the report are subtracted. Conclusion: short requests no longer wait for a load report.

--- a/packages/core/src/bluebellusher_core/membership/_endpoints.py
+++ b/packages/core/src/bluebellusher_core/membership/_endpoints.py
@@ -143,7 +143,10 @@
     report = view.report
     if report is None or now_ms - view.reported_at_ms > REPORT_MAX_AGE_MS:
         return True
-    n_known = report.n_running + report.n_queued + len(view.own_dispatched_at_ms)
+    # Attempts that ended since the report have left the engine again. Otherwise fast
+    # requests would fill it on paper and wait for the next report.
+    n_since = len(view.own_dispatched_at_ms) - len(view.own_ended_at_ms)
+    n_known = report.n_running + report.n_queued + n_since
     return n_known < ENGINE_QUEUE_FACTOR * view.info.n_slots
 
 
