Test that a call whose answer is lost is not run again

Cause: invariants I3 and I4 had no test of the real processes with a service that executes and then loses its connection. Change: the outcome is unknown with and without a key, a repeat of the key is not run, and an idempotent call is retried.

--- a/packages/entry/src/bluebellusher/tests/test_processes.py
+++ b/packages/entry/src/bluebellusher/tests/test_processes.py
@@ -177,6 +177,39 @@
     run(scenario)
 
 
+def test_a_call_whose_answer_is_lost_is_not_run_again():
+    """Guards against a retry of work that may have run (I3, I4)."""
+
+    async def scenario(cluster, session):
+        await cluster.start_platform()
+        await cluster.start_plain("desk-1", "a")
+        entry = await cluster.start_entry("entry-1", "a")
+        service = cluster.process_by_name["desk-1.service"]
+        target = url(entry, "/services/order-desk/pay")
+        key = {"Idempotency-Key": "payment-1"}
+        for headers in (key, {}):
+            body = b"pay 1" if headers else b"pay 2"
+            await set_faults(service, drop_after_execute=1)
+            async with session.post(target, data=body, headers=headers) as answer:
+                error = (await answer.json())["error"]
+                assert (answer.status, error["outcome"]) == (502, "unknown")
+            assert await count_executions(session, service, body) == 1
+        async with session.post(target, data=b"pay 1", headers=key) as answer:
+            assert (answer.status, (await answer.json())["error"]["outcome"]) == (
+                409,
+                "unknown",
+            )
+        async with session.get(url(entry, "/v1/requests/payment-1")) as answer:
+            assert (await answer.json())["outcome"] == "unknown"
+        assert await count_executions(session, service, b"pay 1") == 1
+        # An idempotent call is tried again after the same loss.
+        await set_faults(service, drop_before_execute=1)
+        async with session.get(target) as answer:
+            assert answer.status == 200
+
+    run(scenario)
+
+
 def test_platform_down_refuses_only_what_needs_a_claim():
     """Guards against an outage of the table that stops idempotent work."""
 
