Split the construction of an entry into short functions

Cause: the constructor had grown past a screen. Change: functions for state, identity and discovery; no change of behaviour.

--- a/packages/entry/src/bluebellusher/cli/_entry.py
+++ b/packages/entry/src/bluebellusher/cli/_entry.py
@@ -48,31 +48,13 @@
         self.log = log
         self.incarnation = clock.wall_ms()
         seed = Random(f"{settings.instance_id}.{self.incarnation}")
-        config = EntryConfig(
-            entry_id=settings.instance_id,
-            incarnation=self.incarnation,
-            seed=seed.getrandbits(32),
-            n_max_endpoints=max(
-                256, settings.limits.n_endpoints_per_service * len(settings.services)
-            ),
-        )
-        policy = PredictedLatency(failure_domain=settings.failure_domain)
-        self.state = EntryState.from_config(config, policy, FairQueue)
-        # In force until the first version of the rules replaces them.
-        self.state.weight_by_customer = {
-            customer.customer_id: customer.weight for customer in settings.customers
-        }
+        self.state = _make_state(settings, self.incarnation, seed)
         limits = settings.limits
         self.runtime = Runtime(
             self.state, clock, log, Metrics(), Tracer(log), limits.stream_window_bytes
         )
         self.ticker = LinkTicker(clock, asyncio.get_running_loop())
-        identity = Identity(
-            settings.instance_id,
-            self.incarnation,
-            settings.failure_domain,
-            settings.shared_secret.get_secret_value().encode(),
-        )
+        identity = _make_identity(settings, self.incarnation)
         parts = (identity, self.runtime, self.ticker, clock, seed)
         self.agents = AgentLinks(*parts)
         self.view = EntryView(self)
@@ -102,16 +84,7 @@
             clock,
             seed,
         )
-        self.discovery = EndpointDiscovery(
-            self.platform,
-            self.agents,
-            self.runtime,
-            settings.instance_id,
-            settings.failure_domain,
-            (service.service_id for service in settings.services),
-            limits.n_endpoints_per_service,
-            _pairs(settings.agents),
-        )
+        self.discovery = _make_discovery(self)
         self._discovering: asyncio.Task[None] | None = None
         counter = itertools.count(1)
         prefix = f"{settings.instance_id}.{self.incarnation}"
@@ -179,6 +152,46 @@
                 await self.runtime.request_ended.wait()
 
 
+def _make_state(settings: Settings, incarnation: int, seed: Random) -> EntryState:
+    n_per_service = settings.limits.n_endpoints_per_service
+    config = EntryConfig(
+        entry_id=settings.instance_id,
+        incarnation=incarnation,
+        seed=seed.getrandbits(32),
+        n_max_endpoints=max(256, n_per_service * len(settings.services)),
+    )
+    policy = PredictedLatency(failure_domain=settings.failure_domain)
+    state = EntryState.from_config(config, policy, FairQueue)
+    # In force until the first version of the rules replaces them.
+    state.weight_by_customer = {
+        customer.customer_id: customer.weight for customer in settings.customers
+    }
+    return state
+
+
+def _make_identity(settings: Settings, incarnation: int) -> Identity:
+    return Identity(
+        settings.instance_id,
+        incarnation,
+        settings.failure_domain,
+        settings.shared_secret.get_secret_value().encode(),
+    )
+
+
+def _make_discovery(entry: Entry) -> EndpointDiscovery:
+    settings = entry.settings
+    return EndpointDiscovery(
+        entry.platform,
+        entry.agents,
+        entry.runtime,
+        settings.instance_id,
+        settings.failure_domain,
+        (service.service_id for service in settings.services),
+        settings.limits.n_endpoints_per_service,
+        _pairs(settings.agents),
+    )
+
+
 def _pairs(addresses: Iterable[AddressSettings]) -> list[tuple[str, int]]:
     return [(address.host, address.port) for address in addresses]
 
