Use a named environment as it is

Cause: make with a shared environment reinstalled the packages from whichever work tree ran last. Ruled out: an environment for each tree, which costs 47 s and a download. Change: no installation when VENV is given on the command line. Conclusion: several trees can share one environment.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,13 @@
 	@echo "make bench  print one line for each measured figure"
 	@echo "make fuzz   run the property tests with fresh seeds"
 
+# An environment that is named on the command line is used as it is, because it may
+# be shared by several work trees.
+ifeq ($(origin VENV),command line)
+setup:
+else
 setup: $(VENV)/.installed
+endif
 
 $(VENV)/.installed: constraints.txt $(wildcard packages/*/pyproject.toml)
 	test -x $(PY) || python3 -m venv $(VENV)
