--- a/packages/core/src/bluebellusher_core/balance/tests/test_policies.py
+++ b/packages/core/src/bluebellusher_core/balance/tests/test_policies.py
@@ -121,6 +121,18 @@
         assert compute_skew(compute_rank_loads(8, ranks, loads)) < 1.1
 
 
+def test_store_rate_limits_one_plan_after_another():
+    """Guards against loads that the token bucket of the weight store forgets."""
+    budget = MoveBudget(10**6, 10**9, N_BYTES, 2 * N_BYTES)
+    times_ms = (0, 0, 1000, 1000, 9000)
+    steps = [(HOT_FIRST, Conditions(now_ms), True) for now_ms in times_ms]
+    for name in ("incremental", "incremental-eager"):
+        n_loads = [plan.n_loads for _, plan in run(name, SHAPE, budget, steps, 1)]
+        assert n_loads[0] > 0
+        assert sum(n_loads[:2]) <= 2
+        assert sum(n_loads[:4]) <= 3
+
+
 @given(data=st.data())
 def test_property_plan_never_raises_skew(data):
     """Guards against moves that make the popularity they were planned for worse."""
