--- a/packages/entry/src/bluebellusher/allowance/tests/test_grants.py
+++ b/packages/entry/src/bluebellusher/allowance/tests/test_grants.py
@@ -90,7 +90,7 @@
     return n_used
 
 
-@given(st.lists(ACTIONS, max_size=40))
+@given(st.lists(ACTIONS, min_size=20, max_size=60))
 def test_property_sum_over_entries_stays_within_the_budget(actions):
     """Guards against a bill above the ceiling when answers are lost or entries die."""
     asyncio.run(play(actions))
@@ -102,6 +102,18 @@
     assert asyncio.run(play(actions)) >= LIMIT * 0.95
 
 
+def test_units_on_their_way_back_are_not_spent():
+    """Guards against units that two entries spend, because a return lost its answer."""
+    actions = [
+        ("spend", 0, 300, []),
+        ("settle", 0, 1, []),
+        ("return", 0, 1, ["lost"]),
+        ("spend", 0, 290, ["down"]),
+        *[("spend", 1, 100, [])] * 10,
+    ]
+    assert asyncio.run(play(actions)) > LIMIT * 0.85
+
+
 def test_costs_follow_the_prices():
     """Guards against a worst case below the real cost."""
     usage = Usage(100, 40, 7)
