--- a/packages/core/src/bluebellusher_core/balance/_incremental.py
+++ b/packages/core/src/bluebellusher_core/balance/_incremental.py
@@ -11,13 +11,11 @@
     Loads,
     Placement,
     compute_moves,
-    compute_rank_loads,
-    compute_skew,
     validate_loads,
 )
 from bluebellusher_core.balance._protocol import Conditions, Plan
 
-SMOOTHING = 0.5
+SMOOTHING = 0.85
 """Weight of the last interval in the smoothed popularity."""
 
 SKEW_PER_LOAD = 0.002
@@ -27,6 +25,10 @@
 """Weighted gain below which a layer stays as it is. It keeps the noise of the loads
 from moving experts back and forth."""
 
+CONCENTRATION_WEIGHT = 0.03
+"""Skew that one unit of concentration counts as. Without it single replicas carry up
+to 0.7 of the mean load of a rank, and a change of one expert shows in the skew."""
+
 
 class IncrementalPlanner:
     """Changes few replicas in each interval, those that lower the skew most.
@@ -48,6 +50,8 @@
         Weight of the last interval in the smoothed popularity, above 0 and at most 1.
     min_gain : float
         Gain below which a layer stays as it is.
+    concentration_weight : float
+        Skew that one unit of concentration counts as; see ``LayerSearch``.
 
     Raises
     ------
@@ -63,6 +67,7 @@
         move_weight: float = 1.0,
         smoothing: float = SMOOTHING,
         min_gain: float = MIN_GAIN,
+        concentration_weight: float = CONCENTRATION_WEIGHT,
     ) -> None:
         if skew_weight <= 0:
             raise ValueError(f"skew_weight is {skew_weight}, expected above 0")
@@ -72,11 +77,16 @@
             raise ValueError(f"smoothing is {smoothing}, expected above 0, at most 1")
         if min_gain < 0:
             raise ValueError(f"min_gain is {min_gain}, expected at least 0")
+        if concentration_weight < 0:
+            raise ValueError(
+                f"concentration_weight is {concentration_weight}, expected at least 0"
+            )
         self._shape = shape
         self._limiter = MoveLimiter(budget, shape.n_expert_bytes)
         self._price = SKEW_PER_LOAD * move_weight / skew_weight
         self._smoothing = smoothing
         self._min_gain = min_gain
+        self._concentration_weight = concentration_weight
         self._popularity: list[list[float]] = []
 
     def observe(self, loads: Loads) -> None:
@@ -117,10 +127,10 @@
     def _search(self, layer: int, ranks: LayerPlacement, max_loads: int) -> list[Step]:
         """Return the steps of a layer; none when they gain less than the minimum."""
         loads = self._popularity[layer]
-        rank_loads = compute_rank_loads(self._shape.n_ranks, ranks, loads)
-        if compute_skew(rank_loads) - 1.0 < self._min_gain:
+        search = LayerSearch(self._shape, ranks, loads, self._concentration_weight)
+        if search.compute_cost() - 1.0 < self._min_gain:
             return []
-        steps = LayerSearch(self._shape, ranks, loads).run(self._price, max_loads)
+        steps = search.run(self._price, max_loads)
         return steps if steps[0].cost - steps[-1].cost >= self._min_gain else []
 
     def _finish(self, placement: Placement, changed: dict[int, LayerPlacement]) -> Plan:
