Divide rates between entries without messages

Ruled out: shares by the member view, since each side of a partition would take the whole rate; a fixed remainder, which excludes entries for ever. Change: RateShare; the remainder rotates, long requests are paid by later periods. Conclusion: to be wired into the entry's admission.

--- a/packages/core/src/bluebellusher_core/allowance/__init__.py
+++ b/packages/core/src/bluebellusher_core/allowance/__init__.py
@@ -10,6 +10,7 @@
     AllowanceHolder,
     AllowanceWrite,
 )
+from bluebellusher_core.allowance._rate import RateShare
 from bluebellusher_core.allowance._row import AllowanceRow, Grant
 
 __all__ = [
@@ -18,4 +19,5 @@
     "AllowanceRow",
     "AllowanceWrite",
     "Grant",
+    "RateShare",
 ]
