Keep ports bound until the process that needs them listens

Cause: entries must know each other's ports before they start; a port was chosen, closed and taken by somebody else before the entry bound it, so that a rollout test failed once with 'address already in use'. Ruled out: a second try, which hides the cause. Change: PortReservations holds each port by a bound socket that does not listen; the kernel gives it to no one else and a server can still take it.

--- a/packages/entry/src/bluebellusher/rollout/tests/network.py
+++ b/packages/entry/src/bluebellusher/rollout/tests/network.py
@@ -10,7 +10,7 @@
 from bluebellusher.observability import KeyValueLog
 from bluebellusher.settings import Settings
 from bluebellusher_core.clock import SystemClock
-from bluebellusher_standins.cluster import HOST, SHARED_SECRET, find_free_port
+from bluebellusher_standins.cluster import HOST, SHARED_SECRET, PortReservations
 from bluebellusher_standins.platform import PlatformServer
 
 # Looks at a condition, 10 ms apart.
@@ -93,6 +93,7 @@
         self.log_by_name: dict[str, io.StringIO] = {}
         self.url_by_name: dict[str, str] = {}
         self._peer_port_by_name: dict[str, int] = {}
+        self._reservations = PortReservations()
         self._wires: list[tuple[str, str, Wire]] = []
 
     async def __aenter__(self) -> "Network":
@@ -107,11 +108,12 @@
         for _, _, wire in self._wires:
             await wire.stop()
         await self.platform.stop()
+        self._reservations.close()
 
     async def start(self, *names: str) -> None:
         """Start entries that know each other and those that run."""
         for name in names:
-            self._peer_port_by_name[name] = find_free_port()
+            self._peer_port_by_name[name] = self._reservations.reserve()
         for name in names:
             peers = []
             for peer, port in self._peer_port_by_name.items():
--- a/packages/standins/src/bluebellusher_standins/cluster.py
+++ b/packages/standins/src/bluebellusher_standins/cluster.py
@@ -18,10 +18,28 @@
 HOST = "127.0.0.1"
 
 
-def find_free_port() -> int:
-    """Return a port that is free at this moment."""
-    with socket.create_server((HOST, 0)) as server:
-        return int(server.getsockname()[1])
+class PortReservations:
+    """Ports that are kept free for processes that start later.
+
+    Each port stays bound, but not listening, by a socket that allows address reuse.
+    The kernel gives it to nobody else meanwhile, and a server that names it can listen.
+    """
+
+    def __init__(self) -> None:
+        self._sockets: list[socket.socket] = []
+
+    def reserve(self) -> int:
+        """Return a port that only a server that names it can take."""
+        holder = socket.socket()
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        holder.bind((HOST, 0))
+        self._sockets.append(holder)
+        return int(holder.getsockname()[1])
+
+    def close(self) -> None:
+        """Give all ports back."""
+        for holder in self._sockets:
+            holder.close()
 
 
 class ManagedProcess:
@@ -116,6 +134,7 @@
         self.process_by_name: dict[str, ManagedProcess] = {}
         self.agent_ports: list[int] = []
         self.peer_ports: list[int] = []
+        self._reservations = PortReservations()
         self.platform_port = 0
         self.services: list[dict[str, Any]] = [
             {"service_id": "reply-writer", "kind": "model", "models": ["model-a"]},
@@ -134,6 +153,7 @@
         for group in (entries, others):
             await asyncio.gather(*(process.stop() for process in group))
         self._directory.cleanup()
+        self._reservations.close()
 
     async def start(self, name: str, module: str, *arguments: str) -> ManagedProcess:
         """Start ``python -m module`` and wait until it listens."""
@@ -205,7 +225,7 @@
 
     def reserve_peer_ports(self, n_ports: int) -> list[int]:
         """Choose the peer ports of the entries, which must know each other's."""
-        self.peer_ports = [find_free_port() for _ in range(n_ports)]
+        self.peer_ports = [self._reservations.reserve() for _ in range(n_ports)]
         return self.peer_ports
 
     async def start_entry(
