--- a/packages/core/src/bluebellusher_core/allowance/_rate.py
+++ b/packages/core/src/bluebellusher_core/allowance/_rate.py
@@ -78,14 +78,15 @@
         self._n_used_units = max(0, self._n_used_units - n_paid)
         self._period = period
 
-    def settle(self, request_id: str, n_units: int) -> None:
-        """Give back what a request did not use.
+    def settle(self, request_id: str, n_units: int | None) -> None:
+        """Give back what a request did not use; ``None`` stands for all of it.
 
         In a later period only what is still owed can be given back; the rest went
         with its period.
         """
         period, n_taken = self._reserved_by_request.pop(request_id, (-1, 0))
-        n_unused = max(0, n_taken - max(0, n_units))
+        n_used = n_taken if n_units is None else max(0, n_units)
+        n_unused = max(0, n_taken - n_used)
         if period != self._period:
             n_owed = max(0, self._n_used_units - self.units_in(self._period))
             n_unused = min(n_unused, n_owed)
--- a/packages/entry/src/bluebellusher/allowance/_spending.py
+++ b/packages/entry/src/bluebellusher/allowance/_spending.py
@@ -9,6 +9,7 @@
 from bluebellusher.allowance._book import Allowance, AllowanceBook
 from bluebellusher.allowance._costs import cost_of, worst_cost_of
 from bluebellusher.allowance._grants import GrantWriter
+from bluebellusher.allowance._rates import RateLimits
 from bluebellusher.allowance._usage import UsageWriter
 from bluebellusher.platform import PlatformClient
 from bluebellusher.rollout import ConfigInForce
@@ -40,7 +41,7 @@
 
 
 class Spending:
-    """Let requests in within the budgets of the rules in force.
+    """Let requests in within the rates and budgets of the rules in force.
 
     Parameters
     ----------
@@ -52,6 +53,8 @@
         Enlarges and returns them.
     usage : UsageWriter
         Stores what was used.
+    rates : RateLimits
+        Shares of the rates.
     clock : Clock
         Wall time gives the wait until the end of the month.
     """
@@ -62,12 +65,15 @@
         book: AllowanceBook,
         grants: GrantWriter,
         usage: UsageWriter,
+        rates: RateLimits,
         clock: Clock,
     ) -> None:
         self._in_force = in_force
         self._book = book
         self._grants = grants
         self._usage = usage
+        self._rates = rates
+        self._customer_by_rated_request: dict[str, str] = {}
         self._clock = clock
         self._reservation_by_request_id: dict[str, _Reservation] = {}
         self._tasks: list[asyncio.Task[None]] = []
@@ -88,7 +94,8 @@
         grants = GrantWriter(book, platform, clock, random_state)
         prefix = f"usage/{settings.failure_domain}/{instance}"
         usage = UsageWriter(prefix, platform, clock, random_state)
-        return cls(in_force, book, grants, usage, clock)
+        rates = RateLimits.from_settings(settings, clock)
+        return cls(in_force, book, grants, usage, rates, clock)
 
     def start(self) -> None:
         """Begin to take grants and to store usage."""
@@ -127,14 +134,33 @@
         Raises
         ------
         BadRequestError
-            When the budget does not allow it.
+            When a rate or the budget does not allow it.
         """
         started_at_ms = self._clock.now_ms()
-        draft = await self._admit(request_id, draft, reparse)
+        self._admit_by_rate(request_id, draft)
+        try:
+            draft = await self._admit(request_id, draft, reparse)
+        except BaseException:
+            # Also when the caller leaves while the request waits for a grant.
+            self._settle_rates(request_id, 0, is_admitted=False)
+            raise
         # The wait for a grant must not prolong the caller's deadline.
         waited_ms = self._clock.now_ms() - started_at_ms
         return replace(draft, remaining_ms=max(1, draft.remaining_ms - waited_ms))
 
+    def _admit_by_rate(self, request_id: str, draft: RequestDraft) -> None:
+        rules = self._in_force.rules
+        n_tokens = _worst(rules, draft, is_tokens=True) if draft.model else 0
+        self._rates.admit(request_id, draft, n_tokens, rules)
+        self._customer_by_rated_request[request_id] = draft.customer_id
+
+    def _settle_rates(
+        self, request_id: str, n_tokens: int | None, is_admitted: bool = True
+    ) -> None:
+        customer_id = self._customer_by_rated_request.pop(request_id, None)
+        if customer_id is not None:
+            self._rates.settle(customer_id, request_id, n_tokens, is_admitted)
+
     async def _admit(
         self,
         request_id: str,
@@ -158,10 +184,14 @@
         A request that certainly did not run costs nothing. One whose usage is not
         known costs its reservation.
         """
+        usage = _find_usage(outcome, exchange)
+        n_tokens = None
+        if usage is not None:
+            n_tokens = usage.n_input_tokens + usage.n_output_tokens
+        self._settle_rates(request_id, n_tokens)
         reservation = self._reservation_by_request_id.pop(request_id, None)
         if reservation is None:
             return
-        usage = _find_usage(outcome, exchange)
         charged = reservation.n_units
         if usage is not None:
             charged = cost_of(
