Use endpoints when all of them seem to have stopped

Ruled out: a longer limit, which only moves the time. Change: suspicion is ignored when it covers every candidate. Tests for ended attempts and for the Retry-After of a held suspect. Conclusion: a pause of the entry no longer stops its work.

--- a/packages/core/src/bluebellusher_core/membership/tests/test_membership.py
+++ b/packages/core/src/bluebellusher_core/membership/tests/test_membership.py
@@ -55,3 +55,16 @@
     assert endpoints.views_of(pool)
     report(3, "m")
     assert not endpoints.views_of(pool)
+
+
+def test_ended_attempts_leave_room_before_the_next_report():
+    """Guards against short requests that fill an endpoint on paper for 5 s."""
+    endpoints = Endpoints(n_max=4)
+    endpoints.connect(EndpointConnected(make_info(0, "a")), 0)
+    names = frozenset("m"), frozenset()
+    endpoints.report_load(LoadReported("x0", 1, 0, 0, 0, 2, 0.0, *names, 0), 10)
+    view = endpoints.view_by_id["x0"]
+    view.own_dispatched_at_ms = [20] * 4
+    assert not endpoints.views_with_room(("s", "m", ""), 30)
+    view.own_ended_at_ms = [25] * 4
+    assert endpoints.views_with_room(("s", "m", ""), 30)
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_reduce.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_reduce.py
@@ -26,7 +26,7 @@
     TimerFired,
     Usage,
 )
-from bluebellusher_core.poison import PoisonTable
+from bluebellusher_core.poison import HOLD_MS, PoisonTable
 from bluebellusher_core.reducer import EntryConfig, EntryState, reduce
 from bluebellusher_core.retry import RetryBudget
 
@@ -140,6 +140,8 @@
     reduce(state, AttemptAccepted(sent.attempt_id, sent.endpoint_id), 2)
     (final,) = pick(lose(state, sent, 3), Reject)
     assert final.refusal.reason is Reason.ENDPOINT_LOST
+    # Other entries do not know of the hold, so the caller must wait for it.
+    assert final.refusal.retry_after_ms == HOLD_MS
     assert arrive(state, make_spec("r2", "p"), 4) is None
     effects = connect(state, sent.endpoint_id, 2, 5)
     (final,) = pick(effects, Reject)
--- a/packages/core/src/bluebellusher_core/routing/_predicted_latency.py
+++ b/packages/core/src/bluebellusher_core/routing/_predicted_latency.py
@@ -133,13 +133,16 @@
         loads = [self._estimate(view, now_ms) for view in sample]
         n_others_per_own = _others_per_own(loads)
         usual_slowness = _usual_slowness(sample)
+        # When every endpoint seems to have stopped, this entry was more likely paused
+        # or cut off itself, and waiting for one of them would stop all work.
+        skips_suspects = not all(_is_suspect(view, now_ms) for view in views)
         best_id = None
         best_ms = float("inf")
         for load in loads:
             n_others = _blend(load, n_others_per_own)
             if not self._has_room(load.view, n_others):
                 continue
-            if _is_suspect(load.view, now_ms):
+            if skips_suspects and _is_suspect(load.view, now_ms):
                 continue
             predicted_ms = self._predict_ms(
                 request, load, n_others, usual_slowness, now_ms
