Use one option name, one form of event names and of figure names

Ruled out: keeping both forms, since nothing was released. Conclusion: one vocabulary for operators.

--- a/bench/agent_load.py
+++ b/bench/agent_load.py
@@ -215,7 +215,7 @@
         environment = dict(os.environ)
         environment.pop("PYTHONDONTWRITEBYTECODE", None)
         environment["PYTHONPYCACHEPREFIX"] = str(directory / "cache")
-        command = ("-m", "bluebellusher_agent.main", "--settings", str(path))
+        command = ("-m", "bluebellusher_agent.main", "--config", str(path))
         self._process = await asyncio.create_subprocess_exec(
             sys.executable, *command, env=environment, stderr=asyncio.subprocess.PIPE
         )
--- a/bench/bench_agent.py
+++ b/bench/bench_agent.py
@@ -20,10 +20,10 @@
     share = (agent.read_cpu_s() - cpu_s) / IDLE_S * 100
     n_bytes = entries[0].n_bytes_received - n_bytes
     memory_mb = agent.read_resident_mb()
-    print_figure("agent_idle_memory", memory_mb, "MB", target="<=32")
-    print_figure("agent_idle_cpu", share, "percent_of_core", target="<=1.8")
+    print_figure("agent.idle_memory", memory_mb, "MB", target="<=32")
+    print_figure("agent.idle_cpu", share, "%_of_core", target="<=1.8")
     rate = n_bytes / IDLE_S
-    print_figure("agent_idle_traffic_per_entry", rate, "bytes/s", target="<=24000")
+    print_figure("agent.idle_traffic_per_entry", rate, "bytes/s", target="<=24000")
 
 
 async def _measure_rate(
@@ -36,7 +36,7 @@
     n_events = engine.n_events - n_events
     await entry.wait_for_bytes(n_bytes + n_events * EVENT_BYTES)
     microseconds = (agent.read_cpu_s() - cpu_s) / n_events * 1e6
-    name = f"agent_cpu_per_event_at_{rate}_per_s"
+    name = f"agent.cpu_per_event_at_{rate}_per_s"
     print_figure(name, microseconds, "us", target="none")
 
 
@@ -54,7 +54,7 @@
         for rate in RATES_PER_SECOND:
             await _measure_rate(agent, engine, entries[0], rate)
         memory_mb = agent.read_resident_mb()
-        print_figure(f"agent_memory_with_{N_STREAMS}_streams", memory_mb, "MB")
+        print_figure(f"agent.memory_with_{N_STREAMS}_streams", memory_mb, "MB")
         for entry in entries:
             await entry.__aexit__()
 
--- a/bench/bench_entry.py
+++ b/bench/bench_entry.py
@@ -66,15 +66,15 @@
         started_s = read_cpu_s(entry.pid)
         await asyncio.sleep(IDLE_S)
         idle_share = (read_cpu_s(entry.pid) - started_s) / IDLE_S
-        print_figure("entry_memory", read_memory_mb(entry.pid), "MB", "<=32")
-        print_figure("entry_idle_cpu", 100 * idle_share, "%_of_core", "<=1.8")
+        print_figure("entry.idle_memory", read_memory_mb(entry.pid), "MB", "<=32")
+        print_figure("entry.idle_cpu", 100 * idle_share, "%_of_core", "<=1.8")
         await send_streams(entry)
         started_s = read_cpu_s(entry.pid)
         await send_streams(entry)
         used_s = read_cpu_s(entry.pid) - started_s
         n_events = N_STREAMS * N_TOKENS
-        print_figure("entry_cpu_per_token_event", 1e6 * used_s / n_events, "us")
-        print_figure("entry_memory_after_load", read_memory_mb(entry.pid), "MB")
+        print_figure("entry.cpu_per_token_event", 1e6 * used_s / n_events, "us")
+        print_figure("entry.memory_after_load", read_memory_mb(entry.pid), "MB")
 
 
 def main() -> None:
--- a/packages/agent/src/bluebellusher_agent/_agent.py
+++ b/packages/agent/src/bluebellusher_agent/_agent.py
@@ -157,7 +157,7 @@
 
     def on_ready(self, connection: EntryConnection) -> None:
         """Tell an entry what it needs to know at once."""
-        log("entry_connected", peer=connection.peer_id, address=connection.address)
+        log("entry-connected", peer=connection.peer_id, address=connection.address)
         for message in (self._load.report, self._cache.snapshot()):
             if message is not None:
                 connection.send(message)
@@ -172,7 +172,7 @@
             run.detach()
             self._keeper.hold(run)
         self._changed.set()
-        log("entry_lost", peer=connection.peer_id or "-", n_held=len(held))
+        log("entry-lost", peer=connection.peer_id or "-", n_held=len(held))
 
     def on_writable(self, connection: EntryConnection) -> None:
         """Send what waited for room."""
@@ -192,7 +192,7 @@
         elif isinstance(message, messages.Order):
             self._on_order(connection, message)
         else:
-            log("unexpected_message", kind=type(message).__name__)
+            log("unexpected-message", kind=type(message).__name__)
 
     def _on_dispatch(self, connection: EntryConnection, dispatch: Any) -> None:
         problem = find_id_problem(dispatch)
@@ -202,7 +202,7 @@
         now_ms = self.clock.now_ms()
         problem = find_dispatch_problem(dispatch, self.is_model)
         if problem:
-            log("bad_dispatch", attempt_id=dispatch.attempt_id, reason=problem)
+            log("bad-dispatch", attempt_id=dispatch.attempt_id, reason=problem)
             # Work that runs under this id cannot be called "not run".
             is_known = self.runs.get(dispatch.attempt_id) is not None
             decision = Decision(Verdict.CLOSE if is_known else Verdict.REFUSE)
@@ -221,7 +221,7 @@
         attempt_id = dispatch.attempt_id
         if verdict is not Verdict.START:
             log(
-                "dispatch_" + verdict.value,
+                "dispatch-" + verdict.value,
                 attempt_id=attempt_id,
                 reason=decision.reason,
             )
@@ -285,7 +285,7 @@
             for connection in self._connections:
                 connection.flush()
             self._broadcast(crash)
-            log("engine_crash", n_attempts=len(victims), isolated=isolated or "-")
+            log("engine-crash", n_attempts=len(victims), isolated=isolated or "-")
         for run in victims:
             self._keeper.on_broken(run, Reason.ENGINE_ERROR)
         if self.is_model:
@@ -321,7 +321,7 @@
     def _note_target(self, is_answering: bool, reason: str) -> None:
         if is_answering != self._is_target_answering:
             self._is_target_answering = is_answering
-            log("target_reports", is_answering=is_answering, reason=reason)
+            log("target-reports", is_answering=is_answering, reason=reason)
 
     async def _report(self) -> None:
         if not self.is_model:
@@ -350,4 +350,4 @@
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
             # A fault in one run must not stop the others.
-            log("task_failed", error=repr(task.exception()))
+            log("task-failed", error=repr(task.exception()))
--- a/packages/agent/src/bluebellusher_agent/_connection.py
+++ b/packages/agent/src/bluebellusher_agent/_connection.py
@@ -279,5 +279,5 @@
         if self._transport is None or self._transport.is_closing():
             return
         peer = self.peer_id or self.address
-        log("connection_closed", peer=peer, address=self.address, reason=reason)
+        log("connection-closed", peer=peer, address=self.address, reason=reason)
         self._transport.abort()
--- a/packages/agent/src/bluebellusher_agent/_executor.py
+++ b/packages/agent/src/bluebellusher_agent/_executor.py
@@ -112,7 +112,7 @@
     def resume_silent(self, run: Run) -> None:
         """Replace a connection to an engine on which a stream fell silent."""
         if run.exchange is not None and self._is_resumable(run):
-            log("stream_silent", attempt_id=run.attempt_id, n_bytes=run.buffer.end)
+            log("stream-silent", attempt_id=run.attempt_id, n_bytes=run.buffer.end)
             run.exchange.close()
 
     async def cancel_on_target(self, run: Run) -> bool:
@@ -127,7 +127,7 @@
         except NotSentError:
             return True
         except StepError as error:
-            log("cancel_failed", attempt_id=run.attempt_id, reason=error.reason)
+            log("cancel-failed", attempt_id=run.attempt_id, reason=error.reason)
             return False
         return True
 
@@ -138,7 +138,7 @@
 
     def _log_break(self, run: Run, error: StepError) -> None:
         log(
-            "exchange_broken",
+            "exchange-broken",
             step=error.step,
             peer=error.peer,
             attempt_id=run.attempt_id,
--- a/packages/agent/src/bluebellusher_agent/_keeper.py
+++ b/packages/agent/src/bluebellusher_agent/_keeper.py
@@ -136,7 +136,7 @@
     def on_complete(self, run: Run) -> None:
         """Hold a whole answer for a while."""
         log(
-            "run_complete",
+            "run-complete",
             attempt_id=run.attempt_id,
             status=run.status,
             n_bytes=run.buffer.end,
@@ -180,7 +180,7 @@
         if run.is_complete:
             self.end(run)
         elif run.is_idempotent:
-            log("run_abandoned", attempt_id=run.attempt_id)
+            log("run-abandoned", attempt_id=run.attempt_id)
             self.cancel(run)
         # A call that must not be repeated goes on until its deadline, so that it is
         # not cut in the middle of its work.
@@ -188,7 +188,7 @@
     def _on_deadline(self, run: Run) -> None:
         if run.is_ended or run.is_finish_queued:
             return
-        log("deadline_exceeded", attempt_id=run.attempt_id)
+        log("deadline-exceeded", attempt_id=run.attempt_id)
         if run.connection is not None:
             reason = Reason.DEADLINE_EXCEEDED.value
             broken = messages.Broken(run.attempt_id, reason, False)
--- a/packages/agent/src/bluebellusher_agent/_memory.py
+++ b/packages/agent/src/bluebellusher_agent/_memory.py
@@ -41,4 +41,4 @@
             trim(0)
         after = read_resident_bytes()
         self._limit_bytes = max(TRIM_ABOVE_BYTES, after + TRIM_STEP_BYTES)
-        log("memory_trimmed", before_bytes=before, after_bytes=after)
+        log("memory-trimmed", before_bytes=before, after_bytes=after)
--- a/packages/agent/src/bluebellusher_agent/_monitor.py
+++ b/packages/agent/src/bluebellusher_agent/_monitor.py
@@ -81,7 +81,7 @@
         return TargetState.ALIVE, read_boot_id(body)
 
     def _declare_crash(self) -> None:
-        log("target_crashed", peer=self._client.peer)
+        log("target-crashed", peer=self._client.peer)
         self._client.close_idle(is_all=True)
         self._on_crash()
 
--- a/packages/agent/src/bluebellusher_agent/_orders.py
+++ b/packages/agent/src/bluebellusher_agent/_orders.py
@@ -58,7 +58,7 @@
         return floor
 
     def _refuse(self, order: Any, floor: int) -> Any:
-        log("order_refused", order_id=order.order_id, token=order.fencing_token)
+        log("order-refused", order_id=order.order_id, token=order.fencing_token)
         reason = f"fencing_token={order.fencing_token}: expected at least {floor}"
         return messages.OrderResult(order.order_id, False, reason, floor)
 
--- a/packages/agent/src/bluebellusher_agent/main.py
+++ b/packages/agent/src/bluebellusher_agent/main.py
@@ -1,4 +1,4 @@
-"""Command ``bluebellusher-agent --settings FILE``."""
+"""Command ``bluebellusher-agent --config FILE``."""
 
 import asyncio
 import os
@@ -45,7 +45,7 @@
         try:
             settings = AgentSettings.from_file(path)
         except StepError as error:
-            log("bad_settings", peer=error.peer, reason=error.reason)
+            log("bad-settings", peer=error.peer, reason=error.reason)
             continue
         if settings.is_draining:
             agent.start_drain()
@@ -61,8 +61,8 @@
 def main() -> int:
     """Run the agent; return 2 when the settings cannot be used."""
     arguments = sys.argv[1:]
-    if len(arguments) != 2 or arguments[0] != "--settings":
-        print("usage: bluebellusher-agent --settings FILE", file=sys.stderr)
+    if len(arguments) != 2 or arguments[0] != "--config":
+        print("usage: bluebellusher-agent --config FILE", file=sys.stderr)
         return 2
     try:
         uvloop.run(run_agent(arguments[1]))
--- a/packages/agent/src/bluebellusher_agent/tests/test_agent_drain.py
+++ b/packages/agent/src/bluebellusher_agent/tests/test_agent_drain.py
@@ -50,7 +50,7 @@
                 sys.executable,
                 "-m",
                 "bluebellusher_agent.main",
-                "--settings",
+                "--config",
                 str(path),
                 env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)},
                 stderr=asyncio.subprocess.PIPE,
--- a/packages/entry/src/bluebellusher/tests/test_processes.py
+++ b/packages/entry/src/bluebellusher/tests/test_processes.py
@@ -294,7 +294,7 @@
                 assert (answer.status, error["reason"]) == (422, "crashes_endpoints")
             async with session.post(target, data=model_body(3)) as answer:
                 assert await answer.read() == expect_answer(model_body(3))
-        crashes = [x for a in agents for x in a.lines if "event=engine_crash" in x]
+        crashes = [x for a in agents for x in a.lines if "event=engine-crash" in x]
         assert 1 <= len(crashes) <= 2
 
     run(scenario)
--- a/packages/standins/src/bluebellusher_standins/cluster.py
+++ b/packages/standins/src/bluebellusher_standins/cluster.py
@@ -218,7 +218,7 @@
             "models": ["model-a"] if is_model else [],
         }
         path = self._write(f"{name}.json5", settings)
-        managed = await self.start(name, "bluebellusher_agent.main", "--settings", path)
+        managed = await self.start(name, "bluebellusher_agent.main", "--config", path)
         if managed.port not in self.agent_ports:
             self.agent_ports.append(managed.port)
         return managed
