Refuse values that end with a line feed

Cause: the property of the log failed in a fresh clone (name='0\n'): a pattern that ends with $ also matches before a final line feed, so that a value could forge a log line; the patterns of keys, header values, deadlines and trace parents had the same fault. Ruled out: stripping the values, which changes what the caller sent. Change: the patterns end with \Z; change ids are matched whole; the failing value is a fixed example of the property. Conclusion: no value can end a log line or a header early.

--- a/packages/entry/src/bluebellusher/observability/_log.py
+++ b/packages/entry/src/bluebellusher/observability/_log.py
@@ -8,7 +8,7 @@
 
 import eliot
 
-_PLAIN = re.compile(r"^[A-Za-z0-9_.:/@+-]+$")
+_PLAIN = re.compile(r"^[A-Za-z0-9_.:/@+-]+\Z")
 _KEY = re.compile(r"[^A-Za-z0-9_]")
 _RANK_BY_LEVEL = {"debug": 0, "info": 1, "error": 2}
 _MAX_VALUE_CHARS = 512
--- a/packages/entry/src/bluebellusher/observability/_trace.py
+++ b/packages/entry/src/bluebellusher/observability/_trace.py
@@ -8,7 +8,7 @@
 if TYPE_CHECKING:
     from bluebellusher.observability._log import KeyValueLog
 
-_TRACEPARENT = re.compile(r"^00-([0-9a-f]{32})-([0-9a-f]{16})-([0-9a-f]{2})$")
+_TRACEPARENT = re.compile(r"^00-([0-9a-f]{32})-([0-9a-f]{16})-([0-9a-f]{2})\Z")
 
 
 def parse_traceparent(value: str) -> tuple[str, str, str] | None:
--- a/packages/entry/src/bluebellusher/observability/tests/test_observability.py
+++ b/packages/entry/src/bluebellusher/observability/tests/test_observability.py
@@ -4,7 +4,7 @@
 import os
 import re
 
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from bluebellusher.observability import (
@@ -21,6 +21,7 @@
 
 
 @given(st.text(), st.text())
+@example("0\n", "0\n")
 def test_property_a_value_cannot_forge_a_line_or_a_field(name, value):
     """Guards against caller input that looks like another log event."""
     line = format_line({"message_type": name, "peer": value, "timestamp": 1.0})
--- a/packages/entry/src/bluebellusher/rollout/_pages.py
+++ b/packages/entry/src/bluebellusher/rollout/_pages.py
@@ -101,7 +101,7 @@
     async def _get_change(self, request: Request, change_id: str) -> HTTPResponse:
         if self._parser.find_operator(request.headers) is None:
             return _unknown_operator()
-        if not re.match(_CHANGE_ID, change_id):
+        if not re.fullmatch(_CHANGE_ID, change_id):
             return _json({"error": {"reason": "bad_request"}}, 400)
         if self._runner.is_running(change_id):
             return _json({"state": "unknown", "reason": "it is not decided yet"})
--- a/packages/entry/src/bluebellusher/server/_parse.py
+++ b/packages/entry/src/bluebellusher/server/_parse.py
@@ -19,9 +19,9 @@
 MODEL_PATH = "/v1/chat/completions"
 DEFAULT_DEADLINE_MS = 60_000
 MAX_DEADLINE_MS = 600_000
-_KEY = re.compile(r"^[\x21-\x7e]{1,255}$")
-_DIGITS = re.compile(r"^[0-9]{1,6}$")
-_VISIBLE = re.compile(r"^[\x20-\x7e\t]*$")
+_KEY = re.compile(r"^[\x21-\x7e]{1,255}\Z")
+_DIGITS = re.compile(r"^[0-9]{1,6}\Z")
+_VISIBLE = re.compile(r"^[\x20-\x7e\t]*\Z")
 _PRIORITY_BY_NAME = {p.name.lower(): p for p in Priority}
 _IDEMPOTENT_METHODS = frozenset(("GET", "HEAD"))
 # Headers that belong to one connection or to this entry.
