--- a/packages/core/src/bluebellusher_core/balance/_incremental.py
+++ b/packages/core/src/bluebellusher_core/balance/_incremental.py
@@ -11,10 +11,13 @@
     Loads,
     Placement,
     compute_moves,
+    compute_rank_loads,
     validate_loads,
 )
 from bluebellusher_core.balance._protocol import Conditions, Plan
 
+# Relative difference of two sums of the same loads that rounding can cause.
+ROUNDING = 1e-9
 SMOOTHING = 0.85
 """Weight of the last interval in the smoothed popularity."""
 
@@ -117,13 +120,24 @@
             steps = self._search(layer, placement[layer], max_loads)
             if steps:
                 steps_by_layer[layer] = steps
-        changed = {
-            layer: _apply_steps(placement[layer], steps)
-            for layer, steps in share_budget(steps_by_layer, max_loads).items()
-            if steps[0].cost - steps[-1].cost >= self._min_gain
-        }
+        changed: dict[int, LayerPlacement] = {}
+        for layer, steps in share_budget(steps_by_layer, max_loads).items():
+            new = _apply_steps(placement[layer], steps)
+            is_enough = steps[0].cost - steps[-1].cost >= self._min_gain
+            if is_enough and not self._raises_skew(layer, placement[layer], new):
+                changed[layer] = new
         return self._finish(placement, changed)
 
+    def _raises_skew(
+        self, layer: int, old: LayerPlacement, new: LayerPlacement
+    ) -> bool:
+        """Return whether a change trades a higher skew for less concentration."""
+        n_ranks, loads = self._shape.n_ranks, self._popularity[layer]
+        before, after = (
+            max(compute_rank_loads(n_ranks, ranks, loads)) for ranks in (old, new)
+        )
+        return after > before * (1 + ROUNDING)
+
     def _search(self, layer: int, ranks: LayerPlacement, max_loads: int) -> list[Step]:
         """Return the steps of a layer; none when they gain less than the minimum."""
         loads = self._popularity[layer]
--- a/packages/core/src/bluebellusher_core/lease/_tracker.py
+++ b/packages/core/src/bluebellusher_core/lease/_tracker.py
@@ -61,7 +61,7 @@
     >>> write = tracker.plan_write(now_ms=0)
     >>> write.row
     LeaseRow(holder='entry-1/7', fencing_token=1, renewal=1)
-    >>> tracker.write_succeeded(row_version=5, now_ms=20)
+    >>> tracker.write_succeeded(write, row_version=5, now_ms=20)
     >>> tracker.held_token(now_ms=30)
     1
     """
@@ -136,11 +136,15 @@
         assert row is not None
         return LeaseRow(self._holder_id, row.fencing_token, row.renewal + 1)
 
-    def write_succeeded(self, row_version: int, now_ms: int) -> None:
-        """Take in that the pending write was applied as ``row_version``."""
-        if self._pending is None:
+    def write_succeeded(self, write: LeaseWrite, row_version: int, now_ms: int) -> None:
+        """Take in that ``write`` was applied as ``row_version``.
+
+        The answer to an earlier write, which may come late, says nothing about the
+        pending one and is ignored.
+        """
+        if write != self._pending:
             return
-        pending = self._pending
+        pending = write
         self._held_until_ms = self._pending_sent_ms + TERM_MS
         self._renewed_at_ms = self._pending_sent_ms
         self._pending = None
@@ -149,11 +153,12 @@
         self._unchanged_since_ms = now_ms
 
     def write_conflicted(
-        self, row_version: int, row: LeaseRow | None, now_ms: int
+        self, write: LeaseWrite, row_version: int, row: LeaseRow | None, now_ms: int
     ) -> None:
-        """Take in the row that made the pending write fail."""
+        """Take in the row that made ``write`` fail."""
         self.observe(row_version, row, now_ms)
-        self._pending = None
+        if write == self._pending:
+            self._pending = None
 
     def held_token(self, now_ms: int) -> int | None:
         """Return the fencing token while the lease is held, else ``None``."""
