--- a/packages/entry/src/bluebellusher/cli/_commands.py
+++ b/packages/entry/src/bluebellusher/cli/_commands.py
@@ -92,8 +92,8 @@
     name = "status"
     description = "Show members, endpoints, configuration and claims of an entry."
     help = (
-        "Asks /admin/status of a running entry. The credential of an operator is\n"
-        "read from the environment variable BLUEBELLUSHER_CREDENTIAL, so that it\n"
+        "Asks /admin/status of a running entry. The token of an operator is\n"
+        "read from the environment variable BLUEBELLUSHER_ADMIN_TOKEN, so that it\n"
         "does not show in the list of processes.\n\n"
         "  bluebellusher status --url http://127.0.0.1:8080\n\n"
         "Exit codes: 0 shown, 1 no answer or not allowed, 2 bad arguments."
@@ -123,7 +123,7 @@
 
 
 def _fetch_status(url: str) -> dict[str, Any]:
-    credential = os.environ.get("BLUEBELLUSHER_CREDENTIAL", "")
+    credential = os.environ.get("BLUEBELLUSHER_ADMIN_TOKEN", "")
     request = urllib.request.Request(
         url.rstrip("/") + "/admin/status",
         headers={"Authorization": f"Bearer {credential}"},
@@ -134,7 +134,7 @@
         with opener.open(request, timeout=_STATUS_TIMEOUT_S) as answer:
             document = json.loads(answer.read())
     except urllib.error.HTTPError as error:
-        hint = "BLUEBELLUSHER_CREDENTIAL: expected an operator's credential"
+        hint = "BLUEBELLUSHER_ADMIN_TOKEN: expected an operator's token"
         raise ValueError(hint if error.code == 401 else str(error)) from None
     if not isinstance(document, dict):
         raise ValueError("expected a JSON object")
--- a/packages/entry/src/bluebellusher/cli/_main.py
+++ b/packages/entry/src/bluebellusher/cli/_main.py
@@ -28,4 +28,7 @@
 
 def main() -> int:
     """Run the command named on the command line; return its exit code."""
+    if sys.argv[1:] in (["--help"], ["-h"], ["help"]):
+        # Alone they would describe the command that lists the commands.
+        sys.argv[1:] = ["list"]
     return build_application(is_serving=sys.argv[1:2] == ["serve"]).run()
--- a/packages/entry/src/bluebellusher/cli/rules_commands.py
+++ b/packages/entry/src/bluebellusher/cli/rules_commands.py
@@ -52,7 +52,7 @@
     """Print every error of a rules file."""
 
     name = "rules check"
-    description = "Checks a rules file and prints every error with line and column"
+    description = "Check a rules file and print every error with line and column"
     help = (
         "Reads one rules file and changes nothing. docs/rules.md has the grammar.\n"
         + EXIT_CODES_HELP
@@ -74,7 +74,7 @@
     """Print the difference of two files and its effect on the bill."""
 
     name = "rules plan"
-    description = "Shows how two rules files differ and what that does to the bill"
+    description = "Show how two rules files differ and what that does to the bill"
     help = (
         "Lists added (+), removed (-) and changed (~) rules, and rules with only a "
         "new comment (#).\nThen compares the month's expected bill and its ceiling "
@@ -106,7 +106,7 @@
     """Print the bill of a month in advance."""
 
     name = "rules forecast"
-    description = "Computes the bill of a month from a rules file"
+    description = "Compute the bill of a month from a rules file"
     help = (
         "Prints three amounts by service, by customer and by rule:\n"
         "  minimum   all scheduled engines and no request\n"
@@ -136,7 +136,7 @@
     """Explain a difference between two bills."""
 
     name = "rules why"
-    description = "Explains by rule, author and reason why two bills differ"
+    description = "Explain by rule, author and reason why two bills differ"
     help = (
         "A and B are two rules files. With --history or --url they are two versions, "
         "given as\nversion numbers or as times such as 2027-01-12T09:00+09:00; the "
--- a/packages/entry/src/bluebellusher/cli/rules_remote.py
+++ b/packages/entry/src/bluebellusher/cli/rules_remote.py
@@ -51,7 +51,7 @@
     """Print the versions of the rules."""
 
     name = "rules history"
-    description = "Lists the accepted versions of the rules with time and author"
+    description = "List the accepted versions of the rules with time and author"
     help = (
         "Each line counts the rules that a version added (+), removed (-) and changed "
         "(~).\n--format json prints a file for 'rules why --history'. --show N "
@@ -111,7 +111,7 @@
     """Send a rules file to an entry."""
 
     name = "rules apply"
-    description = "Puts a rules file into force through an entry"
+    description = "Put a rules file into force through an entry"
     help = (
         "Checks the file, shows how it differs from the version in force, and sends "
         "it. The\nchange is accepted only while the version in force is still the one "
@@ -232,7 +232,7 @@
     """Tell what became of a change."""
 
     name = "rules status"
-    description = "Tells whether a change was accepted"
+    description = "Tell whether a change was accepted"
     help = (
         "Asks for a change by the id that 'rules apply' printed. An id that the entry "
         "does not know\nmay still arrive; to settle it, repeat 'rules apply' with "
