--- a/packages/core/src/bluebellusher_core/allowance/tests/test_rate_share.py
+++ b/packages/core/src/bluebellusher_core/allowance/tests/test_rate_share.py
@@ -94,3 +94,12 @@
     """Guards against shares that add up to more than the limit."""
     with pytest.raises(ValueError, match="entry_index=2"):
         RateShare(10, PERIOD_MS, 2, 2)
+
+
+def test_units_of_an_earlier_period_do_not_return_to_this_one():
+    """Guards against a late settlement that raises the rate of its period."""
+    share = RateShare(10, PERIOD_MS, 1, 0)
+    assert share.reserve("a", 10, wall_ms=0)
+    assert share.reserve("b", 10, wall_ms=1_000)
+    share.settle("a", 0)
+    assert not share.reserve("c", 1, wall_ms=1_100)
