--- a/packages/core/src/bluebellusher_core/admission/__init__.py
+++ b/packages/core/src/bluebellusher_core/admission/__init__.py
@@ -1,6 +1,7 @@
 """Queue of admitted requests that wait for an endpoint."""
 
 from bluebellusher_core.admission._fair_queue import FairQueue
+from bluebellusher_core.admission._objective_queue import ObjectiveQueue
 from bluebellusher_core.admission._protocol import AdmissionQueue, FifoQueue
 
-__all__ = ["AdmissionQueue", "FairQueue", "FifoQueue"]
+__all__ = ["AdmissionQueue", "FairQueue", "FifoQueue", "ObjectiveQueue"]
--- /dev/null
+++ b/packages/core/src/bluebellusher_core/admission/_objective_queue.py
@@ -0,0 +1,169 @@
+"""Queue by the time at which a request loses worth, with early refusal."""
+
+import heapq
+from dataclasses import dataclass
+from math import inf
+
+from bluebellusher_core.errors import Outcome, Reason, Refusal
+from bluebellusher_core.events import RequestSpec
+
+# From dispatch to the first byte, until it has been observed.
+DEFAULT_START_MS = 150.0
+# Head start between neighbouring priorities.
+PRIORITY_MS = 100.0
+# A caller waits at most this share of its remaining time before it comes back.
+RETURN_SHARE = 1 / 3
+MIN_RETRY_AFTER_MS = 100
+# Returns are spread over the upper part of the longest pause a caller accepts.
+MIN_PAUSE_SHARE = 0.4
+# Spreads successive values evenly over an interval (golden ratio).
+SPREAD_STEP = 0.6180339887498949
+
+
+@dataclass(slots=True)
+class _Waiting:
+    request: RequestSpec
+    key_ms: float
+    is_late: bool
+    is_current: bool = True
+
+    def __lt__(self, other: "_Waiting") -> bool:
+        return self.key_ms < other.key_ms
+
+
+class ObjectiveQueue:
+    """Earliest loss first, and refusal of what would be served late.
+
+    A fresh request loses worth when its objective passes, and all of it when its
+    caller stops waiting; one that came back is late already and can wait until the
+    latter. Requests go in the order of their next loss. Load pattern: bursts of two
+    to three times the capacity. Serving everything in order of arrival would make
+    every request late, so a fresh request that would wait past its objective is
+    refused at once and told to come back when the burst is over; then it is accepted
+    for as long as its caller waits.
+
+    Parameters
+    ----------
+    start_ms : float
+        Time from dispatch to the first byte, in ms.
+
+    Examples
+    --------
+    >>> queue = ObjectiveQueue()
+    >>> len(queue)
+    0
+    """
+
+    def __init__(self, start_ms: float = DEFAULT_START_MS) -> None:
+        self._start_ms = start_ms
+        self._waiting_by_id: dict[str, _Waiting] = {}
+        self._heap: list[_Waiting] = []
+        self._interval_ms = 0.0
+        self._spread = 0.0
+
+    def offer(self, request: RequestSpec, now_ms: int) -> Refusal | None:
+        """Add the request, or refuse it when it would be served too late."""
+        if request.deadline_ms <= now_ms:
+            return self._refuse(request, Reason.DEADLINE_EXCEEDED, now_ms)
+        waiting = self._make_waiting(request, now_ms)
+        wait_ms = self._predict_wait_ms(waiting)
+        if self._waiting_by_id and now_ms + wait_ms > self._give_up_ms(waiting):
+            return self._refuse(request, Reason.DEADLINE_UNREACHABLE, now_ms)
+        self._add(waiting)
+        return None
+
+    def take(self, now_ms: int) -> RequestSpec | None:
+        """Remove and return the request that loses worth next."""
+        while self._heap:
+            waiting = heapq.heappop(self._heap)
+            if not waiting.is_current:
+                continue
+            if not waiting.is_late and waiting.key_ms <= now_ms:
+                # Its objective is missed; what is left is lost only later.
+                waiting.is_late = True
+                waiting.key_ms = self._latest_start_ms(waiting.request)
+                heapq.heappush(self._heap, waiting)
+                continue
+            del self._waiting_by_id[waiting.request.request_id]
+            waiting.is_current = False
+            return waiting.request
+        return None
+
+    def put_back(self, request: RequestSpec, now_ms: int) -> None:
+        """Return a request that could not be placed, to go first."""
+        waiting = self._make_waiting(request, now_ms)
+        waiting.key_ms, waiting.is_late = -inf, True
+        self._add(waiting)
+
+    def remove(self, request_id: str) -> bool:
+        """Remove a request whose caller left; return whether it was waiting."""
+        waiting = self._waiting_by_id.pop(request_id, None)
+        if waiting is None:
+            return False
+        waiting.is_current = False
+        return True
+
+    def expire(self, now_ms: int) -> list[tuple[RequestSpec, Refusal]]:
+        """Remove and return requests whose callers will not wait long enough."""
+        expired = [
+            waiting.request
+            for waiting in self._waiting_by_id.values()
+            if self._latest_start_ms(waiting.request) <= now_ms
+        ]
+        for request in expired:
+            self.remove(request.request_id)
+        reason = Reason.DEADLINE_UNREACHABLE
+        return [(r, self._refuse(r, reason, now_ms)) for r in expired]
+
+    def observe_service(self, n_slots: int, service_ms: float) -> None:
+        """Tell how many own requests run at once and how long one takes."""
+        self._interval_ms = service_ms / max(1, n_slots)
+
+    def __len__(self) -> int:
+        """Return how many requests wait."""
+        return len(self._waiting_by_id)
+
+    def _make_waiting(self, request: RequestSpec, now_ms: int) -> _Waiting:
+        latest_ms = self._latest_start_ms(request)
+        objective_ms = request.objective_at_ms
+        priority_ms = PRIORITY_MS * float(request.priority)
+        if objective_ms is None or request.is_returning:
+            return _Waiting(request, latest_ms + priority_ms, True)
+        on_time_ms = objective_ms - self._start_ms
+        if on_time_ms <= now_ms:
+            return _Waiting(request, latest_ms + priority_ms, True)
+        return _Waiting(request, on_time_ms + priority_ms, False)
+
+    def _latest_start_ms(self, request: RequestSpec) -> float:
+        start_by_ms = request.start_by_ms
+        limit_ms = request.deadline_ms if start_by_ms is None else start_by_ms
+        return min(limit_ms, request.deadline_ms) - self._start_ms
+
+    def _give_up_ms(self, waiting: _Waiting) -> float:
+        """Return the start after which refusing at once serves the caller better."""
+        if waiting.is_late:
+            return self._latest_start_ms(waiting.request)
+        return waiting.key_ms
+
+    def _predict_wait_ms(self, waiting: _Waiting) -> float:
+        n_ahead = sum(
+            1
+            for other in self._waiting_by_id.values()
+            if other.key_ms <= waiting.key_ms
+        )
+        return n_ahead * self._interval_ms
+
+    def _add(self, waiting: _Waiting) -> None:
+        self._waiting_by_id[waiting.request.request_id] = waiting
+        heapq.heappush(self._heap, waiting)
+
+    def _refuse(self, request: RequestSpec, reason: Reason, now_ms: int) -> Refusal:
+        pause_ms = self._pause_ms(request, now_ms)
+        return Refusal(Outcome.NOT_RUN, reason, "admission", "", pause_ms)
+
+    def _pause_ms(self, request: RequestSpec, now_ms: int) -> int:
+        """Return when to come back; callers that are refused together spread out."""
+        self._spread = (self._spread + SPREAD_STEP) % 1.0
+        longest_ms = max(0, request.deadline_ms - now_ms) * RETURN_SHARE
+        share = MIN_PAUSE_SHARE + (1 - MIN_PAUSE_SHARE) * self._spread
+        return max(MIN_RETRY_AFTER_MS, int(longest_ms * share))
--- /dev/null
+++ b/packages/core/src/bluebellusher_core/directory/_mirror.py
@@ -0,0 +1,96 @@
+"""A copy of one table that is kept up to date by changes, snapshots and peers."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+# Peers ask within seconds; a row that was removed is remembered far longer.
+N_MAX_REMOVED = 4_096
+
+
+@dataclass(frozen=True, slots=True)
+class MirrorRow:
+    """A row, or the removal of one; ``version`` is that of the last change."""
+
+    key: str
+    version: int
+    value: bytes
+    is_removed: bool = False
+
+
+@dataclass(slots=True)
+class TableMirror:
+    """Rows of one table as of ``version``.
+
+    A row is replaced only by a higher version, so that late, repeated and stale
+    answers never take a change back. ``version`` is the store's counter up to which
+    every change is included; 0 means that nothing is known yet.
+
+    Parameters
+    ----------
+    table : str
+        Name of the table.
+
+    Examples
+    --------
+    >>> mirror = TableMirror("endpoints")
+    >>> [row.key for row in mirror.apply([MirrorRow("a", 5, b"x")], 7)]
+    ['a']
+    >>> mirror.apply([MirrorRow("a", 4, b"old")], 6)
+    []
+    >>> mirror.version
+    7
+    """
+
+    table: str
+    version: int = 0
+    row_by_key: dict[str, MirrorRow] = field(default_factory=dict)
+    _removed_by_key: dict[str, MirrorRow] = field(default_factory=dict)
+
+    def apply(self, rows: Iterable[MirrorRow], version: int) -> list[MirrorRow]:
+        """Take changes in; return the rows that are new to this copy."""
+        news = [row for row in rows if self._take(row)]
+        self.version = max(self.version, version)
+        return news
+
+    def replace(self, rows: Iterable[MirrorRow], version: int) -> list[MirrorRow]:
+        """Take a whole table as of ``version``; return what is new, removals too.
+
+        A snapshot that is older than this copy comes from a stale read and changes
+        nothing.
+        """
+        if version < self.version:
+            return []
+        rows = list(rows)
+        news = self.apply(rows, version)
+        present = {row.key for row in rows}
+        missing = [key for key in self.row_by_key if key not in present]
+        for key in missing:
+            removed = MirrorRow(key, version, b"", is_removed=True)
+            if self._take(removed):
+                news.append(removed)
+        return news
+
+    def changes_since(self, version: int) -> list[MirrorRow]:
+        """Return every known change above ``version``, oldest first."""
+        rows = [*self.row_by_key.values(), *self._removed_by_key.values()]
+        return sorted(
+            (row for row in rows if row.version > version), key=lambda r: r.version
+        )
+
+    def _take(self, row: MirrorRow) -> bool:
+        known = self.row_by_key.get(row.key) or self._removed_by_key.get(row.key)
+        if known is not None and known.version >= row.version:
+            return False
+        if row.is_removed:
+            self.row_by_key.pop(row.key, None)
+            self._removed_by_key[row.key] = row
+            self._forget_oldest()
+        else:
+            self._removed_by_key.pop(row.key, None)
+            self.row_by_key[row.key] = row
+        return True
+
+    def _forget_oldest(self) -> None:
+        while len(self._removed_by_key) > N_MAX_REMOVED:
+            oldest = min(self._removed_by_key.values(), key=lambda r: r.version)
+            del self._removed_by_key[oldest.key]
--- a/packages/core/src/bluebellusher_core/effects/_effects.py
+++ b/packages/core/src/bluebellusher_core/effects/_effects.py
@@ -38,6 +38,13 @@
     attempt_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class DiscardAnswer:
+    """Drop what an attempt answered, of which the caller has received nothing."""
+
+    request_id: str
+
+
 @dataclass(frozen=True, slots=True)
 class Reject:
     """Give the request its final answer at once."""
@@ -114,6 +121,7 @@
     Dispatch
     | CancelAttempt
     | Complete
+    | DiscardAnswer
     | Reject
     | ReplayAnswer
     | WriteClaims
--- a/packages/core/src/bluebellusher_core/events/__init__.py
+++ b/packages/core/src/bluebellusher_core/events/__init__.py
@@ -7,6 +7,7 @@
     EndpointDraining,
     EndpointInfo,
     EndpointLost,
+    EndpointRegistered,
     LoadReported,
 )
 from bluebellusher_core.events._request_events import (
@@ -28,6 +29,7 @@
     ClaimsUnanswered,
     CustomerPolicy,
     DigestReceived,
+    EntriesCounted,
     PolicyChanged,
     ShutdownStarted,
     TimerFired,
@@ -43,6 +45,7 @@
     | AttemptBroken
     | EndpointConnected
     | EndpointLost
+    | EndpointRegistered
     | EndpointDraining
     | EndpointCrashed
     | LoadReported
@@ -50,6 +53,7 @@
     | ClaimsAnswered
     | ClaimsUnanswered
     | DigestReceived
+    | EntriesCounted
     | PolicyChanged
     | ShutdownStarted
     | TimerFired
@@ -74,6 +78,8 @@
     "EndpointDraining",
     "EndpointInfo",
     "EndpointLost",
+    "EndpointRegistered",
+    "EntriesCounted",
     "Event",
     "LoadReported",
     "PolicyChanged",
--- a/packages/core/src/bluebellusher_core/events/_endpoint_events.py
+++ b/packages/core/src/bluebellusher_core/events/_endpoint_events.py
@@ -44,6 +44,16 @@
     endpoint: EndpointInfo
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointRegistered:
+    """An endpoint that is reached without an agent says that it takes work.
+
+    Its requests in progress go on unless ``endpoint.incarnation`` has changed.
+    """
+
+    endpoint: EndpointInfo
+
+
 @dataclass(frozen=True, slots=True)
 class EndpointLost:
     """The connection to an agent closed or went silent past its deadline.
@@ -101,6 +111,9 @@
         What is loaded.
     age_ms : int
         Age of the reading when it was received.
+    is_open : bool
+        Whether the endpoint can run requests now; a rank of a group that is broken
+        cannot.
     """
 
     endpoint_id: str
@@ -113,6 +126,7 @@
     models: frozenset[str]
     adapters: frozenset[str]
     age_ms: int
+    is_open: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/bluebellusher_core/events/_request_events.py
+++ b/packages/core/src/bluebellusher_core/events/_request_events.py
@@ -46,6 +46,16 @@
         Estimated prompt length.
     n_max_output_tokens : int
         Upper bound of the answer, in tokens.
+    n_max_attempts : int or None
+        Endpoints that may run the request; None for the entry's own bound.
+    objective_at_ms : int or None
+        Monotonic time until which a first byte is on time.
+    start_by_ms : int or None
+        Monotonic time after which the caller no longer waits for a first byte.
+    is_returning : bool
+        The request was refused before and came back.
+    can_resume_elsewhere : bool
+        Any endpoint can go on with a stream after the bytes that were relayed.
     """
 
     request_id: str
@@ -61,6 +71,11 @@
     prefix_hashes: tuple[int, ...]
     n_input_tokens: int
     n_max_output_tokens: int
+    n_max_attempts: int | None = None
+    objective_at_ms: int | None = None
+    start_by_ms: int | None = None
+    is_returning: bool = False
+    can_resume_elsewhere: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,12 +139,17 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptRefused:
-    """The agent refused the attempt; it has certainly not run."""
+    """The agent or the endpoint refused the attempt; it has certainly not run.
+
+    ``has_arrived`` says that the endpoint itself saw the attempt, so that sending it
+    elsewhere adds to the load of the service and is paid from the retry budget.
+    """
 
     attempt_id: str
     reason: Reason
     retry_after_ms: int
     endpoint_id: str = ""
+    has_arrived: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/bluebellusher_core/events/_state_events.py
+++ b/packages/core/src/bluebellusher_core/events/_state_events.py
@@ -62,6 +62,13 @@
     weight: float
 
 
+@dataclass(frozen=True, slots=True)
+class EntriesCounted:
+    """The number of entries that share the retries of the deployment changed."""
+
+    n_entries: int
+
+
 @dataclass(frozen=True, slots=True)
 class PolicyChanged:
     """A higher configuration version came into force."""
--- a/packages/core/src/bluebellusher_core/membership/_endpoints.py
+++ b/packages/core/src/bluebellusher_core/membership/_endpoints.py
@@ -37,11 +37,14 @@
     ----------
     n_max : int
         Upper bound of connected endpoints; a further connection is closed.
+    queue_factor : float
+        Requests that an endpoint may hold by its report, as a multiple of its slots.
     tracker : EndpointTracker
         Keeps the views; it is told only of events that were found valid.
     """
 
     n_max: int
+    queue_factor: float = ENGINE_QUEUE_FACTOR
     tracker: EndpointTracker = field(default_factory=EndpointTracker)
     _deferred_until_ms: dict[str, int] = field(default_factory=dict)
     _n_refusals: dict[str, int] = field(default_factory=dict)
@@ -63,6 +66,13 @@
         self._views_by_pool.clear()
         return []
 
+    def refresh(self, info: EndpointInfo) -> None:
+        """Take what an endpoint newly says of itself; its attempts go on."""
+        view = self.view_by_id[info.endpoint_id]
+        view.info = info
+        view.is_draining = info.is_draining
+        self._views_by_pool.clear()
+
     def remove(self, endpoint_id: str, now_ms: int) -> None:
         """Forget a lost endpoint."""
         self._views_by_pool.clear()
@@ -94,7 +104,7 @@
         return [
             view
             for view in self.views_of(pool)
-            if _has_room(view, now_ms)
+            if _has_room(view, self.queue_factor, now_ms)
             and deferred.get(view.info.endpoint_id, 0) <= now_ms
         ]
 
@@ -136,18 +146,20 @@
         self._n_refusals.pop(endpoint_id, None)
 
 
-def _has_room(view: EndpointView, now_ms: int) -> bool:
+def _has_room(view: EndpointView, queue_factor: float, now_ms: int) -> bool:
     """Return whether another attempt fits, by own attempts and the last report."""
     if view.is_isolating or view.n_own_in_flight >= view.info.n_slots:
         return False
     report = view.report
     if report is None or now_ms - view.reported_at_ms > REPORT_MAX_AGE_MS:
         return True
+    if not report.is_open:
+        return False
     # Attempts that ended since the report have left the engine again. Otherwise fast
     # requests would fill it on paper and wait for the next report.
     n_since = len(view.own_dispatched_at_ms) - len(view.own_ended_at_ms)
     n_known = report.n_running + report.n_queued + n_since
-    return n_known < ENGINE_QUEUE_FACTOR * view.info.n_slots
+    return n_known < queue_factor * view.info.n_slots
 
 
 def _with_loaded(info: EndpointInfo, event: LoadReported) -> EndpointInfo:
--- a/packages/core/src/bluebellusher_core/reducer/_config.py
+++ b/packages/core/src/bluebellusher_core/reducer/_config.py
@@ -28,6 +28,11 @@
         Retries that are allowed before any fresh request has earned one.
     retry_percent : int
         Retries and hedges allowed for 100 fresh requests.
+    n_shared_retries : int or None
+        Retries beyond ``retry_percent`` that all entries together may make in a
+        short time; None when each entry keeps to its own bound.
+    queue_factor : float
+        Requests that an endpoint may hold, as a multiple of its slots.
     claim_wait_ms : int
         How long a request waits for its claim, in ms.
     resume_wait_ms : int
@@ -53,6 +58,8 @@
     n_max_refusals: int = 20
     n_min_retries: int = 10
     retry_percent: int = 10
+    n_shared_retries: int | None = None
+    queue_factor: float = 2.0
     claim_wait_ms: int = 1_000
     resume_wait_ms: int = 3_000
     hedge_after_ms: int = 0
--- a/packages/core/src/bluebellusher_core/reducer/_reduce.py
+++ b/packages/core/src/bluebellusher_core/reducer/_reduce.py
@@ -16,6 +16,8 @@
     EndpointCrashed,
     EndpointDraining,
     EndpointLost,
+    EndpointRegistered,
+    EntriesCounted,
     Event,
     LoadReported,
     PolicyChanged,
@@ -83,6 +85,8 @@
             return state.claims.unanswered(event.batch_id, now_ms)
         case EndpointConnected():
             return _links.connected(state, event, now_ms)
+        case EndpointRegistered():
+            return _links.registered(state, event, now_ms)
         case EndpointLost():
             return _links.lost(state, event.endpoint_id, now_ms)
         case EndpointDraining():
@@ -94,6 +98,8 @@
             return _isolation.digest_received(state, event, now_ms)
         case PolicyChanged():
             _change_policy(state, event)
+        case EntriesCounted():
+            _share_retries(state, event.n_entries)
         case ShutdownStarted():
             state.is_shutting_down = True
     return []
@@ -125,6 +131,12 @@
     return []
 
 
+def _share_retries(state: EntryState, n_entries: int) -> None:
+    n_shared = state.config.n_shared_retries
+    if n_shared is not None:
+        state.retry_budget.resize(n_shared // max(1, n_entries))
+
+
 def _change_policy(state: EntryState, event: PolicyChanged) -> None:
     if event.config_version <= state.config_version:
         return
--- a/packages/core/src/bluebellusher_core/reducer/_state.py
+++ b/packages/core/src/bluebellusher_core/reducer/_state.py
@@ -123,7 +123,7 @@
             policy=policy,
             predictor=policy if isinstance(policy, Predictor) else None,
             make_queue=make_queue,
-            endpoints=Endpoints(n_max=config.n_max_endpoints),
+            endpoints=Endpoints(config.n_max_endpoints, config.queue_factor),
             retry_budget=RetryBudget(config.n_min_retries, config.retry_percent),
             claims=ClaimTable(f"{config.entry_id}.{config.incarnation}"),
         )
--- a/packages/core/src/bluebellusher_core/requests/_attempts.py
+++ b/packages/core/src/bluebellusher_core/requests/_attempts.py
@@ -19,6 +19,8 @@
 if TYPE_CHECKING:
     from bluebellusher_core.reducer import EntryState
 
+SERVER_ERROR = 500
+
 AttemptEvent = (
     AttemptAccepted | AttemptStarted | AttemptFinished | AttemptRefused | AttemptBroken
 )
@@ -57,6 +59,10 @@
         return _stray(state, event)
     request = state.request_by_id[attempt.request_id]
     state.endpoints.tracker.apply(event, now_ms)
+    if event.status >= SERVER_ERROR:
+        state.endpoints.tracker.record_failure(attempt.endpoint_id, now_ms)
+        if _recovery.can_replace_failure(state, request):
+            return _recovery.replace_failure(state, request, attempt, now_ms)
     return _final.complete(state, request, attempt, now_ms)
 
 
@@ -82,7 +88,8 @@
         return _isolation.refused(state, request, attempt, retry_after_ms, now_ms)
     request.avoided.add(endpoint_id)
     request.n_refused += event.reason is not Reason.ENDPOINT_ISOLATING
-    if request.n_refused > state.config.n_max_refusals:
+    is_paid = not event.has_arrived or state.retry_budget.try_spend()
+    if request.n_refused > state.config.n_max_refusals or not is_paid:
         return _final.give_up(
             state, request, event.reason, "dispatch", now_ms, endpoint_id
         )
@@ -103,6 +110,8 @@
     if event.reason is Reason.ENDPOINT_DRAINING:
         state.endpoints.drain(endpoint_id)
         return
+    if event.reason is Reason.CONNECT_FAILED:
+        state.endpoints.tracker.record_failure(endpoint_id, now_ms)
     state.endpoints.defer(endpoint_id, event.retry_after_ms, now_ms)
 
 
--- a/packages/core/src/bluebellusher_core/requests/_links.py
+++ b/packages/core/src/bluebellusher_core/requests/_links.py
@@ -10,6 +10,7 @@
     AttemptBroken,
     EndpointConnected,
     EndpointCrashed,
+    EndpointRegistered,
 )
 from bluebellusher_core.requests import _final, _isolation, _recovery
 from bluebellusher_core.requests._model import Attempt
@@ -35,6 +36,19 @@
     return effects
 
 
+def registered(
+    state: EntryState, event: EndpointRegistered, now_ms: int
+) -> list[Effect]:
+    """Use an endpoint that registered; a new incarnation has lost its requests."""
+    info = event.endpoint
+    view = state.endpoints.view_by_id.get(info.endpoint_id)
+    if view is None or view.info.incarnation != info.incarnation:
+        return connected(state, EndpointConnected(info), now_ms)
+    state.endpoints.refresh(info)
+    state.check_at_ms = 0
+    return []
+
+
 def lost(state: EntryState, endpoint_id: str, now_ms: int) -> list[Effect]:
     """Break every attempt of a connection that is gone."""
     _final.forget_endpoint(state, endpoint_id, now_ms)
--- a/packages/core/src/bluebellusher_core/requests/_placing.py
+++ b/packages/core/src/bluebellusher_core/requests/_placing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING, Protocol, runtime_checkable
 
 from bluebellusher_core.admission import AdmissionQueue
@@ -56,6 +57,10 @@
     if state.poison.is_suspect(spec.fingerprint, now_ms):
         state.isolate_at_ms[spec.request_id] = now_ms
         return []
+    if request.n_bytes_relayed:
+        # The caller waits for the next part of a stream as long as for the first.
+        start_by_ms = now_ms + state.config.resume_wait_ms
+        spec = replace(spec, start_by_ms=start_by_ms)
     pool = pool_of(spec)
     _queue_of(state, pool).put_back(spec, now_ms)
     state.waiting_pools.add(pool)
--- a/packages/core/src/bluebellusher_core/requests/_recovery.py
+++ b/packages/core/src/bluebellusher_core/requests/_recovery.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from bluebellusher_core.effects import Effect, SetTimer
+from bluebellusher_core.effects import DiscardAnswer, Effect, SetTimer
 from bluebellusher_core.errors import Reason
 from bluebellusher_core.events import AttemptBroken, EndpointInfo
 from bluebellusher_core.poison import HOLD_MS
@@ -28,6 +28,7 @@
     _final.end_attempt(state, request, attempt, now_ms)
     request.may_have_run = True
     request.n_broken += 1
+    state.endpoints.tracker.record_failure(attempt.endpoint_id, now_ms)
     request.avoided.add(attempt.endpoint_id)
     request.n_bytes_relayed = max(request.n_bytes_relayed, event.n_bytes_relayed)
     is_fatal = is_loss or event.reason is Reason.ENGINE_ERROR
@@ -62,10 +63,9 @@
     if request.spec.deadline_ms <= now_ms:
         reason = Reason.DEADLINE_EXCEEDED
         return _give_up(state, request, attempt, reason, now_ms)
-    can_go_on = request.n_broken < state.config.n_max_attempts
-    if not request.spec.is_idempotent or not can_go_on:
+    if not request.spec.is_idempotent or not _has_attempts_left(state, request):
         return _give_up(state, request, attempt, event.reason, now_ms)
-    if request.n_bytes_relayed:
+    if request.n_bytes_relayed and not request.spec.can_resume_elsewhere:
         if event.is_resumable:
             return _resume(state, request, attempt, now_ms)
         return _give_up(state, request, attempt, event.reason, now_ms)
@@ -77,6 +77,32 @@
     return _placing.requeue(state, request, now_ms)
 
 
+def can_replace_failure(state: EntryState, request: Request) -> bool:
+    """Return whether an endpoint's own error may be replaced by another attempt."""
+    if not request.spec.is_idempotent or request.phase is Phase.DETACHED:
+        return False
+    request.n_broken += 1
+    if request.n_bytes_relayed or not _has_attempts_left(state, request):
+        return False
+    return state.retry_budget.try_spend()
+
+
+def replace_failure(
+    state: EntryState, request: Request, attempt: Attempt, now_ms: int
+) -> list[Effect]:
+    """Try another endpoint instead of passing an endpoint's error on."""
+    _final.end_attempt(state, request, attempt, now_ms)
+    request.may_have_run = True
+    request.avoided.add(attempt.endpoint_id)
+    effects: list[Effect] = [DiscardAnswer(request.spec.request_id)]
+    return effects + _placing.requeue(state, request, now_ms)
+
+
+def _has_attempts_left(state: EntryState, request: Request) -> bool:
+    n_max = request.spec.n_max_attempts or state.config.n_max_attempts
+    return request.n_broken < n_max
+
+
 def _give_up(
     state: EntryState,
     request: Request,
@@ -148,6 +174,8 @@
     spec = request.spec
     if spec.deadline_ms <= now_ms:
         return []
+    if request.n_bytes_relayed:
+        return []
     is_single = state.poison.n_running(spec.fingerprint) == 1
     if not is_single or state.poison.is_suspect(spec.fingerprint, now_ms):
         return []
--- a/packages/core/src/bluebellusher_core/retry/_budget.py
+++ b/packages/core/src/bluebellusher_core/retry/_budget.py
@@ -42,6 +42,16 @@
         """Count a fresh request."""
         self._balance = min(self._balance + self.percent, self.n_burst * TOKEN)
 
+    @property
+    def n_left(self) -> int:
+        """Return how many tokens are left."""
+        return self._balance // TOKEN
+
+    def resize(self, n_burst: int) -> None:
+        """Change the upper bound of saved tokens; what exceeds it is lost."""
+        self.n_burst = max(1, n_burst)
+        self._balance = min(self._balance, self.n_burst * TOKEN)
+
     def try_spend(self, n_reserved: int = 0) -> bool:
         """Take a token unless fewer than ``n_reserved`` would remain."""
         if self._balance < (1 + n_reserved) * TOKEN:
--- a/packages/core/src/bluebellusher_core/routing/__init__.py
+++ b/packages/core/src/bluebellusher_core/routing/__init__.py
@@ -8,6 +8,7 @@
 )
 from bluebellusher_core.routing._predicted_latency import PredictedLatency
 from bluebellusher_core.routing._protocol import EndpointView, RoutingPolicy
+from bluebellusher_core.routing._slot_aware import SlotAware, count_taken
 from bluebellusher_core.routing._tracker import EndpointTracker
 
 __all__ = [
@@ -18,5 +19,7 @@
     "PrefixHash",
     "RoundRobin",
     "RoutingPolicy",
+    "SlotAware",
     "TwoChoices",
+    "count_taken",
 ]
--- a/packages/core/src/bluebellusher_core/routing/_protocol.py
+++ b/packages/core/src/bluebellusher_core/routing/_protocol.py
@@ -49,11 +49,16 @@
     own_service_ms : float
         Exponentially weighted time from dispatch to end of own attempts; 0 when
         nothing was observed.
+    failure_rate : float
+        Exponentially weighted share of own attempts that failed, as of
+        ``failure_noted_at_ms``.
+    failure_noted_at_ms : int
+        When that share was last updated.
 
     Notes
     -----
     ``EndpointTracker`` updates every field. An entry that keeps views without it
-    may leave the last seven fields at their defaults; policies then do not detect
+    may leave the last nine fields at their defaults; policies then do not detect
     slow or frozen endpoints.
     """
 
@@ -73,6 +78,8 @@
     own_predicted_ms: float = 0.0
     ttft_observed_at_ms: int = 0
     own_service_ms: float = 0.0
+    failure_rate: float = 0.0
+    failure_noted_at_ms: int = 0
 
     @property
     def slowness(self) -> float:
--- a/packages/core/src/bluebellusher_core/routing/_tracker.py
+++ b/packages/core/src/bluebellusher_core/routing/_tracker.py
@@ -20,6 +20,8 @@
 from bluebellusher_core.routing._protocol import EndpointView
 
 SMOOTHING = 0.2
+# A failing endpoint is avoided after a few of its answers.
+FAILURE_SMOOTHING = 0.25
 # One very late first byte must not exclude an endpoint for minutes.
 MAX_TTFT_RATIO = 20.0
 # A missing stream of reports must not let the history grow without bound.
@@ -98,6 +100,12 @@
         """Note that an own attempt was cancelled; this is no sign of progress."""
         self._end(attempt_id, now_ms)
 
+    def record_failure(self, endpoint_id: str, now_ms: int) -> None:
+        """Note that an attempt failed for a reason that lies with the endpoint."""
+        view = self.view_by_id.get(endpoint_id)
+        if view is not None:
+            _observe_failure(view, 1.0, now_ms)
+
     def apply(self, event: Event, now_ms: int) -> None:
         """Update the views from any event; other events change nothing."""
         match event:
@@ -139,6 +147,7 @@
             return
         view = self.view_by_id[attempt.endpoint_id]
         view.last_progress_at_ms = now_ms
+        _observe_failure(view, 0.0, now_ms)
         service_ms = float(now_ms - attempt.dispatched_at_ms)
         if view.own_service_ms == 0:
             view.own_service_ms = service_ms
@@ -216,6 +225,11 @@
     view.ttft_observed_at_ms = now_ms
 
 
+def _observe_failure(view: EndpointView, failed: float, now_ms: int) -> None:
+    view.failure_rate += FAILURE_SMOOTHING * (failed - view.failure_rate)
+    view.failure_noted_at_ms = now_ms
+
+
 def _append_bounded(times_ms: list[int], now_ms: int) -> None:
     times_ms.append(now_ms)
     if len(times_ms) > MAX_HISTORY:
--- a/packages/core/src/bluebellusher_core/wire/_generated/bluebellusher/ttypes.py
+++ b/packages/core/src/bluebellusher_core/wire/_generated/bluebellusher/ttypes.py
@@ -3072,6 +3072,7 @@
      - members
      - blocked_fingerprints
      - suspect_fingerprints
+     - version_by_table
 
     """
 
@@ -3080,14 +3081,16 @@
         'members',
         'blocked_fingerprints',
         'suspect_fingerprints',
+        'version_by_table',
     )
 
 
-    def __init__(self, config_version=None, members=None, blocked_fingerprints=None, suspect_fingerprints=None,):
+    def __init__(self, config_version=None, members=None, blocked_fingerprints=None, suspect_fingerprints=None, version_by_table=None,):
         self.config_version = config_version
         self.members = members
         self.blocked_fingerprints = blocked_fingerprints
         self.suspect_fingerprints = suspect_fingerprints
+        self.version_by_table = version_by_table
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3134,6 +3137,831 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.MAP:
+                    self.version_by_table = {}
+                    (_ktype139, _vtype140, _size138) = iprot.readMapBegin()
+                    for _i142 in range(_size138):
+                        _key143 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val144 = iprot.readI64()
+                        self.version_by_table[_key143] = _val144
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Digest')
+        if self.config_version is not None:
+            oprot.writeFieldBegin('config_version', TType.I64, 1)
+            oprot.writeI64(self.config_version)
+            oprot.writeFieldEnd()
+        if self.members is not None:
+            oprot.writeFieldBegin('members', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.members))
+            for iter145 in self.members:
+                iter145.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.blocked_fingerprints is not None:
+            oprot.writeFieldBegin('blocked_fingerprints', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.blocked_fingerprints))
+            for iter146 in self.blocked_fingerprints:
+                oprot.writeString(iter146.encode('utf-8') if sys.version_info[0] == 2 else iter146)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.suspect_fingerprints is not None:
+            oprot.writeFieldBegin('suspect_fingerprints', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRING, len(self.suspect_fingerprints))
+            for iter147 in self.suspect_fingerprints:
+                oprot.writeString(iter147.encode('utf-8') if sys.version_info[0] == 2 else iter147)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.version_by_table is not None:
+            oprot.writeFieldBegin('version_by_table', TType.MAP, 5)
+            oprot.writeMapBegin(TType.STRING, TType.I64, len(self.version_by_table))
+            for kiter148, viter149 in self.version_by_table.items():
+                oprot.writeString(kiter148.encode('utf-8') if sys.version_info[0] == 2 else kiter148)
+                oprot.writeI64(viter149)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TableRow(object):
+    """
+    Attributes:
+     - key
+     - version
+     - value
+     - is_removed
+
+    """
+
+    __slots__ = (
+        'key',
+        'version',
+        'value',
+        'is_removed',
+    )
+
+
+    def __init__(self, key=None, version=None, value=None, is_removed=None,):
+        self.key = key
+        self.version = version
+        self.value = value
+        self.is_removed = is_removed
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.value = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.is_removed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TableRow')
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 1)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 2)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.value is not None:
+            oprot.writeFieldBegin('value', TType.STRING, 3)
+            oprot.writeBinary(self.value)
+            oprot.writeFieldEnd()
+        if self.is_removed is not None:
+            oprot.writeFieldBegin('is_removed', TType.BOOL, 4)
+            oprot.writeBool(self.is_removed)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TableDelta(object):
+    """
+    Attributes:
+     - table
+     - above_version
+     - version
+     - rows
+
+    """
+
+    __slots__ = (
+        'table',
+        'above_version',
+        'version',
+        'rows',
+    )
+
+
+    def __init__(self, table=None, above_version=None, version=None, rows=None,):
+        self.table = table
+        self.above_version = above_version
+        self.version = version
+        self.rows = rows
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.table = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.above_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.rows = []
+                    (_etype153, _size150) = iprot.readListBegin()
+                    for _i154 in range(_size150):
+                        _elem155 = TableRow()
+                        _elem155.read(iprot)
+                        self.rows.append(_elem155)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TableDelta')
+        if self.table is not None:
+            oprot.writeFieldBegin('table', TType.STRING, 1)
+            oprot.writeString(self.table.encode('utf-8') if sys.version_info[0] == 2 else self.table)
+            oprot.writeFieldEnd()
+        if self.above_version is not None:
+            oprot.writeFieldBegin('above_version', TType.I64, 2)
+            oprot.writeI64(self.above_version)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 3)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.rows is not None:
+            oprot.writeFieldBegin('rows', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.rows))
+            for iter156 in self.rows:
+                iter156.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TablePull(object):
+    """
+    Attributes:
+     - table
+     - above_version
+
+    """
+
+    __slots__ = (
+        'table',
+        'above_version',
+    )
+
+
+    def __init__(self, table=None, above_version=None,):
+        self.table = table
+        self.above_version = above_version
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.table = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.above_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TablePull')
+        if self.table is not None:
+            oprot.writeFieldBegin('table', TType.STRING, 1)
+            oprot.writeString(self.table.encode('utf-8') if sys.version_info[0] == 2 else self.table)
+            oprot.writeFieldEnd()
+        if self.above_version is not None:
+            oprot.writeFieldBegin('above_version', TType.I64, 2)
+            oprot.writeI64(self.above_version)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RankReport(object):
+    """
+    Attributes:
+     - endpoint_id
+     - sequence
+     - n_running
+     - n_queued
+     - group
+     - epoch
+     - rank
+     - n_ranks
+     - is_open
+     - step
+     - map_version
+     - prepared_version
+     - armed_version
+     - armed_step
+     - held_step
+     - pace
+     - fencing_token
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'endpoint_id',
+        'sequence',
+        'n_running',
+        'n_queued',
+        'group',
+        'epoch',
+        'rank',
+        'n_ranks',
+        'is_open',
+        'step',
+        'map_version',
+        'prepared_version',
+        'armed_version',
+        'armed_step',
+        'held_step',
+        'pace',
+        'fencing_token',
+        'age_ms',
+    )
+
+
+    def __init__(self, endpoint_id=None, sequence=None, n_running=None, n_queued=None, group=None, epoch=None, rank=None, n_ranks=None, is_open=None, step=None, map_version=None, prepared_version=None, armed_version=None, armed_step=None, held_step=None, pace=None, fencing_token=None, age_ms=None,):
+        self.endpoint_id = endpoint_id
+        self.sequence = sequence
+        self.n_running = n_running
+        self.n_queued = n_queued
+        self.group = group
+        self.epoch = epoch
+        self.rank = rank
+        self.n_ranks = n_ranks
+        self.is_open = is_open
+        self.step = step
+        self.map_version = map_version
+        self.prepared_version = prepared_version
+        self.armed_version = armed_version
+        self.armed_step = armed_step
+        self.held_step = held_step
+        self.pace = pace
+        self.fencing_token = fencing_token
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.n_running = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.n_queued = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.group = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.rank = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.n_ranks = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.is_open = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.step = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.map_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I64:
+                    self.prepared_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I64:
+                    self.armed_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.I64:
+                    self.armed_step = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.I64:
+                    self.held_step = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.DOUBLE:
+                    self.pace = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.I64:
+                    self.fencing_token = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RankReport')
+        if self.endpoint_id is not None:
+            oprot.writeFieldBegin('endpoint_id', TType.STRING, 1)
+            oprot.writeString(self.endpoint_id.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint_id)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 2)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.n_running is not None:
+            oprot.writeFieldBegin('n_running', TType.I32, 3)
+            oprot.writeI32(self.n_running)
+            oprot.writeFieldEnd()
+        if self.n_queued is not None:
+            oprot.writeFieldBegin('n_queued', TType.I32, 4)
+            oprot.writeI32(self.n_queued)
+            oprot.writeFieldEnd()
+        if self.group is not None:
+            oprot.writeFieldBegin('group', TType.STRING, 5)
+            oprot.writeString(self.group.encode('utf-8') if sys.version_info[0] == 2 else self.group)
+            oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 6)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
+        if self.rank is not None:
+            oprot.writeFieldBegin('rank', TType.I32, 7)
+            oprot.writeI32(self.rank)
+            oprot.writeFieldEnd()
+        if self.n_ranks is not None:
+            oprot.writeFieldBegin('n_ranks', TType.I32, 8)
+            oprot.writeI32(self.n_ranks)
+            oprot.writeFieldEnd()
+        if self.is_open is not None:
+            oprot.writeFieldBegin('is_open', TType.BOOL, 9)
+            oprot.writeBool(self.is_open)
+            oprot.writeFieldEnd()
+        if self.step is not None:
+            oprot.writeFieldBegin('step', TType.I64, 10)
+            oprot.writeI64(self.step)
+            oprot.writeFieldEnd()
+        if self.map_version is not None:
+            oprot.writeFieldBegin('map_version', TType.I64, 11)
+            oprot.writeI64(self.map_version)
+            oprot.writeFieldEnd()
+        if self.prepared_version is not None:
+            oprot.writeFieldBegin('prepared_version', TType.I64, 12)
+            oprot.writeI64(self.prepared_version)
+            oprot.writeFieldEnd()
+        if self.armed_version is not None:
+            oprot.writeFieldBegin('armed_version', TType.I64, 13)
+            oprot.writeI64(self.armed_version)
+            oprot.writeFieldEnd()
+        if self.armed_step is not None:
+            oprot.writeFieldBegin('armed_step', TType.I64, 14)
+            oprot.writeI64(self.armed_step)
+            oprot.writeFieldEnd()
+        if self.held_step is not None:
+            oprot.writeFieldBegin('held_step', TType.I64, 15)
+            oprot.writeI64(self.held_step)
+            oprot.writeFieldEnd()
+        if self.pace is not None:
+            oprot.writeFieldBegin('pace', TType.DOUBLE, 16)
+            oprot.writeDouble(self.pace)
+            oprot.writeFieldEnd()
+        if self.fencing_token is not None:
+            oprot.writeFieldBegin('fencing_token', TType.I64, 17)
+            oprot.writeI64(self.fencing_token)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 18)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RankPull(object):
+    """
+    Attributes:
+     - call_id
+     - with_map
+
+    """
+
+    __slots__ = (
+        'call_id',
+        'with_map',
+    )
+
+
+    def __init__(self, call_id=None, with_map=None,):
+        self.call_id = call_id
+        self.with_map = with_map
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.call_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.with_map = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RankPull')
+        if self.call_id is not None:
+            oprot.writeFieldBegin('call_id', TType.STRING, 1)
+            oprot.writeString(self.call_id.encode('utf-8') if sys.version_info[0] == 2 else self.call_id)
+            oprot.writeFieldEnd()
+        if self.with_map is not None:
+            oprot.writeFieldBegin('with_map', TType.BOOL, 2)
+            oprot.writeBool(self.with_map)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RankCounts(object):
+    """
+    Attributes:
+     - call_id
+     - epoch
+     - step
+     - n_by_expert
+     - experts
+     - map_version
+     - reason
+
+    """
+
+    __slots__ = (
+        'call_id',
+        'epoch',
+        'step',
+        'n_by_expert',
+        'experts',
+        'map_version',
+        'reason',
+    )
+
+
+    def __init__(self, call_id=None, epoch=None, step=None, n_by_expert=None, experts=None, map_version=None, reason=None,):
+        self.call_id = call_id
+        self.epoch = epoch
+        self.step = step
+        self.n_by_expert = n_by_expert
+        self.experts = experts
+        self.map_version = map_version
+        self.reason = reason
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.call_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.step = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.n_by_expert = []
+                    (_etype160, _size157) = iprot.readListBegin()
+                    for _i161 in range(_size157):
+                        _elem162 = []
+                        (_etype166, _size163) = iprot.readListBegin()
+                        for _i167 in range(_size163):
+                            _elem168 = iprot.readI64()
+                            _elem162.append(_elem168)
+                        iprot.readListEnd()
+                        self.n_by_expert.append(_elem162)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.experts = []
+                    (_etype172, _size169) = iprot.readListBegin()
+                    for _i173 in range(_size169):
+                        _elem174 = []
+                        (_etype178, _size175) = iprot.readListBegin()
+                        for _i179 in range(_size175):
+                            _elem180 = iprot.readI32()
+                            _elem174.append(_elem180)
+                        iprot.readListEnd()
+                        self.experts.append(_elem174)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.map_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3143,30 +3971,209 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('Digest')
-        if self.config_version is not None:
-            oprot.writeFieldBegin('config_version', TType.I64, 1)
-            oprot.writeI64(self.config_version)
-            oprot.writeFieldEnd()
-        if self.members is not None:
-            oprot.writeFieldBegin('members', TType.LIST, 2)
-            oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter138 in self.members:
-                iter138.write(oprot)
+        oprot.writeStructBegin('RankCounts')
+        if self.call_id is not None:
+            oprot.writeFieldBegin('call_id', TType.STRING, 1)
+            oprot.writeString(self.call_id.encode('utf-8') if sys.version_info[0] == 2 else self.call_id)
+            oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 2)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
+        if self.step is not None:
+            oprot.writeFieldBegin('step', TType.I64, 3)
+            oprot.writeI64(self.step)
+            oprot.writeFieldEnd()
+        if self.n_by_expert is not None:
+            oprot.writeFieldBegin('n_by_expert', TType.LIST, 4)
+            oprot.writeListBegin(TType.LIST, len(self.n_by_expert))
+            for iter181 in self.n_by_expert:
+                oprot.writeListBegin(TType.I64, len(iter181))
+                for iter182 in iter181:
+                    oprot.writeI64(iter182)
+                oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.blocked_fingerprints is not None:
-            oprot.writeFieldBegin('blocked_fingerprints', TType.LIST, 3)
-            oprot.writeListBegin(TType.STRING, len(self.blocked_fingerprints))
-            for iter139 in self.blocked_fingerprints:
-                oprot.writeString(iter139.encode('utf-8') if sys.version_info[0] == 2 else iter139)
+        if self.experts is not None:
+            oprot.writeFieldBegin('experts', TType.LIST, 5)
+            oprot.writeListBegin(TType.LIST, len(self.experts))
+            for iter183 in self.experts:
+                oprot.writeListBegin(TType.I32, len(iter183))
+                for iter184 in iter183:
+                    oprot.writeI32(iter184)
+                oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.suspect_fingerprints is not None:
-            oprot.writeFieldBegin('suspect_fingerprints', TType.LIST, 4)
-            oprot.writeListBegin(TType.STRING, len(self.suspect_fingerprints))
-            for iter140 in self.suspect_fingerprints:
-                oprot.writeString(iter140.encode('utf-8') if sys.version_info[0] == 2 else iter140)
+        if self.map_version is not None:
+            oprot.writeFieldBegin('map_version', TType.I64, 6)
+            oprot.writeI64(self.map_version)
+            oprot.writeFieldEnd()
+        if self.reason is not None:
+            oprot.writeFieldBegin('reason', TType.STRING, 7)
+            oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RankOrder(object):
+    """
+    Attributes:
+     - call_id
+     - fencing_token
+     - action
+     - epoch
+     - map_version
+     - step
+     - experts_by_rank
+
+    """
+
+    __slots__ = (
+        'call_id',
+        'fencing_token',
+        'action',
+        'epoch',
+        'map_version',
+        'step',
+        'experts_by_rank',
+    )
+
+
+    def __init__(self, call_id=None, fencing_token=None, action=None, epoch=None, map_version=None, step=None, experts_by_rank=None,):
+        self.call_id = call_id
+        self.fencing_token = fencing_token
+        self.action = action
+        self.epoch = epoch
+        self.map_version = map_version
+        self.step = step
+        self.experts_by_rank = experts_by_rank
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.call_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.fencing_token = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.action = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.map_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.step = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.experts_by_rank = []
+                    (_etype188, _size185) = iprot.readListBegin()
+                    for _i189 in range(_size185):
+                        _elem190 = []
+                        (_etype194, _size191) = iprot.readListBegin()
+                        for _i195 in range(_size191):
+                            _elem196 = []
+                            (_etype200, _size197) = iprot.readListBegin()
+                            for _i201 in range(_size197):
+                                _elem202 = iprot.readI32()
+                                _elem196.append(_elem202)
+                            iprot.readListEnd()
+                            _elem190.append(_elem196)
+                        iprot.readListEnd()
+                        self.experts_by_rank.append(_elem190)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RankOrder')
+        if self.call_id is not None:
+            oprot.writeFieldBegin('call_id', TType.STRING, 1)
+            oprot.writeString(self.call_id.encode('utf-8') if sys.version_info[0] == 2 else self.call_id)
+            oprot.writeFieldEnd()
+        if self.fencing_token is not None:
+            oprot.writeFieldBegin('fencing_token', TType.I64, 2)
+            oprot.writeI64(self.fencing_token)
+            oprot.writeFieldEnd()
+        if self.action is not None:
+            oprot.writeFieldBegin('action', TType.STRING, 3)
+            oprot.writeString(self.action.encode('utf-8') if sys.version_info[0] == 2 else self.action)
+            oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 4)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
+        if self.map_version is not None:
+            oprot.writeFieldBegin('map_version', TType.I64, 5)
+            oprot.writeI64(self.map_version)
+            oprot.writeFieldEnd()
+        if self.step is not None:
+            oprot.writeFieldBegin('step', TType.I64, 6)
+            oprot.writeI64(self.step)
+            oprot.writeFieldEnd()
+        if self.experts_by_rank is not None:
+            oprot.writeFieldBegin('experts_by_rank', TType.LIST, 7)
+            oprot.writeListBegin(TType.LIST, len(self.experts_by_rank))
+            for iter203 in self.experts_by_rank:
+                oprot.writeListBegin(TType.LIST, len(iter203))
+                for iter204 in iter203:
+                    oprot.writeListBegin(TType.I32, len(iter204))
+                    for iter205 in iter204:
+                        oprot.writeI32(iter205)
+                    oprot.writeListEnd()
+                oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3194,6 +4201,98 @@
         return not (self == other)
 
 
+class RankOrderDone(object):
+    """
+    Attributes:
+     - call_id
+     - is_accepted
+     - reason
+
+    """
+
+    __slots__ = (
+        'call_id',
+        'is_accepted',
+        'reason',
+    )
+
+
+    def __init__(self, call_id=None, is_accepted=None, reason=None,):
+        self.call_id = call_id
+        self.is_accepted = is_accepted
+        self.reason = reason
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.call_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.is_accepted = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RankOrderDone')
+        if self.call_id is not None:
+            oprot.writeFieldBegin('call_id', TType.STRING, 1)
+            oprot.writeString(self.call_id.encode('utf-8') if sys.version_info[0] == 2 else self.call_id)
+            oprot.writeFieldEnd()
+        if self.is_accepted is not None:
+            oprot.writeFieldBegin('is_accepted', TType.BOOL, 2)
+            oprot.writeBool(self.is_accepted)
+            oprot.writeFieldEnd()
+        if self.reason is not None:
+            oprot.writeFieldBegin('reason', TType.STRING, 3)
+            oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class ConfigStage(object):
     """
     Attributes:
@@ -3617,6 +4716,13 @@
      - config_pull
      - started
      - accepted
+     - table_delta
+     - table_pull
+     - rank_report
+     - rank_pull
+     - rank_counts
+     - rank_order
+     - rank_order_done
 
     """
 
@@ -3649,10 +4755,17 @@
         'config_pull',
         'started',
         'accepted',
+        'table_delta',
+        'table_pull',
+        'rank_report',
+        'rank_pull',
+        'rank_counts',
+        'rank_order',
+        'rank_order_done',
     )
 
 
-    def __init__(self, hello=None, heartbeat=None, dispatch=None, chunk_batch=None, finish=None, refuse=None, broken=None, cancel=None, credit=None, load_report=None, cache_report=None, engine_crash=None, drain=None, order=None, order_result=None, map_prepare=None, map_prepared=None, map_commit=None, map_abort=None, map_query=None, map_state=None, digest=None, config_stage=None, config_staged=None, config_push=None, config_pull=None, started=None, accepted=None,):
+    def __init__(self, hello=None, heartbeat=None, dispatch=None, chunk_batch=None, finish=None, refuse=None, broken=None, cancel=None, credit=None, load_report=None, cache_report=None, engine_crash=None, drain=None, order=None, order_result=None, map_prepare=None, map_prepared=None, map_commit=None, map_abort=None, map_query=None, map_state=None, digest=None, config_stage=None, config_staged=None, config_push=None, config_pull=None, started=None, accepted=None, table_delta=None, table_pull=None, rank_report=None, rank_pull=None, rank_counts=None, rank_order=None, rank_order_done=None,):
         self.hello = hello
         self.heartbeat = heartbeat
         self.dispatch = dispatch
@@ -3681,6 +4794,13 @@
         self.config_pull = config_pull
         self.started = started
         self.accepted = accepted
+        self.table_delta = table_delta
+        self.table_pull = table_pull
+        self.rank_report = rank_report
+        self.rank_pull = rank_pull
+        self.rank_counts = rank_counts
+        self.rank_order = rank_order
+        self.rank_order_done = rank_order_done
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3859,6 +4979,48 @@
                     self.accepted.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 29:
+                if ftype == TType.STRUCT:
+                    self.table_delta = TableDelta()
+                    self.table_delta.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 30:
+                if ftype == TType.STRUCT:
+                    self.table_pull = TablePull()
+                    self.table_pull.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 31:
+                if ftype == TType.STRUCT:
+                    self.rank_report = RankReport()
+                    self.rank_report.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 32:
+                if ftype == TType.STRUCT:
+                    self.rank_pull = RankPull()
+                    self.rank_pull.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 33:
+                if ftype == TType.STRUCT:
+                    self.rank_counts = RankCounts()
+                    self.rank_counts.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 34:
+                if ftype == TType.STRUCT:
+                    self.rank_order = RankOrder()
+                    self.rank_order.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 35:
+                if ftype == TType.STRUCT:
+                    self.rank_order_done = RankOrderDone()
+                    self.rank_order_done.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3981,6 +5143,34 @@
             oprot.writeFieldBegin('accepted', TType.STRUCT, 28)
             self.accepted.write(oprot)
             oprot.writeFieldEnd()
+        if self.table_delta is not None:
+            oprot.writeFieldBegin('table_delta', TType.STRUCT, 29)
+            self.table_delta.write(oprot)
+            oprot.writeFieldEnd()
+        if self.table_pull is not None:
+            oprot.writeFieldBegin('table_pull', TType.STRUCT, 30)
+            self.table_pull.write(oprot)
+            oprot.writeFieldEnd()
+        if self.rank_report is not None:
+            oprot.writeFieldBegin('rank_report', TType.STRUCT, 31)
+            self.rank_report.write(oprot)
+            oprot.writeFieldEnd()
+        if self.rank_pull is not None:
+            oprot.writeFieldBegin('rank_pull', TType.STRUCT, 32)
+            self.rank_pull.write(oprot)
+            oprot.writeFieldEnd()
+        if self.rank_counts is not None:
+            oprot.writeFieldBegin('rank_counts', TType.STRUCT, 33)
+            self.rank_counts.write(oprot)
+            oprot.writeFieldEnd()
+        if self.rank_order is not None:
+            oprot.writeFieldBegin('rank_order', TType.STRUCT, 34)
+            self.rank_order.write(oprot)
+            oprot.writeFieldEnd()
+        if self.rank_order_done is not None:
+            oprot.writeFieldBegin('rank_order_done', TType.STRUCT, 35)
+            self.rank_order_done.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4235,6 +5425,86 @@
     (2, TType.LIST, 'members', (TType.STRUCT, [Member, None], False), None, ),  # 2
     (3, TType.LIST, 'blocked_fingerprints', (TType.STRING, 'UTF8', False), None, ),  # 3
     (4, TType.LIST, 'suspect_fingerprints', (TType.STRING, 'UTF8', False), None, ),  # 4
+    (5, TType.MAP, 'version_by_table', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 5
+)
+all_structs.append(TableRow)
+TableRow.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'key', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'version', None, None, ),  # 2
+    (3, TType.STRING, 'value', 'BINARY', None, ),  # 3
+    (4, TType.BOOL, 'is_removed', None, None, ),  # 4
+)
+all_structs.append(TableDelta)
+TableDelta.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'table', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'above_version', None, None, ),  # 2
+    (3, TType.I64, 'version', None, None, ),  # 3
+    (4, TType.LIST, 'rows', (TType.STRUCT, [TableRow, None], False), None, ),  # 4
+)
+all_structs.append(TablePull)
+TablePull.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'table', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'above_version', None, None, ),  # 2
+)
+all_structs.append(RankReport)
+RankReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'sequence', None, None, ),  # 2
+    (3, TType.I32, 'n_running', None, None, ),  # 3
+    (4, TType.I32, 'n_queued', None, None, ),  # 4
+    (5, TType.STRING, 'group', 'UTF8', None, ),  # 5
+    (6, TType.I64, 'epoch', None, None, ),  # 6
+    (7, TType.I32, 'rank', None, None, ),  # 7
+    (8, TType.I32, 'n_ranks', None, None, ),  # 8
+    (9, TType.BOOL, 'is_open', None, None, ),  # 9
+    (10, TType.I64, 'step', None, None, ),  # 10
+    (11, TType.I64, 'map_version', None, None, ),  # 11
+    (12, TType.I64, 'prepared_version', None, None, ),  # 12
+    (13, TType.I64, 'armed_version', None, None, ),  # 13
+    (14, TType.I64, 'armed_step', None, None, ),  # 14
+    (15, TType.I64, 'held_step', None, None, ),  # 15
+    (16, TType.DOUBLE, 'pace', None, None, ),  # 16
+    (17, TType.I64, 'fencing_token', None, None, ),  # 17
+    (18, TType.I64, 'age_ms', None, None, ),  # 18
+)
+all_structs.append(RankPull)
+RankPull.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'call_id', 'UTF8', None, ),  # 1
+    (2, TType.BOOL, 'with_map', None, None, ),  # 2
+)
+all_structs.append(RankCounts)
+RankCounts.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'call_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'epoch', None, None, ),  # 2
+    (3, TType.I64, 'step', None, None, ),  # 3
+    (4, TType.LIST, 'n_by_expert', (TType.LIST, (TType.I64, None, False), False), None, ),  # 4
+    (5, TType.LIST, 'experts', (TType.LIST, (TType.I32, None, False), False), None, ),  # 5
+    (6, TType.I64, 'map_version', None, None, ),  # 6
+    (7, TType.STRING, 'reason', 'UTF8', None, ),  # 7
+)
+all_structs.append(RankOrder)
+RankOrder.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'call_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'fencing_token', None, None, ),  # 2
+    (3, TType.STRING, 'action', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'epoch', None, None, ),  # 4
+    (5, TType.I64, 'map_version', None, None, ),  # 5
+    (6, TType.I64, 'step', None, None, ),  # 6
+    (7, TType.LIST, 'experts_by_rank', (TType.LIST, (TType.LIST, (TType.I32, None, False), False), False), None, ),  # 7
+)
+all_structs.append(RankOrderDone)
+RankOrderDone.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'call_id', 'UTF8', None, ),  # 1
+    (2, TType.BOOL, 'is_accepted', None, None, ),  # 2
+    (3, TType.STRING, 'reason', 'UTF8', None, ),  # 3
 )
 all_structs.append(ConfigStage)
 ConfigStage.thrift_spec = (
@@ -4297,6 +5567,13 @@
     (26, TType.STRUCT, 'config_pull', [ConfigPull, None], None, ),  # 26
     (27, TType.STRUCT, 'started', [Started, None], None, ),  # 27
     (28, TType.STRUCT, 'accepted', [Accepted, None], None, ),  # 28
+    (29, TType.STRUCT, 'table_delta', [TableDelta, None], None, ),  # 29
+    (30, TType.STRUCT, 'table_pull', [TablePull, None], None, ),  # 30
+    (31, TType.STRUCT, 'rank_report', [RankReport, None], None, ),  # 31
+    (32, TType.STRUCT, 'rank_pull', [RankPull, None], None, ),  # 32
+    (33, TType.STRUCT, 'rank_counts', [RankCounts, None], None, ),  # 33
+    (34, TType.STRUCT, 'rank_order', [RankOrder, None], None, ),  # 34
+    (35, TType.STRUCT, 'rank_order_done', [RankOrderDone, None], None, ),  # 35
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/core/src/bluebellusher_core/wire/bluebellusher.thrift
+++ b/packages/core/src/bluebellusher_core/wire/bluebellusher.thrift
@@ -88,9 +88,36 @@
 }
 struct Digest {
   1: i64 config_version, 2: list<Member> members,
-  3: list<string> blocked_fingerprints, 4: list<string> suspect_fingerprints
+  3: list<string> blocked_fingerprints, 4: list<string> suspect_fingerprints,
+  5: map<string, i64> version_by_table
 }
 
+/* Shared tables: an entry that the store turns away catches up with its peers. */
+struct TableRow { 1: string key, 2: i64 version, 3: binary value, 4: bool is_removed }
+struct TableDelta {
+  1: string table, 2: i64 above_version, 3: i64 version, 4: list<TableRow> rows
+}
+struct TablePull { 1: string table, 2: i64 above_version }
+
+/* State of one rank, as its agent reads it. A step of -1 stands for none. */
+struct RankReport {
+  1: string endpoint_id, 2: i64 sequence, 3: i32 n_running, 4: i32 n_queued,
+  5: string group, 6: i64 epoch, 7: i32 rank, 8: i32 n_ranks, 9: bool is_open,
+  10: i64 step, 11: i64 map_version, 12: i64 prepared_version,
+  13: i64 armed_version, 14: i64 armed_step, 15: i64 held_step, 16: double pace,
+  17: i64 fencing_token, 18: i64 age_ms
+}
+struct RankPull { 1: string call_id, 2: bool with_map }
+struct RankCounts {
+  1: string call_id, 2: i64 epoch, 3: i64 step, 4: list<list<i64>> n_by_expert,
+  5: list<list<i32>> experts, 6: i64 map_version, 7: string reason
+}
+struct RankOrder {
+  1: string call_id, 2: i64 fencing_token, 3: string action, 4: i64 epoch,
+  5: i64 map_version, 6: i64 step, 7: list<list<list<i32>>> experts_by_rank
+}
+struct RankOrderDone { 1: string call_id, 2: bool is_accepted, 3: string reason }
+
 struct ConfigStage {
   1: string change_id, 2: i64 base_version, 3: string rules_text, 4: string author
 }
@@ -117,5 +144,8 @@
   22: optional Digest digest, 23: optional ConfigStage config_stage,
   24: optional ConfigStaged config_staged, 25: optional ConfigPush config_push,
   26: optional ConfigPull config_pull, 27: optional Started started,
-  28: optional Accepted accepted
+  28: optional Accepted accepted, 29: optional TableDelta table_delta,
+  30: optional TablePull table_pull, 31: optional RankReport rank_report,
+  32: optional RankPull rank_pull, 33: optional RankCounts rank_counts,
+  34: optional RankOrder rank_order, 35: optional RankOrderDone rank_order_done
 }
--- a/packages/entry/src/bluebellusher/cli/_entry.py
+++ b/packages/entry/src/bluebellusher/cli/_entry.py
@@ -19,6 +19,7 @@
 from bluebellusher.platform import PlatformClient
 from bluebellusher.rollout import ConfigRollout
 from bluebellusher.runtime import (
+    AgentDispatcher,
     ClaimWriter,
     EndpointDiscovery,
     PeerExchange,
@@ -50,13 +51,13 @@
         seed = Random(f"{settings.instance_id}.{self.incarnation}")
         self.state = _make_state(settings, self.incarnation, seed)
         limits = settings.limits
-        self.runtime = Runtime(
-            self.state, clock, log, Metrics(), Tracer(log), limits.stream_window_bytes
-        )
+        tracer = Tracer(log)
+        dispatcher = AgentDispatcher(clock, tracer, limits.stream_window_bytes)
+        self.runtime = Runtime(self.state, clock, log, Metrics(), tracer, dispatcher)
         self.ticker = LinkTicker(clock, asyncio.get_running_loop())
         identity = _make_identity(settings, self.incarnation)
         parts = (identity, self.runtime, self.ticker, clock, seed)
-        self.agents = AgentLinks(*parts)
+        self.agents = dispatcher.agents = AgentLinks(*parts)
         self.view = EntryView(self)
         self.peer_exchange = PeerExchange(self.runtime, clock, self.view.make_digest)
         self.peers = PeerLinks(*parts, self.peer_exchange)
@@ -66,7 +67,7 @@
         )
         store = PlatformStore(self.platform)
         claims = ClaimWriter(store, self.runtime, settings.instance_id)
-        self.runtime.attach(self.agents, claims, store)
+        self.runtime.attach(claims, store)
         self.rollout = ConfigRollout.from_parts(
             settings,
             self.runtime,
--- /dev/null
+++ b/packages/entry/src/bluebellusher/gateway/_attempts.py
@@ -0,0 +1,342 @@
+"""Attempts that go to endpoints over HTTP/1.1, one connection for each.
+
+A connection of its own costs an attempt one round trip. In return no answer can
+belong to an earlier request, no kept connection is closed or silent just when it is
+used, and an attempt whose connection could not be made has certainly not run.
+"""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import aiohttp
+from yarl import URL
+
+from bluebellusher.links import AnswerStream, EventSink, EventSplitter, make_socket
+from bluebellusher.observability import Tracer
+from bluebellusher.ports import AnswerFields, AttemptFields, Dialect
+from bluebellusher.runtime import Exchange
+from bluebellusher_core.clock import Clock
+from bluebellusher_core.directory import EndpointRegistration
+from bluebellusher_core.effects import CancelAttempt, Dispatch
+from bluebellusher_core.errors import Reason
+from bluebellusher_core.events import (
+    AttemptBroken,
+    AttemptFinished,
+    AttemptRefused,
+    AttemptStarted,
+    Event,
+    Usage,
+)
+
+# Far above a round trip between failure domains; a lost packet costs a second.
+CONNECT_TIMEOUT_MS = 500
+# A rank that is cut off stops its whole group for 1,500 ms; a stream that is silent
+# for longer will not go on, and its caller leaves after 2,000 ms.
+STREAM_SILENCE_MS = 1_700
+MAX_HEADER_BYTES = 65_536
+MAX_BODY_BYTES = 64 * 1024 * 1024
+EVENTS_TYPE = "text/event-stream"
+# Retry hints of endpoints are not used; the reducer doubles its own pause.
+_NO_PAUSE_MS = 0
+
+FindEndpoint = Callable[[str], EndpointRegistration | None]
+
+
+class _BrokenError(Exception):
+    """The attempt may have run and gave no whole answer."""
+
+    def __init__(self, reason: Reason, detail: str) -> None:
+        super().__init__(detail)
+        self.reason = reason
+
+
+@dataclass(slots=True)
+class _Attempt:
+    """One attempt in flight."""
+
+    effect: Dispatch
+    exchange: Exchange
+    endpoint: EndpointRegistration
+    sent_at_ms: int
+    task: asyncio.Task[None] | None = None
+    status: int = 0
+    splitter: EventSplitter = field(default_factory=EventSplitter)
+
+    @property
+    def answer(self) -> AnswerStream:
+        """Where the answer goes."""
+        return self.exchange.answer
+
+    def owns(self) -> bool:
+        """Return whether this attempt writes the answer; the first to start does."""
+        answer = self.answer
+        if not answer.owner_attempt_id and not answer.is_ended:
+            answer.owner_attempt_id = self.effect.attempt_id
+        return answer.owner_attempt_id == self.effect.attempt_id
+
+
+class HttpDispatcher:
+    """Send attempts to endpoints and report what becomes of them.
+
+    Parameters
+    ----------
+    dialect : Dialect
+        Header names of the endpoints.
+    find_endpoint : callable
+        Returns the registration of an endpoint.
+    clock : Clock
+        Measures what is left of a deadline.
+    tracer : Tracer
+        Opens a span for each attempt.
+    """
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        find_endpoint: FindEndpoint,
+        clock: Clock,
+        tracer: Tracer,
+    ) -> None:
+        self.sink: EventSink | None = None
+        self._dialect = dialect
+        self._find_endpoint = find_endpoint
+        self._clock = clock
+        self._tracer = tracer
+        self._attempt_by_id: dict[str, _Attempt] = {}
+        self._session: aiohttp.ClientSession | None = None
+
+    async def open(self) -> None:
+        """Make the client session; call it on the event loop."""
+        connector = aiohttp.TCPConnector(
+            limit=0, force_close=True, socket_factory=make_socket
+        )
+        self._session = aiohttp.ClientSession(
+            connector=connector,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            auto_decompress=False,
+            skip_auto_headers=(
+                "Accept",
+                "Accept-Encoding",
+                "Content-Type",
+                "User-Agent",
+            ),
+            timeout=aiohttp.ClientTimeout(
+                total=None, sock_connect=CONNECT_TIMEOUT_MS / 1000
+            ),
+            max_line_size=MAX_HEADER_BYTES,
+            max_field_size=MAX_HEADER_BYTES,
+        )
+
+    async def close(self) -> None:
+        """Stop every attempt and close the session."""
+        for attempt in list(self._attempt_by_id.values()):
+            if attempt.task is not None:
+                attempt.task.cancel()
+        if self._session is not None:
+            await self._session.close()
+
+    def start(self, effect: Dispatch, exchange: Exchange) -> bool:
+        """Send an attempt; return False when it was certainly not sent."""
+        endpoint = self._find_endpoint(effect.endpoint_id)
+        answer = exchange.answer
+        if effect.resume_offset == 0 and not answer.owner_attempt_id:
+            answer.reset()
+        if endpoint is None or effect.resume_offset != answer.n_bytes:
+            return False
+        attempt = _Attempt(effect, exchange, endpoint, self._clock.now_ms())
+        attempt.splitter.last_event_id = exchange.last_event_id
+        exchange.n_attempts += 1
+        span = self._tracer.start("attempt", exchange.span.traceparent)
+        exchange.attempt_spans[effect.attempt_id] = span
+        exchange.endpoint_by_attempt_id[effect.attempt_id] = effect.endpoint_id
+        self._attempt_by_id[effect.attempt_id] = attempt
+        attempt.task = asyncio.create_task(self._run(attempt))
+        self._log("attempt-sent", attempt, resume_offset=effect.resume_offset)
+        return True
+
+    def cancel(self, effect: CancelAttempt) -> None:
+        """Close the connection, which stops the work at the endpoint."""
+        attempt = self._attempt_by_id.get(effect.attempt_id)
+        if attempt is not None and attempt.task is not None:
+            attempt.task.cancel()
+            self._log("attempt-cancelled", attempt)
+
+    def find(self, attempt_id: str) -> Exchange | None:
+        """Return the exchange of an attempt that has not ended."""
+        attempt = self._attempt_by_id.get(attempt_id)
+        return attempt.exchange if attempt else None
+
+    def end(self, attempt_id: str) -> Exchange | None:
+        """Forget an attempt; return its exchange, if it was still counted."""
+        attempt = self._attempt_by_id.pop(attempt_id, None)
+        if attempt is None:
+            return None
+        exchange = attempt.exchange
+        exchange.n_attempts -= 1
+        span = exchange.attempt_spans.pop(attempt_id, None)
+        if span is not None:
+            span.end(
+                request_id=exchange.spec.request_id,
+                attempt_id=attempt_id,
+                endpoint_id=attempt.effect.endpoint_id,
+                n_bytes=exchange.answer.n_bytes,
+            )
+        return exchange
+
+    def close_endpoint(self, endpoint_id: str, reason: str) -> None:
+        """Stop every attempt at an endpoint."""
+        for attempt in list(self._attempt_by_id.values()):
+            if attempt.effect.endpoint_id == endpoint_id and attempt.task is not None:
+                attempt.task.cancel()
+                self._post(attempt, self._broken(attempt, Reason.CONNECTION_LOST))
+                self._log("attempt-closed", attempt, reason=reason)
+
+    async def _run(self, attempt: _Attempt) -> None:
+        try:
+            event = await self._exchange(attempt)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            self._log("attempt-not-connected", attempt, error=type(error).__name__)
+            event = self._refused(attempt, Reason.CONNECT_FAILED, has_arrived=False)
+        except _BrokenError as error:
+            self._log("attempt-broken", attempt, error=str(error))
+            event = self._broken(attempt, error.reason)
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
+            self._log("attempt-broken", attempt, error=f"{type(error).__name__}")
+            event = self._broken(attempt, Reason.CONNECTION_LOST)
+        self._post(attempt, event)
+
+    async def _exchange(self, attempt: _Attempt) -> Event:
+        assert self._session is not None
+        exchange, endpoint = attempt.exchange, attempt.endpoint
+        remaining_ms = max(1, exchange.spec.deadline_ms - self._clock.now_ms())
+        fields = AttemptFields(
+            endpoint_id=endpoint.endpoint_id,
+            remaining_ms=remaining_ms,
+            customer_id=exchange.spec.customer_id,
+            last_event_id=exchange.last_event_id,
+            priority=int(exchange.spec.priority),
+        )
+        headers = self._dialect.write_attempt(exchange.header_items, fields)
+        url = URL(
+            f"http://{endpoint.host}:{endpoint.port}{exchange.path}", encoded=True
+        )
+        async with self._session.request(
+            exchange.method,
+            url,
+            headers=headers,
+            data=exchange.body or None,
+            allow_redirects=False,
+        ) as response:
+            found = self._dialect.read_answer(response.status, response.headers)
+            refused = self._find_refusal(attempt, response, found)
+            if refused is not None:
+                return refused
+            await self._relay(attempt, response)
+        return AttemptFinished(
+            attempt.effect.attempt_id,
+            response.status,
+            attempt.answer.n_bytes,
+            Usage(),
+            attempt.effect.endpoint_id,
+        )
+
+    def _find_refusal(
+        self,
+        attempt: _Attempt,
+        response: aiohttp.ClientResponse,
+        found: AnswerFields,
+    ) -> Event | None:
+        """Return the event of an answer that is not passed on, or None."""
+        if found.attempt_id and found.attempt_id != attempt.exchange.caller_attempt_id:
+            raise _BrokenError(Reason.STREAM_CORRUPT, "answer to another request")
+        if found.is_wrong_endpoint or found.is_not_run:
+            reason = Reason.ENDPOINT_FULL
+            if found.is_wrong_endpoint:
+                reason = Reason.ENDPOINT_DRAINING
+            self._log(
+                "attempt-refused",
+                attempt,
+                status=response.status,
+                faulty=found.faulty_endpoint_id,
+            )
+            return self._refused(attempt, reason, has_arrived=True)
+        if response.status < 300 and not found.is_authentic:
+            raise _BrokenError(Reason.STREAM_CORRUPT, "answer without a valid seal")
+        return None
+
+    async def _relay(self, attempt: _Attempt, response: aiohttp.ClientResponse) -> None:
+        is_events = response.headers.get("Content-Type", "").startswith(EVENTS_TYPE)
+        attempt.status = response.status
+        if not attempt.owns():
+            raise _BrokenError(Reason.CONNECTION_LOST, "another attempt answers")
+        answer = attempt.answer
+        if answer.n_bytes == 0:
+            names = {name.lower(): value for name, value in response.headers.items()}
+            if not answer.start(response.status, names):
+                raise _BrokenError(Reason.STREAM_CORRUPT, "status changed")
+        elif response.status >= 300:
+            raise _BrokenError(Reason.STREAM_CORRUPT, "resumed stream has failed")
+        while data := await self._read(response, is_events):
+            if not answer.n_bytes:
+                self._started(attempt)
+            if is_events:
+                data = attempt.splitter.feed(data)
+                if not data:
+                    continue
+                attempt.exchange.last_event_id = attempt.splitter.last_event_id
+            answer.write(data)
+            if answer.n_bytes > MAX_BODY_BYTES:
+                raise _BrokenError(Reason.STREAM_CORRUPT, "answer too long")
+        if is_events and attempt.splitter.n_pending:
+            raise _BrokenError(Reason.STREAM_CORRUPT, "stream ends within an event")
+
+    async def _read(self, response: aiohttp.ClientResponse, is_events: bool) -> bytes:
+        if not is_events:
+            return await response.content.readany()
+        async with asyncio.timeout(STREAM_SILENCE_MS / 1000):
+            return await response.content.readany()
+
+    def _started(self, attempt: _Attempt) -> None:
+        effect = attempt.effect
+        self._post(attempt, AttemptStarted(effect.attempt_id, effect.endpoint_id))
+
+    def _refused(self, attempt: _Attempt, reason: Reason, has_arrived: bool) -> Event:
+        effect = attempt.effect
+        return AttemptRefused(
+            effect.attempt_id, reason, _NO_PAUSE_MS, effect.endpoint_id, has_arrived
+        )
+
+    def _broken(self, attempt: _Attempt, reason: Reason) -> Event:
+        """Return the event of a broken attempt.
+
+        What the caller has not received is dropped, so that another attempt can
+        start from the beginning.
+        """
+        answer, effect = attempt.answer, attempt.effect
+        if answer.owner_attempt_id == effect.attempt_id:
+            answer.owner_attempt_id = ""
+            if not answer.is_events:
+                answer.reset()
+        n_bytes = answer.n_bytes
+        is_resumable = answer.is_events
+        return AttemptBroken(
+            effect.attempt_id, reason, n_bytes, is_resumable, effect.endpoint_id
+        )
+
+    def _post(self, attempt: _Attempt, event: Event) -> None:
+        assert self.sink is not None
+        self.sink.post(event)
+
+    def _log(self, name: str, attempt: _Attempt, **fields: str | int | float) -> None:
+        assert self.sink is not None
+        effect = attempt.effect
+        self.sink.log(
+            name,
+            request=attempt.exchange.spec.request_id,
+            attempt=effect.attempt_id,
+            endpoint=effect.endpoint_id,
+            after_ms=self._clock.now_ms() - attempt.sent_at_ms,
+            n_bytes=attempt.answer.n_bytes,
+            **fields,
+        )
--- /dev/null
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -0,0 +1,344 @@
+"""One entry on a platform: construction of all parts, life from start to stop."""
+
+import asyncio
+import contextlib
+import gc
+import itertools
+import signal
+from collections.abc import Callable, Coroutine, Mapping
+from random import Random
+from typing import Any
+
+import uvloop
+from aiohttp import web
+
+from bluebellusher.gateway._admission import Admission, Patience
+from bluebellusher.gateway._attempts import HttpDispatcher
+from bluebellusher.gateway._server import CallerServer, PageServer
+from bluebellusher.links import Identity, LinkTicker, PeerLinks
+from bluebellusher.observability import KeyValueLog, Metrics, Tracer
+from bluebellusher.ports import PlatformPorts
+from bluebellusher.runtime import PeerExchange, Runtime
+from bluebellusher.settings import GatewaySettings
+from bluebellusher.shared import Directory, Members, TableExchange, TableWatcher
+from bluebellusher_core.admission import ObjectiveQueue
+from bluebellusher_core.clock import Clock, SystemClock
+from bluebellusher_core.directory import TableMirror
+from bluebellusher_core.events import EntriesCounted
+from bluebellusher_core.reducer import EntryConfig, EntryState
+from bluebellusher_core.routing import SlotAware
+from bluebellusher_core.wire import messages
+
+# After SIGTERM the platform stops sending new connections within two checks of one
+# second each; until then they are still served.
+STOP_ACCEPTING_AFTER_MS = 2_600
+# Left of the grace period for closing connections and leaving.
+EXIT_MARGIN_MS = 500
+# Entries with an uneven share of callers leave part of the common retries unused;
+# this much of them is given out, the rest covers entries that are not known yet.
+RETRY_USE = 0.8
+# Requests that an endpoint may hold beyond its slots cover the round trip between
+# the end of one request and the start of the next.
+QUEUE_FACTOR = 1.2
+# How long a caller of a broken stream waits for its next event.
+RESUME_WAIT_MS = 1_500
+_POLL_S = 0.02
+
+
+class Gateway:
+    """All parts of one entry, connected."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        ports: PlatformPorts,
+        clock: Clock,
+        log: KeyValueLog,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.log = log
+        self.incarnation = clock.wall_ms()
+        seed = Random(f"{settings.instance_id}.{self.incarnation}")
+        self.state = _make_state(settings, self.incarnation, seed)
+        tracer = Tracer(log)
+        self._store = ports.store
+        self.dispatcher = HttpDispatcher(
+            ports.dialect, self._find_endpoint, clock, tracer
+        )
+        self.runtime = Runtime(
+            self.state, clock, log, Metrics(), tracer, self.dispatcher
+        )
+        self.dispatcher.sink = self.runtime
+        self.directory = Directory(ports.codec, self.runtime.post, clock, self.runtime)
+        self.ticker = LinkTicker(clock, asyncio.get_running_loop())
+        identity = Identity(
+            settings.instance_id,
+            self.incarnation,
+            settings.failure_domain,
+            settings.shared_secret.get_secret_value().encode(),
+        )
+        self.peer_exchange = PeerExchange(self.runtime, clock, self.make_digest)
+        self.peers = PeerLinks(
+            identity, self.runtime, self.ticker, clock, seed, self.peer_exchange
+        )
+        self.peer_exchange.links = self.peers
+        self.tables = TableExchange(self.peers, clock)
+        self.routing_watcher = self._make_watcher(
+            ports.codec.routing_table, self.directory.take_routing, seed
+        )
+        self.registration_watcher = self._make_watcher(
+            ports.codec.registration_table, self.directory.take_registrations, seed
+        )
+        self.members = Members(
+            ports.store,
+            self.peers,
+            settings.instance_id,
+            settings.peers.host,
+            settings.peers.port,
+            self.runtime,
+        )
+        counter = itertools.count(1)
+        prefix = f"{settings.instance_id}.{self.incarnation}"
+        self.server = CallerServer(
+            self.runtime,
+            self.directory,
+            Admission(ports.dialect, Patience(), seed),
+            lambda: f"{prefix}.r{next(counter)}",
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+        self._n_entries = 0
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers should come."""
+        is_known = self.directory.is_ready and self.registration_watcher.mirror.version
+        return bool(is_known) and not self.runtime.is_shutting_down
+
+    async def start(self) -> None:
+        """Listen, connect and follow the shared tables."""
+        settings = self.settings
+        await self.dispatcher.open()
+        await self.peers.listen(settings.peers.host, settings.peers.port)
+        self.peer_exchange.register(messages.Digest, self.tables.on_digest)
+        self.peer_exchange.register(messages.TablePull, self.tables.on_pull)
+        self.peer_exchange.register(messages.TableDelta, self.tables.on_delta)
+        self.ticker.add_callback(self._tick)
+        self.ticker.start()
+        self.peers.dial(
+            (seed.host, seed.port) for seed in settings.seeds if seed != settings.peers
+        )
+        await self.server.listen(settings.callers.host, settings.callers.port)
+        await self._serve_pages()
+        for run in (
+            self.routing_watcher.run,
+            self.registration_watcher.run,
+            self.members.run,
+        ):
+            self._start_task(run())
+        self.log.event(
+            "started",
+            instance=settings.instance_id,
+            domain=settings.failure_domain,
+            incarnation=self.incarnation,
+            callers=str(settings.callers),
+            peers=str(settings.peers),
+        )
+
+    async def stop(self) -> None:
+        """Let every request end, within the grace period.
+
+        Readiness goes at once. New connections are taken as long as the platform may
+        still send some; each answer tells its caller to connect elsewhere.
+        """
+        stopped_at_ms = self.clock.now_ms()
+        self.runtime.is_shutting_down = True
+        self.log.event("stopping", n_requests=len(self.runtime.exchange_by_request_id))
+        await asyncio.sleep(STOP_ACCEPTING_AFTER_MS / 1000)
+        self.server.stop_accepting()
+        self.server.close_idle()
+        until_ms = stopped_at_ms + self.settings.shutdown_grace_ms - EXIT_MARGIN_MS
+        while self._has_work() and self.clock.now_ms() < until_ms:
+            self.server.close_idle()
+            await asyncio.sleep(_POLL_S)
+        n_left = len(self.runtime.exchange_by_request_id)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self.ticker.stop()
+        await self.server.close()
+        await self.dispatcher.close()
+        await self.peers.close()
+        await self._store.close()
+        self.runtime.close()
+        took_ms = self.clock.now_ms() - stopped_at_ms
+        self.log.event("stopped", n_requests_left=n_left, took_ms=took_ms)
+
+    def reload(self, settings: GatewaySettings) -> None:
+        """Take changed settings; addresses hold until the next start."""
+        is_changed = settings != self.settings
+        self.settings = settings
+        self.log.event("settings-reloaded", is_changed=is_changed)
+
+    def make_digest(self) -> Any:
+        """Return what peers are told."""
+        blocked, suspects = self.state.poison.digest(self.clock.now_ms())
+        routing = self.directory.routing
+        return messages.Digest(
+            config_version=routing.version if routing else 0,
+            members=[],
+            blocked_fingerprints=list(blocked),
+            suspect_fingerprints=list(suspects),
+            version_by_table=self.tables.versions(),
+        )
+
+    def _find_endpoint(self, endpoint_id: str) -> Any:
+        return self.directory.find(endpoint_id)
+
+    def _make_watcher(
+        self, table: str, take: Callable[[list[Any]], None], seed: Random
+    ) -> TableWatcher:
+        def on_news(rows: list[Any]) -> None:
+            take(rows)
+            # Peers that the store turns away wait for it.
+            self.peer_exchange.tick(self.clock.now_ms())
+
+        mirror = TableMirror(table)
+        watcher = TableWatcher(
+            self._store,
+            mirror,
+            on_news,
+            self.directory.note_contact,
+            self.clock,
+            seed,
+            self.runtime,
+        )
+        self.tables.add(mirror, on_news, lambda: watcher.is_in_contact)
+        return watcher
+
+    def _tick(self, now_ms: int) -> None:
+        self.peer_exchange.tick(now_ms)
+        self.tables.tick(now_ms)
+        self.directory.tick(now_ms)
+        n_entries = 1 + len(self.peers.connections_by_peer_id)
+        if n_entries > self._n_entries:
+            # Entries that are merely cut off go on using their share.
+            self._n_entries = n_entries
+            self.runtime.post(EntriesCounted(n_entries))
+
+    async def _serve_pages(self) -> None:
+        settings = self.settings
+        ready = PageServer({"/ready": self._ready_page, "/": self._ready_page})
+        await ready.listen(settings.readiness.host, settings.readiness.port)
+        if settings.metrics is not None:
+            pages = PageServer({"/metrics": self._metrics_page})
+            await pages.listen(settings.metrics.host, settings.metrics.port)
+
+    def _ready_page(self) -> web.Response:
+        return web.Response(status=200 if self.is_ready else 503)
+
+    def _metrics_page(self) -> web.Response:
+        return web.Response(text=self.runtime.metrics.to_prometheus(self._gauges()))
+
+    def _gauges(self) -> Mapping[str, float]:
+        now_ms = self.clock.now_ms()
+        routing = self.directory.routing
+        views = self.state.endpoints.view_by_id.values()
+        n_waiting = sum(len(queue) for queue in self.state.queue_by_pool.values())
+        return {
+            "bluebellusher_requests_in_progress": len(
+                self.runtime.exchange_by_request_id
+            ),
+            "bluebellusher_requests_waiting": n_waiting,
+            "bluebellusher_connections": self.server.n_connections,
+            "bluebellusher_endpoints": sum(not v.is_draining for v in views),
+            "bluebellusher_endpoints_draining": sum(v.is_draining for v in views),
+            "bluebellusher_members": len(self.peers.connections_by_peer_id),
+            "bluebellusher_retries_left": self.state.retry_budget.n_left,
+            "bluebellusher_config_version": routing.version if routing else 0,
+            "bluebellusher_config_age_ms": now_ms - self.directory.routing_at_ms,
+            "bluebellusher_store_contact": float(self.routing_watcher.is_in_contact),
+            "bluebellusher_log_lines_dropped": self.log.n_dropped,
+        }
+
+    def _has_work(self) -> bool:
+        return bool(self.runtime.exchange_by_request_id or self.server.n_connections)
+
+    def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        self._tasks.append(asyncio.create_task(coroutine))
+
+
+def _make_state(
+    settings: GatewaySettings, incarnation: int, seed: Random
+) -> EntryState:
+    n_shared = int(RETRY_USE * settings.retries.n_extra)
+    config = EntryConfig(
+        entry_id=settings.instance_id,
+        incarnation=incarnation,
+        seed=seed.getrandbits(32),
+        n_max_endpoints=16_384,
+        # Until the other entries are known, a small part of the common retries.
+        n_min_retries=max(1, n_shared // 8),
+        retry_percent=int(100 * RETRY_USE * settings.retries.share),
+        n_shared_retries=n_shared,
+        queue_factor=QUEUE_FACTOR,
+        resume_wait_ms=RESUME_WAIT_MS,
+    )
+    policy = SlotAware(failure_domain=settings.failure_domain)
+    return EntryState.from_config(config, policy, ObjectiveQueue)
+
+
+async def _run(
+    settings: GatewaySettings,
+    make_ports: Callable[[GatewaySettings], PlatformPorts],
+    read_settings: Callable[[], GatewaySettings],
+) -> None:
+    log = KeyValueLog.from_config(settings.log_level)
+    loop = asyncio.get_running_loop()
+    is_told_to_stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, is_told_to_stop.set)
+    gateway = Gateway(settings, make_ports(settings), SystemClock(), log)
+    loop.set_exception_handler(_make_fault_reporter(gateway))
+    loop.add_signal_handler(signal.SIGHUP, _reload, gateway, read_settings)
+    await gateway.start()
+    gc.collect()
+    gc.freeze()
+    await is_told_to_stop.wait()
+    await gateway.stop()
+
+
+def _reload(gateway: Gateway, read_settings: Callable[[], GatewaySettings]) -> None:
+    try:
+        gateway.reload(read_settings())
+    except Exception as error:
+        # A faulty file must not stop an entry that serves with the settings it has.
+        gateway.log.event("settings-refused", "error", error=str(error))
+
+
+def _make_fault_reporter(gateway: Gateway) -> Any:
+    def report(_loop: asyncio.AbstractEventLoop, context: Mapping[str, Any]) -> None:
+        error = context.get("exception") or RuntimeError(str(context.get("message")))
+        with contextlib.suppress(Exception):
+            gateway.runtime.report_fault("event-loop", context, error)
+
+    return report
+
+
+def run_gateway(
+    settings: GatewaySettings,
+    make_ports: Callable[[GatewaySettings], PlatformPorts],
+    read_settings: Callable[[], GatewaySettings],
+) -> None:
+    """Serve until SIGTERM or SIGINT.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+        Settings at the start.
+    make_ports : callable
+        Returns the adapter; called on the event loop.
+    read_settings : callable
+        Reads the settings again after SIGHUP.
+    """
+    uvloop.run(_run(settings, make_ports, read_settings))
--- a/packages/entry/src/bluebellusher/links/__init__.py
+++ b/packages/entry/src/bluebellusher/links/__init__.py
@@ -5,6 +5,8 @@
 from bluebellusher.links._connection import FrameConnection, Identity
 from bluebellusher.links._peers import PeerHandler, PeerLinks
 from bluebellusher.links._relay import AttemptRelay
+from bluebellusher.links._sockets import make_socket
+from bluebellusher.links._sse import EventSplitter
 from bluebellusher.links._ticker import LinkTicker
 
 __all__ = [
@@ -12,9 +14,11 @@
     "AnswerStream",
     "AttemptRelay",
     "EventSink",
+    "EventSplitter",
     "FrameConnection",
     "Identity",
     "LinkTicker",
     "PeerHandler",
     "PeerLinks",
+    "make_socket",
 ]
--- a/packages/entry/src/bluebellusher/observability/_log.py
+++ b/packages/entry/src/bluebellusher/observability/_log.py
@@ -64,11 +64,12 @@
         self._poll = select.poll()
         self._poll.register(descriptor, select.POLLOUT)
         self._n_dropped = 0
+        self.n_dropped_total = 0
 
     def write(self, text: str) -> None:
         """Write one line, or drop it when the reader does not keep up."""
         if not self._poll.poll(0):
-            self._n_dropped += 1
+            self._drop()
             return
         line = text.rstrip("\n")[:_MAX_LINE_CHARS]
         if self._n_dropped:
@@ -77,7 +78,11 @@
         try:
             os.write(self._descriptor, line.encode("ascii") + b"\n")
         except OSError:
-            self._n_dropped += 1
+            self._drop()
+
+    def _drop(self) -> None:
+        self._n_dropped += 1
+        self.n_dropped_total += 1
 
 
 class KeyValueLog:
@@ -110,6 +115,11 @@
         """Write one eliot message."""
         self._writer.write(format_line(message) + "\n")
 
+    @property
+    def n_dropped(self) -> int:
+        """Return how many lines the reader was too slow for."""
+        return getattr(self._writer, "n_dropped_total", 0)
+
     def close(self) -> None:
         """Receive no further events."""
         eliot.remove_destination(self.write_message)
--- a/packages/entry/src/bluebellusher/runtime/__init__.py
+++ b/packages/entry/src/bluebellusher/runtime/__init__.py
@@ -2,6 +2,7 @@
 
 from bluebellusher.runtime._claims import ClaimWriter
 from bluebellusher.runtime._discovery import EndpointDiscovery
+from bluebellusher.runtime._dispatch import AgentDispatcher, AttemptDispatcher
 from bluebellusher.runtime._exchange import Exchange
 from bluebellusher.runtime._kept import KeptAnswer
 from bluebellusher.runtime._peers import PeerExchange
@@ -16,6 +17,8 @@
 )
 
 __all__ = [
+    "AgentDispatcher",
+    "AttemptDispatcher",
     "ClaimStore",
     "ClaimWriter",
     "Committed",
--- a/packages/entry/src/bluebellusher/runtime/_dispatch.py
+++ b/packages/entry/src/bluebellusher/runtime/_dispatch.py
@@ -1,24 +1,43 @@
 """Attempts on their way to agents."""
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from bluebellusher.links import AgentLinks, AttemptRelay
 from bluebellusher.observability import Tracer
 from bluebellusher.runtime._exchange import Exchange
+from bluebellusher_core.clock import Clock
 from bluebellusher_core.effects import CancelAttempt, Dispatch
 from bluebellusher_core.wire import messages
 
 if TYPE_CHECKING:
     from bluebellusher.links._agents import AgentLink
-    from bluebellusher.runtime._runtime import Runtime
 
 
-class Dispatcher:
-    """Send attempts and keep count of them for each exchange."""
+class AttemptDispatcher(Protocol):
+    """Carries attempts to endpoints, by whatever link reaches them."""
 
-    def __init__(self, runtime: "Runtime", tracer: Tracer, window_bytes: int) -> None:
+    def start(self, effect: Dispatch, exchange: Exchange) -> bool:
+        """Send an attempt; return False when it was certainly not sent."""
+
+    def cancel(self, effect: CancelAttempt) -> None:
+        """Stop an attempt whose answer is no longer wanted."""
+
+    def find(self, attempt_id: str) -> Exchange | None:
+        """Return the exchange of an attempt that has not ended."""
+
+    def end(self, attempt_id: str) -> Exchange | None:
+        """Forget an attempt; return its exchange, if it was still counted."""
+
+    def close_endpoint(self, endpoint_id: str, reason: str) -> None:
+        """Close the connection to an endpoint that sent what it must not."""
+
+
+class AgentDispatcher:
+    """Send attempts through agents and keep count of them for each exchange."""
+
+    def __init__(self, clock: Clock, tracer: Tracer, window_bytes: int) -> None:
         self.agents: AgentLinks | None = None
-        self._runtime = runtime
+        self._clock = clock
         self._tracer = tracer
         self._window_bytes = window_bytes
         self._exchange_by_attempt_id: dict[str, Exchange] = {}
@@ -56,6 +75,11 @@
         if link is not None:
             link.cancel(effect.attempt_id)
 
+    def close_endpoint(self, endpoint_id: str, reason: str) -> None:
+        """Close the connection to an agent."""
+        if self.agents is not None:
+            self.agents.close_endpoint(endpoint_id, reason)
+
     def find(self, attempt_id: str) -> Exchange | None:
         """Return the exchange of an attempt that has not ended."""
         return self._exchange_by_attempt_id.get(attempt_id)
@@ -85,7 +109,7 @@
             headers=dict(exchange.headers),
             body=exchange.body,
             priority=int(spec.priority),
-            remaining_ms=max(0, spec.deadline_ms - self._runtime.now_ms()),
+            remaining_ms=max(0, spec.deadline_ms - self._clock.now_ms()),
             is_idempotent=spec.is_idempotent,
             resume_offset=effect.resume_offset,
             is_isolated=effect.is_isolated,
--- a/packages/entry/src/bluebellusher/runtime/_exchange.py
+++ b/packages/entry/src/bluebellusher/runtime/_exchange.py
@@ -1,6 +1,6 @@
 """One request of a caller and the answer that it is given."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
 from bluebellusher.links import AnswerStream
@@ -15,7 +15,9 @@
 
     ``n_attempts`` counts attempts whose end the reducer has not handled yet; the
     exchange is forgotten when the caller is served and no attempt is left. ``usage`` is
-    that of the attempt whose whole answer arrived.
+    that of the attempt whose whole answer arrived. ``header_items`` are the caller's
+    headers for endpoints that are reached directly, ``caller_attempt_id`` is the id
+    that the caller gave, and ``last_event_id`` the last event that it has of a stream.
     """
 
     spec: RequestSpec
@@ -31,6 +33,9 @@
     usage: Usage | None = None
     attempt_spans: dict[str, Span] = field(default_factory=dict)
     endpoint_by_attempt_id: dict[str, str] = field(default_factory=dict)
+    header_items: Sequence[tuple[str, str]] = ()
+    caller_attempt_id: str = ""
+    last_event_id: str = ""
 
     def keep(self) -> KeptAnswer:
         """Return the answer for a repeat of the idempotency key."""
--- a/packages/entry/src/bluebellusher/runtime/_runtime.py
+++ b/packages/entry/src/bluebellusher/runtime/_runtime.py
@@ -5,10 +5,9 @@
 from collections.abc import Callable
 from typing import Any
 
-from bluebellusher.links import AgentLinks
 from bluebellusher.observability import KeyValueLog, Metrics, Tracer
 from bluebellusher.runtime._claims import ClaimWriter
-from bluebellusher.runtime._dispatch import Dispatcher
+from bluebellusher.runtime._dispatch import AttemptDispatcher
 from bluebellusher.runtime._exchange import Exchange
 from bluebellusher.runtime._replay import replay
 from bluebellusher.runtime._store import ClaimStore
@@ -17,6 +16,7 @@
     CancelAttempt,
     CloseConnection,
     Complete,
+    DiscardAnswer,
     Dispatch,
     Effect,
     LogEvent,
@@ -55,7 +55,7 @@
         log: KeyValueLog,
         metrics: Metrics,
         tracer: Tracer,
-        window_bytes: int,
+        dispatcher: AttemptDispatcher,
     ) -> None:
         self.state = state
         self.metrics = metrics
@@ -71,13 +71,14 @@
         self._timer_by_id: dict[str, asyncio.TimerHandle] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._loop = asyncio.get_running_loop()
-        self._dispatcher = Dispatcher(self, tracer, window_bytes)
+        self._dispatcher = dispatcher
         self._claims: ClaimWriter | None = None
         self._store: ClaimStore | None = None
         self._executor_by_type: dict[type, Callable[[Any], None]] = {
             Dispatch: self._dispatch,
             CancelAttempt: self._cancel_attempt,
             Complete: self._complete,
+            DiscardAnswer: self._discard_answer,
             Reject: self._reject,
             ReplayAnswer: self._replay,
             WriteClaims: self._write_claims,
@@ -86,19 +87,11 @@
             LogEvent: self._log_event,
         }
 
-    def attach(
-        self, agents: AgentLinks, claims: ClaimWriter, store: ClaimStore
-    ) -> None:
+    def attach(self, claims: ClaimWriter, store: ClaimStore) -> None:
         """Connect what executes effects; they themselves report to this runtime."""
-        self._dispatcher.agents = agents
         self._claims = claims
         self._store = store
 
-    @property
-    def agents(self) -> AgentLinks | None:
-        """Return the connections to agents."""
-        return self._dispatcher.agents
-
     @property
     def n_claims_in_flight(self) -> int:
         """Return how many batches of claim rows are being written."""
@@ -240,6 +233,12 @@
         if exchange is not None:
             exchange.answer.complete()
 
+    def _discard_answer(self, effect: DiscardAnswer) -> None:
+        exchange = self.exchange_by_request_id.get(effect.request_id)
+        if exchange is not None:
+            exchange.answer.owner_attempt_id = ""
+            exchange.answer.reset()
+
     def _reject(self, effect: Reject) -> None:
         exchange = self.exchange_by_request_id.get(effect.request_id)
         if exchange is not None:
@@ -269,8 +268,7 @@
         self.post(TimerFired(timer_id))
 
     def _close_connection(self, effect: CloseConnection) -> None:
-        if self.agents is not None:
-            self.agents.close_endpoint(effect.endpoint_id, "closed by a decision")
+        self._dispatcher.close_endpoint(effect.endpoint_id, "closed by a decision")
 
     def _log_event(self, effect: LogEvent) -> None:
         counts = Counter(key for key, _ in effect.fields)
--- a/packages/entry/src/bluebellusher/settings/__init__.py
+++ b/packages/entry/src/bluebellusher/settings/__init__.py
@@ -1,6 +1,12 @@
 """Settings of an entry: JSON with comments, checked as a whole."""
 
-from bluebellusher.settings._load import SettingsError, SettingsProblem, load_settings
+from bluebellusher.settings._gateway import GatewaySettings, RetrySettings
+from bluebellusher.settings._load import (
+    SettingsError,
+    SettingsProblem,
+    load_gateway_settings,
+    load_settings,
+)
 from bluebellusher.settings._models import (
     AddressSettings,
     CustomerSettings,
@@ -15,13 +21,16 @@
 __all__ = [
     "AddressSettings",
     "CustomerSettings",
+    "GatewaySettings",
     "LimitSettings",
     "OperatorSettings",
     "PeerSettings",
+    "RetrySettings",
     "ServiceKind",
     "ServiceSettings",
     "Settings",
     "SettingsError",
     "SettingsProblem",
+    "load_gateway_settings",
     "load_settings",
 ]
--- a/packages/entry/src/bluebellusher/settings/_load.py
+++ b/packages/entry/src/bluebellusher/settings/_load.py
@@ -3,13 +3,15 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 import json5
 from pydantic import ValidationError
 
-from bluebellusher.settings._models import Settings
+from bluebellusher.settings._gateway import GatewaySettings
+from bluebellusher.settings._models import Settings, SettingsModel
 
+M = TypeVar("M", bound=SettingsModel)
 _SECRET_WORDS = ("secret", "credential", "password", "token", "key")
 _MAX_SHOWN_CHARS = 60
 
@@ -28,7 +30,7 @@
         return f"{self.where}: {found}{self.expected}"
 
 
-class SettingsError(Exception):
+class SettingsError(ValueError):
     """A settings file that cannot be used; ``problems`` holds all of them."""
 
     def __init__(self, path: str, problems: Sequence[SettingsProblem]) -> None:
@@ -39,7 +41,7 @@
 
 
 def load_settings(path: str | Path) -> Settings:
-    """Read and check a settings file.
+    """Read and check the settings file of ``bluebellusher serve``.
 
     Raises
     ------
@@ -47,23 +49,41 @@
         Names the file, and for each problem its path or line, the value found
         (never a secret) and what is expected.
     """
+    return parse_settings(_read(path), str(path))
+
+
+def load_gateway_settings(path: str | Path) -> GatewaySettings:
+    """Read and check the settings file of an entry on a platform.
+
+    Raises
+    ------
+    SettingsError
+        As ``load_settings`` does.
+    """
+    return _parse(GatewaySettings, _read(path), str(path))
+
+
+def parse_settings(text: str, path: str) -> Settings:
+    """Check the text of a settings file; ``path`` is named in errors."""
+    return _parse(Settings, text, path)
+
+
+def _read(path: str | Path) -> str:
     try:
-        text = Path(path).read_text(encoding="utf-8")
+        return Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         problem = SettingsProblem("file", "", f"cannot be read as UTF-8: {error}")
         raise SettingsError(str(path), [problem]) from None
-    return parse_settings(text, str(path))
 
 
-def parse_settings(text: str, path: str) -> Settings:
-    """Check the text of a settings file; ``path`` is named in errors."""
+def _parse(model: type[M], text: str, path: str) -> M:
     try:
         document = json5.loads(text, allow_duplicate_keys=False)
     except (ValueError, RecursionError) as error:
         problem = SettingsProblem("syntax", "", _syntax_message(error))
         raise SettingsError(path, [problem]) from None
     try:
-        return Settings.model_validate(document)
+        return model.model_validate(document)
     except ValidationError as error:
         problems = [_to_problem(dict(detail)) for detail in error.errors()]
         raise SettingsError(path, problems) from None
--- a/packages/entry/src/bluebellusher/settings/_models.py
+++ b/packages/entry/src/bluebellusher/settings/_models.py
@@ -31,11 +31,13 @@
 IpAddress = Annotated[str, AfterValidator(_check_ip)]
 
 
-class _Model(BaseModel):
+class SettingsModel(BaseModel):
+    """Base of all settings: unknown keys are errors, values do not change."""
+
     model_config = ConfigDict(extra="forbid", frozen=True, hide_input_in_errors=True)
 
 
-class AddressSettings(_Model):
+class AddressSettings(SettingsModel):
     """An IP address and a TCP port; port 0 lets the system choose one."""
 
     host: IpAddress
@@ -63,7 +65,7 @@
     PLAIN = "plain"
 
 
-class ServiceSettings(_Model):
+class ServiceSettings(SettingsModel):
     """One service and the models that belong to it."""
 
     service_id: Identifier
@@ -80,7 +82,7 @@
         return self
 
 
-class CustomerSettings(_Model):
+class CustomerSettings(SettingsModel):
     """A customer and the credentials that authenticate it."""
 
     customer_id: Identifier
@@ -88,14 +90,14 @@
     weight: Annotated[float, Field(gt=0, le=1000)] = 1.0
 
 
-class OperatorSettings(_Model):
+class OperatorSettings(SettingsModel):
     """An operator and the credential for the /admin paths."""
 
     name: Identifier
     credential: SecretStr
 
 
-class LimitSettings(_Model):
+class LimitSettings(SettingsModel):
     """Bounds that protect the process; lengths in bytes, times in milliseconds."""
 
     max_body_bytes: Annotated[int, Field(ge=1024, le=16_000_000)] = 4_000_000
@@ -108,7 +110,7 @@
     platform_timeout_ms: Annotated[int, Field(ge=100, le=60_000)] = 1_000
 
 
-class Settings(_Model):
+class Settings(SettingsModel):
     """Everything that an entry must be told."""
 
     instance_id: Identifier
--- /dev/null
+++ b/packages/entry/src/bluebellusher/shared/__init__.py
@@ -0,0 +1,8 @@
+"""Tables of the store that every entry holds a copy of, and their exchange."""
+
+from bluebellusher.shared._directory import Directory
+from bluebellusher.shared._members import Members
+from bluebellusher.shared._peers import TableExchange
+from bluebellusher.shared._watcher import TableWatcher
+
+__all__ = ["Directory", "Members", "TableExchange", "TableWatcher"]
--- /dev/null
+++ b/packages/entry/src/bluebellusher/shared/_members.py
@@ -0,0 +1,77 @@
+"""Entries that know each other through the store."""
+
+import asyncio
+import json
+
+from bluebellusher.links import PeerLinks
+from bluebellusher.ports import RowStore, RowWrite
+from bluebellusher.shared._watcher import LogSink
+from bluebellusher_core.directory import MirrorRow
+
+MEMBERS_TABLE = "members"
+# Entries that start dial the others, so that a list that is read rarely suffices.
+REFRESH_INTERVAL_MS = 30_000
+RETRY_INTERVAL_MS = 1_000
+
+
+class Members:
+    """Write the own address to the store, and dial the others that stand there.
+
+    Parameters
+    ----------
+    store : RowStore
+        Keeps one row for each entry.
+    links : PeerLinks
+        Dials peers.
+    instance_id, host, port : str, str, int
+        The own row.
+    log : LogSink
+        Takes log lines.
+    """
+
+    def __init__(
+        self,
+        store: RowStore,
+        links: PeerLinks,
+        instance_id: str,
+        host: str,
+        port: int,
+        log: LogSink,
+    ) -> None:
+        self._store = store
+        self._links = links
+        self._instance_id = instance_id
+        self._address = (host, port)
+        self._log = log
+
+    async def run(self) -> None:
+        """Keep the own row written and the others dialed, until cancelled."""
+        while True:
+            is_done = await self._refresh()
+            pause_ms = REFRESH_INTERVAL_MS if is_done else RETRY_INTERVAL_MS
+            await asyncio.sleep(pause_ms / 1000)
+
+    async def _refresh(self) -> bool:
+        result = await self._store.read_table(MEMBERS_TABLE)
+        if not result.is_ok():
+            return False
+        rows = result.ok.rows
+        addresses = [a for a in map(_read_address, rows) if a is not None]
+        self._links.dial(a for a in addresses if a != self._address)
+        own = next((row for row in rows if row.key == self._instance_id), None)
+        value = json.dumps(self._address).encode()
+        if own is not None and own.value == value:
+            return True
+        version = own.version if own else 0
+        write = RowWrite(MEMBERS_TABLE, self._instance_id, value, version)
+        written = await self._store.write_row(write)
+        return bool(written.is_ok())
+
+
+def _read_address(row: MirrorRow) -> tuple[str, int] | None:
+    try:
+        host, port = json.loads(row.value)
+        return str(host), int(port)
+    except (ValueError, TypeError):
+        # Another program's row; it names no entry.
+        return None
