--- a/packages/agent/src/bluebellusher_agent/_log.py
+++ b/packages/agent/src/bluebellusher_agent/_log.py
@@ -1,4 +1,4 @@
-"""Log lines of key=value pairs, one per event, on standard error."""
+"""Log lines of key=value pairs, one per event, on standard output."""
 
 import os
 import select
@@ -6,7 +6,7 @@
 
 MAX_VALUE_CHARACTERS = 200
 MAX_LINE_BYTES = 4_000
-_STANDARD_ERROR = 2
+_STANDARD_OUTPUT = 1
 
 
 class LogWriter:
@@ -37,7 +37,7 @@
             self._n_dropped += 1
 
 
-_writer = LogWriter(_STANDARD_ERROR)
+_writer = LogWriter(_STANDARD_OUTPUT)
 
 
 def log(event: str, **fields: object) -> None:
--- /dev/null
+++ b/packages/agent/src/bluebellusher_agent/ranks/_agent.py
@@ -0,0 +1,401 @@
+"""The rank agent: entries on one side, the engine on the other."""
+
+import asyncio
+import signal
+from collections import Counter
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import uvloop
+
+from bluebellusher_agent._connection import EntryConnection
+from bluebellusher_agent._log import log
+from bluebellusher_agent._memory import MemoryTrimmer
+from bluebellusher_agent.ranks._engine import EngineControl, RankReading
+from bluebellusher_agent.ranks._settings import RankAgentSettings
+from bluebellusher_core.clock import Clock, SystemClock
+from bluebellusher_core.errors import StepError
+from bluebellusher_core.ranks import OrderAction, RankOrder
+from bluebellusher_core.wire import messages
+
+TICK_MS = 500
+TRIM_TICKS = 20
+# Entries correct a report by what they sent since; a shorter interval costs bytes.
+READ_INTERVAL_MS = 200
+# An unchanged state is told this often, so that entries can tell it is current.
+REPEAT_INTERVAL_MS = 600
+MAX_CONNECTIONS = 4_096
+_BACKLOG = 512
+_READ_TIMEOUT_S = 2.0
+
+
+class RankAgent:
+    """Agent of one rank; one on each engine's instance.
+
+    Parameters
+    ----------
+    settings : RankAgentSettings
+        What the agent is told.
+    engine : EngineControl
+        The engine on the same instance.
+    clock : Clock or None
+        Time source.
+    """
+
+    def __init__(
+        self,
+        settings: RankAgentSettings,
+        engine: EngineControl,
+        clock: Clock | None = None,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock or SystemClock()
+        self.secret = settings.shared_secret.encode()
+        self.incarnation = self.clock.wall_ms()
+        self.fencing_token = 0
+        self._engine = engine
+        self._connections: set[EntryConnection] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._servers: list[asyncio.Server] = []
+        self._reading: RankReading | None = None
+        self._told: RankReading | None = None
+        self._told_at_ms = 0
+        self._sequence = 0
+        self._is_engine_answering = True
+        self._n_by_name: Counter[str] = Counter()
+        self._memory = MemoryTrimmer()
+
+    async def start(self) -> None:
+        """Listen for entries and start reading the engine."""
+        loop = asyncio.get_running_loop()
+        settings = self.settings
+        self._servers.append(
+            await loop.create_server(
+                lambda: EntryConnection(self),
+                settings.listen.host,
+                settings.listen.port,
+                backlog=_BACKLOG,
+            )
+        )
+        self._servers.append(
+            await asyncio.start_server(
+                self._serve_metrics, settings.metrics.host, settings.metrics.port
+            )
+        )
+        self._spawn(self._tick_forever())
+        self._spawn(self._read_forever())
+        self._memory.trim()
+        log(
+            "started",
+            instance=settings.instance_id,
+            domain=settings.failure_domain,
+            incarnation=self.incarnation,
+            listen=f"{settings.listen.host}:{settings.listen.port}",
+            engine=f"{settings.engine.host}:{settings.engine.port}",
+        )
+
+    async def stop(self) -> None:
+        """Close everything at once; no request passes through this process."""
+        log("stopping", n_connections=len(self._connections))
+        for server in self._servers:
+            server.close()
+        for connection in list(self._connections):
+            connection.close("agent stops")
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._engine.close()
+        log("stopped")
+
+    def build_hello(self) -> Any:
+        """Return the ``Hello`` of this agent without nonce and MAC."""
+        return messages.Hello(
+            protocol_version=1,
+            instance_id=self.settings.instance_id,
+            incarnation=self.incarnation,
+            failure_domain=self.settings.failure_domain,
+            role=messages.Role.AGENT,
+            services=[],
+            models=[],
+            adapters=[],
+            n_slots=0,
+            is_draining=False,
+        )
+
+    def on_open(self, connection: EntryConnection) -> None:
+        """Keep a connection, or refuse it above the limit."""
+        if len(self._connections) >= MAX_CONNECTIONS:
+            connection.close("too many connections")
+            return
+        self._connections.add(connection)
+
+    def on_ready(self, connection: EntryConnection) -> None:
+        """Tell a new entry the present state."""
+        log("entry-connected", peer=connection.peer_id)
+        if self._reading is not None:
+            connection.send(self._make_report(self._reading))
+
+    def on_message(self, connection: EntryConnection, message: Any) -> None:
+        """Carry out what an entry asks for."""
+        if isinstance(message, messages.RankOrder):
+            self._spawn(self._execute(connection, message))
+        elif isinstance(message, messages.RankPull):
+            self._spawn(self._send_counts(connection, message))
+        else:
+            reason = f"message of type {type(message).__name__}: expected an order"
+            raise StepError("handle-message", connection.peer_id, reason)
+
+    def on_writable(self, connection: EntryConnection) -> None:
+        """Nothing waits for room."""
+
+    def on_closed(self, connection: EntryConnection) -> None:
+        """Forget a connection."""
+        self._connections.discard(connection)
+        if connection.peer_id:
+            log("entry-lost", peer=connection.peer_id)
+
+    async def _execute(self, connection: EntryConnection, message: Any) -> None:
+        token = message.fencing_token or 0
+        if token < self.fencing_token:
+            reason = f"token {token} is older than {self.fencing_token}"
+            self._answer(connection, message, False, reason)
+            return
+        if token > self.fencing_token:
+            log("leader-changed", peer=connection.peer_id, token=token)
+            self.fencing_token = token
+        order = _to_order(message)
+        if order.action is not OrderAction.FENCE:
+            try:
+                answer = await self._engine.execute(order)
+                is_accepted, reason = answer.is_accepted, answer.reason
+            except StepError as error:
+                is_accepted, reason = False, error.reason
+            self._answer(connection, message, is_accepted, reason)
+        else:
+            self._answer(connection, message, True, "fenced")
+        # The leader goes on from what is seen, not from the answer.
+        await self._read_once(is_told_always=True)
+
+    def _answer(
+        self, connection: EntryConnection, message: Any, is_accepted: bool, reason: str
+    ) -> None:
+        self._n_by_name["orders" if is_accepted else "orders_refused"] += 1
+        log(
+            "order",
+            peer=connection.peer_id,
+            action=message.action,
+            token=message.fencing_token,
+            epoch=message.epoch,
+            map_version=message.map_version,
+            step=message.step,
+            is_accepted=is_accepted,
+            reason=reason,
+        )
+        connection.send(
+            messages.RankOrderDone(
+                call_id=message.call_id, is_accepted=is_accepted, reason=reason
+            )
+        )
+
+    async def _send_counts(self, connection: EntryConnection, message: Any) -> None:
+        try:
+            counts = await self._engine.read_counts(bool(message.with_map))
+        except StepError as error:
+            connection.send(
+                messages.RankCounts(call_id=message.call_id, reason=error.reason)
+            )
+            return
+        connection.send(
+            messages.RankCounts(
+                call_id=message.call_id,
+                epoch=counts.epoch,
+                step=counts.step,
+                n_by_expert=[list(layer) for layer in counts.n_by_expert],
+                experts=[list(layer) for layer in counts.experts],
+                map_version=counts.map_version,
+            )
+        )
+
+    async def _read_forever(self) -> None:
+        while True:
+            await self._read_once(is_told_always=False)
+            await asyncio.sleep(READ_INTERVAL_MS / 1000)
+
+    async def _read_once(self, is_told_always: bool) -> None:
+        try:
+            reading = await self._engine.read()
+        except StepError as error:
+            self._note_engine(False, error.reason)
+            return
+        self._note_engine(True, "")
+        self._note_group(reading)
+        self._reading = reading
+        now_ms = self.clock.now_ms()
+        is_due = now_ms - self._told_at_ms >= REPEAT_INTERVAL_MS
+        if is_told_always or is_due or _is_news(self._told, reading):
+            self._told, self._told_at_ms = reading, now_ms
+            report = self._make_report(reading)
+            for connection in self._connections:
+                if connection.is_ready:
+                    connection.send(report)
+
+    def _note_engine(self, is_answering: bool, reason: str) -> None:
+        if is_answering != self._is_engine_answering:
+            self._is_engine_answering = is_answering
+            name = "engine-regained" if is_answering else "engine-lost"
+            log(name, reason=reason)
+
+    def _note_group(self, reading: RankReading) -> None:
+        old = self._reading
+        before = (old.epoch, old.is_open, old.map_version) if old else None
+        now = (reading.epoch, reading.is_open, reading.map_version)
+        if before != now:
+            log(
+                "group",
+                group=reading.group_id,
+                rank=reading.rank,
+                epoch=reading.epoch,
+                is_open=reading.is_open,
+                map_version=reading.map_version,
+                step=reading.step,
+            )
+
+    def _make_report(self, reading: RankReading) -> Any:
+        self._sequence += 1
+        return messages.RankReport(
+            sequence=self._sequence,
+            n_running=reading.n_running,
+            n_queued=reading.n_queued,
+            group_id=reading.group_id,
+            epoch=reading.epoch,
+            rank=reading.rank,
+            n_ranks=reading.n_ranks,
+            is_open=reading.is_open,
+            step=reading.step,
+            map_version=reading.map_version,
+            prepared_version=reading.prepared_version,
+            armed_version=reading.armed_version or None,
+            armed_step=reading.armed_step or None,
+            held_step=reading.held_step,
+            pace=reading.pace,
+            fencing_token=self.fencing_token,
+            started_wall_ms=reading.started_wall_ms,
+        )
+
+    async def _tick_forever(self) -> None:
+        n_ticks = 0
+        while True:
+            await asyncio.sleep(TICK_MS / 1000)
+            now_ms = self.clock.now_ms()
+            for connection in list(self._connections):
+                connection.tick(now_ms)
+            n_ticks += 1
+            if n_ticks % TRIM_TICKS == 0:
+                self._memory.trim()
+
+    async def _serve_metrics(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            async with asyncio.timeout(_READ_TIMEOUT_S):
+                await reader.readuntil(b"\r\n\r\n")
+            body = self._format_metrics().encode()
+            head = f"HTTP/1.1 200 OK\r\ncontent-length: {len(body)}\r\n"
+            writer.write(head.encode() + b"connection: close\r\n\r\n" + body)
+            await writer.drain()
+        except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
+            # A scraper that went away or sent no request gets no answer.
+            self._n_by_name["metrics_failed"] += 1
+        finally:
+            writer.close()
+
+    def _format_metrics(self) -> str:
+        reading = self._reading
+        gauges = {
+            "entries": len(self._connections),
+            "engine_answers": int(self._is_engine_answering),
+            "requests_running": reading.n_running if reading else 0,
+            "requests_queued": reading.n_queued if reading else 0,
+            "group_open": int(reading.is_open) if reading else 0,
+            "group_epoch": reading.epoch if reading else 0,
+            "group_step": reading.step if reading else 0,
+            "map_version": reading.map_version if reading else 0,
+            "fencing_token": self.fencing_token,
+        }
+        lines = [f"bluebellusher_agent_{k} {v}" for k, v in gauges.items()]
+        counters = sorted(self._n_by_name.items())
+        lines += [f"bluebellusher_agent_{k}_total {v}" for k, v in counters]
+        return "\n".join(lines) + "\n"
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._on_task_done)
+
+    def _on_task_done(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            error = task.exception()
+            log("internal-fault", error=f"{type(error).__name__}: {error}")
+
+
+def _is_news(told: RankReading | None, reading: RankReading) -> bool:
+    """Return whether entries decide differently by the new reading."""
+    if told is None:
+        return True
+    return _key(told) != _key(reading)
+
+
+def _key(reading: RankReading) -> tuple[object, ...]:
+    return (
+        reading.n_running + reading.n_queued,
+        reading.epoch,
+        reading.is_open,
+        reading.map_version,
+        reading.prepared_version,
+        reading.armed_version,
+        reading.held_step,
+        reading.started_wall_ms,
+    )
+
+
+def _to_order(message: Any) -> RankOrder:
+    try:
+        action = OrderAction(message.action)
+    except ValueError:
+        reason = f"action={message.action!r}: expected one of {list(OrderAction)}"
+        raise StepError("read-order", "", reason) from None
+    return RankOrder(
+        rank_id="",
+        action=action,
+        epoch=message.epoch or 0,
+        map_version=message.map_version or 0,
+        step=message.step or 0,
+        experts_by_rank=tuple(
+            tuple(tuple(experts) for experts in layer)
+            for layer in message.experts_by_rank or ()
+        ),
+    )
+
+
+async def _run(
+    settings: RankAgentSettings,
+    make_engine: Callable[[RankAgentSettings], EngineControl],
+) -> None:
+    agent = RankAgent(settings, make_engine(settings))
+    is_told_to_stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, is_told_to_stop.set)
+    loop.add_signal_handler(signal.SIGHUP, lambda: log("settings-reloaded"))
+    await agent.start()
+    await is_told_to_stop.wait()
+    await agent.stop()
+
+
+def run_rank_agent(
+    settings: RankAgentSettings,
+    make_engine: Callable[[RankAgentSettings], EngineControl],
+) -> None:
+    """Run until SIGTERM or SIGINT; ``make_engine`` is called on the event loop."""
+    uvloop.run(_run(settings, make_engine))
--- a/packages/core/src/bluebellusher_core/balance/__init__.py
+++ b/packages/core/src/bluebellusher_core/balance/__init__.py
@@ -22,8 +22,10 @@
     validate_placement,
 )
 from bluebellusher_core.balance._protocol import Conditions, PlacementPolicy, Plan
+from bluebellusher_core.balance._rank_bounded import ChangeCost, RankBoundedPlanner
 
 __all__ = [
+    "ChangeCost",
     "Conditions",
     "FullResolve",
     "GroupShape",
@@ -36,6 +38,7 @@
     "Placement",
     "PlacementPolicy",
     "Plan",
+    "RankBoundedPlanner",
     "apply_moves",
     "compute_moves",
     "compute_rank_loads",
--- /dev/null
+++ b/packages/core/src/bluebellusher_core/ranks/__init__.py
@@ -0,0 +1,25 @@
+"""Groups of ranks whose engines switch expert maps by orders.
+
+An engine prepares a map, holds a step, arms a prepared map for a step and goes on
+from a held step. ``MapChange`` decides which orders lead a group to a new map so that
+no pass begins with two maps, whoever fails and whichever order arrives late.
+"""
+
+from bluebellusher_core.ranks._change import ChangePhase, MapChange
+from bluebellusher_core.ranks._state import (
+    ExpertMap,
+    GroupView,
+    OrderAction,
+    RankOrder,
+    RankState,
+)
+
+__all__ = [
+    "ChangePhase",
+    "ExpertMap",
+    "GroupView",
+    "MapChange",
+    "OrderAction",
+    "RankOrder",
+    "RankState",
+]
--- a/packages/core/src/bluebellusher_core/wire/_generated/bluebellusher/ttypes.py
+++ b/packages/core/src/bluebellusher_core/wire/_generated/bluebellusher/ttypes.py
@@ -3516,11 +3516,10 @@
 class RankReport(object):
     """
     Attributes:
-     - endpoint_id
      - sequence
      - n_running
      - n_queued
-     - group
+     - group_id
      - epoch
      - rank
      - n_ranks
@@ -3533,16 +3532,15 @@
      - held_step
      - pace
      - fencing_token
-     - age_ms
+     - started_wall_ms
 
     """
 
     __slots__ = (
-        'endpoint_id',
         'sequence',
         'n_running',
         'n_queued',
-        'group',
+        'group_id',
         'epoch',
         'rank',
         'n_ranks',
@@ -3555,16 +3553,15 @@
         'held_step',
         'pace',
         'fencing_token',
-        'age_ms',
+        'started_wall_ms',
     )
 
 
-    def __init__(self, endpoint_id=None, sequence=None, n_running=None, n_queued=None, group=None, epoch=None, rank=None, n_ranks=None, is_open=None, step=None, map_version=None, prepared_version=None, armed_version=None, armed_step=None, held_step=None, pace=None, fencing_token=None, age_ms=None,):
-        self.endpoint_id = endpoint_id
+    def __init__(self, sequence=None, n_running=None, n_queued=None, group_id=None, epoch=None, rank=None, n_ranks=None, is_open=None, step=None, map_version=None, prepared_version=None, armed_version=None, armed_step=None, held_step=None, pace=None, fencing_token=None, started_wall_ms=None,):
         self.sequence = sequence
         self.n_running = n_running
         self.n_queued = n_queued
-        self.group = group
+        self.group_id = group_id
         self.epoch = epoch
         self.rank = rank
         self.n_ranks = n_ranks
@@ -3577,7 +3574,7 @@
         self.held_step = held_step
         self.pace = pace
         self.fencing_token = fencing_token
-        self.age_ms = age_ms
+        self.started_wall_ms = started_wall_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3589,11 +3586,6 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRING:
-                    self.endpoint_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
                 if ftype == TType.I64:
                     self.sequence = iprot.readI64()
                 else:
@@ -3610,7 +3602,7 @@
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.STRING:
-                    self.group = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.group_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
@@ -3675,7 +3667,7 @@
                     iprot.skip(ftype)
             elif fid == 18:
                 if ftype == TType.I64:
-                    self.age_ms = iprot.readI64()
+                    self.started_wall_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             else:
@@ -3688,12 +3680,8 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('RankReport')
-        if self.endpoint_id is not None:
-            oprot.writeFieldBegin('endpoint_id', TType.STRING, 1)
-            oprot.writeString(self.endpoint_id.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint_id)
-            oprot.writeFieldEnd()
         if self.sequence is not None:
-            oprot.writeFieldBegin('sequence', TType.I64, 2)
+            oprot.writeFieldBegin('sequence', TType.I64, 1)
             oprot.writeI64(self.sequence)
             oprot.writeFieldEnd()
         if self.n_running is not None:
@@ -3704,9 +3692,9 @@
             oprot.writeFieldBegin('n_queued', TType.I32, 4)
             oprot.writeI32(self.n_queued)
             oprot.writeFieldEnd()
-        if self.group is not None:
-            oprot.writeFieldBegin('group', TType.STRING, 5)
-            oprot.writeString(self.group.encode('utf-8') if sys.version_info[0] == 2 else self.group)
+        if self.group_id is not None:
+            oprot.writeFieldBegin('group_id', TType.STRING, 5)
+            oprot.writeString(self.group_id.encode('utf-8') if sys.version_info[0] == 2 else self.group_id)
             oprot.writeFieldEnd()
         if self.epoch is not None:
             oprot.writeFieldBegin('epoch', TType.I64, 6)
@@ -3756,9 +3744,9 @@
             oprot.writeFieldBegin('fencing_token', TType.I64, 17)
             oprot.writeI64(self.fencing_token)
             oprot.writeFieldEnd()
-        if self.age_ms is not None:
-            oprot.writeFieldBegin('age_ms', TType.I64, 18)
-            oprot.writeI64(self.age_ms)
+        if self.started_wall_ms is not None:
+            oprot.writeFieldBegin('started_wall_ms', TType.I64, 18)
+            oprot.writeI64(self.started_wall_ms)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -5452,11 +5440,11 @@
 all_structs.append(RankReport)
 RankReport.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 1
-    (2, TType.I64, 'sequence', None, None, ),  # 2
+    (1, TType.I64, 'sequence', None, None, ),  # 1
+    None,  # 2
     (3, TType.I32, 'n_running', None, None, ),  # 3
     (4, TType.I32, 'n_queued', None, None, ),  # 4
-    (5, TType.STRING, 'group', 'UTF8', None, ),  # 5
+    (5, TType.STRING, 'group_id', 'UTF8', None, ),  # 5
     (6, TType.I64, 'epoch', None, None, ),  # 6
     (7, TType.I32, 'rank', None, None, ),  # 7
     (8, TType.I32, 'n_ranks', None, None, ),  # 8
@@ -5469,7 +5457,7 @@
     (15, TType.I64, 'held_step', None, None, ),  # 15
     (16, TType.DOUBLE, 'pace', None, None, ),  # 16
     (17, TType.I64, 'fencing_token', None, None, ),  # 17
-    (18, TType.I64, 'age_ms', None, None, ),  # 18
+    (18, TType.I64, 'started_wall_ms', None, None, ),  # 18
 )
 all_structs.append(RankPull)
 RankPull.thrift_spec = (
--- a/packages/core/src/bluebellusher_core/wire/bluebellusher.thrift
+++ b/packages/core/src/bluebellusher_core/wire/bluebellusher.thrift
@@ -99,13 +99,13 @@
 }
 struct TablePull { 1: string table, 2: i64 above_version }
 
-/* State of one rank, as its agent reads it. A step of -1 stands for none. */
+/* State of one rank, as its agent reads it. Fields that do not apply are absent. */
 struct RankReport {
-  1: string endpoint_id, 2: i64 sequence, 3: i32 n_running, 4: i32 n_queued,
-  5: string group, 6: i64 epoch, 7: i32 rank, 8: i32 n_ranks, 9: bool is_open,
+  1: i64 sequence, 3: i32 n_running, 4: i32 n_queued,
+  5: string group_id, 6: i64 epoch, 7: i32 rank, 8: i32 n_ranks, 9: bool is_open,
   10: i64 step, 11: i64 map_version, 12: i64 prepared_version,
   13: i64 armed_version, 14: i64 armed_step, 15: i64 held_step, 16: double pace,
-  17: i64 fencing_token, 18: i64 age_ms
+  17: i64 fencing_token, 18: i64 started_wall_ms
 }
 struct RankPull { 1: string call_id, 2: bool with_map }
 struct RankCounts {
--- a/packages/entry/src/bluebellusher/gateway/_server.py
+++ b/packages/entry/src/bluebellusher/gateway/_server.py
@@ -88,7 +88,8 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         response = await self._serve(request)
-        if self._runtime.is_shutting_down and not response.prepared:
+        if self._runtime.is_shutting_down:
+            # Also after a stream that began before: its connection takes no more.
             response.force_close()
         return response
 
