--- a/packages/agent/src/bluebellusher_agent/ranks/_agent.py
+++ b/packages/agent/src/bluebellusher_agent/ranks/_agent.py
@@ -25,6 +25,8 @@
 # An unchanged state is told this often, so that entries can tell it is current.
 REPEAT_INTERVAL_MS = 600
 MAX_CONNECTIONS = 4_096
+# Counts travel as 32-bit integers; receivers take differences modulo this.
+COUNT_MODULUS = 2**31
 _BACKLOG = 512
 _READ_TIMEOUT_S = 2.0
 
@@ -210,7 +212,7 @@
                 call_id=message.call_id,
                 epoch=counts.epoch,
                 step=counts.step,
-                n_by_expert=[list(layer) for layer in counts.n_by_expert],
+                n_by_expert=[n % COUNT_MODULUS for n in counts.n_by_expert],
                 experts=[list(layer) for layer in counts.experts],
                 map_version=counts.map_version,
             )
--- a/packages/agent/src/bluebellusher_agent/ranks/_engine.py
+++ b/packages/agent/src/bluebellusher_agent/ranks/_engine.py
@@ -49,12 +49,13 @@
 class RankCounts:
     """How often the rank's requests chose each expert since the rank started.
 
-    ``experts`` are those that the rank holds by layer, when they were asked for.
+    ``n_by_expert`` goes through the layers in turn. ``experts`` are those that the
+    rank holds by layer, when they were asked for.
     """
 
     epoch: int
     step: int
-    n_by_expert: tuple[tuple[int, ...], ...]
+    n_by_expert: tuple[int, ...]
     experts: tuple[tuple[int, ...], ...] = ()
     map_version: int = 0
 
--- a/packages/core/src/bluebellusher_core/directory/_routes.py
+++ b/packages/core/src/bluebellusher_core/directory/_routes.py
@@ -27,6 +27,8 @@
         Experts of a layer that one new map may add to a rank.
     n_expert_bytes : int
         Weights of one expert of one layer.
+    load_ms : float
+        Time in which a rank copies one expert of one layer.
     expert_share : float
         Share of the token work that goes to experts, 0 to 1.
     """
@@ -36,6 +38,7 @@
     n_slots: int
     n_max_new: int
     n_expert_bytes: int
+    load_ms: float
     expert_share: float
 
 
--- a/packages/core/src/bluebellusher_core/lease/_tracker.py
+++ b/packages/core/src/bluebellusher_core/lease/_tracker.py
@@ -53,6 +53,9 @@
     takeover_delay_ms : int
         Additional wait before a free or lapsed lease is acquired. Entries that are
         lower in the rendezvous order of ``name`` wait longer, which spreads leases.
+    term_ms, renew_after_ms, guard_ms : int
+        Duration of a lease, time after which it is renewed, and what others wait
+        beyond its end. All entries use the same values.
 
     Examples
     --------
@@ -66,10 +69,21 @@
     1
     """
 
-    def __init__(self, name: str, holder_id: str, takeover_delay_ms: int = 0) -> None:
+    def __init__(
+        self,
+        name: str,
+        holder_id: str,
+        takeover_delay_ms: int = 0,
+        term_ms: int = TERM_MS,
+        renew_after_ms: int = RENEW_AFTER_MS,
+        guard_ms: int = GUARD_MS,
+    ) -> None:
         self._name = name
         self._holder_id = holder_id
         self._takeover_delay_ms = takeover_delay_ms
+        self._term_ms = term_ms
+        self._renew_after_ms = renew_after_ms
+        self._guard_ms = guard_ms
         self._row_version: int | None = None
         self._row: LeaseRow | None = None
         self._unchanged_since_ms = 0
@@ -98,7 +112,7 @@
         """Recognise an own write whose answer was lost, by its content."""
         if self._pending is None or row != self._pending.row:
             return
-        self._held_until_ms = self._pending_sent_ms + TERM_MS
+        self._held_until_ms = self._pending_sent_ms + self._term_ms
         self._renewed_at_ms = self._pending_sent_ms
         self._pending = None
 
@@ -121,11 +135,11 @@
 
     def _next_row(self, now_ms: int) -> LeaseRow | None:
         if self.held_token(now_ms) is not None:
-            is_due = now_ms - self._renewed_at_ms >= RENEW_AFTER_MS
+            is_due = now_ms - self._renewed_at_ms >= self._renew_after_ms
             return self._renewed_row() if is_due else None
         wait_ms = self._takeover_delay_ms
         if self._row is not None and self._row.holder:
-            wait_ms += TERM_MS + GUARD_MS
+            wait_ms += self._term_ms + self._guard_ms
         if now_ms - self._unchanged_since_ms < wait_ms:
             return None
         last_token = self._row.fencing_token if self._row else 0
@@ -145,7 +159,7 @@
         if write != self._pending:
             return
         pending = write
-        self._held_until_ms = self._pending_sent_ms + TERM_MS
+        self._held_until_ms = self._pending_sent_ms + self._term_ms
         self._renewed_at_ms = self._pending_sent_ms
         self._pending = None
         self._row_version = row_version
--- a/packages/core/src/bluebellusher_core/wire/_generated/bluebellusher/ttypes.py
+++ b/packages/core/src/bluebellusher_core/wire/_generated/bluebellusher/ttypes.py
@@ -3915,12 +3915,7 @@
                     self.n_by_expert = []
                     (_etype160, _size157) = iprot.readListBegin()
                     for _i161 in range(_size157):
-                        _elem162 = []
-                        (_etype166, _size163) = iprot.readListBegin()
-                        for _i167 in range(_size163):
-                            _elem168 = iprot.readI64()
-                            _elem162.append(_elem168)
-                        iprot.readListEnd()
+                        _elem162 = iprot.readI32()
                         self.n_by_expert.append(_elem162)
                     iprot.readListEnd()
                 else:
@@ -3928,15 +3923,15 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.experts = []
-                    (_etype172, _size169) = iprot.readListBegin()
-                    for _i173 in range(_size169):
-                        _elem174 = []
-                        (_etype178, _size175) = iprot.readListBegin()
-                        for _i179 in range(_size175):
-                            _elem180 = iprot.readI32()
-                            _elem174.append(_elem180)
+                    (_etype166, _size163) = iprot.readListBegin()
+                    for _i167 in range(_size163):
+                        _elem168 = []
+                        (_etype172, _size169) = iprot.readListBegin()
+                        for _i173 in range(_size169):
+                            _elem174 = iprot.readI32()
+                            _elem168.append(_elem174)
                         iprot.readListEnd()
-                        self.experts.append(_elem174)
+                        self.experts.append(_elem168)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3974,21 +3969,18 @@
             oprot.writeFieldEnd()
         if self.n_by_expert is not None:
             oprot.writeFieldBegin('n_by_expert', TType.LIST, 4)
-            oprot.writeListBegin(TType.LIST, len(self.n_by_expert))
-            for iter181 in self.n_by_expert:
-                oprot.writeListBegin(TType.I64, len(iter181))
-                for iter182 in iter181:
-                    oprot.writeI64(iter182)
-                oprot.writeListEnd()
+            oprot.writeListBegin(TType.I32, len(self.n_by_expert))
+            for iter175 in self.n_by_expert:
+                oprot.writeI32(iter175)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.experts is not None:
             oprot.writeFieldBegin('experts', TType.LIST, 5)
             oprot.writeListBegin(TType.LIST, len(self.experts))
-            for iter183 in self.experts:
-                oprot.writeListBegin(TType.I32, len(iter183))
-                for iter184 in iter183:
-                    oprot.writeI32(iter184)
+            for iter176 in self.experts:
+                oprot.writeListBegin(TType.I32, len(iter176))
+                for iter177 in iter176:
+                    oprot.writeI32(iter177)
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
@@ -4100,20 +4092,20 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.experts_by_rank = []
-                    (_etype188, _size185) = iprot.readListBegin()
-                    for _i189 in range(_size185):
-                        _elem190 = []
-                        (_etype194, _size191) = iprot.readListBegin()
-                        for _i195 in range(_size191):
-                            _elem196 = []
-                            (_etype200, _size197) = iprot.readListBegin()
-                            for _i201 in range(_size197):
-                                _elem202 = iprot.readI32()
-                                _elem196.append(_elem202)
+                    (_etype181, _size178) = iprot.readListBegin()
+                    for _i182 in range(_size178):
+                        _elem183 = []
+                        (_etype187, _size184) = iprot.readListBegin()
+                        for _i188 in range(_size184):
+                            _elem189 = []
+                            (_etype193, _size190) = iprot.readListBegin()
+                            for _i194 in range(_size190):
+                                _elem195 = iprot.readI32()
+                                _elem189.append(_elem195)
                             iprot.readListEnd()
-                            _elem190.append(_elem196)
+                            _elem183.append(_elem189)
                         iprot.readListEnd()
-                        self.experts_by_rank.append(_elem190)
+                        self.experts_by_rank.append(_elem183)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4154,12 +4146,12 @@
         if self.experts_by_rank is not None:
             oprot.writeFieldBegin('experts_by_rank', TType.LIST, 7)
             oprot.writeListBegin(TType.LIST, len(self.experts_by_rank))
-            for iter203 in self.experts_by_rank:
-                oprot.writeListBegin(TType.LIST, len(iter203))
-                for iter204 in iter203:
-                    oprot.writeListBegin(TType.I32, len(iter204))
-                    for iter205 in iter204:
-                        oprot.writeI32(iter205)
+            for iter196 in self.experts_by_rank:
+                oprot.writeListBegin(TType.LIST, len(iter196))
+                for iter197 in iter196:
+                    oprot.writeListBegin(TType.I32, len(iter197))
+                    for iter198 in iter197:
+                        oprot.writeI32(iter198)
                     oprot.writeListEnd()
                 oprot.writeListEnd()
             oprot.writeListEnd()
@@ -5471,7 +5463,7 @@
     (1, TType.STRING, 'call_id', 'UTF8', None, ),  # 1
     (2, TType.I64, 'epoch', None, None, ),  # 2
     (3, TType.I64, 'step', None, None, ),  # 3
-    (4, TType.LIST, 'n_by_expert', (TType.LIST, (TType.I64, None, False), False), None, ),  # 4
+    (4, TType.LIST, 'n_by_expert', (TType.I32, None, False), None, ),  # 4
     (5, TType.LIST, 'experts', (TType.LIST, (TType.I32, None, False), False), None, ),  # 5
     (6, TType.I64, 'map_version', None, None, ),  # 6
     (7, TType.STRING, 'reason', 'UTF8', None, ),  # 7
--- a/packages/core/src/bluebellusher_core/wire/bluebellusher.thrift
+++ b/packages/core/src/bluebellusher_core/wire/bluebellusher.thrift
@@ -107,9 +107,10 @@
   13: i64 armed_version, 14: i64 armed_step, 15: i64 held_step, 16: double pace,
   17: i64 fencing_token, 18: i64 started_wall_ms
 }
+/* Counts by layer and expert in one list; they wrap at 2**31. */
 struct RankPull { 1: string call_id, 2: bool with_map }
 struct RankCounts {
-  1: string call_id, 2: i64 epoch, 3: i64 step, 4: list<list<i64>> n_by_expert,
+  1: string call_id, 2: i64 epoch, 3: i64 step, 4: list<i32> n_by_expert,
   5: list<list<i32>> experts, 6: i64 map_version, 7: string reason
 }
 struct RankOrder {
--- a/packages/entry/src/bluebellusher/gateway/_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -18,12 +18,13 @@
 from bluebellusher.links import Identity, LinkTicker, PeerLinks
 from bluebellusher.observability import KeyValueLog, Metrics, Tracer
 from bluebellusher.ports import PlatformPorts
+from bluebellusher.ranks import LeaseKeeper, MapLeader, RankLinks
 from bluebellusher.runtime import PeerExchange, Runtime
 from bluebellusher.settings import GatewaySettings
 from bluebellusher.shared import Directory, Members, TableExchange, TableWatcher
 from bluebellusher_core.admission import ObjectiveQueue
 from bluebellusher_core.clock import Clock, SystemClock
-from bluebellusher_core.directory import TableMirror
+from bluebellusher_core.directory import GroupModel, TableMirror
 from bluebellusher_core.events import EntriesCounted
 from bluebellusher_core.reducer import EntryConfig, EntryState
 from bluebellusher_core.routing import SlotAware
@@ -42,6 +43,11 @@
 QUEUE_FACTOR = 1.2
 # How long a caller of a broken stream waits for its next event.
 RESUME_WAIT_MS = 1_500
+MAP_LEASE = "expert-maps"
+# Entries that want a free lease at the same moment spread over this time.
+MAX_TAKEOVER_DELAY_MS = 400
+# A group with a held step should not wait for the next leader.
+MAP_CHANGE_GRACE_MS = 1_500
 _POLL_S = 0.02
 
 
@@ -98,6 +104,21 @@
             settings.peers.port,
             self.runtime,
         )
+        self.ranks = RankLinks(
+            identity, self.runtime, self.ticker, clock, seed, settings.agent_port
+        )
+        self.directory.on_endpoints = self._update_ranks
+        self.lease = LeaseKeeper.from_parts(
+            ports.store,
+            MAP_LEASE,
+            f"{settings.instance_id}/{self.incarnation}",
+            seed.randrange(MAX_TAKEOVER_DELAY_MS),
+            clock,
+            self.runtime,
+        )
+        self.leader = MapLeader(
+            self.lease, self.ranks, self._find_group_model, clock, seed, self.runtime
+        )
         counter = itertools.count(1)
         prefix = f"{settings.instance_id}.{self.incarnation}"
         self.server = CallerServer(
@@ -134,6 +155,8 @@
             self.routing_watcher.run,
             self.registration_watcher.run,
             self.members.run,
+            self.lease.run,
+            self.leader.run,
         ):
             self._start_task(run())
         self.log.event(
@@ -154,7 +177,10 @@
         stopped_at_ms = self.clock.now_ms()
         self.runtime.is_shutting_down = True
         self.log.event("stopping", n_requests=len(self.runtime.exchange_by_request_id))
-        await asyncio.sleep(STOP_ACCEPTING_AFTER_MS / 1000)
+        await self.leader.retire(MAP_CHANGE_GRACE_MS)
+        await self.lease.release()
+        accepted_ms = self.clock.now_ms() - stopped_at_ms
+        await asyncio.sleep(max(0, STOP_ACCEPTING_AFTER_MS - accepted_ms) / 1000)
         self.server.stop_accepting()
         self.server.close_idle()
         until_ms = stopped_at_ms + self.settings.shutdown_grace_ms - EXIT_MARGIN_MS
@@ -165,6 +191,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.ranks.close()
         self.ticker.stop()
         await self.server.close()
         await self.dispatcher.close()
@@ -195,11 +222,29 @@
     def _find_endpoint(self, endpoint_id: str) -> Any:
         return self.directory.find(endpoint_id)
 
+    def _update_ranks(self) -> None:
+        """Follow the agents beside the endpoints that have engines."""
+        routing = self.directory.routing
+        if routing is None:
+            return
+        services = routing.service_by_id.values()
+        with_engine = {s.service_id for s in services if s.engine is not None}
+        registrations = self.directory.registrations.registration_by_id.values()
+        self.ranks.update(r for r in registrations if r.service_id in with_engine)
+
+    def _find_group_model(self, endpoint_id: str) -> GroupModel | None:
+        endpoint = self.directory.find(endpoint_id)
+        if endpoint is None or self.directory.routing is None:
+            return None
+        service = self.directory.routing.service_by_id.get(endpoint.service_id)
+        return service.engine.group if service and service.engine else None
+
     def _make_watcher(
         self, table: str, take: Callable[[list[Any]], None], seed: Random
     ) -> TableWatcher:
         def on_news(rows: list[Any]) -> None:
             take(rows)
+            self._update_ranks()
             # Peers that the store turns away wait for it.
             self.peer_exchange.tick(self.clock.now_ms())
 
@@ -254,6 +299,11 @@
             "bluebellusher_endpoints": sum(not v.is_draining for v in views),
             "bluebellusher_endpoints_draining": sum(v.is_draining for v in views),
             "bluebellusher_members": len(self.peers.connections_by_peer_id),
+            "bluebellusher_agents": self.ranks.n_connected,
+            "bluebellusher_map_lease_held": float(self.lease.token is not None),
+            "bluebellusher_expert_skew": max(
+                self.leader.skew_by_group.values(), default=0.0
+            ),
             "bluebellusher_retries_left": self.state.retry_budget.n_left,
             "bluebellusher_config_version": routing.version if routing else 0,
             "bluebellusher_config_age_ms": now_ms - self.directory.routing_at_ms,
--- a/packages/entry/src/bluebellusher/links/__init__.py
+++ b/packages/entry/src/bluebellusher/links/__init__.py
@@ -3,6 +3,7 @@
 from bluebellusher.links._agents import AgentLinks, EventSink
 from bluebellusher.links._answer import AnswerStream
 from bluebellusher.links._connection import FrameConnection, Identity
+from bluebellusher.links._dialer import Dialer
 from bluebellusher.links._peers import PeerHandler, PeerLinks
 from bluebellusher.links._relay import AttemptRelay
 from bluebellusher.links._sockets import make_socket
@@ -13,6 +14,7 @@
     "AgentLinks",
     "AnswerStream",
     "AttemptRelay",
+    "Dialer",
     "EventSink",
     "EventSplitter",
     "FrameConnection",
--- a/packages/entry/src/bluebellusher/links/_connection.py
+++ b/packages/entry/src/bluebellusher/links/_connection.py
@@ -97,6 +97,8 @@
         peer: str,
     ) -> None:
         self.peer = peer
+        # Host that was dialed; empty for an accepted connection.
+        self.host = ""
         self.hello: Any = None
         self.is_open = False
         self.is_closed = False
--- /dev/null
+++ b/packages/entry/src/bluebellusher/ranks/_leader.py
@@ -0,0 +1,355 @@
+"""The entry that keeps expert load even across the ranks of all groups."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+from bluebellusher.ranks._lease import LeaseKeeper
+from bluebellusher.ranks._links import RankLinks
+from bluebellusher.shared import LogSink
+from bluebellusher_core.balance import (
+    ChangeCost,
+    Conditions,
+    GroupShape,
+    Placement,
+    RankBoundedPlanner,
+    compute_rank_loads,
+    compute_skew,
+)
+from bluebellusher_core.clock import Clock
+from bluebellusher_core.directory import GroupModel
+from bluebellusher_core.ranks import (
+    ExpertMap,
+    GroupView,
+    MapChange,
+    OrderAction,
+    RankOrder,
+    RankState,
+)
+from bluebellusher_core.wire import messages
+
+DECIDE_INTERVAL_MS = 50
+# Counts of this time decide; popularity can change within seconds.
+COUNT_INTERVAL_MS = 500
+# A rank that has not reported for this long is not known well enough to act on.
+STATE_MAX_AGE_MS = 1_500
+# An order whose effect is not seen is given again after this time.
+REPEAT_ORDER_MS = 400
+# Copies take seconds; the order to prepare is only repeated when it was lost.
+REPEAT_PREPARE_MS = 1_500
+# A map that is not prepared everywhere by then is given up.
+PREPARE_TIMEOUT_MS = 15_000
+# Passes take this much longer while experts are copied.
+COPY_SLOWDOWN = 0.15
+# Popularity has been seen to hold for a few seconds.
+POPULARITY_HORIZON_MS = 8_000.0
+# With fewer choices counted, their shares are mostly chance.
+MIN_COUNTED_PER_EXPERT = 20
+# Versions carry the fencing token, so that no two leaders use the same one.
+VERSIONS_PER_TOKEN = 2**20
+COUNT_MODULUS = 2**31
+MS_PER_S = 1_000
+
+
+@dataclass(slots=True)
+class _Group:
+    """What the leader keeps of one group."""
+
+    change: MapChange
+    counted_at_ms: int = 0
+    wanted_at_ms: int = 0
+    epoch: int = -1
+    n_by_rank: dict[int, Sequence[int]] = field(default_factory=dict)
+    experts_by_rank: dict[int, Sequence[Sequence[int]]] = field(default_factory=dict)
+    placed_version: int = -1
+    given_at_ms: dict[tuple[str, OrderAction, int, int], int] = field(
+        default_factory=dict
+    )
+
+
+class MapLeader:
+    """Plan maps from counted choices, and lead every group to them.
+
+    Parameters
+    ----------
+    lease : LeaseKeeper
+        Only its holder acts.
+    links : RankLinks
+        Reaches the ranks.
+    find_group_model : callable
+        Returns the sizes of the group that an endpoint belongs to.
+    clock, random_state, log
+        Time, random choices and log lines.
+    """
+
+    def __init__(
+        self,
+        lease: LeaseKeeper,
+        links: RankLinks,
+        find_group_model: Callable[[str], GroupModel | None],
+        clock: Clock,
+        random_state: Random,
+        log: LogSink,
+    ) -> None:
+        self.skew_by_group: dict[str, float] = {}
+        self._lease = lease
+        self._links = links
+        self._find_group_model = find_group_model
+        self._clock = clock
+        self._random_state = random_state
+        self._log = log
+        self._token = 0
+        self._n_versions = 0
+        self._group_by_id: dict[str, _Group] = {}
+        self._wake = asyncio.Event()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._is_retiring = False
+
+    async def retire(self, timeout_ms: int) -> None:
+        """Begin no new change, and wait for those that are under way."""
+        self._is_retiring = True
+        until_ms = self._clock.now_ms() + timeout_ms
+        while self._has_change() and self._clock.now_ms() < until_ms:
+            await asyncio.sleep(DECIDE_INTERVAL_MS / MS_PER_S)
+
+    def _has_change(self) -> bool:
+        if self._lease.token is None:
+            return False
+        return any(not g.change.is_idle for g in self._group_by_id.values())
+
+    async def run(self) -> None:
+        """Lead while the lease is held, until cancelled."""
+        self._links.on_state = lambda _state: self._wake.set()
+        while True:
+            self._wake.clear()
+            token = self._lease.token
+            if token is not None:
+                self._lead(token)
+            try:
+                async with asyncio.timeout(DECIDE_INTERVAL_MS / MS_PER_S):
+                    await self._wake.wait()
+            except TimeoutError:
+                continue
+
+    def _lead(self, token: int) -> None:
+        if token != self._token:
+            self._token = token
+            self._n_versions = 0
+            self._group_by_id.clear()
+        now_ms = self._clock.now_ms()
+        states_by_group: dict[str, list[RankState]] = {}
+        for state in self._links.states():
+            states_by_group.setdefault(state.group_id, []).append(state)
+        for group_id, states in states_by_group.items():
+            view = GroupView.from_states(states, now_ms, STATE_MAX_AGE_MS)
+            if view is not None:
+                self._lead_group(group_id, view, now_ms)
+
+    def _lead_group(self, group_id: str, view: GroupView, now_ms: int) -> None:
+        group = self._group_by_id.get(group_id)
+        if group is None:
+            group = self._group_by_id[group_id] = _Group(MapChange(self._token))
+        if view.epoch != group.epoch:
+            group.epoch = view.epoch
+            group.placed_version = -1
+            group.n_by_rank.clear()
+            group.given_at_ms.clear()
+        for order in group.change.decide(view):
+            self._give(group, order, now_ms)
+        self._end_late_change(group_id, group, view, now_ms)
+        is_due = now_ms - group.counted_at_ms >= COUNT_INTERVAL_MS
+        if is_due and group.change.is_idle and not self._is_retiring:
+            group.counted_at_ms = now_ms
+            self._start(self._count_and_plan(group_id, group, view))
+
+    def _end_late_change(
+        self, group_id: str, group: _Group, view: GroupView, now_ms: int
+    ) -> None:
+        """Give up a map that some rank does not prepare, while none is armed."""
+        change = group.change
+        is_late = now_ms - group.wanted_at_ms > PREPARE_TIMEOUT_MS
+        if change.wanted_version and is_late and not view.armed and not view.held:
+            self._log.log("map-given-up", group=group_id, version=change.wanted_version)
+            change.give_up()
+
+    def _give(self, group: _Group, order: RankOrder, now_ms: int) -> None:
+        key = (order.rank_id, order.action, order.map_version, order.step)
+        pause_ms = REPEAT_ORDER_MS
+        if order.action is OrderAction.PREPARE:
+            pause_ms = REPEAT_PREPARE_MS
+        if now_ms - group.given_at_ms.get(key, -pause_ms) < pause_ms:
+            return
+        group.given_at_ms[key] = now_ms
+        self._start(self._give_now(order))
+
+    async def _give_now(self, order: RankOrder) -> None:
+        if self._lease.token != self._token:
+            return
+        answer = await self._links.give(order, self._token)
+        if order.action is OrderAction.PREPARE and answer and answer.is_accepted:
+            return
+        self._log.log(
+            "map-order",
+            rank=order.rank_id,
+            action=order.action.value,
+            epoch=order.epoch,
+            version=order.map_version,
+            step=order.step,
+            answer=answer.reason if answer else "none",
+        )
+
+    async def _count_and_plan(
+        self, group_id: str, group: _Group, view: GroupView
+    ) -> None:
+        model = self._find_group_model(view.states[0].rank_id)
+        map_version = view.common_map_version
+        if model is None or map_version is None:
+            return
+        with_map = group.placed_version != map_version
+        answers = await asyncio.gather(
+            *(
+                self._links.call(state.rank_id, messages.RankPull(with_map=with_map))
+                for state in view.states
+            )
+        )
+        loads = self._take_counts(group, view, answers, with_map, model)
+        if loads is None or not group.change.is_idle:
+            return
+        if with_map:
+            group.placed_version = map_version
+        await self._plan(group_id, group, view, loads, model)
+
+    def _take_counts(
+        self,
+        group: _Group,
+        view: GroupView,
+        answers: Sequence[Any],
+        with_map: bool,
+        model: GroupModel,
+    ) -> list[list[float]] | None:
+        """Return the choices since the last count by layer and expert."""
+        n_total = model.n_layers * model.n_experts
+        totals = [0] * n_total
+        is_whole = True
+        for state, answer in zip(view.states, answers, strict=True):
+            n_now = list(answer.n_by_expert or ()) if answer is not None else []
+            is_usable = len(n_now) == n_total and answer.epoch == view.epoch
+            if not is_usable:
+                group.n_by_rank.pop(state.rank, None)
+                is_whole = False
+                continue
+            if with_map:
+                group.experts_by_rank[state.rank] = answer.experts
+            n_before = group.n_by_rank.get(state.rank)
+            group.n_by_rank[state.rank] = n_now
+            if n_before is None:
+                is_whole = False
+                continue
+            for at, (now, before) in enumerate(zip(n_now, n_before, strict=True)):
+                totals[at] += (now - before) % COUNT_MODULUS
+        if not is_whole or sum(totals) < MIN_COUNTED_PER_EXPERT * n_total:
+            return None
+        return [
+            [float(n) for n in totals[at : at + model.n_experts]]
+            for at in range(0, n_total, model.n_experts)
+        ]
+
+    async def _plan(
+        self,
+        group_id: str,
+        group: _Group,
+        view: GroupView,
+        loads: list[list[float]],
+        model: GroupModel,
+    ) -> None:
+        n_ranks = len(view.states)
+        shape = GroupShape(
+            n_ranks,
+            model.n_layers,
+            model.n_experts,
+            model.n_slots,
+            max(1, model.n_expert_bytes),
+        )
+        placement = _to_placement(group.experts_by_rank, model)
+        if placement is None:
+            group.placed_version = -1
+            return
+        cost = ChangeCost(
+            load_ms=model.load_ms,
+            slowdown=COPY_SLOWDOWN,
+            expert_share=model.expert_share,
+            horizon_ms=POPULARITY_HORIZON_MS,
+        )
+        planner = RankBoundedPlanner(shape, cost, model.n_max_new)
+        planner.observe(loads)
+        conditions = Conditions(self._clock.now_ms())
+        plan = planner.plan(placement, conditions, self._random_state)
+        before, after = (
+            _mean_skew(n_ranks, one, loads) for one in (placement, plan.placement)
+        )
+        self.skew_by_group[group_id] = before
+        if not plan.moves:
+            return
+        self._n_versions += 1
+        version = self._token * VERSIONS_PER_TOKEN + self._n_versions
+        experts = _to_expert_map(plan.placement, n_ranks)
+        group.change.want(version, experts, view.epoch)
+        group.wanted_at_ms = self._clock.now_ms()
+        group.experts_by_rank = {
+            rank: [layer[rank] for layer in experts] for rank in range(n_ranks)
+        }
+        group.placed_version = version
+        group.n_by_rank.clear()
+        self._log.log(
+            "map-wanted",
+            group=group_id,
+            version=version,
+            epoch=view.epoch,
+            skew=before,
+            planned_skew=after,
+            n_loads=plan.n_loads,
+        )
+
+    def _start(self, coroutine: Any) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _mean_skew(
+    n_ranks: int, placement: Placement, loads: Sequence[Sequence[float]]
+) -> float:
+    skews = [
+        compute_skew(compute_rank_loads(n_ranks, ranks, of_layer))
+        for ranks, of_layer in zip(placement, loads, strict=True)
+    ]
+    return sum(skews) / len(skews)
+
+
+def _to_placement(
+    experts_by_rank: dict[int, Sequence[Sequence[int]]], model: GroupModel
+) -> Placement | None:
+    """Return the ranks by layer and expert; None when an expert is nowhere."""
+    layers: list[list[list[int]]] = [
+        [[] for _ in range(model.n_experts)] for _ in range(model.n_layers)
+    ]
+    for rank in sorted(experts_by_rank):
+        for layer, experts in enumerate(experts_by_rank[rank]):
+            for expert in experts:
+                layers[layer][expert].append(rank)
+    if not all(ranks for layer in layers for ranks in layer):
+        return None
+    return tuple(tuple(tuple(ranks) for ranks in layer) for layer in layers)
+
+
+def _to_expert_map(placement: Placement, n_ranks: int) -> ExpertMap:
+    layers = []
+    for ranks_by_expert in placement:
+        held: list[list[int]] = [[] for _ in range(n_ranks)]
+        for expert, ranks in enumerate(ranks_by_expert):
+            for rank in ranks:
+                held[rank].append(expert)
+        layers.append(tuple(tuple(experts) for experts in held))
+    return tuple(layers)
--- /dev/null
+++ b/packages/entry/src/bluebellusher/ranks/_lease.py
@@ -0,0 +1,142 @@
+"""A lease in the store, held by at most one entry."""
+
+import asyncio
+import json
+
+from expression import Result
+
+from bluebellusher.ports import RowStore, RowWrite
+from bluebellusher.shared import LogSink
+from bluebellusher_core.clock import Clock
+from bluebellusher_core.directory import MirrorRow
+from bluebellusher_core.lease import LeaseRow, LeaseTracker, LeaseWrite
+
+LEASES_TABLE = "leases"
+# A group whose leader is gone keeps its map; a held step waits for the next leader.
+TERM_MS = 3_000
+RENEW_AFTER_MS = 1_000
+GUARD_MS = 500
+HOLDER_POLL_MS = 250
+FOLLOWER_POLL_MS = 1_500
+
+
+class LeaseKeeper:
+    """Acquire and renew one lease as long as the process runs.
+
+    Parameters
+    ----------
+    store : RowStore
+        Keeps the lease.
+    tracker : LeaseTracker
+        Decides when to write.
+    name : str
+        Key of the lease's row.
+    clock : Clock
+        Measures terms.
+    log : LogSink
+        Takes log lines.
+    """
+
+    def __init__(
+        self,
+        store: RowStore,
+        tracker: LeaseTracker,
+        name: str,
+        clock: Clock,
+        log: LogSink,
+    ) -> None:
+        self._store = store
+        self._tracker = tracker
+        self._name = name
+        self._clock = clock
+        self._log = log
+        self._last_token: int | None = None
+        self._is_released = False
+
+    @classmethod
+    def from_parts(
+        cls,
+        store: RowStore,
+        name: str,
+        holder_id: str,
+        takeover_delay_ms: int,
+        clock: Clock,
+        log: LogSink,
+    ) -> "LeaseKeeper":
+        """Return a keeper with the terms of this module."""
+        tracker = LeaseTracker(
+            name, holder_id, takeover_delay_ms, TERM_MS, RENEW_AFTER_MS, GUARD_MS
+        )
+        return cls(store, tracker, name, clock, log)
+
+    @property
+    def token(self) -> int | None:
+        """Return the fencing token while the lease is held."""
+        return self._tracker.held_token(self._clock.now_ms())
+
+    async def run(self) -> None:
+        """Hold the lease whenever it is free, until cancelled."""
+        while not self._is_released:
+            if self.token is None:
+                await self._observe()
+            write = self._tracker.plan_write(self._clock.now_ms())
+            if write is not None:
+                await self._write(write)
+            self._note_token()
+            poll_ms = FOLLOWER_POLL_MS if self.token is None else HOLDER_POLL_MS
+            await asyncio.sleep(poll_ms / 1000)
+
+    async def release(self) -> None:
+        """Let another entry acquire the lease at once; ``run`` ends."""
+        self._is_released = True
+        write = self._tracker.plan_release(self._clock.now_ms())
+        if write is not None:
+            await self._store.write_row(_to_write(write))
+        self._note_token()
+
+    async def _observe(self) -> None:
+        result = await self._store.read_table(LEASES_TABLE)
+        if not result.is_ok():
+            return
+        row = next((r for r in result.ok.rows if r.key == self._name), None)
+        version = row.version if row else 0
+        self._tracker.observe(version, _read_row(row), self._clock.now_ms())
+
+    async def _write(self, write: LeaseWrite) -> None:
+        result = await self._store.write_row(_to_write(write))
+        now_ms = self._clock.now_ms()
+        match result:
+            case Result(tag="ok", ok=row):
+                if _read_row(row) == write.row:
+                    self._tracker.write_succeeded(write, row.version, now_ms)
+                else:
+                    found = _read_row(row)
+                    self._tracker.write_conflicted(write, row.version, found, now_ms)
+            case Result(error=error):
+                self._log.log(
+                    "lease-write-failed", step=error.step, reason=error.reason
+                )
+
+    def _note_token(self) -> None:
+        token = self.token
+        if token != self._last_token:
+            name = "lease-held" if token is not None else "lease-lost"
+            shown = token if token is not None else self._last_token or 0
+            self._log.log(name, lease=self._name, token=shown)
+            self._last_token = token
+
+
+def _to_write(write: LeaseWrite) -> RowWrite:
+    row = write.row
+    value = json.dumps([row.holder, row.fencing_token, row.renewal]).encode()
+    return RowWrite(LEASES_TABLE, write.name, value, write.row_version)
+
+
+def _read_row(row: MirrorRow | None) -> LeaseRow | None:
+    if row is None or row.is_removed:
+        return None
+    try:
+        holder, token, renewal = json.loads(row.value)
+        return LeaseRow(str(holder), int(token), int(renewal))
+    except (ValueError, TypeError):
+        return None
--- /dev/null
+++ b/packages/entry/src/bluebellusher/ranks/_links.py
@@ -0,0 +1,216 @@
+"""Connections to the agents beside ranks."""
+
+import asyncio
+import itertools
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from random import Random
+from typing import Any
+
+from bluebellusher.links import Dialer, EventSink, FrameConnection, Identity, LinkTicker
+from bluebellusher_core.clock import Clock
+from bluebellusher_core.directory import EndpointRegistration
+from bluebellusher_core.events import LoadReported
+from bluebellusher_core.ranks import RankOrder, RankState
+from bluebellusher_core.wire import messages
+
+CALL_TIMEOUT_MS = 1_000
+
+
+@dataclass(slots=True)
+class _Agent:
+    """The agent on one host, and the endpoint that runs there now."""
+
+    endpoint: EndpointRegistration
+    task: asyncio.Task[None]
+    connection: FrameConnection | None = None
+    state: RankState | None = None
+    n_reports: int = 0
+
+
+class RankLinks:
+    """Connections to the agents of all endpoints of services with engines.
+
+    Parameters are those of ``PeerLinks``; ``port`` is where every agent listens.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        sink: EventSink,
+        ticker: LinkTicker,
+        clock: Clock,
+        random_state: Random,
+        port: int,
+    ) -> None:
+        self.on_state: Callable[[RankState], None] | None = None
+        self._identity = identity
+        self._sink = sink
+        self._ticker = ticker
+        self._clock = clock
+        self._random_state = random_state
+        self._port = port
+        self._agent_by_host: dict[str, _Agent] = {}
+        self._host_by_endpoint_id: dict[str, str] = {}
+        self._future_by_call_id: dict[str, asyncio.Future[Any]] = {}
+        self._call_ids = itertools.count(1)
+
+    @property
+    def n_connected(self) -> int:
+        """Return how many agents are connected."""
+        agents = self._agent_by_host.values()
+        return sum(agent.connection is not None for agent in agents)
+
+    def states(self) -> list[RankState]:
+        """Return the latest state of every rank that is connected."""
+        agents = self._agent_by_host.values()
+        return [a.state for a in agents if a.state is not None and a.connection]
+
+    def update(self, endpoints: Iterable[EndpointRegistration]) -> None:
+        """Keep connections to the agents beside these endpoints, and no others."""
+        newest_by_host: dict[str, EndpointRegistration] = {}
+        for endpoint in endpoints:
+            known = newest_by_host.get(endpoint.host)
+            if known is None or endpoint.started_wall_ms > known.started_wall_ms:
+                newest_by_host[endpoint.host] = endpoint
+        for host in self._agent_by_host.keys() - newest_by_host.keys():
+            self._agent_by_host.pop(host).task.cancel()
+        for host, endpoint in newest_by_host.items():
+            agent = self._agent_by_host.get(host)
+            if agent is None:
+                task = asyncio.create_task(self._dial(host))
+                self._agent_by_host[host] = _Agent(endpoint, task)
+            elif agent.endpoint.endpoint_id != endpoint.endpoint_id:
+                agent.endpoint, agent.state = endpoint, None
+        self._host_by_endpoint_id = {
+            endpoint.endpoint_id: host for host, endpoint in newest_by_host.items()
+        }
+
+    async def call(self, rank_id: str, message: Any) -> Any:
+        """Send a message and return the answer; None when there is none in time."""
+        host = self._host_by_endpoint_id.get(rank_id, "")
+        agent = self._agent_by_host.get(host)
+        if agent is None or agent.connection is None:
+            return None
+        message.call_id = str(next(self._call_ids))
+        future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+        self._future_by_call_id[message.call_id] = future
+        agent.connection.send(message)
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_MS / 1000):
+                return await future
+        except TimeoutError:
+            return None
+        finally:
+            del self._future_by_call_id[message.call_id]
+
+    async def give(self, order: RankOrder, fencing_token: int) -> Any:
+        """Give an order through the agent of its rank; return the agent's answer."""
+        message = messages.RankOrder(
+            fencing_token=fencing_token,
+            action=order.action.value,
+            epoch=order.epoch,
+            map_version=order.map_version,
+            step=order.step,
+            experts_by_rank=[
+                [list(experts) for experts in layer] for layer in order.experts_by_rank
+            ],
+        )
+        return await self.call(order.rank_id, message)
+
+    async def close(self) -> None:
+        """Close every connection."""
+        tasks = [agent.task for agent in self._agent_by_host.values()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def on_open(self, connection: FrameConnection) -> None:
+        """Use the connection to an agent."""
+        agent = self._agent_by_host.get(connection.host)
+        if agent is None:
+            connection.close("endpoint is gone")
+            return
+        agent.connection = connection
+        self._sink.log("agent-connected", peer=connection.peer, host=connection.host)
+
+    def on_message(self, connection: FrameConnection, message: Any) -> None:
+        """Take a report or an answer."""
+        agent = self._agent_by_host.get(connection.host)
+        if agent is None:
+            return
+        if isinstance(message, messages.RankReport):
+            self._take_report(agent, message)
+            return
+        future = self._future_by_call_id.get(getattr(message, "call_id", None) or "")
+        if future is not None and not future.done():
+            future.set_result(message)
+
+    def on_closed(self, connection: FrameConnection, error: str) -> None:
+        """Forget the connection; the last state no longer counts."""
+        agent = self._agent_by_host.get(connection.host)
+        if agent is not None and agent.connection is connection:
+            agent.connection = None
+            self._sink.log("agent-lost", peer=connection.peer, error=error)
+
+    def _take_report(self, agent: _Agent, report: Any) -> None:
+        agent.n_reports += 1
+        endpoint = agent.endpoint
+        starts = {report.started_wall_ms or 0, endpoint.started_wall_ms, 0}
+        if len(starts) > 2:
+            # Another start than the one that is registered.
+            return
+        is_open = bool(report.is_open)
+        self._sink.post(
+            LoadReported(
+                endpoint_id=endpoint.endpoint_id,
+                sequence=agent.n_reports,
+                n_running=report.n_running or 0,
+                n_queued=report.n_queued or 0,
+                n_queued_tokens=0,
+                n_slots=endpoint.n_slots,
+                kv_use=0.0,
+                models=frozenset(),
+                adapters=frozenset(),
+                age_ms=0,
+                is_open=is_open,
+            )
+        )
+        if not report.group_id:
+            return
+        agent.state = RankState(
+            rank_id=endpoint.endpoint_id,
+            group_id=report.group_id,
+            epoch=report.epoch or 0,
+            rank=report.rank or 0,
+            n_ranks=report.n_ranks or 0,
+            is_open=is_open,
+            step=report.step or 0,
+            map_version=report.map_version or 0,
+            prepared_version=report.prepared_version or 0,
+            armed_version=report.armed_version or 0,
+            armed_step=report.armed_step or 0,
+            held_step=report.held_step,
+            fencing_token=report.fencing_token or 0,
+            read_at_ms=self._clock.now_ms(),
+        )
+        if self.on_state is not None:
+            self.on_state(agent.state)
+
+    async def _dial(self, host: str) -> None:
+        def make_connection() -> FrameConnection:
+            connection = FrameConnection(
+                self._identity,
+                messages.Role.AGENT,
+                False,
+                self,
+                self._clock,
+                f"{host}:{self._port}",
+            )
+            connection.host = host
+            return connection
+
+        dialer = Dialer(
+            host, self._port, make_connection, self._ticker, self._random_state
+        )
+        await dialer.run()
--- a/packages/entry/src/bluebellusher/shared/__init__.py
+++ b/packages/entry/src/bluebellusher/shared/__init__.py
@@ -3,6 +3,6 @@
 from bluebellusher.shared._directory import Directory
 from bluebellusher.shared._members import Members
 from bluebellusher.shared._peers import TableExchange
-from bluebellusher.shared._watcher import TableWatcher
+from bluebellusher.shared._watcher import LogSink, TableWatcher
 
-__all__ = ["Directory", "Members", "TableExchange", "TableWatcher"]
+__all__ = ["Directory", "LogSink", "Members", "TableExchange", "TableWatcher"]
