--- a/packages/agent/src/bluebellusher_agent/ranks/_agent.py
+++ b/packages/agent/src/bluebellusher_agent/ranks/_agent.py
@@ -22,6 +22,10 @@
 TRIM_TICKS = 20
 # Entries correct a report by what they sent since; a shorter interval costs bytes.
 READ_INTERVAL_MS = 200
+# While a map is copied the group waits for its end.
+READ_INTERVAL_COPYING_MS = 40
+# A copy takes seconds; one that takes longer was lost and is ordered again.
+MAX_COPYING_MS = 6_000
 # An unchanged state is told this often, so that entries can tell it is current.
 REPEAT_INTERVAL_MS = 600
 MAX_CONNECTIONS = 4_096
@@ -64,6 +68,8 @@
         self._told_at_ms = 0
         self._sequence = 0
         self._is_engine_answering = True
+        self._copying_until_ms = 0
+        self._copying_version = 0
         self._n_by_name: Counter[str] = Counter()
         self._memory = MemoryTrimmer()
 
@@ -166,6 +172,9 @@
             log("leader-changed", peer=connection.peer_id, token=token)
             self.fencing_token = token
         order = _to_order(message)
+        if order.action is OrderAction.PREPARE:
+            self._copying_version = order.map_version
+            self._copying_until_ms = self.clock.now_ms() + MAX_COPYING_MS
         if order.action is not OrderAction.FENCE:
             try:
                 answer = await self._engine.execute(order)
@@ -221,7 +230,10 @@
     async def _read_forever(self) -> None:
         while True:
             await self._read_once(is_told_always=False)
-            await asyncio.sleep(READ_INTERVAL_MS / 1000)
+            interval_ms = READ_INTERVAL_MS
+            if self.clock.now_ms() < self._copying_until_ms:
+                interval_ms = READ_INTERVAL_COPYING_MS
+            await asyncio.sleep(interval_ms / 1000)
 
     async def _read_once(self, is_told_always: bool) -> None:
         try:
@@ -232,6 +244,8 @@
         self._note_engine(True, "")
         self._note_group(reading)
         self._reading = reading
+        if reading.prepared_version == self._copying_version:
+            self._copying_until_ms = 0
         now_ms = self.clock.now_ms()
         is_due = now_ms - self._told_at_ms >= REPEAT_INTERVAL_MS
         if is_told_always or is_due or _is_news(self._told, reading):
--- a/packages/core/src/bluebellusher_core/balance/_rank_bounded.py
+++ b/packages/core/src/bluebellusher_core/balance/_rank_bounded.py
@@ -23,7 +23,10 @@
 N_HOT_EXPERTS = 6
 N_COOL_RANKS = 5
 MAX_STEPS = 80
-MIN_STEP_GAIN = 1e-4
+MIN_STEP_GAIN = 1e-3
+MAX_LOADS_PER_RANK = 6
+# Plans that save less are not worth their orders.
+MIN_GAIN_MS = 200.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,6 +37,8 @@
     ----------
     load_ms : float
         Time in which a rank loads one expert.
+    fixed_ms : float
+        Time between a plan and its map, beside the loads.
     slowdown : float
         Relative increase of the duration of a pass while experts are loaded.
     expert_share : float
@@ -43,16 +48,21 @@
     """
 
     load_ms: float
+    fixed_ms: float
     slowdown: float
     expert_share: float
     horizon_ms: float
 
+    def can_gain(self, skew: float) -> bool:
+        """Return whether a map without any skew would be worth one load."""
+        return self.gain_ms(skew, 1.0, 1) > MIN_GAIN_MS
+
     def gain_ms(self, old_skew: float, new_skew: float, n_loads: int) -> float:
         """Return the time saved within the horizon, less what the change costs."""
         load_ms = n_loads * self.load_ms
         saved = self.expert_share * (old_skew - new_skew)
         duration = 1 + self.expert_share * (old_skew - 1)
-        useful_ms = max(0.0, self.horizon_ms - load_ms)
+        useful_ms = max(0.0, self.horizon_ms - self.fixed_ms - load_ms)
         return saved * useful_ms - self.slowdown * duration * load_ms
 
 
@@ -62,7 +72,8 @@
     Load pattern: popularity that changes every few seconds. Ranks load experts side
     by side, so that the rank with most loads decides how long a change takes; a plan
     for each bound on the loads of a rank is made, and the one that saves most time is
-    taken.
+    taken. After a sudden change that is a small one, because the few experts that
+    became popular matter most; the next plan does the rest.
 
     Parameters
     ----------
@@ -91,15 +102,17 @@
         """Return the plan that saves most time, or an empty one."""
         if not self._loads or conditions.is_capacity_short:
             return Plan(placement)
-        best_gain, best = 0.0, placement
+        best_gain, best = MIN_GAIN_MS, placement
         old_skew = self._mean_skew(placement)
-        for n_max_new in range(1, self._n_max_new + 1):
-            found = tuple(
-                LayerBalancer(self._shape, ranks, loads, n_max_new).run()
-                for ranks, loads in zip(placement, self._loads, strict=True)
-            )
+        if not self._cost.can_gain(old_skew):
+            return Plan(placement)
+        n_most = self._n_max_new * self._shape.n_layers
+        for n_max_loads in range(1, min(n_most, MAX_LOADS_PER_RANK) + 1):
+            found = self._search(placement, n_max_loads)
             n_loads = count_most_new(self._shape.n_ranks, placement, found)
             gain = self._cost.gain_ms(old_skew, self._mean_skew(found), n_loads)
+            if gain <= best_gain and best is not placement:
+                break
             if gain > best_gain:
                 best_gain, best = gain, found
         if best is placement:
@@ -108,6 +121,21 @@
         moves = compute_moves(self._shape, placement, best, layers)
         return Plan(best, tuple(moves))
 
+    def _search(self, placement: Placement, n_max_loads: int) -> Placement:
+        """Return a placement with at most ``n_max_loads`` loads on each rank."""
+        n_left_by_rank = [n_max_loads] * self._shape.n_ranks
+        layers = [
+            LayerBalancer(self._shape, ranks, loads, self._n_max_new, n_left_by_rank)
+            for ranks, loads in zip(placement, self._loads, strict=True)
+        ]
+        open_layers = list(layers)
+        while open_layers:
+            # The layer that delays a pass most goes first.
+            layer = max(open_layers, key=lambda one: one.skew)
+            if not layer.step():
+                open_layers.remove(layer)
+        return tuple(layer.placement for layer in layers)
+
     def _mean_skew(self, placement: Placement) -> float:
         """Return the mean skew of the layers, which a pass goes through in turn."""
         skews = [
@@ -126,9 +154,12 @@
         ranks_by_expert: LayerPlacement,
         loads: Sequence[float],
         n_max_new: int,
+        n_left_by_rank: list[int],
     ) -> None:
         self._n_slots = shape.n_slots
         self._n_max_new = n_max_new
+        self._n_left_by_rank = n_left_by_rank
+        self._n_steps = 0
         self._loads = loads
         self._held_before = _by_rank(shape.n_ranks, ranks_by_expert)
         self._held = [set(held) for held in self._held_before]
@@ -136,16 +167,26 @@
         self._rank_loads = compute_rank_loads(shape.n_ranks, ranks_by_expert, loads)
         self._scale = sum(loads) / shape.n_ranks or 1.0
 
-    def run(self) -> LayerPlacement:
-        """Return the placement after the last step that helps."""
-        for _ in range(MAX_STEPS):
-            change = self._find_best()
-            if change is None:
-                break
-            for expert, ranks in change:
-                self._apply(expert, ranks)
+    @property
+    def skew(self) -> float:
+        """Return the maximum over the mean of the rank loads."""
+        return max(self._rank_loads) / self._scale
+
+    @property
+    def placement(self) -> LayerPlacement:
+        """Return the placement after the steps so far."""
         return tuple(tuple(sorted(ranks)) for ranks in self._ranks)
 
+    def step(self) -> bool:
+        """Take the step that helps most; return whether there was one."""
+        change = self._find_best() if self._n_steps < MAX_STEPS else None
+        if change is None:
+            return False
+        self._n_steps += 1
+        for expert, ranks in change:
+            self._apply(expert, ranks)
+        return True
+
     def _find_best(self) -> list[tuple[int, set[int]]] | None:
         order = sorted(range(len(self._rank_loads)), key=self._rank_loads.__getitem__)
         hot = order[-1]
@@ -209,6 +250,8 @@
     def _may_load(self, expert: int, rank: int) -> bool:
         if expert in self._held_before[rank]:
             return True
+        if self._n_left_by_rank[rank] < 1:
+            return False
         return len(self._held[rank] - self._held_before[rank]) < self._n_max_new
 
     def _share(self, expert: int) -> float:
@@ -236,6 +279,9 @@
         for rank in ranks:
             self._rank_loads[rank] += after
             self._held[rank].add(expert)
+        for rank in ranks ^ self._ranks[expert]:
+            if expert not in self._held_before[rank]:
+                self._n_left_by_rank[rank] += -1 if rank in ranks else 1
         self._ranks[expert] = set(ranks)
 
 
--- a/packages/core/src/bluebellusher_core/ranks/_change.py
+++ b/packages/core/src/bluebellusher_core/ranks/_change.py
@@ -30,9 +30,9 @@
     RankState,
 )
 
-# Passes between the request to hold a step and that step; the hold has to arrive
-# before the step begins, and the orders to arm should.
-HOLD_LEAD_STEPS = 3
+# Passes between the latest known one and the one to hold. A hold that comes too late
+# is refused and tried again; a longer lead delays every change by a pass.
+HOLD_LEAD_STEPS = 1
 
 
 class ChangePhase(StrEnum):
--- a/packages/entry/src/bluebellusher/ranks/_leader.py
+++ b/packages/entry/src/bluebellusher/ranks/_leader.py
@@ -31,8 +31,11 @@
 from bluebellusher_core.wire import messages
 
 DECIDE_INTERVAL_MS = 50
-# Counts of this time decide; popularity can change within seconds.
-COUNT_INTERVAL_MS = 500
+# Popularity can change from one pass to the next and hold for seconds; the choices of
+# a few passes tell. A shorter interval costs bytes.
+COUNT_INTERVAL_MS = 200
+# Time from a plan to its map beside the copies, as seen in played days.
+CHANGE_FIXED_MS = 300.0
 # A rank that has not reported for this long is not known well enough to act on.
 STATE_MAX_AGE_MS = 1_500
 # An order whose effect is not seen is given again after this time.
@@ -44,7 +47,7 @@
 # Passes take this much longer while experts are copied.
 COPY_SLOWDOWN = 0.15
 # Popularity has been seen to hold for a few seconds.
-POPULARITY_HORIZON_MS = 8_000.0
+POPULARITY_HORIZON_MS = 3_500.0
 # With fewer choices counted, their shares are mostly chance.
 MIN_COUNTED_PER_EXPERT = 20
 # Versions carry the fencing token, so that no two leaders use the same one.
@@ -111,8 +114,11 @@
         """Begin no new change, and wait for those that are under way."""
         self._is_retiring = True
         until_ms = self._clock.now_ms() + timeout_ms
-        while self._has_change() and self._clock.now_ms() < until_ms:
-            await asyncio.sleep(DECIDE_INTERVAL_MS / MS_PER_S)
+        while self._has_change():
+            left_ms = until_ms - self._clock.now_ms()
+            if left_ms <= 0:
+                break
+            await asyncio.sleep(min(left_ms, DECIDE_INTERVAL_MS) / MS_PER_S)
 
     def _has_change(self) -> bool:
         if self._lease.token is None:
@@ -278,6 +284,7 @@
             return
         cost = ChangeCost(
             load_ms=model.load_ms,
+            fixed_ms=CHANGE_FIXED_MS,
             slowdown=COPY_SLOWDOWN,
             expert_share=model.expert_share,
             horizon_ms=POPULARITY_HORIZON_MS,
