Run a suspect only on an endpoint that is idle

Cause: an innocent suspect ran isolated beside an earlier request that killed the endpoint, so that its caller got an unknown outcome. Ruled out: the entry's choice of endpoint, which cannot know the requests of other entries. Change: the agent refuses an isolated attempt while anything else runs.

--- a/packages/agent/src/bluebellusher_agent/_runs.py
+++ b/packages/agent/src/bluebellusher_agent/_runs.py
@@ -139,7 +139,8 @@
         running = self.running()
         if any(run.is_isolated for run in running):
             return _refuse(Reason.ENDPOINT_ISOLATING, ISOLATION_RETRY_MS)
-        if dispatch.is_isolated and not all(run.has_output for run in running):
+        # An earlier request beside the suspect could be what kills the endpoint.
+        if dispatch.is_isolated and running:
             return _refuse(Reason.ENDPOINT_ISOLATING, ISOLATION_RETRY_MS)
         n_remembered = len(self._expiry_ms_by_attempt)
         has_room = len(running) < self._max_runs
--- a/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
+++ b/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
@@ -231,6 +231,10 @@
         refusal = await entry.next(messages.Refuse, "a2")
         assert refusal.reason == "endpoint_isolating"
         await entry.next(messages.Started, "a1")
+        entry.dispatch("a6", make_body("CRASH"), is_isolated=True, fingerprint="f6")
+        refusal = await entry.next(messages.Refuse, "a6")
+        assert refusal.reason == "endpoint_isolating", "a1 still runs"
+        await entry.finish("a1")
         engine.set_faults(is_stalled=True)
         entry.dispatch("a3", make_body("CRASH"), is_isolated=True, fingerprint="f3")
         entry.dispatch("a4", make_body("innocent"))
--- a/packages/core/src/bluebellusher_core/reducer/tests/_model.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/_model.py
@@ -59,7 +59,7 @@
             return Reason.ENDPOINT_DRAINING
         if any(run.is_isolated for run in runs):
             return Reason.ENDPOINT_ISOLATING
-        if effect.is_isolated and any(run.n_sent == 0 for run in runs):
+        if effect.is_isolated and runs:
             return Reason.ENDPOINT_ISOLATING
         return None
 
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_machine_poison.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_machine_poison.py
@@ -188,5 +188,15 @@
             assert is_whole or request_id in self.world.had_bytes, "innocent refused"
 
 
+def test_innocent_suspect_does_not_share_an_endpoint_with_poison():
+    """Guards against an innocent that is refused because of a request beside it."""
+    machine = PoisonMachine()
+    machine.start(hedge_after_ms=0)
+    machine.ask_for_trouble("e1", "q.")
+    for n, seed in ((64, 4610060), (100, 235115), (20, 1)):
+        machine.churn(seed=seed, n=n)
+    machine.teardown()
+
+
 TestPoisonMachine = PoisonMachine.TestCase
 TestPoisonMachine.settings = settings(max_examples=400, stateful_step_count=25)
