--- /dev/null
+++ b/packages/core/src/bluebellusher_core/ranks/tests/_engines.py
@@ -0,0 +1,112 @@
+"""Engines of one group, agents and a network that delays, as a model for tests."""
+
+from dataclasses import dataclass
+
+from bluebellusher_core.ranks import OrderAction, RankOrder, RankState
+
+
+@dataclass
+class Engine:
+    """One rank; the rules are those that engines state for their orders."""
+
+    rank: int
+    n_ranks: int
+    epoch: int = 1
+    map_version: int = 0
+    map_content: object = ""
+    prepared: tuple = (0, "")
+    highest_version: int = 0
+    armed: tuple | None = None
+    held_step: int | None = None
+
+    def execute(self, order: RankOrder, step: int) -> None:
+        """Carry out an order that still fits, and ignore one that does not."""
+        if order.epoch != self.epoch:
+            return
+        match order.action:
+            case OrderAction.PREPARE:
+                if order.map_version > self.highest_version and not self.armed:
+                    self.highest_version = order.map_version
+                    self.prepared = (order.map_version, order.experts_by_rank)
+            case OrderAction.HOLD:
+                if order.step > step and self.held_step is None:
+                    self.held_step = order.step
+            case OrderAction.ARM:
+                if order.step > step and self.prepared[0] == order.map_version:
+                    self.armed = (order.map_version, order.step, self.prepared[1])
+            case OrderAction.GO:
+                if self.held_step == order.step:
+                    self.held_step = None
+
+
+class Group:
+    """All ranks of a group, and the agents beside them.
+
+    Orders pass an agent, which refuses tokens lower than the highest one it has seen,
+    and then an engine, which may carry them out much later and in another order.
+    """
+
+    def __init__(self, n_ranks: int) -> None:
+        self.engines = [Engine(rank, n_ranks) for rank in range(n_ranks)]
+        self.token_by_rank = [0] * n_ranks
+        self.step = 0
+        self.under_way: list[tuple[int, RankOrder]] = []
+        self.accepted: list[tuple[int, RankOrder]] = []
+        self.n_switches = 0
+
+    def send(self, token: int, orders: list[RankOrder]) -> None:
+        """Put orders on their way to the agents."""
+        self.under_way += [(token, order) for order in orders]
+
+    def deliver(self, at: int) -> None:
+        """Let one order reach its agent."""
+        token, order = self.under_way.pop(at % len(self.under_way))
+        rank = int(order.rank_id)
+        if token < self.token_by_rank[rank]:
+            return
+        self.token_by_rank[rank] = token
+        self.accepted.append((rank, order))
+
+    def execute(self, at: int) -> None:
+        """Let an engine carry out one accepted order."""
+        rank, order = self.accepted.pop(at % len(self.accepted))
+        self.engines[rank].execute(order, self.step)
+
+    def begin_pass(self) -> None:
+        """Begin the next pass unless a rank holds it; all maps must be equal."""
+        step = self.step + 1
+        if any(engine.held_step == step for engine in self.engines):
+            return
+        self.step = step
+        for engine in self.engines:
+            if engine.armed is not None and engine.armed[1] == step:
+                engine.map_version, _, engine.map_content = engine.armed
+                engine.armed = None
+                self.n_switches += engine.rank == 0
+        maps = {(e.map_version, repr(e.map_content)) for e in self.engines}
+        assert len(maps) == 1, f"pass {step} begins with maps {maps}"
+
+    def form_anew(self) -> None:
+        """Form the group anew after the crash of a rank."""
+        n_ranks, epoch = len(self.engines), self.engines[0].epoch + 1
+        self.engines = [Engine(rank, n_ranks, epoch) for rank in range(n_ranks)]
+
+    def read(self, rank: int) -> RankState:
+        """Return what the agent of a rank reports now."""
+        engine = self.engines[rank]
+        armed = engine.armed or (0, 0, "")
+        return RankState(
+            rank_id=str(rank),
+            group_id="g",
+            epoch=engine.epoch,
+            rank=rank,
+            n_ranks=len(self.engines),
+            is_open=True,
+            step=self.step,
+            map_version=engine.map_version,
+            prepared_version=engine.prepared[0],
+            armed_version=armed[0],
+            armed_step=armed[1],
+            held_step=engine.held_step,
+            fencing_token=self.token_by_rank[rank],
+        )
--- /dev/null
+++ b/packages/core/src/bluebellusher_core/ranks/tests/test_change_machine.py
@@ -0,0 +1,240 @@
+"""Changes of expert maps under late orders, lost leaders and crashed ranks."""
+
+from dataclasses import replace
+from random import Random
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
+
+from bluebellusher_core.ranks import GroupView, MapChange
+from bluebellusher_core.ranks.tests._engines import Group
+
+N_RANKS = 3
+RANKS = st.integers(0, N_RANKS - 1)
+PLACES = st.integers(0, 100)
+MAX_AGE_MS = 1_000
+WEIGHT_BY_ACTION = {
+    "report": 6,
+    "report_all": 3,
+    "decide": 6,
+    "want": 4,
+    "deliver": 12,
+    "lose": 1,
+    "execute": 10,
+    "pass": 2,
+    "replace": 0.2,
+}
+ACTIONS = tuple(WEIGHT_BY_ACTION)
+
+
+class _Leader:
+    """A leader and what it knows; it may go on after a newer one has begun."""
+
+    def __init__(self, token):
+        self.token = token
+        self.change = MapChange(token)
+        self.state_by_rank = {}
+        self.n_maps = 0
+
+
+class ChangeMachine(RuleBasedStateMachine):
+    """Guards against a pass that begins with two maps.
+
+    Every step of the protocol can be interleaved with every other: orders reach
+    agents late, engines carry them out late and out of order, leaders stop and new
+    ones begin while the old ones go on, and the group is formed anew.
+    """
+
+    @initialize()
+    def start(self):
+        """Start a group with its first leader."""
+        self.group = Group(N_RANKS)
+        self.leaders = [_Leader(1)]
+
+    @rule(at=PLACES, rank=RANKS)
+    def report(self, at, rank):
+        """Tell a leader the present state of one rank."""
+        leader = self.leaders[at % len(self.leaders)]
+        leader.state_by_rank[rank] = self.group.read(rank)
+
+    @rule(at=PLACES)
+    def report_all(self, at):
+        """Tell a leader the present state of every rank."""
+        for rank in range(N_RANKS):
+            self.report(at, rank)
+
+    @rule(at=PLACES)
+    def decide(self, at):
+        """Let a leader give the orders that are due."""
+        leader = self.leaders[at % len(self.leaders)]
+        view = GroupView.from_states(leader.state_by_rank.values(), 0, MAX_AGE_MS)
+        if view is not None:
+            self.group.send(leader.token, leader.change.decide(view))
+
+    @rule(at=PLACES)
+    def want(self, at):
+        """Let an idle leader want a new map."""
+        leader = self.leaders[at % len(self.leaders)]
+        view = GroupView.from_states(leader.state_by_rank.values(), 0, MAX_AGE_MS)
+        if view is None or not leader.change.is_idle:
+            return
+        leader.n_maps += 1
+        version = leader.token * 1_000 + leader.n_maps
+        leader.change.want(version, (((version,),),), view.epoch)
+
+    @rule(at=PLACES)
+    def give_up(self, at):
+        """Let a leader give up a map that takes too long to prepare."""
+        leader = self.leaders[at % len(self.leaders)]
+        view = GroupView.from_states(leader.state_by_rank.values(), 0, MAX_AGE_MS)
+        if view is not None and not view.armed and not view.held:
+            leader.change.give_up()
+
+    @precondition(lambda self: self.group.under_way)
+    @rule(at=PLACES)
+    def deliver(self, at):
+        """Let an order reach its agent."""
+        self.group.deliver(at)
+
+    @precondition(lambda self: self.group.under_way)
+    @rule(at=PLACES)
+    def lose(self, at):
+        """Lose an order on its way."""
+        del self.group.under_way[at % len(self.group.under_way)]
+
+    @precondition(lambda self: self.group.accepted)
+    @rule(at=PLACES)
+    def execute(self, at):
+        """Let an engine carry out an order."""
+        self.group.execute(at)
+
+    @precondition(lambda self: self.group.accepted)
+    @rule()
+    def execute_all(self):
+        """Let the engines carry out all orders."""
+        while self.group.accepted:
+            self.group.execute(0)
+
+    @rule(n=st.integers(1, 3))
+    def begin_passes(self, n):
+        """Let the group go on."""
+        for _ in range(n):
+            self.group.begin_pass()
+
+    @rule(seed=st.integers(0, 2**32), n=st.integers(20, 200))
+    def churn(self, seed, n):
+        """Do many small steps in an arbitrary order."""
+        chance = Random(seed)
+        for name in chance.choices(ACTIONS, WEIGHT_BY_ACTION.values(), k=n):
+            at = chance.randrange(1_000)
+            match name:
+                case "report":
+                    self.report(at, at % N_RANKS)
+                case "report_all":
+                    self.report_all(at)
+                case "decide":
+                    self.decide(at)
+                case "want":
+                    self.want(at)
+                case "deliver" if self.group.under_way:
+                    self.group.deliver(at)
+                case "lose" if self.group.under_way:
+                    self.lose(at)
+                case "execute" if self.group.accepted:
+                    self.group.execute(at)
+                case "pass":
+                    self.group.begin_pass()
+                case "replace" if len(self.leaders) < 4:
+                    self.replace_leader()
+
+    @rule(n=st.integers(1, 6), at=PLACES)
+    def work(self, n, at):
+        """Let everything go on in order for a while."""
+        for _ in range(n):
+            self.report_all(at)
+            self.decide(at)
+            while self.group.under_way:
+                self.group.deliver(0)
+            self.execute_all()
+            self.group.begin_pass()
+
+    @precondition(lambda self: len(self.leaders) < 4)
+    @rule()
+    def replace_leader(self):
+        """Begin a new leader; the old one does not know yet."""
+        self.leaders.append(_Leader(self.leaders[-1].token + 1))
+
+    @rule()
+    def form_anew(self):
+        """Form the group anew."""
+        self.group.form_anew()
+
+    def teardown(self):
+        """Guards against a group that waits at a held step for ever."""
+        if not hasattr(self, "group"):
+            return
+        leader = len(self.leaders) - 1
+        self.work(20, leader)
+        step = self.group.step
+        self.work(3, leader)
+        assert self.group.step == step + 3, "the group is held"
+
+
+TestChangeMachine = ChangeMachine.TestCase
+TestChangeMachine.settings = settings(max_examples=300, stateful_step_count=15)
+
+
+def run_in_order(group, leader, n):
+    """Let one leader and the group go on without faults."""
+    machine = ChangeMachine()
+    machine.group, machine.leaders = group, [leader]
+    machine.work(n, 0)
+
+
+def test_change_arrives_without_faults():
+    """Guards against a protocol that is safe because it never changes anything."""
+    group, leader = Group(N_RANKS), _Leader(1)
+    run_in_order(group, leader, 3)
+    leader.change.want(1_001, (((1,),),), epoch=1)
+    run_in_order(group, leader, 8)
+    assert [engine.map_version for engine in group.engines] == [1_001] * N_RANKS
+    assert leader.change.is_idle
+    assert group.n_switches == 1
+
+
+def test_new_leader_completes_a_change_that_was_armed():
+    """Guards against a step that stays held when its leader dies."""
+    group, first = Group(N_RANKS), _Leader(1)
+    run_in_order(group, first, 2)
+    first.change.want(1_001, (((1,),),), epoch=1)
+    for _ in range(20):
+        machine = ChangeMachine()
+        machine.group, machine.leaders = group, [first]
+        machine.report_all(0)
+        machine.decide(0)
+        while group.under_way:
+            group.deliver(0)
+        while group.accepted:
+            group.execute(0)
+        if group.engines[0].armed:
+            break
+    assert group.engines[0].armed
+    # One rank has not heard of it.
+    group.engines[2].armed = None
+    run_in_order(group, _Leader(2), 8)
+    assert [engine.map_version for engine in group.engines] == [1_001] * N_RANKS
+
+
+def test_states_of_another_epoch_give_no_view():
+    """Guards against orders that mix two incarnations of a group."""
+    group = Group(N_RANKS)
+    states = [group.read(rank) for rank in range(N_RANKS)]
+    states[1] = replace(states[1], epoch=2)
+    assert GroupView.from_states(states, 0, MAX_AGE_MS) is None
+
+
+def test_old_states_give_no_view():
+    """Guards against orders by what was true long ago."""
+    states = [Group(N_RANKS).read(rank) for rank in range(N_RANKS)]
+    assert GroupView.from_states(states, MAX_AGE_MS + 1, MAX_AGE_MS) is None
