Close idle connections at shutdown, not only their tasks

Ruled out: pipelined requests and new connections; the stop lasted its whole grace with no request in progress. Change: idle sockets are closed; answers are written while their connection counts as busy. The test fails with the earlier code.

--- a/packages/entry/src/bluebellusher/gateway/_server.py
+++ b/packages/entry/src/bluebellusher/gateway/_server.py
@@ -59,6 +59,7 @@
             max_field_size=MAX_HEADER_BYTES,
         )
         self._listener: asyncio.Server | None = None
+        self._busy: set[Any] = set()
 
     @property
     def n_connections(self) -> int:
@@ -78,20 +79,33 @@
             self._listener.close()
 
     def close_idle(self) -> None:
-        """Close connections on which no request is in progress."""
+        """Close connections on which no request is in progress.
+
+        ``RequestHandler.close`` would end the task of an idle connection and leave
+        its socket open, on which later requests are never read.
+        """
         for connection in list(self._server.connections):
-            connection.close()
+            if connection not in self._busy:
+                connection.force_close()
 
     async def close(self) -> None:
         """Close every connection."""
         await self._server.shutdown(timeout=0.1)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        response = await self._serve(request)
-        if self._runtime.is_shutting_down:
-            # Also after a stream that began before: its connection takes no more.
-            response.force_close()
-        return response
+        self._busy.add(request.protocol)
+        try:
+            response = await self._serve(request)
+            if self._runtime.is_shutting_down:
+                # Also after a stream that began before: its connection takes no more.
+                response.force_close()
+            if request.transport is not None and not request.transport.is_closing():
+                # Here and not by the caller, so that the connection counts as busy.
+                await response.prepare(request)
+                await response.write_eof()
+            return response
+        finally:
+            self._busy.discard(request.protocol)
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         request_id = self._make_request_id()
--- /dev/null
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_gateway.py
@@ -0,0 +1,312 @@
+"""Requests through a gateway to endpoints that fail in every way."""
+
+import asyncio
+
+import aiohttp
+import pytest
+from aiohttp import web
+
+from bluebellusher.gateway.tests.harness import (
+    HOST,
+    answer_whole,
+    make_customer,
+    make_route,
+    run,
+)
+from bluebellusher_core.directory import RequestKind
+
+NON_IDEMPOTENT = [make_route(RequestKind.NON_IDEMPOTENT)]
+STREAMING = [make_route(RequestKind.STREAMING, is_resumable=True)]
+POST = {"method": "POST", "data": b"order"}
+
+
+def make_headers(request):
+    """Return the headers of a sealed answer."""
+    return {"Seal": "s", "Attempt": request.headers["Attempt"]}
+
+
+async def refuse_not_run(request, body):
+    """Refuse, and state that nothing ran."""
+    return web.Response(status=503, headers={"Not-Run": "1"})
+
+
+async def fail(request, body):
+    """Fail after having run."""
+    return web.Response(status=500, headers=make_headers(request), body=b"oops")
+
+
+async def cut(request, body):
+    """Break off within the body."""
+    response = web.StreamResponse(headers=make_headers(request))
+    response.content_length = 100
+    await response.prepare(request)
+    await response.write(b"half")
+    request.transport.abort()
+    return response
+
+
+async def answer_unsealed(request, body):
+    """Answer without a seal."""
+    return web.Response(body=b"forged")
+
+
+async def answer_another(request, body):
+    """Answer another request."""
+    return web.Response(body=b"other", headers={"Seal": "s", "Attempt": "zzz"})
+
+
+async def hang(request, body):
+    """Never answer."""
+    await asyncio.sleep(30)
+
+
+async def misdirect(request, body):
+    """Be another endpoint than the one that is expected."""
+    return web.Response(status=421)
+
+
+def test_answer_is_passed_on_unchanged():
+    """Guards against changed bodies, lost seals and headers that leak."""
+
+    async def scenario(harness):
+        status, headers, body = await harness.fetch(
+            path="/a/x%2Fy?q=%41", headers={"Key": "k1"}
+        )
+        assert (status, body, headers["Seal"]) == (200, b"whole", "s")
+        request, _ = harness.endpoints[0].received[0]
+        assert request.raw_path == "/a/x%2Fy?q=%41"
+        assert request.headers["Customer"] == "tenant"
+        assert request.headers["Host"] == "h.example"
+        assert "Key" not in request.headers
+        assert int(request.headers["Remaining"]) <= 2_000
+
+    run(scenario, [answer_whole], customers=[make_customer("k1")])
+
+
+@pytest.mark.parametrize(
+    ("options", "status"),
+    [
+        ({"path": "/b/"}, 404),
+        ({"headers": {"Host": "other.example"}}, 404),
+        ({"headers": {"Key": "unknown"}}, 401),
+        ({"headers": {"Key": "k1", "Remaining": "soon"}}, 400),
+        ({"headers": {"Key": "k1"}, "data": b"x" * 5_000_000}, 413),
+    ],
+)
+def test_improper_request_reaches_no_endpoint(options, status):
+    """Guards against requests that the configuration does not allow."""
+
+    async def scenario(harness):
+        assert (await harness.fetch(**options))[0] == status
+        assert not harness.endpoints[0].received
+
+    run(scenario, [answer_whole], customers=[make_customer("k1")])
+
+
+def test_entry_without_configuration_promises_that_nothing_ran():
+    """Guards against 401 or 404 from an entry that does not know better."""
+
+    async def scenario(harness):
+        harness.directory.routing = None
+        status, headers, _ = await harness.fetch()
+        assert status == 503
+        assert float(headers["Retry-After"]) > 0
+
+    run(scenario, [answer_whole])
+
+
+@pytest.mark.parametrize("bad", [refuse_not_run, fail, cut, answer_unsealed])
+def test_idempotent_request_is_repeated_elsewhere(bad):
+    """Guards against a failure that another endpoint could have prevented."""
+
+    async def scenario(harness):
+        for _ in range(4):
+            status, _, body = await harness.fetch()
+            assert (status, body) == (200, b"whole")
+
+    run(scenario, [bad, answer_whole])
+
+
+@pytest.mark.parametrize("bad", [cut, answer_unsealed, answer_another])
+def test_non_idempotent_request_that_may_have_run_is_not_repeated(bad):
+    """Guards against a second run, and against the promise that none was made."""
+
+    async def scenario(harness):
+        status, headers, _ = await harness.fetch(**POST)
+        assert status == 502
+        assert "Retry-After" not in headers
+        assert sum(len(e.received) for e in harness.endpoints) == 1
+
+    run(scenario, [bad, bad], routes=NON_IDEMPOTENT)
+
+
+def test_failure_of_an_endpoint_keeps_its_status_and_seal():
+    """Guards against a failure that is replaced though it cannot be repeated."""
+
+    async def scenario(harness):
+        status, headers, body = await harness.fetch(**POST)
+        assert (status, headers["Seal"], body) == (500, "s", b"oops")
+
+    run(scenario, [fail], routes=NON_IDEMPOTENT)
+
+
+@pytest.mark.parametrize("bad", [refuse_not_run, misdirect])
+def test_refused_request_runs_elsewhere_or_is_refused_as_not_run(bad):
+    """Guards against giving up, or an unknown outcome, after a sure refusal."""
+
+    async def scenario(harness):
+        status, _, body = await harness.fetch(**POST)
+        assert (status, body) == (200, b"whole")
+
+    run(scenario, [bad, answer_whole], routes=NON_IDEMPOTENT)
+
+    async def without_other(harness):
+        status, headers, _ = await harness.fetch(**POST)
+        assert status == 503
+        assert float(headers["Retry-After"]) > 0
+
+    run(without_other, [bad], routes=NON_IDEMPOTENT)
+
+
+def test_endpoint_that_cannot_be_reached_has_not_run_the_request():
+    """Guards against an unknown outcome where no connection was made."""
+
+    async def scenario(harness):
+        harness.endpoints[0].close()
+        await asyncio.sleep(0.05)
+        status, headers, _ = await harness.fetch(headers={"Remaining": "700"}, **POST)
+        assert status == 503
+        assert "Retry-After" in headers
+
+    run(scenario, [answer_whole], routes=NON_IDEMPOTENT)
+
+
+def test_request_past_the_time_of_its_route_gets_an_answer():
+    """Guards against callers that are held longer than the operator allows."""
+
+    async def scenario(harness):
+        status, _, _ = await harness.fetch(**POST)
+        assert status == 504
+        await asyncio.wait_for(harness.endpoints[0].cancelled.wait(), 2)
+
+    routes = [make_route(RequestKind.NON_IDEMPOTENT, timeout_ms=300)]
+    run(scenario, [hang], routes=routes)
+
+
+def test_work_stops_when_the_caller_leaves():
+    """Guards against endpoints that work for nobody."""
+
+    async def scenario(harness):
+        task = asyncio.create_task(harness.fetch())
+        await harness.endpoints[0].has_received.wait()
+        task.cancel()
+        await asyncio.wait_for(harness.endpoints[0].cancelled.wait(), 2)
+
+    run(scenario, [hang])
+
+
+def make_stream(last, n_sent=None, is_torn=False):
+    """Return an endpoint that streams events up to ``last``, or breaks before."""
+
+    async def answer(request, body):
+        headers = {**make_headers(request), "Content-Type": "text/event-stream"}
+        response = web.StreamResponse(headers=headers)
+        response.enable_chunked_encoding()
+        await response.prepare(request)
+        first = int(request.headers.get("Last-Event-Id") or 0) + 1
+        for number in range(first, last + 1):
+            if n_sent is not None and number - first >= n_sent:
+                if is_torn:
+                    await response.write(f"id: {number}\nda".encode())
+                await asyncio.sleep(0.02)
+                request.transport.abort()
+                return response
+            await response.write(f"id: {number}\ndata: piece\n\n".encode())
+            await asyncio.sleep(0.005)
+        return response
+
+    return answer
+
+
+def read_ids(body):
+    """Return the ids of the events in a body."""
+    lines = body.decode().splitlines()
+    return [int(line[3:]) for line in lines if line.startswith("id:")]
+
+
+@pytest.mark.parametrize("is_torn", [False, True])
+def test_broken_stream_goes_on_elsewhere_without_a_gap(is_torn):
+    """Guards against events that are missing, torn or sent twice."""
+
+    async def scenario(harness):
+        for _ in range(3):
+            _, _, body = await harness.fetch(**POST)
+            assert read_ids(body) == list(range(1, 7))
+            assert body.count(b"data: piece\n\n") == 6
+
+    answers = [make_stream(6, n_sent=2, is_torn=is_torn), make_stream(6)]
+    run(scenario, answers, routes=STREAMING)
+
+
+def test_caller_resumes_after_its_last_event():
+    """Guards against a resumed stream that starts again."""
+
+    async def scenario(harness):
+        _, _, body = await harness.fetch(headers={"Last-Event-Id": "4"}, **POST)
+        assert read_ids(body) == [5, 6]
+
+    run(scenario, [make_stream(6)], routes=STREAMING)
+
+
+def test_stream_that_cannot_go_on_does_not_look_complete():
+    """Guards against callers that take a part for the whole."""
+
+    async def scenario(harness):
+        with pytest.raises(aiohttp.ClientError):
+            await harness.fetch(**POST)
+
+    run(scenario, [make_stream(6, n_sent=2)], routes=STREAMING)
+
+
+def test_idle_connections_are_closed_and_busy_ones_finish_at_shutdown():
+    """Guards against requests on old connections that nobody reads any more.
+
+    A connection that stayed open without a reader after SIGTERM lost the next
+    request that its caller sent.
+    """
+
+    async def answer_slowly(request, body):
+        await asyncio.sleep(0.2)
+        return await answer_whole(request, body)
+
+    async def scenario(harness):
+        idle = await asyncio.open_connection(HOST, harness.port)
+        idle[1].write(b"GET /a/x HTTP/1.1\r\nHost: h.example\r\nAttempt: t\r\n\r\n")
+        await idle[0].readuntil(b"whole")
+        busy = asyncio.create_task(harness.fetch())
+        await asyncio.sleep(0.05)
+        harness.runtime.is_shutting_down = True
+        harness.server.stop_accepting()
+        harness.server.close_idle()
+        assert await asyncio.wait_for(idle[0].read(), 2) == b""
+        status, headers, body = await busy
+        assert (status, body) == (200, b"whole")
+        assert headers["Connection"] == "close"
+        await asyncio.sleep(0.05)
+        assert harness.server.n_connections == 0
+        idle[1].close()
+
+    run(scenario, [answer_slowly])
+
+
+def test_log_tells_the_story_of_a_request():
+    """Guards against failures that nobody can explain afterwards."""
+
+    async def scenario(harness):
+        await harness.fetch()
+        await asyncio.sleep(0.05)
+        for event in ("request-arrived", "attempt-sent", "request-ended"):
+            assert harness.recorder.count(event) >= 1, event
+        assert harness.recorder.count("attempt-refused") >= 0
+
+    run(scenario, [answer_whole])
