--- a/packages/core/src/bluebellusher_core/admission/_objective_queue.py
+++ b/packages/core/src/bluebellusher_core/admission/_objective_queue.py
@@ -60,11 +60,14 @@
         self._heap: list[_Waiting] = []
         self._interval_ms = 0.0
         self._spread = 0.0
+        self._is_closed = False
 
     def offer(self, request: RequestSpec, now_ms: int) -> Refusal | None:
         """Add the request, or refuse it when it would be served too late."""
         if request.deadline_ms <= now_ms:
             return self._refuse(request, Reason.DEADLINE_EXCEEDED, now_ms)
+        if self._is_closed and not request.is_returning:
+            return self._refuse(request, Reason.ENDPOINTS_CLOSED, now_ms)
         waiting = self._make_waiting(request, now_ms)
         wait_ms = self._predict_wait_ms(waiting)
         if self._waiting_by_id and now_ms + wait_ms > self._give_up_ms(waiting):
@@ -119,6 +122,16 @@
         """Tell how many own requests run at once and how long one takes."""
         self._interval_ms = service_ms / max(1, n_slots)
 
+    def observe_closed(self, is_closed: bool) -> None:
+        """Tell whether every endpoint states that it can run nothing now.
+
+        Load pattern: a group of ranks stops for seconds when it loses a rank. Its end
+        is not known, so that a fresh request is refused at once, with a pause after
+        which its caller can still be served. One that came back waits as long as its
+        caller does, because another refusal would be its last.
+        """
+        self._is_closed = is_closed
+
     def __len__(self) -> int:
         """Return how many requests wait."""
         return len(self._waiting_by_id)
--- /dev/null
+++ b/packages/core/src/bluebellusher_core/admission/tests/test_objective_queue.py
@@ -0,0 +1,116 @@
+"""The queue by loss of worth, in the overloads that it is meant for."""
+
+from itertools import pairwise
+
+import pytest
+
+from bluebellusher_core.admission import FairQueue, FifoQueue, ObjectiveQueue
+from bluebellusher_core.admission.tests.overload import (
+    OBJECTIVE_MS,
+    make_request,
+    replay,
+    with_deadline,
+)
+from bluebellusher_core.errors import Outcome, Reason
+
+
+def burst(factor, start_ms=2_000, end_ms=5_000, usual=0.65):
+    """Return a load with one burst."""
+    return lambda at_ms: factor if start_ms <= at_ms < end_ms else usual
+
+
+@pytest.mark.parametrize("factor", [1.7, 2.0, 3.0])
+def test_burst_makes_few_requests_late(factor):
+    """Guards against a burst after which every request is late.
+
+    First come, first served is the baseline that a direct proxy amounts to.
+    """
+    load = burst(factor)
+    results = {
+        make.__name__: replay(make(), load)
+        for make in (FifoQueue, FairQueue, ObjectiveQueue)
+    }
+    chosen = results["ObjectiveQueue"]
+    assert chosen.worth > results["FifoQueue"].worth
+    assert chosen.worth > results["FairQueue"].worth
+    assert chosen.n_on_time > results["FifoQueue"].n_on_time
+
+
+def test_quiet_load_is_never_refused():
+    """Guards against refusals while places are free and nothing waits."""
+    result = replay(ObjectiveQueue(), lambda _: 0.6)
+    assert result.n_refused == result.n_refused_while_free == 0
+    assert result.n_on_time > 0.98 * result.n_asked
+
+
+@pytest.mark.parametrize("load", [0.65, 1.2, 2.0])
+def test_nobody_is_refused_while_places_are_free(load):
+    """Guards against refusals by a prediction that is too high."""
+    assert replay(ObjectiveQueue(), lambda _: load).n_refused_while_free == 0
+
+
+def test_closed_service_is_survived_by_those_who_can_come_back():
+    """Guards against a second refusal while a group of ranks is formed anew."""
+    closed_ms = (3_000, 7_500)
+    fifo = replay(FifoQueue(), lambda _: 0.5, closed_ms=closed_ms)
+    chosen = replay(ObjectiveQueue(), lambda _: 0.5, closed_ms=closed_ms)
+    n_lost = chosen.n_refused + chosen.n_left
+    assert n_lost < 0.8 * (fifo.n_refused + fifo.n_left)
+    assert chosen.worth > fifo.worth
+
+
+def test_request_that_came_back_goes_before_it_is_lost():
+    """Guards against a second refusal, which costs its caller the answer."""
+    queue = ObjectiveQueue()
+    returning = make_request("old", now_ms=3_000, first_ms=0, n_refusals=1)
+    assert queue.offer(returning, 3_000) is None
+    fresh = make_request("new", now_ms=3_100, first_ms=3_100, n_refusals=0)
+    assert queue.offer(fresh, 3_100) is None
+    assert queue.take(3_110).request_id == "new"
+    fresh = make_request("newer", now_ms=4_700, first_ms=4_700, n_refusals=0)
+    assert queue.offer(fresh, 4_700) is None
+    assert queue.take(4_710).request_id == "old"
+
+
+def test_missed_objective_lets_fresh_requests_go_first():
+    """Guards against late requests that make those behind them late as well."""
+    queue = ObjectiveQueue()
+    queue.offer(make_request("a", 0, 0, 0), 0)
+    queue.offer(make_request("b", 300, 300, 0), 300)
+    assert queue.take(OBJECTIVE_MS + 10).request_id == "b"
+    assert queue.take(OBJECTIVE_MS + 10).request_id == "a"
+
+
+def test_refusal_says_not_run_and_spreads_the_returns():
+    """Guards against callers that all come back at the same moment."""
+    queue = ObjectiveQueue()
+    queue.observe_closed(True)
+    refusals = [queue.offer(make_request(f"r{i}", 0, 0, 0), 0) for i in range(20)]
+    assert {r.outcome for r in refusals} == {Outcome.NOT_RUN}
+    assert {r.reason for r in refusals} == {Reason.ENDPOINTS_CLOSED}
+    pauses_ms = sorted(r.retry_after_ms for r in refusals)
+    assert pauses_ms[-1] <= 8_000 / 3
+    assert pauses_ms[0] >= 8_000 / 3 * 0.4
+    assert all(b - a < 300 for a, b in pairwise(pauses_ms))
+
+
+def test_expired_request_is_returned_once():
+    """Guards against callers that wait for an answer that nobody gives."""
+    queue = ObjectiveQueue()
+    request = with_deadline(make_request("a", 0, 0, 0), 1_000)
+    assert queue.offer(request, 0) is None
+    assert queue.expire(500) == []
+    assert [r.request_id for r, _ in queue.expire(900)] == ["a"]
+    assert len(queue) == 0
+    assert queue.take(900) is None
+
+
+def test_put_back_request_goes_first_and_removed_one_does_not_go():
+    """Guards against a retry that waits behind new requests."""
+    queue = ObjectiveQueue()
+    queue.offer(make_request("a", 0, 0, 0), 0)
+    queue.put_back(make_request("b", 0, 0, 0), 0)
+    queue.put_back(make_request("c", 0, 0, 0), 0)
+    assert queue.remove("b")
+    assert queue.take(1).request_id == "c"
+    assert queue.take(1).request_id == "a"
--- a/packages/core/src/bluebellusher_core/errors/_errors.py
+++ b/packages/core/src/bluebellusher_core/errors/_errors.py
@@ -31,6 +31,7 @@
     CONNECTION_LOST = "connection_lost"
     CONNECT_FAILED = "connect_failed"
     ENDPOINT_FULL = "endpoint_full"
+    ENDPOINTS_CLOSED = "endpoints_closed"
     NOT_READY = "not_ready"
     ENGINE_ERROR = "engine_error"
     STREAM_CORRUPT = "stream_corrupt"
--- a/packages/core/src/bluebellusher_core/membership/_endpoints.py
+++ b/packages/core/src/bluebellusher_core/membership/_endpoints.py
@@ -108,6 +108,11 @@
             and deferred.get(view.info.endpoint_id, 0) <= now_ms
         ]
 
+    def are_closed(self, pool: Pool, now_ms: int) -> bool:
+        """Return whether every endpoint of a pool states that it can run nothing."""
+        views = self.views_of(pool)
+        return bool(views) and all(_is_closed(view, now_ms) for view in views)
+
     def drain(self, endpoint_id: str) -> None:
         """Give the endpoint no new work from now on."""
         view = self.view_by_id.get(endpoint_id)
@@ -146,6 +151,13 @@
         self._n_refusals.pop(endpoint_id, None)
 
 
+def _is_closed(view: EndpointView, now_ms: int) -> bool:
+    report = view.report
+    if report is None or now_ms - view.reported_at_ms > REPORT_MAX_AGE_MS:
+        return False
+    return not report.is_open
+
+
 def _has_room(view: EndpointView, queue_factor: float, now_ms: int) -> bool:
     """Return whether another attempt fits, by own attempts and the last report."""
     if view.is_isolating or view.n_own_in_flight >= view.info.n_slots:
--- a/packages/core/src/bluebellusher_core/requests/_placing.py
+++ b/packages/core/src/bluebellusher_core/requests/_placing.py
@@ -28,6 +28,14 @@
         """Replace the customers' weights."""
 
 
+@runtime_checkable
+class ClosableQueue(Protocol):
+    """A queue that refuses otherwise while no endpoint can run anything."""
+
+    def observe_closed(self, is_closed: bool) -> None:
+        """Tell whether every endpoint states that it can run nothing now."""
+
+
 def enqueue(state: EntryState, request: Request, now_ms: int) -> list[Effect]:
     """Offer a request to the queue of its pool; suspects wait apart."""
     request.phase = Phase.WAITING
@@ -42,6 +50,8 @@
     pool = pool_of(spec)
     queue = _queue_of(state, pool)
     _tell_rate(state, pool, queue, now_ms)
+    if isinstance(queue, ClosableQueue):
+        queue.observe_closed(state.endpoints.are_closed(pool, now_ms))
     refusal = queue.offer(spec, now_ms)
     if refusal is None:
         state.waiting_pools.add(pool)
--- a/packages/entry/src/bluebellusher/ranks/_leader.py
+++ b/packages/entry/src/bluebellusher/ranks/_leader.py
@@ -38,16 +38,20 @@
 CHANGE_FIXED_MS = 300.0
 # A rank that has not reported for this long is not known well enough to act on.
 STATE_MAX_AGE_MS = 1_500
-# An order whose effect is not seen is given again after this time.
+# An order that was accepted and whose effect is not seen is given again after this
+# time; a copy takes seconds.
 REPEAT_ORDER_MS = 400
-# Copies take seconds; the order to prepare is only repeated when it was lost.
-REPEAT_PREPARE_MS = 1_500
+REPEAT_PREPARE_MS = 6_000
+# One that was refused or got no answer is given again after this time.
+RETRY_ORDER_MS = 50
 # A map that is not prepared everywhere by then is given up.
 PREPARE_TIMEOUT_MS = 15_000
 # Passes take this much longer while experts are copied.
 COPY_SLOWDOWN = 0.15
 # Popularity has been seen to hold for a few seconds.
 POPULARITY_HORIZON_MS = 3_500.0
+# After a pause of the group its popularity is still mostly what it was.
+LOADS_MAX_AGE_MS = 15_000
 # With fewer choices counted, their shares are mostly chance.
 MIN_COUNTED_PER_EXPERT = 20
 # Versions carry the fencing token, so that no two leaders use the same one.
@@ -67,9 +71,12 @@
     n_by_rank: dict[int, Sequence[int]] = field(default_factory=dict)
     experts_by_rank: dict[int, Sequence[Sequence[int]]] = field(default_factory=dict)
     placed_version: int = -1
-    given_at_ms: dict[tuple[str, OrderAction, int, int], int] = field(
+    # Earliest time at which an order may be given again.
+    due_at_ms: dict[tuple[str, OrderAction, int, int], int] = field(
         default_factory=dict
     )
+    last_loads: list[list[float]] | None = None
+    last_loads_at_ms: int = 0
 
 
 class MapLeader:
@@ -161,7 +168,7 @@
             group.epoch = view.epoch
             group.placed_version = -1
             group.n_by_rank.clear()
-            group.given_at_ms.clear()
+            group.due_at_ms.clear()
         for order in group.change.decide(view):
             self._give(group, order, now_ms)
         self._end_late_change(group_id, group, view, now_ms)
@@ -182,19 +189,26 @@
 
     def _give(self, group: _Group, order: RankOrder, now_ms: int) -> None:
         key = (order.rank_id, order.action, order.map_version, order.step)
+        if now_ms < group.due_at_ms.get(key, now_ms):
+            return
         pause_ms = REPEAT_ORDER_MS
         if order.action is OrderAction.PREPARE:
             pause_ms = REPEAT_PREPARE_MS
-        if now_ms - group.given_at_ms.get(key, -pause_ms) < pause_ms:
-            return
-        group.given_at_ms[key] = now_ms
-        self._start(self._give_now(order))
+        group.due_at_ms[key] = now_ms + pause_ms
+        self._start(self._give_now(group, key, order))
 
-    async def _give_now(self, order: RankOrder) -> None:
+    async def _give_now(
+        self,
+        group: _Group,
+        key: tuple[str, OrderAction, int, int],
+        order: RankOrder,
+    ) -> None:
         if self._lease.token != self._token:
             return
         answer = await self._links.give(order, self._token)
-        if order.action is OrderAction.PREPARE and answer and answer.is_accepted:
+        if answer is None or not answer.is_accepted:
+            group.due_at_ms[key] = self._clock.now_ms() + RETRY_ORDER_MS
+        elif order.action is OrderAction.PREPARE:
             return
         self._log.log(
             "map-order",
@@ -214,6 +228,8 @@
         if model is None or map_version is None:
             return
         with_map = group.placed_version != map_version
+        if with_map:
+            group.experts_by_rank.clear()
         answers = await asyncio.gather(
             *(
                 self._links.call(state.rank_id, messages.RankPull(with_map=with_map))
@@ -221,6 +237,12 @@
             )
         )
         loads = self._take_counts(group, view, answers, with_map, model)
+        now_ms = self._clock.now_ms()
+        if loads is not None:
+            group.last_loads, group.last_loads_at_ms = loads, now_ms
+        elif with_map and now_ms - group.last_loads_at_ms < LOADS_MAX_AGE_MS:
+            # A group that was formed anew has map 0 and no counts yet.
+            loads = group.last_loads
         if loads is None or not group.change.is_idle:
             return
         if with_map:
@@ -278,7 +300,9 @@
             model.n_slots,
             max(1, model.n_expert_bytes),
         )
-        placement = _to_placement(group.experts_by_rank, model)
+        placement = None
+        if len(group.experts_by_rank) == n_ranks:
+            placement = _to_placement(group.experts_by_rank, model)
         if placement is None:
             group.placed_version = -1
             return
