Take an answer without length as whole only when its connection ended well

Ruled out: answers with a length or in chunks, which are checked by the library. Change: the response remembers how its connection ended. The test fails without the check.

--- a/packages/entry/src/bluebellusher/gateway/_attempts.py
+++ b/packages/entry/src/bluebellusher/gateway/_attempts.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Any
 
 import aiohttp
 from yarl import URL
@@ -40,6 +41,38 @@
 # Retry hints of endpoints are not used; the reducer doubles its own pause.
 _NO_PAUSE_MS = 0
 
+
+class _WatchedResponse(aiohttp.ClientResponse):
+    """A response that knows how its connection ended.
+
+    An answer without a length ends with its connection; aiohttp takes it as whole
+    even when the connection was reset.
+    """
+
+    _connection_ended: asyncio.Future[None] | None = None
+
+    async def start(self, connection: Any) -> aiohttp.ClientResponse:
+        """Begin to read the answer."""
+        protocol = connection.protocol
+        self._connection_ended = protocol.closed if protocol is not None else None
+        if self._connection_ended is not None:
+            self._connection_ended.add_done_callback(_retrieve)
+        return await super().start(connection)
+
+    async def check_end(self) -> None:
+        """Raise ``ClientConnectionError`` when an answer without a length was cut."""
+        is_framed = "Content-Length" in self.headers
+        is_framed |= "chunked" in self.headers.get("Transfer-Encoding", "")
+        if not is_framed and self._connection_ended is not None:
+            await self._connection_ended
+
+
+def _retrieve(future: asyncio.Future[None]) -> None:
+    """Take a result that nobody may wait for."""
+    if not future.cancelled():
+        future.exception()
+
+
 FindEndpoint = Callable[[str], EndpointRegistration | None]
 
 
@@ -113,6 +146,7 @@
         )
         self._session = aiohttp.ClientSession(
             connector=connector,
+            response_class=_WatchedResponse,
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
             skip_auto_headers=(
@@ -288,6 +322,8 @@
             answer.write(data)
             if answer.n_bytes > MAX_BODY_BYTES:
                 raise _BrokenError(Reason.STREAM_CORRUPT, "answer too long")
+        assert isinstance(response, _WatchedResponse)
+        await response.check_end()
         if is_events and attempt.splitter.n_pending:
             raise _BrokenError(Reason.STREAM_CORRUPT, "stream ends within an event")
 
--- a/packages/entry/src/bluebellusher/gateway/tests/harness.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/harness.py
@@ -5,6 +5,7 @@
 from random import Random
 
 import aiohttp
+import uvloop
 from aiohttp import web
 from yarl import URL
 
@@ -227,14 +228,14 @@
     return web.Response(body=b"whole", headers=headers)
 
 
-def run(scenario, answers, **options):
-    """Run a scenario with one endpoint for each answer function."""
+def run(scenario, answers, endpoints=(), **options):
+    """Run a scenario with one endpoint for each answer function, and others."""
 
     async def main():
-        endpoints = [
+        scripted = [
             ScriptedEndpoint(f"x{i}", answer) for i, answer in enumerate(answers)
         ]
-        harness = Harness(endpoints, **options)
+        harness = Harness([*scripted, *endpoints], **options)
         await harness.start()
         try:
             async with asyncio.timeout(20):
@@ -243,4 +244,4 @@
             with contextlib.suppress(Exception):
                 await harness.stop()
 
-    asyncio.run(main())
+    uvloop.run(main())
--- a/packages/entry/src/bluebellusher/gateway/tests/test_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_gateway.py
@@ -1,6 +1,8 @@
 """Requests through a gateway to endpoints that fail in every way."""
 
 import asyncio
+import socket
+import struct
 
 import aiohttp
 import pytest
@@ -205,6 +207,53 @@
     run(scenario, [hang])
 
 
+class UnframedEndpoint:
+    """An endpoint whose answers have no length and end with the connection."""
+
+    def __init__(self, endpoint_id, is_reset):
+        self.endpoint_id = endpoint_id
+        self.port = 0
+        self._is_reset = is_reset
+        self._server = None
+
+    async def start(self):
+        """Listen."""
+        self._server = await asyncio.start_server(self._answer, HOST, 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def _answer(self, reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nSeal: s\r\n\r\npart")
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        if self._is_reset:
+            sock = writer.get_extra_info("socket")
+            linger = struct.pack("ii", 1, 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.close()
+
+    def close(self):
+        """Accept no more."""
+        self._server.close()
+
+
+@pytest.mark.parametrize(("is_reset", "status"), [(True, 502), (False, 200)])
+def test_answer_without_length_is_whole_only_when_its_connection_ends_well(
+    is_reset, status
+):
+    """Guards against a part of an answer that looks complete.
+
+    An engine that crashed reset the connection of such an answer, and the caller got
+    the part with a length of its own.
+    """
+
+    async def scenario(harness):
+        assert (await harness.fetch(**POST))[0] == status
+
+    endpoints = [UnframedEndpoint("x0", is_reset)]
+    run(scenario, [], endpoints=endpoints, routes=NON_IDEMPOTENT)
+
+
 def make_stream(last, n_sent=None, is_torn=False):
     """Return an endpoint that streams events up to ``last``, or breaks before."""
 
