--- a/packages/agent/src/bluebellusher_agent/_connection.py
+++ b/packages/agent/src/bluebellusher_agent/_connection.py
@@ -78,6 +78,7 @@
         self._opened_at_ms = self._last_received_ms = owner.clock.now_ms()
         self.address = "-"
         self.peer_id = ""
+        self.peer_domain = ""
 
     @property
     def is_ready(self) -> bool:
@@ -177,6 +178,7 @@
         answer.mac = compute_hello_mac(self._owner.secret, nonce, answer)
         self.send(answer)
         self.peer_id = hello.instance_id
+        self.peer_domain = hello.failure_domain
         self._decoder = FrameDecoder(self.address)
         self._owner.on_ready(self)
 
--- a/packages/agent/src/bluebellusher_agent/ranks/_agent.py
+++ b/packages/agent/src/bluebellusher_agent/ranks/_agent.py
@@ -3,7 +3,7 @@
 import asyncio
 import signal
 from collections import Counter
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 from typing import Any
 
 import uvloop
@@ -11,11 +11,11 @@
 from bluebellusher_agent._connection import EntryConnection
 from bluebellusher_agent._log import log
 from bluebellusher_agent._memory import MemoryTrimmer
-from bluebellusher_agent.ranks._engine import EngineControl, RankReading
+from bluebellusher_agent.ranks._engine import EngineControl, RankCounts, RankReading
 from bluebellusher_agent.ranks._settings import RankAgentSettings
 from bluebellusher_core.clock import Clock, SystemClock
 from bluebellusher_core.errors import StepError
-from bluebellusher_core.ranks import OrderAction, RankOrder
+from bluebellusher_core.ranks import OrderAction, RankOrder, pack_counts
 from bluebellusher_core.wire import messages
 
 TICK_MS = 500
@@ -29,8 +29,6 @@
 # An unchanged state is told this often, so that entries can tell it is current.
 REPEAT_INTERVAL_MS = 600
 MAX_CONNECTIONS = 4_096
-# Counts travel as 32-bit integers; receivers take differences modulo this.
-COUNT_MODULUS = 2**31
 _BACKLOG = 512
 _READ_TIMEOUT_S = 2.0
 
@@ -71,6 +69,7 @@
         self._copying_until_ms = 0
         self._copying_version = 0
         self._n_by_name: Counter[str] = Counter()
+        self._counts_by_connection: dict[EntryConnection, RankCounts] = {}
         self._memory = MemoryTrimmer()
 
     async def start(self) -> None:
@@ -159,6 +158,7 @@
     def on_closed(self, connection: EntryConnection) -> None:
         """Forget a connection."""
         self._connections.discard(connection)
+        self._counts_by_connection.pop(connection, None)
         if connection.peer_id:
             log("entry-lost", peer=connection.peer_id)
 
@@ -216,12 +216,14 @@
                 messages.RankCounts(call_id=message.call_id, reason=error.reason)
             )
             return
+        before = self._counts_by_connection.get(connection)
+        self._counts_by_connection[connection] = counts
         connection.send(
             messages.RankCounts(
                 call_id=message.call_id,
                 epoch=counts.epoch,
                 step=counts.step,
-                n_by_expert=[n % COUNT_MODULUS for n in counts.n_by_expert],
+                packed_counts=_pack_new(before, counts),
                 experts=[list(layer) for layer in counts.experts],
                 map_version=counts.map_version,
             )
@@ -248,12 +250,25 @@
             self._copying_until_ms = 0
         now_ms = self.clock.now_ms()
         is_due = now_ms - self._told_at_ms >= REPEAT_INTERVAL_MS
-        if is_told_always or is_due or _is_news(self._told, reading):
-            self._told, self._told_at_ms = reading, now_ms
-            report = self._make_report(reading)
-            for connection in self._connections:
-                if connection.is_ready:
-                    connection.send(report)
+        told = self._told
+        if is_told_always or is_due or told is None or _state(told) != _state(reading):
+            self._told_at_ms = now_ms
+            self._tell(reading, self._connections)
+        elif _load(told) != _load(reading):
+            # Entries elsewhere prefer their own endpoints; to them the load is told
+            # with the next report.
+            domain = self.settings.failure_domain
+            near = [c for c in self._connections if c.peer_domain == domain]
+            self._tell(reading, near)
+
+    def _tell(
+        self, reading: RankReading, connections: Iterable[EntryConnection]
+    ) -> None:
+        self._told = reading
+        report = self._make_report(reading)
+        for connection in connections:
+            if connection.is_ready:
+                connection.send(report)
 
     def _note_engine(self, is_answering: bool, reason: str) -> None:
         if is_answering != self._is_engine_answering:
@@ -355,16 +370,21 @@
             log("internal-fault", error=f"{type(error).__name__}: {error}")
 
 
-def _is_news(told: RankReading | None, reading: RankReading) -> bool:
-    """Return whether entries decide differently by the new reading."""
-    if told is None:
-        return True
-    return _key(told) != _key(reading)
+def _pack_new(before: RankCounts | None, counts: RankCounts) -> bytes | None:
+    """Return the choices since an earlier answer, or None when there is none."""
+    if before is None or before.epoch != counts.epoch:
+        return None
+    pairs = zip(counts.n_by_expert, before.n_by_expert, strict=True)
+    return pack_counts([now - then for now, then in pairs])
+
+
+def _load(reading: RankReading) -> int:
+    return reading.n_running + reading.n_queued
 
 
-def _key(reading: RankReading) -> tuple[object, ...]:
+def _state(reading: RankReading) -> tuple[object, ...]:
+    """Return what every entry must learn at once."""
     return (
-        reading.n_running + reading.n_queued,
         reading.epoch,
         reading.is_open,
         reading.map_version,
--- a/packages/core/src/bluebellusher_core/balance/_rank_bounded.py
+++ b/packages/core/src/bluebellusher_core/balance/_rank_bounded.py
@@ -24,7 +24,8 @@
 N_COOL_RANKS = 5
 MAX_STEPS = 80
 MIN_STEP_GAIN = 1e-3
-MAX_LOADS_PER_RANK = 6
+# Bounds on the loads of a rank for which plans are compared.
+LOADS_PER_RANK = (1, 2, 3, 4, 6, 9)
 # Plans that save less are not worth their orders.
 MIN_GAIN_MS = 200.0
 
@@ -107,7 +108,9 @@
         if not self._cost.can_gain(old_skew):
             return Plan(placement)
         n_most = self._n_max_new * self._shape.n_layers
-        for n_max_loads in range(1, min(n_most, MAX_LOADS_PER_RANK) + 1):
+        for n_max_loads in LOADS_PER_RANK:
+            if n_max_loads > n_most:
+                break
             found = self._search(placement, n_max_loads)
             n_loads = count_most_new(self._shape.n_ranks, placement, found)
             gain = self._cost.gain_ms(old_skew, self._mean_skew(found), n_loads)
--- a/packages/core/src/bluebellusher_core/ranks/__init__.py
+++ b/packages/core/src/bluebellusher_core/ranks/__init__.py
@@ -6,6 +6,7 @@
 """
 
 from bluebellusher_core.ranks._change import ChangePhase, MapChange
+from bluebellusher_core.ranks._counts import pack_counts, unpack_counts
 from bluebellusher_core.ranks._state import (
     ExpertMap,
     GroupView,
@@ -22,4 +23,6 @@
     "OrderAction",
     "RankOrder",
     "RankState",
+    "pack_counts",
+    "unpack_counts",
 ]
--- a/packages/core/src/bluebellusher_core/wire/_generated/bluebellusher/ttypes.py
+++ b/packages/core/src/bluebellusher_core/wire/_generated/bluebellusher/ttypes.py
@@ -3073,6 +3073,7 @@
      - blocked_fingerprints
      - suspect_fingerprints
      - version_by_table
+     - held_leases
 
     """
 
@@ -3082,15 +3083,17 @@
         'blocked_fingerprints',
         'suspect_fingerprints',
         'version_by_table',
+        'held_leases',
     )
 
 
-    def __init__(self, config_version=None, members=None, blocked_fingerprints=None, suspect_fingerprints=None, version_by_table=None,):
+    def __init__(self, config_version=None, members=None, blocked_fingerprints=None, suspect_fingerprints=None, version_by_table=None, held_leases=None,):
         self.config_version = config_version
         self.members = members
         self.blocked_fingerprints = blocked_fingerprints
         self.suspect_fingerprints = suspect_fingerprints
         self.version_by_table = version_by_table
+        self.held_leases = held_leases
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3148,6 +3151,16 @@
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.held_leases = []
+                    (_etype148, _size145) = iprot.readListBegin()
+                    for _i149 in range(_size145):
+                        _elem150 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.held_leases.append(_elem150)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3165,32 +3178,39 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter145 in self.members:
-                iter145.write(oprot)
+            for iter151 in self.members:
+                iter151.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.blocked_fingerprints is not None:
             oprot.writeFieldBegin('blocked_fingerprints', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.blocked_fingerprints))
-            for iter146 in self.blocked_fingerprints:
-                oprot.writeString(iter146.encode('utf-8') if sys.version_info[0] == 2 else iter146)
+            for iter152 in self.blocked_fingerprints:
+                oprot.writeString(iter152.encode('utf-8') if sys.version_info[0] == 2 else iter152)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspect_fingerprints is not None:
             oprot.writeFieldBegin('suspect_fingerprints', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.suspect_fingerprints))
-            for iter147 in self.suspect_fingerprints:
-                oprot.writeString(iter147.encode('utf-8') if sys.version_info[0] == 2 else iter147)
+            for iter153 in self.suspect_fingerprints:
+                oprot.writeString(iter153.encode('utf-8') if sys.version_info[0] == 2 else iter153)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.version_by_table is not None:
             oprot.writeFieldBegin('version_by_table', TType.MAP, 5)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.version_by_table))
-            for kiter148, viter149 in self.version_by_table.items():
-                oprot.writeString(kiter148.encode('utf-8') if sys.version_info[0] == 2 else kiter148)
-                oprot.writeI64(viter149)
+            for kiter154, viter155 in self.version_by_table.items():
+                oprot.writeString(kiter154.encode('utf-8') if sys.version_info[0] == 2 else kiter154)
+                oprot.writeI64(viter155)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
+        if self.held_leases is not None:
+            oprot.writeFieldBegin('held_leases', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRING, len(self.held_leases))
+            for iter156 in self.held_leases:
+                oprot.writeString(iter156.encode('utf-8') if sys.version_info[0] == 2 else iter156)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3371,11 +3391,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype153, _size150) = iprot.readListBegin()
-                    for _i154 in range(_size150):
-                        _elem155 = TableRow()
-                        _elem155.read(iprot)
-                        self.rows.append(_elem155)
+                    (_etype160, _size157) = iprot.readListBegin()
+                    for _i161 in range(_size157):
+                        _elem162 = TableRow()
+                        _elem162.read(iprot)
+                        self.rows.append(_elem162)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3404,8 +3424,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter156 in self.rows:
-                iter156.write(oprot)
+            for iter163 in self.rows:
+                iter163.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3859,7 +3879,7 @@
      - call_id
      - epoch
      - step
-     - n_by_expert
+     - packed_counts
      - experts
      - map_version
      - reason
@@ -3870,18 +3890,18 @@
         'call_id',
         'epoch',
         'step',
-        'n_by_expert',
+        'packed_counts',
         'experts',
         'map_version',
         'reason',
     )
 
 
-    def __init__(self, call_id=None, epoch=None, step=None, n_by_expert=None, experts=None, map_version=None, reason=None,):
+    def __init__(self, call_id=None, epoch=None, step=None, packed_counts=None, experts=None, map_version=None, reason=None,):
         self.call_id = call_id
         self.epoch = epoch
         self.step = step
-        self.n_by_expert = n_by_expert
+        self.packed_counts = packed_counts
         self.experts = experts
         self.map_version = map_version
         self.reason = reason
@@ -3911,27 +3931,22 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.LIST:
-                    self.n_by_expert = []
-                    (_etype160, _size157) = iprot.readListBegin()
-                    for _i161 in range(_size157):
-                        _elem162 = iprot.readI32()
-                        self.n_by_expert.append(_elem162)
-                    iprot.readListEnd()
+                if ftype == TType.STRING:
+                    self.packed_counts = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.experts = []
-                    (_etype166, _size163) = iprot.readListBegin()
-                    for _i167 in range(_size163):
-                        _elem168 = []
-                        (_etype172, _size169) = iprot.readListBegin()
-                        for _i173 in range(_size169):
-                            _elem174 = iprot.readI32()
-                            _elem168.append(_elem174)
+                    (_etype167, _size164) = iprot.readListBegin()
+                    for _i168 in range(_size164):
+                        _elem169 = []
+                        (_etype173, _size170) = iprot.readListBegin()
+                        for _i174 in range(_size170):
+                            _elem175 = iprot.readI32()
+                            _elem169.append(_elem175)
                         iprot.readListEnd()
-                        self.experts.append(_elem168)
+                        self.experts.append(_elem169)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3967,12 +3982,9 @@
             oprot.writeFieldBegin('step', TType.I64, 3)
             oprot.writeI64(self.step)
             oprot.writeFieldEnd()
-        if self.n_by_expert is not None:
-            oprot.writeFieldBegin('n_by_expert', TType.LIST, 4)
-            oprot.writeListBegin(TType.I32, len(self.n_by_expert))
-            for iter175 in self.n_by_expert:
-                oprot.writeI32(iter175)
-            oprot.writeListEnd()
+        if self.packed_counts is not None:
+            oprot.writeFieldBegin('packed_counts', TType.STRING, 4)
+            oprot.writeBinary(self.packed_counts)
             oprot.writeFieldEnd()
         if self.experts is not None:
             oprot.writeFieldBegin('experts', TType.LIST, 5)
@@ -5406,6 +5418,7 @@
     (3, TType.LIST, 'blocked_fingerprints', (TType.STRING, 'UTF8', False), None, ),  # 3
     (4, TType.LIST, 'suspect_fingerprints', (TType.STRING, 'UTF8', False), None, ),  # 4
     (5, TType.MAP, 'version_by_table', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 5
+    (6, TType.LIST, 'held_leases', (TType.STRING, 'UTF8', False), None, ),  # 6
 )
 all_structs.append(TableRow)
 TableRow.thrift_spec = (
@@ -5463,7 +5476,7 @@
     (1, TType.STRING, 'call_id', 'UTF8', None, ),  # 1
     (2, TType.I64, 'epoch', None, None, ),  # 2
     (3, TType.I64, 'step', None, None, ),  # 3
-    (4, TType.LIST, 'n_by_expert', (TType.I32, None, False), None, ),  # 4
+    (4, TType.STRING, 'packed_counts', 'BINARY', None, ),  # 4
     (5, TType.LIST, 'experts', (TType.LIST, (TType.I32, None, False), False), None, ),  # 5
     (6, TType.I64, 'map_version', None, None, ),  # 6
     (7, TType.STRING, 'reason', 'UTF8', None, ),  # 7
--- a/packages/core/src/bluebellusher_core/wire/bluebellusher.thrift
+++ b/packages/core/src/bluebellusher_core/wire/bluebellusher.thrift
@@ -89,7 +89,7 @@
 struct Digest {
   1: i64 config_version, 2: list<Member> members,
   3: list<string> blocked_fingerprints, 4: list<string> suspect_fingerprints,
-  5: map<string, i64> version_by_table
+  5: map<string, i64> version_by_table, 6: list<string> held_leases
 }
 
 /* Shared tables: an entry that the store turns away catches up with its peers. */
@@ -107,10 +107,10 @@
   13: i64 armed_version, 14: i64 armed_step, 15: i64 held_step, 16: double pace,
   17: i64 fencing_token, 18: i64 started_wall_ms
 }
-/* Counts by layer and expert in one list; they wrap at 2**31. */
+/* Choices since the last answer on this connection, packed by ranks.pack_counts. */
 struct RankPull { 1: string call_id, 2: bool with_map }
 struct RankCounts {
-  1: string call_id, 2: i64 epoch, 3: i64 step, 4: list<i32> n_by_expert,
+  1: string call_id, 2: i64 epoch, 3: i64 step, 4: binary packed_counts,
   5: list<list<i32>> experts, 6: i64 map_version, 7: string reason
 }
 struct RankOrder {
--- a/packages/entry/src/bluebellusher/gateway/_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -115,6 +115,7 @@
             seed.randrange(MAX_TAKEOVER_DELAY_MS),
             clock,
             self.runtime,
+            self._is_lease_held_elsewhere,
         )
         self.leader = MapLeader(
             self.lease, self.ranks, self._find_group_model, clock, seed, self.runtime
@@ -129,6 +130,7 @@
         )
         self._tasks: list[asyncio.Task[None]] = []
         self._n_entries = 0
+        self._leases_by_peer_id: dict[str, bool] = {}
 
     @property
     def is_ready(self) -> bool:
@@ -141,7 +143,7 @@
         settings = self.settings
         await self.dispatcher.open()
         await self.peers.listen(settings.peers.host, settings.peers.port)
-        self.peer_exchange.register(messages.Digest, self.tables.on_digest)
+        self.peer_exchange.register(messages.Digest, self._on_digest)
         self.peer_exchange.register(messages.TablePull, self.tables.on_pull)
         self.peer_exchange.register(messages.TableDelta, self.tables.on_delta)
         self.ticker.add_callback(self._tick)
@@ -217,8 +219,18 @@
             blocked_fingerprints=list(blocked),
             suspect_fingerprints=list(suspects),
             version_by_table=self.tables.versions(),
+            held_leases=[MAP_LEASE] if self.lease.token is not None else [],
         )
 
+    def _is_lease_held_elsewhere(self) -> bool:
+        """Return whether a connected entry says that it leads the maps."""
+        held = self._leases_by_peer_id
+        return any(held.get(peer_id) for peer_id in self.peers.connections_by_peer_id)
+
+    def _on_digest(self, peer_id: str, digest: Any) -> None:
+        self._leases_by_peer_id[peer_id] = MAP_LEASE in (digest.held_leases or ())
+        self.tables.on_digest(peer_id, digest)
+
     def _find_endpoint(self, endpoint_id: str) -> Any:
         return self.directory.find(endpoint_id)
 
--- a/packages/entry/src/bluebellusher/ranks/_leader.py
+++ b/packages/entry/src/bluebellusher/ranks/_leader.py
@@ -27,6 +27,7 @@
     OrderAction,
     RankOrder,
     RankState,
+    unpack_counts,
 )
 from bluebellusher_core.wire import messages
 
@@ -56,7 +57,6 @@
 MIN_COUNTED_PER_EXPERT = 20
 # Versions carry the fencing token, so that no two leaders use the same one.
 VERSIONS_PER_TOKEN = 2**20
-COUNT_MODULUS = 2**31
 MS_PER_S = 1_000
 
 
@@ -68,7 +68,6 @@
     counted_at_ms: int = 0
     wanted_at_ms: int = 0
     epoch: int = -1
-    n_by_rank: dict[int, Sequence[int]] = field(default_factory=dict)
     experts_by_rank: dict[int, Sequence[Sequence[int]]] = field(default_factory=dict)
     placed_version: int = -1
     # Earliest time at which an order may be given again.
@@ -167,7 +166,6 @@
         if view.epoch != group.epoch:
             group.epoch = view.epoch
             group.placed_version = -1
-            group.n_by_rank.clear()
             group.due_at_ms.clear()
         for order in group.change.decide(view):
             self._give(group, order, now_ms)
@@ -262,21 +260,15 @@
         totals = [0] * n_total
         is_whole = True
         for state, answer in zip(view.states, answers, strict=True):
-            n_now = list(answer.n_by_expert or ()) if answer is not None else []
-            is_usable = len(n_now) == n_total and answer.epoch == view.epoch
-            if not is_usable:
-                group.n_by_rank.pop(state.rank, None)
+            if answer is None or answer.epoch != view.epoch:
                 is_whole = False
                 continue
             if with_map:
                 group.experts_by_rank[state.rank] = answer.experts
-            n_before = group.n_by_rank.get(state.rank)
-            group.n_by_rank[state.rank] = n_now
-            if n_before is None:
-                is_whole = False
-                continue
-            for at, (now, before) in enumerate(zip(n_now, n_before, strict=True)):
-                totals[at] += (now - before) % COUNT_MODULUS
+            counts = _unpack(answer.packed_counts)
+            is_whole = is_whole and counts is not None
+            if counts and len(counts) == n_total:
+                totals = [a + b for a, b in zip(totals, counts, strict=True)]
         if not is_whole or sum(totals) < MIN_COUNTED_PER_EXPERT * n_total:
             return None
         return [
@@ -316,7 +308,12 @@
         planner = RankBoundedPlanner(shape, cost, model.n_max_new)
         planner.observe(loads)
         conditions = Conditions(self._clock.now_ms())
-        plan = planner.plan(placement, conditions, self._random_state)
+        # The search takes longer than the pauses that streams can bear.
+        plan = await asyncio.to_thread(
+            planner.plan, placement, conditions, self._random_state
+        )
+        if not group.change.is_idle or group.epoch != view.epoch:
+            return
         before, after = (
             _mean_skew(n_ranks, one, loads) for one in (placement, plan.placement)
         )
@@ -332,7 +329,6 @@
             rank: [layer[rank] for layer in experts] for rank in range(n_ranks)
         }
         group.placed_version = version
-        group.n_by_rank.clear()
         self._log.log(
             "map-wanted",
             group=group_id,
@@ -349,6 +345,15 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _unpack(packed: bytes | None) -> list[int] | None:
+    """Return counts; None when an agent had nothing to compare with."""
+    try:
+        return None if packed is None else unpack_counts(packed)
+    except ValueError:
+        # Taken as missing: the plan waits for the next counts.
+        return None
+
+
 def _mean_skew(
     n_ranks: int, placement: Placement, loads: Sequence[Sequence[float]]
 ) -> float:
--- a/packages/entry/src/bluebellusher/ranks/_lease.py
+++ b/packages/entry/src/bluebellusher/ranks/_lease.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from collections.abc import Callable
 
 from expression import Result
 
@@ -35,6 +36,9 @@
         Measures terms.
     log : LogSink
         Takes log lines.
+    is_held_elsewhere : callable
+        Returns whether a connected entry says that it holds the lease; the store is
+        then not asked.
     """
 
     def __init__(
@@ -44,12 +48,14 @@
         name: str,
         clock: Clock,
         log: LogSink,
+        is_held_elsewhere: Callable[[], bool],
     ) -> None:
         self._store = store
         self._tracker = tracker
         self._name = name
         self._clock = clock
         self._log = log
+        self._is_held_elsewhere = is_held_elsewhere
         self._last_token: int | None = None
         self._is_released = False
 
@@ -62,12 +68,13 @@
         takeover_delay_ms: int,
         clock: Clock,
         log: LogSink,
+        is_held_elsewhere: Callable[[], bool],
     ) -> "LeaseKeeper":
         """Return a keeper with the terms of this module."""
         tracker = LeaseTracker(
             name, holder_id, takeover_delay_ms, TERM_MS, RENEW_AFTER_MS, GUARD_MS
         )
-        return cls(store, tracker, name, clock, log)
+        return cls(store, tracker, name, clock, log, is_held_elsewhere)
 
     @property
     def token(self) -> int | None:
@@ -77,6 +84,10 @@
     async def run(self) -> None:
         """Hold the lease whenever it is free, until cancelled."""
         while not self._is_released:
+            if self.token is None and self._is_held_elsewhere():
+                self._note_token()
+                await asyncio.sleep(HOLDER_POLL_MS / 1000)
+                continue
             if self.token is None:
                 await self._observe()
             write = self._tracker.plan_write(self._clock.now_ms())
--- a/packages/entry/src/bluebellusher/shared/_watcher.py
+++ b/packages/entry/src/bluebellusher/shared/_watcher.py
@@ -16,6 +16,9 @@
 WAIT_MS = 2_500
 FIRST_BACKOFF_MS = 50
 MAX_BACKOFF_MS = 500
+# Endpoints register one after the other when a deployment starts, and every entry
+# follows them; a change may take 2 s to be in force.
+GATHER_MS = 150
 # A read right after a loss of history may be stale.
 STALE_READ_PAUSE_MS = 150
 
@@ -77,6 +80,8 @@
             match result:
                 case Result(tag="ok", ok=rows):
                     self._take(rows)
+                    if rows.rows:
+                        await self._pause_after_news()
                 case Result(error=error):
                     await self._fail(error)
 
@@ -96,6 +101,10 @@
         if news:
             self._on_news(news)
 
+    async def _pause_after_news(self) -> None:
+        """Let changes that come together be read together, which saves calls."""
+        await asyncio.sleep(GATHER_MS / 1000)
+
     async def _fail(self, error: StoreError) -> None:
         if error.is_history_lost:
             self._needs_snapshot = True
