--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,7 @@
 check: setup
 	$(PY) -m ruff format --check .
 	$(PY) -m ruff check .
-	$(PY) -m mypy $(addsuffix /src,$(PACKAGE_DIRS)) bench tools
+	$(PY) -m mypy $(addsuffix /src,$(PACKAGE_DIRS)) bench tools platform
 
 format: setup
 	$(PY) -m ruff format .
--- /dev/null
+++ b/deploy/tests/test_codec.py
@@ -0,0 +1,142 @@
+"""Translation of rows, with entries that other programs wrote."""
+
+import json
+
+import pytest
+
+from bluebellusher_core.directory import RequestKind
+
+from codec import PlatformCodec
+
+CONFIG = {
+    "version": 7,
+    "new_field": {"of": "a later version"},
+    "routes": [
+        {
+            "name": "r",
+            "host": "H.example",
+            "prefix": "/a/",
+            "kind": "streaming",
+            "timeout_ms": 8000,
+            "target_latency_ms": 402,
+            "target_gap_ms": 120,
+            "priority": 1,
+            "traffic_split": [
+                {"backend": "x", "weight": 90},
+                {"backend": "y", "weight": 10},
+            ],
+            "max_attempts": 2,
+            "stream_resumption": True,
+        },
+        {
+            "name": "q",
+            "host": "h.example",
+            "prefix": "/b/",
+            "kind": "non_idempotent",
+            "timeout_ms": 800,
+            "target_latency_ms": 300,
+            "backend": "y",
+            "max_attempts": 1,
+        },
+    ],
+    "services": [
+        {
+            "name": "x",
+            "max_connections": 338,
+            "engine": {
+                "slots": 6,
+                "kv_capacity_tokens": 247000,
+                "step_ms": 4.84,
+                "read_per_s": 74800.0,
+                "chunk": 512,
+                "link_mbps": 44000.0,
+                "sets": 3,
+                "experts": 96,
+                "placements": 11,
+                "spare": 4,
+                "expert_mb": 2200.0,
+                "expert_share": 0.85,
+            },
+        },
+        {"name": "y", "max_connections": 96},
+    ],
+    "tenants": [{"name": "t", "api_keys": ["k1", "k2"], "priority": 1}],
+}
+SERVER = {
+    "backend": "x",
+    "address": "10.128.0.9:8080",
+    "zone": "obihiro",
+    "version": "v1",
+    "slots": 6,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "sequence": 4,
+    "born": 1767541241250,
+}
+
+
+def test_configuration_becomes_a_routing_table():
+    """Guards against routes, kinds and groups that are read wrongly."""
+    table = PlatformCodec().read_routing(json.dumps(CONFIG).encode())
+    route = table.match("h.example", "/a/x")
+    assert route.kind is RequestKind.STREAMING
+    assert route.is_idempotent
+    assert dict(route.weight_by_service) == {"x": 90, "y": 10}
+    assert not table.match("h.example", "/b/").is_idempotent
+    assert table.customer_by_credential["k2"].customer_id == "t"
+    group = table.service_by_id["x"].engine.group
+    assert (group.n_layers, group.n_experts, group.n_slots) == (3, 96, 11)
+    assert group.load_ms == pytest.approx(400)
+    assert table.service_by_id["y"].engine is None
+
+
+def test_configuration_without_tenants_needs_no_credential():
+    """Guards against 401 where no credentials are used."""
+    body = {key: value for key, value in CONFIG.items() if key != "tenants"}
+    assert not PlatformCodec().read_routing(json.dumps(body).encode()).needs_credential
+
+
+@pytest.mark.parametrize("value", [b"", b"{", b"[]", b'{"version": 3, "routes": 1}'])
+def test_unreadable_configuration_is_none(value):
+    """Guards against a stop because of a row that cannot be read."""
+    assert PlatformCodec().read_routing(value) is None
+
+
+def test_registration_is_read_strictly():
+    """Guards against endpoints that other programs made up."""
+    found = PlatformCodec().read_registration("i-1", json.dumps(SERVER).encode())
+    assert (found.host, found.port, found.n_slots) == ("10.128.0.9", 8080, 6)
+    assert found.started_wall_ms == 1767541241250
+    assert not found.is_draining
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"backend": None},
+        {"backend": 5},
+        {"address": "10.128.0.9"},
+        {"address": ["10.128.0.9:8080"]},
+        {"slots": "6"},
+        {"slots": True},
+        {"slots": 0},
+        {"state": "gone"},
+        {"state": 1},
+        {"zone": ""},
+        {"sequence": "4"},
+        {"born": "now"},
+    ],
+)
+def test_malformed_registration_names_no_endpoint(change):
+    """Guards against work for entries with missing or wrong fields."""
+    body = json.dumps({**SERVER, **change}).encode()
+    assert PlatformCodec().read_registration("i-1", body) is None
+
+
+@pytest.mark.parametrize("missing", ["backend", "address", "slots", "state", "zone"])
+def test_registration_with_a_missing_field_names_no_endpoint(missing):
+    """Guards against defaults for what an entry does not say."""
+    body = {key: value for key, value in SERVER.items() if key != missing}
+    found = PlatformCodec().read_registration("i-1", json.dumps(body).encode())
+    assert found is None
+    assert PlatformCodec().read_registration("i-1", b"\xff\xfe") is None
--- /dev/null
+++ b/deploy/tests/test_dialect.py
@@ -0,0 +1,102 @@
+"""Translation of headers."""
+
+import pytest
+from multidict import CIMultiDict
+
+from bluebellusher.ports import AttemptFields
+
+from dialect import PlatformDialect
+
+FIELDS = AttemptFields("i-1", 900, "hule930", "12", 1)
+
+
+def test_caller_headers_are_read_in_any_case():
+    """Guards against callers that are denied for the case of a name."""
+    headers = CIMultiDict(
+        {
+            "x-bluebellusher-attempt-id": "9c41",
+            "X-Bluebellusher-Credential": "key",
+            "x-bluebellusher-deadline-ms": "8050",
+            "X-Bluebellusher-Token-Count": "1460,80",
+            "Last-Event-Id": "12",
+        }
+    )
+    fields = PlatformDialect().read_caller(headers)
+    assert fields.attempt_id == "9c41"
+    assert fields.credential == "key"
+    assert fields.remaining_ms == 8050
+    assert (fields.n_input_tokens, fields.n_max_output_tokens) == (1460, 80)
+    assert fields.last_event_id == "12"
+
+
+def test_bad_deadline_is_named():
+    """Guards against a request that is given time without end."""
+    headers = CIMultiDict({"X-Bluebellusher-Deadline-Ms": "soon"})
+    with pytest.raises(ValueError, match=r"Deadline-Ms: found 'soon'"):
+        PlatformDialect().read_caller(headers)
+
+
+def test_attempt_carries_what_the_entry_knows_and_hides_the_key():
+    """Guards against keys at engines, forged customers and smuggled requests."""
+    headers = [
+        ("Host", "h.example"),
+        ("Connection", "keep-alive, X-Once"),
+        ("X-Once", "1"),
+        ("Transfer-Encoding", "chunked"),
+        ("Content-Length", "5"),
+        ("X-Bluebellusher-Credential", "key"),
+        ("X-Bluebellusher-Tenant", "forged"),
+        ("X-Bluebellusher-Deadline-Ms", "99999"),
+        ("X-Bluebellusher-Expect-Instance", "forged"),
+        ("Last-Event-Id", "3"),
+        ("X-Bluebellusher-Model", "m"),
+        ("X-Bluebellusher-Prompt-Prefix", "5c1e07a2:800"),
+        ("X-Other", "kept"),
+    ]
+    sent = PlatformDialect().write_attempt(headers, FIELDS)
+    names = [name for name, _ in sent]
+    assert len(names) == len(set(names))
+    by_name = dict(sent)
+    assert by_name == {
+        "Host": "h.example",
+        "X-Bluebellusher-Model": "m",
+        "X-Bluebellusher-Prompt-Prefix": "5c1e07a2:800",
+        "X-Other": "kept",
+        "X-Bluebellusher-Deadline-Ms": "900",
+        "X-Bluebellusher-Expect-Instance": "i-1",
+        "X-Bluebellusher-Request-Priority": "1",
+        "X-Bluebellusher-Tenant": "hule930",
+        "Last-Event-Id": "12",
+    }
+
+
+def test_anonymous_attempt_names_no_customer():
+    """Guards against a customer that the caller chose itself."""
+    fields = AttemptFields("i-1", 900, "", "", 0)
+    headers = [("X-Bluebellusher-Tenant", "forged")]
+    names = dict(PlatformDialect().write_attempt(headers, fields))
+    assert "X-Bluebellusher-Tenant" not in names
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "expected"),
+    [
+        (503, {"X-Bluebellusher-Not-Executed": "1"}, (True, False, False)),
+        (421, {}, (False, True, False)),
+        (200, {"X-Bluebellusher-Response-Seal": "s"}, (False, False, True)),
+        (200, {}, (False, False, False)),
+        (
+            200,
+            {"X-Bluebellusher-Response-Seal": "s", "Content-Encoding": "gzip"},
+            (False, False, False),
+        ),
+    ],
+)
+def test_answers_are_told_apart(status, headers, expected):
+    """Guards against the promise that nothing ran where none was made."""
+    found = PlatformDialect().read_answer(status, CIMultiDict(headers))
+    assert (
+        found.is_not_run,
+        found.is_wrong_endpoint,
+        found.is_authentic,
+    ) == expected
--- /dev/null
+++ b/deploy/tests/test_store.py
@@ -0,0 +1,210 @@
+"""The client of the store against a stand-in that speaks its calls."""
+
+import asyncio
+import base64
+
+import pytest
+from aiohttp import web
+
+from bluebellusher.ports import RowWrite
+
+from store import FleetStore
+
+
+class Store:
+    """Answers the calls of the store; ``fault`` replaces an answer."""
+
+    def __init__(self):
+        self.row_by_key = {}
+        self.version = 0
+        self.fault = None
+        self.page_rows = 500
+        self.queries = []
+
+    async def handle(self, request):
+        """Answer one call."""
+        self.queries.append((request.path, dict(request.query)))
+        if self.fault is not None:
+            return await self.fault(request)
+        if request.path == "/rows-tx":
+            return await self.transact(request)
+        keys = sorted(k for k in self.row_by_key if k >= request.query.get("from", ""))
+        if request.path == "/rows-feed":
+            since = int(request.query["since_revision"])
+            rows = [r for r in self.row_by_key.values() if r["schema_version"] > since]
+            return web.json_response({"rows": rows, "schema_version": self.version})
+        rows = [self.row_by_key[key] for key in keys[: self.page_rows]]
+        body = {"rows": rows, "has_more": len(keys) > self.page_rows}
+        return web.json_response({**body, "schema_version": self.version})
+
+    async def transact(self, request):
+        """Apply a transaction with one row."""
+        body = await request.json()
+        (condition,), (write,) = body["expected_revision"], body["writes"]
+        row = self.row_by_key.get(write["key"])
+        found = row["schema_version"] if row else 0
+        if found != condition["schema_version"]:
+            rows = [row] if row else []
+            return web.json_response({"rows": rows}, status=412)
+        self.version += 1
+        self.row_by_key[write["key"]] = {**write, "schema_version": self.version}
+        return web.json_response({"schema_version": self.version})
+
+    def add(self, key, **fields):
+        """Add a row that another program wrote."""
+        self.version += 1
+        value = base64.b64encode(b"v").decode()
+        row = {"table": "op", "part": "", "key": key, "value": value}
+        self.row_by_key[key] = {**row, "schema_version": self.version, **fields}
+
+
+def run(scenario):
+    """Run a scenario with a client and its store."""
+
+    async def main():
+        store = Store()
+        server = web.Server(store.handle, access_log=None)
+        listener = await asyncio.get_running_loop().create_server(
+            server, "127.0.0.1", 0
+        )
+        port = listener.sockets[0].getsockname()[1]
+        client = FleetStore(f"127.0.0.1:{port}")
+        try:
+            async with asyncio.timeout(20):
+                await scenario(client, store)
+        finally:
+            await client.close()
+            listener.close()
+            await server.shutdown(0.1)
+
+    asyncio.run(main())
+
+
+def test_written_row_is_read_back():
+    """Guards against values that change on their way."""
+
+    async def scenario(client, store):
+        write = RowWrite("leases", "a", b"\x00\xff", 0)
+        written = (await client.write_row(write)).ok
+        assert (written.value, written.version) == (b"\x00\xff", 1)
+        rows = (await client.read_table("leases")).ok
+        assert rows.rows == (written,)
+        assert rows.version == 1
+
+    run(scenario)
+
+
+def test_failed_condition_returns_the_row_that_is_there():
+    """Guards against a lease that two entries believe to hold."""
+
+    async def scenario(client, store):
+        await client.write_row(RowWrite("leases", "a", b"first", 0))
+        found = (await client.write_row(RowWrite("leases", "a", b"second", 0))).ok
+        assert found.value == b"first"
+        absent = (await client.write_row(RowWrite("leases", "b", b"x", 5))).ok
+        assert absent.is_removed
+        assert absent.version == 0
+
+    run(scenario)
+
+
+def test_own_tables_are_apart_from_those_of_the_platform():
+    """Guards against writes to the operator's tables."""
+
+    async def scenario(client, store):
+        await client.read_table("op")
+        await client.read_table("leases")
+        tables = [query["table"] for _, query in store.queries]
+        assert tables == ["op", "bluebellusher-leases"]
+
+    run(scenario)
+
+
+def test_table_of_several_pages_is_read_whole_and_other_parts_are_left_out():
+    """Guards against endpoints that are missing beyond the first page."""
+
+    async def scenario(client, store):
+        store.page_rows = 2
+        for key in "abcde":
+            store.add(key)
+        store.add("zz", part="other")
+        rows = (await client.read_table("op")).ok.rows
+        assert sorted(row.key for row in rows) == list("abcde")
+
+    run(scenario)
+
+
+def test_changes_mark_removed_rows():
+    """Guards against endpoints that stay in use after they left."""
+
+    async def scenario(client, store):
+        store.add("a")
+        store.add("b", removed=True)
+        changes = (await client.read_changes("op", 0, 10)).ok
+        assert {row.key: row.is_removed for row in changes.rows} == {
+            "a": False,
+            "b": True,
+        }
+        assert changes.version == 2
+
+    run(scenario)
+
+
+def test_lost_history_is_told_apart_from_an_outage():
+    """Guards against a copy that is never read again as a whole."""
+
+    async def answer_gone(request):
+        return web.json_response({}, status=410)
+
+    async def scenario(client, store):
+        store.fault = answer_gone
+        assert (await client.read_changes("op", 5, 10)).error.is_history_lost
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    ("status", "may_have_run"), [(503, False), (429, False), (500, True)]
+)
+def test_write_that_failed_says_whether_it_may_have_run(status, may_have_run):
+    """Guards against a write that is taken as undone though it took effect."""
+
+    async def answer(request):
+        return web.json_response({}, status=status)
+
+    async def scenario(client, store):
+        store.fault = answer
+        error = (await client.write_row(RowWrite("leases", "a", b"", 0))).error
+        assert error.may_have_run is may_have_run
+
+    run(scenario)
+
+
+def test_lost_answer_leaves_the_outcome_open():
+    """Guards against a write without an answer that counts as not done."""
+
+    async def cut(request):
+        request.transport.abort()
+        return web.Response()
+
+    async def scenario(client, store):
+        store.fault = cut
+        error = (await client.write_row(RowWrite("leases", "a", b"", 0))).error
+        assert error.may_have_run
+        assert not (await client.read_table("op")).is_ok()
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("text", ["", "[]", "{}", '{"schema_version": "x"}'])
+def test_malformed_answer_is_an_error(text):
+    """Guards against a stop because of an answer that cannot be read."""
+
+    async def answer(request):
+        return web.Response(text=text)
+
+    async def scenario(client, store):
+        store.fault = answer
+        assert not (await client.read_changes("op", 0, 10)).is_ok()
+
+    run(scenario)
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -26,7 +26,14 @@
 
 def run_pytest(report: pathlib.Path) -> int:
     """Run the unit and property tests and write a JUnit report."""
-    command = [sys.executable, "-m", "pytest", "packages", f"--junitxml={report}"]
+    command = [
+        sys.executable,
+        "-m",
+        "pytest",
+        "packages",
+        "deploy",
+        f"--junitxml={report}",
+    ]
     return subprocess.call(command, cwd=ROOT, env=os.environ)
 
 
