--- /dev/null
+++ b/packages/entry/src/bluebellusher/ranks/tests/test_lease.py
@@ -0,0 +1,115 @@
+"""The lease of the entry that leads the maps."""
+
+import asyncio
+
+from bluebellusher.ranks import LeaseKeeper
+from bluebellusher.ranks._lease import GUARD_MS, TERM_MS
+from bluebellusher.shared.tests.fakes import DOWN, FakeLog, FakeStore
+from bluebellusher_core.clock import ManualClock
+
+
+def make_keeper(store, clock, name, is_held_elsewhere=lambda: False):
+    """Return a keeper without a takeover delay."""
+    return LeaseKeeper.from_parts(
+        store, "lease", name, 0, clock, FakeLog(), is_held_elsewhere
+    )
+
+
+async def until(condition, clock=None):
+    """Wait until a condition holds; a given clock goes on meanwhile."""
+    async with asyncio.timeout(15):
+        while not condition():
+            if clock is not None:
+                clock.advance(50)
+            await asyncio.sleep(0.01)
+
+
+def run(scenario):
+    """Run a scenario with a store and a clock."""
+
+    async def main():
+        await scenario(FakeStore(), ManualClock(1_000))
+
+    asyncio.run(main())
+
+
+def test_one_of_two_holds_the_lease():
+    """Guards against two leaders with one token."""
+
+    async def scenario(store, clock):
+        keepers = [make_keeper(store, clock, name) for name in ("a", "b")]
+        tasks = [asyncio.create_task(keeper.run()) for keeper in keepers]
+        await until(lambda: any(k.token is not None for k in keepers))
+        await asyncio.sleep(0.3)
+        assert sum(k.token is not None for k in keepers) == 1
+        for task in tasks:
+            task.cancel()
+
+    run(scenario)
+
+
+def test_holder_that_cannot_renew_stops_before_another_begins():
+    """Guards against a leader that goes on after its lease has ended."""
+
+    async def scenario(store, clock):
+        keeper = make_keeper(store, clock, "a")
+        task = asyncio.create_task(keeper.run())
+        await until(lambda: keeper.token is not None)
+        token = keeper.token
+        store.fault = DOWN
+        clock.advance(TERM_MS)
+        assert keeper.token is None
+        task.cancel()
+        store.fault = None
+        other = make_keeper(store, clock, "b")
+        task = asyncio.create_task(other.run())
+        await asyncio.sleep(0.1)
+        assert other.token is None
+        clock.advance(TERM_MS + GUARD_MS)
+        await until(lambda: other.token is not None, clock)
+        assert other.token > token
+        task.cancel()
+
+    run(scenario)
+
+
+def test_lost_answer_to_the_write_does_not_lose_the_lease():
+    """Guards against an entry that holds a lease and does not know."""
+
+    async def scenario(store, clock):
+        keeper = make_keeper(store, clock, "a")
+        store.loses_answers = True
+        task = asyncio.create_task(keeper.run())
+        await until(lambda: store.version > 0)
+        store.loses_answers = False
+        await until(lambda: keeper.token is not None)
+        task.cancel()
+
+    run(scenario)
+
+
+def test_follower_does_not_ask_the_store_while_the_holder_is_heard():
+    """Guards against calls of every entry for a lease that is held."""
+
+    async def scenario(store, clock):
+        keeper = make_keeper(store, clock, "b", is_held_elsewhere=lambda: True)
+        task = asyncio.create_task(keeper.run())
+        await asyncio.sleep(0.6)
+        assert store.n_calls == 0
+        task.cancel()
+
+    run(scenario)
+
+
+def test_released_lease_is_not_taken_again_by_the_same_entry():
+    """Guards against an entry that leads again while it stops."""
+
+    async def scenario(store, clock):
+        keeper = make_keeper(store, clock, "a")
+        task = asyncio.create_task(keeper.run())
+        await until(lambda: keeper.token is not None)
+        await keeper.release()
+        await asyncio.wait_for(task, 5)
+        assert keeper.token is None
+
+    run(scenario)
