--- a/packages/entry/src/bluebellusher/gateway/_attempts.py
+++ b/packages/entry/src/bluebellusher/gateway/_attempts.py
@@ -14,7 +14,7 @@
 from yarl import URL
 
 from bluebellusher.links import AnswerStream, EventSink, EventSplitter, make_socket
-from bluebellusher.observability import Tracer
+from bluebellusher.observability import Metrics, Tracer
 from bluebellusher.ports import AnswerFields, AttemptFields, Dialect
 from bluebellusher.runtime import Exchange
 from bluebellusher_core.clock import Clock
@@ -122,6 +122,10 @@
         Measures what is left of a deadline.
     tracer : Tracer
         Opens a span for each attempt.
+    metrics : Metrics
+        Counts attempts by what became of them.
+    describe : callable or None
+        Returns what decided for an endpoint, for the log.
     """
 
     def __init__(
@@ -130,12 +134,16 @@
         find_endpoint: FindEndpoint,
         clock: Clock,
         tracer: Tracer,
+        metrics: Metrics,
+        describe: Callable[[str], dict[str, str | int | float]] | None = None,
     ) -> None:
         self.sink: EventSink | None = None
         self._dialect = dialect
         self._find_endpoint = find_endpoint
         self._clock = clock
         self._tracer = tracer
+        self._metrics = metrics
+        self._describe = describe
         self._attempt_by_id: dict[str, _Attempt] = {}
         self._session: aiohttp.ClientSession | None = None
 
@@ -186,7 +194,8 @@
         exchange.endpoint_by_attempt_id[effect.attempt_id] = effect.endpoint_id
         self._attempt_by_id[effect.attempt_id] = attempt
         attempt.task = asyncio.create_task(self._run(attempt))
-        self._log("attempt-sent", attempt, resume_offset=effect.resume_offset)
+        inputs = self._describe(effect.endpoint_id) if self._describe else {}
+        self._log("attempt-sent", attempt, resume_offset=effect.resume_offset, **inputs)
         return True
 
     def cancel(self, effect: CancelAttempt) -> None:
@@ -267,6 +276,7 @@
             if refused is not None:
                 return refused
             await self._relay(attempt, response)
+        self._log("attempt-finished", attempt, status=response.status)
         return AttemptFinished(
             attempt.effect.attempt_id,
             response.status,
@@ -366,6 +376,7 @@
 
     def _log(self, name: str, attempt: _Attempt, **fields: str | int | float) -> None:
         assert self.sink is not None
+        self._metrics.count("bluebellusher_attempts_total", "event", name)
         effect = attempt.effect
         self.sink.log(
             name,
--- a/packages/entry/src/bluebellusher/gateway/_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -27,7 +27,7 @@
 from bluebellusher_core.directory import GroupModel, TableMirror
 from bluebellusher_core.events import EntriesCounted
 from bluebellusher_core.reducer import EntryConfig, EntryState
-from bluebellusher_core.routing import SlotAware
+from bluebellusher_core.routing import SlotAware, count_taken
 from bluebellusher_core.wire import messages
 
 # After SIGTERM the platform stops sending new connections within two checks of one
@@ -69,12 +69,16 @@
         self.state = _make_state(settings, self.incarnation, seed)
         tracer = Tracer(log)
         self._store = ports.store
+        metrics = Metrics()
         self.dispatcher = HttpDispatcher(
-            ports.dialect, self._find_endpoint, clock, tracer
-        )
-        self.runtime = Runtime(
-            self.state, clock, log, Metrics(), tracer, self.dispatcher
+            ports.dialect,
+            self._find_endpoint,
+            clock,
+            tracer,
+            metrics,
+            self._describe_endpoint,
         )
+        self.runtime = Runtime(self.state, clock, log, metrics, tracer, self.dispatcher)
         self.dispatcher.sink = self.runtime
         self.directory = Directory(ports.codec, self.runtime.post, clock, self.runtime)
         self.ticker = LinkTicker(clock, asyncio.get_running_loop())
@@ -251,6 +255,22 @@
         service = self.directory.routing.service_by_id.get(endpoint.service_id)
         return service.engine.group if service and service.engine else None
 
+    def _describe_endpoint(self, endpoint_id: str) -> dict[str, str | int | float]:
+        """Return what the routing policy knows of an endpoint, for the log."""
+        view = self.state.endpoints.view_by_id.get(endpoint_id)
+        if view is None:
+            return {}
+        now_ms = self.clock.now_ms()
+        is_reported = view.report is not None
+        return {
+            "domain": view.info.failure_domain,
+            "n_taken": count_taken(view, now_ms),
+            "n_own": view.n_own_in_flight,
+            "report_age_ms": now_ms - view.reported_at_ms if is_reported else -1,
+            "failure_rate": view.failure_rate,
+            "n_waiting": sum(len(q) for q in self.state.queue_by_pool.values()),
+        }
+
     def _make_watcher(
         self, table: str, take: Callable[[list[Any]], None], seed: Random
     ) -> TableWatcher:
--- a/packages/entry/src/bluebellusher/gateway/_server.py
+++ b/packages/entry/src/bluebellusher/gateway/_server.py
@@ -175,7 +175,11 @@
 
     def _note_end(self, exchange: Exchange, outcome: str, writer: AnswerWriter) -> None:
         spec, answer = exchange.spec, exchange.answer
-        self._runtime.metrics.count("bluebellusher_requests_total", "outcome", outcome)
+        metrics = self._runtime.metrics
+        metrics.count("bluebellusher_requests_total", "outcome", outcome)
+        if answer.refusal is not None:
+            reason = answer.refusal.reason.value
+            metrics.count("bluebellusher_refusals_total", "reason", reason)
         self._runtime.log(
             "request-ended",
             request=spec.request_id,
--- a/packages/entry/src/bluebellusher/gateway/tests/harness.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/harness.py
@@ -131,9 +131,10 @@
         self.state = EntryState.from_config(config, SlotAware("here"), ObjectiveQueue)
         tracer = Tracer(self.log)
         dialect = PlainDialect()
-        self.dispatcher = HttpDispatcher(dialect, self.find, clock, tracer)
+        metrics = Metrics()
+        self.dispatcher = HttpDispatcher(dialect, self.find, clock, tracer, metrics)
         self.runtime = Runtime(
-            self.state, clock, self.log, Metrics(), tracer, self.dispatcher
+            self.state, clock, self.log, metrics, tracer, self.dispatcher
         )
         self.dispatcher.sink = self.runtime
         self.directory = Directory(None, self.runtime.post, clock, self.runtime)
--- a/packages/entry/src/bluebellusher/gateway/tests/test_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_gateway.py
@@ -354,8 +354,15 @@
     async def scenario(harness):
         await harness.fetch()
         await asyncio.sleep(0.05)
-        for event in ("request-arrived", "attempt-sent", "request-ended"):
-            assert harness.recorder.count(event) >= 1, event
-        assert harness.recorder.count("attempt-refused") >= 0
+        events = (
+            "request-arrived",
+            "attempt-sent",
+            "attempt-finished",
+            "request-ended",
+        )
+        for event in events:
+            assert harness.recorder.count(event) == 1, event
+        figures = harness.runtime.metrics.to_prometheus({})
+        assert 'bluebellusher_requests_total{outcome="completed"} 1' in figures
 
     run(scenario, [answer_whole])
--- a/packages/entry/src/bluebellusher/observability/_log.py
+++ b/packages/entry/src/bluebellusher/observability/_log.py
@@ -4,6 +4,7 @@
 import re
 import select
 import sys
+from collections import Counter
 from typing import Any, Protocol
 
 import eliot
@@ -14,6 +15,8 @@
 _MAX_VALUE_CHARS = 512
 # A pipe that is ready for writing takes this much at once.
 _MAX_LINE_CHARS = 4_000
+# Several times the requests that an entry serves in a second.
+MAX_LINES_PER_EVENT_AND_SECOND = 500
 # Fields that eliot adds for its task tree; one line per event needs none of them.
 _TASK_FIELDS = frozenset(("task_uuid", "task_level", "message_type", "timestamp"))
 
@@ -85,6 +88,37 @@
         self.n_dropped_total += 1
 
 
+class LineLimiter:
+    """Bound the lines of each event, so that a burst of one cannot hide the others.
+
+    Parameters
+    ----------
+    n_per_second : int
+        Lines of one event that may be written in one second.
+    """
+
+    def __init__(self, n_per_second: int = MAX_LINES_PER_EVENT_AND_SECOND) -> None:
+        self._n_per_second = n_per_second
+        self._second = 0
+        self._n_by_event: Counter[str] = Counter()
+
+    def admit(self, event: str, timestamp_s: float) -> tuple[bool, Counter[str]]:
+        """Return whether a line may be written, and what was left out before it.
+
+        The counts of left out lines are those of the last second, by event; they are
+        returned once, with the first line of a new second.
+        """
+        left_out: Counter[str] = Counter()
+        if int(timestamp_s) != self._second:
+            for name, n_lines in self._n_by_event.items():
+                if n_lines > self._n_per_second:
+                    left_out[name] = n_lines - self._n_per_second
+            self._second = int(timestamp_s)
+            self._n_by_event.clear()
+        self._n_by_event[event] += 1
+        return self._n_by_event[event] <= self._n_per_second, left_out
+
+
 class KeyValueLog:
     """Write eliot events as lines.
 
@@ -99,6 +133,7 @@
     def __init__(self, level: str, writer: LineWriter) -> None:
         self._rank = _RANK_BY_LEVEL[level]
         self._writer = writer
+        self._limiter = LineLimiter()
         self.is_debug = level == "debug"
 
     @classmethod
@@ -113,6 +148,16 @@
 
     def write_message(self, message: dict[str, Any]) -> None:
         """Write one eliot message."""
+        timestamp_s = message.get("timestamp", 0.0)
+        event = str(message.get("message_type", ""))
+        is_admitted, left_out = self._limiter.admit(event, timestamp_s)
+        for name, n_lines in left_out.items():
+            line = {"timestamp": timestamp_s, "message_type": "log-limited"}
+            self._write({**line, "left_out": name, "n_lines": n_lines})
+        if is_admitted:
+            self._write(message)
+
+    def _write(self, message: dict[str, Any]) -> None:
         self._writer.write(format_line(message) + "\n")
 
     @property
