--- a/packages/entry/src/bluebellusher/cli/_commands.py
+++ b/packages/entry/src/bluebellusher/cli/_commands.py
@@ -11,7 +11,11 @@
 from cleo.io.inputs.argument import Argument
 from cleo.io.inputs.option import Option
 
-from bluebellusher.settings import SettingsError, load_settings
+from bluebellusher.settings import (
+    SettingsError,
+    load_gateway_settings,
+    load_settings,
+)
 
 EXIT_OK = 0
 EXIT_FAILED = 1
@@ -64,15 +68,21 @@
     description = "Check a settings file and report every problem at once."
     help = (
         "Each problem is one line: file, path of the value or line, what was found\n"
-        "and what is expected. Secrets are never shown.\n\n"
+        "and what is expected. Secrets are never shown. With --gateway the file is\n"
+        "that of an entry on a platform with shared tables.\n\n"
         "  bluebellusher config check entry.json5\n\n"
         "Exit codes: 0 the file can be used, 2 it cannot."
     )
     arguments: ClassVar[list[Argument]] = [argument("file", "Settings file to check.")]
+    options: ClassVar[list[Option]] = [
+        option("gateway", "g", "Check settings of an entry on a platform.")
+    ]
 
     def handle(self) -> int:
         """Check the file."""
         path = self.argument("file")
+        if self.option("gateway"):
+            return self._check_gateway(path)
         try:
             settings = load_settings(path)
         except SettingsError as error:
@@ -85,6 +95,19 @@
         )
         return EXIT_OK
 
+    def _check_gateway(self, path: str) -> int:
+        try:
+            settings = load_gateway_settings(path)
+        except SettingsError as error:
+            self.line_error(str(error))
+            return EXIT_BAD_SETTINGS
+        self.line(
+            f"{path}: ok: instance {settings.instance_id} in "
+            f"{settings.failure_domain}, callers at {settings.callers}, "
+            f"store at {settings.store}, {len(settings.seeds)} seeds"
+        )
+        return EXIT_OK
+
 
 class StatusCommand(Command):
     """Show the state of a running entry."""
--- a/packages/entry/src/bluebellusher/cli/_main.py
+++ b/packages/entry/src/bluebellusher/cli/_main.py
@@ -17,9 +17,10 @@
     application = Application("bluebellusher", "0.1.0")
     commands: list[Command] = [ServeCommand()]
     if not is_serving:
+        from bluebellusher.cli.explain import ExplainCommand
         from bluebellusher.cli.rules_commands import RULES_COMMANDS
 
-        commands += [ConfigCheckCommand(), StatusCommand()]
+        commands += [ConfigCheckCommand(), StatusCommand(), ExplainCommand()]
         commands += [make_command() for make_command in RULES_COMMANDS]
     for command in commands:
         application.add(command)
--- /dev/null
+++ b/packages/entry/src/bluebellusher/cli/tests/test_explain.py
@@ -0,0 +1,66 @@
+"""The story of a request from logs."""
+
+import pytest
+from cleo.testers.application_tester import ApplicationTester
+
+from bluebellusher.cli._main import build_application
+from bluebellusher.cli.explain import explain, parse_line
+
+LOG_A = """\
+ts=100.000 event=started instance=e1
+ts=100.100 event=configuration-in-force version=7 row_version=9
+ts=100.200 event=endpoint-ready endpoint=x1 service=s
+ts=100.300 event=endpoint-ready endpoint=x2 service=s
+ts=101.000 event=request-arrived request=e1.r1 caller_attempt=9c41 service=s
+ts=101.001 event=attempt-sent request=e1.r1 endpoint=x1 n_taken=3 report_age_ms=80
+ts=101.002 event=request-arrived request=e1.r2 caller_attempt=77 service=s
+ts=101.500 event=store-lost table=op reason="status 503"
+ts=102.000 event=attempt-broken request=e1.r1 endpoint=x1 error=ClientPayloadError
+ts=102.001 event=request-ended request=e1.r1 outcome=unknown status=502 reason=lost
+ts=103.000 event=configuration-in-force version=8 row_version=20
+"""
+
+
+def read(text):
+    """Return the lines of a log."""
+    return [parse_line("a.log", line) for line in text.splitlines()]
+
+
+@pytest.mark.parametrize("wanted_id", ["e1.r1", "9c41"])
+def test_story_is_found_by_either_id(wanted_id):
+    """Guards against a caller's id that leads nowhere."""
+    story = explain(wanted_id, read(LOG_A))
+    events = [line.split("event=")[1].split()[0] for line in story[:4]]
+    assert events == [
+        "request-arrived",
+        "attempt-sent",
+        "attempt-broken",
+        "request-ended",
+    ]
+    assert not any("e1.r2" in line for line in story)
+
+
+def test_story_shows_what_was_believed_and_not_what_came_later():
+    """Guards against causes that did not exist yet."""
+    text = "\n".join(explain("e1.r1", read(LOG_A)))
+    assert "version=7" in text
+    assert "version=8" not in text
+    assert "store-lost" in text
+    assert "believed for 0.501 s" in text
+    assert "endpoint=x2" not in text, "not an endpoint of this request"
+
+
+def test_lines_that_are_no_log_lines_are_passed_over():
+    """Guards against a stop because of a traceback in a log."""
+    for text in ("", "Traceback (most", 'a="open', "event=x", "ts=soon event=x"):
+        assert parse_line("a.log", text) is None
+
+
+def test_command_says_when_a_request_is_not_there(tmp_path):
+    """Guards against an empty answer that looks like a story."""
+    path = tmp_path / "a.log"
+    path.write_text(LOG_A)
+    tester = ApplicationTester(build_application())
+    assert tester.execute(f"explain e1.r1 {path}") == 0
+    assert tester.execute(f"explain e1.r9 {path}") == 1
+    assert tester.execute(f"explain e1.r1 {tmp_path}/missing.log") == 2
