--- /dev/null
+++ b/packages/agent/src/bluebellusher_agent/ranks/tests/test_rank_agent.py
@@ -0,0 +1,207 @@
+"""The agent beside a rank, with an entry that speaks to it over a connection."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from bluebellusher_agent._settings import Address
+from bluebellusher_agent.ranks import (
+    OrderAnswer,
+    RankAgent,
+    RankAgentSettings,
+    RankCounts,
+    RankReading,
+)
+from bluebellusher_agent.tests.entry_client import EntryClient
+from bluebellusher_core.errors import StepError
+from bluebellusher_core.ranks import OrderAction, unpack_counts
+from bluebellusher_core.wire import messages
+
+SECRET = "a-secret-of-sixteen-characters"
+SETTINGS = RankAgentSettings(
+    "side-1",
+    "domain",
+    SECRET,
+    Address("127.0.0.1", 0),
+    Address("127.0.0.1", 1),
+    Address("127.0.0.1", 0),
+)
+
+
+class Engine:
+    """An engine whose answers the test sets."""
+
+    def __init__(self):
+        self.reading = RankReading(1, 0, 1.0, 100, "g", 1, 0, 2, True, 5)
+        self.counts = RankCounts(1, 5, (10, 20, 30), ((0, 1, 2),), 7)
+        self.orders = []
+        self.is_down = False
+
+    async def read(self):
+        """Return the reading."""
+        if self.is_down:
+            raise StepError("read", "engine", "refused")
+        return self.reading
+
+    async def read_counts(self, with_map):
+        """Return the counts."""
+        if self.is_down:
+            raise StepError("read-counts", "engine", "refused")
+        return self.counts
+
+    async def execute(self, order):
+        """Keep an order."""
+        self.orders.append(order)
+        return OrderAnswer(order.map_version != 409, "status")
+
+    def close(self):
+        """Nothing is open."""
+
+
+def run(scenario):
+    """Run a scenario with an agent, its engine and an entry."""
+
+    async def main():
+        engine = Engine()
+        agent = RankAgent(SETTINGS, engine)
+        await agent.start()
+        port = agent._servers[0].sockets[0].getsockname()[1]
+        try:
+            async with asyncio.timeout(20):
+                async with EntryClient(port, secret=SECRET) as entry:
+                    await scenario(agent, engine, entry)
+        finally:
+            with contextlib.suppress(Exception):
+                await agent.stop()
+
+    asyncio.run(main())
+
+
+def make_order(token, action="hold", **fields):
+    """Return an order."""
+    return messages.RankOrder(
+        call_id="c", fencing_token=token, action=action, epoch=1, **fields
+    )
+
+
+def test_state_is_told_on_connect_and_when_it_changes():
+    """Guards against entries that place work by an old state."""
+
+    async def scenario(agent, engine, entry):
+        first = await entry.next(messages.RankReport)
+        assert (first.group_id, first.n_running, first.is_open) == ("g", 1, True)
+        engine.reading = RankReading(0, 0, 1.0, 100, "g", 1, 0, 2, False, 6)
+        while (await entry.next(messages.RankReport)).is_open:
+            continue
+
+    run(scenario)
+
+
+def test_order_of_an_earlier_leader_is_refused():
+    """Guards against a leader that returns after its lease has ended."""
+
+    async def scenario(agent, engine, entry):
+        entry.send(make_order(5, step=9))
+        assert (await entry.next(messages.RankOrderDone)).is_accepted
+        entry.send(make_order(4, step=10))
+        refused = await entry.next(messages.RankOrderDone)
+        assert not refused.is_accepted
+        assert "older" in refused.reason
+        assert [order.step for order in engine.orders] == [9]
+
+    run(scenario)
+
+
+def test_fence_reaches_no_engine_and_shows_in_the_report():
+    """Guards against a new leader that acts before the old one is shut out."""
+
+    async def scenario(agent, engine, entry):
+        entry.send(make_order(8, action="fence"))
+        assert (await entry.next(messages.RankOrderDone)).is_accepted
+        while (await entry.next(messages.RankReport)).fencing_token != 8:
+            continue
+        assert engine.orders == []
+
+    run(scenario)
+
+
+def test_refusal_of_the_engine_is_passed_on():
+    """Guards against a leader that takes a refused order for done."""
+
+    async def scenario(agent, engine, entry):
+        entry.send(make_order(1, action="arm", map_version=409, step=3))
+        assert not (await entry.next(messages.RankOrderDone)).is_accepted
+        assert engine.orders[0].action is OrderAction.ARM
+
+    run(scenario)
+
+
+def test_counts_are_those_since_the_last_question():
+    """Guards against old popularity in new plans."""
+
+    async def scenario(agent, engine, entry):
+        entry.send(messages.RankPull(call_id="1", with_map=True))
+        first = await entry.next(messages.RankCounts)
+        assert first.packed_counts is None
+        assert first.experts == [[0, 1, 2]]
+        engine.counts = RankCounts(1, 6, (10, 120, 40), (), 7)
+        entry.send(messages.RankPull(call_id="2", with_map=False))
+        second = await entry.next(messages.RankCounts)
+        assert unpack_counts(second.packed_counts) == [0, 100, 10]
+
+    run(scenario)
+
+
+def test_engine_that_does_not_answer_is_told_as_a_reason():
+    """Guards against a leader that waits for counts that do not come."""
+
+    async def scenario(agent, engine, entry):
+        engine.is_down = True
+        entry.send(messages.RankPull(call_id="1", with_map=False))
+        answer = await entry.next(messages.RankCounts)
+        assert answer.reason == "refused"
+
+    run(scenario)
+
+
+def test_unknown_message_closes_the_connection():
+    """Guards against requests that are sent to an agent that cannot run them."""
+
+    async def scenario(agent, engine, entry):
+        entry.send(messages.Dispatch(attempt_id="a"))
+        await entry.wait(lambda: not agent._connections)
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    ("change", "found"),
+    [
+        ({"listen": "10.0.0.1"}, "listen: found '10.0.0.1': expected host:port"),
+        ({"engine": 5}, "engine: found 5"),
+        ({"shared_secret": "short"}, "shared_secret: found str"),
+        ({"instance_id": None}, "instance_id: found None"),
+    ],
+)
+def test_bad_settings_are_named(tmp_path, change, found):
+    """Guards against an agent that starts with half of its settings."""
+    import json
+
+    document = {
+        "instance_id": "side-1",
+        "failure_domain": "d",
+        "shared_secret": SECRET,
+        "listen": "10.0.0.1:7340",
+        "engine": "10.0.0.1:80",
+        "metrics": "10.0.0.1:9100",
+    }
+    path = tmp_path / "agent.json"
+    path.write_text(json.dumps(document))
+    assert RankAgentSettings.from_file(str(path)).listen.port == 7340
+    path.write_text(json.dumps({**document, **change}))
+    with pytest.raises(StepError) as caught:
+        RankAgentSettings.from_file(str(path))
+    assert found in str(caught.value)
+    if "shared_secret" in change:
+        assert "short" not in str(caught.value)
--- /dev/null
+++ b/packages/entry/src/bluebellusher/ranks/tests/test_leader.py
@@ -0,0 +1,189 @@
+"""The leader of the maps against a model of a group."""
+
+import asyncio
+from dataclasses import replace
+from random import Random
+
+from bluebellusher.ranks import MapLeader
+from bluebellusher.shared.tests.fakes import FakeLog
+from bluebellusher_core.clock import SystemClock
+from bluebellusher_core.directory import GroupModel
+from bluebellusher_core.ranks import OrderAction, RankOrder, pack_counts
+from bluebellusher_core.ranks.tests._engines import Group
+from bluebellusher_core.wire import messages
+
+N_RANKS, N_EXPERTS = 4, 8
+MODEL = GroupModel(
+    n_layers=1,
+    n_experts=N_EXPERTS,
+    n_slots=4,
+    n_max_new=2,
+    n_expert_bytes=1,
+    load_ms=10.0,
+    expert_share=0.85,
+)
+HOT = [1_000, 10, 10, 10, 10, 10, 10, 10]
+
+
+class Lease:
+    """A lease that the test gives and takes."""
+
+    token = 1
+
+
+class Links:
+    """Agents of a model group; ``lose`` decides which orders get no answer."""
+
+    def __init__(self, group, lose=lambda order: False):
+        self.on_state = None
+        self.group = group
+        self.lose = lose
+        self.counts = HOT
+        self.n_orders = 0
+        self._clock = SystemClock()
+
+    def states(self):
+        """Return fresh states of every rank."""
+        now_ms = self._clock.now_ms()
+        return [
+            replace(self.group.read(rank), read_at_ms=now_ms) for rank in range(N_RANKS)
+        ]
+
+    async def call(self, rank_id, message):
+        """Answer a question for counts."""
+        await asyncio.sleep(0)
+        engine = self.group.engines[int(rank_id)]
+        experts = [[e for e in range(N_EXPERTS) if e % N_RANKS == engine.rank]]
+        if engine.map_content:
+            experts = [list(layer[engine.rank]) for layer in engine.map_content]
+        return messages.RankCounts(
+            epoch=engine.epoch,
+            step=self.group.step,
+            packed_counts=pack_counts(self.counts),
+            experts=experts if message.with_map else [],
+            map_version=engine.map_version,
+        )
+
+    async def give(self, order: RankOrder, token):
+        """Carry out an order, with or without an answer."""
+        await asyncio.sleep(0)
+        self.n_orders += 1
+        if self.lose(order):
+            return None
+        rank = int(order.rank_id)
+        self.group.token_by_rank[rank] = max(self.group.token_by_rank[rank], token)
+        self.group.engines[rank].execute(order, self.group.step)
+        return messages.RankOrderDone(is_accepted=True, reason="")
+
+
+def run(links, scenario):
+    """Run a leader and the passes of its group beside a scenario."""
+
+    async def go_on():
+        while True:
+            links.group.begin_pass()
+            await asyncio.sleep(0.02)
+
+    async def main():
+        log = FakeLog()
+        leader = MapLeader(
+            Lease(), links, lambda _: MODEL, SystemClock(), Random(1), log
+        )
+        tasks = [asyncio.create_task(leader.run()), asyncio.create_task(go_on())]
+        try:
+            async with asyncio.timeout(20):
+                await scenario(leader, log)
+        finally:
+            for task in tasks:
+                task.cancel()
+
+    asyncio.run(main())
+
+
+async def until(condition):
+    """Wait until a condition holds."""
+    while not condition():  # noqa: ASYNC110
+        await asyncio.sleep(0.02)
+
+
+def test_hot_expert_is_spread_over_the_ranks():
+    """Guards against a straggler that nobody relieves."""
+    links = Links(Group(N_RANKS))
+
+    async def scenario(leader, log):
+        await until(lambda: links.group.n_switches >= 1)
+        content = links.group.engines[0].map_content
+        holders = [rank for rank in range(N_RANKS) if 0 in content[0][rank]]
+        assert len(holders) > 1
+        line = next(fields for name, fields in log.lines if name == "map-wanted")
+        assert line["planned_skew"] < line["skew"]
+
+    run(links, scenario)
+
+
+def test_lost_orders_are_given_again():
+    """Guards against a group that waits seconds for an order that was lost."""
+    chance = Random(2)
+    links = Links(Group(N_RANKS), lose=lambda order: chance.random() < 0.35)
+
+    async def scenario(leader, log):
+        await until(lambda: links.group.n_switches >= 1)
+
+    run(links, scenario)
+
+
+def test_even_load_gets_no_orders():
+    """Guards against copies and pauses that save nothing."""
+    links = Links(Group(N_RANKS))
+    links.counts = [100] * N_EXPERTS
+
+    async def scenario(leader, log):
+        await asyncio.sleep(1.0)
+        assert links.n_orders == N_RANKS, "only the fences"
+
+    run(links, scenario)
+
+
+def test_entry_without_the_lease_gives_no_orders():
+    """Guards against two leaders."""
+    links = Links(Group(N_RANKS))
+
+    async def scenario(leader, log):
+        leader._lease.token = None
+        await asyncio.sleep(0.6)
+        assert links.n_orders == 0
+
+    run(links, scenario)
+
+
+def test_group_that_is_formed_anew_is_planned_for_from_its_first_map():
+    """Guards against a plan for a map that the group has forgotten."""
+    links = Links(Group(N_RANKS))
+
+    async def scenario(leader, log):
+        await until(lambda: links.group.n_switches >= 1)
+        links.group.form_anew()
+        n_before = links.group.n_switches
+        await until(lambda: links.group.n_switches > n_before)
+
+    run(links, scenario)
+
+
+def test_retiring_leader_finishes_its_change():
+    """Guards against a held step that waits for the next leader."""
+    held = []
+
+    def lose(order):
+        if order.action is OrderAction.HOLD:
+            held.append(order)
+        return False
+
+    links = Links(Group(N_RANKS), lose)
+
+    async def scenario(leader, log):
+        await until(lambda: held)
+        await leader.retire(2_000)
+        assert not any(e.held_step for e in links.group.engines)
+        assert not any(e.armed for e in links.group.engines)
+
+    run(links, scenario)
