--- a/packages/entry/src/bluebellusher/cli/explain.py
+++ b/packages/entry/src/bluebellusher/cli/explain.py
@@ -26,7 +26,6 @@
         "store-history-lost",
         "peer-connected",
         "peer-lost",
-        "agent-connected",
         "agent-lost",
         "lease-held",
         "lease-lost",
@@ -35,6 +34,8 @@
         "started",
     )
 )
+# Words that a collector may put before a line.
+PREFIX_WORDS = 3
 # Beliefs about these say which subject they are about.
 SUBJECT_FIELDS = ("endpoint", "table", "peer", "lease", "group")
 
@@ -43,7 +44,8 @@
 class LogLine:
     """One line of a log.
 
-    ``source`` names the file, ``at_s`` is the Unix time of the line.
+    ``source`` names the file, and the process where a prefix does; ``at_s`` is the
+    Unix time of the line.
     """
 
     source: str
@@ -56,7 +58,8 @@
 def parse_line(source: str, text: str) -> LogLine | None:
     """Return a line of key=value pairs, or None for any other line.
 
-    A prefix before the time, as a collector of logs may add, is passed over.
+    A collector of logs may put a prefix before the time, whose last word then names
+    the process.
 
     Examples
     --------
@@ -69,6 +72,9 @@
     except ValueError:
         return None
     fields = dict(word.split("=", 1) for word in words if "=" in word)
+    prefix = [word for word in words[:PREFIX_WORDS] if "=" not in word]
+    if prefix:
+        source = f"{source}:{prefix[-1]}"
     if "event" not in fields:
         return None
     try:
