Repeat unanswered orders beside the engine; learn how long a change takes

Ruled out: lost leases; the leader held its lease throughout. Change: the agent repeats an order after 25 ms, and the planner counts the time that changes take beside their copies as it is seen.

--- a/packages/agent/src/bluebellusher_agent/ranks/_agent.py
+++ b/packages/agent/src/bluebellusher_agent/ranks/_agent.py
@@ -11,7 +11,12 @@
 from bluebellusher_agent._connection import EntryConnection
 from bluebellusher_agent._log import log
 from bluebellusher_agent._memory import MemoryTrimmer
-from bluebellusher_agent.ranks._engine import EngineControl, RankCounts, RankReading
+from bluebellusher_agent.ranks._engine import (
+    EngineControl,
+    OrderAnswer,
+    RankCounts,
+    RankReading,
+)
 from bluebellusher_agent.ranks._settings import RankAgentSettings
 from bluebellusher_core.clock import Clock, SystemClock
 from bluebellusher_core.errors import StepError
@@ -26,6 +31,9 @@
 READ_INTERVAL_COPYING_MS = 40
 # A copy takes seconds; one that takes longer was lost and is ordered again.
 MAX_COPYING_MS = 6_000
+# An engine on the same machine answers within a few milliseconds.
+ORDER_TIMEOUT_MS = 25
+N_ORDER_TRIES = 8
 # An unchanged state is told this often, so that entries can tell it is current.
 REPEAT_INTERVAL_MS = 600
 MAX_CONNECTIONS = 4_096
@@ -176,17 +184,28 @@
             self._copying_version = order.map_version
             self._copying_until_ms = self.clock.now_ms() + MAX_COPYING_MS
         if order.action is not OrderAction.FENCE:
-            try:
-                answer = await self._engine.execute(order)
-                is_accepted, reason = answer.is_accepted, answer.reason
-            except StepError as error:
-                is_accepted, reason = False, error.reason
-            self._answer(connection, message, is_accepted, reason)
+            answer = await self._give(order)
+            self._answer(connection, message, answer.is_accepted, answer.reason)
         else:
             self._answer(connection, message, True, "fenced")
         # The leader goes on from what is seen, not from the answer.
         await self._read_once(is_told_always=True)
 
+    async def _give(self, order: RankOrder) -> OrderAnswer:
+        """Give an order until it is answered; a repeat of it does no harm.
+
+        Load pattern: engines that leave a part of the orders unanswered while their
+        group waits at a held step.
+        """
+        reason = ""
+        for _ in range(N_ORDER_TRIES):
+            try:
+                return await self._engine.execute(order, ORDER_TIMEOUT_MS)
+            except StepError as error:
+                reason = error.reason
+        self._n_by_name["orders_unanswered"] += 1
+        return OrderAnswer(False, f"{reason}, {N_ORDER_TRIES} tries")
+
     def _answer(
         self, connection: EntryConnection, message: Any, is_accepted: bool, reason: str
     ) -> None:
--- a/packages/agent/src/bluebellusher_agent/ranks/_engine.py
+++ b/packages/agent/src/bluebellusher_agent/ranks/_engine.py
@@ -80,8 +80,8 @@
     async def read_counts(self, with_map: bool) -> RankCounts:
         """Return the counts, and the experts of the rank when they are wanted."""
 
-    async def execute(self, order: RankOrder) -> OrderAnswer:
-        """Give an order."""
+    async def execute(self, order: RankOrder, timeout_ms: int) -> OrderAnswer:
+        """Give an order once; ``StepError`` when no answer comes in time."""
 
     def close(self) -> None:
         """Close all connections."""
--- a/packages/agent/src/bluebellusher_agent/ranks/tests/test_rank_agent.py
+++ b/packages/agent/src/bluebellusher_agent/ranks/tests/test_rank_agent.py
@@ -37,6 +37,7 @@
         self.counts = RankCounts(1, 5, (10, 20, 30), ((0, 1, 2),), 7)
         self.orders = []
         self.is_down = False
+        self.n_unanswered = 0
 
     async def read(self):
         """Return the reading."""
@@ -50,8 +51,11 @@
             raise StepError("read-counts", "engine", "refused")
         return self.counts
 
-    async def execute(self, order):
-        """Keep an order."""
+    async def execute(self, order, timeout_ms):
+        """Keep an order, or leave it without an answer."""
+        if self.n_unanswered:
+            self.n_unanswered -= 1
+            raise StepError("order", "engine", f"no answer within {timeout_ms} ms")
         self.orders.append(order)
         return OrderAnswer(order.map_version != 409, "status")
 
@@ -137,6 +141,21 @@
     run(scenario)
 
 
+def test_order_without_an_answer_is_repeated_at_once():
+    """Guards against a group that waits at a held step for a lost order.
+
+    With half of the orders lost, each change held a group of 12 ranks for a second.
+    """
+
+    async def scenario(agent, engine, entry):
+        engine.n_unanswered = 3
+        entry.send(make_order(1, step=9))
+        assert (await entry.next(messages.RankOrderDone)).is_accepted
+        assert len(engine.orders) == 1
+
+    run(scenario)
+
+
 def test_counts_are_those_since_the_last_question():
     """Guards against old popularity in new plans."""
 
--- a/packages/core/src/bluebellusher_core/balance/__init__.py
+++ b/packages/core/src/bluebellusher_core/balance/__init__.py
@@ -22,7 +22,11 @@
     validate_placement,
 )
 from bluebellusher_core.balance._protocol import Conditions, PlacementPolicy, Plan
-from bluebellusher_core.balance._rank_bounded import ChangeCost, RankBoundedPlanner
+from bluebellusher_core.balance._rank_bounded import (
+    ChangeCost,
+    RankBoundedPlanner,
+    count_most_new,
+)
 
 __all__ = [
     "ChangeCost",
@@ -43,6 +47,7 @@
     "compute_moves",
     "compute_rank_loads",
     "compute_skew",
+    "count_most_new",
     "make_initial_placement",
     "validate_loads",
     "validate_placement",
--- a/packages/entry/src/bluebellusher/ranks/_leader.py
+++ b/packages/entry/src/bluebellusher/ranks/_leader.py
@@ -17,6 +17,7 @@
     RankBoundedPlanner,
     compute_rank_loads,
     compute_skew,
+    count_most_new,
 )
 from bluebellusher_core.clock import Clock
 from bluebellusher_core.directory import GroupModel
@@ -35,8 +36,9 @@
 # Popularity can change from one pass to the next and hold for seconds; the choices of
 # a few passes tell. A shorter interval costs bytes.
 COUNT_INTERVAL_MS = 200
-# Time from a plan to its map beside the copies, as seen in played days.
+# Time from a plan to its map beside the copies, until changes have been seen.
 CHANGE_FIXED_MS = 300.0
+FIXED_SMOOTHING = 0.3
 # A rank that has not reported for this long is not known well enough to act on.
 STATE_MAX_AGE_MS = 1_500
 # An order that was accepted and whose effect is not seen is given again after this
@@ -74,6 +76,8 @@
     due_at_ms: dict[tuple[str, OrderAction, int, int], int] = field(
         default_factory=dict
     )
+    wanted_load_ms: float = 0.0
+    fixed_ms: float = CHANGE_FIXED_MS
     last_loads: list[list[float]] | None = None
     last_loads_at_ms: int = 0
 
@@ -167,8 +171,11 @@
             group.epoch = view.epoch
             group.placed_version = -1
             group.due_at_ms.clear()
+        was_idle = group.change.is_idle
         for order in group.change.decide(view):
             self._give(group, order, now_ms)
+        if group.change.is_idle and not was_idle:
+            _note_end(group, view, now_ms)
         self._end_late_change(group_id, group, view, now_ms)
         is_due = now_ms - group.counted_at_ms >= COUNT_INTERVAL_MS
         if is_due and group.change.is_idle and not self._is_retiring:
@@ -300,7 +307,7 @@
             return
         cost = ChangeCost(
             load_ms=model.load_ms,
-            fixed_ms=CHANGE_FIXED_MS,
+            fixed_ms=group.fixed_ms,
             slowdown=COPY_SLOWDOWN,
             expert_share=model.expert_share,
             horizon_ms=POPULARITY_HORIZON_MS,
@@ -325,6 +332,8 @@
         experts = _to_expert_map(plan.placement, n_ranks)
         group.change.want(version, experts, view.epoch)
         group.wanted_at_ms = self._clock.now_ms()
+        n_most = count_most_new(n_ranks, placement, plan.placement)
+        group.wanted_load_ms = n_most * model.load_ms
         group.experts_by_rank = {
             rank: [layer[rank] for layer in experts] for rank in range(n_ranks)
         }
@@ -345,6 +354,19 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _note_end(group: _Group, view: GroupView, now_ms: int) -> None:
+    """Learn how long a change takes beside its copies.
+
+    Where orders get lost, changes take long and hold the group, and only large gains
+    are worth one.
+    """
+    if view.common_map_version != group.placed_version or not group.wanted_at_ms:
+        return
+    fixed_ms = now_ms - group.wanted_at_ms - group.wanted_load_ms
+    group.fixed_ms += FIXED_SMOOTHING * (max(0.0, fixed_ms) - group.fixed_ms)
+    group.wanted_at_ms = 0
+
+
 def _unpack(packed: bytes | None) -> list[int] | None:
     """Return counts; None when an agent had nothing to compare with."""
     try:
