Move the state of an entry into a package of its own; share what stood twice

The reducer's handlers imported the reducer, which imported them; the state now depends on neither. Change of place only: the tests of reducer, routing, server and gateway pass.

--- a/packages/core/src/bluebellusher_core/reducer/__init__.py
+++ b/packages/core/src/bluebellusher_core/reducer/__init__.py
@@ -1,7 +1,6 @@
 """The one function that changes the state of an entry."""
 
-from bluebellusher_core.reducer._config import EntryConfig
 from bluebellusher_core.reducer._reduce import reduce
-from bluebellusher_core.reducer._state import EntryState
+from bluebellusher_core.state import EntryConfig, EntryState
 
 __all__ = ["EntryConfig", "EntryState", "reduce"]
--- a/packages/core/src/bluebellusher_core/reducer/_reduce.py
+++ b/packages/core/src/bluebellusher_core/reducer/_reduce.py
@@ -25,7 +25,6 @@
     ShutdownStarted,
     TimerFired,
 )
-from bluebellusher_core.reducer._state import EntryState
 from bluebellusher_core.requests import (
     _arrival,
     _attempts,
@@ -35,6 +34,7 @@
     _placing,
     _recovery,
 )
+from bluebellusher_core.state import EntryState
 
 CLAIM_RETRY = "claims:retry:"
 
--- a/packages/core/src/bluebellusher_core/requests/_arrival.py
+++ b/packages/core/src/bluebellusher_core/requests/_arrival.py
@@ -1,18 +1,12 @@
 """Arrival of a request, its deadline, and a caller that leaves."""
 
-from __future__ import annotations
-
-from typing import TYPE_CHECKING
-
 from bluebellusher_core.effects import Effect, Reject, SetTimer
 from bluebellusher_core.errors import Reason, Refusal
 from bluebellusher_core.events import RequestSpec
 from bluebellusher_core.membership import pool_of
 from bluebellusher_core.requests import _final, _placing
 from bluebellusher_core.requests._model import Phase, Request
-
-if TYPE_CHECKING:
-    from bluebellusher_core.reducer import EntryState
+from bluebellusher_core.state import EntryState
 
 
 def arrive(state: EntryState, spec: RequestSpec, now_ms: int) -> list[Effect]:
--- a/packages/core/src/bluebellusher_core/requests/_attempts.py
+++ b/packages/core/src/bluebellusher_core/requests/_attempts.py
@@ -1,9 +1,5 @@
 """Messages about attempts; late, repeated and crossed ones change nothing."""
 
-from __future__ import annotations
-
-from typing import TYPE_CHECKING
-
 from bluebellusher_core.effects import ClaimState, CloseConnection, Effect
 from bluebellusher_core.errors import Reason
 from bluebellusher_core.events import (
@@ -15,9 +11,7 @@
 )
 from bluebellusher_core.requests import _final, _isolation, _placing, _recovery
 from bluebellusher_core.requests._model import Attempt, Phase, Request
-
-if TYPE_CHECKING:
-    from bluebellusher_core.reducer import EntryState
+from bluebellusher_core.state import EntryState
 
 SERVER_ERROR = 500
 
--- a/packages/core/src/bluebellusher_core/requests/_claiming.py
+++ b/packages/core/src/bluebellusher_core/requests/_claiming.py
@@ -1,17 +1,11 @@
 """Requests that wait for their claim."""
 
-from __future__ import annotations
-
-from typing import TYPE_CHECKING
-
 from bluebellusher_core.effects import ClaimWrite, Effect, ReplayAnswer
 from bluebellusher_core.errors import Reason
 from bluebellusher_core.events import ClaimOutcome, ClaimResult, ClaimsAnswered
 from bluebellusher_core.requests import _final, _placing
 from bluebellusher_core.requests._model import Phase, Request
-
-if TYPE_CHECKING:
-    from bluebellusher_core.reducer import EntryState
+from bluebellusher_core.state import EntryState
 
 STEP = "claim"
 PEER = "table"
--- a/packages/core/src/bluebellusher_core/requests/_final.py
+++ b/packages/core/src/bluebellusher_core/requests/_final.py
@@ -1,9 +1,5 @@
 """The final answer of a request; every request gets exactly one."""
 
-from __future__ import annotations
-
-from typing import TYPE_CHECKING
-
 from bluebellusher_core.effects import (
     CancelAttempt,
     ClaimState,
@@ -15,9 +11,7 @@
 from bluebellusher_core.errors import Outcome, Reason, Refusal
 from bluebellusher_core.membership import pool_of
 from bluebellusher_core.requests._model import Attempt, Phase, Request
-
-if TYPE_CHECKING:
-    from bluebellusher_core.reducer import EntryState
+from bluebellusher_core.state import EntryState
 
 MAX_ENDED_ATTEMPTS = 4_096
 # A repeat of such a request cannot succeed.
--- a/packages/core/src/bluebellusher_core/requests/_isolation.py
+++ b/packages/core/src/bluebellusher_core/requests/_isolation.py
@@ -1,18 +1,12 @@
 """Isolated runs of suspects, and requests that are known to crash endpoints."""
 
-from __future__ import annotations
-
-from typing import TYPE_CHECKING
-
 from bluebellusher_core.effects import Effect, LogEvent
 from bluebellusher_core.errors import Reason
 from bluebellusher_core.events import DigestReceived
 from bluebellusher_core.membership import Pool, pool_of
 from bluebellusher_core.requests import _final, _placing
 from bluebellusher_core.requests._model import Attempt, Phase, Request
-
-if TYPE_CHECKING:
-    from bluebellusher_core.reducer import EntryState
+from bluebellusher_core.state import EntryState
 
 # An isolated run keeps its endpoint from other new work, so only a part of the
 # endpoints of a pool is used for isolated runs at the same time.
--- a/packages/core/src/bluebellusher_core/requests/_links.py
+++ b/packages/core/src/bluebellusher_core/requests/_links.py
@@ -1,9 +1,5 @@
 """Endpoints that connect, crash and are lost."""
 
-from __future__ import annotations
-
-from typing import TYPE_CHECKING
-
 from bluebellusher_core.effects import Effect, SetTimer
 from bluebellusher_core.errors import Reason
 from bluebellusher_core.events import (
@@ -14,9 +10,7 @@
 )
 from bluebellusher_core.requests import _final, _isolation, _recovery
 from bluebellusher_core.requests._model import Attempt
-
-if TYPE_CHECKING:
-    from bluebellusher_core.reducer import EntryState
+from bluebellusher_core.state import EntryState
 
 # The agent tells of each broken attempt right after the crash.
 CRASH_WAIT_MS = 500
--- a/packages/core/src/bluebellusher_core/requests/_placing.py
+++ b/packages/core/src/bluebellusher_core/requests/_placing.py
@@ -1,9 +1,7 @@
 """Queues of waiting requests and their placement on endpoints."""
 
-from __future__ import annotations
-
 from dataclasses import replace
-from typing import TYPE_CHECKING, Protocol, runtime_checkable
+from typing import Protocol, runtime_checkable
 
 from bluebellusher_core.admission import AdmissionQueue
 from bluebellusher_core.effects import Dispatch, Effect, SetTimer
@@ -12,10 +10,7 @@
 from bluebellusher_core.requests import _final, _isolation
 from bluebellusher_core.requests._model import Attempt, Phase, Request
 from bluebellusher_core.routing import EndpointView
-
-if TYPE_CHECKING:
-    from bluebellusher_core.reducer import EntryState
-
+from bluebellusher_core.state import EntryState
 
 EXPIRY_CHECK_MS = 100
 
--- a/packages/core/src/bluebellusher_core/requests/_recovery.py
+++ b/packages/core/src/bluebellusher_core/requests/_recovery.py
@@ -1,18 +1,12 @@
 """What follows when an attempt breaks: resume, retry or the final answer."""
 
-from __future__ import annotations
-
-from typing import TYPE_CHECKING
-
 from bluebellusher_core.effects import DiscardAnswer, Effect, SetTimer
 from bluebellusher_core.errors import Reason
 from bluebellusher_core.events import AttemptBroken, EndpointInfo
 from bluebellusher_core.poison import HOLD_MS
 from bluebellusher_core.requests import _final, _isolation, _placing
 from bluebellusher_core.requests._model import Attempt, Phase, Request
-
-if TYPE_CHECKING:
-    from bluebellusher_core.reducer import EntryState
+from bluebellusher_core.state import EntryState
 
 
 def break_attempt(
--- a/packages/core/src/bluebellusher_core/routing/_predicted_latency.py
+++ b/packages/core/src/bluebellusher_core/routing/_predicted_latency.py
@@ -214,7 +214,7 @@
         predicted_ms += self.load_ms * (view.n_own_in_flight + n_others)
         slowness = _current_slowness(view, usual_slowness, now_ms)
         predicted_ms *= max(1.0, slowness / self.tolerated_slowness)
-        predicted_ms = max(predicted_ms, _stalled_ms(view, now_ms))
+        predicted_ms = max(predicted_ms, view.stalled_ms(now_ms))
         if view.info.failure_domain != self.failure_domain:
             predicted_ms += self.remote_domain_ms
         return predicted_ms
@@ -294,12 +294,4 @@
     if view.own_predicted_ms <= 0:
         return False
     limit_ms = SUSPECT_AFTER_MS + SUSPECT_TTFT_FACTOR * view.own_ttft_ms
-    return _stalled_ms(view, now_ms) > limit_ms
-
-
-def _stalled_ms(view: EndpointView, now_ms: int) -> float:
-    """Return for how long own attempts have waited without any progress."""
-    if not view.unanswered_at_ms:
-        return 0.0
-    oldest_at_ms = next(iter(view.unanswered_at_ms.values()))
-    return float(now_ms - max(oldest_at_ms, view.last_progress_at_ms))
+    return view.stalled_ms(now_ms) > limit_ms
--- a/packages/core/src/bluebellusher_core/routing/_protocol.py
+++ b/packages/core/src/bluebellusher_core/routing/_protocol.py
@@ -92,6 +92,13 @@
             return 1.0
         return self.own_ttft_ms / self.own_predicted_ms
 
+    def stalled_ms(self, now_ms: int) -> float:
+        """Return for how long own attempts have waited without any progress."""
+        if not self.unanswered_at_ms:
+            return 0.0
+        oldest_at_ms = next(iter(self.unanswered_at_ms.values()))
+        return float(now_ms - max(oldest_at_ms, self.last_progress_at_ms))
+
     def count_cached_tokens(self, request: RequestSpec) -> int:
         """Return how many prompt tokens the endpoint is believed to hold.
 
--- a/packages/core/src/bluebellusher_core/routing/_slot_aware.py
+++ b/packages/core/src/bluebellusher_core/routing/_slot_aware.py
@@ -59,7 +59,7 @@
             n_taken += self.remote_places
         age_ms = now_ms - view.failure_noted_at_ms
         n_taken += FAILURE_PLACES * view.failure_rate * exp(-age_ms / FAILURE_MEMORY_MS)
-        if _stalled_ms(view, now_ms) > STALL_MS:
+        if view.stalled_ms(now_ms) > STALL_MS:
             n_taken += FAILURE_PLACES
         return n_taken / n_slots
 
@@ -72,10 +72,3 @@
     n_since = len(view.own_dispatched_at_ms) - len(view.own_ended_at_ms)
     n_reported = report.n_running + report.n_queued + n_since
     return float(max(view.n_own_in_flight, n_reported))
-
-
-def _stalled_ms(view: EndpointView, now_ms: int) -> float:
-    if not view.unanswered_at_ms:
-        return 0.0
-    oldest_at_ms = next(iter(view.unanswered_at_ms.values()))
-    return float(now_ms - max(oldest_at_ms, view.last_progress_at_ms))
--- a/packages/core/src/bluebellusher_core/reducer/_state.py
+++ b/packages/core/src/bluebellusher_core/state/_state.py
@@ -11,10 +11,10 @@
 from bluebellusher_core.events import RequestSpec
 from bluebellusher_core.membership import Endpoints, Pool
 from bluebellusher_core.poison import PoisonTable
-from bluebellusher_core.reducer._config import EntryConfig
 from bluebellusher_core.requests import Attempt, Request
 from bluebellusher_core.retry import RetryBudget
 from bluebellusher_core.routing import EndpointView, LeastInFlight, RoutingPolicy
+from bluebellusher_core.state._config import EntryConfig
 
 
 @runtime_checkable
--- a/packages/entry/src/bluebellusher/gateway/_answers.py
+++ b/packages/entry/src/bluebellusher/gateway/_answers.py
@@ -5,24 +5,10 @@
 
 from aiohttp import web
 
+from bluebellusher.links import CONNECTION_HEADERS
 from bluebellusher.runtime import Exchange, Runtime
 from bluebellusher_core.errors import Outcome, Reason, Refusal
 
-# Headers of an answer that belong to one connection or are set by the server.
-_NOT_RETURNED = frozenset(
-    (
-        "connection",
-        "content-length",
-        "date",
-        "keep-alive",
-        "proxy-authenticate",
-        "server",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    )
-)
 _LIMIT_REASONS = frozenset((Reason.RATE_LIMITED, Reason.BUDGET_EXHAUSTED))
 
 
@@ -155,4 +141,6 @@
 
 
 def _returned_headers(headers: dict[str, str]) -> dict[str, str]:
-    return {name: value for name, value in headers.items() if name not in _NOT_RETURNED}
+    return {
+        name: value for name, value in headers.items() if name not in CONNECTION_HEADERS
+    }
--- a/packages/entry/src/bluebellusher/links/__init__.py
+++ b/packages/entry/src/bluebellusher/links/__init__.py
@@ -4,6 +4,7 @@
 from bluebellusher.links._answer import AnswerStream
 from bluebellusher.links._connection import FrameConnection, Identity
 from bluebellusher.links._dialer import Dialer
+from bluebellusher.links._headers import CONNECTION_HEADERS
 from bluebellusher.links._peers import PeerHandler, PeerLinks
 from bluebellusher.links._relay import AttemptRelay
 from bluebellusher.links._sockets import make_socket
@@ -11,6 +12,7 @@
 from bluebellusher.links._ticker import LinkTicker
 
 __all__ = [
+    "CONNECTION_HEADERS",
     "AgentLinks",
     "AnswerStream",
     "AttemptRelay",
--- a/packages/entry/src/bluebellusher/server/_respond.py
+++ b/packages/entry/src/bluebellusher/server/_respond.py
@@ -5,6 +5,7 @@
 from http import HTTPStatus
 from typing import Any
 
+from bluebellusher.links import CONNECTION_HEADERS
 from bluebellusher_core.errors import Reason, Refusal
 
 _STATUS_BY_REASON = {
@@ -24,23 +25,8 @@
     Reason.CLAIM_KEY_REUSED: 422,
     Reason.CRASHES_ENDPOINTS: 422,
 }
-# Headers of an answer that belong to one connection or are set by the server.
-_NOT_RETURNED = frozenset(
-    (
-        "connection",
-        "content-length",
-        "date",
-        "keep-alive",
-        "proxy-authenticate",
-        "server",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "x-attempt-id",
-        "x-resume-offset",
-    )
-)
+# Headers of an answer that callers do not get.
+_NOT_RETURNED = CONNECTION_HEADERS | {"x-attempt-id", "x-resume-offset"}
 
 
 def status_of(reason: Reason) -> int:
