Pause longer while a service is closed; pass the fencing token to engines

Cause: requests that are refused in the first seconds of a closed group came back before it opened and were lost. Change: the pause is drawn from the upper fifth of what callers accept while every endpoint says that it is closed. Engines that check fencing tokens now get the leader's.

--- a/packages/agent/src/bluebellusher_agent/ranks/_agent.py
+++ b/packages/agent/src/bluebellusher_agent/ranks/_agent.py
@@ -426,6 +426,7 @@
         epoch=message.epoch or 0,
         map_version=message.map_version or 0,
         step=message.step or 0,
+        fencing_token=message.fencing_token or 0,
         experts_by_rank=tuple(
             tuple(tuple(experts) for experts in layer)
             for layer in message.experts_by_rank or ()
--- a/packages/agent/src/bluebellusher_agent/ranks/tests/test_rank_agent.py
+++ b/packages/agent/src/bluebellusher_agent/ranks/tests/test_rank_agent.py
@@ -112,7 +112,7 @@
         refused = await entry.next(messages.RankOrderDone)
         assert not refused.is_accepted
         assert "older" in refused.reason
-        assert [order.step for order in engine.orders] == [9]
+        assert [(o.step, o.fencing_token) for o in engine.orders] == [(9, 5)]
 
     run(scenario)
 
--- a/packages/core/src/bluebellusher_core/admission/_objective_queue.py
+++ b/packages/core/src/bluebellusher_core/admission/_objective_queue.py
@@ -16,6 +16,8 @@
 MIN_RETRY_AFTER_MS = 100
 # Returns are spread over the upper part of the longest pause a caller accepts.
 MIN_PAUSE_SHARE = 0.4
+# While a service is closed its end is not known, and a longer pause reaches further.
+MIN_CLOSED_PAUSE_SHARE = 0.8
 # Spreads successive values evenly over an interval (golden ratio).
 SPREAD_STEP = 0.6180339887498949
 
@@ -178,5 +180,6 @@
         """Return when to come back; callers that are refused together spread out."""
         self._spread = (self._spread + SPREAD_STEP) % 1.0
         longest_ms = max(0, request.deadline_ms - now_ms) * RETURN_SHARE
-        share = MIN_PAUSE_SHARE + (1 - MIN_PAUSE_SHARE) * self._spread
+        least = MIN_CLOSED_PAUSE_SHARE if self._is_closed else MIN_PAUSE_SHARE
+        share = least + (1 - least) * self._spread
         return max(MIN_RETRY_AFTER_MS, int(longest_ms * share))
--- a/packages/core/src/bluebellusher_core/ranks/_state.py
+++ b/packages/core/src/bluebellusher_core/ranks/_state.py
@@ -71,6 +71,7 @@
     """An order to one rank; it is refused in another epoch.
 
     ``experts_by_rank`` is the whole map by layer and rank, for ``PREPARE`` only.
+    ``fencing_token`` is that of the leader, for engines that check it; 0 for none.
     """
 
     rank_id: str
@@ -79,6 +80,7 @@
     map_version: int = 0
     step: int = 0
     experts_by_rank: ExpertMap = ()
+    fencing_token: int = 0
 
 
 @dataclass(frozen=True, slots=True)
