--- a/packages/core/src/bluebellusher_core/balance/_rank_bounded.py
+++ b/packages/core/src/bluebellusher_core/balance/_rank_bounded.py
@@ -26,6 +26,8 @@
 MIN_STEP_GAIN = 1e-3
 # Bounds on the loads of a rank for which plans are compared.
 LOADS_PER_RANK = (1, 2, 3, 4, 6, 9)
+# What plans reach at best, as experts cannot be divided at will.
+LEAST_SKEW = 1.04
 # Plans that save less are not worth their orders.
 MIN_GAIN_MS = 200.0
 
@@ -55,8 +57,8 @@
     horizon_ms: float
 
     def can_gain(self, skew: float) -> bool:
-        """Return whether a map without any skew would be worth one load."""
-        return self.gain_ms(skew, 1.0, 1) > MIN_GAIN_MS
+        """Return whether a map with the least skew would be worth two loads."""
+        return self.gain_ms(skew, LEAST_SKEW, 2) > MIN_GAIN_MS
 
     def gain_ms(self, old_skew: float, new_skew: float, n_loads: int) -> float:
         """Return the time saved within the horizon, less what the change costs."""
--- a/packages/entry/src/bluebellusher/ranks/_leader.py
+++ b/packages/entry/src/bluebellusher/ranks/_leader.py
@@ -53,6 +53,9 @@
 COPY_SLOWDOWN = 0.15
 # Popularity has been seen to hold for a few seconds.
 POPULARITY_HORIZON_MS = 3_500.0
+# A search that found nothing is repeated after this time, or when the skew has risen.
+SEARCH_AGAIN_MS = 1_500
+SEARCH_AGAIN_SKEW = 0.1
 # After a pause of the group its popularity is still mostly what it was.
 LOADS_MAX_AGE_MS = 15_000
 # With fewer choices counted, their shares are mostly chance.
@@ -68,6 +71,9 @@
 
     change: MapChange
     counted_at_ms: int = 0
+    is_counting: bool = False
+    searched_at_ms: int = 0
+    searched_skew: float = 0.0
     wanted_at_ms: int = 0
     epoch: int = -1
     experts_by_rank: dict[int, Sequence[Sequence[int]]] = field(default_factory=dict)
@@ -176,10 +182,13 @@
             self._give(group, order, now_ms)
         if group.change.is_idle and not was_idle:
             _note_end(group, view, now_ms)
+            group.counted_at_ms = 0
         self._end_late_change(group_id, group, view, now_ms)
         is_due = now_ms - group.counted_at_ms >= COUNT_INTERVAL_MS
-        if is_due and group.change.is_idle and not self._is_retiring:
+        if is_due and not group.is_counting and not self._is_retiring:
+            # Also during a change, so that the next plan is for what is popular then.
             group.counted_at_ms = now_ms
+            group.is_counting = True
             self._start(self._count_and_plan(group_id, group, view))
 
     def _end_late_change(
@@ -228,11 +237,20 @@
     async def _count_and_plan(
         self, group_id: str, group: _Group, view: GroupView
     ) -> None:
+        try:
+            loads = await self._count(group, view)
+            if loads is not None and group.change.is_idle:
+                await self._plan(group_id, group, view, loads)
+        finally:
+            group.is_counting = False
+
+    async def _count(self, group: _Group, view: GroupView) -> list[list[float]] | None:
+        """Return the choices since the last count, or None when they are not whole."""
         model = self._find_group_model(view.states[0].rank_id)
+        if model is None:
+            return None
         map_version = view.common_map_version
-        if model is None or map_version is None:
-            return
-        with_map = group.placed_version != map_version
+        with_map = group.change.is_idle and group.placed_version != map_version
         if with_map:
             group.experts_by_rank.clear()
         answers = await asyncio.gather(
@@ -248,11 +266,9 @@
         elif with_map and now_ms - group.last_loads_at_ms < LOADS_MAX_AGE_MS:
             # A group that was formed anew has map 0 and no counts yet.
             loads = group.last_loads
-        if loads is None or not group.change.is_idle:
-            return
-        if with_map:
+        if with_map and map_version is not None and loads is not None:
             group.placed_version = map_version
-        await self._plan(group_id, group, view, loads, model)
+        return loads
 
     def _take_counts(
         self,
@@ -289,8 +305,10 @@
         group: _Group,
         view: GroupView,
         loads: list[list[float]],
-        model: GroupModel,
     ) -> None:
+        model = self._find_group_model(view.states[0].rank_id)
+        if model is None or group.placed_version != view.common_map_version:
+            return
         n_ranks = len(view.states)
         shape = GroupShape(
             n_ranks,
@@ -312,6 +330,13 @@
             expert_share=model.expert_share,
             horizon_ms=POPULARITY_HORIZON_MS,
         )
+        before = _mean_skew(n_ranks, placement, loads)
+        self.skew_by_group[group_id] = before
+        now_ms = self._clock.now_ms()
+        is_searched = now_ms - group.searched_at_ms < SEARCH_AGAIN_MS
+        if is_searched and before < group.searched_skew + SEARCH_AGAIN_SKEW:
+            return
+        group.searched_at_ms, group.searched_skew = now_ms, before
         planner = RankBoundedPlanner(shape, cost, model.n_max_new)
         planner.observe(loads)
         conditions = Conditions(self._clock.now_ms())
@@ -321,12 +346,10 @@
         )
         if not group.change.is_idle or group.epoch != view.epoch:
             return
-        before, after = (
-            _mean_skew(n_ranks, one, loads) for one in (placement, plan.placement)
-        )
-        self.skew_by_group[group_id] = before
         if not plan.moves:
             return
+        group.searched_at_ms = 0
+        after = _mean_skew(n_ranks, plan.placement, loads)
         self._n_versions += 1
         version = self._token * VERSIONS_PER_TOKEN + self._n_versions
         experts = _to_expert_map(plan.placement, n_ranks)
