--- a/packages/agent/src/bluebellusher_agent/ranks/_agent.py
+++ b/packages/agent/src/bluebellusher_agent/ranks/_agent.py
@@ -17,6 +17,7 @@
     RankCounts,
     RankReading,
 )
+from bluebellusher_agent.ranks._metrics import MetricsPage
 from bluebellusher_agent.ranks._settings import RankAgentSettings
 from bluebellusher_core.clock import Clock, SystemClock
 from bluebellusher_core.errors import StepError
@@ -38,7 +39,6 @@
 REPEAT_INTERVAL_MS = 600
 MAX_CONNECTIONS = 4_096
 _BACKLOG = 512
-_READ_TIMEOUT_S = 2.0
 
 
 class RankAgent:
@@ -92,9 +92,10 @@
                 backlog=_BACKLOG,
             )
         )
+        pages = MetricsPage(self._gauges, self._n_by_name)
         self._servers.append(
             await asyncio.start_server(
-                self._serve_metrics, settings.metrics.host, settings.metrics.port
+                pages.serve, settings.metrics.host, settings.metrics.port
             )
         )
         self._spawn(self._tick_forever())
@@ -343,25 +344,9 @@
             if n_ticks % TRIM_TICKS == 0:
                 self._memory.trim()
 
-    async def _serve_metrics(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        try:
-            async with asyncio.timeout(_READ_TIMEOUT_S):
-                await reader.readuntil(b"\r\n\r\n")
-            body = self._format_metrics().encode()
-            head = f"HTTP/1.1 200 OK\r\ncontent-length: {len(body)}\r\n"
-            writer.write(head.encode() + b"connection: close\r\n\r\n" + body)
-            await writer.drain()
-        except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
-            # A scraper that went away or sent no request gets no answer.
-            self._n_by_name["metrics_failed"] += 1
-        finally:
-            writer.close()
-
-    def _format_metrics(self) -> str:
+    def _gauges(self) -> dict[str, int]:
         reading = self._reading
-        gauges = {
+        return {
             "entries": len(self._connections),
             "engine_answers": int(self._is_engine_answering),
             "requests_running": reading.n_running if reading else 0,
@@ -372,10 +357,6 @@
             "map_version": reading.map_version if reading else 0,
             "fencing_token": self.fencing_token,
         }
-        lines = [f"bluebellusher_agent_{k} {v}" for k, v in gauges.items()]
-        counters = sorted(self._n_by_name.items())
-        lines += [f"bluebellusher_agent_{k}_total {v}" for k, v in counters]
-        return "\n".join(lines) + "\n"
 
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
--- a/packages/core/src/bluebellusher_core/balance/__init__.py
+++ b/packages/core/src/bluebellusher_core/balance/__init__.py
@@ -7,6 +7,7 @@
 from bluebellusher_core.balance._baselines import FullResolve, NoRebalancing
 from bluebellusher_core.balance._incremental import IncrementalPlanner
 from bluebellusher_core.balance._limits import MoveBudget
+from bluebellusher_core.balance._maps import to_expert_map, to_placement
 from bluebellusher_core.balance._model import (
     GroupShape,
     LayerPlacement,
@@ -49,6 +50,8 @@
     "compute_skew",
     "count_most_new",
     "make_initial_placement",
+    "to_expert_map",
+    "to_placement",
     "validate_loads",
     "validate_placement",
 ]
--- a/packages/entry/src/bluebellusher/gateway/_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -16,6 +16,7 @@
 from bluebellusher.gateway._admission import Admission, Patience
 from bluebellusher.gateway._attempts import HttpDispatcher
 from bluebellusher.gateway._server import CallerServer, PageServer
+from bluebellusher.gateway._view import MAP_LEASE, GatewayView
 from bluebellusher.links import Identity, LinkTicker, PeerLinks
 from bluebellusher.observability import KeyValueLog, Metrics, Tracer
 from bluebellusher.ports import PlatformPorts
@@ -28,7 +29,7 @@
 from bluebellusher_core.directory import GroupModel, TableMirror
 from bluebellusher_core.events import EntriesCounted
 from bluebellusher_core.reducer import EntryConfig, EntryState
-from bluebellusher_core.routing import SlotAware, count_taken
+from bluebellusher_core.routing import SlotAware
 from bluebellusher_core.wire import messages
 
 # After SIGTERM the platform stops sending new connections within two checks of one
@@ -44,7 +45,6 @@
 QUEUE_FACTOR = 1.2
 # How long a caller of a broken stream waits for its next event.
 RESUME_WAIT_MS = 1_500
-MAP_LEASE = "expert-maps"
 # Entries that want a free lease at the same moment spread over this time.
 MAX_TAKEOVER_DELAY_MS = 400
 # A group with a held step should not wait for the next leader.
@@ -71,6 +71,7 @@
         self.state = _make_state(settings, self.incarnation, seed)
         tracer = Tracer(log)
         self._store = ports.store
+        self.view = GatewayView(self)
         metrics = Metrics()
         self.dispatcher = HttpDispatcher(
             ports.dialect,
@@ -78,7 +79,7 @@
             clock,
             tracer,
             metrics,
-            self._describe_endpoint,
+            self.view.describe_endpoint,
         )
         self.runtime = Runtime(self.state, clock, log, metrics, tracer, self.dispatcher)
         self.dispatcher.sink = self.runtime
@@ -90,7 +91,7 @@
             settings.failure_domain,
             settings.shared_secret.get_secret_value().encode(),
         )
-        self.peer_exchange = PeerExchange(self.runtime, clock, self.make_digest)
+        self.peer_exchange = PeerExchange(self.runtime, clock, self.view.make_digest)
         self.peers = PeerLinks(
             identity, self.runtime, self.ticker, clock, seed, self.peer_exchange
         )
@@ -215,19 +216,6 @@
         self.settings = settings
         self.log.event("settings-reloaded", is_changed=is_changed)
 
-    def make_digest(self) -> Any:
-        """Return what peers are told."""
-        blocked, suspects = self.state.poison.digest(self.clock.now_ms())
-        routing = self.directory.routing
-        return messages.Digest(
-            config_version=routing.version if routing else 0,
-            members=[],
-            blocked_fingerprints=list(blocked),
-            suspect_fingerprints=list(suspects),
-            version_by_table=self.tables.versions(),
-            held_leases=[MAP_LEASE] if self.lease.token is not None else [],
-        )
-
     def _is_lease_held_elsewhere(self) -> bool:
         """Return whether a connected entry says that it leads the maps."""
         held = self._leases_by_peer_id
@@ -257,22 +245,6 @@
         service = self.directory.routing.service_by_id.get(endpoint.service_id)
         return service.engine.group if service and service.engine else None
 
-    def _describe_endpoint(self, endpoint_id: str) -> dict[str, str | int | float]:
-        """Return what the routing policy knows of an endpoint, for the log."""
-        view = self.state.endpoints.view_by_id.get(endpoint_id)
-        if view is None:
-            return {}
-        now_ms = self.clock.now_ms()
-        is_reported = view.report is not None
-        return {
-            "domain": view.info.failure_domain,
-            "n_taken": count_taken(view, now_ms),
-            "n_own": view.n_own_in_flight,
-            "report_age_ms": now_ms - view.reported_at_ms if is_reported else -1,
-            "failure_rate": view.failure_rate,
-            "n_waiting": sum(len(q) for q in self.state.queue_by_pool.values()),
-        }
-
     def _make_watcher(
         self, table: str, take: Callable[[list[Any]], None], seed: Random
     ) -> TableWatcher:
@@ -317,33 +289,7 @@
         return web.Response(status=200 if self.is_ready else 503)
 
     def _metrics_page(self) -> web.Response:
-        return web.Response(text=self.runtime.metrics.to_prometheus(self._gauges()))
-
-    def _gauges(self) -> Mapping[str, float]:
-        now_ms = self.clock.now_ms()
-        routing = self.directory.routing
-        views = self.state.endpoints.view_by_id.values()
-        n_waiting = sum(len(queue) for queue in self.state.queue_by_pool.values())
-        return {
-            "bluebellusher_requests_in_progress": len(
-                self.runtime.exchange_by_request_id
-            ),
-            "bluebellusher_requests_waiting": n_waiting,
-            "bluebellusher_connections": self.server.n_connections,
-            "bluebellusher_endpoints": sum(not v.is_draining for v in views),
-            "bluebellusher_endpoints_draining": sum(v.is_draining for v in views),
-            "bluebellusher_members": len(self.peers.connections_by_peer_id),
-            "bluebellusher_agents": self.ranks.n_connected,
-            "bluebellusher_map_lease_held": float(self.lease.token is not None),
-            "bluebellusher_expert_skew": max(
-                self.leader.skew_by_group.values(), default=0.0
-            ),
-            "bluebellusher_retries_left": self.state.retry_budget.n_left,
-            "bluebellusher_config_version": routing.version if routing else 0,
-            "bluebellusher_config_age_ms": now_ms - self.directory.routing_at_ms,
-            "bluebellusher_store_contact": float(self.routing_watcher.is_in_contact),
-            "bluebellusher_log_lines_dropped": self.log.n_dropped,
-        }
+        return web.Response(text=self.runtime.metrics.to_prometheus(self.view.gauges()))
 
     def _has_work(self) -> bool:
         return bool(self.runtime.exchange_by_request_id or self.server.n_connections)
--- /dev/null
+++ b/packages/entry/src/bluebellusher/gateway/_view.py
@@ -0,0 +1,79 @@
+"""What an entry shows of itself in figures, log lines and digests."""
+
+from collections.abc import Mapping
+from typing import TYPE_CHECKING, Any
+
+from bluebellusher_core.routing import count_taken
+from bluebellusher_core.wire import messages
+
+if TYPE_CHECKING:
+    from bluebellusher.gateway._gateway import Gateway
+
+MAP_LEASE = "expert-maps"
+
+
+class GatewayView:
+    """Figures, digest and descriptions of one entry."""
+
+    def __init__(self, gateway: "Gateway") -> None:
+        self._gateway = gateway
+
+    def make_digest(self) -> Any:
+        """Return what peers are told."""
+        gateway = self._gateway
+        now_ms = gateway.clock.now_ms()
+        blocked, suspects = gateway.state.poison.digest(now_ms)
+        routing = gateway.directory.routing
+        return messages.Digest(
+            config_version=routing.version if routing else 0,
+            members=[],
+            blocked_fingerprints=list(blocked),
+            suspect_fingerprints=list(suspects),
+            version_by_table=gateway.tables.versions(),
+            held_leases=[MAP_LEASE] if gateway.lease.token is not None else [],
+        )
+
+    def describe_endpoint(self, endpoint_id: str) -> dict[str, str | int | float]:
+        """Return what the routing policy knows of an endpoint, for the log."""
+        state = self._gateway.state
+        view = state.endpoints.view_by_id.get(endpoint_id)
+        if view is None:
+            return {}
+        now_ms = self._gateway.clock.now_ms()
+        is_reported = view.report is not None
+        return {
+            "domain": view.info.failure_domain,
+            "n_taken": count_taken(view, now_ms),
+            "n_own": view.n_own_in_flight,
+            "report_age_ms": now_ms - view.reported_at_ms if is_reported else -1,
+            "failure_rate": view.failure_rate,
+            "n_waiting": sum(len(q) for q in state.queue_by_pool.values()),
+        }
+
+    def gauges(self) -> Mapping[str, float]:
+        """Return current figures by Prometheus name."""
+        gateway = self._gateway
+        now_ms = gateway.clock.now_ms()
+        routing = gateway.directory.routing
+        views = gateway.state.endpoints.view_by_id.values()
+        n_waiting = sum(len(queue) for queue in gateway.state.queue_by_pool.values())
+        return {
+            "bluebellusher_requests_in_progress": len(
+                gateway.runtime.exchange_by_request_id
+            ),
+            "bluebellusher_requests_waiting": n_waiting,
+            "bluebellusher_connections": gateway.server.n_connections,
+            "bluebellusher_endpoints": sum(not v.is_draining for v in views),
+            "bluebellusher_endpoints_draining": sum(v.is_draining for v in views),
+            "bluebellusher_members": len(gateway.peers.connections_by_peer_id),
+            "bluebellusher_agents": gateway.ranks.n_connected,
+            "bluebellusher_map_lease_held": float(gateway.lease.token is not None),
+            "bluebellusher_expert_skew": max(
+                gateway.leader.skew_by_group.values(), default=0.0
+            ),
+            "bluebellusher_retries_left": gateway.state.retry_budget.n_left,
+            "bluebellusher_config_version": routing.version if routing else 0,
+            "bluebellusher_config_age_ms": now_ms - gateway.directory.routing_at_ms,
+            "bluebellusher_store_contact": float(gateway.routing_watcher.is_in_contact),
+            "bluebellusher_log_lines_dropped": gateway.log.n_dropped,
+        }
--- a/packages/entry/src/bluebellusher/ranks/_leader.py
+++ b/packages/entry/src/bluebellusher/ranks/_leader.py
@@ -18,11 +18,12 @@
     compute_rank_loads,
     compute_skew,
     count_most_new,
+    to_expert_map,
+    to_placement,
 )
 from bluebellusher_core.clock import Clock
 from bluebellusher_core.directory import GroupModel
 from bluebellusher_core.ranks import (
-    ExpertMap,
     GroupView,
     MapChange,
     OrderAction,
@@ -319,7 +320,9 @@
         )
         placement = None
         if len(group.experts_by_rank) == n_ranks:
-            placement = _to_placement(group.experts_by_rank, model)
+            placement = to_placement(
+                group.experts_by_rank, model.n_layers, model.n_experts
+            )
         if placement is None:
             group.placed_version = -1
             return
@@ -352,7 +355,7 @@
         after = _mean_skew(n_ranks, plan.placement, loads)
         self._n_versions += 1
         version = self._token * VERSIONS_PER_TOKEN + self._n_versions
-        experts = _to_expert_map(plan.placement, n_ranks)
+        experts = to_expert_map(plan.placement, n_ranks)
         group.change.want(version, experts, view.epoch)
         group.wanted_at_ms = self._clock.now_ms()
         n_most = count_most_new(n_ranks, placement, plan.placement)
@@ -407,30 +410,3 @@
         for ranks, of_layer in zip(placement, loads, strict=True)
     ]
     return sum(skews) / len(skews)
-
-
-def _to_placement(
-    experts_by_rank: dict[int, Sequence[Sequence[int]]], model: GroupModel
-) -> Placement | None:
-    """Return the ranks by layer and expert; None when an expert is nowhere."""
-    layers: list[list[list[int]]] = [
-        [[] for _ in range(model.n_experts)] for _ in range(model.n_layers)
-    ]
-    for rank in sorted(experts_by_rank):
-        for layer, experts in enumerate(experts_by_rank[rank]):
-            for expert in experts:
-                layers[layer][expert].append(rank)
-    if not all(ranks for layer in layers for ranks in layer):
-        return None
-    return tuple(tuple(tuple(ranks) for ranks in layer) for layer in layers)
-
-
-def _to_expert_map(placement: Placement, n_ranks: int) -> ExpertMap:
-    layers = []
-    for ranks_by_expert in placement:
-        held: list[list[int]] = [[] for _ in range(n_ranks)]
-        for expert, ranks in enumerate(ranks_by_expert):
-            for rank in ranks:
-                held[rank].append(expert)
-        layers.append(tuple(tuple(experts) for experts in held))
-    return tuple(layers)
