Go on leading the maps while the store is away

Change: the last holder goes on leading while the store does not answer, until an agent has seen a higher token.

--- a/packages/entry/src/bluebellusher/gateway/_view.py
+++ b/packages/entry/src/bluebellusher/gateway/_view.py
@@ -30,7 +30,7 @@
             blocked_fingerprints=list(blocked),
             suspect_fingerprints=list(suspects),
             version_by_table=gateway.tables.versions(),
-            held_leases=[MAP_LEASE] if gateway.lease.token is not None else [],
+            held_leases=[MAP_LEASE] if gateway.lease.leading_token is not None else [],
         )
 
     def describe_endpoint(self, endpoint_id: str) -> dict[str, str | int | float]:
--- a/packages/entry/src/bluebellusher/ranks/_leader.py
+++ b/packages/entry/src/bluebellusher/ranks/_leader.py
@@ -138,7 +138,7 @@
             await asyncio.sleep(min(left_ms, DECIDE_INTERVAL_MS) / MS_PER_S)
 
     def _has_change(self) -> bool:
-        if self._lease.token is None:
+        if self._lease.leading_token is None:
             return False
         return any(not g.change.is_idle for g in self._group_by_id.values())
 
@@ -147,7 +147,7 @@
         self._links.on_state = lambda _state: self._wake.set()
         while True:
             self._wake.clear()
-            token = self._lease.token
+            token = self._lease.leading_token
             if token is not None:
                 self._lead(token)
             try:
@@ -164,6 +164,7 @@
         now_ms = self._clock.now_ms()
         states_by_group: dict[str, list[RankState]] = {}
         for state in self._links.states():
+            self._lease.note_token_seen(state.fencing_token)
             states_by_group.setdefault(state.group_id, []).append(state)
         for group_id, states in states_by_group.items():
             view = GroupView.from_states(states, now_ms, STATE_MAX_AGE_MS)
@@ -218,7 +219,7 @@
         key: tuple[str, OrderAction, int, int],
         order: RankOrder,
     ) -> None:
-        if self._lease.token != self._token:
+        if self._lease.leading_token != self._token:
             return
         answer = await self._links.give(order, self._token)
         if answer is None or not answer.is_accepted:
--- a/packages/entry/src/bluebellusher/ranks/_lease.py
+++ b/packages/entry/src/bluebellusher/ranks/_lease.py
@@ -58,6 +58,8 @@
         self._is_held_elsewhere = is_held_elsewhere
         self._last_token: int | None = None
         self._is_released = False
+        self._is_store_away = False
+        self._last_led_token: int | None = None
 
     @classmethod
     def from_parts(
@@ -81,6 +83,24 @@
         """Return the fencing token while the lease is held."""
         return self._tracker.held_token(self._clock.now_ms())
 
+    @property
+    def leading_token(self) -> int | None:
+        """Return the token to lead with, also beyond the lease while the store is away.
+
+        Nobody else can acquire the lease then, and a group without a leader keeps a
+        map that no longer fits. Orders stay safe without the lease: another leader has
+        a higher token, and agents refuse the lower one.
+        """
+        token = self.token
+        if token is None and self._is_store_away and not self._is_released:
+            return self._last_led_token
+        return token
+
+    def note_token_seen(self, token: int) -> None:
+        """Stop leading when an agent has seen a higher token than the own one."""
+        if self._last_led_token is not None and token > self._last_led_token:
+            self._last_led_token = None
+
     async def run(self) -> None:
         """Hold the lease whenever it is free, until cancelled."""
         while not self._is_released:
@@ -107,6 +127,7 @@
 
     async def _observe(self) -> None:
         result = await self._store.read_table(LEASES_TABLE)
+        self._is_store_away = not result.is_ok()
         if not result.is_ok():
             return
         row = next((r for r in result.ok.rows if r.key == self._name), None)
@@ -115,6 +136,7 @@
 
     async def _write(self, write: LeaseWrite) -> None:
         result = await self._store.write_row(_to_write(write))
+        self._is_store_away = not result.is_ok()
         now_ms = self._clock.now_ms()
         match result:
             case Result(tag="ok", ok=row):
@@ -130,10 +152,13 @@
 
     def _note_token(self) -> None:
         token = self.token
+        if token is not None:
+            self._last_led_token = token
         if token != self._last_token:
             name = "lease-held" if token is not None else "lease-lost"
             shown = token if token is not None else self._last_token or 0
-            self._log.log(name, lease=self._name, token=shown)
+            is_leading = self.leading_token is not None
+            self._log.log(name, lease=self._name, token=shown, is_leading=is_leading)
             self._last_token = token
 
 
--- a/packages/entry/src/bluebellusher/ranks/tests/test_leader.py
+++ b/packages/entry/src/bluebellusher/ranks/tests/test_leader.py
@@ -28,7 +28,10 @@
 class Lease:
     """A lease that the test gives and takes."""
 
-    token = 1
+    leading_token = 1
+
+    def note_token_seen(self, token):
+        """Ignore tokens of others."""
 
 
 class Links:
@@ -149,7 +152,7 @@
     links = Links(Group(N_RANKS))
 
     async def scenario(leader, log):
-        leader._lease.token = None
+        leader._lease.leading_token = None
         await asyncio.sleep(0.6)
         assert links.n_orders == 0
 
--- a/packages/entry/src/bluebellusher/ranks/tests/test_lease.py
+++ b/packages/entry/src/bluebellusher/ranks/tests/test_lease.py
@@ -73,6 +73,48 @@
     run(scenario)
 
 
+def test_holder_goes_on_leading_while_the_store_is_away():
+    """Guards against maps that nobody adapts during an outage of the store.
+
+    On arrullo-oax trouble-3 nobody led for 8 s of an outage, and how many requests
+    were late depended on the map that was in use when it began.
+    """
+
+    async def scenario(store, clock):
+        keeper = make_keeper(store, clock, "a/1")
+        task = asyncio.create_task(keeper.run())
+        await until(lambda: keeper.token is not None)
+        token = keeper.token
+        store.fault = DOWN
+        clock.advance(TERM_MS + GUARD_MS)
+        await until(lambda: keeper.leading_token == token and keeper.token is None)
+        keeper.note_token_seen(token)
+        assert keeper.leading_token == token
+        keeper.note_token_seen(token + 1)
+        assert keeper.leading_token is None, "another leader has begun"
+        store.fault = None
+        await until(lambda: keeper.token is not None, clock)
+        assert keeper.token > token
+        task.cancel()
+
+    run(scenario)
+
+
+def test_holder_that_lost_the_lease_to_another_stops_leading():
+    """Guards against two entries that both lead for long."""
+
+    async def scenario(store, clock):
+        keeper = make_keeper(store, clock, "a/1")
+        task = asyncio.create_task(keeper.run())
+        await until(lambda: keeper.token is not None)
+        store.put("leases", "lease", b'["b/1", 9, 1]')
+        clock.advance(TERM_MS)
+        await until(lambda: keeper.leading_token is None)
+        task.cancel()
+
+    run(scenario)
+
+
 def test_lost_answer_to_the_write_does_not_lose_the_lease():
     """Guards against an entry that holds a lease and does not know."""
 
