Take bounds that are fractions

Cause: on the small twins of the grown deployments the extra retries are 45.909, the settings asked for a whole number, and no entry started; seconds were turned into milliseconds by appending zeros, which is wrong for fractions as well. Change: these settings are numbers of any kind, in the unit that they are stated in. The test fails with the earlier model.

--- a/packages/entry/src/bluebellusher/gateway/_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -192,7 +192,8 @@
         await asyncio.sleep(max(0, STOP_ACCEPTING_AFTER_MS - accepted_ms) / 1000)
         self.server.stop_accepting()
         self.server.close_idle()
-        until_ms = stopped_at_ms + self.settings.shutdown_grace_ms - EXIT_MARGIN_MS
+        grace_ms = int(self.settings.shutdown_grace_s * 1000)
+        until_ms = stopped_at_ms + grace_ms - EXIT_MARGIN_MS
         while self._has_work() and self.clock.now_ms() < until_ms:
             self.server.close_idle()
             await asyncio.sleep(_POLL_S)
--- a/packages/entry/src/bluebellusher/settings/_gateway.py
+++ b/packages/entry/src/bluebellusher/settings/_gateway.py
@@ -22,12 +22,12 @@
     """Bounds on what is sent to a service beyond the first attempts.
 
     ``share`` is a share of the requests, ``n_extra`` a number on top, both within
-    ``window_ms`` and summed over all entries.
+    ``window_s`` and summed over all entries. Platforms may state either as fractions.
     """
 
     share: Annotated[float, Field(ge=0, le=1)] = 0.2
-    n_extra: Annotated[int, Field(ge=0, le=1_000_000)] = 50
-    window_ms: Annotated[int, Field(ge=100, le=600_000)] = 10_000
+    n_extra: Annotated[float, Field(ge=0, le=1_000_000)] = 50
+    window_s: Annotated[float, Field(ge=0.1, le=600)] = 10
 
 
 class GatewaySettings(SettingsModel):
@@ -44,5 +44,5 @@
     seeds: tuple[Address, ...] = ()
     agent_port: Annotated[int, Field(ge=1, le=65_535)]
     retries: RetrySettings = RetrySettings()
-    shutdown_grace_ms: Annotated[int, Field(ge=1_000, le=600_000)] = 8_000
+    shutdown_grace_s: Annotated[float, Field(ge=1, le=600)] = 8
     log_level: Literal["debug", "info", "error"] = "info"
--- /dev/null
+++ b/packages/entry/src/bluebellusher/settings/tests/test_gateway_settings.py
@@ -0,0 +1,65 @@
+"""Settings of an entry on a platform."""
+
+import pytest
+
+from bluebellusher.settings import SettingsError, load_gateway_settings
+
+TEXT = """
+// As a platform fills it in.
+{
+  instance_id: "edge-1", failure_domain: "d",
+  shared_secret: "a-secret-of-sixteen-characters",
+  callers: "10.0.0.1:80", readiness: "10.0.0.1:81", peers: "10.0.0.1:82",
+  store: "10.0.0.9:90", seeds: ["10.0.0.2:82", ], agent_port: 7340,
+  retries: { share: 0.2, n_extra: 88, window_s: 10 },
+  shutdown_grace_s: 8,
+}
+"""
+
+
+def load(tmp_path, text):
+    """Load settings from a text."""
+    path = tmp_path / "entry.json5"
+    path.write_text(text)
+    return load_gateway_settings(path)
+
+
+def test_settings_are_read(tmp_path):
+    """Guards against addresses that are taken apart wrongly."""
+    settings = load(tmp_path, TEXT)
+    assert (settings.callers.host, settings.callers.port) == ("10.0.0.1", 80)
+    assert str(settings.seeds[0]) == "10.0.0.2:82"
+
+
+@pytest.mark.parametrize(
+    ("found", "replaced"),
+    [
+        ("n_extra: 88", "n_extra: 45.90909090909091"),
+        ("window_s: 10", "window_s: 2.5"),
+        ("shutdown_grace_s: 8", "shutdown_grace_s: 8.5"),
+    ],
+)
+def test_fractions_are_taken(tmp_path, found, replaced):
+    """Guards against entries that do not start because a bound is a fraction.
+
+    On the small twins of the grown deployments no entry started.
+    """
+    load(tmp_path, TEXT.replace(found, replaced))
+
+
+@pytest.mark.parametrize(
+    ("found", "replaced", "message"),
+    [
+        ('callers: "10.0.0.1:80"', 'callers: "10.0.0.1"', "callers"),
+        ('store: "10.0.0.9:90",', "", "store: found nothing"),
+        ("agent_port: 7340", "agent_port: 99999", "agent_port"),
+        ("share: 0.2", "share: 7", "retries.share: found 7"),
+        ('instance_id: "edge-1"', 'instance_id: ""', "instance_id"),
+        ("agent_port", "agent_prot", "agent_prot: unknown key"),
+    ],
+)
+def test_bad_settings_are_named(tmp_path, found, replaced, message):
+    """Guards against an error that does not say what to correct."""
+    with pytest.raises(SettingsError) as caught:
+        load(tmp_path, TEXT.replace(found, replaced))
+    assert message in str(caught.value)
