Read the agent's log from standard output in its tests and its load tool

Cause: the agent's lines went to standard error and now go to standard output, as the users ask; a test and the load tool that read the port from there waited for ever. The checks are the same on the other stream.

--- a/bench/agent_load.py
+++ b/bench/agent_load.py
@@ -217,15 +217,15 @@
         environment["PYTHONPYCACHEPREFIX"] = str(directory / "cache")
         command = ("-m", "bluebellusher_agent.main", "--config", str(path))
         self._process = await asyncio.create_subprocess_exec(
-            sys.executable, *command, env=environment, stderr=asyncio.subprocess.PIPE
+            sys.executable, *command, env=environment, stdout=asyncio.subprocess.PIPE
         )
         self.port = await self._read_port()
 
     async def _read_port(self) -> int:
-        assert self._process.stderr is not None
-        while line := await self._process.stderr.readline():
+        assert self._process.stdout is not None
+        while line := await self._process.stdout.readline():
             if b"event=listening" in line:
-                self._drain = asyncio.create_task(self._process.stderr.read())
+                self._drain = asyncio.create_task(self._process.stdout.read())
                 return int(line.split(b"port=")[1])
         raise RuntimeError("the agent did not start")
 
--- a/packages/agent/src/bluebellusher_agent/tests/test_agent_drain.py
+++ b/packages/agent/src/bluebellusher_agent/tests/test_agent_drain.py
@@ -53,10 +53,10 @@
                 "--config",
                 str(path),
                 env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)},
-                stderr=asyncio.subprocess.PIPE,
+                stdout=asyncio.subprocess.PIPE,
             )
             port = await _read_port(process)
-            drain = asyncio.create_task(process.stderr.read())
+            drain = asyncio.create_task(process.stdout.read())
             async with EntryClient(port) as entry:
                 body = make_body(n_tokens=50)
                 entry.dispatch("a1", body)
@@ -102,7 +102,7 @@
 
 
 async def _read_port(process):
-    while line := await process.stderr.readline():
+    while line := await process.stdout.readline():
         if b"event=listening" in line:
             return int(line.split(b"port=")[1])
     raise AssertionError("the agent did not start")
