--- a/packages/entry/src/bluebellusher/gateway/_attempts.py
+++ b/packages/entry/src/bluebellusher/gateway/_attempts.py
@@ -41,6 +41,8 @@
 # Retry hints of endpoints are not used; the reducer doubles its own pause.
 _NO_PAUSE_MS = 0
 
+FindEndpoint = Callable[[str], EndpointRegistration | None]
+
 
 class _WatchedResponse(aiohttp.ClientResponse):
     """A response that knows how its connection ended.
@@ -73,9 +75,6 @@
         future.exception()
 
 
-FindEndpoint = Callable[[str], EndpointRegistration | None]
-
-
 class _BrokenError(Exception):
     """The attempt may have run and gave no whole answer."""
 
@@ -93,7 +92,6 @@
     endpoint: EndpointRegistration
     sent_at_ms: int
     task: asyncio.Task[None] | None = None
-    status: int = 0
     splitter: EventSplitter = field(default_factory=EventSplitter)
 
     @property
@@ -232,7 +230,7 @@
         for attempt in list(self._attempt_by_id.values()):
             if attempt.effect.endpoint_id == endpoint_id and attempt.task is not None:
                 attempt.task.cancel()
-                self._post(attempt, self._broken(attempt, Reason.CONNECTION_LOST))
+                self._post(self._broken(attempt, Reason.CONNECTION_LOST))
                 self._log("attempt-closed", attempt, reason=reason)
 
     async def _run(self, attempt: _Attempt) -> None:
@@ -247,7 +245,7 @@
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             self._log("attempt-broken", attempt, error=f"{type(error).__name__}")
             event = self._broken(attempt, Reason.CONNECTION_LOST)
-        self._post(attempt, event)
+        self._post(event)
 
     async def _exchange(self, attempt: _Attempt) -> Event:
         assert self._session is not None
@@ -311,7 +309,6 @@
 
     async def _relay(self, attempt: _Attempt, response: aiohttp.ClientResponse) -> None:
         is_events = response.headers.get("Content-Type", "").startswith(EVENTS_TYPE)
-        attempt.status = response.status
         if not attempt.owns():
             raise _BrokenError(Reason.CONNECTION_LOST, "another attempt answers")
         answer = attempt.answer
@@ -345,7 +342,7 @@
 
     def _started(self, attempt: _Attempt) -> None:
         effect = attempt.effect
-        self._post(attempt, AttemptStarted(effect.attempt_id, effect.endpoint_id))
+        self._post(AttemptStarted(effect.attempt_id, effect.endpoint_id))
 
     def _refused(self, attempt: _Attempt, reason: Reason, has_arrived: bool) -> Event:
         effect = attempt.effect
@@ -370,7 +367,7 @@
             effect.attempt_id, reason, n_bytes, is_resumable, effect.endpoint_id
         )
 
-    def _post(self, attempt: _Attempt, event: Event) -> None:
+    def _post(self, event: Event) -> None:
         assert self.sink is not None
         self.sink.post(event)
 
