Log unreadable counts and leases; refuse unknown orders with an answer

Cause: reading the whole change again showed three errors that left no log line or no answer. Counts that could not be unpacked were dropped in silence, and counts of a wrong length were taken for zero. An unreadable lease row was taken for a free lease in silence. An order with an unknown action ended the agent's task as an internal fault after it had raised the fencing token, and its sender waited for an answer.

The leader's planning is split from the start of a change, tests of tables and ranks share one bounded wait, and the queue's comments use time limits in place of worth. Behaviour on readable input is unchanged.

--- a/deploy/tests/test_dialect.py
+++ b/deploy/tests/test_dialect.py
@@ -37,7 +37,7 @@
 
 
 def test_attempt_carries_what_the_entry_knows_and_hides_the_key():
-    """Guards against keys at engines, forged customers and smuggled requests."""
+    """Guards against leaked credentials, forged customers and request smuggling."""
     headers = [
         ("Host", "h.example"),
         ("Connection", "keep-alive, X-Once"),
--- a/packages/agent/src/bluebellusher_agent/ranks/_agent.py
+++ b/packages/agent/src/bluebellusher_agent/ranks/_agent.py
@@ -172,6 +172,11 @@
             log("entry-lost", peer=connection.peer_id)
 
     async def _execute(self, connection: EntryConnection, message: Any) -> None:
+        try:
+            order = _to_order(message)
+        except StepError as error:
+            self._answer(connection, message, False, error.reason)
+            return
         token = message.fencing_token or 0
         if token < self.fencing_token:
             reason = f"token {token} is older than {self.fencing_token}"
@@ -180,7 +185,6 @@
         if token > self.fencing_token:
             log("leader-changed", peer=connection.peer_id, token=token)
             self.fencing_token = token
-        order = _to_order(message)
         if order.action is OrderAction.PREPARE:
             self._copying_version = order.map_version
             self._copying_until_ms = self.clock.now_ms() + MAX_COPYING_MS
@@ -399,7 +403,8 @@
     try:
         action = OrderAction(message.action)
     except ValueError:
-        reason = f"action={message.action!r}: expected one of {list(OrderAction)}"
+        expected = ", ".join(action.value for action in OrderAction)
+        reason = f"action={message.action!r}: expected one of {expected}"
         raise StepError("read-order", "", reason) from None
     return RankOrder(
         rank_id="",
--- a/packages/agent/src/bluebellusher_agent/ranks/tests/test_rank_agent.py
+++ b/packages/agent/src/bluebellusher_agent/ranks/tests/test_rank_agent.py
@@ -117,6 +117,19 @@
     run(scenario)
 
 
+def test_unknown_action_is_refused_and_changes_nothing():
+    """Guards against a leader that waits for an answer, and a token raised for it."""
+
+    async def scenario(agent, engine, entry):
+        entry.send(make_order(5, action="turn"))
+        refused = await entry.next(messages.RankOrderDone)
+        assert not refused.is_accepted
+        assert "action='turn'" in refused.reason
+        assert (agent.fencing_token, engine.orders) == (0, [])
+
+    run(scenario)
+
+
 def test_fence_reaches_no_engine_and_shows_in_the_report():
     """Guards against a new leader that acts before the old one is shut out."""
 
--- a/packages/core/src/bluebellusher_core/admission/_objective_queue.py
+++ b/packages/core/src/bluebellusher_core/admission/_objective_queue.py
@@ -1,4 +1,4 @@
-"""Queue by the time at which a request loses worth, with early refusal."""
+"""Queue by the time at which a late answer loses its use, with early refusal."""
 
 import heapq
 from dataclasses import dataclass
@@ -34,15 +34,16 @@
 
 
 class ObjectiveQueue:
-    """Earliest loss first, and refusal of what would be served late.
+    """Earliest time limit first, and refusal of what would be served late.
 
-    A fresh request loses worth when its objective passes, and all of it when its
-    caller stops waiting; one that came back is late already and can wait until the
-    latter. Requests go in the order of their next loss. Load pattern: bursts of two
-    to three times the capacity. Serving everything in order of arrival would make
-    every request late, so a fresh request that would wait past its objective is
-    refused at once and told to come back when the burst is over; then it is accepted
-    for as long as its caller waits.
+    An answer is of less use after its objective, and of none once its caller has
+    stopped waiting; a request that came back is late already and can wait until the
+    latter. Requests go in the order in which they reach the next of these times.
+
+    Load pattern: bursts of two to three times the capacity. Serving everything in
+    order of arrival would make every request late, so a fresh request that would wait
+    past its objective is refused at once and told to come back when the burst is over;
+    then it is accepted for as long as its caller waits.
 
     Parameters
     ----------
@@ -78,13 +79,13 @@
         return None
 
     def take(self, now_ms: int) -> RequestSpec | None:
-        """Remove and return the request that loses worth next."""
+        """Remove and return the request whose next time limit comes first."""
         while self._heap:
             waiting = heapq.heappop(self._heap)
             if not waiting.is_current:
                 continue
             if not waiting.is_late and waiting.key_ms <= now_ms:
-                # Its objective is missed; what is left is lost only later.
+                # Its objective is missed; it can wait as long as its caller does.
                 waiting.is_late = True
                 waiting.key_ms = self._latest_start_ms(waiting.request)
                 heapq.heappush(self._heap, waiting)
--- a/packages/core/src/bluebellusher_core/admission/tests/overload.py
+++ b/packages/core/src/bluebellusher_core/admission/tests/overload.py
@@ -13,7 +13,7 @@
 START_MS = 150
 SERVICE_MS = 1_500
 N_SLOTS = 18
-LATE_WORTH = 0.5
+LATE_UTILITY = 0.5
 POLL_MS = 50
 
 
@@ -30,9 +30,9 @@
     longest_refusal_ms: int = 0
 
     @property
-    def worth(self):
-        """Share of the worth that was earned."""
-        return (self.n_on_time + LATE_WORTH * self.n_late) / self.n_asked
+    def utility(self):
+        """Mean utility per caller: 1 on time, ``LATE_UTILITY`` late, else 0."""
+        return (self.n_on_time + LATE_UTILITY * self.n_late) / self.n_asked
 
 
 def make_request(request_id, now_ms, first_ms, n_refusals):
--- a/packages/core/src/bluebellusher_core/admission/tests/test_objective_queue.py
+++ b/packages/core/src/bluebellusher_core/admission/tests/test_objective_queue.py
@@ -1,4 +1,4 @@
-"""The queue by loss of worth, in the overloads that it is meant for."""
+"""The queue by objective, in the overloads that it is meant for."""
 
 from itertools import pairwise
 
@@ -31,8 +31,8 @@
         for make in (FifoQueue, FairQueue, ObjectiveQueue)
     }
     chosen = results["ObjectiveQueue"]
-    assert chosen.worth > results["FifoQueue"].worth
-    assert chosen.worth > results["FairQueue"].worth
+    assert chosen.utility > results["FifoQueue"].utility
+    assert chosen.utility > results["FairQueue"].utility
     assert chosen.n_on_time > results["FifoQueue"].n_on_time
 
 
@@ -56,7 +56,7 @@
     chosen = replay(ObjectiveQueue(), lambda _: 0.5, closed_ms=closed_ms)
     n_lost = chosen.n_refused + chosen.n_left
     assert n_lost < 0.8 * (fifo.n_refused + fifo.n_left)
-    assert chosen.worth > fifo.worth
+    assert chosen.utility > fifo.utility
 
 
 def test_request_that_came_back_goes_before_it_is_lost():
--- a/packages/entry/src/bluebellusher/gateway/_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -1,7 +1,6 @@
 """One entry on a platform: construction of all parts, life from start to stop."""
 
 import asyncio
-import contextlib
 import gc
 import itertools
 import os
@@ -356,7 +355,7 @@
     try:
         return os.stat(path).st_mtime_ns
     except OSError:
-        # The file is being replaced; the next look finds it.
+        # The changed value makes the caller read the file, which logs the error.
         return 0
 
 
@@ -371,8 +370,7 @@
 def _make_fault_reporter(gateway: Gateway) -> Any:
     def report(_loop: asyncio.AbstractEventLoop, context: Mapping[str, Any]) -> None:
         error = context.get("exception") or RuntimeError(str(context.get("message")))
-        with contextlib.suppress(Exception):
-            gateway.runtime.report_fault("event-loop", context, error)
+        gateway.runtime.report_fault("event-loop", context, error)
 
     return report
 
--- a/packages/entry/src/bluebellusher/ranks/_leader.py
+++ b/packages/entry/src/bluebellusher/ranks/_leader.py
@@ -290,9 +290,9 @@
                 continue
             if with_map:
                 group.experts_by_rank[state.rank] = answer.experts
-            counts = _unpack(answer.packed_counts)
+            counts = self._read_counts(state.rank_id, answer, n_total)
             is_whole = is_whole and counts is not None
-            if counts and len(counts) == n_total:
+            if counts:
                 totals = [a + b for a, b in zip(totals, counts, strict=True)]
         if not is_whole or sum(totals) < MIN_COUNTED_PER_EXPERT * n_total:
             return None
@@ -301,6 +301,23 @@
             for at in range(0, n_total, model.n_experts)
         ]
 
+    def _read_counts(self, rank_id: str, answer: Any, n_total: int) -> list[int] | None:
+        """Return the choices counted by a rank, empty when there were none.
+
+        None when the agent had nothing to compare with, or the counts cannot be used;
+        the plan then waits for the next ones.
+        """
+        if answer.packed_counts is None:
+            return None
+        try:
+            counts = unpack_counts(answer.packed_counts)
+            if len(counts) not in (0, n_total):
+                raise ValueError(f"{len(counts)} counts: expected {n_total}")
+        except ValueError as error:
+            self._log.log("counts-unreadable", rank=rank_id, reason=str(error))
+            return None
+        return counts
+
     async def _plan(
         self,
         group_id: str,
@@ -348,33 +365,36 @@
         plan = await asyncio.to_thread(
             planner.plan, placement, conditions, self._random_state
         )
-        if not group.change.is_idle or group.epoch != view.epoch:
-            return
-        if not plan.moves:
+        if not group.change.is_idle or group.epoch != view.epoch or not plan.moves:
             return
         group.searched_at_ms = 0
-        after = _mean_skew(n_ranks, plan.placement, loads)
-        self._n_versions += 1
-        version = self._token * VERSIONS_PER_TOKEN + self._n_versions
-        experts = to_expert_map(plan.placement, n_ranks)
-        group.change.want(version, experts, view.epoch)
-        group.wanted_at_ms = self._clock.now_ms()
         n_most = count_most_new(n_ranks, placement, plan.placement)
         group.wanted_load_ms = n_most * model.load_ms
-        group.experts_by_rank = {
-            rank: [layer[rank] for layer in experts] for rank in range(n_ranks)
-        }
-        group.placed_version = version
+        self._want(group, view.epoch, n_ranks, plan.placement)
         self._log.log(
             "map-wanted",
             group=group_id,
-            version=version,
+            version=group.placed_version,
             epoch=view.epoch,
             skew=before,
-            planned_skew=after,
+            planned_skew=_mean_skew(n_ranks, plan.placement, loads),
             n_loads=plan.n_loads,
         )
 
+    def _want(
+        self, group: _Group, epoch: int, n_ranks: int, placement: Placement
+    ) -> None:
+        """Begin to lead a group to a placement, under a version of its own."""
+        self._n_versions += 1
+        version = self._token * VERSIONS_PER_TOKEN + self._n_versions
+        experts = to_expert_map(placement, n_ranks)
+        group.change.want(version, experts, epoch)
+        group.wanted_at_ms = self._clock.now_ms()
+        group.experts_by_rank = {
+            rank: [layer[rank] for layer in experts] for rank in range(n_ranks)
+        }
+        group.placed_version = version
+
     def _start(self, coroutine: Any) -> None:
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
@@ -394,15 +414,6 @@
     group.wanted_at_ms = 0
 
 
-def _unpack(packed: bytes | None) -> list[int] | None:
-    """Return counts; None when an agent had nothing to compare with."""
-    try:
-        return None if packed is None else unpack_counts(packed)
-    except ValueError:
-        # Taken as missing: the plan waits for the next counts.
-        return None
-
-
 def _mean_skew(
     n_ranks: int, placement: Placement, loads: Sequence[Sequence[float]]
 ) -> float:
--- a/packages/entry/src/bluebellusher/ranks/_lease.py
+++ b/packages/entry/src/bluebellusher/ranks/_lease.py
@@ -132,7 +132,7 @@
             return
         row = next((r for r in result.ok.rows if r.key == self._name), None)
         version = row.version if row else 0
-        self._tracker.observe(version, _read_row(row), self._clock.now_ms())
+        self._tracker.observe(version, self._read_row(row), self._clock.now_ms())
 
     async def _write(self, write: LeaseWrite) -> None:
         result = await self._store.write_row(_to_write(write))
@@ -140,16 +140,36 @@
         now_ms = self._clock.now_ms()
         match result:
             case Result(tag="ok", ok=row):
-                if _read_row(row) == write.row:
+                found = self._read_row(row)
+                if found == write.row:
                     self._tracker.write_succeeded(write, row.version, now_ms)
                 else:
-                    found = _read_row(row)
                     self._tracker.write_conflicted(write, row.version, found, now_ms)
             case Result(error=error):
                 self._log.log(
                     "lease-write-failed", step=error.step, reason=error.reason
                 )
 
+    def _read_row(self, row: MirrorRow | None) -> LeaseRow | None:
+        """Return who holds the lease; a row that cannot be read counts as free.
+
+        Agents tell the tokens that they have seen, so that the next token is higher
+        than that of the unreadable row.
+        """
+        if row is None or row.is_removed:
+            return None
+        try:
+            holder, token, renewal = json.loads(row.value)
+            return LeaseRow(str(holder), int(token), int(renewal))
+        except (ValueError, TypeError) as error:
+            self._log.log(
+                "lease-unreadable",
+                lease=self._name,
+                row_version=row.version,
+                reason=str(error),
+            )
+            return None
+
     def _note_token(self) -> None:
         token = self.token
         if token is not None:
@@ -166,13 +186,3 @@
     row = write.row
     value = json.dumps([row.holder, row.fencing_token, row.renewal]).encode()
     return RowWrite(LEASES_TABLE, write.name, value, write.row_version)
-
-
-def _read_row(row: MirrorRow | None) -> LeaseRow | None:
-    if row is None or row.is_removed:
-        return None
-    try:
-        holder, token, renewal = json.loads(row.value)
-        return LeaseRow(str(holder), int(token), int(renewal))
-    except (ValueError, TypeError):
-        return None
--- a/packages/entry/src/bluebellusher/ranks/tests/test_leader.py
+++ b/packages/entry/src/bluebellusher/ranks/tests/test_leader.py
@@ -5,7 +5,7 @@
 from random import Random
 
 from bluebellusher.ranks import MapLeader
-from bluebellusher.shared.tests.fakes import FakeLog
+from bluebellusher.shared.tests.fakes import FakeLog, until
 from bluebellusher_core.clock import SystemClock
 from bluebellusher_core.directory import GroupModel
 from bluebellusher_core.ranks import OrderAction, RankOrder, pack_counts
@@ -103,12 +103,6 @@
     asyncio.run(main())
 
 
-async def until(condition):
-    """Wait until a condition holds."""
-    while not condition():  # noqa: ASYNC110
-        await asyncio.sleep(0.02)
-
-
 def test_hot_expert_is_spread_over_the_ranks():
     """Guards against a straggler that nobody relieves."""
     links = Links(Group(N_RANKS))
@@ -147,6 +141,28 @@
     run(links, scenario)
 
 
+def test_unreadable_counts_are_logged_and_cause_no_change():
+    """Guards against damaged counts that are taken for no load without a trace."""
+    links = Links(Group(N_RANKS))
+    answer = links.call
+
+    async def call_damaged(rank_id, message):
+        counts = await answer(rank_id, message)
+        counts.packed_counts = b"?"
+        return counts
+
+    links.call = call_damaged
+
+    async def scenario(leader, log):
+        await until(lambda: any(n == "counts-unreadable" for n, _ in log.lines))
+        assert links.n_orders == N_RANKS, "only the fences"
+        fields = next(f for n, f in log.lines if n == "counts-unreadable")
+        assert fields["rank"] in {str(rank) for rank in range(N_RANKS)}
+        assert "expected at least" in fields["reason"]
+
+    run(links, scenario)
+
+
 def test_entry_without_the_lease_gives_no_orders():
     """Guards against two leaders."""
     links = Links(Group(N_RANKS))
--- a/packages/entry/src/bluebellusher/ranks/tests/test_lease.py
+++ b/packages/entry/src/bluebellusher/ranks/tests/test_lease.py
@@ -4,7 +4,7 @@
 
 from bluebellusher.ranks import LeaseKeeper
 from bluebellusher.ranks._lease import GUARD_MS, TERM_MS
-from bluebellusher.shared.tests.fakes import DOWN, FakeLog, FakeStore
+from bluebellusher.shared.tests.fakes import DOWN, FakeLog, FakeStore, until
 from bluebellusher_core.clock import ManualClock
 
 
@@ -15,15 +15,6 @@
     )
 
 
-async def until(condition, clock=None):
-    """Wait until a condition holds; a given clock goes on meanwhile."""
-    async with asyncio.timeout(15):
-        while not condition():
-            if clock is not None:
-                clock.advance(50)
-            await asyncio.sleep(0.01)
-
-
 def run(scenario):
     """Run a scenario with a store and a clock."""
 
@@ -155,3 +146,18 @@
         assert keeper.token is None
 
     run(scenario)
+
+
+def test_unreadable_lease_is_logged_and_taken_over():
+    """Guards against a damaged row that is taken for a free lease without a trace."""
+
+    async def scenario(store, clock):
+        store.put("leases", "lease", b"not json")
+        keeper = make_keeper(store, clock, "a")
+        task = asyncio.create_task(keeper.run())
+        await until(lambda: keeper.token is not None)
+        names = [name for name, _ in keeper._log.lines]
+        assert names.index("lease-unreadable") < names.index("lease-held")
+        task.cancel()
+
+    run(scenario)
--- a/packages/entry/src/bluebellusher/rollout/_changes.py
+++ b/packages/entry/src/bluebellusher/rollout/_changes.py
@@ -237,8 +237,8 @@
             _, head = await self._table.read_head()
             if head is not None and head.version > self._in_force.version:
                 return await self._table.read_version(head.version)
-        except PlatformError:
-            pass
+        except PlatformError as error:
+            self._sink.log("config-head-unknown", error=str(error))
         return self._in_force.current
 
     def _start_settling(self, change_id: str) -> None:
--- a/packages/entry/src/bluebellusher/shared/tests/fakes.py
+++ b/packages/entry/src/bluebellusher/shared/tests/fakes.py
@@ -7,6 +7,21 @@
 from bluebellusher.ports import StoreError, TableRows
 from bluebellusher_core.directory import MirrorRow
 
+# No condition of these tests takes longer than a few seconds.
+MAX_WAIT_S = 10
+
+
+async def until(condition, clock=None):
+    """Wait until a condition holds; a given clock goes on meanwhile.
+
+    Raises ``TimeoutError`` after ``MAX_WAIT_S`` seconds.
+    """
+    async with asyncio.timeout(MAX_WAIT_S):
+        while not condition():
+            if clock is not None:
+                clock.advance(50)
+            await asyncio.sleep(0.01)
+
 
 class FakeStore:
     """Tables in memory; ``fault`` makes every call fail."""
--- a/packages/entry/src/bluebellusher/shared/tests/test_shared.py
+++ b/packages/entry/src/bluebellusher/shared/tests/test_shared.py
@@ -4,7 +4,7 @@
 from random import Random
 
 from bluebellusher.shared import Directory, TableExchange, TableWatcher
-from bluebellusher.shared.tests.fakes import DOWN, FakeLog, FakeStore
+from bluebellusher.shared.tests.fakes import DOWN, FakeLog, FakeStore, until
 from bluebellusher_core.clock import ManualClock
 from bluebellusher_core.directory import (
     EndpointRegistration,
@@ -36,13 +36,6 @@
         self.task = asyncio.create_task(self.watcher.run())
 
 
-async def until(condition):
-    """Wait until a condition holds."""
-    async with asyncio.timeout(10):
-        while not condition():  # noqa: ASYNC110
-            await asyncio.sleep(0.01)
-
-
 def run(scenario):
     """Run a scenario with a store."""
 
