Raise the token of a lease above those that agents have seen

Agents keep the highest token in memory and refuse lower ones, so that no map was changed again until every agent had restarted. Ruled out: waiting for a term after an unreadable row, which does not change the token. Change: the lease tracker takes in the tokens that agents report; an acquisition uses a higher one, and a holder with a lower one raises its own by a write on the condition that the row is still its own. Three tests failed before.

--- a/packages/core/src/bluebellusher_core/lease/_tracker.py
+++ b/packages/core/src/bluebellusher_core/lease/_tracker.py
@@ -92,6 +92,15 @@
         self._pending_sent_ms = 0
         self._held_until_ms: int | None = None
         self._renewed_at_ms = 0
+        self._highest_token = 0
+
+    def note_token_seen(self, token: int) -> None:
+        """Take in a token that those who take orders have seen.
+
+        A row that was lost says nothing about earlier tokens, and orders with a lower
+        one are refused; the next write therefore uses a higher token.
+        """
+        self._highest_token = max(self._highest_token, token)
 
     def observe(self, row_version: int, row: LeaseRow | None, now_ms: int) -> None:
         """Take in a row that was read from the table.
@@ -136,6 +145,8 @@
 
     def _next_row(self, now_ms: int) -> LeaseRow | None:
         if self.held_token(now_ms) is not None:
+            if self._row is not None and self._row.fencing_token < self._highest_token:
+                return self._acquired_row()
             is_due = now_ms - self._renewed_at_ms >= self._renew_after_ms
             return self._renewed_row() if is_due else None
         wait_ms = self._takeover_delay_ms
@@ -143,8 +154,12 @@
             wait_ms += self._term_ms + self._guard_ms
         if now_ms - self._unchanged_since_ms < wait_ms:
             return None
+        return self._acquired_row()
+
+    def _acquired_row(self) -> LeaseRow:
         last_token = self._row.fencing_token if self._row else 0
-        return LeaseRow(self._holder_id, last_token + 1, 1)
+        token = max(last_token, self._highest_token) + 1
+        return LeaseRow(self._holder_id, token, 1)
 
     def _is_held_by_another(self, holder: str) -> bool:
         """Return whether a process that may still run holds the lease.
--- a/packages/core/src/bluebellusher_core/lease/tests/test_lease_restart.py
+++ b/packages/core/src/bluebellusher_core/lease/tests/test_lease_restart.py
@@ -24,3 +24,30 @@
         tracker.observe(12, ROW, now_ms=0)
         assert tracker.plan_write(now_ms=TERM_MS + GUARD_MS - 1) is None
         assert tracker.plan_write(now_ms=TERM_MS + GUARD_MS) is not None
+
+
+def test_token_grows_after_the_row_is_lost():
+    """Guards against a holder whose orders are refused for good.
+
+    Those that take orders remember the highest token; a lost row begins at 1 again.
+    """
+    tracker = LeaseTracker("maps", "entry-1/7")
+    tracker.note_token_seen(57)
+    tracker.observe(0, None, now_ms=0)
+    write = tracker.plan_write(now_ms=0)
+    assert write.row.fencing_token == 58
+
+
+def test_holder_that_learns_of_a_higher_token_raises_its_own():
+    """Guards against a holder that cannot act because its token is old."""
+    tracker = LeaseTracker("maps", "entry-1/7")
+    tracker.observe(0, None, now_ms=0)
+    write = tracker.plan_write(now_ms=0)
+    tracker.write_succeeded(write, row_version=1, now_ms=1)
+    assert tracker.held_token(now_ms=2) == 1
+    tracker.note_token_seen(57)
+    write = tracker.plan_write(now_ms=3)
+    assert (write.row_version, write.row.fencing_token) == (1, 58)
+    tracker.write_succeeded(write, row_version=2, now_ms=4)
+    assert tracker.held_token(now_ms=5) == 58
+    assert tracker.plan_write(now_ms=6) is None
--- a/packages/entry/src/bluebellusher/ranks/_lease.py
+++ b/packages/entry/src/bluebellusher/ranks/_lease.py
@@ -97,7 +97,11 @@
         return token
 
     def note_token_seen(self, token: int) -> None:
-        """Stop leading when an agent has seen a higher token than the own one."""
+        """Stop leading when an agent has seen a higher token than the own one.
+
+        Where the own lease is held nevertheless, the next write raises its token.
+        """
+        self._tracker.note_token_seen(token)
         if self._last_led_token is not None and token > self._last_led_token:
             self._last_led_token = None
 
--- a/packages/entry/src/bluebellusher/ranks/tests/test_lease.py
+++ b/packages/entry/src/bluebellusher/ranks/tests/test_lease.py
@@ -149,7 +149,10 @@
 
 
 def test_unreadable_lease_is_logged_and_taken_over():
-    """Guards against a damaged row that is taken for a free lease without a trace."""
+    """Guards against a damaged row that is taken for a free lease without a trace.
+
+    The agents still know the token of the damaged row.
+    """
 
     async def scenario(store, clock):
         store.put("leases", "lease", b"not json")
@@ -158,6 +161,8 @@
         await until(lambda: keeper.token is not None)
         names = [name for name, _ in keeper._log.lines]
         assert names.index("lease-unreadable") < names.index("lease-held")
+        keeper.note_token_seen(57)
+        await until(lambda: keeper.leading_token == 58)
         task.cancel()
 
     run(scenario)
