Count crashes by request at endpoints that are reached directly

Cause: on the platform nothing counted which request an endpoint crashed on, so that one request could take down endpoint after endpoint, at every entry anew. Besides, a lost endpoint made all requests that ran there suspects, and each of them took an endpoint for itself when it ran again.

Ruled out: isolated runs as with agents. Without agents a broken connection has many causes (cut links, resets), and isolation takes endpoints away when they are needed most. A plain count of broken runs: popular requests would be blocked where endpoints reset connections.

Change: a broken run counts once its endpoint turns out to be gone (its registration ends, or it takes no connection), and is forgotten when the endpoint answers a later attempt. Three in a row without a whole run block the request; entries tell each other what they have counted. The callers of blocked copies get their final answer at once.

--- a/packages/core/src/bluebellusher_core/poison/_table.py
+++ b/packages/core/src/bluebellusher_core/poison/_table.py
@@ -55,7 +55,7 @@
         if self.is_blocked(fingerprint, now_ms):
             return
         self._blocked[fingerprint] = _Mark(now_ms + BLOCK_MS, is_own)
-        _drop_oldest(self._blocked, self.n_max)
+        drop_oldest(self._blocked, self.n_max)
 
     def is_blocked(self, fingerprint: str, now_ms: int) -> bool:
         """Return whether the fingerprint is known to crash endpoints."""
@@ -72,7 +72,7 @@
         if self.is_suspect(fingerprint, now_ms):
             return
         self._suspects[fingerprint] = _Mark(now_ms + SUSPECT_MS, is_own)
-        _drop_oldest(self._suspects, self.n_max)
+        drop_oldest(self._suspects, self.n_max)
 
     def is_suspect(self, fingerprint: str, now_ms: int) -> bool:
         """Return whether the fingerprint must run isolated."""
@@ -85,7 +85,7 @@
             return
         self._cleared[fingerprint] = now_ms + SUSPECT_MS
         self._cleared.move_to_end(fingerprint)
-        _drop_oldest(self._cleared, self.n_max)
+        drop_oldest(self._cleared, self.n_max)
 
     def hold(
         self,
@@ -111,7 +111,7 @@
         hold = _Hold(endpoint_id, incarnation, held_until_ms, until_ms, is_lost)
         self._holds[fingerprint] = hold
         self._holds.move_to_end(fingerprint)
-        _drop_oldest(self._holds, self.n_max)
+        drop_oldest(self._holds, self.n_max)
 
     def held_until_ms(self, fingerprint: str, now_ms: int) -> int:
         """Return when the fingerprint may run again; 0 when it may run now."""
@@ -170,6 +170,7 @@
     return tuple(own[-N_MAX_DIGEST:])
 
 
-def _drop_oldest(table: OrderedDict[str, Any], n_max: int) -> None:
+def drop_oldest(table: OrderedDict[str, Any], n_max: int) -> None:
+    """Keep the last ``n_max`` items of a table."""
     while len(table) > n_max:
         table.popitem(last=False)
--- a/packages/core/src/bluebellusher_core/requests/_attempts.py
+++ b/packages/core/src/bluebellusher_core/requests/_attempts.py
@@ -38,6 +38,7 @@
         return []
     request = state.request_by_id[attempt.request_id]
     attempt.is_accepted = attempt.is_started = True
+    _note_answer(state, attempt)
     state.endpoints.note_output(attempt.endpoint_id)
     state.endpoints.tracker.apply(event, now_ms)
     effects: list[Effect] = []
@@ -53,6 +54,7 @@
         return _stray(state, event)
     request = state.request_by_id[attempt.request_id]
     state.endpoints.tracker.apply(event, now_ms)
+    _note_answer(state, attempt)
     if event.status >= SERVER_ERROR:
         state.endpoints.tracker.record_failure(attempt.endpoint_id, now_ms)
         if _recovery.can_replace_failure(state, request):
@@ -69,6 +71,23 @@
     endpoint_id = attempt.endpoint_id
     _final.end_attempt(state, request, attempt, now_ms)
     _avoid(state, event, endpoint_id, now_ms)
+    effects = _go_on(state, request, attempt, event, now_ms)
+    if event.has_arrived:
+        _note_answer(state, attempt)
+    elif event.reason is Reason.CONNECT_FAILED:
+        effects += _isolation.endpoint_gone(state, endpoint_id, now_ms)
+    return effects
+
+
+def _go_on(
+    state: EntryState,
+    request: Request,
+    attempt: Attempt,
+    event: AttemptRefused,
+    now_ms: int,
+) -> list[Effect]:
+    """Try another endpoint, or give the request up."""
+    endpoint_id = attempt.endpoint_id
     if request.attempts:
         return []
     if request.phase is Phase.DETACHED:
@@ -109,6 +128,10 @@
     state.endpoints.defer(endpoint_id, event.retry_after_ms, now_ms)
 
 
+def _note_answer(state: EntryState, attempt: Attempt) -> None:
+    state.crashes.note_answer(attempt.endpoint_id, attempt.dispatched_at_ms)
+
+
 def _abandon(state: EntryState, request: Request, now_ms: int) -> list[Effect]:
     """Free the key of a request that turned out not to have run."""
     effects: list[Effect] = []
--- a/packages/core/src/bluebellusher_core/requests/_final.py
+++ b/packages/core/src/bluebellusher_core/requests/_final.py
@@ -64,6 +64,7 @@
     end_attempt(state, request, winner, now_ms)
     observe_service(state, request, winner, now_ms)
     state.poison.clear(request.spec.fingerprint, now_ms)
+    state.crashes.clear(request.spec.fingerprint, now_ms)
     if request.claim is not None:
         effects += state.claims.record(
             request.claim, ClaimState.DONE, winner.attempt_id, now_ms
--- a/packages/core/src/bluebellusher_core/requests/_isolation.py
+++ b/packages/core/src/bluebellusher_core/requests/_isolation.py
@@ -113,6 +113,49 @@
     return effects
 
 
+def note_broken(
+    state: EntryState,
+    request: Request,
+    attempt: Attempt,
+    reason: Reason,
+    is_fatal: bool,
+    now_ms: int,
+) -> None:
+    """Note that a run broke, in case the request is what crashes endpoints.
+
+    Without agents a broken connection may have many causes. Isolated runs would cost
+    endpoints that are needed most then, so crashes are counted instead.
+    """
+    fingerprint = request.spec.fingerprint
+    if not state.config.n_crashes_to_block:
+        if is_fatal:
+            state.poison.suspect(fingerprint, now_ms, is_own=True)
+    elif is_fatal or reason is Reason.CONNECTION_LOST:
+        state.crashes.note_broken(
+            fingerprint, attempt.endpoint_id, attempt.dispatched_at_ms, now_ms
+        )
+
+
+def endpoint_gone(state: EntryState, endpoint_id: str, now_ms: int) -> list[Effect]:
+    """Count the crash for what broke there, and block what has crashed too many."""
+    effects: list[Effect] = []
+    for fingerprint in state.crashes.confirm(endpoint_id, now_ms):
+        n_crashes = state.crashes.count(fingerprint, now_ms)
+        fields = (("fingerprint", fingerprint), ("endpoint", endpoint_id))
+        effects.append(LogEvent("crash-counted", (*fields, ("n_crashes", n_crashes))))
+        effects += _block_counted(state, fingerprint, endpoint_id, now_ms)
+    return effects
+
+
+def _block_counted(
+    state: EntryState, fingerprint: str, peer: str, now_ms: int
+) -> list[Effect]:
+    n_crashes = state.crashes.count(fingerprint, now_ms)
+    if n_crashes < state.config.n_crashes_to_block:
+        return []
+    return block(state, fingerprint, peer, True, now_ms)
+
+
 def digest_received(
     state: EntryState, event: DigestReceived, now_ms: int
 ) -> list[Effect]:
@@ -122,7 +165,11 @@
     for fingerprint in event.blocked_fingerprints[:N_MAX_DIGEST]:
         effects += block(state, fingerprint, event.peer_id, False, now_ms)
     for fingerprint in event.suspect_fingerprints[:N_MAX_DIGEST]:
-        state.poison.suspect(fingerprint, now_ms, is_own=False)
+        if not state.config.n_crashes_to_block:
+            state.poison.suspect(fingerprint, now_ms, is_own=False)
+            continue
+        state.crashes.note_peer(fingerprint, event.peer_id, now_ms)
+        effects += _block_counted(state, fingerprint, event.peer_id, now_ms)
     return effects
 
 
--- a/packages/core/src/bluebellusher_core/requests/_links.py
+++ b/packages/core/src/bluebellusher_core/requests/_links.py
@@ -47,7 +47,8 @@
     """Break every attempt of a connection that is gone."""
     _final.forget_endpoint(state, endpoint_id, now_ms)
     there = [a for a in state.attempt_by_id.values() if a.endpoint_id == endpoint_id]
-    return _break_all(state, there, Reason.ENDPOINT_LOST, now_ms)
+    effects = _break_all(state, there, Reason.ENDPOINT_LOST, now_ms)
+    return effects + _isolation.endpoint_gone(state, endpoint_id, now_ms)
 
 
 def crashed(state: EntryState, event: EndpointCrashed, now_ms: int) -> list[Effect]:
--- a/packages/core/src/bluebellusher_core/requests/_recovery.py
+++ b/packages/core/src/bluebellusher_core/requests/_recovery.py
@@ -26,8 +26,7 @@
     request.avoided.add(attempt.endpoint_id)
     request.n_bytes_relayed = max(request.n_bytes_relayed, event.n_bytes_relayed)
     is_fatal = is_loss or event.reason is Reason.ENGINE_ERROR
-    if is_fatal:
-        state.poison.suspect(request.spec.fingerprint, now_ms, is_own=True)
+    _isolation.note_broken(state, request, attempt, event.reason, is_fatal, now_ms)
     # An isolated attempt that was lost on the way tells nothing about the request.
     is_convicting = is_fatal and attempt.is_isolated and attempt.is_accepted
     if is_convicting:
--- a/packages/core/src/bluebellusher_core/state/_config.py
+++ b/packages/core/src/bluebellusher_core/state/_config.py
@@ -42,6 +42,9 @@
     detach_ms : int
         How long the outcome of a claimed attempt is awaited after its caller got the
         final answer, in ms.
+    n_crashes_to_block : int
+        Crashes in a row after runs of one fingerprint that block it; 0 where agents
+        tell of crashes, and suspects run isolated instead.
     no_endpoint_grace_ms : int
         How long requests wait when the last endpoint of their pool is gone, in ms;
         a silent connection is replaced within this time.
@@ -64,6 +67,7 @@
     resume_wait_ms: int = 3_000
     hedge_after_ms: int = 0
     detach_ms: int = 600_000
+    n_crashes_to_block: int = 0
     no_endpoint_grace_ms: int = 1_000
     retry_after_ms: int = 1_000
 
--- a/packages/core/src/bluebellusher_core/state/_state.py
+++ b/packages/core/src/bluebellusher_core/state/_state.py
@@ -10,7 +10,7 @@
 from bluebellusher_core.claims import ClaimTable
 from bluebellusher_core.events import RequestSpec
 from bluebellusher_core.membership import Endpoints, Pool
-from bluebellusher_core.poison import PoisonTable
+from bluebellusher_core.poison import CrashCounter, PoisonTable
 from bluebellusher_core.requests import Attempt, Request
 from bluebellusher_core.retry import RetryBudget
 from bluebellusher_core.routing import EndpointView, LeastInFlight, RoutingPolicy
@@ -52,6 +52,8 @@
         Claims that wait or are in flight.
     poison : PoisonTable
         Suspect and blocked fingerprints.
+    crashes : CrashCounter
+        Crashes by fingerprint, where endpoints have no agent that tells of them.
     request_by_id, attempt_by_id : dict
         Requests without a final answer (or detached) and attempts in flight.
     ended_attempts : OrderedDict of str to str
@@ -86,6 +88,7 @@
     retry_budget: RetryBudget
     claims: ClaimTable
     poison: PoisonTable = field(default_factory=PoisonTable)
+    crashes: CrashCounter = field(default_factory=CrashCounter)
     request_by_id: dict[str, Request] = field(default_factory=dict)
     attempt_by_id: dict[str, Attempt] = field(default_factory=dict)
     ended_attempts: OrderedDict[str, str] = field(default_factory=OrderedDict)
@@ -135,4 +138,5 @@
 
     def digest(self, now_ms: int) -> tuple[tuple[str, ...], tuple[str, ...]]:
         """Return the blocked and suspect fingerprints to tell to peers."""
-        return self.poison.digest(now_ms)
+        blocked, suspects = self.poison.digest(now_ms)
+        return blocked, suspects + self.crashes.told(now_ms)
--- a/packages/entry/src/bluebellusher/cli/_view.py
+++ b/packages/entry/src/bluebellusher/cli/_view.py
@@ -62,7 +62,7 @@
     def make_digest(self) -> Any:
         """Return what peers are told."""
         entry = self._entry
-        blocked, suspects = entry.state.poison.digest(entry.clock.now_ms())
+        blocked, suspects = entry.state.digest(entry.clock.now_ms())
         return messages.Digest(
             config_version=self._config_version(),
             members=[self._own_member()],
--- a/packages/entry/src/bluebellusher/gateway/_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -44,6 +44,9 @@
 QUEUE_FACTOR = 1.2
 # How long a caller of a broken stream waits for its next event.
 RESUME_WAIT_MS = 1_500
+# An innocent request may be at a crash once or twice by chance; the platform allows
+# few runs after the third.
+N_CRASHES_TO_BLOCK = 3
 # Entries that want a free lease at the same moment spread over this time.
 MAX_TAKEOVER_DELAY_MS = 400
 # A group with a held step should not wait for the next leader.
@@ -313,6 +316,7 @@
         n_shared_retries=n_shared,
         queue_factor=QUEUE_FACTOR,
         resume_wait_ms=RESUME_WAIT_MS,
+        n_crashes_to_block=N_CRASHES_TO_BLOCK,
     )
     policy = SlotAware(failure_domain=settings.failure_domain)
     return EntryState.from_config(config, policy, ObjectiveQueue)
--- a/packages/entry/src/bluebellusher/gateway/_view.py
+++ b/packages/entry/src/bluebellusher/gateway/_view.py
@@ -22,7 +22,7 @@
         """Return what peers are told."""
         gateway = self._gateway
         now_ms = gateway.clock.now_ms()
-        blocked, suspects = gateway.state.poison.digest(now_ms)
+        blocked, suspects = gateway.state.digest(now_ms)
         routing = gateway.directory.routing
         return messages.Digest(
             config_version=routing.version if routing else 0,
