Release a held step only when all ranks are armed, and fence twice

An old leader's order to hold was carried out late, while the new leader's orders to prepare were on their way. The new leader armed the ranks for the old map; a late order to prepare kept one rank from being armed, and the step was then released as "held late", with two ranks armed.

Ruled out: releasing more carefully. A release may be late as well, and nobody who sees the held step later can tell. Taking the arming back: an order to disarm may be late too.

Change: a step is released only after every rank was seen armed for it. A step that was held late is used: for the leader's own map once that is prepared, for the map of the leader directly before it, after 13 s for an older one, and otherwise for the present map under a new version, which copies nothing. Leaders fence twice, so that they act on states only that were read after every agent had been fenced. Versions are made by MapChange.

--- a/packages/core/src/bluebellusher_core/ranks/__init__.py
+++ b/packages/core/src/bluebellusher_core/ranks/__init__.py
@@ -5,7 +5,11 @@
 no pass begins with two maps, whoever fails and whichever order arrives late.
 """
 
-from bluebellusher_core.ranks._change import ChangePhase, MapChange
+from bluebellusher_core.ranks._change import (
+    ChangePhase,
+    MapChange,
+    leader_token_of,
+)
 from bluebellusher_core.ranks._counts import pack_counts, unpack_counts
 from bluebellusher_core.ranks._state import (
     ExpertMap,
@@ -23,6 +27,7 @@
     "OrderAction",
     "RankOrder",
     "RankState",
+    "leader_token_of",
     "pack_counts",
     "unpack_counts",
 ]
--- a/packages/core/src/bluebellusher_core/ranks/_change.py
+++ b/packages/core/src/bluebellusher_core/ranks/_change.py
@@ -3,20 +3,26 @@
 The orders follow from the observed states alone, so that a new leader goes on where
 the last one stopped:
 
-1. Fence: every agent knows the leader's token before its state counts. An agent
-   refuses orders of earlier leaders from then on.
+1. Fence: every agent knows the leader's token before its state counts, and refuses
+   orders of earlier leaders from then on. This is done twice. States that carry the
+   second token were read after the last agent was fenced with the first one, so that
+   they show everything that earlier leaders acted upon.
 2. Prepare one version everywhere. Versions contain the token, so that two leaders
    never give one version to two maps.
 3. Hold a step at one rank, and wait until it is seen held there. A hold lasts until
    it is released, hence the group does not begin that step.
 4. Arm every rank for that step. No order to arm is sent before the hold was seen.
-5. Release the step once every rank was seen armed.
+5. Release the step once every rank was seen armed, and never before.
 
 An order without an answer may still be carried out seconds later. A late prepare has
 an old version and is refused; a late hold or arm is refused once its step has begun,
 and a step only begins when all ranks are armed for it. From step 4 on the change is
 completed and never taken back, because an order to arm may be on its way. A group
 that is formed anew forgets everything, and refuses orders of its earlier epoch.
+
+A hold that is carried out late, while ranks differ in what they have prepared, is not
+simply released: the release could be late in turn, and come when ranks are being armed
+for the same step. The step is used instead, for a map that the leader prepares then.
 """
 
 from dataclasses import dataclass, field
@@ -33,6 +39,12 @@
 # Passes between the latest known one and the one to hold. A hold that comes too late
 # is refused and tried again; a longer lead delays every change by a pass.
 HOLD_LEAD_STEPS = 1
+# Versions carry the leader's token, so that no two leaders use the same one.
+VERSIONS_PER_TOKEN = 2**20
+# Each leader fences twice.
+FENCES_PER_TOKEN = 2
+# Engines carry out an unanswered order within 12 s.
+LATE_ORDER_MS = 13_000
 
 
 class ChangePhase(StrEnum):
@@ -42,43 +54,61 @@
     FENCING = "fencing"
     PREPARING = "preparing"
     HOLDING = "holding"
+    BLOCKED = "blocked"
     ARMING = "arming"
     RELEASING = "releasing"
 
 
+def leader_token_of(fencing_token: int) -> int:
+    """Return the token of the leader that fenced an agent with ``fencing_token``."""
+    return fencing_token // FENCES_PER_TOKEN
+
+
 @dataclass(slots=True)
 class MapChange:
     """Orders that lead one group to the map that is wanted.
 
     Parameters
     ----------
-    fencing_token : int
+    leader_token : int
         Token of the leader's lease.
     phase : ChangePhase
-        Where the group stood at the last decision.
+        Where the group stood at the last decision. In ``BLOCKED`` a step is held that
+        can only be used with another map; want the present one again.
     wanted_version : int
         The map to change to; 0 for none.
     """
 
-    fencing_token: int
+    leader_token: int
     phase: ChangePhase = ChangePhase.IDLE
     wanted_version: int = 0
     _wanted: ExpertMap = field(default=(), repr=False)
+    _wanted_epoch: int = -1
     _epoch: int = -1
+    _n_versions: int = 0
     _hold_step: int = 0
+    _has_prepared: bool = False
+    _held_since_ms: int | None = None
 
     @property
     def is_idle(self) -> bool:
         """Whether a new map may be wanted."""
         return self.phase is ChangePhase.IDLE
 
-    def want(self, version: int, experts_by_rank: ExpertMap, epoch: int) -> None:
-        """Begin to change to a map that was planned for an epoch."""
-        self.wanted_version = version
+    @property
+    def is_blocked(self) -> bool:
+        """Whether a held step waits for a map to be wanted."""
+        return self.phase is ChangePhase.BLOCKED
+
+    def want(self, experts_by_rank: ExpertMap, epoch: int) -> int:
+        """Begin to change to a map of an epoch; return its version."""
+        self._n_versions += 1
+        self.wanted_version = self.leader_token * VERSIONS_PER_TOKEN + self._n_versions
         self._wanted = experts_by_rank
-        self._epoch = epoch
+        self._wanted_epoch = epoch
         self._hold_step = 0
         self.phase = ChangePhase.PREPARING
+        return self.wanted_version
 
     def give_up(self) -> None:
         """Forget a map that is not prepared everywhere; nothing was armed for it."""
@@ -87,31 +117,73 @@
         self._hold_step = 0
         self.phase = ChangePhase.IDLE
 
-    def decide(self, view: GroupView) -> list[RankOrder]:
+    def decide(self, view: GroupView, now_ms: int) -> list[RankOrder]:
         """Return the orders that are due by the states of all ranks."""
-        unfenced = [s for s in view.states if s.fencing_token < self.fencing_token]
-        if unfenced:
-            self.phase = ChangePhase.FENCING
-            return [RankOrder(s.rank_id, OrderAction.FENCE, s.epoch) for s in unfenced]
-        if self.wanted_version and view.epoch != self._epoch:
+        first = self.leader_token * FENCES_PER_TOKEN
+        for token in range(first, first + FENCES_PER_TOKEN):
+            unfenced = [s for s in view.states if s.fencing_token < token]
+            if unfenced:
+                self.phase = ChangePhase.FENCING
+                return [
+                    RankOrder(s.rank_id, OrderAction.FENCE, s.epoch, 0, 0, (), token)
+                    for s in unfenced
+                ]
+        if view.epoch != self._epoch:
+            self._epoch = view.epoch
+            self._has_prepared = False
+        if self.wanted_version and view.epoch != self._wanted_epoch:
             self.give_up()
         if view.armed:
-            return self._commit(view)
+            return self._go_on_armed(view)
         if view.held:
-            return self._decide_held(view)
+            return self._decide_held(view, now_ms)
+        self._held_since_ms = None
         return self._decide_free(view)
 
-    def _decide_held(self, view: GroupView) -> list[RankOrder]:
-        """Go on from a held step without an armed rank.
+    def _go_on_armed(self, view: GroupView) -> list[RankOrder]:
+        """Arm the other ranks for the same step, and release it when all are armed."""
+        version, step = view.armed[0].armed_version, view.armed[0].armed_step
+        missing = [s for s in view.states if s.armed_version != version]
+        if missing:
+            if view.held:
+                step = max(state.held_step or 0 for state in view.held)
+            return self._arm(missing, version, step)
+        self.phase = ChangePhase.RELEASING
+        return [
+            self._order(s, OrderAction.GO, step=s.held_step or 0) for s in view.held
+        ]
+
+    def _decide_held(self, view: GroupView, now_ms: int) -> list[RankOrder]:
+        """Use a held step for which no rank is armed yet."""
+        if self._held_since_ms is None:
+            self._held_since_ms = now_ms
+        version = view.common_prepared_version
+        if version and version != view.common_map_version:
+            if self._may_arm(version, now_ms - self._held_since_ms):
+                return self._arm(view.states, version, view.held[0].held_step or 0)
+            if not self._has_prepared:
+                # An order to arm for this version may be on its way.
+                self.phase = ChangePhase.ARMING
+                return []
+        if not self.wanted_version:
+            self.phase = ChangePhase.BLOCKED
+            return []
+        self.phase = ChangePhase.PREPARING
+        return self._prepare(view)
+
+    def _may_arm(self, version: int, held_ms: int) -> bool:
+        """Return whether no order to prepare another version can be on its way.
 
-        While ranks differ in what they have prepared, no leader can have sent an
-        order to arm for the held step: it is a late hold, and is released.
+        One that is carried out between two orders to arm would leave the ranks with
+        different maps. Earlier leaders prepare nothing while they see a held step, but
+        the step may have been held late.
         """
-        if not view.common_prepared_version:
-            return self._release(view)
-        if view.common_prepared_version == view.common_map_version:
-            return self._release(view)
-        return self._commit(view)
+        if version == self.wanted_version:
+            return True
+        if self._has_prepared:
+            return False
+        is_of_last_leader = version // VERSIONS_PER_TOKEN == self.leader_token - 1
+        return is_of_last_leader or held_ms >= LATE_ORDER_MS
 
     def _decide_free(self, view: GroupView) -> list[RankOrder]:
         if not self.wanted_version:
@@ -120,49 +192,43 @@
         if view.common_map_version == self.wanted_version:
             self.give_up()
             return []
-        missing = [s for s in view.states if s.prepared_version != self.wanted_version]
-        if missing:
+        orders = self._prepare(view)
+        if orders:
             self.phase = ChangePhase.PREPARING
-            return [self._prepare(state) for state in missing]
+            return orders
         self.phase = ChangePhase.HOLDING
         if self._hold_step <= view.step:
             self._hold_step = view.step + HOLD_LEAD_STEPS
-        holder = view.states[0]
+        return [self._order(view.states[0], OrderAction.HOLD, step=self._hold_step)]
+
+    def _prepare(self, view: GroupView) -> list[RankOrder]:
+        """Return the orders to prepare the wanted map where it is missing."""
+        missing = [s for s in view.states if s.prepared_version != self.wanted_version]
+        self._has_prepared = self._has_prepared or bool(missing)
         return [
-            RankOrder(
-                holder.rank_id, OrderAction.HOLD, view.epoch, step=self._hold_step
+            self._order(
+                state, OrderAction.PREPARE, self.wanted_version, experts=self._wanted
             )
+            for state in missing
         ]
 
-    def _commit(self, view: GroupView) -> list[RankOrder]:
-        """Arm every rank for the held step, and release it when all are armed."""
-        armed = view.armed
-        version = armed[0].armed_version if armed else view.common_prepared_version
-        step = armed[0].armed_step if armed else view.held[0].held_step or 0
-        missing = [s for s in view.states if s.armed_version != version]
-        if not missing:
-            return self._release(view)
+    def _arm(self, states: list[RankState], version: int, step: int) -> list[RankOrder]:
         self.phase = ChangePhase.ARMING
-        if view.held:
-            step = max(state.held_step or 0 for state in view.held)
-        return [
-            RankOrder(s.rank_id, OrderAction.ARM, view.epoch, version, step)
-            for s in missing
-            if s.map_version != version
-        ]
-
-    def _release(self, view: GroupView) -> list[RankOrder]:
-        self.phase = ChangePhase.RELEASING
         return [
-            RankOrder(s.rank_id, OrderAction.GO, view.epoch, step=s.held_step or 0)
-            for s in view.held
+            self._order(state, OrderAction.ARM, version, step)
+            for state in states
+            if state.map_version != version
         ]
 
-    def _prepare(self, state: RankState) -> RankOrder:
+    def _order(
+        self,
+        state: RankState,
+        action: OrderAction,
+        version: int = 0,
+        step: int = 0,
+        experts: ExpertMap = (),
+    ) -> RankOrder:
+        token = (self.leader_token + 1) * FENCES_PER_TOKEN - 1
         return RankOrder(
-            state.rank_id,
-            OrderAction.PREPARE,
-            state.epoch,
-            self.wanted_version,
-            experts_by_rank=self._wanted,
+            state.rank_id, action, state.epoch, version, step, experts, token
         )
--- a/packages/core/src/bluebellusher_core/ranks/_state.py
+++ b/packages/core/src/bluebellusher_core/ranks/_state.py
@@ -71,7 +71,7 @@
     """An order to one rank; it is refused in another epoch.
 
     ``experts_by_rank`` is the whole map by layer and rank, for ``PREPARE`` only.
-    ``fencing_token`` is that of the leader, for engines that check it; 0 for none.
+    ``fencing_token`` is compared by agents, and by engines that check it; 0 for none.
     """
 
     rank_id: str
--- a/packages/core/src/bluebellusher_core/ranks/tests/_engines.py
+++ b/packages/core/src/bluebellusher_core/ranks/tests/_engines.py
@@ -50,23 +50,30 @@
         self.engines = [Engine(rank, n_ranks) for rank in range(n_ranks)]
         self.token_by_rank = [0] * n_ranks
         self.step = 0
-        self.under_way: list[tuple[int, RankOrder]] = []
+        self.under_way: list[RankOrder] = []
         self.accepted: list[tuple[int, RankOrder]] = []
         self.n_switches = 0
 
-    def send(self, token: int, orders: list[RankOrder]) -> None:
+    def send(self, orders: list[RankOrder]) -> None:
         """Put orders on their way to the agents."""
-        self.under_way += [(token, order) for order in orders]
+        self.under_way += orders
 
     def deliver(self, at: int) -> None:
         """Let one order reach its agent."""
-        token, order = self.under_way.pop(at % len(self.under_way))
+        order = self.under_way.pop(at % len(self.under_way))
         rank = int(order.rank_id)
-        if token < self.token_by_rank[rank]:
+        if order.fencing_token < self.token_by_rank[rank]:
             return
-        self.token_by_rank[rank] = token
+        self.token_by_rank[rank] = order.fencing_token
         self.accepted.append((rank, order))
 
+    def deliver_directly(self, at: int) -> None:
+        """Let an order to arm or to go on reach its engine past a silent agent."""
+        order = self.under_way[at % len(self.under_way)]
+        if order.action in (OrderAction.ARM, OrderAction.GO):
+            self.under_way.remove(order)
+            self.accepted.append((int(order.rank_id), order))
+
     def execute(self, at: int) -> None:
         """Let an engine carry out one accepted order."""
         rank, order = self.accepted.pop(at % len(self.accepted))
--- a/packages/core/src/bluebellusher_core/ranks/tests/test_change_machine.py
+++ b/packages/core/src/bluebellusher_core/ranks/tests/test_change_machine.py
@@ -7,7 +7,13 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
 
-from bluebellusher_core.ranks import GroupView, MapChange
+from bluebellusher_core.ranks import (
+    GroupView,
+    MapChange,
+    OrderAction,
+    leader_token_of,
+)
+from bluebellusher_core.ranks._change import LATE_ORDER_MS
 from bluebellusher_core.ranks.tests._engines import Group
 
 N_RANKS = 3
@@ -20,6 +26,7 @@
     "decide": 6,
     "want": 4,
     "deliver": 12,
+    "deliver_directly": 2,
     "lose": 1,
     "execute": 10,
     "pass": 2,
@@ -37,6 +44,11 @@
         self.state_by_rank = {}
         self.n_maps = 0
 
+    def want(self, epoch):
+        """Want a map that no other leader wants."""
+        self.n_maps += 1
+        return self.change.want((((self.token, self.n_maps),),), epoch)
+
 
 class ChangeMachine(RuleBasedStateMachine):
     """Guards against a pass that begins with two maps.
@@ -51,6 +63,7 @@
         """Start a group with its first leader."""
         self.group = Group(N_RANKS)
         self.leaders = [_Leader(1)]
+        self.now_ms = 0
 
     @rule(at=PLACES, rank=RANKS)
     def report(self, at, rank):
@@ -69,8 +82,11 @@
         """Let a leader give the orders that are due."""
         leader = self.leaders[at % len(self.leaders)]
         view = GroupView.from_states(leader.state_by_rank.values(), 0, MAX_AGE_MS)
-        if view is not None:
-            self.group.send(leader.token, leader.change.decide(view))
+        if view is None:
+            return
+        self.group.send(leader.change.decide(view, self.now_ms))
+        if leader.change.is_blocked:
+            leader.want(view.epoch)
 
     @rule(at=PLACES)
     def want(self, at):
@@ -79,9 +95,7 @@
         view = GroupView.from_states(leader.state_by_rank.values(), 0, MAX_AGE_MS)
         if view is None or not leader.change.is_idle:
             return
-        leader.n_maps += 1
-        version = leader.token * 1_000 + leader.n_maps
-        leader.change.want(version, (((version,),),), view.epoch)
+        leader.want(view.epoch)
 
     @rule(at=PLACES)
     def give_up(self, at):
@@ -97,6 +111,14 @@
         """Let an order reach its agent."""
         self.group.deliver(at)
 
+    @precondition(lambda self: self.group.under_way)
+    @rule(at=PLACES)
+    def deliver_directly(self, at):
+        """Let the holder of the lease reach an engine past its agent."""
+        order = self.group.under_way[at % len(self.group.under_way)]
+        if leader_token_of(order.fencing_token) == self.leaders[-1].token:
+            self.group.deliver_directly(at)
+
     @precondition(lambda self: self.group.under_way)
     @rule(at=PLACES)
     def lose(self, at):
@@ -139,6 +161,8 @@
                     self.want(at)
                 case "deliver" if self.group.under_way:
                     self.group.deliver(at)
+                case "deliver_directly" if self.group.under_way:
+                    self.deliver_directly(at)
                 case "lose" if self.group.under_way:
                     self.lose(at)
                 case "execute" if self.group.accepted:
@@ -158,6 +182,8 @@
                 self.group.deliver(0)
             self.execute_all()
             self.group.begin_pass()
+        # No order is carried out later than this.
+        self.now_ms += LATE_ORDER_MS
 
     @precondition(lambda self: len(self.leaders) < 4)
     @rule()
@@ -176,6 +202,7 @@
             return
         leader = len(self.leaders) - 1
         self.work(20, leader)
+        self.work(20, leader)
         step = self.group.step
         self.work(3, leader)
         assert self.group.step == step + 3, "the group is held"
@@ -188,7 +215,7 @@
 def run_in_order(group, leader, n):
     """Let one leader and the group go on without faults."""
     machine = ChangeMachine()
-    machine.group, machine.leaders = group, [leader]
+    machine.group, machine.leaders, machine.now_ms = group, [leader], 0
     machine.work(n, 0)
 
 
@@ -196,9 +223,9 @@
     """Guards against a protocol that is safe because it never changes anything."""
     group, leader = Group(N_RANKS), _Leader(1)
     run_in_order(group, leader, 3)
-    leader.change.want(1_001, (((1,),),), epoch=1)
+    version = leader.want(epoch=1)
     run_in_order(group, leader, 8)
-    assert [engine.map_version for engine in group.engines] == [1_001] * N_RANKS
+    assert [engine.map_version for engine in group.engines] == [version] * N_RANKS
     assert leader.change.is_idle
     assert group.n_switches == 1
 
@@ -207,10 +234,10 @@
     """Guards against a step that stays held when its leader dies."""
     group, first = Group(N_RANKS), _Leader(1)
     run_in_order(group, first, 2)
-    first.change.want(1_001, (((1,),),), epoch=1)
+    version = first.want(epoch=1)
     for _ in range(20):
         machine = ChangeMachine()
-        machine.group, machine.leaders = group, [first]
+        machine.group, machine.leaders, machine.now_ms = group, [first], 0
         machine.report_all(0)
         machine.decide(0)
         while group.under_way:
@@ -223,7 +250,140 @@
     # One rank has not heard of it.
     group.engines[2].armed = None
     run_in_order(group, _Leader(2), 8)
-    assert [engine.map_version for engine in group.engines] == [1_001] * N_RANKS
+    assert [engine.map_version for engine in group.engines] == [version] * N_RANKS
+
+
+def see(group, leader, now_ms=0):
+    """Let a leader read every rank; return its orders."""
+    states = [group.read(rank) for rank in range(N_RANKS)]
+    view = GroupView.from_states(states, 0, MAX_AGE_MS)
+    return leader.change.decide(view, now_ms)
+
+
+def deliver_all(group, orders):
+    """Let agents accept orders that their engines carry out later."""
+    group.send(orders)
+    while group.under_way:
+        group.deliver(0)
+
+
+def prepare_all(group, leader):
+    """Lead a group to the point at which a step is to be held."""
+    run_in_order(group, leader, 3)
+    leader.want(epoch=1)
+    deliver_all(group, see(group, leader))
+    while group.accepted:
+        group.execute(0)
+
+
+def take_over_before_late_hold():
+    """Return a group that is held for an old leader while a new one prepares."""
+    group, first, second = Group(N_RANKS), _Leader(1), _Leader(2)
+    prepare_all(group, first)
+    deliver_all(group, see(group, first))
+    (late_hold,) = group.accepted
+    group.accepted.clear()
+    for _ in range(2):
+        deliver_all(group, see(group, second))
+        group.accepted.clear()
+    assert see(group, second) == []
+    second.want(epoch=1)
+    deliver_all(group, see(group, second))
+    late_prepares = list(group.accepted)
+    group.accepted[:] = [late_hold]
+    group.execute(0)
+    return group, second, late_prepares
+
+
+def test_late_hold_is_not_used_for_a_map_that_is_being_replaced():
+    """Guards against ranks armed for one map while orders for the next are on the way.
+
+    A fuzzer found this case: an order to prepare that was carried out late kept the
+    last rank from being armed, and the step was released with two maps.
+    """
+    group, leader, late_prepares = take_over_before_late_hold()
+    orders = see(group, leader)
+    assert {order.action for order in orders} == {OrderAction.PREPARE}
+    group.accepted += late_prepares
+    while group.accepted:
+        group.execute(0)
+    run_in_order(group, leader, 8)
+    assert group.n_switches == 1
+    assert group.engines[0].held_step is None
+
+
+def test_late_hold_is_not_released_before_ranks_are_armed():
+    """Guards against a release that is carried out when ranks are being armed."""
+    group, leader, _ = take_over_before_late_hold()
+    group.engines[1].prepared = (0, "")
+    for _ in range(20):
+        orders = see(group, leader)
+        if any(order.action is OrderAction.GO for order in orders):
+            break
+        deliver_all(group, orders)
+        while group.accepted:
+            group.execute(0)
+    assert all(engine.armed for engine in group.engines)
+
+
+def test_late_hold_without_a_map_waits_for_one():
+    """Guards against a release that is late when the next map is armed."""
+    group, leader = Group(N_RANKS), _Leader(1)
+    run_in_order(group, leader, 3)
+    group.engines[0].held_step = group.step + 1
+    assert see(group, leader) == []
+    assert leader.change.is_blocked
+    leader.want(epoch=1)
+    run_in_order(group, leader, 8)
+    assert group.n_switches == 1
+    assert group.engines[0].held_step is None
+
+
+def test_leader_goes_on_with_the_held_map_of_the_one_before_it():
+    """Guards against a wait for orders that no leader can have given."""
+    group, first, second = Group(N_RANKS), _Leader(1), _Leader(2)
+    prepare_all(group, first)
+    deliver_all(group, see(group, first))
+    group.execute(0)
+    run_in_order(group, second, 4)
+    assert group.n_switches == 1
+
+
+def test_leader_waits_where_an_earlier_one_may_have_prepared_another_map():
+    """Guards against a late order to prepare between two orders to arm."""
+    group, first, third = Group(N_RANKS), _Leader(1), _Leader(3)
+    prepare_all(group, first)
+    deliver_all(group, see(group, first))
+    group.execute(0)
+    for _ in range(2):
+        deliver_all(group, see(group, third))
+        group.accepted.clear()
+    assert see(group, third, now_ms=5) == []
+    assert see(group, third, now_ms=5 + LATE_ORDER_MS - 1) == []
+    orders = see(group, third, now_ms=5 + LATE_ORDER_MS)
+    assert {order.action for order in orders} == {OrderAction.ARM}
+
+
+def test_state_from_before_the_last_fence_is_not_acted_upon():
+    """Guards against a hold that only the leader before this one has seen."""
+    group, first, second = Group(N_RANKS), _Leader(1), _Leader(2)
+    prepare_all(group, first)
+    deliver_all(group, see(group, first))
+    late_hold = group.accepted.pop()
+    fences = see(group, second)
+    deliver_all(group, fences[:1])
+    stale = group.read(0)
+    # The step is held now, and the first leader arms the ranks that still obey it.
+    group.accepted[:] = [late_hold]
+    group.execute(0)
+    deliver_all(group, see(group, first)[1:])
+    assert [order.action for _, order in group.accepted] == [OrderAction.ARM] * 2
+    deliver_all(group, fences[1:])
+    view = GroupView.from_states([stale, group.read(1), group.read(2)], 0, MAX_AGE_MS)
+    orders = second.change.decide(view, 0)
+    assert [order.action for order in orders] == [OrderAction.FENCE] * N_RANKS
+    run_in_order(group, second, 8)
+    assert group.n_switches == 1
 
 
 def test_states_of_another_epoch_give_no_view():
--- a/packages/entry/src/bluebellusher/ranks/_leader.py
+++ b/packages/entry/src/bluebellusher/ranks/_leader.py
@@ -29,6 +29,7 @@
     OrderAction,
     RankOrder,
     RankState,
+    leader_token_of,
     unpack_counts,
 )
 from bluebellusher_core.wire import messages
@@ -61,8 +62,6 @@
 LOADS_MAX_AGE_MS = 15_000
 # With fewer choices counted, their shares are mostly chance.
 MIN_COUNTED_PER_EXPERT = 20
-# Versions carry the fencing token, so that no two leaders use the same one.
-VERSIONS_PER_TOKEN = 2**20
 MS_PER_S = 1_000
 
 
@@ -121,7 +120,6 @@
         self._random_state = random_state
         self._log = log
         self._token = 0
-        self._n_versions = 0
         self._group_by_id: dict[str, _Group] = {}
         self._wake = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -159,12 +157,11 @@
     def _lead(self, token: int) -> None:
         if token != self._token:
             self._token = token
-            self._n_versions = 0
             self._group_by_id.clear()
         now_ms = self._clock.now_ms()
         states_by_group: dict[str, list[RankState]] = {}
         for state in self._links.states():
-            self._lease.note_token_seen(state.fencing_token)
+            self._lease.note_token_seen(leader_token_of(state.fencing_token))
             states_by_group.setdefault(state.group_id, []).append(state)
         for group_id, states in states_by_group.items():
             view = GroupView.from_states(states, now_ms, STATE_MAX_AGE_MS)
@@ -180,7 +177,7 @@
             group.placed_version = -1
             group.due_at_ms.clear()
         was_idle = group.change.is_idle
-        for order in group.change.decide(view):
+        for order in group.change.decide(view, now_ms):
             self._give(group, order, now_ms)
         if group.change.is_idle and not was_idle:
             _note_end(group, view, now_ms)
@@ -221,7 +218,7 @@
     ) -> None:
         if self._lease.leading_token != self._token:
             return
-        answer = await self._links.give(order, self._token)
+        answer = await self._links.give(order)
         if answer is None or not answer.is_accepted:
             group.due_at_ms[key] = self._clock.now_ms() + RETRY_ORDER_MS
         elif order.action is OrderAction.PREPARE:
@@ -241,7 +238,9 @@
     ) -> None:
         try:
             loads = await self._count(group, view)
-            if loads is not None and group.change.is_idle:
+            if group.change.is_blocked:
+                self._want_present_map(group_id, group, view)
+            elif loads is not None and group.change.is_idle:
                 await self._plan(group_id, group, view, loads)
         finally:
             group.is_counting = False
@@ -252,7 +251,8 @@
         if model is None:
             return None
         map_version = view.common_map_version
-        with_map = group.change.is_idle and group.placed_version != map_version
+        is_wanted = group.change.is_idle or group.change.is_blocked
+        with_map = is_wanted and group.placed_version != map_version
         if with_map:
             group.experts_by_rank.clear()
         answers = await asyncio.gather(
@@ -268,10 +268,28 @@
         elif with_map and now_ms - group.last_loads_at_ms < LOADS_MAX_AGE_MS:
             # A group that was formed anew has map 0 and no counts yet.
             loads = group.last_loads
-        if with_map and map_version is not None and loads is not None:
+        is_known = loads is not None or group.change.is_blocked
+        if with_map and map_version is not None and is_known:
             group.placed_version = map_version
         return loads
 
+    def _want_present_map(self, group_id: str, group: _Group, view: GroupView) -> None:
+        """Use a step that was held late for the present map, which copies nothing."""
+        is_whole = len(group.experts_by_rank) == len(view.states)
+        if not is_whole or group.placed_version != view.common_map_version:
+            return
+        experts = tuple(
+            tuple(
+                tuple(group.experts_by_rank[rank][layer])
+                for rank in range(len(view.states))
+            )
+            for layer in range(len(group.experts_by_rank[0]))
+        )
+        version = group.change.want(experts, view.epoch)
+        group.wanted_at_ms = self._clock.now_ms()
+        group.placed_version = -1
+        self._log.log("map-repeated", group=group_id, version=version, epoch=view.epoch)
+
     def _take_counts(
         self,
         group: _Group,
@@ -385,15 +403,12 @@
         self, group: _Group, epoch: int, n_ranks: int, placement: Placement
     ) -> None:
         """Begin to lead a group to a placement, under a version of its own."""
-        self._n_versions += 1
-        version = self._token * VERSIONS_PER_TOKEN + self._n_versions
         experts = to_expert_map(placement, n_ranks)
-        group.change.want(version, experts, epoch)
+        group.placed_version = group.change.want(experts, epoch)
         group.wanted_at_ms = self._clock.now_ms()
         group.experts_by_rank = {
             rank: [layer[rank] for layer in experts] for rank in range(n_ranks)
         }
-        group.placed_version = version
 
     def _start(self, coroutine: Any) -> None:
         task = asyncio.create_task(coroutine)
--- a/packages/entry/src/bluebellusher/ranks/_links.py
+++ b/packages/entry/src/bluebellusher/ranks/_links.py
@@ -104,10 +104,10 @@
         finally:
             del self._future_by_call_id[message.call_id]
 
-    async def give(self, order: RankOrder, fencing_token: int) -> Any:
+    async def give(self, order: RankOrder) -> Any:
         """Give an order through the agent of its rank; return the agent's answer."""
         message = messages.RankOrder(
-            fencing_token=fencing_token,
+            fencing_token=order.fencing_token,
             action=order.action.value,
             epoch=order.epoch,
             map_version=order.map_version,
--- a/packages/entry/src/bluebellusher/ranks/tests/test_leader.py
+++ b/packages/entry/src/bluebellusher/ranks/tests/test_leader.py
@@ -8,7 +8,11 @@
 from bluebellusher.shared.tests.fakes import FakeLog, until
 from bluebellusher_core.clock import SystemClock
 from bluebellusher_core.directory import GroupModel
-from bluebellusher_core.ranks import OrderAction, RankOrder, pack_counts
+from bluebellusher_core.ranks import (
+    OrderAction,
+    RankOrder,
+    pack_counts,
+)
 from bluebellusher_core.ranks.tests._engines import Group
 from bluebellusher_core.wire import messages
 
@@ -22,6 +26,7 @@
     load_ms=10.0,
     expert_share=0.85,
 )
+N_FENCES = 2 * N_RANKS
 HOT = [1_000, 10, 10, 10, 10, 10, 10, 10]
 
 
@@ -67,14 +72,15 @@
             map_version=engine.map_version,
         )
 
-    async def give(self, order: RankOrder, token):
+    async def give(self, order: RankOrder):
         """Carry out an order, with or without an answer."""
         await asyncio.sleep(0)
         self.n_orders += 1
+        rank = int(order.rank_id)
         if self.lose(order):
             return None
-        rank = int(order.rank_id)
-        self.group.token_by_rank[rank] = max(self.group.token_by_rank[rank], token)
+        token = max(self.group.token_by_rank[rank], order.fencing_token)
+        self.group.token_by_rank[rank] = token
         self.group.engines[rank].execute(order, self.group.step)
         return messages.RankOrderDone(is_accepted=True, reason="")
 
@@ -136,7 +142,7 @@
 
     async def scenario(leader, log):
         await asyncio.sleep(1.0)
-        assert links.n_orders == N_RANKS, "only the fences"
+        assert links.n_orders == N_FENCES, "only the fences"
 
     run(links, scenario)
 
@@ -155,7 +161,9 @@
 
     async def scenario(leader, log):
         await until(lambda: any(n == "counts-unreadable" for n, _ in log.lines))
-        assert links.n_orders == N_RANKS, "only the fences"
+        await until(lambda: links.n_orders >= N_FENCES)
+        await asyncio.sleep(0.5)
+        assert links.n_orders == N_FENCES, "only the fences"
         fields = next(f for n, f in log.lines if n == "counts-unreadable")
         assert fields["rank"] in {str(rank) for rank in range(N_RANKS)}
         assert "expected at least" in fields["reason"]
@@ -206,3 +214,19 @@
         assert not any(e.armed for e in links.group.engines)
 
     run(links, scenario)
+
+
+def test_step_that_was_held_late_is_used_for_the_present_map():
+    """Guards against a release that is late in turn, and against a group held on."""
+    links = Links(Group(N_RANKS))
+    links.counts = [100] * N_EXPERTS
+
+    async def scenario(leader, log):
+        await until(lambda: links.n_orders >= N_FENCES)
+        links.group.engines[0].held_step = links.group.step + 1
+        await until(lambda: links.group.n_switches >= 1)
+        held_step = links.group.step
+        await until(lambda: links.group.step > held_step + 3)
+        assert any(name == "map-repeated" for name, _ in log.lines)
+
+    run(links, scenario)
