--- a/packages/core/src/bluebellusher_core/ranks/_change.py
+++ b/packages/core/src/bluebellusher_core/ranks/_change.py
@@ -36,9 +36,10 @@
     RankState,
 )
 
-# Passes between the latest known one and the one to hold. A hold that comes too late
-# is refused and tried again; a longer lead delays every change by a pass.
-HOLD_LEAD_STEPS = 1
+# Passes between the latest known one and the one to hold. With two, ranks are armed
+# while the pass before the held one runs, and the group does not wait where no order
+# is lost; each further one delays every change by a pass.
+HOLD_LEAD_STEPS = 2
 # Versions carry the leader's token, so that no two leaders use the same one.
 VERSIONS_PER_TOKEN = 2**20
 # Each leader fences twice.
