Explain a request by what happened at its endpoints, and drop stale beliefs

For three of them `explain` did not lead to the cause: it showed beliefs of an earlier start of the process, twelve lines for one lost failure domain, and nothing about a step that was held at another rank of the same group.

Change: a start ends all earlier beliefs; lines of one kind at one time are one line; the last part counts what all processes met at the same endpoints from 2 s before, and lists orders to them and orders that stop groups.

Tests fail without each of the three changes.

--- a/packages/entry/src/bluebellusher/cli/explain.py
+++ b/packages/entry/src/bluebellusher/cli/explain.py
@@ -2,6 +2,7 @@
 
 import shlex
 import sys
+from collections import Counter
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from typing import ClassVar
@@ -34,6 +35,15 @@
         "started",
     )
 )
+# A belief about the process itself ends all that an earlier start of it believed.
+START_EVENT = "started"
+# Lines of one kind within this time are shown as one, for example all agents of a
+# failure domain that is cut off.
+SAME_TIME_S = 0.1
+# What other processes met at the same endpoint is shown from this long before.
+AROUND_S = 2.0
+# Orders to one rank that stop its whole group, or let it go on.
+GROUP_ACTIONS = frozenset(("hold", "go"))
 # Words that a collector may put before a line.
 PREFIX_WORDS = 3
 # Beliefs about these say which subject they are about.
@@ -115,7 +125,9 @@
     shown = [f"{line.at_s:.3f} {line.text}" for line in story]
     sources = {line.source for line in story}
     endpoints = {line.field_by_name.get("endpoint", "") for line in story}
-    return [*shown, "", *_beliefs(lines, sources, endpoints, story[-1].at_s)]
+    beliefs = _beliefs(lines, sources, endpoints, story[-1].at_s)
+    around = _around(lines, endpoints - {""}, story[0].at_s - AROUND_S, story[-1].at_s)
+    return [*shown, "", *beliefs, *around]
 
 
 def _beliefs(
@@ -126,15 +138,73 @@
         is_belief = line.event in BELIEF_EVENTS and line.at_s <= until_s
         if not is_belief or line.source not in sources:
             continue
+        if line.event == START_EVENT:
+            last_by_subject.clear()
         fields = line.field_by_name
-        subject = next((fields[f] for f in SUBJECT_FIELDS if f in fields), "")
         is_other = "endpoint" in fields and fields["endpoint"] not in endpoints
         if not is_other:
             kind = line.event.split("-")[0]
-            last_by_subject[kind, subject] = line
+            last_by_subject[kind, _subject(line)] = line
     found = sorted(last_by_subject.values(), key=lambda line: line.at_s)
-    ages = [f"believed for {until_s - line.at_s:.3f} s: {line.text}" for line in found]
-    return ["What the entry believed at the end:", *ages]
+    shown = [
+        f"believed for {until_s - line.at_s:.3f} s: {text}"
+        for line, text in _merge(found)
+    ]
+    return ["What the entry believed at the end:", *shown]
+
+
+def _subject(line: LogLine) -> str:
+    fields = line.field_by_name
+    return next((fields[f] for f in SUBJECT_FIELDS if f in fields), "")
+
+
+def _merge(lines: list[LogLine]) -> Iterator[tuple[LogLine, str]]:
+    """Return each line with its text, and one for those that belong together."""
+    at = 0
+    while at < len(lines):
+        first = lines[at]
+        same = [
+            line
+            for line in lines[at:]
+            if line.event == first.event and line.at_s - first.at_s <= SAME_TIME_S
+        ]
+        # Only neighbours belong together; the order of time is kept.
+        n_same = 1
+        while n_same < len(same) and lines[at + n_same] is same[n_same]:
+            n_same += 1
+        others = ", ".join(_subject(line) for line in lines[at + 1 : at + n_same])
+        yield first, f"{first.text} (also {others})" if others else first.text
+        at += n_same
+
+
+def _around(
+    lines: list[LogLine], endpoints: set[str], from_s: float, until_s: float
+) -> list[str]:
+    """Return what all processes met at the same endpoints, and orders to groups."""
+    n_by_event: dict[str, Counter[str]] = {
+        endpoint: Counter() for endpoint in endpoints
+    }
+    orders: list[LogLine] = []
+    for line in lines:
+        if not from_s <= line.at_s <= until_s:
+            continue
+        fields = line.field_by_name
+        endpoint = fields.get("endpoint", "")
+        if line.event == "map-order":
+            is_near = fields.get("rank") in endpoints
+            if is_near or fields.get("action") in GROUP_ACTIONS:
+                orders.append(line)
+        elif endpoint in endpoints and line.event.startswith("attempt-"):
+            n_by_event[endpoint][line.event] += 1
+    shown = []
+    for endpoint, n_by_name in sorted(n_by_event.items()):
+        counts = ", ".join(f"{n} {event}" for event, n in sorted(n_by_name.items()))
+        shown.append(f"{endpoint}: {counts or 'nothing'}")
+    if not shown:
+        return []
+    shown += [f"{line.at_s:.3f} {line.text}" for line in orders]
+    title = f"At its endpoints, in all logs, from {AROUND_S:g} s before it to its end:"
+    return ["", title, *shown]
 
 
 class ExplainCommand(Command):
@@ -145,7 +215,8 @@
     help = (
         "Takes the id of a request, or the id that the caller gave its attempt, and\n"
         "log files of any number of processes. Prints every line about the request\n"
-        "in order of time, and what the entry believed when it ended.\n\n"
+        "in order of time, what the entry believed when it ended, and what all\n"
+        "processes met at the same endpoints meanwhile.\n\n"
         "  bluebellusher explain edge-1.1767541238551.r17 entry-*.log\n\n"
         "Exit codes: 0 found, 1 not found in these files, 2 bad arguments."
     )
--- a/packages/entry/src/bluebellusher/cli/tests/test_explain.py
+++ b/packages/entry/src/bluebellusher/cli/tests/test_explain.py
@@ -50,6 +50,53 @@
     assert "endpoint=x2" not in text, "not an endpoint of this request"
 
 
+LOG_RESTARTED = """\
+ts=10.000 event=agent-lost peer=a0 error=shutdown
+ts=20.000 event=started instance=e1
+ts=20.100 event=agent-lost peer=a1 error=silent
+ts=20.101 event=agent-lost peer=a2 error=silent
+ts=20.150 event=agent-lost peer=a3 error=silent
+ts=21.000 event=request-arrived request=e1.r1
+ts=21.001 event=attempt-sent request=e1.r1 endpoint=x1
+ts=23.000 event=request-ended request=e1.r1 outcome=caller_left
+"""
+LOG_OTHER = """\
+ts=18.000 event=attempt-broken request=e2.r5 endpoint=x1
+ts=20.500 event=map-order rank=x1 action=hold step=7
+ts=20.600 event=map-order rank=x2 action=arm step=7
+ts=20.700 event=map-order rank=x3 action=go step=6
+ts=21.500 event=attempt-broken request=e2.r8 endpoint=x1
+ts=21.600 event=attempt-finished request=e2.r9 endpoint=x2
+ts=23.500 event=map-order rank=x1 action=go step=7
+"""
+
+
+def test_beliefs_of_an_earlier_start_are_left_out():
+    """Guards against connections that an earlier process lost shown as a cause."""
+    text = "\n".join(explain("e1.r1", read(LOG_RESTARTED)))
+    assert "peer=a0" not in text
+    assert "event=started" in text
+
+
+def test_lines_of_one_cause_are_shown_as_one():
+    """Guards against a page of lost agents that hides the other beliefs."""
+    story = explain("e1.r1", read(LOG_RESTARTED))
+    lines = [line for line in story if "agent-lost" in line]
+    assert len(lines) == 1
+    assert "peer=a1" in lines[0]
+    assert lines[0].endswith("(also a2, a3)")
+
+
+def test_story_shows_what_others_met_at_the_same_endpoint():
+    """Guards against a cause that only the logs of other processes show."""
+    story = explain("e1.r1", read(LOG_RESTARTED + LOG_OTHER))
+    assert "x1: 1 attempt-broken, 1 attempt-sent" in story
+    assert [line for line in story if "map-order" in line] == [
+        "20.500 ts=20.500 event=map-order rank=x1 action=hold step=7",
+        "20.700 ts=20.700 event=map-order rank=x3 action=go step=6",
+    ]
+
+
 def test_lines_that_are_no_log_lines_are_passed_over():
     """Guards against a stop because of a traceback in a log."""
     for text in ("", "Traceback (most", 'a="open', "event=x", "ts=soon event=x"):
