Write log lines in two thirds of the processor time

A line took 25.5 us: 12.7 us of formatting, the rest mostly eliot's task for each message.

Ruled out: fewer lines; each is needed for the story of a request.

Change: field names are cleaned once, whole numbers skip the check for characters, and all messages belong to one eliot task.

Figures: 15.9 us a line (8.8 us formatting).

Agents have no log level and were not measured without lines.

--- a/packages/entry/src/bluebellusher/observability/_log.py
+++ b/packages/entry/src/bluebellusher/observability/_log.py
@@ -5,6 +5,7 @@
 import select
 import sys
 from collections import Counter
+from functools import cache
 from typing import Any, Protocol
 
 import eliot
@@ -17,11 +18,21 @@
 _MAX_LINE_CHARS = 4_000
 # Several times the requests that an entry serves in a second.
 MAX_LINES_PER_EVENT_AND_SECOND = 500
+_ACTION_TYPE = "log"
 # Fields that eliot adds for its task tree; one line per event needs none of them.
 _TASK_FIELDS = frozenset(("task_uuid", "task_level", "message_type", "timestamp"))
 
 
+# Names of fields are few and come from the code.
+@cache
+def _clean_key(key: str) -> str:
+    return _KEY.sub("_", key)
+
+
 def _escape(value: object) -> str:
+    # Most values are whole numbers or ids.
+    if type(value) is int:
+        return str(value)
     text = f"{value:.6g}" if isinstance(value, float) else str(value)
     if _PLAIN.match(text):
         return text
@@ -44,7 +55,7 @@
     parts.append(f"event={_escape(message.get('message_type', 'unnamed'))}")
     for key, value in message.items():
         if key not in _TASK_FIELDS:
-            parts.append(f"{_KEY.sub('_', key)}={_escape(value)}")
+            parts.append(f"{_clean_key(key)}={_escape(value)}")
     return " ".join(parts)
 
 
@@ -134,6 +145,9 @@
         self._rank = _RANK_BY_LEVEL[level]
         self._writer = writer
         self._limiter = LineLimiter()
+        # Messages outside an action get a task id of their own, which costs a system
+        # call each.
+        self._action = eliot.start_task(action_type=_ACTION_TYPE)
         self.is_debug = level == "debug"
 
     @classmethod
@@ -148,6 +162,8 @@
 
     def write_message(self, message: dict[str, Any]) -> None:
         """Write one eliot message."""
+        if message.get("action_type") == _ACTION_TYPE:
+            return
         timestamp_s = message.get("timestamp", 0.0)
         event = str(message.get("message_type", ""))
         is_admitted, left_out = self._limiter.admit(event, timestamp_s)
@@ -172,4 +188,4 @@
     def event(self, name: str, level: str = "info", **fields: object) -> None:
         """Log one event."""
         if _RANK_BY_LEVEL[level] >= self._rank:
-            eliot.log_message(message_type=name, **fields)
+            self._action.log(name, **fields)
