Tell states of maps at once to the leader only

Ruled out: a longer repeat of reports; far entries would know loads and closed groups later.

Change: all entries learn at once when a group opens, closes or is formed anew, and when a leader is replaced. Changes of map, prepared, armed and held go at once to the entry that gave the last order; the others get them with the repeat. Loads go to the own failure domain as before.

--- a/packages/agent/src/bluebellusher_agent/ranks/_agent.py
+++ b/packages/agent/src/bluebellusher_agent/ranks/_agent.py
@@ -67,6 +67,8 @@
         self.fencing_token = 0
         self._engine = engine
         self._connections: set[EntryConnection] = set()
+        # Where the last order with the present token came from.
+        self._leader: EntryConnection | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._servers: list[asyncio.Server] = []
         self._reading: RankReading | None = None
@@ -168,6 +170,8 @@
         """Forget a connection."""
         self._connections.discard(connection)
         self._counts_by_connection.pop(connection, None)
+        if connection is self._leader:
+            self._leader = None
         if connection.peer_id:
             log("entry-lost", peer=connection.peer_id)
 
@@ -182,9 +186,11 @@
             reason = f"token {token} is older than {self.fencing_token}"
             self._answer(connection, message, False, reason)
             return
-        if token > self.fencing_token:
+        is_new_leader = token > self.fencing_token
+        if is_new_leader:
             log("leader-changed", peer=connection.peer_id, token=token)
             self.fencing_token = token
+        self._leader = connection
         if order.action is OrderAction.PREPARE:
             self._copying_version = order.map_version
             self._copying_until_ms = self.clock.now_ms() + MAX_COPYING_MS
@@ -193,8 +199,13 @@
             self._answer(connection, message, answer.is_accepted, answer.reason)
         else:
             self._answer(connection, message, True, "fenced")
-        # The leader goes on from what is seen, not from the answer.
-        await self._read_once(is_told_always=True)
+        # The leader goes on from what is seen, not from the answer. An earlier one
+        # must see that it was replaced.
+        reading = await self._read_once()
+        if reading is not None:
+            self._tell_news(
+                reading, self._connections if is_new_leader else {connection}
+            )
 
     async def _give(self, order: RankOrder) -> OrderAnswer:
         """Give an order until it is answered; a repeat of it does no harm.
@@ -255,35 +266,54 @@
 
     async def _read_forever(self) -> None:
         while True:
-            await self._read_once(is_told_always=False)
+            reading = await self._read_once()
+            if reading is not None:
+                self._tell_news(reading, set())
             interval_ms = READ_INTERVAL_MS
             if self.clock.now_ms() < self._copying_until_ms:
                 interval_ms = READ_INTERVAL_COPYING_MS
             await asyncio.sleep(interval_ms / 1000)
 
-    async def _read_once(self, is_told_always: bool) -> None:
+    async def _read_once(self) -> RankReading | None:
+        """Read the engine; None when it does not answer."""
         try:
             reading = await self._engine.read()
         except StepError as error:
             self._note_engine(False, error.reason)
-            return
+            return None
         self._note_engine(True, "")
         self._note_group(reading)
         self._reading = reading
         if reading.prepared_version == self._copying_version:
             self._copying_until_ms = 0
+        return reading
+
+    def _tell_news(self, reading: RankReading, always: set[EntryConnection]) -> None:
+        """Tell what has changed to those who act on it, and all of it at intervals.
+
+        ``always`` are told in any case.
+
+        Load pattern: hundreds of agents and tens of entries in several failure
+        domains. Everything told to everybody would cost more bytes between the domains
+        than the requests do.
+        """
         now_ms = self.clock.now_ms()
-        is_due = now_ms - self._told_at_ms >= REPEAT_INTERVAL_MS
         told = self._told
-        if is_told_always or is_due or told is None or _state(told) != _state(reading):
+        is_due = now_ms - self._told_at_ms >= REPEAT_INTERVAL_MS
+        if is_due or told is None or _group_state(told) != _group_state(reading):
             self._told_at_ms = now_ms
             self._tell(reading, self._connections)
-        elif _load(told) != _load(reading):
+            return
+        listeners = set(always)
+        if _map_state(told) != _map_state(reading) and self._leader is not None:
+            listeners.add(self._leader)
+        if _load(told) != _load(reading):
             # Entries elsewhere prefer their own endpoints; to them the load is told
             # with the next report.
             domain = self.settings.failure_domain
-            near = [c for c in self._connections if c.peer_domain == domain]
-            self._tell(reading, near)
+            listeners |= {c for c in self._connections if c.peer_domain == domain}
+        if listeners:
+            self._tell(reading, listeners)
 
     def _tell(
         self, reading: RankReading, connections: Iterable[EntryConnection]
@@ -386,16 +416,18 @@
     return reading.n_running + reading.n_queued
 
 
-def _state(reading: RankReading) -> tuple[object, ...]:
+def _group_state(reading: RankReading) -> tuple[object, ...]:
     """Return what every entry must learn at once."""
+    return reading.epoch, reading.is_open, reading.started_wall_ms
+
+
+def _map_state(reading: RankReading) -> tuple[object, ...]:
+    """Return what the leader of the maps must learn at once."""
     return (
-        reading.epoch,
-        reading.is_open,
         reading.map_version,
         reading.prepared_version,
         reading.armed_version,
         reading.held_step,
-        reading.started_wall_ms,
     )
 
 
--- a/packages/agent/src/bluebellusher_agent/ranks/tests/test_rank_agent.py
+++ b/packages/agent/src/bluebellusher_agent/ranks/tests/test_rank_agent.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from dataclasses import replace
 
 import pytest
 
@@ -102,6 +103,54 @@
     run(scenario)
 
 
+async def next_report(entry, timeout_s):
+    """Return the next report, or None when none comes in time."""
+    try:
+        async with asyncio.timeout(timeout_s):
+            return await entry.next(messages.RankReport)
+    except TimeoutError:
+        return None
+
+
+def test_state_of_maps_is_told_to_the_leader_and_to_others_at_intervals():
+    """Guards against a leader that waits, and bytes for entries that do not lead."""
+
+    async def scenario(agent, engine, entry):
+        port = agent._servers[0].sockets[0].getsockname()[1]
+        async with EntryClient(port, secret=SECRET) as other:
+            entry.send(make_order(5, action="fence"))
+            for each in (entry, other):
+                while (await each.next(messages.RankReport)).fencing_token != 5:
+                    continue
+            # Both have the same state; a repeat is due long after.
+            agent._told_at_ms = agent.clock.now_ms() + 60_000
+            engine.reading = replace(engine.reading, prepared_version=77)
+            while (await entry.next(messages.RankReport)).prepared_version != 77:
+                continue
+            assert await next_report(other, 0.5) is None
+            agent._told_at_ms = 0
+            assert (await next_report(other, 2.0)).prepared_version == 77
+
+    run(scenario)
+
+
+def test_every_entry_learns_at_once_that_a_group_is_closed():
+    """Guards against entries that send work to a group without a rank."""
+
+    async def scenario(agent, engine, entry):
+        port = agent._servers[0].sockets[0].getsockname()[1]
+        async with EntryClient(port, secret=SECRET) as other:
+            entry.send(make_order(5, action="fence"))
+            await next_report(other, 2.0)
+            agent._told_at_ms = agent.clock.now_ms() + 60_000
+            engine.reading = replace(engine.reading, is_open=False)
+            for each in (entry, other):
+                while (await each.next(messages.RankReport)).is_open:
+                    continue
+
+    run(scenario)
+
+
 def test_order_of_an_earlier_leader_is_refused():
     """Guards against a leader that returns after its lease has ended."""
 
