Ask all ranks again for the present map when one gave no answer

A leader that must use a step held late asks every rank for its experts. When one rank did not answer, the version was noted as known all the same, nobody was asked again, and the group stayed held. A leader that is retiring did not ask at all.

Ruled out: acting on part of the answers; the map would not be whole.

Figures: the test with one and with three lost answers fails without the change (group held until the time limit) and passes with it.

--- a/packages/entry/src/bluebellusher/ranks/_leader.py
+++ b/packages/entry/src/bluebellusher/ranks/_leader.py
@@ -185,7 +185,8 @@
             group.counted_at_ms = 0
         self._end_late_change(group_id, group, view, now_ms)
         is_due = now_ms - group.counted_at_ms >= COUNT_INTERVAL_MS
-        if is_due and not group.is_counting and not self._is_retiring:
+        may_plan = not self._is_retiring or group.change.is_blocked
+        if is_due and not group.is_counting and may_plan:
             # Also during a change, so that the next plan is for what is popular then.
             group.counted_at_ms = now_ms
             group.is_counting = True
@@ -278,6 +279,8 @@
         """Use a step that was held late for the present map, which copies nothing."""
         is_whole = len(group.experts_by_rank) == len(view.states)
         if not is_whole or group.placed_version != view.common_map_version:
+            # Some rank gave no answer; all are asked again.
+            group.placed_version = -1
             return
         experts = tuple(
             tuple(
--- a/packages/entry/src/bluebellusher/ranks/tests/test_leader.py
+++ b/packages/entry/src/bluebellusher/ranks/tests/test_leader.py
@@ -4,6 +4,8 @@
 from dataclasses import replace
 from random import Random
 
+import pytest
+
 from bluebellusher.ranks import MapLeader
 from bluebellusher.shared.tests.fakes import FakeLog, until
 from bluebellusher_core.clock import SystemClock
@@ -216,10 +218,20 @@
     run(links, scenario)
 
 
-def test_step_that_was_held_late_is_used_for_the_present_map():
+@pytest.mark.parametrize("n_unanswered", [0, 1, 3])
+def test_step_that_was_held_late_is_used_for_the_present_map(n_unanswered):
     """Guards against a release that is late in turn, and against a group held on."""
     links = Links(Group(N_RANKS))
     links.counts = [100] * N_EXPERTS
+    answer, unanswered = links.call, []
+
+    async def call(rank_id, message):
+        if message.with_map and rank_id == "2" and len(unanswered) < n_unanswered:
+            unanswered.append(message)
+            return None
+        return await answer(rank_id, message)
+
+    links.call = call
 
     async def scenario(leader, log):
         await until(lambda: links.n_orders >= N_FENCES)
