--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,7 @@
 	$(PY) -m ruff format --check .
 	$(PY) -m ruff check .
 	$(PY) -m mypy $(addsuffix /src,$(PACKAGE_DIRS)) bench tools platform
+	$(PY) tools/settings_reference.py --check
 
 format: setup
 	$(PY) -m ruff format .
@@ -50,5 +51,6 @@
 	HYPOTHESIS_PROFILE=fuzz $(PY) -m pytest packages -k "propert or machine"
 
 generate:
+	$(PY) tools/settings_reference.py
 	thrift --gen py:slots -out packages/core/src/bluebellusher_core/wire/_generated \
 		packages/core/src/bluebellusher_core/wire/bluebellusher.thrift
--- a/packages/entry/src/bluebellusher/settings/_gateway.py
+++ b/packages/entry/src/bluebellusher/settings/_gateway.py
@@ -25,24 +25,53 @@
     ``window_s`` and summed over all entries. Platforms may state either as fractions.
     """
 
-    share: Annotated[float, Field(ge=0, le=1)] = 0.2
-    n_extra: Annotated[float, Field(ge=0, le=1_000_000)] = 50
-    window_s: Annotated[float, Field(ge=0.1, le=600)] = 10
+    share: Annotated[
+        float,
+        Field(
+            ge=0, le=1, description="Share of the requests that may be sent once more."
+        ),
+    ] = 0.2
+    n_extra: Annotated[
+        float, Field(ge=0, le=1_000_000, description="Further ones on top.")
+    ] = 50
+    window_s: Annotated[
+        float, Field(ge=0.1, le=600, description="Time over which both are counted.")
+    ] = 10
 
 
 class GatewaySettings(SettingsModel):
     """Everything that an entry must be told; addresses are ``host:port``."""
 
-    instance_id: Identifier
-    failure_domain: Identifier
-    shared_secret: Annotated[SecretStr, Field(min_length=16)]
-    callers: Address
-    readiness: Address
-    peers: Address
-    metrics: Address | None = None
-    store: Address
-    seeds: tuple[Address, ...] = ()
-    agent_port: Annotated[int, Field(ge=1, le=65_535)]
-    retries: RetrySettings = RetrySettings()
-    shutdown_grace_s: Annotated[float, Field(ge=1, le=600)] = 8
-    log_level: Literal["debug", "info", "error"] = "info"
+    instance_id: Annotated[Identifier, Field(description="Unique name of the entry.")]
+    failure_domain: Annotated[
+        Identifier, Field(description="What fails together with it.")
+    ]
+    shared_secret: Annotated[
+        SecretStr,
+        Field(min_length=16, description="Known to all processes of the deployment."),
+    ]
+    callers: Annotated[Address, Field(description="Where callers connect.")]
+    readiness: Annotated[Address, Field(description="Where readiness is asked for.")]
+    peers: Annotated[Address, Field(description="Where other entries connect.")]
+    metrics: Annotated[
+        Address | None, Field(description="Where figures are served; none without it.")
+    ] = None
+    store: Annotated[Address, Field(description="The tables that all entries share.")]
+    seeds: Annotated[
+        tuple[Address, ...], Field(description="Where some other entries listen.")
+    ] = ()
+    agent_port: Annotated[
+        int,
+        Field(ge=1, le=65_535, description="Where the agent of every rank listens."),
+    ]
+    retries: Annotated[
+        RetrySettings, Field(description="Bounds on attempts beyond the first.")
+    ] = RetrySettings()
+    shutdown_grace_s: Annotated[
+        float,
+        Field(ge=1, le=600, description="Time from SIGTERM to the end of the process."),
+    ] = 8
+    log_level: Annotated[
+        Literal["debug", "info", "error"],
+        Field(description="Lowest level that is written."),
+    ] = "info"
--- a/packages/entry/src/bluebellusher/settings/_models.py
+++ b/packages/entry/src/bluebellusher/settings/_models.py
@@ -40,8 +40,13 @@
 class AddressSettings(SettingsModel):
     """An IP address and a TCP port; port 0 lets the system choose one."""
 
-    host: IpAddress
-    port: Annotated[int, Field(ge=0, le=65535)]
+    host: Annotated[
+        IpAddress, Field(description="IP address to listen on or to connect to.")
+    ]
+    port: Annotated[
+        int,
+        Field(ge=0, le=65535, description="TCP port; 0 lets the system choose one."),
+    ]
 
     def __str__(self) -> str:
         """Return ``host:port``."""
@@ -55,7 +60,9 @@
     its entries were never connected.
     """
 
-    failure_domain: Identifier | None = None
+    failure_domain: Annotated[
+        Identifier | None, Field(description="Domain of the entry there.")
+    ] = None
 
 
 class ServiceKind(StrEnum):
@@ -68,10 +75,14 @@
 class ServiceSettings(SettingsModel):
     """One service and the models that belong to it."""
 
-    service_id: Identifier
-    kind: ServiceKind
-    is_idempotent: bool = False
-    models: tuple[str, ...] = ()
+    service_id: Annotated[Identifier, Field(description="Name of the service.")]
+    kind: Annotated[ServiceKind, Field(description="Whether it runs models.")]
+    is_idempotent: Annotated[
+        bool, Field(description="Whether its calls may run more than once.")
+    ] = False
+    models: Annotated[
+        tuple[str, ...], Field(description="Models that requests may name.")
+    ] = ()
 
     @model_validator(mode="after")
     def _check_models(self) -> "ServiceSettings":
@@ -85,47 +96,111 @@
 class CustomerSettings(SettingsModel):
     """A customer and the credentials that authenticate it."""
 
-    customer_id: Identifier
-    credentials: Annotated[tuple[SecretStr, ...], Field(min_length=1)]
-    weight: Annotated[float, Field(gt=0, le=1000)] = 1.0
+    customer_id: Annotated[Identifier, Field(description="Name of the customer.")]
+    credentials: Annotated[
+        tuple[SecretStr, ...],
+        Field(min_length=1, description="What authenticates it; each is used once."),
+    ]
+    weight: Annotated[
+        float,
+        Field(
+            gt=0, le=1000, description="Share in queues, relative to other customers."
+        ),
+    ] = 1.0
 
 
 class OperatorSettings(SettingsModel):
     """An operator and the credential for the /admin paths."""
 
-    name: Identifier
-    credential: SecretStr
+    name: Annotated[Identifier, Field(description="Name in the log of changes.")]
+    credential: Annotated[SecretStr, Field(description="What authenticates it.")]
 
 
 class LimitSettings(SettingsModel):
     """Bounds that protect the process; lengths in bytes, times in milliseconds."""
 
-    max_body_bytes: Annotated[int, Field(ge=1024, le=16_000_000)] = 4_000_000
-    slow_sender_timeout_ms: Annotated[int, Field(ge=100, le=600_000)] = 10_000
-    stream_window_bytes: Annotated[int, Field(ge=131_072, le=16_000_000)] = 262_144
-    max_kept_answer_bytes: Annotated[int, Field(ge=0, le=16_000_000)] = 1_048_576
-    max_connections: Annotated[int, Field(ge=1, le=1_000_000)] = 20_000
-    n_default_output_tokens: Annotated[int, Field(ge=1, le=1_000_000)] = 1024
-    n_endpoints_per_service: Annotated[int, Field(ge=1, le=10_000)] = 64
-    platform_timeout_ms: Annotated[int, Field(ge=100, le=60_000)] = 1_000
+    max_body_bytes: Annotated[
+        int, Field(ge=1024, le=16_000_000, description="Longest body of a request.")
+    ] = 4_000_000
+    slow_sender_timeout_ms: Annotated[
+        int,
+        Field(
+            ge=100,
+            le=600_000,
+            description="Time in which a caller must send its request.",
+        ),
+    ] = 10_000
+    stream_window_bytes: Annotated[
+        int,
+        Field(
+            ge=131_072,
+            le=16_000_000,
+            description="Bytes of an answer that wait for a slow caller.",
+        ),
+    ] = 262_144
+    max_kept_answer_bytes: Annotated[
+        int,
+        Field(
+            ge=0,
+            le=16_000_000,
+            description="Longest answer that is kept for a repeated key.",
+        ),
+    ] = 1_048_576
+    max_connections: Annotated[
+        int, Field(ge=1, le=1_000_000, description="Open connections of callers.")
+    ] = 20_000
+    n_default_output_tokens: Annotated[
+        int,
+        Field(ge=1, le=1_000_000, description="Assumed where a request does not say."),
+    ] = 1024
+    n_endpoints_per_service: Annotated[
+        int, Field(ge=1, le=10_000, description="Endpoints that an entry connects to.")
+    ] = 64
+    platform_timeout_ms: Annotated[
+        int, Field(ge=100, le=60_000, description="Time for one call to the platform.")
+    ] = 1_000
 
 
 class Settings(SettingsModel):
     """Everything that an entry must be told."""
 
-    instance_id: Identifier
-    failure_domain: Identifier
-    shared_secret: Annotated[SecretStr, Field(min_length=16)]
-    http: AddressSettings
-    peer_listen: AddressSettings
-    platform_url: Annotated[str, Field(pattern=r"^http://[^\s/]+$")]
-    agents: tuple[AddressSettings, ...] = ()
-    peers: tuple[PeerSettings, ...] = ()
-    services: Annotated[tuple[ServiceSettings, ...], Field(min_length=1)]
-    customers: Annotated[tuple[CustomerSettings, ...], Field(min_length=1)]
-    operators: tuple[OperatorSettings, ...] = ()
-    limits: LimitSettings = LimitSettings()
-    log_level: Literal["debug", "info", "error"] = "info"
+    instance_id: Annotated[Identifier, Field(description="Unique name of the entry.")]
+    failure_domain: Annotated[
+        Identifier, Field(description="What fails together with it.")
+    ]
+    shared_secret: Annotated[
+        SecretStr,
+        Field(min_length=16, description="Known to all processes of the deployment."),
+    ]
+    http: Annotated[AddressSettings, Field(description="Where callers connect.")]
+    peer_listen: Annotated[
+        AddressSettings, Field(description="Where other entries connect.")
+    ]
+    platform_url: Annotated[
+        str,
+        Field(pattern=r"^http://[^\s/]+$", description="Base address of the platform."),
+    ]
+    agents: Annotated[
+        tuple[AddressSettings, ...], Field(description="Agents to connect to.")
+    ] = ()
+    peers: Annotated[tuple[PeerSettings, ...], Field(description="Other entries.")] = ()
+    services: Annotated[
+        tuple[ServiceSettings, ...], Field(min_length=1, description="What is served.")
+    ]
+    customers: Annotated[
+        tuple[CustomerSettings, ...], Field(min_length=1, description="Who may call.")
+    ]
+    operators: Annotated[
+        tuple[OperatorSettings, ...],
+        Field(description="Who may use the paths below /admin."),
+    ] = ()
+    limits: Annotated[
+        LimitSettings, Field(description="Bounds that protect the process.")
+    ] = LimitSettings()
+    log_level: Annotated[
+        Literal["debug", "info", "error"],
+        Field(description="Lowest level that is written."),
+    ] = "info"
 
     @model_validator(mode="after")
     def _check_names(self) -> "Settings":
