Report a reading with the token that held when it was begun

A report carried the agent's present token, also for a reading that was under way when a fence arrived. The leader takes a state with its second token as read after all agents were fenced, so that it could act on a hold, or the lack of one, from before. A read that took longer than a later one also replaced the newer state.

Ruled out: reading again after each fence only; the slower read ends later and is told with the new token all the same.

Change: a reading keeps the token and the number with which it was begun; an older one does not replace a newer one.

Figures: the test (a read held at a gate while a fence passes) fails before and passes after.

--- a/packages/agent/src/bluebellusher_agent/ranks/_agent.py
+++ b/packages/agent/src/bluebellusher_agent/ranks/_agent.py
@@ -4,6 +4,7 @@
 import signal
 from collections import Counter
 from collections.abc import Callable, Coroutine, Iterable
+from dataclasses import dataclass
 from typing import Any
 
 import uvloop
@@ -41,6 +42,19 @@
 _BACKLOG = 512
 
 
+@dataclass(frozen=True, slots=True)
+class _Seen:
+    """A reading of the engine, with what was known when it was begun.
+
+    Leaders take a state with their token as read after the agent was fenced, so that
+    a reading that was under way then must not carry the new token.
+    """
+
+    reading: RankReading
+    fencing_token: int
+    n_begun: int
+
+
 class RankAgent:
     """Agent of one rank; one on each engine's instance.
 
@@ -71,8 +85,9 @@
         self._leader: EntryConnection | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._servers: list[asyncio.Server] = []
-        self._reading: RankReading | None = None
+        self._seen: _Seen | None = None
         self._told: RankReading | None = None
+        self._n_reads_begun = 0
         self._told_at_ms = 0
         self._sequence = 0
         self._is_engine_answering = True
@@ -150,8 +165,8 @@
     def on_ready(self, connection: EntryConnection) -> None:
         """Tell a new entry the present state."""
         log("entry-connected", peer=connection.peer_id)
-        if self._reading is not None:
-            connection.send(self._make_report(self._reading))
+        if self._seen is not None:
+            connection.send(self._make_report(self._seen))
 
     def on_message(self, connection: EntryConnection, message: Any) -> None:
         """Carry out what an entry asks for."""
@@ -201,11 +216,9 @@
             self._answer(connection, message, True, "fenced")
         # The leader goes on from what is seen, not from the answer. An earlier one
         # must see that it was replaced.
-        reading = await self._read_once()
-        if reading is not None:
-            self._tell_news(
-                reading, self._connections if is_new_leader else {connection}
-            )
+        seen = await self._read_once()
+        if seen is not None:
+            self._tell_news(seen, self._connections if is_new_leader else {connection})
 
     async def _give(self, order: RankOrder) -> OrderAnswer:
         """Give an order until it is answered; a repeat of it does no harm.
@@ -266,29 +279,36 @@
 
     async def _read_forever(self) -> None:
         while True:
-            reading = await self._read_once()
-            if reading is not None:
-                self._tell_news(reading, set())
+            seen = await self._read_once()
+            if seen is not None:
+                self._tell_news(seen, set())
             interval_ms = READ_INTERVAL_MS
             if self.clock.now_ms() < self._copying_until_ms:
                 interval_ms = READ_INTERVAL_COPYING_MS
             await asyncio.sleep(interval_ms / 1000)
 
-    async def _read_once(self) -> RankReading | None:
-        """Read the engine; None when it does not answer."""
+    async def _read_once(self) -> _Seen | None:
+        """Read the engine; None when it does not answer.
+
+        Returns the newer reading when one that was begun later is there already.
+        """
+        self._n_reads_begun += 1
+        n_begun, token = self._n_reads_begun, self.fencing_token
         try:
             reading = await self._engine.read()
         except StepError as error:
             self._note_engine(False, error.reason)
             return None
         self._note_engine(True, "")
+        if self._seen is not None and n_begun < self._seen.n_begun:
+            return self._seen
         self._note_group(reading)
-        self._reading = reading
+        self._seen = _Seen(reading, token, n_begun)
         if reading.prepared_version == self._copying_version:
             self._copying_until_ms = 0
-        return reading
+        return self._seen
 
-    def _tell_news(self, reading: RankReading, always: set[EntryConnection]) -> None:
+    def _tell_news(self, seen: _Seen, always: set[EntryConnection]) -> None:
         """Tell what has changed to those who act on it, and all of it at intervals.
 
         ``always`` are told in any case.
@@ -298,11 +318,11 @@
         than the requests do.
         """
         now_ms = self.clock.now_ms()
-        told = self._told
+        told, reading = self._told, seen.reading
         is_due = now_ms - self._told_at_ms >= REPEAT_INTERVAL_MS
         if is_due or told is None or _group_state(told) != _group_state(reading):
             self._told_at_ms = now_ms
-            self._tell(reading, self._connections)
+            self._tell(seen, self._connections)
             return
         listeners = set(always)
         if _map_state(told) != _map_state(reading) and self._leader is not None:
@@ -313,13 +333,11 @@
             domain = self.settings.failure_domain
             listeners |= {c for c in self._connections if c.peer_domain == domain}
         if listeners:
-            self._tell(reading, listeners)
+            self._tell(seen, listeners)
 
-    def _tell(
-        self, reading: RankReading, connections: Iterable[EntryConnection]
-    ) -> None:
-        self._told = reading
-        report = self._make_report(reading)
+    def _tell(self, seen: _Seen, connections: Iterable[EntryConnection]) -> None:
+        self._told = seen.reading
+        report = self._make_report(seen)
         for connection in connections:
             if connection.is_ready:
                 connection.send(report)
@@ -331,7 +349,7 @@
             log(name, reason=reason)
 
     def _note_group(self, reading: RankReading) -> None:
-        old = self._reading
+        old = self._seen.reading if self._seen else None
         before = (old.epoch, old.is_open, old.map_version) if old else None
         now = (reading.epoch, reading.is_open, reading.map_version)
         if before != now:
@@ -345,7 +363,8 @@
                 step=reading.step,
             )
 
-    def _make_report(self, reading: RankReading) -> Any:
+    def _make_report(self, seen: _Seen) -> Any:
+        reading = seen.reading
         self._sequence += 1
         return messages.RankReport(
             sequence=self._sequence,
@@ -363,7 +382,7 @@
             armed_step=reading.armed_step or None,
             held_step=reading.held_step,
             pace=reading.pace,
-            fencing_token=self.fencing_token,
+            fencing_token=seen.fencing_token,
             started_wall_ms=reading.started_wall_ms,
         )
 
@@ -379,7 +398,7 @@
                 self._memory.trim()
 
     def _gauges(self) -> dict[str, int]:
-        reading = self._reading
+        reading = self._seen.reading if self._seen else None
         return {
             "entries": len(self._connections),
             "engine_answers": int(self._is_engine_answering),
--- a/packages/agent/src/bluebellusher_agent/ranks/tests/test_rank_agent.py
+++ b/packages/agent/src/bluebellusher_agent/ranks/tests/test_rank_agent.py
@@ -39,12 +39,18 @@
         self.orders = []
         self.is_down = False
         self.n_unanswered = 0
+        self.gate = None
+        self.is_waiting = asyncio.Event()
 
     async def read(self):
-        """Return the reading."""
+        """Return the reading; a read that waits at the gate returns what was then."""
         if self.is_down:
             raise StepError("read", "engine", "refused")
-        return self.reading
+        reading, gate = self.reading, self.gate
+        if gate is not None:
+            self.is_waiting.set()
+            await gate.wait()
+        return reading
 
     async def read_counts(self, with_map):
         """Return the counts."""
@@ -192,6 +198,28 @@
     run(scenario)
 
 
+def test_reading_that_was_under_way_does_not_carry_the_token_of_a_later_fence():
+    """Guards against a leader that acts on a state from before its fence."""
+
+    async def scenario(agent, engine, entry):
+        await entry.next(messages.RankReport)
+        gate = engine.gate = asyncio.Event()
+        await engine.is_waiting.wait()
+        engine.gate = None
+        engine.reading = replace(engine.reading, held_step=9)
+        entry.send(make_order(8, action="fence"))
+        report = await entry.next(messages.RankReport)
+        while report.fencing_token != 8:
+            report = await entry.next(messages.RankReport)
+        assert report.held_step == 9
+        gate.set()
+        for _ in range(3):
+            report = await entry.next(messages.RankReport)
+            assert (report.fencing_token, report.held_step) == (8, 9)
+
+    run(scenario)
+
+
 def test_refusal_of_the_engine_is_passed_on():
     """Guards against a leader that takes a refused order for done."""
 
