Count the wait for late orders from the step that is held now

The time since which a step is held was forgotten only when the group was seen free. With two held steps one after the other, or an epoch in between, a leader waited too short a time for orders of leaders before the last one.

Change: the time belongs to the held step, and an epoch forgets it.

The models of the tests say that orders of the newest leader past an agent are stricter than the product.

--- a/packages/core/src/bluebellusher_core/ranks/_change.py
+++ b/packages/core/src/bluebellusher_core/ranks/_change.py
@@ -88,8 +88,10 @@
     _epoch: int = -1
     _n_versions: int = 0
     _hold_step: int = 0
+    # Whether an own order to prepare may be on its way in this epoch.
     _has_prepared: bool = False
-    _held_since_ms: int | None = None
+    # The step that is held, and when it was first seen held.
+    _held: tuple[int, int] = (0, 0)
 
     @property
     def is_idle(self) -> bool:
@@ -132,13 +134,13 @@
         if view.epoch != self._epoch:
             self._epoch = view.epoch
             self._has_prepared = False
+            self._held = (0, 0)
         if self.wanted_version and view.epoch != self._wanted_epoch:
             self.give_up()
         if view.armed:
             return self._go_on_armed(view)
         if view.held:
             return self._decide_held(view, now_ms)
-        self._held_since_ms = None
         return self._decide_free(view)
 
     def _go_on_armed(self, view: GroupView) -> list[RankOrder]:
@@ -156,12 +158,13 @@
 
     def _decide_held(self, view: GroupView, now_ms: int) -> list[RankOrder]:
         """Use a held step for which no rank is armed yet."""
-        if self._held_since_ms is None:
-            self._held_since_ms = now_ms
+        step = view.held[0].held_step or 0
+        if self._held[0] != step:
+            self._held = (step, now_ms)
         version = view.common_prepared_version
         if version and version != view.common_map_version:
-            if self._may_arm(version, now_ms - self._held_since_ms):
-                return self._arm(view.states, version, view.held[0].held_step or 0)
+            if self._may_arm(version, now_ms - self._held[1]):
+                return self._arm(view.states, version, step)
             if not self._has_prepared:
                 # An order to arm for this version may be on its way.
                 self.phase = ChangePhase.ARMING
--- a/packages/core/src/bluebellusher_core/ranks/tests/_engines.py
+++ b/packages/core/src/bluebellusher_core/ranks/tests/_engines.py
@@ -68,7 +68,7 @@
         self.accepted.append((rank, order))
 
     def deliver_directly(self, at: int) -> None:
-        """Let an order to arm or to go on reach its engine past a silent agent."""
+        """Let an order to arm or to go on reach its engine past the agent."""
         order = self.under_way[at % len(self.under_way)]
         if order.action in (OrderAction.ARM, OrderAction.GO):
             self.under_way.remove(order)
--- a/packages/core/src/bluebellusher_core/ranks/tests/test_change_machine.py
+++ b/packages/core/src/bluebellusher_core/ranks/tests/test_change_machine.py
@@ -114,7 +114,10 @@
     @precondition(lambda self: self.group.under_way)
     @rule(at=PLACES)
     def deliver_directly(self, at):
-        """Let the holder of the lease reach an engine past its agent."""
+        """Let an order of the newest leader pass its agent by.
+
+        Stricter than the product, in which every order passes an agent.
+        """
         order = self.group.under_way[at % len(self.group.under_way)]
         if leader_token_of(order.fencing_token) == self.leaders[-1].token:
             self.group.deliver_directly(at)
@@ -386,6 +389,20 @@
     assert group.n_switches == 1
 
 
+def test_wait_begins_anew_with_each_held_step():
+    """Guards against orders on their way forgotten because an earlier step waited."""
+    group, first, third = Group(N_RANKS), _Leader(1), _Leader(3)
+    prepare_all(group, first)
+    group.engines[0].held_step = group.step + 1
+    for _ in range(2):
+        deliver_all(group, see(group, third))
+        group.accepted.clear()
+    assert see(group, third) == []
+    group.engines[0].held_step = group.step + 2
+    assert see(group, third, now_ms=LATE_ORDER_MS) == []
+    assert see(group, third, now_ms=2 * LATE_ORDER_MS)
+
+
 def test_states_of_another_epoch_give_no_view():
     """Guards against orders that mix two incarnations of a group."""
     group = Group(N_RANKS)
