Tell callers of a blocked request when the block ends

Cause: a request that is blocked because of counted crashes has not run, and was refused without Retry-After, so that its caller repeated it at once.

Change: the refusal tells what is left of the block. Where agents have seen the crash a repeat stays pointless, and nothing is told.

--- a/packages/core/src/bluebellusher_core/poison/_table.py
+++ b/packages/core/src/bluebellusher_core/poison/_table.py
@@ -61,6 +61,11 @@
         """Return whether the fingerprint is known to crash endpoints."""
         return _is_marked(self._blocked, fingerprint, now_ms)
 
+    def blocked_ms(self, fingerprint: str, now_ms: int) -> int:
+        """Return for how long the fingerprint is still refused; 0 when it is not."""
+        mark = self._blocked.get(fingerprint)
+        return max(0, mark.until_ms - now_ms) if mark is not None else 0
+
     def suspect(self, fingerprint: str, now_ms: int, is_own: bool) -> None:
         """Run the fingerprint isolated until a run of it finishes."""
         if self.is_blocked(fingerprint, now_ms):
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_crash_counting.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_crash_counting.py
@@ -103,6 +103,19 @@
     assert isinstance(entry.send("another"), Dispatch)
 
 
+def test_blocked_request_is_told_when_the_block_ends():
+    """Guards against callers that repeat at once what is refused for minutes."""
+    entry = Entry()
+    for _ in range(N_TO_BLOCK):
+        entry.crash(entry.send())
+    first = entry.send().refusal.retry_after_ms
+    entry.now_ms += first // 2
+    left_ms = entry.send().refusal.retry_after_ms
+    assert left_ms == first - first // 2 - 10
+    entry.now_ms += left_ms
+    assert isinstance(entry.send(), Dispatch)
+
+
 def test_copy_in_flight_is_answered_when_its_fingerprint_is_blocked():
     """Guards against callers that wait for a run which is not wanted any more."""
     entry = Entry()
--- a/packages/core/src/bluebellusher_core/requests/_arrival.py
+++ b/packages/core/src/bluebellusher_core/requests/_arrival.py
@@ -37,7 +37,7 @@
     if spec.deadline_ms <= now_ms:
         return _final.refusal(state, Reason.DEADLINE_EXCEEDED, "admission")
     if state.poison.is_blocked(spec.fingerprint, now_ms):
-        return _final.refusal(state, Reason.CRASHES_ENDPOINTS, "admission")
+        return _final.blocked_refusal(state, spec.fingerprint, now_ms)
     if len(state.request_by_id) >= state.config.n_max_requests:
         return _final.refusal(state, Reason.DEADLINE_UNREACHABLE, "admission")
     if not state.endpoints.views_of(pool_of(spec)):
--- a/packages/core/src/bluebellusher_core/requests/_final.py
+++ b/packages/core/src/bluebellusher_core/requests/_final.py
@@ -14,7 +14,7 @@
 from bluebellusher_core.state import EntryState
 
 MAX_ENDED_ATTEMPTS = 4_096
-# A repeat of such a request cannot succeed.
+# A repeat of such a request cannot succeed, unless it is blocked for a time only.
 FINAL_REASONS = frozenset({Reason.CRASHES_ENDPOINTS, Reason.CLAIM_KEY_REUSED})
 
 
@@ -24,6 +24,24 @@
     return Refusal(Outcome.NOT_RUN, reason, step, peer, retry_after_ms)
 
 
+def blocked_refusal(state: EntryState, fingerprint: str, now_ms: int) -> Refusal:
+    """Return the refusal of a request that is known to crash endpoints."""
+    pause_ms = _final_pause_ms(state, fingerprint, now_ms)
+    reason = Reason.CRASHES_ENDPOINTS
+    return Refusal(Outcome.NOT_RUN, reason, "admission", "", pause_ms)
+
+
+def _final_pause_ms(state: EntryState, fingerprint: str, now_ms: int) -> int | None:
+    """Return when a request may come back that cannot succeed now; None for never.
+
+    Counted crashes may have had another cause, so that they block for a time. Where
+    agents have seen the crash, a repeat is pointless.
+    """
+    if not state.config.n_crashes_to_block:
+        return None
+    return state.poison.blocked_ms(fingerprint, now_ms) or None
+
+
 def give_up(
     state: EntryState,
     request: Request,
@@ -43,7 +61,7 @@
     spec = request.spec
     is_safe = outcome is Outcome.NOT_RUN or spec.is_idempotent or spec.idempotency_key
     if reason in FINAL_REASONS:
-        retry_after_ms = None
+        retry_after_ms = _final_pause_ms(state, spec.fingerprint, now_ms)
     elif retry_after_ms is None and is_safe:
         retry_after_ms = state.config.retry_after_ms
     answer = Refusal(outcome, reason, step, peer, retry_after_ms)
