--- a/deploy/tests/test_store.py
+++ b/deploy/tests/test_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import json
 
 import pytest
 from aiohttp import web
@@ -208,3 +209,52 @@
         assert not (await client.read_changes("op", 0, 10)).is_ok()
 
     run(scenario)
+
+
+BAD_ROW = {"part": "", "key": "a", "schema_version": 1, "value": "?"}
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        "[]",
+        "null",
+        "{",
+        "{}",
+        json.dumps({"schema_version": "x"}),
+        json.dumps({"schema_version": 1, "rows": [{"part": "", "key": "a"}]}),
+        json.dumps({"schema_version": 1, "rows": [BAD_ROW]}),
+        json.dumps({"schema_version": 1, "rows": ["a"]}),
+    ],
+)
+def test_malformed_answer_is_an_error_of_the_call(body):
+    """Guards against a watcher or lease that ends because of one bad answer."""
+
+    async def scenario(client, store):
+        async def answer(request):
+            return web.Response(text=body)
+
+        store.fault = answer
+        for result in (
+            await client.read_table("op"),
+            await client.read_changes("op", 0, 10),
+        ):
+            assert "malformed" in result.error.reason
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(("status", "may_have_run"), [(200, True), (412, False)])
+def test_malformed_answer_to_a_write_is_an_error(status, may_have_run):
+    """Guards against a lease keeper that ends, and a write taken for not done."""
+
+    async def scenario(client, store):
+        async def answer(request):
+            return web.Response(status=status, text="{")
+
+        store.fault = answer
+        error = (await client.write_row(RowWrite("leases", "a", b"x", 0))).error
+        assert "malformed" in error.reason
+        assert error.may_have_run is may_have_run
+
+    run(scenario)
--- a/packages/entry/src/bluebellusher/gateway/_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -298,7 +298,15 @@
         return bool(self.runtime.exchange_by_request_id or self.server.n_connections)
 
     def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        self._tasks.append(asyncio.create_task(coroutine))
+        task = asyncio.create_task(coroutine)
+        task.add_done_callback(self._note_task_end)
+        self._tasks.append(task)
+
+    def _note_task_end(self, task: asyncio.Task[None]) -> None:
+        """Report a part that ended by an error; nothing else would show it."""
+        error = None if task.cancelled() else task.exception()
+        if isinstance(error, Exception):
+            self.runtime.report_fault("task", task.get_coro(), error)
 
 
 def _make_state(
