Log the caller's attempt with every denial and refusal

Cause: a request that was denied (400, 401, 404, 408, 413), or refused before any configuration was known, had no line with the id that its caller gave the attempt, so that `explain` could not find it by that id.

The dialect reads the id on its own, because the other headers may be what is wrong.

--- a/packages/entry/src/bluebellusher/gateway/_admission.py
+++ b/packages/entry/src/bluebellusher/gateway/_admission.py
@@ -119,6 +119,10 @@
         spec = self._make_spec(request_id, route, customer, fields, now_ms)
         return Admitted(spec, route, fields)
 
+    def read_attempt_id(self, headers: Mapping[str, str]) -> str:
+        """Return the id that a caller gave its attempt; empty when it gave none."""
+        return self._dialect.read_attempt_id(headers)
+
     def _make_spec(
         self,
         request_id: str,
--- a/packages/entry/src/bluebellusher/gateway/_server.py
+++ b/packages/entry/src/bluebellusher/gateway/_server.py
@@ -111,23 +111,23 @@
         request_id = self._make_request_id()
         table = self._directory.routing
         if table is None:
-            return self._refuse_unready(request_id)
+            return self._refuse_unready(request_id, request)
         now_ms = self._runtime.now_ms()
         target = request.raw_path
         found = self._admission.admit(
             table, request_id, request.method, target, request.headers, now_ms
         )
         if isinstance(found, Denial):
-            return self._deny(request_id, found, table.version)
+            return self._deny(request_id, request, found, table.version)
         try:
             async with asyncio.timeout(BODY_TIMEOUT_MS / 1000):
                 body = await _read_body(request, table.limits.max_body_bytes)
         except TimeoutError:
             denial = Denial(HTTPStatus.REQUEST_TIMEOUT, "slow sender")
-            return self._deny(request_id, denial, table.version)
+            return self._deny(request_id, request, denial, table.version)
         if body is None:
             denial = Denial(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "body too long")
-            return self._deny(request_id, denial, table.version)
+            return self._deny(request_id, request, denial, table.version)
         spec = found.spec
         spec = replace(
             spec, fingerprint=fingerprint(spec, request.method, target, body)
@@ -196,20 +196,27 @@
         )
         exchange.span.end(request_id=spec.request_id, outcome=outcome)
 
-    def _refuse_unready(self, request_id: str) -> web.StreamResponse:
+    def _refuse_unready(
+        self, request_id: str, request: web.BaseRequest
+    ) -> web.StreamResponse:
+        refusal = Refusal(
+            Outcome.NOT_RUN, Reason.NOT_READY, "receive", "", NOT_READY_RETRY_MS
+        )
+        response = make_refusal(refusal, request_id)
         self._runtime.log(
             "request-ended",
             request=request_id,
-            outcome=Outcome.NOT_RUN.value,
-            reason=Reason.NOT_READY.value,
-        )
-        refusal = Refusal(
-            Outcome.NOT_RUN, Reason.NOT_READY, "receive", "", NOT_READY_RETRY_MS
+            caller_attempt=self._admission.read_attempt_id(request.headers),
+            outcome=refusal.outcome.value,
+            status=response.status,
+            reason=refusal.reason.value,
+            step=refusal.step,
+            retry_after_ms=NOT_READY_RETRY_MS,
         )
-        return make_refusal(refusal, request_id)
+        return response
 
     def _deny(
-        self, request_id: str, denial: Denial, version: int
+        self, request_id: str, request: web.BaseRequest, denial: Denial, version: int
     ) -> web.StreamResponse:
         self._runtime.metrics.count(
             "bluebellusher_denied_total", "reason", denial.reason
@@ -217,6 +224,7 @@
         self._runtime.log(
             "request-denied",
             request=request_id,
+            caller_attempt=self._admission.read_attempt_id(request.headers),
             status=denial.status.value,
             reason=denial.reason,
             version=version,
--- a/packages/entry/src/bluebellusher/gateway/tests/harness.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/harness.py
@@ -42,12 +42,16 @@
         if remaining is not None and not remaining.isdigit():
             raise ValueError(f"Remaining: found {remaining!r}: expected milliseconds")
         return CallerFields(
-            attempt_id=headers.get("Attempt", ""),
+            attempt_id=self.read_attempt_id(headers),
             credential=headers.get("Key", ""),
             remaining_ms=int(remaining) if remaining else None,
             last_event_id=headers.get("Last-Event-Id", ""),
         )
 
+    def read_attempt_id(self, headers):
+        """Return the id that the caller gave its attempt."""
+        return headers.get("Attempt", "")
+
     def write_attempt(self, headers, fields):
         """Return the headers of an attempt."""
         dropped = {"content-length", "transfer-encoding", "connection", "key"}
@@ -116,7 +120,11 @@
 
     def count(self, event):
         """Return how many lines tell of an event."""
-        return sum(f"event={event} " in f"{line} " for line in self.lines)
+        return len(self.lines_of(event))
+
+    def lines_of(self, event):
+        """Return the lines that tell of an event."""
+        return [line for line in self.lines if f"event={event} " in f"{line} "]
 
 
 class Harness:
--- a/packages/entry/src/bluebellusher/gateway/tests/test_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_gateway.py
@@ -101,6 +101,8 @@
     async def scenario(harness):
         assert (await harness.fetch(**options))[0] == status
         assert not harness.endpoints[0].received
+        (line,) = harness.recorder.lines_of("request-denied")
+        assert "caller_attempt=t1 " in line
 
     run(scenario, [answer_whole], customers=[make_customer("k1")])
 
@@ -113,6 +115,9 @@
         status, headers, _ = await harness.fetch()
         assert status == 503
         assert float(headers["Retry-After"]) > 0
+        (line,) = harness.recorder.lines_of("request-ended")
+        assert "caller_attempt=t1 " in line
+        assert "status=503 reason=not_ready " in line
 
     run(scenario, [answer_whole])
 
--- a/packages/entry/src/bluebellusher/ports.py
+++ b/packages/entry/src/bluebellusher/ports.py
@@ -149,6 +149,12 @@
     def read_caller(self, headers: Mapping[str, str]) -> CallerFields:
         """Return what a caller's headers say; ``ValueError`` names a bad one."""
 
+    def read_attempt_id(self, headers: Mapping[str, str]) -> str:
+        """Return the id that the caller gave its attempt; empty when there is none.
+
+        Unlike ``read_caller`` it never fails, so that a denial can be logged with it.
+        """
+
     def write_attempt(self, headers: Headers, fields: AttemptFields) -> Headers:
         """Return the headers of an attempt, made from those of the caller."""
 
