--- a/packages/core/src/bluebellusher_core/balance/_rank_bounded.py
+++ b/packages/core/src/bluebellusher_core/balance/_rank_bounded.py
@@ -28,7 +28,7 @@
 LOADS_PER_RANK = (1, 2, 3, 4, 6, 9)
 # What plans reach at best, as experts cannot be divided at will.
 LEAST_SKEW = 1.04
-# Plans that save less are not worth their orders.
+# Orders and a held step cost about as much time as plans that save less.
 MIN_GAIN_MS = 200.0
 
 
@@ -57,7 +57,7 @@
     horizon_ms: float
 
     def can_gain(self, skew: float) -> bool:
-        """Return whether a map with the least skew would be worth two loads."""
+        """Return whether a map with the least skew saves more than two loads cost."""
         return self.gain_ms(skew, LEAST_SKEW, 2) > MIN_GAIN_MS
 
     def gain_ms(self, old_skew: float, new_skew: float, n_loads: int) -> float:
--- a/packages/entry/src/bluebellusher/ranks/_leader.py
+++ b/packages/entry/src/bluebellusher/ranks/_leader.py
@@ -277,23 +277,28 @@
 
     def _want_present_map(self, group_id: str, group: _Group, view: GroupView) -> None:
         """Use a step that was held late for the present map, which copies nothing."""
-        is_whole = len(group.experts_by_rank) == len(view.states)
-        if not is_whole or group.placed_version != view.common_map_version:
+        model = self._find_group_model(view.states[0].rank_id)
+        placement = self._present_placement(group, view, model)
+        if placement is None:
             # Some rank gave no answer; all are asked again.
             group.placed_version = -1
             return
-        experts = tuple(
-            tuple(
-                tuple(group.experts_by_rank[rank][layer])
-                for rank in range(len(view.states))
-            )
-            for layer in range(len(group.experts_by_rank[0]))
-        )
+        experts = to_expert_map(placement, len(view.states))
         version = group.change.want(experts, view.epoch)
         group.wanted_at_ms = self._clock.now_ms()
         group.placed_version = -1
         self._log.log("map-repeated", group=group_id, version=version, epoch=view.epoch)
 
+    def _present_placement(
+        self, group: _Group, view: GroupView, model: GroupModel | None
+    ) -> Placement | None:
+        """Return the placement in use, or None when it is not known as a whole."""
+        is_present = group.placed_version == view.common_map_version
+        is_whole = len(group.experts_by_rank) == len(view.states)
+        if model is None or not is_present or not is_whole:
+            return None
+        return to_placement(group.experts_by_rank, model.n_layers, model.n_experts)
+
     def _take_counts(
         self,
         group: _Group,
@@ -351,6 +356,10 @@
         if model is None or group.placed_version != view.common_map_version:
             return
         n_ranks = len(view.states)
+        placement = self._present_placement(group, view, model)
+        if placement is None:
+            group.placed_version = -1
+            return
         shape = GroupShape(
             n_ranks,
             model.n_layers,
@@ -358,14 +367,6 @@
             model.n_slots,
             max(1, model.n_expert_bytes),
         )
-        placement = None
-        if len(group.experts_by_rank) == n_ranks:
-            placement = to_placement(
-                group.experts_by_rank, model.n_layers, model.n_experts
-            )
-        if placement is None:
-            group.placed_version = -1
-            return
         cost = ChangeCost(
             load_ms=model.load_ms,
             fixed_ms=group.fixed_ms,
@@ -424,7 +425,7 @@
     """Learn how long a change takes beside its copies.
 
     Where orders get lost, changes take long and hold the group, and only large gains
-    are worth one.
+    justify one.
     """
     if view.common_map_version != group.placed_version or not group.wanted_at_ms:
         return
--- a/packages/entry/src/bluebellusher/settings/_gateway.py
+++ b/packages/entry/src/bluebellusher/settings/_gateway.py
@@ -1,10 +1,14 @@
 """Settings of an entry on a platform with shared tables."""
 
-from typing import Annotated, Any, Literal
+from typing import Annotated, Any
 
-from pydantic import BeforeValidator, Field, SecretStr
+from pydantic import BeforeValidator, Field
 
-from bluebellusher.settings._models import AddressSettings, Identifier, SettingsModel
+from bluebellusher.settings._models import (
+    AddressSettings,
+    ProcessSettings,
+    SettingsModel,
+)
 
 
 def _split_address(value: Any) -> Any:
@@ -39,17 +43,9 @@
     ] = 10
 
 
-class GatewaySettings(SettingsModel):
+class GatewaySettings(ProcessSettings):
     """Everything that an entry must be told; addresses are ``host:port``."""
 
-    instance_id: Annotated[Identifier, Field(description="Unique name of the entry.")]
-    failure_domain: Annotated[
-        Identifier, Field(description="What fails together with it.")
-    ]
-    shared_secret: Annotated[
-        SecretStr,
-        Field(min_length=16, description="Known to all processes of the deployment."),
-    ]
     callers: Annotated[Address, Field(description="Where callers connect.")]
     readiness: Annotated[Address, Field(description="Where readiness is asked for.")]
     peers: Annotated[Address, Field(description="Where other entries connect.")]
@@ -71,7 +67,3 @@
         float,
         Field(ge=1, le=600, description="Time from SIGTERM to the end of the process."),
     ] = 8
-    log_level: Annotated[
-        Literal["debug", "info", "error"],
-        Field(description="Lowest level that is written."),
-    ] = "info"
--- a/packages/entry/src/bluebellusher/settings/_models.py
+++ b/packages/entry/src/bluebellusher/settings/_models.py
@@ -161,8 +161,8 @@
     ] = 1_000
 
 
-class Settings(SettingsModel):
-    """Everything that an entry must be told."""
+class ProcessSettings(SettingsModel):
+    """What every entry is told, however it is run."""
 
     instance_id: Annotated[Identifier, Field(description="Unique name of the entry.")]
     failure_domain: Annotated[
@@ -172,6 +172,15 @@
         SecretStr,
         Field(min_length=16, description="Known to all processes of the deployment."),
     ]
+    log_level: Annotated[
+        Literal["debug", "info", "error"],
+        Field(description="Lowest level that is written."),
+    ] = "info"
+
+
+class Settings(ProcessSettings):
+    """Everything that an entry must be told."""
+
     http: Annotated[AddressSettings, Field(description="Where callers connect.")]
     peer_listen: Annotated[
         AddressSettings, Field(description="Where other entries connect.")
@@ -197,10 +206,6 @@
     limits: Annotated[
         LimitSettings, Field(description="Bounds that protect the process.")
     ] = LimitSettings()
-    log_level: Annotated[
-        Literal["debug", "info", "error"],
-        Field(description="Lowest level that is written."),
-    ] = "info"
 
     @model_validator(mode="after")
     def _check_names(self) -> "Settings":
--- a/packages/entry/src/bluebellusher/shared/_peers.py
+++ b/packages/entry/src/bluebellusher/shared/_peers.py
@@ -17,7 +17,7 @@
 OnNews = Callable[[list[MirrorRow]], None]
 
 # An entry that follows the store itself usually learns a change milliseconds after
-# its peers; the difference is worth its bytes only when that has not happened.
+# its peers; only when that has not happened does the difference justify its bytes.
 CATCH_UP_MS = 400
 
 
