Let copies of experts pay for themselves, and average the counts they follow

The log shows a skew of 1.2 to 1.4 before nearly every change, 1.02 planned, and 1.2 to 1.4 again 400 ms later: counts are samples of the few prompts of an interval, plans followed each sample, and a plan knew the time of a copy but not its price.

Change: `maps.rank_ms_per_gb` says how much time of the ranks a GB has to save; a plan ends at the step where further loads save less (default 300). `PopularityTracker` averages counts until they differ far more than usual.

--- a/packages/core/src/bluebellusher_core/balance/__init__.py
+++ b/packages/core/src/bluebellusher_core/balance/__init__.py
@@ -22,6 +22,7 @@
     validate_loads,
     validate_placement,
 )
+from bluebellusher_core.balance._popularity import PopularityTracker
 from bluebellusher_core.balance._protocol import Conditions, PlacementPolicy, Plan
 from bluebellusher_core.balance._rank_bounded import (
     ChangeCost,
@@ -43,6 +44,7 @@
     "Placement",
     "PlacementPolicy",
     "Plan",
+    "PopularityTracker",
     "RankBoundedPlanner",
     "apply_moves",
     "compute_moves",
--- a/packages/core/src/bluebellusher_core/balance/_rank_bounded.py
+++ b/packages/core/src/bluebellusher_core/balance/_rank_bounded.py
@@ -31,6 +31,9 @@
 # Orders and a held step cost about as much time as plans that save less.
 MIN_GAIN_MS = 200.0
 
+LayerChange = list[tuple[int, set[int]]]
+"""Experts of a layer and the ranks that hold them after a step."""
+
 
 @dataclass(frozen=True, slots=True)
 class ChangeCost:
@@ -48,6 +51,8 @@
         Share of a pass that grows with the skew.
     horizon_ms : float
         Time for which the loads are expected to hold.
+    copy_ms : float
+        Time that a change has to save for each expert that any rank loads.
     """
 
     load_ms: float
@@ -55,28 +60,44 @@
     slowdown: float
     expert_share: float
     horizon_ms: float
+    copy_ms: float = 0.0
 
     def can_gain(self, skew: float) -> bool:
         """Return whether a map with the least skew saves more than two loads cost."""
-        return self.gain_ms(skew, LEAST_SKEW, 2) > MIN_GAIN_MS
-
-    def gain_ms(self, old_skew: float, new_skew: float, n_loads: int) -> float:
-        """Return the time saved within the horizon, less what the change costs."""
-        load_ms = n_loads * self.load_ms
+        return self.gain_ms(skew, LEAST_SKEW, 2, 1) > MIN_GAIN_MS
+
+    def gain_ms(
+        self, old_skew: float, new_skew: float, n_most_loads: int, n_loads: int = 0
+    ) -> float:
+        """Return the time saved within the horizon, less what the change costs.
+
+        Parameters
+        ----------
+        old_skew, new_skew : float
+            Mean skew before and after the change.
+        n_most_loads : int
+            Loads of the rank that has most of them; it decides how long they take.
+        n_loads : int
+            Loads of all ranks, whose bytes have a price.
+        """
+        load_ms = n_most_loads * self.load_ms
         saved = self.expert_share * (old_skew - new_skew)
         duration = 1 + self.expert_share * (old_skew - 1)
         useful_ms = max(0.0, self.horizon_ms - self.fixed_ms - load_ms)
-        return saved * useful_ms - self.slowdown * duration * load_ms
+        cost_ms = self.slowdown * duration * load_ms + self.copy_ms * n_loads
+        return saved * useful_ms - cost_ms
 
 
 class RankBoundedPlanner:
     """Relieve the hottest rank step by step, with few loads on each rank.
 
-    Load pattern: popularity that changes every few seconds. Ranks load experts side
-    by side, so that the rank with most loads decides how long a change takes; a plan
-    for each bound on the loads of a rank is made, and the one that saves most time is
-    taken. After a sudden change that is a small one, because the few experts that
-    became popular matter most; the next plan does the rest.
+    Load pattern: popularity that changes every few seconds, and counts that are
+    samples of it. Ranks load experts side by side, so that the rank with most loads
+    decides how long a change takes; a search is made for each bound on the loads of a
+    rank. Its steps come in the order of what they relieve, and the plan ends where
+    further loads save less than they cost. After a sudden change that is a small plan,
+    because the few experts that became popular matter most; the next plan does the
+    rest.
 
     Parameters
     ----------
@@ -106,16 +127,13 @@
         if not self._loads or conditions.is_capacity_short:
             return Plan(placement)
         best_gain, best = MIN_GAIN_MS, placement
-        old_skew = self._mean_skew(placement)
-        if not self._cost.can_gain(old_skew):
+        if not self._cost.can_gain(self._mean_skew(placement)):
             return Plan(placement)
         n_most = self._n_max_new * self._shape.n_layers
         for n_max_loads in LOADS_PER_RANK:
             if n_max_loads > n_most:
                 break
-            found = self._search(placement, n_max_loads)
-            n_loads = count_most_new(self._shape.n_ranks, placement, found)
-            gain = self._cost.gain_ms(old_skew, self._mean_skew(found), n_loads)
+            gain, found = self._search(placement, n_max_loads)
             if gain <= best_gain and best is not placement:
                 break
             if gain > best_gain:
@@ -126,20 +144,37 @@
         moves = compute_moves(self._shape, placement, best, layers)
         return Plan(best, tuple(moves))
 
-    def _search(self, placement: Placement, n_max_loads: int) -> Placement:
-        """Return a placement with at most ``n_max_loads`` loads on each rank."""
+    def _search(
+        self, placement: Placement, n_max_loads: int
+    ) -> tuple[float, Placement]:
+        """Return the best gain with ``n_max_loads`` loads on each rank, and its map."""
         n_left_by_rank = [n_max_loads] * self._shape.n_ranks
         layers = [
             LayerBalancer(self._shape, ranks, loads, self._n_max_new, n_left_by_rank)
             for ranks, loads in zip(placement, self._loads, strict=True)
         ]
-        open_layers = list(layers)
+        skews = [layer.skew for layer in layers]
+        old_skew = sum(skews) / len(skews)
+        steps: list[tuple[int, LayerChange]] = []
+        best_gain, n_best = 0.0, 0
+        open_layers = set(range(len(layers)))
         while open_layers:
             # The layer that delays a pass most goes first.
-            layer = max(open_layers, key=lambda one: one.skew)
-            if not layer.step():
-                open_layers.remove(layer)
-        return tuple(layer.placement for layer in layers)
+            index = max(open_layers, key=skews.__getitem__)
+            change = layers[index].step()
+            if change is None:
+                open_layers.remove(index)
+                continue
+            steps.append((index, change))
+            skews[index] = layers[index].skew
+            n_most_loads = n_max_loads - min(n_left_by_rank)
+            n_loads = n_max_loads * len(n_left_by_rank) - sum(n_left_by_rank)
+            gain = self._cost.gain_ms(
+                old_skew, sum(skews) / len(skews), n_most_loads, n_loads
+            )
+            if gain > best_gain:
+                best_gain, n_best = gain, len(steps)
+        return best_gain, _apply_changes(placement, steps[:n_best])
 
     def _mean_skew(self, placement: Placement) -> float:
         """Return the mean skew of the layers, which a pass goes through in turn."""
@@ -150,6 +185,17 @@
         return sum(skews) / len(skews)
 
 
+def _apply_changes(
+    placement: Placement, changes: Sequence[tuple[int, LayerChange]]
+) -> Placement:
+    """Return the placement after changes of layers, given by their index."""
+    layers = [list(ranks_by_expert) for ranks_by_expert in placement]
+    for index, change in changes:
+        for expert, ranks in change:
+            layers[index][expert] = tuple(sorted(ranks))
+    return tuple(tuple(layer) for layer in layers)
+
+
 class LayerBalancer:
     """Search of one layer; see ``RankBoundedPlanner``."""
 
@@ -177,22 +223,17 @@
         """Return the maximum over the mean of the rank loads."""
         return max(self._rank_loads) / self._scale
 
-    @property
-    def placement(self) -> LayerPlacement:
-        """Return the placement after the steps so far."""
-        return tuple(tuple(sorted(ranks)) for ranks in self._ranks)
-
-    def step(self) -> bool:
-        """Take the step that helps most; return whether there was one."""
+    def step(self) -> LayerChange | None:
+        """Take the step that helps most and return it, or None when there is none."""
         change = self._find_best() if self._n_steps < MAX_STEPS else None
         if change is None:
-            return False
+            return None
         self._n_steps += 1
         for expert, ranks in change:
             self._apply(expert, ranks)
-        return True
+        return change
 
-    def _find_best(self) -> list[tuple[int, set[int]]] | None:
+    def _find_best(self) -> LayerChange | None:
         order = sorted(range(len(self._rank_loads)), key=self._rank_loads.__getitem__)
         hot = order[-1]
         by_share = sorted(self._held[hot], key=self._share, reverse=True)
@@ -206,9 +247,9 @@
 
     def _changes(
         self, expert: int, hot: int, cool_ranks: Sequence[int]
-    ) -> list[list[tuple[int, set[int]]]]:
+    ) -> list[LayerChange]:
         ranks = self._ranks[expert]
-        changes: list[list[tuple[int, set[int]]]] = []
+        changes: list[LayerChange] = []
         if len(ranks) > 1:
             changes.append([(expert, ranks - {hot})])
         for cool in cool_ranks:
@@ -262,7 +303,7 @@
     def _share(self, expert: int) -> float:
         return self._loads[expert] / len(self._ranks[expert])
 
-    def _gain(self, change: list[tuple[int, set[int]]]) -> float:
+    def _gain(self, change: LayerChange) -> float:
         added: dict[int, float] = {}
         for expert, ranks in change:
             before, after = self._share(expert), self._loads[expert] / len(ranks)
--- /dev/null
+++ b/packages/core/src/bluebellusher_core/balance/tests/test_popularity.py
@@ -0,0 +1,53 @@
+"""Popularity from counts that are samples."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bluebellusher_core.balance import PopularityTracker
+
+SHIFTED = [[1.0, 1.0, 1.0, 40.0]]
+
+
+def test_counts_of_few_prompts_are_averaged():
+    """Guards against plans that follow the prompts of one interval."""
+    tracker = PopularityTracker()
+    for at in range(8):
+        sample = [10.0, 10.0, 10.0, 10.0]
+        sample[at % 2] += 4.0
+        tracker.observe([sample])
+    first, second, *_ = tracker.shares[0]
+    assert abs(first - second) < 4.0 / 44.0
+
+
+def test_sudden_change_is_believed_at_once():
+    """Guards against plans for a mixture of two popularities."""
+    tracker = PopularityTracker()
+    for at in range(8):
+        sample = [10.0, 10.0, 10.0, 10.0]
+        sample[at % 4] += 1.0
+        tracker.observe([sample])
+    tracker.observe(SHIFTED)
+    assert tracker.shares[0][3] == pytest.approx(40 / 43)
+
+
+def test_interval_without_choices_is_no_error():
+    """Guards against a division by zero when a group was idle."""
+    tracker = PopularityTracker()
+    tracker.observe([[0.0, 0.0]])
+    tracker.observe([[1.0, 1.0]])
+    assert sum(tracker.shares[0]) <= 1.0
+
+
+@given(
+    st.lists(
+        st.lists(st.floats(0, 1e9), min_size=5, max_size=5), min_size=1, max_size=20
+    )
+)
+def test_shares_stay_a_distribution(samples):
+    """Guards against loads that planners refuse."""
+    tracker = PopularityTracker()
+    for sample in samples:
+        tracker.observe([sample])
+    assert all(share >= 0 for share in tracker.shares[0])
+    assert sum(tracker.shares[0]) <= 1.0 + 1e-9
--- a/packages/core/src/bluebellusher_core/balance/tests/test_rank_bounded.py
+++ b/packages/core/src/bluebellusher_core/balance/tests/test_rank_bounded.py
@@ -82,3 +82,18 @@
     """Guards against plans whose copies last longer than the popularity."""
     assert COST.gain_ms(2.0, 1.0, n_loads) > COST.gain_ms(2.0, 1.0, n_loads + 4)
     assert COST.gain_ms(1.0, 1.0, n_loads) < 0
+
+
+def test_plan_ends_where_copies_no_longer_pay():
+    """Guards against dozens of copies for the last few hundredths of the skew."""
+    loads, n_loads, n_saved = make_loads(3), [], []
+    for copy_ms in (0.0, 50.0, 200.0):
+        cost = ChangeCost(40, 300, 0.15, 0.85, 3_500, copy_ms)
+        planner = RankBoundedPlanner(SHAPE, cost, n_max_new=4)
+        planner.observe(loads)
+        plan = planner.plan(IN_TURN, Conditions(0), Random(1))
+        n_loads.append(plan.n_loads)
+        saved = sum(skews(IN_TURN, loads)) - sum(skews(plan.placement, loads))
+        n_saved.append(saved)
+    assert n_loads[0] > n_loads[1] > n_loads[2] > 0
+    assert n_saved[2] > n_saved[0] / 2, "the first copies relieve most"
--- a/packages/entry/src/bluebellusher/gateway/_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -127,7 +127,13 @@
             self._is_lease_held_elsewhere,
         )
         self.leader = MapLeader(
-            self.lease, self.ranks, self._find_group_model, clock, seed, self.runtime
+            self.lease,
+            self.ranks,
+            self._find_group_model,
+            settings.maps.rank_ms_per_gb,
+            clock,
+            seed,
+            self.runtime,
         )
         counter = itertools.count(1)
         prefix = f"{settings.instance_id}.{self.incarnation}"
--- a/packages/entry/src/bluebellusher/ranks/_leader.py
+++ b/packages/entry/src/bluebellusher/ranks/_leader.py
@@ -13,7 +13,9 @@
     ChangeCost,
     Conditions,
     GroupShape,
+    Loads,
     Placement,
+    PopularityTracker,
     RankBoundedPlanner,
     compute_rank_loads,
     compute_skew,
@@ -64,6 +66,7 @@
 # With fewer choices counted, their shares are mostly chance.
 MIN_COUNTED_PER_EXPERT = 20
 MS_PER_S = 1_000
+BYTES_PER_GB = 1_000_000_000
 
 
 @dataclass(slots=True)
@@ -85,8 +88,8 @@
     )
     wanted_load_ms: float = 0.0
     fixed_ms: float = CHANGE_FIXED_MS
-    last_loads: list[list[float]] | None = None
-    last_loads_at_ms: int = 0
+    popularity: PopularityTracker = field(default_factory=PopularityTracker)
+    counts_at_ms: int = 0
 
 
 class MapLeader:
@@ -100,6 +103,9 @@
         Reaches the ranks.
     find_group_model : callable
         Returns the sizes of the group that an endpoint belongs to.
+    rank_ms_per_gb : float
+        Time that a change has to save for each GB that it copies, summed over the
+        ranks of its group.
     clock, random_state, log
         Time, random choices and log lines.
     """
@@ -109,6 +115,7 @@
         lease: LeaseKeeper,
         links: RankLinks,
         find_group_model: Callable[[str], GroupModel | None],
+        rank_ms_per_gb: float,
         clock: Clock,
         random_state: Random,
         log: LogSink,
@@ -117,6 +124,7 @@
         self._lease = lease
         self._links = links
         self._find_group_model = find_group_model
+        self._rank_ms_per_gb = rank_ms_per_gb
         self._clock = clock
         self._random_state = random_state
         self._log = log
@@ -247,8 +255,8 @@
         finally:
             group.is_counting = False
 
-    async def _count(self, group: _Group, view: GroupView) -> list[list[float]] | None:
-        """Return the choices since the last count, or None when they are not whole."""
+    async def _count(self, group: _Group, view: GroupView) -> Loads | None:
+        """Return the shares of the experts, or None when the counts are not whole."""
         model = self._find_group_model(view.states[0].rank_id)
         if model is None:
             return None
@@ -263,13 +271,16 @@
                 for state in view.states
             )
         )
-        loads = self._take_counts(group, view, answers, with_map, model)
+        counts = self._take_counts(group, view, answers, with_map, model)
         now_ms = self._clock.now_ms()
-        if loads is not None:
-            group.last_loads, group.last_loads_at_ms = loads, now_ms
-        elif with_map and now_ms - group.last_loads_at_ms < LOADS_MAX_AGE_MS:
+        loads: Loads | None = None
+        if counts is not None:
+            group.popularity.observe(counts)
+            group.counts_at_ms = now_ms
+            loads = group.popularity.shares
+        elif with_map and now_ms - group.counts_at_ms < LOADS_MAX_AGE_MS:
             # A group that was formed anew has map 0 and no counts yet.
-            loads = group.last_loads
+            loads = group.popularity.shares
         is_known = loads is not None or group.change.is_blocked
         if with_map and map_version is not None and is_known:
             group.placed_version = map_version
@@ -350,7 +361,7 @@
         group_id: str,
         group: _Group,
         view: GroupView,
-        loads: list[list[float]],
+        loads: Loads,
     ) -> None:
         model = self._find_group_model(view.states[0].rank_id)
         if model is None or group.placed_version != view.common_map_version:
@@ -373,6 +384,10 @@
             slowdown=COPY_SLOWDOWN,
             expert_share=model.expert_share,
             horizon_ms=POPULARITY_HORIZON_MS,
+            copy_ms=self._rank_ms_per_gb
+            * model.n_expert_bytes
+            / BYTES_PER_GB
+            / n_ranks,
         )
         before = _mean_skew(n_ranks, placement, loads)
         self.skew_by_group[group_id] = before
--- a/packages/entry/src/bluebellusher/ranks/tests/test_leader.py
+++ b/packages/entry/src/bluebellusher/ranks/tests/test_leader.py
@@ -98,7 +98,7 @@
     async def main():
         log = FakeLog()
         leader = MapLeader(
-            Lease(), links, lambda _: MODEL, SystemClock(), Random(1), log
+            Lease(), links, lambda _: MODEL, 300.0, SystemClock(), Random(1), log
         )
         tasks = [asyncio.create_task(leader.run()), asyncio.create_task(go_on())]
         try:
--- a/packages/entry/src/bluebellusher/settings/__init__.py
+++ b/packages/entry/src/bluebellusher/settings/__init__.py
@@ -1,6 +1,6 @@
 """Settings of an entry: JSON with comments, checked as a whole."""
 
-from bluebellusher.settings._gateway import GatewaySettings, RetrySettings
+from bluebellusher.settings._gateway import GatewaySettings, MapSettings, RetrySettings
 from bluebellusher.settings._load import (
     SettingsError,
     SettingsProblem,
@@ -23,6 +23,7 @@
     "CustomerSettings",
     "GatewaySettings",
     "LimitSettings",
+    "MapSettings",
     "OperatorSettings",
     "PeerSettings",
     "RetrySettings",
--- a/packages/entry/src/bluebellusher/settings/_gateway.py
+++ b/packages/entry/src/bluebellusher/settings/_gateway.py
@@ -43,6 +43,25 @@
     ] = 10
 
 
+class MapSettings(SettingsModel):
+    """What a change of an expert map may cost.
+
+    Ranks of a group wait for each other, so that a pass that lasts 1 ms longer costs 1
+    ms on each of them. ``rank_ms_per_gb`` says how much of that time a change has to
+    save for each GB of weights that it copies: a low value follows popularity closely,
+    a high one copies little. docs/decisions/maps.md compares values.
+    """
+
+    rank_ms_per_gb: Annotated[
+        float,
+        Field(
+            ge=0,
+            le=1_000_000,
+            description="Time of ranks, in ms, that copying a GB has to save.",
+        ),
+    ] = 300
+
+
 class GatewaySettings(ProcessSettings):
     """Everything that an entry must be told; addresses are ``host:port``."""
 
@@ -63,6 +82,9 @@
     retries: Annotated[
         RetrySettings, Field(description="Bounds on attempts beyond the first.")
     ] = RetrySettings()
+    maps: Annotated[
+        MapSettings, Field(description="What changes of expert maps may cost.")
+    ] = MapSettings()
     shutdown_grace_s: Annotated[
         float,
         Field(ge=1, le=600, description="Time from SIGTERM to the end of the process."),
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -32,6 +32,7 @@
         "pytest",
         "packages",
         "deploy",
+        "bench",
         f"--junitxml={report}",
     ]
     return subprocess.call(command, cwd=ROOT, env=os.environ)
