Bound what is read of answers that never end

Cause: bytes that are no answer may come without end.

Change: at most 16 informational answers (entries, agents, store); an event of at most 256 KiB, searched once; reading pauses while 256 KiB wait for the caller; each event has to be whole within the time that callers of the route wait, less 300 ms; answers of the store end at 8 MiB; an unexpected error ends its attempt with a log line. `links.read_whole` replaces two copies.

Ruled out: heads without end, which aiohttp already refuses, and events without end, refused at 4 MiB before.

--- a/deploy/tests/test_store.py
+++ b/deploy/tests/test_store.py
@@ -9,7 +9,7 @@
 
 from bluebellusher.ports import RowWrite
 
-from store import FleetStore
+from store import MAX_ANSWER_BYTES, FleetStore
 
 
 class Store:
@@ -258,3 +258,25 @@
         assert error.may_have_run is may_have_run
 
     run(scenario)
+
+
+def test_answer_without_end_is_given_up():
+    """Guards against a store in trouble whose bytes fill the memory of an entry."""
+
+    async def scenario(client, store):
+        n_sent = 0
+
+        async def answer(request):
+            nonlocal n_sent
+            response = web.StreamResponse()
+            await response.prepare(request)
+            while True:
+                await response.write(b" " * 65_536)
+                n_sent += 65_536
+
+        store.fault = answer
+        result = await client.read_table("leases")
+        assert result.error.reason == "ClientPayloadError"
+        assert n_sent < 4 * MAX_ANSWER_BYTES
+
+    run(scenario)
--- a/packages/agent/src/bluebellusher_agent/_http.py
+++ b/packages/agent/src/bluebellusher_agent/_http.py
@@ -12,6 +12,8 @@
 CONNECT_TIMEOUT_S = 1.0
 READ_BYTES = 65_536
 MAX_HEADER_BYTES = 65_536
+# Informational answers (1xx) before the real one; servers send one or two.
+MAX_INTERIM_ANSWERS = 16
 MAX_CONTROL_BODY_BYTES = 4 * 1024 * 1024
 # Servers commonly close idle connections after 5 s or more; reusing only younger
 # ones avoids the race between their close and our next request.
@@ -67,6 +69,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._parts: deque[bytes] = deque()
         self._n_header_bytes = 0
+        self._n_interim = 0
         self._is_head_complete = False
         self._is_complete = False
         self._is_delimited = False
@@ -92,6 +95,9 @@
         self.status = self._parser.get_status_code()
         if self.status < 200:
             self.header_by_name.clear()
+            self._n_interim += 1
+            if self._n_interim > MAX_INTERIM_ANSWERS:
+                raise ValueError("too many informational answers")
             return
         self._is_head_complete = True
         # The parser cannot know that an answer to HEAD has no body.
--- a/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
+++ b/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
@@ -14,6 +14,7 @@
     with_engine,
 )
 from bluebellusher_core.clock import SystemClock
+from bluebellusher_core.errors import StepError
 from bluebellusher_core.wire import messages
 from bluebellusher_standins.engine import EngineServer, expect_answer
 from bluebellusher_standins.plain_service import PlainServiceServer
@@ -362,3 +363,22 @@
             assert (snapshot.added, snapshot.has_gap) == (report.added, True)
 
     with_engine(scenario, settings={"cache_event_lag_ms": 0})
+
+
+def test_informational_answers_without_end_are_given_up():
+    """Guards against a server in trouble that keeps the agent reading for seconds."""
+
+    async def main():
+        async def answer(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            for _ in range(10_000):
+                writer.write(b"HTTP/1.1 102 Processing\r\n\r\n")
+            await writer.drain()
+
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        client = HttpClient("127.0.0.1", server.sockets[0].getsockname()[1])
+        with pytest.raises(StepError, match="expected an HTTP answer"):
+            await client.fetch("GET", "/load")
+        server.close()
+
+    uvloop.run(main())
--- a/packages/entry/src/bluebellusher/gateway/_admission.py
+++ b/packages/entry/src/bluebellusher/gateway/_admission.py
@@ -11,6 +11,9 @@
 from bluebellusher_core.events import Priority, RequestSpec
 
 DEFAULT_REMAINING_MS = 60_000
+# A stream is given up this much before its caller leaves, so that it can go on from
+# another endpoint.
+RESUME_MARGIN_MS = 300
 # A caller that has this much less time than others of its route was refused before.
 RETURNING_AFTER_MS = 250
 _FINGERPRINT_BYTES = 16
@@ -41,6 +44,10 @@
         by_gap_ms = self.gap_factor * route.max_gap_ms
         return int(max(self.min_ms, by_objective_ms, by_gap_ms))
 
+    def max_silence_ms(self, route: Route) -> int:
+        """Return how long the next event of a stream may take, in ms."""
+        return self.wait_ms(route) - RESUME_MARGIN_MS
+
 
 @dataclass(frozen=True, slots=True)
 class Denial:
@@ -52,11 +59,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Admitted:
-    """A request that may be placed."""
+    """A request that may be placed.
+
+    ``max_silence_ms`` is how long each event of a stream may take.
+    """
 
     spec: RequestSpec
     route: Route
     fields: CallerFields
+    max_silence_ms: int
 
 
 class Admission:
@@ -117,7 +128,8 @@
         if customer is None and table.needs_credential and not route.is_anonymous:
             return Denial(HTTPStatus.UNAUTHORIZED, "unknown credential")
         spec = self._make_spec(request_id, route, customer, fields, now_ms)
-        return Admitted(spec, route, fields)
+        max_silence_ms = self._patience.max_silence_ms(route)
+        return Admitted(spec, route, fields, max_silence_ms)
 
     def read_attempt_id(self, headers: Mapping[str, str]) -> str:
         """Return the id that a caller gave its attempt; empty when it gave none."""
--- a/packages/entry/src/bluebellusher/gateway/_attempts.py
+++ b/packages/entry/src/bluebellusher/gateway/_attempts.py
@@ -7,13 +7,18 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
-from typing import Any
+from dataclasses import dataclass
 
 import aiohttp
 from yarl import URL
 
-from bluebellusher.links import AnswerStream, EventSink, EventSplitter, make_socket
+from bluebellusher.links import (
+    AnswerStream,
+    BoundedResponse,
+    EventReader,
+    EventSink,
+    make_socket,
+)
 from bluebellusher.observability import Metrics, Tracer
 from bluebellusher.ports import AnswerFields, AttemptFields, Dialect
 from bluebellusher.runtime import Exchange
@@ -32,11 +37,10 @@
 
 # Far above a round trip between failure domains; a lost packet costs a second.
 CONNECT_TIMEOUT_MS = 500
-# A rank that is cut off stops its whole group for 1,500 ms; a stream that is silent
-# for longer will not go on, and its caller leaves after 2,000 ms.
-STREAM_SILENCE_MS = 1_700
 MAX_HEADER_BYTES = 65_536
 MAX_BODY_BYTES = 64 * 1024 * 1024
+# Reading pauses while the caller has this much of its answer still to take.
+MAX_WAITING_BYTES = 256 * 1024
 EVENTS_TYPE = "text/event-stream"
 # Retry hints of endpoints are not used; the reducer doubles its own pause.
 _NO_PAUSE_MS = 0
@@ -44,37 +48,6 @@
 FindEndpoint = Callable[[str], EndpointRegistration | None]
 
 
-class _WatchedResponse(aiohttp.ClientResponse):
-    """A response that knows how its connection ended.
-
-    An answer without a length ends with its connection; aiohttp takes it as whole
-    even when the connection was reset.
-    """
-
-    _connection_ended: asyncio.Future[None] | None = None
-
-    async def start(self, connection: Any) -> aiohttp.ClientResponse:
-        """Begin to read the answer."""
-        protocol = connection.protocol
-        self._connection_ended = protocol.closed if protocol is not None else None
-        if self._connection_ended is not None:
-            self._connection_ended.add_done_callback(_retrieve)
-        return await super().start(connection)
-
-    async def check_end(self) -> None:
-        """Raise ``ClientConnectionError`` when an answer without a length was cut."""
-        is_framed = "Content-Length" in self.headers
-        is_framed |= "chunked" in self.headers.get("Transfer-Encoding", "")
-        if not is_framed and self._connection_ended is not None:
-            await self._connection_ended
-
-
-def _retrieve(future: asyncio.Future[None]) -> None:
-    """Take a result that nobody may wait for."""
-    if not future.cancelled():
-        future.exception()
-
-
 class _BrokenError(Exception):
     """The attempt may have run and gave no whole answer."""
 
@@ -92,7 +65,6 @@
     endpoint: EndpointRegistration
     sent_at_ms: int
     task: asyncio.Task[None] | None = None
-    splitter: EventSplitter = field(default_factory=EventSplitter)
 
     @property
     def answer(self) -> AnswerStream:
@@ -107,6 +79,19 @@
         return answer.owner_attempt_id == self.effect.attempt_id
 
 
+def _reason_of(found: AnswerFields, endpoint_id: str) -> Reason:
+    """Return why an endpoint did not run a request.
+
+    A rank that names another endpoint as faulty belongs to a group that this one has
+    broken.
+    """
+    if found.is_wrong_endpoint:
+        return Reason.ENDPOINT_DRAINING
+    if found.faulty_endpoint_id not in ("", endpoint_id):
+        return Reason.ENDPOINTS_CLOSED
+    return Reason.ENDPOINT_FULL
+
+
 class HttpDispatcher:
     """Send attempts to endpoints and report what becomes of them.
 
@@ -152,7 +137,7 @@
         )
         self._session = aiohttp.ClientSession(
             connector=connector,
-            response_class=_WatchedResponse,
+            response_class=BoundedResponse,
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
             skip_auto_headers=(
@@ -185,7 +170,6 @@
         if endpoint is None or effect.resume_offset != answer.n_bytes:
             return False
         attempt = _Attempt(effect, exchange, endpoint, self._clock.now_ms())
-        attempt.splitter.last_event_id = exchange.last_event_id
         exchange.n_attempts += 1
         span = self._tracer.start("attempt", exchange.span.traceparent)
         exchange.attempt_spans[effect.attempt_id] = span
@@ -245,6 +229,11 @@
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             self._log("attempt-broken", attempt, error=f"{type(error).__name__}")
             event = self._broken(attempt, Reason.CONNECTION_LOST)
+        except Exception as error:
+            # Without an event the request would wait for its deadline.
+            fault = f"{type(error).__name__}: {error}"
+            self._log("attempt-fault", attempt, error=fault)
+            event = self._broken(attempt, Reason.CONNECTION_LOST)
         self._post(event)
 
     async def _exchange(self, attempt: _Attempt) -> Event:
@@ -293,9 +282,7 @@
         if found.attempt_id and found.attempt_id != attempt.exchange.caller_attempt_id:
             raise _BrokenError(Reason.STREAM_CORRUPT, "answer to another request")
         if found.is_wrong_endpoint or found.is_not_run:
-            reason = Reason.ENDPOINT_FULL
-            if found.is_wrong_endpoint:
-                reason = Reason.ENDPOINT_DRAINING
+            reason = _reason_of(found, attempt.endpoint.endpoint_id)
             self._log(
                 "attempt-refused",
                 attempt,
@@ -318,27 +305,41 @@
                 raise _BrokenError(Reason.STREAM_CORRUPT, "status changed")
         elif response.status >= 300:
             raise _BrokenError(Reason.STREAM_CORRUPT, "resumed stream has failed")
-        while data := await self._read(response, is_events):
-            if not answer.n_bytes:
-                self._started(attempt)
-            if is_events:
-                data = attempt.splitter.feed(data)
-                if not data:
-                    continue
-                attempt.exchange.last_event_id = attempt.splitter.last_event_id
-            answer.write(data)
-            if answer.n_bytes > MAX_BODY_BYTES:
-                raise _BrokenError(Reason.STREAM_CORRUPT, "answer too long")
-        assert isinstance(response, _WatchedResponse)
+        if is_events:
+            await self._relay_events(attempt, response)
+        else:
+            await self._relay_body(attempt, response)
+        assert isinstance(response, BoundedResponse)
         await response.check_end()
-        if is_events and attempt.splitter.n_pending:
+
+    async def _relay_body(
+        self, attempt: _Attempt, response: aiohttp.ClientResponse
+    ) -> None:
+        while data := await response.content.readany():
+            await self._pass_on(attempt, data)
+
+    async def _relay_events(
+        self, attempt: _Attempt, response: aiohttp.ClientResponse
+    ) -> None:
+        exchange = attempt.exchange
+        reader = EventReader(
+            response.content, exchange.max_silence_ms, exchange.last_event_id
+        )
+        while events := await reader.read():
+            exchange.last_event_id = reader.last_event_id
+            await self._pass_on(attempt, events)
+        if reader.n_pending:
             raise _BrokenError(Reason.STREAM_CORRUPT, "stream ends within an event")
 
-    async def _read(self, response: aiohttp.ClientResponse, is_events: bool) -> bytes:
-        if not is_events:
-            return await response.content.readany()
-        async with asyncio.timeout(STREAM_SILENCE_MS / 1000):
-            return await response.content.readany()
+    async def _pass_on(self, attempt: _Attempt, data: bytes) -> None:
+        """Give a part of the answer to the caller, at the pace at which it reads."""
+        answer = attempt.answer
+        if not answer.n_bytes:
+            self._started(attempt)
+        answer.write(data)
+        if answer.n_bytes > MAX_BODY_BYTES:
+            raise _BrokenError(Reason.STREAM_CORRUPT, "answer too long")
+        await answer.wait_for_room(MAX_WAITING_BYTES)
 
     def _started(self, attempt: _Attempt) -> None:
         effect = attempt.effect
--- a/packages/entry/src/bluebellusher/gateway/_server.py
+++ b/packages/entry/src/bluebellusher/gateway/_server.py
@@ -145,6 +145,7 @@
             header_items=list(request.headers.items()),
             caller_attempt_id=found.fields.attempt_id,
             last_event_id=found.fields.last_event_id,
+            max_silence_ms=found.max_silence_ms,
         )
         self._runtime.log(
             "request-arrived",
--- a/packages/entry/src/bluebellusher/links/__init__.py
+++ b/packages/entry/src/bluebellusher/links/__init__.py
@@ -7,6 +7,7 @@
 from bluebellusher.links._headers import CONNECTION_HEADERS
 from bluebellusher.links._peers import PeerHandler, PeerLinks
 from bluebellusher.links._relay import AttemptRelay
+from bluebellusher.links._responses import BoundedResponse, EventReader, read_whole
 from bluebellusher.links._sockets import make_socket
 from bluebellusher.links._sse import EventSplitter
 from bluebellusher.links._ticker import LinkTicker
@@ -16,7 +17,9 @@
     "AgentLinks",
     "AnswerStream",
     "AttemptRelay",
+    "BoundedResponse",
     "Dialer",
+    "EventReader",
     "EventSink",
     "EventSplitter",
     "FrameConnection",
@@ -25,4 +28,5 @@
     "PeerHandler",
     "PeerLinks",
     "make_socket",
+    "read_whole",
 ]
--- a/packages/entry/src/bluebellusher/links/_answer.py
+++ b/packages/entry/src/bluebellusher/links/_answer.py
@@ -45,6 +45,7 @@
         self._tail = b""
         self._is_line_start = True
         self._changed = asyncio.Event()
+        self._taken = asyncio.Event()
 
     @property
     def is_events(self) -> bool:
@@ -102,6 +103,7 @@
         if not self.is_ended:
             self.refusal = refusal
             self._changed.set()
+            self._taken.set()
 
     async def take(self) -> bytes:
         """Return what can be sent now; empty when the outcome is known.
@@ -118,8 +120,15 @@
         data = self._ready[0] if len(self._ready) == 1 else b"".join(self._ready)
         self._ready.clear()
         self._n_ready = 0
+        self._taken.set()
         return data
 
+    async def wait_for_room(self, max_bytes: int) -> None:
+        """Wait until at most ``max_bytes`` wait for the caller, or the answer ended."""
+        while self._n_ready > max_bytes and not self.is_ended:
+            self._taken.clear()
+            await self._taken.wait()
+
     def note_sent(self, n_bytes: int) -> None:
         """Tell the relay that the caller's socket took ``n_bytes``."""
         if self.on_drained is not None:
--- a/packages/entry/src/bluebellusher/links/_sse.py
+++ b/packages/entry/src/bluebellusher/links/_sse.py
@@ -2,8 +2,10 @@
 
 from dataclasses import dataclass, field
 
-_MAX_EVENT_BYTES = 4 * 1024 * 1024
+# Events hold a few tokens; each of many requests may have one that is not whole.
+_MAX_EVENT_BYTES = 256 * 1024
 _MARKS = (b"\n\n", b"\r\n\r\n")
+_LONGEST_MARK = max(len(mark) for mark in _MARKS)
 
 
 @dataclass(slots=True)
@@ -40,8 +42,9 @@
         ValueError
             When an event is longer than any engine sends.
         """
+        n_searched = max(0, len(self._pending) - _LONGEST_MARK + 1)
         self._pending += data
-        end = _end_of_last_event(self._pending)
+        end = _end_of_last_event(self._pending, n_searched)
         if end == 0:
             if len(self._pending) > _MAX_EVENT_BYTES:
                 raise ValueError(f"event of more than {_MAX_EVENT_BYTES} bytes")
@@ -58,6 +61,7 @@
                 return
 
 
-def _end_of_last_event(data: bytearray) -> int:
-    ends = [data.rfind(mark) + len(mark) for mark in _MARKS if mark in data]
-    return max(ends, default=0)
+def _end_of_last_event(data: bytearray, start: int) -> int:
+    """Return the end of the last event that ends behind ``start``, or 0."""
+    found = [(data.rfind(mark, start), mark) for mark in _MARKS]
+    return max((at + len(mark) for at, mark in found if at >= 0), default=0)
--- a/packages/entry/src/bluebellusher/platform/_transport.py
+++ b/packages/entry/src/bluebellusher/platform/_transport.py
@@ -9,6 +9,7 @@
 import aiohttp
 from expression import Error, Ok, Result
 
+from bluebellusher.links import BoundedResponse, read_whole
 from bluebellusher.platform._errors import (
     PlatformError,
     PlatformNotDoneError,
@@ -96,24 +97,16 @@
         url = self._base_url + path
         session = self._open_session()
         async with session.request(method, url, timeout=timeout, **options) as answer:
-            body = await self._read_body(answer)
+            body = await read_whole(answer, MAX_ANSWER_BYTES)
             return Reply(answer.status, answer.headers, body)
 
-    async def _read_body(self, answer: aiohttp.ClientResponse) -> bytes:
-        parts = bytearray()
-        async for part in answer.content.iter_chunked(256 * 1024):
-            parts += part
-            if len(parts) > MAX_ANSWER_BYTES:
-                reason = f"answer above {MAX_ANSWER_BYTES} bytes"
-                raise aiohttp.ClientPayloadError(reason)
-        return bytes(parts)
-
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None:
             headers = {"X-Failure-Domain": self._failure_domain}
             self._session = aiohttp.ClientSession(
                 headers=headers,
                 connector=aiohttp.TCPConnector(limit=64, keepalive_timeout=15),
+                response_class=BoundedResponse,
                 auto_decompress=False,
             )
         return self._session
--- a/packages/entry/src/bluebellusher/runtime/_exchange.py
+++ b/packages/entry/src/bluebellusher/runtime/_exchange.py
@@ -17,7 +17,8 @@
     exchange is forgotten when the caller is served and no attempt is left. ``usage`` is
     that of the attempt whose whole answer arrived. ``header_items`` are the caller's
     headers for endpoints that are reached directly, ``caller_attempt_id`` is the id
-    that the caller gave, and ``last_event_id`` the last event that it has of a stream.
+    that the caller gave, and ``last_event_id`` the last event that it has of a stream;
+    ``max_silence_ms`` is how long its next event may take.
     """
 
     spec: RequestSpec
@@ -36,6 +37,7 @@
     header_items: Sequence[tuple[str, str]] = ()
     caller_attempt_id: str = ""
     last_event_id: str = ""
+    max_silence_ms: int = 0
 
     def keep(self) -> KeptAnswer:
         """Return the answer for a repeat of the idempotency key."""
