Close a whole group when one rank says so, and tell fresh callers at once

Ranks in the cut zone say nothing, so entries elsewhere took them for open: the log shows 47 to 97 attempts a second that were not connected (500 ms each) and up to 179 attempts in a second that ranks refused one after the other, each paid from the retry budget. Requests that came back were refused because the queue predicted its wait with one slot: nothing runs while a group is closed.

Change: `GroupStates` closes a group for all its ranks when one of the newest epoch reports it, or when an answer names another rank as faulty; a request that gets such an answer is not tried elsewhere. Fresh requests leave the queue at once with a pause; those that came back wait, as many as the capacity beside fresh requests can serve once the group opens.

--- a/packages/core/src/bluebellusher_core/admission/_objective_queue.py
+++ b/packages/core/src/bluebellusher_core/admission/_objective_queue.py
@@ -1,6 +1,7 @@
 """Queue by the time at which a late answer loses its use, with early refusal."""
 
 import heapq
+from collections import deque
 from dataclasses import dataclass
 from math import inf
 
@@ -18,6 +19,10 @@
 MIN_PAUSE_SHARE = 0.4
 # While a service is closed its end is not known, and a longer pause reaches further.
 MIN_CLOSED_PAUSE_SHARE = 0.8
+# Time over which arrivals are counted.
+ARRIVAL_WINDOW_MS = 2_000
+# Under overload nothing is spare; a few that came back are served nevertheless.
+MIN_SPARE_SHARE = 0.1
 # Spreads successive values evenly over an interval (golden ratio).
 SPREAD_STEP = 0.6180339887498949
 
@@ -28,6 +33,7 @@
     key_ms: float
     is_late: bool
     is_current: bool = True
+    is_put_back: bool = False
 
     def __lt__(self, other: "_Waiting") -> bool:
         return self.key_ms < other.key_ms
@@ -64,9 +70,11 @@
         self._interval_ms = 0.0
         self._spread = 0.0
         self._is_closed = False
+        self._fresh_at_ms: deque[int] = deque()
 
     def offer(self, request: RequestSpec, now_ms: int) -> Refusal | None:
         """Add the request, or refuse it when it would be served too late."""
+        self._note_arrival(request, now_ms)
         if request.deadline_ms <= now_ms:
             return self._refuse(request, Reason.DEADLINE_EXCEEDED, now_ms)
         if self._is_closed and not request.is_returning:
@@ -99,6 +107,7 @@
         """Return a request that could not be placed, to go first."""
         waiting = self._make_waiting(request, now_ms)
         waiting.key_ms, waiting.is_late = -inf, True
+        waiting.is_put_back = True
         self._add(waiting)
 
     def remove(self, request_id: str) -> bool:
@@ -110,16 +119,22 @@
         return True
 
     def expire(self, now_ms: int) -> list[tuple[RequestSpec, Refusal]]:
-        """Remove and return requests whose callers will not wait long enough."""
-        expired = [
-            waiting.request
-            for waiting in self._waiting_by_id.values()
-            if self._latest_start_ms(waiting.request) <= now_ms
-        ]
-        for request in expired:
+        """Remove and return requests that are better refused than kept waiting.
+
+        These are requests whose callers will not wait long enough, and while every
+        endpoint is closed also fresh ones, whose callers can come back.
+        """
+        expired: list[tuple[RequestSpec, Refusal]] = []
+        for waiting in list(self._waiting_by_id.values()):
+            request = waiting.request
+            reason = Reason.DEADLINE_UNREACHABLE
+            if self._latest_start_ms(request) > now_ms:
+                if not self._is_closed or request.is_returning or waiting.is_put_back:
+                    continue
+                reason = Reason.ENDPOINTS_CLOSED
             self.remove(request.request_id)
-        reason = Reason.DEADLINE_UNREACHABLE
-        return [(r, self._refuse(r, reason, now_ms)) for r in expired]
+            expired.append((request, self._refuse(request, reason, now_ms)))
+        return expired
 
     def observe_service(self, n_slots: int, service_ms: float) -> None:
         """Tell how many own requests run at once and how long one takes."""
@@ -130,8 +145,10 @@
 
         Load pattern: a group of ranks stops for seconds when it loses a rank. Its end
         is not known, so that a fresh request is refused at once, with a pause after
-        which its caller can still be served. One that came back waits as long as its
-        caller does, because another refusal would be its last.
+        which its caller can still be served. For one that came back another refusal
+        may be the last; it waits as long as its caller does. Only as many wait as the
+        endpoints can serve beside fresh requests once they open, since those would
+        otherwise all become late.
         """
         self._is_closed = is_closed
 
@@ -167,7 +184,19 @@
             for other in self._waiting_by_id.values()
             if other.key_ms <= waiting.key_ms
         )
-        return n_ahead * self._interval_ms
+        wait_ms = n_ahead * self._interval_ms
+        return wait_ms / self._spare_share() if self._is_closed else wait_ms
+
+    def _spare_share(self) -> float:
+        """Return the share of the endpoints that fresh requests leave free."""
+        used_share = len(self._fresh_at_ms) * self._interval_ms / ARRIVAL_WINDOW_MS
+        return max(MIN_SPARE_SHARE, 1 - used_share)
+
+    def _note_arrival(self, request: RequestSpec, now_ms: int) -> None:
+        if not request.is_returning:
+            self._fresh_at_ms.append(now_ms)
+        while self._fresh_at_ms and self._fresh_at_ms[0] <= now_ms - ARRIVAL_WINDOW_MS:
+            self._fresh_at_ms.popleft()
 
     def _add(self, waiting: _Waiting) -> None:
         self._waiting_by_id[waiting.request.request_id] = waiting
--- a/packages/core/src/bluebellusher_core/admission/tests/test_objective_queue.py
+++ b/packages/core/src/bluebellusher_core/admission/tests/test_objective_queue.py
@@ -114,3 +114,41 @@
     assert queue.remove("b")
     assert queue.take(1).request_id == "c"
     assert queue.take(1).request_id == "a"
+
+
+def test_fresh_requests_do_not_wait_for_a_service_that_closes():
+    """Guards against callers that wait in vain while they could come back later."""
+    queue = ObjectiveQueue()
+    assert queue.offer(make_request("fresh", 0, 0, 0), 0) is None
+    returning = make_request("old", now_ms=100, first_ms=-3_000, n_refusals=1)
+    assert queue.offer(returning, 100) is None
+    queue.put_back(make_request("resumed", 100, 100, 0), 100)
+    queue.observe_closed(True)
+    [(request, refusal)] = queue.expire(150)
+    assert request.request_id == "fresh"
+    assert refusal.reason is Reason.ENDPOINTS_CLOSED
+    assert len(queue) == 2
+
+
+def test_those_who_came_back_do_not_make_all_fresh_requests_late():
+    """Guards against a group that opens with more work than it can do on time.
+
+    The alternative holds everybody who can still be served. Few more are served then,
+    and many of the fresh requests after the opening are late.
+    """
+
+    class HoldAll(ObjectiveQueue):
+        def _spare_share(self):
+            return 1.0
+
+    closed_ms = (3_000, 7_500)
+    seeds = range(4)
+    held = [
+        replay(HoldAll(), lambda _: 0.8, closed_ms=closed_ms, seed=s) for s in seeds
+    ]
+    chosen = [
+        replay(ObjectiveQueue(), lambda _: 0.8, closed_ms=closed_ms, seed=s)
+        for s in seeds
+    ]
+    assert sum(r.n_on_time for r in chosen) > 1.2 * sum(r.n_on_time for r in held)
+    assert sum(r.utility for r in chosen) > sum(r.utility for r in held)
--- a/packages/core/src/bluebellusher_core/events/_endpoint_events.py
+++ b/packages/core/src/bluebellusher_core/events/_endpoint_events.py
@@ -114,6 +114,10 @@
     is_open : bool
         Whether the endpoint can run requests now; a rank of a group that is broken
         cannot.
+    group_id : str
+        Group of ranks that the endpoint belongs to; empty for none.
+    epoch : int
+        Grows each time the group is formed anew.
     """
 
     endpoint_id: str
@@ -127,6 +131,8 @@
     adapters: frozenset[str]
     age_ms: int
     is_open: bool = True
+    group_id: str = ""
+    epoch: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/bluebellusher_core/membership/_endpoints.py
+++ b/packages/core/src/bluebellusher_core/membership/_endpoints.py
@@ -11,6 +11,7 @@
     LoadReported,
     RequestSpec,
 )
+from bluebellusher_core.membership._groups import GroupStates
 from bluebellusher_core.routing import EndpointTracker, EndpointView
 
 Pool = tuple[str, str, str]
@@ -41,11 +42,14 @@
         Requests that an endpoint may hold by its report, as a multiple of its slots.
     tracker : EndpointTracker
         Keeps the views; it is told only of events that were found valid.
+    groups : GroupStates
+        Tells which groups of ranks can run nothing.
     """
 
     n_max: int
     queue_factor: float = ENGINE_QUEUE_FACTOR
     tracker: EndpointTracker = field(default_factory=EndpointTracker)
+    groups: GroupStates = field(default_factory=lambda: GroupStates(REPORT_MAX_AGE_MS))
     _deferred_until_ms: dict[str, int] = field(default_factory=dict)
     _n_refusals: dict[str, int] = field(default_factory=dict)
     _views_by_pool: dict[Pool, list[EndpointView]] = field(default_factory=dict)
@@ -78,6 +82,7 @@
         self._views_by_pool.clear()
         self._deferred_until_ms.pop(endpoint_id, None)
         self._n_refusals.pop(endpoint_id, None)
+        self.groups.forget(endpoint_id)
         self.tracker.apply(EndpointLost(endpoint_id), now_ms)
 
     def defer(self, endpoint_id: str, pause_ms: int, now_ms: int) -> None:
@@ -101,17 +106,26 @@
     def views_with_room(self, pool: Pool, now_ms: int) -> list[EndpointView]:
         """Return the endpoints of a pool that can start another attempt now."""
         deferred = self._deferred_until_ms
+        closed = self.groups.find_closed(now_ms)
         return [
             view
             for view in self.views_of(pool)
             if _has_room(view, self.queue_factor, now_ms)
+            and view.info.endpoint_id not in closed
             and deferred.get(view.info.endpoint_id, 0) <= now_ms
         ]
 
     def are_closed(self, pool: Pool, now_ms: int) -> bool:
-        """Return whether every endpoint of a pool states that it can run nothing."""
+        """Return whether no endpoint of a pool can run anything.
+
+        Each states so itself, or is in a group of which another rank states it.
+        """
+        closed = self.groups.find_closed(now_ms)
         views = self.views_of(pool)
-        return bool(views) and all(_is_closed(view, now_ms) for view in views)
+        return bool(views) and all(
+            view.info.endpoint_id in closed or _is_closed(view, now_ms)
+            for view in views
+        )
 
     def drain(self, endpoint_id: str) -> None:
         """Give the endpoint no new work from now on."""
@@ -126,6 +140,7 @@
         view = self.view_by_id.get(event.endpoint_id)
         if view is None or view.report is not event:
             return
+        self.groups.note_report(event, now_ms)
         info = view.info
         loaded = (info.models, info.adapters, info.n_slots)
         if loaded != (event.models, event.adapters, event.n_slots):
--- a/packages/core/src/bluebellusher_core/reducer/_reduce.py
+++ b/packages/core/src/bluebellusher_core/reducer/_reduce.py
@@ -99,7 +99,8 @@
         case PolicyChanged():
             _change_policy(state, event)
         case EntriesCounted():
-            _share_retries(state, event.n_entries)
+            state.n_entries = max(1, event.n_entries)
+            _share_retries(state)
         case ShutdownStarted():
             state.is_shutting_down = True
     return []
@@ -131,10 +132,10 @@
     return []
 
 
-def _share_retries(state: EntryState, n_entries: int) -> None:
+def _share_retries(state: EntryState) -> None:
     n_shared = state.config.n_shared_retries
     if n_shared is not None:
-        state.retry_budget.resize(n_shared // max(1, n_entries))
+        state.retry_budget.resize(n_shared // state.n_entries)
 
 
 def _change_policy(state: EntryState, event: PolicyChanged) -> None:
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_direct_endpoints.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_direct_endpoints.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 
+from bluebellusher_core.admission import ObjectiveQueue
 from bluebellusher_core.effects import DiscardAnswer, Dispatch, Reject
 from bluebellusher_core.errors import Outcome, Reason
 from bluebellusher_core.events import (
@@ -191,3 +192,91 @@
     assert dispatched(reduce(state, RequestArrived(spec), 10)) is None
     opened = replace(report, sequence=2, is_open=True)
     assert dispatched(reduce(state, opened, 500)).request_id == "r"
+
+
+def make_group_report(endpoint_id, sequence, is_open, epoch=1):
+    """Return the report of a rank of the only group."""
+    return LoadReported(
+        endpoint_id,
+        sequence,
+        0,
+        0,
+        0,
+        4,
+        0.0,
+        frozenset(),
+        frozenset(),
+        0,
+        is_open=is_open,
+        group_id="g",
+        epoch=epoch,
+    )
+
+
+def test_silent_rank_of_a_closed_group_gets_no_requests():
+    """Guards against requests that wait for connections to a domain that is cut off.
+
+    The rank there says nothing, and its last report was of an open group.
+    """
+    state = start(3)
+    for i in range(3):
+        reduce(state, make_group_report(f"x{i}", 1, is_open=True), 0)
+    reduce(state, make_group_report("x1", 2, is_open=False), 1_500)
+    spec = replace(make_spec(), start_by_ms=4_000)
+    assert dispatched(reduce(state, RequestArrived(spec), 1_510)) is None
+    opened = make_group_report("x2", 2, is_open=True, epoch=2)
+    assert dispatched(reduce(state, opened, 2_500)).request_id == "r"
+
+
+def test_answer_that_names_a_faulty_rank_closes_the_group():
+    """Guards against a closed group that is asked rank by rank until a report comes.
+
+    Each answer costs a retry and time, and the caller could come back instead.
+    """
+    state = start(4)
+    for i in range(4):
+        reduce(state, make_group_report(f"x{i}", 1, is_open=True), 0)
+    spec = replace(make_spec(), start_by_ms=4_000)
+    first = dispatched(reduce(state, RequestArrived(spec), 10))
+    event = AttemptRefused(
+        first.attempt_id,
+        Reason.ENDPOINTS_CLOSED,
+        0,
+        first.endpoint_id,
+        has_arrived=True,
+    )
+    n_retries = state.retry_budget.n_left
+    assert dispatched(reduce(state, event, 1_600)) is None
+    assert state.retry_budget.n_left == n_retries
+    other = replace(make_spec("other"), start_by_ms=4_000)
+    assert dispatched(reduce(state, RequestArrived(other), 1_610)) is None
+
+
+def test_lost_rank_of_an_earlier_epoch_does_not_close_the_next_one():
+    """Guards against a group that stays closed after it was formed anew."""
+    state = start(2)
+    reduce(state, make_group_report("x0", 1, is_open=False), 0)
+    reduce(state, make_group_report("x1", 1, is_open=True, epoch=2), 100)
+    assert dispatched(reduce(state, RequestArrived(make_spec()), 110)) is not None
+
+
+def test_callers_that_came_back_wait_for_a_closed_group_by_its_later_rate():
+    """Guards against a last refusal because nothing runs at the moment.
+
+    The group of 12 places takes 1 s for a request and opens with all of them free;
+    half of them are this entry's. Six callers fit into the 2 s that they wait.
+    """
+    state = EntryState.from_config(EntryConfig("e"), make_queue=ObjectiveQueue)
+    reduce(state, EntriesCounted(2), 0)
+    for i in range(3):
+        reduce(state, EndpointRegistered(make_info(f"x{i}")), 0)
+        reduce(state, make_group_report(f"x{i}", 1, is_open=True), 0)
+    first = dispatched(reduce(state, RequestArrived(make_spec("first")), 0))
+    reduce(state, finish(first, 200), 1_000)
+    reduce(state, make_group_report("x0", 2, is_open=False), 1_100)
+    for i in range(6):
+        spec = make_spec(f"r{i}", start_by_ms=3_200, is_returning=True)
+        assert rejected(reduce(state, RequestArrived(spec), 1_200)) is None
+    opened = make_group_report("x0", 3, is_open=True, epoch=2)
+    effects = reduce(state, opened, 2_000)
+    assert len([e for e in effects if isinstance(e, Dispatch)]) == 6
--- a/packages/core/src/bluebellusher_core/requests/_attempts.py
+++ b/packages/core/src/bluebellusher_core/requests/_attempts.py
@@ -100,6 +100,8 @@
         retry_after_ms = event.retry_after_ms
         return _isolation.refused(state, request, attempt, retry_after_ms, now_ms)
     request.avoided.add(endpoint_id)
+    if event.reason is Reason.ENDPOINTS_CLOSED:
+        return _placing.enqueue_again(state, request, now_ms)
     request.n_refused += event.reason is not Reason.ENDPOINT_ISOLATING
     is_paid = not event.has_arrived or state.retry_budget.try_spend()
     if request.n_refused > state.config.n_max_refusals or not is_paid:
@@ -123,6 +125,8 @@
     if event.reason is Reason.ENDPOINT_DRAINING:
         state.endpoints.drain(endpoint_id)
         return
+    if event.reason is Reason.ENDPOINTS_CLOSED:
+        state.endpoints.groups.note_closed(endpoint_id, now_ms)
     if event.reason is Reason.CONNECT_FAILED:
         state.endpoints.tracker.record_failure(endpoint_id, now_ms)
     state.endpoints.defer(endpoint_id, event.retry_after_ms, now_ms)
--- a/packages/core/src/bluebellusher_core/requests/_placing.py
+++ b/packages/core/src/bluebellusher_core/requests/_placing.py
@@ -42,12 +42,31 @@
     if state.poison.is_suspect(spec.fingerprint, now_ms):
         state.isolate_at_ms[spec.request_id] = now_ms
         return []
-    pool = pool_of(spec)
+    return _offer(state, request, now_ms)
+
+
+def enqueue_again(state: EntryState, request: Request, now_ms: int) -> list[Effect]:
+    """Queue a request that certainly did not run on the endpoint that got it.
+
+    It goes first, unless every endpoint of its pool is closed. Nothing is known of
+    when they open, and the request is treated as one that arrives then: refused at
+    once, with a pause after which its caller can still be served, or kept waiting when
+    another refusal would be the last.
+    """
+    is_closed = state.endpoints.are_closed(pool_of(request.spec), now_ms)
+    if not is_closed or request.may_have_run:
+        return requeue(state, request, now_ms)
+    request.phase = Phase.WAITING
+    state.check_at_ms = 0
+    return _offer(state, request, now_ms)
+
+
+def _offer(state: EntryState, request: Request, now_ms: int) -> list[Effect]:
+    pool = pool_of(request.spec)
     queue = _queue_of(state, pool)
     _tell_rate(state, pool, queue, now_ms)
-    if isinstance(queue, ClosableQueue):
-        queue.observe_closed(state.endpoints.are_closed(pool, now_ms))
-    refusal = queue.offer(spec, now_ms)
+    _tell_closed(state, pool, queue, now_ms)
+    refusal = queue.offer(request.spec, now_ms)
     if refusal is None:
         state.waiting_pools.add(pool)
         return []
@@ -164,6 +183,7 @@
 def _place_pool(state: EntryState, pool: Pool, now_ms: int) -> list[Effect]:
     queue = state.queue_by_pool[pool]
     effects: list[Effect] = []
+    _tell_closed(state, pool, queue, now_ms)
     for spec, refusal in queue.expire(now_ms):
         request = state.request_by_id[spec.request_id]
         effects += _reject_waiting(state, request, refusal, now_ms)
@@ -197,18 +217,30 @@
     return queue
 
 
+def _tell_closed(
+    state: EntryState, pool: Pool, queue: AdmissionQueue, now_ms: int
+) -> None:
+    if isinstance(queue, ClosableQueue):
+        queue.observe_closed(state.endpoints.are_closed(pool, now_ms))
+
+
 def _tell_rate(
     state: EntryState, pool: Pool, queue: AdmissionQueue, now_ms: int
 ) -> None:
     """Tell a queue that is not empty how fast it is served.
 
     An endpoint without room counts with the attempts of this entry only, because the
-    other entries use the rest of it.
+    other entries use the rest of it. Endpoints that are closed run nothing now; this
+    entry gets its part of them when they open.
     """
     service_ms = state.service_ms_by_pool.get(pool)
     if service_ms is None or not len(queue):
         return
     views = state.endpoints.views_of(pool)
+    if state.endpoints.are_closed(pool, now_ms):
+        n_slots = sum(view.info.n_slots for view in views) // state.n_entries
+        queue.observe_service(max(1, n_slots), service_ms)
+        return
     n_slots = sum(view.n_own_in_flight for view in views)
     free = state.endpoints.views_with_room(pool, now_ms)
     n_slots += sum(view.info.n_slots - view.n_own_in_flight for view in free)
--- a/packages/core/src/bluebellusher_core/state/_state.py
+++ b/packages/core/src/bluebellusher_core/state/_state.py
@@ -75,6 +75,8 @@
         one of them move, so that other events do not pay for long queues.
     n_attempts_made : int
         Counter behind attempt ids.
+    n_entries : int
+        Entries that share the endpoints, this one among them.
     is_shutting_down : bool
         New requests are refused.
     """
@@ -102,6 +104,7 @@
     wake_at_ms: int = 0
     check_at_ms: int = 0
     n_attempts_made: int = 0
+    n_entries: int = 1
     is_shutting_down: bool = False
 
     @classmethod
--- a/packages/entry/src/bluebellusher/ranks/_links.py
+++ b/packages/entry/src/bluebellusher/ranks/_links.py
@@ -174,6 +174,8 @@
                 adapters=frozenset(),
                 age_ms=0,
                 is_open=is_open,
+                group_id=report.group_id or "",
+                epoch=report.epoch or 0,
             )
         )
         if not report.group_id:
