Close a group that begins no pass, whatever its ranks say

The ranks report an open group all the while, so that every request was sent to ranks that stood still: 110 callers left without a byte between second 14 and 18, and from second 16 to 18, after the group went on, 8 of 67 requests were answered within the objective because it worked for those who had left.

Change: reports carry the last pass; a group with work and no new pass for 800 ms is closed. Two tests, one for an idle group, which makes no passes and stays open.

Ruled out: another order of the steps of a change. Arming without a held step leaves two maps when the leader stops between two orders, and a step that an entry holds from elsewhere waits for the leader's machine instead.

What is lost in such a window is mostly the time of the freeze.

--- a/packages/core/src/bluebellusher_core/events/_endpoint_events.py
+++ b/packages/core/src/bluebellusher_core/events/_endpoint_events.py
@@ -116,8 +116,9 @@
         cannot.
     group_id : str
         Group of ranks that the endpoint belongs to; empty for none.
-    epoch : int
-        Grows each time the group is formed anew.
+    epoch, step : int
+        The epoch grows each time the group is formed anew; the step is the last pass
+        that was begun in it.
     """
 
     endpoint_id: str
@@ -133,6 +134,7 @@
     is_open: bool = True
     group_id: str = ""
     epoch: int = 0
+    step: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/bluebellusher_core/membership/_groups.py
+++ b/packages/core/src/bluebellusher_core/membership/_groups.py
@@ -4,6 +4,10 @@
 
 from bluebellusher_core.events import LoadReported
 
+# Passes of a slow group take 600 ms. A group that loses a rank stands still for 1,500
+# ms before its ranks say so.
+MAX_PASS_MS = 800
+
 
 @dataclass(slots=True)
 class _Rank:
@@ -12,9 +16,25 @@
     group_id: str
     epoch: int
     is_open: bool
+    has_work: bool
     told_at_ms: int
 
 
+@dataclass(slots=True)
+class _Group:
+    """Ranks of a group, and its latest pass."""
+
+    endpoint_ids: set[str] = field(default_factory=set)
+    epoch: int = 0
+    step: int = 0
+    advanced_at_ms: int = 0
+
+    def note_step(self, epoch: int, step: int, now_ms: int) -> None:
+        """Take a pass that a rank has begun."""
+        if (epoch, step) > (self.epoch, self.step):
+            self.epoch, self.step, self.advanced_at_ms = epoch, step, now_ms
+
+
 @dataclass(slots=True)
 class GroupStates:
     """Open and closed groups, by what their ranks say.
@@ -22,10 +42,13 @@
     Ranks advance in lock-step: when one is lost, none can run anything. The lost rank
     itself says nothing, so that what the others say decides for it. A group that was
     formed anew has a higher epoch, and what was said in an earlier one no longer
-    counts.
+    counts. A group that has work and begins no pass is closed as well, whatever its
+    ranks say.
 
-    Load pattern: a failure domain is cut off. Entries elsewhere would send every
-    request to the ranks there, wait until no connection is made, and try the next.
+    Load pattern: a failure domain is cut off, or a machine freezes while its rank holds
+    a step. Entries would send every request to ranks that answer late or never, until
+    their callers leave, and once the group goes on it would be busy with requests that
+    nobody waits for.
 
     Parameters
     ----------
@@ -35,7 +58,7 @@
 
     max_age_ms: int
     _rank_by_id: dict[str, _Rank] = field(default_factory=dict)
-    _ids_by_group: dict[str, set[str]] = field(default_factory=dict)
+    _group_by_id: dict[str, _Group] = field(default_factory=dict)
 
     def note_report(self, report: LoadReported, now_ms: int) -> None:
         """Take what a rank says of its group."""
@@ -45,10 +68,17 @@
         known = self._rank_by_id.get(endpoint_id)
         if known is not None and known.group_id != report.group_id:
             self.forget(endpoint_id)
+        has_work = report.n_running + report.n_queued > 0
         self._rank_by_id[endpoint_id] = _Rank(
-            report.group_id, report.epoch, report.is_open, now_ms
+            report.group_id, report.epoch, report.is_open, has_work, now_ms
         )
-        self._ids_by_group.setdefault(report.group_id, set()).add(endpoint_id)
+        group = self._group_by_id.setdefault(report.group_id, _Group())
+        had_work = self._has_work(group)
+        group.endpoint_ids.add(endpoint_id)
+        group.note_step(report.epoch, report.step, now_ms)
+        if not had_work:
+            # An idle group makes no passes.
+            group.advanced_at_ms = now_ms
 
     def note_closed(self, endpoint_id: str, now_ms: int) -> None:
         """Take an answer which says that another rank keeps this one from running."""
@@ -61,18 +91,29 @@
         rank = self._rank_by_id.pop(endpoint_id, None)
         if rank is None:
             return
-        ids = self._ids_by_group[rank.group_id]
-        ids.discard(endpoint_id)
-        if not ids:
-            del self._ids_by_group[rank.group_id]
+        group = self._group_by_id[rank.group_id]
+        group.endpoint_ids.discard(endpoint_id)
+        if not group.endpoint_ids:
+            del self._group_by_id[rank.group_id]
 
     def find_closed(self, now_ms: int) -> frozenset[str]:
         """Return the endpoints of all closed groups."""
         closed: set[str] = set()
-        for ids in self._ids_by_group.values():
-            ranks = [self._rank_by_id[endpoint_id] for endpoint_id in ids]
-            told = [r for r in ranks if now_ms - r.told_at_ms <= self.max_age_ms]
-            epoch = max((rank.epoch for rank in told), default=0)
-            if any(not rank.is_open for rank in told if rank.epoch == epoch):
-                closed |= ids
+        for group in self._group_by_id.values():
+            if self._is_closed(group, now_ms):
+                closed |= group.endpoint_ids
         return frozenset(closed)
+
+    def _is_closed(self, group: _Group, now_ms: int) -> bool:
+        ranks = [self._rank_by_id[endpoint_id] for endpoint_id in group.endpoint_ids]
+        told = [r for r in ranks if now_ms - r.told_at_ms <= self.max_age_ms]
+        epoch = max((rank.epoch for rank in told), default=0)
+        if any(not rank.is_open for rank in told if rank.epoch == epoch):
+            return True
+        # Without reports nothing is known of passes.
+        last_told_ms = max((rank.told_at_ms for rank in told), default=now_ms)
+        is_standing = last_told_ms - group.advanced_at_ms > MAX_PASS_MS
+        return is_standing and self._has_work(group)
+
+    def _has_work(self, group: _Group) -> bool:
+        return any(self._rank_by_id[e].has_work for e in group.endpoint_ids)
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_direct_endpoints.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_direct_endpoints.py
@@ -194,12 +194,14 @@
     assert dispatched(reduce(state, opened, 500)).request_id == "r"
 
 
-def make_group_report(endpoint_id, sequence, is_open, epoch=1):
+def make_group_report(
+    endpoint_id, sequence, is_open=True, epoch=1, step=0, n_running=0
+):
     """Return the report of a rank of the only group."""
     return LoadReported(
         endpoint_id,
         sequence,
-        0,
+        n_running,
         0,
         0,
         4,
@@ -210,6 +212,7 @@
         is_open=is_open,
         group_id="g",
         epoch=epoch,
+        step=step,
     )
 
 
@@ -280,3 +283,29 @@
     opened = make_group_report("x0", 3, is_open=True, epoch=2)
     effects = reduce(state, opened, 2_000)
     assert len([e for e in effects if isinstance(e, Dispatch)]) == 6
+
+
+def test_group_that_stands_still_gets_no_requests():
+    """Guards against callers that leave without a byte while a step stays held.
+
+    The ranks say that the group is open; only its passes show that it is not.
+    """
+    state = start(2)
+    reduce(state, make_group_report("x1", 1, step=7), 0)
+    for sequence, at_ms in enumerate((0, 500, 1_000), 1):
+        report = make_group_report("x0", sequence, step=7, n_running=2)
+        reduce(state, report, at_ms)
+    spec = replace(make_spec(), start_by_ms=4_000)
+    assert dispatched(reduce(state, RequestArrived(spec), 1_010)) is None
+    moved = make_group_report("x1", 2, step=8, n_running=2)
+    assert dispatched(reduce(state, moved, 1_500)) is not None
+
+
+def test_idle_group_makes_no_passes_and_is_open():
+    """Guards against an idle group that is taken for a stopped one."""
+    state = start(2)
+    for sequence, at_ms in enumerate((0, 600, 1_200, 1_800), 1):
+        reduce(state, make_group_report("x0", sequence, step=7), at_ms)
+    busy = make_group_report("x0", 5, step=7, n_running=1)
+    reduce(state, busy, 1_900)
+    assert dispatched(reduce(state, RequestArrived(make_spec()), 1_910)) is not None
--- a/packages/entry/src/bluebellusher/ranks/_links.py
+++ b/packages/entry/src/bluebellusher/ranks/_links.py
@@ -176,6 +176,7 @@
                 is_open=is_open,
                 group_id=report.group_id or "",
                 epoch=report.epoch or 0,
+                step=report.step or 0,
             )
         )
         if not report.group_id:
