Send fewer bytes between failure domains: reports, heartbeats, maps and counts

What grows there with entries times endpoints, from the code: every agent tells every entry its state each 600 ms and both send a heartbeat each 500 ms, whatever else was sent; an order to prepare has the map as lists of 4-byte numbers (19 kB for 64 ranks, 12 layers, 256 experts) to each rank; counts of all ranks go to the leader twice a second.

Change: an unchanged state is repeated to entries of other domains each 2,400 ms, to the leader and the own domain as before; a closed group is still told to everybody at once. Connections to agents elsewhere have heartbeats after 1,500 ms without a message and 5,000 ms for silence; a call without an answer on a connection that is silent for 2,000 ms closes it, so that a leader learns of it as before. Maps are packed (below 5 kB for the same group). Groups of 32 ranks or more are counted at the ranks of the leader's own domain.

--- a/packages/agent/src/bluebellusher_agent/_connection.py
+++ b/packages/agent/src/bluebellusher_agent/_connection.py
@@ -8,6 +8,8 @@
 from bluebellusher_core.clock import Clock
 from bluebellusher_core.errors import StepError
 from bluebellusher_core.wire import (
+    FAR_PACE,
+    NEAR_PACE,
     NONCE_BYTES,
     FrameDecoder,
     compute_hello_mac,
@@ -19,7 +21,6 @@
 
 PROTOCOL_VERSION = 1
 FLUSH_S = 0.005
-SILENCE_LIMIT_MS = 2_000
 # An entry that does not read for this long is broken even if it sends heartbeats.
 BLOCKED_LIMIT_MS = 10_000
 MAX_HELLO_BYTES = 16_384
@@ -59,10 +60,15 @@
     ----------
     owner : ConnectionOwner
         Receives messages and events.
+    near_domain : str
+        Entries of other failure domains use the slower pace; empty for none.
     """
 
-    def __init__(self, owner: ConnectionOwner) -> None:
+    def __init__(self, owner: ConnectionOwner, near_domain: str = "") -> None:
         self._owner = owner
+        self._near_domain = near_domain
+        self._pace = NEAR_PACE
+        self._sent_at_ms = 0
         self._transport: asyncio.Transport | None = None
         self._nonce = os.urandom(NONCE_BYTES)
         self._hello_buffer = bytearray()
@@ -127,7 +133,7 @@
         now_ms = self._owner.clock.now_ms()
         # After a pause of this process the entry has given its requests up; the
         # frames that it sent before are not executed any more.
-        if now_ms - self._last_received_ms > SILENCE_LIMIT_MS:
+        if now_ms - self._last_received_ms > self._pace.silence_limit_ms:
             self.close("silent")
             return
         self._last_received_ms = now_ms
@@ -179,6 +185,8 @@
         self.send(answer)
         self.peer_id = hello.instance_id
         self.peer_domain = hello.failure_domain
+        if self._near_domain and self._near_domain != self.peer_domain:
+            self._pace = FAR_PACE
         self._decoder = FrameDecoder(self.address)
         self._owner.on_ready(self)
 
@@ -193,6 +201,7 @@
     def send(self, message: Any) -> None:
         """Send one message now."""
         if self._transport is not None and not self._transport.is_closing():
+            self._sent_at_ms = self._owner.clock.now_ms()
             self._transport.write(encode(message))
 
     def queue_started(self, message: Any) -> None:
@@ -253,16 +262,17 @@
 
     def tick(self, now_ms: int) -> None:
         """Send a heartbeat; close the connection when the entry is silent."""
-        if now_ms - self._last_received_ms > SILENCE_LIMIT_MS:
+        if now_ms - self._last_received_ms > self._pace.silence_limit_ms:
             self.close("silent")
             return
         if self._is_blocked and now_ms - self._blocked_since_ms > BLOCKED_LIMIT_MS:
             self.close("entry does not read")
             return
         if self.is_ready:
-            self._sequence += 1
-            self.send(messages.Heartbeat(self._sequence))
-        elif now_ms - self._opened_at_ms > SILENCE_LIMIT_MS:
+            if self._pace.is_due(self._sent_at_ms, now_ms):
+                self._sequence += 1
+                self.send(messages.Heartbeat(self._sequence))
+        elif now_ms - self._opened_at_ms > self._pace.silence_limit_ms:
             self.close("no handshake")
 
     def finish(self) -> None:
--- a/packages/agent/src/bluebellusher_agent/ranks/_agent.py
+++ b/packages/agent/src/bluebellusher_agent/ranks/_agent.py
@@ -22,7 +22,12 @@
 from bluebellusher_agent.ranks._settings import RankAgentSettings
 from bluebellusher_core.clock import Clock, SystemClock
 from bluebellusher_core.errors import StepError
-from bluebellusher_core.ranks import OrderAction, RankOrder, pack_counts
+from bluebellusher_core.ranks import (
+    OrderAction,
+    RankOrder,
+    pack_counts,
+    unpack_map,
+)
 from bluebellusher_core.wire import messages
 
 TICK_MS = 500
@@ -38,6 +43,9 @@
 N_ORDER_TRIES = 8
 # An unchanged state is told this often, so that entries can tell it is current.
 REPEAT_INTERVAL_MS = 600
+# Entries elsewhere prefer their own endpoints, and bytes between failure domains are
+# dear.
+REMOTE_REPEAT_INTERVAL_MS = 2_400
 MAX_CONNECTIONS = 4_096
 _BACKLOG = 512
 
@@ -89,6 +97,7 @@
         self._told: RankReading | None = None
         self._n_reads_begun = 0
         self._told_at_ms = 0
+        self._told_everyone_at_ms = 0
         self._sequence = 0
         self._is_engine_answering = True
         self._copying_until_ms = 0
@@ -103,7 +112,7 @@
         settings = self.settings
         self._servers.append(
             await loop.create_server(
-                lambda: EntryConnection(self),
+                lambda: EntryConnection(self, settings.failure_domain),
                 settings.listen.host,
                 settings.listen.port,
                 backlog=_BACKLOG,
@@ -319,22 +328,32 @@
         """
         now_ms = self.clock.now_ms()
         told, reading = self._told, seen.reading
-        is_due = now_ms - self._told_at_ms >= REPEAT_INTERVAL_MS
+        is_due = now_ms - self._told_everyone_at_ms >= REMOTE_REPEAT_INTERVAL_MS
         if is_due or told is None or _group_state(told) != _group_state(reading):
-            self._told_at_ms = now_ms
+            self._told_at_ms = self._told_everyone_at_ms = now_ms
             self._tell(seen, self._connections)
             return
         listeners = set(always)
+        if now_ms - self._told_at_ms >= REPEAT_INTERVAL_MS:
+            self._told_at_ms = now_ms
+            listeners |= {c for c in self._connections if self._is_near(c)}
         if _map_state(told) != _map_state(reading) and self._leader is not None:
             listeners.add(self._leader)
         if _load(told) != _load(reading):
             # Entries elsewhere prefer their own endpoints; to them the load is told
             # with the next report.
-            domain = self.settings.failure_domain
-            listeners |= {c for c in self._connections if c.peer_domain == domain}
+            listeners |= {c for c in self._connections if self._is_near(c)}
         if listeners:
             self._tell(seen, listeners)
 
+    def _is_near(self, connection: EntryConnection) -> bool:
+        """Return whether an entry needs the present load and passes.
+
+        The leader does too, wherever it is.
+        """
+        is_own_domain = connection.peer_domain == self.settings.failure_domain
+        return is_own_domain or connection is self._leader
+
     def _tell(self, seen: _Seen, connections: Iterable[EntryConnection]) -> None:
         self._told = seen.reading
         report = self._make_report(seen)
@@ -457,6 +476,10 @@
         expected = ", ".join(action.value for action in OrderAction)
         reason = f"action={message.action!r}: expected one of {expected}"
         raise StepError("read-order", "", reason) from None
+    try:
+        experts_by_rank = unpack_map(message.packed_map) if message.packed_map else ()
+    except ValueError as error:
+        raise StepError("read-order", "", str(error)) from None
     return RankOrder(
         rank_id="",
         action=action,
@@ -464,10 +487,7 @@
         map_version=message.map_version or 0,
         step=message.step or 0,
         fencing_token=message.fencing_token or 0,
-        experts_by_rank=tuple(
-            tuple(tuple(experts) for experts in layer)
-            for layer in message.experts_by_rank or ()
-        ),
+        experts_by_rank=experts_by_rank,
     )
 
 
--- a/packages/agent/src/bluebellusher_agent/ranks/tests/test_rank_agent.py
+++ b/packages/agent/src/bluebellusher_agent/ranks/tests/test_rank_agent.py
@@ -140,6 +140,28 @@
     run(scenario)
 
 
+def test_unchanged_state_is_repeated_to_near_entries_more_often():
+    """Guards against reports that cost more bytes between domains than requests do.
+
+    Their number grows with entries times endpoints.
+    """
+
+    async def scenario(agent, engine, entry):
+        port = agent._servers[0].sockets[0].getsockname()[1]
+        near_client = EntryClient(port, "near", SECRET, SETTINGS.failure_domain)
+        async with near_client as near:
+            for each in (entry, near):
+                await each.next(messages.RankReport)
+            agent._told_everyone_at_ms = agent.clock.now_ms() + 60_000
+            agent._told_at_ms = 0
+            assert await next_report(near, 2.0) is not None
+            assert await next_report(entry, 0.5) is None
+            agent._told_everyone_at_ms = 0
+            assert await next_report(entry, 2.0) is not None
+
+    run(scenario)
+
+
 def test_every_entry_learns_at_once_that_a_group_is_closed():
     """Guards against entries that send work to a group without a rank."""
 
--- a/packages/core/src/bluebellusher_core/ranks/__init__.py
+++ b/packages/core/src/bluebellusher_core/ranks/__init__.py
@@ -11,6 +11,7 @@
     leader_token_of,
 )
 from bluebellusher_core.ranks._counts import pack_counts, unpack_counts
+from bluebellusher_core.ranks._packed_map import pack_map, unpack_map
 from bluebellusher_core.ranks._state import (
     ExpertMap,
     GroupView,
@@ -29,5 +30,7 @@
     "RankState",
     "leader_token_of",
     "pack_counts",
+    "pack_map",
     "unpack_counts",
+    "unpack_map",
 ]
--- a/packages/core/src/bluebellusher_core/wire/__init__.py
+++ b/packages/core/src/bluebellusher_core/wire/__init__.py
@@ -13,11 +13,15 @@
     wrap,
 )
 from bluebellusher_core.wire._generated.bluebellusher import ttypes as messages
+from bluebellusher_core.wire._pace import FAR_PACE, NEAR_PACE, LinkPace
 
 __all__ = [
+    "FAR_PACE",
     "MAX_FRAME_BYTES",
+    "NEAR_PACE",
     "NONCE_BYTES",
     "FrameDecoder",
+    "LinkPace",
     "compute_hello_mac",
     "encode",
     "messages",
--- a/packages/core/src/bluebellusher_core/wire/_generated/bluebellusher/ttypes.py
+++ b/packages/core/src/bluebellusher_core/wire/_generated/bluebellusher/ttypes.py
@@ -4038,7 +4038,7 @@
      - epoch
      - map_version
      - step
-     - experts_by_rank
+     - packed_map
 
     """
 
@@ -4049,18 +4049,18 @@
         'epoch',
         'map_version',
         'step',
-        'experts_by_rank',
+        'packed_map',
     )
 
 
-    def __init__(self, call_id=None, fencing_token=None, action=None, epoch=None, map_version=None, step=None, experts_by_rank=None,):
+    def __init__(self, call_id=None, fencing_token=None, action=None, epoch=None, map_version=None, step=None, packed_map=None,):
         self.call_id = call_id
         self.fencing_token = fencing_token
         self.action = action
         self.epoch = epoch
         self.map_version = map_version
         self.step = step
-        self.experts_by_rank = experts_by_rank
+        self.packed_map = packed_map
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4101,24 +4101,9 @@
                     self.step = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 7:
-                if ftype == TType.LIST:
-                    self.experts_by_rank = []
-                    (_etype181, _size178) = iprot.readListBegin()
-                    for _i182 in range(_size178):
-                        _elem183 = []
-                        (_etype187, _size184) = iprot.readListBegin()
-                        for _i188 in range(_size184):
-                            _elem189 = []
-                            (_etype193, _size190) = iprot.readListBegin()
-                            for _i194 in range(_size190):
-                                _elem195 = iprot.readI32()
-                                _elem189.append(_elem195)
-                            iprot.readListEnd()
-                            _elem183.append(_elem189)
-                        iprot.readListEnd()
-                        self.experts_by_rank.append(_elem183)
-                    iprot.readListEnd()
+            elif fid == 8:
+                if ftype == TType.STRING:
+                    self.packed_map = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
             else:
@@ -4155,18 +4140,9 @@
             oprot.writeFieldBegin('step', TType.I64, 6)
             oprot.writeI64(self.step)
             oprot.writeFieldEnd()
-        if self.experts_by_rank is not None:
-            oprot.writeFieldBegin('experts_by_rank', TType.LIST, 7)
-            oprot.writeListBegin(TType.LIST, len(self.experts_by_rank))
-            for iter196 in self.experts_by_rank:
-                oprot.writeListBegin(TType.LIST, len(iter196))
-                for iter197 in iter196:
-                    oprot.writeListBegin(TType.I32, len(iter197))
-                    for iter198 in iter197:
-                        oprot.writeI32(iter198)
-                    oprot.writeListEnd()
-                oprot.writeListEnd()
-            oprot.writeListEnd()
+        if self.packed_map is not None:
+            oprot.writeFieldBegin('packed_map', TType.STRING, 8)
+            oprot.writeBinary(self.packed_map)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -5490,7 +5466,8 @@
     (4, TType.I64, 'epoch', None, None, ),  # 4
     (5, TType.I64, 'map_version', None, None, ),  # 5
     (6, TType.I64, 'step', None, None, ),  # 6
-    (7, TType.LIST, 'experts_by_rank', (TType.LIST, (TType.LIST, (TType.I32, None, False), False), False), None, ),  # 7
+    None,  # 7
+    (8, TType.STRING, 'packed_map', 'BINARY', None, ),  # 8
 )
 all_structs.append(RankOrderDone)
 RankOrderDone.thrift_spec = (
--- a/packages/core/src/bluebellusher_core/wire/bluebellusher.thrift
+++ b/packages/core/src/bluebellusher_core/wire/bluebellusher.thrift
@@ -115,7 +115,7 @@
 }
 struct RankOrder {
   1: string call_id, 2: i64 fencing_token, 3: string action, 4: i64 epoch,
-  5: i64 map_version, 6: i64 step, 7: list<list<list<i32>>> experts_by_rank
+  5: i64 map_version, 6: i64 step, 8: binary packed_map /* by ranks.pack_map */
 }
 struct RankOrderDone { 1: string call_id, 2: bool is_accepted, 3: string reason }
 
--- a/packages/entry/src/bluebellusher/gateway/_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -130,6 +130,7 @@
             self.lease,
             self.ranks,
             self._find_group_model,
+            settings.failure_domain,
             settings.maps.rank_ms_per_gb,
             clock,
             seed,
--- a/packages/entry/src/bluebellusher/links/_connection.py
+++ b/packages/entry/src/bluebellusher/links/_connection.py
@@ -8,6 +8,8 @@
 from bluebellusher_core.clock import Clock
 from bluebellusher_core.errors import StepError
 from bluebellusher_core.wire import (
+    FAR_PACE,
+    NEAR_PACE,
     NONCE_BYTES,
     FrameDecoder,
     compute_hello_mac,
@@ -17,7 +19,6 @@
 )
 
 PROTOCOL_VERSION = 1
-SILENCE_LIMIT_MS = 2_000
 # Who has not proved to know the secret must not make this process buffer much.
 MAX_HANDSHAKE_BYTES = 16_384
 
@@ -85,6 +86,8 @@
         Measures silence.
     peer : str
         Named in errors until the other side is known.
+    has_far_pace : bool
+        Whether the slower pace is used with other failure domains.
     """
 
     def __init__(
@@ -95,6 +98,7 @@
         handler: ConnectionHandler,
         clock: Clock,
         peer: str,
+        has_far_pace: bool = False,
     ) -> None:
         self.peer = peer
         # Host that was dialed; empty for an accepted connection.
@@ -105,6 +109,9 @@
         self.received_at_ms = clock.now_ms()
         self.made_at_ms = clock.now_ms()
         self.closed = asyncio.Event()
+        self._has_far_pace = has_far_pace
+        self._pace = NEAR_PACE
+        self._sent_at_ms = 0
         self._identity = identity
         self._expected_role = expected_role
         self._is_accepting = is_accepting
@@ -121,6 +128,7 @@
     def send(self, message: Any) -> None:
         """Write one message; it is dropped when the connection is closed."""
         if self._transport is not None and not self.is_closed and not self._error:
+            self._sent_at_ms = self._clock.now_ms()
             self._transport.write(encode(message))
 
     def close(self, error: str) -> None:
@@ -139,11 +147,12 @@
         judged until the next tick.
         """
         silent_ms = now_ms - self.received_at_ms
-        if silent_ms > SILENCE_LIMIT_MS and not has_paused:
+        limit_ms = self._pace.silence_limit_ms
+        if silent_ms > limit_ms and not has_paused:
             self.close(f"silent for {silent_ms} ms")
-        elif not self.is_open and now_ms - self.made_at_ms > SILENCE_LIMIT_MS:
-            self.close(f"no handshake within {SILENCE_LIMIT_MS} ms")
-        elif self.is_open:
+        elif not self.is_open and now_ms - self.made_at_ms > limit_ms:
+            self.close(f"no handshake within {limit_ms} ms")
+        elif self.is_open and self._pace.is_due(self._sent_at_ms, now_ms):
             self._sequence += 1
             self.send(messages.Heartbeat(sequence=self._sequence))
 
@@ -228,4 +237,7 @@
         self.hello = hello
         self.is_open = True
         self.peer = hello.instance_id
+        is_far = hello.failure_domain != self._identity.failure_domain
+        if self._has_far_pace and is_far:
+            self._pace = FAR_PACE
         self._handler.on_open(self)
--- a/packages/entry/src/bluebellusher/ranks/_leader.py
+++ b/packages/entry/src/bluebellusher/ranks/_leader.py
@@ -63,6 +63,10 @@
 SEARCH_AGAIN_SKEW = 0.1
 # After a pause of the group its popularity is still mostly what it was.
 LOADS_MAX_AGE_MS = 15_000
+# From this size on, the ranks of the leader's own failure domain are sample enough, and
+# counts are not sent between domains.
+MIN_RANKS_TO_SAMPLE = 32
+MIN_SAMPLED_RANKS = 8
 # With fewer choices counted, their shares are mostly chance.
 MIN_COUNTED_PER_EXPERT = 20
 MS_PER_S = 1_000
@@ -103,6 +107,8 @@
         Reaches the ranks.
     find_group_model : callable
         Returns the sizes of the group that an endpoint belongs to.
+    failure_domain : str
+        Domain of this entry.
     rank_ms_per_gb : float
         Time that a change has to save for each GB that it copies, summed over the
         ranks of its group.
@@ -115,6 +121,7 @@
         lease: LeaseKeeper,
         links: RankLinks,
         find_group_model: Callable[[str], GroupModel | None],
+        failure_domain: str,
         rank_ms_per_gb: float,
         clock: Clock,
         random_state: Random,
@@ -124,6 +131,7 @@
         self._lease = lease
         self._links = links
         self._find_group_model = find_group_model
+        self._failure_domain = failure_domain
         self._rank_ms_per_gb = rank_ms_per_gb
         self._clock = clock
         self._random_state = random_state
@@ -265,13 +273,14 @@
         with_map = is_wanted and group.placed_version != map_version
         if with_map:
             group.experts_by_rank.clear()
+        states = view.states if with_map else self._choose_counted(view)
         answers = await asyncio.gather(
             *(
                 self._links.call(state.rank_id, messages.RankPull(with_map=with_map))
-                for state in view.states
+                for state in states
             )
         )
-        counts = self._take_counts(group, view, answers, with_map, model)
+        counts = self._take_counts(group, view.epoch, states, answers, with_map, model)
         now_ms = self._clock.now_ms()
         loads: Loads | None = None
         if counts is not None:
@@ -310,10 +319,26 @@
             return None
         return to_placement(group.experts_by_rank, model.n_layers, model.n_experts)
 
+    def _choose_counted(self, view: GroupView) -> list[RankState]:
+        """Return the ranks whose choices are counted.
+
+        Load pattern: groups of tens of ranks in several failure domains. Every rank
+        serves callers of all kinds, and the counts of all ranks would cost more bytes
+        between the domains than their requests do.
+        """
+        near = [
+            state
+            for state in view.states
+            if self._links.find_domain(state.rank_id) == self._failure_domain
+        ]
+        is_large = len(view.states) >= MIN_RANKS_TO_SAMPLE
+        return near if is_large and len(near) >= MIN_SAMPLED_RANKS else view.states
+
     def _take_counts(
         self,
         group: _Group,
-        view: GroupView,
+        epoch: int,
+        states: Sequence[RankState],
         answers: Sequence[Any],
         with_map: bool,
         model: GroupModel,
@@ -322,8 +347,8 @@
         n_total = model.n_layers * model.n_experts
         totals = [0] * n_total
         is_whole = True
-        for state, answer in zip(view.states, answers, strict=True):
-            if answer is None or answer.epoch != view.epoch:
+        for state, answer in zip(states, answers, strict=True):
+            if answer is None or answer.epoch != epoch:
                 is_whole = False
                 continue
             if with_map:
--- a/packages/entry/src/bluebellusher/ranks/_links.py
+++ b/packages/entry/src/bluebellusher/ranks/_links.py
@@ -11,8 +11,13 @@
 from bluebellusher_core.clock import Clock
 from bluebellusher_core.directory import EndpointRegistration
 from bluebellusher_core.events import LoadReported
-from bluebellusher_core.ranks import RankOrder, RankState
-from bluebellusher_core.wire import messages
+from bluebellusher_core.ranks import (
+    OrderAction,
+    RankOrder,
+    RankState,
+    pack_map,
+)
+from bluebellusher_core.wire import NEAR_PACE, messages
 
 CALL_TIMEOUT_MS = 1_000
 
@@ -86,35 +91,44 @@
             endpoint.endpoint_id: host for host, endpoint in newest_by_host.items()
         }
 
+    def find_domain(self, rank_id: str) -> str:
+        """Return the failure domain of a rank; empty when it is not known."""
+        agent = self._agent_by_host.get(self._host_by_endpoint_id.get(rank_id, ""))
+        return agent.endpoint.failure_domain if agent is not None else ""
+
     async def call(self, rank_id: str, message: Any) -> Any:
         """Send a message and return the answer; None when there is none in time."""
         host = self._host_by_endpoint_id.get(rank_id, "")
         agent = self._agent_by_host.get(host)
-        if agent is None or agent.connection is None:
+        connection = agent.connection if agent is not None else None
+        if connection is None:
             return None
         message.call_id = str(next(self._call_ids))
         future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
         self._future_by_call_id[message.call_id] = future
-        agent.connection.send(message)
+        connection.send(message)
         try:
             async with asyncio.timeout(CALL_TIMEOUT_MS / 1000):
                 return await future
         except TimeoutError:
+            # The heartbeats of another failure domain would show it later.
+            silent_ms = self._clock.now_ms() - connection.received_at_ms
+            if silent_ms > NEAR_PACE.silence_limit_ms:
+                connection.close(f"no answer to a call, silent for {silent_ms} ms")
             return None
         finally:
             del self._future_by_call_id[message.call_id]
 
     async def give(self, order: RankOrder) -> Any:
         """Give an order through the agent of its rank; return the agent's answer."""
+        is_prepare = order.action is OrderAction.PREPARE
         message = messages.RankOrder(
             fencing_token=order.fencing_token,
             action=order.action.value,
             epoch=order.epoch,
             map_version=order.map_version,
             step=order.step,
-            experts_by_rank=[
-                [list(experts) for experts in layer] for layer in order.experts_by_rank
-            ],
+            packed_map=pack_map(order.experts_by_rank) if is_prepare else None,
         )
         return await self.call(order.rank_id, message)
 
@@ -209,6 +223,7 @@
                 self,
                 self._clock,
                 f"{host}:{self._port}",
+                has_far_pace=True,
             )
             connection.host = host
             return connection
