Start a part of a process again when it ends by an error

Cause: a watcher, lease, leader or reading loop that met an unexpected error was reported and stayed ended; the process went on with beliefs that nothing corrected. A test shows it for an agent (one bad answer of its engine, and the state of the group was told unchanged for ever) and for an entry (its routing watcher).

The test that a fault is reported once now also demands that the part runs again. Ruled out: ending the process, which takes a second to come back and cuts the requests in progress.

--- a/packages/agent/src/bluebellusher_agent/ranks/_agent.py
+++ b/packages/agent/src/bluebellusher_agent/ranks/_agent.py
@@ -28,6 +28,7 @@
     pack_counts,
     unpack_map,
 )
+from bluebellusher_core.supervision import supervise
 from bluebellusher_core.wire import messages
 
 TICK_MS = 500
@@ -124,8 +125,8 @@
                 pages.serve, settings.metrics.host, settings.metrics.port
             )
         )
-        self._spawn(self._tick_forever())
-        self._spawn(self._read_forever())
+        self._spawn(supervise(self._tick_forever, self._report_fault))
+        self._spawn(supervise(self._read_forever, self._report_fault))
         self._memory.trim()
         log(
             "started",
@@ -437,9 +438,13 @@
 
     def _on_task_done(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            error = task.exception()
-            log("internal-fault", error=f"{type(error).__name__}: {error}")
+        error = None if task.cancelled() else task.exception()
+        if isinstance(error, Exception):
+            self._report_fault(error)
+
+    def _report_fault(self, error: Exception) -> None:
+        self._n_by_name["internal_faults"] += 1
+        log("internal-fault", error=f"{type(error).__name__}: {error}")
 
 
 def _pack_new(before: RankCounts | None, counts: RankCounts) -> bytes | None:
--- a/packages/agent/src/bluebellusher_agent/ranks/tests/test_rank_agent.py
+++ b/packages/agent/src/bluebellusher_agent/ranks/tests/test_rank_agent.py
@@ -140,6 +140,25 @@
     run(scenario)
 
 
+def test_reading_goes_on_after_an_unexpected_error():
+    """Guards against an agent that tells an old state for ever after one bad answer."""
+
+    async def scenario(agent, engine, entry):
+        await entry.next(messages.RankReport)
+        read = engine.read
+
+        async def fail_once():
+            engine.read = read
+            raise RuntimeError("an answer that nobody foresaw")
+
+        engine.read = fail_once
+        engine.reading = RankReading(0, 0, 1.0, 100, "g", 1, 0, 2, False, 6)
+        while (await entry.next(messages.RankReport)).is_open:
+            continue
+
+    run(scenario)
+
+
 def test_unchanged_state_is_repeated_to_near_entries_more_often():
     """Guards against reports that cost more bytes between domains than requests do.
 
--- /dev/null
+++ b/packages/core/src/bluebellusher_core/supervision/tests/test_supervise.py
@@ -0,0 +1,41 @@
+"""Parts that end by an error."""
+
+import asyncio
+
+import pytest
+
+from bluebellusher_core.supervision import _supervise, supervise
+
+
+@pytest.fixture(autouse=True)
+def no_pause(monkeypatch):
+    """Restart at once, so that no test waits."""
+    monkeypatch.setattr(_supervise, "RESTART_PAUSE_MS", 0)
+
+
+def test_part_is_started_again_after_an_error():
+    """Guards against a process that goes on with a part that is dead."""
+    errors, n_runs = [], 0
+
+    async def run():
+        nonlocal n_runs
+        n_runs += 1
+        if n_runs < 3:
+            raise RuntimeError(f"run {n_runs}")
+
+    asyncio.run(supervise(run, errors.append))
+    assert [str(error) for error in errors] == ["run 1", "run 2"]
+    assert n_runs == 3
+
+
+def test_cancelled_part_stays_ended():
+    """Guards against a process that cannot stop its parts."""
+
+    async def main():
+        task = asyncio.create_task(supervise(asyncio.Event().wait, pytest.fail))
+        await asyncio.sleep(0)
+        task.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await task
+
+    asyncio.run(main())
--- a/packages/entry/src/bluebellusher/gateway/_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -5,7 +5,7 @@
 import itertools
 import os
 import signal
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from random import Random
 from typing import Any
 
@@ -29,6 +29,7 @@
 from bluebellusher_core.events import EntriesCounted
 from bluebellusher_core.reducer import EntryConfig, EntryState
 from bluebellusher_core.routing import SlotAware
+from bluebellusher_core.supervision import supervise
 from bluebellusher_core.wire import messages
 
 # After SIGTERM the platform stops sending new connections within two checks of one
@@ -176,7 +177,7 @@
             self.lease.run,
             self.leader.run,
         ):
-            self._start_task(run())
+            self._start_task(run)
         self.log.event(
             "started",
             instance=settings.instance_id,
@@ -304,16 +305,11 @@
     def _has_work(self) -> bool:
         return bool(self.runtime.exchange_by_request_id or self.server.n_connections)
 
-    def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(coroutine)
-        task.add_done_callback(self._note_task_end)
-        self._tasks.append(task)
+    def _start_task(self, run: Callable[[], Awaitable[None]]) -> None:
+        def report(error: Exception) -> None:
+            self.runtime.report_fault("task", run, error)
 
-    def _note_task_end(self, task: asyncio.Task[None]) -> None:
-        """Report a part that ended by an error; nothing else would show it."""
-        error = None if task.cancelled() else task.exception()
-        if isinstance(error, Exception):
-            self.runtime.report_fault("task", task.get_coro(), error)
+        self._tasks.append(asyncio.create_task(supervise(run, report)))
 
 
 def _make_state(
--- a/packages/entry/src/bluebellusher/gateway/tests/test_parts.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_parts.py
@@ -15,8 +15,8 @@
 CODEC = SimpleNamespace(routing_table="op", routing_key="k", registration_table="s")
 
 
-def test_part_that_ends_by_an_error_is_reported():
-    """Guards against a lease or a table that nobody follows any more, unseen."""
+def test_part_that_ends_by_an_error_is_reported_and_started_again():
+    """Guards against a lease or a table that nobody follows any more."""
     recorder = Recorder()
     log = KeyValueLog.from_config("info", recorder)
     settings = GatewaySettings(
@@ -31,19 +31,27 @@
         shutdown_grace_s=1,
     )
 
-    async def fail():
-        raise KeyError("row")
-
     async def main():
         ports = PlatformPorts(FakeStore(), PlainDialect(), CODEC)
         gateway = Gateway(settings, ports, SystemClock(), log)
-        gateway.routing_watcher.run = fail
+        watcher = gateway.routing_watcher
+        n_runs = 0
+
+        async def fail_once():
+            nonlocal n_runs
+            n_runs += 1
+            if n_runs == 1:
+                raise KeyError("row")
+            await asyncio.Event().wait()
+
+        watcher.run = fail_once
         await gateway.start()
         try:
             await until(lambda: recorder.count("internal-fault"))
             (line,) = recorder.lines_of("internal-fault")
             assert "step=task" in line
             assert "KeyError" in line
+            await until(lambda: n_runs == 2)
         finally:
             await gateway.stop()
             log.close()
