Count twice as often, and let callers that came back wait at a group that stands still

With averaged counts and a price of copies the reason for counts every 500 ms, plans for mixtures of popularity, no longer holds.

Those who came back waited in the entry's queue and were sent after the group had gone on.

--- a/packages/core/src/bluebellusher_core/membership/_endpoints.py
+++ b/packages/core/src/bluebellusher_core/membership/_endpoints.py
@@ -116,11 +116,12 @@
         ]
 
     def are_closed(self, pool: Pool, now_ms: int) -> bool:
-        """Return whether no endpoint of a pool can run anything.
+        """Return whether no endpoint of a pool can run anything now.
 
-        Each states so itself, or is in a group of which another rank states it.
+        Each states so itself, or is in a group that is closed or stands still.
         """
-        closed = self.groups.find_closed(now_ms)
+        groups = self.groups
+        closed = groups.find_closed(now_ms) | groups.find_standing(now_ms)
         views = self.views_of(pool)
         return bool(views) and all(
             view.info.endpoint_id in closed or _is_closed(view, now_ms)
--- a/packages/core/src/bluebellusher_core/membership/_groups.py
+++ b/packages/core/src/bluebellusher_core/membership/_groups.py
@@ -1,5 +1,6 @@
 """Groups of ranks that can run nothing now."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from bluebellusher_core.events import LoadReported
@@ -42,8 +43,8 @@
     Ranks advance in lock-step: when one is lost, none can run anything. The lost rank
     itself says nothing, so that what the others say decides for it. A group that was
     formed anew has a higher epoch, and what was said in an earlier one no longer
-    counts. A group that has work and begins no pass is closed as well, whatever its
-    ranks say.
+    counts. A group that has work and begins no pass stands still, whatever its ranks
+    say; they take requests and run them when it goes on.
 
     Load pattern: a failure domain is cut off, or a machine freezes while its rank holds
     a step. Entries would send every request to ranks that answer late or never, until
@@ -98,22 +99,34 @@
 
     def find_closed(self, now_ms: int) -> frozenset[str]:
         """Return the endpoints of all closed groups."""
-        closed: set[str] = set()
-        for group in self._group_by_id.values():
-            if self._is_closed(group, now_ms):
-                closed |= group.endpoint_ids
-        return frozenset(closed)
+        return self._find(self._is_closed, now_ms)
+
+    def find_standing(self, now_ms: int) -> frozenset[str]:
+        """Return the endpoints of all groups that begin no pass."""
+        return self._find(self._is_standing, now_ms)
+
+    def _find(
+        self, is_found: Callable[[_Group, int], bool], now_ms: int
+    ) -> frozenset[str]:
+        groups = self._group_by_id.values()
+        found = [group.endpoint_ids for group in groups if is_found(group, now_ms)]
+        return frozenset().union(*found)
 
     def _is_closed(self, group: _Group, now_ms: int) -> bool:
-        ranks = [self._rank_by_id[endpoint_id] for endpoint_id in group.endpoint_ids]
-        told = [r for r in ranks if now_ms - r.told_at_ms <= self.max_age_ms]
+        told = self._find_told(group, now_ms)
         epoch = max((rank.epoch for rank in told), default=0)
-        if any(not rank.is_open for rank in told if rank.epoch == epoch):
-            return True
+        return any(not rank.is_open for rank in told if rank.epoch == epoch)
+
+    def _is_standing(self, group: _Group, now_ms: int) -> bool:
         # Without reports nothing is known of passes.
+        told = self._find_told(group, now_ms)
         last_told_ms = max((rank.told_at_ms for rank in told), default=now_ms)
-        is_standing = last_told_ms - group.advanced_at_ms > MAX_PASS_MS
-        return is_standing and self._has_work(group)
+        is_late = last_told_ms - group.advanced_at_ms > MAX_PASS_MS
+        return is_late and self._has_work(group)
+
+    def _find_told(self, group: _Group, now_ms: int) -> list[_Rank]:
+        ranks = [self._rank_by_id[endpoint_id] for endpoint_id in group.endpoint_ids]
+        return [r for r in ranks if now_ms - r.told_at_ms <= self.max_age_ms]
 
     def _has_work(self, group: _Group) -> bool:
         return any(self._rank_by_id[e].has_work for e in group.endpoint_ids)
--- a/packages/entry/src/bluebellusher/ranks/_leader.py
+++ b/packages/entry/src/bluebellusher/ranks/_leader.py
@@ -37,10 +37,10 @@
 from bluebellusher_core.wire import messages
 
 DECIDE_INTERVAL_MS = 50
-# Popularity can change from one pass to the next and hold for seconds. With shorter
-# intervals more plans are for a mixture of two popularities, and a change to one keeps
-# the group from the next for half a second; counts also cost bytes.
-COUNT_INTERVAL_MS = 500
+# Popularity can change from one pass to the next and holds for seconds. The group is
+# slow until a change is counted; with shorter intervals counts cost more bytes than
+# they save time.
+COUNT_INTERVAL_MS = 250
 # Time from a plan to its map beside the copies, until changes have been seen.
 CHANGE_FIXED_MS = 300.0
 FIXED_SMOOTHING = 0.3
