Give no work to an endpoint whose address was taken by a later one

Change: a registration whose address belongs to an endpoint that started later is drained at once, in whatever order both come. One that seems to have started earlier than the present holder is used, because clocks may be set back. Tests for both.

Ruled out: waiting for the lapse (three heartbeats) before an entry is ready, in which no caller would be served.

--- a/packages/core/src/bluebellusher_core/directory/_registrations.py
+++ b/packages/core/src/bluebellusher_core/directory/_registrations.py
@@ -43,7 +43,9 @@
     A registration that disappears means that the endpoint leaves: it gets no new
     work, and its requests in progress go on. One that disappears within
     ``LAPSE_GRACE_MS`` of the return of the store may merely have lapsed, and stays
-    in use for that time.
+    in use for that time. One whose address was taken by an endpoint that started later
+    is gone, although its registration may still have to lapse: an entry that has just
+    started would send it work.
 
     Parameters
     ----------
@@ -54,6 +56,7 @@
     registration_by_id: dict[str, EndpointRegistration] = field(default_factory=dict)
     _lapse_at_ms: dict[str, int] = field(default_factory=dict)
     _forget_at_ms: dict[str, int] = field(default_factory=dict)
+    _id_by_address: dict[tuple[str, int], str] = field(default_factory=dict)
     _store_returned_at_ms: int | None = None
     _is_store_away: bool = False
 
@@ -72,11 +75,13 @@
     ) -> list[Event]:
         """Take changed registrations in; None stands for one that is gone."""
         events: list[Event] = []
-        for endpoint_id, registration in changes.items():
-            if registration is None:
+        present = [r for r in changes.values() if r is not None]
+        for registration in sorted(present, key=lambda r: r.started_wall_ms):
+            events += self._set(registration)
+            events += self._supersede(registration, now_ms)
+        for endpoint_id, change in changes.items():
+            if change is None:
                 events += self._remove(endpoint_id, now_ms)
-            else:
-                events += self._set(registration)
         return events
 
     def tick(self, now_ms: int) -> list[Event]:
@@ -108,6 +113,21 @@
             return []
         return [EndpointRegistered(_to_info(registration))]
 
+    def _supersede(
+        self, registration: EndpointRegistration, now_ms: int
+    ) -> list[Event]:
+        """Give no more work to the endpoint that had the address before."""
+        address = (registration.host, registration.port)
+        earlier = self.registration_by_id.get(self._id_by_address.get(address, ""))
+        self._id_by_address[address] = registration.endpoint_id
+        if earlier is None or earlier.endpoint_id == registration.endpoint_id:
+            return []
+        if (earlier.host, earlier.port) != address:
+            return []
+        # An endpoint that seems to have started earlier may have another clock.
+        is_replaced = 0 < earlier.started_wall_ms < registration.started_wall_ms
+        return self._drain(earlier.endpoint_id, now_ms) if is_replaced else []
+
     def _remove(self, endpoint_id: str, now_ms: int) -> list[Event]:
         if endpoint_id not in self.registration_by_id:
             return []
@@ -127,6 +147,7 @@
 
     def _drain(self, endpoint_id: str, now_ms: int) -> list[Event]:
         registration = self.registration_by_id.pop(endpoint_id)
+        self._lapse_at_ms.pop(endpoint_id, None)
         self._forget_at_ms[endpoint_id] = now_ms + FORGET_AFTER_MS
         return [] if registration.is_draining else [EndpointDraining(endpoint_id)]
 
--- a/packages/core/src/bluebellusher_core/directory/tests/test_registrations.py
+++ b/packages/core/src/bluebellusher_core/directory/tests/test_registrations.py
@@ -82,3 +82,26 @@
     events = registrations.update({"x": READY}, 4_000)
     assert [type(event) for event in events] == [EndpointRegistered]
     assert registrations.tick(10 + FORGET_AFTER_MS) == []
+
+
+def test_endpoint_whose_address_was_taken_is_not_used_after_a_restart():
+    """Guards against work for an endpoint that has left, by an entry that starts.
+
+    Its registration has not lapsed yet; the row comes before that of its successor.
+    """
+    successor = replace(READY, endpoint_id="y", started_wall_ms=200)
+    for changes in ({"x": READY, "y": successor}, {"y": successor, "x": READY}):
+        registrations = Registrations()
+        events = registrations.update(changes, 0)
+        assert EndpointDraining("x") in events
+        assert set(registrations.registration_by_id) == {"y"}
+        assert registrations.update({"x": None}, 50) == []
+
+
+def test_successor_that_seems_older_is_used():
+    """Guards against an endpoint that is never used because a clock was set back."""
+    registrations = start()
+    successor = replace(READY, endpoint_id="y", started_wall_ms=50)
+    events = registrations.update({"y": successor}, 10)
+    assert [type(event) for event in events] == [EndpointRegistered]
+    assert registrations.update({"x": None}, 20) == [EndpointDraining("x")]
