--- a/bench/tests/test_map_runs.py
+++ b/bench/tests/test_map_runs.py
@@ -8,14 +8,15 @@
 MAX_SKEW_RATIO = 1.05
 
 
+@pytest.mark.parametrize("site_name", ["12x4x72", "12x3x96"])
 @pytest.mark.parametrize("seed", [1, 2])
-def test_copies_pay_for_themselves(seed):
+def test_copies_pay_for_themselves(site_name, seed):
     """Guards against weights that are copied after every sample of a few prompts.
 
     The bounds are those asked for: a third of the bytes that plans on the last counts
     move without a price, at a mean skew at most 5 in 100 higher.
     """
-    site = SITES["12x4x72"]
+    site = SITES[site_name]
     before = run_map_policy(site, "rank-bounded.last-counts.free", seed)
     after = run_map_policy(site, "rank-bounded", seed)
     assert after.n_gb <= MAX_COPIED_SHARE * before.n_gb
