Log the fingerprint of a request and each suspicion of a crash

`request-arrived` now carries the fingerprint, which joins repeats over entries; `crash-suspected` and `crash-ruled-out` say what became of a broken run. Decisions are counted by name in `bluebellusher_decisions_total`. No decision changes.

--- a/packages/core/src/bluebellusher_core/poison/_crashes.py
+++ b/packages/core/src/bluebellusher_core/poison/_crashes.py
@@ -69,13 +69,14 @@
 
     def note_broken(
         self, fingerprint: str, endpoint_id: str, sent_at_ms: int, now_ms: int
-    ) -> None:
+    ) -> bool:
         """Remember a run that broke, unless it began before the last one broke.
 
-        Copies that run at the same time may be cut by one and the same fault.
+        Copies that run at the same time may be cut by one and the same fault. Returns
+        whether the run is remembered.
         """
         if sent_at_ms < self._last_broken_at_ms.get(fingerprint, sent_at_ms):
-            return
+            return False
         self._last_broken_at_ms[fingerprint] = now_ms
         self._last_broken_at_ms.move_to_end(fingerprint)
         drop_oldest(self._last_broken_at_ms, self.n_max)
@@ -84,15 +85,21 @@
         del runs[: -self.n_max]
         self._broken_by_endpoint_id.move_to_end(endpoint_id)
         drop_oldest(self._broken_by_endpoint_id, self.n_max)
+        return True
+
+    def note_answer(self, endpoint_id: str, sent_at_ms: int) -> list[str]:
+        """Forget the runs that broke before an answered attempt was sent.
 
-    def note_answer(self, endpoint_id: str, sent_at_ms: int) -> None:
-        """Forget the runs that broke before an answered attempt was sent."""
+        Returns the fingerprints of the runs that are forgotten.
+        """
         runs = self._broken_by_endpoint_id.get(endpoint_id)
         if not runs:
-            return
+            return []
+        forgotten = [run for run in runs if run.broken_at_ms <= sent_at_ms]
         runs[:] = [run for run in runs if run.broken_at_ms > sent_at_ms]
         if not runs:
             del self._broken_by_endpoint_id[endpoint_id]
+        return [run.fingerprint for run in forgotten]
 
     def confirm(self, endpoint_id: str, now_ms: int) -> list[str]:
         """Count the runs that broke at an endpoint which is gone; return their names.
--- a/packages/core/src/bluebellusher_core/requests/_attempts.py
+++ b/packages/core/src/bluebellusher_core/requests/_attempts.py
@@ -38,10 +38,9 @@
         return []
     request = state.request_by_id[attempt.request_id]
     attempt.is_accepted = attempt.is_started = True
-    _note_answer(state, attempt)
+    effects = _isolation.answered(state, attempt, "output")
     state.endpoints.note_output(attempt.endpoint_id)
     state.endpoints.tracker.apply(event, now_ms)
-    effects: list[Effect] = []
     for other in [a for a in request.attempts if a is not attempt]:
         effects += _final.cancel(state, request, other, now_ms)
     return effects
@@ -54,12 +53,12 @@
         return _stray(state, event)
     request = state.request_by_id[attempt.request_id]
     state.endpoints.tracker.apply(event, now_ms)
-    _note_answer(state, attempt)
+    effects = _isolation.answered(state, attempt, "answer")
     if event.status >= SERVER_ERROR:
         state.endpoints.tracker.record_failure(attempt.endpoint_id, now_ms)
         if _recovery.can_replace_failure(state, request):
-            return _recovery.replace_failure(state, request, attempt, now_ms)
-    return _final.complete(state, request, attempt, now_ms)
+            return effects + _recovery.replace_failure(state, request, attempt, now_ms)
+    return effects + _final.complete(state, request, attempt, now_ms)
 
 
 def refused(state: EntryState, event: AttemptRefused, now_ms: int) -> list[Effect]:
@@ -73,7 +72,7 @@
     _avoid(state, event, endpoint_id, now_ms)
     effects = _go_on(state, request, attempt, event, now_ms)
     if event.has_arrived:
-        _note_answer(state, attempt)
+        effects += _isolation.answered(state, attempt, event.reason.value)
     elif event.reason is Reason.CONNECT_FAILED:
         effects += _isolation.endpoint_gone(state, endpoint_id, now_ms)
     return effects
@@ -134,10 +133,6 @@
     state.endpoints.defer(endpoint_id, event.retry_after_ms, now_ms)
 
 
-def _note_answer(state: EntryState, attempt: Attempt) -> None:
-    state.crashes.note_answer(attempt.endpoint_id, attempt.dispatched_at_ms)
-
-
 def _abandon(state: EntryState, request: Request, now_ms: int) -> list[Effect]:
     """Free the key of a request that turned out not to have run."""
     effects: list[Effect] = []
--- a/packages/core/src/bluebellusher_core/requests/_isolation.py
+++ b/packages/core/src/bluebellusher_core/requests/_isolation.py
@@ -120,7 +120,7 @@
     reason: Reason,
     is_fatal: bool,
     now_ms: int,
-) -> None:
+) -> list[Effect]:
     """Note that a run broke, in case the request is what crashes endpoints.
 
     Without agents a broken connection may have many causes. Isolated runs would cost
@@ -130,10 +130,34 @@
     if not state.config.n_crashes_to_block:
         if is_fatal:
             state.poison.suspect(fingerprint, now_ms, is_own=True)
-    elif is_fatal or reason is Reason.CONNECTION_LOST:
-        state.crashes.note_broken(
-            fingerprint, attempt.endpoint_id, attempt.dispatched_at_ms, now_ms
+        return []
+    if not is_fatal and reason is not Reason.CONNECTION_LOST:
+        return []
+    endpoint_id, sent_at_ms = attempt.endpoint_id, attempt.dispatched_at_ms
+    is_noted = state.crashes.note_broken(fingerprint, endpoint_id, sent_at_ms, now_ms)
+    fields = (
+        ("request", request.spec.request_id),
+        ("fingerprint", fingerprint),
+        ("endpoint", endpoint_id),
+        ("after_ms", now_ms - sent_at_ms),
+        ("is_copy", not is_noted),
+    )
+    return [LogEvent("crash-suspected", fields)]
+
+
+def answered(state: EntryState, attempt: Attempt, evidence: str) -> list[Effect]:
+    """Drop suspicions against what broke at an endpoint that answers on."""
+    effects: list[Effect] = []
+    for fingerprint in state.crashes.note_answer(
+        attempt.endpoint_id, attempt.dispatched_at_ms
+    ):
+        fields = (
+            ("fingerprint", fingerprint),
+            ("endpoint", attempt.endpoint_id),
+            ("evidence", evidence),
         )
+        effects.append(LogEvent("crash-ruled-out", fields))
+    return effects
 
 
 def endpoint_gone(state: EntryState, endpoint_id: str, now_ms: int) -> list[Effect]:
--- a/packages/core/src/bluebellusher_core/requests/_recovery.py
+++ b/packages/core/src/bluebellusher_core/requests/_recovery.py
@@ -26,23 +26,25 @@
     request.avoided.add(attempt.endpoint_id)
     request.n_bytes_relayed = max(request.n_bytes_relayed, event.n_bytes_relayed)
     is_fatal = is_loss or event.reason is Reason.ENGINE_ERROR
-    _isolation.note_broken(state, request, attempt, event.reason, is_fatal, now_ms)
+    effects = _isolation.note_broken(
+        state, request, attempt, event.reason, is_fatal, now_ms
+    )
     # An isolated attempt that was lost on the way tells nothing about the request.
     is_convicting = is_fatal and attempt.is_isolated and attempt.is_accepted
     if is_convicting:
         is_lost = event.reason is Reason.ENDPOINT_LOST
         _final.hold(state, request, attempt, is_lost, now_ms)
     if request.attempts:
-        return []
+        return effects
     if request.phase is Phase.DETACHED:
-        return _final.drop(state, request, now_ms)
+        return effects + _final.drop(state, request, now_ms)
     if is_convicting:
         # A repeat before the evidence is in could cost a further endpoint.
         reason, peer = event.reason, attempt.endpoint_id
-        return _final.give_up(
+        return effects + _final.give_up(
             state, request, reason, "isolation", now_ms, peer, HOLD_MS
         )
-    return _recover(state, request, attempt, event, is_loss, now_ms)
+    return effects + _recover(state, request, attempt, event, is_loss, now_ms)
 
 
 def _recover(
--- a/packages/entry/src/bluebellusher/gateway/_server.py
+++ b/packages/entry/src/bluebellusher/gateway/_server.py
@@ -154,6 +154,7 @@
             route=found.route.route_id,
             service=spec.service_id,
             customer=spec.customer_id,
+            fingerprint=spec.fingerprint,
             version=table.version,
             remaining_ms=spec.deadline_ms - now_ms,
             is_returning=spec.is_returning,
--- a/packages/entry/src/bluebellusher/runtime/_runtime.py
+++ b/packages/entry/src/bluebellusher/runtime/_runtime.py
@@ -275,6 +275,7 @@
         fields = {key: value for key, value in effect.fields if counts[key] == 1}
         fields.pop("name", None)
         fields.pop("level", None)
+        self.metrics.count("bluebellusher_decisions_total", "event", effect.name)
         self._log.event(effect.name, "info", **fields)
 
     def _start_task(self, coroutine: Any) -> None:
