--- /dev/null
+++ b/packages/core/src/bluebellusher_core/reducer/tests/_crash_world.py
@@ -0,0 +1,420 @@
+"""Entries, endpoints that crash, and what the entries tell each other.
+
+Each entry has a real ``EntryState`` and real ``Registrations``. Crashes, runs and the
+time of the third crash are counted at the endpoints, so that nothing here depends on
+what the entries believe.
+"""
+
+import heapq
+from dataclasses import dataclass, field
+from random import Random
+
+from bluebellusher_core.directory import EndpointRegistration, Registrations
+from bluebellusher_core.effects import CancelAttempt, Dispatch, Reject, SetTimer
+from bluebellusher_core.errors import Reason
+from bluebellusher_core.events import (
+    AttemptBroken,
+    AttemptFinished,
+    AttemptRefused,
+    AttemptStarted,
+    DigestReceived,
+    Priority,
+    RequestArrived,
+    RequestSpec,
+    TimerFired,
+    Usage,
+)
+from bluebellusher_core.reducer import EntryConfig, EntryState, reduce
+
+N_TO_BLOCK = 3
+CONTACT_MS = 3_000
+DIGEST_INTERVAL_MS = 500
+# Three heartbeats without word.
+LAPSE_AFTER_MS = 3_600
+WATCH_LAG_MS = 50
+CONNECT_TIMEOUT_MS = 500
+# How long work stands still when the way to its endpoint is cut.
+STALL_MS = 1_500
+CRASH_AFTER_MS = 20
+POISON = "poison"
+
+
+@dataclass
+class Run:
+    """One attempt that an endpoint works on."""
+
+    entry: "Entry"
+    attempt_id: str
+    fingerprint: str
+    endpoint_id: str
+
+
+@dataclass
+class Host:
+    """An address; an endpoint may listen there."""
+
+    index: int
+    domain: str
+    registration: EndpointRegistration | None = None
+    runs: list[Run] = field(default_factory=list)
+
+
+@dataclass
+class Entry:
+    """An entry process."""
+
+    entry_id: str
+    domain: str
+    state: EntryState
+    registrations: Registrations
+    started_at_ms: int
+    address_by_endpoint_id: dict[str, int] = field(default_factory=dict)
+    is_alive: bool = True
+
+
+class CrashWorld:
+    """A deployment in virtual time.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of all random choices.
+    n_entries, n_hosts : int
+        Size; hosts and entries are spread over three failure domains.
+    keeps_id : bool
+        Whether endpoints start again under the id that they had.
+    """
+
+    def __init__(self, seed=0, n_entries=4, n_hosts=12, keeps_id=False):
+        self.random = Random(seed)
+        self.now_ms = 10_000
+        self.keeps_id = keeps_id
+        self.down_ms = (2_000, 6_000)
+        self.is_store_away = False
+        self.store_back_at_ms = 0
+        self.healed_at_ms_by_domain = {}
+        self.row_by_endpoint_id = {}
+        self.cut_domains = set()
+        self.crash_times_ms = []
+        self.n_late_runs = 0
+        self.n_runs = 0
+        self.refusals = []
+        self.answers = []
+        self._n_requests = 0
+        self._n_starts = 0
+        self._schedule = []
+        self._order = 0
+        self.hosts = [Host(i, f"d{i % 3}") for i in range(n_hosts)]
+        self.entry_by_id = {}
+        for host in self.hosts:
+            self.start_endpoint(host)
+        for i in range(n_entries):
+            self.start_entry(f"e{i}", f"d{i % 3}")
+        self.at(DIGEST_INTERVAL_MS, self._exchange_all)
+        self.run(200)
+
+    # Time.
+
+    def at(self, delay_ms, action, *args):
+        """Do something later."""
+        self._order += 1
+        due_ms = self.now_ms + delay_ms
+        heapq.heappush(self._schedule, (due_ms, self._order, action, args))
+
+    def run(self, duration_ms):
+        """Let time pass."""
+        end_ms = self.now_ms + duration_ms
+        while self._schedule and self._schedule[0][0] <= end_ms:
+            self.now_ms, _, action, args = heapq.heappop(self._schedule)
+            action(*args)
+        self.now_ms = end_ms
+
+    # Entries.
+
+    def start_entry(self, entry_id, domain):
+        """Start an entry that knows nothing; it reads the store and greets peers."""
+        config = EntryConfig(
+            entry_id,
+            incarnation=self.now_ms,
+            n_crashes_to_block=N_TO_BLOCK,
+            n_min_retries=999,
+        )
+        state = EntryState.from_config(config)
+        entry = Entry(entry_id, domain, state, Registrations(), self.now_ms)
+        self.entry_by_id[entry_id] = entry
+        self._read_registrations(entry)
+        for other in self._peers_of(entry):
+            self.tell(other, entry)
+
+    def stop_entry(self, entry_id):
+        """Kill an entry; what it knew and the requests in progress are gone."""
+        entry = self.entry_by_id[entry_id]
+        entry.is_alive = False
+        for host in self.hosts:
+            host.runs = [run for run in host.runs if run.entry is not entry]
+        return entry
+
+    def restart_entry(self, entry_id, down_ms=500):
+        """Kill an entry and start it again."""
+        entry = self.stop_entry(entry_id)
+        self.at(down_ms, self.start_entry, entry_id, entry.domain)
+
+    def restart_all(self, down_ms=500):
+        """Kill all entries at the same moment."""
+        for entry_id in list(self.entry_by_id):
+            self.restart_entry(entry_id, down_ms)
+
+    def handle(self, entry, event):
+        """Reduce an event and execute the effects, unless the entry has ended."""
+        if entry.is_alive:
+            for effect in reduce(entry.state, event, self.now_ms):
+                self._execute(entry, effect)
+
+    def tell(self, entry, other):
+        """Bring what one entry knows to another one."""
+        blocked, suspects = entry.state.digest(self.now_ms)
+        self.handle(other, DigestReceived(entry.entry_id, 1, blocked, suspects))
+
+    def _exchange_all(self):
+        for entry in list(self.entry_by_id.values()):
+            for other in self._peers_of(entry):
+                if entry.is_alive:
+                    self.tell(entry, other)
+        self.at(DIGEST_INTERVAL_MS, self._exchange_all)
+
+    def _peers_of(self, entry):
+        return [
+            other
+            for other in self.entry_by_id.values()
+            if other is not entry
+            and other.is_alive
+            and not self.is_cut(entry.domain, other.domain)
+        ]
+
+    def is_cut(self, domain, other):
+        """Return whether two failure domains cannot reach each other."""
+        return domain != other and bool({domain, other} & self.cut_domains)
+
+    def cut(self, domain):
+        """Cut a failure domain off; what goes on across the cut stands still."""
+        self.cut_domains.add(domain)
+        for host in self.hosts:
+            for run in list(host.runs):
+                if self.is_cut(host.domain, run.entry.domain):
+                    self.at(STALL_MS, self._break, host, run)
+            if host.domain == domain and host.registration is not None:
+                self.at(LAPSE_AFTER_MS, self._lapse_if_cut, host)
+
+    def heal(self, domain):
+        """End a cut; endpoints whose registrations lapsed register again."""
+        self.cut_domains.discard(domain)
+        self.healed_at_ms_by_domain[domain] = self.now_ms
+        for host in self.hosts:
+            if host.domain == domain and host.registration is not None:
+                self._write_registration(host.registration)
+        for entry in list(self.entry_by_id.values()):
+            self._read_registrations(entry)
+
+    def _lapse_if_cut(self, host):
+        if host.domain in self.cut_domains and host.registration is not None:
+            self._write_registration(host.registration, is_removed=True)
+
+    # Endpoints.
+
+    def start_endpoint(self, host):
+        """Start an endpoint at an address."""
+        self._n_starts += 1
+        number = host.index if self.keeps_id else self._n_starts
+        host.registration = EndpointRegistration(
+            endpoint_id=f"x{number}",
+            service_id="s",
+            host="10.0.0.1",
+            port=1 + host.index,
+            failure_domain=host.domain,
+            n_slots=6,
+            is_draining=False,
+            started_wall_ms=self.now_ms,
+        )
+        if host.domain not in self.cut_domains:
+            self._write_registration(host.registration)
+
+    def crash(self, host):
+        """End an endpoint; it is back after some seconds."""
+        gone = host.registration
+        host.registration = None
+        runs, host.runs = host.runs, []
+        for run in runs:
+            self.at(1, self._tell_broken, run)
+        self.at(LAPSE_AFTER_MS, self._lapse, gone)
+        self.at(self.random.randint(*self.down_ms), self.start_endpoint, host)
+
+    def leave(self, host):
+        """End an endpoint by plan: it says so, and another start takes its place."""
+        gone = host.registration
+        leaving = EndpointRegistration(
+            **{name: getattr(gone, name) for name in gone.__slots__}
+            | {"is_draining": True}
+        )
+        host.registration = leaving
+        self._write_registration(leaving)
+        self.at(2_000, self._end_left, host)
+
+    def _end_left(self, host):
+        gone = host.registration
+        host.registration = None
+        runs, host.runs = host.runs, []
+        for run in runs:
+            self._tell_broken(run)
+        self._write_registration(gone, is_removed=True)
+        self.at(500, self.start_endpoint, host)
+
+    def _lapse(self, gone):
+        if self.row_by_endpoint_id.get(gone.endpoint_id) is gone:
+            self._write_registration(gone, is_removed=True)
+
+    def _write_registration(self, registration, is_removed=False):
+        if is_removed:
+            self.row_by_endpoint_id.pop(registration.endpoint_id, None)
+        else:
+            self.row_by_endpoint_id[registration.endpoint_id] = registration
+        for entry in list(self.entry_by_id.values()):
+            self.at(WATCH_LAG_MS, self._read_registrations, entry)
+
+    def _read_registrations(self, entry):
+        if not entry.is_alive or not self.has_store(entry):
+            return
+        known = entry.registrations.registration_by_id
+        changes = dict(self.row_by_endpoint_id)
+        changes |= {i: None for i in known if i not in changes}
+        for row in self.row_by_endpoint_id.values():
+            entry.address_by_endpoint_id[row.endpoint_id] = row.port - 1
+        for event in entry.registrations.update(changes, self.now_ms):
+            self.handle(entry, event)
+
+    def has_store(self, entry):
+        """Return whether an entry reaches the store."""
+        return not self.is_store_away and entry.domain not in self.cut_domains
+
+    def is_in_touch(self, entry):
+        """Return whether an entry has run and reached the store for long enough."""
+        since_ms = max(
+            entry.started_at_ms,
+            self.store_back_at_ms,
+            self.healed_at_ms_by_domain.get(entry.domain, 0),
+        )
+        return self.has_store(entry) and self.now_ms - since_ms >= CONTACT_MS
+
+    def store_returns(self):
+        """Let entries read the store again."""
+        self.is_store_away = False
+        self.store_back_at_ms = self.now_ms
+        for entry in list(self.entry_by_id.values()):
+            self._read_registrations(entry)
+
+    # Requests.
+
+    def send(self, entry_id, fingerprint=POISON, is_idempotent=False):
+        """Hand a request to an entry; return its id."""
+        self._n_requests += 1
+        spec = RequestSpec(
+            request_id=f"r{self._n_requests}",
+            customer_id="c",
+            service_id="s",
+            model="",
+            adapter="",
+            priority=Priority.NORMAL,
+            deadline_ms=self.now_ms + 8_000,
+            is_idempotent=is_idempotent,
+            idempotency_key=None,
+            fingerprint=fingerprint,
+            prefix_hashes=(),
+            n_input_tokens=1,
+            n_max_output_tokens=1,
+            n_max_attempts=2 if is_idempotent else 1,
+        )
+        self.handle(self.entry_by_id[entry_id], RequestArrived(spec))
+        return spec.request_id
+
+    def is_refused(self, entry_id, fingerprint=POISON):
+        """Return whether an entry refuses a request as one that crashes endpoints."""
+        n_before = len(self.refusals)
+        self.send(entry_id, fingerprint)
+        found = [refusal.reason for _, refusal in self.refusals[n_before:]]
+        return found == [Reason.CRASHES_ENDPOINTS]
+
+    def _execute(self, entry, effect):
+        match effect:
+            case Dispatch():
+                self.at(1, self._begin, entry, effect)
+            case Reject():
+                self.refusals.append((effect.request_id, effect.refusal))
+            case CancelAttempt():
+                for host in self.hosts:
+                    host.runs = [
+                        r for r in host.runs if r.attempt_id != effect.attempt_id
+                    ]
+            case SetTimer():
+                delay_ms = max(0, effect.due_ms - self.now_ms)
+                self.at(delay_ms, self.handle, entry, TimerFired(effect.timer_id))
+
+    def _begin(self, entry, effect):
+        """Let an attempt arrive at its address."""
+        request = entry.state.request_by_id.get(effect.request_id)
+        if request is None or not entry.is_alive:
+            return
+        host = self.hosts[entry.address_by_endpoint_id[effect.endpoint_id]]
+        attempt_id, endpoint_id = effect.attempt_id, effect.endpoint_id
+        if self.is_cut(entry.domain, host.domain):
+            event = AttemptRefused(attempt_id, Reason.CONNECT_FAILED, 0, endpoint_id)
+            self.at(CONNECT_TIMEOUT_MS, self.handle, entry, event)
+        elif host.registration is None:
+            event = AttemptRefused(attempt_id, Reason.CONNECT_FAILED, 0, endpoint_id)
+            self.handle(entry, event)
+        elif host.registration.endpoint_id != endpoint_id:
+            reason = Reason.ENDPOINT_DRAINING
+            event = AttemptRefused(attempt_id, reason, 0, endpoint_id, True)
+            self.handle(entry, event)
+        else:
+            fingerprint = request.spec.fingerprint
+            run = Run(entry, attempt_id, fingerprint, endpoint_id)
+            host.runs.append(run)
+            self._count(run)
+            if fingerprint == POISON:
+                self.at(CRASH_AFTER_MS, self._crash_by, host, run)
+            else:
+                self.at(self.random.randint(20, 400), self._finish, host, run)
+
+    def _count(self, run):
+        if run.fingerprint != POISON:
+            return
+        self.n_runs += 1
+        n_crashed = len(self.crash_times_ms)
+        if n_crashed < N_TO_BLOCK:
+            return
+        is_late = self.now_ms > self.crash_times_ms[N_TO_BLOCK - 1] + CONTACT_MS
+        self.n_late_runs += is_late and self.is_in_touch(run.entry)
+
+    def _crash_by(self, host, run):
+        if run in host.runs:
+            self.crash_times_ms.append(self.now_ms)
+            self.crash(host)
+
+    def _finish(self, host, run):
+        if run not in host.runs:
+            return
+        host.runs.remove(run)
+        self.answers.append(run.fingerprint)
+        self.handle(run.entry, AttemptStarted(run.attempt_id, run.endpoint_id))
+        event = AttemptFinished(run.attempt_id, 200, 1, Usage(), run.endpoint_id)
+        self.handle(run.entry, event)
+
+    def _break(self, host, run):
+        if run in host.runs:
+            host.runs.remove(run)
+            self._tell_broken(run)
+
+    def _tell_broken(self, run):
+        event = AttemptBroken(
+            run.attempt_id, Reason.CONNECTION_LOST, 0, False, run.endpoint_id
+        )
+        self.handle(run.entry, event)
