--- a/packages/core/src/bluebellusher_core/directory/_registrations.py
+++ b/packages/core/src/bluebellusher_core/directory/_registrations.py
@@ -8,6 +8,7 @@
     EndpointInfo,
     EndpointLost,
     EndpointRegistered,
+    EndpointReplaced,
     Event,
 )
 
@@ -56,7 +57,9 @@
     registration_by_id: dict[str, EndpointRegistration] = field(default_factory=dict)
     _lapse_at_ms: dict[str, int] = field(default_factory=dict)
     _forget_at_ms: dict[str, int] = field(default_factory=dict)
-    _id_by_address: dict[tuple[str, int], str] = field(default_factory=dict)
+    _holder_by_address: dict[tuple[str, int], EndpointRegistration] = field(
+        default_factory=dict
+    )
     _store_returned_at_ms: int | None = None
     _is_store_away: bool = False
 
@@ -118,15 +121,21 @@
     ) -> list[Event]:
         """Give no more work to the endpoint that had the address before."""
         address = (registration.host, registration.port)
-        earlier = self.registration_by_id.get(self._id_by_address.get(address, ""))
-        self._id_by_address[address] = registration.endpoint_id
+        earlier = self._holder_by_address.get(address)
+        if earlier and registration.started_wall_ms < earlier.started_wall_ms:
+            # A late write of an endpoint that had the address before.
+            return []
+        self._holder_by_address[address] = registration
         if earlier is None or earlier.endpoint_id == registration.endpoint_id:
             return []
-        if (earlier.host, earlier.port) != address:
+        if not 0 < earlier.started_wall_ms < registration.started_wall_ms:
+            # Without two different starts nothing tells which of them is there.
             return []
-        # An endpoint that seems to have started earlier may have another clock.
-        is_replaced = 0 < earlier.started_wall_ms < registration.started_wall_ms
-        return self._drain(earlier.endpoint_id, now_ms) if is_replaced else []
+        events: list[Event] = []
+        present = self.registration_by_id.get(earlier.endpoint_id)
+        if present is not None and (present.host, present.port) == address:
+            events += self._drain(earlier.endpoint_id, now_ms)
+        return [*events, EndpointReplaced(earlier.endpoint_id)]
 
     def _remove(self, endpoint_id: str, now_ms: int) -> list[Event]:
         if endpoint_id not in self.registration_by_id:
--- a/packages/core/src/bluebellusher_core/effects/__init__.py
+++ b/packages/core/src/bluebellusher_core/effects/__init__.py
@@ -2,6 +2,7 @@
 
 from bluebellusher_core.effects._effects import (
     CancelAttempt,
+    CheckEndpoint,
     ClaimState,
     ClaimWrite,
     CloseConnection,
@@ -13,11 +14,13 @@
     Reject,
     ReplayAnswer,
     SetTimer,
+    TellCrashes,
     WriteClaims,
 )
 
 __all__ = [
     "CancelAttempt",
+    "CheckEndpoint",
     "ClaimState",
     "ClaimWrite",
     "CloseConnection",
@@ -29,5 +32,6 @@
     "Reject",
     "ReplayAnswer",
     "SetTimer",
+    "TellCrashes",
     "WriteClaims",
 ]
--- a/packages/core/src/bluebellusher_core/effects/_effects.py
+++ b/packages/core/src/bluebellusher_core/effects/_effects.py
@@ -4,6 +4,7 @@
 from enum import StrEnum
 
 from bluebellusher_core.errors import Refusal
+from bluebellusher_core.poison import CrashRecord
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,6 +110,23 @@
     endpoint_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class CheckEndpoint:
+    """Find out whether anything listens at the address of an endpoint.
+
+    Deliver ``EndpointChecked``, in any case.
+    """
+
+    endpoint_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class TellCrashes:
+    """Bring what is new about crashes to the other entries and to the store."""
+
+    records: tuple[CrashRecord, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class LogEvent:
     """Write one log line; ``fields`` are key and value pairs."""
@@ -127,5 +145,7 @@
     | WriteClaims
     | SetTimer
     | CloseConnection
+    | CheckEndpoint
+    | TellCrashes
     | LogEvent
 )
--- a/packages/core/src/bluebellusher_core/errors/_errors.py
+++ b/packages/core/src/bluebellusher_core/errors/_errors.py
@@ -30,6 +30,7 @@
     ENDPOINT_LOST = "endpoint_lost"
     CONNECTION_LOST = "connection_lost"
     CONNECT_FAILED = "connect_failed"
+    CONNECT_REFUSED = "connect_refused"
     ENDPOINT_FULL = "endpoint_full"
     ENDPOINTS_CLOSED = "endpoints_closed"
     NOT_READY = "not_ready"
--- a/packages/core/src/bluebellusher_core/events/__init__.py
+++ b/packages/core/src/bluebellusher_core/events/__init__.py
@@ -2,12 +2,14 @@
 
 from bluebellusher_core.events._endpoint_events import (
     CacheReported,
+    EndpointChecked,
     EndpointConnected,
     EndpointCrashed,
     EndpointDraining,
     EndpointInfo,
     EndpointLost,
     EndpointRegistered,
+    EndpointReplaced,
     LoadReported,
 )
 from bluebellusher_core.events._request_events import (
@@ -27,6 +29,7 @@
     ClaimResult,
     ClaimsAnswered,
     ClaimsUnanswered,
+    CrashesLearned,
     CustomerPolicy,
     DigestReceived,
     EntriesCounted,
@@ -46,6 +49,8 @@
     | EndpointConnected
     | EndpointLost
     | EndpointRegistered
+    | EndpointReplaced
+    | EndpointChecked
     | EndpointDraining
     | EndpointCrashed
     | LoadReported
@@ -53,6 +58,7 @@
     | ClaimsAnswered
     | ClaimsUnanswered
     | DigestReceived
+    | CrashesLearned
     | EntriesCounted
     | PolicyChanged
     | ShutdownStarted
@@ -71,14 +77,17 @@
     "ClaimResult",
     "ClaimsAnswered",
     "ClaimsUnanswered",
+    "CrashesLearned",
     "CustomerPolicy",
     "DigestReceived",
+    "EndpointChecked",
     "EndpointConnected",
     "EndpointCrashed",
     "EndpointDraining",
     "EndpointInfo",
     "EndpointLost",
     "EndpointRegistered",
+    "EndpointReplaced",
     "EntriesCounted",
     "Event",
     "LoadReported",
--- a/packages/core/src/bluebellusher_core/events/_endpoint_events.py
+++ b/packages/core/src/bluebellusher_core/events/_endpoint_events.py
@@ -49,9 +49,30 @@
     """An endpoint that is reached without an agent says that it takes work.
 
     Its requests in progress go on unless ``endpoint.incarnation`` has changed.
+    ``age_ms`` is how long ago it started; 0 when that is not known.
     """
 
     endpoint: EndpointInfo
+    age_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointReplaced:
+    """An endpoint that started later has the address of this one."""
+
+    endpoint_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointChecked:
+    """Answer to ``CheckEndpoint``.
+
+    ``is_listening`` is None when the address did not answer at all, which a cut link
+    shows as well as a machine without power.
+    """
+
+    endpoint_id: str
+    is_listening: bool | None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/bluebellusher_core/events/_state_events.py
+++ b/packages/core/src/bluebellusher_core/events/_state_events.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from bluebellusher_core.poison import CrashRecord
+
 
 class ClaimOutcome(StrEnum):
     """Result of one claim write."""
@@ -54,6 +56,14 @@
     suspect_fingerprints: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class CrashesLearned:
+    """A peer, or the store, told of crashes."""
+
+    source: str
+    records: tuple[CrashRecord, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class CustomerPolicy:
     """The share of one customer in the admission queue."""
--- a/packages/core/src/bluebellusher_core/poison/__init__.py
+++ b/packages/core/src/bluebellusher_core/poison/__init__.py
@@ -1,6 +1,15 @@
 """Fingerprints of requests that crash endpoints or may do so."""
 
-from bluebellusher_core.poison._crashes import CrashCounter
-from bluebellusher_core.poison._table import HOLD_MS, PoisonTable
+from bluebellusher_core.poison._crashes import COUNT_MS, CrashCounter
+from bluebellusher_core.poison._records import Crash, CrashRecord
+from bluebellusher_core.poison._table import BLOCK_MS, HOLD_MS, PoisonTable
 
-__all__ = ["HOLD_MS", "CrashCounter", "PoisonTable"]
+__all__ = [
+    "BLOCK_MS",
+    "COUNT_MS",
+    "HOLD_MS",
+    "Crash",
+    "CrashCounter",
+    "CrashRecord",
+    "PoisonTable",
+]
--- a/packages/core/src/bluebellusher_core/poison/_table.py
+++ b/packages/core/src/bluebellusher_core/poison/_table.py
@@ -48,15 +48,21 @@
     _holds: OrderedDict[str, _Hold] = field(default_factory=OrderedDict)
     _n_running: dict[str, int] = field(default_factory=dict)
 
-    def block(self, fingerprint: str, now_ms: int, is_own: bool) -> None:
-        """Refuse the fingerprint for ``BLOCK_MS``."""
+    def block(
+        self, fingerprint: str, now_ms: int, is_own: bool, block_ms: int = BLOCK_MS
+    ) -> None:
+        """Refuse the fingerprint for ``block_ms``."""
         self._holds.pop(fingerprint, None)
         self._suspects.pop(fingerprint, None)
         if self.is_blocked(fingerprint, now_ms):
             return
-        self._blocked[fingerprint] = _Mark(now_ms + BLOCK_MS, is_own)
+        self._blocked[fingerprint] = _Mark(now_ms + block_ms, is_own)
         drop_oldest(self._blocked, self.n_max)
 
+    def unblock(self, fingerprint: str) -> bool:
+        """Take a block back; return whether there was one."""
+        return self._blocked.pop(fingerprint, None) is not None
+
     def is_blocked(self, fingerprint: str, now_ms: int) -> bool:
         """Return whether the fingerprint is known to crash endpoints."""
         return _is_marked(self._blocked, fingerprint, now_ms)
--- a/packages/core/src/bluebellusher_core/reducer/_reduce.py
+++ b/packages/core/src/bluebellusher_core/reducer/_reduce.py
@@ -11,12 +11,15 @@
     CallerLeft,
     ClaimsAnswered,
     ClaimsUnanswered,
+    CrashesLearned,
     DigestReceived,
+    EndpointChecked,
     EndpointConnected,
     EndpointCrashed,
     EndpointDraining,
     EndpointLost,
     EndpointRegistered,
+    EndpointReplaced,
     EntriesCounted,
     Event,
     LoadReported,
@@ -29,6 +32,7 @@
     _arrival,
     _attempts,
     _claiming,
+    _crash_evidence,
     _isolation,
     _links,
     _placing,
@@ -94,6 +98,12 @@
             state.check_at_ms = 0
         case EndpointCrashed():
             return _links.crashed(state, event, now_ms)
+        case EndpointReplaced():
+            return _crash_evidence.replaced(state, event, now_ms)
+        case EndpointChecked():
+            return _crash_evidence.checked(state, event, now_ms)
+        case CrashesLearned():
+            return _crash_evidence.learned(state, event, now_ms)
         case DigestReceived():
             return _isolation.digest_received(state, event, now_ms)
         case PolicyChanged():
--- a/packages/core/src/bluebellusher_core/reducer/tests/_crash_world.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/_crash_world.py
@@ -6,24 +6,34 @@
 """
 
 import heapq
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 
 from bluebellusher_core.directory import EndpointRegistration, Registrations
-from bluebellusher_core.effects import CancelAttempt, Dispatch, Reject, SetTimer
+from bluebellusher_core.effects import (
+    CancelAttempt,
+    CheckEndpoint,
+    Dispatch,
+    Reject,
+    SetTimer,
+    TellCrashes,
+)
 from bluebellusher_core.errors import Reason
 from bluebellusher_core.events import (
     AttemptBroken,
     AttemptFinished,
     AttemptRefused,
     AttemptStarted,
-    DigestReceived,
+    CrashesLearned,
+    EndpointChecked,
+    EndpointRegistered,
     Priority,
     RequestArrived,
     RequestSpec,
     TimerFired,
     Usage,
 )
+from bluebellusher_core.poison import CrashCounter
 from bluebellusher_core.reducer import EntryConfig, EntryState, reduce
 
 N_TO_BLOCK = 3
@@ -94,6 +104,7 @@
         self.store_back_at_ms = 0
         self.healed_at_ms_by_domain = {}
         self.row_by_endpoint_id = {}
+        self.crash_table = CrashCounter()
         self.cut_domains = set()
         self.crash_times_ms = []
         self.n_late_runs = 0
@@ -136,6 +147,7 @@
         config = EntryConfig(
             entry_id,
             incarnation=self.now_ms,
+            seed=self.random.getrandbits(32),
             n_crashes_to_block=N_TO_BLOCK,
             n_min_retries=999,
         )
@@ -143,8 +155,9 @@
         entry = Entry(entry_id, domain, state, Registrations(), self.now_ms)
         self.entry_by_id[entry_id] = entry
         self._read_registrations(entry)
+        self._read_crashes(entry)
         for other in self._peers_of(entry):
-            self.tell(other, entry)
+            self.tell(other, entry, other.state.crashes.records(self.now_ms))
 
     def stop_entry(self, entry_id):
         """Kill an entry; what it knew and the requests in progress are gone."""
@@ -170,18 +183,37 @@
             for effect in reduce(entry.state, event, self.now_ms):
                 self._execute(entry, effect)
 
-    def tell(self, entry, other):
-        """Bring what one entry knows to another one."""
-        blocked, suspects = entry.state.digest(self.now_ms)
-        self.handle(other, DigestReceived(entry.entry_id, 1, blocked, suspects))
+    def tell(self, entry, other, records):
+        """Bring crashes that one entry knows to another one."""
+        self.handle(other, CrashesLearned(entry.entry_id, records))
+
+    def _tell_all(self, entry, records):
+        if not entry.is_alive:
+            return
+        for other in self._peers_of(entry):
+            self.tell(entry, other, records)
 
     def _exchange_all(self):
         for entry in list(self.entry_by_id.values()):
-            for other in self._peers_of(entry):
-                if entry.is_alive:
-                    self.tell(entry, other)
+            self._tell_all(entry, entry.state.crashes.records(self.now_ms))
         self.at(DIGEST_INTERVAL_MS, self._exchange_all)
 
+    def _write_crashes(self, entry, records):
+        if not entry.is_alive:
+            return
+        if not self.has_store(entry):
+            self.at(DIGEST_INTERVAL_MS, self._write_crashes, entry, records)
+            return
+        is_news = [self.crash_table.merge(record, self.now_ms) for record in records]
+        if any(is_news):
+            for other in list(self.entry_by_id.values()):
+                self.at(WATCH_LAG_MS, self._read_crashes, other)
+
+    def _read_crashes(self, entry):
+        if entry.is_alive and self.has_store(entry):
+            records = self.crash_table.records(self.now_ms)
+            self.handle(entry, CrashesLearned("store", records))
+
     def _peers_of(self, entry):
         return [
             other
@@ -289,7 +321,12 @@
         for row in self.row_by_endpoint_id.values():
             entry.address_by_endpoint_id[row.endpoint_id] = row.port - 1
         for event in entry.registrations.update(changes, self.now_ms):
-            self.handle(entry, event)
+            self.handle(entry, self._with_age(event))
+
+    def _with_age(self, event):
+        if isinstance(event, EndpointRegistered):
+            return replace(event, age_ms=self.now_ms - event.endpoint.incarnation)
+        return event
 
     def has_store(self, entry):
         """Return whether an entry reaches the store."""
@@ -353,10 +390,24 @@
                     host.runs = [
                         r for r in host.runs if r.attempt_id != effect.attempt_id
                     ]
+            case CheckEndpoint():
+                self.at(1, self._check, entry, effect.endpoint_id)
+            case TellCrashes():
+                self.at(1, self._tell_all, entry, effect.records)
+                self.at(1, self._write_crashes, entry, effect.records)
             case SetTimer():
                 delay_ms = max(0, effect.due_ms - self.now_ms)
                 self.at(delay_ms, self.handle, entry, TimerFired(effect.timer_id))
 
+    def _check(self, entry, endpoint_id):
+        host = self.hosts[entry.address_by_endpoint_id[endpoint_id]]
+        if self.is_cut(entry.domain, host.domain):
+            event = EndpointChecked(endpoint_id, None)
+            self.at(CONNECT_TIMEOUT_MS, self.handle, entry, event)
+        else:
+            is_listening = host.registration is not None
+            self.handle(entry, EndpointChecked(endpoint_id, is_listening))
+
     def _begin(self, entry, effect):
         """Let an attempt arrive at its address."""
         request = entry.state.request_by_id.get(effect.request_id)
@@ -368,7 +419,7 @@
             event = AttemptRefused(attempt_id, Reason.CONNECT_FAILED, 0, endpoint_id)
             self.at(CONNECT_TIMEOUT_MS, self.handle, entry, event)
         elif host.registration is None:
-            event = AttemptRefused(attempt_id, Reason.CONNECT_FAILED, 0, endpoint_id)
+            event = AttemptRefused(attempt_id, Reason.CONNECT_REFUSED, 0, endpoint_id)
             self.handle(entry, event)
         elif host.registration.endpoint_id != endpoint_id:
             reason = Reason.ENDPOINT_DRAINING
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_crash_counting.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_crash_counting.py
@@ -1,29 +1,37 @@
 """Requests that crash endpoints which no agent watches."""
 
-from bluebellusher_core.effects import Dispatch, Reject
+import itertools
+
+from bluebellusher_core.effects import CheckEndpoint, Dispatch, Reject, TellCrashes
 from bluebellusher_core.errors import Outcome, Reason
 from bluebellusher_core.events import (
     AttemptBroken,
     AttemptFinished,
     AttemptRefused,
     AttemptStarted,
+    CrashesLearned,
     DigestReceived,
+    EndpointChecked,
     EndpointInfo,
     EndpointLost,
     EndpointRegistered,
+    EndpointReplaced,
     Priority,
     RequestArrived,
     RequestSpec,
     Usage,
 )
-from bluebellusher_core.poison import CrashCounter
+from bluebellusher_core.poison import Crash, CrashCounter, CrashRecord
 from bluebellusher_core.reducer import EntryConfig, EntryState, reduce
 
 N_TO_BLOCK = 3
 
 
 class Entry:
-    """One entry with endpoints ``x0``, ``x1``, ...; time goes on with each step."""
+    """One entry; time goes on with each step.
+
+    Its endpoints have names of their own, because one start crashes once only.
+    """
 
     def __init__(self, entry_id="e1", n_endpoints=8):
         config = EntryConfig(entry_id, n_crashes_to_block=N_TO_BLOCK, n_min_retries=99)
@@ -31,7 +39,7 @@
         self.now_ms = 0
         self.n_requests = 0
         for i in range(n_endpoints):
-            self.register(f"x{i}")
+            self.register(f"{entry_id}-x{i}")
 
     def register(self, endpoint_id, incarnation=1):
         """Register an endpoint, or a new start of one."""
@@ -80,16 +88,17 @@
         )
 
     def crash(self, dispatch):
-        """Cut the attempt because its endpoint died, which shows a moment later."""
+        """Cut the attempt because its endpoint died; nothing listens there then."""
         effects = self.break_run(dispatch)
+        assert CheckEndpoint(dispatch.endpoint_id) in effects
+        effects += self.handle(EndpointChecked(dispatch.endpoint_id, False))
         return effects + self.handle(EndpointLost(dispatch.endpoint_id))
 
 
 def exchange(entry, other):
     """Tell ``other`` what ``entry`` knows."""
-    blocked, suspects = entry.state.digest(entry.now_ms)
-    event = DigestReceived(entry.state.config.entry_id, 1, blocked, suspects)
-    return other.handle(event)
+    records = entry.state.crashes.records(entry.now_ms)
+    return other.handle(CrashesLearned(entry.state.config.entry_id, records))
 
 
 def test_request_that_crashed_three_endpoints_is_refused():
@@ -185,8 +194,15 @@
     for copy in copies:
         entry.break_run(copy)
     for copy in copies:
+        entry.handle(EndpointChecked(copy.endpoint_id, None))
         entry.handle(EndpointLost(copy.endpoint_id))
     assert isinstance(entry.send(), Dispatch)
+    for copy in copies:
+        entry.register(copy.endpoint_id)
+    for copy in copies:
+        entry.handle(EndpointLost(copy.endpoint_id))
+        entry.register(copy.endpoint_id, 2)
+    assert isinstance(entry.send(), Dispatch)
 
 
 def test_refused_connection_shows_the_crash_before_the_registration_lapses():
@@ -197,7 +213,7 @@
         probe = entry.send("another")
         entry.handle(
             AttemptRefused(
-                probe.attempt_id, Reason.CONNECT_FAILED, 0, probe.endpoint_id, False
+                probe.attempt_id, Reason.CONNECT_REFUSED, 0, probe.endpoint_id, False
             )
         )
         entry.now_ms += 2_000
@@ -211,14 +227,117 @@
     assert not entry.send().is_isolated
 
 
+def test_timeout_of_a_connection_is_no_crash():
+    """Guards against callers refused because links to endpoints were cut."""
+    entry = Entry(n_endpoints=1)
+    for _ in range(N_TO_BLOCK):
+        broken = entry.send()
+        entry.break_run(broken)
+        entry.handle(EndpointChecked(broken.endpoint_id, None))
+        probe = entry.send("another")
+        entry.handle(
+            AttemptRefused(
+                probe.attempt_id, Reason.CONNECT_FAILED, 0, probe.endpoint_id, False
+            )
+        )
+        entry.now_ms += 2_000
+    assert isinstance(entry.send(), Dispatch)
+
+
+def test_endpoint_that_listens_on_did_not_crash():
+    """Guards against callers refused because an endpoint resets connections."""
+    entry = Entry(n_endpoints=1)
+    for incarnation in range(2, 3 * N_TO_BLOCK):
+        broken = entry.send()
+        entry.break_run(broken)
+        entry.handle(EndpointChecked(broken.endpoint_id, True))
+        entry.now_ms += 5_000
+        entry.register(broken.endpoint_id, incarnation)
+    assert isinstance(entry.send(), Dispatch)
+
+
+def test_refusal_that_names_another_endpoint_shows_the_crash():
+    """Guards against a crash forgotten because its address answers again."""
+    entry = Entry(n_endpoints=N_TO_BLOCK)
+    for i in range(N_TO_BLOCK):
+        entry.break_run(entry.send())
+        while (probe := entry.send(f"another-{i}")).endpoint_id not in _broken(entry):
+            entry.handle(
+                AttemptFinished(probe.attempt_id, 200, 1, Usage(), probe.endpoint_id)
+            )
+        reason = Reason.ENDPOINT_DRAINING
+        entry.handle(
+            AttemptRefused(probe.attempt_id, reason, 0, probe.endpoint_id, True)
+        )
+    assert entry.send().refusal.reason is Reason.CRASHES_ENDPOINTS
+
+
+def _broken(entry):
+    return entry.state.checked_at_ms
+
+
+def test_address_taken_by_a_later_start_shows_the_crash():
+    """Guards against crashes that no connection meets before the next start."""
+    entry = Entry()
+    for _ in range(N_TO_BLOCK):
+        broken = entry.send()
+        entry.break_run(broken)
+        entry.handle(EndpointReplaced(broken.endpoint_id))
+    assert entry.send().refusal.reason is Reason.CRASHES_ENDPOINTS
+
+
+def test_entry_that_starts_again_takes_over_the_block_and_its_end():
+    """Guards against a block that is lost, or renewed, by each restart."""
+    first, second = Entry("e1"), Entry("e2")
+    for _ in range(N_TO_BLOCK):
+        first.crash(first.send())
+    retry_after_ms = first.send().refusal.retry_after_ms
+    exchange(first, second)
+    for _ in range(20):
+        first, second = second, Entry("e1")
+        first.now_ms += 10_000
+        exchange(first, second)
+    left_ms = second.send().refusal.retry_after_ms
+    assert retry_after_ms - 20 * 10_100 <= left_ms < retry_after_ms - 20 * 9_900
+
+
+def test_whole_run_elsewhere_takes_the_block_back_everywhere():
+    """Guards against a block that outlives the proof that it was wrong."""
+    first, second = Entry("e1"), Entry("e2")
+    copy = second.send()
+    for _ in range(N_TO_BLOCK):
+        first.crash(first.send())
+    second.handle(AttemptFinished(copy.attempt_id, 200, 1, Usage(), copy.endpoint_id))
+    effects = exchange(first, second)
+    (told,) = [e.records for e in effects if isinstance(e, TellCrashes)]
+    first.handle(CrashesLearned("e2", told))
+    assert isinstance(first.send(), Dispatch)
+    assert isinstance(second.send(), Dispatch)
+
+
+def test_records_meet_in_any_order_with_the_same_result():
+    """Guards against counts that depend on who told whom first."""
+    records = [
+        CrashRecord("f", (Crash("x1@1", 50, 40),)),
+        CrashRecord("f", (Crash("x2@1", 100, 90), Crash("x1@1", 50, 40))),
+        CrashRecord("f", (Crash("x3@1", 400, 350),), 200),
+        CrashRecord("f", (Crash("x2@1", 100, 90),)),
+    ]
+    for order in itertools.permutations(records):
+        counter = CrashCounter()
+        for record in order:
+            counter.merge(record, now_ms=1_000)
+        assert counter.count("f", 1_000) == 2
+
+
 def test_tables_stay_bounded():
     """Guards against memory that grows with every broken run."""
     counter = CrashCounter(n_max=3)
     for i in range(10):
-        counter.note_broken(f"f{i}", f"x{i}", i, i)
-        counter.note_broken(f"g{i}", "x", i, i)
-        counter.note_peer(f"p{i}", "peer", i)
+        counter.suspect(f"f{i}", f"x{i}", 1, i, i)
+        counter.suspect(f"g{i}", "x", 1, i, i)
+        counter.merge(CrashRecord(f"p{i}", (Crash("y@1", 1, 1),), 5), i)
     for i in range(10):
         counter.confirm(f"x{i}", 20)
     assert counter.confirm("x", 20) == ["g7", "g8", "g9"]
-    assert counter.told(21) == ("g7", "g8", "g9")
+    assert [record.fingerprint for record in counter.records(21)] == ["g7", "g8", "g9"]
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_crash_sharing.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_crash_sharing.py
@@ -97,9 +97,11 @@
 def test_copies_at_once_at_several_entries_are_enough():
     """Guards against crashes that each entry sees one of."""
     world = CrashWorld()
-    for entry_id in ("e0", "e1", "e2"):
+    for entry_id in world.entry_by_id:
+        world.send(entry_id)
         world.send(entry_id)
     world.run(8_000)
+    assert len(world.crash_times_ms) >= N_TO_BLOCK, "copies met at one endpoint"
     assert all(world.is_refused(entry_id) for entry_id in world.entry_by_id)
 
 
--- a/packages/core/src/bluebellusher_core/requests/_attempts.py
+++ b/packages/core/src/bluebellusher_core/requests/_attempts.py
@@ -9,11 +9,18 @@
     AttemptRefused,
     AttemptStarted,
 )
-from bluebellusher_core.requests import _final, _isolation, _placing, _recovery
+from bluebellusher_core.requests import (
+    _crash_evidence,
+    _final,
+    _isolation,
+    _placing,
+    _recovery,
+)
 from bluebellusher_core.requests._model import Attempt, Phase, Request
 from bluebellusher_core.state import EntryState
 
 SERVER_ERROR = 500
+_NOT_CONNECTED = frozenset((Reason.CONNECT_FAILED, Reason.CONNECT_REFUSED))
 
 AttemptEvent = (
     AttemptAccepted | AttemptStarted | AttemptFinished | AttemptRefused | AttemptBroken
@@ -38,7 +45,7 @@
         return []
     request = state.request_by_id[attempt.request_id]
     attempt.is_accepted = attempt.is_started = True
-    effects = _isolation.answered(state, attempt, "output")
+    effects = _crash_evidence.answered(state, attempt, "output", now_ms)
     state.endpoints.note_output(attempt.endpoint_id)
     state.endpoints.tracker.apply(event, now_ms)
     for other in [a for a in request.attempts if a is not attempt]:
@@ -53,7 +60,7 @@
         return _stray(state, event)
     request = state.request_by_id[attempt.request_id]
     state.endpoints.tracker.apply(event, now_ms)
-    effects = _isolation.answered(state, attempt, "answer")
+    effects = _crash_evidence.answered(state, attempt, "answer", now_ms)
     if event.status >= SERVER_ERROR:
         state.endpoints.tracker.record_failure(attempt.endpoint_id, now_ms)
         if _recovery.can_replace_failure(state, request):
@@ -71,10 +78,10 @@
     _final.end_attempt(state, request, attempt, now_ms)
     _avoid(state, event, endpoint_id, now_ms)
     effects = _go_on(state, request, attempt, event, now_ms)
-    if event.has_arrived:
-        effects += _isolation.answered(state, attempt, event.reason.value)
-    elif event.reason is Reason.CONNECT_FAILED:
-        effects += _isolation.endpoint_gone(state, endpoint_id, now_ms)
+    if event.reason is Reason.CONNECT_REFUSED:
+        effects += _crash_evidence.gone(state, endpoint_id, "port closed", now_ms)
+    elif event.reason is Reason.ENDPOINT_DRAINING and event.has_arrived:
+        effects += _crash_evidence.gone(state, endpoint_id, "address taken", now_ms)
     return effects
 
 
@@ -128,7 +135,7 @@
         return
     if event.reason is Reason.ENDPOINTS_CLOSED:
         state.endpoints.groups.note_closed(endpoint_id, now_ms)
-    if event.reason is Reason.CONNECT_FAILED:
+    if event.reason in _NOT_CONNECTED:
         state.endpoints.tracker.record_failure(endpoint_id, now_ms)
     state.endpoints.defer(endpoint_id, event.retry_after_ms, now_ms)
 
--- a/packages/core/src/bluebellusher_core/requests/_final.py
+++ b/packages/core/src/bluebellusher_core/requests/_final.py
@@ -5,8 +5,10 @@
     ClaimState,
     Complete,
     Effect,
+    LogEvent,
     Reject,
     SetTimer,
+    TellCrashes,
 )
 from bluebellusher_core.errors import Outcome, Reason, Refusal
 from bluebellusher_core.membership import pool_of
@@ -82,7 +84,7 @@
     end_attempt(state, request, winner, now_ms)
     observe_service(state, request, winner, now_ms)
     state.poison.clear(request.spec.fingerprint, now_ms)
-    state.crashes.clear(request.spec.fingerprint, now_ms)
+    effects += _clear_crashes(state, request.spec.fingerprint, now_ms)
     if request.claim is not None:
         effects += state.claims.record(
             request.claim, ClaimState.DONE, winner.attempt_id, now_ms
@@ -90,6 +92,21 @@
     return effects + drop(state, request, now_ms)
 
 
+def _clear_crashes(state: EntryState, fingerprint: str, now_ms: int) -> list[Effect]:
+    """Take crashes and a block back, because a run of the request was whole."""
+    if not state.config.n_crashes_to_block:
+        return []
+    if not state.crashes.clear(fingerprint, now_ms):
+        return []
+    effects: list[Effect] = [
+        TellCrashes((state.crashes.record(fingerprint, now_ms),)),
+    ]
+    if state.poison.unblock(fingerprint):
+        fields = (("fingerprint", fingerprint),)
+        effects.append(LogEvent("fingerprint-unblocked", fields))
+    return effects
+
+
 def drop(state: EntryState, request: Request, now_ms: int) -> list[Effect]:
     """Forget a request and stop what still runs for it."""
     effects: list[Effect] = []
--- a/packages/core/src/bluebellusher_core/requests/_isolation.py
+++ b/packages/core/src/bluebellusher_core/requests/_isolation.py
@@ -4,6 +4,7 @@
 from bluebellusher_core.errors import Reason
 from bluebellusher_core.events import DigestReceived
 from bluebellusher_core.membership import Pool, pool_of
+from bluebellusher_core.poison import BLOCK_MS
 from bluebellusher_core.requests import _final, _placing
 from bluebellusher_core.requests._model import Attempt, Phase, Request
 from bluebellusher_core.state import EntryState
@@ -94,11 +95,16 @@
 
 
 def block(
-    state: EntryState, fingerprint: str, peer: str, is_own: bool, now_ms: int
+    state: EntryState,
+    fingerprint: str,
+    peer: str,
+    is_own: bool,
+    now_ms: int,
+    block_ms: int = BLOCK_MS,
 ) -> list[Effect]:
-    """Refuse a fingerprint from now on, and give its callers the final answer."""
+    """Refuse a fingerprint for a while, and give its callers the final answer."""
     is_new = not state.poison.is_blocked(fingerprint, now_ms)
-    state.poison.block(fingerprint, now_ms, is_own)
+    state.poison.block(fingerprint, now_ms, is_own, block_ms)
     if not is_new:
         return []
     effects: list[Effect] = []
@@ -113,73 +119,6 @@
     return effects
 
 
-def note_broken(
-    state: EntryState,
-    request: Request,
-    attempt: Attempt,
-    reason: Reason,
-    is_fatal: bool,
-    now_ms: int,
-) -> list[Effect]:
-    """Note that a run broke, in case the request is what crashes endpoints.
-
-    Without agents a broken connection may have many causes. Isolated runs would cost
-    endpoints that are needed most then, so crashes are counted instead.
-    """
-    fingerprint = request.spec.fingerprint
-    if not state.config.n_crashes_to_block:
-        if is_fatal:
-            state.poison.suspect(fingerprint, now_ms, is_own=True)
-        return []
-    if not is_fatal and reason is not Reason.CONNECTION_LOST:
-        return []
-    endpoint_id, sent_at_ms = attempt.endpoint_id, attempt.dispatched_at_ms
-    is_noted = state.crashes.note_broken(fingerprint, endpoint_id, sent_at_ms, now_ms)
-    fields = (
-        ("request", request.spec.request_id),
-        ("fingerprint", fingerprint),
-        ("endpoint", endpoint_id),
-        ("after_ms", now_ms - sent_at_ms),
-        ("is_copy", not is_noted),
-    )
-    return [LogEvent("crash-suspected", fields)]
-
-
-def answered(state: EntryState, attempt: Attempt, evidence: str) -> list[Effect]:
-    """Drop suspicions against what broke at an endpoint that answers on."""
-    effects: list[Effect] = []
-    for fingerprint in state.crashes.note_answer(
-        attempt.endpoint_id, attempt.dispatched_at_ms
-    ):
-        fields = (
-            ("fingerprint", fingerprint),
-            ("endpoint", attempt.endpoint_id),
-            ("evidence", evidence),
-        )
-        effects.append(LogEvent("crash-ruled-out", fields))
-    return effects
-
-
-def endpoint_gone(state: EntryState, endpoint_id: str, now_ms: int) -> list[Effect]:
-    """Count the crash for what broke there, and block what has crashed too many."""
-    effects: list[Effect] = []
-    for fingerprint in state.crashes.confirm(endpoint_id, now_ms):
-        n_crashes = state.crashes.count(fingerprint, now_ms)
-        fields = (("fingerprint", fingerprint), ("endpoint", endpoint_id))
-        effects.append(LogEvent("crash-counted", (*fields, ("n_crashes", n_crashes))))
-        effects += _block_counted(state, fingerprint, endpoint_id, now_ms)
-    return effects
-
-
-def _block_counted(
-    state: EntryState, fingerprint: str, peer: str, now_ms: int
-) -> list[Effect]:
-    n_crashes = state.crashes.count(fingerprint, now_ms)
-    if n_crashes < state.config.n_crashes_to_block:
-        return []
-    return block(state, fingerprint, peer, True, now_ms)
-
-
 def digest_received(
     state: EntryState, event: DigestReceived, now_ms: int
 ) -> list[Effect]:
@@ -188,12 +127,10 @@
     effects: list[Effect] = []
     for fingerprint in event.blocked_fingerprints[:N_MAX_DIGEST]:
         effects += block(state, fingerprint, event.peer_id, False, now_ms)
+    if state.config.n_crashes_to_block:
+        return effects
     for fingerprint in event.suspect_fingerprints[:N_MAX_DIGEST]:
-        if not state.config.n_crashes_to_block:
-            state.poison.suspect(fingerprint, now_ms, is_own=False)
-            continue
-        state.crashes.note_peer(fingerprint, event.peer_id, now_ms)
-        effects += _block_counted(state, fingerprint, event.peer_id, now_ms)
+        state.poison.suspect(fingerprint, now_ms, is_own=False)
     return effects
 
 
--- a/packages/core/src/bluebellusher_core/requests/_links.py
+++ b/packages/core/src/bluebellusher_core/requests/_links.py
@@ -8,7 +8,12 @@
     EndpointCrashed,
     EndpointRegistered,
 )
-from bluebellusher_core.requests import _final, _isolation, _recovery
+from bluebellusher_core.requests import (
+    _crash_evidence,
+    _final,
+    _isolation,
+    _recovery,
+)
 from bluebellusher_core.requests._model import Attempt
 from bluebellusher_core.state import EntryState
 
@@ -36,8 +41,14 @@
     """Use an endpoint that registered; a new incarnation has lost its requests."""
     info = event.endpoint
     view = state.endpoints.view_by_id.get(info.endpoint_id)
+    if view is None or view.is_draining:
+        state.crashes.note_return(info.endpoint_id, info.incarnation)
     if view is None or view.info.incarnation != info.incarnation:
-        return connected(state, EndpointConnected(info), now_ms)
+        effects = connected(state, EndpointConnected(info), now_ms)
+        started_at_ms = now_ms - event.age_ms
+        return effects + _crash_evidence.gone(
+            state, info.endpoint_id, "started again", now_ms, started_at_ms
+        )
     state.endpoints.refresh(info)
     state.check_at_ms = 0
     return []
@@ -45,10 +56,13 @@
 
 def lost(state: EntryState, endpoint_id: str, now_ms: int) -> list[Effect]:
     """Break every attempt of a connection that is gone."""
+    view = state.endpoints.view_by_id.get(endpoint_id)
+    is_leaving = view is not None and view.is_draining
     _final.forget_endpoint(state, endpoint_id, now_ms)
     there = [a for a in state.attempt_by_id.values() if a.endpoint_id == endpoint_id]
-    effects = _break_all(state, there, Reason.ENDPOINT_LOST, now_ms)
-    return effects + _isolation.endpoint_gone(state, endpoint_id, now_ms)
+    for attempt in there:
+        attempt.is_leaving = is_leaving
+    return _break_all(state, there, Reason.ENDPOINT_LOST, now_ms)
 
 
 def crashed(state: EntryState, event: EndpointCrashed, now_ms: int) -> list[Effect]:
--- a/packages/core/src/bluebellusher_core/requests/_model.py
+++ b/packages/core/src/bluebellusher_core/requests/_model.py
@@ -23,7 +23,8 @@
 
     ``incarnation`` is that of the agent; ``is_accepted`` is set when an isolated run
     is known to have begun; ``is_crashed`` is set when the agent told
-    that the engine died with this attempt.
+    that the engine died with this attempt; ``is_leaving`` when its endpoint had said
+    that it would end.
     """
 
     attempt_id: str
@@ -36,6 +37,7 @@
     is_accepted: bool = False
     is_crashed: bool = False
     is_started: bool = False
+    is_leaving: bool = False
 
 
 @dataclass(slots=True)
--- a/packages/core/src/bluebellusher_core/requests/_recovery.py
+++ b/packages/core/src/bluebellusher_core/requests/_recovery.py
@@ -4,7 +4,12 @@
 from bluebellusher_core.errors import Reason
 from bluebellusher_core.events import AttemptBroken, EndpointInfo
 from bluebellusher_core.poison import HOLD_MS
-from bluebellusher_core.requests import _final, _isolation, _placing
+from bluebellusher_core.requests import (
+    _crash_evidence,
+    _final,
+    _isolation,
+    _placing,
+)
 from bluebellusher_core.requests._model import Attempt, Phase, Request
 from bluebellusher_core.state import EntryState
 
@@ -26,9 +31,7 @@
     request.avoided.add(attempt.endpoint_id)
     request.n_bytes_relayed = max(request.n_bytes_relayed, event.n_bytes_relayed)
     is_fatal = is_loss or event.reason is Reason.ENGINE_ERROR
-    effects = _isolation.note_broken(
-        state, request, attempt, event.reason, is_fatal, now_ms
-    )
+    effects = _crash_evidence.suspect(state, request, attempt, is_fatal, now_ms)
     # An isolated attempt that was lost on the way tells nothing about the request.
     is_convicting = is_fatal and attempt.is_isolated and attempt.is_accepted
     if is_convicting:
--- a/packages/core/src/bluebellusher_core/state/_state.py
+++ b/packages/core/src/bluebellusher_core/state/_state.py
@@ -54,6 +54,8 @@
         Suspect and blocked fingerprints.
     crashes : CrashCounter
         Crashes by fingerprint, where endpoints have no agent that tells of them.
+    checked_at_ms : dict of str to int
+        When the address of an endpoint began to be checked, while no answer is known.
     request_by_id, attempt_by_id : dict
         Requests without a final answer (or detached) and attempts in flight.
     ended_attempts : OrderedDict of str to str
@@ -91,6 +93,7 @@
     claims: ClaimTable
     poison: PoisonTable = field(default_factory=PoisonTable)
     crashes: CrashCounter = field(default_factory=CrashCounter)
+    checked_at_ms: dict[str, int] = field(default_factory=dict)
     request_by_id: dict[str, Request] = field(default_factory=dict)
     attempt_by_id: dict[str, Attempt] = field(default_factory=dict)
     ended_attempts: OrderedDict[str, str] = field(default_factory=OrderedDict)
@@ -141,5 +144,4 @@
 
     def digest(self, now_ms: int) -> tuple[tuple[str, ...], tuple[str, ...]]:
         """Return the blocked and suspect fingerprints to tell to peers."""
-        blocked, suspects = self.poison.digest(now_ms)
-        return blocked, suspects + self.crashes.told(now_ms)
+        return self.poison.digest(now_ms)
--- a/packages/core/src/bluebellusher_core/wire/_generated/bluebellusher/ttypes.py
+++ b/packages/core/src/bluebellusher_core/wire/_generated/bluebellusher/ttypes.py
@@ -3065,6 +3065,199 @@
         return not (self == other)
 
 
+class Crash(object):
+    """
+    Attributes:
+     - start_id
+     - sent_age_ms
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'start_id',
+        'sent_age_ms',
+        'age_ms',
+    )
+
+
+    def __init__(self, start_id=None, sent_age_ms=None, age_ms=None,):
+        self.start_id = start_id
+        self.sent_age_ms = sent_age_ms
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.start_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.sent_age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Crash')
+        if self.start_id is not None:
+            oprot.writeFieldBegin('start_id', TType.STRING, 1)
+            oprot.writeString(self.start_id.encode('utf-8') if sys.version_info[0] == 2 else self.start_id)
+            oprot.writeFieldEnd()
+        if self.sent_age_ms is not None:
+            oprot.writeFieldBegin('sent_age_ms', TType.I64, 2)
+            oprot.writeI64(self.sent_age_ms)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 3)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CrashRecord(object):
+    """
+    Attributes:
+     - fingerprint
+     - crashes
+     - sound_age_ms
+
+    """
+
+    __slots__ = (
+        'fingerprint',
+        'crashes',
+        'sound_age_ms',
+    )
+
+
+    def __init__(self, fingerprint=None, crashes=None, sound_age_ms=None,):
+        self.fingerprint = fingerprint
+        self.crashes = crashes
+        self.sound_age_ms = sound_age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.crashes = []
+                    (_etype123, _size120) = iprot.readListBegin()
+                    for _i124 in range(_size120):
+                        _elem125 = Crash()
+                        _elem125.read(iprot)
+                        self.crashes.append(_elem125)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.sound_age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CrashRecord')
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 1)
+            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.crashes))
+            for iter126 in self.crashes:
+                iter126.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.sound_age_ms is not None:
+            oprot.writeFieldBegin('sound_age_ms', TType.I64, 3)
+            oprot.writeI64(self.sound_age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Digest(object):
     """
     Attributes:
@@ -3074,6 +3267,7 @@
      - suspect_fingerprints
      - version_by_table
      - held_leases
+     - crashes
 
     """
 
@@ -3084,16 +3278,18 @@
         'suspect_fingerprints',
         'version_by_table',
         'held_leases',
+        'crashes',
     )
 
 
-    def __init__(self, config_version=None, members=None, blocked_fingerprints=None, suspect_fingerprints=None, version_by_table=None, held_leases=None,):
+    def __init__(self, config_version=None, members=None, blocked_fingerprints=None, suspect_fingerprints=None, version_by_table=None, held_leases=None, crashes=None,):
         self.config_version = config_version
         self.members = members
         self.blocked_fingerprints = blocked_fingerprints
         self.suspect_fingerprints = suspect_fingerprints
         self.version_by_table = version_by_table
         self.held_leases = held_leases
+        self.crashes = crashes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3112,52 +3308,63 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype123, _size120) = iprot.readListBegin()
-                    for _i124 in range(_size120):
-                        _elem125 = Member()
-                        _elem125.read(iprot)
-                        self.members.append(_elem125)
+                    (_etype130, _size127) = iprot.readListBegin()
+                    for _i131 in range(_size127):
+                        _elem132 = Member()
+                        _elem132.read(iprot)
+                        self.members.append(_elem132)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.blocked_fingerprints = []
-                    (_etype129, _size126) = iprot.readListBegin()
-                    for _i130 in range(_size126):
-                        _elem131 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.blocked_fingerprints.append(_elem131)
+                    (_etype136, _size133) = iprot.readListBegin()
+                    for _i137 in range(_size133):
+                        _elem138 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.blocked_fingerprints.append(_elem138)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.suspect_fingerprints = []
-                    (_etype135, _size132) = iprot.readListBegin()
-                    for _i136 in range(_size132):
-                        _elem137 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.suspect_fingerprints.append(_elem137)
+                    (_etype142, _size139) = iprot.readListBegin()
+                    for _i143 in range(_size139):
+                        _elem144 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.suspect_fingerprints.append(_elem144)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.MAP:
                     self.version_by_table = {}
-                    (_ktype139, _vtype140, _size138) = iprot.readMapBegin()
-                    for _i142 in range(_size138):
-                        _key143 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val144 = iprot.readI64()
-                        self.version_by_table[_key143] = _val144
+                    (_ktype146, _vtype147, _size145) = iprot.readMapBegin()
+                    for _i149 in range(_size145):
+                        _key150 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val151 = iprot.readI64()
+                        self.version_by_table[_key150] = _val151
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.held_leases = []
-                    (_etype148, _size145) = iprot.readListBegin()
-                    for _i149 in range(_size145):
-                        _elem150 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.held_leases.append(_elem150)
+                    (_etype155, _size152) = iprot.readListBegin()
+                    for _i156 in range(_size152):
+                        _elem157 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.held_leases.append(_elem157)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.crashes = []
+                    (_etype161, _size158) = iprot.readListBegin()
+                    for _i162 in range(_size158):
+                        _elem163 = CrashRecord()
+                        _elem163.read(iprot)
+                        self.crashes.append(_elem163)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3178,37 +3385,44 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter151 in self.members:
-                iter151.write(oprot)
+            for iter164 in self.members:
+                iter164.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.blocked_fingerprints is not None:
             oprot.writeFieldBegin('blocked_fingerprints', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.blocked_fingerprints))
-            for iter152 in self.blocked_fingerprints:
-                oprot.writeString(iter152.encode('utf-8') if sys.version_info[0] == 2 else iter152)
+            for iter165 in self.blocked_fingerprints:
+                oprot.writeString(iter165.encode('utf-8') if sys.version_info[0] == 2 else iter165)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspect_fingerprints is not None:
             oprot.writeFieldBegin('suspect_fingerprints', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.suspect_fingerprints))
-            for iter153 in self.suspect_fingerprints:
-                oprot.writeString(iter153.encode('utf-8') if sys.version_info[0] == 2 else iter153)
+            for iter166 in self.suspect_fingerprints:
+                oprot.writeString(iter166.encode('utf-8') if sys.version_info[0] == 2 else iter166)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.version_by_table is not None:
             oprot.writeFieldBegin('version_by_table', TType.MAP, 5)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.version_by_table))
-            for kiter154, viter155 in self.version_by_table.items():
-                oprot.writeString(kiter154.encode('utf-8') if sys.version_info[0] == 2 else kiter154)
-                oprot.writeI64(viter155)
+            for kiter167, viter168 in self.version_by_table.items():
+                oprot.writeString(kiter167.encode('utf-8') if sys.version_info[0] == 2 else kiter167)
+                oprot.writeI64(viter168)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.held_leases is not None:
             oprot.writeFieldBegin('held_leases', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.held_leases))
-            for iter156 in self.held_leases:
-                oprot.writeString(iter156.encode('utf-8') if sys.version_info[0] == 2 else iter156)
+            for iter169 in self.held_leases:
+                oprot.writeString(iter169.encode('utf-8') if sys.version_info[0] == 2 else iter169)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.crashes))
+            for iter170 in self.crashes:
+                iter170.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3391,11 +3605,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype160, _size157) = iprot.readListBegin()
-                    for _i161 in range(_size157):
-                        _elem162 = TableRow()
-                        _elem162.read(iprot)
-                        self.rows.append(_elem162)
+                    (_etype174, _size171) = iprot.readListBegin()
+                    for _i175 in range(_size171):
+                        _elem176 = TableRow()
+                        _elem176.read(iprot)
+                        self.rows.append(_elem176)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3424,8 +3638,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter163 in self.rows:
-                iter163.write(oprot)
+            for iter177 in self.rows:
+                iter177.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3938,15 +4152,15 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.experts = []
-                    (_etype167, _size164) = iprot.readListBegin()
-                    for _i168 in range(_size164):
-                        _elem169 = []
-                        (_etype173, _size170) = iprot.readListBegin()
-                        for _i174 in range(_size170):
-                            _elem175 = iprot.readI32()
-                            _elem169.append(_elem175)
+                    (_etype181, _size178) = iprot.readListBegin()
+                    for _i182 in range(_size178):
+                        _elem183 = []
+                        (_etype187, _size184) = iprot.readListBegin()
+                        for _i188 in range(_size184):
+                            _elem189 = iprot.readI32()
+                            _elem183.append(_elem189)
                         iprot.readListEnd()
-                        self.experts.append(_elem169)
+                        self.experts.append(_elem183)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3989,10 +4203,10 @@
         if self.experts is not None:
             oprot.writeFieldBegin('experts', TType.LIST, 5)
             oprot.writeListBegin(TType.LIST, len(self.experts))
-            for iter176 in self.experts:
-                oprot.writeListBegin(TType.I32, len(iter176))
-                for iter177 in iter176:
-                    oprot.writeI32(iter177)
+            for iter190 in self.experts:
+                oprot.writeListBegin(TType.I32, len(iter190))
+                for iter191 in iter190:
+                    oprot.writeI32(iter191)
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
@@ -5386,6 +5600,20 @@
     (7, TType.I32, 'role', None, None, ),  # 7
     (8, TType.LIST, 'services', (TType.STRING, 'UTF8', False), None, ),  # 8
 )
+all_structs.append(Crash)
+Crash.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'start_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'sent_age_ms', None, None, ),  # 2
+    (3, TType.I64, 'age_ms', None, None, ),  # 3
+)
+all_structs.append(CrashRecord)
+CrashRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'crashes', (TType.STRUCT, [Crash, None], False), None, ),  # 2
+    (3, TType.I64, 'sound_age_ms', None, None, ),  # 3
+)
 all_structs.append(Digest)
 Digest.thrift_spec = (
     None,  # 0
@@ -5395,6 +5623,7 @@
     (4, TType.LIST, 'suspect_fingerprints', (TType.STRING, 'UTF8', False), None, ),  # 4
     (5, TType.MAP, 'version_by_table', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 5
     (6, TType.LIST, 'held_leases', (TType.STRING, 'UTF8', False), None, ),  # 6
+    (7, TType.LIST, 'crashes', (TType.STRUCT, [CrashRecord, None], False), None, ),  # 7
 )
 all_structs.append(TableRow)
 TableRow.thrift_spec = (
--- a/packages/core/src/bluebellusher_core/wire/bluebellusher.thrift
+++ b/packages/core/src/bluebellusher_core/wire/bluebellusher.thrift
@@ -86,10 +86,16 @@
   4: string state, 5: string host, 6: i32 port, 7: Role role,
   8: list<string> services
 }
+/* Ages count from when the message is made; sound_age_ms is absent without a whole run. */
+struct Crash { 1: string start_id, 2: i64 sent_age_ms, 3: i64 age_ms }
+struct CrashRecord {
+  1: string fingerprint, 2: list<Crash> crashes, 3: optional i64 sound_age_ms
+}
 struct Digest {
   1: i64 config_version, 2: list<Member> members,
   3: list<string> blocked_fingerprints, 4: list<string> suspect_fingerprints,
-  5: map<string, i64> version_by_table, 6: list<string> held_leases
+  5: map<string, i64> version_by_table, 6: list<string> held_leases,
+  7: list<CrashRecord> crashes
 }
 
 /* Shared tables: an entry that the store turns away catches up with its peers. */
--- a/packages/entry/src/bluebellusher/gateway/_attempts.py
+++ b/packages/entry/src/bluebellusher/gateway/_attempts.py
@@ -17,6 +17,7 @@
     BoundedResponse,
     EventReader,
     EventSink,
+    is_listening,
     make_socket,
 )
 from bluebellusher.observability import Metrics, Tracer
@@ -24,13 +25,14 @@
 from bluebellusher.runtime import Exchange
 from bluebellusher_core.clock import Clock
 from bluebellusher_core.directory import EndpointRegistration
-from bluebellusher_core.effects import CancelAttempt, Dispatch
+from bluebellusher_core.effects import CancelAttempt, CheckEndpoint, Dispatch
 from bluebellusher_core.errors import Reason
 from bluebellusher_core.events import (
     AttemptBroken,
     AttemptFinished,
     AttemptRefused,
     AttemptStarted,
+    EndpointChecked,
     Event,
     Usage,
 )
@@ -92,6 +94,14 @@
     return Reason.ENDPOINT_FULL
 
 
+def _reason_of_failure(error: aiohttp.ClientError | TimeoutError) -> Reason:
+    """Return why there is no connection; only a closed port shows an ended process."""
+    cause = getattr(error, "os_error", None)
+    if isinstance(cause, ConnectionRefusedError):
+        return Reason.CONNECT_REFUSED
+    return Reason.CONNECT_FAILED
+
+
 class HttpDispatcher:
     """Send attempts to endpoints and report what becomes of them.
 
@@ -128,6 +138,7 @@
         self._metrics = metrics
         self._describe = describe
         self._attempt_by_id: dict[str, _Attempt] = {}
+        self._checks: set[asyncio.Task[None]] = set()
         self._session: aiohttp.ClientSession | None = None
 
     async def open(self) -> None:
@@ -158,6 +169,8 @@
         for attempt in list(self._attempt_by_id.values()):
             if attempt.task is not None:
                 attempt.task.cancel()
+        for check in self._checks:
+            check.cancel()
         if self._session is not None:
             await self._session.close()
 
@@ -187,6 +200,22 @@
             attempt.task.cancel()
             self._log("attempt-cancelled", attempt)
 
+    def check(self, effect: CheckEndpoint) -> None:
+        """Find out whether anything listens at an endpoint's address."""
+        task = asyncio.create_task(self._check(effect.endpoint_id))
+        self._checks.add(task)
+        task.add_done_callback(self._checks.discard)
+
+    async def _check(self, endpoint_id: str) -> None:
+        found: bool | None = None
+        endpoint = self._find_endpoint(endpoint_id)
+        if endpoint is not None:
+            found = await is_listening(endpoint.host, endpoint.port, CONNECT_TIMEOUT_MS)
+        assert self.sink is not None
+        answer = {True: "listening", False: "closed", None: "none"}[found]
+        self.sink.log("endpoint-checked", endpoint=endpoint_id, answer=answer)
+        self._post(EndpointChecked(endpoint_id, found))
+
     def find(self, attempt_id: str) -> Exchange | None:
         """Return the exchange of an attempt that has not ended."""
         attempt = self._attempt_by_id.get(attempt_id)
@@ -221,8 +250,14 @@
         try:
             event = await self._exchange(attempt)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            self._log("attempt-not-connected", attempt, error=type(error).__name__)
-            event = self._refused(attempt, Reason.CONNECT_FAILED, has_arrived=False)
+            reason = _reason_of_failure(error)
+            self._log(
+                "attempt-not-connected",
+                attempt,
+                error=type(error).__name__,
+                reason=reason.value,
+            )
+            event = self._refused(attempt, reason, has_arrived=False)
         except _BrokenError as error:
             self._log("attempt-broken", attempt, error=str(error))
             event = self._broken(attempt, error.reason)
--- a/packages/entry/src/bluebellusher/gateway/_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -22,11 +22,20 @@
 from bluebellusher.ranks import LeaseKeeper, MapLeader, RankLinks
 from bluebellusher.runtime import PeerExchange, Runtime
 from bluebellusher.settings import GatewaySettings, load_gateway_settings
-from bluebellusher.shared import Directory, Members, TableExchange, TableWatcher
+from bluebellusher.shared import (
+    CRASH_TABLE,
+    CrashTable,
+    Directory,
+    Members,
+    TableExchange,
+    TableWatcher,
+)
 from bluebellusher_core.admission import ObjectiveQueue
 from bluebellusher_core.clock import Clock, SystemClock
 from bluebellusher_core.directory import GroupModel, TableMirror
+from bluebellusher_core.effects import CheckEndpoint, TellCrashes
 from bluebellusher_core.events import EntriesCounted
+from bluebellusher_core.poison import CrashRecord
 from bluebellusher_core.reducer import EntryConfig, EntryState
 from bluebellusher_core.routing import SlotAware
 from bluebellusher_core.supervision import supervise
@@ -53,6 +62,9 @@
 # A group with a held step should not wait for the next leader.
 MAP_CHANGE_GRACE_MS = 1_500
 SETTINGS_POLL_MS = 1_000
+# Peers tell of crashes at once; the table serves entries that reach no peer. Calls
+# are priced, and the store keeps 20 s of history.
+CRASH_WAIT_MS = 15_000
 _POLL_S = 0.02
 
 
@@ -94,7 +106,9 @@
             settings.failure_domain,
             settings.shared_secret.get_secret_value().encode(),
         )
-        self.peer_exchange = PeerExchange(self.runtime, clock, self.view.make_digest)
+        self.peer_exchange = PeerExchange(
+            self.runtime, clock, self.view.make_digest, self._find_crashes
+        )
         self.peers = PeerLinks(
             identity, self.runtime, self.ticker, clock, seed, self.peer_exchange
         )
@@ -106,6 +120,29 @@
         self.registration_watcher = self._make_watcher(
             ports.codec.registration_table, self.directory.take_registrations, seed
         )
+        crash_mirror = TableMirror(CRASH_TABLE)
+        self.crash_table = CrashTable(
+            ports.store,
+            crash_mirror,
+            self._find_crashes,
+            self.runtime.post,
+            clock,
+            seed,
+            self.runtime,
+        )
+        self.crash_watcher = TableWatcher(
+            ports.store,
+            crash_mirror,
+            self.crash_table.take_rows,
+            # Endpoints are registered in another table.
+            lambda is_in_contact: None,
+            clock,
+            seed,
+            self.runtime,
+            CRASH_WAIT_MS,
+        )
+        self.runtime.register(CheckEndpoint, self.dispatcher.check)
+        self.runtime.register(TellCrashes, self._tell_crashes)
         self.members = Members(
             ports.store,
             self.peers,
@@ -153,7 +190,15 @@
     def is_ready(self) -> bool:
         """Whether callers should come."""
         is_known = self.directory.is_ready and self.registration_watcher.mirror.version
-        return bool(is_known) and not self.runtime.is_shutting_down
+        return (
+            bool(is_known) and self.knows_crashes and not self.runtime.is_shutting_down
+        )
+
+    @property
+    def knows_crashes(self) -> bool:
+        """Whether the store or a peer has told of earlier crashes."""
+        digests = self.peer_exchange.digest_at_ms_by_peer_id
+        return self.crash_watcher.mirror.version > 0 or bool(digests)
 
     async def start(self) -> None:
         """Listen, connect and follow the shared tables."""
@@ -173,6 +218,8 @@
         for run in (
             self.routing_watcher.run,
             self.registration_watcher.run,
+            self.crash_watcher.run,
+            self.crash_table.run,
             self.members.run,
             self.lease.run,
             self.leader.run,
@@ -235,6 +282,15 @@
     def _on_digest(self, peer_id: str, digest: Any) -> None:
         self._leases_by_peer_id[peer_id] = MAP_LEASE in (digest.held_leases or ())
         self.tables.on_digest(peer_id, digest)
+        if digest.crashes:
+            self.crash_table.note_others()
+
+    def _find_crashes(self) -> tuple[CrashRecord, ...]:
+        return self.state.crashes.records(self.clock.now_ms())
+
+    def _tell_crashes(self, effect: TellCrashes) -> None:
+        self.peer_exchange.tell_crashes(effect.records)
+        self.crash_table.note_own()
 
     def _find_endpoint(self, endpoint_id: str) -> Any:
         return self.directory.find(endpoint_id)
@@ -257,7 +313,10 @@
         return service.engine.group if service and service.engine else None
 
     def _make_watcher(
-        self, table: str, take: Callable[[list[Any]], None], seed: Random
+        self,
+        table: str,
+        take: Callable[[list[Any]], None],
+        seed: Random,
     ) -> TableWatcher:
         def on_news(rows: list[Any]) -> None:
             take(rows)
--- a/packages/entry/src/bluebellusher/gateway/tests/harness.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/harness.py
@@ -26,6 +26,7 @@
     RoutingTable,
     Service,
 )
+from bluebellusher_core.effects import CheckEndpoint, TellCrashes
 from bluebellusher_core.events import EndpointInfo, EndpointRegistered
 from bluebellusher_core.reducer import EntryConfig, EntryState
 from bluebellusher_core.routing import SlotAware
@@ -130,12 +131,17 @@
 class Harness:
     """Everything between a caller and scripted endpoints."""
 
-    def __init__(self, endpoints, routes=None, customers=None):
+    def __init__(self, endpoints, routes=None, customers=None, n_crashes_to_block=0):
         self.endpoints = endpoints
         self.recorder = Recorder()
         self.log = KeyValueLog.from_config("info", self.recorder)
         clock = SystemClock()
-        config = EntryConfig("entry", resume_wait_ms=500, no_endpoint_grace_ms=100)
+        config = EntryConfig(
+            "entry",
+            resume_wait_ms=500,
+            no_endpoint_grace_ms=100,
+            n_crashes_to_block=n_crashes_to_block,
+        )
         self.state = EntryState.from_config(config, SlotAware("here"), ObjectiveQueue)
         tracer = Tracer(self.log)
         dialect = PlainDialect()
@@ -145,6 +151,8 @@
             self.state, clock, self.log, metrics, tracer, self.dispatcher
         )
         self.dispatcher.sink = self.runtime
+        self.runtime.register(CheckEndpoint, self.dispatcher.check)
+        self.runtime.register(TellCrashes, self.told_crashes)
         self.directory = Directory(None, self.runtime.post, clock, self.runtime)
         services = [Service("desk", 10)]
         self.directory.routing = RoutingTable.from_parts(
@@ -158,6 +166,9 @@
         self.port = 0
         self.session = None
 
+    def told_crashes(self, effect):
+        """Take what would be told to peers."""
+
     def find(self, endpoint_id):
         """Return where an endpoint listens."""
         for endpoint in self.endpoints:
--- /dev/null
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_crashes.py
@@ -0,0 +1,66 @@
+"""Requests that end the process which runs them, through real sockets."""
+
+from bluebellusher.gateway.tests.harness import answer_whole, make_route, run
+from bluebellusher.shared.tests.fakes import until
+from bluebellusher_core.directory import RequestKind
+
+NON_IDEMPOTENT = [make_route(RequestKind.NON_IDEMPOTENT)]
+POISON = {"method": "POST", "data": b"poison"}
+
+
+def make_answer(endpoint_by_id, has_open_port=False):
+    """Return an answer function; poison ends the endpoint that reads it."""
+
+    async def answer(request, body):
+        if body == b"poison":
+            if not has_open_port:
+                endpoint_by_id[request.headers["Endpoint"]].close()
+            request.transport.abort()
+        return await answer_whole(request, body)
+
+    return answer
+
+
+def run_poison(scenario, has_open_port):
+    """Run a scenario with five endpoints."""
+    endpoint_by_id = {}
+
+    async def with_endpoints(harness):
+        endpoint_by_id.update({e.endpoint_id: e for e in harness.endpoints})
+        await scenario(harness)
+
+    answer = make_answer(endpoint_by_id, has_open_port)
+    run(with_endpoints, [answer] * 5, routes=NON_IDEMPOTENT, n_crashes_to_block=3)
+
+
+def test_third_closed_port_blocks_the_request_that_was_running():
+    """Guards against crashes that count only if other requests meet them."""
+
+    async def scenario(harness):
+        for n_crashes in range(1, 4):
+            assert (await harness.fetch(**POISON))[0] == 502
+            await until(
+                lambda n=n_crashes: harness.recorder.count("crash-counted") == n
+            )
+        status, headers, body = await harness.fetch(**POISON)
+        assert status == 503
+        assert b"crashes_endpoints" in body
+        assert float(headers["Retry-After"]) > 1
+        assert sum(len(e.received) for e in harness.endpoints) == 3
+        assert (await harness.fetch(method="POST", data=b"sound"))[0] == 200
+
+    run_poison(scenario, has_open_port=False)
+
+
+def test_connections_that_break_at_open_ports_block_nothing():
+    """Guards against callers refused because endpoints reset connections."""
+
+    async def scenario(harness):
+        for n_broken in range(1, 6):
+            assert (await harness.fetch(**POISON))[0] == 502
+            await until(
+                lambda n=n_broken: harness.recorder.count("crash-ruled-out") == n
+            )
+        assert not harness.recorder.count("crash-counted")
+
+    run_poison(scenario, has_open_port=True)
--- a/packages/entry/src/bluebellusher/links/__init__.py
+++ b/packages/entry/src/bluebellusher/links/__init__.py
@@ -8,7 +8,7 @@
 from bluebellusher.links._peers import PeerHandler, PeerLinks
 from bluebellusher.links._relay import AttemptRelay
 from bluebellusher.links._responses import BoundedResponse, EventReader, read_whole
-from bluebellusher.links._sockets import make_socket
+from bluebellusher.links._sockets import is_listening, make_socket
 from bluebellusher.links._sse import EventSplitter
 from bluebellusher.links._ticker import LinkTicker
 
@@ -27,6 +27,7 @@
     "LinkTicker",
     "PeerHandler",
     "PeerLinks",
+    "is_listening",
     "make_socket",
     "read_whole",
 ]
--- a/packages/entry/src/bluebellusher/links/_sockets.py
+++ b/packages/entry/src/bluebellusher/links/_sockets.py
@@ -1,5 +1,6 @@
 """Sockets that notice a peer which is gone."""
 
+import asyncio
 import socket
 from typing import Any
 
@@ -20,6 +21,27 @@
     return sock
 
 
+async def is_listening(host: str, port: int, timeout_ms: int) -> bool | None:
+    """Return whether a process listens at an address.
+
+    Returns None when nothing answers within ``timeout_ms`` or the address cannot be
+    reached, which says nothing of the process.
+    """
+    sock = make_socket((socket.AF_INET, socket.SOCK_STREAM, 0))
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout_ms / 1000):
+            await loop.sock_connect(sock, (host, port))
+    except ConnectionRefusedError:
+        return False
+    except OSError:
+        # TimeoutError is one too.
+        return None
+    finally:
+        sock.close()
+    return True
+
+
 def watch_peer(sock: socket.socket) -> None:
     """Let a connection fail when its peer does not answer any more."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/packages/entry/src/bluebellusher/runtime/_peers.py
+++ b/packages/entry/src/bluebellusher/runtime/_peers.py
@@ -1,14 +1,20 @@
 """What entries tell each other."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from bluebellusher.links import EventSink, PeerLinks
 from bluebellusher_core.clock import Clock
-from bluebellusher_core.events import DigestReceived
+from bluebellusher_core.events import CrashesLearned, DigestReceived
+from bluebellusher_core.poison import Crash, CrashRecord
 from bluebellusher_core.wire import messages
 
 DIGEST_INTERVAL_MS = 2_000
+# Crashes are told when they are counted; again, in case an entry was cut off.
+CRASHES_INTERVAL_MS = 10_000
+N_MAX_CRASHES = 1_000
+# A longer row than any start of an endpoint can make.
+N_MAX_CRASHES_BY_RECORD = 100
 MessageHandler = Callable[[str, Any], None]
 
 
@@ -23,10 +29,16 @@
         Times the digests.
     make_digest : callable
         Returns the current ``Digest`` message.
+    find_crashes : callable
+        Returns the records of crashes; entries with agents have none.
     """
 
     def __init__(
-        self, sink: EventSink, clock: Clock, make_digest: Callable[[], Any]
+        self,
+        sink: EventSink,
+        clock: Clock,
+        make_digest: Callable[[], Any],
+        find_crashes: Callable[[], tuple[CrashRecord, ...]] = tuple,
     ) -> None:
         self.links: PeerLinks | None = None
         self.digest_at_ms_by_peer_id: dict[str, int] = {}
@@ -35,8 +47,10 @@
         self._clock = clock
         self._make_digest = make_digest
         self._handler_by_type: dict[type, MessageHandler] = {}
+        self._find_crashes = find_crashes
         self._sent: Any = None
         self._sent_at_ms = 0
+        self._crashes_sent_at_ms = 0
 
     def register(self, message_type: type, handler: MessageHandler) -> None:
         """Call ``handler(peer_id, message)`` for messages of this type."""
@@ -45,7 +59,16 @@
     def on_peer_open(self, peer_id: str, _hello: Any) -> None:
         """Send a new peer what it may not know."""
         if self.links is not None:
-            self.links.send(peer_id, self._make_digest())
+            digest = self._make_digest()
+            digest.crashes = _to_messages(self._find_crashes())
+            self.links.send(peer_id, digest)
+
+    def tell_crashes(self, records: Iterable[CrashRecord]) -> None:
+        """Send records of crashes to all peers."""
+        digest = self._make_digest()
+        digest.crashes = _to_messages(records)
+        if self.links is not None and digest.crashes:
+            self.links.broadcast(digest)
 
     def on_peer_message(self, peer_id: str, message: Any) -> None:
         """Handle a digest, or pass the message to its handler."""
@@ -65,6 +88,9 @@
         if self.links is not None and (is_due or digest != self._sent):
             self._sent, self._sent_at_ms = digest, now_ms
             self.links.broadcast(digest)
+        if now_ms - self._crashes_sent_at_ms >= CRASHES_INTERVAL_MS:
+            self._crashes_sent_at_ms = now_ms
+            self.tell_crashes(self._find_crashes())
 
     def _receive_digest(self, peer_id: str, digest: Any) -> None:
         self.digest_at_ms_by_peer_id[peer_id] = self._clock.now_ms()
@@ -77,3 +103,42 @@
             tuple(digest.suspect_fingerprints or ()),
         )
         self._sink.post(event)
+        if digest.crashes:
+            records = _from_messages(digest.crashes)
+            self._sink.post(CrashesLearned(peer_id, records))
+
+
+def _to_messages(records: Iterable[CrashRecord]) -> list[Any]:
+    return [
+        messages.CrashRecord(
+            fingerprint=record.fingerprint,
+            crashes=[
+                messages.Crash(
+                    start_id=crash.start_id,
+                    sent_age_ms=crash.sent_age_ms,
+                    age_ms=crash.age_ms,
+                )
+                for crash in record.crashes
+            ],
+            sound_age_ms=record.sound_age_ms,
+        )
+        for record in records
+    ]
+
+
+def _from_messages(found: Iterable[Any]) -> tuple[CrashRecord, ...]:
+    return tuple(
+        CrashRecord(
+            fingerprint=record.fingerprint or "",
+            crashes=tuple(
+                Crash(
+                    crash.start_id or "",
+                    max(0, crash.sent_age_ms or 0),
+                    max(0, crash.age_ms or 0),
+                )
+                for crash in (record.crashes or ())[:N_MAX_CRASHES_BY_RECORD]
+            ),
+            sound_age_ms=record.sound_age_ms,
+        )
+        for record in list(found)[:N_MAX_CRASHES]
+    )
--- a/packages/entry/src/bluebellusher/runtime/_runtime.py
+++ b/packages/entry/src/bluebellusher/runtime/_runtime.py
@@ -92,6 +92,10 @@
         self._claims = claims
         self._store = store
 
+    def register(self, effect_type: type[Any], execute: Callable[[Any], None]) -> None:
+        """Execute effects of a type that only some entries can execute."""
+        self._executor_by_type[effect_type] = execute
+
     @property
     def n_claims_in_flight(self) -> int:
         """Return how many batches of claim rows are being written."""
--- a/packages/entry/src/bluebellusher/shared/__init__.py
+++ b/packages/entry/src/bluebellusher/shared/__init__.py
@@ -1,8 +1,17 @@
 """Tables of the store that every entry holds a copy of, and their exchange."""
 
+from bluebellusher.shared._crashes import CRASH_TABLE, CrashTable
 from bluebellusher.shared._directory import Directory
 from bluebellusher.shared._members import Members
 from bluebellusher.shared._peers import TableExchange
 from bluebellusher.shared._watcher import LogSink, TableWatcher
 
-__all__ = ["Directory", "LogSink", "Members", "TableExchange", "TableWatcher"]
+__all__ = [
+    "CRASH_TABLE",
+    "CrashTable",
+    "Directory",
+    "LogSink",
+    "Members",
+    "TableExchange",
+    "TableWatcher",
+]
--- /dev/null
+++ b/packages/entry/src/bluebellusher/shared/_crashes.py
@@ -0,0 +1,232 @@
+"""Crashes that all entries remember, in a table of the store.
+
+Entries tell each other of crashes at once. The table is for those that start when no
+peer is left to ask, and for those that reach the store and no peer.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from random import Random
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from bluebellusher.ports import RowStore, RowWrite
+from bluebellusher.shared._watcher import LogSink
+from bluebellusher_core.clock import Clock
+from bluebellusher_core.directory import MirrorRow, TableMirror
+from bluebellusher_core.events import CrashesLearned
+from bluebellusher_core.poison import COUNT_MS, Crash, CrashRecord
+
+CRASH_TABLE = "crashes"
+CRASH_KEY = "recent"
+# Of a row of at most 65,536 bytes; a record with three crashes takes about 250.
+N_MAX_STORED = 200
+# The entry that saw a crash writes it; others only if it has not done so by then.
+WRITE_FOR_OTHERS_AFTER_MS = 3_000
+MAX_WRITE_DELAY_MS = 200
+RETRY_INTERVAL_MS = 1_000
+
+
+class _StoredCrash(BaseModel):
+    """One crash; times are Unix milliseconds."""
+
+    model_config = ConfigDict(frozen=True)
+
+    start_id: str
+    sent_at: int
+    broken_at: int
+
+
+class _StoredTable(BaseModel):
+    """The value of the only row."""
+
+    model_config = ConfigDict(frozen=True)
+
+    crashes_by_fingerprint: dict[str, tuple[_StoredCrash, ...]] = Field(
+        default_factory=dict
+    )
+
+
+class CrashTable:
+    """Keep the entry's records of crashes and those of the store united.
+
+    Parameters
+    ----------
+    store : RowStore
+        Keeps the row.
+    mirror : TableMirror
+        Copy of the table, which a watcher follows.
+    find_records : callable
+        Returns what this entry knows.
+    post : callable
+        Receives ``CrashesLearned``.
+    clock : Clock
+        Turns ages into Unix time; only differences within minutes matter.
+    random_state : random.Random
+        Spreads the writes of entries that saw the same crash.
+    log : LogSink
+        Takes log lines.
+    """
+
+    def __init__(
+        self,
+        store: RowStore,
+        mirror: TableMirror,
+        find_records: Callable[[], tuple[CrashRecord, ...]],
+        post: Callable[[CrashesLearned], None],
+        clock: Clock,
+        random_state: Random,
+        log: LogSink,
+    ) -> None:
+        self._store = store
+        self._mirror = mirror
+        self._find_records = find_records
+        self._post = post
+        self._clock = clock
+        self._random_state = random_state
+        self._log = log
+        self._is_changed = asyncio.Event()
+        self._write_at_ms: int | None = None
+
+    def take_rows(self, rows: Iterable[MirrorRow]) -> None:
+        """Pass on what the store remembers."""
+        for row in rows:
+            if row.key == CRASH_KEY and not row.is_removed:
+                table = self._read(row)
+                records = tuple(
+                    _to_record(fingerprint, crashes, self._clock.wall_ms())
+                    for fingerprint, crashes in table.crashes_by_fingerprint.items()
+                )
+                self._post(CrashesLearned("store", records))
+
+    def note_own(self) -> None:
+        """Write soon, because this entry saw something."""
+        self._plan(self._random_state.randrange(MAX_WRITE_DELAY_MS))
+
+    def note_others(self) -> None:
+        """Write later, in case the entry that saw something cannot."""
+        spread_ms = self._random_state.randrange(WRITE_FOR_OTHERS_AFTER_MS)
+        self._plan(WRITE_FOR_OTHERS_AFTER_MS + spread_ms)
+
+    def _plan(self, delay_ms: int) -> None:
+        due_ms = self._clock.now_ms() + delay_ms
+        if self._write_at_ms is None or due_ms < self._write_at_ms:
+            self._write_at_ms = due_ms
+            self._is_changed.set()
+
+    async def run(self) -> None:
+        """Write what the store lacks, until cancelled."""
+        while True:
+            self._is_changed.clear()
+            if self._write_at_ms is None:
+                await self._is_changed.wait()
+                continue
+            left_ms = self._write_at_ms - self._clock.now_ms()
+            if left_ms > 0:
+                await self._wait_for_change(left_ms)
+                continue
+            self._write_at_ms = None
+            if not await self._write():
+                self._plan(RETRY_INTERVAL_MS)
+
+    async def _wait_for_change(self, timeout_ms: int) -> None:
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                await self._is_changed.wait()
+        except TimeoutError:
+            # The write is due.
+            return
+
+    async def _write(self) -> bool:
+        """Write once; return whether the store has everything now."""
+        row = self._mirror.row_by_key.get(CRASH_KEY)
+        stored = self._read(row) if row is not None else _StoredTable()
+        table = unite(stored, self._find_records(), self._clock.wall_ms())
+        if table == stored:
+            return True
+        value = table.model_dump_json().encode()
+        version = row.version if row is not None else 0
+        write = RowWrite(CRASH_TABLE, CRASH_KEY, value, version)
+        result = await self._store.write_row(write)
+        if not result.is_ok():
+            self._log.log("crashes-not-stored", reason=result.error.reason)
+            return False
+        found = result.ok
+        is_written = found.value == value
+        n_records = len(table.crashes_by_fingerprint)
+        if is_written:
+            self._log.log("crashes-stored", n_records=n_records, version=found.version)
+        # The copy's own version stays: it vouches for all rows up to it.
+        self.take_rows(self._mirror.apply([found], self._mirror.version))
+        return is_written
+
+    def _read(self, row: MirrorRow) -> _StoredTable:
+        try:
+            return _StoredTable.model_validate_json(row.value)
+        except ValidationError as error:
+            # The next write replaces it.
+            self._log.log(
+                "crashes-unreadable", version=row.version, n_errors=error.error_count()
+            )
+            return _StoredTable()
+
+
+def unite(
+    stored: _StoredTable, records: Iterable[CrashRecord], wall_ms: int
+) -> _StoredTable:
+    """Return a stored table with what an entry knows, without what is over.
+
+    What is stored already keeps its times, so that entries which know the same leave
+    the table as it is.
+    """
+    united = {
+        fingerprint: _without_old(crashes, wall_ms - COUNT_MS)
+        for fingerprint, crashes in stored.crashes_by_fingerprint.items()
+    }
+    for record in records:
+        known = united.get(record.fingerprint, ())
+        united[record.fingerprint] = _unite_one(known, record, wall_ms)
+    most_first = sorted(
+        ((f, crashes) for f, crashes in united.items() if crashes),
+        key=lambda item: (len(item[1]), item[1][-1].broken_at),
+        reverse=True,
+    )
+    return _StoredTable(crashes_by_fingerprint=dict(most_first[:N_MAX_STORED]))
+
+
+def _unite_one(
+    known: tuple[_StoredCrash, ...], record: CrashRecord, wall_ms: int
+) -> tuple[_StoredCrash, ...]:
+    crash_by_start_id = {crash.start_id: crash for crash in known}
+    for crash in record.crashes:
+        stored = _StoredCrash(
+            start_id=crash.start_id,
+            sent_at=wall_ms - crash.sent_age_ms,
+            broken_at=wall_ms - crash.age_ms,
+        )
+        crash_by_start_id.setdefault(crash.start_id, stored)
+    crashes = sorted(crash_by_start_id.values(), key=lambda crash: crash.broken_at)
+    sound_age_ms = COUNT_MS if record.sound_age_ms is None else record.sound_age_ms
+    return _without_old(tuple(crashes), wall_ms - min(sound_age_ms, COUNT_MS))
+
+
+def _without_old(
+    crashes: tuple[_StoredCrash, ...], since_wall_ms: int
+) -> tuple[_StoredCrash, ...]:
+    return tuple(crash for crash in crashes if crash.broken_at > since_wall_ms)
+
+
+def _to_record(
+    fingerprint: str, crashes: tuple[_StoredCrash, ...], wall_ms: int
+) -> CrashRecord:
+    return CrashRecord(
+        fingerprint,
+        tuple(
+            Crash(
+                crash.start_id,
+                max(0, wall_ms - crash.sent_at),
+                max(0, wall_ms - crash.broken_at),
+            )
+            for crash in crashes
+        ),
+    )
--- a/packages/entry/src/bluebellusher/shared/_directory.py
+++ b/packages/entry/src/bluebellusher/shared/_directory.py
@@ -1,6 +1,7 @@
 """Routes, customers and endpoints in force on this entry."""
 
 from collections.abc import Callable
+from dataclasses import replace
 
 from bluebellusher.ports import TableCodec
 from bluebellusher.shared._watcher import LogSink
@@ -15,6 +16,7 @@
     EndpointDraining,
     EndpointLost,
     EndpointRegistered,
+    EndpointReplaced,
     Event,
 )
 
@@ -22,6 +24,7 @@
     EndpointRegistered: "endpoint-ready",
     EndpointDraining: "endpoint-draining",
     EndpointLost: "endpoint-forgotten",
+    EndpointReplaced: "endpoint-replaced",
 }
 
 
@@ -117,12 +120,19 @@
         """End the grace of lapsed registrations."""
         self._emit(self.registrations.tick(now_ms))
 
+    def _age_ms(self, started_wall_ms: int) -> int:
+        """Return how long ago an endpoint started; 0 when it does not say."""
+        if not started_wall_ms:
+            return 0
+        return max(0, self._clock.wall_ms() - started_wall_ms)
+
     def _emit(self, events: list[Event]) -> None:
         for event in events:
             match event:
                 case EndpointRegistered(endpoint=info):
                     endpoint_id = info.endpoint_id
-                case EndpointDraining() | EndpointLost():
+                    event = replace(event, age_ms=self._age_ms(info.incarnation))
+                case EndpointDraining() | EndpointLost() | EndpointReplaced():
                     endpoint_id = event.endpoint_id
                 case _:
                     endpoint_id = ""
--- a/packages/entry/src/bluebellusher/shared/_watcher.py
+++ b/packages/entry/src/bluebellusher/shared/_watcher.py
@@ -49,6 +49,8 @@
         Spreads the retries of many entries.
     log : LogSink
         Takes log lines.
+    wait_ms : int
+        How long the store is asked to wait for a change.
     """
 
     def __init__(
@@ -60,6 +62,7 @@
         clock: Clock,
         random_state: Random,
         log: LogSink,
+        wait_ms: int = WAIT_MS,
     ) -> None:
         self.mirror = mirror
         self.is_in_contact = False
@@ -70,6 +73,7 @@
         self._clock = clock
         self._random_state = random_state
         self._log = log
+        self._wait_ms = wait_ms
         self._needs_snapshot = True
         self._n_failures = 0
 
@@ -89,7 +93,7 @@
         if self._needs_snapshot:
             return await self._store.read_table(self.mirror.table)
         version = self.mirror.version
-        return await self._store.read_changes(self.mirror.table, version, WAIT_MS)
+        return await self._store.read_changes(self.mirror.table, version, self._wait_ms)
 
     def _take(self, found: TableRows) -> None:
         self._note_contact()
--- /dev/null
+++ b/packages/entry/src/bluebellusher/shared/tests/test_crash_table.py
@@ -0,0 +1,208 @@
+"""Crashes kept in the store while it and the entries fail."""
+
+import asyncio
+from random import Random
+
+from bluebellusher.shared import CRASH_TABLE, CrashTable
+from bluebellusher.shared._crashes import CRASH_KEY, N_MAX_STORED
+from bluebellusher.shared.tests.fakes import DOWN, FakeLog, FakeStore, until
+from bluebellusher_core.clock import ManualClock
+from bluebellusher_core.directory import TableMirror
+from bluebellusher_core.poison import COUNT_MS, Crash, CrashCounter, CrashRecord
+
+# A row of the users' store; its text is counted before it is encoded.
+MAX_ROW_BYTES = 65_536
+
+
+class Entry:
+    """The part of an entry that remembers crashes."""
+
+    def __init__(self, store, clock):
+        self.log = FakeLog()
+        self.counter = CrashCounter()
+        self.store = store
+        self.clock = clock
+        self.mirror = TableMirror(CRASH_TABLE)
+        self.table = CrashTable(
+            store,
+            self.mirror,
+            lambda: self.counter.records(clock.now_ms()),
+            self.learn,
+            clock,
+            Random(1),
+            self.log,
+        )
+        self.task = asyncio.create_task(self.table.run())
+
+    def learn(self, event):
+        """Take records in, as the reducer does."""
+        for record in event.records:
+            self.counter.merge(record, self.clock.now_ms())
+
+    def see(self, fingerprint, n_crashes, sound_age_ms=None):
+        """Observe crashes."""
+        now_ms = self.clock.now_ms()
+        crashes = tuple(Crash(f"x{i}@1", 20, 10) for i in range(n_crashes))
+        self.counter.merge(CrashRecord(fingerprint, crashes, sound_age_ms), now_ms)
+        self.table.note_own()
+
+    async def start(self):
+        """Read the store."""
+        found = (await self.store.read_table(CRASH_TABLE)).ok
+        self.table.take_rows(self.mirror.replace(found.rows, found.version))
+        return self
+
+    def count(self, fingerprint):
+        """Return how many crashes are remembered."""
+        return self.counter.count(fingerprint, self.clock.now_ms())
+
+
+def run(scenario):
+    """Run a scenario with a store and a clock."""
+
+    async def main():
+        await scenario(FakeStore(), ManualClock(1_000_000))
+        for task in asyncio.all_tasks() - {asyncio.current_task()}:
+            task.cancel()
+
+    asyncio.run(main())
+
+
+def row_of(store):
+    """Return what is stored, or None."""
+    return store.rows_by_table.get(CRASH_TABLE, {}).get(CRASH_KEY)
+
+
+def test_entry_that_starts_alone_knows_the_crashes_of_earlier_ones():
+    """Guards against a block that no process is left to remember."""
+
+    async def scenario(store, clock):
+        (await Entry(store, clock).start()).see("f", 3)
+        await until(lambda: row_of(store), clock)
+        clock.advance(COUNT_MS // 2)
+        assert (await Entry(store, clock).start()).count("f") == 3
+        clock.advance(COUNT_MS // 2)
+        assert (await Entry(store, clock).start()).count("f") == 0
+
+    run(scenario)
+
+
+def test_entries_that_write_at_once_lose_nothing():
+    """Guards against a row that the last writer wins."""
+
+    async def scenario(store, clock):
+        first = await Entry(store, clock).start()
+        second = await Entry(store, clock).start()
+        first.see("f", 2)
+        second.see("g", 1)
+        await until(lambda: _has_both(row_of(store)), clock)
+        third = await Entry(store, clock).start()
+        assert (third.count("f"), third.count("g")) == (2, 1)
+
+    run(scenario)
+
+
+def _has_both(row):
+    return row is not None and b'"f"' in row.value and b'"g"' in row.value
+
+
+def test_crash_is_stored_when_the_store_is_back():
+    """Guards against crashes forgotten because the store was away."""
+
+    async def scenario(store, clock):
+        entry = await Entry(store, clock).start()
+        store.fault = DOWN
+        entry.see("f", 2)
+        await until(lambda: "crashes-not-stored" in entry.log.names(), clock)
+        store.fault = None
+        await until(lambda: row_of(store), clock)
+
+    run(scenario)
+
+
+def test_lost_answer_of_the_store_changes_nothing():
+    """Guards against endless writes of what is there already."""
+
+    async def scenario(store, clock):
+        entry = await Entry(store, clock).start()
+        store.loses_answers = True
+        entry.see("f", 2)
+        await until(lambda: row_of(store), clock)
+        store.loses_answers = False
+        await until(lambda: row_of(store).version in _versions(entry), clock)
+        n_calls = store.n_calls
+        for _ in range(20):
+            clock.advance(1_000)
+            await asyncio.sleep(0.01)
+        assert store.n_calls == n_calls
+
+    run(scenario)
+
+
+def _versions(entry):
+    return {row.version for row in entry.mirror.row_by_key.values()}
+
+
+def test_entries_that_know_the_same_write_once():
+    """Guards against a call to the store by every entry for each crash."""
+
+    async def scenario(store, clock):
+        entries = [await Entry(store, clock).start() for _ in range(8)]
+        entries[0].see("f", 1)
+        await until(lambda: row_of(store), clock)
+        n_calls = store.n_calls
+        for entry in entries[1:]:
+            await entry.start()
+            entry.table.note_others()
+        for _ in range(20):
+            clock.advance(1_000)
+            await asyncio.sleep(0.01)
+        assert store.n_calls == n_calls + len(entries) - 1, "one read each"
+
+    run(scenario)
+
+
+def test_whole_run_takes_stored_crashes_back():
+    """Guards against a block that comes back with the next start."""
+
+    async def scenario(store, clock):
+        entry = await Entry(store, clock).start()
+        entry.see("f", 3)
+        await until(lambda: row_of(store), clock)
+        version = row_of(store).version
+        clock.advance(100)
+        entry.counter.clear("f", clock.now_ms())
+        entry.table.note_own()
+        await until(lambda: row_of(store).version > version, clock)
+        assert not (await Entry(store, clock).start()).count("f")
+
+    run(scenario)
+
+
+def test_row_that_cannot_be_read_is_replaced():
+    """Guards against crashes that another program's bytes hide for good."""
+
+    async def scenario(store, clock):
+        store.put(CRASH_TABLE, CRASH_KEY, b"\xff{")
+        entry = await Entry(store, clock).start()
+        assert "crashes-unreadable" in entry.log.names()
+        entry.see("f", 2)
+        await until(lambda: row_of(store).version > 1, clock)
+        assert (await Entry(store, clock).start()).count("f") == 2
+
+    run(scenario)
+
+
+def test_row_stays_within_the_limit_of_the_store():
+    """Guards against a row that the store refuses; the worst requests are kept."""
+
+    async def scenario(store, clock):
+        entry = await Entry(store, clock).start()
+        entry.see("f" * 32, 3)
+        for i in range(2 * N_MAX_STORED):
+            entry.see(f"{i:032}", 1)
+        await until(lambda: row_of(store), clock)
+        assert len(row_of(store).value) < MAX_ROW_BYTES
+        assert (await Entry(store, clock).start()).count("f" * 32) == 3
+
+    run(scenario)
