Let one entry try a blocked request once before the block ends

What callers met: a sound request that stood near three crashes by chance, where endpoints go down and up by turns, was refused for ten minutes.

Evidence alone cannot tell it from one that crashes endpoints: each crash is real. After 30 s one entry, chosen by rendezvous over the members that the store lists, lets one request run. The trial counts as a crash while it runs, is told to all and stored, so that neither another entry nor a restart makes a second one. A whole run lifts the block everywhere; a broken one is not repeated.

The score of a key and a member now has one function, which rollout and membership shared in two copies.

--- a/packages/core/src/bluebellusher_core/events/__init__.py
+++ b/packages/core/src/bluebellusher_core/events/__init__.py
@@ -36,6 +36,7 @@
     CustomerPolicy,
     DigestReceived,
     EntriesCounted,
+    MembersListed,
     PolicyChanged,
     ShutdownStarted,
     TimerFired,
@@ -65,6 +66,7 @@
     | DigestReceived
     | CrashesLearned
     | EntriesCounted
+    | MembersListed
     | PolicyChanged
     | ShutdownStarted
     | TimerFired
@@ -99,6 +101,7 @@
     "LeavingLearned",
     "LeavingMark",
     "LoadReported",
+    "MembersListed",
     "PolicyChanged",
     "Priority",
     "RequestArrived",
--- a/packages/core/src/bluebellusher_core/events/_state_events.py
+++ b/packages/core/src/bluebellusher_core/events/_state_events.py
@@ -79,6 +79,13 @@
     n_entries: int
 
 
+@dataclass(frozen=True, slots=True)
+class MembersListed:
+    """The store told which entries the deployment has."""
+
+    member_ids: frozenset[str]
+
+
 @dataclass(frozen=True, slots=True)
 class PolicyChanged:
     """A higher configuration version came into force."""
--- a/packages/core/src/bluebellusher_core/membership/_subset.py
+++ b/packages/core/src/bluebellusher_core/membership/_subset.py
@@ -1,9 +1,9 @@
 """Bounded subset of endpoints by rendezvous hashing."""
 
 from collections.abc import Iterable
-from hashlib import blake2b
 
 from bluebellusher_core.events import EndpointInfo
+from bluebellusher_core.rendezvous import score
 
 OWN_DOMAIN_SHARE = 0.75
 
@@ -44,7 +44,7 @@
 def _choose_for_service(
     entry_id: str, failure_domain: str, infos: list[EndpointInfo], n_wanted: int
 ) -> set[str]:
-    ranked = sorted((i.endpoint_id for i in infos), key=lambda e: _score(entry_id, e))
+    ranked = sorted((i.endpoint_id for i in infos), key=lambda e: score(entry_id, e))
     own = {i.endpoint_id for i in infos if i.failure_domain == failure_domain}
     near = [e for e in ranked if e in own]
     far = [e for e in ranked if e not in own]
@@ -52,7 +52,3 @@
     n_near = max(n_near, n_wanted - len(far))
     picked = near[:n_near]
     return set(picked + far[: n_wanted - len(picked)])
-
-
-def _score(entry_id: str, endpoint_id: str) -> bytes:
-    return blake2b(f"{entry_id}\0{endpoint_id}".encode(), digest_size=8).digest()
--- a/packages/core/src/bluebellusher_core/poison/__init__.py
+++ b/packages/core/src/bluebellusher_core/poison/__init__.py
@@ -1,6 +1,10 @@
 """Fingerprints of requests that crash endpoints or may do so."""
 
-from bluebellusher_core.poison._crashes import COUNT_MS, CrashCounter
+from bluebellusher_core.poison._crashes import (
+    COUNT_MS,
+    TRIAL_AFTER_MS,
+    CrashCounter,
+)
 from bluebellusher_core.poison._records import Crash, CrashRecord
 from bluebellusher_core.poison._table import BLOCK_MS, HOLD_MS, PoisonTable
 
@@ -8,6 +12,7 @@
     "BLOCK_MS",
     "COUNT_MS",
     "HOLD_MS",
+    "TRIAL_AFTER_MS",
     "Crash",
     "CrashCounter",
     "CrashRecord",
--- a/packages/core/src/bluebellusher_core/poison/_crashes.py
+++ b/packages/core/src/bluebellusher_core/poison/_crashes.py
@@ -14,6 +14,9 @@
 MIN_LEFT_MS = 5_000
 # Crashes after a whole run this long ago may still have hit a sound request.
 SOUND_MS = 60_000
+# Crashes may have hit a sound request by chance. One run decides, once endpoints that
+# failed by themselves have had time to recover.
+TRIAL_AFTER_MS = 30_000
 N_MAX_COUNTED = 4_096
 N_MAX_TOLD = 1_000
 
@@ -144,6 +147,10 @@
                 found.append(suspicion.fingerprint)
         return found
 
+    def note_trial(self, fingerprint: str, trial_id: str, now_ms: int) -> None:
+        """Count a trial run beforehand, so that no entry makes another one."""
+        self._runs_of(fingerprint)[trial_id] = _Interval(now_ms, now_ms)
+
     def merge(self, record: CrashRecord, now_ms: int) -> bool:
         """Take over what another entry knows; return whether it is news."""
         fingerprint = record.fingerprint
--- a/packages/core/src/bluebellusher_core/reducer/_reduce.py
+++ b/packages/core/src/bluebellusher_core/reducer/_reduce.py
@@ -25,6 +25,7 @@
     Event,
     LeavingLearned,
     LoadReported,
+    MembersListed,
     PolicyChanged,
     RequestArrived,
     ShutdownStarted,
@@ -118,6 +119,8 @@
         case EntriesCounted():
             state.n_entries = max(1, event.n_entries)
             _share_retries(state)
+        case MembersListed():
+            state.member_ids = event.member_ids
         case ShutdownStarted():
             state.is_shutting_down = True
     return []
--- a/packages/core/src/bluebellusher_core/reducer/tests/_crash_world.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/_crash_world.py
@@ -27,6 +27,7 @@
     CrashesLearned,
     EndpointChecked,
     EndpointRegistered,
+    MembersListed,
     Priority,
     RequestArrived,
     RequestSpec,
@@ -99,6 +100,7 @@
         self.random = Random(seed)
         self.now_ms = 10_000
         self.keeps_id = keeps_id
+        self.n_entries = n_entries
         self.down_ms = (2_000, 6_000)
         self.is_store_away = False
         self.store_back_at_ms = 0
@@ -154,6 +156,8 @@
         state = EntryState.from_config(config)
         entry = Entry(entry_id, domain, state, Registrations(), self.now_ms)
         self.entry_by_id[entry_id] = entry
+        member_ids = frozenset(f"e{i}" for i in range(self.n_entries))
+        self.handle(entry, MembersListed(member_ids))
         self._read_registrations(entry)
         self._read_crashes(entry)
         for other in self._peers_of(entry):
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_crash_sharing.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_crash_sharing.py
@@ -181,6 +181,47 @@
     assert not world.is_refused("e0", "sound")
 
 
+def meet_three_crashes(world, fingerprint):
+    """Let endpoints crash by themselves while they run a request."""
+    n_met = 0
+    while n_met < N_TO_BLOCK:
+        world.send("e0", fingerprint)
+        world.run(5)
+        for host in world.hosts:
+            if any(run.fingerprint == fingerprint for run in host.runs):
+                world.crash(host)
+                n_met += 1
+        world.run(1_000)
+
+
+def test_sound_request_near_endpoints_that_flap_is_served_after_a_while():
+    """Guards against minutes of refusals after three crashes met by chance."""
+    world = CrashWorld()
+    meet_three_crashes(world, "sound")
+    assert all(world.is_refused(entry_id, "sound") for entry_id in world.entry_by_id)
+    world.run(40_000)
+    for entry_id in world.entry_by_id:
+        world.send(entry_id, "sound")
+        world.run(1_000)
+    assert "sound" in world.answers
+    assert not any(
+        world.is_refused(entry_id, "sound") for entry_id in world.entry_by_id
+    )
+
+
+def test_request_that_crashes_endpoints_gets_one_trial_whoever_starts_again():
+    """Guards against trials that add up over entries and restarts."""
+    world = CrashWorld()
+    crash_three(world)
+    for i in range(14):
+        send_everywhere(world, n_rounds=4)
+        world.restart_entry(f"e{i % 4}")
+        world.run(10_000)
+        world.restart_all()
+        world.run(10_000)
+    assert world.n_runs == N_TO_BLOCK + 1
+
+
 def test_model_plays_what_it_claims():
     """Guards against a model in which nothing crashes or nothing is answered."""
     world = CrashWorld()
--- /dev/null
+++ b/packages/core/src/bluebellusher_core/rendezvous/__init__.py
@@ -0,0 +1,22 @@
+"""Rendezvous hashing: all who know the same members choose the same one for a key."""
+
+from collections.abc import Iterable
+from hashlib import blake2b
+
+__all__ = ["choose", "score"]
+
+
+def score(key: str, member_id: str) -> bytes:
+    """Return the rank of a member for a key; the lowest one is chosen first."""
+    return blake2b(f"{key}\0{member_id}".encode(), digest_size=8).digest()
+
+
+def choose(key: str, member_ids: Iterable[str]) -> str | None:
+    """Return the member that a key belongs to, or None without members.
+
+    Examples
+    --------
+    >>> choose("k", ["a", "b"]) == choose("k", ["b", "a"])
+    True
+    """
+    return min(member_ids, key=lambda member_id: score(key, member_id), default=None)
--- a/packages/core/src/bluebellusher_core/requests/_arrival.py
+++ b/packages/core/src/bluebellusher_core/requests/_arrival.py
@@ -4,7 +4,7 @@
 from bluebellusher_core.errors import Reason, Refusal
 from bluebellusher_core.events import RequestSpec
 from bluebellusher_core.membership import pool_of
-from bluebellusher_core.requests import _final, _placing
+from bluebellusher_core.requests import _crash_evidence, _final, _placing
 from bluebellusher_core.requests._model import Phase, Request
 from bluebellusher_core.state import EntryState
 
@@ -16,10 +16,13 @@
     refusal = _refusal_on_arrival(state, spec, now_ms)
     if refusal is not None:
         return [Reject(spec.request_id, refusal)]
-    request = Request(spec)
+    effects: list[Effect] = []
+    is_trial = state.poison.is_blocked(spec.fingerprint, now_ms)
+    if is_trial:
+        effects += _crash_evidence.begin_trial(state, spec.fingerprint, now_ms)
+    request = Request(spec, is_trial=is_trial)
     state.request_by_id[spec.request_id] = request
     state.retry_budget.earn()
-    effects: list[Effect] = []
     effects.append(SetTimer(f"deadline:{spec.request_id}", spec.deadline_ms))
     if spec.is_idempotent or spec.idempotency_key is None:
         return effects + _placing.enqueue(state, request, now_ms)
@@ -36,7 +39,8 @@
         return _final.refusal(state, Reason.SHUTTING_DOWN, "admission")
     if spec.deadline_ms <= now_ms:
         return _final.refusal(state, Reason.DEADLINE_EXCEEDED, "admission")
-    if state.poison.is_blocked(spec.fingerprint, now_ms):
+    is_blocked = state.poison.is_blocked(spec.fingerprint, now_ms)
+    if is_blocked and not _crash_evidence.may_try(state, spec.fingerprint, now_ms):
         return _final.blocked_refusal(state, spec.fingerprint, now_ms)
     if len(state.request_by_id) >= state.config.n_max_requests:
         return _final.refusal(state, Reason.DEADLINE_UNREACHABLE, "admission")
--- a/packages/core/src/bluebellusher_core/requests/_crash_evidence.py
+++ b/packages/core/src/bluebellusher_core/requests/_crash_evidence.py
@@ -11,7 +11,8 @@
     EndpointChecked,
     EndpointReplaced,
 )
-from bluebellusher_core.poison import CrashRecord
+from bluebellusher_core.poison import BLOCK_MS, TRIAL_AFTER_MS, CrashRecord
+from bluebellusher_core.rendezvous import choose
 from bluebellusher_core.requests import _isolation
 from bluebellusher_core.requests._model import Attempt, Request
 from bluebellusher_core.state import EntryState
@@ -138,6 +139,32 @@
     return effects
 
 
+def may_try(state: EntryState, fingerprint: str, now_ms: int) -> bool:
+    """Return whether a blocked request may run once, to see whether it is sound.
+
+    A sound request may stand near three crashes by chance, where endpoints fail one
+    after the other. One entry of all, the same whichever is asked, makes one run. An
+    entry that does not know the others makes none.
+    """
+    n_to_block = state.config.n_crashes_to_block
+    if not n_to_block or state.crashes.count(fingerprint, now_ms) != n_to_block:
+        return False
+    blocked_for_ms = BLOCK_MS - state.crashes.left_ms(fingerprint, n_to_block, now_ms)
+    if blocked_for_ms < TRIAL_AFTER_MS or state.poison.n_running(fingerprint):
+        return False
+    return choose(fingerprint, state.member_ids) == state.config.entry_id
+
+
+def begin_trial(state: EntryState, fingerprint: str, now_ms: int) -> list[Effect]:
+    """Count the trial as a crash until it is whole, so that no other one is made."""
+    trial_id = f"trial@{state.config.entry_id}"
+    state.crashes.note_trial(fingerprint, trial_id, now_ms)
+    return [
+        LogEvent("crash-trial", (("fingerprint", fingerprint),)),
+        TellCrashes((state.crashes.record(fingerprint, now_ms),)),
+    ]
+
+
 def _is_outdated(record: CrashRecord, known: CrashRecord) -> bool:
     """Return whether a record counts crashes before a whole run that is known here."""
     if known.sound_age_ms is None:
--- a/packages/core/src/bluebellusher_core/requests/_model.py
+++ b/packages/core/src/bluebellusher_core/requests/_model.py
@@ -69,6 +69,8 @@
         The endpoint that this entry keeps free for the request's isolated run.
     n_reserved_tries : int
         Refused tries on the reserved endpoint.
+    is_trial : bool
+        The one run that decides whether a blocked fingerprint is sound.
     claim : ClaimWrite or None
         The granted claim of a non-idempotent request with a key.
     """
@@ -85,4 +87,5 @@
     resume_incarnation: int = 0
     reserved_endpoint_id: str = ""
     n_reserved_tries: int = 0
+    is_trial: bool = False
     claim: ClaimWrite | None = None
--- a/packages/core/src/bluebellusher_core/requests/_placing.py
+++ b/packages/core/src/bluebellusher_core/requests/_placing.py
@@ -44,7 +44,7 @@
     request.phase = Phase.WAITING
     state.check_at_ms = 0
     spec = request.spec
-    if state.poison.is_blocked(spec.fingerprint, now_ms):
+    if state.poison.is_blocked(spec.fingerprint, now_ms) and not request.is_trial:
         reason = Reason.CRASHES_ENDPOINTS
         return _final.give_up(state, request, reason, "isolation", now_ms)
     if state.poison.is_suspect(spec.fingerprint, now_ms):
--- a/packages/core/src/bluebellusher_core/requests/_recovery.py
+++ b/packages/core/src/bluebellusher_core/requests/_recovery.py
@@ -61,7 +61,8 @@
     if request.spec.deadline_ms <= now_ms:
         reason = Reason.DEADLINE_EXCEEDED
         return _give_up(state, request, attempt, reason, now_ms)
-    if not request.spec.is_idempotent or not _has_attempts_left(state, request):
+    can_repeat = request.spec.is_idempotent and not request.is_trial
+    if not can_repeat or not _has_attempts_left(state, request):
         return _give_up(state, request, attempt, event.reason, now_ms)
     if request.n_bytes_relayed and not request.spec.can_resume_elsewhere:
         if event.is_resumable:
@@ -77,7 +78,8 @@
 
 def can_replace_failure(state: EntryState, request: Request) -> bool:
     """Return whether an endpoint's own error may be replaced by another attempt."""
-    if not request.spec.is_idempotent or request.phase is Phase.DETACHED:
+    can_repeat = request.spec.is_idempotent and not request.is_trial
+    if not can_repeat or request.phase is Phase.DETACHED:
         return False
     request.n_broken += 1
     if request.n_bytes_relayed or not _has_attempts_left(state, request):
--- a/packages/core/src/bluebellusher_core/rollout/_spread.py
+++ b/packages/core/src/bluebellusher_core/rollout/_spread.py
@@ -1,17 +1,14 @@
 """Who reads the table and who tells whom, bounded at any number of entries."""
 
 from collections.abc import Collection, Mapping
-from hashlib import blake2b
 from random import Random
 
+from bluebellusher_core.rendezvous import score
+
 N_POLLERS_PER_DOMAIN = 2
 N_FAN_OUT = 4
 
 
-def _score(key: str, instance_id: str) -> bytes:
-    return blake2b(f"{key}\0{instance_id}".encode(), digest_size=8).digest()
-
-
 def is_poller(instance_id: str, domain_members: Collection[str]) -> bool:
     """Return whether this entry polls the table for its failure domain.
 
@@ -26,8 +23,8 @@
         Entries of its failure domain that it believes to be alive.
     """
     others = (member for member in domain_members if member != instance_id)
-    own = _score("config-poll", instance_id)
-    n_before = sum(_score("config-poll", other) < own for other in others)
+    own = score("config-poll", instance_id)
+    n_before = sum(score("config-poll", other) < own for other in others)
     return n_before < N_POLLERS_PER_DOMAIN
 
 
--- a/packages/core/src/bluebellusher_core/state/_state.py
+++ b/packages/core/src/bluebellusher_core/state/_state.py
@@ -79,6 +79,8 @@
         Counter behind attempt ids.
     n_entries : int
         Entries that share the endpoints, this one among them.
+    member_ids : frozenset of str
+        Entries of the deployment, whether they can be reached or not.
     is_shutting_down : bool
         New requests are refused.
     """
@@ -108,6 +110,7 @@
     check_at_ms: int = 0
     n_attempts_made: int = 0
     n_entries: int = 1
+    member_ids: frozenset[str] = frozenset()
     is_shutting_down: bool = False
 
     @classmethod
--- a/packages/entry/src/bluebellusher/shared/_members.py
+++ b/packages/entry/src/bluebellusher/shared/_members.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import json
+from collections.abc import Callable
 
 from bluebellusher.links import PeerLinks
 from bluebellusher.ports import RowStore, RowWrite
 from bluebellusher.shared._watcher import LogSink
 from bluebellusher_core.directory import MirrorRow
+from bluebellusher_core.events import MembersListed
 
 MEMBERS_TABLE = "members"
 # Entries that start dial the others, so that a list that is read rarely suffices.
@@ -27,6 +29,8 @@
         The own row.
     log : LogSink
         Takes log lines.
+    post : callable
+        Receives ``MembersListed``.
     """
 
     def __init__(
@@ -37,12 +41,14 @@
         host: str,
         port: int,
         log: LogSink,
+        post: Callable[[MembersListed], None],
     ) -> None:
         self._store = store
         self._links = links
         self._instance_id = instance_id
         self._address = (host, port)
         self._log = log
+        self._post = post
 
     async def run(self) -> None:
         """Keep the own row written and the others dialed, until cancelled."""
@@ -56,7 +62,10 @@
         if not result.is_ok():
             return False
         rows = result.ok.rows
-        addresses = [a for a in map(_read_address, rows) if a is not None]
+        address_by_id = {row.key: _read_address(row) for row in rows}
+        addresses = [a for a in address_by_id.values() if a is not None]
+        member_ids = (i for i, a in address_by_id.items() if a is not None)
+        self._post(MembersListed(frozenset(member_ids)))
         self._links.dial(a for a in addresses if a != self._address)
         own = next((row for row in rows if row.key == self._instance_id), None)
         value = json.dumps(self._address).encode()
