--- a/packages/entry/src/bluebellusher/gateway/_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -49,9 +49,9 @@
 # Entries with an uneven share of callers leave part of the common retries unused;
 # this much of them is given out, the rest covers entries that are not known yet.
 RETRY_USE = 0.8
-# All entries may be killed and start again several times within the time over which
-# retries are counted; what they may spend at once then stays within the rest above.
-START_RETRIES_PART = 32
+# What was spent before a restart is not known. All entries may be killed twice within
+# the time over which retries are counted, and stay within the rest above.
+N_START_RETRIES = 1
 # Requests that an endpoint may hold beyond its slots cover the round trip between
 # the end of one request and the start of the next.
 QUEUE_FACTOR = 1.2
@@ -395,9 +395,7 @@
         incarnation=incarnation,
         seed=seed.getrandbits(32),
         n_max_endpoints=16_384,
-        # What was spent before a restart is not known, so that each start may spend a
-        # small part of the common retries only.
-        n_min_retries=max(1, n_shared // START_RETRIES_PART),
+        n_min_retries=N_START_RETRIES,
         retry_percent=int(100 * RETRY_USE * settings.retries.share),
         n_shared_retries=n_shared,
         queue_factor=QUEUE_FACTOR,
--- /dev/null
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_retries.py
@@ -0,0 +1,41 @@
+"""Retries of all entries together while entries start again."""
+
+from random import Random
+
+import pytest
+
+from bluebellusher.gateway._gateway import _make_state
+from bluebellusher.settings import GatewaySettings
+from bluebellusher_core.events import EntriesCounted
+from bluebellusher_core.reducer import reduce
+
+ANY_PORT = "127.0.0.1:0"
+# Times that all entries are killed within the time over which retries are counted.
+N_KILLS = 2
+
+
+def start_entry(n_extra):
+    """Return the state of an entry that has just started."""
+    settings = GatewaySettings(
+        instance_id="e",
+        failure_domain="d",
+        shared_secret="a-secret-of-sixteen-characters",
+        callers=ANY_PORT,
+        readiness=ANY_PORT,
+        peers=ANY_PORT,
+        store="127.0.0.1:1",
+        agent_port=1,
+        shutdown_grace_s=1,
+        retries={"share": 0.2, "n_extra": n_extra, "window_s": 10},
+    )
+    return _make_state(settings, 1, Random(1))
+
+
+@pytest.mark.parametrize(("n_entries", "n_extra"), [(4, 88), (16, 224), (40, 448)])
+def test_restarts_renew_no_retries_that_were_spent(n_entries, n_extra):
+    """Guards against a budget that each restart of all entries fills again."""
+    state = start_entry(n_extra)
+    reduce(state, EntriesCounted(n_entries), 0)
+    n_full = state.retry_budget.n_burst
+    n_at_start = start_entry(n_extra).retry_budget.n_left
+    assert n_entries * (n_full + N_KILLS * n_at_start) <= n_extra
