Tell news of crashes and of leaving endpoints again for a limited time

Marks and single crashes are repeated for 30 s, all of them when an entry connects.

A run that hangs at an endpoint whose address a later start has is broken at once and counts as a crash; before, its caller waited until the stream counted as silent, and the crash went uncounted.

--- a/packages/core/src/bluebellusher_core/directory/_registrations.py
+++ b/packages/core/src/bluebellusher_core/directory/_registrations.py
@@ -131,11 +131,12 @@
         if not 0 < earlier.started_wall_ms < registration.started_wall_ms:
             # Without two different starts nothing tells which of them is there.
             return []
-        events: list[Event] = []
+        # First, because what runs there broke unplanned.
+        events: list[Event] = [EndpointReplaced(earlier.endpoint_id)]
         present = self.registration_by_id.get(earlier.endpoint_id)
         if present is not None and (present.host, present.port) == address:
             events += self._drain(earlier.endpoint_id, now_ms)
-        return [*events, EndpointReplaced(earlier.endpoint_id)]
+        return events
 
     def _remove(self, endpoint_id: str, now_ms: int) -> list[Event]:
         if endpoint_id not in self.registration_by_id:
--- a/packages/core/src/bluebellusher_core/membership/_announcements.py
+++ b/packages/core/src/bluebellusher_core/membership/_announcements.py
@@ -57,7 +57,13 @@
     _n_ramp_by_id: dict[str, int] = field(default_factory=dict)
 
     def note_leaving(self, endpoint_id: str, incarnation: int, at_ms: int) -> bool:
-        """Mark a start of an endpoint; return whether that is news."""
+        """Mark a start of an endpoint; return whether that is news.
+
+        One that does not say when it started is not marked, because its next start
+        could not be told from it.
+        """
+        if not incarnation:
+            return False
         known = self._leaving_by_id.get(endpoint_id)
         if known is not None and known.incarnation >= incarnation:
             return False
@@ -87,6 +93,18 @@
             for endpoint_id, known in told
         )
 
+    @property
+    def has_limits(self) -> bool:
+        """Whether any endpoint pauses or takes fewer attempts after a pause."""
+        return bool(self._pause_by_id or self._n_ramp_by_id)
+
+    def forget_pause(self, endpoint_id: str, now_ms: int) -> None:
+        """Forget a pause that is over, of an endpoint that is gone."""
+        pause = self._pause_by_id.get(endpoint_id)
+        if pause is None or pause.until_ms <= now_ms:
+            self._pause_by_id.pop(endpoint_id, None)
+            self._n_ramp_by_id.pop(endpoint_id, None)
+
     def note_pause(
         self, endpoint_id: str, incarnation: int, pause_ms: int, now_ms: int
     ) -> int:
--- a/packages/core/src/bluebellusher_core/membership/_endpoints.py
+++ b/packages/core/src/bluebellusher_core/membership/_endpoints.py
@@ -109,6 +109,8 @@
 
         Returns 0 unless every endpoint of the pool has asked for a pause.
         """
+        if not self.announcements.has_limits:
+            return 0
         ends = [self._paused_until_ms(v, now_ms) for v in self.views_of(pool)]
         return max(0, min(ends, default=0) - now_ms)
 
@@ -132,6 +134,7 @@
         self._deferred_until_ms.pop(endpoint_id, None)
         self._n_refusals.pop(endpoint_id, None)
         self.groups.forget(endpoint_id)
+        self.announcements.forget_pause(endpoint_id, now_ms)
         self.tracker.apply(EndpointLost(endpoint_id), now_ms)
 
     def defer(self, endpoint_id: str, pause_ms: int, now_ms: int) -> None:
@@ -160,11 +163,12 @@
         """Return the endpoints of a pool that can start another attempt now."""
         deferred = self._deferred_until_ms
         closed = self.groups.find_closed(now_ms)
+        has_limits = self.announcements.has_limits
         return [
             view
             for view in self.views_of(pool)
             if _has_room(view, self.queue_factor, now_ms)
-            and self._may_take(view, now_ms)
+            and (not has_limits or self._may_take(view, now_ms))
             and view.info.endpoint_id not in closed
             and deferred.get(view.info.endpoint_id, 0) <= now_ms
         ]
--- a/packages/core/src/bluebellusher_core/reducer/_reduce.py
+++ b/packages/core/src/bluebellusher_core/reducer/_reduce.py
@@ -103,7 +103,7 @@
         case EndpointCrashed():
             return _links.crashed(state, event, now_ms)
         case EndpointReplaced():
-            return _crash_evidence.replaced(state, event, now_ms)
+            return _links.replaced(state, event, now_ms)
         case EndpointChecked():
             return _crash_evidence.checked(state, event, now_ms)
         case EndpointAnnounced():
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_crash_counting.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_crash_counting.py
@@ -286,6 +286,17 @@
     assert entry.send().refusal.reason is Reason.CRASHES_ENDPOINTS
 
 
+def test_run_that_hangs_when_a_later_start_has_its_address_counts():
+    """Guards against callers that wait for an endpoint that is gone without a word."""
+    entry = Entry()
+    for _ in range(N_TO_BLOCK):
+        hanging = entry.send()
+        effects = entry.handle(EndpointReplaced(hanging.endpoint_id))
+        (answer,) = [e.refusal for e in effects if isinstance(e, Reject)]
+        assert answer.outcome is Outcome.UNKNOWN
+    assert entry.send().refusal.reason is Reason.CRASHES_ENDPOINTS
+
+
 def test_entry_that_starts_again_takes_over_the_block_and_its_end():
     """Guards against a block that is lost, or renewed, by each restart."""
     first, second = Entry("e1"), Entry("e2")
--- a/packages/core/src/bluebellusher_core/requests/_crash_evidence.py
+++ b/packages/core/src/bluebellusher_core/requests/_crash_evidence.py
@@ -6,11 +6,7 @@
 """
 
 from bluebellusher_core.effects import CheckEndpoint, Effect, LogEvent, TellCrashes
-from bluebellusher_core.events import (
-    CrashesLearned,
-    EndpointChecked,
-    EndpointReplaced,
-)
+from bluebellusher_core.events import CrashesLearned, EndpointChecked
 from bluebellusher_core.poison import BLOCK_MS, TRIAL_AFTER_MS, CrashRecord
 from bluebellusher_core.rendezvous import choose
 from bluebellusher_core.requests import _isolation
@@ -90,11 +86,6 @@
     return effects
 
 
-def replaced(state: EntryState, event: EndpointReplaced, now_ms: int) -> list[Effect]:
-    """Count crashes of an endpoint whose address a later one has."""
-    return gone(state, event.endpoint_id, "address taken", now_ms)
-
-
 def gone(
     state: EntryState,
     endpoint_id: str,
--- a/packages/core/src/bluebellusher_core/requests/_links.py
+++ b/packages/core/src/bluebellusher_core/requests/_links.py
@@ -7,6 +7,7 @@
     EndpointConnected,
     EndpointCrashed,
     EndpointRegistered,
+    EndpointReplaced,
 )
 from bluebellusher_core.requests import (
     _crash_evidence,
@@ -54,6 +55,13 @@
     return []
 
 
+def replaced(state: EntryState, event: EndpointReplaced, now_ms: int) -> list[Effect]:
+    """Break what waits for an endpoint whose address a later start has."""
+    endpoint_id = event.endpoint_id
+    effects = lost(state, endpoint_id, now_ms)
+    return effects + _crash_evidence.gone(state, endpoint_id, "address taken", now_ms)
+
+
 def lost(state: EntryState, endpoint_id: str, now_ms: int) -> list[Effect]:
     """Break every attempt of a connection that is gone."""
     view = state.endpoints.view_by_id.get(endpoint_id)
--- a/packages/entry/src/bluebellusher/gateway/tests/harness.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/harness.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 from random import Random
+from types import SimpleNamespace
 
 import aiohttp
 import uvloop
@@ -15,6 +16,7 @@
 from bluebellusher.observability import KeyValueLog, Metrics, Tracer
 from bluebellusher.ports import AnswerFields, CallerFields
 from bluebellusher.runtime import Runtime
+from bluebellusher.settings import GatewaySettings
 from bluebellusher.shared import Directory
 from bluebellusher_core.admission import ObjectiveQueue
 from bluebellusher_core.clock import SystemClock
@@ -32,6 +34,25 @@
 from bluebellusher_core.routing import SlotAware
 
 HOST = "127.0.0.1"
+ANY_PORT = f"{HOST}:0"
+# The parts of an entry whose tables a test leaves empty.
+CODEC = SimpleNamespace(routing_table="op", routing_key="k", registration_table="s")
+
+
+def make_settings(**options):
+    """Return settings of an entry on ports that the kernel chooses."""
+    values = {
+        "instance_id": "e",
+        "failure_domain": "d",
+        "shared_secret": "a-secret-of-sixteen-characters",
+        "callers": ANY_PORT,
+        "readiness": ANY_PORT,
+        "peers": ANY_PORT,
+        "store": "127.0.0.1:1",
+        "agent_port": 1,
+        "shutdown_grace_s": 1,
+    }
+    return GatewaySettings(**{**values, **options})
 
 
 class PlainDialect:
--- a/packages/entry/src/bluebellusher/gateway/tests/test_crashes.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_crashes.py
@@ -1,7 +1,23 @@
 """Requests that end the process which runs them, through real sockets."""
 
-from bluebellusher.gateway.tests.harness import answer_whole, make_route, run
-from bluebellusher.shared.tests.fakes import until
+import asyncio
+
+from bluebellusher.gateway import Gateway
+from bluebellusher.gateway.tests.harness import (
+    CODEC,
+    PlainDialect,
+    Recorder,
+    answer_whole,
+    make_route,
+    make_settings,
+    run,
+)
+from bluebellusher.observability import KeyValueLog
+from bluebellusher.ports import PlatformPorts
+from bluebellusher.shared import CRASH_TABLE
+from bluebellusher.shared._crashes import CRASH_KEY
+from bluebellusher.shared.tests.fakes import FakeStore, until
+from bluebellusher_core.clock import SystemClock
 from bluebellusher_core.directory import RequestKind
 
 NON_IDEMPOTENT = [make_route(RequestKind.NON_IDEMPOTENT)]
@@ -64,3 +80,29 @@
         assert not harness.recorder.count("crash-counted")
 
     run_poison(scenario, has_open_port=True)
+
+
+def test_entry_is_ready_only_when_it_knows_earlier_crashes():
+    """Guards against an entry that runs at its start what others have blocked."""
+    stored = b'{"crashes_by_fingerprint":{"f":[%s]}}' % b",".join(
+        b'{"start_id":"x%d@1","sent_at":%d,"broken_at":%d}' % (i, now, now)
+        for i, now in enumerate([SystemClock().wall_ms()] * 3)
+    )
+
+    async def main():
+        store = FakeStore()
+        store.put(CRASH_TABLE, CRASH_KEY, stored)
+        log = KeyValueLog.from_config("info", Recorder())
+        ports = PlatformPorts(store, PlainDialect(), CODEC)
+        gateway = Gateway(make_settings(), ports, SystemClock(), log)
+        assert not gateway.knows_crashes
+        await gateway.start()
+        try:
+            await until(lambda: gateway.knows_crashes)
+            now_ms = gateway.clock.now_ms()
+            await until(lambda: gateway.state.poison.is_blocked("f", now_ms))
+        finally:
+            await gateway.stop()
+            log.close()
+
+    asyncio.run(main())
--- a/packages/entry/src/bluebellusher/gateway/tests/test_parts.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_parts.py
@@ -1,39 +1,28 @@
 """Parts of an entry that end though they should run as long as the process."""
 
 import asyncio
-from types import SimpleNamespace
 
 from bluebellusher.gateway import Gateway
-from bluebellusher.gateway.tests.harness import PlainDialect, Recorder
+from bluebellusher.gateway.tests.harness import (
+    CODEC,
+    PlainDialect,
+    Recorder,
+    make_settings,
+)
 from bluebellusher.observability import KeyValueLog
 from bluebellusher.ports import PlatformPorts
-from bluebellusher.settings import GatewaySettings
 from bluebellusher.shared.tests.fakes import FakeStore, until
 from bluebellusher_core.clock import SystemClock
 
-ANY_PORT = "127.0.0.1:0"
-CODEC = SimpleNamespace(routing_table="op", routing_key="k", registration_table="s")
-
 
 def test_part_that_ends_by_an_error_is_reported_and_started_again():
     """Guards against a lease or a table that nobody follows any more."""
     recorder = Recorder()
     log = KeyValueLog.from_config("info", recorder)
-    settings = GatewaySettings(
-        instance_id="e",
-        failure_domain="d",
-        shared_secret="a-secret-of-sixteen-characters",
-        callers=ANY_PORT,
-        readiness=ANY_PORT,
-        peers=ANY_PORT,
-        store="127.0.0.1:1",
-        agent_port=1,
-        shutdown_grace_s=1,
-    )
 
     async def main():
         ports = PlatformPorts(FakeStore(), PlainDialect(), CODEC)
-        gateway = Gateway(settings, ports, SystemClock(), log)
+        gateway = Gateway(make_settings(), ports, SystemClock(), log)
         watcher = gateway.routing_watcher
         n_runs = 0
 
--- a/packages/entry/src/bluebellusher/gateway/tests/test_retries.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_retries.py
@@ -5,29 +5,18 @@
 import pytest
 
 from bluebellusher.gateway._gateway import _make_state
-from bluebellusher.settings import GatewaySettings
+from bluebellusher.gateway.tests.harness import make_settings
 from bluebellusher_core.events import EntriesCounted
 from bluebellusher_core.reducer import reduce
 
-ANY_PORT = "127.0.0.1:0"
 # Times that all entries are killed within the time over which retries are counted.
 N_KILLS = 2
 
 
 def start_entry(n_extra):
     """Return the state of an entry that has just started."""
-    settings = GatewaySettings(
-        instance_id="e",
-        failure_domain="d",
-        shared_secret="a-secret-of-sixteen-characters",
-        callers=ANY_PORT,
-        readiness=ANY_PORT,
-        peers=ANY_PORT,
-        store="127.0.0.1:1",
-        agent_port=1,
-        shutdown_grace_s=1,
-        retries={"share": 0.2, "n_extra": n_extra, "window_s": 10},
-    )
+    retries = {"share": 0.2, "n_extra": n_extra, "window_s": 10}
+    settings = make_settings(retries=retries)
     return _make_state(settings, 1, Random(1))
 
 
--- a/packages/entry/src/bluebellusher/runtime/_peers.py
+++ b/packages/entry/src/bluebellusher/runtime/_peers.py
@@ -15,9 +15,13 @@
 from bluebellusher_core.wire import messages
 
 DIGEST_INTERVAL_MS = 2_000
-# News of crashes and of leaving endpoints are told at once; all of them again, in case
-# an entry was cut off from the one that told them.
-WHOLE_INTERVAL_MS = 10_000
+# News of crashes and of leaving endpoints are told at once, and again for some time, in
+# case an entry was cut off from the one that told them. Bytes between failure domains
+# are priced, so that single crashes, which mostly hit sound requests, are not told for
+# as long as they count.
+REPEAT_INTERVAL_MS = 10_000
+REPEAT_FOR_MS = 30_000
+N_CRASHES_TO_REPEAT = 2
 N_MAX_NEWS = 1_000
 # A longer row than any start of an endpoint can make.
 N_MAX_CRASHES_BY_RECORD = 100
@@ -60,7 +64,7 @@
         self._find_leaving = find_leaving
         self._sent: Any = None
         self._sent_at_ms = 0
-        self._whole_sent_at_ms = 0
+        self._repeated_at_ms = 0
 
     def register(self, message_type: type, handler: MessageHandler) -> None:
         """Call ``handler(peer_id, message)`` for messages of this type."""
@@ -89,6 +93,14 @@
         digest.leaving = _to_marks(marks)
         self._broadcast_news(digest)
 
+    def _repeat_news(self) -> None:
+        """Tell again what an entry that was cut off may have missed."""
+        digest = self._make_digest()
+        records = filter(_is_worth_repeating, self._find_crashes())
+        marks = (m for m in self._find_leaving() if m.age_ms < REPEAT_FOR_MS)
+        digest.crashes, digest.leaving = _to_messages(records), _to_marks(marks)
+        self._broadcast_news(digest)
+
     def _broadcast_news(self, digest: Any) -> None:
         if self.links is not None and (digest.crashes or digest.leaving):
             self.links.broadcast(digest)
@@ -111,9 +123,9 @@
         if self.links is not None and (is_due or digest != self._sent):
             self._sent, self._sent_at_ms = digest, now_ms
             self.links.broadcast(digest)
-        if now_ms - self._whole_sent_at_ms >= WHOLE_INTERVAL_MS:
-            self._whole_sent_at_ms = now_ms
-            self._broadcast_news(self._make_whole_digest())
+        if now_ms - self._repeated_at_ms >= REPEAT_INTERVAL_MS:
+            self._repeated_at_ms = now_ms
+            self._repeat_news()
 
     def _receive_digest(self, peer_id: str, digest: Any) -> None:
         self.digest_at_ms_by_peer_id[peer_id] = self._clock.now_ms()
@@ -152,6 +164,11 @@
     ]
 
 
+def _is_worth_repeating(record: CrashRecord) -> bool:
+    is_new = any(crash.age_ms < REPEAT_FOR_MS for crash in record.crashes)
+    return is_new or len(record.crashes) >= N_CRASHES_TO_REPEAT
+
+
 def _to_messages(records: Iterable[CrashRecord]) -> list[Any]:
     return [
         messages.CrashRecord(
