Check again what breaks during a check, and end the slow start without bodies

Read in the diff: a run that broke while its endpoint was being checked was not covered by the answer and got no check of its own, so that its crash counted only when a later start registered. An endpoint whose answers have no body stayed at one request at a time after a pause, since only the first byte of a body ended the slow start. Both tests failed before.

--- a/packages/core/src/bluebellusher_core/poison/_crashes.py
+++ b/packages/core/src/bluebellusher_core/poison/_crashes.py
@@ -114,6 +114,11 @@
                 cleared.append(suspicion.fingerprint)
         return cleared
 
+    def is_suspected(self, endpoint_id: str) -> bool:
+        """Return whether a run broke at an endpoint that has not answered since."""
+        suspicions = self._suspicions_by_endpoint_id.get(endpoint_id, ())
+        return any(s.answered_at_ms is None for s in suspicions)
+
     def note_return(self, endpoint_id: str, incarnation: int) -> None:
         """Drop suspicions against runs on a start that is registered again."""
         suspicions = self._suspicions_by_endpoint_id.get(endpoint_id, [])
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_announcements.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_announcements.py
@@ -199,6 +199,20 @@
     assert max(n_sent) <= N_SLOTS
 
 
+def test_answers_without_a_body_end_the_slow_start():
+    """Guards against an endpoint that takes one request at a time for ever."""
+    entry = Entry(n_endpoints=1)
+    entry.say("x0", pause_ms=500)
+    for _ in range(4 * N_SLOTS):
+        entry.send()
+    entry.wake(500)
+    for _ in range(3):
+        last = entry.dispatches[-1]
+        ids = last.attempt_id, last.endpoint_id
+        entry.handle(AttemptFinished(ids[0], 204, 0, Usage(), ids[1]))
+    assert entry.state.endpoints.view_by_id["x0"].n_own_in_flight == N_SLOTS
+
+
 def test_refusal_with_a_pause_sends_the_request_elsewhere():
     """Guards against a repeat at the endpoint that has just asked for none."""
     entry = Entry()
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_crash_counting.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_crash_counting.py
@@ -256,6 +256,19 @@
     assert isinstance(entry.send(), Dispatch)
 
 
+def test_run_that_breaks_during_a_check_is_checked_too():
+    """Guards against a crash that an earlier check of its endpoint hides."""
+    entry = Entry(n_endpoints=1)
+    first, second = entry.send("sound"), entry.send()
+    entry.break_run(first)
+    assert CheckEndpoint(second.endpoint_id) not in entry.break_run(second)
+    effects = entry.handle(EndpointChecked(first.endpoint_id, True))
+    assert CheckEndpoint(second.endpoint_id) in effects
+    entry.handle(EndpointChecked(second.endpoint_id, False))
+    assert entry.state.crashes.count("poison", entry.now_ms) == 1
+    assert entry.state.crashes.count("sound", entry.now_ms) == 0
+
+
 def test_refusal_that_names_another_endpoint_shows_the_crash():
     """Guards against a crash forgotten because its address answers again."""
     entry = Entry(n_endpoints=N_TO_BLOCK)
--- a/packages/core/src/bluebellusher_core/requests/_attempts.py
+++ b/packages/core/src/bluebellusher_core/requests/_attempts.py
@@ -61,6 +61,9 @@
     request = state.request_by_id[attempt.request_id]
     state.endpoints.tracker.apply(event, now_ms)
     effects = _crash_evidence.answered(state, attempt, "answer", now_ms)
+    if not attempt.is_started:
+        # An answer without a body.
+        state.endpoints.note_output(attempt.endpoint_id)
     if event.status >= SERVER_ERROR:
         state.endpoints.tracker.record_failure(attempt.endpoint_id, now_ms)
         if _recovery.can_replace_failure(state, request):
--- a/packages/core/src/bluebellusher_core/requests/_crash_evidence.py
+++ b/packages/core/src/bluebellusher_core/requests/_crash_evidence.py
@@ -61,7 +61,11 @@
         return []
     if not event.is_listening:
         return gone(state, endpoint_id, "port closed", now_ms)
-    return _ruled_out(state, endpoint_id, since_ms, "listening", now_ms)
+    effects = _ruled_out(state, endpoint_id, since_ms, "listening", now_ms)
+    if state.crashes.is_suspected(endpoint_id):
+        # These runs broke after the check had begun.
+        effects += _check(state, endpoint_id, now_ms)
+    return effects
 
 
 def answered(
