End answers without an error in the HTTP library's callback

Cause: the bound on informational answers put one object in place of both the connection and its protocol, and the library asks the protocol whether it was upgraded when an answer ends. Each has its own stand-in now. The test failed before.

--- a/packages/entry/src/bluebellusher/gateway/tests/test_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_gateway.py
@@ -85,6 +85,17 @@
     run(scenario, [answer_whole], customers=[make_customer("k1")])
 
 
+def test_end_of_an_answer_leaves_nothing_in_the_log_of_a_library(caplog):
+    """Guards against an error in a callback that every answer ends with."""
+
+    async def scenario(harness):
+        for _ in range(3):
+            assert (await harness.fetch())[0] == 200
+
+    run(scenario, [answer_whole])
+    assert not caplog.records
+
+
 @pytest.mark.parametrize(
     ("options", "status"),
     [
--- a/packages/entry/src/bluebellusher/links/_responses.py
+++ b/packages/entry/src/bluebellusher/links/_responses.py
@@ -44,15 +44,26 @@
 
     def __init__(self, connection: Any) -> None:
         self._connection = connection
-        self._n_heads = 0
+        self._protocol = _BoundedProtocol(connection)
 
     def __getattr__(self, name: str) -> Any:
         return getattr(self._connection, name)
 
     @property
-    def protocol(self) -> "_BoundedConnection":
-        """Return what ``ClientResponse.start`` reads heads from."""
-        return self
+    def protocol(self) -> "_BoundedProtocol | None":
+        """Return what answers are read from; None once the connection is released."""
+        return self._protocol if self._connection.protocol is not None else None
+
+
+class _BoundedProtocol:
+    """The protocol of a connection, from which few heads can be read."""
+
+    def __init__(self, connection: Any) -> None:
+        self._connection = connection
+        self._n_heads = 0
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._connection.protocol, name)
 
     async def read(self) -> Any:
         """Return the next head."""
