--- a/Makefile
+++ b/Makefile
@@ -6,13 +6,14 @@
 # can share one environment.
 export PYTHONPATH = $(CURDIR)/packages/core/src:$(CURDIR)/packages/entry/src:$(CURDIR)/packages/agent/src:$(CURDIR)/packages/standins/src
 
-.PHONY: help setup demo test format check unit scenarios bench fuzz generate
+.PHONY: help setup demo test format check unit scenarios bench fuzz soak generate
 
 help:
 	@echo "make demo   install what is needed and run the demonstration"
 	@echo "make test   install what is needed, run formatter, linter, types and tests"
 	@echo "make bench  print one line for each measured figure"
 	@echo "make fuzz   run the property tests with fresh seeds"
+	@echo "make soak   run real processes under faults; SEEDS=1-50 SECONDS=30"
 
 # An environment that is named on the command line is used as it is, because it may
 # be shared by several work trees.
@@ -37,7 +38,7 @@
 check: setup
 	$(PY) -m ruff format --check .
 	$(PY) -m ruff check .
-	$(PY) -m mypy $(addsuffix /src,$(PACKAGE_DIRS)) bench tools platform
+	$(PY) -m mypy $(addsuffix /src,$(PACKAGE_DIRS)) bench tools platform soak
 	$(PY) tools/settings_reference.py --check
 
 format: setup
@@ -50,6 +51,9 @@
 fuzz: setup
 	HYPOTHESIS_PROFILE=fuzz $(PY) -m pytest packages -k "propert or machine"
 
+soak: setup
+	$(PY) -m soak --seeds $(or $(SEEDS),1-3) --seconds $(or $(SECONDS),30)
+
 generate:
 	$(PY) tools/settings_reference.py
 	thrift --gen py:slots -out packages/core/src/bluebellusher_core/wire/_generated \
--- /dev/null
+++ b/soak/entry.py
@@ -0,0 +1,66 @@
+"""An entry as the users run it, on the soak's store and header names."""
+
+import json
+import sys
+
+from bluebellusher.gateway import run_gateway
+from bluebellusher.gateway.tests.harness import PlainDialect
+from bluebellusher.ports import PlatformPorts
+from bluebellusher.settings import GatewaySettings, load_gateway_settings
+from bluebellusher_core.directory import (
+    EndpointRegistration,
+    RequestKind,
+    Route,
+    RoutingTable,
+    Service,
+)
+from soak.store import ENDPOINTS_TABLE, StoreClient
+
+SERVICE = "desk"
+HOST_NAME = "h.example"
+
+
+class Codec:
+    """Rows of the soak's store; see ``bluebellusher.ports.TableCodec``."""
+
+    routing_table = "routing"
+    routing_key = "current"
+    registration_table = ENDPOINTS_TABLE
+
+    def read_routing(self, value: bytes) -> RoutingTable | None:
+        """Return the routing table of a version."""
+        routes = [
+            _make_route("/once/", RequestKind.NON_IDEMPOTENT, 1),
+            _make_route("/any/", RequestKind.IDEMPOTENT, 2),
+        ]
+        return RoutingTable.from_parts(int(value), routes, [Service(SERVICE, 0)], None)
+
+    def read_registration(
+        self, endpoint_id: str, value: bytes
+    ) -> EndpointRegistration | None:
+        """Return a registration."""
+        fields = json.loads(value)
+        return EndpointRegistration(endpoint_id=endpoint_id, **fields)
+
+
+def _make_route(prefix: str, kind: RequestKind, n_max_attempts: int) -> Route:
+    return Route(
+        route_id=prefix,
+        host=HOST_NAME,
+        path_prefix=prefix,
+        kind=kind,
+        timeout_ms=3_000,
+        objective_ms=500,
+        max_gap_ms=100,
+        priority=1,
+        n_max_attempts=n_max_attempts,
+        weight_by_service={SERVICE: 1},
+    )
+
+
+def _make_ports(settings: GatewaySettings) -> PlatformPorts:
+    return PlatformPorts(StoreClient(str(settings.store)), PlainDialect(), Codec())
+
+
+if __name__ == "__main__":
+    run_gateway(load_gateway_settings(sys.argv[1]), _make_ports, sys.argv[1])
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -33,6 +33,7 @@
         "packages",
         "deploy",
         "bench",
+        "soak",
         f"--junitxml={report}",
     ]
     return subprocess.call(command, cwd=ROOT, env=os.environ)
