End every process of a soak run, also one that is just being started

Cancelling the task that starts a process might leave it running; the task now ends by itself after its process was killed. Seen in the diff, not in a run.

--- a/soak/run.py
+++ b/soak/run.py
@@ -183,16 +183,20 @@
             await asyncio.gather(*callers)
         finally:
             self._is_over = True
-            for keeper in keepers:
-                keeper.cancel()
-            for process in processes:
-                process.send(signal.SIGCONT)
-                process.send(signal.SIGKILL)
-            await asyncio.gather(*keepers, return_exceptions=True)
+            await self._end_processes(keepers)
             await self._store.stop()
         self._check()
         return self.report
 
+    async def _end_processes(self, keepers: list[asyncio.Task[None]]) -> None:
+        """End every process, also one that is being started just now."""
+        running = set(keepers)
+        while running:
+            for process in (*self._entries.values(), *self._endpoints):
+                process.send(signal.SIGCONT)
+                process.send(signal.SIGKILL)
+            _, running = await asyncio.wait(running, timeout=START_POLL_S)
+
     def _make_processes(self) -> None:
         for i in range(N_ENTRIES):
             name = f"entry-{i}"
