--- a/packages/core/src/bluebellusher_core/reducer/tests/_crash_world.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/_crash_world.py
@@ -28,14 +28,13 @@
     EndpointChecked,
     EndpointRegistered,
     MembersListed,
-    Priority,
     RequestArrived,
-    RequestSpec,
     TimerFired,
     Usage,
 )
 from bluebellusher_core.poison import CrashCounter
 from bluebellusher_core.reducer import EntryConfig, EntryState, reduce
+from bluebellusher_core.reducer.tests._specs import make_spec
 
 N_TO_BLOCK = 3
 CONTACT_MS = 3_000
@@ -357,20 +356,11 @@
     def send(self, entry_id, fingerprint=POISON, is_idempotent=False):
         """Hand a request to an entry; return its id."""
         self._n_requests += 1
-        spec = RequestSpec(
-            request_id=f"r{self._n_requests}",
-            customer_id="c",
-            service_id="s",
-            model="",
-            adapter="",
-            priority=Priority.NORMAL,
+        spec = make_spec(
+            f"r{self._n_requests}",
+            fingerprint=fingerprint,
             deadline_ms=self.now_ms + 8_000,
             is_idempotent=is_idempotent,
-            idempotency_key=None,
-            fingerprint=fingerprint,
-            prefix_hashes=(),
-            n_input_tokens=1,
-            n_max_output_tokens=1,
             n_max_attempts=2 if is_idempotent else 1,
         )
         self.handle(self.entry_by_id[entry_id], RequestArrived(spec))
--- a/packages/core/src/bluebellusher_core/reducer/tests/_pause_world.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/_pause_world.py
@@ -31,13 +31,12 @@
     EndpointRegistered,
     EntriesCounted,
     LeavingLearned,
-    Priority,
     RequestArrived,
-    RequestSpec,
     TimerFired,
     Usage,
 )
 from bluebellusher_core.reducer import EntryConfig, EntryState, reduce
+from bluebellusher_core.reducer.tests._specs import make_spec
 from bluebellusher_core.routing import SlotAware
 
 N_ENTRIES = 4
@@ -180,21 +179,9 @@
         state = self.random.choice(self.entries)
         request_id = f"r{next(self._ids)}"
         self._caller_by_request[request_id] = caller
-        spec = RequestSpec(
-            request_id=request_id,
-            customer_id="c",
-            service_id="s",
-            model="",
-            adapter="",
-            priority=Priority.NORMAL,
+        spec = make_spec(
+            request_id,
             deadline_ms=caller.first_ms + DEADLINE_MS,
-            is_idempotent=True,
-            idempotency_key=None,
-            fingerprint=request_id,
-            prefix_hashes=(),
-            n_input_tokens=1,
-            n_max_output_tokens=1,
-            n_max_attempts=2,
             objective_at_ms=caller.first_ms + OBJECTIVE_MS,
             start_by_ms=caller.first_ms + DEADLINE_MS - SERVICE_MS,
             is_returning=caller.n_refusals > 0,
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_announcements.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_announcements.py
@@ -16,13 +16,12 @@
     EndpointLost,
     EndpointRegistered,
     LeavingLearned,
-    Priority,
     RequestArrived,
-    RequestSpec,
     TimerFired,
     Usage,
 )
 from bluebellusher_core.reducer import EntryConfig, EntryState, reduce
+from bluebellusher_core.reducer.tests._specs import make_spec
 
 N_SLOTS = 4
 MAX_PAUSE_MS = 60_000
@@ -60,22 +59,12 @@
     def send(self, objective_ms=8_000, deadline_ms=8_000):
         """Hand in a request; return the effects."""
         self.n_requests += 1
-        spec = RequestSpec(
-            request_id=f"r{self.n_requests}",
-            customer_id="c",
-            service_id="s",
-            model="",
-            adapter="",
-            priority=Priority.NORMAL,
+        spec = make_spec(
+            f"r{self.n_requests}",
             deadline_ms=self.now_ms + deadline_ms,
-            is_idempotent=True,
-            idempotency_key=None,
-            fingerprint=f"f{self.n_requests}",
-            prefix_hashes=(),
-            n_input_tokens=1,
-            n_max_output_tokens=1,
             objective_at_ms=self.now_ms + objective_ms,
             start_by_ms=self.now_ms + deadline_ms,
+            n_max_attempts=None,
         )
         return self.handle(RequestArrived(spec))
 
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_crash_counting.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_crash_counting.py
@@ -16,13 +16,12 @@
     EndpointLost,
     EndpointRegistered,
     EndpointReplaced,
-    Priority,
     RequestArrived,
-    RequestSpec,
     Usage,
 )
 from bluebellusher_core.poison import Crash, CrashCounter, CrashRecord
 from bluebellusher_core.reducer import EntryConfig, EntryState, reduce
+from bluebellusher_core.reducer.tests._specs import make_spec
 
 N_TO_BLOCK = 3
 
@@ -55,20 +54,11 @@
     def send(self, fingerprint="poison"):
         """Hand in a booking; return its dispatch or its refusal."""
         self.n_requests += 1
-        spec = RequestSpec(
-            request_id=f"r{self.n_requests}",
-            customer_id="c",
-            service_id="s",
-            model="",
-            adapter="",
-            priority=Priority.NORMAL,
+        spec = make_spec(
+            f"r{self.n_requests}",
+            fingerprint=fingerprint,
             deadline_ms=self.now_ms + 60_000,
             is_idempotent=False,
-            idempotency_key=None,
-            fingerprint=fingerprint,
-            prefix_hashes=(),
-            n_input_tokens=1,
-            n_max_output_tokens=1,
             n_max_attempts=1,
         )
         effects = self.handle(RequestArrived(spec))
