--- a/packages/entry/src/bluebellusher/gateway/tests/test_crashes.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_crashes.py
@@ -22,6 +22,8 @@
 
 NON_IDEMPOTENT = [make_route(RequestKind.NON_IDEMPOTENT)]
 POISON = {"method": "POST", "data": b"poison"}
+# Far longer than a check takes, so that the check comes first each time.
+PORT_CLOSES_AFTER_S = 1.0
 
 
 def make_answer(endpoint_by_id, has_open_port=False):
@@ -106,3 +108,21 @@
             log.close()
 
     asyncio.run(main())
+
+
+def test_port_that_closes_after_the_connection_counts_as_a_crash():
+    """Guards against a crash ruled out because its process had not ended yet."""
+
+    async def scenario(harness):
+        (endpoint,) = harness.endpoints
+
+        async def end_slowly(request, body):
+            asyncio.get_running_loop().call_later(PORT_CLOSES_AFTER_S, endpoint.close)
+            request.transport.abort()
+            return await answer_whole(request, body)
+
+        endpoint.answer = end_slowly
+        assert (await harness.fetch(**POISON))[0] == 502
+        await until(lambda: harness.recorder.count("crash-counted"))
+
+    run(scenario, [answer_whole], routes=NON_IDEMPOTENT, n_crashes_to_block=3)
