--- a/packages/core/src/bluebellusher_core/rules/__init__.py
+++ b/packages/core/src/bluebellusher_core/rules/__init__.py
@@ -1,4 +1,4 @@
-"""Grammar of the rules file, checks, and the difference between two files."""
+"""Parsing, checking and comparing of rules files."""
 
 from bluebellusher_core.rules._cursor import RuleError
 from bluebellusher_core.rules._difference import Change, diff_rules
--- a/packages/core/src/bluebellusher_core/rules/_check.py
+++ b/packages/core/src/bluebellusher_core/rules/_check.py
@@ -1,4 +1,4 @@
-"""Checks between the rules of a file."""
+"""Checks of the rules of a file against each other."""
 
 import re
 from collections import defaultdict
@@ -33,16 +33,17 @@
 def check_rules(
     rules: RuleSet, lines: Sequence[str], excused_words: Collection[str]
 ) -> list[RuleError]:
-    """Return the errors between rules.
+    """Check the rules of a file against each other and return the errors.
 
     Parameters
     ----------
     rules : RuleSet
-        The rules whose own lines have no fault.
+        The rules of all lines without a syntax error.
     lines : sequence of str
-        The lines of the file, for the columns.
+        All lines of the file, to find the columns of errors.
     excused_words : collection of str
-        Words of lines that have a fault; these lines may declare the names.
+        Words of the lines with a syntax error. Names among them are not reported as
+        undeclared, because such a line may declare them.
     """
     errors = [
         RuleError(rule.line, _column(lines, rule, word), found, expected)
@@ -56,12 +57,14 @@
 
 
 def _column(lines: Sequence[str], rule: Rule, word: str) -> int:
+    """Return the column of a word in the statement of a rule, or 1 without it."""
     statement = lines[rule.line - 1].partition("#")[0]
     match = re.search(rf"(?<!\S){re.escape(word)}(?!\S)", statement)
     return match.start() + 1 if match else 1
 
 
 def _find(rules: RuleSet, excused_words: Collection[str]) -> Iterator[Finding]:
+    """Yield the rule, the word, what is found and what is expected of each error."""
     yield from _duplicates(rules)
     yield from _unknown_names(rules, excused_words)
     yield from _ambiguous_names(rules)
@@ -72,6 +75,7 @@
 
 
 def _duplicates(rules: RuleSet) -> Iterator[Finding]:
+    """Yield the rules whose key occurs in an earlier line."""
     first_by_key: dict[tuple[str, ...], Rule] = {}
     for rule in rules.rules:
         first = first_by_key.setdefault(rule.key(), rule)
@@ -82,6 +86,7 @@
 
 
 def _unknown_names(rules: RuleSet, excused: Collection[str]) -> Iterator[Finding]:
+    """Yield the customers, models and services that no rule declares."""
     customers = {*rules.customers, *excused}
     models = {*rules.service_by_model, *excused}
     services = {rule.service for rule in rules.of(Capacity)} | set(excused)
@@ -102,12 +107,17 @@
 def _unknown(
     rule: Rule, what: str, name: str, known: set[str], keyword: str = ""
 ) -> Iterator[Finding]:
+    """Yield a finding if the name of a ``what`` is not among the declared names.
+
+    ``keyword`` is that of the declaring rule; empty means that it equals ``what``.
+    """
     if name not in known:
         expected = f"a {what} of the file; declare it with '{keyword or what}'"
         yield rule, name, f"the unknown {what} '{name}'", expected
 
 
 def _ambiguous_names(rules: RuleSet) -> Iterator[Finding]:
+    """Yield the models that have the name of a service."""
     services = {rule.service for rule in rules.of(Capacity)}
     for rule in rules.of(Model):
         if rule.model in services:
@@ -116,6 +126,7 @@
 
 
 def _engines(rules: RuleSet, excused: Collection[str]) -> Iterator[Finding]:
+    """Yield the errors of engine counts, their schedules, capacities and prices."""
     yield from _capacity(rules)
     n_by_service: dict[str, int] = defaultdict(int)
     for rule in rules.of(Capacity):
@@ -131,10 +142,11 @@
         is_priced = service in rules.engine_price_by_service or service in excused
         if not is_priced:
             expected = f"a rule 'engine-price {service} ... per hour'"
-            yield group[0], service, f"no engine price of '{service}'", expected
+            yield group[0], service, f"no engine price for '{service}'", expected
 
 
 def _engine_windows(rule: Engines, earlier: list[Engines]) -> Iterator[Finding]:
+    """Yield conflicts of a schedule with those of earlier rules of its service."""
     zone = rule.schedule.zone
     if earlier and earlier[0].schedule.zone != zone:
         expected = f"{earlier[0].schedule.zone} as on line {earlier[0].line}"
@@ -144,38 +156,46 @@
     for other in earlier:
         is_same = other.key() == rule.key()
         if not is_same and overlaps(rule.schedule, other.schedule):
-            found = f"a window that overlaps line {other.line}"
+            found = f"a window that overlaps that of line {other.line}"
             expected = "windows of a service that do not overlap"
             yield rule, "from" if rule.schedule.hours else "on", found, expected
 
 
 def _capacity(rules: RuleSet) -> Iterator[Finding]:
+    """Yield services whose capacity is set both in total and by failure domain."""
     first_by_service: dict[str, Capacity] = {}
     for rule in rules.of(Capacity):
         first = first_by_service.setdefault(rule.service, rule)
         if (first.domain is None) != (rule.domain is None):
             found = "capacity both in total and by failure domain"
-            expected = f"one way for '{rule.service}'; see line {first.line}"
+            expected = f"only one way for '{rule.service}', as on line {first.line}"
             yield rule, rule.service, found, expected
 
 
 def _prices(rules: RuleSet, excused: Collection[str]) -> Iterator[Finding]:
+    """Yield models without a price for each kind, and customers named like a model."""
     for model in rules.of(Model):
         if model.model in excused:
             continue
         priced = rules.price_by_model.get(model.model, {})
         missing = [str(kind) for kind in TokenKind if kind not in priced]
         if missing:
-            found = f"no price of {', '.join(missing)} tokens of '{model.model}'"
+            found = f"no price of {', '.join(missing)} tokens for '{model.model}'"
             expected = f"a rule 'token-price {model.model} {missing[0]} ...'"
             yield model, model.model, found, expected
     for customer in rules.of(Customer):
         if customer.customer in rules.service_by_model:
             found = f"'{customer.customer}', which is also a model"
-            yield customer, customer.customer, found, "different names"
+            yield (
+                customer,
+                customer.customer,
+                found,
+                "different names for customers and models",
+            )
 
 
 def _loads(rules: RuleSet) -> Iterator[Finding]:
+    """Yield loads of models without tokens and loads of services with tokens."""
     services = {rule.service for rule in rules.of(Capacity)}
     for rule in rules.of(Load):
         is_model = rule.target in rules.service_by_model
--- a/packages/core/src/bluebellusher_core/rules/_check_limits.py
+++ b/packages/core/src/bluebellusher_core/rules/_check_limits.py
@@ -1,4 +1,4 @@
-"""Checks of budgets, rates and of what follows a budget."""
+"""Checks of the rules that limit a customer: budgets, ``when-exhausted`` and rates."""
 
 from collections.abc import Collection, Iterator
 from decimal import Decimal
@@ -21,7 +21,12 @@
 
 
 def check_limits(rules: RuleSet, excused: Collection[str]) -> Iterator[Finding]:
-    """Yield the faults of limits."""
+    """Yield the errors of budgets, ``when-exhausted`` rules and rates.
+
+    Each finding consists of the rule, the word to which the error points, what is
+    found and what is expected. ``excused`` has the words of lines with a syntax
+    error, which may declare a name or a budget.
+    """
     for budget in rules.of(Budget):
         yield from _unit(rules, budget, budget.limit)
     for exhausted in rules.of(WhenExhausted):
@@ -33,6 +38,7 @@
 
 
 def _unit(rules: RuleSet, rule: Rule, limit: Limit) -> Iterator[Finding]:
+    """Yield a limit in another currency than that of the file."""
     if rules.currency and not limit.is_tokens and limit.unit != rules.currency:
         expected = f"{rules.currency}, the currency of the file, or tokens"
         yield rule, limit.unit, f"the currency {limit.unit}", expected
@@ -41,9 +47,10 @@
 def _exhausted(
     rules: RuleSet, rule: WhenExhausted, excused: Collection[str]
 ) -> Iterator[Finding]:
+    """Yield the errors of a ``when-exhausted`` rule, except an absent limit."""
     customer = rule.customer
     if customer not in rules.budget_by_customer and customer not in excused:
-        found = f"no budget of '{customer}' that could end"
+        found = f"no budget for '{customer}'"
         yield rule, customer, found, f"a rule 'budget {customer} ... per month'"
     if rule.limit:
         yield from _unit(rules, rule, rule.limit)
@@ -52,24 +59,29 @@
 
 
 def _cheaper(rules: RuleSet, rule: WhenExhausted, model: str) -> Iterator[Finding]:
+    """Yield a ``cheaper-model`` that is not cheaper than the models of the customer.
+
+    These are the models of the customer's loads, or all models if it has no load.
+    """
     loads = rules.loads_by_customer.get(rule.customer, [])
     targets = [load.target for load in loads if load.target in rules.service_by_model]
     others = set(targets or rules.service_by_model) - {model}
     priced = _prices(rules, model)
-    # A model without prices is reported at its declaration.
+    # The check of prices reports a model that lacks one, at its declaration.
     if priced is None or any(_prices(rules, other) is None for other in others):
         return
     if not any(_is_cheaper(priced, _prices(rules, other)) for other in others):
-        found = f"'{model}', which is not cheaper than what '{rule.customer}' uses"
+        found = f"'{model}', which is not cheaper than any model of '{rule.customer}'"
         yield rule, model, found, "a model with lower token prices"
         return
     for other in sorted(set(targets) - {model}):
         if not _is_cheaper(priced, _prices(rules, other)):
             found = f"'{model}', which is not cheaper than '{other}'"
-            yield rule, model, found, "no token price higher, and one lower"
+            yield rule, model, found, "no higher token price and at least one lower"
 
 
 def _prices(rules: RuleSet, model: str) -> tuple[Decimal, ...] | None:
+    """Return the prices of a model by kind of token, or ``None`` if one is absent."""
     prices = rules.price_by_model.get(model, {})
     if len(prices) < len(TokenKind):
         return None
@@ -79,6 +91,7 @@
 def _is_cheaper(
     prices: tuple[Decimal, ...], others: tuple[Decimal, ...] | None
 ) -> bool:
+    """Return whether no price is higher than the other one, and at least one lower."""
     if others is None:
         return False
     pairs = list(zip(prices, others, strict=True))
@@ -88,24 +101,30 @@
 def _unlimited(
     rules: RuleSet, rule: Customer, excused: Collection[str]
 ) -> Iterator[Finding]:
+    """Yield a customer whose spending has no limit.
+
+    A token rate limits all spending. Without one, a customer needs a budget, and its
+    ``when-exhausted`` rule a limit, unless that rule refuses further requests.
+    """
     customer = rule.customer
     has_rate = (customer, TOKENS_UNIT) in rules.rate_by_customer
     if has_rate or customer in excused:
         return
     if customer not in rules.budget_by_customer:
-        found = f"no limit on what '{customer}' can spend"
+        found = f"no limit on the spending of '{customer}'"
         expected = f"a rule 'budget {customer} ...' or 'rate {customer} N tokens ...'"
         yield rule, customer, found, expected
     exhausted = rules.exhausted_by_customer.get(customer)
     if exhausted is None or exhausted.action is ExhaustedAction.REFUSE:
         return
     if exhausted.limit is None:
-        found = f"no limit on what '{customer}' can spend after its budget"
+        found = f"no limit on the spending of '{customer}' after its budget"
         expected = f"'up to AMOUNT UNIT', or 'rate {customer} N tokens ...'"
         yield exhausted, exhausted.action, found, expected
 
 
 def _load_above_rate(rules: RuleSet, load: Load) -> Iterator[Finding]:
+    """Yield a load whose requests or tokens per day exceed the customer's rate."""
     for unit, n_per_request in (("requests", 1), (TOKENS_UNIT, load.n_tokens)):
         rate = rules.rate_by_customer.get((load.customer, unit))
         if rate is None:
@@ -113,11 +132,12 @@
         n_per_day = load.n_requests * n_per_request
         n_allowed = rate.n_units * _seconds_per_day(load.schedule) // rate.period_s
         if n_per_day > n_allowed:
-            found = f"{n_per_day} {unit} a day"
-            expected = f"at most {n_allowed}, which the rate on line {rate.line} allows"
+            found = f"{n_per_day} {unit} per day"
+            expected = f"at most {n_allowed}, allowed by the rate on line {rate.line}"
             yield load, str(load.n_requests), found, expected
 
 
 def _seconds_per_day(schedule: Schedule) -> int:
+    """Return the length of a daily window in seconds, without clock changes."""
     begin, end = schedule.hours or (0, MINUTES_PER_DAY)
     return ((end - begin - 1) % MINUTES_PER_DAY + 1) * 60
--- a/packages/core/src/bluebellusher_core/rules/_cursor.py
+++ b/packages/core/src/bluebellusher_core/rules/_cursor.py
@@ -1,4 +1,4 @@
-"""Words of one line with their columns, and the values that words stand for."""
+"""Reader of one statement: splits it into words and converts words to values."""
 
 import re
 from collections.abc import Iterable
@@ -17,24 +17,24 @@
 _CLOCK = re.compile(r"([01][0-9]|2[0-3]):([0-5][0-9])\Z")
 _CURRENCY = re.compile(r"[A-Z]{3}\Z")
 _ZONE = re.compile(r"(UTC|[A-Z][A-Za-z_+-]+(/[A-Za-z0-9_+-]+){1,2})\Z")
-# Dates outside these years are typing errors, and the arithmetic of zones stays
-# within the range of the standard library.
+# Dates outside these years are taken for typing errors. The limits also keep time
+# zone arithmetic within the range of the standard library's datetime.
 FIRST_YEAR = 2000
 LAST_YEAR = 2199
 
 
 @dataclass(frozen=True, slots=True, order=True)
 class RuleError:
-    """One fault of a rules file.
+    """Error in a rules file.
 
     Parameters
     ----------
     line, column : int
-        Place of the fault, both from 1.
+        Position of the error, both from 1.
     found : str
-        What stands there.
+        Description of the erroneous text.
     expected : str
-        What would be right.
+        Description of a correct text.
     """
 
     line: int
@@ -43,7 +43,7 @@
     expected: str
 
     def render(self) -> str:
-        """Return the error as one line."""
+        """Render the error as one line of text."""
         return (
             f"line {self.line}, column {self.column}: "
             f"found {self.found}; expected {self.expected}"
@@ -51,7 +51,11 @@
 
 
 class WordError(Exception):
-    """A word that does not fit; caught by the parser of the line."""
+    """Syntax error in one line of a rules file.
+
+    ``parse_rules`` catches it, adds the line number and turns it into a
+    ``RuleError``.
+    """
 
     def __init__(self, column: int, found: str, expected: str) -> None:
         super().__init__(expected)
@@ -61,7 +65,9 @@
 
 
 class Cursor:
-    """Reads the words of a statement from left to right.
+    """Reader of the words of a statement, from left to right.
+
+    Methods that read a value raise ``WordError`` if the next word is no such value.
 
     Parameters
     ----------
@@ -75,19 +81,19 @@
         self._position = 0
 
     def peek(self) -> str:
-        """Return the next word, or an empty text at the end."""
+        """Return the next word without consuming it, or an empty string at the end."""
         if self._position < len(self._words):
             return self._words[self._position][1]
         return ""
 
     def take(self) -> str:
-        """Return the next word and go past it."""
+        """Consume the next word and return it, or an empty string at the end."""
         word = self.peek()
         self._position += 1
         return word
 
     def fail(self, expected: str) -> WordError:
-        """Return the error that the next word is not what is expected."""
+        """Create an error for the next word, or for a missing word at the end."""
         if self._position < len(self._words):
             column, word = self._words[self._position]
             return WordError(column, repr(word), expected)
@@ -99,50 +105,57 @@
         return self.take()
 
     def name(self, what: str) -> str:
-        """Take a name."""
+        """Read the name of a ``what``, such as ``customer``."""
         return self._match(
             _NAME, f"the name of a {what} (a-z, 0-9, '.', '_' and '-', at most 63)"
         )
 
     def count(self, what: str) -> int:
-        """Take a whole number."""
+        """Read a whole number; ``what`` describes it in the error."""
         return int(self._match(_COUNT, f"{what}, a whole number"))
 
     def amount(self, what: str) -> Decimal:
-        """Take a number with at most six decimals."""
+        """Read a number of at most six decimals; ``what`` describes it in the error."""
         expected = f"{what}, such as 12 or 12.50, with at most 6 decimals"
         return Decimal(self._match(_AMOUNT, expected))
 
     def currency(self) -> str:
-        """Take a currency code."""
+        """Read a currency code."""
         return self._match(_CURRENCY, "a currency code of three capitals, such as JPY")
 
     def word(self, *words: str) -> str:
-        """Take one of the words."""
+        """Read a word that must be one of ``words``."""
         if self.peek() not in words:
             raise self.fail(_one_of(words))
         return self.take()
 
     def skip(self, word: str) -> bool:
-        """Go past the word when it is next; return whether it was."""
+        """Consume the next word if it equals ``word``; return whether it does."""
         if self.peek() != word:
             return False
         self._position += 1
         return True
 
     def clock(self) -> int:
-        """Take a time of day; return it in minutes."""
+        """Read a time of day and return it in minutes since midnight."""
         text = self._match(_CLOCK, "a time of day, HH:MM from 00:00 to 23:59")
         return int(text[:2]) * 60 + int(text[3:])
 
     def zone(self) -> str:
-        """Take the name of a time zone."""
+        """Read the IANA name of a time zone."""
         if not is_zone(self.peek()):
             raise self.fail("an IANA time zone, such as Asia/Tokyo")
         return self.take()
 
     def days(self) -> tuple[tuple[int, ...], tuple[DateRange, ...]]:
-        """Take a list of weekdays or of dates."""
+        """Read a comma-separated list of weekdays or of dates.
+
+        Returns
+        -------
+        tuple
+            The weekdays, 0 for Monday, and the ranges of dates, both sorted. One of
+            the two is empty.
+        """
         parts = self.peek().split(",")
         weekdays = [_weekdays(part) for part in parts]
         if all(weekdays):
@@ -159,7 +172,7 @@
         return (), tuple(sorted(set(found)))
 
     def end(self, expected: str = "the comment '# NAME: REASON'") -> None:
-        """Require that no word is left."""
+        """Raise ``WordError`` if a word follows."""
         if self._position < len(self._words):
             raise self.fail(expected)
 
@@ -173,7 +186,7 @@
 
 @lru_cache(maxsize=1024)
 def is_zone(name: str) -> bool:
-    """Return whether the time zone is known."""
+    """Return whether the time zone database has the time zone."""
     if not _ZONE.match(name):
         return False
     try:
@@ -184,6 +197,7 @@
 
 
 def _weekdays(text: str) -> tuple[int, ...]:
+    """Parse ``Tue`` or ``Fri-Mon``; return no weekday if the text is neither."""
     first, _, last = text.partition("-")
     if first not in WEEKDAYS or (last or first) not in WEEKDAYS:
         return ()
@@ -195,6 +209,7 @@
 
 
 def _date_range(text: str) -> DateRange | None:
+    """Parse a date or two dates with ``..`` between them; return ``None`` if wrong."""
     first, separator, last = text.partition("..")
     begin = _date(first)
     end = _date(last) if separator else begin
@@ -204,6 +219,7 @@
 
 
 def _date(text: str) -> date | None:
+    """Parse a date of a valid year, such as ``2027-01-31``; else return ``None``."""
     if not re.match(r"[0-9]{4}-[0-9]{2}-[0-9]{2}\Z", text):
         return None
     try:
--- a/packages/core/src/bluebellusher_core/rules/_difference.py
+++ b/packages/core/src/bluebellusher_core/rules/_difference.py
@@ -1,4 +1,4 @@
-"""The difference between two rule sets."""
+"""Comparison of two rule sets."""
 
 from dataclasses import dataclass
 
@@ -8,9 +8,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Change:
-    """One rule that was added, removed or replaced.
+    """Difference in one rule, which was added, removed or replaced.
 
-    ``before`` is ``None`` for an added rule, ``after`` for a removed one.
+    ``before`` is ``None`` for an added rule, ``after`` is ``None`` for a removed one.
     """
 
     before: Rule | None
@@ -18,14 +18,17 @@
 
     @property
     def rule(self) -> Rule:
-        """The rule that stands for the change: the new one, or the removed one."""
+        """The rule after the change, or the removed rule."""
         rule = self.after or self.before
         assert rule is not None
         return rule
 
     @property
     def kind(self) -> str:
-        """``added``, ``removed``, ``changed`` or ``comment`` (only the comment)."""
+        """Kind of change: ``added``, ``removed``, ``changed`` or ``comment``.
+
+        ``comment`` means that only author or reason differ.
+        """
         if self.before is None:
             return "added"
         if self.after is None:
@@ -36,10 +39,11 @@
 
 
 def diff_rules(before: RuleSet, after: RuleSet) -> tuple[Change, ...]:
-    """Return the changes that lead from one rule set to the other.
+    """Return the rules that differ between two rule sets.
 
-    Removed rules come first, then added and changed ones in the order of the new
-    file. The order of rules in a file has no meaning and is no change.
+    Removed rules come first, in the order of the old file, then added and replaced
+    rules in the order of the new file. The order of rules in a file has no meaning,
+    so that a rule that only moved is not a change.
     """
     removed = [
         Change(rule, None)
--- a/packages/core/src/bluebellusher_core/rules/_grammar.py
+++ b/packages/core/src/bluebellusher_core/rules/_grammar.py
@@ -1,4 +1,4 @@
-"""The arguments of each keyword."""
+"""Parsers of statements, one function for each keyword."""
 
 from collections.abc import Callable
 
@@ -31,7 +31,7 @@
 
 
 class _Head:
-    """Author, reason and line that go into every rule of the line."""
+    """Field values that every rule has, whatever its keyword."""
 
     def __init__(self, author: str, reason: str, line: int) -> None:
         self.author = author
@@ -40,7 +40,13 @@
 
 
 def parse_statement(cursor: Cursor, author: str, reason: str, line: int) -> Rule:
-    """Return the rule of one statement; raise ``WordError`` when it has a fault."""
+    """Parse one statement.
+
+    Raises
+    ------
+    WordError
+        If the statement has a syntax error.
+    """
     keyword = cursor.word(*_PARSER_BY_KEYWORD)
     rule = _PARSER_BY_KEYWORD[keyword](cursor, _Head(author, reason, line))
     cursor.end()
@@ -53,7 +59,7 @@
         begin = cursor.clock()
         cursor.word("to")
         if cursor.peek() == f"{begin // 60:02d}:{begin % 60:02d}":
-            raise cursor.fail("an end that differs from the begin")
+            raise cursor.fail("an end time that differs from the begin time")
         hours = (begin, cursor.clock())
     weekdays, dates = cursor.days() if cursor.skip("on") else ((), ())
     return Schedule(cursor.zone(), hours, weekdays, dates)
@@ -63,7 +69,7 @@
     amount = cursor.amount("an amount of money or tokens")
     if cursor.peek() == TOKENS_UNIT:
         if amount != amount.to_integral_value():
-            raise cursor.fail("a currency, because a number of tokens is whole")
+            raise cursor.fail("a currency code, because a token count is whole")
         return Limit(amount, cursor.take())
     return Limit(amount, cursor.currency())
 
@@ -88,14 +94,14 @@
 
 def _capacity(cursor: Cursor, head: _Head) -> Rule:
     service = cursor.name("service")
-    n_engines = cursor.count("how many engines exist")
+    n_engines = cursor.count("the number of engines that exist")
     domain = cursor.name("failure domain") if cursor.skip("in") else None
     return Capacity(**vars(head), service=service, n_engines=n_engines, domain=domain)
 
 
 def _engines(cursor: Cursor, head: _Head) -> Rule:
     service = cursor.name("service")
-    n_engines = cursor.count("how many engines run")
+    n_engines = cursor.count("the number of engines that run")
     schedule = _schedule(cursor)
     return Engines(
         **vars(head), service=service, n_engines=n_engines, schedule=schedule
@@ -129,7 +135,7 @@
 
 def _rate(cursor: Cursor, head: _Head) -> Rule:
     customer = cursor.name("customer")
-    n_units = cursor.count("how many requests or tokens")
+    n_units = cursor.count("the number of requests or tokens")
     unit = cursor.word("requests", TOKENS_UNIT)
     cursor.word("per")
     period = cursor.word("second", "minute")
@@ -145,7 +151,7 @@
 
 def _share(cursor: Cursor, head: _Head) -> Rule:
     customer = cursor.name("customer")
-    # A customer of weight 0 would wait without end.
+    # The admission queue would never serve a customer of weight 0.
     if not cursor.peek().strip("0."):
         raise cursor.fail("a weight above 0")
     weight = cursor.amount("the weight of the customer")
@@ -160,14 +166,14 @@
 def _load(cursor: Cursor, head: _Head) -> Rule:
     customer = cursor.name("customer")
     target = cursor.name("model or service")
-    n_requests = cursor.count("how many requests a day")
+    n_requests = cursor.count("the number of requests per day")
     cursor.word("requests")
     cursor.word("per")
     cursor.word("day")
     n_tokens_by_kind = dict.fromkeys(TokenKind, 0)
     for kind in TokenKind:
         if cursor.skip(kind):
-            n_tokens_by_kind[kind] = cursor.count(f"{kind} tokens of one request")
+            n_tokens_by_kind[kind] = cursor.count(f"the {kind} tokens of one request")
     return Load(
         **vars(head),
         customer=customer,
--- a/packages/core/src/bluebellusher_core/rules/_model.py
+++ b/packages/core/src/bluebellusher_core/rules/_model.py
@@ -1,4 +1,4 @@
-"""One frozen data class for each kind of rule."""
+"""Frozen data classes, one for each keyword of the rules file."""
 
 from dataclasses import dataclass, field
 from decimal import Decimal
@@ -9,7 +9,7 @@
 
 
 class TokenKind(StrEnum):
-    """Kinds of tokens that have their own price."""
+    """Kind of token; each kind has a price of its own."""
 
     INPUT = "input"
     CACHED = "cached"
@@ -17,7 +17,7 @@
 
 
 class ExhaustedAction(StrEnum):
-    """What a customer gets when its budget ends."""
+    """Treatment of a customer's requests after its budget is exhausted."""
 
     REFUSE = "refuse"
     LOWER_PRIORITY = "lower-priority"
@@ -29,16 +29,19 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Rule:
-    """What every rule has; two rules are equal when all but their lines are.
+    """Base class of all rules.
+
+    Two rules are equal if all their fields except ``line`` are equal.
 
     Parameters
     ----------
     author : str
-        Who requested the rule.
+        Name of the person who requested the rule.
     reason : str
-        Why it was requested.
+        Reason for the request.
     line : int
-        Line in the rules file, from 1; not part of a comparison.
+        Line number in the rules file, from 1; ignored in comparisons. 0 means that
+        the rule was not read from a file.
     """
 
     KEYWORD: ClassVar[str] = ""
@@ -47,49 +50,49 @@
     line: int = field(default=0, compare=False)
 
     def key(self) -> tuple[str, ...]:
-        """Return what the rule is about; a file has one rule for each key."""
+        """Return the key of the rule, which is unique in a rules file."""
         return (self.KEYWORD,)
 
     def arguments(self) -> str:
-        """Return the text between the keyword and the comment."""
+        """Render the text between the keyword and the comment."""
         raise NotImplementedError
 
     def statement(self) -> str:
-        """Return the rule without its comment."""
+        """Render the rule without its comment."""
         return f"{self.KEYWORD} {self.arguments()}"
 
     def render(self) -> str:
-        """Return the line that parses to this rule."""
+        """Render the rule as a line that parses to an equal rule."""
         return f"{self.statement()} # {self.author}: {self.reason}"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Currency(Rule):
-    """The currency of all amounts in the file."""
+    """Currency of all amounts of money in the file."""
 
     KEYWORD: ClassVar[str] = "currency"
     code: str
 
     def arguments(self) -> str:
-        """Return the currency code."""
+        """Render the currency code."""
         return self.code
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class MonthZone(Rule):
-    """The time zone in which a billing month begins and ends."""
+    """Time zone in which billing months begin and end."""
 
     KEYWORD: ClassVar[str] = "month-zone"
     zone: str
 
     def arguments(self) -> str:
-        """Return the zone name."""
+        """Render the name of the time zone."""
         return self.zone
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Customer(Rule):
-    """Declares a customer."""
+    """Declaration of a customer."""
 
     KEYWORD: ClassVar[str] = "customer"
     customer: str
@@ -99,13 +102,13 @@
         return (self.KEYWORD, self.customer)
 
     def arguments(self) -> str:
-        """Return the customer."""
+        """Render the customer."""
         return self.customer
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Model(Rule):
-    """Declares a model and the service whose engines run it."""
+    """Declaration of a model and of the service whose engines run it."""
 
     KEYWORD: ClassVar[str] = "model"
     model: str
@@ -116,13 +119,13 @@
         return (self.KEYWORD, self.model)
 
     def arguments(self) -> str:
-        """Return model and service."""
+        """Render model and service."""
         return f"{self.model} on {self.service}"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Capacity(Rule):
-    """Engines of a service that exist, in one failure domain or in all."""
+    """Number of existing engines of a service, in one failure domain or in total."""
 
     KEYWORD: ClassVar[str] = "capacity"
     service: str
@@ -134,14 +137,14 @@
         return (self.KEYWORD, self.service, self.domain or "")
 
     def arguments(self) -> str:
-        """Return service, count and failure domain."""
+        """Render service, number of engines and failure domain."""
         where = f" in {self.domain}" if self.domain else ""
         return f"{self.service} {self.n_engines}{where}"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Engines(Rule):
-    """Engines that run for a service, always or within a schedule."""
+    """Number of engines that run for a service, always or within a schedule."""
 
     KEYWORD: ClassVar[str] = "engines"
     service: str
@@ -149,17 +152,20 @@
     schedule: Schedule
 
     def key(self) -> tuple[str, ...]:
-        """Return keyword, service and schedule without the zone."""
+        """Return keyword, service and schedule without the zone.
+
+        The zone is left out because all engine rules of a service have one zone.
+        """
         return (self.KEYWORD, self.service, self.schedule.render_window())
 
     def arguments(self) -> str:
-        """Return service, count and schedule."""
+        """Render service, number of engines and schedule."""
         return f"{self.service} {self.n_engines} {self.schedule.render()}"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class EnginePrice(Rule):
-    """Price of one engine of a service for one hour."""
+    """Price of one engine of a service per hour."""
 
     KEYWORD: ClassVar[str] = "engine-price"
     service: str
@@ -170,13 +176,13 @@
         return (self.KEYWORD, self.service)
 
     def arguments(self) -> str:
-        """Return service and price."""
+        """Render service and price."""
         return f"{self.service} {self.price:f} per hour"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class TokenPrice(Rule):
-    """Price of one million tokens of one kind of a model."""
+    """Price of one million tokens of one kind on a model."""
 
     KEYWORD: ClassVar[str] = "token-price"
     model: str
@@ -188,13 +194,21 @@
         return (self.KEYWORD, self.model, self.kind)
 
     def arguments(self) -> str:
-        """Return model, kind and price."""
+        """Render model, kind and price."""
         return f"{self.model} {self.kind} {self.price:f} per million"
 
 
 @dataclass(frozen=True, slots=True)
 class Limit:
-    """An amount in a unit: the code of the currency, or ``tokens``."""
+    """Amount of money or tokens.
+
+    Parameters
+    ----------
+    amount : Decimal
+        The amount; a whole number if it counts tokens.
+    unit : str
+        Code of the currency, or ``tokens``.
+    """
 
     amount: Decimal
     unit: str
@@ -205,13 +219,13 @@
         return self.unit == TOKENS_UNIT
 
     def render(self) -> str:
-        """Return amount and unit."""
+        """Render amount and unit."""
         return f"{self.amount:f} {self.unit}"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Budget(Rule):
-    """What a customer may use in a month before ``when-exhausted`` applies."""
+    """Amount that a customer may use in a month before ``when-exhausted`` applies."""
 
     KEYWORD: ClassVar[str] = "budget"
     customer: str
@@ -222,13 +236,13 @@
         return (self.KEYWORD, self.customer)
 
     def arguments(self) -> str:
-        """Return customer and limit."""
+        """Render customer and limit."""
         return f"{self.customer} {self.limit.render()} per month"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Rate(Rule):
-    """Most requests or tokens of a customer in one second or minute."""
+    """Maximum number of requests or tokens of a customer per second or minute."""
 
     KEYWORD: ClassVar[str] = "rate"
     customer: str
@@ -241,7 +255,7 @@
         return (self.KEYWORD, self.customer, self.unit)
 
     def arguments(self) -> str:
-        """Return customer and rate."""
+        """Render customer and rate."""
         return f"{self.customer} {self.n_units} {self.unit} per {self.period}"
 
     @property
@@ -252,7 +266,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Priority(Rule):
-    """Priority of a customer's requests that name none."""
+    """Priority of those requests of a customer that set no priority themselves."""
 
     KEYWORD: ClassVar[str] = "priority"
     customer: str
@@ -263,7 +277,7 @@
         return (self.KEYWORD, self.customer)
 
     def arguments(self) -> str:
-        """Return customer and priority."""
+        """Render customer and priority."""
         return f"{self.customer} {self.priority}"
 
 
@@ -280,16 +294,17 @@
         return (self.KEYWORD, self.customer)
 
     def arguments(self) -> str:
-        """Return customer and weight."""
+        """Render customer and weight."""
         return f"{self.customer} {self.weight:f}"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Load(Rule):
-    """Load that a customer is expected to bring to a model or a service.
+    """Expected load of a customer on a model or a plain service.
 
-    The requests of a day are spread evenly over the hours of the schedule. Token
-    counts are for each request; ``n_input`` excludes the cached ones.
+    ``n_requests`` is the number of requests per day; they are spread evenly over the
+    daily window of the schedule. Token counts are per request; ``n_input`` excludes
+    the cached tokens.
     """
 
     KEYWORD: ClassVar[str] = "load"
@@ -307,7 +322,7 @@
         return (self.KEYWORD, self.customer, self.target, window)
 
     def arguments(self) -> str:
-        """Return customer, target, counts and schedule."""
+        """Render customer, target, counts and schedule."""
         text = f"{self.customer} {self.target} {self.n_requests} requests per day"
         if self.n_tokens:
             text += f" input {self.n_input} cached {self.n_cached}"
@@ -316,13 +331,13 @@
 
     @property
     def n_tokens(self) -> int:
-        """Tokens of all kinds in one request."""
+        """Number of tokens of all kinds in one request."""
         return self.n_input + self.n_cached + self.n_output
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Weight(Rule):
-    """Weight of step-time skew or of expert moves in the balance of experts."""
+    """Weight of step-time skew or of expert moves in the balancing of experts."""
 
     KEYWORD: ClassVar[str] = "weight"
     measure: str
@@ -333,13 +348,17 @@
         return (self.KEYWORD, self.measure)
 
     def arguments(self) -> str:
-        """Return measure and weight."""
+        """Render measure and weight."""
         return f"{self.measure} {self.weight:f}"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class WhenExhausted(Rule):
-    """What a customer gets when its budget ends, and up to which further limit."""
+    """Action for a customer whose budget is exhausted.
+
+    ``limit`` bounds the spending after the budget. It is ``None`` for ``refuse``, and
+    for the other actions if only the customer's token rate bounds the spending.
+    """
 
     KEYWORD: ClassVar[str] = "when-exhausted"
     customer: str
@@ -352,7 +371,7 @@
         return (self.KEYWORD, self.customer)
 
     def arguments(self) -> str:
-        """Return customer, action and limit."""
+        """Render customer, action, model and limit."""
         model = f" {self.model}" if self.model else ""
         limit = f" up to {self.limit.render()}" if self.limit else ""
         return f"{self.customer} {self.action}{model}{limit}"
--- a/packages/core/src/bluebellusher_core/rules/_overlap.py
+++ b/packages/core/src/bluebellusher_core/rules/_overlap.py
@@ -1,4 +1,4 @@
-"""Whether two schedules of the same zone and precedence can hold at once."""
+"""Overlap of two schedules that have the same time zone."""
 
 from datetime import timedelta
 
@@ -6,10 +6,11 @@
 
 
 def overlaps(a: Schedule, b: Schedule) -> bool:
-    """Return whether some moment lies in a window of both schedules.
+    """Return whether two schedules of equal precedence have overlapping windows.
 
-    Schedules of different precedence never contradict each other, because one of
-    them wins. Windows that pass midnight are compared with the neighbouring days.
+    Schedules of different precedence never conflict, because one of them wins.
+    Windows are also compared with those that begin on the previous and on the next
+    day, because a window may extend past midnight.
     """
     if a.rank != b.rank:
         return False
@@ -20,7 +21,7 @@
 
 
 def _has_day_pair(a: Schedule, b: Schedule, n_days: int) -> bool:
-    """Return whether ``b`` holds ``n_days`` after some day on which ``a`` holds."""
+    """Return whether a window of ``b`` begins ``n_days`` after one of ``a``."""
     if a.dates:
         shift = timedelta(days=n_days)
         return any(
@@ -34,6 +35,7 @@
 
 
 def _hours_meet(a: Schedule, b: Schedule, n_days: int) -> bool:
+    """Return whether the hours of ``a`` overlap those of ``b`` ``n_days`` later."""
     begin_a, end_a = _minutes(a)
     begin_b, end_b = _minutes(b)
     shift = n_days * MINUTES_PER_DAY
@@ -41,5 +43,6 @@
 
 
 def _minutes(schedule: Schedule) -> tuple[int, int]:
+    """Return begin and end of a window in minutes; after midnight above 1440."""
     begin, end = schedule.hours or (0, MINUTES_PER_DAY)
     return begin, end if end > begin else end + MINUTES_PER_DAY
--- a/packages/core/src/bluebellusher_core/rules/_parser.py
+++ b/packages/core/src/bluebellusher_core/rules/_parser.py
@@ -1,4 +1,4 @@
-"""From text to rules: lines, comments, statements, then the checks between rules."""
+"""Parsing of a whole rules file, and of its lines and their comments."""
 
 from expression import Error, Ok, Result
 
@@ -15,14 +15,16 @@
     Parameters
     ----------
     text : str
-        The whole file; any text is accepted, none raises.
+        Content of the whole file. Invalid content is returned as errors and raises
+        nothing.
 
     Returns
     -------
     Result
-        The rules, or every error of the file in the order of its lines. A line with
-        a fault takes part in no check between rules; the names in it are not
-        reported as unknown elsewhere, so that one fault is reported once.
+        The rules, or all errors of the file in the order of its lines. A line with
+        a syntax error takes no part in the checks between rules. Names that occur in
+        such a line are not reported as unknown in other lines, so that one mistake
+        is reported only once.
 
     Examples
     --------
@@ -51,6 +53,7 @@
 
 
 def _parse_line(content: str, line: int) -> Rule | None:
+    """Parse one line; return ``None`` for a line without a statement."""
     statement, separator, comment = content.partition("#")
     if not statement.strip():
         return None
@@ -60,13 +63,14 @@
 
 
 def _parse_comment(statement: str, separator: str, comment: str) -> tuple[str, str]:
+    """Return author and reason from the comment that follows a statement."""
     column = len(statement) + 1
     expected = "a comment '# NAME: REASON' that names who asked for the rule"
     if not separator:
         raise WordError(len(statement.rstrip()) + 1, "no comment", expected)
     author, colon, reason = comment.partition(":")
     if not author.strip() or not colon:
-        raise WordError(column, "a comment that names nobody", expected)
+        raise WordError(column, "a comment without a name", expected)
     if not reason.strip():
         raise WordError(column, "a comment without a reason", expected)
     return author.strip(), reason.strip()
--- a/packages/core/src/bluebellusher_core/rules/_ruleset.py
+++ b/packages/core/src/bluebellusher_core/rules/_ruleset.py
@@ -1,4 +1,4 @@
-"""The rules of one file, with the look-ups that the other modules need."""
+"""Container for the rules of one file, with look-ups by customer, model and service."""
 
 from collections import defaultdict
 from collections.abc import Iterable
@@ -25,13 +25,13 @@
 
 
 class RuleSet:
-    """An immutable, ordered set of rules.
+    """Immutable, ordered collection of the rules of one file.
 
     Parameters
     ----------
     rules : iterable of Rule
-        The rules in the order of the file. ``parse_rules`` checks that they fit
-        together; a set that is put together by hand is not checked.
+        The rules in the order of the file. The constructor does not check them
+        against each other; ``parse_rules`` does.
     """
 
     def __init__(self, rules: Iterable[Rule]) -> None:
@@ -47,12 +47,12 @@
         return f"RuleSet({len(self.rules)} rules)"
 
     def render(self) -> str:
-        """Return a text that parses to the same rules, one rule a line."""
+        """Render one line per rule, as a text that parses to an equal rule set."""
         return "".join(f"{rule.render()}\n" for rule in self.rules)
 
     @cached_property
     def rule_by_key(self) -> dict[tuple[str, ...], Rule]:
-        """Rules by what they are about."""
+        """Rules by ``Rule.key()``."""
         return {rule.key(): rule for rule in self.rules}
 
     @cached_property
@@ -63,18 +63,18 @@
         return rules
 
     def of(self, kind: type[R]) -> list[R]:
-        """Return the rules of one kind in the order of the file."""
+        """Return the rules of one class in the order of the file."""
         found = self._rules_by_class.get(kind, [])
         return [rule for rule in found if isinstance(rule, kind)]
 
     @property
     def currency(self) -> str:
-        """Code of the currency, or an empty text."""
+        """Code of the currency, or an empty string if no rule sets one."""
         return next((rule.code for rule in self.of(Currency)), "")
 
     @property
     def month_zone(self) -> str:
-        """Time zone of the billing month."""
+        """IANA name of the time zone of billing months; UTC if no rule sets one."""
         return next((rule.zone for rule in self.of(MonthZone)), "UTC")
 
     @cached_property
@@ -84,12 +84,12 @@
 
     @cached_property
     def service_by_model(self) -> dict[str, str]:
-        """The service that runs each model."""
+        """Services by the model that their engines run."""
         return {rule.model: rule.service for rule in self.of(Model)}
 
     @cached_property
     def price_by_model(self) -> dict[str, dict[TokenKind, TokenPrice]]:
-        """Token prices by model and kind."""
+        """Token price rules by model and kind of token."""
         prices: dict[str, dict[TokenKind, TokenPrice]] = defaultdict(dict)
         for rule in self.of(TokenPrice):
             prices[rule.model][rule.kind] = rule
@@ -97,7 +97,7 @@
 
     @cached_property
     def engine_price_by_service(self) -> dict[str, EnginePrice]:
-        """Prices of an engine hour by service."""
+        """Engine price rules by service."""
         return {rule.service: rule for rule in self.of(EnginePrice)}
 
     @cached_property
@@ -110,22 +110,22 @@
 
     @cached_property
     def budget_by_customer(self) -> dict[str, Budget]:
-        """Budgets by customer."""
+        """Budget rules by customer."""
         return {rule.customer: rule for rule in self.of(Budget)}
 
     @cached_property
     def exhausted_by_customer(self) -> dict[str, WhenExhausted]:
-        """What happens after the budget, by customer."""
+        """Rules for requests after the budget is exhausted, by customer."""
         return {rule.customer: rule for rule in self.of(WhenExhausted)}
 
     @cached_property
     def rate_by_customer(self) -> dict[tuple[str, str], Rate]:
-        """Rates by customer and unit."""
+        """Rate rules by customer and unit, ``requests`` or ``tokens``."""
         return {(rule.customer, rule.unit): rule for rule in self.of(Rate)}
 
     @cached_property
     def loads_by_customer(self) -> dict[str, list[Load]]:
-        """Expected load by customer."""
+        """Rules of expected load by customer."""
         loads: dict[str, list[Load]] = defaultdict(list)
         for rule in self.of(Load):
             loads[rule.customer].append(rule)
--- a/packages/core/src/bluebellusher_core/rules/_schedule.py
+++ b/packages/core/src/bluebellusher_core/rules/_schedule.py
@@ -1,4 +1,4 @@
-"""Hours and days in a time zone, exact across changes of daylight saving time."""
+"""Daily windows in a time zone, exact across changes of daylight saving time."""
 
 from dataclasses import dataclass
 from datetime import UTC, date, datetime, timedelta
@@ -14,13 +14,13 @@
 
 @dataclass(frozen=True, slots=True, order=True)
 class DateRange:
-    """Days from ``first`` to ``last``, both included."""
+    """Range of days from ``first`` to ``last``, both included."""
 
     first: date
     last: date
 
     def render(self) -> str:
-        """Return one date, or two with ``..`` between them."""
+        """Render one date, or two dates with ``..`` between them."""
         if self.first == self.last:
             return self.first.isoformat()
         return f"{self.first.isoformat()}..{self.last.isoformat()}"
@@ -28,19 +28,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Schedule:
-    """When a rule holds.
+    """Daily windows in which a rule applies.
 
     Parameters
     ----------
     zone : str
         IANA name of the time zone.
     hours : tuple of int or None
-        Begin and end in minutes of the day. An end that is not after the begin is
-        on the next day. ``None`` means the whole day.
+        Begin and end of the window in minutes since local midnight. An end that is
+        not after the begin is on the next day. ``None`` means the whole day.
     weekdays : tuple of int
-        Days of the week, 0 is Monday; a window belongs to the day it begins on.
+        Days of the week on which a window begins; 0 is Monday.
     dates : tuple of DateRange
-        Dates; only one of ``weekdays`` and ``dates`` is set. Neither means every day.
+        Dates on which a window begins. At most one of ``weekdays`` and ``dates`` is
+        set; a schedule with neither has a window on every day.
     """
 
     zone: str
@@ -50,7 +51,11 @@
 
     @property
     def rank(self) -> int:
-        """Precedence among rules: dates over hours and weekdays over always."""
+        """Precedence over other schedules; the highest number wins.
+
+        Schedules with dates (2) win over those with hours or weekdays (1), and these
+        over schedules without any restriction (0).
+        """
         if self.dates:
             return 2
         return 1 if self.weekdays or self.hours else 0
@@ -62,7 +67,7 @@
         return not self.weekdays or day.weekday() in self.weekdays
 
     def render_window(self) -> str:
-        """Return hours and days without the zone."""
+        """Render hours and days without the zone."""
         parts = []
         if self.hours:
             parts.append(f"from {_clock(self.hours[0])} to {_clock(self.hours[1])}")
@@ -73,16 +78,23 @@
         return " ".join(parts)
 
     def render(self) -> str:
-        """Return hours, days and zone."""
+        """Render hours, days and zone."""
         return f"{self.render_window()} {self.zone}".strip()
 
     def spans(self, begin_s: int, end_s: int) -> list[Span]:
-        """Return the windows that touch an interval, unclipped, one for each day.
+        """Return the windows that overlap an interval, at most one per day.
+
+        Windows that reach beyond the interval are not clipped to it.
 
         Parameters
         ----------
         begin_s, end_s : int
             Interval in seconds since 1970 UTC.
+
+        Returns
+        -------
+        list of tuple
+            Begin and end of each window in seconds since 1970 UTC, in order of time.
         """
         zone = ZoneInfo(self.zone)
         day = datetime.fromtimestamp(begin_s, zone).date() - _ONE_DAY
@@ -97,6 +109,7 @@
         return spans
 
     def _span_on(self, day: date) -> Span:
+        """Return the window that would begin on ``day``, whether or not it does."""
         first, last = self.hours or (0, MINUTES_PER_DAY)
         if last <= first:
             last += MINUTES_PER_DAY
@@ -108,11 +121,21 @@
 
 @lru_cache(maxsize=65536)
 def local_to_utc_s(zone: str, day: date, minute: int) -> int:
-    """Return the instant of a local time in seconds since 1970 UTC.
+    """Convert a local time to seconds since 1970 UTC.
+
+    A local time that occurs twice, because the clocks are set back, means its first
+    occurrence. A local time that is skipped, because the clocks are set forward,
+    means the instant of the change. Adjacent windows therefore neither overlap nor
+    leave a gap.
 
-    A time that occurs twice means its first occurrence. A time that a change of
-    the clocks skips means the instant of that change; windows that meet at a
-    boundary therefore neither overlap nor leave a gap.
+    Parameters
+    ----------
+    zone : str
+        IANA name of the time zone.
+    day : date
+        Local date.
+    minute : int
+        Minutes since local midnight; 1440 or more means a later day.
     """
     info = ZoneInfo(zone)
     day += timedelta(days=minute // MINUTES_PER_DAY)
@@ -130,6 +153,11 @@
 
 
 def _find_offset_change(info: ZoneInfo, low_s: int, high_s: int) -> int:
+    """Return the first second after ``low_s`` that has another UTC offset.
+
+    The offset changes once between ``low_s`` and ``high_s``, which allows a binary
+    search.
+    """
     before = _offset_at(info, low_s)
     while high_s - low_s > 1:
         middle = (low_s + high_s) // 2
@@ -145,7 +173,7 @@
 
 
 def _render_weekdays(days: tuple[int, ...]) -> str:
-    """Return ``Fri-Mon`` for three or more days in a row, else ``Tue,Sat``."""
+    """Render three or more consecutive days as ``Fri-Mon``, others as ``Tue,Sat``."""
     n_days = len(days)
     for first in days:
         run = {(first + i) % 7 for i in range(n_days)}
@@ -155,4 +183,5 @@
 
 
 def _clock(minute: int) -> str:
+    """Render minutes since midnight as ``HH:MM``."""
     return f"{minute // 60:02d}:{minute % 60:02d}"
--- a/packages/core/src/bluebellusher_core/rules/tests/strategies.py
+++ b/packages/core/src/bluebellusher_core/rules/tests/strategies.py
@@ -1,4 +1,4 @@
-"""Generators of valid rules files, shared by the tests of rules and billing."""
+"""Hypothesis strategies for valid rules files, used by tests of rules and billing."""
 
 from hypothesis import strategies as st
 
@@ -32,7 +32,7 @@
 
 @st.composite
 def schedules(draw: st.DrawFn) -> str:
-    """Draw hours, days and zone."""
+    """Draw the text of a schedule: hours, days and zone."""
     begin, end = draw(CLOCKS), draw(CLOCKS)
     hours = f"from {begin} to {end} " if begin != end and draw(st.booleans()) else ""
     return f"{hours}{draw(DAYS)} {draw(ZONES)}".strip()
@@ -40,7 +40,7 @@
 
 @st.composite
 def customer_rules(draw: st.DrawFn, customer: str) -> list[str]:
-    """Draw budget, rate, action and load of one customer."""
+    """Draw the rules of one customer: budget, ``when-exhausted``, rate and load."""
     lines = [f"customer {customer}"]
     unit = draw(st.sampled_from(["JPY", "tokens"]))
     top = 60_000 if unit == "JPY" else 200_000_000
@@ -69,7 +69,7 @@
 
 @st.composite
 def rules_texts(draw: st.DrawFn) -> str:
-    """Draw a file that passes every check."""
+    """Draw the text of a rules file that passes every check."""
     zone = draw(ZONES)
     lines = [f"engines writer {draw(st.integers(0, 20))} {zone}"]
     if draw(st.booleans()):
--- a/packages/core/src/bluebellusher_core/rules/tests/test_rules.py
+++ b/packages/core/src/bluebellusher_core/rules/tests/test_rules.py
@@ -16,14 +16,14 @@
 
 
 def parse(text: str) -> RuleSet:
-    """Return the rules of a text that has no fault."""
+    """Parse a text that must have no errors."""
     result = parse_rules(text)
     assert result.is_ok(), [e.render() for e in result.error]
     return result.ok
 
 
 def errors_of(line: str, base: str = BASE + CUSTOMER) -> list[str]:
-    """Return the errors of a file that ends with the line."""
+    """Return the rendered errors of ``base`` with one or more lines appended."""
     result = parse_rules(base + line + "\n")
     assert result.is_error(), f"accepted: {line}"
     return [error.render() for error in result.error]
@@ -31,7 +31,7 @@
 
 @given(st.text(max_size=200))
 def test_property_any_text_is_answered(text: str) -> None:
-    """Guards against text that raises instead of giving errors."""
+    """Guards against text for which the parser raises instead of returning errors."""
     parse_rules(text)
 
 
@@ -48,7 +48,10 @@
 @example(["engines writer 1 Mars/Base # A: b"])
 @given(st.lists(st.lists(WORDS, max_size=12).map(" ".join), max_size=6))
 def test_property_any_words_are_answered(lines: list[str]) -> None:
-    """Guards against known words in a wrong order that raise."""
+    """Guards against valid words in a wrong order for which the parser raises.
+
+    Also guards against errors whose position lies outside the file.
+    """
     text = "\n".join(lines)
     result = parse_rules(text)
     if result.is_error():
@@ -58,7 +61,7 @@
 
 @given(rules_texts())
 def test_property_rendering_keeps_rules(text: str) -> None:
-    """Guards against a rendering that loses or alters a part of a rule."""
+    """Guards against rendering that loses or alters a field of a rule."""
     rules = parse(text)
     assert parse(rules.render()) == rules
     assert diff_rules(rules, parse(rules.render())) == ()
@@ -66,7 +69,10 @@
 
 @pytest.mark.parametrize("name", ["tokachi", "oaxaca"])
 def test_examples_pass(name: str) -> None:
-    """Guards against documented files that the checks refuse."""
+    """Guards against documented examples that do not pass the checks.
+
+    Also guards against a page of the documentation that shows an outdated example.
+    """
     text = (EXAMPLES / f"{name}.rules").read_text(encoding="utf-8")
     rules = parse(text)
     assert parse(rules.render()) == rules
@@ -99,17 +105,17 @@
             "not cheaper",
             "lower token prices",
         ),
-        ("capacity writer 3 in oak # A: b", "both in total", "one way"),
+        ("capacity writer 3 in oak # A: b", "both in total", "only one way"),
         (
             "rate alder 1 requests per minute # A: b\n"
             "load alder large 1441 requests per day input 1 UTC # A: b",
-            "1441 requests a day",
+            "1441 requests per day",
             "at most 1440",
         ),
     ],
 )
 def test_faults_are_reported(line: str, place: str, expected: str) -> None:
-    """Guards against a fault that passes, or is reported at a wrong place."""
+    """Guards against an error that is not found, or reported at a wrong position."""
     text = "\n".join(errors_of(line))
     assert place in text
     assert expected in text
@@ -128,19 +134,19 @@
     ],
 )
 def test_overlapping_engine_windows(first: str, second: str, is_refused: bool) -> None:
-    """Guards against two windows that give one moment two engine counts."""
+    """Guards against schedules that set two engine counts for the same time."""
     rules = f"engines writer 1 {first} UTC # A: b\nengines writer 2 {second} UTC # A: b"
     assert parse_rules(BASE + rules).is_error() is is_refused
 
 
 def test_all_errors_are_reported_at_once() -> None:
-    """Guards against a check that stops at the first fault."""
+    """Guards against checks that stop at the first error."""
     text = "share oak\nbudget alder x JPY per month # A: b\npriority elm high # A: b"
     assert [error.line for error in parse_rules(text).error] == [1, 1, 1, 2, 3]
 
 
 def test_a_faulty_declaration_is_reported_once() -> None:
-    """Guards against one typing error that hides among unknown names."""
+    """Guards against further errors for a name whose declaration has an error."""
     errors = errors_of("customer birch now # A: b\nshare birch 2 # A: b")
     assert len(errors) == 1
 
@@ -149,13 +155,13 @@
     ("day", "n_hours"), [(date(2027, 3, 28), 23), (date(2027, 10, 31), 25)]
 )
 def test_days_of_clock_changes(day: date, n_hours: int) -> None:
-    """Guards against days that are taken as 24 hours when the clocks change."""
+    """Guards against a length of 24 hours for a day with a change of the clocks."""
     begin, end = Schedule("Europe/Berlin")._span_on(day)
     assert end - begin == n_hours * 3600
 
 
 def test_windows_around_a_skipped_hour_meet() -> None:
-    """Guards against windows that overlap or leave a gap at a clock change."""
+    """Guards against windows that overlap or leave a gap at a skipped local hour."""
     day = date(2027, 3, 28)
     spans = [
         Schedule("Europe/Berlin", hours)._span_on(day)
@@ -166,7 +172,7 @@
 
 
 def test_difference_names_kinds() -> None:
-    """Guards against a change that is shown as another kind of change."""
+    """Guards against a difference in a rule that is reported as the wrong kind."""
     old = parse(BASE + CUSTOMER + "share alder 2 # A: b")
     new = parse(
         BASE
