Reword comments and errors in core/billing

Doc comments give units and errors and say what each private function does; comments name the limit, price or period that they are about. Two prose errors are plainer. Behaviour does not change.

--- a/packages/core/src/bluebellusher_core/billing/__init__.py
+++ b/packages/core/src/bluebellusher_core/billing/__init__.py
@@ -1,4 +1,4 @@
-"""Forecast, bill and explanation of a difference between two bills."""
+"""Monthly bills: forecast, actual bill, and explanation of a difference."""
 
 from bluebellusher_core.billing._bill import (
     Bill,
--- a/packages/core/src/bluebellusher_core/billing/_bill.py
+++ b/packages/core/src/bluebellusher_core/billing/_bill.py
@@ -1,4 +1,4 @@
-"""The actual bill from recorded usage."""
+"""Actual bill of a month, computed from recorded usage."""
 
 from collections import defaultdict
 from collections.abc import Iterable, Sequence
@@ -24,7 +24,10 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineUsage:
-    """Engines of a service that ran from ``begin_s`` to ``end_s``."""
+    """Engines of a service that ran from ``begin_s`` to ``end_s``.
+
+    Both times are in seconds since 1970 UTC.
+    """
 
     service: str
     begin_s: int
@@ -34,7 +37,10 @@
 
 @dataclass(frozen=True, slots=True)
 class TokenUsage:
-    """Tokens that a customer used on a model at the moment ``at_s``."""
+    """Tokens that a customer used on a model.
+
+    ``at_s`` is the time of use in seconds since 1970 UTC.
+    """
 
     customer: str
     model: str
@@ -44,7 +50,7 @@
     n_output: int
 
     def count(self, kind: TokenKind) -> int:
-        """Return the tokens of one kind."""
+        """Return the number of tokens of one kind."""
         if kind is TokenKind.INPUT:
             return self.n_input
         return self.n_cached if kind is TokenKind.CACHED else self.n_output
@@ -55,7 +61,11 @@
 
 @dataclass(frozen=True, slots=True)
 class BillLine:
-    """Cost of one price rule for one customer; no customer pays for engines."""
+    """Cost that one price rule causes for one customer.
+
+    ``customer`` is empty for the cost of engines, which no single customer pays.
+    ``version`` is the number of the version that has the rule.
+    """
 
     rule: Rule
     customer: str
@@ -66,7 +76,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Bill:
-    """The bill of a month; its lines add up to ``total`` exactly."""
+    """Bill of a month."""
 
     month: Month
     currency: str
@@ -74,22 +84,32 @@
 
     @property
     def total(self) -> Decimal:
-        """Sum of all lines."""
+        """Exact sum of all lines."""
         return add(line.amount for line in self.lines)
 
 
 def bill(
     rules: RuleSet | Iterable[Version], usage: Iterable[Usage], month: Month
 ) -> Bill:
-    """Return the bill of a month from usage records.
+    """Compute the bill of a month from usage records.
+
+    Each line is rounded down, so that rounding never raises a bill above the ceiling
+    of its forecast.
 
-    Usage outside the month is not part of the bill. Each line is rounded down, so
-    that roundings never lift a bill above the ceiling of its forecast.
+    Parameters
+    ----------
+    rules : RuleSet or iterable of Version
+        Rules that are in force during the whole month, or versions with their times
+        of acceptance.
+    usage : iterable of EngineUsage or TokenUsage
+        Recorded usage; usage outside the month is ignored.
+    month : Month
+        The month.
 
     Raises
     ------
     ValueError
-        If usage of the month has no price at its time.
+        If usage within the month has no price at the time of use.
     """
     versions = as_versions(rules)
     slices = slice_month(versions, month)
@@ -113,6 +133,7 @@
     month: Month,
     cost_by_key: dict[tuple[Slice, Rule, str, str], Fraction],
 ) -> None:
+    """Add the cost of engine usage to ``cost_by_key``, slice by slice."""
     n_left = min(record.end_s, month.end_s) - max(record.begin_s, month.begin_s)
     for part in slices:
         n_seconds = min(record.end_s, part.end_s) - max(record.begin_s, part.begin_s)
@@ -124,8 +145,8 @@
         cost_by_key[part, price, "", record.service] += cost
     if n_left > 0:
         raise ValueError(
-            f"service={record.service!r}: expected an engine price at every moment "
-            f"of its usage, but {n_left} s have none"
+            f"service={record.service!r}: expected an engine price for all of its "
+            f"usage, but {n_left} s have none"
         )
 
 
@@ -134,6 +155,7 @@
     slices: Sequence[Slice],
     cost_by_key: dict[tuple[Slice, Rule, str, str], Fraction],
 ) -> None:
+    """Add the cost of token usage to ``cost_by_key``, at the prices at its time."""
     held = [part for part in slices if part.begin_s <= record.at_s < part.end_s]
     prices = held[0].rules.price_by_model.get(record.model, {}) if held else {}
     for kind in TokenKind:
@@ -143,7 +165,7 @@
         if kind not in prices:
             raise ValueError(
                 f"model={record.model!r}: expected a price of {kind} tokens at "
-                f"{record.at_s} s"
+                f"{record.at_s} s since 1970 UTC"
             )
         service = held[0].rules.service_by_model.get(record.model, "")
         cost = Fraction(prices[kind].price) * n_tokens / TOKENS_PER_PRICE
--- a/packages/core/src/bluebellusher_core/billing/_ceiling.py
+++ b/packages/core/src/bluebellusher_core/billing/_ceiling.py
@@ -1,4 +1,4 @@
-"""The most that one customer can spend on tokens in a month."""
+"""Upper bounds of one customer's spending on tokens in a month."""
 
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -20,7 +20,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Bound:
-    """An amount that cannot be exceeded, and the last rule that sets it."""
+    """Amount of money that spending cannot exceed, and the last rule that sets it.
+
+    ``rule`` is ``None`` if no rule allows any spending; the amount is then 0.
+    """
 
     amount: Fraction
     rule: Rule | None
@@ -28,10 +31,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Ceiling:
-    """Bounds of one customer.
+    """Bounds of one customer's spending in a month.
 
-    Either ``normal`` and ``extra`` bound the spending within and after the budget,
-    or ``whole`` bounds both together because the token rate is the lower limit.
+    ``normal`` bounds the spending within the budget and ``extra`` that after the
+    budget is exhausted. If ``whole`` is set, the token rate is a lower limit than
+    these two together, and ``whole`` bounds all spending in their place.
     """
 
     normal: Bound
@@ -41,7 +45,11 @@
 
 @dataclass(frozen=True, slots=True)
 class _Terms:
-    """What one customer may do during a slice."""
+    """Rules and prices that limit one customer's spending during a slice.
+
+    ``price`` is the highest price of one token within the budget and ``extra_price``
+    the highest price of one token after it is exhausted.
+    """
 
     budget: Budget | None
     exhausted: WhenExhausted | None
@@ -51,13 +59,13 @@
 
 
 def bound_spending(customer: str, slices: Sequence[Slice]) -> Ceiling:
-    """Return bounds for any spending that respects the rules of each slice.
+    """Compute bounds for any spending that respects the rules of each slice.
 
     Raises
     ------
     ValueError
-        If the customer has neither a budget nor a token rate; the checks of a
-        rules file refuse this.
+        If neither a budget nor a token rate bounds the spending of the customer. The
+        checks of a rules file report such a customer as an error.
     """
     normal = extra = Bound(Fraction(0), None)
     whole: Bound | None = Bound(Fraction(0), None)
@@ -70,8 +78,9 @@
             whole = Bound(whole.amount + by_rate, terms.rate)
         budget = terms.budget
         if budget is not None and budget.limit.is_tokens:
-            # All tokens of adjoining slices count against the largest of their
-            # budgets, so that a change of a price does not double the bound.
+            # Tokens of consecutive slices count together against the largest of
+            # their budgets. Adding up these budgets would double the bound whenever
+            # a price changes within the month.
             n_tokens = max(n_tokens, Fraction(budget.limit.amount))
             price = max(price, terms.price)
             normal = Bound(tokens_base + n_tokens * price, budget)
@@ -87,7 +96,14 @@
 def _merge(
     customer: str, slices: Sequence[Slice]
 ) -> list[tuple[_Terms, list[tuple[int, int]]]]:
-    """Join adjoining slices in which the customer's terms are equal."""
+    """Merge consecutive slices in which the customer's terms are equal.
+
+    Returns
+    -------
+    list of tuple
+        The terms, and the intervals of time in which they are in force, as begin and
+        end in seconds since 1970 UTC. Adjacent intervals are joined.
+    """
     merged: list[tuple[_Terms, list[tuple[int, int]]]] = []
     for part in slices:
         if customer not in part.rules.customers:
@@ -104,6 +120,7 @@
 
 
 def _terms(customer: str, rules: RuleSet) -> _Terms:
+    """Collect the terms of a customer from a rule set."""
     exhausted = rules.exhausted_by_customer.get(customer)
     price = _highest_price(rules, None)
     model = exhausted.model if exhausted else None
@@ -117,7 +134,7 @@
 
 
 def _highest_price(rules: RuleSet, model: str | None) -> Fraction:
-    """Return the highest price of one token, of one model or of all."""
+    """Return the highest price of one token on a model, or on all if it is ``None``."""
     groups = rules.price_by_model
     chosen = groups.values() if model is None else [groups.get(model, {})]
     prices = [rule.price for group in chosen for rule in group.values()]
@@ -125,11 +142,12 @@
 
 
 def _bound_by_rate(terms: _Terms, spans: list[tuple[int, int]]) -> Fraction | None:
+    """Return the cost of full use of the token rate; ``None`` without such a rate."""
     if terms.rate is None:
         return None
     period_s = terms.rate.period_s
-    # A period that a slice touches counts in full, because the customer may use
-    # its whole amount in the part inside the slice.
+    # A rate period that lies only partly in a slice counts in full, because the
+    # customer may use all tokens of the period in the part inside the slice.
     n_periods = sum(-(-end // period_s) - begin // period_s for begin, end in spans)
     return n_periods * terms.rate.n_units * max(terms.price, terms.extra_price)
 
@@ -137,6 +155,12 @@
 def _bound_by_money(
     customer: str, bound: Bound, terms: _Terms, by_rate: Fraction | None
 ) -> Bound:
+    """Update the bound within the budget for terms without a budget in tokens.
+
+    Spending of earlier slices counts against a budget in money, so that the higher
+    of the previous bound and the budget applies. Without a budget, the token rate
+    adds to the bound.
+    """
     if terms.budget is not None:
         amount = Fraction(terms.budget.limit.amount)
         return Bound(max(bound.amount, amount), terms.budget)
@@ -146,6 +170,7 @@
 def _bound_extra(
     customer: str, bound: Bound, terms: _Terms, by_rate: Fraction | None
 ) -> Bound:
+    """Update the bound after the budget for the ``when-exhausted`` rule of terms."""
     rule = terms.exhausted
     if rule is None or rule.action is ExhaustedAction.REFUSE:
         return bound
@@ -155,6 +180,11 @@
 
 
 def _extend(amount: Fraction, limit: Limit, price: Fraction) -> Fraction:
+    """Update a bound for a limit after the budget.
+
+    Tokens add to the bound. Earlier spending counts against a limit in money, so that
+    the higher of the bound and the limit applies.
+    """
     if limit.is_tokens:
         return amount + Fraction(limit.amount) * price
     return max(amount, Fraction(limit.amount))
@@ -163,6 +193,13 @@
 def _add_rate(
     customer: str, bound: Bound, terms: _Terms, by_rate: Fraction | None
 ) -> Bound:
+    """Add the cost of full use of the token rate to a bound.
+
+    Raises
+    ------
+    ValueError
+        If the customer has no token rate.
+    """
     if by_rate is None:
         raise ValueError(
             f"customer={customer!r}: expected a budget or a token rate that bounds "
--- a/packages/core/src/bluebellusher_core/billing/_demand.py
+++ b/packages/core/src/bluebellusher_core/billing/_demand.py
@@ -1,4 +1,4 @@
-"""The expected load of one customer as rates that are constant in each segment."""
+"""Expected load of one customer, as request rates that are constant per segment."""
 
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -12,14 +12,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Flow:
-    """Requests of one load rule that come at a constant rate.
+    """Requests of one load rule at a constant rate.
 
     Parameters
     ----------
     load : Load
-        The rule.
+        The load rule.
     n_requests : Fraction
-        Requests per second.
+        Number of requests per second.
     """
 
     load: Load
@@ -27,20 +27,20 @@
 
     @property
     def n_tokens(self) -> Fraction:
-        """Tokens per second."""
+        """Number of tokens per second."""
         return self.n_requests * self.load.n_tokens
 
 
 @dataclass(frozen=True, slots=True)
 class Segment:
-    """Seconds in which the same flows come."""
+    """Period of ``n_seconds`` in which the flows do not change."""
 
     n_seconds: int
     flows: tuple[Flow, ...]
 
 
 def price_request(rules: RuleSet, model: str, load: Load) -> Fraction:
-    """Return the price of one request on a model; 0 where no price is set."""
+    """Return the price of one request of a load on a model; 0 without token prices."""
     prices = rules.price_by_model.get(model)
     if not prices:
         return Fraction(0)
@@ -54,7 +54,10 @@
 
 
 def count_requests(load: Load, part: Slice) -> Fraction:
-    """Return how many requests of a load fall into a slice."""
+    """Return the number of requests of a load that fall into a slice.
+
+    A daily window that lies only partly in the slice counts in proportion.
+    """
     total = Fraction(0)
     n_whole = 0
     for begin_s, end_s in load.schedule.spans(part.begin_s, part.end_s):
@@ -67,7 +70,11 @@
 
 
 def iterate_segments(loads: list[Load], part: Slice) -> Iterator[Segment]:
-    """Yield the segments of a slice in order of time."""
+    """Yield the segments of a slice in order of time.
+
+    Flows change where a window of a load begins or ends. Times without any flow
+    belong to no segment.
+    """
     marks: list[tuple[int, int, int, Flow]] = []
     for index, load in enumerate(loads):
         for begin_s, end_s in load.schedule.spans(part.begin_s, part.end_s):
--- a/packages/core/src/bluebellusher_core/billing/_engines.py
+++ b/packages/core/src/bluebellusher_core/billing/_engines.py
@@ -1,4 +1,4 @@
-"""Cost of engines from the schedule of a service."""
+"""Cost of the scheduled engines of a service."""
 
 from collections import defaultdict
 from collections.abc import Iterable, Sequence
@@ -12,10 +12,24 @@
 def run_seconds(
     rules: Iterable[Engines], begin_s: int, end_s: int
 ) -> list[tuple[int, int, Engines]]:
-    """Return which rule holds when, as (begin, end, rule) in order of time.
+    """Find the engine rule of a service that applies at each time of an interval.
 
-    The rule with the highest precedence wins: dates over hours and weekdays over
-    rules without a window. The windows of one precedence do not overlap.
+    Of several rules, the one with the highest precedence applies: dates over hours
+    and weekdays, and these over rules without either. The windows of rules with the
+    same precedence do not overlap.
+
+    Parameters
+    ----------
+    rules : iterable of Engines
+        The engine rules of one service.
+    begin_s, end_s : int
+        Interval in seconds since 1970 UTC.
+
+    Returns
+    -------
+    list of tuple
+        Begin and end in seconds since 1970 UTC, and the rule that applies between
+        them, in order of time. Times without a rule are left out.
     """
     marks: list[tuple[int, int, int]] = []
     group = list(rules)
@@ -38,7 +52,10 @@
 
 
 def price_engines(part: Slice, service: str) -> dict[Engines, Fraction]:
-    """Return the cost of a service in a slice by the rule that causes it."""
+    """Return the cost of a service's engines in a slice, by engine rule.
+
+    The result is empty if the service has no engine price.
+    """
     price = part.rules.engine_price_by_service.get(service)
     cost_by_rule: dict[Engines, Fraction] = defaultdict(Fraction)
     if price is None:
@@ -55,7 +72,7 @@
 
 
 def services_of(slices: Sequence[Slice]) -> tuple[str, ...]:
-    """Return the services that have engines, in the order of the files."""
+    """Return the services that have engine rules, in the order of the files."""
     names: dict[str, None] = {}
     for part in slices:
         names.update(dict.fromkeys(part.rules.engines_by_service))
--- a/packages/core/src/bluebellusher_core/billing/_explain.py
+++ b/packages/core/src/bluebellusher_core/billing/_explain.py
@@ -1,4 +1,4 @@
-"""Why the expected bill differs between two points in time."""
+"""Explanation of a difference between two expected bills by changes of rules."""
 
 from collections import defaultdict
 from collections.abc import Iterable, Sequence
@@ -44,19 +44,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Part:
-    """The part of a difference that one change of a rule causes.
+    """Part of a difference between two bills that one change of a rule causes.
 
     Parameters
     ----------
     change : Change or None
-        The change, with authors and reasons of the rules; ``None`` when the two
-        months differ in their calendar.
+        The change, with authors and reasons of the rules. ``None`` means that the
+        part is caused by the calendar, because the bills are of different months.
     amount : Decimal
-        What the change adds to the expected bill; negative when it saves.
+        Amount that the change adds to the expected bill; negative if it lowers it.
     version : int
-        Version that made the change; 0 for a file that was not applied.
+        Number of the version that made the change; 0 for a file that was not applied.
     accepted_s : int or None
-        When it was accepted, in seconds since 1970 UTC.
+        Time of acceptance of this version, in seconds since 1970 UTC.
     """
 
     change: Change | None
@@ -67,7 +67,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Explanation:
-    """A difference and its parts, which add up to it exactly."""
+    """Explanation of the difference between two expected bills.
+
+    Parameters
+    ----------
+    before, after : Decimal
+        The two expected bills.
+    parts : tuple of Part
+        Parts of the difference, which add up to it exactly.
+    """
 
     before: Decimal
     after: Decimal
@@ -75,23 +83,23 @@
 
     @property
     def difference(self) -> Decimal:
-        """``after - before``."""
+        """Amount by which ``after`` exceeds ``before``; may be negative."""
         return subtract(self.after, self.before)
 
 
 def explain(
     rules_a: RuleSet, rules_b: RuleSet, month: Month, month_b: Month | None = None
 ) -> Explanation:
-    """Explain the expected bill of ``rules_b`` in contrast to ``rules_a``.
+    """Explain the difference between the expected bills of two rule sets.
 
     Parameters
     ----------
     rules_a, rules_b : RuleSet
-        Two files, each of which holds all month.
+        Rules of the first and of the second bill, in force during the whole month.
     month : Month
-        The month of both bills.
+        Month of both bills.
     month_b : Month, optional
-        The month of the second bill when it is another one.
+        Month of the second bill, if it is not ``month``.
     """
     steps = [_Step((), Version(rules_a), Version(rules_b))]
     return _explain((Version(rules_a),), steps, month, month_b or month)
@@ -104,19 +112,22 @@
     month: Month,
     month_b: Month | None = None,
 ) -> Explanation:
-    """Explain why a month's bill differs between two versions of a history.
+    """Explain the difference between the expected bills as of two versions.
 
-    The bill as of a version is that of the month in which all versions up to it
-    hold from their times of acceptance, and the last of them until the end.
+    In the bill as of a version, this version and all earlier ones are in force from
+    their times of acceptance, and this version stays in force until the end of the
+    month.
 
     Parameters
     ----------
     versions : iterable of Version
-        The history with increasing numbers and times.
+        All versions, with increasing numbers and times of acceptance.
     number_a, number_b : int
-        Numbers of two versions, the first not after the second.
-    month, month_b : Month
-        Months of the first and of the second bill.
+        Version numbers of the first and of the second bill, in ascending order.
+    month : Month
+        Month of both bills.
+    month_b : Month, optional
+        Month of the second bill, if it is not ``month``.
 
     Raises
     ------
@@ -129,7 +140,7 @@
         if number not in index_by_number:
             raise ValueError(f"version={number}: expected a version of the history")
     if number_a > number_b:
-        raise ValueError(f"version={number_b}: expected one not before {number_a}")
+        raise ValueError(f"version={number_b}: expected at least {number_a}")
     first, last = index_by_number[number_a], index_by_number[number_b]
     steps = [
         _Step(history[:i], history[i - 1], history[i])
@@ -140,7 +151,12 @@
 
 @dataclass(frozen=True, slots=True)
 class _Step:
-    """A version that follows another; ``earlier`` versions stay as they are."""
+    """Step from one version of the rules to the next.
+
+    ``earlier`` has the versions that are in force until ``before`` or ``after`` is
+    accepted: in a history all versions up to and including ``before``, and none for
+    two rule sets that are each in force during the whole month.
+    """
 
     earlier: tuple[Version, ...]
     before: Version
@@ -150,7 +166,8 @@
 def _explain(
     start: tuple[Version, ...], steps: list[_Step], month: Month, month_b: Month
 ) -> Explanation:
-    # The calendar is the first step; all changes of rules are priced in month_b.
+    # The difference between the months is the first part. All changes of rules are
+    # then computed for month_b.
     before = _total(start, month)
     amount = _total(start, month_b)
     parts = []
@@ -163,17 +180,23 @@
 
 
 def _total(versions: Sequence[Version], month: Month) -> Decimal:
+    """Return the expected bill of a month."""
     return add(_amounts(slice_month(versions, month)).values())
 
 
 def _amounts(slices: Sequence[Slice]) -> AmountByName:
+    """Return the expected amount of each service and of each customer.
+
+    The keys are pairs of ``service`` or ``customer`` and a name. The cost of engines
+    belongs to their service, the cost of tokens to the customer.
+    """
     names = [("service", service) for service in services_of(slices)]
     names += [("customer", customer) for customer in customers_of(slices)]
     return {name: _amount(name, slices) for name in names}
 
 
 def _amount(name: tuple[str, str], slices: Sequence[Slice]) -> Decimal:
-    """Return the expected amount of a customer or a service, as in a forecast."""
+    """Return the expected amount of a service or customer, rounded as in a forecast."""
     kind, subject = name
     if kind == "service":
         parts = (price_engines(part, subject).values() for part in slices)
@@ -184,12 +207,14 @@
 
 
 def _attribute(step: _Step, month: Month) -> list[Part]:
-    """Return the parts of one step by change.
-
-    Each part is the mean of what the change adds in the order of the changes and in
-    the reverse order, so that a price and a quantity that change together share
-    their joint effect equally. Prices and limits of a new customer, model or service
-    come before its load in both orders, and those of a removed one go after it.
+    """Divide the difference that one step makes among its changes of rules.
+
+    The changes are applied one after the other, once in their order and once in the
+    reverse order. The amount of a change is the mean of the two differences that it
+    makes, so that a price and a quantity that change together share their joint
+    effect equally. In both orders, prices and limits of a new customer, model or
+    service are added before its load and engines, and those of a removed one are
+    removed after them.
     """
     changes = diff_rules(step.before.rules, step.after.rules)
     early, middle, late = _by_phase(step, changes)
@@ -203,7 +228,11 @@
 
 
 def _halve(doubled: Iterable[Decimal]) -> list[Decimal]:
-    """Return halves in steps of 0.01; left-over steps go to every second one."""
+    """Divide amounts by two and return multiples of 0.01.
+
+    Each result is rounded down. A hundredth that remains is added to the next amount
+    before that amount is divided, so that no hundredth is lost.
+    """
     halves = []
     n_left = 0
     for amount in doubled:
@@ -217,6 +246,11 @@
 
 
 def _by_phase(step: _Step, changes: Iterable[Change]) -> Phases:
+    """Divide changes into those to apply first, in between and last.
+
+    The first ones add rules about a new customer, model or service and the last ones
+    remove rules about a removed one, except ``load`` and ``engines`` rules.
+    """
     old = _subjects(step.before.rules)
     new = _subjects(step.after.rules)
     early, middle, late = [], [], []
@@ -244,7 +278,7 @@
 def _walk(
     step: _Step, month: Month, changes: Sequence[Change]
 ) -> dict[Change, Decimal]:
-    """Return what each change adds when they are made one after the other."""
+    """Return the amount that each change adds if they are applied in this order."""
     rule_by_key = dict(step.before.rules.rule_by_key)
     names_by_model = _names_by_model(step)
     start = slice_month((*step.earlier, step.before), month)
@@ -273,7 +307,7 @@
 def _affected(
     rule: Rule, names_by_model: dict[str, set[tuple[str, str]]]
 ) -> set[tuple[str, str]]:
-    """Return the customers and services whose expected amount a rule can change."""
+    """Return the services and customers whose expected amount a rule can change."""
     if isinstance(rule, Engines | EnginePrice):
         return {("service", rule.service)}
     if isinstance(rule, TokenPrice | Model):
@@ -284,7 +318,10 @@
 
 
 def _names_by_model(step: _Step) -> dict[str, set[tuple[str, str]]]:
-    """Return the customers that use each model in either version."""
+    """Return the customers that may use each model in either version of a step.
+
+    These have a load on the model, or it is their ``cheaper-model``.
+    """
     names: dict[str, set[tuple[str, str]]] = defaultdict(set)
     for rules in (step.before.rules, step.after.rules):
         for load in rules.of(Load):
--- a/packages/core/src/bluebellusher_core/billing/_forecast.py
+++ b/packages/core/src/bluebellusher_core/billing/_forecast.py
@@ -1,4 +1,4 @@
-"""Minimum, expected value and ceiling of a month's bill."""
+"""Forecast of a month's bill: minimum, expected value and ceiling."""
 
 from collections.abc import Callable, Hashable, Iterable, Iterator, Sequence
 from dataclasses import dataclass
@@ -31,7 +31,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Range:
-    """Least, expected and greatest amount."""
+    """Minimum, expected value and ceiling of an amount of money."""
 
     minimum: Decimal = ZERO
     expected: Decimal = ZERO
@@ -40,23 +40,25 @@
 
 @dataclass(frozen=True, slots=True)
 class Contribution:
-    """What one rule adds to the bill.
+    """Contribution of one rule to the bill.
 
     Parameters
     ----------
     rule : Rule
-        ``engines`` and ``load`` rules add what they are expected to cost;
-        ``when-exhausted`` what is expected after a budget; ``budget``,
-        ``when-exhausted`` and ``rate`` also what may still be spent beyond the
-        expected amount, which only the ceiling contains.
+        The rule. ``engines`` and ``load`` rules contribute their expected cost.
+        ``when-exhausted`` rules contribute the expected cost after the budget is
+        exhausted. ``budget``, ``when-exhausted`` and ``rate`` rules also contribute
+        the difference between the limit that they set and the expected cost, but
+        only to the ceiling.
     customer : str
-        Empty for engines, which no single customer pays.
+        Customer that pays; empty for engines, which no single customer pays.
     service : str
-        Empty for money that may be spent at any of several services.
+        Service on which the money is spent; empty for money that may be spent on
+        any of several services.
     amount : Range
         The amounts.
     version : int
-        Version that has the rule; 0 for a file that was not applied.
+        Number of the version that has the rule; 0 for a file that was not applied.
     """
 
     rule: Rule
@@ -67,10 +69,10 @@
 
 
 class Forecast:
-    """The bill of a month before it begins.
+    """Forecast of the bill of a month.
 
-    Every sum is the sum of contributions, which are multiples of 0.01; sums by
-    rule, by customer and by service therefore add up to the total exactly.
+    All sums are sums of contributions, which are multiples of 0.01. The sums by
+    rule, by customer and by service therefore each add up to the total exactly.
     """
 
     def __init__(
@@ -82,19 +84,19 @@
 
     @cached_property
     def total(self) -> Range:
-        """The whole bill."""
+        """Sum of all contributions."""
         return _sum(self.contributions)
 
     def by_rule(self) -> dict[tuple[int, Rule], Range]:
-        """Return the amounts by version and rule."""
+        """Sum the contributions by version number and rule."""
         return self._group(lambda c: (c.version, c.rule))
 
     def by_customer(self) -> dict[str, Range]:
-        """Return the amounts by customer; the empty name stands for engines."""
+        """Sum the contributions by customer; the empty name stands for engines."""
         return self._group(lambda c: c.customer)
 
     def by_service(self) -> dict[str, Range]:
-        """Return the amounts by service; the empty name stands for any service."""
+        """Sum the contributions by service; the empty name stands for any service."""
         return self._group(lambda c: c.service)
 
     def _group(self, key_of: Callable[[Contribution], K]) -> dict[K, Range]:
@@ -113,22 +115,24 @@
 
 
 def forecast(rules: RuleSet | Iterable[Version], month: Month) -> Forecast:
-    """Return the forecast of a month.
+    """Compute the forecast of a month's bill.
 
     Parameters
     ----------
     rules : RuleSet or iterable of Version
-        Rules that hold all month, or versions with their times of acceptance.
+        Rules that are in force during the whole month, or versions with their times
+        of acceptance.
     month : Month
         The month, with its time zone.
 
     Notes
     -----
     The minimum is the cost of all scheduled engines without any request. The
-    expected value adds the tokens of the expected load, up to each budget and then
-    as ``when-exhausted`` says. The ceiling adds all that budgets and rates leave
-    open. The expected sum of a customer is rounded down and its ceiling up, so that
-    a rounding never lifts one above the other.
+    expected value adds the tokens of the expected load, up to the budget of each
+    customer and beyond it as its ``when-exhausted`` rule allows. The ceiling adds
+    the spending beyond the expected load that budgets and rates allow. The expected
+    value of a customer is rounded down and its ceiling is rounded up, so that
+    rounding never raises the expected value above the ceiling.
     """
     versions = as_versions(rules)
     slices = slice_month(versions, month)
@@ -140,7 +144,7 @@
 
 
 def customers_of(slices: Sequence[Slice]) -> tuple[str, ...]:
-    """Return the customers in the order of the files."""
+    """Return the customers that are declared or have a load, in file order."""
     names: dict[str, None] = {}
     for part in slices:
         names.update(dict.fromkeys(part.rules.customers))
@@ -149,6 +153,7 @@
 
 
 def _engine_contributions(slices: Sequence[Slice]) -> Iterator[Contribution]:
+    """Yield the contributions of all engine rules."""
     for service in services_of(slices):
         items = [
             (part, rule, cost)
@@ -167,6 +172,7 @@
 
 
 def _token_contributions(customer: str, slices: Sequence[Slice]) -> list[Contribution]:
+    """Return the contributions of the rules that concern a customer's tokens."""
     spending = spend(customer, slices)
     items = [*spending.normal_by_key.items(), *spending.extra_by_key.items()]
     amounts = split_down([cost for _, cost in items])
@@ -186,6 +192,7 @@
 
 
 def _expected(customer: str, key: Key, amount: Decimal) -> Contribution:
+    """Create a contribution to expected value and ceiling."""
     part, rule, service = key
     return Contribution(
         rule=rule,
@@ -199,6 +206,7 @@
 def _pair(
     ceiling: Ceiling, normal: list[Contribution], extra: list[Contribution]
 ) -> list[tuple[Bound, list[Contribution]]]:
+    """Return each bound of a ceiling with the expected contributions under it."""
     if ceiling.whole is not None:
         return [(ceiling.whole, [*normal, *extra])]
     return [(ceiling.normal, normal), (ceiling.extra, extra)]
@@ -211,7 +219,12 @@
     spent: list[Contribution],
     slices: Sequence[Slice],
 ) -> Contribution | None:
-    """Return what may be spent beyond the expected amount."""
+    """Create a contribution of the difference between a bound and the expected cost.
+
+    The contribution adds to the ceiling only. It belongs to the rule that sets the
+    bound, in the last version that has this rule. Return ``None`` if no rule sets
+    the bound, because its amount is then 0.
+    """
     if bound.rule is None:
         return None
     room = subtract(round_up(bound.amount), add(c.amount.expected for c in spent))
@@ -230,6 +243,6 @@
 
 
 def _only_service(slices: Sequence[Slice]) -> str:
-    """Return the service of all models, or an empty text when they have several."""
+    """Return the service of all models, or an empty string for several services."""
     services = {s for part in slices for s in part.rules.service_by_model.values()}
     return services.pop() if len(services) == 1 else ""
--- a/packages/core/src/bluebellusher_core/billing/_money.py
+++ b/packages/core/src/bluebellusher_core/billing/_money.py
@@ -1,4 +1,4 @@
-"""Exact arithmetic with amounts of money in steps of 0.01."""
+"""Exact arithmetic with amounts of money, which are multiples of 0.01."""
 
 from collections.abc import Iterable, Sequence
 from decimal import Context, Decimal, localcontext
@@ -6,7 +6,8 @@
 from itertools import accumulate, pairwise
 from math import ceil, floor
 
-# Sums stay exact: the largest amounts that the grammar admits have fewer digits.
+# Amounts that the grammar of the rules file admits have far fewer than 100 digits,
+# and so have their sums, which are therefore exact.
 _CONTEXT = Context(prec=100)
 _STEPS_PER_UNIT = 100
 ZERO = Decimal("0.00")
@@ -15,40 +16,44 @@
 
 
 def round_down(amount: Fraction) -> Decimal:
-    """Return the largest multiple of 0.01 that is not above ``amount``."""
+    """Round an amount down to a multiple of 0.01."""
     return from_steps(floor(amount * _STEPS_PER_UNIT))
 
 
 def round_up(amount: Fraction) -> Decimal:
-    """Return the smallest multiple of 0.01 that is not below ``amount``."""
+    """Round an amount up to a multiple of 0.01."""
     return from_steps(ceil(amount * _STEPS_PER_UNIT))
 
 
 def split_down(amounts: Sequence[Fraction]) -> list[Decimal]:
-    """Return multiples of 0.01 whose sum is the sum of the amounts rounded down.
+    """Round amounts so that their sum equals the exact sum rounded down.
 
-    Each is within 0.01 of its amount; the sum does not depend on how the amounts
-    were cut into parts.
+    Each result is a multiple of 0.01 and differs from its amount by less than 0.01.
+    The sum of the results depends only on the sum of the amounts, not on how that
+    sum is divided into amounts.
     """
     sums = [round_down(total) for total in accumulate(amounts)]
     return [subtract(b, a) for a, b in pairwise([ZERO, *sums])]
 
 
 def split_up(amounts: Sequence[Fraction]) -> list[Decimal]:
-    """Return multiples of 0.01 whose sum is the sum of the amounts rounded up."""
+    """Round amounts so that their sum equals the exact sum rounded up.
+
+    Each result is a multiple of 0.01, as in ``split_down``.
+    """
     sums = [round_up(total) for total in accumulate(amounts)]
     return [subtract(b, a) for a, b in pairwise([ZERO, *sums])]
 
 
 def from_steps(n_steps: int) -> Decimal:
-    """Return ``n_steps`` times 0.01."""
+    """Return the amount of ``n_steps`` hundredths of the currency unit."""
     sign = 1 if n_steps < 0 else 0
     digits = tuple(int(digit) for digit in str(abs(n_steps)))
     return Decimal((sign, digits, -2))
 
 
 def add(amounts: Iterable[Decimal]) -> Decimal:
-    """Return the exact sum."""
+    """Return the exact sum of amounts; 0.00 without amounts."""
     with localcontext(_CONTEXT):
         return sum(amounts, ZERO)
 
--- a/packages/core/src/bluebellusher_core/billing/_month.py
+++ b/packages/core/src/bluebellusher_core/billing/_month.py
@@ -1,4 +1,4 @@
-"""Billing months and the versions of the rules that hold in them."""
+"""Billing months, and the versions of the rules that are in force in them."""
 
 import re
 from collections.abc import Iterable, Sequence
@@ -18,9 +18,9 @@
     Parameters
     ----------
     year, month : int
-        From January 2000 to December 2199.
+        Year from 2000 to 2199, and month from 1 to 12.
     zone : str
-        IANA name of the zone whose midnight begins the month.
+        IANA name of the time zone. The month begins at local midnight in it.
     """
 
     year: int
@@ -29,7 +29,7 @@
 
     @classmethod
     def from_text(cls, text: str, zone: str) -> "Month":
-        """Return the month of a text such as ``2027-01``.
+        """Parse a month such as ``2027-01``.
 
         Raises
         ------
@@ -59,14 +59,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Version:
-    """Rules that hold from the moment of their acceptance.
+    """Version of the rules, in force from its acceptance until that of the next.
 
     Parameters
     ----------
     rules : RuleSet
         The rules.
     accepted_s : int or None
-        Seconds since 1970 UTC; ``None`` means since ever.
+        Time of acceptance in seconds since 1970 UTC. ``None`` means that the version
+        has always been in force.
     number : int
         Version number in the table; 0 for a file that was not applied.
     """
@@ -78,7 +79,7 @@
 
 @dataclass(frozen=True, slots=True, eq=False)
 class Slice:
-    """A part of a month in which one version holds; compared by identity."""
+    """Part of a month in which one version is in force; compared by identity."""
 
     begin_s: int
     end_s: int
@@ -86,15 +87,22 @@
 
     @property
     def rules(self) -> RuleSet:
-        """The rules that hold."""
+        """Rules that are in force."""
         return self.version.rules
 
 
 def slice_month(versions: Sequence[Version], month: Month) -> tuple[Slice, ...]:
-    """Return the parts of the month by version, without empty parts.
+    """Divide a month into one slice per version, without empty slices.
 
-    Of versions with the same time of acceptance the last one holds. A part of the
-    month before the first version belongs to no slice.
+    Of several versions with the same time of acceptance, the last one is in force.
+    The part of the month before the first version belongs to no slice.
+
+    Parameters
+    ----------
+    versions : sequence of Version
+        Versions in the order of their times of acceptance.
+    month : Month
+        The month.
     """
     starts = [_start(version, month) for version in versions]
     ends = [*starts[1:], month.end_s]
@@ -106,13 +114,21 @@
 
 
 def _start(version: Version, month: Month) -> int:
+    """Return the later of a version's acceptance and the begin of the month.
+
+    The result is in seconds since 1970 UTC.
+    """
     if version.accepted_s is None:
         return month.begin_s
     return max(version.accepted_s, month.begin_s)
 
 
 def as_versions(rules: RuleSet | Iterable[Version]) -> tuple[Version, ...]:
-    """Return rules as one version that holds since ever, or versions by time."""
+    """Return a rule set as a single version, or versions sorted by acceptance.
+
+    The version of a rule set has no time of acceptance, so that it is in force in
+    the whole month. Versions with the same time of acceptance are sorted by number.
+    """
     if isinstance(rules, RuleSet):
         return (Version(rules),)
     return tuple(sorted(rules, key=lambda v: (v.accepted_s or 0, v.number)))
--- a/packages/core/src/bluebellusher_core/billing/_spending.py
+++ b/packages/core/src/bluebellusher_core/billing/_spending.py
@@ -1,4 +1,4 @@
-"""Expected spending of one customer, with its budget and what follows it."""
+"""Expected spending of one customer, within its budget and after it is exhausted."""
 
 from collections import defaultdict
 from collections.abc import Sequence
@@ -19,10 +19,11 @@
 
 @dataclass(slots=True)
 class Spending:
-    """What a customer is expected to spend.
+    """Expected spending of a customer, by slice, rule and service.
 
-    Amounts are by slice, rule and service: ``normal_by_key`` up to the budget, for
-    load rules, and ``extra_by_key`` after it, for ``when-exhausted`` rules.
+    ``normal_by_key`` has the spending within the budget, under ``load`` rules.
+    ``extra_by_key`` has the spending after the budget is exhausted, under
+    ``when-exhausted`` rules.
     """
 
     normal_by_key: dict[Key, Fraction] = field(
@@ -35,7 +36,7 @@
 
 @dataclass(slots=True)
 class _Used:
-    """Money and tokens that count against a limit."""
+    """Money and tokens used so far, which count against a limit."""
 
     money: Fraction = Fraction(0)
     n_tokens: Fraction = Fraction(0)
@@ -43,7 +44,11 @@
     def remaining_s(
         self, limit: Limit, money_rate: Fraction, token_rate: Fraction
     ) -> Fraction | None:
-        """Return for how many seconds the limit lasts; ``None`` is for ever."""
+        """Return the time in seconds until the limit is reached at constant rates.
+
+        ``money_rate`` and ``token_rate`` are per second. ``None`` means that the
+        limit is never reached.
+        """
         used = self.n_tokens if limit.is_tokens else self.money
         rate = token_rate if limit.is_tokens else money_rate
         left = Fraction(limit.amount) - used
@@ -53,14 +58,16 @@
 
 
 def spend(customer: str, slices: Sequence[Slice]) -> Spending:
-    """Return the expected spending of a customer over the slices of a month."""
+    """Compute the expected spending of a customer over the slices of a month."""
     return _spend_freely(customer, slices) or _spend_by_time(customer, slices)
 
 
 def _spend_freely(customer: str, slices: Sequence[Slice]) -> Spending | None:
-    """Return the spending when no limit is reached; ``None`` when one may be.
+    """Compute the spending of a customer that reaches no limit.
 
-    Needs no walk through time, which most customers can do without.
+    This is faster than ``_spend_by_time``, because it counts requests without
+    dividing the month into segments, and suffices for most customers. Return
+    ``None`` if the customer may reach a budget or a rate.
     """
     spending = Spending()
     used = _Used()
@@ -86,7 +93,10 @@
 
 
 def _peak_flows(customer: str, part: Slice) -> tuple[Flow, ...]:
-    """Return flows that are not below the load at any moment of the slice."""
+    """Return flows that together are an upper limit of the load in a slice.
+
+    Return no flow if the customer has no rate, because the limit is then not needed.
+    """
     has_rate = any(
         (customer, unit) in part.rules.rate_by_customer
         for unit in ("requests", "tokens")
@@ -103,7 +113,7 @@
 
 
 def _throttle(rules: RuleSet, customer: str, flows: tuple[Flow, ...]) -> Fraction:
-    """Return the share of the flows that the customer's rates let through."""
+    """Return the fraction of the flows that the customer's rates admit, at most 1."""
     share = Fraction(1)
     for unit in ("requests", "tokens"):
         rate = rules.rate_by_customer.get((customer, unit))
@@ -118,6 +128,7 @@
 
 
 def _spend_by_time(customer: str, slices: Sequence[Slice]) -> Spending:
+    """Compute the spending segment by segment, with budget and rates."""
     spending = Spending()
     normal, extra = _Used(), _Used()
     for part in slices:
@@ -143,7 +154,16 @@
     used: _Used,
     spending: Spending,
 ) -> Fraction:
-    """Spend within the budget; return for how many seconds it lasted."""
+    """Add the spending of a segment within the budget.
+
+    ``share`` is the admitted fraction of the flows. ``used`` and ``spending`` are
+    updated.
+
+    Returns
+    -------
+    Fraction
+        Time in seconds until the budget is exhausted, at most ``n_seconds``.
+    """
     rules = part.rules
     money = [f.n_requests * price_request(rules, f.load.target, f.load) for f in flows]
     money_rate = sum(money, Fraction(0)) * share
@@ -169,7 +189,11 @@
     used: _Used,
     spending: Spending,
 ) -> None:
-    """Spend what ``when-exhausted`` allows after the budget."""
+    """Add the spending that ``when-exhausted`` allows after the budget is exhausted.
+
+    ``share`` is the admitted fraction of the flows and ``n_seconds`` the time that
+    remains of the segment. ``used`` and ``spending`` are updated.
+    """
     rules = part.rules
     rule = rules.exhausted_by_customer.get(customer)
     if rule is None or rule.action is ExhaustedAction.REFUSE:
@@ -194,4 +218,5 @@
 
 
 def _service(rules: RuleSet, target: str) -> str:
+    """Return the service of a model, or the target itself if it is a service."""
     return rules.service_by_model.get(target, target)
--- a/packages/core/src/bluebellusher_core/billing/tests/simulation.py
+++ b/packages/core/src/bluebellusher_core/billing/tests/simulation.py
@@ -1,4 +1,4 @@
-"""A month walked minute by minute, without the interval arithmetic of billing."""
+"""Minute-by-minute simulation of a month, independent of billing's arithmetic."""
 
 from collections import defaultdict
 from datetime import datetime, timedelta
@@ -10,7 +10,10 @@
 
 
 def window_day(schedule: Schedule, at_s: int) -> object:
-    """Return the local day whose window holds at a moment, or ``None``."""
+    """Return the local day on which the window that contains ``at_s`` begins.
+
+    Return ``None`` if no window contains ``at_s``.
+    """
     local = datetime.fromtimestamp(at_s, ZoneInfo(schedule.zone))
     minute = local.hour * 60 + local.minute
     begin, end = schedule.hours or (0, 1440)
@@ -24,7 +27,7 @@
 
 
 def simulate_engines(rules: RuleSet, month: Month) -> list[Usage]:
-    """Run the scheduled engines of each service."""
+    """Simulate the scheduled engines of each service and return their usage."""
     usage: list[Usage] = []
     for service, group in rules.engines_by_service.items():
         run: list[int] = [0, 0, 0]
@@ -41,7 +44,11 @@
 
 
 class Meter:
-    """Admits requests of one customer as long as its rules allow them."""
+    """Meter of one customer, which admits requests as its rules allow.
+
+    ``normal`` and ``extra`` are the money and the tokens used within the budget and
+    after it is exhausted. ``n_in_period`` has the admitted tokens per minute.
+    """
 
     def __init__(self, customer: str) -> None:
         self.customer = customer
@@ -57,7 +64,10 @@
         counts: tuple[int, int, int],
         n_requests: int = 1,
     ) -> list[TokenUsage]:
-        """Return the usage of those requests that the rules let through."""
+        """Admit as many of ``n_requests`` as the rules allow and return their usage.
+
+        ``counts`` has the input, cached and output tokens of one request.
+        """
         rate = rules.rate_by_customer.get((self.customer, "tokens"))
         n_tokens = max(sum(counts), 1)
         if rate:
@@ -77,6 +87,7 @@
         return usage
 
     def _use(self, rules, model, counts, used, limit, n_requests) -> int:
+        """Add to ``used`` as many requests as ``limit`` allows; return their number."""
         prices = rules.price_by_model[model]
         pairs = zip(TokenKind, counts, strict=True)
         cost = sum(Fraction(prices[kind].price) * n for kind, n in pairs) / 10**6
@@ -95,7 +106,10 @@
 
 
 def simulate_load(rules: RuleSet, load: Load, month: Month, meter: Meter) -> list:
-    """Send the expected requests of a load, spread over each window."""
+    """Send the expected requests of a load to a meter, spread over each window.
+
+    Return the usage of the requests that the meter admits.
+    """
     minutes_by_day = defaultdict(list)
     for at_s in range(month.begin_s - 86400, month.end_s + 86400, 60):
         day = window_day(load.schedule, at_s)
--- a/packages/core/src/bluebellusher_core/billing/tests/test_billing.py
+++ b/packages/core/src/bluebellusher_core/billing/tests/test_billing.py
@@ -25,20 +25,20 @@
 from bluebellusher_core.rules.tests.strategies import HEAD, rules_texts
 
 MONTHS = st.sampled_from(["2027-01", "2027-02", "2027-03", "2027-10", "2028-02"])
-# One example walks through 44,000 minutes for each customer; shrinking a failure
-# would take minutes and is left out.
+# One example simulates 44,000 minutes per customer. The shrinking phase is left out,
+# because to shrink a failure would take minutes.
 SLOW = settings(max_examples=8, phases=[Phase.explicit, Phase.generate])
 
 
 def parse(text: str) -> RuleSet:
-    """Return the rules of a text that has no fault."""
+    """Parse a text that must have no errors."""
     result = parse_rules(text)
     assert result.is_ok(), [e.render() for e in result.error]
     return result.ok
 
 
 def with_lines(*lines: str, zone: str = "UTC") -> RuleSet:
-    """Return a rule set with prices and two models, and the lines."""
+    """Return a rule set with two services, two models, all prices, and the lines."""
     text = "".join(f"{line} # Mio Kato: test\n" for line in lines)
     return parse(HEAD.format(zone=zone) + text)
 
@@ -48,7 +48,10 @@
 
 @given(RULES, MONTHS)
 def test_property_forecast_adds_up(rules: RuleSet, text: str) -> None:
-    """Guards against sums that differ by view, and against values out of order."""
+    """Guards against sums by rule, customer or service that differ from the total.
+
+    Also guards against a minimum above the expected value, or this above the ceiling.
+    """
     found = forecast(rules, Month.from_text(text, rules.month_zone))
     for groups in (found.by_rule(), found.by_customer(), found.by_service()):
         amounts = list(groups.values())
@@ -61,7 +64,10 @@
 @SLOW
 @given(RULES, MONTHS)
 def test_property_simulated_month_meets_forecast(rules: RuleSet, text: str) -> None:
-    """Guards against an expected value that the assumed load does not produce."""
+    """Guards against an expected value that a simulation of the load does not reach.
+
+    Also guards against a bill of the simulated usage above the ceiling.
+    """
     month = Month.from_text(text, rules.month_zone)
     usage = simulate_engines(rules, month)
     for customer, loads in rules.loads_by_customer.items():
@@ -72,7 +78,8 @@
     found = forecast(rules, month)
     for customer, amount in found.by_customer().items():
         lines = [line.amount for line in actual.lines if line.customer == customer]
-        # One request of 900 tokens costs up to 0.15, one per window may be cut off.
+        # The simulation may lose one request of 900 tokens, which costs up to 0.15,
+        # in each daily window.
         allowed = amount.expected / 100 + 1
         assert abs(sum(lines) - amount.expected) <= allowed, customer
     assert actual.total <= found.total.ceiling
@@ -83,7 +90,7 @@
         st.integers(0, 2),
         st.sampled_from(["large", "small"]),
         st.integers(0, 31 * 86400 - 1),
-        # Output tokens alone have the highest price, which the ceiling assumes.
+        # The ceiling assumes that all tokens are output tokens, which cost the most.
         st.just((0, 0, 1000)) | st.tuples(*[st.integers(0, 1000)] * 3),
         st.sampled_from([1, 10**5, 10**9]),
     ),
@@ -95,7 +102,7 @@
 def test_property_usage_within_limits_stays_below_ceiling(
     first: RuleSet, second: RuleSet, changed_s: int, attempts: list
 ) -> None:
-    """Guards against a bill above the ceiling, also when the rules change."""
+    """Guards against a bill above the ceiling if the rules change within the month."""
     month = Month.from_text("2027-01", "UTC")
     moment_s = month.begin_s + changed_s
     versions = [Version(first, None, 1), Version(second, moment_s, 2)]
@@ -119,7 +126,7 @@
 def test_property_parts_add_up(
     first: RuleSet, second: RuleSet, text_a: str, text_b: str
 ) -> None:
-    """Guards against a difference that its parts do not explain in full."""
+    """Guards against parts that do not add up to the difference of two rule sets."""
     month_a = Month.from_text(text_a, first.month_zone)
     month_b = Month.from_text(text_b, second.month_zone)
     found = explain(first, second, month_a, month_b)
@@ -132,7 +139,7 @@
 def test_property_parts_add_up_over_versions(
     group: list[RuleSet], step_s: int, data: st.DataObject
 ) -> None:
-    """Guards against parts that miss a version accepted within the month."""
+    """Guards against parts that leave out a version accepted within the month."""
     month = Month.from_text("2027-03", "Europe/Berlin")
     versions = [
         Version(rules, month.begin_s - 86400 + i * step_s, i + 1)
@@ -155,14 +162,14 @@
     ],
 )
 def test_months_have_their_real_length(text: str, zone: str, n_hours: int) -> None:
-    """Guards against months of a fixed length and against lost clock changes."""
+    """Guards against month lengths that ignore leap years or changes of the clocks."""
     rules = with_lines(f"engines desk 2 {zone}", zone=zone)
     found = forecast(rules, Month.from_text(text, zone))
     assert found.total.expected == n_hours * 2 * 3
 
 
 def test_windows_follow_their_precedence() -> None:
-    """Guards against hours that count for two rules of one service."""
+    """Guards against an hour that is charged under two engine rules of a service."""
     rules = with_lines(
         "engines desk 1 UTC",
         "engines desk 3 from 08:00 to 18:00 on Mon-Fri UTC",
@@ -174,11 +181,12 @@
 
 
 def test_rate_limits_the_expected_value() -> None:
-    """Guards against an expected value above what a token rate lets through."""
+    """Guards against an expected value for more tokens than a token rate admits."""
     rules = with_lines(
         "customer c0",
         "rate c0 100 tokens per second",
-        # The hour that begins at 02:00 has no second on 2027-03-28 in Berlin.
+        # The window is one hour shorter on 2027-03-28, because the clocks in Berlin
+        # skip the hour from 02:00 to 03:00.
         "load c0 large 800 requests per day input 900 "
         "from 01:00 to 03:00 Europe/Berlin",
     )
@@ -199,7 +207,7 @@
     ],
 )
 def test_used_up_limits_meet_the_ceiling(budget: str, action: str) -> None:
-    """Guards against a ceiling that is too low, or higher than any usage."""
+    """Guards against a ceiling that differs from the cost of fully used limits."""
     rules = with_lines(
         "customer c0", f"budget c0 {budget} per month", f"when-exhausted c0 {action}"
     )
@@ -211,7 +219,7 @@
 
 @pytest.mark.parametrize("action", ["refuse", "cheaper-model small"])
 def test_full_use_of_a_rate_reaches_the_ceiling(action: str) -> None:
-    """Guards against a ceiling below what a token rate lets through."""
+    """Guards against a ceiling that differs from the cost of a fully used rate."""
     rules = with_lines(
         "customer c0",
         "rate c0 6000 tokens per minute",
@@ -224,7 +232,7 @@
 
 
 def test_versions_price_usage_at_its_time() -> None:
-    """Guards against usage that is priced by a version of another time."""
+    """Guards against usage priced by a version that was not in force at its time."""
     month = Month.from_text("2027-01", "UTC")
     middle_s = month.begin_s + 86400
     first = with_lines("engines desk 1 UTC")
@@ -243,7 +251,7 @@
 
 
 def test_parts_name_rule_author_and_time() -> None:
-    """Guards against a part that is credited to another change."""
+    """Guards against a part that names the wrong rule, author or acceptance time."""
     month = Month.from_text("2027-01", "UTC")
     old = with_lines("engines desk 1 UTC")
     text = old.render().replace("3 per hour # Aiko Mori: lease", "4 per hour # Ai: up")
@@ -257,7 +265,7 @@
 
 
 def test_price_and_quantity_share_their_joint_effect() -> None:
-    """Guards against parts that depend on the order of the lines."""
+    """Guards against parts that depend on the order in which changes are applied."""
     old = with_lines("engines desk 1 UTC")
     text = old.render().replace("3 per hour", "4 per hour").replace("desk 1", "desk 2")
     parts = explain(old, parse(text), Month.from_text("2027-01", "UTC")).parts
