--- a/packages/core/src/bluebellusher_core/rules/_check_limits.py
+++ b/packages/core/src/bluebellusher_core/rules/_check_limits.py
@@ -133,7 +133,7 @@
         n_allowed = rate.n_units * _seconds_per_day(load.schedule) // rate.period_s
         if n_per_day > n_allowed:
             found = f"{n_per_day} {unit} per day"
-            expected = f"at most {n_allowed}, allowed by the rate on line {rate.line}"
+            expected = f"at most {n_allowed}, as the rate on line {rate.line} allows"
             yield load, str(load.n_requests), found, expected
 
 
--- a/packages/core/src/bluebellusher_core/rules/_grammar.py
+++ b/packages/core/src/bluebellusher_core/rules/_grammar.py
@@ -173,7 +173,7 @@
     n_tokens_by_kind = dict.fromkeys(TokenKind, 0)
     for kind in TokenKind:
         if cursor.skip(kind):
-            n_tokens_by_kind[kind] = cursor.count(f"the {kind} tokens of one request")
+            n_tokens_by_kind[kind] = cursor.count(f"{kind} tokens of one request")
     return Load(
         **vars(head),
         customer=customer,
