--- a/packages/core/src/bluebellusher_core/billing/_ceiling.py
+++ b/packages/core/src/bluebellusher_core/billing/_ceiling.py
@@ -70,8 +70,8 @@
     normal = extra = Bound(Fraction(0), None)
     whole: Bound | None = Bound(Fraction(0), None)
     tokens_base, n_tokens, price = Fraction(0), Fraction(0), Fraction(0)
-    for terms, spans in _merge(customer, slices):
-        by_rate = _bound_by_rate(terms, spans)
+    for terms, intervals in _merge(customer, slices):
+        by_rate = _bound_by_rate(terms, intervals)
         if by_rate is None or whole is None:
             whole = None
         else:
@@ -111,11 +111,11 @@
         terms = _terms(customer, part.rules)
         if not merged or merged[-1][0] != terms:
             merged.append((terms, []))
-        spans = merged[-1][1]
-        if spans and spans[-1][1] == part.begin_s:
-            spans[-1] = (spans[-1][0], part.end_s)
+        intervals = merged[-1][1]
+        if intervals and intervals[-1][1] == part.begin_s:
+            intervals[-1] = (intervals[-1][0], part.end_s)
         else:
-            spans.append((part.begin_s, part.end_s))
+            intervals.append((part.begin_s, part.end_s))
     return merged
 
 
@@ -141,14 +141,14 @@
     return Fraction(max(prices, default=0)) / TOKENS_PER_PRICE
 
 
-def _bound_by_rate(terms: _Terms, spans: list[tuple[int, int]]) -> Fraction | None:
+def _bound_by_rate(terms: _Terms, intervals: list[tuple[int, int]]) -> Fraction | None:
     """Return the cost of full use of the token rate; ``None`` without such a rate."""
     if terms.rate is None:
         return None
     period_s = terms.rate.period_s
     # A rate period that lies only partly in a slice counts in full, because the
     # customer may use all tokens of the period in the part inside the slice.
-    n_periods = sum(-(-end // period_s) - begin // period_s for begin, end in spans)
+    n_periods = sum(-(-end // period_s) - begin // period_s for begin, end in intervals)
     return n_periods * terms.rate.n_units * max(terms.price, terms.extra_price)
 
 
--- a/packages/core/src/bluebellusher_core/billing/_demand.py
+++ b/packages/core/src/bluebellusher_core/billing/_demand.py
@@ -60,7 +60,7 @@
     """
     total = Fraction(0)
     n_whole = 0
-    for begin_s, end_s in load.schedule.spans(part.begin_s, part.end_s):
+    for begin_s, end_s in load.schedule.windows(part.begin_s, part.end_s):
         n_inside = min(end_s, part.end_s) - max(begin_s, part.begin_s)
         if n_inside == end_s - begin_s:
             n_whole += 1
@@ -77,7 +77,7 @@
     """
     marks: list[tuple[int, int, int, Flow]] = []
     for index, load in enumerate(loads):
-        for begin_s, end_s in load.schedule.spans(part.begin_s, part.end_s):
+        for begin_s, end_s in load.schedule.windows(part.begin_s, part.end_s):
             flow = Flow(load, Fraction(load.n_requests, end_s - begin_s))
             marks.append((max(begin_s, part.begin_s), 1, index, flow))
             marks.append((min(end_s, part.end_s), -1, index, flow))
--- a/packages/core/src/bluebellusher_core/billing/_engines.py
+++ b/packages/core/src/bluebellusher_core/billing/_engines.py
@@ -34,7 +34,7 @@
     marks: list[tuple[int, int, int]] = []
     group = list(rules)
     for index, rule in enumerate(group):
-        for first_s, last_s in rule.schedule.spans(begin_s, end_s):
+        for first_s, last_s in rule.schedule.windows(begin_s, end_s):
             marks.append((max(first_s, begin_s), 1, index))
             marks.append((min(last_s, end_s), -1, index))
     marks.sort()
@@ -44,7 +44,7 @@
     for at_s, step, index in marks:
         held = [group[i] for i, n_open in n_open_by_index.items() if n_open > 0]
         if held and at_s > previous_s:
-            winner = max(held, key=lambda rule: rule.schedule.rank)
+            winner = max(held, key=lambda rule: rule.schedule.precedence)
             parts.append((previous_s, at_s, winner))
         previous_s = at_s
         n_open_by_index[index] += step
--- a/packages/core/src/bluebellusher_core/billing/_spending.py
+++ b/packages/core/src/bluebellusher_core/billing/_spending.py
@@ -105,9 +105,9 @@
         return ()
     flows = []
     for load in part.rules.loads_by_customer.get(customer, []):
-        spans = load.schedule.spans(part.begin_s, part.end_s)
-        if spans:
-            shortest_s = min(end_s - begin_s for begin_s, end_s in spans)
+        windows = load.schedule.windows(part.begin_s, part.end_s)
+        if windows:
+            shortest_s = min(end_s - begin_s for begin_s, end_s in windows)
             flows.append(Flow(load, Fraction(load.n_requests, shortest_s)))
     return tuple(flows)
 
--- a/packages/core/src/bluebellusher_core/billing/tests/simulation.py
+++ b/packages/core/src/bluebellusher_core/billing/tests/simulation.py
@@ -16,14 +16,14 @@
     """
     local = datetime.fromtimestamp(at_s, ZoneInfo(schedule.zone))
     minute = local.hour * 60 + local.minute
-    begin, end = schedule.hours or (0, 1440)
+    begin, end = schedule.time_range or (0, 1440)
     day = local.date()
     if begin < end:
-        return day if begin <= minute < end and schedule.holds_on(day) else None
-    if minute >= begin and schedule.holds_on(day):
+        return day if begin <= minute < end and schedule.has_window_on(day) else None
+    if minute >= begin and schedule.has_window_on(day):
         return day
     day -= timedelta(days=1)
-    return day if minute < end and schedule.holds_on(day) else None
+    return day if minute < end and schedule.has_window_on(day) else None
 
 
 def simulate_engines(rules: RuleSet, month: Month) -> list[Usage]:
@@ -33,7 +33,7 @@
         run: list[int] = [0, 0, 0]
         for at_s in range(month.begin_s, month.end_s, 60):
             held = [r for r in group if window_day(r.schedule, at_s) is not None]
-            winner = max(held, key=lambda rule: rule.schedule.rank, default=None)
+            winner = max(held, key=lambda rule: rule.schedule.precedence, default=None)
             n_engines = winner.n_engines if winner else 0
             if run[2] != n_engines:
                 usage.append(EngineUsage(service, *run))
--- a/packages/core/src/bluebellusher_core/billing/tests/test_billing.py
+++ b/packages/core/src/bluebellusher_core/billing/tests/test_billing.py
@@ -22,7 +22,7 @@
     simulate_load,
 )
 from bluebellusher_core.rules import RuleSet, parse_rules
-from bluebellusher_core.rules.tests.strategies import HEAD, rules_texts
+from bluebellusher_core.rules.tests.strategies import COMMON_RULES, rules_texts
 
 MONTHS = st.sampled_from(["2027-01", "2027-02", "2027-03", "2027-10", "2028-02"])
 # One example simulates 44,000 minutes per customer. The shrinking phase is left out,
@@ -40,7 +40,7 @@
 def with_lines(*lines: str, zone: str = "UTC") -> RuleSet:
     """Return a rule set with two services, two models, all prices, and the lines."""
     text = "".join(f"{line} # Mio Kato: test\n" for line in lines)
-    return parse(HEAD.format(zone=zone) + text)
+    return parse(COMMON_RULES.format(zone=zone) + text)
 
 
 RULES = rules_texts().map(parse)
--- a/packages/core/src/bluebellusher_core/rules/_check.py
+++ b/packages/core/src/bluebellusher_core/rules/_check.py
@@ -31,7 +31,7 @@
 
 
 def check_rules(
-    rules: RuleSet, lines: Sequence[str], excused_words: Collection[str]
+    rules: RuleSet, lines: Sequence[str], unparsed_words: Collection[str]
 ) -> list[RuleError]:
     """Check the rules of a file against each other and return the errors.
 
@@ -41,82 +41,82 @@
         The rules of all lines without a syntax error.
     lines : sequence of str
         All lines of the file, to find the columns of errors.
-    excused_words : collection of str
+    unparsed_words : collection of str
         Words of the lines with a syntax error. Names among them are not reported as
         undeclared, because such a line may declare them.
     """
     errors = [
-        RuleError(rule.line, _column(lines, rule, word), found, expected)
-        for rule, word, found, expected in _find(rules, excused_words)
+        RuleError(rule.line, _find_column(lines, rule, word), found, expected)
+        for rule, word, found, expected in _find_errors(rules, unparsed_words)
     ]
     for needed in (Currency, MonthZone):
-        if not rules.of(needed) and needed.KEYWORD not in excused_words:
+        if not rules.of(needed) and needed.KEYWORD not in unparsed_words:
             found = f"no rule '{needed.KEYWORD}'"
             errors.append(RuleError(1, 1, found, "one such rule in the file"))
     return errors
 
 
-def _column(lines: Sequence[str], rule: Rule, word: str) -> int:
+def _find_column(lines: Sequence[str], rule: Rule, word: str) -> int:
     """Return the column of a word in the statement of a rule, or 1 without it."""
     statement = lines[rule.line - 1].partition("#")[0]
     match = re.search(rf"(?<!\S){re.escape(word)}(?!\S)", statement)
     return match.start() + 1 if match else 1
 
 
-def _find(rules: RuleSet, excused_words: Collection[str]) -> Iterator[Finding]:
+def _find_errors(rules: RuleSet, unparsed_words: Collection[str]) -> Iterator[Finding]:
     """Yield the rule, the word, what is found and what is expected of each error."""
-    yield from _duplicates(rules)
-    yield from _unknown_names(rules, excused_words)
-    yield from _ambiguous_names(rules)
-    yield from _engines(rules, excused_words)
-    yield from _prices(rules, excused_words)
-    yield from _loads(rules)
-    yield from check_limits(rules, excused_words)
+    yield from _check_duplicates(rules)
+    yield from _check_names(rules, unparsed_words)
+    yield from _check_ambiguous_names(rules)
+    yield from _check_engines(rules, unparsed_words)
+    yield from _check_prices(rules, unparsed_words)
+    yield from _check_loads(rules)
+    yield from check_limits(rules, unparsed_words)
 
 
-def _duplicates(rules: RuleSet) -> Iterator[Finding]:
+def _check_duplicates(rules: RuleSet) -> Iterator[Finding]:
     """Yield the rules whose key occurs in an earlier line."""
     first_by_key: dict[tuple[str, ...], Rule] = {}
     for rule in rules.rules:
         first = first_by_key.setdefault(rule.key(), rule)
         if first is not rule:
-            about = " ".join(part for part in rule.key() if part)
+            key_text = " ".join(part for part in rule.key() if part)
             expected = f"one rule; the first is on line {first.line}"
-            yield rule, rule.KEYWORD, f"a second rule for '{about}'", expected
+            yield rule, rule.KEYWORD, f"a second rule for '{key_text}'", expected
 
 
-def _unknown_names(rules: RuleSet, excused: Collection[str]) -> Iterator[Finding]:
+def _check_names(rules: RuleSet, unparsed_words: Collection[str]) -> Iterator[Finding]:
     """Yield the customers, models and services that no rule declares."""
-    customers = {*rules.customers, *excused}
-    models = {*rules.service_by_model, *excused}
-    services = {rule.service for rule in rules.of(Capacity)} | set(excused)
+    customers = {*rules.customers, *unparsed_words}
+    models = {*rules.service_by_model, *unparsed_words}
+    services = {rule.service for rule in rules.of(Capacity)} | set(unparsed_words)
     for rule in rules.rules:
         if isinstance(rule, Budget | Rate | Priority | Share | Load | WhenExhausted):
-            yield from _unknown(rule, "customer", rule.customer, customers)
+            yield from _check_name(rule, "customer", rule.customer, customers)
         if isinstance(rule, Engines | EnginePrice | Model):
-            yield from _unknown(rule, "service", rule.service, services, "capacity")
+            yield from _check_name(rule, "service", rule.service, services, "capacity")
         if isinstance(rule, TokenPrice):
-            yield from _unknown(rule, "model", rule.model, models)
+            yield from _check_name(rule, "model", rule.model, models)
         if isinstance(rule, WhenExhausted) and rule.model:
-            yield from _unknown(rule, "model", rule.model, models)
+            yield from _check_name(rule, "model", rule.model, models)
         if isinstance(rule, Load) and rule.target not in models | services:
             expected = "a model or a service; declare it with 'model' or 'capacity'"
             yield rule, rule.target, f"the unknown name '{rule.target}'", expected
 
 
-def _unknown(
-    rule: Rule, what: str, name: str, known: set[str], keyword: str = ""
+def _check_name(
+    rule: Rule, kind: str, name: str, declared_names: set[str], keyword: str = ""
 ) -> Iterator[Finding]:
-    """Yield a finding if the name of a ``what`` is not among the declared names.
+    """Yield a finding if the name of a ``kind`` is not among the declared names.
 
-    ``keyword`` is that of the declaring rule; empty means that it equals ``what``.
+    ``keyword`` is that of the declaring rule; empty means that it equals ``kind``.
     """
-    if name not in known:
-        expected = f"a {what} of the file; declare it with '{keyword or what}'"
-        yield rule, name, f"the unknown {what} '{name}'", expected
+    if name not in declared_names:
+        expected = f"a {kind} of the file; declare it with '{keyword or kind}'"
+        yield rule, name, f"the unknown {kind} '{name}'", expected
 
 
-def _ambiguous_names(rules: RuleSet) -> Iterator[Finding]:
+def _check_ambiguous_names(rules: RuleSet) -> Iterator[Finding]:
     """Yield the models that have the name of a service."""
     services = {rule.service for rule in rules.of(Capacity)}
     for rule in rules.of(Model):
@@ -125,27 +125,31 @@
             yield rule, rule.model, found, "different names for models and services"
 
 
-def _engines(rules: RuleSet, excused: Collection[str]) -> Iterator[Finding]:
+def _check_engines(
+    rules: RuleSet, unparsed_words: Collection[str]
+) -> Iterator[Finding]:
     """Yield the errors of engine counts, their schedules, capacities and prices."""
-    yield from _capacity(rules)
-    n_by_service: dict[str, int] = defaultdict(int)
+    yield from _check_capacity(rules)
+    n_existing_by_service: dict[str, int] = defaultdict(int)
     for rule in rules.of(Capacity):
-        n_by_service[rule.service] += rule.n_engines
-    for service, group in rules.engines_by_service.items():
-        for i, engines in enumerate(group):
-            n_existing = n_by_service.get(service)
-            if n_existing is not None and engines.n_engines > n_existing:
+        n_existing_by_service[rule.service] += rule.n_engines
+    for service, engine_rules in rules.engines_by_service.items():
+        for i, engine_rule in enumerate(engine_rules):
+            n_existing = n_existing_by_service.get(service)
+            if n_existing is not None and engine_rule.n_engines > n_existing:
                 expected = f"at most {n_existing}, the capacity of '{service}'"
-                count = str(engines.n_engines)
-                yield engines, count, f"{count} engines", expected
-            yield from _engine_windows(engines, group[:i])
-        is_priced = service in rules.engine_price_by_service or service in excused
+                count = str(engine_rule.n_engines)
+                yield engine_rule, count, f"{count} engines", expected
+            yield from _check_engine_schedule(engine_rule, engine_rules[:i])
+        is_priced = (
+            service in rules.engine_price_by_service or service in unparsed_words
+        )
         if not is_priced:
             expected = f"a rule 'engine-price {service} ... per hour'"
-            yield group[0], service, f"no engine price for '{service}'", expected
+            yield engine_rules[0], service, f"no engine price for '{service}'", expected
 
 
-def _engine_windows(rule: Engines, earlier: list[Engines]) -> Iterator[Finding]:
+def _check_engine_schedule(rule: Engines, earlier: list[Engines]) -> Iterator[Finding]:
     """Yield conflicts of a schedule with those of earlier rules of its service."""
     zone = rule.schedule.zone
     if earlier and earlier[0].schedule.zone != zone:
@@ -154,14 +158,14 @@
         yield rule, zone, found, expected
         return
     for other in earlier:
-        is_same = other.key() == rule.key()
-        if not is_same and overlaps(rule.schedule, other.schedule):
+        is_duplicate = other.key() == rule.key()
+        if not is_duplicate and overlaps(rule.schedule, other.schedule):
             found = f"a window that overlaps that of line {other.line}"
             expected = "windows of a service that do not overlap"
-            yield rule, "from" if rule.schedule.hours else "on", found, expected
+            yield rule, "from" if rule.schedule.time_range else "on", found, expected
 
 
-def _capacity(rules: RuleSet) -> Iterator[Finding]:
+def _check_capacity(rules: RuleSet) -> Iterator[Finding]:
     """Yield services whose capacity is set both in total and by failure domain."""
     first_by_service: dict[str, Capacity] = {}
     for rule in rules.of(Capacity):
@@ -172,16 +176,16 @@
             yield rule, rule.service, found, expected
 
 
-def _prices(rules: RuleSet, excused: Collection[str]) -> Iterator[Finding]:
+def _check_prices(rules: RuleSet, unparsed_words: Collection[str]) -> Iterator[Finding]:
     """Yield models without a price for each kind, and customers named like a model."""
     for model in rules.of(Model):
-        if model.model in excused:
+        if model.model in unparsed_words:
             continue
-        priced = rules.price_by_model.get(model.model, {})
-        missing = [str(kind) for kind in TokenKind if kind not in priced]
-        if missing:
-            found = f"no price of {', '.join(missing)} tokens for '{model.model}'"
-            expected = f"a rule 'token-price {model.model} {missing[0]} ...'"
+        price_by_kind = rules.price_by_model.get(model.model, {})
+        missing_kinds = [str(kind) for kind in TokenKind if kind not in price_by_kind]
+        if missing_kinds:
+            found = f"no price of {', '.join(missing_kinds)} tokens for '{model.model}'"
+            expected = f"a rule 'token-price {model.model} {missing_kinds[0]} ...'"
             yield model, model.model, found, expected
     for customer in rules.of(Customer):
         if customer.customer in rules.service_by_model:
@@ -194,7 +198,7 @@
             )
 
 
-def _loads(rules: RuleSet) -> Iterator[Finding]:
+def _check_loads(rules: RuleSet) -> Iterator[Finding]:
     """Yield loads of models without tokens and loads of services with tokens."""
     services = {rule.service for rule in rules.of(Capacity)}
     for rule in rules.of(Load):
--- a/packages/core/src/bluebellusher_core/rules/_check_limits.py
+++ b/packages/core/src/bluebellusher_core/rules/_check_limits.py
@@ -20,67 +20,74 @@
 Finding = tuple[Rule, str, str, str]
 
 
-def check_limits(rules: RuleSet, excused: Collection[str]) -> Iterator[Finding]:
+def check_limits(rules: RuleSet, unparsed_words: Collection[str]) -> Iterator[Finding]:
     """Yield the errors of budgets, ``when-exhausted`` rules and rates.
 
     Each finding consists of the rule, the word to which the error points, what is
-    found and what is expected. ``excused`` has the words of lines with a syntax
+    found and what is expected. ``unparsed_words`` has the words of lines with a syntax
     error, which may declare a name or a budget.
     """
     for budget in rules.of(Budget):
-        yield from _unit(rules, budget, budget.limit)
+        yield from _check_currency(rules, budget, budget.limit)
     for exhausted in rules.of(WhenExhausted):
-        yield from _exhausted(rules, exhausted, excused)
+        yield from _check_when_exhausted(rules, exhausted, unparsed_words)
     for customer in rules.of(Customer):
-        yield from _unlimited(rules, customer, excused)
+        yield from _check_has_limit(rules, customer, unparsed_words)
     for load in rules.of(Load):
-        yield from _load_above_rate(rules, load)
+        yield from _check_load_within_rate(rules, load)
 
 
-def _unit(rules: RuleSet, rule: Rule, limit: Limit) -> Iterator[Finding]:
+def _check_currency(rules: RuleSet, rule: Rule, limit: Limit) -> Iterator[Finding]:
     """Yield a limit in another currency than that of the file."""
     if rules.currency and not limit.is_tokens and limit.unit != rules.currency:
         expected = f"{rules.currency}, the currency of the file, or tokens"
         yield rule, limit.unit, f"the currency {limit.unit}", expected
 
 
-def _exhausted(
-    rules: RuleSet, rule: WhenExhausted, excused: Collection[str]
+def _check_when_exhausted(
+    rules: RuleSet, rule: WhenExhausted, unparsed_words: Collection[str]
 ) -> Iterator[Finding]:
     """Yield the errors of a ``when-exhausted`` rule, except an absent limit."""
     customer = rule.customer
-    if customer not in rules.budget_by_customer and customer not in excused:
+    if customer not in rules.budget_by_customer and customer not in unparsed_words:
         found = f"no budget for '{customer}'"
         yield rule, customer, found, f"a rule 'budget {customer} ... per month'"
     if rule.limit:
-        yield from _unit(rules, rule, rule.limit)
+        yield from _check_currency(rules, rule, rule.limit)
     if rule.model and rule.model in rules.service_by_model:
-        yield from _cheaper(rules, rule, rule.model)
+        yield from _check_cheaper_model(rules, rule, rule.model)
 
 
-def _cheaper(rules: RuleSet, rule: WhenExhausted, model: str) -> Iterator[Finding]:
+def _check_cheaper_model(
+    rules: RuleSet, rule: WhenExhausted, model: str
+) -> Iterator[Finding]:
     """Yield a ``cheaper-model`` that is not cheaper than the models of the customer.
 
     These are the models of the customer's loads, or all models if it has no load.
     """
     loads = rules.loads_by_customer.get(rule.customer, [])
     targets = [load.target for load in loads if load.target in rules.service_by_model]
-    others = set(targets or rules.service_by_model) - {model}
-    priced = _prices(rules, model)
+    other_models = set(targets or rules.service_by_model) - {model}
+    model_prices = _get_prices(rules, model)
     # The check of prices reports a model that lacks one, at its declaration.
-    if priced is None or any(_prices(rules, other) is None for other in others):
+    if model_prices is None or any(
+        _get_prices(rules, other_model) is None for other_model in other_models
+    ):
         return
-    if not any(_is_cheaper(priced, _prices(rules, other)) for other in others):
+    if not any(
+        _is_cheaper(model_prices, _get_prices(rules, other_model))
+        for other_model in other_models
+    ):
         found = f"'{model}', which is not cheaper than any model of '{rule.customer}'"
         yield rule, model, found, "a model with lower token prices"
         return
-    for other in sorted(set(targets) - {model}):
-        if not _is_cheaper(priced, _prices(rules, other)):
-            found = f"'{model}', which is not cheaper than '{other}'"
+    for other_model in sorted(set(targets) - {model}):
+        if not _is_cheaper(model_prices, _get_prices(rules, other_model)):
+            found = f"'{model}', which is not cheaper than '{other_model}'"
             yield rule, model, found, "no higher token price and at least one lower"
 
 
-def _prices(rules: RuleSet, model: str) -> tuple[Decimal, ...] | None:
+def _get_prices(rules: RuleSet, model: str) -> tuple[Decimal, ...] | None:
     """Return the prices of a model by kind of token, or ``None`` if one is absent."""
     prices = rules.price_by_model.get(model, {})
     if len(prices) < len(TokenKind):
@@ -89,17 +96,17 @@
 
 
 def _is_cheaper(
-    prices: tuple[Decimal, ...], others: tuple[Decimal, ...] | None
+    prices: tuple[Decimal, ...], other_prices: tuple[Decimal, ...] | None
 ) -> bool:
     """Return whether no price is higher than the other one, and at least one lower."""
-    if others is None:
+    if other_prices is None:
         return False
-    pairs = list(zip(prices, others, strict=True))
-    return prices != others and all(price <= other for price, other in pairs)
+    pairs = list(zip(prices, other_prices, strict=True))
+    return prices != other_prices and all(price <= other for price, other in pairs)
 
 
-def _unlimited(
-    rules: RuleSet, rule: Customer, excused: Collection[str]
+def _check_has_limit(
+    rules: RuleSet, rule: Customer, unparsed_words: Collection[str]
 ) -> Iterator[Finding]:
     """Yield a customer whose spending has no limit.
 
@@ -108,7 +115,7 @@
     """
     customer = rule.customer
     has_rate = (customer, TOKENS_UNIT) in rules.rate_by_customer
-    if has_rate or customer in excused:
+    if has_rate or customer in unparsed_words:
         return
     if customer not in rules.budget_by_customer:
         found = f"no limit on the spending of '{customer}'"
@@ -123,7 +130,7 @@
         yield exhausted, exhausted.action, found, expected
 
 
-def _load_above_rate(rules: RuleSet, load: Load) -> Iterator[Finding]:
+def _check_load_within_rate(rules: RuleSet, load: Load) -> Iterator[Finding]:
     """Yield a load whose requests or tokens per day exceed the customer's rate."""
     for unit, n_per_request in (("requests", 1), (TOKENS_UNIT, load.n_tokens)):
         rate = rules.rate_by_customer.get((load.customer, unit))
@@ -139,5 +146,5 @@
 
 def _seconds_per_day(schedule: Schedule) -> int:
     """Return the length of a daily window in seconds, without clock changes."""
-    begin, end = schedule.hours or (0, MINUTES_PER_DAY)
+    begin, end = schedule.time_range or (0, MINUTES_PER_DAY)
     return ((end - begin - 1) % MINUTES_PER_DAY + 1) * 60
--- a/packages/core/src/bluebellusher_core/rules/_difference.py
+++ b/packages/core/src/bluebellusher_core/rules/_difference.py
@@ -50,9 +50,9 @@
         for key, rule in before.rule_by_key.items()
         if key not in after.rule_by_key
     ]
-    others = []
+    added_or_replaced = []
     for key, rule in after.rule_by_key.items():
         old = before.rule_by_key.get(key)
         if old != rule:
-            others.append(Change(old, rule))
-    return (*removed, *others)
+            added_or_replaced.append(Change(old, rule))
+    return (*removed, *added_or_replaced)
--- a/packages/core/src/bluebellusher_core/rules/_model.py
+++ b/packages/core/src/bluebellusher_core/rules/_model.py
@@ -138,8 +138,8 @@
 
     def arguments(self) -> str:
         """Render service, number of engines and failure domain."""
-        where = f" in {self.domain}" if self.domain else ""
-        return f"{self.service} {self.n_engines}{where}"
+        domain = f" in {self.domain}" if self.domain else ""
+        return f"{self.service} {self.n_engines}{domain}"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -318,8 +318,8 @@
 
     def key(self) -> tuple[str, ...]:
         """Return keyword, customer, target and schedule."""
-        window = self.schedule.render()
-        return (self.KEYWORD, self.customer, self.target, window)
+        schedule = self.schedule.render()
+        return (self.KEYWORD, self.customer, self.target, schedule)
 
     def arguments(self) -> str:
         """Render customer, target, counts and schedule."""
--- a/packages/core/src/bluebellusher_core/rules/_overlap.py
+++ b/packages/core/src/bluebellusher_core/rules/_overlap.py
@@ -12,15 +12,15 @@
     Windows are also compared with those that begin on the previous and on the next
     day, because a window may extend past midnight.
     """
-    if a.rank != b.rank:
+    if a.precedence != b.precedence:
         return False
     return any(
-        _has_day_pair(a, b, n_days) and _hours_meet(a, b, n_days)
+        _begin_days_apart(a, b, n_days) and _time_ranges_overlap(a, b, n_days)
         for n_days in (-1, 0, 1)
     )
 
 
-def _has_day_pair(a: Schedule, b: Schedule, n_days: int) -> bool:
+def _begin_days_apart(a: Schedule, b: Schedule, n_days: int) -> bool:
     """Return whether a window of ``b`` begins ``n_days`` after one of ``a``."""
     if a.dates:
         shift = timedelta(days=n_days)
@@ -34,15 +34,15 @@
     return any((day + n_days) % 7 in days_b for day in days_a)
 
 
-def _hours_meet(a: Schedule, b: Schedule, n_days: int) -> bool:
-    """Return whether the hours of ``a`` overlap those of ``b`` ``n_days`` later."""
-    begin_a, end_a = _minutes(a)
-    begin_b, end_b = _minutes(b)
+def _time_ranges_overlap(a: Schedule, b: Schedule, n_days: int) -> bool:
+    """Return whether the time of ``a`` overlaps that of ``b`` ``n_days`` later."""
+    begin_a, end_a = _get_minute_range(a)
+    begin_b, end_b = _get_minute_range(b)
     shift = n_days * MINUTES_PER_DAY
     return begin_a < end_b + shift and begin_b + shift < end_a
 
 
-def _minutes(schedule: Schedule) -> tuple[int, int]:
+def _get_minute_range(schedule: Schedule) -> tuple[int, int]:
     """Return begin and end of a window in minutes; after midnight above 1440."""
-    begin, end = schedule.hours or (0, MINUTES_PER_DAY)
+    begin, end = schedule.time_range or (0, MINUTES_PER_DAY)
     return begin, end if end > begin else end + MINUTES_PER_DAY
--- a/packages/core/src/bluebellusher_core/rules/_parser.py
+++ b/packages/core/src/bluebellusher_core/rules/_parser.py
@@ -3,7 +3,7 @@
 from expression import Error, Ok, Result
 
 from bluebellusher_core.rules._check import check_rules
-from bluebellusher_core.rules._cursor import Cursor, RuleError, WordError
+from bluebellusher_core.rules._cursor import Cursor, LineSyntaxError, RuleError
 from bluebellusher_core.rules._grammar import parse_statement
 from bluebellusher_core.rules._model import Rule
 from bluebellusher_core.rules._ruleset import RuleSet
@@ -34,19 +34,19 @@
     """
     rules: list[Rule] = []
     errors: list[RuleError] = []
-    excused_words: set[str] = set()
+    unparsed_words: set[str] = set()
     lines = [content.rstrip("\r") for content in text.split("\n")]
     for line, content in enumerate(lines, start=1):
         try:
             rule = _parse_line(content, line)
-        except WordError as e:
+        except LineSyntaxError as e:
             errors.append(RuleError(line, e.column, e.found, e.expected))
-            excused_words.update(content.partition("#")[0].split())
+            unparsed_words.update(content.partition("#")[0].split())
             continue
         if rule is not None:
             rules.append(rule)
     rule_set = RuleSet(rules)
-    errors += check_rules(rule_set, lines, excused_words)
+    errors += check_rules(rule_set, lines, unparsed_words)
     if errors:
         return Error(tuple(sorted(errors)))
     return Ok(rule_set)
@@ -67,10 +67,10 @@
     column = len(statement) + 1
     expected = "a comment '# NAME: REASON' that names who asked for the rule"
     if not separator:
-        raise WordError(len(statement.rstrip()) + 1, "no comment", expected)
+        raise LineSyntaxError(len(statement.rstrip()) + 1, "no comment", expected)
     author, colon, reason = comment.partition(":")
     if not author.strip() or not colon:
-        raise WordError(column, "a comment without a name", expected)
+        raise LineSyntaxError(column, "a comment without a name", expected)
     if not reason.strip():
-        raise WordError(column, "a comment without a reason", expected)
+        raise LineSyntaxError(column, "a comment without a reason", expected)
     return author.strip(), reason.strip()
--- a/packages/core/src/bluebellusher_core/rules/_ruleset.py
+++ b/packages/core/src/bluebellusher_core/rules/_ruleset.py
@@ -21,7 +21,7 @@
     WhenExhausted,
 )
 
-R = TypeVar("R", bound=Rule)
+RuleT = TypeVar("RuleT", bound=Rule)
 
 
 class RuleSet:
@@ -62,10 +62,10 @@
             rules[type(rule)].append(rule)
         return rules
 
-    def of(self, kind: type[R]) -> list[R]:
+    def of(self, rule_class: type[RuleT]) -> list[RuleT]:
         """Return the rules of one class in the order of the file."""
-        found = self._rules_by_class.get(kind, [])
-        return [rule for rule in found if isinstance(rule, kind)]
+        rules = self._rules_by_class.get(rule_class, [])
+        return [rule for rule in rules if isinstance(rule, rule_class)]
 
     @property
     def currency(self) -> str:
--- a/packages/core/src/bluebellusher_core/rules/_schedule.py
+++ b/packages/core/src/bluebellusher_core/rules/_schedule.py
@@ -9,7 +9,7 @@
 MINUTES_PER_DAY = 24 * 60
 _ONE_DAY = timedelta(days=1)
 
-Span = tuple[int, int]
+Window = tuple[int, int]
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -34,7 +34,7 @@
     ----------
     zone : str
         IANA name of the time zone.
-    hours : tuple of int or None
+    time_range : tuple of int or None
         Begin and end of the window in minutes since local midnight. An end that is
         not after the begin is on the next day. ``None`` means the whole day.
     weekdays : tuple of int
@@ -45,32 +45,35 @@
     """
 
     zone: str
-    hours: tuple[int, int] | None = None
+    time_range: tuple[int, int] | None = None
     weekdays: tuple[int, ...] = ()
     dates: tuple[DateRange, ...] = ()
 
     @property
-    def rank(self) -> int:
+    def precedence(self) -> int:
         """Precedence over other schedules; the highest number wins.
 
-        Schedules with dates (2) win over those with hours or weekdays (1), and these
-        over schedules without any restriction (0).
+        Schedules with dates (2) win over those with a time range or weekdays (1), and
+        these over schedules without any restriction (0).
         """
         if self.dates:
             return 2
-        return 1 if self.weekdays or self.hours else 0
+        return 1 if self.weekdays or self.time_range else 0
 
-    def holds_on(self, day: date) -> bool:
+    def has_window_on(self, day: date) -> bool:
         """Return whether a window begins on ``day``."""
         if self.dates:
             return any(r.first <= day <= r.last for r in self.dates)
         return not self.weekdays or day.weekday() in self.weekdays
 
     def render_window(self) -> str:
-        """Render hours and days without the zone."""
+        """Render time range and days without the zone."""
         parts = []
-        if self.hours:
-            parts.append(f"from {_clock(self.hours[0])} to {_clock(self.hours[1])}")
+        if self.time_range:
+            parts.append(
+                f"from {_render_time_of_day(self.time_range[0])} "
+                f"to {_render_time_of_day(self.time_range[1])}"
+            )
         if self.weekdays:
             parts.append("on " + _render_weekdays(self.weekdays))
         if self.dates:
@@ -78,10 +81,10 @@
         return " ".join(parts)
 
     def render(self) -> str:
-        """Render hours, days and zone."""
+        """Render time range, days and zone."""
         return f"{self.render_window()} {self.zone}".strip()
 
-    def spans(self, begin_s: int, end_s: int) -> list[Span]:
+    def windows(self, begin_s: int, end_s: int) -> list[Window]:
         """Return the windows that overlap an interval, at most one per day.
 
         Windows that reach beyond the interval are not clipped to it.
@@ -99,23 +102,23 @@
         zone = ZoneInfo(self.zone)
         day = datetime.fromtimestamp(begin_s, zone).date() - _ONE_DAY
         last = datetime.fromtimestamp(end_s, zone).date()
-        spans = []
+        windows = []
         while day <= last:
-            if self.holds_on(day):
-                span = self._span_on(day)
-                if span[0] < end_s and span[1] > begin_s and span[0] < span[1]:
-                    spans.append(span)
+            if self.has_window_on(day):
+                window = self._get_window_on(day)
+                if window[0] < end_s and window[1] > begin_s and window[0] < window[1]:
+                    windows.append(window)
             day += _ONE_DAY
-        return spans
+        return windows
 
-    def _span_on(self, day: date) -> Span:
+    def _get_window_on(self, day: date) -> Window:
         """Return the window that would begin on ``day``, whether or not it does."""
-        first, last = self.hours or (0, MINUTES_PER_DAY)
-        if last <= first:
-            last += MINUTES_PER_DAY
+        begin, end = self.time_range or (0, MINUTES_PER_DAY)
+        if end <= begin:
+            end += MINUTES_PER_DAY
         return (
-            local_to_utc_s(self.zone, day, first),
-            local_to_utc_s(self.zone, day, last),
+            local_to_utc_s(self.zone, day, begin),
+            local_to_utc_s(self.zone, day, end),
         )
 
 
@@ -137,39 +140,41 @@
     minute : int
         Minutes since local midnight; 1440 or more means a later day.
     """
-    info = ZoneInfo(zone)
+    time_zone = ZoneInfo(zone)
     day += timedelta(days=minute // MINUTES_PER_DAY)
     minute %= MINUTES_PER_DAY
-    wall = datetime(day.year, day.month, day.day, minute // 60, minute % 60)
-    early = _timestamp(wall.replace(tzinfo=info, fold=0))
-    late = _timestamp(wall.replace(tzinfo=info, fold=1))
-    if late >= early:
-        return early
-    return _find_offset_change(info, late, early)
+    local_time = datetime(day.year, day.month, day.day, minute // 60, minute % 60)
+    # `fold` selects one of the two occurrences of a repeated local time. For a skipped
+    # local time, fold=1 gives an instant before the change and fold=0 one after it.
+    fold0_s = _to_utc_s(local_time.replace(tzinfo=time_zone, fold=0))
+    fold1_s = _to_utc_s(local_time.replace(tzinfo=time_zone, fold=1))
+    if fold1_s >= fold0_s:
+        return fold0_s
+    return _find_offset_change(time_zone, fold1_s, fold0_s)
 
 
-def _timestamp(moment: datetime) -> int:
+def _to_utc_s(moment: datetime) -> int:
     return int(moment.timestamp())
 
 
-def _find_offset_change(info: ZoneInfo, low_s: int, high_s: int) -> int:
+def _find_offset_change(time_zone: ZoneInfo, low_s: int, high_s: int) -> int:
     """Return the first second after ``low_s`` that has another UTC offset.
 
     The offset changes once between ``low_s`` and ``high_s``, which allows a binary
     search.
     """
-    before = _offset_at(info, low_s)
+    offset_before = _get_utc_offset(time_zone, low_s)
     while high_s - low_s > 1:
         middle = (low_s + high_s) // 2
-        if _offset_at(info, middle) == before:
+        if _get_utc_offset(time_zone, middle) == offset_before:
             low_s = middle
         else:
             high_s = middle
     return high_s
 
 
-def _offset_at(info: ZoneInfo, at_s: int) -> timedelta | None:
-    return datetime.fromtimestamp(at_s, UTC).astimezone(info).utcoffset()
+def _get_utc_offset(time_zone: ZoneInfo, at_s: int) -> timedelta | None:
+    return datetime.fromtimestamp(at_s, UTC).astimezone(time_zone).utcoffset()
 
 
 def _render_weekdays(days: tuple[int, ...]) -> str:
@@ -182,6 +187,6 @@
     return ",".join(WEEKDAYS[day] for day in days)
 
 
-def _clock(minute: int) -> str:
+def _render_time_of_day(minute: int) -> str:
     """Render minutes since midnight as ``HH:MM``."""
     return f"{minute // 60:02d}:{minute % 60:02d}"
--- a/packages/core/src/bluebellusher_core/rules/tests/strategies.py
+++ b/packages/core/src/bluebellusher_core/rules/tests/strategies.py
@@ -2,7 +2,7 @@
 
 from hypothesis import strategies as st
 
-HEAD = """currency JPY # Aiko Mori: yen
+COMMON_RULES = """currency JPY # Aiko Mori: yen
 month-zone {zone} # Aiko Mori: calendar
 capacity writer 20 # Jun Oda: hall
 capacity desk 4 # Jun Oda: hall
@@ -20,7 +20,7 @@
 ZONES = st.sampled_from(
     ["Asia/Tokyo", "America/Mexico_City", "Europe/Berlin", "America/New_York", "UTC"]
 )
-CLOCKS = st.builds(
+TIMES_OF_DAY = st.builds(
     lambda hour, minute: f"{hour:02d}:{minute:02d}",
     st.integers(0, 23),
     st.integers(0, 59),
@@ -32,10 +32,12 @@
 
 @st.composite
 def schedules(draw: st.DrawFn) -> str:
-    """Draw the text of a schedule: hours, days and zone."""
-    begin, end = draw(CLOCKS), draw(CLOCKS)
-    hours = f"from {begin} to {end} " if begin != end and draw(st.booleans()) else ""
-    return f"{hours}{draw(DAYS)} {draw(ZONES)}".strip()
+    """Draw the text of a schedule: time range, days and zone."""
+    begin, end = draw(TIMES_OF_DAY), draw(TIMES_OF_DAY)
+    time_range = (
+        f"from {begin} to {end} " if begin != end and draw(st.booleans()) else ""
+    )
+    return f"{time_range}{draw(DAYS)} {draw(ZONES)}".strip()
 
 
 @st.composite
@@ -43,8 +45,8 @@
     """Draw the rules of one customer: budget, ``when-exhausted``, rate and load."""
     lines = [f"customer {customer}"]
     unit = draw(st.sampled_from(["JPY", "tokens"]))
-    top = 60_000 if unit == "JPY" else 200_000_000
-    budget = draw(st.integers(0, top))
+    max_budget = 60_000 if unit == "JPY" else 200_000_000
+    budget = draw(st.integers(0, max_budget))
     rate = draw(st.none() | st.integers(1, 4000))
     has_budget = rate is None or draw(st.booleans())
     if has_budget:
@@ -73,11 +75,11 @@
     zone = draw(ZONES)
     lines = [f"engines writer {draw(st.integers(0, 20))} {zone}"]
     if draw(st.booleans()):
-        window = f"from {draw(CLOCKS)} to 23:59 on Mon-Fri"
+        window = f"from {draw(TIMES_OF_DAY)} to 23:59 on Mon-Fri"
         if "23:59 to 23:59" not in window:
             lines.append(f"engines writer {draw(st.integers(0, 20))} {window} {zone}")
     for i in range(draw(st.integers(0, 3))):
         lines += draw(customer_rules(f"c{i}"))
     comment = "# Rin Ogawa: test of line"
     body = "".join(f"{line} {comment} {i}\n" for i, line in enumerate(lines))
-    return HEAD.format(zone=zone) + body
+    return COMMON_RULES.format(zone=zone) + body
--- a/packages/core/src/bluebellusher_core/rules/tests/test_rules.py
+++ b/packages/core/src/bluebellusher_core/rules/tests/test_rules.py
@@ -8,10 +8,10 @@
 from hypothesis import strategies as st
 
 from bluebellusher_core.rules import RuleSet, Schedule, diff_rules, parse_rules
-from bluebellusher_core.rules.tests.strategies import HEAD, rules_texts
+from bluebellusher_core.rules.tests.strategies import COMMON_RULES, rules_texts
 
 EXAMPLES = pathlib.Path(__file__).parents[6] / "examples" / "rules"
-BASE = HEAD.format(zone="UTC")
+BASE = COMMON_RULES.format(zone="UTC")
 CUSTOMER = "customer alder # A: b\nbudget alder 10 JPY per month # A: b\n"
 
 
@@ -22,7 +22,7 @@
     return result.ok
 
 
-def errors_of(line: str, base: str = BASE + CUSTOMER) -> list[str]:
+def list_errors(line: str, base: str = BASE + CUSTOMER) -> list[str]:
     """Return the rendered errors of ``base`` with one or more lines appended."""
     result = parse_rules(base + line + "\n")
     assert result.is_error(), f"accepted: {line}"
@@ -30,7 +30,7 @@
 
 
 @given(st.text(max_size=200))
-def test_property_any_text_is_answered(text: str) -> None:
+def test_property_any_text_parses_without_exception(text: str) -> None:
     """Guards against text for which the parser raises instead of returning errors."""
     parse_rules(text)
 
@@ -47,7 +47,7 @@
 @example(["engines writer 1 America/Indiana # A: b"])
 @example(["engines writer 1 Mars/Base # A: b"])
 @given(st.lists(st.lists(WORDS, max_size=12).map(" ".join), max_size=6))
-def test_property_any_words_are_answered(lines: list[str]) -> None:
+def test_property_any_words_parse_without_exception(lines: list[str]) -> None:
     """Guards against valid words in a wrong order for which the parser raises.
 
     Also guards against errors whose position lies outside the file.
@@ -68,7 +68,7 @@
 
 
 @pytest.mark.parametrize("name", ["tokachi", "oaxaca"])
-def test_examples_pass(name: str) -> None:
+def test_documented_examples_are_valid(name: str) -> None:
     """Guards against documented examples that do not pass the checks.
 
     Also guards against a page of the documentation that shows an outdated example.
@@ -114,15 +114,17 @@
         ),
     ],
 )
-def test_faults_are_reported(line: str, place: str, expected: str) -> None:
+def test_errors_are_reported_with_position(
+    line: str, place: str, expected: str
+) -> None:
     """Guards against an error that is not found, or reported at a wrong position."""
-    text = "\n".join(errors_of(line))
+    text = "\n".join(list_errors(line))
     assert place in text
     assert expected in text
 
 
 @pytest.mark.parametrize(
-    ("first", "second", "is_refused"),
+    ("first", "second", "has_error"),
     [
         ("from 08:00 to 12:00", "from 11:59 to 13:00", True),
         ("from 08:00 to 12:00", "from 12:00 to 13:00", False),
@@ -133,10 +135,12 @@
         ("", "on Sun", False),
     ],
 )
-def test_overlapping_engine_windows(first: str, second: str, is_refused: bool) -> None:
+def test_overlapping_engine_windows_are_errors(
+    first: str, second: str, has_error: bool
+) -> None:
     """Guards against schedules that set two engine counts for the same time."""
     rules = f"engines writer 1 {first} UTC # A: b\nengines writer 2 {second} UTC # A: b"
-    assert parse_rules(BASE + rules).is_error() is is_refused
+    assert parse_rules(BASE + rules).is_error() is has_error
 
 
 def test_all_errors_are_reported_at_once() -> None:
@@ -145,33 +149,33 @@
     assert [error.line for error in parse_rules(text).error] == [1, 1, 1, 2, 3]
 
 
-def test_a_faulty_declaration_is_reported_once() -> None:
+def test_invalid_declaration_is_reported_once() -> None:
     """Guards against further errors for a name whose declaration has an error."""
-    errors = errors_of("customer birch now # A: b\nshare birch 2 # A: b")
+    errors = list_errors("customer birch now # A: b\nshare birch 2 # A: b")
     assert len(errors) == 1
 
 
 @pytest.mark.parametrize(
     ("day", "n_hours"), [(date(2027, 3, 28), 23), (date(2027, 10, 31), 25)]
 )
-def test_days_of_clock_changes(day: date, n_hours: int) -> None:
+def test_days_with_clock_changes_have_real_length(day: date, n_hours: int) -> None:
     """Guards against a length of 24 hours for a day with a change of the clocks."""
-    begin, end = Schedule("Europe/Berlin")._span_on(day)
+    begin, end = Schedule("Europe/Berlin")._get_window_on(day)
     assert end - begin == n_hours * 3600
 
 
-def test_windows_around_a_skipped_hour_meet() -> None:
+def test_windows_around_skipped_hour_are_adjacent() -> None:
     """Guards against windows that overlap or leave a gap at a skipped local hour."""
     day = date(2027, 3, 28)
-    spans = [
-        Schedule("Europe/Berlin", hours)._span_on(day)
-        for hours in ((0, 150), (150, 180), (180, 0))
+    windows = [
+        Schedule("Europe/Berlin", time_range)._get_window_on(day)
+        for time_range in ((0, 150), (150, 180), (180, 0))
     ]
-    assert [end - begin for begin, end in spans] == [7200, 0, 21 * 3600]
-    assert spans[0][1] == spans[1][0] == spans[2][0]
+    assert [end - begin for begin, end in windows] == [7200, 0, 21 * 3600]
+    assert windows[0][1] == windows[1][0] == windows[2][0]
 
 
-def test_difference_names_kinds() -> None:
+def test_difference_reports_kind_of_each_change() -> None:
     """Guards against a difference in a rule that is reported as the wrong kind."""
     old = parse(BASE + CUSTOMER + "share alder 2 # A: b")
     new = parse(
