--- a/packages/core/src/bluebellusher_core/rules/_check.py
+++ b/packages/core/src/bluebellusher_core/rules/_check.py
@@ -49,9 +49,9 @@
         RuleError(rule.line, _find_column(lines, rule, word), found, expected)
         for rule, word, found, expected in _find_errors(rules, unparsed_words)
     ]
-    for needed in (Currency, MonthZone):
-        if not rules.of(needed) and needed.KEYWORD not in unparsed_words:
-            found = f"no rule '{needed.KEYWORD}'"
+    for required in (Currency, MonthZone):
+        if not rules.of(required) and required.KEYWORD not in unparsed_words:
+            found = f"no rule '{required.KEYWORD}'"
             errors.append(RuleError(1, 1, found, "one such rule in the file"))
     return errors
 
@@ -107,9 +107,10 @@
 def _check_name(
     rule: Rule, kind: str, name: str, declared_names: set[str], keyword: str = ""
 ) -> Iterator[Finding]:
-    """Yield a finding if the name of a ``kind`` is not among the declared names.
+    """Yield a finding if a name is not declared.
 
-    ``keyword`` is that of the declaring rule; empty means that it equals ``kind``.
+    ``kind`` is what the name denotes, such as ``customer``. ``keyword`` is the keyword
+    of the rules that declare such names; an empty one means that it equals ``kind``.
     """
     if name not in declared_names:
         expected = f"a {kind} of the file; declare it with '{keyword or kind}'"
