--- a/packages/core/src/bluebellusher_core/billing/__init__.py
+++ b/packages/core/src/bluebellusher_core/billing/__init__.py
@@ -6,9 +6,9 @@
     EngineUsage,
     TokenUsage,
     Usage,
-    bill,
+    compute_bill,
 )
-from bluebellusher_core.billing._engines import run_seconds
+from bluebellusher_core.billing._engines import find_applicable_rules
 from bluebellusher_core.billing._explain import (
     Explanation,
     Part,
@@ -36,9 +36,9 @@
     "TokenUsage",
     "Usage",
     "Version",
-    "bill",
+    "compute_bill",
     "explain",
     "explain_history",
+    "find_applicable_rules",
     "forecast",
-    "run_seconds",
 ]
--- a/packages/core/src/bluebellusher_core/billing/_bill.py
+++ b/packages/core/src/bluebellusher_core/billing/_bill.py
@@ -14,7 +14,7 @@
 )
 from bluebellusher_core.billing._month import (
     Month,
-    Slice,
+    MonthSlice,
     Version,
     as_versions,
     slice_month,
@@ -88,7 +88,7 @@
         return add(line.amount for line in self.lines)
 
 
-def bill(
+def compute_bill(
     rules: RuleSet | Iterable[Version], usage: Iterable[Usage], month: Month
 ) -> Bill:
     """Compute the bill of a month from usage records.
@@ -113,51 +113,65 @@
     """
     versions = as_versions(rules)
     slices = slice_month(versions, month)
-    cost_by_key: dict[tuple[Slice, Rule, str, str], Fraction] = defaultdict(Fraction)
+    cost_by_key: dict[tuple[MonthSlice, Rule, str, str], Fraction] = defaultdict(
+        Fraction
+    )
     for record in usage:
         if isinstance(record, EngineUsage):
-            _add_engines(record, slices, month, cost_by_key)
+            _add_engine_cost(record, slices, month, cost_by_key)
         elif month.begin_s <= record.at_s < month.end_s:
-            _add_tokens(record, slices, cost_by_key)
+            _add_token_cost(record, slices, cost_by_key)
     lines = (
-        BillLine(rule, customer, service, round_down(cost), part.version.number)
-        for (part, rule, customer, service), cost in cost_by_key.items()
+        BillLine(rule, customer, service, round_down(cost), month_slice.version.number)
+        for (month_slice, rule, customer, service), cost in cost_by_key.items()
     )
     currency = versions[-1].rules.currency if versions else ""
     return Bill(month, currency, tuple(lines))
 
 
-def _add_engines(
+def _add_engine_cost(
     record: EngineUsage,
-    slices: Sequence[Slice],
+    slices: Sequence[MonthSlice],
     month: Month,
-    cost_by_key: dict[tuple[Slice, Rule, str, str], Fraction],
+    cost_by_key: dict[tuple[MonthSlice, Rule, str, str], Fraction],
 ) -> None:
     """Add the cost of engine usage to ``cost_by_key``, slice by slice."""
-    n_left = min(record.end_s, month.end_s) - max(record.begin_s, month.begin_s)
-    for part in slices:
-        n_seconds = min(record.end_s, part.end_s) - max(record.begin_s, part.begin_s)
-        price = part.rules.engine_price_by_service.get(record.service)
+    n_unpriced_seconds = min(record.end_s, month.end_s) - max(
+        record.begin_s, month.begin_s
+    )
+    for month_slice in slices:
+        n_seconds = min(record.end_s, month_slice.end_s) - max(
+            record.begin_s, month_slice.begin_s
+        )
+        price = month_slice.rules.engine_price_by_service.get(record.service)
         if n_seconds <= 0 or price is None:
             continue
-        n_left -= n_seconds
+        n_unpriced_seconds -= n_seconds
         cost = Fraction(price.price) * record.n_engines * n_seconds / SECONDS_PER_HOUR
-        cost_by_key[part, price, "", record.service] += cost
-    if n_left > 0:
+        cost_by_key[month_slice, price, "", record.service] += cost
+    if n_unpriced_seconds > 0:
         raise ValueError(
             f"service={record.service!r}: expected an engine price for all of its "
-            f"usage, but {n_left} s have none"
+            f"usage, but {n_unpriced_seconds} s have none"
         )
 
 
-def _add_tokens(
+def _add_token_cost(
     record: TokenUsage,
-    slices: Sequence[Slice],
-    cost_by_key: dict[tuple[Slice, Rule, str, str], Fraction],
+    slices: Sequence[MonthSlice],
+    cost_by_key: dict[tuple[MonthSlice, Rule, str, str], Fraction],
 ) -> None:
     """Add the cost of token usage to ``cost_by_key``, at the prices at its time."""
-    held = [part for part in slices if part.begin_s <= record.at_s < part.end_s]
-    prices = held[0].rules.price_by_model.get(record.model, {}) if held else {}
+    matching_slices = [
+        month_slice
+        for month_slice in slices
+        if month_slice.begin_s <= record.at_s < month_slice.end_s
+    ]
+    prices = (
+        matching_slices[0].rules.price_by_model.get(record.model, {})
+        if matching_slices
+        else {}
+    )
     for kind in TokenKind:
         n_tokens = record.count(kind)
         if not n_tokens:
@@ -167,6 +181,6 @@
                 f"model={record.model!r}: expected a price of {kind} tokens at "
                 f"{record.at_s} s since 1970 UTC"
             )
-        service = held[0].rules.service_by_model.get(record.model, "")
+        service = matching_slices[0].rules.service_by_model.get(record.model, "")
         cost = Fraction(prices[kind].price) * n_tokens / TOKENS_PER_PRICE
-        cost_by_key[held[0], prices[kind], record.customer, service] += cost
+        cost_by_key[matching_slices[0], prices[kind], record.customer, service] += cost
--- a/packages/core/src/bluebellusher_core/billing/_ceiling.py
+++ b/packages/core/src/bluebellusher_core/billing/_ceiling.py
@@ -5,7 +5,7 @@
 from fractions import Fraction
 
 from bluebellusher_core.billing._money import TOKENS_PER_PRICE
-from bluebellusher_core.billing._month import Slice
+from bluebellusher_core.billing._month import MonthSlice
 from bluebellusher_core.rules import (
     TOKENS_UNIT,
     Budget,
@@ -33,32 +33,32 @@
 class Ceiling:
     """Bounds of one customer's spending in a month.
 
-    ``normal`` bounds the spending within the budget and ``extra`` that after the
-    budget is exhausted. If ``whole`` is set, the token rate is a lower limit than
-    these two together, and ``whole`` bounds all spending in their place.
+    ``within_budget`` bounds the spending within the budget and ``after_budget`` that
+    after the budget is exhausted. If ``combined`` is set, the token rate is a lower
+    limit than these two together, and ``combined`` bounds all spending in their place.
     """
 
-    normal: Bound
-    extra: Bound
-    whole: Bound | None = None
+    within_budget: Bound
+    after_budget: Bound
+    combined: Bound | None = None
 
 
 @dataclass(frozen=True, slots=True)
-class _Terms:
+class _CustomerTerms:
     """Rules and prices that limit one customer's spending during a slice.
 
-    ``price`` is the highest price of one token within the budget and ``extra_price``
-    the highest price of one token after it is exhausted.
+    ``price`` is the highest price of one token within the budget and
+    ``price_after_budget`` the highest price of one token after it is exhausted.
     """
 
     budget: Budget | None
-    exhausted: WhenExhausted | None
+    when_exhausted: WhenExhausted | None
     rate: Rate | None
     price: Fraction
-    extra_price: Fraction
+    price_after_budget: Fraction
 
 
-def bound_spending(customer: str, slices: Sequence[Slice]) -> Ceiling:
+def bound_spending(customer: str, slices: Sequence[MonthSlice]) -> Ceiling:
     """Compute bounds for any spending that respects the rules of each slice.
 
     Raises
@@ -67,35 +67,46 @@
         If neither a budget nor a token rate bounds the spending of the customer. The
         checks of a rules file report such a customer as an error.
     """
-    normal = extra = Bound(Fraction(0), None)
-    whole: Bound | None = Bound(Fraction(0), None)
-    tokens_base, n_tokens, price = Fraction(0), Fraction(0), Fraction(0)
-    for terms, intervals in _merge(customer, slices):
-        by_rate = _bound_by_rate(terms, intervals)
-        if by_rate is None or whole is None:
-            whole = None
+    within_budget = after_budget = Bound(Fraction(0), None)
+    combined: Bound | None = Bound(Fraction(0), None)
+    base_amount, n_budget_tokens, price = Fraction(0), Fraction(0), Fraction(0)
+    for terms, intervals in _merge_slices(customer, slices):
+        full_rate_cost = _compute_full_rate_cost(terms, intervals)
+        if full_rate_cost is None or combined is None:
+            combined = None
         else:
-            whole = Bound(whole.amount + by_rate, terms.rate)
+            combined = Bound(combined.amount + full_rate_cost, terms.rate)
         budget = terms.budget
         if budget is not None and budget.limit.is_tokens:
             # Tokens of consecutive slices count together against the largest of
             # their budgets. Adding up these budgets would double the bound whenever
             # a price changes within the month.
-            n_tokens = max(n_tokens, Fraction(budget.limit.amount))
+            n_budget_tokens = max(n_budget_tokens, Fraction(budget.limit.amount))
             price = max(price, terms.price)
-            normal = Bound(tokens_base + n_tokens * price, budget)
+            within_budget = Bound(base_amount + n_budget_tokens * price, budget)
         else:
-            normal = _bound_by_money(customer, normal, terms, by_rate)
-            tokens_base, n_tokens, price = normal.amount, Fraction(0), Fraction(0)
-        extra = _bound_extra(customer, extra, terms, by_rate)
-    if whole is not None and whole.amount < normal.amount + extra.amount:
-        return Ceiling(normal, extra, whole)
-    return Ceiling(normal, extra)
+            within_budget = _update_bound_within_budget(
+                customer, within_budget, terms, full_rate_cost
+            )
+            base_amount, n_budget_tokens, price = (
+                within_budget.amount,
+                Fraction(0),
+                Fraction(0),
+            )
+        after_budget = _update_bound_after_budget(
+            customer, after_budget, terms, full_rate_cost
+        )
+    if (
+        combined is not None
+        and combined.amount < within_budget.amount + after_budget.amount
+    ):
+        return Ceiling(within_budget, after_budget, combined)
+    return Ceiling(within_budget, after_budget)
 
 
-def _merge(
-    customer: str, slices: Sequence[Slice]
-) -> list[tuple[_Terms, list[tuple[int, int]]]]:
+def _merge_slices(
+    customer: str, slices: Sequence[MonthSlice]
+) -> list[tuple[_CustomerTerms, list[tuple[int, int]]]]:
     """Merge consecutive slices in which the customer's terms are equal.
 
     Returns
@@ -104,44 +115,48 @@
         The terms, and the intervals of time in which they are in force, as begin and
         end in seconds since 1970 UTC. Adjacent intervals are joined.
     """
-    merged: list[tuple[_Terms, list[tuple[int, int]]]] = []
-    for part in slices:
-        if customer not in part.rules.customers:
+    merged: list[tuple[_CustomerTerms, list[tuple[int, int]]]] = []
+    for month_slice in slices:
+        if customer not in month_slice.rules.customers:
             continue
-        terms = _terms(customer, part.rules)
+        terms = _collect_terms(customer, month_slice.rules)
         if not merged or merged[-1][0] != terms:
             merged.append((terms, []))
         intervals = merged[-1][1]
-        if intervals and intervals[-1][1] == part.begin_s:
-            intervals[-1] = (intervals[-1][0], part.end_s)
+        if intervals and intervals[-1][1] == month_slice.begin_s:
+            intervals[-1] = (intervals[-1][0], month_slice.end_s)
         else:
-            intervals.append((part.begin_s, part.end_s))
+            intervals.append((month_slice.begin_s, month_slice.end_s))
     return merged
 
 
-def _terms(customer: str, rules: RuleSet) -> _Terms:
+def _collect_terms(customer: str, rules: RuleSet) -> _CustomerTerms:
     """Collect the terms of a customer from a rule set."""
-    exhausted = rules.exhausted_by_customer.get(customer)
-    price = _highest_price(rules, None)
-    model = exhausted.model if exhausted else None
-    return _Terms(
+    when_exhausted = rules.exhausted_by_customer.get(customer)
+    price = _find_highest_price(rules, None)
+    model = when_exhausted.model if when_exhausted else None
+    return _CustomerTerms(
         budget=rules.budget_by_customer.get(customer),
-        exhausted=exhausted,
+        when_exhausted=when_exhausted,
         rate=rules.rate_by_customer.get((customer, TOKENS_UNIT)),
         price=price,
-        extra_price=_highest_price(rules, model) if model else price,
+        price_after_budget=_find_highest_price(rules, model) if model else price,
     )
 
 
-def _highest_price(rules: RuleSet, model: str | None) -> Fraction:
-    """Return the highest price of one token on a model, or on all if it is ``None``."""
-    groups = rules.price_by_model
-    chosen = groups.values() if model is None else [groups.get(model, {})]
-    prices = [rule.price for group in chosen for rule in group.values()]
+def _find_highest_price(rules: RuleSet, model: str | None) -> Fraction:
+    """Return the highest price of one token on a model, or on any if it is ``None``."""
+    prices_by_model = rules.price_by_model
+    selected = (
+        prices_by_model.values() if model is None else [prices_by_model.get(model, {})]
+    )
+    prices = [rule.price for model_prices in selected for rule in model_prices.values()]
     return Fraction(max(prices, default=0)) / TOKENS_PER_PRICE
 
 
-def _bound_by_rate(terms: _Terms, intervals: list[tuple[int, int]]) -> Fraction | None:
+def _compute_full_rate_cost(
+    terms: _CustomerTerms, intervals: list[tuple[int, int]]
+) -> Fraction | None:
     """Return the cost of full use of the token rate; ``None`` without such a rate."""
     if terms.rate is None:
         return None
@@ -149,11 +164,11 @@
     # A rate period that lies only partly in a slice counts in full, because the
     # customer may use all tokens of the period in the part inside the slice.
     n_periods = sum(-(-end // period_s) - begin // period_s for begin, end in intervals)
-    return n_periods * terms.rate.n_units * max(terms.price, terms.extra_price)
+    return n_periods * terms.rate.n_units * max(terms.price, terms.price_after_budget)
 
 
-def _bound_by_money(
-    customer: str, bound: Bound, terms: _Terms, by_rate: Fraction | None
+def _update_bound_within_budget(
+    customer: str, bound: Bound, terms: _CustomerTerms, full_rate_cost: Fraction | None
 ) -> Bound:
     """Update the bound within the budget for terms without a budget in tokens.
 
@@ -164,22 +179,24 @@
     if terms.budget is not None:
         amount = Fraction(terms.budget.limit.amount)
         return Bound(max(bound.amount, amount), terms.budget)
-    return _add_rate(customer, bound, terms, by_rate)
+    return _add_full_rate_cost(customer, bound, terms, full_rate_cost)
 
 
-def _bound_extra(
-    customer: str, bound: Bound, terms: _Terms, by_rate: Fraction | None
+def _update_bound_after_budget(
+    customer: str, bound: Bound, terms: _CustomerTerms, full_rate_cost: Fraction | None
 ) -> Bound:
-    """Update the bound after the budget for the ``when-exhausted`` rule of terms."""
-    rule = terms.exhausted
+    """Update the bound after the budget for a ``when-exhausted`` rule."""
+    rule = terms.when_exhausted
     if rule is None or rule.action is ExhaustedAction.REFUSE:
         return bound
     if rule.limit is None:
-        return _add_rate(customer, bound, terms, by_rate)
-    return Bound(_extend(bound.amount, rule.limit, terms.extra_price), rule)
+        return _add_full_rate_cost(customer, bound, terms, full_rate_cost)
+    return Bound(
+        _extend_by_limit(bound.amount, rule.limit, terms.price_after_budget), rule
+    )
 
 
-def _extend(amount: Fraction, limit: Limit, price: Fraction) -> Fraction:
+def _extend_by_limit(amount: Fraction, limit: Limit, price: Fraction) -> Fraction:
     """Update a bound for a limit after the budget.
 
     Tokens add to the bound. Earlier spending counts against a limit in money, so that
@@ -190,8 +207,8 @@
     return max(amount, Fraction(limit.amount))
 
 
-def _add_rate(
-    customer: str, bound: Bound, terms: _Terms, by_rate: Fraction | None
+def _add_full_rate_cost(
+    customer: str, bound: Bound, terms: _CustomerTerms, full_rate_cost: Fraction | None
 ) -> Bound:
     """Add the cost of full use of the token rate to a bound.
 
@@ -200,9 +217,9 @@
     ValueError
         If the customer has no token rate.
     """
-    if by_rate is None:
+    if full_rate_cost is None:
         raise ValueError(
             f"customer={customer!r}: expected a budget or a token rate that bounds "
             "its spending"
         )
-    return Bound(bound.amount + by_rate, terms.rate)
+    return Bound(bound.amount + full_rate_cost, terms.rate)
--- a/packages/core/src/bluebellusher_core/billing/_demand.py
+++ b/packages/core/src/bluebellusher_core/billing/_demand.py
@@ -6,7 +6,7 @@
 from fractions import Fraction
 
 from bluebellusher_core.billing._money import TOKENS_PER_PRICE
-from bluebellusher_core.billing._month import Slice
+from bluebellusher_core.billing._month import MonthSlice
 from bluebellusher_core.rules import Load, RuleSet, TokenKind
 
 
@@ -53,42 +53,46 @@
     return Fraction(sum(amounts, Decimal(0))) / TOKENS_PER_PRICE
 
 
-def count_requests(load: Load, part: Slice) -> Fraction:
+def count_requests(load: Load, month_slice: MonthSlice) -> Fraction:
     """Return the number of requests of a load that fall into a slice.
 
     A daily window that lies only partly in the slice counts in proportion.
     """
     total = Fraction(0)
-    n_whole = 0
-    for begin_s, end_s in load.schedule.windows(part.begin_s, part.end_s):
-        n_inside = min(end_s, part.end_s) - max(begin_s, part.begin_s)
-        if n_inside == end_s - begin_s:
-            n_whole += 1
+    n_whole_windows = 0
+    for begin_s, end_s in load.schedule.windows(month_slice.begin_s, month_slice.end_s):
+        n_seconds_inside = min(end_s, month_slice.end_s) - max(
+            begin_s, month_slice.begin_s
+        )
+        if n_seconds_inside == end_s - begin_s:
+            n_whole_windows += 1
         else:
-            total += Fraction(n_inside, end_s - begin_s)
-    return (total + n_whole) * load.n_requests
+            total += Fraction(n_seconds_inside, end_s - begin_s)
+    return (total + n_whole_windows) * load.n_requests
 
 
-def iterate_segments(loads: list[Load], part: Slice) -> Iterator[Segment]:
+def iterate_segments(loads: list[Load], month_slice: MonthSlice) -> Iterator[Segment]:
     """Yield the segments of a slice in order of time.
 
     Flows change where a window of a load begins or ends. Times without any flow
     belong to no segment.
     """
-    marks: list[tuple[int, int, int, Flow]] = []
+    boundaries: list[tuple[int, int, int, Flow]] = []
     for index, load in enumerate(loads):
-        for begin_s, end_s in load.schedule.windows(part.begin_s, part.end_s):
+        for begin_s, end_s in load.schedule.windows(
+            month_slice.begin_s, month_slice.end_s
+        ):
             flow = Flow(load, Fraction(load.n_requests, end_s - begin_s))
-            marks.append((max(begin_s, part.begin_s), 1, index, flow))
-            marks.append((min(end_s, part.end_s), -1, index, flow))
-    marks.sort(key=lambda mark: mark[0])
+            boundaries.append((max(begin_s, month_slice.begin_s), 1, index, flow))
+            boundaries.append((min(end_s, month_slice.end_s), -1, index, flow))
+    boundaries.sort(key=lambda boundary: boundary[0])
     open_flows: list[Flow] = []
-    previous_s = part.begin_s
-    for at_s, step, _, flow in marks:
+    previous_s = month_slice.begin_s
+    for at_s, delta, _, flow in boundaries:
         if at_s > previous_s and open_flows:
             yield Segment(at_s - previous_s, tuple(open_flows))
         previous_s = max(previous_s, at_s)
-        if step > 0:
+        if delta > 0:
             open_flows.append(flow)
         else:
             open_flows.remove(flow)
--- a/packages/core/src/bluebellusher_core/billing/_explain.py
+++ b/packages/core/src/bluebellusher_core/billing/_explain.py
@@ -6,24 +6,24 @@
 from decimal import Decimal
 from fractions import Fraction
 
-from bluebellusher_core.billing._engines import price_engines, services_of
-from bluebellusher_core.billing._forecast import customers_of
+from bluebellusher_core.billing._engines import list_services, price_engines
+from bluebellusher_core.billing._forecast import list_customers
 from bluebellusher_core.billing._money import (
     ZERO,
     add,
-    from_steps,
+    from_hundredths,
     round_down,
     round_up,
     subtract,
 )
 from bluebellusher_core.billing._month import (
     Month,
-    Slice,
+    MonthSlice,
     Version,
     as_versions,
     slice_month,
 )
-from bluebellusher_core.billing._spending import spend
+from bluebellusher_core.billing._spending import estimate_spending
 from bluebellusher_core.rules import (
     Budget,
     Change,
@@ -39,7 +39,7 @@
     diff_rules,
 )
 
-AmountByName = dict[tuple[str, str], Decimal]
+AmountByCostCenter = dict[tuple[str, str], Decimal]
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,8 +101,8 @@
     month_b : Month, optional
         Month of the second bill, if it is not ``month``.
     """
-    steps = [_Step((), Version(rules_a), Version(rules_b))]
-    return _explain((Version(rules_a),), steps, month, month_b or month)
+    steps = [_VersionStep((), Version(rules_a), Version(rules_b))]
+    return _explain_steps((Version(rules_a),), steps, month, month_b or month)
 
 
 def explain_history(
@@ -143,14 +143,14 @@
         raise ValueError(f"version={number_b}: expected at least {number_a}")
     first, last = index_by_number[number_a], index_by_number[number_b]
     steps = [
-        _Step(history[:i], history[i - 1], history[i])
+        _VersionStep(history[:i], history[i - 1], history[i])
         for i in range(first + 1, last + 1)
     ]
-    return _explain(history[: first + 1], steps, month, month_b or month)
+    return _explain_steps(history[: first + 1], steps, month, month_b or month)
 
 
 @dataclass(frozen=True, slots=True)
-class _Step:
+class _VersionStep:
     """Step from one version of the rules to the next.
 
     ``earlier`` has the versions that are in force until ``before`` or ``after`` is
@@ -163,50 +163,59 @@
     after: Version
 
 
-def _explain(
-    start: tuple[Version, ...], steps: list[_Step], month: Month, month_b: Month
+def _explain_steps(
+    start: tuple[Version, ...], steps: list[_VersionStep], month: Month, month_b: Month
 ) -> Explanation:
     # The difference between the months is the first part. All changes of rules are
     # then computed for month_b.
-    before = _total(start, month)
-    amount = _total(start, month_b)
+    before = _compute_total(start, month)
+    amount = _compute_total(start, month_b)
     parts = []
     if month != month_b:
         parts.append(Part(None, subtract(amount, before)))
     for step in steps:
-        parts += _attribute(step, month_b)
+        parts += _divide_among_changes(step, month_b)
     end = (*steps[-1].earlier, steps[-1].after) if steps else start
-    return Explanation(before, _total(end, month_b), tuple(parts))
+    return Explanation(before, _compute_total(end, month_b), tuple(parts))
 
 
-def _total(versions: Sequence[Version], month: Month) -> Decimal:
+def _compute_total(versions: Sequence[Version], month: Month) -> Decimal:
     """Return the expected bill of a month."""
-    return add(_amounts(slice_month(versions, month)).values())
+    return add(_compute_amounts(slice_month(versions, month)).values())
 
 
-def _amounts(slices: Sequence[Slice]) -> AmountByName:
-    """Return the expected amount of each service and of each customer.
+def _compute_amounts(slices: Sequence[MonthSlice]) -> AmountByCostCenter:
+    """Return the expected amount of each cost center.
 
-    The keys are pairs of ``service`` or ``customer`` and a name. The cost of engines
-    belongs to their service, the cost of tokens to the customer.
+    A cost center is a pair of ``service`` and the name of a service, to which the
+    cost of its engines belongs, or of ``customer`` and the name of a customer, to
+    which the cost of its tokens belongs.
     """
-    names = [("service", service) for service in services_of(slices)]
-    names += [("customer", customer) for customer in customers_of(slices)]
-    return {name: _amount(name, slices) for name in names}
-
-
-def _amount(name: tuple[str, str], slices: Sequence[Slice]) -> Decimal:
-    """Return the expected amount of a service or customer, rounded as in a forecast."""
-    kind, subject = name
+    cost_centers = [("service", service) for service in list_services(slices)]
+    cost_centers += [("customer", customer) for customer in list_customers(slices)]
+    return {
+        cost_center: _compute_amount(cost_center, slices)
+        for cost_center in cost_centers
+    }
+
+
+def _compute_amount(
+    cost_center: tuple[str, str], slices: Sequence[MonthSlice]
+) -> Decimal:
+    """Return the expected amount of a cost center, rounded as in a forecast."""
+    kind, subject = cost_center
     if kind == "service":
         parts = (price_engines(part, subject).values() for part in slices)
         return round_up(sum((c for costs in parts for c in costs), Fraction(0)))
-    spending = spend(subject, slices)
-    found = (*spending.normal_by_key.values(), *spending.extra_by_key.values())
-    return round_down(sum(found, Fraction(0)))
+    spending = estimate_spending(subject, slices)
+    token_costs = (
+        *spending.within_budget_by_key.values(),
+        *spending.after_budget_by_key.values(),
+    )
+    return round_down(sum(token_costs, Fraction(0)))
 
 
-def _attribute(step: _Step, month: Month) -> list[Part]:
+def _divide_among_changes(step: _VersionStep, month: Month) -> list[Part]:
     """Divide the difference that one step makes among its changes of rules.
 
     The changes are applied one after the other, once in their order and once in the
@@ -217,46 +226,46 @@
     removed after them.
     """
     changes = diff_rules(step.before.rules, step.after.rules)
-    early, middle, late = _by_phase(step, changes)
-    forward = _walk(step, month, (*early, *middle, *late))
-    backward = _walk(step, month, (*early, *middle[::-1], *late))
-    doubled = [add((forward[c], backward[c])) for c in changes]
+    early, middle, late = _divide_into_phases(step, changes)
+    forward = _apply_changes(step, month, (*early, *middle, *late))
+    backward = _apply_changes(step, month, (*early, *middle[::-1], *late))
+    doubled_amounts = [add((forward[c], backward[c])) for c in changes]
     return [
         Part(change, amount, step.after.number, step.after.accepted_s)
-        for change, amount in zip(changes, _halve(doubled), strict=True)
+        for change, amount in zip(changes, _halve(doubled_amounts), strict=True)
     ]
 
 
-def _halve(doubled: Iterable[Decimal]) -> list[Decimal]:
+def _halve(doubled_amounts: Iterable[Decimal]) -> list[Decimal]:
     """Divide amounts by two and return multiples of 0.01.
 
     Each result is rounded down. A hundredth that remains is added to the next amount
     before that amount is divided, so that no hundredth is lost.
     """
     halves = []
-    n_left = 0
-    for amount in doubled:
-        n_steps = int(amount.scaleb(2)) + n_left
-        halves.append(from_steps(n_steps // 2))
-        n_left = n_steps % 2
+    n_carried = 0
+    for amount in doubled_amounts:
+        n_hundredths = int(amount.scaleb(2)) + n_carried
+        halves.append(from_hundredths(n_hundredths // 2))
+        n_carried = n_hundredths % 2
     return halves
 
 
 Phases = tuple[tuple[Change, ...], tuple[Change, ...], tuple[Change, ...]]
 
 
-def _by_phase(step: _Step, changes: Iterable[Change]) -> Phases:
+def _divide_into_phases(step: _VersionStep, changes: Iterable[Change]) -> Phases:
     """Divide changes into those to apply first, in between and last.
 
     The first ones add rules about a new customer, model or service and the last ones
     remove rules about a removed one, except ``load`` and ``engines`` rules.
     """
-    old = _subjects(step.before.rules)
-    new = _subjects(step.after.rules)
+    old = _list_subjects(step.before.rules)
+    new = _list_subjects(step.after.rules)
     early, middle, late = [], [], []
     for change in changes:
         is_quantity = isinstance(change.rule, Load | Engines)
-        subject = _subject(change.rule)
+        subject = _get_subject(change.rule)
         if change.before is None and subject not in old and not is_quantity:
             early.append(change)
         elif change.after is None and subject not in new and not is_quantity:
@@ -266,67 +275,70 @@
     return tuple(early), tuple(middle), tuple(late)
 
 
-def _subjects(rules: RuleSet) -> set[str]:
-    return {_subject(rule) for rule in rules.rules}
+def _list_subjects(rules: RuleSet) -> set[str]:
+    return {_get_subject(rule) for rule in rules.rules}
 
 
-def _subject(rule: Rule) -> str:
+def _get_subject(rule: Rule) -> str:
     """Return the customer, model or service that a rule is about."""
     return rule.key()[1] if len(rule.key()) > 1 else ""
 
 
-def _walk(
-    step: _Step, month: Month, changes: Sequence[Change]
+def _apply_changes(
+    step: _VersionStep, month: Month, changes: Sequence[Change]
 ) -> dict[Change, Decimal]:
     """Return the amount that each change adds if they are applied in this order."""
     rule_by_key = dict(step.before.rules.rule_by_key)
-    names_by_model = _names_by_model(step)
-    start = slice_month((*step.earlier, step.before), month)
-    amount_by_name = _amounts(start)
-    added = {}
+    customers_by_model = _find_customers_by_model(step)
+    slices_before = slice_month((*step.earlier, step.before), month)
+    amount_by_cost_center = _compute_amounts(slices_before)
+    added_by_change = {}
     for change in changes:
         if change.after is None:
             del rule_by_key[change.rule.key()]
         else:
             rule_by_key[change.rule.key()] = change.after
-        names = _affected(change.rule, names_by_model)
-        added[change] = ZERO
-        if not names:
+        cost_centers = _find_affected_cost_centers(change.rule, customers_by_model)
+        added_by_change[change] = ZERO
+        if not cost_centers:
             continue
         rules = RuleSet(rule_by_key.values())
-        mixed = Version(rules, step.after.accepted_s, step.after.number)
-        slices = slice_month((*step.earlier, mixed), month)
-        for name in names:
-            amount = _amount(name, slices)
-            old = amount_by_name.get(name, ZERO)
-            added[change] = add((added[change], subtract(amount, old)))
-            amount_by_name[name] = amount
-    return added
-
-
-def _affected(
-    rule: Rule, names_by_model: dict[str, set[tuple[str, str]]]
+        intermediate_version = Version(rules, step.after.accepted_s, step.after.number)
+        slices = slice_month((*step.earlier, intermediate_version), month)
+        for cost_center in cost_centers:
+            amount = _compute_amount(cost_center, slices)
+            previous_amount = amount_by_cost_center.get(cost_center, ZERO)
+            added_by_change[change] = add(
+                (added_by_change[change], subtract(amount, previous_amount))
+            )
+            amount_by_cost_center[cost_center] = amount
+    return added_by_change
+
+
+def _find_affected_cost_centers(
+    rule: Rule, customers_by_model: dict[str, set[tuple[str, str]]]
 ) -> set[tuple[str, str]]:
-    """Return the services and customers whose expected amount a rule can change."""
+    """Return the cost centers whose expected amount a change of a rule can affect."""
     if isinstance(rule, Engines | EnginePrice):
         return {("service", rule.service)}
     if isinstance(rule, TokenPrice | Model):
-        return names_by_model.get(rule.model, set())
+        return customers_by_model.get(rule.model, set())
     if isinstance(rule, Budget | Load | Rate | WhenExhausted):
         return {("customer", rule.customer)}
     return set()
 
 
-def _names_by_model(step: _Step) -> dict[str, set[tuple[str, str]]]:
-    """Return the customers that may use each model in either version of a step.
+def _find_customers_by_model(step: _VersionStep) -> dict[str, set[tuple[str, str]]]:
+    """Return the cost centers of the customers that may use each model.
 
-    These have a load on the model, or it is their ``cheaper-model``.
+    In either version of the step, such a customer has a load on the model or uses it
+    as ``cheaper-model`` after its budget is exhausted.
     """
-    names: dict[str, set[tuple[str, str]]] = defaultdict(set)
+    cost_centers: dict[str, set[tuple[str, str]]] = defaultdict(set)
     for rules in (step.before.rules, step.after.rules):
         for load in rules.of(Load):
-            names[load.target].add(("customer", load.customer))
+            cost_centers[load.target].add(("customer", load.customer))
         for rule in rules.of(WhenExhausted):
             if rule.model:
-                names[rule.model].add(("customer", rule.customer))
-    return names
+                cost_centers[rule.model].add(("customer", rule.customer))
+    return cost_centers
--- a/packages/core/src/bluebellusher_core/billing/_forecast.py
+++ b/packages/core/src/bluebellusher_core/billing/_forecast.py
@@ -7,26 +7,26 @@
 from typing import TypeVar
 
 from bluebellusher_core.billing._ceiling import Bound, Ceiling, bound_spending
-from bluebellusher_core.billing._engines import price_engines, services_of
+from bluebellusher_core.billing._engines import list_services, price_engines
 from bluebellusher_core.billing._money import (
     ZERO,
     add,
+    round_down_cumulatively,
     round_up,
-    split_down,
-    split_up,
+    round_up_cumulatively,
     subtract,
 )
 from bluebellusher_core.billing._month import (
     Month,
-    Slice,
+    MonthSlice,
     Version,
     as_versions,
     slice_month,
 )
-from bluebellusher_core.billing._spending import Key, spend
+from bluebellusher_core.billing._spending import SpendingKey, estimate_spending
 from bluebellusher_core.rules import Rule, RuleSet
 
-K = TypeVar("K", bound=Hashable)
+KeyT = TypeVar("KeyT", bound=Hashable)
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,28 +85,28 @@
     @cached_property
     def total(self) -> Range:
         """Sum of all contributions."""
-        return _sum(self.contributions)
+        return _sum_amounts(self.contributions)
 
     def by_rule(self) -> dict[tuple[int, Rule], Range]:
         """Sum the contributions by version number and rule."""
-        return self._group(lambda c: (c.version, c.rule))
+        return self._sum_by(lambda c: (c.version, c.rule))
 
     def by_customer(self) -> dict[str, Range]:
         """Sum the contributions by customer; the empty name stands for engines."""
-        return self._group(lambda c: c.customer)
+        return self._sum_by(lambda c: c.customer)
 
     def by_service(self) -> dict[str, Range]:
         """Sum the contributions by service; the empty name stands for any service."""
-        return self._group(lambda c: c.service)
+        return self._sum_by(lambda c: c.service)
 
-    def _group(self, key_of: Callable[[Contribution], K]) -> dict[K, Range]:
-        groups: dict[K, list[Contribution]] = {}
+    def _sum_by(self, key_of: Callable[[Contribution], KeyT]) -> dict[KeyT, Range]:
+        groups: dict[KeyT, list[Contribution]] = {}
         for contribution in self.contributions:
             groups.setdefault(key_of(contribution), []).append(contribution)
-        return {key: _sum(group) for key, group in groups.items()}
+        return {key: _sum_amounts(group) for key, group in groups.items()}
 
 
-def _sum(contributions: Sequence[Contribution]) -> Range:
+def _sum_amounts(contributions: Sequence[Contribution]) -> Range:
     return Range(
         add(c.amount.minimum for c in contributions),
         add(c.amount.expected for c in contributions),
@@ -137,87 +137,103 @@
     versions = as_versions(rules)
     slices = slice_month(versions, month)
     contributions = [*_engine_contributions(slices)]
-    for customer in customers_of(slices):
+    for customer in list_customers(slices):
         contributions += _token_contributions(customer, slices)
     currency = versions[-1].rules.currency if versions else ""
     return Forecast(month, currency, contributions)
 
 
-def customers_of(slices: Sequence[Slice]) -> tuple[str, ...]:
+def list_customers(slices: Sequence[MonthSlice]) -> tuple[str, ...]:
     """Return the customers that are declared or have a load, in file order."""
     names: dict[str, None] = {}
-    for part in slices:
-        names.update(dict.fromkeys(part.rules.customers))
-        names.update(dict.fromkeys(part.rules.loads_by_customer))
+    for month_slice in slices:
+        names.update(dict.fromkeys(month_slice.rules.customers))
+        names.update(dict.fromkeys(month_slice.rules.loads_by_customer))
     return tuple(names)
 
 
-def _engine_contributions(slices: Sequence[Slice]) -> Iterator[Contribution]:
+def _engine_contributions(slices: Sequence[MonthSlice]) -> Iterator[Contribution]:
     """Yield the contributions of all engine rules."""
-    for service in services_of(slices):
+    for service in list_services(slices):
         items = [
-            (part, rule, cost)
-            for part in slices
-            for rule, cost in price_engines(part, service).items()
+            (month_slice, rule, cost)
+            for month_slice in slices
+            for rule, cost in price_engines(month_slice, service).items()
         ]
-        amounts = split_up([cost for _, _, cost in items])
-        for (part, rule, _), amount in zip(items, amounts, strict=True):
+        amounts = round_up_cumulatively([cost for _, _, cost in items])
+        for (month_slice, rule, _), amount in zip(items, amounts, strict=True):
             yield Contribution(
                 rule=rule,
                 customer="",
                 service=service,
                 amount=Range(amount, amount, amount),
-                version=part.version.number,
+                version=month_slice.version.number,
             )
 
 
-def _token_contributions(customer: str, slices: Sequence[Slice]) -> list[Contribution]:
+def _token_contributions(
+    customer: str, slices: Sequence[MonthSlice]
+) -> list[Contribution]:
     """Return the contributions of the rules that concern a customer's tokens."""
-    spending = spend(customer, slices)
-    items = [*spending.normal_by_key.items(), *spending.extra_by_key.items()]
-    amounts = split_down([cost for _, cost in items])
-    found = [
-        _expected(customer, key, amount)
+    spending = estimate_spending(customer, slices)
+    items = [
+        *spending.within_budget_by_key.items(),
+        *spending.after_budget_by_key.items(),
+    ]
+    amounts = round_down_cumulatively([cost for _, cost in items])
+    contributions = [
+        _make_expected_contribution(customer, key, amount)
         for (key, _), amount in zip(items, amounts, strict=True)
     ]
-    n_normal = len(spending.normal_by_key)
+    n_within_budget = len(spending.within_budget_by_key)
     ceiling = bound_spending(customer, slices)
-    service = _only_service(slices)
-    rooms = [
-        _room(customer, service, bound, spent, slices)
-        for bound, spent in _pair(ceiling, found[:n_normal], found[n_normal:])
+    service = _find_single_service(slices)
+    headrooms = [
+        _make_headroom_contribution(
+            customer, service, bound, expected_contributions, slices
+        )
+        for bound, expected_contributions in _pair_bounds(
+            ceiling, contributions[:n_within_budget], contributions[n_within_budget:]
+        )
     ]
-    found += [room for room in rooms if room]
-    return [c for c in found if c.amount.ceiling]
+    contributions += [headroom for headroom in headrooms if headroom]
+    return [c for c in contributions if c.amount.ceiling]
 
 
-def _expected(customer: str, key: Key, amount: Decimal) -> Contribution:
+def _make_expected_contribution(
+    customer: str, key: SpendingKey, amount: Decimal
+) -> Contribution:
     """Create a contribution to expected value and ceiling."""
-    part, rule, service = key
+    month_slice, rule, service = key
     return Contribution(
         rule=rule,
         customer=customer,
         service=service,
         amount=Range(ZERO, amount, amount),
-        version=part.version.number,
+        version=month_slice.version.number,
     )
 
 
-def _pair(
-    ceiling: Ceiling, normal: list[Contribution], extra: list[Contribution]
+def _pair_bounds(
+    ceiling: Ceiling,
+    within_budget: list[Contribution],
+    after_budget: list[Contribution],
 ) -> list[tuple[Bound, list[Contribution]]]:
     """Return each bound of a ceiling with the expected contributions under it."""
-    if ceiling.whole is not None:
-        return [(ceiling.whole, [*normal, *extra])]
-    return [(ceiling.normal, normal), (ceiling.extra, extra)]
+    if ceiling.combined is not None:
+        return [(ceiling.combined, [*within_budget, *after_budget])]
+    return [
+        (ceiling.within_budget, within_budget),
+        (ceiling.after_budget, after_budget),
+    ]
 
 
-def _room(
+def _make_headroom_contribution(
     customer: str,
     service: str,
     bound: Bound,
-    spent: list[Contribution],
-    slices: Sequence[Slice],
+    expected_contributions: list[Contribution],
+    slices: Sequence[MonthSlice],
 ) -> Contribution | None:
     """Create a contribution of the difference between a bound and the expected cost.
 
@@ -227,22 +243,26 @@
     """
     if bound.rule is None:
         return None
-    room = subtract(round_up(bound.amount), add(c.amount.expected for c in spent))
-    number = next(
-        part.version.number
-        for part in reversed(slices)
-        if part.rules.rule_by_key.get(bound.rule.key()) == bound.rule
+    headroom = subtract(
+        round_up(bound.amount), add(c.amount.expected for c in expected_contributions)
+    )
+    version_number = next(
+        month_slice.version.number
+        for month_slice in reversed(slices)
+        if month_slice.rules.rule_by_key.get(bound.rule.key()) == bound.rule
     )
     return Contribution(
         rule=bound.rule,
         customer=customer,
         service=service,
-        amount=Range(ZERO, ZERO, room),
-        version=number,
+        amount=Range(ZERO, ZERO, headroom),
+        version=version_number,
     )
 
 
-def _only_service(slices: Sequence[Slice]) -> str:
+def _find_single_service(slices: Sequence[MonthSlice]) -> str:
     """Return the service of all models, or an empty string for several services."""
-    services = {s for part in slices for s in part.rules.service_by_model.values()}
+    services = {
+        s for month_slice in slices for s in month_slice.rules.service_by_model.values()
+    }
     return services.pop() if len(services) == 1 else ""
--- a/packages/core/src/bluebellusher_core/billing/_money.py
+++ b/packages/core/src/bluebellusher_core/billing/_money.py
@@ -9,7 +9,7 @@
 # Amounts that the grammar of the rules file admits have far fewer than 100 digits,
 # and so have their sums, which are therefore exact.
 _CONTEXT = Context(prec=100)
-_STEPS_PER_UNIT = 100
+_HUNDREDTHS_PER_UNIT = 100
 ZERO = Decimal("0.00")
 TOKENS_PER_PRICE = 1_000_000
 SECONDS_PER_HOUR = 3600
@@ -17,15 +17,15 @@
 
 def round_down(amount: Fraction) -> Decimal:
     """Round an amount down to a multiple of 0.01."""
-    return from_steps(floor(amount * _STEPS_PER_UNIT))
+    return from_hundredths(floor(amount * _HUNDREDTHS_PER_UNIT))
 
 
 def round_up(amount: Fraction) -> Decimal:
     """Round an amount up to a multiple of 0.01."""
-    return from_steps(ceil(amount * _STEPS_PER_UNIT))
+    return from_hundredths(ceil(amount * _HUNDREDTHS_PER_UNIT))
 
 
-def split_down(amounts: Sequence[Fraction]) -> list[Decimal]:
+def round_down_cumulatively(amounts: Sequence[Fraction]) -> list[Decimal]:
     """Round amounts so that their sum equals the exact sum rounded down.
 
     Each result is a multiple of 0.01 and differs from its amount by less than 0.01.
@@ -36,19 +36,19 @@
     return [subtract(b, a) for a, b in pairwise([ZERO, *sums])]
 
 
-def split_up(amounts: Sequence[Fraction]) -> list[Decimal]:
+def round_up_cumulatively(amounts: Sequence[Fraction]) -> list[Decimal]:
     """Round amounts so that their sum equals the exact sum rounded up.
 
-    Each result is a multiple of 0.01, as in ``split_down``.
+    Each result is a multiple of 0.01, as in ``round_down_cumulatively``.
     """
     sums = [round_up(total) for total in accumulate(amounts)]
     return [subtract(b, a) for a, b in pairwise([ZERO, *sums])]
 
 
-def from_steps(n_steps: int) -> Decimal:
-    """Return the amount of ``n_steps`` hundredths of the currency unit."""
-    sign = 1 if n_steps < 0 else 0
-    digits = tuple(int(digit) for digit in str(abs(n_steps)))
+def from_hundredths(n_hundredths: int) -> Decimal:
+    """Return the amount of ``n_hundredths`` hundredths of the currency unit."""
+    sign = 1 if n_hundredths < 0 else 0
+    digits = tuple(int(digit) for digit in str(abs(n_hundredths)))
     return Decimal((sign, digits, -2))
 
 
--- a/packages/core/src/bluebellusher_core/billing/_month.py
+++ b/packages/core/src/bluebellusher_core/billing/_month.py
@@ -78,7 +78,7 @@
 
 
 @dataclass(frozen=True, slots=True, eq=False)
-class Slice:
+class MonthSlice:
     """Part of a month in which one version is in force; compared by identity."""
 
     begin_s: int
@@ -91,7 +91,7 @@
         return self.version.rules
 
 
-def slice_month(versions: Sequence[Version], month: Month) -> tuple[Slice, ...]:
+def slice_month(versions: Sequence[Version], month: Month) -> tuple[MonthSlice, ...]:
     """Divide a month into one slice per version, without empty slices.
 
     Of several versions with the same time of acceptance, the last one is in force.
@@ -104,16 +104,16 @@
     month : Month
         The month.
     """
-    starts = [_start(version, month) for version in versions]
+    starts = [_get_start_in_month(version, month) for version in versions]
     ends = [*starts[1:], month.end_s]
     return tuple(
-        Slice(begin_s, min(end_s, month.end_s), version)
+        MonthSlice(begin_s, min(end_s, month.end_s), version)
         for version, begin_s, end_s in zip(versions, starts, ends, strict=True)
         if begin_s < min(end_s, month.end_s)
     )
 
 
-def _start(version: Version, month: Month) -> int:
+def _get_start_in_month(version: Version, month: Month) -> int:
     """Return the later of a version's acceptance and the begin of the month.
 
     The result is in seconds since 1970 UTC.
--- a/packages/core/src/bluebellusher_core/billing/_spending.py
+++ b/packages/core/src/bluebellusher_core/billing/_spending.py
@@ -11,31 +11,31 @@
     iterate_segments,
     price_request,
 )
-from bluebellusher_core.billing._month import Slice
+from bluebellusher_core.billing._month import MonthSlice
 from bluebellusher_core.rules import ExhaustedAction, Limit, Rule, RuleSet
 
-Key = tuple[Slice, Rule, str]
+SpendingKey = tuple[MonthSlice, Rule, str]
 
 
 @dataclass(slots=True)
 class Spending:
     """Expected spending of a customer, by slice, rule and service.
 
-    ``normal_by_key`` has the spending within the budget, under ``load`` rules.
-    ``extra_by_key`` has the spending after the budget is exhausted, under
+    ``within_budget_by_key`` has the spending within the budget, under ``load`` rules.
+    ``after_budget_by_key`` has the spending after the budget is exhausted, under
     ``when-exhausted`` rules.
     """
 
-    normal_by_key: dict[Key, Fraction] = field(
+    within_budget_by_key: dict[SpendingKey, Fraction] = field(
         default_factory=lambda: defaultdict(Fraction)
     )
-    extra_by_key: dict[Key, Fraction] = field(
+    after_budget_by_key: dict[SpendingKey, Fraction] = field(
         default_factory=lambda: defaultdict(Fraction)
     )
 
 
 @dataclass(slots=True)
-class _Used:
+class _Consumption:
     """Money and tokens used so far, which count against a limit."""
 
     money: Fraction = Fraction(0)
@@ -51,39 +51,48 @@
         """
         used = self.n_tokens if limit.is_tokens else self.money
         rate = token_rate if limit.is_tokens else money_rate
-        left = Fraction(limit.amount) - used
+        remaining = Fraction(limit.amount) - used
         if rate == 0:
             return None
-        return max(left, Fraction(0)) / rate
+        return max(remaining, Fraction(0)) / rate
 
 
-def spend(customer: str, slices: Sequence[Slice]) -> Spending:
+def estimate_spending(customer: str, slices: Sequence[MonthSlice]) -> Spending:
     """Compute the expected spending of a customer over the slices of a month."""
-    return _spend_freely(customer, slices) or _spend_by_time(customer, slices)
+    return _estimate_without_limits(customer, slices) or _estimate_by_segment(
+        customer, slices
+    )
 
 
-def _spend_freely(customer: str, slices: Sequence[Slice]) -> Spending | None:
+def _estimate_without_limits(
+    customer: str, slices: Sequence[MonthSlice]
+) -> Spending | None:
     """Compute the spending of a customer that reaches no limit.
 
-    This is faster than ``_spend_by_time``, because it counts requests without
+    This is faster than ``_estimate_by_segment``, because it counts requests without
     dividing the month into segments, and suffices for most customers. Return
     ``None`` if the customer may reach a budget or a rate.
     """
     spending = Spending()
-    used = _Used()
-    for part in slices:
-        loads = part.rules.loads_by_customer.get(customer, [])
-        if _throttle(part.rules, customer, _peak_flows(customer, part)) < 1:
+    used = _Consumption()
+    for month_slice in slices:
+        loads = month_slice.rules.loads_by_customer.get(customer, [])
+        if (
+            _compute_admitted_share(
+                month_slice.rules, customer, _find_peak_flows(customer, month_slice)
+            )
+            < 1
+        ):
             return None
         for load in loads:
-            n_requests = count_requests(load, part)
-            service = _service(part.rules, load.target)
-            money = n_requests * price_request(part.rules, load.target, load)
-            spending.normal_by_key[part, load, service] += money
+            n_requests = count_requests(load, month_slice)
+            service = _get_service(month_slice.rules, load.target)
+            money = n_requests * price_request(month_slice.rules, load.target, load)
+            spending.within_budget_by_key[month_slice, load, service] += money
             used.money += money
             used.n_tokens += n_requests * load.n_tokens
-    for part in slices:
-        budget = part.rules.budget_by_customer.get(customer)
+    for month_slice in slices:
+        budget = month_slice.rules.budget_by_customer.get(customer)
         if budget is None:
             continue
         amount = used.n_tokens if budget.limit.is_tokens else used.money
@@ -92,29 +101,31 @@
     return spending
 
 
-def _peak_flows(customer: str, part: Slice) -> tuple[Flow, ...]:
-    """Return flows that together are an upper limit of the load in a slice.
+def _find_peak_flows(customer: str, month_slice: MonthSlice) -> tuple[Flow, ...]:
+    """Return flows that together are at least as high as the load in a slice.
 
-    Return no flow if the customer has no rate, because the limit is then not needed.
+    Return no flow if the customer has no rate, because no rate can then be reached.
     """
     has_rate = any(
-        (customer, unit) in part.rules.rate_by_customer
+        (customer, unit) in month_slice.rules.rate_by_customer
         for unit in ("requests", "tokens")
     )
     if not has_rate:
         return ()
     flows = []
-    for load in part.rules.loads_by_customer.get(customer, []):
-        windows = load.schedule.windows(part.begin_s, part.end_s)
+    for load in month_slice.rules.loads_by_customer.get(customer, []):
+        windows = load.schedule.windows(month_slice.begin_s, month_slice.end_s)
         if windows:
             shortest_s = min(end_s - begin_s for begin_s, end_s in windows)
             flows.append(Flow(load, Fraction(load.n_requests, shortest_s)))
     return tuple(flows)
 
 
-def _throttle(rules: RuleSet, customer: str, flows: tuple[Flow, ...]) -> Fraction:
+def _compute_admitted_share(
+    rules: RuleSet, customer: str, flows: tuple[Flow, ...]
+) -> Fraction:
     """Return the fraction of the flows that the customer's rates admit, at most 1."""
-    share = Fraction(1)
+    admitted_share = Fraction(1)
     for unit in ("requests", "tokens"):
         rate = rules.rate_by_customer.get((customer, unit))
         if rate is None:
@@ -123,100 +134,119 @@
         n_offered = sum(flow_rates, Fraction(0))
         n_allowed = Fraction(rate.n_units, rate.period_s)
         if n_offered > n_allowed:
-            share = min(share, n_allowed / n_offered)
-    return share
+            admitted_share = min(admitted_share, n_allowed / n_offered)
+    return admitted_share
 
 
-def _spend_by_time(customer: str, slices: Sequence[Slice]) -> Spending:
+def _estimate_by_segment(customer: str, slices: Sequence[MonthSlice]) -> Spending:
     """Compute the spending segment by segment, with budget and rates."""
     spending = Spending()
-    normal, extra = _Used(), _Used()
-    for part in slices:
-        loads = part.rules.loads_by_customer.get(customer, [])
-        for segment in iterate_segments(loads, part):
-            share = _throttle(part.rules, customer, segment.flows)
-            left_s = Fraction(segment.n_seconds)
-            left_s -= _spend_normal(
-                part, segment.flows, share, left_s, normal, spending
+    within_budget, after_budget = _Consumption(), _Consumption()
+    for month_slice in slices:
+        loads = month_slice.rules.loads_by_customer.get(customer, [])
+        for segment in iterate_segments(loads, month_slice):
+            admitted_share = _compute_admitted_share(
+                month_slice.rules, customer, segment.flows
             )
-            if left_s > 0:
-                _spend_extra(
-                    customer, part, segment.flows, share, left_s, extra, spending
+            remaining_s = Fraction(segment.n_seconds)
+            remaining_s -= _spend_within_budget(
+                month_slice,
+                segment.flows,
+                admitted_share,
+                remaining_s,
+                within_budget,
+                spending,
+            )
+            if remaining_s > 0:
+                _spend_after_budget(
+                    customer,
+                    month_slice,
+                    segment.flows,
+                    admitted_share,
+                    remaining_s,
+                    after_budget,
+                    spending,
                 )
     return spending
 
 
-def _spend_normal(
-    part: Slice,
+def _spend_within_budget(
+    month_slice: MonthSlice,
     flows: tuple[Flow, ...],
-    share: Fraction,
+    admitted_share: Fraction,
     n_seconds: Fraction,
-    used: _Used,
+    used: _Consumption,
     spending: Spending,
 ) -> Fraction:
     """Add the spending of a segment within the budget.
 
-    ``share`` is the admitted fraction of the flows. ``used`` and ``spending`` are
-    updated.
+    ``admitted_share`` is the fraction of the flows that the customer's rates admit.
+    ``used`` and ``spending`` are updated.
 
     Returns
     -------
     Fraction
         Time in seconds until the budget is exhausted, at most ``n_seconds``.
     """
-    rules = part.rules
-    money = [f.n_requests * price_request(rules, f.load.target, f.load) for f in flows]
-    money_rate = sum(money, Fraction(0)) * share
-    token_rate = sum((f.n_tokens for f in flows), Fraction(0)) * share
+    rules = month_slice.rules
+    money_rates = [
+        f.n_requests * price_request(rules, f.load.target, f.load) for f in flows
+    ]
+    money_rate = sum(money_rates, Fraction(0)) * admitted_share
+    token_rate = sum((f.n_tokens for f in flows), Fraction(0)) * admitted_share
     budget = rules.budget_by_customer.get(flows[0].load.customer)
     if budget is not None:
-        lasts_s = used.remaining_s(budget.limit, money_rate, token_rate)
-        n_seconds = n_seconds if lasts_s is None else min(n_seconds, lasts_s)
+        remaining_s = used.remaining_s(budget.limit, money_rate, token_rate)
+        n_seconds = n_seconds if remaining_s is None else min(n_seconds, remaining_s)
     used.money += money_rate * n_seconds
     used.n_tokens += token_rate * n_seconds
-    for flow, rate in zip(flows, money, strict=True):
-        service = _service(rules, flow.load.target)
-        spending.normal_by_key[part, flow.load, service] += rate * share * n_seconds
+    for flow, rate in zip(flows, money_rates, strict=True):
+        service = _get_service(rules, flow.load.target)
+        spending.within_budget_by_key[month_slice, flow.load, service] += (
+            rate * admitted_share * n_seconds
+        )
     return n_seconds
 
 
-def _spend_extra(
+def _spend_after_budget(
     customer: str,
-    part: Slice,
+    month_slice: MonthSlice,
     flows: tuple[Flow, ...],
-    share: Fraction,
+    admitted_share: Fraction,
     n_seconds: Fraction,
-    used: _Used,
+    used: _Consumption,
     spending: Spending,
 ) -> None:
     """Add the spending that ``when-exhausted`` allows after the budget is exhausted.
 
-    ``share`` is the admitted fraction of the flows and ``n_seconds`` the time that
-    remains of the segment. ``used`` and ``spending`` are updated.
+    ``admitted_share`` is the fraction of the flows that the customer's rates admit,
+    and ``n_seconds`` the time that remains of the segment. ``used`` and ``spending``
+    are updated.
     """
-    rules = part.rules
+    rules = month_slice.rules
     rule = rules.exhausted_by_customer.get(customer)
     if rule is None or rule.action is ExhaustedAction.REFUSE:
         return
-    # Requests to a plain service keep their target, which has no token price.
+    # Requests to a plain service cost nothing here, because only models have token
+    # prices, and a cheaper model does not replace the service.
     model_flows = [f for f in flows if f.load.target in rules.service_by_model]
     targets = [rule.model or f.load.target for f in model_flows]
-    money = [
-        f.n_requests * price_request(rules, target, f.load) * share
+    money_rates = [
+        f.n_requests * price_request(rules, target, f.load) * admitted_share
         for f, target in zip(model_flows, targets, strict=True)
     ]
-    money_rate = sum(money, Fraction(0))
-    token_rate = sum((f.n_tokens for f in model_flows), Fraction(0)) * share
+    money_rate = sum(money_rates, Fraction(0))
+    token_rate = sum((f.n_tokens for f in model_flows), Fraction(0)) * admitted_share
     if rule.limit is not None:
-        lasts_s = used.remaining_s(rule.limit, money_rate, token_rate)
-        n_seconds = n_seconds if lasts_s is None else min(n_seconds, lasts_s)
+        remaining_s = used.remaining_s(rule.limit, money_rate, token_rate)
+        n_seconds = n_seconds if remaining_s is None else min(n_seconds, remaining_s)
     used.money += money_rate * n_seconds
     used.n_tokens += token_rate * n_seconds
-    for target, rate in zip(targets, money, strict=True):
-        key = (part, rule, _service(rules, target))
-        spending.extra_by_key[key] += rate * n_seconds
+    for target, rate in zip(targets, money_rates, strict=True):
+        key = (month_slice, rule, _get_service(rules, target))
+        spending.after_budget_by_key[key] += rate * n_seconds
 
 
-def _service(rules: RuleSet, target: str) -> str:
+def _get_service(rules: RuleSet, target: str) -> str:
     """Return the service of a model, or the target itself if it is a service."""
     return rules.service_by_model.get(target, target)
--- a/packages/core/src/bluebellusher_core/billing/tests/simulation.py
+++ b/packages/core/src/bluebellusher_core/billing/tests/simulation.py
@@ -9,7 +9,7 @@
 from bluebellusher_core.rules import Load, RuleSet, Schedule, TokenKind
 
 
-def window_day(schedule: Schedule, at_s: int) -> object:
+def find_window_day(schedule: Schedule, at_s: int) -> object:
     """Return the local day on which the window that contains ``at_s`` begins.
 
     Return ``None`` if no window contains ``at_s``.
@@ -29,31 +29,38 @@
 def simulate_engines(rules: RuleSet, month: Month) -> list[Usage]:
     """Simulate the scheduled engines of each service and return their usage."""
     usage: list[Usage] = []
-    for service, group in rules.engines_by_service.items():
-        run: list[int] = [0, 0, 0]
+    for service, engine_rules in rules.engines_by_service.items():
+        period: list[int] = [0, 0, 0]
         for at_s in range(month.begin_s, month.end_s, 60):
-            held = [r for r in group if window_day(r.schedule, at_s) is not None]
-            winner = max(held, key=lambda rule: rule.schedule.precedence, default=None)
-            n_engines = winner.n_engines if winner else 0
-            if run[2] != n_engines:
-                usage.append(EngineUsage(service, *run))
-                run = [at_s, at_s, n_engines]
-            run[1] = at_s + 60
-        usage.append(EngineUsage(service, *run))
+            applicable_rules = [
+                r for r in engine_rules if find_window_day(r.schedule, at_s) is not None
+            ]
+            applied_rule = max(
+                applicable_rules,
+                key=lambda rule: rule.schedule.precedence,
+                default=None,
+            )
+            n_engines = applied_rule.n_engines if applied_rule else 0
+            if period[2] != n_engines:
+                usage.append(EngineUsage(service, *period))
+                period = [at_s, at_s, n_engines]
+            period[1] = at_s + 60
+        usage.append(EngineUsage(service, *period))
     return usage
 
 
 class Meter:
     """Meter of one customer, which admits requests as its rules allow.
 
-    ``normal`` and ``extra`` are the money and the tokens used within the budget and
-    after it is exhausted. ``n_in_period`` has the admitted tokens per minute.
+    ``within_budget`` has the money and the tokens used within the budget, and
+    ``after_budget`` those used after it is exhausted. ``n_in_period`` has the number
+    of admitted tokens by the begin of each simulated minute.
     """
 
     def __init__(self, customer: str) -> None:
         self.customer = customer
-        self.normal = [Fraction(0), Fraction(0)]
-        self.extra = [Fraction(0), Fraction(0)]
+        self.within_budget = [Fraction(0), Fraction(0)]
+        self.after_budget = [Fraction(0), Fraction(0)]
         self.n_in_period: dict[int, int] = defaultdict(int)
 
     def admit(
@@ -71,37 +78,43 @@
         rate = rules.rate_by_customer.get((self.customer, "tokens"))
         n_tokens = max(sum(counts), 1)
         if rate:
-            n_free = rate.n_units * 60 - self.n_in_period[at_s]
-            n_requests = min(n_requests, n_free // n_tokens)
+            n_free_tokens = rate.n_units * 60 - self.n_in_period[at_s]
+            n_requests = min(n_requests, n_free_tokens // n_tokens)
         self.n_in_period[at_s] += n_requests * n_tokens
         budget = rules.budget_by_customer.get(self.customer)
         limit = budget and budget.limit
-        n_normal = self._use(rules, model, counts, self.normal, limit, n_requests)
-        usage = [self._record(model, at_s, counts, n_normal)]
+        n_within_budget = self._spend_up_to(
+            rules, model, counts, self.within_budget, limit, n_requests
+        )
+        usage = [self._make_usage(model, at_s, counts, n_within_budget)]
         rule = rules.exhausted_by_customer.get(self.customer)
-        if n_normal < n_requests and rule and rule.action != "refuse":
+        if n_within_budget < n_requests and rule and rule.action != "refuse":
             model = rule.model or model
-            n_left = n_requests - n_normal
-            n_left = self._use(rules, model, counts, self.extra, rule.limit, n_left)
-            usage.append(self._record(model, at_s, counts, n_left))
+            n_after_budget = n_requests - n_within_budget
+            n_after_budget = self._spend_up_to(
+                rules, model, counts, self.after_budget, rule.limit, n_after_budget
+            )
+            usage.append(self._make_usage(model, at_s, counts, n_after_budget))
         return usage
 
-    def _use(self, rules, model, counts, used, limit, n_requests) -> int:
+    def _spend_up_to(self, rules, model, counts, used, limit, n_requests) -> int:
         """Add to ``used`` as many requests as ``limit`` allows; return their number."""
         prices = rules.price_by_model[model]
         pairs = zip(TokenKind, counts, strict=True)
         cost = sum(Fraction(prices[kind].price) * n for kind, n in pairs) / 10**6
-        each = (cost, sum(counts))
+        use_per_request = (cost, sum(counts))
         if limit:
             is_tokens = limit.unit == "tokens"
-            left = Fraction(limit.amount) - used[is_tokens]
-            if each[is_tokens]:
-                n_requests = max(0, min(n_requests, int(left // each[is_tokens])))
+            remaining = Fraction(limit.amount) - used[is_tokens]
+            if use_per_request[is_tokens]:
+                n_requests = max(
+                    0, min(n_requests, int(remaining // use_per_request[is_tokens]))
+                )
         for i in range(2):
-            used[i] += each[i] * n_requests
+            used[i] += use_per_request[i] * n_requests
         return n_requests
 
-    def _record(self, model, at_s, counts, n_requests) -> TokenUsage:
+    def _make_usage(self, model, at_s, counts, n_requests) -> TokenUsage:
         return TokenUsage(self.customer, model, at_s, *(n * n_requests for n in counts))
 
 
@@ -112,7 +125,7 @@
     """
     minutes_by_day = defaultdict(list)
     for at_s in range(month.begin_s - 86400, month.end_s + 86400, 60):
-        day = window_day(load.schedule, at_s)
+        day = find_window_day(load.schedule, at_s)
         if day is not None:
             minutes_by_day[day].append(at_s)
     counts = (load.n_input, load.n_cached, load.n_output)
--- a/packages/core/src/bluebellusher_core/rules/_check.py
+++ b/packages/core/src/bluebellusher_core/rules/_check.py
@@ -78,10 +78,10 @@
     """Yield the rules whose key occurs in an earlier line."""
     first_by_key: dict[tuple[str, ...], Rule] = {}
     for rule in rules.rules:
-        first = first_by_key.setdefault(rule.key(), rule)
-        if first is not rule:
+        first_rule = first_by_key.setdefault(rule.key(), rule)
+        if first_rule is not rule:
             key_text = " ".join(part for part in rule.key() if part)
-            expected = f"one rule; the first is on line {first.line}"
+            expected = f"one rule; the first is on line {first_rule.line}"
             yield rule, rule.KEYWORD, f"a second rule for '{key_text}'", expected
 
 
@@ -150,18 +150,22 @@
             yield engine_rules[0], service, f"no engine price for '{service}'", expected
 
 
-def _check_engine_schedule(rule: Engines, earlier: list[Engines]) -> Iterator[Finding]:
+def _check_engine_schedule(
+    rule: Engines, earlier_rules: list[Engines]
+) -> Iterator[Finding]:
     """Yield conflicts of a schedule with those of earlier rules of its service."""
     zone = rule.schedule.zone
-    if earlier and earlier[0].schedule.zone != zone:
-        expected = f"{earlier[0].schedule.zone} as on line {earlier[0].line}"
+    if earlier_rules and earlier_rules[0].schedule.zone != zone:
+        expected = (
+            f"{earlier_rules[0].schedule.zone} as on line {earlier_rules[0].line}"
+        )
         found = f"another zone for the same service, {zone}"
         yield rule, zone, found, expected
         return
-    for other in earlier:
-        is_duplicate = other.key() == rule.key()
-        if not is_duplicate and overlaps(rule.schedule, other.schedule):
-            found = f"a window that overlaps that of line {other.line}"
+    for earlier_rule in earlier_rules:
+        is_duplicate = earlier_rule.key() == rule.key()
+        if not is_duplicate and overlaps(rule.schedule, earlier_rule.schedule):
+            found = f"a window that overlaps that of line {earlier_rule.line}"
             expected = "windows of a service that do not overlap"
             yield rule, "from" if rule.schedule.time_range else "on", found, expected
 
@@ -170,10 +174,12 @@
     """Yield services whose capacity is set both in total and by failure domain."""
     first_by_service: dict[str, Capacity] = {}
     for rule in rules.of(Capacity):
-        first = first_by_service.setdefault(rule.service, rule)
-        if (first.domain is None) != (rule.domain is None):
+        first_rule = first_by_service.setdefault(rule.service, rule)
+        if (first_rule.domain is None) != (rule.domain is None):
             found = "capacity both in total and by failure domain"
-            expected = f"only one way for '{rule.service}', as on line {first.line}"
+            expected = (
+                f"only one way for '{rule.service}', as on line {first_rule.line}"
+            )
             yield rule, rule.service, found, expected
 
 
