--- a/packages/core/src/bluebellusher_core/billing/_explain.py
+++ b/packages/core/src/bluebellusher_core/billing/_explain.py
@@ -336,9 +336,9 @@
     """
     cost_centers: dict[str, set[tuple[str, str]]] = defaultdict(set)
     for rules in (step.before.rules, step.after.rules):
-        for load in rules.of(Load):
+        for load in rules.of_type(Load):
             cost_centers[load.target].add(("customer", load.customer))
-        for rule in rules.of(WhenExhausted):
+        for rule in rules.of_type(WhenExhausted):
             if rule.model:
                 cost_centers[rule.model].add(("customer", rule.customer))
     return cost_centers
--- a/packages/core/src/bluebellusher_core/rules/_check.py
+++ b/packages/core/src/bluebellusher_core/rules/_check.py
@@ -50,7 +50,7 @@
         for rule, word, found, expected in _find_errors(rules, unparsed_words)
     ]
     for required in (Currency, MonthZone):
-        if not rules.of(required) and required.KEYWORD not in unparsed_words:
+        if not rules.of_type(required) and required.KEYWORD not in unparsed_words:
             found = f"no rule '{required.KEYWORD}'"
             errors.append(RuleError(1, 1, found, "one such rule in the file"))
     return errors
@@ -89,7 +89,7 @@
     """Yield the customers, models and services that no rule declares."""
     customers = {*rules.customers, *unparsed_words}
     models = {*rules.service_by_model, *unparsed_words}
-    services = {rule.service for rule in rules.of(Capacity)} | set(unparsed_words)
+    services = {rule.service for rule in rules.of_type(Capacity)} | set(unparsed_words)
     for rule in rules.rules:
         if isinstance(rule, Budget | Rate | Priority | Share | Load | WhenExhausted):
             yield from _check_name(rule, "customer", rule.customer, customers)
@@ -119,8 +119,8 @@
 
 def _check_ambiguous_names(rules: RuleSet) -> Iterator[Finding]:
     """Yield the models that have the name of a service."""
-    services = {rule.service for rule in rules.of(Capacity)}
-    for rule in rules.of(Model):
+    services = {rule.service for rule in rules.of_type(Capacity)}
+    for rule in rules.of_type(Model):
         if rule.model in services:
             found = f"'{rule.model}', which is also a service"
             yield rule, rule.model, found, "different names for models and services"
@@ -132,7 +132,7 @@
     """Yield the errors of engine counts, their schedules, capacities and prices."""
     yield from _check_capacity(rules)
     n_existing_by_service: dict[str, int] = defaultdict(int)
-    for rule in rules.of(Capacity):
+    for rule in rules.of_type(Capacity):
         n_existing_by_service[rule.service] += rule.n_engines
     for service, engine_rules in rules.engines_by_service.items():
         for i, engine_rule in enumerate(engine_rules):
@@ -173,7 +173,7 @@
 def _check_capacity(rules: RuleSet) -> Iterator[Finding]:
     """Yield services whose capacity is set both in total and by failure domain."""
     first_by_service: dict[str, Capacity] = {}
-    for rule in rules.of(Capacity):
+    for rule in rules.of_type(Capacity):
         first_rule = first_by_service.setdefault(rule.service, rule)
         if (first_rule.domain is None) != (rule.domain is None):
             found = "capacity both in total and by failure domain"
@@ -185,7 +185,7 @@
 
 def _check_prices(rules: RuleSet, unparsed_words: Collection[str]) -> Iterator[Finding]:
     """Yield models without a price for each kind, and customers named like a model."""
-    for model in rules.of(Model):
+    for model in rules.of_type(Model):
         if model.model in unparsed_words:
             continue
         price_by_kind = rules.price_by_model.get(model.model, {})
@@ -194,7 +194,7 @@
             found = f"no price of {', '.join(missing_kinds)} tokens for '{model.model}'"
             expected = f"a rule 'token-price {model.model} {missing_kinds[0]} ...'"
             yield model, model.model, found, expected
-    for customer in rules.of(Customer):
+    for customer in rules.of_type(Customer):
         if customer.customer in rules.service_by_model:
             found = f"'{customer.customer}', which is also a model"
             yield (
@@ -207,8 +207,8 @@
 
 def _check_loads(rules: RuleSet) -> Iterator[Finding]:
     """Yield loads of models without tokens and loads of services with tokens."""
-    services = {rule.service for rule in rules.of(Capacity)}
-    for rule in rules.of(Load):
+    services = {rule.service for rule in rules.of_type(Capacity)}
+    for rule in rules.of_type(Load):
         is_model = rule.target in rules.service_by_model
         if is_model and rule.n_tokens == 0:
             expected = "'input', 'cached' and 'output' tokens of a request"
--- a/packages/core/src/bluebellusher_core/rules/_check_limits.py
+++ b/packages/core/src/bluebellusher_core/rules/_check_limits.py
@@ -27,13 +27,13 @@
     found and what is expected. ``unparsed_words`` has the words of lines with a syntax
     error, which may declare a name or a budget.
     """
-    for budget in rules.of(Budget):
+    for budget in rules.of_type(Budget):
         yield from _check_currency(rules, budget, budget.limit)
-    for exhausted in rules.of(WhenExhausted):
+    for exhausted in rules.of_type(WhenExhausted):
         yield from _check_when_exhausted(rules, exhausted, unparsed_words)
-    for customer in rules.of(Customer):
+    for customer in rules.of_type(Customer):
         yield from _check_has_limit(rules, customer, unparsed_words)
-    for load in rules.of(Load):
+    for load in rules.of_type(Load):
         yield from _check_load_within_rate(rules, load)
 
 
--- a/packages/core/src/bluebellusher_core/rules/_ruleset.py
+++ b/packages/core/src/bluebellusher_core/rules/_ruleset.py
@@ -62,7 +62,7 @@
             rules[type(rule)].append(rule)
         return rules
 
-    def of(self, rule_class: type[RuleT]) -> list[RuleT]:
+    def of_type(self, rule_class: type[RuleT]) -> list[RuleT]:
         """Return the rules of one class in the order of the file."""
         rules = self._rules_by_class.get(rule_class, [])
         return [rule for rule in rules if isinstance(rule, rule_class)]
@@ -70,63 +70,63 @@
     @property
     def currency(self) -> str:
         """Code of the currency, or an empty string if no rule sets one."""
-        return next((rule.code for rule in self.of(Currency)), "")
+        return next((rule.code for rule in self.of_type(Currency)), "")
 
     @property
     def month_zone(self) -> str:
         """IANA name of the time zone of billing months; UTC if no rule sets one."""
-        return next((rule.zone for rule in self.of(MonthZone)), "UTC")
+        return next((rule.zone for rule in self.of_type(MonthZone)), "UTC")
 
     @cached_property
     def customers(self) -> tuple[str, ...]:
         """Declared customers in the order of the file."""
-        return tuple(rule.customer for rule in self.of(Customer))
+        return tuple(rule.customer for rule in self.of_type(Customer))
 
     @cached_property
     def service_by_model(self) -> dict[str, str]:
         """Services by the model that their engines run."""
-        return {rule.model: rule.service for rule in self.of(Model)}
+        return {rule.model: rule.service for rule in self.of_type(Model)}
 
     @cached_property
     def price_by_model(self) -> dict[str, dict[TokenKind, TokenPrice]]:
         """Token price rules by model and kind of token."""
         prices: dict[str, dict[TokenKind, TokenPrice]] = defaultdict(dict)
-        for rule in self.of(TokenPrice):
+        for rule in self.of_type(TokenPrice):
             prices[rule.model][rule.kind] = rule
         return dict(prices)
 
     @cached_property
     def engine_price_by_service(self) -> dict[str, EnginePrice]:
         """Engine price rules by service."""
-        return {rule.service: rule for rule in self.of(EnginePrice)}
+        return {rule.service: rule for rule in self.of_type(EnginePrice)}
 
     @cached_property
     def engines_by_service(self) -> dict[str, list[Engines]]:
         """Engine rules by service."""
         engines: dict[str, list[Engines]] = defaultdict(list)
-        for rule in self.of(Engines):
+        for rule in self.of_type(Engines):
             engines[rule.service].append(rule)
         return dict(engines)
 
     @cached_property
     def budget_by_customer(self) -> dict[str, Budget]:
         """Budget rules by customer."""
-        return {rule.customer: rule for rule in self.of(Budget)}
+        return {rule.customer: rule for rule in self.of_type(Budget)}
 
     @cached_property
     def exhausted_by_customer(self) -> dict[str, WhenExhausted]:
         """Rules for requests after the budget is exhausted, by customer."""
-        return {rule.customer: rule for rule in self.of(WhenExhausted)}
+        return {rule.customer: rule for rule in self.of_type(WhenExhausted)}
 
     @cached_property
     def rate_by_customer(self) -> dict[tuple[str, str], Rate]:
         """Rate rules by customer and unit, ``requests`` or ``tokens``."""
-        return {(rule.customer, rule.unit): rule for rule in self.of(Rate)}
+        return {(rule.customer, rule.unit): rule for rule in self.of_type(Rate)}
 
     @cached_property
     def loads_by_customer(self) -> dict[str, list[Load]]:
         """Rules of expected load by customer."""
         loads: dict[str, list[Load]] = defaultdict(list)
-        for rule in self.of(Load):
+        for rule in self.of_type(Load):
             loads[rule.customer].append(rule)
         return dict(loads)
--- a/packages/entry/src/bluebellusher/rollout/_in_force.py
+++ b/packages/entry/src/bluebellusher/rollout/_in_force.py
@@ -155,6 +155,6 @@
         weights = {c.customer_id: c.weight for c in self._settings.customers}
         for customer in self.rules.customers:
             weights.setdefault(customer, 1.0)
-        for share in self.rules.of(Share):
+        for share in self.rules.of_type(Share):
             weights[share.customer] = float(share.weight)
         return tuple(CustomerPolicy(name, weights[name]) for name in sorted(weights))
--- a/packages/entry/src/bluebellusher/rollout/tests/test_rollout.py
+++ b/packages/entry/src/bluebellusher/rollout/tests/test_rollout.py
@@ -243,7 +243,7 @@
         for _ in range(2):
             assert not b1.offer(offered, ConfigSource("table"))
         assert (b1.version, b1.seen_version) == (1, 2)
-        assert b1.rules.of(Share)[0].weight == 3
+        assert b1.rules.of_type(Share)[0].weight == 3
         assert network.log_by_name["b1"].getvalue().count("config-rejected") == 1
         newest = replace(offered, version=3, rules_text=rules(6), change_id="three")
         assert b1.offer(newest, ConfigSource("table"))
