--- a/packages/core/src/bluebellusher_core/billing/_ceiling.py
+++ b/packages/core/src/bluebellusher_core/billing/_ceiling.py
@@ -132,7 +132,7 @@
 
 def _collect_terms(customer: str, rules: RuleSet) -> _CustomerTerms:
     """Collect the terms of a customer from a rule set."""
-    when_exhausted = rules.exhausted_by_customer.get(customer)
+    when_exhausted = rules.when_exhausted_by_customer.get(customer)
     price = _find_highest_price(rules, None)
     model = when_exhausted.model if when_exhausted else None
     return _CustomerTerms(
--- a/packages/core/src/bluebellusher_core/billing/_spending.py
+++ b/packages/core/src/bluebellusher_core/billing/_spending.py
@@ -224,7 +224,7 @@
     are updated.
     """
     rules = month_slice.rules
-    rule = rules.exhausted_by_customer.get(customer)
+    rule = rules.when_exhausted_by_customer.get(customer)
     if rule is None or rule.action is ExhaustedAction.REFUSE:
         return
     # Requests to a plain service cost nothing here, because only models have token
--- a/packages/core/src/bluebellusher_core/billing/tests/simulation.py
+++ b/packages/core/src/bluebellusher_core/billing/tests/simulation.py
@@ -87,7 +87,7 @@
             rules, model, counts, self.within_budget, limit, n_requests
         )
         usage = [self._make_usage(model, at_s, counts, n_within_budget)]
-        rule = rules.exhausted_by_customer.get(self.customer)
+        rule = rules.when_exhausted_by_customer.get(self.customer)
         if n_within_budget < n_requests and rule and rule.action != "refuse":
             model = rule.model or model
             n_after_budget = n_requests - n_within_budget
--- a/packages/core/src/bluebellusher_core/rules/_check_limits.py
+++ b/packages/core/src/bluebellusher_core/rules/_check_limits.py
@@ -121,7 +121,7 @@
         found = f"no limit on the spending of '{customer}'"
         expected = f"a rule 'budget {customer} ...' or 'rate {customer} N tokens ...'"
         yield rule, customer, found, expected
-    exhausted = rules.exhausted_by_customer.get(customer)
+    exhausted = rules.when_exhausted_by_customer.get(customer)
     if exhausted is None or exhausted.action is ExhaustedAction.REFUSE:
         return
     if exhausted.limit is None:
--- a/packages/core/src/bluebellusher_core/rules/_ruleset.py
+++ b/packages/core/src/bluebellusher_core/rules/_ruleset.py
@@ -114,7 +114,7 @@
         return {rule.customer: rule for rule in self.of_type(Budget)}
 
     @cached_property
-    def exhausted_by_customer(self) -> dict[str, WhenExhausted]:
+    def when_exhausted_by_customer(self) -> dict[str, WhenExhausted]:
         """Rules for requests after the budget is exhausted, by customer."""
         return {rule.customer: rule for rule in self.of_type(WhenExhausted)}
 
--- a/packages/entry/src/bluebellusher/allowance/_spending.py
+++ b/packages/entry/src/bluebellusher/allowance/_spending.py
@@ -219,7 +219,7 @@
     ) -> RequestDraft:
         """Apply the ``when-exhausted`` rule of a customer without budget."""
         rules, version = self._in_force.rules, self._in_force.version
-        rule = rules.exhausted_by_customer.get(draft.customer_id)
+        rule = rules.when_exhausted_by_customer.get(draft.customer_id)
         if rule is None or rule.action is ExhaustedAction.REFUSE:
             raise self._exhausted(rules)
         if rule.action is ExhaustedAction.LOWER_PRIORITY:
