--- a/packages/core/src/bluebellusher_core/billing/_explain.py
+++ b/packages/core/src/bluebellusher_core/billing/_explain.py
@@ -26,13 +26,13 @@
 from bluebellusher_core.billing._spending import estimate_spending
 from bluebellusher_core.rules import (
     Budget,
-    Change,
     EnginePrice,
     Engines,
     Load,
     Model,
     Rate,
     Rule,
+    RuleChange,
     RuleSet,
     TokenPrice,
     WhenExhausted,
@@ -59,7 +59,7 @@
         Time of acceptance of this version, in seconds since 1970 UTC.
     """
 
-    change: Change | None
+    change: RuleChange | None
     amount: Decimal
     version: int = 0
     accepted_s: int | None = None
@@ -251,10 +251,10 @@
     return halves
 
 
-Phases = tuple[tuple[Change, ...], tuple[Change, ...], tuple[Change, ...]]
+Phases = tuple[tuple[RuleChange, ...], tuple[RuleChange, ...], tuple[RuleChange, ...]]
 
 
-def _divide_into_phases(step: _VersionStep, changes: Iterable[Change]) -> Phases:
+def _divide_into_phases(step: _VersionStep, changes: Iterable[RuleChange]) -> Phases:
     """Divide changes into those to apply first, in between and last.
 
     The first ones add rules about a new customer, model or service and the last ones
@@ -285,8 +285,8 @@
 
 
 def _apply_changes(
-    step: _VersionStep, month: Month, changes: Sequence[Change]
-) -> dict[Change, Decimal]:
+    step: _VersionStep, month: Month, changes: Sequence[RuleChange]
+) -> dict[RuleChange, Decimal]:
     """Return the amount that each change adds if they are applied in this order."""
     rule_by_key = dict(step.before.rules.rule_by_key)
     customers_by_model = _find_customers_by_model(step)
--- a/packages/core/src/bluebellusher_core/rules/__init__.py
+++ b/packages/core/src/bluebellusher_core/rules/__init__.py
@@ -1,7 +1,7 @@
 """Parsing, checking and comparing of rules files."""
 
 from bluebellusher_core.rules._cursor import RuleError
-from bluebellusher_core.rules._difference import Change, diff_rules
+from bluebellusher_core.rules._difference import RuleChange, diff_rules
 from bluebellusher_core.rules._model import (
     TOKENS_UNIT,
     Budget,
@@ -32,7 +32,6 @@
     "TOKENS_UNIT",
     "Budget",
     "Capacity",
-    "Change",
     "Currency",
     "Customer",
     "DateRange",
@@ -46,6 +45,7 @@
     "Priority",
     "Rate",
     "Rule",
+    "RuleChange",
     "RuleError",
     "RuleSet",
     "Schedule",
--- a/packages/core/src/bluebellusher_core/rules/_difference.py
+++ b/packages/core/src/bluebellusher_core/rules/_difference.py
@@ -7,7 +7,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Change:
+class RuleChange:
     """Difference in one rule, which was added, removed or replaced.
 
     ``before`` is ``None`` for an added rule, ``after`` is ``None`` for a removed one.
@@ -38,7 +38,7 @@
         return "changed"
 
 
-def diff_rules(before: RuleSet, after: RuleSet) -> tuple[Change, ...]:
+def diff_rules(before: RuleSet, after: RuleSet) -> tuple[RuleChange, ...]:
     """Return the rules that differ between two rule sets.
 
     Removed rules come first, in the order of the old file, then added and replaced
@@ -46,7 +46,7 @@
     so that a rule that only moved is not a change.
     """
     removed = [
-        Change(rule, None)
+        RuleChange(rule, None)
         for key, rule in before.rule_by_key.items()
         if key not in after.rule_by_key
     ]
@@ -54,5 +54,5 @@
     for key, rule in after.rule_by_key.items():
         old = before.rule_by_key.get(key)
         if old != rule:
-            added_or_replaced.append(Change(old, rule))
+            added_or_replaced.append(RuleChange(old, rule))
     return (*removed, *added_or_replaced)
--- a/packages/entry/src/bluebellusher/cli/rules_text.py
+++ b/packages/entry/src/bluebellusher/cli/rules_text.py
@@ -7,7 +7,7 @@
 from zoneinfo import ZoneInfo
 
 from bluebellusher_core.billing import Explanation, Forecast, Part, Range
-from bluebellusher_core.rules import Change, RuleSet, diff_rules
+from bluebellusher_core.rules import RuleChange, RuleSet, diff_rules
 
 ENGINES_ROW = "(engines, all customers)"
 ANY_SERVICE_ROW = "(any service)"
@@ -56,7 +56,7 @@
     return text[: _MAX_TEXT_WIDTH - 3] + "..."
 
 
-def format_changes(changes: Iterable[Change]) -> list[str]:
+def format_changes(changes: Iterable[RuleChange]) -> list[str]:
     """Return the rules that changed, marked with ``+``, ``-``, ``~`` or ``#``."""
     lines = []
     for change in changes:
