--- a/packages/core/src/bluebellusher_core/billing/__init__.py
+++ b/packages/core/src/bluebellusher_core/billing/__init__.py
@@ -10,32 +10,32 @@
 )
 from bluebellusher_core.billing._engines import find_applicable_rules
 from bluebellusher_core.billing._explain import (
+    DifferencePart,
     Explanation,
-    Part,
     explain,
     explain_history,
 )
 from bluebellusher_core.billing._forecast import (
+    AmountRange,
     Contribution,
     Forecast,
-    Range,
     forecast,
 )
-from bluebellusher_core.billing._month import Month, Version
+from bluebellusher_core.billing._month import Month, RulesVersion
 
 __all__ = [
+    "AmountRange",
     "Bill",
     "BillLine",
     "Contribution",
+    "DifferencePart",
     "EngineUsage",
     "Explanation",
     "Forecast",
     "Month",
-    "Part",
-    "Range",
+    "RulesVersion",
     "TokenUsage",
     "Usage",
-    "Version",
     "compute_bill",
     "explain",
     "explain_history",
--- a/packages/core/src/bluebellusher_core/billing/_bill.py
+++ b/packages/core/src/bluebellusher_core/billing/_bill.py
@@ -15,7 +15,7 @@
 from bluebellusher_core.billing._month import (
     Month,
     MonthSlice,
-    Version,
+    RulesVersion,
     as_versions,
     slice_month,
 )
@@ -89,7 +89,7 @@
 
 
 def compute_bill(
-    rules: RuleSet | Iterable[Version], usage: Iterable[Usage], month: Month
+    rules: RuleSet | Iterable[RulesVersion], usage: Iterable[Usage], month: Month
 ) -> Bill:
     """Compute the bill of a month from usage records.
 
--- a/packages/core/src/bluebellusher_core/billing/_explain.py
+++ b/packages/core/src/bluebellusher_core/billing/_explain.py
@@ -19,7 +19,7 @@
 from bluebellusher_core.billing._month import (
     Month,
     MonthSlice,
-    Version,
+    RulesVersion,
     as_versions,
     slice_month,
 )
@@ -43,7 +43,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Part:
+class DifferencePart:
     """Part of a difference between two bills that one change of a rule causes.
 
     Parameters
@@ -79,7 +79,7 @@
 
     before: Decimal
     after: Decimal
-    parts: tuple[Part, ...]
+    parts: tuple[DifferencePart, ...]
 
     @property
     def difference(self) -> Decimal:
@@ -101,12 +101,12 @@
     month_b : Month, optional
         Month of the second bill, if it is not ``month``.
     """
-    steps = [_VersionStep((), Version(rules_a), Version(rules_b))]
-    return _explain_steps((Version(rules_a),), steps, month, month_b or month)
+    steps = [_VersionStep((), RulesVersion(rules_a), RulesVersion(rules_b))]
+    return _explain_steps((RulesVersion(rules_a),), steps, month, month_b or month)
 
 
 def explain_history(
-    versions: Iterable[Version],
+    versions: Iterable[RulesVersion],
     number_a: int,
     number_b: int,
     month: Month,
@@ -158,13 +158,16 @@
     two rule sets that are each in force during the whole month.
     """
 
-    earlier: tuple[Version, ...]
-    before: Version
-    after: Version
+    earlier: tuple[RulesVersion, ...]
+    before: RulesVersion
+    after: RulesVersion
 
 
 def _explain_steps(
-    start: tuple[Version, ...], steps: list[_VersionStep], month: Month, month_b: Month
+    start: tuple[RulesVersion, ...],
+    steps: list[_VersionStep],
+    month: Month,
+    month_b: Month,
 ) -> Explanation:
     # The difference between the months is the first part. All changes of rules are
     # then computed for month_b.
@@ -172,14 +175,14 @@
     amount = _compute_total(start, month_b)
     parts = []
     if month != month_b:
-        parts.append(Part(None, subtract(amount, before)))
+        parts.append(DifferencePart(None, subtract(amount, before)))
     for step in steps:
         parts += _divide_among_changes(step, month_b)
     end = (*steps[-1].earlier, steps[-1].after) if steps else start
     return Explanation(before, _compute_total(end, month_b), tuple(parts))
 
 
-def _compute_total(versions: Sequence[Version], month: Month) -> Decimal:
+def _compute_total(versions: Sequence[RulesVersion], month: Month) -> Decimal:
     """Return the expected bill of a month."""
     return add(_compute_amounts(slice_month(versions, month)).values())
 
@@ -215,7 +218,7 @@
     return round_down(sum(token_costs, Fraction(0)))
 
 
-def _divide_among_changes(step: _VersionStep, month: Month) -> list[Part]:
+def _divide_among_changes(step: _VersionStep, month: Month) -> list[DifferencePart]:
     """Divide the difference that one step makes among its changes of rules.
 
     The changes are applied one after the other, once in their order and once in the
@@ -231,7 +234,7 @@
     backward = _apply_changes(step, month, (*early, *middle[::-1], *late))
     doubled_amounts = [add((forward[c], backward[c])) for c in changes]
     return [
-        Part(change, amount, step.after.number, step.after.accepted_s)
+        DifferencePart(change, amount, step.after.number, step.after.accepted_s)
         for change, amount in zip(changes, _halve(doubled_amounts), strict=True)
     ]
 
@@ -303,7 +306,9 @@
         if not cost_centers:
             continue
         rules = RuleSet(rule_by_key.values())
-        intermediate_version = Version(rules, step.after.accepted_s, step.after.number)
+        intermediate_version = RulesVersion(
+            rules, step.after.accepted_s, step.after.number
+        )
         slices = slice_month((*step.earlier, intermediate_version), month)
         for cost_center in cost_centers:
             amount = _compute_amount(cost_center, slices)
--- a/packages/core/src/bluebellusher_core/billing/_forecast.py
+++ b/packages/core/src/bluebellusher_core/billing/_forecast.py
@@ -19,7 +19,7 @@
 from bluebellusher_core.billing._month import (
     Month,
     MonthSlice,
-    Version,
+    RulesVersion,
     as_versions,
     slice_month,
 )
@@ -30,7 +30,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Range:
+class AmountRange:
     """Minimum, expected value and ceiling of an amount of money."""
 
     minimum: Decimal = ZERO
@@ -64,7 +64,7 @@
     rule: Rule
     customer: str
     service: str
-    amount: Range
+    amount: AmountRange
     version: int = 0
 
 
@@ -83,38 +83,40 @@
         self.contributions = tuple(contributions)
 
     @cached_property
-    def total(self) -> Range:
+    def total(self) -> AmountRange:
         """Sum of all contributions."""
         return _sum_amounts(self.contributions)
 
-    def by_rule(self) -> dict[tuple[int, Rule], Range]:
+    def by_rule(self) -> dict[tuple[int, Rule], AmountRange]:
         """Sum the contributions by version number and rule."""
         return self._sum_by(lambda c: (c.version, c.rule))
 
-    def by_customer(self) -> dict[str, Range]:
+    def by_customer(self) -> dict[str, AmountRange]:
         """Sum the contributions by customer; the empty name stands for engines."""
         return self._sum_by(lambda c: c.customer)
 
-    def by_service(self) -> dict[str, Range]:
+    def by_service(self) -> dict[str, AmountRange]:
         """Sum the contributions by service; the empty name stands for any service."""
         return self._sum_by(lambda c: c.service)
 
-    def _sum_by(self, key_of: Callable[[Contribution], KeyT]) -> dict[KeyT, Range]:
+    def _sum_by(
+        self, key_of: Callable[[Contribution], KeyT]
+    ) -> dict[KeyT, AmountRange]:
         groups: dict[KeyT, list[Contribution]] = {}
         for contribution in self.contributions:
             groups.setdefault(key_of(contribution), []).append(contribution)
         return {key: _sum_amounts(group) for key, group in groups.items()}
 
 
-def _sum_amounts(contributions: Sequence[Contribution]) -> Range:
-    return Range(
+def _sum_amounts(contributions: Sequence[Contribution]) -> AmountRange:
+    return AmountRange(
         add(c.amount.minimum for c in contributions),
         add(c.amount.expected for c in contributions),
         add(c.amount.ceiling for c in contributions),
     )
 
 
-def forecast(rules: RuleSet | Iterable[Version], month: Month) -> Forecast:
+def forecast(rules: RuleSet | Iterable[RulesVersion], month: Month) -> Forecast:
     """Compute the forecast of a month's bill.
 
     Parameters
@@ -166,7 +168,7 @@
                 rule=rule,
                 customer="",
                 service=service,
-                amount=Range(amount, amount, amount),
+                amount=AmountRange(amount, amount, amount),
                 version=month_slice.version.number,
             )
 
@@ -209,7 +211,7 @@
         rule=rule,
         customer=customer,
         service=service,
-        amount=Range(ZERO, amount, amount),
+        amount=AmountRange(ZERO, amount, amount),
         version=month_slice.version.number,
     )
 
@@ -255,7 +257,7 @@
         rule=bound.rule,
         customer=customer,
         service=service,
-        amount=Range(ZERO, ZERO, headroom),
+        amount=AmountRange(ZERO, ZERO, headroom),
         version=version_number,
     )
 
--- a/packages/core/src/bluebellusher_core/billing/_month.py
+++ b/packages/core/src/bluebellusher_core/billing/_month.py
@@ -58,7 +58,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Version:
+class RulesVersion:
     """Version of the rules, in force from its acceptance until that of the next.
 
     Parameters
@@ -83,7 +83,7 @@
 
     begin_s: int
     end_s: int
-    version: Version
+    version: RulesVersion
 
     @property
     def rules(self) -> RuleSet:
@@ -91,7 +91,9 @@
         return self.version.rules
 
 
-def slice_month(versions: Sequence[Version], month: Month) -> tuple[MonthSlice, ...]:
+def slice_month(
+    versions: Sequence[RulesVersion], month: Month
+) -> tuple[MonthSlice, ...]:
     """Divide a month into one slice per version, without empty slices.
 
     Of several versions with the same time of acceptance, the last one is in force.
@@ -113,7 +115,7 @@
     )
 
 
-def _get_start_in_month(version: Version, month: Month) -> int:
+def _get_start_in_month(version: RulesVersion, month: Month) -> int:
     """Return the later of a version's acceptance and the begin of the month.
 
     The result is in seconds since 1970 UTC.
@@ -123,12 +125,12 @@
     return max(version.accepted_s, month.begin_s)
 
 
-def as_versions(rules: RuleSet | Iterable[Version]) -> tuple[Version, ...]:
+def as_versions(rules: RuleSet | Iterable[RulesVersion]) -> tuple[RulesVersion, ...]:
     """Return a rule set as a single version, or versions sorted by acceptance.
 
     The version of a rule set has no time of acceptance, so that it is in force in
     the whole month. Versions with the same time of acceptance are sorted by number.
     """
     if isinstance(rules, RuleSet):
-        return (Version(rules),)
+        return (RulesVersion(rules),)
     return tuple(sorted(rules, key=lambda v: (v.accepted_s or 0, v.number)))
--- a/packages/core/src/bluebellusher_core/billing/tests/test_billing.py
+++ b/packages/core/src/bluebellusher_core/billing/tests/test_billing.py
@@ -9,8 +9,8 @@
 from bluebellusher_core.billing import (
     EngineUsage,
     Month,
+    RulesVersion,
     TokenUsage,
-    Version,
     compute_bill,
     explain,
     explain_history,
@@ -105,7 +105,7 @@
     """Guards against a bill above the ceiling if the rules change within the month."""
     month = Month.from_text("2027-01", "UTC")
     moment_s = month.begin_s + changed_s
-    versions = [Version(first, None, 1), Version(second, moment_s, 2)]
+    versions = [RulesVersion(first, None, 1), RulesVersion(second, moment_s, 2)]
     meters = [Meter(f"c{i}") for i in range(3)]
     usage = []
     for index, model, after_s, counts, n_requests in sorted(
@@ -144,7 +144,7 @@
     """Guards against parts that leave out a version accepted within the month."""
     month = Month.from_text("2027-03", "Europe/Berlin")
     versions = [
-        Version(rules, month.begin_s - 86400 + i * step_s, i + 1)
+        RulesVersion(rules, month.begin_s - 86400 + i * step_s, i + 1)
         for i, rules in enumerate(rule_sets)
     ]
     number = data.draw(st.integers(1, len(rule_sets)))
@@ -242,7 +242,7 @@
     first = build_rules("engines desk 1 UTC")
     dearer = first.render().replace("desk 3 per hour", "desk 5 per hour")
     second = parse(dearer.replace("320 per million", "400 per million"))
-    versions = [Version(first, None, 1), Version(second, middle_s, 2)]
+    versions = [RulesVersion(first, None, 1), RulesVersion(second, middle_s, 2)]
     usage = [
         EngineUsage("desk", middle_s - 3600, middle_s + 3600, 1),
         TokenUsage("c0", "large", middle_s - 1, 0, 0, 10**6),
@@ -261,7 +261,10 @@
     text = old.render().replace("3 per hour # Aiko Mori: lease", "4 per hour # Ai: up")
     text += "customer c0 # Yui: new\nbudget c0 500 JPY per month # Yui: new\n"
     text += "load c0 large 1000 requests per day output 100 UTC # Yui: new\n"
-    versions = [Version(old, 0, 1), Version(parse(text), month.begin_s + 86400, 2)]
+    versions = [
+        RulesVersion(old, 0, 1),
+        RulesVersion(parse(text), month.begin_s + 86400, 2),
+    ]
     result = explain_history(versions, 1, 2, month)
     amount_by_author = {
         p.change.rule.author: p.amount for p in result.parts if p.amount
--- a/packages/entry/src/bluebellusher/cli/rules_client.py
+++ b/packages/entry/src/bluebellusher/cli/rules_client.py
@@ -8,7 +8,7 @@
 from pydantic import BaseModel, ValidationError
 
 from bluebellusher.cli.rules_base import CommandError, ExitCode, parse_or_fail
-from bluebellusher_core.billing import Version
+from bluebellusher_core.billing import RulesVersion
 
 TOKEN_VARIABLE = "BLUEBELLUSHER_ADMIN_TOKEN"
 # Staging waits for one entry in each failure domain, some of them slow.
@@ -155,10 +155,10 @@
     return sorted(found, key=lambda head: head.version)
 
 
-def to_versions(heads: list[Head], source: str) -> list[Version]:
+def to_versions(heads: list[Head], source: str) -> list[RulesVersion]:
     """Return versions with parsed rules."""
     return [
-        Version(
+        RulesVersion(
             parse_or_fail(head.rules_text, f"{source}, version {head.version}"),
             head.accepted_wall_ms // 1000,
             head.version,
--- a/packages/entry/src/bluebellusher/cli/rules_commands.py
+++ b/packages/entry/src/bluebellusher/cli/rules_commands.py
@@ -33,7 +33,7 @@
 from bluebellusher_core.billing import (
     Explanation,
     Month,
-    Version,
+    RulesVersion,
     explain,
     explain_history,
     forecast,
@@ -192,7 +192,7 @@
         return self.month(rules, name)
 
 
-def _find_version(versions: list[Version], text: str) -> Version:
+def _find_version(versions: list[RulesVersion], text: str) -> RulesVersion:
     """Return the version with a number, or the one in force at a time."""
     if text.isascii() and text.isdigit():
         found = [v for v in versions if str(v.number) == text]
--- a/packages/entry/src/bluebellusher/cli/rules_text.py
+++ b/packages/entry/src/bluebellusher/cli/rules_text.py
@@ -6,7 +6,12 @@
 from decimal import Decimal
 from zoneinfo import ZoneInfo
 
-from bluebellusher_core.billing import Explanation, Forecast, Part, Range
+from bluebellusher_core.billing import (
+    AmountRange,
+    DifferencePart,
+    Explanation,
+    Forecast,
+)
 from bluebellusher_core.rules import RuleChange, RuleSet, diff_rules
 
 ENGINES_ROW = "(engines, all customers)"
@@ -73,12 +78,12 @@
     return f"+{kinds.count('added')} -{kinds.count('removed')} ~{n_changed}"
 
 
-def _money_row(name: str, amount: Range) -> list[str]:
+def _money_row(name: str, amount: AmountRange) -> list[str]:
     amounts = (amount.minimum, amount.expected, amount.ceiling)
     return [name, *map(format_money, amounts)]
 
 
-def _named_amounts(forecast: Forecast) -> list[tuple[str, dict[str, Range]]]:
+def _named_amounts(forecast: Forecast) -> list[tuple[str, dict[str, AmountRange]]]:
     services = {k or ANY_SERVICE_ROW: v for k, v in forecast.by_service().items()}
     customers = {k or ENGINES_ROW: v for k, v in forecast.by_customer().items()}
     rules = {
@@ -133,7 +138,7 @@
     return json.dumps(content, indent=2, ensure_ascii=False).split("\n")
 
 
-def _amounts(amount: Range) -> dict[str, str]:
+def _amounts(amount: AmountRange) -> dict[str, str]:
     return {
         "minimum": str(amount.minimum),
         "expected": str(amount.expected),
@@ -162,7 +167,7 @@
     return lines
 
 
-def _bar(amount: Range, largest: Decimal) -> str:
+def _bar(amount: AmountRange, largest: Decimal) -> str:
     if not largest:
         return " " * CHART_WIDTH
     n_minimum = round(amount.minimum / largest * CHART_WIDTH)
@@ -179,7 +184,7 @@
     for (title, old), (_, new) in pairs:
         names = list(dict.fromkeys([*old, *new]))
         rows = [
-            _plan_row(name, old.get(name, Range()), new.get(name, Range()))
+            _plan_row(name, old.get(name, AmountRange()), new.get(name, AmountRange()))
             for name in names
         ]
         rows.append(_plan_row("Total", before.total, after.total))
@@ -188,7 +193,7 @@
     return lines
 
 
-def _plan_row(name: str, old: Range, new: Range) -> list[str]:
+def _plan_row(name: str, old: AmountRange, new: AmountRange) -> list[str]:
     row = [name]
     for a, b in ((old.expected, new.expected), (old.ceiling, new.ceiling)):
         row += [format_money(a), format_money(b), format_change_of_money(b - a)]
@@ -216,7 +221,7 @@
     return lines
 
 
-def _describe_part(part: Part, zone: str) -> list[str]:
+def _describe_part(part: DifferencePart, zone: str) -> list[str]:
     if part.change is None:
         return ["calendar: the two months differ in their days"]
     change = part.change
