--- a/packages/core/src/bluebellusher_core/billing/_forecast.py
+++ b/packages/core/src/bluebellusher_core/billing/_forecast.py
@@ -87,15 +87,15 @@
         """Sum of all contributions."""
         return _sum_amounts(self.contributions)
 
-    def by_rule(self) -> dict[tuple[int, Rule], AmountRange]:
+    def sum_by_rule(self) -> dict[tuple[int, Rule], AmountRange]:
         """Sum the contributions by version number and rule."""
         return self._sum_by(lambda c: (c.version, c.rule))
 
-    def by_customer(self) -> dict[str, AmountRange]:
+    def sum_by_customer(self) -> dict[str, AmountRange]:
         """Sum the contributions by customer; the empty name stands for engines."""
         return self._sum_by(lambda c: c.customer)
 
-    def by_service(self) -> dict[str, AmountRange]:
+    def sum_by_service(self) -> dict[str, AmountRange]:
         """Sum the contributions by service; the empty name stands for any service."""
         return self._sum_by(lambda c: c.service)
 
--- a/packages/core/src/bluebellusher_core/billing/tests/test_billing.py
+++ b/packages/core/src/bluebellusher_core/billing/tests/test_billing.py
@@ -53,7 +53,11 @@
     Also guards against a minimum above the expected value, or this above the ceiling.
     """
     result = forecast(rules, Month.from_text(text, rules.month_zone))
-    for groups in (result.by_rule(), result.by_customer(), result.by_service()):
+    for groups in (
+        result.sum_by_rule(),
+        result.sum_by_customer(),
+        result.sum_by_service(),
+    ):
         amounts = list(groups.values())
         for field in ("minimum", "expected", "ceiling"):
             total = sum((getattr(a, field) for a in amounts), Decimal(0))
@@ -76,7 +80,7 @@
             usage += simulate_load(rules, load, month, meter)
     actual = compute_bill(rules, usage, month)
     result = forecast(rules, month)
-    for customer, amount in result.by_customer().items():
+    for customer, amount in result.sum_by_customer().items():
         lines = [line.amount for line in actual.lines if line.customer == customer]
         # The simulation may lose one request of 900 tokens, which costs up to 0.15,
         # in each daily window.
@@ -116,7 +120,7 @@
         if meter.customer in rules.customers:
             usage += meter.admit(rules, model, at_s, counts, n_requests)
     actual = compute_bill(versions, usage, month)
-    ceilings = forecast(versions, month).by_customer()
+    ceilings = forecast(versions, month).sum_by_customer()
     for line in actual.lines:
         lines = [x.amount for x in actual.lines if x.customer == line.customer]
         assert sum(lines) <= ceilings[line.customer].ceiling
--- a/packages/entry/src/bluebellusher/cli/rules_text.py
+++ b/packages/entry/src/bluebellusher/cli/rules_text.py
@@ -84,12 +84,13 @@
 
 
 def _named_amounts(forecast: Forecast) -> list[tuple[str, dict[str, AmountRange]]]:
-    services = {k or ANY_SERVICE_ROW: v for k, v in forecast.by_service().items()}
-    customers = {k or ENGINES_ROW: v for k, v in forecast.by_customer().items()}
+    services = {k or ANY_SERVICE_ROW: v for k, v in forecast.sum_by_service().items()}
+    customers = {k or ENGINES_ROW: v for k, v in forecast.sum_by_customer().items()}
     rules = {
         shorten(f"{rule.line}: {rule.statement()}"): amount
         for (_, rule), amount in sorted(
-            forecast.by_rule().items(), key=lambda item: (item[0][0], item[0][1].line)
+            forecast.sum_by_rule().items(),
+            key=lambda item: (item[0][0], item[0][1].line),
         )
     }
     return [("Service", services), ("Customer", customers), ("Line and rule", rules)]
@@ -127,11 +128,11 @@
         "total": _amounts(forecast.total),
         "by_service": [
             {"service": name or None, **_amounts(amount)}
-            for name, amount in forecast.by_service().items()
+            for name, amount in forecast.sum_by_service().items()
         ],
         "by_customer": [
             {"customer": name or None, **_amounts(amount)}
-            for name, amount in forecast.by_customer().items()
+            for name, amount in forecast.sum_by_customer().items()
         ],
         "contributions": contributions,
     }
