Name the functions of billing after their results

forecast becomes compute_forecast, explain becomes explain_bill_difference and explain_history becomes explain_version_difference. Behaviour does not change.

--- a/bench/bench_rules.py
+++ b/bench/bench_rules.py
@@ -5,7 +5,7 @@
 from functools import partial
 
 from bench.report import print_figure
-from bluebellusher_core.billing import Month, forecast
+from bluebellusher_core.billing import Month, compute_forecast
 from bluebellusher_core.rules import parse_rules
 
 # Customers and models: the current users, two sizes between, the target.
@@ -78,7 +78,7 @@
         print_figure(f"rules_{size}", len(rules.rules), "rules")
         elapsed_ms = {
             "check": best_ms(partial(parse_rules, text)),
-            "forecast": best_ms(partial(forecast, rules, month)),
+            "forecast": best_ms(partial(compute_forecast, rules, month)),
         }
         for name, value in elapsed_ms.items():
             print_figure(f"rules_{name}_{size}", value, "ms")
--- a/packages/core/src/bluebellusher_core/billing/__init__.py
+++ b/packages/core/src/bluebellusher_core/billing/__init__.py
@@ -12,14 +12,14 @@
 from bluebellusher_core.billing._explain import (
     DifferencePart,
     Explanation,
-    explain,
-    explain_history,
+    explain_bill_difference,
+    explain_version_difference,
 )
 from bluebellusher_core.billing._forecast import (
     AmountRange,
     Contribution,
     Forecast,
-    forecast,
+    compute_forecast,
 )
 from bluebellusher_core.billing._month import Month, RulesVersion
 
@@ -37,8 +37,8 @@
     "TokenUsage",
     "Usage",
     "compute_bill",
-    "explain",
-    "explain_history",
+    "compute_forecast",
+    "explain_bill_difference",
+    "explain_version_difference",
     "find_applicable_rules",
-    "forecast",
 ]
--- a/packages/core/src/bluebellusher_core/billing/_explain.py
+++ b/packages/core/src/bluebellusher_core/billing/_explain.py
@@ -87,7 +87,7 @@
         return subtract(self.after, self.before)
 
 
-def explain(
+def explain_bill_difference(
     rules_a: RuleSet, rules_b: RuleSet, month: Month, month_b: Month | None = None
 ) -> Explanation:
     """Explain the difference between the expected bills of two rule sets.
@@ -105,7 +105,7 @@
     return _explain_steps((RulesVersion(rules_a),), steps, month, month_b or month)
 
 
-def explain_history(
+def explain_version_difference(
     versions: Iterable[RulesVersion],
     number_a: int,
     number_b: int,
--- a/packages/core/src/bluebellusher_core/billing/_forecast.py
+++ b/packages/core/src/bluebellusher_core/billing/_forecast.py
@@ -116,7 +116,7 @@
     )
 
 
-def forecast(rules: RuleSet | Iterable[RulesVersion], month: Month) -> Forecast:
+def compute_forecast(rules: RuleSet | Iterable[RulesVersion], month: Month) -> Forecast:
     """Compute the forecast of a month's bill.
 
     Parameters
--- a/packages/core/src/bluebellusher_core/billing/tests/test_billing.py
+++ b/packages/core/src/bluebellusher_core/billing/tests/test_billing.py
@@ -12,9 +12,9 @@
     RulesVersion,
     TokenUsage,
     compute_bill,
-    explain,
-    explain_history,
-    forecast,
+    compute_forecast,
+    explain_bill_difference,
+    explain_version_difference,
 )
 from bluebellusher_core.billing.tests.simulation import (
     Meter,
@@ -52,7 +52,7 @@
 
     Also guards against a minimum above the expected value, or this above the ceiling.
     """
-    result = forecast(rules, Month.from_text(text, rules.month_zone))
+    result = compute_forecast(rules, Month.from_text(text, rules.month_zone))
     for groups in (
         result.sum_by_rule(),
         result.sum_by_customer(),
@@ -79,7 +79,7 @@
         for load in loads:
             usage += simulate_load(rules, load, month, meter)
     actual = compute_bill(rules, usage, month)
-    result = forecast(rules, month)
+    result = compute_forecast(rules, month)
     for customer, amount in result.sum_by_customer().items():
         lines = [line.amount for line in actual.lines if line.customer == customer]
         # The simulation may lose one request of 900 tokens, which costs up to 0.15,
@@ -120,7 +120,7 @@
         if meter.customer in rules.customers:
             usage += meter.admit(rules, model, at_s, counts, n_requests)
     actual = compute_bill(versions, usage, month)
-    ceilings = forecast(versions, month).sum_by_customer()
+    ceilings = compute_forecast(versions, month).sum_by_customer()
     for line in actual.lines:
         lines = [x.amount for x in actual.lines if x.customer == line.customer]
         assert sum(lines) <= ceilings[line.customer].ceiling
@@ -133,9 +133,9 @@
     """Guards against parts that do not add up to the difference of two rule sets."""
     month_a = Month.from_text(text_a, first.month_zone)
     month_b = Month.from_text(text_b, second.month_zone)
-    result = explain(first, second, month_a, month_b)
-    assert result.before == forecast(first, month_a).total.expected
-    assert result.after == forecast(second, month_b).total.expected
+    result = explain_bill_difference(first, second, month_a, month_b)
+    assert result.before == compute_forecast(first, month_a).total.expected
+    assert result.after == compute_forecast(second, month_b).total.expected
     assert sum(part.amount for part in result.parts) == result.difference
 
 
@@ -152,9 +152,9 @@
         for i, rules in enumerate(rule_sets)
     ]
     number = data.draw(st.integers(1, len(rule_sets)))
-    result = explain_history(versions, number, len(rule_sets), month)
-    assert result.before == forecast(versions[:number], month).total.expected
-    assert result.after == forecast(versions, month).total.expected
+    result = explain_version_difference(versions, number, len(rule_sets), month)
+    assert result.before == compute_forecast(versions[:number], month).total.expected
+    assert result.after == compute_forecast(versions, month).total.expected
     assert sum(part.amount for part in result.parts) == result.difference
 
 
@@ -170,7 +170,7 @@
 def test_months_have_their_real_length(text: str, zone: str, n_hours: int) -> None:
     """Guards against month lengths that ignore leap years or changes of the clocks."""
     rules = build_rules(f"engines desk 2 {zone}", zone=zone)
-    result = forecast(rules, Month.from_text(text, zone))
+    result = compute_forecast(rules, Month.from_text(text, zone))
     assert result.total.expected == n_hours * 2 * 3
 
 
@@ -181,7 +181,7 @@
         "engines desk 3 from 08:00 to 18:00 on Mon-Fri UTC",
         "engines desk 0 on 2027-02-01 UTC",
     )
-    result = forecast(rules, Month.from_text("2027-02", "UTC"))
+    result = compute_forecast(rules, Month.from_text("2027-02", "UTC"))
     n_hours = 27 * 24 + 19 * 10 * 2
     assert result.total.expected == n_hours * 3
 
@@ -198,7 +198,9 @@
     )
     month = Month.from_text("2027-03", "Europe/Berlin")
     n_tokens = 30 * 720_000 + 360_000
-    assert forecast(rules, month).total.expected == Decimal(n_tokens) * 60 / 10**6
+    assert (
+        compute_forecast(rules, month).total.expected == Decimal(n_tokens) * 60 / 10**6
+    )
 
 
 @pytest.mark.parametrize("budget", ["500 JPY", "1000000 tokens"])
@@ -220,7 +222,8 @@
     month = Month.from_text("2027-01", "UTC")
     usage = Meter("c0").admit(rules, "large", month.begin_s, (0, 0, 1), 10**9)
     left = (
-        forecast(rules, month).total.ceiling - compute_bill(rules, usage, month).total
+        compute_forecast(rules, month).total.ceiling
+        - compute_bill(rules, usage, month).total
     )
     assert 0 <= left <= Decimal("0.01")
 
@@ -235,7 +238,7 @@
         f"when-exhausted c0 {action}",
         "load c0 large 86400 requests per day output 100 UTC",
     )
-    result = forecast(rules, Month.from_text("2027-02", "UTC")).total
+    result = compute_forecast(rules, Month.from_text("2027-02", "UTC")).total
     assert result.expected == result.ceiling == Decimal(28 * 86400) * 100 * 320 / 10**6
 
 
@@ -269,7 +272,7 @@
         RulesVersion(old, 0, 1),
         RulesVersion(parse(text), month.begin_s + 86400, 2),
     ]
-    result = explain_history(versions, 1, 2, month)
+    result = explain_version_difference(versions, 1, 2, month)
     amount_by_author = {
         p.change.rule.author: p.amount for p in result.parts if p.amount
     }
@@ -281,7 +284,9 @@
     """Guards against parts that depend on the order in which changes are applied."""
     old = build_rules("engines desk 1 UTC")
     text = old.render().replace("3 per hour", "4 per hour").replace("desk 1", "desk 2")
-    parts = explain(old, parse(text), Month.from_text("2027-01", "UTC")).parts
+    parts = explain_bill_difference(
+        old, parse(text), Month.from_text("2027-01", "UTC")
+    ).parts
     assert {p.change.rule.KEYWORD: p.amount for p in parts} == {
         "engine-price": Decimal(744) * 3 / 2,
         "engines": Decimal(744) * 7 / 2,
--- a/packages/entry/src/bluebellusher/cli/rules_commands.py
+++ b/packages/entry/src/bluebellusher/cli/rules_commands.py
@@ -34,9 +34,9 @@
     Explanation,
     Month,
     RulesVersion,
-    explain,
-    explain_history,
-    forecast,
+    compute_forecast,
+    explain_bill_difference,
+    explain_version_difference,
 )
 from bluebellusher_core.rules import RuleSet, diff_rules
 
@@ -98,7 +98,9 @@
         _require_one_currency(old, new)
         month = self.month(new)
         self.write_lines(["", f"Bill of {month} ({month.zone}) in {new.currency}"])
-        self.write_lines(format_plan(forecast(old, month), forecast(new, month)))
+        self.write_lines(
+            format_plan(compute_forecast(old, month), compute_forecast(new, month))
+        )
         return ExitCode.DONE
 
 
@@ -128,7 +130,9 @@
             message = f"--format={name}: expected table, json or chart"
             raise CommandError(ExitCode.WRONG_USE, message)
         rules = read_rules(self.argument("file"))
-        self.write_lines(_FORMAT_BY_NAME[name](forecast(rules, self.month(rules))))
+        self.write_lines(
+            _FORMAT_BY_NAME[name](compute_forecast(rules, self.month(rules)))
+        )
         return ExitCode.DONE
 
 
@@ -163,7 +167,7 @@
             rules = read_rules(self.argument("b"))
             _require_one_currency(old, rules)
             month, month_b = self.month(old), self._month_b(rules)
-            explanation = explain(old, rules, month, month_b)
+            explanation = explain_bill_difference(old, rules, month, month_b)
         self.write_lines([f"Amounts in {rules.currency}"])
         self.write_lines(format_explanation(explanation, rules.month_zone))
         return ExitCode.DONE
@@ -182,7 +186,9 @@
         _require_one_currency(first.rules, last.rules)
         month, month_b = self.month(last.rules), self._month_b(last.rules)
         try:
-            found = explain_history(versions, first.number, last.number, month, month_b)
+            found = explain_version_difference(
+                versions, first.number, last.number, month, month_b
+            )
         except ValueError as e:
             raise CommandError(ExitCode.WRONG_USE, str(e)) from e
         return last.rules, found
