Reread the wording of core/rules and core/billing

Types in doc comments have the new names, the months of an explanation are described one by one, and a few local names are more specific. Behaviour does not change.

--- a/packages/core/src/bluebellusher_core/billing/_bill.py
+++ b/packages/core/src/bluebellusher_core/billing/_bill.py
@@ -98,7 +98,7 @@
 
     Parameters
     ----------
-    rules : RuleSet or iterable of Version
+    rules : RuleSet or iterable of RulesVersion
         Rules that are in force during the whole month, or versions with their times
         of acceptance.
     usage : iterable of EngineUsage or TokenUsage
--- a/packages/core/src/bluebellusher_core/billing/_explain.py
+++ b/packages/core/src/bluebellusher_core/billing/_explain.py
@@ -48,7 +48,7 @@
 
     Parameters
     ----------
-    change : Change or None
+    change : RuleChange or None
         The change, with authors and reasons of the rules. ``None`` means that the
         part is caused by the calendar, because the bills are of different months.
     amount : Decimal
@@ -73,7 +73,7 @@
     ----------
     before, after : Decimal
         The two expected bills.
-    parts : tuple of Part
+    parts : tuple of DifferencePart
         Parts of the difference, which add up to it exactly.
     """
 
@@ -97,9 +97,9 @@
     rules_a, rules_b : RuleSet
         Rules of the first and of the second bill, in force during the whole month.
     month : Month
-        Month of both bills.
+        Month of the first bill.
     month_b : Month, optional
-        Month of the second bill, if it is not ``month``.
+        Month of the second bill; by default that of the first bill.
     """
     steps = [_VersionStep((), RulesVersion(rules_a), RulesVersion(rules_b))]
     return _explain_steps((RulesVersion(rules_a),), steps, month, month_b or month)
@@ -120,19 +120,19 @@
 
     Parameters
     ----------
-    versions : iterable of Version
+    versions : iterable of RulesVersion
         All versions, with increasing numbers and times of acceptance.
     number_a, number_b : int
         Version numbers of the first and of the second bill, in ascending order.
     month : Month
-        Month of both bills.
+        Month of the first bill.
     month_b : Month, optional
-        Month of the second bill, if it is not ``month``.
+        Month of the second bill; by default that of the first bill.
 
     Raises
     ------
     ValueError
-        If a number is not in the history or the numbers are not in order.
+        If a number is not that of a version, or the second one is the lower one.
     """
     history = as_versions(versions)
     index_by_number = {version.number: i for i, version in enumerate(history)}
@@ -169,6 +169,7 @@
     month: Month,
     month_b: Month,
 ) -> Explanation:
+    """Explain the difference between the bills before and after all steps."""
     # The difference between the months is the first part. All changes of rules are
     # then computed for month_b.
     before = _compute_total(start, month)
@@ -208,8 +209,10 @@
     """Return the expected amount of a cost center, rounded as in a forecast."""
     kind, subject = cost_center
     if kind == "service":
-        parts = (price_engines(part, subject).values() for part in slices)
-        return round_up(sum((c for costs in parts for c in costs), Fraction(0)))
+        costs_by_slice = (price_engines(s, subject).values() for s in slices)
+        return round_up(
+            sum((c for costs in costs_by_slice for c in costs), Fraction(0))
+        )
     spending = estimate_spending(subject, slices)
     token_costs = (
         *spending.within_budget_by_key.values(),
@@ -263,15 +266,15 @@
     The first ones add rules about a new customer, model or service and the last ones
     remove rules about a removed one, except ``load`` and ``engines`` rules.
     """
-    old = _list_subjects(step.before.rules)
-    new = _list_subjects(step.after.rules)
+    subjects_before = _list_subjects(step.before.rules)
+    subjects_after = _list_subjects(step.after.rules)
     early, middle, late = [], [], []
     for change in changes:
         is_quantity = isinstance(change.rule, Load | Engines)
         subject = _get_subject(change.rule)
-        if change.before is None and subject not in old and not is_quantity:
+        if change.before is None and subject not in subjects_before and not is_quantity:
             early.append(change)
-        elif change.after is None and subject not in new and not is_quantity:
+        elif change.after is None and subject not in subjects_after and not is_quantity:
             late.append(change)
         else:
             middle.append(change)
--- a/packages/core/src/bluebellusher_core/billing/_forecast.py
+++ b/packages/core/src/bluebellusher_core/billing/_forecast.py
@@ -55,7 +55,7 @@
     service : str
         Service on which the money is spent; empty for money that may be spent on
         any of several services.
-    amount : Range
+    amount : AmountRange
         The amounts.
     version : int
         Number of the version that has the rule; 0 for a file that was not applied.
@@ -121,7 +121,7 @@
 
     Parameters
     ----------
-    rules : RuleSet or iterable of Version
+    rules : RuleSet or iterable of RulesVersion
         Rules that are in force during the whole month, or versions with their times
         of acceptance.
     month : Month
@@ -138,9 +138,9 @@
     """
     versions = as_versions(rules)
     slices = slice_month(versions, month)
-    contributions = [*_engine_contributions(slices)]
+    contributions = [*_compute_engine_contributions(slices)]
     for customer in list_customers(slices):
-        contributions += _token_contributions(customer, slices)
+        contributions += _compute_token_contributions(customer, slices)
     currency = versions[-1].rules.currency if versions else ""
     return Forecast(month, currency, contributions)
 
@@ -154,7 +154,9 @@
     return tuple(names)
 
 
-def _engine_contributions(slices: Sequence[MonthSlice]) -> Iterator[Contribution]:
+def _compute_engine_contributions(
+    slices: Sequence[MonthSlice],
+) -> Iterator[Contribution]:
     """Yield the contributions of all engine rules."""
     for service in list_services(slices):
         items = [
@@ -173,7 +175,7 @@
             )
 
 
-def _token_contributions(
+def _compute_token_contributions(
     customer: str, slices: Sequence[MonthSlice]
 ) -> list[Contribution]:
     """Return the contributions of the rules that concern a customer's tokens."""
--- a/packages/core/src/bluebellusher_core/billing/_money.py
+++ b/packages/core/src/bluebellusher_core/billing/_money.py
@@ -6,8 +6,8 @@
 from itertools import accumulate, pairwise
 from math import ceil, floor
 
-# Amounts that the grammar of the rules file admits have far fewer than 100 digits,
-# and so have their sums, which are therefore exact.
+# Sums are exact with 100 digits, because the largest amounts that the grammar of the
+# rules file admits have fewer.
 _CONTEXT = Context(prec=100)
 _HUNDREDTHS_PER_UNIT = 100
 ZERO = Decimal("0.00")
--- a/packages/core/src/bluebellusher_core/billing/_month.py
+++ b/packages/core/src/bluebellusher_core/billing/_month.py
@@ -13,7 +13,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Month:
-    """A calendar month in a time zone.
+    """Calendar month in a time zone.
 
     Parameters
     ----------
@@ -79,7 +79,10 @@
 
 @dataclass(frozen=True, slots=True, eq=False)
 class MonthSlice:
-    """Part of a month in which one version is in force; compared by identity."""
+    """Part of a month in which one version is in force; compared by identity.
+
+    ``begin_s`` and ``end_s`` are in seconds since 1970 UTC.
+    """
 
     begin_s: int
     end_s: int
@@ -101,7 +104,7 @@
 
     Parameters
     ----------
-    versions : sequence of Version
+    versions : sequence of RulesVersion
         Versions in the order of their times of acceptance.
     month : Month
         The month.
--- a/packages/core/src/bluebellusher_core/billing/tests/test_billing.py
+++ b/packages/core/src/bluebellusher_core/billing/tests/test_billing.py
@@ -50,7 +50,8 @@
 def test_property_forecast_adds_up(rules: RuleSet, text: str) -> None:
     """Guards against sums by rule, customer or service that differ from the total.
 
-    Also guards against a minimum above the expected value, or this above the ceiling.
+    Also guards against a minimum above the expected value and against an expected
+    value above the ceiling.
     """
     result = compute_forecast(rules, Month.from_text(text, rules.month_zone))
     for groups in (
@@ -68,7 +69,7 @@
 @SLOW_SETTINGS
 @given(RULE_SETS, MONTHS)
 def test_property_simulated_month_matches_forecast(rules: RuleSet, text: str) -> None:
-    """Guards against an expected value that a simulation of the load does not reach.
+    """Guards against an expected value that differs from a simulation of the load.
 
     Also guards against a bill of the simulated usage above the ceiling.
     """
@@ -104,19 +105,19 @@
 
 @given(RULE_SETS, RULE_SETS, st.integers(0, 31 * 86400), REQUEST_BATCHES)
 def test_property_usage_within_limits_stays_below_ceiling(
-    first: RuleSet, second: RuleSet, changed_s: int, batches: list
+    first: RuleSet, second: RuleSet, offset_s: int, batches: list
 ) -> None:
     """Guards against a bill above the ceiling if the rules change within the month."""
     month = Month.from_text("2027-01", "UTC")
-    moment_s = month.begin_s + changed_s
-    versions = [RulesVersion(first, None, 1), RulesVersion(second, moment_s, 2)]
+    changed_at_s = month.begin_s + offset_s
+    versions = [RulesVersion(first, None, 1), RulesVersion(second, changed_at_s, 2)]
     meters = [Meter(f"c{i}") for i in range(3)]
     usage = []
     for index, model, after_s, counts, n_requests in sorted(
         batches, key=lambda batch: batch[2]
     ):
         at_s = month.begin_s + after_s // 60 * 60
-        meter, rules = meters[index], first if at_s < moment_s else second
+        meter, rules = meters[index], first if at_s < changed_at_s else second
         if meter.customer in rules.customers:
             usage += meter.admit(rules, model, at_s, counts, n_requests)
     actual = compute_bill(versions, usage, month)
@@ -221,11 +222,11 @@
     )
     month = Month.from_text("2027-01", "UTC")
     usage = Meter("c0").admit(rules, "large", month.begin_s, (0, 0, 1), 10**9)
-    left = (
+    unused = (
         compute_forecast(rules, month).total.ceiling
         - compute_bill(rules, usage, month).total
     )
-    assert 0 <= left <= Decimal("0.01")
+    assert 0 <= unused <= Decimal("0.01")
 
 
 @pytest.mark.parametrize("action", ["refuse", "cheaper-model small"])
@@ -243,7 +244,7 @@
 
 
 def test_versions_price_usage_at_its_time() -> None:
-    """Guards against usage priced by a version that was not in force at its time."""
+    """Guards against usage priced by a version not in force at the time of use."""
     month = Month.from_text("2027-01", "UTC")
     middle_s = month.begin_s + 86400
     first = build_rules("engines desk 1 UTC")
--- a/packages/core/src/bluebellusher_core/rules/_check_limits.py
+++ b/packages/core/src/bluebellusher_core/rules/_check_limits.py
@@ -29,8 +29,8 @@
     """
     for budget in rules.of_type(Budget):
         yield from _check_currency(rules, budget, budget.limit)
-    for exhausted in rules.of_type(WhenExhausted):
-        yield from _check_when_exhausted(rules, exhausted, unparsed_words)
+    for when_exhausted in rules.of_type(WhenExhausted):
+        yield from _check_when_exhausted(rules, when_exhausted, unparsed_words)
     for customer in rules.of_type(Customer):
         yield from _check_has_limit(rules, customer, unparsed_words)
     for load in rules.of_type(Load):
@@ -69,7 +69,7 @@
     targets = [load.target for load in loads if load.target in rules.service_by_model]
     other_models = set(targets or rules.service_by_model) - {model}
     model_prices = _get_prices(rules, model)
-    # The check of prices reports a model that lacks one, at its declaration.
+    # A model that lacks a price is reported at its declaration.
     if model_prices is None or any(
         _get_prices(rules, other_model) is None for other_model in other_models
     ):
@@ -98,7 +98,7 @@
 def _is_cheaper(
     prices: tuple[Decimal, ...], other_prices: tuple[Decimal, ...] | None
 ) -> bool:
-    """Return whether no price is higher than the other one, and at least one lower."""
+    """Return whether no price is above its counterpart and at least one is below it."""
     if other_prices is None:
         return False
     pairs = list(zip(prices, other_prices, strict=True))
@@ -121,13 +121,13 @@
         found = f"no limit on the spending of '{customer}'"
         expected = f"a rule 'budget {customer} ...' or 'rate {customer} N tokens ...'"
         yield rule, customer, found, expected
-    exhausted = rules.when_exhausted_by_customer.get(customer)
-    if exhausted is None or exhausted.action is ExhaustedAction.REFUSE:
+    when_exhausted = rules.when_exhausted_by_customer.get(customer)
+    if when_exhausted is None or when_exhausted.action is ExhaustedAction.REFUSE:
         return
-    if exhausted.limit is None:
+    if when_exhausted.limit is None:
         found = f"no limit on the spending of '{customer}' after its budget"
         expected = f"'up to AMOUNT UNIT', or 'rate {customer} N tokens ...'"
-        yield exhausted, exhausted.action, found, expected
+        yield when_exhausted, when_exhausted.action, found, expected
 
 
 def _check_load_within_rate(rules: RuleSet, load: Load) -> Iterator[Finding]:
@@ -137,14 +137,14 @@
         if rate is None:
             continue
         n_per_day = load.n_requests * n_per_request
-        n_allowed = rate.n_units * _seconds_per_day(load.schedule) // rate.period_s
+        n_allowed = rate.n_units * _get_seconds_per_day(load.schedule) // rate.period_s
         if n_per_day > n_allowed:
             found = f"{n_per_day} {unit} per day"
             expected = f"at most {n_allowed}, as the rate on line {rate.line} allows"
             yield load, str(load.n_requests), found, expected
 
 
-def _seconds_per_day(schedule: Schedule) -> int:
-    """Return the length of a daily window in seconds, without clock changes."""
+def _get_seconds_per_day(schedule: Schedule) -> int:
+    """Return the length of a daily window in seconds on a day of 24 hours."""
     begin, end = schedule.time_range or (0, MINUTES_PER_DAY)
     return ((end - begin - 1) % MINUTES_PER_DAY + 1) * 60
--- a/packages/core/src/bluebellusher_core/rules/_overlap.py
+++ b/packages/core/src/bluebellusher_core/rules/_overlap.py
@@ -25,9 +25,10 @@
     if a.dates:
         shift = timedelta(days=n_days)
         return any(
-            first.first + shift <= second.last and second.first <= first.last + shift
-            for first in a.dates
-            for second in b.dates
+            range_a.first + shift <= range_b.last
+            and range_b.first <= range_a.last + shift
+            for range_a in a.dates
+            for range_b in b.dates
         )
     days_a = a.weekdays or tuple(range(7))
     days_b = b.weekdays or tuple(range(7))
@@ -43,6 +44,9 @@
 
 
 def _get_minute_range(schedule: Schedule) -> tuple[int, int]:
-    """Return begin and end of a window in minutes; after midnight above 1440."""
+    """Return begin and end of a window in minutes since midnight of the first day.
+
+    The end of a window that extends past midnight is above 1440.
+    """
     begin, end = schedule.time_range or (0, MINUTES_PER_DAY)
     return begin, end if end > begin else end + MINUTES_PER_DAY
