--- a/packages/core/src/bluebellusher_core/billing/_explain.py
+++ b/packages/core/src/bluebellusher_core/billing/_explain.py
@@ -209,7 +209,9 @@
     """Return the expected amount of a cost center, rounded as in a forecast."""
     kind, subject = cost_center
     if kind == "service":
-        costs_by_slice = (price_engines(s, subject).values() for s in slices)
+        costs_by_slice = (
+            price_engines(month_slice, subject).values() for month_slice in slices
+        )
         return round_up(
             sum((c for costs in costs_by_slice for c in costs), Fraction(0))
         )
