--- a/packages/core/src/bluebellusher_core/rules/tests/test_rules.py
+++ b/packages/core/src/bluebellusher_core/rules/tests/test_rules.py
@@ -81,7 +81,7 @@
 
 
 @pytest.mark.parametrize(
-    ("line", "place", "expected"),
+    ("line", "found", "expected"),
     [
         ("share alder 2", "column 14", "names who asked"),
         ("share alder 2 # because", "column 15", "names who asked"),
@@ -115,11 +115,11 @@
     ],
 )
 def test_errors_are_reported_with_position(
-    line: str, place: str, expected: str
+    line: str, found: str, expected: str
 ) -> None:
     """Guards against an error that is not found, or reported at a wrong position."""
     text = "\n".join(list_errors(line))
-    assert place in text
+    assert found in text
     assert expected in text
 
 
