Merge the wording of rules and billing

Comments, errors and names of core/rules and core/billing; renames replayed over the other packages. No statement changes (compare of definitions).

--- a/packages/core/src/bluebellusher_core/billing/__init__.py
+++ b/packages/core/src/bluebellusher_core/billing/__init__.py
@@ -1,4 +1,4 @@
-"""Forecast, bill and explanation of a difference between two bills."""
+"""Monthly bills: forecast, actual bill, and explanation of a difference."""
 
 from bluebellusher_core.billing._bill import (
     Bill,
@@ -6,39 +6,39 @@
     EngineUsage,
     TokenUsage,
     Usage,
-    bill,
+    compute_bill,
 )
-from bluebellusher_core.billing._engines import run_seconds
+from bluebellusher_core.billing._engines import find_applicable_rules
 from bluebellusher_core.billing._explain import (
+    DifferencePart,
     Explanation,
-    Part,
-    explain,
-    explain_history,
+    explain_bill_difference,
+    explain_version_difference,
 )
 from bluebellusher_core.billing._forecast import (
+    AmountRange,
     Contribution,
     Forecast,
-    Range,
-    forecast,
+    compute_forecast,
 )
-from bluebellusher_core.billing._month import Month, Version
+from bluebellusher_core.billing._month import Month, RulesVersion
 
 __all__ = [
+    "AmountRange",
     "Bill",
     "BillLine",
     "Contribution",
+    "DifferencePart",
     "EngineUsage",
     "Explanation",
     "Forecast",
     "Month",
-    "Part",
-    "Range",
+    "RulesVersion",
     "TokenUsage",
     "Usage",
-    "Version",
-    "bill",
-    "explain",
-    "explain_history",
-    "forecast",
-    "run_seconds",
+    "compute_bill",
+    "compute_forecast",
+    "explain_bill_difference",
+    "explain_version_difference",
+    "find_applicable_rules",
 ]
--- a/packages/core/src/bluebellusher_core/billing/_bill.py
+++ b/packages/core/src/bluebellusher_core/billing/_bill.py
@@ -1,4 +1,4 @@
-"""The actual bill from recorded usage."""
+"""Actual bill of a month, computed from recorded usage."""
 
 from collections import defaultdict
 from collections.abc import Iterable, Sequence
@@ -14,8 +14,8 @@
 )
 from bluebellusher_core.billing._month import (
     Month,
-    Slice,
-    Version,
+    MonthSlice,
+    RulesVersion,
     as_versions,
     slice_month,
 )
@@ -24,7 +24,10 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineUsage:
-    """Engines of a service that ran from ``begin_s`` to ``end_s``."""
+    """Engines of a service that ran from ``begin_s`` to ``end_s``.
+
+    Both times are in seconds since 1970 UTC.
+    """
 
     service: str
     begin_s: int
@@ -34,7 +37,10 @@
 
 @dataclass(frozen=True, slots=True)
 class TokenUsage:
-    """Tokens that a customer used on a model at the moment ``at_s``."""
+    """Tokens that a customer used on a model.
+
+    ``at_s`` is the time of use in seconds since 1970 UTC.
+    """
 
     customer: str
     model: str
@@ -44,7 +50,7 @@
     n_output: int
 
     def count(self, kind: TokenKind) -> int:
-        """Return the tokens of one kind."""
+        """Return the number of tokens of one kind."""
         if kind is TokenKind.INPUT:
             return self.n_input
         return self.n_cached if kind is TokenKind.CACHED else self.n_output
@@ -55,7 +61,11 @@
 
 @dataclass(frozen=True, slots=True)
 class BillLine:
-    """Cost of one price rule for one customer; no customer pays for engines."""
+    """Cost that one price rule causes for one customer.
+
+    ``customer`` is empty for the cost of engines, which no single customer pays.
+    ``version`` is the number of the version that has the rule.
+    """
 
     rule: Rule
     customer: str
@@ -66,7 +76,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Bill:
-    """The bill of a month; its lines add up to ``total`` exactly."""
+    """Bill of a month."""
 
     month: Month
     currency: str
@@ -74,68 +84,94 @@
 
     @property
     def total(self) -> Decimal:
-        """Sum of all lines."""
+        """Exact sum of all lines."""
         return add(line.amount for line in self.lines)
 
 
-def bill(
-    rules: RuleSet | Iterable[Version], usage: Iterable[Usage], month: Month
+def compute_bill(
+    rules: RuleSet | Iterable[RulesVersion], usage: Iterable[Usage], month: Month
 ) -> Bill:
-    """Return the bill of a month from usage records.
+    """Compute the bill of a month from usage records.
 
-    Usage outside the month is not part of the bill. Each line is rounded down, so
-    that roundings never lift a bill above the ceiling of its forecast.
+    Each line is rounded down, so that rounding never raises a bill above the ceiling
+    of its forecast.
+
+    Parameters
+    ----------
+    rules : RuleSet or iterable of RulesVersion
+        Rules that are in force during the whole month, or versions with their times
+        of acceptance.
+    usage : iterable of EngineUsage or TokenUsage
+        Recorded usage; usage outside the month is ignored.
+    month : Month
+        The month.
 
     Raises
     ------
     ValueError
-        If usage of the month has no price at its time.
+        If usage within the month has no price at the time of use.
     """
     versions = as_versions(rules)
     slices = slice_month(versions, month)
-    cost_by_key: dict[tuple[Slice, Rule, str, str], Fraction] = defaultdict(Fraction)
+    cost_by_key: dict[tuple[MonthSlice, Rule, str, str], Fraction] = defaultdict(
+        Fraction
+    )
     for record in usage:
         if isinstance(record, EngineUsage):
-            _add_engines(record, slices, month, cost_by_key)
+            _add_engine_cost(record, slices, month, cost_by_key)
         elif month.begin_s <= record.at_s < month.end_s:
-            _add_tokens(record, slices, cost_by_key)
+            _add_token_cost(record, slices, cost_by_key)
     lines = (
-        BillLine(rule, customer, service, round_down(cost), part.version.number)
-        for (part, rule, customer, service), cost in cost_by_key.items()
+        BillLine(rule, customer, service, round_down(cost), month_slice.version.number)
+        for (month_slice, rule, customer, service), cost in cost_by_key.items()
     )
     currency = versions[-1].rules.currency if versions else ""
     return Bill(month, currency, tuple(lines))
 
 
-def _add_engines(
+def _add_engine_cost(
     record: EngineUsage,
-    slices: Sequence[Slice],
+    slices: Sequence[MonthSlice],
     month: Month,
-    cost_by_key: dict[tuple[Slice, Rule, str, str], Fraction],
+    cost_by_key: dict[tuple[MonthSlice, Rule, str, str], Fraction],
 ) -> None:
-    n_left = min(record.end_s, month.end_s) - max(record.begin_s, month.begin_s)
-    for part in slices:
-        n_seconds = min(record.end_s, part.end_s) - max(record.begin_s, part.begin_s)
-        price = part.rules.engine_price_by_service.get(record.service)
+    """Add the cost of engine usage to ``cost_by_key``, slice by slice."""
+    n_unpriced_seconds = min(record.end_s, month.end_s) - max(
+        record.begin_s, month.begin_s
+    )
+    for month_slice in slices:
+        n_seconds = min(record.end_s, month_slice.end_s) - max(
+            record.begin_s, month_slice.begin_s
+        )
+        price = month_slice.rules.engine_price_by_service.get(record.service)
         if n_seconds <= 0 or price is None:
             continue
-        n_left -= n_seconds
+        n_unpriced_seconds -= n_seconds
         cost = Fraction(price.price) * record.n_engines * n_seconds / SECONDS_PER_HOUR
-        cost_by_key[part, price, "", record.service] += cost
-    if n_left > 0:
+        cost_by_key[month_slice, price, "", record.service] += cost
+    if n_unpriced_seconds > 0:
         raise ValueError(
-            f"service={record.service!r}: expected an engine price at every moment "
-            f"of its usage, but {n_left} s have none"
+            f"service={record.service!r}: expected an engine price for all of its "
+            f"usage, but {n_unpriced_seconds} s have none"
         )
 
 
-def _add_tokens(
+def _add_token_cost(
     record: TokenUsage,
-    slices: Sequence[Slice],
-    cost_by_key: dict[tuple[Slice, Rule, str, str], Fraction],
+    slices: Sequence[MonthSlice],
+    cost_by_key: dict[tuple[MonthSlice, Rule, str, str], Fraction],
 ) -> None:
-    held = [part for part in slices if part.begin_s <= record.at_s < part.end_s]
-    prices = held[0].rules.price_by_model.get(record.model, {}) if held else {}
+    """Add the cost of token usage to ``cost_by_key``, at the prices at its time."""
+    matching_slices = [
+        month_slice
+        for month_slice in slices
+        if month_slice.begin_s <= record.at_s < month_slice.end_s
+    ]
+    prices = (
+        matching_slices[0].rules.price_by_model.get(record.model, {})
+        if matching_slices
+        else {}
+    )
     for kind in TokenKind:
         n_tokens = record.count(kind)
         if not n_tokens:
@@ -143,8 +179,8 @@
         if kind not in prices:
             raise ValueError(
                 f"model={record.model!r}: expected a price of {kind} tokens at "
-                f"{record.at_s} s"
+                f"{record.at_s} s since 1970 UTC"
             )
-        service = held[0].rules.service_by_model.get(record.model, "")
+        service = matching_slices[0].rules.service_by_model.get(record.model, "")
         cost = Fraction(prices[kind].price) * n_tokens / TOKENS_PER_PRICE
-        cost_by_key[held[0], prices[kind], record.customer, service] += cost
+        cost_by_key[matching_slices[0], prices[kind], record.customer, service] += cost
--- a/packages/core/src/bluebellusher_core/billing/_month.py
+++ b/packages/core/src/bluebellusher_core/billing/_month.py
@@ -1,4 +1,4 @@
-"""Billing months and the versions of the rules that hold in them."""
+"""Billing months, and the versions of the rules that are in force in them."""
 
 import re
 from collections.abc import Iterable, Sequence
@@ -13,14 +13,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Month:
-    """A calendar month in a time zone.
+    """Calendar month in a time zone.
 
     Parameters
     ----------
     year, month : int
-        From January 2000 to December 2199.
+        Year from 2000 to 2199, and month from 1 to 12.
     zone : str
-        IANA name of the zone whose midnight begins the month.
+        IANA name of the time zone. The month begins at local midnight in it.
     """
 
     year: int
@@ -29,7 +29,7 @@
 
     @classmethod
     def from_text(cls, text: str, zone: str) -> "Month":
-        """Return the month of a text such as ``2027-01``.
+        """Parse a month such as ``2027-01``.
 
         Raises
         ------
@@ -58,15 +58,16 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Version:
-    """Rules that hold from the moment of their acceptance.
+class RulesVersion:
+    """Version of the rules, in force from its acceptance until that of the next.
 
     Parameters
     ----------
     rules : RuleSet
         The rules.
     accepted_s : int or None
-        Seconds since 1970 UTC; ``None`` means since ever.
+        Time of acceptance in seconds since 1970 UTC. ``None`` means that the version
+        has always been in force.
     number : int
         Version number in the table; 0 for a file that was not applied.
     """
@@ -77,42 +78,62 @@
 
 
 @dataclass(frozen=True, slots=True, eq=False)
-class Slice:
-    """A part of a month in which one version holds; compared by identity."""
+class MonthSlice:
+    """Part of a month in which one version is in force; compared by identity.
+
+    ``begin_s`` and ``end_s`` are in seconds since 1970 UTC.
+    """
 
     begin_s: int
     end_s: int
-    version: Version
+    version: RulesVersion
 
     @property
     def rules(self) -> RuleSet:
-        """The rules that hold."""
+        """Rules that are in force."""
         return self.version.rules
 
 
-def slice_month(versions: Sequence[Version], month: Month) -> tuple[Slice, ...]:
-    """Return the parts of the month by version, without empty parts.
+def slice_month(
+    versions: Sequence[RulesVersion], month: Month
+) -> tuple[MonthSlice, ...]:
+    """Divide a month into one slice per version, without empty slices.
+
+    Of several versions with the same time of acceptance, the last one is in force.
+    The part of the month before the first version belongs to no slice.
 
-    Of versions with the same time of acceptance the last one holds. A part of the
-    month before the first version belongs to no slice.
+    Parameters
+    ----------
+    versions : sequence of RulesVersion
+        Versions in the order of their times of acceptance.
+    month : Month
+        The month.
     """
-    starts = [_start(version, month) for version in versions]
+    starts = [_get_start_in_month(version, month) for version in versions]
     ends = [*starts[1:], month.end_s]
     return tuple(
-        Slice(begin_s, min(end_s, month.end_s), version)
+        MonthSlice(begin_s, min(end_s, month.end_s), version)
         for version, begin_s, end_s in zip(versions, starts, ends, strict=True)
         if begin_s < min(end_s, month.end_s)
     )
 
 
-def _start(version: Version, month: Month) -> int:
+def _get_start_in_month(version: RulesVersion, month: Month) -> int:
+    """Return the later of a version's acceptance and the begin of the month.
+
+    The result is in seconds since 1970 UTC.
+    """
     if version.accepted_s is None:
         return month.begin_s
     return max(version.accepted_s, month.begin_s)
 
 
-def as_versions(rules: RuleSet | Iterable[Version]) -> tuple[Version, ...]:
-    """Return rules as one version that holds since ever, or versions by time."""
+def as_versions(rules: RuleSet | Iterable[RulesVersion]) -> tuple[RulesVersion, ...]:
+    """Return a rule set as a single version, or versions sorted by acceptance.
+
+    The version of a rule set has no time of acceptance, so that it is in force in
+    the whole month. Versions with the same time of acceptance are sorted by number.
+    """
     if isinstance(rules, RuleSet):
-        return (Version(rules),)
+        return (RulesVersion(rules),)
     return tuple(sorted(rules, key=lambda v: (v.accepted_s or 0, v.number)))
