Reword the comments and messages of core/ranks

Comments, doc comments and the error messages of the map and count encodings name their subjects and units. A step is defined as the number of a pass, and the phases of a map change name who sends and who refuses an order. Behaviour does not change.

--- a/packages/core/src/bluebellusher_core/ranks/__init__.py
+++ b/packages/core/src/bluebellusher_core/ranks/__init__.py
@@ -1,8 +1,11 @@
-"""Groups of ranks whose engines switch expert maps by orders.
+"""Changes of the expert map of a group of ranks, made by orders to their engines.
 
-An engine prepares a map, holds a step, arms a prepared map for a step and goes on
-from a held step. ``MapChange`` decides which orders lead a group to a new map so that
-no pass begins with two maps, whoever fails and whichever order arrives late.
+The ranks of a group run every forward pass together; a step is the number of a pass.
+An engine carries out four orders: prepare a map (load its weights), hold a step (wait
+before that pass), arm a prepared map for a step (use it from that pass on) and release
+a held step. ``MapChange`` decides which orders bring a group to a new map. All ranks
+use the same map in every pass, even when leaders or ranks fail and orders are lost or
+delayed.
 """
 
 from bluebellusher_core.ranks._change import (
--- a/packages/core/src/bluebellusher_core/ranks/_change.py
+++ b/packages/core/src/bluebellusher_core/ranks/_change.py
@@ -1,28 +1,32 @@
-"""Leader's side of a change of expert maps.
-
-The orders follow from the observed states alone, so that a new leader goes on where
-the last one stopped:
-
-1. Fence: every agent knows the leader's token before its state counts, and refuses
-   orders of earlier leaders from then on. This is done twice. States that carry the
-   second token were read after the last agent was fenced with the first one, so that
-   they show everything that earlier leaders acted upon.
-2. Prepare one version everywhere. Versions contain the token, so that two leaders
-   never give one version to two maps.
-3. Hold a step at one rank, and wait until it is seen held there. A hold lasts until
-   it is released, hence the group does not begin that step.
-4. Arm every rank for that step. No order to arm is sent before the hold was seen.
-5. Release the step once every rank was seen armed, and never before.
-
-An order without an answer may still be carried out seconds later. A late prepare has
-an old version and is refused; a late hold or arm is refused once its step has begun,
-and a step only begins when all ranks are armed for it. From step 4 on the change is
-completed and never taken back, because an order to arm may be on its way. A group
-that is formed anew forgets everything, and refuses orders of its earlier epoch.
-
-A hold that is carried out late, while ranks differ in what they have prepared, is not
-simply released: the release could be late in turn, and come when ranks are being armed
-for the same step. The step is used instead, for a map that the leader prepares then.
+"""Leader's part of a change of the expert map.
+
+The leader derives its orders from the reported states of the ranks, so that a new
+leader can continue a change that its predecessor started. A change has five phases:
+
+1. Fence every agent with the leader's fencing token. From then on the agent refuses
+   orders of earlier leaders, and the leader uses its reports. The leader fences twice,
+   with two tokens: a state with the second token was read after the last agent had
+   accepted the first one, so it includes the effects of all orders that agents
+   accepted from earlier leaders.
+2. Prepare one version of the map on every rank. Versions contain the leader's token,
+   so that two leaders never assign the same version to different maps.
+3. Hold a step at one rank, and wait until the rank reports the hold. A hold lasts
+   until it is released, so the group cannot start the pass of that step.
+4. Arm every rank for that step. The leader sends no order to arm before the hold is
+   reported.
+5. Release the step after every rank has reported that it is armed, and never before.
+
+An engine may carry out an unanswered order seconds after it was sent. A delayed order
+to prepare has an old version and is refused. A delayed order to hold or arm is refused
+when its step has started, and a held step starts only when all ranks are armed for it.
+From phase 4 on the leader always completes the change and never aborts it, because
+orders to arm may still be in transit. A group that is formed again starts with empty
+state, and its ranks refuse orders of the previous epoch.
+
+An engine may also carry out a delayed hold while the ranks have prepared different
+versions. The leader does not simply release that hold, because the release could be
+delayed as well and take effect while ranks are being armed for the same step. It
+prepares a map on all ranks and uses the held step to switch to that map.
 """
 
 from dataclasses import dataclass, field
@@ -36,20 +40,26 @@
     RankState,
 )
 
-# Passes between the latest known one and the one to hold. With two, ranks are armed
-# while the pass before the held one runs, and the group does not wait where no order
-# is lost; each further one delays every change by a pass.
+# Number of passes from the latest reported step to the step to hold. With 2, the ranks
+# are armed while the pass before the held one runs, so that the group does not wait
+# unless an order is lost. Each additional pass delays every change by one pass.
 HOLD_LEAD_STEPS = 2
-# Versions carry the leader's token, so that no two leaders use the same one.
+# A map version is the leader's token times this factor, plus a counter, so that two
+# leaders never use the same version.
 VERSIONS_PER_TOKEN = 2**20
-# Each leader fences twice.
+# Number of fencing tokens that each leader uses; it fences every agent twice.
 FENCES_PER_TOKEN = 2
-# Engines carry out an unanswered order within 12 s.
+# Time after which an unanswered order can no longer take effect. Engines carry out
+# such orders within 12 s.
 LATE_ORDER_MS = 13_000
 
 
 class ChangePhase(StrEnum):
-    """Where a group stands."""
+    """Phase of a map change of one group.
+
+    In ``BLOCKED`` a step is held, but no map can be armed for it until a new target
+    map is set.
+    """
 
     IDLE = "idle"
     FENCING = "fencing"
@@ -61,23 +71,24 @@
 
 
 def leader_token_of(fencing_token: int) -> int:
-    """Return the token of the leader that fenced an agent with ``fencing_token``."""
+    """Return the lease token of the leader that uses ``fencing_token``."""
     return fencing_token // FENCES_PER_TOKEN
 
 
 @dataclass(slots=True)
 class MapChange:
-    """Orders that lead one group to the map that is wanted.
+    """Decides which orders bring one group of ranks to the target map.
 
     Parameters
     ----------
     leader_token : int
-        Token of the leader's lease.
+        Fencing token of the leader's lease.
     phase : ChangePhase
-        Where the group stood at the last decision. In ``BLOCKED`` a step is held that
-        can only be used with another map; want the present one again.
+        Phase at the last call of ``decide``. In ``BLOCKED`` a step is held, and the
+        group waits for a new target map. The current map under a new version serves,
+        because its weights are already loaded.
     wanted_version : int
-        The map to change to; 0 for none.
+        Version of the target map; 0 for none.
     """
 
     leader_token: int
@@ -88,23 +99,33 @@
     _epoch: int = -1
     _n_versions: int = 0
     _hold_step: int = 0
-    # Whether an own order to prepare may be on its way in this epoch.
+    # Whether this leader has sent an order to prepare in the current epoch, which may
+    # still be in transit.
     _has_prepared: bool = False
-    # The step that is held, and when it was first seen held.
+    # The held step, and the monotonic time in ms at which a rank first reported it.
     _held: tuple[int, int] = (0, 0)
 
     @property
     def is_idle(self) -> bool:
-        """Whether a new map may be wanted."""
+        """Whether no change is in progress, so that a target map may be set."""
         return self.phase is ChangePhase.IDLE
 
     @property
     def is_blocked(self) -> bool:
-        """Whether a held step waits for a map to be wanted."""
+        """Whether a held step cannot be released until a target map is set."""
         return self.phase is ChangePhase.BLOCKED
 
     def want(self, experts_by_rank: ExpertMap, epoch: int) -> int:
-        """Begin to change to a map of an epoch; return its version."""
+        """Start the change to a new target map and return its version.
+
+        Parameters
+        ----------
+        experts_by_rank : ExpertMap
+            The target map.
+        epoch : int
+            Epoch of the group that the map was planned for. The change is aborted
+            when the group reports another epoch.
+        """
         self._n_versions += 1
         self.wanted_version = self.leader_token * VERSIONS_PER_TOKEN + self._n_versions
         self._wanted = experts_by_rank
@@ -114,14 +135,26 @@
         return self.wanted_version
 
     def give_up(self) -> None:
-        """Forget a map that is not prepared everywhere; nothing was armed for it."""
+        """Discard the target map, after its change has completed or to abort it.
+
+        A change may be aborted only while the map is not prepared on all ranks, so that
+        no rank has been armed for it.
+        """
         self.wanted_version = 0
         self._wanted = ()
         self._hold_step = 0
         self.phase = ChangePhase.IDLE
 
     def decide(self, view: GroupView, now_ms: int) -> list[RankOrder]:
-        """Return the orders that are due by the states of all ranks."""
+        """Return the orders to send to the ranks now.
+
+        Parameters
+        ----------
+        view : GroupView
+            Reported states of all ranks.
+        now_ms : int
+            Monotonic time.
+        """
         first = self.leader_token * FENCES_PER_TOKEN
         for token in range(first, first + FENCES_PER_TOKEN):
             unfenced = [s for s in view.states if s.fencing_token < token]
@@ -144,7 +177,7 @@
         return self._decide_free(view)
 
     def _go_on_armed(self, view: GroupView) -> list[RankOrder]:
-        """Arm the other ranks for the same step, and release it when all are armed."""
+        """Arm the remaining ranks, or release the held step when all are armed."""
         version, step = view.armed[0].armed_version, view.armed[0].armed_step
         missing = [s for s in view.states if s.armed_version != version]
         if missing:
@@ -157,7 +190,7 @@
         ]
 
     def _decide_held(self, view: GroupView, now_ms: int) -> list[RankOrder]:
-        """Use a held step for which no rank is armed yet."""
+        """Arm the ranks for a held step, or first prepare the target map on them."""
         step = view.held[0].held_step or 0
         if self._held[0] != step:
             self._held = (step, now_ms)
@@ -166,7 +199,7 @@
             if self._may_arm(version, now_ms - self._held[1]):
                 return self._arm(view.states, version, step)
             if not self._has_prepared:
-                # An order to arm for this version may be on its way.
+                # An order to arm for this version may still be in transit.
                 self.phase = ChangePhase.ARMING
                 return []
         if not self.wanted_version:
@@ -176,11 +209,19 @@
         return self._prepare(view)
 
     def _may_arm(self, version: int, held_ms: int) -> bool:
-        """Return whether no order to prepare another version can be on its way.
+        """Return whether no order to prepare another version can be in transit.
+
+        If a rank carried out such an order before its order to arm, it could not be
+        armed, and the ranks would end up with different maps. Earlier leaders send no
+        order to prepare while they observe a held step, but the hold may have been
+        carried out late, after such an order was sent.
 
-        One that is carried out between two orders to arm would leave the ranks with
-        different maps. Earlier leaders prepare nothing while they see a held step, but
-        the step may have been held late.
+        Parameters
+        ----------
+        version : int
+            Version that all ranks have prepared.
+        held_ms : int
+            Time since the held step was first reported.
         """
         if version == self.wanted_version:
             return True
@@ -190,6 +231,7 @@
         return is_of_last_leader or held_ms >= LATE_ORDER_MS
 
     def _decide_free(self, view: GroupView) -> list[RankOrder]:
+        """Prepare the target map on all ranks, then hold a step at one of them."""
         if not self.wanted_version:
             self.phase = ChangePhase.IDLE
             return []
@@ -206,7 +248,7 @@
         return [self._order(view.states[0], OrderAction.HOLD, step=self._hold_step)]
 
     def _prepare(self, view: GroupView) -> list[RankOrder]:
-        """Return the orders to prepare the wanted map where it is missing."""
+        """Return an order for each rank that has not prepared the target map."""
         missing = [s for s in view.states if s.prepared_version != self.wanted_version]
         self._has_prepared = self._has_prepared or bool(missing)
         return [
@@ -217,6 +259,7 @@
         ]
 
     def _arm(self, states: list[RankState], version: int, step: int) -> list[RankOrder]:
+        """Return an order to arm for each rank that does not use ``version`` yet."""
         self.phase = ChangePhase.ARMING
         return [
             self._order(state, OrderAction.ARM, version, step)
@@ -232,6 +275,7 @@
         step: int = 0,
         experts: ExpertMap = (),
     ) -> RankOrder:
+        """Return an order with the second fencing token of this leader."""
         token = (self.leader_token + 1) * FENCES_PER_TOKEN - 1
         return RankOrder(
             state.rank_id, action, state.epoch, version, step, experts, token
--- a/packages/core/src/bluebellusher_core/ranks/_counts.py
+++ b/packages/core/src/bluebellusher_core/ranks/_counts.py
@@ -1,8 +1,9 @@
-"""Counts of chosen experts in a compact form.
+"""Compact encoding of the counts of expert choices.
 
-Leaders ask for counts several times a second, and bytes between failure domains are
-dear. Shares are sent as square roots in one byte each, which keeps a relative precision
-of some percent down to a thousandth of the largest count.
+Leaders request these counts several times a second, and traffic between failure domains
+is expensive. Each count is encoded in one byte, as the square root of its ratio to the
+largest count. Counts down to a thousandth of the largest one keep a relative precision
+of a few percent.
 """
 
 import struct
@@ -15,7 +16,7 @@
 
 
 def pack_counts(counts: Sequence[int]) -> bytes:
-    """Return counts in a compact form; negative ones count as 0.
+    """Encode counts as bytes; negative counts are encoded as 0.
 
     Examples
     --------
@@ -30,12 +31,15 @@
 
 
 def unpack_counts(data: bytes) -> list[int]:
-    """Return the counts, rounded as ``pack_counts`` did; empty when all were 0.
+    """Decode the result of ``pack_counts``.
+
+    The counts are rounded to the precision of the encoding. The list is empty when all
+    counts were 0.
 
     Raises
     ------
     ValueError
-        When the data was not made by ``pack_counts``.
+        When the data is not a result of ``pack_counts``.
     """
     if len(data) < _LARGEST.size:
         raise ValueError(f"{len(data)} bytes: expected at least {_LARGEST.size}")
@@ -45,5 +49,5 @@
     try:
         roots = zlib.decompress(data[_LARGEST.size :])
     except zlib.error as error:
-        raise ValueError(f"counts cannot be unpacked: {error}") from None
+        raise ValueError(f"counts cannot be decompressed: {error}") from None
     return [round(largest * root * root / (_SCALE * _SCALE)) for root in roots]
--- a/packages/core/src/bluebellusher_core/ranks/_packed_map.py
+++ b/packages/core/src/bluebellusher_core/ranks/_packed_map.py
@@ -1,7 +1,7 @@
-"""Expert maps in a compact form.
+"""Compact encoding of expert maps.
 
-Every rank of a group gets the whole map with each change, and bytes between failure
-domains are dear.
+Every rank of a group receives the whole map with each change, and traffic between
+failure domains is expensive.
 """
 
 import struct
@@ -13,12 +13,13 @@
 
 _SIZES = struct.Struct(">HH")
 _NUMBER_BYTES = 2
-# A map of 1,024 ranks with 64 experts in each of 128 layers has this size.
+# Limit of the decompressed size, in bytes. A map of 1,024 ranks with 64 experts each in
+# 128 layers has this size.
 MAX_MAP_BYTES = 16 * 1024 * 1024
 
 
 def pack_map(experts: ExpertMap) -> bytes:
-    """Return a map by layer and rank in a compact form.
+    """Encode a map as bytes.
 
     Examples
     --------
@@ -35,12 +36,12 @@
 
 
 def unpack_map(data: bytes) -> ExpertMap:
-    """Return a map that ``pack_map`` has packed.
+    """Decode the result of ``pack_map``.
 
     Raises
     ------
     ValueError
-        When the data was not made by ``pack_map``.
+        When the data is not a result of ``pack_map``.
     """
     if len(data) < _SIZES.size:
         raise ValueError(f"{len(data)} bytes: expected at least {_SIZES.size}")
@@ -50,26 +51,28 @@
         tuple(_take_held(numbers) for _ in range(n_ranks)) for _ in range(n_layers)
     )
     if next(numbers, None) is not None:
-        raise ValueError("map is longer than its sizes say")
+        raise ValueError("map has more numbers than its header declares")
     return layers
 
 
 def _unpack_numbers(data: bytes) -> tuple[int, ...]:
+    """Decompress the 16-bit numbers that follow the header of an encoded map."""
     decompressor = zlib.decompressobj()
     try:
         content = decompressor.decompress(data, MAX_MAP_BYTES)
     except zlib.error as error:
-        raise ValueError(f"map cannot be unpacked: {error}") from None
+        raise ValueError(f"map cannot be decompressed: {error}") from None
     if not decompressor.eof or len(content) % _NUMBER_BYTES:
-        raise ValueError("map is cut or too long")
+        raise ValueError("map is truncated or too long")
     return struct.unpack(f">{len(content) // _NUMBER_BYTES}H", content)
 
 
 def _take_held(numbers: Iterator[int]) -> tuple[int, ...]:
+    """Read the experts of one rank in one layer: their number, then each index."""
     n_held = next(numbers, None)
     if n_held is None:
-        raise ValueError("map is shorter than its sizes say")
+        raise ValueError("map has fewer numbers than its header declares")
     held = tuple(islice(numbers, n_held))
     if len(held) < n_held:
-        raise ValueError("map is shorter than its sizes say")
+        raise ValueError("map has fewer numbers than its header declares")
     return held
--- a/packages/core/src/bluebellusher_core/ranks/_state.py
+++ b/packages/core/src/bluebellusher_core/ranks/_state.py
@@ -1,41 +1,43 @@
-"""What is known of ranks, and the orders that they take."""
+"""Reported states of ranks, and the orders that are sent to them."""
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from enum import StrEnum
 
 ExpertMap = tuple[tuple[tuple[int, ...], ...], ...]
-"""Experts by layer and rank."""
+"""Indices of the experts that each rank holds, by layer and rank."""
 
 
 @dataclass(frozen=True, slots=True)
 class RankState:
-    """What one rank reports.
+    """State that one rank has reported.
 
     Parameters
     ----------
     rank_id : str
-        Endpoint that runs the rank.
+        Id of the endpoint that runs the rank.
     group_id : str
-        Its group.
+        Id of the group that the rank belongs to.
     epoch : int
-        Grows each time the group is formed anew, with map 0 and nothing prepared.
+        Number of the formation of the group. It increases each time the group is
+        formed again, which resets the map to version 0 and discards prepared maps.
     rank, n_ranks : int
-        Place in the group, and its size.
+        Index of the rank in the group, and number of ranks in the group.
     is_open : bool
-        Whether the group runs.
+        Whether the group is running.
     step : int
-        The last pass that was begun.
+        Number of the last pass that the rank has started.
     map_version : int
-        The map in use.
+        Version of the map in use.
     prepared_version : int
-        The map whose experts are all there; 0 for none.
+        Version of the map whose weights are all loaded; 0 for none.
     armed_version, armed_step : int
-        The map that is used from that step on; 0 when not armed.
+        Version of the map to switch to, and the first step that uses it; both 0 when
+        the rank is not armed.
     held_step : int or None
-        The step that waits here for its release.
+        Step that the rank does not start before its release; None for no hold.
     fencing_token : int
-        Highest token that the rank's agent has seen.
+        Highest fencing token that the rank's agent has accepted.
     read_at_ms : int
         Monotonic time at which the state was received.
     """
@@ -57,7 +59,13 @@
 
 
 class OrderAction(StrEnum):
-    """What a rank is told."""
+    """Kind of an order to a rank.
+
+    ``FENCE`` raises the lowest fencing token that the agent accepts and does not reach
+    the engine. ``PREPARE`` loads the weights of a map, ``HOLD`` keeps the group from
+    starting a step, ``ARM`` makes the rank use a prepared map from a step on, and
+    ``GO`` releases a held step.
+    """
 
     FENCE = "fence"
     PREPARE = "prepare"
@@ -68,10 +76,25 @@
 
 @dataclass(frozen=True, slots=True)
 class RankOrder:
-    """An order to one rank; it is refused in another epoch.
+    """Order to one rank; a rank in another epoch refuses it.
 
-    ``experts_by_rank`` is the whole map by layer and rank, for ``PREPARE`` only.
-    ``fencing_token`` is compared by agents, and by engines that check it; 0 for none.
+    Parameters
+    ----------
+    rank_id : str
+        Id of the endpoint that runs the rank.
+    action : OrderAction
+        Kind of the order.
+    epoch : int
+        Epoch of the group that the order applies to.
+    map_version : int
+        Version of the map, for ``PREPARE`` and ``ARM``.
+    step : int
+        Step to hold, to arm for or to release.
+    experts_by_rank : ExpertMap
+        The whole map, for ``PREPARE`` only.
+    fencing_token : int
+        Token that the rank's agent checks, and the engine if it supports fencing; 0
+        for none.
     """
 
     rank_id: str
@@ -85,7 +108,7 @@
 
 @dataclass(frozen=True, slots=True)
 class GroupView:
-    """The states of all ranks of one group in one epoch."""
+    """States of all ranks of one group, all from the same epoch."""
 
     group_id: str
     epoch: int
@@ -95,14 +118,19 @@
     def from_states(
         cls, states: Iterable[RankState], now_ms: int, max_age_ms: int
     ) -> "GroupView | None":
-        """Return the view of a group, or None unless every rank is known and open.
+        """Return the view of a group, or None if it would be incomplete.
+
+        A view needs a recent state of every rank, with the latest epoch and an open
+        group.
 
         Parameters
         ----------
         states : iterable of RankState
             Latest states of the ranks of one group.
-        now_ms, max_age_ms : int
-            Monotonic time, and the age from which a state no longer counts.
+        now_ms : int
+            Monotonic time.
+        max_age_ms : int
+            Age above which a state is ignored.
         """
         states = [s for s in states if now_ms - s.read_at_ms <= max_age_ms]
         if not states:
@@ -116,32 +144,32 @@
 
     @property
     def states(self) -> list[RankState]:
-        """States in the order of the ranks."""
+        """States ordered by the index of the rank."""
         return [self.state_by_rank[rank] for rank in sorted(self.state_by_rank)]
 
     @property
     def step(self) -> int:
-        """The last pass that any rank is known to have begun."""
+        """Highest step that any rank has reported as started."""
         return max(state.step for state in self.states)
 
     @property
     def held(self) -> list[RankState]:
-        """Ranks at which a step is held."""
+        """States of the ranks at which a step is held."""
         return [state for state in self.states if state.held_step is not None]
 
     @property
     def armed(self) -> list[RankState]:
-        """Ranks that are armed."""
+        """States of the ranks that are armed."""
         return [state for state in self.states if state.armed_version]
 
     @property
     def common_prepared_version(self) -> int:
-        """The version that every rank has prepared; 0 when they differ."""
+        """Version that all ranks have prepared; 0 if they differ."""
         versions = {state.prepared_version for state in self.states}
         return versions.pop() if len(versions) == 1 else 0
 
     @property
     def common_map_version(self) -> int | None:
-        """The version that every rank uses, or None while they differ."""
+        """Version that all ranks use; None if they differ."""
         versions = {state.map_version for state in self.states}
         return versions.pop() if len(versions) == 1 else None
--- a/packages/core/src/bluebellusher_core/ranks/tests/_engines.py
+++ b/packages/core/src/bluebellusher_core/ranks/tests/_engines.py
@@ -1,4 +1,4 @@
-"""Engines of one group, agents and a network that delays, as a model for tests."""
+"""Test model of a group: its engines, their agents and a network that delays orders."""
 
 from dataclasses import dataclass
 
@@ -7,7 +7,7 @@
 
 @dataclass
 class Engine:
-    """One rank; the rules are those that engines state for their orders."""
+    """Model of the engine of one rank; it accepts and refuses orders as engines do."""
 
     rank: int
     n_ranks: int
@@ -20,7 +20,7 @@
     held_step: int | None = None
 
     def execute(self, order: RankOrder, step: int) -> None:
-        """Carry out an order that still fits, and ignore one that does not."""
+        """Carry out an order if it is valid in the current state, else ignore it."""
         if order.epoch != self.epoch:
             return
         match order.action:
@@ -40,10 +40,11 @@
 
 
 class Group:
-    """All ranks of a group, and the agents beside them.
+    """Model of all ranks of a group and their agents.
 
-    Orders pass an agent, which refuses tokens lower than the highest one it has seen,
-    and then an engine, which may carry them out much later and in another order.
+    An agent refuses orders with a fencing token below the highest one that it has
+    accepted. The engine may carry out an accepted order much later, and may carry out
+    several of them in any sequence.
     """
 
     def __init__(self, n_ranks: int) -> None:
@@ -55,11 +56,11 @@
         self.n_switches = 0
 
     def send(self, orders: list[RankOrder]) -> None:
-        """Put orders on their way to the agents."""
+        """Send orders to the agents; they stay in transit until they are delivered."""
         self.under_way += orders
 
     def deliver(self, at: int) -> None:
-        """Let one order reach its agent."""
+        """Deliver one order in transit to its agent, which accepts or refuses it."""
         order = self.under_way.pop(at % len(self.under_way))
         rank = int(order.rank_id)
         if order.fencing_token < self.token_by_rank[rank]:
@@ -68,19 +69,25 @@
         self.accepted.append((rank, order))
 
     def deliver_directly(self, at: int) -> None:
-        """Let an order to arm or to go on reach its engine past the agent."""
+        """Deliver an order to arm or release to its engine, bypassing the agent."""
         order = self.under_way[at % len(self.under_way)]
         if order.action in (OrderAction.ARM, OrderAction.GO):
             self.under_way.remove(order)
             self.accepted.append((int(order.rank_id), order))
 
     def execute(self, at: int) -> None:
-        """Let an engine carry out one accepted order."""
+        """Make an engine carry out one accepted order."""
         rank, order = self.accepted.pop(at % len(self.accepted))
         self.engines[rank].execute(order, self.step)
 
     def begin_pass(self) -> None:
-        """Begin the next pass unless a rank holds it; all maps must be equal."""
+        """Start the next pass unless a rank holds its step.
+
+        Raises
+        ------
+        AssertionError
+            When the ranks start the pass with different maps.
+        """
         step = self.step + 1
         if any(engine.held_step == step for engine in self.engines):
             return
@@ -91,15 +98,15 @@
                 engine.armed = None
                 self.n_switches += engine.rank == 0
         maps = {(e.map_version, repr(e.map_content)) for e in self.engines}
-        assert len(maps) == 1, f"pass {step} begins with maps {maps}"
+        assert len(maps) == 1, f"pass {step} starts with different maps {maps}"
 
     def form_anew(self) -> None:
-        """Form the group anew after the crash of a rank."""
+        """Form the group again in a new epoch, as after the crash of a rank."""
         n_ranks, epoch = len(self.engines), self.engines[0].epoch + 1
         self.engines = [Engine(rank, n_ranks, epoch) for rank in range(n_ranks)]
 
     def read(self, rank: int) -> RankState:
-        """Return what the agent of a rank reports now."""
+        """Return the state that the agent of a rank reports now."""
         engine = self.engines[rank]
         armed = engine.armed or (0, 0, "")
         return RankState(
--- a/packages/core/src/bluebellusher_core/ranks/tests/test_change_machine.py
+++ b/packages/core/src/bluebellusher_core/ranks/tests/test_change_machine.py
@@ -1,4 +1,4 @@
-"""Changes of expert maps under late orders, lost leaders and crashed ranks."""
+"""Map changes with delayed orders, failed leaders and crashed ranks."""
 
 from dataclasses import replace
 from random import Random
@@ -36,7 +36,10 @@
 
 
 class _Leader:
-    """A leader and what it knows; it may go on after a newer one has begun."""
+    """A leader with the last reported states of the ranks.
+
+    It may continue to send orders after a newer leader has started.
+    """
 
     def __init__(self, token):
         self.token = token
@@ -45,41 +48,41 @@
         self.n_maps = 0
 
     def want(self, epoch):
-        """Want a map that no other leader wants."""
+        """Set a target map that differs from the maps of all other leaders."""
         self.n_maps += 1
         return self.change.want((((self.token, self.n_maps),),), epoch)
 
 
 class ChangeMachine(RuleBasedStateMachine):
-    """Guards against a pass that begins with two maps.
+    """Guards against a pass that starts with different maps on its ranks.
 
-    Every step of the protocol can be interleaved with every other: orders reach
-    agents late, engines carry them out late and out of order, leaders stop and new
-    ones begin while the old ones go on, and the group is formed anew.
+    The actions of the protocol are interleaved in every way: agents receive orders
+    late, engines carry them out late and out of order, new leaders start while old
+    ones stop or continue, and the group is formed again.
     """
 
     @initialize()
     def start(self):
-        """Start a group with its first leader."""
+        """Create a group with its first leader."""
         self.group = Group(N_RANKS)
         self.leaders = [_Leader(1)]
         self.now_ms = 0
 
     @rule(at=PLACES, rank=RANKS)
     def report(self, at, rank):
-        """Tell a leader the present state of one rank."""
+        """Deliver a report of the current state of one rank to a leader."""
         leader = self.leaders[at % len(self.leaders)]
         leader.state_by_rank[rank] = self.group.read(rank)
 
     @rule(at=PLACES)
     def report_all(self, at):
-        """Tell a leader the present state of every rank."""
+        """Deliver reports of the current state of every rank to a leader."""
         for rank in range(N_RANKS):
             self.report(at, rank)
 
     @rule(at=PLACES)
     def decide(self, at):
-        """Let a leader give the orders that are due."""
+        """Make a leader send the orders that it decides on."""
         leader = self.leaders[at % len(self.leaders)]
         view = GroupView.from_states(leader.state_by_rank.values(), 0, MAX_AGE_MS)
         if view is None:
@@ -90,7 +93,7 @@
 
     @rule(at=PLACES)
     def want(self, at):
-        """Let an idle leader want a new map."""
+        """Make an idle leader set a new target map."""
         leader = self.leaders[at % len(self.leaders)]
         view = GroupView.from_states(leader.state_by_rank.values(), 0, MAX_AGE_MS)
         if view is None or not leader.change.is_idle:
@@ -99,7 +102,7 @@
 
     @rule(at=PLACES)
     def give_up(self, at):
-        """Let a leader give up a map that takes too long to prepare."""
+        """Make a leader abort a change whose map takes too long to prepare."""
         leader = self.leaders[at % len(self.leaders)]
         view = GroupView.from_states(leader.state_by_rank.values(), 0, MAX_AGE_MS)
         if view is not None and not view.armed and not view.held:
@@ -108,15 +111,15 @@
     @precondition(lambda self: self.group.under_way)
     @rule(at=PLACES)
     def deliver(self, at):
-        """Let an order reach its agent."""
+        """Deliver one order to its agent."""
         self.group.deliver(at)
 
     @precondition(lambda self: self.group.under_way)
     @rule(at=PLACES)
     def deliver_directly(self, at):
-        """Let an order of the newest leader pass its agent by.
+        """Deliver an order of the newest leader to its engine, bypassing the agent.
 
-        Stricter than the product, in which every order passes an agent.
+        This is stricter than the product, in which an agent checks every order.
         """
         order = self.group.under_way[at % len(self.group.under_way)]
         if leader_token_of(order.fencing_token) == self.leaders[-1].token:
@@ -125,31 +128,31 @@
     @precondition(lambda self: self.group.under_way)
     @rule(at=PLACES)
     def lose(self, at):
-        """Lose an order on its way."""
+        """Lose an order in transit."""
         del self.group.under_way[at % len(self.group.under_way)]
 
     @precondition(lambda self: self.group.accepted)
     @rule(at=PLACES)
     def execute(self, at):
-        """Let an engine carry out an order."""
+        """Make an engine carry out one order."""
         self.group.execute(at)
 
     @precondition(lambda self: self.group.accepted)
     @rule()
     def execute_all(self):
-        """Let the engines carry out all orders."""
+        """Make the engines carry out all accepted orders."""
         while self.group.accepted:
             self.group.execute(0)
 
     @rule(n=st.integers(1, 3))
     def begin_passes(self, n):
-        """Let the group go on."""
+        """Run up to ``n`` passes of the group."""
         for _ in range(n):
             self.group.begin_pass()
 
     @rule(seed=st.integers(0, 2**32), n=st.integers(20, 200))
     def churn(self, seed, n):
-        """Do many small steps in an arbitrary order."""
+        """Run ``n`` weighted random actions, chosen by ``seed``."""
         chance = Random(seed)
         for name in chance.choices(ACTIONS, WEIGHT_BY_ACTION.values(), k=n):
             at = chance.randrange(1_000)
@@ -177,7 +180,7 @@
 
     @rule(n=st.integers(1, 6), at=PLACES)
     def work(self, n, at):
-        """Let everything go on in order for a while."""
+        """Run ``n`` rounds in which each order is delivered and carried out at once."""
         for _ in range(n):
             self.report_all(at)
             self.decide(at)
@@ -185,22 +188,22 @@
                 self.group.deliver(0)
             self.execute_all()
             self.group.begin_pass()
-        # No order is carried out later than this.
+        # After this time no engine carries out an earlier order any more.
         self.now_ms += LATE_ORDER_MS
 
     @precondition(lambda self: len(self.leaders) < 4)
     @rule()
     def replace_leader(self):
-        """Begin a new leader; the old one does not know yet."""
+        """Start a new leader while the old one continues."""
         self.leaders.append(_Leader(self.leaders[-1].token + 1))
 
     @rule()
     def form_anew(self):
-        """Form the group anew."""
+        """Form the group again in a new epoch."""
         self.group.form_anew()
 
     def teardown(self):
-        """Guards against a group that waits at a held step for ever."""
+        """Guards against a group that waits at a held step forever."""
         if not hasattr(self, "group"):
             return
         leader = len(self.leaders) - 1
@@ -208,7 +211,7 @@
         self.work(20, leader)
         step = self.group.step
         self.work(3, leader)
-        assert self.group.step == step + 3, "the group is held"
+        assert self.group.step == step + 3, "the group still waits at a held step"
 
 
 TestChangeMachine = ChangeMachine.TestCase
@@ -216,14 +219,14 @@
 
 
 def run_in_order(group, leader, n):
-    """Let one leader and the group go on without faults."""
+    """Run ``n`` rounds of one leader and its group without faults."""
     machine = ChangeMachine()
     machine.group, machine.leaders, machine.now_ms = group, [leader], 0
     machine.work(n, 0)
 
 
 def test_change_arrives_without_faults():
-    """Guards against a protocol that is safe because it never changes anything."""
+    """Guards against a protocol that is safe because it never changes the map."""
     group, leader = Group(N_RANKS), _Leader(1)
     run_in_order(group, leader, 3)
     version = leader.want(epoch=1)
@@ -234,7 +237,7 @@
 
 
 def test_new_leader_completes_a_change_that_was_armed():
-    """Guards against a step that stays held when its leader dies."""
+    """Guards against a step that stays held after its leader has failed."""
     group, first = Group(N_RANKS), _Leader(1)
     run_in_order(group, first, 2)
     version = first.want(epoch=1)
@@ -250,28 +253,28 @@
         if group.engines[0].armed:
             break
     assert group.engines[0].armed
-    # One rank has not heard of it.
+    # Rank 2 has not received its order to arm.
     group.engines[2].armed = None
     run_in_order(group, _Leader(2), 8)
     assert [engine.map_version for engine in group.engines] == [version] * N_RANKS
 
 
 def see(group, leader, now_ms=0):
-    """Let a leader read every rank; return its orders."""
+    """Return the orders of a leader that has received the state of every rank."""
     states = [group.read(rank) for rank in range(N_RANKS)]
     view = GroupView.from_states(states, 0, MAX_AGE_MS)
     return leader.change.decide(view, now_ms)
 
 
 def deliver_all(group, orders):
-    """Let agents accept orders that their engines carry out later."""
+    """Deliver orders to the agents; the engines do not carry them out yet."""
     group.send(orders)
     while group.under_way:
         group.deliver(0)
 
 
 def prepare_all(group, leader):
-    """Lead a group to the point at which a step is to be held."""
+    """Prepare a map on all ranks, so that the leader's next order is to hold a step."""
     run_in_order(group, leader, 3)
     leader.want(epoch=1)
     deliver_all(group, see(group, leader))
@@ -280,7 +283,14 @@
 
 
 def take_over_before_late_hold():
-    """Return a group that is held for an old leader while a new one prepares."""
+    """Return a group with a delayed hold of an old leader while a new one prepares.
+
+    Returns
+    -------
+    tuple of Group, _Leader and list
+        The group, its new leader, and the new leader's accepted orders to prepare,
+        which no engine has carried out.
+    """
     group, first, second = Group(N_RANKS), _Leader(1), _Leader(2)
     prepare_all(group, first)
     deliver_all(group, see(group, first))
@@ -299,10 +309,10 @@
 
 
 def test_late_hold_is_not_used_for_a_map_that_is_being_replaced():
-    """Guards against ranks armed for one map while orders for the next are on the way.
+    """Guards against ranks armed for one map while orders to prepare another arrive.
 
-    A fuzzer found this case: an order to prepare that was carried out late kept the
-    last rank from being armed, and the step was released with two maps.
+    An order to prepare that was carried out late kept the last rank from being armed,
+    and the step was released with different maps.
     """
     group, leader, late_prepares = take_over_before_late_hold()
     orders = see(group, leader)
@@ -316,7 +326,7 @@
 
 
 def test_late_hold_is_not_released_before_ranks_are_armed():
-    """Guards against a release that is carried out when ranks are being armed."""
+    """Guards against a release that is carried out while ranks are being armed."""
     group, leader, _ = take_over_before_late_hold()
     group.engines[1].prepared = (0, "")
     for _ in range(20):
@@ -330,7 +340,10 @@
 
 
 def test_late_hold_without_a_map_waits_for_one():
-    """Guards against a release that is late when the next map is armed."""
+    """Guards against a release that is delayed until the next map is being armed.
+
+    The leader sends no release while it has no target map for the held step.
+    """
     group, leader = Group(N_RANKS), _Leader(1)
     run_in_order(group, leader, 3)
     group.engines[0].held_step = group.step + 1
@@ -343,7 +356,11 @@
 
 
 def test_leader_goes_on_with_the_held_map_of_the_one_before_it():
-    """Guards against a wait for orders that no leader can have given."""
+    """Guards against a wait for orders to prepare that no leader can have sent.
+
+    All ranks have prepared the map of the directly preceding leader, so that no order
+    to prepare another map can be in transit.
+    """
     group, first, second = Group(N_RANKS), _Leader(1), _Leader(2)
     prepare_all(group, first)
     deliver_all(group, see(group, first))
@@ -353,7 +370,11 @@
 
 
 def test_leader_waits_where_an_earlier_one_may_have_prepared_another_map():
-    """Guards against a late order to prepare between two orders to arm."""
+    """Guards against a delayed order to prepare between two orders to arm.
+
+    Leader 2 may have prepared another map before leader 3 started, so leader 3 arms the
+    map of leader 1 only when such an order can no longer take effect.
+    """
     group, first, third = Group(N_RANKS), _Leader(1), _Leader(3)
     prepare_all(group, first)
     deliver_all(group, see(group, first))
@@ -368,7 +389,10 @@
 
 
 def test_state_from_before_the_last_fence_is_not_acted_upon():
-    """Guards against a hold that only the leader before this one has seen."""
+    """Guards against a hold that only the previous leader has observed.
+
+    A state that was read before the last agent was fenced does not show this hold.
+    """
     group, first, second = Group(N_RANKS), _Leader(1), _Leader(2)
     prepare_all(group, first)
     deliver_all(group, see(group, first))
@@ -376,7 +400,8 @@
     fences = see(group, second)
     deliver_all(group, fences[:1])
     stale = group.read(0)
-    # The step is held now, and the first leader arms the ranks that still obey it.
+    # Rank 0 holds the step now, and the first leader arms the ranks whose agents the
+    # second leader has not fenced yet.
     group.accepted[:] = [late_hold]
     group.execute(0)
     deliver_all(group, see(group, first)[1:])
@@ -390,7 +415,11 @@
 
 
 def test_wait_begins_anew_with_each_held_step():
-    """Guards against orders on their way forgotten because an earlier step waited."""
+    """Guards against a wait that counts the time since an earlier held step.
+
+    Orders to prepare that are still in transit could then take effect while ranks are
+    being armed.
+    """
     group, first, third = Group(N_RANKS), _Leader(1), _Leader(3)
     prepare_all(group, first)
     group.engines[0].held_step = group.step + 1
@@ -404,7 +433,7 @@
 
 
 def test_states_of_another_epoch_give_no_view():
-    """Guards against orders that mix two incarnations of a group."""
+    """Guards against orders that are based on states of two epochs of a group."""
     group = Group(N_RANKS)
     states = [group.read(rank) for rank in range(N_RANKS)]
     states[1] = replace(states[1], epoch=2)
@@ -412,6 +441,6 @@
 
 
 def test_old_states_give_no_view():
-    """Guards against orders by what was true long ago."""
+    """Guards against orders that are based on outdated states."""
     states = [Group(N_RANKS).read(rank) for rank in range(N_RANKS)]
     assert GroupView.from_states(states, MAX_AGE_MS + 1, MAX_AGE_MS) is None
--- a/packages/core/src/bluebellusher_core/ranks/tests/test_counts.py
+++ b/packages/core/src/bluebellusher_core/ranks/tests/test_counts.py
@@ -1,4 +1,4 @@
-"""The compact form of counts."""
+"""Compact encoding of the counts of expert choices."""
 
 import pytest
 from hypothesis import given
@@ -9,20 +9,23 @@
 
 @given(st.lists(st.integers(0, 10**9), min_size=1, max_size=300))
 def test_counts_keep_their_size(counts):
-    """Guards against plans for loads that are not there."""
+    """Guards against decoded counts that differ from the measured ones.
+
+    The planner would then balance loads that the group does not have.
+    """
     found = unpack_counts(pack_counts(counts))
     largest = max(counts)
     if not largest:
         assert found == []
         return
     for count, value in zip(counts, found, strict=True):
-        # Half a step of the square root, and the rounding of its square.
+        # Half a quantization step of the square root, plus the rounding of its square.
         step = (count * largest) ** 0.5 / 255 + largest / 255**2 + 1
         assert abs(count - value) <= 2 * step
 
 
 @pytest.mark.parametrize("data", [b"", b"123", b"\0" * 7 + b"\1junk"])
 def test_damaged_counts_are_an_error(data):
-    """Guards against garbage that is taken for loads."""
+    """Guards against damaged data that is decoded as counts."""
     with pytest.raises(ValueError):
         unpack_counts(data)
--- a/packages/core/src/bluebellusher_core/ranks/tests/test_packed_map.py
+++ b/packages/core/src/bluebellusher_core/ranks/tests/test_packed_map.py
@@ -1,4 +1,4 @@
-"""Expert maps in their compact form."""
+"""Compact encoding of expert maps."""
 
 import pytest
 from hypothesis import given
@@ -11,7 +11,7 @@
 
 @st.composite
 def maps(draw):
-    """Return a map of some layers and ranks."""
+    """Draw a map of 1 to 4 layers and 1 to 5 ranks."""
     n_ranks = draw(st.integers(1, 5))
     layer = st.lists(HELD, min_size=n_ranks, max_size=n_ranks).map(tuple)
     return tuple(draw(st.lists(layer, min_size=1, max_size=4)))
@@ -19,13 +19,13 @@
 
 @given(maps())
 def test_map_comes_back_unchanged(experts):
-    """Guards against ranks that hold other experts than the leader planned."""
+    """Guards against ranks that load other experts than the leader planned."""
     assert unpack_map(pack_map(experts)) == experts
 
 
 @given(st.binary(max_size=200))
 def test_foreign_bytes_raise_a_value_error(data):
-    """Guards against one malformed order that takes an agent down."""
+    """Guards against an agent that crashes on a malformed order."""
     try:
         unpack_map(data)
     except ValueError:
@@ -34,7 +34,7 @@
 
 @pytest.mark.parametrize("cut", [1, 5, 20])
 def test_cut_map_is_refused(cut):
-    """Guards against a map that loses its last ranks on the way."""
+    """Guards against a truncated map that is accepted without its last ranks."""
     packed = pack_map((((0, 1), (2, 3), (4,)),) * 3)
     with pytest.raises(ValueError, match=r"map|bytes"):
         unpack_map(packed[:-cut])
@@ -43,7 +43,8 @@
 def test_map_of_a_large_group_takes_few_bytes():
     """Guards against orders that are larger than the requests of their group.
 
-    12 layers of 256 experts on 64 ranks; four bytes a number took 19 kB.
+    The map has the size of 12 layers of 256 experts on 64 ranks, with 5 replicas on
+    each rank. With four bytes per number its encoding took 19 kB.
     """
     layer = tuple(tuple(range(rank, 320, 64)) for rank in range(64))
     assert len(pack_map((layer,) * 12)) < 5_000
