Reword the comments and messages of core/mapswitch

The doc comments name the voter, the proposer and the condition of each vote, and state what the methods return. The reason of a refusal at the switch step names the step. Behaviour does not change.

--- a/packages/core/src/bluebellusher_core/mapswitch/__init__.py
+++ b/packages/core/src/bluebellusher_core/mapswitch/__init__.py
@@ -1,10 +1,11 @@
-"""Change of the expert map of a group of ranks that run in lock-step.
+"""Commit protocol for a change of the expert map of a group of ranks in lock-step.
 
-Each rank votes once on a proposed map. A ready vote is a promise not to start the
-switch step before the outcome is known; a refusal is final. The outcome follows from
-the votes alone: the new map when all ranks are ready, the old one when any refused.
-Neither the table nor the proposer is needed to find it, so that an outage of either
-cannot split a group or stop it.
+Each rank votes once on a proposed map. A rank that votes ready promises not to start
+the switch step before the outcome is decided; a refusal is final. The votes alone
+determine the outcome: the group switches to the new map when all ranks are ready, and
+keeps the old map when any rank has refused. The ranks can exchange their votes without
+the table or the proposer, so that an outage of either cannot make ranks use different
+maps or stop the group.
 """
 
 from bluebellusher_core.mapswitch._coordinator import MapCoordinator
--- a/packages/core/src/bluebellusher_core/mapswitch/_coordinator.py
+++ b/packages/core/src/bluebellusher_core/mapswitch/_coordinator.py
@@ -1,4 +1,4 @@
-"""The lease holder's side of a map change."""
+"""Coordinator of a map change, which runs at the lease holder."""
 
 from bluebellusher_core.mapswitch._messages import (
     Commit,
@@ -10,16 +10,17 @@
 
 
 class MapCoordinator:
-    """Propose one map change and tell all ranks the outcome.
+    """Proposer of one map change, which also sends the outcome to all ranks.
 
-    The coordinator only speeds the ranks up; they find the same outcome without it.
+    The coordinator only shortens the change: without it the ranks determine the same
+    outcome by querying each other's votes.
 
     Parameters
     ----------
     proposal : Proposal
         The change to propose.
     n_ranks : int
-        Ranks of the group.
+        Number of ranks in the group.
     """
 
     def __init__(self, proposal: Proposal, n_ranks: int) -> None:
@@ -30,7 +31,11 @@
 
     @property
     def outcome(self) -> VoteValue:
-        """Return ``READY`` for the new map, ``REFUSED`` for the old one."""
+        """Outcome of the proposal, as far as votes have been received.
+
+        ``READY`` means that the group switches to the new map, ``REFUSED`` that it
+        keeps the old one.
+        """
         if self._refusal is not None:
             return VoteValue.REFUSED
         if len(self._ready_ranks) == self._n_ranks:
@@ -38,7 +43,7 @@
         return VoteValue.UNDECIDED
 
     def receive_vote(self, vote: Vote) -> None:
-        """Take in the vote of a rank."""
+        """Record the vote of a rank; votes on other proposals are ignored."""
         if vote.proposal != self._proposal:
             return
         if vote.value is VoteValue.READY:
@@ -49,13 +54,16 @@
     def plan_messages(
         self, held_token: int | None
     ) -> list[tuple[int, Prepare | Commit | Vote]]:
-        """Return what to send to which rank now; call again to repeat lost messages.
+        """Return the messages to send now, each with the index of its rank.
+
+        Messages can be lost, so the caller repeats the call until the change ends.
 
         Parameters
         ----------
         held_token : int or None
-            What the lease tracker says at this moment. Without the token of the
-            proposal nothing is sent, so that a lapsed holder proposes nothing.
+            Fencing token of the lease that this process holds now; None for no lease.
+            Unless it is the token of the proposal, no messages are returned, so that a
+            process whose lease has expired proposes nothing.
         """
         if held_token != self._proposal.fencing_token:
             return []
--- a/packages/core/src/bluebellusher_core/mapswitch/_messages.py
+++ b/packages/core/src/bluebellusher_core/mapswitch/_messages.py
@@ -8,8 +8,8 @@
 class Epoch(NamedTuple):
     """Id of one formation of a group.
 
-    A rank that restarts has lost its votes, so it rejoins only in a new epoch. The
-    fencing token makes epochs of different lease holders differ and orders them.
+    A rank that restarts has lost its votes, so it can only rejoin in a new epoch. The
+    fencing token makes the epochs of different lease holders distinct and ordered.
     """
 
     fencing_token: int
@@ -23,13 +23,13 @@
     Parameters
     ----------
     epoch : Epoch
-        Formation of the group that the change applies to.
+        Epoch of the group that the change applies to.
     map_version : int
         Version of the new map.
     map_digest : str
-        Hash of the new map, so that two maps can never share a proposal.
+        Hash of the new map, so that proposals of different maps always differ.
     fencing_token : int
-        Token of the proposing lease holder.
+        Fencing token of the lease holder that proposes the change.
     switch_step : int
         First step that uses the new map.
     """
@@ -42,7 +42,7 @@
 
 
 class VoteValue(StrEnum):
-    """Vote of one rank; ``READY`` and ``REFUSED`` are final."""
+    """Value of a vote; ``READY`` and ``REFUSED`` are final."""
 
     READY = "ready"
     REFUSED = "refused"
@@ -51,14 +51,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Prepare:
-    """Ask a rank to load the weights of a proposed map and to vote."""
+    """Request to a rank to load the weights of a proposed map and to vote."""
 
     proposal: Proposal
 
 
 @dataclass(frozen=True, slots=True)
 class Vote:
-    """Vote of one rank; ``reason`` explains a refusal."""
+    """Vote of one rank on a proposal.
+
+    ``reason`` explains a refusal, or why the rank cannot vote.
+    """
 
     rank: int
     proposal: Proposal
@@ -68,21 +71,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Commit:
-    """Tell a rank that all ranks are ready."""
+    """Announcement to a rank that all ranks have voted ready."""
 
     proposal: Proposal
 
 
 @dataclass(frozen=True, slots=True)
 class Query:
-    """Ask a rank for its vote; the answer is a `Vote`."""
+    """Request to a rank for its vote; the answer is a `Vote`."""
 
     proposal: Proposal
 
 
 @dataclass(frozen=True, slots=True)
 class Install:
-    """Form the group anew on one map; all ranks start again at step 0."""
+    """Order to form the group again with one map; every rank restarts at step 0."""
 
     epoch: Epoch
     map_version: int
@@ -90,7 +93,11 @@
 
 @dataclass(frozen=True, slots=True)
 class State:
-    """What a rank reports to a lease holder that raises the fencing token."""
+    """Report of a rank to a lease holder that raises the fencing token.
+
+    ``epoch`` and ``map_version`` are None before the first ``Install``, and ``pending``
+    is None when the rank has no undecided proposal.
+    """
 
     rank: int
     epoch: Epoch | None
@@ -100,7 +107,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadWeights:
-    """Effect: load the weights that the rank needs for a proposed map."""
+    """Effect that loads the weights that the rank needs for a proposed map."""
 
     proposal: Proposal
 
--- a/packages/core/src/bluebellusher_core/mapswitch/_rank.py
+++ b/packages/core/src/bluebellusher_core/mapswitch/_rank.py
@@ -1,4 +1,4 @@
-"""The rank's side of a map change."""
+"""State of one rank in the commit protocol of a map change."""
 
 from bluebellusher_core.mapswitch._messages import (
     Commit,
@@ -15,20 +15,21 @@
 
 
 class RankSwitch:
-    """Votes of one rank and the map that it uses in each step.
+    """Votes of one rank on proposed maps, and the map that it uses in each step.
 
     Parameters
     ----------
     rank : int
         Index of this rank.
     n_ranks : int
-        Ranks of the group.
+        Number of ranks in the group.
 
     Notes
     -----
-    The outcome of a proposal is unanimous, as in two-phase commit [1]_, with the
-    ranks themselves as the decision record. A rank that died takes the lock-step
-    group with it, so that waiting for its vote costs nothing more.
+    A proposal is committed only by unanimous votes, as in two-phase commit [1]_, and
+    the votes that the ranks store are the record of the decision. If a rank fails, the
+    whole lock-step group stops anyway, so that waiting for the vote of the failed rank
+    causes no additional outage.
 
     References
     ----------
@@ -50,11 +51,15 @@
 
     @property
     def map_version(self) -> int | None:
-        """Return the map of the last started step; ``None`` before an install."""
+        """Version of the map of the last started step; None before an ``Install``."""
         return self._map_version
 
     def install(self, message: Install) -> bool:
-        """Join a newer epoch at step 0; return whether the message was accepted."""
+        """Join a newer epoch at step 0 and return whether the message was accepted.
+
+        The message is refused when its fencing token is too low or its epoch is not
+        newer than the epoch of this rank.
+        """
         is_fenced = message.epoch.fencing_token < self._lowest_token
         is_old = self._epoch is not None and message.epoch <= self._epoch
         if is_fenced or is_old:
@@ -69,10 +74,10 @@
         return True
 
     def raise_token(self, fencing_token: int) -> State:
-        """Refuse lower tokens from now on and report the state of this rank.
+        """Refuse lower fencing tokens from now on and return the state of this rank.
 
-        A proposal with a lower token that this rank has not promised yet is
-        refused. A promise stays, because another rank may rely on it.
+        A pending proposal with a lower token is refused, unless this rank has already
+        voted ready: another rank may rely on that vote.
         """
         self._lowest_token = max(self._lowest_token, fencing_token)
         pending = self._pending
@@ -81,12 +86,17 @@
         return State(self._rank, self._epoch, self._map_version, self._pending)
 
     def _is_fenced(self, proposal: Proposal) -> bool:
+        """Return whether a proposal has a lower token than this rank accepts."""
         return proposal.fencing_token < self._lowest_token
 
     def prepare(self, message: Prepare) -> Vote | LoadWeights:
-        """Start to prepare a proposal; return the vote, or the load that precedes it.
+        """Start to prepare a proposal.
 
-        A repeated message gets the same vote again.
+        Returns
+        -------
+        Vote or LoadWeights
+            The vote if it is decided already, which answers repeated messages, or if
+            the proposal is refused; otherwise the weight load that precedes the vote.
         """
         proposal = message.proposal
         known = self.vote_on(proposal)
@@ -100,6 +110,7 @@
         return LoadWeights(proposal)
 
     def _reason_to_refuse(self, proposal: Proposal) -> str:
+        """Return why the proposal is refused; empty when it is acceptable."""
         if proposal.epoch != self._epoch:
             return f"epoch {proposal.epoch}: expected {self._epoch}"
         if self._is_fenced(proposal):
@@ -110,7 +121,10 @@
         return ""
 
     def weights_loaded(self, proposal: Proposal) -> Vote | None:
-        """Vote ready if the proposal is still open; return the vote."""
+        """Vote ready after the weights have been loaded, and return the vote.
+
+        Returns None when the proposal is no longer pending.
+        """
         if self._pending != proposal:
             return None
         self._is_ready = True
@@ -118,20 +132,23 @@
         return self.vote_on(proposal)
 
     def weights_failed(self, proposal: Proposal, reason: str) -> Vote:
-        """Refuse a proposal whose weights cannot be loaded."""
+        """Refuse a proposal whose weights cannot be loaded, and return the vote.
+
+        A vote that has already been cast stays as it is.
+        """
         if self._pending == proposal and not self._is_ready:
             return self._refuse(proposal, reason)
         return self.vote_on(proposal)
 
     def vote_on(self, proposal: Proposal) -> Vote:
-        """Return this rank's vote.
+        """Return the vote of this rank on a proposal.
 
-        A rank that has started the switch step without having been ready used the
-        old map in that step, so its vote is a refusal from then on.
+        A rank that starts the switch step without having voted ready uses the old map
+        in that step, so its vote is a refusal from then on.
         """
         if proposal.epoch != self._epoch:
-            # This rank may have promised readiness before it lost its memory or
-            # joined another epoch, so it must not answer for that epoch.
+            # This rank may have voted ready in that epoch before it restarted or
+            # joined another epoch, so it must not vote for that epoch.
             return self._vote(proposal, VoteValue.UNDECIDED, "other epoch")
         if proposal == self._committed:
             return self._vote(proposal, VoteValue.READY)
@@ -147,8 +164,10 @@
         return Vote(self._rank, proposal, value, reason)
 
     def _refuse(self, proposal: Proposal, reason: str = "") -> Vote:
+        """Record the refusal of a proposal and return the vote."""
         if proposal.epoch == self._epoch:
-            # Proposals of steps in the past are refused by their step alone.
+            # Refusals whose switch step has started need not be stored: ``vote_on``
+            # refuses such proposals by their step.
             self._refused = {
                 p for p in self._refused if p.switch_step > self._last_started_step
             }
@@ -163,7 +182,11 @@
         self._ready_ranks = set()
 
     def receive_vote(self, vote: Vote) -> None:
-        """Take in the vote of another rank, in any order and any number of times."""
+        """Record the vote of another rank.
+
+        Votes may arrive in any order and more than once; votes on other proposals or
+        epochs are ignored.
+        """
         if vote.proposal != self._pending or vote.proposal.epoch != self._epoch:
             return
         if vote.value is VoteValue.REFUSED:
@@ -172,15 +195,20 @@
             self._ready_ranks.add(vote.rank)
 
     def commit(self, message: Commit) -> None:
-        """Take in that all ranks are ready.
+        """Record that all ranks have voted ready.
 
-        A rank that is not ready itself ignores the message, since it cannot be true.
+        A rank that has not voted ready itself ignores the message, because the message
+        contradicts its own state.
         """
         if message.proposal == self._pending and self._is_ready:
             self._ready_ranks = set(range(self._n_ranks))
 
     def plan_queries(self, step: int) -> list[tuple[int, Query]]:
-        """Return what to ask which rank when ``step`` waits for the outcome."""
+        """Return the queries for missing votes, each with the index of its rank.
+
+        The list is empty unless ``step`` has to wait for the outcome of the pending
+        proposal.
+        """
         proposal = self._pending
         if proposal is None or not self._is_ready or step < proposal.switch_step:
             return []
@@ -188,7 +216,13 @@
         return [(rank, Query(proposal)) for rank in missing]
 
     def start_step(self, step: int) -> int | None:
-        """Return the map version to use in ``step``, or ``None`` to wait.
+        """Start a step if the map to use in it is decided.
+
+        Returns
+        -------
+        int or None
+            Version of the map to use in the step. None when the step cannot start yet,
+            because a vote is missing or the rank has not joined an epoch.
 
         Raises
         ------
@@ -203,7 +237,7 @@
         proposal = self._pending
         if proposal is not None and step >= proposal.switch_step:
             if not self._is_ready:
-                self._refuse(proposal, "switch step came before the weights")
+                self._refuse(proposal, "switch step started before weights were loaded")
             elif len(self._ready_ranks) < self._n_ranks:
                 return None
             else:
--- a/packages/core/src/bluebellusher_core/mapswitch/tests/test_mapswitch_properties.py
+++ b/packages/core/src/bluebellusher_core/mapswitch/tests/test_mapswitch_properties.py
@@ -22,7 +22,10 @@
 
 
 class GroupWorld:
-    """Messages are late, lost, repeated and crossed; ranks stall and restart."""
+    """Model of a group, its coordinators and a faulty network.
+
+    Messages are delayed, lost, duplicated and reordered; ranks stall and restart.
+    """
 
     def __init__(self, random_state):
         self.random = random_state
@@ -58,10 +61,10 @@
             coordinator.receive_vote(vote)
 
     def deliver(self):
-        """Deliver a message out of order; lose it, or keep it for a repetition."""
+        """Deliver, lose or duplicate one message, chosen out of order."""
         if not self.messages:
             return
-        # Mostly recent messages, or a long tail of old ones hides the new.
+        # Prefer recent messages; otherwise many old messages delay the new ones.
         n_recent = self.random.choice([6, 20, len(self.messages)])
         oldest = max(0, len(self.messages) - n_recent)
         index = self.random.randrange(oldest, len(self.messages))
@@ -115,7 +118,7 @@
         epoch, step = self.epochs[index], self.steps[index]
         if epoch is None:
             return
-        # The lock-step barrier: a step starts when all ranks started the one before.
+        # Lock-step barrier: a step starts when all ranks have started the previous one.
         if step > 0 and len(self.started.get((epoch, step - 1), ())) < N_RANKS:
             return
         rank = self.ranks[index]
@@ -128,12 +131,12 @@
         self.map_by_step.setdefault((epoch, step), set()).add(version)
 
     def new_lease_holder(self):
-        """A new holder fences a rank first; its predecessor goes on sending."""
+        """Let a new lease holder fence one rank while its predecessor keeps sending."""
         self.token += 1
         self.random.choice(self.ranks).raise_token(self.token)
 
     def restart_rank(self):
-        """A rank forgets everything; the group has to be formed anew."""
+        """Restart one rank with empty state, and form the group again."""
         index = self.random.randrange(N_RANKS)
         self.ranks[index] = RankSwitch(index, N_RANKS)
         self.epochs[index] = None
@@ -166,10 +169,11 @@
 @settings(max_examples=400)
 @given(st.integers(0, 2**32))
 def test_property_one_map_in_every_step(seed):
-    """Guards against a split group under lost, late, repeated and crossed messages.
+    """Guards against ranks with different maps in one step when messages are faulty.
 
-    The seed drives a weighted schedule, which reaches a switch far more often than
-    choices that are drawn one by one.
+    The messages are lost, delayed, duplicated and reordered. The seed determines a
+    weighted schedule, which reaches a switch far more often than a schedule of actions
+    that hypothesis draws one by one.
     """
     world = GroupWorld(Random(seed))
     for _ in range(300):
@@ -178,7 +182,7 @@
 
 
 def test_schedules_reach_switches_and_refusals():
-    """Guards against a property that holds because nothing ever switches."""
+    """Guards against a property that holds only because no schedule switches maps."""
     n_switches = 0
     for seed in range(100):
         world = GroupWorld(Random(seed))
@@ -201,7 +205,7 @@
 
 
 def test_ranks_decide_without_proposer_and_table():
-    """Guards against a group that stops when the proposer dies before its commit."""
+    """Guards against a group that stops when the proposer fails before its commit."""
     group, _ = _ready_group()
     for rank in group:
         assert rank.start_step(0) == 1
@@ -212,7 +216,7 @@
 
 
 def test_vote_does_not_change_when_the_message_is_repeated():
-    """Guards against a rank that is ready for what it refused before."""
+    """Guards against a rank that votes ready on a proposal that it has refused."""
     rank = RankSwitch(0, 2)
     rank.install(Install(Epoch(1, 1), 1))
     first = Proposal(Epoch(1, 1), 2, "d", 1, 5)
@@ -224,7 +228,7 @@
 
 
 def test_lapsed_holder_cannot_propose_after_the_ranks_were_fenced():
-    """Guards against a map change by a holder that was paused past its lease."""
+    """Guards against a map change by a proposer whose lease expired during a pause."""
     rank = RankSwitch(0, 1)
     rank.install(Install(Epoch(1, 1), 1))
     rank.raise_token(2)
--- a/packages/core/src/bluebellusher_core/ranks/_change.py
+++ b/packages/core/src/bluebellusher_core/ranks/_change.py
@@ -77,7 +77,7 @@
 
 @dataclass(slots=True)
 class MapChange:
-    """Decides which orders bring one group of ranks to the target map.
+    """State machine that decides which orders bring one group to the target map.
 
     Parameters
     ----------
