--- a/packages/core/src/bluebellusher_core/balance/__init__.py
+++ b/packages/core/src/bluebellusher_core/balance/__init__.py
@@ -1,7 +1,8 @@
 """Placement and replication of experts on the ranks of a group.
 
 A policy observes the load of every expert and plans the next placement as a list of
-moves. The placement takes effect through ``bluebellusher_core.mapswitch``.
+moves. ``bluebellusher_core.mapswitch`` makes the ranks switch to the new placement in
+the same step.
 """
 
 from bluebellusher_core.balance._baselines import FullResolve, NoRebalancing
--- a/packages/core/src/bluebellusher_core/balance/_baselines.py
+++ b/packages/core/src/bluebellusher_core/balance/_baselines.py
@@ -1,4 +1,4 @@
-"""Policies that the chosen one is compared with."""
+"""Baseline placement policies that other policies are compared with."""
 
 from collections.abc import Sequence
 from heapq import heapify, heappop, heappush
@@ -18,29 +18,29 @@
 
 
 class NoRebalancing:
-    """Keeps the placement as it is."""
+    """Baseline policy that never changes the placement."""
 
     def __init__(self, shape: GroupShape, budget: MoveBudget) -> None:
         self._shape = shape
 
     def observe(self, loads: Loads) -> None:
-        """Check the loads and ignore them."""
+        """Validate the loads and ignore them."""
         validate_loads(self._shape, loads)
 
     def plan(
         self, placement: Placement, conditions: Conditions, random_state: Random
     ) -> Plan:
-        """Return the placement in force."""
+        """Return a plan that keeps the current placement."""
         return Plan(placement)
 
 
 class FullResolve:
-    """Solves every layer from scratch for the loads of the last interval.
+    """Baseline policy that solves every layer from scratch.
 
-    Replicas go one by one to the expert with the highest load per replica; then the
-    replicas are packed, largest first, each on the least loaded rank with a free
-    slot (R. L. Graham, "Bounds on multiprocessing timing anomalies", 1969). A layer
-    whose moves do not fit the budget keeps its placement.
+    It uses the loads of the last interval only. Each replica is assigned in turn to the
+    expert with the highest load per replica. Then the replicas are packed in descending
+    order of load, each on the least loaded rank with a free slot [1]_. A layer whose
+    moves exceed the budget keeps its placement.
 
     Parameters
     ----------
@@ -49,8 +49,12 @@
     budget : MoveBudget
         Limits of one plan.
     is_relabelled : bool
-        Whether packed ranks are matched with the ranks in force that already hold
-        most of their experts, which saves moves at the same skew.
+        Whether each packed set of experts is assigned to the rank that already holds
+        most of them, which saves moves without changing the skew.
+
+    References
+    ----------
+    .. [1] R. L. Graham, "Bounds on multiprocessing timing anomalies", 1969.
     """
 
     def __init__(
@@ -62,14 +66,17 @@
         self._loads: Loads | None = None
 
     def observe(self, loads: Loads) -> None:
-        """Keep the loads of the last interval."""
+        """Store the loads of the last interval for the next plan."""
         validate_loads(self._shape, loads)
         self._loads = loads
 
     def plan(
         self, placement: Placement, conditions: Conditions, random_state: Random
     ) -> Plan:
-        """Return the solved layers as far as the budget allows, in random order."""
+        """Return a plan that solves as many layers as the budget allows.
+
+        The layers are tried in random order.
+        """
         max_loads = self._limiter.compute_max_loads(conditions)
         if self._loads is None or max_loads == 0:
             return Plan(placement)
@@ -90,6 +97,7 @@
         return plan
 
     def _solve(self, loads: Sequence[float], old: LayerPlacement) -> LayerPlacement:
+        """Return a new placement of one layer for ``loads``."""
         n_replicas = replicate_greedily(self._shape, loads)
         packed = pack_largest_first(self._shape, loads, n_replicas)
         if self._is_relabelled:
@@ -102,7 +110,10 @@
 
 
 def replicate_greedily(shape: GroupShape, loads: Sequence[float]) -> list[int]:
-    """Return the number of replicas of each expert that together fill all slots."""
+    """Return the number of replicas of each expert, which together fill all slots.
+
+    Each additional replica goes to the expert with the highest load per replica.
+    """
     n_replicas = [1] * shape.n_experts
     heap = [(-load, expert) for expert, load in enumerate(loads)]
     heapify(heap)
@@ -120,7 +131,7 @@
 def pack_largest_first(
     shape: GroupShape, loads: Sequence[float], n_replicas: Sequence[int]
 ) -> list[set[int]]:
-    """Return the experts of each rank, packed by falling load of a replica."""
+    """Return the experts of each rank, packed in descending order of replica load."""
     packed: list[set[int]] = [set() for _ in range(shape.n_ranks)]
     rank_loads = [0.0] * shape.n_ranks
     shares = [load / n for load, n in zip(loads, n_replicas, strict=True)]
@@ -146,8 +157,16 @@
     expert: int,
     free_rank: int,
 ) -> int:
-    # Every rank with a free slot has the expert already. A full rank without it has
-    # more experts than the free rank, so at least one of them can go there.
+    """Free a slot for ``expert`` by moving another expert to ``free_rank``.
+
+    Every rank with a free slot holds ``expert`` already. A full rank without it holds
+    more experts than ``free_rank``, so at least one of them can move there.
+
+    Returns
+    -------
+    int
+        The rank with the slot that has become free.
+    """
     ranks = [r for r in range(shape.n_ranks) if expert not in packed[r]]
     rank = min(ranks, key=rank_loads.__getitem__)
     moved = min(packed[rank] - packed[free_rank])
@@ -161,7 +180,11 @@
 def relabel_ranks(
     shape: GroupShape, packed: list[set[int]], old: LayerPlacement
 ) -> list[set[int]]:
-    """Return the packed ranks in the order that keeps most experts in place."""
+    """Reorder packed ranks so that many experts stay on their current rank.
+
+    Pairs of a current and a packed rank are matched greedily, by the number of experts
+    that both hold.
+    """
     held: list[set[int]] = [set() for _ in range(shape.n_ranks)]
     for expert, ranks in enumerate(old):
         for rank in ranks:
--- a/packages/core/src/bluebellusher_core/balance/_incremental.py
+++ b/packages/core/src/bluebellusher_core/balance/_incremental.py
@@ -1,4 +1,4 @@
-"""Placement in small steps: the chosen policy."""
+"""Placement policy that changes a few replicas in each interval."""
 
 from collections.abc import Sequence
 from random import Random
@@ -16,29 +16,33 @@
 )
 from bluebellusher_core.balance._protocol import Conditions, Plan
 
-# Relative difference of two sums of the same loads that rounding can cause.
+# Upper bound of the relative difference that rounding causes between two sums of the
+# same loads.
 ROUNDING = 1e-9
 SMOOTHING = 0.85
 """Weight of the last interval in the smoothed popularity."""
 
 SKEW_PER_LOAD = 0.002
-"""Skew of a layer that one expert load must save when both weights are equal."""
+"""Reduction of the skew of a layer that justifies one weight load of an expert, when
+the skew weight equals the move weight."""
 
 MIN_GAIN = 0.01
-"""Weighted gain below which a layer stays as it is. It keeps the noise of the loads
-from moving experts back and forth."""
+"""Cost reduction below which a layer keeps its placement. It prevents noise in the
+loads from moving experts back and forth."""
 
 CONCENTRATION_WEIGHT = 0.03
-"""Skew that one unit of concentration counts as. Without it single replicas carry up
-to 0.7 of the mean load of a rank, and a change of one expert shows in the skew."""
+"""Skew that has the same cost as one unit of concentration. With a weight of 0, single
+replicas carry up to 0.7 of the mean load of a rank, so that a change of the load of one
+expert affects the skew."""
 
 
 class IncrementalPlanner:
-    """Changes few replicas in each interval, those that lower the skew most.
+    """Policy that makes the few changes with the largest reduction of the skew.
 
-    The cost of a layer is its skew (maximum over mean of the rank loads) plus the
-    price of its expert loads. Each layer is searched for the changes of lowest cost;
-    the layers with the largest gain for each load come first while the budget lasts.
+    The cost of a layer is its skew (maximum rank load divided by the mean), plus its
+    weighted concentration and the price of the weight loads of the plan. The planner
+    searches each layer for the changes with the lowest cost, and spends the budget on
+    the layers with the largest cost reduction per weight load.
 
     Parameters
     ----------
@@ -47,19 +51,20 @@
     budget : MoveBudget
         Limits of one plan.
     skew_weight, move_weight : float
-        Arguments of the rules ``weight skew`` and ``weight moves``. Their ratio
-        scales the price of an expert load.
+        Arguments of the rules ``weight skew`` and ``weight moves``. The price of a
+        weight load is proportional to ``move_weight / skew_weight``.
     smoothing : float
         Weight of the last interval in the smoothed popularity, above 0 and at most 1.
     min_gain : float
-        Gain below which a layer stays as it is.
+        Cost reduction below which a layer keeps its placement.
     concentration_weight : float
-        Skew that one unit of concentration counts as; see ``LayerSearch``.
+        Skew that has the same cost as one unit of concentration; see
+        ``LayerSearch.compute_cost``.
 
     Raises
     ------
     ValueError
-        When a weight is not positive, or another parameter is out of range.
+        When ``skew_weight`` is not positive, or another parameter is out of range.
     """
 
     def __init__(
@@ -93,7 +98,7 @@
         self._popularity: list[list[float]] = []
 
     def observe(self, loads: Loads) -> None:
-        """Smooth the popularity of each expert exponentially."""
+        """Add the loads of an interval to the exponentially smoothed popularity."""
         validate_loads(self._shape, loads)
         if not self._popularity:
             self._popularity = [list(of_layer) for of_layer in loads]
@@ -107,10 +112,10 @@
     def plan(
         self, placement: Placement, conditions: Conditions, random_state: Random
     ) -> Plan:
-        """Return the changes with the largest gain for each expert load.
+        """Return the changes with the largest cost reduction per weight load.
 
-        Layers of equal gain are taken in random order, so that a small budget does
-        not always go to the first layers.
+        Layers with equal reduction are taken in random order, so that a small budget is
+        not always spent on the first layers.
         """
         max_loads = self._limiter.compute_max_loads(conditions)
         if not self._popularity or max_loads == 0:
@@ -131,7 +136,10 @@
     def _raises_skew(
         self, layer: int, old: LayerPlacement, new: LayerPlacement
     ) -> bool:
-        """Return whether a change trades a higher skew for less concentration."""
+        """Return whether a change raises the maximum rank load of a layer.
+
+        Such a change can still lower the cost, by reducing the concentration.
+        """
         n_ranks, loads = self._shape.n_ranks, self._popularity[layer]
         before, after = (
             max(compute_rank_loads(n_ranks, ranks, loads)) for ranks in (old, new)
@@ -139,7 +147,10 @@
         return after > before * (1 + ROUNDING)
 
     def _search(self, layer: int, ranks: LayerPlacement, max_loads: int) -> list[Step]:
-        """Return the steps of a layer; none when they gain less than the minimum."""
+        """Return the search steps of a layer; empty if they gain less than the minimum.
+
+        The first step describes the current state of the layer.
+        """
         loads = self._popularity[layer]
         search = LayerSearch(self._shape, ranks, loads, self._concentration_weight)
         if search.compute_cost() - 1.0 < self._min_gain:
@@ -148,6 +159,7 @@
         return steps if steps[0].cost - steps[-1].cost >= self._min_gain else []
 
     def _finish(self, placement: Placement, changed: dict[int, LayerPlacement]) -> Plan:
+        """Return the plan that changes the given layers, and charge the byte budget."""
         if not changed:
             return Plan(placement)
         new = tuple(changed.get(n, ranks) for n, ranks in enumerate(placement))
@@ -160,11 +172,18 @@
 def share_budget(
     steps_by_layer: dict[int, list[Step]], max_loads: int
 ) -> dict[int, list[Step]]:
-    """Return the first steps of each layer that together gain most for their loads.
+    """Select the first steps of each layer to apply within a budget of weight loads.
+
+    The segments of the lower convex hulls of cost over weight loads are taken in
+    descending order of their cost reduction per load, over all layers. This prevents
+    a layer with a long list of small gains from using up the budget of other layers.
 
-    The points of the lower convex hull of cost over loads are taken in the order of
-    their gain for each load over all layers. A long search of one layer for small
-    gains so cannot use up the budget of the others.
+    Parameters
+    ----------
+    steps_by_layer : dict of int to list of SearchStep
+        Search result of each layer.
+    max_loads : int
+        Maximum number of weight loads of all layers together.
     """
     segments = [
         (-gain_per_load, layer, n_steps)
@@ -187,7 +206,14 @@
 
 
 def compute_hull(steps: Sequence[Step]) -> list[tuple[float, int]]:
-    """Return the gain for each load and the number of steps of each hull point."""
+    """Return the lower convex hull of the cost over the weight loads of one layer.
+
+    Returns
+    -------
+    list of (float, int)
+        For each point of the hull after the first, the cost reduction per load from the
+        previous point, and the number of steps up to the point.
+    """
     hull: list[tuple[float, int]] = []
     at = 0
     while at < len(steps) - 1:
@@ -205,6 +231,7 @@
 
 
 def _apply_steps(ranks: LayerPlacement, steps: Sequence[Step]) -> LayerPlacement:
+    """Return the placement of a layer after the given steps."""
     result = list(ranks)
     for step in steps:
         for expert, after in step.updates:
--- a/packages/core/src/bluebellusher_core/balance/_layer_search.py
+++ b/packages/core/src/bluebellusher_core/balance/_layer_search.py
@@ -1,4 +1,4 @@
-"""Search for few changes of one layer that lower its maximum rank load."""
+"""Search for a few changes of one layer that lower its maximum rank load."""
 
 from bisect import bisect
 from collections.abc import Sequence
@@ -7,41 +7,45 @@
 from bluebellusher_core.balance._model import GroupShape, LayerPlacement
 
 MAX_LARGE_COPIES = 3
-"""Copies of large experts in one search that no gain of a single step justifies."""
+"""Maximum number of replicas of large experts that one search adds although the step
+itself does not lower the cost."""
 
 LARGE_SHARE = 0.5
-"""Part of the mean rank load from which a replica counts as large."""
+"""Ratio of the load of a replica to the mean rank load above which the replica is
+large."""
 
 MAX_LAYER_LOADS = 24
-"""Expert loads of one search. The first plan of a group without any balance takes a
-third less time than without this limit, and the next plans do the rest."""
+"""Maximum number of weight loads in one search. It shortens the first plan of a group
+without any balance by a third; later plans make the remaining changes."""
 
 MAX_SPLITS = 2
-"""Copies in one search that only lower the concentration."""
+"""Maximum number of replicas that one search adds only to lower the concentration."""
 
 MIN_SPLIT_RATIO = 1.5
-"""Ratio of the largest share to the share that a removal leaves, for a copy. It keeps
-two experts of similar load from taking the slot of each other in turn."""
+"""Minimum ratio of the load of the largest replica to the load of each replica of the
+expert that loses one, after the removal. It prevents two experts of similar load from
+alternately taking a slot from each other."""
 
 Updates = tuple[tuple[int, tuple[int, ...]], ...]
-"""Experts and the ranks that hold them after a step."""
+"""Changed experts, each with the ranks that hold it after a step."""
 
 MAX_IDLE_STEPS = 6
-"""Steps without a better result after which a search ends."""
+"""Number of steps without a lower cost after which a search ends. The number increases
+by this value with each added replica of a large expert."""
 
 
 @dataclass(frozen=True, slots=True)
 class Step:
-    """Part of a search result.
+    """Step of a search and the state of the layer after it.
 
     Parameters
     ----------
     updates : Updates
         The changes of this step.
     n_loads : int
-        Expert loads of this step and all steps before it, at most.
+        Upper bound of the weight loads of this and all previous steps together.
     cost : float
-        Weighted cost of the layer after this step.
+        Cost of the layer after this step, including the price of ``n_loads``.
     """
 
     updates: Updates
@@ -50,11 +54,24 @@
 
 
 class LayerSearch:
-    """Steps that each relieve the rank with the highest load.
+    """Search of one layer in steps that each reduce the load of the most loaded rank.
 
-    A step moves or copies an expert of the hottest rank to one of the coolest ranks,
-    into a free slot or in place of a redundant replica (one load), or exchanges two
-    experts (two loads). The step with the largest gain for each load is taken.
+    A step moves an expert of the most loaded rank to one of the least loaded ranks, or
+    adds a replica of the expert there. The expert goes into a free slot or replaces a
+    redundant replica, which takes one weight load, or it is exchanged with another
+    expert, which takes two weight loads. The search takes the step with the largest
+    reduction of the maximum rank load per weight load.
+
+    Parameters
+    ----------
+    shape : GroupShape
+        Sizes of the group.
+    ranks : LayerPlacement
+        Current placement of the layer.
+    loads : sequence of float
+        Load of each expert of the layer.
+    concentration_weight : float
+        Skew that has the same cost as one unit of concentration.
     """
 
     def __init__(
@@ -83,21 +100,21 @@
         self._n_splits = 0
 
     def run(self, price: float, max_loads: int) -> list[Step]:
-        """Return the state in force as a step, and the steps up to the lowest cost.
+        """Return the steps up to the lowest cost, after one for the current state.
 
         Parameters
         ----------
         price : float
-            Skew that one expert load counts as.
+            Skew that has the same cost as one weight load.
         max_loads : int
-            Limit of expert loads, besides ``MAX_LAYER_LOADS``.
+            Maximum number of weight loads; ``MAX_LAYER_LOADS`` applies as well.
         """
         steps = [Step((), 0, self.compute_cost())]
         n_best, n_loads = 1, 0
         max_loads = min(max_loads, MAX_LAYER_LOADS)
         while len(steps) - n_best < MAX_IDLE_STEPS * (1 + self._n_copies):
             if 1.0 + price * (n_loads + 1) >= steps[n_best - 1].cost:
-                break  # Even a layer without skew would cost more.
+                break  # With one more load, even a layer without skew costs more.
             n_more, updates = self._find_split() or self._find_step()
             n_loads += n_more
             if not updates or n_loads > max_loads:
@@ -112,9 +129,9 @@
     def compute_cost(self) -> float:
         """Return the skew plus the weighted concentration of the load.
 
-        The concentration is the sum of the squared loads of all replicas, each as a
-        part of the mean rank load. The variance of a rank load grows with it when the
-        load of each expert changes in proportion.
+        The concentration is the sum of the squared ratios of the load of each replica
+        to the mean rank load. The variance of the rank loads increases with it when the
+        load of each expert fluctuates in proportion to its size.
         """
         if not self._mean:
             return 1.0
@@ -123,6 +140,7 @@
         return skew + self._concentration_weight * concentration
 
     def _change(self, updates: Updates) -> None:
+        """Apply the changes of a step to the state of the search."""
         rank_loads = self._rank_loads
         for expert, after in updates:
             before, share = self._ranks[expert], self._shares[expert]
@@ -139,10 +157,12 @@
             self._ranks[expert], self._shares[expert] = after, share
 
     def _find_split(self) -> tuple[int, Updates] | None:
-        """Return a copy of the expert with the largest replicas to a coolest rank.
+        """Return a step that adds a replica of the expert with the largest replicas.
 
-        It takes a free slot or that of the replica whose removal leaves the smallest
-        replicas, if these are clearly smaller.
+        The new replica goes into a free slot of the least loaded rank that has one.
+        Without a free slot it replaces a replica of the expert whose remaining replicas
+        are then smallest, if ``MIN_SPLIT_RATIO`` allows it. Returns None when there is
+        no such step.
         """
         if self._n_splits == MAX_SPLITS or not self._concentration_weight:
             return None
@@ -171,13 +191,21 @@
         return 1, (copy, (victim, _remove(ranks[victim], rank)))
 
     def _find_step(self) -> tuple[int, Updates]:
+        """Return the next step that relieves the most loaded rank.
+
+        Returns
+        -------
+        tuple of int and Updates
+            Number of weight loads, and the changes; empty when there is no step.
+        """
         rank_loads = self._rank_loads
         order = sorted(range(len(rank_loads)), key=rank_loads.__getitem__)
         hot = order[-1]
         for cool in order[:-1]:
             half = (self._rank_loads[hot] - self._rank_loads[cool]) / 2
             best_gain, n_loads, best = self._find_load(hot, cool)
-            # An exchange gains at most half of the gap for its two loads.
+            # An exchange reduces the maximum load by at most half of the difference,
+            # which is a quarter of it for each of its two weight loads.
             if best_gain < half / 2:
                 gain, updates = self._find_exchange(hot, cool)
                 if gain > best_gain:
@@ -187,10 +215,10 @@
         return self._find_copy_of_large(hot, order)
 
     def _find_copy_of_large(self, hot: int, order: list[int]) -> tuple[int, Updates]:
-        """Return a copy of a large expert of the hot rank.
+        """Return a step that adds a replica of a large expert of the most loaded rank.
 
-        No single step helps such a layer: each rank that gets a replica is above the
-        mean until later steps have relieved it of its other experts.
+        No single step lowers the cost of such a layer: a rank that receives the replica
+        stays above the mean load until later steps have moved its other experts away.
         """
         expert = max(self._held[hot], key=lambda e: (self._shares[e], e))
         is_large = self._shares[expert] > LARGE_SHARE * self._mean
@@ -214,7 +242,15 @@
         return 0, ()
 
     def _find_slot(self, rank: int, kept: int) -> tuple[bool, Updates]:
-        """Return whether a rank can take an expert, and the removal that it needs."""
+        """Return whether a rank can load an expert, and the removal that this needs.
+
+        Parameters
+        ----------
+        rank : int
+            Rank that is to load an expert.
+        kept : int
+            Expert that must not be removed.
+        """
         if len(self._held[rank]) < self._n_slots:
             return True, ()
         victim = self._find_redundant(rank, kept)
@@ -223,13 +259,21 @@
         return True, ((victim, _remove(self._ranks[victim], rank)),)
 
     def _find_exchange(self, hot: int, cool: int) -> tuple[float, Updates]:
-        """Return the gain for each of two loads, and the changes."""
+        """Return the best exchange of two experts between two ranks.
+
+        Returns
+        -------
+        tuple of float and Updates
+            Reduction of the maximum rank load per weight load, and the changes; 0 and
+            empty when no exchange reduces it.
+        """
         shares = self._shares
         half = (self._rank_loads[hot] - self._rank_loads[cool]) / 2
         theirs = sorted((shares[e], e) for e in self._held[cool] - self._held[hot])
         best_error, best = half, (-1, -1)
         for expert in self._held[hot] - self._held[cool]:
-            # The maximum of both ranks falls most when half of the gap is exchanged.
+            # The higher load of both ranks falls most when the exchange moves half of
+            # their difference.
             wanted = shares[expert] - half
             at = bisect(theirs, (wanted, -1))
             for share, other in theirs[max(0, at - 1) : at + 1]:
@@ -246,7 +290,16 @@
         return (half - best_error) / 2, updates
 
     def _find_load(self, hot: int, cool: int) -> tuple[float, int, Updates]:
-        """Return the best copy or move of an expert of the hot rank."""
+        """Return the best step with one weight load from one rank to another.
+
+        The step moves an expert, or adds a replica of it on the other rank.
+
+        Returns
+        -------
+        tuple of float, int and Updates
+            Reduction of the maximum rank load, number of weight loads, and the changes;
+            zeros and empty when no such step reduces it.
+        """
         victim = None
         if len(self._held[cool]) >= self._n_slots:
             victim = self._find_redundant(cool)
@@ -274,7 +327,14 @@
     def _loads_without(
         self, victim: int | None, hot: int, cool: int
     ) -> tuple[float, float, float]:
-        """Return the loads of both ranks and the highest other load that rises."""
+        """Return the rank loads after the removal of a replica from the ``cool`` rank.
+
+        Returns
+        -------
+        tuple of three floats
+            Load of the ``hot`` rank, load of the ``cool`` rank, and highest load of the
+            other ranks whose load increases; 0 if there are none.
+        """
         rank_loads = self._rank_loads
         hot_load, cool_load = rank_loads[hot], rank_loads[cool]
         if victim is None:
@@ -287,6 +347,11 @@
         return hot_load, cool_load - share, max(others, default=0.0)
 
     def _find_redundant(self, rank: int, kept: int = -1) -> int | None:
+        """Return the expert of a rank whose removal adds least load to other ranks.
+
+        Only experts with further replicas are considered, and not ``kept``. Returns
+        None when there is none.
+        """
         ranks, shares = self._ranks, self._shares
         added = [
             (shares[e] / (len(ranks[e]) - 1), e)
--- a/packages/core/src/bluebellusher_core/balance/_limits.py
+++ b/packages/core/src/bluebellusher_core/balance/_limits.py
@@ -1,4 +1,4 @@
-"""Budget of moves and the rate limit of the weight store."""
+"""Limits on the weight loads of a plan, and rate limit of the weight store."""
 
 from dataclasses import dataclass
 
@@ -7,18 +7,19 @@
 
 @dataclass(frozen=True, slots=True)
 class MoveBudget:
-    """Limits of one plan.
+    """Limits on the weight loads of the plans of one group.
 
     Parameters
     ----------
     max_loads : int
-        Expert loads in progress at a time.
+        Maximum number of weight loads in progress at the same time.
     max_bytes : int
-        Bytes of one plan.
+        Maximum number of bytes that one plan reads from the weight store.
     store_bytes_per_s : int
-        Rate of the weight store that this group may use.
+        Bytes per second that this group may read from the weight store on average.
     store_burst_bytes : int
-        Bytes that may be read at once after a pause.
+        Bytes that this group may read at once when it has read nothing for a while;
+        the capacity of the token bucket.
 
     Raises
     ------
@@ -39,7 +40,15 @@
 
 
 class MoveLimiter:
-    """Number of experts that may be loaded now; one token bucket for the store."""
+    """Limiter of weight loads, with a token bucket for reads from the weight store.
+
+    Parameters
+    ----------
+    budget : MoveBudget
+        Limits to enforce.
+    n_expert_bytes : int
+        Size of the weights of one expert of one layer, in bytes.
+    """
 
     def __init__(self, budget: MoveBudget, n_expert_bytes: int) -> None:
         self._budget = budget
@@ -48,7 +57,7 @@
         self._refilled_at_ms: int | None = None
 
     def compute_max_loads(self, conditions: Conditions) -> int:
-        """Return how many experts one plan may load under the conditions."""
+        """Return the maximum number of weight loads of a plan that is made now."""
         self._refill(conditions.now_ms)
         if conditions.is_capacity_short:
             return 0
@@ -59,16 +68,18 @@
         return max(0, min(n_free, n_bytes // self._n_expert_bytes))
 
     def take(self, n_bytes: int) -> None:
-        """Count bytes that a plan reads from the store."""
+        """Deduct the bytes that a plan will read from the store's token bucket."""
         self._n_store_bytes -= n_bytes
 
     def _refill(self, now_ms: int) -> None:
+        """Add the bytes of the time since the last refill to the token bucket."""
         if self._refilled_at_ms is None:
             self._refilled_at_ms = now_ms
         elapsed_ms = max(0, now_ms - self._refilled_at_ms)
         n_new = elapsed_ms * self._budget.store_bytes_per_s // 1000
         limit = self._budget.store_burst_bytes
-        # A plan never takes more than is there, so the sum stays within the burst.
+        # No plan consumes more bytes than the bucket holds, so that reads never exceed
+        # the burst plus the refilled bytes.
         self._n_store_bytes = min(limit, self._n_store_bytes + n_new)
         if n_new:
             self._refilled_at_ms += elapsed_ms
--- a/packages/core/src/bluebellusher_core/balance/_maps.py
+++ b/packages/core/src/bluebellusher_core/balance/_maps.py
@@ -1,4 +1,8 @@
-"""Maps by rank, as engines take them, and placements by expert, as plans use them."""
+"""Conversion between expert maps and placements.
+
+An expert map, which engines use, lists the experts of each rank. A placement, which
+planners use, lists the ranks of each expert.
+"""
 
 from collections.abc import Mapping, Sequence
 
@@ -11,7 +15,19 @@
     n_layers: int,
     n_experts: int,
 ) -> Placement | None:
-    """Return the ranks by layer and expert; None when an expert is nowhere.
+    """Return the placement of the given experts of each rank.
+
+    Parameters
+    ----------
+    experts_by_rank : mapping of int to sequence
+        Experts that each rank holds, by layer.
+    n_layers, n_experts : int
+        Number of layers, and of experts in each layer.
+
+    Returns
+    -------
+    Placement or None
+        None when an expert is on none of the ranks.
 
     Examples
     --------
@@ -31,7 +47,7 @@
 
 
 def to_expert_map(placement: Placement, n_ranks: int) -> ExpertMap:
-    """Return the experts by layer and rank.
+    """Return the expert map of a placement on ``n_ranks`` ranks.
 
     Examples
     --------
--- a/packages/core/src/bluebellusher_core/balance/_model.py
+++ b/packages/core/src/bluebellusher_core/balance/_model.py
@@ -9,10 +9,10 @@
 """Tokens per interval by layer and expert, shape (n_layers, n_experts)."""
 
 LayerPlacement = tuple[tuple[int, ...], ...]
-"""The sorted ranks that hold each expert of one layer."""
+"""Sorted indices of the ranks that hold each expert of one layer."""
 
 Placement = tuple[LayerPlacement, ...]
-"""The placement of every layer."""
+"""Placement of every layer."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,16 +22,17 @@
     Parameters
     ----------
     n_ranks, n_layers, n_experts : int
-        Ranks of the group, layers, and experts of each layer.
+        Number of ranks in the group, of layers, and of experts in each layer.
     n_slots : int
-        Experts that one rank can hold of each layer.
+        Maximum number of experts of each layer that one rank can hold.
     n_expert_bytes : int
-        Weights of one expert of one layer, in bytes.
+        Size of the weights of one expert of one layer, in bytes.
 
     Raises
     ------
     ValueError
-        When a size is not positive or the experts of a layer do not fit.
+        When a size is not positive, or the slots of all ranks cannot hold the experts
+        of a layer, or a rank has more slots than there are experts.
     """
 
     n_ranks: int
@@ -59,14 +60,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Move:
-    """One change of a slot.
+    """Move, addition or removal of one replica of an expert.
 
     Parameters
     ----------
     layer, expert : int
-        The expert concerned.
+        Layer, and index of the expert in it.
     from_rank : int or None
-        Rank that gives up its replica; None for an additional replica.
+        Rank that removes its replica; None for an additional replica.
     to_rank : int or None
         Rank that loads the expert; None when a replica is only removed.
     n_bytes : int
@@ -81,16 +82,16 @@
 
 
 def make_initial_placement(shape: GroupShape) -> Placement:
-    """Return a placement that fills every slot without knowledge of the loads."""
+    """Return a placement that fills every slot, for unknown loads."""
     ranks: list[list[int]] = [[] for _ in range(shape.n_experts)]
     for slot in range(shape.n_ranks * shape.n_slots):
-        # Consecutive experts go to one rank, so no expert is twice on a rank.
+        # A rank holds consecutive experts, so that it never holds one expert twice.
         ranks[slot % shape.n_experts].append(slot // shape.n_slots)
     return (tuple(tuple(held) for held in ranks),) * shape.n_layers
 
 
 def validate_placement(shape: GroupShape, placement: Placement) -> None:
-    """Raise ``ValueError`` unless the placement is a possible one for the group."""
+    """Raise ``ValueError`` unless a group of this shape can have the placement."""
     if len(placement) != shape.n_layers:
         raise ValueError(
             f"placement has {len(placement)} layers, expected {shape.n_layers}"
@@ -100,6 +101,7 @@
 
 
 def _validate_layer(shape: GroupShape, layer: int, ranks: LayerPlacement) -> None:
+    """Raise ``ValueError`` unless the placement of one layer is possible."""
     if len(ranks) != shape.n_experts:
         raise ValueError(
             f"placement of layer {layer} has {len(ranks)} experts, "
@@ -111,7 +113,7 @@
         if not held:
             raise ValueError(f"{place}, expected at least one rank")
         if any(a >= b for a, b in pairwise(held)):
-            raise ValueError(f"{place}, expected different ranks in rising order")
+            raise ValueError(f"{place}, expected distinct ranks in ascending order")
         if held[0] < 0 or held[-1] >= shape.n_ranks:
             raise ValueError(f"{place}, expected ranks 0 to {shape.n_ranks - 1}")
         for rank in held:
@@ -125,7 +127,10 @@
 
 
 def validate_loads(shape: GroupShape, loads: Loads) -> None:
-    """Raise ``ValueError`` unless loads are finite, not negative and of the shape."""
+    """Raise ``ValueError`` unless the loads are valid for a group of this shape.
+
+    There must be a finite load of at least 0 for every expert of every layer.
+    """
     if len(loads) != shape.n_layers:
         raise ValueError(f"loads have {len(loads)} layers, expected {shape.n_layers}")
     for layer, of_layer in enumerate(loads):
@@ -144,7 +149,10 @@
 def compute_rank_loads(
     n_ranks: int, ranks_by_expert: Sequence[Sequence[int]], loads: Sequence[float]
 ) -> list[float]:
-    """Return the load of each rank in one layer; replicas share a load evenly."""
+    """Return the load of each rank in one layer.
+
+    The load of an expert is divided evenly between its replicas.
+    """
     rank_loads = [0.0] * n_ranks
     for held, load in zip(ranks_by_expert, loads, strict=True):
         share = load / len(held)
@@ -154,7 +162,7 @@
 
 
 def compute_skew(rank_loads: Sequence[float]) -> float:
-    """Return the maximum over the mean of the rank loads; 1 without any load."""
+    """Return the maximum rank load divided by the mean; 1 when all loads are 0."""
     total = sum(rank_loads)
     return max(rank_loads) * len(rank_loads) / total if total else 1.0
 
@@ -162,7 +170,7 @@
 def compute_moves(
     shape: GroupShape, old: Placement, new: Placement, layers: Iterable[int]
 ) -> list[Move]:
-    """Return the moves that lead from one placement to another in some layers."""
+    """Return the moves from one placement to another in the given layers."""
     moves: list[Move] = []
     for layer in layers:
         pairs = zip(old[layer], new[layer], strict=True)
@@ -179,6 +187,11 @@
     before: tuple[int, ...],
     after: tuple[int, ...],
 ) -> list[Move]:
+    """Return the moves of one expert, whose ranks change from ``before`` to ``after``.
+
+    Each removal is paired with a load; a removal or load without a counterpart becomes
+    a move with one rank.
+    """
     left: list[int | None] = [rank for rank in before if rank not in after]
     loaded: list[int | None] = [rank for rank in after if rank not in before]
     n_moves = max(len(left), len(loaded))
@@ -198,18 +211,18 @@
     Raises
     ------
     ValueError
-        When a move does not fit the placement or the result is not a possible one.
+        When a move contradicts the placement, or the result is not a valid placement.
     """
     layers = [[set(held) for held in ranks] for ranks in placement]
     for move in moves:
         held = layers[move.layer][move.expert]
         if move.from_rank is not None:
             if move.from_rank not in held:
-                raise ValueError(f"{move} leaves a rank without the expert")
+                raise ValueError(f"{move} removes an expert that from_rank lacks")
             held.remove(move.from_rank)
         if move.to_rank is not None:
             if move.to_rank in held:
-                raise ValueError(f"{move} goes to a rank that has the expert")
+                raise ValueError(f"{move} loads an expert that to_rank already holds")
             held.add(move.to_rank)
     result = tuple(tuple(tuple(sorted(held)) for held in layer) for layer in layers)
     validate_placement(shape, result)
--- a/packages/core/src/bluebellusher_core/balance/_popularity.py
+++ b/packages/core/src/bluebellusher_core/balance/_popularity.py
@@ -1,4 +1,4 @@
-"""What experts are chosen now, from counts that are samples."""
+"""Estimate of the popularity of experts from sampled counts."""
 
 from collections import deque
 from collections.abc import Sequence
@@ -6,22 +6,31 @@
 
 from bluebellusher_core.balance._model import Loads
 
-# Weight of the newest counts. A plan that follows each sample copies experts for what
-# a few prompts chose.
+# Weight of the newest counts in the average. With a weight of 1, plans would load
+# experts that only the few prompts of one interval have chosen.
 NEWEST_WEIGHT = 0.5
-# Counts that differ by this much more than usual show another popularity.
+# Popularity is considered to have changed when the difference between the newest counts
+# and the average exceeds the median of the earlier differences by this factor.
 SHIFT_RATIO = 1.8
-# Counts from which the usual difference is known, and how many are looked back at.
+# Minimum number of earlier differences for a meaningful median, and maximum number of
+# the latest differences that the median covers.
 N_MIN_DIFFERENCES = 3
 N_MAX_DIFFERENCES = 15
 
 
 class PopularityTracker:
-    """Average of the counts since popularity last changed.
+    """Moving average of the counts since popularity last changed.
 
-    Load pattern: the prompts of one interval are few and each has experts of its own,
-    so that counts differ from one interval to the next while popularity holds; now and
-    then popularity changes at once, and earlier counts say nothing any more.
+    Load pattern: each interval has only a few prompts, and each prompt chooses its own
+    experts, so that counts vary between intervals even when popularity does not change.
+    Occasionally popularity changes abruptly, which makes earlier counts useless; the
+    average then restarts with the newest counts.
+
+    Attributes
+    ----------
+    shares : Loads
+        Share of the choices of a layer that each expert has received, by layer and
+        expert; empty before the first counts.
 
     Examples
     --------
@@ -37,7 +46,13 @@
         self._differences: deque[float] = deque(maxlen=N_MAX_DIFFERENCES)
 
     def observe(self, loads: Loads) -> None:
-        """Take the choices counted in the last interval, by layer and expert."""
+        """Update the average with the counts of the last interval.
+
+        Parameters
+        ----------
+        loads : Loads
+            Number of times that each expert was chosen, by layer and expert.
+        """
         newest = [_normalize(of_layer) for of_layer in loads]
         if not self.shares:
             self.shares = newest
@@ -50,18 +65,20 @@
         self._differences.append(difference)
 
     def _is_shift(self, difference: float) -> bool:
+        """Return whether a difference shows that popularity has changed."""
         if len(self._differences) < N_MIN_DIFFERENCES:
             return False
         return difference > SHIFT_RATIO * median(self._differences)
 
 
 def _normalize(loads: Sequence[float]) -> list[float]:
+    """Return each load divided by their sum; zeros when all loads are 0."""
     total = sum(loads) or 1.0
     return [load / total for load in loads]
 
 
 def _compute_difference(one: Loads, other: Loads) -> float:
-    """Return the total variation distance, as a mean over the layers."""
+    """Return the mean over the layers of the total variation distance."""
     distances = [
         sum(abs(a - b) for a, b in zip(x, y, strict=True)) / 2
         for x, y in zip(one, other, strict=True)
@@ -70,6 +87,7 @@
 
 
 def _mix(newest: Loads, older: Loads) -> list[list[float]]:
+    """Return the weighted average of the newest shares and the previous average."""
     return [
         [NEWEST_WEIGHT * a + (1 - NEWEST_WEIGHT) * b for a, b in zip(x, y, strict=True)]
         for x, y in zip(newest, older, strict=True)
--- a/packages/core/src/bluebellusher_core/balance/_protocol.py
+++ b/packages/core/src/bluebellusher_core/balance/_protocol.py
@@ -1,4 +1,4 @@
-"""Interface of all placement policies."""
+"""Interface of placement policies, and the inputs and results of a plan."""
 
 from dataclasses import dataclass
 from random import Random
@@ -9,18 +9,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Conditions:
-    """What limits the moves of one interval.
+    """Conditions that limit the moves of one plan.
 
     Parameters
     ----------
     now_ms : int
-        Monotonic time; it refills the allowance of the weight store.
+        Monotonic time. The read budget of the weight store refills with it.
     is_capacity_short : bool
-        Whether the group has no capacity to spare; nothing moves then.
+        Whether the group has no free capacity. No expert is moved then.
     store_retry_at_ms : int
-        Time before which the weight store asked not to be called (429).
+        Monotonic time before which the weight store must not be read, because it has
+        answered with status 429.
     n_loads_in_progress : int
-        Expert loads of earlier plans that have not finished.
+        Number of weight loads of earlier plans that have not finished.
     """
 
     now_ms: int
@@ -31,35 +32,35 @@
 
 @dataclass(frozen=True, slots=True)
 class Plan:
-    """The next placement and the moves that lead to it."""
+    """Next placement, and the moves from the current placement to it."""
 
     placement: Placement
     moves: tuple[Move, ...] = ()
 
     @property
     def n_bytes(self) -> int:
-        """Bytes that the moves read from the weight store."""
+        """Number of bytes that the moves read from the weight store."""
         return sum(move.n_bytes for move in self.moves)
 
     @property
     def n_loads(self) -> int:
-        """Moves that load an expert."""
+        """Number of moves that load an expert."""
         return sum(1 for move in self.moves if move.to_rank is not None)
 
 
 class PlacementPolicy(Protocol):
-    """Chooses where the experts of a group are held.
+    """Policy that decides which ranks of a group hold each expert.
 
-    ``observe`` is called once in each interval, also while nothing may move;
-    ``plan`` is called when a switch of the map is possible.
+    ``observe`` is called once per interval, even while no expert may be moved;
+    ``plan`` is called when the group can switch to another map.
     """
 
     def observe(self, loads: Loads) -> None:
-        """Take the loads of the last interval."""
+        """Record the loads of the last interval."""
         ...
 
     def plan(
         self, placement: Placement, conditions: Conditions, random_state: Random
     ) -> Plan:
-        """Return the next placement, starting from the one in force."""
+        """Return the next placement, and the moves to it from ``placement``."""
         ...
--- a/packages/core/src/bluebellusher_core/balance/_rank_bounded.py
+++ b/packages/core/src/bluebellusher_core/balance/_rank_bounded.py
@@ -1,4 +1,4 @@
-"""Placement with a bound on what each rank loads."""
+"""Placement policy that limits the number of weight loads of each rank."""
 
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -16,43 +16,49 @@
 )
 from bluebellusher_core.balance._protocol import Conditions, Plan
 
-# Raising rank loads to this power before adding them up makes the highest one count
-# most while a smaller relief still shows.
+# The search minimizes the sum of the rank loads raised to this power. The highest load
+# dominates the sum, while a reduction of lower loads still has an effect on it.
 NORM = 4
-# Candidates that one step of the search looks at.
+# Number of experts of the most loaded rank, and number of least loaded ranks, that one
+# step of the search considers.
 N_HOT_EXPERTS = 6
 N_COOL_RANKS = 5
+# Maximum number of steps of the search of one layer.
 MAX_STEPS = 80
+# Minimum decrease of that sum, in units of the mean rank load to the same power, for a
+# step to be taken.
 MIN_STEP_GAIN = 1e-3
-# Bounds on the loads of a rank for which plans are compared.
+# Limits on the weight loads of each rank for which plans are searched and compared.
 LOADS_PER_RANK = (1, 2, 3, 4, 6, 9)
-# What plans reach at best, as experts cannot be divided at will.
+# Lowest skew that plans reach; the loads cannot be divided between ranks arbitrarily.
 LEAST_SKEW = 1.04
-# Orders and a held step cost about as much time as plans that save less.
+# Minimum time that a plan must save. The orders and the held step of a change take
+# about as long as a plan with a smaller gain saves.
 MIN_GAIN_MS = 200.0
 
 LayerChange = list[tuple[int, set[int]]]
-"""Experts of a layer and the ranks that hold them after a step."""
+"""Changed experts of a layer, each with the ranks that hold it after a step."""
 
 
 @dataclass(frozen=True, slots=True)
 class ChangeCost:
-    """What a change of the map costs and for how long it helps.
+    """Cost of a map change, and time for which the new map is useful.
 
     Parameters
     ----------
     load_ms : float
-        Time in which a rank loads one expert.
+        Time that a rank needs to load one expert.
     fixed_ms : float
-        Time between a plan and its map, beside the loads.
+        Time from a plan to the use of its map, without the weight loads.
     slowdown : float
         Relative increase of the duration of a pass while experts are loaded.
     expert_share : float
-        Share of a pass that grows with the skew.
+        Share of the duration of a pass that is proportional to the skew.
     horizon_ms : float
-        Time for which the loads are expected to hold.
+        Time for which the popularity of the experts is expected to stay the same.
     copy_ms : float
-        Time that a change has to save for each expert that any rank loads.
+        Time that a change must save for each weight load of any rank; the price of a
+        load.
     """
 
     load_ms: float
@@ -63,22 +69,27 @@
     copy_ms: float = 0.0
 
     def can_gain(self, skew: float) -> bool:
-        """Return whether a map with the least skew saves more than two loads cost."""
+        """Return whether a map change may save enough time at this skew.
+
+        The estimate assumes a new map with the lowest skew, two weight loads on the
+        rank with most of them, and the price of one load.
+        """
         return self.gain_ms(skew, LEAST_SKEW, 2, 1) > MIN_GAIN_MS
 
     def gain_ms(
         self, old_skew: float, new_skew: float, n_most_loads: int, n_loads: int = 0
     ) -> float:
-        """Return the time saved within the horizon, less what the change costs.
+        """Return the time saved within the horizon minus the cost of the change, in ms.
 
         Parameters
         ----------
         old_skew, new_skew : float
-            Mean skew before and after the change.
+            Mean skew of the layers before and after the change.
         n_most_loads : int
-            Loads of the rank that has most of them; it decides how long they take.
+            Number of weight loads of the rank that has most of them, which determines
+            the duration of the loading.
         n_loads : int
-            Loads of all ranks, whose bytes have a price.
+            Number of weight loads of all ranks together, each of which has a price.
         """
         load_ms = n_most_loads * self.load_ms
         saved = self.expert_share * (old_skew - new_skew)
@@ -89,24 +100,25 @@
 
 
 class RankBoundedPlanner:
-    """Relieve the hottest rank step by step, with few loads on each rank.
+    """Policy that relieves the most loaded ranks with few weight loads on each rank.
 
-    Load pattern: popularity that changes every few seconds, and counts that are
-    samples of it. Ranks load experts side by side, so that the rank with most loads
-    decides how long a change takes; a search is made for each bound on the loads of a
-    rank. Its steps come in the order of what they relieve, and the plan ends where
-    further loads save less than they cost. After a sudden change that is a small plan,
-    because the few experts that became popular matter most; the next plan does the
-    rest.
+    Load pattern: the popularity of experts changes every few seconds, and the counts
+    are samples of it. Ranks load experts in parallel, so that the rank with most weight
+    loads determines the duration of a change. The planner therefore searches once for
+    each limit in ``LOADS_PER_RANK``. A search takes its steps in descending order of
+    their effect, and its plan ends where further weight loads cost more time than they
+    save. After an abrupt change of popularity this gives a small plan, because the few
+    experts that have become popular matter most; the next plan makes the remaining
+    changes.
 
     Parameters
     ----------
     shape : GroupShape
         Sizes of the group.
     cost : ChangeCost
-        Weighs the skew that is saved against the loads.
+        Weighs the reduction of the skew against the weight loads.
     n_max_new : int
-        Experts of one layer that a plan may add to a rank.
+        Maximum number of experts of one layer that a plan adds to a rank.
     """
 
     def __init__(self, shape: GroupShape, cost: ChangeCost, n_max_new: int) -> None:
@@ -116,14 +128,18 @@
         self._loads: Loads = ()
 
     def observe(self, loads: Loads) -> None:
-        """Take the loads of the last interval."""
+        """Store the loads of the last interval for the next plan."""
         validate_loads(self._shape, loads)
         self._loads = loads
 
     def plan(
         self, placement: Placement, conditions: Conditions, random_state: Random
     ) -> Plan:
-        """Return the plan that saves most time, or an empty one."""
+        """Return the plan that saves most time, or a plan without moves.
+
+        The limits on the weight loads of each rank are tried in ascending order, until
+        a higher limit saves no more time.
+        """
         if not self._loads or conditions.is_capacity_short:
             return Plan(placement)
         best_gain, best = MIN_GAIN_MS, placement
@@ -147,7 +163,15 @@
     def _search(
         self, placement: Placement, n_max_loads: int
     ) -> tuple[float, Placement]:
-        """Return the best gain with ``n_max_loads`` loads on each rank, and its map."""
+        """Return the largest gain, in ms, and the placement that has it.
+
+        Parameters
+        ----------
+        placement : Placement
+            Current placement.
+        n_max_loads : int
+            Maximum number of weight loads of each rank.
+        """
         n_left_by_rank = [n_max_loads] * self._shape.n_ranks
         layers = [
             LayerBalancer(self._shape, ranks, loads, self._n_max_new, n_left_by_rank)
@@ -159,7 +183,7 @@
         best_gain, n_best = 0.0, 0
         open_layers = set(range(len(layers)))
         while open_layers:
-            # The layer that delays a pass most goes first.
+            # Continue with the layer that delays a pass most.
             index = max(open_layers, key=skews.__getitem__)
             change = layers[index].step()
             if change is None:
@@ -177,7 +201,7 @@
         return best_gain, _apply_changes(placement, steps[:n_best])
 
     def _mean_skew(self, placement: Placement) -> float:
-        """Return the mean skew of the layers, which a pass goes through in turn."""
+        """Return the mean skew of the layers, which a pass executes in sequence."""
         skews = [
             compute_skew(compute_rank_loads(self._shape.n_ranks, ranks, loads))
             for ranks, loads in zip(placement, self._loads, strict=True)
@@ -188,7 +212,7 @@
 def _apply_changes(
     placement: Placement, changes: Sequence[tuple[int, LayerChange]]
 ) -> Placement:
-    """Return the placement after changes of layers, given by their index."""
+    """Return the placement after changes, each given with the index of its layer."""
     layers = [list(ranks_by_expert) for ranks_by_expert in placement]
     for index, change in changes:
         for expert, ranks in change:
@@ -197,7 +221,22 @@
 
 
 class LayerBalancer:
-    """Search of one layer; see ``RankBoundedPlanner``."""
+    """Step-by-step search of one layer for ``RankBoundedPlanner``.
+
+    Parameters
+    ----------
+    shape : GroupShape
+        Sizes of the group.
+    ranks_by_expert : LayerPlacement
+        Current placement of the layer.
+    loads : sequence of float
+        Load of each expert of the layer.
+    n_max_new : int
+        Maximum number of experts of the layer that a plan adds to a rank.
+    n_left_by_rank : list of int
+        Number of further weight loads that each rank may make. All layers share this
+        list, and their searches update it.
+    """
 
     def __init__(
         self,
@@ -220,11 +259,11 @@
 
     @property
     def skew(self) -> float:
-        """Return the maximum over the mean of the rank loads."""
+        """Maximum rank load divided by the mean."""
         return max(self._rank_loads) / self._scale
 
     def step(self) -> LayerChange | None:
-        """Take the step that helps most and return it, or None when there is none."""
+        """Apply the step with the largest gain and return it; None if there is none."""
         change = self._find_best() if self._n_steps < MAX_STEPS else None
         if change is None:
             return None
@@ -234,6 +273,10 @@
         return change
 
     def _find_best(self) -> LayerChange | None:
+        """Return the change with the largest gain that relieves the most loaded rank.
+
+        Returns None when no change gains more than ``MIN_STEP_GAIN``.
+        """
         order = sorted(range(len(self._rank_loads)), key=self._rank_loads.__getitem__)
         hot = order[-1]
         by_share = sorted(self._held[hot], key=self._share, reverse=True)
@@ -248,6 +291,17 @@
     def _changes(
         self, expert: int, hot: int, cool_ranks: Sequence[int]
     ) -> list[LayerChange]:
+        """Return the possible changes that reduce the load of an expert on a rank.
+
+        Parameters
+        ----------
+        expert : int
+            Expert whose load on the rank is to be reduced.
+        hot : int
+            The most loaded rank, which holds the expert.
+        cool_ranks : sequence of int
+            Ranks with low load that may load the expert.
+        """
         ranks = self._ranks[expert]
         changes: list[LayerChange] = []
         if len(ranks) > 1:
@@ -270,7 +324,11 @@
         return changes
 
     def _victims(self, rank: int, kept: int) -> list[int]:
-        """Return the replica of a rank that costs the others least to take over."""
+        """Return the expert of a rank whose removal adds least load to other ranks.
+
+        Only experts with further replicas are considered, and not ``kept``. The list
+        has one expert or none.
+        """
         redundant = [e for e in self._held[rank] if len(self._ranks[e]) > 1]
         redundant = [e for e in redundant if e != kept]
         if not redundant:
@@ -282,7 +340,16 @@
     def _exchange(
         self, expert: int, hot: int, cool: int
     ) -> tuple[int, set[int]] | None:
-        """Return the lightest expert of a cool rank in exchange for a hot one."""
+        """Return the replacement of ``expert`` in an exchange between two ranks.
+
+        This is the expert with the smallest replica load on the ``cool`` rank that the
+        ``hot`` rank may load.
+
+        Returns
+        -------
+        tuple of int and set of int, or None
+            The other expert with its ranks after the exchange; None if there is none.
+        """
         fitting = [
             e
             for e in self._held[cool]
@@ -294,6 +361,10 @@
         return other, (self._ranks[other] - {cool}) | {hot}
 
     def _may_load(self, expert: int, rank: int) -> bool:
+        """Return whether a rank may load an expert within the limits of the plan.
+
+        An expert that the rank held before the plan needs no weight load.
+        """
         if expert in self._held_before[rank]:
             return True
         if self._n_left_by_rank[rank] < 1:
@@ -301,9 +372,14 @@
         return len(self._held[rank] - self._held_before[rank]) < self._n_max_new
 
     def _share(self, expert: int) -> float:
+        """Return the load of each replica of an expert."""
         return self._loads[expert] / len(self._ranks[expert])
 
     def _gain(self, change: LayerChange) -> float:
+        """Return the decrease of the sum of rank loads raised to the power ``NORM``.
+
+        The loads are relative to the mean rank load.
+        """
         added: dict[int, float] = {}
         for expert, ranks in change:
             before, after = self._share(expert), self._loads[expert] / len(ranks)
@@ -318,6 +394,7 @@
         return gain
 
     def _apply(self, expert: int, ranks: set[int]) -> None:
+        """Place an expert on the given ranks and count the weight loads for it."""
         before, after = self._share(expert), self._loads[expert] / len(ranks)
         for rank in self._ranks[expert]:
             self._rank_loads[rank] -= before
@@ -332,7 +409,10 @@
 
 
 def count_most_new(n_ranks: int, old: Placement, new: Placement) -> int:
-    """Return the largest number of experts that one rank has to load."""
+    """Return the largest number of experts that any rank loads for a new placement.
+
+    The loads of a rank are counted over all layers.
+    """
     n_new = [0] * n_ranks
     for before, after in zip(old, new, strict=True):
         held_before, held_after = _by_rank(n_ranks, before), _by_rank(n_ranks, after)
@@ -342,6 +422,7 @@
 
 
 def _by_rank(n_ranks: int, ranks_by_expert: LayerPlacement) -> list[set[int]]:
+    """Return the experts that each rank holds in one layer."""
     held: list[set[int]] = [set() for _ in range(n_ranks)]
     for expert, ranks in enumerate(ranks_by_expert):
         for rank in ranks:
--- a/packages/core/src/bluebellusher_core/balance/tests/test_maps.py
+++ b/packages/core/src/bluebellusher_core/balance/tests/test_maps.py
@@ -1,4 +1,4 @@
-"""Conversion between maps by rank and placements by expert."""
+"""Conversion between expert maps and placements."""
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -18,12 +18,12 @@
 
 @given(PLACEMENTS)
 def test_conversions_are_inverse(placement):
-    """Guards against a map that puts an expert on another rank than planned."""
+    """Guards against a map that assigns an expert to another rank than planned."""
     layers = to_expert_map(placement, 4)
     experts_by_rank = {rank: [layer[rank] for layer in layers] for rank in range(4)}
     assert to_placement(experts_by_rank, len(placement), 5) == placement
 
 
 def test_map_without_an_expert_is_none():
-    """Guards against a plan for a map that is known only in part."""
+    """Guards against a plan that starts from an incomplete map."""
     assert to_placement({0: [[0, 2]]}, 1, 3) is None
--- a/packages/core/src/bluebellusher_core/balance/tests/test_model.py
+++ b/packages/core/src/bluebellusher_core/balance/tests/test_model.py
@@ -1,4 +1,4 @@
-"""Early errors that name parameter, value and expectation."""
+"""Validation of shapes, placements, loads and moves, and initial placements."""
 
 import pytest
 
@@ -29,7 +29,7 @@
     ],
 )
 def test_shape_is_checked(sizes, message):
-    """Guards against a group that cannot hold its experts."""
+    """Guards against a group whose slots cannot hold its experts."""
     with pytest.raises(ValueError, match=message):
         GroupShape(*sizes)
 
@@ -40,13 +40,13 @@
         ((), "0 layers, expected 1"),
         ((((0,), (1,)),), "2 experts, expected 3"),
         ((((0,), (1,), ()),), "expected at least one rank"),
-        ((((0, 0), (1,), (1,)),), "expected different ranks in rising order"),
+        ((((0, 0), (1,), (1,)),), "expected distinct ranks in ascending order"),
         ((((0,), (1,), (2,)),), "expected ranks 0 to 1"),
         ((((0,), (0,), (0,)),), "3 experts on rank 0, expected at most n_slots=2"),
     ],
 )
 def test_placement_is_checked(placement, message):
-    """Guards against checks that pass on an impossible placement."""
+    """Guards against impossible placements that are accepted."""
     validate_placement(SHAPE, START)
     with pytest.raises(ValueError, match=message):
         validate_placement(SHAPE, placement)
@@ -56,7 +56,7 @@
     "loads", [[], [[1.0]], [[1.0, -1.0, 2.0]], [[1.0, float("nan"), 0.0]]]
 )
 def test_loads_are_checked(loads):
-    """Guards against reports that would spoil the smoothed popularity for good."""
+    """Guards against invalid loads that permanently corrupt the smoothed popularity."""
     for check in (
         lambda: validate_loads(SHAPE, loads),
         lambda: NoRebalancing(SHAPE, BUDGET).observe(loads),
@@ -70,13 +70,17 @@
     "move", [Move(0, 1, 1, None, 0), Move(0, 1, 0, None, 0), Move(0, 1, None, 0, 10)]
 )
 def test_moves_that_do_not_fit_are_refused(move):
-    """Guards against moves from a rank without the expert, or that lose it."""
+    """Guards against moves that contradict the placement.
+
+    Such a move removes an expert from a rank without it, removes the last replica of
+    an expert, or loads an expert on a rank that already holds it.
+    """
     with pytest.raises(ValueError, match="rank"):
         apply_moves(SHAPE, START, [move])
 
 
 def test_moves_are_paired_and_removals_cost_nothing():
-    """Guards against bytes that are counted for a removed replica."""
+    """Guards against removals that are counted as reads from the weight store."""
     new = (((0,), (1,), (1,)),)
     moves = compute_moves(SHAPE, START, new, [0])
     assert moves == [Move(0, 0, 1, None, 0), Move(0, 1, 0, 1, 10)]
@@ -92,12 +96,15 @@
     ],
 )
 def test_planner_parameters_are_checked(name, value):
-    """Guards against a price that is negative or not defined."""
+    """Guards against a negative or undefined price of a weight load."""
     with pytest.raises(ValueError, match=f"{name} is {value}, expected"):
         IncrementalPlanner(SHAPE, BUDGET, **{name: value})
 
 
 def test_initial_placement_is_possible_for_uneven_sizes():
-    """Guards against an expert twice on a rank when the sizes do not divide."""
+    """Guards against an initial placement with an expert twice on one rank.
+
+    The number of slots of the group is not a multiple of the number of experts.
+    """
     shape = GroupShape(5, 2, 7, 6, 1)
     validate_placement(shape, make_initial_placement(shape))
--- a/packages/core/src/bluebellusher_core/balance/tests/test_policies.py
+++ b/packages/core/src/bluebellusher_core/balance/tests/test_policies.py
@@ -1,4 +1,4 @@
-"""Common checks for every policy, and the behaviour of the chosen one."""
+"""Checks of all placement policies, and behaviour of ``IncrementalPlanner``."""
 
 from random import Random
 
@@ -41,7 +41,7 @@
 
 @st.composite
 def any_shape(draw):
-    """Return a small group, with few or many redundant slots."""
+    """Draw the shape of a small group, with few or many redundant slots."""
     n_ranks, n_experts = draw(st.integers(1, 6)), draw(st.integers(1, 12))
     n_needed = -(-n_experts // n_ranks)
     n_slots = draw(st.integers(n_needed, n_experts))
@@ -72,7 +72,11 @@
 
 
 def run(name, shape, budget, steps, seed):
-    """Return the plans of some intervals, with the placement each started from."""
+    """Return the plan of each interval, with the placement that it started from.
+
+    Each step has the loads and conditions of one interval, and whether the group
+    switches to the planned placement.
+    """
     policy, random_state = POLICIES[name](shape, budget), Random(seed)
     placement, plans = make_initial_placement(shape), []
     for loads, conditions, is_switched in steps:
@@ -87,7 +91,11 @@
 @pytest.mark.parametrize("name", POLICIES)
 @given(data=st.data(), seed=st.integers(0, 9), budget=any_budget)
 def test_property_common_contract(name, data, seed, budget):
-    """Guards against lost experts, full ranks, wrong moves and excess of a limit."""
+    """Guards against plans that violate a rule that applies to every policy.
+
+    A plan must be reproducible, keep every expert on some rank, fit the slots of the
+    ranks, list the moves to its placement, and stay within all limits.
+    """
     shape = data.draw(any_shape())
     step = st.tuples(any_loads(shape), any_conditions, st.booleans())
     steps = data.draw(st.lists(step, min_size=1, max_size=4))
@@ -114,7 +122,7 @@
 
 @pytest.mark.parametrize("name", REBALANCING)
 def test_every_rebalancing_policy_lowers_skew(name):
-    """Guards against a policy that keeps to its limits because it moves nothing."""
+    """Guards against a policy that stays within its limits because it moves nothing."""
     steps = [(HOT_FIRST, Conditions(0), True)] * 3
     placement = run(name, SHAPE, UNLIMITED, steps, 1)[-1][1].placement
     for ranks, loads in zip(placement, HOT_FIRST, strict=True):
@@ -122,7 +130,7 @@
 
 
 def test_store_rate_limits_one_plan_after_another():
-    """Guards against loads that the token bucket of the weight store forgets."""
+    """Guards against weight loads that the token bucket of the store does not count."""
     budget = MoveBudget(10**6, 10**9, N_BYTES, 2 * N_BYTES)
     times_ms = (0, 0, 1000, 1000, 9000)
     steps = [(HOT_FIRST, Conditions(now_ms), True) for now_ms in times_ms]
@@ -135,7 +143,7 @@
 
 @given(data=st.data())
 def test_property_plan_never_raises_skew(data):
-    """Guards against moves that make the popularity they were planned for worse."""
+    """Guards against plans that raise the skew for the loads they were made for."""
     shape = data.draw(any_shape())
     loads = data.draw(any_loads(shape))
     steps = [(loads, Conditions(0), True)]
@@ -150,7 +158,7 @@
 
 @pytest.mark.parametrize(("min_gain", "is_moving"), [(0.02, False), (0.0, True)])
 def test_small_gains_move_nothing(min_gain, is_moving):
-    """Guards against moves back and forth because of noise in the loads."""
+    """Guards against noise in the loads that moves experts back and forth."""
     shape, random_state = GroupShape(8, 2, 32, 4, N_BYTES), Random(1)
     policy = IncrementalPlanner(shape, UNLIMITED, 1, 0, min_gain=min_gain)
     placement = make_initial_placement(shape)
@@ -164,7 +172,7 @@
 
 
 def test_weights_trade_skew_for_moves():
-    """Guards against rules ``weight skew`` and ``weight moves`` without effect."""
+    """Guards against rules ``weight skew`` and ``weight moves`` that have no effect."""
     random_state, n_loads = Random(1), []
     loads = [[random_state.lognormvariate(0, 1) for _ in range(32)] for _ in range(2)]
     for skew_weight, move_weight in ((4, 1), (1, 1), (1, 4)):
@@ -176,7 +184,7 @@
 
 
 def test_popularity_is_smoothed_and_observed_without_a_plan():
-    """Guards against one odd interval that decides the placement."""
+    """Guards against a placement that follows the loads of one unusual interval."""
     policy = IncrementalPlanner(SHAPE, UNLIMITED, smoothing=0.2)
     for _ in range(20):
         policy.observe(HOT_FIRST)
@@ -190,7 +198,11 @@
 
 
 def test_expert_above_the_mean_is_copied_although_no_single_step_helps():
-    """Guards against a search that stops when each copy needs an emptied rank."""
+    """Guards against a search that stops when no single step lowers the cost.
+
+    Each rank that receives a replica of the large expert stays above the mean load
+    until later steps have moved its other experts away.
+    """
     shape = GroupShape(8, 1, 32, 5, N_BYTES)
     loads = [[300.0] + [10.0] * 31]
     steps = [(loads, Conditions(0), True)] * 4
@@ -199,7 +211,7 @@
 
 
 def test_budget_goes_to_the_largest_gain_for_each_load():
-    """Guards against a layer that uses up the budget for its last small gains."""
+    """Guards against a layer that uses up the budget for small gains."""
     costs_by_layer = {0: [2.0, 1.5, 1.45, 1.44], 1: [2.0, 1.95, 1.6], 2: [2.0, 1.99]}
     steps_by_layer = {
         layer: [Step((), n_loads, cost) for n_loads, cost in enumerate(costs)]
@@ -211,7 +223,7 @@
 
 
 def test_equal_layers_take_turns_by_the_random_state():
-    """Guards against a budget that always goes to the first layers."""
+    """Guards against a small budget that is always spent on the first layers."""
     shape = GroupShape(8, 6, 32, 5, N_BYTES)
     step = (HOT_FIRST * 3, Conditions(0), True)
     budget = MoveBudget(1, 10**9, 10**9, 10**9)
--- a/packages/core/src/bluebellusher_core/balance/tests/test_popularity.py
+++ b/packages/core/src/bluebellusher_core/balance/tests/test_popularity.py
@@ -1,4 +1,4 @@
-"""Popularity from counts that are samples."""
+"""Estimate of the popularity of experts from sampled counts."""
 
 import pytest
 from hypothesis import given
@@ -10,7 +10,7 @@
 
 
 def test_counts_of_few_prompts_are_averaged():
-    """Guards against plans that follow the prompts of one interval."""
+    """Guards against shares that follow the few prompts of one interval."""
     tracker = PopularityTracker()
     for at in range(8):
         sample = [10.0, 10.0, 10.0, 10.0]
@@ -21,7 +21,7 @@
 
 
 def test_sudden_change_is_believed_at_once():
-    """Guards against plans for a mixture of two popularities."""
+    """Guards against shares that average counts from before and after a change."""
     tracker = PopularityTracker()
     for at in range(8):
         sample = [10.0, 10.0, 10.0, 10.0]
@@ -32,7 +32,7 @@
 
 
 def test_interval_without_choices_is_no_error():
-    """Guards against a division by zero when a group was idle."""
+    """Guards against a division by zero after an interval in which a group was idle."""
     tracker = PopularityTracker()
     tracker.observe([[0.0, 0.0]])
     tracker.observe([[1.0, 1.0]])
@@ -45,7 +45,7 @@
     )
 )
 def test_shares_stay_a_distribution(samples):
-    """Guards against loads that planners refuse."""
+    """Guards against shares that the validation of loads refuses."""
     tracker = PopularityTracker()
     for sample in samples:
         tracker.observe([sample])
