Rename the private names and tests of core/ranks

The test of the leader in the entry follows the three renamed methods of the model group. Behaviour does not change.

--- a/packages/core/src/bluebellusher_core/ranks/_change.py
+++ b/packages/core/src/bluebellusher_core/ranks/_change.py
@@ -51,7 +51,7 @@
 FENCES_PER_TOKEN = 2
 # Time after which an unanswered order can no longer take effect. Engines carry out
 # such orders within 12 s.
-LATE_ORDER_MS = 13_000
+MAX_ORDER_DELAY_MS = 13_000
 
 
 class ChangePhase(StrEnum):
@@ -94,16 +94,16 @@
     leader_token: int
     phase: ChangePhase = ChangePhase.IDLE
     wanted_version: int = 0
-    _wanted: ExpertMap = field(default=(), repr=False)
-    _wanted_epoch: int = -1
+    _target_map: ExpertMap = field(default=(), repr=False)
+    _target_epoch: int = -1
     _epoch: int = -1
     _n_versions: int = 0
     _hold_step: int = 0
     # Whether this leader has sent an order to prepare in the current epoch, which may
     # still be in transit.
-    _has_prepared: bool = False
+    _has_sent_prepare: bool = False
     # The held step, and the monotonic time in ms at which a rank first reported it.
-    _held: tuple[int, int] = (0, 0)
+    _first_observed_hold: tuple[int, int] = (0, 0)
 
     @property
     def is_idle(self) -> bool:
@@ -128,8 +128,8 @@
         """
         self._n_versions += 1
         self.wanted_version = self.leader_token * VERSIONS_PER_TOKEN + self._n_versions
-        self._wanted = experts_by_rank
-        self._wanted_epoch = epoch
+        self._target_map = experts_by_rank
+        self._target_epoch = epoch
         self._hold_step = 0
         self.phase = ChangePhase.PREPARING
         return self.wanted_version
@@ -141,7 +141,7 @@
         no rank has been armed for it.
         """
         self.wanted_version = 0
-        self._wanted = ()
+        self._target_map = ()
         self._hold_step = 0
         self.phase = ChangePhase.IDLE
 
@@ -155,8 +155,8 @@
         now_ms : int
             Monotonic time.
         """
-        first = self.leader_token * FENCES_PER_TOKEN
-        for token in range(first, first + FENCES_PER_TOKEN):
+        first_token = self.leader_token * FENCES_PER_TOKEN
+        for token in range(first_token, first_token + FENCES_PER_TOKEN):
             unfenced = [s for s in view.states if s.fencing_token < token]
             if unfenced:
                 self.phase = ChangePhase.FENCING
@@ -166,39 +166,40 @@
                 ]
         if view.epoch != self._epoch:
             self._epoch = view.epoch
-            self._has_prepared = False
-            self._held = (0, 0)
-        if self.wanted_version and view.epoch != self._wanted_epoch:
+            self._has_sent_prepare = False
+            self._first_observed_hold = (0, 0)
+        if self.wanted_version and view.epoch != self._target_epoch:
             self.give_up()
         if view.armed:
-            return self._go_on_armed(view)
+            return self._complete_armed_change(view)
         if view.held:
-            return self._decide_held(view, now_ms)
-        return self._decide_free(view)
+            return self._decide_with_held_step(view, now_ms)
+        return self._decide_without_held_step(view)
 
-    def _go_on_armed(self, view: GroupView) -> list[RankOrder]:
+    def _complete_armed_change(self, view: GroupView) -> list[RankOrder]:
         """Arm the remaining ranks, or release the held step when all are armed."""
         version, step = view.armed[0].armed_version, view.armed[0].armed_step
-        missing = [s for s in view.states if s.armed_version != version]
-        if missing:
+        unarmed = [s for s in view.states if s.armed_version != version]
+        if unarmed:
             if view.held:
                 step = max(state.held_step or 0 for state in view.held)
-            return self._arm(missing, version, step)
+            return self._make_arm_orders(unarmed, version, step)
         self.phase = ChangePhase.RELEASING
         return [
-            self._order(s, OrderAction.GO, step=s.held_step or 0) for s in view.held
+            self._make_order(s, OrderAction.GO, step=s.held_step or 0)
+            for s in view.held
         ]
 
-    def _decide_held(self, view: GroupView, now_ms: int) -> list[RankOrder]:
+    def _decide_with_held_step(self, view: GroupView, now_ms: int) -> list[RankOrder]:
         """Arm the ranks for a held step, or first prepare the target map on them."""
         step = view.held[0].held_step or 0
-        if self._held[0] != step:
-            self._held = (step, now_ms)
+        if self._first_observed_hold[0] != step:
+            self._first_observed_hold = (step, now_ms)
         version = view.common_prepared_version
         if version and version != view.common_map_version:
-            if self._may_arm(version, now_ms - self._held[1]):
-                return self._arm(view.states, version, step)
-            if not self._has_prepared:
+            if self._is_safe_to_arm(version, now_ms - self._first_observed_hold[1]):
+                return self._make_arm_orders(view.states, version, step)
+            if not self._has_sent_prepare:
                 # An order to arm for this version may still be in transit.
                 self.phase = ChangePhase.ARMING
                 return []
@@ -206,9 +207,9 @@
             self.phase = ChangePhase.BLOCKED
             return []
         self.phase = ChangePhase.PREPARING
-        return self._prepare(view)
+        return self._make_prepare_orders(view)
 
-    def _may_arm(self, version: int, held_ms: int) -> bool:
+    def _is_safe_to_arm(self, version: int, held_ms: int) -> bool:
         """Return whether no order to prepare another version can be in transit.
 
         If a rank carried out such an order before its order to arm, it could not be
@@ -225,12 +226,12 @@
         """
         if version == self.wanted_version:
             return True
-        if self._has_prepared:
+        if self._has_sent_prepare:
             return False
-        is_of_last_leader = version // VERSIONS_PER_TOKEN == self.leader_token - 1
-        return is_of_last_leader or held_ms >= LATE_ORDER_MS
+        is_from_previous_leader = version // VERSIONS_PER_TOKEN == self.leader_token - 1
+        return is_from_previous_leader or held_ms >= MAX_ORDER_DELAY_MS
 
-    def _decide_free(self, view: GroupView) -> list[RankOrder]:
+    def _decide_without_held_step(self, view: GroupView) -> list[RankOrder]:
         """Prepare the target map on all ranks, then hold a step at one of them."""
         if not self.wanted_version:
             self.phase = ChangePhase.IDLE
@@ -238,36 +239,45 @@
         if view.common_map_version == self.wanted_version:
             self.give_up()
             return []
-        orders = self._prepare(view)
+        orders = self._make_prepare_orders(view)
         if orders:
             self.phase = ChangePhase.PREPARING
             return orders
         self.phase = ChangePhase.HOLDING
         if self._hold_step <= view.step:
             self._hold_step = view.step + HOLD_LEAD_STEPS
-        return [self._order(view.states[0], OrderAction.HOLD, step=self._hold_step)]
+        return [
+            self._make_order(view.states[0], OrderAction.HOLD, step=self._hold_step)
+        ]
 
-    def _prepare(self, view: GroupView) -> list[RankOrder]:
+    def _make_prepare_orders(self, view: GroupView) -> list[RankOrder]:
         """Return an order for each rank that has not prepared the target map."""
-        missing = [s for s in view.states if s.prepared_version != self.wanted_version]
-        self._has_prepared = self._has_prepared or bool(missing)
+        unprepared = [
+            s for s in view.states if s.prepared_version != self.wanted_version
+        ]
+        self._has_sent_prepare = self._has_sent_prepare or bool(unprepared)
         return [
-            self._order(
-                state, OrderAction.PREPARE, self.wanted_version, experts=self._wanted
+            self._make_order(
+                state,
+                OrderAction.PREPARE,
+                self.wanted_version,
+                experts=self._target_map,
             )
-            for state in missing
+            for state in unprepared
         ]
 
-    def _arm(self, states: list[RankState], version: int, step: int) -> list[RankOrder]:
+    def _make_arm_orders(
+        self, states: list[RankState], version: int, step: int
+    ) -> list[RankOrder]:
         """Return an order to arm for each rank that does not use ``version`` yet."""
         self.phase = ChangePhase.ARMING
         return [
-            self._order(state, OrderAction.ARM, version, step)
+            self._make_order(state, OrderAction.ARM, version, step)
             for state in states
             if state.map_version != version
         ]
 
-    def _order(
+    def _make_order(
         self,
         state: RankState,
         action: OrderAction,
--- a/packages/core/src/bluebellusher_core/ranks/_counts.py
+++ b/packages/core/src/bluebellusher_core/ranks/_counts.py
@@ -11,8 +11,8 @@
 from collections.abc import Sequence
 from math import sqrt
 
-_LARGEST = struct.Struct(">Q")
-_SCALE = 255
+_HEADER = struct.Struct(">Q")
+_MAX_ROOT = 255
 
 
 def pack_counts(counts: Sequence[int]) -> bytes:
@@ -25,9 +25,9 @@
     """
     largest = max(counts, default=0)
     if largest <= 0:
-        return _LARGEST.pack(0)
-    roots = bytes(round(sqrt(max(0, n) / largest) * _SCALE) for n in counts)
-    return _LARGEST.pack(largest) + zlib.compress(roots, 1)
+        return _HEADER.pack(0)
+    roots = bytes(round(sqrt(max(0, n) / largest) * _MAX_ROOT) for n in counts)
+    return _HEADER.pack(largest) + zlib.compress(roots, 1)
 
 
 def unpack_counts(data: bytes) -> list[int]:
@@ -41,13 +41,13 @@
     ValueError
         When the data is not a result of ``pack_counts``.
     """
-    if len(data) < _LARGEST.size:
-        raise ValueError(f"{len(data)} bytes: expected at least {_LARGEST.size}")
-    (largest,) = _LARGEST.unpack_from(data)
+    if len(data) < _HEADER.size:
+        raise ValueError(f"{len(data)} bytes: expected at least {_HEADER.size}")
+    (largest,) = _HEADER.unpack_from(data)
     if not largest:
         return []
     try:
-        roots = zlib.decompress(data[_LARGEST.size :])
+        roots = zlib.decompress(data[_HEADER.size :])
     except zlib.error as error:
         raise ValueError(f"counts cannot be decompressed: {error}") from None
-    return [round(largest * root * root / (_SCALE * _SCALE)) for root in roots]
+    return [round(largest * root * root / (_MAX_ROOT * _MAX_ROOT)) for root in roots]
--- a/packages/core/src/bluebellusher_core/ranks/_packed_map.py
+++ b/packages/core/src/bluebellusher_core/ranks/_packed_map.py
@@ -11,14 +11,14 @@
 
 from bluebellusher_core.ranks._state import ExpertMap
 
-_SIZES = struct.Struct(">HH")
+_HEADER = struct.Struct(">HH")
 _NUMBER_BYTES = 2
 # Limit of the decompressed size, in bytes. A map of 1,024 ranks with 64 experts each in
 # 128 layers has this size.
 MAX_MAP_BYTES = 16 * 1024 * 1024
 
 
-def pack_map(experts: ExpertMap) -> bytes:
+def pack_map(expert_map: ExpertMap) -> bytes:
     """Encode a map as bytes.
 
     Examples
@@ -26,13 +26,13 @@
     >>> unpack_map(pack_map((((0, 2), (1,)),)))
     (((0, 2), (1,)),)
     """
-    n_ranks = len(experts[0]) if experts else 0
+    n_ranks = len(expert_map[0]) if expert_map else 0
     numbers: list[int] = []
-    for layer in experts:
-        for held in layer:
-            numbers += (len(held), *held)
+    for layer in expert_map:
+        for experts in layer:
+            numbers += (len(experts), *experts)
     data = struct.pack(f">{len(numbers)}H", *numbers)
-    return _SIZES.pack(len(experts), n_ranks) + zlib.compress(data)
+    return _HEADER.pack(len(expert_map), n_ranks) + zlib.compress(data)
 
 
 def unpack_map(data: bytes) -> ExpertMap:
@@ -43,12 +43,12 @@
     ValueError
         When the data is not a result of ``pack_map``.
     """
-    if len(data) < _SIZES.size:
-        raise ValueError(f"{len(data)} bytes: expected at least {_SIZES.size}")
-    n_layers, n_ranks = _SIZES.unpack_from(data)
-    numbers = iter(_unpack_numbers(data[_SIZES.size :]))
+    if len(data) < _HEADER.size:
+        raise ValueError(f"{len(data)} bytes: expected at least {_HEADER.size}")
+    n_layers, n_ranks = _HEADER.unpack_from(data)
+    numbers = iter(_unpack_numbers(data[_HEADER.size :]))
     layers = tuple(
-        tuple(_take_held(numbers) for _ in range(n_ranks)) for _ in range(n_layers)
+        tuple(_read_experts(numbers) for _ in range(n_ranks)) for _ in range(n_layers)
     )
     if next(numbers, None) is not None:
         raise ValueError("map has more numbers than its header declares")
@@ -67,12 +67,12 @@
     return struct.unpack(f">{len(content) // _NUMBER_BYTES}H", content)
 
 
-def _take_held(numbers: Iterator[int]) -> tuple[int, ...]:
+def _read_experts(numbers: Iterator[int]) -> tuple[int, ...]:
     """Read the experts of one rank in one layer: their number, then each index."""
-    n_held = next(numbers, None)
-    if n_held is None:
+    n_experts = next(numbers, None)
+    if n_experts is None:
         raise ValueError("map has fewer numbers than its header declares")
-    held = tuple(islice(numbers, n_held))
-    if len(held) < n_held:
+    experts = tuple(islice(numbers, n_experts))
+    if len(experts) < n_experts:
         raise ValueError("map has fewer numbers than its header declares")
-    return held
+    return experts
--- a/packages/core/src/bluebellusher_core/ranks/tests/_engines.py
+++ b/packages/core/src/bluebellusher_core/ranks/tests/_engines.py
@@ -51,36 +51,36 @@
         self.engines = [Engine(rank, n_ranks) for rank in range(n_ranks)]
         self.token_by_rank = [0] * n_ranks
         self.step = 0
-        self.under_way: list[RankOrder] = []
+        self.orders_in_transit: list[RankOrder] = []
         self.accepted: list[tuple[int, RankOrder]] = []
         self.n_switches = 0
 
     def send(self, orders: list[RankOrder]) -> None:
         """Send orders to the agents; they stay in transit until they are delivered."""
-        self.under_way += orders
+        self.orders_in_transit += orders
 
-    def deliver(self, at: int) -> None:
+    def deliver(self, index: int) -> None:
         """Deliver one order in transit to its agent, which accepts or refuses it."""
-        order = self.under_way.pop(at % len(self.under_way))
+        order = self.orders_in_transit.pop(index % len(self.orders_in_transit))
         rank = int(order.rank_id)
         if order.fencing_token < self.token_by_rank[rank]:
             return
         self.token_by_rank[rank] = order.fencing_token
         self.accepted.append((rank, order))
 
-    def deliver_directly(self, at: int) -> None:
+    def deliver_directly(self, index: int) -> None:
         """Deliver an order to arm or release to its engine, bypassing the agent."""
-        order = self.under_way[at % len(self.under_way)]
+        order = self.orders_in_transit[index % len(self.orders_in_transit)]
         if order.action in (OrderAction.ARM, OrderAction.GO):
-            self.under_way.remove(order)
+            self.orders_in_transit.remove(order)
             self.accepted.append((int(order.rank_id), order))
 
-    def execute(self, at: int) -> None:
+    def execute(self, index: int) -> None:
         """Make an engine carry out one accepted order."""
-        rank, order = self.accepted.pop(at % len(self.accepted))
+        rank, order = self.accepted.pop(index % len(self.accepted))
         self.engines[rank].execute(order, self.step)
 
-    def begin_pass(self) -> None:
+    def start_pass(self) -> None:
         """Start the next pass unless a rank holds its step.
 
         Raises
@@ -100,12 +100,12 @@
         maps = {(e.map_version, repr(e.map_content)) for e in self.engines}
         assert len(maps) == 1, f"pass {step} starts with different maps {maps}"
 
-    def form_anew(self) -> None:
+    def form_again(self) -> None:
         """Form the group again in a new epoch, as after the crash of a rank."""
         n_ranks, epoch = len(self.engines), self.engines[0].epoch + 1
         self.engines = [Engine(rank, n_ranks, epoch) for rank in range(n_ranks)]
 
-    def read(self, rank: int) -> RankState:
+    def get_state(self, rank: int) -> RankState:
         """Return the state that the agent of a rank reports now."""
         engine = self.engines[rank]
         armed = engine.armed or (0, 0, "")
--- a/packages/core/src/bluebellusher_core/ranks/tests/test_packed_map.py
+++ b/packages/core/src/bluebellusher_core/ranks/tests/test_packed_map.py
@@ -6,25 +6,25 @@
 
 from bluebellusher_core.ranks import pack_map, unpack_map
 
-HELD = st.lists(st.integers(0, 65_535), max_size=6).map(tuple)
+RANK_EXPERTS = st.lists(st.integers(0, 65_535), max_size=6).map(tuple)
 
 
 @st.composite
 def maps(draw):
     """Draw a map of 1 to 4 layers and 1 to 5 ranks."""
     n_ranks = draw(st.integers(1, 5))
-    layer = st.lists(HELD, min_size=n_ranks, max_size=n_ranks).map(tuple)
+    layer = st.lists(RANK_EXPERTS, min_size=n_ranks, max_size=n_ranks).map(tuple)
     return tuple(draw(st.lists(layer, min_size=1, max_size=4)))
 
 
 @given(maps())
-def test_map_comes_back_unchanged(experts):
+def test_decoded_map_equals_encoded_map(expert_map):
     """Guards against ranks that load other experts than the leader planned."""
-    assert unpack_map(pack_map(experts)) == experts
+    assert unpack_map(pack_map(expert_map)) == expert_map
 
 
 @given(st.binary(max_size=200))
-def test_foreign_bytes_raise_a_value_error(data):
+def test_arbitrary_bytes_raise_only_value_error(data):
     """Guards against an agent that crashes on a malformed order."""
     try:
         unpack_map(data)
@@ -32,15 +32,15 @@
         return
 
 
-@pytest.mark.parametrize("cut", [1, 5, 20])
-def test_cut_map_is_refused(cut):
+@pytest.mark.parametrize("n_cut_bytes", [1, 5, 20])
+def test_truncated_map_raises_value_error(n_cut_bytes):
     """Guards against a truncated map that is accepted without its last ranks."""
-    packed = pack_map((((0, 1), (2, 3), (4,)),) * 3)
+    encoded = pack_map((((0, 1), (2, 3), (4,)),) * 3)
     with pytest.raises(ValueError, match=r"map|bytes"):
-        unpack_map(packed[:-cut])
+        unpack_map(encoded[:-n_cut_bytes])
 
 
-def test_map_of_a_large_group_takes_few_bytes():
+def test_map_of_a_large_group_is_encoded_in_few_bytes():
     """Guards against orders that are larger than the requests of their group.
 
     The map has the size of 12 layers of 256 experts on 64 ranks, with 5 replicas on
--- a/packages/entry/src/bluebellusher/ranks/tests/test_leader.py
+++ b/packages/entry/src/bluebellusher/ranks/tests/test_leader.py
@@ -57,7 +57,7 @@
         """Return fresh states of every rank."""
         now_ms = self._clock.now_ms()
         return [
-            replace(self.group.read(rank), read_at_ms=now_ms)
+            replace(self.group.get_state(rank), read_at_ms=now_ms)
             for rank in range(len(self.group.engines))
         ]
 
@@ -102,7 +102,7 @@
 
     async def go_on():
         while True:
-            links.group.begin_pass()
+            links.group.start_pass()
             await asyncio.sleep(0.02)
 
     def find_model(rank_id):
@@ -204,7 +204,7 @@
 
     async def scenario(leader, log):
         await until(lambda: links.group.n_switches >= 1)
-        links.group.form_anew()
+        links.group.form_again()
         n_before = links.group.n_switches
         await until(lambda: links.group.n_switches > n_before)
 
