Rename the participant of a map change and its private names

RankSwitch becomes MapParticipant, the counterpart of MapCoordinator. Its state says whether a proposal is pending, refused or committed, and whether the rank has voted ready. The tests follow. Behaviour does not change.

--- a/packages/core/src/bluebellusher_core/mapswitch/__init__.py
+++ b/packages/core/src/bluebellusher_core/mapswitch/__init__.py
@@ -22,7 +22,7 @@
     Vote,
     VoteValue,
 )
-from bluebellusher_core.mapswitch._rank import RankSwitch
+from bluebellusher_core.mapswitch._rank import MapParticipant
 
 __all__ = [
     "Commit",
@@ -30,11 +30,11 @@
     "Install",
     "LoadWeights",
     "MapCoordinator",
+    "MapParticipant",
     "Message",
     "Prepare",
     "Proposal",
     "Query",
-    "RankSwitch",
     "State",
     "Vote",
     "VoteValue",
--- a/packages/core/src/bluebellusher_core/mapswitch/_coordinator.py
+++ b/packages/core/src/bluebellusher_core/mapswitch/_coordinator.py
@@ -52,7 +52,7 @@
             self._refusal = vote
 
     def plan_messages(
-        self, held_token: int | None
+        self, held_fencing_token: int | None
     ) -> list[tuple[int, Prepare | Commit | Vote]]:
         """Return the messages to send now, each with the index of its rank.
 
@@ -60,12 +60,12 @@
 
         Parameters
         ----------
-        held_token : int or None
+        held_fencing_token : int or None
             Fencing token of the lease that this process holds now; None for no lease.
             Unless it is the token of the proposal, no messages are returned, so that a
             process whose lease has expired proposes nothing.
         """
-        if held_token != self._proposal.fencing_token:
+        if held_fencing_token != self._proposal.fencing_token:
             return []
         ranks = range(self._n_ranks)
         if self._refusal is not None:
--- a/packages/core/src/bluebellusher_core/mapswitch/_rank.py
+++ b/packages/core/src/bluebellusher_core/mapswitch/_rank.py
@@ -14,7 +14,7 @@
 )
 
 
-class RankSwitch:
+class MapParticipant:
     """Votes of one rank on proposed maps, and the map that it uses in each step.
 
     Parameters
@@ -41,13 +41,13 @@
         self._n_ranks = n_ranks
         self._epoch: Epoch | None = None
         self._map_version: int | None = None
-        self._lowest_token = 0
+        self._min_fencing_token = 0
         self._last_started_step = -1
-        self._pending: Proposal | None = None
-        self._is_ready = False
+        self._pending_proposal: Proposal | None = None
+        self._has_voted_ready = False
         self._ready_ranks: set[int] = set()
-        self._refused: set[Proposal] = set()
-        self._committed: Proposal | None = None
+        self._refused_proposals: set[Proposal] = set()
+        self._committed_proposal: Proposal | None = None
 
     @property
     def map_version(self) -> int | None:
@@ -60,17 +60,17 @@
         The message is refused when its fencing token is too low or its epoch is not
         newer than the epoch of this rank.
         """
-        is_fenced = message.epoch.fencing_token < self._lowest_token
+        is_fenced = message.epoch.fencing_token < self._min_fencing_token
         is_old = self._epoch is not None and message.epoch <= self._epoch
         if is_fenced or is_old:
             return False
-        self._lowest_token = message.epoch.fencing_token
+        self._min_fencing_token = message.epoch.fencing_token
         self._epoch = message.epoch
         self._map_version = message.map_version
         self._last_started_step = -1
-        self._drop_pending()
-        self._refused.clear()
-        self._committed = None
+        self._clear_pending_proposal()
+        self._refused_proposals.clear()
+        self._committed_proposal = None
         return True
 
     def raise_token(self, fencing_token: int) -> State:
@@ -79,15 +79,15 @@
         A pending proposal with a lower token is refused, unless this rank has already
         voted ready: another rank may rely on that vote.
         """
-        self._lowest_token = max(self._lowest_token, fencing_token)
-        pending = self._pending
-        if pending and not self._is_ready and self._is_fenced(pending):
+        self._min_fencing_token = max(self._min_fencing_token, fencing_token)
+        pending = self._pending_proposal
+        if pending and not self._has_voted_ready and self._is_fenced(pending):
             self._refuse(pending)
-        return State(self._rank, self._epoch, self._map_version, self._pending)
+        return State(self._rank, self._epoch, self._map_version, self._pending_proposal)
 
     def _is_fenced(self, proposal: Proposal) -> bool:
         """Return whether a proposal has a lower token than this rank accepts."""
-        return proposal.fencing_token < self._lowest_token
+        return proposal.fencing_token < self._min_fencing_token
 
     def prepare(self, message: Prepare) -> Vote | LoadWeights:
         """Start to prepare a proposal.
@@ -99,48 +99,48 @@
             the proposal is refused; otherwise the weight load that precedes the vote.
         """
         proposal = message.proposal
-        known = self.vote_on(proposal)
-        if known.value is not VoteValue.UNDECIDED:
-            return known
-        reason = self._reason_to_refuse(proposal)
+        current_vote = self.get_vote(proposal)
+        if current_vote.value is not VoteValue.UNDECIDED:
+            return current_vote
+        reason = self._find_refusal_reason(proposal)
         if reason:
             return self._refuse(proposal, reason)
-        self._lowest_token = max(self._lowest_token, proposal.fencing_token)
-        self._pending = proposal
+        self._min_fencing_token = max(self._min_fencing_token, proposal.fencing_token)
+        self._pending_proposal = proposal
         return LoadWeights(proposal)
 
-    def _reason_to_refuse(self, proposal: Proposal) -> str:
+    def _find_refusal_reason(self, proposal: Proposal) -> str:
         """Return why the proposal is refused; empty when it is acceptable."""
         if proposal.epoch != self._epoch:
             return f"epoch {proposal.epoch}: expected {self._epoch}"
         if self._is_fenced(proposal):
-            expected = f"expected at least {self._lowest_token}"
+            expected = f"expected at least {self._min_fencing_token}"
             return f"fencing token {proposal.fencing_token}: {expected}"
-        if self._pending is not None and self._pending != proposal:
-            return f"map version {self._pending.map_version} is still pending"
+        if self._pending_proposal is not None and self._pending_proposal != proposal:
+            return f"map version {self._pending_proposal.map_version} is still pending"
         return ""
 
-    def weights_loaded(self, proposal: Proposal) -> Vote | None:
+    def handle_weights_loaded(self, proposal: Proposal) -> Vote | None:
         """Vote ready after the weights have been loaded, and return the vote.
 
         Returns None when the proposal is no longer pending.
         """
-        if self._pending != proposal:
+        if self._pending_proposal != proposal:
             return None
-        self._is_ready = True
+        self._has_voted_ready = True
         self._ready_ranks.add(self._rank)
-        return self.vote_on(proposal)
+        return self.get_vote(proposal)
 
-    def weights_failed(self, proposal: Proposal, reason: str) -> Vote:
+    def handle_load_failure(self, proposal: Proposal, reason: str) -> Vote:
         """Refuse a proposal whose weights cannot be loaded, and return the vote.
 
         A vote that has already been cast stays as it is.
         """
-        if self._pending == proposal and not self._is_ready:
+        if self._pending_proposal == proposal and not self._has_voted_ready:
             return self._refuse(proposal, reason)
-        return self.vote_on(proposal)
+        return self.get_vote(proposal)
 
-    def vote_on(self, proposal: Proposal) -> Vote:
+    def get_vote(self, proposal: Proposal) -> Vote:
         """Return the vote of this rank on a proposal.
 
         A rank that starts the switch step without having voted ready uses the old map
@@ -149,36 +149,43 @@
         if proposal.epoch != self._epoch:
             # This rank may have voted ready in that epoch before it restarted or
             # joined another epoch, so it must not vote for that epoch.
-            return self._vote(proposal, VoteValue.UNDECIDED, "other epoch")
-        if proposal == self._committed:
-            return self._vote(proposal, VoteValue.READY)
-        if proposal == self._pending and self._is_ready:
-            return self._vote(proposal, VoteValue.READY)
-        if proposal in self._refused:
-            return self._vote(proposal, VoteValue.REFUSED, "refused before")
+            return self._make_vote(proposal, VoteValue.UNDECIDED, "other epoch")
+        if proposal == self._committed_proposal:
+            return self._make_vote(proposal, VoteValue.READY)
+        if proposal == self._pending_proposal and self._has_voted_ready:
+            return self._make_vote(proposal, VoteValue.READY)
+        if proposal in self._refused_proposals:
+            return self._make_vote(proposal, VoteValue.REFUSED, "refused before")
         if self._last_started_step >= proposal.switch_step:
-            return self._vote(proposal, VoteValue.REFUSED, "switch step has started")
-        return self._vote(proposal, VoteValue.UNDECIDED)
-
-    def _vote(self, proposal: Proposal, value: VoteValue, reason: str = "") -> Vote:
+            return self._make_vote(
+                proposal, VoteValue.REFUSED, "switch step has started"
+            )
+        return self._make_vote(proposal, VoteValue.UNDECIDED)
+
+    def _make_vote(
+        self, proposal: Proposal, value: VoteValue, reason: str = ""
+    ) -> Vote:
         return Vote(self._rank, proposal, value, reason)
 
     def _refuse(self, proposal: Proposal, reason: str = "") -> Vote:
         """Record the refusal of a proposal and return the vote."""
         if proposal.epoch == self._epoch:
-            # Refusals whose switch step has started need not be stored: ``vote_on``
+            # Refusals whose switch step has started need not be stored: ``get_vote``
             # refuses such proposals by their step.
-            self._refused = {
-                p for p in self._refused if p.switch_step > self._last_started_step
+            self._refused_proposals = {
+                p
+                for p in self._refused_proposals
+                if p.switch_step > self._last_started_step
             }
-            self._refused.add(proposal)
-        if self._pending == proposal:
-            self._drop_pending()
-        return self._vote(proposal, VoteValue.REFUSED, reason)
-
-    def _drop_pending(self) -> None:
-        self._pending = None
-        self._is_ready = False
+            self._refused_proposals.add(proposal)
+        if self._pending_proposal == proposal:
+            self._clear_pending_proposal()
+        return self._make_vote(proposal, VoteValue.REFUSED, reason)
+
+    def _clear_pending_proposal(self) -> None:
+        """Discard the pending proposal and the votes on it."""
+        self._pending_proposal = None
+        self._has_voted_ready = False
         self._ready_ranks = set()
 
     def receive_vote(self, vote: Vote) -> None:
@@ -187,7 +194,10 @@
         Votes may arrive in any order and more than once; votes on other proposals or
         epochs are ignored.
         """
-        if vote.proposal != self._pending or vote.proposal.epoch != self._epoch:
+        if (
+            vote.proposal != self._pending_proposal
+            or vote.proposal.epoch != self._epoch
+        ):
             return
         if vote.value is VoteValue.REFUSED:
             self._refuse(vote.proposal, vote.reason)
@@ -200,7 +210,7 @@
         A rank that has not voted ready itself ignores the message, because the message
         contradicts its own state.
         """
-        if message.proposal == self._pending and self._is_ready:
+        if message.proposal == self._pending_proposal and self._has_voted_ready:
             self._ready_ranks = set(range(self._n_ranks))
 
     def plan_queries(self, step: int) -> list[tuple[int, Query]]:
@@ -209,8 +219,8 @@
         The list is empty unless ``step`` has to wait for the outcome of the pending
         proposal.
         """
-        proposal = self._pending
-        if proposal is None or not self._is_ready or step < proposal.switch_step:
+        proposal = self._pending_proposal
+        if proposal is None or not self._has_voted_ready or step < proposal.switch_step:
             return []
         missing = [r for r in range(self._n_ranks) if r not in self._ready_ranks]
         return [(rank, Query(proposal)) for rank in missing]
@@ -234,15 +244,15 @@
         if step != self._last_started_step + 1:
             expected = self._last_started_step + 1
             raise ValueError(f"step={step}: expected {expected}")
-        proposal = self._pending
+        proposal = self._pending_proposal
         if proposal is not None and step >= proposal.switch_step:
-            if not self._is_ready:
+            if not self._has_voted_ready:
                 self._refuse(proposal, "switch step started before weights were loaded")
             elif len(self._ready_ranks) < self._n_ranks:
                 return None
             else:
-                self._committed = proposal
+                self._committed_proposal = proposal
                 self._map_version = proposal.map_version
-                self._drop_pending()
+                self._clear_pending_proposal()
         self._last_started_step = step
         return self._map_version
--- a/packages/core/src/bluebellusher_core/mapswitch/tests/test_mapswitch_properties.py
+++ b/packages/core/src/bluebellusher_core/mapswitch/tests/test_mapswitch_properties.py
@@ -11,17 +11,17 @@
     Install,
     LoadWeights,
     MapCoordinator,
+    MapParticipant,
     Prepare,
     Proposal,
     Query,
-    RankSwitch,
     Vote,
 )
 
 N_RANKS = 3
 
 
-class GroupWorld:
+class SimulatedGroup:
     """Model of a group, its coordinators and a faulty network.
 
     Messages are delayed, lost, duplicated and reordered; ranks stall and restart.
@@ -29,32 +29,36 @@
 
     def __init__(self, random_state):
         self.random = random_state
-        self.token = 1
+        self.fencing_token = 1
         self.epoch = Epoch(1, 1)
         self.next_version = 2
-        self.ranks = [RankSwitch(i, N_RANKS) for i in range(N_RANKS)]
+        self.ranks = [MapParticipant(i, N_RANKS) for i in range(N_RANKS)]
         self.epochs = [self.epoch] * N_RANKS
         self.steps = [0] * N_RANKS
         self.coordinators = []
         self.messages = []
         self.loads = []
         self.map_by_step = {}
-        self.started = {}
+        self.started_ranks_by_step = {}
         for rank in self.ranks:
             rank.install(Install(self.epoch, 1))
 
     def propose(self):
-        token = self.token - self.random.choice([0, 0, 0, 1])
+        """Propose a new map, sometimes with the token of the previous holder."""
+        fencing_token = self.fencing_token - self.random.choice([0, 0, 0, 1])
         step = max(self.steps) + self.random.randrange(5)
         version = self.next_version
         self.next_version += 1
-        proposal = Proposal(self.epoch, version, f"digest-{version}", token, step)
-        self.coordinators.append((token, MapCoordinator(proposal, N_RANKS)))
+        proposal = Proposal(
+            self.epoch, version, f"digest-{version}", fencing_token, step
+        )
+        self.coordinators.append((fencing_token, MapCoordinator(proposal, N_RANKS)))
         self.send()
 
     def send(self):
-        for token, coordinator in self.coordinators[-2:]:
-            self.messages += coordinator.plan_messages(token)
+        """Send the due messages of the two latest coordinators."""
+        for fencing_token, coordinator in self.coordinators[-2:]:
+            self.messages += coordinator.plan_messages(fencing_token)
 
     def _deliver_to_coordinators(self, vote):
         for _, coordinator in self.coordinators:
@@ -65,14 +69,14 @@
         if not self.messages:
             return
         # Prefer recent messages; otherwise many old messages delay the new ones.
-        n_recent = self.random.choice([6, 20, len(self.messages)])
-        oldest = max(0, len(self.messages) - n_recent)
-        index = self.random.randrange(oldest, len(self.messages))
+        n_candidates = self.random.choice([6, 20, len(self.messages)])
+        first_index = max(0, len(self.messages) - n_candidates)
+        index = self.random.randrange(first_index, len(self.messages))
         target, message = self.messages[index]
-        fate = self.random.choice(["once", "once", "once", "repeat", "lose"])
-        if fate != "repeat":
+        delivery = self.random.choice(["once", "once", "once", "repeat", "lose"])
+        if delivery != "repeat":
             del self.messages[index]
-        if fate != "lose":
+        if delivery != "lose":
             self._handle(target, message)
 
     def _handle(self, target, message):
@@ -83,7 +87,7 @@
         elif isinstance(message, Commit):
             rank.commit(message)
         elif isinstance(message, Query):
-            answer = rank.vote_on(message.proposal)
+            answer = rank.get_vote(message.proposal)
         elif isinstance(message, Vote):
             rank.receive_vote(message)
         else:
@@ -100,18 +104,20 @@
             self.steps[target] = 0
 
     def finish_load(self):
+        """Finish or fail one weight load."""
         if not self.loads:
             return
         target, proposal = self.loads.pop(self.random.randrange(len(self.loads)))
         rank = self.ranks[target]
         if self.random.random() < 0.1:
-            vote = rank.weights_failed(proposal, "weight store refused")
+            vote = rank.handle_load_failure(proposal, "weight store refused")
         else:
-            vote = rank.weights_loaded(proposal)
+            vote = rank.handle_weights_loaded(proposal)
         if vote is not None:
             self._deliver_to_coordinators(vote)
 
     def run_rank(self):
+        """Start the next step at one rank, if the barrier and its votes allow it."""
         self._run(self.random.randrange(N_RANKS))
 
     def _run(self, index):
@@ -119,7 +125,10 @@
         if epoch is None:
             return
         # Lock-step barrier: a step starts when all ranks have started the previous one.
-        if step > 0 and len(self.started.get((epoch, step - 1), ())) < N_RANKS:
+        if (
+            step > 0
+            and len(self.started_ranks_by_step.get((epoch, step - 1), ())) < N_RANKS
+        ):
             return
         rank = self.ranks[index]
         version = rank.start_step(step)
@@ -127,38 +136,40 @@
             self.messages += rank.plan_queries(step)
             return
         self.steps[index] = step + 1
-        self.started.setdefault((epoch, step), set()).add(index)
+        self.started_ranks_by_step.setdefault((epoch, step), set()).add(index)
         self.map_by_step.setdefault((epoch, step), set()).add(version)
 
-    def new_lease_holder(self):
+    def replace_lease_holder(self):
         """Let a new lease holder fence one rank while its predecessor keeps sending."""
-        self.token += 1
-        self.random.choice(self.ranks).raise_token(self.token)
+        self.fencing_token += 1
+        self.random.choice(self.ranks).raise_token(self.fencing_token)
 
     def restart_rank(self):
         """Restart one rank with empty state, and form the group again."""
         index = self.random.randrange(N_RANKS)
-        self.ranks[index] = RankSwitch(index, N_RANKS)
+        self.ranks[index] = MapParticipant(index, N_RANKS)
         self.epochs[index] = None
         self.steps[index] = 0
         self.loads = [load for load in self.loads if load[0] != index]
-        self.epoch = Epoch(self.token, self.next_version)
+        self.epoch = Epoch(self.fencing_token, self.next_version)
         install = Install(self.epoch, self.next_version)
         self.next_version += 1
         self.messages += [(i, install) for i in range(N_RANKS)]
 
-    def check_one_map_in_every_step(self):
+    def check_one_map_per_step(self):
+        """Fail if ranks of one epoch have used different maps in one step."""
         for step, versions in self.map_by_step.items():
             assert len(versions) == 1, (step, versions)
 
-    def act(self):
+    def run_random_action(self):
+        """Run one action, chosen by weight."""
         weight_by_action = {
             self.propose: 4,
             self.send: 6,
             self.deliver: 60,
             self.finish_load: 20,
             self.run_rank: 30,
-            self.new_lease_holder: 1,
+            self.replace_lease_holder: 1,
             self.restart_rank: 0.4,
         }
         actions = list(weight_by_action)
@@ -168,71 +179,71 @@
 
 @settings(max_examples=400)
 @given(st.integers(0, 2**32))
-def test_property_one_map_in_every_step(seed):
+def test_property_one_map_per_step(seed):
     """Guards against ranks with different maps in one step when messages are faulty.
 
     The messages are lost, delayed, duplicated and reordered. The seed determines a
     weighted schedule, which reaches a switch far more often than a schedule of actions
     that hypothesis draws one by one.
     """
-    world = GroupWorld(Random(seed))
+    group = SimulatedGroup(Random(seed))
     for _ in range(300):
-        world.act()
-        world.check_one_map_in_every_step()
+        group.run_random_action()
+        group.check_one_map_per_step()
 
 
 def test_schedules_reach_switches_and_refusals():
     """Guards against a property that holds only because no schedule switches maps."""
     n_switches = 0
     for seed in range(100):
-        world = GroupWorld(Random(seed))
+        group = SimulatedGroup(Random(seed))
         for _ in range(300):
-            world.act()
-        steps = sorted(world.map_by_step)
-        versions = [min(world.map_by_step[step]) for step in steps]
+            group.run_random_action()
+        steps = sorted(group.map_by_step)
+        versions = [min(group.map_by_step[step]) for step in steps]
         n_switches += len(set(versions)) - 1
     assert n_switches >= 100
 
 
-def _ready_group(n_ranks=2, switch_step=1):
-    group = [RankSwitch(i, n_ranks) for i in range(n_ranks)]
+def _make_ready_group(n_ranks=2, switch_step=1):
+    group = [MapParticipant(i, n_ranks) for i in range(n_ranks)]
     proposal = Proposal(Epoch(1, 1), 2, "d", 1, switch_step)
     for rank in group:
         rank.install(Install(Epoch(1, 1), 1))
         rank.prepare(Prepare(proposal))
-        rank.weights_loaded(proposal)
+        rank.handle_weights_loaded(proposal)
     return group, proposal
 
 
-def test_ranks_decide_without_proposer_and_table():
+def test_ranks_switch_without_proposer_and_table():
     """Guards against a group that stops when the proposer fails before its commit."""
-    group, _ = _ready_group()
+    group, _ = _make_ready_group()
     for rank in group:
         assert rank.start_step(0) == 1
         assert rank.start_step(1) is None
     for index, query in group[0].plan_queries(1):
-        group[0].receive_vote(group[index].vote_on(query.proposal))
+        group[0].receive_vote(group[index].get_vote(query.proposal))
     assert group[0].start_step(1) == 2
 
 
-def test_vote_does_not_change_when_the_message_is_repeated():
+def test_refusal_stays_when_prepare_is_repeated():
     """Guards against a rank that votes ready on a proposal that it has refused."""
-    rank = RankSwitch(0, 2)
+    rank = MapParticipant(0, 2)
     rank.install(Install(Epoch(1, 1), 1))
     first = Proposal(Epoch(1, 1), 2, "d", 1, 5)
     second = Proposal(Epoch(1, 1), 3, "e", 1, 6)
     rank.prepare(Prepare(first))
     assert rank.prepare(Prepare(second)).value == "refused"
-    rank.weights_failed(first, "no memory")
+    rank.handle_load_failure(first, "no memory")
     assert rank.prepare(Prepare(second)).value == "refused"
 
 
-def test_lapsed_holder_cannot_propose_after_the_ranks_were_fenced():
+def test_expired_holder_cannot_propose_after_ranks_are_fenced():
     """Guards against a map change by a proposer whose lease expired during a pause."""
-    rank = RankSwitch(0, 1)
+    rank = MapParticipant(0, 1)
     rank.install(Install(Epoch(1, 1), 1))
     rank.raise_token(2)
     vote = rank.prepare(Prepare(Proposal(Epoch(1, 1), 2, "d", 1, 5)))
     assert vote.value == "refused"
     proposal = Proposal(Epoch(1, 1), 2, "d", 1, 5)
-    assert MapCoordinator(proposal, 1).plan_messages(held_token=None) == []
+    assert MapCoordinator(proposal, 1).plan_messages(held_fencing_token=None) == []
