--- a/packages/core/src/bluebellusher_core/balance/_baselines.py
+++ b/packages/core/src/bluebellusher_core/balance/_baselines.py
@@ -82,31 +82,33 @@
             return Plan(placement)
         layers = list(placement)
         moves: list[Move] = []
-        n_left = max_loads
+        n_remaining_loads = max_loads
         for layer in random_state.sample(range(len(layers)), len(layers)):
-            solved = self._solve(self._loads[layer], placement[layer])
-            changed = (*layers[:layer], solved, *layers[layer + 1 :])
-            of_layer = compute_moves(self._shape, placement, changed, [layer])
-            n_loads = sum(1 for move in of_layer if move.to_rank is not None)
-            if n_loads <= n_left:
-                n_left -= n_loads
-                layers[layer] = solved
-                moves += of_layer
+            solved_layer = self._solve_layer(self._loads[layer], placement[layer])
+            candidate = (*layers[:layer], solved_layer, *layers[layer + 1 :])
+            layer_moves = compute_moves(self._shape, placement, candidate, [layer])
+            n_loads = sum(1 for move in layer_moves if move.to_rank is not None)
+            if n_loads <= n_remaining_loads:
+                n_remaining_loads -= n_loads
+                layers[layer] = solved_layer
+                moves += layer_moves
         plan = Plan(tuple(layers), tuple(moves))
-        self._limiter.take(plan.n_bytes)
+        self._limiter.consume(plan.n_bytes)
         return plan
 
-    def _solve(self, loads: Sequence[float], old: LayerPlacement) -> LayerPlacement:
+    def _solve_layer(
+        self, loads: Sequence[float], current: LayerPlacement
+    ) -> LayerPlacement:
         """Return a new placement of one layer for ``loads``."""
         n_replicas = replicate_greedily(self._shape, loads)
         packed = pack_largest_first(self._shape, loads, n_replicas)
         if self._is_relabelled:
-            packed = relabel_ranks(self._shape, packed, old)
-        ranks: list[list[int]] = [[] for _ in loads]
+            packed = relabel_ranks(self._shape, packed, current)
+        ranks_by_expert: list[list[int]] = [[] for _ in loads]
         for rank, experts in enumerate(packed):
             for expert in experts:
-                ranks[expert].append(rank)
-        return tuple(tuple(held) for held in ranks)
+                ranks_by_expert[expert].append(rank)
+        return tuple(tuple(expert_ranks) for expert_ranks in ranks_by_expert)
 
 
 def replicate_greedily(shape: GroupShape, loads: Sequence[float]) -> list[int]:
@@ -117,13 +119,13 @@
     n_replicas = [1] * shape.n_experts
     heap = [(-load, expert) for expert, load in enumerate(loads)]
     heapify(heap)
-    n_free = shape.n_ranks * shape.n_slots - shape.n_experts
-    while n_free and heap:
+    n_free_slots = shape.n_ranks * shape.n_slots - shape.n_experts
+    while n_free_slots and heap:
         _, expert = heappop(heap)
         if n_replicas[expert] == shape.n_ranks:
             continue
         n_replicas[expert] += 1
-        n_free -= 1
+        n_free_slots -= 1
         heappush(heap, (-loads[expert] / n_replicas[expert], expert))
     return n_replicas
 
@@ -138,18 +140,18 @@
     replicas = [e for e, n in enumerate(n_replicas) for _ in range(n)]
     replicas.sort(key=lambda e: -shares[e])
     for expert in replicas:
-        free = [r for r in range(shape.n_ranks) if len(packed[r]) < shape.n_slots]
-        fitting = [r for r in free if expert not in packed[r]]
-        if fitting:
-            rank = min(fitting, key=rank_loads.__getitem__)
+        free_ranks = [r for r in range(shape.n_ranks) if len(packed[r]) < shape.n_slots]
+        candidate_ranks = [r for r in free_ranks if expert not in packed[r]]
+        if candidate_ranks:
+            rank = min(candidate_ranks, key=rank_loads.__getitem__)
         else:
-            rank = _free_a_slot(shape, packed, rank_loads, shares, expert, free[0])
+            rank = _free_slot(shape, packed, rank_loads, shares, expert, free_ranks[0])
         packed[rank].add(expert)
         rank_loads[rank] += shares[expert]
     return packed
 
 
-def _free_a_slot(
+def _free_slot(
     shape: GroupShape,
     packed: list[set[int]],
     rank_loads: list[float],
@@ -167,8 +169,8 @@
     int
         The rank with the slot that has become free.
     """
-    ranks = [r for r in range(shape.n_ranks) if expert not in packed[r]]
-    rank = min(ranks, key=rank_loads.__getitem__)
+    candidate_ranks = [r for r in range(shape.n_ranks) if expert not in packed[r]]
+    rank = min(candidate_ranks, key=rank_loads.__getitem__)
     moved = min(packed[rank] - packed[free_rank])
     packed[rank].remove(moved)
     packed[free_rank].add(moved)
@@ -178,26 +180,26 @@
 
 
 def relabel_ranks(
-    shape: GroupShape, packed: list[set[int]], old: LayerPlacement
+    shape: GroupShape, packed: list[set[int]], current: LayerPlacement
 ) -> list[set[int]]:
     """Reorder packed ranks so that many experts stay on their current rank.
 
     Pairs of a current and a packed rank are matched greedily, by the number of experts
     that both hold.
     """
-    held: list[set[int]] = [set() for _ in range(shape.n_ranks)]
-    for expert, ranks in enumerate(old):
+    experts_by_rank: list[set[int]] = [set() for _ in range(shape.n_ranks)]
+    for expert, ranks in enumerate(current):
         for rank in ranks:
-            held[rank].add(expert)
+            experts_by_rank[rank].add(expert)
     pairs = [
-        (-len(packed[new] & held[rank]), rank, new)
+        (-len(packed[packed_index] & experts_by_rank[rank]), rank, packed_index)
         for rank in range(shape.n_ranks)
-        for new in range(shape.n_ranks)
+        for packed_index in range(shape.n_ranks)
     ]
-    packed_by_rank: dict[int, int] = {}
-    used: set[int] = set()
-    for _, rank, new in sorted(pairs):
-        if rank not in packed_by_rank and new not in used:
-            packed_by_rank[rank] = new
-            used.add(new)
-    return [packed[packed_by_rank[rank]] for rank in range(shape.n_ranks)]
+    packed_index_by_rank: dict[int, int] = {}
+    used_indices: set[int] = set()
+    for _, rank, packed_index in sorted(pairs):
+        if rank not in packed_index_by_rank and packed_index not in used_indices:
+            packed_index_by_rank[rank] = packed_index
+            used_indices.add(packed_index)
+    return [packed[packed_index_by_rank[rank]] for rank in range(shape.n_ranks)]
--- a/packages/core/src/bluebellusher_core/balance/_incremental.py
+++ b/packages/core/src/bluebellusher_core/balance/_incremental.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from random import Random
 
-from bluebellusher_core.balance._layer_search import LayerSearch, Step
+from bluebellusher_core.balance._layer_search import LayerSearch, SearchStep
 from bluebellusher_core.balance._limits import MoveBudget, MoveLimiter
 from bluebellusher_core.balance._model import (
     GroupShape,
@@ -18,7 +18,7 @@
 
 # Upper bound of the relative difference that rounding causes between two sums of the
 # same loads.
-ROUNDING = 1e-9
+ROUNDING_TOLERANCE = 1e-9
 SMOOTHING = 0.85
 """Weight of the last interval in the smoothed popularity."""
 
@@ -101,11 +101,14 @@
         """Add the loads of an interval to the exponentially smoothed popularity."""
         validate_loads(self._shape, loads)
         if not self._popularity:
-            self._popularity = [list(of_layer) for of_layer in loads]
+            self._popularity = [list(layer_loads) for layer_loads in loads]
             return
-        new, old = self._smoothing, 1 - self._smoothing
+        new_weight, old_weight = self._smoothing, 1 - self._smoothing
         self._popularity = [
-            [old * before + new * load for before, load in zip(a, b, strict=True)]
+            [
+                old_weight * before + new_weight * load
+                for before, load in zip(a, b, strict=True)
+            ]
             for a, b in zip(self._popularity, loads, strict=True)
         ]
 
@@ -120,18 +123,18 @@
         max_loads = self._limiter.compute_max_loads(conditions)
         if not self._popularity or max_loads == 0:
             return Plan(placement)
-        steps_by_layer: dict[int, list[Step]] = {}
+        steps_by_layer: dict[int, list[SearchStep]] = {}
         for layer in random_state.sample(range(len(placement)), len(placement)):
-            steps = self._search(layer, placement[layer], max_loads)
+            steps = self._search_layer(layer, placement[layer], max_loads)
             if steps:
                 steps_by_layer[layer] = steps
         changed: dict[int, LayerPlacement] = {}
-        for layer, steps in share_budget(steps_by_layer, max_loads).items():
+        for layer, steps in allocate_budget(steps_by_layer, max_loads).items():
             new = _apply_steps(placement[layer], steps)
-            is_enough = steps[0].cost - steps[-1].cost >= self._min_gain
-            if is_enough and not self._raises_skew(layer, placement[layer], new):
+            is_worthwhile = steps[0].cost - steps[-1].cost >= self._min_gain
+            if is_worthwhile and not self._raises_skew(layer, placement[layer], new):
                 changed[layer] = new
-        return self._finish(placement, changed)
+        return self._make_plan(placement, changed)
 
     def _raises_skew(
         self, layer: int, old: LayerPlacement, new: LayerPlacement
@@ -144,9 +147,11 @@
         before, after = (
             max(compute_rank_loads(n_ranks, ranks, loads)) for ranks in (old, new)
         )
-        return after > before * (1 + ROUNDING)
+        return after > before * (1 + ROUNDING_TOLERANCE)
 
-    def _search(self, layer: int, ranks: LayerPlacement, max_loads: int) -> list[Step]:
+    def _search_layer(
+        self, layer: int, ranks: LayerPlacement, max_loads: int
+    ) -> list[SearchStep]:
         """Return the search steps of a layer; empty if they gain less than the minimum.
 
         The first step describes the current state of the layer.
@@ -158,20 +163,22 @@
         steps = search.run(self._price, max_loads)
         return steps if steps[0].cost - steps[-1].cost >= self._min_gain else []
 
-    def _finish(self, placement: Placement, changed: dict[int, LayerPlacement]) -> Plan:
+    def _make_plan(
+        self, placement: Placement, changed: dict[int, LayerPlacement]
+    ) -> Plan:
         """Return the plan that changes the given layers, and charge the byte budget."""
         if not changed:
             return Plan(placement)
         new = tuple(changed.get(n, ranks) for n, ranks in enumerate(placement))
         moves = compute_moves(self._shape, placement, new, sorted(changed))
         plan = Plan(new, tuple(moves))
-        self._limiter.take(plan.n_bytes)
+        self._limiter.consume(plan.n_bytes)
         return plan
 
 
-def share_budget(
-    steps_by_layer: dict[int, list[Step]], max_loads: int
-) -> dict[int, list[Step]]:
+def allocate_budget(
+    steps_by_layer: dict[int, list[SearchStep]], max_loads: int
+) -> dict[int, list[SearchStep]]:
     """Select the first steps of each layer to apply within a budget of weight loads.
 
     The segments of the lower convex hulls of cost over weight loads are taken in
@@ -188,24 +195,24 @@
     segments = [
         (-gain_per_load, layer, n_steps)
         for layer, steps in steps_by_layer.items()
-        for gain_per_load, n_steps in compute_hull(steps)
+        for gain_per_load, n_steps in compute_lower_hull(steps)
     ]
-    segments.sort(key=lambda one: one[0])
+    segments.sort(key=lambda segment: segment[0])
     n_steps_by_layer = dict.fromkeys(steps_by_layer, 1)
-    full: set[int] = set()
+    finished_layers: set[int] = set()
     for _, layer, n_steps in segments:
         steps = steps_by_layer[layer]
-        n_before = steps[n_steps_by_layer[layer] - 1].n_loads
-        n_more = steps[n_steps - 1].n_loads - n_before
-        if layer in full or n_more > max_loads:
-            full.add(layer)
+        n_used_loads = steps[n_steps_by_layer[layer] - 1].n_loads
+        n_added_loads = steps[n_steps - 1].n_loads - n_used_loads
+        if layer in finished_layers or n_added_loads > max_loads:
+            finished_layers.add(layer)
             continue
-        max_loads -= n_more
+        max_loads -= n_added_loads
         n_steps_by_layer[layer] = n_steps
     return {layer: steps_by_layer[layer][:n] for layer, n in n_steps_by_layer.items()}
 
 
-def compute_hull(steps: Sequence[Step]) -> list[tuple[float, int]]:
+def compute_lower_hull(steps: Sequence[SearchStep]) -> list[tuple[float, int]]:
     """Return the lower convex hull of the cost over the weight loads of one layer.
 
     Returns
@@ -215,22 +222,22 @@
         previous point, and the number of steps up to the point.
     """
     hull: list[tuple[float, int]] = []
-    at = 0
-    while at < len(steps) - 1:
-        start = steps[at]
-        gain, after = max(
-            ((start.cost - one.cost) / (one.n_loads - start.n_loads), n)
-            for n, one in enumerate(steps)
-            if n > at
+    index = 0
+    while index < len(steps) - 1:
+        start = steps[index]
+        gain, best_index = max(
+            ((start.cost - step.cost) / (step.n_loads - start.n_loads), candidate_index)
+            for candidate_index, step in enumerate(steps)
+            if candidate_index > index
         )
         if gain <= 0:
             break
-        hull.append((gain, after + 1))
-        at = after
+        hull.append((gain, best_index + 1))
+        index = best_index
     return hull
 
 
-def _apply_steps(ranks: LayerPlacement, steps: Sequence[Step]) -> LayerPlacement:
+def _apply_steps(ranks: LayerPlacement, steps: Sequence[SearchStep]) -> LayerPlacement:
     """Return the placement of a layer after the given steps."""
     result = list(ranks)
     for step in steps:
--- a/packages/core/src/bluebellusher_core/balance/_limits.py
+++ b/packages/core/src/bluebellusher_core/balance/_limits.py
@@ -53,7 +53,7 @@
     def __init__(self, budget: MoveBudget, n_expert_bytes: int) -> None:
         self._budget = budget
         self._n_expert_bytes = n_expert_bytes
-        self._n_store_bytes = budget.store_burst_bytes
+        self._n_available_bytes = budget.store_burst_bytes
         self._refilled_at_ms: int | None = None
 
     def compute_max_loads(self, conditions: Conditions) -> int:
@@ -63,23 +63,25 @@
             return 0
         if conditions.now_ms < conditions.store_retry_at_ms:
             return 0
-        n_bytes = min(self._budget.max_bytes, self._n_store_bytes)
-        n_free = self._budget.max_loads - conditions.n_loads_in_progress
-        return max(0, min(n_free, n_bytes // self._n_expert_bytes))
+        n_bytes = min(self._budget.max_bytes, self._n_available_bytes)
+        n_free_loads = self._budget.max_loads - conditions.n_loads_in_progress
+        return max(0, min(n_free_loads, n_bytes // self._n_expert_bytes))
 
-    def take(self, n_bytes: int) -> None:
+    def consume(self, n_bytes: int) -> None:
         """Deduct the bytes that a plan will read from the store's token bucket."""
-        self._n_store_bytes -= n_bytes
+        self._n_available_bytes -= n_bytes
 
     def _refill(self, now_ms: int) -> None:
         """Add the bytes of the time since the last refill to the token bucket."""
         if self._refilled_at_ms is None:
             self._refilled_at_ms = now_ms
         elapsed_ms = max(0, now_ms - self._refilled_at_ms)
-        n_new = elapsed_ms * self._budget.store_bytes_per_s // 1000
-        limit = self._budget.store_burst_bytes
+        n_refilled_bytes = elapsed_ms * self._budget.store_bytes_per_s // 1000
+        capacity_bytes = self._budget.store_burst_bytes
         # No plan consumes more bytes than the bucket holds, so that reads never exceed
         # the burst plus the refilled bytes.
-        self._n_store_bytes = min(limit, self._n_store_bytes + n_new)
-        if n_new:
+        self._n_available_bytes = min(
+            capacity_bytes, self._n_available_bytes + n_refilled_bytes
+        )
+        if n_refilled_bytes:
             self._refilled_at_ms += elapsed_ms
--- a/packages/core/src/bluebellusher_core/balance/_maps.py
+++ b/packages/core/src/bluebellusher_core/balance/_maps.py
@@ -56,9 +56,9 @@
     """
     layers = []
     for ranks_by_expert in placement:
-        held: list[list[int]] = [[] for _ in range(n_ranks)]
+        rank_experts: list[list[int]] = [[] for _ in range(n_ranks)]
         for expert, ranks in enumerate(ranks_by_expert):
             for rank in ranks:
-                held[rank].append(expert)
-        layers.append(tuple(tuple(experts) for experts in held))
+                rank_experts[rank].append(expert)
+        layers.append(tuple(tuple(experts) for experts in rank_experts))
     return tuple(layers)
--- a/packages/core/src/bluebellusher_core/balance/_model.py
+++ b/packages/core/src/bluebellusher_core/balance/_model.py
@@ -83,11 +83,13 @@
 
 def make_initial_placement(shape: GroupShape) -> Placement:
     """Return a placement that fills every slot, for unknown loads."""
-    ranks: list[list[int]] = [[] for _ in range(shape.n_experts)]
+    ranks_by_expert: list[list[int]] = [[] for _ in range(shape.n_experts)]
     for slot in range(shape.n_ranks * shape.n_slots):
         # A rank holds consecutive experts, so that it never holds one expert twice.
-        ranks[slot % shape.n_experts].append(slot // shape.n_slots)
-    return (tuple(tuple(held) for held in ranks),) * shape.n_layers
+        ranks_by_expert[slot % shape.n_experts].append(slot // shape.n_slots)
+    return (
+        tuple(tuple(expert_ranks) for expert_ranks in ranks_by_expert),
+    ) * shape.n_layers
 
 
 def validate_placement(shape: GroupShape, placement: Placement) -> None:
@@ -100,28 +102,30 @@
         _validate_layer(shape, layer, ranks_by_expert)
 
 
-def _validate_layer(shape: GroupShape, layer: int, ranks: LayerPlacement) -> None:
+def _validate_layer(
+    shape: GroupShape, layer: int, ranks_by_expert: LayerPlacement
+) -> None:
     """Raise ``ValueError`` unless the placement of one layer is possible."""
-    if len(ranks) != shape.n_experts:
+    if len(ranks_by_expert) != shape.n_experts:
         raise ValueError(
-            f"placement of layer {layer} has {len(ranks)} experts, "
+            f"placement of layer {layer} has {len(ranks_by_expert)} experts, "
             f"expected {shape.n_experts}"
         )
-    n_held = [0] * shape.n_ranks
-    for expert, held in enumerate(ranks):
-        place = f"placement of layer {layer}, expert {expert} is {held}"
-        if not held:
-            raise ValueError(f"{place}, expected at least one rank")
-        if any(a >= b for a, b in pairwise(held)):
-            raise ValueError(f"{place}, expected distinct ranks in ascending order")
-        if held[0] < 0 or held[-1] >= shape.n_ranks:
-            raise ValueError(f"{place}, expected ranks 0 to {shape.n_ranks - 1}")
-        for rank in held:
-            n_held[rank] += 1
-    for rank, n in enumerate(n_held):
-        if n > shape.n_slots:
+    n_experts_by_rank = [0] * shape.n_ranks
+    for expert, expert_ranks in enumerate(ranks_by_expert):
+        subject = f"placement of layer {layer}, expert {expert} is {expert_ranks}"
+        if not expert_ranks:
+            raise ValueError(f"{subject}, expected at least one rank")
+        if any(a >= b for a, b in pairwise(expert_ranks)):
+            raise ValueError(f"{subject}, expected distinct ranks in ascending order")
+        if expert_ranks[0] < 0 or expert_ranks[-1] >= shape.n_ranks:
+            raise ValueError(f"{subject}, expected ranks 0 to {shape.n_ranks - 1}")
+        for rank in expert_ranks:
+            n_experts_by_rank[rank] += 1
+    for rank, n_experts in enumerate(n_experts_by_rank):
+        if n_experts > shape.n_slots:
             raise ValueError(
-                f"placement of layer {layer} has {n} experts on rank {rank}, "
+                f"placement of layer {layer} has {n_experts} experts on rank {rank}, "
                 f"expected at most n_slots={shape.n_slots}"
             )
 
@@ -133,15 +137,15 @@
     """
     if len(loads) != shape.n_layers:
         raise ValueError(f"loads have {len(loads)} layers, expected {shape.n_layers}")
-    for layer, of_layer in enumerate(loads):
-        if len(of_layer) != shape.n_experts:
+    for layer, layer_loads in enumerate(loads):
+        if len(layer_loads) != shape.n_experts:
             raise ValueError(
-                f"loads of layer {layer} have {len(of_layer)} experts, "
+                f"loads of layer {layer} have {len(layer_loads)} experts, "
                 f"expected {shape.n_experts}"
             )
-        if min(of_layer) < 0 or not isfinite(sum(of_layer)):
+        if min(layer_loads) < 0 or not isfinite(sum(layer_loads)):
             raise ValueError(
-                f"loads of layer {layer} are {min(of_layer)} to {max(of_layer)}, "
+                f"loads of layer {layer} are {min(layer_loads)} to {max(layer_loads)}, "
                 f"expected finite values of at least 0"
             )
 
@@ -154,9 +158,9 @@
     The load of an expert is divided evenly between its replicas.
     """
     rank_loads = [0.0] * n_ranks
-    for held, load in zip(ranks_by_expert, loads, strict=True):
-        share = load / len(held)
-        for rank in held:
+    for expert_ranks, load in zip(ranks_by_expert, loads, strict=True):
+        share = load / len(expert_ranks)
+        for rank in expert_ranks:
             rank_loads[rank] += share
     return rank_loads
 
@@ -176,11 +180,11 @@
         pairs = zip(old[layer], new[layer], strict=True)
         for expert, (before, after) in enumerate(pairs):
             if before != after:
-                moves += _expert_moves(shape, layer, expert, before, after)
+                moves += _compute_expert_moves(shape, layer, expert, before, after)
     return moves
 
 
-def _expert_moves(
+def _compute_expert_moves(
     shape: GroupShape,
     layer: int,
     expert: int,
@@ -192,14 +196,20 @@
     Each removal is paired with a load; a removal or load without a counterpart becomes
     a move with one rank.
     """
-    left: list[int | None] = [rank for rank in before if rank not in after]
-    loaded: list[int | None] = [rank for rank in after if rank not in before]
-    n_moves = max(len(left), len(loaded))
-    left += [None] * (n_moves - len(left))
-    loaded += [None] * (n_moves - len(loaded))
+    removed_ranks: list[int | None] = [rank for rank in before if rank not in after]
+    loaded_ranks: list[int | None] = [rank for rank in after if rank not in before]
+    n_moves = max(len(removed_ranks), len(loaded_ranks))
+    removed_ranks += [None] * (n_moves - len(removed_ranks))
+    loaded_ranks += [None] * (n_moves - len(loaded_ranks))
     return [
-        Move(layer, expert, a, b, 0 if b is None else shape.n_expert_bytes)
-        for a, b in zip(left, loaded, strict=True)
+        Move(
+            layer,
+            expert,
+            from_rank,
+            to_rank,
+            0 if to_rank is None else shape.n_expert_bytes,
+        )
+        for from_rank, to_rank in zip(removed_ranks, loaded_ranks, strict=True)
     ]
 
 
@@ -213,17 +223,22 @@
     ValueError
         When a move contradicts the placement, or the result is not a valid placement.
     """
-    layers = [[set(held) for held in ranks] for ranks in placement]
+    layers = [
+        [set(expert_ranks) for expert_ranks in ranks_by_expert]
+        for ranks_by_expert in placement
+    ]
     for move in moves:
-        held = layers[move.layer][move.expert]
+        expert_ranks = layers[move.layer][move.expert]
         if move.from_rank is not None:
-            if move.from_rank not in held:
+            if move.from_rank not in expert_ranks:
                 raise ValueError(f"{move} removes an expert that from_rank lacks")
-            held.remove(move.from_rank)
+            expert_ranks.remove(move.from_rank)
         if move.to_rank is not None:
-            if move.to_rank in held:
+            if move.to_rank in expert_ranks:
                 raise ValueError(f"{move} loads an expert that to_rank already holds")
-            held.add(move.to_rank)
-    result = tuple(tuple(tuple(sorted(held)) for held in layer) for layer in layers)
+            expert_ranks.add(move.to_rank)
+    result = tuple(
+        tuple(tuple(sorted(expert_ranks)) for expert_ranks in layer) for layer in layers
+    )
     validate_placement(shape, result)
     return result
--- a/packages/core/src/bluebellusher_core/balance/_popularity.py
+++ b/packages/core/src/bluebellusher_core/balance/_popularity.py
@@ -14,8 +14,8 @@
 SHIFT_RATIO = 1.8
 # Minimum number of earlier differences for a meaningful median, and maximum number of
 # the latest differences that the median covers.
-N_MIN_DIFFERENCES = 3
-N_MAX_DIFFERENCES = 15
+MIN_DIFFERENCES = 3
+MAX_DIFFERENCES = 15
 
 
 class PopularityTracker:
@@ -43,7 +43,7 @@
 
     def __init__(self) -> None:
         self.shares: Loads = ()
-        self._differences: deque[float] = deque(maxlen=N_MAX_DIFFERENCES)
+        self._differences: deque[float] = deque(maxlen=MAX_DIFFERENCES)
 
     def observe(self, loads: Loads) -> None:
         """Update the average with the counts of the last interval.
@@ -53,7 +53,7 @@
         loads : Loads
             Number of times that each expert was chosen, by layer and expert.
         """
-        newest = [_normalize(of_layer) for of_layer in loads]
+        newest = [_normalize(layer_loads) for layer_loads in loads]
         if not self.shares:
             self.shares = newest
             return
@@ -61,12 +61,12 @@
         if self._is_shift(difference):
             self.shares = newest
         else:
-            self.shares = _mix(newest, self.shares)
+            self.shares = _blend(newest, self.shares)
         self._differences.append(difference)
 
     def _is_shift(self, difference: float) -> bool:
         """Return whether a difference shows that popularity has changed."""
-        if len(self._differences) < N_MIN_DIFFERENCES:
+        if len(self._differences) < MIN_DIFFERENCES:
             return False
         return difference > SHIFT_RATIO * median(self._differences)
 
@@ -86,7 +86,7 @@
     return sum(distances) / len(distances)
 
 
-def _mix(newest: Loads, older: Loads) -> list[list[float]]:
+def _blend(newest: Loads, older: Loads) -> list[list[float]]:
     """Return the weighted average of the newest shares and the previous average."""
     return [
         [NEWEST_WEIGHT * a + (1 - NEWEST_WEIGHT) * b for a, b in zip(x, y, strict=True)]
--- a/packages/core/src/bluebellusher_core/balance/tests/test_maps.py
+++ b/packages/core/src/bluebellusher_core/balance/tests/test_maps.py
@@ -24,6 +24,6 @@
     assert to_placement(experts_by_rank, len(placement), 5) == placement
 
 
-def test_map_without_an_expert_is_none():
+def test_incomplete_map_has_no_placement():
     """Guards against a plan that starts from an incomplete map."""
     assert to_placement({0: [[0, 2]]}, 1, 3) is None
--- a/packages/core/src/bluebellusher_core/balance/tests/test_model.py
+++ b/packages/core/src/bluebellusher_core/balance/tests/test_model.py
@@ -17,7 +17,7 @@
 
 SHAPE = GroupShape(2, 1, 3, 2, 10)
 BUDGET = MoveBudget(1, 1, 1, 1)
-START = (((0, 1), (0,), (1,)),)
+START_PLACEMENT = (((0, 1), (0,), (1,)),)
 
 
 @pytest.mark.parametrize(
@@ -28,7 +28,7 @@
         ((2, 1, 3, 1, 1), "n_slots is 1, expected at least 2"),
     ],
 )
-def test_shape_is_checked(sizes, message):
+def test_impossible_shape_raises_value_error(sizes, message):
     """Guards against a group whose slots cannot hold its experts."""
     with pytest.raises(ValueError, match=message):
         GroupShape(*sizes)
@@ -45,9 +45,9 @@
         ((((0,), (0,), (0,)),), "3 experts on rank 0, expected at most n_slots=2"),
     ],
 )
-def test_placement_is_checked(placement, message):
+def test_impossible_placement_raises_value_error(placement, message):
     """Guards against impossible placements that are accepted."""
-    validate_placement(SHAPE, START)
+    validate_placement(SHAPE, START_PLACEMENT)
     with pytest.raises(ValueError, match=message):
         validate_placement(SHAPE, placement)
 
@@ -55,7 +55,7 @@
 @pytest.mark.parametrize(
     "loads", [[], [[1.0]], [[1.0, -1.0, 2.0]], [[1.0, float("nan"), 0.0]]]
 )
-def test_loads_are_checked(loads):
+def test_invalid_loads_raise_value_error(loads):
     """Guards against invalid loads that permanently corrupt the smoothed popularity."""
     for check in (
         lambda: validate_loads(SHAPE, loads),
@@ -69,20 +69,20 @@
 @pytest.mark.parametrize(
     "move", [Move(0, 1, 1, None, 0), Move(0, 1, 0, None, 0), Move(0, 1, None, 0, 10)]
 )
-def test_moves_that_do_not_fit_are_refused(move):
+def test_contradictory_move_raises_value_error(move):
     """Guards against moves that contradict the placement.
 
     Such a move removes an expert from a rank without it, removes the last replica of
     an expert, or loads an expert on a rank that already holds it.
     """
     with pytest.raises(ValueError, match="rank"):
-        apply_moves(SHAPE, START, [move])
+        apply_moves(SHAPE, START_PLACEMENT, [move])
 
 
-def test_moves_are_paired_and_removals_cost_nothing():
+def test_moves_are_paired_and_removals_read_nothing():
     """Guards against removals that are counted as reads from the weight store."""
-    new = (((0,), (1,), (1,)),)
-    moves = compute_moves(SHAPE, START, new, [0])
+    new_placement = (((0,), (1,), (1,)),)
+    moves = compute_moves(SHAPE, START_PLACEMENT, new_placement, [0])
     assert moves == [Move(0, 0, 1, None, 0), Move(0, 1, 0, 1, 10)]
 
 
@@ -95,13 +95,13 @@
         ("min_gain", -0.1),
     ],
 )
-def test_planner_parameters_are_checked(name, value):
+def test_invalid_planner_parameter_raises_value_error(name, value):
     """Guards against a negative or undefined price of a weight load."""
     with pytest.raises(ValueError, match=f"{name} is {value}, expected"):
         IncrementalPlanner(SHAPE, BUDGET, **{name: value})
 
 
-def test_initial_placement_is_possible_for_uneven_sizes():
+def test_initial_placement_is_valid_for_uneven_sizes():
     """Guards against an initial placement with an expert twice on one rank.
 
     The number of slots of the group is not a multiple of the number of experts.
--- a/packages/core/src/bluebellusher_core/balance/tests/test_policies.py
+++ b/packages/core/src/bluebellusher_core/balance/tests/test_policies.py
@@ -19,8 +19,8 @@
     make_initial_placement,
     validate_placement,
 )
-from bluebellusher_core.balance._incremental import share_budget
-from bluebellusher_core.balance._layer_search import Step
+from bluebellusher_core.balance._incremental import allocate_budget
+from bluebellusher_core.balance._layer_search import SearchStep
 
 POLICIES = {
     "no-rebalancing": NoRebalancing,
@@ -31,7 +31,7 @@
         shape, budget, 10.0, 1.0, min_gain=0.0
     ),
 }
-REBALANCING = [name for name in POLICIES if name != "no-rebalancing"]
+REBALANCING_POLICIES = [name for name in POLICIES if name != "no-rebalancing"]
 N_BYTES = 7
 UNLIMITED = MoveBudget(10**6, 10**9, 10**9, 10**9)
 SHAPE = GroupShape(8, 2, 32, 5, N_BYTES)
@@ -43,8 +43,8 @@
 def any_shape(draw):
     """Draw the shape of a small group, with few or many redundant slots."""
     n_ranks, n_experts = draw(st.integers(1, 6)), draw(st.integers(1, 12))
-    n_needed = -(-n_experts // n_ranks)
-    n_slots = draw(st.integers(n_needed, n_experts))
+    n_min_slots = -(-n_experts // n_ranks)
+    n_slots = draw(st.integers(n_min_slots, n_experts))
     return GroupShape(n_ranks, draw(st.integers(1, 3)), n_experts, n_slots, N_BYTES)
 
 
@@ -71,7 +71,7 @@
 )
 
 
-def run(name, shape, budget, steps, seed):
+def run_policy(name, shape, budget, steps, seed):
     """Return the plan of each interval, with the placement that it started from.
 
     Each step has the loads and conditions of one interval, and whether the group
@@ -99,9 +99,9 @@
     shape = data.draw(any_shape())
     step = st.tuples(any_loads(shape), any_conditions, st.booleans())
     steps = data.draw(st.lists(step, min_size=1, max_size=4))
-    steps.sort(key=lambda one: one[1].now_ms)
-    plans = run(name, shape, budget, steps, seed)
-    assert plans == run(name, shape, budget, steps, seed)
+    steps.sort(key=lambda step_inputs: step_inputs[1].now_ms)
+    plans = run_policy(name, shape, budget, steps, seed)
+    assert plans == run_policy(name, shape, budget, steps, seed)
     n_bytes_at_ms = []
     for (old, plan), (_, conditions, _) in zip(plans, steps, strict=True):
         validate_placement(shape, plan.placement)
@@ -120,22 +120,24 @@
         assert n_bytes <= budget.store_burst_bytes + n_refilled
 
 
-@pytest.mark.parametrize("name", REBALANCING)
+@pytest.mark.parametrize("name", REBALANCING_POLICIES)
 def test_every_rebalancing_policy_lowers_skew(name):
     """Guards against a policy that stays within its limits because it moves nothing."""
     steps = [(HOT_FIRST, Conditions(0), True)] * 3
-    placement = run(name, SHAPE, UNLIMITED, steps, 1)[-1][1].placement
+    placement = run_policy(name, SHAPE, UNLIMITED, steps, 1)[-1][1].placement
     for ranks, loads in zip(placement, HOT_FIRST, strict=True):
         assert compute_skew(compute_rank_loads(8, ranks, loads)) < 1.1
 
 
-def test_store_rate_limits_one_plan_after_another():
+def test_store_rate_limits_consecutive_plans():
     """Guards against weight loads that the token bucket of the store does not count."""
     budget = MoveBudget(10**6, 10**9, N_BYTES, 2 * N_BYTES)
     times_ms = (0, 0, 1000, 1000, 9000)
     steps = [(HOT_FIRST, Conditions(now_ms), True) for now_ms in times_ms]
     for name in ("incremental", "incremental-eager"):
-        n_loads = [plan.n_loads for _, plan in run(name, SHAPE, budget, steps, 1)]
+        n_loads = [
+            plan.n_loads for _, plan in run_policy(name, SHAPE, budget, steps, 1)
+        ]
         assert n_loads[0] > 0
         assert sum(n_loads[:2]) <= 2
         assert sum(n_loads[:4]) <= 3
@@ -147,10 +149,10 @@
     shape = data.draw(any_shape())
     loads = data.draw(any_loads(shape))
     steps = [(loads, Conditions(0), True)]
-    ((old, plan),) = run("incremental-eager", shape, UNLIMITED, steps, 1)
-    for before, after, of_layer in zip(old, plan.placement, loads, strict=True):
+    ((old, plan),) = run_policy("incremental-eager", shape, UNLIMITED, steps, 1)
+    for before, after, layer_loads in zip(old, plan.placement, loads, strict=True):
         skews = [
-            compute_skew(compute_rank_loads(shape.n_ranks, ranks, of_layer))
+            compute_skew(compute_rank_loads(shape.n_ranks, ranks, layer_loads))
             for ranks in (before, after)
         ]
         assert skews[1] <= skews[0] * (1 + 1e-9)
@@ -197,7 +199,7 @@
     assert compute_skew(loads) < 1.4
 
 
-def test_expert_above_the_mean_is_copied_although_no_single_step_helps():
+def test_large_expert_is_replicated_although_no_single_step_helps():
     """Guards against a search that stops when no single step lowers the cost.
 
     Each rank that receives a replica of the large expert stays above the mean load
@@ -206,29 +208,29 @@
     shape = GroupShape(8, 1, 32, 5, N_BYTES)
     loads = [[300.0] + [10.0] * 31]
     steps = [(loads, Conditions(0), True)] * 4
-    placement = run("incremental", shape, UNLIMITED, steps, 1)[-1][1].placement
+    placement = run_policy("incremental", shape, UNLIMITED, steps, 1)[-1][1].placement
     assert compute_skew(compute_rank_loads(8, placement[0], loads[0])) < 1.15
 
 
-def test_budget_goes_to_the_largest_gain_for_each_load():
+def test_budget_is_spent_on_the_largest_gain_per_load():
     """Guards against a layer that uses up the budget for small gains."""
     costs_by_layer = {0: [2.0, 1.5, 1.45, 1.44], 1: [2.0, 1.95, 1.6], 2: [2.0, 1.99]}
     steps_by_layer = {
-        layer: [Step((), n_loads, cost) for n_loads, cost in enumerate(costs)]
+        layer: [SearchStep((), n_loads, cost) for n_loads, cost in enumerate(costs)]
         for layer, costs in costs_by_layer.items()
     }
     for max_loads, expected in ((0, [0, 0, 0]), (3, [1, 2, 0]), (4, [2, 2, 0])):
-        shared = share_budget(steps_by_layer, max_loads)
+        shared = allocate_budget(steps_by_layer, max_loads)
         assert [shared[n][-1].n_loads for n in range(3)] == expected
 
 
-def test_equal_layers_take_turns_by_the_random_state():
+def test_layers_of_equal_gain_are_taken_in_random_order():
     """Guards against a small budget that is always spent on the first layers."""
     shape = GroupShape(8, 6, 32, 5, N_BYTES)
     step = (HOT_FIRST * 3, Conditions(0), True)
     budget = MoveBudget(1, 10**9, 10**9, 10**9)
     first_layers = set()
     for seed in range(9):
-        ((_, plan),) = run("incremental", shape, budget, [step], seed)
+        ((_, plan),) = run_policy("incremental", shape, budget, [step], seed)
         first_layers |= {move.layer for move in plan.moves}
     assert len(first_layers) > 1
