Rename the interface of core/ranks

MapChange.want and give_up become set_target and clear_target, wanted_version becomes target_version, OrderAction.GO becomes RELEASE (its value stays), RankOrder.experts_by_rank becomes expert_map, because it lists the experts by layer first. GroupView.held and armed return states and say so, RankState.read_at_ms is the time of receipt, and leader_token_of becomes to_leader_token. Behaviour does not change.

--- a/deploy/tests/test_engine.py
+++ b/deploy/tests/test_engine.py
@@ -80,7 +80,7 @@
         "version": 7,
         "step": 99,
     }
-    fenced = RankOrder("x", OrderAction.GO, 2, 0, 99, fencing_token=3)
+    fenced = RankOrder("x", OrderAction.RELEASE, 2, 0, 99, fencing_token=3)
     assert write_order(fenced)["fencing_token"] == 3
     hold = RankOrder("x", OrderAction.HOLD, 2, 0, 99)
     assert write_order(hold) == {"operation": "hold", "epoch": 2, "step": 99}
--- a/packages/agent/src/bluebellusher_agent/ranks/_agent.py
+++ b/packages/agent/src/bluebellusher_agent/ranks/_agent.py
@@ -482,7 +482,7 @@
         reason = f"action={message.action!r}: expected one of {expected}"
         raise StepError("read-order", "", reason) from None
     try:
-        experts_by_rank = unpack_map(message.packed_map) if message.packed_map else ()
+        expert_map = unpack_map(message.packed_map) if message.packed_map else ()
     except ValueError as error:
         raise StepError("read-order", "", str(error)) from None
     return RankOrder(
@@ -492,7 +492,7 @@
         map_version=message.map_version or 0,
         step=message.step or 0,
         fencing_token=message.fencing_token or 0,
-        experts_by_rank=experts_by_rank,
+        expert_map=expert_map,
     )
 
 
--- a/packages/core/src/bluebellusher_core/ranks/__init__.py
+++ b/packages/core/src/bluebellusher_core/ranks/__init__.py
@@ -11,7 +11,7 @@
 from bluebellusher_core.ranks._change import (
     ChangePhase,
     MapChange,
-    leader_token_of,
+    to_leader_token,
 )
 from bluebellusher_core.ranks._counts import pack_counts, unpack_counts
 from bluebellusher_core.ranks._packed_map import pack_map, unpack_map
@@ -31,9 +31,9 @@
     "OrderAction",
     "RankOrder",
     "RankState",
-    "leader_token_of",
     "pack_counts",
     "pack_map",
+    "to_leader_token",
     "unpack_counts",
     "unpack_map",
 ]
--- a/packages/core/src/bluebellusher_core/ranks/_change.py
+++ b/packages/core/src/bluebellusher_core/ranks/_change.py
@@ -70,7 +70,7 @@
     RELEASING = "releasing"
 
 
-def leader_token_of(fencing_token: int) -> int:
+def to_leader_token(fencing_token: int) -> int:
     """Return the lease token of the leader that uses ``fencing_token``."""
     return fencing_token // FENCES_PER_TOKEN
 
@@ -87,13 +87,13 @@
         Phase at the last call of ``decide``. In ``BLOCKED`` a step is held, and the
         group waits for a new target map. The current map under a new version serves,
         because its weights are already loaded.
-    wanted_version : int
+    target_version : int
         Version of the target map; 0 for none.
     """
 
     leader_token: int
     phase: ChangePhase = ChangePhase.IDLE
-    wanted_version: int = 0
+    target_version: int = 0
     _target_map: ExpertMap = field(default=(), repr=False)
     _target_epoch: int = -1
     _epoch: int = -1
@@ -115,32 +115,32 @@
         """Whether a held step cannot be released until a target map is set."""
         return self.phase is ChangePhase.BLOCKED
 
-    def want(self, experts_by_rank: ExpertMap, epoch: int) -> int:
+    def set_target(self, expert_map: ExpertMap, epoch: int) -> int:
         """Start the change to a new target map and return its version.
 
         Parameters
         ----------
-        experts_by_rank : ExpertMap
+        expert_map : ExpertMap
             The target map.
         epoch : int
             Epoch of the group that the map was planned for. The change is aborted
             when the group reports another epoch.
         """
         self._n_versions += 1
-        self.wanted_version = self.leader_token * VERSIONS_PER_TOKEN + self._n_versions
-        self._target_map = experts_by_rank
+        self.target_version = self.leader_token * VERSIONS_PER_TOKEN + self._n_versions
+        self._target_map = expert_map
         self._target_epoch = epoch
         self._hold_step = 0
         self.phase = ChangePhase.PREPARING
-        return self.wanted_version
+        return self.target_version
 
-    def give_up(self) -> None:
+    def clear_target(self) -> None:
         """Discard the target map, after its change has completed or to abort it.
 
         A change may be aborted only while the map is not prepared on all ranks, so that
         no rank has been armed for it.
         """
-        self.wanted_version = 0
+        self.target_version = 0
         self._target_map = ()
         self._hold_step = 0
         self.phase = ChangePhase.IDLE
@@ -168,31 +168,34 @@
             self._epoch = view.epoch
             self._has_sent_prepare = False
             self._first_observed_hold = (0, 0)
-        if self.wanted_version and view.epoch != self._target_epoch:
-            self.give_up()
-        if view.armed:
+        if self.target_version and view.epoch != self._target_epoch:
+            self.clear_target()
+        if view.armed_states:
             return self._complete_armed_change(view)
-        if view.held:
+        if view.holding_states:
             return self._decide_with_held_step(view, now_ms)
         return self._decide_without_held_step(view)
 
     def _complete_armed_change(self, view: GroupView) -> list[RankOrder]:
         """Arm the remaining ranks, or release the held step when all are armed."""
-        version, step = view.armed[0].armed_version, view.armed[0].armed_step
+        version, step = (
+            view.armed_states[0].armed_version,
+            view.armed_states[0].armed_step,
+        )
         unarmed = [s for s in view.states if s.armed_version != version]
         if unarmed:
-            if view.held:
-                step = max(state.held_step or 0 for state in view.held)
+            if view.holding_states:
+                step = max(state.held_step or 0 for state in view.holding_states)
             return self._make_arm_orders(unarmed, version, step)
         self.phase = ChangePhase.RELEASING
         return [
-            self._make_order(s, OrderAction.GO, step=s.held_step or 0)
-            for s in view.held
+            self._make_order(s, OrderAction.RELEASE, step=s.held_step or 0)
+            for s in view.holding_states
         ]
 
     def _decide_with_held_step(self, view: GroupView, now_ms: int) -> list[RankOrder]:
         """Arm the ranks for a held step, or first prepare the target map on them."""
-        step = view.held[0].held_step or 0
+        step = view.holding_states[0].held_step or 0
         if self._first_observed_hold[0] != step:
             self._first_observed_hold = (step, now_ms)
         version = view.common_prepared_version
@@ -203,7 +206,7 @@
                 # An order to arm for this version may still be in transit.
                 self.phase = ChangePhase.ARMING
                 return []
-        if not self.wanted_version:
+        if not self.target_version:
             self.phase = ChangePhase.BLOCKED
             return []
         self.phase = ChangePhase.PREPARING
@@ -224,7 +227,7 @@
         held_ms : int
             Time since the held step was first reported.
         """
-        if version == self.wanted_version:
+        if version == self.target_version:
             return True
         if self._has_sent_prepare:
             return False
@@ -233,11 +236,11 @@
 
     def _decide_without_held_step(self, view: GroupView) -> list[RankOrder]:
         """Prepare the target map on all ranks, then hold a step at one of them."""
-        if not self.wanted_version:
+        if not self.target_version:
             self.phase = ChangePhase.IDLE
             return []
-        if view.common_map_version == self.wanted_version:
-            self.give_up()
+        if view.common_map_version == self.target_version:
+            self.clear_target()
             return []
         orders = self._make_prepare_orders(view)
         if orders:
@@ -253,15 +256,15 @@
     def _make_prepare_orders(self, view: GroupView) -> list[RankOrder]:
         """Return an order for each rank that has not prepared the target map."""
         unprepared = [
-            s for s in view.states if s.prepared_version != self.wanted_version
+            s for s in view.states if s.prepared_version != self.target_version
         ]
         self._has_sent_prepare = self._has_sent_prepare or bool(unprepared)
         return [
             self._make_order(
                 state,
                 OrderAction.PREPARE,
-                self.wanted_version,
-                experts=self._target_map,
+                self.target_version,
+                expert_map=self._target_map,
             )
             for state in unprepared
         ]
@@ -283,10 +286,10 @@
         action: OrderAction,
         version: int = 0,
         step: int = 0,
-        experts: ExpertMap = (),
+        expert_map: ExpertMap = (),
     ) -> RankOrder:
         """Return an order with the second fencing token of this leader."""
         token = (self.leader_token + 1) * FENCES_PER_TOKEN - 1
         return RankOrder(
-            state.rank_id, action, state.epoch, version, step, experts, token
+            state.rank_id, action, state.epoch, version, step, expert_map, token
         )
--- a/packages/core/src/bluebellusher_core/ranks/_state.py
+++ b/packages/core/src/bluebellusher_core/ranks/_state.py
@@ -38,7 +38,7 @@
         Step that the rank does not start before its release; None for no hold.
     fencing_token : int
         Highest fencing token that the rank's agent has accepted.
-    read_at_ms : int
+    received_at_ms : int
         Monotonic time at which the state was received.
     """
 
@@ -55,7 +55,7 @@
     armed_step: int = 0
     held_step: int | None = None
     fencing_token: int = 0
-    read_at_ms: int = 0
+    received_at_ms: int = 0
 
 
 class OrderAction(StrEnum):
@@ -64,14 +64,14 @@
     ``FENCE`` raises the lowest fencing token that the agent accepts and does not reach
     the engine. ``PREPARE`` loads the weights of a map, ``HOLD`` keeps the group from
     starting a step, ``ARM`` makes the rank use a prepared map from a step on, and
-    ``GO`` releases a held step.
+    ``RELEASE`` releases a held step.
     """
 
     FENCE = "fence"
     PREPARE = "prepare"
     HOLD = "hold"
     ARM = "arm"
-    GO = "go"
+    RELEASE = "go"
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,7 +90,7 @@
         Version of the map, for ``PREPARE`` and ``ARM``.
     step : int
         Step to hold, to arm for or to release.
-    experts_by_rank : ExpertMap
+    expert_map : ExpertMap
         The whole map, for ``PREPARE`` only.
     fencing_token : int
         Token that the rank's agent checks, and the engine if it supports fencing; 0
@@ -102,7 +102,7 @@
     epoch: int
     map_version: int = 0
     step: int = 0
-    experts_by_rank: ExpertMap = ()
+    expert_map: ExpertMap = ()
     fencing_token: int = 0
 
 
@@ -132,7 +132,7 @@
         max_age_ms : int
             Age above which a state is ignored.
         """
-        states = [s for s in states if now_ms - s.read_at_ms <= max_age_ms]
+        states = [s for s in states if now_ms - s.received_at_ms <= max_age_ms]
         if not states:
             return None
         epoch = max(state.epoch for state in states)
@@ -153,12 +153,12 @@
         return max(state.step for state in self.states)
 
     @property
-    def held(self) -> list[RankState]:
+    def holding_states(self) -> list[RankState]:
         """States of the ranks at which a step is held."""
         return [state for state in self.states if state.held_step is not None]
 
     @property
-    def armed(self) -> list[RankState]:
+    def armed_states(self) -> list[RankState]:
         """States of the ranks that are armed."""
         return [state for state in self.states if state.armed_version]
 
--- a/packages/core/src/bluebellusher_core/ranks/tests/_engines.py
+++ b/packages/core/src/bluebellusher_core/ranks/tests/_engines.py
@@ -27,14 +27,14 @@
             case OrderAction.PREPARE:
                 if order.map_version > self.highest_version and not self.armed:
                     self.highest_version = order.map_version
-                    self.prepared = (order.map_version, order.experts_by_rank)
+                    self.prepared = (order.map_version, order.expert_map)
             case OrderAction.HOLD:
                 if order.step > step and self.held_step is None:
                     self.held_step = order.step
             case OrderAction.ARM:
                 if order.step > step and self.prepared[0] == order.map_version:
                     self.armed = (order.map_version, order.step, self.prepared[1])
-            case OrderAction.GO:
+            case OrderAction.RELEASE:
                 if self.held_step == order.step:
                     self.held_step = None
 
@@ -71,7 +71,7 @@
     def deliver_directly(self, index: int) -> None:
         """Deliver an order to arm or release to its engine, bypassing the agent."""
         order = self.orders_in_transit[index % len(self.orders_in_transit)]
-        if order.action in (OrderAction.ARM, OrderAction.GO):
+        if order.action in (OrderAction.ARM, OrderAction.RELEASE):
             self.orders_in_transit.remove(order)
             self.accepted.append((int(order.rank_id), order))
 
--- a/packages/core/src/bluebellusher_core/ranks/tests/test_change_machine.py
+++ b/packages/core/src/bluebellusher_core/ranks/tests/test_change_machine.py
@@ -11,7 +11,7 @@
     GroupView,
     MapChange,
     OrderAction,
-    leader_token_of,
+    to_leader_token,
 )
 from bluebellusher_core.ranks._change import MAX_ORDER_DELAY_MS
 from bluebellusher_core.ranks.tests._engines import Group
@@ -50,7 +50,7 @@
     def set_new_target(self, epoch):
         """Set a target map that differs from the maps of all other leaders."""
         self.n_maps += 1
-        return self.change.want((((self.token, self.n_maps),),), epoch)
+        return self.change.set_target((((self.token, self.n_maps),),), epoch)
 
 
 class ChangeMachine(RuleBasedStateMachine):
@@ -105,8 +105,8 @@
         """Make a leader abort a change whose map takes too long to prepare."""
         leader = self.leaders[index % len(self.leaders)]
         view = GroupView.from_states(leader.state_by_rank.values(), 0, MAX_AGE_MS)
-        if view is not None and not view.armed and not view.held:
-            leader.change.give_up()
+        if view is not None and not view.armed_states and not view.holding_states:
+            leader.change.clear_target()
 
     @precondition(lambda self: self.group.orders_in_transit)
     @rule(index=INDICES)
@@ -122,7 +122,7 @@
         This is stricter than the product, in which an agent checks every order.
         """
         order = self.group.orders_in_transit[index % len(self.group.orders_in_transit)]
-        if leader_token_of(order.fencing_token) == self.leaders[-1].token:
+        if to_leader_token(order.fencing_token) == self.leaders[-1].token:
             self.group.deliver_directly(index)
 
     @precondition(lambda self: self.group.orders_in_transit)
@@ -331,7 +331,7 @@
     group.engines[1].prepared = (0, "")
     for _ in range(20):
         orders = decide_from_current_states(group, leader)
-        if any(order.action is OrderAction.GO for order in orders):
+        if any(order.action is OrderAction.RELEASE for order in orders):
             break
         deliver_to_agents(group, orders)
         while group.accepted:
--- a/packages/entry/src/bluebellusher/ranks/_leader.py
+++ b/packages/entry/src/bluebellusher/ranks/_leader.py
@@ -31,7 +31,7 @@
     OrderAction,
     RankOrder,
     RankState,
-    leader_token_of,
+    to_leader_token,
     unpack_counts,
 )
 from bluebellusher_core.wire import messages
@@ -178,7 +178,7 @@
         now_ms = self._clock.now_ms()
         states_by_group: dict[str, list[RankState]] = {}
         for state in self._links.states():
-            self._lease.note_token_seen(leader_token_of(state.fencing_token))
+            self._lease.note_token_seen(to_leader_token(state.fencing_token))
             states_by_group.setdefault(state.group_id, []).append(state)
         for group_id, states in states_by_group.items():
             view = GroupView.from_states(states, now_ms, STATE_MAX_AGE_MS)
@@ -214,9 +214,14 @@
         """Give up a map that some rank does not prepare, while none is armed."""
         change = group.change
         is_late = now_ms - group.wanted_at_ms > PREPARE_TIMEOUT_MS
-        if change.wanted_version and is_late and not view.armed and not view.held:
-            self._log.log("map-given-up", group=group_id, version=change.wanted_version)
-            change.give_up()
+        if (
+            change.target_version
+            and is_late
+            and not view.armed_states
+            and not view.holding_states
+        ):
+            self._log.log("map-given-up", group=group_id, version=change.target_version)
+            change.clear_target()
 
     def _give(self, group: _Group, order: RankOrder, now_ms: int) -> None:
         key = (order.rank_id, order.action, order.map_version, order.step)
@@ -304,7 +309,7 @@
             group.placed_version = -1
             return
         experts = to_expert_map(placement, len(view.states))
-        version = group.change.want(experts, view.epoch)
+        version = group.change.set_target(experts, view.epoch)
         group.wanted_at_ms = self._clock.now_ms()
         group.placed_version = -1
         self._log.log("map-repeated", group=group_id, version=version, epoch=view.epoch)
@@ -449,7 +454,7 @@
     ) -> None:
         """Begin to lead a group to a placement, under a version of its own."""
         experts = to_expert_map(placement, n_ranks)
-        group.placed_version = group.change.want(experts, epoch)
+        group.placed_version = group.change.set_target(experts, epoch)
         group.wanted_at_ms = self._clock.now_ms()
         group.experts_by_rank = {
             rank: [layer[rank] for layer in experts] for rank in range(n_ranks)
--- a/packages/entry/src/bluebellusher/ranks/_links.py
+++ b/packages/entry/src/bluebellusher/ranks/_links.py
@@ -128,7 +128,7 @@
             epoch=order.epoch,
             map_version=order.map_version,
             step=order.step,
-            packed_map=pack_map(order.experts_by_rank) if is_prepare else None,
+            packed_map=pack_map(order.expert_map) if is_prepare else None,
         )
         return await self.call(order.rank_id, message)
 
@@ -209,7 +209,7 @@
             armed_step=report.armed_step or 0,
             held_step=report.held_step,
             fencing_token=report.fencing_token or 0,
-            read_at_ms=self._clock.now_ms(),
+            received_at_ms=self._clock.now_ms(),
         )
         if self.on_state is not None:
             self.on_state(agent.state)
--- a/packages/entry/src/bluebellusher/ranks/tests/test_leader.py
+++ b/packages/entry/src/bluebellusher/ranks/tests/test_leader.py
@@ -57,7 +57,7 @@
         """Return fresh states of every rank."""
         now_ms = self._clock.now_ms()
         return [
-            replace(self.group.get_state(rank), read_at_ms=now_ms)
+            replace(self.group.get_state(rank), received_at_ms=now_ms)
             for rank in range(len(self.group.engines))
         ]
 
