Rename the price of a weight load and the count of new experts

ChangeCost.copy_ms becomes price_ms_per_load, and count_most_new becomes count_max_new_experts, which counts the experts that a rank has to load. Behaviour does not change.

--- a/bench/map_runs.py
+++ b/bench/map_runs.py
@@ -25,7 +25,7 @@
     RankBoundedPlanner,
     compute_rank_loads,
     compute_skew,
-    count_most_new,
+    count_max_new_experts,
 )
 
 STEP_MS = 50
@@ -87,9 +87,11 @@
 def make_rank_bounded(site: MapSite, rank_ms_per_gb: float) -> RankBoundedPlanner:
     """Return the planner as the leader of the maps makes it."""
     shape = site.shape
-    copy_ms = rank_ms_per_gb * shape.n_expert_bytes / BYTES_PER_GB / shape.n_ranks
+    price_ms_per_load = (
+        rank_ms_per_gb * shape.n_expert_bytes / BYTES_PER_GB / shape.n_ranks
+    )
     cost = ChangeCost(
-        site.load_ms, FIXED_MS, SLOWDOWN, EXPERT_SHARE, HORIZON_MS, copy_ms
+        site.load_ms, FIXED_MS, SLOWDOWN, EXPERT_SHARE, HORIZON_MS, price_ms_per_load
     )
     return RankBoundedPlanner(shape, cost, site.n_max_new)
 
@@ -297,7 +299,7 @@
 
 
 def _begin(site: MapSite, old: Placement, new: Placement, now_ms: int) -> _Copies:
-    n_most = count_most_new(site.shape.n_ranks, old, new)
+    n_most = count_max_new_experts(site.shape.n_ranks, old, new)
     done_at_ms = now_ms + n_most * site.load_ms
     return _Copies(new, done_at_ms, done_at_ms + FIXED_MS)
 
--- a/packages/core/src/bluebellusher_core/balance/__init__.py
+++ b/packages/core/src/bluebellusher_core/balance/__init__.py
@@ -28,7 +28,7 @@
 from bluebellusher_core.balance._rank_bounded import (
     ChangeCost,
     RankBoundedPlanner,
-    count_most_new,
+    count_max_new_experts,
 )
 
 __all__ = [
@@ -51,7 +51,7 @@
     "compute_moves",
     "compute_rank_loads",
     "compute_skew",
-    "count_most_new",
+    "count_max_new_experts",
     "make_initial_placement",
     "to_expert_map",
     "to_placement",
--- a/packages/core/src/bluebellusher_core/balance/_rank_bounded.py
+++ b/packages/core/src/bluebellusher_core/balance/_rank_bounded.py
@@ -56,7 +56,7 @@
         Share of the duration of a pass that is proportional to the skew.
     horizon_ms : float
         Time for which the popularity of the experts is expected to stay the same.
-    copy_ms : float
+    price_ms_per_load : float
         Time that a change must save for each weight load of any rank; the price of a
         load.
     """
@@ -66,7 +66,7 @@
     slowdown: float
     expert_share: float
     horizon_ms: float
-    copy_ms: float = 0.0
+    price_ms_per_load: float = 0.0
 
     def may_save_time(self, skew: float) -> bool:
         """Return whether a map change may save enough time at this skew.
@@ -99,7 +99,7 @@
         saved = self.expert_share * (old_skew - new_skew)
         duration = 1 + self.expert_share * (old_skew - 1)
         useful_ms = max(0.0, self.horizon_ms - self.fixed_ms - load_ms)
-        cost_ms = self.slowdown * duration * load_ms + self.copy_ms * n_loads
+        cost_ms = self.slowdown * duration * load_ms + self.price_ms_per_load * n_loads
         return saved * useful_ms - cost_ms
 
 
@@ -452,7 +452,7 @@
         self._ranks_by_expert[expert] = set(ranks)
 
 
-def count_most_new(n_ranks: int, old: Placement, new: Placement) -> int:
+def count_max_new_experts(n_ranks: int, old: Placement, new: Placement) -> int:
     """Return the largest number of experts that any rank loads for a new placement.
 
     The loads of a rank are counted over all layers.
--- a/packages/core/src/bluebellusher_core/balance/tests/test_rank_bounded.py
+++ b/packages/core/src/bluebellusher_core/balance/tests/test_rank_bounded.py
@@ -17,7 +17,7 @@
 )
 from bluebellusher_core.balance._rank_bounded import (
     LOAD_LIMITS_PER_RANK,
-    count_most_new,
+    count_max_new_experts,
 )
 
 SHAPE = GroupShape(12, 3, 96, 11, 1)
@@ -52,7 +52,7 @@
         planner.observe(loads)
         plan = planner.plan(placement, Conditions(0), Random(1))
         validate_placement(SHAPE, plan.placement)
-        assert count_most_new(12, placement, plan.placement) <= max(
+        assert count_max_new_experts(12, placement, plan.placement) <= max(
             LOAD_LIMITS_PER_RANK
         )
         before, after = (
@@ -97,8 +97,8 @@
 def test_higher_load_price_gives_smaller_plans():
     """Guards against dozens of weight loads that save a few hundredths of the skew."""
     loads, n_loads, saved_skews = make_loads(3), [], []
-    for copy_ms in (0.0, 50.0, 200.0):
-        cost = ChangeCost(40, 300, 0.15, 0.85, 3_500, copy_ms)
+    for price_ms_per_load in (0.0, 50.0, 200.0):
+        cost = ChangeCost(40, 300, 0.15, 0.85, 3_500, price_ms_per_load)
         planner = RankBoundedPlanner(SHAPE, cost, max_new_per_layer=4)
         planner.observe(loads)
         plan = planner.plan(ROUND_ROBIN_PLACEMENT, Conditions(0), Random(1))
--- a/packages/entry/src/bluebellusher/ranks/_leader.py
+++ b/packages/entry/src/bluebellusher/ranks/_leader.py
@@ -19,7 +19,7 @@
     RankBoundedPlanner,
     compute_rank_loads,
     compute_skew,
-    count_most_new,
+    count_max_new_experts,
     to_expert_map,
     to_placement,
 )
@@ -414,7 +414,7 @@
             slowdown=COPY_SLOWDOWN,
             expert_share=model.expert_share,
             horizon_ms=POPULARITY_HORIZON_MS,
-            copy_ms=self._rank_ms_per_gb
+            price_ms_per_load=self._rank_ms_per_gb
             * model.n_expert_bytes
             / BYTES_PER_GB
             / n_ranks,
@@ -436,7 +436,7 @@
         if not group.change.is_idle or group.epoch != view.epoch or not plan.moves:
             return
         group.searched_at_ms = 0
-        n_most = count_most_new(n_ranks, placement, plan.placement)
+        n_most = count_max_new_experts(n_ranks, placement, plan.placement)
         group.wanted_load_ms = n_most * model.load_ms
         self._want(group, view.epoch, n_ranks, plan.placement)
         self._log.log(
