--- a/packages/core/src/bluebellusher_core/balance/_rank_bounded.py
+++ b/packages/core/src/bluebellusher_core/balance/_rank_bounded.py
@@ -323,7 +323,7 @@
         ----------
         expert : int
             Expert whose load on the rank is to be reduced.
-        hot : int
+        hot_rank : int
             The most loaded rank, which holds the expert.
         cool_ranks : sequence of int
             Ranks with low load that may load the expert.
--- a/packages/core/src/bluebellusher_core/mapswitch/_rank.py
+++ b/packages/core/src/bluebellusher_core/mapswitch/_rank.py
@@ -165,6 +165,7 @@
     def _make_vote(
         self, proposal: Proposal, value: VoteValue, reason: str = ""
     ) -> Vote:
+        """Return a vote of this rank."""
         return Vote(self._rank, proposal, value, reason)
 
     def _refuse(self, proposal: Proposal, reason: str = "") -> Vote:
--- a/packages/core/src/bluebellusher_core/mapswitch/tests/test_mapswitch_properties.py
+++ b/packages/core/src/bluebellusher_core/mapswitch/tests/test_mapswitch_properties.py
@@ -61,6 +61,7 @@
             self.messages += coordinator.plan_messages(fencing_token)
 
     def _deliver_to_coordinators(self, vote):
+        """Deliver a vote to every coordinator."""
         for _, coordinator in self.coordinators:
             coordinator.receive_vote(vote)
 
@@ -80,6 +81,7 @@
             self._handle(target, message)
 
     def _handle(self, target, message):
+        """Pass a message to its rank and send the answer to everyone."""
         rank = self.ranks[target]
         answer = None
         if isinstance(message, Prepare):
@@ -99,6 +101,7 @@
             self.messages += [(i, answer) for i in range(N_RANKS) if i != target]
 
     def _install(self, target, message):
+        """Move a rank to a new epoch if it accepts the message."""
         if self.ranks[target].install(message):
             self.epochs[target] = message.epoch
             self.steps[target] = 0
@@ -121,6 +124,7 @@
         self._run(self.random.randrange(N_RANKS))
 
     def _run(self, index):
+        """Start the next step at one rank and record the map that it uses."""
         epoch, step = self.epochs[index], self.steps[index]
         if epoch is None:
             return
@@ -206,6 +210,7 @@
 
 
 def _make_ready_group(n_ranks=2, switch_step=1):
+    """Return ranks that have all voted ready on a proposal, and the proposal."""
     group = [MapParticipant(i, n_ranks) for i in range(n_ranks)]
     proposal = Proposal(Epoch(1, 1), 2, "d", 1, switch_step)
     for rank in group:
--- a/packages/core/src/bluebellusher_core/ranks/_change.py
+++ b/packages/core/src/bluebellusher_core/ranks/_change.py
@@ -3,11 +3,11 @@
 The leader derives its orders from the reported states of the ranks, so that a new
 leader can continue a change that its predecessor started. A change has five phases:
 
-1. Fence every agent with the leader's fencing token. From then on the agent refuses
-   orders of earlier leaders, and the leader uses its reports. The leader fences twice,
-   with two tokens: a state with the second token was read after the last agent had
-   accepted the first one, so it includes the effects of all orders that agents
-   accepted from earlier leaders.
+1. Fence every agent with the leader's fencing token. An agent that has accepted the
+   token refuses orders of earlier leaders, and the leader only uses states that carry
+   its token. The leader fences twice, with two tokens: a state with the second token
+   was read after the last agent had accepted the first one, so it shows everything
+   that earlier leaders based their orders on.
 2. Prepare one version of the map on every rank. Versions contain the leader's token,
    so that two leaders never assign the same version to different maps.
 3. Hold a step at one rank, and wait until the rank reports the hold. A hold lasts
--- a/packages/core/src/bluebellusher_core/ranks/tests/_engines.py
+++ b/packages/core/src/bluebellusher_core/ranks/tests/_engines.py
@@ -7,7 +7,11 @@
 
 @dataclass
 class Engine:
-    """Model of the engine of one rank; it accepts and refuses orders as engines do."""
+    """Model of the engine of one rank; it accepts and refuses orders as engines do.
+
+    ``prepared`` has the version and the content of the prepared map. ``armed`` has the
+    version, the first step that uses it and the content of the armed map.
+    """
 
     rank: int
     n_ranks: int
--- a/packages/core/src/bluebellusher_core/ranks/tests/test_change_machine.py
+++ b/packages/core/src/bluebellusher_core/ranks/tests/test_change_machine.py
@@ -188,7 +188,7 @@
                 self.group.deliver(0)
             self.execute_all()
             self.group.start_pass()
-        # After this time no engine carries out an earlier order any more.
+        # Advance the clock until no engine can carry out a delayed order any more.
         self.now_ms += MAX_ORDER_DELAY_MS
 
     @precondition(lambda self: len(self.leaders) < 4)
