--- a/packages/core/src/bluebellusher_core/balance/__init__.py
+++ b/packages/core/src/bluebellusher_core/balance/__init__.py
@@ -1,7 +1,8 @@
 """Placement and replication of experts on the ranks of a group.
 
 A policy observes the load of every expert and plans the next placement as a list of
-moves. The placement takes effect through ``bluebellusher_core.mapswitch``.
+moves. ``bluebellusher_core.mapswitch`` makes the ranks switch to the new placement in
+the same step.
 """
 
 from bluebellusher_core.balance._baselines import FullResolve, NoRebalancing
@@ -27,7 +28,7 @@
 from bluebellusher_core.balance._rank_bounded import (
     ChangeCost,
     RankBoundedPlanner,
-    count_most_new,
+    count_max_new_experts,
 )
 
 __all__ = [
@@ -50,7 +51,7 @@
     "compute_moves",
     "compute_rank_loads",
     "compute_skew",
-    "count_most_new",
+    "count_max_new_experts",
     "make_initial_placement",
     "to_expert_map",
     "to_placement",
--- a/packages/core/src/bluebellusher_core/balance/_incremental.py
+++ b/packages/core/src/bluebellusher_core/balance/_incremental.py
@@ -1,9 +1,9 @@
-"""Placement in small steps: the chosen policy."""
+"""Placement policy that changes a few replicas in each interval."""
 
 from collections.abc import Sequence
 from random import Random
 
-from bluebellusher_core.balance._layer_search import LayerSearch, Step
+from bluebellusher_core.balance._layer_search import LayerSearch, SearchStep
 from bluebellusher_core.balance._limits import MoveBudget, MoveLimiter
 from bluebellusher_core.balance._model import (
     GroupShape,
@@ -16,29 +16,33 @@
 )
 from bluebellusher_core.balance._protocol import Conditions, Plan
 
-# Relative difference of two sums of the same loads that rounding can cause.
-ROUNDING = 1e-9
+# Upper bound of the relative difference that rounding causes between two sums of the
+# same loads.
+ROUNDING_TOLERANCE = 1e-9
 SMOOTHING = 0.85
 """Weight of the last interval in the smoothed popularity."""
 
 SKEW_PER_LOAD = 0.002
-"""Skew of a layer that one expert load must save when both weights are equal."""
+"""Reduction of the skew of a layer that justifies one weight load of an expert, when
+the skew weight equals the move weight."""
 
 MIN_GAIN = 0.01
-"""Weighted gain below which a layer stays as it is. It keeps the noise of the loads
-from moving experts back and forth."""
+"""Cost reduction below which a layer keeps its placement. It prevents noise in the
+loads from moving experts back and forth."""
 
 CONCENTRATION_WEIGHT = 0.03
-"""Skew that one unit of concentration counts as. Without it single replicas carry up
-to 0.7 of the mean load of a rank, and a change of one expert shows in the skew."""
+"""Skew that has the same cost as one unit of concentration. With a weight of 0, single
+replicas carry up to 0.7 of the mean load of a rank, so that a change of the load of one
+expert affects the skew."""
 
 
 class IncrementalPlanner:
-    """Changes few replicas in each interval, those that lower the skew most.
+    """Policy that makes the few changes with the largest reduction of the skew.
 
-    The cost of a layer is its skew (maximum over mean of the rank loads) plus the
-    price of its expert loads. Each layer is searched for the changes of lowest cost;
-    the layers with the largest gain for each load come first while the budget lasts.
+    The cost of a layer is its skew (maximum rank load divided by the mean), plus its
+    weighted concentration and the price of the weight loads of the plan. The planner
+    searches each layer for the changes with the lowest cost, and spends the budget on
+    the layers with the largest cost reduction per weight load.
 
     Parameters
     ----------
@@ -47,19 +51,20 @@
     budget : MoveBudget
         Limits of one plan.
     skew_weight, move_weight : float
-        Arguments of the rules ``weight skew`` and ``weight moves``. Their ratio
-        scales the price of an expert load.
+        Arguments of the rules ``weight skew`` and ``weight moves``. The price of a
+        weight load is proportional to ``move_weight / skew_weight``.
     smoothing : float
         Weight of the last interval in the smoothed popularity, above 0 and at most 1.
     min_gain : float
-        Gain below which a layer stays as it is.
+        Cost reduction below which a layer keeps its placement.
     concentration_weight : float
-        Skew that one unit of concentration counts as; see ``LayerSearch``.
+        Skew that has the same cost as one unit of concentration; see
+        ``LayerSearch.compute_cost``.
 
     Raises
     ------
     ValueError
-        When a weight is not positive, or another parameter is out of range.
+        When ``skew_weight`` is not positive, or another parameter is out of range.
     """
 
     def __init__(
@@ -93,53 +98,64 @@
         self._popularity: list[list[float]] = []
 
     def observe(self, loads: Loads) -> None:
-        """Smooth the popularity of each expert exponentially."""
+        """Add the loads of an interval to the exponentially smoothed popularity."""
         validate_loads(self._shape, loads)
         if not self._popularity:
-            self._popularity = [list(of_layer) for of_layer in loads]
+            self._popularity = [list(layer_loads) for layer_loads in loads]
             return
-        new, old = self._smoothing, 1 - self._smoothing
+        new_weight, old_weight = self._smoothing, 1 - self._smoothing
         self._popularity = [
-            [old * before + new * load for before, load in zip(a, b, strict=True)]
+            [
+                old_weight * before + new_weight * load
+                for before, load in zip(a, b, strict=True)
+            ]
             for a, b in zip(self._popularity, loads, strict=True)
         ]
 
     def plan(
         self, placement: Placement, conditions: Conditions, random_state: Random
     ) -> Plan:
-        """Return the changes with the largest gain for each expert load.
+        """Return the changes with the largest cost reduction per weight load.
 
-        Layers of equal gain are taken in random order, so that a small budget does
-        not always go to the first layers.
+        Layers with equal reduction are taken in random order, so that a small budget is
+        not always spent on the first layers.
         """
         max_loads = self._limiter.compute_max_loads(conditions)
         if not self._popularity or max_loads == 0:
             return Plan(placement)
-        steps_by_layer: dict[int, list[Step]] = {}
+        steps_by_layer: dict[int, list[SearchStep]] = {}
         for layer in random_state.sample(range(len(placement)), len(placement)):
-            steps = self._search(layer, placement[layer], max_loads)
+            steps = self._search_layer(layer, placement[layer], max_loads)
             if steps:
                 steps_by_layer[layer] = steps
         changed: dict[int, LayerPlacement] = {}
-        for layer, steps in share_budget(steps_by_layer, max_loads).items():
+        for layer, steps in allocate_budget(steps_by_layer, max_loads).items():
             new = _apply_steps(placement[layer], steps)
-            is_enough = steps[0].cost - steps[-1].cost >= self._min_gain
-            if is_enough and not self._raises_skew(layer, placement[layer], new):
+            is_worthwhile = steps[0].cost - steps[-1].cost >= self._min_gain
+            if is_worthwhile and not self._raises_skew(layer, placement[layer], new):
                 changed[layer] = new
-        return self._finish(placement, changed)
+        return self._make_plan(placement, changed)
 
     def _raises_skew(
         self, layer: int, old: LayerPlacement, new: LayerPlacement
     ) -> bool:
-        """Return whether a change trades a higher skew for less concentration."""
+        """Return whether a change raises the maximum rank load of a layer.
+
+        Such a change can still lower the cost, by reducing the concentration.
+        """
         n_ranks, loads = self._shape.n_ranks, self._popularity[layer]
         before, after = (
             max(compute_rank_loads(n_ranks, ranks, loads)) for ranks in (old, new)
         )
-        return after > before * (1 + ROUNDING)
+        return after > before * (1 + ROUNDING_TOLERANCE)
+
+    def _search_layer(
+        self, layer: int, ranks: LayerPlacement, max_loads: int
+    ) -> list[SearchStep]:
+        """Return the search steps of a layer; empty if they gain less than the minimum.
 
-    def _search(self, layer: int, ranks: LayerPlacement, max_loads: int) -> list[Step]:
-        """Return the steps of a layer; none when they gain less than the minimum."""
+        The first step describes the current state of the layer.
+        """
         loads = self._popularity[layer]
         search = LayerSearch(self._shape, ranks, loads, self._concentration_weight)
         if search.compute_cost() - 1.0 < self._min_gain:
@@ -147,64 +163,82 @@
         steps = search.run(self._price, max_loads)
         return steps if steps[0].cost - steps[-1].cost >= self._min_gain else []
 
-    def _finish(self, placement: Placement, changed: dict[int, LayerPlacement]) -> Plan:
+    def _make_plan(
+        self, placement: Placement, changed: dict[int, LayerPlacement]
+    ) -> Plan:
+        """Return the plan that changes the given layers, and charge the byte budget."""
         if not changed:
             return Plan(placement)
         new = tuple(changed.get(n, ranks) for n, ranks in enumerate(placement))
         moves = compute_moves(self._shape, placement, new, sorted(changed))
         plan = Plan(new, tuple(moves))
-        self._limiter.take(plan.n_bytes)
+        self._limiter.consume(plan.n_bytes)
         return plan
 
 
-def share_budget(
-    steps_by_layer: dict[int, list[Step]], max_loads: int
-) -> dict[int, list[Step]]:
-    """Return the first steps of each layer that together gain most for their loads.
+def allocate_budget(
+    steps_by_layer: dict[int, list[SearchStep]], max_loads: int
+) -> dict[int, list[SearchStep]]:
+    """Select the first steps of each layer to apply within a budget of weight loads.
 
-    The points of the lower convex hull of cost over loads are taken in the order of
-    their gain for each load over all layers. A long search of one layer for small
-    gains so cannot use up the budget of the others.
+    The segments of the lower convex hulls of cost over weight loads are taken in
+    descending order of their cost reduction per load, over all layers. This prevents
+    a layer with a long list of small gains from using up the budget of other layers.
+
+    Parameters
+    ----------
+    steps_by_layer : dict of int to list of SearchStep
+        Search result of each layer.
+    max_loads : int
+        Maximum number of weight loads of all layers together.
     """
     segments = [
         (-gain_per_load, layer, n_steps)
         for layer, steps in steps_by_layer.items()
-        for gain_per_load, n_steps in compute_hull(steps)
+        for gain_per_load, n_steps in compute_lower_hull(steps)
     ]
-    segments.sort(key=lambda one: one[0])
+    segments.sort(key=lambda segment: segment[0])
     n_steps_by_layer = dict.fromkeys(steps_by_layer, 1)
-    full: set[int] = set()
+    finished_layers: set[int] = set()
     for _, layer, n_steps in segments:
         steps = steps_by_layer[layer]
-        n_before = steps[n_steps_by_layer[layer] - 1].n_loads
-        n_more = steps[n_steps - 1].n_loads - n_before
-        if layer in full or n_more > max_loads:
-            full.add(layer)
+        n_used_loads = steps[n_steps_by_layer[layer] - 1].n_loads
+        n_added_loads = steps[n_steps - 1].n_loads - n_used_loads
+        if layer in finished_layers or n_added_loads > max_loads:
+            finished_layers.add(layer)
             continue
-        max_loads -= n_more
+        max_loads -= n_added_loads
         n_steps_by_layer[layer] = n_steps
     return {layer: steps_by_layer[layer][:n] for layer, n in n_steps_by_layer.items()}
 
 
-def compute_hull(steps: Sequence[Step]) -> list[tuple[float, int]]:
-    """Return the gain for each load and the number of steps of each hull point."""
+def compute_lower_hull(steps: Sequence[SearchStep]) -> list[tuple[float, int]]:
+    """Return the lower convex hull of the cost over the weight loads of one layer.
+
+    Returns
+    -------
+    list of (float, int)
+        For each point of the hull after the first, the cost reduction per load from the
+        previous point, and the number of steps up to the point.
+    """
     hull: list[tuple[float, int]] = []
-    at = 0
-    while at < len(steps) - 1:
-        start = steps[at]
-        gain, after = max(
-            ((start.cost - one.cost) / (one.n_loads - start.n_loads), n)
-            for n, one in enumerate(steps)
-            if n > at
+    index = 0
+    while index < len(steps) - 1:
+        start = steps[index]
+        gain, best_index = max(
+            ((start.cost - step.cost) / (step.n_loads - start.n_loads), candidate_index)
+            for candidate_index, step in enumerate(steps)
+            if candidate_index > index
         )
         if gain <= 0:
             break
-        hull.append((gain, after + 1))
-        at = after
+        hull.append((gain, best_index + 1))
+        index = best_index
     return hull
 
 
-def _apply_steps(ranks: LayerPlacement, steps: Sequence[Step]) -> LayerPlacement:
+def _apply_steps(ranks: LayerPlacement, steps: Sequence[SearchStep]) -> LayerPlacement:
+    """Return the placement of a layer after the given steps."""
     result = list(ranks)
     for step in steps:
         for expert, after in step.updates:
--- a/packages/core/src/bluebellusher_core/balance/tests/test_policies.py
+++ b/packages/core/src/bluebellusher_core/balance/tests/test_policies.py
@@ -1,4 +1,4 @@
-"""Common checks for every policy, and the behaviour of the chosen one."""
+"""Checks of all placement policies, and behaviour of ``IncrementalPlanner``."""
 
 from random import Random
 
@@ -19,8 +19,8 @@
     make_initial_placement,
     validate_placement,
 )
-from bluebellusher_core.balance._incremental import share_budget
-from bluebellusher_core.balance._layer_search import Step
+from bluebellusher_core.balance._incremental import allocate_budget
+from bluebellusher_core.balance._layer_search import SearchStep
 
 POLICIES = {
     "no-rebalancing": NoRebalancing,
@@ -31,7 +31,7 @@
         shape, budget, 10.0, 1.0, min_gain=0.0
     ),
 }
-REBALANCING = [name for name in POLICIES if name != "no-rebalancing"]
+REBALANCING_POLICIES = [name for name in POLICIES if name != "no-rebalancing"]
 N_BYTES = 7
 UNLIMITED = MoveBudget(10**6, 10**9, 10**9, 10**9)
 SHAPE = GroupShape(8, 2, 32, 5, N_BYTES)
@@ -41,10 +41,10 @@
 
 @st.composite
 def any_shape(draw):
-    """Return a small group, with few or many redundant slots."""
+    """Draw the shape of a small group, with few or many redundant slots."""
     n_ranks, n_experts = draw(st.integers(1, 6)), draw(st.integers(1, 12))
-    n_needed = -(-n_experts // n_ranks)
-    n_slots = draw(st.integers(n_needed, n_experts))
+    n_min_slots = -(-n_experts // n_ranks)
+    n_slots = draw(st.integers(n_min_slots, n_experts))
     return GroupShape(n_ranks, draw(st.integers(1, 3)), n_experts, n_slots, N_BYTES)
 
 
@@ -71,8 +71,12 @@
 )
 
 
-def run(name, shape, budget, steps, seed):
-    """Return the plans of some intervals, with the placement each started from."""
+def run_policy(name, shape, budget, steps, seed):
+    """Return the plan of each interval, with the placement that it started from.
+
+    Each step has the loads and conditions of one interval, and whether the group
+    switches to the planned placement.
+    """
     policy, random_state = POLICIES[name](shape, budget), Random(seed)
     placement, plans = make_initial_placement(shape), []
     for loads, conditions, is_switched in steps:
@@ -87,13 +91,17 @@
 @pytest.mark.parametrize("name", POLICIES)
 @given(data=st.data(), seed=st.integers(0, 9), budget=any_budget)
 def test_property_common_contract(name, data, seed, budget):
-    """Guards against lost experts, full ranks, wrong moves and excess of a limit."""
+    """Guards against plans that violate a rule that applies to every policy.
+
+    A plan must be reproducible, keep every expert on some rank, fit the slots of the
+    ranks, list the moves to its placement, and stay within all limits.
+    """
     shape = data.draw(any_shape())
     step = st.tuples(any_loads(shape), any_conditions, st.booleans())
     steps = data.draw(st.lists(step, min_size=1, max_size=4))
-    steps.sort(key=lambda one: one[1].now_ms)
-    plans = run(name, shape, budget, steps, seed)
-    assert plans == run(name, shape, budget, steps, seed)
+    steps.sort(key=lambda step_inputs: step_inputs[1].now_ms)
+    plans = run_policy(name, shape, budget, steps, seed)
+    assert plans == run_policy(name, shape, budget, steps, seed)
     n_bytes_at_ms = []
     for (old, plan), (_, conditions, _) in zip(plans, steps, strict=True):
         validate_placement(shape, plan.placement)
@@ -112,22 +120,24 @@
         assert n_bytes <= budget.store_burst_bytes + n_refilled
 
 
-@pytest.mark.parametrize("name", REBALANCING)
+@pytest.mark.parametrize("name", REBALANCING_POLICIES)
 def test_every_rebalancing_policy_lowers_skew(name):
-    """Guards against a policy that keeps to its limits because it moves nothing."""
+    """Guards against a policy that stays within its limits because it moves nothing."""
     steps = [(HOT_FIRST, Conditions(0), True)] * 3
-    placement = run(name, SHAPE, UNLIMITED, steps, 1)[-1][1].placement
+    placement = run_policy(name, SHAPE, UNLIMITED, steps, 1)[-1][1].placement
     for ranks, loads in zip(placement, HOT_FIRST, strict=True):
         assert compute_skew(compute_rank_loads(8, ranks, loads)) < 1.1
 
 
-def test_store_rate_limits_one_plan_after_another():
-    """Guards against loads that the token bucket of the weight store forgets."""
+def test_store_rate_limits_consecutive_plans():
+    """Guards against weight loads that the token bucket of the store does not count."""
     budget = MoveBudget(10**6, 10**9, N_BYTES, 2 * N_BYTES)
     times_ms = (0, 0, 1000, 1000, 9000)
     steps = [(HOT_FIRST, Conditions(now_ms), True) for now_ms in times_ms]
     for name in ("incremental", "incremental-eager"):
-        n_loads = [plan.n_loads for _, plan in run(name, SHAPE, budget, steps, 1)]
+        n_loads = [
+            plan.n_loads for _, plan in run_policy(name, SHAPE, budget, steps, 1)
+        ]
         assert n_loads[0] > 0
         assert sum(n_loads[:2]) <= 2
         assert sum(n_loads[:4]) <= 3
@@ -135,14 +145,14 @@
 
 @given(data=st.data())
 def test_property_plan_never_raises_skew(data):
-    """Guards against moves that make the popularity they were planned for worse."""
+    """Guards against plans that raise the skew for the loads they were made for."""
     shape = data.draw(any_shape())
     loads = data.draw(any_loads(shape))
     steps = [(loads, Conditions(0), True)]
-    ((old, plan),) = run("incremental-eager", shape, UNLIMITED, steps, 1)
-    for before, after, of_layer in zip(old, plan.placement, loads, strict=True):
+    ((old, plan),) = run_policy("incremental-eager", shape, UNLIMITED, steps, 1)
+    for before, after, layer_loads in zip(old, plan.placement, loads, strict=True):
         skews = [
-            compute_skew(compute_rank_loads(shape.n_ranks, ranks, of_layer))
+            compute_skew(compute_rank_loads(shape.n_ranks, ranks, layer_loads))
             for ranks in (before, after)
         ]
         assert skews[1] <= skews[0] * (1 + 1e-9)
@@ -150,7 +160,7 @@
 
 @pytest.mark.parametrize(("min_gain", "is_moving"), [(0.02, False), (0.0, True)])
 def test_small_gains_move_nothing(min_gain, is_moving):
-    """Guards against moves back and forth because of noise in the loads."""
+    """Guards against noise in the loads that moves experts back and forth."""
     shape, random_state = GroupShape(8, 2, 32, 4, N_BYTES), Random(1)
     policy = IncrementalPlanner(shape, UNLIMITED, 1, 0, min_gain=min_gain)
     placement = make_initial_placement(shape)
@@ -164,7 +174,7 @@
 
 
 def test_weights_trade_skew_for_moves():
-    """Guards against rules ``weight skew`` and ``weight moves`` without effect."""
+    """Guards against rules ``weight skew`` and ``weight moves`` that have no effect."""
     random_state, n_loads = Random(1), []
     loads = [[random_state.lognormvariate(0, 1) for _ in range(32)] for _ in range(2)]
     for skew_weight, move_weight in ((4, 1), (1, 1), (1, 4)):
@@ -176,7 +186,7 @@
 
 
 def test_popularity_is_smoothed_and_observed_without_a_plan():
-    """Guards against one odd interval that decides the placement."""
+    """Guards against a placement that follows the loads of one unusual interval."""
     policy = IncrementalPlanner(SHAPE, UNLIMITED, smoothing=0.2)
     for _ in range(20):
         policy.observe(HOT_FIRST)
@@ -189,34 +199,38 @@
     assert compute_skew(loads) < 1.4
 
 
-def test_expert_above_the_mean_is_copied_although_no_single_step_helps():
-    """Guards against a search that stops when each copy needs an emptied rank."""
+def test_large_expert_is_replicated_although_no_single_step_helps():
+    """Guards against a search that stops when no single step lowers the cost.
+
+    Each rank that receives a replica of the large expert stays above the mean load
+    until later steps have moved its other experts away.
+    """
     shape = GroupShape(8, 1, 32, 5, N_BYTES)
     loads = [[300.0] + [10.0] * 31]
     steps = [(loads, Conditions(0), True)] * 4
-    placement = run("incremental", shape, UNLIMITED, steps, 1)[-1][1].placement
+    placement = run_policy("incremental", shape, UNLIMITED, steps, 1)[-1][1].placement
     assert compute_skew(compute_rank_loads(8, placement[0], loads[0])) < 1.15
 
 
-def test_budget_goes_to_the_largest_gain_for_each_load():
-    """Guards against a layer that uses up the budget for its last small gains."""
+def test_budget_is_spent_on_the_largest_gain_per_load():
+    """Guards against a layer that uses up the budget for small gains."""
     costs_by_layer = {0: [2.0, 1.5, 1.45, 1.44], 1: [2.0, 1.95, 1.6], 2: [2.0, 1.99]}
     steps_by_layer = {
-        layer: [Step((), n_loads, cost) for n_loads, cost in enumerate(costs)]
+        layer: [SearchStep((), n_loads, cost) for n_loads, cost in enumerate(costs)]
         for layer, costs in costs_by_layer.items()
     }
     for max_loads, expected in ((0, [0, 0, 0]), (3, [1, 2, 0]), (4, [2, 2, 0])):
-        shared = share_budget(steps_by_layer, max_loads)
+        shared = allocate_budget(steps_by_layer, max_loads)
         assert [shared[n][-1].n_loads for n in range(3)] == expected
 
 
-def test_equal_layers_take_turns_by_the_random_state():
-    """Guards against a budget that always goes to the first layers."""
+def test_layers_of_equal_gain_are_taken_in_random_order():
+    """Guards against a small budget that is always spent on the first layers."""
     shape = GroupShape(8, 6, 32, 5, N_BYTES)
     step = (HOT_FIRST * 3, Conditions(0), True)
     budget = MoveBudget(1, 10**9, 10**9, 10**9)
     first_layers = set()
     for seed in range(9):
-        ((_, plan),) = run("incremental", shape, budget, [step], seed)
+        ((_, plan),) = run_policy("incremental", shape, budget, [step], seed)
         first_layers |= {move.layer for move in plan.moves}
     assert len(first_layers) > 1
