Reword the comments of leases

State the parameters with units, which clock counts the term, and which failure each test guards against. Only comments and doc comments change; behaviour does not.

--- a/packages/core/src/bluebellusher_core/lease/__init__.py
+++ b/packages/core/src/bluebellusher_core/lease/__init__.py
@@ -1,7 +1,8 @@
-"""Leases with fencing tokens, kept in the platform's table.
+"""Leases with fencing tokens, stored in the platform's table.
 
-No clock is shared: the holder counts its term from before it sent a write, and every
-other entry counts from when it first saw that write, each on its own clock.
+Entries share no clock. The holder counts the term of its lease from the time just
+before it sent the write; every other entry counts from the time at which it first read
+that write. Each uses its own clock, and the term of the holder ends first.
 """
 
 from bluebellusher_core.lease._tracker import (
--- a/packages/core/src/bluebellusher_core/lease/_tracker.py
+++ b/packages/core/src/bluebellusher_core/lease/_tracker.py
@@ -1,10 +1,10 @@
-"""One entry's view of one lease."""
+"""State of one lease at one entry, and the writes that are due."""
 
 from dataclasses import dataclass
 
 TERM_MS = 10_000
 RENEW_AFTER_MS = 3_000
-# Covers clocks that run at different rates: 1 s in a term of 10 s is 10%.
+# Margin for clocks that run at different rates: 1 s in a term of 10 s allows for 10%.
 GUARD_MS = 1_000
 
 
@@ -15,11 +15,12 @@
     Parameters
     ----------
     holder : str
-        Instance id and incarnation of the holder; empty when it was released.
+        Instance id and incarnation of the holder, separated by a slash; empty after
+        the holder released the lease.
     fencing_token : int
-        Grows with each acquisition.
+        Number that increases with each acquisition of the lease.
     renewal : int
-        Grows with each write of the same holder.
+        Number that increases with each write under the same fencing token.
     """
 
     holder: str
@@ -29,7 +30,11 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaseWrite:
-    """A conditional write: put ``row`` if the row still has ``row_version``."""
+    """Conditional write of the row of a lease.
+
+    The table applies the write only if the version of the row is still
+    ``row_version``.
+    """
 
     name: str
     row_version: int
@@ -37,11 +42,12 @@
 
 
 class LeaseTracker:
-    """Decide when to acquire, renew and give up one lease.
+    """State machine that acquires, renews and releases one lease for one entry.
 
-    The caller reads the row, passes it to `observe`, executes the write that
-    `plan_write` returns and reports its result. A holder may act on the lease only
-    while `held_token` returns a token, and must ask again before each action.
+    The caller reads the row and passes it to `observe`, executes the write that
+    `plan_write` returns, and passes the result to `write_succeeded` or
+    `write_conflicted`. The entry may act as the holder only while `held_token` returns
+    a token, and must call `held_token` again before each action.
 
     Parameters
     ----------
@@ -49,14 +55,20 @@
         Name of the lease, such as ``"balance/group-1"``.
     holder_id : str
         Instance id and incarnation of this entry, separated by a slash. A restarted
-        instance is another holder, because it no longer knows what it did; it need not
-        wait for the end of its own earlier lease.
+        instance is a different holder, because it has lost the state of its previous
+        start. It need not wait until the lease of that previous start expires.
     takeover_delay_ms : int
-        Additional wait before a free or lapsed lease is acquired. Entries that are
-        lower in the rendezvous order of ``name`` wait longer, which spreads leases.
-    term_ms, renew_after_ms, guard_ms : int
-        Duration of a lease, time after which it is renewed, and what others wait
-        beyond its end. All entries use the same values.
+        Additional wait in milliseconds before this entry acquires a free or expired
+        lease. Entries that rank lower in the rendezvous order of ``name`` wait longer,
+        which distributes the leases over the entries.
+    term_ms : int
+        Duration of a lease in milliseconds. All entries use the same value, also for
+        the next two parameters.
+    renew_after_ms : int
+        Time in milliseconds after which the holder renews the lease, counted from the
+        time at which it sent its last successful write.
+    guard_ms : int
+        Time in milliseconds that other entries wait in addition to the term.
 
     Examples
     --------
@@ -95,18 +107,19 @@
         self._highest_token = 0
 
     def note_token_seen(self, token: int) -> None:
-        """Take in a token that those who take orders have seen.
+        """Record a fencing token that a receiver of orders has seen.
 
-        A row that was lost says nothing about earlier tokens, and orders with a lower
-        one are refused; the next write therefore uses a higher token.
+        Receivers refuse orders whose token is lower than the highest one they have
+        seen, and a table row that was lost no longer contains that token. The next
+        write therefore uses a token higher than every recorded one.
         """
         self._highest_token = max(self._highest_token, token)
 
     def observe(self, row_version: int, row: LeaseRow | None, now_ms: int) -> None:
-        """Take in a row that was read from the table.
+        """Update the state from a row that was read from the table.
 
-        A read that shows an older version than one already seen comes from an old
-        copy and is ignored.
+        A row whose version is lower than the last observed one comes from a stale read
+        and is ignored.
         """
         if self._row_version is not None and row_version < self._row_version:
             return
@@ -119,7 +132,10 @@
             self._held_until_ms = None
 
     def _resolve_pending(self, row: LeaseRow | None) -> None:
-        """Recognise an own write whose answer was lost, by its content."""
+        """Confirm the pending write if the row has its content.
+
+        This resolves a write of this entry whose answer was lost.
+        """
         if self._pending is None or row != self._pending.row:
             return
         self._held_until_ms = self._pending_sent_ms + self._term_ms
@@ -127,10 +143,10 @@
         self._pending = None
 
     def plan_write(self, now_ms: int) -> LeaseWrite | None:
-        """Return the write to send now, or ``None`` when there is nothing to do.
+        """Return the write to send now, or ``None`` when no write is due.
 
-        A write whose answer was lost is sent again unchanged; its condition on the
-        row version makes the repetition harmless.
+        A write without an answer stays pending and is returned again unchanged. Its
+        condition on the row version prevents it from taking effect twice.
         """
         if self._row_version is None:
             return None
@@ -144,6 +160,7 @@
         return self._pending
 
     def _next_row(self, now_ms: int) -> LeaseRow | None:
+        """Return the row to write now, or ``None`` when no write is due."""
         if self.held_token(now_ms) is not None:
             if self._row is not None and self._row.fencing_token < self._highest_token:
                 return self._acquired_row()
@@ -157,29 +174,31 @@
         return self._acquired_row()
 
     def _acquired_row(self) -> LeaseRow:
+        """Return a row that acquires the lease with a new, higher token."""
         last_token = self._row.fencing_token if self._row else 0
         token = max(last_token, self._highest_token) + 1
         return LeaseRow(self._holder_id, token, 1)
 
     def _is_held_by_another(self, holder: str) -> bool:
-        """Return whether a process that may still run holds the lease.
+        """Return whether ``holder`` is another instance, which may still be running.
 
-        An earlier incarnation of the own instance does not run any more.
+        The previous start of this instance is not running any more and does not count.
         """
         instance_id = self._holder_id.rpartition("/")[0]
         is_own = bool(instance_id) and holder.rpartition("/")[0] == instance_id
         return bool(holder) and not is_own
 
     def _renewed_row(self) -> LeaseRow:
+        """Return a row that renews the lease with the same token."""
         row = self._row
         assert row is not None
         return LeaseRow(self._holder_id, row.fencing_token, row.renewal + 1)
 
     def write_succeeded(self, write: LeaseWrite, row_version: int, now_ms: int) -> None:
-        """Take in that ``write`` was applied as ``row_version``.
+        """Update the state after the table applied ``write`` as ``row_version``.
 
-        The answer to an earlier write, which may come late, says nothing about the
-        pending one and is ignored.
+        The term counts from the time at which the write was first sent. A late answer
+        to an earlier write does not confirm the pending one and is ignored.
         """
         if write != self._pending:
             return
@@ -194,20 +213,24 @@
     def write_conflicted(
         self, write: LeaseWrite, row_version: int, row: LeaseRow | None, now_ms: int
     ) -> None:
-        """Take in the row that made ``write`` fail."""
+        """Update the state from the row whose version made ``write`` fail."""
         self.observe(row_version, row, now_ms)
         if write == self._pending:
             self._pending = None
 
     def held_token(self, now_ms: int) -> int | None:
-        """Return the fencing token while the lease is held, else ``None``."""
+        """Return the fencing token while this entry holds the lease, else ``None``."""
         if self._held_until_ms is None or now_ms >= self._held_until_ms:
             return None
         assert self._row is not None
         return self._row.fencing_token
 
     def plan_release(self, now_ms: int) -> LeaseWrite | None:
-        """Stop holding at once; return the write that lets others acquire early."""
+        """Stop holding the lease and return the write that releases it.
+
+        After that write, other entries can acquire the lease before its term ends.
+        The result is ``None`` when this entry does not hold the lease.
+        """
         token = self.held_token(now_ms)
         self._held_until_ms = None
         self._pending = None
--- a/packages/core/src/bluebellusher_core/lease/tests/test_lease_machine.py
+++ b/packages/core/src/bluebellusher_core/lease/tests/test_lease_machine.py
@@ -1,4 +1,4 @@
-"""Guards against two holders at a time and against a token that is used twice."""
+"""Guards against two simultaneous holders and against a token that is used twice."""
 
 from dataclasses import dataclass
 
@@ -20,6 +20,8 @@
 
 @dataclass
 class FakeRow:
+    """Row of one lease that is written under a condition on its version."""
+
     version: int = 0
     row: LeaseRow | None = None
 
@@ -32,7 +34,7 @@
 
 
 class LeaseMachine(RuleBasedStateMachine):
-    """Entries with clocks of their own, lost answers, delayed writes and old reads."""
+    """Entries with separate clocks, lost answers, delayed writes and stale reads."""
 
     def __init__(self):
         super().__init__()
@@ -66,7 +68,7 @@
         fate=st.sampled_from(["answered", "slow answer", "lost answer", "delayed"]),
     )
     def poll(self, index, age, fate):
-        """Read the row, from an old copy when ``age`` is not 0, then write."""
+        """Read the row, ``age`` versions behind the table, then send a due write."""
         tracker = self.trackers[index]
         version, row = self.history[max(0, len(self.history) - 1 - age)]
         tracker.observe(version, row, self.clock(index))
@@ -115,7 +117,7 @@
 
     @invariant()
     def at_most_one_holder(self):
-        """Guards against two entries that act as holder at the same moment."""
+        """Guards against two entries that act as the holder at the same time."""
         held = [
             (i, token)
             for i, tracker in enumerate(self.trackers)
@@ -137,7 +139,7 @@
 
 
 def test_lapsed_lease_is_taken_over_with_a_higher_token():
-    """Guards against a lease that stays with a dead holder for ever."""
+    """Guards against a lease that is never acquired after its holder has stopped."""
     table = FakeRow()
     first = LeaseTracker("x", "a/1")
     first.observe(0, None, 0)
@@ -158,7 +160,7 @@
 def test_property_slow_or_lost_answer_does_not_extend_the_term(
     answer_ms, resend_ms, first_seen_ms
 ):
-    """Guards against a term that counts from the answer or from a repeated write."""
+    """Guards against a term that counts from the answer or from a repeated send."""
     table = FakeRow()
     first = LeaseTracker("x", "a/1")
     second = LeaseTracker("x", "b/1")
@@ -177,11 +179,11 @@
 
 
 def test_late_answer_to_an_earlier_write_does_not_grant_the_pending_one():
-    """Guards against a lease held on the answer to another write."""
+    """Guards against a lease that the answer to an earlier write confirms."""
     tracker = LeaseTracker("x", "a/1")
     tracker.observe(0, None, 0)
     first = tracker.plan_write(0)
-    # The write took effect, which a read shows before its answer arrives.
+    # A read shows that the write took effect before the answer to it arrives.
     tracker.observe(1, first.row, 10)
     lapsed_ms = TERM_MS + GUARD_MS + 10
     assert tracker.plan_write(lapsed_ms) != first
--- a/packages/core/src/bluebellusher_core/lease/tests/test_lease_restart.py
+++ b/packages/core/src/bluebellusher_core/lease/tests/test_lease_restart.py
@@ -1,4 +1,4 @@
-"""Leases of entries that start again."""
+"""Leases of restarted entries, and tokens after a row was lost."""
 
 from bluebellusher_core.lease import GUARD_MS, TERM_MS, LeaseRow, LeaseTracker
 
@@ -8,7 +8,8 @@
 def test_restarted_entry_takes_its_own_lease_at_once():
     """Guards against groups without a leader after all entries were restarted.
 
-    Each restart of all entries left the maps alone for the term of the old lease.
+    The restarted entries waited until the old lease had expired. No expert map changed
+    in the meantime.
     """
     tracker = LeaseTracker("maps", "entry-1/200")
     tracker.observe(12, ROW, now_ms=0)
@@ -18,7 +19,7 @@
 
 
 def test_lease_of_another_entry_is_waited_for():
-    """Guards against a second leader while the first one may still run."""
+    """Guards against a second leader while the first one may still be running."""
     for holder_id in ("entry-2/200", "entry-11/1", "entry-1x/1"):
         tracker = LeaseTracker("maps", holder_id)
         tracker.observe(12, ROW, now_ms=0)
@@ -27,9 +28,10 @@
 
 
 def test_token_grows_after_the_row_is_lost():
-    """Guards against a holder whose orders are refused for good.
+    """Guards against a holder whose orders are refused permanently.
 
-    Those that take orders remember the highest token; a lost row begins at 1 again.
+    Receivers of orders keep the highest token that they have seen, but tokens start at
+    1 again after the row was lost.
     """
     tracker = LeaseTracker("maps", "entry-1/7")
     tracker.note_token_seen(57)
@@ -39,7 +41,7 @@
 
 
 def test_holder_that_learns_of_a_higher_token_raises_its_own():
-    """Guards against a holder that cannot act because its token is old."""
+    """Guards against a holder whose orders are refused because its token is too low."""
     tracker = LeaseTracker("maps", "entry-1/7")
     tracker.observe(0, None, now_ms=0)
     write = tracker.plan_write(now_ms=0)
