Reword the comments of core allowances and rate shares

Name the units, the holder and the stale reads where the text had half sentences. Only comments and doc comments change; behaviour does not.

--- a/packages/core/src/bluebellusher_core/allowance/__init__.py
+++ b/packages/core/src/bluebellusher_core/allowance/__init__.py
@@ -1,8 +1,9 @@
-"""Budgets and rate limits shared by all entries as granted allowances.
+"""Budgets and rate limits that all entries share.
 
-The table row of a budget holds what was granted to each entry. An entry spends only
-from its own grants, so that the sum over all entries stays within the limit whatever
-is paused, killed or cut off.
+The table row of a budget holds the units granted to each entry. An entry spends only
+from its own grants, so that the sum over all entries stays within the limit even when
+entries are suspended, killed or disconnected. Rate limits are divided into fixed shares
+and need no table.
 """
 
 from bluebellusher_core.allowance._holder import (
--- a/packages/core/src/bluebellusher_core/allowance/_holder.py
+++ b/packages/core/src/bluebellusher_core/allowance/_holder.py
@@ -1,40 +1,48 @@
-"""One entry's share of one budget."""
+"""Share of one entry in one budget."""
 
 from dataclasses import dataclass
 
 from bluebellusher_core.allowance._row import AllowanceRow, Grant
 
+# Time without use, in milliseconds, after which an entry returns its unspent grant.
 IDLE_RETURN_MS = 30_000
-# All holders together keep at most 1/20 of a budget unspent, so that no more than 5%
-# is stranded in grants when the budget ends.
+# All holders together keep at most 1/20 of a budget in unspent grants. When the rest of
+# the budget is used up, at most 5% of it is therefore out of reach of other entries.
 _STRANDED_DIVISOR = 20
 
 
 @dataclass(frozen=True, slots=True)
 class AllowanceWrite:
-    """A conditional write: put ``row`` if the row still has ``row_version``."""
+    """Conditional write of the row of an allowance.
+
+    The table applies the write only if the version of the row is still
+    ``row_version``.
+    """
 
     row_version: int
     row: AllowanceRow
 
 
 class AllowanceHolder:
-    """Spend from grants and decide when to take or return one.
+    """Grant and spending of one entry in one budget.
 
-    Amounts are whole smallest units: millionths of the currency, or tokens.
+    The holder reserves and settles the costs of requests, and plans the writes that
+    enlarge or return its grant. Amounts are integers in the smallest unit of the
+    budget: millionths of the currency, or tokens.
 
     Parameters
     ----------
     holder_id : str
-        Instance id and incarnation.
+        Instance id and incarnation of the entry, separated by a slash.
     limit : int
         Budget of the period according to the rules of this entry.
     config_version : int
-        Version of those rules.
+        Configuration version of those rules.
     period_end_ms : int
-        Wall time at which the period ends; nothing is reserved afterwards.
+        Wall time in milliseconds at which the period ends. No reservation succeeds
+        afterwards.
     n_entries : int
-        Entries that share the budget.
+        Number of entries that share the budget.
 
     Examples
     --------
@@ -64,7 +72,8 @@
         self._row_version: int | None = None
         self._row = AllowanceRow(limit, config_version)
         self._pending: AllowanceWrite | None = None
-        # What may be spent in total; lowered before a return is sent.
+        # Total units that may be spent, including those already spent. The total is
+        # lowered before the write that returns units is sent.
         self._n_granted_units = 0
         self._n_spent_units = 0
         self._reserved_by_request: dict[str, int] = {}
@@ -74,31 +83,42 @@
 
     @property
     def n_spent_units(self) -> int:
-        """Return what was settled."""
+        """Return the units charged to settled requests."""
         return self._n_spent_units
 
     @property
     def n_free_units(self) -> int:
-        """Return what can be reserved now."""
+        """Return the units that can be reserved now."""
         return self._n_granted_units - self._n_spent_units - self._n_reserved_units
 
     @property
     def is_closed(self) -> bool:
-        """Return whether the grant was closed by another entry.
+        """Return whether another entry closed the grant of this holder.
 
-        What is in hand may still be spent. A closed holder takes no further grant;
-        the entry continues with a new holder id.
+        The units granted before may still be spent. A closed holder acquires no further
+        grant; the entry continues with a new holder id.
         """
         return self._is_closed
 
     def update_limit(self, limit: int, config_version: int) -> None:
-        """Take in a newer configuration; an older one is ignored."""
+        """Apply the limit of a newer configuration; ignore an older one."""
         if config_version > self._config_version:
             self._limit = limit
             self._config_version = config_version
 
     def reserve(self, request_id: str, amount: int, wall_ms: int) -> bool:
-        """Set aside the worst cost of a request; return whether that was possible."""
+        """Reserve the maximum cost of a request, in units.
+
+        Returns
+        -------
+        bool
+            False when fewer units are free or the period has ended.
+
+        Raises
+        ------
+        ValueError
+            When ``amount`` is negative.
+        """
         if amount < 0:
             raise ValueError(f"amount={amount}: expected 0 or more")
         if wall_ms >= self._period_end_ms or amount > self.n_free_units:
@@ -108,10 +128,10 @@
         return True
 
     def settle(self, request_id: str, amount: int) -> int:
-        """Replace a reservation by what was used; return what is charged.
+        """Replace a reservation by the units used; return the units charged.
 
-        No more than the reservation is charged. An unknown request charges nothing,
-        so that a repeated settlement does not count twice.
+        The charge is at most the reservation. A request without a reservation is
+        charged 0 units, so that a repeated settlement does not count twice.
         """
         reserved = self._reserved_by_request.pop(request_id, 0)
         self._n_reserved_units -= reserved
@@ -120,7 +140,11 @@
         return charged
 
     def observe(self, row_version: int, row: AllowanceRow | None) -> None:
-        """Take in a row that was read; one older than a row seen is ignored."""
+        """Update the state from a row that was read from the table.
+
+        A row whose version is lower than the last observed one comes from a stale read
+        and is ignored.
+        """
         if self._row_version is not None and row_version < self._row_version:
             return
         self._row_version = row_version
@@ -132,10 +156,12 @@
             self._is_closed = True
 
     def _is_own(self, write: AllowanceWrite) -> bool:
+        """Return whether the observed row contains the grant of ``write``."""
         own = write.row.grant_by_holder[self._holder_id]
         return self._row.grant_by_holder.get(self._holder_id) == own
 
     def _confirm(self, write: AllowanceWrite) -> None:
+        """Adopt the grant of the pending write, which took effect."""
         grant = write.row.grant_by_holder[self._holder_id]
         self._n_granted_units = grant.amount
         self._sequence = grant.sequence
@@ -144,10 +170,12 @@
     def plan_grant(self, demand: int) -> AllowanceWrite | None:
         """Return the write that enlarges the grant, or ``None`` when none is due.
 
+        A write without an answer stays pending and is returned again unchanged.
+
         Parameters
         ----------
         demand : int
-            Units that waiting requests need.
+            Sum of the units that waiting requests need.
         """
         if self._row_version is None or self._is_closed:
             return None
@@ -164,9 +192,11 @@
         return self._plan(row, self._n_granted_units + amount)
 
     def plan_return(self) -> AllowanceWrite | None:
-        """Return the write that gives back what is neither spent nor reserved.
+        """Return the write that returns units which are neither spent nor reserved.
 
-        The units cannot be spent from this call on, whatever becomes of the write.
+        These units cannot be spent after this call, even if the write fails or its
+        answer is lost. The result is ``None`` when there are no such units. A write
+        without an answer stays pending and is returned again unchanged.
         """
         if self._row_version is None or self._is_closed:
             return None
@@ -180,6 +210,7 @@
         return self._plan(row, kept)
 
     def _plan(self, row: AllowanceRow, amount: int) -> AllowanceWrite:
+        """Create the pending write, which sets the grant to ``amount`` units."""
         assert self._row_version is not None
         grant = Grant(self._sequence + 1, amount)
         new_row = row.with_grant(self._holder_id, grant)
@@ -187,16 +218,17 @@
         return self._pending
 
     def write_succeeded(self, row_version: int) -> None:
-        """Take in that the pending write was applied as ``row_version``."""
+        """Update the state after the pending write was applied as ``row_version``."""
         if self._pending is None:
             return
         self.observe(row_version, self._pending.row)
 
     def write_conflicted(self, row_version: int, row: AllowanceRow | None) -> None:
-        """Take in the row that made the pending write fail.
+        """Update the state from the row that made the pending write fail.
 
-        A write that was sent before and took effect is recognised by its sequence;
-        any other write is dropped and planned anew on this row.
+        If the write took effect when it was sent before, the sequence number in the row
+        confirms it. Otherwise the write is discarded and has to be planned again for
+        this row.
         """
         self.observe(row_version, row)
         self._pending = None
--- a/packages/core/src/bluebellusher_core/allowance/_rate.py
+++ b/packages/core/src/bluebellusher_core/allowance/_rate.py
@@ -1,4 +1,4 @@
-"""Rate limits divided between entries without messages."""
+"""Rate limits divided between entries without messages between them."""
 
 from dataclasses import dataclass, field
 
@@ -7,21 +7,22 @@
 class RateShare:
     """Share of one entry in one rate limit.
 
-    The limit of each period, aligned to UTC, is divided by the configured number of
-    entries. The remainder goes to other entries in each period, so that a limit below
-    the number of entries does not exclude any of them for ever. The sum over all
-    entries is exactly the limit of the period, whatever is cut off or paused.
+    Periods are aligned to UTC. The limit of each period is divided by the configured
+    number of entries. The remainder goes to different entries in successive periods, so
+    that a limit below the number of entries excludes none of them permanently. The
+    shares of all entries add up to exactly the limit of the period, even when entries
+    are suspended or disconnected.
 
     Parameters
     ----------
     limit : int
         Units in one period over all entries.
     period_ms : int
-        Length of a period.
+        Length of a period in milliseconds.
     n_entries : int
         Configured number of entries.
     entry_index : int
-        Place of this entry among them; each entry has another one.
+        Index of this entry among all entries, from 0. Each entry has a different one.
 
     Examples
     --------
@@ -39,27 +40,28 @@
     _reserved_by_request: dict[str, tuple[int, int]] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
-        """Refuse values that would give shares above the limit."""
+        """Raise ValueError for an index with which shares would exceed the limit."""
         if not 0 <= self.entry_index < self.n_entries:
             expected = f"expected 0 to {self.n_entries - 1}"
             raise ValueError(f"entry_index={self.entry_index}: {expected}")
 
     def units_in(self, period: int) -> int:
-        """Return the share in a period, counted from the Unix epoch."""
+        """Return the share in units of a period, numbered from the Unix epoch."""
         share, remainder = divmod(self.limit, self.n_entries)
         is_extra = (self.entry_index + period) % self.n_entries < remainder
         return share + int(is_extra)
 
     def reserve(self, request_id: str, n_units: int, wall_ms: int) -> bool:
-        """Use units of the present period; return whether the share allows it.
+        """Reserve units of the current period; return whether the share allows it.
 
-        A request that needs more than a whole share may begin in an unused one, since
-        it would otherwise never run. What it needs beyond the share is owed, and the
-        shares of the following periods pay for it.
+        A request that needs more than a whole share may start while the share is
+        unused, because it could otherwise never run. The units beyond the share are a
+        debt that the shares of the following periods pay off.
         """
         period = wall_ms // self.period_ms
         if period < self._period:
-            # The wall clock was set back; the units of that period may be used up.
+            # The wall clock was set back. The units of that earlier period may already
+            # be used up.
             return False
         self._advance(period)
         n_share = self.units_in(period)
@@ -71,7 +73,7 @@
         return True
 
     def _advance(self, period: int) -> None:
-        """Pay what is owed from the shares up to the present period."""
+        """Start ``period`` and pay off debt with the shares of earlier periods."""
         n_cycles, n_rest = divmod(period - self._period, self.n_entries)
         n_paid = n_cycles * self.limit
         n_paid += sum(self.units_in(self._period + i) for i in range(n_rest))
@@ -79,10 +81,11 @@
         self._period = period
 
     def settle(self, request_id: str, n_units: int | None) -> None:
-        """Give back what a request did not use; ``None`` stands for all of it.
+        """Return the reserved units that a request did not use.
 
-        In a later period only what is still owed can be given back; the rest went
-        with its period.
+        ``n_units`` is the number of units used; ``None`` means all reserved units. In a
+        later period than that of the reservation, units are returned only up to the
+        unpaid debt, because the other units expired with their period.
         """
         period, n_taken = self._reserved_by_request.pop(request_id, (-1, 0))
         n_used = n_taken if n_units is None else max(0, n_units)
@@ -93,7 +96,7 @@
         self._n_used_units -= n_unused
 
     def wait_ms(self, wall_ms: int) -> int:
-        """Return how long it takes until a period in which this entry has a share."""
+        """Return the time in milliseconds until a period whose share is above 0."""
         period = wall_ms // self.period_ms
         for ahead in range(1, self.n_entries + 1):
             if self.units_in(period + ahead) > 0:
--- a/packages/core/src/bluebellusher_core/allowance/tests/test_allowance_machine.py
+++ b/packages/core/src/bluebellusher_core/allowance/tests/test_allowance_machine.py
@@ -1,4 +1,4 @@
-"""Guards against spending that exceeds a budget under any schedule of faults."""
+"""Guards against spending above a budget under any order of faults."""
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -6,7 +6,7 @@
 
 from bluebellusher_core.allowance import AllowanceHolder
 
-# Small, so that short schedules use the budget up.
+# Small enough for short schedules of actions to use up the budget.
 LIMIT = 100
 N_ENTRIES = 2
 PERIOD_END_MS = 1_000_000
@@ -17,7 +17,7 @@
 
 
 class AllowanceMachine(RuleBasedStateMachine):
-    """Entries that pause, restart, lose answers and read old copies of the row."""
+    """Entries that restart, lose answers, delay writes and read stale rows."""
 
     def __init__(self):
         super().__init__()
@@ -58,7 +58,7 @@
 
     @rule(index=entry_indexes, age=ages, fate=fates, amount=amounts)
     def admit(self, index, age, fate, amount):
-        """Take a grant for one request, then admit the request if possible."""
+        """Enlarge the grant for one request, then reserve its units if possible."""
         holder = self.holders[index]
         self._read(holder, age)
         self._send(holder, holder.plan_grant(amount), fate)
@@ -87,7 +87,10 @@
 
     @rule(index=entry_indexes)
     def restart(self, index):
-        """A killed entry may have spent everything it had reserved."""
+        """Restart an entry.
+
+        Its reservations count as spent, because it may have used them when killed.
+        """
         self.n_spent_by_gone += self.holders[index].n_spent_units
         self.n_spent_by_gone += sum(self.open_by_entry[index].values())
         self.open_by_entry[index] = {}
@@ -95,7 +98,7 @@
 
     @rule(index=entry_indexes)
     def close_holder(self, index):
-        """Another entry takes this holder for gone, rightly or wrongly."""
+        """Close the grants of an entry, whether or not its process has ended."""
         version, row = self.history[-1]
         if row is not None:
             holder_ids = [h for h in row.grant_by_holder if h[:7] == f"entry-{index}"]
@@ -104,7 +107,7 @@
 
     @invariant()
     def spending_within_limit(self):
-        """Guards against a sum of spending and reservations above the budget."""
+        """Guards against spending and reservations that together exceed the budget."""
         total = self.n_spent_by_gone
         for index, holder in enumerate(self.holders):
             total += holder.n_spent_units + sum(self.open_by_entry[index].values())
@@ -127,7 +130,7 @@
     st.lists(st.tuples(st.integers(0, 7), st.integers(1, 40)), min_size=1),
 )
 def test_property_at_most_five_percent_is_stranded(n_entries, spending):
-    """Guards against a budget that ends while much of it sits in grants."""
+    """Guards against a used-up budget of which much is still unspent in grants."""
     limit = 100_000
     holders = [
         AllowanceHolder(f"e{i}/1", limit, 1, PERIOD_END_MS, n_entries)
@@ -152,7 +155,7 @@
 
 
 def test_grant_ends_with_its_period():
-    """Guards against spending from last month's budget after a pause."""
+    """Guards against spending from last month's budget after a suspension."""
     holder = AllowanceHolder("e/1", LIMIT, 1, period_end_ms=50, n_entries=1)
     holder.observe(0, None)
     holder.plan_grant(demand=10)
@@ -162,7 +165,7 @@
 
 
 def test_older_rules_do_not_restore_a_higher_limit():
-    """Guards against an entry with older rules that grants above a lowered limit."""
+    """Guards against an entry with older rules that exceeds a lowered limit."""
     newer = AllowanceHolder("new/1", 100, 2, PERIOD_END_MS, 2)
     newer.observe(0, None)
     row = newer.plan_grant(demand=90).row
--- a/packages/core/src/bluebellusher_core/allowance/tests/test_rate_share.py
+++ b/packages/core/src/bluebellusher_core/allowance/tests/test_rate_share.py
@@ -1,4 +1,4 @@
-"""Guards against rates that are exceeded, or that exclude an entry for ever."""
+"""Guards against exceeded rates, and against entries that never get a share."""
 
 import pytest
 from hypothesis import given
@@ -23,7 +23,7 @@
 def test_property_requests_in_a_period_stay_within_the_limit(
     limit, n_entries, requests
 ):
-    """Guards against entries that together admit more than the rate."""
+    """Guards against entries that together admit more requests than the limit."""
     shares = _shares(limit, n_entries)
     n_admitted_by_period: dict[int, int] = {}
     wall_ms = 0
@@ -42,7 +42,7 @@
 
 @given(st.integers(1, 30), st.integers(1, 6), st.integers(0, 100))
 def test_property_shares_add_up_and_nobody_is_left_out(limit, n_entries, period):
-    """Guards against a remainder that is lost, doubled or always at one entry."""
+    """Guards against a remainder that is lost, doubled or always at the same entry."""
     shares = _shares(limit, n_entries)
     assert sum(share.units_in(period) for share in shares) == limit
     for share in shares:
@@ -52,7 +52,7 @@
 
 
 def test_unused_units_return_and_a_clock_set_back_admits_nothing():
-    """Guards against units lost to refused requests, or used twice."""
+    """Guards against unused units that are lost, and against units used twice."""
     share = RateShare(10, PERIOD_MS, 1, 0)
     assert share.reserve("a", 10, wall_ms=5_000)
     assert not share.reserve("b", 1, wall_ms=5_100)
@@ -63,7 +63,7 @@
 
 
 def test_request_above_a_whole_share_is_paid_by_later_periods():
-    """Guards against a long request that is refused for ever, or costs nothing."""
+    """Guards against a long request that is always rejected, or costs nothing."""
     share = RateShare(10, PERIOD_MS, 2, 0)
     assert share.reserve("a", 14, wall_ms=0)
     assert not share.reserve("b", 1, wall_ms=10)
@@ -78,7 +78,7 @@
     ),
 )
 def test_property_tokens_over_many_periods_stay_within_the_limit(limit, requests):
-    """Guards against a monthly ceiling that long requests exceed."""
+    """Guards against long requests whose tokens exceed the limit over many periods."""
     share = RateShare(limit, PERIOD_MS, 1, 0)
     wall_ms, n_used, largest = 0, 0, 0
     for number, (n_units, gap_ms, n_actual) in enumerate(requests):
@@ -97,7 +97,7 @@
 
 
 def test_units_of_an_earlier_period_do_not_return_to_this_one():
-    """Guards against a late settlement that raises the rate of its period."""
+    """Guards against a late settlement that raises the rate of the current period."""
     share = RateShare(10, PERIOD_MS, 1, 0)
     assert share.reserve("a", 10, wall_ms=0)
     assert share.reserve("b", 10, wall_ms=1_000)
