Reword the comments and reasons of configuration changes

Describe rows, effects and final states in plain terms. The reasons for an operator name the parameter without_domains and the query of a change id. Behaviour does not change.

--- a/packages/core/src/bluebellusher_core/rollout/__init__.py
+++ b/packages/core/src/bluebellusher_core/rollout/__init__.py
@@ -1,4 +1,4 @@
-"""Configuration versions: acceptance of a change, and its spread to all entries."""
+"""Configuration versions: acceptance of a change, and its distribution to entries."""
 
 from bluebellusher_core.rollout._change import (
     ChangeProposal,
--- a/packages/core/src/bluebellusher_core/rollout/_change.py
+++ b/packages/core/src/bluebellusher_core/rollout/_change.py
@@ -1,7 +1,8 @@
 """Acceptance of one configuration change.
 
-The change is staged at one entry in each failure domain and then written by one
-transaction, which accepts it. A lost answer is resolved by the id of the change.
+The change is staged at one entry in each failure domain. One transaction then writes
+and thereby accepts it. If the answer to the transaction is lost, the row of the change
+id shows later whether the change was accepted.
 """
 
 from collections.abc import Collection, Mapping
@@ -10,13 +11,20 @@
 
 from bluebellusher_core.rollout._versions import ConfigVersion
 
+# Time in milliseconds after which the next entry of a failure domain is asked.
 STAGE_TIMEOUT_MS = 1_000
+# Time in milliseconds after which a change without an answer ends as unknown.
 CHANGE_DEADLINE_MS = 10_000
+# Interval in milliseconds between repetitions of a write without an answer.
 WRITE_RETRY_MS = 250
 
 
 class ChangeState(StrEnum):
-    """What is known about a change."""
+    """State of a change, as far as the entry that proposed it can determine it.
+
+    ``UNKNOWN`` ends a proposal whose transaction was not answered. The final state is
+    determined later by `resolve_change`.
+    """
 
     STAGING = "staging"
     WRITING = "writing"
@@ -35,11 +43,11 @@
 
 @dataclass(frozen=True, slots=True)
 class RowRead:
-    """The rows that decide about a change, as the table gave them.
+    """Rows that decide about a change, as read from the table.
 
-    ``head`` is ``None`` when no version was accepted yet; ``change_version`` is the
-    version that the row of this change names, 0 when the row is absent, and -1 when
-    it says that the change was refused.
+    ``head`` is the last accepted version, or ``None`` when no version was accepted yet.
+    ``change_version`` is the version recorded in the row of this change: 0 when the row
+    is absent, and -1 when the row records that the change was refused.
     """
 
     head_row_version: int
@@ -49,7 +57,7 @@
 
 @dataclass(frozen=True, slots=True)
 class WriteResult:
-    """Answer to `WriteChange`; ``rows`` is given on a conflict."""
+    """Result of executing a `WriteChange`; ``rows`` is set on a conflict."""
 
     status: WriteStatus
     rows: RowRead | None = None
@@ -57,7 +65,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StagedReply:
-    """Answer of an entry that was asked to stage the change."""
+    """Answer of a peer that was asked to stage the change."""
 
     peer_id: str
     failure_domain: str
@@ -67,17 +75,17 @@
 
 @dataclass(frozen=True, slots=True)
 class StageAt:
-    """Effect: send the change to this entry for staging."""
+    """Effect: send the change to a peer for staging."""
 
     peer_id: str
 
 
 @dataclass(frozen=True, slots=True)
 class WriteChange:
-    """Effect: write head, version and change rows in one transaction.
+    """Effect: write the head, version and change rows in one transaction.
 
-    The conditions are ``head_row_version`` of the head row and absence of the row of
-    the change, so that a repeated write cannot take effect twice.
+    The transaction requires that the head row still has ``head_row_version`` and that
+    the row of the change is absent, so that a repeated write cannot take effect twice.
     """
 
     head_row_version: int
@@ -86,9 +94,9 @@
 
 @dataclass(frozen=True, slots=True)
 class WriteRefusal:
-    """Effect: write the row of the change as refused, on condition of its absence.
+    """Effect: write a refusal into the row of the change if the row is absent.
 
-    A late `WriteChange` then fails, so that the refusal is final.
+    A `WriteChange` that arrives later then fails, so that the refusal is final.
     """
 
     change_id: str
@@ -98,17 +106,17 @@
 
 
 def resolve_change(change_id: str, rows: RowRead) -> ChangeState | WriteRefusal:
-    """Return the final state of a change whose state is unknown.
+    """Return the final state of an unknown change, or the write that refuses it.
 
-    A change without a row is made final by the write that is returned; when that
-    write conflicts, the rows of the conflict are resolved in turn.
+    A change without a row has no final state until the returned write is executed. When
+    that write conflicts, call this function again with the rows of the conflict.
 
     Parameters
     ----------
     change_id : str
-        The change that is asked about.
+        Id of the change.
     rows : RowRead
-        A strongly consistent read.
+        Rows from a strongly consistent read.
     """
     if rows.change_version > 0:
         return ChangeState.ACCEPTED
@@ -131,28 +139,28 @@
 class ChangeProposal:
     """Progress of one change at the entry that received it from the operator.
 
-    Call `advance` after each input and at short intervals and execute the effects
+    Call `advance` after each input and at short intervals, and execute the effects
     that it returns, until ``state`` is final.
 
     Parameters
     ----------
     change_id : str
-        Id from the operator's command.
+        Id that the operator's command gave to the change.
     base_version : int
-        Version that the operator edited.
+        Number of the version that the operator edited.
     rules_text : str
-        The new rules, already checked.
+        Text of the new rules, already validated at this entry.
     author : str
-        The operator.
+        Operator who proposed the change.
     rows : RowRead
-        A strongly consistent read.
+        Rows from a strongly consistent read.
     peers_by_domain : mapping of str to collection of str
-        Entries to ask in each other failure domain, without those that the operator
-        named as cut off.
+        Peers that may be asked to stage the change, for each other failure domain.
+        Domains that the operator listed as cut off are left out.
     started_at_ms : int
-        Monotonic time.
+        Monotonic time in milliseconds at which the proposal started.
     wall_ms : int
-        Wall time, kept as the time of acceptance.
+        Wall time in milliseconds, stored as the time of acceptance.
     """
 
     change_id: str
@@ -170,7 +178,7 @@
     _written_at_ms: int | None = None
 
     def __post_init__(self) -> None:
-        """Decide at once where the rows leave nothing to stage."""
+        """Prepare staging, unless the rows already decide the state."""
         self._domain_by_id = {
             domain: _Domain(sorted(peers))
             for domain, peers in self.peers_by_domain.items()
@@ -179,23 +187,23 @@
 
     @property
     def is_final(self) -> bool:
-        """Return whether the operator can be answered."""
+        """Return whether the proposal has ended and the operator can be answered."""
         return self.state not in (ChangeState.STAGING, ChangeState.WRITING)
 
     def receive_staged(self, reply: StagedReply) -> None:
-        """Take in the answer of an entry that was asked to stage the change."""
+        """Process the answer of a peer that was asked to stage the change."""
         domain = self._domain_by_id.get(reply.failure_domain)
         if domain is None or self.state is not ChangeState.STAGING:
             return
         if reply.is_staged:
             domain.is_staged = True
         else:
-            # The rules passed here and not there: the entries differ in software,
-            # and the change must not be accepted for some sites only.
+            # The rules are valid at this entry but not at the peer, so the two run
+            # different software. A change must not be accepted for some sites only.
             self._refuse(f"{reply.peer_id} refused to stage it: {reply.reason}")
 
     def receive_write(self, result: WriteResult) -> None:
-        """Take in the answer of the table."""
+        """Process the result of a `WriteChange`."""
         if self.state is not ChangeState.WRITING:
             return
         if result.status is WriteStatus.APPLIED:
@@ -216,6 +224,7 @@
         return []
 
     def _advance_staging(self, now_ms: int) -> list[ProposalStep]:
+        """Return the staging requests that are due; end staging when all succeeded."""
         steps: list[ProposalStep] = []
         for domain_id, domain in self._domain_by_id.items():
             if domain.is_staged:
@@ -225,8 +234,8 @@
                 continue
             if not domain.candidates:
                 self._refuse(
-                    f"failure domain {domain_id} does not answer; name it as cut off "
-                    "to apply the change without it"
+                    f"failure domain {domain_id} does not answer; list it in "
+                    "without_domains to apply the change without it"
                 )
                 return []
             domain.asked_peer = domain.candidates.pop(0)
@@ -237,9 +246,10 @@
         return steps
 
     def _advance_writing(self, now_ms: int) -> list[ProposalStep]:
+        """Return the write if it is due; end as unknown after the deadline."""
         if now_ms - self.started_at_ms >= CHANGE_DEADLINE_MS:
             self.state = ChangeState.UNKNOWN
-            self.reason = "the table did not answer; ask again with the change id"
+            self.reason = "the table did not answer; query this change id later"
             return []
         written_at_ms = self._written_at_ms
         if written_at_ms is not None and now_ms - written_at_ms < WRITE_RETRY_MS:
@@ -258,17 +268,17 @@
         return self.base_version + 1
 
     def _judge_rows(self, rows: RowRead) -> None:
-        """Decide from rows that were read or that made a write fail."""
+        """Accept or refuse the change if rows from a read or a conflict decide it."""
         head_version = rows.head.version if rows.head else 0
         if rows.change_version > 0:
             self._accept(rows.change_version)
         elif rows.change_version < 0:
-            self._refuse("it was refused before")
+            self._refuse("this change id was refused before")
         elif head_version != self.base_version:
-            # Writes of this change that are still on their way are conditional on
-            # the earlier head and fail, so that the refusal is certain.
+            # Writes of this change that are still in flight require the earlier
+            # version of the head row and will fail, so that the refusal is final.
             self._refuse(
-                f"base version {self.base_version}: the head is {head_version}"
+                f"base version {self.base_version}: the head version is {head_version}"
             )
 
     def _accept(self, version: int) -> None:
--- a/packages/core/src/bluebellusher_core/rollout/_spread.py
+++ b/packages/core/src/bluebellusher_core/rollout/_spread.py
@@ -1,4 +1,7 @@
-"""Who reads the table and who tells whom, bounded at any number of entries."""
+"""Choice of the entries that poll the table and of the peers that receive a push.
+
+Both numbers are bounded for any number of entries.
+"""
 
 from collections.abc import Collection, Mapping
 from random import Random
@@ -12,15 +15,16 @@
 def is_poller(instance_id: str, domain_members: Collection[str]) -> bool:
     """Return whether this entry polls the table for its failure domain.
 
-    The entries with the lowest hashes poll. Entries that see different members may
-    disagree, which costs a few more reads and never leaves a domain without a poller.
+    The ``N_POLLERS_PER_DOMAIN`` entries with the lowest hashes poll. Entries with
+    different views of the members may choose different pollers. This costs a few more
+    reads, but never leaves a domain without a poller.
 
     Parameters
     ----------
     instance_id : str
-        This entry.
+        Instance id of this entry.
     domain_members : collection of str
-        Entries of its failure domain that it believes to be alive.
+        Instance ids of the entries in its failure domain that are alive in its view.
     """
     others = (member for member in domain_members if member != instance_id)
     own = score("config-poll", instance_id)
@@ -33,10 +37,11 @@
 ) -> list[str]:
     """Choose the peers to which a new version is pushed.
 
-    One peer is in each of up to ``N_FAN_OUT`` other failure domains, so that a version
-    crosses domains in one hop, and ``N_FAN_OUT`` peers are in the own domain. With n
-    entries in a domain the push arrives everywhere after about log(n) / log(4) hops;
-    digests reach those that the push missed.
+    One peer is chosen in each of up to ``N_FAN_OUT`` other failure domains, so that a
+    version reaches another domain in one hop, and up to ``N_FAN_OUT`` peers are chosen
+    in the own domain. In a domain of n entries, the push reaches all of them after
+    about log(n) / log(4) hops. Peers that the push missed receive the version after an
+    exchange of digests.
     """
     peers_by_domain: dict[str, list[str]] = {}
     for peer in sorted(domain_by_peer):
--- a/packages/core/src/bluebellusher_core/rollout/_versions.py
+++ b/packages/core/src/bluebellusher_core/rollout/_versions.py
@@ -1,4 +1,4 @@
-"""The configuration version that an entry runs."""
+"""Configuration versions, and the one in force at an entry."""
 
 from dataclasses import dataclass
 
@@ -10,15 +10,15 @@
     Parameters
     ----------
     version : int
-        1 for the first accepted version; 0 means that there is none yet.
+        Number of the version, from 1; 0 means that no version was accepted yet.
     change_id : str
         Id that the operator's command gave to the change.
     rules_text : str
-        The whole rules file.
+        Text of the whole rules file.
     author : str
         Operator who applied the change.
     accepted_wall_ms : int
-        Wall time of acceptance.
+        Wall time of acceptance in milliseconds.
     """
 
     version: int
@@ -29,10 +29,10 @@
 
 
 class VersionTracker:
-    """Hold the highest version seen; a lower one is never taken.
+    """Highest configuration version that an entry has received, which is in force.
 
-    Older versions arrive from old copies of the table, late messages and peers that
-    were cut off.
+    A lower version never replaces it. Lower versions arrive from stale reads of the
+    table, in delayed messages and from peers that were disconnected.
     """
 
     def __init__(self) -> None:
@@ -49,13 +49,13 @@
         return self._current.version if self._current else 0
 
     def offer(self, offered: ConfigVersion) -> bool:
-        """Put ``offered`` in force if it is newer; return whether it is.
+        """Put ``offered`` in force if it is newer; return whether it was newer.
 
         Raises
         ------
         ValueError
-            When the same version number comes with another change, which means that
-            two changes were accepted as one version.
+            When the same version number has another change id, which means that two
+            changes were accepted as one version.
         """
         if offered.version == self.version and self._current is not None:
             if offered.change_id != self._current.change_id:
--- a/packages/core/src/bluebellusher_core/rollout/tests/test_rollout_properties.py
+++ b/packages/core/src/bluebellusher_core/rollout/tests/test_rollout_properties.py
@@ -1,4 +1,4 @@
-"""Guards against changes that revert, fork, or are refused and then in force."""
+"""Guards against changes that revert, fork, or are in force after a refusal."""
 
 from random import Random
 
@@ -26,7 +26,7 @@
 
 
 class FakeTable:
-    """Head, change rows, and every copy that a late read may still return."""
+    """Head and change rows, and the earlier heads that a stale read can return."""
 
     def __init__(self):
         self.head_copies: list[tuple[int, ConfigVersion | None]] = [(0, None)]
@@ -52,7 +52,7 @@
 
 
 class RolloutWorld:
-    """Operators race; answers are lost, writes are late, reads are old."""
+    """Racing operators with lost answers, delayed writes and stale reads."""
 
     def __init__(self, random_state):
         self.random = random_state
@@ -65,7 +65,7 @@
         self.highest_run = [0] * len(DOMAINS)
 
     def apply(self):
-        """An operator edits the version that some entry shows."""
+        """Propose a change to the version in force at a random entry."""
         change_id = f"change-{len(self.proposals)}"
         base = self.random.choice(self.entries).version
         peers = {domain: [f"{domain}-1", f"{domain}-2"] for domain in DOMAINS[1:]}
@@ -104,7 +104,8 @@
 
     def _record(self, proposal):
         if proposal.is_final:
-            # "Unknown" may be followed by a certain state when the operator asks.
+            # After "unknown", a query of the operator may have recorded a final state,
+            # while the proposal itself stays unknown.
             known = self.final_by_change.setdefault(proposal.change_id, proposal.state)
             assert proposal.state in (known, ChangeState.UNKNOWN)
 
@@ -125,7 +126,7 @@
         self.final_by_change[change_id] = state
 
     def poll(self):
-        """An entry reads the head, from an old copy now and then."""
+        """Let a random entry read the head, from a stale copy in some cases."""
         index = self.random.randrange(len(self.entries))
         copies = self.table.head_copies[-3:]
         _, head = self.random.choice(copies)
@@ -182,7 +183,7 @@
 
 
 def test_unreachable_failure_domain_refuses_the_change_by_name():
-    """Guards against a change that is accepted while a site cannot take it."""
+    """Guards against a change that is accepted although a site cannot apply it."""
     proposal = _proposal({"b": ["b-1", "b-2"]})
     assert proposal.advance(0) == [StageAt("b-1")]
     assert proposal.advance(500) == []
@@ -193,7 +194,7 @@
 
 
 def test_every_domain_is_staged_before_the_write():
-    """Guards against a write before all failure domains have the change."""
+    """Guards against a write before all failure domains have staged the change."""
     proposal = _proposal({"b": ["b-1"], "c": ["c-1"]})
     proposal.advance(0)
     proposal.receive_staged(StagedReply("b-1", "b", True))
@@ -204,7 +205,7 @@
 
 
 def test_two_changes_with_one_version_are_reported():
-    """Guards against a fork that goes unnoticed."""
+    """Guards against two changes with one version number that raise no error."""
     tracker = VersionTracker()
     assert tracker.offer(ConfigVersion(1, "c1", "x", "ana", 0))
     with pytest.raises(ValueError, match="change_id='c2'"):
@@ -213,7 +214,7 @@
 
 @given(st.integers(1, 400), st.integers(0, 99))
 def test_property_every_domain_has_pollers_and_fan_out_is_bounded(n_members, seed):
-    """Guards against a domain nobody polls for, and against pushes to everyone."""
+    """Guards against a domain without a poller, and against pushes to all peers."""
     members = [f"entry-{i}" for i in range(n_members)]
     n_pollers = sum(is_poller(member, members) for member in members)
     assert n_pollers == min(2, n_members)
