--- a/packages/core/src/bluebellusher_core/wire/_auth.py
+++ b/packages/core/src/bluebellusher_core/wire/_auth.py
@@ -2,8 +2,8 @@
 
 The accepting side sends a ``Hello`` with a nonce and an empty MAC. The connecting
 side answers with its own ``Hello``, whose MAC covers both nonces, and the accepting
-side then proves itself the same way. A recorded handshake is useless later because
-each side's nonce is fresh.
+side then authenticates itself the same way. A recorded handshake cannot be replayed
+because each side uses a fresh nonce.
 """
 
 import hashlib
@@ -16,8 +16,8 @@
 def compute_hello_mac(secret: bytes, challenge: bytes, hello: Any) -> bytes:
     """Return the HMAC-SHA256 of a ``Hello`` under ``secret``.
 
-    ``challenge`` is the nonce that the other side sent. Each field is preceded by
-    its length, so that no two different messages give the same input.
+    ``challenge`` is the nonce that the other side sent. Each field is preceded by its
+    length in bytes, so that different messages never produce the same input.
     """
     fields = (
         challenge,
@@ -36,6 +36,6 @@
 
 
 def verify_hello(secret: bytes, challenge: bytes, hello: Any) -> bool:
-    """Return whether the sender of ``hello`` knows ``secret``."""
+    """Return whether the MAC of ``hello`` was computed with ``secret``."""
     expected = compute_hello_mac(secret, challenge, hello)
     return hmac.compare_digest(expected, hello.mac or b"")
--- a/packages/core/src/bluebellusher_core/wire/_codec.py
+++ b/packages/core/src/bluebellusher_core/wire/_codec.py
@@ -16,6 +16,7 @@
 
 
 def _field_name(class_name: str) -> str:
+    """Return the envelope field of a class, as ``load_report`` for ``LoadReport``."""
     return re.sub(r"(?<!^)(?=[A-Z])", "_", class_name).lower()
 
 
@@ -32,7 +33,7 @@
     Raises
     ------
     StepError
-        When the type of ``message`` is not one that an envelope can hold.
+        When an envelope has no field for the type of ``message``.
     """
     name = _FIELD_NAME_BY_CLASS.get(type(message))
     if name is None:
@@ -44,6 +45,12 @@
 def encode(message: Any) -> bytes:
     """Return one frame that holds ``message``.
 
+    Raises
+    ------
+    StepError
+        When an envelope has no field for the type of ``message``, or the payload is
+        longer than ``MAX_FRAME_BYTES``.
+
     Examples
     --------
     >>> from bluebellusher_core.wire import FrameDecoder, messages
@@ -72,8 +79,8 @@
     try:
         envelope.read(TBinaryProtocolAccelerated(TMemoryBuffer(payload)))
     except Exception as error:
-        # Thrift reports malformed input with many exception types, EOFError,
-        # struct.error and UnicodeDecodeError among them.
+        # Thrift raises many types of exceptions for malformed input, among them
+        # EOFError, struct.error and UnicodeDecodeError.
         reason = f"{type(error).__name__}: expected a Thrift envelope"
         raise StepError("decode-frame", peer, reason) from error
     found = [name for name in _FIELD_NAMES if getattr(envelope, name) is not None]
@@ -84,14 +91,15 @@
 
 
 class FrameDecoder:
-    """Split a byte stream into messages.
+    """Decoder that splits a byte stream into messages.
 
     Parameters
     ----------
     peer : str
-        Named in errors.
+        Name of the peer in errors.
     max_frame_bytes : int
-        A longer frame is an error, so that a peer cannot exhaust memory.
+        Maximum length of an envelope in bytes. A longer one is an error, so that a peer
+        cannot exhaust the memory of this process.
     """
 
     def __init__(self, peer: str, max_frame_bytes: int = MAX_FRAME_BYTES) -> None:
--- a/packages/core/src/bluebellusher_core/wire/_pace.py
+++ b/packages/core/src/bluebellusher_core/wire/_pace.py
@@ -1,32 +1,34 @@
-"""How often the two ends of a connection must hear from each other."""
+"""Heartbeat intervals and receive timeouts of connections."""
 
 from dataclasses import dataclass
 
-# Timers that send heartbeats fire slightly early or late.
+# Tolerance in milliseconds for heartbeat timers, which fire slightly early or late.
 TIMER_PRECISION_MS = 50
 
 
 @dataclass(frozen=True, slots=True)
 class LinkPace:
-    """Heartbeats and the limit on silence; both ends of a connection use the same.
+    """Heartbeat interval and receive timeout, the same at both ends of a connection.
 
     Parameters
     ----------
     heartbeat_ms : int
-        Time without a message after which a heartbeat is sent.
+        Time in milliseconds without a sent message after which a heartbeat is sent.
     silence_limit_ms : int
-        Silence after which the connection is closed.
+        Time in milliseconds without a received message after which the connection is
+        closed.
     """
 
     heartbeat_ms: int
     silence_limit_ms: int
 
     def is_due(self, sent_at_ms: int, now_ms: int) -> bool:
-        """Return whether a heartbeat is due, within the precision of a timer."""
+        """Return whether a heartbeat is due, with a tolerance for early timers."""
         return now_ms - sent_at_ms >= self.heartbeat_ms - TIMER_PRECISION_MS
 
 
 NEAR_PACE = LinkPace(heartbeat_ms=500, silence_limit_ms=2_000)
-# Every entry is connected to every agent, and bytes between failure domains are dear.
-# Who waits for an answer does not rely on heartbeats.
+# For connections between failure domains: every entry is connected to every agent, and
+# traffic between failure domains is expensive. Heartbeats may be rarer there, because a
+# process that waits for an answer does not rely on them.
 FAR_PACE = LinkPace(heartbeat_ms=1_500, silence_limit_ms=5_000)
--- a/packages/core/src/bluebellusher_core/wire/tests/test_wire.py
+++ b/packages/core/src/bluebellusher_core/wire/tests/test_wire.py
@@ -16,7 +16,7 @@
 
 @given(st.lists(st.binary(max_size=200), max_size=8), st.integers(1, 50))
 def test_property_any_split_of_the_stream_gives_the_same_messages(parts, size):
-    """Guards against messages lost or merged when TCP splits frames anywhere."""
+    """Guards against lost or merged messages when TCP splits frames at any byte."""
     stream = b"".join(
         encode(
             messages.ChunkBatch(
@@ -34,7 +34,7 @@
 
 @given(st.binary(max_size=300))
 def test_property_malformed_input_raises_step_error_only(data):
-    """Guards against an unexpected exception type on hostile input."""
+    """Guards against an unexpected exception type for malformed input of a peer."""
     frame = len(data).to_bytes(4, "big") + data
     try:
         FrameDecoder("peer").feed(frame)
@@ -43,7 +43,7 @@
 
 
 def test_oversize_frame_is_refused_before_it_is_buffered():
-    """Guards against a peer that announces a frame larger than memory."""
+    """Guards against a peer that exhausts memory with a huge frame length."""
     with pytest.raises(StepError, match="expected at most"):
         FrameDecoder("peer").feed(b"\xff\xff\xff\xff")
 
