Reword the comments and messages of spending limits

State units, the source of each time and which failure each test guards against. The rejection while the table is unavailable uses that term. Behaviour does not change.

--- a/packages/entry/src/bluebellusher/allowance/__init__.py
+++ b/packages/entry/src/bluebellusher/allowance/__init__.py
@@ -1,4 +1,4 @@
-"""Spending of customers: budgets as granted allowances, and usage records."""
+"""Spending limits of customers: rates, budgets in granted allowances, usage records."""
 
 from bluebellusher.allowance._book import Allowance, AllowanceBook
 from bluebellusher.allowance._grants import GrantWriter
--- a/packages/entry/src/bluebellusher/allowance/_book.py
+++ b/packages/entry/src/bluebellusher/allowance/_book.py
@@ -1,4 +1,4 @@
-"""The allowances of one entry."""
+"""Allowances of one entry, by customer, month and part of the budget."""
 
 from dataclasses import dataclass
 from datetime import UTC, datetime
@@ -13,24 +13,26 @@
 
 @dataclass(slots=True)
 class Allowance:
-    """One budget in one month, and what waits for it.
+    """One budget in one month, with the demand of the requests that wait for it.
 
     Parameters
     ----------
     key : str
-        Row of the table.
+        Key of the table row.
     holder : AllowanceHolder
-        Grants of this entry.
+        Grant and reservations of this entry.
     is_tokens : bool
-        Whether units are tokens; otherwise millionths of the currency.
+        Whether units are tokens; otherwise they are millionths of the currency.
     period_end_ms : int
-        Wall time at which the month ends.
+        Wall time in milliseconds at which the month ends.
     demand : int
-        Units that waiting requests need.
+        Sum of the units that waiting requests need.
     used_at_ms : int
-        Last reservation or attempt at one.
-    read_at_ms, empty_at_ms : int or None
-        When the row was last read, and when it last had nothing left to grant.
+        Monotonic time in milliseconds of the last reservation or failed reservation.
+    read_at_ms : int or None
+        Monotonic time in milliseconds of the last read of the row.
+    empty_at_ms : int or None
+        Monotonic time in milliseconds at which the row last had no units to grant.
     """
 
     key: str
@@ -43,21 +45,21 @@
     empty_at_ms: int | None = None
 
     def is_idle(self, now_ms: int) -> bool:
-        """Return whether the grant should be given back."""
+        """Return whether the grant is due to be returned because it is not in use."""
         return not self.demand and now_ms - self.used_at_ms >= IDLE_RETURN_MS
 
 
 class AllowanceBook:
-    """Find or begin the allowance of a customer for the present month.
+    """Allowances of all customers at one entry for the current month.
 
     Parameters
     ----------
     holder_id : str
-        Instance id and incarnation.
+        Instance id and incarnation of this entry, separated by a slash.
     n_entries : int
-        Entries that share the budgets; decides how large grants are.
+        Number of entries that share the budgets, which determines the size of grants.
     clock : Clock
-        Wall time chooses the month.
+        Source of the wall time, which determines the current month.
     """
 
     def __init__(self, holder_id: str, n_entries: int, clock: Clock) -> None:
@@ -71,23 +73,26 @@
     def find(
         self, customer: str, part: str, limit: Limit, rules: RuleSet, version: int
     ) -> Allowance:
-        """Return an allowance with the limit of these rules.
+        """Return the allowance of a customer for the current month, with this limit.
+
+        The allowance is created when there is none yet.
 
         Parameters
         ----------
         customer : str
-            Whose budget.
+            Customer who pays.
         part : str
-            ``budget``, or ``extra`` for what ``when-exhausted`` allows after it.
+            ``budget``, or ``extra`` for the units that a ``when-exhausted`` rule allows
+            after the budget is used up.
         limit : Limit
             Limit of the month.
         rules : RuleSet
-            Give the zone of the month.
+            Rules that define the time zone of the month.
         version : int
-            Version of these rules.
+            Configuration version of these rules.
         """
         month = self._find_month(rules.month_zone)
-        # A budget that changes its unit within a month is another allowance.
+        # A budget whose unit changes within a month becomes a separate allowance.
         key = f"allowance/{customer}/{month}/{part}/{limit.unit}"
         allowance = self.allowance_by_key.get(key)
         n_units = to_units(limit)
@@ -95,7 +100,8 @@
             holder = AllowanceHolder(
                 self._holder_id, n_units, version, self._month_end_ms, self._n_entries
             )
-            # Taken as absent; the first write learns the row if there is one.
+            # The row is assumed to be absent. If it exists, the first write conflicts
+            # and returns it.
             holder.observe(0, None)
             allowance = Allowance(key, holder, limit.is_tokens, self._month_end_ms)
             self.allowance_by_key[key] = allowance
@@ -103,9 +109,10 @@
         return allowance
 
     def drop_ended(self) -> None:
-        """Forget allowances of past months.
+        """Discard the allowances of past months.
 
-        Requests that are still running keep theirs; the rest of the grant has no use.
+        Requests that are still running keep a reference to their allowance. The unspent
+        part of its grant has no further use.
         """
         wall_ms = self._clock.wall_ms()
         for key, allowance in list(self.allowance_by_key.items()):
@@ -113,7 +120,7 @@
                 del self.allowance_by_key[key]
 
     def month_end_ms(self, zone: str) -> int:
-        """Return the wall time at which the present month ends."""
+        """Return the wall time in milliseconds at which the current month ends."""
         self._find_month(zone)
         return self._month_end_ms
 
--- a/packages/entry/src/bluebellusher/allowance/_costs.py
+++ b/packages/entry/src/bluebellusher/allowance/_costs.py
@@ -1,4 +1,4 @@
-"""Cost of requests in the whole units in which budgets are counted."""
+"""Costs of requests, in the integer units in which budgets are counted."""
 
 from decimal import Decimal
 from math import ceil
@@ -10,16 +10,17 @@
 
 
 def to_units(limit: Limit) -> int:
-    """Return a limit in tokens or in millionths of the currency."""
+    """Convert a limit to tokens or to millionths of the currency."""
     factor = 1 if limit.is_tokens else MICROS_PER_UNIT
     return int(limit.amount * factor)
 
 
 def cost_of(rules: RuleSet, model: str, usage: Usage, is_tokens: bool) -> int:
-    """Return what this usage of a model costs.
+    """Return the cost of a usage, in tokens or in millionths of the currency.
 
-    A price is for one million tokens, hence price times tokens is in millionths of
-    the currency. Parts of a unit are rounded up. Cached tokens are part of the input.
+    A price is for one million tokens, so that price times tokens gives millionths of
+    the currency. The cost is rounded up to a whole unit. Cached tokens are part of the
+    input tokens.
     """
     n_cached = min(usage.n_cached_tokens, usage.n_input_tokens)
     n_fresh = usage.n_input_tokens - n_cached
@@ -41,10 +42,11 @@
 def worst_cost_of(
     rules: RuleSet, model: str, n_body_bytes: int, n_max_output: int, is_tokens: bool
 ) -> int:
-    """Return the most that a request can cost.
+    """Return an upper bound of the cost of a request.
 
-    The entry's own count of the prompt is an estimate; the engine counts no more
-    tokens than the body has bytes.
+    The length of the body in bytes stands for the input tokens, because the engine
+    counts at most one token per byte. The entry's own token count of the prompt is only
+    an estimate and would not be an upper bound.
     """
     fresh = Usage(n_body_bytes, 0, n_max_output)
     cached = Usage(n_body_bytes, n_body_bytes, n_max_output)
--- a/packages/entry/src/bluebellusher/allowance/_grants.py
+++ b/packages/entry/src/bluebellusher/allowance/_grants.py
@@ -1,4 +1,4 @@
-"""Taking and returning grants through the table."""
+"""Acquisition and return of grants through the table."""
 
 import asyncio
 import contextlib
@@ -13,28 +13,31 @@
 IDLE_INTERVAL_S = 1.0
 MIN_INTERVAL_S = 0.05
 MAX_BACKOFF_S = 5.0
-# A row without free units is read again after this time, for returned grants.
+# Interval in milliseconds between reads of a row without free units, in which other
+# entries may have returned units.
 READ_INTERVAL_MS = 1_000
 GRANT_WAIT_MS = 1_500
 RETURN_LIMIT_MS = 3_000
-# A single lost answer must not refuse customers.
+# Number of consecutive failures after which the table counts as unavailable. It is
+# above 1 because a single lost answer must not reject requests of customers.
 _N_FAILURES_DOWN = 2
 _MAX_CONFLICTS = 4
 
 
 class GrantWriter:
-    """Write all due grants of an entry in one transaction at a time.
+    """Writer of all due grants of an entry, with one transaction at a time.
 
     Parameters
     ----------
     book : AllowanceBook
         Allowances of this entry.
     platform : PlatformClient
-        The table.
+        Client of the table.
     clock : Clock
-        Monotonic time for idleness and waits, wall time for the end of a month.
+        Monotonic time for idle grants and timeouts, wall time for the end of a month.
     random_state : Random
-        Jitter, so that entries that conflict do not meet again.
+        Source of jitter, which keeps entries whose writes conflicted from conflicting
+        again.
     """
 
     def __init__(
@@ -54,13 +57,20 @@
 
     @property
     def is_table_down(self) -> bool:
-        """Return whether the table has not answered lately."""
+        """Return whether several successive calls to the table have failed."""
         return self._n_failures >= _N_FAILURES_DOWN
 
     async def reserve(
         self, allowance: Allowance, request_id: str, n_units: int
     ) -> bool:
-        """Reserve units, with a larger grant if needed; return whether it worked."""
+        """Reserve units, after enlarging the grant if necessary.
+
+        Returns
+        -------
+        bool
+            False when the budget has no free units, the month has ended, the table is
+            unavailable or the timeout ``GRANT_WAIT_MS`` has passed.
+        """
         until_ms = self._clock.now_ms() + GRANT_WAIT_MS
         while True:
             now_ms = allowance.used_at_ms = self._clock.now_ms()
@@ -81,7 +91,7 @@
                 allowance.demand -= n_units
 
     async def run(self) -> None:
-        """Write what is due until cancelled."""
+        """Write due grants periodically and when a request waits, until cancelled."""
         while True:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(IDLE_INTERVAL_S * self._jitter()):
@@ -93,7 +103,7 @@
             await asyncio.sleep(min(pause_s, MAX_BACKOFF_S) * self._jitter())
 
     async def return_all(self) -> None:
-        """Give back what is not used, at shutdown; ends after a while."""
+        """Return unused units at shutdown, for at most ``RETURN_LIMIT_MS``."""
         until_ms = self._clock.now_ms() + RETURN_LIMIT_MS
         while self._clock.now_ms() < until_ms:
             if not await self.write_due(is_returning=True):
@@ -101,7 +111,11 @@
             await asyncio.sleep(MIN_INTERVAL_S)
 
     async def write_due(self, is_returning: bool) -> bool:
-        """Plan and write once; return whether something was due."""
+        """Plan and write the due grants; return whether any was due.
+
+        Writes that conflict are planned and sent again, up to ``_MAX_CONFLICTS`` times
+        in total.
+        """
         is_any_due = False
         for _ in range(_MAX_CONFLICTS):
             write_by_key = await self._plan(is_returning)
@@ -114,6 +128,7 @@
         return is_any_due
 
     async def _wait_for_cycle(self, limit_s: float) -> None:
+        """Start a cycle of writes and wait at most ``limit_s`` seconds for its end."""
         ended = self._cycle_ended
         self._woken.set()
         with contextlib.suppress(TimeoutError):
@@ -121,6 +136,7 @@
                 await ended.wait()
 
     async def _plan(self, is_returning: bool) -> dict[str, AllowanceWrite]:
+        """Return the due writes by key; ``is_returning`` returns all unused units."""
         write_by_key = {}
         now_ms = self._clock.now_ms()
         for key, allowance in list(self._book.allowance_by_key.items()):
@@ -133,6 +149,7 @@
         return write_by_key
 
     async def _plan_grant(self, allowance: Allowance) -> AllowanceWrite | None:
+        """Return the write that enlarges a grant, after a read of the row if needed."""
         holder, demand = allowance.holder, allowance.demand
         write = holder.plan_grant(demand)
         if write is not None or holder.n_free_units >= demand:
@@ -152,7 +169,7 @@
         return write
 
     async def _write(self, write_by_key: dict[str, AllowanceWrite]) -> bool:
-        """Send the writes; return False when they should be planned again."""
+        """Send the writes; return False when a conflict requires planning again."""
         conditions = {key: write.row_version for key, write in write_by_key.items()}
         puts = {key: _to_value(write.row) for key, write in write_by_key.items()}
         result = await self._platform.transact(conditions, puts)
@@ -168,8 +185,8 @@
             return True
         error = result.error
         if not isinstance(error, TransactConflictError):
-            # The writes stay pending and are sent again as they are; their sequence
-            # numbers tell whether they took effect.
+            # The writes stay pending and are sent again unchanged. Sequence numbers in
+            # the rows show whether they took effect.
             self._note(False)
             return True
         self._note(True)
@@ -180,9 +197,11 @@
         return False
 
     def _note(self, is_answered: bool) -> None:
+        """Record whether a call to the table was answered."""
         self._n_failures = 0 if is_answered else self._n_failures + 1
 
     def _jitter(self) -> float:
+        """Return a random factor from 0.5 to 1.5 for an interval."""
         return 0.5 + self._random_state.random()
 
 
--- a/packages/entry/src/bluebellusher/allowance/_rates.py
+++ b/packages/entry/src/bluebellusher/allowance/_rates.py
@@ -1,4 +1,4 @@
-"""Rates of customers, as shares of this entry."""
+"""Rate limits of customers, of which each entry enforces its share."""
 
 from bluebellusher.server import BadRequestError, RequestDraft
 from bluebellusher.settings import Settings
@@ -11,16 +11,16 @@
 
 
 class RateLimits:
-    """Let requests in within this entry's shares of the rates in force.
+    """Limiter that admits requests within this entry's shares of the rates in force.
 
     Parameters
     ----------
     n_entries : int
         Configured number of entries.
     entry_index : int
-        Place of this entry among them.
+        Index of this entry among all entries, from 0.
     clock : Clock
-        Wall time gives the periods.
+        Source of the wall time, which determines the current period of each rate.
     """
 
     def __init__(self, n_entries: int, entry_index: int, clock: Clock) -> None:
@@ -31,10 +31,10 @@
 
     @classmethod
     def from_settings(cls, settings: Settings, clock: Clock) -> "RateLimits":
-        """Take the place of this entry from the sorted addresses of all entries.
+        """Create a limiter with the index of this entry in the sorted peer addresses.
 
-        Every entry has to name the others by the addresses on which they listen, or
-        two entries could take the same share.
+        Every entry has to list its peers under the addresses on which they listen.
+        Otherwise, two entries could use the same share.
         """
         own = settings.peer_listen
         addresses = {(peer.host, peer.port) for peer in settings.peers}
@@ -45,12 +45,13 @@
     def admit(
         self, request_id: str, draft: RequestDraft, n_tokens: int, rules: RuleSet
     ) -> None:
-        """Use one request and the tokens that it may need at most.
+        """Reserve one request and its maximum number of tokens in the shares.
 
         Raises
         ------
         BadRequestError
-            When a share of the present period is used up; nothing is used then.
+            When a share of the current period is used up. Units that were already
+            reserved for the request are then returned.
         """
         need_by_unit = {REQUESTS_UNIT: 1}
         if draft.model:
@@ -74,9 +75,11 @@
         n_tokens: int | None,
         is_admitted: bool = True,
     ) -> None:
-        """Give back the tokens that were not used; a repeat does nothing.
+        """Return the reserved tokens that a request did not use.
 
-        ``n_tokens`` is ``None`` when the usage is unknown; all stay used then.
+        ``n_tokens`` is the number used, or ``None`` when the usage is unknown and all
+        reserved tokens count as used. A request that was not admitted also returns its
+        unit of the rate of requests. A repeated call has no effect.
         """
         tokens = self._share_by_key.get((customer_id, TOKENS_UNIT))
         if tokens is not None:
@@ -94,6 +97,6 @@
                 rate.n_units, period_ms, self._n_entries, self._entry_index
             )
             self._share_by_key[key] = share
-        # What was used of the present period stays used under a new limit.
+        # Units used in the current period still count when the limit changes.
         share.limit = rate.n_units
         return share
--- a/packages/entry/src/bluebellusher/allowance/_spending.py
+++ b/packages/entry/src/bluebellusher/allowance/_spending.py
@@ -1,4 +1,4 @@
-"""Budgets of customers: admission, settlement and what follows their end."""
+"""Admission and settlement of requests within the rates and budgets of customers."""
 
 import asyncio
 import json
@@ -21,14 +21,15 @@
 from bluebellusher_core.events import Priority, Usage
 from bluebellusher_core.rules import ExhaustedAction, Limit, RuleSet
 
-# A caller that was refused because the table is down may find it up again.
+# Retry time in milliseconds for requests rejected while the table is unavailable. It is
+# short because the table may be available again long before the month ends.
 OUTAGE_RETRY_MS = 5_000
 _FLUSH_ATTEMPTS = 3
 
 
 @dataclass(frozen=True, slots=True)
 class _Reservation:
-    """What was set aside for one request."""
+    """Units reserved for one request, with the rules that determine its cost."""
 
     allowance: Allowance | None
     customer_id: str
@@ -41,22 +42,22 @@
 
 
 class Spending:
-    """Let requests in within the rates and budgets of the rules in force.
+    """Limiter that admits requests within the rates and budgets of the rules in force.
 
     Parameters
     ----------
     in_force : ConfigInForce
-        Gives the rules.
+        Source of the rules.
     book : AllowanceBook
         Allowances of this entry.
     grants : GrantWriter
-        Enlarges and returns them.
+        Writer that enlarges and returns grants.
     usage : UsageWriter
-        Stores what was used.
+        Writer that stores the usage of requests.
     rates : RateLimits
-        Shares of the rates.
+        Limiter for the rates.
     clock : Clock
-        Wall time gives the wait until the end of the month.
+        Monotonic time for the wait for a grant, wall time for the end of the month.
     """
 
     def __init__(
@@ -88,7 +89,7 @@
         clock: Clock,
         random_state: Random,
     ) -> "Spending":
-        """Build everything from the parts of an entry."""
+        """Create the limiter and its writers from the parts of an entry."""
         instance = f"{settings.instance_id}/{incarnation}"
         book = AllowanceBook(instance, len(settings.peers) + 1, clock)
         grants = GrantWriter(book, platform, clock, random_state)
@@ -98,14 +99,17 @@
         return cls(in_force, book, grants, usage, rates, clock)
 
     def start(self) -> None:
-        """Begin to take grants and to store usage."""
+        """Start the tasks that write grants and store usage."""
         self._tasks = [
             asyncio.create_task(self._grants.run()),
             asyncio.create_task(self._usage.run()),
         ]
 
     async def close(self) -> None:
-        """Return grants and store the rest of the usage, within a few seconds."""
+        """Stop the tasks, return unused grants and store the remaining usage.
+
+        The time for this is limited to a few seconds.
+        """
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -120,35 +124,36 @@
         draft: RequestDraft,
         reparse: Callable[[bytes], RequestDraft],
     ) -> RequestDraft:
-        """Reserve the worst cost of a request; return the request to run.
+        """Reserve the maximum cost of a request; return the request to run.
 
         Parameters
         ----------
         request_id : str
-            Settled later under this id.
+            Id under which the request is settled later.
         draft : RequestDraft
-            What the caller asks for; calls to plain services cost nothing.
+            Request of the caller. Requests to plain services cost nothing.
         reparse : callable
-            Reads a changed body, for ``cheaper-model``.
+            Function that parses the body after a ``cheaper-model`` rule changed it.
 
         Raises
         ------
         BadRequestError
-            When a rate or the budget does not allow it.
+            When a rate or the budget does not cover the request.
         """
         started_at_ms = self._clock.now_ms()
         self._admit_by_rate(request_id, draft)
         try:
             draft = await self._admit(request_id, draft, reparse)
         except BaseException:
-            # Also when the caller leaves while the request waits for a grant.
+            # Also on cancellation, when the caller disconnects during the wait.
             self._settle_rates(request_id, 0, is_admitted=False)
             raise
-        # The wait for a grant must not prolong the caller's deadline.
+        # The wait for a grant must not extend the caller's deadline.
         waited_ms = self._clock.now_ms() - started_at_ms
         return replace(draft, remaining_ms=max(1, draft.remaining_ms - waited_ms))
 
     def _admit_by_rate(self, request_id: str, draft: RequestDraft) -> None:
+        """Reserve the request in the rates; raise BadRequestError above a rate."""
         rules = self._in_force.rules
         n_tokens = _worst(rules, draft, is_tokens=True) if draft.model else 0
         self._rates.admit(request_id, draft, n_tokens, rules)
@@ -157,6 +162,7 @@
     def _settle_rates(
         self, request_id: str, n_tokens: int | None, is_admitted: bool = True
     ) -> None:
+        """Settle the request in the rates; a repeated call has no effect."""
         customer_id = self._customer_by_rated_request.pop(request_id, None)
         if customer_id is not None:
             self._rates.settle(customer_id, request_id, n_tokens, is_admitted)
@@ -167,6 +173,7 @@
         draft: RequestDraft,
         reparse: Callable[[bytes], RequestDraft],
     ) -> RequestDraft:
+        """Reserve the request in the budget or as ``when-exhausted`` allows."""
         rules, version = self._in_force.rules, self._in_force.version
         budget = rules.budget_by_customer.get(draft.customer_id)
         if not draft.model or not version:
@@ -179,10 +186,10 @@
         return await self._continue(request_id, draft, reparse)
 
     def settle(self, request_id: str, outcome: str, exchange: Exchange | None) -> None:
-        """Replace a reservation by what was used; a repeat does nothing.
+        """Replace the reservation of a request by its cost, and record its usage.
 
-        A request that certainly did not run costs nothing. One whose usage is not
-        known costs its reservation.
+        A request that certainly did not run costs nothing. A request whose usage is
+        unknown costs its whole reservation. A repeated call has no effect.
         """
         usage = _find_usage(outcome, exchange)
         n_tokens = None
@@ -217,7 +224,7 @@
         draft: RequestDraft,
         reparse: Callable[[bytes], RequestDraft],
     ) -> RequestDraft:
-        """Apply the ``when-exhausted`` rule of a customer without budget."""
+        """Apply the ``when-exhausted`` rule of a customer whose budget is used up."""
         rules, version = self._in_force.rules, self._in_force.version
         rule = rules.exhausted_by_customer.get(draft.customer_id)
         if rule is None or rule.action is ExhaustedAction.REFUSE:
@@ -237,6 +244,7 @@
     async def _reserve(
         self, request_id: str, draft: RequestDraft, part: str, limit: Limit
     ) -> bool:
+        """Reserve the maximum cost in a part of the budget; return whether it fits."""
         rules, version = self._in_force.rules, self._in_force.version
         customer = draft.customer_id
         allowance = self._book.find(customer, part, limit, rules, version)
@@ -256,7 +264,7 @@
         version: int,
         part: str,
     ) -> None:
-        """Note a request that no limit of money or tokens applies to."""
+        """Record a request to which no limit of money or tokens applies."""
         n_units = _worst(rules, draft, is_tokens=False)
         self._reservation_by_request_id[request_id] = _Reservation(
             None,
@@ -270,8 +278,9 @@
         )
 
     def _exhausted(self, rules: RuleSet) -> BadRequestError:
+        """Return the rejection of a request that the budget does not cover."""
         if self._grants.is_table_down:
-            detail = "the grant of this entry is used up, and the table is down"
+            detail = "the grant of this entry is used up, and the table is unavailable"
             return BadRequestError(Reason.BUDGET_EXHAUSTED, detail, OUTAGE_RETRY_MS)
         left_ms = self._book.month_end_ms(rules.month_zone) - self._clock.wall_ms()
         detail = "the budget of the month does not cover this request"
@@ -279,19 +288,20 @@
 
 
 def _worst(rules: RuleSet, draft: RequestDraft, is_tokens: bool) -> int:
+    """Return the maximum cost of a request, in tokens or millionths of the currency."""
     return worst_cost_of(
         rules, draft.model, len(draft.body), draft.n_max_output_tokens, is_tokens
     )
 
 
 def _find_usage(outcome: str, exchange: Exchange | None) -> Usage | None:
-    """Return what a request used, or ``None`` when that is unknown."""
+    """Return the tokens that a request used, or ``None`` when they are unknown."""
     if exchange is None or not exchange.endpoint_by_attempt_id:
         return Usage()
     if outcome == Outcome.NOT_RUN:
         return Usage()
     usage, answer = exchange.usage, exchange.answer
-    # An engine that does not count tokens must not make its answers free.
+    # An engine that reports no token counts must not make its answers free.
     if usage == Usage() and answer.status < 400 and answer.n_bytes:
         return None
     return usage
--- a/packages/entry/src/bluebellusher/allowance/_usage.py
+++ b/packages/entry/src/bluebellusher/allowance/_usage.py
@@ -1,4 +1,4 @@
-"""Usage records in the object store."""
+"""Usage records of customers, stored as objects."""
 
 import asyncio
 import json
@@ -13,14 +13,15 @@
 
 WRITE_INTERVAL_S = 5.0
 _HOUR_MS = 3_600_000
-# Sealed objects that wait while the object store refuses; later usage is added up
-# in the open one, which is bounded by customers, models and hours.
+# Maximum number of sealed objects that wait while the object store refuses them. Later
+# usage is added to the unsealed sums, whose number is bounded by customers, models and
+# hours.
 _MAX_SEALED = 4
 
 
 @dataclass(frozen=True, slots=True)
 class UsageKey:
-    """What usage is added up by."""
+    """Key by which the usage of requests is summed."""
 
     customer_id: str
     model: str
@@ -33,7 +34,7 @@
 
 @dataclass(slots=True)
 class UsageSum:
-    """Requests, tokens and charged units with one key."""
+    """Numbers of requests, tokens and charged units of one key."""
 
     n_requests: int = 0
     n_input_tokens: int = 0
@@ -43,21 +44,22 @@
 
 
 class UsageWriter:
-    """Add usage up and store each sum exactly once.
+    """Writer that sums usage and stores each sum exactly once.
 
-    An object is sealed before it is sent, under a name of its own that is never used
-    for other content. A lost answer is therefore resolved by sending it again.
+    Sums are sealed into an object before it is sent. The name of a sealed object is
+    never used for other content, so that an object whose answer was lost can be sent
+    again.
 
     Parameters
     ----------
     prefix : str
-        ``usage/{domain}/{instance}/{incarnation}``.
+        Prefix of object names: ``usage/{domain}/{instance}/{incarnation}``.
     platform : PlatformClient
-        The object store.
+        Client of the object store.
     clock : Clock
-        Wall time gives the hour of a request.
+        Source of the wall time, which determines the hour of a request.
     random_state : Random
-        Jitter between writes.
+        Source of jitter for the interval between writes.
     """
 
     def __init__(
@@ -79,18 +81,21 @@
         charge: tuple[str, str, int],
         usage: Usage | None,
     ) -> None:
-        """Add one request.
+        """Add the usage of one request to the sum of its key.
 
         Parameters
         ----------
-        customer_id, model : str
-            Who used what.
+        customer_id : str
+            Customer who pays for the request.
+        model : str
+            Model that ran the request.
         config_version : int
-            Version of the rules that priced it.
+            Version of the rules that determined the charge.
         charge : tuple of str, str and int
-            Part of the budget, its unit, and the charged units.
+            Part of the budget, its unit, and the number of charged units.
         usage : Usage or None
-            Tokens; ``None`` when they are unknown and the charge is the worst case.
+            Numbers of tokens; ``None`` when they are unknown and the charge is the
+            maximum cost.
         """
         part, unit, n_units = charge
         hour = self._clock.wall_ms() // _HOUR_MS
@@ -106,28 +111,29 @@
             total.n_output_tokens += usage.n_output_tokens
 
     async def run(self) -> None:
-        """Store usage every few seconds until cancelled."""
+        """Store usage about every ``WRITE_INTERVAL_S`` seconds, until cancelled."""
         while True:
             jitter = 0.8 + 0.4 * self._random_state.random()
             await asyncio.sleep(WRITE_INTERVAL_S * jitter)
             await self.flush()
 
     async def flush(self) -> bool:
-        """Seal what was added and send what is sealed; return whether all is stored."""
+        """Seal the sums and send all sealed objects; return whether all are stored."""
         self._seal()
         while self._sealed:
             name, data = self._sealed[0]
             result = await self._platform.put_object(name, data)
             if not result.is_ok() and not isinstance(result.error, ObjectExistsError):
                 return False
-            # Other content under the name means that another process has this
-            # instance id and incarnation; the record is kept under the next name.
+            # Different content under the name means that another process uses the same
+            # instance id and incarnation. The object is stored under the next name.
             self._sealed.popleft()
             if not result.is_ok():
                 self._sealed.appendleft((self._next_name(), data))
         return not self._sum_by_key
 
     def _seal(self) -> None:
+        """Move the sums into a sealed object, unless too many of them are waiting."""
         if not self._sum_by_key or len(self._sealed) >= _MAX_SEALED:
             return
         records = [_to_json(key, total) for key, total in self._sum_by_key.items()]
--- a/packages/entry/src/bluebellusher/allowance/tests/fakes.py
+++ b/packages/entry/src/bluebellusher/allowance/tests/fakes.py
@@ -1,4 +1,4 @@
-"""A platform in memory that fails by a script, and rules with a budget."""
+"""In-memory platform with scripted faults, and rules with a budget."""
 
 from expression import Error, Ok
 
@@ -13,7 +13,7 @@
 
 
 def rules(budget: str, exhausted: str = "refuse") -> str:
-    """Return rules in which customer c1 has this budget and when-exhausted rule."""
+    """Return rules text with a budget and a when-exhausted rule of customer c1."""
     lines = [
         "currency JPY",
         "month-zone Asia/Tokyo",
@@ -32,7 +32,11 @@
 
 
 class FakePlatform:
-    """Table and objects; each call takes the next fault: ok, lost or down."""
+    """Table and object store in which each call takes the next of the ``faults``.
+
+    ``ok`` executes the call, ``lost`` executes it and loses the answer, and ``down``
+    fails without executing it.
+    """
 
     def __init__(self, clock: ManualClock) -> None:
         self.table = Table(clock)
@@ -41,17 +45,17 @@
         self.n_transactions = 0
 
     async def transact(self, conditions, puts):
-        """Follow the next fault."""
+        """Execute a transaction on the table under the next fault."""
         self.n_transactions += 1
         return self._answer(lambda: self._transact(conditions, puts))
 
     async def read_row(self, key):
-        """Follow the next fault."""
+        """Read a row of the table under the next fault."""
         row = self.table.read(key)
         return self._answer(lambda: Ok(Row(row.key, row.version, row.value)))
 
     async def put_object(self, name, data):
-        """Follow the next fault."""
+        """Store an object under the next fault."""
         return self._answer(lambda: self._put(name, data))
 
     def _put(self, name, data):
--- a/packages/entry/src/bluebellusher/allowance/tests/test_budget_processes.py
+++ b/packages/entry/src/bluebellusher/allowance/tests/test_budget_processes.py
@@ -43,7 +43,7 @@
 
 
 async def ask(session, entry):
-    """Send a request; return status, headers and whether tokens were generated."""
+    """Send a request for ``N_TOKENS`` tokens; return the status and the headers."""
     message = {"role": "user", "content": "hello"}
     body = {"model": "model-a", "messages": [message], "max_tokens": N_TOKENS}
     url = f"http://{HOST}:{entry.port}/v1/chat/completions"
@@ -53,7 +53,7 @@
 
 
 async def spend(session, entry, n_requests: int) -> int:
-    """Send requests, some at a time, until one is refused; return how many ran."""
+    """Send requests, 5 at a time, until one is rejected; return the number that ran."""
     n_done = 0
     for _ in range(0, n_requests, 5):
         answers = await asyncio.gather(*(ask(session, entry) for _ in range(5)))
@@ -65,20 +65,21 @@
 
 
 async def spend_rest(session, entry):
-    """Send single requests until one is refused; return how many ran, and headers.
+    """Send requests one at a time until one is rejected.
 
-    Several at once reserve more than they use, and what they leave is free again.
+    Concurrent requests reserve more units than they use, and the unused ones become
+    free again. The result is the number that ran and the headers of the rejection.
     """
     for n_done in range(1_000):
         status, headers = await ask(session, entry)
         if status != 200:
             assert status == 429
             return n_done, headers
-    raise AssertionError("no request was refused")
+    raise AssertionError("none of 1000 requests was rejected")
 
 
 async def read_platform(session, cluster, path: str, **params):
-    """Return a page of the platform."""
+    """Return the parsed JSON document at a path of the platform."""
     url = f"http://{HOST}:{cluster.platform_port}{path}"
     async with session.get(url, params=params) as answer:
         return json.loads(await answer.read())
@@ -95,21 +96,21 @@
 
 
 async def read_granted(session, cluster) -> int:
-    """Return the sum of grants in the table."""
+    """Return the sum in units of all grants in the table."""
     rows = await read_platform(session, cluster, "/table/rows", prefix="allowance/")
     (row,) = rows["rows"]
     return sum(amount for _, amount in row["value"]["grants"].values())
 
 
 async def set_faults(session, cluster, **faults) -> None:
-    """Switch faults of the platform."""
+    """Set faults of the platform."""
     url = f"http://{HOST}:{cluster.platform_port}/faults"
     async with session.post(url, json=faults) as answer:
         assert answer.status == 200
 
 
 def test_budget_holds_with_an_entry_killed_and_one_frozen():
-    """Guards against an entry that spends what another one was granted meanwhile."""
+    """Guards against an entry that spends units since granted to another entry."""
     budget = 4_000
 
     async def scenario(cluster, session, entries):
@@ -123,7 +124,7 @@
         entries[1].signal(signal.SIGCONT)
         n_done += n_more + (await spend_rest(session, entries[1]))[0]
         assert await read_granted(session, cluster) <= budget
-        # Every answer has all its output tokens, and at least one of input.
+        # Every answer used all its output tokens and at least one input token.
         assert n_done * (N_TOKENS + 1) <= budget
         for entry in entries[:2]:
             await entry.stop()
@@ -135,7 +136,7 @@
 
 
 def test_grant_serves_while_the_table_is_down():
-    """Guards against an outage that stops paid work, and against work beyond it."""
+    """Guards against an outage that stops paid requests, and against overspending."""
 
     async def scenario(cluster, session, entries):
         assert (await ask(session, entries[0]))[0] == 200
--- a/packages/entry/src/bluebellusher/allowance/tests/test_grants.py
+++ b/packages/entry/src/bluebellusher/allowance/tests/test_grants.py
@@ -1,4 +1,4 @@
-"""Guards against a sum of spending above a budget, and against lost usage."""
+"""Guards against total spending above a budget, and against lost usage."""
 
 import asyncio
 import json
@@ -34,7 +34,7 @@
 
 
 class Spender:
-    """One entry; a killed one is replaced by one with another holder id."""
+    """Entry that spends from one budget; a killed one is replaced under a new id."""
 
     def __init__(self, name: str, platform: FakePlatform, clock: ManualClock) -> None:
         self.clock = clock
@@ -47,7 +47,7 @@
         self._n_requests = 0
 
     async def act(self, action: str, amount: int) -> None:
-        """Do one action."""
+        """Execute one action."""
         holder = self.allowance.holder
         if action == "spend":
             self._n_requests += 1
@@ -68,12 +68,12 @@
 
     @property
     def n_used(self) -> int:
-        """Return what was spent and what may still be spent."""
+        """Return the units that are spent or reserved."""
         return self.n_spent + sum(self.reserved.values())
 
 
 async def play(actions) -> int:
-    """Play actions; return the units used at the end, after a check of each step."""
+    """Execute actions, check the budget after each, and return the units used."""
     clock = ManualClock(0, WALL_MS)
     platform = FakePlatform(clock)
     spenders = [Spender(f"e{i}/1", platform, clock) for i in range(ENTRIES)]
@@ -92,18 +92,18 @@
 
 @given(st.lists(ACTIONS, min_size=20, max_size=60))
 def test_property_sum_over_entries_stays_within_the_budget(actions):
-    """Guards against a bill above the ceiling when answers are lost or entries die."""
+    """Guards against overspending when answers are lost or entries are killed."""
     asyncio.run(play(actions))
 
 
 def test_budget_can_be_used_up():
-    """Guards against grants that strand the budget, which would hide an excess."""
+    """Guards against grants that leave much unspent, which would hide overspending."""
     actions = [("spend", i % ENTRIES, 10, []) for i in range(150)]
     assert asyncio.run(play(actions)) >= LIMIT * 0.95
 
 
 def test_units_on_their_way_back_are_not_spent():
-    """Guards against units that two entries spend, because a return lost its answer."""
+    """Guards against units that two entries spend after a return lost its answer."""
     actions = [
         ("spend", 0, 300, []),
         ("settle", 0, 1, []),
@@ -115,7 +115,7 @@
 
 
 def test_costs_follow_the_prices():
-    """Guards against a worst case below the real cost."""
+    """Guards against a maximum cost below the real cost."""
     usage = Usage(100, 40, 7)
     assert cost_of(RULES, "model-a", usage, is_tokens=False) == 60 * 200 + 4000 + 3500
     assert cost_of(RULES, "model-a", usage, is_tokens=True) == 107
@@ -124,7 +124,7 @@
 
 
 class World:
-    """Spending of one entry with rules in force."""
+    """Spending limiter of one entry, with rules in force."""
 
     def __init__(self, rules_text: str) -> None:
         self.clock = ManualClock(0, WALL_MS)
@@ -152,13 +152,13 @@
         self.spending = Spending.from_parts(*parts)
 
     def post(self, _event) -> None:
-        """Drop an event."""
+        """Discard an event."""
 
     def log(self, *_args, **_fields) -> None:
-        """Drop a log line."""
+        """Discard a log line."""
 
     async def admit(self, request_id: str, n_tokens: int):
-        """Send a request of 1 to ``n_tokens`` tokens; return what would run."""
+        """Admit a request for up to ``n_tokens`` tokens; return the request to run."""
         headers = {"authorization": "Bearer k", "x-priority": "high"}
         message = {"role": "user", "content": "x"}
         body = {"model": "model-a", "messages": [message], "max_tokens": n_tokens}
@@ -171,7 +171,7 @@
 
 
 def run_spending(rules_text: str, scenario) -> None:
-    """Run a scenario while grants are written."""
+    """Run a scenario while the tasks of the spending limiter run."""
 
     async def inner() -> None:
         world = World(rules_text)
@@ -190,7 +190,7 @@
     ],
 )
 def test_when_exhausted_applies_after_the_budget(exhausted, priority, model):
-    """Guards against a customer that is refused, or served freely, too early."""
+    """Guards against an early rejection, and against requests above the extra limit."""
 
     async def scenario(world):
         first = await world.admit("r1", 300)
@@ -208,7 +208,7 @@
 
 
 def test_settled_request_gives_its_reservation_back_once():
-    """Guards against a refused request that costs money, or one that is paid twice."""
+    """Guards against a charge for a request that did not run, and double settlement."""
 
     async def scenario(world):
         for _ in range(5):
@@ -226,7 +226,7 @@
 
 @given(st.lists(st.tuples(st.integers(1, 9), FAULTS), max_size=30))
 def test_property_usage_is_stored_exactly_once(steps):
-    """Guards against usage that a lost answer loses or doubles."""
+    """Guards against usage that is lost or doubled when an answer is lost."""
 
     async def scenario():
         clock = ManualClock(0, WALL_MS)
--- a/packages/entry/src/bluebellusher/allowance/tests/test_rates.py
+++ b/packages/entry/src/bluebellusher/allowance/tests/test_rates.py
@@ -1,4 +1,4 @@
-"""Guards against customers that exceed the rates of the rules."""
+"""Guards against customers that exceed the rate limits of the rules."""
 
 from dataclasses import replace
 
@@ -11,7 +11,7 @@
 
 
 def make_rules(*rates):
-    """Return parsed rules with these rates of customer c1."""
+    """Return parsed rules with these rate limits of customer c1."""
     lines = "".join(f"rate c1 {rate} # Mio: agreed\n" for rate in rates)
     return parse_rules(rules("1000 tokens") + lines).default_with(_fail)
 
@@ -28,7 +28,7 @@
 
 
 def admit_all(limits, rule_set, n_requests, n_tokens=1, first=0):
-    """Send requests at one moment; return how many are admitted, and the wait."""
+    """Try to admit requests at once; return the number admitted and the retry time."""
     n_admitted, wait_ms = 0, None
     for number in range(first, first + n_requests):
         try:
@@ -41,7 +41,7 @@
 
 
 def test_all_entries_together_admit_the_rate():
-    """Guards against a limit that each entry applies to itself alone."""
+    """Guards against entries that each apply the whole limit instead of a share."""
     clock = ManualClock(wall_offset_ms=90_500)
     rule_set = make_rules("5 requests per second")
     entries = [RateLimits(3, index, clock) for index in range(3)]
@@ -53,7 +53,7 @@
 
 
 def test_tokens_that_were_not_used_return():
-    """Guards against worst cases that use up a rate of tokens."""
+    """Guards against reserved but unused tokens that use up a rate of tokens."""
     clock = ManualClock(wall_offset_ms=60_000)
     rule_set = make_rules("100 tokens per minute")
     limits = RateLimits(1, 0, clock)
@@ -65,7 +65,7 @@
 
 
 def test_refused_request_uses_no_rate():
-    """Guards against a rate of requests that refused ones use up."""
+    """Guards against rejected requests that use up a rate of requests."""
     clock = ManualClock(wall_offset_ms=60_000)
     rule_set = make_rules("2 requests per minute", "100 tokens per minute")
     limits = RateLimits(1, 0, clock)
