--- a/packages/core/src/bluebellusher_core/lease/_tracker.py
+++ b/packages/core/src/bluebellusher_core/lease/_tracker.py
@@ -104,7 +104,7 @@
         self._pending_sent_ms = 0
         self._held_until_ms: int | None = None
         self._renewed_at_ms = 0
-        self._highest_token = 0
+        self._highest_recorded_token = 0
 
     def note_token_seen(self, token: int) -> None:
         """Record a fencing token that a receiver of orders has seen.
@@ -113,7 +113,7 @@
         seen, and a table row that was lost no longer contains that token. The next
         write therefore uses a token higher than every recorded one.
         """
-        self._highest_token = max(self._highest_token, token)
+        self._highest_recorded_token = max(self._highest_recorded_token, token)
 
     def observe(self, row_version: int, row: LeaseRow | None, now_ms: int) -> None:
         """Update the state from a row that was read from the table.
@@ -127,11 +127,11 @@
             self._row_version = row_version
             self._row = row
             self._unchanged_since_ms = now_ms
-        self._resolve_pending(row)
+        self._confirm_pending(row)
         if row is None or row.holder != self._holder_id:
             self._held_until_ms = None
 
-    def _resolve_pending(self, row: LeaseRow | None) -> None:
+    def _confirm_pending(self, row: LeaseRow | None) -> None:
         """Confirm the pending write if the row has its content.
 
         This resolves a write of this entry whose answer was lost.
@@ -162,33 +162,38 @@
     def _next_row(self, now_ms: int) -> LeaseRow | None:
         """Return the row to write now, or ``None`` when no write is due."""
         if self.held_token(now_ms) is not None:
-            if self._row is not None and self._row.fencing_token < self._highest_token:
-                return self._acquired_row()
+            if (
+                self._row is not None
+                and self._row.fencing_token < self._highest_recorded_token
+            ):
+                return self._row_to_acquire()
             is_due = now_ms - self._renewed_at_ms >= self._renew_after_ms
-            return self._renewed_row() if is_due else None
+            return self._row_to_renew() if is_due else None
         wait_ms = self._takeover_delay_ms
-        if self._row is not None and self._is_held_by_another(self._row.holder):
+        if self._row is not None and self._is_other_instance(self._row.holder):
             wait_ms += self._term_ms + self._guard_ms
         if now_ms - self._unchanged_since_ms < wait_ms:
             return None
-        return self._acquired_row()
+        return self._row_to_acquire()
 
-    def _acquired_row(self) -> LeaseRow:
+    def _row_to_acquire(self) -> LeaseRow:
         """Return a row that acquires the lease with a new, higher token."""
         last_token = self._row.fencing_token if self._row else 0
-        token = max(last_token, self._highest_token) + 1
+        token = max(last_token, self._highest_recorded_token) + 1
         return LeaseRow(self._holder_id, token, 1)
 
-    def _is_held_by_another(self, holder: str) -> bool:
+    def _is_other_instance(self, holder: str) -> bool:
         """Return whether ``holder`` is another instance, which may still be running.
 
         The previous start of this instance is not running any more and does not count.
         """
         instance_id = self._holder_id.rpartition("/")[0]
-        is_own = bool(instance_id) and holder.rpartition("/")[0] == instance_id
-        return bool(holder) and not is_own
+        is_same_instance = (
+            bool(instance_id) and holder.rpartition("/")[0] == instance_id
+        )
+        return bool(holder) and not is_same_instance
 
-    def _renewed_row(self) -> LeaseRow:
+    def _row_to_renew(self) -> LeaseRow:
         """Return a row that renews the lease with the same token."""
         row = self._row
         assert row is not None
--- a/packages/core/src/bluebellusher_core/lease/tests/test_lease_machine.py
+++ b/packages/core/src/bluebellusher_core/lease/tests/test_lease_machine.py
@@ -41,16 +41,16 @@
         self.table = FakeRow()
         self.history = [(0, None)]
         self.now_ms = 0
-        self.offsets = [0, 1_000_000]
+        self.clock_offsets_ms = [0, 1_000_000]
         self.trackers = [
             LeaseTracker("balance/g", f"entry-{i}/1") for i in range(N_ENTRIES)
         ]
-        self.delayed: list[LeaseWrite] = []
-        self.answers: list[tuple[int, LeaseWrite, int]] = []
+        self.delayed_writes: list[LeaseWrite] = []
+        self.slow_answers: list[tuple[int, LeaseWrite, int]] = []
         self.holder_by_token: dict[int, str] = {}
 
-    def clock(self, index):
-        return self.now_ms + self.offsets[index]
+    def local_now_ms(self, index):
+        return self.now_ms + self.clock_offsets_ms[index]
 
     def apply(self, write):
         is_applied = self.table.apply(write)
@@ -59,86 +59,90 @@
         return is_applied
 
     @rule(duration_ms=st.sampled_from([400, 1_500, 4_000, 7_000, 11_000]))
-    def time_passes(self, duration_ms):
+    def advance_clock(self, duration_ms):
         self.now_ms += duration_ms
 
     @rule(
         index=entry_indexes,
-        age=st.sampled_from([0, 0, 0, 1, 2]),
-        fate=st.sampled_from(["answered", "slow answer", "lost answer", "delayed"]),
+        n_versions_behind=st.sampled_from([0, 0, 0, 1, 2]),
+        delivery=st.sampled_from(["answered", "slow answer", "lost answer", "delayed"]),
     )
-    def poll(self, index, age, fate):
-        """Read the row, ``age`` versions behind the table, then send a due write."""
+    def poll(self, index, n_versions_behind, delivery):
+        """Read the row in its current or an earlier version, then send a due write."""
         tracker = self.trackers[index]
-        version, row = self.history[max(0, len(self.history) - 1 - age)]
-        tracker.observe(version, row, self.clock(index))
-        write = tracker.plan_write(self.clock(index))
+        version, row = self.history[max(0, len(self.history) - 1 - n_versions_behind)]
+        tracker.observe(version, row, self.local_now_ms(index))
+        write = tracker.plan_write(self.local_now_ms(index))
         if write is None:
             return
-        if fate == "delayed":
-            self.delayed.append(write)
+        if delivery == "delayed":
+            self.delayed_writes.append(write)
             return
         is_applied = self.apply(write)
-        if fate == "lost answer":
+        if delivery == "lost answer":
             return
-        if fate == "slow answer" and is_applied:
-            self.answers.append((index, write, self.table.version))
+        if delivery == "slow answer" and is_applied:
+            self.slow_answers.append((index, write, self.table.version))
         elif is_applied:
-            tracker.write_succeeded(write, self.table.version, self.clock(index))
+            tracker.write_succeeded(write, self.table.version, self.local_now_ms(index))
         else:
-            now_ms = self.clock(index)
+            now_ms = self.local_now_ms(index)
             version, row = self.table.version, self.table.row
             tracker.write_conflicted(write, version, row, now_ms)
 
-    @precondition(lambda self: self.delayed)
+    @precondition(lambda self: self.delayed_writes)
     @rule()
-    def delayed_write_lands(self):
-        self.apply(self.delayed.pop(0))
+    def apply_delayed_write(self):
+        self.apply(self.delayed_writes.pop(0))
 
-    @precondition(lambda self: self.answers)
+    @precondition(lambda self: self.slow_answers)
     @rule()
-    def slow_answer_arrives(self):
-        index, write, version = self.answers.pop(0)
-        self.trackers[index].write_succeeded(write, version, self.clock(index))
+    def deliver_slow_answer(self):
+        index, write, version = self.slow_answers.pop(0)
+        self.trackers[index].write_succeeded(write, version, self.local_now_ms(index))
 
     @precondition(lambda self: self.now_ms > 20_000)
     @rule(index=entry_indexes)
     def release(self, index):
-        write = self.trackers[index].plan_release(self.clock(index))
+        write = self.trackers[index].plan_release(self.local_now_ms(index))
         if write is not None:
             self.apply(write)
 
     @precondition(lambda self: self.now_ms > 20_000)
     @rule(index=entry_indexes)
     def restart(self, index):
-        self.answers = [answer for answer in self.answers if answer[0] != index]
+        self.slow_answers = [
+            answer for answer in self.slow_answers if answer[0] != index
+        ]
         holder = f"entry-{index}/{self.now_ms}-{len(self.history)}"
         self.trackers[index] = LeaseTracker("balance/g", holder)
 
     @invariant()
     def at_most_one_holder(self):
         """Guards against two entries that act as the holder at the same time."""
-        held = [
+        holders = [
             (i, token)
             for i, tracker in enumerate(self.trackers)
-            if (token := tracker.held_token(self.clock(i))) is not None
+            if (token := tracker.held_token(self.local_now_ms(i))) is not None
         ]
-        assert len(held) <= 1, held
+        assert len(holders) <= 1, holders
 
     @invariant()
     def token_belongs_to_one_holder(self):
         """Guards against a fencing token that two holders share."""
         row = self.table.row
         if row is not None and row.holder:
-            known = self.holder_by_token.setdefault(row.fencing_token, row.holder)
-            assert known == row.holder
+            first_holder = self.holder_by_token.setdefault(
+                row.fencing_token, row.holder
+            )
+            assert first_holder == row.holder
 
 
 LeaseMachine.TestCase.settings = settings(max_examples=300, stateful_step_count=40)
 TestLeaseMachine = LeaseMachine.TestCase
 
 
-def test_lapsed_lease_is_taken_over_with_a_higher_token():
+def test_expired_lease_is_acquired_with_a_higher_token():
     """Guards against a lease that is never acquired after its holder has stopped."""
     table = FakeRow()
     first = LeaseTracker("x", "a/1")
@@ -155,10 +159,10 @@
 @given(
     answer_ms=st.integers(0, 2 * TERM_MS),
     resend_ms=st.none() | st.integers(0, 2 * TERM_MS),
-    first_seen_ms=st.integers(0, TERM_MS),
+    observed_at_ms=st.integers(0, TERM_MS),
 )
 def test_property_slow_or_lost_answer_does_not_extend_the_term(
-    answer_ms, resend_ms, first_seen_ms
+    answer_ms, resend_ms, observed_at_ms
 ):
     """Guards against a term that counts from the answer or from a repeated send."""
     table = FakeRow()
@@ -167,25 +171,25 @@
     first.observe(0, None, 0)
     write = first.plan_write(0)
     assert table.apply(write)
-    second.observe(table.version, table.row, first_seen_ms)
+    second.observe(table.version, table.row, observed_at_ms)
     if resend_ms is None:
         first.write_succeeded(write, table.version, answer_ms)
     else:
         assert not table.apply(first.plan_write(resend_ms))
         first.write_conflicted(write, table.version, table.row, resend_ms)
-    takeover_ms = first_seen_ms + TERM_MS + GUARD_MS
+    takeover_ms = observed_at_ms + TERM_MS + GUARD_MS
     assert second.plan_write(takeover_ms) is not None
     assert first.held_token(takeover_ms) is None
 
 
-def test_late_answer_to_an_earlier_write_does_not_grant_the_pending_one():
+def test_late_answer_to_an_earlier_write_does_not_confirm_the_pending_one():
     """Guards against a lease that the answer to an earlier write confirms."""
     tracker = LeaseTracker("x", "a/1")
     tracker.observe(0, None, 0)
     first = tracker.plan_write(0)
     # A read shows that the write took effect before the answer to it arrives.
     tracker.observe(1, first.row, 10)
-    lapsed_ms = TERM_MS + GUARD_MS + 10
-    assert tracker.plan_write(lapsed_ms) != first
-    tracker.write_succeeded(first, 1, lapsed_ms + 5)
-    assert tracker.held_token(lapsed_ms + 5) is None
+    expired_ms = TERM_MS + GUARD_MS + 10
+    assert tracker.plan_write(expired_ms) != first
+    tracker.write_succeeded(first, 1, expired_ms + 5)
+    assert tracker.held_token(expired_ms + 5) is None
--- a/packages/core/src/bluebellusher_core/lease/tests/test_lease_restart.py
+++ b/packages/core/src/bluebellusher_core/lease/tests/test_lease_restart.py
@@ -5,7 +5,7 @@
 ROW = LeaseRow("entry-1/100", 4, 9)
 
 
-def test_restarted_entry_takes_its_own_lease_at_once():
+def test_restarted_entry_acquires_its_own_lease_at_once():
     """Guards against groups without a leader after all entries were restarted.
 
     The restarted entries waited until the old lease had expired. No expert map changed
@@ -18,7 +18,7 @@
     assert write.row_version == 12
 
 
-def test_lease_of_another_entry_is_waited_for():
+def test_lease_of_another_entry_is_acquired_only_after_it_expired():
     """Guards against a second leader while the first one may still be running."""
     for holder_id in ("entry-2/200", "entry-11/1", "entry-1x/1"):
         tracker = LeaseTracker("maps", holder_id)
@@ -27,7 +27,7 @@
         assert tracker.plan_write(now_ms=TERM_MS + GUARD_MS) is not None
 
 
-def test_token_grows_after_the_row_is_lost():
+def test_token_exceeds_recorded_tokens_after_the_row_is_lost():
     """Guards against a holder whose orders are refused permanently.
 
     Receivers of orders keep the highest token that they have seen, but tokens start at
@@ -40,7 +40,7 @@
     assert write.row.fencing_token == 58
 
 
-def test_holder_that_learns_of_a_higher_token_raises_its_own():
+def test_holder_raises_its_token_above_a_recorded_one():
     """Guards against a holder whose orders are refused because its token is too low."""
     tracker = LeaseTracker("maps", "entry-1/7")
     tracker.observe(0, None, now_ms=0)
