--- a/packages/core/src/bluebellusher_core/allowance/_holder.py
+++ b/packages/core/src/bluebellusher_core/allowance/_holder.py
@@ -8,7 +8,7 @@
 IDLE_RETURN_MS = 30_000
 # All holders together keep at most 1/20 of a budget in unspent grants. When the rest of
 # the budget is used up, at most 5% of it is therefore out of reach of other entries.
-_STRANDED_DIVISOR = 20
+_MAX_UNSPENT_DIVISOR = 20
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,11 +133,11 @@
         The charge is at most the reservation. A request without a reservation is
         charged 0 units, so that a repeated settlement does not count twice.
         """
-        reserved = self._reserved_by_request.pop(request_id, 0)
-        self._n_reserved_units -= reserved
-        charged = min(max(amount, 0), reserved)
-        self._n_spent_units += charged
-        return charged
+        n_reserved = self._reserved_by_request.pop(request_id, 0)
+        self._n_reserved_units -= n_reserved
+        n_charged = min(max(amount, 0), n_reserved)
+        self._n_spent_units += n_charged
+        return n_charged
 
     def observe(self, row_version: int, row: AllowanceRow | None) -> None:
         """Update the state from a row that was read from the table.
@@ -149,18 +149,18 @@
             return
         self._row_version = row_version
         self._row = row or AllowanceRow(self._limit, self._config_version)
-        if self._pending is not None and self._is_own(self._pending):
-            self._confirm(self._pending)
-        is_absent = self._holder_id not in self._row.grant_by_holder
-        if self._sequence > 0 and self._pending is None and is_absent:
+        if self._pending is not None and self._is_applied(self._pending):
+            self._adopt_grant(self._pending)
+        is_grant_absent = self._holder_id not in self._row.grant_by_holder
+        if self._sequence > 0 and self._pending is None and is_grant_absent:
             self._is_closed = True
 
-    def _is_own(self, write: AllowanceWrite) -> bool:
+    def _is_applied(self, write: AllowanceWrite) -> bool:
         """Return whether the observed row contains the grant of ``write``."""
-        own = write.row.grant_by_holder[self._holder_id]
-        return self._row.grant_by_holder.get(self._holder_id) == own
+        own_grant = write.row.grant_by_holder[self._holder_id]
+        return self._row.grant_by_holder.get(self._holder_id) == own_grant
 
-    def _confirm(self, write: AllowanceWrite) -> None:
+    def _adopt_grant(self, write: AllowanceWrite) -> None:
         """Adopt the grant of the pending write, which took effect."""
         grant = write.row.grant_by_holder[self._holder_id]
         self._n_granted_units = grant.amount
@@ -182,14 +182,16 @@
         if self._pending is not None:
             return self._pending
         row = self._row.with_limit(self._limit, self._config_version)
-        cap = max(1, row.limit // (_STRANDED_DIVISOR * max(1, self._n_entries)))
-        if self.n_free_units >= max(demand, cap // 2):
+        max_unspent = max(
+            1, row.limit // (_MAX_UNSPENT_DIVISOR * max(1, self._n_entries))
+        )
+        if self.n_free_units >= max(demand, max_unspent // 2):
             return None
-        target = max(demand, cap)
+        target = max(demand, max_unspent)
         amount = min(target - self.n_free_units, row.n_free_units)
         if amount <= 0:
             return None
-        return self._plan(row, self._n_granted_units + amount)
+        return self._create_write(row, self._n_granted_units + amount)
 
     def plan_return(self) -> AllowanceWrite | None:
         """Return the write that returns units which are neither spent nor reserved.
@@ -202,14 +204,14 @@
             return None
         if self._pending is not None:
             return self._pending
-        kept = self._n_spent_units + self._n_reserved_units
-        if kept == self._n_granted_units:
+        n_kept_units = self._n_spent_units + self._n_reserved_units
+        if n_kept_units == self._n_granted_units:
             return None
-        self._n_granted_units = kept
+        self._n_granted_units = n_kept_units
         row = self._row.with_limit(self._limit, self._config_version)
-        return self._plan(row, kept)
+        return self._create_write(row, n_kept_units)
 
-    def _plan(self, row: AllowanceRow, amount: int) -> AllowanceWrite:
+    def _create_write(self, row: AllowanceRow, amount: int) -> AllowanceWrite:
         """Create the pending write, which sets the grant to ``amount`` units."""
         assert self._row_version is not None
         grant = Grant(self._sequence + 1, amount)
--- a/packages/core/src/bluebellusher_core/allowance/_rate.py
+++ b/packages/core/src/bluebellusher_core/allowance/_rate.py
@@ -27,7 +27,7 @@
     Examples
     --------
     >>> share = RateShare(limit=5, period_ms=1000, n_entries=4, entry_index=0)
-    >>> [share.units_in(period) for period in range(4)]
+    >>> [share.units_in_period(period) for period in range(4)]
     [2, 1, 1, 1]
     """
 
@@ -45,11 +45,11 @@
             expected = f"expected 0 to {self.n_entries - 1}"
             raise ValueError(f"entry_index={self.entry_index}: {expected}")
 
-    def units_in(self, period: int) -> int:
+    def units_in_period(self, period: int) -> int:
         """Return the share in units of a period, numbered from the Unix epoch."""
         share, remainder = divmod(self.limit, self.n_entries)
-        is_extra = (self.entry_index + period) % self.n_entries < remainder
-        return share + int(is_extra)
+        has_remainder_unit = (self.entry_index + period) % self.n_entries < remainder
+        return share + int(has_remainder_unit)
 
     def reserve(self, request_id: str, n_units: int, wall_ms: int) -> bool:
         """Reserve units of the current period; return whether the share allows it.
@@ -63,8 +63,8 @@
             # The wall clock was set back. The units of that earlier period may already
             # be used up.
             return False
-        self._advance(period)
-        n_share = self.units_in(period)
+        self._start_period(period)
+        n_share = self.units_in_period(period)
         is_unused = self._n_used_units == 0 and n_share > 0
         if self._n_used_units + n_units > n_share and not is_unused:
             return False
@@ -72,12 +72,14 @@
         self._reserved_by_request[request_id] = (period, n_units)
         return True
 
-    def _advance(self, period: int) -> None:
+    def _start_period(self, period: int) -> None:
         """Start ``period`` and pay off debt with the shares of earlier periods."""
-        n_cycles, n_rest = divmod(period - self._period, self.n_entries)
-        n_paid = n_cycles * self.limit
-        n_paid += sum(self.units_in(self._period + i) for i in range(n_rest))
-        self._n_used_units = max(0, self._n_used_units - n_paid)
+        n_cycles, n_remaining_periods = divmod(period - self._period, self.n_entries)
+        n_paid_units = n_cycles * self.limit
+        n_paid_units += sum(
+            self.units_in_period(self._period + i) for i in range(n_remaining_periods)
+        )
+        self._n_used_units = max(0, self._n_used_units - n_paid_units)
         self._period = period
 
     def settle(self, request_id: str, n_units: int | None) -> None:
@@ -87,18 +89,20 @@
         later period than that of the reservation, units are returned only up to the
         unpaid debt, because the other units expired with their period.
         """
-        period, n_taken = self._reserved_by_request.pop(request_id, (-1, 0))
-        n_used = n_taken if n_units is None else max(0, n_units)
-        n_unused = max(0, n_taken - n_used)
+        period, n_reserved = self._reserved_by_request.pop(request_id, (-1, 0))
+        n_used = n_reserved if n_units is None else max(0, n_units)
+        n_unused = max(0, n_reserved - n_used)
         if period != self._period:
-            n_owed = max(0, self._n_used_units - self.units_in(self._period))
-            n_unused = min(n_unused, n_owed)
+            n_debt_units = max(
+                0, self._n_used_units - self.units_in_period(self._period)
+            )
+            n_unused = min(n_unused, n_debt_units)
         self._n_used_units -= n_unused
 
-    def wait_ms(self, wall_ms: int) -> int:
+    def ms_until_next_share(self, wall_ms: int) -> int:
         """Return the time in milliseconds until a period whose share is above 0."""
         period = wall_ms // self.period_ms
-        for ahead in range(1, self.n_entries + 1):
-            if self.units_in(period + ahead) > 0:
-                return (period + ahead) * self.period_ms - wall_ms
+        for n_periods_ahead in range(1, self.n_entries + 1):
+            if self.units_in_period(period + n_periods_ahead) > 0:
+                return (period + n_periods_ahead) * self.period_ms - wall_ms
         return self.period_ms
--- a/packages/core/src/bluebellusher_core/allowance/_row.py
+++ b/packages/core/src/bluebellusher_core/allowance/_row.py
@@ -42,8 +42,8 @@
     @property
     def n_granted_units(self) -> int:
         """Return the units granted and not returned, including closed grants."""
-        open_units = sum(grant.amount for grant in self.grant_by_holder.values())
-        return open_units + self.n_closed_units
+        n_open_units = sum(grant.amount for grant in self.grant_by_holder.values())
+        return n_open_units + self.n_closed_units
 
     @property
     def n_free_units(self) -> int:
@@ -71,8 +71,8 @@
         still running: its grant continues to count against the limit, and the holder
         loses only the ability to enlarge or return it.
         """
-        closed = [h for h in holder_ids if h in self.grant_by_holder]
-        n_units = sum(self.grant_by_holder[h].amount for h in closed)
-        grants = {h: g for h, g in self.grant_by_holder.items() if h not in closed}
-        n_closed_units = self.n_closed_units + n_units
+        closed_ids = [h for h in holder_ids if h in self.grant_by_holder]
+        n_newly_closed_units = sum(self.grant_by_holder[h].amount for h in closed_ids)
+        grants = {h: g for h, g in self.grant_by_holder.items() if h not in closed_ids}
+        n_closed_units = self.n_closed_units + n_newly_closed_units
         return replace(self, grant_by_holder=grants, n_closed_units=n_closed_units)
--- a/packages/core/src/bluebellusher_core/allowance/tests/test_allowance_machine.py
+++ b/packages/core/src/bluebellusher_core/allowance/tests/test_allowance_machine.py
@@ -11,8 +11,8 @@
 N_ENTRIES = 2
 PERIOD_END_MS = 1_000_000
 entry_indexes = st.integers(0, N_ENTRIES - 1)
-ages = st.sampled_from([0, 0, 0, 1])
-fates = st.sampled_from(["answered", "lost", "delayed"])
+version_lags = st.sampled_from([0, 0, 0, 1])
+deliveries = st.sampled_from(["answered", "lost", "delayed"])
 amounts = st.sampled_from([40, 60])
 
 
@@ -22,11 +22,11 @@
     def __init__(self):
         super().__init__()
         self.history = [(0, None)]
-        self.n_spent_by_gone = 0
+        self.n_spent_by_killed = 0
         self.n_requests = 0
         self.holders = [self._new_holder(i) for i in range(N_ENTRIES)]
-        self.open_by_entry = {i: {} for i in range(N_ENTRIES)}
-        self.delayed = []
+        self.reserved_by_entry = {i: {} for i in range(N_ENTRIES)}
+        self.delayed_writes = []
 
     def _new_holder(self, index):
         holder_id = f"entry-{index}/{len(self.history)}-{self.n_requests}"
@@ -39,51 +39,56 @@
         self.history.append((version + 1, write.row))
         return True
 
-    def _send(self, holder, write, fate):
+    def _send(self, holder, write, delivery):
         if write is None:
             return
-        if fate == "delayed":
-            self.delayed.append(write)
+        if delivery == "delayed":
+            self.delayed_writes.append(write)
             return
         is_applied = self._apply(write)
-        if fate == "lost":
+        if delivery == "lost":
             return
         if is_applied:
             holder.write_succeeded(self.history[-1][0])
         else:
             holder.write_conflicted(*self.history[-1])
 
-    def _read(self, holder, age):
-        holder.observe(*self.history[max(0, len(self.history) - 1 - age)])
+    def _read(self, holder, n_versions_behind):
+        holder.observe(*self.history[max(0, len(self.history) - 1 - n_versions_behind)])
 
-    @rule(index=entry_indexes, age=ages, fate=fates, amount=amounts)
-    def admit(self, index, age, fate, amount):
+    @rule(
+        index=entry_indexes,
+        n_versions_behind=version_lags,
+        delivery=deliveries,
+        amount=amounts,
+    )
+    def admit(self, index, n_versions_behind, delivery, amount):
         """Enlarge the grant for one request, then reserve its units if possible."""
         holder = self.holders[index]
-        self._read(holder, age)
-        self._send(holder, holder.plan_grant(amount), fate)
+        self._read(holder, n_versions_behind)
+        self._send(holder, holder.plan_grant(amount), delivery)
         self.n_requests += 1
         request_id = f"r{self.n_requests}"
         if holder.reserve(request_id, amount, wall_ms=0):
-            self.open_by_entry[index][request_id] = amount
+            self.reserved_by_entry[index][request_id] = amount
 
-    @rule(index=entry_indexes, age=ages, fate=fates)
-    def give_back(self, index, age, fate):
+    @rule(index=entry_indexes, n_versions_behind=version_lags, delivery=deliveries)
+    def return_units(self, index, n_versions_behind, delivery):
         holder = self.holders[index]
-        self._read(holder, age)
-        self._send(holder, holder.plan_return(), fate)
+        self._read(holder, n_versions_behind)
+        self._send(holder, holder.plan_return(), delivery)
 
-    @precondition(lambda self: self.delayed)
+    @precondition(lambda self: self.delayed_writes)
     @rule()
-    def delayed_write_lands(self):
-        self._apply(self.delayed.pop(0))
+    def apply_delayed_write(self):
+        self._apply(self.delayed_writes.pop(0))
 
-    @rule(index=entry_indexes, used=st.sampled_from([0, 100]))
-    def settle(self, index, used):
-        for request_id in list(self.open_by_entry[index])[:1]:
-            del self.open_by_entry[index][request_id]
-            self.holders[index].settle(request_id, used)
-            assert self.holders[index].settle(request_id, used) == 0
+    @rule(index=entry_indexes, n_used_units=st.sampled_from([0, 100]))
+    def settle(self, index, n_used_units):
+        for request_id in list(self.reserved_by_entry[index])[:1]:
+            del self.reserved_by_entry[index][request_id]
+            self.holders[index].settle(request_id, n_used_units)
+            assert self.holders[index].settle(request_id, n_used_units) == 0
 
     @rule(index=entry_indexes)
     def restart(self, index):
@@ -91,13 +96,13 @@
 
         Its reservations count as spent, because it may have used them when killed.
         """
-        self.n_spent_by_gone += self.holders[index].n_spent_units
-        self.n_spent_by_gone += sum(self.open_by_entry[index].values())
-        self.open_by_entry[index] = {}
+        self.n_spent_by_killed += self.holders[index].n_spent_units
+        self.n_spent_by_killed += sum(self.reserved_by_entry[index].values())
+        self.reserved_by_entry[index] = {}
         self.holders[index] = self._new_holder(index)
 
     @rule(index=entry_indexes)
-    def close_holder(self, index):
+    def close_grants(self, index):
         """Close the grants of an entry, whether or not its process has ended."""
         version, row = self.history[-1]
         if row is not None:
@@ -108,9 +113,9 @@
     @invariant()
     def spending_within_limit(self):
         """Guards against spending and reservations that together exceed the budget."""
-        total = self.n_spent_by_gone
+        total = self.n_spent_by_killed
         for index, holder in enumerate(self.holders):
-            total += holder.n_spent_units + sum(self.open_by_entry[index].values())
+            total += holder.n_spent_units + sum(self.reserved_by_entry[index].values())
             assert holder.n_free_units >= 0
         assert total <= LIMIT
 
@@ -129,7 +134,7 @@
     st.integers(1, 8),
     st.lists(st.tuples(st.integers(0, 7), st.integers(1, 40)), min_size=1),
 )
-def test_property_at_most_five_percent_is_stranded(n_entries, spending):
+def test_property_at_most_five_percent_of_a_budget_stays_unspent(n_entries, spending):
     """Guards against a used-up budget of which much is still unspent in grants."""
     limit = 100_000
     holders = [
--- a/packages/core/src/bluebellusher_core/allowance/tests/test_rate_share.py
+++ b/packages/core/src/bluebellusher_core/allowance/tests/test_rate_share.py
@@ -41,17 +41,17 @@
 
 
 @given(st.integers(1, 30), st.integers(1, 6), st.integers(0, 100))
-def test_property_shares_add_up_and_nobody_is_left_out(limit, n_entries, period):
+def test_property_shares_add_up_and_every_entry_gets_one(limit, n_entries, period):
     """Guards against a remainder that is lost, doubled or always at the same entry."""
     shares = _shares(limit, n_entries)
-    assert sum(share.units_in(period) for share in shares) == limit
+    assert sum(share.units_in_period(period) for share in shares) == limit
     for share in shares:
-        assert sum(share.units_in(period + i) for i in range(n_entries)) == limit
-        waited_ms = share.wait_ms(period * PERIOD_MS)
-        assert share.units_in(period + waited_ms // PERIOD_MS) > 0
+        assert sum(share.units_in_period(period + i) for i in range(n_entries)) == limit
+        next_share_ms = share.ms_until_next_share(period * PERIOD_MS)
+        assert share.units_in_period(period + next_share_ms // PERIOD_MS) > 0
 
 
-def test_unused_units_return_and_a_clock_set_back_admits_nothing():
+def test_unused_units_are_returned_and_a_clock_set_back_admits_nothing():
     """Guards against unused units that are lost, and against units used twice."""
     share = RateShare(10, PERIOD_MS, 1, 0)
     assert share.reserve("a", 10, wall_ms=5_000)
@@ -62,7 +62,7 @@
     assert not share.reserve("c", 1, wall_ms=5_300)
 
 
-def test_request_above_a_whole_share_is_paid_by_later_periods():
+def test_request_above_a_whole_share_is_paid_off_by_later_periods():
     """Guards against a long request that is always rejected, or costs nothing."""
     share = RateShare(10, PERIOD_MS, 2, 0)
     assert share.reserve("a", 14, wall_ms=0)
@@ -96,7 +96,7 @@
         RateShare(10, PERIOD_MS, 2, 2)
 
 
-def test_units_of_an_earlier_period_do_not_return_to_this_one():
+def test_units_of_an_earlier_period_are_not_returned_to_the_current_one():
     """Guards against a late settlement that raises the rate of the current period."""
     share = RateShare(10, PERIOD_MS, 1, 0)
     assert share.reserve("a", 10, wall_ms=0)
--- a/packages/entry/src/bluebellusher/allowance/_rates.py
+++ b/packages/entry/src/bluebellusher/allowance/_rates.py
@@ -65,7 +65,7 @@
             if not share.reserve(request_id, n_units, wall_ms):
                 self.settle(draft.customer_id, request_id, 0, is_admitted=False)
                 detail = f"rate of {rate.n_units} {unit} per {rate.period} is used up"
-                wait_ms = share.wait_ms(wall_ms)
+                wait_ms = share.ms_until_next_share(wall_ms)
                 raise BadRequestError(Reason.RATE_LIMITED, detail, wait_ms)
 
     def settle(
