--- a/packages/core/src/bluebellusher_core/rollout/__init__.py
+++ b/packages/core/src/bluebellusher_core/rollout/__init__.py
@@ -3,7 +3,7 @@
 from bluebellusher_core.rollout._change import (
     ChangeProposal,
     ChangeState,
-    ProposalStep,
+    ProposalEffect,
     RowRead,
     StageAt,
     StagedReply,
@@ -20,7 +20,7 @@
     "ChangeProposal",
     "ChangeState",
     "ConfigVersion",
-    "ProposalStep",
+    "ProposalEffect",
     "RowRead",
     "StageAt",
     "StagedReply",
--- a/packages/core/src/bluebellusher_core/rollout/_change.py
+++ b/packages/core/src/bluebellusher_core/rollout/_change.py
@@ -102,7 +102,7 @@
     change_id: str
 
 
-ProposalStep = StageAt | WriteChange
+ProposalEffect = StageAt | WriteChange
 
 
 def resolve_change(change_id: str, rows: RowRead) -> ChangeState | WriteRefusal:
@@ -126,12 +126,12 @@
 
 
 @dataclass(slots=True)
-class _Domain:
+class _DomainStaging:
     """Progress of staging in one failure domain."""
 
-    candidates: list[str]
-    asked_peer: str = ""
-    asked_at_ms: int = 0
+    remaining_peers: list[str]
+    requested_peer: str = ""
+    requested_at_ms: int = 0
     is_staged: bool = False
 
 
@@ -174,16 +174,16 @@
     state: ChangeState = ChangeState.STAGING
     reason: str = ""
     accepted_version: int = 0
-    _domain_by_id: dict[str, _Domain] = field(default_factory=dict)
+    _staging_by_domain: dict[str, _DomainStaging] = field(default_factory=dict)
     _written_at_ms: int | None = None
 
     def __post_init__(self) -> None:
         """Prepare staging, unless the rows already decide the state."""
-        self._domain_by_id = {
-            domain: _Domain(sorted(peers))
+        self._staging_by_domain = {
+            domain: _DomainStaging(sorted(peers))
             for domain, peers in self.peers_by_domain.items()
         }
-        self._judge_rows(self.rows)
+        self._decide_from_rows(self.rows)
 
     @property
     def is_final(self) -> bool:
@@ -192,11 +192,11 @@
 
     def receive_staged(self, reply: StagedReply) -> None:
         """Process the answer of a peer that was asked to stage the change."""
-        domain = self._domain_by_id.get(reply.failure_domain)
-        if domain is None or self.state is not ChangeState.STAGING:
+        staging = self._staging_by_domain.get(reply.failure_domain)
+        if staging is None or self.state is not ChangeState.STAGING:
             return
         if reply.is_staged:
-            domain.is_staged = True
+            staging.is_staged = True
         else:
             # The rules are valid at this entry but not at the peer, so the two run
             # different software. A change must not be accepted for some sites only.
@@ -211,41 +211,41 @@
         elif result.status is WriteStatus.CONFLICT and result.rows is not None:
             self.rows = result.rows
             self._written_at_ms = None
-            self._judge_rows(result.rows)
+            self._decide_from_rows(result.rows)
 
-    def advance(self, now_ms: int) -> list[ProposalStep]:
+    def advance(self, now_ms: int) -> list[ProposalEffect]:
         """Return the effects that are due at ``now_ms``."""
         if self.state is ChangeState.STAGING:
-            steps = self._advance_staging(now_ms)
-            if steps or self.state is not ChangeState.WRITING:
-                return steps
+            effects = self._advance_staging(now_ms)
+            if effects or self.state is not ChangeState.WRITING:
+                return effects
         if self.state is ChangeState.WRITING:
             return self._advance_writing(now_ms)
         return []
 
-    def _advance_staging(self, now_ms: int) -> list[ProposalStep]:
+    def _advance_staging(self, now_ms: int) -> list[ProposalEffect]:
         """Return the staging requests that are due; end staging when all succeeded."""
-        steps: list[ProposalStep] = []
-        for domain_id, domain in self._domain_by_id.items():
-            if domain.is_staged:
+        effects: list[ProposalEffect] = []
+        for domain, staging in self._staging_by_domain.items():
+            if staging.is_staged:
                 continue
-            is_waiting = now_ms - domain.asked_at_ms < STAGE_TIMEOUT_MS
-            if domain.asked_peer and is_waiting:
+            is_waiting = now_ms - staging.requested_at_ms < STAGE_TIMEOUT_MS
+            if staging.requested_peer and is_waiting:
                 continue
-            if not domain.candidates:
+            if not staging.remaining_peers:
                 self._refuse(
-                    f"failure domain {domain_id} does not answer; list it in "
+                    f"failure domain {domain} does not answer; list it in "
                     "without_domains to apply the change without it"
                 )
                 return []
-            domain.asked_peer = domain.candidates.pop(0)
-            domain.asked_at_ms = now_ms
-            steps.append(StageAt(domain.asked_peer))
-        if all(domain.is_staged for domain in self._domain_by_id.values()):
+            staging.requested_peer = staging.remaining_peers.pop(0)
+            staging.requested_at_ms = now_ms
+            effects.append(StageAt(staging.requested_peer))
+        if all(staging.is_staged for staging in self._staging_by_domain.values()):
             self.state = ChangeState.WRITING
-        return steps
+        return effects
 
-    def _advance_writing(self, now_ms: int) -> list[ProposalStep]:
+    def _advance_writing(self, now_ms: int) -> list[ProposalEffect]:
         """Return the write if it is due; end as unknown after the deadline."""
         if now_ms - self.started_at_ms >= CHANGE_DEADLINE_MS:
             self.state = ChangeState.UNKNOWN
@@ -267,7 +267,7 @@
     def _next_version(self) -> int:
         return self.base_version + 1
 
-    def _judge_rows(self, rows: RowRead) -> None:
+    def _decide_from_rows(self, rows: RowRead) -> None:
         """Accept or refuse the change if rows from a read or a conflict decide it."""
         head_version = rows.head.version if rows.head else 0
         if rows.change_version > 0:
--- a/packages/core/src/bluebellusher_core/rollout/_spread.py
+++ b/packages/core/src/bluebellusher_core/rollout/_spread.py
@@ -27,9 +27,9 @@
         Instance ids of the entries in its failure domain that are alive in its view.
     """
     others = (member for member in domain_members if member != instance_id)
-    own = score("config-poll", instance_id)
-    n_before = sum(score("config-poll", other) < own for other in others)
-    return n_before < N_POLLERS_PER_DOMAIN
+    own_hash = score("config-poll", instance_id)
+    n_lower = sum(score("config-poll", other) < own_hash for other in others)
+    return n_lower < N_POLLERS_PER_DOMAIN
 
 
 def choose_fan_out(
@@ -46,8 +46,8 @@
     peers_by_domain: dict[str, list[str]] = {}
     for peer in sorted(domain_by_peer):
         peers_by_domain.setdefault(domain_by_peer[peer], []).append(peer)
-    own = peers_by_domain.pop(own_domain, [])
-    chosen = random_state.sample(own, min(N_FAN_OUT, len(own)))
+    own_peers = peers_by_domain.pop(own_domain, [])
+    chosen = random_state.sample(own_peers, min(N_FAN_OUT, len(own_peers)))
     domains = sorted(peers_by_domain)
     for domain in random_state.sample(domains, min(N_FAN_OUT, len(domains))):
         chosen.append(random_state.choice(peers_by_domain[domain]))
--- a/packages/core/src/bluebellusher_core/rollout/tests/test_rollout_properties.py
+++ b/packages/core/src/bluebellusher_core/rollout/tests/test_rollout_properties.py
@@ -29,19 +29,19 @@
     """Head and change rows, and the earlier heads that a stale read can return."""
 
     def __init__(self):
-        self.head_copies: list[tuple[int, ConfigVersion | None]] = [(0, None)]
+        self.head_history: list[tuple[int, ConfigVersion | None]] = [(0, None)]
         self.version_by_change: dict[str, int] = {}
 
     def read(self, change_id):
-        row_version, head = self.head_copies[-1]
+        row_version, head = self.head_history[-1]
         return RowRead(row_version, head, self.version_by_change.get(change_id, 0))
 
-    def write(self, step: WriteChange) -> bool:
-        is_current = step.head_row_version == self.head_copies[-1][0]
-        if not is_current or step.config.change_id in self.version_by_change:
+    def write(self, effect: WriteChange) -> bool:
+        is_current = effect.head_row_version == self.head_history[-1][0]
+        if not is_current or effect.config.change_id in self.version_by_change:
             return False
-        self.version_by_change[step.config.change_id] = step.config.version
-        self.head_copies.append((step.head_row_version + 1, step.config))
+        self.version_by_change[effect.config.change_id] = effect.config.version
+        self.head_history.append((effect.head_row_version + 1, effect.config))
         return True
 
     def refuse(self, change_id) -> bool:
@@ -59,77 +59,81 @@
         self.now_ms = 0
         self.table = FakeTable()
         self.proposals = []
-        self.late_writes = []
-        self.final_by_change = {}
+        self.delayed_writes = []
+        self.final_state_by_change = {}
         self.entries = [VersionTracker() for _ in DOMAINS]
-        self.highest_run = [0] * len(DOMAINS)
+        self.highest_versions = [0] * len(DOMAINS)
 
-    def apply(self):
+    def propose_change(self):
         """Propose a change to the version in force at a random entry."""
         change_id = f"change-{len(self.proposals)}"
-        base = self.random.choice(self.entries).version
+        base_version = self.random.choice(self.entries).version
         peers = {domain: [f"{domain}-1", f"{domain}-2"] for domain in DOMAINS[1:]}
         rows = self.table.read(change_id)
         proposal = ChangeProposal(
-            change_id, base, change_id, "ana", rows, peers, self.now_ms, 0
+            change_id, base_version, change_id, "ana", rows, peers, self.now_ms, 0
         )
         self.proposals.append(proposal)
 
     def advance(self):
         for proposal in self.proposals[-3:]:
-            for step in proposal.advance(self.now_ms):
-                if isinstance(step, StageAt):
-                    self._stage(proposal, step)
+            for effect in proposal.advance(self.now_ms):
+                if isinstance(effect, StageAt):
+                    self._stage(proposal, effect)
                 else:
-                    self._write(proposal, step)
-            self._record(proposal)
+                    self._write(proposal, effect)
+            self._record_final_state(proposal)
 
-    def _stage(self, proposal, step):
+    def _stage(self, proposal, effect):
         if self.random.random() < 0.8:
-            reply = StagedReply(step.peer_id, step.peer_id[0], True)
+            reply = StagedReply(effect.peer_id, effect.peer_id[0], True)
             proposal.receive_staged(reply)
 
-    def _write(self, proposal, step):
-        fate = self.random.choice(["answered", "lost answer", "late", "dropped"])
-        if fate == "late":
-            self.late_writes.append(step)
-        if fate in ("late", "dropped"):
+    def _write(self, proposal, effect):
+        delivery = self.random.choice(["answered", "lost answer", "late", "dropped"])
+        if delivery == "late":
+            self.delayed_writes.append(effect)
+        if delivery in ("late", "dropped"):
             return
-        is_applied = self.table.write(step)
-        if fate == "lost answer":
+        is_applied = self.table.write(effect)
+        if delivery == "lost answer":
             return
         status = WriteStatus.APPLIED if is_applied else WriteStatus.CONFLICT
         rows = None if is_applied else self.table.read(proposal.change_id)
         proposal.receive_write(WriteResult(status, rows))
 
-    def _record(self, proposal):
+    def _record_final_state(self, proposal):
         if proposal.is_final:
             # After "unknown", a query of the operator may have recorded a final state,
             # while the proposal itself stays unknown.
-            known = self.final_by_change.setdefault(proposal.change_id, proposal.state)
-            assert proposal.state in (known, ChangeState.UNKNOWN)
-
-    def late_write_lands(self):
-        if self.late_writes:
-            index = self.random.randrange(len(self.late_writes))
-            self.table.write(self.late_writes.pop(index))
-
-    def ask_again(self):
-        unknown = [c for c, s in self.final_by_change.items() if s == "unknown"]
-        if not unknown:
+            first_state = self.final_state_by_change.setdefault(
+                proposal.change_id, proposal.state
+            )
+            assert proposal.state in (first_state, ChangeState.UNKNOWN)
+
+    def apply_delayed_write(self):
+        if self.delayed_writes:
+            index = self.random.randrange(len(self.delayed_writes))
+            self.table.write(self.delayed_writes.pop(index))
+
+    def resolve_unknown_change(self):
+        unknown_ids = [
+            c for c, s in self.final_state_by_change.items() if s == "unknown"
+        ]
+        if not unknown_ids:
             return
-        change_id = self.random.choice(unknown)
+        change_id = self.random.choice(unknown_ids)
         state = resolve_change(change_id, self.table.read(change_id))
         if not isinstance(state, ChangeState):
             self.table.refuse(change_id)
             state = resolve_change(change_id, self.table.read(change_id))
-        self.final_by_change[change_id] = state
+        self.final_state_by_change[change_id] = state
 
     def poll(self):
         """Let a random entry read the head, from a stale copy in some cases."""
         index = self.random.randrange(len(self.entries))
-        copies = self.table.head_copies[-3:]
-        _, head = self.random.choice(copies)
+        recent_heads = self.table.head_history[-3:]
+        _, head = self.random.choice(recent_heads)
         if head is not None:
             self.entries[index].offer(head)
 
@@ -138,29 +142,29 @@
         if source.current is not None:
             target.offer(source.current)
 
-    def time_passes(self):
+    def advance_clock(self):
         self.now_ms += self.random.choice([50, 300, 1_100, 11_000])
 
-    def check(self):
+    def check_invariants(self):
         for index, entry in enumerate(self.entries):
-            assert entry.version >= self.highest_run[index]
-            self.highest_run[index] = entry.version
-        versions = [head.version for _, head in self.table.head_copies[1:]]
+            assert entry.version >= self.highest_versions[index]
+            self.highest_versions[index] = entry.version
+        versions = [head.version for _, head in self.table.head_history[1:]]
         assert versions == list(range(1, len(versions) + 1))
-        in_force = {head.change_id for _, head in self.table.head_copies[1:]}
-        for change_id, state in self.final_by_change.items():
+        in_force = {head.change_id for _, head in self.table.head_history[1:]}
+        for change_id, state in self.final_state_by_change.items():
             assert state is not ChangeState.REFUSED or change_id not in in_force
             assert state is not ChangeState.ACCEPTED or change_id in in_force
 
-    def act(self):
+    def run_random_action(self):
         weight_by_action = {
-            self.apply: 1,
+            self.propose_change: 1,
             self.advance: 6,
-            self.late_write_lands: 1,
-            self.ask_again: 1,
+            self.apply_delayed_write: 1,
+            self.resolve_unknown_change: 1,
             self.poll: 3,
             self.gossip: 1,
-            self.time_passes: 3,
+            self.advance_clock: 3,
         }
         actions = list(weight_by_action)
         (action,) = self.random.choices(actions, list(weight_by_action.values()))
@@ -173,8 +177,8 @@
     """Guards against lost, forked and reverted changes when operators race."""
     world = RolloutWorld(Random(seed))
     for _ in range(150):
-        world.act()
-        world.check()
+        world.run_random_action()
+        world.check_invariants()
 
 
 def _proposal(peers, rows=None):
@@ -182,7 +186,7 @@
     return ChangeProposal("c1", 0, "text", "ana", rows, peers, 0, 0)
 
 
-def test_unreachable_failure_domain_refuses_the_change_by_name():
+def test_refused_change_names_the_unreachable_failure_domain():
     """Guards against a change that is accepted although a site cannot apply it."""
     proposal = _proposal({"b": ["b-1", "b-2"]})
     assert proposal.advance(0) == [StageAt("b-1")]
@@ -200,11 +204,11 @@
     proposal.receive_staged(StagedReply("b-1", "b", True))
     assert proposal.advance(10) == []
     proposal.receive_staged(StagedReply("c-1", "c", True))
-    (step,) = proposal.advance(20)
-    assert isinstance(step, WriteChange)
+    (effect,) = proposal.advance(20)
+    assert isinstance(effect, WriteChange)
 
 
-def test_two_changes_with_one_version_are_reported():
+def test_two_changes_with_one_version_raise_an_error():
     """Guards against two changes with one version number that raise no error."""
     tracker = VersionTracker()
     assert tracker.offer(ConfigVersion(1, "c1", "x", "ana", 0))
