--- a/packages/core/src/bluebellusher_core/wire/__init__.py
+++ b/packages/core/src/bluebellusher_core/wire/__init__.py
@@ -10,10 +10,10 @@
     FrameDecoder,
     encode,
     read_message,
-    wrap,
+    wrap_in_envelope,
 )
 from bluebellusher_core.wire._generated.bluebellusher import ttypes as messages
-from bluebellusher_core.wire._pace import FAR_PACE, NEAR_PACE, LinkPace
+from bluebellusher_core.wire._heartbeat import FAR_PACE, NEAR_PACE, LinkPace
 
 __all__ = [
     "FAR_PACE",
@@ -27,5 +27,5 @@
     "messages",
     "read_message",
     "verify_hello",
-    "wrap",
+    "wrap_in_envelope",
 ]
--- a/packages/core/src/bluebellusher_core/wire/_codec.py
+++ b/packages/core/src/bluebellusher_core/wire/_codec.py
@@ -11,7 +11,7 @@
 from bluebellusher_core.wire._generated.bluebellusher import ttypes
 
 MAX_FRAME_BYTES = 16 * 1024 * 1024
-_LENGTH = struct.Struct(">I")
+_LENGTH_PREFIX = struct.Struct(">I")
 _FIELD_NAMES = tuple(spec[2] for spec in ttypes.Envelope.thrift_spec if spec)
 
 
@@ -27,7 +27,7 @@
 }
 
 
-def wrap(message: Any) -> Any:
+def wrap_in_envelope(message: Any) -> Any:
     """Return an ``Envelope`` that holds ``message``.
 
     Raises
@@ -59,12 +59,12 @@
     7
     """
     transport = TMemoryBuffer()
-    wrap(message).write(TBinaryProtocolAccelerated(transport))
+    wrap_in_envelope(message).write(TBinaryProtocolAccelerated(transport))
     payload = transport.getvalue()
     if len(payload) > MAX_FRAME_BYTES:
         reason = f"frame of {len(payload)} bytes: expected at most {MAX_FRAME_BYTES}"
         raise StepError("encode-frame", "", reason)
-    return _LENGTH.pack(len(payload)) + payload
+    return _LENGTH_PREFIX.pack(len(payload)) + payload
 
 
 def read_message(payload: bytes, peer: str) -> Any:
@@ -83,11 +83,11 @@
         # EOFError, struct.error and UnicodeDecodeError.
         reason = f"{type(error).__name__}: expected a Thrift envelope"
         raise StepError("decode-frame", peer, reason) from error
-    found = [name for name in _FIELD_NAMES if getattr(envelope, name) is not None]
-    if len(found) != 1:
-        reason = f"envelope with {len(found)} messages: expected 1"
+    set_fields = [name for name in _FIELD_NAMES if getattr(envelope, name) is not None]
+    if len(set_fields) != 1:
+        reason = f"envelope with {len(set_fields)} messages: expected 1"
         raise StepError("decode-frame", peer, reason)
-    return getattr(envelope, found[0])
+    return getattr(envelope, set_fields[0])
 
 
 class FrameDecoder:
@@ -118,13 +118,13 @@
         self._buffer += data
         messages = []
         position = 0
-        while len(self._buffer) - position >= _LENGTH.size:
-            (length,) = _LENGTH.unpack_from(self._buffer, position)
+        while len(self._buffer) - position >= _LENGTH_PREFIX.size:
+            (length,) = _LENGTH_PREFIX.unpack_from(self._buffer, position)
             if length > self._max_frame_bytes:
                 reason = f"frame of {length} bytes: expected at most "
                 reason += str(self._max_frame_bytes)
                 raise StepError("decode-frame", self._peer, reason)
-            start = position + _LENGTH.size
+            start = position + _LENGTH_PREFIX.size
             end = start + length
             if len(self._buffer) < end:
                 break
--- a/packages/core/src/bluebellusher_core/wire/_heartbeat.py
+++ b/packages/core/src/bluebellusher_core/wire/_heartbeat.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 # Tolerance in milliseconds for heartbeat timers, which fire slightly early or late.
-TIMER_PRECISION_MS = 50
+TIMER_TOLERANCE_MS = 50
 
 
 @dataclass(frozen=True, slots=True)
@@ -12,23 +12,23 @@
 
     Parameters
     ----------
-    heartbeat_ms : int
+    heartbeat_interval_ms : int
         Time in milliseconds without a sent message after which a heartbeat is sent.
     silence_limit_ms : int
         Time in milliseconds without a received message after which the connection is
         closed.
     """
 
-    heartbeat_ms: int
+    heartbeat_interval_ms: int
     silence_limit_ms: int
 
     def is_due(self, sent_at_ms: int, now_ms: int) -> bool:
         """Return whether a heartbeat is due, with a tolerance for early timers."""
-        return now_ms - sent_at_ms >= self.heartbeat_ms - TIMER_PRECISION_MS
+        return now_ms - sent_at_ms >= self.heartbeat_interval_ms - TIMER_TOLERANCE_MS
 
 
-NEAR_PACE = LinkPace(heartbeat_ms=500, silence_limit_ms=2_000)
+NEAR_PACE = LinkPace(heartbeat_interval_ms=500, silence_limit_ms=2_000)
 # For connections between failure domains: every entry is connected to every agent, and
 # traffic between failure domains is expensive. Heartbeats may be rarer there, because a
 # process that waits for an answer does not rely on them.
-FAR_PACE = LinkPace(heartbeat_ms=1_500, silence_limit_ms=5_000)
+FAR_PACE = LinkPace(heartbeat_interval_ms=1_500, silence_limit_ms=5_000)
--- a/packages/core/src/bluebellusher_core/wire/tests/test_wire.py
+++ b/packages/core/src/bluebellusher_core/wire/tests/test_wire.py
@@ -42,7 +42,7 @@
         assert error.peer == "peer"
 
 
-def test_oversize_frame_is_refused_before_it_is_buffered():
+def test_oversize_frame_raises_before_it_is_buffered():
     """Guards against a peer that exhausts memory with a huge frame length."""
     with pytest.raises(StepError, match="expected at most"):
         FrameDecoder("peer").feed(b"\xff\xff\xff\xff")
