Rename private names and tests of spending limits

AllowanceBook becomes AllowanceRegistry and RateLimits RateLimiter; functions of costs, grants and settlement say what they compute or record. Behaviour does not change.

--- a/packages/entry/src/bluebellusher/allowance/__init__.py
+++ b/packages/entry/src/bluebellusher/allowance/__init__.py
@@ -1,8 +1,8 @@
 """Spending limits of customers: rates, budgets in granted allowances, usage records."""
 
-from bluebellusher.allowance._book import Allowance, AllowanceBook
 from bluebellusher.allowance._grants import GrantWriter
+from bluebellusher.allowance._registry import Allowance, AllowanceRegistry
 from bluebellusher.allowance._spending import Spending
 from bluebellusher.allowance._usage import UsageWriter
 
-__all__ = ["Allowance", "AllowanceBook", "GrantWriter", "Spending", "UsageWriter"]
+__all__ = ["Allowance", "AllowanceRegistry", "GrantWriter", "Spending", "UsageWriter"]
--- a/packages/entry/src/bluebellusher/allowance/_costs.py
+++ b/packages/entry/src/bluebellusher/allowance/_costs.py
@@ -6,16 +6,16 @@
 from bluebellusher_core.events import Usage
 from bluebellusher_core.rules import Limit, RuleSet, TokenKind
 
-MICROS_PER_UNIT = 1_000_000
+MICROS_PER_CURRENCY_UNIT = 1_000_000
 
 
-def to_units(limit: Limit) -> int:
+def limit_to_units(limit: Limit) -> int:
     """Convert a limit to tokens or to millionths of the currency."""
-    factor = 1 if limit.is_tokens else MICROS_PER_UNIT
+    factor = 1 if limit.is_tokens else MICROS_PER_CURRENCY_UNIT
     return int(limit.amount * factor)
 
 
-def cost_of(rules: RuleSet, model: str, usage: Usage, is_tokens: bool) -> int:
+def compute_cost(rules: RuleSet, model: str, usage: Usage, is_tokens: bool) -> int:
     """Return the cost of a usage, in tokens or in millionths of the currency.
 
     A price is for one million tokens, so that price times tokens gives millionths of
@@ -23,12 +23,12 @@
     input tokens.
     """
     n_cached = min(usage.n_cached_tokens, usage.n_input_tokens)
-    n_fresh = usage.n_input_tokens - n_cached
+    n_uncached = usage.n_input_tokens - n_cached
     if is_tokens:
-        return n_fresh + n_cached + usage.n_output_tokens
+        return n_uncached + n_cached + usage.n_output_tokens
     prices = rules.price_by_model.get(model, {})
     n_by_kind = {
-        TokenKind.INPUT: n_fresh,
+        TokenKind.INPUT: n_uncached,
         TokenKind.CACHED: n_cached,
         TokenKind.OUTPUT: usage.n_output_tokens,
     }
@@ -39,8 +39,12 @@
     return ceil(total)
 
 
-def worst_cost_of(
-    rules: RuleSet, model: str, n_body_bytes: int, n_max_output: int, is_tokens: bool
+def compute_max_cost(
+    rules: RuleSet,
+    model: str,
+    n_body_bytes: int,
+    n_max_output_tokens: int,
+    is_tokens: bool,
 ) -> int:
     """Return an upper bound of the cost of a request.
 
@@ -48,6 +52,9 @@
     counts at most one token per byte. The entry's own token count of the prompt is only
     an estimate and would not be an upper bound.
     """
-    fresh = Usage(n_body_bytes, 0, n_max_output)
-    cached = Usage(n_body_bytes, n_body_bytes, n_max_output)
-    return max(cost_of(rules, model, usage, is_tokens) for usage in (fresh, cached))
+    uncached_usage = Usage(n_body_bytes, 0, n_max_output_tokens)
+    cached_usage = Usage(n_body_bytes, n_body_bytes, n_max_output_tokens)
+    return max(
+        compute_cost(rules, model, usage, is_tokens)
+        for usage in (uncached_usage, cached_usage)
+    )
--- a/packages/entry/src/bluebellusher/allowance/_grants.py
+++ b/packages/entry/src/bluebellusher/allowance/_grants.py
@@ -5,7 +5,7 @@
 from random import Random
 from typing import Any
 
-from bluebellusher.allowance._book import Allowance, AllowanceBook
+from bluebellusher.allowance._registry import Allowance, AllowanceRegistry
 from bluebellusher.platform import PlatformClient, TransactConflictError
 from bluebellusher_core.allowance import AllowanceRow, AllowanceWrite, Grant
 from bluebellusher_core.clock import Clock
@@ -16,12 +16,12 @@
 # Interval in milliseconds between reads of a row without free units, in which other
 # entries may have returned units.
 READ_INTERVAL_MS = 1_000
-GRANT_WAIT_MS = 1_500
-RETURN_LIMIT_MS = 3_000
+GRANT_TIMEOUT_MS = 1_500
+RETURN_TIMEOUT_MS = 3_000
 # Number of consecutive failures after which the table counts as unavailable. It is
 # above 1 because a single lost answer must not reject requests of customers.
-_N_FAILURES_DOWN = 2
-_MAX_CONFLICTS = 4
+_N_FAILURES_UNAVAILABLE = 2
+_MAX_WRITES_PER_CYCLE = 4
 
 
 class GrantWriter:
@@ -29,7 +29,7 @@
 
     Parameters
     ----------
-    book : AllowanceBook
+    registry : AllowanceRegistry
         Allowances of this entry.
     platform : PlatformClient
         Client of the table.
@@ -42,23 +42,23 @@
 
     def __init__(
         self,
-        book: AllowanceBook,
+        registry: AllowanceRegistry,
         platform: PlatformClient,
         clock: Clock,
         random_state: Random,
     ) -> None:
-        self._book = book
+        self._registry = registry
         self._platform = platform
         self._clock = clock
         self._random_state = random_state
-        self._woken = asyncio.Event()
+        self._wake_event = asyncio.Event()
         self._cycle_ended = asyncio.Event()
         self._n_failures = 0
 
     @property
-    def is_table_down(self) -> bool:
+    def is_table_unavailable(self) -> bool:
         """Return whether several successive calls to the table have failed."""
-        return self._n_failures >= _N_FAILURES_DOWN
+        return self._n_failures >= _N_FAILURES_UNAVAILABLE
 
     async def reserve(
         self, allowance: Allowance, request_id: str, n_units: int
@@ -69,9 +69,9 @@
         -------
         bool
             False when the budget has no free units, the month has ended, the table is
-            unavailable or the timeout ``GRANT_WAIT_MS`` has passed.
+            unavailable or the timeout ``GRANT_TIMEOUT_MS`` has passed.
         """
-        until_ms = self._clock.now_ms() + GRANT_WAIT_MS
+        timeout_at_ms = self._clock.now_ms() + GRANT_TIMEOUT_MS
         while True:
             now_ms = allowance.used_at_ms = self._clock.now_ms()
             wall_ms = self._clock.wall_ms()
@@ -81,12 +81,12 @@
             is_empty = empty_at_ms is not None and (
                 now_ms - empty_at_ms < READ_INTERVAL_MS
             )
-            is_over = wall_ms >= allowance.period_end_ms or now_ms >= until_ms
-            if is_empty or is_over or self.is_table_down:
+            is_too_late = wall_ms >= allowance.period_end_ms or now_ms >= timeout_at_ms
+            if is_empty or is_too_late or self.is_table_unavailable:
                 return False
             allowance.demand += n_units
             try:
-                await self._wait_for_cycle((until_ms - now_ms) / 1000)
+                await self._wait_for_cycle((timeout_at_ms - now_ms) / 1000)
             finally:
                 allowance.demand -= n_units
 
@@ -95,51 +95,51 @@
         while True:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(IDLE_INTERVAL_S * self._jitter()):
-                    await self._woken.wait()
-            self._woken.clear()
-            self._book.drop_ended()
-            await self.write_due(is_returning=False)
-            pause_s = MIN_INTERVAL_S * 2 ** min(self._n_failures, 16)
-            await asyncio.sleep(min(pause_s, MAX_BACKOFF_S) * self._jitter())
-
-    async def return_all(self) -> None:
-        """Return unused units at shutdown, for at most ``RETURN_LIMIT_MS``."""
-        until_ms = self._clock.now_ms() + RETURN_LIMIT_MS
-        while self._clock.now_ms() < until_ms:
-            if not await self.write_due(is_returning=True):
+                    await self._wake_event.wait()
+            self._wake_event.clear()
+            self._registry.discard_past_months()
+            await self.write_due_grants(is_returning=False)
+            delay_s = MIN_INTERVAL_S * 2 ** min(self._n_failures, 16)
+            await asyncio.sleep(min(delay_s, MAX_BACKOFF_S) * self._jitter())
+
+    async def return_all_grants(self) -> None:
+        """Return unused units at shutdown, for at most ``RETURN_TIMEOUT_MS``."""
+        timeout_at_ms = self._clock.now_ms() + RETURN_TIMEOUT_MS
+        while self._clock.now_ms() < timeout_at_ms:
+            if not await self.write_due_grants(is_returning=True):
                 return
             await asyncio.sleep(MIN_INTERVAL_S)
 
-    async def write_due(self, is_returning: bool) -> bool:
+    async def write_due_grants(self, is_returning: bool) -> bool:
         """Plan and write the due grants; return whether any was due.
 
-        Writes that conflict are planned and sent again, up to ``_MAX_CONFLICTS`` times
-        in total.
+        After a conflict, the writes are planned and sent again. There are at most
+        ``_MAX_WRITES_PER_CYCLE`` transactions in total.
         """
         is_any_due = False
-        for _ in range(_MAX_CONFLICTS):
-            write_by_key = await self._plan(is_returning)
+        for _ in range(_MAX_WRITES_PER_CYCLE):
+            write_by_key = await self._plan_writes(is_returning)
             is_any_due = is_any_due or bool(write_by_key)
-            if not write_by_key or await self._write(write_by_key):
+            if not write_by_key or await self._send_writes(write_by_key):
                 break
             await asyncio.sleep(MIN_INTERVAL_S * self._random_state.random())
-        ended, self._cycle_ended = self._cycle_ended, asyncio.Event()
-        ended.set()
+        cycle_ended, self._cycle_ended = self._cycle_ended, asyncio.Event()
+        cycle_ended.set()
         return is_any_due
 
-    async def _wait_for_cycle(self, limit_s: float) -> None:
-        """Start a cycle of writes and wait at most ``limit_s`` seconds for its end."""
-        ended = self._cycle_ended
-        self._woken.set()
+    async def _wait_for_cycle(self, timeout_s: float) -> None:
+        """Start a cycle of writes and wait for its end, at most ``timeout_s`` s."""
+        cycle_ended = self._cycle_ended
+        self._wake_event.set()
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(limit_s):
-                await ended.wait()
+            async with asyncio.timeout(timeout_s):
+                await cycle_ended.wait()
 
-    async def _plan(self, is_returning: bool) -> dict[str, AllowanceWrite]:
+    async def _plan_writes(self, is_returning: bool) -> dict[str, AllowanceWrite]:
         """Return the due writes by key; ``is_returning`` returns all unused units."""
         write_by_key = {}
         now_ms = self._clock.now_ms()
-        for key, allowance in list(self._book.allowance_by_key.items()):
+        for key, allowance in list(self._registry.allowance_by_key.items()):
             if is_returning or allowance.is_idle(now_ms):
                 write = allowance.holder.plan_return()
             else:
@@ -158,28 +158,28 @@
         read_at_ms = allowance.read_at_ms
         if read_at_ms is None or now_ms - read_at_ms >= READ_INTERVAL_MS:
             result = await self._platform.read_row(allowance.key)
-            self._note(result.is_ok())
+            self._record_answer(result.is_ok())
             if not result.is_ok():
                 return None
             allowance.read_at_ms = now_ms
-            holder.observe(result.ok.version, _read_row(result.ok.value))
+            holder.observe(result.ok.version, _parse_row(result.ok.value))
             write = holder.plan_grant(demand)
         if write is None:
             allowance.empty_at_ms = now_ms
         return write
 
-    async def _write(self, write_by_key: dict[str, AllowanceWrite]) -> bool:
+    async def _send_writes(self, write_by_key: dict[str, AllowanceWrite]) -> bool:
         """Send the writes; return False when a conflict requires planning again."""
         conditions = {key: write.row_version for key, write in write_by_key.items()}
-        puts = {key: _to_value(write.row) for key, write in write_by_key.items()}
+        puts = {key: _to_row_value(write.row) for key, write in write_by_key.items()}
         result = await self._platform.transact(conditions, puts)
         holder_by_key = {
-            key: self._book.allowance_by_key[key].holder
+            key: self._registry.allowance_by_key[key].holder
             for key in write_by_key
-            if key in self._book.allowance_by_key
+            if key in self._registry.allowance_by_key
         }
         if result.is_ok():
-            self._note(True)
+            self._record_answer(True)
             for holder in holder_by_key.values():
                 holder.write_succeeded(result.ok)
             return True
@@ -187,16 +187,16 @@
         if not isinstance(error, TransactConflictError):
             # The writes stay pending and are sent again unchanged. Sequence numbers in
             # the rows show whether they took effect.
-            self._note(False)
+            self._record_answer(False)
             return True
-        self._note(True)
+        self._record_answer(True)
         for row in error.conflicts:
             if row.key in holder_by_key:
-                value = _read_row(row.value)
+                value = _parse_row(row.value)
                 holder_by_key[row.key].write_conflicted(row.version, value)
         return False
 
-    def _note(self, is_answered: bool) -> None:
+    def _record_answer(self, is_answered: bool) -> None:
         """Record whether a call to the table was answered."""
         self._n_failures = 0 if is_answered else self._n_failures + 1
 
@@ -205,7 +205,7 @@
         return 0.5 + self._random_state.random()
 
 
-def _to_value(row: AllowanceRow) -> dict[str, Any]:
+def _to_row_value(row: AllowanceRow) -> dict[str, Any]:
     return {
         "limit": row.limit,
         "config_version": row.config_version,
@@ -214,7 +214,7 @@
     }
 
 
-def _read_row(value: Any) -> AllowanceRow | None:
+def _parse_row(value: Any) -> AllowanceRow | None:
     if value is None:
         return None
     return AllowanceRow(
--- a/packages/entry/src/bluebellusher/allowance/_rates.py
+++ b/packages/entry/src/bluebellusher/allowance/_rates.py
@@ -10,7 +10,7 @@
 REQUESTS_UNIT = "requests"
 
 
-class RateLimits:
+class RateLimiter:
     """Limiter that admits requests within this entry's shares of the rates in force.
 
     Parameters
@@ -30,7 +30,7 @@
         self._share_by_key: dict[tuple[str, str], RateShare] = {}
 
     @classmethod
-    def from_settings(cls, settings: Settings, clock: Clock) -> "RateLimits":
+    def from_settings(cls, settings: Settings, clock: Clock) -> "RateLimiter":
         """Create a limiter with the index of this entry in the sorted peer addresses.
 
         Every entry has to list its peers under the addresses on which they listen.
@@ -53,15 +53,15 @@
             When a share of the current period is used up. Units that were already
             reserved for the request are then returned.
         """
-        need_by_unit = {REQUESTS_UNIT: 1}
+        n_needed_by_unit = {REQUESTS_UNIT: 1}
         if draft.model:
-            need_by_unit[TOKENS_UNIT] = n_tokens
+            n_needed_by_unit[TOKENS_UNIT] = n_tokens
         wall_ms = self._clock.wall_ms()
-        for unit, n_units in need_by_unit.items():
+        for unit, n_units in n_needed_by_unit.items():
             rate = rules.rate_by_customer.get((draft.customer_id, unit))
             if rate is None:
                 continue
-            share = self._find_share(rate)
+            share = self._get_share(rate)
             if not share.reserve(request_id, n_units, wall_ms):
                 self.settle(draft.customer_id, request_id, 0, is_admitted=False)
                 detail = f"rate of {rate.n_units} {unit} per {rate.period} is used up"
@@ -81,14 +81,14 @@
         reserved tokens count as used. A request that was not admitted also returns its
         unit of the rate of requests. A repeated call has no effect.
         """
-        tokens = self._share_by_key.get((customer_id, TOKENS_UNIT))
-        if tokens is not None:
-            tokens.settle(request_id, n_tokens)
-        requests = self._share_by_key.get((customer_id, REQUESTS_UNIT))
-        if requests is not None:
-            requests.settle(request_id, 1 if is_admitted else 0)
+        token_share = self._share_by_key.get((customer_id, TOKENS_UNIT))
+        if token_share is not None:
+            token_share.settle(request_id, n_tokens)
+        request_share = self._share_by_key.get((customer_id, REQUESTS_UNIT))
+        if request_share is not None:
+            request_share.settle(request_id, 1 if is_admitted else 0)
 
-    def _find_share(self, rate: Rate) -> RateShare:
+    def _get_share(self, rate: Rate) -> RateShare:
         key = (rate.customer, rate.unit)
         share = self._share_by_key.get(key)
         period_ms = rate.period_s * 1000
--- a/packages/entry/src/bluebellusher/allowance/_book.py
+++ b/packages/entry/src/bluebellusher/allowance/_registry.py
@@ -4,7 +4,7 @@
 from datetime import UTC, datetime
 from zoneinfo import ZoneInfo
 
-from bluebellusher.allowance._costs import to_units
+from bluebellusher.allowance._costs import limit_to_units
 from bluebellusher_core.allowance import IDLE_RETURN_MS, AllowanceHolder
 from bluebellusher_core.billing import Month
 from bluebellusher_core.clock import Clock
@@ -49,7 +49,7 @@
         return not self.demand and now_ms - self.used_at_ms >= IDLE_RETURN_MS
 
 
-class AllowanceBook:
+class AllowanceRegistry:
     """Allowances of all customers at one entry for the current month.
 
     Parameters
@@ -70,7 +70,7 @@
         self._month: Month | None = None
         self._month_end_ms = 0
 
-    def find(
+    def get_or_create(
         self, customer: str, part: str, limit: Limit, rules: RuleSet, version: int
     ) -> Allowance:
         """Return the allowance of a customer for the current month, with this limit.
@@ -95,7 +95,7 @@
         # A budget whose unit changes within a month becomes a separate allowance.
         key = f"allowance/{customer}/{month}/{part}/{limit.unit}"
         allowance = self.allowance_by_key.get(key)
-        n_units = to_units(limit)
+        n_units = limit_to_units(limit)
         if allowance is None:
             holder = AllowanceHolder(
                 self._holder_id, n_units, version, self._month_end_ms, self._n_entries
@@ -108,7 +108,7 @@
         allowance.holder.update_limit(n_units, version)
         return allowance
 
-    def drop_ended(self) -> None:
+    def discard_past_months(self) -> None:
         """Discard the allowances of past months.
 
         Requests that are still running keep a reference to their allowance. The unspent
--- a/packages/entry/src/bluebellusher/allowance/_spending.py
+++ b/packages/entry/src/bluebellusher/allowance/_spending.py
@@ -6,10 +6,10 @@
 from dataclasses import dataclass, replace
 from random import Random
 
-from bluebellusher.allowance._book import Allowance, AllowanceBook
-from bluebellusher.allowance._costs import cost_of, worst_cost_of
+from bluebellusher.allowance._costs import compute_cost, compute_max_cost
 from bluebellusher.allowance._grants import GrantWriter
-from bluebellusher.allowance._rates import RateLimits
+from bluebellusher.allowance._rates import RateLimiter
+from bluebellusher.allowance._registry import Allowance, AllowanceRegistry
 from bluebellusher.allowance._usage import UsageWriter
 from bluebellusher.platform import PlatformClient
 from bluebellusher.rollout import ConfigInForce
@@ -48,13 +48,13 @@
     ----------
     in_force : ConfigInForce
         Source of the rules.
-    book : AllowanceBook
+    registry : AllowanceRegistry
         Allowances of this entry.
     grants : GrantWriter
         Writer that enlarges and returns grants.
     usage : UsageWriter
         Writer that stores the usage of requests.
-    rates : RateLimits
+    rates : RateLimiter
         Limiter for the rates.
     clock : Clock
         Monotonic time for the wait for a grant, wall time for the end of the month.
@@ -63,14 +63,14 @@
     def __init__(
         self,
         in_force: ConfigInForce,
-        book: AllowanceBook,
+        registry: AllowanceRegistry,
         grants: GrantWriter,
         usage: UsageWriter,
-        rates: RateLimits,
+        rates: RateLimiter,
         clock: Clock,
     ) -> None:
         self._in_force = in_force
-        self._book = book
+        self._registry = registry
         self._grants = grants
         self._usage = usage
         self._rates = rates
@@ -91,12 +91,12 @@
     ) -> "Spending":
         """Create the limiter and its writers from the parts of an entry."""
         instance = f"{settings.instance_id}/{incarnation}"
-        book = AllowanceBook(instance, len(settings.peers) + 1, clock)
-        grants = GrantWriter(book, platform, clock, random_state)
+        registry = AllowanceRegistry(instance, len(settings.peers) + 1, clock)
+        grants = GrantWriter(registry, platform, clock, random_state)
         prefix = f"usage/{settings.failure_domain}/{instance}"
         usage = UsageWriter(prefix, platform, clock, random_state)
-        rates = RateLimits.from_settings(settings, clock)
-        return cls(in_force, book, grants, usage, rates, clock)
+        rates = RateLimiter.from_settings(settings, clock)
+        return cls(in_force, registry, grants, usage, rates, clock)
 
     def start(self) -> None:
         """Start the tasks that write grants and store usage."""
@@ -113,7 +113,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        await self._grants.return_all()
+        await self._grants.return_all_grants()
         for _ in range(_FLUSH_ATTEMPTS):
             if await self._usage.flush():
                 return
@@ -143,7 +143,7 @@
         started_at_ms = self._clock.now_ms()
         self._admit_by_rate(request_id, draft)
         try:
-            draft = await self._admit(request_id, draft, reparse)
+            draft = await self._admit_by_budget(request_id, draft, reparse)
         except BaseException:
             # Also on cancellation, when the caller disconnects during the wait.
             self._settle_rates(request_id, 0, is_admitted=False)
@@ -155,7 +155,7 @@
     def _admit_by_rate(self, request_id: str, draft: RequestDraft) -> None:
         """Reserve the request in the rates; raise BadRequestError above a rate."""
         rules = self._in_force.rules
-        n_tokens = _worst(rules, draft, is_tokens=True) if draft.model else 0
+        n_tokens = _max_cost(rules, draft, is_tokens=True) if draft.model else 0
         self._rates.admit(request_id, draft, n_tokens, rules)
         self._customer_by_rated_request[request_id] = draft.customer_id
 
@@ -167,7 +167,7 @@
         if customer_id is not None:
             self._rates.settle(customer_id, request_id, n_tokens, is_admitted)
 
-    async def _admit(
+    async def _admit_by_budget(
         self,
         request_id: str,
         draft: RequestDraft,
@@ -179,11 +179,11 @@
         if not draft.model or not version:
             return draft
         if budget is None:
-            self._note_free(request_id, draft, rules, version, "none")
+            self._record_unlimited(request_id, draft, rules, version, "none")
             return draft
         if await self._reserve(request_id, draft, "budget", budget.limit):
             return draft
-        return await self._continue(request_id, draft, reparse)
+        return await self._apply_exhausted_rule(request_id, draft, reparse)
 
     def settle(self, request_id: str, outcome: str, exchange: Exchange | None) -> None:
         """Replace the reservation of a request by its cost, and record its usage.
@@ -191,7 +191,7 @@
         A request that certainly did not run costs nothing. A request whose usage is
         unknown costs its whole reservation. A repeated call has no effect.
         """
-        usage = _find_usage(outcome, exchange)
+        usage = _determine_usage(outcome, exchange)
         n_tokens = None
         if usage is not None:
             n_tokens = usage.n_input_tokens + usage.n_output_tokens
@@ -199,26 +199,26 @@
         reservation = self._reservation_by_request_id.pop(request_id, None)
         if reservation is None:
             return
-        charged = reservation.n_units
+        n_charged = reservation.n_units
         if usage is not None:
-            charged = cost_of(
+            n_charged = compute_cost(
                 reservation.rules,
                 reservation.model,
                 usage,
                 reservation.unit == "tokens",
             )
         if reservation.allowance is not None:
-            charged = reservation.allowance.holder.settle(request_id, charged)
+            n_charged = reservation.allowance.holder.settle(request_id, n_charged)
         if usage is None or usage != Usage():
             self._usage.add(
                 reservation.customer_id,
                 reservation.model,
                 reservation.config_version,
-                (reservation.part, reservation.unit, charged),
+                (reservation.part, reservation.unit, n_charged),
                 usage,
             )
 
-    async def _continue(
+    async def _apply_exhausted_rule(
         self,
         request_id: str,
         draft: RequestDraft,
@@ -228,7 +228,7 @@
         rules, version = self._in_force.rules, self._in_force.version
         rule = rules.exhausted_by_customer.get(draft.customer_id)
         if rule is None or rule.action is ExhaustedAction.REFUSE:
-            raise self._exhausted(rules)
+            raise self._exhausted_error(rules)
         if rule.action is ExhaustedAction.LOWER_PRIORITY:
             draft = replace(draft, priority=Priority.LOW)
         elif rule.model is not None:
@@ -236,9 +236,9 @@
             document["model"] = rule.model
             draft = reparse(json.dumps(document).encode())
         if rule.limit is None:
-            self._note_free(request_id, draft, rules, version, "extra")
+            self._record_unlimited(request_id, draft, rules, version, "extra")
         elif not await self._reserve(request_id, draft, "extra", rule.limit):
-            raise self._exhausted(rules)
+            raise self._exhausted_error(rules)
         return draft
 
     async def _reserve(
@@ -247,8 +247,8 @@
         """Reserve the maximum cost in a part of the budget; return whether it fits."""
         rules, version = self._in_force.rules, self._in_force.version
         customer = draft.customer_id
-        allowance = self._book.find(customer, part, limit, rules, version)
-        n_units = _worst(rules, draft, limit.is_tokens)
+        allowance = self._registry.get_or_create(customer, part, limit, rules, version)
+        n_units = _max_cost(rules, draft, limit.is_tokens)
         if not await self._grants.reserve(allowance, request_id, n_units):
             return False
         self._reservation_by_request_id[request_id] = _Reservation(
@@ -256,7 +256,7 @@
         )
         return True
 
-    def _note_free(
+    def _record_unlimited(
         self,
         request_id: str,
         draft: RequestDraft,
@@ -265,7 +265,7 @@
         part: str,
     ) -> None:
         """Record a request to which no limit of money or tokens applies."""
-        n_units = _worst(rules, draft, is_tokens=False)
+        n_units = _max_cost(rules, draft, is_tokens=False)
         self._reservation_by_request_id[request_id] = _Reservation(
             None,
             draft.customer_id,
@@ -277,24 +277,28 @@
             n_units,
         )
 
-    def _exhausted(self, rules: RuleSet) -> BadRequestError:
+    def _exhausted_error(self, rules: RuleSet) -> BadRequestError:
         """Return the rejection of a request that the budget does not cover."""
-        if self._grants.is_table_down:
+        if self._grants.is_table_unavailable:
             detail = "the grant of this entry is used up, and the table is unavailable"
             return BadRequestError(Reason.BUDGET_EXHAUSTED, detail, OUTAGE_RETRY_MS)
-        left_ms = self._book.month_end_ms(rules.month_zone) - self._clock.wall_ms()
+        until_month_end_ms = (
+            self._registry.month_end_ms(rules.month_zone) - self._clock.wall_ms()
+        )
         detail = "the budget of the month does not cover this request"
-        return BadRequestError(Reason.BUDGET_EXHAUSTED, detail, max(left_ms, 1_000))
+        return BadRequestError(
+            Reason.BUDGET_EXHAUSTED, detail, max(until_month_end_ms, 1_000)
+        )
 
 
-def _worst(rules: RuleSet, draft: RequestDraft, is_tokens: bool) -> int:
+def _max_cost(rules: RuleSet, draft: RequestDraft, is_tokens: bool) -> int:
     """Return the maximum cost of a request, in tokens or millionths of the currency."""
-    return worst_cost_of(
+    return compute_max_cost(
         rules, draft.model, len(draft.body), draft.n_max_output_tokens, is_tokens
     )
 
 
-def _find_usage(outcome: str, exchange: Exchange | None) -> Usage | None:
+def _determine_usage(outcome: str, exchange: Exchange | None) -> Usage | None:
     """Return the tokens that a request used, or ``None`` when they are unknown."""
     if exchange is None or not exchange.endpoint_by_attempt_id:
         return Usage()
--- a/packages/entry/src/bluebellusher/allowance/_usage.py
+++ b/packages/entry/src/bluebellusher/allowance/_usage.py
@@ -16,7 +16,7 @@
 # Maximum number of sealed objects that wait while the object store refuses them. Later
 # usage is added to the unsealed sums, whose number is bounded by customers, models and
 # hours.
-_MAX_SEALED = 4
+_MAX_SEALED_OBJECTS = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,8 +70,8 @@
         self._clock = clock
         self._random_state = random_state
         self._sum_by_key: dict[UsageKey, UsageSum] = {}
-        self._sealed: deque[tuple[str, bytes]] = deque()
-        self._n_sealed = 0
+        self._sealed_objects: deque[tuple[str, bytes]] = deque()
+        self._n_object_names = 0
 
     def add(
         self,
@@ -120,30 +120,30 @@
     async def flush(self) -> bool:
         """Seal the sums and send all sealed objects; return whether all are stored."""
         self._seal()
-        while self._sealed:
-            name, data = self._sealed[0]
+        while self._sealed_objects:
+            name, data = self._sealed_objects[0]
             result = await self._platform.put_object(name, data)
             if not result.is_ok() and not isinstance(result.error, ObjectExistsError):
                 return False
             # Different content under the name means that another process uses the same
             # instance id and incarnation. The object is stored under the next name.
-            self._sealed.popleft()
+            self._sealed_objects.popleft()
             if not result.is_ok():
-                self._sealed.appendleft((self._next_name(), data))
+                self._sealed_objects.appendleft((self._next_name(), data))
         return not self._sum_by_key
 
     def _seal(self) -> None:
         """Move the sums into a sealed object, unless too many of them are waiting."""
-        if not self._sum_by_key or len(self._sealed) >= _MAX_SEALED:
+        if not self._sum_by_key or len(self._sealed_objects) >= _MAX_SEALED_OBJECTS:
             return
         records = [_to_json(key, total) for key, total in self._sum_by_key.items()]
         self._sum_by_key = {}
         data = json.dumps({"records": records}, sort_keys=True).encode()
-        self._sealed.append((self._next_name(), data))
+        self._sealed_objects.append((self._next_name(), data))
 
     def _next_name(self) -> str:
-        self._n_sealed += 1
-        return f"{self._prefix}/{self._n_sealed}"
+        self._n_object_names += 1
+        return f"{self._prefix}/{self._n_object_names}"
 
 
 def _to_json(key: UsageKey, total: UsageSum) -> dict[str, Any]:
--- a/packages/entry/src/bluebellusher/allowance/tests/fakes.py
+++ b/packages/entry/src/bluebellusher/allowance/tests/fakes.py
@@ -12,7 +12,7 @@
 from bluebellusher_standins._table import Table
 
 
-def rules(budget: str, exhausted: str = "refuse") -> str:
+def make_rules_text(budget: str, exhausted: str = "refuse") -> str:
     """Return rules text with a budget and a when-exhausted rule of customer c1."""
     lines = [
         "currency JPY",
@@ -69,11 +69,11 @@
         rows = tuple(Row(r.key, r.version, r.value) for r in answer)
         return Error(TransactConflictError("transact", "table", rows))
 
-    def _answer(self, do):
+    def _answer(self, execute):
         fault = self.faults.pop(0) if self.faults else "ok"
         if fault == "down":
             return Error(PlatformNotDoneError("call", "platform", "down"))
-        answer = do()
+        answer = execute()
         if fault == "lost":
             return Error(PlatformOutcomeUnknownError("call", "platform", "lost"))
         return answer
--- a/packages/entry/src/bluebellusher/allowance/tests/test_budget_processes.py
+++ b/packages/entry/src/bluebellusher/allowance/tests/test_budget_processes.py
@@ -6,7 +6,7 @@
 
 import aiohttp
 
-from bluebellusher.allowance.tests.fakes import rules
+from bluebellusher.allowance.tests.fakes import make_rules_text
 from bluebellusher_standins.cluster import HOST, Cluster
 
 KEY = {"Authorization": "Bearer key-of-c1"}
@@ -15,7 +15,7 @@
 N_TOKENS = 20
 
 
-def run(scenario, n_entries: int, budget: int) -> None:
+def run_scenario(scenario, n_entries: int, budget: int) -> None:
     """Run a scenario with entries of one domain that have the rules in force."""
 
     async def inner() -> None:
@@ -31,7 +31,7 @@
                 for i, port in enumerate(ports)
             ]
             body = {"change_id": "one", "base_version": 0, "author": "Mio"}
-            body = {**body, "rules_text": rules(f"{budget} tokens")}
+            body = {**body, "rules_text": make_rules_text(f"{budget} tokens")}
             url = f"http://{HOST}:{entries[0].port}/admin/rules"
             async with session.post(url, json=body, headers=OPERATOR) as answer:
                 assert answer.status == 200, await answer.text()
@@ -42,7 +42,7 @@
     asyncio.run(inner())
 
 
-async def ask(session, entry):
+async def send_request(session, entry):
     """Send a request for ``N_TOKENS`` tokens; return the status and the headers."""
     message = {"role": "user", "content": "hello"}
     body = {"model": "model-a", "messages": [message], "max_tokens": N_TOKENS}
@@ -52,29 +52,31 @@
         return answer.status, answer.headers
 
 
-async def spend(session, entry, n_requests: int) -> int:
+async def send_requests(session, entry, n_requests: int) -> int:
     """Send requests, 5 at a time, until one is rejected; return the number that ran."""
-    n_done = 0
+    n_completed = 0
     for _ in range(0, n_requests, 5):
-        answers = await asyncio.gather(*(ask(session, entry) for _ in range(5)))
+        answers = await asyncio.gather(
+            *(send_request(session, entry) for _ in range(5))
+        )
         assert {status for status, _ in answers} <= {200, 429}
-        n_done += sum(status == 200 for status, _ in answers)
+        n_completed += sum(status == 200 for status, _ in answers)
         if any(status == 429 for status, _ in answers):
             break
-    return n_done
+    return n_completed
 
 
-async def spend_rest(session, entry):
+async def send_until_rejected(session, entry):
     """Send requests one at a time until one is rejected.
 
     Concurrent requests reserve more units than they use, and the unused ones become
     free again. The result is the number that ran and the headers of the rejection.
     """
-    for n_done in range(1_000):
-        status, headers = await ask(session, entry)
+    for n_completed in range(1_000):
+        status, headers = await send_request(session, entry)
         if status != 200:
             assert status == 429
-            return n_done, headers
+            return n_completed, headers
     raise AssertionError("none of 1000 requests was rejected")
 
 
@@ -95,7 +97,7 @@
     return [record for page in pages for record in page["records"]]
 
 
-async def read_granted(session, cluster) -> int:
+async def read_granted_units(session, cluster) -> int:
     """Return the sum in units of all grants in the table."""
     rows = await read_platform(session, cluster, "/table/rows", prefix="allowance/")
     (row,) = rows["rows"]
@@ -109,63 +111,67 @@
         assert answer.status == 200
 
 
-def test_budget_holds_with_an_entry_killed_and_one_frozen():
+def test_budget_is_kept_with_an_entry_killed_and_one_frozen():
     """Guards against an entry that spends units since granted to another entry."""
     budget = 4_000
 
     async def scenario(cluster, session, entries):
-        n_done = sum([await spend(session, entry, 20) for entry in entries])
-        assert n_done == 60
+        n_completed = sum(
+            [await send_requests(session, entry, 20) for entry in entries]
+        )
+        assert n_completed == 60
         entries[1].signal(signal.SIGSTOP)
         entries[2].signal(signal.SIGKILL)
-        n_done += await spend(session, entries[0], 1_000)
-        n_more, headers = await spend_rest(session, entries[0])
+        n_completed += await send_requests(session, entries[0], 1_000)
+        n_completed_singly, headers = await send_until_rejected(session, entries[0])
         assert int(headers["Retry-After"]) > 0
         entries[1].signal(signal.SIGCONT)
-        n_done += n_more + (await spend_rest(session, entries[1]))[0]
-        assert await read_granted(session, cluster) <= budget
+        n_completed += (
+            n_completed_singly + (await send_until_rejected(session, entries[1]))[0]
+        )
+        assert await read_granted_units(session, cluster) <= budget
         # Every answer used all its output tokens and at least one input token.
-        assert n_done * (N_TOKENS + 1) <= budget
+        assert n_completed * (N_TOKENS + 1) <= budget
         for entry in entries[:2]:
             await entry.stop()
         records = await read_usage(session, cluster)
         n_recorded = sum(r["n_charged_units"] for r in records)
-        assert n_recorded <= await read_granted(session, cluster) <= budget
+        assert n_recorded <= await read_granted_units(session, cluster) <= budget
 
-    run(scenario, 3, budget)
+    run_scenario(scenario, 3, budget)
 
 
-def test_grant_serves_while_the_table_is_down():
+def test_granted_units_can_be_spent_while_the_table_is_unavailable():
     """Guards against an outage that stops paid requests, and against overspending."""
 
     async def scenario(cluster, session, entries):
-        assert (await ask(session, entries[0]))[0] == 200
+        assert (await send_request(session, entries[0]))[0] == 200
         await set_faults(session, cluster, is_down=True)
-        assert await spend(session, entries[0], 5) > 0
-        n_done, headers = await spend_rest(session, entries[0])
-        assert n_done < 200 and int(headers["Retry-After"]) <= 5
+        assert await send_requests(session, entries[0], 5) > 0
+        n_completed, headers = await send_until_rejected(session, entries[0])
+        assert n_completed < 200 and int(headers["Retry-After"]) <= 5
         await set_faults(session, cluster, is_down=False)
         for _ in range(200):
-            if (await ask(session, entries[0]))[0] == 200:
+            if (await send_request(session, entries[0]))[0] == 200:
                 break
             await asyncio.sleep(0.05)
-        assert (await ask(session, entries[0]))[0] == 200
+        assert (await send_request(session, entries[0]))[0] == 200
 
-    run(scenario, 1, 20_000)
+    run_scenario(scenario, 1, 20_000)
 
 
 def test_usage_and_returned_grant_agree_after_shutdown():
     """Guards against usage that is lost or counted twice when answers are lost."""
 
     async def scenario(cluster, session, entries):
-        assert await spend(session, entries[0], 30) == 30
+        assert await send_requests(session, entries[0], 30) == 30
         await set_faults(session, cluster, lose_answers=3)
-        assert await spend(session, entries[0], 30) == 30
+        assert await send_requests(session, entries[0], 30) == 30
         assert await entries[0].stop() == 0
         records = await read_usage(session, cluster)
         assert sum(r["n_requests"] for r in records) == 60
         assert sum(r["n_output_tokens"] for r in records) == 60 * N_TOKENS
         n_charged = sum(r["n_charged_units"] for r in records)
-        assert n_charged == await read_granted(session, cluster)
+        assert n_charged == await read_granted_units(session, cluster)
 
-    run(scenario, 1, 100_000)
+    run_scenario(scenario, 1, 100_000)
--- a/packages/entry/src/bluebellusher/allowance/tests/test_grants.py
+++ b/packages/entry/src/bluebellusher/allowance/tests/test_grants.py
@@ -9,9 +9,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from bluebellusher.allowance import AllowanceBook, GrantWriter, Spending, UsageWriter
-from bluebellusher.allowance._costs import cost_of, worst_cost_of
-from bluebellusher.allowance.tests.fakes import FakePlatform, rules
+from bluebellusher.allowance import (
+    AllowanceRegistry,
+    GrantWriter,
+    Spending,
+    UsageWriter,
+)
+from bluebellusher.allowance._costs import compute_cost, compute_max_cost
+from bluebellusher.allowance.tests.fakes import FakePlatform, make_rules_text
 from bluebellusher.rollout import ConfigInForce, ConfigSource
 from bluebellusher.server import BadRequestError, RequestParser
 from bluebellusher.settings import Settings
@@ -21,32 +26,32 @@
 from bluebellusher_core.rules import Limit, parse_rules
 
 LIMIT = 1_000
-ENTRIES = 3
+N_ENTRIES = 3
 WALL_MS = 1_796_000_000_000
-RULES = parse_rules(rules("1000 tokens")).ok
+RULES = parse_rules(make_rules_text("1000 tokens")).ok
 FAULTS = st.lists(st.sampled_from(["ok", "ok", "lost", "down"]), max_size=4)
 ACTIONS = st.tuples(
     st.sampled_from(["spend", "spend", "spend", "settle", "return", "kill", "idle"]),
-    st.integers(0, ENTRIES - 1),
+    st.integers(0, N_ENTRIES - 1),
     st.integers(1, 300),
     FAULTS,
 )
 
 
-class Spender:
+class SpendingEntry:
     """Entry that spends from one budget; a killed one is replaced under a new id."""
 
     def __init__(self, name: str, platform: FakePlatform, clock: ManualClock) -> None:
         self.clock = clock
-        book = AllowanceBook(name, ENTRIES, clock)
-        self.writer = GrantWriter(book, platform, clock, Random(name))
+        registry = AllowanceRegistry(name, N_ENTRIES, clock)
+        self.writer = GrantWriter(registry, platform, clock, Random(name))
         limit = Limit(Decimal(LIMIT), "tokens")
-        self.allowance = book.find("c1", "budget", limit, RULES, 1)
+        self.allowance = registry.get_or_create("c1", "budget", limit, RULES, 1)
         self.reserved: dict[str, int] = {}
         self.n_spent = 0
         self._n_requests = 0
 
-    async def act(self, action: str, amount: int) -> None:
+    async def run_action(self, action: str, amount: int) -> None:
         """Execute one action."""
         holder = self.allowance.holder
         if action == "spend":
@@ -54,7 +59,7 @@
             request_id = f"r{self._n_requests}"
             self.allowance.used_at_ms = self.clock.now_ms()
             self.allowance.demand = amount
-            await self.writer.write_due(is_returning=False)
+            await self.writer.write_due_grants(is_returning=False)
             self.allowance.demand = 0
             if holder.reserve(request_id, amount, self.clock.wall_ms()):
                 self.reserved[request_id] = amount
@@ -64,7 +69,7 @@
         elif action in ("return", "idle"):
             if action == "idle":
                 self.clock.advance(40_000)
-            await self.writer.write_due(is_returning=action == "return")
+            await self.writer.write_due_grants(is_returning=action == "return")
 
     @property
     def n_used(self) -> int:
@@ -72,20 +77,20 @@
         return self.n_spent + sum(self.reserved.values())
 
 
-async def play(actions) -> int:
+async def run_actions(actions) -> int:
     """Execute actions, check the budget after each, and return the units used."""
     clock = ManualClock(0, WALL_MS)
     platform = FakePlatform(clock)
-    spenders = [Spender(f"e{i}/1", platform, clock) for i in range(ENTRIES)]
+    entries = [SpendingEntry(f"e{i}/1", platform, clock) for i in range(N_ENTRIES)]
     n_used = n_used_by_killed = 0
     for step, (action, index, amount, faults) in enumerate(actions):
         platform.faults = list(faults)
         if action == "kill":
-            n_used_by_killed += spenders[index].n_used
-            spenders[index] = Spender(f"e{index}/{step + 2}", platform, clock)
+            n_used_by_killed += entries[index].n_used
+            entries[index] = SpendingEntry(f"e{index}/{step + 2}", platform, clock)
         else:
-            await spenders[index].act(action, amount)
-        n_used = n_used_by_killed + sum(s.n_used for s in spenders)
+            await entries[index].run_action(action, amount)
+        n_used = n_used_by_killed + sum(s.n_used for s in entries)
         assert n_used <= LIMIT
     return n_used
 
@@ -93,16 +98,16 @@
 @given(st.lists(ACTIONS, min_size=20, max_size=60))
 def test_property_sum_over_entries_stays_within_the_budget(actions):
     """Guards against overspending when answers are lost or entries are killed."""
-    asyncio.run(play(actions))
+    asyncio.run(run_actions(actions))
 
 
 def test_budget_can_be_used_up():
     """Guards against grants that leave much unspent, which would hide overspending."""
-    actions = [("spend", i % ENTRIES, 10, []) for i in range(150)]
-    assert asyncio.run(play(actions)) >= LIMIT * 0.95
+    actions = [("spend", i % N_ENTRIES, 10, []) for i in range(150)]
+    assert asyncio.run(run_actions(actions)) >= LIMIT * 0.95
 
 
-def test_units_on_their_way_back_are_not_spent():
+def test_units_of_an_unanswered_return_are_not_spent():
     """Guards against units that two entries spend after a return lost its answer."""
     actions = [
         ("spend", 0, 300, []),
@@ -111,19 +116,21 @@
         ("spend", 0, 290, ["down"]),
         *[("spend", 1, 100, [])] * 10,
     ]
-    assert asyncio.run(play(actions)) > LIMIT * 0.85
+    assert asyncio.run(run_actions(actions)) > LIMIT * 0.85
 
 
 def test_costs_follow_the_prices():
     """Guards against a maximum cost below the real cost."""
     usage = Usage(100, 40, 7)
-    assert cost_of(RULES, "model-a", usage, is_tokens=False) == 60 * 200 + 4000 + 3500
-    assert cost_of(RULES, "model-a", usage, is_tokens=True) == 107
-    assert worst_cost_of(RULES, "model-a", 100, 7, is_tokens=False) == 20_000 + 3500
-    assert worst_cost_of(RULES, "model-a", 100, 7, is_tokens=True) == 107
+    assert (
+        compute_cost(RULES, "model-a", usage, is_tokens=False) == 60 * 200 + 4000 + 3500
+    )
+    assert compute_cost(RULES, "model-a", usage, is_tokens=True) == 107
+    assert compute_max_cost(RULES, "model-a", 100, 7, is_tokens=False) == 20_000 + 3500
+    assert compute_max_cost(RULES, "model-a", 100, 7, is_tokens=True) == 107
 
 
-class World:
+class SpendingWorld:
     """Spending limiter of one entry, with rules in force."""
 
     def __init__(self, rules_text: str) -> None:
@@ -174,7 +181,7 @@
     """Run a scenario while the tasks of the spending limiter run."""
 
     async def inner() -> None:
-        world = World(rules_text)
+        world = SpendingWorld(rules_text)
         world.spending.start()
         await scenario(world)
         await world.spending.close()
@@ -204,10 +211,10 @@
         # WALL_MS is on 2026-11-30 in Tokyo.
         assert 0 < caught.value.retry_after_ms < 86_400_000
 
-    run_spending(rules("500 tokens", exhausted), scenario)
+    run_spending(make_rules_text("500 tokens", exhausted), scenario)
 
 
-def test_settled_request_gives_its_reservation_back_once():
+def test_settled_request_returns_its_reservation_once():
     """Guards against a charge for a request that did not run, and double settlement."""
 
     async def scenario(world):
@@ -216,12 +223,12 @@
             world.spending.settle("r1", "not_run", None)
             world.spending.settle("r1", "not_run", None)
         await world.spending.close()
-        (key,) = world.spending._book.allowance_by_key
+        (key,) = world.spending._registry.allowance_by_key
         grants = world.platform.table.read(key).value["grants"]
         assert [amount for _, amount in grants.values()] == [0]
         assert world.platform.object_by_name == {}
 
-    run_spending(rules("500 tokens"), scenario)
+    run_spending(make_rules_text("500 tokens"), scenario)
 
 
 @given(st.lists(st.tuples(st.integers(1, 9), FAULTS), max_size=30))
