--- a/packages/core/src/bluebellusher_core/lease/_tracker.py
+++ b/packages/core/src/bluebellusher_core/lease/_tracker.py
@@ -106,7 +106,7 @@
         self._renewed_at_ms = 0
         self._highest_recorded_token = 0
 
-    def note_token_seen(self, token: int) -> None:
+    def record_seen_token(self, token: int) -> None:
         """Record a fencing token that a receiver of orders has seen.
 
         Receivers refuse orders whose token is lower than the highest one they have
--- a/packages/core/src/bluebellusher_core/lease/tests/test_lease_restart.py
+++ b/packages/core/src/bluebellusher_core/lease/tests/test_lease_restart.py
@@ -34,7 +34,7 @@
     1 again after the row was lost.
     """
     tracker = LeaseTracker("maps", "entry-1/7")
-    tracker.note_token_seen(57)
+    tracker.record_seen_token(57)
     tracker.observe(0, None, now_ms=0)
     write = tracker.plan_write(now_ms=0)
     assert write.row.fencing_token == 58
@@ -47,7 +47,7 @@
     write = tracker.plan_write(now_ms=0)
     tracker.write_succeeded(write, row_version=1, now_ms=1)
     assert tracker.held_token(now_ms=2) == 1
-    tracker.note_token_seen(57)
+    tracker.record_seen_token(57)
     write = tracker.plan_write(now_ms=3)
     assert (write.row_version, write.row.fencing_token) == (1, 58)
     tracker.write_succeeded(write, row_version=2, now_ms=4)
--- a/packages/entry/src/bluebellusher/ranks/_leader.py
+++ b/packages/entry/src/bluebellusher/ranks/_leader.py
@@ -178,7 +178,7 @@
         now_ms = self._clock.now_ms()
         states_by_group: dict[str, list[RankState]] = {}
         for state in self._links.states():
-            self._lease.note_token_seen(leader_token_of(state.fencing_token))
+            self._lease.record_seen_token(leader_token_of(state.fencing_token))
             states_by_group.setdefault(state.group_id, []).append(state)
         for group_id, states in states_by_group.items():
             view = GroupView.from_states(states, now_ms, STATE_MAX_AGE_MS)
--- a/packages/entry/src/bluebellusher/ranks/_lease.py
+++ b/packages/entry/src/bluebellusher/ranks/_lease.py
@@ -96,12 +96,12 @@
             return self._last_led_token
         return token
 
-    def note_token_seen(self, token: int) -> None:
+    def record_seen_token(self, token: int) -> None:
         """Stop leading when an agent has seen a higher token than the own one.
 
         Where the own lease is held nevertheless, the next write raises its token.
         """
-        self._tracker.note_token_seen(token)
+        self._tracker.record_seen_token(token)
         if self._last_led_token is not None and token > self._last_led_token:
             self._last_led_token = None
 
--- a/packages/entry/src/bluebellusher/ranks/tests/test_leader.py
+++ b/packages/entry/src/bluebellusher/ranks/tests/test_leader.py
@@ -37,7 +37,7 @@
 
     leading_token = 1
 
-    def note_token_seen(self, token):
+    def record_seen_token(self, token):
         """Ignore tokens of others."""
 
 
--- a/packages/entry/src/bluebellusher/ranks/tests/test_lease.py
+++ b/packages/entry/src/bluebellusher/ranks/tests/test_lease.py
@@ -79,9 +79,9 @@
         store.fault = DOWN
         clock.advance(TERM_MS + GUARD_MS)
         await until(lambda: keeper.leading_token == token and keeper.token is None)
-        keeper.note_token_seen(token)
+        keeper.record_seen_token(token)
         assert keeper.leading_token == token
-        keeper.note_token_seen(token + 1)
+        keeper.record_seen_token(token + 1)
         assert keeper.leading_token is None, "another leader has begun"
         store.fault = None
         await until(lambda: keeper.token is not None, clock)
@@ -161,7 +161,7 @@
         await until(lambda: keeper.token is not None)
         names = [name for name, _ in keeper._log.lines]
         assert names.index("lease-unreadable") < names.index("lease-held")
-        keeper.note_token_seen(57)
+        keeper.record_seen_token(57)
         await until(lambda: keeper.leading_token == 58)
         task.cancel()
 
