Rename the inputs and effects of a configuration change

RequestStaging, StagingReply, ChangeRows, receive_staging_reply and receive_write_result replace StageAt, StagedReply, RowRead, receive_staged and receive_write. Behaviour does not change.

--- a/packages/core/src/bluebellusher_core/rollout/__init__.py
+++ b/packages/core/src/bluebellusher_core/rollout/__init__.py
@@ -2,11 +2,11 @@
 
 from bluebellusher_core.rollout._change import (
     ChangeProposal,
+    ChangeRows,
     ChangeState,
     ProposalEffect,
-    RowRead,
-    StageAt,
-    StagedReply,
+    RequestStaging,
+    StagingReply,
     WriteChange,
     WriteRefusal,
     WriteResult,
@@ -18,12 +18,12 @@
 
 __all__ = [
     "ChangeProposal",
+    "ChangeRows",
     "ChangeState",
     "ConfigVersion",
     "ProposalEffect",
-    "RowRead",
-    "StageAt",
-    "StagedReply",
+    "RequestStaging",
+    "StagingReply",
     "VersionTracker",
     "WriteChange",
     "WriteRefusal",
--- a/packages/core/src/bluebellusher_core/rollout/_change.py
+++ b/packages/core/src/bluebellusher_core/rollout/_change.py
@@ -42,7 +42,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class RowRead:
+class ChangeRows:
     """Rows that decide about a change, as read from the table.
 
     ``head`` is the last accepted version, or ``None`` when no version was accepted yet.
@@ -60,11 +60,11 @@
     """Result of executing a `WriteChange`; ``rows`` is set on a conflict."""
 
     status: WriteStatus
-    rows: RowRead | None = None
+    rows: ChangeRows | None = None
 
 
 @dataclass(frozen=True, slots=True)
-class StagedReply:
+class StagingReply:
     """Answer of a peer that was asked to stage the change."""
 
     peer_id: str
@@ -74,7 +74,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class StageAt:
+class RequestStaging:
     """Effect: send the change to a peer for staging."""
 
     peer_id: str
@@ -102,10 +102,10 @@
     change_id: str
 
 
-ProposalEffect = StageAt | WriteChange
+ProposalEffect = RequestStaging | WriteChange
 
 
-def resolve_change(change_id: str, rows: RowRead) -> ChangeState | WriteRefusal:
+def resolve_change(change_id: str, rows: ChangeRows) -> ChangeState | WriteRefusal:
     """Return the final state of an unknown change, or the write that refuses it.
 
     A change without a row has no final state until the returned write is executed. When
@@ -115,7 +115,7 @@
     ----------
     change_id : str
         Id of the change.
-    rows : RowRead
+    rows : ChangeRows
         Rows from a strongly consistent read.
     """
     if rows.change_version > 0:
@@ -152,7 +152,7 @@
         Text of the new rules, already validated at this entry.
     author : str
         Operator who proposed the change.
-    rows : RowRead
+    rows : ChangeRows
         Rows from a strongly consistent read.
     peers_by_domain : mapping of str to collection of str
         Peers that may be asked to stage the change, for each other failure domain.
@@ -167,7 +167,7 @@
     base_version: int
     rules_text: str
     author: str
-    rows: RowRead
+    rows: ChangeRows
     peers_by_domain: Mapping[str, Collection[str]]
     started_at_ms: int
     wall_ms: int
@@ -190,7 +190,7 @@
         """Return whether the proposal has ended and the operator can be answered."""
         return self.state not in (ChangeState.STAGING, ChangeState.WRITING)
 
-    def receive_staged(self, reply: StagedReply) -> None:
+    def receive_staging_reply(self, reply: StagingReply) -> None:
         """Process the answer of a peer that was asked to stage the change."""
         staging = self._staging_by_domain.get(reply.failure_domain)
         if staging is None or self.state is not ChangeState.STAGING:
@@ -202,7 +202,7 @@
             # different software. A change must not be accepted for some sites only.
             self._refuse(f"{reply.peer_id} refused to stage it: {reply.reason}")
 
-    def receive_write(self, result: WriteResult) -> None:
+    def receive_write_result(self, result: WriteResult) -> None:
         """Process the result of a `WriteChange`."""
         if self.state is not ChangeState.WRITING:
             return
@@ -240,7 +240,7 @@
                 return []
             staging.requested_peer = staging.remaining_peers.pop(0)
             staging.requested_at_ms = now_ms
-            effects.append(StageAt(staging.requested_peer))
+            effects.append(RequestStaging(staging.requested_peer))
         if all(staging.is_staged for staging in self._staging_by_domain.values()):
             self.state = ChangeState.WRITING
         return effects
@@ -267,7 +267,7 @@
     def _next_version(self) -> int:
         return self.base_version + 1
 
-    def _decide_from_rows(self, rows: RowRead) -> None:
+    def _decide_from_rows(self, rows: ChangeRows) -> None:
         """Accept or refuse the change if rows from a read or a conflict decide it."""
         head_version = rows.head.version if rows.head else 0
         if rows.change_version > 0:
--- a/packages/core/src/bluebellusher_core/rollout/tests/test_rollout_properties.py
+++ b/packages/core/src/bluebellusher_core/rollout/tests/test_rollout_properties.py
@@ -8,11 +8,11 @@
 
 from bluebellusher_core.rollout import (
     ChangeProposal,
+    ChangeRows,
     ChangeState,
     ConfigVersion,
-    RowRead,
-    StageAt,
-    StagedReply,
+    RequestStaging,
+    StagingReply,
     VersionTracker,
     WriteChange,
     WriteResult,
@@ -34,7 +34,7 @@
 
     def read(self, change_id):
         row_version, head = self.head_history[-1]
-        return RowRead(row_version, head, self.version_by_change.get(change_id, 0))
+        return ChangeRows(row_version, head, self.version_by_change.get(change_id, 0))
 
     def write(self, effect: WriteChange) -> bool:
         is_current = effect.head_row_version == self.head_history[-1][0]
@@ -78,7 +78,7 @@
     def advance(self):
         for proposal in self.proposals[-3:]:
             for effect in proposal.advance(self.now_ms):
-                if isinstance(effect, StageAt):
+                if isinstance(effect, RequestStaging):
                     self._stage(proposal, effect)
                 else:
                     self._write(proposal, effect)
@@ -86,8 +86,8 @@
 
     def _stage(self, proposal, effect):
         if self.random.random() < 0.8:
-            reply = StagedReply(effect.peer_id, effect.peer_id[0], True)
-            proposal.receive_staged(reply)
+            reply = StagingReply(effect.peer_id, effect.peer_id[0], True)
+            proposal.receive_staging_reply(reply)
 
     def _write(self, proposal, effect):
         delivery = self.random.choice(["answered", "lost answer", "late", "dropped"])
@@ -100,7 +100,7 @@
             return
         status = WriteStatus.APPLIED if is_applied else WriteStatus.CONFLICT
         rows = None if is_applied else self.table.read(proposal.change_id)
-        proposal.receive_write(WriteResult(status, rows))
+        proposal.receive_write_result(WriteResult(status, rows))
 
     def _record_final_state(self, proposal):
         if proposal.is_final:
@@ -182,16 +182,16 @@
 
 
 def _proposal(peers, rows=None):
-    rows = rows or RowRead(0, None, 0)
+    rows = rows or ChangeRows(0, None, 0)
     return ChangeProposal("c1", 0, "text", "ana", rows, peers, 0, 0)
 
 
 def test_refused_change_names_the_unreachable_failure_domain():
     """Guards against a change that is accepted although a site cannot apply it."""
     proposal = _proposal({"b": ["b-1", "b-2"]})
-    assert proposal.advance(0) == [StageAt("b-1")]
+    assert proposal.advance(0) == [RequestStaging("b-1")]
     assert proposal.advance(500) == []
-    assert proposal.advance(1_000) == [StageAt("b-2")]
+    assert proposal.advance(1_000) == [RequestStaging("b-2")]
     assert proposal.advance(2_000) == []
     assert proposal.state is ChangeState.REFUSED
     assert "failure domain b" in proposal.reason
@@ -201,9 +201,9 @@
     """Guards against a write before all failure domains have staged the change."""
     proposal = _proposal({"b": ["b-1"], "c": ["c-1"]})
     proposal.advance(0)
-    proposal.receive_staged(StagedReply("b-1", "b", True))
+    proposal.receive_staging_reply(StagingReply("b-1", "b", True))
     assert proposal.advance(10) == []
-    proposal.receive_staged(StagedReply("c-1", "c", True))
+    proposal.receive_staging_reply(StagingReply("c-1", "c", True))
     (effect,) = proposal.advance(20)
     assert isinstance(effect, WriteChange)
 
--- a/packages/entry/src/bluebellusher/rollout/_changes.py
+++ b/packages/entry/src/bluebellusher/rollout/_changes.py
@@ -20,8 +20,8 @@
     ChangeProposal,
     ChangeState,
     ConfigVersion,
-    StageAt,
-    StagedReply,
+    RequestStaging,
+    StagingReply,
     WriteChange,
     WriteRefusal,
     WriteStatus,
@@ -139,15 +139,15 @@
         )
         self._links.send(peer_id, staged)
 
-    def receive_staged(self, peer_id: str, staged: Any) -> None:
+    def receive_staging_reply(self, peer_id: str, staged: Any) -> None:
         """Take in the answer of a peer."""
         running = self._running_by_id.get(staged.change_id)
         domain = self._domains.connected().get(peer_id)
         if running is not None and domain is not None:
-            reply = StagedReply(
+            reply = StagingReply(
                 peer_id, domain, bool(staged.is_staged), staged.reason or ""
             )
-            running.proposal.receive_staged(reply)
+            running.proposal.receive_staging_reply(reply)
             running.woken.set()
 
     async def _run(self, order: ChangeOrder) -> ChangeAnswer:
@@ -186,7 +186,7 @@
         while not proposal.is_final:
             running.woken.clear()
             for step in proposal.advance(self._clock.now_ms()):
-                if isinstance(step, StageAt):
+                if isinstance(step, RequestStaging):
                     self._links.send(step.peer_id, _to_stage(order))
                 else:
                     await self._write(running, step, order.operator)
@@ -201,7 +201,7 @@
         result = await self._table.write_change(step, operator)
         if result.status is WriteStatus.APPLIED:
             running.written = step.config
-        running.proposal.receive_write(result)
+        running.proposal.receive_write_result(result)
 
     async def _finish(self, running: _Running, order: ChangeOrder) -> ChangeAnswer:
         proposal = running.proposal
--- a/packages/entry/src/bluebellusher/rollout/_rollout.py
+++ b/packages/entry/src/bluebellusher/rollout/_rollout.py
@@ -67,7 +67,7 @@
     def start(self, exchange: PeerExchange, ticker: LinkTicker) -> None:
         """Handle the messages of peers, and poll the table."""
         exchange.register(messages.ConfigStage, self._runner.receive_stage)
-        exchange.register(messages.ConfigStaged, self._runner.receive_staged)
+        exchange.register(messages.ConfigStaged, self._runner.receive_staging_reply)
         self._spread.register(exchange)
         ticker.add_callback(self._spread.tick)
         self._task = asyncio.create_task(self._spread.poll(self._settings.instance_id))
--- a/packages/entry/src/bluebellusher/rollout/_table.py
+++ b/packages/entry/src/bluebellusher/rollout/_table.py
@@ -9,8 +9,8 @@
     TransactConflictError,
 )
 from bluebellusher_core.rollout import (
+    ChangeRows,
     ConfigVersion,
-    RowRead,
     WriteChange,
     WriteResult,
     WriteStatus,
@@ -63,14 +63,14 @@
         except (KeyError, TypeError, ValueError) as error:
             raise _malformed(row, str(error)) from None
 
-    async def read_rows(self, change_id: str) -> RowRead:
+    async def read_rows(self, change_id: str) -> ChangeRows:
         """Return what decides about a change.
 
         The head is read first: a head that this change has written is then always
         seen together with the row of the change.
         """
         head_row_version, head = await self.read_head()
-        return RowRead(head_row_version, head, await self.read_change(change_id))
+        return ChangeRows(head_row_version, head, await self.read_change(change_id))
 
     async def write_change(self, write: WriteChange, operator: str) -> WriteResult:
         """Accept a change in one transaction, unless a row contradicts."""
