--- a/packages/agent/src/bluebellusher_agent/_connection.py
+++ b/packages/agent/src/bluebellusher_agent/_connection.py
@@ -13,9 +13,9 @@
     NONCE_BYTES,
     FrameDecoder,
     compute_hello_mac,
+    decode_message,
     encode,
     messages,
-    read_message,
     verify_hello,
 )
 
@@ -158,7 +158,7 @@
             raise StepError("handshake", self.address, reason)
         if len(self._hello_buffer) < 4 + length:
             return
-        hello = read_message(bytes(self._hello_buffer[4 : 4 + length]), self.address)
+        hello = decode_message(bytes(self._hello_buffer[4 : 4 + length]), self.address)
         rest = bytes(self._hello_buffer[4 + length :])
         self._hello_buffer.clear()
         self._authenticate(hello)
--- a/packages/core/src/bluebellusher_core/wire/__init__.py
+++ b/packages/core/src/bluebellusher_core/wire/__init__.py
@@ -8,8 +8,8 @@
 from bluebellusher_core.wire._codec import (
     MAX_FRAME_BYTES,
     FrameDecoder,
+    decode_message,
     encode,
-    read_message,
     wrap_in_envelope,
 )
 from bluebellusher_core.wire._generated.bluebellusher import ttypes as messages
@@ -23,9 +23,9 @@
     "FrameDecoder",
     "LinkPace",
     "compute_hello_mac",
+    "decode_message",
     "encode",
     "messages",
-    "read_message",
     "verify_hello",
     "wrap_in_envelope",
 ]
--- a/packages/core/src/bluebellusher_core/wire/_codec.py
+++ b/packages/core/src/bluebellusher_core/wire/_codec.py
@@ -67,7 +67,7 @@
     return _LENGTH_PREFIX.pack(len(payload)) + payload
 
 
-def read_message(payload: bytes, peer: str) -> Any:
+def decode_message(payload: bytes, peer: str) -> Any:
     """Return the one message in the payload of a frame.
 
     Raises
@@ -129,7 +129,7 @@
             if len(self._buffer) < end:
                 break
             payload = bytes(self._buffer[start:end])
-            messages.append(read_message(payload, self._peer))
+            messages.append(decode_message(payload, self._peer))
             position = end
         if position:
             del self._buffer[:position]
