Rename the heartbeat timing of connections

HeartbeatTiming, FAST_HEARTBEAT, SLOW_HEARTBEAT and receive_timeout_ms replace LinkPace, NEAR_PACE, FAR_PACE and silence_limit_ms. Behaviour does not change.

--- a/packages/agent/src/bluebellusher_agent/_connection.py
+++ b/packages/agent/src/bluebellusher_agent/_connection.py
@@ -8,9 +8,9 @@
 from bluebellusher_core.clock import Clock
 from bluebellusher_core.errors import StepError
 from bluebellusher_core.wire import (
-    FAR_PACE,
-    NEAR_PACE,
+    FAST_HEARTBEAT,
     NONCE_BYTES,
+    SLOW_HEARTBEAT,
     FrameDecoder,
     compute_hello_mac,
     decode_message,
@@ -67,7 +67,7 @@
     def __init__(self, owner: ConnectionOwner, near_domain: str = "") -> None:
         self._owner = owner
         self._near_domain = near_domain
-        self._pace = NEAR_PACE
+        self._pace = FAST_HEARTBEAT
         self._sent_at_ms = 0
         self._transport: asyncio.Transport | None = None
         self._nonce = os.urandom(NONCE_BYTES)
@@ -133,7 +133,7 @@
         now_ms = self._owner.clock.now_ms()
         # After a pause of this process the entry has given its requests up; the
         # frames that it sent before are not executed any more.
-        if now_ms - self._last_received_ms > self._pace.silence_limit_ms:
+        if now_ms - self._last_received_ms > self._pace.receive_timeout_ms:
             self.close("silent")
             return
         self._last_received_ms = now_ms
@@ -186,7 +186,7 @@
         self.peer_id = hello.instance_id
         self.peer_domain = hello.failure_domain
         if self._near_domain and self._near_domain != self.peer_domain:
-            self._pace = FAR_PACE
+            self._pace = SLOW_HEARTBEAT
         self._decoder = FrameDecoder(self.address)
         self._owner.on_ready(self)
 
@@ -262,17 +262,17 @@
 
     def tick(self, now_ms: int) -> None:
         """Send a heartbeat; close the connection when the entry is silent."""
-        if now_ms - self._last_received_ms > self._pace.silence_limit_ms:
+        if now_ms - self._last_received_ms > self._pace.receive_timeout_ms:
             self.close("silent")
             return
         if self._is_blocked and now_ms - self._blocked_since_ms > BLOCKED_LIMIT_MS:
             self.close("entry does not read")
             return
         if self.is_ready:
-            if self._pace.is_due(self._sent_at_ms, now_ms):
+            if self._pace.is_heartbeat_due(self._sent_at_ms, now_ms):
                 self._sequence += 1
                 self.send(messages.Heartbeat(self._sequence))
-        elif now_ms - self._opened_at_ms > self._pace.silence_limit_ms:
+        elif now_ms - self._opened_at_ms > self._pace.receive_timeout_ms:
             self.close("no handshake")
 
     def finish(self) -> None:
--- a/packages/core/src/bluebellusher_core/wire/__init__.py
+++ b/packages/core/src/bluebellusher_core/wire/__init__.py
@@ -13,15 +13,19 @@
     wrap_in_envelope,
 )
 from bluebellusher_core.wire._generated.bluebellusher import ttypes as messages
-from bluebellusher_core.wire._heartbeat import FAR_PACE, NEAR_PACE, LinkPace
+from bluebellusher_core.wire._heartbeat import (
+    FAST_HEARTBEAT,
+    SLOW_HEARTBEAT,
+    HeartbeatTiming,
+)
 
 __all__ = [
-    "FAR_PACE",
+    "FAST_HEARTBEAT",
     "MAX_FRAME_BYTES",
-    "NEAR_PACE",
     "NONCE_BYTES",
+    "SLOW_HEARTBEAT",
     "FrameDecoder",
-    "LinkPace",
+    "HeartbeatTiming",
     "compute_hello_mac",
     "decode_message",
     "encode",
--- a/packages/entry/src/bluebellusher/links/_connection.py
+++ b/packages/entry/src/bluebellusher/links/_connection.py
@@ -8,9 +8,9 @@
 from bluebellusher_core.clock import Clock
 from bluebellusher_core.errors import StepError
 from bluebellusher_core.wire import (
-    FAR_PACE,
-    NEAR_PACE,
+    FAST_HEARTBEAT,
     NONCE_BYTES,
+    SLOW_HEARTBEAT,
     FrameDecoder,
     compute_hello_mac,
     encode,
@@ -110,7 +110,7 @@
         self.made_at_ms = clock.now_ms()
         self.closed = asyncio.Event()
         self._has_far_pace = has_far_pace
-        self._pace = NEAR_PACE
+        self._pace = FAST_HEARTBEAT
         self._sent_at_ms = 0
         self._identity = identity
         self._expected_role = expected_role
@@ -147,12 +147,12 @@
         judged until the next tick.
         """
         silent_ms = now_ms - self.received_at_ms
-        limit_ms = self._pace.silence_limit_ms
+        limit_ms = self._pace.receive_timeout_ms
         if silent_ms > limit_ms and not has_paused:
             self.close(f"silent for {silent_ms} ms")
         elif not self.is_open and now_ms - self.made_at_ms > limit_ms:
             self.close(f"no handshake within {limit_ms} ms")
-        elif self.is_open and self._pace.is_due(self._sent_at_ms, now_ms):
+        elif self.is_open and self._pace.is_heartbeat_due(self._sent_at_ms, now_ms):
             self._sequence += 1
             self.send(messages.Heartbeat(sequence=self._sequence))
 
@@ -239,5 +239,5 @@
         self.peer = hello.instance_id
         is_far = hello.failure_domain != self._identity.failure_domain
         if self._has_far_pace and is_far:
-            self._pace = FAR_PACE
+            self._pace = SLOW_HEARTBEAT
         self._handler.on_open(self)
--- a/packages/entry/src/bluebellusher/ranks/_links.py
+++ b/packages/entry/src/bluebellusher/ranks/_links.py
@@ -17,7 +17,7 @@
     RankState,
     pack_map,
 )
-from bluebellusher_core.wire import NEAR_PACE, messages
+from bluebellusher_core.wire import FAST_HEARTBEAT, messages
 
 CALL_TIMEOUT_MS = 1_000
 
@@ -113,7 +113,7 @@
         except TimeoutError:
             # The heartbeats of another failure domain would show it later.
             silent_ms = self._clock.now_ms() - connection.received_at_ms
-            if silent_ms > NEAR_PACE.silence_limit_ms:
+            if silent_ms > FAST_HEARTBEAT.receive_timeout_ms:
                 connection.close(f"no answer to a call, silent for {silent_ms} ms")
             return None
         finally:
