--- a/packages/entry/src/bluebellusher/allowance/_spending.py
+++ b/packages/entry/src/bluebellusher/allowance/_spending.py
@@ -41,7 +41,7 @@
     n_units: int
 
 
-class Spending:
+class SpendingLimiter:
     """Limiter that admits requests within the rates and budgets of the rules in force.
 
     Parameters
@@ -88,7 +88,7 @@
         platform: PlatformClient,
         clock: Clock,
         random_state: Random,
-    ) -> "Spending":
+    ) -> "SpendingLimiter":
         """Create the limiter and its writers from the parts of an entry."""
         instance = f"{settings.instance_id}/{incarnation}"
         registry = AllowanceRegistry(instance, len(settings.peers) + 1, clock)
--- a/packages/entry/src/bluebellusher/allowance/tests/test_grants.py
+++ b/packages/entry/src/bluebellusher/allowance/tests/test_grants.py
@@ -12,7 +12,7 @@
 from bluebellusher.allowance import (
     AllowanceRegistry,
     GrantWriter,
-    Spending,
+    SpendingLimiter,
     UsageWriter,
 )
 from bluebellusher.allowance._costs import compute_cost, compute_max_cost
@@ -156,7 +156,7 @@
         config = ConfigVersion(1, "one", rules_text, "Mio", 1)
         assert in_force.offer(config, ConfigSource("table"))
         parts = (settings, 7, in_force, self.platform, self.clock, Random(1))
-        self.spending = Spending.from_parts(*parts)
+        self.spending = SpendingLimiter.from_parts(*parts)
 
     def post(self, _event) -> None:
         """Discard an event."""
--- a/packages/entry/src/bluebellusher/cli/_entry.py
+++ b/packages/entry/src/bluebellusher/cli/_entry.py
@@ -12,7 +12,7 @@
 
 import uvloop
 
-from bluebellusher.allowance import Spending
+from bluebellusher.allowance import SpendingLimiter
 from bluebellusher.cli._view import EntryView
 from bluebellusher.links import AgentLinks, Identity, LinkTicker, PeerLinks
 from bluebellusher.observability import KeyValueLog, Metrics, Tracer
@@ -77,7 +77,7 @@
             self.view.make_digest,
             seed,
         )
-        self.spending = Spending.from_parts(
+        self.spending = SpendingLimiter.from_parts(
             settings,
             self.incarnation,
             self.rollout.in_force,
