--- a/packages/core/src/bluebellusher_core/allowance/_row.py
+++ b/packages/core/src/bluebellusher_core/allowance/_row.py
@@ -65,7 +65,7 @@
         return replace(self, grant_by_holder=grants)
 
     def with_holders_closed(self, holder_ids: Collection[str]) -> Self:
-        """Return the row with the grants of these holders closed, that is, spent.
+        """Return the row with the grants of these holders closed and counted as spent.
 
         Closing grants bounds the size of the row. It is also safe for a holder that is
         still running: its grant continues to count against the limit, and the holder
--- a/packages/core/src/bluebellusher_core/lease/_tracker.py
+++ b/packages/core/src/bluebellusher_core/lease/_tracker.py
@@ -4,7 +4,8 @@
 
 TERM_MS = 10_000
 RENEW_AFTER_MS = 3_000
-# Margin for clocks that run at different rates: 1 s in a term of 10 s allows for 10%.
+# Margin for clocks that run at different rates: 1 s in a term of 10 s allows for a
+# difference of 10%.
 GUARD_MS = 1_000
 
 
@@ -47,7 +48,8 @@
     The caller reads the row and passes it to `observe`, executes the write that
     `plan_write` returns, and passes the result to `write_succeeded` or
     `write_conflicted`. The entry may act as the holder only while `held_token` returns
-    a token, and must call `held_token` again before each action.
+    a token, and must call `held_token` again before each action. All entries must use
+    the same ``term_ms``, ``renew_after_ms`` and ``guard_ms``.
 
     Parameters
     ----------
@@ -62,13 +64,12 @@
         lease. Entries that rank lower in the rendezvous order of ``name`` wait longer,
         which distributes the leases over the entries.
     term_ms : int
-        Duration of a lease in milliseconds. All entries use the same value, also for
-        the next two parameters.
+        Duration of a lease in milliseconds.
     renew_after_ms : int
         Time in milliseconds after which the holder renews the lease, counted from the
         time at which it sent its last successful write.
     guard_ms : int
-        Time in milliseconds that other entries wait in addition to the term.
+        Time in milliseconds that other entries wait after the end of the term.
 
     Examples
     --------
--- a/packages/core/src/bluebellusher_core/lease/tests/test_lease_machine.py
+++ b/packages/core/src/bluebellusher_core/lease/tests/test_lease_machine.py
@@ -183,7 +183,7 @@
 
 
 def test_late_answer_to_an_earlier_write_does_not_confirm_the_pending_one():
-    """Guards against a lease that the answer to an earlier write confirms."""
+    """Guards against a lease held because of a late answer to an earlier write."""
     tracker = LeaseTracker("x", "a/1")
     tracker.observe(0, None, 0)
     first = tracker.plan_write(0)
--- a/packages/core/src/bluebellusher_core/rollout/_change.py
+++ b/packages/core/src/bluebellusher_core/rollout/_change.py
@@ -178,7 +178,7 @@
     _written_at_ms: int | None = None
 
     def __post_init__(self) -> None:
-        """Prepare staging, unless the rows already decide the state."""
+        """Prepare staging, and end at once if the rows already decide the state."""
         self._staging_by_domain = {
             domain: _DomainStaging(sorted(peers))
             for domain, peers in self.peers_by_domain.items()
--- a/packages/entry/src/bluebellusher/allowance/_costs.py
+++ b/packages/entry/src/bluebellusher/allowance/_costs.py
@@ -48,9 +48,9 @@
 ) -> int:
     """Return an upper bound of the cost of a request.
 
-    The length of the body in bytes stands for the input tokens, because the engine
-    counts at most one token per byte. The entry's own token count of the prompt is only
-    an estimate and would not be an upper bound.
+    The length of the body in bytes is used as the number of input tokens, because the
+    engine counts at most one token per byte. The entry's own token count of the prompt
+    is only an estimate and would not be an upper bound.
     """
     uncached_usage = Usage(n_body_bytes, 0, n_max_output_tokens)
     cached_usage = Usage(n_body_bytes, n_body_bytes, n_max_output_tokens)
--- a/packages/entry/src/bluebellusher/allowance/_grants.py
+++ b/packages/entry/src/bluebellusher/allowance/_grants.py
@@ -19,7 +19,7 @@
 GRANT_TIMEOUT_MS = 1_500
 RETURN_TIMEOUT_MS = 3_000
 # Number of consecutive failures after which the table counts as unavailable. It is
-# above 1 because a single lost answer must not reject requests of customers.
+# above 1 because a single lost answer must not lead to rejected requests.
 _N_FAILURES_UNAVAILABLE = 2
 _MAX_WRITES_PER_CYCLE = 4
 
--- a/packages/entry/src/bluebellusher/allowance/_rates.py
+++ b/packages/entry/src/bluebellusher/allowance/_rates.py
@@ -31,15 +31,15 @@
 
     @classmethod
     def from_settings(cls, settings: Settings, clock: Clock) -> "RateLimiter":
-        """Create a limiter with the index of this entry in the sorted peer addresses.
+        """Create a limiter with this entry's index in the sorted entry addresses.
 
         Every entry has to list its peers under the addresses on which they listen.
         Otherwise, two entries could use the same share.
         """
-        own = settings.peer_listen
+        own_address = settings.peer_listen
         addresses = {(peer.host, peer.port) for peer in settings.peers}
-        addresses.add((own.host, own.port))
-        index = sorted(addresses).index((own.host, own.port))
+        addresses.add((own_address.host, own_address.port))
+        index = sorted(addresses).index((own_address.host, own_address.port))
         return cls(len(addresses), index, clock)
 
     def admit(
--- a/packages/entry/src/bluebellusher/allowance/_registry.py
+++ b/packages/entry/src/bluebellusher/allowance/_registry.py
@@ -91,7 +91,7 @@
         version : int
             Configuration version of these rules.
         """
-        month = self._find_month(rules.month_zone)
+        month = self._get_current_month(rules.month_zone)
         # A budget whose unit changes within a month becomes a separate allowance.
         key = f"allowance/{customer}/{month}/{part}/{limit.unit}"
         allowance = self.allowance_by_key.get(key)
@@ -121,10 +121,10 @@
 
     def month_end_ms(self, zone: str) -> int:
         """Return the wall time in milliseconds at which the current month ends."""
-        self._find_month(zone)
+        self._get_current_month(zone)
         return self._month_end_ms
 
-    def _find_month(self, zone: str) -> Month:
+    def _get_current_month(self, zone: str) -> Month:
         wall_ms, month = self._clock.wall_ms(), self._month
         if month is None or month.zone != zone or wall_ms >= self._month_end_ms:
             local = datetime.fromtimestamp(wall_ms / 1000, UTC).astimezone(
--- a/packages/entry/src/bluebellusher/allowance/tests/test_grants.py
+++ b/packages/entry/src/bluebellusher/allowance/tests/test_grants.py
@@ -90,7 +90,7 @@
             entries[index] = SpendingEntry(f"e{index}/{step + 2}", platform, clock)
         else:
             await entries[index].run_action(action, amount)
-        n_used = n_used_by_killed + sum(s.n_used for s in entries)
+        n_used = n_used_by_killed + sum(entry.n_used for entry in entries)
         assert n_used <= LIMIT
     return n_used
 
