Merge the wording of lease, allowance, rollout and wire

Comments, messages and names of lease, allowance, rollout and wire; renames replayed over the other packages. Behaviour does not change (compare of definitions).

--- a/packages/core/src/bluebellusher_core/lease/tests/test_lease_restart.py
+++ b/packages/core/src/bluebellusher_core/lease/tests/test_lease_restart.py
@@ -1,14 +1,15 @@
-"""Leases of entries that start again."""
+"""Leases of restarted entries, and tokens after a row was lost."""
 
 from bluebellusher_core.lease import GUARD_MS, TERM_MS, LeaseRow, LeaseTracker
 
 ROW = LeaseRow("entry-1/100", 4, 9)
 
 
-def test_restarted_entry_takes_its_own_lease_at_once():
+def test_restarted_entry_acquires_its_own_lease_at_once():
     """Guards against groups without a leader after all entries were restarted.
 
-    Each restart of all entries left the maps alone for the term of the old lease.
+    The restarted entries waited until the old lease had expired. No expert map changed
+    in the meantime.
     """
     tracker = LeaseTracker("maps", "entry-1/200")
     tracker.observe(12, ROW, now_ms=0)
@@ -17,8 +18,8 @@
     assert write.row_version == 12
 
 
-def test_lease_of_another_entry_is_waited_for():
-    """Guards against a second leader while the first one may still run."""
+def test_lease_of_another_entry_is_acquired_only_after_it_expired():
+    """Guards against a second leader while the first one may still be running."""
     for holder_id in ("entry-2/200", "entry-11/1", "entry-1x/1"):
         tracker = LeaseTracker("maps", holder_id)
         tracker.observe(12, ROW, now_ms=0)
@@ -26,26 +27,27 @@
         assert tracker.plan_write(now_ms=TERM_MS + GUARD_MS) is not None
 
 
-def test_token_grows_after_the_row_is_lost():
-    """Guards against a holder whose orders are refused for good.
+def test_token_exceeds_recorded_tokens_after_the_row_is_lost():
+    """Guards against a holder whose orders are refused permanently.
 
-    Those that take orders remember the highest token; a lost row begins at 1 again.
+    Receivers of orders keep the highest token that they have seen, but tokens start at
+    1 again after the row was lost.
     """
     tracker = LeaseTracker("maps", "entry-1/7")
-    tracker.note_token_seen(57)
+    tracker.record_seen_token(57)
     tracker.observe(0, None, now_ms=0)
     write = tracker.plan_write(now_ms=0)
     assert write.row.fencing_token == 58
 
 
-def test_holder_that_learns_of_a_higher_token_raises_its_own():
-    """Guards against a holder that cannot act because its token is old."""
+def test_holder_raises_its_token_above_a_recorded_one():
+    """Guards against a holder whose orders are refused because its token is too low."""
     tracker = LeaseTracker("maps", "entry-1/7")
     tracker.observe(0, None, now_ms=0)
     write = tracker.plan_write(now_ms=0)
     tracker.write_succeeded(write, row_version=1, now_ms=1)
     assert tracker.held_token(now_ms=2) == 1
-    tracker.note_token_seen(57)
+    tracker.record_seen_token(57)
     write = tracker.plan_write(now_ms=3)
     assert (write.row_version, write.row.fencing_token) == (1, 58)
     tracker.write_succeeded(write, row_version=2, now_ms=4)
--- a/packages/core/src/bluebellusher_core/rollout/__init__.py
+++ b/packages/core/src/bluebellusher_core/rollout/__init__.py
@@ -1,12 +1,12 @@
-"""Configuration versions: acceptance of a change, and its spread to all entries."""
+"""Configuration versions: acceptance of a change, and its distribution to entries."""
 
 from bluebellusher_core.rollout._change import (
     ChangeProposal,
+    ChangeRows,
     ChangeState,
-    ProposalStep,
-    RowRead,
-    StageAt,
-    StagedReply,
+    ProposalEffect,
+    RequestStaging,
+    StagingReply,
     WriteChange,
     WriteRefusal,
     WriteResult,
@@ -18,12 +18,12 @@
 
 __all__ = [
     "ChangeProposal",
+    "ChangeRows",
     "ChangeState",
     "ConfigVersion",
-    "ProposalStep",
-    "RowRead",
-    "StageAt",
-    "StagedReply",
+    "ProposalEffect",
+    "RequestStaging",
+    "StagingReply",
     "VersionTracker",
     "WriteChange",
     "WriteRefusal",
--- a/packages/core/src/bluebellusher_core/wire/__init__.py
+++ b/packages/core/src/bluebellusher_core/wire/__init__.py
@@ -8,24 +8,28 @@
 from bluebellusher_core.wire._codec import (
     MAX_FRAME_BYTES,
     FrameDecoder,
+    decode_message,
     encode,
-    read_message,
-    wrap,
+    wrap_in_envelope,
 )
 from bluebellusher_core.wire._generated.bluebellusher import ttypes as messages
-from bluebellusher_core.wire._pace import FAR_PACE, NEAR_PACE, LinkPace
+from bluebellusher_core.wire._heartbeat import (
+    FAST_HEARTBEAT,
+    SLOW_HEARTBEAT,
+    HeartbeatTiming,
+)
 
 __all__ = [
-    "FAR_PACE",
+    "FAST_HEARTBEAT",
     "MAX_FRAME_BYTES",
-    "NEAR_PACE",
     "NONCE_BYTES",
+    "SLOW_HEARTBEAT",
     "FrameDecoder",
-    "LinkPace",
+    "HeartbeatTiming",
     "compute_hello_mac",
+    "decode_message",
     "encode",
     "messages",
-    "read_message",
     "verify_hello",
-    "wrap",
+    "wrap_in_envelope",
 ]
--- a/packages/core/src/bluebellusher_core/wire/_codec.py
+++ b/packages/core/src/bluebellusher_core/wire/_codec.py
@@ -11,11 +11,12 @@
 from bluebellusher_core.wire._generated.bluebellusher import ttypes
 
 MAX_FRAME_BYTES = 16 * 1024 * 1024
-_LENGTH = struct.Struct(">I")
+_LENGTH_PREFIX = struct.Struct(">I")
 _FIELD_NAMES = tuple(spec[2] for spec in ttypes.Envelope.thrift_spec if spec)
 
 
 def _field_name(class_name: str) -> str:
+    """Return the envelope field of a class, as ``load_report`` for ``LoadReport``."""
     return re.sub(r"(?<!^)(?=[A-Z])", "_", class_name).lower()
 
 
@@ -26,13 +27,13 @@
 }
 
 
-def wrap(message: Any) -> Any:
+def wrap_in_envelope(message: Any) -> Any:
     """Return an ``Envelope`` that holds ``message``.
 
     Raises
     ------
     StepError
-        When the type of ``message`` is not one that an envelope can hold.
+        When an envelope has no field for the type of ``message``.
     """
     name = _FIELD_NAME_BY_CLASS.get(type(message))
     if name is None:
@@ -44,6 +45,12 @@
 def encode(message: Any) -> bytes:
     """Return one frame that holds ``message``.
 
+    Raises
+    ------
+    StepError
+        When an envelope has no field for the type of ``message``, or the payload is
+        longer than ``MAX_FRAME_BYTES``.
+
     Examples
     --------
     >>> from bluebellusher_core.wire import FrameDecoder, messages
@@ -52,15 +59,15 @@
     7
     """
     transport = TMemoryBuffer()
-    wrap(message).write(TBinaryProtocolAccelerated(transport))
+    wrap_in_envelope(message).write(TBinaryProtocolAccelerated(transport))
     payload = transport.getvalue()
     if len(payload) > MAX_FRAME_BYTES:
         reason = f"frame of {len(payload)} bytes: expected at most {MAX_FRAME_BYTES}"
         raise StepError("encode-frame", "", reason)
-    return _LENGTH.pack(len(payload)) + payload
+    return _LENGTH_PREFIX.pack(len(payload)) + payload
 
 
-def read_message(payload: bytes, peer: str) -> Any:
+def decode_message(payload: bytes, peer: str) -> Any:
     """Return the one message in the payload of a frame.
 
     Raises
@@ -72,26 +79,27 @@
     try:
         envelope.read(TBinaryProtocolAccelerated(TMemoryBuffer(payload)))
     except Exception as error:
-        # Thrift reports malformed input with many exception types, EOFError,
-        # struct.error and UnicodeDecodeError among them.
+        # Thrift raises many types of exceptions for malformed input, among them
+        # EOFError, struct.error and UnicodeDecodeError.
         reason = f"{type(error).__name__}: expected a Thrift envelope"
         raise StepError("decode-frame", peer, reason) from error
-    found = [name for name in _FIELD_NAMES if getattr(envelope, name) is not None]
-    if len(found) != 1:
-        reason = f"envelope with {len(found)} messages: expected 1"
+    set_fields = [name for name in _FIELD_NAMES if getattr(envelope, name) is not None]
+    if len(set_fields) != 1:
+        reason = f"envelope with {len(set_fields)} messages: expected 1"
         raise StepError("decode-frame", peer, reason)
-    return getattr(envelope, found[0])
+    return getattr(envelope, set_fields[0])
 
 
 class FrameDecoder:
-    """Split a byte stream into messages.
+    """Decoder that splits a byte stream into messages.
 
     Parameters
     ----------
     peer : str
-        Named in errors.
+        Name of the peer in errors.
     max_frame_bytes : int
-        A longer frame is an error, so that a peer cannot exhaust memory.
+        Maximum length of an envelope in bytes. A longer one is an error, so that a peer
+        cannot exhaust the memory of this process.
     """
 
     def __init__(self, peer: str, max_frame_bytes: int = MAX_FRAME_BYTES) -> None:
@@ -110,18 +118,18 @@
         self._buffer += data
         messages = []
         position = 0
-        while len(self._buffer) - position >= _LENGTH.size:
-            (length,) = _LENGTH.unpack_from(self._buffer, position)
+        while len(self._buffer) - position >= _LENGTH_PREFIX.size:
+            (length,) = _LENGTH_PREFIX.unpack_from(self._buffer, position)
             if length > self._max_frame_bytes:
                 reason = f"frame of {length} bytes: expected at most "
                 reason += str(self._max_frame_bytes)
                 raise StepError("decode-frame", self._peer, reason)
-            start = position + _LENGTH.size
+            start = position + _LENGTH_PREFIX.size
             end = start + length
             if len(self._buffer) < end:
                 break
             payload = bytes(self._buffer[start:end])
-            messages.append(read_message(payload, self._peer))
+            messages.append(decode_message(payload, self._peer))
             position = end
         if position:
             del self._buffer[:position]
--- a/packages/entry/src/bluebellusher/allowance/_rates.py
+++ b/packages/entry/src/bluebellusher/allowance/_rates.py
@@ -1,4 +1,4 @@
-"""Rates of customers, as shares of this entry."""
+"""Rate limits of customers, of which each entry enforces its share."""
 
 from bluebellusher.server import BadRequestError, RequestDraft
 from bluebellusher.settings import Settings
@@ -10,17 +10,17 @@
 REQUESTS_UNIT = "requests"
 
 
-class RateLimits:
-    """Let requests in within this entry's shares of the rates in force.
+class RateLimiter:
+    """Limiter that admits requests within this entry's shares of the rates in force.
 
     Parameters
     ----------
     n_entries : int
         Configured number of entries.
     entry_index : int
-        Place of this entry among them.
+        Index of this entry among all entries, from 0.
     clock : Clock
-        Wall time gives the periods.
+        Source of the wall time, which determines the current period of each rate.
     """
 
     def __init__(self, n_entries: int, entry_index: int, clock: Clock) -> None:
@@ -30,41 +30,42 @@
         self._share_by_key: dict[tuple[str, str], RateShare] = {}
 
     @classmethod
-    def from_settings(cls, settings: Settings, clock: Clock) -> "RateLimits":
-        """Take the place of this entry from the sorted addresses of all entries.
+    def from_settings(cls, settings: Settings, clock: Clock) -> "RateLimiter":
+        """Create a limiter with this entry's index in the sorted entry addresses.
 
-        Every entry has to name the others by the addresses on which they listen, or
-        two entries could take the same share.
+        Every entry has to list its peers under the addresses on which they listen.
+        Otherwise, two entries could use the same share.
         """
-        own = settings.peer_listen
+        own_address = settings.peer_listen
         addresses = {(peer.host, peer.port) for peer in settings.peers}
-        addresses.add((own.host, own.port))
-        index = sorted(addresses).index((own.host, own.port))
+        addresses.add((own_address.host, own_address.port))
+        index = sorted(addresses).index((own_address.host, own_address.port))
         return cls(len(addresses), index, clock)
 
     def admit(
         self, request_id: str, draft: RequestDraft, n_tokens: int, rules: RuleSet
     ) -> None:
-        """Use one request and the tokens that it may need at most.
+        """Reserve one request and its maximum number of tokens in the shares.
 
         Raises
         ------
         BadRequestError
-            When a share of the present period is used up; nothing is used then.
+            When a share of the current period is used up. Units that were already
+            reserved for the request are then returned.
         """
-        need_by_unit = {REQUESTS_UNIT: 1}
+        n_needed_by_unit = {REQUESTS_UNIT: 1}
         if draft.model:
-            need_by_unit[TOKENS_UNIT] = n_tokens
+            n_needed_by_unit[TOKENS_UNIT] = n_tokens
         wall_ms = self._clock.wall_ms()
-        for unit, n_units in need_by_unit.items():
+        for unit, n_units in n_needed_by_unit.items():
             rate = rules.rate_by_customer.get((draft.customer_id, unit))
             if rate is None:
                 continue
-            share = self._find_share(rate)
+            share = self._get_share(rate)
             if not share.reserve(request_id, n_units, wall_ms):
                 self.settle(draft.customer_id, request_id, 0, is_admitted=False)
                 detail = f"rate of {rate.n_units} {unit} per {rate.period} is used up"
-                wait_ms = share.wait_ms(wall_ms)
+                wait_ms = share.ms_until_next_share(wall_ms)
                 raise BadRequestError(Reason.RATE_LIMITED, detail, wait_ms)
 
     def settle(
@@ -74,18 +75,20 @@
         n_tokens: int | None,
         is_admitted: bool = True,
     ) -> None:
-        """Give back the tokens that were not used; a repeat does nothing.
+        """Return the reserved tokens that a request did not use.
 
-        ``n_tokens`` is ``None`` when the usage is unknown; all stay used then.
+        ``n_tokens`` is the number used, or ``None`` when the usage is unknown and all
+        reserved tokens count as used. A request that was not admitted also returns its
+        unit of the rate of requests. A repeated call has no effect.
         """
-        tokens = self._share_by_key.get((customer_id, TOKENS_UNIT))
-        if tokens is not None:
-            tokens.settle(request_id, n_tokens)
-        requests = self._share_by_key.get((customer_id, REQUESTS_UNIT))
-        if requests is not None:
-            requests.settle(request_id, 1 if is_admitted else 0)
+        token_share = self._share_by_key.get((customer_id, TOKENS_UNIT))
+        if token_share is not None:
+            token_share.settle(request_id, n_tokens)
+        request_share = self._share_by_key.get((customer_id, REQUESTS_UNIT))
+        if request_share is not None:
+            request_share.settle(request_id, 1 if is_admitted else 0)
 
-    def _find_share(self, rate: Rate) -> RateShare:
+    def _get_share(self, rate: Rate) -> RateShare:
         key = (rate.customer, rate.unit)
         share = self._share_by_key.get(key)
         period_ms = rate.period_s * 1000
@@ -94,6 +97,6 @@
                 rate.n_units, period_ms, self._n_entries, self._entry_index
             )
             self._share_by_key[key] = share
-        # What was used of the present period stays used under a new limit.
+        # Units used in the current period still count when the limit changes.
         share.limit = rate.n_units
         return share
--- a/packages/entry/src/bluebellusher/allowance/_spending.py
+++ b/packages/entry/src/bluebellusher/allowance/_spending.py
@@ -1,4 +1,4 @@
-"""Budgets of customers: admission, settlement and what follows their end."""
+"""Admission and settlement of requests within the rates and budgets of customers."""
 
 import asyncio
 import json
@@ -6,10 +6,10 @@
 from dataclasses import dataclass, replace
 from random import Random
 
-from bluebellusher.allowance._book import Allowance, AllowanceBook
-from bluebellusher.allowance._costs import cost_of, worst_cost_of
+from bluebellusher.allowance._costs import compute_cost, compute_max_cost
 from bluebellusher.allowance._grants import GrantWriter
-from bluebellusher.allowance._rates import RateLimits
+from bluebellusher.allowance._rates import RateLimiter
+from bluebellusher.allowance._registry import Allowance, AllowanceRegistry
 from bluebellusher.allowance._usage import UsageWriter
 from bluebellusher.platform import PlatformClient
 from bluebellusher.rollout import ConfigInForce
@@ -21,14 +21,15 @@
 from bluebellusher_core.events import Priority, Usage
 from bluebellusher_core.rules import ExhaustedAction, Limit, RuleSet
 
-# A caller that was refused because the table is down may find it up again.
+# Retry time in milliseconds for requests rejected while the table is unavailable. It is
+# short because the table may be available again long before the month ends.
 OUTAGE_RETRY_MS = 5_000
 _FLUSH_ATTEMPTS = 3
 
 
 @dataclass(frozen=True, slots=True)
 class _Reservation:
-    """What was set aside for one request."""
+    """Units reserved for one request, with the rules that determine its cost."""
 
     allowance: Allowance | None
     customer_id: str
@@ -40,36 +41,36 @@
     n_units: int
 
 
-class Spending:
-    """Let requests in within the rates and budgets of the rules in force.
+class SpendingLimiter:
+    """Limiter that admits requests within the rates and budgets of the rules in force.
 
     Parameters
     ----------
     in_force : ConfigInForce
-        Gives the rules.
-    book : AllowanceBook
+        Source of the rules.
+    registry : AllowanceRegistry
         Allowances of this entry.
     grants : GrantWriter
-        Enlarges and returns them.
+        Writer that enlarges and returns grants.
     usage : UsageWriter
-        Stores what was used.
-    rates : RateLimits
-        Shares of the rates.
+        Writer that stores the usage of requests.
+    rates : RateLimiter
+        Limiter for the rates.
     clock : Clock
-        Wall time gives the wait until the end of the month.
+        Monotonic time for the wait for a grant, wall time for the end of the month.
     """
 
     def __init__(
         self,
         in_force: ConfigInForce,
-        book: AllowanceBook,
+        registry: AllowanceRegistry,
         grants: GrantWriter,
         usage: UsageWriter,
-        rates: RateLimits,
+        rates: RateLimiter,
         clock: Clock,
     ) -> None:
         self._in_force = in_force
-        self._book = book
+        self._registry = registry
         self._grants = grants
         self._usage = usage
         self._rates = rates
@@ -87,29 +88,32 @@
         platform: PlatformClient,
         clock: Clock,
         random_state: Random,
-    ) -> "Spending":
-        """Build everything from the parts of an entry."""
+    ) -> "SpendingLimiter":
+        """Create the limiter and its writers from the parts of an entry."""
         instance = f"{settings.instance_id}/{incarnation}"
-        book = AllowanceBook(instance, len(settings.peers) + 1, clock)
-        grants = GrantWriter(book, platform, clock, random_state)
+        registry = AllowanceRegistry(instance, len(settings.peers) + 1, clock)
+        grants = GrantWriter(registry, platform, clock, random_state)
         prefix = f"usage/{settings.failure_domain}/{instance}"
         usage = UsageWriter(prefix, platform, clock, random_state)
-        rates = RateLimits.from_settings(settings, clock)
-        return cls(in_force, book, grants, usage, rates, clock)
+        rates = RateLimiter.from_settings(settings, clock)
+        return cls(in_force, registry, grants, usage, rates, clock)
 
     def start(self) -> None:
-        """Begin to take grants and to store usage."""
+        """Start the tasks that write grants and store usage."""
         self._tasks = [
             asyncio.create_task(self._grants.run()),
             asyncio.create_task(self._usage.run()),
         ]
 
     async def close(self) -> None:
-        """Return grants and store the rest of the usage, within a few seconds."""
+        """Stop the tasks, return unused grants and store the remaining usage.
+
+        The time for this is limited to a few seconds.
+        """
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        await self._grants.return_all()
+        await self._grants.return_all_grants()
         for _ in range(_FLUSH_ATTEMPTS):
             if await self._usage.flush():
                 return
@@ -120,71 +124,74 @@
         draft: RequestDraft,
         reparse: Callable[[bytes], RequestDraft],
     ) -> RequestDraft:
-        """Reserve the worst cost of a request; return the request to run.
+        """Reserve the maximum cost of a request; return the request to run.
 
         Parameters
         ----------
         request_id : str
-            Settled later under this id.
+            Id under which the request is settled later.
         draft : RequestDraft
-            What the caller asks for; calls to plain services cost nothing.
+            Request of the caller. Requests to plain services cost nothing.
         reparse : callable
-            Reads a changed body, for ``cheaper-model``.
+            Function that parses the body after a ``cheaper-model`` rule changed it.
 
         Raises
         ------
         BadRequestError
-            When a rate or the budget does not allow it.
+            When a rate or the budget does not cover the request.
         """
         started_at_ms = self._clock.now_ms()
         self._admit_by_rate(request_id, draft)
         try:
-            draft = await self._admit(request_id, draft, reparse)
+            draft = await self._admit_by_budget(request_id, draft, reparse)
         except BaseException:
-            # Also when the caller leaves while the request waits for a grant.
+            # Also on cancellation, when the caller disconnects during the wait.
             self._settle_rates(request_id, 0, is_admitted=False)
             raise
-        # The wait for a grant must not prolong the caller's deadline.
+        # The wait for a grant must not extend the caller's deadline.
         waited_ms = self._clock.now_ms() - started_at_ms
         return replace(draft, remaining_ms=max(1, draft.remaining_ms - waited_ms))
 
     def _admit_by_rate(self, request_id: str, draft: RequestDraft) -> None:
+        """Reserve the request in the rates; raise BadRequestError above a rate."""
         rules = self._in_force.rules
-        n_tokens = _worst(rules, draft, is_tokens=True) if draft.model else 0
+        n_tokens = _max_cost(rules, draft, is_tokens=True) if draft.model else 0
         self._rates.admit(request_id, draft, n_tokens, rules)
         self._customer_by_rated_request[request_id] = draft.customer_id
 
     def _settle_rates(
         self, request_id: str, n_tokens: int | None, is_admitted: bool = True
     ) -> None:
+        """Settle the request in the rates; a repeated call has no effect."""
         customer_id = self._customer_by_rated_request.pop(request_id, None)
         if customer_id is not None:
             self._rates.settle(customer_id, request_id, n_tokens, is_admitted)
 
-    async def _admit(
+    async def _admit_by_budget(
         self,
         request_id: str,
         draft: RequestDraft,
         reparse: Callable[[bytes], RequestDraft],
     ) -> RequestDraft:
+        """Reserve the request in the budget or as ``when-exhausted`` allows."""
         rules, version = self._in_force.rules, self._in_force.version
         budget = rules.budget_by_customer.get(draft.customer_id)
         if not draft.model or not version:
             return draft
         if budget is None:
-            self._note_free(request_id, draft, rules, version, "none")
+            self._record_unlimited(request_id, draft, rules, version, "none")
             return draft
         if await self._reserve(request_id, draft, "budget", budget.limit):
             return draft
-        return await self._continue(request_id, draft, reparse)
+        return await self._apply_exhausted_rule(request_id, draft, reparse)
 
     def settle(self, request_id: str, outcome: str, exchange: Exchange | None) -> None:
-        """Replace a reservation by what was used; a repeat does nothing.
+        """Replace the reservation of a request by its cost, and record its usage.
 
-        A request that certainly did not run costs nothing. One whose usage is not
-        known costs its reservation.
+        A request that certainly did not run costs nothing. A request whose usage is
+        unknown costs its whole reservation. A repeated call has no effect.
         """
-        usage = _find_usage(outcome, exchange)
+        usage = _determine_usage(outcome, exchange)
         n_tokens = None
         if usage is not None:
             n_tokens = usage.n_input_tokens + usage.n_output_tokens
@@ -192,36 +199,36 @@
         reservation = self._reservation_by_request_id.pop(request_id, None)
         if reservation is None:
             return
-        charged = reservation.n_units
+        n_charged = reservation.n_units
         if usage is not None:
-            charged = cost_of(
+            n_charged = compute_cost(
                 reservation.rules,
                 reservation.model,
                 usage,
                 reservation.unit == "tokens",
             )
         if reservation.allowance is not None:
-            charged = reservation.allowance.holder.settle(request_id, charged)
+            n_charged = reservation.allowance.holder.settle(request_id, n_charged)
         if usage is None or usage != Usage():
             self._usage.add(
                 reservation.customer_id,
                 reservation.model,
                 reservation.config_version,
-                (reservation.part, reservation.unit, charged),
+                (reservation.part, reservation.unit, n_charged),
                 usage,
             )
 
-    async def _continue(
+    async def _apply_exhausted_rule(
         self,
         request_id: str,
         draft: RequestDraft,
         reparse: Callable[[bytes], RequestDraft],
     ) -> RequestDraft:
-        """Apply the ``when-exhausted`` rule of a customer without budget."""
+        """Apply the ``when-exhausted`` rule of a customer whose budget is used up."""
         rules, version = self._in_force.rules, self._in_force.version
         rule = rules.when_exhausted_by_customer.get(draft.customer_id)
         if rule is None or rule.action is ExhaustedAction.REFUSE:
-            raise self._exhausted(rules)
+            raise self._exhausted_error(rules)
         if rule.action is ExhaustedAction.LOWER_PRIORITY:
             draft = replace(draft, priority=Priority.LOW)
         elif rule.model is not None:
@@ -229,18 +236,19 @@
             document["model"] = rule.model
             draft = reparse(json.dumps(document).encode())
         if rule.limit is None:
-            self._note_free(request_id, draft, rules, version, "extra")
+            self._record_unlimited(request_id, draft, rules, version, "extra")
         elif not await self._reserve(request_id, draft, "extra", rule.limit):
-            raise self._exhausted(rules)
+            raise self._exhausted_error(rules)
         return draft
 
     async def _reserve(
         self, request_id: str, draft: RequestDraft, part: str, limit: Limit
     ) -> bool:
+        """Reserve the maximum cost in a part of the budget; return whether it fits."""
         rules, version = self._in_force.rules, self._in_force.version
         customer = draft.customer_id
-        allowance = self._book.find(customer, part, limit, rules, version)
-        n_units = _worst(rules, draft, limit.is_tokens)
+        allowance = self._registry.get_or_create(customer, part, limit, rules, version)
+        n_units = _max_cost(rules, draft, limit.is_tokens)
         if not await self._grants.reserve(allowance, request_id, n_units):
             return False
         self._reservation_by_request_id[request_id] = _Reservation(
@@ -248,7 +256,7 @@
         )
         return True
 
-    def _note_free(
+    def _record_unlimited(
         self,
         request_id: str,
         draft: RequestDraft,
@@ -256,8 +264,8 @@
         version: int,
         part: str,
     ) -> None:
-        """Note a request that no limit of money or tokens applies to."""
-        n_units = _worst(rules, draft, is_tokens=False)
+        """Record a request to which no limit of money or tokens applies."""
+        n_units = _max_cost(rules, draft, is_tokens=False)
         self._reservation_by_request_id[request_id] = _Reservation(
             None,
             draft.customer_id,
@@ -269,29 +277,35 @@
             n_units,
         )
 
-    def _exhausted(self, rules: RuleSet) -> BadRequestError:
-        if self._grants.is_table_down:
-            detail = "the grant of this entry is used up, and the table is down"
+    def _exhausted_error(self, rules: RuleSet) -> BadRequestError:
+        """Return the rejection of a request that the budget does not cover."""
+        if self._grants.is_table_unavailable:
+            detail = "the grant of this entry is used up, and the table is unavailable"
             return BadRequestError(Reason.BUDGET_EXHAUSTED, detail, OUTAGE_RETRY_MS)
-        left_ms = self._book.month_end_ms(rules.month_zone) - self._clock.wall_ms()
+        until_month_end_ms = (
+            self._registry.month_end_ms(rules.month_zone) - self._clock.wall_ms()
+        )
         detail = "the budget of the month does not cover this request"
-        return BadRequestError(Reason.BUDGET_EXHAUSTED, detail, max(left_ms, 1_000))
+        return BadRequestError(
+            Reason.BUDGET_EXHAUSTED, detail, max(until_month_end_ms, 1_000)
+        )
 
 
-def _worst(rules: RuleSet, draft: RequestDraft, is_tokens: bool) -> int:
-    return worst_cost_of(
+def _max_cost(rules: RuleSet, draft: RequestDraft, is_tokens: bool) -> int:
+    """Return the maximum cost of a request, in tokens or millionths of the currency."""
+    return compute_max_cost(
         rules, draft.model, len(draft.body), draft.n_max_output_tokens, is_tokens
     )
 
 
-def _find_usage(outcome: str, exchange: Exchange | None) -> Usage | None:
-    """Return what a request used, or ``None`` when that is unknown."""
+def _determine_usage(outcome: str, exchange: Exchange | None) -> Usage | None:
+    """Return the tokens that a request used, or ``None`` when they are unknown."""
     if exchange is None or not exchange.endpoint_by_attempt_id:
         return Usage()
     if outcome == Outcome.NOT_RUN:
         return Usage()
     usage, answer = exchange.usage, exchange.answer
-    # An engine that does not count tokens must not make its answers free.
+    # An engine that reports no token counts must not make its answers free.
     if usage == Usage() and answer.status < 400 and answer.n_bytes:
         return None
     return usage
