--- a/packages/core/src/bluebellusher_core/admission/_fair_queue.py
+++ b/packages/core/src/bluebellusher_core/admission/_fair_queue.py
@@ -15,25 +15,28 @@
 from bluebellusher_core.errors import Outcome, Reason, Refusal
 from bluebellusher_core.events import Priority, RequestSpec
 
-# Between customers, each level of priority is a head start of this many mean
-# requests of a customer with weight 1.
+# Head start that one priority level gives between customers, in mean request costs
+# of a customer with weight 1.
 PRIORITY_HEAD_START = 2.0
+# Weight of the latest dequeued request in the exponentially weighted mean cost.
 COST_SMOOTHING = 0.05
+# Bounds of the ``retry_after_ms`` of a rejection.
 MIN_RETRY_AFTER_MS = 100
 MAX_RETRY_AFTER_MS = 60_000
-# Dead heap entries are removed when they outnumber the live ones and this.
+# A heap is rebuilt when its stale entries exceed the live ones by more than this.
 MIN_DEAD_ENTRIES = 64
 
 
 class FairQueue:
-    """Fair shares between customers, priorities with ageing, early refusal.
+    """Fair queue by customer weight with priority ageing and early rejection.
 
     Each customer has a start tag that grows with the cost of its requests divided
-    by its weight; the customer with the lowest tag goes next (start-time fair
-    queueing). The priority of a customer's first request shifts its place by a
-    bounded amount, so that a customer gains a head start but no larger share, and
-    no request waits forever. Within a customer, requests are ordered by arrival
-    time plus ``AGEING_MS`` for each level of priority.
+    by its weight; the customer with the lowest tag is served next (start-time fair
+    queueing). The priority of a customer's first waiting request shifts the position
+    of the customer by a bounded amount: a higher priority gives a head start but no
+    larger share, and no request waits forever. Within a customer, requests are
+    ordered by arrival time plus ``AGEING_MS`` for each priority level below the
+    highest.
 
     Parameters
     ----------
@@ -72,7 +75,13 @@
         self.set_weights(weight_by_customer or {})
 
     def set_weights(self, weight_by_customer: Mapping[str, float]) -> None:
-        """Replace the customers' weights; waiting requests keep their tags."""
+        """Replace the customers' weights; customers keep their start tags.
+
+        Raises
+        ------
+        ValueError
+            When a weight is not above 0.
+        """
         for customer_id, weight in weight_by_customer.items():
             if not weight > 0:
                 raise ValueError(f"weight of {customer_id}={weight}: expected above 0")
@@ -84,7 +93,13 @@
                 self._active_weight += flow.weight
 
     def offer(self, request: RequestSpec, now_ms: int) -> Refusal | None:
-        """Add the request, or refuse it when its deadline cannot be met."""
+        """Add the request, or reject it when its deadline cannot be met.
+
+        Raises
+        ------
+        ValueError
+            When a request with the same id is already waiting.
+        """
         if request.request_id in self._waiting_by_id:
             raise ValueError(f"request_id={request.request_id}: already waiting")
         self._rate.advance(now_ms, has_backlog=bool(self._waiting_by_id))
@@ -103,10 +118,10 @@
         return None
 
     def take(self, now_ms: int) -> RequestSpec | None:
-        """Remove and return the request that goes next.
+        """Remove and return the next request, or ``None`` when none can be served.
 
-        Requests that can no longer meet their deadline are passed over and stay
-        until ``expire`` returns them with their refusal.
+        Requests that can no longer meet their deadline are skipped. They stay in the
+        queue until ``expire`` returns them with their rejections.
         """
         self._rate.advance(now_ms, has_backlog=bool(self._waiting_by_id))
         while self._flow_heap:
@@ -122,9 +137,10 @@
         return None
 
     def put_back(self, request: RequestSpec, now_ms: int) -> None:
-        """Return a request that was taken and could not be placed, to go first.
+        """Put a dequeued request that could not be dispatched back to the front.
 
-        The customer's tag is moved back by the request's cost.
+        The start tag of the customer decreases by the cost of the request divided by
+        the weight of the customer.
         """
         self._rate.advance(now_ms, has_backlog=bool(self._waiting_by_id))
         cost = compute_cost(request)
@@ -140,7 +156,7 @@
         self._add(Waiting(request, cost, order, latest_start_ms, now_ms))
 
     def remove(self, request_id: str) -> bool:
-        """Remove a request whose caller left; return whether it was waiting."""
+        """Remove a request whose caller disconnected; return whether it waited."""
         waiting = self._waiting_by_id.get(request_id)
         if waiting is None:
             return False
@@ -148,7 +164,7 @@
         return True
 
     def expire(self, now_ms: int) -> list[tuple[RequestSpec, Refusal]]:
-        """Remove and return requests whose deadline can no longer be met."""
+        """Remove requests that can no longer meet their deadline, with rejections."""
         self._rate.advance(now_ms, has_backlog=bool(self._waiting_by_id))
         expired = []
         while self._deadline_heap and self._deadline_heap[0][0] <= now_ms:
@@ -159,10 +175,20 @@
         return [(request, self._expiry(request, now_ms)) for request in expired]
 
     def observe_service(self, n_slots: int, service_ms: float) -> None:
-        """Tell how many own requests run at once and how long one takes on average.
-
-        ``n_slots`` is the entry's own share of the endpoints' slots, such as its
-        mean number of attempts in flight.
+        """Set the number of concurrent requests and their mean service time.
+
+        Parameters
+        ----------
+        n_slots : int
+            The entry's own share of the endpoints' slots, such as its mean number of
+            attempts in flight.
+        service_ms : float
+            Mean time in which an endpoint serves a request, in ms.
+
+        Raises
+        ------
+        ValueError
+            When ``n_slots`` is below 1, or ``service_ms`` is not positive and finite.
         """
         if n_slots < 1:
             raise ValueError(f"n_slots={n_slots}: expected at least 1")
@@ -172,11 +198,11 @@
         self._service_ms = service_ms
 
     def predict_wait_ms(self, request: RequestSpec) -> float:
-        """Return how long the request would wait if it were offered now."""
+        """Return the predicted wait, in ms, of a request that is offered now."""
         return self._predicted_wait_ms(request)
 
     def __len__(self) -> int:
-        """Return how many requests wait."""
+        """Return the number of waiting requests."""
         return len(self._waiting_by_id)
 
     def _flow(self, customer_id: str) -> Flow:
@@ -207,7 +233,7 @@
         self._compact(flow)
 
     def _place(self, customer_id: str, flow: Flow) -> None:
-        """Order the customer by its first request, after that has changed."""
+        """Update the customer's position if its first waiting request has changed."""
         while flow.heap and not flow.heap[0][1].is_in_flow:
             heapq.heappop(flow.heap)
         head = flow.heap[0][1] if flow.heap else None
@@ -250,16 +276,16 @@
         self._total_cost -= waiting.cost
         if flow.n_waiting == 0:
             self._active_weight -= flow.weight
-            # Without this, rounding errors of many additions would stay.
+            # Resets the rounding errors of repeated additions and subtractions.
             flow.cost_by_priority = [0.0] * len(Priority)
         self._place(request.customer_id, flow)
 
     def _is_current(self, waiting: Waiting) -> bool:
-        # A request that was put back has an outdated entry from its first offer.
+        # A requeued request has a stale heap entry from its earlier offer.
         return self._waiting_by_id.get(waiting.request.request_id) is waiting
 
     def _compact(self, flow: Flow) -> None:
-        """Drop dead entries once they are the larger part; O(1) amortised."""
+        """Remove stale heap entries once they prevail; O(1) amortised."""
         n_waiting = len(self._waiting_by_id)
         if len(self._deadline_heap) > 2 * n_waiting + MIN_DEAD_ENTRIES:
             self._deadline_heap = [
@@ -281,7 +307,8 @@
             ]
             heapq.heapify(self._flow_heap)
         if len(flows) >= self._prune_at:
-            # A customer without requests whose tag is not ahead starts anew.
+            # A customer without waiting requests whose start tag is not ahead of the
+            # virtual time would get the virtual time as its tag anyway.
             self._flow_by_customer = {
                 customer_id: flow
                 for customer_id, flow in flows.items()
@@ -291,20 +318,20 @@
             self._prune_at = 2 * n_left + MIN_DEAD_ENTRIES
 
     def _latest_start_ms(self, request: RequestSpec, cost: float) -> float:
-        # With nothing waiting, capacity is not short, and a service estimate that
-        # is too high must not refuse every request for ever.
+        # An empty queue means that capacity is sufficient. An estimate of the service
+        # time that is too high must not reject every request forever.
         if not self._waiting_by_id or not self._mean_cost:
             return float(request.deadline_ms)
         service_ms = self._service_ms * cost / self._mean_cost
         return request.deadline_ms - service_ms
 
     def _predicted_wait_ms(self, request: RequestSpec) -> float:
-        """Predict the wait from the customer's work that goes first.
+        """Predict the wait, in ms, from the customer's work ahead of the request.
 
-        The customer's own rate of service is measured while it has requests waiting;
-        until then its share by weight among the waiting customers is expected.
-        Requests of the same customer with a higher priority overtake when they arrive
-        in time, at the rate at which they arrived lately.
+        The service rate of the customer is measured while it has waiting requests.
+        Before that, its share by weight among the waiting customers is expected. Later
+        requests of the same customer with a higher priority can overtake the request;
+        they are expected to arrive at their recent rate.
         """
         flow = self._flow_by_customer.get(request.customer_id)
         if flow is None or flow.n_waiting == 0:
@@ -317,9 +344,9 @@
         return with_overtaking(flow, request.priority, work_ahead, unit_ms)
 
     def _first_wait_ms(self, request: RequestSpec, flow: Flow | None) -> float:
-        """Predict the wait of a customer's only request, from its place in the round.
+        """Predict the wait, in ms, of a customer's only request from its start tag.
 
-        It is never longer than all waiting work takes.
+        The work ahead is at most the cost of all waiting requests.
         """
         weight = self._weight_by_customer.get(request.customer_id, 1.0)
         head_start = request.priority * PRIORITY_HEAD_START * self._mean_cost
@@ -341,7 +368,7 @@
 
 
 def _refusal(reason: Reason, wait_ms: float) -> Refusal:
-    # The caller is asked to return when what waits now has been served.
+    # The caller is asked to retry when the requests ahead of it have been served.
     retry_after_ms = int(min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, wait_ms)))
     return Refusal(
         outcome=Outcome.NOT_RUN,
--- a/packages/core/src/bluebellusher_core/admission/_flow.py
+++ b/packages/core/src/bluebellusher_core/admission/_flow.py
@@ -9,20 +9,22 @@
 # A prompt token takes about a sixteenth of the engine time of an output token,
 # because prefill runs over many tokens at once.
 INPUT_TOKENS_PER_OUTPUT_TOKEN = 16
-# A waiting request overtakes a later one of the same customer and of the next
-# higher priority when it is this much older.
+# Age difference that offsets one priority level, in ms: within a customer, a request
+# goes before one of the next higher priority that arrived at least this much later.
 AGEING_MS = 5_000
+# Iterations of the estimate in ``with_overtaking``.
 N_OVERTAKING_ROUNDS = 4
 
 
 @dataclass(slots=True, eq=False)
 class Waiting:
-    """One waiting request and its place."""
+    """A waiting request, its cost and its position within its customer."""
 
     request: RequestSpec
     cost: float
+    # Arrival time shifted by the priority, in ms, and a number that breaks ties.
     order: tuple[float, int]
-    # The time after which the answer would come too late.
+    # Latest start of service with which the answer still meets the deadline.
     latest_start_ms: float
     offered_at_ms: int
     is_in_flow: bool = True
@@ -30,13 +32,13 @@
 
 @dataclass(slots=True)
 class Flow:
-    """The waiting requests and the position of one customer."""
+    """The waiting requests of one customer and its fair-queueing state."""
 
     weight: float
     start_tag: float
     heap: list[tuple[tuple[float, int], Waiting]] = field(default_factory=list)
     cost_by_priority: list[float] = field(default_factory=lambda: [0.0] * len(Priority))
-    # Accepted work, decayed with ``MEMORY_MS``.
+    # Accepted work, decayed with the time constant ``MEMORY_MS``.
     recent_by_priority: list[float] = field(
         default_factory=lambda: [0.0] * len(Priority)
     )
@@ -44,11 +46,11 @@
     n_waiting: int = 0
     rate: ServiceRate = field(default_factory=ServiceRate)
     head: Waiting | None = None
-    # Entries of the heap of flows with another generation are outdated.
+    # An entry in the heap of flows that has another generation is stale.
     generation: int = 0
 
     def note_accepted(self, priority: Priority, cost: float, now_ms: int) -> None:
-        """Count accepted work for the rate of arrivals by priority."""
+        """Add accepted work to the recent arrivals of its priority."""
         decay = exp((self.recent_at_ms - now_ms) / MEMORY_MS)
         self.recent_by_priority = [work * decay for work in self.recent_by_priority]
         self.recent_by_priority[priority] += cost
@@ -58,11 +60,23 @@
 def with_overtaking(
     flow: Flow, priority: Priority, work_ahead: float, unit_ms: float
 ) -> float:
-    """Return the wait with later arrivals of higher priority.
+    """Return the wait, in ms, including later arrivals of higher priority.
 
-    Such a request overtakes when it arrives before the wait ends and at most
-    ``AGEING_MS`` later for each level. Each round adds those that the round before
-    let in; a few rounds come close enough.
+    A later request overtakes when it arrives before the wait ends and at most
+    ``AGEING_MS`` later for each level by which its priority is higher. Overtaking
+    lengthens the wait, so that more requests can overtake; a few iterations come
+    close enough to the fixed point.
+
+    Parameters
+    ----------
+    flow : Flow
+        The customer's waiting requests and recent arrivals.
+    priority : Priority
+        Priority of the request that waits.
+    work_ahead : float
+        Cost of the customer's requests that are served first.
+    unit_ms : float
+        Time in which one unit of cost is served, in ms.
     """
     wait_ms = work_ahead * unit_ms
     for _ in range(N_OVERTAKING_ROUNDS):
--- a/packages/core/src/bluebellusher_core/admission/_objective_queue.py
+++ b/packages/core/src/bluebellusher_core/admission/_objective_queue.py
@@ -1,4 +1,4 @@
-"""Queue by the time at which a late answer loses its use, with early refusal."""
+"""Queue ordered by latency objective and caller timeout, with early rejection."""
 
 import heapq
 from collections import deque
@@ -8,29 +8,38 @@
 from bluebellusher_core.errors import Outcome, Reason, Refusal
 from bluebellusher_core.events import RequestSpec
 
-# From dispatch to the first byte, until it has been observed.
+# Default time from dispatch to the first byte, in ms.
 DEFAULT_START_MS = 150.0
-# Head start between neighbouring priorities.
+# Head start of a request over one of the next lower priority, in ms.
 PRIORITY_MS = 100.0
-# A caller waits at most this share of its remaining time before it comes back.
+# A caller retries only when ``retry_after_ms`` is at most this share of the time to
+# its deadline.
 RETURN_SHARE = 1 / 3
 MIN_RETRY_AFTER_MS = 100
-# Returns are spread over the upper part of the longest pause a caller accepts.
+# Retries are spread between this share of the longest ``retry_after_ms`` that a caller
+# accepts and the whole of it.
 MIN_PAUSE_SHARE = 0.4
-# While a service is closed its end is not known, and a longer pause reaches further.
+# The same share while a service is closed. The time at which it opens is not known; a
+# longer ``retry_after_ms`` is more likely to end after it.
 MIN_CLOSED_PAUSE_SHARE = 0.8
-# Time over which arrivals are counted.
+# Window over which arrivals of fresh requests are counted, in ms.
 ARRIVAL_WINDOW_MS = 2_000
-# Under overload nothing is spare; a few that came back are served nevertheless.
+# Least share of the capacity that retried requests are predicted to get. Under
+# overload, fresh requests use all of it, and a few retried ones must still be served.
 MIN_SPARE_SHARE = 0.1
-# Spreads successive values evenly over an interval (golden ratio).
+# Golden ratio without its integer part; steps of this size modulo 1 spread successive
+# values evenly over an interval.
 SPREAD_STEP = 0.6180339887498949
 
 
 @dataclass(slots=True)
 class _Waiting:
+    """A waiting request and the time limit that orders it."""
+
     request: RequestSpec
+    # Latest start that meets the next time limit, plus the handicap of the priority.
     key_ms: float
+    # Whether the objective is missed, so that only the caller's timeout counts.
     is_late: bool
     is_current: bool = True
     is_put_back: bool = False
@@ -40,21 +49,23 @@
 
 
 class ObjectiveQueue:
-    """Earliest time limit first, and refusal of what would be served late.
+    """Earliest-deadline-first queue that rejects requests that would be late.
 
-    An answer is of less use after its objective, and of none once its caller has
-    stopped waiting; a request that came back is late already and can wait until the
-    latter. Requests go in the order in which they reach the next of these times.
+    A request has two time limits. After its latency objective the answer is worth less;
+    after the timeout of its caller it is worth nothing. Requests are ordered by the
+    next limit that they reach. A retried request has missed its objective already, so
+    that only the timeout of its caller counts.
 
-    Load pattern: bursts of two to three times the capacity. Serving everything in
-    order of arrival would make every request late, so a fresh request that would wait
-    past its objective is refused at once and told to come back when the burst is over;
-    then it is accepted for as long as its caller waits.
+    Load pattern: bursts of two to three times the capacity. Serving all requests in
+    order of arrival would make every request late. A fresh request, which is not a
+    retry, is therefore rejected at once when it would wait past its objective, and its
+    caller is asked to retry when the burst is over. The retried request is accepted
+    when it can start before the timeout of its caller.
 
     Parameters
     ----------
     start_ms : float
-        Time from dispatch to the first byte, in ms.
+        Expected time from dispatch to the first byte, in ms.
 
     Examples
     --------
@@ -75,7 +86,7 @@
         self._fresh_at_ms: deque[int] = deque()
 
     def offer(self, request: RequestSpec, now_ms: int) -> Refusal | None:
-        """Add the request, or refuse it when it would be served too late."""
+        """Add the request, or reject it when it would be served too late."""
         self._note_arrival(request, now_ms)
         if request.deadline_ms <= now_ms:
             return self._refuse(request, Reason.DEADLINE_EXCEEDED, now_ms)
@@ -92,13 +103,13 @@
         return None
 
     def take(self, now_ms: int) -> RequestSpec | None:
-        """Remove and return the request whose next time limit comes first."""
+        """Remove and return the request whose next time limit is earliest."""
         while self._heap:
             waiting = heapq.heappop(self._heap)
             if not waiting.is_current:
                 continue
             if not waiting.is_late and waiting.key_ms <= now_ms:
-                # Its objective is missed; it can wait as long as its caller does.
+                # The objective is missed, so only the caller's timeout counts.
                 waiting.is_late = True
                 waiting.key_ms = self._latest_start_ms(waiting.request)
                 heapq.heappush(self._heap, waiting)
@@ -109,14 +120,14 @@
         return None
 
     def put_back(self, request: RequestSpec, now_ms: int) -> None:
-        """Return a request that could not be placed, to go first."""
+        """Put a dequeued request that could not be dispatched back to the front."""
         waiting = self._make_waiting(request, now_ms)
         waiting.key_ms, waiting.is_late = -inf, True
         waiting.is_put_back = True
         self._add(waiting)
 
     def remove(self, request_id: str) -> bool:
-        """Remove a request whose caller left; return whether it was waiting."""
+        """Remove a request whose caller disconnected; return whether it waited."""
         waiting = self._waiting_by_id.pop(request_id, None)
         if waiting is None:
             return False
@@ -124,10 +135,11 @@
         return True
 
     def expire(self, now_ms: int) -> list[tuple[RequestSpec, Refusal]]:
-        """Remove and return requests that are better refused than kept waiting.
+        """Remove requests that must not wait any longer, with their rejections.
 
-        These are requests whose callers will not wait long enough, and while every
-        endpoint is closed also fresh ones, whose callers can come back.
+        These are requests that cannot start before the timeout of their caller. While
+        every endpoint is closed, they are also the fresh requests, whose callers can
+        retry.
         """
         expired: list[tuple[RequestSpec, Refusal]] = []
         for waiting in list(self._waiting_by_id.values()):
@@ -145,34 +157,35 @@
         return expired
 
     def observe_service(self, n_slots: int, service_ms: float) -> None:
-        """Tell how many own requests run at once and how long one takes."""
+        """Set the number of concurrent requests and their mean service time in ms."""
         self._interval_ms = service_ms / max(1, n_slots)
 
     def observe_closed(self, is_closed: bool) -> None:
-        """Tell whether every endpoint states that it can run nothing now.
-
-        Load pattern: a group of ranks stops for seconds when it loses a rank. Its end
-        is not known, so that a fresh request is refused at once, with a pause after
-        which its caller can still be served. For one that came back another refusal
-        may be the last; it waits as long as its caller does. Only as many wait as the
-        endpoints can serve beside fresh requests once they open, since those would
-        otherwise all become late.
+        """Set whether every endpoint is closed, that is, can run no request now.
+
+        Load pattern: a group of ranks stops for seconds when it loses a rank. The time
+        at which it opens again is not known. A fresh request is therefore rejected at
+        once, with a ``retry_after_ms`` after which it can still be served. A retried
+        request may not be retried again, so it waits until the timeout of its caller.
+        Only as many retried requests wait as the endpoints can serve in addition to
+        fresh ones after they open, because more would make all fresh requests late.
         """
         self._is_closed = is_closed
 
     def observe_pause(self, pause_ms: int) -> None:
-        """Tell when the first endpoint takes work again; 0 when one does now.
+        """Set the time until the first pause of an endpoint ends, in ms; 0 for none.
 
-        Load pattern: every endpoint of a service is full and asks for a pause. What can
-        be served after it waits; others are refused at once and come back one after the
-        other from its end on, at the rate at which requests are served.
+        Load pattern: every endpoint of a service is full and asks for a pause. Requests
+        that can still be served after the pause wait. Others are rejected at once and
+        asked to retry one after another from the end of the pause on, at the rate at
+        which requests are served.
         """
         if not pause_ms:
             self._n_refused_in_pause = 0
         self._paused_ms = pause_ms
 
     def __len__(self) -> int:
-        """Return how many requests wait."""
+        """Return the number of waiting requests."""
         return len(self._waiting_by_id)
 
     def _make_waiting(self, request: RequestSpec, now_ms: int) -> _Waiting:
@@ -192,7 +205,7 @@
         return min(limit_ms, request.deadline_ms) - self._start_ms
 
     def _give_up_ms(self, waiting: _Waiting) -> float:
-        """Return the start after which refusing at once serves the caller better."""
+        """Return the latest predicted start at which a request is still accepted."""
         if waiting.is_late:
             return self._latest_start_ms(waiting.request)
         return waiting.key_ms
@@ -207,7 +220,7 @@
         return wait_ms / self._spare_share() if self._is_closed else wait_ms
 
     def _spare_share(self) -> float:
-        """Return the share of the endpoints that fresh requests leave free."""
+        """Return the share of the capacity that fresh requests leave free."""
         used_share = len(self._fresh_at_ms) * self._interval_ms / ARRIVAL_WINDOW_MS
         return max(MIN_SPARE_SHARE, 1 - used_share)
 
@@ -226,7 +239,7 @@
         return Refusal(Outcome.NOT_RUN, reason, "admission", "", pause_ms)
 
     def _pause_ms(self, request: RequestSpec, now_ms: int) -> int:
-        """Return when to come back; callers that are refused together spread out."""
+        """Return the ``retry_after_ms`` of a rejection; retries are spread in time."""
         if self._paused_ms:
             self._n_refused_in_pause += 1
             turn_ms = self._n_refused_in_pause * self._interval_ms
--- a/packages/core/src/bluebellusher_core/admission/_protocol.py
+++ b/packages/core/src/bluebellusher_core/admission/_protocol.py
@@ -1,4 +1,4 @@
-"""What every admission queue offers, and the first-in first-out baseline."""
+"""Interface of admission queues and the first-in, first-out baseline."""
 
 from typing import Protocol
 
@@ -7,68 +7,68 @@
 
 
 class AdmissionQueue(Protocol):
-    """Order requests and refuse those whose deadline cannot be met."""
+    """Queue that orders requests and rejects those that would miss their deadline."""
 
     def offer(self, request: RequestSpec, now_ms: int) -> Refusal | None:
-        """Add a request; return a refusal when its deadline cannot be met."""
+        """Add a request; return a rejection when its deadline cannot be met."""
 
     def take(self, now_ms: int) -> RequestSpec | None:
-        """Remove and return the request that goes next, or ``None``."""
+        """Remove and return the next request, or ``None`` when none can be served."""
 
     def put_back(self, request: RequestSpec, now_ms: int) -> None:
-        """Return a request that was taken and could not be placed, to go first."""
+        """Put a dequeued request that could not be dispatched back to the front."""
 
     def remove(self, request_id: str) -> bool:
-        """Remove a request whose caller left; return whether it was waiting."""
+        """Remove a request whose caller disconnected; return whether it waited."""
 
     def expire(self, now_ms: int) -> list[tuple[RequestSpec, Refusal]]:
-        """Remove and return requests whose deadline can no longer be met."""
+        """Remove requests that can no longer meet their deadline, with rejections."""
 
     def observe_service(self, n_slots: int, service_ms: float) -> None:
-        """Tell how many requests run at once and how long one takes on average."""
+        """Set the number of concurrent requests and their mean service time in ms."""
 
     def __len__(self) -> int:
-        """Return how many requests wait."""
+        """Return the number of waiting requests."""
 
 
 class FifoQueue:
-    """First in, first out; requests leave when their deadline has passed."""
+    """First-in, first-out queue that expires requests at their deadline."""
 
     def __init__(self) -> None:
         self._requests: list[RequestSpec] = []
 
     def offer(self, request: RequestSpec, now_ms: int) -> Refusal | None:
-        """Add the request; refuse it only when its deadline has passed."""
+        """Add the request; reject it only when its deadline has passed."""
         if request.deadline_ms <= now_ms:
             return _deadline_refusal()
         self._requests.append(request)
         return None
 
     def take(self, now_ms: int) -> RequestSpec | None:
-        """Return the request that has waited longest."""
+        """Remove and return the request that has waited longest, or ``None``."""
         return self._requests.pop(0) if self._requests else None
 
     def put_back(self, request: RequestSpec, now_ms: int) -> None:
-        """Put the request at the head."""
+        """Put a dequeued request back to the front."""
         self._requests.insert(0, request)
 
     def remove(self, request_id: str) -> bool:
-        """Remove the request with this id."""
+        """Remove the request with this id; return whether it waited."""
         n_before = len(self._requests)
         self._requests = [r for r in self._requests if r.request_id != request_id]
         return len(self._requests) < n_before
 
     def expire(self, now_ms: int) -> list[tuple[RequestSpec, Refusal]]:
-        """Remove the requests whose deadline has passed."""
+        """Remove the requests whose deadline has passed, with their rejections."""
         expired = [r for r in self._requests if r.deadline_ms <= now_ms]
         self._requests = [r for r in self._requests if r.deadline_ms > now_ms]
         return [(request, _deadline_refusal()) for request in expired]
 
     def observe_service(self, n_slots: int, service_ms: float) -> None:
-        """Ignore the service rate; this baseline predicts nothing."""
+        """Ignore the service rate; this baseline predicts no waits."""
 
     def __len__(self) -> int:
-        """Return how many requests wait."""
+        """Return the number of waiting requests."""
         return len(self._requests)
 
 
--- a/packages/core/src/bluebellusher_core/admission/_service_rate.py
+++ b/packages/core/src/bluebellusher_core/admission/_service_rate.py
@@ -1,20 +1,20 @@
-"""Estimate of how much work leaves a queue in a millisecond."""
+"""Estimate of the work that leaves a queue per millisecond."""
 
 from math import exp
 
-# Long enough to average over single requests, short enough to follow the loss of
-# a failure domain before most deadlines pass.
+# Time constant of the decay, in ms. It is long enough to average over single requests
+# and short enough to follow the loss of a failure domain before most deadlines pass.
 MEMORY_MS = 10_000.0
-# The expected rate counts as much as this much measured time.
+# The expected rate has the same weight as a measurement over this time, in ms.
 PRIOR_MS = 1_000.0
 
 
 class ServiceRate:
-    """Work taken from a queue per millisecond in which requests waited.
+    """Service rate: work dequeued per millisecond of the time with a backlog.
 
-    Time without waiting requests tells nothing about the highest rate, so neither
-    that time nor requests that did not wait are counted. Both sums decay with
-    ``MEMORY_MS``.
+    Time without waiting requests gives no information about the highest possible
+    rate, so neither that time nor requests that did not wait are counted. The sums of
+    work and time decay with the time constant ``MEMORY_MS``.
     """
 
     def __init__(self) -> None:
@@ -23,7 +23,7 @@
         self._advanced_at_ms: int | None = None
 
     def advance(self, now_ms: int, has_backlog: bool) -> None:
-        """Account for the time since the last call."""
+        """Decay both sums, and add the time since the last call if it had a backlog."""
         last_ms = now_ms if self._advanced_at_ms is None else self._advanced_at_ms
         elapsed_ms = now_ms - last_ms
         self._advanced_at_ms = now_ms
@@ -36,24 +36,26 @@
             self._busy_ms += elapsed_ms
 
     def record(self, work: float) -> None:
-        """Count work that left the queue; a negative amount takes it back."""
+        """Add work that left the queue; a negative amount reverts an earlier call."""
         self._work = max(0.0, self._work + work)
 
     def predict_wait_ms(
         self, work_ahead: float, expected_rate: float | None, mean_work: float
     ) -> float:
-        """Return how long ``work_ahead`` takes; 0 while nothing was observed.
+        """Return the predicted time, in ms, in which ``work_ahead`` is served.
+
+        Without an expected rate, the time is 0 until a backlog was observed.
 
         Parameters
         ----------
         work_ahead : float
-            Work that goes first.
+            Cost of the requests that are served first.
         expected_rate : float or None
-            Work per millisecond that is expected before anything was measured.
+            Work per millisecond that is expected before the first measurement.
         mean_work : float
-            Work of a mean request. Without an expected rate one such request is
-            assumed to be about to leave, so that the estimate stays finite and grows
-            during a stall.
+            Cost of a mean request. Without an expected rate, one such request is added
+            to the served work, so that the estimate stays finite and grows during a
+            stall.
         """
         if expected_rate is not None:
             work = self._work + expected_rate * PRIOR_MS
--- a/packages/core/src/bluebellusher_core/admission/tests/overload.py
+++ b/packages/core/src/bluebellusher_core/admission/tests/overload.py
@@ -1,4 +1,4 @@
-"""Replay of an overload in virtual time: callers that leave, wait and come back."""
+"""Simulation of an overload in virtual time, with callers that time out and retry."""
 
 import heapq
 import itertools
@@ -19,7 +19,7 @@
 
 @dataclass
 class Result:
-    """What became of the callers."""
+    """Number of callers by the end of their requests."""
 
     n_asked: int = 0
     n_on_time: int = 0
@@ -36,7 +36,7 @@
 
 
 def make_request(request_id, now_ms, first_ms, n_refusals):
-    """Return one attempt of a caller that first asked at ``first_ms``."""
+    """Return a request of a caller whose first request was sent at ``first_ms``."""
     deadline_ms = first_ms + DEADLINE_MS
     return RequestSpec(
         request_id=request_id,
@@ -59,20 +59,20 @@
 
 
 def replay(queue, load_at, length_ms=12_000, closed_ms=(0, 0), n_returns=1, seed=5):
-    """Play arrivals against one service; return what became of the callers.
+    """Simulate arrivals at one service; return the number of callers by result.
 
     Parameters
     ----------
     queue : AdmissionQueue
-        The policy.
+        The queue under test.
     load_at : callable
         Returns the load at a time, as a multiple of the capacity.
     length_ms : int
-        Time in which callers come for the first time.
+        Duration in which new callers arrive, in ms.
     closed_ms : tuple of int
-        Time in which the service runs nothing.
+        Start and end of the time in which the service runs no request.
     n_returns : int
-        How often a caller comes back after a refusal.
+        Number of times that a caller retries after a rejection.
     """
     chance, result, ids = Random(seed), Result(), itertools.count()
     events, order = [], itertools.count()
--- a/packages/core/src/bluebellusher_core/admission/tests/test_objective_queue.py
+++ b/packages/core/src/bluebellusher_core/admission/tests/test_objective_queue.py
@@ -1,4 +1,4 @@
-"""The queue by objective, in the overloads that it is meant for."""
+"""``ObjectiveQueue`` under bursts, closed services and retried requests."""
 
 from itertools import pairwise
 
@@ -15,7 +15,7 @@
 
 
 def burst(factor, start_ms=2_000, end_ms=5_000, usual=0.65):
-    """Return a load with one burst."""
+    """Return a load function with one burst."""
     return lambda at_ms: factor if start_ms <= at_ms < end_ms else usual
 
 
@@ -23,7 +23,7 @@
 def test_burst_makes_few_requests_late(factor):
     """Guards against a burst after which every request is late.
 
-    First come, first served is the baseline that a direct proxy amounts to.
+    The first-in, first-out queue is the baseline: a direct proxy behaves like it.
     """
     load = burst(factor)
     results = {
@@ -37,7 +37,7 @@
 
 
 def test_quiet_load_is_never_refused():
-    """Guards against refusals while places are free and nothing waits."""
+    """Guards against rejections while slots are free and no request waits."""
     result = replay(ObjectiveQueue(), lambda _: 0.6)
     assert result.n_refused == result.n_refused_while_free == 0
     assert result.n_on_time > 0.98 * result.n_asked
@@ -45,12 +45,12 @@
 
 @pytest.mark.parametrize("load", [0.65, 1.2, 2.0])
 def test_nobody_is_refused_while_places_are_free(load):
-    """Guards against refusals by a prediction that is too high."""
+    """Guards against rejections by a predicted wait that is too high."""
     assert replay(ObjectiveQueue(), lambda _: load).n_refused_while_free == 0
 
 
 def test_closed_service_is_survived_by_those_who_can_come_back():
-    """Guards against a second refusal while a group of ranks is formed anew."""
+    """Guards against a second rejection while a group of ranks is formed again."""
     closed_ms = (3_000, 7_500)
     fifo = replay(FifoQueue(), lambda _: 0.5, closed_ms=closed_ms)
     chosen = replay(ObjectiveQueue(), lambda _: 0.5, closed_ms=closed_ms)
@@ -60,7 +60,7 @@
 
 
 def test_request_that_came_back_goes_before_it_is_lost():
-    """Guards against a second refusal, which costs its caller the answer."""
+    """Guards against a second rejection, after which the caller does not retry."""
     queue = ObjectiveQueue()
     returning = make_request("old", now_ms=3_000, first_ms=0, n_refusals=1)
     assert queue.offer(returning, 3_000) is None
@@ -73,7 +73,7 @@
 
 
 def test_missed_objective_lets_fresh_requests_go_first():
-    """Guards against late requests that make those behind them late as well."""
+    """Guards against late requests that delay others past their objective."""
     queue = ObjectiveQueue()
     queue.offer(make_request("a", 0, 0, 0), 0)
     queue.offer(make_request("b", 300, 300, 0), 300)
@@ -82,7 +82,7 @@
 
 
 def test_refusal_says_not_run_and_spreads_the_returns():
-    """Guards against callers that all come back at the same moment."""
+    """Guards against callers that all retry at the same time."""
     queue = ObjectiveQueue()
     queue.observe_closed(True)
     refusals = [queue.offer(make_request(f"r{i}", 0, 0, 0), 0) for i in range(20)]
@@ -95,7 +95,7 @@
 
 
 def test_expired_request_is_returned_once():
-    """Guards against callers that wait for an answer that nobody gives."""
+    """Guards against callers that wait for an answer that is never sent."""
     queue = ObjectiveQueue()
     request = with_deadline(make_request("a", 0, 0, 0), 1_000)
     assert queue.offer(request, 0) is None
@@ -106,7 +106,7 @@
 
 
 def test_put_back_request_goes_first_and_removed_one_does_not_go():
-    """Guards against a retry that waits behind new requests."""
+    """Guards against a requeued request that waits behind new requests."""
     queue = ObjectiveQueue()
     queue.offer(make_request("a", 0, 0, 0), 0)
     queue.put_back(make_request("b", 0, 0, 0), 0)
@@ -117,7 +117,7 @@
 
 
 def test_fresh_requests_do_not_wait_for_a_service_that_closes():
-    """Guards against callers that wait in vain while they could come back later."""
+    """Guards against callers that wait for a closed service instead of retrying."""
     queue = ObjectiveQueue()
     assert queue.offer(make_request("fresh", 0, 0, 0), 0) is None
     returning = make_request("old", now_ms=100, first_ms=-3_000, n_refusals=1)
@@ -131,10 +131,10 @@
 
 
 def test_those_who_came_back_do_not_make_all_fresh_requests_late():
-    """Guards against a group that opens with more work than it can do on time.
+    """Guards against a group that opens with more work than it can serve on time.
 
-    The alternative holds everybody who can still be served. Few more are served then,
-    and many of the fresh requests after the opening are late.
+    The alternative queue holds every retried request that can still be served. It
+    serves few more of them, and many fresh requests after the opening are late.
     """
 
     class HoldAll(ObjectiveQueue):
--- a/packages/core/src/bluebellusher_core/admission/tests/test_queues.py
+++ b/packages/core/src/bluebellusher_core/admission/tests/test_queues.py
@@ -16,7 +16,7 @@
 def make_request(
     request_id, customer_id="c", deadline_ms=10**9, priority=Priority.NORMAL, cost=100
 ):
-    """Return a request of the given cost in the units of the queue."""
+    """Return a request whose cost, as the queue computes it, is ``cost``."""
     return RequestSpec(
         request_id=request_id,
         customer_id=customer_id,
@@ -47,7 +47,7 @@
 
 
 class Ledger:
-    """Drives a queue and keeps account of where each request is."""
+    """Calls a queue and records which requests are waiting."""
 
     def __init__(self, queue):
         self.queue = queue
@@ -57,13 +57,13 @@
         self.service_ms = 0.0
 
     def check_refusal(self, refusal):
-        """Check what every refusal of a queue must say."""
+        """Check the fields that every rejection of a queue must have."""
         assert refusal.outcome is Outcome.NOT_RUN
         assert refusal.retry_after_ms > 0
         assert refusal.step == "admission"
 
     def offer(self, index, customer_id, priority, margin_ms):
-        """Offer a request; one without remaining time must be refused."""
+        """Offer a request; one without remaining time must be rejected."""
         deadline_ms = self.now_ms + margin_ms
         request = make_request(f"r{index}", customer_id, deadline_ms, priority)
         refusal = self.queue.offer(request, self.now_ms)
@@ -74,16 +74,16 @@
             self.check_refusal(refusal)
 
     def take(self):
-        """Take the next request."""
+        """Dequeue the next request."""
         self.taken = self.queue.take(self.now_ms)
         if self.taken is not None:
             assert self.waiting.pop(self.taken.request_id) is self.taken
 
     def put_back(self):
-        """Put the taken request back; it must come out first.
+        """Requeue the dequeued request; it must be the next one.
 
-        A request that can no longer be served before its deadline may be passed over;
-        all requests of this test cost the same, hence take ``service_ms``.
+        A request that can no longer be served before its deadline may be skipped. All
+        requests of this test cost the same, so that each takes ``service_ms``.
         """
         if self.taken is None:
             return
@@ -96,17 +96,17 @@
         self.taken = None
 
     def remove(self, index):
-        """Remove a request that may be waiting."""
+        """Remove a request, whether or not it is waiting."""
         is_removed = self.queue.remove(f"r{index}")
         assert is_removed == (self.waiting.pop(f"r{index}", None) is not None)
 
     def serve(self, n_slots, service_ms):
-        """Tell the queue how long service takes."""
+        """Set the number of slots and the service time of the queue."""
         self.service_ms = service_ms
         self.queue.observe_service(n_slots, service_ms)
 
     def expire(self):
-        """Expire; nothing overdue may stay."""
+        """Expire requests; none that is past its deadline may remain."""
         for request, refusal in self.queue.expire(self.now_ms):
             self.check_refusal(refusal)
             assert self.waiting.pop(request.request_id) is request
@@ -116,7 +116,7 @@
 @pytest.mark.parametrize("queue_type", QUEUES)
 @given(steps=STEPS)
 def test_property_nothing_is_lost_or_duplicated(queue_type, steps):
-    """Guards against a request that leaves twice, never, or without a refusal."""
+    """Guards against requests that are lost, returned twice or not rejected."""
     ledger = Ledger(queue_type())
     for index, (step, value, customer_id, priority, margin_ms) in enumerate(steps):
         ledger.now_ms += value if step in ("take", "expire") else 0
@@ -144,7 +144,7 @@
 def test_property_expire_removes_exactly_what_is_overdue(
     queue_type, margins, elapsed_ms
 ):
-    """Guards against waiting requests that are held past their deadline."""
+    """Guards against requests that keep waiting past their deadline."""
     queue = queue_type()
     for index, margin_ms in enumerate(margins):
         assert queue.offer(make_request(f"r{index}", "c", margin_ms), 0) is None
@@ -162,8 +162,8 @@
 def test_property_shares_follow_weights(weights, costs, priorities, n_taken):
     """Guards against a customer that gains a larger share by priority or load.
 
-    While all have requests waiting, the work per weight of two customers differs by
-    at most the bound of start-time fair queueing plus the head starts.
+    While all customers have waiting requests, the work per weight of two customers
+    differs by at most the bound of start-time fair queueing plus the head starts.
     """
     weight_by_customer = {f"c{i}": weight for i, weight in enumerate(weights)}
     queue = FairQueue(weight_by_customer)
@@ -188,10 +188,10 @@
     priority=st.sampled_from(list(Priority)),
 )
 def test_property_no_request_starves(rivals, priority):
-    """Guards against a low priority that waits for ever behind new high ones.
+    """Guards against a low-priority request that waits forever behind new ones.
 
-    Every taken request is replaced by a new one with the highest priority, from the
-    customer's own side and from rivals.
+    Every dequeued request is replaced by a new one of the highest priority, from the
+    same customer and from competing customers.
     """
     queue = FairQueue({f"c{i}": weight for i, weight in enumerate(rivals)})
     now_ms = 0
@@ -207,7 +207,7 @@
             return
         new = make_request(f"n{n}", taken.customer_id, 10**9, Priority.HIGH)
         assert queue.offer(new, now_ms) is None
-    raise AssertionError("the request was never taken")
+    raise AssertionError("the request was never dequeued")
 
 
 def test_priority_orders_requests_of_a_customer_and_between_customers():
@@ -221,7 +221,7 @@
 
 @pytest.mark.parametrize("queue_type", QUEUES)
 def test_request_that_was_put_back_goes_first(queue_type):
-    """Guards against a taken request that loses its turn for lack of an endpoint."""
+    """Guards against a request that loses its turn because no endpoint is free."""
     queue = queue_type()
     queue.offer(make_request("low", "a", priority=Priority.LOW), 0)
     taken = queue.take(1)
@@ -241,11 +241,11 @@
     assert refusal.reason is Reason.DEADLINE_UNREACHABLE
     assert 500 <= refusal.retry_after_ms <= 2000
     small = make_request("small", "other", deadline_ms=600)
-    assert queue.offer(small, 0) is None, "its own share leaves at once"
+    assert queue.offer(small, 0) is None, "the other customer's share is free"
 
 
 def test_take_passes_over_what_can_no_longer_meet_its_deadline():
-    """Guards against capacity spent on answers that come too late."""
+    """Guards against capacity spent on answers that miss their deadline."""
     queue = FairQueue()
     queue.offer(make_request("first"), 0)
     queue.observe_service(n_slots=1, service_ms=100.0)
@@ -258,7 +258,7 @@
 
 
 def test_memory_is_bounded_when_callers_leave_and_customers_change():
-    """Guards against heaps that keep entries of requests that are gone."""
+    """Guards against heaps that keep entries of removed requests."""
     queue = FairQueue()
     queue.offer(make_request("keep", "keeper"), 0)
     for n in range(5000):
@@ -273,7 +273,7 @@
 
 
 def test_invalid_weight_and_service_are_refused():
-    """Guards against a division by zero far from its cause."""
+    """Guards against invalid settings that cause a division by zero later."""
     with pytest.raises(ValueError, match="weight of a=0"):
         FairQueue({"a": 0.0})
     with pytest.raises(ValueError, match="service_ms=0"):
