Reword comments and doc comments of core routing and prefix

The comments name their subject, their unit and the reason, in the agreed terms (slots, recorded state, unresponsive). Statements do not change.

--- a/packages/core/src/bluebellusher_core/prefix/__init__.py
+++ b/packages/core/src/bluebellusher_core/prefix/__init__.py
@@ -1,4 +1,4 @@
-"""Hashes of prompt prefixes, as engines name cached blocks in their events."""
+"""Hashes of prompt prefixes, which identify cached blocks in events of engines."""
 
 from bluebellusher_core.prefix._prefix import (
     BLOCK_BYTES,
--- a/packages/core/src/bluebellusher_core/prefix/_prefix.py
+++ b/packages/core/src/bluebellusher_core/prefix/_prefix.py
@@ -4,11 +4,12 @@
 from collections.abc import Mapping
 from typing import Any
 
+# Default size of a prompt block.
 BLOCK_BYTES = 64
 
 
 def read_prompt(body: Mapping[str, Any]) -> bytes:
-    """Return the text of all messages of a chat request.
+    """Return the roles and contents of all messages of a chat request, as UTF-8.
 
     Raises
     ------
@@ -29,11 +30,11 @@
 def compute_prefix_hashes(
     model: str, prompt: bytes, block_bytes: int = BLOCK_BYTES
 ) -> tuple[int, ...]:
-    """Return one hash for each full block of a prompt.
+    """Return one hash for each full block of ``block_bytes`` bytes of a prompt.
 
-    Each hash covers the model and all blocks before it, because cached blocks are
-    of use only to the same model and behind the same prefix. Hashes are positive
-    63-bit numbers, so that they fit a signed i64 field of the wire.
+    Each hash covers the model, the block and all blocks before it, because an engine
+    can reuse a cached block only for the same model and the same prefix. Hashes are
+    non-negative 63-bit numbers, so that they fit a signed i64 field of a message.
 
     Examples
     --------
--- a/packages/core/src/bluebellusher_core/routing/__init__.py
+++ b/packages/core/src/bluebellusher_core/routing/__init__.py
@@ -1,4 +1,4 @@
-"""Choice of an endpoint for a request."""
+"""Routing policies, which choose an endpoint for a request."""
 
 from bluebellusher_core.routing._baselines import (
     LeastInFlight,
--- a/packages/core/src/bluebellusher_core/routing/_baselines.py
+++ b/packages/core/src/bluebellusher_core/routing/_baselines.py
@@ -1,4 +1,4 @@
-"""Simple policies that others are measured against."""
+"""Baseline routing policies."""
 
 from collections.abc import Sequence
 from random import Random
@@ -9,12 +9,12 @@
 
 
 def usable(candidates: Sequence[EndpointView]) -> list[EndpointView]:
-    """Return the candidates that may receive ordinary new work."""
+    """Return the candidates that are neither draining nor isolating a suspect."""
     return [v for v in candidates if not (v.is_draining or v.is_isolating)]
 
 
 class RoundRobin:
-    """Choose the endpoints in turn, ordered by id."""
+    """Policy that chooses the endpoints in turn, ordered by id."""
 
     def __init__(self) -> None:
         self._last_endpoint_id = ""
@@ -26,7 +26,7 @@
         now_ms: int,
         random_state: Random,
     ) -> str | None:
-        """Return the next id after the one chosen last, or the first id."""
+        """Return the next id after the last chosen one, or the first id."""
         ids = [view.info.endpoint_id for view in usable(candidates)]
         if not ids:
             return None
@@ -36,7 +36,7 @@
 
 
 class LeastInFlight:
-    """Choose the endpoint with the fewest attempts of this entry in flight."""
+    """Policy that chooses the endpoint with the fewest own attempts in flight."""
 
     def choose(
         self,
@@ -45,7 +45,7 @@
         now_ms: int,
         random_state: Random,
     ) -> str | None:
-        """Return the least used endpoint; ties are broken at random."""
+        """Return the endpoint with the fewest own attempts; break ties at random."""
         views = usable(candidates)
         if not views:
             return None
@@ -55,7 +55,7 @@
 
 
 class TwoChoices:
-    """Draw two endpoints at random and choose the one that reported less load."""
+    """Policy that draws two endpoints at random and chooses the less loaded one."""
 
     def choose(
         self,
@@ -64,7 +64,10 @@
         now_ms: int,
         random_state: Random,
     ) -> str | None:
-        """Return the less loaded of two; without reports own attempts decide."""
+        """Return the endpoint that reports fewer requests.
+
+        When one of the two has no report, the own attempts are compared instead.
+        """
         views = usable(candidates)
         if not views:
             return None
@@ -75,12 +78,12 @@
 
 
 class PrefixHash:
-    """Choose by rendezvous hash of the prompt's first blocks.
+    """Policy that chooses by rendezvous hash of the first blocks of a prompt.
 
     Parameters
     ----------
     n_blocks : int
-        How many leading blocks identify the shared part of a prompt.
+        Number of leading blocks that identify the shared part of a prompt.
     """
 
     def __init__(self, n_blocks: int = 2) -> None:
@@ -95,7 +98,7 @@
         now_ms: int,
         random_state: Random,
     ) -> str | None:
-        """Return the endpoint with the highest hash; no prefix means random."""
+        """Return the endpoint with the highest hash, or any without a prefix."""
         views = usable(candidates)
         if not views:
             return None
@@ -117,8 +120,8 @@
 
 
 def _rendezvous(key: int, endpoint_id: str) -> int:
-    # CRC-32 alone is linear, so that two ids would keep their order for most keys;
-    # the multiplication and shift mix the high bits into the low ones.
+    # CRC-32 alone is linear, so two ids would keep their order for most keys. The
+    # multiplications and shifts mix the high bits into the low ones.
     mixed = (crc32(endpoint_id.encode()) ^ (key & 0xFFFFFFFF)) * 0x9E3779B97F4A7C15
     mixed &= 0xFFFFFFFFFFFFFFFF
     mixed = (mixed ^ (mixed >> 29)) * 0xBF58476D1CE4E5B9 & 0xFFFFFFFFFFFFFFFF
--- a/packages/core/src/bluebellusher_core/routing/_predicted_latency.py
+++ b/packages/core/src/bluebellusher_core/routing/_predicted_latency.py
@@ -9,75 +9,88 @@
 from bluebellusher_core.routing._baselines import usable
 from bluebellusher_core.routing._protocol import EndpointView
 
-# Assumed before any own attempt has ended.
+# Service time that is assumed until an own attempt has ended, in ms.
 DEFAULT_SERVICE_MS = 3_000.0
-# An older report says nothing, not even about the mean load.
+# Age from which a load report is ignored, also as an estimate of the mean load, in ms.
 REPORT_TIMEOUT_MS = 15_000
-# Long enough for the prefill of a long prompt.
+# An endpoint is unresponsive when its own attempts made no progress for this time, in
+# ms, plus this multiple of its mean time to first token. The time is long enough for
+# the prefill of a long prompt.
 SUSPECT_AFTER_MS = 3_000.0
 SUSPECT_TTFT_FACTOR = 3.0
-# Prompts wait for their prefill far shorter than a request runs.
+# Time constant with which reported queued tokens lose their weight, in ms. It is short
+# because prompts wait for their prefill for a much shorter time than requests run.
 QUEUE_MEMORY_MS = 200.0
-# An endpoint that was slow is tried again after some of these periods.
+# Time constant with which the observed slowness of an endpoint loses its weight, in ms.
+# A slow endpoint is used again after a few of these periods.
 SLOWNESS_MEMORY_MS = 20_000.0
 
 
 @dataclass(slots=True)
 class _Load:
-    """Estimated load of one endpoint at this moment."""
+    """Estimated load of one endpoint at the time of a decision."""
 
     view: EndpointView
-    # Share of the report that still holds, 0 to 1.
+    # Weight of the report by its age, 0 to 1.
     trust: float
+    # Age of the values in the report, in ms.
     age_ms: int
     # Requests of other entries according to the report.
     n_reported_others: float
 
 
 class PredictedLatency:
-    """Choose the lowest predicted time to first token in a random sample.
+    """Policy with the lowest predicted time to first token in a random sample.
 
-    The load of an endpoint is the entry's own attempts, which are known exactly,
-    plus those of other entries. The latter are the reported load less the own
-    attempts at the time of the reading. As the report ages, it is replaced by the
-    assumption that other entries spread their requests as this one does. Own
-    dispatches and ends since the reading are thereby corrected, and without reports
-    only own attempts count. Several entries with the same stale report then do not
-    all prefer the same endpoint: each evens out its own part, and with it the sum.
+    The load of an endpoint is the number of the entry's own attempts, which is exact,
+    plus an estimate for other entries: the reported load less the own attempts at the
+    time of the report's reading. The older the report, the more this estimate is
+    replaced by the assumption that other entries distribute their requests as this
+    entry does. Own attempts that were dispatched or ended since the reading are thus
+    accounted for, and without a report only own attempts count. Entries with the same
+    stale report do not all prefer the same endpoint: each entry balances its own
+    attempts and thereby the total.
 
     The prediction is scaled by the observed speed of the endpoint relative to the
-    median. An endpoint from
-    which own attempts wait for a first byte is predicted to take at least as long
-    as it has made no progress, so that a frozen one loses new work in about the
-    time that an answer normally takes.
+    median. When own attempts wait for a first byte, the prediction is at least the time
+    since the endpoint last made progress. A frozen endpoint therefore receives no new
+    work after about the normal time of an answer.
 
     Parameters
     ----------
     failure_domain : str
-        The entry's own failure domain; empty when it is not known.
+        Failure domain of the entry; empty when unknown.
     prefill_tokens_per_ms : float
-        Pace of an engine of normal speed; an error is corrected by observed speed.
+        Prefill speed of a normal engine, in tokens per ms; the observed speed of each
+        endpoint corrects an error.
     base_ms : float
-        Time to first token of an idle endpoint with the whole prompt cached.
+        Time to first token, in ms, of an idle endpoint with the whole prompt cached.
     remote_domain_ms : float
-        Added for endpoints in other failure domains.
+        Time that is added for endpoints in other failure domains, in ms.
     load_ms : float
-        Added for each request in the batch, which slows every step.
+        Time that is added for each request in the batch, in ms; each request slows
+        every step.
     n_sample : int
-        Candidates that are drawn; the best prefix match is added.
+        Number of candidates that are drawn; the best prefix match is added.
     n_queue_allowed : int
-        Requests that may wait in an engine beyond its batch, so that a slot that
-        becomes free is used at once.
+        Number of requests that may wait in an engine in addition to its batch, so that
+        a freed slot is used at once.
     load_memory_ms : float
-        Time constant with which a load report loses its weight. Longer, entries react
-        to each other's past, and loads oscillate.
+        Time constant with which a load report loses its weight, in ms. With a longer
+        one, entries react to outdated loads of each other, and loads oscillate.
     slot_wait_weight : float
-        Weight of the predicted wait for a free slot. A full weight moves requests
-        away from cached prefixes for waits that often do not come true.
+        Weight of the predicted wait for a free slot. A weight of 1 moves requests away
+        from cached prefixes for waits that often do not occur.
     tolerated_slowness : float
-        Up to this ratio of observed to predicted time an endpoint counts as normal.
-        The prediction misses evicted prefixes and other entries' prompts; reacting to
-        such noise also moves requests away from cached prefixes.
+        Ratio of observed to predicted time up to which an endpoint counts as normal.
+        The prediction does not include evicted prefixes and the prompts of other
+        entries; reacting to such noise moves requests away from cached prefixes.
+
+    Raises
+    ------
+    ValueError
+        When ``prefill_tokens_per_ms`` or ``load_memory_ms`` is not above 0, or
+        ``tolerated_slowness`` or ``n_sample`` is below 1.
 
     Notes
     -----
@@ -125,7 +138,7 @@
         now_ms: int,
         random_state: Random,
     ) -> str | None:
-        """Return the best endpoint of a sample, or ``None`` when all are full."""
+        """Return the best endpoint of a sample, or ``None`` when none is available."""
         views = usable(candidates)
         if not views:
             return None
@@ -133,8 +146,8 @@
         loads = [self._estimate(view, now_ms) for view in sample]
         n_others_per_own = _others_per_own(loads)
         usual_slowness = _usual_slowness(sample)
-        # When every endpoint seems to have stopped, this entry was more likely paused
-        # or cut off itself, and waiting for one of them would stop all work.
+        # When every endpoint seems unresponsive, the entry itself was more likely
+        # suspended or cut off. Excluding all of them would stop all work.
         skips_suspects = not all(_is_suspect(view, now_ms) for view in views)
         best_id = None
         best_ms = float("inf")
@@ -155,10 +168,10 @@
     def predict_normal_ms(
         self, request: RequestSpec, view: EndpointView, now_ms: int
     ) -> float:
-        """Predict the time to first token if the endpoint had normal speed.
+        """Return the time to first token at normal endpoint speed, in ms.
 
-        The value goes to ``EndpointTracker.record_dispatch``, which compares it with
-        what is observed.
+        ``EndpointTracker.record_dispatch`` takes this value, to compare it with the
+        observed time.
         """
         load = self._estimate(view, now_ms)
         return self._normal_ms(request, load, load.n_reported_others)
@@ -167,12 +180,12 @@
         self, request: RequestSpec, views: list[EndpointView], random_state: Random
     ) -> list[EndpointView]:
         if len(views) <= self.n_sample:
-            # A random start breaks ties at random without a draw for each view.
+            # A random rotation breaks ties at random with a single draw.
             start = random_state.randrange(len(views))
             return views[start:] + views[:start]
         sample = random_state.sample(views, self.n_sample)
         if request.prefix_hashes:
-            # The first hash is looked up before the whole prefix is compared.
+            # Only views with the first block can have a longer match.
             first = request.prefix_hashes[0]
             holders = [view for view in views if first in view.cached_prefixes]
             if holders:
@@ -197,8 +210,8 @@
         n_slots = _n_slots(view)
         if view.n_own_in_flight + n_others < n_slots + self.n_queue_allowed:
             return True
-        # Other entries may hold every slot; a small share of each endpoint lets an
-        # entry in that starts late.
+        # Other entries may use every slot. A small share of the slots stays available,
+        # so that an entry that has just started can use the endpoint.
         return view.n_own_in_flight < max(1, n_slots // 8)
 
     def _predict_ms(
@@ -234,19 +247,20 @@
 
 
 def _others_per_own(loads: list[_Load]) -> float:
-    """Return how many attempts other entries have for each own one."""
+    """Return the number of other entries' attempts per own attempt."""
     n_own = sum(load.view.n_own_in_flight for load in loads if load.trust > 0)
     n_others = sum(load.n_reported_others for load in loads)
     return n_others / n_own if n_own else 0.0
 
 
 def _blend(load: _Load, n_others_per_own: float) -> float:
+    """Return the estimated attempts of other entries, by the age of the report."""
     n_alike = load.view.n_own_in_flight * n_others_per_own
     return load.trust * load.n_reported_others + (1 - load.trust) * n_alike
 
 
 def _others_tokens(load: _Load) -> float:
-    """Return queued prompt tokens of other entries, from their share of requests."""
+    """Return the queued prompt tokens of other entries by their share of requests."""
     report = load.view.report
     if report is None or report.n_queued_tokens == 0:
         return 0.0
@@ -262,7 +276,7 @@
 
 
 def _mean_excess(mean: float, deviation: float) -> float:
-    """Return the mean of the positive part of a normal variable."""
+    """Return the mean of the positive part of a normally distributed variable."""
     if deviation < 0.05:
         return max(0.0, mean)
     if mean < -4 * deviation:
@@ -273,7 +287,7 @@
 
 
 def _usual_slowness(views: list[EndpointView]) -> float:
-    """Return the median, which removes a common error of the prediction."""
+    """Return the median slowness, which measures the prediction's common error."""
     observed = sorted(view.slowness for view in views if view.own_predicted_ms > 0)
     return observed[len(observed) // 2] if observed else 1.0
 
@@ -286,10 +300,11 @@
 
 
 def _is_suspect(view: EndpointView, now_ms: int) -> bool:
-    """Return whether an endpoint that used to answer has stopped to answer.
+    """Return whether an endpoint that answered earlier has stopped answering.
 
-    It then takes no work even when all others are full. Without an earlier answer
-    its usual time is not known, and it only ranks behind others.
+    An unresponsive endpoint gets no work even when all others are full. Before the
+    first answer of an endpoint its normal time to first token is unknown; such an
+    endpoint is not excluded, only its prediction grows.
     """
     if view.own_predicted_ms <= 0:
         return False
--- a/packages/core/src/bluebellusher_core/routing/_protocol.py
+++ b/packages/core/src/bluebellusher_core/routing/_protocol.py
@@ -1,4 +1,4 @@
-"""What every routing policy receives and returns."""
+"""Interface of routing policies and their view of an endpoint."""
 
 from collections.abc import Sequence
 from dataclasses import dataclass, field
@@ -10,56 +10,59 @@
 
 @dataclass(slots=True)
 class EndpointView:
-    """What one entry knows about one endpoint.
+    """Last known state of one endpoint, as seen by one entry.
+
+    Own attempts are those of this entry. Times are monotonic, in ms.
 
     Parameters
     ----------
     info : EndpointInfo
-        What the agent said when the connection opened.
+        Description of the endpoint from its agent or its registration.
     report : LoadReported or None
-        The latest load report.
+        Latest load report.
     reported_at_ms : int
-        When that report was received; its reading is older by ``report.age_ms``.
+        Time at which the report was received; the values in it are older by
+        ``report.age_ms``.
     n_own_in_flight : int
-        Attempts of this entry that are running there.
+        Number of own attempts that run on the endpoint.
     own_dispatched_at_ms : list of int
-        Times of this entry's dispatches that the report cannot include yet.
+        Times of own dispatches that the report cannot include yet.
     n_own_queued_tokens : int
-        Prompt tokens of own attempts that have not started to answer, less those
-        that were believed to be cached there.
+        Prompt tokens of own attempts without a first byte, less the tokens that were
+        recorded as cached at the dispatch.
     is_draining : bool
-        The endpoint takes no new work.
+        Whether the endpoint gets no new work.
     is_isolating : bool
-        A suspect runs there alone.
+        Whether the endpoint runs a suspect in isolation.
     cached_prefixes : set of int
-        Prefix hashes that the endpoint is believed to hold.
+        Prefix hashes that are recorded as cached on the endpoint.
     own_ended_at_ms : list of int
-        Times at which own attempts ended that the report may still count.
+        Times at which own attempts ended that the report may still include.
     unanswered_at_ms : dict of str to int
         Dispatch time of each own attempt without a first byte, oldest first.
     last_progress_at_ms : int
-        Time of the last first byte or end of an own attempt.
+        Time of the latest first byte or completion of an own attempt.
     own_ttft_ms : float
-        Exponentially weighted time to first token of own attempts.
+        Exponentially weighted time to first token of own attempts, in ms.
     own_predicted_ms : float
-        Exponentially weighted prediction for the same attempts on an endpoint of
-        normal speed; 0 when nothing was observed.
+        Exponentially weighted prediction, in ms, for the same attempts on an endpoint
+        of normal speed; 0 before the first observation.
     ttft_observed_at_ms : int
-        When these two were last updated.
+        Time of the last update of ``own_ttft_ms`` and ``own_predicted_ms``.
     own_service_ms : float
-        Exponentially weighted time from dispatch to end of own attempts; 0 when
-        nothing was observed.
+        Exponentially weighted time from dispatch to completion of own attempts, in ms;
+        0 before the first observation.
     failure_rate : float
         Exponentially weighted share of own attempts that failed, as of
         ``failure_noted_at_ms``.
     failure_noted_at_ms : int
-        When that share was last updated.
+        Time of the last update of ``failure_rate``.
 
     Notes
     -----
-    ``EndpointTracker`` updates every field. An entry that keeps views without it
-    may leave the last nine fields at their defaults; policies then do not detect
-    slow or frozen endpoints.
+    ``EndpointTracker`` updates every field. An entry that maintains views without the
+    tracker may leave the last nine fields at their defaults; policies then do not
+    detect slow or frozen endpoints.
     """
 
     info: EndpointInfo
@@ -83,27 +86,31 @@
 
     @property
     def slowness(self) -> float:
-        """Observed over predicted time to first token; 1 when nothing is known.
+        """Ratio of observed to predicted time to first token; 1 before observations.
 
-        The ratio of means is used because the mean of ratios is dominated by single
-        short predictions that met an evicted prefix.
+        The ratio of means is used because a mean of ratios is dominated by single
+        short predictions for prefixes that were evicted.
         """
         if self.own_predicted_ms <= 0:
             return 1.0
         return self.own_ttft_ms / self.own_predicted_ms
 
     def stalled_ms(self, now_ms: int) -> float:
-        """Return for how long own attempts have waited without any progress."""
+        """Return the time that own attempts have waited without progress, in ms.
+
+        The time counts from the oldest dispatch without a first byte or from the
+        latest progress, whichever is later; it is 0 when no attempt waits.
+        """
         if not self.unanswered_at_ms:
             return 0.0
         oldest_at_ms = next(iter(self.unanswered_at_ms.values()))
         return float(now_ms - max(oldest_at_ms, self.last_progress_at_ms))
 
     def count_cached_tokens(self, request: RequestSpec) -> int:
-        """Return how many prompt tokens the endpoint is believed to hold.
+        """Return the number of prompt tokens that are recorded as cached.
 
-        Blocks are counted from the start of the prompt to the first missing one and
-        are taken to be equally long.
+        Blocks are counted from the start of the prompt up to the first one that is not
+        cached. All blocks are assumed to have the same number of tokens.
         """
         n_blocks = 0
         for prefix in request.prefix_hashes:
@@ -116,7 +123,7 @@
 
 
 class RoutingPolicy(Protocol):
-    """Choose one of the endpoints that can run a request."""
+    """Policy that chooses one of the endpoints that can run a request."""
 
     def choose(
         self,
@@ -130,11 +137,11 @@
         Parameters
         ----------
         request : RequestSpec
-            The request to place.
+            The request to dispatch.
         candidates : sequence of EndpointView
-            Endpoints that offer the service and model and take new work.
+            Endpoints that serve the service and model and take new work.
         now_ms : int
-            Monotonic time.
+            Monotonic time, in ms.
         random_state : random.Random
             Seeded generator of the entry.
         """
--- a/packages/core/src/bluebellusher_core/routing/_slot_aware.py
+++ b/packages/core/src/bluebellusher_core/routing/_slot_aware.py
@@ -1,4 +1,4 @@
-"""Routing by free places, for endpoints that are reached without an agent."""
+"""Routing by occupied slots, for endpoints that are reached without an agent."""
 
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -8,37 +8,44 @@
 from bluebellusher_core.events import RequestSpec
 from bluebellusher_core.routing._protocol import EndpointView
 
-# An older report says less than the entry's own attempts.
+# Age from which a load report is ignored, in ms. The entry's own attempts are then a
+# better estimate of the load.
 REPORT_MAX_AGE_MS = 3_000
-# Endpoints of the own failure domain and of others in a sample; docs/decisions/herd.md
-# has the measurement.
+# Numbers of endpoints of the entry's own failure domain and of other domains in a
+# sample; docs/decisions/herd.md has the measurement.
 N_NEAR = 3
 N_FAR = 1
-# An endpoint that failed is tried again after some of these periods.
+# Time constant with which the failure rate of an endpoint loses its weight, in ms. A
+# failed endpoint is used again after a few of these periods.
 FAILURE_MEMORY_MS = 4_000.0
-# What a certain failure costs, in places taken; above the slots of any engine.
+# Penalty of an endpoint whose attempts all fail, in occupied slots. It exceeds the
+# number of slots of any engine, so that such an endpoint ranks behind a full one.
 FAILURE_PLACES = 24.0
-# Own attempts that wait this long without any progress suggest a stopped endpoint.
+# Time without progress of own attempts, in ms, after which an endpoint counts as
+# stopped.
 STALL_MS = 600.0
 
 
 @dataclass(frozen=True, slots=True)
 class SlotAware:
-    """Choose the endpoint with the smallest share of its places taken in a sample.
+    """Policy with the smallest share of occupied slots in a random sample.
 
-    The places are those of the latest report corrected by own attempts since; without
-    a report only own attempts count. Load pattern: many entries that see the same
-    report. If all of them took the emptiest endpoint, it would be full long before its
-    next report; a few that are drawn at random differ from entry to entry. Shares are
-    compared rather than predicted times, because the ranks of a group advance in
-    lock-step and the fullest one sets the pace of all.
+    The number of occupied slots is that of the latest report, corrected by the own
+    attempts that were dispatched or ended since; without a report only own attempts
+    count.
+
+    Load pattern: many entries receive the same report. If all of them chose the least
+    loaded endpoint, it would be full long before its next report. A small random sample
+    makes their choices differ. Shares of slots are compared instead of predicted times
+    because the ranks of a group advance in lock-step and the fullest rank sets the pace
+    of all.
 
     Parameters
     ----------
     failure_domain : str
-        Domain of the entry.
+        Failure domain of the entry.
     remote_places : float
-        Places that a local endpoint may have taken more than a remote one.
+        Number of occupied slots that is added to an endpoint in another failure domain.
     """
 
     failure_domain: str
@@ -81,7 +88,12 @@
 
 
 def count_taken(view: EndpointView, now_ms: int) -> float:
-    """Return how many places of an endpoint are taken, as far as is known."""
+    """Return the estimated number of occupied slots of an endpoint.
+
+    The estimate is the latest report corrected by the own attempts that were dispatched
+    or ended since, or the number of own attempts when the report is missing or older
+    than ``REPORT_MAX_AGE_MS``.
+    """
     report = view.report
     if report is None or now_ms - view.reported_at_ms > REPORT_MAX_AGE_MS:
         return float(view.n_own_in_flight)
--- a/packages/core/src/bluebellusher_core/routing/_tracker.py
+++ b/packages/core/src/bluebellusher_core/routing/_tracker.py
@@ -1,4 +1,4 @@
-"""Keeps ``EndpointView`` objects up to date from the entry's own events."""
+"""Tracker that updates ``EndpointView`` objects from the events of an entry."""
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -19,19 +19,26 @@
 )
 from bluebellusher_core.routing._protocol import EndpointView
 
+# Weight of the latest observation in the weighted means of times.
 SMOOTHING = 0.2
-# A failing endpoint is avoided after a few of its answers.
+# Weight of the latest attempt in the failure rate. A failing endpoint is avoided after
+# a few failed attempts.
 FAILURE_SMOOTHING = 0.25
-# One very late first byte must not exclude an endpoint for minutes.
+# Upper bound of one observed time to first token, as a multiple of its prediction. One
+# very late first byte must not exclude an endpoint for minutes.
 MAX_TTFT_RATIO = 20.0
-# A missing stream of reports must not let the history grow without bound.
+# Upper bound of the recorded times of dispatches and of ends for each endpoint. Only
+# load reports remove these times, and reports can stop.
 MAX_HISTORY = 1024
-# Removals can be lost in gaps. About 0.3 MB for each endpoint.
+# Upper bound of the recorded prefixes for each endpoint, about 0.3 MB. Without it the
+# set could grow, because removals can be lost in gaps between cache reports.
 MAX_CACHED_PREFIXES = 4_096
 
 
 @dataclass(slots=True)
 class _Attempt:
+    """An own attempt in flight."""
+
     endpoint_id: str
     dispatched_at_ms: int
     predicted_ms: float
@@ -42,11 +49,11 @@
 
 @dataclass(slots=True)
 class EndpointTracker:
-    """Views of all connected endpoints and the own attempts that run there.
+    """Views of all connected endpoints and the own attempts that run on them.
 
     The reducer calls ``record_dispatch`` for each ``Dispatch`` effect,
     ``record_cancel`` for each ``CancelAttempt`` effect, and ``apply`` for every
-    event, before the event's own handler looks at a view.
+    event before the handler of the event reads a view.
 
     Parameters
     ----------
@@ -72,19 +79,19 @@
         predicted_ms: float,
         now_ms: int,
     ) -> None:
-        """Note an own attempt at the moment it is sent.
+        """Record that an own attempt was dispatched.
 
         Parameters
         ----------
         attempt_id, endpoint_id : str
-            The attempt and where it goes.
+            The attempt and its endpoint, which must be connected.
         request : RequestSpec
-            The request that it runs.
+            The request that the attempt runs.
         predicted_ms : float
-            What the attempt takes to its first token on an endpoint of normal speed
-            (``PredictedLatency.predict_normal_ms``); 0 skips the speed estimate.
+            Time to first token on an endpoint of normal speed, in ms
+            (``PredictedLatency.predict_normal_ms``); 0 skips the estimate of the speed.
         now_ms : int
-            Monotonic time.
+            Monotonic time, in ms.
         """
         view = self.view_by_id[endpoint_id]
         n_tokens = request.n_input_tokens - view.count_cached_tokens(request)
@@ -97,17 +104,17 @@
         _append_bounded(view.own_dispatched_at_ms, now_ms)
 
     def record_cancel(self, attempt_id: str, now_ms: int) -> None:
-        """Note that an own attempt was cancelled; this is no sign of progress."""
+        """Record that an own attempt was cancelled; this is not counted as progress."""
         self._end(attempt_id, now_ms)
 
     def record_failure(self, endpoint_id: str, now_ms: int) -> None:
-        """Note that an attempt failed for a reason that lies with the endpoint."""
+        """Record an own attempt that failed because of its endpoint."""
         view = self.view_by_id.get(endpoint_id)
         if view is not None:
             _observe_failure(view, 1.0, now_ms)
 
     def apply(self, event: Event, now_ms: int) -> None:
-        """Update the views from any event; other events change nothing."""
+        """Update the views from an event; unrelated events are ignored."""
         match event:
             case AttemptStarted():
                 self._start(event.attempt_id, now_ms)
@@ -166,8 +173,8 @@
         return attempt
 
     def _connect(self, info: EndpointInfo, now_ms: int) -> None:
-        # A new connection starts with no attempts of this entry; those of the old
-        # one were reported as broken.
+        # A new connection starts without own attempts; the attempts of the previous
+        # connection were reported as broken.
         self._lose(info.endpoint_id)
         view = EndpointView(info=info, last_progress_at_ms=now_ms)
         self.view_by_id[info.endpoint_id] = view
@@ -201,8 +208,9 @@
         view = self.view_by_id.get(event.endpoint_id)
         if view is None:
             return
-        # After a gap the beliefs are kept: a prefix that is believed and missing costs
-        # one prefill and is then there, a forgotten one costs a prefill elsewhere.
+        # Recorded prefixes are kept after a gap in the reports. A recorded prefix that
+        # was evicted costs one prefill, after which it is cached again; a discarded
+        # one that is still cached costs a prefill on another endpoint.
         view.cached_prefixes.difference_update(event.removed)
         _add_prefixes(view, event.added)
 
@@ -218,7 +226,8 @@
 ) -> None:
     ttft_ms = min(ttft_ms, MAX_TTFT_RATIO * predicted_ms)
     if view.own_predicted_ms <= 0:
-        # The first observation counts as any later one, not as the whole truth.
+        # Starting from the prediction gives the first observation the same weight as
+        # any later one.
         view.own_ttft_ms = view.own_predicted_ms = predicted_ms
     view.own_ttft_ms += SMOOTHING * (ttft_ms - view.own_ttft_ms)
     view.own_predicted_ms += SMOOTHING * (predicted_ms - view.own_predicted_ms)
--- a/packages/core/src/bluebellusher_core/routing/tests/herd.py
+++ b/packages/core/src/bluebellusher_core/routing/tests/herd.py
@@ -1,4 +1,4 @@
-"""Replay of many entries that choose among the same endpoints by shared reports."""
+"""Simulation of many entries that choose endpoints by the same load reports."""
 
 import heapq
 import itertools
@@ -15,7 +15,10 @@
 
 @dataclass
 class HerdResult:
-    """Requests that found every slot taken, and the longest wait for one."""
+    """Numbers of requests that waited for a slot or ran in another failure domain.
+
+    ``n_waited_long`` counts the requests that waited longer than 250 ms.
+    """
 
     n_requests: int = 0
     n_waited: int = 0
@@ -26,16 +29,21 @@
 def replay_herd(
     make_policy, n_entries, n_endpoints, n_slots, load, seed=3, length_ms=15_000
 ):
-    """Play arrivals at all entries; return how many requests had to wait.
+    """Simulate arrivals at all entries; return how many requests had to wait.
 
     Parameters
     ----------
     make_policy : callable
-        Returns the policy of an entry in a failure domain.
+        Returns the policy of an entry in a given failure domain.
     n_entries, n_endpoints, n_slots : int
-        Sizes; both are spread over three failure domains.
+        Numbers of entries and endpoints, which are spread over three failure domains,
+        and slots of an endpoint.
     load : float
-        Arrivals as a share of the capacity.
+        Arrival rate as a share of the capacity.
+    seed : int
+        Seed of the random arrivals and choices.
+    length_ms : int
+        Simulated time, in ms.
     """
     chance, result, order = Random(seed), HerdResult(), itertools.count()
     domains = [f"d{i % 3}" for i in range(max(n_entries, n_endpoints))]
--- a/packages/core/src/bluebellusher_core/routing/tests/test_policies.py
+++ b/packages/core/src/bluebellusher_core/routing/tests/test_policies.py
@@ -1,4 +1,4 @@
-"""Common checks for every policy, and the behaviour of the chosen one."""
+"""Common contract of every routing policy, and decisions of ``PredictedLatency``."""
 
 from collections import Counter
 from random import Random
@@ -61,7 +61,7 @@
 
 @st.composite
 def any_views(draw):
-    """Return views in any state, including ones that do not fit together."""
+    """Return views in any state, including inconsistent ones."""
     views = []
     for index in range(draw(st.integers(0, 20))):
         n_running = draw(st.none() | st.integers(0, 40))
@@ -82,7 +82,7 @@
 @pytest.mark.parametrize("policy_type", POLICIES)
 @given(views=any_views(), seed=st.integers(0, 9), now_ms=st.integers(0, 90_000))
 def test_property_common_contract(policy_type, views, seed, now_ms):
-    """Guards against work for a leaving endpoint and against hidden randomness."""
+    """Guards against work for a draining endpoint and against unseeded randomness."""
     request = make_request(PREFIXES[: seed + 1] if seed else ())
     chosen = [
         policy_type().choose(request, views, now_ms, Random(seed)) for _ in range(2)
@@ -92,7 +92,7 @@
         v.info.endpoint_id for v in views if not (v.is_draining or v.is_isolating)
     }
     assert chosen[0] in usable or chosen[0] is None
-    # An endpoint without progress for 3 s may be passed over while others are full
+    # An endpoint without progress for 3 s may be skipped while others are full
     # (test_endpoint_that_stopped_to_answer_takes_no_work_when_others_are_full).
     has_room = any(
         v.n_own_in_flight < 2 and now_ms - v.unanswered_at_ms["a"] <= 3_000
@@ -118,13 +118,13 @@
 
 
 def choose(views, now_ms=0, seed=1, **parameters):
-    """Return the choice of ``PredictedLatency`` in the domain of all views."""
+    """Return the choice of ``PredictedLatency`` in the failure domain of the views."""
     policy = PredictedLatency("north", **parameters)
     return policy.choose(make_request(), views, now_ms, Random(seed))
 
 
 def test_cached_prefix_attracts_until_its_endpoint_is_loaded():
-    """Guards against affinity that is ignored, and against a hot spot by affinity."""
+    """Guards against ignored cached prefixes, and against a hot spot due to them."""
     holder = make_view("e0", 0, cached_prefixes=set(PREFIXES))
     other = make_view("e1", 0)
     assert choose([holder, other]) == "e0"
@@ -133,7 +133,7 @@
 
 
 def test_own_dispatches_since_the_report_count():
-    """Guards against a burst to the endpoint that was idle in the last report."""
+    """Guards against a burst of requests to the endpoint that last reported idle."""
     views = [make_view("e0", 2), make_view("e1", 6)]
     assert choose(views) == "e0"
     views[0].n_own_in_flight = 10
@@ -142,7 +142,7 @@
 
 
 def test_entries_with_the_same_stale_report_choose_different_endpoints():
-    """Guards against a herd: four entries must not fill the one idle endpoint."""
+    """Guards against four entries that overload the only idle endpoint."""
     used = Counter()
     for seed in range(4):
         views = [make_view(f"e{i}", 10 * (i > 0), n_own_in_flight=2) for i in range(9)]
@@ -167,7 +167,7 @@
 
 
 def test_endpoints_that_all_seem_to_have_stopped_are_used():
-    """Guards against an entry that was paused itself and then sends nothing."""
+    """Guards against an entry that dispatches nothing after it was suspended."""
     views = [make_view(f"e{i}", 0, own_ttft_ms=100.0) for i in range(3)]
     for view in views:
         view.unanswered_at_ms = {"a": 0}
@@ -178,7 +178,7 @@
 
 @pytest.mark.parametrize("age_ms", [None, 20_000])
 def test_without_reports_own_attempts_decide(age_ms):
-    """Guards against old reports that hide the entry's own knowledge."""
+    """Guards against old reports that take precedence over own attempts."""
     views = [make_view("e0"), make_view("e1")]
     views[0].n_own_in_flight = 3
     if age_ms is not None:
@@ -188,14 +188,14 @@
 
 
 def test_full_endpoint_is_used_again_when_its_report_is_too_old():
-    """Guards against reports that stopped during overload and block new work."""
+    """Guards against endpoints that stay full because their reports have stopped."""
     view = make_view("e0", 19, n_own_in_flight=3)
     assert choose([view], now_ms=1_000) is None
     assert choose([view], now_ms=20_000) == "e0"
 
 
 def test_frozen_and_slow_endpoints_lose_new_work_and_get_it_back():
-    """Guards against one bad endpoint that holds the 95th percentile."""
+    """Guards against one bad endpoint that raises the 95th percentile latency."""
     frozen = make_view("e0", 0, unanswered_at_ms={"a": 0})
     fine = make_view("e1", 9)
     assert choose([frozen, fine], now_ms=1) == "e0"
@@ -203,7 +203,7 @@
     frozen.last_progress_at_ms = 2_000
     assert choose([frozen, fine], now_ms=2_001) == "e0"
     slow = make_view("e2", 0, own_ttft_ms=300.0, own_predicted_ms=100.0)
-    # A common error of the prediction must not make every endpoint look fast.
+    # A common prediction error must not make every endpoint seem fast.
     usual = {"own_ttft_ms": 50.0, "own_predicted_ms": 100.0}
     others = [make_view(f"e{n}", 9, **usual) for n in (3, 4)]
     assert choose([slow, *others]) != "e2"
@@ -213,7 +213,7 @@
 
 
 def test_none_is_chosen_when_all_are_full_but_a_small_share_stays_open():
-    """Guards against queues in engines, and against an entry that never gets in."""
+    """Guards against long queues in engines, and against an entry that gets no slot."""
     full = make_view("e0", 19, n_own_in_flight=3)
     assert choose([full]) is None
     full.n_own_in_flight = 1
@@ -221,14 +221,14 @@
 
 
 def test_best_prefix_match_outside_of_the_sample_is_considered():
-    """Guards against lost affinity when there are many candidates."""
+    """Guards against ignored cached prefixes when there are many candidates."""
     views = [make_view(f"e{index}", 0) for index in range(100)]
     views[70].cached_prefixes = set(PREFIXES)
     assert {choose(views, seed=seed) for seed in range(20)} == {"e70"}
 
 
 def test_invalid_parameters_are_refused():
-    """Guards against a policy that fails at its first decision."""
+    """Guards against invalid parameters that fail only at the first decision."""
     with pytest.raises(ValueError, match="n_sample=0"):
         PredictedLatency(n_sample=0)
     with pytest.raises(ValueError, match="prefill_tokens_per_ms=0"):
--- a/packages/core/src/bluebellusher_core/routing/tests/test_slot_aware.py
+++ b/packages/core/src/bluebellusher_core/routing/tests/test_slot_aware.py
@@ -1,4 +1,4 @@
-"""Routing by free places."""
+"""Decisions of ``SlotAware``."""
 
 from random import Random
 
@@ -7,7 +7,7 @@
 
 
 def make_view(endpoint_id, n_running, domain="here", n_slots=6):
-    """Return an endpoint with a fresh report."""
+    """Return the view of an endpoint with a recent report."""
     info = EndpointInfo(
         endpoint_id, domain, frozenset({"s"}), frozenset(), frozenset(), n_slots
     )
@@ -23,12 +23,12 @@
 
 
 def test_emptiest_endpoint_is_chosen_by_reports_of_all_entries():
-    """Guards against entries that all see only their own requests."""
+    """Guards against entries that only count their own requests."""
     assert choose([make_view("a", 5), make_view("b", 2)]) == "b"
 
 
 def test_own_attempts_since_the_report_count():
-    """Guards against a burst that goes to one endpoint until its next report."""
+    """Guards against a burst of requests to one endpoint until its next report."""
     views = [make_view("a", 2), make_view("b", 3)]
     views[0].own_dispatched_at_ms = [1, 2]
     views[0].n_own_in_flight = 2
@@ -36,13 +36,13 @@
 
 
 def test_work_stays_in_its_domain_until_that_is_clearly_fuller():
-    """Guards against bytes between domains that serve nobody better."""
+    """Guards against traffic between failure domains without a benefit."""
     assert choose([make_view("near", 3), make_view("far", 3, "there")]) == "near"
     assert choose([make_view("near", 5), make_view("far", 2, "there")]) == "far"
 
 
 def test_failing_endpoint_is_avoided_and_tried_again_later():
-    """Guards against an endpoint that fails fast and thereby attracts all work."""
+    """Guards against an endpoint that fails fast and therefore gets all requests."""
     views = [make_view("bad", 0), make_view("good", 4)]
     views[0].failure_rate = 0.5
     assert choose(views) == "good"
@@ -52,12 +52,12 @@
 
 
 def test_endpoint_that_stopped_answering_is_avoided():
-    """Guards against requests that are lost one after the other on a dead endpoint."""
+    """Guards against requests that are sent to an unresponsive endpoint."""
     views = [make_view("dark", 1), make_view("good", 5)]
     views[0].unanswered_at_ms = {"t": 0}
     assert choose(views, now_ms=1_000) == "good"
 
 
 def test_no_candidate_gives_no_choice():
-    """Guards against a failure where no endpoint has room."""
+    """Guards against an exception when there is no candidate."""
     assert choose([]) is None
--- a/packages/core/src/bluebellusher_core/routing/tests/test_tracker.py
+++ b/packages/core/src/bluebellusher_core/routing/tests/test_tracker.py
@@ -1,4 +1,4 @@
-"""Guards of the views against events in any order."""
+"""Views of ``EndpointTracker`` after events in any order."""
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -31,7 +31,7 @@
 
 
 def end_events(attempt_id):
-    """Return one event of each kind by its step name."""
+    """Return one event of each kind by the name of its step."""
     return {
         "start": AttemptStarted(attempt_id),
         "finish": AttemptFinished(attempt_id, 200, 1, Usage()),
@@ -44,7 +44,7 @@
     }
 
 
-# Rare ends let an attempt live through several other events.
+# Ends are rare, so that an attempt runs during several other events.
 STEPS = [*["dispatch", "start"] * 8, "cancel", *end_events("")]
 
 
@@ -90,7 +90,7 @@
 
 
 def test_first_byte_counts_once():
-    """Guards against queued tokens that are subtracted by each further event."""
+    """Guards against queued tokens that are subtracted more than once."""
     tracker = make_tracker()
     for attempt_id in ("a", "b"):
         request = make_request((), n_input_tokens=50)
@@ -125,7 +125,7 @@
 
 
 def test_memory_is_bounded_without_reports_and_removals():
-    """Guards against growth when an agent sends no reports or loses removals."""
+    """Guards against unbounded growth when load reports or removals are missing."""
     tracker = make_tracker()
     view = tracker.view_by_id["e"]
     for number in range(3 * MAX_HISTORY):
