Reword comments and doc comments of core membership

The comments name their subject, their unit and the reason, in the agreed terms (record, pause, leaving, free capacity). Statements do not change.

--- a/packages/core/src/bluebellusher_core/membership/__init__.py
+++ b/packages/core/src/bluebellusher_core/membership/__init__.py
@@ -1,4 +1,4 @@
-"""What an entry knows about its endpoints, and which of them it tracks."""
+"""State of an entry's endpoints, and choice of those that it connects to."""
 
 from bluebellusher_core.membership._announcements import Announcements
 from bluebellusher_core.membership._endpoints import (
--- a/packages/core/src/bluebellusher_core/membership/_announcements.py
+++ b/packages/core/src/bluebellusher_core/membership/_announcements.py
@@ -1,44 +1,53 @@
-"""What endpoints say of themselves in their answers: leaving, and a pause."""
+"""Shutdowns and pauses that endpoints announce in their answers."""
 
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
 from bluebellusher_core.events import LeavingMark
 
-# Longer than any endpoint goes on serving after it has said that it leaves.
+# Age from which a leaving mark is discarded, in ms. It is longer than any endpoint
+# continues to serve after it has announced its shutdown.
 LEAVING_MS = 600_000
+# Upper bound of the stored leaving marks, and of the stored pauses.
 N_MAX_MARKS = 16_384
+# Upper bound of the leaving marks in one announcement to peers.
 N_MAX_TOLD = 1_000
 
 
 @dataclass(frozen=True, slots=True)
 class _Leaving:
+    """The start of an endpoint that announced its shutdown, and the time of that."""
+
     incarnation: int
     noted_at_ms: int
 
 
 @dataclass(frozen=True, slots=True)
 class _Pause:
+    """The start of an endpoint that asked for a pause, and the end of the pause."""
+
     incarnation: int
     until_ms: int
 
 
 @dataclass(slots=True)
 class Announcements:
-    """Marks by endpoint; each holds for one start of it and no later one.
+    """Leaving marks and pauses by endpoint.
 
-    They are kept apart from the views, because a registration that lapses and returns
-    makes a new view of the same start.
+    A leaving mark applies to the start of the endpoint that announced it and to earlier
+    starts, a pause only to the start that asked for it. Both are stored apart from the
+    views, because an endpoint whose registration expired and was renewed gets a new
+    view for the same start.
 
-    Load pattern of the ramp: an endpoint that asked for a pause is full. When its pause
-    ends, every entry has requests waiting, and the sum of what each would send at once
-    is several times what it can take. Each entry therefore sends one, and twice as many
-    after each of them that is answered.
+    Load pattern: an endpoint that asks for a pause is full. When the pause ends, every
+    entry has waiting requests, and together they would dispatch several times the
+    capacity of the endpoint at once. After a pause, each entry therefore dispatches a
+    single attempt and doubles the number of concurrent attempts with each answer.
 
     Parameters
     ----------
     max_pause_ms : int
-        Upper bound of a pause, whatever an endpoint asks for.
+        Upper bound of a pause, in ms; a longer one is shortened to it.
 
     Examples
     --------
@@ -57,10 +66,10 @@
     _n_ramp_by_id: dict[str, int] = field(default_factory=dict)
 
     def note_leaving(self, endpoint_id: str, incarnation: int, at_ms: int) -> bool:
-        """Mark a start of an endpoint; return whether that is news.
+        """Record that an endpoint announced its shutdown; return whether it is new.
 
-        One that does not say when it started is not marked, because its next start
-        could not be told from it.
+        An endpoint without a known start (``incarnation`` 0) is not recorded, because
+        its next start could not be distinguished from this one.
         """
         if not incarnation:
             return False
@@ -74,12 +83,12 @@
         return True
 
     def is_leaving(self, endpoint_id: str, incarnation: int) -> bool:
-        """Return whether a start, or a later one, said that it leaves."""
+        """Return whether this start, or a later one, announced its shutdown."""
         known = self._leaving_by_id.get(endpoint_id)
         return known is not None and incarnation <= known.incarnation
 
     def marks(self, now_ms: int) -> tuple[LeavingMark, ...]:
-        """Return what to tell peers, and forget marks that are over."""
+        """Discard expired leaving marks; return the latest ones for the peers."""
         over = [
             endpoint_id
             for endpoint_id, known in self._leaving_by_id.items()
@@ -95,11 +104,11 @@
 
     @property
     def has_limits(self) -> bool:
-        """Whether any endpoint pauses or takes fewer attempts after a pause."""
+        """Whether any endpoint pauses or has a limit of attempts after a pause."""
         return bool(self._pause_by_id or self._n_ramp_by_id)
 
     def forget_pause(self, endpoint_id: str, now_ms: int) -> None:
-        """Forget a pause that is over, of an endpoint that is gone."""
+        """Discard the attempt limit of a lost endpoint once its pause has ended."""
         pause = self._pause_by_id.get(endpoint_id)
         if pause is None or pause.until_ms <= now_ms:
             self._pause_by_id.pop(endpoint_id, None)
@@ -108,7 +117,7 @@
     def note_pause(
         self, endpoint_id: str, incarnation: int, pause_ms: int, now_ms: int
     ) -> int:
-        """Begin or extend a pause; return how long it lasts, in ms."""
+        """Start or extend a pause; return the time until it ends, in ms."""
         pause_ms = max(0, min(pause_ms, self.max_pause_ms))
         until_ms = now_ms + pause_ms
         known = self._pause_by_id.get(endpoint_id)
@@ -123,7 +132,7 @@
         return until_ms - now_ms
 
     def paused_until_ms(self, endpoint_id: str, incarnation: int, now_ms: int) -> int:
-        """Return when an endpoint may be used again; 0 when it may be used now."""
+        """Return the end of an endpoint's pause, in monotonic ms; 0 without a pause."""
         pause = self._pause_by_id.get(endpoint_id)
         if pause is None:
             return 0
@@ -138,16 +147,16 @@
         return pause.until_ms
 
     def next_end_ms(self, now_ms: int) -> int | None:
-        """Return when the next pause ends."""
+        """Return the earliest end of a pause, in monotonic ms, or ``None``."""
         ends = [p.until_ms for p in self._pause_by_id.values() if p.until_ms > now_ms]
         return min(ends, default=None)
 
     def n_allowed(self, endpoint_id: str, n_slots: int) -> int:
-        """Return how many own attempts an endpoint may hold after a pause."""
+        """Return the limit of concurrent own attempts, which grows after a pause."""
         return min(n_slots, self._n_ramp_by_id.get(endpoint_id, n_slots))
 
     def note_output(self, endpoint_id: str, n_slots: int) -> None:
-        """Allow more after an answer."""
+        """Double the limit of attempts after an answer of the endpoint."""
         n_allowed = self._n_ramp_by_id.get(endpoint_id)
         if n_allowed is None:
             return
--- a/packages/core/src/bluebellusher_core/membership/_endpoints.py
+++ b/packages/core/src/bluebellusher_core/membership/_endpoints.py
@@ -1,4 +1,4 @@
-"""Endpoint events folded into views."""
+"""Views of the connected endpoints and their availability for new attempts."""
 
 from dataclasses import dataclass, field, replace
 
@@ -18,13 +18,16 @@
 Pool = tuple[str, str, str]
 """Service, model and adapter; requests of one pool share candidates and a queue."""
 
+# Age from which a load report is ignored, in ms.
 REPORT_MAX_AGE_MS = 5_000
-# The engine may hold one further batch in its queue, so that a slot that becomes
-# free is filled without a round trip.
+# Default of ``Endpoints.queue_factor``. The engine may queue one more batch, so that a
+# freed slot is filled without a round trip.
 ENGINE_QUEUE_FACTOR = 2
+# Bounds of the time, in ms, in which an endpoint gets no attempts after a refusal.
 MIN_DEFER_MS = 20
 MAX_DEFER_MS = 1_000
-# An endpoint that asks for more is asked again after this time.
+# Upper bound of a pause, in ms. An endpoint that asks for a longer pause gets an
+# attempt after this time.
 MAX_PAUSE_MS = 60_000
 
 
@@ -35,20 +38,21 @@
 
 @dataclass(slots=True)
 class Endpoints:
-    """Views of the connected endpoints.
+    """Connected endpoints and their availability for new attempts.
 
     Parameters
     ----------
     n_max : int
         Upper bound of connected endpoints; a further connection is closed.
     queue_factor : float
-        Requests that an endpoint may hold by its report, as a multiple of its slots.
-    tracker : EndpointTracker
-        Keeps the views; it is told only of events that were found valid.
+        Upper bound of the running and queued requests of an endpoint, as a multiple of
+        its slots.
     announcements : Announcements
-        What endpoints said of themselves in their answers.
+        Shutdowns and pauses that endpoints announced in their answers.
+    tracker : EndpointTracker
+        Holds and updates the views; it receives only valid events.
     groups : GroupStates
-        Tells which groups of ranks can run nothing.
+        Groups of ranks that are closed or stalled.
     """
 
     n_max: int
@@ -68,7 +72,10 @@
         return self.tracker.view_by_id
 
     def connect(self, event: EndpointConnected, now_ms: int) -> list[Effect]:
-        """Add an endpoint, or replace its view after a reconnect."""
+        """Add an endpoint, or replace its view after it reconnected.
+
+        Returns an effect that closes the connection when ``n_max`` is reached.
+        """
         info = event.endpoint
         is_new = info.endpoint_id not in self.view_by_id
         if is_new and len(self.view_by_id) >= self.n_max:
@@ -79,19 +86,19 @@
         return []
 
     def refresh(self, info: EndpointInfo) -> None:
-        """Take what an endpoint newly says of itself; its attempts go on."""
+        """Replace the description of a connected endpoint; its attempts continue."""
         view = self.view_by_id[info.endpoint_id]
         view.info = info
         view.is_draining = self._is_leaving(info)
         self._views_by_pool.clear()
 
     def _is_leaving(self, info: EndpointInfo) -> bool:
-        """Return whether an endpoint leaves, by its registration or its answers."""
+        """Return whether the registration or an answer announced a shutdown."""
         said = self.announcements.is_leaving(info.endpoint_id, info.incarnation)
         return info.is_draining or said
 
     def note_leaving(self, endpoint_id: str, incarnation: int, at_ms: int) -> bool:
-        """Take that an endpoint said it leaves; return whether that is news."""
+        """Record an announced shutdown and drain the endpoint; return whether new."""
         is_news = self.announcements.note_leaving(endpoint_id, incarnation, at_ms)
         view = self.view_by_id.get(endpoint_id)
         if view is not None and view.info.incarnation <= incarnation:
@@ -101,13 +108,13 @@
     def pause(
         self, endpoint_id: str, incarnation: int, pause_ms: int, now_ms: int
     ) -> int:
-        """Start nothing there for as long as the endpoint asks; return how long."""
+        """Start a pause that an endpoint asked for; return its duration in ms."""
         return self.announcements.note_pause(endpoint_id, incarnation, pause_ms, now_ms)
 
     def pause_left_ms(self, pool: Pool, now_ms: int) -> int:
-        """Return until the first endpoint of a pool takes work again, in ms.
+        """Return the time until the first pause in a pool ends, in ms.
 
-        Returns 0 unless every endpoint of the pool has asked for a pause.
+        The time is 0 unless every endpoint of the pool pauses.
         """
         if not self.announcements.has_limits:
             return 0
@@ -121,7 +128,7 @@
         )
 
     def _may_take(self, view: EndpointView, now_ms: int) -> bool:
-        """Return whether an endpoint wants another attempt, by what it said."""
+        """Return whether pauses and the limit after them allow another attempt."""
         if self._paused_until_ms(view, now_ms):
             return False
         info = view.info
@@ -129,7 +136,7 @@
         return view.n_own_in_flight < n_allowed
 
     def remove(self, endpoint_id: str, now_ms: int) -> None:
-        """Forget a lost endpoint."""
+        """Discard the state of a lost endpoint."""
         self._views_by_pool.clear()
         self._deferred_until_ms.pop(endpoint_id, None)
         self._n_refusals.pop(endpoint_id, None)
@@ -138,7 +145,11 @@
         self.tracker.apply(EndpointLost(endpoint_id), now_ms)
 
     def defer(self, endpoint_id: str, pause_ms: int, now_ms: int) -> None:
-        """Start nothing there for a while; the pause doubles with each refusal."""
+        """Exclude an endpoint from new attempts for a time after a refusal or crash.
+
+        The time is the larger of ``pause_ms`` and ``MIN_DEFER_MS``, in ms. It doubles
+        with each call since the last answer of the endpoint, up to ``MAX_DEFER_MS``.
+        """
         if endpoint_id not in self.view_by_id:
             return
         n_before = self._n_refusals.get(endpoint_id, 0)
@@ -147,7 +158,7 @@
         self._deferred_until_ms[endpoint_id] = now_ms + min(pause_ms, MAX_DEFER_MS)
 
     def next_undeferred_ms(self, now_ms: int) -> int | None:
-        """Return when the next endpoint may be used again."""
+        """Return the earliest end of a pause or deferral in monotonic ms, if any."""
         pause_end_ms = self.announcements.next_end_ms(now_ms)
         if not self._deferred_until_ms:
             return pause_end_ms
@@ -160,7 +171,7 @@
         return min(ends, default=None)
 
     def views_with_room(self, pool: Pool, now_ms: int) -> list[EndpointView]:
-        """Return the endpoints of a pool that can start another attempt now."""
+        """Return the endpoints of a pool that have capacity for another attempt."""
         deferred = self._deferred_until_ms
         closed = self.groups.find_closed(now_ms)
         has_limits = self.announcements.has_limits
@@ -174,9 +185,10 @@
         ]
 
     def are_closed(self, pool: Pool, now_ms: int) -> bool:
-        """Return whether no endpoint of a pool can run anything now.
+        """Return whether no endpoint of a pool can run a request now.
 
-        Each states so itself, or is in a group that is closed or stands still.
+        An endpoint cannot when its latest report says so, or when its group is closed
+        or stalled. A pool without endpoints does not count as closed.
         """
         groups = self.groups
         closed = groups.find_closed(now_ms) | groups.find_standing(now_ms)
@@ -187,14 +199,14 @@
         )
 
     def drain(self, endpoint_id: str) -> None:
-        """Give the endpoint no new work from now on."""
+        """Mark the endpoint as draining, so that it gets no new work."""
         view = self.view_by_id.get(endpoint_id)
         if view is not None:
             view.is_draining = True
             self._views_by_pool.clear()
 
     def report_load(self, event: LoadReported, now_ms: int) -> None:
-        """Take a load report unless a newer one is known."""
+        """Record a load report unless it is older than the recorded one."""
         self.tracker.apply(event, now_ms)
         view = self.view_by_id.get(event.endpoint_id)
         if view is None or view.report is not event:
@@ -207,7 +219,7 @@
             self._views_by_pool.clear()
 
     def report_cache(self, event: CacheReported, now_ms: int) -> None:
-        """Add and remove cached prefixes; forget all of them after a gap."""
+        """Record cached prefixes that were added or removed."""
         self.tracker.apply(event, now_ms)
 
     def views_of(self, pool: Pool) -> list[EndpointView]:
@@ -215,13 +227,14 @@
         views = self._views_by_pool.get(pool)
         if views is None:
             views = [v for v in self.view_by_id.values() if _serves(v, pool)]
-            # Names in a pool come from callers, so empty pools are not kept.
+            # Callers choose the names in a pool, so empty results are not stored:
+            # arbitrary names would use unbounded memory.
             if views:
                 self._views_by_pool[pool] = views
         return views
 
     def note_output(self, endpoint_id: str) -> None:
-        """Forget earlier refusals; the endpoint works."""
+        """Record an answer: reset the count of refusals and raise the attempt limit."""
         self._n_refusals.pop(endpoint_id, None)
         view = self.view_by_id.get(endpoint_id)
         if view is not None:
@@ -236,7 +249,7 @@
 
 
 def _has_room(view: EndpointView, queue_factor: float, now_ms: int) -> bool:
-    """Return whether another attempt fits, by own attempts and the last report."""
+    """Return whether the own attempts and the latest report leave free capacity."""
     if view.is_isolating or view.n_own_in_flight >= view.info.n_slots:
         return False
     report = view.report
@@ -244,8 +257,8 @@
         return True
     if not report.is_open:
         return False
-    # Attempts that ended since the report have left the engine again. Otherwise fast
-    # requests would fill it on paper and wait for the next report.
+    # Attempts that ended since the report no longer use the engine. If they counted,
+    # fast requests would seem to fill it until the next report.
     n_since = len(view.own_dispatched_at_ms) - len(view.own_ended_at_ms)
     n_known = report.n_running + report.n_queued + n_since
     return n_known < queue_factor * view.info.n_slots
--- a/packages/core/src/bluebellusher_core/membership/_groups.py
+++ b/packages/core/src/bluebellusher_core/membership/_groups.py
@@ -1,18 +1,19 @@
-"""Groups of ranks that can run nothing now."""
+"""Detection of groups of ranks that cannot run requests."""
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from bluebellusher_core.events import LoadReported
 
-# Passes of a slow group take 600 ms. A group that loses a rank stands still for 1,500
-# ms before its ranks say so.
+# Time without a new pass, in ms, after which a group with work counts as stalled.
+# Passes of a slow group take 600 ms. A group that loses a rank makes no passes for
+# 1,500 ms before its ranks report it.
 MAX_PASS_MS = 800
 
 
 @dataclass(slots=True)
 class _Rank:
-    """What a rank last said of its group."""
+    """State of its group according to the latest report of a rank."""
 
     group_id: str
     epoch: int
@@ -23,7 +24,7 @@
 
 @dataclass(slots=True)
 class _Group:
-    """Ranks of a group, and its latest pass."""
+    """Ranks of a group and the latest pass that one of them reported."""
 
     endpoint_ids: set[str] = field(default_factory=set)
     epoch: int = 0
@@ -31,30 +32,30 @@
     advanced_at_ms: int = 0
 
     def note_step(self, epoch: int, step: int, now_ms: int) -> None:
-        """Take a pass that a rank has begun."""
+        """Record a pass that a rank has started; an earlier pass is ignored."""
         if (epoch, step) > (self.epoch, self.step):
             self.epoch, self.step, self.advanced_at_ms = epoch, step, now_ms
 
 
 @dataclass(slots=True)
 class GroupStates:
-    """Open and closed groups, by what their ranks say.
+    """Closed and stalled groups according to the reports of their ranks.
 
-    Ranks advance in lock-step: when one is lost, none can run anything. The lost rank
-    itself says nothing, so that what the others say decides for it. A group that was
-    formed anew has a higher epoch, and what was said in an earlier one no longer
-    counts. A group that has work and begins no pass stands still, whatever its ranks
-    say; they take requests and run them when it goes on.
+    Ranks advance in lock-step: when one is lost, none can run a request. The lost rank
+    sends no report, so a group is closed when any of its ranks reports that it is. A
+    group that is formed again has a higher epoch, and reports of an earlier epoch no
+    longer count. A group that has work and starts no pass is stalled even if its ranks
+    report it as open: they accept requests and run them when the group continues.
 
     Load pattern: a failure domain is cut off, or a machine freezes while its rank holds
-    a step. Entries would send every request to ranks that answer late or never, until
-    their callers leave, and once the group goes on it would be busy with requests that
-    nobody waits for.
+    a step. Without this detection, entries would dispatch every request to ranks that
+    answer late or never, until the callers disconnect. When the group continues, it
+    would run requests whose callers no longer wait.
 
     Parameters
     ----------
     max_age_ms : int
-        Age from which a report no longer counts.
+        Age from which a report of a rank no longer counts, in ms.
     """
 
     max_age_ms: int
@@ -62,7 +63,7 @@
     _group_by_id: dict[str, _Group] = field(default_factory=dict)
 
     def note_report(self, report: LoadReported, now_ms: int) -> None:
-        """Take what a rank says of its group."""
+        """Record the state of a group from the load report of one of its ranks."""
         if not report.group_id:
             return
         endpoint_id = report.endpoint_id
@@ -78,17 +79,17 @@
         group.endpoint_ids.add(endpoint_id)
         group.note_step(report.epoch, report.step, now_ms)
         if not had_work:
-            # An idle group makes no passes.
+            # An idle group makes no passes, so its stall time starts with new work.
             group.advanced_at_ms = now_ms
 
     def note_closed(self, endpoint_id: str, now_ms: int) -> None:
-        """Take an answer which says that another rank keeps this one from running."""
+        """Record a refusal of a rank because its group is closed."""
         rank = self._rank_by_id.get(endpoint_id)
         if rank is not None:
             rank.is_open, rank.told_at_ms = False, now_ms
 
     def forget(self, endpoint_id: str) -> None:
-        """Forget an endpoint that is gone."""
+        """Discard the state of a lost endpoint."""
         rank = self._rank_by_id.pop(endpoint_id, None)
         if rank is None:
             return
@@ -98,11 +99,11 @@
             del self._group_by_id[rank.group_id]
 
     def find_closed(self, now_ms: int) -> frozenset[str]:
-        """Return the endpoints of all closed groups."""
+        """Return the ids of the endpoints of all closed groups."""
         return self._find(self._is_closed, now_ms)
 
     def find_standing(self, now_ms: int) -> frozenset[str]:
-        """Return the endpoints of all groups that begin no pass."""
+        """Return the ids of the endpoints of all groups that start no pass."""
         return self._find(self._is_standing, now_ms)
 
     def _find(
@@ -118,7 +119,8 @@
         return any(not rank.is_open for rank in told if rank.epoch == epoch)
 
     def _is_standing(self, group: _Group, now_ms: int) -> bool:
-        # Without reports nothing is known of passes.
+        # The time without a pass is measured up to the latest report, because passes
+        # are unknown after it.
         told = self._find_told(group, now_ms)
         last_told_ms = max((rank.told_at_ms for rank in told), default=now_ms)
         is_late = last_told_ms - group.advanced_at_ms > MAX_PASS_MS
--- a/packages/core/src/bluebellusher_core/membership/_subset.py
+++ b/packages/core/src/bluebellusher_core/membership/_subset.py
@@ -1,10 +1,11 @@
-"""Bounded subset of endpoints by rendezvous hashing."""
+"""Choice of a bounded subset of endpoints by rendezvous hashing."""
 
 from collections.abc import Iterable
 
 from bluebellusher_core.events import EndpointInfo
 from bluebellusher_core.rendezvous import score
 
+# Largest share of the subset from the entry's own failure domain.
 OWN_DOMAIN_SHARE = 0.75
 
 
@@ -16,20 +17,21 @@
 ) -> frozenset[str]:
     """Return the ids of the endpoints that an entry connects to.
 
-    Rendezvous hashing changes one member of the subset when one endpoint comes or
-    goes. The own failure domain fills at most three quarters while others have
-    endpoints, so that the loss of the own domain leaves some connections.
+    With rendezvous hashing, at most one member of the subset of a service changes when
+    one endpoint is added or removed. The entry's own failure domain gets at most three
+    quarters of the subset while other domains have endpoints, so that some connections
+    remain when the own domain is lost.
 
     Parameters
     ----------
     entry_id : str
         Id of the entry; different entries get different subsets.
     failure_domain : str
-        Where the entry runs.
+        Failure domain of the entry.
     endpoints : iterable of EndpointInfo
-        All endpoints in the member view.
+        All registered endpoints.
     n_per_service : int
-        Upper bound for each service.
+        Largest number of endpoints for each service.
     """
     by_service: dict[str, list[EndpointInfo]] = {}
     for info in endpoints:
--- a/packages/core/src/bluebellusher_core/membership/tests/test_membership.py
+++ b/packages/core/src/bluebellusher_core/membership/tests/test_membership.py
@@ -1,4 +1,4 @@
-"""Guards against subsets that are unbounded, unstable or far away."""
+"""Subsets of endpoints, load reports and free capacity."""
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -12,14 +12,14 @@
 
 
 def make_info(number, failure_domain, services=("s",)):
-    """Return an endpoint."""
+    """Return the description of an endpoint with two slots."""
     names = frozenset(services), frozenset("m"), frozenset()
     return EndpointInfo(f"x{number}", failure_domain, *names, 2)
 
 
 @given(st.lists(st.sampled_from("abc"), max_size=60), st.integers(1, 20), st.data())
 def test_property_subset_is_bounded_near_and_stable(domains, n_wanted, data):
-    """Guards against reconnecting everything when one endpoint leaves."""
+    """Guards against subsets that are too large, remote or change too much."""
     infos = [make_info(i, domain) for i, domain in enumerate(domains)]
     subset = choose_subset("e", "a", infos, n_wanted)
     assert len(subset) == min(n_wanted, len(infos))
@@ -58,7 +58,7 @@
 
 
 def test_ended_attempts_leave_room_before_the_next_report():
-    """Guards against short requests that fill an endpoint on paper for 5 s."""
+    """Guards against ended attempts that count as running until the next report."""
     endpoints = Endpoints(n_max=4)
     endpoints.connect(EndpointConnected(make_info(0, "a")), 0)
     names = frozenset("m"), frozenset()
