--- a/packages/core/src/bluebellusher_core/admission/_protocol.py
+++ b/packages/core/src/bluebellusher_core/admission/_protocol.py
@@ -40,7 +40,7 @@
     def offer(self, request: RequestSpec, now_ms: int) -> Refusal | None:
         """Add the request; reject it only when its deadline has passed."""
         if request.deadline_ms <= now_ms:
-            return _deadline_refusal()
+            return _make_deadline_rejection()
         self._requests.append(request)
         return None
 
@@ -62,7 +62,7 @@
         """Remove the requests whose deadline has passed, with their rejections."""
         expired = [r for r in self._requests if r.deadline_ms <= now_ms]
         self._requests = [r for r in self._requests if r.deadline_ms > now_ms]
-        return [(request, _deadline_refusal()) for request in expired]
+        return [(request, _make_deadline_rejection()) for request in expired]
 
     def observe_service(self, n_slots: int, service_ms: float) -> None:
         """Ignore the service rate; this baseline predicts no waits."""
@@ -72,7 +72,7 @@
         return len(self._requests)
 
 
-def _deadline_refusal() -> Refusal:
+def _make_deadline_rejection() -> Refusal:
     return Refusal(
         outcome=Outcome.NOT_RUN,
         reason=Reason.DEADLINE_EXCEEDED,
--- a/packages/core/src/bluebellusher_core/admission/_service_rate.py
+++ b/packages/core/src/bluebellusher_core/admission/_service_rate.py
@@ -4,7 +4,7 @@
 
 # Time constant of the decay, in ms. It is long enough to average over single requests
 # and short enough to follow the loss of a failure domain before most deadlines pass.
-MEMORY_MS = 10_000.0
+DECAY_MS = 10_000.0
 # The expected rate has the same weight as a measurement over this time, in ms.
 PRIOR_MS = 1_000.0
 
@@ -14,7 +14,7 @@
 
     Time without waiting requests gives no information about the highest possible
     rate, so neither that time nor requests that did not wait are counted. The sums of
-    work and time decay with the time constant ``MEMORY_MS``.
+    work and time decay with the time constant ``DECAY_MS``.
     """
 
     def __init__(self) -> None:
@@ -29,7 +29,7 @@
         self._advanced_at_ms = now_ms
         if elapsed_ms <= 0:
             return
-        decay = exp(-elapsed_ms / MEMORY_MS)
+        decay = exp(-elapsed_ms / DECAY_MS)
         self._work *= decay
         self._busy_ms *= decay
         if has_backlog:
--- a/packages/core/src/bluebellusher_core/admission/tests/test_objective_queue.py
+++ b/packages/core/src/bluebellusher_core/admission/tests/test_objective_queue.py
@@ -8,15 +8,15 @@
 from bluebellusher_core.admission.tests.overload import (
     OBJECTIVE_MS,
     make_request,
-    replay,
+    simulate,
     with_deadline,
 )
 from bluebellusher_core.errors import Outcome, Reason
 
 
-def burst(factor, start_ms=2_000, end_ms=5_000, usual=0.65):
+def burst(factor, start_ms=2_000, end_ms=5_000, base_load=0.65):
     """Return a load function with one burst."""
-    return lambda at_ms: factor if start_ms <= at_ms < end_ms else usual
+    return lambda at_ms: factor if start_ms <= at_ms < end_ms else base_load
 
 
 @pytest.mark.parametrize("factor", [1.7, 2.0, 3.0])
@@ -27,52 +27,54 @@
     """
     load = burst(factor)
     results = {
-        make.__name__: replay(make(), load)
-        for make in (FifoQueue, FairQueue, ObjectiveQueue)
+        queue_type.__name__: simulate(queue_type(), load)
+        for queue_type in (FifoQueue, FairQueue, ObjectiveQueue)
     }
-    chosen = results["ObjectiveQueue"]
-    assert chosen.utility > results["FifoQueue"].utility
-    assert chosen.utility > results["FairQueue"].utility
-    assert chosen.n_on_time > results["FifoQueue"].n_on_time
+    by_objective = results["ObjectiveQueue"]
+    assert by_objective.utility > results["FifoQueue"].utility
+    assert by_objective.utility > results["FairQueue"].utility
+    assert by_objective.n_on_time > results["FifoQueue"].n_on_time
 
 
-def test_quiet_load_is_never_refused():
+def test_no_request_is_rejected_at_low_load():
     """Guards against rejections while slots are free and no request waits."""
-    result = replay(ObjectiveQueue(), lambda _: 0.6)
-    assert result.n_refused == result.n_refused_while_free == 0
-    assert result.n_on_time > 0.98 * result.n_asked
+    result = simulate(ObjectiveQueue(), lambda _: 0.6)
+    assert result.n_rejected == result.n_rejected_while_free == 0
+    assert result.n_on_time > 0.98 * result.n_callers
 
 
 @pytest.mark.parametrize("load", [0.65, 1.2, 2.0])
-def test_nobody_is_refused_while_places_are_free(load):
+def test_no_request_is_rejected_while_slots_are_free(load):
     """Guards against rejections by a predicted wait that is too high."""
-    assert replay(ObjectiveQueue(), lambda _: load).n_refused_while_free == 0
+    assert simulate(ObjectiveQueue(), lambda _: load).n_rejected_while_free == 0
 
 
-def test_closed_service_is_survived_by_those_who_can_come_back():
+def test_fewer_requests_are_lost_while_a_service_is_closed():
     """Guards against a second rejection while a group of ranks is formed again."""
-    closed_ms = (3_000, 7_500)
-    fifo = replay(FifoQueue(), lambda _: 0.5, closed_ms=closed_ms)
-    chosen = replay(ObjectiveQueue(), lambda _: 0.5, closed_ms=closed_ms)
-    n_lost = chosen.n_refused + chosen.n_left
-    assert n_lost < 0.8 * (fifo.n_refused + fifo.n_left)
-    assert chosen.utility > fifo.utility
+    closed_interval_ms = (3_000, 7_500)
+    fifo = simulate(FifoQueue(), lambda _: 0.5, closed_interval_ms=closed_interval_ms)
+    by_objective = simulate(
+        ObjectiveQueue(), lambda _: 0.5, closed_interval_ms=closed_interval_ms
+    )
+    n_lost = by_objective.n_rejected + by_objective.n_disconnected
+    assert n_lost < 0.8 * (fifo.n_rejected + fifo.n_disconnected)
+    assert by_objective.utility > fifo.utility
 
 
-def test_request_that_came_back_goes_before_it_is_lost():
+def test_retried_request_is_dequeued_before_its_caller_times_out():
     """Guards against a second rejection, after which the caller does not retry."""
     queue = ObjectiveQueue()
-    returning = make_request("old", now_ms=3_000, first_ms=0, n_refusals=1)
-    assert queue.offer(returning, 3_000) is None
-    fresh = make_request("new", now_ms=3_100, first_ms=3_100, n_refusals=0)
+    retried = make_request("old", now_ms=3_000, first_ms=0, n_rejections=1)
+    assert queue.offer(retried, 3_000) is None
+    fresh = make_request("new", now_ms=3_100, first_ms=3_100, n_rejections=0)
     assert queue.offer(fresh, 3_100) is None
     assert queue.take(3_110).request_id == "new"
-    fresh = make_request("newer", now_ms=4_700, first_ms=4_700, n_refusals=0)
+    fresh = make_request("newer", now_ms=4_700, first_ms=4_700, n_rejections=0)
     assert queue.offer(fresh, 4_700) is None
     assert queue.take(4_710).request_id == "old"
 
 
-def test_missed_objective_lets_fresh_requests_go_first():
+def test_fresh_requests_go_before_those_that_missed_their_objective():
     """Guards against late requests that delay others past their objective."""
     queue = ObjectiveQueue()
     queue.offer(make_request("a", 0, 0, 0), 0)
@@ -81,17 +83,17 @@
     assert queue.take(OBJECTIVE_MS + 10).request_id == "a"
 
 
-def test_refusal_says_not_run_and_spreads_the_returns():
+def test_rejections_are_not_run_and_spread_the_retries():
     """Guards against callers that all retry at the same time."""
     queue = ObjectiveQueue()
     queue.observe_closed(True)
-    refusals = [queue.offer(make_request(f"r{i}", 0, 0, 0), 0) for i in range(20)]
-    assert {r.outcome for r in refusals} == {Outcome.NOT_RUN}
-    assert {r.reason for r in refusals} == {Reason.ENDPOINTS_CLOSED}
-    pauses_ms = sorted(r.retry_after_ms for r in refusals)
-    assert pauses_ms[-1] <= 8_000 / 3
-    assert pauses_ms[0] >= 8_000 / 3 * 0.4
-    assert all(b - a < 300 for a, b in pairwise(pauses_ms))
+    rejections = [queue.offer(make_request(f"r{i}", 0, 0, 0), 0) for i in range(20)]
+    assert {r.outcome for r in rejections} == {Outcome.NOT_RUN}
+    assert {r.reason for r in rejections} == {Reason.ENDPOINTS_CLOSED}
+    retry_after_times_ms = sorted(r.retry_after_ms for r in rejections)
+    assert retry_after_times_ms[-1] <= 8_000 / 3
+    assert retry_after_times_ms[0] >= 8_000 / 3 * 0.4
+    assert all(b - a < 300 for a, b in pairwise(retry_after_times_ms))
 
 
 def test_expired_request_is_returned_once():
@@ -105,7 +107,7 @@
     assert queue.take(900) is None
 
 
-def test_put_back_request_goes_first_and_removed_one_does_not_go():
+def test_requeued_request_goes_first_and_removed_one_is_not_returned():
     """Guards against a requeued request that waits behind new requests."""
     queue = ObjectiveQueue()
     queue.offer(make_request("a", 0, 0, 0), 0)
@@ -120,35 +122,48 @@
     """Guards against callers that wait for a closed service instead of retrying."""
     queue = ObjectiveQueue()
     assert queue.offer(make_request("fresh", 0, 0, 0), 0) is None
-    returning = make_request("old", now_ms=100, first_ms=-3_000, n_refusals=1)
-    assert queue.offer(returning, 100) is None
+    retried = make_request("old", now_ms=100, first_ms=-3_000, n_rejections=1)
+    assert queue.offer(retried, 100) is None
     queue.put_back(make_request("resumed", 100, 100, 0), 100)
     queue.observe_closed(True)
-    [(request, refusal)] = queue.expire(150)
+    [(request, rejection)] = queue.expire(150)
     assert request.request_id == "fresh"
-    assert refusal.reason is Reason.ENDPOINTS_CLOSED
+    assert rejection.reason is Reason.ENDPOINTS_CLOSED
     assert len(queue) == 2
 
 
-def test_those_who_came_back_do_not_make_all_fresh_requests_late():
+def test_retried_requests_do_not_make_all_fresh_requests_late():
     """Guards against a group that opens with more work than it can serve on time.
 
     The alternative queue holds every retried request that can still be served. It
     serves few more of them, and many fresh requests after the opening are late.
     """
 
-    class HoldAll(ObjectiveQueue):
-        def _spare_share(self):
+    class HoldAllRetries(ObjectiveQueue):
+        def _free_share(self):
             return 1.0
 
-    closed_ms = (3_000, 7_500)
+    closed_interval_ms = (3_000, 7_500)
     seeds = range(4)
-    held = [
-        replay(HoldAll(), lambda _: 0.8, closed_ms=closed_ms, seed=s) for s in seeds
+    by_hold_all = [
+        simulate(
+            HoldAllRetries(),
+            lambda _: 0.8,
+            closed_interval_ms=closed_interval_ms,
+            seed=s,
+        )
+        for s in seeds
     ]
-    chosen = [
-        replay(ObjectiveQueue(), lambda _: 0.8, closed_ms=closed_ms, seed=s)
+    by_objective = [
+        simulate(
+            ObjectiveQueue(),
+            lambda _: 0.8,
+            closed_interval_ms=closed_interval_ms,
+            seed=s,
+        )
         for s in seeds
     ]
-    assert sum(r.n_on_time for r in chosen) > 1.2 * sum(r.n_on_time for r in held)
-    assert sum(r.utility for r in chosen) > sum(r.utility for r in held)
+    assert sum(r.n_on_time for r in by_objective) > 1.2 * sum(
+        r.n_on_time for r in by_hold_all
+    )
+    assert sum(r.utility for r in by_objective) > sum(r.utility for r in by_hold_all)
--- a/packages/core/src/bluebellusher_core/admission/tests/test_queues.py
+++ b/packages/core/src/bluebellusher_core/admission/tests/test_queues.py
@@ -36,7 +36,7 @@
 
 STEPS = st.lists(
     st.tuples(
-        st.sampled_from(["offer", "take", "put_back", "remove", "expire", "serve"]),
+        st.sampled_from(["offer", "dequeue", "requeue", "remove", "expire", "serve"]),
         st.integers(0, 400),
         st.sampled_from(["a", "b", "c"]),
         st.sampled_from(list(Priority)),
@@ -46,38 +46,38 @@
 )
 
 
-class Ledger:
+class QueueModel:
     """Calls a queue and records which requests are waiting."""
 
     def __init__(self, queue):
         self.queue = queue
         self.now_ms = 0
         self.waiting = {}
-        self.taken = None
+        self.dequeued = None
         self.service_ms = 0.0
 
-    def check_refusal(self, refusal):
+    def check_rejection(self, rejection):
         """Check the fields that every rejection of a queue must have."""
-        assert refusal.outcome is Outcome.NOT_RUN
-        assert refusal.retry_after_ms > 0
-        assert refusal.step == "admission"
+        assert rejection.outcome is Outcome.NOT_RUN
+        assert rejection.retry_after_ms > 0
+        assert rejection.step == "admission"
 
     def offer(self, index, customer_id, priority, margin_ms):
         """Offer a request; one without remaining time must be rejected."""
         deadline_ms = self.now_ms + margin_ms
         request = make_request(f"r{index}", customer_id, deadline_ms, priority)
-        refusal = self.queue.offer(request, self.now_ms)
-        assert refusal is not None or margin_ms > 0
-        if refusal is None:
+        rejection = self.queue.offer(request, self.now_ms)
+        assert rejection is not None or margin_ms > 0
+        if rejection is None:
             self.waiting[request.request_id] = request
         else:
-            self.check_refusal(refusal)
+            self.check_rejection(rejection)
 
     def take(self):
         """Dequeue the next request."""
-        self.taken = self.queue.take(self.now_ms)
-        if self.taken is not None:
-            assert self.waiting.pop(self.taken.request_id) is self.taken
+        self.dequeued = self.queue.take(self.now_ms)
+        if self.dequeued is not None:
+            assert self.waiting.pop(self.dequeued.request_id) is self.dequeued
 
     def put_back(self):
         """Requeue the dequeued request; it must be the next one.
@@ -85,63 +85,63 @@
         A request that can no longer be served before its deadline may be skipped. All
         requests of this test cost the same, so that each takes ``service_ms``.
         """
-        if self.taken is None:
+        if self.dequeued is None:
             return
-        self.queue.put_back(self.taken, self.now_ms)
-        self.waiting[self.taken.request_id] = self.taken
-        if self.taken.deadline_ms - self.service_ms > self.now_ms:
-            again = self.queue.take(self.now_ms)
-            assert again is self.taken
-            self.queue.put_back(again, self.now_ms)
-        self.taken = None
+        self.queue.put_back(self.dequeued, self.now_ms)
+        self.waiting[self.dequeued.request_id] = self.dequeued
+        if self.dequeued.deadline_ms - self.service_ms > self.now_ms:
+            dequeued_again = self.queue.take(self.now_ms)
+            assert dequeued_again is self.dequeued
+            self.queue.put_back(dequeued_again, self.now_ms)
+        self.dequeued = None
 
     def remove(self, index):
         """Remove a request, whether or not it is waiting."""
         is_removed = self.queue.remove(f"r{index}")
         assert is_removed == (self.waiting.pop(f"r{index}", None) is not None)
 
-    def serve(self, n_slots, service_ms):
+    def set_service(self, n_slots, service_ms):
         """Set the number of slots and the service time of the queue."""
         self.service_ms = service_ms
         self.queue.observe_service(n_slots, service_ms)
 
     def expire(self):
         """Expire requests; none that is past its deadline may remain."""
-        for request, refusal in self.queue.expire(self.now_ms):
-            self.check_refusal(refusal)
+        for request, rejection in self.queue.expire(self.now_ms):
+            self.check_rejection(rejection)
             assert self.waiting.pop(request.request_id) is request
         assert all(r.deadline_ms > self.now_ms for r in self.waiting.values())
 
 
 @pytest.mark.parametrize("queue_type", QUEUES)
 @given(steps=STEPS)
-def test_property_nothing_is_lost_or_duplicated(queue_type, steps):
+def test_property_no_request_is_lost_or_duplicated(queue_type, steps):
     """Guards against requests that are lost, returned twice or not rejected."""
-    ledger = Ledger(queue_type())
+    queue_model = QueueModel(queue_type())
     for index, (step, value, customer_id, priority, margin_ms) in enumerate(steps):
-        ledger.now_ms += value if step in ("take", "expire") else 0
+        queue_model.now_ms += value if step in ("dequeue", "expire") else 0
         match step:
             case "offer":
-                ledger.offer(index, customer_id, priority, margin_ms)
-            case "take":
-                ledger.take()
-            case "put_back":
-                ledger.put_back()
+                queue_model.offer(index, customer_id, priority, margin_ms)
+            case "dequeue":
+                queue_model.take()
+            case "requeue":
+                queue_model.put_back()
             case "remove":
-                ledger.remove(value % (index + 1))
+                queue_model.remove(value % (index + 1))
             case "expire":
-                ledger.expire()
+                queue_model.expire()
             case "serve":
-                ledger.serve(1 + value % 8, 1.0 + value)
-        assert len(ledger.queue) == len(ledger.waiting)
-    ledger.now_ms += 10_000
-    ledger.expire()
-    assert len(ledger.queue) == 0
+                queue_model.set_service(1 + value % 8, 1.0 + value)
+        assert len(queue_model.queue) == len(queue_model.waiting)
+    queue_model.now_ms += 10_000
+    queue_model.expire()
+    assert len(queue_model.queue) == 0
 
 
 @pytest.mark.parametrize("queue_type", QUEUES)
 @given(margins=st.lists(st.integers(1, 50), max_size=30), elapsed_ms=st.integers(0, 60))
-def test_property_expire_removes_exactly_what_is_overdue(
+def test_property_expire_removes_exactly_the_overdue_requests(
     queue_type, margins, elapsed_ms
 ):
     """Guards against requests that keep waiting past their deadline."""
@@ -157,9 +157,9 @@
     weights=st.lists(st.sampled_from([0.5, 1.0, 2.0, 5.0]), min_size=2, max_size=5),
     costs=st.lists(st.integers(20, 200), min_size=5, max_size=5),
     priorities=st.lists(st.sampled_from(list(Priority)), min_size=5, max_size=5),
-    n_taken=st.integers(1, 120),
+    n_dequeued=st.integers(1, 120),
 )
-def test_property_shares_follow_weights(weights, costs, priorities, n_taken):
+def test_property_shares_follow_weights(weights, costs, priorities, n_dequeued):
     """Guards against a customer that gains a larger share by priority or load.
 
     While all customers have waiting requests, the work per weight of two customers
@@ -168,12 +168,12 @@
     weight_by_customer = {f"c{i}": weight for i, weight in enumerate(weights)}
     queue = FairQueue(weight_by_customer)
     for index, customer_id in enumerate(weight_by_customer):
-        for n in range(n_taken):
+        for n in range(n_dequeued):
             name = f"{customer_id}-{n}"
             spec = (name, customer_id, 10**9, priorities[index], costs[index])
             assert queue.offer(make_request(*spec), 0) is None
     work = Counter()
-    for _ in range(n_taken):
+    for _ in range(n_dequeued):
         request = queue.take(0)
         work[request.customer_id] += request.n_max_output_tokens + 1
     head_start = 2 * 2.0 * max(costs)
@@ -184,28 +184,28 @@
 
 
 @given(
-    rivals=st.lists(st.sampled_from([1.0, 4.0]), min_size=1, max_size=4),
+    competitor_weights=st.lists(st.sampled_from([1.0, 4.0]), min_size=1, max_size=4),
     priority=st.sampled_from(list(Priority)),
 )
-def test_property_no_request_starves(rivals, priority):
+def test_property_no_request_starves(competitor_weights, priority):
     """Guards against a low-priority request that waits forever behind new ones.
 
     Every dequeued request is replaced by a new one of the highest priority, from the
     same customer and from competing customers.
     """
-    queue = FairQueue({f"c{i}": weight for i, weight in enumerate(rivals)})
+    queue = FairQueue({f"c{i}": weight for i, weight in enumerate(competitor_weights)})
     now_ms = 0
-    for customer_id in ["own", *(f"c{i}" for i in range(len(rivals)))]:
+    for customer_id in ["own", *(f"c{i}" for i in range(len(competitor_weights)))]:
         for n in range(3):
             name = f"{customer_id}-{n}"
             queue.offer(make_request(name, customer_id, 10**9, Priority.HIGH), 0)
     queue.offer(make_request("slow", "own", 10**9, priority), 0)
     for n in range(2000):
         now_ms += 20
-        taken = queue.take(now_ms)
-        if taken.request_id == "slow":
+        dequeued = queue.take(now_ms)
+        if dequeued.request_id == "slow":
             return
-        new = make_request(f"n{n}", taken.customer_id, 10**9, Priority.HIGH)
+        new = make_request(f"n{n}", dequeued.customer_id, 10**9, Priority.HIGH)
         assert queue.offer(new, now_ms) is None
     raise AssertionError("the request was never dequeued")
 
@@ -220,31 +220,31 @@
 
 
 @pytest.mark.parametrize("queue_type", QUEUES)
-def test_request_that_was_put_back_goes_first(queue_type):
+def test_requeued_request_goes_first(queue_type):
     """Guards against a request that loses its turn because no endpoint is free."""
     queue = queue_type()
     queue.offer(make_request("low", "a", priority=Priority.LOW), 0)
-    taken = queue.take(1)
+    dequeued = queue.take(1)
     queue.offer(make_request("high", "b", priority=Priority.HIGH), 1)
-    queue.put_back(taken, 2)
+    queue.put_back(dequeued, 2)
     assert [queue.take(3).request_id for _ in range(2)] == ["low", "high"]
 
 
-def test_request_is_refused_early_when_the_wait_exceeds_its_deadline():
+def test_request_is_rejected_early_when_the_wait_exceeds_its_deadline():
     """Guards against requests that wait for a deadline they cannot meet."""
     queue = FairQueue()
     assert queue.offer(make_request("first"), 0) is None
     queue.observe_service(n_slots=1, service_ms=100.0)
     for n in range(9):
         assert queue.offer(make_request(f"r{n}"), 0) is None
-    refusal = queue.offer(make_request("late", deadline_ms=600), 0)
-    assert refusal.reason is Reason.DEADLINE_UNREACHABLE
-    assert 500 <= refusal.retry_after_ms <= 2000
+    rejection = queue.offer(make_request("late", deadline_ms=600), 0)
+    assert rejection.reason is Reason.DEADLINE_UNREACHABLE
+    assert 500 <= rejection.retry_after_ms <= 2000
     small = make_request("small", "other", deadline_ms=600)
     assert queue.offer(small, 0) is None, "the other customer's share is free"
 
 
-def test_take_passes_over_what_can_no_longer_meet_its_deadline():
+def test_dequeue_skips_requests_that_cannot_meet_their_deadline():
     """Guards against capacity spent on answers that miss their deadline."""
     queue = FairQueue()
     queue.offer(make_request("first"), 0)
@@ -252,12 +252,12 @@
     queue.offer(make_request("tight", deadline_ms=250), 0)
     assert queue.take(200).request_id == "first"
     assert queue.take(200) is None
-    [(request, refusal)] = queue.expire(200)
+    [(request, rejection)] = queue.expire(200)
     assert request.request_id == "tight"
-    assert refusal.reason is Reason.DEADLINE_UNREACHABLE
+    assert rejection.reason is Reason.DEADLINE_UNREACHABLE
 
 
-def test_memory_is_bounded_when_callers_leave_and_customers_change():
+def test_memory_is_bounded_when_callers_disconnect_and_customers_change():
     """Guards against heaps that keep entries of removed requests."""
     queue = FairQueue()
     queue.offer(make_request("keep", "keeper"), 0)
@@ -272,7 +272,7 @@
     assert max(sizes) < 300
 
 
-def test_invalid_weight_and_service_are_refused():
+def test_invalid_weight_and_service_time_raise_value_error():
     """Guards against invalid settings that cause a division by zero later."""
     with pytest.raises(ValueError, match="weight of a=0"):
         FairQueue({"a": 0.0})
