--- a/packages/core/src/bluebellusher_core/routing/_baselines.py
+++ b/packages/core/src/bluebellusher_core/routing/_baselines.py
@@ -8,7 +8,7 @@
 from bluebellusher_core.routing._protocol import EndpointView
 
 
-def usable(candidates: Sequence[EndpointView]) -> list[EndpointView]:
+def filter_usable(candidates: Sequence[EndpointView]) -> list[EndpointView]:
     """Return the candidates that are neither draining nor isolating a suspect."""
     return [v for v in candidates if not (v.is_draining or v.is_isolating)]
 
@@ -27,11 +27,13 @@
         random_state: Random,
     ) -> str | None:
         """Return the next id after the last chosen one, or the first id."""
-        ids = [view.info.endpoint_id for view in usable(candidates)]
+        ids = [view.info.endpoint_id for view in filter_usable(candidates)]
         if not ids:
             return None
-        later = [one for one in ids if one > self._last_endpoint_id]
-        self._last_endpoint_id = min(later or ids)
+        later_ids = [
+            endpoint_id for endpoint_id in ids if endpoint_id > self._last_endpoint_id
+        ]
+        self._last_endpoint_id = min(later_ids or ids)
         return self._last_endpoint_id
 
 
@@ -46,7 +48,7 @@
         random_state: Random,
     ) -> str | None:
         """Return the endpoint with the fewest own attempts; break ties at random."""
-        views = usable(candidates)
+        views = filter_usable(candidates)
         if not views:
             return None
         fewest = min(view.n_own_in_flight for view in views)
@@ -68,7 +70,7 @@
 
         When one of the two has no report, the own attempts are compared instead.
         """
-        views = usable(candidates)
+        views = filter_usable(candidates)
         if not views:
             return None
         drawn = random_state.sample(views, min(2, len(views)))
@@ -99,7 +101,7 @@
         random_state: Random,
     ) -> str | None:
         """Return the endpoint with the highest hash, or any without a prefix."""
-        views = usable(candidates)
+        views = filter_usable(candidates)
         if not views:
             return None
         if not request.prefix_hashes:
@@ -107,7 +109,9 @@
         index = min(self.n_blocks, len(request.prefix_hashes)) - 1
         key = request.prefix_hashes[index]
         ids = [view.info.endpoint_id for view in views]
-        return max(ids, key=lambda one: (_rendezvous(key, one), one))
+        return max(
+            ids, key=lambda endpoint_id: (_rendezvous(key, endpoint_id), endpoint_id)
+        )
 
 
 def _own_load(view: EndpointView) -> int:
--- a/packages/core/src/bluebellusher_core/routing/_predicted_latency.py
+++ b/packages/core/src/bluebellusher_core/routing/_predicted_latency.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from bluebellusher_core.events import RequestSpec
-from bluebellusher_core.routing._baselines import usable
+from bluebellusher_core.routing._baselines import filter_usable
 from bluebellusher_core.routing._protocol import EndpointView
 
 # Service time that is assumed until an own attempt has ended, in ms.
@@ -16,14 +16,14 @@
 # An endpoint is unresponsive when its own attempts made no progress for this time, in
 # ms, plus this multiple of its mean time to first token. The time is long enough for
 # the prefill of a long prompt.
-SUSPECT_AFTER_MS = 3_000.0
-SUSPECT_TTFT_FACTOR = 3.0
+UNRESPONSIVE_AFTER_MS = 3_000.0
+UNRESPONSIVE_TTFT_FACTOR = 3.0
 # Time constant with which reported queued tokens lose their weight, in ms. It is short
 # because prompts wait for their prefill for a much shorter time than requests run.
-QUEUE_MEMORY_MS = 200.0
+QUEUED_TOKENS_DECAY_MS = 200.0
 # Time constant with which the observed slowness of an endpoint loses its weight, in ms.
 # A slow endpoint is used again after a few of these periods.
-SLOWNESS_MEMORY_MS = 20_000.0
+SLOWNESS_DECAY_MS = 20_000.0
 
 
 @dataclass(slots=True)
@@ -32,7 +32,7 @@
 
     view: EndpointView
     # Weight of the report by its age, 0 to 1.
-    trust: float
+    report_weight: float
     # Age of the values in the report, in ms.
     age_ms: int
     # Requests of other entries according to the report.
@@ -139,26 +139,26 @@
         random_state: Random,
     ) -> str | None:
         """Return the best endpoint of a sample, or ``None`` when none is available."""
-        views = usable(candidates)
+        views = filter_usable(candidates)
         if not views:
             return None
-        sample = self._draw(request, views, random_state)
-        loads = [self._estimate(view, now_ms) for view in sample]
-        n_others_per_own = _others_per_own(loads)
-        usual_slowness = _usual_slowness(sample)
+        sample = self._draw_sample(request, views, random_state)
+        loads = [self._estimate_load(view, now_ms) for view in sample]
+        n_others_per_own = _count_others_per_own(loads)
+        median_slowness = _median_slowness(sample)
         # When every endpoint seems unresponsive, the entry itself was more likely
         # suspended or cut off. Excluding all of them would stop all work.
-        skips_suspects = not all(_is_suspect(view, now_ms) for view in views)
+        skips_unresponsive = not all(_is_unresponsive(view, now_ms) for view in views)
         best_id = None
         best_ms = float("inf")
         for load in loads:
-            n_others = _blend(load, n_others_per_own)
-            if not self._has_room(load.view, n_others):
+            n_others = _blend_others(load, n_others_per_own)
+            if not self._has_capacity(load.view, n_others):
                 continue
-            if skips_suspects and _is_suspect(load.view, now_ms):
+            if skips_unresponsive and _is_unresponsive(load.view, now_ms):
                 continue
             predicted_ms = self._predict_ms(
-                request, load, n_others, usual_slowness, now_ms
+                request, load, n_others, median_slowness, now_ms
             )
             if predicted_ms < best_ms:
                 best_ms = predicted_ms
@@ -173,10 +173,10 @@
         ``EndpointTracker.record_dispatch`` takes this value, to compare it with the
         observed time.
         """
-        load = self._estimate(view, now_ms)
-        return self._normal_ms(request, load, load.n_reported_others)
+        load = self._estimate_load(view, now_ms)
+        return self._predict_at_normal_speed_ms(request, load, load.n_reported_others)
 
-    def _draw(
+    def _draw_sample(
         self, request: RequestSpec, views: list[EndpointView], random_state: Random
     ) -> list[EndpointView]:
         if len(views) <= self.n_sample:
@@ -187,13 +187,18 @@
         if request.prefix_hashes:
             # Only views with the first block can have a longer match.
             first = request.prefix_hashes[0]
-            holders = [view for view in views if first in view.cached_prefixes]
-            if holders:
-                best = max(holders, key=lambda v: v.count_cached_tokens(request))
+            views_with_first_block = [
+                view for view in views if first in view.cached_prefixes
+            ]
+            if views_with_first_block:
+                best = max(
+                    views_with_first_block, key=lambda v: v.count_cached_tokens(request)
+                )
                 sample.append(best)
         return sample
 
-    def _estimate(self, view: EndpointView, now_ms: int) -> _Load:
+    def _estimate_load(self, view: EndpointView, now_ms: int) -> _Load:
+        """Return other entries' load by the report; 0 when it is missing or too old."""
         report = view.report
         if report is None:
             return _Load(view, 0.0, 0, 0.0)
@@ -201,12 +206,15 @@
         if age_ms > REPORT_TIMEOUT_MS:
             return _Load(view, 0.0, 0, 0.0)
         n_dispatched = len(view.own_dispatched_at_ms)
-        n_own_then = view.n_own_in_flight - n_dispatched + len(view.own_ended_at_ms)
-        n_others = report.n_running + report.n_queued - n_own_then
-        trust = exp(-age_ms / self.load_memory_ms)
-        return _Load(view, trust, age_ms, float(max(0, n_others)))
-
-    def _has_room(self, view: EndpointView, n_others: float) -> bool:
+        n_own_at_reading = (
+            view.n_own_in_flight - n_dispatched + len(view.own_ended_at_ms)
+        )
+        n_others = report.n_running + report.n_queued - n_own_at_reading
+        report_weight = exp(-age_ms / self.load_memory_ms)
+        return _Load(view, report_weight, age_ms, float(max(0, n_others)))
+
+    def _has_capacity(self, view: EndpointView, n_others: float) -> bool:
+        """Return whether another attempt fits into the batch and the allowed queue."""
         n_slots = _n_slots(view)
         if view.n_own_in_flight + n_others < n_slots + self.n_queue_allowed:
             return True
@@ -219,55 +227,60 @@
         request: RequestSpec,
         load: _Load,
         n_others: float,
-        usual_slowness: float,
+        median_slowness: float,
         now_ms: int,
     ) -> float:
         view = load.view
-        predicted_ms = self._normal_ms(request, load, n_others)
+        predicted_ms = self._predict_at_normal_speed_ms(request, load, n_others)
         predicted_ms += self.load_ms * (view.n_own_in_flight + n_others)
-        slowness = _current_slowness(view, usual_slowness, now_ms)
+        slowness = _current_slowness(view, median_slowness, now_ms)
         predicted_ms *= max(1.0, slowness / self.tolerated_slowness)
         predicted_ms = max(predicted_ms, view.stalled_ms(now_ms))
         if view.info.failure_domain != self.failure_domain:
             predicted_ms += self.remote_domain_ms
         return predicted_ms
 
-    def _normal_ms(self, request: RequestSpec, load: _Load, n_others: float) -> float:
+    def _predict_at_normal_speed_ms(
+        self, request: RequestSpec, load: _Load, n_others: float
+    ) -> float:
         view = load.view
         n_tokens = request.n_input_tokens - view.count_cached_tokens(request)
-        n_tokens_ahead = view.n_own_queued_tokens + _others_tokens(load)
+        n_tokens_ahead = view.n_own_queued_tokens + _estimate_others_queued_tokens(load)
         prefill_ms = (n_tokens + n_tokens_ahead) / self.prefill_tokens_per_ms
         n_in_flight = view.n_own_in_flight + n_others
         n_slots = _n_slots(view)
-        deviation = sqrt((1 - load.trust * load.trust) * n_others)
+        deviation = sqrt((1 - load.report_weight * load.report_weight) * n_others)
         n_excess = _mean_excess(n_in_flight - (n_slots - 1), deviation)
         service_ms = view.own_service_ms or DEFAULT_SERVICE_MS
         slot_wait_ms = self.slot_wait_weight * n_excess * service_ms / n_slots
         return self.base_ms + prefill_ms + slot_wait_ms
 
 
-def _others_per_own(loads: list[_Load]) -> float:
+def _count_others_per_own(loads: list[_Load]) -> float:
     """Return the number of other entries' attempts per own attempt."""
-    n_own = sum(load.view.n_own_in_flight for load in loads if load.trust > 0)
+    n_own = sum(load.view.n_own_in_flight for load in loads if load.report_weight > 0)
     n_others = sum(load.n_reported_others for load in loads)
     return n_others / n_own if n_own else 0.0
 
 
-def _blend(load: _Load, n_others_per_own: float) -> float:
+def _blend_others(load: _Load, n_others_per_own: float) -> float:
     """Return the estimated attempts of other entries, by the age of the report."""
-    n_alike = load.view.n_own_in_flight * n_others_per_own
-    return load.trust * load.n_reported_others + (1 - load.trust) * n_alike
+    n_others_assumed = load.view.n_own_in_flight * n_others_per_own
+    return (
+        load.report_weight * load.n_reported_others
+        + (1 - load.report_weight) * n_others_assumed
+    )
 
 
-def _others_tokens(load: _Load) -> float:
+def _estimate_others_queued_tokens(load: _Load) -> float:
     """Return the queued prompt tokens of other entries by their share of requests."""
     report = load.view.report
     if report is None or report.n_queued_tokens == 0:
         return 0.0
     n_total = report.n_running + report.n_queued
     share = load.n_reported_others / n_total if n_total else 0.0
-    trust = exp(-load.age_ms / QUEUE_MEMORY_MS)
-    return trust * share * report.n_queued_tokens
+    report_weight = exp(-load.age_ms / QUEUED_TOKENS_DECAY_MS)
+    return report_weight * share * report.n_queued_tokens
 
 
 def _n_slots(view: EndpointView) -> int:
@@ -286,20 +299,21 @@
     return deviation * density + mean * (1 + erf(z / sqrt(2))) / 2
 
 
-def _usual_slowness(views: list[EndpointView]) -> float:
+def _median_slowness(views: list[EndpointView]) -> float:
     """Return the median slowness, which measures the prediction's common error."""
     observed = sorted(view.slowness for view in views if view.own_predicted_ms > 0)
     return observed[len(observed) // 2] if observed else 1.0
 
 
-def _current_slowness(view: EndpointView, usual: float, now_ms: int) -> float:
-    if view.own_predicted_ms <= 0 or usual <= 0:
+def _current_slowness(view: EndpointView, median_slowness: float, now_ms: int) -> float:
+    """Return the slowness relative to the median, decayed towards 1 with its age."""
+    if view.own_predicted_ms <= 0 or median_slowness <= 0:
         return 1.0
     age_ms = now_ms - view.ttft_observed_at_ms
-    return 1 + (view.slowness / usual - 1) * exp(-age_ms / SLOWNESS_MEMORY_MS)
+    return 1 + (view.slowness / median_slowness - 1) * exp(-age_ms / SLOWNESS_DECAY_MS)
 
 
-def _is_suspect(view: EndpointView, now_ms: int) -> bool:
+def _is_unresponsive(view: EndpointView, now_ms: int) -> bool:
     """Return whether an endpoint that answered earlier has stopped answering.
 
     An unresponsive endpoint gets no work even when all others are full. Before the
@@ -308,5 +322,5 @@
     """
     if view.own_predicted_ms <= 0:
         return False
-    limit_ms = SUSPECT_AFTER_MS + SUSPECT_TTFT_FACTOR * view.own_ttft_ms
+    limit_ms = UNRESPONSIVE_AFTER_MS + UNRESPONSIVE_TTFT_FACTOR * view.own_ttft_ms
     return view.stalled_ms(now_ms) > limit_ms
--- a/packages/core/src/bluebellusher_core/routing/_protocol.py
+++ b/packages/core/src/bluebellusher_core/routing/_protocol.py
@@ -54,8 +54,8 @@
         0 before the first observation.
     failure_rate : float
         Exponentially weighted share of own attempts that failed, as of
-        ``failure_noted_at_ms``.
-    failure_noted_at_ms : int
+        ``failure_rate_updated_at_ms``.
+    failure_rate_updated_at_ms : int
         Time of the last update of ``failure_rate``.
 
     Notes
@@ -82,7 +82,7 @@
     ttft_observed_at_ms: int = 0
     own_service_ms: float = 0.0
     failure_rate: float = 0.0
-    failure_noted_at_ms: int = 0
+    failure_rate_updated_at_ms: int = 0
 
     @property
     def slowness(self) -> float:
--- a/packages/core/src/bluebellusher_core/routing/_slot_aware.py
+++ b/packages/core/src/bluebellusher_core/routing/_slot_aware.py
@@ -13,14 +13,14 @@
 REPORT_MAX_AGE_MS = 3_000
 # Numbers of endpoints of the entry's own failure domain and of other domains in a
 # sample; docs/decisions/herd.md has the measurement.
-N_NEAR = 3
-N_FAR = 1
+N_LOCAL = 3
+N_REMOTE = 1
 # Time constant with which the failure rate of an endpoint loses its weight, in ms. A
 # failed endpoint is used again after a few of these periods.
-FAILURE_MEMORY_MS = 4_000.0
+FAILURE_DECAY_MS = 4_000.0
 # Penalty of an endpoint whose attempts all fail, in occupied slots. It exceeds the
 # number of slots of any engine, so that such an endpoint ranks behind a full one.
-FAILURE_PLACES = 24.0
+FAILURE_PENALTY_SLOTS = 24.0
 # Time without progress of own attempts, in ms, after which an endpoint counts as
 # stopped.
 STALL_MS = 600.0
@@ -44,12 +44,12 @@
     ----------
     failure_domain : str
         Failure domain of the entry.
-    remote_places : float
+    remote_penalty_slots : float
         Number of occupied slots that is added to an endpoint in another failure domain.
     """
 
     failure_domain: str
-    remote_places: float = 1.0
+    remote_penalty_slots: float = 1.0
 
     def choose(
         self,
@@ -61,30 +61,41 @@
         """Return the id of the endpoint with the lowest cost in the sample."""
         if not candidates:
             return None
-        drawn = self._draw(candidates, random_state)
-        return min(drawn, key=lambda v: self._cost(v, now_ms)).info.endpoint_id
+        sample = self._draw_sample(candidates, random_state)
+        return min(
+            sample, key=lambda v: self._compute_occupied_share(v, now_ms)
+        ).info.endpoint_id
 
-    def _draw(
+    def _draw_sample(
         self, candidates: Sequence[EndpointView], random_state: Random
     ) -> list[EndpointView]:
-        if len(candidates) <= N_NEAR + N_FAR:
+        if len(candidates) <= N_LOCAL + N_REMOTE:
             return random_state.sample(candidates, len(candidates))
-        near = [v for v in candidates if v.info.failure_domain == self.failure_domain]
-        far = [v for v in candidates if v.info.failure_domain != self.failure_domain]
-        drawn = random_state.sample(near, min(N_NEAR, len(near)))
-        n_far = N_NEAR + N_FAR - len(drawn)
-        return drawn + random_state.sample(far, min(n_far, len(far)))
+        local_views = [
+            v for v in candidates if v.info.failure_domain == self.failure_domain
+        ]
+        remote_views = [
+            v for v in candidates if v.info.failure_domain != self.failure_domain
+        ]
+        sample = random_state.sample(local_views, min(N_LOCAL, len(local_views)))
+        n_remote = N_LOCAL + N_REMOTE - len(sample)
+        return sample + random_state.sample(
+            remote_views, min(n_remote, len(remote_views))
+        )
 
-    def _cost(self, view: EndpointView, now_ms: int) -> float:
+    def _compute_occupied_share(self, view: EndpointView, now_ms: int) -> float:
+        """Return the share of occupied slots, including all penalties."""
         n_slots = view.info.n_slots or 1
-        n_taken = count_taken(view, now_ms)
+        n_occupied = count_taken(view, now_ms)
         if view.info.failure_domain != self.failure_domain:
-            n_taken += self.remote_places
-        age_ms = now_ms - view.failure_noted_at_ms
-        n_taken += FAILURE_PLACES * view.failure_rate * exp(-age_ms / FAILURE_MEMORY_MS)
+            n_occupied += self.remote_penalty_slots
+        age_ms = now_ms - view.failure_rate_updated_at_ms
+        n_occupied += (
+            FAILURE_PENALTY_SLOTS * view.failure_rate * exp(-age_ms / FAILURE_DECAY_MS)
+        )
         if view.stalled_ms(now_ms) > STALL_MS:
-            n_taken += FAILURE_PLACES
-        return n_taken / n_slots
+            n_occupied += FAILURE_PENALTY_SLOTS
+        return n_occupied / n_slots
 
 
 def count_taken(view: EndpointView, now_ms: int) -> float:
@@ -97,6 +108,6 @@
     report = view.report
     if report is None or now_ms - view.reported_at_ms > REPORT_MAX_AGE_MS:
         return float(view.n_own_in_flight)
-    n_since = len(view.own_dispatched_at_ms) - len(view.own_ended_at_ms)
-    n_reported = report.n_running + report.n_queued + n_since
-    return float(max(view.n_own_in_flight, n_reported))
+    n_change_since_report = len(view.own_dispatched_at_ms) - len(view.own_ended_at_ms)
+    n_estimated = report.n_running + report.n_queued + n_change_since_report
+    return float(max(view.n_own_in_flight, n_estimated))
--- a/packages/core/src/bluebellusher_core/routing/_tracker.py
+++ b/packages/core/src/bluebellusher_core/routing/_tracker.py
@@ -105,35 +105,35 @@
 
     def record_cancel(self, attempt_id: str, now_ms: int) -> None:
         """Record that an own attempt was cancelled; this is not counted as progress."""
-        self._end(attempt_id, now_ms)
+        self._end_attempt(attempt_id, now_ms)
 
     def record_failure(self, endpoint_id: str, now_ms: int) -> None:
         """Record an own attempt that failed because of its endpoint."""
         view = self.view_by_id.get(endpoint_id)
         if view is not None:
-            _observe_failure(view, 1.0, now_ms)
+            _update_failure_rate(view, 1.0, now_ms)
 
     def apply(self, event: Event, now_ms: int) -> None:
         """Update the views from an event; unrelated events are ignored."""
         match event:
             case AttemptStarted():
-                self._start(event.attempt_id, now_ms)
+                self._record_first_byte(event.attempt_id, now_ms)
             case AttemptFinished():
-                self._finish(event.attempt_id, now_ms)
+                self._record_finish(event.attempt_id, now_ms)
             case AttemptRefused() | AttemptBroken():
-                self._end(event.attempt_id, now_ms)
+                self._end_attempt(event.attempt_id, now_ms)
             case EndpointConnected():
-                self._connect(event.endpoint, now_ms)
+                self._add_view(event.endpoint, now_ms)
             case EndpointLost():
-                self._lose(event.endpoint_id)
+                self._remove_view(event.endpoint_id)
             case EndpointDraining():
-                self._drain(event.endpoint_id)
+                self._mark_draining(event.endpoint_id)
             case LoadReported():
-                self._report_load(event, now_ms)
+                self._record_load_report(event, now_ms)
             case CacheReported():
-                self._report_cache(event)
+                self._record_cache_report(event)
 
-    def _start(self, attempt_id: str, now_ms: int) -> None:
+    def _record_first_byte(self, attempt_id: str, now_ms: int) -> None:
         attempt = self._attempt_by_id.get(attempt_id)
         if attempt is None or attempt.is_answered:
             return
@@ -145,22 +145,23 @@
         _add_prefixes(view, attempt.prefix_hashes)
         if attempt.predicted_ms > 0:
             ttft_ms = float(now_ms - attempt.dispatched_at_ms)
-            _observe_ttft(view, ttft_ms, attempt.predicted_ms, now_ms)
+            _record_ttft(view, ttft_ms, attempt.predicted_ms, now_ms)
 
-    def _finish(self, attempt_id: str, now_ms: int) -> None:
-        self._start(attempt_id, now_ms)
-        attempt = self._end(attempt_id, now_ms)
+    def _record_finish(self, attempt_id: str, now_ms: int) -> None:
+        self._record_first_byte(attempt_id, now_ms)
+        attempt = self._end_attempt(attempt_id, now_ms)
         if attempt is None:
             return
         view = self.view_by_id[attempt.endpoint_id]
         view.last_progress_at_ms = now_ms
-        _observe_failure(view, 0.0, now_ms)
+        _update_failure_rate(view, 0.0, now_ms)
         service_ms = float(now_ms - attempt.dispatched_at_ms)
         if view.own_service_ms == 0:
             view.own_service_ms = service_ms
         view.own_service_ms += SMOOTHING * (service_ms - view.own_service_ms)
 
-    def _end(self, attempt_id: str, now_ms: int) -> _Attempt | None:
+    def _end_attempt(self, attempt_id: str, now_ms: int) -> _Attempt | None:
+        """Remove an attempt in flight and return it, or ``None`` when unknown."""
         attempt = self._attempt_by_id.pop(attempt_id, None)
         if attempt is None:
             return None
@@ -172,27 +173,30 @@
         _append_bounded(view.own_ended_at_ms, now_ms)
         return attempt
 
-    def _connect(self, info: EndpointInfo, now_ms: int) -> None:
+    def _add_view(self, info: EndpointInfo, now_ms: int) -> None:
         # A new connection starts without own attempts; the attempts of the previous
         # connection were reported as broken.
-        self._lose(info.endpoint_id)
+        self._remove_view(info.endpoint_id)
         view = EndpointView(info=info, last_progress_at_ms=now_ms)
         self.view_by_id[info.endpoint_id] = view
 
-    def _lose(self, endpoint_id: str) -> None:
+    def _remove_view(self, endpoint_id: str) -> None:
+        """Discard the view of an endpoint and its attempts in flight."""
         if self.view_by_id.pop(endpoint_id, None) is None:
             return
         items = self._attempt_by_id.items()
-        ended = [key for key, one in items if one.endpoint_id == endpoint_id]
-        for attempt_id in ended:
+        ended_ids = [
+            key for key, attempt in items if attempt.endpoint_id == endpoint_id
+        ]
+        for attempt_id in ended_ids:
             del self._attempt_by_id[attempt_id]
 
-    def _drain(self, endpoint_id: str) -> None:
+    def _mark_draining(self, endpoint_id: str) -> None:
         view = self.view_by_id.get(endpoint_id)
         if view is not None:
             view.is_draining = True
 
-    def _report_load(self, report: LoadReported, now_ms: int) -> None:
+    def _record_load_report(self, report: LoadReported, now_ms: int) -> None:
         view = self.view_by_id.get(report.endpoint_id)
         if view is None:
             return
@@ -201,10 +205,10 @@
         view.report = report
         view.reported_at_ms = now_ms
         read_at_ms = now_ms - report.age_ms
-        _drop_until(view.own_dispatched_at_ms, read_at_ms)
-        _drop_until(view.own_ended_at_ms, read_at_ms)
+        _discard_until(view.own_dispatched_at_ms, read_at_ms)
+        _discard_until(view.own_ended_at_ms, read_at_ms)
 
-    def _report_cache(self, event: CacheReported) -> None:
+    def _record_cache_report(self, event: CacheReported) -> None:
         view = self.view_by_id.get(event.endpoint_id)
         if view is None:
             return
@@ -221,7 +225,7 @@
         view.cached_prefixes.pop()
 
 
-def _observe_ttft(
+def _record_ttft(
     view: EndpointView, ttft_ms: float, predicted_ms: float, now_ms: int
 ) -> None:
     ttft_ms = min(ttft_ms, MAX_TTFT_RATIO * predicted_ms)
@@ -234,9 +238,9 @@
     view.ttft_observed_at_ms = now_ms
 
 
-def _observe_failure(view: EndpointView, failed: float, now_ms: int) -> None:
+def _update_failure_rate(view: EndpointView, failed: float, now_ms: int) -> None:
     view.failure_rate += FAILURE_SMOOTHING * (failed - view.failure_rate)
-    view.failure_noted_at_ms = now_ms
+    view.failure_rate_updated_at_ms = now_ms
 
 
 def _append_bounded(times_ms: list[int], now_ms: int) -> None:
@@ -245,6 +249,6 @@
         del times_ms[: MAX_HISTORY // 2]
 
 
-def _drop_until(times_ms: list[int], read_at_ms: int) -> None:
+def _discard_until(times_ms: list[int], read_at_ms: int) -> None:
     n_old = sum(1 for time_ms in times_ms if time_ms <= read_at_ms)
     del times_ms[:n_old]
--- a/packages/core/src/bluebellusher_core/routing/tests/herd.py
+++ b/packages/core/src/bluebellusher_core/routing/tests/herd.py
@@ -8,13 +8,13 @@
 from bluebellusher_core.events import EndpointInfo, LoadReported
 from bluebellusher_core.routing import EndpointView
 
-NEAR_INTERVAL_MS = 200
-FAR_INTERVAL_MS = 600
+LOCAL_REPORT_INTERVAL_MS = 200
+REMOTE_REPORT_INTERVAL_MS = 600
 SERVICE_MS = 1_300
 
 
 @dataclass
-class HerdResult:
+class SimulationResult:
     """Numbers of requests that waited for a slot or ran in another failure domain.
 
     ``n_waited_long`` counts the requests that waited longer than 250 ms.
@@ -26,8 +26,8 @@
     n_remote: int = 0
 
 
-def replay_herd(
-    make_policy, n_entries, n_endpoints, n_slots, load, seed=3, length_ms=15_000
+def simulate_herd(
+    make_policy, n_entries, n_endpoints, n_slots, load, seed=3, simulated_ms=15_000
 ):
     """Simulate arrivals at all entries; return how many requests had to wait.
 
@@ -42,10 +42,10 @@
         Arrival rate as a share of the capacity.
     seed : int
         Seed of the random arrivals and choices.
-    length_ms : int
+    simulated_ms : int
         Simulated time, in ms.
     """
-    chance, result, order = Random(seed), HerdResult(), itertools.count()
+    random_state, result, order = Random(seed), SimulationResult(), itertools.count()
     domains = [f"d{i % 3}" for i in range(max(n_entries, n_endpoints))]
     policies = [make_policy(domains[i]) for i in range(n_entries)]
     views = [
@@ -59,23 +59,23 @@
     def push(at_ms, kind, value):
         heapq.heappush(events, (at_ms, next(order), kind, value))
 
-    per_ms = load * n_endpoints * n_slots / SERVICE_MS
+    arrivals_per_ms = load * n_endpoints * n_slots / SERVICE_MS
     at_ms = 0.0
-    while at_ms < length_ms:
-        at_ms += chance.expovariate(per_ms)
-        push(at_ms, "arrive", chance.randrange(n_entries))
+    while at_ms < simulated_ms:
+        at_ms += random_state.expovariate(arrivals_per_ms)
+        push(at_ms, "arrive", random_state.randrange(n_entries))
     for j in range(n_endpoints):
-        push(chance.uniform(0, NEAR_INTERVAL_MS), "report", (j, 0))
+        push(random_state.uniform(0, LOCAL_REPORT_INTERVAL_MS), "report", (j, 0))
     while events:
         now_ms, _, kind, value = heapq.heappop(events)
-        if now_ms > length_ms:
+        if now_ms > simulated_ms:
             break
         now_ms = int(now_ms)
         if kind == "arrive":
-            own = views[value]
-            chosen = policies[value].choose(None, own, now_ms, chance)
+            own_views = views[value]
+            chosen = policies[value].choose(None, own_views, now_ms, random_state)
             j = int(chosen[1:])
-            view = own[j]
+            view = own_views[j]
             view.n_own_in_flight += 1
             view.own_dispatched_at_ms.append(now_ms)
             result.n_requests += 1
@@ -93,17 +93,19 @@
             view.own_ended_at_ms.append(now_ms)
             running[j] -= 1
             if waiting[j]:
-                since_ms, other = waiting[j].pop(0)
-                result.n_waited_long += now_ms - since_ms > 250
+                waiting_since_ms, waiting_entry = waiting[j].pop(0)
+                result.n_waited_long += now_ms - waiting_since_ms > 250
                 running[j] += 1
-                push(now_ms + SERVICE_MS, "end", (j, other))
+                push(now_ms + SERVICE_MS, "end", (j, waiting_entry))
         else:
             j, n = value
-            push(now_ms + NEAR_INTERVAL_MS, "report", (j, n + 1))
-            is_for_all = n % (FAR_INTERVAL_MS // NEAR_INTERVAL_MS) == 0
+            push(now_ms + LOCAL_REPORT_INTERVAL_MS, "report", (j, n + 1))
+            reaches_all_entries = (
+                n % (REMOTE_REPORT_INTERVAL_MS // LOCAL_REPORT_INTERVAL_MS) == 0
+            )
             for i in range(n_entries):
-                if is_for_all or domains[i] == domains[j]:
-                    _report(views[i][j], running[j], len(waiting[j]), n, now_ms)
+                if reaches_all_entries or domains[i] == domains[j]:
+                    _apply_report(views[i][j], running[j], len(waiting[j]), n, now_ms)
     return result
 
 
@@ -114,7 +116,7 @@
     return EndpointView(info)
 
 
-def _report(view, n_running, n_queued, sequence, now_ms):
+def _apply_report(view, n_running, n_queued, sequence, now_ms):
     view.report = LoadReported(
         view.info.endpoint_id,
         sequence,
--- a/packages/core/src/bluebellusher_core/routing/tests/test_policies.py
+++ b/packages/core/src/bluebellusher_core/routing/tests/test_policies.py
@@ -88,18 +88,18 @@
         policy_type().choose(request, views, now_ms, Random(seed)) for _ in range(2)
     ]
     assert chosen[0] == chosen[1]
-    usable = {
+    usable_ids = {
         v.info.endpoint_id for v in views if not (v.is_draining or v.is_isolating)
     }
-    assert chosen[0] in usable or chosen[0] is None
+    assert chosen[0] in usable_ids or chosen[0] is None
     # An endpoint without progress for 3 s may be skipped while others are full
-    # (test_endpoint_that_stopped_to_answer_takes_no_work_when_others_are_full).
-    has_room = any(
+    # (test_unresponsive_endpoint_gets_no_work_when_others_are_full).
+    has_capacity = any(
         v.n_own_in_flight < 2 and now_ms - v.unanswered_at_ms["a"] <= 3_000
         for v in views
-        if v.info.endpoint_id in usable
+        if v.info.endpoint_id in usable_ids
     )
-    if has_room and len(usable) <= 12:
+    if has_capacity and len(usable_ids) <= 12:
         assert chosen[0] is not None
 
 
@@ -123,13 +123,13 @@
     return policy.choose(make_request(), views, now_ms, Random(seed))
 
 
-def test_cached_prefix_attracts_until_its_endpoint_is_loaded():
+def test_cached_prefix_is_preferred_until_its_endpoint_is_loaded():
     """Guards against ignored cached prefixes, and against a hot spot due to them."""
-    holder = make_view("e0", 0, cached_prefixes=set(PREFIXES))
+    cached = make_view("e0", 0, cached_prefixes=set(PREFIXES))
     other = make_view("e1", 0)
-    assert choose([holder, other]) == "e0"
-    holder.n_own_queued_tokens = 10_000
-    assert choose([holder, other]) == "e1"
+    assert choose([cached, other]) == "e0"
+    cached.n_own_queued_tokens = 10_000
+    assert choose([cached, other]) == "e1"
 
 
 def test_own_dispatches_since_the_report_count():
@@ -157,7 +157,7 @@
     assert used["e0"] <= 16, "the batch of the idle endpoint overflows"
 
 
-def test_endpoint_that_stopped_to_answer_takes_no_work_when_others_are_full():
+def test_unresponsive_endpoint_gets_no_work_when_others_are_full():
     """Guards against a frozen endpoint that collects requests under overload."""
     frozen = make_view("e0", 3, own_ttft_ms=100.0, own_predicted_ms=100.0)
     frozen.unanswered_at_ms = {"a": 0}
@@ -166,7 +166,7 @@
     assert choose([frozen, full], now_ms=4_000) is None
 
 
-def test_endpoints_that_all_seem_to_have_stopped_are_used():
+def test_endpoints_are_used_when_all_seem_unresponsive():
     """Guards against an entry that dispatches nothing after it was suspended."""
     views = [make_view(f"e{i}", 0, own_ttft_ms=100.0) for i in range(3)]
     for view in views:
@@ -177,7 +177,7 @@
 
 
 @pytest.mark.parametrize("age_ms", [None, 20_000])
-def test_without_reports_own_attempts_decide(age_ms):
+def test_own_attempts_decide_without_recent_reports(age_ms):
     """Guards against old reports that take precedence over own attempts."""
     views = [make_view("e0"), make_view("e1")]
     views[0].n_own_in_flight = 3
@@ -194,25 +194,25 @@
     assert choose([view], now_ms=20_000) == "e0"
 
 
-def test_frozen_and_slow_endpoints_lose_new_work_and_get_it_back():
+def test_frozen_and_slow_endpoints_get_no_work_until_they_recover():
     """Guards against one bad endpoint that raises the 95th percentile latency."""
     frozen = make_view("e0", 0, unanswered_at_ms={"a": 0})
-    fine = make_view("e1", 9)
-    assert choose([frozen, fine], now_ms=1) == "e0"
-    assert choose([frozen, fine], now_ms=2_000) == "e1"
+    healthy = make_view("e1", 9)
+    assert choose([frozen, healthy], now_ms=1) == "e0"
+    assert choose([frozen, healthy], now_ms=2_000) == "e1"
     frozen.last_progress_at_ms = 2_000
-    assert choose([frozen, fine], now_ms=2_001) == "e0"
+    assert choose([frozen, healthy], now_ms=2_001) == "e0"
     slow = make_view("e2", 0, own_ttft_ms=300.0, own_predicted_ms=100.0)
     # A common prediction error must not make every endpoint seem fast.
-    usual = {"own_ttft_ms": 50.0, "own_predicted_ms": 100.0}
-    others = [make_view(f"e{n}", 9, **usual) for n in (3, 4)]
+    observed = {"own_ttft_ms": 50.0, "own_predicted_ms": 100.0}
+    others = [make_view(f"e{n}", 9, **observed) for n in (3, 4)]
     assert choose([slow, *others]) != "e2"
     slow.own_ttft_ms = 100.0
     assert choose([slow, *others]) != "e2"
     assert choose([slow, *others], now_ms=100_000) == "e2"
 
 
-def test_none_is_chosen_when_all_are_full_but_a_small_share_stays_open():
+def test_full_endpoints_are_not_chosen_but_keep_a_share_for_each_entry():
     """Guards against long queues in engines, and against an entry that gets no slot."""
     full = make_view("e0", 19, n_own_in_flight=3)
     assert choose([full]) is None
@@ -227,7 +227,7 @@
     assert {choose(views, seed=seed) for seed in range(20)} == {"e70"}
 
 
-def test_invalid_parameters_are_refused():
+def test_invalid_parameters_raise_value_error():
     """Guards against invalid parameters that fail only at the first decision."""
     with pytest.raises(ValueError, match="n_sample=0"):
         PredictedLatency(n_sample=0)
--- a/packages/core/src/bluebellusher_core/routing/tests/test_slot_aware.py
+++ b/packages/core/src/bluebellusher_core/routing/tests/test_slot_aware.py
@@ -22,7 +22,7 @@
     return SlotAware("here").choose(None, views, now_ms, Random(1))
 
 
-def test_emptiest_endpoint_is_chosen_by_reports_of_all_entries():
+def test_least_loaded_endpoint_is_chosen_by_its_report():
     """Guards against entries that only count their own requests."""
     assert choose([make_view("a", 5), make_view("b", 2)]) == "b"
 
@@ -35,13 +35,13 @@
     assert choose(views) == "b"
 
 
-def test_work_stays_in_its_domain_until_that_is_clearly_fuller():
+def test_local_endpoint_is_chosen_unless_it_is_clearly_more_loaded():
     """Guards against traffic between failure domains without a benefit."""
     assert choose([make_view("near", 3), make_view("far", 3, "there")]) == "near"
     assert choose([make_view("near", 5), make_view("far", 2, "there")]) == "far"
 
 
-def test_failing_endpoint_is_avoided_and_tried_again_later():
+def test_failing_endpoint_is_avoided_and_used_again_later():
     """Guards against an endpoint that fails fast and therefore gets all requests."""
     views = [make_view("bad", 0), make_view("good", 4)]
     views[0].failure_rate = 0.5
@@ -58,6 +58,6 @@
     assert choose(views, now_ms=1_000) == "good"
 
 
-def test_no_candidate_gives_no_choice():
+def test_choose_without_candidates_returns_none():
     """Guards against an exception when there is no candidate."""
     assert choose([]) is None
--- a/packages/core/src/bluebellusher_core/routing/tests/test_tracker.py
+++ b/packages/core/src/bluebellusher_core/routing/tests/test_tracker.py
@@ -30,7 +30,7 @@
     return tracker
 
 
-def end_events(attempt_id):
+def make_events(attempt_id):
     """Return one event of each kind by the name of its step."""
     return {
         "start": AttemptStarted(attempt_id),
@@ -45,7 +45,7 @@
 
 
 # Ends are rare, so that an attempt runs during several other events.
-STEPS = [*["dispatch", "start"] * 8, "cancel", *end_events("")]
+STEPS = [*["dispatch", "start"] * 8, "cancel", *make_events("")]
 
 
 @given(
@@ -74,7 +74,7 @@
         if step == "cancel":
             tracker.record_cancel(attempt_id, now_ms)
         else:
-            tracker.apply(end_events(attempt_id)[step], now_ms)
+            tracker.apply(make_events(attempt_id)[step], now_ms)
         if step == "start" and attempt_id in unanswered_by_id:
             unanswered_by_id[attempt_id] = False
         if step in ("finish", "refuse", "break", "cancel"):
@@ -84,7 +84,9 @@
         view = tracker.view_by_id.get("e")
         if view is not None:
             assert view.n_own_in_flight == len(unanswered_by_id)
-            waiting = {key for key, is_new in unanswered_by_id.items() if is_new}
+            waiting = {
+                key for key, is_unanswered in unanswered_by_id.items() if is_unanswered
+            }
             assert set(view.unanswered_at_ms) == waiting
             assert view.n_own_queued_tokens == 50 * len(waiting)
 
@@ -95,12 +97,12 @@
     for attempt_id in ("a", "b"):
         request = make_request((), n_input_tokens=50)
         tracker.record_dispatch(attempt_id, "e", request, 9.0, 0)
-    for event in (AttemptStarted("a"), AttemptStarted("a"), end_events("a")["finish"]):
+    for event in (AttemptStarted("a"), AttemptStarted("a"), make_events("a")["finish"]):
         tracker.apply(event, now_ms=1)
         assert tracker.view_by_id["e"].n_own_queued_tokens == 50
 
 
-def test_report_keeps_only_what_it_cannot_include():
+def test_report_discards_the_dispatches_that_it_includes():
     """Guards against own dispatches that are counted twice or not at all."""
     tracker = make_tracker()
     for now_ms in (10, 20, 30):
@@ -112,7 +114,7 @@
     assert view.report.n_running == 2, "a late report replaced a newer one"
 
 
-def test_slow_endpoint_is_seen_in_its_own_attempts():
+def test_slow_endpoint_is_detected_by_own_attempts():
     """Guards against a slow endpoint that reports a normal load."""
     tracker = make_tracker()
     view = tracker.view_by_id["e"]
