--- a/packages/core/src/bluebellusher_core/directory/_mirror.py
+++ b/packages/core/src/bluebellusher_core/directory/_mirror.py
@@ -53,9 +53,9 @@
 
     def apply(self, rows: Iterable[MirrorRow], version: int) -> list[MirrorRow]:
         """Apply changes; return the rows that are newer than those of this copy."""
-        news = [row for row in rows if self._take(row)]
+        changed_rows = [row for row in rows if self._apply_row(row)]
         self.version = max(self.version, version)
-        return news
+        return changed_rows
 
     def replace(self, rows: Iterable[MirrorRow], version: int) -> list[MirrorRow]:
         """Replace all rows by a snapshot; return the changed and removed rows.
@@ -66,14 +66,14 @@
         if version < self.version:
             return []
         rows = list(rows)
-        news = self.apply(rows, version)
-        present = {row.key for row in rows}
-        missing = [key for key in self.row_by_key if key not in present]
-        for key in missing:
+        changed_rows = self.apply(rows, version)
+        snapshot_keys = {row.key for row in rows}
+        missing_keys = [key for key in self.row_by_key if key not in snapshot_keys]
+        for key in missing_keys:
             removed = MirrorRow(key, version, b"", is_removed=True)
-            if self._take(removed):
-                news.append(removed)
-        return news
+            if self._apply_row(removed):
+                changed_rows.append(removed)
+        return changed_rows
 
     def changes_since(self, version: int) -> list[MirrorRow]:
         """Return every recorded change above ``version``, oldest first."""
@@ -82,20 +82,21 @@
             (row for row in rows if row.version > version), key=lambda r: r.version
         )
 
-    def _take(self, row: MirrorRow) -> bool:
-        known = self.row_by_key.get(row.key) or self._removed_by_key.get(row.key)
-        if known is not None and known.version >= row.version:
+    def _apply_row(self, row: MirrorRow) -> bool:
+        """Apply a row unless its version is not above the recorded one."""
+        current = self.row_by_key.get(row.key) or self._removed_by_key.get(row.key)
+        if current is not None and current.version >= row.version:
             return False
         if row.is_removed:
             self.row_by_key.pop(row.key, None)
             self._removed_by_key[row.key] = row
-            self._forget_oldest()
+            self._evict_oldest_removals()
         else:
             self._removed_by_key.pop(row.key, None)
             self.row_by_key[row.key] = row
         return True
 
-    def _forget_oldest(self) -> None:
+    def _evict_oldest_removals(self) -> None:
         while len(self._removed_by_key) > N_MAX_REMOVED:
             oldest = min(self._removed_by_key.values(), key=lambda r: r.version)
             del self._removed_by_key[oldest.key]
--- a/packages/core/src/bluebellusher_core/directory/_registrations.py
+++ b/packages/core/src/bluebellusher_core/directory/_registrations.py
@@ -14,10 +14,10 @@
 
 # Time that the endpoint of an expired registration stays in use after the store is
 # available again, in ms. A running endpoint registers again within about two seconds.
-LAPSE_GRACE_MS = 2_000
+EXPIRY_GRACE_MS = 2_000
 # Time from the deregistration of an endpoint until it counts as lost, in ms. It is
 # longer than any request that the endpoint may still be serving.
-FORGET_AFTER_MS = 30_000
+DRAIN_TIMEOUT_MS = 30_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,7 +44,7 @@
 
     An endpoint whose registration ends is leaving: it gets no new work, and its
     requests in progress continue. A registration that ends while the store is
-    unavailable, or within ``LAPSE_GRACE_MS`` after it is available again, may have
+    unavailable, or within ``EXPIRY_GRACE_MS`` after it is available again, may have
     expired only because it could not be renewed, so its endpoint stays in use during
     that time.
 
@@ -59,23 +59,23 @@
     """
 
     registration_by_id: dict[str, EndpointRegistration] = field(default_factory=dict)
-    _lapse_at_ms: dict[str, int] = field(default_factory=dict)
-    _forget_at_ms: dict[str, int] = field(default_factory=dict)
-    _holder_by_address: dict[tuple[str, int], EndpointRegistration] = field(
+    _deregister_at_ms: dict[str, int] = field(default_factory=dict)
+    _lost_at_ms: dict[str, int] = field(default_factory=dict)
+    _registration_by_address: dict[tuple[str, int], EndpointRegistration] = field(
         default_factory=dict
     )
-    _store_returned_at_ms: int | None = None
-    _is_store_away: bool = False
+    _store_available_at_ms: int | None = None
+    _is_store_unavailable: bool = False
 
     def store_lost(self) -> None:
         """Record that the store is unavailable."""
-        self._is_store_away = True
+        self._is_store_unavailable = True
 
     def store_returned(self, now_ms: int) -> None:
         """Record that the store is available; without an outage nothing changes."""
-        if self._is_store_away:
-            self._is_store_away = False
-            self._store_returned_at_ms = now_ms
+        if self._is_store_unavailable:
+            self._is_store_unavailable = False
+            self._store_available_at_ms = now_ms
 
     def update(
         self, changes: Mapping[str, EndpointRegistration | None], now_ms: int
@@ -90,103 +90,105 @@
             Monotonic time, in ms.
         """
         events: list[Event] = []
-        present = [r for r in changes.values() if r is not None]
-        for registration in sorted(present, key=lambda r: r.started_wall_ms):
-            events += self._set(registration)
-            events += self._supersede(registration, now_ms)
+        registered = [r for r in changes.values() if r is not None]
+        for registration in sorted(registered, key=lambda r: r.started_wall_ms):
+            events += self._register(registration)
+            events += self._drain_previous_at_address(registration, now_ms)
         for endpoint_id, change in changes.items():
             if change is None:
-                events += self._remove(endpoint_id, now_ms)
+                events += self._deregister(endpoint_id, now_ms)
         return events
 
     def tick(self, now_ms: int) -> list[Event]:
         """Return the events of grace times and drain times that have ended."""
         events: list[Event] = []
-        for endpoint_id, at_ms in list(self._lapse_at_ms.items()):
+        for endpoint_id, at_ms in list(self._deregister_at_ms.items()):
             if at_ms <= now_ms:
-                del self._lapse_at_ms[endpoint_id]
+                del self._deregister_at_ms[endpoint_id]
                 events += self._drain(endpoint_id, now_ms)
-        for endpoint_id, at_ms in list(self._forget_at_ms.items()):
+        for endpoint_id, at_ms in list(self._lost_at_ms.items()):
             if at_ms <= now_ms:
-                del self._forget_at_ms[endpoint_id]
+                del self._lost_at_ms[endpoint_id]
                 events.append(EndpointLost(endpoint_id))
         return events
 
-    def _set(self, registration: EndpointRegistration) -> list[Event]:
+    def _register(self, registration: EndpointRegistration) -> list[Event]:
+        """Record a registration; return an event when the endpoint's use changes."""
         endpoint_id = registration.endpoint_id
-        known = self.registration_by_id.get(endpoint_id)
-        if known and registration.started_wall_ms < known.started_wall_ms:
+        previous = self.registration_by_id.get(endpoint_id)
+        if previous and registration.started_wall_ms < previous.started_wall_ms:
             # A late write by the previous start of the endpoint.
             return []
-        self._lapse_at_ms.pop(endpoint_id, None)
-        self._forget_at_ms.pop(endpoint_id, None)
+        self._deregister_at_ms.pop(endpoint_id, None)
+        self._lost_at_ms.pop(endpoint_id, None)
         self.registration_by_id[endpoint_id] = registration
         if registration.is_draining:
-            was_used = known is not None and not known.is_draining
+            was_used = previous is not None and not previous.is_draining
             return [EndpointDraining(endpoint_id)] if was_used else []
-        if known is not None and _is_same_use(known, registration):
+        if previous is not None and _is_same_active_endpoint(previous, registration):
             return []
-        return [EndpointRegistered(_to_info(registration))]
+        return [EndpointRegistered(_make_info(registration))]
 
-    def _supersede(
+    def _drain_previous_at_address(
         self, registration: EndpointRegistration, now_ms: int
     ) -> list[Event]:
         """Drain the endpoint that used the address of ``registration`` before."""
         address = (registration.host, registration.port)
-        earlier = self._holder_by_address.get(address)
-        if earlier and registration.started_wall_ms < earlier.started_wall_ms:
+        previous = self._registration_by_address.get(address)
+        if previous and registration.started_wall_ms < previous.started_wall_ms:
             # A late write by an endpoint that used the address before.
             return []
-        self._holder_by_address[address] = registration
-        if earlier is None or earlier.endpoint_id == registration.endpoint_id:
+        self._registration_by_address[address] = registration
+        if previous is None or previous.endpoint_id == registration.endpoint_id:
             return []
-        if not 0 < earlier.started_wall_ms < registration.started_wall_ms:
+        if not 0 < previous.started_wall_ms < registration.started_wall_ms:
             # Without two different start times, it is unknown which of the two
             # endpoints runs at the address.
             return []
         # Comes before the drain, because the attempts on the replaced endpoint broke
         # without a planned shutdown.
-        events: list[Event] = [EndpointReplaced(earlier.endpoint_id)]
-        present = self.registration_by_id.get(earlier.endpoint_id)
-        if present is not None and (present.host, present.port) == address:
-            events += self._drain(earlier.endpoint_id, now_ms)
+        events: list[Event] = [EndpointReplaced(previous.endpoint_id)]
+        current = self.registration_by_id.get(previous.endpoint_id)
+        if current is not None and (current.host, current.port) == address:
+            events += self._drain(previous.endpoint_id, now_ms)
         return events
 
-    def _remove(self, endpoint_id: str, now_ms: int) -> list[Event]:
+    def _deregister(self, endpoint_id: str, now_ms: int) -> list[Event]:
+        """Drain an endpoint whose registration ended, or start its grace time."""
         if endpoint_id not in self.registration_by_id:
             return []
-        lapse_at_ms = self._lapse_deadline_ms(now_ms)
-        if lapse_at_ms > now_ms:
-            self._lapse_at_ms[endpoint_id] = lapse_at_ms
+        grace_end_ms = self._compute_grace_end_ms(now_ms)
+        if grace_end_ms > now_ms:
+            self._deregister_at_ms[endpoint_id] = grace_end_ms
             return []
         return self._drain(endpoint_id, now_ms)
 
-    def _lapse_deadline_ms(self, now_ms: int) -> int:
+    def _compute_grace_end_ms(self, now_ms: int) -> int:
         """Return the end, in monotonic ms, of the grace time of a missing registration.
 
         The result is at most ``now_ms`` when the registration cannot have expired
         because of an unavailable store.
         """
-        if self._is_store_away:
-            return now_ms + LAPSE_GRACE_MS
-        if self._store_returned_at_ms is None:
+        if self._is_store_unavailable:
+            return now_ms + EXPIRY_GRACE_MS
+        if self._store_available_at_ms is None:
             return now_ms
-        return self._store_returned_at_ms + LAPSE_GRACE_MS
+        return self._store_available_at_ms + EXPIRY_GRACE_MS
 
     def _drain(self, endpoint_id: str, now_ms: int) -> list[Event]:
-        """Remove a registration; its endpoint is lost after ``FORGET_AFTER_MS``."""
+        """Remove a registration; its endpoint is lost after ``DRAIN_TIMEOUT_MS``."""
         registration = self.registration_by_id.pop(endpoint_id)
-        self._lapse_at_ms.pop(endpoint_id, None)
-        self._forget_at_ms[endpoint_id] = now_ms + FORGET_AFTER_MS
+        self._deregister_at_ms.pop(endpoint_id, None)
+        self._lost_at_ms[endpoint_id] = now_ms + DRAIN_TIMEOUT_MS
         return [] if registration.is_draining else [EndpointDraining(endpoint_id)]
 
 
-def _is_same_use(a: EndpointRegistration, b: EndpointRegistration) -> bool:
+def _is_same_active_endpoint(a: EndpointRegistration, b: EndpointRegistration) -> bool:
     """Return whether ``b`` describes the same endpoint and ``a`` is not draining."""
-    return not a.is_draining and _to_info(a) == _to_info(b)
+    return not a.is_draining and _make_info(a) == _make_info(b)
 
 
-def _to_info(registration: EndpointRegistration) -> EndpointInfo:
+def _make_info(registration: EndpointRegistration) -> EndpointInfo:
     return EndpointInfo(
         endpoint_id=registration.endpoint_id,
         failure_domain=registration.failure_domain,
--- a/packages/core/src/bluebellusher_core/directory/_routes.py
+++ b/packages/core/src/bluebellusher_core/directory/_routes.py
@@ -146,12 +146,12 @@
 
     def choose_service(self, draw: float) -> str:
         """Return the service for ``draw``, a number uniformly drawn from [0, 1)."""
-        left = draw * sum(self.weight_by_service.values())
+        remaining = draw * sum(self.weight_by_service.values())
         chosen = ""
         for service_id, weight in self.weight_by_service.items():
             chosen = service_id
-            left -= weight
-            if left < 0:
+            remaining -= weight
+            if remaining < 0:
                 break
         return chosen
 
--- a/packages/core/src/bluebellusher_core/directory/tests/test_mirror.py
+++ b/packages/core/src/bluebellusher_core/directory/tests/test_mirror.py
@@ -6,7 +6,7 @@
 from bluebellusher_core.directory import MirrorRow, TableMirror
 
 
-def apply_all(log):
+def compute_rows(log):
     """Return the rows of the table after all changes of a history."""
     table = {}
     for row in log:
@@ -34,34 +34,34 @@
 def test_any_order_of_answers_leads_to_the_newest_rows(history, data):
     """Guards against a late or repeated answer that reverts a newer change."""
     mirror = TableMirror("t")
-    parts = data.draw(st.lists(st.sampled_from(history), max_size=40))
-    for row in parts:
+    late_answers = data.draw(st.lists(st.sampled_from(history), max_size=40))
+    for row in late_answers:
         mirror.apply([row], 0)
     mirror.apply(history, history[-1].version)
-    for row in parts:
+    for row in late_answers:
         mirror.apply([row], 0)
-    assert mirror.row_by_key == apply_all(history)
+    assert mirror.row_by_key == compute_rows(history)
 
 
 @given(HISTORIES, st.integers(0, 30), st.integers(0, 30))
-def test_peers_bring_each_other_up_to_date(history, n_known, n_of_peer):
+def test_changes_of_a_peer_complete_the_copy(history, n_own, n_peer):
     """Guards against a missing row after a peer has sent its changes."""
     behind, ahead = TableMirror("t"), TableMirror("t")
-    for mirror, n in ((behind, n_known), (ahead, n_of_peer)):
-        known = history[:n]
-        mirror.apply(known, known[-1].version if known else 0)
+    for mirror, n in ((behind, n_own), (ahead, n_peer)):
+        rows = history[:n]
+        mirror.apply(rows, rows[-1].version if rows else 0)
     behind.apply(ahead.changes_since(behind.version), ahead.version)
-    expected = history[: max(n_known, n_of_peer)]
-    assert behind.row_by_key == apply_all(expected)
+    expected = history[: max(n_own, n_peer)]
+    assert behind.row_by_key == compute_rows(expected)
 
 
-def test_snapshot_removes_what_it_does_not_hold():
+def test_snapshot_removes_missing_rows():
     """Guards against rows that stay although their removal was not received."""
     mirror = TableMirror("t")
     mirror.apply([MirrorRow("a", 1, b""), MirrorRow("b", 2, b"")], 2)
-    news = mirror.replace([MirrorRow("a", 1, b"")], 9)
-    assert [(row.key, row.is_removed) for row in news] == [("b", True)]
-    assert mirror.changes_since(2) == news
+    changed_rows = mirror.replace([MirrorRow("a", 1, b"")], 9)
+    assert [(row.key, row.is_removed) for row in changed_rows] == [("b", True)]
+    assert mirror.changes_since(2) == changed_rows
 
 
 def test_stale_snapshot_changes_nothing():
--- a/packages/core/src/bluebellusher_core/directory/tests/test_routes.py
+++ b/packages/core/src/bluebellusher_core/directory/tests/test_routes.py
@@ -38,7 +38,7 @@
     assert route.choose_service(0.9999999) == "b"
 
 
-def test_only_what_may_be_repeated_counts_as_idempotent():
+def test_only_repeatable_requests_are_idempotent():
     """Guards against running a request twice that must run only once."""
     assert make_route("/").is_idempotent
     assert not make_route("/", kind=RequestKind.NON_IDEMPOTENT).is_idempotent
@@ -47,7 +47,7 @@
     assert resumable.is_idempotent
 
 
-def test_credentials_do_not_show():
+def test_credentials_are_not_in_representations():
     """Guards against secrets in logs and error messages."""
     customer = Customer("c", ("secret-key",))
     table = RoutingTable.from_parts(1, [], [], [customer])
