--- a/packages/core/src/bluebellusher_core/membership/_announcements.py
+++ b/packages/core/src/bluebellusher_core/membership/_announcements.py
@@ -7,11 +7,11 @@
 
 # Age from which a leaving mark is discarded, in ms. It is longer than any endpoint
 # continues to serve after it has announced its shutdown.
-LEAVING_MS = 600_000
+LEAVING_MAX_AGE_MS = 600_000
 # Upper bound of the stored leaving marks, and of the stored pauses.
 N_MAX_MARKS = 16_384
 # Upper bound of the leaving marks in one announcement to peers.
-N_MAX_TOLD = 1_000
+N_MAX_ANNOUNCED = 1_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,7 +19,7 @@
     """The start of an endpoint that announced its shutdown, and the time of that."""
 
     incarnation: int
-    noted_at_ms: int
+    announced_at_ms: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,7 +52,7 @@
     Examples
     --------
     >>> announcements = Announcements(max_pause_ms=60_000)
-    >>> announcements.note_pause("x1", incarnation=1, pause_ms=500, now_ms=0)
+    >>> announcements.record_pause("x1", incarnation=1, pause_ms=500, now_ms=0)
     500
     >>> announcements.paused_until_ms("x1", incarnation=1, now_ms=499)
     500
@@ -63,9 +63,11 @@
     max_pause_ms: int
     _leaving_by_id: OrderedDict[str, _Leaving] = field(default_factory=OrderedDict)
     _pause_by_id: OrderedDict[str, _Pause] = field(default_factory=OrderedDict)
-    _n_ramp_by_id: dict[str, int] = field(default_factory=dict)
+    _attempt_limit_by_id: dict[str, int] = field(default_factory=dict)
 
-    def note_leaving(self, endpoint_id: str, incarnation: int, at_ms: int) -> bool:
+    def note_leaving(
+        self, endpoint_id: str, incarnation: int, announced_at_ms: int
+    ) -> bool:
         """Record that an endpoint announced its shutdown; return whether it is new.
 
         An endpoint without a known start (``incarnation`` 0) is not recorded, because
@@ -73,10 +75,10 @@
         """
         if not incarnation:
             return False
-        known = self._leaving_by_id.get(endpoint_id)
-        if known is not None and known.incarnation >= incarnation:
+        mark = self._leaving_by_id.get(endpoint_id)
+        if mark is not None and mark.incarnation >= incarnation:
             return False
-        self._leaving_by_id[endpoint_id] = _Leaving(incarnation, at_ms)
+        self._leaving_by_id[endpoint_id] = _Leaving(incarnation, announced_at_ms)
         self._leaving_by_id.move_to_end(endpoint_id)
         while len(self._leaving_by_id) > N_MAX_MARKS:
             self._leaving_by_id.popitem(last=False)
@@ -84,51 +86,51 @@
 
     def is_leaving(self, endpoint_id: str, incarnation: int) -> bool:
         """Return whether this start, or a later one, announced its shutdown."""
-        known = self._leaving_by_id.get(endpoint_id)
-        return known is not None and incarnation <= known.incarnation
+        mark = self._leaving_by_id.get(endpoint_id)
+        return mark is not None and incarnation <= mark.incarnation
 
     def marks(self, now_ms: int) -> tuple[LeavingMark, ...]:
         """Discard expired leaving marks; return the latest ones for the peers."""
-        over = [
+        expired_ids = [
             endpoint_id
-            for endpoint_id, known in self._leaving_by_id.items()
-            if now_ms - known.noted_at_ms > LEAVING_MS
+            for endpoint_id, mark in self._leaving_by_id.items()
+            if now_ms - mark.announced_at_ms > LEAVING_MAX_AGE_MS
         ]
-        for endpoint_id in over:
+        for endpoint_id in expired_ids:
             del self._leaving_by_id[endpoint_id]
-        told = list(self._leaving_by_id.items())[-N_MAX_TOLD:]
+        latest = list(self._leaving_by_id.items())[-N_MAX_ANNOUNCED:]
         return tuple(
-            LeavingMark(endpoint_id, known.incarnation, now_ms - known.noted_at_ms)
-            for endpoint_id, known in told
+            LeavingMark(endpoint_id, mark.incarnation, now_ms - mark.announced_at_ms)
+            for endpoint_id, mark in latest
         )
 
     @property
     def has_limits(self) -> bool:
         """Whether any endpoint pauses or has a limit of attempts after a pause."""
-        return bool(self._pause_by_id or self._n_ramp_by_id)
+        return bool(self._pause_by_id or self._attempt_limit_by_id)
 
-    def forget_pause(self, endpoint_id: str, now_ms: int) -> None:
+    def discard_ended_pause(self, endpoint_id: str, now_ms: int) -> None:
         """Discard the attempt limit of a lost endpoint once its pause has ended."""
         pause = self._pause_by_id.get(endpoint_id)
         if pause is None or pause.until_ms <= now_ms:
             self._pause_by_id.pop(endpoint_id, None)
-            self._n_ramp_by_id.pop(endpoint_id, None)
+            self._attempt_limit_by_id.pop(endpoint_id, None)
 
-    def note_pause(
+    def record_pause(
         self, endpoint_id: str, incarnation: int, pause_ms: int, now_ms: int
     ) -> int:
         """Start or extend a pause; return the time until it ends, in ms."""
         pause_ms = max(0, min(pause_ms, self.max_pause_ms))
         until_ms = now_ms + pause_ms
-        known = self._pause_by_id.get(endpoint_id)
-        if known is not None and known.incarnation == incarnation:
-            until_ms = max(until_ms, known.until_ms)
+        previous = self._pause_by_id.get(endpoint_id)
+        if previous is not None and previous.incarnation == incarnation:
+            until_ms = max(until_ms, previous.until_ms)
         if pause_ms:
             self._pause_by_id[endpoint_id] = _Pause(incarnation, until_ms)
-            self._n_ramp_by_id[endpoint_id] = 1
+            self._attempt_limit_by_id[endpoint_id] = 1
             while len(self._pause_by_id) > N_MAX_MARKS:
                 oldest_id, _ = self._pause_by_id.popitem(last=False)
-                self._n_ramp_by_id.pop(oldest_id, None)
+                self._attempt_limit_by_id.pop(oldest_id, None)
         return until_ms - now_ms
 
     def paused_until_ms(self, endpoint_id: str, incarnation: int, now_ms: int) -> int:
@@ -139,28 +141,28 @@
         if pause.incarnation != incarnation:
             if pause.incarnation < incarnation:
                 del self._pause_by_id[endpoint_id]
-                self._n_ramp_by_id.pop(endpoint_id, None)
+                self._attempt_limit_by_id.pop(endpoint_id, None)
             return 0
         if pause.until_ms <= now_ms:
             del self._pause_by_id[endpoint_id]
             return 0
         return pause.until_ms
 
-    def next_end_ms(self, now_ms: int) -> int | None:
+    def next_pause_end_ms(self, now_ms: int) -> int | None:
         """Return the earliest end of a pause, in monotonic ms, or ``None``."""
         ends = [p.until_ms for p in self._pause_by_id.values() if p.until_ms > now_ms]
         return min(ends, default=None)
 
-    def n_allowed(self, endpoint_id: str, n_slots: int) -> int:
+    def attempt_limit(self, endpoint_id: str, n_slots: int) -> int:
         """Return the limit of concurrent own attempts, which grows after a pause."""
-        return min(n_slots, self._n_ramp_by_id.get(endpoint_id, n_slots))
+        return min(n_slots, self._attempt_limit_by_id.get(endpoint_id, n_slots))
 
     def note_output(self, endpoint_id: str, n_slots: int) -> None:
         """Double the limit of attempts after an answer of the endpoint."""
-        n_allowed = self._n_ramp_by_id.get(endpoint_id)
-        if n_allowed is None:
+        attempt_limit = self._attempt_limit_by_id.get(endpoint_id)
+        if attempt_limit is None:
             return
-        if 2 * n_allowed >= n_slots:
-            del self._n_ramp_by_id[endpoint_id]
+        if 2 * attempt_limit >= n_slots:
+            del self._attempt_limit_by_id[endpoint_id]
         else:
-            self._n_ramp_by_id[endpoint_id] = 2 * n_allowed
+            self._attempt_limit_by_id[endpoint_id] = 2 * attempt_limit
--- a/packages/core/src/bluebellusher_core/membership/_endpoints.py
+++ b/packages/core/src/bluebellusher_core/membership/_endpoints.py
@@ -94,22 +94,30 @@
 
     def _is_leaving(self, info: EndpointInfo) -> bool:
         """Return whether the registration or an answer announced a shutdown."""
-        said = self.announcements.is_leaving(info.endpoint_id, info.incarnation)
-        return info.is_draining or said
+        has_announced = self.announcements.is_leaving(
+            info.endpoint_id, info.incarnation
+        )
+        return info.is_draining or has_announced
 
-    def note_leaving(self, endpoint_id: str, incarnation: int, at_ms: int) -> bool:
+    def note_leaving(
+        self, endpoint_id: str, incarnation: int, announced_at_ms: int
+    ) -> bool:
         """Record an announced shutdown and drain the endpoint; return whether new."""
-        is_news = self.announcements.note_leaving(endpoint_id, incarnation, at_ms)
+        is_new = self.announcements.note_leaving(
+            endpoint_id, incarnation, announced_at_ms
+        )
         view = self.view_by_id.get(endpoint_id)
         if view is not None and view.info.incarnation <= incarnation:
             self.drain(endpoint_id)
-        return is_news
+        return is_new
 
     def pause(
         self, endpoint_id: str, incarnation: int, pause_ms: int, now_ms: int
     ) -> int:
         """Start a pause that an endpoint asked for; return its duration in ms."""
-        return self.announcements.note_pause(endpoint_id, incarnation, pause_ms, now_ms)
+        return self.announcements.record_pause(
+            endpoint_id, incarnation, pause_ms, now_ms
+        )
 
     def pause_left_ms(self, pool: Pool, now_ms: int) -> int:
         """Return the time until the first pause in a pool ends, in ms.
@@ -118,8 +126,8 @@
         """
         if not self.announcements.has_limits:
             return 0
-        ends = [self._paused_until_ms(v, now_ms) for v in self.views_of(pool)]
-        return max(0, min(ends, default=0) - now_ms)
+        end_times_ms = [self._paused_until_ms(v, now_ms) for v in self.views_of(pool)]
+        return max(0, min(end_times_ms, default=0) - now_ms)
 
     def _paused_until_ms(self, view: EndpointView, now_ms: int) -> int:
         info = view.info
@@ -127,21 +135,21 @@
             info.endpoint_id, info.incarnation, now_ms
         )
 
-    def _may_take(self, view: EndpointView, now_ms: int) -> bool:
+    def _allows_attempt(self, view: EndpointView, now_ms: int) -> bool:
         """Return whether pauses and the limit after them allow another attempt."""
         if self._paused_until_ms(view, now_ms):
             return False
         info = view.info
-        n_allowed = self.announcements.n_allowed(info.endpoint_id, info.n_slots)
-        return view.n_own_in_flight < n_allowed
+        attempt_limit = self.announcements.attempt_limit(info.endpoint_id, info.n_slots)
+        return view.n_own_in_flight < attempt_limit
 
     def remove(self, endpoint_id: str, now_ms: int) -> None:
         """Discard the state of a lost endpoint."""
         self._views_by_pool.clear()
         self._deferred_until_ms.pop(endpoint_id, None)
         self._n_refusals.pop(endpoint_id, None)
-        self.groups.forget(endpoint_id)
-        self.announcements.forget_pause(endpoint_id, now_ms)
+        self.groups.discard(endpoint_id)
+        self.announcements.discard_ended_pause(endpoint_id, now_ms)
         self.tracker.apply(EndpointLost(endpoint_id), now_ms)
 
     def defer(self, endpoint_id: str, pause_ms: int, now_ms: int) -> None:
@@ -152,36 +160,36 @@
         """
         if endpoint_id not in self.view_by_id:
             return
-        n_before = self._n_refusals.get(endpoint_id, 0)
-        pause_ms = max(pause_ms, MIN_DEFER_MS) << n_before
-        self._n_refusals[endpoint_id] = min(n_before + 1, 8)
+        n_refusals = self._n_refusals.get(endpoint_id, 0)
+        pause_ms = max(pause_ms, MIN_DEFER_MS) << n_refusals
+        self._n_refusals[endpoint_id] = min(n_refusals + 1, 8)
         self._deferred_until_ms[endpoint_id] = now_ms + min(pause_ms, MAX_DEFER_MS)
 
     def next_undeferred_ms(self, now_ms: int) -> int | None:
         """Return the earliest end of a pause or deferral in monotonic ms, if any."""
-        pause_end_ms = self.announcements.next_end_ms(now_ms)
+        pause_end_ms = self.announcements.next_pause_end_ms(now_ms)
         if not self._deferred_until_ms:
             return pause_end_ms
         ended = [e for e, at in self._deferred_until_ms.items() if at <= now_ms]
         for endpoint_id in ended:
             del self._deferred_until_ms[endpoint_id]
-        ends = list(self._deferred_until_ms.values())
+        end_times_ms = list(self._deferred_until_ms.values())
         if pause_end_ms is not None:
-            ends.append(pause_end_ms)
-        return min(ends, default=None)
+            end_times_ms.append(pause_end_ms)
+        return min(end_times_ms, default=None)
 
     def views_with_room(self, pool: Pool, now_ms: int) -> list[EndpointView]:
         """Return the endpoints of a pool that have capacity for another attempt."""
-        deferred = self._deferred_until_ms
-        closed = self.groups.find_closed(now_ms)
+        deferred_until_ms = self._deferred_until_ms
+        closed_ids = self.groups.find_closed(now_ms)
         has_limits = self.announcements.has_limits
         return [
             view
             for view in self.views_of(pool)
-            if _has_room(view, self.queue_factor, now_ms)
-            and (not has_limits or self._may_take(view, now_ms))
-            and view.info.endpoint_id not in closed
-            and deferred.get(view.info.endpoint_id, 0) <= now_ms
+            if _has_capacity(view, self.queue_factor, now_ms)
+            and (not has_limits or self._allows_attempt(view, now_ms))
+            and view.info.endpoint_id not in closed_ids
+            and deferred_until_ms.get(view.info.endpoint_id, 0) <= now_ms
         ]
 
     def are_closed(self, pool: Pool, now_ms: int) -> bool:
@@ -191,10 +199,10 @@
         or stalled. A pool without endpoints does not count as closed.
         """
         groups = self.groups
-        closed = groups.find_closed(now_ms) | groups.find_standing(now_ms)
+        closed_ids = groups.find_closed(now_ms) | groups.find_stalled(now_ms)
         views = self.views_of(pool)
         return bool(views) and all(
-            view.info.endpoint_id in closed or _is_closed(view, now_ms)
+            view.info.endpoint_id in closed_ids or _is_closed(view, now_ms)
             for view in views
         )
 
@@ -211,11 +219,11 @@
         view = self.view_by_id.get(event.endpoint_id)
         if view is None or view.report is not event:
             return
-        self.groups.note_report(event, now_ms)
+        self.groups.record_report(event, now_ms)
         info = view.info
-        loaded = (info.models, info.adapters, info.n_slots)
-        if loaded != (event.models, event.adapters, event.n_slots):
-            view.info = _with_loaded(info, event)
+        recorded = (info.models, info.adapters, info.n_slots)
+        if recorded != (event.models, event.adapters, event.n_slots):
+            view.info = _replace_loaded(info, event)
             self._views_by_pool.clear()
 
     def report_cache(self, event: CacheReported, now_ms: int) -> None:
@@ -248,7 +256,7 @@
     return not report.is_open
 
 
-def _has_room(view: EndpointView, queue_factor: float, now_ms: int) -> bool:
+def _has_capacity(view: EndpointView, queue_factor: float, now_ms: int) -> bool:
     """Return whether the own attempts and the latest report leave free capacity."""
     if view.is_isolating or view.n_own_in_flight >= view.info.n_slots:
         return False
@@ -259,12 +267,12 @@
         return False
     # Attempts that ended since the report no longer use the engine. If they counted,
     # fast requests would seem to fill it until the next report.
-    n_since = len(view.own_dispatched_at_ms) - len(view.own_ended_at_ms)
-    n_known = report.n_running + report.n_queued + n_since
-    return n_known < queue_factor * view.info.n_slots
+    n_change_since_report = len(view.own_dispatched_at_ms) - len(view.own_ended_at_ms)
+    n_estimated = report.n_running + report.n_queued + n_change_since_report
+    return n_estimated < queue_factor * view.info.n_slots
 
 
-def _with_loaded(info: EndpointInfo, event: LoadReported) -> EndpointInfo:
+def _replace_loaded(info: EndpointInfo, event: LoadReported) -> EndpointInfo:
     return replace(
         info, models=event.models, adapters=event.adapters, n_slots=event.n_slots
     )
--- a/packages/core/src/bluebellusher_core/membership/_groups.py
+++ b/packages/core/src/bluebellusher_core/membership/_groups.py
@@ -19,7 +19,7 @@
     epoch: int
     is_open: bool
     has_work: bool
-    told_at_ms: int
+    reported_at_ms: int
 
 
 @dataclass(slots=True)
@@ -29,12 +29,12 @@
     endpoint_ids: set[str] = field(default_factory=set)
     epoch: int = 0
     step: int = 0
-    advanced_at_ms: int = 0
+    last_pass_at_ms: int = 0
 
-    def note_step(self, epoch: int, step: int, now_ms: int) -> None:
+    def record_step(self, epoch: int, step: int, now_ms: int) -> None:
         """Record a pass that a rank has started; an earlier pass is ignored."""
         if (epoch, step) > (self.epoch, self.step):
-            self.epoch, self.step, self.advanced_at_ms = epoch, step, now_ms
+            self.epoch, self.step, self.last_pass_at_ms = epoch, step, now_ms
 
 
 @dataclass(slots=True)
@@ -62,14 +62,14 @@
     _rank_by_id: dict[str, _Rank] = field(default_factory=dict)
     _group_by_id: dict[str, _Group] = field(default_factory=dict)
 
-    def note_report(self, report: LoadReported, now_ms: int) -> None:
+    def record_report(self, report: LoadReported, now_ms: int) -> None:
         """Record the state of a group from the load report of one of its ranks."""
         if not report.group_id:
             return
         endpoint_id = report.endpoint_id
-        known = self._rank_by_id.get(endpoint_id)
-        if known is not None and known.group_id != report.group_id:
-            self.forget(endpoint_id)
+        previous = self._rank_by_id.get(endpoint_id)
+        if previous is not None and previous.group_id != report.group_id:
+            self.discard(endpoint_id)
         has_work = report.n_running + report.n_queued > 0
         self._rank_by_id[endpoint_id] = _Rank(
             report.group_id, report.epoch, report.is_open, has_work, now_ms
@@ -77,18 +77,18 @@
         group = self._group_by_id.setdefault(report.group_id, _Group())
         had_work = self._has_work(group)
         group.endpoint_ids.add(endpoint_id)
-        group.note_step(report.epoch, report.step, now_ms)
+        group.record_step(report.epoch, report.step, now_ms)
         if not had_work:
             # An idle group makes no passes, so its stall time starts with new work.
-            group.advanced_at_ms = now_ms
+            group.last_pass_at_ms = now_ms
 
     def note_closed(self, endpoint_id: str, now_ms: int) -> None:
         """Record a refusal of a rank because its group is closed."""
         rank = self._rank_by_id.get(endpoint_id)
         if rank is not None:
-            rank.is_open, rank.told_at_ms = False, now_ms
+            rank.is_open, rank.reported_at_ms = False, now_ms
 
-    def forget(self, endpoint_id: str) -> None:
+    def discard(self, endpoint_id: str) -> None:
         """Discard the state of a lost endpoint."""
         rank = self._rank_by_id.pop(endpoint_id, None)
         if rank is None:
@@ -102,33 +102,36 @@
         """Return the ids of the endpoints of all closed groups."""
         return self._find(self._is_closed, now_ms)
 
-    def find_standing(self, now_ms: int) -> frozenset[str]:
+    def find_stalled(self, now_ms: int) -> frozenset[str]:
         """Return the ids of the endpoints of all groups that start no pass."""
-        return self._find(self._is_standing, now_ms)
+        return self._find(self._is_stalled, now_ms)
 
     def _find(
-        self, is_found: Callable[[_Group, int], bool], now_ms: int
+        self, matches: Callable[[_Group, int], bool], now_ms: int
     ) -> frozenset[str]:
         groups = self._group_by_id.values()
-        found = [group.endpoint_ids for group in groups if is_found(group, now_ms)]
+        found = [group.endpoint_ids for group in groups if matches(group, now_ms)]
         return frozenset().union(*found)
 
     def _is_closed(self, group: _Group, now_ms: int) -> bool:
-        told = self._find_told(group, now_ms)
-        epoch = max((rank.epoch for rank in told), default=0)
-        return any(not rank.is_open for rank in told if rank.epoch == epoch)
+        recent = self._find_recent_ranks(group, now_ms)
+        epoch = max((rank.epoch for rank in recent), default=0)
+        return any(not rank.is_open for rank in recent if rank.epoch == epoch)
 
-    def _is_standing(self, group: _Group, now_ms: int) -> bool:
+    def _is_stalled(self, group: _Group, now_ms: int) -> bool:
         # The time without a pass is measured up to the latest report, because passes
         # are unknown after it.
-        told = self._find_told(group, now_ms)
-        last_told_ms = max((rank.told_at_ms for rank in told), default=now_ms)
-        is_late = last_told_ms - group.advanced_at_ms > MAX_PASS_MS
+        recent = self._find_recent_ranks(group, now_ms)
+        last_reported_at_ms = max(
+            (rank.reported_at_ms for rank in recent), default=now_ms
+        )
+        is_late = last_reported_at_ms - group.last_pass_at_ms > MAX_PASS_MS
         return is_late and self._has_work(group)
 
-    def _find_told(self, group: _Group, now_ms: int) -> list[_Rank]:
+    def _find_recent_ranks(self, group: _Group, now_ms: int) -> list[_Rank]:
+        """Return the reports of a group's ranks that are not older than the maximum."""
         ranks = [self._rank_by_id[endpoint_id] for endpoint_id in group.endpoint_ids]
-        return [r for r in ranks if now_ms - r.told_at_ms <= self.max_age_ms]
+        return [r for r in ranks if now_ms - r.reported_at_ms <= self.max_age_ms]
 
     def _has_work(self, group: _Group) -> bool:
         return any(self._rank_by_id[e].has_work for e in group.endpoint_ids)
--- a/packages/core/src/bluebellusher_core/membership/_subset.py
+++ b/packages/core/src/bluebellusher_core/membership/_subset.py
@@ -44,13 +44,15 @@
 
 
 def _choose_for_service(
-    entry_id: str, failure_domain: str, infos: list[EndpointInfo], n_wanted: int
+    entry_id: str, failure_domain: str, infos: list[EndpointInfo], n_max: int
 ) -> set[str]:
     ranked = sorted((i.endpoint_id for i in infos), key=lambda e: score(entry_id, e))
-    own = {i.endpoint_id for i in infos if i.failure_domain == failure_domain}
-    near = [e for e in ranked if e in own]
-    far = [e for e in ranked if e not in own]
-    n_near = max(1, int(n_wanted * OWN_DOMAIN_SHARE))
-    n_near = max(n_near, n_wanted - len(far))
-    picked = near[:n_near]
-    return set(picked + far[: n_wanted - len(picked)])
+    own_domain_ids = {
+        i.endpoint_id for i in infos if i.failure_domain == failure_domain
+    }
+    local_ids = [e for e in ranked if e in own_domain_ids]
+    remote_ids = [e for e in ranked if e not in own_domain_ids]
+    n_local = max(1, int(n_max * OWN_DOMAIN_SHARE))
+    n_local = max(n_local, n_max - len(remote_ids))
+    picked = local_ids[:n_local]
+    return set(picked + remote_ids[: n_max - len(picked)])
--- a/packages/core/src/bluebellusher_core/membership/tests/test_membership.py
+++ b/packages/core/src/bluebellusher_core/membership/tests/test_membership.py
@@ -18,26 +18,26 @@
 
 
 @given(st.lists(st.sampled_from("abc"), max_size=60), st.integers(1, 20), st.data())
-def test_property_subset_is_bounded_near_and_stable(domains, n_wanted, data):
+def test_property_subset_is_bounded_near_and_stable(domains, n_max, data):
     """Guards against subsets that are too large, remote or change too much."""
     infos = [make_info(i, domain) for i, domain in enumerate(domains)]
-    subset = choose_subset("e", "a", infos, n_wanted)
-    assert len(subset) == min(n_wanted, len(infos))
+    subset = choose_subset("e", "a", infos, n_max)
+    assert len(subset) == min(n_max, len(infos))
     n_own = sum(1 for info in infos if info.failure_domain == "a")
     n_chosen_own = sum(1 for i in infos if i.endpoint_id in subset and _is_own(i))
-    assert n_chosen_own >= min(n_own, max(1, int(n_wanted * 0.75)))
+    assert n_chosen_own >= min(n_own, max(1, int(n_max * 0.75)))
     if infos:
-        gone = data.draw(st.sampled_from(infos))
-        rest = [info for info in infos if info is not gone]
-        after = choose_subset("e", "a", rest, n_wanted)
-        assert len(subset - after - {gone.endpoint_id}) == 0
+        lost = data.draw(st.sampled_from(infos))
+        remaining_infos = [info for info in infos if info is not lost]
+        after = choose_subset("e", "a", remaining_infos, n_max)
+        assert len(subset - after - {lost.endpoint_id}) == 0
 
 
 def _is_own(info):
     return info.failure_domain == "a"
 
 
-def test_late_report_is_ignored_and_a_loaded_model_opens_its_pool():
+def test_late_report_is_ignored_and_a_loaded_model_adds_its_pool():
     """Guards against an old report that undoes a newer one."""
     endpoints = Endpoints(n_max=4)
     endpoints.connect(EndpointConnected(make_info(0, "a")), 0)
@@ -57,7 +57,7 @@
     assert not endpoints.views_of(pool)
 
 
-def test_ended_attempts_leave_room_before_the_next_report():
+def test_ended_attempts_free_capacity_before_the_next_report():
     """Guards against ended attempts that count as running until the next report."""
     endpoints = Endpoints(n_max=4)
     endpoints.connect(EndpointConnected(make_info(0, "a")), 0)
