Rename put_back and take of admission queues, and the endpoint tables' note_ methods

Admission queues have dequeue and requeue, the endpoint tables record_*, views_with_capacity, is_pool_closed and pause_remaining_ms, registrations record_store_available and record_store_unavailable, and routing has count_occupied_slots. Behaviour does not change.

--- a/bench/system_model.py
+++ b/bench/system_model.py
@@ -153,13 +153,13 @@
         for expired, _ in entry.queue.expire(now_ms):
             entry.job_by_request.pop(expired.request_id).outcome = "expired"
         while True:
-            request = entry.queue.take(now_ms)
+            request = entry.queue.dequeue(now_ms)
             if request is None:
                 return
             job = entry.job_by_request[request.request_id]
             engine_id = self._choose(entry, job, now_ms)
             if engine_id is None:
-                entry.queue.put_back(request, now_ms)
+                entry.queue.requeue(request, now_ms)
                 return
             self._dispatch(entry, job, engine_id, now_ms)
 
@@ -365,7 +365,7 @@
             event = AttemptBroken(attempt_id, reason, 0, is_resumable=False)
             entry.tracker.apply(event, int(self.now))
             if job.first_at < 0:
-                entry.queue.put_back(job.request, int(self.now))
+                entry.queue.requeue(job.request, int(self.now))
             else:
                 del entry.job_by_request[job.request.request_id]
                 job.outcome = "broken"
--- a/packages/core/src/bluebellusher_core/admission/_fair_queue.py
+++ b/packages/core/src/bluebellusher_core/admission/_fair_queue.py
@@ -45,7 +45,7 @@
 
     Notes
     -----
-    ``offer``, ``take``, ``put_back`` and ``remove`` take O(log n) amortised time.
+    ``offer``, ``dequeue``, ``requeue`` and ``remove`` take O(log n) amortised time.
     Memory is proportional to the waiting requests plus the customers whose tag is
     ahead of the virtual time.
 
@@ -119,7 +119,7 @@
         )
         return None
 
-    def take(self, now_ms: int) -> RequestSpec | None:
+    def dequeue(self, now_ms: int) -> RequestSpec | None:
         """Remove and return the next request, or ``None`` when none can be served.
 
         Requests that can no longer meet their deadline are skipped. They stay in the
@@ -138,7 +138,7 @@
             self._remove_from_flow(waiting)
         return None
 
-    def put_back(self, request: RequestSpec, now_ms: int) -> None:
+    def requeue(self, request: RequestSpec, now_ms: int) -> None:
         """Put a dequeued request that could not be dispatched back to the front.
 
         The start tag of the customer decreases by the cost of the request divided by
--- a/packages/core/src/bluebellusher_core/admission/_objective_queue.py
+++ b/packages/core/src/bluebellusher_core/admission/_objective_queue.py
@@ -102,7 +102,7 @@
         self._enqueue(waiting)
         return None
 
-    def take(self, now_ms: int) -> RequestSpec | None:
+    def dequeue(self, now_ms: int) -> RequestSpec | None:
         """Remove and return the request whose next time limit is earliest."""
         while self._heap:
             waiting = heapq.heappop(self._heap)
@@ -119,7 +119,7 @@
             return waiting.request
         return None
 
-    def put_back(self, request: RequestSpec, now_ms: int) -> None:
+    def requeue(self, request: RequestSpec, now_ms: int) -> None:
         """Put a dequeued request that could not be dispatched back to the front."""
         waiting = self._make_waiting(request, now_ms)
         waiting.key_ms, waiting.is_late = -inf, True
--- a/packages/core/src/bluebellusher_core/admission/_protocol.py
+++ b/packages/core/src/bluebellusher_core/admission/_protocol.py
@@ -12,10 +12,10 @@
     def offer(self, request: RequestSpec, now_ms: int) -> Refusal | None:
         """Add a request; return a rejection when its deadline cannot be met."""
 
-    def take(self, now_ms: int) -> RequestSpec | None:
+    def dequeue(self, now_ms: int) -> RequestSpec | None:
         """Remove and return the next request, or ``None`` when none can be served."""
 
-    def put_back(self, request: RequestSpec, now_ms: int) -> None:
+    def requeue(self, request: RequestSpec, now_ms: int) -> None:
         """Put a dequeued request that could not be dispatched back to the front."""
 
     def remove(self, request_id: str) -> bool:
@@ -44,11 +44,11 @@
         self._requests.append(request)
         return None
 
-    def take(self, now_ms: int) -> RequestSpec | None:
+    def dequeue(self, now_ms: int) -> RequestSpec | None:
         """Remove and return the request that has waited longest, or ``None``."""
         return self._requests.pop(0) if self._requests else None
 
-    def put_back(self, request: RequestSpec, now_ms: int) -> None:
+    def requeue(self, request: RequestSpec, now_ms: int) -> None:
         """Put a dequeued request back to the front."""
         self._requests.insert(0, request)
 
--- a/packages/core/src/bluebellusher_core/admission/tests/overload.py
+++ b/packages/core/src/bluebellusher_core/admission/tests/overload.py
@@ -137,7 +137,7 @@
             else:
                 result.n_rejected += 1
         while n_busy < N_SLOTS and not is_closed and len(queue):
-            dequeued = queue.take(now_ms)
+            dequeued = queue.dequeue(now_ms)
             if dequeued is None:
                 break
             first_ms, _, sent_ms = caller_by_id.pop(dequeued.request_id)
--- a/packages/core/src/bluebellusher_core/admission/tests/test_objective_queue.py
+++ b/packages/core/src/bluebellusher_core/admission/tests/test_objective_queue.py
@@ -68,10 +68,10 @@
     assert queue.offer(retried, 3_000) is None
     fresh = make_request("new", now_ms=3_100, first_ms=3_100, n_rejections=0)
     assert queue.offer(fresh, 3_100) is None
-    assert queue.take(3_110).request_id == "new"
+    assert queue.dequeue(3_110).request_id == "new"
     fresh = make_request("newer", now_ms=4_700, first_ms=4_700, n_rejections=0)
     assert queue.offer(fresh, 4_700) is None
-    assert queue.take(4_710).request_id == "old"
+    assert queue.dequeue(4_710).request_id == "old"
 
 
 def test_fresh_requests_go_before_those_that_missed_their_objective():
@@ -79,8 +79,8 @@
     queue = ObjectiveQueue()
     queue.offer(make_request("a", 0, 0, 0), 0)
     queue.offer(make_request("b", 300, 300, 0), 300)
-    assert queue.take(OBJECTIVE_MS + 10).request_id == "b"
-    assert queue.take(OBJECTIVE_MS + 10).request_id == "a"
+    assert queue.dequeue(OBJECTIVE_MS + 10).request_id == "b"
+    assert queue.dequeue(OBJECTIVE_MS + 10).request_id == "a"
 
 
 def test_rejections_are_not_run_and_spread_the_retries():
@@ -104,18 +104,18 @@
     assert queue.expire(500) == []
     assert [r.request_id for r, _ in queue.expire(900)] == ["a"]
     assert len(queue) == 0
-    assert queue.take(900) is None
+    assert queue.dequeue(900) is None
 
 
 def test_requeued_request_goes_first_and_removed_one_is_not_returned():
     """Guards against a requeued request that waits behind new requests."""
     queue = ObjectiveQueue()
     queue.offer(make_request("a", 0, 0, 0), 0)
-    queue.put_back(make_request("b", 0, 0, 0), 0)
-    queue.put_back(make_request("c", 0, 0, 0), 0)
+    queue.requeue(make_request("b", 0, 0, 0), 0)
+    queue.requeue(make_request("c", 0, 0, 0), 0)
     assert queue.remove("b")
-    assert queue.take(1).request_id == "c"
-    assert queue.take(1).request_id == "a"
+    assert queue.dequeue(1).request_id == "c"
+    assert queue.dequeue(1).request_id == "a"
 
 
 def test_fresh_requests_do_not_wait_for_a_service_that_closes():
@@ -124,7 +124,7 @@
     assert queue.offer(make_request("fresh", 0, 0, 0), 0) is None
     retried = make_request("old", now_ms=100, first_ms=-3_000, n_rejections=1)
     assert queue.offer(retried, 100) is None
-    queue.put_back(make_request("resumed", 100, 100, 0), 100)
+    queue.requeue(make_request("resumed", 100, 100, 0), 100)
     queue.observe_closed(True)
     [(request, rejection)] = queue.expire(150)
     assert request.request_id == "fresh"
--- a/packages/core/src/bluebellusher_core/admission/tests/test_queues.py
+++ b/packages/core/src/bluebellusher_core/admission/tests/test_queues.py
@@ -73,13 +73,13 @@
         else:
             self.check_rejection(rejection)
 
-    def take(self):
+    def dequeue(self):
         """Dequeue the next request."""
-        self.dequeued = self.queue.take(self.now_ms)
+        self.dequeued = self.queue.dequeue(self.now_ms)
         if self.dequeued is not None:
             assert self.waiting.pop(self.dequeued.request_id) is self.dequeued
 
-    def put_back(self):
+    def requeue(self):
         """Requeue the dequeued request; it must be the next one.
 
         A request that can no longer be served before its deadline may be skipped. All
@@ -87,12 +87,12 @@
         """
         if self.dequeued is None:
             return
-        self.queue.put_back(self.dequeued, self.now_ms)
+        self.queue.requeue(self.dequeued, self.now_ms)
         self.waiting[self.dequeued.request_id] = self.dequeued
         if self.dequeued.deadline_ms - self.service_ms > self.now_ms:
-            dequeued_again = self.queue.take(self.now_ms)
+            dequeued_again = self.queue.dequeue(self.now_ms)
             assert dequeued_again is self.dequeued
-            self.queue.put_back(dequeued_again, self.now_ms)
+            self.queue.requeue(dequeued_again, self.now_ms)
         self.dequeued = None
 
     def remove(self, index):
@@ -124,9 +124,9 @@
             case "offer":
                 queue_model.offer(index, customer_id, priority, margin_ms)
             case "dequeue":
-                queue_model.take()
+                queue_model.dequeue()
             case "requeue":
-                queue_model.put_back()
+                queue_model.requeue()
             case "remove":
                 queue_model.remove(value % (index + 1))
             case "expire":
@@ -174,7 +174,7 @@
             assert queue.offer(make_request(*spec), 0) is None
     work = Counter()
     for _ in range(n_dequeued):
-        request = queue.take(0)
+        request = queue.dequeue(0)
         work[request.customer_id] += request.n_max_output_tokens + 1
     head_start = 2 * 2.0 * max(costs)
     for i, one in enumerate(weights):
@@ -202,7 +202,7 @@
     queue.offer(make_request("slow", "own", 10**9, priority), 0)
     for n in range(2000):
         now_ms += 20
-        dequeued = queue.take(now_ms)
+        dequeued = queue.dequeue(now_ms)
         if dequeued.request_id == "slow":
             return
         new = make_request(f"n{n}", dequeued.customer_id, 10**9, Priority.HIGH)
@@ -216,7 +216,7 @@
     queue.offer(make_request("low", "a", priority=Priority.LOW), 0)
     queue.offer(make_request("high", "a", priority=Priority.HIGH), 1)
     queue.offer(make_request("other", "b", priority=Priority.NORMAL), 1)
-    assert [queue.take(2).request_id for _ in range(3)] == ["high", "other", "low"]
+    assert [queue.dequeue(2).request_id for _ in range(3)] == ["high", "other", "low"]
 
 
 @pytest.mark.parametrize("queue_type", QUEUES)
@@ -224,10 +224,10 @@
     """Guards against a request that loses its turn because no endpoint is free."""
     queue = queue_type()
     queue.offer(make_request("low", "a", priority=Priority.LOW), 0)
-    dequeued = queue.take(1)
+    dequeued = queue.dequeue(1)
     queue.offer(make_request("high", "b", priority=Priority.HIGH), 1)
-    queue.put_back(dequeued, 2)
-    assert [queue.take(3).request_id for _ in range(2)] == ["low", "high"]
+    queue.requeue(dequeued, 2)
+    assert [queue.dequeue(3).request_id for _ in range(2)] == ["low", "high"]
 
 
 def test_request_is_rejected_early_when_the_wait_exceeds_its_deadline():
@@ -250,8 +250,8 @@
     queue.offer(make_request("first"), 0)
     queue.observe_service(n_slots=1, service_ms=100.0)
     queue.offer(make_request("tight", deadline_ms=250), 0)
-    assert queue.take(200).request_id == "first"
-    assert queue.take(200) is None
+    assert queue.dequeue(200).request_id == "first"
+    assert queue.dequeue(200) is None
     [(request, rejection)] = queue.expire(200)
     assert request.request_id == "tight"
     assert rejection.reason is Reason.DEADLINE_UNREACHABLE
--- a/packages/core/src/bluebellusher_core/directory/_registrations.py
+++ b/packages/core/src/bluebellusher_core/directory/_registrations.py
@@ -67,11 +67,11 @@
     _store_available_at_ms: int | None = None
     _is_store_unavailable: bool = False
 
-    def store_lost(self) -> None:
+    def record_store_unavailable(self) -> None:
         """Record that the store is unavailable."""
         self._is_store_unavailable = True
 
-    def store_returned(self, now_ms: int) -> None:
+    def record_store_available(self, now_ms: int) -> None:
         """Record that the store is available; without an outage nothing changes."""
         if self._is_store_unavailable:
             self._is_store_unavailable = False
--- a/packages/core/src/bluebellusher_core/directory/tests/test_registrations.py
+++ b/packages/core/src/bluebellusher_core/directory/tests/test_registrations.py
@@ -47,8 +47,8 @@
 def test_expiry_during_a_store_outage_is_tolerated_for_two_seconds():
     """Guards against draining endpoints only because the store was unavailable."""
     registrations = make_registrations()
-    registrations.store_lost()
-    registrations.store_returned(5_000)
+    registrations.record_store_unavailable()
+    registrations.record_store_available(5_000)
     assert registrations.update({"x": None}, 5_100) == []
     assert registrations.update({"x": READY}, 6_000) == []
     assert registrations.tick(5_000 + EXPIRY_GRACE_MS) == []
@@ -57,8 +57,8 @@
 def test_endpoint_that_stays_missing_after_a_store_outage_is_drained():
     """Guards against stopped endpoints that stay in use after the grace time."""
     registrations = make_registrations()
-    registrations.store_lost()
-    registrations.store_returned(5_000)
+    registrations.record_store_unavailable()
+    registrations.record_store_available(5_000)
     registrations.update({"x": None}, 5_100)
     assert registrations.tick(5_000 + EXPIRY_GRACE_MS) == [EndpointDraining("x")]
 
--- a/packages/core/src/bluebellusher_core/membership/_announcements.py
+++ b/packages/core/src/bluebellusher_core/membership/_announcements.py
@@ -65,7 +65,7 @@
     _pause_by_id: OrderedDict[str, _Pause] = field(default_factory=OrderedDict)
     _attempt_limit_by_id: dict[str, int] = field(default_factory=dict)
 
-    def note_leaving(
+    def record_leaving(
         self, endpoint_id: str, incarnation: int, announced_at_ms: int
     ) -> bool:
         """Record that an endpoint announced its shutdown; return whether it is new.
@@ -89,7 +89,7 @@
         mark = self._leaving_by_id.get(endpoint_id)
         return mark is not None and incarnation <= mark.incarnation
 
-    def marks(self, now_ms: int) -> tuple[LeavingMark, ...]:
+    def leaving_marks(self, now_ms: int) -> tuple[LeavingMark, ...]:
         """Discard expired leaving marks; return the latest ones for the peers."""
         expired_ids = [
             endpoint_id
@@ -157,7 +157,7 @@
         """Return the limit of concurrent own attempts, which grows after a pause."""
         return min(n_slots, self._attempt_limit_by_id.get(endpoint_id, n_slots))
 
-    def note_output(self, endpoint_id: str, n_slots: int) -> None:
+    def record_output(self, endpoint_id: str, n_slots: int) -> None:
         """Double the limit of attempts after an answer of the endpoint."""
         attempt_limit = self._attempt_limit_by_id.get(endpoint_id)
         if attempt_limit is None:
--- a/packages/core/src/bluebellusher_core/membership/_endpoints.py
+++ b/packages/core/src/bluebellusher_core/membership/_endpoints.py
@@ -99,11 +99,11 @@
         )
         return info.is_draining or has_announced
 
-    def note_leaving(
+    def record_leaving(
         self, endpoint_id: str, incarnation: int, announced_at_ms: int
     ) -> bool:
         """Record an announced shutdown and drain the endpoint; return whether new."""
-        is_new = self.announcements.note_leaving(
+        is_new = self.announcements.record_leaving(
             endpoint_id, incarnation, announced_at_ms
         )
         view = self.view_by_id.get(endpoint_id)
@@ -119,7 +119,7 @@
             endpoint_id, incarnation, pause_ms, now_ms
         )
 
-    def pause_left_ms(self, pool: Pool, now_ms: int) -> int:
+    def pause_remaining_ms(self, pool: Pool, now_ms: int) -> int:
         """Return the time until the first pause in a pool ends, in ms.
 
         The time is 0 unless every endpoint of the pool pauses.
@@ -165,7 +165,7 @@
         self._n_refusals[endpoint_id] = min(n_refusals + 1, 8)
         self._deferred_until_ms[endpoint_id] = now_ms + min(pause_ms, MAX_DEFER_MS)
 
-    def next_undeferred_ms(self, now_ms: int) -> int | None:
+    def next_available_at_ms(self, now_ms: int) -> int | None:
         """Return the earliest end of a pause or deferral in monotonic ms, if any."""
         pause_end_ms = self.announcements.next_pause_end_ms(now_ms)
         if not self._deferred_until_ms:
@@ -178,7 +178,7 @@
             end_times_ms.append(pause_end_ms)
         return min(end_times_ms, default=None)
 
-    def views_with_room(self, pool: Pool, now_ms: int) -> list[EndpointView]:
+    def views_with_capacity(self, pool: Pool, now_ms: int) -> list[EndpointView]:
         """Return the endpoints of a pool that have capacity for another attempt."""
         deferred_until_ms = self._deferred_until_ms
         closed_ids = self.groups.find_closed(now_ms)
@@ -192,7 +192,7 @@
             and deferred_until_ms.get(view.info.endpoint_id, 0) <= now_ms
         ]
 
-    def are_closed(self, pool: Pool, now_ms: int) -> bool:
+    def is_pool_closed(self, pool: Pool, now_ms: int) -> bool:
         """Return whether no endpoint of a pool can run a request now.
 
         An endpoint cannot when its latest report says so, or when its group is closed
@@ -213,7 +213,7 @@
             view.is_draining = True
             self._views_by_pool.clear()
 
-    def report_load(self, event: LoadReported, now_ms: int) -> None:
+    def record_load_report(self, event: LoadReported, now_ms: int) -> None:
         """Record a load report unless it is older than the recorded one."""
         self.tracker.apply(event, now_ms)
         view = self.view_by_id.get(event.endpoint_id)
@@ -226,7 +226,7 @@
             view.info = _replace_loaded(info, event)
             self._views_by_pool.clear()
 
-    def report_cache(self, event: CacheReported, now_ms: int) -> None:
+    def record_cache_report(self, event: CacheReported, now_ms: int) -> None:
         """Record cached prefixes that were added or removed."""
         self.tracker.apply(event, now_ms)
 
@@ -241,12 +241,12 @@
                 self._views_by_pool[pool] = views
         return views
 
-    def note_output(self, endpoint_id: str) -> None:
+    def record_output(self, endpoint_id: str) -> None:
         """Record an answer: reset the count of refusals and raise the attempt limit."""
         self._n_refusals.pop(endpoint_id, None)
         view = self.view_by_id.get(endpoint_id)
         if view is not None:
-            self.announcements.note_output(endpoint_id, view.info.n_slots)
+            self.announcements.record_output(endpoint_id, view.info.n_slots)
 
 
 def _is_closed(view: EndpointView, now_ms: int) -> bool:
--- a/packages/core/src/bluebellusher_core/membership/_groups.py
+++ b/packages/core/src/bluebellusher_core/membership/_groups.py
@@ -82,7 +82,7 @@
             # An idle group makes no passes, so its stall time starts with new work.
             group.last_pass_at_ms = now_ms
 
-    def note_closed(self, endpoint_id: str, now_ms: int) -> None:
+    def record_closed(self, endpoint_id: str, now_ms: int) -> None:
         """Record a refusal of a rank because its group is closed."""
         rank = self._rank_by_id.get(endpoint_id)
         if rank is not None:
--- a/packages/core/src/bluebellusher_core/membership/tests/test_membership.py
+++ b/packages/core/src/bluebellusher_core/membership/tests/test_membership.py
@@ -47,7 +47,7 @@
     def report(sequence, models):
         names = frozenset(models), frozenset()
         event = LoadReported("x0", sequence, 0, 0, 0, 2, 0.0, *names, 0)
-        endpoints.report_load(event, 10)
+        endpoints.record_load_report(event, 10)
 
     report(2, "mn")
     assert endpoints.views_of(pool)
@@ -62,9 +62,9 @@
     endpoints = Endpoints(n_max=4)
     endpoints.connect(EndpointConnected(make_info(0, "a")), 0)
     names = frozenset("m"), frozenset()
-    endpoints.report_load(LoadReported("x0", 1, 0, 0, 0, 2, 0.0, *names, 0), 10)
+    endpoints.record_load_report(LoadReported("x0", 1, 0, 0, 0, 2, 0.0, *names, 0), 10)
     view = endpoints.view_by_id["x0"]
     view.own_dispatched_at_ms = [20] * 4
-    assert not endpoints.views_with_room(("s", "m", ""), 30)
+    assert not endpoints.views_with_capacity(("s", "m", ""), 30)
     view.own_ended_at_ms = [25] * 4
-    assert endpoints.views_with_room(("s", "m", ""), 30)
+    assert endpoints.views_with_capacity(("s", "m", ""), 30)
--- a/packages/core/src/bluebellusher_core/reducer/_reduce.py
+++ b/packages/core/src/bluebellusher_core/reducer/_reduce.py
@@ -75,10 +75,10 @@
         case TimerFired():
             return _handle_timer(state, event.timer_id, now_ms)
         case LoadReported():
-            state.endpoints.report_load(event, now_ms)
+            state.endpoints.record_load_report(event, now_ms)
             state.check_at_ms = 0
         case CacheReported():
-            state.endpoints.report_cache(event, now_ms)
+            state.endpoints.record_cache_report(event, now_ms)
         case AttemptAccepted():
             return _attempts.accepted(state, event)
         case AttemptRefused():
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_announcements.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_announcements.py
@@ -123,7 +123,7 @@
     assert not [e for e in effects if isinstance(e, TellLeaving)]
     assert endpoints_of(told.send()) == ["x1"]
     heard.now_ms += 700
-    (mark,) = heard.state.endpoints.announcements.marks(heard.now_ms)
+    (mark,) = heard.state.endpoints.announcements.leaving_marks(heard.now_ms)
     assert mark.age_ms == 700
 
 
@@ -253,7 +253,7 @@
                 leaving.add(start)
                 marks = Entry(0)
                 marks.say(endpoint_id, is_leaving=True, incarnation=incarnation)
-                told = marks.state.endpoints.announcements.marks(marks.now_ms)
+                told = marks.state.endpoints.announcements.leaving_marks(marks.now_ms)
                 entry.handle(LeavingLearned("peer", told))
             case "pause":
                 until_ms = entry.now_ms + value
--- a/packages/core/src/bluebellusher_core/requests/_announced.py
+++ b/packages/core/src/bluebellusher_core/requests/_announced.py
@@ -51,7 +51,7 @@
 ) -> list[Effect]:
     endpoint_id = mark.endpoint_id
     noted_at_ms = now_ms - mark.age_ms
-    if not state.endpoints.note_leaving(endpoint_id, mark.incarnation, noted_at_ms):
+    if not state.endpoints.record_leaving(endpoint_id, mark.incarnation, noted_at_ms):
         return []
     fields: list[Field] = [
         ("endpoint", endpoint_id),
--- a/packages/core/src/bluebellusher_core/requests/_attempts.py
+++ b/packages/core/src/bluebellusher_core/requests/_attempts.py
@@ -46,7 +46,7 @@
     request = state.request_by_id[attempt.request_id]
     attempt.is_accepted = attempt.is_started = True
     effects = _crash_evidence.answered(state, attempt, "output", now_ms)
-    state.endpoints.note_output(attempt.endpoint_id)
+    state.endpoints.record_output(attempt.endpoint_id)
     state.endpoints.tracker.apply(event, now_ms)
     for other in [a for a in request.attempts if a is not attempt]:
         effects += _final.cancel(state, request, other, now_ms)
@@ -63,7 +63,7 @@
     effects = _crash_evidence.answered(state, attempt, "answer", now_ms)
     if not attempt.is_started:
         # An answer without a body.
-        state.endpoints.note_output(attempt.endpoint_id)
+        state.endpoints.record_output(attempt.endpoint_id)
     if event.status >= SERVER_ERROR:
         state.endpoints.tracker.record_failure(attempt.endpoint_id, now_ms)
         if _recovery.can_replace_failure(state, request):
@@ -137,7 +137,7 @@
         state.endpoints.drain(endpoint_id)
         return
     if event.reason is Reason.ENDPOINTS_CLOSED:
-        state.endpoints.groups.note_closed(endpoint_id, now_ms)
+        state.endpoints.groups.record_closed(endpoint_id, now_ms)
     if event.reason in _NOT_CONNECTED:
         state.endpoints.tracker.record_failure(endpoint_id, now_ms)
     state.endpoints.defer(endpoint_id, event.retry_after_ms, now_ms)
--- a/packages/core/src/bluebellusher_core/requests/_isolation.py
+++ b/packages/core/src/bluebellusher_core/requests/_isolation.py
@@ -57,7 +57,7 @@
         _final.release(state, request)
     if not has_free_share(state, pool):
         return None
-    free = state.endpoints.views_with_room(pool, now_ms)
+    free = state.endpoints.views_with_capacity(pool, now_ms)
     return _placing.choose(state, request, free, now_ms) if free else None
 
 
--- a/packages/core/src/bluebellusher_core/requests/_placing.py
+++ b/packages/core/src/bluebellusher_core/requests/_placing.py
@@ -63,7 +63,7 @@
     """
     pool = pool_of(request.spec)
     can_wait = request.may_have_run or request.spec.is_returning
-    if can_wait or not state.endpoints.are_closed(pool, now_ms):
+    if can_wait or not state.endpoints.is_pool_closed(pool, now_ms):
         return None
     if not isinstance(_queue_of(state, pool), ClosableQueue):
         return None
@@ -97,7 +97,7 @@
         start_by_ms = now_ms + state.config.resume_wait_ms
         spec = replace(spec, start_by_ms=start_by_ms)
     pool = pool_of(spec)
-    _queue_of(state, pool).put_back(spec, now_ms)
+    _queue_of(state, pool).requeue(spec, now_ms)
     state.waiting_pools.add(pool)
     return []
 
@@ -200,8 +200,8 @@
         request = state.request_by_id[spec.request_id]
         effects += _reject_waiting(state, request, refusal, now_ms)
     while len(queue):
-        views = state.endpoints.views_with_room(pool, now_ms)
-        taken = queue.take(now_ms) if views else None
+        views = state.endpoints.views_with_capacity(pool, now_ms)
+        taken = queue.dequeue(now_ms) if views else None
         if taken is None:
             break
         request = state.request_by_id[taken.request_id]
@@ -214,7 +214,7 @@
             continue
         endpoint_id = choose(state, request, views, now_ms)
         if endpoint_id is None:
-            queue.put_back(taken, now_ms)
+            queue.requeue(taken, now_ms)
             break
         effects += dispatch(state, request, endpoint_id, now_ms)
     return effects
@@ -233,14 +233,14 @@
     state: EntryState, pool: Pool, queue: AdmissionQueue, now_ms: int
 ) -> None:
     if isinstance(queue, ClosableQueue):
-        queue.observe_closed(state.endpoints.are_closed(pool, now_ms))
+        queue.observe_closed(state.endpoints.is_pool_closed(pool, now_ms))
 
 
 def _tell_pause(
     state: EntryState, pool: Pool, queue: AdmissionQueue, now_ms: int
 ) -> None:
     if isinstance(queue, PausableQueue):
-        queue.observe_pause(state.endpoints.pause_left_ms(pool, now_ms))
+        queue.observe_pause(state.endpoints.pause_remaining_ms(pool, now_ms))
 
 
 def _tell_rate(
@@ -256,12 +256,12 @@
     if service_ms is None or not len(queue):
         return
     views = state.endpoints.views_of(pool)
-    if state.endpoints.are_closed(pool, now_ms):
+    if state.endpoints.is_pool_closed(pool, now_ms):
         n_slots = sum(view.info.n_slots for view in views) // state.n_entries
         queue.observe_service(max(1, n_slots), service_ms)
         return
     n_slots = sum(view.n_own_in_flight for view in views)
-    free = state.endpoints.views_with_room(pool, now_ms)
+    free = state.endpoints.views_with_capacity(pool, now_ms)
     n_slots += sum(view.info.n_slots - view.n_own_in_flight for view in free)
     queue.observe_service(max(1, n_slots), service_ms)
 
@@ -321,7 +321,7 @@
     due += [since_ms + grace_ms for since_ms in state.unserved_since_ms.values()]
     # A queue refuses what can no longer be served only when it is asked.
     due.append(now_ms + EXPIRY_CHECK_MS)
-    undeferred_ms = state.endpoints.next_undeferred_ms(now_ms)
+    undeferred_ms = state.endpoints.next_available_at_ms(now_ms)
     if undeferred_ms is not None:
         due.append(undeferred_ms)
     due_ms = min(due)
--- a/packages/core/src/bluebellusher_core/requests/_recovery.py
+++ b/packages/core/src/bluebellusher_core/requests/_recovery.py
@@ -182,7 +182,7 @@
     pool = _placing.pool_of(spec)
     if pool in state.waiting_pools or not _isolation.has_free_share(state, pool):
         return []
-    views = state.endpoints.views_with_room(pool, now_ms)
+    views = state.endpoints.views_with_capacity(pool, now_ms)
     others = [v for v in views if v.info.endpoint_id != attempt.endpoint_id]
     if not others:
         return []
--- a/packages/core/src/bluebellusher_core/routing/__init__.py
+++ b/packages/core/src/bluebellusher_core/routing/__init__.py
@@ -8,7 +8,7 @@
 )
 from bluebellusher_core.routing._predicted_latency import PredictedLatency
 from bluebellusher_core.routing._protocol import EndpointView, RoutingPolicy
-from bluebellusher_core.routing._slot_aware import SlotAware, count_taken
+from bluebellusher_core.routing._slot_aware import SlotAware, count_occupied_slots
 from bluebellusher_core.routing._tracker import EndpointTracker
 
 __all__ = [
@@ -21,5 +21,5 @@
     "RoutingPolicy",
     "SlotAware",
     "TwoChoices",
-    "count_taken",
+    "count_occupied_slots",
 ]
--- a/packages/core/src/bluebellusher_core/routing/_slot_aware.py
+++ b/packages/core/src/bluebellusher_core/routing/_slot_aware.py
@@ -86,7 +86,7 @@
     def _compute_occupied_share(self, view: EndpointView, now_ms: int) -> float:
         """Return the share of occupied slots, including all penalties."""
         n_slots = view.info.n_slots or 1
-        n_occupied = count_taken(view, now_ms)
+        n_occupied = count_occupied_slots(view, now_ms)
         if view.info.failure_domain != self.failure_domain:
             n_occupied += self.remote_penalty_slots
         age_ms = now_ms - view.failure_rate_updated_at_ms
@@ -98,7 +98,7 @@
         return n_occupied / n_slots
 
 
-def count_taken(view: EndpointView, now_ms: int) -> float:
+def count_occupied_slots(view: EndpointView, now_ms: int) -> float:
     """Return the estimated number of occupied slots of an endpoint.
 
     The estimate is the latest report corrected by the own attempts that were dispatched
--- a/packages/entry/src/bluebellusher/gateway/_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -302,7 +302,7 @@
         self.crash_table.note_own()
 
     def _find_leaving(self) -> tuple[LeavingMark, ...]:
-        return self.state.endpoints.announcements.marks(self.clock.now_ms())
+        return self.state.endpoints.announcements.leaving_marks(self.clock.now_ms())
 
     def _tell_leaving(self, effect: TellLeaving) -> None:
         self.peer_exchange.tell_leaving(effect.marks)
--- a/packages/entry/src/bluebellusher/gateway/_view.py
+++ b/packages/entry/src/bluebellusher/gateway/_view.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from typing import TYPE_CHECKING, Any
 
-from bluebellusher_core.routing import count_taken
+from bluebellusher_core.routing import count_occupied_slots
 from bluebellusher_core.wire import messages
 
 if TYPE_CHECKING:
@@ -43,7 +43,7 @@
         is_reported = view.report is not None
         return {
             "domain": view.info.failure_domain,
-            "n_taken": count_taken(view, now_ms),
+            "n_taken": count_occupied_slots(view, now_ms),
             "n_own": view.n_own_in_flight,
             "report_age_ms": now_ms - view.reported_at_ms if is_reported else -1,
             "failure_rate": view.failure_rate,
--- a/packages/entry/src/bluebellusher/shared/_directory.py
+++ b/packages/entry/src/bluebellusher/shared/_directory.py
@@ -112,9 +112,9 @@
     def note_contact(self, is_in_contact: bool) -> None:
         """Note whether the store answers."""
         if is_in_contact:
-            self.registrations.store_returned(self._clock.now_ms())
+            self.registrations.record_store_available(self._clock.now_ms())
         else:
-            self.registrations.store_lost()
+            self.registrations.record_store_unavailable()
 
     def tick(self, now_ms: int) -> None:
         """End the grace of lapsed registrations."""
