--- a/packages/core/src/bluebellusher_core/membership/_endpoints.py
+++ b/packages/core/src/bluebellusher_core/membership/_endpoints.py
@@ -85,7 +85,7 @@
         self._views_by_pool.clear()
         return []
 
-    def refresh(self, info: EndpointInfo) -> None:
+    def update_info(self, info: EndpointInfo) -> None:
         """Replace the description of a connected endpoint; its attempts continue."""
         view = self.view_by_id[info.endpoint_id]
         view.info = info
@@ -111,7 +111,7 @@
             self.drain(endpoint_id)
         return is_new
 
-    def pause(
+    def start_pause(
         self, endpoint_id: str, incarnation: int, pause_ms: int, now_ms: int
     ) -> int:
         """Start a pause that an endpoint asked for; return its duration in ms."""
--- a/packages/core/src/bluebellusher_core/requests/_announced.py
+++ b/packages/core/src/bluebellusher_core/requests/_announced.py
@@ -23,7 +23,7 @@
         # Peers that learn it do not pass it on; each is told by the one that heard it.
         effects += [*news, TellLeaving((mark,))] if news else []
     if event.pause_ms:
-        pause_ms = state.endpoints.pause(
+        pause_ms = state.endpoints.start_pause(
             endpoint_id, incarnation, event.pause_ms, now_ms
         )
         fields: list[Field] = [
--- a/packages/core/src/bluebellusher_core/requests/_links.py
+++ b/packages/core/src/bluebellusher_core/requests/_links.py
@@ -50,7 +50,7 @@
         return effects + _crash_evidence.gone(
             state, info.endpoint_id, "started again", now_ms, started_at_ms
         )
-    state.endpoints.refresh(info)
+    state.endpoints.update_info(info)
     state.check_at_ms = 0
     return []
 
