--- a/packages/core/src/bluebellusher_core/admission/_fair_queue.py
+++ b/packages/core/src/bluebellusher_core/admission/_fair_queue.py
@@ -166,7 +166,7 @@
         return True
 
     def expire(self, now_ms: int) -> list[tuple[RequestSpec, Refusal]]:
-        """Remove requests that can no longer meet their deadline, with rejections."""
+        """Remove and reject requests that can no longer meet their deadline."""
         self._rate.advance(now_ms, has_backlog=bool(self._waiting_by_id))
         expired = []
         while self._deadline_heap and self._deadline_heap[0][0] <= now_ms:
@@ -238,7 +238,7 @@
         self._compact(flow)
 
     def _update_head(self, customer_id: str, flow: Flow) -> None:
-        """Update the customer's position if its first waiting request has changed."""
+        """Update the customer's position when its first waiting request has changed."""
         while flow.heap and not flow.heap[0][1].is_in_flow:
             heapq.heappop(flow.heap)
         head = flow.heap[0][1] if flow.heap else None
@@ -292,7 +292,7 @@
         return self._waiting_by_id.get(waiting.request.request_id) is waiting
 
     def _compact(self, flow: Flow) -> None:
-        """Remove stale heap entries once they prevail; O(1) amortised."""
+        """Remove stale heap entries once they outnumber live ones; O(1) amortised."""
         n_waiting = len(self._waiting_by_id)
         if len(self._deadline_heap) > 2 * n_waiting + MIN_STALE_ENTRIES:
             self._deadline_heap = [
--- a/packages/core/src/bluebellusher_core/admission/_objective_queue.py
+++ b/packages/core/src/bluebellusher_core/admission/_objective_queue.py
@@ -15,6 +15,7 @@
 # A caller retries only when ``retry_after_ms`` is at most this share of the time to
 # its deadline.
 MAX_RETRY_AFTER_SHARE = 1 / 3
+# Lower bound of ``retry_after_ms``.
 MIN_RETRY_AFTER_MS = 100
 # Retries are spread between this share of the longest ``retry_after_ms`` that a caller
 # accepts and the whole of it.
@@ -135,7 +136,7 @@
         return True
 
     def expire(self, now_ms: int) -> list[tuple[RequestSpec, Refusal]]:
-        """Remove requests that must not wait any longer, with their rejections.
+        """Remove and reject requests that must not wait any longer.
 
         These are requests that cannot start before the timeout of their caller. While
         every endpoint is closed, they are also the fresh requests, whose callers can
@@ -173,7 +174,7 @@
         self._is_closed = is_closed
 
     def observe_pause(self, pause_ms: int) -> None:
-        """Set the time until the first pause of an endpoint ends, in ms; 0 for none.
+        """Set the time until an endpoint takes work again, in ms; 0 when one does now.
 
         Load pattern: every endpoint of a service is full and asks for a pause. Requests
         that can still be served after the pause wait. Others are rejected at once and
@@ -189,7 +190,7 @@
         return len(self._waiting_by_id)
 
     def _make_waiting(self, request: RequestSpec, now_ms: int) -> _WaitingRequest:
-        """Return the request ordered by its objective if it can still meet that."""
+        """Return a queue item, limited by its objective or by its caller's timeout."""
         latest_start_ms = self._latest_start_ms(request)
         objective_ms = request.objective_at_ms
         priority_ms = PRIORITY_HEAD_START_MS * float(request.priority)
--- a/packages/core/src/bluebellusher_core/admission/_protocol.py
+++ b/packages/core/src/bluebellusher_core/admission/_protocol.py
@@ -22,7 +22,7 @@
         """Remove a request whose caller disconnected; return whether it waited."""
 
     def expire(self, now_ms: int) -> list[tuple[RequestSpec, Refusal]]:
-        """Remove requests that can no longer meet their deadline, with rejections."""
+        """Remove and reject requests that can no longer meet their deadline."""
 
     def observe_service(self, n_slots: int, service_ms: float) -> None:
         """Set the number of concurrent requests and their mean service time in ms."""
@@ -59,7 +59,7 @@
         return len(self._requests) < n_before
 
     def expire(self, now_ms: int) -> list[tuple[RequestSpec, Refusal]]:
-        """Remove the requests whose deadline has passed, with their rejections."""
+        """Remove and reject the requests whose deadline has passed."""
         expired = [r for r in self._requests if r.deadline_ms <= now_ms]
         self._requests = [r for r in self._requests if r.deadline_ms > now_ms]
         return [(request, _make_deadline_rejection()) for request in expired]
--- a/packages/core/src/bluebellusher_core/admission/tests/overload.py
+++ b/packages/core/src/bluebellusher_core/admission/tests/overload.py
@@ -19,7 +19,7 @@
 
 @dataclass
 class SimulationResult:
-    """Number of callers by the end of their requests."""
+    """Number of callers by the result of their requests."""
 
     n_callers: int = 0
     n_on_time: int = 0
--- a/packages/core/src/bluebellusher_core/membership/_announcements.py
+++ b/packages/core/src/bluebellusher_core/membership/_announcements.py
@@ -16,7 +16,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _Leaving:
-    """The start of an endpoint that announced its shutdown, and the time of that."""
+    """Start of an endpoint that announced its shutdown, and when it did so."""
 
     incarnation: int
     announced_at_ms: int
@@ -24,7 +24,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _Pause:
-    """The start of an endpoint that asked for a pause, and the end of the pause."""
+    """Start of an endpoint that asked for a pause, and the end of the pause."""
 
     incarnation: int
     until_ms: int
--- a/packages/core/src/bluebellusher_core/membership/_endpoints.py
+++ b/packages/core/src/bluebellusher_core/membership/_endpoints.py
@@ -120,7 +120,7 @@
         )
 
     def pause_remaining_ms(self, pool: Pool, now_ms: int) -> int:
-        """Return the time until the first pause in a pool ends, in ms.
+        """Return the time until an endpoint of a pool ends its pause, in ms.
 
         The time is 0 unless every endpoint of the pool pauses.
         """
@@ -152,18 +152,18 @@
         self.announcements.discard_ended_pause(endpoint_id, now_ms)
         self.tracker.apply(EndpointLost(endpoint_id), now_ms)
 
-    def defer(self, endpoint_id: str, pause_ms: int, now_ms: int) -> None:
+    def defer(self, endpoint_id: str, defer_ms: int, now_ms: int) -> None:
         """Exclude an endpoint from new attempts for a time after a refusal or crash.
 
-        The time is the larger of ``pause_ms`` and ``MIN_DEFER_MS``, in ms. It doubles
+        The time is the larger of ``defer_ms`` and ``MIN_DEFER_MS``, in ms. It doubles
         with each call since the last answer of the endpoint, up to ``MAX_DEFER_MS``.
         """
         if endpoint_id not in self.view_by_id:
             return
         n_refusals = self._n_refusals.get(endpoint_id, 0)
-        pause_ms = max(pause_ms, MIN_DEFER_MS) << n_refusals
+        defer_ms = max(defer_ms, MIN_DEFER_MS) << n_refusals
         self._n_refusals[endpoint_id] = min(n_refusals + 1, 8)
-        self._deferred_until_ms[endpoint_id] = now_ms + min(pause_ms, MAX_DEFER_MS)
+        self._deferred_until_ms[endpoint_id] = now_ms + min(defer_ms, MAX_DEFER_MS)
 
     def next_available_at_ms(self, now_ms: int) -> int | None:
         """Return the earliest end of a pause or deferral in monotonic ms, if any."""
@@ -250,6 +250,7 @@
 
 
 def _is_closed(view: EndpointView, now_ms: int) -> bool:
+    """Return whether a recent report says that the endpoint can run no request."""
     report = view.report
     if report is None or now_ms - view.reported_at_ms > REPORT_MAX_AGE_MS:
         return False
@@ -273,12 +274,14 @@
 
 
 def _replace_loaded(info: EndpointInfo, event: LoadReported) -> EndpointInfo:
+    """Return ``info`` with the models, adapters and slots of a load report."""
     return replace(
         info, models=event.models, adapters=event.adapters, n_slots=event.n_slots
     )
 
 
 def _serves(view: EndpointView, pool: Pool) -> bool:
+    """Return whether an endpoint that is not draining serves a pool."""
     service_id, model, adapter = pool
     info = view.info
     if view.is_draining or service_id not in info.services:
--- a/packages/core/src/bluebellusher_core/membership/_groups.py
+++ b/packages/core/src/bluebellusher_core/membership/_groups.py
@@ -13,7 +13,7 @@
 
 @dataclass(slots=True)
 class _Rank:
-    """State of its group according to the latest report of a rank."""
+    """Group state in the latest report of one rank."""
 
     group_id: str
     epoch: int
@@ -100,13 +100,13 @@
 
     def find_closed(self, now_ms: int) -> frozenset[str]:
         """Return the ids of the endpoints of all closed groups."""
-        return self._find(self._is_closed, now_ms)
+        return self._find_endpoint_ids(self._is_closed, now_ms)
 
     def find_stalled(self, now_ms: int) -> frozenset[str]:
         """Return the ids of the endpoints of all groups that start no pass."""
-        return self._find(self._is_stalled, now_ms)
+        return self._find_endpoint_ids(self._is_stalled, now_ms)
 
-    def _find(
+    def _find_endpoint_ids(
         self, matches: Callable[[_Group, int], bool], now_ms: int
     ) -> frozenset[str]:
         groups = self._group_by_id.values()
@@ -114,6 +114,7 @@
         return frozenset().union(*found)
 
     def _is_closed(self, group: _Group, now_ms: int) -> bool:
+        """Return whether a rank in the latest epoch reports the group as closed."""
         recent = self._find_recent_ranks(group, now_ms)
         epoch = max((rank.epoch for rank in recent), default=0)
         return any(not rank.is_open for rank in recent if rank.epoch == epoch)
@@ -125,8 +126,8 @@
         last_reported_at_ms = max(
             (rank.reported_at_ms for rank in recent), default=now_ms
         )
-        is_late = last_reported_at_ms - group.last_pass_at_ms > MAX_PASS_MS
-        return is_late and self._has_work(group)
+        is_pass_overdue = last_reported_at_ms - group.last_pass_at_ms > MAX_PASS_MS
+        return is_pass_overdue and self._has_work(group)
 
     def _find_recent_ranks(self, group: _Group, now_ms: int) -> list[_Rank]:
         """Return the reports of a group's ranks that are not older than the maximum."""
--- a/packages/core/src/bluebellusher_core/routing/_predicted_latency.py
+++ b/packages/core/src/bluebellusher_core/routing/_predicted_latency.py
@@ -40,7 +40,7 @@
 
 
 class PredictedLatency:
-    """Policy with the lowest predicted time to first token in a random sample.
+    """Policy that chooses the lowest predicted time to first token in a sample.
 
     The load of an endpoint is the number of the entry's own attempts, which is exact,
     plus an estimate for other entries: the reported load less the own attempts at the
--- a/packages/core/src/bluebellusher_core/routing/_slot_aware.py
+++ b/packages/core/src/bluebellusher_core/routing/_slot_aware.py
@@ -28,7 +28,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SlotAware:
-    """Policy with the smallest share of occupied slots in a random sample.
+    """Policy that chooses the smallest share of occupied slots in a random sample.
 
     The number of occupied slots is that of the latest report, corrected by the own
     attempts that were dispatched or ended since; without a report only own attempts
