--- a/packages/core/src/bluebellusher_core/membership/_announcements.py
+++ b/packages/core/src/bluebellusher_core/membership/_announcements.py
@@ -70,8 +70,8 @@
     ) -> bool:
         """Record that an endpoint announced its shutdown; return whether it is new.
 
-        An endpoint without a known start (``incarnation`` 0) is not recorded, because
-        its next start could not be distinguished from this one.
+        An endpoint that does not report its start (``incarnation`` 0) is not recorded,
+        because its next start could not be distinguished from this one.
         """
         if not incarnation:
             return False
--- a/packages/core/src/bluebellusher_core/membership/_endpoints.py
+++ b/packages/core/src/bluebellusher_core/membership/_endpoints.py
@@ -195,8 +195,8 @@
     def is_pool_closed(self, pool: Pool, now_ms: int) -> bool:
         """Return whether no endpoint of a pool can run a request now.
 
-        An endpoint cannot when its latest report says so, or when its group is closed
-        or stalled. A pool without endpoints does not count as closed.
+        This is the case when each endpoint reports that it is closed or belongs to a
+        group that is closed or stalled. A pool without endpoints is not closed.
         """
         groups = self.groups
         closed_ids = groups.find_closed(now_ms) | groups.find_stalled(now_ms)
@@ -250,7 +250,7 @@
 
 
 def _is_closed(view: EndpointView, now_ms: int) -> bool:
-    """Return whether a recent report says that the endpoint can run no request."""
+    """Return whether the endpoint recently reported that it can run no request."""
     report = view.report
     if report is None or now_ms - view.reported_at_ms > REPORT_MAX_AGE_MS:
         return False
--- a/packages/core/src/bluebellusher_core/membership/tests/test_membership.py
+++ b/packages/core/src/bluebellusher_core/membership/tests/test_membership.py
@@ -18,7 +18,7 @@
 
 
 @given(st.lists(st.sampled_from("abc"), max_size=60), st.integers(1, 20), st.data())
-def test_property_subset_is_bounded_near_and_stable(domains, n_max, data):
+def test_property_subset_is_bounded_local_and_stable(domains, n_max, data):
     """Guards against subsets that are too large, remote or change too much."""
     infos = [make_info(i, domain) for i, domain in enumerate(domains)]
     subset = choose_subset("e", "a", infos, n_max)
@@ -38,7 +38,7 @@
 
 
 def test_late_report_is_ignored_and_a_loaded_model_adds_its_pool():
-    """Guards against an old report that undoes a newer one."""
+    """Guards against an old report that overwrites a newer one."""
     endpoints = Endpoints(n_max=4)
     endpoints.connect(EndpointConnected(make_info(0, "a")), 0)
     pool = ("s", "n", "")
--- a/packages/core/src/bluebellusher_core/routing/_predicted_latency.py
+++ b/packages/core/src/bluebellusher_core/routing/_predicted_latency.py
@@ -230,6 +230,7 @@
         median_slowness: float,
         now_ms: int,
     ) -> float:
+        """Return the predicted time to first token, in ms, at the observed speed."""
         view = load.view
         predicted_ms = self._predict_at_normal_speed_ms(request, load, n_others)
         predicted_ms += self.load_ms * (view.n_own_in_flight + n_others)
@@ -243,12 +244,15 @@
     def _predict_at_normal_speed_ms(
         self, request: RequestSpec, load: _Load, n_others: float
     ) -> float:
+        """Return the time for prefill and waiting for a slot at normal speed, in ms."""
         view = load.view
         n_tokens = request.n_input_tokens - view.count_cached_tokens(request)
         n_tokens_ahead = view.n_own_queued_tokens + _estimate_others_queued_tokens(load)
         prefill_ms = (n_tokens + n_tokens_ahead) / self.prefill_tokens_per_ms
         n_in_flight = view.n_own_in_flight + n_others
         n_slots = _n_slots(view)
+        # Standard deviation of the other entries' attempts; it grows with the age of
+        # the report.
         deviation = sqrt((1 - load.report_weight * load.report_weight) * n_others)
         n_excess = _mean_excess(n_in_flight - (n_slots - 1), deviation)
         service_ms = view.own_service_ms or DEFAULT_SERVICE_MS
@@ -284,6 +288,7 @@
 
 
 def _n_slots(view: EndpointView) -> int:
+    """Return the number of slots by the latest report, else by the description."""
     n_slots = view.info.n_slots if view.report is None else view.report.n_slots
     return n_slots or 1
 
--- a/packages/core/src/bluebellusher_core/routing/tests/herd.py
+++ b/packages/core/src/bluebellusher_core/routing/tests/herd.py
@@ -49,7 +49,10 @@
     domains = [f"d{i % 3}" for i in range(max(n_entries, n_endpoints))]
     policies = [make_policy(domains[i]) for i in range(n_entries)]
     views = [
-        [_make_view(f"x{j}", domains[j], n_slots) for j in range(n_endpoints)]
+        [
+            _make_view(f"x{index}", domains[index], n_slots)
+            for index in range(n_endpoints)
+        ]
         for _ in range(n_entries)
     ]
     running = [0] * n_endpoints
@@ -64,8 +67,12 @@
     while at_ms < simulated_ms:
         at_ms += random_state.expovariate(arrivals_per_ms)
         push(at_ms, "arrive", random_state.randrange(n_entries))
-    for j in range(n_endpoints):
-        push(random_state.uniform(0, LOCAL_REPORT_INTERVAL_MS), "report", (j, 0))
+    for index in range(n_endpoints):
+        push(
+            random_state.uniform(0, LOCAL_REPORT_INTERVAL_MS),
+            "report",
+            (index, 0),
+        )
     while events:
         now_ms, _, kind, value = heapq.heappop(events)
         if now_ms > simulated_ms:
@@ -74,38 +81,44 @@
         if kind == "arrive":
             own_views = views[value]
             chosen = policies[value].choose(None, own_views, now_ms, random_state)
-            j = int(chosen[1:])
-            view = own_views[j]
+            index = int(chosen[1:])
+            view = own_views[index]
             view.n_own_in_flight += 1
             view.own_dispatched_at_ms.append(now_ms)
             result.n_requests += 1
-            result.n_remote += domains[j] != domains[value]
-            if running[j] < n_slots:
-                running[j] += 1
-                push(now_ms + SERVICE_MS, "end", (j, value))
+            result.n_remote += domains[index] != domains[value]
+            if running[index] < n_slots:
+                running[index] += 1
+                push(now_ms + SERVICE_MS, "end", (index, value))
             else:
                 result.n_waited += 1
-                waiting[j].append((now_ms, value))
+                waiting[index].append((now_ms, value))
         elif kind == "end":
-            j, entry = value
-            view = views[entry][j]
+            index, entry = value
+            view = views[entry][index]
             view.n_own_in_flight -= 1
             view.own_ended_at_ms.append(now_ms)
-            running[j] -= 1
-            if waiting[j]:
-                waiting_since_ms, waiting_entry = waiting[j].pop(0)
+            running[index] -= 1
+            if waiting[index]:
+                waiting_since_ms, waiting_entry = waiting[index].pop(0)
                 result.n_waited_long += now_ms - waiting_since_ms > 250
-                running[j] += 1
-                push(now_ms + SERVICE_MS, "end", (j, waiting_entry))
+                running[index] += 1
+                push(now_ms + SERVICE_MS, "end", (index, waiting_entry))
         else:
-            j, n = value
-            push(now_ms + LOCAL_REPORT_INTERVAL_MS, "report", (j, n + 1))
+            index, n = value
+            push(now_ms + LOCAL_REPORT_INTERVAL_MS, "report", (index, n + 1))
             reaches_all_entries = (
                 n % (REMOTE_REPORT_INTERVAL_MS // LOCAL_REPORT_INTERVAL_MS) == 0
             )
             for i in range(n_entries):
-                if reaches_all_entries or domains[i] == domains[j]:
-                    _apply_report(views[i][j], running[j], len(waiting[j]), n, now_ms)
+                if reaches_all_entries or domains[i] == domains[index]:
+                    _apply_report(
+                        views[i][index],
+                        running[index],
+                        len(waiting[index]),
+                        n,
+                        now_ms,
+                    )
     return result
 
 
--- a/packages/core/src/bluebellusher_core/routing/tests/test_slot_aware.py
+++ b/packages/core/src/bluebellusher_core/routing/tests/test_slot_aware.py
@@ -37,8 +37,8 @@
 
 def test_local_endpoint_is_chosen_unless_it_is_clearly_more_loaded():
     """Guards against traffic between failure domains without a benefit."""
-    assert choose([make_view("near", 3), make_view("far", 3, "there")]) == "near"
-    assert choose([make_view("near", 5), make_view("far", 2, "there")]) == "far"
+    assert choose([make_view("local", 3), make_view("remote", 3, "there")]) == "local"
+    assert choose([make_view("local", 5), make_view("remote", 2, "there")]) == "remote"
 
 
 def test_failing_endpoint_is_avoided_and_used_again_later():
@@ -53,7 +53,7 @@
 
 def test_endpoint_that_stopped_answering_is_avoided():
     """Guards against requests that are sent to an unresponsive endpoint."""
-    views = [make_view("dark", 1), make_view("good", 5)]
+    views = [make_view("unresponsive", 1), make_view("good", 5)]
     views[0].unanswered_at_ms = {"t": 0}
     assert choose(views, now_ms=1_000) == "good"
 
