Merge the wording of admission, routing, prefix, directory and membership

Comments, messages and names of admission, routing, prefix, directory and membership; renames replayed over the other packages. Behaviour does not change (compare of definitions).

--- a/packages/core/src/bluebellusher_core/directory/_mirror.py
+++ b/packages/core/src/bluebellusher_core/directory/_mirror.py
@@ -1,15 +1,16 @@
-"""A copy of one table that is kept up to date by changes, snapshots and peers."""
+"""Copy of one table of the store, updated by changes, snapshots and peers."""
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-# Peers ask within seconds; a row that was removed is remembered far longer.
+# Upper bound of recorded removals. Peers request changes within seconds, and a removal
+# stays recorded for much longer than that.
 N_MAX_REMOVED = 4_096
 
 
 @dataclass(frozen=True, slots=True)
 class MirrorRow:
-    """A row, or the removal of one; ``version`` is that of the last change."""
+    """A row or the removal of one, with the ``version`` of its last change."""
 
     key: str
     version: int
@@ -21,14 +22,18 @@
 class TableMirror:
     """Rows of one table as of ``version``.
 
-    A row is replaced only by a higher version, so that late, repeated and stale
-    answers never take a change back. ``version`` is the store's counter up to which
-    every change is included; 0 means that nothing is known yet.
+    A row is replaced only by one of a higher version, so that late, repeated and stale
+    answers never revert a change.
 
     Parameters
     ----------
     table : str
         Name of the table.
+    version : int
+        Version of the store up to which every change is included; 0 before the first
+        answer.
+    row_by_key : dict of str to MirrorRow
+        Current rows by key.
 
     Examples
     --------
@@ -47,50 +52,51 @@
     _removed_by_key: dict[str, MirrorRow] = field(default_factory=dict)
 
     def apply(self, rows: Iterable[MirrorRow], version: int) -> list[MirrorRow]:
-        """Take changes in; return the rows that are new to this copy."""
-        news = [row for row in rows if self._take(row)]
+        """Apply changes; return the rows that are newer than those of this copy."""
+        changed_rows = [row for row in rows if self._apply_row(row)]
         self.version = max(self.version, version)
-        return news
+        return changed_rows
 
     def replace(self, rows: Iterable[MirrorRow], version: int) -> list[MirrorRow]:
-        """Take a whole table as of ``version``; return what is new, removals too.
+        """Replace all rows by a snapshot; return the changed and removed rows.
 
-        A snapshot that is older than this copy comes from a stale read and changes
-        nothing.
+        A snapshot whose version is lower than that of this copy comes from a stale
+        read and is ignored.
         """
         if version < self.version:
             return []
         rows = list(rows)
-        news = self.apply(rows, version)
-        present = {row.key for row in rows}
-        missing = [key for key in self.row_by_key if key not in present]
-        for key in missing:
+        changed_rows = self.apply(rows, version)
+        snapshot_keys = {row.key for row in rows}
+        missing_keys = [key for key in self.row_by_key if key not in snapshot_keys]
+        for key in missing_keys:
             removed = MirrorRow(key, version, b"", is_removed=True)
-            if self._take(removed):
-                news.append(removed)
-        return news
+            if self._apply_row(removed):
+                changed_rows.append(removed)
+        return changed_rows
 
     def changes_since(self, version: int) -> list[MirrorRow]:
-        """Return every known change above ``version``, oldest first."""
+        """Return every recorded change above ``version``, oldest first."""
         rows = [*self.row_by_key.values(), *self._removed_by_key.values()]
         return sorted(
             (row for row in rows if row.version > version), key=lambda r: r.version
         )
 
-    def _take(self, row: MirrorRow) -> bool:
-        known = self.row_by_key.get(row.key) or self._removed_by_key.get(row.key)
-        if known is not None and known.version >= row.version:
+    def _apply_row(self, row: MirrorRow) -> bool:
+        """Apply a row unless its version is not above the recorded one."""
+        current = self.row_by_key.get(row.key) or self._removed_by_key.get(row.key)
+        if current is not None and current.version >= row.version:
             return False
         if row.is_removed:
             self.row_by_key.pop(row.key, None)
             self._removed_by_key[row.key] = row
-            self._forget_oldest()
+            self._evict_oldest_removals()
         else:
             self._removed_by_key.pop(row.key, None)
             self.row_by_key[row.key] = row
         return True
 
-    def _forget_oldest(self) -> None:
+    def _evict_oldest_removals(self) -> None:
         while len(self._removed_by_key) > N_MAX_REMOVED:
             oldest = min(self._removed_by_key.values(), key=lambda r: r.version)
             del self._removed_by_key[oldest.key]
--- a/packages/core/src/bluebellusher_core/membership/_groups.py
+++ b/packages/core/src/bluebellusher_core/membership/_groups.py
@@ -1,74 +1,75 @@
-"""Groups of ranks that can run nothing now."""
+"""Detection of groups of ranks that cannot run requests."""
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from bluebellusher_core.events import LoadReported
 
-# Passes of a slow group take 600 ms. A group that loses a rank stands still for 1,500
-# ms before its ranks say so.
+# Time without a new pass, in ms, after which a group with work counts as stalled.
+# Passes of a slow group take 600 ms. A group that loses a rank makes no passes for
+# 1,500 ms before its ranks report it.
 MAX_PASS_MS = 800
 
 
 @dataclass(slots=True)
 class _Rank:
-    """What a rank last said of its group."""
+    """Group state in the latest report of one rank."""
 
     group_id: str
     epoch: int
     is_open: bool
     has_work: bool
-    told_at_ms: int
+    reported_at_ms: int
 
 
 @dataclass(slots=True)
 class _Group:
-    """Ranks of a group, and its latest pass."""
+    """Ranks of a group and the latest pass that one of them reported."""
 
     endpoint_ids: set[str] = field(default_factory=set)
     epoch: int = 0
     step: int = 0
-    advanced_at_ms: int = 0
+    last_pass_at_ms: int = 0
 
-    def note_step(self, epoch: int, step: int, now_ms: int) -> None:
-        """Take a pass that a rank has begun."""
+    def record_step(self, epoch: int, step: int, now_ms: int) -> None:
+        """Record a pass that a rank has started; an earlier pass is ignored."""
         if (epoch, step) > (self.epoch, self.step):
-            self.epoch, self.step, self.advanced_at_ms = epoch, step, now_ms
+            self.epoch, self.step, self.last_pass_at_ms = epoch, step, now_ms
 
 
 @dataclass(slots=True)
 class GroupStates:
-    """Open and closed groups, by what their ranks say.
+    """Closed and stalled groups according to the reports of their ranks.
 
-    Ranks advance in lock-step: when one is lost, none can run anything. The lost rank
-    itself says nothing, so that what the others say decides for it. A group that was
-    formed anew has a higher epoch, and what was said in an earlier one no longer
-    counts. A group that has work and begins no pass stands still, whatever its ranks
-    say; they take requests and run them when it goes on.
+    Ranks advance in lock-step: when one is lost, none can run a request. The lost rank
+    sends no report, so a group is closed when any of its ranks reports that it is. A
+    group that is formed again has a higher epoch, and reports of an earlier epoch no
+    longer count. A group that has work and starts no pass is stalled even if its ranks
+    report it as open: they accept requests and run them when the group continues.
 
     Load pattern: a failure domain is cut off, or a machine freezes while its rank holds
-    a step. Entries would send every request to ranks that answer late or never, until
-    their callers leave, and once the group goes on it would be busy with requests that
-    nobody waits for.
+    a step. Without this detection, entries would dispatch every request to ranks that
+    answer late or never, until the callers disconnect. When the group continues, it
+    would run requests whose callers no longer wait.
 
     Parameters
     ----------
     max_age_ms : int
-        Age from which a report no longer counts.
+        Age from which a report of a rank no longer counts, in ms.
     """
 
     max_age_ms: int
     _rank_by_id: dict[str, _Rank] = field(default_factory=dict)
     _group_by_id: dict[str, _Group] = field(default_factory=dict)
 
-    def note_report(self, report: LoadReported, now_ms: int) -> None:
-        """Take what a rank says of its group."""
+    def record_report(self, report: LoadReported, now_ms: int) -> None:
+        """Record the state of a group from the load report of one of its ranks."""
         if not report.group_id:
             return
         endpoint_id = report.endpoint_id
-        known = self._rank_by_id.get(endpoint_id)
-        if known is not None and known.group_id != report.group_id:
-            self.forget(endpoint_id)
+        previous = self._rank_by_id.get(endpoint_id)
+        if previous is not None and previous.group_id != report.group_id:
+            self.discard(endpoint_id)
         has_work = report.n_running + report.n_queued > 0
         self._rank_by_id[endpoint_id] = _Rank(
             report.group_id, report.epoch, report.is_open, has_work, now_ms
@@ -76,19 +77,19 @@
         group = self._group_by_id.setdefault(report.group_id, _Group())
         had_work = self._has_work(group)
         group.endpoint_ids.add(endpoint_id)
-        group.note_step(report.epoch, report.step, now_ms)
+        group.record_step(report.epoch, report.step, now_ms)
         if not had_work:
-            # An idle group makes no passes.
-            group.advanced_at_ms = now_ms
+            # An idle group makes no passes, so its stall time starts with new work.
+            group.last_pass_at_ms = now_ms
 
-    def note_closed(self, endpoint_id: str, now_ms: int) -> None:
-        """Take an answer which says that another rank keeps this one from running."""
+    def record_closed(self, endpoint_id: str, now_ms: int) -> None:
+        """Record a refusal of a rank because its group is closed."""
         rank = self._rank_by_id.get(endpoint_id)
         if rank is not None:
-            rank.is_open, rank.told_at_ms = False, now_ms
+            rank.is_open, rank.reported_at_ms = False, now_ms
 
-    def forget(self, endpoint_id: str) -> None:
-        """Forget an endpoint that is gone."""
+    def discard(self, endpoint_id: str) -> None:
+        """Discard the state of a lost endpoint."""
         rank = self._rank_by_id.pop(endpoint_id, None)
         if rank is None:
             return
@@ -98,35 +99,40 @@
             del self._group_by_id[rank.group_id]
 
     def find_closed(self, now_ms: int) -> frozenset[str]:
-        """Return the endpoints of all closed groups."""
-        return self._find(self._is_closed, now_ms)
+        """Return the ids of the endpoints of all closed groups."""
+        return self._find_endpoint_ids(self._is_closed, now_ms)
 
-    def find_standing(self, now_ms: int) -> frozenset[str]:
-        """Return the endpoints of all groups that begin no pass."""
-        return self._find(self._is_standing, now_ms)
+    def find_stalled(self, now_ms: int) -> frozenset[str]:
+        """Return the ids of the endpoints of all groups that start no pass."""
+        return self._find_endpoint_ids(self._is_stalled, now_ms)
 
-    def _find(
-        self, is_found: Callable[[_Group, int], bool], now_ms: int
+    def _find_endpoint_ids(
+        self, matches: Callable[[_Group, int], bool], now_ms: int
     ) -> frozenset[str]:
         groups = self._group_by_id.values()
-        found = [group.endpoint_ids for group in groups if is_found(group, now_ms)]
+        found = [group.endpoint_ids for group in groups if matches(group, now_ms)]
         return frozenset().union(*found)
 
     def _is_closed(self, group: _Group, now_ms: int) -> bool:
-        told = self._find_told(group, now_ms)
-        epoch = max((rank.epoch for rank in told), default=0)
-        return any(not rank.is_open for rank in told if rank.epoch == epoch)
-
-    def _is_standing(self, group: _Group, now_ms: int) -> bool:
-        # Without reports nothing is known of passes.
-        told = self._find_told(group, now_ms)
-        last_told_ms = max((rank.told_at_ms for rank in told), default=now_ms)
-        is_late = last_told_ms - group.advanced_at_ms > MAX_PASS_MS
-        return is_late and self._has_work(group)
-
-    def _find_told(self, group: _Group, now_ms: int) -> list[_Rank]:
+        """Return whether a rank in the latest epoch reports the group as closed."""
+        recent = self._find_recent_ranks(group, now_ms)
+        epoch = max((rank.epoch for rank in recent), default=0)
+        return any(not rank.is_open for rank in recent if rank.epoch == epoch)
+
+    def _is_stalled(self, group: _Group, now_ms: int) -> bool:
+        # The time without a pass is measured up to the latest report, because passes
+        # are unknown after it.
+        recent = self._find_recent_ranks(group, now_ms)
+        last_reported_at_ms = max(
+            (rank.reported_at_ms for rank in recent), default=now_ms
+        )
+        is_pass_overdue = last_reported_at_ms - group.last_pass_at_ms > MAX_PASS_MS
+        return is_pass_overdue and self._has_work(group)
+
+    def _find_recent_ranks(self, group: _Group, now_ms: int) -> list[_Rank]:
+        """Return the reports of a group's ranks that are not older than the maximum."""
         ranks = [self._rank_by_id[endpoint_id] for endpoint_id in group.endpoint_ids]
-        return [r for r in ranks if now_ms - r.told_at_ms <= self.max_age_ms]
+        return [r for r in ranks if now_ms - r.reported_at_ms <= self.max_age_ms]
 
     def _has_work(self, group: _Group) -> bool:
         return any(self._rank_by_id[e].has_work for e in group.endpoint_ids)
--- a/packages/core/src/bluebellusher_core/membership/tests/test_membership.py
+++ b/packages/core/src/bluebellusher_core/membership/tests/test_membership.py
@@ -1,4 +1,4 @@
-"""Guards against subsets that are unbounded, unstable or far away."""
+"""Subsets of endpoints, load reports and free capacity."""
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -12,33 +12,33 @@
 
 
 def make_info(number, failure_domain, services=("s",)):
-    """Return an endpoint."""
+    """Return the description of an endpoint with two slots."""
     names = frozenset(services), frozenset("m"), frozenset()
     return EndpointInfo(f"x{number}", failure_domain, *names, 2)
 
 
 @given(st.lists(st.sampled_from("abc"), max_size=60), st.integers(1, 20), st.data())
-def test_property_subset_is_bounded_near_and_stable(domains, n_wanted, data):
-    """Guards against reconnecting everything when one endpoint leaves."""
+def test_property_subset_is_bounded_local_and_stable(domains, n_max, data):
+    """Guards against subsets that are too large, remote or change too much."""
     infos = [make_info(i, domain) for i, domain in enumerate(domains)]
-    subset = choose_subset("e", "a", infos, n_wanted)
-    assert len(subset) == min(n_wanted, len(infos))
+    subset = choose_subset("e", "a", infos, n_max)
+    assert len(subset) == min(n_max, len(infos))
     n_own = sum(1 for info in infos if info.failure_domain == "a")
     n_chosen_own = sum(1 for i in infos if i.endpoint_id in subset and _is_own(i))
-    assert n_chosen_own >= min(n_own, max(1, int(n_wanted * 0.75)))
+    assert n_chosen_own >= min(n_own, max(1, int(n_max * 0.75)))
     if infos:
-        gone = data.draw(st.sampled_from(infos))
-        rest = [info for info in infos if info is not gone]
-        after = choose_subset("e", "a", rest, n_wanted)
-        assert len(subset - after - {gone.endpoint_id}) == 0
+        lost = data.draw(st.sampled_from(infos))
+        remaining_infos = [info for info in infos if info is not lost]
+        after = choose_subset("e", "a", remaining_infos, n_max)
+        assert len(subset - after - {lost.endpoint_id}) == 0
 
 
 def _is_own(info):
     return info.failure_domain == "a"
 
 
-def test_late_report_is_ignored_and_a_loaded_model_opens_its_pool():
-    """Guards against an old report that undoes a newer one."""
+def test_late_report_is_ignored_and_a_loaded_model_adds_its_pool():
+    """Guards against an old report that overwrites a newer one."""
     endpoints = Endpoints(n_max=4)
     endpoints.connect(EndpointConnected(make_info(0, "a")), 0)
     pool = ("s", "n", "")
@@ -47,7 +47,7 @@
     def report(sequence, models):
         names = frozenset(models), frozenset()
         event = LoadReported("x0", sequence, 0, 0, 0, 2, 0.0, *names, 0)
-        endpoints.report_load(event, 10)
+        endpoints.record_load_report(event, 10)
 
     report(2, "mn")
     assert endpoints.views_of(pool)
@@ -57,14 +57,14 @@
     assert not endpoints.views_of(pool)
 
 
-def test_ended_attempts_leave_room_before_the_next_report():
-    """Guards against short requests that fill an endpoint on paper for 5 s."""
+def test_ended_attempts_free_capacity_before_the_next_report():
+    """Guards against ended attempts that count as running until the next report."""
     endpoints = Endpoints(n_max=4)
     endpoints.connect(EndpointConnected(make_info(0, "a")), 0)
     names = frozenset("m"), frozenset()
-    endpoints.report_load(LoadReported("x0", 1, 0, 0, 0, 2, 0.0, *names, 0), 10)
+    endpoints.record_load_report(LoadReported("x0", 1, 0, 0, 0, 2, 0.0, *names, 0), 10)
     view = endpoints.view_by_id["x0"]
     view.own_dispatched_at_ms = [20] * 4
-    assert not endpoints.views_with_room(("s", "m", ""), 30)
+    assert not endpoints.views_with_capacity(("s", "m", ""), 30)
     view.own_ended_at_ms = [25] * 4
-    assert endpoints.views_with_room(("s", "m", ""), 30)
+    assert endpoints.views_with_capacity(("s", "m", ""), 30)
--- a/packages/core/src/bluebellusher_core/requests/_announced.py
+++ b/packages/core/src/bluebellusher_core/requests/_announced.py
@@ -23,7 +23,7 @@
         # Peers that learn it do not pass it on; each is told by the one that heard it.
         effects += [*news, TellLeaving((mark,))] if news else []
     if event.pause_ms:
-        pause_ms = state.endpoints.pause(
+        pause_ms = state.endpoints.start_pause(
             endpoint_id, incarnation, event.pause_ms, now_ms
         )
         fields: list[Field] = [
@@ -51,7 +51,7 @@
 ) -> list[Effect]:
     endpoint_id = mark.endpoint_id
     noted_at_ms = now_ms - mark.age_ms
-    if not state.endpoints.note_leaving(endpoint_id, mark.incarnation, noted_at_ms):
+    if not state.endpoints.record_leaving(endpoint_id, mark.incarnation, noted_at_ms):
         return []
     fields: list[Field] = [
         ("endpoint", endpoint_id),
--- a/packages/core/src/bluebellusher_core/routing/_baselines.py
+++ b/packages/core/src/bluebellusher_core/routing/_baselines.py
@@ -1,4 +1,4 @@
-"""Simple policies that others are measured against."""
+"""Baseline routing policies."""
 
 from collections.abc import Sequence
 from random import Random
@@ -8,13 +8,13 @@
 from bluebellusher_core.routing._protocol import EndpointView
 
 
-def usable(candidates: Sequence[EndpointView]) -> list[EndpointView]:
-    """Return the candidates that may receive ordinary new work."""
+def filter_usable(candidates: Sequence[EndpointView]) -> list[EndpointView]:
+    """Return the candidates that are neither draining nor isolating a suspect."""
     return [v for v in candidates if not (v.is_draining or v.is_isolating)]
 
 
 class RoundRobin:
-    """Choose the endpoints in turn, ordered by id."""
+    """Policy that chooses the endpoints in turn, ordered by id."""
 
     def __init__(self) -> None:
         self._last_endpoint_id = ""
@@ -26,17 +26,19 @@
         now_ms: int,
         random_state: Random,
     ) -> str | None:
-        """Return the next id after the one chosen last, or the first id."""
-        ids = [view.info.endpoint_id for view in usable(candidates)]
+        """Return the next id after the last chosen one, or the first id."""
+        ids = [view.info.endpoint_id for view in filter_usable(candidates)]
         if not ids:
             return None
-        later = [one for one in ids if one > self._last_endpoint_id]
-        self._last_endpoint_id = min(later or ids)
+        later_ids = [
+            endpoint_id for endpoint_id in ids if endpoint_id > self._last_endpoint_id
+        ]
+        self._last_endpoint_id = min(later_ids or ids)
         return self._last_endpoint_id
 
 
 class LeastInFlight:
-    """Choose the endpoint with the fewest attempts of this entry in flight."""
+    """Policy that chooses the endpoint with the fewest own attempts in flight."""
 
     def choose(
         self,
@@ -45,8 +47,8 @@
         now_ms: int,
         random_state: Random,
     ) -> str | None:
-        """Return the least used endpoint; ties are broken at random."""
-        views = usable(candidates)
+        """Return the endpoint with the fewest own attempts; break ties at random."""
+        views = filter_usable(candidates)
         if not views:
             return None
         fewest = min(view.n_own_in_flight for view in views)
@@ -55,7 +57,7 @@
 
 
 class TwoChoices:
-    """Draw two endpoints at random and choose the one that reported less load."""
+    """Policy that draws two endpoints at random and chooses the less loaded one."""
 
     def choose(
         self,
@@ -64,8 +66,11 @@
         now_ms: int,
         random_state: Random,
     ) -> str | None:
-        """Return the less loaded of two; without reports own attempts decide."""
-        views = usable(candidates)
+        """Return the endpoint that reports fewer requests.
+
+        When one of the two has no report, the own attempts are compared instead.
+        """
+        views = filter_usable(candidates)
         if not views:
             return None
         drawn = random_state.sample(views, min(2, len(views)))
@@ -75,12 +80,12 @@
 
 
 class PrefixHash:
-    """Choose by rendezvous hash of the prompt's first blocks.
+    """Policy that chooses by rendezvous hash of the first blocks of a prompt.
 
     Parameters
     ----------
     n_blocks : int
-        How many leading blocks identify the shared part of a prompt.
+        Number of leading blocks that identify the shared part of a prompt.
     """
 
     def __init__(self, n_blocks: int = 2) -> None:
@@ -95,8 +100,8 @@
         now_ms: int,
         random_state: Random,
     ) -> str | None:
-        """Return the endpoint with the highest hash; no prefix means random."""
-        views = usable(candidates)
+        """Return the endpoint with the highest hash, or any without a prefix."""
+        views = filter_usable(candidates)
         if not views:
             return None
         if not request.prefix_hashes:
@@ -104,7 +109,9 @@
         index = min(self.n_blocks, len(request.prefix_hashes)) - 1
         key = request.prefix_hashes[index]
         ids = [view.info.endpoint_id for view in views]
-        return max(ids, key=lambda one: (_rendezvous(key, one), one))
+        return max(
+            ids, key=lambda endpoint_id: (_rendezvous(key, endpoint_id), endpoint_id)
+        )
 
 
 def _own_load(view: EndpointView) -> int:
@@ -117,8 +124,8 @@
 
 
 def _rendezvous(key: int, endpoint_id: str) -> int:
-    # CRC-32 alone is linear, so that two ids would keep their order for most keys;
-    # the multiplication and shift mix the high bits into the low ones.
+    # CRC-32 alone is linear, so two ids would keep their order for most keys. The
+    # multiplications and shifts mix the high bits into the low ones.
     mixed = (crc32(endpoint_id.encode()) ^ (key & 0xFFFFFFFF)) * 0x9E3779B97F4A7C15
     mixed &= 0xFFFFFFFFFFFFFFFF
     mixed = (mixed ^ (mixed >> 29)) * 0xBF58476D1CE4E5B9 & 0xFFFFFFFFFFFFFFFF
--- a/packages/core/src/bluebellusher_core/routing/_slot_aware.py
+++ b/packages/core/src/bluebellusher_core/routing/_slot_aware.py
@@ -1,4 +1,4 @@
-"""Routing by free places, for endpoints that are reached without an agent."""
+"""Routing by occupied slots, for endpoints that are reached without an agent."""
 
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -8,41 +8,48 @@
 from bluebellusher_core.events import RequestSpec
 from bluebellusher_core.routing._protocol import EndpointView
 
-# An older report says less than the entry's own attempts.
+# Age from which a load report is ignored, in ms. The entry's own attempts are then a
+# better estimate of the load.
 REPORT_MAX_AGE_MS = 3_000
-# Endpoints of the own failure domain and of others in a sample; docs/decisions/herd.md
-# has the measurement.
-N_NEAR = 3
-N_FAR = 1
-# An endpoint that failed is tried again after some of these periods.
-FAILURE_MEMORY_MS = 4_000.0
-# What a certain failure costs, in places taken; above the slots of any engine.
-FAILURE_PLACES = 24.0
-# Own attempts that wait this long without any progress suggest a stopped endpoint.
+# Numbers of endpoints of the entry's own failure domain and of other domains in a
+# sample; docs/decisions/herd.md has the measurement.
+N_LOCAL = 3
+N_REMOTE = 1
+# Time constant with which the failure rate of an endpoint loses its weight, in ms. A
+# failed endpoint is used again after a few of these periods.
+FAILURE_DECAY_MS = 4_000.0
+# Penalty of an endpoint whose attempts all fail, in occupied slots. It exceeds the
+# number of slots of any engine, so that such an endpoint ranks behind a full one.
+FAILURE_PENALTY_SLOTS = 24.0
+# Time without progress of own attempts, in ms, after which an endpoint counts as
+# stopped.
 STALL_MS = 600.0
 
 
 @dataclass(frozen=True, slots=True)
 class SlotAware:
-    """Choose the endpoint with the smallest share of its places taken in a sample.
+    """Policy that chooses the smallest share of occupied slots in a random sample.
 
-    The places are those of the latest report corrected by own attempts since; without
-    a report only own attempts count. Load pattern: many entries that see the same
-    report. If all of them took the emptiest endpoint, it would be full long before its
-    next report; a few that are drawn at random differ from entry to entry. Shares are
-    compared rather than predicted times, because the ranks of a group advance in
-    lock-step and the fullest one sets the pace of all.
+    The number of occupied slots is that of the latest report, corrected by the own
+    attempts that were dispatched or ended since; without a report only own attempts
+    count.
+
+    Load pattern: many entries receive the same report. If all of them chose the least
+    loaded endpoint, it would be full long before its next report. A small random sample
+    makes their choices differ. Shares of slots are compared instead of predicted times
+    because the ranks of a group advance in lock-step and the fullest rank sets the pace
+    of all.
 
     Parameters
     ----------
     failure_domain : str
-        Domain of the entry.
-    remote_places : float
-        Places that a local endpoint may have taken more than a remote one.
+        Failure domain of the entry.
+    remote_penalty_slots : float
+        Number of occupied slots that is added to an endpoint in another failure domain.
     """
 
     failure_domain: str
-    remote_places: float = 1.0
+    remote_penalty_slots: float = 1.0
 
     def choose(
         self,
@@ -54,37 +61,53 @@
         """Return the id of the endpoint with the lowest cost in the sample."""
         if not candidates:
             return None
-        drawn = self._draw(candidates, random_state)
-        return min(drawn, key=lambda v: self._cost(v, now_ms)).info.endpoint_id
+        sample = self._draw_sample(candidates, random_state)
+        return min(
+            sample, key=lambda v: self._compute_occupied_share(v, now_ms)
+        ).info.endpoint_id
 
-    def _draw(
+    def _draw_sample(
         self, candidates: Sequence[EndpointView], random_state: Random
     ) -> list[EndpointView]:
-        if len(candidates) <= N_NEAR + N_FAR:
+        if len(candidates) <= N_LOCAL + N_REMOTE:
             return random_state.sample(candidates, len(candidates))
-        near = [v for v in candidates if v.info.failure_domain == self.failure_domain]
-        far = [v for v in candidates if v.info.failure_domain != self.failure_domain]
-        drawn = random_state.sample(near, min(N_NEAR, len(near)))
-        n_far = N_NEAR + N_FAR - len(drawn)
-        return drawn + random_state.sample(far, min(n_far, len(far)))
+        local_views = [
+            v for v in candidates if v.info.failure_domain == self.failure_domain
+        ]
+        remote_views = [
+            v for v in candidates if v.info.failure_domain != self.failure_domain
+        ]
+        sample = random_state.sample(local_views, min(N_LOCAL, len(local_views)))
+        n_remote = N_LOCAL + N_REMOTE - len(sample)
+        return sample + random_state.sample(
+            remote_views, min(n_remote, len(remote_views))
+        )
 
-    def _cost(self, view: EndpointView, now_ms: int) -> float:
+    def _compute_occupied_share(self, view: EndpointView, now_ms: int) -> float:
+        """Return the share of occupied slots, including all penalties."""
         n_slots = view.info.n_slots or 1
-        n_taken = count_taken(view, now_ms)
+        n_occupied = count_occupied_slots(view, now_ms)
         if view.info.failure_domain != self.failure_domain:
-            n_taken += self.remote_places
-        age_ms = now_ms - view.failure_noted_at_ms
-        n_taken += FAILURE_PLACES * view.failure_rate * exp(-age_ms / FAILURE_MEMORY_MS)
+            n_occupied += self.remote_penalty_slots
+        age_ms = now_ms - view.failure_rate_updated_at_ms
+        n_occupied += (
+            FAILURE_PENALTY_SLOTS * view.failure_rate * exp(-age_ms / FAILURE_DECAY_MS)
+        )
         if view.stalled_ms(now_ms) > STALL_MS:
-            n_taken += FAILURE_PLACES
-        return n_taken / n_slots
+            n_occupied += FAILURE_PENALTY_SLOTS
+        return n_occupied / n_slots
+
 
+def count_occupied_slots(view: EndpointView, now_ms: int) -> float:
+    """Return the estimated number of occupied slots of an endpoint.
 
-def count_taken(view: EndpointView, now_ms: int) -> float:
-    """Return how many places of an endpoint are taken, as far as is known."""
+    The estimate is the latest report corrected by the own attempts that were dispatched
+    or ended since, or the number of own attempts when the report is missing or older
+    than ``REPORT_MAX_AGE_MS``.
+    """
     report = view.report
     if report is None or now_ms - view.reported_at_ms > REPORT_MAX_AGE_MS:
         return float(view.n_own_in_flight)
-    n_since = len(view.own_dispatched_at_ms) - len(view.own_ended_at_ms)
-    n_reported = report.n_running + report.n_queued + n_since
-    return float(max(view.n_own_in_flight, n_reported))
+    n_change_since_report = len(view.own_dispatched_at_ms) - len(view.own_ended_at_ms)
+    n_estimated = report.n_running + report.n_queued + n_change_since_report
+    return float(max(view.n_own_in_flight, n_estimated))
--- a/packages/core/src/bluebellusher_core/routing/tests/herd.py
+++ b/packages/core/src/bluebellusher_core/routing/tests/herd.py
@@ -1,4 +1,4 @@
-"""Replay of many entries that choose among the same endpoints by shared reports."""
+"""Simulation of many entries that choose endpoints by the same load reports."""
 
 import heapq
 import itertools
@@ -8,14 +8,17 @@
 from bluebellusher_core.events import EndpointInfo, LoadReported
 from bluebellusher_core.routing import EndpointView
 
-NEAR_INTERVAL_MS = 200
-FAR_INTERVAL_MS = 600
+LOCAL_REPORT_INTERVAL_MS = 200
+REMOTE_REPORT_INTERVAL_MS = 600
 SERVICE_MS = 1_300
 
 
 @dataclass
-class HerdResult:
-    """Requests that found every slot taken, and the longest wait for one."""
+class SimulationResult:
+    """Numbers of requests that waited for a slot or ran in another failure domain.
+
+    ``n_waited_long`` counts the requests that waited longer than 250 ms.
+    """
 
     n_requests: int = 0
     n_waited: int = 0
@@ -23,25 +26,33 @@
     n_remote: int = 0
 
 
-def replay_herd(
-    make_policy, n_entries, n_endpoints, n_slots, load, seed=3, length_ms=15_000
+def simulate_herd(
+    make_policy, n_entries, n_endpoints, n_slots, load, seed=3, simulated_ms=15_000
 ):
-    """Play arrivals at all entries; return how many requests had to wait.
+    """Simulate arrivals at all entries; return how many requests had to wait.
 
     Parameters
     ----------
     make_policy : callable
-        Returns the policy of an entry in a failure domain.
+        Returns the policy of an entry in a given failure domain.
     n_entries, n_endpoints, n_slots : int
-        Sizes; both are spread over three failure domains.
+        Numbers of entries and endpoints, which are spread over three failure domains,
+        and slots of an endpoint.
     load : float
-        Arrivals as a share of the capacity.
+        Arrival rate as a share of the capacity.
+    seed : int
+        Seed of the random arrivals and choices.
+    simulated_ms : int
+        Simulated time, in ms.
     """
-    chance, result, order = Random(seed), HerdResult(), itertools.count()
+    random_state, result, order = Random(seed), SimulationResult(), itertools.count()
     domains = [f"d{i % 3}" for i in range(max(n_entries, n_endpoints))]
     policies = [make_policy(domains[i]) for i in range(n_entries)]
     views = [
-        [_make_view(f"x{j}", domains[j], n_slots) for j in range(n_endpoints)]
+        [
+            _make_view(f"x{index}", domains[index], n_slots)
+            for index in range(n_endpoints)
+        ]
         for _ in range(n_entries)
     ]
     running = [0] * n_endpoints
@@ -51,51 +62,63 @@
     def push(at_ms, kind, value):
         heapq.heappush(events, (at_ms, next(order), kind, value))
 
-    per_ms = load * n_endpoints * n_slots / SERVICE_MS
+    arrivals_per_ms = load * n_endpoints * n_slots / SERVICE_MS
     at_ms = 0.0
-    while at_ms < length_ms:
-        at_ms += chance.expovariate(per_ms)
-        push(at_ms, "arrive", chance.randrange(n_entries))
-    for j in range(n_endpoints):
-        push(chance.uniform(0, NEAR_INTERVAL_MS), "report", (j, 0))
+    while at_ms < simulated_ms:
+        at_ms += random_state.expovariate(arrivals_per_ms)
+        push(at_ms, "arrive", random_state.randrange(n_entries))
+    for index in range(n_endpoints):
+        push(
+            random_state.uniform(0, LOCAL_REPORT_INTERVAL_MS),
+            "report",
+            (index, 0),
+        )
     while events:
         now_ms, _, kind, value = heapq.heappop(events)
-        if now_ms > length_ms:
+        if now_ms > simulated_ms:
             break
         now_ms = int(now_ms)
         if kind == "arrive":
-            own = views[value]
-            chosen = policies[value].choose(None, own, now_ms, chance)
-            j = int(chosen[1:])
-            view = own[j]
+            own_views = views[value]
+            chosen = policies[value].choose(None, own_views, now_ms, random_state)
+            index = int(chosen[1:])
+            view = own_views[index]
             view.n_own_in_flight += 1
             view.own_dispatched_at_ms.append(now_ms)
             result.n_requests += 1
-            result.n_remote += domains[j] != domains[value]
-            if running[j] < n_slots:
-                running[j] += 1
-                push(now_ms + SERVICE_MS, "end", (j, value))
+            result.n_remote += domains[index] != domains[value]
+            if running[index] < n_slots:
+                running[index] += 1
+                push(now_ms + SERVICE_MS, "end", (index, value))
             else:
                 result.n_waited += 1
-                waiting[j].append((now_ms, value))
+                waiting[index].append((now_ms, value))
         elif kind == "end":
-            j, entry = value
-            view = views[entry][j]
+            index, entry = value
+            view = views[entry][index]
             view.n_own_in_flight -= 1
             view.own_ended_at_ms.append(now_ms)
-            running[j] -= 1
-            if waiting[j]:
-                since_ms, other = waiting[j].pop(0)
-                result.n_waited_long += now_ms - since_ms > 250
-                running[j] += 1
-                push(now_ms + SERVICE_MS, "end", (j, other))
+            running[index] -= 1
+            if waiting[index]:
+                waiting_since_ms, waiting_entry = waiting[index].pop(0)
+                result.n_waited_long += now_ms - waiting_since_ms > 250
+                running[index] += 1
+                push(now_ms + SERVICE_MS, "end", (index, waiting_entry))
         else:
-            j, n = value
-            push(now_ms + NEAR_INTERVAL_MS, "report", (j, n + 1))
-            is_for_all = n % (FAR_INTERVAL_MS // NEAR_INTERVAL_MS) == 0
+            index, n = value
+            push(now_ms + LOCAL_REPORT_INTERVAL_MS, "report", (index, n + 1))
+            reaches_all_entries = (
+                n % (REMOTE_REPORT_INTERVAL_MS // LOCAL_REPORT_INTERVAL_MS) == 0
+            )
             for i in range(n_entries):
-                if is_for_all or domains[i] == domains[j]:
-                    _report(views[i][j], running[j], len(waiting[j]), n, now_ms)
+                if reaches_all_entries or domains[i] == domains[index]:
+                    _apply_report(
+                        views[i][index],
+                        running[index],
+                        len(waiting[index]),
+                        n,
+                        now_ms,
+                    )
     return result
 
 
@@ -106,7 +129,7 @@
     return EndpointView(info)
 
 
-def _report(view, n_running, n_queued, sequence, now_ms):
+def _apply_report(view, n_running, n_queued, sequence, now_ms):
     view.report = LoadReported(
         view.info.endpoint_id,
         sequence,
--- a/packages/core/src/bluebellusher_core/routing/tests/test_slot_aware.py
+++ b/packages/core/src/bluebellusher_core/routing/tests/test_slot_aware.py
@@ -1,4 +1,4 @@
-"""Routing by free places."""
+"""Decisions of ``SlotAware``."""
 
 from random import Random
 
@@ -7,7 +7,7 @@
 
 
 def make_view(endpoint_id, n_running, domain="here", n_slots=6):
-    """Return an endpoint with a fresh report."""
+    """Return the view of an endpoint with a recent report."""
     info = EndpointInfo(
         endpoint_id, domain, frozenset({"s"}), frozenset(), frozenset(), n_slots
     )
@@ -22,27 +22,27 @@
     return SlotAware("here").choose(None, views, now_ms, Random(1))
 
 
-def test_emptiest_endpoint_is_chosen_by_reports_of_all_entries():
-    """Guards against entries that all see only their own requests."""
+def test_least_loaded_endpoint_is_chosen_by_its_report():
+    """Guards against entries that only count their own requests."""
     assert choose([make_view("a", 5), make_view("b", 2)]) == "b"
 
 
 def test_own_attempts_since_the_report_count():
-    """Guards against a burst that goes to one endpoint until its next report."""
+    """Guards against a burst of requests to one endpoint until its next report."""
     views = [make_view("a", 2), make_view("b", 3)]
     views[0].own_dispatched_at_ms = [1, 2]
     views[0].n_own_in_flight = 2
     assert choose(views) == "b"
 
 
-def test_work_stays_in_its_domain_until_that_is_clearly_fuller():
-    """Guards against bytes between domains that serve nobody better."""
-    assert choose([make_view("near", 3), make_view("far", 3, "there")]) == "near"
-    assert choose([make_view("near", 5), make_view("far", 2, "there")]) == "far"
+def test_local_endpoint_is_chosen_unless_it_is_clearly_more_loaded():
+    """Guards against traffic between failure domains without a benefit."""
+    assert choose([make_view("local", 3), make_view("remote", 3, "there")]) == "local"
+    assert choose([make_view("local", 5), make_view("remote", 2, "there")]) == "remote"
 
 
-def test_failing_endpoint_is_avoided_and_tried_again_later():
-    """Guards against an endpoint that fails fast and thereby attracts all work."""
+def test_failing_endpoint_is_avoided_and_used_again_later():
+    """Guards against an endpoint that fails fast and therefore gets all requests."""
     views = [make_view("bad", 0), make_view("good", 4)]
     views[0].failure_rate = 0.5
     assert choose(views) == "good"
@@ -52,12 +52,12 @@
 
 
 def test_endpoint_that_stopped_answering_is_avoided():
-    """Guards against requests that are lost one after the other on a dead endpoint."""
-    views = [make_view("dark", 1), make_view("good", 5)]
+    """Guards against requests that are sent to an unresponsive endpoint."""
+    views = [make_view("unresponsive", 1), make_view("good", 5)]
     views[0].unanswered_at_ms = {"t": 0}
     assert choose(views, now_ms=1_000) == "good"
 
 
-def test_no_candidate_gives_no_choice():
-    """Guards against a failure where no endpoint has room."""
+def test_choose_without_candidates_returns_none():
+    """Guards against an exception when there is no candidate."""
     assert choose([]) is None
