--- a/packages/core/src/bluebellusher_core/requests/__init__.py
+++ b/packages/core/src/bluebellusher_core/requests/__init__.py
@@ -1,4 +1,4 @@
-"""Life cycle of one request: admission, attempts and the final answer."""
+"""Life cycle of a request: admission, attempts and the final answer."""
 
 from bluebellusher_core.requests._model import Attempt, Phase, Request
 
--- a/packages/core/src/bluebellusher_core/requests/_announced.py
+++ b/packages/core/src/bluebellusher_core/requests/_announced.py
@@ -1,4 +1,8 @@
-"""Endpoints that say in their answers that they leave, or want nothing for a while."""
+"""Handlers of endpoints that announce their shutdown or ask for a pause.
+
+Endpoints do both in the headers of their answers. Entries broadcast shutdowns to each
+other.
+"""
 
 from bluebellusher_core.effects import Effect, LogEvent, TellLeaving
 from bluebellusher_core.events import (
@@ -14,13 +18,14 @@
 
 
 def announced(state: EntryState, event: EndpointAnnounced, now_ms: int) -> list[Effect]:
-    """Take in what an endpoint said with an answer to this entry."""
+    """Record that an endpoint is leaving or asks for a pause, by its own answer."""
     effects: list[Effect] = []
     endpoint_id, incarnation = event.endpoint_id, event.incarnation
     if event.is_leaving:
         mark = LeavingMark(endpoint_id, incarnation, 0)
         news = _leave(state, mark, "answer", now_ms)
-        # Peers that learn it do not pass it on; each is told by the one that heard it.
+        # Only the entry that received the answer broadcasts it. Peers that receive
+        # the broadcast do not forward it.
         effects += [*news, TellLeaving((mark,))] if news else []
     if event.pause_ms:
         pause_ms = state.endpoints.pause(
@@ -38,7 +43,7 @@
 
 
 def learned(state: EntryState, event: LeavingLearned, now_ms: int) -> list[Effect]:
-    """Take over what endpoints said to a peer."""
+    """Record the leaving endpoints that a peer announced."""
     effects: list[Effect] = []
     for mark in event.marks[:N_MAX_MARKS]:
         effects += _leave(state, mark, event.source, now_ms)
@@ -49,6 +54,7 @@
 def _leave(
     state: EntryState, mark: LeavingMark, source: str, now_ms: int
 ) -> list[Effect]:
+    """Record one leaving endpoint; log it unless it was recorded before."""
     endpoint_id = mark.endpoint_id
     noted_at_ms = now_ms - mark.age_ms
     if not state.endpoints.note_leaving(endpoint_id, mark.incarnation, noted_at_ms):
@@ -63,7 +69,7 @@
 
 
 def _use(state: EntryState, endpoint_id: str) -> list[Field]:
-    """Return what is known of the use of an endpoint, for the log."""
+    """Return log fields with an endpoint's own attempts and all waiting requests."""
     view = state.endpoints.view_by_id.get(endpoint_id)
     n_waiting = sum(len(queue) for queue in state.queue_by_pool.values())
     n_own = view.n_own_in_flight if view is not None else 0
--- a/packages/core/src/bluebellusher_core/requests/_arrival.py
+++ b/packages/core/src/bluebellusher_core/requests/_arrival.py
@@ -1,4 +1,4 @@
-"""Arrival of a request, its deadline, and a caller that leaves."""
+"""Handlers of a request's arrival, its deadline and a disconnected caller."""
 
 from bluebellusher_core.effects import Effect, Reject, SetTimer
 from bluebellusher_core.errors import Reason, Refusal
@@ -10,7 +10,11 @@
 
 
 def arrive(state: EntryState, spec: RequestSpec, now_ms: int) -> list[Effect]:
-    """Admit a request or refuse it at once."""
+    """Admit a new request or reject it at once.
+
+    A non-idempotent request with an idempotency key waits for its claim first. The
+    arrival of a request id that is already in progress is ignored.
+    """
     if spec.request_id in state.request_by_id:
         return []
     refusal = _refusal_on_arrival(state, spec, now_ms)
@@ -35,6 +39,7 @@
 def _refusal_on_arrival(
     state: EntryState, spec: RequestSpec, now_ms: int
 ) -> Refusal | None:
+    """Return the rejection of a request that cannot be admitted, or None."""
     if state.is_shutting_down:
         return _final.refusal(state, Reason.SHUTTING_DOWN, "admission")
     if spec.deadline_ms <= now_ms:
@@ -50,7 +55,7 @@
 
 
 def caller_left(state: EntryState, request_id: str, now_ms: int) -> list[Effect]:
-    """Stop work for a caller that is gone."""
+    """Cancel the attempts of a request whose caller has disconnected."""
     request = state.request_by_id.get(request_id)
     if request is None or request.phase is Phase.DETACHED:
         return []
@@ -59,7 +64,10 @@
 
 
 def deadline_passed(state: EntryState, request_id: str, now_ms: int) -> list[Effect]:
-    """Give the request its final answer, whatever it waits for."""
+    """Reject a request at its deadline, in any phase.
+
+    The timer is set again when it fires before the deadline.
+    """
     request = state.request_by_id.get(request_id)
     if request is None or request.phase is Phase.DETACHED:
         return []
@@ -72,7 +80,7 @@
 
 
 def detach_ended(state: EntryState, request_id: str, now_ms: int) -> list[Effect]:
-    """Stop waiting for the outcome of a claimed attempt."""
+    """Discard a detached request whose claim outcome did not arrive in time."""
     request = state.request_by_id.get(request_id)
     if request is None or request.phase is not Phase.DETACHED:
         return []
--- a/packages/core/src/bluebellusher_core/requests/_attempts.py
+++ b/packages/core/src/bluebellusher_core/requests/_attempts.py
@@ -1,4 +1,8 @@
-"""Messages about attempts; late, repeated and crossed ones change nothing."""
+"""Handlers of events about attempts.
+
+A late or repeated event, or one from another endpoint than the attempt's, has no effect
+on the request.
+"""
 
 from bluebellusher_core.effects import ClaimState, CloseConnection, Effect
 from bluebellusher_core.errors import Reason
@@ -28,7 +32,7 @@
 
 
 def accepted(state: EntryState, event: AttemptAccepted) -> list[Effect]:
-    """Note that an isolated run begins."""
+    """Record that the agent confirmed the start of an isolated run."""
     attempt = _find(state, event)
     if attempt is None:
         return _stray(state, event)
@@ -37,7 +41,7 @@
 
 
 def started(state: EntryState, event: AttemptStarted, now_ms: int) -> list[Effect]:
-    """Let the attempt that answers first win."""
+    """Record the first output of an attempt and cancel the request's other ones."""
     attempt = _find(state, event)
     if attempt is None:
         return _stray(state, event)
@@ -54,7 +58,11 @@
 
 
 def finished(state: EntryState, event: AttemptFinished, now_ms: int) -> list[Effect]:
-    """Complete the request with the attempt's whole answer."""
+    """Complete a request with the whole answer of an attempt.
+
+    An answer with a server error is discarded and the request is tried on another
+    endpoint where that is possible.
+    """
     attempt = _find(state, event)
     if attempt is None:
         return _stray(state, event)
@@ -62,7 +70,7 @@
     state.endpoints.tracker.apply(event, now_ms)
     effects = _crash_evidence.answered(state, attempt, "answer", now_ms)
     if not attempt.is_started:
-        # An answer without a body.
+        # An answer without a body has no AttemptStarted event.
         state.endpoints.note_output(attempt.endpoint_id)
     if event.status >= SERVER_ERROR:
         state.endpoints.tracker.record_failure(attempt.endpoint_id, now_ms)
@@ -72,7 +80,11 @@
 
 
 def refused(state: EntryState, event: AttemptRefused, now_ms: int) -> list[Effect]:
-    """Go elsewhere with an attempt that certainly did not run."""
+    """Retry a request elsewhere after an endpoint or agent refused its attempt.
+
+    The attempt has certainly not run. A closed port, or another start that answers at
+    the address, also confirms the suspected crashes of the endpoint.
+    """
     attempt = _find(state, event)
     if attempt is None:
         return _stray(state, event)
@@ -95,7 +107,11 @@
     event: AttemptRefused,
     now_ms: int,
 ) -> list[Effect]:
-    """Try another endpoint, or give the request up."""
+    """Requeue a request after a refused attempt, or reject it.
+
+    The request is rejected after too many refusals, when a retry that adds load has no
+    budget, or when the refused attempt would have resumed a stream.
+    """
     endpoint_id = attempt.endpoint_id
     if request.attempts:
         return []
@@ -123,7 +139,7 @@
 
 
 def broken(state: EntryState, event: AttemptBroken, now_ms: int) -> list[Effect]:
-    """Recover from an attempt that may have run."""
+    """Resume, retry or reject a request whose attempt broke and may have run."""
     attempt = _find(state, event)
     if attempt is None:
         return _stray(state, event)
@@ -133,6 +149,7 @@
 def _avoid(
     state: EntryState, event: AttemptRefused, endpoint_id: str, now_ms: int
 ) -> None:
+    """Keep new work from an endpoint that refused an attempt, by the reason given."""
     if event.reason is Reason.ENDPOINT_DRAINING:
         state.endpoints.drain(endpoint_id)
         return
@@ -144,7 +161,7 @@
 
 
 def _abandon(state: EntryState, request: Request, now_ms: int) -> list[Effect]:
-    """Free the key of a request that turned out not to have run."""
+    """Discard a detached request, and abandon its claim unless it may have run."""
     effects: list[Effect] = []
     if request.claim is not None and not request.may_have_run:
         effects = state.claims.record(request.claim, ClaimState.ABANDONED, "", now_ms)
@@ -152,7 +169,11 @@
 
 
 def _find(state: EntryState, event: AttemptEvent) -> Attempt | None:
-    """Return the attempt that the message is about, if it came from its endpoint."""
+    """Return the attempt in flight that an event names.
+
+    Returns None when the attempt has ended or when the event came from an endpoint
+    other than the attempt's.
+    """
     attempt = state.attempt_by_id.get(event.attempt_id)
     if attempt is None:
         return None
@@ -161,7 +182,11 @@
 
 
 def _stray(state: EntryState, event: AttemptEvent) -> list[Effect]:
-    """Ignore a late message; close a connection that names a foreign attempt."""
+    """Handle an event that matches no attempt in flight.
+
+    Late events are ignored. The connection is closed when an endpoint names an attempt
+    of another endpoint or one that this entry never made.
+    """
     if not event.endpoint_id:
         return []
     ended_at = state.ended_attempts.get(event.attempt_id)
@@ -169,12 +194,13 @@
         return []
     is_known = ended_at is not None or event.attempt_id in state.attempt_by_id
     if not is_known and _was_made_here(state, event.attempt_id):
-        # Too old to be remembered.
+        # The attempt ended so long ago that its record was evicted.
         return []
     return [CloseConnection(event.endpoint_id)]
 
 
 def _was_made_here(state: EntryState, attempt_id: str) -> bool:
+    """Return whether this start of the entry made an attempt with this id."""
     prefix = f"{state.config.entry_id}.{state.config.incarnation}."
     number = attempt_id.removeprefix(prefix)
     if number == attempt_id or not number.isdecimal():
--- a/packages/core/src/bluebellusher_core/requests/_claiming.py
+++ b/packages/core/src/bluebellusher_core/requests/_claiming.py
@@ -1,4 +1,4 @@
-"""Requests that wait for their claim."""
+"""Handlers of requests that wait for the claim of their idempotency key."""
 
 from bluebellusher_core.effects import ClaimWrite, Effect, ReplayAnswer
 from bluebellusher_core.errors import Reason
@@ -12,7 +12,7 @@
 
 
 def answered(state: EntryState, event: ClaimsAnswered, now_ms: int) -> list[Effect]:
-    """Go on with the requests whose claims were resolved."""
+    """Continue the requests whose claims the table answered."""
     results, effects = state.claims.answered(event)
     for write, result in results:
         request = state.request_by_id.get(write.request_id)
@@ -22,7 +22,7 @@
 
 
 def claim_timed_out(state: EntryState, request_id: str, now_ms: int) -> list[Effect]:
-    """Refuse a request whose claim was not answered in time."""
+    """Reject a request whose claim was not answered within ``claim_wait_ms``."""
     request = state.request_by_id.get(request_id)
     if request is None or request.phase is not Phase.CLAIMING:
         return []
@@ -37,10 +37,12 @@
     result: ClaimResult,
     now_ms: int,
 ) -> list[Effect]:
+    """Enqueue, replay or reject a request by the result of its claim."""
     match result.outcome:
         case ClaimOutcome.GRANTED:
             request.claim = write
-            # The queue refuses it when the entry was paused past the deadline.
+            # If the process was paused past the deadline, the queue rejects the
+            # request.
             return _placing.enqueue(state, request, now_ms)
         case ClaimOutcome.DONE:
             request_id = request.spec.request_id
--- a/packages/core/src/bluebellusher_core/requests/_crash_evidence.py
+++ b/packages/core/src/bluebellusher_core/requests/_crash_evidence.py
@@ -1,8 +1,8 @@
-"""Evidence for and against requests that crash endpoints, where no agent tells of it.
+"""Detection of requests that crash endpoints, where no agent reports crashes.
 
-A broken connection may have many causes, and isolated runs would cost endpoints that
-are needed most then. So runs that broke are suspected, the address of their endpoint is
-checked at once, and crashes that are certain are counted.
+A broken connection may have many causes. Isolated runs would occupy endpoints just when
+most of them are needed. Instead, each broken run makes its fingerprint a suspect, the
+address of its endpoint is checked at once, and only confirmed crashes are counted.
 """
 
 from bluebellusher_core.effects import CheckEndpoint, Effect, LogEvent, TellCrashes
@@ -19,7 +19,11 @@
 def suspect(
     state: EntryState, request: Request, attempt: Attempt, is_fatal: bool, now_ms: int
 ) -> list[Effect]:
-    """Note that a run broke, in case the request is what crashes endpoints."""
+    """Record a broken run as a possible crash that its request caused.
+
+    Where agents report crashes, a fatal break makes the fingerprint a suspect.
+    Otherwise the endpoint's address is checked, unless the endpoint was draining.
+    """
     fingerprint = request.spec.fingerprint
     if not state.config.n_crashes_to_block:
         if is_fatal:
@@ -28,7 +32,7 @@
     endpoint_id = attempt.endpoint_id
     view = state.endpoints.view_by_id.get(endpoint_id)
     if attempt.is_leaving or (view is not None and view.is_draining):
-        # It ends by plan.
+        # A planned shutdown broke the run.
         return []
     state.crashes.suspect(
         fingerprint,
@@ -47,6 +51,7 @@
 
 
 def _check(state: EntryState, endpoint_id: str, now_ms: int) -> list[Effect]:
+    """Check the address of an endpoint unless a check is in progress."""
     if endpoint_id in state.checked_at_ms:
         return []
     state.checked_at_ms[endpoint_id] = now_ms
@@ -54,7 +59,11 @@
 
 
 def checked(state: EntryState, event: EndpointChecked, now_ms: int) -> list[Effect]:
-    """Take in whether anything listens where runs broke."""
+    """Handle the result of an address check.
+
+    A closed port confirms the suspected crashes of the endpoint. A listening port
+    dismisses those before the check. An address that did not answer decides nothing.
+    """
     endpoint_id = event.endpoint_id
     since_ms = state.checked_at_ms.pop(endpoint_id, None)
     if since_ms is None or event.is_listening is None:
@@ -71,7 +80,7 @@
 def answered(
     state: EntryState, attempt: Attempt, evidence: str, now_ms: int
 ) -> list[Effect]:
-    """Drop suspicions against what broke at an endpoint that answers on."""
+    """Dismiss the suspected crashes before an attempt that its endpoint answered."""
     since_ms = attempt.dispatched_at_ms
     return _ruled_out(state, attempt.endpoint_id, since_ms, evidence, now_ms)
 
@@ -79,6 +88,7 @@
 def _ruled_out(
     state: EntryState, endpoint_id: str, since_ms: int, evidence: str, now_ms: int
 ) -> list[Effect]:
+    """Dismiss and log the suspected crashes of an endpoint up to ``since_ms``."""
     effects: list[Effect] = []
     for fingerprint in state.crashes.note_answer(endpoint_id, since_ms, now_ms):
         fields = (
@@ -97,7 +107,24 @@
     now_ms: int,
     started_at_ms: int | None = None,
 ) -> list[Effect]:
-    """Count the crash for what broke there, and block what has crashed too many."""
+    """Confirm the suspected crashes of an endpoint whose process has ended.
+
+    Logs and broadcasts each crash, and blocks a fingerprint that has reached the number
+    of crashes to block.
+
+    Parameters
+    ----------
+    state : EntryState
+        State of the entry; it is changed in place.
+    endpoint_id : str
+        The endpoint that has ended.
+    evidence : str
+        How the end was observed, for the log.
+    now_ms : int
+        Monotonic time.
+    started_at_ms : int or None
+        Monotonic start time of the process that replaced the endpoint, if known.
+    """
     effects: list[Effect] = []
     for fingerprint in state.crashes.confirm(endpoint_id, now_ms, started_at_ms):
         fields = (
@@ -113,7 +140,11 @@
 
 
 def learned(state: EntryState, event: CrashesLearned, now_ms: int) -> list[Effect]:
-    """Take over what another entry or the store remembers."""
+    """Merge crash records from a peer or the store.
+
+    Each fingerprint is blocked or unblocked by the merged record. A sender whose record
+    lacks a completed run that this entry recorded is sent the newer record.
+    """
     effects: list[Effect] = []
     if not state.config.n_crashes_to_block:
         return effects
@@ -135,11 +166,14 @@
 
 
 def may_try(state: EntryState, fingerprint: str, now_ms: int) -> bool:
-    """Return whether a blocked request may run once, to see whether it is sound.
-
-    A sound request may stand near three crashes by chance, where endpoints fail one
-    after the other. One entry of all, the same whichever is asked, makes one run. An
-    entry that does not know the others makes none.
+    """Return whether this entry may start the trial run of a blocked fingerprint.
+
+    A harmless request may have been running in about three crashes by chance, where
+    endpoints fail one after the other for another reason. One trial run decides. It
+    starts only while the number of crashes is exactly the number to block, and only
+    ``TRIAL_AFTER_MS`` after the block. Rendezvous hashing selects the single entry that
+    may start it, so that all entries select the same one. An entry that has not
+    received the list of entries starts none.
     """
     n_to_block = state.config.n_crashes_to_block
     if not n_to_block or state.crashes.count(fingerprint, now_ms) != n_to_block:
@@ -151,7 +185,10 @@
 
 
 def begin_trial(state: EntryState, fingerprint: str, now_ms: int) -> list[Effect]:
-    """Count the trial as a crash until it is whole, so that no other one is made."""
+    """Record a trial run as a crash and broadcast it, so that no other trial starts.
+
+    A completed trial clears this crash with the others.
+    """
     trial_id = f"trial@{state.config.entry_id}"
     state.crashes.note_trial(fingerprint, trial_id, now_ms)
     return [
@@ -161,7 +198,7 @@
 
 
 def _is_outdated(record: CrashRecord, known: CrashRecord) -> bool:
-    """Return whether a record counts crashes before a whole run that is known here."""
+    """Return whether a record counts crashes that a completed run has cleared here."""
     if known.sound_age_ms is None:
         return False
     if record.sound_age_ms is not None:
@@ -172,7 +209,7 @@
 def _review(
     state: EntryState, fingerprint: str, peer: str, now_ms: int
 ) -> list[Effect]:
-    """Block a fingerprint by its crashes, or take the block back."""
+    """Block or unblock a fingerprint by its current number of crashes."""
     n_to_block = state.config.n_crashes_to_block
     left_ms = state.crashes.left_ms(fingerprint, n_to_block, now_ms)
     if left_ms > 0:
--- a/packages/core/src/bluebellusher_core/requests/_final.py
+++ b/packages/core/src/bluebellusher_core/requests/_final.py
@@ -1,4 +1,4 @@
-"""The final answer of a request; every request gets exactly one."""
+"""End of requests and attempts; every request gets exactly one final answer."""
 
 from bluebellusher_core.effects import (
     CancelAttempt,
@@ -16,28 +16,30 @@
 from bluebellusher_core.state import EntryState
 
 MAX_ENDED_ATTEMPTS = 4_096
-# A repeat of such a request cannot succeed, unless it is blocked for a time only.
+# A retried request fails again for these reasons, so that its rejection has no
+# ``retry_after_ms``. The exception is a fingerprint that is blocked for a limited time.
 FINAL_REASONS = frozenset({Reason.CRASHES_ENDPOINTS, Reason.CLAIM_KEY_REUSED})
 
 
 def refusal(state: EntryState, reason: Reason, step: str, peer: str = "") -> Refusal:
-    """Return a refusal of a request that no endpoint can have run."""
+    """Return the rejection of a request that no endpoint can have run."""
     retry_after_ms = None if reason in FINAL_REASONS else state.config.retry_after_ms
     return Refusal(Outcome.NOT_RUN, reason, step, peer, retry_after_ms)
 
 
 def blocked_refusal(state: EntryState, fingerprint: str, now_ms: int) -> Refusal:
-    """Return the refusal of a request that is known to crash endpoints."""
+    """Return the rejection of a request whose fingerprint is blocked."""
     pause_ms = _final_pause_ms(state, fingerprint, now_ms)
     reason = Reason.CRASHES_ENDPOINTS
     return Refusal(Outcome.NOT_RUN, reason, "admission", "", pause_ms)
 
 
 def _final_pause_ms(state: EntryState, fingerprint: str, now_ms: int) -> int | None:
-    """Return when a request may come back that cannot succeed now; None for never.
+    """Return the time after which a blocked request may be retried, in ms.
 
-    Counted crashes may have had another cause, so that they block for a time. Where
-    agents have seen the crash, a repeat is pointless.
+    Crashes that the entry counts by itself may have another cause than the request, so
+    that they block its fingerprint for a limited time. Where agents report the crash,
+    the request is its cause and a retry cannot succeed; the result is then None.
     """
     if not state.config.n_crashes_to_block:
         return None
@@ -53,13 +55,17 @@
     peer: str = "",
     retry_after_ms: int | None = None,
 ) -> list[Effect]:
-    """End a request without an answer; its outcome follows from its attempts."""
+    """Reject a request; the outcome it reports follows from the request's attempts.
+
+    Attempts in flight are cancelled. With a granted claim they go on instead, so that
+    the claim's outcome can be recorded.
+    """
     may_have_run = request.may_have_run or bool(request.attempts)
     outcome = Outcome.UNKNOWN if may_have_run else Outcome.NOT_RUN
     if reason is Reason.CLAIM_IN_PROGRESS:
         outcome = Outcome.UNKNOWN
-    # A repeat of work whose outcome is unknown is safe when it is idempotent, or
-    # when its key keeps it from running again.
+    # A retry of a request with unknown outcome is safe when the request is idempotent
+    # or has an idempotency key, which keeps it from running a second time.
     spec = request.spec
     is_safe = outcome is Outcome.NOT_RUN or spec.is_idempotent or spec.idempotency_key
     if reason in FINAL_REASONS:
@@ -77,7 +83,10 @@
 def complete(
     state: EntryState, request: Request, winner: Attempt, now_ms: int
 ) -> list[Effect]:
-    """End a request with the whole answer of one attempt."""
+    """End a request with the whole answer of one attempt and cancel the others.
+
+    The completed run clears the suspicions and crashes of the request's fingerprint.
+    """
     effects: list[Effect] = []
     if request.phase is not Phase.DETACHED:
         effects.append(Complete(request.spec.request_id, winner.attempt_id))
@@ -93,7 +102,10 @@
 
 
 def _clear_crashes(state: EntryState, fingerprint: str, now_ms: int) -> list[Effect]:
-    """Take crashes and a block back, because a run of the request was whole."""
+    """Clear the crashes and the block of a fingerprint after a completed run.
+
+    The other entries are sent the new record when there were crashes.
+    """
     if not state.config.n_crashes_to_block:
         return []
     if not state.crashes.clear(fingerprint, now_ms):
@@ -108,7 +120,7 @@
 
 
 def drop(state: EntryState, request: Request, now_ms: int) -> list[Effect]:
-    """Forget a request and stop what still runs for it."""
+    """Discard the state of a request and cancel its attempts in flight."""
     effects: list[Effect] = []
     for attempt in list(request.attempts):
         effects += cancel(state, request, attempt, now_ms)
@@ -122,11 +134,15 @@
 def cancel(
     state: EntryState, request: Request, attempt: Attempt, now_ms: int
 ) -> list[Effect]:
-    """Stop an attempt whose answer is no longer wanted."""
+    """Cancel an attempt whose answer is no longer needed.
+
+    The request may have run from then on. If the attempt was isolated, its fingerprint
+    is held.
+    """
     end_attempt(state, request, attempt, now_ms)
     request.may_have_run = True
     if attempt.is_isolated:
-        # The cancel may come too late to keep the endpoint from dying.
+        # The endpoint may crash before the cancellation reaches it.
         hold(state, request, attempt, False, now_ms)
     return [CancelAttempt(attempt.attempt_id, attempt.endpoint_id)]
 
@@ -138,7 +154,10 @@
     is_lost: bool,
     now_ms: int,
 ) -> None:
-    """Run no other copy until the end of an isolated run is understood."""
+    """Hold a fingerprint: start no run of it while a crash may still be confirmed.
+
+    ``is_lost`` states whether the connection was lost during the isolated run.
+    """
     state.poison.hold(
         request.spec.fingerprint,
         attempt.endpoint_id,
@@ -151,7 +170,11 @@
 def end_attempt(
     state: EntryState, request: Request, attempt: Attempt, now_ms: int
 ) -> None:
-    """Forget an attempt that ended; later messages about it are ignored."""
+    """Discard the state of an attempt that ended.
+
+    Its id is kept, up to ``MAX_ENDED_ATTEMPTS`` ids, so that later events about it can
+    be recognized and ignored.
+    """
     state.check_at_ms = 0
     request.attempts.remove(attempt)
     del state.attempt_by_id[attempt.attempt_id]
@@ -165,7 +188,10 @@
 
 
 def forget_endpoint(state: EntryState, endpoint_id: str, now_ms: int) -> None:
-    """Forget a lost endpoint and what was reserved there."""
+    """Discard the state of a lost endpoint and its reservations for isolated runs.
+
+    Queues that are empty and have no other endpoint are discarded as well.
+    """
     state.check_at_ms = 0
     state.endpoints.remove(endpoint_id, now_ms)
     for request_id in state.isolate_at_ms:
@@ -181,13 +207,16 @@
 
 
 def reserve(state: EntryState, request: Request, endpoint_id: str) -> None:
-    """Keep an endpoint free of own new work for the next isolated try."""
+    """Reserve an endpoint for a request's next isolated attempt.
+
+    This entry starts no other new work there; other entries are not affected.
+    """
     request.reserved_endpoint_id = endpoint_id
     _set_isolating(state, endpoint_id, True)
 
 
 def release(state: EntryState, request: Request) -> None:
-    """Give a reserved endpoint back."""
+    """Release the endpoint that is reserved for a request, if there is one."""
     if request.reserved_endpoint_id:
         _set_isolating(state, request.reserved_endpoint_id, False)
         request.reserved_endpoint_id = ""
@@ -197,12 +226,15 @@
 def observe_service(
     state: EntryState, request: Request, attempt: Attempt, now_ms: int
 ) -> None:
-    """Update the mean service time of the request's pool."""
+    """Update the smoothed service time of a request's pool, in ms.
+
+    The newest value has a weight of 0.1.
+    """
     pool = pool_of(request.spec)
     service_ms = max(1.0, float(now_ms - attempt.dispatched_at_ms))
     mean_ms = state.service_ms_by_pool.get(pool)
     if mean_ms is None:
-        # Pools without a queue have no prediction to feed.
+        # Only queues use the service time, for their predictions.
         if pool in state.queue_by_pool:
             state.service_ms_by_pool[pool] = service_ms
         return
@@ -210,13 +242,17 @@
 
 
 def _set_isolating(state: EntryState, endpoint_id: str, is_isolating: bool) -> None:
+    """Set whether an endpoint is kept free for an isolated run."""
     view = state.endpoints.view_by_id.get(endpoint_id)
     if view is not None:
         view.is_isolating = is_isolating
 
 
 def _detach(state: EntryState, request: Request, now_ms: int) -> list[Effect]:
-    """Let a claimed attempt go on, so that its outcome can be recorded."""
+    """Continue a claimed attempt without its caller, to record the claim's outcome.
+
+    The request is discarded after ``detach_ms``.
+    """
     request.phase = Phase.DETACHED
     due_ms = now_ms + state.config.detach_ms
     return [SetTimer(f"detach:{request.spec.request_id}", due_ms)]
@@ -225,6 +261,7 @@
 def _abandon_claim(
     state: EntryState, request: Request, outcome: Outcome, now_ms: int
 ) -> list[Effect]:
+    """Abandon the claim of a request that did not run, so that its key is free."""
     write = request.claim
     if request.phase is Phase.CLAIMING:
         write = state.claims.withdraw(request.spec.request_id)
--- a/packages/core/src/bluebellusher_core/requests/_isolation.py
+++ b/packages/core/src/bluebellusher_core/requests/_isolation.py
@@ -1,4 +1,4 @@
-"""Isolated runs of suspects, and requests that are known to crash endpoints."""
+"""Isolated runs of suspect requests, and blocked fingerprints."""
 
 from bluebellusher_core.effects import Effect, LogEvent
 from bluebellusher_core.errors import Reason
@@ -9,8 +9,9 @@
 from bluebellusher_core.requests._model import Attempt, Phase, Request
 from bluebellusher_core.state import EntryState
 
-# An isolated run keeps its endpoint from other new work, so only a part of the
-# endpoints of a pool is used for isolated runs at the same time.
+# An endpoint starts no other work during an isolated run. Therefore at most one in
+# ISOLATING_SHARE endpoints of a pool, but at least one, is used for isolated runs at
+# the same time.
 ISOLATING_SHARE = 4
 N_MAX_RESERVED_TRIES = 8
 MIN_TRY_AGAIN_MS = 20
@@ -19,7 +20,7 @@
 
 
 def place_suspects(state: EntryState, now_ms: int) -> list[Effect]:
-    """Start isolated runs, one for each endpoint and for each fingerprint."""
+    """Start the isolated runs that are due, at most one for each fingerprint."""
     effects: list[Effect] = []
     for request_id, at_ms in list(state.isolate_at_ms.items()):
         if at_ms <= now_ms:
@@ -29,6 +30,11 @@
 
 
 def _place(state: EntryState, request: Request, now_ms: int) -> list[Effect]:
+    """Start the isolated run of one request if an endpoint is available for it.
+
+    A request whose deadline has passed is rejected. One whose fingerprint is no longer
+    a suspect is requeued.
+    """
     spec = request.spec
     if spec.deadline_ms <= now_ms:
         reason = Reason.DEADLINE_EXCEEDED
@@ -49,6 +55,7 @@
 
 
 def _choose(state: EntryState, request: Request, now_ms: int) -> str | None:
+    """Return the reserved or else a free endpoint for an isolated run, or None."""
     pool = pool_of(request.spec)
     views = state.endpoints.views_of(pool)
     if request.reserved_endpoint_id:
@@ -62,7 +69,7 @@
 
 
 def has_free_share(state: EntryState, pool: Pool) -> bool:
-    """Return whether another endpoint of the pool may be used for isolation."""
+    """Return whether one more endpoint of a pool may be used for isolated runs."""
     views = state.endpoints.views_of(pool)
     n_isolating = sum(1 for view in views if view.is_isolating)
     return n_isolating < max(1, len(views) // ISOLATING_SHARE)
@@ -75,9 +82,13 @@
     retry_after_ms: int,
     now_ms: int,
 ) -> list[Effect]:
-    """Try again soon where older attempts have not produced output yet.
+    """Schedule the next try of an isolated run that its endpoint refused.
 
-    The endpoint stays reserved, because it would otherwise never become quiet.
+    An endpoint refuses while older attempts have produced no output yet. It stays
+    reserved, because new attempts would otherwise keep the isolated run from ever
+    starting. The wait doubles with each refusal, from ``MIN_TRY_AGAIN_MS`` or the
+    endpoint's own ``retry_after_ms`` to ``MAX_TRY_AGAIN_MS``. After
+    ``N_MAX_RESERVED_TRIES`` refusals the request avoids the endpoint.
     """
     request.phase = Phase.WAITING
     request.n_reserved_tries += 1
@@ -102,7 +113,23 @@
     now_ms: int,
     block_ms: int = BLOCK_MS,
 ) -> list[Effect]:
-    """Refuse a fingerprint for a while, and give its callers the final answer."""
+    """Block a fingerprint for ``block_ms`` and reject its requests in progress.
+
+    Parameters
+    ----------
+    state : EntryState
+        State of the entry; it is changed in place.
+    fingerprint : str
+        The fingerprint to block.
+    peer : str
+        The endpoint, entry or store that the evidence concerns or came from.
+    is_own : bool
+        Whether this entry observed the crash itself, so that peers are sent the block.
+    now_ms : int
+        Monotonic time.
+    block_ms : int
+        Duration of the block, in ms; a block that is already set is not extended.
+    """
     is_new = not state.poison.is_blocked(fingerprint, now_ms)
     state.poison.block(fingerprint, now_ms, is_own, block_ms)
     if not is_new:
@@ -122,7 +149,10 @@
 def digest_received(
     state: EntryState, event: DigestReceived, now_ms: int
 ) -> list[Effect]:
-    """Take over what a peer has observed."""
+    """Apply the blocked and suspect fingerprints that a peer sent.
+
+    Suspects are ignored where this entry counts crashes itself.
+    """
     state.check_at_ms = 0
     effects: list[Effect] = []
     for fingerprint in event.blocked_fingerprints[:N_MAX_DIGEST]:
@@ -135,7 +165,7 @@
 
 
 def next_due_ms(state: EntryState, now_ms: int) -> list[int]:
-    """Return the times at which a waiting suspect may move."""
+    """Return the times at which the isolated runs of waiting suspects may start."""
     due = [at_ms for at_ms in state.isolate_at_ms.values() if at_ms > now_ms]
     for request_id in state.isolate_at_ms:
         fingerprint = state.request_by_id[request_id].spec.fingerprint
--- a/packages/core/src/bluebellusher_core/requests/_links.py
+++ b/packages/core/src/bluebellusher_core/requests/_links.py
@@ -1,4 +1,4 @@
-"""Endpoints that connect, crash and are lost."""
+"""Handlers of endpoints that connect, register, crash or are lost."""
 
 from bluebellusher_core.effects import Effect, SetTimer
 from bluebellusher_core.errors import Reason
@@ -18,13 +18,18 @@
 from bluebellusher_core.requests._model import Attempt
 from bluebellusher_core.state import EntryState
 
-# The agent tells of each broken attempt right after the crash.
+# Time to wait for the agent's reports about broken attempts, in ms. An agent sends them
+# right after the crash of its engine.
 CRASH_WAIT_MS = 500
 N_MAX_CRASHED = 4_096
 
 
 def connected(state: EntryState, event: EndpointConnected, now_ms: int) -> list[Effect]:
-    """Use a new connection; attempts of an earlier one are over."""
+    """Add the endpoint of a new connection and break the attempts of the previous one.
+
+    The restart of an endpoint whose connection was lost during an isolated run blocks
+    that run's fingerprint. Broken streams of the endpoint are resumed.
+    """
     info = event.endpoint
     effects = lost(state, info.endpoint_id, now_ms)
     effects += state.endpoints.connect(event, now_ms)
@@ -39,7 +44,11 @@
 def registered(
     state: EntryState, event: EndpointRegistered, now_ms: int
 ) -> list[Effect]:
-    """Use an endpoint that registered; a new incarnation has lost its requests."""
+    """Add or refresh an endpoint that registered.
+
+    A new incarnation breaks the attempts of the previous start and confirms the crashes
+    that were suspected of it.
+    """
     info = event.endpoint
     view = state.endpoints.view_by_id.get(info.endpoint_id)
     if view is None or view.is_draining:
@@ -56,14 +65,14 @@
 
 
 def replaced(state: EntryState, event: EndpointReplaced, now_ms: int) -> list[Effect]:
-    """Break what waits for an endpoint whose address a later start has."""
+    """Break the attempts of an endpoint whose address a later start has taken."""
     endpoint_id = event.endpoint_id
     effects = lost(state, endpoint_id, now_ms)
     return effects + _crash_evidence.gone(state, endpoint_id, "address taken", now_ms)
 
 
 def lost(state: EntryState, endpoint_id: str, now_ms: int) -> list[Effect]:
-    """Break every attempt of a connection that is gone."""
+    """Discard an endpoint whose connection is lost and break its attempts."""
     view = state.endpoints.view_by_id.get(endpoint_id)
     is_leaving = view is not None and view.is_draining
     _final.forget_endpoint(state, endpoint_id, now_ms)
@@ -74,7 +83,11 @@
 
 
 def crashed(state: EntryState, event: EndpointCrashed, now_ms: int) -> list[Effect]:
-    """Suspect what was running when the engine died; block what ran isolated."""
+    """Handle a crash of an engine whose agent goes on running.
+
+    The fingerprints that were running become suspects. A fingerprint that ran isolated
+    is blocked. The endpoint gets no new work for ``CRASH_WAIT_MS``.
+    """
     effects: list[Effect] = []
     for fingerprint in event.fingerprints[:N_MAX_CRASHED]:
         state.poison.suspect(fingerprint, now_ms, is_own=True)
@@ -96,7 +109,7 @@
 
 
 def crash_wait_ended(state: EntryState, endpoint_id: str, now_ms: int) -> list[Effect]:
-    """Break the crashed attempts that the agent said nothing more about."""
+    """Break the crashed attempts that the agent reported nothing more about."""
     attempts = state.attempt_by_id.values()
     there = [a for a in attempts if a.endpoint_id == endpoint_id and a.is_crashed]
     return _break_all(state, there, Reason.ENGINE_ERROR, now_ms)
@@ -105,11 +118,12 @@
 def _break_all(
     state: EntryState, attempts: list[Attempt], reason: Reason, now_ms: int
 ) -> list[Effect]:
+    """Break attempts on behalf of a relay that reported nothing about them."""
     effects: list[Effect] = []
     for attempt in attempts:
         if attempt.attempt_id not in state.attempt_by_id:
             continue
-        # Without word from the relay an attempt that started counts as relayed.
+        # Without a report of the relay, a started attempt counts as partly relayed.
         n_bytes = 1 if attempt.is_started else 0
         event = AttemptBroken(attempt.attempt_id, reason, n_bytes, False)
         effects += _recovery.break_attempt(state, attempt, event, now_ms)
--- a/packages/core/src/bluebellusher_core/requests/_model.py
+++ b/packages/core/src/bluebellusher_core/requests/_model.py
@@ -8,7 +8,7 @@
 
 
 class Phase(IntEnum):
-    """Where a request stands."""
+    """Stage of a request between its arrival and its final answer."""
 
     CLAIMING = 0
     WAITING = 1
@@ -19,12 +19,32 @@
 
 @dataclass(slots=True)
 class Attempt:
-    """One dispatch of a request.
+    """One dispatch of a request to an endpoint.
 
-    ``incarnation`` is that of the agent; ``is_accepted`` is set when an isolated run
-    is known to have begun; ``is_crashed`` is set when the agent told
-    that the engine died with this attempt; ``is_leaving`` when its endpoint had said
-    that it would end.
+    Parameters
+    ----------
+    attempt_id : str
+        Id of the attempt, unique in the deployment.
+    request_id : str
+        The request that the attempt runs.
+    endpoint_id : str
+        The endpoint that the attempt was sent to.
+    dispatched_at_ms : int
+        Monotonic time of the dispatch.
+    incarnation : int
+        Incarnation of the endpoint at the dispatch.
+    is_isolated : bool
+        Whether the endpoint was asked to start no other work during the attempt.
+    is_resumed : bool
+        Whether the attempt fetches the rest of a stream that broke.
+    is_accepted : bool
+        Whether the agent confirmed that the attempt begins to run.
+    is_crashed : bool
+        Whether the agent reported that the engine crashed during the attempt.
+    is_started : bool
+        Whether the first bytes of the answer arrived.
+    is_leaving : bool
+        Whether the endpoint was draining or leaving when its connection was lost.
     """
 
     attempt_id: str
@@ -42,37 +62,40 @@
 
 @dataclass(slots=True)
 class Request:
-    """A request that has no final answer yet, or whose outcome is still awaited.
+    """State of a request without a final answer, or with a pending claim outcome.
 
     Parameters
     ----------
     spec : RequestSpec
-        The request.
+        Immutable description of the request.
     phase : Phase
-        Where it stands; ``DETACHED`` means that the caller has its final answer and
-        only the outcome of a claimed attempt is awaited.
+        Stage of the request; ``DETACHED`` means that the caller has received its
+        final answer and only the outcome of a claimed attempt is awaited.
     attempts : list of Attempt
         Attempts in flight.
     may_have_run : bool
         Whether an earlier attempt ended without certainty that it did not run.
     n_refused : int
-        Attempts that were refused.
+        Number of attempts that an endpoint or agent refused; refusals because of
+        another isolated run do not count.
     n_broken : int
-        Attempts that broke.
+        Number of attempts that broke or ended with a server error.
     avoided : set of str
-        Endpoints that refused or broke an attempt of this request.
+        Ids of endpoints that refused or broke an attempt of this request.
     n_bytes_relayed : int
-        Bytes that the caller has.
+        Number of answer bytes that the caller has received.
     resume_endpoint_id, resume_incarnation : str, int
-        The endpoint that may still hold the stream.
+        Id and incarnation of the endpoint that may still hold the broken stream.
     reserved_endpoint_id : str
-        The endpoint that this entry keeps free for the request's isolated run.
+        Endpoint on which this entry starts no other work, so that the request's
+        isolated run can begin; empty for none.
     n_reserved_tries : int
-        Refused tries on the reserved endpoint.
+        Number of isolated attempts that the reserved endpoint refused.
     is_trial : bool
-        The one run that decides whether a blocked fingerprint is sound.
+        Whether this is the single trial run that decides whether a blocked
+        fingerprint is unblocked.
     claim : ClaimWrite or None
-        The granted claim of a non-idempotent request with a key.
+        Granted claim of a non-idempotent request with an idempotency key.
     """
 
     spec: RequestSpec
--- a/packages/core/src/bluebellusher_core/requests/_placing.py
+++ b/packages/core/src/bluebellusher_core/requests/_placing.py
@@ -12,12 +12,14 @@
 from bluebellusher_core.routing import EndpointView
 from bluebellusher_core.state import EntryState
 
+# Longest interval between two checks of the queues, in ms. A queue rejects requests
+# that can no longer be served in time only when ``expire`` is called.
 EXPIRY_CHECK_MS = 100
 
 
 @runtime_checkable
 class WeightedQueue(Protocol):
-    """A queue that shares by customer."""
+    """A queue that divides its capacity among customers by weight."""
 
     def set_weights(self, weight_by_customer: dict[str, float]) -> None:
         """Replace the customers' weights."""
@@ -25,22 +27,30 @@
 
 @runtime_checkable
 class ClosableQueue(Protocol):
-    """A queue that refuses otherwise while no endpoint can run anything."""
+    """A queue with an admission rule of its own while every endpoint is closed."""
 
     def observe_closed(self, is_closed: bool) -> None:
-        """Tell whether every endpoint states that it can run nothing now."""
+        """Record whether every endpoint of the pool reports that it is closed."""
 
 
 @runtime_checkable
 class PausableQueue(Protocol):
-    """A queue that refuses otherwise while no endpoint wants anything."""
+    """A queue with an admission rule of its own while every endpoint is paused."""
 
     def observe_pause(self, pause_ms: int) -> None:
-        """Tell when the first endpoint takes work again; 0 when one does now."""
+        """Record the time until the first pause of the pool's endpoints ends.
+
+        ``pause_ms`` is in ms; it is 0 when at least one endpoint is not paused.
+        """
 
 
 def enqueue(state: EntryState, request: Request, now_ms: int) -> list[Effect]:
-    """Offer a request to the queue of its pool; suspects wait apart."""
+    """Offer a request to the queue of its pool.
+
+    A request with a blocked fingerprint is rejected, unless it is the trial run. A
+    request with a suspect fingerprint does not enter the queue but waits for an
+    isolated run.
+    """
     request.phase = Phase.WAITING
     state.check_at_ms = 0
     spec = request.spec
@@ -56,10 +66,12 @@
 def refuse_if_closed(
     state: EntryState, request: Request, now_ms: int
 ) -> list[Effect] | None:
-    """Refuse a fresh request that has not run while every endpoint is closed.
+    """Offer a request again to its queue while every endpoint of its pool is closed.
 
-    Nothing is known of when they open. The caller is given a pause after which it can
-    still be served. Returns None when the request is to be tried again.
+    The time at which closed endpoints open is unknown. The queue therefore rejects the
+    request with a ``retry_after_ms`` after which a retried request can still be
+    served in time. Returns None, and does nothing, when an endpoint is open, when the
+    request may have run, and when it is itself a retried request.
     """
     pool = pool_of(request.spec)
     can_wait = request.may_have_run or request.spec.is_returning
@@ -85,7 +97,11 @@
 
 
 def requeue(state: EntryState, request: Request, now_ms: int) -> list[Effect]:
-    """Let a request that was placed before go first; it is not predicted again."""
+    """Put a request that was dispatched before at the front of its pool's queue.
+
+    The queue does not predict again whether the request can be served in time. A
+    request with a suspect fingerprint waits for an isolated run instead.
+    """
     request.phase = Phase.WAITING
     state.check_at_ms = 0
     spec = request.spec
@@ -93,7 +109,8 @@
         state.isolate_at_ms[spec.request_id] = now_ms
         return []
     if request.n_bytes_relayed:
-        # The caller waits for the next part of a stream as long as for the first.
+        # A caller waits for the next bytes of a broken stream as long as for the
+        # first byte, so the request gets a new limit in the queue.
         start_by_ms = now_ms + state.config.resume_wait_ms
         spec = replace(spec, start_by_ms=start_by_ms)
     pool = pool_of(spec)
@@ -103,7 +120,7 @@
 
 
 def withdraw(state: EntryState, request: Request) -> None:
-    """Take a request out of its queue."""
+    """Remove a waiting request from the queue of its pool."""
     if request.phase is not Phase.WAITING:
         return
     queue = state.queue_by_pool.get(pool_of(request.spec))
@@ -112,14 +129,18 @@
 
 
 def set_weights(state: EntryState) -> None:
-    """Pass the customers' weights to every queue that uses them."""
+    """Update the customers' weights in every queue that uses them."""
     for queue in state.queue_by_pool.values():
         if isinstance(queue, WeightedQueue):
             queue.set_weights(state.weight_by_customer)
 
 
 def place_waiting(state: EntryState, now_ms: int) -> list[Effect]:
-    """Dispatch waiting requests while endpoints have room."""
+    """Dispatch waiting requests while endpoints have free capacity.
+
+    Also rejects waiting requests that expired or whose pool has no endpoint, and sets
+    the timer for the next check. Does nothing before ``state.check_at_ms``.
+    """
     if not state.waiting_pools and not state.isolate_at_ms:
         return []
     if now_ms < state.check_at_ms:
@@ -144,7 +165,11 @@
     is_isolated: bool = False,
     is_resumed: bool = False,
 ) -> list[Effect]:
-    """Start an attempt on an endpoint."""
+    """Create an attempt of a request and dispatch it to an endpoint.
+
+    Idempotent work is scheduled for a hedge, unless the attempt is isolated or resumes
+    a stream.
+    """
     state.n_attempts_made += 1
     config = state.config
     attempt_id = f"{config.entry_id}.{config.incarnation}.{state.n_attempts_made}"
@@ -184,7 +209,11 @@
 def choose(
     state: EntryState, request: Request, views: list[EndpointView], now_ms: int
 ) -> str | None:
-    """Choose an endpoint, one that has not failed the request where possible."""
+    """Choose an endpoint for a request by the routing policy.
+
+    Endpoints that refused or broke an attempt of this request are chosen only when no
+    other one is among ``views``. Returns None when the policy chooses none.
+    """
     if request.avoided:
         fresh = [v for v in views if v.info.endpoint_id not in request.avoided]
         views = fresh or views
@@ -192,6 +221,7 @@
 
 
 def _place_pool(state: EntryState, pool: Pool, now_ms: int) -> list[Effect]:
+    """Reject the expired requests of a pool and dispatch as many others as fit."""
     queue = state.queue_by_pool[pool]
     effects: list[Effect] = []
     _tell_closed(state, pool, queue, now_ms)
@@ -221,6 +251,7 @@
 
 
 def _queue_of(state: EntryState, pool: Pool) -> AdmissionQueue:
+    """Return the queue of a pool; create it on the first call."""
     queue = state.queue_by_pool.get(pool)
     if queue is None:
         queue = state.queue_by_pool[pool] = state.make_queue()
@@ -232,6 +263,7 @@
 def _tell_closed(
     state: EntryState, pool: Pool, queue: AdmissionQueue, now_ms: int
 ) -> None:
+    """Update a queue's record of whether every endpoint of its pool is closed."""
     if isinstance(queue, ClosableQueue):
         queue.observe_closed(state.endpoints.are_closed(pool, now_ms))
 
@@ -239,6 +271,7 @@
 def _tell_pause(
     state: EntryState, pool: Pool, queue: AdmissionQueue, now_ms: int
 ) -> None:
+    """Update a queue's record of the time until an endpoint ends its pause."""
     if isinstance(queue, PausableQueue):
         queue.observe_pause(state.endpoints.pause_left_ms(pool, now_ms))
 
@@ -246,11 +279,13 @@
 def _tell_rate(
     state: EntryState, pool: Pool, queue: AdmissionQueue, now_ms: int
 ) -> None:
-    """Tell a queue that is not empty how fast it is served.
+    """Update a non-empty queue's slots and mean service time, from which it predicts.
 
-    An endpoint without room counts with the attempts of this entry only, because the
-    other entries use the rest of it. Endpoints that are closed run nothing now; this
-    entry gets its part of them when they open.
+    An endpoint with free capacity counts with all its slots. An endpoint without free
+    capacity counts only with the attempts of this entry, because the other entries
+    use its remaining slots. While every endpoint is closed, the queue is given an
+    equal share of all slots for each entry, which is what it can use after the
+    endpoints open.
     """
     service_ms = state.service_ms_by_pool.get(pool)
     if service_ms is None or not len(queue):
@@ -269,6 +304,7 @@
 def _reject_waiting(
     state: EntryState, request: Request, refusal: Refusal, now_ms: int
 ) -> list[Effect]:
+    """Reject a waiting request with the reason that its queue returned."""
     return _final.give_up(
         state,
         request,
@@ -281,7 +317,11 @@
 
 
 def _refuse_unserved(state: EntryState, now_ms: int) -> list[Effect]:
-    """Refuse the requests of pools that had no endpoint for the grace period."""
+    """Reject the requests of pools that had no endpoint for the grace period.
+
+    Other pools without an endpoint keep waiting. The time since which a pool has had no
+    endpoint is discarded once an endpoint serves it or no request waits for it.
+    """
     waiting = set(state.waiting_pools)
     for request_id in state.isolate_at_ms:
         waiting.add(pool_of(state.request_by_id[request_id].spec))
@@ -299,6 +339,7 @@
 
 
 def _refuse_pool(state: EntryState, pool: Pool, now_ms: int) -> list[Effect]:
+    """Reject every waiting request of a pool and discard the pool's state."""
     state.queue_by_pool.pop(pool, None)
     state.waiting_pools.discard(pool)
     state.service_ms_by_pool.pop(pool, None)
@@ -313,13 +354,16 @@
 
 
 def _set_wake(state: EntryState, now_ms: int) -> list[Effect]:
-    """Set a timer for the next moment at which a waiting request may move."""
+    """Set a timer for the next time at which a waiting request may be placed.
+
+    No timer is set when nothing waits or when an earlier timer is already pending.
+    """
     if not state.waiting_pools and not state.isolate_at_ms:
         return []
     due: list[int] = _isolation.next_due_ms(state, now_ms)
     grace_ms = state.config.no_endpoint_grace_ms
     due += [since_ms + grace_ms for since_ms in state.unserved_since_ms.values()]
-    # A queue refuses what can no longer be served only when it is asked.
+    # A queue rejects requests that can no longer be served only in ``expire``.
     due.append(now_ms + EXPIRY_CHECK_MS)
     undeferred_ms = state.endpoints.next_undeferred_ms(now_ms)
     if undeferred_ms is not None:
--- a/packages/core/src/bluebellusher_core/requests/_recovery.py
+++ b/packages/core/src/bluebellusher_core/requests/_recovery.py
@@ -1,4 +1,4 @@
-"""What follows when an attempt breaks: resume, retry or the final answer."""
+"""Recovery after an attempt breaks: resume, retry, hedge or reject the request."""
 
 from bluebellusher_core.effects import DiscardAnswer, Effect, SetTimer
 from bluebellusher_core.errors import Reason
@@ -17,12 +17,16 @@
 def break_attempt(
     state: EntryState, attempt: Attempt, event: AttemptBroken, now_ms: int
 ) -> list[Effect]:
-    """End an attempt that may have run."""
+    """End an attempt that may have run, and recover its request.
+
+    The loss of an isolated attempt that had begun to run is evidence that the request
+    crashes endpoints. Such a request is rejected and its fingerprint held.
+    """
     request = state.request_by_id[attempt.request_id]
     is_loss = event.reason is Reason.ENDPOINT_LOST or attempt.is_crashed
     if event.reason is Reason.ENDPOINT_LOST:
-        # The relay speaks before the connection's own event; nothing may be placed
-        # there in between.
+        # The relay reports the broken attempt before the EndpointLost event of its
+        # connection. Nothing may be dispatched to the endpoint in between.
         _final.forget_endpoint(state, attempt.endpoint_id, now_ms)
     _final.end_attempt(state, request, attempt, now_ms)
     request.may_have_run = True
@@ -32,7 +36,7 @@
     request.n_bytes_relayed = max(request.n_bytes_relayed, event.n_bytes_relayed)
     is_fatal = is_loss or event.reason is Reason.ENGINE_ERROR
     effects = _crash_evidence.suspect(state, request, attempt, is_fatal, now_ms)
-    # An isolated attempt that was lost on the way tells nothing about the request.
+    # An isolated attempt that was lost before the agent accepted it is no evidence.
     is_convicting = is_fatal and attempt.is_isolated and attempt.is_accepted
     if is_convicting:
         is_lost = event.reason is Reason.ENDPOINT_LOST
@@ -42,7 +46,8 @@
     if request.phase is Phase.DETACHED:
         return effects + _final.drop(state, request, now_ms)
     if is_convicting:
-        # A repeat before the evidence is in could cost a further endpoint.
+        # A retry before the crash is confirmed or dismissed could crash another
+        # endpoint.
         reason, peer = event.reason, attempt.endpoint_id
         return effects + _final.give_up(
             state, request, reason, "isolation", now_ms, peer, HOLD_MS
@@ -58,6 +63,7 @@
     is_loss: bool,
     now_ms: int,
 ) -> list[Effect]:
+    """Resume, requeue or reject a request that has no attempt in flight."""
     if request.spec.deadline_ms <= now_ms:
         reason = Reason.DEADLINE_EXCEEDED
         return _give_up(state, request, attempt, reason, now_ms)
@@ -68,8 +74,9 @@
         if event.is_resumable:
             return _resume(state, request, attempt, now_ms)
         return _give_up(state, request, attempt, event.reason, now_ms)
-    # Retries after a loss run isolated, one for each endpoint, which bounds them;
-    # with the budget on top a request could be refused for another one's crash.
+    # Retries after a lost endpoint do not use the retry budget. They run isolated,
+    # one for each endpoint, which bounds their number. With the budget as well, a
+    # request could be rejected because another request crashes endpoints.
     if not is_loss and not state.retry_budget.try_spend():
         reason = Reason.RETRY_BUDGET_EXHAUSTED
         return _give_up(state, request, attempt, reason, now_ms)
@@ -77,7 +84,11 @@
 
 
 def can_replace_failure(state: EntryState, request: Request) -> bool:
-    """Return whether an endpoint's own error may be replaced by another attempt."""
+    """Return whether another attempt may replace an answer with a server error.
+
+    Counts the answer as a broken attempt of a request that may be repeated. Spends a
+    token of the retry budget when it returns True.
+    """
     can_repeat = request.spec.is_idempotent and not request.is_trial
     if not can_repeat or request.phase is Phase.DETACHED:
         return False
@@ -90,7 +101,7 @@
 def replace_failure(
     state: EntryState, request: Request, attempt: Attempt, now_ms: int
 ) -> list[Effect]:
-    """Try another endpoint instead of passing an endpoint's error on."""
+    """Discard an answer with a server error and requeue its request."""
     _final.end_attempt(state, request, attempt, now_ms)
     request.may_have_run = True
     request.avoided.add(attempt.endpoint_id)
@@ -99,6 +110,7 @@
 
 
 def _has_attempts_left(state: EntryState, request: Request) -> bool:
+    """Return whether fewer attempts broke than the request or the settings allow."""
     n_max = request.spec.n_max_attempts or state.config.n_max_attempts
     return request.n_broken < n_max
 
@@ -110,6 +122,7 @@
     reason: Reason,
     now_ms: int,
 ) -> list[Effect]:
+    """Reject a request because of its broken attempt."""
     peer = attempt.endpoint_id
     return _final.give_up(state, request, reason, "attempt", now_ms, peer)
 
@@ -117,7 +130,10 @@
 def _resume(
     state: EntryState, request: Request, attempt: Attempt, now_ms: int
 ) -> list[Effect]:
-    """Fetch the rest of the stream from the endpoint that holds it."""
+    """Fetch the rest of a broken stream from the endpoint that holds it.
+
+    If the endpoint is not connected, wait ``resume_wait_ms`` for it to reconnect.
+    """
     endpoint_id = attempt.endpoint_id
     if endpoint_id in state.endpoints.view_by_id:
         return _placing.dispatch(state, request, endpoint_id, now_ms, is_resumed=True)
@@ -129,14 +145,17 @@
 
 
 def resume_waiting(state: EntryState, info: EndpointInfo, now_ms: int) -> list[Effect]:
-    """Resume streams of an endpoint that is back; a new agent holds none."""
+    """Resume the broken streams of an endpoint that reconnected.
+
+    An endpoint of another incarnation holds no streams, so their requests are rejected.
+    """
     effects: list[Effect] = []
     for request in list(state.request_by_id.values()):
         is_waiting = request.phase is Phase.RESUMING
         if not is_waiting or request.resume_endpoint_id != info.endpoint_id:
             continue
         if request.spec.deadline_ms <= now_ms:
-            # Its timer gives the final answer.
+            # The deadline timer rejects this request.
             continue
         if info.incarnation == request.resume_incarnation:
             effects += _placing.dispatch(
@@ -148,7 +167,7 @@
 
 
 def resume_timed_out(state: EntryState, request_id: str, now_ms: int) -> list[Effect]:
-    """Give up a stream whose endpoint did not come back."""
+    """Reject a request whose endpoint did not reconnect within ``resume_wait_ms``."""
     request = state.request_by_id.get(request_id)
     if request is None or request.phase is not Phase.RESUMING:
         return []
@@ -156,16 +175,18 @@
 
 
 def _give_up_resume(state: EntryState, request: Request, now_ms: int) -> list[Effect]:
+    """Reject a request whose stream can no longer be resumed."""
     peer = request.resume_endpoint_id
     reason = Reason.ENDPOINT_LOST
     return _final.give_up(state, request, reason, "resume", now_ms, peer)
 
 
 def hedge_due(state: EntryState, attempt_id: str, now_ms: int) -> list[Effect]:
-    """Start a second attempt of idempotent work that produced no output yet.
+    """Start a second attempt of an idempotent request whose first has no output yet.
 
-    The hedge runs isolated: if the request crashes endpoints, the second crash then
-    convicts it, and no third endpoint is lost.
+    The hedge runs isolated. If the request crashes endpoints, a crash of the second
+    endpoint confirms that, and no third endpoint is lost. No hedge starts while other
+    requests of the pool wait.
     """
     attempt = state.attempt_by_id.get(attempt_id)
     if attempt is None or attempt.is_started:
@@ -187,7 +208,7 @@
     if not others:
         return []
     endpoint_id = _placing.choose(state, request, others, now_ms)
-    # The minimum is kept for retries.
+    # Hedges leave the minimum of the budget to retries.
     n_reserved = state.config.n_min_retries
     if endpoint_id is None or not state.retry_budget.try_spend(n_reserved):
         return []
