--- a/packages/core/src/bluebellusher_core/poison/__init__.py
+++ b/packages/core/src/bluebellusher_core/poison/__init__.py
@@ -1,4 +1,4 @@
-"""Fingerprints of requests that crash endpoints or may do so."""
+"""Fingerprints of poison requests, which crash endpoints, and of suspects."""
 
 from bluebellusher_core.poison._crashes import (
     COUNT_MS,
--- a/packages/core/src/bluebellusher_core/poison/_crashes.py
+++ b/packages/core/src/bluebellusher_core/poison/_crashes.py
@@ -1,4 +1,4 @@
-"""Crashes counted by what ran, where no agent tells of them."""
+"""Count of crashes by the requests that were running, where no agent reports them."""
 
 from collections import OrderedDict
 from dataclasses import dataclass, field
@@ -6,16 +6,22 @@
 from bluebellusher_core.poison._records import Crash, CrashRecord
 from bluebellusher_core.poison._table import BLOCK_MS, drop_oldest
 
-# A crashed endpoint is back within seconds; what tells of it may be away for longer.
+# Longest time between a broken run and the evidence that confirms its crash, in ms. A
+# crashed endpoint restarts within seconds, but the sources of the evidence may be
+# unavailable for longer.
 CONFIRM_MS = 30_000
+# Age at which a crash expires, in ms.
 COUNT_MS = 600_000
-# Entries tell each other how old a crash is. One that is about to be forgotten is not
-# taken over, because the time on the way would make it young again each time.
+# Entries exchange the ages of crashes, which do not include the time in transit. Each
+# exchange would make an old crash younger, and it would never expire. A crash that has
+# less than this time until it expires, in ms, is therefore not merged.
 MIN_LEFT_MS = 5_000
-# Crashes after a whole run this long ago may still have hit a sound request.
+# Time after a completed run of a fingerprint, in ms, in which crashes may still be
+# unrelated to the request. Concurrent runs that break in it count as one crash.
 SOUND_MS = 60_000
-# Crashes may have hit a sound request by chance. One run decides, once endpoints that
-# failed by themselves have had time to recover.
+# Time between the block of a fingerprint and its trial run, in ms. A harmless request
+# may have been running in the crashes by chance. Endpoints that failed for another
+# reason need this time to recover before the trial can decide.
 TRIAL_AFTER_MS = 30_000
 N_MAX_COUNTED = 4_096
 N_MAX_TOLD = 1_000
@@ -23,9 +29,10 @@
 
 @dataclass(slots=True)
 class _Suspicion:
-    """A run that ended without an answer, and whose endpoint may have crashed.
+    """A broken run whose endpoint may have crashed.
 
-    ``answered_at_ms`` is when the endpoint, or its next start, answered after that.
+    ``answered_at_ms`` is the time at which an answer from the endpoint's address after
+    the break was recorded, from this start or the next one; None without an answer.
     """
 
     fingerprint: str
@@ -37,7 +44,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _Interval:
-    """When a run began and when it broke."""
+    """Monotonic times at which a run was sent and at which it broke."""
 
     sent_at_ms: int
     broken_at_ms: int
@@ -45,21 +52,22 @@
 
 @dataclass(slots=True)
 class CrashCounter:
-    """Fingerprints whose runs were followed by a crash of their endpoint.
+    """Count of the crashes of endpoints by the fingerprints that were running there.
 
-    A broken run tells little: the link may have been cut. It counts once its endpoint
-    is known to have ended: its port is closed, or a later start is there. An endpoint
-    that answers on rules that out, unless its next start gave the answer.
+    A broken run alone proves no crash, because the link may have been cut. The crash is
+    confirmed once the endpoint's process has ended: its port is closed, or a later
+    start has taken its address. It is dismissed when the endpoint still answers, unless
+    the answer came from its next start.
 
-    A crash is named after the start of the endpoint that it ended, which can happen
-    once only. Entries therefore unite what they know, in any order and as often as they
-    like, and an entry that has started again takes over what all others remember. A
-    whole run takes back all crashes before it.
+    A crash is identified by the start of the endpoint that it ended, and each start can
+    end only once. Entries can therefore merge their records in any order and any number
+    of times, and a restarted entry takes over the records of all others. A completed
+    run of a fingerprint clears all its earlier crashes.
 
     Parameters
     ----------
     n_max : int
-        Upper bound of each table; the oldest is dropped first.
+        Upper bound of each table; the oldest item is evicted first.
 
     Examples
     --------
@@ -88,7 +96,17 @@
         sent_at_ms: int,
         now_ms: int,
     ) -> None:
-        """Remember a run that broke."""
+        """Record a broken run as a possible crash.
+
+        Parameters
+        ----------
+        fingerprint, endpoint_id, incarnation : str, str, int
+            The request, the endpoint, and the start of the endpoint that ran it.
+        sent_at_ms : int
+            Monotonic time at which the run was sent.
+        now_ms : int
+            Monotonic time.
+        """
         suspicions = self._suspicions_by_endpoint_id.setdefault(endpoint_id, [])
         suspicions.append(_Suspicion(fingerprint, incarnation, sent_at_ms, now_ms))
         del suspicions[: -self.n_max]
@@ -96,14 +114,15 @@
         drop_oldest(self._suspicions_by_endpoint_id, self.n_max)
 
     def note_answer(self, endpoint_id: str, since_ms: int, now_ms: int) -> list[str]:
-        """Note that an endpoint answers; return the fingerprints that this clears.
+        """Record an answer of an endpoint; return the fingerprints it dismisses.
 
         Parameters
         ----------
         endpoint_id : str
             The endpoint.
         since_ms : int
-            When it was asked; what broke later is not concerned.
+            Monotonic time at which the request or check was sent to the endpoint. Runs
+            that broke later are not dismissed.
         now_ms : int
             Monotonic time.
         """
@@ -115,19 +134,21 @@
         return cleared
 
     def is_suspected(self, endpoint_id: str) -> bool:
-        """Return whether a run broke at an endpoint that has not answered since."""
+        """Return whether an endpoint has broken runs and has not answered since."""
         suspicions = self._suspicions_by_endpoint_id.get(endpoint_id, ())
         return any(s.answered_at_ms is None for s in suspicions)
 
     def note_return(self, endpoint_id: str, incarnation: int) -> None:
-        """Drop suspicions against runs on a start that is registered again."""
+        """Discard the suspected crashes of a start that has registered again."""
         suspicions = self._suspicions_by_endpoint_id.get(endpoint_id, [])
         suspicions[:] = [s for s in suspicions if s.incarnation != incarnation]
 
     def confirm(
         self, endpoint_id: str, now_ms: int, started_at_ms: int | None = None
     ) -> list[str]:
-        """Count the runs that broke at an endpoint which is gone; return their names.
+        """Confirm the suspected crashes of an endpoint; return their fingerprints.
+
+        Runs that broke more than ``CONFIRM_MS`` ago are discarded.
 
         Parameters
         ----------
@@ -136,14 +157,15 @@
         now_ms : int
             Monotonic time.
         started_at_ms : int or None
-            When the other start began, if it is known.
+            Monotonic time at which the other start began, if known.
         """
         found: list[str] = []
         for suspicion in self._suspicions_by_endpoint_id.pop(endpoint_id, ()):
             if now_ms - suspicion.broken_at_ms > CONFIRM_MS:
                 continue
             if started_at_ms is not None and started_at_ms <= suspicion.sent_at_ms:
-                # The run was on the start whose registration arrives only now.
+                # The run was sent to the start whose registration arrives only now,
+                # so its registration does not confirm a crash.
                 self._suspicions_by_endpoint_id.setdefault(endpoint_id, []).append(
                     suspicion
                 )
@@ -153,11 +175,14 @@
         return found
 
     def note_trial(self, fingerprint: str, trial_id: str, now_ms: int) -> None:
-        """Count a trial run beforehand, so that no entry makes another one."""
+        """Count a trial run as a crash at its start, so that no entry starts another.
+
+        A completed trial clears the crash.
+        """
         self._runs_of(fingerprint)[trial_id] = _Interval(now_ms, now_ms)
 
     def merge(self, record: CrashRecord, now_ms: int) -> bool:
-        """Take over what another entry knows; return whether it is news."""
+        """Merge a record of another entry; return whether it held anything new."""
         fingerprint = record.fingerprint
         is_news = False
         if record.sound_age_ms is not None:
@@ -175,27 +200,33 @@
         return is_news
 
     def clear(self, fingerprint: str, now_ms: int) -> bool:
-        """Take crashes back after a whole run; return whether there were any."""
+        """Clear the crashes of a fingerprint after a completed run.
+
+        Returns whether there were any.
+        """
         self._note_sound(fingerprint, now_ms)
         return bool(self._run_by_start_by_fingerprint.get(fingerprint))
 
     def count(self, fingerprint: str, now_ms: int) -> int:
-        """Return the crashes since the last whole run.
+        """Return the number of crashes since the last completed run.
 
-        Copies of a request that has lately had a whole run may be cut by one and the
-        same fault, so that those in flight at the same time count once.
+        One fault may break several concurrent runs of a request. Those that break
+        within ``SOUND_MS`` after a completed run of the request count as one crash.
         """
         return len(self._counted(fingerprint, now_ms))
 
     def left_ms(self, fingerprint: str, n_crashes: int, now_ms: int) -> int:
-        """Return how long a fingerprint stays blocked after ``n_crashes`` crashes."""
+        """Return the remaining time of the block after ``n_crashes`` crashes, in ms.
+
+        Returns 0 when there were fewer crashes.
+        """
         runs = self._counted(fingerprint, now_ms)
         if len(runs) < n_crashes:
             return 0
         return runs[n_crashes - 1].broken_at_ms + BLOCK_MS - now_ms
 
     def record(self, fingerprint: str, now_ms: int) -> CrashRecord:
-        """Return what to tell of one fingerprint."""
+        """Return the crash record of one fingerprint, to announce to peers."""
         sound_at_ms = self._sound_at_ms.get(fingerprint)
         runs = self._run_by_start_by_fingerprint.get(fingerprint, {})
         crashes = tuple(
@@ -207,17 +238,22 @@
         return CrashRecord(fingerprint, crashes, sound_age_ms)
 
     def records(self, now_ms: int) -> tuple[CrashRecord, ...]:
-        """Return what to tell of every fingerprint with crashes, the latest last."""
+        """Return the records of the fingerprints with crashes, the latest ones last.
+
+        Discards expired crashes first. At most ``N_MAX_TOLD`` records are returned.
+        """
         self._forget_old(now_ms)
         told = list(self._run_by_start_by_fingerprint)[-N_MAX_TOLD:]
         return tuple(self.record(fingerprint, now_ms) for fingerprint in told)
 
     def _add(self, endpoint_id: str, suspicion: _Suspicion) -> None:
+        """Count a confirmed crash under the id of the start that it ended."""
         runs = self._runs_of(suspicion.fingerprint)
         start_id = name = f"{endpoint_id}@{suspicion.incarnation}"
         n_starts = 1
-        # A start that had crashed before the run was sent did not run it; the endpoint
-        # is back under its id, and its registration has not arrived yet.
+        # A start that had crashed before the run was sent cannot have run it. The
+        # endpoint has restarted under the same id, and the registration of that start
+        # has not arrived yet.
         while name in runs and runs[name].broken_at_ms < suspicion.sent_at_ms:
             n_starts += 1
             name = f"{start_id}#{n_starts}"
@@ -225,6 +261,7 @@
         runs.setdefault(name, run)
 
     def _counted(self, fingerprint: str, now_ms: int) -> list[_Interval]:
+        """Return the runs that count as crashes, ordered by the time they broke."""
         sound_at_ms = self._sound_at_ms.get(fingerprint)
         runs = self._run_by_start_by_fingerprint.get(fingerprint, {}).values()
         valid = sorted(
@@ -242,6 +279,7 @@
         return counted
 
     def _note_sound(self, fingerprint: str, sound_at_ms: int) -> bool:
+        """Record the time of a completed run; return whether it is the latest."""
         known_at_ms = self._sound_at_ms.get(fingerprint)
         if known_at_ms is not None and known_at_ms >= sound_at_ms:
             return False
@@ -251,12 +289,14 @@
         return True
 
     def _runs_of(self, fingerprint: str) -> dict[str, _Interval]:
+        """Return the crashed runs of a fingerprint, marked as the latest in use."""
         runs = self._run_by_start_by_fingerprint.setdefault(fingerprint, {})
         self._run_by_start_by_fingerprint.move_to_end(fingerprint)
         drop_oldest(self._run_by_start_by_fingerprint, self.n_max)
         return runs
 
     def _forget_old(self, now_ms: int) -> None:
+        """Discard crashes older than ``COUNT_MS``."""
         for fingerprint, runs in list(self._run_by_start_by_fingerprint.items()):
             for start_id, run in list(runs.items()):
                 if now_ms - run.broken_at_ms >= COUNT_MS:
@@ -266,14 +306,15 @@
 
 
 def _is_end(suspicion: _Suspicion, started_at_ms: int | None) -> bool:
-    """Return whether the run broke because its endpoint ended."""
+    """Return whether the run broke because its endpoint's process ended."""
     answered_at_ms = suspicion.answered_at_ms
     if answered_at_ms is None:
         return True
-    # What answered after the break was the next start already.
+    # An answer after the break that came from the next start does not dismiss it.
     return started_at_ms is not None and started_at_ms <= answered_at_ms
 
 
 def _is_valid(run: _Interval, sound_at_ms: int | None, now_ms: int) -> bool:
+    """Return whether a crash has neither expired nor been cleared."""
     is_young = now_ms - run.broken_at_ms < COUNT_MS
     return is_young and (sound_at_ms is None or run.broken_at_ms > sound_at_ms)
--- a/packages/core/src/bluebellusher_core/poison/_records.py
+++ b/packages/core/src/bluebellusher_core/poison/_records.py
@@ -1,22 +1,22 @@
-"""What entries tell each other of crashes."""
+"""Records of crashes that entries exchange."""
 
 from dataclasses import dataclass
 
 
 @dataclass(frozen=True, slots=True)
 class Crash:
-    """One start of an endpoint that ended while it ran a request.
+    """Crash of one start of an endpoint while it ran a request.
 
-    Ages are in ms and not points in time, because entries share no clock.
+    The record holds ages instead of points in time, because entries share no clock.
 
     Parameters
     ----------
     start_id : str
-        Names the start of the endpoint, the same on every entry.
+        Id of the start of the endpoint, the same on every entry.
     sent_age_ms : int
-        How long ago the run was sent.
+        Time since the run was sent to the endpoint, in ms.
     age_ms : int
-        How long ago the run broke.
+        Time since the run broke, in ms.
     """
 
     start_id: str
@@ -26,9 +26,16 @@
 
 @dataclass(frozen=True, slots=True)
 class CrashRecord:
-    """What is known of the crashes of one fingerprint.
+    """Crashes that were recorded for one fingerprint.
 
-    ``sound_age_ms`` is how long ago a run of it was whole; None when none is known.
+    Parameters
+    ----------
+    fingerprint : str
+        Hash of the request.
+    crashes : tuple of Crash
+        Crashes since the last completed run.
+    sound_age_ms : int or None
+        Time since the last completed run, in ms; None when none is recorded.
     """
 
     fingerprint: str
--- a/packages/core/src/bluebellusher_core/poison/_table.py
+++ b/packages/core/src/bluebellusher_core/poison/_table.py
@@ -1,12 +1,14 @@
-"""Suspected, blocked and held fingerprints."""
+"""Table of suspect, blocked and held fingerprints."""
 
 from collections import OrderedDict
 from dataclasses import dataclass, field, replace
 from typing import Any
 
+# Duration of a block and of a suspicion, in ms.
 BLOCK_MS = 600_000
 SUSPECT_MS = 600_000
-# An agent that was restarted is back, with a higher incarnation, within seconds.
+# Duration of a hold, in ms. A restarted agent reconnects with a higher incarnation
+# within seconds.
 HOLD_MS = 5_000
 N_MAX_FINGERPRINTS = 32_768
 N_MAX_DIGEST = 1_000
@@ -14,12 +16,20 @@
 
 @dataclass(frozen=True, slots=True)
 class _Mark:
+    """Expiry time of a mark, and whether this entry observed its cause itself."""
+
     until_ms: int
     is_own: bool
 
 
 @dataclass(frozen=True, slots=True)
 class _Hold:
+    """An isolated run whose end was not observed.
+
+    No run of its fingerprint starts before ``held_until_ms``. While ``is_lost`` is
+    set, a restart of the endpoint before ``until_ms`` confirms that the run crashed it.
+    """
+
     endpoint_id: str
     incarnation: int
     held_until_ms: int
@@ -29,16 +39,17 @@
 
 @dataclass(slots=True)
 class PoisonTable:
-    """What is known about fingerprints.
+    """Marks of fingerprints: blocked, suspect, cleared or held.
 
-    A mark is set once and expires a constant time later; a repeated message does not
-    extend it, because entries that tell each other would keep it for ever. For the
-    same reason only marks of the entry's own observation are told to peers.
+    A mark expires a fixed time after it was first set. A repeated message does not
+    extend it, because entries that exchange their marks would otherwise keep it
+    forever. For the same reason an entry sends its peers only the marks whose cause it
+    observed itself.
 
     Parameters
     ----------
     n_max : int
-        Upper bound of each table; the oldest mark is dropped first.
+        Upper bound of each table; the oldest mark is evicted first.
     """
 
     n_max: int = N_MAX_FINGERPRINTS
@@ -51,7 +62,10 @@
     def block(
         self, fingerprint: str, now_ms: int, is_own: bool, block_ms: int = BLOCK_MS
     ) -> None:
-        """Refuse the fingerprint for ``block_ms``."""
+        """Block a fingerprint for ``block_ms``, unless it is blocked already.
+
+        ``is_own`` states whether this entry observed the cause itself.
+        """
         self._holds.pop(fingerprint, None)
         self._suspects.pop(fingerprint, None)
         if self.is_blocked(fingerprint, now_ms):
@@ -60,20 +74,25 @@
         drop_oldest(self._blocked, self.n_max)
 
     def unblock(self, fingerprint: str) -> bool:
-        """Take a block back; return whether there was one."""
+        """Unblock a fingerprint; return whether it was blocked."""
         return self._blocked.pop(fingerprint, None) is not None
 
     def is_blocked(self, fingerprint: str, now_ms: int) -> bool:
-        """Return whether the fingerprint is known to crash endpoints."""
+        """Return whether requests with the fingerprint are rejected now."""
         return _is_marked(self._blocked, fingerprint, now_ms)
 
     def blocked_ms(self, fingerprint: str, now_ms: int) -> int:
-        """Return for how long the fingerprint is still refused; 0 when it is not."""
+        """Return the remaining time of a block, in ms; 0 without a block."""
         mark = self._blocked.get(fingerprint)
         return max(0, mark.until_ms - now_ms) if mark is not None else 0
 
     def suspect(self, fingerprint: str, now_ms: int, is_own: bool) -> None:
-        """Run the fingerprint isolated until a run of it finishes."""
+        """Mark a fingerprint as suspect, so that it runs isolated.
+
+        The mark is removed by ``clear`` or expires after ``SUSPECT_MS``. A peer's
+        suspicion (``is_own`` is False) is ignored for a fingerprint that was cleared
+        less than ``SUSPECT_MS`` ago.
+        """
         if self.is_blocked(fingerprint, now_ms):
             return
         if not is_own and self._cleared.get(fingerprint, now_ms) > now_ms:
@@ -86,11 +105,14 @@
         drop_oldest(self._suspects, self.n_max)
 
     def is_suspect(self, fingerprint: str, now_ms: int) -> bool:
-        """Return whether the fingerprint must run isolated."""
+        """Return whether a fingerprint must run isolated."""
         return _is_marked(self._suspects, fingerprint, now_ms)
 
     def clear(self, fingerprint: str, now_ms: int) -> None:
-        """Take back a suspicion after a whole run; peers' marks count no more."""
+        """Remove a hold and a suspicion after a completed run.
+
+        Suspicions that peers send are ignored from then on for ``SUSPECT_MS``.
+        """
         self._holds.pop(fingerprint, None)
         if self._suspects.pop(fingerprint, None) is None:
             return
@@ -106,14 +128,17 @@
         is_lost: bool,
         now_ms: int,
     ) -> None:
-        """Wait for evidence after an isolated run whose end was not seen.
+        """Hold a fingerprint after an isolated run whose end was not observed.
+
+        No run of it starts for ``HOLD_MS``, in which the endpoint may restart.
 
         Parameters
         ----------
         fingerprint, endpoint_id, incarnation : str, str, int
-            What ran, where, and on which start of the agent.
+            The request, the endpoint, and the incarnation of the agent that ran it.
         is_lost : bool
-            The connection was lost during the run, so that a restart convicts.
+            Whether the connection was lost during the run, so that a restart of the
+            endpoint confirms a crash.
         now_ms : int
             Monotonic time.
         """
@@ -125,7 +150,7 @@
         drop_oldest(self._holds, self.n_max)
 
     def held_until_ms(self, fingerprint: str, now_ms: int) -> int:
-        """Return when the fingerprint may run again; 0 when it may run now."""
+        """Return the time at which a hold ends, in ms; 0 when none is in force."""
         hold = self._holds.get(fingerprint)
         if hold is None or hold.held_until_ms <= now_ms:
             return 0
@@ -134,23 +159,26 @@
     def resolve_holds(
         self, endpoint_id: str, incarnation: int, now_ms: int
     ) -> list[str]:
-        """Return the fingerprints that a restart of the endpoint convicts."""
+        """Return the fingerprints whose crash a new connection of an endpoint confirms.
+
+        A higher incarnation proves that the endpoint restarted after the isolated run.
+        """
         convicted: list[str] = []
         for fingerprint, hold in list(self._holds.items()):
             if hold.endpoint_id != endpoint_id or not hold.is_lost:
                 continue
             if incarnation > hold.incarnation and hold.until_ms > now_ms:
                 convicted.append(fingerprint)
-            # The agent lived on, so that a later restart has another cause.
+            # After this connection, a later restart has another cause than the run.
             self._holds[fingerprint] = replace(hold, is_lost=False)
         return convicted
 
     def start(self, fingerprint: str) -> None:
-        """Count a running copy."""
+        """Count the start of a run of a fingerprint on this entry."""
         self._n_running[fingerprint] = self._n_running.get(fingerprint, 0) + 1
 
     def end(self, fingerprint: str) -> None:
-        """Count the end of a running copy."""
+        """Count the end of a run of a fingerprint on this entry."""
         n_left = self._n_running[fingerprint] - 1
         if n_left:
             self._n_running[fingerprint] = n_left
@@ -158,15 +186,19 @@
             del self._n_running[fingerprint]
 
     def n_running(self, fingerprint: str) -> int:
-        """Return how many copies this entry runs."""
+        """Return the number of runs of a fingerprint in flight on this entry."""
         return self._n_running.get(fingerprint, 0)
 
     def digest(self, now_ms: int) -> tuple[tuple[str, ...], tuple[str, ...]]:
-        """Return the blocked and suspect fingerprints to tell to peers."""
+        """Return the blocked and the suspect fingerprints to send to peers.
+
+        Each holds at most ``N_MAX_DIGEST`` fingerprints, the latest ones.
+        """
         return _own(self._blocked, now_ms), _own(self._suspects, now_ms)
 
 
 def _is_marked(marks: OrderedDict[str, _Mark], fingerprint: str, now_ms: int) -> bool:
+    """Return whether a mark is in force; discard it when it has expired."""
     mark = marks.get(fingerprint)
     if mark is None:
         return False
@@ -177,11 +209,12 @@
 
 
 def _own(marks: OrderedDict[str, _Mark], now_ms: int) -> tuple[str, ...]:
+    """Return the fingerprints of marks whose cause this entry observed itself."""
     own = [f for f, m in marks.items() if m.is_own and m.until_ms > now_ms]
     return tuple(own[-N_MAX_DIGEST:])
 
 
 def drop_oldest(table: OrderedDict[str, Any], n_max: int) -> None:
-    """Keep the last ``n_max`` items of a table."""
+    """Evict the oldest items of a table beyond ``n_max``."""
     while len(table) > n_max:
         table.popitem(last=False)
