Reword the comments of the retry budget

The budget is described as a token bucket, and the unit of its balance is named.

Comments and doc comments only; behaviour does not change.

--- a/packages/core/src/bluebellusher_core/retry/__init__.py
+++ b/packages/core/src/bluebellusher_core/retry/__init__.py
@@ -1,4 +1,4 @@
-"""How many attempts may be made beyond the first ones."""
+"""Budget for attempts beyond the first one of each request."""
 
 from bluebellusher_core.retry._budget import RetryBudget
 
--- a/packages/core/src/bluebellusher_core/retry/_budget.py
+++ b/packages/core/src/bluebellusher_core/retry/_budget.py
@@ -1,25 +1,28 @@
-"""Retry budget as a deterministic token count."""
+"""Retry budget as a token bucket that new requests fill."""
 
 from dataclasses import dataclass, field
 
+# Units of the balance in one token, so that one request can earn a percentage of it.
 TOKEN = 100
 
 
 @dataclass(slots=True)
 class RetryBudget:
-    """Tokens earned by fresh requests and spent by retries and hedges.
+    """Bucket of tokens that new requests earn and that retries and hedges spend.
 
-    The number of tokens ever spent is at most ``n_min`` plus ``percent`` of the
-    fresh requests. No clock takes part, so a pause neither adds nor loses tokens.
+    The total number of tokens spent is at most ``n_min`` plus ``percent`` of the number
+    of new requests. The budget does not depend on time, so that a pause of the process
+    neither adds nor removes tokens.
 
     Parameters
     ----------
     n_min : int
         Tokens at the start, so that an entry with little traffic can retry.
     percent : int
-        Tokens earned by 100 fresh requests.
+        Tokens earned by 100 new requests.
     n_burst : int
-        Upper bound of saved tokens, which bounds a burst of retries.
+        Upper bound of saved tokens, which bounds a burst of retries. It is raised to
+        ``n_min`` where it is lower.
 
     Examples
     --------
@@ -34,26 +37,29 @@
     _balance: int = field(default=0, init=False)
 
     def __post_init__(self) -> None:
-        """Start with the minimum."""
+        """Set the balance to ``n_min`` tokens."""
         self._balance = self.n_min * TOKEN
         self.n_burst = max(self.n_burst, self.n_min)
 
     def earn(self) -> None:
-        """Count a fresh request."""
+        """Add the share of a token that one new request earns."""
         self._balance = min(self._balance + self.percent, self.n_burst * TOKEN)
 
     @property
     def n_left(self) -> int:
-        """Return how many tokens are left."""
+        """Number of whole tokens that can be spent."""
         return self._balance // TOKEN
 
     def resize(self, n_burst: int) -> None:
-        """Change the upper bound of saved tokens; what exceeds it is lost."""
+        """Change the upper bound of saved tokens; tokens beyond it are discarded."""
         self.n_burst = max(1, n_burst)
         self._balance = min(self._balance, self.n_burst * TOKEN)
 
     def try_spend(self, n_reserved: int = 0) -> bool:
-        """Take a token unless fewer than ``n_reserved`` would remain."""
+        """Spend a token unless fewer than ``n_reserved`` would remain.
+
+        Returns whether a token was spent.
+        """
         if self._balance < (1 + n_reserved) * TOKEN:
             return False
         self._balance -= TOKEN
