--- a/packages/core/src/bluebellusher_core/claims/__init__.py
+++ b/packages/core/src/bluebellusher_core/claims/__init__.py
@@ -1,4 +1,4 @@
-"""Claims of non-idempotent requests, written in groups to the table."""
+"""Claims of non-idempotent requests, written to the table in batches."""
 
 from bluebellusher_core.claims._table import ClaimTable
 
--- a/packages/core/src/bluebellusher_core/claims/_table.py
+++ b/packages/core/src/bluebellusher_core/claims/_table.py
@@ -1,4 +1,4 @@
-"""Claim writes that wait, that are in flight, and that must be repeated."""
+"""Table of claim writes: unsent, in flight and to be sent again."""
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
@@ -12,10 +12,13 @@
 )
 from bluebellusher_core.events import ClaimResult, ClaimsAnswered, RequestSpec
 
+# Time for which writes are collected into one batch, in ms.
 COLLECT_MS = 5
 N_MAX_BATCH = 100
-# Two batches overlap the round trips; more of them only make batches smaller.
+# Two batches of claims in flight overlap their round trips. More would only make the
+# batches smaller.
 N_MAX_IN_FLIGHT = 2
+# Bounds of the wait before a batch without an answer is sent again, in ms.
 MIN_BACKOFF_MS = 50
 MAX_BACKOFF_MS = 1_000
 N_MAX_OUTCOMES = 20_000
@@ -25,6 +28,8 @@
 
 @dataclass(slots=True)
 class _Batch:
+    """Writes that are sent together, and how often the table did not answer them."""
+
     writes: tuple[ClaimWrite, ...]
     is_outcome: bool
     n_unanswered: int = 0
@@ -32,17 +37,17 @@
 
 @dataclass(slots=True)
 class ClaimTable:
-    """Claims of one entry.
+    """Claim writes of one entry.
 
-    Claims wait a few milliseconds so that one transaction carries many of them. A
-    batch without an answer is sent again with the same claim ids. While the table
-    does not answer, only one batch of claims is in flight, so that claims which were
-    never sent can be given up without a further write.
+    Claims are collected for a few milliseconds, so that one transaction writes many of
+    them. A batch without an answer is sent again with the same claim ids. While the
+    table is unavailable, at most one batch of claims is in flight. The other claims
+    stay unsent and can be withdrawn without a further write.
 
     Parameters
     ----------
     id_prefix : str
-        Unique for each start of each entry.
+        Prefix of claim and batch ids, unique for each start of each entry.
     """
 
     id_prefix: str
@@ -60,7 +65,7 @@
         return not (self._unsent or self._outcomes or self._batch_by_id)
 
     def claim(self, spec: RequestSpec, now_ms: int) -> list[Effect]:
-        """Collect the claim of a request."""
+        """Add the claim of a request to the next batch."""
         self._unsent[spec.request_id] = ClaimWrite(
             request_id=spec.request_id,
             customer_id=spec.customer_id,
@@ -72,30 +77,41 @@
         return self._set_flush(now_ms)
 
     def withdraw(self, request_id: str) -> ClaimWrite | None:
-        """Give up a claim; return its write when it may have taken effect."""
+        """Withdraw a claim; return its write if it was sent and may have taken effect.
+
+        Returns None for a claim that was never sent.
+        """
         self._unsent.pop(request_id, None)
         return self._sent.pop(request_id, None)
 
     def record(
         self, write: ClaimWrite, state: ClaimState, attempt_id: str, now_ms: int
     ) -> list[Effect]:
-        """Write the outcome of a claim: ``DONE`` or ``ABANDONED``."""
+        """Add the outcome of a claim, ``DONE`` or ``ABANDONED``, to the next batch.
+
+        Beyond ``N_MAX_OUTCOMES`` the oldest unsent outcome is discarded.
+        """
         outcome = replace(write, state=state, attempt_id=attempt_id)
         self._outcomes[write.claim_id] = outcome
         if len(self._outcomes) > N_MAX_OUTCOMES:
-            # The row stays claimed, so a repeat of the key is not run.
+            # The row of a discarded outcome stays claimed, so that a request with the
+            # same key is not run again.
             del self._outcomes[next(iter(self._outcomes))]
         return self._set_flush(now_ms)
 
     def flush(self) -> list[Effect]:
-        """Send what has been collected."""
+        """Send collected claims and outcomes, up to the limits of batches in flight."""
         self._is_flush_set = False
         return self._send_claims() + self._send_outcomes()
 
     def answered(
         self, event: ClaimsAnswered
     ) -> tuple[list[tuple[ClaimWrite, ClaimResult]], list[Effect]]:
-        """Return the results that concern claims still wanted."""
+        """Handle the table's answer to a batch.
+
+        Returns the results of claims that were not withdrawn, and the effects that send
+        the next batches.
+        """
         batch = self._batch_by_id.pop(event.batch_id, None)
         if batch is None:
             return [], []
@@ -109,7 +125,8 @@
                 continue
             result = result_by_id.get(write.request_id)
             if result is None:
-                # An answer that leaves out a claim tells nothing about it.
+                # The answer does not state the result of this claim, so the claim is
+                # sent again.
                 self._unsent[write.request_id] = write
                 self._sent[write.request_id] = write
             else:
@@ -117,7 +134,10 @@
         return results, self.flush()
 
     def unanswered(self, batch_id: str, now_ms: int) -> list[Effect]:
-        """Send a batch again after a pause."""
+        """Schedule a batch without an answer to be sent again.
+
+        The wait doubles each time, from ``MIN_BACKOFF_MS`` to ``MAX_BACKOFF_MS``.
+        """
         batch = self._batch_by_id.get(batch_id)
         if batch is None:
             return []
@@ -127,7 +147,7 @@
         return [SetTimer(f"{RETRY_TIMER}{batch_id}", now_ms + backoff_ms)]
 
     def send_again(self, batch_id: str) -> list[Effect]:
-        """Send a batch again, without the claims that were given up meanwhile."""
+        """Send an unanswered batch again, without the claims withdrawn meanwhile."""
         batch = self._batch_by_id.get(batch_id)
         if batch is None or not batch.n_unanswered:
             return []
@@ -140,6 +160,7 @@
         return [WriteClaims(batch_id, batch.writes)]
 
     def _send_claims(self) -> list[Effect]:
+        """Send unsent claims until enough batches of claims are in flight."""
         effects: list[Effect] = []
         n_allowed = N_MAX_IN_FLIGHT if self.is_answering else 1
         while self._n_in_flight(is_outcome=False) < n_allowed:
@@ -152,9 +173,10 @@
         return effects
 
     def _take_claims(self) -> list[ClaimWrite]:
-        """Take claims with different keys, none of which is in flight.
+        """Remove and return unsent claims with different keys, none of them in flight.
 
-        Two claims of one key in one transaction would both find the row absent.
+        Two claims of one key in one transaction would both find that the row does not
+        exist.
         """
         busy = self._rows_in_flight(only_outcomes=False)
         taken = _pick(self._unsent.values(), busy)
@@ -163,8 +185,10 @@
         return taken
 
     def _send_outcomes(self) -> list[Effect]:
+        """Send unsent outcomes unless a batch of outcomes is in flight."""
         effects: list[Effect] = []
-        # No caller waits for an outcome, so the batches may be large.
+        # No caller waits for the write of an outcome, so the batches may be large and
+        # one in flight at a time is enough.
         if self._n_in_flight(is_outcome=True) == 0:
             writes = self._take_outcomes()
             if writes:
@@ -172,6 +196,7 @@
         return effects
 
     def _take_outcomes(self) -> list[ClaimWrite]:
+        """Remove and return unsent outcomes whose rows have no outcome in flight."""
         busy = self._rows_in_flight(only_outcomes=True)
         taken = _pick(self._outcomes.values(), busy)
         for write in taken:
@@ -179,6 +204,7 @@
         return taken
 
     def _rows_in_flight(self, only_outcomes: bool) -> set[tuple[str, str]]:
+        """Return customer and idempotency key of the rows with a write in flight."""
         return {
             (write.customer_id, write.idempotency_key)
             for batch in self._batch_by_id.values()
@@ -187,27 +213,34 @@
         }
 
     def _send(self, writes: list[ClaimWrite], is_outcome: bool) -> WriteClaims:
+        """Record a new batch as in flight and return the effect that sends it."""
         batch_id = self._new_id("b")
         self._batch_by_id[batch_id] = _Batch(tuple(writes), is_outcome)
         return WriteClaims(batch_id, tuple(writes))
 
     def _n_in_flight(self, is_outcome: bool) -> int:
+        """Return the number of batches of claims or of outcomes in flight."""
         batches = self._batch_by_id.values()
         return sum(1 for batch in batches if batch.is_outcome is is_outcome)
 
     def _set_flush(self, now_ms: int) -> list[Effect]:
+        """Set the flush timer unless it is pending."""
         if self._is_flush_set:
             return []
         self._is_flush_set = True
         return [SetTimer(FLUSH_TIMER, now_ms + COLLECT_MS)]
 
     def _new_id(self, kind: str) -> str:
+        """Return a new id; ``kind`` is ``"c"`` for a claim and ``"b"`` for a batch."""
         self._n_ids += 1
         return f"{self.id_prefix}.{kind}{self._n_ids}"
 
 
 def _pick(writes: Iterable[ClaimWrite], busy: set[tuple[str, str]]) -> list[ClaimWrite]:
-    """Return a batch of writes of different rows, none of which is busy."""
+    """Return at most ``N_MAX_BATCH`` writes to different rows that are not in ``busy``.
+
+    The selected rows are added to ``busy``.
+    """
     picked: list[ClaimWrite] = []
     for write in writes:
         row = (write.customer_id, write.idempotency_key)
