--- a/packages/core/src/bluebellusher_core/state/__init__.py
+++ b/packages/core/src/bluebellusher_core/state/__init__.py
@@ -1,4 +1,4 @@
-"""State of one entry and its settings; only the reducer changes it."""
+"""State and settings of one entry; only the reducer changes the state."""
 
 from bluebellusher_core.state._config import EntryConfig
 from bluebellusher_core.state._state import EntryState
--- a/packages/core/src/bluebellusher_core/state/_config.py
+++ b/packages/core/src/bluebellusher_core/state/_config.py
@@ -1,57 +1,61 @@
-"""Settings of the decisions of one entry."""
+"""Settings of one entry's decisions about requests."""
 
 from dataclasses import dataclass
 
 
 @dataclass(frozen=True, slots=True)
 class EntryConfig:
-    """Settings of the decisions.
+    """Settings of one entry's decisions about requests.
+
+    An empty ``entry_id``, or an upper bound of endpoints, requests or attempts below 1,
+    raises ``ValueError``.
 
     Parameters
     ----------
     entry_id : str
         Instance id of the entry.
     incarnation : int
-        Grows with each start of the entry, so that ids are never used twice.
+        Number of the entry's start, which grows with each start, so that attempt and
+        claim ids are never used twice.
     seed : int
-        Seed of the generator for random choices.
+        Seed of the random number generator.
     n_max_endpoints : int
         Upper bound of connected endpoints.
     n_max_requests : int
         Upper bound of requests without a final answer.
     n_max_attempts : int
-        Upper bound of broken attempts for each request.
+        Upper bound of broken attempts of each request.
     n_max_refusals : int
-        Upper bound of refused attempts for each request; refusals by an endpoint that
-        is isolating do not count.
+        Upper bound of refused attempts of each request; refusals because of another
+        isolated run do not count.
     n_min_retries : int
-        Retries that are allowed before any fresh request has earned one.
+        Retries that are allowed before any new request has earned one.
     retry_percent : int
-        Retries and hedges allowed for 100 fresh requests.
+        Retries and hedges allowed for 100 new requests.
     n_shared_retries : int or None
-        Retries beyond ``retry_percent`` that all entries together may make in a
-        short time; None when each entry keeps to its own bound.
+        Retries beyond ``retry_percent`` that all entries together may make in a burst,
+        divided equally among them; None when each entry has a bound of its own.
     queue_factor : float
         Requests that an endpoint may hold, as a multiple of its slots.
     claim_wait_ms : int
-        How long a request waits for its claim, in ms.
+        Timeout of a request's claim, in ms.
     resume_wait_ms : int
-        How long a broken stream waits for its endpoint to reconnect, in ms.
+        Time for which a broken stream waits for its endpoint to reconnect, in ms.
     hedge_after_ms : int
         Time without output after which idempotent work is hedged, in ms; 0 for never.
     detach_ms : int
-        How long the outcome of a claimed attempt is awaited after its caller got the
-        final answer, in ms.
+        Time for which a claimed attempt may run on after its caller received the final
+        answer, so that the claim's outcome can be recorded, in ms.
     n_crashes_to_block : int
-        Crashes in a row after runs of one fingerprint that block it; 0 where agents
-        tell of crashes, and suspects run isolated instead.
+        Number of crashes of one fingerprint, without a completed run between them, that
+        blocks it; 0 where agents report crashes, so that suspects run isolated instead.
     max_pause_ms : int
-        Longest pause that an endpoint is granted when it wants nothing, in ms.
+        Upper bound of the pause that an endpoint may ask for, in ms.
     no_endpoint_grace_ms : int
-        How long requests wait when the last endpoint of their pool is gone, in ms;
-        a silent connection is replaced within this time.
+        Time for which requests wait after the last endpoint of their pool was lost, in
+        ms; an unresponsive connection is replaced within this time.
     retry_after_ms : int
-        What a caller is told when nothing better is known, in ms.
+        Default time after which a caller may retry a rejected request, in ms.
     """
 
     entry_id: str
@@ -75,7 +79,7 @@
     retry_after_ms: int = 1_000
 
     def __post_init__(self) -> None:
-        """Refuse values that leave no room to work."""
+        """Validate the id and the upper bounds."""
         if not self.entry_id:
             raise ValueError(f"entry_id={self.entry_id!r}: expected a non-empty id")
         for name in ("n_max_endpoints", "n_max_requests", "n_max_attempts"):
--- a/packages/core/src/bluebellusher_core/state/_state.py
+++ b/packages/core/src/bluebellusher_core/state/_state.py
@@ -19,7 +19,7 @@
 
 @runtime_checkable
 class Predictor(Protocol):
-    """A policy whose predictions the tracker compares with what is observed."""
+    """A policy whose predictions the tracker compares with observed times."""
 
     def predict_normal_ms(
         self, request: RequestSpec, view: EndpointView, now_ms: int
@@ -29,60 +29,64 @@
 
 @dataclass(slots=True)
 class EntryState:
-    """Everything that one entry decides from; only ``reduce`` changes it.
+    """State from which one entry makes its decisions; only ``reduce`` changes it.
 
     Parameters
     ----------
     config : EntryConfig
-        Settings.
+        Settings of the entry's decisions.
     random_state : random.Random
-        Generator for random choices.
+        Random number generator.
     policy : RoutingPolicy
-        Chooses endpoints.
+        Policy that chooses an endpoint for each request.
     predictor : Predictor or None
-        The policy, when it predicts times.
+        The policy, if it predicts times; otherwise None.
     make_queue : callable
-        Returns an empty admission queue; each pool has its own, so that a service
-        without room does not hold up the others.
+        Factory of empty admission queues; each pool has its own queue, so that a
+        service without free capacity does not delay the others.
     endpoints : Endpoints
         Connected endpoints.
     retry_budget : RetryBudget
         Tokens for retries and hedges.
     claims : ClaimTable
-        Claims that wait or are in flight.
+        Claim writes that are unsent or in flight.
     poison : PoisonTable
-        Suspect and blocked fingerprints.
+        Suspect, blocked and held fingerprints.
     crashes : CrashCounter
-        Crashes by fingerprint, where endpoints have no agent that tells of them.
+        Crashes by fingerprint, where endpoints have no agent that reports them.
     checked_at_ms : dict of str to int
-        When the address of an endpoint began to be checked, while no answer is known.
+        Monotonic start time of the address check in progress, by endpoint id.
     request_by_id, attempt_by_id : dict
-        Requests without a final answer (or detached) and attempts in flight.
+        Requests without a final answer (or detached), and attempts in flight.
     ended_attempts : OrderedDict of str to str
-        Endpoint of each of the last ended attempts, to tell late from foreign.
+        Endpoint id of each recently ended attempt, by attempt id. It distinguishes late
+        events from events that name an attempt of another endpoint.
     queue_by_pool, service_ms_by_pool, unserved_since_ms : dict
-        Waiting requests, mean service time and time of the loss of the last endpoint.
+        By pool: the queue of waiting requests, the smoothed service time in ms, and the
+        monotonic time since which waiting requests have had no endpoint.
     waiting_pools : set of Pool
         Pools whose queue is not empty.
     isolate_at_ms : dict of str to int
-        Suspect requests that wait, with the earliest time of the next attempt.
+        Monotonic time of the next isolated attempt of each waiting suspect, by request
+        id.
     weight_by_customer : dict of str to float
-        Shares in the admission queues.
+        Weights of the customers in the admission queues.
     config_version : int
         Version of the configuration that the weights come from.
     wake_at_ms : int
-        When the earliest pending ``wake`` timer fires; 0 for none.
+        Monotonic time of the earliest pending ``wake`` timer; 0 for none.
     check_at_ms : int
-        When waiting requests are looked at again; 0 after each event that may let
-        one of them move, so that other events do not pay for long queues.
+        Monotonic time of the next placement of waiting requests. It is set to 0 by each
+        event after which a waiting request may be placed, so that other events do not
+        scan long queues.
     n_attempts_made : int
-        Counter behind attempt ids.
+        Number of attempts made so far, from which attempt ids are formed.
     n_entries : int
-        Entries that share the endpoints, this one among them.
+        Number of entries that share the endpoints, including this one.
     member_ids : frozenset of str
-        Entries of the deployment, whether they can be reached or not.
+        Ids of all entries of the deployment, reachable or not.
     is_shutting_down : bool
-        New requests are refused.
+        Whether new requests are rejected because the entry shuts down.
     """
 
     config: EntryConfig
@@ -120,7 +124,7 @@
         policy: RoutingPolicy | None = None,
         make_queue: Callable[[], AdmissionQueue] = FifoQueue,
     ) -> "EntryState":
-        """Return the state of an entry that has just started.
+        """Return the initial state of an entry.
 
         Examples
         --------
@@ -146,9 +150,9 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether the entry may exit: nothing in progress, nothing left to write."""
+        """Whether the entry may exit: no request in progress and no claim to write."""
         return not self.request_by_id and self.claims.is_idle
 
     def digest(self, now_ms: int) -> tuple[tuple[str, ...], tuple[str, ...]]:
-        """Return the blocked and suspect fingerprints to tell to peers."""
+        """Return the blocked and the suspect fingerprints to send to peers."""
         return self.poison.digest(now_ms)
