--- a/packages/core/src/bluebellusher_core/events/__init__.py
+++ b/packages/core/src/bluebellusher_core/events/__init__.py
@@ -1,4 +1,4 @@
-"""Every event that the reducer accepts."""
+"""Events that the reducer accepts."""
 
 from bluebellusher_core.events._endpoint_events import (
     CacheReported,
--- a/packages/core/src/bluebellusher_core/events/_endpoint_events.py
+++ b/packages/core/src/bluebellusher_core/events/_endpoint_events.py
@@ -5,26 +5,27 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointInfo:
-    """What an agent says about its endpoint when a connection opens.
+    """Description of an endpoint from its agent's handshake or its registration.
 
     Parameters
     ----------
     endpoint_id : str
         Id of the endpoint instance.
     failure_domain : str
-        Where it runs.
+        Failure domain that the endpoint runs in.
     services : frozenset of str
-        Services that it offers.
+        Services that the endpoint offers.
     models : frozenset of str
         Models that are loaded; empty for a plain service.
     adapters : frozenset of str
         Adapters that are loaded.
     n_slots : int
-        Requests that the engine batches at once.
+        Number of requests that the engine runs in one batch.
     incarnation : int
-        Grows with each start of the agent; a higher one proves a restart.
+        Number of the start of the agent or endpoint, which grows with each start; a
+        higher one proves a restart.
     is_draining : bool
-        The endpoint was already draining when the connection opened.
+        Whether the endpoint was already draining when it connected or registered.
     """
 
     endpoint_id: str
@@ -39,17 +40,18 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointConnected:
-    """A connection to an agent is open and authenticated."""
+    """A connection to an agent was opened and authenticated."""
 
     endpoint: EndpointInfo
 
 
 @dataclass(frozen=True, slots=True)
 class EndpointRegistered:
-    """An endpoint that is reached without an agent says that it takes work.
+    """An endpoint without an agent registered, or renewed its registration.
 
-    Its requests in progress go on unless ``endpoint.incarnation`` has changed.
-    ``age_ms`` is how long ago it started; 0 when that is not known.
+    The attempts in flight on the endpoint continue unless ``endpoint.incarnation`` has
+    changed. ``age_ms`` is the time since the endpoint started, in ms; 0 when it is
+    unknown.
     """
 
     endpoint: EndpointInfo
@@ -58,17 +60,18 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointReplaced:
-    """An endpoint that started later has the address of this one."""
+    """Another endpoint, which started later, has taken this endpoint's address."""
 
     endpoint_id: str
 
 
 @dataclass(frozen=True, slots=True)
 class EndpointChecked:
-    """Answer to ``CheckEndpoint``.
+    """Result of a ``CheckEndpoint`` effect.
 
-    ``is_listening`` is None when the address did not answer at all, which a cut link
-    shows as well as a machine without power.
+    ``is_listening`` is True when the address accepts connections, False when its port
+    is closed, and None when it did not answer. A cut link and a machine without power
+    cannot be told apart in that case.
     """
 
     endpoint_id: str
@@ -77,11 +80,11 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointLost:
-    """The connection to an agent closed or went silent past its deadline.
+    """The connection to an agent closed, or was unresponsive past its timeout.
 
     The runtime first sends ``AttemptBroken`` with reason ``ENDPOINT_LOST`` for each
-    attempt of the connection, because only the relay knows how many bytes each
-    caller has. An attempt without such an event counts as not resumable.
+    attempt of the connection, because only the relay has counted the bytes that each
+    caller received. An attempt without such an event counts as not resumable.
     """
 
     endpoint_id: str
@@ -89,17 +92,25 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointDraining:
-    """The endpoint takes no new work."""
+    """An endpoint began to drain and starts no new work."""
 
     endpoint_id: str
 
 
 @dataclass(frozen=True, slots=True)
 class EndpointCrashed:
-    """The engine died while its agent went on running.
+    """An agent reported that its engine crashed.
 
-    ``fingerprints`` are those of every request that was running, from any entry.
-    ``isolated_fingerprint`` is set when the engine died during an isolated run.
+    Parameters
+    ----------
+    endpoint_id : str
+        The endpoint whose engine crashed.
+    fingerprints : tuple of str
+        Fingerprints of the requests that were running, from any entry.
+    attempt_ids : tuple of str
+        Attempts that were running.
+    isolated_fingerprint : str or None
+        Fingerprint of the isolated run during which the engine crashed, if any.
     """
 
     endpoint_id: str
@@ -110,18 +121,18 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointAnnounced:
-    """An endpoint said something of itself with an answer.
+    """An endpoint announced its shutdown or asked for a pause in an answer.
 
     Parameters
     ----------
     endpoint_id : str
-        The endpoint.
+        The endpoint that answered.
     incarnation : int
-        Its start, as far as this entry knows.
+        Last known incarnation of the endpoint.
     is_leaving : bool
-        It will end soon.
+        Whether the endpoint announced its shutdown.
     pause_ms : int
-        How long it wants nothing from this entry; 0 when it did not say.
+        Time in which this entry should send no work, in ms; 0 for none.
     """
 
     endpoint_id: str
@@ -132,7 +143,10 @@
 
 @dataclass(frozen=True, slots=True)
 class LeavingMark:
-    """A start of an endpoint that said, ``age_ms`` ago, that it leaves."""
+    """Announcement of one start of an endpoint that it shuts down.
+
+    ``age_ms`` is the time since the announcement, in ms.
+    """
 
     endpoint_id: str
     incarnation: int
@@ -141,7 +155,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LeavingLearned:
-    """A peer told which endpoints said that they leave."""
+    """A peer announced which endpoints are leaving; ``source`` names the peer."""
 
     source: str
     marks: tuple[LeavingMark, ...]
@@ -149,36 +163,36 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadReported:
-    """A load report arrived.
+    """A load report of an endpoint arrived.
 
     Parameters
     ----------
     endpoint_id : str
         The endpoint that reports.
     sequence : int
-        Grows with each report; a lower one is late and is ignored.
+        Number that grows with each report of the endpoint. A report with a lower number
+        is late and is ignored.
     n_running : int
-        Requests in the batch when the report was made.
+        Number of requests in the batch when the report was made.
     n_queued : int
-        Requests waiting in the engine.
+        Number of requests that wait in the engine.
     n_queued_tokens : int
-        Prompt tokens that wait for their prefill.
+        Number of prompt tokens that wait for their prefill.
     n_slots : int
-        Batch limit.
+        Upper bound of requests in the batch.
     kv_use : float
-        Share of KV memory in use, 0 to 1.
+        Share of KV memory in use, from 0 to 1.
     models, adapters : frozenset of str
-        What is loaded.
+        Models and adapters that are loaded.
     age_ms : int
-        Age of the reading when it was received.
+        Age of the report's values when it was received, in ms.
     is_open : bool
-        Whether the endpoint can run requests now; a rank of a group that is broken
-        cannot.
+        Whether the endpoint can run requests now; a rank of a broken group cannot.
     group_id : str
         Group of ranks that the endpoint belongs to; empty for none.
     epoch, step : int
-        The epoch grows each time the group is formed anew; the step is the last pass
-        that was begun in it.
+        Number of the group's formation, which grows each time the group is formed, and
+        number of the last pass that the group began in this epoch.
     """
 
     endpoint_id: str
@@ -199,7 +213,10 @@
 
 @dataclass(frozen=True, slots=True)
 class CacheReported:
-    """Prefix blocks were added to or removed from an endpoint's cache."""
+    """An endpoint reported prefix blocks that its cache added or removed.
+
+    ``has_gap`` states that earlier reports were lost.
+    """
 
     endpoint_id: str
     added: tuple[int, ...]
--- a/packages/core/src/bluebellusher_core/events/_request_events.py
+++ b/packages/core/src/bluebellusher_core/events/_request_events.py
@@ -7,7 +7,7 @@
 
 
 class Priority(IntEnum):
-    """Priority of a request; a lower number goes first."""
+    """Priority of a request; a lower number is served first."""
 
     HIGH = 0
     NORMAL = 1
@@ -16,16 +16,16 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestSpec:
-    """What the decisions need to know about a request; the body stays outside.
+    """Properties of a request that decisions use; the body is not among them.
 
     Parameters
     ----------
     request_id : str
         Unique id chosen by the entry.
     customer_id : str
-        Authenticated customer.
+        Authenticated customer that the request is charged to.
     service_id : str
-        The service that is asked for.
+        Service that the request is for.
     model : str
         Model name; empty for a plain service.
     adapter : str
@@ -35,27 +35,29 @@
     deadline_ms : int
         Monotonic time by which the answer must be complete.
     is_idempotent : bool
-        Whether a repeat does no harm.
+        Whether the request may safely run more than once.
     idempotency_key : str or None
-        Key from the caller.
+        Idempotency key that the caller chose; None for none.
     fingerprint : str
-        Hash of service and body.
+        Hash of the service id and the body.
     prefix_hashes : tuple of int
         Hashes of successive prompt blocks, each covering all blocks before it.
     n_input_tokens : int
-        Estimated prompt length.
+        Estimated length of the prompt, in tokens.
     n_max_output_tokens : int
-        Upper bound of the answer, in tokens.
+        Upper bound of the answer's length, in tokens.
     n_max_attempts : int or None
-        Endpoints that may run the request; None for the entry's own bound.
+        Upper bound of broken attempts; None for the entry's own bound.
     objective_at_ms : int or None
-        Monotonic time until which a first byte is on time.
+        Monotonic time by which the first byte meets the latency objective; None for no
+        objective.
     start_by_ms : int or None
-        Monotonic time after which the caller no longer waits for a first byte.
+        Monotonic time at which the caller stops waiting for the first byte; None for no
+        limit.
     is_returning : bool
-        The request was refused before and came back.
+        Whether this is a retried request, which was rejected before.
     can_resume_elsewhere : bool
-        Any endpoint can go on with a stream after the bytes that were relayed.
+        Whether any endpoint can continue the stream after the relayed bytes.
     """
 
     request_id: str
@@ -80,7 +82,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Usage:
-    """Tokens that an attempt consumed, as the engine counted them."""
+    """Numbers of tokens that an attempt used, as counted by the engine."""
 
     n_input_tokens: int = 0
     n_cached_tokens: int = 0
@@ -105,8 +107,9 @@
 class AttemptStarted:
     """The first bytes of an attempt's answer arrived.
 
-    In every attempt event ``endpoint_id`` is the connection on which the message
-    came; an empty one is not checked.
+    In every event about an attempt, ``endpoint_id`` names the endpoint whose connection
+    the message arrived on. It is compared with the attempt's endpoint unless it is
+    empty.
     """
 
     attempt_id: str
@@ -115,11 +118,11 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptAccepted:
-    """The agent is about to start an isolated attempt.
+    """An agent confirmed that it is about to start an isolated attempt.
 
-    The agent writes this to the connection before it hands the request to the
-    engine. If the endpoint is lost afterwards, the request was running there alone;
-    without this message it may have been lost on the way.
+    The agent sends the message before it passes the request to the engine. If the
+    endpoint is lost after the message, the request was running there alone. Without
+    the message, the request may have been lost before it reached the agent.
     """
 
     attempt_id: str
@@ -139,10 +142,12 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptRefused:
-    """The agent or the endpoint refused the attempt; it has certainly not run.
+    """An agent or endpoint refused an attempt, which has certainly not run.
 
-    ``has_arrived`` says that the endpoint itself saw the attempt, so that sending it
-    elsewhere adds to the load of the service and is paid from the retry budget.
+    ``retry_after_ms`` is the time, in ms, in which the endpoint should get no new
+    attempt. ``has_arrived`` states that the attempt reached the endpoint itself.
+    Another attempt then adds to the load of the service and is paid from the retry
+    budget.
     """
 
     attempt_id: str
@@ -163,11 +168,11 @@
     reason : Reason
         ``ENDPOINT_LOST``, ``ENGINE_ERROR`` or ``STREAM_CORRUPT``.
     n_bytes_relayed : int
-        How many bytes the caller has already received.
+        Number of answer bytes that the caller has received.
     is_resumable : bool
-        Whether the engine may still hold the stream at that offset.
+        Whether the engine may still hold the stream after these bytes.
     endpoint_id : str
-        The connection on which the message came; empty when not checked.
+        Endpoint whose connection the message arrived on; empty for no check.
     """
 
     attempt_id: str
--- a/packages/core/src/bluebellusher_core/events/_state_events.py
+++ b/packages/core/src/bluebellusher_core/events/_state_events.py
@@ -17,9 +17,9 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimResult:
-    """What the table says about one claim.
+    """Result of one claim write in the table.
 
-    ``answer_ref`` names the kept answer when ``outcome`` is ``DONE``.
+    ``answer_ref`` identifies the stored answer when ``outcome`` is ``DONE``.
     """
 
     request_id: str
@@ -29,7 +29,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimsAnswered:
-    """The table answered a group of claims."""
+    """The table answered a batch of claim writes."""
 
     batch_id: str
     results: tuple[ClaimResult, ...]
@@ -37,17 +37,17 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimsUnanswered:
-    """The table gave no answer; each write of the group may have taken effect."""
+    """The table did not answer a batch; each of its writes may have taken effect."""
 
     batch_id: str
 
 
 @dataclass(frozen=True, slots=True)
 class DigestReceived:
-    """A peer entry told what it knows.
+    """A peer entry announced its blocked and suspect fingerprints.
 
-    ``blocked_fingerprints`` are requests that are known to crash endpoints;
-    ``suspect_fingerprints`` were running on an endpoint when it died.
+    ``blocked_fingerprints`` are of requests that crash endpoints;
+    ``suspect_fingerprints`` are of requests that were running when an endpoint crashed.
     """
 
     peer_id: str
@@ -58,7 +58,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CrashesLearned:
-    """A peer, or the store, told of crashes."""
+    """Crash records arrived from a peer or the store; ``source`` names the sender."""
 
     source: str
     records: tuple[CrashRecord, ...]
@@ -66,7 +66,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CustomerPolicy:
-    """The share of one customer in the admission queue."""
+    """Weight of one customer in the admission queues."""
 
     customer_id: str
     weight: float
@@ -81,14 +81,14 @@
 
 @dataclass(frozen=True, slots=True)
 class MembersListed:
-    """The store told which entries the deployment has."""
+    """The store listed all entries of the deployment."""
 
     member_ids: frozenset[str]
 
 
 @dataclass(frozen=True, slots=True)
 class PolicyChanged:
-    """A higher configuration version came into force."""
+    """A configuration with a higher version took effect."""
 
     config_version: int
     customers: tuple[CustomerPolicy, ...]
@@ -96,11 +96,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ShutdownStarted:
-    """The entry was told to stop; requests in progress are finished."""
+    """The entry was asked to shut down; requests in progress are completed."""
 
 
 @dataclass(frozen=True, slots=True)
 class TimerFired:
-    """A timer set by ``SetTimer`` came due."""
+    """A timer that a ``SetTimer`` effect set has expired."""
 
     timer_id: str
