--- a/packages/core/src/bluebellusher_core/effects/__init__.py
+++ b/packages/core/src/bluebellusher_core/effects/__init__.py
@@ -1,4 +1,4 @@
-"""Every effect that the reducer returns; the runtime executes them."""
+"""Effects that the reducer returns and the runtime executes."""
 
 from bluebellusher_core.effects._effects import (
     CancelAttempt,
--- a/packages/core/src/bluebellusher_core/effects/_effects.py
+++ b/packages/core/src/bluebellusher_core/effects/_effects.py
@@ -1,4 +1,4 @@
-"""Effects as data."""
+"""Classes of effects, which describe an action without executing it."""
 
 from dataclasses import dataclass
 from enum import StrEnum
@@ -12,9 +12,9 @@
 class Dispatch:
     """Send an attempt to an endpoint.
 
-    ``resume_offset`` is the number of bytes the caller already has; the endpoint
-    sends what follows. ``is_isolated`` asks the agent to take no other new work
-    while this attempt runs.
+    ``resume_offset`` is the number of answer bytes that the caller has received; the
+    endpoint sends the answer from there. ``is_isolated`` asks the agent to start no
+    other work while this attempt runs.
     """
 
     attempt_id: str
@@ -26,7 +26,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CancelAttempt:
-    """Stop an attempt whose answer is no longer wanted."""
+    """Cancel an attempt whose answer is no longer needed."""
 
     attempt_id: str
     endpoint_id: str
@@ -34,7 +34,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Complete:
-    """End the caller's answer as whole; it came from ``attempt_id``."""
+    """Complete the answer to the caller, which the attempt ``attempt_id`` produced."""
 
     request_id: str
     attempt_id: str
@@ -42,14 +42,14 @@
 
 @dataclass(frozen=True, slots=True)
 class DiscardAnswer:
-    """Drop what an attempt answered, of which the caller has received nothing."""
+    """Discard the answer of an attempt; the caller has received no byte of it."""
 
     request_id: str
 
 
 @dataclass(frozen=True, slots=True)
 class Reject:
-    """Give the request its final answer at once."""
+    """Reject a request with its final answer."""
 
     request_id: str
     refusal: Refusal
@@ -57,7 +57,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ReplayAnswer:
-    """Send the kept answer of an earlier request with the same key."""
+    """Send the stored answer of an earlier request with the same idempotency key.
+
+    ``answer_ref`` identifies the stored answer.
+    """
 
     request_id: str
     answer_ref: str
@@ -73,10 +76,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimWrite:
-    """One claim row to write.
+    """Write of one claim row.
 
-    ``claim_id`` identifies this claim among all instances; a row that holds it is
-    known to be ours even when the answer to the write was lost.
+    ``claim_id`` is unique among all entries. A row that holds it was written by this
+    claim, even when the answer to the write was lost.
     """
 
     request_id: str
@@ -90,7 +93,7 @@
 
 @dataclass(frozen=True, slots=True)
 class WriteClaims:
-    """Write a group of claim rows in as few transactions as possible."""
+    """Write a batch of claim rows in as few transactions as possible."""
 
     batch_id: str
     writes: tuple[ClaimWrite, ...]
@@ -98,7 +101,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SetTimer:
-    """Deliver ``TimerFired(timer_id)`` at ``due_ms`` on the monotonic clock."""
+    """Deliver ``TimerFired(timer_id)`` at the monotonic time ``due_ms``."""
 
     timer_id: str
     due_ms: int
@@ -106,16 +109,16 @@
 
 @dataclass(frozen=True, slots=True)
 class CloseConnection:
-    """Close the connection to an endpoint that sent what it must not."""
+    """Close the connection to an endpoint that violated a rule of the protocol."""
 
     endpoint_id: str
 
 
 @dataclass(frozen=True, slots=True)
 class CheckEndpoint:
-    """Find out whether anything listens at the address of an endpoint.
+    """Check whether a process listens at the address of an endpoint.
 
-    Deliver ``EndpointChecked``, in any case.
+    The runtime always delivers an ``EndpointChecked`` event, even without a result.
     """
 
     endpoint_id: str
@@ -123,14 +126,14 @@
 
 @dataclass(frozen=True, slots=True)
 class TellCrashes:
-    """Bring what is new about crashes to the other entries and to the store."""
+    """Broadcast new crash records to the other entries and write them to the store."""
 
     records: tuple[CrashRecord, ...]
 
 
 @dataclass(frozen=True, slots=True)
 class TellLeaving:
-    """Bring to the other entries which endpoints said that they leave."""
+    """Broadcast to the other entries which endpoints are leaving."""
 
     marks: tuple[LeavingMark, ...]
 
