--- a/packages/core/src/bluebellusher_core/errors/__init__.py
+++ b/packages/core/src/bluebellusher_core/errors/__init__.py
@@ -1,4 +1,4 @@
-"""Errors and refusals; each names the step and the peer at which it arose."""
+"""Errors and rejections, each with the step and the peer at which it arose."""
 
 from bluebellusher_core.errors._errors import Outcome, Reason, Refusal, StepError
 
--- a/packages/core/src/bluebellusher_core/errors/_errors.py
+++ b/packages/core/src/bluebellusher_core/errors/_errors.py
@@ -5,7 +5,7 @@
 
 
 class Outcome(StrEnum):
-    """What is known about the execution of a request."""
+    """Whether a request has run."""
 
     COMPLETED = "completed"
     NOT_RUN = "not_run"
@@ -13,7 +13,7 @@
 
 
 class Reason(StrEnum):
-    """Why a request was refused, as a stable word for programs."""
+    """Reason of a rejection or a refused attempt, as a stable word for programs."""
 
     BAD_REQUEST = "bad_request"
     UNKNOWN_CUSTOMER = "unknown_customer"
@@ -49,20 +49,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Refusal:
-    """The final answer to a request that is given up.
+    """Final answer to a request that the entry rejects.
 
     Parameters
     ----------
     outcome : Outcome
         ``NOT_RUN`` only when no endpoint executed any part of the request.
     reason : Reason
-        Why the request is given up.
+        Reason of the rejection.
     step : str
-        The step that gave it up, such as ``"admission"`` or ``"claim"``.
+        Step that rejected the request, such as ``"admission"`` or ``"claim"``.
     peer : str
-        The endpoint, entry or platform service concerned; empty when there is none.
+        Endpoint, entry or platform service concerned; empty when there is none.
     retry_after_ms : int or None
-        When the caller may come back; ``None`` when a repeat cannot help.
+        Time after which the caller may retry the request, in ms; ``None`` when a retry
+        cannot succeed or is not safe.
     """
 
     outcome: Outcome
@@ -73,16 +74,16 @@
 
 
 class StepError(Exception):
-    """An error that carries the step and the peer at which it arose.
+    """Error with the step and the peer at which it arose.
 
     Parameters
     ----------
     step : str
         Name of the operation, such as ``"read-frame"``.
     peer : str
-        The other side, as an id or ``host:port``; empty when there is none.
+        Id or ``host:port`` of the remote side; empty when there is none.
     reason : str
-        What went wrong, with the offending value and what was expected.
+        Description of the error, with the offending value and the expected one.
     """
 
     def __init__(self, step: str, peer: str, reason: str) -> None:
