--- a/packages/core/src/bluebellusher_core/supervision/__init__.py
+++ b/packages/core/src/bluebellusher_core/supervision/__init__.py
@@ -1,4 +1,4 @@
-"""Parts of a process that run for as long as it does."""
+"""Supervision of tasks that run for the lifetime of a process."""
 
 from bluebellusher_core.supervision._supervise import RESTART_PAUSE_MS, supervise
 
--- a/packages/core/src/bluebellusher_core/supervision/_supervise.py
+++ b/packages/core/src/bluebellusher_core/supervision/_supervise.py
@@ -1,9 +1,10 @@
-"""Starting a part again after an error that nobody expected."""
+"""Restart of a task after an unexpected error."""
 
 import asyncio
 from collections.abc import Awaitable, Callable
 
-# A part that fails at once must not take the processor from the others.
+# Time before a failed task is restarted, in ms. Without it, a task that always fails at
+# its start would occupy the event loop.
 RESTART_PAUSE_MS = 500
 MS_PER_S = 1_000
 
@@ -11,17 +12,17 @@
 async def supervise(
     run: Callable[[], Awaitable[None]], report: Callable[[Exception], None]
 ) -> None:
-    """Run a part until it returns, and again after each error.
+    """Run a task until it returns, and restart it after each error.
 
-    A watcher, lease or reader that ended by an error would leave its process running
-    with beliefs that nothing corrects any more.
+    Without the restart, a process whose watcher, lease or reader failed would go on
+    with recorded state that is never updated again.
 
     Parameters
     ----------
     run : callable
-        Starts the part; it must be possible to call it again.
+        Runs the task; called again after each error.
     report : callable
-        Told each error.
+        Called with each error.
     """
     while True:
         try:
--- a/packages/core/src/bluebellusher_core/supervision/tests/test_supervise.py
+++ b/packages/core/src/bluebellusher_core/supervision/tests/test_supervise.py
@@ -1,4 +1,4 @@
-"""Parts that end by an error."""
+"""Tests of tasks that fail and of tasks that are cancelled."""
 
 import asyncio
 
@@ -9,12 +9,12 @@
 
 @pytest.fixture(autouse=True)
 def no_pause(monkeypatch):
-    """Restart at once, so that no test waits."""
+    """Restart failed tasks at once, so that no test waits."""
     monkeypatch.setattr(_supervise, "RESTART_PAUSE_MS", 0)
 
 
 def test_part_is_started_again_after_an_error():
-    """Guards against a process that goes on with a part that is dead."""
+    """Guards against a process that goes on running after one of its tasks failed."""
     errors, n_runs = [], 0
 
     async def run():
@@ -29,7 +29,7 @@
 
 
 def test_cancelled_part_stays_ended():
-    """Guards against a process that cannot stop its parts."""
+    """Guards against a process that cannot stop because its tasks are restarted."""
 
     async def main():
         task = asyncio.create_task(supervise(asyncio.Event().wait, pytest.fail))
