--- a/packages/core/src/bluebellusher_core/clock/__init__.py
+++ b/packages/core/src/bluebellusher_core/clock/__init__.py
@@ -1,4 +1,4 @@
-"""Time in whole milliseconds."""
+"""Clocks that give the time in whole milliseconds."""
 
 from bluebellusher_core.clock._clock import Clock, ManualClock, SystemClock
 
--- a/packages/core/src/bluebellusher_core/clock/_clock.py
+++ b/packages/core/src/bluebellusher_core/clock/_clock.py
@@ -1,4 +1,4 @@
-"""Clock types; decisions receive the time as a number and never read a clock."""
+"""Classes of clocks; decisions receive the time as a number and read no clock."""
 
 import time
 from typing import Protocol
@@ -8,17 +8,17 @@
     """A source of time in whole milliseconds."""
 
     def now_ms(self) -> int:
-        """Return monotonic time, which goes on while the process is paused."""
+        """Return monotonic time, which advances while the process is paused."""
 
     def wall_ms(self) -> int:
         """Return the time since the Unix epoch, in UTC."""
 
 
 class SystemClock:
-    """Read the clocks of the operating system.
+    """Clock of the operating system.
 
-    The monotonic reading is ``CLOCK_BOOTTIME``, which also counts while the machine
-    is suspended, so that a lease or a grant cannot outlive a suspension.
+    Monotonic time is read from ``CLOCK_BOOTTIME``, which also advances while the
+    machine is suspended, so that leases and grants expire on time despite a suspension.
     """
 
     def now_ms(self) -> int:
@@ -26,19 +26,19 @@
         return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
 
     def wall_ms(self) -> int:
-        """Return milliseconds since the Unix epoch."""
+        """Return the time since the Unix epoch in milliseconds."""
         return time.time_ns() // 1_000_000
 
 
 class ManualClock:
-    """A clock that moves only when told to, for tests and simulations.
+    """Clock that moves only when ``advance`` is called, for tests and simulations.
 
     Parameters
     ----------
     start_ms : int
-        First monotonic reading, in milliseconds.
+        Initial monotonic time, in milliseconds.
     wall_offset_ms : int
-        What is added to the monotonic reading to give wall time.
+        Difference between wall time and monotonic time, in milliseconds.
 
     Examples
     --------
@@ -53,15 +53,18 @@
         self._wall_offset_ms = wall_offset_ms
 
     def now_ms(self) -> int:
-        """Return the current reading in milliseconds."""
+        """Return the current monotonic time in milliseconds."""
         return self._now_ms
 
     def wall_ms(self) -> int:
-        """Return the current reading plus the wall offset."""
+        """Return the current monotonic time plus the wall offset, in milliseconds."""
         return self._now_ms + self._wall_offset_ms
 
     def advance(self, duration_ms: int) -> None:
-        """Move forward by ``duration_ms``; a negative value raises ``ValueError``."""
+        """Advance the clock by ``duration_ms``.
+
+        A negative duration raises ``ValueError``.
+        """
         if duration_ms < 0:
             raise ValueError(f"duration_ms={duration_ms}: expected 0 or more")
         self._now_ms += duration_ms
