--- a/packages/core/src/bluebellusher_core/rendezvous/__init__.py
+++ b/packages/core/src/bluebellusher_core/rendezvous/__init__.py
@@ -1,4 +1,7 @@
-"""Rendezvous hashing: all who know the same members choose the same one for a key."""
+"""Rendezvous hashing: all processes with the same member list choose the same member.
+
+The choice depends only on the key and the ids of the members.
+"""
 
 from collections.abc import Iterable
 from hashlib import blake2b
@@ -7,12 +10,12 @@
 
 
 def score(key: str, member_id: str) -> bytes:
-    """Return the rank of a member for a key; the lowest one is chosen first."""
+    """Return the score of a member for a key; the member with the lowest is chosen."""
     return blake2b(f"{key}\0{member_id}".encode(), digest_size=8).digest()
 
 
 def choose(key: str, member_ids: Iterable[str]) -> str | None:
-    """Return the member that a key belongs to, or None without members.
+    """Return the member that a key is assigned to, or None without members.
 
     Examples
     --------
