Rename the supervision delay and its tests

RESTART_PAUSE_MS becomes RESTART_DELAY_MS, because a pause is the time in which an endpoint asks for no work. The tests name the behaviour that they check. Names only; behaviour does not change.

--- a/packages/core/src/bluebellusher_core/supervision/_supervise.py
+++ b/packages/core/src/bluebellusher_core/supervision/_supervise.py
@@ -5,7 +5,7 @@
 
 # Time before a failed task is restarted, in ms. Without it, a task that always fails at
 # its start would occupy the event loop.
-RESTART_PAUSE_MS = 500
+RESTART_DELAY_MS = 500
 MS_PER_S = 1_000
 
 
@@ -29,6 +29,6 @@
             await run()
         except Exception as error:
             report(error)
-            await asyncio.sleep(RESTART_PAUSE_MS / MS_PER_S)
+            await asyncio.sleep(RESTART_DELAY_MS / MS_PER_S)
         else:
             return
--- a/packages/core/src/bluebellusher_core/supervision/tests/test_supervise.py
+++ b/packages/core/src/bluebellusher_core/supervision/tests/test_supervise.py
@@ -8,12 +8,12 @@
 
 
 @pytest.fixture(autouse=True)
-def no_pause(monkeypatch):
+def restart_without_delay(monkeypatch):
     """Restart failed tasks at once, so that no test waits."""
-    monkeypatch.setattr(_supervise, "RESTART_PAUSE_MS", 0)
+    monkeypatch.setattr(_supervise, "RESTART_DELAY_MS", 0)
 
 
-def test_part_is_started_again_after_an_error():
+def test_failed_task_is_restarted():
     """Guards against a process that goes on running after one of its tasks failed."""
     errors, n_runs = [], 0
 
@@ -28,7 +28,7 @@
     assert n_runs == 3
 
 
-def test_cancelled_part_stays_ended():
+def test_cancelled_task_is_not_restarted():
     """Guards against a process that cannot stop because its tasks are restarted."""
 
     async def main():
