--- a/packages/core/src/bluebellusher_core/claims/_table.py
+++ b/packages/core/src/bluebellusher_core/claims/_table.py
@@ -13,7 +13,7 @@
 from bluebellusher_core.events import ClaimResult, ClaimsAnswered, RequestSpec
 
 # Time for which writes are collected into one batch, in ms.
-COLLECT_MS = 5
+BATCH_DELAY_MS = 5
 N_MAX_BATCH = 100
 # Two batches of claims in flight overlap their round trips. More would only make the
 # batches smaller.
@@ -53,7 +53,7 @@
     id_prefix: str
     is_answering: bool = True
     _n_ids: int = 0
-    _is_flush_set: bool = False
+    _is_flush_scheduled: bool = False
     _unsent: dict[str, ClaimWrite] = field(default_factory=dict)
     _sent: dict[str, ClaimWrite] = field(default_factory=dict)
     _outcomes: dict[str, ClaimWrite] = field(default_factory=dict)
@@ -74,7 +74,7 @@
             fingerprint=spec.fingerprint,
             state=ClaimState.CLAIMED,
         )
-        return self._set_flush(now_ms)
+        return self._schedule_flush(now_ms)
 
     def withdraw(self, request_id: str) -> ClaimWrite | None:
         """Withdraw a claim; return its write if it was sent and may have taken effect.
@@ -97,14 +97,14 @@
             # The row of a discarded outcome stays claimed, so that a request with the
             # same key is not run again.
             del self._outcomes[next(iter(self._outcomes))]
-        return self._set_flush(now_ms)
+        return self._schedule_flush(now_ms)
 
     def flush(self) -> list[Effect]:
         """Send collected claims and outcomes, up to the limits of batches in flight."""
-        self._is_flush_set = False
+        self._is_flush_scheduled = False
         return self._send_claims() + self._send_outcomes()
 
-    def answered(
+    def apply_answer(
         self, event: ClaimsAnswered
     ) -> tuple[list[tuple[ClaimWrite, ClaimResult]], list[Effect]]:
         """Handle the table's answer to a batch.
@@ -152,8 +152,8 @@
         if batch is None or not batch.n_unanswered:
             return []
         if not batch.is_outcome:
-            kept = [w for w in batch.writes if w.request_id in self._sent]
-            batch.writes = tuple(kept)
+            remaining_writes = [w for w in batch.writes if w.request_id in self._sent]
+            batch.writes = tuple(remaining_writes)
         if not batch.writes:
             del self._batch_by_id[batch_id]
             return self.flush()
@@ -164,7 +164,7 @@
         effects: list[Effect] = []
         n_allowed = N_MAX_IN_FLIGHT if self.is_answering else 1
         while self._n_in_flight(is_outcome=False) < n_allowed:
-            writes = self._take_claims()
+            writes = self._dequeue_claims()
             if not writes:
                 break
             for write in writes:
@@ -172,17 +172,17 @@
             effects.append(self._send(writes, is_outcome=False))
         return effects
 
-    def _take_claims(self) -> list[ClaimWrite]:
+    def _dequeue_claims(self) -> list[ClaimWrite]:
         """Remove and return unsent claims with different keys, none of them in flight.
 
         Two claims of one key in one transaction would both find that the row does not
         exist.
         """
-        busy = self._rows_in_flight(only_outcomes=False)
-        taken = _pick(self._unsent.values(), busy)
-        for write in taken:
+        excluded_rows = self._rows_in_flight(only_outcomes=False)
+        selected = _select_batch(self._unsent.values(), excluded_rows)
+        for write in selected:
             del self._unsent[write.request_id]
-        return taken
+        return selected
 
     def _send_outcomes(self) -> list[Effect]:
         """Send unsent outcomes unless a batch of outcomes is in flight."""
@@ -190,18 +190,18 @@
         # No caller waits for the write of an outcome, so the batches may be large and
         # one in flight at a time is enough.
         if self._n_in_flight(is_outcome=True) == 0:
-            writes = self._take_outcomes()
+            writes = self._dequeue_outcomes()
             if writes:
                 effects.append(self._send(writes, is_outcome=True))
         return effects
 
-    def _take_outcomes(self) -> list[ClaimWrite]:
+    def _dequeue_outcomes(self) -> list[ClaimWrite]:
         """Remove and return unsent outcomes whose rows have no outcome in flight."""
-        busy = self._rows_in_flight(only_outcomes=True)
-        taken = _pick(self._outcomes.values(), busy)
-        for write in taken:
+        excluded_rows = self._rows_in_flight(only_outcomes=True)
+        selected = _select_batch(self._outcomes.values(), excluded_rows)
+        for write in selected:
             del self._outcomes[write.claim_id]
-        return taken
+        return selected
 
     def _rows_in_flight(self, only_outcomes: bool) -> set[tuple[str, str]]:
         """Return customer and idempotency key of the rows with a write in flight."""
@@ -223,12 +223,12 @@
         batches = self._batch_by_id.values()
         return sum(1 for batch in batches if batch.is_outcome is is_outcome)
 
-    def _set_flush(self, now_ms: int) -> list[Effect]:
+    def _schedule_flush(self, now_ms: int) -> list[Effect]:
         """Set the flush timer unless it is pending."""
-        if self._is_flush_set:
+        if self._is_flush_scheduled:
             return []
-        self._is_flush_set = True
-        return [SetTimer(FLUSH_TIMER, now_ms + COLLECT_MS)]
+        self._is_flush_scheduled = True
+        return [SetTimer(FLUSH_TIMER, now_ms + BATCH_DELAY_MS)]
 
     def _new_id(self, kind: str) -> str:
         """Return a new id; ``kind`` is ``"c"`` for a claim and ``"b"`` for a batch."""
@@ -236,18 +236,20 @@
         return f"{self.id_prefix}.{kind}{self._n_ids}"
 
 
-def _pick(writes: Iterable[ClaimWrite], busy: set[tuple[str, str]]) -> list[ClaimWrite]:
-    """Return at most ``N_MAX_BATCH`` writes to different rows that are not in ``busy``.
+def _select_batch(
+    writes: Iterable[ClaimWrite], excluded_rows: set[tuple[str, str]]
+) -> list[ClaimWrite]:
+    """Return at most ``N_MAX_BATCH`` writes to different rows.
 
-    The selected rows are added to ``busy``.
+    Rows in ``excluded_rows`` are skipped. The selected rows are added to it.
     """
-    picked: list[ClaimWrite] = []
+    selected: list[ClaimWrite] = []
     for write in writes:
         row = (write.customer_id, write.idempotency_key)
-        if row in busy:
+        if row in excluded_rows:
             continue
-        busy.add(row)
-        picked.append(write)
-        if len(picked) == N_MAX_BATCH:
+        excluded_rows.add(row)
+        selected.append(write)
+        if len(selected) == N_MAX_BATCH:
             break
-    return picked
+    return selected
--- a/packages/core/src/bluebellusher_core/errors/_errors.py
+++ b/packages/core/src/bluebellusher_core/errors/_errors.py
@@ -43,7 +43,7 @@
     CLAIM_STORE_UNAVAILABLE = "claim_store_unavailable"
     OUTCOME_UNKNOWN = "outcome_unknown"
     CRASHES_ENDPOINTS = "crashes_endpoints"
-    CALLER_LEFT = "caller_left"
+    CALLER_DISCONNECTED = "caller_left"
     SHUTTING_DOWN = "shutting_down"
 
 
--- a/packages/core/src/bluebellusher_core/poison/_crashes.py
+++ b/packages/core/src/bluebellusher_core/poison/_crashes.py
@@ -4,27 +4,27 @@
 from dataclasses import dataclass, field
 
 from bluebellusher_core.poison._records import Crash, CrashRecord
-from bluebellusher_core.poison._table import BLOCK_MS, drop_oldest
+from bluebellusher_core.poison._table import BLOCK_MS, evict_oldest
 
 # Longest time between a broken run and the evidence that confirms its crash, in ms. A
 # crashed endpoint restarts within seconds, but the sources of the evidence may be
 # unavailable for longer.
-CONFIRM_MS = 30_000
+CONFIRM_TIMEOUT_MS = 30_000
 # Age at which a crash expires, in ms.
 COUNT_MS = 600_000
 # Entries exchange the ages of crashes, which do not include the time in transit. Each
 # exchange would make an old crash younger, and it would never expire. A crash that has
 # less than this time until it expires, in ms, is therefore not merged.
-MIN_LEFT_MS = 5_000
+MIN_REMAINING_MS = 5_000
 # Time after a completed run of a fingerprint, in ms, in which crashes may still be
 # unrelated to the request. Concurrent runs that break in it count as one crash.
-SOUND_MS = 60_000
+COMPLETED_RUN_WINDOW_MS = 60_000
 # Time between the block of a fingerprint and its trial run, in ms. A harmless request
 # may have been running in the crashes by chance. Endpoints that failed for another
 # reason need this time to recover before the trial can decide.
 TRIAL_AFTER_MS = 30_000
 N_MAX_COUNTED = 4_096
-N_MAX_TOLD = 1_000
+N_MAX_ANNOUNCED = 1_000
 
 
 @dataclass(slots=True)
@@ -43,7 +43,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Interval:
+class _CrashedRun:
     """Monotonic times at which a run was sent and at which it broke."""
 
     sent_at_ms: int
@@ -83,10 +83,10 @@
     _suspicions_by_endpoint_id: OrderedDict[str, list[_Suspicion]] = field(
         default_factory=OrderedDict
     )
-    _run_by_start_by_fingerprint: OrderedDict[str, dict[str, _Interval]] = field(
+    _run_by_start_id_by_fingerprint: OrderedDict[str, dict[str, _CrashedRun]] = field(
         default_factory=OrderedDict
     )
-    _sound_at_ms: OrderedDict[str, int] = field(default_factory=OrderedDict)
+    _completed_at_ms: OrderedDict[str, int] = field(default_factory=OrderedDict)
 
     def suspect(
         self,
@@ -111,16 +111,18 @@
         suspicions.append(_Suspicion(fingerprint, incarnation, sent_at_ms, now_ms))
         del suspicions[: -self.n_max]
         self._suspicions_by_endpoint_id.move_to_end(endpoint_id)
-        drop_oldest(self._suspicions_by_endpoint_id, self.n_max)
+        evict_oldest(self._suspicions_by_endpoint_id, self.n_max)
 
-    def note_answer(self, endpoint_id: str, since_ms: int, now_ms: int) -> list[str]:
+    def record_answer(
+        self, endpoint_id: str, asked_at_ms: int, now_ms: int
+    ) -> list[str]:
         """Record an answer of an endpoint; return the fingerprints it dismisses.
 
         Parameters
         ----------
         endpoint_id : str
             The endpoint.
-        since_ms : int
+        asked_at_ms : int
             Monotonic time at which the request or check was sent to the endpoint. Runs
             that broke later are not dismissed.
         now_ms : int
@@ -128,7 +130,10 @@
         """
         cleared: list[str] = []
         for suspicion in self._suspicions_by_endpoint_id.get(endpoint_id, ()):
-            if suspicion.answered_at_ms is None and suspicion.broken_at_ms <= since_ms:
+            if (
+                suspicion.answered_at_ms is None
+                and suspicion.broken_at_ms <= asked_at_ms
+            ):
                 suspicion.answered_at_ms = now_ms
                 cleared.append(suspicion.fingerprint)
         return cleared
@@ -138,7 +143,7 @@
         suspicions = self._suspicions_by_endpoint_id.get(endpoint_id, ())
         return any(s.answered_at_ms is None for s in suspicions)
 
-    def note_return(self, endpoint_id: str, incarnation: int) -> None:
+    def record_reregistration(self, endpoint_id: str, incarnation: int) -> None:
         """Discard the suspected crashes of a start that has registered again."""
         suspicions = self._suspicions_by_endpoint_id.get(endpoint_id, [])
         suspicions[:] = [s for s in suspicions if s.incarnation != incarnation]
@@ -148,7 +153,7 @@
     ) -> list[str]:
         """Confirm the suspected crashes of an endpoint; return their fingerprints.
 
-        Runs that broke more than ``CONFIRM_MS`` ago are discarded.
+        Runs that broke more than ``CONFIRM_TIMEOUT_MS`` ago are discarded.
 
         Parameters
         ----------
@@ -159,9 +164,9 @@
         started_at_ms : int or None
             Monotonic time at which the other start began, if known.
         """
-        found: list[str] = []
+        confirmed: list[str] = []
         for suspicion in self._suspicions_by_endpoint_id.pop(endpoint_id, ()):
-            if now_ms - suspicion.broken_at_ms > CONFIRM_MS:
+            if now_ms - suspicion.broken_at_ms > CONFIRM_TIMEOUT_MS:
                 continue
             if started_at_ms is not None and started_at_ms <= suspicion.sent_at_ms:
                 # The run was sent to the start whose registration arrives only now,
@@ -169,143 +174,150 @@
                 self._suspicions_by_endpoint_id.setdefault(endpoint_id, []).append(
                     suspicion
                 )
-            elif _is_end(suspicion, started_at_ms):
-                self._add(endpoint_id, suspicion)
-                found.append(suspicion.fingerprint)
-        return found
+            elif _is_crash(suspicion, started_at_ms):
+                self._add_crash(endpoint_id, suspicion)
+                confirmed.append(suspicion.fingerprint)
+        return confirmed
 
-    def note_trial(self, fingerprint: str, trial_id: str, now_ms: int) -> None:
+    def record_trial(self, fingerprint: str, trial_id: str, now_ms: int) -> None:
         """Count a trial run as a crash at its start, so that no entry starts another.
 
         A completed trial clears the crash.
         """
-        self._runs_of(fingerprint)[trial_id] = _Interval(now_ms, now_ms)
+        self._get_or_add_runs(fingerprint)[trial_id] = _CrashedRun(now_ms, now_ms)
 
     def merge(self, record: CrashRecord, now_ms: int) -> bool:
         """Merge a record of another entry; return whether it held anything new."""
         fingerprint = record.fingerprint
-        is_news = False
+        has_new_data = False
         if record.sound_age_ms is not None:
-            is_news = self._note_sound(fingerprint, now_ms - record.sound_age_ms)
-        sound_at_ms = self._sound_at_ms.get(fingerprint)
+            has_new_data = self._record_completed(
+                fingerprint, now_ms - record.sound_age_ms
+            )
+        completed_at_ms = self._completed_at_ms.get(fingerprint)
         for crash in record.crashes:
-            run = _Interval(now_ms - crash.sent_age_ms, now_ms - crash.age_ms)
-            is_over = crash.age_ms > COUNT_MS - MIN_LEFT_MS
-            if is_over or (sound_at_ms is not None and run.broken_at_ms <= sound_at_ms):
+            run = _CrashedRun(now_ms - crash.sent_age_ms, now_ms - crash.age_ms)
+            is_expiring = crash.age_ms > COUNT_MS - MIN_REMAINING_MS
+            if is_expiring or (
+                completed_at_ms is not None and run.broken_at_ms <= completed_at_ms
+            ):
                 continue
-            runs = self._runs_of(fingerprint)
+            runs = self._get_or_add_runs(fingerprint)
             if crash.start_id not in runs:
                 runs[crash.start_id] = run
-                is_news = True
-        return is_news
+                has_new_data = True
+        return has_new_data
 
     def clear(self, fingerprint: str, now_ms: int) -> bool:
         """Clear the crashes of a fingerprint after a completed run.
 
         Returns whether there were any.
         """
-        self._note_sound(fingerprint, now_ms)
-        return bool(self._run_by_start_by_fingerprint.get(fingerprint))
+        self._record_completed(fingerprint, now_ms)
+        return bool(self._run_by_start_id_by_fingerprint.get(fingerprint))
 
     def count(self, fingerprint: str, now_ms: int) -> int:
         """Return the number of crashes since the last completed run.
 
-        One fault may break several concurrent runs of a request. Those that break
-        within ``SOUND_MS`` after a completed run of the request count as one crash.
+        One fault may break several concurrent runs of a request. Concurrent runs that
+        break within ``COMPLETED_RUN_WINDOW_MS`` after a completed run of the request
+        count as one crash.
         """
-        return len(self._counted(fingerprint, now_ms))
+        return len(self._list_counted_runs(fingerprint, now_ms))
 
-    def left_ms(self, fingerprint: str, n_crashes: int, now_ms: int) -> int:
+    def block_remaining_ms(self, fingerprint: str, n_crashes: int, now_ms: int) -> int:
         """Return the remaining time of the block after ``n_crashes`` crashes, in ms.
 
         Returns 0 when there were fewer crashes.
         """
-        runs = self._counted(fingerprint, now_ms)
+        runs = self._list_counted_runs(fingerprint, now_ms)
         if len(runs) < n_crashes:
             return 0
         return runs[n_crashes - 1].broken_at_ms + BLOCK_MS - now_ms
 
     def record(self, fingerprint: str, now_ms: int) -> CrashRecord:
         """Return the crash record of one fingerprint, to announce to peers."""
-        sound_at_ms = self._sound_at_ms.get(fingerprint)
-        runs = self._run_by_start_by_fingerprint.get(fingerprint, {})
+        completed_at_ms = self._completed_at_ms.get(fingerprint)
+        runs = self._run_by_start_id_by_fingerprint.get(fingerprint, {})
         crashes = tuple(
             Crash(start_id, now_ms - run.sent_at_ms, now_ms - run.broken_at_ms)
             for start_id, run in runs.items()
-            if _is_valid(run, sound_at_ms, now_ms)
+            if _is_valid(run, completed_at_ms, now_ms)
         )
-        sound_age_ms = None if sound_at_ms is None else now_ms - sound_at_ms
+        sound_age_ms = None if completed_at_ms is None else now_ms - completed_at_ms
         return CrashRecord(fingerprint, crashes, sound_age_ms)
 
     def records(self, now_ms: int) -> tuple[CrashRecord, ...]:
         """Return the records of the fingerprints with crashes, the latest ones last.
 
-        Discards expired crashes first. At most ``N_MAX_TOLD`` records are returned.
+        Discards expired crashes first. Returns at most ``N_MAX_ANNOUNCED`` records.
         """
-        self._forget_old(now_ms)
-        told = list(self._run_by_start_by_fingerprint)[-N_MAX_TOLD:]
-        return tuple(self.record(fingerprint, now_ms) for fingerprint in told)
+        self._discard_expired(now_ms)
+        fingerprints = list(self._run_by_start_id_by_fingerprint)[-N_MAX_ANNOUNCED:]
+        return tuple(self.record(fingerprint, now_ms) for fingerprint in fingerprints)
 
-    def _add(self, endpoint_id: str, suspicion: _Suspicion) -> None:
+    def _add_crash(self, endpoint_id: str, suspicion: _Suspicion) -> None:
         """Count a confirmed crash under the id of the start that it ended."""
-        runs = self._runs_of(suspicion.fingerprint)
-        start_id = name = f"{endpoint_id}@{suspicion.incarnation}"
+        runs = self._get_or_add_runs(suspicion.fingerprint)
+        start_id = unique_id = f"{endpoint_id}@{suspicion.incarnation}"
         n_starts = 1
         # A start that had crashed before the run was sent cannot have run it. The
         # endpoint has restarted under the same id, and the registration of that start
         # has not arrived yet.
-        while name in runs and runs[name].broken_at_ms < suspicion.sent_at_ms:
+        while unique_id in runs and runs[unique_id].broken_at_ms < suspicion.sent_at_ms:
             n_starts += 1
-            name = f"{start_id}#{n_starts}"
-        run = _Interval(suspicion.sent_at_ms, suspicion.broken_at_ms)
-        runs.setdefault(name, run)
+            unique_id = f"{start_id}#{n_starts}"
+        run = _CrashedRun(suspicion.sent_at_ms, suspicion.broken_at_ms)
+        runs.setdefault(unique_id, run)
 
-    def _counted(self, fingerprint: str, now_ms: int) -> list[_Interval]:
+    def _list_counted_runs(self, fingerprint: str, now_ms: int) -> list[_CrashedRun]:
         """Return the runs that count as crashes, ordered by the time they broke."""
-        sound_at_ms = self._sound_at_ms.get(fingerprint)
-        runs = self._run_by_start_by_fingerprint.get(fingerprint, {}).values()
+        completed_at_ms = self._completed_at_ms.get(fingerprint)
+        runs = self._run_by_start_id_by_fingerprint.get(fingerprint, {}).values()
         valid = sorted(
-            (run for run in runs if _is_valid(run, sound_at_ms, now_ms)),
+            (run for run in runs if _is_valid(run, completed_at_ms, now_ms)),
             key=lambda run: run.broken_at_ms,
         )
-        if sound_at_ms is None:
+        if completed_at_ms is None:
             return valid
-        counted: list[_Interval] = []
+        counted: list[_CrashedRun] = []
         for run in valid:
-            is_known_sound = run.broken_at_ms - sound_at_ms <= SOUND_MS
-            is_copy = bool(counted) and run.sent_at_ms < counted[-1].broken_at_ms
-            if not (is_known_sound and is_copy):
+            is_recently_completed = (
+                run.broken_at_ms - completed_at_ms <= COMPLETED_RUN_WINDOW_MS
+            )
+            is_concurrent = bool(counted) and run.sent_at_ms < counted[-1].broken_at_ms
+            if not (is_recently_completed and is_concurrent):
                 counted.append(run)
         return counted
 
-    def _note_sound(self, fingerprint: str, sound_at_ms: int) -> bool:
+    def _record_completed(self, fingerprint: str, completed_at_ms: int) -> bool:
         """Record the time of a completed run; return whether it is the latest."""
-        known_at_ms = self._sound_at_ms.get(fingerprint)
-        if known_at_ms is not None and known_at_ms >= sound_at_ms:
+        latest_at_ms = self._completed_at_ms.get(fingerprint)
+        if latest_at_ms is not None and latest_at_ms >= completed_at_ms:
             return False
-        self._sound_at_ms[fingerprint] = sound_at_ms
-        self._sound_at_ms.move_to_end(fingerprint)
-        drop_oldest(self._sound_at_ms, self.n_max)
+        self._completed_at_ms[fingerprint] = completed_at_ms
+        self._completed_at_ms.move_to_end(fingerprint)
+        evict_oldest(self._completed_at_ms, self.n_max)
         return True
 
-    def _runs_of(self, fingerprint: str) -> dict[str, _Interval]:
+    def _get_or_add_runs(self, fingerprint: str) -> dict[str, _CrashedRun]:
         """Return the crashed runs of a fingerprint, marked as the latest in use."""
-        runs = self._run_by_start_by_fingerprint.setdefault(fingerprint, {})
-        self._run_by_start_by_fingerprint.move_to_end(fingerprint)
-        drop_oldest(self._run_by_start_by_fingerprint, self.n_max)
+        runs = self._run_by_start_id_by_fingerprint.setdefault(fingerprint, {})
+        self._run_by_start_id_by_fingerprint.move_to_end(fingerprint)
+        evict_oldest(self._run_by_start_id_by_fingerprint, self.n_max)
         return runs
 
-    def _forget_old(self, now_ms: int) -> None:
+    def _discard_expired(self, now_ms: int) -> None:
         """Discard crashes older than ``COUNT_MS``."""
-        for fingerprint, runs in list(self._run_by_start_by_fingerprint.items()):
+        for fingerprint, runs in list(self._run_by_start_id_by_fingerprint.items()):
             for start_id, run in list(runs.items()):
                 if now_ms - run.broken_at_ms >= COUNT_MS:
                     del runs[start_id]
             if not runs:
-                del self._run_by_start_by_fingerprint[fingerprint]
+                del self._run_by_start_id_by_fingerprint[fingerprint]
 
 
-def _is_end(suspicion: _Suspicion, started_at_ms: int | None) -> bool:
+def _is_crash(suspicion: _Suspicion, started_at_ms: int | None) -> bool:
     """Return whether the run broke because its endpoint's process ended."""
     answered_at_ms = suspicion.answered_at_ms
     if answered_at_ms is None:
@@ -314,7 +326,9 @@
     return started_at_ms is not None and started_at_ms <= answered_at_ms
 
 
-def _is_valid(run: _Interval, sound_at_ms: int | None, now_ms: int) -> bool:
+def _is_valid(run: _CrashedRun, completed_at_ms: int | None, now_ms: int) -> bool:
     """Return whether a crash has neither expired nor been cleared."""
-    is_young = now_ms - run.broken_at_ms < COUNT_MS
-    return is_young and (sound_at_ms is None or run.broken_at_ms > sound_at_ms)
+    is_unexpired = now_ms - run.broken_at_ms < COUNT_MS
+    return is_unexpired and (
+        completed_at_ms is None or run.broken_at_ms > completed_at_ms
+    )
--- a/packages/core/src/bluebellusher_core/poison/_table.py
+++ b/packages/core/src/bluebellusher_core/poison/_table.py
@@ -55,7 +55,7 @@
     n_max: int = N_MAX_FINGERPRINTS
     _blocked: OrderedDict[str, _Mark] = field(default_factory=OrderedDict)
     _suspects: OrderedDict[str, _Mark] = field(default_factory=OrderedDict)
-    _cleared: OrderedDict[str, int] = field(default_factory=OrderedDict)
+    _cleared_until_ms: OrderedDict[str, int] = field(default_factory=OrderedDict)
     _holds: OrderedDict[str, _Hold] = field(default_factory=OrderedDict)
     _n_running: dict[str, int] = field(default_factory=dict)
 
@@ -71,7 +71,7 @@
         if self.is_blocked(fingerprint, now_ms):
             return
         self._blocked[fingerprint] = _Mark(now_ms + block_ms, is_own)
-        drop_oldest(self._blocked, self.n_max)
+        evict_oldest(self._blocked, self.n_max)
 
     def unblock(self, fingerprint: str) -> bool:
         """Unblock a fingerprint; return whether it was blocked."""
@@ -95,14 +95,14 @@
         """
         if self.is_blocked(fingerprint, now_ms):
             return
-        if not is_own and self._cleared.get(fingerprint, now_ms) > now_ms:
+        if not is_own and self._cleared_until_ms.get(fingerprint, now_ms) > now_ms:
             return
         if is_own:
-            self._cleared.pop(fingerprint, None)
+            self._cleared_until_ms.pop(fingerprint, None)
         if self.is_suspect(fingerprint, now_ms):
             return
         self._suspects[fingerprint] = _Mark(now_ms + SUSPECT_MS, is_own)
-        drop_oldest(self._suspects, self.n_max)
+        evict_oldest(self._suspects, self.n_max)
 
     def is_suspect(self, fingerprint: str, now_ms: int) -> bool:
         """Return whether a fingerprint must run isolated."""
@@ -116,9 +116,9 @@
         self._holds.pop(fingerprint, None)
         if self._suspects.pop(fingerprint, None) is None:
             return
-        self._cleared[fingerprint] = now_ms + SUSPECT_MS
-        self._cleared.move_to_end(fingerprint)
-        drop_oldest(self._cleared, self.n_max)
+        self._cleared_until_ms[fingerprint] = now_ms + SUSPECT_MS
+        self._cleared_until_ms.move_to_end(fingerprint)
+        evict_oldest(self._cleared_until_ms, self.n_max)
 
     def hold(
         self,
@@ -147,7 +147,7 @@
         hold = _Hold(endpoint_id, incarnation, held_until_ms, until_ms, is_lost)
         self._holds[fingerprint] = hold
         self._holds.move_to_end(fingerprint)
-        drop_oldest(self._holds, self.n_max)
+        evict_oldest(self._holds, self.n_max)
 
     def held_until_ms(self, fingerprint: str, now_ms: int) -> int:
         """Return the time at which a hold ends, in ms; 0 when none is in force."""
@@ -163,15 +163,15 @@
 
         A higher incarnation proves that the endpoint restarted after the isolated run.
         """
-        convicted: list[str] = []
+        confirmed: list[str] = []
         for fingerprint, hold in list(self._holds.items()):
             if hold.endpoint_id != endpoint_id or not hold.is_lost:
                 continue
             if incarnation > hold.incarnation and hold.until_ms > now_ms:
-                convicted.append(fingerprint)
+                confirmed.append(fingerprint)
             # After this connection, a later restart has another cause than the run.
             self._holds[fingerprint] = replace(hold, is_lost=False)
-        return convicted
+        return confirmed
 
     def start(self, fingerprint: str) -> None:
         """Count the start of a run of a fingerprint on this entry."""
@@ -179,9 +179,9 @@
 
     def end(self, fingerprint: str) -> None:
         """Count the end of a run of a fingerprint on this entry."""
-        n_left = self._n_running[fingerprint] - 1
-        if n_left:
-            self._n_running[fingerprint] = n_left
+        n_remaining = self._n_running[fingerprint] - 1
+        if n_remaining:
+            self._n_running[fingerprint] = n_remaining
         else:
             del self._n_running[fingerprint]
 
@@ -194,7 +194,7 @@
 
         Each holds at most ``N_MAX_DIGEST`` fingerprints, the latest ones.
         """
-        return _own(self._blocked, now_ms), _own(self._suspects, now_ms)
+        return _list_own(self._blocked, now_ms), _list_own(self._suspects, now_ms)
 
 
 def _is_marked(marks: OrderedDict[str, _Mark], fingerprint: str, now_ms: int) -> bool:
@@ -208,13 +208,13 @@
     return True
 
 
-def _own(marks: OrderedDict[str, _Mark], now_ms: int) -> tuple[str, ...]:
+def _list_own(marks: OrderedDict[str, _Mark], now_ms: int) -> tuple[str, ...]:
     """Return the fingerprints of marks whose cause this entry observed itself."""
-    own = [f for f, m in marks.items() if m.is_own and m.until_ms > now_ms]
-    return tuple(own[-N_MAX_DIGEST:])
+    own_fingerprints = [f for f, m in marks.items() if m.is_own and m.until_ms > now_ms]
+    return tuple(own_fingerprints[-N_MAX_DIGEST:])
 
 
-def drop_oldest(table: OrderedDict[str, Any], n_max: int) -> None:
+def evict_oldest(table: OrderedDict[str, Any], n_max: int) -> None:
     """Evict the oldest items of a table beyond ``n_max``."""
     while len(table) > n_max:
         table.popitem(last=False)
--- a/packages/core/src/bluebellusher_core/requests/_announced.py
+++ b/packages/core/src/bluebellusher_core/requests/_announced.py
@@ -12,7 +12,7 @@
 )
 from bluebellusher_core.state import EntryState
 
-Field = tuple[str, str | int | float]
+LogField = tuple[str, str | int | float]
 
 N_MAX_MARKS = 1_000
 
@@ -23,20 +23,20 @@
     endpoint_id, incarnation = event.endpoint_id, event.incarnation
     if event.is_leaving:
         mark = LeavingMark(endpoint_id, incarnation, 0)
-        news = _leave(state, mark, "answer", now_ms)
+        leaving_effects = _record_leaving(state, mark, "answer", now_ms)
         # Only the entry that received the answer broadcasts it. Peers that receive
         # the broadcast do not forward it.
-        effects += [*news, TellLeaving((mark,))] if news else []
+        effects += [*leaving_effects, TellLeaving((mark,))] if leaving_effects else []
     if event.pause_ms:
         pause_ms = state.endpoints.pause(
             endpoint_id, incarnation, event.pause_ms, now_ms
         )
-        fields: list[Field] = [
+        fields: list[LogField] = [
             ("endpoint", endpoint_id),
             ("asked_ms", event.pause_ms),
             ("pause_ms", pause_ms),
         ]
-        fields += _use(state, endpoint_id)
+        fields += _make_load_fields(state, endpoint_id)
         effects.append(LogEvent("endpoint-paused", tuple(fields)))
     state.check_at_ms = 0
     return effects
@@ -46,29 +46,31 @@
     """Record the leaving endpoints that a peer announced."""
     effects: list[Effect] = []
     for mark in event.marks[:N_MAX_MARKS]:
-        effects += _leave(state, mark, event.source, now_ms)
+        effects += _record_leaving(state, mark, event.source, now_ms)
     state.check_at_ms = 0
     return effects
 
 
-def _leave(
+def _record_leaving(
     state: EntryState, mark: LeavingMark, source: str, now_ms: int
 ) -> list[Effect]:
     """Record one leaving endpoint; log it unless it was recorded before."""
     endpoint_id = mark.endpoint_id
-    noted_at_ms = now_ms - mark.age_ms
-    if not state.endpoints.note_leaving(endpoint_id, mark.incarnation, noted_at_ms):
+    announced_at_ms = now_ms - mark.age_ms
+    if not state.endpoints.note_leaving(endpoint_id, mark.incarnation, announced_at_ms):
         return []
-    fields: list[Field] = [
+    fields: list[LogField] = [
         ("endpoint", endpoint_id),
         ("incarnation", mark.incarnation),
         ("source", source),
         ("age_ms", mark.age_ms),
     ]
-    return [LogEvent("endpoint-leaving", (*fields, *_use(state, endpoint_id)))]
+    return [
+        LogEvent("endpoint-leaving", (*fields, *_make_load_fields(state, endpoint_id)))
+    ]
 
 
-def _use(state: EntryState, endpoint_id: str) -> list[Field]:
+def _make_load_fields(state: EntryState, endpoint_id: str) -> list[LogField]:
     """Return log fields with an endpoint's own attempts and all waiting requests."""
     view = state.endpoints.view_by_id.get(endpoint_id)
     n_waiting = sum(len(queue) for queue in state.queue_by_pool.values())
--- a/packages/core/src/bluebellusher_core/requests/_arrival.py
+++ b/packages/core/src/bluebellusher_core/requests/_arrival.py
@@ -17,13 +17,13 @@
     """
     if spec.request_id in state.request_by_id:
         return []
-    refusal = _refusal_on_arrival(state, spec, now_ms)
-    if refusal is not None:
-        return [Reject(spec.request_id, refusal)]
+    rejection = _find_rejection(state, spec, now_ms)
+    if rejection is not None:
+        return [Reject(spec.request_id, rejection)]
     effects: list[Effect] = []
     is_trial = state.poison.is_blocked(spec.fingerprint, now_ms)
     if is_trial:
-        effects += _crash_evidence.begin_trial(state, spec.fingerprint, now_ms)
+        effects += _crash_evidence.start_trial(state, spec.fingerprint, now_ms)
     request = Request(spec, is_trial=is_trial)
     state.request_by_id[spec.request_id] = request
     state.retry_budget.earn()
@@ -36,21 +36,23 @@
     return effects + state.claims.claim(spec, now_ms)
 
 
-def _refusal_on_arrival(
+def _find_rejection(
     state: EntryState, spec: RequestSpec, now_ms: int
 ) -> Refusal | None:
     """Return the rejection of a request that cannot be admitted, or None."""
     if state.is_shutting_down:
-        return _final.refusal(state, Reason.SHUTTING_DOWN, "admission")
+        return _final.make_rejection(state, Reason.SHUTTING_DOWN, "admission")
     if spec.deadline_ms <= now_ms:
-        return _final.refusal(state, Reason.DEADLINE_EXCEEDED, "admission")
+        return _final.make_rejection(state, Reason.DEADLINE_EXCEEDED, "admission")
     is_blocked = state.poison.is_blocked(spec.fingerprint, now_ms)
-    if is_blocked and not _crash_evidence.may_try(state, spec.fingerprint, now_ms):
-        return _final.blocked_refusal(state, spec.fingerprint, now_ms)
+    if is_blocked and not _crash_evidence.may_start_trial(
+        state, spec.fingerprint, now_ms
+    ):
+        return _final.make_blocked_rejection(state, spec.fingerprint, now_ms)
     if len(state.request_by_id) >= state.config.n_max_requests:
-        return _final.refusal(state, Reason.DEADLINE_UNREACHABLE, "admission")
+        return _final.make_rejection(state, Reason.DEADLINE_UNREACHABLE, "admission")
     if not state.endpoints.views_of(pool_of(spec)):
-        return _final.refusal(state, Reason.NO_ENDPOINT, "admission")
+        return _final.make_rejection(state, Reason.NO_ENDPOINT, "admission")
     return None
 
 
@@ -59,8 +61,10 @@
     request = state.request_by_id.get(request_id)
     if request is None or request.phase is Phase.DETACHED:
         return []
-    _placing.withdraw(state, request)
-    return _final.give_up(state, request, Reason.CALLER_LEFT, "relay", now_ms)
+    _placing.remove_waiting(state, request)
+    return _final.reject_request(
+        state, request, Reason.CALLER_DISCONNECTED, "relay", now_ms
+    )
 
 
 def deadline_passed(state: EntryState, request_id: str, now_ms: int) -> list[Effect]:
@@ -73,10 +77,12 @@
         return []
     if now_ms < request.spec.deadline_ms:
         return [SetTimer(f"deadline:{request_id}", request.spec.deadline_ms)]
-    _placing.withdraw(state, request)
+    _placing.remove_waiting(state, request)
     peer = request.attempts[0].endpoint_id if request.attempts else ""
     step = request.phase.name.lower()
-    return _final.give_up(state, request, Reason.DEADLINE_EXCEEDED, step, now_ms, peer)
+    return _final.reject_request(
+        state, request, Reason.DEADLINE_EXCEEDED, step, now_ms, peer
+    )
 
 
 def detach_ended(state: EntryState, request_id: str, now_ms: int) -> list[Effect]:
@@ -84,4 +90,4 @@
     request = state.request_by_id.get(request_id)
     if request is None or request.phase is not Phase.DETACHED:
         return []
-    return _final.drop(state, request, now_ms)
+    return _final.discard_request(state, request, now_ms)
--- a/packages/core/src/bluebellusher_core/requests/_attempts.py
+++ b/packages/core/src/bluebellusher_core/requests/_attempts.py
@@ -33,27 +33,27 @@
 
 def accepted(state: EntryState, event: AttemptAccepted) -> list[Effect]:
     """Record that the agent confirmed the start of an isolated run."""
-    attempt = _find(state, event)
+    attempt = _find_attempt(state, event)
     if attempt is None:
-        return _stray(state, event)
+        return _handle_unmatched(state, event)
     attempt.is_accepted = True
     return []
 
 
 def started(state: EntryState, event: AttemptStarted, now_ms: int) -> list[Effect]:
     """Record the first output of an attempt and cancel the request's other ones."""
-    attempt = _find(state, event)
+    attempt = _find_attempt(state, event)
     if attempt is None:
-        return _stray(state, event)
+        return _handle_unmatched(state, event)
     if attempt.is_started:
         return []
     request = state.request_by_id[attempt.request_id]
     attempt.is_accepted = attempt.is_started = True
-    effects = _crash_evidence.answered(state, attempt, "output", now_ms)
+    effects = _crash_evidence.dismiss_before_attempt(state, attempt, "output", now_ms)
     state.endpoints.note_output(attempt.endpoint_id)
     state.endpoints.tracker.apply(event, now_ms)
     for other in [a for a in request.attempts if a is not attempt]:
-        effects += _final.cancel(state, request, other, now_ms)
+        effects += _final.cancel_attempt(state, request, other, now_ms)
     return effects
 
 
@@ -63,12 +63,12 @@
     An answer with a server error is discarded and the request is tried on another
     endpoint where that is possible.
     """
-    attempt = _find(state, event)
+    attempt = _find_attempt(state, event)
     if attempt is None:
-        return _stray(state, event)
+        return _handle_unmatched(state, event)
     request = state.request_by_id[attempt.request_id]
     state.endpoints.tracker.apply(event, now_ms)
-    effects = _crash_evidence.answered(state, attempt, "answer", now_ms)
+    effects = _crash_evidence.dismiss_before_attempt(state, attempt, "answer", now_ms)
     if not attempt.is_started:
         # An answer without a body has no AttemptStarted event.
         state.endpoints.note_output(attempt.endpoint_id)
@@ -76,7 +76,7 @@
         state.endpoints.tracker.record_failure(attempt.endpoint_id, now_ms)
         if _recovery.can_replace_failure(state, request):
             return effects + _recovery.replace_failure(state, request, attempt, now_ms)
-    return effects + _final.complete(state, request, attempt, now_ms)
+    return effects + _final.complete_request(state, request, attempt, now_ms)
 
 
 def refused(state: EntryState, event: AttemptRefused, now_ms: int) -> list[Effect]:
@@ -85,22 +85,26 @@
     The attempt has certainly not run. A closed port, or another start that answers at
     the address, also confirms the suspected crashes of the endpoint.
     """
-    attempt = _find(state, event)
+    attempt = _find_attempt(state, event)
     if attempt is None:
-        return _stray(state, event)
+        return _handle_unmatched(state, event)
     request = state.request_by_id[attempt.request_id]
     endpoint_id = attempt.endpoint_id
     _final.end_attempt(state, request, attempt, now_ms)
-    _avoid(state, event, endpoint_id, now_ms)
-    effects = _go_on(state, request, attempt, event, now_ms)
+    _record_refusal(state, event, endpoint_id, now_ms)
+    effects = _retry_or_reject(state, request, attempt, event, now_ms)
     if event.reason is Reason.CONNECT_REFUSED:
-        effects += _crash_evidence.gone(state, endpoint_id, "port closed", now_ms)
+        effects += _crash_evidence.confirm_crashes(
+            state, endpoint_id, "port closed", now_ms
+        )
     elif event.reason is Reason.ENDPOINT_DRAINING and event.has_arrived:
-        effects += _crash_evidence.gone(state, endpoint_id, "address taken", now_ms)
+        effects += _crash_evidence.confirm_crashes(
+            state, endpoint_id, "address taken", now_ms
+        )
     return effects
 
 
-def _go_on(
+def _retry_or_reject(
     state: EntryState,
     request: Request,
     attempt: Attempt,
@@ -116,23 +120,25 @@
     if request.attempts:
         return []
     if request.phase is Phase.DETACHED:
-        return _abandon(state, request, now_ms)
+        return _end_detached(state, request, now_ms)
     if attempt.is_resumed:
-        return _final.give_up(
+        return _final.reject_request(
             state, request, Reason.ENDPOINT_LOST, "resume", now_ms, endpoint_id
         )
     if attempt.is_isolated:
         retry_after_ms = event.retry_after_ms
-        return _isolation.refused(state, request, attempt, retry_after_ms, now_ms)
-    request.avoided.add(endpoint_id)
+        return _isolation.retry_refused_run(
+            state, request, attempt, retry_after_ms, now_ms
+        )
+    request.avoided_endpoint_ids.add(endpoint_id)
     if event.reason is Reason.ENDPOINTS_CLOSED:
-        refused = _placing.refuse_if_closed(state, request, now_ms)
-        if refused is not None:
-            return refused
+        rejected = _placing.reject_if_closed(state, request, now_ms)
+        if rejected is not None:
+            return rejected
     request.n_refused += event.reason is not Reason.ENDPOINT_ISOLATING
-    is_paid = not event.has_arrived or state.retry_budget.try_spend()
-    if request.n_refused > state.config.n_max_refusals or not is_paid:
-        return _final.give_up(
+    is_in_budget = not event.has_arrived or state.retry_budget.try_spend()
+    if request.n_refused > state.config.n_max_refusals or not is_in_budget:
+        return _final.reject_request(
             state, request, event.reason, "dispatch", now_ms, endpoint_id
         )
     return _placing.requeue(state, request, now_ms)
@@ -140,13 +146,13 @@
 
 def broken(state: EntryState, event: AttemptBroken, now_ms: int) -> list[Effect]:
     """Resume, retry or reject a request whose attempt broke and may have run."""
-    attempt = _find(state, event)
+    attempt = _find_attempt(state, event)
     if attempt is None:
-        return _stray(state, event)
+        return _handle_unmatched(state, event)
     return _recovery.break_attempt(state, attempt, event, now_ms)
 
 
-def _avoid(
+def _record_refusal(
     state: EntryState, event: AttemptRefused, endpoint_id: str, now_ms: int
 ) -> None:
     """Keep new work from an endpoint that refused an attempt, by the reason given."""
@@ -160,15 +166,15 @@
     state.endpoints.defer(endpoint_id, event.retry_after_ms, now_ms)
 
 
-def _abandon(state: EntryState, request: Request, now_ms: int) -> list[Effect]:
+def _end_detached(state: EntryState, request: Request, now_ms: int) -> list[Effect]:
     """Discard a detached request, and abandon its claim unless it may have run."""
     effects: list[Effect] = []
     if request.claim is not None and not request.may_have_run:
         effects = state.claims.record(request.claim, ClaimState.ABANDONED, "", now_ms)
-    return effects + _final.drop(state, request, now_ms)
+    return effects + _final.discard_request(state, request, now_ms)
 
 
-def _find(state: EntryState, event: AttemptEvent) -> Attempt | None:
+def _find_attempt(state: EntryState, event: AttemptEvent) -> Attempt | None:
     """Return the attempt in flight that an event names.
 
     Returns None when the attempt has ended or when the event came from an endpoint
@@ -177,11 +183,13 @@
     attempt = state.attempt_by_id.get(event.attempt_id)
     if attempt is None:
         return None
-    is_crossed = bool(event.endpoint_id) and event.endpoint_id != attempt.endpoint_id
-    return None if is_crossed else attempt
+    is_other_endpoint = (
+        bool(event.endpoint_id) and event.endpoint_id != attempt.endpoint_id
+    )
+    return None if is_other_endpoint else attempt
 
 
-def _stray(state: EntryState, event: AttemptEvent) -> list[Effect]:
+def _handle_unmatched(state: EntryState, event: AttemptEvent) -> list[Effect]:
     """Handle an event that matches no attempt in flight.
 
     Late events are ignored. The connection is closed when an endpoint names an attempt
@@ -189,17 +197,19 @@
     """
     if not event.endpoint_id:
         return []
-    ended_at = state.ended_attempts.get(event.attempt_id)
-    if ended_at == event.endpoint_id:
+    ended_endpoint_id = state.ended_attempts.get(event.attempt_id)
+    if ended_endpoint_id == event.endpoint_id:
         return []
-    is_known = ended_at is not None or event.attempt_id in state.attempt_by_id
-    if not is_known and _was_made_here(state, event.attempt_id):
+    is_recorded = (
+        ended_endpoint_id is not None or event.attempt_id in state.attempt_by_id
+    )
+    if not is_recorded and _was_created_here(state, event.attempt_id):
         # The attempt ended so long ago that its record was evicted.
         return []
     return [CloseConnection(event.endpoint_id)]
 
 
-def _was_made_here(state: EntryState, attempt_id: str) -> bool:
+def _was_created_here(state: EntryState, attempt_id: str) -> bool:
     """Return whether this start of the entry made an attempt with this id."""
     prefix = f"{state.config.entry_id}.{state.config.incarnation}."
     number = attempt_id.removeprefix(prefix)
--- a/packages/core/src/bluebellusher_core/requests/_claiming.py
+++ b/packages/core/src/bluebellusher_core/requests/_claiming.py
@@ -13,7 +13,7 @@
 
 def answered(state: EntryState, event: ClaimsAnswered, now_ms: int) -> list[Effect]:
     """Continue the requests whose claims the table answered."""
-    results, effects = state.claims.answered(event)
+    results, effects = state.claims.apply_answer(event)
     for write, result in results:
         request = state.request_by_id.get(write.request_id)
         if request is not None and request.phase is Phase.CLAIMING:
@@ -27,7 +27,7 @@
     if request is None or request.phase is not Phase.CLAIMING:
         return []
     reason = Reason.CLAIM_STORE_UNAVAILABLE
-    return _final.give_up(state, request, reason, STEP, now_ms, PEER)
+    return _final.reject_request(state, request, reason, STEP, now_ms, PEER)
 
 
 def _resolve(
@@ -46,10 +46,10 @@
             return _placing.enqueue(state, request, now_ms)
         case ClaimOutcome.DONE:
             request_id = request.spec.request_id
-            _final.drop(state, request, now_ms)
+            _final.discard_request(state, request, now_ms)
             return [ReplayAnswer(request_id, result.answer_ref)]
         case ClaimOutcome.IN_PROGRESS:
             reason = Reason.CLAIM_IN_PROGRESS
         case ClaimOutcome.KEY_REUSED:
             reason = Reason.CLAIM_KEY_REUSED
-    return _final.give_up(state, request, reason, STEP, now_ms, PEER)
+    return _final.reject_request(state, request, reason, STEP, now_ms, PEER)
--- a/packages/core/src/bluebellusher_core/requests/_crash_evidence.py
+++ b/packages/core/src/bluebellusher_core/requests/_crash_evidence.py
@@ -16,7 +16,7 @@
 N_MAX_RECORDS = 1_000
 
 
-def suspect(
+def record_broken_run(
     state: EntryState, request: Request, attempt: Attempt, is_fatal: bool, now_ms: int
 ) -> list[Effect]:
     """Record a broken run as a possible crash that its request caused.
@@ -47,10 +47,13 @@
         ("endpoint", endpoint_id),
         ("after_ms", now_ms - attempt.dispatched_at_ms),
     )
-    return [LogEvent("crash-suspected", fields), *_check(state, endpoint_id, now_ms)]
+    return [
+        LogEvent("crash-suspected", fields),
+        *_check_address(state, endpoint_id, now_ms),
+    ]
 
 
-def _check(state: EntryState, endpoint_id: str, now_ms: int) -> list[Effect]:
+def _check_address(state: EntryState, endpoint_id: str, now_ms: int) -> list[Effect]:
     """Check the address of an endpoint unless a check is in progress."""
     if endpoint_id in state.checked_at_ms:
         return []
@@ -65,32 +68,32 @@
     dismisses those before the check. An address that did not answer decides nothing.
     """
     endpoint_id = event.endpoint_id
-    since_ms = state.checked_at_ms.pop(endpoint_id, None)
-    if since_ms is None or event.is_listening is None:
+    asked_at_ms = state.checked_at_ms.pop(endpoint_id, None)
+    if asked_at_ms is None or event.is_listening is None:
         return []
     if not event.is_listening:
-        return gone(state, endpoint_id, "port closed", now_ms)
-    effects = _ruled_out(state, endpoint_id, since_ms, "listening", now_ms)
+        return confirm_crashes(state, endpoint_id, "port closed", now_ms)
+    effects = _dismiss_crashes(state, endpoint_id, asked_at_ms, "listening", now_ms)
     if state.crashes.is_suspected(endpoint_id):
         # These runs broke after the check had begun.
-        effects += _check(state, endpoint_id, now_ms)
+        effects += _check_address(state, endpoint_id, now_ms)
     return effects
 
 
-def answered(
+def dismiss_before_attempt(
     state: EntryState, attempt: Attempt, evidence: str, now_ms: int
 ) -> list[Effect]:
     """Dismiss the suspected crashes before an attempt that its endpoint answered."""
-    since_ms = attempt.dispatched_at_ms
-    return _ruled_out(state, attempt.endpoint_id, since_ms, evidence, now_ms)
+    asked_at_ms = attempt.dispatched_at_ms
+    return _dismiss_crashes(state, attempt.endpoint_id, asked_at_ms, evidence, now_ms)
 
 
-def _ruled_out(
-    state: EntryState, endpoint_id: str, since_ms: int, evidence: str, now_ms: int
+def _dismiss_crashes(
+    state: EntryState, endpoint_id: str, asked_at_ms: int, evidence: str, now_ms: int
 ) -> list[Effect]:
-    """Dismiss and log the suspected crashes of an endpoint up to ``since_ms``."""
+    """Dismiss and log the suspected crashes of an endpoint up to ``asked_at_ms``."""
     effects: list[Effect] = []
-    for fingerprint in state.crashes.note_answer(endpoint_id, since_ms, now_ms):
+    for fingerprint in state.crashes.record_answer(endpoint_id, asked_at_ms, now_ms):
         fields = (
             ("fingerprint", fingerprint),
             ("endpoint", endpoint_id),
@@ -100,7 +103,7 @@
     return effects
 
 
-def gone(
+def confirm_crashes(
     state: EntryState,
     endpoint_id: str,
     evidence: str,
@@ -135,7 +138,7 @@
         )
         effects.append(LogEvent("crash-counted", fields))
         effects.append(TellCrashes((state.crashes.record(fingerprint, now_ms),)))
-        effects += _review(state, fingerprint, endpoint_id, now_ms)
+        effects += _update_block(state, fingerprint, endpoint_id, now_ms)
     return effects
 
 
@@ -158,14 +161,14 @@
                 ("n_crashes", n_crashes),
             )
             effects.append(LogEvent("crash-learned", fields))
-            effects += _review(state, fingerprint, event.source, now_ms)
-        known = state.crashes.record(fingerprint, now_ms)
-        if _is_outdated(record, known):
-            effects.append(TellCrashes((known,)))
+            effects += _update_block(state, fingerprint, event.source, now_ms)
+        own_record = state.crashes.record(fingerprint, now_ms)
+        if _is_outdated(record, own_record):
+            effects.append(TellCrashes((own_record,)))
     return effects
 
 
-def may_try(state: EntryState, fingerprint: str, now_ms: int) -> bool:
+def may_start_trial(state: EntryState, fingerprint: str, now_ms: int) -> bool:
     """Return whether this entry may start the trial run of a blocked fingerprint.
 
     A harmless request may have been running in about three crashes by chance, where
@@ -178,42 +181,46 @@
     n_to_block = state.config.n_crashes_to_block
     if not n_to_block or state.crashes.count(fingerprint, now_ms) != n_to_block:
         return False
-    blocked_for_ms = BLOCK_MS - state.crashes.left_ms(fingerprint, n_to_block, now_ms)
+    blocked_for_ms = BLOCK_MS - state.crashes.block_remaining_ms(
+        fingerprint, n_to_block, now_ms
+    )
     if blocked_for_ms < TRIAL_AFTER_MS or state.poison.n_running(fingerprint):
         return False
     return choose(fingerprint, state.member_ids) == state.config.entry_id
 
 
-def begin_trial(state: EntryState, fingerprint: str, now_ms: int) -> list[Effect]:
+def start_trial(state: EntryState, fingerprint: str, now_ms: int) -> list[Effect]:
     """Record a trial run as a crash and broadcast it, so that no other trial starts.
 
     A completed trial clears this crash with the others.
     """
     trial_id = f"trial@{state.config.entry_id}"
-    state.crashes.note_trial(fingerprint, trial_id, now_ms)
+    state.crashes.record_trial(fingerprint, trial_id, now_ms)
     return [
         LogEvent("crash-trial", (("fingerprint", fingerprint),)),
         TellCrashes((state.crashes.record(fingerprint, now_ms),)),
     ]
 
 
-def _is_outdated(record: CrashRecord, known: CrashRecord) -> bool:
+def _is_outdated(record: CrashRecord, own_record: CrashRecord) -> bool:
     """Return whether a record counts crashes that a completed run has cleared here."""
-    if known.sound_age_ms is None:
+    if own_record.sound_age_ms is None:
         return False
     if record.sound_age_ms is not None:
         return False
-    return any(crash.age_ms >= known.sound_age_ms for crash in record.crashes)
+    return any(crash.age_ms >= own_record.sound_age_ms for crash in record.crashes)
 
 
-def _review(
+def _update_block(
     state: EntryState, fingerprint: str, peer: str, now_ms: int
 ) -> list[Effect]:
     """Block or unblock a fingerprint by its current number of crashes."""
     n_to_block = state.config.n_crashes_to_block
-    left_ms = state.crashes.left_ms(fingerprint, n_to_block, now_ms)
-    if left_ms > 0:
-        return _isolation.block(state, fingerprint, peer, False, now_ms, left_ms)
+    remaining_ms = state.crashes.block_remaining_ms(fingerprint, n_to_block, now_ms)
+    if remaining_ms > 0:
+        return _isolation.block_fingerprint(
+            state, fingerprint, peer, False, now_ms, remaining_ms
+        )
     if state.poison.unblock(fingerprint):
         return [LogEvent("fingerprint-unblocked", (("fingerprint", fingerprint),))]
     return []
--- a/packages/core/src/bluebellusher_core/requests/_final.py
+++ b/packages/core/src/bluebellusher_core/requests/_final.py
@@ -18,23 +18,27 @@
 MAX_ENDED_ATTEMPTS = 4_096
 # A retried request fails again for these reasons, so that its rejection has no
 # ``retry_after_ms``. The exception is a fingerprint that is blocked for a limited time.
-FINAL_REASONS = frozenset({Reason.CRASHES_ENDPOINTS, Reason.CLAIM_KEY_REUSED})
+NO_RETRY_REASONS = frozenset({Reason.CRASHES_ENDPOINTS, Reason.CLAIM_KEY_REUSED})
 
 
-def refusal(state: EntryState, reason: Reason, step: str, peer: str = "") -> Refusal:
+def make_rejection(
+    state: EntryState, reason: Reason, step: str, peer: str = ""
+) -> Refusal:
     """Return the rejection of a request that no endpoint can have run."""
-    retry_after_ms = None if reason in FINAL_REASONS else state.config.retry_after_ms
+    retry_after_ms = None if reason in NO_RETRY_REASONS else state.config.retry_after_ms
     return Refusal(Outcome.NOT_RUN, reason, step, peer, retry_after_ms)
 
 
-def blocked_refusal(state: EntryState, fingerprint: str, now_ms: int) -> Refusal:
+def make_blocked_rejection(state: EntryState, fingerprint: str, now_ms: int) -> Refusal:
     """Return the rejection of a request whose fingerprint is blocked."""
-    pause_ms = _final_pause_ms(state, fingerprint, now_ms)
+    retry_after_ms = _blocked_retry_after_ms(state, fingerprint, now_ms)
     reason = Reason.CRASHES_ENDPOINTS
-    return Refusal(Outcome.NOT_RUN, reason, "admission", "", pause_ms)
+    return Refusal(Outcome.NOT_RUN, reason, "admission", "", retry_after_ms)
 
 
-def _final_pause_ms(state: EntryState, fingerprint: str, now_ms: int) -> int | None:
+def _blocked_retry_after_ms(
+    state: EntryState, fingerprint: str, now_ms: int
+) -> int | None:
     """Return the time after which a blocked request may be retried, in ms.
 
     Crashes that the entry counts by itself may have another cause than the request, so
@@ -46,7 +50,7 @@
     return state.poison.blocked_ms(fingerprint, now_ms) or None
 
 
-def give_up(
+def reject_request(
     state: EntryState,
     request: Request,
     reason: Reason,
@@ -67,21 +71,23 @@
     # A retry of a request with unknown outcome is safe when the request is idempotent
     # or has an idempotency key, which keeps it from running a second time.
     spec = request.spec
-    is_safe = outcome is Outcome.NOT_RUN or spec.is_idempotent or spec.idempotency_key
-    if reason in FINAL_REASONS:
-        retry_after_ms = _final_pause_ms(state, spec.fingerprint, now_ms)
-    elif retry_after_ms is None and is_safe:
+    is_retry_safe = (
+        outcome is Outcome.NOT_RUN or spec.is_idempotent or spec.idempotency_key
+    )
+    if reason in NO_RETRY_REASONS:
+        retry_after_ms = _blocked_retry_after_ms(state, spec.fingerprint, now_ms)
+    elif retry_after_ms is None and is_retry_safe:
         retry_after_ms = state.config.retry_after_ms
-    answer = Refusal(outcome, reason, step, peer, retry_after_ms)
-    effects: list[Effect] = [Reject(spec.request_id, answer)]
+    rejection = Refusal(outcome, reason, step, peer, retry_after_ms)
+    effects: list[Effect] = [Reject(spec.request_id, rejection)]
     if request.claim is not None and request.attempts:
-        return effects + _detach(state, request, now_ms)
+        return effects + _detach_request(state, request, now_ms)
     effects += _abandon_claim(state, request, outcome, now_ms)
-    return effects + drop(state, request, now_ms)
+    return effects + discard_request(state, request, now_ms)
 
 
-def complete(
-    state: EntryState, request: Request, winner: Attempt, now_ms: int
+def complete_request(
+    state: EntryState, request: Request, finished_attempt: Attempt, now_ms: int
 ) -> list[Effect]:
     """End a request with the whole answer of one attempt and cancel the others.
 
@@ -89,16 +95,16 @@
     """
     effects: list[Effect] = []
     if request.phase is not Phase.DETACHED:
-        effects.append(Complete(request.spec.request_id, winner.attempt_id))
-    end_attempt(state, request, winner, now_ms)
-    observe_service(state, request, winner, now_ms)
+        effects.append(Complete(request.spec.request_id, finished_attempt.attempt_id))
+    end_attempt(state, request, finished_attempt, now_ms)
+    record_service_time(state, request, finished_attempt, now_ms)
     state.poison.clear(request.spec.fingerprint, now_ms)
     effects += _clear_crashes(state, request.spec.fingerprint, now_ms)
     if request.claim is not None:
         effects += state.claims.record(
-            request.claim, ClaimState.DONE, winner.attempt_id, now_ms
+            request.claim, ClaimState.DONE, finished_attempt.attempt_id, now_ms
         )
-    return effects + drop(state, request, now_ms)
+    return effects + discard_request(state, request, now_ms)
 
 
 def _clear_crashes(state: EntryState, fingerprint: str, now_ms: int) -> list[Effect]:
@@ -119,19 +125,19 @@
     return effects
 
 
-def drop(state: EntryState, request: Request, now_ms: int) -> list[Effect]:
+def discard_request(state: EntryState, request: Request, now_ms: int) -> list[Effect]:
     """Discard the state of a request and cancel its attempts in flight."""
     effects: list[Effect] = []
     for attempt in list(request.attempts):
-        effects += cancel(state, request, attempt, now_ms)
-    release(state, request)
+        effects += cancel_attempt(state, request, attempt, now_ms)
+    release_endpoint(state, request)
     state.check_at_ms = 0
     state.isolate_at_ms.pop(request.spec.request_id, None)
     del state.request_by_id[request.spec.request_id]
     return effects
 
 
-def cancel(
+def cancel_attempt(
     state: EntryState, request: Request, attempt: Attempt, now_ms: int
 ) -> list[Effect]:
     """Cancel an attempt whose answer is no longer needed.
@@ -143,11 +149,11 @@
     request.may_have_run = True
     if attempt.is_isolated:
         # The endpoint may crash before the cancellation reaches it.
-        hold(state, request, attempt, False, now_ms)
+        hold_fingerprint(state, request, attempt, False, now_ms)
     return [CancelAttempt(attempt.attempt_id, attempt.endpoint_id)]
 
 
-def hold(
+def hold_fingerprint(
     state: EntryState,
     request: Request,
     attempt: Attempt,
@@ -187,7 +193,7 @@
         _set_isolating(state, attempt.endpoint_id, False)
 
 
-def forget_endpoint(state: EntryState, endpoint_id: str, now_ms: int) -> None:
+def discard_endpoint(state: EntryState, endpoint_id: str, now_ms: int) -> None:
     """Discard the state of a lost endpoint and its reservations for isolated runs.
 
     Queues that are empty and have no other endpoint are discarded as well.
@@ -198,7 +204,7 @@
         request = state.request_by_id[request_id]
         if request.reserved_endpoint_id == endpoint_id:
             request.reserved_endpoint_id = ""
-            request.n_reserved_tries = 0
+            request.n_reserved_refusals = 0
     for pool, queue in list(state.queue_by_pool.items()):
         if not len(queue) and not state.endpoints.views_of(pool):
             del state.queue_by_pool[pool]
@@ -206,7 +212,7 @@
             state.waiting_pools.discard(pool)
 
 
-def reserve(state: EntryState, request: Request, endpoint_id: str) -> None:
+def reserve_endpoint(state: EntryState, request: Request, endpoint_id: str) -> None:
     """Reserve an endpoint for a request's next isolated attempt.
 
     This entry starts no other new work there; other entries are not affected.
@@ -215,15 +221,15 @@
     _set_isolating(state, endpoint_id, True)
 
 
-def release(state: EntryState, request: Request) -> None:
+def release_endpoint(state: EntryState, request: Request) -> None:
     """Release the endpoint that is reserved for a request, if there is one."""
     if request.reserved_endpoint_id:
         _set_isolating(state, request.reserved_endpoint_id, False)
         request.reserved_endpoint_id = ""
-        request.n_reserved_tries = 0
+        request.n_reserved_refusals = 0
 
 
-def observe_service(
+def record_service_time(
     state: EntryState, request: Request, attempt: Attempt, now_ms: int
 ) -> None:
     """Update the smoothed service time of a request's pool, in ms.
@@ -248,7 +254,7 @@
         view.is_isolating = is_isolating
 
 
-def _detach(state: EntryState, request: Request, now_ms: int) -> list[Effect]:
+def _detach_request(state: EntryState, request: Request, now_ms: int) -> list[Effect]:
     """Continue a claimed attempt without its caller, to record the claim's outcome.
 
     The request is discarded after ``detach_ms``.
--- a/packages/core/src/bluebellusher_core/requests/_isolation.py
+++ b/packages/core/src/bluebellusher_core/requests/_isolation.py
@@ -9,13 +9,13 @@
 from bluebellusher_core.requests._model import Attempt, Phase, Request
 from bluebellusher_core.state import EntryState
 
-# An endpoint starts no other work during an isolated run. Therefore at most one in
-# ISOLATING_SHARE endpoints of a pool, but at least one, is used for isolated runs at
-# the same time.
-ISOLATING_SHARE = 4
-N_MAX_RESERVED_TRIES = 8
-MIN_TRY_AGAIN_MS = 20
-MAX_TRY_AGAIN_MS = 500
+# An endpoint starts no other work during an isolated run. Therefore at most one of each
+# ENDPOINTS_PER_ISOLATED_RUN endpoints of a pool, and at least one endpoint of a small
+# pool, is used for isolated runs at the same time.
+ENDPOINTS_PER_ISOLATED_RUN = 4
+N_MAX_RESERVED_REFUSALS = 8
+MIN_RETRY_WAIT_MS = 20
+MAX_RETRY_WAIT_MS = 500
 N_MAX_DIGEST = 1_000
 
 
@@ -25,11 +25,11 @@
     for request_id, at_ms in list(state.isolate_at_ms.items()):
         if at_ms <= now_ms:
             request = state.request_by_id[request_id]
-            effects += _place(state, request, now_ms)
+            effects += _place_suspect(state, request, now_ms)
     return effects
 
 
-def _place(state: EntryState, request: Request, now_ms: int) -> list[Effect]:
+def _place_suspect(state: EntryState, request: Request, now_ms: int) -> list[Effect]:
     """Start the isolated run of one request if an endpoint is available for it.
 
     A request whose deadline has passed is rejected. One whose fingerprint is no longer
@@ -38,44 +38,48 @@
     spec = request.spec
     if spec.deadline_ms <= now_ms:
         reason = Reason.DEADLINE_EXCEEDED
-        return _final.give_up(state, request, reason, "isolation", now_ms)
+        return _final.reject_request(state, request, reason, "isolation", now_ms)
     if not state.poison.is_suspect(spec.fingerprint, now_ms):
         del state.isolate_at_ms[spec.request_id]
-        _final.release(state, request)
+        _final.release_endpoint(state, request)
         return _placing.requeue(state, request, now_ms)
     if state.poison.n_running(spec.fingerprint):
         return []
     if state.poison.held_until_ms(spec.fingerprint, now_ms):
         return []
-    endpoint_id = _choose(state, request, now_ms)
+    endpoint_id = _choose_endpoint(state, request, now_ms)
     if endpoint_id is None:
         return []
     del state.isolate_at_ms[spec.request_id]
     return _placing.dispatch(state, request, endpoint_id, now_ms, is_isolated=True)
 
 
-def _choose(state: EntryState, request: Request, now_ms: int) -> str | None:
+def _choose_endpoint(state: EntryState, request: Request, now_ms: int) -> str | None:
     """Return the reserved or else a free endpoint for an isolated run, or None."""
     pool = pool_of(request.spec)
     views = state.endpoints.views_of(pool)
     if request.reserved_endpoint_id:
         if any(v.info.endpoint_id == request.reserved_endpoint_id for v in views):
             return request.reserved_endpoint_id
-        _final.release(state, request)
-    if not has_free_share(state, pool):
+        _final.release_endpoint(state, request)
+    if not has_isolation_capacity(state, pool):
         return None
-    free = state.endpoints.views_with_room(pool, now_ms)
-    return _placing.choose(state, request, free, now_ms) if free else None
+    free_views = state.endpoints.views_with_room(pool, now_ms)
+    return (
+        _placing.choose_endpoint(state, request, free_views, now_ms)
+        if free_views
+        else None
+    )
 
 
-def has_free_share(state: EntryState, pool: Pool) -> bool:
+def has_isolation_capacity(state: EntryState, pool: Pool) -> bool:
     """Return whether one more endpoint of a pool may be used for isolated runs."""
     views = state.endpoints.views_of(pool)
     n_isolating = sum(1 for view in views if view.is_isolating)
-    return n_isolating < max(1, len(views) // ISOLATING_SHARE)
+    return n_isolating < max(1, len(views) // ENDPOINTS_PER_ISOLATED_RUN)
 
 
-def refused(
+def retry_refused_run(
     state: EntryState,
     request: Request,
     attempt: Attempt,
@@ -86,26 +90,28 @@
 
     An endpoint refuses while older attempts have produced no output yet. It stays
     reserved, because new attempts would otherwise keep the isolated run from ever
-    starting. The wait doubles with each refusal, from ``MIN_TRY_AGAIN_MS`` or the
-    endpoint's own ``retry_after_ms`` to ``MAX_TRY_AGAIN_MS``. After
-    ``N_MAX_RESERVED_TRIES`` refusals the request avoids the endpoint.
+    starting. The wait doubles with each refusal, from ``MIN_RETRY_WAIT_MS`` or the
+    endpoint's own ``retry_after_ms`` to ``MAX_RETRY_WAIT_MS``. After
+    ``N_MAX_RESERVED_REFUSALS`` refusals the request avoids the endpoint.
     """
     request.phase = Phase.WAITING
-    request.n_reserved_tries += 1
-    pause_ms = max(retry_after_ms, MIN_TRY_AGAIN_MS) << (request.n_reserved_tries - 1)
-    pause_ms = min(pause_ms, MAX_TRY_AGAIN_MS)
-    state.isolate_at_ms[request.spec.request_id] = now_ms + pause_ms
+    request.n_reserved_refusals += 1
+    wait_ms = max(retry_after_ms, MIN_RETRY_WAIT_MS) << (
+        request.n_reserved_refusals - 1
+    )
+    wait_ms = min(wait_ms, MAX_RETRY_WAIT_MS)
+    state.isolate_at_ms[request.spec.request_id] = now_ms + wait_ms
     view = state.endpoints.view_by_id.get(attempt.endpoint_id)
-    if request.n_reserved_tries >= N_MAX_RESERVED_TRIES:
-        request.avoided.add(attempt.endpoint_id)
+    if request.n_reserved_refusals >= N_MAX_RESERVED_REFUSALS:
+        request.avoided_endpoint_ids.add(attempt.endpoint_id)
         request.reserved_endpoint_id = ""
-        request.n_reserved_tries = 0
+        request.n_reserved_refusals = 0
     elif view is not None and not view.is_draining:
-        _final.reserve(state, request, attempt.endpoint_id)
+        _final.reserve_endpoint(state, request, attempt.endpoint_id)
     return []
 
 
-def block(
+def block_fingerprint(
     state: EntryState,
     fingerprint: str,
     peer: str,
@@ -138,11 +144,13 @@
     fields = (("fingerprint", fingerprint), ("peer", peer))
     effects.append(LogEvent("fingerprint-blocked", fields))
     for request in list(state.request_by_id.values()):
-        is_ours = request.spec.fingerprint == fingerprint
-        if is_ours and request.phase is not Phase.DETACHED:
-            _placing.withdraw(state, request)
+        is_affected = request.spec.fingerprint == fingerprint
+        if is_affected and request.phase is not Phase.DETACHED:
+            _placing.remove_waiting(state, request)
             reason = Reason.CRASHES_ENDPOINTS
-            effects += _final.give_up(state, request, reason, "isolation", now_ms, peer)
+            effects += _final.reject_request(
+                state, request, reason, "isolation", now_ms, peer
+            )
     return effects
 
 
@@ -156,7 +164,7 @@
     state.check_at_ms = 0
     effects: list[Effect] = []
     for fingerprint in event.blocked_fingerprints[:N_MAX_DIGEST]:
-        effects += block(state, fingerprint, event.peer_id, False, now_ms)
+        effects += block_fingerprint(state, fingerprint, event.peer_id, False, now_ms)
     if state.config.n_crashes_to_block:
         return effects
     for fingerprint in event.suspect_fingerprints[:N_MAX_DIGEST]:
@@ -164,12 +172,12 @@
     return effects
 
 
-def next_due_ms(state: EntryState, now_ms: int) -> list[int]:
+def list_due_times_ms(state: EntryState, now_ms: int) -> list[int]:
     """Return the times at which the isolated runs of waiting suspects may start."""
-    due = [at_ms for at_ms in state.isolate_at_ms.values() if at_ms > now_ms]
+    due_times_ms = [at_ms for at_ms in state.isolate_at_ms.values() if at_ms > now_ms]
     for request_id in state.isolate_at_ms:
         fingerprint = state.request_by_id[request_id].spec.fingerprint
         held_until_ms = state.poison.held_until_ms(fingerprint, now_ms)
         if held_until_ms:
-            due.append(held_until_ms)
-    return due
+            due_times_ms.append(held_until_ms)
+    return due_times_ms
--- a/packages/core/src/bluebellusher_core/requests/_links.py
+++ b/packages/core/src/bluebellusher_core/requests/_links.py
@@ -33,11 +33,13 @@
     info = event.endpoint
     effects = lost(state, info.endpoint_id, now_ms)
     effects += state.endpoints.connect(event, now_ms)
-    convicted = state.poison.resolve_holds(info.endpoint_id, info.incarnation, now_ms)
-    for fingerprint in convicted:
-        effects += _isolation.block(state, fingerprint, info.endpoint_id, True, now_ms)
+    confirmed = state.poison.resolve_holds(info.endpoint_id, info.incarnation, now_ms)
+    for fingerprint in confirmed:
+        effects += _isolation.block_fingerprint(
+            state, fingerprint, info.endpoint_id, True, now_ms
+        )
     if info.endpoint_id in state.endpoints.view_by_id:
-        effects += _recovery.resume_waiting(state, info, now_ms)
+        effects += _recovery.resume_streams(state, info, now_ms)
     return effects
 
 
@@ -52,11 +54,11 @@
     info = event.endpoint
     view = state.endpoints.view_by_id.get(info.endpoint_id)
     if view is None or view.is_draining:
-        state.crashes.note_return(info.endpoint_id, info.incarnation)
+        state.crashes.record_reregistration(info.endpoint_id, info.incarnation)
     if view is None or view.info.incarnation != info.incarnation:
         effects = connected(state, EndpointConnected(info), now_ms)
         started_at_ms = now_ms - event.age_ms
-        return effects + _crash_evidence.gone(
+        return effects + _crash_evidence.confirm_crashes(
             state, info.endpoint_id, "started again", now_ms, started_at_ms
         )
     state.endpoints.refresh(info)
@@ -68,18 +70,20 @@
     """Break the attempts of an endpoint whose address a later start has taken."""
     endpoint_id = event.endpoint_id
     effects = lost(state, endpoint_id, now_ms)
-    return effects + _crash_evidence.gone(state, endpoint_id, "address taken", now_ms)
+    return effects + _crash_evidence.confirm_crashes(
+        state, endpoint_id, "address taken", now_ms
+    )
 
 
 def lost(state: EntryState, endpoint_id: str, now_ms: int) -> list[Effect]:
     """Discard an endpoint whose connection is lost and break its attempts."""
     view = state.endpoints.view_by_id.get(endpoint_id)
     is_leaving = view is not None and view.is_draining
-    _final.forget_endpoint(state, endpoint_id, now_ms)
-    there = [a for a in state.attempt_by_id.values() if a.endpoint_id == endpoint_id]
-    for attempt in there:
+    _final.discard_endpoint(state, endpoint_id, now_ms)
+    affected = [a for a in state.attempt_by_id.values() if a.endpoint_id == endpoint_id]
+    for attempt in affected:
         attempt.is_leaving = is_leaving
-    return _break_all(state, there, Reason.ENDPOINT_LOST, now_ms)
+    return _break_attempts(state, affected, Reason.ENDPOINT_LOST, now_ms)
 
 
 def crashed(state: EntryState, event: EndpointCrashed, now_ms: int) -> list[Effect]:
@@ -92,7 +96,7 @@
     for fingerprint in event.fingerprints[:N_MAX_CRASHED]:
         state.poison.suspect(fingerprint, now_ms, is_own=True)
     if event.isolated_fingerprint:
-        effects += _isolation.block(
+        effects += _isolation.block_fingerprint(
             state, event.isolated_fingerprint, event.endpoint_id, True, now_ms
         )
     n_marked = 0
@@ -111,11 +115,11 @@
 def crash_wait_ended(state: EntryState, endpoint_id: str, now_ms: int) -> list[Effect]:
     """Break the crashed attempts that the agent reported nothing more about."""
     attempts = state.attempt_by_id.values()
-    there = [a for a in attempts if a.endpoint_id == endpoint_id and a.is_crashed]
-    return _break_all(state, there, Reason.ENGINE_ERROR, now_ms)
+    affected = [a for a in attempts if a.endpoint_id == endpoint_id and a.is_crashed]
+    return _break_attempts(state, affected, Reason.ENGINE_ERROR, now_ms)
 
 
-def _break_all(
+def _break_attempts(
     state: EntryState, attempts: list[Attempt], reason: Reason, now_ms: int
 ) -> list[Effect]:
     """Break attempts on behalf of a relay that reported nothing about them."""
--- a/packages/core/src/bluebellusher_core/requests/_model.py
+++ b/packages/core/src/bluebellusher_core/requests/_model.py
@@ -89,7 +89,7 @@
     reserved_endpoint_id : str
         Endpoint on which this entry starts no other work, so that the request's
         isolated run can begin; empty for none.
-    n_reserved_tries : int
+    n_reserved_refusals : int
         Number of isolated attempts that the reserved endpoint refused.
     is_trial : bool
         Whether this is the single trial run that decides whether a blocked
@@ -104,11 +104,11 @@
     may_have_run: bool = False
     n_refused: int = 0
     n_broken: int = 0
-    avoided: set[str] = field(default_factory=set)
+    avoided_endpoint_ids: set[str] = field(default_factory=set)
     n_bytes_relayed: int = 0
     resume_endpoint_id: str = ""
     resume_incarnation: int = 0
     reserved_endpoint_id: str = ""
-    n_reserved_tries: int = 0
+    n_reserved_refusals: int = 0
     is_trial: bool = False
     claim: ClaimWrite | None = None
--- a/packages/core/src/bluebellusher_core/requests/_placing.py
+++ b/packages/core/src/bluebellusher_core/requests/_placing.py
@@ -14,7 +14,7 @@
 
 # Longest interval between two checks of the queues, in ms. A queue rejects requests
 # that can no longer be served in time only when ``expire`` is called.
-EXPIRY_CHECK_MS = 100
+EXPIRY_CHECK_INTERVAL_MS = 100
 
 
 @runtime_checkable
@@ -56,14 +56,14 @@
     spec = request.spec
     if state.poison.is_blocked(spec.fingerprint, now_ms) and not request.is_trial:
         reason = Reason.CRASHES_ENDPOINTS
-        return _final.give_up(state, request, reason, "isolation", now_ms)
+        return _final.reject_request(state, request, reason, "isolation", now_ms)
     if state.poison.is_suspect(spec.fingerprint, now_ms):
         state.isolate_at_ms[spec.request_id] = now_ms
         return []
     return _offer(state, request, now_ms)
 
 
-def refuse_if_closed(
+def reject_if_closed(
     state: EntryState, request: Request, now_ms: int
 ) -> list[Effect] | None:
     """Offer a request again to its queue while every endpoint of its pool is closed.
@@ -77,7 +77,7 @@
     can_wait = request.may_have_run or request.spec.is_returning
     if can_wait or not state.endpoints.are_closed(pool, now_ms):
         return None
-    if not isinstance(_queue_of(state, pool), ClosableQueue):
+    if not isinstance(_get_queue(state, pool), ClosableQueue):
         return None
     request.phase = Phase.WAITING
     return _offer(state, request, now_ms)
@@ -85,15 +85,15 @@
 
 def _offer(state: EntryState, request: Request, now_ms: int) -> list[Effect]:
     pool = pool_of(request.spec)
-    queue = _queue_of(state, pool)
-    _tell_rate(state, pool, queue, now_ms)
-    _tell_closed(state, pool, queue, now_ms)
-    _tell_pause(state, pool, queue, now_ms)
-    refusal = queue.offer(request.spec, now_ms)
-    if refusal is None:
+    queue = _get_queue(state, pool)
+    _update_service_rate(state, pool, queue, now_ms)
+    _update_closed(state, pool, queue, now_ms)
+    _update_pause(state, pool, queue, now_ms)
+    rejection = queue.offer(request.spec, now_ms)
+    if rejection is None:
         state.waiting_pools.add(pool)
         return []
-    return _reject_waiting(state, request, refusal, now_ms)
+    return _reject_waiting(state, request, rejection, now_ms)
 
 
 def requeue(state: EntryState, request: Request, now_ms: int) -> list[Effect]:
@@ -114,12 +114,12 @@
         start_by_ms = now_ms + state.config.resume_wait_ms
         spec = replace(spec, start_by_ms=start_by_ms)
     pool = pool_of(spec)
-    _queue_of(state, pool).put_back(spec, now_ms)
+    _get_queue(state, pool).put_back(spec, now_ms)
     state.waiting_pools.add(pool)
     return []
 
 
-def withdraw(state: EntryState, request: Request) -> None:
+def remove_waiting(state: EntryState, request: Request) -> None:
     """Remove a waiting request from the queue of its pool."""
     if request.phase is not Phase.WAITING:
         return
@@ -153,8 +153,8 @@
             state.waiting_pools.discard(pool)
     if len(state.isolate_at_ms) > n_suspects:
         effects += _isolation.place_suspects(state, now_ms)
-    effects += _refuse_unserved(state, now_ms)
-    return effects + _set_wake(state, now_ms)
+    effects += _reject_unserved(state, now_ms)
+    return effects + _set_wake_timer(state, now_ms)
 
 
 def dispatch(
@@ -206,7 +206,7 @@
     return effects
 
 
-def choose(
+def choose_endpoint(
     state: EntryState, request: Request, views: list[EndpointView], now_ms: int
 ) -> str | None:
     """Choose an endpoint for a request by the routing policy.
@@ -214,9 +214,11 @@
     Endpoints that refused or broke an attempt of this request are chosen only when no
     other one is among ``views``. Returns None when the policy chooses none.
     """
-    if request.avoided:
-        fresh = [v for v in views if v.info.endpoint_id not in request.avoided]
-        views = fresh or views
+    if request.avoided_endpoint_ids:
+        untried = [
+            v for v in views if v.info.endpoint_id not in request.avoided_endpoint_ids
+        ]
+        views = untried or views
     return state.policy.choose(request.spec, views, now_ms, state.random_state)
 
 
@@ -224,33 +226,35 @@
     """Reject the expired requests of a pool and dispatch as many others as fit."""
     queue = state.queue_by_pool[pool]
     effects: list[Effect] = []
-    _tell_closed(state, pool, queue, now_ms)
-    _tell_pause(state, pool, queue, now_ms)
-    for spec, refusal in queue.expire(now_ms):
+    _update_closed(state, pool, queue, now_ms)
+    _update_pause(state, pool, queue, now_ms)
+    for spec, rejection in queue.expire(now_ms):
         request = state.request_by_id[spec.request_id]
-        effects += _reject_waiting(state, request, refusal, now_ms)
+        effects += _reject_waiting(state, request, rejection, now_ms)
     while len(queue):
         views = state.endpoints.views_with_room(pool, now_ms)
-        taken = queue.take(now_ms) if views else None
-        if taken is None:
+        next_spec = queue.take(now_ms) if views else None
+        if next_spec is None:
             break
-        request = state.request_by_id[taken.request_id]
-        if taken.deadline_ms <= now_ms:
+        request = state.request_by_id[next_spec.request_id]
+        if next_spec.deadline_ms <= now_ms:
             reason = Reason.DEADLINE_EXCEEDED
-            effects += _final.give_up(state, request, reason, "admission", now_ms)
+            effects += _final.reject_request(
+                state, request, reason, "admission", now_ms
+            )
             continue
-        if state.poison.is_suspect(taken.fingerprint, now_ms):
-            state.isolate_at_ms[taken.request_id] = now_ms
+        if state.poison.is_suspect(next_spec.fingerprint, now_ms):
+            state.isolate_at_ms[next_spec.request_id] = now_ms
             continue
-        endpoint_id = choose(state, request, views, now_ms)
+        endpoint_id = choose_endpoint(state, request, views, now_ms)
         if endpoint_id is None:
-            queue.put_back(taken, now_ms)
+            queue.put_back(next_spec, now_ms)
             break
         effects += dispatch(state, request, endpoint_id, now_ms)
     return effects
 
 
-def _queue_of(state: EntryState, pool: Pool) -> AdmissionQueue:
+def _get_queue(state: EntryState, pool: Pool) -> AdmissionQueue:
     """Return the queue of a pool; create it on the first call."""
     queue = state.queue_by_pool.get(pool)
     if queue is None:
@@ -260,7 +264,7 @@
     return queue
 
 
-def _tell_closed(
+def _update_closed(
     state: EntryState, pool: Pool, queue: AdmissionQueue, now_ms: int
 ) -> None:
     """Update a queue's record of whether every endpoint of its pool is closed."""
@@ -268,7 +272,7 @@
         queue.observe_closed(state.endpoints.are_closed(pool, now_ms))
 
 
-def _tell_pause(
+def _update_pause(
     state: EntryState, pool: Pool, queue: AdmissionQueue, now_ms: int
 ) -> None:
     """Update a queue's record of the time until an endpoint ends its pause."""
@@ -276,7 +280,7 @@
         queue.observe_pause(state.endpoints.pause_left_ms(pool, now_ms))
 
 
-def _tell_rate(
+def _update_service_rate(
     state: EntryState, pool: Pool, queue: AdmissionQueue, now_ms: int
 ) -> None:
     """Update a non-empty queue's slots and mean service time, from which it predicts.
@@ -296,27 +300,27 @@
         queue.observe_service(max(1, n_slots), service_ms)
         return
     n_slots = sum(view.n_own_in_flight for view in views)
-    free = state.endpoints.views_with_room(pool, now_ms)
-    n_slots += sum(view.info.n_slots - view.n_own_in_flight for view in free)
+    free_views = state.endpoints.views_with_room(pool, now_ms)
+    n_slots += sum(view.info.n_slots - view.n_own_in_flight for view in free_views)
     queue.observe_service(max(1, n_slots), service_ms)
 
 
 def _reject_waiting(
-    state: EntryState, request: Request, refusal: Refusal, now_ms: int
+    state: EntryState, request: Request, rejection: Refusal, now_ms: int
 ) -> list[Effect]:
     """Reject a waiting request with the reason that its queue returned."""
-    return _final.give_up(
+    return _final.reject_request(
         state,
         request,
-        refusal.reason,
-        refusal.step,
+        rejection.reason,
+        rejection.step,
         now_ms,
-        refusal.peer,
-        refusal.retry_after_ms,
+        rejection.peer,
+        rejection.retry_after_ms,
     )
 
 
-def _refuse_unserved(state: EntryState, now_ms: int) -> list[Effect]:
+def _reject_unserved(state: EntryState, now_ms: int) -> list[Effect]:
     """Reject the requests of pools that had no endpoint for the grace period.
 
     Other pools without an endpoint keep waiting. The time since which a pool has had no
@@ -332,43 +336,45 @@
             continue
         since_ms = state.unserved_since_ms.setdefault(pool, now_ms)
         if now_ms - since_ms >= state.config.no_endpoint_grace_ms:
-            effects += _refuse_pool(state, pool, now_ms)
+            effects += _reject_pool(state, pool, now_ms)
     for pool in [p for p in state.unserved_since_ms if p not in waiting]:
         del state.unserved_since_ms[pool]
     return effects
 
 
-def _refuse_pool(state: EntryState, pool: Pool, now_ms: int) -> list[Effect]:
+def _reject_pool(state: EntryState, pool: Pool, now_ms: int) -> list[Effect]:
     """Reject every waiting request of a pool and discard the pool's state."""
     state.queue_by_pool.pop(pool, None)
     state.waiting_pools.discard(pool)
     state.service_ms_by_pool.pop(pool, None)
     del state.unserved_since_ms[pool]
     waiting = [r for r in state.request_by_id.values() if r.phase is Phase.WAITING]
-    refused = [r for r in waiting if pool_of(r.spec) == pool]
+    rejected = [r for r in waiting if pool_of(r.spec) == pool]
     effects: list[Effect] = []
-    for request in refused:
+    for request in rejected:
         reason = Reason.NO_ENDPOINT
-        effects += _final.give_up(state, request, reason, "routing", now_ms)
+        effects += _final.reject_request(state, request, reason, "routing", now_ms)
     return effects
 
 
-def _set_wake(state: EntryState, now_ms: int) -> list[Effect]:
+def _set_wake_timer(state: EntryState, now_ms: int) -> list[Effect]:
     """Set a timer for the next time at which a waiting request may be placed.
 
     No timer is set when nothing waits or when an earlier timer is already pending.
     """
     if not state.waiting_pools and not state.isolate_at_ms:
         return []
-    due: list[int] = _isolation.next_due_ms(state, now_ms)
+    due_times_ms: list[int] = _isolation.list_due_times_ms(state, now_ms)
     grace_ms = state.config.no_endpoint_grace_ms
-    due += [since_ms + grace_ms for since_ms in state.unserved_since_ms.values()]
+    due_times_ms += [
+        since_ms + grace_ms for since_ms in state.unserved_since_ms.values()
+    ]
     # A queue rejects requests that can no longer be served only in ``expire``.
-    due.append(now_ms + EXPIRY_CHECK_MS)
+    due_times_ms.append(now_ms + EXPIRY_CHECK_INTERVAL_MS)
     undeferred_ms = state.endpoints.next_undeferred_ms(now_ms)
     if undeferred_ms is not None:
-        due.append(undeferred_ms)
-    due_ms = min(due)
+        due_times_ms.append(undeferred_ms)
+    due_ms = min(due_times_ms)
     state.check_at_ms = due_ms
     if state.wake_at_ms > now_ms and state.wake_at_ms <= due_ms:
         return []
--- a/packages/core/src/bluebellusher_core/requests/_recovery.py
+++ b/packages/core/src/bluebellusher_core/requests/_recovery.py
@@ -27,29 +27,31 @@
     if event.reason is Reason.ENDPOINT_LOST:
         # The relay reports the broken attempt before the EndpointLost event of its
         # connection. Nothing may be dispatched to the endpoint in between.
-        _final.forget_endpoint(state, attempt.endpoint_id, now_ms)
+        _final.discard_endpoint(state, attempt.endpoint_id, now_ms)
     _final.end_attempt(state, request, attempt, now_ms)
     request.may_have_run = True
     request.n_broken += 1
     state.endpoints.tracker.record_failure(attempt.endpoint_id, now_ms)
-    request.avoided.add(attempt.endpoint_id)
+    request.avoided_endpoint_ids.add(attempt.endpoint_id)
     request.n_bytes_relayed = max(request.n_bytes_relayed, event.n_bytes_relayed)
     is_fatal = is_loss or event.reason is Reason.ENGINE_ERROR
-    effects = _crash_evidence.suspect(state, request, attempt, is_fatal, now_ms)
+    effects = _crash_evidence.record_broken_run(
+        state, request, attempt, is_fatal, now_ms
+    )
     # An isolated attempt that was lost before the agent accepted it is no evidence.
-    is_convicting = is_fatal and attempt.is_isolated and attempt.is_accepted
-    if is_convicting:
+    is_crash_evidence = is_fatal and attempt.is_isolated and attempt.is_accepted
+    if is_crash_evidence:
         is_lost = event.reason is Reason.ENDPOINT_LOST
-        _final.hold(state, request, attempt, is_lost, now_ms)
+        _final.hold_fingerprint(state, request, attempt, is_lost, now_ms)
     if request.attempts:
         return effects
     if request.phase is Phase.DETACHED:
-        return effects + _final.drop(state, request, now_ms)
-    if is_convicting:
+        return effects + _final.discard_request(state, request, now_ms)
+    if is_crash_evidence:
         # A retry before the crash is confirmed or dismissed could crash another
         # endpoint.
         reason, peer = event.reason, attempt.endpoint_id
-        return effects + _final.give_up(
+        return effects + _final.reject_request(
             state, request, reason, "isolation", now_ms, peer, HOLD_MS
         )
     return effects + _recover(state, request, attempt, event, is_loss, now_ms)
@@ -66,20 +68,20 @@
     """Resume, requeue or reject a request that has no attempt in flight."""
     if request.spec.deadline_ms <= now_ms:
         reason = Reason.DEADLINE_EXCEEDED
-        return _give_up(state, request, attempt, reason, now_ms)
+        return _reject(state, request, attempt, reason, now_ms)
     can_repeat = request.spec.is_idempotent and not request.is_trial
     if not can_repeat or not _has_attempts_left(state, request):
-        return _give_up(state, request, attempt, event.reason, now_ms)
+        return _reject(state, request, attempt, event.reason, now_ms)
     if request.n_bytes_relayed and not request.spec.can_resume_elsewhere:
         if event.is_resumable:
-            return _resume(state, request, attempt, now_ms)
-        return _give_up(state, request, attempt, event.reason, now_ms)
+            return _resume_stream(state, request, attempt, now_ms)
+        return _reject(state, request, attempt, event.reason, now_ms)
     # Retries after a lost endpoint do not use the retry budget. They run isolated,
     # one for each endpoint, which bounds their number. With the budget as well, a
     # request could be rejected because another request crashes endpoints.
     if not is_loss and not state.retry_budget.try_spend():
         reason = Reason.RETRY_BUDGET_EXHAUSTED
-        return _give_up(state, request, attempt, reason, now_ms)
+        return _reject(state, request, attempt, reason, now_ms)
     return _placing.requeue(state, request, now_ms)
 
 
@@ -104,7 +106,7 @@
     """Discard an answer with a server error and requeue its request."""
     _final.end_attempt(state, request, attempt, now_ms)
     request.may_have_run = True
-    request.avoided.add(attempt.endpoint_id)
+    request.avoided_endpoint_ids.add(attempt.endpoint_id)
     effects: list[Effect] = [DiscardAnswer(request.spec.request_id)]
     return effects + _placing.requeue(state, request, now_ms)
 
@@ -115,7 +117,7 @@
     return request.n_broken < n_max
 
 
-def _give_up(
+def _reject(
     state: EntryState,
     request: Request,
     attempt: Attempt,
@@ -124,10 +126,10 @@
 ) -> list[Effect]:
     """Reject a request because of its broken attempt."""
     peer = attempt.endpoint_id
-    return _final.give_up(state, request, reason, "attempt", now_ms, peer)
+    return _final.reject_request(state, request, reason, "attempt", now_ms, peer)
 
 
-def _resume(
+def _resume_stream(
     state: EntryState, request: Request, attempt: Attempt, now_ms: int
 ) -> list[Effect]:
     """Fetch the rest of a broken stream from the endpoint that holds it.
@@ -144,7 +146,7 @@
     return [SetTimer(f"resume:{request.spec.request_id}", due_ms)]
 
 
-def resume_waiting(state: EntryState, info: EndpointInfo, now_ms: int) -> list[Effect]:
+def resume_streams(state: EntryState, info: EndpointInfo, now_ms: int) -> list[Effect]:
     """Resume the broken streams of an endpoint that reconnected.
 
     An endpoint of another incarnation holds no streams, so their requests are rejected.
@@ -162,7 +164,7 @@
                 state, request, info.endpoint_id, now_ms, is_resumed=True
             )
         else:
-            effects += _give_up_resume(state, request, now_ms)
+            effects += _reject_resume(state, request, now_ms)
     return effects
 
 
@@ -171,14 +173,14 @@
     request = state.request_by_id.get(request_id)
     if request is None or request.phase is not Phase.RESUMING:
         return []
-    return _give_up_resume(state, request, now_ms)
+    return _reject_resume(state, request, now_ms)
 
 
-def _give_up_resume(state: EntryState, request: Request, now_ms: int) -> list[Effect]:
+def _reject_resume(state: EntryState, request: Request, now_ms: int) -> list[Effect]:
     """Reject a request whose stream can no longer be resumed."""
     peer = request.resume_endpoint_id
     reason = Reason.ENDPOINT_LOST
-    return _final.give_up(state, request, reason, "resume", now_ms, peer)
+    return _final.reject_request(state, request, reason, "resume", now_ms, peer)
 
 
 def hedge_due(state: EntryState, attempt_id: str, now_ms: int) -> list[Effect]:
@@ -197,17 +199,19 @@
         return []
     if request.n_bytes_relayed:
         return []
-    is_single = state.poison.n_running(spec.fingerprint) == 1
-    if not is_single or state.poison.is_suspect(spec.fingerprint, now_ms):
+    is_only_run = state.poison.n_running(spec.fingerprint) == 1
+    if not is_only_run or state.poison.is_suspect(spec.fingerprint, now_ms):
         return []
     pool = _placing.pool_of(spec)
-    if pool in state.waiting_pools or not _isolation.has_free_share(state, pool):
+    if pool in state.waiting_pools or not _isolation.has_isolation_capacity(
+        state, pool
+    ):
         return []
     views = state.endpoints.views_with_room(pool, now_ms)
-    others = [v for v in views if v.info.endpoint_id != attempt.endpoint_id]
-    if not others:
+    other_views = [v for v in views if v.info.endpoint_id != attempt.endpoint_id]
+    if not other_views:
         return []
-    endpoint_id = _placing.choose(state, request, others, now_ms)
+    endpoint_id = _placing.choose_endpoint(state, request, other_views, now_ms)
     # Hedges leave the minimum of the budget to retries.
     n_reserved = state.config.n_min_retries
     if endpoint_id is None or not state.retry_budget.try_spend(n_reserved):
--- a/packages/core/src/bluebellusher_core/retry/_budget.py
+++ b/packages/core/src/bluebellusher_core/retry/_budget.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 # Units of the balance in one token, so that one request can earn a percentage of it.
-TOKEN = 100
+UNITS_PER_TOKEN = 100
 
 
 @dataclass(slots=True)
@@ -38,29 +38,31 @@
 
     def __post_init__(self) -> None:
         """Set the balance to ``n_min`` tokens."""
-        self._balance = self.n_min * TOKEN
+        self._balance = self.n_min * UNITS_PER_TOKEN
         self.n_burst = max(self.n_burst, self.n_min)
 
     def earn(self) -> None:
         """Add the share of a token that one new request earns."""
-        self._balance = min(self._balance + self.percent, self.n_burst * TOKEN)
+        self._balance = min(
+            self._balance + self.percent, self.n_burst * UNITS_PER_TOKEN
+        )
 
     @property
     def n_left(self) -> int:
         """Number of whole tokens that can be spent."""
-        return self._balance // TOKEN
+        return self._balance // UNITS_PER_TOKEN
 
     def resize(self, n_burst: int) -> None:
         """Change the upper bound of saved tokens; tokens beyond it are discarded."""
         self.n_burst = max(1, n_burst)
-        self._balance = min(self._balance, self.n_burst * TOKEN)
+        self._balance = min(self._balance, self.n_burst * UNITS_PER_TOKEN)
 
     def try_spend(self, n_reserved: int = 0) -> bool:
         """Spend a token unless fewer than ``n_reserved`` would remain.
 
         Returns whether a token was spent.
         """
-        if self._balance < (1 + n_reserved) * TOKEN:
+        if self._balance < (1 + n_reserved) * UNITS_PER_TOKEN:
             return False
-        self._balance -= TOKEN
+        self._balance -= UNITS_PER_TOKEN
         return True
