Name the event handlers after their events

Functions such as learned, lost and refused become handle_crashes_received, handle_lost and handle_refused, in the request modules and in the reducer. Names only; behaviour does not change.

--- a/packages/core/src/bluebellusher_core/reducer/_reduce.py
+++ b/packages/core/src/bluebellusher_core/reducer/_reduce.py
@@ -67,11 +67,11 @@
 def _handle(state: EntryState, event: Event, now_ms: int) -> list[Effect]:
     match event:
         case RequestArrived():
-            return _arrival.arrive(state, event.request, now_ms)
+            return _arrival.handle_arrival(state, event.request, now_ms)
         case AttemptStarted():
-            return _attempts.started(state, event, now_ms)
+            return _attempts.handle_started(state, event, now_ms)
         case AttemptFinished():
-            return _attempts.finished(state, event, now_ms)
+            return _attempts.handle_finished(state, event, now_ms)
         case TimerFired():
             return _handle_timer(state, event.timer_id, now_ms)
         case LoadReported():
@@ -80,40 +80,40 @@
         case CacheReported():
             state.endpoints.report_cache(event, now_ms)
         case AttemptAccepted():
-            return _attempts.accepted(state, event)
+            return _attempts.handle_accepted(state, event)
         case AttemptRefused():
-            return _attempts.refused(state, event, now_ms)
+            return _attempts.handle_refused(state, event, now_ms)
         case AttemptBroken():
-            return _attempts.broken(state, event, now_ms)
+            return _attempts.handle_broken(state, event, now_ms)
         case CallerLeft():
-            return _arrival.caller_left(state, event.request_id, now_ms)
+            return _arrival.handle_caller_disconnected(state, event.request_id, now_ms)
         case ClaimsAnswered():
-            return _claiming.answered(state, event, now_ms)
+            return _claiming.handle_claims_answered(state, event, now_ms)
         case ClaimsUnanswered():
             return state.claims.unanswered(event.batch_id, now_ms)
         case EndpointConnected():
-            return _links.connected(state, event, now_ms)
+            return _links.handle_connected(state, event, now_ms)
         case EndpointRegistered():
-            return _links.registered(state, event, now_ms)
+            return _links.handle_registered(state, event, now_ms)
         case EndpointLost():
-            return _links.lost(state, event.endpoint_id, now_ms)
+            return _links.handle_lost(state, event.endpoint_id, now_ms)
         case EndpointDraining():
             state.endpoints.drain(event.endpoint_id)
             state.check_at_ms = 0
         case EndpointCrashed():
-            return _links.crashed(state, event, now_ms)
+            return _links.handle_crashed(state, event, now_ms)
         case EndpointReplaced():
-            return _links.replaced(state, event, now_ms)
+            return _links.handle_replaced(state, event, now_ms)
         case EndpointChecked():
-            return _crash_evidence.checked(state, event, now_ms)
+            return _crash_evidence.handle_endpoint_checked(state, event, now_ms)
         case EndpointAnnounced():
-            return _announced.announced(state, event, now_ms)
+            return _announced.handle_announced(state, event, now_ms)
         case LeavingLearned():
-            return _announced.learned(state, event, now_ms)
+            return _announced.handle_leaving_received(state, event, now_ms)
         case CrashesLearned():
-            return _crash_evidence.learned(state, event, now_ms)
+            return _crash_evidence.handle_crashes_received(state, event, now_ms)
         case DigestReceived():
-            return _isolation.digest_received(state, event, now_ms)
+            return _isolation.handle_digest(state, event, now_ms)
         case PolicyChanged():
             _change_policy(state, event)
         case EntriesCounted():
@@ -131,21 +131,21 @@
     kind, _, subject = timer_id.partition(":")
     match kind:
         case "deadline":
-            return _arrival.deadline_passed(state, subject, now_ms)
+            return _arrival.handle_deadline(state, subject, now_ms)
         case "claim":
-            return _claiming.claim_timed_out(state, subject, now_ms)
+            return _claiming.handle_claim_timeout(state, subject, now_ms)
         case "claims":
             if timer_id.startswith(CLAIM_RETRY):
                 return state.claims.send_again(timer_id.removeprefix(CLAIM_RETRY))
             return state.claims.flush()
         case "resume":
-            return _recovery.resume_timed_out(state, subject, now_ms)
+            return _recovery.handle_resume_timeout(state, subject, now_ms)
         case "hedge":
-            return _recovery.hedge_due(state, subject, now_ms)
+            return _recovery.handle_hedge_due(state, subject, now_ms)
         case "detach":
-            return _arrival.detach_ended(state, subject, now_ms)
+            return _arrival.handle_detach_timeout(state, subject, now_ms)
         case "crash":
-            return _links.crash_wait_ended(state, subject, now_ms)
+            return _links.handle_crash_wait_timeout(state, subject, now_ms)
         case "wake":
             state.wake_at_ms = 0
             state.check_at_ms = 0
--- a/packages/core/src/bluebellusher_core/requests/_announced.py
+++ b/packages/core/src/bluebellusher_core/requests/_announced.py
@@ -17,7 +17,9 @@
 N_MAX_MARKS = 1_000
 
 
-def announced(state: EntryState, event: EndpointAnnounced, now_ms: int) -> list[Effect]:
+def handle_announced(
+    state: EntryState, event: EndpointAnnounced, now_ms: int
+) -> list[Effect]:
     """Record that an endpoint is leaving or asks for a pause, by its own answer."""
     effects: list[Effect] = []
     endpoint_id, incarnation = event.endpoint_id, event.incarnation
@@ -42,7 +44,9 @@
     return effects
 
 
-def learned(state: EntryState, event: LeavingLearned, now_ms: int) -> list[Effect]:
+def handle_leaving_received(
+    state: EntryState, event: LeavingLearned, now_ms: int
+) -> list[Effect]:
     """Record the leaving endpoints that a peer announced."""
     effects: list[Effect] = []
     for mark in event.marks[:N_MAX_MARKS]:
--- a/packages/core/src/bluebellusher_core/requests/_arrival.py
+++ b/packages/core/src/bluebellusher_core/requests/_arrival.py
@@ -9,7 +9,7 @@
 from bluebellusher_core.state import EntryState
 
 
-def arrive(state: EntryState, spec: RequestSpec, now_ms: int) -> list[Effect]:
+def handle_arrival(state: EntryState, spec: RequestSpec, now_ms: int) -> list[Effect]:
     """Admit a new request or reject it at once.
 
     A non-idempotent request with an idempotency key waits for its claim first. The
@@ -56,7 +56,9 @@
     return None
 
 
-def caller_left(state: EntryState, request_id: str, now_ms: int) -> list[Effect]:
+def handle_caller_disconnected(
+    state: EntryState, request_id: str, now_ms: int
+) -> list[Effect]:
     """Cancel the attempts of a request whose caller has disconnected."""
     request = state.request_by_id.get(request_id)
     if request is None or request.phase is Phase.DETACHED:
@@ -67,7 +69,7 @@
     )
 
 
-def deadline_passed(state: EntryState, request_id: str, now_ms: int) -> list[Effect]:
+def handle_deadline(state: EntryState, request_id: str, now_ms: int) -> list[Effect]:
     """Reject a request at its deadline, in any phase.
 
     The timer is set again when it fires before the deadline.
@@ -85,7 +87,9 @@
     )
 
 
-def detach_ended(state: EntryState, request_id: str, now_ms: int) -> list[Effect]:
+def handle_detach_timeout(
+    state: EntryState, request_id: str, now_ms: int
+) -> list[Effect]:
     """Discard a detached request whose claim outcome did not arrive in time."""
     request = state.request_by_id.get(request_id)
     if request is None or request.phase is not Phase.DETACHED:
--- a/packages/core/src/bluebellusher_core/requests/_attempts.py
+++ b/packages/core/src/bluebellusher_core/requests/_attempts.py
@@ -31,7 +31,7 @@
 )
 
 
-def accepted(state: EntryState, event: AttemptAccepted) -> list[Effect]:
+def handle_accepted(state: EntryState, event: AttemptAccepted) -> list[Effect]:
     """Record that the agent confirmed the start of an isolated run."""
     attempt = _find_attempt(state, event)
     if attempt is None:
@@ -40,7 +40,9 @@
     return []
 
 
-def started(state: EntryState, event: AttemptStarted, now_ms: int) -> list[Effect]:
+def handle_started(
+    state: EntryState, event: AttemptStarted, now_ms: int
+) -> list[Effect]:
     """Record the first output of an attempt and cancel the request's other ones."""
     attempt = _find_attempt(state, event)
     if attempt is None:
@@ -57,7 +59,9 @@
     return effects
 
 
-def finished(state: EntryState, event: AttemptFinished, now_ms: int) -> list[Effect]:
+def handle_finished(
+    state: EntryState, event: AttemptFinished, now_ms: int
+) -> list[Effect]:
     """Complete a request with the whole answer of an attempt.
 
     An answer with a server error is discarded and the request is tried on another
@@ -79,7 +83,9 @@
     return effects + _final.complete_request(state, request, attempt, now_ms)
 
 
-def refused(state: EntryState, event: AttemptRefused, now_ms: int) -> list[Effect]:
+def handle_refused(
+    state: EntryState, event: AttemptRefused, now_ms: int
+) -> list[Effect]:
     """Retry a request elsewhere after an endpoint or agent refused its attempt.
 
     The attempt has certainly not run. A closed port, or another start that answers at
@@ -144,7 +150,7 @@
     return _placing.requeue(state, request, now_ms)
 
 
-def broken(state: EntryState, event: AttemptBroken, now_ms: int) -> list[Effect]:
+def handle_broken(state: EntryState, event: AttemptBroken, now_ms: int) -> list[Effect]:
     """Resume, retry or reject a request whose attempt broke and may have run."""
     attempt = _find_attempt(state, event)
     if attempt is None:
--- a/packages/core/src/bluebellusher_core/requests/_claiming.py
+++ b/packages/core/src/bluebellusher_core/requests/_claiming.py
@@ -11,7 +11,9 @@
 PEER = "table"
 
 
-def answered(state: EntryState, event: ClaimsAnswered, now_ms: int) -> list[Effect]:
+def handle_claims_answered(
+    state: EntryState, event: ClaimsAnswered, now_ms: int
+) -> list[Effect]:
     """Continue the requests whose claims the table answered."""
     results, effects = state.claims.apply_answer(event)
     for write, result in results:
@@ -21,7 +23,9 @@
     return effects
 
 
-def claim_timed_out(state: EntryState, request_id: str, now_ms: int) -> list[Effect]:
+def handle_claim_timeout(
+    state: EntryState, request_id: str, now_ms: int
+) -> list[Effect]:
     """Reject a request whose claim was not answered within ``claim_wait_ms``."""
     request = state.request_by_id.get(request_id)
     if request is None or request.phase is not Phase.CLAIMING:
--- a/packages/core/src/bluebellusher_core/requests/_crash_evidence.py
+++ b/packages/core/src/bluebellusher_core/requests/_crash_evidence.py
@@ -61,7 +61,9 @@
     return [CheckEndpoint(endpoint_id)]
 
 
-def checked(state: EntryState, event: EndpointChecked, now_ms: int) -> list[Effect]:
+def handle_endpoint_checked(
+    state: EntryState, event: EndpointChecked, now_ms: int
+) -> list[Effect]:
     """Handle the result of an address check.
 
     A closed port confirms the suspected crashes of the endpoint. A listening port
@@ -142,7 +144,9 @@
     return effects
 
 
-def learned(state: EntryState, event: CrashesLearned, now_ms: int) -> list[Effect]:
+def handle_crashes_received(
+    state: EntryState, event: CrashesLearned, now_ms: int
+) -> list[Effect]:
     """Merge crash records from a peer or the store.
 
     Each fingerprint is blocked or unblocked by the merged record. A sender whose record
--- a/packages/core/src/bluebellusher_core/requests/_isolation.py
+++ b/packages/core/src/bluebellusher_core/requests/_isolation.py
@@ -154,7 +154,7 @@
     return effects
 
 
-def digest_received(
+def handle_digest(
     state: EntryState, event: DigestReceived, now_ms: int
 ) -> list[Effect]:
     """Apply the blocked and suspect fingerprints that a peer sent.
--- a/packages/core/src/bluebellusher_core/requests/_links.py
+++ b/packages/core/src/bluebellusher_core/requests/_links.py
@@ -24,14 +24,16 @@
 N_MAX_CRASHED = 4_096
 
 
-def connected(state: EntryState, event: EndpointConnected, now_ms: int) -> list[Effect]:
+def handle_connected(
+    state: EntryState, event: EndpointConnected, now_ms: int
+) -> list[Effect]:
     """Add the endpoint of a new connection and break the attempts of the previous one.
 
     The restart of an endpoint whose connection was lost during an isolated run blocks
     that run's fingerprint. Broken streams of the endpoint are resumed.
     """
     info = event.endpoint
-    effects = lost(state, info.endpoint_id, now_ms)
+    effects = handle_lost(state, info.endpoint_id, now_ms)
     effects += state.endpoints.connect(event, now_ms)
     confirmed = state.poison.resolve_holds(info.endpoint_id, info.incarnation, now_ms)
     for fingerprint in confirmed:
@@ -43,7 +45,7 @@
     return effects
 
 
-def registered(
+def handle_registered(
     state: EntryState, event: EndpointRegistered, now_ms: int
 ) -> list[Effect]:
     """Add or refresh an endpoint that registered.
@@ -56,7 +58,7 @@
     if view is None or view.is_draining:
         state.crashes.record_reregistration(info.endpoint_id, info.incarnation)
     if view is None or view.info.incarnation != info.incarnation:
-        effects = connected(state, EndpointConnected(info), now_ms)
+        effects = handle_connected(state, EndpointConnected(info), now_ms)
         started_at_ms = now_ms - event.age_ms
         return effects + _crash_evidence.confirm_crashes(
             state, info.endpoint_id, "started again", now_ms, started_at_ms
@@ -66,16 +68,18 @@
     return []
 
 
-def replaced(state: EntryState, event: EndpointReplaced, now_ms: int) -> list[Effect]:
+def handle_replaced(
+    state: EntryState, event: EndpointReplaced, now_ms: int
+) -> list[Effect]:
     """Break the attempts of an endpoint whose address a later start has taken."""
     endpoint_id = event.endpoint_id
-    effects = lost(state, endpoint_id, now_ms)
+    effects = handle_lost(state, endpoint_id, now_ms)
     return effects + _crash_evidence.confirm_crashes(
         state, endpoint_id, "address taken", now_ms
     )
 
 
-def lost(state: EntryState, endpoint_id: str, now_ms: int) -> list[Effect]:
+def handle_lost(state: EntryState, endpoint_id: str, now_ms: int) -> list[Effect]:
     """Discard an endpoint whose connection is lost and break its attempts."""
     view = state.endpoints.view_by_id.get(endpoint_id)
     is_leaving = view is not None and view.is_draining
@@ -86,7 +90,9 @@
     return _break_attempts(state, affected, Reason.ENDPOINT_LOST, now_ms)
 
 
-def crashed(state: EntryState, event: EndpointCrashed, now_ms: int) -> list[Effect]:
+def handle_crashed(
+    state: EntryState, event: EndpointCrashed, now_ms: int
+) -> list[Effect]:
     """Handle a crash of an engine whose agent goes on running.
 
     The fingerprints that were running become suspects. A fingerprint that ran isolated
@@ -112,7 +118,9 @@
     return effects
 
 
-def crash_wait_ended(state: EntryState, endpoint_id: str, now_ms: int) -> list[Effect]:
+def handle_crash_wait_timeout(
+    state: EntryState, endpoint_id: str, now_ms: int
+) -> list[Effect]:
     """Break the crashed attempts that the agent reported nothing more about."""
     attempts = state.attempt_by_id.values()
     affected = [a for a in attempts if a.endpoint_id == endpoint_id and a.is_crashed]
--- a/packages/core/src/bluebellusher_core/requests/_recovery.py
+++ b/packages/core/src/bluebellusher_core/requests/_recovery.py
@@ -168,7 +168,9 @@
     return effects
 
 
-def resume_timed_out(state: EntryState, request_id: str, now_ms: int) -> list[Effect]:
+def handle_resume_timeout(
+    state: EntryState, request_id: str, now_ms: int
+) -> list[Effect]:
     """Reject a request whose endpoint did not reconnect within ``resume_wait_ms``."""
     request = state.request_by_id.get(request_id)
     if request is None or request.phase is not Phase.RESUMING:
@@ -183,7 +185,7 @@
     return _final.reject_request(state, request, reason, "resume", now_ms, peer)
 
 
-def hedge_due(state: EntryState, attempt_id: str, now_ms: int) -> list[Effect]:
+def handle_hedge_due(state: EntryState, attempt_id: str, now_ms: int) -> list[Effect]:
     """Start a second attempt of an idempotent request whose first has no output yet.
 
     The hedge runs isolated. If the request crashes endpoints, a crash of the second
