Call the final negative answer of an entry a rejection

Class Refusal becomes Rejection and Reject.refusal becomes Reject.rejection. A refusal remains the answer of an endpoint or agent that declines an attempt. Names only; behaviour does not change.

--- a/packages/core/src/bluebellusher_core/admission/_fair_queue.py
+++ b/packages/core/src/bluebellusher_core/admission/_fair_queue.py
@@ -12,7 +12,7 @@
     with_overtaking,
 )
 from bluebellusher_core.admission._service_rate import ServiceRate
-from bluebellusher_core.errors import Outcome, Reason, Refusal
+from bluebellusher_core.errors import Outcome, Reason, Rejection
 from bluebellusher_core.events import Priority, RequestSpec
 
 # Between customers, each level of priority is a head start of this many mean
@@ -83,7 +83,7 @@
             if flow.n_waiting:
                 self._active_weight += flow.weight
 
-    def offer(self, request: RequestSpec, now_ms: int) -> Refusal | None:
+    def offer(self, request: RequestSpec, now_ms: int) -> Rejection | None:
         """Add the request, or refuse it when its deadline cannot be met."""
         if request.request_id in self._waiting_by_id:
             raise ValueError(f"request_id={request.request_id}: already waiting")
@@ -147,7 +147,7 @@
         self._discard(waiting)
         return True
 
-    def expire(self, now_ms: int) -> list[tuple[RequestSpec, Refusal]]:
+    def expire(self, now_ms: int) -> list[tuple[RequestSpec, Rejection]]:
         """Remove and return requests whose deadline can no longer be met."""
         self._rate.advance(now_ms, has_backlog=bool(self._waiting_by_id))
         expired = []
@@ -334,16 +334,16 @@
             return None
         return self._n_slots * self._mean_cost / self._service_ms
 
-    def _expiry(self, request: RequestSpec, now_ms: int) -> Refusal:
+    def _expiry(self, request: RequestSpec, now_ms: int) -> Rejection:
         is_past = request.deadline_ms <= now_ms
         reason = Reason.DEADLINE_EXCEEDED if is_past else Reason.DEADLINE_UNREACHABLE
         return _refusal(reason, self._predicted_wait_ms(request))
 
 
-def _refusal(reason: Reason, wait_ms: float) -> Refusal:
+def _refusal(reason: Reason, wait_ms: float) -> Rejection:
     # The caller is asked to return when what waits now has been served.
     retry_after_ms = int(min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, wait_ms)))
-    return Refusal(
+    return Rejection(
         outcome=Outcome.NOT_RUN,
         reason=reason,
         step="admission",
--- a/packages/core/src/bluebellusher_core/admission/_objective_queue.py
+++ b/packages/core/src/bluebellusher_core/admission/_objective_queue.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from math import inf
 
-from bluebellusher_core.errors import Outcome, Reason, Refusal
+from bluebellusher_core.errors import Outcome, Reason, Rejection
 from bluebellusher_core.events import RequestSpec
 
 # From dispatch to the first byte, until it has been observed.
@@ -74,7 +74,7 @@
         self._n_refused_in_pause = 0
         self._fresh_at_ms: deque[int] = deque()
 
-    def offer(self, request: RequestSpec, now_ms: int) -> Refusal | None:
+    def offer(self, request: RequestSpec, now_ms: int) -> Rejection | None:
         """Add the request, or refuse it when it would be served too late."""
         self._note_arrival(request, now_ms)
         if request.deadline_ms <= now_ms:
@@ -123,13 +123,13 @@
         waiting.is_current = False
         return True
 
-    def expire(self, now_ms: int) -> list[tuple[RequestSpec, Refusal]]:
+    def expire(self, now_ms: int) -> list[tuple[RequestSpec, Rejection]]:
         """Remove and return requests that are better refused than kept waiting.
 
         These are requests whose callers will not wait long enough, and while every
         endpoint is closed also fresh ones, whose callers can come back.
         """
-        expired: list[tuple[RequestSpec, Refusal]] = []
+        expired: list[tuple[RequestSpec, Rejection]] = []
         for waiting in list(self._waiting_by_id.values()):
             request = waiting.request
             reason = Reason.DEADLINE_UNREACHABLE
@@ -221,9 +221,9 @@
         self._waiting_by_id[waiting.request.request_id] = waiting
         heapq.heappush(self._heap, waiting)
 
-    def _refuse(self, request: RequestSpec, reason: Reason, now_ms: int) -> Refusal:
+    def _refuse(self, request: RequestSpec, reason: Reason, now_ms: int) -> Rejection:
         pause_ms = self._pause_ms(request, now_ms)
-        return Refusal(Outcome.NOT_RUN, reason, "admission", "", pause_ms)
+        return Rejection(Outcome.NOT_RUN, reason, "admission", "", pause_ms)
 
     def _pause_ms(self, request: RequestSpec, now_ms: int) -> int:
         """Return when to come back; callers that are refused together spread out."""
--- a/packages/core/src/bluebellusher_core/admission/_protocol.py
+++ b/packages/core/src/bluebellusher_core/admission/_protocol.py
@@ -2,14 +2,14 @@
 
 from typing import Protocol
 
-from bluebellusher_core.errors import Outcome, Reason, Refusal
+from bluebellusher_core.errors import Outcome, Reason, Rejection
 from bluebellusher_core.events import RequestSpec
 
 
 class AdmissionQueue(Protocol):
     """Order requests and refuse those whose deadline cannot be met."""
 
-    def offer(self, request: RequestSpec, now_ms: int) -> Refusal | None:
+    def offer(self, request: RequestSpec, now_ms: int) -> Rejection | None:
         """Add a request; return a refusal when its deadline cannot be met."""
 
     def take(self, now_ms: int) -> RequestSpec | None:
@@ -21,7 +21,7 @@
     def remove(self, request_id: str) -> bool:
         """Remove a request whose caller left; return whether it was waiting."""
 
-    def expire(self, now_ms: int) -> list[tuple[RequestSpec, Refusal]]:
+    def expire(self, now_ms: int) -> list[tuple[RequestSpec, Rejection]]:
         """Remove and return requests whose deadline can no longer be met."""
 
     def observe_service(self, n_slots: int, service_ms: float) -> None:
@@ -37,7 +37,7 @@
     def __init__(self) -> None:
         self._requests: list[RequestSpec] = []
 
-    def offer(self, request: RequestSpec, now_ms: int) -> Refusal | None:
+    def offer(self, request: RequestSpec, now_ms: int) -> Rejection | None:
         """Add the request; refuse it only when its deadline has passed."""
         if request.deadline_ms <= now_ms:
             return _deadline_refusal()
@@ -58,7 +58,7 @@
         self._requests = [r for r in self._requests if r.request_id != request_id]
         return len(self._requests) < n_before
 
-    def expire(self, now_ms: int) -> list[tuple[RequestSpec, Refusal]]:
+    def expire(self, now_ms: int) -> list[tuple[RequestSpec, Rejection]]:
         """Remove the requests whose deadline has passed."""
         expired = [r for r in self._requests if r.deadline_ms <= now_ms]
         self._requests = [r for r in self._requests if r.deadline_ms > now_ms]
@@ -72,8 +72,8 @@
         return len(self._requests)
 
 
-def _deadline_refusal() -> Refusal:
-    return Refusal(
+def _deadline_refusal() -> Rejection:
+    return Rejection(
         outcome=Outcome.NOT_RUN,
         reason=Reason.DEADLINE_EXCEEDED,
         step="admission",
--- a/packages/core/src/bluebellusher_core/effects/_effects.py
+++ b/packages/core/src/bluebellusher_core/effects/_effects.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from bluebellusher_core.errors import Refusal
+from bluebellusher_core.errors import Rejection
 from bluebellusher_core.events import LeavingMark
 from bluebellusher_core.poison import CrashRecord
 
@@ -52,7 +52,7 @@
     """Reject a request with its final answer."""
 
     request_id: str
-    refusal: Refusal
+    rejection: Rejection
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/bluebellusher_core/errors/_errors.py
+++ b/packages/core/src/bluebellusher_core/errors/_errors.py
@@ -48,7 +48,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Refusal:
+class Rejection:
     """Final answer to a request that the entry rejects.
 
     Parameters
--- a/packages/core/src/bluebellusher_core/reducer/tests/_crash_world.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/_crash_world.py
@@ -370,7 +370,7 @@
         """Return whether an entry refuses a request as one that crashes endpoints."""
         n_before = len(self.refusals)
         self.send(entry_id, fingerprint)
-        found = [refusal.reason for _, refusal in self.refusals[n_before:]]
+        found = [rejection.reason for _, rejection in self.refusals[n_before:]]
         return found == [Reason.CRASHES_ENDPOINTS]
 
     def _execute(self, entry, effect):
@@ -378,7 +378,7 @@
             case Dispatch():
                 self.at(1, self._begin, entry, effect)
             case Reject():
-                self.refusals.append((effect.request_id, effect.refusal))
+                self.refusals.append((effect.request_id, effect.rejection))
             case CancelAttempt():
                 for host in self.hosts:
                     host.runs = [
--- a/packages/core/src/bluebellusher_core/reducer/tests/_entries.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/_entries.py
@@ -118,7 +118,7 @@
         self.step(entry, RequestArrived(spec))
         if entry.is_stopping:
             final = self.finals[spec.request_id][0]
-            assert final.refusal.outcome is Outcome.NOT_RUN, "accepted while stopping"
+            assert final.rejection.outcome is Outcome.NOT_RUN, "accepted while stopping"
 
     def make_spec(self, fingerprint, is_idempotent, key, lifetime_ms):
         """Return a request with a new id."""
--- a/packages/core/src/bluebellusher_core/reducer/tests/_pause_world.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/_pause_world.py
@@ -294,12 +294,12 @@
 
     def _refuse(self, effect):
         caller = self._caller_by_request[effect.request_id]
-        refusal = effect.refusal
-        if refusal.outcome is not Outcome.NOT_RUN:
+        rejection = effect.rejection
+        if rejection.outcome is not Outcome.NOT_RUN:
             self.result.n_failed += 1
             return
         left_ms = caller.first_ms + DEADLINE_MS - self.now_ms
-        pause_ms = min(refusal.retry_after_ms or 0, left_ms / 3)
+        pause_ms = min(rejection.retry_after_ms or 0, left_ms / 3)
         if caller.n_refusals >= 1 or left_ms <= 0:
             self.result.n_refused += 1
             return
--- a/packages/core/src/bluebellusher_core/reducer/tests/_world.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/_world.py
@@ -272,7 +272,7 @@
         for request_id, finals in self.finals.items():
             for final in finals:
                 is_reject = isinstance(final, Reject)
-                if is_reject and final.refusal.outcome is Outcome.NOT_RUN:
+                if is_reject and final.rejection.outcome is Outcome.NOT_RUN:
                     assert self.n_runs[request_id] == 0, "I3"
 
     def check_row(self, row):
@@ -285,7 +285,7 @@
         final = self.finals[row.request_id][0]
         if isinstance(final, Complete):
             assert row.state is ClaimState.DONE, "outcome not recorded"
-        elif final.refusal.outcome is Outcome.NOT_RUN:
+        elif final.rejection.outcome is Outcome.NOT_RUN:
             assert row.state is ClaimState.ABANDONED, "key not freed"
 
     def exchange_digests(self):
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_announcements.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_announcements.py
@@ -87,7 +87,7 @@
 
 def refusals(effects):
     """Return the refusals among effects."""
-    return [e.refusal for e in effects if isinstance(e, Reject)]
+    return [e.rejection for e in effects if isinstance(e, Reject)]
 
 
 def test_endpoint_that_says_it_leaves_gets_nothing_more():
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_crash_counting.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_crash_counting.py
@@ -97,8 +97,8 @@
     for _ in range(N_TO_BLOCK):
         entry.crash(entry.send())
     refused = entry.send()
-    assert refused.refusal.reason is Reason.CRASHES_ENDPOINTS
-    assert refused.refusal.outcome is Outcome.NOT_RUN
+    assert refused.rejection.reason is Reason.CRASHES_ENDPOINTS
+    assert refused.rejection.outcome is Outcome.NOT_RUN
     assert isinstance(entry.send("another"), Dispatch)
 
 
@@ -107,9 +107,9 @@
     entry = Entry()
     for _ in range(N_TO_BLOCK):
         entry.crash(entry.send())
-    first = entry.send().refusal.retry_after_ms
+    first = entry.send().rejection.retry_after_ms
     entry.now_ms += first // 2
-    left_ms = entry.send().refusal.retry_after_ms
+    left_ms = entry.send().rejection.retry_after_ms
     assert left_ms == first - first // 2 - 10
     entry.now_ms += left_ms
     assert isinstance(entry.send(), Dispatch)
@@ -122,7 +122,7 @@
         entry.crash(entry.send())
     third, copy = entry.send(), entry.send()
     effects = entry.crash(third)
-    finals = {e.request_id: e.refusal for e in effects if isinstance(e, Reject)}
+    finals = {e.request_id: e.rejection for e in effects if isinstance(e, Reject)}
     assert finals[copy.request_id].reason is Reason.CRASHES_ENDPOINTS
     assert finals[copy.request_id].outcome is Outcome.UNKNOWN
 
@@ -134,9 +134,9 @@
         entry.crash(entry.send())
     for entry in entries[1:]:
         exchange(entry, entries[0])
-    assert entries[0].send().refusal.reason is Reason.CRASHES_ENDPOINTS
+    assert entries[0].send().rejection.reason is Reason.CRASHES_ENDPOINTS
     exchange(entries[0], entries[1])
-    assert entries[1].send().refusal.reason is Reason.CRASHES_ENDPOINTS
+    assert entries[1].send().rejection.reason is Reason.CRASHES_ENDPOINTS
 
 
 def test_two_crashes_here_and_one_elsewhere_block():
@@ -146,7 +146,7 @@
         first.crash(first.send())
     second.crash(second.send())
     exchange(second, first)
-    assert first.send().refusal.reason is Reason.CRASHES_ENDPOINTS
+    assert first.send().rejection.reason is Reason.CRASHES_ENDPOINTS
 
 
 def test_broken_runs_at_endpoints_that_answer_on_do_not_count():
@@ -207,7 +207,7 @@
             )
         )
         entry.now_ms += 2_000
-    assert entry.send().refusal.reason is Reason.CRASHES_ENDPOINTS
+    assert entry.send().rejection.reason is Reason.CRASHES_ENDPOINTS
 
 
 def test_suspects_of_peers_do_not_run_isolated():
@@ -272,7 +272,7 @@
         entry.handle(
             AttemptRefused(probe.attempt_id, reason, 0, probe.endpoint_id, True)
         )
-    assert entry.send().refusal.reason is Reason.CRASHES_ENDPOINTS
+    assert entry.send().rejection.reason is Reason.CRASHES_ENDPOINTS
 
 
 def _broken(entry):
@@ -286,7 +286,7 @@
         broken = entry.send()
         entry.break_run(broken)
         entry.handle(EndpointReplaced(broken.endpoint_id))
-    assert entry.send().refusal.reason is Reason.CRASHES_ENDPOINTS
+    assert entry.send().rejection.reason is Reason.CRASHES_ENDPOINTS
 
 
 def test_run_that_hangs_when_a_later_start_has_its_address_counts():
@@ -295,9 +295,9 @@
     for _ in range(N_TO_BLOCK):
         hanging = entry.send()
         effects = entry.handle(EndpointReplaced(hanging.endpoint_id))
-        (answer,) = [e.refusal for e in effects if isinstance(e, Reject)]
+        (answer,) = [e.rejection for e in effects if isinstance(e, Reject)]
         assert answer.outcome is Outcome.UNKNOWN
-    assert entry.send().refusal.reason is Reason.CRASHES_ENDPOINTS
+    assert entry.send().rejection.reason is Reason.CRASHES_ENDPOINTS
 
 
 def test_entry_that_starts_again_takes_over_the_block_and_its_end():
@@ -305,13 +305,13 @@
     first, second = Entry("e1"), Entry("e2")
     for _ in range(N_TO_BLOCK):
         first.crash(first.send())
-    retry_after_ms = first.send().refusal.retry_after_ms
+    retry_after_ms = first.send().rejection.retry_after_ms
     exchange(first, second)
     for _ in range(20):
         first, second = second, Entry("e1")
         first.now_ms += 10_000
         exchange(first, second)
-    left_ms = second.send().refusal.retry_after_ms
+    left_ms = second.send().rejection.retry_after_ms
     assert retry_after_ms - 20 * 10_100 <= left_ms < retry_after_ms - 20 * 9_900
 
 
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_direct_endpoints.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_direct_endpoints.py
@@ -44,7 +44,7 @@
 
 def rejected(effects):
     """Return the refusal among effects, or None."""
-    return next((e.refusal for e in effects if isinstance(e, Reject)), None)
+    return next((e.rejection for e in effects if isinstance(e, Reject)), None)
 
 
 def finish(dispatch, status):
@@ -238,9 +238,9 @@
     state = start_group(4)
     first = dispatched(reduce(state, RequestArrived(make_spec()), 10))
     n_retries = state.retry_budget.n_left
-    refusal = rejected(reduce(state, refuse_closed(first), 1_600))
-    assert refusal.reason is Reason.ENDPOINTS_CLOSED
-    assert refusal.outcome is Outcome.NOT_RUN
+    rejection = rejected(reduce(state, refuse_closed(first), 1_600))
+    assert rejection.reason is Reason.ENDPOINTS_CLOSED
+    assert rejection.outcome is Outcome.NOT_RUN
     assert state.retry_budget.n_left == n_retries
     effects = reduce(state, RequestArrived(make_spec("other")), 1_610)
     assert dispatched(effects) is None
@@ -316,8 +316,8 @@
     for sequence, at_ms in enumerate((0, 500, 1_000), 1):
         report = make_group_report("x0", sequence, step=7, n_running=2)
         reduce(state, report, at_ms)
-    refusal = rejected(reduce(state, RequestArrived(make_spec()), 1_010))
-    assert refusal.reason is Reason.ENDPOINTS_CLOSED
+    rejection = rejected(reduce(state, RequestArrived(make_spec()), 1_010))
+    assert rejection.reason is Reason.ENDPOINTS_CLOSED
     returning = make_spec("returning", is_returning=True, start_by_ms=3_000)
     assert dispatched(reduce(state, RequestArrived(returning), 1_020)) is not None
     reduce(state, make_group_report("x1", 2, step=8, n_running=2), 1_500)
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_machine_poison.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_machine_poison.py
@@ -97,7 +97,7 @@
         finals = self.world.finals[request_id]
         if not finals:
             return False
-        pause_ms = finals[0].refusal.retry_after_ms or 0
+        pause_ms = finals[0].rejection.retry_after_ms or 0
         return self.world.now_ms >= self.world.final_at_ms[request_id] + pause_ms
 
     def hear_news(self):
@@ -171,7 +171,7 @@
             for final in self.world.finals[request_id]:
                 is_blocked = (
                     isinstance(final, Reject)
-                    and final.refusal.reason is Reason.CRASHES_ENDPOINTS
+                    and final.rejection.reason is Reason.CRASHES_ENDPOINTS
                 )
                 assert not is_blocked, "innocent blocked"
 
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_reduce.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_reduce.py
@@ -108,8 +108,8 @@
         else:
             effects = connect(state, sent.endpoint_id, 2, 30)
         (final,) = pick(effects, Reject)
-        assert final.refusal.outcome is Outcome.UNKNOWN
-        assert final.refusal.reason is Reason.ENDPOINT_LOST
+        assert final.rejection.outcome is Outcome.UNKNOWN
+        assert final.rejection.reason is Reason.ENDPOINT_LOST
 
 
 def test_table_that_is_down_refuses_keyed_requests_only_and_promptly():
@@ -123,8 +123,8 @@
     assert arrive(state, make_spec("idempotent"), 13) is not None
     for request_id in ("keyed", "later"):
         (final,) = reduce(state, TimerFired(f"claim:{request_id}"), 1_010)[:1]
-        assert final.refusal.reason is Reason.CLAIM_STORE_UNAVAILABLE
-        assert final.refusal.outcome is Outcome.NOT_RUN
+        assert final.rejection.reason is Reason.CLAIM_STORE_UNAVAILABLE
+        assert final.rejection.outcome is Outcome.NOT_RUN
     (again,) = pick(reduce(state, TimerFired("claims:flush"), 1_020), WriteClaims)
     # A claim that was never sent needs no further write.
     assert [w.request_id for w in again.writes] == ["keyed"]
@@ -139,14 +139,14 @@
     assert sent.is_isolated
     reduce(state, AttemptAccepted(sent.attempt_id, sent.endpoint_id), 2)
     (final,) = pick(lose(state, sent, 3), Reject)
-    assert final.refusal.reason is Reason.ENDPOINT_LOST
+    assert final.rejection.reason is Reason.ENDPOINT_LOST
     # Other entries do not know of the hold, so the caller must wait for it.
-    assert final.refusal.retry_after_ms == HOLD_MS
+    assert final.rejection.retry_after_ms == HOLD_MS
     assert arrive(state, make_spec("r2", "p"), 4) is None
     effects = connect(state, sent.endpoint_id, 2, 5)
     (final,) = pick(effects, Reject)
     assert final.request_id == "r2"
-    assert final.refusal.reason is Reason.CRASHES_ENDPOINTS
+    assert final.rejection.reason is Reason.CRASHES_ENDPOINTS
 
 
 def test_hedge_runs_isolated_and_keeps_the_minimum_of_the_budget():
@@ -197,9 +197,9 @@
         arrive(state, make_spec(f"r{i}", f"f{i}"))
     reduce(state, EndpointDraining("x0"), 10)
     (final,) = pick(reduce(state, TimerFired("wake"), 1_010), Reject)
-    assert final.refusal.reason is Reason.NO_ENDPOINT
+    assert final.rejection.reason is Reason.NO_ENDPOINT
     (final,) = reduce(state, RequestArrived(make_spec("late")), 1_011)
-    assert final.refusal.reason is Reason.NO_ENDPOINT
+    assert final.rejection.reason is Reason.NO_ENDPOINT
 
 
 def test_every_table_is_bounded():
--- a/packages/core/src/bluebellusher_core/requests/_arrival.py
+++ b/packages/core/src/bluebellusher_core/requests/_arrival.py
@@ -1,7 +1,7 @@
 """Handlers of a request's arrival, its deadline and a disconnected caller."""
 
 from bluebellusher_core.effects import Effect, Reject, SetTimer
-from bluebellusher_core.errors import Reason, Refusal
+from bluebellusher_core.errors import Reason, Rejection
 from bluebellusher_core.events import RequestSpec
 from bluebellusher_core.membership import pool_of
 from bluebellusher_core.requests import _crash_evidence, _final, _placing
@@ -38,7 +38,7 @@
 
 def _find_rejection(
     state: EntryState, spec: RequestSpec, now_ms: int
-) -> Refusal | None:
+) -> Rejection | None:
     """Return the rejection of a request that cannot be admitted, or None."""
     if state.is_shutting_down:
         return _final.make_rejection(state, Reason.SHUTTING_DOWN, "admission")
--- a/packages/core/src/bluebellusher_core/requests/_final.py
+++ b/packages/core/src/bluebellusher_core/requests/_final.py
@@ -10,7 +10,7 @@
     SetTimer,
     TellCrashes,
 )
-from bluebellusher_core.errors import Outcome, Reason, Refusal
+from bluebellusher_core.errors import Outcome, Reason, Rejection
 from bluebellusher_core.membership import pool_of
 from bluebellusher_core.requests._model import Attempt, Phase, Request
 from bluebellusher_core.state import EntryState
@@ -23,17 +23,19 @@
 
 def make_rejection(
     state: EntryState, reason: Reason, step: str, peer: str = ""
-) -> Refusal:
+) -> Rejection:
     """Return the rejection of a request that no endpoint can have run."""
     retry_after_ms = None if reason in NO_RETRY_REASONS else state.config.retry_after_ms
-    return Refusal(Outcome.NOT_RUN, reason, step, peer, retry_after_ms)
+    return Rejection(Outcome.NOT_RUN, reason, step, peer, retry_after_ms)
 
 
-def make_blocked_rejection(state: EntryState, fingerprint: str, now_ms: int) -> Refusal:
+def make_blocked_rejection(
+    state: EntryState, fingerprint: str, now_ms: int
+) -> Rejection:
     """Return the rejection of a request whose fingerprint is blocked."""
     retry_after_ms = _blocked_retry_after_ms(state, fingerprint, now_ms)
     reason = Reason.CRASHES_ENDPOINTS
-    return Refusal(Outcome.NOT_RUN, reason, "admission", "", retry_after_ms)
+    return Rejection(Outcome.NOT_RUN, reason, "admission", "", retry_after_ms)
 
 
 def _blocked_retry_after_ms(
@@ -78,7 +80,7 @@
         retry_after_ms = _blocked_retry_after_ms(state, spec.fingerprint, now_ms)
     elif retry_after_ms is None and is_retry_safe:
         retry_after_ms = state.config.retry_after_ms
-    rejection = Refusal(outcome, reason, step, peer, retry_after_ms)
+    rejection = Rejection(outcome, reason, step, peer, retry_after_ms)
     effects: list[Effect] = [Reject(spec.request_id, rejection)]
     if request.claim is not None and request.attempts:
         return effects + _detach_request(state, request, now_ms)
--- a/packages/core/src/bluebellusher_core/requests/_placing.py
+++ b/packages/core/src/bluebellusher_core/requests/_placing.py
@@ -5,7 +5,7 @@
 
 from bluebellusher_core.admission import AdmissionQueue
 from bluebellusher_core.effects import Dispatch, Effect, SetTimer
-from bluebellusher_core.errors import Reason, Refusal
+from bluebellusher_core.errors import Reason, Rejection
 from bluebellusher_core.membership import Pool, pool_of
 from bluebellusher_core.requests import _final, _isolation
 from bluebellusher_core.requests._model import Attempt, Phase, Request
@@ -306,7 +306,7 @@
 
 
 def _reject_waiting(
-    state: EntryState, request: Request, rejection: Refusal, now_ms: int
+    state: EntryState, request: Request, rejection: Rejection, now_ms: int
 ) -> list[Effect]:
     """Reject a waiting request with the reason that its queue returned."""
     return _final.reject_request(
--- a/packages/entry/src/bluebellusher/gateway/_answers.py
+++ b/packages/entry/src/bluebellusher/gateway/_answers.py
@@ -7,7 +7,7 @@
 
 from bluebellusher.links import CONNECTION_HEADERS
 from bluebellusher.runtime import Exchange, Runtime
-from bluebellusher_core.errors import Outcome, Reason, Refusal
+from bluebellusher_core.errors import Outcome, Reason, Rejection
 
 _LIMIT_REASONS = frozenset((Reason.RATE_LIMITED, Reason.BUDGET_EXHAUSTED))
 
@@ -89,7 +89,7 @@
             self._runtime.metrics.n_chunks_by_gap_ms[gap_ms] += 1
         await self._response.write(data)
 
-    def _refuse(self, refusal: Refusal) -> web.StreamResponse:
+    def _refuse(self, refusal: Rejection) -> web.StreamResponse:
         self.outcome = refusal.outcome.value
         self.retry_after_ms = refusal.retry_after_ms or 0
         if self._response is not None:
@@ -108,7 +108,7 @@
         self._runtime.metrics.first_token.record_value(max(1, self.first_ms))
 
 
-def make_refusal(refusal: Refusal, request_id: str) -> web.Response:
+def make_refusal(refusal: Rejection, request_id: str) -> web.Response:
     """Return the final answer to a request that was given up.
 
     Only a request that has certainly not run gets a status that promises so.
@@ -130,7 +130,7 @@
     )
 
 
-def _status_of(refusal: Refusal) -> int:
+def _status_of(refusal: Rejection) -> int:
     if refusal.outcome is Outcome.NOT_RUN:
         if refusal.reason in _LIMIT_REASONS:
             return HTTPStatus.TOO_MANY_REQUESTS
--- a/packages/entry/src/bluebellusher/gateway/_server.py
+++ b/packages/entry/src/bluebellusher/gateway/_server.py
@@ -13,7 +13,7 @@
 from bluebellusher.links import AnswerStream
 from bluebellusher.runtime import Exchange, Runtime
 from bluebellusher.shared import Directory
-from bluebellusher_core.errors import Outcome, Reason, Refusal
+from bluebellusher_core.errors import Outcome, Reason, Rejection
 
 # Callers reuse connections for up to four fifths of the configured idle time.
 KEEP_ALIVE_TIMEOUT_S = 75.0
@@ -201,7 +201,7 @@
     def _refuse_unready(
         self, request_id: str, request: web.BaseRequest
     ) -> web.StreamResponse:
-        refusal = Refusal(
+        refusal = Rejection(
             Outcome.NOT_RUN, Reason.NOT_READY, "receive", "", NOT_READY_RETRY_MS
         )
         response = make_refusal(refusal, request_id)
--- a/packages/entry/src/bluebellusher/links/_answer.py
+++ b/packages/entry/src/bluebellusher/links/_answer.py
@@ -5,7 +5,7 @@
 from collections import deque
 from collections.abc import Callable
 
-from bluebellusher_core.errors import Refusal
+from bluebellusher_core.errors import Rejection
 
 _DONE_MARK = b"data: [DONE]"
 _SSE_TYPE = "text/event-stream"
@@ -35,7 +35,7 @@
         self.owner_attempt_id = ""
         self.is_committed = False
         self.is_complete = False
-        self.refusal: Refusal | None = None
+        self.refusal: Rejection | None = None
         self.on_drained: Callable[[int], None] | None = None
         self.kept: bytearray | None = bytearray() if max_kept_bytes else None
         self._max_kept_bytes = max_kept_bytes
@@ -98,7 +98,7 @@
             self._tail = b""
             self._changed.set()
 
-    def refuse(self, refusal: Refusal) -> None:
+    def refuse(self, refusal: Rejection) -> None:
         """End the answer without its remainder; only the first outcome counts."""
         if not self.is_ended:
             self.refusal = refusal
--- a/packages/entry/src/bluebellusher/links/tests/test_relay.py
+++ b/packages/entry/src/bluebellusher/links/tests/test_relay.py
@@ -7,11 +7,11 @@
 from hypothesis import strategies as st
 
 from bluebellusher.links import AnswerStream, AttemptRelay
-from bluebellusher_core.errors import Outcome, Reason, Refusal
+from bluebellusher_core.errors import Outcome, Reason, Rejection
 from bluebellusher_core.wire import messages
 
 EVENTS = {"content-type": "text/event-stream"}
-REFUSAL = Refusal(Outcome.UNKNOWN, Reason.STREAM_CORRUPT, "relay")
+REFUSAL = Rejection(Outcome.UNKNOWN, Reason.STREAM_CORRUPT, "relay")
 
 
 def take_all(answer: AnswerStream) -> bytes:
--- a/packages/entry/src/bluebellusher/runtime/_replay.py
+++ b/packages/entry/src/bluebellusher/runtime/_replay.py
@@ -5,7 +5,7 @@
 from bluebellusher.links import AnswerStream
 from bluebellusher.runtime._kept import read_kept
 from bluebellusher.runtime._store import ClaimStore, StoreError
-from bluebellusher_core.errors import Outcome, Reason, Refusal
+from bluebellusher_core.errors import Outcome, Reason, Rejection
 
 
 async def replay(answer: AnswerStream, row: Any, store: ClaimStore) -> None:
@@ -27,5 +27,5 @@
     answer.complete()
 
 
-def _refusal(reason: Reason, retry_after_ms: int | None) -> Refusal:
-    return Refusal(Outcome.UNKNOWN, reason, "replay", "table", retry_after_ms)
+def _refusal(reason: Reason, retry_after_ms: int | None) -> Rejection:
+    return Rejection(Outcome.UNKNOWN, reason, "replay", "table", retry_after_ms)
--- a/packages/entry/src/bluebellusher/runtime/_runtime.py
+++ b/packages/entry/src/bluebellusher/runtime/_runtime.py
@@ -25,7 +25,7 @@
     SetTimer,
     WriteClaims,
 )
-from bluebellusher_core.errors import Outcome, Reason, Refusal
+from bluebellusher_core.errors import Outcome, Reason, Rejection
 from bluebellusher_core.events import (
     AttemptBroken,
     AttemptFinished,
@@ -186,7 +186,7 @@
     def _refuse_after_fault(self, event: Event) -> None:
         if isinstance(event, RequestArrived):
             reason = Reason.SHUTTING_DOWN
-            refusal = Refusal(Outcome.NOT_RUN, reason, "admission", "", 1_000)
+            refusal = Rejection(Outcome.NOT_RUN, reason, "admission", "", 1_000)
             self._reject(Reject(event.request.request_id, refusal))
 
     def _keep_answer(self, attempt_id: str) -> None:
@@ -246,7 +246,7 @@
     def _reject(self, effect: Reject) -> None:
         exchange = self.exchange_by_request_id.get(effect.request_id)
         if exchange is not None:
-            exchange.answer.refuse(effect.refusal)
+            exchange.answer.refuse(effect.rejection)
 
     def _replay(self, effect: ReplayAnswer) -> None:
         exchange = self.exchange_by_request_id.get(effect.request_id)
--- a/packages/entry/src/bluebellusher/server/_app.py
+++ b/packages/entry/src/bluebellusher/server/_app.py
@@ -31,7 +31,7 @@
 from bluebellusher.server._status import Pages, SpendingGate, StatusSource
 from bluebellusher.server._stream import AnswerSender
 from bluebellusher.settings import Settings
-from bluebellusher_core.errors import Outcome, Reason, Refusal
+from bluebellusher_core.errors import Outcome, Reason, Rejection
 from bluebellusher_core.events import RequestSpec
 
 _METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
@@ -272,7 +272,7 @@
     """Return the answer to a request that was not admitted."""
     if retry_after_ms is None and status_of(reason) in (408, 429, 503):
         retry_after_ms = 1_000
-    refusal = Refusal(Outcome.NOT_RUN, reason, "receive", "", retry_after_ms)
+    refusal = Rejection(Outcome.NOT_RUN, reason, "receive", "", retry_after_ms)
     return HTTPResponse(
         refusal_body(refusal, request_id, detail),
         status_of(reason),
@@ -301,7 +301,7 @@
             self._runtime.report_fault("serve", request, exception)
         # The request may have been dispatched before the fault.
         reason = Reason.OUTCOME_UNKNOWN
-        refusal = Refusal(Outcome.UNKNOWN, reason, "serve", "", None)
+        refusal = Rejection(Outcome.UNKNOWN, reason, "serve", "", None)
         body = refusal_body(refusal, "", detail)
         return HTTPResponse(body, 500, None, "application/json")
 
--- a/packages/entry/src/bluebellusher/server/_respond.py
+++ b/packages/entry/src/bluebellusher/server/_respond.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from bluebellusher.links import CONNECTION_HEADERS
-from bluebellusher_core.errors import Reason, Refusal
+from bluebellusher_core.errors import Reason, Rejection
 
 _STATUS_BY_REASON = {
     Reason.BAD_REQUEST: 400,
@@ -34,7 +34,7 @@
     return _STATUS_BY_REASON.get(reason, HTTPStatus.SERVICE_UNAVAILABLE)
 
 
-def refusal_body(refusal: Refusal, request_id: str, detail: str = "") -> bytes:
+def refusal_body(refusal: Rejection, request_id: str, detail: str = "") -> bytes:
     """Return the JSON body of a refusal."""
     error: dict[str, Any] = {
         "outcome": refusal.outcome.value,
@@ -49,7 +49,7 @@
     return json.dumps({"error": error}).encode()
 
 
-def refusal_headers(refusal: Refusal) -> dict[str, str]:
+def refusal_headers(refusal: Rejection) -> dict[str, str]:
     """Return ``Retry-After`` in whole seconds, rounded up."""
     if refusal.retry_after_ms is None:
         return {}
--- a/packages/entry/src/bluebellusher/server/_stream.py
+++ b/packages/entry/src/bluebellusher/server/_stream.py
@@ -14,7 +14,7 @@
     returned_headers,
     status_of,
 )
-from bluebellusher_core.errors import Refusal
+from bluebellusher_core.errors import Rejection
 
 
 class AnswerSender:
@@ -75,7 +75,7 @@
             self._record_between()
         await self._response.send(data)
 
-    async def _send_refusal(self, refusal: Refusal) -> str:
+    async def _send_refusal(self, refusal: Rejection) -> str:
         request_id = self._exchange.spec.request_id
         body = refusal_body(refusal, request_id)
         if self._response is None:
