--- a/packages/core/src/bluebellusher_core/effects/__init__.py
+++ b/packages/core/src/bluebellusher_core/effects/__init__.py
@@ -1,6 +1,8 @@
 """Effects that the reducer returns and the runtime executes."""
 
 from bluebellusher_core.effects._effects import (
+    BroadcastCrashes,
+    BroadcastLeaving,
     CancelAttempt,
     CheckEndpoint,
     ClaimState,
@@ -14,12 +16,12 @@
     Reject,
     ReplayAnswer,
     SetTimer,
-    TellCrashes,
-    TellLeaving,
     WriteClaims,
 )
 
 __all__ = [
+    "BroadcastCrashes",
+    "BroadcastLeaving",
     "CancelAttempt",
     "CheckEndpoint",
     "ClaimState",
@@ -33,7 +35,5 @@
     "Reject",
     "ReplayAnswer",
     "SetTimer",
-    "TellCrashes",
-    "TellLeaving",
     "WriteClaims",
 ]
--- a/packages/core/src/bluebellusher_core/effects/_effects.py
+++ b/packages/core/src/bluebellusher_core/effects/_effects.py
@@ -125,14 +125,14 @@
 
 
 @dataclass(frozen=True, slots=True)
-class TellCrashes:
+class BroadcastCrashes:
     """Broadcast new crash records to the other entries and write them to the store."""
 
     records: tuple[CrashRecord, ...]
 
 
 @dataclass(frozen=True, slots=True)
-class TellLeaving:
+class BroadcastLeaving:
     """Broadcast to the other entries which endpoints are leaving."""
 
     marks: tuple[LeavingMark, ...]
@@ -157,7 +157,7 @@
     | SetTimer
     | CloseConnection
     | CheckEndpoint
-    | TellCrashes
-    | TellLeaving
+    | BroadcastCrashes
+    | BroadcastLeaving
     | LogEvent
 )
--- a/packages/core/src/bluebellusher_core/reducer/tests/_crash_world.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/_crash_world.py
@@ -11,12 +11,12 @@
 
 from bluebellusher_core.directory import EndpointRegistration, Registrations
 from bluebellusher_core.effects import (
+    BroadcastCrashes,
     CancelAttempt,
     CheckEndpoint,
     Dispatch,
     Reject,
     SetTimer,
-    TellCrashes,
 )
 from bluebellusher_core.errors import Reason
 from bluebellusher_core.events import (
@@ -386,7 +386,7 @@
                     ]
             case CheckEndpoint():
                 self.at(1, self._check, entry, effect.endpoint_id)
-            case TellCrashes():
+            case BroadcastCrashes():
                 self.at(1, self._tell_all, entry, effect.records)
                 self.at(1, self._write_crashes, entry, effect.records)
             case SetTimer():
--- a/packages/core/src/bluebellusher_core/reducer/tests/_pause_world.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/_pause_world.py
@@ -13,12 +13,12 @@
 
 from bluebellusher_core.admission import ObjectiveQueue
 from bluebellusher_core.effects import (
+    BroadcastLeaving,
     CancelAttempt,
     Complete,
     Dispatch,
     Reject,
     SetTimer,
-    TellLeaving,
 )
 from bluebellusher_core.errors import Outcome, Reason
 from bluebellusher_core.events import (
@@ -205,7 +205,7 @@
                     self._end(effect.request_id)
                 case Reject():
                     self._refuse(effect)
-                case TellLeaving():
+                case BroadcastLeaving():
                     for other in self.entries:
                         news = LeavingLearned("peer", effect.marks)
                         self._at(self.now_ms + TRIP_MS, self._handle, other, news)
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_announcements.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_announcements.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 
 from bluebellusher_core.admission import ObjectiveQueue
-from bluebellusher_core.effects import Dispatch, LogEvent, Reject, TellLeaving
+from bluebellusher_core.effects import BroadcastLeaving, Dispatch, LogEvent, Reject
 from bluebellusher_core.errors import Outcome, Reason
 from bluebellusher_core.events import (
     AttemptFinished,
@@ -94,7 +94,7 @@
     """Guards against requests to an endpoint that the store still lists as ready."""
     entry = Entry()
     effects = entry.say("x0", is_leaving=True)
-    assert [e.marks[0].endpoint_id for e in effects if isinstance(e, TellLeaving)]
+    assert [e.marks[0].endpoint_id for e in effects if isinstance(e, BroadcastLeaving)]
     assert any(isinstance(e, LogEvent) for e in effects)
     entry.register("x0")
     for _ in range(N_SLOTS):
@@ -117,10 +117,10 @@
     """Guards against entries that tell each other one mark for ever."""
     heard, told = Entry(), Entry()
     (news,) = [
-        e for e in heard.say("x0", is_leaving=True) if isinstance(e, TellLeaving)
+        e for e in heard.say("x0", is_leaving=True) if isinstance(e, BroadcastLeaving)
     ]
     effects = told.handle(LeavingLearned("peer", news.marks))
-    assert not [e for e in effects if isinstance(e, TellLeaving)]
+    assert not [e for e in effects if isinstance(e, BroadcastLeaving)]
     assert endpoints_of(told.send()) == ["x1"]
     heard.now_ms += 700
     (mark,) = heard.state.endpoints.announcements.marks(heard.now_ms)
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_crash_counting.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_crash_counting.py
@@ -2,7 +2,7 @@
 
 import itertools
 
-from bluebellusher_core.effects import CheckEndpoint, Dispatch, Reject, TellCrashes
+from bluebellusher_core.effects import BroadcastCrashes, CheckEndpoint, Dispatch, Reject
 from bluebellusher_core.errors import Outcome, Reason
 from bluebellusher_core.events import (
     AttemptBroken,
@@ -323,7 +323,7 @@
         first.crash(first.send())
     second.handle(AttemptFinished(copy.attempt_id, 200, 1, Usage(), copy.endpoint_id))
     effects = exchange(first, second)
-    (told,) = [e.records for e in effects if isinstance(e, TellCrashes)]
+    (told,) = [e.records for e in effects if isinstance(e, BroadcastCrashes)]
     first.handle(CrashesLearned("e2", told))
     assert isinstance(first.send(), Dispatch)
     assert isinstance(second.send(), Dispatch)
--- a/packages/core/src/bluebellusher_core/requests/_announced.py
+++ b/packages/core/src/bluebellusher_core/requests/_announced.py
@@ -4,7 +4,7 @@
 other.
 """
 
-from bluebellusher_core.effects import Effect, LogEvent, TellLeaving
+from bluebellusher_core.effects import BroadcastLeaving, Effect, LogEvent
 from bluebellusher_core.events import (
     EndpointAnnounced,
     LeavingLearned,
@@ -28,7 +28,9 @@
         leaving_effects = _record_leaving(state, mark, "answer", now_ms)
         # Only the entry that received the answer broadcasts it. Peers that receive
         # the broadcast do not forward it.
-        effects += [*leaving_effects, TellLeaving((mark,))] if leaving_effects else []
+        effects += (
+            [*leaving_effects, BroadcastLeaving((mark,))] if leaving_effects else []
+        )
     if event.pause_ms:
         pause_ms = state.endpoints.pause(
             endpoint_id, incarnation, event.pause_ms, now_ms
--- a/packages/core/src/bluebellusher_core/requests/_crash_evidence.py
+++ b/packages/core/src/bluebellusher_core/requests/_crash_evidence.py
@@ -5,7 +5,7 @@
 address of its endpoint is checked at once, and only confirmed crashes are counted.
 """
 
-from bluebellusher_core.effects import CheckEndpoint, Effect, LogEvent, TellCrashes
+from bluebellusher_core.effects import BroadcastCrashes, CheckEndpoint, Effect, LogEvent
 from bluebellusher_core.events import CrashesLearned, EndpointChecked
 from bluebellusher_core.poison import BLOCK_MS, TRIAL_AFTER_MS, CrashRecord
 from bluebellusher_core.rendezvous import choose
@@ -139,7 +139,7 @@
             ("n_crashes", state.crashes.count(fingerprint, now_ms)),
         )
         effects.append(LogEvent("crash-counted", fields))
-        effects.append(TellCrashes((state.crashes.record(fingerprint, now_ms),)))
+        effects.append(BroadcastCrashes((state.crashes.record(fingerprint, now_ms),)))
         effects += _update_block(state, fingerprint, endpoint_id, now_ms)
     return effects
 
@@ -168,7 +168,7 @@
             effects += _update_block(state, fingerprint, event.source, now_ms)
         own_record = state.crashes.record(fingerprint, now_ms)
         if _is_outdated(record, own_record):
-            effects.append(TellCrashes((own_record,)))
+            effects.append(BroadcastCrashes((own_record,)))
     return effects
 
 
@@ -202,7 +202,7 @@
     state.crashes.record_trial(fingerprint, trial_id, now_ms)
     return [
         LogEvent("crash-trial", (("fingerprint", fingerprint),)),
-        TellCrashes((state.crashes.record(fingerprint, now_ms),)),
+        BroadcastCrashes((state.crashes.record(fingerprint, now_ms),)),
     ]
 
 
--- a/packages/core/src/bluebellusher_core/requests/_final.py
+++ b/packages/core/src/bluebellusher_core/requests/_final.py
@@ -1,6 +1,7 @@
 """End of requests and attempts; every request gets exactly one final answer."""
 
 from bluebellusher_core.effects import (
+    BroadcastCrashes,
     CancelAttempt,
     ClaimState,
     Complete,
@@ -8,7 +9,6 @@
     LogEvent,
     Reject,
     SetTimer,
-    TellCrashes,
 )
 from bluebellusher_core.errors import Outcome, Reason, Rejection
 from bluebellusher_core.membership import pool_of
@@ -119,7 +119,7 @@
     if not state.crashes.clear(fingerprint, now_ms):
         return []
     effects: list[Effect] = [
-        TellCrashes((state.crashes.record(fingerprint, now_ms),)),
+        BroadcastCrashes((state.crashes.record(fingerprint, now_ms),)),
     ]
     if state.poison.unblock(fingerprint):
         fields = (("fingerprint", fingerprint),)
--- a/packages/entry/src/bluebellusher/gateway/_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -33,7 +33,7 @@
 from bluebellusher_core.admission import ObjectiveQueue
 from bluebellusher_core.clock import Clock, SystemClock
 from bluebellusher_core.directory import GroupModel, TableMirror
-from bluebellusher_core.effects import CheckEndpoint, TellCrashes, TellLeaving
+from bluebellusher_core.effects import BroadcastCrashes, BroadcastLeaving, CheckEndpoint
 from bluebellusher_core.events import EntriesCounted, LeavingMark
 from bluebellusher_core.poison import CrashRecord
 from bluebellusher_core.reducer import EntryConfig, EntryState
@@ -149,8 +149,8 @@
             CRASH_WAIT_MS,
         )
         self.runtime.register(CheckEndpoint, self.dispatcher.check)
-        self.runtime.register(TellCrashes, self._tell_crashes)
-        self.runtime.register(TellLeaving, self._tell_leaving)
+        self.runtime.register(BroadcastCrashes, self._tell_crashes)
+        self.runtime.register(BroadcastLeaving, self._tell_leaving)
         self.members = Members(
             ports.store,
             self.peers,
@@ -297,14 +297,14 @@
     def _find_crashes(self) -> tuple[CrashRecord, ...]:
         return self.state.crashes.records(self.clock.now_ms())
 
-    def _tell_crashes(self, effect: TellCrashes) -> None:
+    def _tell_crashes(self, effect: BroadcastCrashes) -> None:
         self.peer_exchange.tell_crashes(effect.records)
         self.crash_table.note_own()
 
     def _find_leaving(self) -> tuple[LeavingMark, ...]:
         return self.state.endpoints.announcements.marks(self.clock.now_ms())
 
-    def _tell_leaving(self, effect: TellLeaving) -> None:
+    def _tell_leaving(self, effect: BroadcastLeaving) -> None:
         self.peer_exchange.tell_leaving(effect.marks)
 
     def _find_endpoint(self, endpoint_id: str) -> Any:
--- a/packages/entry/src/bluebellusher/gateway/tests/harness.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/harness.py
@@ -28,7 +28,7 @@
     RoutingTable,
     Service,
 )
-from bluebellusher_core.effects import CheckEndpoint, TellCrashes, TellLeaving
+from bluebellusher_core.effects import BroadcastCrashes, BroadcastLeaving, CheckEndpoint
 from bluebellusher_core.events import EndpointInfo, EndpointRegistered
 from bluebellusher_core.reducer import EntryConfig, EntryState
 from bluebellusher_core.routing import SlotAware
@@ -182,8 +182,8 @@
         )
         self.dispatcher.sink = self.runtime
         self.runtime.register(CheckEndpoint, self.dispatcher.check)
-        self.runtime.register(TellCrashes, self.told)
-        self.runtime.register(TellLeaving, self.told)
+        self.runtime.register(BroadcastCrashes, self.told)
+        self.runtime.register(BroadcastLeaving, self.told)
         self.directory = Directory(None, self.runtime.post, clock, self.runtime)
         services = [Service("desk", 10)]
         self.directory.routing = RoutingTable.from_parts(
