--- a/packages/core/src/bluebellusher_core/events/__init__.py
+++ b/packages/core/src/bluebellusher_core/events/__init__.py
@@ -11,8 +11,8 @@
     EndpointLost,
     EndpointRegistered,
     EndpointReplaced,
-    LeavingLearned,
     LeavingMark,
+    LeavingReceived,
     LoadReported,
 )
 from bluebellusher_core.events._request_events import (
@@ -32,7 +32,7 @@
     ClaimResult,
     ClaimsAnswered,
     ClaimsUnanswered,
-    CrashesLearned,
+    CrashesReceived,
     CustomerPolicy,
     DigestReceived,
     EntriesCounted,
@@ -56,7 +56,7 @@
     | EndpointReplaced
     | EndpointChecked
     | EndpointAnnounced
-    | LeavingLearned
+    | LeavingReceived
     | EndpointDraining
     | EndpointCrashed
     | LoadReported
@@ -64,7 +64,7 @@
     | ClaimsAnswered
     | ClaimsUnanswered
     | DigestReceived
-    | CrashesLearned
+    | CrashesReceived
     | EntriesCounted
     | MembersListed
     | PolicyChanged
@@ -84,7 +84,7 @@
     "ClaimResult",
     "ClaimsAnswered",
     "ClaimsUnanswered",
-    "CrashesLearned",
+    "CrashesReceived",
     "CustomerPolicy",
     "DigestReceived",
     "EndpointAnnounced",
@@ -98,8 +98,8 @@
     "EndpointReplaced",
     "EntriesCounted",
     "Event",
-    "LeavingLearned",
     "LeavingMark",
+    "LeavingReceived",
     "LoadReported",
     "MembersListed",
     "PolicyChanged",
--- a/packages/core/src/bluebellusher_core/events/_endpoint_events.py
+++ b/packages/core/src/bluebellusher_core/events/_endpoint_events.py
@@ -154,7 +154,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class LeavingLearned:
+class LeavingReceived:
     """A peer announced which endpoints are leaving; ``source`` names the peer."""
 
     source: str
--- a/packages/core/src/bluebellusher_core/events/_state_events.py
+++ b/packages/core/src/bluebellusher_core/events/_state_events.py
@@ -57,7 +57,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CrashesLearned:
+class CrashesReceived:
     """Crash records arrived from a peer or the store; ``source`` names the sender."""
 
     source: str
--- a/packages/core/src/bluebellusher_core/reducer/_reduce.py
+++ b/packages/core/src/bluebellusher_core/reducer/_reduce.py
@@ -11,7 +11,7 @@
     CallerLeft,
     ClaimsAnswered,
     ClaimsUnanswered,
-    CrashesLearned,
+    CrashesReceived,
     DigestReceived,
     EndpointAnnounced,
     EndpointChecked,
@@ -23,7 +23,7 @@
     EndpointReplaced,
     EntriesCounted,
     Event,
-    LeavingLearned,
+    LeavingReceived,
     LoadReported,
     MembersListed,
     PolicyChanged,
@@ -108,9 +108,9 @@
             return _crash_evidence.handle_endpoint_checked(state, event, now_ms)
         case EndpointAnnounced():
             return _announced.handle_announced(state, event, now_ms)
-        case LeavingLearned():
+        case LeavingReceived():
             return _announced.handle_leaving_received(state, event, now_ms)
-        case CrashesLearned():
+        case CrashesReceived():
             return _crash_evidence.handle_crashes_received(state, event, now_ms)
         case DigestReceived():
             return _isolation.handle_digest(state, event, now_ms)
--- a/packages/core/src/bluebellusher_core/reducer/tests/_crash_world.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/_crash_world.py
@@ -24,7 +24,7 @@
     AttemptFinished,
     AttemptRefused,
     AttemptStarted,
-    CrashesLearned,
+    CrashesReceived,
     EndpointChecked,
     EndpointRegistered,
     MembersListed,
@@ -188,7 +188,7 @@
 
     def tell(self, entry, other, records):
         """Bring crashes that one entry knows to another one."""
-        self.handle(other, CrashesLearned(entry.entry_id, records))
+        self.handle(other, CrashesReceived(entry.entry_id, records))
 
     def _tell_all(self, entry, records):
         if not entry.is_alive:
@@ -215,7 +215,7 @@
     def _read_crashes(self, entry):
         if entry.is_alive and self.has_store(entry):
             records = self.crash_table.records(self.now_ms)
-            self.handle(entry, CrashesLearned("store", records))
+            self.handle(entry, CrashesReceived("store", records))
 
     def _peers_of(self, entry):
         return [
--- a/packages/core/src/bluebellusher_core/reducer/tests/_pause_world.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/_pause_world.py
@@ -30,7 +30,7 @@
     EndpointInfo,
     EndpointRegistered,
     EntriesCounted,
-    LeavingLearned,
+    LeavingReceived,
     RequestArrived,
     TimerFired,
     Usage,
@@ -207,7 +207,7 @@
                     self._refuse(effect)
                 case BroadcastLeaving():
                     for other in self.entries:
-                        news = LeavingLearned("peer", effect.marks)
+                        news = LeavingReceived("peer", effect.marks)
                         self._at(self.now_ms + TRIP_MS, self._handle, other, news)
 
     def _arrive(self, state, dispatch):
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_announcements.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_announcements.py
@@ -15,7 +15,7 @@
     EndpointInfo,
     EndpointLost,
     EndpointRegistered,
-    LeavingLearned,
+    LeavingReceived,
     RequestArrived,
     TimerFired,
     Usage,
@@ -119,7 +119,7 @@
     (news,) = [
         e for e in heard.say("x0", is_leaving=True) if isinstance(e, BroadcastLeaving)
     ]
-    effects = told.handle(LeavingLearned("peer", news.marks))
+    effects = told.handle(LeavingReceived("peer", news.marks))
     assert not [e for e in effects if isinstance(e, BroadcastLeaving)]
     assert endpoints_of(told.send()) == ["x1"]
     heard.now_ms += 700
@@ -254,7 +254,7 @@
                 marks = Entry(0)
                 marks.say(endpoint_id, is_leaving=True, incarnation=incarnation)
                 told = marks.state.endpoints.announcements.marks(marks.now_ms)
-                entry.handle(LeavingLearned("peer", told))
+                entry.handle(LeavingReceived("peer", told))
             case "pause":
                 until_ms = entry.now_ms + value
                 paused_until_ms[start] = max(until_ms, paused_until_ms.get(start, 0))
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_crash_counting.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_crash_counting.py
@@ -9,7 +9,7 @@
     AttemptFinished,
     AttemptRefused,
     AttemptStarted,
-    CrashesLearned,
+    CrashesReceived,
     DigestReceived,
     EndpointChecked,
     EndpointInfo,
@@ -88,7 +88,7 @@
 def exchange(entry, other):
     """Tell ``other`` what ``entry`` knows."""
     records = entry.state.crashes.records(entry.now_ms)
-    return other.handle(CrashesLearned(entry.state.config.entry_id, records))
+    return other.handle(CrashesReceived(entry.state.config.entry_id, records))
 
 
 def test_request_that_crashed_three_endpoints_is_refused():
@@ -324,7 +324,7 @@
     second.handle(AttemptFinished(copy.attempt_id, 200, 1, Usage(), copy.endpoint_id))
     effects = exchange(first, second)
     (told,) = [e.records for e in effects if isinstance(e, BroadcastCrashes)]
-    first.handle(CrashesLearned("e2", told))
+    first.handle(CrashesReceived("e2", told))
     assert isinstance(first.send(), Dispatch)
     assert isinstance(second.send(), Dispatch)
 
--- a/packages/core/src/bluebellusher_core/requests/_announced.py
+++ b/packages/core/src/bluebellusher_core/requests/_announced.py
@@ -7,8 +7,8 @@
 from bluebellusher_core.effects import BroadcastLeaving, Effect, LogEvent
 from bluebellusher_core.events import (
     EndpointAnnounced,
-    LeavingLearned,
     LeavingMark,
+    LeavingReceived,
 )
 from bluebellusher_core.state import EntryState
 
@@ -47,7 +47,7 @@
 
 
 def handle_leaving_received(
-    state: EntryState, event: LeavingLearned, now_ms: int
+    state: EntryState, event: LeavingReceived, now_ms: int
 ) -> list[Effect]:
     """Record the leaving endpoints that a peer announced."""
     effects: list[Effect] = []
--- a/packages/core/src/bluebellusher_core/requests/_crash_evidence.py
+++ b/packages/core/src/bluebellusher_core/requests/_crash_evidence.py
@@ -6,7 +6,7 @@
 """
 
 from bluebellusher_core.effects import BroadcastCrashes, CheckEndpoint, Effect, LogEvent
-from bluebellusher_core.events import CrashesLearned, EndpointChecked
+from bluebellusher_core.events import CrashesReceived, EndpointChecked
 from bluebellusher_core.poison import BLOCK_MS, TRIAL_AFTER_MS, CrashRecord
 from bluebellusher_core.rendezvous import choose
 from bluebellusher_core.requests import _isolation
@@ -145,7 +145,7 @@
 
 
 def handle_crashes_received(
-    state: EntryState, event: CrashesLearned, now_ms: int
+    state: EntryState, event: CrashesReceived, now_ms: int
 ) -> list[Effect]:
     """Merge crash records from a peer or the store.
 
--- a/packages/entry/src/bluebellusher/runtime/_peers.py
+++ b/packages/entry/src/bluebellusher/runtime/_peers.py
@@ -6,10 +6,10 @@
 from bluebellusher.links import EventSink, PeerLinks
 from bluebellusher_core.clock import Clock
 from bluebellusher_core.events import (
-    CrashesLearned,
+    CrashesReceived,
     DigestReceived,
-    LeavingLearned,
     LeavingMark,
+    LeavingReceived,
 )
 from bluebellusher_core.poison import Crash, CrashRecord
 from bluebellusher_core.wire import messages
@@ -140,7 +140,7 @@
         self._sink.post(event)
         if digest.crashes:
             records = _from_messages(digest.crashes)
-            self._sink.post(CrashesLearned(peer_id, records))
+            self._sink.post(CrashesReceived(peer_id, records))
         if digest.leaving:
             marks = tuple(
                 LeavingMark(
@@ -150,7 +150,7 @@
                 )
                 for mark in digest.leaving[:N_MAX_NEWS]
             )
-            self._sink.post(LeavingLearned(peer_id, marks))
+            self._sink.post(LeavingReceived(peer_id, marks))
 
 
 def _to_marks(marks: Iterable[LeavingMark]) -> list[Any]:
--- a/packages/entry/src/bluebellusher/runtime/tests/test_peer_news.py
+++ b/packages/entry/src/bluebellusher/runtime/tests/test_peer_news.py
@@ -2,7 +2,7 @@
 
 from bluebellusher.runtime import PeerExchange
 from bluebellusher_core.clock import ManualClock
-from bluebellusher_core.events import CrashesLearned, LeavingLearned, LeavingMark
+from bluebellusher_core.events import CrashesReceived, LeavingMark, LeavingReceived
 from bluebellusher_core.poison import Crash, CrashRecord
 from bluebellusher_core.wire import FrameDecoder, encode, messages
 
@@ -56,8 +56,8 @@
     """Guards against news that only those hear who were there at the time."""
     entry, _, events = make_pair()
     entry.on_peer_open("e2", None)
-    assert events.of(CrashesLearned) == [CrashesLearned("e1", RECORDS)]
-    assert events.of(LeavingLearned) == [LeavingLearned("e1", MARKS)]
+    assert events.of(CrashesReceived) == [CrashesReceived("e1", RECORDS)]
+    assert events.of(LeavingReceived) == [LeavingReceived("e1", MARKS)]
 
 
 def test_news_are_told_at_once():
@@ -65,8 +65,8 @@
     entry, _, events = make_pair()
     entry.tell_crashes(RECORDS[:1])
     entry.tell_leaving(MARKS)
-    assert events.of(CrashesLearned) == [CrashesLearned("e1", RECORDS[:1])]
-    assert events.of(LeavingLearned) == [LeavingLearned("e1", MARKS)]
+    assert events.of(CrashesReceived) == [CrashesReceived("e1", RECORDS[:1])]
+    assert events.of(LeavingReceived) == [LeavingReceived("e1", MARKS)]
 
 
 def tick(entry, clock, n_ticks):
@@ -80,8 +80,8 @@
     """Guards against an entry that was cut off when the news came."""
     entry, clock, events = make_pair()
     tick(entry, clock, 25)
-    assert events.of(CrashesLearned)
-    assert events.of(LeavingLearned)
+    assert events.of(CrashesReceived)
+    assert events.of(LeavingReceived)
 
 
 def test_old_marks_and_single_old_crashes_are_told_no_more():
@@ -90,8 +90,8 @@
     blocked = CrashRecord("blocked", (*old.crashes, Crash("x2@7", 99_000, 99_000)))
     entry, clock, events = make_pair((old, blocked), (LeavingMark("x1", 1, 99_000),))
     tick(entry, clock, 25)
-    assert events.of(CrashesLearned)[0].records == (blocked,)
-    assert not events.of(LeavingLearned)
+    assert events.of(CrashesReceived)[0].records == (blocked,)
+    assert not events.of(LeavingReceived)
 
 
 def test_ages_cost_no_digests():
--- a/packages/entry/src/bluebellusher/shared/_crashes.py
+++ b/packages/entry/src/bluebellusher/shared/_crashes.py
@@ -14,7 +14,7 @@
 from bluebellusher.shared._watcher import LogSink
 from bluebellusher_core.clock import Clock
 from bluebellusher_core.directory import MirrorRow, TableMirror
-from bluebellusher_core.events import CrashesLearned
+from bluebellusher_core.events import CrashesReceived
 from bluebellusher_core.poison import COUNT_MS, Crash, CrashRecord
 
 CRASH_TABLE = "crashes"
@@ -59,7 +59,7 @@
     find_records : callable
         Returns what this entry knows.
     post : callable
-        Receives ``CrashesLearned``.
+        Receives ``CrashesReceived``.
     clock : Clock
         Turns ages into Unix time; only differences within minutes matter.
     random_state : random.Random
@@ -73,7 +73,7 @@
         store: RowStore,
         mirror: TableMirror,
         find_records: Callable[[], tuple[CrashRecord, ...]],
-        post: Callable[[CrashesLearned], None],
+        post: Callable[[CrashesReceived], None],
         clock: Clock,
         random_state: Random,
         log: LogSink,
@@ -97,7 +97,7 @@
                     _to_record(fingerprint, crashes, self._clock.wall_ms())
                     for fingerprint, crashes in table.crashes_by_fingerprint.items()
                 )
-                self._post(CrashesLearned("store", records))
+                self._post(CrashesReceived("store", records))
 
     def note_own(self) -> None:
         """Write soon, because this entry saw something."""
