--- a/packages/core/src/bluebellusher_core/events/__init__.py
+++ b/packages/core/src/bluebellusher_core/events/__init__.py
@@ -21,7 +21,7 @@
     AttemptFinished,
     AttemptRefused,
     AttemptStarted,
-    CallerLeft,
+    CallerDisconnected,
     Priority,
     RequestArrived,
     RequestSpec,
@@ -44,7 +44,7 @@
 
 Event = (
     RequestArrived
-    | CallerLeft
+    | CallerDisconnected
     | AttemptAccepted
     | AttemptStarted
     | AttemptFinished
@@ -79,7 +79,7 @@
     "AttemptRefused",
     "AttemptStarted",
     "CacheReported",
-    "CallerLeft",
+    "CallerDisconnected",
     "ClaimOutcome",
     "ClaimResult",
     "ClaimsAnswered",
--- a/packages/core/src/bluebellusher_core/events/_request_events.py
+++ b/packages/core/src/bluebellusher_core/events/_request_events.py
@@ -97,7 +97,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CallerLeft:
+class CallerDisconnected:
     """The caller closed its connection before the answer was complete."""
 
     request_id: str
--- a/packages/core/src/bluebellusher_core/reducer/_reduce.py
+++ b/packages/core/src/bluebellusher_core/reducer/_reduce.py
@@ -8,7 +8,7 @@
     AttemptRefused,
     AttemptStarted,
     CacheReported,
-    CallerLeft,
+    CallerDisconnected,
     ClaimsAnswered,
     ClaimsUnanswered,
     CrashesReceived,
@@ -85,7 +85,7 @@
             return _attempts.handle_refused(state, event, now_ms)
         case AttemptBroken():
             return _attempts.handle_broken(state, event, now_ms)
-        case CallerLeft():
+        case CallerDisconnected():
             return _arrival.handle_caller_disconnected(state, event.request_id, now_ms)
         case ClaimsAnswered():
             return _claiming.handle_claims_answered(state, event, now_ms)
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_machine_requests.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_machine_requests.py
@@ -9,7 +9,7 @@
 from bluebellusher_core.admission import FairQueue, FifoQueue
 from bluebellusher_core.events import (
     AttemptFinished,
-    CallerLeft,
+    CallerDisconnected,
     ShutdownStarted,
     Usage,
 )
@@ -110,7 +110,7 @@
         """Let a caller close its connection."""
         waiting = [r for r in entry.spec_by_id if not self.world.finals[r]]
         if waiting:
-            self.world.step(entry, CallerLeft(chance.choice(waiting)))
+            self.world.step(entry, CallerDisconnected(chance.choice(waiting)))
 
     def do_accept(self, entry, endpoint, chance):
         """Deliver messages to an endpoint."""
--- a/packages/entry/src/bluebellusher/runtime/_runtime.py
+++ b/packages/entry/src/bluebellusher/runtime/_runtime.py
@@ -30,7 +30,7 @@
     AttemptBroken,
     AttemptFinished,
     AttemptRefused,
-    CallerLeft,
+    CallerDisconnected,
     Event,
     RequestArrived,
     TimerFired,
@@ -130,7 +130,7 @@
         """Note that the caller is served or gone."""
         exchange.is_caller_served = True
         if not exchange.answer.is_ended:
-            self.post(CallerLeft(exchange.spec.request_id))
+            self.post(CallerDisconnected(exchange.spec.request_id))
         self._forget_if_over(exchange)
 
     def close(self) -> None:
