--- a/packages/core/src/bluebellusher_core/claims/_table.py
+++ b/packages/core/src/bluebellusher_core/claims/_table.py
@@ -133,7 +133,7 @@
                 results.append((write, result))
         return results, self.flush()
 
-    def unanswered(self, batch_id: str, now_ms: int) -> list[Effect]:
+    def schedule_resend(self, batch_id: str, now_ms: int) -> list[Effect]:
         """Schedule a batch without an answer to be sent again.
 
         The wait doubles each time, from ``MIN_BACKOFF_MS`` to ``MAX_BACKOFF_MS``.
@@ -146,7 +146,7 @@
         batch.n_unanswered = min(batch.n_unanswered + 1, 10)
         return [SetTimer(f"{RETRY_TIMER}{batch_id}", now_ms + backoff_ms)]
 
-    def send_again(self, batch_id: str) -> list[Effect]:
+    def resend(self, batch_id: str) -> list[Effect]:
         """Send an unanswered batch again, without the claims withdrawn meanwhile."""
         batch = self._batch_by_id.get(batch_id)
         if batch is None or not batch.n_unanswered:
--- a/packages/core/src/bluebellusher_core/reducer/_reduce.py
+++ b/packages/core/src/bluebellusher_core/reducer/_reduce.py
@@ -90,7 +90,7 @@
         case ClaimsAnswered():
             return _claiming.handle_claims_answered(state, event, now_ms)
         case ClaimsUnanswered():
-            return state.claims.unanswered(event.batch_id, now_ms)
+            return state.claims.schedule_resend(event.batch_id, now_ms)
         case EndpointConnected():
             return _links.handle_connected(state, event, now_ms)
         case EndpointRegistered():
@@ -136,7 +136,7 @@
             return _claiming.handle_claim_timeout(state, subject, now_ms)
         case "claims":
             if timer_id.startswith(CLAIM_RETRY):
-                return state.claims.send_again(timer_id.removeprefix(CLAIM_RETRY))
+                return state.claims.resend(timer_id.removeprefix(CLAIM_RETRY))
             return state.claims.flush()
         case "resume":
             return _recovery.handle_resume_timeout(state, subject, now_ms)
