Name the times of address checks and of the next placement

EntryState.checked_at_ms and check_at_ms become check_started_at_ms and next_placement_ms; the two names differed by two letters. Names only; behaviour does not change.

--- a/packages/core/src/bluebellusher_core/reducer/_reduce.py
+++ b/packages/core/src/bluebellusher_core/reducer/_reduce.py
@@ -76,7 +76,7 @@
             return _handle_timer(state, event.timer_id, now_ms)
         case LoadReported():
             state.endpoints.report_load(event, now_ms)
-            state.check_at_ms = 0
+            state.next_placement_ms = 0
         case CacheReported():
             state.endpoints.report_cache(event, now_ms)
         case AttemptAccepted():
@@ -99,7 +99,7 @@
             return _links.handle_lost(state, event.endpoint_id, now_ms)
         case EndpointDraining():
             state.endpoints.drain(event.endpoint_id)
-            state.check_at_ms = 0
+            state.next_placement_ms = 0
         case EndpointCrashed():
             return _links.handle_crashed(state, event, now_ms)
         case EndpointReplaced():
@@ -148,7 +148,7 @@
             return _links.handle_crash_wait_timeout(state, subject, now_ms)
         case "wake":
             state.wake_at_ms = 0
-            state.check_at_ms = 0
+            state.next_placement_ms = 0
     return []
 
 
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_crash_counting.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_crash_counting.py
@@ -276,7 +276,7 @@
 
 
 def _broken(entry):
-    return entry.state.checked_at_ms
+    return entry.state.check_started_at_ms
 
 
 def test_address_taken_by_a_later_start_shows_the_crash():
--- a/packages/core/src/bluebellusher_core/requests/_announced.py
+++ b/packages/core/src/bluebellusher_core/requests/_announced.py
@@ -42,7 +42,7 @@
         ]
         fields += _make_load_fields(state, endpoint_id)
         effects.append(LogEvent("endpoint-paused", tuple(fields)))
-    state.check_at_ms = 0
+    state.next_placement_ms = 0
     return effects
 
 
@@ -53,7 +53,7 @@
     effects: list[Effect] = []
     for mark in event.marks[:N_MAX_MARKS]:
         effects += _record_leaving(state, mark, event.source, now_ms)
-    state.check_at_ms = 0
+    state.next_placement_ms = 0
     return effects
 
 
--- a/packages/core/src/bluebellusher_core/requests/_crash_evidence.py
+++ b/packages/core/src/bluebellusher_core/requests/_crash_evidence.py
@@ -55,9 +55,9 @@
 
 def _check_address(state: EntryState, endpoint_id: str, now_ms: int) -> list[Effect]:
     """Check the address of an endpoint unless a check is in progress."""
-    if endpoint_id in state.checked_at_ms:
+    if endpoint_id in state.check_started_at_ms:
         return []
-    state.checked_at_ms[endpoint_id] = now_ms
+    state.check_started_at_ms[endpoint_id] = now_ms
     return [CheckEndpoint(endpoint_id)]
 
 
@@ -70,7 +70,7 @@
     dismisses those before the check. An address that did not answer decides nothing.
     """
     endpoint_id = event.endpoint_id
-    asked_at_ms = state.checked_at_ms.pop(endpoint_id, None)
+    asked_at_ms = state.check_started_at_ms.pop(endpoint_id, None)
     if asked_at_ms is None or event.is_listening is None:
         return []
     if not event.is_listening:
--- a/packages/core/src/bluebellusher_core/requests/_final.py
+++ b/packages/core/src/bluebellusher_core/requests/_final.py
@@ -133,7 +133,7 @@
     for attempt in list(request.attempts):
         effects += cancel_attempt(state, request, attempt, now_ms)
     release_endpoint(state, request)
-    state.check_at_ms = 0
+    state.next_placement_ms = 0
     state.isolate_at_ms.pop(request.spec.request_id, None)
     del state.request_by_id[request.spec.request_id]
     return effects
@@ -183,7 +183,7 @@
     Its id is kept, up to ``MAX_ENDED_ATTEMPTS`` ids, so that later events about it can
     be recognized and ignored.
     """
-    state.check_at_ms = 0
+    state.next_placement_ms = 0
     request.attempts.remove(attempt)
     del state.attempt_by_id[attempt.attempt_id]
     state.ended_attempts[attempt.attempt_id] = attempt.endpoint_id
@@ -200,7 +200,7 @@
 
     Queues that are empty and have no other endpoint are discarded as well.
     """
-    state.check_at_ms = 0
+    state.next_placement_ms = 0
     state.endpoints.remove(endpoint_id, now_ms)
     for request_id in state.isolate_at_ms:
         request = state.request_by_id[request_id]
--- a/packages/core/src/bluebellusher_core/requests/_isolation.py
+++ b/packages/core/src/bluebellusher_core/requests/_isolation.py
@@ -161,7 +161,7 @@
 
     Suspects are ignored where this entry counts crashes itself.
     """
-    state.check_at_ms = 0
+    state.next_placement_ms = 0
     effects: list[Effect] = []
     for fingerprint in event.blocked_fingerprints[:N_MAX_DIGEST]:
         effects += block_fingerprint(state, fingerprint, event.peer_id, False, now_ms)
--- a/packages/core/src/bluebellusher_core/requests/_links.py
+++ b/packages/core/src/bluebellusher_core/requests/_links.py
@@ -64,7 +64,7 @@
             state, info.endpoint_id, "started again", now_ms, started_at_ms
         )
     state.endpoints.refresh(info)
-    state.check_at_ms = 0
+    state.next_placement_ms = 0
     return []
 
 
--- a/packages/core/src/bluebellusher_core/requests/_placing.py
+++ b/packages/core/src/bluebellusher_core/requests/_placing.py
@@ -52,7 +52,7 @@
     isolated run.
     """
     request.phase = Phase.WAITING
-    state.check_at_ms = 0
+    state.next_placement_ms = 0
     spec = request.spec
     if state.poison.is_blocked(spec.fingerprint, now_ms) and not request.is_trial:
         reason = Reason.CRASHES_ENDPOINTS
@@ -103,7 +103,7 @@
     request with a suspect fingerprint waits for an isolated run instead.
     """
     request.phase = Phase.WAITING
-    state.check_at_ms = 0
+    state.next_placement_ms = 0
     spec = request.spec
     if state.poison.is_suspect(spec.fingerprint, now_ms):
         state.isolate_at_ms[spec.request_id] = now_ms
@@ -139,11 +139,11 @@
     """Dispatch waiting requests while endpoints have free capacity.
 
     Also rejects waiting requests that expired or whose pool has no endpoint, and sets
-    the timer for the next check. Does nothing before ``state.check_at_ms``.
+    the timer for the next check. Does nothing before ``state.next_placement_ms``.
     """
     if not state.waiting_pools and not state.isolate_at_ms:
         return []
-    if now_ms < state.check_at_ms:
+    if now_ms < state.next_placement_ms:
         return []
     effects = _isolation.place_suspects(state, now_ms)
     n_suspects = len(state.isolate_at_ms)
@@ -375,7 +375,7 @@
     if undeferred_ms is not None:
         due_times_ms.append(undeferred_ms)
     due_ms = min(due_times_ms)
-    state.check_at_ms = due_ms
+    state.next_placement_ms = due_ms
     if state.wake_at_ms > now_ms and state.wake_at_ms <= due_ms:
         return []
     state.wake_at_ms = due_ms
--- a/packages/core/src/bluebellusher_core/state/_state.py
+++ b/packages/core/src/bluebellusher_core/state/_state.py
@@ -54,7 +54,7 @@
         Suspect, blocked and held fingerprints.
     crashes : CrashCounter
         Crashes by fingerprint, where endpoints have no agent that reports them.
-    checked_at_ms : dict of str to int
+    check_started_at_ms : dict of str to int
         Monotonic start time of the address check in progress, by endpoint id.
     request_by_id, attempt_by_id : dict
         Requests without a final answer (or detached), and attempts in flight.
@@ -75,7 +75,7 @@
         Version of the configuration that the weights come from.
     wake_at_ms : int
         Monotonic time of the earliest pending ``wake`` timer; 0 for none.
-    check_at_ms : int
+    next_placement_ms : int
         Monotonic time of the next placement of waiting requests. It is set to 0 by each
         event after which a waiting request may be placed, so that other events do not
         scan long queues.
@@ -99,7 +99,7 @@
     claims: ClaimTable
     poison: PoisonTable = field(default_factory=PoisonTable)
     crashes: CrashCounter = field(default_factory=CrashCounter)
-    checked_at_ms: dict[str, int] = field(default_factory=dict)
+    check_started_at_ms: dict[str, int] = field(default_factory=dict)
     request_by_id: dict[str, Request] = field(default_factory=dict)
     attempt_by_id: dict[str, Attempt] = field(default_factory=dict)
     ended_attempts: OrderedDict[str, str] = field(default_factory=OrderedDict)
@@ -111,7 +111,7 @@
     weight_by_customer: dict[str, float] = field(default_factory=dict)
     config_version: int = 0
     wake_at_ms: int = 0
-    check_at_ms: int = 0
+    next_placement_ms: int = 0
     n_attempts_made: int = 0
     n_entries: int = 1
     member_ids: frozenset[str] = frozenset()
