--- a/packages/core/src/bluebellusher_core/poison/__init__.py
+++ b/packages/core/src/bluebellusher_core/poison/__init__.py
@@ -1,7 +1,7 @@
 """Fingerprints of poison requests, which crash endpoints, and of suspects."""
 
 from bluebellusher_core.poison._crashes import (
-    COUNT_MS,
+    CRASH_MAX_AGE_MS,
     TRIAL_AFTER_MS,
     CrashCounter,
 )
@@ -10,7 +10,7 @@
 
 __all__ = [
     "BLOCK_MS",
-    "COUNT_MS",
+    "CRASH_MAX_AGE_MS",
     "HOLD_MS",
     "TRIAL_AFTER_MS",
     "Crash",
--- a/packages/core/src/bluebellusher_core/poison/_crashes.py
+++ b/packages/core/src/bluebellusher_core/poison/_crashes.py
@@ -11,7 +11,7 @@
 # unavailable for longer.
 CONFIRM_TIMEOUT_MS = 30_000
 # Age at which a crash expires, in ms.
-COUNT_MS = 600_000
+CRASH_MAX_AGE_MS = 600_000
 # Entries exchange the ages of crashes, which do not include the time in transit. Each
 # exchange would make an old crash younger, and it would never expire. A crash that has
 # less than this time until it expires, in ms, is therefore not merged.
@@ -197,7 +197,7 @@
         completed_at_ms = self._completed_at_ms.get(fingerprint)
         for crash in record.crashes:
             run = _CrashedRun(now_ms - crash.sent_age_ms, now_ms - crash.age_ms)
-            is_expiring = crash.age_ms > COUNT_MS - MIN_REMAINING_MS
+            is_expiring = crash.age_ms > CRASH_MAX_AGE_MS - MIN_REMAINING_MS
             if is_expiring or (
                 completed_at_ms is not None and run.broken_at_ms <= completed_at_ms
             ):
@@ -308,10 +308,10 @@
         return runs
 
     def _discard_expired(self, now_ms: int) -> None:
-        """Discard crashes older than ``COUNT_MS``."""
+        """Discard crashes older than ``CRASH_MAX_AGE_MS``."""
         for fingerprint, runs in list(self._run_by_start_id_by_fingerprint.items()):
             for start_id, run in list(runs.items()):
-                if now_ms - run.broken_at_ms >= COUNT_MS:
+                if now_ms - run.broken_at_ms >= CRASH_MAX_AGE_MS:
                     del runs[start_id]
             if not runs:
                 del self._run_by_start_id_by_fingerprint[fingerprint]
@@ -328,7 +328,7 @@
 
 def _is_valid(run: _CrashedRun, completed_at_ms: int | None, now_ms: int) -> bool:
     """Return whether a crash has neither expired nor been cleared."""
-    is_unexpired = now_ms - run.broken_at_ms < COUNT_MS
+    is_unexpired = now_ms - run.broken_at_ms < CRASH_MAX_AGE_MS
     return is_unexpired and (
         completed_at_ms is None or run.broken_at_ms > completed_at_ms
     )
--- a/packages/entry/src/bluebellusher/shared/_crashes.py
+++ b/packages/entry/src/bluebellusher/shared/_crashes.py
@@ -15,7 +15,7 @@
 from bluebellusher_core.clock import Clock
 from bluebellusher_core.directory import MirrorRow, TableMirror
 from bluebellusher_core.events import CrashesReceived
-from bluebellusher_core.poison import COUNT_MS, Crash, CrashRecord
+from bluebellusher_core.poison import CRASH_MAX_AGE_MS, Crash, CrashRecord
 
 CRASH_TABLE = "crashes"
 CRASH_KEY = "recent"
@@ -180,7 +180,7 @@
     the table as it is.
     """
     united = {
-        fingerprint: _without_old(crashes, wall_ms - COUNT_MS)
+        fingerprint: _without_old(crashes, wall_ms - CRASH_MAX_AGE_MS)
         for fingerprint, crashes in stored.crashes_by_fingerprint.items()
     }
     for record in records:
@@ -206,8 +206,10 @@
         )
         crash_by_start_id.setdefault(crash.start_id, stored)
     crashes = sorted(crash_by_start_id.values(), key=lambda crash: crash.broken_at)
-    sound_age_ms = COUNT_MS if record.sound_age_ms is None else record.sound_age_ms
-    return _without_old(tuple(crashes), wall_ms - min(sound_age_ms, COUNT_MS))
+    sound_age_ms = (
+        CRASH_MAX_AGE_MS if record.sound_age_ms is None else record.sound_age_ms
+    )
+    return _without_old(tuple(crashes), wall_ms - min(sound_age_ms, CRASH_MAX_AGE_MS))
 
 
 def _without_old(
--- a/packages/entry/src/bluebellusher/shared/tests/test_crash_table.py
+++ b/packages/entry/src/bluebellusher/shared/tests/test_crash_table.py
@@ -8,7 +8,7 @@
 from bluebellusher.shared.tests.fakes import DOWN, FakeLog, FakeStore, until
 from bluebellusher_core.clock import ManualClock
 from bluebellusher_core.directory import TableMirror
-from bluebellusher_core.poison import COUNT_MS, Crash, CrashCounter, CrashRecord
+from bluebellusher_core.poison import CRASH_MAX_AGE_MS, Crash, CrashCounter, CrashRecord
 
 # A row of the users' store; its text is counted before it is encoded.
 MAX_ROW_BYTES = 65_536
@@ -79,9 +79,9 @@
     async def scenario(store, clock):
         (await Entry(store, clock).start()).see("f", 3)
         await until(lambda: row_of(store), clock)
-        clock.advance(COUNT_MS // 2)
+        clock.advance(CRASH_MAX_AGE_MS // 2)
         assert (await Entry(store, clock).start()).count("f") == 3
-        clock.advance(COUNT_MS // 2)
+        clock.advance(CRASH_MAX_AGE_MS // 2)
         assert (await Entry(store, clock).start()).count("f") == 0
 
     run(scenario)
