--- a/packages/core/src/bluebellusher_core/reducer/tests/test_direct_endpoints.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_direct_endpoints.py
@@ -123,7 +123,7 @@
         first.attempt_id, Reason.CONNECT_FAILED, 0, first.endpoint_id
     )
     assert dispatched(reduce(state, event, 5)) is not None
-    assert state.retry_budget.n_left == 1
+    assert state.retry_budget.n_available == 1
 
 
 def test_broken_stream_resumes_on_any_endpoint_from_what_was_relayed():
@@ -237,11 +237,11 @@
     """
     state = start_group(4)
     first = dispatched(reduce(state, RequestArrived(make_spec()), 10))
-    n_retries = state.retry_budget.n_left
+    n_retries = state.retry_budget.n_available
     rejection = rejected(reduce(state, refuse_closed(first), 1_600))
     assert rejection.reason is Reason.ENDPOINTS_CLOSED
     assert rejection.outcome is Outcome.NOT_RUN
-    assert state.retry_budget.n_left == n_retries
+    assert state.retry_budget.n_available == n_retries
     effects = reduce(state, RequestArrived(make_spec("other")), 1_610)
     assert dispatched(effects) is None
 
--- a/packages/core/src/bluebellusher_core/retry/_budget.py
+++ b/packages/core/src/bluebellusher_core/retry/_budget.py
@@ -48,7 +48,7 @@
         )
 
     @property
-    def n_left(self) -> int:
+    def n_available(self) -> int:
         """Number of whole tokens that can be spent."""
         return self._balance // UNITS_PER_TOKEN
 
--- a/packages/entry/src/bluebellusher/gateway/_view.py
+++ b/packages/entry/src/bluebellusher/gateway/_view.py
@@ -71,7 +71,7 @@
             "bluebellusher_expert_skew": max(
                 gateway.leader.skew_by_group.values(), default=0.0
             ),
-            "bluebellusher_retries_left": gateway.state.retry_budget.n_left,
+            "bluebellusher_retries_left": gateway.state.retry_budget.n_available,
             "bluebellusher_config_version": routing.version if routing else 0,
             "bluebellusher_config_age_ms": now_ms - gateway.directory.routing_at_ms,
             "bluebellusher_store_contact": float(gateway.routing_watcher.is_in_contact),
--- a/packages/entry/src/bluebellusher/gateway/tests/test_retries.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_retries.py
@@ -26,5 +26,5 @@
     state = start_entry(n_extra)
     reduce(state, EntriesCounted(n_entries), 0)
     n_full = state.retry_budget.n_burst
-    n_at_start = start_entry(n_extra).retry_budget.n_left
+    n_at_start = start_entry(n_extra).retry_budget.n_available
     assert n_entries * (n_full + N_KILLS * n_at_start) <= n_extra
