Close the remaining gaps in the comments of the decisions

Upper bounds say what they bound, and a broadcast is called one. Two private names follow: expires_at_ms and dismissed. Comments and names only; behaviour does not change.

--- a/packages/core/src/bluebellusher_core/claims/_table.py
+++ b/packages/core/src/bluebellusher_core/claims/_table.py
@@ -14,6 +14,7 @@
 
 # Time for which writes are collected into one batch, in ms.
 BATCH_DELAY_MS = 5
+# Upper bound of the writes in one batch.
 N_MAX_BATCH = 100
 # Two batches of claims in flight overlap their round trips. More would only make the
 # batches smaller.
@@ -21,6 +22,7 @@
 # Bounds of the wait before a batch without an answer is sent again, in ms.
 MIN_BACKOFF_MS = 50
 MAX_BACKOFF_MS = 1_000
+# Upper bound of the outcomes that wait to be written.
 N_MAX_OUTCOMES = 20_000
 FLUSH_TIMER = "claims:flush"
 RETRY_TIMER = "claims:retry:"
--- a/packages/core/src/bluebellusher_core/events/_endpoint_events.py
+++ b/packages/core/src/bluebellusher_core/events/_endpoint_events.py
@@ -70,8 +70,8 @@
     """Result of a ``CheckEndpoint`` effect.
 
     ``is_listening`` is True when the address accepts connections, False when its port
-    is closed, and None when it did not answer. A cut link and a machine without power
-    cannot be told apart in that case.
+    is closed, and None when it did not answer. The cause of the latter may be a cut
+    link as well as a machine without power.
     """
 
     endpoint_id: str
--- a/packages/core/src/bluebellusher_core/events/_request_events.py
+++ b/packages/core/src/bluebellusher_core/events/_request_events.py
@@ -131,7 +131,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptFinished:
-    """An attempt's whole answer arrived and passed the length and CRC checks."""
+    """An attempt's complete answer arrived and passed the length and CRC checks."""
 
     attempt_id: str
     status: int
@@ -159,7 +159,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptBroken:
-    """An attempt ended without a whole answer; whether it ran is unknown.
+    """An attempt ended without a complete answer; whether it ran is unknown.
 
     Parameters
     ----------
--- a/packages/core/src/bluebellusher_core/poison/_crashes.py
+++ b/packages/core/src/bluebellusher_core/poison/_crashes.py
@@ -23,7 +23,9 @@
 # may have been running in the crashes by chance. Endpoints that failed for another
 # reason need this time to recover before the trial can decide.
 TRIAL_AFTER_MS = 30_000
+# Upper bound of the endpoints or fingerprints in each table.
 N_MAX_COUNTED = 4_096
+# Upper bound of the crash records in one announcement.
 N_MAX_ANNOUNCED = 1_000
 
 
@@ -128,15 +130,15 @@
         now_ms : int
             Monotonic time.
         """
-        cleared: list[str] = []
+        dismissed: list[str] = []
         for suspicion in self._suspicions_by_endpoint_id.get(endpoint_id, ()):
             if (
                 suspicion.answered_at_ms is None
                 and suspicion.broken_at_ms <= asked_at_ms
             ):
                 suspicion.answered_at_ms = now_ms
-                cleared.append(suspicion.fingerprint)
-        return cleared
+                dismissed.append(suspicion.fingerprint)
+        return dismissed
 
     def is_suspected(self, endpoint_id: str) -> bool:
         """Return whether an endpoint has broken runs and has not answered since."""
--- a/packages/core/src/bluebellusher_core/poison/_table.py
+++ b/packages/core/src/bluebellusher_core/poison/_table.py
@@ -10,7 +10,9 @@
 # Duration of a hold, in ms. A restarted agent reconnects with a higher incarnation
 # within seconds.
 HOLD_MS = 5_000
+# Upper bound of the fingerprints in each table.
 N_MAX_FINGERPRINTS = 32_768
+# Upper bound of the fingerprints of each kind that are sent to peers.
 N_MAX_DIGEST = 1_000
 
 
@@ -18,7 +20,7 @@
 class _Mark:
     """Expiry time of a mark, and whether this entry observed its cause itself."""
 
-    until_ms: int
+    expires_at_ms: int
     is_own: bool
 
 
@@ -27,13 +29,13 @@
     """An isolated run whose end was not observed.
 
     No run of its fingerprint starts before ``held_until_ms``. While ``is_lost`` is
-    set, a restart of the endpoint before ``until_ms`` confirms that the run crashed it.
+    set, a restart of the endpoint before ``expires_at_ms`` confirms that the run crashed it.
     """
 
     endpoint_id: str
     incarnation: int
     held_until_ms: int
-    until_ms: int
+    expires_at_ms: int
     is_lost: bool
 
 
@@ -84,7 +86,7 @@
     def blocked_ms(self, fingerprint: str, now_ms: int) -> int:
         """Return the remaining time of a block, in ms; 0 without a block."""
         mark = self._blocked.get(fingerprint)
-        return max(0, mark.until_ms - now_ms) if mark is not None else 0
+        return max(0, mark.expires_at_ms - now_ms) if mark is not None else 0
 
     def suspect(self, fingerprint: str, now_ms: int, is_own: bool) -> None:
         """Mark a fingerprint as suspect, so that it runs isolated.
@@ -142,9 +144,9 @@
         now_ms : int
             Monotonic time.
         """
-        until_ms = now_ms + SUSPECT_MS
+        expires_at_ms = now_ms + SUSPECT_MS
         held_until_ms = now_ms + HOLD_MS
-        hold = _Hold(endpoint_id, incarnation, held_until_ms, until_ms, is_lost)
+        hold = _Hold(endpoint_id, incarnation, held_until_ms, expires_at_ms, is_lost)
         self._holds[fingerprint] = hold
         self._holds.move_to_end(fingerprint)
         evict_oldest(self._holds, self.n_max)
@@ -167,7 +169,7 @@
         for fingerprint, hold in list(self._holds.items()):
             if hold.endpoint_id != endpoint_id or not hold.is_lost:
                 continue
-            if incarnation > hold.incarnation and hold.until_ms > now_ms:
+            if incarnation > hold.incarnation and hold.expires_at_ms > now_ms:
                 confirmed.append(fingerprint)
             # After this connection, a later restart has another cause than the run.
             self._holds[fingerprint] = replace(hold, is_lost=False)
@@ -202,7 +204,7 @@
     mark = marks.get(fingerprint)
     if mark is None:
         return False
-    if mark.until_ms <= now_ms:
+    if mark.expires_at_ms <= now_ms:
         del marks[fingerprint]
         return False
     return True
@@ -210,7 +212,9 @@
 
 def _list_own(marks: OrderedDict[str, _Mark], now_ms: int) -> tuple[str, ...]:
     """Return the fingerprints of marks whose cause this entry observed itself."""
-    own_fingerprints = [f for f, m in marks.items() if m.is_own and m.until_ms > now_ms]
+    own_fingerprints = [
+        f for f, m in marks.items() if m.is_own and m.expires_at_ms > now_ms
+    ]
     return tuple(own_fingerprints[-N_MAX_DIGEST:])
 
 
--- a/packages/core/src/bluebellusher_core/requests/_announced.py
+++ b/packages/core/src/bluebellusher_core/requests/_announced.py
@@ -14,6 +14,7 @@
 
 LogField = tuple[str, str | int | float]
 
+# Upper bound of the leaving endpoints that are read from one announcement.
 N_MAX_MARKS = 1_000
 
 
--- a/packages/core/src/bluebellusher_core/requests/_attempts.py
+++ b/packages/core/src/bluebellusher_core/requests/_attempts.py
@@ -23,6 +23,7 @@
 from bluebellusher_core.requests._model import Attempt, Phase, Request
 from bluebellusher_core.state import EntryState
 
+# Lowest HTTP status of a server error.
 SERVER_ERROR = 500
 _NOT_CONNECTED = frozenset((Reason.CONNECT_FAILED, Reason.CONNECT_REFUSED))
 
@@ -62,7 +63,7 @@
 def handle_finished(
     state: EntryState, event: AttemptFinished, now_ms: int
 ) -> list[Effect]:
-    """Complete a request with the whole answer of an attempt.
+    """Complete a request with the complete answer of an attempt.
 
     An answer with a server error is discarded and the request is tried on another
     endpoint where that is possible.
--- a/packages/core/src/bluebellusher_core/requests/_crash_evidence.py
+++ b/packages/core/src/bluebellusher_core/requests/_crash_evidence.py
@@ -1,8 +1,8 @@
 """Detection of requests that crash endpoints, where no agent reports crashes.
 
-A broken connection may have many causes. Isolated runs would occupy endpoints just when
-most of them are needed. Instead, each broken run makes its fingerprint a suspect, the
-address of its endpoint is checked at once, and only confirmed crashes are counted.
+A broken connection may have many causes, and isolated runs would occupy endpoints just
+when most of them are needed. Instead, each broken run is recorded as a suspected crash,
+the address of its endpoint is checked at once, and only confirmed crashes are counted.
 """
 
 from bluebellusher_core.effects import BroadcastCrashes, CheckEndpoint, Effect, LogEvent
@@ -13,6 +13,7 @@
 from bluebellusher_core.requests._model import Attempt, Request
 from bluebellusher_core.state import EntryState
 
+# Upper bound of the records that are read from one message of a peer or the store.
 N_MAX_RECORDS = 1_000
 
 
@@ -77,7 +78,7 @@
         return confirm_crashes(state, endpoint_id, "port closed", now_ms)
     effects = _dismiss_crashes(state, endpoint_id, asked_at_ms, "listening", now_ms)
     if state.crashes.is_suspected(endpoint_id):
-        # These runs broke after the check had begun.
+        # Other runs broke after the check had begun, so the address is checked again.
         effects += _check_address(state, endpoint_id, now_ms)
     return effects
 
@@ -149,8 +150,8 @@
 ) -> list[Effect]:
     """Merge crash records from a peer or the store.
 
-    Each fingerprint is blocked or unblocked by the merged record. A sender whose record
-    lacks a completed run that this entry recorded is sent the newer record.
+    Each fingerprint is blocked or unblocked by the merged record. When a record counts
+    crashes that a completed run has cleared here, this entry's record is broadcast.
     """
     effects: list[Effect] = []
     if not state.config.n_crashes_to_block:
--- a/packages/core/src/bluebellusher_core/requests/_final.py
+++ b/packages/core/src/bluebellusher_core/requests/_final.py
@@ -15,6 +15,7 @@
 from bluebellusher_core.requests._model import Attempt, Phase, Request
 from bluebellusher_core.state import EntryState
 
+# Upper bound of recorded ids of ended attempts.
 MAX_ENDED_ATTEMPTS = 4_096
 # A retried request fails again for these reasons, so that its rejection has no
 # ``retry_after_ms``. The exception is a fingerprint that is blocked for a limited time.
@@ -91,7 +92,7 @@
 def complete_request(
     state: EntryState, request: Request, finished_attempt: Attempt, now_ms: int
 ) -> list[Effect]:
-    """End a request with the whole answer of one attempt and cancel the others.
+    """End a request with the complete answer of one attempt and cancel the others.
 
     The completed run clears the suspicions and crashes of the request's fingerprint.
     """
@@ -112,7 +113,7 @@
 def _clear_crashes(state: EntryState, fingerprint: str, now_ms: int) -> list[Effect]:
     """Clear the crashes and the block of a fingerprint after a completed run.
 
-    The other entries are sent the new record when there were crashes.
+    The new crash record is broadcast when there were crashes.
     """
     if not state.config.n_crashes_to_block:
         return []
--- a/packages/core/src/bluebellusher_core/requests/_isolation.py
+++ b/packages/core/src/bluebellusher_core/requests/_isolation.py
@@ -14,8 +14,10 @@
 # pool, is used for isolated runs at the same time.
 ENDPOINTS_PER_ISOLATED_RUN = 4
 N_MAX_RESERVED_REFUSALS = 8
+# Bounds of the wait before a refused isolated run is tried again, in ms.
 MIN_RETRY_WAIT_MS = 20
 MAX_RETRY_WAIT_MS = 500
+# Upper bound of the fingerprints of each kind that are read from a peer's digest.
 N_MAX_DIGEST = 1_000
 
 
--- a/packages/core/src/bluebellusher_core/requests/_links.py
+++ b/packages/core/src/bluebellusher_core/requests/_links.py
@@ -21,6 +21,7 @@
 # Time to wait for the agent's reports about broken attempts, in ms. An agent sends them
 # right after the crash of its engine.
 CRASH_WAIT_MS = 500
+# Upper bound of the fingerprints and of the attempts read from one crash report.
 N_MAX_CRASHED = 4_096
 
 
--- a/packages/core/src/bluebellusher_core/requests/_placing.py
+++ b/packages/core/src/bluebellusher_core/requests/_placing.py
@@ -66,12 +66,13 @@
 def reject_if_closed(
     state: EntryState, request: Request, now_ms: int
 ) -> list[Effect] | None:
-    """Offer a request again to its queue while every endpoint of its pool is closed.
+    """Offer a refused request to its queue if every endpoint of its pool is closed.
 
     The time at which closed endpoints open is unknown. The queue therefore rejects the
-    request with a ``retry_after_ms`` after which a retried request can still be
-    served in time. Returns None, and does nothing, when an endpoint is open, when the
-    request may have run, and when it is itself a retried request.
+    request with a ``retry_after_ms`` after which a retried request can still be served
+    in time. Returns None, and does nothing, when an endpoint is open, when the request
+    may have run, or when it is itself a retried request. The request is then handled
+    as after any other refusal.
     """
     pool = pool_of(request.spec)
     can_wait = request.may_have_run or request.spec.is_returning
@@ -84,6 +85,10 @@
 
 
 def _offer(state: EntryState, request: Request, now_ms: int) -> list[Effect]:
+    """Update the queue of a request's pool and offer the request to it.
+
+    A request that the queue does not admit is rejected.
+    """
     pool = pool_of(request.spec)
     queue = _get_queue(state, pool)
     _update_service_rate(state, pool, queue, now_ms)
