Keep the handler names that equal names on the wire

accepted, started, broken and cancel are on the list of kept names, so the handlers of attempt events and the cancellation keep their names, finished and refused with them. Handlers of both kinds of received announcements are called handle_received, because one name in the reducer became two. Names only; behaviour does not change.

--- a/packages/core/src/bluebellusher_core/poison/_table.py
+++ b/packages/core/src/bluebellusher_core/poison/_table.py
@@ -29,7 +29,8 @@
     """An isolated run whose end was not observed.
 
     No run of its fingerprint starts before ``held_until_ms``. While ``is_lost`` is
-    set, a restart of the endpoint before ``expires_at_ms`` confirms that the run crashed it.
+    set, a restart of the endpoint before ``expires_at_ms`` confirms that the run
+    crashed it.
     """
 
     endpoint_id: str
--- a/packages/core/src/bluebellusher_core/reducer/_reduce.py
+++ b/packages/core/src/bluebellusher_core/reducer/_reduce.py
@@ -69,9 +69,9 @@
         case RequestArrived():
             return _arrival.handle_arrival(state, event.request, now_ms)
         case AttemptStarted():
-            return _attempts.handle_started(state, event, now_ms)
+            return _attempts.started(state, event, now_ms)
         case AttemptFinished():
-            return _attempts.handle_finished(state, event, now_ms)
+            return _attempts.finished(state, event, now_ms)
         case TimerFired():
             return _handle_timer(state, event.timer_id, now_ms)
         case LoadReported():
@@ -80,11 +80,11 @@
         case CacheReported():
             state.endpoints.report_cache(event, now_ms)
         case AttemptAccepted():
-            return _attempts.handle_accepted(state, event)
+            return _attempts.accepted(state, event)
         case AttemptRefused():
-            return _attempts.handle_refused(state, event, now_ms)
+            return _attempts.refused(state, event, now_ms)
         case AttemptBroken():
-            return _attempts.handle_broken(state, event, now_ms)
+            return _attempts.broken(state, event, now_ms)
         case CallerDisconnected():
             return _arrival.handle_caller_disconnected(state, event.request_id, now_ms)
         case ClaimsAnswered():
@@ -109,9 +109,9 @@
         case EndpointAnnounced():
             return _announced.handle_announced(state, event, now_ms)
         case LeavingReceived():
-            return _announced.handle_leaving_received(state, event, now_ms)
+            return _announced.handle_received(state, event, now_ms)
         case CrashesReceived():
-            return _crash_evidence.handle_crashes_received(state, event, now_ms)
+            return _crash_evidence.handle_received(state, event, now_ms)
         case DigestReceived():
             return _isolation.handle_digest(state, event, now_ms)
         case PolicyChanged():
--- a/packages/core/src/bluebellusher_core/requests/_attempts.py
+++ b/packages/core/src/bluebellusher_core/requests/_attempts.py
@@ -32,7 +32,7 @@
 )
 
 
-def handle_accepted(state: EntryState, event: AttemptAccepted) -> list[Effect]:
+def accepted(state: EntryState, event: AttemptAccepted) -> list[Effect]:
     """Record that the agent confirmed the start of an isolated run."""
     attempt = _find_attempt(state, event)
     if attempt is None:
@@ -41,9 +41,7 @@
     return []
 
 
-def handle_started(
-    state: EntryState, event: AttemptStarted, now_ms: int
-) -> list[Effect]:
+def started(state: EntryState, event: AttemptStarted, now_ms: int) -> list[Effect]:
     """Record the first output of an attempt and cancel the request's other ones."""
     attempt = _find_attempt(state, event)
     if attempt is None:
@@ -56,13 +54,11 @@
     state.endpoints.note_output(attempt.endpoint_id)
     state.endpoints.tracker.apply(event, now_ms)
     for other in [a for a in request.attempts if a is not attempt]:
-        effects += _final.cancel_attempt(state, request, other, now_ms)
+        effects += _final.cancel(state, request, other, now_ms)
     return effects
 
 
-def handle_finished(
-    state: EntryState, event: AttemptFinished, now_ms: int
-) -> list[Effect]:
+def finished(state: EntryState, event: AttemptFinished, now_ms: int) -> list[Effect]:
     """Complete a request with the complete answer of an attempt.
 
     An answer with a server error is discarded and the request is tried on another
@@ -84,9 +80,7 @@
     return effects + _final.complete_request(state, request, attempt, now_ms)
 
 
-def handle_refused(
-    state: EntryState, event: AttemptRefused, now_ms: int
-) -> list[Effect]:
+def refused(state: EntryState, event: AttemptRefused, now_ms: int) -> list[Effect]:
     """Retry a request elsewhere after an endpoint or agent refused its attempt.
 
     The attempt has certainly not run. A closed port, or another start that answers at
@@ -151,7 +145,7 @@
     return _placing.requeue(state, request, now_ms)
 
 
-def handle_broken(state: EntryState, event: AttemptBroken, now_ms: int) -> list[Effect]:
+def broken(state: EntryState, event: AttemptBroken, now_ms: int) -> list[Effect]:
     """Resume, retry or reject a request whose attempt broke and may have run."""
     attempt = _find_attempt(state, event)
     if attempt is None:
