--- a/packages/core/src/bluebellusher_core/requests/_arrival.py
+++ b/packages/core/src/bluebellusher_core/requests/_arrival.py
@@ -59,7 +59,10 @@
 def handle_caller_disconnected(
     state: EntryState, request_id: str, now_ms: int
 ) -> list[Effect]:
-    """Cancel the attempts of a request whose caller has disconnected."""
+    """End a request whose caller has disconnected.
+
+    Its attempts are cancelled, unless a granted claim needs their outcome.
+    """
     request = state.request_by_id.get(request_id)
     if request is None or request.phase is Phase.DETACHED:
         return []
@@ -70,7 +73,7 @@
 
 
 def handle_deadline(state: EntryState, request_id: str, now_ms: int) -> list[Effect]:
-    """Reject a request at its deadline, in any phase.
+    """Reject a request that has no final answer at its deadline.
 
     The timer is set again when it fires before the deadline.
     """
--- a/packages/core/src/bluebellusher_core/requests/_placing.py
+++ b/packages/core/src/bluebellusher_core/requests/_placing.py
@@ -12,8 +12,8 @@
 from bluebellusher_core.routing import EndpointView
 from bluebellusher_core.state import EntryState
 
-# Longest interval between two checks of the queues, in ms. A queue rejects requests
-# that can no longer be served in time only when ``expire`` is called.
+# Longest interval between two checks of the queues, in ms. Requests that can no longer
+# be served in time are rejected only when the queue's ``expire`` is called.
 EXPIRY_CHECK_INTERVAL_MS = 100
 
 
@@ -228,7 +228,10 @@
 
 
 def _place_pool(state: EntryState, pool: Pool, now_ms: int) -> list[Effect]:
-    """Reject the expired requests of a pool and dispatch as many others as fit."""
+    """Reject the expired requests of a pool and dispatch as many others as fit.
+
+    Requests whose fingerprint became a suspect leave the queue for an isolated run.
+    """
     queue = state.queue_by_pool[pool]
     effects: list[Effect] = []
     _update_closed(state, pool, queue, now_ms)
@@ -292,8 +295,8 @@
 
     An endpoint with free capacity counts with all its slots. An endpoint without free
     capacity counts only with the attempts of this entry, because the other entries
-    use its remaining slots. While every endpoint is closed, the queue is given an
-    equal share of all slots for each entry, which is what it can use after the
+    use its remaining slots. While every endpoint is closed, none runs anything, and the
+    queue counts this entry's equal share of all slots, which it can use once the
     endpoints open.
     """
     service_ms = state.service_ms_by_pool.get(pool)
@@ -374,7 +377,7 @@
     due_times_ms += [
         since_ms + grace_ms for since_ms in state.unserved_since_ms.values()
     ]
-    # A queue rejects requests that can no longer be served only in ``expire``.
+    # Requests that can no longer be served are rejected only when ``expire`` is called.
     due_times_ms.append(now_ms + EXPIRY_CHECK_INTERVAL_MS)
     undeferred_ms = state.endpoints.next_undeferred_ms(now_ms)
     if undeferred_ms is not None:
