--- a/packages/core/src/bluebellusher_core/admission/_fair_queue.py
+++ b/packages/core/src/bluebellusher_core/admission/_fair_queue.py
@@ -12,7 +12,7 @@
     predict_wait_with_overtaking,
 )
 from bluebellusher_core.admission._service_rate import ServiceRate
-from bluebellusher_core.errors import Outcome, Reason, Refusal
+from bluebellusher_core.errors import Outcome, Reason, Rejection
 from bluebellusher_core.events import Priority, RequestSpec
 
 # Head start that one priority level gives between customers, in mean request costs
@@ -92,7 +92,7 @@
             if flow.n_waiting:
                 self._active_weight += flow.weight
 
-    def offer(self, request: RequestSpec, now_ms: int) -> Refusal | None:
+    def offer(self, request: RequestSpec, now_ms: int) -> Rejection | None:
         """Add the request, or reject it when its deadline cannot be met.
 
         Raises
@@ -165,7 +165,7 @@
         self._discard(waiting)
         return True
 
-    def expire(self, now_ms: int) -> list[tuple[RequestSpec, Refusal]]:
+    def expire(self, now_ms: int) -> list[tuple[RequestSpec, Rejection]]:
         """Remove and reject requests that can no longer meet their deadline."""
         self._rate.advance(now_ms, has_backlog=bool(self._waiting_by_id))
         expired = []
@@ -371,16 +371,16 @@
             return None
         return self._n_slots * self._mean_cost / self._service_ms
 
-    def _make_expiry_rejection(self, request: RequestSpec, now_ms: int) -> Refusal:
+    def _make_expiry_rejection(self, request: RequestSpec, now_ms: int) -> Rejection:
         is_past = request.deadline_ms <= now_ms
         reason = Reason.DEADLINE_EXCEEDED if is_past else Reason.DEADLINE_UNREACHABLE
         return _make_rejection(reason, self._predict_wait_ms(request))
 
 
-def _make_rejection(reason: Reason, wait_ms: float) -> Refusal:
+def _make_rejection(reason: Reason, wait_ms: float) -> Rejection:
     # The caller is asked to retry when the requests ahead of it have been served.
     retry_after_ms = int(min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, wait_ms)))
-    return Refusal(
+    return Rejection(
         outcome=Outcome.NOT_RUN,
         reason=reason,
         step="admission",
--- a/packages/core/src/bluebellusher_core/admission/_objective_queue.py
+++ b/packages/core/src/bluebellusher_core/admission/_objective_queue.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from math import inf
 
-from bluebellusher_core.errors import Outcome, Reason, Refusal
+from bluebellusher_core.errors import Outcome, Reason, Rejection
 from bluebellusher_core.events import RequestSpec
 
 # Default time from dispatch to the first byte, in ms.
@@ -86,7 +86,7 @@
         self._n_rejected_in_pause = 0
         self._fresh_arrivals_ms: deque[int] = deque()
 
-    def offer(self, request: RequestSpec, now_ms: int) -> Refusal | None:
+    def offer(self, request: RequestSpec, now_ms: int) -> Rejection | None:
         """Add the request, or reject it when it would be served too late."""
         self._record_arrival(request, now_ms)
         if request.deadline_ms <= now_ms:
@@ -135,14 +135,14 @@
         waiting.is_current = False
         return True
 
-    def expire(self, now_ms: int) -> list[tuple[RequestSpec, Refusal]]:
+    def expire(self, now_ms: int) -> list[tuple[RequestSpec, Rejection]]:
         """Remove and reject requests that must not wait any longer.
 
         These are requests that cannot start before the timeout of their caller. While
         every endpoint is closed, they are also the fresh requests, whose callers can
         retry.
         """
-        expired: list[tuple[RequestSpec, Refusal]] = []
+        expired: list[tuple[RequestSpec, Rejection]] = []
         for waiting in list(self._waiting_by_id.values()):
             request = waiting.request
             reason = Reason.DEADLINE_UNREACHABLE
@@ -244,9 +244,9 @@
         self._waiting_by_id[waiting.request.request_id] = waiting
         heapq.heappush(self._heap, waiting)
 
-    def _reject(self, request: RequestSpec, reason: Reason, now_ms: int) -> Refusal:
+    def _reject(self, request: RequestSpec, reason: Reason, now_ms: int) -> Rejection:
         retry_after_ms = self._compute_retry_after_ms(request, now_ms)
-        return Refusal(Outcome.NOT_RUN, reason, "admission", "", retry_after_ms)
+        return Rejection(Outcome.NOT_RUN, reason, "admission", "", retry_after_ms)
 
     def _compute_retry_after_ms(self, request: RequestSpec, now_ms: int) -> int:
         """Return the ``retry_after_ms`` of a rejection; retries are spread in time."""
--- a/packages/core/src/bluebellusher_core/events/__init__.py
+++ b/packages/core/src/bluebellusher_core/events/__init__.py
@@ -1,4 +1,4 @@
-"""Every event that the reducer accepts."""
+"""Events that the reducer accepts."""
 
 from bluebellusher_core.events._endpoint_events import (
     CacheReported,
@@ -11,8 +11,8 @@
     EndpointLost,
     EndpointRegistered,
     EndpointReplaced,
-    LeavingLearned,
     LeavingMark,
+    LeavingReceived,
     LoadReported,
 )
 from bluebellusher_core.events._request_events import (
@@ -21,7 +21,7 @@
     AttemptFinished,
     AttemptRefused,
     AttemptStarted,
-    CallerLeft,
+    CallerDisconnected,
     Priority,
     RequestArrived,
     RequestSpec,
@@ -32,7 +32,7 @@
     ClaimResult,
     ClaimsAnswered,
     ClaimsUnanswered,
-    CrashesLearned,
+    CrashesReceived,
     CustomerPolicy,
     DigestReceived,
     EntriesCounted,
@@ -44,7 +44,7 @@
 
 Event = (
     RequestArrived
-    | CallerLeft
+    | CallerDisconnected
     | AttemptAccepted
     | AttemptStarted
     | AttemptFinished
@@ -56,7 +56,7 @@
     | EndpointReplaced
     | EndpointChecked
     | EndpointAnnounced
-    | LeavingLearned
+    | LeavingReceived
     | EndpointDraining
     | EndpointCrashed
     | LoadReported
@@ -64,7 +64,7 @@
     | ClaimsAnswered
     | ClaimsUnanswered
     | DigestReceived
-    | CrashesLearned
+    | CrashesReceived
     | EntriesCounted
     | MembersListed
     | PolicyChanged
@@ -79,12 +79,12 @@
     "AttemptRefused",
     "AttemptStarted",
     "CacheReported",
-    "CallerLeft",
+    "CallerDisconnected",
     "ClaimOutcome",
     "ClaimResult",
     "ClaimsAnswered",
     "ClaimsUnanswered",
-    "CrashesLearned",
+    "CrashesReceived",
     "CustomerPolicy",
     "DigestReceived",
     "EndpointAnnounced",
@@ -98,8 +98,8 @@
     "EndpointReplaced",
     "EntriesCounted",
     "Event",
-    "LeavingLearned",
     "LeavingMark",
+    "LeavingReceived",
     "LoadReported",
     "MembersListed",
     "PolicyChanged",
--- a/packages/core/src/bluebellusher_core/reducer/tests/_crash_world.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/_crash_world.py
@@ -11,12 +11,12 @@
 
 from bluebellusher_core.directory import EndpointRegistration, Registrations
 from bluebellusher_core.effects import (
+    BroadcastCrashes,
     CancelAttempt,
     CheckEndpoint,
     Dispatch,
     Reject,
     SetTimer,
-    TellCrashes,
 )
 from bluebellusher_core.errors import Reason
 from bluebellusher_core.events import (
@@ -24,7 +24,7 @@
     AttemptFinished,
     AttemptRefused,
     AttemptStarted,
-    CrashesLearned,
+    CrashesReceived,
     EndpointChecked,
     EndpointRegistered,
     MembersListed,
@@ -188,7 +188,7 @@
 
     def tell(self, entry, other, records):
         """Bring crashes that one entry knows to another one."""
-        self.handle(other, CrashesLearned(entry.entry_id, records))
+        self.handle(other, CrashesReceived(entry.entry_id, records))
 
     def _tell_all(self, entry, records):
         if not entry.is_alive:
@@ -215,7 +215,7 @@
     def _read_crashes(self, entry):
         if entry.is_alive and self.has_store(entry):
             records = self.crash_table.records(self.now_ms)
-            self.handle(entry, CrashesLearned("store", records))
+            self.handle(entry, CrashesReceived("store", records))
 
     def _peers_of(self, entry):
         return [
@@ -370,7 +370,7 @@
         """Return whether an entry refuses a request as one that crashes endpoints."""
         n_before = len(self.refusals)
         self.send(entry_id, fingerprint)
-        found = [refusal.reason for _, refusal in self.refusals[n_before:]]
+        found = [rejection.reason for _, rejection in self.refusals[n_before:]]
         return found == [Reason.CRASHES_ENDPOINTS]
 
     def _execute(self, entry, effect):
@@ -378,7 +378,7 @@
             case Dispatch():
                 self.at(1, self._begin, entry, effect)
             case Reject():
-                self.refusals.append((effect.request_id, effect.refusal))
+                self.refusals.append((effect.request_id, effect.rejection))
             case CancelAttempt():
                 for host in self.hosts:
                     host.runs = [
@@ -386,7 +386,7 @@
                     ]
             case CheckEndpoint():
                 self.at(1, self._check, entry, effect.endpoint_id)
-            case TellCrashes():
+            case BroadcastCrashes():
                 self.at(1, self._tell_all, entry, effect.records)
                 self.at(1, self._write_crashes, entry, effect.records)
             case SetTimer():
--- a/packages/core/src/bluebellusher_core/reducer/tests/_pause_world.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/_pause_world.py
@@ -13,12 +13,12 @@
 
 from bluebellusher_core.admission import ObjectiveQueue
 from bluebellusher_core.effects import (
+    BroadcastLeaving,
     CancelAttempt,
     Complete,
     Dispatch,
     Reject,
     SetTimer,
-    TellLeaving,
 )
 from bluebellusher_core.errors import Outcome, Reason
 from bluebellusher_core.events import (
@@ -30,7 +30,7 @@
     EndpointInfo,
     EndpointRegistered,
     EntriesCounted,
-    LeavingLearned,
+    LeavingReceived,
     RequestArrived,
     TimerFired,
     Usage,
@@ -205,9 +205,9 @@
                     self._end(effect.request_id)
                 case Reject():
                     self._refuse(effect)
-                case TellLeaving():
+                case BroadcastLeaving():
                     for other in self.entries:
-                        news = LeavingLearned("peer", effect.marks)
+                        news = LeavingReceived("peer", effect.marks)
                         self._at(self.now_ms + TRIP_MS, self._handle, other, news)
 
     def _arrive(self, state, dispatch):
@@ -294,12 +294,12 @@
 
     def _refuse(self, effect):
         caller = self._caller_by_request[effect.request_id]
-        refusal = effect.refusal
-        if refusal.outcome is not Outcome.NOT_RUN:
+        rejection = effect.rejection
+        if rejection.outcome is not Outcome.NOT_RUN:
             self.result.n_failed += 1
             return
         left_ms = caller.first_ms + DEADLINE_MS - self.now_ms
-        pause_ms = min(refusal.retry_after_ms or 0, left_ms / 3)
+        pause_ms = min(rejection.retry_after_ms or 0, left_ms / 3)
         if caller.n_refusals >= 1 or left_ms <= 0:
             self.result.n_refused += 1
             return
--- a/packages/core/src/bluebellusher_core/requests/_arrival.py
+++ b/packages/core/src/bluebellusher_core/requests/_arrival.py
@@ -1,7 +1,7 @@
-"""Arrival of a request, its deadline, and a caller that leaves."""
+"""Handlers of a request's arrival, its deadline and a disconnected caller."""
 
 from bluebellusher_core.effects import Effect, Reject, SetTimer
-from bluebellusher_core.errors import Reason, Refusal
+from bluebellusher_core.errors import Reason, Rejection
 from bluebellusher_core.events import RequestSpec
 from bluebellusher_core.membership import pool_of
 from bluebellusher_core.requests import _crash_evidence, _final, _placing
@@ -9,17 +9,21 @@
 from bluebellusher_core.state import EntryState
 
 
-def arrive(state: EntryState, spec: RequestSpec, now_ms: int) -> list[Effect]:
-    """Admit a request or refuse it at once."""
+def handle_arrival(state: EntryState, spec: RequestSpec, now_ms: int) -> list[Effect]:
+    """Admit a new request or reject it at once.
+
+    A non-idempotent request with an idempotency key waits for its claim first. The
+    arrival of a request id that is already in progress is ignored.
+    """
     if spec.request_id in state.request_by_id:
         return []
-    refusal = _refusal_on_arrival(state, spec, now_ms)
-    if refusal is not None:
-        return [Reject(spec.request_id, refusal)]
+    rejection = _find_rejection(state, spec, now_ms)
+    if rejection is not None:
+        return [Reject(spec.request_id, rejection)]
     effects: list[Effect] = []
     is_trial = state.poison.is_blocked(spec.fingerprint, now_ms)
     if is_trial:
-        effects += _crash_evidence.begin_trial(state, spec.fingerprint, now_ms)
+        effects += _crash_evidence.start_trial(state, spec.fingerprint, now_ms)
     request = Request(spec, is_trial=is_trial)
     state.request_by_id[spec.request_id] = request
     state.retry_budget.earn()
@@ -32,48 +36,65 @@
     return effects + state.claims.claim(spec, now_ms)
 
 
-def _refusal_on_arrival(
+def _find_rejection(
     state: EntryState, spec: RequestSpec, now_ms: int
-) -> Refusal | None:
+) -> Rejection | None:
+    """Return the rejection of a request that cannot be admitted, or None."""
     if state.is_shutting_down:
-        return _final.refusal(state, Reason.SHUTTING_DOWN, "admission")
+        return _final.make_rejection(state, Reason.SHUTTING_DOWN, "admission")
     if spec.deadline_ms <= now_ms:
-        return _final.refusal(state, Reason.DEADLINE_EXCEEDED, "admission")
+        return _final.make_rejection(state, Reason.DEADLINE_EXCEEDED, "admission")
     is_blocked = state.poison.is_blocked(spec.fingerprint, now_ms)
-    if is_blocked and not _crash_evidence.may_try(state, spec.fingerprint, now_ms):
-        return _final.blocked_refusal(state, spec.fingerprint, now_ms)
+    if is_blocked and not _crash_evidence.may_start_trial(
+        state, spec.fingerprint, now_ms
+    ):
+        return _final.make_blocked_rejection(state, spec.fingerprint, now_ms)
     if len(state.request_by_id) >= state.config.n_max_requests:
-        return _final.refusal(state, Reason.DEADLINE_UNREACHABLE, "admission")
+        return _final.make_rejection(state, Reason.DEADLINE_UNREACHABLE, "admission")
     if not state.endpoints.views_of(pool_of(spec)):
-        return _final.refusal(state, Reason.NO_ENDPOINT, "admission")
+        return _final.make_rejection(state, Reason.NO_ENDPOINT, "admission")
     return None
 
 
-def caller_left(state: EntryState, request_id: str, now_ms: int) -> list[Effect]:
-    """Stop work for a caller that is gone."""
+def handle_caller_disconnected(
+    state: EntryState, request_id: str, now_ms: int
+) -> list[Effect]:
+    """End a request whose caller has disconnected.
+
+    Its attempts are cancelled, unless a granted claim needs their outcome.
+    """
     request = state.request_by_id.get(request_id)
     if request is None or request.phase is Phase.DETACHED:
         return []
-    _placing.withdraw(state, request)
-    return _final.give_up(state, request, Reason.CALLER_LEFT, "relay", now_ms)
+    _placing.remove_waiting(state, request)
+    return _final.reject_request(
+        state, request, Reason.CALLER_DISCONNECTED, "relay", now_ms
+    )
+
 
+def handle_deadline(state: EntryState, request_id: str, now_ms: int) -> list[Effect]:
+    """Reject a request that has no final answer at its deadline.
 
-def deadline_passed(state: EntryState, request_id: str, now_ms: int) -> list[Effect]:
-    """Give the request its final answer, whatever it waits for."""
+    The timer is set again when it fires before the deadline.
+    """
     request = state.request_by_id.get(request_id)
     if request is None or request.phase is Phase.DETACHED:
         return []
     if now_ms < request.spec.deadline_ms:
         return [SetTimer(f"deadline:{request_id}", request.spec.deadline_ms)]
-    _placing.withdraw(state, request)
+    _placing.remove_waiting(state, request)
     peer = request.attempts[0].endpoint_id if request.attempts else ""
     step = request.phase.name.lower()
-    return _final.give_up(state, request, Reason.DEADLINE_EXCEEDED, step, now_ms, peer)
+    return _final.reject_request(
+        state, request, Reason.DEADLINE_EXCEEDED, step, now_ms, peer
+    )
 
 
-def detach_ended(state: EntryState, request_id: str, now_ms: int) -> list[Effect]:
-    """Stop waiting for the outcome of a claimed attempt."""
+def handle_detach_timeout(
+    state: EntryState, request_id: str, now_ms: int
+) -> list[Effect]:
+    """Discard a detached request whose claim outcome did not arrive in time."""
     request = state.request_by_id.get(request_id)
     if request is None or request.phase is not Phase.DETACHED:
         return []
-    return _final.drop(state, request, now_ms)
+    return _final.discard_request(state, request, now_ms)
--- a/packages/core/src/bluebellusher_core/requests/_crash_evidence.py
+++ b/packages/core/src/bluebellusher_core/requests/_crash_evidence.py
@@ -1,25 +1,30 @@
-"""Evidence for and against requests that crash endpoints, where no agent tells of it.
+"""Detection of requests that crash endpoints, where no agent reports crashes.
 
-A broken connection may have many causes, and isolated runs would cost endpoints that
-are needed most then. So runs that broke are suspected, the address of their endpoint is
-checked at once, and crashes that are certain are counted.
+A broken connection may have many causes, and isolated runs would occupy endpoints just
+when most of them are needed. Instead, each broken run is recorded as a suspected crash,
+the address of its endpoint is checked at once, and only confirmed crashes are counted.
 """
 
-from bluebellusher_core.effects import CheckEndpoint, Effect, LogEvent, TellCrashes
-from bluebellusher_core.events import CrashesLearned, EndpointChecked
+from bluebellusher_core.effects import BroadcastCrashes, CheckEndpoint, Effect, LogEvent
+from bluebellusher_core.events import CrashesReceived, EndpointChecked
 from bluebellusher_core.poison import BLOCK_MS, TRIAL_AFTER_MS, CrashRecord
 from bluebellusher_core.rendezvous import choose
 from bluebellusher_core.requests import _isolation
 from bluebellusher_core.requests._model import Attempt, Request
 from bluebellusher_core.state import EntryState
 
+# Upper bound of the records that are read from one message of a peer or the store.
 N_MAX_RECORDS = 1_000
 
 
-def suspect(
+def record_broken_run(
     state: EntryState, request: Request, attempt: Attempt, is_fatal: bool, now_ms: int
 ) -> list[Effect]:
-    """Note that a run broke, in case the request is what crashes endpoints."""
+    """Record a broken run as a possible crash that its request caused.
+
+    Where agents report crashes, a fatal break makes the fingerprint a suspect.
+    Otherwise the endpoint's address is checked, unless the endpoint was draining.
+    """
     fingerprint = request.spec.fingerprint
     if not state.config.n_crashes_to_block:
         if is_fatal:
@@ -28,7 +33,7 @@
     endpoint_id = attempt.endpoint_id
     view = state.endpoints.view_by_id.get(endpoint_id)
     if attempt.is_leaving or (view is not None and view.is_draining):
-        # It ends by plan.
+        # A planned shutdown broke the run.
         return []
     state.crashes.suspect(
         fingerprint,
@@ -43,44 +48,55 @@
         ("endpoint", endpoint_id),
         ("after_ms", now_ms - attempt.dispatched_at_ms),
     )
-    return [LogEvent("crash-suspected", fields), *_check(state, endpoint_id, now_ms)]
+    return [
+        LogEvent("crash-suspected", fields),
+        *_check_address(state, endpoint_id, now_ms),
+    ]
 
 
-def _check(state: EntryState, endpoint_id: str, now_ms: int) -> list[Effect]:
-    if endpoint_id in state.checked_at_ms:
+def _check_address(state: EntryState, endpoint_id: str, now_ms: int) -> list[Effect]:
+    """Check the address of an endpoint unless a check is in progress."""
+    if endpoint_id in state.check_started_at_ms:
         return []
-    state.checked_at_ms[endpoint_id] = now_ms
+    state.check_started_at_ms[endpoint_id] = now_ms
     return [CheckEndpoint(endpoint_id)]
 
 
-def checked(state: EntryState, event: EndpointChecked, now_ms: int) -> list[Effect]:
-    """Take in whether anything listens where runs broke."""
+def handle_endpoint_checked(
+    state: EntryState, event: EndpointChecked, now_ms: int
+) -> list[Effect]:
+    """Handle the result of an address check.
+
+    A closed port confirms the suspected crashes of the endpoint. A listening port
+    dismisses those before the check. An address that did not answer decides nothing.
+    """
     endpoint_id = event.endpoint_id
-    since_ms = state.checked_at_ms.pop(endpoint_id, None)
-    if since_ms is None or event.is_listening is None:
+    asked_at_ms = state.check_started_at_ms.pop(endpoint_id, None)
+    if asked_at_ms is None or event.is_listening is None:
         return []
     if not event.is_listening:
-        return gone(state, endpoint_id, "port closed", now_ms)
-    effects = _ruled_out(state, endpoint_id, since_ms, "listening", now_ms)
+        return confirm_crashes(state, endpoint_id, "port closed", now_ms)
+    effects = _dismiss_crashes(state, endpoint_id, asked_at_ms, "listening", now_ms)
     if state.crashes.is_suspected(endpoint_id):
-        # These runs broke after the check had begun.
-        effects += _check(state, endpoint_id, now_ms)
+        # Other runs broke after the check had begun, so the address is checked again.
+        effects += _check_address(state, endpoint_id, now_ms)
     return effects
 
 
-def answered(
+def dismiss_before_attempt(
     state: EntryState, attempt: Attempt, evidence: str, now_ms: int
 ) -> list[Effect]:
-    """Drop suspicions against what broke at an endpoint that answers on."""
-    since_ms = attempt.dispatched_at_ms
-    return _ruled_out(state, attempt.endpoint_id, since_ms, evidence, now_ms)
+    """Dismiss the suspected crashes before an attempt that its endpoint answered."""
+    asked_at_ms = attempt.dispatched_at_ms
+    return _dismiss_crashes(state, attempt.endpoint_id, asked_at_ms, evidence, now_ms)
 
 
-def _ruled_out(
-    state: EntryState, endpoint_id: str, since_ms: int, evidence: str, now_ms: int
+def _dismiss_crashes(
+    state: EntryState, endpoint_id: str, asked_at_ms: int, evidence: str, now_ms: int
 ) -> list[Effect]:
+    """Dismiss and log the suspected crashes of an endpoint up to ``asked_at_ms``."""
     effects: list[Effect] = []
-    for fingerprint in state.crashes.note_answer(endpoint_id, since_ms, now_ms):
+    for fingerprint in state.crashes.record_answer(endpoint_id, asked_at_ms, now_ms):
         fields = (
             ("fingerprint", fingerprint),
             ("endpoint", endpoint_id),
@@ -90,14 +106,31 @@
     return effects
 
 
-def gone(
+def confirm_crashes(
     state: EntryState,
     endpoint_id: str,
     evidence: str,
     now_ms: int,
     started_at_ms: int | None = None,
 ) -> list[Effect]:
-    """Count the crash for what broke there, and block what has crashed too many."""
+    """Confirm the suspected crashes of an endpoint whose process has ended.
+
+    Logs and broadcasts each crash, and blocks a fingerprint that has reached the number
+    of crashes to block.
+
+    Parameters
+    ----------
+    state : EntryState
+        State of the entry; it is changed in place.
+    endpoint_id : str
+        The endpoint that has ended.
+    evidence : str
+        How the end was observed, for the log.
+    now_ms : int
+        Monotonic time.
+    started_at_ms : int or None
+        Monotonic start time of the process that replaced the endpoint, if known.
+    """
     effects: list[Effect] = []
     for fingerprint in state.crashes.confirm(endpoint_id, now_ms, started_at_ms):
         fields = (
@@ -107,13 +140,19 @@
             ("n_crashes", state.crashes.count(fingerprint, now_ms)),
         )
         effects.append(LogEvent("crash-counted", fields))
-        effects.append(TellCrashes((state.crashes.record(fingerprint, now_ms),)))
-        effects += _review(state, fingerprint, endpoint_id, now_ms)
+        effects.append(BroadcastCrashes((state.crashes.record(fingerprint, now_ms),)))
+        effects += _update_block(state, fingerprint, endpoint_id, now_ms)
     return effects
 
 
-def learned(state: EntryState, event: CrashesLearned, now_ms: int) -> list[Effect]:
-    """Take over what another entry or the store remembers."""
+def handle_received(
+    state: EntryState, event: CrashesReceived, now_ms: int
+) -> list[Effect]:
+    """Merge crash records from a peer or the store.
+
+    Each fingerprint is blocked or unblocked by the merged record. When a record counts
+    crashes that a completed run has cleared here, this entry's record is broadcast.
+    """
     effects: list[Effect] = []
     if not state.config.n_crashes_to_block:
         return effects
@@ -127,56 +166,66 @@
                 ("n_crashes", n_crashes),
             )
             effects.append(LogEvent("crash-learned", fields))
-            effects += _review(state, fingerprint, event.source, now_ms)
-        known = state.crashes.record(fingerprint, now_ms)
-        if _is_outdated(record, known):
-            effects.append(TellCrashes((known,)))
+            effects += _update_block(state, fingerprint, event.source, now_ms)
+        own_record = state.crashes.record(fingerprint, now_ms)
+        if _is_outdated(record, own_record):
+            effects.append(BroadcastCrashes((own_record,)))
     return effects
 
 
-def may_try(state: EntryState, fingerprint: str, now_ms: int) -> bool:
-    """Return whether a blocked request may run once, to see whether it is sound.
+def may_start_trial(state: EntryState, fingerprint: str, now_ms: int) -> bool:
+    """Return whether this entry may start the trial run of a blocked fingerprint.
 
-    A sound request may stand near three crashes by chance, where endpoints fail one
-    after the other. One entry of all, the same whichever is asked, makes one run. An
-    entry that does not know the others makes none.
+    A harmless request may have been running in about three crashes by chance, where
+    endpoints fail one after the other for another reason. One trial run decides. It
+    starts only while the number of crashes is exactly the number to block, and only
+    ``TRIAL_AFTER_MS`` after the block. Rendezvous hashing selects the single entry that
+    may start it, so that all entries select the same one. An entry that has not
+    received the list of entries starts none.
     """
     n_to_block = state.config.n_crashes_to_block
     if not n_to_block or state.crashes.count(fingerprint, now_ms) != n_to_block:
         return False
-    blocked_for_ms = BLOCK_MS - state.crashes.left_ms(fingerprint, n_to_block, now_ms)
+    blocked_for_ms = BLOCK_MS - state.crashes.block_remaining_ms(
+        fingerprint, n_to_block, now_ms
+    )
     if blocked_for_ms < TRIAL_AFTER_MS or state.poison.n_running(fingerprint):
         return False
     return choose(fingerprint, state.member_ids) == state.config.entry_id
 
 
-def begin_trial(state: EntryState, fingerprint: str, now_ms: int) -> list[Effect]:
-    """Count the trial as a crash until it is whole, so that no other one is made."""
+def start_trial(state: EntryState, fingerprint: str, now_ms: int) -> list[Effect]:
+    """Record a trial run as a crash and broadcast it, so that no other trial starts.
+
+    A completed trial clears this crash with the others.
+    """
     trial_id = f"trial@{state.config.entry_id}"
-    state.crashes.note_trial(fingerprint, trial_id, now_ms)
+    state.crashes.record_trial(fingerprint, trial_id, now_ms)
     return [
         LogEvent("crash-trial", (("fingerprint", fingerprint),)),
-        TellCrashes((state.crashes.record(fingerprint, now_ms),)),
+        BroadcastCrashes((state.crashes.record(fingerprint, now_ms),)),
     ]
 
 
-def _is_outdated(record: CrashRecord, known: CrashRecord) -> bool:
-    """Return whether a record counts crashes before a whole run that is known here."""
-    if known.sound_age_ms is None:
+def _is_outdated(record: CrashRecord, own_record: CrashRecord) -> bool:
+    """Return whether a record counts crashes that a completed run has cleared here."""
+    if own_record.sound_age_ms is None:
         return False
     if record.sound_age_ms is not None:
         return False
-    return any(crash.age_ms >= known.sound_age_ms for crash in record.crashes)
+    return any(crash.age_ms >= own_record.sound_age_ms for crash in record.crashes)
 
 
-def _review(
+def _update_block(
     state: EntryState, fingerprint: str, peer: str, now_ms: int
 ) -> list[Effect]:
-    """Block a fingerprint by its crashes, or take the block back."""
+    """Block or unblock a fingerprint by its current number of crashes."""
     n_to_block = state.config.n_crashes_to_block
-    left_ms = state.crashes.left_ms(fingerprint, n_to_block, now_ms)
-    if left_ms > 0:
-        return _isolation.block(state, fingerprint, peer, False, now_ms, left_ms)
+    remaining_ms = state.crashes.block_remaining_ms(fingerprint, n_to_block, now_ms)
+    if remaining_ms > 0:
+        return _isolation.block_fingerprint(
+            state, fingerprint, peer, False, now_ms, remaining_ms
+        )
     if state.poison.unblock(fingerprint):
         return [LogEvent("fingerprint-unblocked", (("fingerprint", fingerprint),))]
     return []
--- a/packages/core/src/bluebellusher_core/requests/_final.py
+++ b/packages/core/src/bluebellusher_core/requests/_final.py
@@ -1,6 +1,7 @@
-"""The final answer of a request; every request gets exactly one."""
+"""End of requests and attempts; every request gets exactly one final answer."""
 
 from bluebellusher_core.effects import (
+    BroadcastCrashes,
     CancelAttempt,
     ClaimState,
     Complete,
@@ -8,43 +9,51 @@
     LogEvent,
     Reject,
     SetTimer,
-    TellCrashes,
 )
-from bluebellusher_core.errors import Outcome, Reason, Refusal
+from bluebellusher_core.errors import Outcome, Reason, Rejection
 from bluebellusher_core.membership import pool_of
 from bluebellusher_core.requests._model import Attempt, Phase, Request
 from bluebellusher_core.state import EntryState
 
+# Upper bound of recorded ids of ended attempts.
 MAX_ENDED_ATTEMPTS = 4_096
-# A repeat of such a request cannot succeed, unless it is blocked for a time only.
-FINAL_REASONS = frozenset({Reason.CRASHES_ENDPOINTS, Reason.CLAIM_KEY_REUSED})
+# A retried request fails again for these reasons, so that its rejection has no
+# ``retry_after_ms``. The exception is a fingerprint that is blocked for a limited time.
+NO_RETRY_REASONS = frozenset({Reason.CRASHES_ENDPOINTS, Reason.CLAIM_KEY_REUSED})
 
 
-def refusal(state: EntryState, reason: Reason, step: str, peer: str = "") -> Refusal:
-    """Return a refusal of a request that no endpoint can have run."""
-    retry_after_ms = None if reason in FINAL_REASONS else state.config.retry_after_ms
-    return Refusal(Outcome.NOT_RUN, reason, step, peer, retry_after_ms)
+def make_rejection(
+    state: EntryState, reason: Reason, step: str, peer: str = ""
+) -> Rejection:
+    """Return the rejection of a request that no endpoint can have run."""
+    retry_after_ms = None if reason in NO_RETRY_REASONS else state.config.retry_after_ms
+    return Rejection(Outcome.NOT_RUN, reason, step, peer, retry_after_ms)
 
 
-def blocked_refusal(state: EntryState, fingerprint: str, now_ms: int) -> Refusal:
-    """Return the refusal of a request that is known to crash endpoints."""
-    pause_ms = _final_pause_ms(state, fingerprint, now_ms)
+def make_blocked_rejection(
+    state: EntryState, fingerprint: str, now_ms: int
+) -> Rejection:
+    """Return the rejection of a request whose fingerprint is blocked."""
+    retry_after_ms = _blocked_retry_after_ms(state, fingerprint, now_ms)
     reason = Reason.CRASHES_ENDPOINTS
-    return Refusal(Outcome.NOT_RUN, reason, "admission", "", pause_ms)
+    return Rejection(Outcome.NOT_RUN, reason, "admission", "", retry_after_ms)
 
 
-def _final_pause_ms(state: EntryState, fingerprint: str, now_ms: int) -> int | None:
-    """Return when a request may come back that cannot succeed now; None for never.
+def _blocked_retry_after_ms(
+    state: EntryState, fingerprint: str, now_ms: int
+) -> int | None:
+    """Return the time after which a blocked request may be retried, in ms.
 
-    Counted crashes may have had another cause, so that they block for a time. Where
-    agents have seen the crash, a repeat is pointless.
+    Crashes that the entry counts by itself may have another cause than the request, so
+    that they block its fingerprint for a limited time. Where agents report the crash,
+    the request is its cause and a retry cannot succeed; the result is then None.
     """
     if not state.config.n_crashes_to_block:
         return None
     return state.poison.blocked_ms(fingerprint, now_ms) or None
 
 
-def give_up(
+def reject_request(
     state: EntryState,
     request: Request,
     reason: Reason,
@@ -53,53 +62,65 @@
     peer: str = "",
     retry_after_ms: int | None = None,
 ) -> list[Effect]:
-    """End a request without an answer; its outcome follows from its attempts."""
+    """Reject a request; the outcome it reports follows from the request's attempts.
+
+    Attempts in flight are cancelled. With a granted claim they go on instead, so that
+    the claim's outcome can be recorded.
+    """
     may_have_run = request.may_have_run or bool(request.attempts)
     outcome = Outcome.UNKNOWN if may_have_run else Outcome.NOT_RUN
     if reason is Reason.CLAIM_IN_PROGRESS:
         outcome = Outcome.UNKNOWN
-    # A repeat of work whose outcome is unknown is safe when it is idempotent, or
-    # when its key keeps it from running again.
+    # A retry of a request with unknown outcome is safe when the request is idempotent
+    # or has an idempotency key, which keeps it from running a second time.
     spec = request.spec
-    is_safe = outcome is Outcome.NOT_RUN or spec.is_idempotent or spec.idempotency_key
-    if reason in FINAL_REASONS:
-        retry_after_ms = _final_pause_ms(state, spec.fingerprint, now_ms)
-    elif retry_after_ms is None and is_safe:
+    is_retry_safe = (
+        outcome is Outcome.NOT_RUN or spec.is_idempotent or spec.idempotency_key
+    )
+    if reason in NO_RETRY_REASONS:
+        retry_after_ms = _blocked_retry_after_ms(state, spec.fingerprint, now_ms)
+    elif retry_after_ms is None and is_retry_safe:
         retry_after_ms = state.config.retry_after_ms
-    answer = Refusal(outcome, reason, step, peer, retry_after_ms)
-    effects: list[Effect] = [Reject(spec.request_id, answer)]
+    rejection = Rejection(outcome, reason, step, peer, retry_after_ms)
+    effects: list[Effect] = [Reject(spec.request_id, rejection)]
     if request.claim is not None and request.attempts:
-        return effects + _detach(state, request, now_ms)
+        return effects + _detach_request(state, request, now_ms)
     effects += _abandon_claim(state, request, outcome, now_ms)
-    return effects + drop(state, request, now_ms)
+    return effects + discard_request(state, request, now_ms)
 
 
-def complete(
-    state: EntryState, request: Request, winner: Attempt, now_ms: int
+def complete_request(
+    state: EntryState, request: Request, finished_attempt: Attempt, now_ms: int
 ) -> list[Effect]:
-    """End a request with the whole answer of one attempt."""
+    """End a request with the complete answer of one attempt and cancel the others.
+
+    The completed run clears the suspicions and crashes of the request's fingerprint.
+    """
     effects: list[Effect] = []
     if request.phase is not Phase.DETACHED:
-        effects.append(Complete(request.spec.request_id, winner.attempt_id))
-    end_attempt(state, request, winner, now_ms)
-    observe_service(state, request, winner, now_ms)
+        effects.append(Complete(request.spec.request_id, finished_attempt.attempt_id))
+    end_attempt(state, request, finished_attempt, now_ms)
+    record_service_time(state, request, finished_attempt, now_ms)
     state.poison.clear(request.spec.fingerprint, now_ms)
     effects += _clear_crashes(state, request.spec.fingerprint, now_ms)
     if request.claim is not None:
         effects += state.claims.record(
-            request.claim, ClaimState.DONE, winner.attempt_id, now_ms
+            request.claim, ClaimState.DONE, finished_attempt.attempt_id, now_ms
         )
-    return effects + drop(state, request, now_ms)
+    return effects + discard_request(state, request, now_ms)
 
 
 def _clear_crashes(state: EntryState, fingerprint: str, now_ms: int) -> list[Effect]:
-    """Take crashes and a block back, because a run of the request was whole."""
+    """Clear the crashes and the block of a fingerprint after a completed run.
+
+    The new crash record is broadcast when there were crashes.
+    """
     if not state.config.n_crashes_to_block:
         return []
     if not state.crashes.clear(fingerprint, now_ms):
         return []
     effects: list[Effect] = [
-        TellCrashes((state.crashes.record(fingerprint, now_ms),)),
+        BroadcastCrashes((state.crashes.record(fingerprint, now_ms),)),
     ]
     if state.poison.unblock(fingerprint):
         fields = (("fingerprint", fingerprint),)
@@ -107,13 +128,13 @@
     return effects
 
 
-def drop(state: EntryState, request: Request, now_ms: int) -> list[Effect]:
-    """Forget a request and stop what still runs for it."""
+def discard_request(state: EntryState, request: Request, now_ms: int) -> list[Effect]:
+    """Discard the state of a request and cancel its attempts in flight."""
     effects: list[Effect] = []
     for attempt in list(request.attempts):
         effects += cancel(state, request, attempt, now_ms)
-    release(state, request)
-    state.check_at_ms = 0
+    release_endpoint(state, request)
+    state.next_placement_ms = 0
     state.isolate_at_ms.pop(request.spec.request_id, None)
     del state.request_by_id[request.spec.request_id]
     return effects
@@ -122,23 +143,30 @@
 def cancel(
     state: EntryState, request: Request, attempt: Attempt, now_ms: int
 ) -> list[Effect]:
-    """Stop an attempt whose answer is no longer wanted."""
+    """Cancel an attempt whose answer is no longer needed.
+
+    The request may have run from then on. If the attempt was isolated, its fingerprint
+    is held.
+    """
     end_attempt(state, request, attempt, now_ms)
     request.may_have_run = True
     if attempt.is_isolated:
-        # The cancel may come too late to keep the endpoint from dying.
-        hold(state, request, attempt, False, now_ms)
+        # The endpoint may crash before the cancellation reaches it.
+        hold_fingerprint(state, request, attempt, False, now_ms)
     return [CancelAttempt(attempt.attempt_id, attempt.endpoint_id)]
 
 
-def hold(
+def hold_fingerprint(
     state: EntryState,
     request: Request,
     attempt: Attempt,
     is_lost: bool,
     now_ms: int,
 ) -> None:
-    """Run no other copy until the end of an isolated run is understood."""
+    """Hold a fingerprint: start no run of it while a crash may still be confirmed.
+
+    ``is_lost`` states whether the connection was lost during the isolated run.
+    """
     state.poison.hold(
         request.spec.fingerprint,
         attempt.endpoint_id,
@@ -151,8 +179,12 @@
 def end_attempt(
     state: EntryState, request: Request, attempt: Attempt, now_ms: int
 ) -> None:
-    """Forget an attempt that ended; later messages about it are ignored."""
-    state.check_at_ms = 0
+    """Discard the state of an attempt that ended.
+
+    Its id is kept, up to ``MAX_ENDED_ATTEMPTS`` ids, so that later events about it can
+    be recognized and ignored.
+    """
+    state.next_placement_ms = 0
     request.attempts.remove(attempt)
     del state.attempt_by_id[attempt.attempt_id]
     state.ended_attempts[attempt.attempt_id] = attempt.endpoint_id
@@ -164,15 +196,18 @@
         _set_isolating(state, attempt.endpoint_id, False)
 
 
-def forget_endpoint(state: EntryState, endpoint_id: str, now_ms: int) -> None:
-    """Forget a lost endpoint and what was reserved there."""
-    state.check_at_ms = 0
+def discard_endpoint(state: EntryState, endpoint_id: str, now_ms: int) -> None:
+    """Discard the state of a lost endpoint and its reservations for isolated runs.
+
+    Queues that are empty and have no other endpoint are discarded as well.
+    """
+    state.next_placement_ms = 0
     state.endpoints.remove(endpoint_id, now_ms)
     for request_id in state.isolate_at_ms:
         request = state.request_by_id[request_id]
         if request.reserved_endpoint_id == endpoint_id:
             request.reserved_endpoint_id = ""
-            request.n_reserved_tries = 0
+            request.n_reserved_refusals = 0
     for pool, queue in list(state.queue_by_pool.items()):
         if not len(queue) and not state.endpoints.views_of(pool):
             del state.queue_by_pool[pool]
@@ -180,29 +215,35 @@
             state.waiting_pools.discard(pool)
 
 
-def reserve(state: EntryState, request: Request, endpoint_id: str) -> None:
-    """Keep an endpoint free of own new work for the next isolated try."""
+def reserve_endpoint(state: EntryState, request: Request, endpoint_id: str) -> None:
+    """Reserve an endpoint for a request's next isolated attempt.
+
+    This entry starts no other new work there; other entries are not affected.
+    """
     request.reserved_endpoint_id = endpoint_id
     _set_isolating(state, endpoint_id, True)
 
 
-def release(state: EntryState, request: Request) -> None:
-    """Give a reserved endpoint back."""
+def release_endpoint(state: EntryState, request: Request) -> None:
+    """Release the endpoint that is reserved for a request, if there is one."""
     if request.reserved_endpoint_id:
         _set_isolating(state, request.reserved_endpoint_id, False)
         request.reserved_endpoint_id = ""
-        request.n_reserved_tries = 0
+        request.n_reserved_refusals = 0
 
 
-def observe_service(
+def record_service_time(
     state: EntryState, request: Request, attempt: Attempt, now_ms: int
 ) -> None:
-    """Update the mean service time of the request's pool."""
+    """Update the smoothed service time of a request's pool, in ms.
+
+    The newest value has a weight of 0.1.
+    """
     pool = pool_of(request.spec)
     service_ms = max(1.0, float(now_ms - attempt.dispatched_at_ms))
     mean_ms = state.service_ms_by_pool.get(pool)
     if mean_ms is None:
-        # Pools without a queue have no prediction to feed.
+        # Only queues use the service time, for their predictions.
         if pool in state.queue_by_pool:
             state.service_ms_by_pool[pool] = service_ms
         return
@@ -210,13 +251,17 @@
 
 
 def _set_isolating(state: EntryState, endpoint_id: str, is_isolating: bool) -> None:
+    """Set whether an endpoint is kept free for an isolated run."""
     view = state.endpoints.view_by_id.get(endpoint_id)
     if view is not None:
         view.is_isolating = is_isolating
 
 
-def _detach(state: EntryState, request: Request, now_ms: int) -> list[Effect]:
-    """Let a claimed attempt go on, so that its outcome can be recorded."""
+def _detach_request(state: EntryState, request: Request, now_ms: int) -> list[Effect]:
+    """Continue a claimed attempt without its caller, to record the claim's outcome.
+
+    The request is discarded after ``detach_ms``.
+    """
     request.phase = Phase.DETACHED
     due_ms = now_ms + state.config.detach_ms
     return [SetTimer(f"detach:{request.spec.request_id}", due_ms)]
@@ -225,6 +270,7 @@
 def _abandon_claim(
     state: EntryState, request: Request, outcome: Outcome, now_ms: int
 ) -> list[Effect]:
+    """Abandon the claim of a request that did not run, so that its key is free."""
     write = request.claim
     if request.phase is Phase.CLAIMING:
         write = state.claims.withdraw(request.spec.request_id)
--- a/packages/core/src/bluebellusher_core/requests/_placing.py
+++ b/packages/core/src/bluebellusher_core/requests/_placing.py
@@ -5,19 +5,21 @@
 
 from bluebellusher_core.admission import AdmissionQueue
 from bluebellusher_core.effects import Dispatch, Effect, SetTimer
-from bluebellusher_core.errors import Reason, Refusal
+from bluebellusher_core.errors import Reason, Rejection
 from bluebellusher_core.membership import Pool, pool_of
 from bluebellusher_core.requests import _final, _isolation
 from bluebellusher_core.requests._model import Attempt, Phase, Request
 from bluebellusher_core.routing import EndpointView
 from bluebellusher_core.state import EntryState
 
-EXPIRY_CHECK_MS = 100
+# Longest interval between two checks of the queues, in ms. Requests that can no longer
+# be served in time are rejected only when the queue's ``expire`` is called.
+EXPIRY_CHECK_INTERVAL_MS = 100
 
 
 @runtime_checkable
 class WeightedQueue(Protocol):
-    """A queue that shares by customer."""
+    """A queue that divides its capacity among customers by weight."""
 
     def set_weights(self, weight_by_customer: dict[str, float]) -> None:
         """Replace the customers' weights."""
@@ -25,85 +27,105 @@
 
 @runtime_checkable
 class ClosableQueue(Protocol):
-    """A queue that refuses otherwise while no endpoint can run anything."""
+    """A queue with an admission rule of its own while every endpoint is closed."""
 
     def observe_closed(self, is_closed: bool) -> None:
-        """Tell whether every endpoint states that it can run nothing now."""
+        """Record whether every endpoint of the pool reports that it is closed."""
 
 
 @runtime_checkable
 class PausableQueue(Protocol):
-    """A queue that refuses otherwise while no endpoint wants anything."""
+    """A queue with an admission rule of its own while every endpoint is paused."""
 
     def observe_pause(self, pause_ms: int) -> None:
-        """Tell when the first endpoint takes work again; 0 when one does now."""
+        """Record the time until the first pause of the pool's endpoints ends.
+
+        ``pause_ms`` is in ms; it is 0 when at least one endpoint is not paused.
+        """
 
 
 def enqueue(state: EntryState, request: Request, now_ms: int) -> list[Effect]:
-    """Offer a request to the queue of its pool; suspects wait apart."""
+    """Offer a request to the queue of its pool.
+
+    A request with a blocked fingerprint is rejected, unless it is the trial run. A
+    request with a suspect fingerprint does not enter the queue but waits for an
+    isolated run.
+    """
     request.phase = Phase.WAITING
-    state.check_at_ms = 0
+    state.next_placement_ms = 0
     spec = request.spec
     if state.poison.is_blocked(spec.fingerprint, now_ms) and not request.is_trial:
         reason = Reason.CRASHES_ENDPOINTS
-        return _final.give_up(state, request, reason, "isolation", now_ms)
+        return _final.reject_request(state, request, reason, "isolation", now_ms)
     if state.poison.is_suspect(spec.fingerprint, now_ms):
         state.isolate_at_ms[spec.request_id] = now_ms
         return []
     return _offer(state, request, now_ms)
 
 
-def refuse_if_closed(
+def reject_if_closed(
     state: EntryState, request: Request, now_ms: int
 ) -> list[Effect] | None:
-    """Refuse a fresh request that has not run while every endpoint is closed.
+    """Offer a refused request to its queue if every endpoint of its pool is closed.
 
-    Nothing is known of when they open. The caller is given a pause after which it can
-    still be served. Returns None when the request is to be tried again.
+    The time at which closed endpoints open is unknown. The queue therefore rejects the
+    request with a ``retry_after_ms`` after which a retried request can still be served
+    in time. Returns None, and does nothing, when an endpoint is open, when the request
+    may have run, or when it is itself a retried request. The request is then handled
+    as after any other refusal.
     """
     pool = pool_of(request.spec)
     can_wait = request.may_have_run or request.spec.is_returning
     if can_wait or not state.endpoints.is_pool_closed(pool, now_ms):
         return None
-    if not isinstance(_queue_of(state, pool), ClosableQueue):
+    if not isinstance(_get_queue(state, pool), ClosableQueue):
         return None
     request.phase = Phase.WAITING
     return _offer(state, request, now_ms)
 
 
 def _offer(state: EntryState, request: Request, now_ms: int) -> list[Effect]:
+    """Update the queue of a request's pool and offer the request to it.
+
+    A request that the queue does not admit is rejected.
+    """
     pool = pool_of(request.spec)
-    queue = _queue_of(state, pool)
-    _tell_rate(state, pool, queue, now_ms)
-    _tell_closed(state, pool, queue, now_ms)
-    _tell_pause(state, pool, queue, now_ms)
-    refusal = queue.offer(request.spec, now_ms)
-    if refusal is None:
+    queue = _get_queue(state, pool)
+    _update_service_rate(state, pool, queue, now_ms)
+    _update_closed(state, pool, queue, now_ms)
+    _update_pause(state, pool, queue, now_ms)
+    rejection = queue.offer(request.spec, now_ms)
+    if rejection is None:
         state.waiting_pools.add(pool)
         return []
-    return _reject_waiting(state, request, refusal, now_ms)
+    return _reject_waiting(state, request, rejection, now_ms)
 
 
 def requeue(state: EntryState, request: Request, now_ms: int) -> list[Effect]:
-    """Let a request that was placed before go first; it is not predicted again."""
+    """Put a request that was dispatched before at the front of its pool's queue.
+
+    The queue does not predict again whether the request can be served in time. A
+    request with a suspect fingerprint waits for an isolated run instead.
+    """
     request.phase = Phase.WAITING
-    state.check_at_ms = 0
+    state.next_placement_ms = 0
     spec = request.spec
     if state.poison.is_suspect(spec.fingerprint, now_ms):
         state.isolate_at_ms[spec.request_id] = now_ms
         return []
     if request.n_bytes_relayed:
-        # The caller waits for the next part of a stream as long as for the first.
+        # A caller waits for the next bytes of a broken stream as long as for the
+        # first byte, so the request gets a new limit in the queue.
         start_by_ms = now_ms + state.config.resume_wait_ms
         spec = replace(spec, start_by_ms=start_by_ms)
     pool = pool_of(spec)
-    _queue_of(state, pool).requeue(spec, now_ms)
+    _get_queue(state, pool).requeue(spec, now_ms)
     state.waiting_pools.add(pool)
     return []
 
 
-def withdraw(state: EntryState, request: Request) -> None:
-    """Take a request out of its queue."""
+def remove_waiting(state: EntryState, request: Request) -> None:
+    """Remove a waiting request from the queue of its pool."""
     if request.phase is not Phase.WAITING:
         return
     queue = state.queue_by_pool.get(pool_of(request.spec))
@@ -112,17 +134,21 @@
 
 
 def set_weights(state: EntryState) -> None:
-    """Pass the customers' weights to every queue that uses them."""
+    """Update the customers' weights in every queue that uses them."""
     for queue in state.queue_by_pool.values():
         if isinstance(queue, WeightedQueue):
             queue.set_weights(state.weight_by_customer)
 
 
 def place_waiting(state: EntryState, now_ms: int) -> list[Effect]:
-    """Dispatch waiting requests while endpoints have room."""
+    """Dispatch waiting requests while endpoints have free capacity.
+
+    Also rejects waiting requests that expired or whose pool has no endpoint, and sets
+    the timer for the next check. Does nothing before ``state.next_placement_ms``.
+    """
     if not state.waiting_pools and not state.isolate_at_ms:
         return []
-    if now_ms < state.check_at_ms:
+    if now_ms < state.next_placement_ms:
         return []
     effects = _isolation.place_suspects(state, now_ms)
     n_suspects = len(state.isolate_at_ms)
@@ -132,8 +158,8 @@
             state.waiting_pools.discard(pool)
     if len(state.isolate_at_ms) > n_suspects:
         effects += _isolation.place_suspects(state, now_ms)
-    effects += _refuse_unserved(state, now_ms)
-    return effects + _set_wake(state, now_ms)
+    effects += _reject_unserved(state, now_ms)
+    return effects + _set_wake_timer(state, now_ms)
 
 
 def dispatch(
@@ -144,7 +170,11 @@
     is_isolated: bool = False,
     is_resumed: bool = False,
 ) -> list[Effect]:
-    """Start an attempt on an endpoint."""
+    """Create an attempt of a request and dispatch it to an endpoint.
+
+    Idempotent work is scheduled for a hedge, unless the attempt is isolated or resumes
+    a stream.
+    """
     state.n_attempts_made += 1
     config = state.config
     attempt_id = f"{config.entry_id}.{config.incarnation}.{state.n_attempts_made}"
@@ -181,46 +211,59 @@
     return effects
 
 
-def choose(
+def choose_endpoint(
     state: EntryState, request: Request, views: list[EndpointView], now_ms: int
 ) -> str | None:
-    """Choose an endpoint, one that has not failed the request where possible."""
-    if request.avoided:
-        fresh = [v for v in views if v.info.endpoint_id not in request.avoided]
-        views = fresh or views
+    """Choose an endpoint for a request by the routing policy.
+
+    Endpoints that refused or broke an attempt of this request are chosen only when no
+    other one is among ``views``. Returns None when the policy chooses none.
+    """
+    if request.avoided_endpoint_ids:
+        untried = [
+            v for v in views if v.info.endpoint_id not in request.avoided_endpoint_ids
+        ]
+        views = untried or views
     return state.policy.choose(request.spec, views, now_ms, state.random_state)
 
 
 def _place_pool(state: EntryState, pool: Pool, now_ms: int) -> list[Effect]:
+    """Reject the expired requests of a pool and dispatch as many others as fit.
+
+    Requests whose fingerprint became a suspect leave the queue for an isolated run.
+    """
     queue = state.queue_by_pool[pool]
     effects: list[Effect] = []
-    _tell_closed(state, pool, queue, now_ms)
-    _tell_pause(state, pool, queue, now_ms)
-    for spec, refusal in queue.expire(now_ms):
+    _update_closed(state, pool, queue, now_ms)
+    _update_pause(state, pool, queue, now_ms)
+    for spec, rejection in queue.expire(now_ms):
         request = state.request_by_id[spec.request_id]
-        effects += _reject_waiting(state, request, refusal, now_ms)
+        effects += _reject_waiting(state, request, rejection, now_ms)
     while len(queue):
         views = state.endpoints.views_with_capacity(pool, now_ms)
-        taken = queue.dequeue(now_ms) if views else None
-        if taken is None:
+        next_spec = queue.dequeue(now_ms) if views else None
+        if next_spec is None:
             break
-        request = state.request_by_id[taken.request_id]
-        if taken.deadline_ms <= now_ms:
+        request = state.request_by_id[next_spec.request_id]
+        if next_spec.deadline_ms <= now_ms:
             reason = Reason.DEADLINE_EXCEEDED
-            effects += _final.give_up(state, request, reason, "admission", now_ms)
+            effects += _final.reject_request(
+                state, request, reason, "admission", now_ms
+            )
             continue
-        if state.poison.is_suspect(taken.fingerprint, now_ms):
-            state.isolate_at_ms[taken.request_id] = now_ms
+        if state.poison.is_suspect(next_spec.fingerprint, now_ms):
+            state.isolate_at_ms[next_spec.request_id] = now_ms
             continue
-        endpoint_id = choose(state, request, views, now_ms)
+        endpoint_id = choose_endpoint(state, request, views, now_ms)
         if endpoint_id is None:
-            queue.requeue(taken, now_ms)
+            queue.requeue(next_spec, now_ms)
             break
         effects += dispatch(state, request, endpoint_id, now_ms)
     return effects
 
 
-def _queue_of(state: EntryState, pool: Pool) -> AdmissionQueue:
+def _get_queue(state: EntryState, pool: Pool) -> AdmissionQueue:
+    """Return the queue of a pool; create it on the first call."""
     queue = state.queue_by_pool.get(pool)
     if queue is None:
         queue = state.queue_by_pool[pool] = state.make_queue()
@@ -229,28 +272,32 @@
     return queue
 
 
-def _tell_closed(
+def _update_closed(
     state: EntryState, pool: Pool, queue: AdmissionQueue, now_ms: int
 ) -> None:
+    """Update a queue's record of whether every endpoint of its pool is closed."""
     if isinstance(queue, ClosableQueue):
         queue.observe_closed(state.endpoints.is_pool_closed(pool, now_ms))
 
 
-def _tell_pause(
+def _update_pause(
     state: EntryState, pool: Pool, queue: AdmissionQueue, now_ms: int
 ) -> None:
+    """Update a queue's record of the time until an endpoint ends its pause."""
     if isinstance(queue, PausableQueue):
         queue.observe_pause(state.endpoints.pause_remaining_ms(pool, now_ms))
 
 
-def _tell_rate(
+def _update_service_rate(
     state: EntryState, pool: Pool, queue: AdmissionQueue, now_ms: int
 ) -> None:
-    """Tell a queue that is not empty how fast it is served.
+    """Update a non-empty queue's slots and mean service time, from which it predicts.
 
-    An endpoint without room counts with the attempts of this entry only, because the
-    other entries use the rest of it. Endpoints that are closed run nothing now; this
-    entry gets its part of them when they open.
+    An endpoint with free capacity counts with all its slots. An endpoint without free
+    capacity counts only with the attempts of this entry, because the other entries
+    use its remaining slots. While every endpoint is closed, none runs anything, and the
+    queue counts this entry's equal share of all slots, which it can use once the
+    endpoints open.
     """
     service_ms = state.service_ms_by_pool.get(pool)
     if service_ms is None or not len(queue):
@@ -261,27 +308,32 @@
         queue.observe_service(max(1, n_slots), service_ms)
         return
     n_slots = sum(view.n_own_in_flight for view in views)
-    free = state.endpoints.views_with_capacity(pool, now_ms)
-    n_slots += sum(view.info.n_slots - view.n_own_in_flight for view in free)
+    free_views = state.endpoints.views_with_capacity(pool, now_ms)
+    n_slots += sum(view.info.n_slots - view.n_own_in_flight for view in free_views)
     queue.observe_service(max(1, n_slots), service_ms)
 
 
 def _reject_waiting(
-    state: EntryState, request: Request, refusal: Refusal, now_ms: int
+    state: EntryState, request: Request, rejection: Rejection, now_ms: int
 ) -> list[Effect]:
-    return _final.give_up(
+    """Reject a waiting request with the reason that its queue returned."""
+    return _final.reject_request(
         state,
         request,
-        refusal.reason,
-        refusal.step,
+        rejection.reason,
+        rejection.step,
         now_ms,
-        refusal.peer,
-        refusal.retry_after_ms,
+        rejection.peer,
+        rejection.retry_after_ms,
     )
 
 
-def _refuse_unserved(state: EntryState, now_ms: int) -> list[Effect]:
-    """Refuse the requests of pools that had no endpoint for the grace period."""
+def _reject_unserved(state: EntryState, now_ms: int) -> list[Effect]:
+    """Reject the requests of pools that had no endpoint for the grace period.
+
+    Other pools without an endpoint keep waiting. The time since which a pool has had no
+    endpoint is discarded once an endpoint serves it or no request waits for it.
+    """
     waiting = set(state.waiting_pools)
     for request_id in state.isolate_at_ms:
         waiting.add(pool_of(state.request_by_id[request_id].spec))
@@ -292,40 +344,46 @@
             continue
         since_ms = state.unserved_since_ms.setdefault(pool, now_ms)
         if now_ms - since_ms >= state.config.no_endpoint_grace_ms:
-            effects += _refuse_pool(state, pool, now_ms)
+            effects += _reject_pool(state, pool, now_ms)
     for pool in [p for p in state.unserved_since_ms if p not in waiting]:
         del state.unserved_since_ms[pool]
     return effects
 
 
-def _refuse_pool(state: EntryState, pool: Pool, now_ms: int) -> list[Effect]:
+def _reject_pool(state: EntryState, pool: Pool, now_ms: int) -> list[Effect]:
+    """Reject every waiting request of a pool and discard the pool's state."""
     state.queue_by_pool.pop(pool, None)
     state.waiting_pools.discard(pool)
     state.service_ms_by_pool.pop(pool, None)
     del state.unserved_since_ms[pool]
     waiting = [r for r in state.request_by_id.values() if r.phase is Phase.WAITING]
-    refused = [r for r in waiting if pool_of(r.spec) == pool]
+    rejected = [r for r in waiting if pool_of(r.spec) == pool]
     effects: list[Effect] = []
-    for request in refused:
+    for request in rejected:
         reason = Reason.NO_ENDPOINT
-        effects += _final.give_up(state, request, reason, "routing", now_ms)
+        effects += _final.reject_request(state, request, reason, "routing", now_ms)
     return effects
 
 
-def _set_wake(state: EntryState, now_ms: int) -> list[Effect]:
-    """Set a timer for the next moment at which a waiting request may move."""
+def _set_wake_timer(state: EntryState, now_ms: int) -> list[Effect]:
+    """Set a timer for the next time at which a waiting request may be placed.
+
+    No timer is set when nothing waits or when an earlier timer is already pending.
+    """
     if not state.waiting_pools and not state.isolate_at_ms:
         return []
-    due: list[int] = _isolation.next_due_ms(state, now_ms)
+    due_times_ms: list[int] = _isolation.list_due_times_ms(state, now_ms)
     grace_ms = state.config.no_endpoint_grace_ms
-    due += [since_ms + grace_ms for since_ms in state.unserved_since_ms.values()]
-    # A queue refuses what can no longer be served only when it is asked.
-    due.append(now_ms + EXPIRY_CHECK_MS)
+    due_times_ms += [
+        since_ms + grace_ms for since_ms in state.unserved_since_ms.values()
+    ]
+    # Requests that can no longer be served are rejected only when ``expire`` is called.
+    due_times_ms.append(now_ms + EXPIRY_CHECK_INTERVAL_MS)
     undeferred_ms = state.endpoints.next_available_at_ms(now_ms)
     if undeferred_ms is not None:
-        due.append(undeferred_ms)
-    due_ms = min(due)
-    state.check_at_ms = due_ms
+        due_times_ms.append(undeferred_ms)
+    due_ms = min(due_times_ms)
+    state.next_placement_ms = due_ms
     if state.wake_at_ms > now_ms and state.wake_at_ms <= due_ms:
         return []
     state.wake_at_ms = due_ms
--- a/packages/core/src/bluebellusher_core/supervision/tests/test_supervise.py
+++ b/packages/core/src/bluebellusher_core/supervision/tests/test_supervise.py
@@ -1,4 +1,4 @@
-"""Parts that end by an error."""
+"""Tests of tasks that fail and of tasks that are cancelled."""
 
 import asyncio
 
@@ -8,13 +8,13 @@
 
 
 @pytest.fixture(autouse=True)
-def no_pause(monkeypatch):
-    """Restart at once, so that no test waits."""
-    monkeypatch.setattr(_supervise, "RESTART_PAUSE_MS", 0)
+def restart_without_delay(monkeypatch):
+    """Restart failed tasks at once, so that no test waits."""
+    monkeypatch.setattr(_supervise, "RESTART_DELAY_MS", 0)
 
 
-def test_part_is_started_again_after_an_error():
-    """Guards against a process that goes on with a part that is dead."""
+def test_failed_task_is_restarted():
+    """Guards against a process that goes on running after one of its tasks failed."""
     errors, n_runs = [], 0
 
     async def run():
@@ -28,8 +28,8 @@
     assert n_runs == 3
 
 
-def test_cancelled_part_stays_ended():
-    """Guards against a process that cannot stop its parts."""
+def test_cancelled_task_is_not_restarted():
+    """Guards against a process that cannot stop because its tasks are restarted."""
 
     async def main():
         task = asyncio.create_task(supervise(asyncio.Event().wait, pytest.fail))
--- a/packages/entry/src/bluebellusher/shared/_crashes.py
+++ b/packages/entry/src/bluebellusher/shared/_crashes.py
@@ -14,8 +14,8 @@
 from bluebellusher.shared._watcher import LogSink
 from bluebellusher_core.clock import Clock
 from bluebellusher_core.directory import MirrorRow, TableMirror
-from bluebellusher_core.events import CrashesLearned
-from bluebellusher_core.poison import COUNT_MS, Crash, CrashRecord
+from bluebellusher_core.events import CrashesReceived
+from bluebellusher_core.poison import CRASH_MAX_AGE_MS, Crash, CrashRecord
 
 CRASH_TABLE = "crashes"
 CRASH_KEY = "recent"
@@ -59,7 +59,7 @@
     find_records : callable
         Returns what this entry knows.
     post : callable
-        Receives ``CrashesLearned``.
+        Receives ``CrashesReceived``.
     clock : Clock
         Turns ages into Unix time; only differences within minutes matter.
     random_state : random.Random
@@ -73,7 +73,7 @@
         store: RowStore,
         mirror: TableMirror,
         find_records: Callable[[], tuple[CrashRecord, ...]],
-        post: Callable[[CrashesLearned], None],
+        post: Callable[[CrashesReceived], None],
         clock: Clock,
         random_state: Random,
         log: LogSink,
@@ -97,7 +97,7 @@
                     _to_record(fingerprint, crashes, self._clock.wall_ms())
                     for fingerprint, crashes in table.crashes_by_fingerprint.items()
                 )
-                self._post(CrashesLearned("store", records))
+                self._post(CrashesReceived("store", records))
 
     def note_own(self) -> None:
         """Write soon, because this entry saw something."""
@@ -180,7 +180,7 @@
     the table as it is.
     """
     united = {
-        fingerprint: _without_old(crashes, wall_ms - COUNT_MS)
+        fingerprint: _without_old(crashes, wall_ms - CRASH_MAX_AGE_MS)
         for fingerprint, crashes in stored.crashes_by_fingerprint.items()
     }
     for record in records:
@@ -206,8 +206,10 @@
         )
         crash_by_start_id.setdefault(crash.start_id, stored)
     crashes = sorted(crash_by_start_id.values(), key=lambda crash: crash.broken_at)
-    sound_age_ms = COUNT_MS if record.sound_age_ms is None else record.sound_age_ms
-    return _without_old(tuple(crashes), wall_ms - min(sound_age_ms, COUNT_MS))
+    sound_age_ms = (
+        CRASH_MAX_AGE_MS if record.sound_age_ms is None else record.sound_age_ms
+    )
+    return _without_old(tuple(crashes), wall_ms - min(sound_age_ms, CRASH_MAX_AGE_MS))
 
 
 def _without_old(
