Reword the comments of entry/observability

Doc comments of the log, the metrics and the traces say what is dropped, limited or recorded, with units. Test stories name the failure they guard against. Behaviour does not change.

--- a/packages/entry/src/bluebellusher/observability/_exporter.py
+++ b/packages/entry/src/bluebellusher/observability/_exporter.py
@@ -9,13 +9,13 @@
 
 
 class LogSpanExporter(SpanExporter):
-    """Write each span as one log line at debug level."""
+    """OpenTelemetry exporter that writes each span as one log line at debug level."""
 
     def __init__(self, log: KeyValueLog) -> None:
         self._log = log
 
     def export(self, spans: Sequence[ReadableSpan]) -> SpanExportResult:
-        """Write the spans."""
+        """Write one ``span`` event per span; attribute names get the prefix ``a_``."""
         for span in spans:
             context = span.get_span_context()
             duration_ns = (span.end_time or 0) - (span.start_time or 0)
--- a/packages/entry/src/bluebellusher/observability/_log.py
+++ b/packages/entry/src/bluebellusher/observability/_log.py
@@ -1,4 +1,4 @@
-"""Log events as one line of key=value pairs each."""
+"""Event log with one line of key=value pairs per event."""
 
 import os
 import re
@@ -14,23 +14,29 @@
 _KEY = re.compile(r"[^A-Za-z0-9_]")
 _RANK_BY_LEVEL = {"debug": 0, "info": 1, "error": 2}
 _MAX_VALUE_CHARS = 512
-# A pipe that is ready for writing takes this much at once.
+# Longest line in characters. A pipe that poll() reports as writable accepts 4096
+# bytes (PIPE_BUF) without blocking; the difference leaves space for the field
+# ``n_lines_dropped``.
 _MAX_LINE_CHARS = 4_000
-# Several times the requests that an entry serves in a second.
+# Several times the number of requests that an entry serves per second, so that only
+# abnormal bursts are cut.
 MAX_LINES_PER_EVENT_AND_SECOND = 500
 _ACTION_TYPE = "log"
-# Fields that eliot adds for its task tree; one line per event needs none of them.
+# Fields of eliot's own: its task tree, which one line per event does not need, and
+# the name and time of the event, which are written as ``event`` and ``ts``.
 _TASK_FIELDS = frozenset(("task_uuid", "task_level", "message_type", "timestamp"))
 
 
-# Names of fields are few and come from the code.
+# The cache cannot grow without bound: all field names are constants of the code.
 @cache
 def _clean_key(key: str) -> str:
+    """Return a field name with characters but letters, digits and _ replaced by _."""
     return _KEY.sub("_", key)
 
 
 def _escape(value: object) -> str:
-    # Most values are whole numbers or ids.
+    """Return a value as text, quoted and escaped if it has special characters."""
+    # Fast path: most values are integers, which never need quotes.
     if type(value) is int:
         return str(value)
     text = f"{value:.6g}" if isinstance(value, float) else str(value)
@@ -41,10 +47,10 @@
 
 
 def format_line(message: dict[str, Any]) -> str:
-    r"""Return an eliot message as one line.
+    r"""Return an eliot message as one line of key=value pairs.
 
-    Values are escaped, so that no caller's input can forge a second line or a
-    further field.
+    Field names and values are escaped, so that input from a caller cannot forge
+    another line or another field.
 
     Examples
     --------
@@ -60,17 +66,18 @@
 
 
 class LineWriter(Protocol):
-    """Where log lines go."""
+    """Destination of log lines, such as a text stream."""
 
     def write(self, text: str) -> object:
-        """Write one line with its line feed."""
+        """Write one line, which ends with a line feed."""
 
 
 class DescriptorWriter:
-    """Write lines to a descriptor without ever waiting for its reader.
+    """Writer of lines to a file descriptor that never blocks.
 
-    A log reader that stops reading would otherwise stop the entry. Lines that
-    cannot be written are counted, and the next line tells how many were lost.
+    With blocking writes, a log collector that stops reading would stop the entry.
+    Lines that cannot be written are dropped and counted; the next line that is
+    written has their number in the field ``n_lines_dropped``.
     """
 
     def __init__(self, descriptor: int) -> None:
@@ -81,7 +88,7 @@
         self.n_dropped_total = 0
 
     def write(self, text: str) -> None:
-        """Write one line, or drop it when the reader does not keep up."""
+        """Write one line, or drop it if the descriptor is not writable."""
         if not self._poll.poll(0):
             self._drop()
             return
@@ -100,12 +107,14 @@
 
 
 class LineLimiter:
-    """Bound the lines of each event, so that a burst of one cannot hide the others.
+    """Rate limit for log lines, applied to each event name separately.
+
+    A burst of one event therefore cannot crowd out the lines of other events.
 
     Parameters
     ----------
     n_per_second : int
-        Lines of one event that may be written in one second.
+        Maximum number of lines of one event per second.
     """
 
     def __init__(self, n_per_second: int = MAX_LINES_PER_EVENT_AND_SECOND) -> None:
@@ -114,10 +123,11 @@
         self._n_by_event: Counter[str] = Counter()
 
     def admit(self, event: str, timestamp_s: float) -> tuple[bool, Counter[str]]:
-        """Return whether a line may be written, and what was left out before it.
+        """Count one line; return whether to write it, and the lines left out before.
 
-        The counts of left out lines are those of the last second, by event; they are
-        returned once, with the first line of a new second.
+        The second value has the number of lines that were left out, by event. It is
+        not empty only for the first line of a new second, and covers the previous
+        second in which lines were logged.
         """
         left_out: Counter[str] = Counter()
         if int(timestamp_s) != self._second:
@@ -131,22 +141,22 @@
 
 
 class KeyValueLog:
-    """Write eliot events as lines.
+    """Log of events, each written as one line of key=value pairs.
 
     Parameters
     ----------
     level : str
-        ``debug``, ``info`` or ``error``; lower events are dropped.
+        Lowest level that is logged: ``debug``, ``info`` or ``error``.
     writer : LineWriter
-        Where lines go.
+        Destination of the lines.
     """
 
     def __init__(self, level: str, writer: LineWriter) -> None:
         self._rank = _RANK_BY_LEVEL[level]
         self._writer = writer
         self._limiter = LineLimiter()
-        # Messages outside an action get a task id of their own, which costs a system
-        # call each.
+        # Log all events within one action: eliot creates a task id, with a system
+        # call, for each message outside an action.
         self._action = eliot.start_task(action_type=_ACTION_TYPE)
         self.is_debug = level == "debug"
 
@@ -161,7 +171,11 @@
         return log
 
     def write_message(self, message: dict[str, Any]) -> None:
-        """Write one eliot message."""
+        """Write one eliot message as a line, unless its event exceeds the rate limit.
+
+        The first line of a new second is preceded by one ``log-limited`` line for each
+        event that exceeded the limit.
+        """
         if message.get("action_type") == _ACTION_TYPE:
             return
         timestamp_s = message.get("timestamp", 0.0)
@@ -178,14 +192,14 @@
 
     @property
     def n_dropped(self) -> int:
-        """Return how many lines the reader was too slow for."""
+        """Return the number of lines dropped because the log was not writable."""
         return getattr(self._writer, "n_dropped_total", 0)
 
     def close(self) -> None:
-        """Receive no further events."""
+        """Unregister this log from eliot; later events are not written."""
         eliot.remove_destination(self.write_message)
 
     def event(self, name: str, level: str = "info", **fields: object) -> None:
-        """Log one event."""
+        """Log one event with its fields, if its level is high enough."""
         if _RANK_BY_LEVEL[level] >= self._rank:
             self._action.log(name, **fields)
--- a/packages/entry/src/bluebellusher/observability/_metrics.py
+++ b/packages/entry/src/bluebellusher/observability/_metrics.py
@@ -1,4 +1,4 @@
-"""Counters and latency quantiles as Prometheus text."""
+"""Counters and latency histograms, exported in Prometheus text format."""
 
 from collections import Counter
 from collections.abc import Mapping
@@ -11,17 +11,18 @@
 
 
 class Metrics:
-    """Figures of one entry; durations are in milliseconds.
+    """Counters and latency histograms of one entry.
 
-    The histograms are ``time_to_first_token_ms``, ``time_between_chunks_ms`` and
-    ``time_total_ms``.
+    The histograms record durations in milliseconds: ``time_to_first_token_ms``,
+    ``time_between_chunks_ms`` and ``time_total_ms``.
     """
 
     def __init__(self) -> None:
         self.first_token = HdrHistogram(1, _MAX_MS, _N_DIGITS)
         self.total = HdrHistogram(1, _MAX_MS, _N_DIGITS)
-        # Recording in a histogram costs about a sixth of the relay of a chunk. The
-        # gaps are counted by value first and recorded when they are read.
+        # Recording a value in a histogram takes about a sixth of the time to relay a
+        # chunk. The gaps between chunks are therefore counted by value here, and
+        # recorded in the histogram only when metrics are read.
         self.n_chunks_by_gap_ms: Counter[int] = Counter()
         self._between_chunks = HdrHistogram(1, _MAX_MS, _N_DIGITS)
         self._n_by_label: Counter[tuple[str, str, str]] = Counter()
@@ -31,7 +32,7 @@
         self._n_by_label[name, label, value] += n
 
     def quantiles(self) -> dict[str, dict[str, float]]:
-        """Return the quantiles of each histogram by name."""
+        """Return the quantiles in ms of each histogram with values, by its name."""
         return {
             name: {f"p{q}": histogram.get_value_at_percentile(q) for q in _QUANTILES}
             for name, histogram in self._histograms().items()
@@ -39,7 +40,13 @@
         }
 
     def to_prometheus(self, gauges: Mapping[str, float]) -> str:
-        """Return every figure in Prometheus text format."""
+        """Return gauges, counters and histograms in Prometheus text format.
+
+        Parameters
+        ----------
+        gauges : mapping of str to float
+            Current values of the gauges by metric name.
+        """
         lines: list[str] = []
         for name, level in sorted(gauges.items()):
             lines += [f"# TYPE {name} gauge", f"{name} {level:g}"]
@@ -55,6 +62,7 @@
         return "\n".join(lines) + "\n"
 
     def _histograms(self) -> dict[str, HdrHistogram]:
+        """Return the histograms by name, with all counted chunk gaps recorded."""
         for gap_ms, n_chunks in self.n_chunks_by_gap_ms.items():
             self._between_chunks.record_value(max(1, min(gap_ms, _MAX_MS)), n_chunks)
         self.n_chunks_by_gap_ms.clear()
@@ -66,6 +74,7 @@
 
 
 def _summary_lines(name: str, histogram: HdrHistogram) -> list[str]:
+    """Format a histogram as a Prometheus summary: quantiles, sum and count."""
     n_values = histogram.get_total_count()
     lines = [f"# TYPE {name} summary"]
     for quantile in _QUANTILES:
--- a/packages/entry/src/bluebellusher/observability/_trace.py
+++ b/packages/entry/src/bluebellusher/observability/_trace.py
@@ -1,4 +1,4 @@
-"""W3C trace context, with one span per hop."""
+"""Distributed tracing with W3C trace context, one span per hop of a request."""
 
 import re
 import secrets
@@ -12,9 +12,10 @@
 
 
 def parse_traceparent(value: str) -> tuple[str, str, str] | None:
-    """Return trace id, parent span id and flags, or ``None`` when malformed.
+    """Return trace id, parent span id and flags of a ``traceparent`` header.
 
-    Source: W3C Trace Context, section 3.2; ids of only zeros are invalid.
+    Returns ``None`` for a malformed header, and for ids of only zeros, which W3C Trace
+    Context (section 3.2) declares invalid.
     """
     match = _TRACEPARENT.match(value.strip())
     if match is None:
@@ -26,7 +27,13 @@
 
 @dataclass(slots=True)
 class Span:
-    """One hop of a request."""
+    """Span of one hop of a request.
+
+    Parameters
+    ----------
+    trace_id, span_id, flags : str
+        Fields of the ``traceparent`` header, in hexadecimal.
+    """
 
     trace_id: str
     span_id: str
@@ -35,11 +42,11 @@
 
     @property
     def traceparent(self) -> str:
-        """Return the header for the next hop."""
+        """Value of the ``traceparent`` header that is sent to the next hop."""
         return f"00-{self.trace_id}-{self.span_id}-{self.flags}"
 
     def end(self, **attributes: str | int) -> None:
-        """End the span; later calls do nothing."""
+        """End the span with these attributes; later calls have no effect."""
         if self._inner is not None:
             self._inner.set_attributes(attributes)
             self._inner.end()
@@ -47,17 +54,20 @@
 
 
 class Tracer:
-    """Open spans, and write them to the log when it is at debug level.
+    """Factory of spans, which are written to the log if it is at debug level.
 
-    The OpenTelemetry SDK is loaded only at debug level: at other levels no span is
-    recorded, and its ids are made without the 5 MB that the SDK takes.
+    The OpenTelemetry SDK, which takes 5 MB of memory, is loaded only at debug level. At
+    other levels spans are not recorded, and the tracer only generates their ids.
     """
 
     def __init__(self, log: "KeyValueLog") -> None:
         self._recorder = _make_recorder(log) if log.is_debug else None
 
     def start(self, name: str, traceparent: str = "") -> Span:
-        """Open a span under the hop that sent ``traceparent``."""
+        """Start a span whose parent is given by a ``traceparent`` header.
+
+        Without a valid header the span starts a new trace.
+        """
         parent = parse_traceparent(traceparent)
         if self._recorder is not None:
             return _start_recorded(self._recorder, name, parent)
@@ -67,6 +77,7 @@
 
 
 def _make_recorder(log: "KeyValueLog") -> Any:
+    """Return an OpenTelemetry tracer that writes ended spans to the log."""
     from opentelemetry.sdk.trace import TracerProvider
     from opentelemetry.sdk.trace.export import SimpleSpanProcessor
 
@@ -80,6 +91,7 @@
 def _start_recorded(
     recorder: Any, name: str, parent: tuple[str, str, str] | None
 ) -> Span:
+    """Start a span that the OpenTelemetry SDK records."""
     from opentelemetry import trace
 
     context = None
--- a/packages/entry/src/bluebellusher/observability/tests/test_limiter.py
+++ b/packages/entry/src/bluebellusher/observability/tests/test_limiter.py
@@ -1,11 +1,11 @@
-"""The bound on log lines."""
+"""Tests of the rate limit for log lines."""
 
 from bluebellusher.observability import KeyValueLog
 from bluebellusher.observability._log import LineLimiter
 
 
 def test_burst_of_one_event_is_cut_and_counted():
-    """Guards against a burst that fills the log and hides what matters."""
+    """Guards against a burst of one event that crowds out the other events."""
     limiter = LineLimiter(n_per_second=3)
     admitted = [limiter.admit("busy", 10.0 + i / 100)[0] for i in range(8)]
     assert admitted == [True] * 3 + [False] * 5
@@ -16,7 +16,7 @@
 
 
 def test_left_out_lines_are_told_in_the_log():
-    """Guards against readers who take a cut log for a whole one."""
+    """Guards against a log that omits lines and does not count them."""
     lines = []
 
     class Writer:
--- a/packages/entry/src/bluebellusher/observability/tests/test_observability.py
+++ b/packages/entry/src/bluebellusher/observability/tests/test_observability.py
@@ -1,4 +1,4 @@
-"""Guards against forged log lines, broken metrics text and lost trace ids."""
+"""Tests of log lines, the Prometheus text format and trace ids."""
 
 import io
 import os
@@ -23,7 +23,7 @@
 @given(st.text(), st.text())
 @example("0\n", "0\n")
 def test_property_a_value_cannot_forge_a_line_or_a_field(name, value):
-    """Guards against caller input that looks like another log event."""
+    """Guards against input from a caller that forges a log line or a field."""
     line = format_line({"message_type": name, "peer": value, "timestamp": 1.0})
     assert line.isascii()
     assert len(line.splitlines()) == 1
@@ -32,7 +32,7 @@
 
 
 def test_a_span_is_logged_with_its_parent_at_debug_level():
-    """Guards against a trace that breaks at the entry."""
+    """Guards against a span that loses its trace, or that is logged twice."""
     stream = io.StringIO()
     log = KeyValueLog.from_config("debug", stream)
     try:
@@ -48,14 +48,20 @@
 
 
 def test_without_debug_the_trace_id_still_passes_through():
-    """Guards against a lost trace when spans are not recorded."""
+    """Guards against a lost trace id when spans are not recorded.
+
+    Also checks that a trace id of only zeros is rejected.
+    """
     log = KeyValueLog("info", io.StringIO())
     assert Tracer(log).start("request", TRACEPARENT).trace_id == "a" * 32
     assert parse_traceparent("00-" + "0" * 32 + "-" + "b" * 16 + "-01") is None
 
 
 def test_a_reader_that_stops_does_not_stop_the_log():
-    """Guards against an entry that waits for the reader of its log."""
+    """Guards against an entry that blocks because its log is not read.
+
+    The pipe fills up, and later has no reader at all. Neither may block or raise.
+    """
     reader, descriptor = os.pipe()
     writer = DescriptorWriter(descriptor)
     for _ in range(100):
@@ -69,7 +75,7 @@
 
 
 def test_metrics_text_has_counters_and_quantiles():
-    """Guards against a /metrics page that Prometheus cannot read."""
+    """Guards against a /metrics page that Prometheus cannot parse."""
     metrics = Metrics()
     metrics.count("requests_total", "outcome", 'a"b\n')
     metrics.first_token.record_value(20)
