--- a/packages/entry/src/bluebellusher/cli/_commands.py
+++ b/packages/entry/src/bluebellusher/cli/_commands.py
@@ -24,24 +24,25 @@
 
 
 class ServeCommand(Command):
-    """Run an entry until SIGTERM."""
+    """Command that runs an entry until SIGTERM or SIGINT."""
 
     name = "serve"
-    description = "Run an entry: take requests from callers and route them."
+    description = "Run an entry, which takes requests from callers and routes them."
     help = (
-        "Reads the settings file, connects to the agents and peers that it names and\n"
-        "serves callers over HTTP until SIGTERM or SIGINT. Then it reports unready,\n"
-        "accepts no new connection, finishes every request in progress and exits.\n\n"
+        "Reads the settings file, connects to the agents and peers listed there and\n"
+        "serves callers over HTTP until SIGTERM or SIGINT. Then it reports that it is\n"
+        "not ready, accepts no new connections, finishes all requests in progress and\n"
+        "exits.\n\n"
         "  bluebellusher serve --config entry.json5\n\n"
         "Log lines go to standard output, one event per line as key=value pairs.\n"
-        "Exit codes: 0 stopped as told, 1 could not listen, 2 bad settings."
+        "Exit codes: 0 stopped by a signal, 1 could not listen, 2 invalid settings."
     )
     options: ClassVar[list[Option]] = [
         option("config", "c", "Settings file, JSON with comments.", flag=False)
     ]
 
     def handle(self) -> int:
-        """Run the entry."""
+        """Read the settings and run the entry; return the exit code."""
         path = self.option("config")
         if not path:
             self.line_error("serve: --config: found nothing: expected a file name")
@@ -62,16 +63,16 @@
 
 
 class ConfigCheckCommand(Command):
-    """Check a settings file."""
+    """Command that checks a settings file."""
 
     name = "config check"
     description = "Check a settings file and report every problem at once."
     help = (
-        "Each problem is one line: file, path of the value or line, what was found\n"
-        "and what is expected. Secrets are never shown. With --gateway the file is\n"
-        "that of an entry on a platform with shared tables.\n\n"
+        "Prints one line for each problem: the file, the path or line of the value,\n"
+        "the value found and the value expected. Secrets are never printed. With\n"
+        "--gateway, checks settings of an entry on a platform with shared tables.\n\n"
         "  bluebellusher config check entry.json5\n\n"
-        "Exit codes: 0 the file can be used, 2 it cannot."
+        "Exit codes: 0 valid settings, 2 invalid settings or unreadable file."
     )
     arguments: ClassVar[list[Argument]] = [argument("file", "Settings file to check.")]
     options: ClassVar[list[Option]] = [
@@ -79,7 +80,7 @@
     ]
 
     def handle(self) -> int:
-        """Check the file."""
+        """Check the file; print a summary or every problem."""
         path = self.argument("file")
         if self.option("gateway"):
             return self._check_gateway(path)
@@ -96,6 +97,7 @@
         return EXIT_OK
 
     def _check_gateway(self, path: str) -> int:
+        """Check the settings of an entry on a platform; return the exit code."""
         try:
             settings = load_gateway_settings(path)
         except SettingsError as error:
@@ -110,16 +112,17 @@
 
 
 class StatusCommand(Command):
-    """Show the state of a running entry."""
+    """Command that prints the state of a running entry."""
 
     name = "status"
     description = "Show members, endpoints, configuration and claims of an entry."
     help = (
-        "Asks /admin/status of a running entry. The token of an operator is\n"
-        "read from the environment variable BLUEBELLUSHER_ADMIN_TOKEN, so that it\n"
-        "does not show in the list of processes.\n\n"
+        "Reads /admin/status of a running entry. The operator's token is read from\n"
+        "the environment variable BLUEBELLUSHER_ADMIN_TOKEN, because an option would\n"
+        "show it in the list of processes.\n\n"
         "  bluebellusher status --url http://127.0.0.1:8080\n\n"
-        "Exit codes: 0 shown, 1 no answer or not allowed, 2 bad arguments."
+        "Exit codes: 0 status printed, 1 no answer or access denied, 2 invalid\n"
+        "arguments."
     )
     options: ClassVar[list[Option]] = [
         option("url", "u", "Address of the entry, http://HOST:PORT.", flag=False),
@@ -146,12 +149,17 @@
 
 
 def _fetch_status(url: str) -> dict[str, Any]:
+    """Return the document of ``/admin/status``.
+
+    Raises ``OSError`` without an answer, and ``ValueError`` for an HTTP error or an
+    answer that is not a JSON object.
+    """
     credential = os.environ.get("BLUEBELLUSHER_ADMIN_TOKEN", "")
     request = urllib.request.Request(
         url.rstrip("/") + "/admin/status",
         headers={"Authorization": f"Bearer {credential}"},
     )
-    # The entry is reached by its address, never through a proxy.
+    # Connect to the entry directly, even if the environment names an HTTP proxy.
     opener = urllib.request.build_opener(urllib.request.ProxyHandler({}))
     try:
         with opener.open(request, timeout=_STATUS_TIMEOUT_S) as answer:
@@ -165,7 +173,7 @@
 
 
 def format_status(status: dict[str, Any]) -> list[str]:
-    """Return the lines shown to an operator."""
+    """Return the document of ``/admin/status`` as lines of text for an operator."""
     lines = [
         f"entry {status['instance_id']} in {status['failure_domain']}: "
         f"{'ready' if status['is_ready'] else 'not ready'}, "
@@ -176,14 +184,14 @@
         f"members: {len(status['members'])}",
     ]
     lines += [
-        f"  {m['instance_id']} in {m['failure_domain']}, last heard {m['age_ms']} ms "
+        f"  {m['instance_id']} in {m['failure_domain']}, last message {m['age_ms']} ms "
         f"ago, configuration version {m['config_version']}"
         for m in status["members"]
     ]
     lines.append(f"endpoints: {len(status['endpoints'])}")
     lines += [
         f"  {e['endpoint_id']} in {e['failure_domain']}: {e['state']}, "
-        f"{e['n_attempts']} attempts, last heard {e['age_ms']} ms ago, "
+        f"{e['n_attempts']} attempts, last message {e['age_ms']} ms ago, "
         f"services {','.join(e['services'])}"
         for e in status["endpoints"]
     ]
--- a/packages/entry/src/bluebellusher/cli/_entry.py
+++ b/packages/entry/src/bluebellusher/cli/_entry.py
@@ -1,4 +1,4 @@
-"""One entry: construction of all parts, life from start to stop."""
+"""Construction, start and graceful shutdown of one entry."""
 
 import asyncio
 import contextlib
@@ -34,14 +34,16 @@
 from bluebellusher_core.reducer import EntryConfig, EntryState
 from bluebellusher_core.routing import PredictedLatency
 
+# Interval in seconds at which a shutdown checks for connections closed by callers.
 _POLL_S = 0.02
-# After the last request, claims that are not settled yet get this long; a row that
-# stays ``claimed`` is safe.
+# Time in milliseconds that a shutdown waits, after the last request, for writes of
+# claims and outcomes. A claim whose outcome is not written stays ``claimed``, which is
+# safe: its outcome is unknown, and a retry with the same key is not run.
 _CLAIMS_GRACE_MS = 3_000
 
 
 class Entry:
-    """All parts of one entry, connected."""
+    """Process-wide state of one entry, with its connections, HTTP server and store."""
 
     def __init__(self, settings: Settings, clock: Clock, log: KeyValueLog) -> None:
         self.settings = settings
@@ -100,7 +102,7 @@
         )
 
     async def start(self) -> None:
-        """Listen and connect."""
+        """Listen for peers and callers, then connect to agents and peers."""
         self.ticker.start()
         self.ticker.add_callback(self.peer_exchange.tick)
         address = self.settings.peer_listen
@@ -120,10 +122,11 @@
         )
 
     async def stop(self) -> None:
-        """Finish every request in progress, then close everything.
+        """Finish all requests in progress, then close all connections.
 
-        Requests on connections that are already open are served to their end, also
-        when they began to arrive only a moment ago.
+        The entry stops accepting connections first. Requests on connections that are
+        already open are still completed, including requests that are only partly
+        received.
         """
         self.log.event("stopping", n_requests=len(self.runtime.exchange_by_request_id))
         self.runtime.is_shutting_down = True
@@ -146,7 +149,11 @@
         self.log.event("stopped")
 
     async def _wait_for_progress(self) -> None:
-        """Wait for the end of a request, or for callers to close connections."""
+        """Wait until a request ends, for at most ``_POLL_S``.
+
+        The time limit is needed because no event is set when a caller closes its
+        connection.
+        """
         self.runtime.request_ended.clear()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(_POLL_S):
@@ -154,6 +161,7 @@
 
 
 def _make_state(settings: Settings, incarnation: int, seed: Random) -> EntryState:
+    """Return the initial state of the entry's reducer."""
     n_per_service = settings.limits.n_endpoints_per_service
     config = EntryConfig(
         entry_id=settings.instance_id,
@@ -163,7 +171,7 @@
     )
     policy = PredictedLatency(failure_domain=settings.failure_domain)
     state = EntryState.from_config(config, policy, FairQueue)
-    # In force until the first version of the rules replaces them.
+    # Weights of the settings, which apply until a version of the rules is in force.
     state.weight_by_customer = {
         customer.customer_id: customer.weight for customer in settings.customers
     }
@@ -171,6 +179,7 @@
 
 
 def _make_identity(settings: Settings, incarnation: int) -> Identity:
+    """Return the identity with which the entry connects to agents and peers."""
     return Identity(
         settings.instance_id,
         incarnation,
@@ -180,6 +189,7 @@
 
 
 def _make_discovery(entry: Entry) -> EndpointDiscovery:
+    """Return the search for the endpoints of the services in the settings."""
     settings = entry.settings
     return EndpointDiscovery(
         entry.platform,
@@ -194,10 +204,12 @@
 
 
 def _pairs(addresses: Iterable[AddressSettings]) -> list[tuple[str, int]]:
+    """Return addresses as pairs of host and port."""
     return [(address.host, address.port) for address in addresses]
 
 
 async def _run(settings: Settings) -> None:
+    """Run an entry until SIGTERM or SIGINT, then shut it down."""
     log = KeyValueLog.from_config(settings.log_level)
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(_make_fault_logger(log))
@@ -212,11 +224,11 @@
 
 
 def _return_free_memory() -> None:
-    """Give back what the start needed only for a while.
+    """Return heap memory that is free after the start to the operating system.
 
-    Without a bytecode cache, compiling the modules leaves about 25 MB of free heap
-    that the C library would keep. What is left lives as long as the process, hence
-    the garbage collector need not look at it again.
+    Without a bytecode cache, compiling the modules leaves about 25 MB of free heap,
+    which the C library would keep. The remaining objects live as long as the process,
+    so they are frozen, which excludes them from later garbage collections.
     """
     gc.collect()
     gc.freeze()
@@ -226,6 +238,8 @@
 
 
 def _make_fault_logger(log: KeyValueLog) -> Any:
+    """Return an exception handler of the event loop that logs ``internal-fault``."""
+
     def report(_loop: asyncio.AbstractEventLoop, context: Mapping[str, Any]) -> None:
         error = context.get("exception")
         log.event(
@@ -240,5 +254,5 @@
 
 
 def run_entry(settings: Settings) -> None:
-    """Serve until SIGTERM or SIGINT."""
+    """Run an entry with uvloop until SIGTERM or SIGINT."""
     uvloop.run(_run(settings))
--- a/packages/entry/src/bluebellusher/cli/_main.py
+++ b/packages/entry/src/bluebellusher/cli/_main.py
@@ -1,4 +1,4 @@
-"""Commands and their registration."""
+"""Construction of the command line application."""
 
 import sys
 
@@ -9,10 +9,10 @@
 
 
 def build_application(is_serving: bool = False) -> Application:
-    """Return the application with its commands.
+    """Return the application with its commands registered.
 
-    A process that serves registers only ``serve``: the modules of the other
-    commands would stay in its memory.
+    A process that runs an entry (``is_serving``) registers only ``serve``, because
+    the modules of the other commands would occupy memory until it stops.
     """
     application = Application("bluebellusher", "0.1.0")
     commands: list[Command] = [ServeCommand()]
@@ -30,6 +30,7 @@
 def main() -> int:
     """Run the command named on the command line; return its exit code."""
     if sys.argv[1:] in (["--help"], ["-h"], ["help"]):
-        # Alone they would describe the command that lists the commands.
+        # Without a command name, cleo prints the help of its ``list`` command. Run
+        # ``list`` itself instead.
         sys.argv[1:] = ["list"]
     return build_application(is_serving=sys.argv[1:2] == ["serve"]).run()
--- a/packages/entry/src/bluebellusher/cli/_view.py
+++ b/packages/entry/src/bluebellusher/cli/_view.py
@@ -1,4 +1,4 @@
-"""What an entry shows of itself to operators and peers."""
+"""Status of an entry, for operators, load balancers and peers."""
 
 from collections.abc import Mapping
 from typing import TYPE_CHECKING, Any
@@ -10,18 +10,22 @@
 
 
 class EntryView:
-    """Status, gauges and digest of one entry."""
+    """Readiness, status document, gauges and digest of one entry."""
 
     def __init__(self, entry: "Entry") -> None:
         self._entry = entry
         self._started_at_ms = entry.clock.now_ms()
 
     def is_ready(self) -> bool:
-        """Return whether callers should come; not while stopping."""
+        """Return whether load balancers should send requests; false while stopping."""
         return not self._entry.runtime.is_shutting_down
 
     def status(self) -> dict[str, Any]:
-        """Return members, endpoints, configuration version, claims and ages."""
+        """Return the document of ``/admin/status``.
+
+        It has members, endpoints, configuration, claims and latencies. Keys that end
+        in ``_ms`` are durations in milliseconds.
+        """
         entry = self._entry
         now_ms = entry.clock.now_ms()
         config = entry.rollout.in_force.status()
@@ -47,7 +51,7 @@
         }
 
     def gauges(self) -> Mapping[str, float]:
-        """Return current figures by Prometheus name."""
+        """Return current values of the gauges by Prometheus metric name."""
         entry = self._entry
         n_requests = len(entry.runtime.exchange_by_request_id)
         return {
@@ -60,7 +64,11 @@
         }
 
     def make_digest(self) -> Any:
-        """Return what peers are told."""
+        """Return the digest that is announced to peers.
+
+        It has this entry's member, its configuration version, and the blocked and
+        suspect fingerprints.
+        """
         entry = self._entry
         blocked, suspects = entry.state.digest(entry.clock.now_ms())
         return messages.Digest(
@@ -74,6 +82,7 @@
         return self._entry.rollout.in_force.version
 
     def _own_member(self) -> Any:
+        """Return this entry as the member that its digest announces."""
         settings = self._entry.settings
         return messages.Member(
             instance_id=settings.instance_id,
@@ -87,6 +96,7 @@
         )
 
     def _members(self, now_ms: int) -> list[dict[str, Any]]:
+        """Return the connected peers; ``age_ms`` is the time since the last message."""
         exchange = self._entry.peer_exchange
         return [
             {
@@ -100,6 +110,11 @@
         ]
 
     def _endpoints(self, now_ms: int) -> list[dict[str, Any]]:
+        """Return the endpoints with a connected agent.
+
+        ``n_started`` counts the attempts whose answer goes to the caller, and
+        ``age_ms`` is the time since the last message of the agent.
+        """
         view_by_id = self._entry.state.endpoints.view_by_id
         shown = []
         for endpoint_id, link in self._entry.agents.link_by_endpoint_id.items():
--- a/packages/entry/src/bluebellusher/cli/explain.py
+++ b/packages/entry/src/bluebellusher/cli/explain.py
@@ -1,4 +1,4 @@
-"""The command ``explain``: the story of one request from the logs."""
+"""The command ``explain``, which shows the timeline of one request from logs."""
 
 import shlex
 import sys
@@ -14,8 +14,9 @@
 EXIT_OK = 0
 EXIT_NOT_FOUND = 1
 EXIT_BAD_ARGUMENTS = 2
-# What a process believed changes with these events; the last one of each kind and
-# subject before a request's end is shown with its story.
+# Events that change the recorded state of a process, such as its configuration, its
+# connections or a lease. The timeline of a request ends with the last event of each
+# kind and subject that its entry logged before the end of the request.
 BELIEF_EVENTS = frozenset(
     (
         "configuration-in-force",
@@ -37,27 +38,40 @@
         "started",
     )
 )
-# A belief about the process itself ends all that an earlier start of it believed.
+# Event that a process logs at its start. It discards the recorded state of previous
+# starts.
 START_EVENT = "started"
-# Lines of one kind within this time are shown as one, for example all agents of a
-# failure domain that is cut off.
+# Adjacent lines of the same event within this time, in seconds, are merged into one.
+# When a failure domain is cut off, for example, all of its agents are lost at once.
 SAME_TIME_S = 0.1
-# What other processes met at the same endpoint is shown from this long before.
+# The activity of all processes at the endpoints of a request is counted from this time
+# before the first line of the request, in seconds.
 AROUND_S = 2.0
-# Orders to one rank that stop its whole group, or let it go on.
+# Actions of orders that halt or release the whole group of a rank. They are shown for
+# every rank, other orders only for the endpoints of the request.
 GROUP_ACTIONS = frozenset(("hold", "go"))
-# Words that a collector may put before a line.
+# Maximum number of words that a log collector may put before a line.
 PREFIX_WORDS = 3
-# Beliefs about these say which subject they are about.
+# Fields that name the subject of an event; the first one that is present counts.
 SUBJECT_FIELDS = ("endpoint", "table", "peer", "lease", "group")
 
 
 @dataclass(frozen=True, slots=True)
 class LogLine:
-    """One line of a log.
+    """Parsed line of a log.
 
-    ``source`` names the file, and the process where a prefix does; ``at_s`` is the
-    Unix time of the line.
+    Parameters
+    ----------
+    source : str
+        Name of the file, followed by that of the process if a log collector added it.
+    at_s : float
+        Unix time of the line, in seconds.
+    event : str
+        Name of the event.
+    field_by_name : dict
+        Values of all fields.
+    text : str
+        The line as it was read, without surrounding spaces.
     """
 
     source: str
@@ -68,10 +82,10 @@
 
 
 def parse_line(source: str, text: str) -> LogLine | None:
-    """Return a line of key=value pairs, or None for any other line.
+    """Parse a line of key=value pairs; return ``None`` for any other line.
 
-    A collector of logs may put a prefix before the time, whose last word then names
-    the process.
+    A log collector may put a prefix before the line. The last word of the prefix then
+    names the process.
 
     Examples
     --------
@@ -97,7 +111,7 @@
 
 
 def read_logs(paths: Iterable[str]) -> Iterator[LogLine]:
-    """Return the lines of all files, each in its order."""
+    """Yield the parsed lines of all files, one file after the other."""
     for path in paths:
         with open(path, encoding="utf-8", errors="replace") as file:
             for text in file:
@@ -107,14 +121,19 @@
 
 
 def explain(wanted_id: str, lines: Iterable[LogLine]) -> list[str]:
-    """Return the story of a request, and what its entry believed at its end.
+    """Return the timeline of a request, with the state that explains its outcome.
+
+    The lines about the request come first, in order of time. Then follow the recorded
+    state of its entry when the request ended, and the activity of all processes at its
+    endpoints. Without a line about the request the result is empty.
 
     Parameters
     ----------
     wanted_id : str
-        Id that the entry gave the request, or that the caller gave its attempt.
+        Id that the entry assigned to the request, or id that the caller assigned to
+        its attempt.
     lines : iterable of LogLine
-        Lines of any number of processes.
+        Lines from the logs of any number of processes, in any order.
     """
     lines = sorted(lines, key=lambda line: line.at_s)
     request_ids = {wanted_id}
@@ -135,6 +154,10 @@
 def _beliefs(
     lines: list[LogLine], sources: set[str], endpoints: set[str], until_s: float
 ) -> list[str]:
+    """Return the last known state of the processes ``sources`` at a Unix time.
+
+    Events about endpoints other than ``endpoints`` are left out.
+    """
     last_by_subject: dict[tuple[str, str], LogLine] = {}
     for line in lines:
         is_belief = line.event in BELIEF_EVENTS and line.at_s <= until_s
@@ -149,19 +172,24 @@
             last_by_subject[kind, _subject(line)] = line
     found = sorted(last_by_subject.values(), key=lambda line: line.at_s)
     shown = [
-        f"believed for {until_s - line.at_s:.3f} s: {text}"
+        f"recorded {until_s - line.at_s:.3f} s before: {text}"
         for line, text in _merge(found)
     ]
-    return ["What the entry believed at the end:", *shown]
+    return ["State recorded by the entry when the request ended:", *shown]
 
 
 def _subject(line: LogLine) -> str:
+    """Return the endpoint, table, peer, lease or group of an event; may be empty."""
     fields = line.field_by_name
     return next((fields[f] for f in SUBJECT_FIELDS if f in fields), "")
 
 
 def _merge(lines: list[LogLine]) -> Iterator[tuple[LogLine, str]]:
-    """Return each line with its text, and one for those that belong together."""
+    """Yield lines with their text; merge adjacent lines of the same event.
+
+    The first of the merged lines stands for all; its text ends with the subjects of the
+    others.
+    """
     at = 0
     while at < len(lines):
         first = lines[at]
@@ -170,7 +198,7 @@
             for line in lines[at:]
             if line.event == first.event and line.at_s - first.at_s <= SAME_TIME_S
         ]
-        # Only neighbours belong together; the order of time is kept.
+        # Merge only adjacent lines, so that the output stays in order of time.
         n_same = 1
         while n_same < len(same) and lines[at + n_same] is same[n_same]:
             n_same += 1
@@ -182,7 +210,10 @@
 def _around(
     lines: list[LogLine], endpoints: set[str], from_s: float, until_s: float
 ) -> list[str]:
-    """Return what all processes met at the same endpoints, and orders to groups."""
+    """Return the counts of attempt events at each endpoint, and orders to ranks.
+
+    The counts cover the logs of all processes between two Unix times.
+    """
     n_by_event: dict[str, Counter[str]] = {
         endpoint: Counter() for endpoint in endpoints
     }
@@ -205,22 +236,25 @@
     if not shown:
         return []
     shown += [f"{line.at_s:.3f} {line.text}" for line in orders]
-    title = f"At its endpoints, in all logs, from {AROUND_S:g} s before it to its end:"
+    title = (
+        f"Events at its endpoints in all logs, from {AROUND_S:g} s before its first "
+        "line to its last:"
+    )
     return ["", title, *shown]
 
 
 class ExplainCommand(Command):
-    """Show what became of one request and why."""
+    """Command that shows the timeline of one request from log files."""
 
     name = "explain"
-    description = "Tell the story of one request from the logs of any processes."
+    description = "Show the timeline of one request from the logs of all processes."
     help = (
-        "Takes the id of a request, or the id that the caller gave its attempt, and\n"
-        "log files of any number of processes. Prints every line about the request\n"
-        "in order of time, what the entry believed when it ended, and what all\n"
-        "processes met at the same endpoints meanwhile.\n\n"
+        "Takes the id of a request, or the id that the caller assigned to its\n"
+        "attempt, and log files of any number of processes. Prints every line about\n"
+        "the request in order of time, the state that its entry had recorded when\n"
+        "the request ended, and the events of all processes at the same endpoints.\n\n"
         "  bluebellusher explain edge-1.1767541238551.r17 entry-*.log\n\n"
-        "Exit codes: 0 found, 1 not found in these files, 2 bad arguments."
+        "Exit codes: 0 found, 1 not found in these files, 2 unreadable file."
     )
     arguments: ClassVar[list[Argument]] = [
         argument("id", "Id of the request or of the caller's attempt."),
@@ -228,7 +262,7 @@
     ]
 
     def handle(self) -> int:
-        """Print the story."""
+        """Print the timeline; return the exit code."""
         wanted_id, paths = self.argument("id"), self.argument("files")
         try:
             story = explain(wanted_id, read_logs(paths))
@@ -239,6 +273,6 @@
             n_files = len(paths)
             self.line_error(f"explain: {wanted_id}: not found in {n_files} files")
             return EXIT_NOT_FOUND
-        # Log lines may hold what cleo takes for markup.
+        # Bypass cleo's output, which would interpret tags in log lines as markup.
         sys.stdout.write("\n".join(story) + "\n")
         return EXIT_OK
--- a/packages/entry/src/bluebellusher/cli/rules_base.py
+++ b/packages/entry/src/bluebellusher/cli/rules_base.py
@@ -1,4 +1,4 @@
-"""What the rules commands share: exit codes, reading of files, output."""
+"""Common base of the rules commands: exit codes, file reading and output."""
 
 import pathlib
 import time
@@ -29,16 +29,24 @@
 Exit codes:
   0  done
   1  a rules file has errors; each is printed with line and column
-  2  wrong use, or a file cannot be read
+  2  invalid arguments, or a file cannot be read
   3  the change was refused; nothing was changed
-  4  it is not known whether the change was accepted
+  4  it is unknown whether the change was accepted
   5  the entry could not be reached or answered with an error; nothing was sent
      or changed
 """
 
 
 class CommandError(Exception):
-    """Ends a command with a message and an exit code."""
+    """Failure of a command.
+
+    Parameters
+    ----------
+    code : ExitCode
+        Exit code of the command.
+    *lines : str
+        Lines of the message on standard error.
+    """
 
     def __init__(self, code: ExitCode, *lines: str) -> None:
         super().__init__("\n".join(lines))
@@ -47,10 +55,10 @@
 
 
 class RulesCommand(Command):
-    """A command whose errors become messages and exit codes."""
+    """Base class of commands that raise ``CommandError`` on failure."""
 
     def handle(self) -> int:
-        """Run the command; return its exit code."""
+        """Run the command, print the message of a failure and return the exit code."""
         try:
             return int(self.run_rules())
         except CommandError as e:
@@ -59,20 +67,20 @@
             return int(e.code)
 
     def run_rules(self) -> ExitCode:
-        """Do the work of the command."""
+        """Run the command; implemented by each subclass."""
         raise NotImplementedError
 
     def write_lines(self, lines: Iterable[str]) -> None:
-        """Print lines as they are; rules may contain text that looks like a tag."""
+        """Print lines without interpreting cleo's tags, which rules may contain."""
         for line in lines:
             self.io.write_line(line, type=Type.RAW)
 
     def write_error_line(self, line: str) -> None:
-        """Print a line to the standard error output."""
+        """Print a line to standard error, without interpreting cleo's tags."""
         self.io.write_error_line(line, type=Type.RAW)
 
     def month(self, rules: RuleSet, option: str = "month") -> Month:
-        """Return the month of an option, or the next month in the rules' zone."""
+        """Return the month in an option; by default the next one in the rules' zone."""
         text = self.option(option)
         if not text:
             now = datetime.fromtimestamp(time.time(), UTC)
@@ -86,7 +94,7 @@
 
 
 def read_text(path: str) -> str:
-    """Return the text of a file."""
+    """Return the text of a UTF-8 file; raise ``CommandError`` if it is unreadable."""
     try:
         return pathlib.Path(path).read_text(encoding="utf-8")
     except (OSError, ValueError) as e:
@@ -95,12 +103,15 @@
 
 
 def read_rules(path: str) -> RuleSet:
-    """Return the rules of a file that has no errors."""
+    """Return the rules in a file; raise ``CommandError`` with all of its errors."""
     return parse_or_fail(read_text(path), path)
 
 
 def parse_or_fail(text: str, source: str) -> RuleSet:
-    """Return the rules of a text, or fail with all of its errors."""
+    """Return the rules in a text; raise ``CommandError`` with all of its errors.
+
+    Each error is prefixed with ``source``, the name of the file or version.
+    """
     result = parse_rules(text)
     if result.is_ok():
         return result.ok
--- a/packages/entry/src/bluebellusher/cli/rules_client.py
+++ b/packages/entry/src/bluebellusher/cli/rules_client.py
@@ -1,4 +1,4 @@
-"""HTTP client of an entry's ``/admin/rules``."""
+"""HTTP client for ``/admin/rules`` of an entry."""
 
 import asyncio
 import os
@@ -11,16 +11,18 @@
 from bluebellusher_core.billing import RulesVersion
 
 TOKEN_VARIABLE = "BLUEBELLUSHER_ADMIN_TOKEN"
-# Staging waits for one entry in each failure domain, some of them slow.
+# In seconds. The entry answers a change only when one entry in each failure domain has
+# staged it, and some domains are slow.
 ANSWER_TIMEOUT_S = 30.0
 CONNECT_TIMEOUT_S = 5.0
+# HTTP statuses that leave open whether a change was accepted.
 _UNKNOWN_STATUSES = (502, 503, 504)
 
 M = TypeVar("M", bound=BaseModel)
 
 
 class Head(BaseModel):
-    """The version in force."""
+    """One accepted version of the rules, such as the version in force."""
 
     version: int
     rules_text: str
@@ -29,13 +31,16 @@
 
 
 class VersionList(BaseModel):
-    """All versions, in any order."""
+    """All accepted versions, in any order."""
 
     versions: list[Head]
 
 
 class ChangeState(BaseModel):
-    """What became of one change."""
+    """State of one change, as the entry answers it.
+
+    A refused change also has the version in force: its number and its text.
+    """
 
     state: Literal["accepted", "refused", "unknown"]
     version: int = 0
@@ -45,7 +50,7 @@
 
 
 class ChangeRequest(BaseModel):
-    """A change to the rules, with an id that makes a repeat safe."""
+    """Change to the rules. Its id prevents that a repeated request is applied twice."""
 
     change_id: str
     base_version: int
@@ -55,14 +60,14 @@
 
 
 class RulesClient:
-    """Talks to one entry.
+    """Client that reads and changes the rules through one entry.
 
     Parameters
     ----------
     url : str
         Address of the entry, such as ``http://10.0.0.4:8080``.
     timeout_s : float
-        Longest wait for an answer, in seconds.
+        Timeout of one request, in seconds.
     """
 
     def __init__(self, url: str, timeout_s: float = ANSWER_TIMEOUT_S) -> None:
@@ -76,25 +81,29 @@
         return self._read("", Head)
 
     def read_versions(self) -> list[Head]:
-        """Return all versions by number."""
+        """Return all versions, sorted by number."""
         found = self._read("/versions", VersionList).versions
         return sorted(found, key=lambda head: head.version)
 
     def read_change(self, change_id: str) -> ChangeState | None:
-        """Return what became of a change; ``None`` when the entry knows none."""
+        """Return the state of a change, or ``None`` if the entry has no such change."""
         status, body = self._get(f"/changes/{change_id}")
         if status == 404:
             return None
         return self._parse(status, body, ChangeState)
 
     def send_change(self, change: ChangeRequest) -> ChangeState:
-        """Send a change; a lost or late answer gives the state ``unknown``."""
+        """Send a change and return its state.
+
+        A lost, late or unreadable answer gives the state ``unknown``. If no connection
+        was made, or the entry answers with an error, ``CommandError`` is raised.
+        """
         try:
             status, body = asyncio.run(
                 self._request("POST", "", change.model_dump_json())
             )
         except aiohttp.ClientConnectorError as e:
-            # Without a connection nothing was sent.
+            # Without a connection the change was not sent, so its state is known.
             raise self._error(f"no connection: {e}") from e
         except (aiohttp.ClientError, TimeoutError) as e:
             return ChangeState(state="unknown", reason=f"no answer: {e!r}")
@@ -109,16 +118,19 @@
             return ChangeState(state="unknown", reason=f"unreadable answer: {e}")
 
     def _read(self, path: str, kind: type[M]) -> M:
+        """Request a path and return the answer as a model."""
         status, body = self._get(path)
         return self._parse(status, body, kind)
 
     def _get(self, path: str) -> tuple[int, str]:
+        """Request a path; return the status and body of the answer."""
         try:
             return asyncio.run(self._request("GET", path, None))
         except (aiohttp.ClientError, TimeoutError) as e:
             raise self._error(f"no answer: {e!r}") from e
 
     def _parse(self, status: int, body: str, kind: type[M]) -> M:
+        """Return the body of an answer with status 200 as a model."""
         if status != 200:
             raise self._error(f"HTTP status {status}: {body[:2000]}")
         try:
@@ -127,11 +139,13 @@
             raise self._error(f"unreadable answer: {e}") from e
 
     def _error(self, message: str) -> CommandError:
+        """Return an error of the entry, with its address."""
         return CommandError(ExitCode.ENTRY_FAILED, f"{self._url}: {message}")
 
     async def _request(
         self, method: str, path: str, body: str | None
     ) -> tuple[int, str]:
+        """Send one request with the operator's token; return status and body."""
         headers = {"Content-Type": "application/json"}
         token = os.environ.get(TOKEN_VARIABLE)
         if token:
@@ -146,7 +160,10 @@
 
 
 def parse_history(text: str, source: str) -> list[Head]:
-    """Return the versions of a history file, by number."""
+    """Return the versions in a history file, sorted by number.
+
+    ``source`` is the name of the file, for errors.
+    """
     try:
         found = VersionList.model_validate_json(text).versions
     except ValidationError as e:
@@ -156,7 +173,7 @@
 
 
 def to_versions(heads: list[Head], source: str) -> list[RulesVersion]:
-    """Return versions with parsed rules."""
+    """Return versions with parsed rules; ``source`` names their origin in errors."""
     return [
         RulesVersion(
             parse_or_fail(head.rules_text, f"{source}, version {head.version}"),
--- a/packages/entry/src/bluebellusher/cli/rules_commands.py
+++ b/packages/entry/src/bluebellusher/cli/rules_commands.py
@@ -1,4 +1,4 @@
-"""Commands that read rules files: check, plan, forecast and why."""
+"""Rules commands that read files: check, plan, forecast and why."""
 
 from datetime import UTC, datetime
 from typing import ClassVar
@@ -49,18 +49,18 @@
 
 
 class RulesCheckCommand(RulesCommand):
-    """Print every error of a rules file."""
+    """Command that prints every error in a rules file."""
 
     name = "rules check"
     description = "Check a rules file and print every error with line and column"
     help = (
-        "Reads one rules file and changes nothing. docs/rules.md has the grammar.\n"
+        "Reads a rules file and changes nothing. The grammar is in docs/rules.md.\n"
         + EXIT_CODES_HELP
     )
     arguments: ClassVar[list[Argument]] = [argument("file", "Rules file to check")]
 
     def run_rules(self) -> ExitCode:
-        """Check the file and count its rules."""
+        """Check the file and print the numbers of rules and customers."""
         path = self.argument("file")
         rules = read_rules(path)
         n_rules, n_customers = len(rules.rules), len(rules.customers)
@@ -71,14 +71,14 @@
 
 
 class RulesPlanCommand(RulesCommand):
-    """Print the difference of two files and its effect on the bill."""
+    """Command that prints the differences of two files and their cost."""
 
     name = "rules plan"
-    description = "Show how two rules files differ and what that does to the bill"
+    description = "Show how two rules files differ and how that affects the bill"
     help = (
-        "Lists added (+), removed (-) and changed (~) rules, and rules with only a "
-        "new comment (#).\nThen compares the month's expected bill and its ceiling "
-        "by service and by customer.\n" + EXIT_CODES_HELP
+        "Lists added (+), removed (-) and changed (~) rules, and rules of which only "
+        "the\ncomment changed (#). Then compares the expected bill and the ceiling of "
+        "the month by\nservice and by customer.\n" + EXIT_CODES_HELP
     )
     arguments: ClassVar[list[Argument]] = [
         argument("old", "Rules file in force"),
@@ -87,7 +87,7 @@
     options: ClassVar[list[Option]] = [option("month", None, _MONTH_HELP, flag=False)]
 
     def run_rules(self) -> ExitCode:
-        """Compare the two files."""
+        """Print the differences of the files and their effect on the bill."""
         old = read_rules(self.argument("old"))
         new = read_rules(self.argument("new"))
         changes = diff_rules(old, new)
@@ -105,17 +105,17 @@
 
 
 class RulesForecastCommand(RulesCommand):
-    """Print the bill of a month in advance."""
+    """Command that prints the forecast of a month's bill."""
 
     name = "rules forecast"
-    description = "Compute the bill of a month from a rules file"
+    description = "Forecast the bill of a month from a rules file"
     help = (
         "Prints three amounts by service, by customer and by rule:\n"
-        "  minimum   all scheduled engines and no request\n"
-        "  expected  engines and the tokens of the expected load, within budgets\n"
-        "  ceiling   the most that the rules allow; no bill is higher\n"
-        "Every table adds up to the same total. A budget's line shows what may be "
-        "spent\nbeyond the expected load.\n" + EXIT_CODES_HELP
+        "  minimum   all scheduled engines, without any request\n"
+        "  expected  engines and tokens of the expected load, within budgets\n"
+        "  ceiling   maximum that the rules allow; no bill is higher\n"
+        "All tables have the same total. The line of a budget has the amount that may "
+        "be spent\nbeyond the expected load.\n" + EXIT_CODES_HELP
     )
     arguments: ClassVar[list[Argument]] = [argument("file", "Rules file")]
     options: ClassVar[list[Option]] = [
@@ -137,15 +137,16 @@
 
 
 class RulesWhyCommand(RulesCommand):
-    """Explain a difference between two bills."""
+    """Command that explains the difference between two bills."""
 
     name = "rules why"
     description = "Explain by rule, author and reason why two bills differ"
     help = (
         "A and B are two rules files. With --history or --url they are two versions, "
-        "given as\nversion numbers or as times such as 2027-01-12T09:00+09:00; the "
-        "bill as of a version\ncounts each earlier version from its time of "
-        "acceptance. The parts add up to the\ndifference exactly.\n" + EXIT_CODES_HELP
+        "given as\nversion numbers or as times such as 2027-01-12T09:00+09:00. The "
+        "bill of a version\nalso applies each earlier version, from its acceptance to "
+        "that of the next version.\nThe printed parts add up exactly to the "
+        "difference.\n" + EXIT_CODES_HELP
     )
     arguments: ClassVar[list[Argument]] = [
         argument("a", "Rules file, version or time of the first bill"),
@@ -153,13 +154,23 @@
     ]
     options: ClassVar[list[Option]] = [
         option("month", None, _MONTH_HELP, flag=False),
-        option("month-b", None, "Month of the second bill, if another", flag=False),
-        option("history", None, "File of 'rules history --format json'", flag=False),
-        option("url", None, "Address of an entry that has the history", flag=False),
+        option(
+            "month-b",
+            None,
+            "Month of the second bill, if different",
+            flag=False,
+        ),
+        option(
+            "history",
+            None,
+            "Output file of 'rules history --format json'",
+            flag=False,
+        ),
+        option("url", None, "Address of the entry that has the history", flag=False),
     ]
 
     def run_rules(self) -> ExitCode:
-        """Explain the difference of two files or of two versions."""
+        """Print the parts of the difference between two files or two versions."""
         if self.option("history") or self.option("url"):
             rules, explanation = self._explain_versions()
         else:
@@ -173,6 +184,10 @@
         return ExitCode.DONE
 
     def _explain_versions(self) -> tuple[RuleSet, Explanation]:
+        """Return the rules of version B, and the difference of its bill from that of A.
+
+        The versions are read from a history file or from an entry.
+        """
         path, url = self.option("history"), self.option("url")
         source = path or url
         heads = (
@@ -194,12 +209,13 @@
         return last.rules, found
 
     def _month_b(self, rules: RuleSet) -> Month:
+        """Return the month of the second bill, by default that of the first."""
         name = "month-b" if self.option("month-b") else "month"
         return self.month(rules, name)
 
 
 def _find_version(versions: list[RulesVersion], text: str) -> RulesVersion:
-    """Return the version with a number, or the one in force at a time."""
+    """Return the version with the number ``text``, or in force at the time ``text``."""
     if text.isascii() and text.isdigit():
         found = [v for v in versions if str(v.number) == text]
         expected = "the number of a version in the history"
@@ -214,6 +230,7 @@
 
 
 def _parse_time(text: str) -> float:
+    """Return the Unix time in seconds of an ISO 8601 time with an offset from UTC."""
     try:
         moment = datetime.fromisoformat(text)
     except ValueError:
@@ -228,10 +245,11 @@
 
 
 def _require_one_currency(old: RuleSet, new: RuleSet) -> None:
+    """Raise ``CommandError`` if the rules have different currencies."""
     if old.currency != new.currency:
         message = (
-            f"bills in {old.currency} and {new.currency} cannot be compared: "
-            "expected one currency"
+            f"cannot compare bills in {old.currency} and {new.currency}: "
+            "expected the same currency"
         )
         raise CommandError(ExitCode.WRONG_USE, message)
 
--- a/packages/entry/src/bluebellusher/cli/rules_remote.py
+++ b/packages/entry/src/bluebellusher/cli/rules_remote.py
@@ -1,4 +1,4 @@
-"""Commands that talk to an entry: history, apply and status."""
+"""Rules commands that send requests to an entry: history, apply and status."""
 
 import json
 import re
@@ -39,7 +39,7 @@
 
 
 def required_url(command: RulesCommand) -> str:
-    """Return the address of the entry."""
+    """Return the option ``--url``; raise ``CommandError`` if it is not an HTTP URL."""
     url = str(command.option("url") or "")
     if not url.startswith(("http://", "https://")):
         message = f"--url={url}: expected an address such as http://10.0.0.4:8080"
@@ -48,15 +48,15 @@
 
 
 class RulesHistoryCommand(RulesCommand):
-    """Print the versions of the rules."""
+    """Command that lists the versions of the rules, or prints the text of one."""
 
     name = "rules history"
     description = "List the accepted versions of the rules with time and author"
     help = (
-        "Each line counts the rules that a version added (+), removed (-) and changed "
-        "(~).\n--format json prints a file for 'rules why --history'. --show N "
-        "prints the text of\none version below a line '# version N', from which 'rules "
-        "apply' knows what the\nedited text is based on.\n"
+        "Each line has the numbers of rules that a version added (+), removed (-) "
+        "and\nchanged (~). --format json prints a file for 'rules why --history'. "
+        "--show N\nprints the text of one version after a line '# version N', which "
+        "'rules apply' reads as\nthe base version of the edited text.\n"
         + _TOKEN_HELP
         + EXIT_CODES_HELP
     )
@@ -67,7 +67,7 @@
     ]
 
     def run_rules(self) -> ExitCode:
-        """Print all versions, or the text of one."""
+        """Print all versions, or the text of the version in ``--show``."""
         form, number = self.option("format"), self.option("show")
         if form not in ("table", "json"):
             message = f"--format={form}: expected table or json"
@@ -85,10 +85,11 @@
 
 
 def _text_to_edit(heads: list[Head], number: str) -> list[str]:
+    """Return the text of a version, after a line that names it as the base version."""
     for head in heads:
         if str(head.version) == number:
             lines = head.rules_text.rstrip("\n").split("\n")
-            # The text may still name the version that it was based on.
+            # Remove the line with the base version of this version.
             kept = [line for line in lines if not _BASE_LINE.match(line.rstrip())]
             return [f"# version {number}", *kept]
     message = f"--show={number}: expected the number of an accepted version"
@@ -96,6 +97,7 @@
 
 
 def _history_table(heads: list[Head]) -> list[str]:
+    """Return a table with number, time, changed rules and author of each version."""
     rows = []
     previous = RuleSet(())
     for head in heads:
@@ -108,43 +110,42 @@
 
 
 class RulesApplyCommand(RulesCommand):
-    """Send a rules file to an entry."""
+    """Command that sends a rules file to an entry as a new version."""
 
     name = "rules apply"
-    description = "Put a rules file into force through an entry"
+    description = "Apply a rules file as the new version, through an entry"
     help = (
-        "Checks the file, shows how it differs from the version in force, and sends "
-        "it. The\nchange is accepted only while the version in force is still the one "
-        "that the file is\nbased on: the number of --base-version, else of a line "
-        "'# version N' in the file (see\n'rules history --show'), else the version "
-        "that is shown. A refused change leaves\nyour file as it is and shows what "
-        "the other operator changed.\n\nThe change has an id before it is sent. When "
-        "no answer comes, ask with 'rules status ID',\nor repeat the command with "
-        "--change-id ID; the change takes effect at most once.\n"
-        + _TOKEN_HELP
-        + EXIT_CODES_HELP
+        "Checks the file, prints its differences from the version in force, and sends "
+        "it.\nThe change is accepted only if its base version is still in force. The "
+        "base version is\nthe number in --base-version, else in a line '# version N' "
+        "of the file (see 'rules\nhistory --show'), else the version in force that the "
+        "command shows. If the change is\nrefused, your file is not modified and "
+        "its differences from the new version in force\nare printed.\n\nThe command "
+        "prints the id of the change before it sends it. If no answer arrives, run\n"
+        "'rules status ID', or repeat the command with --change-id ID; the change "
+        "takes effect\nat most once.\n" + _TOKEN_HELP + EXIT_CODES_HELP
     )
     arguments: ClassVar[list[Argument]] = [argument("file", "Rules file to apply")]
     options: ClassVar[list[Option]] = [
         _URL_OPTION,
-        option("author", None, "Who makes the change (required)", flag=False),
+        option("author", None, "Author of the change (required)", flag=False),
         option(
             "without-domain",
             None,
-            "Failure domain that is cut off and is not waited for; may be repeated",
+            "Unreachable failure domain that need not stage the change; repeatable",
             flag=False,
             multiple=True,
         ),
         option("base-version", None, "Version that the file is based on", flag=False),
-        option("change-id", None, "Id of a change that is repeated", flag=False),
+        option("change-id", None, "Id of an earlier change to send again", flag=False),
     ]
 
     def run_rules(self) -> ExitCode:
-        """Check, show and send the change."""
+        """Check the file, print its differences and send it; return the exit code."""
         path, url = self.argument("file"), required_url(self)
         author = self.option("author")
         if not author:
-            message = "--author: expected the name of the one who makes the change"
+            message = "--author: expected the name of the author of the change"
             raise CommandError(ExitCode.WRONG_USE, message)
         change_id = self._change_id()
         text = read_text(path)
@@ -163,6 +164,7 @@
         return self._report(client.send_change(change), change, rules, url)
 
     def _change_id(self) -> str:
+        """Return the option ``--change-id``, or a new random id."""
         change_id = self.option("change-id") or str(uuid.uuid4())
         if not _CHANGE_ID.match(change_id):
             message = f"--change-id={change_id}: expected letters, digits, '_' and '-'"
@@ -170,6 +172,7 @@
         return str(change_id)
 
     def _base_version(self, text: str, head: Head) -> int:
+        """Return the base version from the option, the text or the version in force."""
         number = self.option("base-version")
         if number is None:
             matches = [_BASE_LINE.match(line.rstrip()) for line in text.split("\n")]
@@ -182,6 +185,7 @@
         return int(number)
 
     def _show_difference(self, head: Head, rules: RuleSet) -> None:
+        """Print the differences between the version in force and the file."""
         current = parse_rules(head.rules_text)
         if head.version == 0 or current.is_error():
             self.write_lines([f"{len(rules.rules)} rules; none are in force yet"])
@@ -193,6 +197,7 @@
     def _report(
         self, state: ChangeState, change: ChangeRequest, rules: RuleSet, url: str
     ) -> ExitCode:
+        """Print the state of the sent change; return the exit code."""
         if state.state == "accepted":
             self.write_lines([f"Accepted as version {state.version}."])
             return ExitCode.DONE
@@ -201,9 +206,9 @@
             self._show_other(state, change, rules)
             return ExitCode.REFUSED
         self.write_error_line(
-            f"It is not known whether the change was accepted: {state.reason}"
+            f"It is unknown whether the change was accepted: {state.reason}"
         )
-        self.write_error_line("Ask again with:")
+        self.write_error_line("To check again, run:")
         self.write_error_line(
             f"  bluebellusher rules status {change.change_id} --url {url}"
         )
@@ -212,37 +217,39 @@
     def _show_other(
         self, state: ChangeState, change: ChangeRequest, rules: RuleSet
     ) -> None:
-        """Show how the sent file differs from the version that won."""
+        """Print the differences between the version in force and the refused file."""
         other = parse_rules(state.rules_text)
         if state.head_version == change.base_version or other.is_error():
             return
         self.write_error_line(
             f"Version {state.head_version} is in force; your file is unchanged. "
-            "From that version to your file:"
+            "Changes from that version to your file:"
         )
         for line in format_changes(diff_rules(other.ok, rules)):
             self.write_error_line(line)
         self.write_error_line(
-            "Take over what you want to keep, then repeat with "
+            "Merge that version into your file, then repeat the command with "
             f"--base-version {state.head_version}."
         )
 
 
 class RulesStatusCommand(RulesCommand):
-    """Tell what became of a change."""
+    """Command that prints whether a change was accepted."""
 
     name = "rules status"
-    description = "Tell whether a change was accepted"
+    description = "Show whether a change was accepted"
     help = (
-        "Asks for a change by the id that 'rules apply' printed. An id that the entry "
-        "does not know\nmay still arrive; to settle it, repeat 'rules apply' with "
-        "--change-id.\n" + _TOKEN_HELP + EXIT_CODES_HELP
+        "Reads the state of a change by the id that 'rules apply' printed. If the "
+        "entry has no\nchange with this id, the change may still arrive there; to "
+        "settle its state, repeat\n'rules apply' with --change-id.\n"
+        + _TOKEN_HELP
+        + EXIT_CODES_HELP
     )
     arguments: ClassVar[list[Argument]] = [argument("change-id", "Id of the change")]
     options: ClassVar[list[Option]] = [_URL_OPTION]
 
     def run_rules(self) -> ExitCode:
-        """Print the state of the change."""
+        """Print the state of the change; return the exit code."""
         change_id = self.argument("change-id")
         if not _CHANGE_ID.match(change_id):
             message = f"{change_id}: expected letters, digits, '_' and '-'"
@@ -250,8 +257,9 @@
         state = RulesClient(required_url(self)).read_change(change_id)
         if state is None or state.state == "unknown":
             self.write_error_line(
-                f"Change {change_id} is not accepted so far. It may still arrive; "
-                f"repeat 'rules apply' with --change-id {change_id} to settle it."
+                f"Change {change_id} has not been accepted yet. It may still arrive "
+                "at the entry; to settle its state, repeat 'rules apply' with "
+                f"--change-id {change_id}."
             )
             return ExitCode.STATE_UNKNOWN
         if state.state == "refused":
--- a/packages/entry/src/bluebellusher/cli/rules_text.py
+++ b/packages/entry/src/bluebellusher/cli/rules_text.py
@@ -1,4 +1,4 @@
-"""Texts of the rules commands: tables, charts and differences."""
+"""Text output of the rules commands: tables, charts and differences."""
 
 import json
 from collections.abc import Iterable, Sequence
@@ -22,7 +22,7 @@
 
 
 def format_table(header: Sequence[str], rows: Iterable[Sequence[str]]) -> list[str]:
-    """Return the lines of a table; the first column is left aligned."""
+    """Return the lines of a table; only the first column is left aligned."""
     table = [list(header), *(list(row) for row in rows)]
     widths = [max(len(row[i]) for row in table) for i in range(len(header))]
     lines = []
@@ -37,17 +37,20 @@
 
 
 def format_money(amount: Decimal) -> str:
-    """Return an amount with two decimals and separators of thousands."""
+    """Return an amount with two decimals and thousands separators."""
     return f"{amount:,.2f}"
 
 
 def format_change_of_money(amount: Decimal) -> str:
-    """Return an amount with its sign; zero has none."""
+    """Return a difference of amounts with its sign; zero has no sign."""
     return f"{amount:+,.2f}" if amount else "0.00"
 
 
 def format_time(at_s: int | None, zone: str) -> str:
-    """Return a moment in a time zone with its offset from UTC."""
+    """Return a Unix time in seconds as local time with its offset from UTC.
+
+    ``None`` gives ``-``.
+    """
     if at_s is None:
         return "-"
     local = datetime.fromtimestamp(at_s, UTC).astimezone(ZoneInfo(zone))
@@ -55,14 +58,18 @@
 
 
 def shorten(text: str) -> str:
-    """Return a text that fits into a column."""
+    """Return a text, cut to the maximum width of a column."""
     if len(text) <= _MAX_TEXT_WIDTH:
         return text
     return text[: _MAX_TEXT_WIDTH - 3] + "..."
 
 
 def format_changes(changes: Iterable[RuleChange]) -> list[str]:
-    """Return the rules that changed, marked with ``+``, ``-``, ``~`` or ``#``."""
+    """Return the changed rules, each after the mark of its kind of change.
+
+    The marks are ``+`` for added, ``-`` for removed, ``~`` for changed and ``#`` for a
+    rule of which only the comment changed.
+    """
     lines = []
     for change in changes:
         if change.kind in ("changed", "comment") and change.before:
@@ -72,7 +79,7 @@
 
 
 def count_changes(before: RuleSet, after: RuleSet) -> str:
-    """Return how many rules were added, removed and changed."""
+    """Return the numbers of added, removed and changed rules, as in ``+1 -0 ~2``."""
     kinds = [change.kind for change in diff_rules(before, after)]
     n_changed = kinds.count("changed") + kinds.count("comment")
     return f"+{kinds.count('added')} -{kinds.count('removed')} ~{n_changed}"
@@ -84,6 +91,7 @@
 
 
 def _named_amounts(forecast: Forecast) -> list[tuple[str, dict[str, AmountRange]]]:
+    """Return the amounts by service, by customer and by rule, each with a title."""
     services = {k or ANY_SERVICE_ROW: v for k, v in forecast.sum_by_service().items()}
     customers = {k or ENGINES_ROW: v for k, v in forecast.sum_by_customer().items()}
     rules = {
@@ -97,7 +105,7 @@
 
 
 def format_forecast_table(forecast: Forecast) -> list[str]:
-    """Return tables by service, customer and rule, each with its total."""
+    """Return tables of a forecast by service, customer and rule, each with a total."""
     lines = [f"Bill of {forecast.month} ({forecast.month.zone}) in {forecast.currency}"]
     for title, amounts in _named_amounts(forecast):
         rows = [_money_row(name, amount) for name, amount in amounts.items()]
@@ -108,7 +116,7 @@
 
 
 def format_forecast_json(forecast: Forecast) -> list[str]:
-    """Return the forecast as JSON; amounts are texts, so that none loses a digit."""
+    """Return a forecast as JSON; amounts are strings, so that no digit is lost."""
     contributions = [
         {
             "rule": c.rule.statement(),
@@ -148,7 +156,7 @@
 
 
 def format_forecast_chart(forecast: Forecast) -> list[str]:
-    """Return one bar for each service and customer, drawn to one scale."""
+    """Return a bar chart of a forecast, by service and customer on one scale."""
     groups = _named_amounts(forecast)[:2]
     rows = [("Total", {"Total": forecast.total}), *groups]
     width = max(len(name) for _, amounts in rows for name in amounts)
@@ -169,6 +177,7 @@
 
 
 def _bar(amount: AmountRange, largest: Decimal) -> str:
+    """Return a bar for an amount; the full width stands for ``largest``."""
     if not largest:
         return " " * CHART_WIDTH
     n_minimum = round(amount.minimum / largest * CHART_WIDTH)
@@ -179,7 +188,7 @@
 
 
 def format_plan(before: Forecast, after: Forecast) -> list[str]:
-    """Return the effect of a change on expected value and ceiling."""
+    """Return tables that compare expected values and ceilings of two forecasts."""
     lines = []
     pairs = zip(_named_amounts(before)[:2], _named_amounts(after)[:2], strict=True)
     for (title, old), (_, new) in pairs:
@@ -202,7 +211,10 @@
 
 
 def format_explanation(explanation: Explanation, zone: str) -> list[str]:
-    """Return each part with its rule, author, comment and time, and the sum."""
+    """Return the parts of the difference between two bills, and their sum.
+
+    Each part is shown with its rule, author, reason and time of acceptance.
+    """
     parts = [part for part in explanation.parts if part.amount]
     n_without = len(explanation.parts) - len(parts)
     amounts = [format_change_of_money(part.amount) for part in parts]
@@ -223,8 +235,9 @@
 
 
 def _describe_part(part: DifferencePart, zone: str) -> list[str]:
+    """Return the lines about the cause of one part, without its amount."""
     if part.change is None:
-        return ["calendar: the two months differ in their days"]
+        return ["calendar: the two months have different days"]
     change = part.change
     texts = [f"{change.kind}: {change.rule.statement()}"]
     if change.before and change.after:
--- a/packages/entry/src/bluebellusher/cli/tests/test_explain.py
+++ b/packages/entry/src/bluebellusher/cli/tests/test_explain.py
@@ -1,4 +1,4 @@
-"""The story of a request from logs."""
+"""Tests of the command ``explain``."""
 
 import pytest
 from cleo.testers.application_tester import ApplicationTester
@@ -22,13 +22,13 @@
 
 
 def read(text):
-    """Return the lines of a log."""
+    """Return the parsed lines of a log."""
     return [parse_line("a.log", line) for line in text.splitlines()]
 
 
 @pytest.mark.parametrize("wanted_id", ["e1.r1", "9c41"])
 def test_story_is_found_by_either_id(wanted_id):
-    """Guards against a caller's id that leads nowhere."""
+    """Guards against a request that is not found by the caller's attempt id."""
     story = explain(wanted_id, read(LOG_A))
     events = [line.split("event=")[1].split()[0] for line in story[:4]]
     assert events == [
@@ -41,12 +41,12 @@
 
 
 def test_story_shows_what_was_believed_and_not_what_came_later():
-    """Guards against causes that did not exist yet."""
+    """Guards against events after the end of a request shown as its cause."""
     text = "\n".join(explain("e1.r1", read(LOG_A)))
     assert "version=7" in text
     assert "version=8" not in text
     assert "store-lost" in text
-    assert "believed for 0.501 s" in text
+    assert "recorded 0.501 s before" in text
     assert "endpoint=x2" not in text, "not an endpoint of this request"
 
 
@@ -72,14 +72,14 @@
 
 
 def test_beliefs_of_an_earlier_start_are_left_out():
-    """Guards against connections that an earlier process lost shown as a cause."""
+    """Guards against connections lost before a restart shown as a cause."""
     text = "\n".join(explain("e1.r1", read(LOG_RESTARTED)))
     assert "peer=a0" not in text
     assert "event=started" in text
 
 
 def test_lines_of_one_cause_are_shown_as_one():
-    """Guards against a page of lost agents that hides the other beliefs."""
+    """Guards against many lost agents that crowd out the other recorded state."""
     story = explain("e1.r1", read(LOG_RESTARTED))
     lines = [line for line in story if "agent-lost" in line]
     assert len(lines) == 1
@@ -88,7 +88,7 @@
 
 
 def test_story_shows_what_others_met_at_the_same_endpoint():
-    """Guards against a cause that only the logs of other processes show."""
+    """Guards against a missed cause that only logs of other processes contain."""
     story = explain("e1.r1", read(LOG_RESTARTED + LOG_OTHER))
     assert "x1: 1 attempt-broken, 1 attempt-sent" in story
     assert [line for line in story if "map-order" in line] == [
@@ -98,13 +98,13 @@
 
 
 def test_lines_that_are_no_log_lines_are_passed_over():
-    """Guards against a stop because of a traceback in a log."""
+    """Guards against a failure of the command on a traceback in a log."""
     for text in ("", "Traceback (most", 'a="open', "event=x", "ts=soon event=x"):
         assert parse_line("a.log", text) is None
 
 
 def test_command_says_when_a_request_is_not_there(tmp_path):
-    """Guards against an empty answer that looks like a story."""
+    """Guards against exit code 0 for an unknown request or an unreadable file."""
     path = tmp_path / "a.log"
     path.write_text(LOG_A)
     tester = ApplicationTester(build_application())
--- a/packages/entry/src/bluebellusher/cli/tests/test_main.py
+++ b/packages/entry/src/bluebellusher/cli/tests/test_main.py
@@ -1,4 +1,4 @@
-"""Guards against a command line that does not explain itself."""
+"""Tests of the command line application."""
 
 import sys
 
@@ -9,7 +9,7 @@
 
 @pytest.mark.parametrize("argument", ["--help", "-h", "help"])
 def test_help_alone_lists_every_command(monkeypatch, capfd, argument):
-    """Guards against help that only describes the command ``list``."""
+    """Guards against top-level help that shows only the help of ``list``."""
     monkeypatch.setattr(sys, "argv", ["bluebellusher", argument])
     with pytest.raises(SystemExit) as ended:
         main()
--- a/packages/entry/src/bluebellusher/cli/tests/test_rules_commands.py
+++ b/packages/entry/src/bluebellusher/cli/tests/test_rules_commands.py
@@ -1,4 +1,4 @@
-"""Tests of the rules commands against a small stand-in of an entry."""
+"""Tests of the rules commands against a fake entry."""
 
 import json
 import pathlib
@@ -18,7 +18,11 @@
 
 
 class FakeEntry(ThreadingHTTPServer):
-    """Keeps versions in memory; can lose or delay the answer to a change."""
+    """HTTP server that stores rules versions in memory, in place of an entry.
+
+    With ``fault`` set, a change is stored but its answer is lost (``lose``) or replaced
+    by status 504 (``504``).
+    """
 
     def __init__(self) -> None:
         super().__init__(("127.0.0.1", 0), Handler)
@@ -29,11 +33,14 @@
 
     @property
     def url(self) -> str:
-        """Address of the server."""
+        """Base URL of the server."""
         return f"http://127.0.0.1:{self.server_address[1]}"
 
     def change(self, change: dict) -> tuple[int, dict]:
-        """Accept a change that is based on the head, once for each id."""
+        """Accept or refuse a change; return the HTTP status and the answer.
+
+        A change must be based on the last version, and is stored once for each id.
+        """
         self.requests.append(change)
         head = self.versions[-1]
         state = self.state_by_change_id.get(change["change_id"])
@@ -57,7 +64,7 @@
 
 
 def version(number: int, text: str, author: str) -> dict:
-    """Return a version as the entry shows it."""
+    """Return a version in the JSON format of ``/admin/rules``."""
     accepted_wall_ms = 1_800_000_000_000 + number * 86_400_000
     return {
         "version": number,
@@ -68,12 +75,12 @@
 
 
 class Handler(BaseHTTPRequestHandler):
-    """Routes of ``/admin/rules``."""
+    """Handler of the routes below ``/admin/rules``."""
 
     server: FakeEntry
 
     def do_GET(self) -> None:
-        """Answer head, versions and changes."""
+        """Answer requests for the last version, all versions or one change."""
         name = self.path.removeprefix("/admin/rules")
         if name == "":
             self.answer(200, self.server.versions[-1])
@@ -84,7 +91,7 @@
             self.answer(200 if state else 404, state or {})
 
     def do_POST(self) -> None:
-        """Take a change."""
+        """Process a change, and answer unless a fault is set."""
         body = self.rfile.read(int(self.headers["Content-Length"]))
         status, content = self.server.change(json.loads(body))
         if self.server.fault == "lose":
@@ -93,7 +100,7 @@
         self.answer(504 if self.server.fault == "504" else status, content)
 
     def answer(self, status: int, content: dict) -> None:
-        """Send JSON."""
+        """Send a JSON answer."""
         body = json.dumps(content).encode()
         self.send_response(status)
         self.send_header("Content-Length", str(len(body)))
@@ -101,12 +108,12 @@
         self.wfile.write(body)
 
     def log_message(self, *args: object) -> None:
-        """Keep the test output clean."""
+        """Suppress the access log of the server."""
 
 
 @pytest.fixture
 def entry() -> Iterator[FakeEntry]:
-    """Run a stand-in of an entry."""
+    """Run a fake entry in a thread until the test ends."""
     server = FakeEntry()
     thread = threading.Thread(
         target=server.serve_forever, kwargs={"poll_interval": 0.01}
@@ -129,20 +136,20 @@
 
 
 def apply(path: pathlib.Path, url: str, more: str = "") -> tuple[int, str, str]:
-    """Apply a rules file in the name of Mio."""
+    """Run ``rules apply`` as the author Mio."""
     return run("rules apply", f"{path} --url {url} --author Mio {more}")
 
 
 @pytest.fixture
 def edited(tmp_path: pathlib.Path) -> pathlib.Path:
-    """Return a file with one engine less than the example."""
+    """Return the path of the example rules with one engine fewer."""
     path = tmp_path / "new.rules"
     path.write_text(TEXT.replace("engines order-desk 3 ", "engines order-desk 2 "))
     return path
 
 
 def test_check_prints_every_error(tmp_path: pathlib.Path) -> None:
-    """Guards against errors that are not shown or an exit code of success."""
+    """Guards against errors that are not printed, and against exit code 0."""
     path = tmp_path / "bad.rules"
     path.write_text(TEXT + "share nobody 2 # Mio: x\nshare kitami-mart\n")
     code, _, errors = run("rules check", str(path))
@@ -154,7 +161,7 @@
 
 
 def test_forecast_formats_agree() -> None:
-    """Guards against formats that show different amounts."""
+    """Guards against output formats that show different amounts."""
     base = f"{TOKACHI} --month 2027-01 --format"
     content = json.loads(run("rules forecast", f"{base} json")[1])
     assert content["total"]["expected"] == "3258550.60"
@@ -165,7 +172,7 @@
 
 
 def test_plan_and_why_show_the_effect(edited: pathlib.Path) -> None:
-    """Guards against a difference whose rule or amount is not shown."""
+    """Guards against a changed rule whose text or cost is not printed."""
     arguments = f"{TOKACHI} {edited} --month 2027-01"
     for name in ("rules plan", "rules why"):
         code, output, _ = run(name, arguments)
@@ -194,7 +201,10 @@
 def test_lost_race_shows_the_difference(
     entry: FakeEntry, edited: pathlib.Path, tmp_path: pathlib.Path
 ) -> None:
-    """Guards against a second operator who silently undoes the first one's change."""
+    """Guards against an operator who unknowingly overwrites another one's change.
+
+    Both edit version 1; the change that arrives second must be refused.
+    """
     text = run("rules history", f"--url {entry.url} --show 1")[1]
     mine = tmp_path / "mine.rules"
     mine.write_text(text.replace("weight skew 3 ", "weight skew 5 "))
@@ -211,7 +221,10 @@
 def test_unknown_state_can_be_settled(
     entry: FakeEntry, edited: pathlib.Path, fault: str
 ) -> None:
-    """Guards against a lost answer that is taken for a refusal or applied twice."""
+    """Guards against a change that is applied twice after its answer was lost.
+
+    The lost answer must also not count as a refusal.
+    """
     entry.fault = fault
     code, _, errors = apply(edited, entry.url, "--without-domain memuro")
     assert code == 4
@@ -228,6 +241,6 @@
 
 
 def test_unreachable_entry_is_no_unknown_state(edited: pathlib.Path) -> None:
-    """Guards against a change that counts as unknown though nothing was sent."""
+    """Guards against the state "unknown" for a change that was never sent."""
     assert apply(edited, "http://127.0.0.1:9")[0] == 5
     assert apply(edited, "nowhere")[0] == 2
