--- a/packages/entry/src/bluebellusher/observability/_log.py
+++ b/packages/entry/src/bluebellusher/observability/_log.py
@@ -10,9 +10,9 @@
 
 import eliot
 
-_PLAIN = re.compile(r"^[A-Za-z0-9_.:/@+-]+\Z")
-_KEY = re.compile(r"[^A-Za-z0-9_]")
-_RANK_BY_LEVEL = {"debug": 0, "info": 1, "error": 2}
+_UNQUOTED_VALUE = re.compile(r"^[A-Za-z0-9_.:/@+-]+\Z")
+_UNSAFE_KEY_CHARACTER = re.compile(r"[^A-Za-z0-9_]")
+_SEVERITY_BY_LEVEL = {"debug": 0, "info": 1, "error": 2}
 _MAX_VALUE_CHARS = 512
 # Longest line in characters. A pipe that poll() reports as writable accepts 4096
 # bytes (PIPE_BUF) without blocking; the difference leaves space for the field
@@ -29,21 +29,21 @@
 
 # The cache cannot grow without bound: all field names are constants of the code.
 @cache
-def _clean_key(key: str) -> str:
+def _sanitize_key(key: str) -> str:
     """Return a field name with characters but letters, digits and _ replaced by _."""
-    return _KEY.sub("_", key)
+    return _UNSAFE_KEY_CHARACTER.sub("_", key)
 
 
-def _escape(value: object) -> str:
+def _format_value(value: object) -> str:
     """Return a value as text, quoted and escaped if it has special characters."""
     # Fast path: most values are integers, which never need quotes.
     if type(value) is int:
         return str(value)
     text = f"{value:.6g}" if isinstance(value, float) else str(value)
-    if _PLAIN.match(text):
+    if _UNQUOTED_VALUE.match(text):
         return text
-    shown = text[:_MAX_VALUE_CHARS].encode("unicode_escape").decode("ascii")
-    return '"' + shown.replace('"', '\\"') + '"'
+    escaped = text[:_MAX_VALUE_CHARS].encode("unicode_escape").decode("ascii")
+    return '"' + escaped.replace('"', '\\"') + '"'
 
 
 def format_line(message: dict[str, Any]) -> str:
@@ -58,10 +58,10 @@
     'ts=1.500 event=e peer="a b\\nc"'
     """
     parts = [f"ts={message.get('timestamp', 0.0):.3f}"]
-    parts.append(f"event={_escape(message.get('message_type', 'unnamed'))}")
+    parts.append(f"event={_format_value(message.get('message_type', 'unnamed'))}")
     for key, value in message.items():
         if key not in _TASK_FIELDS:
-            parts.append(f"{_clean_key(key)}={_escape(value)}")
+            parts.append(f"{_sanitize_key(key)}={_format_value(value)}")
     return " ".join(parts)
 
 
@@ -90,7 +90,7 @@
     def write(self, text: str) -> None:
         """Write one line, or drop it if the descriptor is not writable."""
         if not self._poll.poll(0):
-            self._drop()
+            self._count_dropped_line()
             return
         line = text.rstrip("\n")[:_MAX_LINE_CHARS]
         if self._n_dropped:
@@ -99,9 +99,9 @@
         try:
             os.write(self._descriptor, line.encode("ascii") + b"\n")
         except OSError:
-            self._drop()
+            self._count_dropped_line()
 
-    def _drop(self) -> None:
+    def _count_dropped_line(self) -> None:
         self._n_dropped += 1
         self.n_dropped_total += 1
 
@@ -119,8 +119,8 @@
 
     def __init__(self, n_per_second: int = MAX_LINES_PER_EVENT_AND_SECOND) -> None:
         self._n_per_second = n_per_second
-        self._second = 0
-        self._n_by_event: Counter[str] = Counter()
+        self._current_second = 0
+        self._n_lines_by_event: Counter[str] = Counter()
 
     def admit(self, event: str, timestamp_s: float) -> tuple[bool, Counter[str]]:
         """Count one line; return whether to write it, and the lines left out before.
@@ -129,15 +129,15 @@
         not empty only for the first line of a new second, and covers the previous
         second in which lines were logged.
         """
-        left_out: Counter[str] = Counter()
-        if int(timestamp_s) != self._second:
-            for name, n_lines in self._n_by_event.items():
+        n_left_out_by_event: Counter[str] = Counter()
+        if int(timestamp_s) != self._current_second:
+            for name, n_lines in self._n_lines_by_event.items():
                 if n_lines > self._n_per_second:
-                    left_out[name] = n_lines - self._n_per_second
-            self._second = int(timestamp_s)
-            self._n_by_event.clear()
-        self._n_by_event[event] += 1
-        return self._n_by_event[event] <= self._n_per_second, left_out
+                    n_left_out_by_event[name] = n_lines - self._n_per_second
+            self._current_second = int(timestamp_s)
+            self._n_lines_by_event.clear()
+        self._n_lines_by_event[event] += 1
+        return self._n_lines_by_event[event] <= self._n_per_second, n_left_out_by_event
 
 
 class KeyValueLog:
@@ -152,7 +152,7 @@
     """
 
     def __init__(self, level: str, writer: LineWriter) -> None:
-        self._rank = _RANK_BY_LEVEL[level]
+        self._min_severity = _SEVERITY_BY_LEVEL[level]
         self._writer = writer
         self._limiter = LineLimiter()
         # Log all events within one action: eliot creates a task id, with a system
@@ -180,8 +180,8 @@
             return
         timestamp_s = message.get("timestamp", 0.0)
         event = str(message.get("message_type", ""))
-        is_admitted, left_out = self._limiter.admit(event, timestamp_s)
-        for name, n_lines in left_out.items():
+        is_admitted, n_left_out_by_event = self._limiter.admit(event, timestamp_s)
+        for name, n_lines in n_left_out_by_event.items():
             line = {"timestamp": timestamp_s, "message_type": "log-limited"}
             self._write({**line, "left_out": name, "n_lines": n_lines})
         if is_admitted:
@@ -201,5 +201,5 @@
 
     def event(self, name: str, level: str = "info", **fields: object) -> None:
         """Log one event with its fields, if its level is high enough."""
-        if _RANK_BY_LEVEL[level] >= self._rank:
+        if _SEVERITY_BY_LEVEL[level] >= self._min_severity:
             self._action.log(name, **fields)
--- a/packages/entry/src/bluebellusher/observability/_metrics.py
+++ b/packages/entry/src/bluebellusher/observability/_metrics.py
@@ -6,8 +6,8 @@
 from hdrh.histogram import HdrHistogram
 
 _MAX_MS = 600_000
-_N_DIGITS = 2
-_QUANTILES = (50, 95, 99)
+_N_SIGNIFICANT_DIGITS = 2
+_PERCENTILES = (50, 95, 99)
 
 
 class Metrics:
@@ -18,23 +18,23 @@
     """
 
     def __init__(self) -> None:
-        self.first_token = HdrHistogram(1, _MAX_MS, _N_DIGITS)
-        self.total = HdrHistogram(1, _MAX_MS, _N_DIGITS)
+        self.first_token = HdrHistogram(1, _MAX_MS, _N_SIGNIFICANT_DIGITS)
+        self.total = HdrHistogram(1, _MAX_MS, _N_SIGNIFICANT_DIGITS)
         # Recording a value in a histogram takes about a sixth of the time to relay a
         # chunk. The gaps between chunks are therefore counted by value here, and
         # recorded in the histogram only when metrics are read.
         self.n_chunks_by_gap_ms: Counter[int] = Counter()
-        self._between_chunks = HdrHistogram(1, _MAX_MS, _N_DIGITS)
-        self._n_by_label: Counter[tuple[str, str, str]] = Counter()
+        self._time_between_chunks_ms = HdrHistogram(1, _MAX_MS, _N_SIGNIFICANT_DIGITS)
+        self._n_by_series: Counter[tuple[str, str, str]] = Counter()
 
     def count(self, name: str, label: str = "", value: str = "", n: int = 1) -> None:
         """Add ``n`` to a counter; ``label`` and ``value`` select its series."""
-        self._n_by_label[name, label, value] += n
+        self._n_by_series[name, label, value] += n
 
     def quantiles(self) -> dict[str, dict[str, float]]:
         """Return the quantiles in ms of each histogram with values, by its name."""
         return {
-            name: {f"p{q}": histogram.get_value_at_percentile(q) for q in _QUANTILES}
+            name: {f"p{q}": histogram.get_value_at_percentile(q) for q in _PERCENTILES}
             for name, histogram in self._histograms().items()
             if histogram.get_total_count()
         }
@@ -48,10 +48,10 @@
             Current values of the gauges by metric name.
         """
         lines: list[str] = []
-        for name, level in sorted(gauges.items()):
-            lines += [f"# TYPE {name} gauge", f"{name} {level:g}"]
+        for name, gauge_value in sorted(gauges.items()):
+            lines += [f"# TYPE {name} gauge", f"{name} {gauge_value:g}"]
         last_name = ""
-        for (name, label, value), n in sorted(self._n_by_label.items()):
+        for (name, label, value), n in sorted(self._n_by_series.items()):
             if name != last_name:
                 lines.append(f"# TYPE {name} counter")
             last_name = name
@@ -64,11 +64,13 @@
     def _histograms(self) -> dict[str, HdrHistogram]:
         """Return the histograms by name, with all counted chunk gaps recorded."""
         for gap_ms, n_chunks in self.n_chunks_by_gap_ms.items():
-            self._between_chunks.record_value(max(1, min(gap_ms, _MAX_MS)), n_chunks)
+            self._time_between_chunks_ms.record_value(
+                max(1, min(gap_ms, _MAX_MS)), n_chunks
+            )
         self.n_chunks_by_gap_ms.clear()
         return {
             "time_to_first_token_ms": self.first_token,
-            "time_between_chunks_ms": self._between_chunks,
+            "time_between_chunks_ms": self._time_between_chunks_ms,
             "time_total_ms": self.total,
         }
 
@@ -77,9 +79,9 @@
     """Format a histogram as a Prometheus summary: quantiles, sum and count."""
     n_values = histogram.get_total_count()
     lines = [f"# TYPE {name} summary"]
-    for quantile in _QUANTILES:
-        value = histogram.get_value_at_percentile(quantile) if n_values else 0
-        lines.append(f'{name}{{quantile="{quantile / 100:g}"}} {value}')
+    for percentile in _PERCENTILES:
+        value = histogram.get_value_at_percentile(percentile) if n_values else 0
+        lines.append(f'{name}{{quantile="{percentile / 100:g}"}} {value}')
     mean = histogram.get_mean_value() if n_values else 0.0
     return [*lines, f"{name}_sum {mean * n_values:.0f}", f"{name}_count {n_values}"]
 
--- a/packages/entry/src/bluebellusher/observability/_trace.py
+++ b/packages/entry/src/bluebellusher/observability/_trace.py
@@ -38,7 +38,7 @@
     trace_id: str
     span_id: str
     flags: str = "01"
-    _inner: Any = field(default=None, repr=False)
+    _recorded_span: Any = field(default=None, repr=False)
 
     @property
     def traceparent(self) -> str:
@@ -47,10 +47,10 @@
 
     def end(self, **attributes: str | int) -> None:
         """End the span with these attributes; later calls have no effect."""
-        if self._inner is not None:
-            self._inner.set_attributes(attributes)
-            self._inner.end()
-            self._inner = None
+        if self._recorded_span is not None:
+            self._recorded_span.set_attributes(attributes)
+            self._recorded_span.end()
+            self._recorded_span = None
 
 
 class Tracer:
@@ -97,10 +97,15 @@
     context = None
     if parent is not None:
         trace_id, span_id, flags = (int(part, 16) for part in parent)
-        remote = trace.SpanContext(
+        parent_context = trace.SpanContext(
             trace_id, span_id, is_remote=True, trace_flags=trace.TraceFlags(flags)
         )
-        context = trace.set_span_in_context(trace.NonRecordingSpan(remote))
-    inner = recorder.start_span(name, context=context)
-    own = inner.get_span_context()
-    return Span(f"{own.trace_id:032x}", f"{own.span_id:016x}", "01", inner)
+        context = trace.set_span_in_context(trace.NonRecordingSpan(parent_context))
+    recorded_span = recorder.start_span(name, context=context)
+    span_context = recorded_span.get_span_context()
+    return Span(
+        f"{span_context.trace_id:032x}",
+        f"{span_context.span_id:016x}",
+        "01",
+        recorded_span,
+    )
--- a/packages/entry/src/bluebellusher/observability/tests/test_limiter.py
+++ b/packages/entry/src/bluebellusher/observability/tests/test_limiter.py
@@ -10,12 +10,12 @@
     admitted = [limiter.admit("busy", 10.0 + i / 100)[0] for i in range(8)]
     assert admitted == [True] * 3 + [False] * 5
     assert limiter.admit("rare", 10.5) == (True, {})
-    is_admitted, left_out = limiter.admit("busy", 11.0)
+    is_admitted, n_left_out_by_event = limiter.admit("busy", 11.0)
     assert is_admitted
-    assert left_out == {"busy": 5}
+    assert n_left_out_by_event == {"busy": 5}
 
 
-def test_left_out_lines_are_told_in_the_log():
+def test_left_out_lines_are_counted_in_the_log():
     """Guards against a log that omits lines and does not count them."""
     lines = []
 
--- a/packages/entry/src/bluebellusher/observability/tests/test_observability.py
+++ b/packages/entry/src/bluebellusher/observability/tests/test_observability.py
@@ -47,7 +47,7 @@
     assert f"parent_id={'b' * 16}" in stream.getvalue()
 
 
-def test_without_debug_the_trace_id_still_passes_through():
+def test_trace_id_is_kept_when_spans_are_not_recorded():
     """Guards against a lost trace id when spans are not recorded.
 
     Also checks that a trace id of only zeros is rejected.
@@ -57,7 +57,7 @@
     assert parse_traceparent("00-" + "0" * 32 + "-" + "b" * 16 + "-01") is None
 
 
-def test_a_reader_that_stops_does_not_stop_the_log():
+def test_writer_does_not_block_when_the_log_is_not_read():
     """Guards against an entry that blocks because its log is not read.
 
     The pipe fills up, and later has no reader at all. Neither may block or raise.
