--- a/packages/entry/src/bluebellusher/cli/_entry.py
+++ b/packages/entry/src/bluebellusher/cli/_entry.py
@@ -13,7 +13,7 @@
 import uvloop
 
 from bluebellusher.allowance import SpendingLimiter
-from bluebellusher.cli._view import EntryView
+from bluebellusher.cli._status import EntryStatus
 from bluebellusher.links import AgentLinks, Identity, LinkTicker, PeerLinks
 from bluebellusher.observability import KeyValueLog, Metrics, Tracer
 from bluebellusher.platform import PlatformClient
@@ -35,7 +35,7 @@
 from bluebellusher_core.routing import PredictedLatency
 
 # Interval in seconds at which a shutdown checks for connections closed by callers.
-_POLL_S = 0.02
+_SHUTDOWN_POLL_S = 0.02
 # Time in milliseconds that a shutdown waits, after the last request, for writes of
 # claims and outcomes. A claim whose outcome is not written stays ``claimed``, which is
 # safe: its outcome is unknown, and a retry with the same key is not run.
@@ -50,19 +50,19 @@
         self.clock = clock
         self.log = log
         self.incarnation = clock.wall_ms()
-        seed = Random(f"{settings.instance_id}.{self.incarnation}")
-        self.state = _make_state(settings, self.incarnation, seed)
+        random_state = Random(f"{settings.instance_id}.{self.incarnation}")
+        self.state = _make_state(settings, self.incarnation, random_state)
         limits = settings.limits
         tracer = Tracer(log)
         dispatcher = AgentDispatcher(clock, tracer, limits.stream_window_bytes)
         self.runtime = Runtime(self.state, clock, log, Metrics(), tracer, dispatcher)
         self.ticker = LinkTicker(clock, asyncio.get_running_loop())
         identity = _make_identity(settings, self.incarnation)
-        parts = (identity, self.runtime, self.ticker, clock, seed)
-        self.agents = dispatcher.agents = AgentLinks(*parts)
-        self.view = EntryView(self)
-        self.peer_exchange = PeerExchange(self.runtime, clock, self.view.make_digest)
-        self.peers = PeerLinks(*parts, self.peer_exchange)
+        link_arguments = (identity, self.runtime, self.ticker, clock, random_state)
+        self.agents = dispatcher.agents = AgentLinks(*link_arguments)
+        self.status = EntryStatus(self)
+        self.peer_exchange = PeerExchange(self.runtime, clock, self.status.make_digest)
+        self.peers = PeerLinks(*link_arguments, self.peer_exchange)
         self.peer_exchange.links = self.peers
         self.platform = PlatformClient(
             settings.platform_url, settings.failure_domain, limits.platform_timeout_ms
@@ -76,8 +76,8 @@
             clock,
             self.peers,
             self.platform,
-            self.view.make_digest,
-            seed,
+            self.status.make_digest,
+            random_state,
         )
         self.spending = SpendingLimiter.from_parts(
             settings,
@@ -85,17 +85,17 @@
             self.rollout.in_force,
             self.platform,
             clock,
-            seed,
+            random_state,
         )
         self.discovery = _make_discovery(self)
-        self._discovering: asyncio.Task[None] | None = None
+        self._discovery_task: asyncio.Task[None] | None = None
         counter = itertools.count(1)
         prefix = f"{settings.instance_id}.{self.incarnation}"
         self.server = HttpServer(
             settings,
             self.runtime,
             store,
-            self.view,
+            self.status,
             lambda: f"{prefix}.r{next(counter)}",
             (self.rollout.pages,),
             self.spending,
@@ -108,11 +108,11 @@
         address = self.settings.peer_listen
         peer_port = await self.peers.listen(address.host, address.port)
         http_port = await self.server.start()
-        self.agents.dial(_pairs(self.settings.agents))
-        self._discovering = asyncio.create_task(self.discovery.run())
+        self.agents.dial(_to_host_ports(self.settings.agents))
+        self._discovery_task = asyncio.create_task(self.discovery.run())
         self.rollout.start(self.peer_exchange, self.ticker)
         self.spending.start()
-        self.peers.dial(_pairs(self.settings.peers))
+        self.peers.dial(_to_host_ports(self.settings.peers))
         self.log.event(
             "listening",
             instance=self.settings.instance_id,
@@ -134,11 +134,11 @@
         while self.runtime.exchange_by_request_id or self.server.close_idle():
             await self._wait_for_progress()
         self.runtime.post(ShutdownStarted())
-        until_ms = self.clock.now_ms() + _CLAIMS_GRACE_MS
-        while not self.runtime.is_settled and self.clock.now_ms() < until_ms:
+        claims_deadline_ms = self.clock.now_ms() + _CLAIMS_GRACE_MS
+        while not self.runtime.is_settled and self.clock.now_ms() < claims_deadline_ms:
             await self._wait_for_progress()
-        if self._discovering is not None:
-            self._discovering.cancel()
+        if self._discovery_task is not None:
+            self._discovery_task.cancel()
         self.ticker.stop()
         await self.agents.close()
         await self.rollout.close()
@@ -149,24 +149,26 @@
         self.log.event("stopped")
 
     async def _wait_for_progress(self) -> None:
-        """Wait until a request ends, for at most ``_POLL_S``.
+        """Wait until a request ends, for at most ``_SHUTDOWN_POLL_S``.
 
         The time limit is needed because no event is set when a caller closes its
         connection.
         """
         self.runtime.request_ended.clear()
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(_POLL_S):
+            async with asyncio.timeout(_SHUTDOWN_POLL_S):
                 await self.runtime.request_ended.wait()
 
 
-def _make_state(settings: Settings, incarnation: int, seed: Random) -> EntryState:
+def _make_state(
+    settings: Settings, incarnation: int, random_state: Random
+) -> EntryState:
     """Return the initial state of the entry's reducer."""
     n_per_service = settings.limits.n_endpoints_per_service
     config = EntryConfig(
         entry_id=settings.instance_id,
         incarnation=incarnation,
-        seed=seed.getrandbits(32),
+        seed=random_state.getrandbits(32),
         n_max_endpoints=max(256, n_per_service * len(settings.services)),
     )
     policy = PredictedLatency(failure_domain=settings.failure_domain)
@@ -199,11 +201,11 @@
         settings.failure_domain,
         (service.service_id for service in settings.services),
         settings.limits.n_endpoints_per_service,
-        _pairs(settings.agents),
+        _to_host_ports(settings.agents),
     )
 
 
-def _pairs(addresses: Iterable[AddressSettings]) -> list[tuple[str, int]]:
+def _to_host_ports(addresses: Iterable[AddressSettings]) -> list[tuple[str, int]]:
     """Return addresses as pairs of host and port."""
     return [(address.host, address.port) for address in addresses]
 
@@ -213,13 +215,13 @@
     log = KeyValueLog.from_config(settings.log_level)
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(_make_fault_logger(log))
-    is_told_to_stop = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, is_told_to_stop.set)
+    stop_requested = asyncio.Event()
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signal_number, stop_requested.set)
     entry = Entry(settings, SystemClock(), log)
     await entry.start()
     _return_free_memory()
-    await is_told_to_stop.wait()
+    await stop_requested.wait()
     await entry.stop()
 
 
@@ -240,7 +242,7 @@
 def _make_fault_logger(log: KeyValueLog) -> Any:
     """Return an exception handler of the event loop that logs ``internal-fault``."""
 
-    def report(_loop: asyncio.AbstractEventLoop, context: Mapping[str, Any]) -> None:
+    def log_fault(_loop: asyncio.AbstractEventLoop, context: Mapping[str, Any]) -> None:
         error = context.get("exception")
         log.event(
             "internal-fault",
@@ -250,7 +252,7 @@
             error=f"{type(error).__name__}: {error}" if error else "",
         )
 
-    return report
+    return log_fault
 
 
 def run_entry(settings: Settings) -> None:
--- a/packages/entry/src/bluebellusher/cli/_view.py
+++ b/packages/entry/src/bluebellusher/cli/_status.py
@@ -9,7 +9,7 @@
     from bluebellusher.cli._entry import Entry
 
 
-class EntryView:
+class EntryStatus:
     """Readiness, status document, gauges and digest of one entry."""
 
     def __init__(self, entry: "Entry") -> None:
@@ -116,12 +116,12 @@
         ``age_ms`` is the time since the last message of the agent.
         """
         view_by_id = self._entry.state.endpoints.view_by_id
-        shown = []
+        documents = []
         for endpoint_id, link in self._entry.agents.link_by_endpoint_id.items():
             view = view_by_id.get(endpoint_id)
             is_draining = view is not None and view.is_draining
             hello = link.connection.hello
-            shown.append(
+            documents.append(
                 {
                     "endpoint_id": endpoint_id,
                     "failure_domain": hello.failure_domain,
@@ -135,4 +135,4 @@
                     "age_ms": now_ms - link.connection.received_at_ms,
                 }
             )
-        return shown
+        return documents
--- a/packages/entry/src/bluebellusher/cli/rules_base.py
+++ b/packages/entry/src/bluebellusher/cli/rules_base.py
@@ -19,7 +19,7 @@
 
     DONE = 0
     RULES_HAVE_ERRORS = 1
-    WRONG_USE = 2
+    USAGE_ERROR = 2
     REFUSED = 3
     STATE_UNKNOWN = 4
     ENTRY_FAILED = 5
@@ -60,13 +60,13 @@
     def handle(self) -> int:
         """Run the command, print the message of a failure and return the exit code."""
         try:
-            return int(self.run_rules())
+            return int(self.run_command())
         except CommandError as e:
             for line in e.lines:
                 self.write_error_line(line)
             return int(e.code)
 
-    def run_rules(self) -> ExitCode:
+    def run_command(self) -> ExitCode:
         """Run the command; implemented by each subclass."""
         raise NotImplementedError
 
@@ -79,18 +79,20 @@
         """Print a line to standard error, without interpreting cleo's tags."""
         self.io.write_error_line(line, type=Type.RAW)
 
-    def month(self, rules: RuleSet, option: str = "month") -> Month:
+    def read_month(self, rules: RuleSet, option: str = "month") -> Month:
         """Return the month in an option; by default the next one in the rules' zone."""
         text = self.option(option)
         if not text:
             now = datetime.fromtimestamp(time.time(), UTC)
             local = now.astimezone(ZoneInfo(rules.month_zone))
-            n_months = local.year * 12 + local.month
-            return Month(n_months // 12, n_months % 12 + 1, rules.month_zone)
+            next_month_index = local.year * 12 + local.month
+            return Month(
+                next_month_index // 12, next_month_index % 12 + 1, rules.month_zone
+            )
         try:
             return Month.from_text(text, rules.month_zone)
         except ValueError as e:
-            raise CommandError(ExitCode.WRONG_USE, f"--{option}: {e}") from e
+            raise CommandError(ExitCode.USAGE_ERROR, f"--{option}: {e}") from e
 
 
 def read_text(path: str) -> str:
@@ -99,7 +101,7 @@
         return pathlib.Path(path).read_text(encoding="utf-8")
     except (OSError, ValueError) as e:
         message = f"{path}: cannot be read as UTF-8 text: {e}"
-        raise CommandError(ExitCode.WRONG_USE, message) from e
+        raise CommandError(ExitCode.USAGE_ERROR, message) from e
 
 
 def read_rules(path: str) -> RuleSet:
--- a/packages/entry/src/bluebellusher/cli/rules_client.py
+++ b/packages/entry/src/bluebellusher/cli/rules_client.py
@@ -18,10 +18,10 @@
 # HTTP statuses that leave open whether a change was accepted.
 _UNKNOWN_STATUSES = (502, 503, 504)
 
-M = TypeVar("M", bound=BaseModel)
+ModelT = TypeVar("ModelT", bound=BaseModel)
 
 
-class Head(BaseModel):
+class AcceptedVersion(BaseModel):
     """One accepted version of the rules, such as the version in force."""
 
     version: int
@@ -33,7 +33,7 @@
 class VersionList(BaseModel):
     """All accepted versions, in any order."""
 
-    versions: list[Head]
+    versions: list[AcceptedVersion]
 
 
 class ChangeState(BaseModel):
@@ -76,21 +76,21 @@
             total=timeout_s, sock_connect=CONNECT_TIMEOUT_S
         )
 
-    def read_head(self) -> Head:
+    def read_head(self) -> AcceptedVersion:
         """Return the version in force."""
-        return self._read("", Head)
+        return self._get_model("", AcceptedVersion)
 
-    def read_versions(self) -> list[Head]:
+    def read_versions(self) -> list[AcceptedVersion]:
         """Return all versions, sorted by number."""
-        found = self._read("/versions", VersionList).versions
-        return sorted(found, key=lambda head: head.version)
+        accepted_versions = self._get_model("/versions", VersionList).versions
+        return sorted(accepted_versions, key=lambda accepted: accepted.version)
 
     def read_change(self, change_id: str) -> ChangeState | None:
         """Return the state of a change, or ``None`` if the entry has no such change."""
         status, body = self._get(f"/changes/{change_id}")
         if status == 404:
             return None
-        return self._parse(status, body, ChangeState)
+        return self._parse_answer(status, body, ChangeState)
 
     def send_change(self, change: ChangeRequest) -> ChangeState:
         """Send a change and return its state.
@@ -100,49 +100,49 @@
         """
         try:
             status, body = asyncio.run(
-                self._request("POST", "", change.model_dump_json())
+                self._send_request("POST", "", change.model_dump_json())
             )
         except aiohttp.ClientConnectorError as e:
             # Without a connection the change was not sent, so its state is known.
-            raise self._error(f"no connection: {e}") from e
+            raise self._make_error(f"no connection: {e}") from e
         except (aiohttp.ClientError, TimeoutError) as e:
             return ChangeState(state="unknown", reason=f"no answer: {e!r}")
         if status in _UNKNOWN_STATUSES:
             reason = f"HTTP status {status}: {body[:2000]}"
             return ChangeState(state="unknown", reason=reason)
         if status not in (200, 409):
-            raise self._error(f"HTTP status {status}: {body[:2000]}")
+            raise self._make_error(f"HTTP status {status}: {body[:2000]}")
         try:
             return ChangeState.model_validate_json(body)
         except ValidationError as e:
             return ChangeState(state="unknown", reason=f"unreadable answer: {e}")
 
-    def _read(self, path: str, kind: type[M]) -> M:
+    def _get_model(self, path: str, model_type: type[ModelT]) -> ModelT:
         """Request a path and return the answer as a model."""
         status, body = self._get(path)
-        return self._parse(status, body, kind)
+        return self._parse_answer(status, body, model_type)
 
     def _get(self, path: str) -> tuple[int, str]:
         """Request a path; return the status and body of the answer."""
         try:
-            return asyncio.run(self._request("GET", path, None))
+            return asyncio.run(self._send_request("GET", path, None))
         except (aiohttp.ClientError, TimeoutError) as e:
-            raise self._error(f"no answer: {e!r}") from e
+            raise self._make_error(f"no answer: {e!r}") from e
 
-    def _parse(self, status: int, body: str, kind: type[M]) -> M:
+    def _parse_answer(self, status: int, body: str, model_type: type[ModelT]) -> ModelT:
         """Return the body of an answer with status 200 as a model."""
         if status != 200:
-            raise self._error(f"HTTP status {status}: {body[:2000]}")
+            raise self._make_error(f"HTTP status {status}: {body[:2000]}")
         try:
-            return kind.model_validate_json(body)
+            return model_type.model_validate_json(body)
         except ValidationError as e:
-            raise self._error(f"unreadable answer: {e}") from e
+            raise self._make_error(f"unreadable answer: {e}") from e
 
-    def _error(self, message: str) -> CommandError:
+    def _make_error(self, message: str) -> CommandError:
         """Return an error of the entry, with its address."""
         return CommandError(ExitCode.ENTRY_FAILED, f"{self._url}: {message}")
 
-    async def _request(
+    async def _send_request(
         self, method: str, path: str, body: str | None
     ) -> tuple[int, str]:
         """Send one request with the operator's token; return status and body."""
@@ -159,26 +159,28 @@
             return answer.status, await answer.text(errors="replace")
 
 
-def parse_history(text: str, source: str) -> list[Head]:
+def parse_history(text: str, source: str) -> list[AcceptedVersion]:
     """Return the versions in a history file, sorted by number.
 
     ``source`` is the name of the file, for errors.
     """
     try:
-        found = VersionList.model_validate_json(text).versions
+        accepted_versions = VersionList.model_validate_json(text).versions
     except ValidationError as e:
         message = f"{source}: expected the output of 'rules history --format json': {e}"
-        raise CommandError(ExitCode.WRONG_USE, message) from e
-    return sorted(found, key=lambda head: head.version)
+        raise CommandError(ExitCode.USAGE_ERROR, message) from e
+    return sorted(accepted_versions, key=lambda accepted: accepted.version)
 
 
-def to_versions(heads: list[Head], source: str) -> list[RulesVersion]:
+def parse_versions(
+    accepted_versions: list[AcceptedVersion], source: str
+) -> list[RulesVersion]:
     """Return versions with parsed rules; ``source`` names their origin in errors."""
     return [
         RulesVersion(
-            parse_or_fail(head.rules_text, f"{source}, version {head.version}"),
-            head.accepted_wall_ms // 1000,
-            head.version,
+            parse_or_fail(accepted.rules_text, f"{source}, version {accepted.version}"),
+            accepted.accepted_wall_ms // 1000,
+            accepted.version,
         )
-        for head in heads
+        for accepted in accepted_versions
     ]
--- a/packages/entry/src/bluebellusher/cli/rules_commands.py
+++ b/packages/entry/src/bluebellusher/cli/rules_commands.py
@@ -16,7 +16,7 @@
     read_rules,
     read_text,
 )
-from bluebellusher.cli.rules_client import RulesClient, parse_history, to_versions
+from bluebellusher.cli.rules_client import RulesClient, parse_history, parse_versions
 from bluebellusher.cli.rules_remote import (
     RulesApplyCommand,
     RulesHistoryCommand,
@@ -40,7 +40,7 @@
 )
 from bluebellusher_core.rules import RuleSet, diff_rules
 
-_FORMAT_BY_NAME = {
+_FORMAT_FUNCTION_BY_NAME = {
     "table": format_forecast_table,
     "json": format_forecast_json,
     "chart": format_forecast_chart,
@@ -59,7 +59,7 @@
     )
     arguments: ClassVar[list[Argument]] = [argument("file", "Rules file to check")]
 
-    def run_rules(self) -> ExitCode:
+    def run_command(self) -> ExitCode:
         """Check the file and print the numbers of rules and customers."""
         path = self.argument("file")
         rules = read_rules(path)
@@ -86,7 +86,7 @@
     ]
     options: ClassVar[list[Option]] = [option("month", None, _MONTH_HELP, flag=False)]
 
-    def run_rules(self) -> ExitCode:
+    def run_command(self) -> ExitCode:
         """Print the differences of the files and their effect on the bill."""
         old = read_rules(self.argument("old"))
         new = read_rules(self.argument("new"))
@@ -96,7 +96,7 @@
             return ExitCode.DONE
         self.write_lines(format_changes(changes))
         _require_one_currency(old, new)
-        month = self.month(new)
+        month = self.read_month(new)
         self.write_lines(["", f"Bill of {month} ({month.zone}) in {new.currency}"])
         self.write_lines(
             format_plan(compute_forecast(old, month), compute_forecast(new, month))
@@ -123,15 +123,17 @@
         option("format", None, "table, json or chart", flag=False, default="table"),
     ]
 
-    def run_rules(self) -> ExitCode:
+    def run_command(self) -> ExitCode:
         """Compute and print the forecast."""
         name = self.option("format")
-        if name not in _FORMAT_BY_NAME:
+        if name not in _FORMAT_FUNCTION_BY_NAME:
             message = f"--format={name}: expected table, json or chart"
-            raise CommandError(ExitCode.WRONG_USE, message)
+            raise CommandError(ExitCode.USAGE_ERROR, message)
         rules = read_rules(self.argument("file"))
         self.write_lines(
-            _FORMAT_BY_NAME[name](compute_forecast(rules, self.month(rules)))
+            _FORMAT_FUNCTION_BY_NAME[name](
+                compute_forecast(rules, self.read_month(rules))
+            )
         )
         return ExitCode.DONE
 
@@ -169,7 +171,7 @@
         option("url", None, "Address of the entry that has the history", flag=False),
     ]
 
-    def run_rules(self) -> ExitCode:
+    def run_command(self) -> ExitCode:
         """Print the parts of the difference between two files or two versions."""
         if self.option("history") or self.option("url"):
             rules, explanation = self._explain_versions()
@@ -177,7 +179,7 @@
             old = read_rules(self.argument("a"))
             rules = read_rules(self.argument("b"))
             _require_one_currency(old, rules)
-            month, month_b = self.month(old), self._month_b(rules)
+            month, month_b = self.read_month(old), self._read_month_b(rules)
             explanation = explain_bill_difference(old, rules, month, month_b)
         self.write_lines([f"Amounts in {rules.currency}"])
         self.write_lines(format_explanation(explanation, rules.month_zone))
@@ -190,58 +192,61 @@
         """
         path, url = self.option("history"), self.option("url")
         source = path or url
-        heads = (
+        accepted_versions = (
             parse_history(read_text(path), path)
             if path
             else RulesClient(url).read_versions()
         )
-        versions = to_versions(heads, source)
-        first = _find_version(versions, self.argument("a"))
-        last = _find_version(versions, self.argument("b"))
-        _require_one_currency(first.rules, last.rules)
-        month, month_b = self.month(last.rules), self._month_b(last.rules)
+        versions = parse_versions(accepted_versions, source)
+        version_a = _select_version(versions, self.argument("a"))
+        version_b = _select_version(versions, self.argument("b"))
+        _require_one_currency(version_a.rules, version_b.rules)
+        month, month_b = (
+            self.read_month(version_b.rules),
+            self._read_month_b(version_b.rules),
+        )
         try:
-            found = explain_version_difference(
-                versions, first.number, last.number, month, month_b
+            explanation = explain_version_difference(
+                versions, version_a.number, version_b.number, month, month_b
             )
         except ValueError as e:
-            raise CommandError(ExitCode.WRONG_USE, str(e)) from e
-        return last.rules, found
+            raise CommandError(ExitCode.USAGE_ERROR, str(e)) from e
+        return version_b.rules, explanation
 
-    def _month_b(self, rules: RuleSet) -> Month:
+    def _read_month_b(self, rules: RuleSet) -> Month:
         """Return the month of the second bill, by default that of the first."""
         name = "month-b" if self.option("month-b") else "month"
-        return self.month(rules, name)
+        return self.read_month(rules, name)
 
 
-def _find_version(versions: list[RulesVersion], text: str) -> RulesVersion:
+def _select_version(versions: list[RulesVersion], text: str) -> RulesVersion:
     """Return the version with the number ``text``, or in force at the time ``text``."""
     if text.isascii() and text.isdigit():
-        found = [v for v in versions if str(v.number) == text]
+        candidates = [v for v in versions if str(v.number) == text]
         expected = "the number of a version in the history"
     else:
-        at_s = _parse_time(text)
-        found = [v for v in versions if v.accepted_s is not None]
-        found = [v for v in found if (v.accepted_s or 0) <= at_s]
+        time_s = _parse_time(text)
+        candidates = [v for v in versions if v.accepted_s is not None]
+        candidates = [v for v in candidates if (v.accepted_s or 0) <= time_s]
         expected = "a time not before the first version"
-    if not found:
-        raise CommandError(ExitCode.WRONG_USE, f"{text}: expected {expected}")
-    return found[-1]
+    if not candidates:
+        raise CommandError(ExitCode.USAGE_ERROR, f"{text}: expected {expected}")
+    return candidates[-1]
 
 
 def _parse_time(text: str) -> float:
     """Return the Unix time in seconds of an ISO 8601 time with an offset from UTC."""
     try:
-        moment = datetime.fromisoformat(text)
+        local_time = datetime.fromisoformat(text)
     except ValueError:
-        moment = None
-    if moment is None or moment.tzinfo is None:
+        local_time = None
+    if local_time is None or local_time.tzinfo is None:
         message = (
             f"{text}: expected a version number, or a time with its offset from UTC "
             "such as 2027-01-12T09:00+09:00"
         )
-        raise CommandError(ExitCode.WRONG_USE, message)
-    return moment.astimezone(UTC).timestamp()
+        raise CommandError(ExitCode.USAGE_ERROR, message)
+    return local_time.astimezone(UTC).timestamp()
 
 
 def _require_one_currency(old: RuleSet, new: RuleSet) -> None:
@@ -251,7 +256,7 @@
             f"cannot compare bills in {old.currency} and {new.currency}: "
             "expected the same currency"
         )
-        raise CommandError(ExitCode.WRONG_USE, message)
+        raise CommandError(ExitCode.USAGE_ERROR, message)
 
 
 RULES_COMMANDS: list[type[Command]] = [
--- a/packages/entry/src/bluebellusher/cli/rules_remote.py
+++ b/packages/entry/src/bluebellusher/cli/rules_remote.py
@@ -19,31 +19,31 @@
 )
 from bluebellusher.cli.rules_client import (
     TOKEN_VARIABLE,
+    AcceptedVersion,
     ChangeRequest,
     ChangeState,
-    Head,
     RulesClient,
 )
 from bluebellusher.cli.rules_text import (
-    count_changes,
+    format_change_counts,
     format_changes,
     format_table,
     format_time,
 )
 from bluebellusher_core.rules import RuleSet, diff_rules, parse_rules
 
-_BASE_LINE = re.compile(r"# version ([0-9]{1,12})\Z")
-_CHANGE_ID = re.compile(r"[A-Za-z0-9_-]{1,64}\Z")
+_BASE_VERSION_LINE = re.compile(r"# version ([0-9]{1,12})\Z")
+_CHANGE_ID_PATTERN = re.compile(r"[A-Za-z0-9_-]{1,64}\Z")
 _URL_OPTION = option("url", None, "Address of an entry (required)", flag=False)
 _TOKEN_HELP = f"The operator's token is read from the variable {TOKEN_VARIABLE}.\n"
 
 
-def required_url(command: RulesCommand) -> str:
+def read_url_option(command: RulesCommand) -> str:
     """Return the option ``--url``; raise ``CommandError`` if it is not an HTTP URL."""
     url = str(command.option("url") or "")
     if not url.startswith(("http://", "https://")):
         message = f"--url={url}: expected an address such as http://10.0.0.4:8080"
-        raise CommandError(ExitCode.WRONG_USE, message)
+        raise CommandError(ExitCode.USAGE_ERROR, message)
     return url
 
 
@@ -66,45 +66,51 @@
         option("show", None, "Print the text of this version", flag=False),
     ]
 
-    def run_rules(self) -> ExitCode:
+    def run_command(self) -> ExitCode:
         """Print all versions, or the text of the version in ``--show``."""
-        form, number = self.option("format"), self.option("show")
-        if form not in ("table", "json"):
-            message = f"--format={form}: expected table or json"
-            raise CommandError(ExitCode.WRONG_USE, message)
-        heads = RulesClient(required_url(self)).read_versions()
-        if number is not None:
-            self.write_lines(_text_to_edit(heads, number))
-        elif form == "json":
-            content = {"versions": [head.model_dump() for head in heads]}
+        output_format, version_number = self.option("format"), self.option("show")
+        if output_format not in ("table", "json"):
+            message = f"--format={output_format}: expected table or json"
+            raise CommandError(ExitCode.USAGE_ERROR, message)
+        accepted_versions = RulesClient(read_url_option(self)).read_versions()
+        if version_number is not None:
+            self.write_lines(_make_editable_text(accepted_versions, version_number))
+        elif output_format == "json":
+            content = {
+                "versions": [accepted.model_dump() for accepted in accepted_versions]
+            }
             text = json.dumps(content, indent=2, ensure_ascii=False)
             self.write_lines(text.split("\n"))
         else:
-            self.write_lines(_history_table(heads))
+            self.write_lines(_format_history(accepted_versions))
         return ExitCode.DONE
 
 
-def _text_to_edit(heads: list[Head], number: str) -> list[str]:
+def _make_editable_text(
+    accepted_versions: list[AcceptedVersion], version_number: str
+) -> list[str]:
     """Return the text of a version, after a line that names it as the base version."""
-    for head in heads:
-        if str(head.version) == number:
-            lines = head.rules_text.rstrip("\n").split("\n")
+    for accepted in accepted_versions:
+        if str(accepted.version) == version_number:
+            lines = accepted.rules_text.rstrip("\n").split("\n")
             # Remove the line with the base version of this version.
-            kept = [line for line in lines if not _BASE_LINE.match(line.rstrip())]
-            return [f"# version {number}", *kept]
-    message = f"--show={number}: expected the number of an accepted version"
-    raise CommandError(ExitCode.WRONG_USE, message)
+            lines_without_base = [
+                line for line in lines if not _BASE_VERSION_LINE.match(line.rstrip())
+            ]
+            return [f"# version {version_number}", *lines_without_base]
+    message = f"--show={version_number}: expected the number of an accepted version"
+    raise CommandError(ExitCode.USAGE_ERROR, message)
 
 
-def _history_table(heads: list[Head]) -> list[str]:
+def _format_history(accepted_versions: list[AcceptedVersion]) -> list[str]:
     """Return a table with number, time, changed rules and author of each version."""
     rows = []
     previous = RuleSet(())
-    for head in heads:
-        rules = parse_or_fail(head.rules_text, f"version {head.version}")
-        moment = format_time(head.accepted_wall_ms // 1000, rules.month_zone)
-        changes = count_changes(previous, rules)
-        rows.append([str(head.version), moment, changes, head.author])
+    for accepted in accepted_versions:
+        rules = parse_or_fail(accepted.rules_text, f"version {accepted.version}")
+        accepted_time = format_time(accepted.accepted_wall_ms // 1000, rules.month_zone)
+        changes = format_change_counts(previous, rules)
+        rows.append([str(accepted.version), accepted_time, changes, accepted.author])
         previous = rules
     return format_table(["Version", "Accepted", "Rules", "Author"], rows)
 
@@ -140,61 +146,63 @@
         option("change-id", None, "Id of an earlier change to send again", flag=False),
     ]
 
-    def run_rules(self) -> ExitCode:
+    def run_command(self) -> ExitCode:
         """Check the file, print its differences and send it; return the exit code."""
-        path, url = self.argument("file"), required_url(self)
+        path, url = self.argument("file"), read_url_option(self)
         author = self.option("author")
         if not author:
             message = "--author: expected the name of the author of the change"
-            raise CommandError(ExitCode.WRONG_USE, message)
-        change_id = self._change_id()
+            raise CommandError(ExitCode.USAGE_ERROR, message)
+        change_id = self._read_change_id()
         text = read_text(path)
         rules = parse_or_fail(text, path)
         client = RulesClient(url)
         head = client.read_head()
-        self._show_difference(head, rules)
+        self._print_difference(head, rules)
         change = ChangeRequest(
             change_id=change_id,
-            base_version=self._base_version(text, head),
+            base_version=self._read_base_version(text, head),
             rules_text=text,
             author=author,
             without_domains=self.option("without-domain"),
         )
         self.write_lines([f"change id {change_id}, based on {change.base_version}"])
-        return self._report(client.send_change(change), change, rules, url)
+        return self._print_state(client.send_change(change), change, rules, url)
 
-    def _change_id(self) -> str:
+    def _read_change_id(self) -> str:
         """Return the option ``--change-id``, or a new random id."""
         change_id = self.option("change-id") or str(uuid.uuid4())
-        if not _CHANGE_ID.match(change_id):
+        if not _CHANGE_ID_PATTERN.match(change_id):
             message = f"--change-id={change_id}: expected letters, digits, '_' and '-'"
-            raise CommandError(ExitCode.WRONG_USE, message)
+            raise CommandError(ExitCode.USAGE_ERROR, message)
         return str(change_id)
 
-    def _base_version(self, text: str, head: Head) -> int:
+    def _read_base_version(self, text: str, head: AcceptedVersion) -> int:
         """Return the base version from the option, the text or the version in force."""
-        number = self.option("base-version")
-        if number is None:
-            matches = [_BASE_LINE.match(line.rstrip()) for line in text.split("\n")]
-            number = next((match[1] for match in matches if match), None)
-        if number is None:
+        version_number = self.option("base-version")
+        if version_number is None:
+            matches = [
+                _BASE_VERSION_LINE.match(line.rstrip()) for line in text.split("\n")
+            ]
+            version_number = next((match[1] for match in matches if match), None)
+        if version_number is None:
             return head.version
-        if not re.match(r"[0-9]{1,12}\Z", number):
-            message = f"--base-version={number}: expected a number"
-            raise CommandError(ExitCode.WRONG_USE, message)
-        return int(number)
+        if not re.match(r"[0-9]{1,12}\Z", version_number):
+            message = f"--base-version={version_number}: expected a number"
+            raise CommandError(ExitCode.USAGE_ERROR, message)
+        return int(version_number)
 
-    def _show_difference(self, head: Head, rules: RuleSet) -> None:
+    def _print_difference(self, head: AcceptedVersion, rules: RuleSet) -> None:
         """Print the differences between the version in force and the file."""
-        current = parse_rules(head.rules_text)
-        if head.version == 0 or current.is_error():
+        rules_in_force = parse_rules(head.rules_text)
+        if head.version == 0 or rules_in_force.is_error():
             self.write_lines([f"{len(rules.rules)} rules; none are in force yet"])
             return
-        changes = diff_rules(current.ok, rules)
+        changes = diff_rules(rules_in_force.ok, rules)
         self.write_lines([f"Changes to version {head.version}:"])
         self.write_lines(format_changes(changes) or ["  none"])
 
-    def _report(
+    def _print_state(
         self, state: ChangeState, change: ChangeRequest, rules: RuleSet, url: str
     ) -> ExitCode:
         """Print the state of the sent change; return the exit code."""
@@ -203,7 +211,7 @@
             return ExitCode.DONE
         if state.state == "refused":
             self.write_error_line(f"Refused: {state.reason}")
-            self._show_other(state, change, rules)
+            self._print_conflict(state, change, rules)
             return ExitCode.REFUSED
         self.write_error_line(
             f"It is unknown whether the change was accepted: {state.reason}"
@@ -214,18 +222,18 @@
         )
         return ExitCode.STATE_UNKNOWN
 
-    def _show_other(
+    def _print_conflict(
         self, state: ChangeState, change: ChangeRequest, rules: RuleSet
     ) -> None:
         """Print the differences between the version in force and the refused file."""
-        other = parse_rules(state.rules_text)
-        if state.head_version == change.base_version or other.is_error():
+        rules_in_force = parse_rules(state.rules_text)
+        if state.head_version == change.base_version or rules_in_force.is_error():
             return
         self.write_error_line(
             f"Version {state.head_version} is in force; your file is unchanged. "
             "Changes from that version to your file:"
         )
-        for line in format_changes(diff_rules(other.ok, rules)):
+        for line in format_changes(diff_rules(rules_in_force.ok, rules)):
             self.write_error_line(line)
         self.write_error_line(
             "Merge that version into your file, then repeat the command with "
@@ -248,13 +256,13 @@
     arguments: ClassVar[list[Argument]] = [argument("change-id", "Id of the change")]
     options: ClassVar[list[Option]] = [_URL_OPTION]
 
-    def run_rules(self) -> ExitCode:
+    def run_command(self) -> ExitCode:
         """Print the state of the change; return the exit code."""
         change_id = self.argument("change-id")
-        if not _CHANGE_ID.match(change_id):
+        if not _CHANGE_ID_PATTERN.match(change_id):
             message = f"{change_id}: expected letters, digits, '_' and '-'"
-            raise CommandError(ExitCode.WRONG_USE, message)
-        state = RulesClient(required_url(self)).read_change(change_id)
+            raise CommandError(ExitCode.USAGE_ERROR, message)
+        state = RulesClient(read_url_option(self)).read_change(change_id)
         if state is None or state.state == "unknown":
             self.write_error_line(
                 f"Change {change_id} has not been accepted yet. It may still arrive "
--- a/packages/entry/src/bluebellusher/cli/rules_text.py
+++ b/packages/entry/src/bluebellusher/cli/rules_text.py
@@ -36,28 +36,28 @@
     return lines
 
 
-def format_money(amount: Decimal) -> str:
+def format_amount(amount: Decimal) -> str:
     """Return an amount with two decimals and thousands separators."""
     return f"{amount:,.2f}"
 
 
-def format_change_of_money(amount: Decimal) -> str:
+def format_signed_amount(amount: Decimal) -> str:
     """Return a difference of amounts with its sign; zero has no sign."""
     return f"{amount:+,.2f}" if amount else "0.00"
 
 
-def format_time(at_s: int | None, zone: str) -> str:
+def format_time(time_s: int | None, zone: str) -> str:
     """Return a Unix time in seconds as local time with its offset from UTC.
 
     ``None`` gives ``-``.
     """
-    if at_s is None:
+    if time_s is None:
         return "-"
-    local = datetime.fromtimestamp(at_s, UTC).astimezone(ZoneInfo(zone))
+    local = datetime.fromtimestamp(time_s, UTC).astimezone(ZoneInfo(zone))
     return local.isoformat(sep=" ", timespec="seconds")
 
 
-def shorten(text: str) -> str:
+def truncate(text: str) -> str:
     """Return a text, cut to the maximum width of a column."""
     if len(text) <= _MAX_TEXT_WIDTH:
         return text
@@ -78,24 +78,24 @@
     return lines
 
 
-def count_changes(before: RuleSet, after: RuleSet) -> str:
+def format_change_counts(before: RuleSet, after: RuleSet) -> str:
     """Return the numbers of added, removed and changed rules, as in ``+1 -0 ~2``."""
     kinds = [change.kind for change in diff_rules(before, after)]
     n_changed = kinds.count("changed") + kinds.count("comment")
     return f"+{kinds.count('added')} -{kinds.count('removed')} ~{n_changed}"
 
 
-def _money_row(name: str, amount: AmountRange) -> list[str]:
+def _make_forecast_row(name: str, amount: AmountRange) -> list[str]:
     amounts = (amount.minimum, amount.expected, amount.ceiling)
-    return [name, *map(format_money, amounts)]
+    return [name, *map(format_amount, amounts)]
 
 
-def _named_amounts(forecast: Forecast) -> list[tuple[str, dict[str, AmountRange]]]:
+def _group_amounts(forecast: Forecast) -> list[tuple[str, dict[str, AmountRange]]]:
     """Return the amounts by service, by customer and by rule, each with a title."""
     services = {k or ANY_SERVICE_ROW: v for k, v in forecast.sum_by_service().items()}
     customers = {k or ENGINES_ROW: v for k, v in forecast.sum_by_customer().items()}
     rules = {
-        shorten(f"{rule.line}: {rule.statement()}"): amount
+        truncate(f"{rule.line}: {rule.statement()}"): amount
         for (_, rule), amount in sorted(
             forecast.sum_by_rule().items(),
             key=lambda item: (item[0][0], item[0][1].line),
@@ -107,9 +107,9 @@
 def format_forecast_table(forecast: Forecast) -> list[str]:
     """Return tables of a forecast by service, customer and rule, each with a total."""
     lines = [f"Bill of {forecast.month} ({forecast.month.zone}) in {forecast.currency}"]
-    for title, amounts in _named_amounts(forecast):
-        rows = [_money_row(name, amount) for name, amount in amounts.items()]
-        rows.append(_money_row("Total", forecast.total))
+    for title, amounts in _group_amounts(forecast):
+        rows = [_make_forecast_row(name, amount) for name, amount in amounts.items()]
+        rows.append(_make_forecast_row("Total", forecast.total))
         header = [title, "Minimum", "Expected", "Ceiling"]
         lines += ["", *format_table(header, rows)]
     return lines
@@ -125,7 +125,7 @@
             "reason": c.rule.reason,
             "customer": c.customer or None,
             "service": c.service or None,
-            **_amounts(c.amount),
+            **_to_json_amounts(c.amount),
         }
         for c in forecast.contributions
     ]
@@ -133,13 +133,13 @@
         "month": str(forecast.month),
         "zone": forecast.month.zone,
         "currency": forecast.currency,
-        "total": _amounts(forecast.total),
+        "total": _to_json_amounts(forecast.total),
         "by_service": [
-            {"service": name or None, **_amounts(amount)}
+            {"service": name or None, **_to_json_amounts(amount)}
             for name, amount in forecast.sum_by_service().items()
         ],
         "by_customer": [
-            {"customer": name or None, **_amounts(amount)}
+            {"customer": name or None, **_to_json_amounts(amount)}
             for name, amount in forecast.sum_by_customer().items()
         ],
         "contributions": contributions,
@@ -147,7 +147,7 @@
     return json.dumps(content, indent=2, ensure_ascii=False).split("\n")
 
 
-def _amounts(amount: AmountRange) -> dict[str, str]:
+def _to_json_amounts(amount: AmountRange) -> dict[str, str]:
     return {
         "minimum": str(amount.minimum),
         "expected": str(amount.expected),
@@ -157,7 +157,7 @@
 
 def format_forecast_chart(forecast: Forecast) -> list[str]:
     """Return a bar chart of a forecast, by service and customer on one scale."""
-    groups = _named_amounts(forecast)[:2]
+    groups = _group_amounts(forecast)[:2]
     rows = [("Total", {"Total": forecast.total}), *groups]
     width = max(len(name) for _, amounts in rows for name in amounts)
     largest = forecast.total.ceiling
@@ -168,15 +168,15 @@
     for title, amounts in rows:
         lines += ["", title] if title != "Total" else [""]
         for name, amount in amounts.items():
-            bar = _bar(amount, largest)
-            expected = format_money(amount.expected)
-            ceiling = format_money(amount.ceiling)
+            bar = _draw_bar(amount, largest)
+            expected = format_amount(amount.expected)
+            ceiling = format_amount(amount.ceiling)
             line = f"{name.ljust(width)} |{bar}| {expected} of at most {ceiling}"
             lines.append(line)
     return lines
 
 
-def _bar(amount: AmountRange, largest: Decimal) -> str:
+def _draw_bar(amount: AmountRange, largest: Decimal) -> str:
     """Return a bar for an amount; the full width stands for ``largest``."""
     if not largest:
         return " " * CHART_WIDTH
@@ -190,23 +190,32 @@
 def format_plan(before: Forecast, after: Forecast) -> list[str]:
     """Return tables that compare expected values and ceilings of two forecasts."""
     lines = []
-    pairs = zip(_named_amounts(before)[:2], _named_amounts(after)[:2], strict=True)
+    pairs = zip(_group_amounts(before)[:2], _group_amounts(after)[:2], strict=True)
     for (title, old), (_, new) in pairs:
         names = list(dict.fromkeys([*old, *new]))
         rows = [
-            _plan_row(name, old.get(name, AmountRange()), new.get(name, AmountRange()))
+            _make_plan_row(
+                name, old.get(name, AmountRange()), new.get(name, AmountRange())
+            )
             for name in names
         ]
-        rows.append(_plan_row("Total", before.total, after.total))
+        rows.append(_make_plan_row("Total", before.total, after.total))
         header = [title, "Expected old", "new", "change", "Ceiling old", "new"]
         lines += ["", *format_table([*header, "change"], rows)]
     return lines
 
 
-def _plan_row(name: str, old: AmountRange, new: AmountRange) -> list[str]:
+def _make_plan_row(name: str, old: AmountRange, new: AmountRange) -> list[str]:
     row = [name]
-    for a, b in ((old.expected, new.expected), (old.ceiling, new.ceiling)):
-        row += [format_money(a), format_money(b), format_change_of_money(b - a)]
+    for old_amount, new_amount in (
+        (old.expected, new.expected),
+        (old.ceiling, new.ceiling),
+    ):
+        row += [
+            format_amount(old_amount),
+            format_amount(new_amount),
+            format_signed_amount(new_amount - old_amount),
+        ]
     return row
 
 
@@ -216,21 +225,21 @@
     Each part is shown with its rule, author, reason and time of acceptance.
     """
     parts = [part for part in explanation.parts if part.amount]
-    n_without = len(explanation.parts) - len(parts)
-    amounts = [format_change_of_money(part.amount) for part in parts]
+    n_without_effect = len(explanation.parts) - len(parts)
+    amounts = [format_signed_amount(part.amount) for part in parts]
     width = max(
-        (len(text) for text in [*amounts, format_money(explanation.after)]), default=0
+        (len(text) for text in [*amounts, format_amount(explanation.after)]), default=0
     )
-    lines = [f"{format_money(explanation.before).rjust(width)}  expected before"]
+    lines = [f"{format_amount(explanation.before).rjust(width)}  expected before"]
     for part, amount in zip(parts, amounts, strict=True):
         texts = _describe_part(part, zone)
         lines.append(f"{amount.rjust(width)}  {texts[0]}")
         lines += [f"{' ' * width}  {text}" for text in texts[1:]]
-    lines.append(f"{format_money(explanation.after).rjust(width)}  expected after")
-    difference = format_change_of_money(explanation.difference)
+    lines.append(f"{format_amount(explanation.after).rjust(width)}  expected after")
+    difference = format_signed_amount(explanation.difference)
     lines.append(f"{difference.rjust(width)}  difference, the sum of the parts above")
-    if n_without:
-        lines.append(f"Changes without effect on the bill: {n_without}")
+    if n_without_effect:
+        lines.append(f"Changes without effect on the bill: {n_without_effect}")
     return lines
 
 
@@ -244,6 +253,6 @@
         texts.append(f"was: {change.before.statement()}")
     texts.append(f"{change.rule.author}: {change.rule.reason}")
     if part.accepted_s is not None:
-        moment = format_time(part.accepted_s, zone)
-        texts.append(f"version {part.version}, accepted {moment}")
+        accepted_time = format_time(part.accepted_s, zone)
+        texts.append(f"version {part.version}, accepted {accepted_time}")
     return texts
--- a/packages/entry/src/bluebellusher/cli/tests/test_explain.py
+++ b/packages/entry/src/bluebellusher/cli/tests/test_explain.py
@@ -6,7 +6,7 @@
 from bluebellusher.cli._main import build_application
 from bluebellusher.cli.explain import explain, parse_line
 
-LOG_A = """\
+ENTRY_LOG = """\
 ts=100.000 event=started instance=e1
 ts=100.100 event=configuration-in-force version=7 row_version=9
 ts=100.200 event=endpoint-ready endpoint=x1 service=s
@@ -21,28 +21,28 @@
 """
 
 
-def read(text):
+def parse_log(text):
     """Return the parsed lines of a log."""
     return [parse_line("a.log", line) for line in text.splitlines()]
 
 
-@pytest.mark.parametrize("wanted_id", ["e1.r1", "9c41"])
-def test_story_is_found_by_either_id(wanted_id):
+@pytest.mark.parametrize("searched_id", ["e1.r1", "9c41"])
+def test_request_is_found_by_its_id_and_by_the_attempt_id(searched_id):
     """Guards against a request that is not found by the caller's attempt id."""
-    story = explain(wanted_id, read(LOG_A))
-    events = [line.split("event=")[1].split()[0] for line in story[:4]]
+    timeline = explain(searched_id, parse_log(ENTRY_LOG))
+    events = [line.split("event=")[1].split()[0] for line in timeline[:4]]
     assert events == [
         "request-arrived",
         "attempt-sent",
         "attempt-broken",
         "request-ended",
     ]
-    assert not any("e1.r2" in line for line in story)
+    assert not any("e1.r2" in line for line in timeline)
 
 
-def test_story_shows_what_was_believed_and_not_what_came_later():
+def test_state_recorded_after_the_request_is_left_out():
     """Guards against events after the end of a request shown as its cause."""
-    text = "\n".join(explain("e1.r1", read(LOG_A)))
+    text = "\n".join(explain("e1.r1", parse_log(ENTRY_LOG)))
     assert "version=7" in text
     assert "version=8" not in text
     assert "store-lost" in text
@@ -50,7 +50,7 @@
     assert "endpoint=x2" not in text, "not an endpoint of this request"
 
 
-LOG_RESTARTED = """\
+RESTARTED_ENTRY_LOG = """\
 ts=10.000 event=agent-lost peer=a0 error=shutdown
 ts=20.000 event=started instance=e1
 ts=20.100 event=agent-lost peer=a1 error=silent
@@ -60,7 +60,7 @@
 ts=21.001 event=attempt-sent request=e1.r1 endpoint=x1
 ts=23.000 event=request-ended request=e1.r1 outcome=caller_left
 """
-LOG_OTHER = """\
+OTHER_PROCESS_LOG = """\
 ts=18.000 event=attempt-broken request=e2.r5 endpoint=x1
 ts=20.500 event=map-order rank=x1 action=hold step=7
 ts=20.600 event=map-order rank=x2 action=arm step=7
@@ -71,42 +71,42 @@
 """
 
 
-def test_beliefs_of_an_earlier_start_are_left_out():
+def test_state_recorded_before_a_restart_is_left_out():
     """Guards against connections lost before a restart shown as a cause."""
-    text = "\n".join(explain("e1.r1", read(LOG_RESTARTED)))
+    text = "\n".join(explain("e1.r1", parse_log(RESTARTED_ENTRY_LOG)))
     assert "peer=a0" not in text
     assert "event=started" in text
 
 
-def test_lines_of_one_cause_are_shown_as_one():
+def test_adjacent_lines_of_one_event_are_merged():
     """Guards against many lost agents that crowd out the other recorded state."""
-    story = explain("e1.r1", read(LOG_RESTARTED))
-    lines = [line for line in story if "agent-lost" in line]
+    timeline = explain("e1.r1", parse_log(RESTARTED_ENTRY_LOG))
+    lines = [line for line in timeline if "agent-lost" in line]
     assert len(lines) == 1
     assert "peer=a1" in lines[0]
     assert lines[0].endswith("(also a2, a3)")
 
 
-def test_story_shows_what_others_met_at_the_same_endpoint():
+def test_events_of_other_processes_at_the_endpoint_are_counted():
     """Guards against a missed cause that only logs of other processes contain."""
-    story = explain("e1.r1", read(LOG_RESTARTED + LOG_OTHER))
-    assert "x1: 1 attempt-broken, 1 attempt-sent" in story
-    assert [line for line in story if "map-order" in line] == [
+    timeline = explain("e1.r1", parse_log(RESTARTED_ENTRY_LOG + OTHER_PROCESS_LOG))
+    assert "x1: 1 attempt-broken, 1 attempt-sent" in timeline
+    assert [line for line in timeline if "map-order" in line] == [
         "20.500 ts=20.500 event=map-order rank=x1 action=hold step=7",
         "20.700 ts=20.700 event=map-order rank=x3 action=go step=6",
     ]
 
 
-def test_lines_that_are_no_log_lines_are_passed_over():
+def test_lines_that_are_not_log_lines_are_skipped():
     """Guards against a failure of the command on a traceback in a log."""
     for text in ("", "Traceback (most", 'a="open', "event=x", "ts=soon event=x"):
         assert parse_line("a.log", text) is None
 
 
-def test_command_says_when_a_request_is_not_there(tmp_path):
+def test_exit_code_shows_whether_the_request_was_found(tmp_path):
     """Guards against exit code 0 for an unknown request or an unreadable file."""
     path = tmp_path / "a.log"
-    path.write_text(LOG_A)
+    path.write_text(ENTRY_LOG)
     tester = ApplicationTester(build_application())
     assert tester.execute(f"explain e1.r1 {path}") == 0
     assert tester.execute(f"explain e1.r9 {path}") == 1
--- a/packages/entry/src/bluebellusher/cli/tests/test_main.py
+++ b/packages/entry/src/bluebellusher/cli/tests/test_main.py
@@ -11,8 +11,8 @@
 def test_help_alone_lists_every_command(monkeypatch, capfd, argument):
     """Guards against top-level help that shows only the help of ``list``."""
     monkeypatch.setattr(sys, "argv", ["bluebellusher", argument])
-    with pytest.raises(SystemExit) as ended:
+    with pytest.raises(SystemExit) as exit_info:
         main()
-    assert ended.value.code == 0
-    shown = capfd.readouterr().out
-    assert "serve" in shown and "rules forecast" in shown
+    assert exit_info.value.code == 0
+    output = capfd.readouterr().out
+    assert "serve" in output and "rules forecast" in output
--- a/packages/entry/src/bluebellusher/cli/tests/test_rules_commands.py
+++ b/packages/entry/src/bluebellusher/cli/tests/test_rules_commands.py
@@ -12,9 +12,9 @@
 
 from bluebellusher.cli.rules_commands import RULES_COMMANDS
 
-EXAMPLES = pathlib.Path(__file__).parents[6] / "examples" / "rules"
-TOKACHI = EXAMPLES / "tokachi.rules"
-TEXT = TOKACHI.read_text(encoding="utf-8")
+EXAMPLE_FOLDER = pathlib.Path(__file__).parents[6] / "examples" / "rules"
+EXAMPLE_PATH = EXAMPLE_FOLDER / "tokachi.rules"
+EXAMPLE_TEXT = EXAMPLE_PATH.read_text(encoding="utf-8")
 
 
 class FakeEntry(ThreadingHTTPServer):
@@ -25,8 +25,8 @@
     """
 
     def __init__(self) -> None:
-        super().__init__(("127.0.0.1", 0), Handler)
-        self.versions = [version(1, TEXT, "Haruka Sato")]
+        super().__init__(("127.0.0.1", 0), RulesHandler)
+        self.versions = [make_version(1, EXAMPLE_TEXT, "Haruka Sato")]
         self.state_by_change_id: dict[str, dict] = {}
         self.requests: list[dict] = []
         self.fault = ""
@@ -46,24 +46,24 @@
         state = self.state_by_change_id.get(change["change_id"])
         if state is None and change["base_version"] != head["version"]:
             reason = "another change was accepted first"
-            text, number = head["rules_text"], head["version"]
+            head_text, number = head["rules_text"], head["version"]
             return 409, {
                 "state": "refused",
                 "reason": reason,
                 "head_version": number,
-                "rules_text": text,
+                "rules_text": head_text,
             }
         if state is None:
             number = head["version"] + 1
             self.versions.append(
-                version(number, change["rules_text"], change["author"])
+                make_version(number, change["rules_text"], change["author"])
             )
             state = {"state": "accepted", "version": number}
             self.state_by_change_id[change["change_id"]] = state
         return 200, state
 
 
-def version(number: int, text: str, author: str) -> dict:
+def make_version(number: int, text: str, author: str) -> dict:
     """Return a version in the JSON format of ``/admin/rules``."""
     accepted_wall_ms = 1_800_000_000_000 + number * 86_400_000
     return {
@@ -74,7 +74,7 @@
     }
 
 
-class Handler(BaseHTTPRequestHandler):
+class RulesHandler(BaseHTTPRequestHandler):
     """Handler of the routes below ``/admin/rules``."""
 
     server: FakeEntry
@@ -125,7 +125,7 @@
     server.server_close()
 
 
-def run(name: str, arguments: str) -> tuple[int, str, str]:
+def run_command(name: str, arguments: str) -> tuple[int, str, str]:
     """Run a command; return exit code, output and error output."""
     application = Application("bluebellusher")
     for command in RULES_COMMANDS:
@@ -135,81 +135,92 @@
     return code, tester.io.fetch_output(), tester.io.fetch_error()
 
 
-def apply(path: pathlib.Path, url: str, more: str = "") -> tuple[int, str, str]:
+def apply_rules(
+    path: pathlib.Path, url: str, extra_arguments: str = ""
+) -> tuple[int, str, str]:
     """Run ``rules apply`` as the author Mio."""
-    return run("rules apply", f"{path} --url {url} --author Mio {more}")
+    return run_command(
+        "rules apply", f"{path} --url {url} --author Mio {extra_arguments}"
+    )
 
 
 @pytest.fixture
-def edited(tmp_path: pathlib.Path) -> pathlib.Path:
+def edited_path(tmp_path: pathlib.Path) -> pathlib.Path:
     """Return the path of the example rules with one engine fewer."""
     path = tmp_path / "new.rules"
-    path.write_text(TEXT.replace("engines order-desk 3 ", "engines order-desk 2 "))
+    path.write_text(
+        EXAMPLE_TEXT.replace("engines order-desk 3 ", "engines order-desk 2 ")
+    )
     return path
 
 
 def test_check_prints_every_error(tmp_path: pathlib.Path) -> None:
     """Guards against errors that are not printed, and against exit code 0."""
     path = tmp_path / "bad.rules"
-    path.write_text(TEXT + "share nobody 2 # Mio: x\nshare kitami-mart\n")
-    code, _, errors = run("rules check", str(path))
+    path.write_text(EXAMPLE_TEXT + "share nobody 2 # Mio: x\nshare kitami-mart\n")
+    code, _, errors = run_command("rules check", str(path))
     assert code == 1
     assert "unknown customer 'nobody'" in errors
     assert "2 errors" in errors
-    assert run("rules check", str(TOKACHI))[0] == 0
-    assert run("rules check", str(tmp_path / "absent"))[0] == 2
+    assert run_command("rules check", str(EXAMPLE_PATH))[0] == 0
+    assert run_command("rules check", str(tmp_path / "absent"))[0] == 2
 
 
 def test_forecast_formats_agree() -> None:
     """Guards against output formats that show different amounts."""
-    base = f"{TOKACHI} --month 2027-01 --format"
-    content = json.loads(run("rules forecast", f"{base} json")[1])
+    base_arguments = f"{EXAMPLE_PATH} --month 2027-01 --format"
+    content = json.loads(run_command("rules forecast", f"{base_arguments} json")[1])
     assert content["total"]["expected"] == "3258550.60"
-    for form in ("table", "chart"):
-        assert "3,258,550.60" in run("rules forecast", f"{base} {form}")[1]
-    assert run("rules forecast", f"{base} pie")[0] == 2
-    assert run("rules forecast", f"{TOKACHI} --month 2027-13")[0] == 2
+    for output_format in ("table", "chart"):
+        assert (
+            "3,258,550.60"
+            in run_command("rules forecast", f"{base_arguments} {output_format}")[1]
+        )
+    assert run_command("rules forecast", f"{base_arguments} pie")[0] == 2
+    assert run_command("rules forecast", f"{EXAMPLE_PATH} --month 2027-13")[0] == 2
 
 
-def test_plan_and_why_show_the_effect(edited: pathlib.Path) -> None:
+def test_plan_and_why_show_the_changed_rule_and_its_cost(
+    edited_path: pathlib.Path,
+) -> None:
     """Guards against a changed rule whose text or cost is not printed."""
-    arguments = f"{TOKACHI} {edited} --month 2027-01"
+    arguments = f"{EXAMPLE_PATH} {edited_path} --month 2027-01"
     for name in ("rules plan", "rules why"):
-        code, output, _ = run(name, arguments)
+        code, output, _ = run_command(name, arguments)
         assert code == 0
         assert "engines order-desk 2" in output
         assert "-13,764.00" in output
 
 
-def test_history_feeds_why(
-    entry: FakeEntry, edited: pathlib.Path, tmp_path: pathlib.Path
+def test_why_reads_the_output_of_history(
+    entry: FakeEntry, edited_path: pathlib.Path, tmp_path: pathlib.Path
 ) -> None:
     """Guards against a history file that ``why`` cannot read."""
-    apply(edited, entry.url)
-    code, table, _ = run("rules history", f"--url {entry.url}")
+    apply_rules(edited_path, entry.url)
+    code, table, _ = run_command("rules history", f"--url {entry.url}")
     assert code == 0
     assert "+0 -0 ~1" in table
     path = tmp_path / "history.json"
-    output = run("rules history", f"--url {entry.url} --format json")[1]
+    output = run_command("rules history", f"--url {entry.url} --format json")[1]
     path.write_text(output)
-    code, text, _ = run("rules why", f"1 2 --history {path} --month 2027-02")
+    code, text, _ = run_command("rules why", f"1 2 --history {path} --month 2027-02")
     assert code == 0
     assert "version 2, accepted 2027-01-17 17:00:00+09:00" in text
-    assert run("rules why", f"1 9 --history {path}")[0] == 2
+    assert run_command("rules why", f"1 9 --history {path}")[0] == 2
 
 
-def test_lost_race_shows_the_difference(
-    entry: FakeEntry, edited: pathlib.Path, tmp_path: pathlib.Path
+def test_conflicting_change_is_refused_with_the_difference(
+    entry: FakeEntry, edited_path: pathlib.Path, tmp_path: pathlib.Path
 ) -> None:
     """Guards against an operator who unknowingly overwrites another one's change.
 
     Both edit version 1; the change that arrives second must be refused.
     """
-    text = run("rules history", f"--url {entry.url} --show 1")[1]
-    mine = tmp_path / "mine.rules"
-    mine.write_text(text.replace("weight skew 3 ", "weight skew 5 "))
-    assert apply(edited, entry.url)[0] == 0
-    code, _, errors = apply(mine, entry.url)
+    text = run_command("rules history", f"--url {entry.url} --show 1")[1]
+    conflicting_path = tmp_path / "mine.rules"
+    conflicting_path.write_text(text.replace("weight skew 3 ", "weight skew 5 "))
+    assert apply_rules(edited_path, entry.url)[0] == 0
+    code, _, errors = apply_rules(conflicting_path, entry.url)
     assert code == 3
     assert "Version 2 is in force" in errors
     assert "~     engines order-desk 3" in errors
@@ -218,29 +229,32 @@
 
 
 @pytest.mark.parametrize("fault", ["lose", "504"])
-def test_unknown_state_can_be_settled(
-    entry: FakeEntry, edited: pathlib.Path, fault: str
+def test_state_after_a_lost_answer_can_be_settled(
+    entry: FakeEntry, edited_path: pathlib.Path, fault: str
 ) -> None:
     """Guards against a change that is applied twice after its answer was lost.
 
     The lost answer must also not count as a refusal.
     """
     entry.fault = fault
-    code, _, errors = apply(edited, entry.url, "--without-domain memuro")
+    code, _, errors = apply_rules(edited_path, entry.url, "--without-domain memuro")
     assert code == 4
-    sent = entry.requests[0]
-    assert sent["without_domains"] == ["memuro"]
-    assert f"rules status {sent['change_id']} --url {entry.url}" in errors
+    sent_change = entry.requests[0]
+    assert sent_change["without_domains"] == ["memuro"]
+    assert f"rules status {sent_change['change_id']} --url {entry.url}" in errors
     entry.fault = ""
-    status = f"{sent['change_id']} --url {entry.url}"
-    assert run("rules status", status)[:2] == (0, "Accepted as version 2.\n")
-    again = f"--change-id {sent['change_id']} --base-version 1"
-    assert apply(edited, entry.url, again)[0] == 0
+    status_arguments = f"{sent_change['change_id']} --url {entry.url}"
+    assert run_command("rules status", status_arguments)[:2] == (
+        0,
+        "Accepted as version 2.\n",
+    )
+    retry_arguments = f"--change-id {sent_change['change_id']} --base-version 1"
+    assert apply_rules(edited_path, entry.url, retry_arguments)[0] == 0
     assert len(entry.versions) == 2
-    assert run("rules status", f"never-sent --url {entry.url}")[0] == 4
+    assert run_command("rules status", f"never-sent --url {entry.url}")[0] == 4
 
 
-def test_unreachable_entry_is_no_unknown_state(edited: pathlib.Path) -> None:
+def test_unreachable_entry_is_not_an_unknown_state(edited_path: pathlib.Path) -> None:
     """Guards against the state "unknown" for a change that was never sent."""
-    assert apply(edited, "http://127.0.0.1:9")[0] == 5
-    assert apply(edited, "nowhere")[0] == 2
+    assert apply_rules(edited_path, "http://127.0.0.1:9")[0] == 5
+    assert apply_rules(edited_path, "nowhere")[0] == 2
