--- a/packages/entry/src/bluebellusher/gateway/_answers.py
+++ b/packages/entry/src/bluebellusher/gateway/_answers.py
@@ -58,7 +58,7 @@
             return self._whole(b"")
         self.outcome = Outcome.COMPLETED.value
         await self._response.write_eof()
-        self._runtime.metrics.total.record_value(max(1, self.took_ms))
+        self._runtime.metrics.time_total_ms.record_value(max(1, self.took_ms))
         return self._response
 
     def _whole(self, data: bytes) -> web.StreamResponse:
@@ -66,7 +66,7 @@
         self.status = answer.status
         self.outcome = Outcome.COMPLETED.value
         self._record_first()
-        self._runtime.metrics.total.record_value(max(1, self.took_ms))
+        self._runtime.metrics.time_total_ms.record_value(max(1, self.took_ms))
         headers = _returned_headers(answer.headers)
         return web.Response(body=data, status=answer.status, headers=headers)
 
@@ -105,7 +105,7 @@
     def _record_first(self) -> None:
         self._sent_at_ms = self._runtime.now_ms()
         self.first_ms = self.took_ms
-        self._runtime.metrics.first_token.record_value(max(1, self.first_ms))
+        self._runtime.metrics.time_to_first_token_ms.record_value(max(1, self.first_ms))
 
 
 def make_refusal(refusal: Refusal, request_id: str) -> web.Response:
--- a/packages/entry/src/bluebellusher/observability/_metrics.py
+++ b/packages/entry/src/bluebellusher/observability/_metrics.py
@@ -18,8 +18,8 @@
     """
 
     def __init__(self) -> None:
-        self.first_token = HdrHistogram(1, _MAX_MS, _N_SIGNIFICANT_DIGITS)
-        self.total = HdrHistogram(1, _MAX_MS, _N_SIGNIFICANT_DIGITS)
+        self.time_to_first_token_ms = HdrHistogram(1, _MAX_MS, _N_SIGNIFICANT_DIGITS)
+        self.time_total_ms = HdrHistogram(1, _MAX_MS, _N_SIGNIFICANT_DIGITS)
         # Recording a value in a histogram takes about a sixth of the time to relay a
         # chunk. The gaps between chunks are therefore counted by value here, and
         # recorded in the histogram only when metrics are read.
@@ -69,9 +69,9 @@
             )
         self.n_chunks_by_gap_ms.clear()
         return {
-            "time_to_first_token_ms": self.first_token,
+            "time_to_first_token_ms": self.time_to_first_token_ms,
             "time_between_chunks_ms": self._time_between_chunks_ms,
-            "time_total_ms": self.total,
+            "time_total_ms": self.time_total_ms,
         }
 
 
--- a/packages/entry/src/bluebellusher/observability/tests/test_observability.py
+++ b/packages/entry/src/bluebellusher/observability/tests/test_observability.py
@@ -78,7 +78,7 @@
     """Guards against a /metrics page that Prometheus cannot parse."""
     metrics = Metrics()
     metrics.count("requests_total", "outcome", 'a"b\n')
-    metrics.first_token.record_value(20)
+    metrics.time_to_first_token_ms.record_value(20)
     metrics.n_chunks_by_gap_ms.update([0, 30, 30, 10**9])
     text = metrics.to_prometheus({"members": 2})
     assert 'requests_total{outcome="a\\"b\\n"} 1' in text
--- a/packages/entry/src/bluebellusher/server/_stream.py
+++ b/packages/entry/src/bluebellusher/server/_stream.py
@@ -100,7 +100,7 @@
     def _record_first(self) -> None:
         self._sent_ns = monotonic_ns()
         duration_ms = (self._sent_ns - self._started_ns) // 1_000_000
-        self._metrics.first_token.record_value(max(1, duration_ms))
+        self._metrics.time_to_first_token_ms.record_value(max(1, duration_ms))
 
     def _record_between(self) -> None:
         now_ns = monotonic_ns()
@@ -109,4 +109,4 @@
 
     def _record_total(self) -> None:
         duration_ms = (monotonic_ns() - self._started_ns) // 1_000_000
-        self._metrics.total.record_value(max(1, duration_ms))
+        self._metrics.time_total_ms.record_value(max(1, duration_ms))
