--- a/packages/entry/src/bluebellusher/cli/_entry.py
+++ b/packages/entry/src/bluebellusher/cli/_entry.py
@@ -34,7 +34,8 @@
 from bluebellusher_core.reducer import EntryConfig, EntryState
 from bluebellusher_core.routing import PredictedLatency
 
-# Interval in seconds at which a shutdown checks for connections closed by callers.
+# Interval in seconds at which a shutdown checks whether callers have closed their
+# connections and whether claims have been written.
 _SHUTDOWN_POLL_S = 0.02
 # Time in milliseconds that a shutdown waits, after the last request, for writes of
 # claims and outcomes. A claim whose outcome is not written stays ``claimed``, which is
@@ -43,7 +44,7 @@
 
 
 class Entry:
-    """Process-wide state of one entry, with its connections, HTTP server and store."""
+    """One entry: its state, its links to agents and peers, HTTP server and store."""
 
     def __init__(self, settings: Settings, clock: Clock, log: KeyValueLog) -> None:
         self.settings = settings
@@ -152,7 +153,7 @@
         """Wait until a request ends, for at most ``_SHUTDOWN_POLL_S``.
 
         The time limit is needed because no event is set when a caller closes its
-        connection.
+        connection or when a claim has been written.
         """
         self.runtime.request_ended.clear()
         with contextlib.suppress(TimeoutError):
--- a/packages/entry/src/bluebellusher/cli/_status.py
+++ b/packages/entry/src/bluebellusher/cli/_status.py
@@ -23,8 +23,8 @@
     def status(self) -> dict[str, Any]:
         """Return the document of ``/admin/status``.
 
-        It has members, endpoints, configuration, claims and latencies. Keys that end
-        in ``_ms`` are durations in milliseconds.
+        It contains members, endpoints, configuration, claims and latencies. Values
+        whose keys end in ``_ms`` are durations in milliseconds.
         """
         entry = self._entry
         now_ms = entry.clock.now_ms()
@@ -66,8 +66,8 @@
     def make_digest(self) -> Any:
         """Return the digest that is announced to peers.
 
-        It has this entry's member, its configuration version, and the blocked and
-        suspect fingerprints.
+        It contains this entry as a member, its configuration version, and the blocked
+        and suspect fingerprints.
         """
         entry = self._entry
         blocked, suspects = entry.state.digest(entry.clock.now_ms())
--- a/packages/entry/src/bluebellusher/cli/explain.py
+++ b/packages/entry/src/bluebellusher/cli/explain.py
@@ -38,14 +38,15 @@
         "started",
     )
 )
-# Event that a process logs at its start. It discards the recorded state of previous
-# starts.
+# Event that a process logs at its start. State recorded by a previous start of the
+# process is not shown.
 START_EVENT = "started"
-# Adjacent lines of the same event within this time, in seconds, are merged into one.
-# When a failure domain is cut off, for example, all of its agents are lost at once.
+# Longest time in seconds between the first and the last of the adjacent lines of one
+# event that are merged into one line. When a failure domain is cut off, for example,
+# all of its agents are lost at once.
 MERGE_WINDOW_S = 0.1
-# The activity of all processes at the endpoints of a request is counted from this time
-# before the first line of the request, in seconds.
+# Time in seconds before the first line of a request from which the events of all
+# processes at its endpoints are counted.
 ACTIVITY_LEAD_S = 2.0
 # Actions of orders that halt or release the whole group of a rank. They are shown for
 # every rank, other orders only for the endpoints of the request.
--- a/packages/entry/src/bluebellusher/cli/rules_client.py
+++ b/packages/entry/src/bluebellusher/cli/rules_client.py
@@ -11,8 +11,8 @@
 from bluebellusher_core.billing import RulesVersion
 
 TOKEN_VARIABLE = "BLUEBELLUSHER_ADMIN_TOKEN"
-# In seconds. The entry answers a change only when one entry in each failure domain has
-# staged it, and some domains are slow.
+# Timeout of a request in seconds. An entry answers a change only after one entry in
+# each failure domain has staged it, and some domains are slow.
 ANSWER_TIMEOUT_S = 30.0
 CONNECT_TIMEOUT_S = 5.0
 # HTTP statuses that leave open whether a change was accepted.
@@ -37,7 +37,7 @@
 
 
 class ChangeState(BaseModel):
-    """State of one change, as the entry answers it.
+    """State of one change, as reported by the entry.
 
     A refused change also has the version in force: its number and its text.
     """
@@ -50,7 +50,7 @@
 
 
 class ChangeRequest(BaseModel):
-    """Change to the rules. Its id prevents that a repeated request is applied twice."""
+    """Change to the rules, with an id that makes it safe to send the change again."""
 
     change_id: str
     base_version: int
--- a/packages/entry/src/bluebellusher/cli/rules_remote.py
+++ b/packages/entry/src/bluebellusher/cli/rules_remote.py
@@ -93,7 +93,7 @@
     for accepted in accepted_versions:
         if str(accepted.version) == version_number:
             lines = accepted.rules_text.rstrip("\n").split("\n")
-            # Remove the line with the base version of this version.
+            # Remove the line that names the base of this version.
             lines_without_base = [
                 line for line in lines if not _BASE_VERSION_LINE.match(line.rstrip())
             ]
@@ -166,7 +166,9 @@
             author=author,
             without_domains=self.option("without-domain"),
         )
-        self.write_lines([f"change id {change_id}, based on {change.base_version}"])
+        self.write_lines(
+            [f"change id {change_id}, based on version {change.base_version}"]
+        )
         return self._print_state(client.send_change(change), change, rules, url)
 
     def _read_change_id(self) -> str:
--- a/packages/entry/src/bluebellusher/observability/_log.py
+++ b/packages/entry/src/bluebellusher/observability/_log.py
@@ -21,10 +21,12 @@
 # Several times the number of requests that an entry serves per second, so that only
 # abnormal bursts are cut.
 MAX_LINES_PER_EVENT_AND_SECOND = 500
+# Type of the eliot action that contains all events. Messages about the action itself
+# are not written.
 _ACTION_TYPE = "log"
-# Fields of eliot's own: its task tree, which one line per event does not need, and
-# the name and time of the event, which are written as ``event`` and ``ts``.
-_TASK_FIELDS = frozenset(("task_uuid", "task_level", "message_type", "timestamp"))
+# Fields that eliot adds: its task tree, which is not logged because each event is one
+# line, and the name and time of the event, which are written as ``event`` and ``ts``.
+_ELIOT_FIELDS = frozenset(("task_uuid", "task_level", "message_type", "timestamp"))
 
 
 # The cache cannot grow without bound: all field names are constants of the code.
@@ -36,7 +38,7 @@
 
 def _format_value(value: object) -> str:
     """Return a value as text, quoted and escaped if it has special characters."""
-    # Fast path: most values are integers, which never need quotes.
+    # Most values are integers, which never need quotes, or ids.
     if type(value) is int:
         return str(value)
     text = f"{value:.6g}" if isinstance(value, float) else str(value)
@@ -60,7 +62,7 @@
     parts = [f"ts={message.get('timestamp', 0.0):.3f}"]
     parts.append(f"event={_format_value(message.get('message_type', 'unnamed'))}")
     for key, value in message.items():
-        if key not in _TASK_FIELDS:
+        if key not in _ELIOT_FIELDS:
             parts.append(f"{_sanitize_key(key)}={_format_value(value)}")
     return " ".join(parts)
 
