--- a/packages/entry/src/bluebellusher/observability/_metrics.py
+++ b/packages/entry/src/bluebellusher/observability/_metrics.py
@@ -5,7 +5,9 @@
 
 from hdrh.histogram import HdrHistogram
 
+# Longest duration that the histograms record, in milliseconds: ten minutes.
 _MAX_MS = 600_000
+# Precision of the recorded durations, in decimal digits.
 _N_SIGNIFICANT_DIGITS = 2
 _PERCENTILES = (50, 95, 99)
 
