--- a/packages/entry/src/bluebellusher/cli/rules_client.py
+++ b/packages/entry/src/bluebellusher/cli/rules_client.py
@@ -103,7 +103,7 @@
                 self._send_request("POST", "", change.model_dump_json())
             )
         except aiohttp.ClientConnectorError as e:
-            # Without a connection the change was not sent, so its state is known.
+            # Without a connection the change was not sent and cannot be accepted.
             raise self._make_error(f"no connection: {e}") from e
         except (aiohttp.ClientError, TimeoutError) as e:
             return ChangeState(state="unknown", reason=f"no answer: {e!r}")
