--- a/packages/entry/src/bluebellusher/gateway/__init__.py
+++ b/packages/entry/src/bluebellusher/gateway/__init__.py
@@ -1,7 +1,8 @@
 """Entry for platforms that keep routes, customers and endpoints in shared tables.
 
-Callers are served by prefix routes over HTTP, and endpoints are reached directly over
-HTTP. Every decision is made by the same reducer as in ``bluebellusher serve``.
+Callers send HTTP requests, which the entry routes by host and path prefix. Attempts go
+to the endpoints directly over HTTP. The same reducer makes all decisions here and in
+``bluebellusher serve``.
 """
 
 from bluebellusher.gateway._gateway import Gateway, run_gateway
--- a/packages/entry/src/bluebellusher/gateway/_admission.py
+++ b/packages/entry/src/bluebellusher/gateway/_admission.py
@@ -1,4 +1,4 @@
-"""From a caller's HTTP request to a request for the reducer."""
+"""Conversion of a caller's HTTP request into a request for the reducer."""
 
 import hashlib
 from collections.abc import Mapping
@@ -10,28 +10,32 @@
 from bluebellusher_core.directory import Customer, RequestKind, Route, RoutingTable
 from bluebellusher_core.events import Priority, RequestSpec
 
+# Remaining time of a request whose headers contain none, in ms.
 DEFAULT_REMAINING_MS = 60_000
-# A stream is given up this much before its caller leaves, so that it can go on from
-# another endpoint.
+# An attempt whose stream stalls is abandoned this time before its caller times out, in
+# ms, so that another endpoint can resume the stream.
 RESUME_MARGIN_MS = 300
-# A caller that has this much less time than others of its route was refused before.
+# Estimated age above which a request is treated as a retried request, in ms.
 RETURNING_AFTER_MS = 250
 _FINGERPRINT_BYTES = 16
 
 
 @dataclass(frozen=True, slots=True)
 class Patience:
-    """How long callers of streams wait for the next event.
+    """Timeouts of callers that wait for the next event of a stream.
 
-    The longest of a fixed time, a multiple of the objective and a multiple of the
-    longest pause that counts as on time.
+    The timeout is the longest of three times: ``min_ms``, a multiple of the route's
+    latency objective, and a multiple of the longest gap between events that the route
+    counts as on time.
 
     Parameters
     ----------
     min_ms : int
-        Fixed time.
-    objective_factor, gap_factor : float
-        Multiples of the route's objective and pause.
+        Lower bound of the timeout, in ms.
+    objective_factor : float
+        Factor for the route's ``objective_ms``.
+    gap_factor : float
+        Factor for the route's ``max_gap_ms``.
     """
 
     min_ms: int = 2_000
@@ -39,19 +43,22 @@
     gap_factor: float = 8.0
 
     def wait_ms(self, route: Route) -> int:
-        """Return how long a caller of a stream waits, in ms."""
+        """Return the time after which a caller stops waiting for an event, in ms."""
         by_objective_ms = self.objective_factor * route.objective_ms
         by_gap_ms = self.gap_factor * route.max_gap_ms
         return int(max(self.min_ms, by_objective_ms, by_gap_ms))
 
     def max_silence_ms(self, route: Route) -> int:
-        """Return how long the next event of a stream may take, in ms."""
+        """Return the timeout of an attempt for the next event of its stream, in ms."""
         return self.wait_ms(route) - RESUME_MARGIN_MS
 
 
 @dataclass(frozen=True, slots=True)
 class Denial:
-    """A request that the configuration does not allow."""
+    """Answer with a client error (4xx) to a request that is not admitted.
+
+    ``reason`` is the body of the response and a label of the metrics.
+    """
 
     status: HTTPStatus
     reason: str
@@ -59,9 +66,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Admitted:
-    """A request that may be placed.
+    """Request that the reducer may place, with its route and its caller's headers.
 
-    ``max_silence_ms`` is how long each event of a stream may take.
+    ``max_silence_ms`` is the timeout of an attempt for each event of a stream, in ms.
     """
 
     spec: RequestSpec
@@ -71,16 +78,16 @@
 
 
 class Admission:
-    """Select the route, authenticate the customer and describe the request.
+    """Selection of the route, authentication, and conversion of requests.
 
     Parameters
     ----------
     dialect : Dialect
-        Header names of the callers.
+        Reads the callers' headers.
     patience : Patience
-        How long callers of streams wait.
+        Timeouts of callers that wait for an event of a stream.
     random_state : random.Random
-        Divides requests between the services of a route.
+        Divides the requests of a route among its services.
     """
 
     def __init__(
@@ -100,20 +107,23 @@
         headers: Mapping[str, str],
         now_ms: int,
     ) -> Admitted | Denial:
-        """Return the request, or why it is denied.
+        """Return the admitted request, or its denial.
+
+        A request is denied when no route matches it, when a header is invalid, or when
+        its route needs a credential and the credential is unknown.
 
         Parameters
         ----------
         table : RoutingTable
-            The configuration in force.
+            Configuration in force.
         request_id : str
-            Id that the entry gave the request.
+            Id that the entry chose for the request.
         method, target : str
-            Method and undecoded request target.
+            HTTP method and undecoded request target.
         headers : Mapping of str to str
-            Headers; names in any case.
+            Request headers; names are case-insensitive.
         now_ms : int
-            Monotonic time of arrival.
+            Monotonic time of arrival, in ms.
         """
         path = target.partition("?")[0]
         host = headers.get("Host", "").lower()
@@ -132,7 +142,7 @@
         return Admitted(spec, route, fields, max_silence_ms)
 
     def read_attempt_id(self, headers: Mapping[str, str]) -> str:
-        """Return the id that a caller gave its attempt; empty when it gave none."""
+        """Return the attempt id that the caller chose; empty for none."""
         return self._dialect.read_attempt_id(headers)
 
     def _make_spec(
@@ -143,6 +153,10 @@
         fields: CallerFields,
         now_ms: int,
     ) -> RequestSpec:
+        """Return the properties of the request that the reducer uses.
+
+        The fingerprint is empty, because the body has not been read yet.
+        """
         remaining_ms = fields.remaining_ms or DEFAULT_REMAINING_MS
         age_ms = self._age_ms(route, remaining_ms)
         deadline_ms = now_ms + min(remaining_ms, route.timeout_ms)
@@ -174,10 +188,11 @@
         )
 
     def _age_ms(self, route: Route, remaining_ms: int) -> int:
-        """Return how long ago the caller first sent the request.
+        """Return the estimated time since the caller first sent the request, in ms.
 
-        Callers of a route wait equally long in all, so that one with less time left
-        was refused or failed before.
+        All callers of a route are expected to use the same timeout, which covers their
+        retries. A request with less remaining time than the largest one received on
+        its route is therefore a retry after a rejection or a failure.
         """
         usual_ms = self._usual_ms_by_route.get(route.path_prefix, 0)
         if remaining_ms > usual_ms:
@@ -186,7 +201,10 @@
 
 
 def fingerprint(spec: RequestSpec, method: str, target: str, body: bytes) -> str:
-    """Return a hash that is equal for repeats of one request by one customer."""
+    """Return the fingerprint of a request as a hexadecimal hash.
+
+    Retries of a request by the same customer have the same fingerprint.
+    """
     digest = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
     for part in (spec.customer_id, method, target):
         digest.update(part.encode() + b"\0")
--- a/packages/entry/src/bluebellusher/gateway/_answers.py
+++ b/packages/entry/src/bluebellusher/gateway/_answers.py
@@ -1,4 +1,4 @@
-"""From the answer of an endpoint to the response that a caller receives."""
+"""Conversion of an endpoint's answer into the HTTP response to the caller."""
 
 import json
 from http import HTTPStatus
@@ -9,20 +9,36 @@
 from bluebellusher.runtime import Exchange, Runtime
 from bluebellusher_core.errors import Outcome, Reason, Refusal
 
+# Reasons that are reported with status 429 instead of 503.
 _LIMIT_REASONS = frozenset((Reason.RATE_LIMITED, Reason.BUDGET_EXHAUSTED))
 
 
 class AnswerWriter:
-    """Write what the relay has checked, and note times for log and metrics.
+    """Writer of the checked parts of an answer to the caller.
+
+    It also measures the latencies of the answer for the log and the metrics.
 
     Parameters
     ----------
     request : web.BaseRequest
         The caller's request.
     exchange : Exchange
-        Holds the answer.
+        Request in progress, with the answer that the relay fills.
     runtime : Runtime
-        Clock and metrics.
+        Provides the clock and the metrics.
+
+    Attributes
+    ----------
+    outcome : str
+        Outcome of the request; empty until the answer has ended.
+    status : int
+        HTTP status of the response; 0 until it is known.
+    retry_after_ms : int
+        Time after which a rejected request may be retried, in ms; 0 for none.
+    first_ms : int
+        Time to the first byte of the answer, in ms; 0 until it is sent.
+    longest_gap_ms : int
+        Longest time between two parts of the answer, in ms.
     """
 
     def __init__(
@@ -41,11 +57,15 @@
 
     @property
     def took_ms(self) -> int:
-        """Time since the arrival."""
+        """Time since the request was submitted to the runtime, in ms."""
         return self._runtime.now_ms() - self._arrived_at_ms
 
     async def write(self) -> web.StreamResponse:
-        """Write the whole answer and return the response."""
+        """Write the complete answer or the rejection, and return the response.
+
+        An answer that is complete before its first byte was written, or a rejection at
+        that point, is returned as a response for the server to send.
+        """
         answer = self._exchange.answer
         while data := await answer.take():
             if answer.is_complete and self._response is None:
@@ -62,6 +82,7 @@
         return self._response
 
     def _whole(self, data: bytes) -> web.StreamResponse:
+        """Return a complete answer as one response with a content length."""
         answer = self._exchange.answer
         self.status = answer.status
         self.outcome = Outcome.COMPLETED.value
@@ -71,6 +92,7 @@
         return web.Response(body=data, status=answer.status, headers=headers)
 
     async def _write_part(self, data: bytes) -> None:
+        """Write the next part of an answer, after the headers for the first part."""
         if self._response is None:
             answer = self._exchange.answer
             self.status = answer.status
@@ -90,10 +112,12 @@
         await self._response.write(data)
 
     def _refuse(self, refusal: Refusal) -> web.StreamResponse:
+        """Return the rejection's response, or abort a response that has started."""
         self.outcome = refusal.outcome.value
         self.retry_after_ms = refusal.retry_after_ms or 0
         if self._response is not None:
-            # Without the last chunk the caller sees that the answer is cut.
+            # The connection ends without the final chunk, so that the caller detects
+            # the truncated answer.
             transport = self._request.transport
             if transport is not None:
                 transport.abort()
@@ -103,15 +127,16 @@
         return response
 
     def _record_first(self) -> None:
+        """Record the time to the first byte."""
         self._sent_at_ms = self._runtime.now_ms()
         self.first_ms = self.took_ms
         self._runtime.metrics.first_token.record_value(max(1, self.first_ms))
 
 
 def make_refusal(refusal: Refusal, request_id: str) -> web.Response:
-    """Return the final answer to a request that was given up.
+    """Return the HTTP response to a rejected request.
 
-    Only a request that has certainly not run gets a status that promises so.
+    ``Retry-After`` is set only for a request that has certainly not run.
     """
     body = {
         "outcome": refusal.outcome.value,
@@ -131,6 +156,10 @@
 
 
 def _status_of(refusal: Refusal) -> int:
+    """Return the HTTP status of a rejection.
+
+    429 and 503 state that the request has not run, 502 and 504 that it may have run.
+    """
     if refusal.outcome is Outcome.NOT_RUN:
         if refusal.reason in _LIMIT_REASONS:
             return HTTPStatus.TOO_MANY_REQUESTS
@@ -141,6 +170,7 @@
 
 
 def _returned_headers(headers: dict[str, str]) -> dict[str, str]:
+    """Return the endpoint's headers without those that concern one connection."""
     return {
         name: value for name, value in headers.items() if name not in CONNECTION_HEADERS
     }
--- a/packages/entry/src/bluebellusher/gateway/_attempts.py
+++ b/packages/entry/src/bluebellusher/gateway/_attempts.py
@@ -1,8 +1,8 @@
-"""Attempts that go to endpoints over HTTP/1.1, one connection for each.
+"""Attempts that the entry sends to endpoints over HTTP/1.1, one per connection.
 
-A connection of its own costs an attempt one round trip. In return no answer can
-belong to an earlier request, no kept connection is closed or silent just when it is
-used, and an attempt whose connection could not be made has certainly not run.
+A new connection costs each attempt one round trip. In return, an answer cannot belong
+to an earlier request, no attempt meets a reused connection that is closed or
+unresponsive, and an attempt whose connection failed has certainly not run.
 """
 
 import asyncio
@@ -38,21 +38,26 @@
     Usage,
 )
 
-# Far above a round trip between failure domains; a lost packet costs a second.
+# Timeout of connecting to an endpoint, in ms. It is far above a round trip between
+# failure domains; a lost packet delays a connection by a second.
 CONNECT_TIMEOUT_MS = 500
+# Upper bound of the status line and of each header field of an answer, in bytes.
 MAX_HEADER_BYTES = 65_536
+# Upper bound of the body of an answer, in bytes.
 MAX_BODY_BYTES = 64 * 1024 * 1024
-# Reading pauses while the caller has this much of its answer still to take.
+# Relayed bytes of an answer that the caller has not taken yet. Above this number,
+# reading from the endpoint pauses.
 MAX_WAITING_BYTES = 256 * 1024
 EVENTS_TYPE = "text/event-stream"
-# A pause that an endpoint asks for is an event of its own; the reducer doubles its own.
+# ``AttemptRefused`` contains no pause. A pause that an endpoint asks for is posted as
+# ``EndpointAnnounced``, and the reducer doubles its own pause with each refusal.
 _NO_PAUSE_MS = 0
 
 FindEndpoint = Callable[[str], EndpointRegistration | None]
 
 
 class _BrokenError(Exception):
-    """The attempt may have run and gave no whole answer."""
+    """Attempt that may have run but did not give a complete, valid answer."""
 
     def __init__(self, reason: Reason, detail: str) -> None:
         super().__init__(detail)
@@ -61,7 +66,7 @@
 
 @dataclass(slots=True)
 class _Attempt:
-    """One attempt in flight."""
+    """Attempt in flight, with the request that it runs and its endpoint."""
 
     effect: Dispatch
     exchange: Exchange
@@ -71,11 +76,14 @@
 
     @property
     def answer(self) -> AnswerStream:
-        """Where the answer goes."""
+        """Answer of the request, which the attempt fills."""
         return self.exchange.answer
 
     def owns(self) -> bool:
-        """Return whether this attempt writes the answer; the first to start does."""
+        """Return whether this attempt writes the answer of the request.
+
+        The first attempt that calls this method becomes the owner of the answer.
+        """
         answer = self.answer
         if not answer.owner_attempt_id and not answer.is_ended:
             answer.owner_attempt_id = self.effect.attempt_id
@@ -83,10 +91,10 @@
 
 
 def _reason_of(found: AnswerFields, endpoint_id: str) -> Reason:
-    """Return why an endpoint did not run a request.
+    """Return the reason of a refusal by an endpoint.
 
-    A rank that names another endpoint as faulty belongs to a group that this one has
-    broken.
+    A rank that names another endpoint as faulty belongs to a group that the faulty
+    endpoint has broken. The reason is then that the endpoints of the group are closed.
     """
     if found.is_wrong_endpoint:
         return Reason.ENDPOINT_DRAINING
@@ -96,7 +104,10 @@
 
 
 def _reason_of_failure(error: aiohttp.ClientError | TimeoutError) -> Reason:
-    """Return why there is no connection; only a closed port shows an ended process."""
+    """Return the reason of a failed connection.
+
+    Only a closed port shows that the endpoint's process has ended.
+    """
     cause = getattr(error, "os_error", None)
     if isinstance(cause, ConnectionRefusedError):
         return Reason.CONNECT_REFUSED
@@ -104,22 +115,27 @@
 
 
 class HttpDispatcher:
-    """Send attempts to endpoints and report what becomes of them.
+    """Sender of attempts, which relays the answers and posts events about them.
 
     Parameters
     ----------
     dialect : Dialect
-        Header names of the endpoints.
+        Writes the headers of attempts and reads those of answers.
     find_endpoint : callable
-        Returns the registration of an endpoint.
+        Returns the registration of an endpoint, or None.
     clock : Clock
-        Measures what is left of a deadline.
+        Measures the remaining time of a deadline.
     tracer : Tracer
         Opens a span for each attempt.
     metrics : Metrics
-        Counts attempts by what became of them.
+        Counts the log events of attempts by name.
     describe : callable or None
-        Returns what decided for an endpoint, for the log.
+        Returns the routing inputs of an endpoint as log fields; None for no fields.
+
+    Attributes
+    ----------
+    sink : EventSink or None
+        Receives events and log lines; must be set before the first attempt.
     """
 
     def __init__(
@@ -143,7 +159,7 @@
         self._session: aiohttp.ClientSession | None = None
 
     async def open(self) -> None:
-        """Make the client session; call it on the event loop."""
+        """Create the client session; must be called on the event loop."""
         connector = aiohttp.TCPConnector(
             limit=0, force_close=True, socket_factory=make_socket
         )
@@ -166,7 +182,7 @@
         )
 
     async def close(self) -> None:
-        """Stop every attempt and close the session."""
+        """Cancel all attempts and endpoint checks, and close the session."""
         for attempt in list(self._attempt_by_id.values()):
             if attempt.task is not None:
                 attempt.task.cancel()
@@ -176,7 +192,11 @@
             await self._session.close()
 
     def start(self, effect: Dispatch, exchange: Exchange) -> bool:
-        """Send an attempt; return False when it was certainly not sent."""
+        """Send an attempt; return False when it has certainly not been sent.
+
+        An attempt is not sent to an endpoint without a registration, nor when it would
+        resume the answer at another byte than the next one.
+        """
         endpoint = self._find_endpoint(effect.endpoint_id)
         answer = exchange.answer
         if effect.resume_offset == 0 and not answer.owner_attempt_id:
@@ -195,14 +215,14 @@
         return True
 
     def cancel(self, effect: CancelAttempt) -> None:
-        """Close the connection, which stops the work at the endpoint."""
+        """Cancel an attempt; its connection closes, which stops the endpoint's work."""
         attempt = self._attempt_by_id.get(effect.attempt_id)
         if attempt is not None and attempt.task is not None:
             attempt.task.cancel()
             self._log("attempt-cancelled", attempt)
 
     def check(self, effect: CheckEndpoint) -> None:
-        """Find out whether anything listens at an endpoint's address."""
+        """Check whether a process listens at an endpoint's address; post the result."""
         task = asyncio.create_task(self._check(effect.endpoint_id))
         self._checks.add(task)
         task.add_done_callback(self._checks.discard)
@@ -223,7 +243,10 @@
         return attempt.exchange if attempt else None
 
     def end(self, attempt_id: str) -> Exchange | None:
-        """Forget an attempt; return its exchange, if it was still counted."""
+        """Discard an attempt that has ended and end its span.
+
+        Returns the exchange of the attempt, or None if it was discarded before.
+        """
         attempt = self._attempt_by_id.pop(attempt_id, None)
         if attempt is None:
             return None
@@ -240,7 +263,7 @@
         return exchange
 
     def close_endpoint(self, endpoint_id: str, reason: str) -> None:
-        """Stop every attempt at an endpoint."""
+        """Cancel all attempts at an endpoint and post them as broken."""
         for attempt in list(self._attempt_by_id.values()):
             if attempt.effect.endpoint_id == endpoint_id and attempt.task is not None:
                 attempt.task.cancel()
@@ -248,6 +271,7 @@
                 self._log("attempt-closed", attempt, reason=reason)
 
     async def _run(self, attempt: _Attempt) -> None:
+        """Send an attempt and post the event that ends it, also after an error."""
         try:
             event = await self._exchange(attempt)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
@@ -266,13 +290,14 @@
             self._log("attempt-broken", attempt, error=f"{type(error).__name__}")
             event = self._broken(attempt, Reason.CONNECTION_LOST)
         except Exception as error:
-            # Without an event the request would wait for its deadline.
+            # Without an event, the request would wait until its deadline.
             fault = f"{type(error).__name__}: {error}"
             self._log("attempt-fault", attempt, error=fault)
             event = self._broken(attempt, Reason.CONNECTION_LOST)
         self._post(event)
 
     async def _exchange(self, attempt: _Attempt) -> Event:
+        """Send an attempt, relay its answer and return the event that ends it."""
         assert self._session is not None
         exchange, endpoint = attempt.exchange, attempt.endpoint
         remaining_ms = max(1, exchange.spec.deadline_ms - self._clock.now_ms())
@@ -310,8 +335,13 @@
         )
 
     def _announce(self, attempt: _Attempt, found: AnswerFields) -> None:
-        """Pass on what the endpoint says of itself, before its answer is used."""
-        # Another endpoint that has the address now speaks for itself only.
+        """Post an endpoint's announcement that it is leaving or asks for a pause.
+
+        It is posted before the answer is checked, so that refusals and invalid answers
+        count as well.
+        """
+        # An answer from another endpoint, which has the address now, contains no
+        # announcement of the endpoint that the attempt was sent to.
         if found.is_wrong_endpoint or not (found.is_leaving or found.pause_ms):
             return
         self._post(
@@ -329,9 +359,18 @@
         response: aiohttp.ClientResponse,
         found: AnswerFields,
     ) -> Event | None:
-        """Return the event of an answer that is not passed on, or None."""
+        """Return the event of a refused attempt, or None for an answer to relay.
+
+        Raises
+        ------
+        _BrokenError
+            When the answer belongs to another request, or is successful without a
+            valid seal.
+        """
         if found.attempt_id and found.attempt_id != attempt.exchange.caller_attempt_id:
-            raise _BrokenError(Reason.STREAM_CORRUPT, "answer to another request")
+            raise _BrokenError(
+                Reason.STREAM_CORRUPT, "attempt id of another request in the answer"
+            )
         if found.is_wrong_endpoint or found.is_not_run:
             reason = _reason_of(found, attempt.endpoint.endpoint_id)
             self._log(
@@ -346,16 +385,30 @@
         return None
 
     async def _relay(self, attempt: _Attempt, response: aiohttp.ClientResponse) -> None:
+        """Relay the status, headers and body of an answer.
+
+        Raises
+        ------
+        _BrokenError
+            When another attempt owns the answer, the answer contradicts the part that
+            was already relayed, or the body is invalid.
+        """
         is_events = response.headers.get("Content-Type", "").startswith(EVENTS_TYPE)
         if not attempt.owns():
-            raise _BrokenError(Reason.CONNECTION_LOST, "another attempt answers")
+            raise _BrokenError(
+                Reason.CONNECTION_LOST, "another attempt owns the answer"
+            )
         answer = attempt.answer
         if answer.n_bytes == 0:
             names = {name.lower(): value for name, value in response.headers.items()}
             if not answer.start(response.status, names):
-                raise _BrokenError(Reason.STREAM_CORRUPT, "status changed")
+                raise _BrokenError(
+                    Reason.STREAM_CORRUPT, "status differs from that already sent"
+                )
         elif response.status >= 300:
-            raise _BrokenError(Reason.STREAM_CORRUPT, "resumed stream has failed")
+            raise _BrokenError(
+                Reason.STREAM_CORRUPT, "error status for a resumed stream"
+            )
         if is_events:
             await self._relay_events(attempt, response)
         else:
@@ -366,12 +419,14 @@
     async def _relay_body(
         self, attempt: _Attempt, response: aiohttp.ClientResponse
     ) -> None:
+        """Relay a body without a structure that the entry checks."""
         while data := await response.content.readany():
             await self._pass_on(attempt, data)
 
     async def _relay_events(
         self, attempt: _Attempt, response: aiohttp.ClientResponse
     ) -> None:
+        """Relay complete server-sent events, each within the timeout of an event."""
         exchange = attempt.exchange
         reader = EventReader(
             response.content, exchange.max_silence_ms, exchange.last_event_id
@@ -380,33 +435,40 @@
             exchange.last_event_id = reader.last_event_id
             await self._pass_on(attempt, events)
         if reader.n_pending:
-            raise _BrokenError(Reason.STREAM_CORRUPT, "stream ends within an event")
+            raise _BrokenError(Reason.STREAM_CORRUPT, "stream ended inside an event")
 
     async def _pass_on(self, attempt: _Attempt, data: bytes) -> None:
-        """Give a part of the answer to the caller, at the pace at which it reads."""
+        """Add a part to the answer, then wait while the caller has too much unread."""
         answer = attempt.answer
         if not answer.n_bytes:
             self._started(attempt)
         answer.write(data)
         if answer.n_bytes > MAX_BODY_BYTES:
-            raise _BrokenError(Reason.STREAM_CORRUPT, "answer too long")
+            raise _BrokenError(
+                Reason.STREAM_CORRUPT, "answer above the body size limit"
+            )
         await answer.wait_for_room(MAX_WAITING_BYTES)
 
     def _started(self, attempt: _Attempt) -> None:
+        """Post the event of an attempt's first output."""
         effect = attempt.effect
         self._post(AttemptStarted(effect.attempt_id, effect.endpoint_id))
 
     def _refused(self, attempt: _Attempt, reason: Reason, has_arrived: bool) -> Event:
+        """Return the event of a refused attempt, which has certainly not run.
+
+        ``has_arrived`` states whether the endpoint itself received the attempt.
+        """
         effect = attempt.effect
         return AttemptRefused(
             effect.attempt_id, reason, _NO_PAUSE_MS, effect.endpoint_id, has_arrived
         )
 
     def _broken(self, attempt: _Attempt, reason: Reason) -> Event:
-        """Return the event of a broken attempt.
+        """Return the event of a broken attempt, which may have run.
 
-        What the caller has not received is dropped, so that another attempt can
-        start from the beginning.
+        An answer that is not an event stream is discarded if the caller has received
+        no part of it, so that another attempt can start from the beginning.
         """
         answer, effect = attempt.answer, attempt.effect
         if answer.owner_attempt_id == effect.attempt_id:
@@ -424,6 +486,7 @@
         self.sink.post(event)
 
     def _log(self, name: str, attempt: _Attempt, **fields: str | int | float) -> None:
+        """Log and count an event of an attempt."""
         assert self.sink is not None
         self._metrics.count("bluebellusher_attempts_total", "event", name)
         effect = attempt.effect
--- a/packages/entry/src/bluebellusher/gateway/_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -1,4 +1,4 @@
-"""One entry on a platform: construction of all parts, life from start to stop."""
+"""One entry on a platform: its components, start, shutdown and settings."""
 
 import asyncio
 import gc
@@ -41,38 +41,62 @@
 from bluebellusher_core.supervision import supervise
 from bluebellusher_core.wire import messages
 
-# After SIGTERM the platform stops sending new connections within two checks of one
-# second each; until then they are still served.
+# Time from SIGTERM until the entry stops accepting connections, in ms. The platform
+# sends new connections until it has noticed the shutdown, which takes up to two
+# readiness checks of one second each.
 STOP_ACCEPTING_AFTER_MS = 2_600
-# Left of the grace period for closing connections and leaving.
+# Part of the grace period that is reserved for closing connections and exiting, in ms.
 EXIT_MARGIN_MS = 500
-# Entries with an uneven share of callers leave part of the common retries unused;
-# this much of them is given out, the rest covers entries that are not known yet.
+# Share of the common retries that is divided among the known entries. An entry with few
+# callers uses only part of its share. The remainder is a reserve for entries that are
+# not known yet.
 RETRY_USE = 0.8
-# What was spent before a restart is not known. All entries may be killed twice within
-# the time over which retries are counted, and stay within the rest above.
+# Retries that an entry may make right after its start. The number of retries that were
+# spent before a restart is unknown. The value lets all entries be killed twice within
+# the time window of the retry limits without exceeding the reserve that ``RETRY_USE``
+# leaves.
 N_START_RETRIES = 1
-# Requests that an endpoint may hold beyond its slots cover the round trip between
-# the end of one request and the start of the next.
+# Requests that an endpoint may hold, as a multiple of its slots. The requests beyond
+# the slots cover the round trip between the end of one request and the start of the
+# next.
 QUEUE_FACTOR = 1.2
-# How long a caller of a broken stream waits for its next event.
+# Time for which a caller waits for the next event of a broken stream, in ms.
 RESUME_WAIT_MS = 1_500
-# An innocent request may be at a crash once or twice by chance; the platform allows
-# few runs after the third.
+# Crashes that block a request. A harmless request may be running during one or two
+# crashes by chance. The platform allows only a few runs of a request after its third
+# crash.
 N_CRASHES_TO_BLOCK = 3
-# Entries that want a free lease at the same moment spread over this time.
+# Upper bound of the random delay before an entry acquires a free lease, in ms. It
+# spreads the writes of entries that try to acquire the lease at the same time.
 MAX_TAKEOVER_DELAY_MS = 400
-# A group with a held step should not wait for the next leader.
+# Time for which an entry that shuts down waits for its map changes to end, in ms. A
+# group with a held step would otherwise have to wait for the next leader.
 MAP_CHANGE_GRACE_MS = 1_500
+# Interval at which the settings file is checked for changes, in ms.
 SETTINGS_POLL_MS = 1_000
-# Peers tell of crashes at once; the table serves entries that reach no peer. Calls
-# are priced, and the store keeps 20 s of history.
+# Time for which a call to the store waits for a change of the crash table, in ms. The
+# time is long because calls are billed, but within the 20 s of history that the store
+# keeps. Only entries that cannot reach a peer depend on the table, because peers
+# announce crashes immediately.
 CRASH_WAIT_MS = 15_000
+# Interval at which a shutdown checks whether all requests have ended, in s.
 _POLL_S = 0.02
 
 
 class Gateway:
-    """All parts of one entry, connected."""
+    """One entry with all its components.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+        Settings of the process.
+    ports : PlatformPorts
+        Store, header names and table formats of the platform.
+    clock : Clock
+        Clock of all components; its wall time becomes the incarnation of the entry.
+    log : KeyValueLog
+        Receives the log lines of all components.
+    """
 
     def __init__(
         self,
@@ -141,7 +165,8 @@
             ports.store,
             crash_mirror,
             self.crash_table.take_rows,
-            # Endpoints are registered in another table.
+            # The registrations of endpoints are in another table, so that it does
+            # not matter for them whether the store serves this one.
             lambda is_in_contact: None,
             clock,
             seed,
@@ -197,7 +222,11 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether callers should come."""
+        """Whether callers may be sent to this entry.
+
+        An entry is ready when it has the configuration, the registrations of the
+        endpoints and the earlier crashes, and is not shutting down.
+        """
         is_known = self.directory.is_ready and self.registration_watcher.mirror.version
         return (
             bool(is_known) and self.knows_crashes and not self.runtime.is_shutting_down
@@ -205,12 +234,12 @@
 
     @property
     def knows_crashes(self) -> bool:
-        """Whether the store or a peer has told of earlier crashes."""
+        """Whether earlier crashes were received from the store or a peer."""
         digests = self.peer_exchange.digest_at_ms_by_peer_id
         return self.crash_watcher.mirror.version > 0 or bool(digests)
 
     async def start(self) -> None:
-        """Listen, connect and follow the shared tables."""
+        """Listen for peers and callers, and start all background tasks."""
         settings = self.settings
         await self.dispatcher.open()
         await self.peers.listen(settings.peers.host, settings.peers.port)
@@ -244,10 +273,11 @@
         )
 
     async def stop(self) -> None:
-        """Let every request end, within the grace period.
+        """Stop the entry when all requests have ended or the grace period expires.
 
-        Readiness goes at once. New connections are taken as long as the platform may
-        still send some; each answer tells its caller to connect elsewhere.
+        The entry reports itself unready immediately. It accepts new connections as long
+        as the platform may send some. Each response closes its connection, so that the
+        caller connects to another entry.
         """
         stopped_at_ms = self.clock.now_ms()
         self.runtime.is_shutting_down = True
@@ -278,17 +308,18 @@
         self.log.event("stopped", n_requests_left=n_left, took_ms=took_ms)
 
     def reload(self, settings: GatewaySettings) -> None:
-        """Take changed settings; addresses hold until the next start."""
+        """Apply changed settings; changed addresses take effect at the next start."""
         is_changed = settings != self.settings
         self.settings = settings
         self.log.event("settings-reloaded", is_changed=is_changed)
 
     def _is_lease_held_elsewhere(self) -> bool:
-        """Return whether a connected entry says that it leads the maps."""
+        """Return whether a connected peer reports that it holds the map lease."""
         held = self._leases_by_peer_id
         return any(held.get(peer_id) for peer_id in self.peers.connections_by_peer_id)
 
     def _on_digest(self, peer_id: str, digest: Any) -> None:
+        """Record a peer's lease, table versions and crashes from its digest."""
         self._leases_by_peer_id[peer_id] = MAP_LEASE in (digest.held_leases or ())
         self.tables.on_digest(peer_id, digest)
         if digest.crashes:
@@ -298,6 +329,7 @@
         return self.state.crashes.records(self.clock.now_ms())
 
     def _tell_crashes(self, effect: TellCrashes) -> None:
+        """Broadcast new crash records to the peers and write them to the store."""
         self.peer_exchange.tell_crashes(effect.records)
         self.crash_table.note_own()
 
@@ -311,7 +343,7 @@
         return self.directory.find(endpoint_id)
 
     def _update_ranks(self) -> None:
-        """Follow the agents beside the endpoints that have engines."""
+        """Connect to the agents of the endpoints that run engines."""
         routing = self.directory.routing
         if routing is None:
             return
@@ -321,6 +353,7 @@
         self.ranks.update(r for r in registrations if r.service_id in with_engine)
 
     def _find_group_model(self, endpoint_id: str) -> GroupModel | None:
+        """Return the group model of an endpoint's service, or None."""
         endpoint = self.directory.find(endpoint_id)
         if endpoint is None or self.directory.routing is None:
             return None
@@ -333,10 +366,13 @@
         take: Callable[[list[Any]], None],
         seed: Random,
     ) -> TableWatcher:
+        """Return the watcher of a table that is also exchanged with peers."""
+
         def on_news(rows: list[Any]) -> None:
             take(rows)
             self._update_ranks()
-            # Peers that the store turns away wait for it.
+            # Announce the new table version. Peers that the store does not serve
+            # request the changes from this entry.
             self.peer_exchange.tick(self.clock.now_ms())
 
         mirror = TableMirror(table)
@@ -353,16 +389,19 @@
         return watcher
 
     def _tick(self, now_ms: int) -> None:
+        """Run the periodic work of the peer exchange, tables and directory."""
         self.peer_exchange.tick(now_ms)
         self.tables.tick(now_ms)
         self.directory.tick(now_ms)
         n_entries = 1 + len(self.peers.connections_by_peer_id)
         if n_entries > self._n_entries:
-            # Entries that are merely cut off go on using their share.
+            # The number never decreases, because an entry that has lost its
+            # connection to this one still uses its share of the retries.
             self._n_entries = n_entries
             self.runtime.post(EntriesCounted(n_entries))
 
     async def _serve_pages(self) -> None:
+        """Listen for readiness checks and, if configured, for metrics requests."""
         settings = self.settings
         ready = PageServer({"/ready": self._ready_page, "/": self._ready_page})
         await ready.listen(settings.readiness.host, settings.readiness.port)
@@ -380,6 +419,8 @@
         return bool(self.runtime.exchange_by_request_id or self.server.n_connections)
 
     def _start_task(self, run: Callable[[], Awaitable[None]]) -> None:
+        """Run a component as a task that is restarted after an unexpected error."""
+
         def report(error: Exception) -> None:
             self.runtime.report_fault("task", run, error)
 
@@ -389,6 +430,7 @@
 def _make_state(
     settings: GatewaySettings, incarnation: int, seed: Random
 ) -> EntryState:
+    """Return the reducer's state of an entry that starts."""
     n_shared = int(RETRY_USE * settings.retries.n_extra)
     config = EntryConfig(
         entry_id=settings.instance_id,
@@ -412,6 +454,7 @@
     make_ports: Callable[[GatewaySettings], PlatformPorts],
     path: str,
 ) -> None:
+    """Run an entry on the current event loop until SIGTERM or SIGINT."""
     log = KeyValueLog.from_config(settings.log_level)
     loop = asyncio.get_running_loop()
     is_told_to_stop = asyncio.Event()
@@ -430,7 +473,7 @@
 
 
 async def _watch_settings(gateway: Gateway, path: str) -> None:
-    """Take settings that change without a signal."""
+    """Reload the settings file when it changes, until cancelled."""
     read_at = _modified_at(path)
     while True:
         await asyncio.sleep(SETTINGS_POLL_MS / 1000)
@@ -441,22 +484,26 @@
 
 
 def _modified_at(path: str) -> int:
+    """Return the modification time of a file, in ns; 0 when it cannot be read."""
     try:
         return os.stat(path).st_mtime_ns
     except OSError:
-        # The changed value makes the caller read the file, which logs the error.
+        # The caller detects a change and reloads the file, which logs the error.
         return 0
 
 
 def _reload(gateway: Gateway, path: str) -> None:
+    """Reload the settings file; log an invalid one and keep the current settings."""
     try:
         gateway.reload(load_gateway_settings(path))
     except Exception as error:
-        # A faulty file must not stop an entry that serves with the settings it has.
+        # An invalid file must not stop an entry that runs with valid settings.
         gateway.log.event("settings-refused", "error", error=str(error))
 
 
 def _make_fault_reporter(gateway: Gateway) -> Any:
+    """Return an exception handler for the event loop, which counts and logs errors."""
+
     def report(_loop: asyncio.AbstractEventLoop, context: Mapping[str, Any]) -> None:
         error = context.get("exception") or RuntimeError(str(context.get("message")))
         gateway.runtime.report_fault("event-loop", context, error)
@@ -469,15 +516,15 @@
     make_ports: Callable[[GatewaySettings], PlatformPorts],
     path: str,
 ) -> None:
-    """Serve until SIGTERM or SIGINT.
+    """Run an entry until SIGTERM or SIGINT.
 
     Parameters
     ----------
     settings : GatewaySettings
-        Settings at the start.
+        Settings at the start of the process.
     make_ports : callable
-        Returns the adapter; called on the event loop.
+        Returns the adapter to the platform; called on the event loop.
     path : str
-        File of the settings, which is read again when it changes and after SIGHUP.
+        Path of the settings file, which is reloaded when it changes and on SIGHUP.
     """
     uvloop.run(_run(settings, make_ports, path))
--- a/packages/entry/src/bluebellusher/gateway/_server.py
+++ b/packages/entry/src/bluebellusher/gateway/_server.py
@@ -1,4 +1,4 @@
-"""HTTP server for callers, readiness checks and metrics."""
+"""HTTP servers for callers, and for readiness checks and metrics."""
 
 import asyncio
 from collections.abc import Callable
@@ -15,28 +15,32 @@
 from bluebellusher.shared import Directory
 from bluebellusher_core.errors import Outcome, Reason, Refusal
 
-# Callers reuse connections for up to four fifths of the configured idle time.
+# Idle timeout of a caller's connection, in s. Callers reuse a connection for up to four
+# fifths of the configured idle time.
 KEEP_ALIVE_TIMEOUT_S = 75.0
-# A body that is still incomplete after this time ends its connection.
+# Timeout of the complete body of a request, in ms.
 BODY_TIMEOUT_MS = 15_000
+# Upper bound of the request line and of each header field, in bytes.
 MAX_HEADER_BYTES = 65_536
+# Time after which a caller may retry while the entry has no configuration, in ms.
 NOT_READY_RETRY_MS = 500
+# Connections that the kernel queues until the entry accepts them.
 _BACKLOG = 1024
 
 
 class CallerServer:
-    """Serve callers by the routes in force.
+    """HTTP server that callers send their requests to.
 
     Parameters
     ----------
     runtime : Runtime
-        Decides and executes.
+        Passes requests to the reducer and executes its effects.
     directory : Directory
-        Routes and customers in force.
+        Provides the routes and customers in force.
     admission : Admission
-        Describes requests.
+        Admits or denies requests.
     make_request_id : callable
-        Returns a new id with each call.
+        Returns a new request id for each call.
     """
 
     def __init__(
@@ -63,44 +67,47 @@
 
     @property
     def n_connections(self) -> int:
-        """Return how many callers are connected."""
+        """Number of open connections of callers."""
         return len(self._server.connections)
 
     async def listen(self, host: str, port: int) -> None:
-        """Accept callers."""
+        """Accept connections of callers at an address."""
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(
             self._server, host, port, backlog=_BACKLOG
         )
 
     def stop_accepting(self) -> None:
-        """Accept no new connection; requests in progress go on."""
+        """Accept no new connections; requests in progress continue."""
         if self._listener is not None:
             self._listener.close()
 
     def close_idle(self) -> None:
-        """Close connections on which no request is in progress.
+        """Close the connections without a request in progress.
 
-        ``RequestHandler.close`` would end the task of an idle connection and leave
-        its socket open, on which later requests are never read.
+        ``RequestHandler.close`` would end the task of an idle connection but leave its
+        socket open. Requests that a caller sends on such a socket are never read.
         """
         for connection in list(self._server.connections):
             if connection not in self._busy:
                 connection.force_close()
 
     async def close(self) -> None:
-        """Close every connection."""
+        """Close all connections."""
         await self._server.shutdown(timeout=0.1)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Serve one request and mark its connection as busy until the response ends."""
         self._busy.add(request.protocol)
         try:
             response = await self._serve(request)
             if self._runtime.is_shutting_down:
-                # Also after a stream that began before: its connection takes no more.
+                # A stream that started before the shutdown needs this too: its
+                # connection must not be used for another request.
                 response.force_close()
             if request.transport is not None and not request.transport.is_closing():
-                # Here and not by the caller, so that the connection counts as busy.
+                # Written here instead of by aiohttp after the return, so that the
+                # connection counts as busy until the response has been sent.
                 await response.prepare(request)
                 await response.write_eof()
             return response
@@ -108,6 +115,7 @@
             self._busy.discard(request.protocol)
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Admit a request, read its body and return the answer, or deny it."""
         request_id = self._make_request_id()
         table = self._directory.routing
         if table is None:
@@ -164,6 +172,7 @@
     async def _answer(
         self, request: web.BaseRequest, exchange: Exchange
     ) -> web.StreamResponse:
+        """Submit an admitted request and write its answer to the caller."""
         self._runtime.submit(exchange)
         writer = AnswerWriter(request, exchange, self._runtime)
         outcome = "caller_left"
@@ -176,6 +185,7 @@
             self._note_end(exchange, outcome, writer)
 
     def _note_end(self, exchange: Exchange, outcome: str, writer: AnswerWriter) -> None:
+        """Record the end of a request in the metrics, the log and its span."""
         spec, answer = exchange.spec, exchange.answer
         metrics = self._runtime.metrics
         metrics.count("bluebellusher_requests_total", "outcome", outcome)
@@ -201,6 +211,7 @@
     def _refuse_unready(
         self, request_id: str, request: web.BaseRequest
     ) -> web.StreamResponse:
+        """Reject a request because the entry has no configuration yet."""
         refusal = Refusal(
             Outcome.NOT_RUN, Reason.NOT_READY, "receive", "", NOT_READY_RETRY_MS
         )
@@ -220,6 +231,7 @@
     def _deny(
         self, request_id: str, request: web.BaseRequest, denial: Denial, version: int
     ) -> web.StreamResponse:
+        """Return the response of a denial, counted and logged."""
         self._runtime.metrics.count(
             "bluebellusher_denied_total", "reason", denial.reason
         )
@@ -235,14 +247,20 @@
 
 
 class PageServer:
-    """Serve a few fixed pages, such as readiness and metrics."""
+    """HTTP server of pages for operators, such as readiness and metrics.
+
+    Parameters
+    ----------
+    pages : dict of str to callable
+        Function that returns the response, by path. Other paths get a 404.
+    """
 
     def __init__(self, pages: dict[str, Callable[[], web.Response]]) -> None:
         self._pages = pages
         self._server = web.Server(self._handle, access_log=None)
 
     async def listen(self, host: str, port: int) -> None:
-        """Answer checks."""
+        """Accept connections at an address."""
         loop = asyncio.get_running_loop()
         await loop.create_server(self._server, host, port)
 
@@ -252,7 +270,7 @@
 
 
 async def _read_body(request: web.BaseRequest, max_bytes: int) -> bytes | None:
-    """Return the whole body, or None when it is too long."""
+    """Return the complete body, or None if it is longer than ``max_bytes``."""
     if not request.can_read_body:
         return b""
     parts = bytearray()
--- a/packages/entry/src/bluebellusher/gateway/_view.py
+++ b/packages/entry/src/bluebellusher/gateway/_view.py
@@ -1,4 +1,4 @@
-"""What an entry shows of itself in figures, log lines and digests."""
+"""Gauges, digests and log fields computed from the state of an entry."""
 
 from collections.abc import Mapping
 from typing import TYPE_CHECKING, Any
@@ -9,17 +9,28 @@
 if TYPE_CHECKING:
     from bluebellusher.gateway._gateway import Gateway
 
+# Name of the lease that an entry holds while it changes expert maps.
 MAP_LEASE = "expert-maps"
 
 
 class GatewayView:
-    """Figures, digest and descriptions of one entry."""
+    """Gauges, digest and endpoint descriptions of one entry.
+
+    Parameters
+    ----------
+    gateway : Gateway
+        Entry whose state is read.
+    """
 
     def __init__(self, gateway: "Gateway") -> None:
         self._gateway = gateway
 
     def make_digest(self) -> Any:
-        """Return what peers are told."""
+        """Return the digest of the entry's state that is sent to its peers.
+
+        It contains the fingerprints that the entry itself has marked, the versions of
+        its tables and the leases it holds. The list of members stays empty.
+        """
         gateway = self._gateway
         now_ms = gateway.clock.now_ms()
         blocked, suspects = gateway.state.digest(now_ms)
@@ -34,7 +45,11 @@
         )
 
     def describe_endpoint(self, endpoint_id: str) -> dict[str, str | int | float]:
-        """Return what the routing policy knows of an endpoint, for the log."""
+        """Return the routing policy's inputs for an endpoint as log fields.
+
+        An endpoint that is not registered has no fields. ``report_age_ms`` is -1 until
+        the endpoint has sent its first load report.
+        """
         state = self._gateway.state
         view = state.endpoints.view_by_id.get(endpoint_id)
         if view is None:
@@ -51,7 +66,7 @@
         }
 
     def gauges(self) -> Mapping[str, float]:
-        """Return current figures by Prometheus name."""
+        """Return the current value of each gauge by its Prometheus name."""
         gateway = self._gateway
         now_ms = gateway.clock.now_ms()
         routing = gateway.directory.routing
