--- a/packages/entry/src/bluebellusher/gateway/tests/harness.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/harness.py
@@ -1,4 +1,4 @@
-"""A gateway server in front of endpoints that the test scripts, in one process."""
+"""Gateway, caller and scripted endpoints that communicate over sockets in a test."""
 
 import asyncio
 import contextlib
@@ -35,12 +35,12 @@
 
 HOST = "127.0.0.1"
 ANY_PORT = f"{HOST}:0"
-# The parts of an entry whose tables a test leaves empty.
+# Table names for an entry whose tables stay empty, so that it decodes no row.
 CODEC = SimpleNamespace(routing_table="op", routing_key="k", registration_table="s")
 
 
 def make_settings(**options):
-    """Return settings of an entry on ports that the kernel chooses."""
+    """Return settings of an entry that listens on ports chosen by the kernel."""
     values = {
         "instance_id": "e",
         "failure_domain": "d",
@@ -56,10 +56,10 @@
 
 
 class PlainDialect:
-    """Headers with short names."""
+    """Dialect with short header names, without a platform's prefix."""
 
     def read_caller(self, headers):
-        """Return what a caller's headers say."""
+        """Return the fields in a caller's headers."""
         remaining = headers.get("Remaining")
         if remaining is not None and not remaining.isdigit():
             raise ValueError(f"Remaining: found {remaining!r}: expected milliseconds")
@@ -71,11 +71,11 @@
         )
 
     def read_attempt_id(self, headers):
-        """Return the id that the caller gave its attempt."""
+        """Return the attempt id that the caller chose; empty for none."""
         return headers.get("Attempt", "")
 
     def write_attempt(self, headers, fields):
-        """Return the headers of an attempt."""
+        """Return the headers of an attempt, derived from those of the caller."""
         dropped = {"content-length", "transfer-encoding", "connection", "key"}
         dropped |= {"last-event-id", "remaining"}
         sent = [item for item in headers if item[0].lower() not in dropped]
@@ -87,7 +87,7 @@
         return sent
 
     def read_answer(self, status, headers):
-        """Return what an endpoint's answer says."""
+        """Return the fields in the status and headers of an answer."""
         return AnswerFields(
             attempt_id=headers.get("Attempt", ""),
             is_not_run="Not-Run" in headers,
@@ -99,7 +99,11 @@
 
 
 class ScriptedEndpoint:
-    """An endpoint that answers by a function of the test."""
+    """HTTP endpoint that calls a function of the test for each request.
+
+    ``has_received`` is set by the first request, and ``cancelled`` when the entry
+    closes the connection of a request in progress.
+    """
 
     def __init__(self, endpoint_id, answer):
         self.endpoint_id = endpoint_id
@@ -111,7 +115,7 @@
         self._server = None
 
     async def start(self):
-        """Listen."""
+        """Listen on a free port."""
         server = web.Server(self._handle, handler_cancellation=True, access_log=None)
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(server, HOST, 0)
@@ -128,31 +132,45 @@
             raise
 
     def close(self):
-        """Accept no more."""
+        """Close the port; connections that are already open stay open."""
         self._server.close()
 
 
 class Recorder:
-    """Keeps log lines."""
+    """Log output that keeps its lines in memory."""
 
     def __init__(self):
         self.lines = []
 
     def write(self, text):
-        """Keep one line."""
+        """Record one line."""
         self.lines.append(text)
 
     def count(self, event):
-        """Return how many lines tell of an event."""
+        """Return the number of lines of an event."""
         return len(self.lines_of(event))
 
     def lines_of(self, event):
-        """Return the lines that tell of an event."""
+        """Return the lines of an event."""
         return [line for line in self.lines if f"event={event} " in f"{line} "]
 
 
 class Harness:
-    """Everything between a caller and scripted endpoints."""
+    """Entry without a store and peers, with a caller and scripted endpoints.
+
+    Parameters
+    ----------
+    endpoints : list
+        Endpoints to start and register, all of the service ``desk``.
+    routes : list of Route, optional
+        Routes in force; by default an idempotent one to the service ``desk``.
+    customers : list of Customer, optional
+        Customers in force; without any, no credential is needed.
+    n_crashes_to_block : int
+        Number of crashes that blocks a request; 0 to count none.
+    dialect : Dialect, optional
+        Header names; by default those of ``PlainDialect``.
+    """
 
     def __init__(
         self,
@@ -198,10 +216,10 @@
         self.session = None
 
     def told(self, effect):
-        """Take what would be told to peers."""
+        """Ignore an effect that broadcasts to peers."""
 
     def find(self, endpoint_id):
-        """Return where an endpoint listens."""
+        """Return the registration of an endpoint, or None."""
         for endpoint in self.endpoints:
             if endpoint.endpoint_id == endpoint_id:
                 return EndpointRegistration(
@@ -210,7 +228,7 @@
         return None
 
     async def start(self):
-        """Start endpoints, gateway and a caller."""
+        """Start the endpoints, the caller server and the caller's session."""
         await self.dispatcher.open()
         for endpoint in self.endpoints:
             await endpoint.start()
@@ -228,7 +246,7 @@
         self.session = aiohttp.ClientSession(auto_decompress=False)
 
     async def stop(self):
-        """Close everything."""
+        """Close the session, the entry and the endpoints."""
         await self.session.close()
         self.server.stop_accepting()
         await self.server.close()
@@ -239,20 +257,20 @@
             endpoint.close()
 
     def request(self, method="GET", path="/a/x", **options):
-        """Return a request of the caller, as a context manager."""
+        """Return a context manager that sends a request and yields its response."""
         headers = {"Host": "h.example", "Attempt": "t1", "Remaining": "3000"}
         headers.update(options.pop("headers", {}))
         url = URL(f"http://{HOST}:{self.port}{path}", encoded=True)
         return self.session.request(method, url, headers=headers, **options)
 
     async def fetch(self, method="GET", path="/a/x", **options):
-        """Return status, headers and body of a request."""
+        """Send a request and return the status, headers and body of the response."""
         async with self.request(method, path, **options) as response:
             return response.status, response.headers, await response.read()
 
 
 def make_route(kind=RequestKind.IDEMPOTENT, **options):
-    """Return a route to the service ``desk``."""
+    """Return a route to the service ``desk``; options replace its fields."""
     values = {
         "route_id": "r",
         "host": "h.example",
@@ -269,18 +287,23 @@
 
 
 def make_customer(credential):
-    """Return a customer with one credential."""
+    """Return the customer ``tenant`` with one credential."""
     return Customer("tenant", (credential,), 1)
 
 
 async def answer_whole(request, body):
-    """Answer with a sealed body."""
+    """Return a complete answer with a seal."""
     headers = {"Seal": "s", "Attempt": request.headers["Attempt"]}
     return web.Response(body=b"whole", headers=headers)
 
 
 def run(scenario, answers, endpoints=(), **options):
-    """Run a scenario with one endpoint for each answer function, and others."""
+    """Run a scenario against a started harness and stop the harness afterwards.
+
+    There is one ``ScriptedEndpoint``, named ``x0``, ``x1`` and so on, for each function
+    in ``answers``, followed by the given ``endpoints``. The scenario times out after 20
+    seconds. Options are passed to ``Harness``.
+    """
 
     async def main():
         scripted = [
--- a/packages/entry/src/bluebellusher/gateway/tests/test_announcements.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_announcements.py
@@ -1,4 +1,4 @@
-"""What endpoints say of themselves in their answers, through real sockets."""
+"""Announcements of endpoints in their answers, over real sockets."""
 
 import asyncio
 
@@ -12,7 +12,7 @@
 
 
 def leave_with(status, **headers):
-    """Return an answer of an endpoint that leaves."""
+    """Return an answer function of an endpoint that is leaving."""
 
     async def answer(request, body):
         found = {"Attempt": request.headers["Attempt"], "Leaving": "1", **headers}
@@ -33,7 +33,11 @@
     ],
 )
 def test_endpoint_that_leaves_gets_one_request(answer):
-    """Guards against marks that only some kinds of answers set."""
+    """Guards against announcements that are ignored in some kinds of answers.
+
+    The endpoint announces its shutdown in a success, an error, a refusal or the answer
+    to another request.
+    """
 
     async def scenario(harness):
         for _ in range(10):
@@ -45,7 +49,11 @@
 
 
 def test_answer_in_progress_ends_when_its_endpoint_says_that_it_leaves():
-    """Guards against answers cut because their endpoint leaves."""
+    """Guards against truncated answers of an endpoint that is leaving.
+
+    The request after it is rejected with a ``Retry-After``, because there is no other
+    endpoint.
+    """
 
     async def stream_and_leave(request, body):
         headers = {"Attempt": request.headers["Attempt"], "Leaving": "1", "Seal": "s"}
@@ -68,7 +76,7 @@
 
 
 def test_endpoint_gets_nothing_during_the_pause_that_it_asked_for():
-    """Guards against repeats at an endpoint that has turned one away."""
+    """Guards against attempts at an endpoint that has asked for a pause."""
 
     async def pause(request, body):
         return web.Response(status=503, headers={"Not-Run": "1", "Pause-Ms": "700"})
@@ -86,7 +94,11 @@
 
 
 def test_callers_learn_when_the_shortest_pause_ends():
-    """Guards against callers held, or sent back too early, by a service that pauses."""
+    """Guards against requests that wait, or are retried too early, during a pause.
+
+    The only endpoint has asked for 5 s without work, so that requests are rejected
+    immediately with the remaining time of the pause.
+    """
 
     async def pause(request, body):
         return web.Response(status=503, headers={"Not-Run": "1", "Pause-Ms": "5000"})
--- a/packages/entry/src/bluebellusher/gateway/tests/test_crashes.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_crashes.py
@@ -1,4 +1,4 @@
-"""Requests that end the process which runs them, through real sockets."""
+"""Requests that crash the endpoints which run them, over real sockets."""
 
 import asyncio
 
@@ -22,12 +22,17 @@
 
 NON_IDEMPOTENT = [make_route(RequestKind.NON_IDEMPOTENT)]
 POISON = {"method": "POST", "data": b"poison"}
-# Far longer than a check takes, so that the check comes first each time.
+# Time from the broken connection until the port closes, in s. It is far longer than the
+# check of the port takes, so that the check always finds the port open.
 PORT_CLOSES_AFTER_S = 1.0
 
 
 def make_answer(endpoint_by_id, has_open_port=False):
-    """Return an answer function; poison ends the endpoint that reads it."""
+    """Return an answer function that breaks the connection of a poison request.
+
+    It also closes the port of the endpoint that runs the request, unless
+    ``has_open_port`` is set.
+    """
 
     async def answer(request, body):
         if body == b"poison":
@@ -40,7 +45,7 @@
 
 
 def run_poison(scenario, has_open_port):
-    """Run a scenario with five endpoints."""
+    """Run a scenario with five endpoints that crash on the poison request."""
     endpoint_by_id = {}
 
     async def with_endpoints(harness):
@@ -52,7 +57,11 @@
 
 
 def test_third_closed_port_blocks_the_request_that_was_running():
-    """Guards against crashes that count only if other requests meet them."""
+    """Guards against crashes that count only if another request meets the closed port.
+
+    The entry must check the port itself after a broken run. Three crashes block the
+    request, and other requests are still served.
+    """
 
     async def scenario(harness):
         for n_crashes in range(1, 4):
@@ -71,7 +80,10 @@
 
 
 def test_connections_that_break_at_open_ports_block_nothing():
-    """Guards against callers refused because endpoints reset connections."""
+    """Guards against blocked requests because endpoints reset connections.
+
+    A port that is open after the break dismisses the crash.
+    """
 
     async def scenario(harness):
         for n_broken in range(1, 6):
@@ -85,7 +97,10 @@
 
 
 def test_entry_is_ready_only_when_it_knows_earlier_crashes():
-    """Guards against an entry that runs at its start what others have blocked."""
+    """Guards against a restarted entry that runs a request which others have blocked.
+
+    The entry reports itself unready until it has received the crashes in the store.
+    """
     stored = b'{"crashes_by_fingerprint":{"f":[%s]}}' % b",".join(
         b'{"start_id":"x%d@1","sent_at":%d,"broken_at":%d}' % (i, now, now)
         for i, now in enumerate([SystemClock().wall_ms()] * 3)
@@ -111,7 +126,11 @@
 
 
 def test_port_that_closes_after_the_connection_counts_as_a_crash():
-    """Guards against a crash ruled out because its process had not ended yet."""
+    """Guards against a crash that is dismissed because its process has not ended yet.
+
+    The port of a crashed endpoint still accepts connections for a short time after the
+    connection broke, and a check in this time finds it open.
+    """
 
     async def scenario(harness):
         (endpoint,) = harness.endpoints
--- a/packages/entry/src/bluebellusher/gateway/tests/test_endless_answers.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_endless_answers.py
@@ -1,4 +1,4 @@
-"""Answers that never end, or that come too slowly to be of use."""
+"""Answers that never end, or arrive so slowly that their callers time out."""
 
 import asyncio
 import contextlib
@@ -15,7 +15,8 @@
 EVENTS = SEALED + b"Content-Type: text/event-stream\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
 BLOCK = b"x" * 16_384
-# Peak of what one answer may take in the entry, as its modules bound it.
+# Upper bound of the memory that one answer may use in the entry, in bytes; follows from
+# the bounds in the modules that read and relay answers.
 MAX_PEAK_BYTES = 8 * 1024 * 1024
 STREAMING = [make_route(RequestKind.STREAMING, is_resumable=True, n_max_attempts=1)]
 
@@ -26,7 +27,7 @@
 
 
 class RawEndpoint:
-    """An endpoint that writes bytes of the test's choice on each connection."""
+    """Endpoint that calls a function of the test to write raw bytes to a connection."""
 
     def __init__(self, endpoint_id, write):
         self.endpoint_id = endpoint_id
@@ -37,7 +38,7 @@
         self._server = None
 
     async def start(self):
-        """Listen."""
+        """Listen on a free port."""
         self._server = await asyncio.start_server(self._serve, HOST, 0)
         self.port = self._server.sockets[0].getsockname()[1]
 
@@ -49,45 +50,45 @@
         writer.close()
 
     async def send(self, writer, data):
-        """Write and count."""
+        """Write data to the connection and count its bytes."""
         writer.write(data)
         self.n_bytes += len(data)
         await writer.drain()
 
     def close(self):
-        """Accept no more."""
+        """Close the port; open connections stay open."""
         self._server.close()
 
 
 async def write_endless_interim(endpoint, writer):
-    """Send informational answers for as long as the connection is open."""
+    """Send informational (1xx) answers until the connection closes."""
     while True:
         await endpoint.send(writer, b"HTTP/1.1 102 Processing\r\n\r\n")
 
 
 async def write_endless_head(endpoint, writer):
-    """Send header lines for as long as the connection is open."""
+    """Send header lines until the connection closes."""
     await endpoint.send(writer, b"HTTP/1.1 200 OK\r\n")
     while True:
         await endpoint.send(writer, b"X-Filler: " + BLOCK[:1_000] + b"\r\n")
 
 
 async def write_endless_event(endpoint, writer):
-    """Send one event that never ends."""
+    """Send a single event that has no end, until the connection closes."""
     await endpoint.send(writer, EVENTS + CHUNKED + as_chunk(b"id: 1\ndata: "))
     while True:
         await endpoint.send(writer, as_chunk(BLOCK))
 
 
 async def write_endless_body(endpoint, writer):
-    """Send a body that never ends."""
+    """Send a body without an end, until the connection closes."""
     await endpoint.send(writer, SEALED + CHUNKED)
     while True:
         await endpoint.send(writer, as_chunk(BLOCK))
 
 
 async def write_dripping_event(endpoint, writer):
-    """Send a byte of an event now and then."""
+    """Send a complete event, then a byte of the next one every 100 ms."""
     await endpoint.send(writer, EVENTS + CHUNKED + as_chunk(b"id: 1\ndata: a\n\n"))
     while True:
         await endpoint.send(writer, as_chunk(b"x"))
@@ -98,10 +99,10 @@
     "write", [write_endless_interim, write_endless_head, write_endless_event]
 )
 def test_bytes_without_end_are_given_up(write):
-    """Guards against an endpoint whose bytes fill the memory of the entry.
+    """Guards against an endpoint that exhausts the memory of the entry.
 
-    Without a bound, interim answers are read until the deadline, and the event takes
-    megabytes for each of many requests.
+    Without an upper bound, informational answers are read until the deadline, and an
+    endless event uses megabytes for each of many requests.
     """
     endpoint = RawEndpoint("x9", write)
 
@@ -117,14 +118,14 @@
         finally:
             tracemalloc.stop()
         assert n_peak < MAX_PEAK_BYTES
-        assert took_s < 2.0, "the timeout of the route, by when it is closed anyway"
+        assert took_s < 2.0, "the attempt ended only by the timeout of its route"
         assert harness.recorder.count("attempt-broken") == 1
 
     run(scenario, [], endpoints=[endpoint], routes=STREAMING)
 
 
 def test_body_without_end_takes_no_memory_while_its_caller_does_not_read():
-    """Guards against answers that are kept in memory for callers that read slowly."""
+    """Guards against answers that are buffered in memory while callers do not read."""
     endpoint = RawEndpoint("x9", write_endless_body)
 
     async def scenario(harness):
@@ -144,9 +145,10 @@
 
 
 def test_stream_that_sends_single_bytes_counts_as_stalled():
-    """Guards against a stalled stream that never ends because a byte comes at times.
+    """Guards against a stalled stream that is kept because single bytes still arrive.
 
-    Its caller sees no event and leaves; another endpoint could have gone on.
+    Its caller receives no event and times out, although another endpoint could have
+    resumed the stream.
     """
     dripping = RawEndpoint("x9", write_dripping_event)
     routes = [make_route(RequestKind.STREAMING, is_resumable=True, timeout_ms=8_000)]
@@ -162,9 +164,10 @@
 
 
 def test_slow_but_sound_stream_is_not_cut():
-    """Guards against streams that are cut although their callers still wait.
+    """Guards against streams that are truncated although their callers still wait.
 
-    Callers of this route wait for four times its objective of 800 ms.
+    Callers of this route time out after four times its latency objective of 800 ms,
+    and events arrive every 2.2 s.
     """
 
     async def write_slow_events(endpoint, writer):
@@ -194,7 +197,7 @@
 
     async def scenario(harness):
         def fail(status, headers):
-            raise RuntimeError("not foreseen")
+            raise RuntimeError("unexpected error in the dialect")
 
         harness.dispatcher._dialect.read_answer = fail
         status, _, _ = await harness.fetch()
--- a/packages/entry/src/bluebellusher/gateway/tests/test_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_gateway.py
@@ -1,4 +1,4 @@
-"""Requests through a gateway to endpoints that fail in every way."""
+"""Requests through a gateway to endpoints that answer, refuse, fail or break."""
 
 import asyncio
 import socket
@@ -23,22 +23,22 @@
 
 
 def make_headers(request):
-    """Return the headers of a sealed answer."""
+    """Return the headers of an answer with a seal."""
     return {"Seal": "s", "Attempt": request.headers["Attempt"]}
 
 
 async def refuse_not_run(request, body):
-    """Refuse, and state that nothing ran."""
+    """Refuse the request and state that it has not run."""
     return web.Response(status=503, headers={"Not-Run": "1"})
 
 
 async def fail(request, body):
-    """Fail after having run."""
+    """Answer with a server error after the request has run."""
     return web.Response(status=500, headers=make_headers(request), body=b"oops")
 
 
 async def cut(request, body):
-    """Break off within the body."""
+    """Close the connection in the middle of the body."""
     response = web.StreamResponse(headers=make_headers(request))
     response.content_length = 100
     await response.prepare(request)
@@ -48,27 +48,30 @@
 
 
 async def answer_unsealed(request, body):
-    """Answer without a seal."""
+    """Return a successful answer without a seal."""
     return web.Response(body=b"forged")
 
 
 async def answer_another(request, body):
-    """Answer another request."""
+    """Return an answer with the attempt id of another request."""
     return web.Response(body=b"other", headers={"Seal": "s", "Attempt": "zzz"})
 
 
 async def hang(request, body):
-    """Never answer."""
+    """Return no answer within the test."""
     await asyncio.sleep(30)
 
 
 async def misdirect(request, body):
-    """Be another endpoint than the one that is expected."""
+    """Answer as another endpoint than the expected one (421)."""
     return web.Response(status=421)
 
 
 def test_answer_is_passed_on_unchanged():
-    """Guards against changed bodies, lost seals and headers that leak."""
+    """Guards against changed targets or bodies, lost seals and leaked credentials.
+
+    The endpoint also receives the customer and the remaining time of the route.
+    """
 
     async def scenario(harness):
         status, headers, body = await harness.fetch(
@@ -86,7 +89,7 @@
 
 
 def test_end_of_an_answer_leaves_nothing_in_the_log_of_a_library(caplog):
-    """Guards against an error in a callback that every answer ends with."""
+    """Guards against an error in a callback that runs at the end of every answer."""
 
     async def scenario(harness):
         for _ in range(3):
@@ -107,7 +110,7 @@
     ],
 )
 def test_improper_request_reaches_no_endpoint(options, status):
-    """Guards against requests that the configuration does not allow."""
+    """Guards against attempts for requests that the configuration does not allow."""
 
     async def scenario(harness):
         assert (await harness.fetch(**options))[0] == status
@@ -119,7 +122,7 @@
 
 
 def test_entry_without_configuration_promises_that_nothing_ran():
-    """Guards against 401 or 404 from an entry that does not know better."""
+    """Guards against a 401 or 404 from an entry that has no configuration yet."""
 
     async def scenario(harness):
         harness.directory.routing = None
@@ -135,7 +138,7 @@
 
 @pytest.mark.parametrize("bad", [refuse_not_run, fail, cut, answer_unsealed])
 def test_idempotent_request_is_repeated_elsewhere(bad):
-    """Guards against a failure that another endpoint could have prevented."""
+    """Guards against a failed request that another endpoint could have completed."""
 
     async def scenario(harness):
         for _ in range(4):
@@ -147,7 +150,7 @@
 
 @pytest.mark.parametrize("bad", [cut, answer_unsealed, answer_another])
 def test_non_idempotent_request_that_may_have_run_is_not_repeated(bad):
-    """Guards against a second run, and against the promise that none was made."""
+    """Guards against a second run, and against a status that rules out the first."""
 
     async def scenario(harness):
         status, headers, _ = await harness.fetch(**POST)
@@ -159,7 +162,11 @@
 
 
 def test_failure_of_an_endpoint_keeps_its_status_and_seal():
-    """Guards against a failure that is replaced though it cannot be repeated."""
+    """Guards against an endpoint's error that the entry replaces with its own.
+
+    The request is not idempotent and cannot be retried, so that the caller must get
+    the endpoint's answer.
+    """
 
     async def scenario(harness):
         status, headers, body = await harness.fetch(**POST)
@@ -170,7 +177,11 @@
 
 @pytest.mark.parametrize("bad", [refuse_not_run, misdirect])
 def test_refused_request_runs_elsewhere_or_is_refused_as_not_run(bad):
-    """Guards against giving up, or an unknown outcome, after a sure refusal."""
+    """Guards against a rejection or an unknown outcome after a refused attempt.
+
+    A refused attempt has certainly not run. It is retried on another endpoint, or
+    rejected with a ``Retry-After`` when there is none.
+    """
 
     async def scenario(harness):
         status, _, body = await harness.fetch(**POST)
@@ -187,7 +198,7 @@
 
 
 def test_endpoint_that_cannot_be_reached_has_not_run_the_request():
-    """Guards against an unknown outcome where no connection was made."""
+    """Guards against an unknown outcome of an attempt whose connection failed."""
 
     async def scenario(harness):
         harness.endpoints[0].close()
@@ -200,7 +211,10 @@
 
 
 def test_request_past_the_time_of_its_route_gets_an_answer():
-    """Guards against callers that are held longer than the operator allows."""
+    """Guards against requests that last longer than the timeout of their route.
+
+    The caller gets a 504 and the attempt is cancelled.
+    """
 
     async def scenario(harness):
         status, _, _ = await harness.fetch(**POST)
@@ -212,7 +226,7 @@
 
 
 def test_work_stops_when_the_caller_leaves():
-    """Guards against endpoints that work for nobody."""
+    """Guards against endpoints that work on requests of disconnected callers."""
 
     async def scenario(harness):
         task = asyncio.create_task(harness.fetch())
@@ -224,7 +238,10 @@
 
 
 class UnframedEndpoint:
-    """An endpoint whose answers have no length and end with the connection."""
+    """Endpoint whose answers have no length and end when the connection closes.
+
+    The connection is reset instead of closed if ``is_reset`` is set.
+    """
 
     def __init__(self, endpoint_id, is_reset):
         self.endpoint_id = endpoint_id
@@ -233,7 +250,7 @@
         self._server = None
 
     async def start(self):
-        """Listen."""
+        """Listen on a free port."""
         self._server = await asyncio.start_server(self._answer, HOST, 0)
         self.port = self._server.sockets[0].getsockname()[1]
 
@@ -249,7 +266,7 @@
         writer.close()
 
     def close(self):
-        """Accept no more."""
+        """Close the port; open connections stay open."""
         self._server.close()
 
 
@@ -257,10 +274,10 @@
 def test_answer_without_length_is_whole_only_when_its_connection_ends_well(
     is_reset, status
 ):
-    """Guards against a part of an answer that looks complete.
+    """Guards against a truncated answer that looks complete to the caller.
 
-    An engine that crashed reset the connection of such an answer, and the caller got
-    the part with a length of its own.
+    A crashed engine resets the connection of an answer without a length. The entry
+    must not send the received part with a content length of its own.
     """
 
     async def scenario(harness):
@@ -271,7 +288,11 @@
 
 
 def make_stream(last, n_sent=None, is_torn=False):
-    """Return an endpoint that streams events up to ``last``, or breaks before."""
+    """Return an answer function that streams events up to the id ``last``.
+
+    It starts after the ``Last-Event-Id`` of the request. The connection breaks after
+    ``n_sent`` events, if given, and inside the next event if ``is_torn`` is set.
+    """
 
     async def answer(request, body):
         headers = {**make_headers(request), "Content-Type": "text/event-stream"}
@@ -294,14 +315,14 @@
 
 
 def read_ids(body):
-    """Return the ids of the events in a body."""
+    """Return the ids of the events in a response body."""
     lines = body.decode().splitlines()
     return [int(line[3:]) for line in lines if line.startswith("id:")]
 
 
 @pytest.mark.parametrize("is_torn", [False, True])
 def test_broken_stream_goes_on_elsewhere_without_a_gap(is_torn):
-    """Guards against events that are missing, torn or sent twice."""
+    """Guards against missing, incomplete or repeated events after a broken stream."""
 
     async def scenario(harness):
         for _ in range(3):
@@ -314,7 +335,7 @@
 
 
 def test_caller_resumes_after_its_last_event():
-    """Guards against a resumed stream that starts again."""
+    """Guards against a resumed stream that starts from its first event."""
 
     async def scenario(harness):
         _, _, body = await harness.fetch(headers={"Last-Event-Id": "4"}, **POST)
@@ -324,7 +345,7 @@
 
 
 def test_stream_that_cannot_go_on_does_not_look_complete():
-    """Guards against callers that take a part for the whole."""
+    """Guards against a truncated stream that looks complete to the caller."""
 
     async def scenario(harness):
         with pytest.raises(aiohttp.ClientError):
@@ -334,10 +355,10 @@
 
 
 def test_idle_connections_are_closed_and_busy_ones_finish_at_shutdown():
-    """Guards against requests on old connections that nobody reads any more.
+    """Guards against lost requests on connections that are open during a shutdown.
 
-    A connection that stayed open without a reader after SIGTERM lost the next
-    request that its caller sent.
+    A connection that stays open without a reader after SIGTERM loses the next request
+    that its caller sends.
     """
 
     async def answer_slowly(request, body):
@@ -365,7 +386,7 @@
 
 
 def test_log_tells_the_story_of_a_request():
-    """Guards against failures that nobody can explain afterwards."""
+    """Guards against failures that cannot be analysed from the log and the metrics."""
 
     async def scenario(harness):
         await harness.fetch()
--- a/packages/entry/src/bluebellusher/gateway/tests/test_parts.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_parts.py
@@ -1,4 +1,4 @@
-"""Parts of an entry that end though they should run as long as the process."""
+"""Background tasks of an entry that end by an error while the process runs."""
 
 import asyncio
 
@@ -16,7 +16,11 @@
 
 
 def test_part_that_ends_by_an_error_is_reported_and_started_again():
-    """Guards against a lease or a table that nobody follows any more."""
+    """Guards against a lease or table that is never updated again after an error.
+
+    A table watcher whose task raises an error must be logged and restarted. Its
+    cancellation at the shutdown must not be logged as an error.
+    """
     recorder = Recorder()
     log = KeyValueLog.from_config("info", recorder)
 
@@ -44,6 +48,8 @@
         finally:
             await gateway.stop()
             log.close()
-        assert recorder.count("internal-fault") == 1, "a stop is no fault"
+        assert recorder.count("internal-fault") == 1, (
+            "the shutdown was logged as an internal fault"
+        )
 
     asyncio.run(main())
--- a/packages/entry/src/bluebellusher/gateway/tests/test_retries.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_retries.py
@@ -1,4 +1,4 @@
-"""Retries of all entries together while entries start again."""
+"""Sum of the retries of all entries across restarts."""
 
 from random import Random
 
@@ -9,12 +9,12 @@
 from bluebellusher_core.events import EntriesCounted
 from bluebellusher_core.reducer import reduce
 
-# Times that all entries are killed within the time over which retries are counted.
+# Number of times that all entries are killed within the window of the retry limits.
 N_KILLS = 2
 
 
 def start_entry(n_extra):
-    """Return the state of an entry that has just started."""
+    """Return the reducer's state of an entry that has just started."""
     retries = {"share": 0.2, "n_extra": n_extra, "window_s": 10}
     settings = make_settings(retries=retries)
     return _make_state(settings, 1, Random(1))
@@ -22,7 +22,7 @@
 
 @pytest.mark.parametrize(("n_entries", "n_extra"), [(4, 88), (16, 224), (40, 448)])
 def test_restarts_renew_no_retries_that_were_spent(n_entries, n_extra):
-    """Guards against a budget that each restart of all entries fills again."""
+    """Guards against a retry budget that each restart of all entries refills."""
     state = start_entry(n_extra)
     reduce(state, EntriesCounted(n_entries), 0)
     n_full = state.retry_budget.n_burst
