--- a/packages/entry/src/bluebellusher/gateway/_admission.py
+++ b/packages/entry/src/bluebellusher/gateway/_admission.py
@@ -12,16 +12,16 @@
 
 # Remaining time of a request whose headers contain none, in ms.
 DEFAULT_REMAINING_MS = 60_000
-# An attempt whose stream stalls is abandoned this time before its caller times out, in
-# ms, so that another endpoint can resume the stream.
+# Time between the end of an attempt whose stream stalls and the timeout of its caller,
+# in ms. The attempt is abandoned early so that another endpoint can resume the stream.
 RESUME_MARGIN_MS = 300
 # Estimated age above which a request is treated as a retried request, in ms.
-RETURNING_AFTER_MS = 250
+RETRIED_REQUEST_AGE_MS = 250
 _FINGERPRINT_BYTES = 16
 
 
 @dataclass(frozen=True, slots=True)
-class Patience:
+class StreamTimeouts:
     """Timeouts of callers that wait for the next event of a stream.
 
     The timeout is the longest of three times: ``min_ms``, a multiple of the route's
@@ -42,15 +42,15 @@
     objective_factor: float = 4.0
     gap_factor: float = 8.0
 
-    def wait_ms(self, route: Route) -> int:
+    def get_caller_timeout_ms(self, route: Route) -> int:
         """Return the time after which a caller stops waiting for an event, in ms."""
         by_objective_ms = self.objective_factor * route.objective_ms
         by_gap_ms = self.gap_factor * route.max_gap_ms
         return int(max(self.min_ms, by_objective_ms, by_gap_ms))
 
-    def max_silence_ms(self, route: Route) -> int:
+    def get_max_silence_ms(self, route: Route) -> int:
         """Return the timeout of an attempt for the next event of its stream, in ms."""
-        return self.wait_ms(route) - RESUME_MARGIN_MS
+        return self.get_caller_timeout_ms(route) - RESUME_MARGIN_MS
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,7 +65,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Admitted:
+class AdmittedRequest:
     """Request that the reducer may place, with its route and its caller's headers.
 
     ``max_silence_ms`` is the timeout of an attempt for each event of a stream, in ms.
@@ -84,19 +84,19 @@
     ----------
     dialect : Dialect
         Reads the callers' headers.
-    patience : Patience
+    stream_timeouts : StreamTimeouts
         Timeouts of callers that wait for an event of a stream.
     random_state : random.Random
         Divides the requests of a route among its services.
     """
 
     def __init__(
-        self, dialect: Dialect, patience: Patience, random_state: Random
+        self, dialect: Dialect, stream_timeouts: StreamTimeouts, random_state: Random
     ) -> None:
         self._dialect = dialect
-        self._patience = patience
+        self._stream_timeouts = stream_timeouts
         self._random_state = random_state
-        self._usual_ms_by_route: dict[str, int] = {}
+        self._max_remaining_ms_by_route: dict[str, int] = {}
 
     def admit(
         self,
@@ -106,7 +106,7 @@
         target: str,
         headers: Mapping[str, str],
         now_ms: int,
-    ) -> Admitted | Denial:
+    ) -> AdmittedRequest | Denial:
         """Return the admitted request, or its denial.
 
         A request is denied when no route matches it, when a header is invalid, or when
@@ -138,8 +138,8 @@
         if customer is None and table.needs_credential and not route.is_anonymous:
             return Denial(HTTPStatus.UNAUTHORIZED, "unknown credential")
         spec = self._make_spec(request_id, route, customer, fields, now_ms)
-        max_silence_ms = self._patience.max_silence_ms(route)
-        return Admitted(spec, route, fields, max_silence_ms)
+        max_silence_ms = self._stream_timeouts.get_max_silence_ms(route)
+        return AdmittedRequest(spec, route, fields, max_silence_ms)
 
     def read_attempt_id(self, headers: Mapping[str, str]) -> str:
         """Return the attempt id that the caller chose; empty for none."""
@@ -158,11 +158,13 @@
         The fingerprint is empty, because the body has not been read yet.
         """
         remaining_ms = fields.remaining_ms or DEFAULT_REMAINING_MS
-        age_ms = self._age_ms(route, remaining_ms)
+        age_ms = self._estimate_age_ms(route, remaining_ms)
         deadline_ms = now_ms + min(remaining_ms, route.timeout_ms)
         start_by_ms = deadline_ms
         if route.kind is RequestKind.STREAMING:
-            start_by_ms = min(deadline_ms, now_ms + self._patience.wait_ms(route))
+            start_by_ms = min(
+                deadline_ms, now_ms + self._stream_timeouts.get_caller_timeout_ms(route)
+            )
         priority = route.priority
         if customer is not None and customer.priority is not None:
             priority = customer.priority
@@ -183,21 +185,21 @@
             n_max_attempts=route.n_max_attempts,
             objective_at_ms=now_ms + route.objective_ms - age_ms,
             start_by_ms=start_by_ms,
-            is_returning=age_ms > RETURNING_AFTER_MS,
+            is_returning=age_ms > RETRIED_REQUEST_AGE_MS,
             can_resume_elsewhere=route.is_resumable,
         )
 
-    def _age_ms(self, route: Route, remaining_ms: int) -> int:
+    def _estimate_age_ms(self, route: Route, remaining_ms: int) -> int:
         """Return the estimated time since the caller first sent the request, in ms.
 
         All callers of a route are expected to use the same timeout, which covers their
         retries. A request with less remaining time than the largest one received on
         its route is therefore a retry after a rejection or a failure.
         """
-        usual_ms = self._usual_ms_by_route.get(route.path_prefix, 0)
-        if remaining_ms > usual_ms:
-            self._usual_ms_by_route[route.path_prefix] = remaining_ms
-        return max(0, usual_ms - remaining_ms)
+        max_remaining_ms = self._max_remaining_ms_by_route.get(route.path_prefix, 0)
+        if remaining_ms > max_remaining_ms:
+            self._max_remaining_ms_by_route[route.path_prefix] = remaining_ms
+        return max(0, max_remaining_ms - remaining_ms)
 
 
 def fingerprint(spec: RequestSpec, method: str, target: str, body: bytes) -> str:
--- a/packages/entry/src/bluebellusher/gateway/_answers.py
+++ b/packages/entry/src/bluebellusher/gateway/_answers.py
@@ -52,13 +52,13 @@
         self._request = request
         self._exchange = exchange
         self._runtime = runtime
-        self._arrived_at_ms = self._sent_at_ms = runtime.now_ms()
+        self._submitted_at_ms = self._last_sent_at_ms = runtime.now_ms()
         self._response: web.StreamResponse | None = None
 
     @property
     def took_ms(self) -> int:
         """Time since the request was submitted to the runtime, in ms."""
-        return self._runtime.now_ms() - self._arrived_at_ms
+        return self._runtime.now_ms() - self._submitted_at_ms
 
     async def write(self) -> web.StreamResponse:
         """Write the complete answer or the rejection, and return the response.
@@ -69,26 +69,26 @@
         answer = self._exchange.answer
         while data := await answer.take():
             if answer.is_complete and self._response is None:
-                return self._whole(data)
+                return self._make_complete_response(data)
             await self._write_part(data)
             answer.note_sent(len(data))
         if answer.refusal is not None:
-            return self._refuse(answer.refusal)
+            return self._finish_rejected(answer.refusal)
         if self._response is None:
-            return self._whole(b"")
+            return self._make_complete_response(b"")
         self.outcome = Outcome.COMPLETED.value
         await self._response.write_eof()
         self._runtime.metrics.total.record_value(max(1, self.took_ms))
         return self._response
 
-    def _whole(self, data: bytes) -> web.StreamResponse:
+    def _make_complete_response(self, data: bytes) -> web.StreamResponse:
         """Return a complete answer as one response with a content length."""
         answer = self._exchange.answer
         self.status = answer.status
         self.outcome = Outcome.COMPLETED.value
-        self._record_first()
+        self._record_first_byte()
         self._runtime.metrics.total.record_value(max(1, self.took_ms))
-        headers = _returned_headers(answer.headers)
+        headers = _select_headers(answer.headers)
         return web.Response(body=data, status=answer.status, headers=headers)
 
     async def _write_part(self, data: bytes) -> None:
@@ -96,25 +96,25 @@
         if self._response is None:
             answer = self._exchange.answer
             self.status = answer.status
-            headers = _returned_headers(answer.headers)
+            headers = _select_headers(answer.headers)
             self._response = web.StreamResponse(status=answer.status, headers=headers)
             if self._runtime.is_shutting_down:
                 self._response.force_close()
             self._response.enable_chunked_encoding()
             await self._response.prepare(self._request)
-            self._record_first()
+            self._record_first_byte()
         else:
             now_ms = self._runtime.now_ms()
-            gap_ms = now_ms - self._sent_at_ms
-            self._sent_at_ms = now_ms
+            gap_ms = now_ms - self._last_sent_at_ms
+            self._last_sent_at_ms = now_ms
             self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
             self._runtime.metrics.n_chunks_by_gap_ms[gap_ms] += 1
         await self._response.write(data)
 
-    def _refuse(self, refusal: Refusal) -> web.StreamResponse:
+    def _finish_rejected(self, rejection: Refusal) -> web.StreamResponse:
         """Return the rejection's response, or abort a response that has started."""
-        self.outcome = refusal.outcome.value
-        self.retry_after_ms = refusal.retry_after_ms or 0
+        self.outcome = rejection.outcome.value
+        self.retry_after_ms = rejection.retry_after_ms or 0
         if self._response is not None:
             # The connection ends without the final chunk, so that the caller detects
             # the truncated answer.
@@ -122,54 +122,54 @@
             if transport is not None:
                 transport.abort()
             return self._response
-        response = make_refusal(refusal, self._exchange.spec.request_id)
+        response = make_rejection_response(rejection, self._exchange.spec.request_id)
         self.status = response.status
         return response
 
-    def _record_first(self) -> None:
+    def _record_first_byte(self) -> None:
         """Record the time to the first byte."""
-        self._sent_at_ms = self._runtime.now_ms()
+        self._last_sent_at_ms = self._runtime.now_ms()
         self.first_ms = self.took_ms
         self._runtime.metrics.first_token.record_value(max(1, self.first_ms))
 
 
-def make_refusal(refusal: Refusal, request_id: str) -> web.Response:
+def make_rejection_response(rejection: Refusal, request_id: str) -> web.Response:
     """Return the HTTP response to a rejected request.
 
     ``Retry-After`` is set only for a request that has certainly not run.
     """
     body = {
-        "outcome": refusal.outcome.value,
-        "reason": refusal.reason.value,
-        "step": refusal.step,
+        "outcome": rejection.outcome.value,
+        "reason": rejection.reason.value,
+        "step": rejection.step,
         "request_id": request_id,
     }
     headers = {}
-    if refusal.outcome is Outcome.NOT_RUN and refusal.retry_after_ms is not None:
-        headers["Retry-After"] = f"{refusal.retry_after_ms / 1000:.3f}"
+    if rejection.outcome is Outcome.NOT_RUN and rejection.retry_after_ms is not None:
+        headers["Retry-After"] = f"{rejection.retry_after_ms / 1000:.3f}"
     return web.Response(
         body=json.dumps({"error": body}).encode(),
-        status=_status_of(refusal),
+        status=_choose_status(rejection),
         headers=headers,
         content_type="application/json",
     )
 
 
-def _status_of(refusal: Refusal) -> int:
+def _choose_status(rejection: Refusal) -> int:
     """Return the HTTP status of a rejection.
 
     429 and 503 state that the request has not run, 502 and 504 that it may have run.
     """
-    if refusal.outcome is Outcome.NOT_RUN:
-        if refusal.reason in _LIMIT_REASONS:
+    if rejection.outcome is Outcome.NOT_RUN:
+        if rejection.reason in _LIMIT_REASONS:
             return HTTPStatus.TOO_MANY_REQUESTS
         return HTTPStatus.SERVICE_UNAVAILABLE
-    if refusal.reason is Reason.DEADLINE_EXCEEDED:
+    if rejection.reason is Reason.DEADLINE_EXCEEDED:
         return HTTPStatus.GATEWAY_TIMEOUT
     return HTTPStatus.BAD_GATEWAY
 
 
-def _returned_headers(headers: dict[str, str]) -> dict[str, str]:
+def _select_headers(headers: dict[str, str]) -> dict[str, str]:
     """Return the endpoint's headers without those that concern one connection."""
     return {
         name: value for name, value in headers.items() if name not in CONNECTION_HEADERS
--- a/packages/entry/src/bluebellusher/gateway/_attempts.py
+++ b/packages/entry/src/bluebellusher/gateway/_attempts.py
@@ -45,10 +45,10 @@
 MAX_HEADER_BYTES = 65_536
 # Upper bound of the body of an answer, in bytes.
 MAX_BODY_BYTES = 64 * 1024 * 1024
-# Relayed bytes of an answer that the caller has not taken yet. Above this number,
-# reading from the endpoint pauses.
-MAX_WAITING_BYTES = 256 * 1024
-EVENTS_TYPE = "text/event-stream"
+# Upper bound of the relayed bytes of an answer that the caller has not taken yet. Above
+# it, reading from the endpoint pauses.
+MAX_UNREAD_BYTES = 256 * 1024
+EVENT_STREAM_TYPE = "text/event-stream"
 # ``AttemptRefused`` contains no pause. A pause that an endpoint asks for is posted as
 # ``EndpointAnnounced``, and the reducer doubles its own pause with each refusal.
 _NO_PAUSE_MS = 0
@@ -56,7 +56,7 @@
 FindEndpoint = Callable[[str], EndpointRegistration | None]
 
 
-class _BrokenError(Exception):
+class _BrokenAttemptError(Exception):
     """Attempt that may have run but did not give a complete, valid answer."""
 
     def __init__(self, reason: Reason, detail: str) -> None:
@@ -79,7 +79,7 @@
         """Answer of the request, which the attempt fills."""
         return self.exchange.answer
 
-    def owns(self) -> bool:
+    def try_own_answer(self) -> bool:
         """Return whether this attempt writes the answer of the request.
 
         The first attempt that calls this method becomes the owner of the answer.
@@ -90,20 +90,20 @@
         return answer.owner_attempt_id == self.effect.attempt_id
 
 
-def _reason_of(found: AnswerFields, endpoint_id: str) -> Reason:
+def _choose_refusal_reason(answer_fields: AnswerFields, endpoint_id: str) -> Reason:
     """Return the reason of a refusal by an endpoint.
 
     A rank that names another endpoint as faulty belongs to a group that the faulty
     endpoint has broken. The reason is then that the endpoints of the group are closed.
     """
-    if found.is_wrong_endpoint:
+    if answer_fields.is_wrong_endpoint:
         return Reason.ENDPOINT_DRAINING
-    if found.faulty_endpoint_id not in ("", endpoint_id):
+    if answer_fields.faulty_endpoint_id not in ("", endpoint_id):
         return Reason.ENDPOINTS_CLOSED
     return Reason.ENDPOINT_FULL
 
 
-def _reason_of_failure(error: aiohttp.ClientError | TimeoutError) -> Reason:
+def _choose_connect_reason(error: aiohttp.ClientError | TimeoutError) -> Reason:
     """Return the reason of a failed connection.
 
     Only a closed port shows that the endpoint's process has ended.
@@ -129,7 +129,7 @@
         Opens a span for each attempt.
     metrics : Metrics
         Counts the log events of attempts by name.
-    describe : callable or None
+    describe_endpoint : callable or None
         Returns the routing inputs of an endpoint as log fields; None for no fields.
 
     Attributes
@@ -145,7 +145,7 @@
         clock: Clock,
         tracer: Tracer,
         metrics: Metrics,
-        describe: Callable[[str], dict[str, str | int | float]] | None = None,
+        describe_endpoint: Callable[[str], dict[str, str | int | float]] | None = None,
     ) -> None:
         self.sink: EventSink | None = None
         self._dialect = dialect
@@ -153,9 +153,9 @@
         self._clock = clock
         self._tracer = tracer
         self._metrics = metrics
-        self._describe = describe
+        self._describe_endpoint = describe_endpoint
         self._attempt_by_id: dict[str, _Attempt] = {}
-        self._checks: set[asyncio.Task[None]] = set()
+        self._check_tasks: set[asyncio.Task[None]] = set()
         self._session: aiohttp.ClientSession | None = None
 
     async def open(self) -> None:
@@ -186,8 +186,8 @@
         for attempt in list(self._attempt_by_id.values()):
             if attempt.task is not None:
                 attempt.task.cancel()
-        for check in self._checks:
-            check.cancel()
+        for task in self._check_tasks:
+            task.cancel()
         if self._session is not None:
             await self._session.close()
 
@@ -210,8 +210,17 @@
         exchange.endpoint_by_attempt_id[effect.attempt_id] = effect.endpoint_id
         self._attempt_by_id[effect.attempt_id] = attempt
         attempt.task = asyncio.create_task(self._run(attempt))
-        inputs = self._describe(effect.endpoint_id) if self._describe else {}
-        self._log("attempt-sent", attempt, resume_offset=effect.resume_offset, **inputs)
+        routing_fields = (
+            self._describe_endpoint(effect.endpoint_id)
+            if self._describe_endpoint
+            else {}
+        )
+        self._log(
+            "attempt-sent",
+            attempt,
+            resume_offset=effect.resume_offset,
+            **routing_fields,
+        )
         return True
 
     def cancel(self, effect: CancelAttempt) -> None:
@@ -221,21 +230,28 @@
             attempt.task.cancel()
             self._log("attempt-cancelled", attempt)
 
-    def check(self, effect: CheckEndpoint) -> None:
+    def check_endpoint(self, effect: CheckEndpoint) -> None:
         """Check whether a process listens at an endpoint's address; post the result."""
-        task = asyncio.create_task(self._check(effect.endpoint_id))
-        self._checks.add(task)
-        task.add_done_callback(self._checks.discard)
+        task = asyncio.create_task(self._run_check(effect.endpoint_id))
+        self._check_tasks.add(task)
+        task.add_done_callback(self._check_tasks.discard)
+
+    async def _run_check(self, endpoint_id: str) -> None:
+        """Check an endpoint's address, and log and post the result.
 
-    async def _check(self, endpoint_id: str) -> None:
-        found: bool | None = None
+        The result is None when the endpoint is not registered or its address does not
+        answer.
+        """
+        has_listener: bool | None = None
         endpoint = self._find_endpoint(endpoint_id)
         if endpoint is not None:
-            found = await is_listening(endpoint.host, endpoint.port, CONNECT_TIMEOUT_MS)
+            has_listener = await is_listening(
+                endpoint.host, endpoint.port, CONNECT_TIMEOUT_MS
+            )
         assert self.sink is not None
-        answer = {True: "listening", False: "closed", None: "none"}[found]
+        answer = {True: "listening", False: "closed", None: "none"}[has_listener]
         self.sink.log("endpoint-checked", endpoint=endpoint_id, answer=answer)
-        self._post(EndpointChecked(endpoint_id, found))
+        self._post(EndpointChecked(endpoint_id, has_listener))
 
     def find(self, attempt_id: str) -> Exchange | None:
         """Return the exchange of an attempt that has not ended."""
@@ -267,36 +283,36 @@
         for attempt in list(self._attempt_by_id.values()):
             if attempt.effect.endpoint_id == endpoint_id and attempt.task is not None:
                 attempt.task.cancel()
-                self._post(self._broken(attempt, Reason.CONNECTION_LOST))
+                self._post(self._make_broken(attempt, Reason.CONNECTION_LOST))
                 self._log("attempt-closed", attempt, reason=reason)
 
     async def _run(self, attempt: _Attempt) -> None:
         """Send an attempt and post the event that ends it, also after an error."""
         try:
-            event = await self._exchange(attempt)
+            event = await self._send_and_relay(attempt)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            reason = _reason_of_failure(error)
+            reason = _choose_connect_reason(error)
             self._log(
                 "attempt-not-connected",
                 attempt,
                 error=type(error).__name__,
                 reason=reason.value,
             )
-            event = self._refused(attempt, reason, has_arrived=False)
-        except _BrokenError as error:
+            event = self._make_refused(attempt, reason, has_arrived=False)
+        except _BrokenAttemptError as error:
             self._log("attempt-broken", attempt, error=str(error))
-            event = self._broken(attempt, error.reason)
+            event = self._make_broken(attempt, error.reason)
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             self._log("attempt-broken", attempt, error=f"{type(error).__name__}")
-            event = self._broken(attempt, Reason.CONNECTION_LOST)
+            event = self._make_broken(attempt, Reason.CONNECTION_LOST)
         except Exception as error:
             # Without an event, the request would wait until its deadline.
             fault = f"{type(error).__name__}: {error}"
             self._log("attempt-fault", attempt, error=fault)
-            event = self._broken(attempt, Reason.CONNECTION_LOST)
+            event = self._make_broken(attempt, Reason.CONNECTION_LOST)
         self._post(event)
 
-    async def _exchange(self, attempt: _Attempt) -> Event:
+    async def _send_and_relay(self, attempt: _Attempt) -> Event:
         """Send an attempt, relay its answer and return the event that ends it."""
         assert self._session is not None
         exchange, endpoint = attempt.exchange, attempt.endpoint
@@ -319,11 +335,11 @@
             data=exchange.body or None,
             allow_redirects=False,
         ) as response:
-            found = self._dialect.read_answer(response.status, response.headers)
-            self._announce(attempt, found)
-            refused = self._find_refusal(attempt, response, found)
-            if refused is not None:
-                return refused
+            answer_fields = self._dialect.read_answer(response.status, response.headers)
+            self._post_announcement(attempt, answer_fields)
+            refused_event = self._check_answer(attempt, response, answer_fields)
+            if refused_event is not None:
+                return refused_event
             await self._relay(attempt, response)
         self._log("attempt-finished", attempt, status=response.status)
         return AttemptFinished(
@@ -334,7 +350,9 @@
             attempt.effect.endpoint_id,
         )
 
-    def _announce(self, attempt: _Attempt, found: AnswerFields) -> None:
+    def _post_announcement(
+        self, attempt: _Attempt, answer_fields: AnswerFields
+    ) -> None:
         """Post an endpoint's announcement that it is leaving or asks for a pause.
 
         It is posted before the answer is checked, so that refusals and invalid answers
@@ -342,46 +360,53 @@
         """
         # An answer from another endpoint, which has the address now, contains no
         # announcement of the endpoint that the attempt was sent to.
-        if found.is_wrong_endpoint or not (found.is_leaving or found.pause_ms):
+        if answer_fields.is_wrong_endpoint or not (
+            answer_fields.is_leaving or answer_fields.pause_ms
+        ):
             return
         self._post(
             EndpointAnnounced(
                 attempt.effect.endpoint_id,
                 attempt.endpoint.started_wall_ms,
-                found.is_leaving,
-                found.pause_ms,
+                answer_fields.is_leaving,
+                answer_fields.pause_ms,
             )
         )
 
-    def _find_refusal(
+    def _check_answer(
         self,
         attempt: _Attempt,
         response: aiohttp.ClientResponse,
-        found: AnswerFields,
+        answer_fields: AnswerFields,
     ) -> Event | None:
         """Return the event of a refused attempt, or None for an answer to relay.
 
         Raises
         ------
-        _BrokenError
+        _BrokenAttemptError
             When the answer belongs to another request, or is successful without a
             valid seal.
         """
-        if found.attempt_id and found.attempt_id != attempt.exchange.caller_attempt_id:
-            raise _BrokenError(
+        if (
+            answer_fields.attempt_id
+            and answer_fields.attempt_id != attempt.exchange.caller_attempt_id
+        ):
+            raise _BrokenAttemptError(
                 Reason.STREAM_CORRUPT, "attempt id of another request in the answer"
             )
-        if found.is_wrong_endpoint or found.is_not_run:
-            reason = _reason_of(found, attempt.endpoint.endpoint_id)
+        if answer_fields.is_wrong_endpoint or answer_fields.is_not_run:
+            reason = _choose_refusal_reason(answer_fields, attempt.endpoint.endpoint_id)
             self._log(
                 "attempt-refused",
                 attempt,
                 status=response.status,
-                faulty=found.faulty_endpoint_id,
+                faulty=answer_fields.faulty_endpoint_id,
+            )
+            return self._make_refused(attempt, reason, has_arrived=True)
+        if response.status < 300 and not answer_fields.is_authentic:
+            raise _BrokenAttemptError(
+                Reason.STREAM_CORRUPT, "answer without a valid seal"
             )
-            return self._refused(attempt, reason, has_arrived=True)
-        if response.status < 300 and not found.is_authentic:
-            raise _BrokenError(Reason.STREAM_CORRUPT, "answer without a valid seal")
         return None
 
     async def _relay(self, attempt: _Attempt, response: aiohttp.ClientResponse) -> None:
@@ -389,24 +414,26 @@
 
         Raises
         ------
-        _BrokenError
+        _BrokenAttemptError
             When another attempt owns the answer, the answer contradicts the part that
             was already relayed, or the body is invalid.
         """
-        is_events = response.headers.get("Content-Type", "").startswith(EVENTS_TYPE)
-        if not attempt.owns():
-            raise _BrokenError(
+        is_events = response.headers.get("Content-Type", "").startswith(
+            EVENT_STREAM_TYPE
+        )
+        if not attempt.try_own_answer():
+            raise _BrokenAttemptError(
                 Reason.CONNECTION_LOST, "another attempt owns the answer"
             )
         answer = attempt.answer
         if answer.n_bytes == 0:
-            names = {name.lower(): value for name, value in response.headers.items()}
-            if not answer.start(response.status, names):
-                raise _BrokenError(
+            headers = {name.lower(): value for name, value in response.headers.items()}
+            if not answer.start(response.status, headers):
+                raise _BrokenAttemptError(
                     Reason.STREAM_CORRUPT, "status differs from that already sent"
                 )
         elif response.status >= 300:
-            raise _BrokenError(
+            raise _BrokenAttemptError(
                 Reason.STREAM_CORRUPT, "error status for a resumed stream"
             )
         if is_events:
@@ -419,9 +446,9 @@
     async def _relay_body(
         self, attempt: _Attempt, response: aiohttp.ClientResponse
     ) -> None:
-        """Relay a body without a structure that the entry checks."""
+        """Relay the parts of a body that is not an event stream as they arrive."""
         while data := await response.content.readany():
-            await self._pass_on(attempt, data)
+            await self._relay_part(attempt, data)
 
     async def _relay_events(
         self, attempt: _Attempt, response: aiohttp.ClientResponse
@@ -433,28 +460,32 @@
         )
         while events := await reader.read():
             exchange.last_event_id = reader.last_event_id
-            await self._pass_on(attempt, events)
+            await self._relay_part(attempt, events)
         if reader.n_pending:
-            raise _BrokenError(Reason.STREAM_CORRUPT, "stream ended inside an event")
+            raise _BrokenAttemptError(
+                Reason.STREAM_CORRUPT, "stream ended inside an event"
+            )
 
-    async def _pass_on(self, attempt: _Attempt, data: bytes) -> None:
-        """Add a part to the answer, then wait while the caller has too much unread."""
+    async def _relay_part(self, attempt: _Attempt, data: bytes) -> None:
+        """Relay a part of the answer; wait while too many bytes wait for the caller."""
         answer = attempt.answer
         if not answer.n_bytes:
-            self._started(attempt)
+            self._post_started(attempt)
         answer.write(data)
         if answer.n_bytes > MAX_BODY_BYTES:
-            raise _BrokenError(
+            raise _BrokenAttemptError(
                 Reason.STREAM_CORRUPT, "answer above the body size limit"
             )
-        await answer.wait_for_room(MAX_WAITING_BYTES)
+        await answer.wait_for_room(MAX_UNREAD_BYTES)
 
-    def _started(self, attempt: _Attempt) -> None:
+    def _post_started(self, attempt: _Attempt) -> None:
         """Post the event of an attempt's first output."""
         effect = attempt.effect
         self._post(AttemptStarted(effect.attempt_id, effect.endpoint_id))
 
-    def _refused(self, attempt: _Attempt, reason: Reason, has_arrived: bool) -> Event:
+    def _make_refused(
+        self, attempt: _Attempt, reason: Reason, has_arrived: bool
+    ) -> Event:
         """Return the event of a refused attempt, which has certainly not run.
 
         ``has_arrived`` states whether the endpoint itself received the attempt.
@@ -464,7 +495,7 @@
             effect.attempt_id, reason, _NO_PAUSE_MS, effect.endpoint_id, has_arrived
         )
 
-    def _broken(self, attempt: _Attempt, reason: Reason) -> Event:
+    def _make_broken(self, attempt: _Attempt, reason: Reason) -> Event:
         """Return the event of a broken attempt, which may have run.
 
         An answer that is not an event stream is discarded if the caller has received
--- a/packages/entry/src/bluebellusher/gateway/_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -12,7 +12,7 @@
 import uvloop
 from aiohttp import web
 
-from bluebellusher.gateway._admission import Admission, Patience
+from bluebellusher.gateway._admission import Admission, StreamTimeouts
 from bluebellusher.gateway._attempts import HttpDispatcher
 from bluebellusher.gateway._server import CallerServer, PageServer
 from bluebellusher.gateway._view import MAP_LEASE, GatewayView
@@ -47,14 +47,13 @@
 STOP_ACCEPTING_AFTER_MS = 2_600
 # Part of the grace period that is reserved for closing connections and exiting, in ms.
 EXIT_MARGIN_MS = 500
-# Share of the common retries that is divided among the known entries. An entry with few
-# callers uses only part of its share. The remainder is a reserve for entries that are
-# not known yet.
-RETRY_USE = 0.8
+# Share of the retries in the settings, which are common to all entries, that the known
+# entries may use. The remainder is a reserve for entries that are not known yet. Where
+# callers are divided unevenly, entries with few of them leave part of theirs unused.
+USABLE_RETRY_SHARE = 0.8
 # Retries that an entry may make right after its start. The number of retries that were
-# spent before a restart is unknown. The value lets all entries be killed twice within
-# the time window of the retry limits without exceeding the reserve that ``RETRY_USE``
-# leaves.
+# spent before a restart is unknown. All entries can be killed twice within the window
+# of the retry limits, and their retries stay within the reserve described above.
 N_START_RETRIES = 1
 # Requests that an endpoint may hold, as a multiple of its slots. The requests beyond
 # the slots cover the round trip between the end of one request and the start of the
@@ -78,9 +77,9 @@
 # time is long because calls are billed, but within the 20 s of history that the store
 # keeps. Only entries that cannot reach a peer depend on the table, because peers
 # announce crashes immediately.
-CRASH_WAIT_MS = 15_000
+CRASH_TABLE_WAIT_MS = 15_000
 # Interval at which a shutdown checks whether all requests have ended, in s.
-_POLL_S = 0.02
+_STOP_POLL_S = 0.02
 
 
 class Gateway:
@@ -109,8 +108,8 @@
         self.clock = clock
         self.log = log
         self.incarnation = clock.wall_ms()
-        seed = Random(f"{settings.instance_id}.{self.incarnation}")
-        self.state = _make_state(settings, self.incarnation, seed)
+        random_state = Random(f"{settings.instance_id}.{self.incarnation}")
+        self.state = _make_state(settings, self.incarnation, random_state)
         tracer = Tracer(log)
         self._store = ports.store
         self.view = GatewayView(self)
@@ -141,15 +140,17 @@
             self._find_leaving,
         )
         self.peers = PeerLinks(
-            identity, self.runtime, self.ticker, clock, seed, self.peer_exchange
+            identity, self.runtime, self.ticker, clock, random_state, self.peer_exchange
         )
         self.peer_exchange.links = self.peers
         self.tables = TableExchange(self.peers, clock)
         self.routing_watcher = self._make_watcher(
-            ports.codec.routing_table, self.directory.take_routing, seed
+            ports.codec.routing_table, self.directory.take_routing, random_state
         )
         self.registration_watcher = self._make_watcher(
-            ports.codec.registration_table, self.directory.take_registrations, seed
+            ports.codec.registration_table,
+            self.directory.take_registrations,
+            random_state,
         )
         crash_mirror = TableMirror(CRASH_TABLE)
         self.crash_table = CrashTable(
@@ -158,24 +159,24 @@
             self._find_crashes,
             self.runtime.post,
             clock,
-            seed,
+            random_state,
             self.runtime,
         )
         self.crash_watcher = TableWatcher(
             ports.store,
             crash_mirror,
             self.crash_table.take_rows,
-            # The registrations of endpoints are in another table, so that it does
-            # not matter for them whether the store serves this one.
+            # Losing contact with this table does not affect the endpoints, which are
+            # registered in another one.
             lambda is_in_contact: None,
             clock,
-            seed,
+            random_state,
             self.runtime,
-            CRASH_WAIT_MS,
+            CRASH_TABLE_WAIT_MS,
         )
-        self.runtime.register(CheckEndpoint, self.dispatcher.check)
-        self.runtime.register(TellCrashes, self._tell_crashes)
-        self.runtime.register(TellLeaving, self._tell_leaving)
+        self.runtime.register(CheckEndpoint, self.dispatcher.check_endpoint)
+        self.runtime.register(TellCrashes, self._broadcast_crashes)
+        self.runtime.register(TellLeaving, self._broadcast_leaving)
         self.members = Members(
             ports.store,
             self.peers,
@@ -186,14 +187,19 @@
             self.runtime.post,
         )
         self.ranks = RankLinks(
-            identity, self.runtime, self.ticker, clock, seed, settings.agent_port
+            identity,
+            self.runtime,
+            self.ticker,
+            clock,
+            random_state,
+            settings.agent_port,
         )
         self.directory.on_endpoints = self._update_ranks
         self.lease = LeaseKeeper.from_parts(
             ports.store,
             MAP_LEASE,
             f"{settings.instance_id}/{self.incarnation}",
-            seed.randrange(MAX_TAKEOVER_DELAY_MS),
+            random_state.randrange(MAX_TAKEOVER_DELAY_MS),
             clock,
             self.runtime,
             self._is_lease_held_elsewhere,
@@ -205,7 +211,7 @@
             settings.failure_domain,
             settings.maps.rank_ms_per_gb,
             clock,
-            seed,
+            random_state,
             self.runtime,
         )
         counter = itertools.count(1)
@@ -213,12 +219,12 @@
         self.server = CallerServer(
             self.runtime,
             self.directory,
-            Admission(ports.dialect, Patience(), seed),
+            Admission(ports.dialect, StreamTimeouts(), random_state),
             lambda: f"{prefix}.r{next(counter)}",
         )
         self._tasks: list[asyncio.Task[None]] = []
         self._n_entries = 0
-        self._leases_by_peer_id: dict[str, bool] = {}
+        self._is_leader_by_peer_id: dict[str, bool] = {}
 
     @property
     def is_ready(self) -> bool:
@@ -227,13 +233,17 @@
         An entry is ready when it has the configuration, the registrations of the
         endpoints and the earlier crashes, and is not shutting down.
         """
-        is_known = self.directory.is_ready and self.registration_watcher.mirror.version
+        has_tables = (
+            self.directory.is_ready and self.registration_watcher.mirror.version
+        )
         return (
-            bool(is_known) and self.knows_crashes and not self.runtime.is_shutting_down
+            bool(has_tables)
+            and self.has_received_crashes
+            and not self.runtime.is_shutting_down
         )
 
     @property
-    def knows_crashes(self) -> bool:
+    def has_received_crashes(self) -> bool:
         """Whether earlier crashes were received from the store or a peer."""
         digests = self.peer_exchange.digest_at_ms_by_peer_id
         return self.crash_watcher.mirror.version > 0 or bool(digests)
@@ -279,21 +289,21 @@
         as the platform may send some. Each response closes its connection, so that the
         caller connects to another entry.
         """
-        stopped_at_ms = self.clock.now_ms()
+        stop_started_at_ms = self.clock.now_ms()
         self.runtime.is_shutting_down = True
         self.log.event("stopping", n_requests=len(self.runtime.exchange_by_request_id))
         await self.leader.retire(MAP_CHANGE_GRACE_MS)
         await self.lease.release()
-        accepted_ms = self.clock.now_ms() - stopped_at_ms
-        await asyncio.sleep(max(0, STOP_ACCEPTING_AFTER_MS - accepted_ms) / 1000)
+        elapsed_ms = self.clock.now_ms() - stop_started_at_ms
+        await asyncio.sleep(max(0, STOP_ACCEPTING_AFTER_MS - elapsed_ms) / 1000)
         self.server.stop_accepting()
         self.server.close_idle()
         grace_ms = int(self.settings.shutdown_grace_s * 1000)
-        until_ms = stopped_at_ms + grace_ms - EXIT_MARGIN_MS
-        while self._has_work() and self.clock.now_ms() < until_ms:
+        grace_end_ms = stop_started_at_ms + grace_ms - EXIT_MARGIN_MS
+        while self._has_work() and self.clock.now_ms() < grace_end_ms:
             self.server.close_idle()
-            await asyncio.sleep(_POLL_S)
-        n_left = len(self.runtime.exchange_by_request_id)
+            await asyncio.sleep(_STOP_POLL_S)
+        n_unfinished = len(self.runtime.exchange_by_request_id)
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -304,8 +314,8 @@
         await self.peers.close()
         await self._store.close()
         self.runtime.close()
-        took_ms = self.clock.now_ms() - stopped_at_ms
-        self.log.event("stopped", n_requests_left=n_left, took_ms=took_ms)
+        took_ms = self.clock.now_ms() - stop_started_at_ms
+        self.log.event("stopped", n_requests_left=n_unfinished, took_ms=took_ms)
 
     def reload(self, settings: GatewaySettings) -> None:
         """Apply changed settings; changed addresses take effect at the next start."""
@@ -315,12 +325,15 @@
 
     def _is_lease_held_elsewhere(self) -> bool:
         """Return whether a connected peer reports that it holds the map lease."""
-        held = self._leases_by_peer_id
-        return any(held.get(peer_id) for peer_id in self.peers.connections_by_peer_id)
+        is_leader_by_peer_id = self._is_leader_by_peer_id
+        return any(
+            is_leader_by_peer_id.get(peer_id)
+            for peer_id in self.peers.connections_by_peer_id
+        )
 
     def _on_digest(self, peer_id: str, digest: Any) -> None:
         """Record a peer's lease, table versions and crashes from its digest."""
-        self._leases_by_peer_id[peer_id] = MAP_LEASE in (digest.held_leases or ())
+        self._is_leader_by_peer_id[peer_id] = MAP_LEASE in (digest.held_leases or ())
         self.tables.on_digest(peer_id, digest)
         if digest.crashes:
             self.crash_table.note_others()
@@ -328,7 +341,7 @@
     def _find_crashes(self) -> tuple[CrashRecord, ...]:
         return self.state.crashes.records(self.clock.now_ms())
 
-    def _tell_crashes(self, effect: TellCrashes) -> None:
+    def _broadcast_crashes(self, effect: TellCrashes) -> None:
         """Broadcast new crash records to the peers and write them to the store."""
         self.peer_exchange.tell_crashes(effect.records)
         self.crash_table.note_own()
@@ -336,7 +349,7 @@
     def _find_leaving(self) -> tuple[LeavingMark, ...]:
         return self.state.endpoints.announcements.marks(self.clock.now_ms())
 
-    def _tell_leaving(self, effect: TellLeaving) -> None:
+    def _broadcast_leaving(self, effect: TellLeaving) -> None:
         self.peer_exchange.tell_leaving(effect.marks)
 
     def _find_endpoint(self, endpoint_id: str) -> Any:
@@ -348,9 +361,11 @@
         if routing is None:
             return
         services = routing.service_by_id.values()
-        with_engine = {s.service_id for s in services if s.engine is not None}
+        engine_service_ids = {s.service_id for s in services if s.engine is not None}
         registrations = self.directory.registrations.registration_by_id.values()
-        self.ranks.update(r for r in registrations if r.service_id in with_engine)
+        self.ranks.update(
+            r for r in registrations if r.service_id in engine_service_ids
+        )
 
     def _find_group_model(self, endpoint_id: str) -> GroupModel | None:
         """Return the group model of an endpoint's service, or None."""
@@ -363,13 +378,13 @@
     def _make_watcher(
         self,
         table: str,
-        take: Callable[[list[Any]], None],
-        seed: Random,
+        apply_rows: Callable[[list[Any]], None],
+        random_state: Random,
     ) -> TableWatcher:
         """Return the watcher of a table that is also exchanged with peers."""
 
-        def on_news(rows: list[Any]) -> None:
-            take(rows)
+        def on_rows(rows: list[Any]) -> None:
+            apply_rows(rows)
             self._update_ranks()
             # Announce the new table version. Peers that the store does not serve
             # request the changes from this entry.
@@ -379,13 +394,13 @@
         watcher = TableWatcher(
             self._store,
             mirror,
-            on_news,
+            on_rows,
             self.directory.note_contact,
             self.clock,
-            seed,
+            random_state,
             self.runtime,
         )
-        self.tables.add(mirror, on_news, lambda: watcher.is_in_contact)
+        self.tables.add(mirror, on_rows, lambda: watcher.is_in_contact)
         return watcher
 
     def _tick(self, now_ms: int) -> None:
@@ -413,9 +428,12 @@
         return web.Response(status=200 if self.is_ready else 503)
 
     def _metrics_page(self) -> web.Response:
-        return web.Response(text=self.runtime.metrics.to_prometheus(self.view.gauges()))
+        return web.Response(
+            text=self.runtime.metrics.to_prometheus(self.view.compute_gauges())
+        )
 
     def _has_work(self) -> bool:
+        """Return whether a request is in progress or a caller is connected."""
         return bool(self.runtime.exchange_by_request_id or self.server.n_connections)
 
     def _start_task(self, run: Callable[[], Awaitable[None]]) -> None:
@@ -428,18 +446,18 @@
 
 
 def _make_state(
-    settings: GatewaySettings, incarnation: int, seed: Random
+    settings: GatewaySettings, incarnation: int, random_state: Random
 ) -> EntryState:
     """Return the reducer's state of an entry that starts."""
-    n_shared = int(RETRY_USE * settings.retries.n_extra)
+    n_shared_retries = int(USABLE_RETRY_SHARE * settings.retries.n_extra)
     config = EntryConfig(
         entry_id=settings.instance_id,
         incarnation=incarnation,
-        seed=seed.getrandbits(32),
+        seed=random_state.getrandbits(32),
         n_max_endpoints=16_384,
         n_min_retries=N_START_RETRIES,
-        retry_percent=int(100 * RETRY_USE * settings.retries.share),
-        n_shared_retries=n_shared,
+        retry_percent=int(100 * USABLE_RETRY_SHARE * settings.retries.share),
+        n_shared_retries=n_shared_retries,
         queue_factor=QUEUE_FACTOR,
         resume_wait_ms=RESUME_WAIT_MS,
         n_crashes_to_block=N_CRASHES_TO_BLOCK,
@@ -449,7 +467,7 @@
     return EntryState.from_config(config, policy, ObjectiveQueue)
 
 
-async def _run(
+async def _run_until_signal(
     settings: GatewaySettings,
     make_ports: Callable[[GatewaySettings], PlatformPorts],
     path: str,
@@ -457,9 +475,9 @@
     """Run an entry on the current event loop until SIGTERM or SIGINT."""
     log = KeyValueLog.from_config(settings.log_level)
     loop = asyncio.get_running_loop()
-    is_told_to_stop = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, is_told_to_stop.set)
+    stop_requested = asyncio.Event()
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signal_number, stop_requested.set)
     gateway = Gateway(settings, make_ports(settings), SystemClock(), log)
     loop.set_exception_handler(_make_fault_reporter(gateway))
     loop.add_signal_handler(signal.SIGHUP, _reload, gateway, path)
@@ -467,23 +485,23 @@
     watcher = asyncio.create_task(_watch_settings(gateway, path))
     gc.collect()
     gc.freeze()
-    await is_told_to_stop.wait()
+    await stop_requested.wait()
     watcher.cancel()
     await gateway.stop()
 
 
 async def _watch_settings(gateway: Gateway, path: str) -> None:
     """Reload the settings file when it changes, until cancelled."""
-    read_at = _modified_at(path)
+    loaded_modified_ns = _read_modified_ns(path)
     while True:
         await asyncio.sleep(SETTINGS_POLL_MS / 1000)
-        modified_at = _modified_at(path)
-        if modified_at != read_at:
-            read_at = modified_at
+        modified_ns = _read_modified_ns(path)
+        if modified_ns != loaded_modified_ns:
+            loaded_modified_ns = modified_ns
             _reload(gateway, path)
 
 
-def _modified_at(path: str) -> int:
+def _read_modified_ns(path: str) -> int:
     """Return the modification time of a file, in ns; 0 when it cannot be read."""
     try:
         return os.stat(path).st_mtime_ns
@@ -527,4 +545,4 @@
     path : str
         Path of the settings file, which is reloaded when it changes and on SIGHUP.
     """
-    uvloop.run(_run(settings, make_ports, path))
+    uvloop.run(_run_until_signal(settings, make_ports, path))
--- a/packages/entry/src/bluebellusher/gateway/_server.py
+++ b/packages/entry/src/bluebellusher/gateway/_server.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 
 from bluebellusher.gateway._admission import Admission, Denial, fingerprint
-from bluebellusher.gateway._answers import AnswerWriter, make_refusal
+from bluebellusher.gateway._answers import AnswerWriter, make_rejection_response
 from bluebellusher.links import AnswerStream
 from bluebellusher.runtime import Exchange, Runtime
 from bluebellusher.shared import Directory
@@ -63,7 +63,7 @@
             max_field_size=MAX_HEADER_BYTES,
         )
         self._listener: asyncio.Server | None = None
-        self._busy: set[Any] = set()
+        self._busy_protocols: set[Any] = set()
 
     @property
     def n_connections(self) -> int:
@@ -89,7 +89,7 @@
         socket open. Requests that a caller sends on such a socket are never read.
         """
         for connection in list(self._server.connections):
-            if connection not in self._busy:
+            if connection not in self._busy_protocols:
                 connection.force_close()
 
     async def close(self) -> None:
@@ -98,7 +98,7 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve one request and mark its connection as busy until the response ends."""
-        self._busy.add(request.protocol)
+        self._busy_protocols.add(request.protocol)
         try:
             response = await self._serve(request)
             if self._runtime.is_shutting_down:
@@ -112,21 +112,21 @@
                 await response.write_eof()
             return response
         finally:
-            self._busy.discard(request.protocol)
+            self._busy_protocols.discard(request.protocol)
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Admit a request, read its body and return the answer, or deny it."""
         request_id = self._make_request_id()
         table = self._directory.routing
         if table is None:
-            return self._refuse_unready(request_id, request)
+            return self._reject_not_ready(request_id, request)
         now_ms = self._runtime.now_ms()
         target = request.raw_path
-        found = self._admission.admit(
+        result = self._admission.admit(
             table, request_id, request.method, target, request.headers, now_ms
         )
-        if isinstance(found, Denial):
-            return self._deny(request_id, request, found, table.version)
+        if isinstance(result, Denial):
+            return self._deny(request_id, request, result, table.version)
         try:
             async with asyncio.timeout(BODY_TIMEOUT_MS / 1000):
                 body = await _read_body(request, table.limits.max_body_bytes)
@@ -136,7 +136,7 @@
         if body is None:
             denial = Denial(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "body too long")
             return self._deny(request_id, request, denial, table.version)
-        spec = found.spec
+        spec = result.spec
         spec = replace(
             spec, fingerprint=fingerprint(spec, request.method, target, body)
         )
@@ -151,15 +151,15 @@
                 "request", request.headers.get("traceparent", "")
             ),
             header_items=list(request.headers.items()),
-            caller_attempt_id=found.fields.attempt_id,
-            last_event_id=found.fields.last_event_id,
-            max_silence_ms=found.max_silence_ms,
+            caller_attempt_id=result.fields.attempt_id,
+            last_event_id=result.fields.last_event_id,
+            max_silence_ms=result.max_silence_ms,
         )
         self._runtime.log(
             "request-arrived",
             request=request_id,
-            caller_attempt=found.fields.attempt_id,
-            route=found.route.route_id,
+            caller_attempt=result.fields.attempt_id,
+            route=result.route.route_id,
             service=spec.service_id,
             customer=spec.customer_id,
             fingerprint=spec.fingerprint,
@@ -182,9 +182,11 @@
             return response
         finally:
             self._runtime.end(exchange)
-            self._note_end(exchange, outcome, writer)
+            self._record_end(exchange, outcome, writer)
 
-    def _note_end(self, exchange: Exchange, outcome: str, writer: AnswerWriter) -> None:
+    def _record_end(
+        self, exchange: Exchange, outcome: str, writer: AnswerWriter
+    ) -> None:
         """Record the end of a request in the metrics, the log and its span."""
         spec, answer = exchange.spec, exchange.answer
         metrics = self._runtime.metrics
@@ -208,22 +210,22 @@
         )
         exchange.span.end(request_id=spec.request_id, outcome=outcome)
 
-    def _refuse_unready(
+    def _reject_not_ready(
         self, request_id: str, request: web.BaseRequest
     ) -> web.StreamResponse:
         """Reject a request because the entry has no configuration yet."""
-        refusal = Refusal(
+        rejection = Refusal(
             Outcome.NOT_RUN, Reason.NOT_READY, "receive", "", NOT_READY_RETRY_MS
         )
-        response = make_refusal(refusal, request_id)
+        response = make_rejection_response(rejection, request_id)
         self._runtime.log(
             "request-ended",
             request=request_id,
             caller_attempt=self._admission.read_attempt_id(request.headers),
-            outcome=refusal.outcome.value,
+            outcome=rejection.outcome.value,
             status=response.status,
-            reason=refusal.reason.value,
-            step=refusal.step,
+            reason=rejection.reason.value,
+            step=rejection.step,
             retry_after_ms=NOT_READY_RETRY_MS,
         )
         return response
@@ -273,10 +275,10 @@
     """Return the complete body, or None if it is longer than ``max_bytes``."""
     if not request.can_read_body:
         return b""
-    parts = bytearray()
+    body = bytearray()
     content: Any = request.content
     while data := await content.readany():
-        parts += data
-        if len(parts) > max_bytes:
+        body += data
+        if len(body) > max_bytes:
             return None
-    return bytes(parts)
+    return bytes(body)
--- a/packages/entry/src/bluebellusher/gateway/_view.py
+++ b/packages/entry/src/bluebellusher/gateway/_view.py
@@ -55,17 +55,17 @@
         if view is None:
             return {}
         now_ms = self._gateway.clock.now_ms()
-        is_reported = view.report is not None
+        has_report = view.report is not None
         return {
             "domain": view.info.failure_domain,
             "n_taken": count_taken(view, now_ms),
             "n_own": view.n_own_in_flight,
-            "report_age_ms": now_ms - view.reported_at_ms if is_reported else -1,
+            "report_age_ms": now_ms - view.reported_at_ms if has_report else -1,
             "failure_rate": view.failure_rate,
             "n_waiting": sum(len(q) for q in state.queue_by_pool.values()),
         }
 
-    def gauges(self) -> Mapping[str, float]:
+    def compute_gauges(self) -> Mapping[str, float]:
         """Return the current value of each gauge by its Prometheus name."""
         gateway = self._gateway
         now_ms = gateway.clock.now_ms()
--- a/packages/entry/src/bluebellusher/gateway/tests/harness.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/harness.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 from yarl import URL
 
-from bluebellusher.gateway._admission import Admission, Patience
+from bluebellusher.gateway._admission import Admission, StreamTimeouts
 from bluebellusher.gateway._attempts import HttpDispatcher
 from bluebellusher.gateway._server import CallerServer
 from bluebellusher.observability import KeyValueLog, Metrics, Tracer
@@ -34,7 +34,7 @@
 from bluebellusher_core.routing import SlotAware
 
 HOST = "127.0.0.1"
-ANY_PORT = f"{HOST}:0"
+ANY_PORT_ADDRESS = f"{HOST}:0"
 # Table names for an entry whose tables stay empty, so that it decodes no row.
 CODEC = SimpleNamespace(routing_table="op", routing_key="k", registration_table="s")
 
@@ -45,9 +45,9 @@
         "instance_id": "e",
         "failure_domain": "d",
         "shared_secret": "a-secret-of-sixteen-characters",
-        "callers": ANY_PORT,
-        "readiness": ANY_PORT,
-        "peers": ANY_PORT,
+        "callers": ANY_PORT_ADDRESS,
+        "readiness": ANY_PORT_ADDRESS,
+        "peers": ANY_PORT_ADDRESS,
         "store": "127.0.0.1:1",
         "agent_port": 1,
         "shutdown_grace_s": 1,
@@ -76,15 +76,17 @@
 
     def write_attempt(self, headers, fields):
         """Return the headers of an attempt, derived from those of the caller."""
-        dropped = {"content-length", "transfer-encoding", "connection", "key"}
-        dropped |= {"last-event-id", "remaining"}
-        sent = [item for item in headers if item[0].lower() not in dropped]
-        sent.append(("Remaining", str(fields.remaining_ms)))
-        sent.append(("Endpoint", fields.endpoint_id))
-        sent.append(("Customer", fields.customer_id))
+        dropped_names = {"content-length", "transfer-encoding", "connection", "key"}
+        dropped_names |= {"last-event-id", "remaining"}
+        attempt_headers = [
+            item for item in headers if item[0].lower() not in dropped_names
+        ]
+        attempt_headers.append(("Remaining", str(fields.remaining_ms)))
+        attempt_headers.append(("Endpoint", fields.endpoint_id))
+        attempt_headers.append(("Customer", fields.customer_id))
         if fields.last_event_id:
-            sent.append(("Last-Event-Id", fields.last_event_id))
-        return sent
+            attempt_headers.append(("Last-Event-Id", fields.last_event_id))
+        return attempt_headers
 
     def read_answer(self, status, headers):
         """Return the fields in the status and headers of an answer."""
@@ -136,7 +138,7 @@
         self._server.close()
 
 
-class Recorder:
+class LogRecorder:
     """Log output that keeps its lines in memory."""
 
     def __init__(self):
@@ -148,9 +150,9 @@
 
     def count(self, event):
         """Return the number of lines of an event."""
-        return len(self.lines_of(event))
+        return len(self.get_lines(event))
 
-    def lines_of(self, event):
+    def get_lines(self, event):
         """Return the lines of an event."""
         return [line for line in self.lines if f"event={event} " in f"{line} "]
 
@@ -181,7 +183,7 @@
         dialect=None,
     ):
         self.endpoints = endpoints
-        self.recorder = Recorder()
+        self.recorder = LogRecorder()
         self.log = KeyValueLog.from_config("info", self.recorder)
         clock = SystemClock()
         config = EntryConfig(
@@ -194,20 +196,22 @@
         tracer = Tracer(self.log)
         dialect = dialect or PlainDialect()
         metrics = Metrics()
-        self.dispatcher = HttpDispatcher(dialect, self.find, clock, tracer, metrics)
+        self.dispatcher = HttpDispatcher(
+            dialect, self.find_registration, clock, tracer, metrics
+        )
         self.runtime = Runtime(
             self.state, clock, self.log, metrics, tracer, self.dispatcher
         )
         self.dispatcher.sink = self.runtime
-        self.runtime.register(CheckEndpoint, self.dispatcher.check)
-        self.runtime.register(TellCrashes, self.told)
-        self.runtime.register(TellLeaving, self.told)
+        self.runtime.register(CheckEndpoint, self.dispatcher.check_endpoint)
+        self.runtime.register(TellCrashes, self.ignore_effect)
+        self.runtime.register(TellLeaving, self.ignore_effect)
         self.directory = Directory(None, self.runtime.post, clock, self.runtime)
         services = [Service("desk", 10)]
         self.directory.routing = RoutingTable.from_parts(
             1, routes or [make_route()], services, customers
         )
-        admission = Admission(dialect, Patience(), Random(1))
+        admission = Admission(dialect, StreamTimeouts(), Random(1))
         ids = iter(range(1_000_000))
         self.server = CallerServer(
             self.runtime, self.directory, admission, lambda: f"r{next(ids)}"
@@ -215,10 +219,10 @@
         self.port = 0
         self.session = None
 
-    def told(self, effect):
+    def ignore_effect(self, effect):
         """Ignore an effect that broadcasts to peers."""
 
-    def find(self, endpoint_id):
+    def find_registration(self, endpoint_id):
         """Return the registration of an endpoint, or None."""
         for endpoint in self.endpoints:
             if endpoint.endpoint_id == endpoint_id:
@@ -291,7 +295,7 @@
     return Customer("tenant", (credential,), 1)
 
 
-async def answer_whole(request, body):
+async def answer_sealed(request, body):
     """Return a complete answer with a seal."""
     headers = {"Seal": "s", "Attempt": request.headers["Attempt"]}
     return web.Response(body=b"whole", headers=headers)
--- a/packages/entry/src/bluebellusher/gateway/tests/test_announcements.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_announcements.py
@@ -5,20 +5,24 @@
 import pytest
 from aiohttp import web
 
-from bluebellusher.gateway.tests.harness import answer_whole, make_route, run
+from bluebellusher.gateway.tests.harness import answer_sealed, make_route, run
 from bluebellusher_core.directory import RequestKind
 
 NON_IDEMPOTENT = [make_route(RequestKind.NON_IDEMPOTENT)]
 
 
-def leave_with(status, **headers):
+def make_leaving_answer(status, **headers):
     """Return an answer function of an endpoint that is leaving."""
 
     async def answer(request, body):
-        found = {"Attempt": request.headers["Attempt"], "Leaving": "1", **headers}
+        answer_headers = {
+            "Attempt": request.headers["Attempt"],
+            "Leaving": "1",
+            **headers,
+        }
         if status == 200:
-            found["Seal"] = "s"
-        return web.Response(status=status, headers=found, body=b"whole")
+            answer_headers["Seal"] = "s"
+        return web.Response(status=status, headers=answer_headers, body=b"whole")
 
     return answer
 
@@ -26,13 +30,13 @@
 @pytest.mark.parametrize(
     "answer",
     [
-        leave_with(200),
-        leave_with(500, Seal="s"),
-        leave_with(503, **{"Not-Run": "1"}),
-        leave_with(200, Attempt="another"),
+        make_leaving_answer(200),
+        make_leaving_answer(500, Seal="s"),
+        make_leaving_answer(503, **{"Not-Run": "1"}),
+        make_leaving_answer(200, Attempt="another"),
     ],
 )
-def test_endpoint_that_leaves_gets_one_request(answer):
+def test_leaving_endpoint_gets_at_most_one_request(answer):
     """Guards against announcements that are ignored in some kinds of answers.
 
     The endpoint announces its shutdown in a success, an error, a refusal or the answer
@@ -45,17 +49,17 @@
         assert len(harness.endpoints[0].received) <= 1
         assert harness.recorder.count("endpoint-leaving") <= 1
 
-    run(scenario, [answer, answer_whole])
+    run(scenario, [answer, answer_sealed])
 
 
-def test_answer_in_progress_ends_when_its_endpoint_says_that_it_leaves():
+def test_answer_in_progress_completes_while_its_endpoint_is_leaving():
     """Guards against truncated answers of an endpoint that is leaving.
 
-    The request after it is rejected with a ``Retry-After``, because there is no other
+    The next request is rejected with a ``Retry-After``, because there is no other
     endpoint.
     """
 
-    async def stream_and_leave(request, body):
+    async def stream_while_leaving(request, body):
         headers = {"Attempt": request.headers["Attempt"], "Leaving": "1", "Seal": "s"}
         response = web.StreamResponse(headers=headers)
         await response.prepare(request)
@@ -72,13 +76,13 @@
         assert float(headers["Retry-After"]) > 0
         assert len(harness.endpoints[0].received) == 1
 
-    run(scenario, [stream_and_leave])
+    run(scenario, [stream_while_leaving])
 
 
-def test_endpoint_gets_nothing_during_the_pause_that_it_asked_for():
+def test_endpoint_gets_no_request_during_its_pause():
     """Guards against attempts at an endpoint that has asked for a pause."""
 
-    async def pause(request, body):
+    async def refuse_with_pause(request, body):
         return web.Response(status=503, headers={"Not-Run": "1", "Pause-Ms": "700"})
 
     async def scenario(harness):
@@ -90,17 +94,17 @@
             assert (await harness.fetch())[0] == 200
         assert len(harness.endpoints[0].received) == 2
 
-    run(scenario, [pause, answer_whole])
+    run(scenario, [refuse_with_pause, answer_sealed])
 
 
-def test_callers_learn_when_the_shortest_pause_ends():
+def test_rejection_contains_the_remaining_time_of_the_shortest_pause():
     """Guards against requests that wait, or are retried too early, during a pause.
 
     The only endpoint has asked for 5 s without work, so that requests are rejected
     immediately with the remaining time of the pause.
     """
 
-    async def pause(request, body):
+    async def refuse_with_pause(request, body):
         return web.Response(status=503, headers={"Not-Run": "1", "Pause-Ms": "5000"})
 
     async def scenario(harness):
@@ -111,4 +115,4 @@
         assert 3 < float(headers["Retry-After"]) <= 5.5
         assert len(harness.endpoints[0].received) == 1
 
-    run(scenario, [pause], routes=NON_IDEMPOTENT)
+    run(scenario, [refuse_with_pause], routes=NON_IDEMPOTENT)
--- a/packages/entry/src/bluebellusher/gateway/tests/test_crashes.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_crashes.py
@@ -5,9 +5,9 @@
 from bluebellusher.gateway import Gateway
 from bluebellusher.gateway.tests.harness import (
     CODEC,
+    LogRecorder,
     PlainDialect,
-    Recorder,
-    answer_whole,
+    answer_sealed,
     make_route,
     make_settings,
     run,
@@ -21,13 +21,13 @@
 from bluebellusher_core.directory import RequestKind
 
 NON_IDEMPOTENT = [make_route(RequestKind.NON_IDEMPOTENT)]
-POISON = {"method": "POST", "data": b"poison"}
+POISON_REQUEST = {"method": "POST", "data": b"poison"}
 # Time from the broken connection until the port closes, in s. It is far longer than the
 # check of the port takes, so that the check always finds the port open.
 PORT_CLOSES_AFTER_S = 1.0
 
 
-def make_answer(endpoint_by_id, has_open_port=False):
+def make_crashing_answer(endpoint_by_id, has_open_port=False):
     """Return an answer function that breaks the connection of a poison request.
 
     It also closes the port of the endpoint that runs the request, unless
@@ -39,25 +39,25 @@
             if not has_open_port:
                 endpoint_by_id[request.headers["Endpoint"]].close()
             request.transport.abort()
-        return await answer_whole(request, body)
+        return await answer_sealed(request, body)
 
     return answer
 
 
-def run_poison(scenario, has_open_port):
+def run_poison_scenario(scenario, has_open_port):
     """Run a scenario with five endpoints that crash on the poison request."""
     endpoint_by_id = {}
 
-    async def with_endpoints(harness):
+    async def run_with_endpoints(harness):
         endpoint_by_id.update({e.endpoint_id: e for e in harness.endpoints})
         await scenario(harness)
 
-    answer = make_answer(endpoint_by_id, has_open_port)
-    run(with_endpoints, [answer] * 5, routes=NON_IDEMPOTENT, n_crashes_to_block=3)
+    answer = make_crashing_answer(endpoint_by_id, has_open_port)
+    run(run_with_endpoints, [answer] * 5, routes=NON_IDEMPOTENT, n_crashes_to_block=3)
 
 
 def test_third_closed_port_blocks_the_request_that_was_running():
-    """Guards against crashes that count only if another request meets the closed port.
+    """Guards against crashes that count only if another request finds the port closed.
 
     The entry must check the port itself after a broken run. Three crashes block the
     request, and other requests are still served.
@@ -65,21 +65,21 @@
 
     async def scenario(harness):
         for n_crashes in range(1, 4):
-            assert (await harness.fetch(**POISON))[0] == 502
+            assert (await harness.fetch(**POISON_REQUEST))[0] == 502
             await until(
                 lambda n=n_crashes: harness.recorder.count("crash-counted") == n
             )
-        status, headers, body = await harness.fetch(**POISON)
+        status, headers, body = await harness.fetch(**POISON_REQUEST)
         assert status == 503
         assert b"crashes_endpoints" in body
         assert float(headers["Retry-After"]) > 1
         assert sum(len(e.received) for e in harness.endpoints) == 3
         assert (await harness.fetch(method="POST", data=b"sound"))[0] == 200
 
-    run_poison(scenario, has_open_port=False)
+    run_poison_scenario(scenario, has_open_port=False)
 
 
-def test_connections_that_break_at_open_ports_block_nothing():
+def test_broken_connections_at_open_ports_block_no_request():
     """Guards against blocked requests because endpoints reset connections.
 
     A port that is open after the break dismisses the crash.
@@ -87,35 +87,35 @@
 
     async def scenario(harness):
         for n_broken in range(1, 6):
-            assert (await harness.fetch(**POISON))[0] == 502
+            assert (await harness.fetch(**POISON_REQUEST))[0] == 502
             await until(
                 lambda n=n_broken: harness.recorder.count("crash-ruled-out") == n
             )
         assert not harness.recorder.count("crash-counted")
 
-    run_poison(scenario, has_open_port=True)
+    run_poison_scenario(scenario, has_open_port=True)
 
 
-def test_entry_is_ready_only_when_it_knows_earlier_crashes():
+def test_restarted_entry_receives_earlier_crashes_from_the_store():
     """Guards against a restarted entry that runs a request which others have blocked.
 
     The entry reports itself unready until it has received the crashes in the store.
     """
-    stored = b'{"crashes_by_fingerprint":{"f":[%s]}}' % b",".join(
+    stored_crashes = b'{"crashes_by_fingerprint":{"f":[%s]}}' % b",".join(
         b'{"start_id":"x%d@1","sent_at":%d,"broken_at":%d}' % (i, now, now)
         for i, now in enumerate([SystemClock().wall_ms()] * 3)
     )
 
     async def main():
         store = FakeStore()
-        store.put(CRASH_TABLE, CRASH_KEY, stored)
-        log = KeyValueLog.from_config("info", Recorder())
+        store.put(CRASH_TABLE, CRASH_KEY, stored_crashes)
+        log = KeyValueLog.from_config("info", LogRecorder())
         ports = PlatformPorts(store, PlainDialect(), CODEC)
         gateway = Gateway(make_settings(), ports, SystemClock(), log)
-        assert not gateway.knows_crashes
+        assert not gateway.has_received_crashes
         await gateway.start()
         try:
-            await until(lambda: gateway.knows_crashes)
+            await until(lambda: gateway.has_received_crashes)
             now_ms = gateway.clock.now_ms()
             await until(lambda: gateway.state.poison.is_blocked("f", now_ms))
         finally:
@@ -135,13 +135,13 @@
     async def scenario(harness):
         (endpoint,) = harness.endpoints
 
-        async def end_slowly(request, body):
+        async def crash_with_delay(request, body):
             asyncio.get_running_loop().call_later(PORT_CLOSES_AFTER_S, endpoint.close)
             request.transport.abort()
-            return await answer_whole(request, body)
+            return await answer_sealed(request, body)
 
-        endpoint.answer = end_slowly
-        assert (await harness.fetch(**POISON))[0] == 502
+        endpoint.answer = crash_with_delay
+        assert (await harness.fetch(**POISON_REQUEST))[0] == 502
         await until(lambda: harness.recorder.count("crash-counted"))
 
-    run(scenario, [answer_whole], routes=NON_IDEMPOTENT, n_crashes_to_block=3)
+    run(scenario, [answer_sealed], routes=NON_IDEMPOTENT, n_crashes_to_block=3)
--- a/packages/entry/src/bluebellusher/gateway/tests/test_endless_answers.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_endless_answers.py
@@ -8,7 +8,12 @@
 import aiohttp
 import pytest
 
-from bluebellusher.gateway.tests.harness import HOST, answer_whole, make_route, run
+from bluebellusher.gateway.tests.harness import (
+    HOST,
+    answer_sealed,
+    make_route,
+    run,
+)
 from bluebellusher_core.directory import RequestKind
 
 SEALED = b"HTTP/1.1 200 OK\r\nSeal: s\r\nAttempt: t1\r\n"
@@ -60,7 +65,7 @@
         self._server.close()
 
 
-async def write_endless_interim(endpoint, writer):
+async def write_endless_informational(endpoint, writer):
     """Send informational (1xx) answers until the connection closes."""
     while True:
         await endpoint.send(writer, b"HTTP/1.1 102 Processing\r\n\r\n")
@@ -87,7 +92,7 @@
         await endpoint.send(writer, as_chunk(BLOCK))
 
 
-async def write_dripping_event(endpoint, writer):
+async def write_single_bytes(endpoint, writer):
     """Send a complete event, then a byte of the next one every 100 ms."""
     await endpoint.send(writer, EVENTS + CHUNKED + as_chunk(b"id: 1\ndata: a\n\n"))
     while True:
@@ -96,9 +101,9 @@
 
 
 @pytest.mark.parametrize(
-    "write", [write_endless_interim, write_endless_head, write_endless_event]
+    "write", [write_endless_informational, write_endless_head, write_endless_event]
 )
-def test_bytes_without_end_are_given_up(write):
+def test_endless_answer_is_abandoned(write):
     """Guards against an endpoint that exhausts the memory of the entry.
 
     Without an upper bound, informational answers are read until the deadline, and an
@@ -124,7 +129,7 @@
     run(scenario, [], endpoints=[endpoint], routes=STREAMING)
 
 
-def test_body_without_end_takes_no_memory_while_its_caller_does_not_read():
+def test_endless_body_is_not_buffered_while_its_caller_does_not_read():
     """Guards against answers that are buffered in memory while callers do not read."""
     endpoint = RawEndpoint("x9", write_endless_body)
 
@@ -150,20 +155,20 @@
     Its caller receives no event and times out, although another endpoint could have
     resumed the stream.
     """
-    dripping = RawEndpoint("x9", write_dripping_event)
+    slow_endpoint = RawEndpoint("x9", write_single_bytes)
     routes = [make_route(RequestKind.STREAMING, is_resumable=True, timeout_ms=8_000)]
 
     async def scenario(harness):
         with contextlib.suppress(aiohttp.ClientError):
             await harness.fetch(method="POST", data=b"q", headers={"Remaining": "8000"})
         assert harness.recorder.count("attempt-broken") >= 1
-        (line, *_) = harness.recorder.lines_of("attempt-broken")
+        (line, *_) = harness.recorder.get_lines("attempt-broken")
         assert "TimeoutError" in line
 
-    run(scenario, [], endpoints=[dripping], routes=routes)
+    run(scenario, [], endpoints=[slow_endpoint], routes=routes)
 
 
-def test_slow_but_sound_stream_is_not_cut():
+def test_slow_but_valid_stream_is_not_truncated():
     """Guards against streams that are truncated although their callers still wait.
 
     Callers of this route time out after four times its latency objective of 800 ms,
@@ -204,4 +209,4 @@
         assert status == 502
         assert harness.recorder.count("attempt-fault") >= 1
 
-    run(scenario, [answer_whole])
+    run(scenario, [answer_sealed])
--- a/packages/entry/src/bluebellusher/gateway/tests/test_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_gateway.py
@@ -10,7 +10,7 @@
 
 from bluebellusher.gateway.tests.harness import (
     HOST,
-    answer_whole,
+    answer_sealed,
     make_customer,
     make_route,
     run,
@@ -32,12 +32,12 @@
     return web.Response(status=503, headers={"Not-Run": "1"})
 
 
-async def fail(request, body):
+async def answer_server_error(request, body):
     """Answer with a server error after the request has run."""
     return web.Response(status=500, headers=make_headers(request), body=b"oops")
 
 
-async def cut(request, body):
+async def truncate(request, body):
     """Close the connection in the middle of the body."""
     response = web.StreamResponse(headers=make_headers(request))
     response.content_length = 100
@@ -52,22 +52,22 @@
     return web.Response(body=b"forged")
 
 
-async def answer_another(request, body):
+async def answer_other_request(request, body):
     """Return an answer with the attempt id of another request."""
     return web.Response(body=b"other", headers={"Seal": "s", "Attempt": "zzz"})
 
 
-async def hang(request, body):
+async def answer_never(request, body):
     """Return no answer within the test."""
     await asyncio.sleep(30)
 
 
-async def misdirect(request, body):
+async def answer_misdirected(request, body):
     """Answer as another endpoint than the expected one (421)."""
     return web.Response(status=421)
 
 
-def test_answer_is_passed_on_unchanged():
+def test_answer_is_relayed_unchanged():
     """Guards against changed targets or bodies, lost seals and leaked credentials.
 
     The endpoint also receives the customer and the remaining time of the route.
@@ -85,17 +85,17 @@
         assert "Key" not in request.headers
         assert int(request.headers["Remaining"]) <= 2_000
 
-    run(scenario, [answer_whole], customers=[make_customer("k1")])
+    run(scenario, [answer_sealed], customers=[make_customer("k1")])
 
 
-def test_end_of_an_answer_leaves_nothing_in_the_log_of_a_library(caplog):
+def test_end_of_an_answer_logs_no_error_in_a_library(caplog):
     """Guards against an error in a callback that runs at the end of every answer."""
 
     async def scenario(harness):
         for _ in range(3):
             assert (await harness.fetch())[0] == 200
 
-    run(scenario, [answer_whole])
+    run(scenario, [answer_sealed])
     assert not caplog.records
 
 
@@ -109,19 +109,19 @@
         ({"headers": {"Key": "k1"}, "data": b"x" * 5_000_000}, 413),
     ],
 )
-def test_improper_request_reaches_no_endpoint(options, status):
+def test_denied_request_reaches_no_endpoint(options, status):
     """Guards against attempts for requests that the configuration does not allow."""
 
     async def scenario(harness):
         assert (await harness.fetch(**options))[0] == status
         assert not harness.endpoints[0].received
-        (line,) = harness.recorder.lines_of("request-denied")
+        (line,) = harness.recorder.get_lines("request-denied")
         assert "caller_attempt=t1 " in line
 
-    run(scenario, [answer_whole], customers=[make_customer("k1")])
+    run(scenario, [answer_sealed], customers=[make_customer("k1")])
 
 
-def test_entry_without_configuration_promises_that_nothing_ran():
+def test_entry_without_configuration_rejects_requests_as_not_run():
     """Guards against a 401 or 404 from an entry that has no configuration yet."""
 
     async def scenario(harness):
@@ -129,15 +129,17 @@
         status, headers, _ = await harness.fetch()
         assert status == 503
         assert float(headers["Retry-After"]) > 0
-        (line,) = harness.recorder.lines_of("request-ended")
+        (line,) = harness.recorder.get_lines("request-ended")
         assert "caller_attempt=t1 " in line
         assert "status=503 reason=not_ready " in line
 
-    run(scenario, [answer_whole])
+    run(scenario, [answer_sealed])
 
 
-@pytest.mark.parametrize("bad", [refuse_not_run, fail, cut, answer_unsealed])
-def test_idempotent_request_is_repeated_elsewhere(bad):
+@pytest.mark.parametrize(
+    "failing_answer", [refuse_not_run, answer_server_error, truncate, answer_unsealed]
+)
+def test_idempotent_request_is_retried_on_another_endpoint(failing_answer):
     """Guards against a failed request that another endpoint could have completed."""
 
     async def scenario(harness):
@@ -145,12 +147,14 @@
             status, _, body = await harness.fetch()
             assert (status, body) == (200, b"whole")
 
-    run(scenario, [bad, answer_whole])
+    run(scenario, [failing_answer, answer_sealed])
 
 
-@pytest.mark.parametrize("bad", [cut, answer_unsealed, answer_another])
-def test_non_idempotent_request_that_may_have_run_is_not_repeated(bad):
-    """Guards against a second run, and against a status that rules out the first."""
+@pytest.mark.parametrize(
+    "failing_answer", [truncate, answer_unsealed, answer_other_request]
+)
+def test_non_idempotent_request_that_may_have_run_is_not_retried(failing_answer):
+    """Guards against a second run, and against a ``Retry-After`` that invites one."""
 
     async def scenario(harness):
         status, headers, _ = await harness.fetch(**POST)
@@ -158,10 +162,10 @@
         assert "Retry-After" not in headers
         assert sum(len(e.received) for e in harness.endpoints) == 1
 
-    run(scenario, [bad, bad], routes=NON_IDEMPOTENT)
+    run(scenario, [failing_answer, failing_answer], routes=NON_IDEMPOTENT)
 
 
-def test_failure_of_an_endpoint_keeps_its_status_and_seal():
+def test_server_error_of_an_endpoint_is_relayed_with_its_seal():
     """Guards against an endpoint's error that the entry replaces with its own.
 
     The request is not idempotent and cannot be retried, so that the caller must get
@@ -172,11 +176,11 @@
         status, headers, body = await harness.fetch(**POST)
         assert (status, headers["Seal"], body) == (500, "s", b"oops")
 
-    run(scenario, [fail], routes=NON_IDEMPOTENT)
+    run(scenario, [answer_server_error], routes=NON_IDEMPOTENT)
 
 
-@pytest.mark.parametrize("bad", [refuse_not_run, misdirect])
-def test_refused_request_runs_elsewhere_or_is_refused_as_not_run(bad):
+@pytest.mark.parametrize("failing_answer", [refuse_not_run, answer_misdirected])
+def test_refused_attempt_is_retried_elsewhere_or_rejected_as_not_run(failing_answer):
     """Guards against a rejection or an unknown outcome after a refused attempt.
 
     A refused attempt has certainly not run. It is retried on another endpoint, or
@@ -187,17 +191,17 @@
         status, _, body = await harness.fetch(**POST)
         assert (status, body) == (200, b"whole")
 
-    run(scenario, [bad, answer_whole], routes=NON_IDEMPOTENT)
+    run(scenario, [failing_answer, answer_sealed], routes=NON_IDEMPOTENT)
 
-    async def without_other(harness):
+    async def without_other_endpoint(harness):
         status, headers, _ = await harness.fetch(**POST)
         assert status == 503
         assert float(headers["Retry-After"]) > 0
 
-    run(without_other, [bad], routes=NON_IDEMPOTENT)
+    run(without_other_endpoint, [failing_answer], routes=NON_IDEMPOTENT)
 
 
-def test_endpoint_that_cannot_be_reached_has_not_run_the_request():
+def test_request_is_rejected_as_not_run_when_no_connection_is_made():
     """Guards against an unknown outcome of an attempt whose connection failed."""
 
     async def scenario(harness):
@@ -207,10 +211,10 @@
         assert status == 503
         assert "Retry-After" in headers
 
-    run(scenario, [answer_whole], routes=NON_IDEMPOTENT)
+    run(scenario, [answer_sealed], routes=NON_IDEMPOTENT)
 
 
-def test_request_past_the_time_of_its_route_gets_an_answer():
+def test_request_past_the_timeout_of_its_route_is_rejected():
     """Guards against requests that last longer than the timeout of their route.
 
     The caller gets a 504 and the attempt is cancelled.
@@ -222,10 +226,10 @@
         await asyncio.wait_for(harness.endpoints[0].cancelled.wait(), 2)
 
     routes = [make_route(RequestKind.NON_IDEMPOTENT, timeout_ms=300)]
-    run(scenario, [hang], routes=routes)
+    run(scenario, [answer_never], routes=routes)
 
 
-def test_work_stops_when_the_caller_leaves():
+def test_attempt_is_cancelled_when_its_caller_disconnects():
     """Guards against endpoints that work on requests of disconnected callers."""
 
     async def scenario(harness):
@@ -234,7 +238,7 @@
         task.cancel()
         await asyncio.wait_for(harness.endpoints[0].cancelled.wait(), 2)
 
-    run(scenario, [hang])
+    run(scenario, [answer_never])
 
 
 class UnframedEndpoint:
@@ -271,7 +275,7 @@
 
 
 @pytest.mark.parametrize(("is_reset", "status"), [(True, 502), (False, 200)])
-def test_answer_without_length_is_whole_only_when_its_connection_ends_well(
+def test_answer_without_length_is_complete_only_when_its_connection_closes(
     is_reset, status
 ):
     """Guards against a truncated answer that looks complete to the caller.
@@ -287,11 +291,12 @@
     run(scenario, [], endpoints=endpoints, routes=NON_IDEMPOTENT)
 
 
-def make_stream(last, n_sent=None, is_torn=False):
-    """Return an answer function that streams events up to the id ``last``.
+def make_stream_answer(last_id, n_sent=None, ends_inside_event=False):
+    """Return an answer function that streams events up to the id ``last_id``.
 
     It starts after the ``Last-Event-Id`` of the request. The connection breaks after
-    ``n_sent`` events, if given, and inside the next event if ``is_torn`` is set.
+    ``n_sent`` events, if given, or inside the next event if ``ends_inside_event`` is
+    set.
     """
 
     async def answer(request, body):
@@ -300,9 +305,9 @@
         response.enable_chunked_encoding()
         await response.prepare(request)
         first = int(request.headers.get("Last-Event-Id") or 0) + 1
-        for number in range(first, last + 1):
+        for number in range(first, last_id + 1):
             if n_sent is not None and number - first >= n_sent:
-                if is_torn:
+                if ends_inside_event:
                     await response.write(f"id: {number}\nda".encode())
                 await asyncio.sleep(0.02)
                 request.transport.abort()
@@ -320,8 +325,8 @@
     return [int(line[3:]) for line in lines if line.startswith("id:")]
 
 
-@pytest.mark.parametrize("is_torn", [False, True])
-def test_broken_stream_goes_on_elsewhere_without_a_gap(is_torn):
+@pytest.mark.parametrize("ends_inside_event", [False, True])
+def test_broken_stream_resumes_at_another_endpoint_without_a_gap(ends_inside_event):
     """Guards against missing, incomplete or repeated events after a broken stream."""
 
     async def scenario(harness):
@@ -330,7 +335,10 @@
             assert read_ids(body) == list(range(1, 7))
             assert body.count(b"data: piece\n\n") == 6
 
-    answers = [make_stream(6, n_sent=2, is_torn=is_torn), make_stream(6)]
+    answers = [
+        make_stream_answer(6, n_sent=2, ends_inside_event=ends_inside_event),
+        make_stream_answer(6),
+    ]
     run(scenario, answers, routes=STREAMING)
 
 
@@ -341,17 +349,17 @@
         _, _, body = await harness.fetch(headers={"Last-Event-Id": "4"}, **POST)
         assert read_ids(body) == [5, 6]
 
-    run(scenario, [make_stream(6)], routes=STREAMING)
+    run(scenario, [make_stream_answer(6)], routes=STREAMING)
 
 
-def test_stream_that_cannot_go_on_does_not_look_complete():
+def test_stream_that_cannot_resume_does_not_look_complete():
     """Guards against a truncated stream that looks complete to the caller."""
 
     async def scenario(harness):
         with pytest.raises(aiohttp.ClientError):
             await harness.fetch(**POST)
 
-    run(scenario, [make_stream(6, n_sent=2)], routes=STREAMING)
+    run(scenario, [make_stream_answer(6, n_sent=2)], routes=STREAMING)
 
 
 def test_idle_connections_are_closed_and_busy_ones_finish_at_shutdown():
@@ -363,7 +371,7 @@
 
     async def answer_slowly(request, body):
         await asyncio.sleep(0.2)
-        return await answer_whole(request, body)
+        return await answer_sealed(request, body)
 
     async def scenario(harness):
         idle = await asyncio.open_connection(HOST, harness.port)
@@ -385,7 +393,7 @@
     run(scenario, [answer_slowly])
 
 
-def test_log_tells_the_story_of_a_request():
+def test_log_contains_the_events_of_a_request():
     """Guards against failures that cannot be analysed from the log and the metrics."""
 
     async def scenario(harness):
@@ -399,7 +407,7 @@
         )
         for event in events:
             assert harness.recorder.count(event) == 1, event
-        figures = harness.runtime.metrics.to_prometheus({})
-        assert 'bluebellusher_requests_total{outcome="completed"} 1' in figures
+        metrics_text = harness.runtime.metrics.to_prometheus({})
+        assert 'bluebellusher_requests_total{outcome="completed"} 1' in metrics_text
 
-    run(scenario, [answer_whole])
+    run(scenario, [answer_sealed])
--- a/packages/entry/src/bluebellusher/gateway/tests/test_retries.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_retries.py
@@ -13,7 +13,7 @@
 N_KILLS = 2
 
 
-def start_entry(n_extra):
+def make_started_state(n_extra):
     """Return the reducer's state of an entry that has just started."""
     retries = {"share": 0.2, "n_extra": n_extra, "window_s": 10}
     settings = make_settings(retries=retries)
@@ -21,10 +21,10 @@
 
 
 @pytest.mark.parametrize(("n_entries", "n_extra"), [(4, 88), (16, 224), (40, 448)])
-def test_restarts_renew_no_retries_that_were_spent(n_entries, n_extra):
+def test_restarts_do_not_refill_the_common_retry_limit(n_entries, n_extra):
     """Guards against a retry budget that each restart of all entries refills."""
-    state = start_entry(n_extra)
+    state = make_started_state(n_extra)
     reduce(state, EntriesCounted(n_entries), 0)
-    n_full = state.retry_budget.n_burst
-    n_at_start = start_entry(n_extra).retry_budget.n_left
-    assert n_entries * (n_full + N_KILLS * n_at_start) <= n_extra
+    n_burst = state.retry_budget.n_burst
+    n_at_start = make_started_state(n_extra).retry_budget.n_left
+    assert n_entries * (n_burst + N_KILLS * n_at_start) <= n_extra
--- a/packages/entry/src/bluebellusher/gateway/tests/test_parts.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_task_restart.py
@@ -5,8 +5,8 @@
 from bluebellusher.gateway import Gateway
 from bluebellusher.gateway.tests.harness import (
     CODEC,
+    LogRecorder,
     PlainDialect,
-    Recorder,
     make_settings,
 )
 from bluebellusher.observability import KeyValueLog
@@ -15,13 +15,13 @@
 from bluebellusher_core.clock import SystemClock
 
 
-def test_part_that_ends_by_an_error_is_reported_and_started_again():
+def test_failed_task_is_logged_and_restarted():
     """Guards against a lease or table that is never updated again after an error.
 
     A table watcher whose task raises an error must be logged and restarted. Its
     cancellation at the shutdown must not be logged as an error.
     """
-    recorder = Recorder()
+    recorder = LogRecorder()
     log = KeyValueLog.from_config("info", recorder)
 
     async def main():
@@ -41,7 +41,7 @@
         await gateway.start()
         try:
             await until(lambda: recorder.count("internal-fault"))
-            (line,) = recorder.lines_of("internal-fault")
+            (line,) = recorder.get_lines("internal-fault")
             assert "step=task" in line
             assert "KeyError" in line
             await until(lambda: n_runs == 2)
