--- a/deploy/tests/test_announcements.py
+++ b/deploy/tests/test_announcements.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from bluebellusher.gateway.tests.harness import HOST, run
+from bluebellusher.gateway.tests.harness import HOST, run_scenario
 
 from dialect import PlatformDialect
 
@@ -72,7 +72,7 @@
         counts.append(harness.endpoints[0].n_received)
 
     endpoints = [RawEndpoint("x0", answer), RawEndpoint("x1", whole(SEALED))]
-    run(scenario, [], endpoints, dialect=PlatformDialect())
+    run_scenario(scenario, [], endpoints, dialect=PlatformDialect())
     return counts[0]
 
 
--- a/packages/entry/src/bluebellusher/gateway/tests/harness.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/harness.py
@@ -301,7 +301,7 @@
     return web.Response(body=b"whole", headers=headers)
 
 
-def run(scenario, answers, endpoints=(), **options):
+def run_scenario(scenario, answers, endpoints=(), **options):
     """Run a scenario against a started harness and stop the harness afterwards.
 
     There is one ``ScriptedEndpoint``, named ``x0``, ``x1`` and so on, for each function
--- a/packages/entry/src/bluebellusher/gateway/tests/test_announcements.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_announcements.py
@@ -5,7 +5,7 @@
 import pytest
 from aiohttp import web
 
-from bluebellusher.gateway.tests.harness import answer_sealed, make_route, run
+from bluebellusher.gateway.tests.harness import answer_sealed, make_route, run_scenario
 from bluebellusher_core.directory import RequestKind
 
 NON_IDEMPOTENT = [make_route(RequestKind.NON_IDEMPOTENT)]
@@ -49,7 +49,7 @@
         assert len(harness.endpoints[0].received) <= 1
         assert harness.recorder.count("endpoint-leaving") <= 1
 
-    run(scenario, [answer, answer_sealed])
+    run_scenario(scenario, [answer, answer_sealed])
 
 
 def test_answer_in_progress_completes_while_its_endpoint_is_leaving():
@@ -76,7 +76,7 @@
         assert float(headers["Retry-After"]) > 0
         assert len(harness.endpoints[0].received) == 1
 
-    run(scenario, [stream_while_leaving])
+    run_scenario(scenario, [stream_while_leaving])
 
 
 def test_endpoint_gets_no_request_during_its_pause():
@@ -94,7 +94,7 @@
             assert (await harness.fetch())[0] == 200
         assert len(harness.endpoints[0].received) == 2
 
-    run(scenario, [refuse_with_pause, answer_sealed])
+    run_scenario(scenario, [refuse_with_pause, answer_sealed])
 
 
 def test_rejection_contains_the_remaining_time_of_the_shortest_pause():
@@ -115,4 +115,4 @@
         assert 3 < float(headers["Retry-After"]) <= 5.5
         assert len(harness.endpoints[0].received) == 1
 
-    run(scenario, [refuse_with_pause], routes=NON_IDEMPOTENT)
+    run_scenario(scenario, [refuse_with_pause], routes=NON_IDEMPOTENT)
--- a/packages/entry/src/bluebellusher/gateway/tests/test_crashes.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_crashes.py
@@ -10,7 +10,7 @@
     answer_sealed,
     make_route,
     make_settings,
-    run,
+    run_scenario,
 )
 from bluebellusher.observability import KeyValueLog
 from bluebellusher.ports import PlatformPorts
@@ -53,7 +53,9 @@
         await scenario(harness)
 
     answer = make_crashing_answer(endpoint_by_id, has_open_port)
-    run(run_with_endpoints, [answer] * 5, routes=NON_IDEMPOTENT, n_crashes_to_block=3)
+    run_scenario(
+        run_with_endpoints, [answer] * 5, routes=NON_IDEMPOTENT, n_crashes_to_block=3
+    )
 
 
 def test_third_closed_port_blocks_the_request_that_was_running():
@@ -144,4 +146,4 @@
         assert (await harness.fetch(**POISON_REQUEST))[0] == 502
         await until(lambda: harness.recorder.count("crash-counted"))
 
-    run(scenario, [answer_sealed], routes=NON_IDEMPOTENT, n_crashes_to_block=3)
+    run_scenario(scenario, [answer_sealed], routes=NON_IDEMPOTENT, n_crashes_to_block=3)
--- a/packages/entry/src/bluebellusher/gateway/tests/test_endless_answers.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_endless_answers.py
@@ -12,7 +12,7 @@
     HOST,
     answer_sealed,
     make_route,
-    run,
+    run_scenario,
 )
 from bluebellusher_core.directory import RequestKind
 
@@ -126,7 +126,7 @@
         assert took_s < 2.0, "the attempt ended only by the timeout of its route"
         assert harness.recorder.count("attempt-broken") == 1
 
-    run(scenario, [], endpoints=[endpoint], routes=STREAMING)
+    run_scenario(scenario, [], endpoints=[endpoint], routes=STREAMING)
 
 
 def test_endless_body_is_not_buffered_while_its_caller_does_not_read():
@@ -146,7 +146,7 @@
         assert n_peak < MAX_PEAK_BYTES
         await endpoint.closed.wait()
 
-    run(scenario, [], endpoints=[endpoint])
+    run_scenario(scenario, [], endpoints=[endpoint])
 
 
 def test_stream_that_sends_single_bytes_counts_as_stalled():
@@ -165,7 +165,7 @@
         (line, *_) = harness.recorder.get_lines("attempt-broken")
         assert "TimeoutError" in line
 
-    run(scenario, [], endpoints=[slow_endpoint], routes=routes)
+    run_scenario(scenario, [], endpoints=[slow_endpoint], routes=routes)
 
 
 def test_slow_but_valid_stream_is_not_truncated():
@@ -194,7 +194,7 @@
         )
         assert (status, body.count(b"data:")) == (200, 2)
 
-    run(scenario, [], endpoints=[endpoint], routes=routes)
+    run_scenario(scenario, [], endpoints=[endpoint], routes=routes)
 
 
 def test_unexpected_error_of_an_attempt_ends_it_at_once():
@@ -209,4 +209,4 @@
         assert status == 502
         assert harness.recorder.count("attempt-fault") >= 1
 
-    run(scenario, [answer_sealed])
+    run_scenario(scenario, [answer_sealed])
--- a/packages/entry/src/bluebellusher/gateway/tests/test_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_gateway.py
@@ -13,7 +13,7 @@
     answer_sealed,
     make_customer,
     make_route,
-    run,
+    run_scenario,
 )
 from bluebellusher_core.directory import RequestKind
 
@@ -85,7 +85,7 @@
         assert "Key" not in request.headers
         assert int(request.headers["Remaining"]) <= 2_000
 
-    run(scenario, [answer_sealed], customers=[make_customer("k1")])
+    run_scenario(scenario, [answer_sealed], customers=[make_customer("k1")])
 
 
 def test_end_of_an_answer_logs_no_error_in_a_library(caplog):
@@ -95,7 +95,7 @@
         for _ in range(3):
             assert (await harness.fetch())[0] == 200
 
-    run(scenario, [answer_sealed])
+    run_scenario(scenario, [answer_sealed])
     assert not caplog.records
 
 
@@ -118,7 +118,7 @@
         (line,) = harness.recorder.get_lines("request-denied")
         assert "caller_attempt=t1 " in line
 
-    run(scenario, [answer_sealed], customers=[make_customer("k1")])
+    run_scenario(scenario, [answer_sealed], customers=[make_customer("k1")])
 
 
 def test_entry_without_configuration_rejects_requests_as_not_run():
@@ -133,7 +133,7 @@
         assert "caller_attempt=t1 " in line
         assert "status=503 reason=not_ready " in line
 
-    run(scenario, [answer_sealed])
+    run_scenario(scenario, [answer_sealed])
 
 
 @pytest.mark.parametrize(
@@ -147,7 +147,7 @@
             status, _, body = await harness.fetch()
             assert (status, body) == (200, b"whole")
 
-    run(scenario, [failing_answer, answer_sealed])
+    run_scenario(scenario, [failing_answer, answer_sealed])
 
 
 @pytest.mark.parametrize(
@@ -162,7 +162,7 @@
         assert "Retry-After" not in headers
         assert sum(len(e.received) for e in harness.endpoints) == 1
 
-    run(scenario, [failing_answer, failing_answer], routes=NON_IDEMPOTENT)
+    run_scenario(scenario, [failing_answer, failing_answer], routes=NON_IDEMPOTENT)
 
 
 def test_server_error_of_an_endpoint_is_relayed_with_its_seal():
@@ -176,7 +176,7 @@
         status, headers, body = await harness.fetch(**POST)
         assert (status, headers["Seal"], body) == (500, "s", b"oops")
 
-    run(scenario, [answer_server_error], routes=NON_IDEMPOTENT)
+    run_scenario(scenario, [answer_server_error], routes=NON_IDEMPOTENT)
 
 
 @pytest.mark.parametrize("failing_answer", [refuse_not_run, answer_misdirected])
@@ -191,14 +191,14 @@
         status, _, body = await harness.fetch(**POST)
         assert (status, body) == (200, b"whole")
 
-    run(scenario, [failing_answer, answer_sealed], routes=NON_IDEMPOTENT)
+    run_scenario(scenario, [failing_answer, answer_sealed], routes=NON_IDEMPOTENT)
 
     async def without_other_endpoint(harness):
         status, headers, _ = await harness.fetch(**POST)
         assert status == 503
         assert float(headers["Retry-After"]) > 0
 
-    run(without_other_endpoint, [failing_answer], routes=NON_IDEMPOTENT)
+    run_scenario(without_other_endpoint, [failing_answer], routes=NON_IDEMPOTENT)
 
 
 def test_request_is_rejected_as_not_run_when_no_connection_is_made():
@@ -211,7 +211,7 @@
         assert status == 503
         assert "Retry-After" in headers
 
-    run(scenario, [answer_sealed], routes=NON_IDEMPOTENT)
+    run_scenario(scenario, [answer_sealed], routes=NON_IDEMPOTENT)
 
 
 def test_request_past_the_timeout_of_its_route_is_rejected():
@@ -226,7 +226,7 @@
         await asyncio.wait_for(harness.endpoints[0].cancelled.wait(), 2)
 
     routes = [make_route(RequestKind.NON_IDEMPOTENT, timeout_ms=300)]
-    run(scenario, [answer_never], routes=routes)
+    run_scenario(scenario, [answer_never], routes=routes)
 
 
 def test_attempt_is_cancelled_when_its_caller_disconnects():
@@ -238,7 +238,7 @@
         task.cancel()
         await asyncio.wait_for(harness.endpoints[0].cancelled.wait(), 2)
 
-    run(scenario, [answer_never])
+    run_scenario(scenario, [answer_never])
 
 
 class UnframedEndpoint:
@@ -288,7 +288,7 @@
         assert (await harness.fetch(**POST))[0] == status
 
     endpoints = [UnframedEndpoint("x0", is_reset)]
-    run(scenario, [], endpoints=endpoints, routes=NON_IDEMPOTENT)
+    run_scenario(scenario, [], endpoints=endpoints, routes=NON_IDEMPOTENT)
 
 
 def make_stream_answer(last_id, n_sent=None, ends_inside_event=False):
@@ -339,7 +339,7 @@
         make_stream_answer(6, n_sent=2, ends_inside_event=ends_inside_event),
         make_stream_answer(6),
     ]
-    run(scenario, answers, routes=STREAMING)
+    run_scenario(scenario, answers, routes=STREAMING)
 
 
 def test_caller_resumes_after_its_last_event():
@@ -349,7 +349,7 @@
         _, _, body = await harness.fetch(headers={"Last-Event-Id": "4"}, **POST)
         assert read_ids(body) == [5, 6]
 
-    run(scenario, [make_stream_answer(6)], routes=STREAMING)
+    run_scenario(scenario, [make_stream_answer(6)], routes=STREAMING)
 
 
 def test_stream_that_cannot_resume_does_not_look_complete():
@@ -359,7 +359,7 @@
         with pytest.raises(aiohttp.ClientError):
             await harness.fetch(**POST)
 
-    run(scenario, [make_stream_answer(6, n_sent=2)], routes=STREAMING)
+    run_scenario(scenario, [make_stream_answer(6, n_sent=2)], routes=STREAMING)
 
 
 def test_idle_connections_are_closed_and_busy_ones_finish_at_shutdown():
@@ -390,7 +390,7 @@
         assert harness.server.n_connections == 0
         idle[1].close()
 
-    run(scenario, [answer_slowly])
+    run_scenario(scenario, [answer_slowly])
 
 
 def test_log_contains_the_events_of_a_request():
@@ -410,4 +410,4 @@
         metrics_text = harness.runtime.metrics.to_prometheus({})
         assert 'bluebellusher_requests_total{outcome="completed"} 1' in metrics_text
 
-    run(scenario, [answer_sealed])
+    run_scenario(scenario, [answer_sealed])
