--- a/packages/entry/src/bluebellusher/gateway/_answers.py
+++ b/packages/entry/src/bluebellusher/gateway/_answers.py
@@ -32,7 +32,7 @@
     outcome : str
         Outcome of the request; empty until the answer has ended.
     status : int
-        HTTP status of the response; 0 until it is known.
+        HTTP status of the response; 0 until the response starts.
     retry_after_ms : int
         Time after which a rejected request may be retried, in ms; 0 for none.
     first_ms : int
--- a/packages/entry/src/bluebellusher/gateway/_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -42,14 +42,15 @@
 from bluebellusher_core.wire import messages
 
 # Time from SIGTERM until the entry stops accepting connections, in ms. The platform
-# sends new connections until it has noticed the shutdown, which takes up to two
+# sends new connections until it has detected the shutdown, which takes up to two
 # readiness checks of one second each.
 STOP_ACCEPTING_AFTER_MS = 2_600
 # Part of the grace period that is reserved for closing connections and exiting, in ms.
 EXIT_MARGIN_MS = 500
-# Share of the retries in the settings, which are common to all entries, that the known
-# entries may use. The remainder is a reserve for entries that are not known yet. Where
-# callers are divided unevenly, entries with few of them leave part of theirs unused.
+# Share of the retries in the settings, which are common to all entries, that the
+# connected entries may use. The remainder is a reserve for entries that have not
+# connected yet. If callers are distributed unevenly, entries with few of them also
+# leave part of their retries unused.
 USABLE_RETRY_SHARE = 0.8
 # Retries that an entry may make right after its start. The number of retries that were
 # spent before a restart is unknown. All entries can be killed twice within the window
--- a/packages/entry/src/bluebellusher/gateway/tests/test_endless_answers.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_endless_answers.py
@@ -119,11 +119,11 @@
                 await harness.fetch(method="POST", data=b"q")
             await endpoint.closed.wait()
             took_s = time.monotonic() - started_s
-            _, n_peak = tracemalloc.get_traced_memory()
+            _, n_peak_bytes = tracemalloc.get_traced_memory()
         finally:
             tracemalloc.stop()
-        assert n_peak < MAX_PEAK_BYTES
-        assert took_s < 2.0, "the attempt ended only by the timeout of its route"
+        assert n_peak_bytes < MAX_PEAK_BYTES
+        assert took_s < 2.0, "only the timeout of the route ended the attempt"
         assert harness.recorder.count("attempt-broken") == 1
 
     run_scenario(scenario, [], endpoints=[endpoint], routes=STREAMING)
@@ -139,11 +139,11 @@
             async with harness.request() as response:
                 await response.content.readany()
                 await asyncio.sleep(1.0)
-                _, n_peak = tracemalloc.get_traced_memory()
+                _, n_peak_bytes = tracemalloc.get_traced_memory()
                 response.close()
         finally:
             tracemalloc.stop()
-        assert n_peak < MAX_PEAK_BYTES
+        assert n_peak_bytes < MAX_PEAK_BYTES
         await endpoint.closed.wait()
 
     run_scenario(scenario, [], endpoints=[endpoint])
--- a/packages/entry/src/bluebellusher/gateway/tests/test_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_gateway.py
@@ -275,7 +275,7 @@
 
 
 @pytest.mark.parametrize(("is_reset", "status"), [(True, 502), (False, 200)])
-def test_answer_without_length_is_complete_only_when_its_connection_closes(
+def test_answer_without_length_is_complete_unless_its_connection_is_reset(
     is_reset, status
 ):
     """Guards against a truncated answer that looks complete to the caller.
