Merge the wording of entry/gateway

Comments, messages and names of entry/gateway; renames replayed over the other packages. Behaviour does not change (compare of definitions).

--- a/packages/entry/src/bluebellusher/gateway/_admission.py
+++ b/packages/entry/src/bluebellusher/gateway/_admission.py
@@ -1,4 +1,4 @@
-"""From a caller's HTTP request to a request for the reducer."""
+"""Conversion of a caller's HTTP request into a request for the reducer."""
 
 import hashlib
 from collections.abc import Mapping
@@ -10,58 +10,65 @@
 from bluebellusher_core.directory import Customer, RequestKind, Route, RoutingTable
 from bluebellusher_core.events import Priority, RequestSpec
 
+# Remaining time of a request whose headers contain none, in ms.
 DEFAULT_REMAINING_MS = 60_000
-# A stream is given up this much before its caller leaves, so that it can go on from
-# another endpoint.
+# Time between the end of an attempt whose stream stalls and the timeout of its caller,
+# in ms. The attempt is abandoned early so that another endpoint can resume the stream.
 RESUME_MARGIN_MS = 300
-# A caller that has this much less time than others of its route was refused before.
-RETURNING_AFTER_MS = 250
+# Estimated age above which a request is treated as a retried request, in ms.
+RETRIED_REQUEST_AGE_MS = 250
 _FINGERPRINT_BYTES = 16
 
 
 @dataclass(frozen=True, slots=True)
-class Patience:
-    """How long callers of streams wait for the next event.
+class StreamTimeouts:
+    """Timeouts of callers that wait for the next event of a stream.
 
-    The longest of a fixed time, a multiple of the objective and a multiple of the
-    longest pause that counts as on time.
+    The timeout is the longest of three times: ``min_ms``, a multiple of the route's
+    latency objective, and a multiple of the longest gap between events that the route
+    counts as on time.
 
     Parameters
     ----------
     min_ms : int
-        Fixed time.
-    objective_factor, gap_factor : float
-        Multiples of the route's objective and pause.
+        Lower bound of the timeout, in ms.
+    objective_factor : float
+        Factor for the route's ``objective_ms``.
+    gap_factor : float
+        Factor for the route's ``max_gap_ms``.
     """
 
     min_ms: int = 2_000
     objective_factor: float = 4.0
     gap_factor: float = 8.0
 
-    def wait_ms(self, route: Route) -> int:
-        """Return how long a caller of a stream waits, in ms."""
+    def get_caller_timeout_ms(self, route: Route) -> int:
+        """Return the time after which a caller stops waiting for an event, in ms."""
         by_objective_ms = self.objective_factor * route.objective_ms
         by_gap_ms = self.gap_factor * route.max_gap_ms
         return int(max(self.min_ms, by_objective_ms, by_gap_ms))
 
-    def max_silence_ms(self, route: Route) -> int:
-        """Return how long the next event of a stream may take, in ms."""
-        return self.wait_ms(route) - RESUME_MARGIN_MS
+    def get_max_silence_ms(self, route: Route) -> int:
+        """Return the timeout of an attempt for the next event of its stream, in ms."""
+        return self.get_caller_timeout_ms(route) - RESUME_MARGIN_MS
 
 
 @dataclass(frozen=True, slots=True)
 class Denial:
-    """A request that the configuration does not allow."""
+    """Answer with a client error (4xx) to a request that is not admitted.
+
+    ``reason`` is the body of the response and a label of the metrics.
+    """
 
     status: HTTPStatus
     reason: str
 
 
 @dataclass(frozen=True, slots=True)
-class Admitted:
-    """A request that may be placed.
+class AdmittedRequest:
+    """Request that the reducer may place, with its route and its caller's headers.
 
-    ``max_silence_ms`` is how long each event of a stream may take.
+    ``max_silence_ms`` is the timeout of an attempt for each event of a stream, in ms.
     """
 
     spec: RequestSpec
@@ -71,25 +78,25 @@
 
 
 class Admission:
-    """Select the route, authenticate the customer and describe the request.
+    """Selection of the route, authentication, and conversion of requests.
 
     Parameters
     ----------
     dialect : Dialect
-        Header names of the callers.
-    patience : Patience
-        How long callers of streams wait.
+        Reads the callers' headers.
+    stream_timeouts : StreamTimeouts
+        Timeouts of callers that wait for an event of a stream.
     random_state : random.Random
-        Divides requests between the services of a route.
+        Divides the requests of a route among its services.
     """
 
     def __init__(
-        self, dialect: Dialect, patience: Patience, random_state: Random
+        self, dialect: Dialect, stream_timeouts: StreamTimeouts, random_state: Random
     ) -> None:
         self._dialect = dialect
-        self._patience = patience
+        self._stream_timeouts = stream_timeouts
         self._random_state = random_state
-        self._usual_ms_by_route: dict[str, int] = {}
+        self._max_remaining_ms_by_route: dict[str, int] = {}
 
     def admit(
         self,
@@ -99,21 +106,24 @@
         target: str,
         headers: Mapping[str, str],
         now_ms: int,
-    ) -> Admitted | Denial:
-        """Return the request, or why it is denied.
+    ) -> AdmittedRequest | Denial:
+        """Return the admitted request, or its denial.
+
+        A request is denied when no route matches it, when a header is invalid, or when
+        its route needs a credential and the credential is unknown.
 
         Parameters
         ----------
         table : RoutingTable
-            The configuration in force.
+            Configuration in force.
         request_id : str
-            Id that the entry gave the request.
+            Id that the entry chose for the request.
         method, target : str
-            Method and undecoded request target.
+            HTTP method and undecoded request target.
         headers : Mapping of str to str
-            Headers; names in any case.
+            Request headers; names are case-insensitive.
         now_ms : int
-            Monotonic time of arrival.
+            Monotonic time of arrival, in ms.
         """
         path = target.partition("?")[0]
         host = headers.get("Host", "").lower()
@@ -128,11 +138,11 @@
         if customer is None and table.needs_credential and not route.is_anonymous:
             return Denial(HTTPStatus.UNAUTHORIZED, "unknown credential")
         spec = self._make_spec(request_id, route, customer, fields, now_ms)
-        max_silence_ms = self._patience.max_silence_ms(route)
-        return Admitted(spec, route, fields, max_silence_ms)
+        max_silence_ms = self._stream_timeouts.get_max_silence_ms(route)
+        return AdmittedRequest(spec, route, fields, max_silence_ms)
 
     def read_attempt_id(self, headers: Mapping[str, str]) -> str:
-        """Return the id that a caller gave its attempt; empty when it gave none."""
+        """Return the attempt id that the caller chose; empty for none."""
         return self._dialect.read_attempt_id(headers)
 
     def _make_spec(
@@ -143,12 +153,18 @@
         fields: CallerFields,
         now_ms: int,
     ) -> RequestSpec:
+        """Return the properties of the request that the reducer uses.
+
+        The fingerprint is empty, because the body has not been read yet.
+        """
         remaining_ms = fields.remaining_ms or DEFAULT_REMAINING_MS
-        age_ms = self._age_ms(route, remaining_ms)
+        age_ms = self._estimate_age_ms(route, remaining_ms)
         deadline_ms = now_ms + min(remaining_ms, route.timeout_ms)
         start_by_ms = deadline_ms
         if route.kind is RequestKind.STREAMING:
-            start_by_ms = min(deadline_ms, now_ms + self._patience.wait_ms(route))
+            start_by_ms = min(
+                deadline_ms, now_ms + self._stream_timeouts.get_caller_timeout_ms(route)
+            )
         priority = route.priority
         if customer is not None and customer.priority is not None:
             priority = customer.priority
@@ -169,24 +185,28 @@
             n_max_attempts=route.n_max_attempts,
             objective_at_ms=now_ms + route.objective_ms - age_ms,
             start_by_ms=start_by_ms,
-            is_returning=age_ms > RETURNING_AFTER_MS,
+            is_returning=age_ms > RETRIED_REQUEST_AGE_MS,
             can_resume_elsewhere=route.is_resumable,
         )
 
-    def _age_ms(self, route: Route, remaining_ms: int) -> int:
-        """Return how long ago the caller first sent the request.
+    def _estimate_age_ms(self, route: Route, remaining_ms: int) -> int:
+        """Return the estimated time since the caller first sent the request, in ms.
 
-        Callers of a route wait equally long in all, so that one with less time left
-        was refused or failed before.
+        All callers of a route are expected to use the same timeout, which covers their
+        retries. A request with less remaining time than the largest one received on
+        its route is therefore a retry after a rejection or a failure.
         """
-        usual_ms = self._usual_ms_by_route.get(route.path_prefix, 0)
-        if remaining_ms > usual_ms:
-            self._usual_ms_by_route[route.path_prefix] = remaining_ms
-        return max(0, usual_ms - remaining_ms)
+        max_remaining_ms = self._max_remaining_ms_by_route.get(route.path_prefix, 0)
+        if remaining_ms > max_remaining_ms:
+            self._max_remaining_ms_by_route[route.path_prefix] = remaining_ms
+        return max(0, max_remaining_ms - remaining_ms)
 
 
 def fingerprint(spec: RequestSpec, method: str, target: str, body: bytes) -> str:
-    """Return a hash that is equal for repeats of one request by one customer."""
+    """Return the fingerprint of a request as a hexadecimal hash.
+
+    Retries of a request by the same customer have the same fingerprint.
+    """
     digest = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
     for part in (spec.customer_id, method, target):
         digest.update(part.encode() + b"\0")
--- a/packages/entry/src/bluebellusher/gateway/_answers.py
+++ b/packages/entry/src/bluebellusher/gateway/_answers.py
@@ -1,4 +1,4 @@
-"""From the answer of an endpoint to the response that a caller receives."""
+"""Conversion of an endpoint's answer into the HTTP response to the caller."""
 
 import json
 from http import HTTPStatus
@@ -9,20 +9,36 @@
 from bluebellusher.runtime import Exchange, Runtime
 from bluebellusher_core.errors import Outcome, Reason, Rejection
 
+# Reasons that are reported with status 429 instead of 503.
 _LIMIT_REASONS = frozenset((Reason.RATE_LIMITED, Reason.BUDGET_EXHAUSTED))
 
 
 class AnswerWriter:
-    """Write what the relay has checked, and note times for log and metrics.
+    """Writer of the checked parts of an answer to the caller.
+
+    It also measures the latencies of the answer for the log and the metrics.
 
     Parameters
     ----------
     request : web.BaseRequest
         The caller's request.
     exchange : Exchange
-        Holds the answer.
+        Request in progress, with the answer that the relay fills.
     runtime : Runtime
-        Clock and metrics.
+        Provides the clock and the metrics.
+
+    Attributes
+    ----------
+    outcome : str
+        Outcome of the request; empty until the answer has ended.
+    status : int
+        HTTP status of the response; 0 until the response starts.
+    retry_after_ms : int
+        Time after which a rejected request may be retried, in ms; 0 for none.
+    first_ms : int
+        Time to the first byte of the answer, in ms; 0 until it is sent.
+    longest_gap_ms : int
+        Longest time between two parts of the answer, in ms.
     """
 
     def __init__(
@@ -36,111 +52,125 @@
         self._request = request
         self._exchange = exchange
         self._runtime = runtime
-        self._arrived_at_ms = self._sent_at_ms = runtime.now_ms()
+        self._submitted_at_ms = self._last_sent_at_ms = runtime.now_ms()
         self._response: web.StreamResponse | None = None
 
     @property
     def took_ms(self) -> int:
-        """Time since the arrival."""
-        return self._runtime.now_ms() - self._arrived_at_ms
+        """Time since the request was submitted to the runtime, in ms."""
+        return self._runtime.now_ms() - self._submitted_at_ms
 
     async def write(self) -> web.StreamResponse:
-        """Write the whole answer and return the response."""
+        """Write the complete answer or the rejection, and return the response.
+
+        An answer that is complete before its first byte was written, or a rejection at
+        that point, is returned as a response for the server to send.
+        """
         answer = self._exchange.answer
         while data := await answer.take():
             if answer.is_complete and self._response is None:
-                return self._whole(data)
+                return self._make_complete_response(data)
             await self._write_part(data)
             answer.note_sent(len(data))
         if answer.refusal is not None:
-            return self._refuse(answer.refusal)
+            return self._finish_rejected(answer.refusal)
         if self._response is None:
-            return self._whole(b"")
+            return self._make_complete_response(b"")
         self.outcome = Outcome.COMPLETED.value
         await self._response.write_eof()
         self._runtime.metrics.time_total_ms.record_value(max(1, self.took_ms))
         return self._response
 
-    def _whole(self, data: bytes) -> web.StreamResponse:
+    def _make_complete_response(self, data: bytes) -> web.StreamResponse:
+        """Return a complete answer as one response with a content length."""
         answer = self._exchange.answer
         self.status = answer.status
         self.outcome = Outcome.COMPLETED.value
-        self._record_first()
+        self._record_first_byte()
         self._runtime.metrics.time_total_ms.record_value(max(1, self.took_ms))
-        headers = _returned_headers(answer.headers)
+        headers = _select_headers(answer.headers)
         return web.Response(body=data, status=answer.status, headers=headers)
 
     async def _write_part(self, data: bytes) -> None:
+        """Write the next part of an answer, after the headers for the first part."""
         if self._response is None:
             answer = self._exchange.answer
             self.status = answer.status
-            headers = _returned_headers(answer.headers)
+            headers = _select_headers(answer.headers)
             self._response = web.StreamResponse(status=answer.status, headers=headers)
             if self._runtime.is_shutting_down:
                 self._response.force_close()
             self._response.enable_chunked_encoding()
             await self._response.prepare(self._request)
-            self._record_first()
+            self._record_first_byte()
         else:
             now_ms = self._runtime.now_ms()
-            gap_ms = now_ms - self._sent_at_ms
-            self._sent_at_ms = now_ms
+            gap_ms = now_ms - self._last_sent_at_ms
+            self._last_sent_at_ms = now_ms
             self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
             self._runtime.metrics.n_chunks_by_gap_ms[gap_ms] += 1
         await self._response.write(data)
 
-    def _refuse(self, refusal: Rejection) -> web.StreamResponse:
-        self.outcome = refusal.outcome.value
-        self.retry_after_ms = refusal.retry_after_ms or 0
+    def _finish_rejected(self, rejection: Rejection) -> web.StreamResponse:
+        """Return the rejection's response, or abort a response that has started."""
+        self.outcome = rejection.outcome.value
+        self.retry_after_ms = rejection.retry_after_ms or 0
         if self._response is not None:
-            # Without the last chunk the caller sees that the answer is cut.
+            # The connection ends without the final chunk, so that the caller detects
+            # the truncated answer.
             transport = self._request.transport
             if transport is not None:
                 transport.abort()
             return self._response
-        response = make_refusal(refusal, self._exchange.spec.request_id)
+        response = make_rejection_response(rejection, self._exchange.spec.request_id)
         self.status = response.status
         return response
 
-    def _record_first(self) -> None:
-        self._sent_at_ms = self._runtime.now_ms()
+    def _record_first_byte(self) -> None:
+        """Record the time to the first byte."""
+        self._last_sent_at_ms = self._runtime.now_ms()
         self.first_ms = self.took_ms
         self._runtime.metrics.time_to_first_token_ms.record_value(max(1, self.first_ms))
 
 
-def make_refusal(refusal: Rejection, request_id: str) -> web.Response:
-    """Return the final answer to a request that was given up.
+def make_rejection_response(rejection: Rejection, request_id: str) -> web.Response:
+    """Return the HTTP response to a rejected request.
 
-    Only a request that has certainly not run gets a status that promises so.
+    ``Retry-After`` is set only for a request that has certainly not run.
     """
     body = {
-        "outcome": refusal.outcome.value,
-        "reason": refusal.reason.value,
-        "step": refusal.step,
+        "outcome": rejection.outcome.value,
+        "reason": rejection.reason.value,
+        "step": rejection.step,
         "request_id": request_id,
     }
     headers = {}
-    if refusal.outcome is Outcome.NOT_RUN and refusal.retry_after_ms is not None:
-        headers["Retry-After"] = f"{refusal.retry_after_ms / 1000:.3f}"
+    if rejection.outcome is Outcome.NOT_RUN and rejection.retry_after_ms is not None:
+        headers["Retry-After"] = f"{rejection.retry_after_ms / 1000:.3f}"
     return web.Response(
         body=json.dumps({"error": body}).encode(),
-        status=_status_of(refusal),
+        status=_choose_status(rejection),
         headers=headers,
         content_type="application/json",
     )
 
 
-def _status_of(refusal: Rejection) -> int:
-    if refusal.outcome is Outcome.NOT_RUN:
-        if refusal.reason in _LIMIT_REASONS:
+def _choose_status(rejection: Rejection) -> int:
+    """Return the HTTP status of a rejection.
+
+    429 and 503 state that the request has not run, 502 and 504 that it may have run.
+    """
+    if rejection.outcome is Outcome.NOT_RUN:
+        if rejection.reason in _LIMIT_REASONS:
             return HTTPStatus.TOO_MANY_REQUESTS
         return HTTPStatus.SERVICE_UNAVAILABLE
-    if refusal.reason is Reason.DEADLINE_EXCEEDED:
+    if rejection.reason is Reason.DEADLINE_EXCEEDED:
         return HTTPStatus.GATEWAY_TIMEOUT
     return HTTPStatus.BAD_GATEWAY
 
 
-def _returned_headers(headers: dict[str, str]) -> dict[str, str]:
+def _select_headers(headers: dict[str, str]) -> dict[str, str]:
+    """Return the endpoint's headers without those that concern one connection."""
     return {
         name: value for name, value in headers.items() if name not in CONNECTION_HEADERS
     }
--- a/packages/entry/src/bluebellusher/gateway/_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -1,4 +1,4 @@
-"""One entry on a platform: construction of all parts, life from start to stop."""
+"""One entry on a platform: its components, start, shutdown and settings."""
 
 import asyncio
 import gc
@@ -12,7 +12,7 @@
 import uvloop
 from aiohttp import web
 
-from bluebellusher.gateway._admission import Admission, Patience
+from bluebellusher.gateway._admission import Admission, StreamTimeouts
 from bluebellusher.gateway._attempts import HttpDispatcher
 from bluebellusher.gateway._server import CallerServer, PageServer
 from bluebellusher.gateway._view import MAP_LEASE, GatewayView
@@ -41,38 +41,62 @@
 from bluebellusher_core.supervision import supervise
 from bluebellusher_core.wire import messages
 
-# After SIGTERM the platform stops sending new connections within two checks of one
-# second each; until then they are still served.
+# Time from SIGTERM until the entry stops accepting connections, in ms. The platform
+# sends new connections until it has detected the shutdown, which takes up to two
+# readiness checks of one second each.
 STOP_ACCEPTING_AFTER_MS = 2_600
-# Left of the grace period for closing connections and leaving.
+# Part of the grace period that is reserved for closing connections and exiting, in ms.
 EXIT_MARGIN_MS = 500
-# Entries with an uneven share of callers leave part of the common retries unused;
-# this much of them is given out, the rest covers entries that are not known yet.
-RETRY_USE = 0.8
-# What was spent before a restart is not known. All entries may be killed twice within
-# the time over which retries are counted, and stay within the rest above.
+# Share of the retries in the settings, which are common to all entries, that the
+# connected entries may use. The remainder is a reserve for entries that have not
+# connected yet. If callers are distributed unevenly, entries with few of them also
+# leave part of their retries unused.
+USABLE_RETRY_SHARE = 0.8
+# Retries that an entry may make right after its start. The number of retries that were
+# spent before a restart is unknown. All entries can be killed twice within the window
+# of the retry limits, and their retries stay within the reserve described above.
 N_START_RETRIES = 1
-# Requests that an endpoint may hold beyond its slots cover the round trip between
-# the end of one request and the start of the next.
+# Requests that an endpoint may hold, as a multiple of its slots. The requests beyond
+# the slots cover the round trip between the end of one request and the start of the
+# next.
 QUEUE_FACTOR = 1.2
-# How long a caller of a broken stream waits for its next event.
+# Time for which a caller waits for the next event of a broken stream, in ms.
 RESUME_WAIT_MS = 1_500
-# An innocent request may be at a crash once or twice by chance; the platform allows
-# few runs after the third.
+# Crashes that block a request. A harmless request may be running during one or two
+# crashes by chance. The platform allows only a few runs of a request after its third
+# crash.
 N_CRASHES_TO_BLOCK = 3
-# Entries that want a free lease at the same moment spread over this time.
+# Upper bound of the random delay before an entry acquires a free lease, in ms. It
+# spreads the writes of entries that try to acquire the lease at the same time.
 MAX_TAKEOVER_DELAY_MS = 400
-# A group with a held step should not wait for the next leader.
+# Time for which an entry that shuts down waits for its map changes to end, in ms. A
+# group with a held step would otherwise have to wait for the next leader.
 MAP_CHANGE_GRACE_MS = 1_500
+# Interval at which the settings file is checked for changes, in ms.
 SETTINGS_POLL_MS = 1_000
-# Peers tell of crashes at once; the table serves entries that reach no peer. Calls
-# are priced, and the store keeps 20 s of history.
-CRASH_WAIT_MS = 15_000
-_POLL_S = 0.02
+# Time for which a call to the store waits for a change of the crash table, in ms. The
+# time is long because calls are billed, but within the 20 s of history that the store
+# keeps. Only entries that cannot reach a peer depend on the table, because peers
+# announce crashes immediately.
+CRASH_TABLE_WAIT_MS = 15_000
+# Interval at which a shutdown checks whether all requests have ended, in s.
+_STOP_POLL_S = 0.02
 
 
 class Gateway:
-    """All parts of one entry, connected."""
+    """One entry with all its components.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+        Settings of the process.
+    ports : PlatformPorts
+        Store, header names and table formats of the platform.
+    clock : Clock
+        Clock of all components; its wall time becomes the incarnation of the entry.
+    log : KeyValueLog
+        Receives the log lines of all components.
+    """
 
     def __init__(
         self,
@@ -85,8 +109,8 @@
         self.clock = clock
         self.log = log
         self.incarnation = clock.wall_ms()
-        seed = Random(f"{settings.instance_id}.{self.incarnation}")
-        self.state = _make_state(settings, self.incarnation, seed)
+        random_state = Random(f"{settings.instance_id}.{self.incarnation}")
+        self.state = _make_state(settings, self.incarnation, random_state)
         tracer = Tracer(log)
         self._store = ports.store
         self.view = GatewayView(self)
@@ -117,15 +141,17 @@
             self._find_leaving,
         )
         self.peers = PeerLinks(
-            identity, self.runtime, self.ticker, clock, seed, self.peer_exchange
+            identity, self.runtime, self.ticker, clock, random_state, self.peer_exchange
         )
         self.peer_exchange.links = self.peers
         self.tables = TableExchange(self.peers, clock)
         self.routing_watcher = self._make_watcher(
-            ports.codec.routing_table, self.directory.take_routing, seed
+            ports.codec.routing_table, self.directory.take_routing, random_state
         )
         self.registration_watcher = self._make_watcher(
-            ports.codec.registration_table, self.directory.take_registrations, seed
+            ports.codec.registration_table,
+            self.directory.take_registrations,
+            random_state,
         )
         crash_mirror = TableMirror(CRASH_TABLE)
         self.crash_table = CrashTable(
@@ -134,23 +160,24 @@
             self._find_crashes,
             self.runtime.post,
             clock,
-            seed,
+            random_state,
             self.runtime,
         )
         self.crash_watcher = TableWatcher(
             ports.store,
             crash_mirror,
             self.crash_table.take_rows,
-            # Endpoints are registered in another table.
+            # Losing contact with this table does not affect the endpoints, which are
+            # registered in another one.
             lambda is_in_contact: None,
             clock,
-            seed,
+            random_state,
             self.runtime,
-            CRASH_WAIT_MS,
+            CRASH_TABLE_WAIT_MS,
         )
-        self.runtime.register(CheckEndpoint, self.dispatcher.check)
-        self.runtime.register(BroadcastCrashes, self._tell_crashes)
-        self.runtime.register(BroadcastLeaving, self._tell_leaving)
+        self.runtime.register(CheckEndpoint, self.dispatcher.check_endpoint)
+        self.runtime.register(BroadcastCrashes, self._broadcast_crashes)
+        self.runtime.register(BroadcastLeaving, self._broadcast_leaving)
         self.members = Members(
             ports.store,
             self.peers,
@@ -161,14 +188,19 @@
             self.runtime.post,
         )
         self.ranks = RankLinks(
-            identity, self.runtime, self.ticker, clock, seed, settings.agent_port
+            identity,
+            self.runtime,
+            self.ticker,
+            clock,
+            random_state,
+            settings.agent_port,
         )
         self.directory.on_endpoints = self._update_ranks
         self.lease = LeaseKeeper.from_parts(
             ports.store,
             MAP_LEASE,
             f"{settings.instance_id}/{self.incarnation}",
-            seed.randrange(MAX_TAKEOVER_DELAY_MS),
+            random_state.randrange(MAX_TAKEOVER_DELAY_MS),
             clock,
             self.runtime,
             self._is_lease_held_elsewhere,
@@ -180,7 +212,7 @@
             settings.failure_domain,
             settings.maps.rank_ms_per_gb,
             clock,
-            seed,
+            random_state,
             self.runtime,
         )
         counter = itertools.count(1)
@@ -188,29 +220,37 @@
         self.server = CallerServer(
             self.runtime,
             self.directory,
-            Admission(ports.dialect, Patience(), seed),
+            Admission(ports.dialect, StreamTimeouts(), random_state),
             lambda: f"{prefix}.r{next(counter)}",
         )
         self._tasks: list[asyncio.Task[None]] = []
         self._n_entries = 0
-        self._leases_by_peer_id: dict[str, bool] = {}
+        self._is_leader_by_peer_id: dict[str, bool] = {}
 
     @property
     def is_ready(self) -> bool:
-        """Whether callers should come."""
-        is_known = self.directory.is_ready and self.registration_watcher.mirror.version
+        """Whether callers may be sent to this entry.
+
+        An entry is ready when it has the configuration, the registrations of the
+        endpoints and the earlier crashes, and is not shutting down.
+        """
+        has_tables = (
+            self.directory.is_ready and self.registration_watcher.mirror.version
+        )
         return (
-            bool(is_known) and self.knows_crashes and not self.runtime.is_shutting_down
+            bool(has_tables)
+            and self.has_received_crashes
+            and not self.runtime.is_shutting_down
         )
 
     @property
-    def knows_crashes(self) -> bool:
-        """Whether the store or a peer has told of earlier crashes."""
+    def has_received_crashes(self) -> bool:
+        """Whether earlier crashes were received from the store or a peer."""
         digests = self.peer_exchange.digest_at_ms_by_peer_id
         return self.crash_watcher.mirror.version > 0 or bool(digests)
 
     async def start(self) -> None:
-        """Listen, connect and follow the shared tables."""
+        """Listen for peers and callers, and start all background tasks."""
         settings = self.settings
         await self.dispatcher.open()
         await self.peers.listen(settings.peers.host, settings.peers.port)
@@ -244,26 +284,27 @@
         )
 
     async def stop(self) -> None:
-        """Let every request end, within the grace period.
+        """Stop the entry when all requests have ended or the grace period expires.
 
-        Readiness goes at once. New connections are taken as long as the platform may
-        still send some; each answer tells its caller to connect elsewhere.
+        The entry reports itself unready immediately. It accepts new connections as long
+        as the platform may send some. Each response closes its connection, so that the
+        caller connects to another entry.
         """
-        stopped_at_ms = self.clock.now_ms()
+        stop_started_at_ms = self.clock.now_ms()
         self.runtime.is_shutting_down = True
         self.log.event("stopping", n_requests=len(self.runtime.exchange_by_request_id))
         await self.leader.retire(MAP_CHANGE_GRACE_MS)
         await self.lease.release()
-        accepted_ms = self.clock.now_ms() - stopped_at_ms
-        await asyncio.sleep(max(0, STOP_ACCEPTING_AFTER_MS - accepted_ms) / 1000)
+        elapsed_ms = self.clock.now_ms() - stop_started_at_ms
+        await asyncio.sleep(max(0, STOP_ACCEPTING_AFTER_MS - elapsed_ms) / 1000)
         self.server.stop_accepting()
         self.server.close_idle()
         grace_ms = int(self.settings.shutdown_grace_s * 1000)
-        until_ms = stopped_at_ms + grace_ms - EXIT_MARGIN_MS
-        while self._has_work() and self.clock.now_ms() < until_ms:
+        grace_end_ms = stop_started_at_ms + grace_ms - EXIT_MARGIN_MS
+        while self._has_work() and self.clock.now_ms() < grace_end_ms:
             self.server.close_idle()
-            await asyncio.sleep(_POLL_S)
-        n_left = len(self.runtime.exchange_by_request_id)
+            await asyncio.sleep(_STOP_POLL_S)
+        n_unfinished = len(self.runtime.exchange_by_request_id)
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -274,22 +315,26 @@
         await self.peers.close()
         await self._store.close()
         self.runtime.close()
-        took_ms = self.clock.now_ms() - stopped_at_ms
-        self.log.event("stopped", n_requests_left=n_left, took_ms=took_ms)
+        took_ms = self.clock.now_ms() - stop_started_at_ms
+        self.log.event("stopped", n_requests_left=n_unfinished, took_ms=took_ms)
 
     def reload(self, settings: GatewaySettings) -> None:
-        """Take changed settings; addresses hold until the next start."""
+        """Apply changed settings; changed addresses take effect at the next start."""
         is_changed = settings != self.settings
         self.settings = settings
         self.log.event("settings-reloaded", is_changed=is_changed)
 
     def _is_lease_held_elsewhere(self) -> bool:
-        """Return whether a connected entry says that it leads the maps."""
-        held = self._leases_by_peer_id
-        return any(held.get(peer_id) for peer_id in self.peers.connections_by_peer_id)
+        """Return whether a connected peer reports that it holds the map lease."""
+        is_leader_by_peer_id = self._is_leader_by_peer_id
+        return any(
+            is_leader_by_peer_id.get(peer_id)
+            for peer_id in self.peers.connections_by_peer_id
+        )
 
     def _on_digest(self, peer_id: str, digest: Any) -> None:
-        self._leases_by_peer_id[peer_id] = MAP_LEASE in (digest.held_leases or ())
+        """Record a peer's lease, table versions and crashes from its digest."""
+        self._is_leader_by_peer_id[peer_id] = MAP_LEASE in (digest.held_leases or ())
         self.tables.on_digest(peer_id, digest)
         if digest.crashes:
             self.crash_table.note_others()
@@ -297,30 +342,34 @@
     def _find_crashes(self) -> tuple[CrashRecord, ...]:
         return self.state.crashes.records(self.clock.now_ms())
 
-    def _tell_crashes(self, effect: BroadcastCrashes) -> None:
+    def _broadcast_crashes(self, effect: BroadcastCrashes) -> None:
+        """Broadcast new crash records to the peers and write them to the store."""
         self.peer_exchange.tell_crashes(effect.records)
         self.crash_table.note_own()
 
     def _find_leaving(self) -> tuple[LeavingMark, ...]:
         return self.state.endpoints.announcements.leaving_marks(self.clock.now_ms())
 
-    def _tell_leaving(self, effect: BroadcastLeaving) -> None:
+    def _broadcast_leaving(self, effect: BroadcastLeaving) -> None:
         self.peer_exchange.tell_leaving(effect.marks)
 
     def _find_endpoint(self, endpoint_id: str) -> Any:
         return self.directory.find(endpoint_id)
 
     def _update_ranks(self) -> None:
-        """Follow the agents beside the endpoints that have engines."""
+        """Connect to the agents of the endpoints that run engines."""
         routing = self.directory.routing
         if routing is None:
             return
         services = routing.service_by_id.values()
-        with_engine = {s.service_id for s in services if s.engine is not None}
+        engine_service_ids = {s.service_id for s in services if s.engine is not None}
         registrations = self.directory.registrations.registration_by_id.values()
-        self.ranks.update(r for r in registrations if r.service_id in with_engine)
+        self.ranks.update(
+            r for r in registrations if r.service_id in engine_service_ids
+        )
 
     def _find_group_model(self, endpoint_id: str) -> GroupModel | None:
+        """Return the group model of an endpoint's service, or None."""
         endpoint = self.directory.find(endpoint_id)
         if endpoint is None or self.directory.routing is None:
             return None
@@ -330,39 +379,45 @@
     def _make_watcher(
         self,
         table: str,
-        take: Callable[[list[Any]], None],
-        seed: Random,
+        apply_rows: Callable[[list[Any]], None],
+        random_state: Random,
     ) -> TableWatcher:
-        def on_news(rows: list[Any]) -> None:
-            take(rows)
+        """Return the watcher of a table that is also exchanged with peers."""
+
+        def on_rows(rows: list[Any]) -> None:
+            apply_rows(rows)
             self._update_ranks()
-            # Peers that the store turns away wait for it.
+            # Announce the new table version. Peers that the store does not serve
+            # request the changes from this entry.
             self.peer_exchange.tick(self.clock.now_ms())
 
         mirror = TableMirror(table)
         watcher = TableWatcher(
             self._store,
             mirror,
-            on_news,
+            on_rows,
             self.directory.note_contact,
             self.clock,
-            seed,
+            random_state,
             self.runtime,
         )
-        self.tables.add(mirror, on_news, lambda: watcher.is_in_contact)
+        self.tables.add(mirror, on_rows, lambda: watcher.is_in_contact)
         return watcher
 
     def _tick(self, now_ms: int) -> None:
+        """Run the periodic work of the peer exchange, tables and directory."""
         self.peer_exchange.tick(now_ms)
         self.tables.tick(now_ms)
         self.directory.tick(now_ms)
         n_entries = 1 + len(self.peers.connections_by_peer_id)
         if n_entries > self._n_entries:
-            # Entries that are merely cut off go on using their share.
+            # The number never decreases, because an entry that has lost its
+            # connection to this one still uses its share of the retries.
             self._n_entries = n_entries
             self.runtime.post(EntriesCounted(n_entries))
 
     async def _serve_pages(self) -> None:
+        """Listen for readiness checks and, if configured, for metrics requests."""
         settings = self.settings
         ready = PageServer({"/ready": self._ready_page, "/": self._ready_page})
         await ready.listen(settings.readiness.host, settings.readiness.port)
@@ -374,12 +429,17 @@
         return web.Response(status=200 if self.is_ready else 503)
 
     def _metrics_page(self) -> web.Response:
-        return web.Response(text=self.runtime.metrics.to_prometheus(self.view.gauges()))
+        return web.Response(
+            text=self.runtime.metrics.to_prometheus(self.view.compute_gauges())
+        )
 
     def _has_work(self) -> bool:
+        """Return whether a request is in progress or a caller is connected."""
         return bool(self.runtime.exchange_by_request_id or self.server.n_connections)
 
     def _start_task(self, run: Callable[[], Awaitable[None]]) -> None:
+        """Run a component as a task that is restarted after an unexpected error."""
+
         def report(error: Exception) -> None:
             self.runtime.report_fault("task", run, error)
 
@@ -387,17 +447,18 @@
 
 
 def _make_state(
-    settings: GatewaySettings, incarnation: int, seed: Random
+    settings: GatewaySettings, incarnation: int, random_state: Random
 ) -> EntryState:
-    n_shared = int(RETRY_USE * settings.retries.n_extra)
+    """Return the reducer's state of an entry that starts."""
+    n_shared_retries = int(USABLE_RETRY_SHARE * settings.retries.n_extra)
     config = EntryConfig(
         entry_id=settings.instance_id,
         incarnation=incarnation,
-        seed=seed.getrandbits(32),
+        seed=random_state.getrandbits(32),
         n_max_endpoints=16_384,
         n_min_retries=N_START_RETRIES,
-        retry_percent=int(100 * RETRY_USE * settings.retries.share),
-        n_shared_retries=n_shared,
+        retry_percent=int(100 * USABLE_RETRY_SHARE * settings.retries.share),
+        n_shared_retries=n_shared_retries,
         queue_factor=QUEUE_FACTOR,
         resume_wait_ms=RESUME_WAIT_MS,
         n_crashes_to_block=N_CRASHES_TO_BLOCK,
@@ -407,16 +468,17 @@
     return EntryState.from_config(config, policy, ObjectiveQueue)
 
 
-async def _run(
+async def _run_until_signal(
     settings: GatewaySettings,
     make_ports: Callable[[GatewaySettings], PlatformPorts],
     path: str,
 ) -> None:
+    """Run an entry on the current event loop until SIGTERM or SIGINT."""
     log = KeyValueLog.from_config(settings.log_level)
     loop = asyncio.get_running_loop()
-    is_told_to_stop = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, is_told_to_stop.set)
+    stop_requested = asyncio.Event()
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signal_number, stop_requested.set)
     gateway = Gateway(settings, make_ports(settings), SystemClock(), log)
     loop.set_exception_handler(_make_fault_reporter(gateway))
     loop.add_signal_handler(signal.SIGHUP, _reload, gateway, path)
@@ -424,39 +486,43 @@
     watcher = asyncio.create_task(_watch_settings(gateway, path))
     gc.collect()
     gc.freeze()
-    await is_told_to_stop.wait()
+    await stop_requested.wait()
     watcher.cancel()
     await gateway.stop()
 
 
 async def _watch_settings(gateway: Gateway, path: str) -> None:
-    """Take settings that change without a signal."""
-    read_at = _modified_at(path)
+    """Reload the settings file when it changes, until cancelled."""
+    loaded_modified_ns = _read_modified_ns(path)
     while True:
         await asyncio.sleep(SETTINGS_POLL_MS / 1000)
-        modified_at = _modified_at(path)
-        if modified_at != read_at:
-            read_at = modified_at
+        modified_ns = _read_modified_ns(path)
+        if modified_ns != loaded_modified_ns:
+            loaded_modified_ns = modified_ns
             _reload(gateway, path)
 
 
-def _modified_at(path: str) -> int:
+def _read_modified_ns(path: str) -> int:
+    """Return the modification time of a file, in ns; 0 when it cannot be read."""
     try:
         return os.stat(path).st_mtime_ns
     except OSError:
-        # The changed value makes the caller read the file, which logs the error.
+        # The caller detects a change and reloads the file, which logs the error.
         return 0
 
 
 def _reload(gateway: Gateway, path: str) -> None:
+    """Reload the settings file; log an invalid one and keep the current settings."""
     try:
         gateway.reload(load_gateway_settings(path))
     except Exception as error:
-        # A faulty file must not stop an entry that serves with the settings it has.
+        # An invalid file must not stop an entry that runs with valid settings.
         gateway.log.event("settings-refused", "error", error=str(error))
 
 
 def _make_fault_reporter(gateway: Gateway) -> Any:
+    """Return an exception handler for the event loop, which counts and logs errors."""
+
     def report(_loop: asyncio.AbstractEventLoop, context: Mapping[str, Any]) -> None:
         error = context.get("exception") or RuntimeError(str(context.get("message")))
         gateway.runtime.report_fault("event-loop", context, error)
@@ -469,15 +535,15 @@
     make_ports: Callable[[GatewaySettings], PlatformPorts],
     path: str,
 ) -> None:
-    """Serve until SIGTERM or SIGINT.
+    """Run an entry until SIGTERM or SIGINT.
 
     Parameters
     ----------
     settings : GatewaySettings
-        Settings at the start.
+        Settings at the start of the process.
     make_ports : callable
-        Returns the adapter; called on the event loop.
+        Returns the adapter to the platform; called on the event loop.
     path : str
-        File of the settings, which is read again when it changes and after SIGHUP.
+        Path of the settings file, which is reloaded when it changes and on SIGHUP.
     """
-    uvloop.run(_run(settings, make_ports, path))
+    uvloop.run(_run_until_signal(settings, make_ports, path))
--- a/packages/entry/src/bluebellusher/gateway/_server.py
+++ b/packages/entry/src/bluebellusher/gateway/_server.py
@@ -1,4 +1,4 @@
-"""HTTP server for callers, readiness checks and metrics."""
+"""HTTP servers for callers, and for readiness checks and metrics."""
 
 import asyncio
 from collections.abc import Callable
@@ -9,34 +9,38 @@
 from aiohttp import web
 
 from bluebellusher.gateway._admission import Admission, Denial, fingerprint
-from bluebellusher.gateway._answers import AnswerWriter, make_refusal
+from bluebellusher.gateway._answers import AnswerWriter, make_rejection_response
 from bluebellusher.links import AnswerStream
 from bluebellusher.runtime import Exchange, Runtime
 from bluebellusher.shared import Directory
 from bluebellusher_core.errors import Outcome, Reason, Rejection
 
-# Callers reuse connections for up to four fifths of the configured idle time.
+# Idle timeout of a caller's connection, in s. Callers reuse a connection for up to four
+# fifths of the configured idle time.
 KEEP_ALIVE_TIMEOUT_S = 75.0
-# A body that is still incomplete after this time ends its connection.
+# Timeout of the complete body of a request, in ms.
 BODY_TIMEOUT_MS = 15_000
+# Upper bound of the request line and of each header field, in bytes.
 MAX_HEADER_BYTES = 65_536
+# Time after which a caller may retry while the entry has no configuration, in ms.
 NOT_READY_RETRY_MS = 500
+# Connections that the kernel queues until the entry accepts them.
 _BACKLOG = 1024
 
 
 class CallerServer:
-    """Serve callers by the routes in force.
+    """HTTP server that callers send their requests to.
 
     Parameters
     ----------
     runtime : Runtime
-        Decides and executes.
+        Passes requests to the reducer and executes its effects.
     directory : Directory
-        Routes and customers in force.
+        Provides the routes and customers in force.
     admission : Admission
-        Describes requests.
+        Admits or denies requests.
     make_request_id : callable
-        Returns a new id with each call.
+        Returns a new request id for each call.
     """
 
     def __init__(
@@ -59,66 +63,70 @@
             max_field_size=MAX_HEADER_BYTES,
         )
         self._listener: asyncio.Server | None = None
-        self._busy: set[Any] = set()
+        self._busy_protocols: set[Any] = set()
 
     @property
     def n_connections(self) -> int:
-        """Return how many callers are connected."""
+        """Number of open connections of callers."""
         return len(self._server.connections)
 
     async def listen(self, host: str, port: int) -> None:
-        """Accept callers."""
+        """Accept connections of callers at an address."""
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(
             self._server, host, port, backlog=_BACKLOG
         )
 
     def stop_accepting(self) -> None:
-        """Accept no new connection; requests in progress go on."""
+        """Accept no new connections; requests in progress continue."""
         if self._listener is not None:
             self._listener.close()
 
     def close_idle(self) -> None:
-        """Close connections on which no request is in progress.
+        """Close the connections without a request in progress.
 
-        ``RequestHandler.close`` would end the task of an idle connection and leave
-        its socket open, on which later requests are never read.
+        ``RequestHandler.close`` would end the task of an idle connection but leave its
+        socket open. Requests that a caller sends on such a socket are never read.
         """
         for connection in list(self._server.connections):
-            if connection not in self._busy:
+            if connection not in self._busy_protocols:
                 connection.force_close()
 
     async def close(self) -> None:
-        """Close every connection."""
+        """Close all connections."""
         await self._server.shutdown(timeout=0.1)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        self._busy.add(request.protocol)
+        """Serve one request and mark its connection as busy until the response ends."""
+        self._busy_protocols.add(request.protocol)
         try:
             response = await self._serve(request)
             if self._runtime.is_shutting_down:
-                # Also after a stream that began before: its connection takes no more.
+                # A stream that started before the shutdown needs this too: its
+                # connection must not be used for another request.
                 response.force_close()
             if request.transport is not None and not request.transport.is_closing():
-                # Here and not by the caller, so that the connection counts as busy.
+                # Written here instead of by aiohttp after the return, so that the
+                # connection counts as busy until the response has been sent.
                 await response.prepare(request)
                 await response.write_eof()
             return response
         finally:
-            self._busy.discard(request.protocol)
+            self._busy_protocols.discard(request.protocol)
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Admit a request, read its body and return the answer, or deny it."""
         request_id = self._make_request_id()
         table = self._directory.routing
         if table is None:
-            return self._refuse_unready(request_id, request)
+            return self._reject_not_ready(request_id, request)
         now_ms = self._runtime.now_ms()
         target = request.raw_path
-        found = self._admission.admit(
+        result = self._admission.admit(
             table, request_id, request.method, target, request.headers, now_ms
         )
-        if isinstance(found, Denial):
-            return self._deny(request_id, request, found, table.version)
+        if isinstance(result, Denial):
+            return self._deny(request_id, request, result, table.version)
         try:
             async with asyncio.timeout(BODY_TIMEOUT_MS / 1000):
                 body = await _read_body(request, table.limits.max_body_bytes)
@@ -128,7 +136,7 @@
         if body is None:
             denial = Denial(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "body too long")
             return self._deny(request_id, request, denial, table.version)
-        spec = found.spec
+        spec = result.spec
         spec = replace(
             spec, fingerprint=fingerprint(spec, request.method, target, body)
         )
@@ -143,15 +151,15 @@
                 "request", request.headers.get("traceparent", "")
             ),
             header_items=list(request.headers.items()),
-            caller_attempt_id=found.fields.attempt_id,
-            last_event_id=found.fields.last_event_id,
-            max_silence_ms=found.max_silence_ms,
+            caller_attempt_id=result.fields.attempt_id,
+            last_event_id=result.fields.last_event_id,
+            max_silence_ms=result.max_silence_ms,
         )
         self._runtime.log(
             "request-arrived",
             request=request_id,
-            caller_attempt=found.fields.attempt_id,
-            route=found.route.route_id,
+            caller_attempt=result.fields.attempt_id,
+            route=result.route.route_id,
             service=spec.service_id,
             customer=spec.customer_id,
             fingerprint=spec.fingerprint,
@@ -164,6 +172,7 @@
     async def _answer(
         self, request: web.BaseRequest, exchange: Exchange
     ) -> web.StreamResponse:
+        """Submit an admitted request and write its answer to the caller."""
         self._runtime.submit(exchange)
         writer = AnswerWriter(request, exchange, self._runtime)
         outcome = "caller_left"
@@ -173,9 +182,12 @@
             return response
         finally:
             self._runtime.end(exchange)
-            self._note_end(exchange, outcome, writer)
+            self._record_end(exchange, outcome, writer)
 
-    def _note_end(self, exchange: Exchange, outcome: str, writer: AnswerWriter) -> None:
+    def _record_end(
+        self, exchange: Exchange, outcome: str, writer: AnswerWriter
+    ) -> None:
+        """Record the end of a request in the metrics, the log and its span."""
         spec, answer = exchange.spec, exchange.answer
         metrics = self._runtime.metrics
         metrics.count("bluebellusher_requests_total", "outcome", outcome)
@@ -198,21 +210,22 @@
         )
         exchange.span.end(request_id=spec.request_id, outcome=outcome)
 
-    def _refuse_unready(
+    def _reject_not_ready(
         self, request_id: str, request: web.BaseRequest
     ) -> web.StreamResponse:
-        refusal = Rejection(
+        """Reject a request because the entry has no configuration yet."""
+        rejection = Rejection(
             Outcome.NOT_RUN, Reason.NOT_READY, "receive", "", NOT_READY_RETRY_MS
         )
-        response = make_refusal(refusal, request_id)
+        response = make_rejection_response(rejection, request_id)
         self._runtime.log(
             "request-ended",
             request=request_id,
             caller_attempt=self._admission.read_attempt_id(request.headers),
-            outcome=refusal.outcome.value,
+            outcome=rejection.outcome.value,
             status=response.status,
-            reason=refusal.reason.value,
-            step=refusal.step,
+            reason=rejection.reason.value,
+            step=rejection.step,
             retry_after_ms=NOT_READY_RETRY_MS,
         )
         return response
@@ -220,6 +233,7 @@
     def _deny(
         self, request_id: str, request: web.BaseRequest, denial: Denial, version: int
     ) -> web.StreamResponse:
+        """Return the response of a denial, counted and logged."""
         self._runtime.metrics.count(
             "bluebellusher_denied_total", "reason", denial.reason
         )
@@ -235,14 +249,20 @@
 
 
 class PageServer:
-    """Serve a few fixed pages, such as readiness and metrics."""
+    """HTTP server of pages for operators, such as readiness and metrics.
+
+    Parameters
+    ----------
+    pages : dict of str to callable
+        Function that returns the response, by path. Other paths get a 404.
+    """
 
     def __init__(self, pages: dict[str, Callable[[], web.Response]]) -> None:
         self._pages = pages
         self._server = web.Server(self._handle, access_log=None)
 
     async def listen(self, host: str, port: int) -> None:
-        """Answer checks."""
+        """Accept connections at an address."""
         loop = asyncio.get_running_loop()
         await loop.create_server(self._server, host, port)
 
@@ -252,13 +272,13 @@
 
 
 async def _read_body(request: web.BaseRequest, max_bytes: int) -> bytes | None:
-    """Return the whole body, or None when it is too long."""
+    """Return the complete body, or None if it is longer than ``max_bytes``."""
     if not request.can_read_body:
         return b""
-    parts = bytearray()
+    body = bytearray()
     content: Any = request.content
     while data := await content.readany():
-        parts += data
-        if len(parts) > max_bytes:
+        body += data
+        if len(body) > max_bytes:
             return None
-    return bytes(parts)
+    return bytes(body)
--- a/packages/entry/src/bluebellusher/gateway/tests/test_announcements.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_announcements.py
@@ -1,24 +1,28 @@
-"""What endpoints say of themselves in their answers, through real sockets."""
+"""Announcements of endpoints in their answers, over real sockets."""
 
 import asyncio
 
 import pytest
 from aiohttp import web
 
-from bluebellusher.gateway.tests.harness import answer_whole, make_route, run
+from bluebellusher.gateway.tests.harness import answer_sealed, make_route, run_scenario
 from bluebellusher_core.directory import RequestKind
 
 NON_IDEMPOTENT = [make_route(RequestKind.NON_IDEMPOTENT)]
 
 
-def leave_with(status, **headers):
-    """Return an answer of an endpoint that leaves."""
+def make_leaving_answer(status, **headers):
+    """Return an answer function of an endpoint that is leaving."""
 
     async def answer(request, body):
-        found = {"Attempt": request.headers["Attempt"], "Leaving": "1", **headers}
+        answer_headers = {
+            "Attempt": request.headers["Attempt"],
+            "Leaving": "1",
+            **headers,
+        }
         if status == 200:
-            found["Seal"] = "s"
-        return web.Response(status=status, headers=found, body=b"whole")
+            answer_headers["Seal"] = "s"
+        return web.Response(status=status, headers=answer_headers, body=b"whole")
 
     return answer
 
@@ -26,14 +30,18 @@
 @pytest.mark.parametrize(
     "answer",
     [
-        leave_with(200),
-        leave_with(500, Seal="s"),
-        leave_with(503, **{"Not-Run": "1"}),
-        leave_with(200, Attempt="another"),
+        make_leaving_answer(200),
+        make_leaving_answer(500, Seal="s"),
+        make_leaving_answer(503, **{"Not-Run": "1"}),
+        make_leaving_answer(200, Attempt="another"),
     ],
 )
-def test_endpoint_that_leaves_gets_one_request(answer):
-    """Guards against marks that only some kinds of answers set."""
+def test_leaving_endpoint_gets_at_most_one_request(answer):
+    """Guards against announcements that are ignored in some kinds of answers.
+
+    The endpoint announces its shutdown in a success, an error, a refusal or the answer
+    to another request.
+    """
 
     async def scenario(harness):
         for _ in range(10):
@@ -41,13 +49,17 @@
         assert len(harness.endpoints[0].received) <= 1
         assert harness.recorder.count("endpoint-leaving") <= 1
 
-    run(scenario, [answer, answer_whole])
+    run_scenario(scenario, [answer, answer_sealed])
+
 
+def test_answer_in_progress_completes_while_its_endpoint_is_leaving():
+    """Guards against truncated answers of an endpoint that is leaving.
 
-def test_answer_in_progress_ends_when_its_endpoint_says_that_it_leaves():
-    """Guards against answers cut because their endpoint leaves."""
+    The next request is rejected with a ``Retry-After``, because there is no other
+    endpoint.
+    """
 
-    async def stream_and_leave(request, body):
+    async def stream_while_leaving(request, body):
         headers = {"Attempt": request.headers["Attempt"], "Leaving": "1", "Seal": "s"}
         response = web.StreamResponse(headers=headers)
         await response.prepare(request)
@@ -64,13 +76,13 @@
         assert float(headers["Retry-After"]) > 0
         assert len(harness.endpoints[0].received) == 1
 
-    run(scenario, [stream_and_leave])
+    run_scenario(scenario, [stream_while_leaving])
 
 
-def test_endpoint_gets_nothing_during_the_pause_that_it_asked_for():
-    """Guards against repeats at an endpoint that has turned one away."""
+def test_endpoint_gets_no_request_during_its_pause():
+    """Guards against attempts at an endpoint that has asked for a pause."""
 
-    async def pause(request, body):
+    async def refuse_with_pause(request, body):
         return web.Response(status=503, headers={"Not-Run": "1", "Pause-Ms": "700"})
 
     async def scenario(harness):
@@ -82,13 +94,17 @@
             assert (await harness.fetch())[0] == 200
         assert len(harness.endpoints[0].received) == 2
 
-    run(scenario, [pause, answer_whole])
+    run_scenario(scenario, [refuse_with_pause, answer_sealed])
+
 
+def test_rejection_contains_the_remaining_time_of_the_shortest_pause():
+    """Guards against requests that wait, or are retried too early, during a pause.
 
-def test_callers_learn_when_the_shortest_pause_ends():
-    """Guards against callers held, or sent back too early, by a service that pauses."""
+    The only endpoint has asked for 5 s without work, so that requests are rejected
+    immediately with the remaining time of the pause.
+    """
 
-    async def pause(request, body):
+    async def refuse_with_pause(request, body):
         return web.Response(status=503, headers={"Not-Run": "1", "Pause-Ms": "5000"})
 
     async def scenario(harness):
@@ -99,4 +115,4 @@
         assert 3 < float(headers["Retry-After"]) <= 5.5
         assert len(harness.endpoints[0].received) == 1
 
-    run(scenario, [pause], routes=NON_IDEMPOTENT)
+    run_scenario(scenario, [refuse_with_pause], routes=NON_IDEMPOTENT)
--- a/packages/entry/src/bluebellusher/gateway/tests/test_parts.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_task_restart.py
@@ -1,12 +1,12 @@
-"""Parts of an entry that end though they should run as long as the process."""
+"""Background tasks of an entry that end by an error while the process runs."""
 
 import asyncio
 
 from bluebellusher.gateway import Gateway
 from bluebellusher.gateway.tests.harness import (
     CODEC,
+    LogRecorder,
     PlainDialect,
-    Recorder,
     make_settings,
 )
 from bluebellusher.observability import KeyValueLog
@@ -15,9 +15,13 @@
 from bluebellusher_core.clock import SystemClock
 
 
-def test_part_that_ends_by_an_error_is_reported_and_started_again():
-    """Guards against a lease or a table that nobody follows any more."""
-    recorder = Recorder()
+def test_failed_task_is_logged_and_restarted():
+    """Guards against a lease or table that is never updated again after an error.
+
+    A table watcher whose task raises an error must be logged and restarted. Its
+    cancellation at the shutdown must not be logged as an error.
+    """
+    recorder = LogRecorder()
     log = KeyValueLog.from_config("info", recorder)
 
     async def main():
@@ -37,13 +41,15 @@
         await gateway.start()
         try:
             await until(lambda: recorder.count("internal-fault"))
-            (line,) = recorder.lines_of("internal-fault")
+            (line,) = recorder.get_lines("internal-fault")
             assert "step=task" in line
             assert "KeyError" in line
             await until(lambda: n_runs == 2)
         finally:
             await gateway.stop()
             log.close()
-        assert recorder.count("internal-fault") == 1, "a stop is no fault"
+        assert recorder.count("internal-fault") == 1, (
+            "the shutdown was logged as an internal fault"
+        )
 
     asyncio.run(main())
