Reword comments and doc comments of entry/rollout

Doc comments name their subjects, units and errors, and use the terms of core/rollout. Three prose reasons to operators are clearer. Behaviour does not change.

--- a/packages/entry/src/bluebellusher/rollout/_changes.py
+++ b/packages/entry/src/bluebellusher/rollout/_changes.py
@@ -1,4 +1,4 @@
-"""Execution of the changes that operators send to this entry."""
+"""Execution of the changes of the rules that operators send to this entry."""
 
 import asyncio
 import contextlib
@@ -29,16 +29,18 @@
 )
 from bluebellusher_core.wire import messages
 
-# How often a proposal looks whether a time limit has passed.
+# Longest time between two calls of ``ChangeProposal.advance``, which checks the
+# timeouts of a proposal.
 _STEP_INTERVAL_S = 0.05
+# Time between two attempts to determine the final state of an unknown change.
 _SETTLE_INTERVAL_S = 1.0
-# A change that stays unknown is settled in the background for this long.
+# Time after which the background task stops trying to determine that state.
 _SETTLE_LIMIT_MS = 600_000
 
 
 @dataclass(frozen=True, slots=True)
 class ChangeOrder:
-    """A change as an operator sent it, with rules that were found without errors."""
+    """Change that an operator sent, with a rules text that has no errors."""
 
     change_id: str
     base_version: int
@@ -50,7 +52,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ChangeAnswer:
-    """What became of a change; the head is given when it was refused."""
+    """State of a change for the operator; ``head`` is set when it was refused."""
 
     state: ChangeState
     version: int = 0
@@ -60,7 +62,11 @@
 
 @dataclass(slots=True)
 class _Running:
-    """A proposal, and the event that wakes its task."""
+    """Proposal that is in progress.
+
+    ``woken`` is set when the proposal received an input and can advance, and
+    ``written`` is the version that this entry wrote to the table.
+    """
 
     proposal: ChangeProposal
     woken: asyncio.Event = field(default_factory=asyncio.Event)
@@ -68,22 +74,22 @@
 
 
 class ChangeRunner:
-    """Stage, write and settle changes.
+    """Executor of changes: stages, writes and resolves them.
 
     Parameters
     ----------
     in_force : ConfigInForce
-        Takes an accepted change.
+        Receives the accepted versions.
     table : ConfigTable
         Rows of the configuration.
     domains : DomainView
-        Where a change has to be staged.
+        Failure domains in which a change must be staged.
     links : PeerLinks
-        Sends to peers.
+        Connections to peers.
     sink : EventSink
-        Takes log lines.
+        Receives log lines.
     clock : Clock
-        Time limits and the time of acceptance.
+        Monotonic time for timeouts, and wall time for the time of acceptance.
     """
 
     def __init__(
@@ -106,9 +112,10 @@
         self._settling: set[asyncio.Task[None]] = set()
 
     async def apply(self, order: ChangeOrder) -> ChangeAnswer:
-        """Run a change to its end, also when the operator's connection breaks.
+        """Execute a change and return its result.
 
-        A repeat of a change that still runs waits for the same end.
+        The change continues when the operator's connection is lost. A repeated call
+        with the id of a change that is in progress waits for the same result.
         """
         task = self._task_by_id.get(order.change_id)
         if task is None:
@@ -118,18 +125,18 @@
         return await asyncio.shield(task)
 
     def is_running(self, change_id: str) -> bool:
-        """Return whether the change is not decided yet."""
+        """Return whether this entry is still executing the change."""
         return change_id in self._task_by_id
 
     async def close(self) -> None:
-        """End all tasks."""
+        """Cancel all tasks and wait for their end."""
         tasks = [*self._task_by_id.values(), *self._settling]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
     def receive_stage(self, peer_id: str, stage: Any) -> None:
-        """Answer a peer whether this entry can run the rules."""
+        """Reply to a peer whether this entry can parse the rules of a change."""
         errors = find_rules_errors(unpack_text(stage.rules_text or ""))
         staged = messages.ConfigStaged(
             change_id=stage.change_id,
@@ -140,7 +147,7 @@
         self._links.send(peer_id, staged)
 
     def receive_staging_reply(self, peer_id: str, staged: Any) -> None:
-        """Take in the answer of a peer."""
+        """Pass the reply of a peer to the proposal that asked for staging."""
         running = self._running_by_id.get(staged.change_id)
         domain = self._domains.connected().get(peer_id)
         if running is not None and domain is not None:
@@ -151,11 +158,15 @@
             running.woken.set()
 
     async def _run(self, order: ChangeOrder) -> ChangeAnswer:
+        """Execute a change from reading its rows to logging its result."""
         try:
             rows = await self._table.read_rows(order.change_id)
         except PlatformError as error:
-            # An earlier attempt with the same id may have been accepted.
-            return ChangeAnswer(ChangeState.UNKNOWN, reason=f"the table: {error}")
+            # The state is unknown, because an earlier attempt of the operator with the
+            # same change id may have been accepted.
+            return ChangeAnswer(
+                ChangeState.UNKNOWN, reason=f"the table could not be read: {error}"
+            )
         await self._domains.refresh()
         proposal = ChangeProposal(
             change_id=order.change_id,
@@ -182,6 +193,7 @@
         return answer
 
     async def _advance(self, running: _Running, order: ChangeOrder) -> None:
+        """Execute the effects of a proposal until its state is final."""
         proposal = running.proposal
         while not proposal.is_final:
             running.woken.clear()
@@ -198,12 +210,14 @@
                     await running.woken.wait()
 
     async def _write(self, running: _Running, step: WriteChange, operator: str) -> None:
+        """Execute a write and pass its result to the proposal."""
         result = await self._table.write_change(step, operator)
         if result.status is WriteStatus.APPLIED:
             running.written = step.config
         running.proposal.receive_write_result(result)
 
     async def _finish(self, running: _Running, order: ChangeOrder) -> ChangeAnswer:
+        """Act on the final state of a proposal and return the result."""
         proposal = running.proposal
         if proposal.state is ChangeState.ACCEPTED:
             return await self._take(running, order)
@@ -214,12 +228,13 @@
         return ChangeAnswer(ChangeState.REFUSED, reason=proposal.reason, head=head)
 
     async def _take(self, running: _Running, order: ChangeOrder) -> ChangeAnswer:
-        """Put an accepted version into force here, from where it spreads."""
+        """Put an accepted version into force at this entry, which announces it."""
         version = running.proposal.accepted_version
         config = running.written
         if config is None:
-            # The row of the change accepts it: an answer was lost, or the operator
-            # repeated the id, perhaps with another text.
+            # The row of the change was present, but no write of this proposal was
+            # answered. Either the answer was lost, or the operator repeated an earlier
+            # change id, perhaps with another rules text.
             try:
                 config = await self._table.read_version(version)
             except PlatformError:
@@ -232,7 +247,11 @@
         return ChangeAnswer(ChangeState.ACCEPTED, version)
 
     async def read_head(self) -> ConfigVersion | None:
-        """Return the head with its text, or the version in force here if unknown."""
+        """Return the head with its rules text.
+
+        The version in force at this entry is returned when the table is unavailable
+        or has no higher version.
+        """
         try:
             _, head = await self._table.read_head()
             if head is not None and head.version > self._in_force.version:
@@ -247,7 +266,11 @@
         task.add_done_callback(self._settling.discard)
 
     async def _settle(self, change_id: str) -> None:
-        """Find out what became of a change, and refuse it if nothing did."""
+        """Determine the final state of an unknown change.
+
+        A change without a row in the table is recorded as refused. The attempts end
+        after ``_SETTLE_LIMIT_MS``.
+        """
         until_ms = self._clock.now_ms() + _SETTLE_LIMIT_MS
         while self._clock.now_ms() < until_ms:
             with contextlib.suppress(PlatformError):
--- a/packages/entry/src/bluebellusher/rollout/_domains.py
+++ b/packages/entry/src/bluebellusher/rollout/_domains.py
@@ -1,4 +1,4 @@
-"""Failure domains that have entries, and the entries that can be reached there."""
+"""Failure domains that have entries, and the connected peers in each of them."""
 
 from collections.abc import Collection, Iterable, Mapping
 
@@ -8,20 +8,20 @@
 
 
 class DomainView:
-    """Know every failure domain in which a change has to be staged.
+    """View of the failure domains in which a change must be staged.
 
-    Domains come from the configured peers, the instance list and the peers that were
-    connected at any time since the start. A domain stays known when its peers are
-    lost, because losing them is what must refuse a change.
+    The domains are those of the configured peers, of the instance list and of all
+    peers that were connected at any time since the start. A domain is kept when the
+    connections to all its peers are lost, because a change must be refused then.
 
     Parameters
     ----------
     settings : Settings
-        Own failure domain and configured peers.
+        Failure domain of this entry, and configured peers.
     links : PeerLinks
         Connections to peers.
     platform : PlatformClient
-        Gives the instance list.
+        Client of the instance list.
     """
 
     def __init__(
@@ -49,12 +49,21 @@
         }
 
     def own_members(self) -> list[str]:
-        """Return the connected peers of the own failure domain."""
+        """Return the connected peers in the failure domain of this entry."""
         own = self._settings.failure_domain
         return [peer for peer, domain in self.connected().items() if domain == own]
 
     def learn(self, peer_id: str, addresses: Iterable[str]) -> None:
-        """Take in that a connected peer listens at ``addresses``."""
+        """Record the failure domain of a connected peer for its addresses.
+
+        Parameters
+        ----------
+        peer_id : str
+            Instance id of the peer; an id without a connection is ignored.
+        addresses : iterable of str
+            Addresses, as ``host:port``, at which the peer listens. Addresses that are
+            not configured are ignored.
+        """
         domain = self.connected().get(peer_id)
         if domain is None:
             return
@@ -64,7 +73,10 @@
                 self._domain_by_address[address] = domain
 
     async def refresh(self) -> None:
-        """Read the instance list; without an answer the last one is kept."""
+        """Read the domains of running entries from the instance list.
+
+        The previous domains are kept when the platform fails.
+        """
         result = await self._platform.list_instances()
         if result.is_ok():
             self._listed_domains = {
@@ -76,14 +88,14 @@
     def peers_by_domain(self, without: Collection[str]) -> Mapping[str, list[str]]:
         """Return the connected peers of each other failure domain.
 
-        A domain without a connected peer has an empty list. A configured peer that
-        never connected and whose domain is unknown counts as a domain of its own,
-        named by its address, because it may be the only entry of a domain.
+        A domain without a connected peer has an empty list. If a configured peer has
+        never connected and its failure domain is not configured, its address is
+        returned as a separate domain, because it may be the only entry of its domain.
 
         Parameters
         ----------
         without : collection of str
-            Domains that the operator named as cut off.
+            Domains that the operator listed as cut off, which are left out.
         """
         domains = self._seen_domains | self._listed_domains
         for address, domain in self._domain_by_address.items():
--- a/packages/entry/src/bluebellusher/rollout/_in_force.py
+++ b/packages/entry/src/bluebellusher/rollout/_in_force.py
@@ -1,4 +1,4 @@
-"""The version that this entry runs, with its parsed rules."""
+"""Version in force at this entry, with its parsed rules."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -17,7 +17,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigSource:
-    """Where a version came from: ``settings``, ``table``, ``operator`` or a peer."""
+    """Origin of a version, as shown in the status and in the log.
+
+    ``name`` is ``settings``, ``table``, ``operator`` or ``peer:`` and the id of a peer.
+    """
 
     name: str
 
@@ -26,7 +29,7 @@
 
 
 def find_rules_errors(rules_text: str) -> list[str]:
-    """Return the errors of a rules text, each with line and column."""
+    """Return the syntax errors of a rules text, each with its line and column."""
     result = parse_rules(rules_text)
     if result.is_ok():
         return []
@@ -34,16 +37,17 @@
 
 
 class ConfigInForce:
-    """Check versions that arrive from anywhere and put newer ones into force.
+    """Version in force; replaced by every newer version whose rules are valid.
 
     Parameters
     ----------
     settings : Settings
-        Customers whose weights hold where the rules give none.
+        Customers and their weights, which apply to customers for which the rules
+        have no share.
     sink : EventSink
         Receives ``PolicyChanged`` and log lines.
     clock : Clock
-        Times the age of the version.
+        Monotonic and wall time for the ages in the status.
     """
 
     def __init__(self, settings: Settings, sink: EventSink, clock: Clock) -> None:
@@ -70,9 +74,10 @@
 
     @property
     def seen_version(self) -> int:
-        """Return the highest version that was offered, in force or rejected.
+        """Return the highest version number that was offered, in force or rejected.
 
-        A version that this entry cannot parse is not fetched again.
+        Only versions above this number are fetched, so that a version that this entry
+        cannot parse is fetched only once.
         """
         return max(self.version, self._rejected_version)
 
@@ -81,11 +86,16 @@
         self._listeners.append(listener)
 
     def confirm(self) -> None:
-        """Note that the table named no higher version than the one in force."""
+        """Record that the table has no higher version than the one in force."""
         self._confirmed_at_ms = self._clock.now_ms()
 
     def offer(self, config: ConfigVersion, source: ConfigSource) -> bool:
-        """Put a newer version into force; return whether it is."""
+        """Put a version into force if it is newer; return whether this was done.
+
+        Three kinds of versions are ignored: versions that are not newer, versions
+        whose rules cannot be parsed, and versions that have the number of the version
+        in force but another change id. The last two are logged.
+        """
         if config.version < self.seen_version:
             return False
         if config.version == self._rejected_version:
@@ -107,11 +117,12 @@
         return True
 
     def status(self) -> dict[str, Any]:
-        """Return version, source and ages in milliseconds.
+        """Return the version in force, its source and its ages in milliseconds.
 
-        ``age_ms`` counts from acceptance, by wall clocks; ``in_force_ms`` counts from
-        when this entry took the version, and ``confirmed_age_ms`` from when the table
-        last named no higher one.
+        ``age_ms`` is the time since the version was accepted, by wall clocks.
+        ``in_force_ms`` is the time since this entry put it into force.
+        ``confirmed_age_ms`` is the time since a read of the table last found no
+        higher version.
         """
         now_ms = self._clock.now_ms()
         current, confirmed_at_ms = self.current, self._confirmed_at_ms
@@ -130,6 +141,7 @@
     def _reject(
         self, config: ConfigVersion, errors: list[str], source: ConfigSource
     ) -> None:
+        """Record a version whose rules cannot be parsed, and log its errors."""
         self._rejected_version = config.version
         self._sink.log(
             "config-rejected",
@@ -140,6 +152,7 @@
         )
 
     def _announce(self, config: ConfigVersion) -> None:
+        """Log the new version, post the new weights and call the listeners."""
         self._sink.log(
             "config-in-force",
             version=config.version,
@@ -151,7 +164,11 @@
             listener(config, self.rules)
 
     def _policies(self) -> tuple[CustomerPolicy, ...]:
-        """Return the weights of all customers of the settings and of the rules."""
+        """Return the weight of each customer of the settings or the rules.
+
+        A share in the rules has precedence over the weight in the settings, and a
+        customer with neither has weight 1.
+        """
         weights = {c.customer_id: c.weight for c in self._settings.customers}
         for customer in self.rules.customers:
             weights.setdefault(customer, 1.0)
--- a/packages/entry/src/bluebellusher/rollout/_packed.py
+++ b/packages/entry/src/bluebellusher/rollout/_packed.py
@@ -1,22 +1,32 @@
-"""Rules texts as they travel between entries."""
+"""Compression of rules texts in messages between entries."""
 
 import base64
 import binascii
 import zlib
 
-# No rules text begins like this: each of its lines is a rule, a comment or blank.
+# Marks a compressed text. No rules text starts with this prefix, because each of its
+# lines is a rule, a comment or blank.
 _PREFIX = "zlib:"
+# Limit for the uncompressed text, against messages that expand without bound.
 _MAX_TEXT_BYTES = 16 * 1024 * 1024
 
 
 def pack_text(rules_text: str) -> str:
-    """Compress a text; rules repeat themselves, and 1,600 nodes receive each change."""
+    """Return the compressed rules text.
+
+    Rules are repetitive and compress well, and in a deployment of 1,600 nodes each
+    change is sent to all of them.
+    """
     data = zlib.compress(rules_text.encode())
     return _PREFIX + base64.b64encode(data).decode()
 
 
 def unpack_text(packed: str) -> str:
-    """Return the text; one that cannot be read becomes a text with an error."""
+    """Return the rules text of a compressed or plain text.
+
+    A compressed text that cannot be decoded is returned unchanged. It starts with the
+    prefix and is therefore reported as an error when the rules are parsed.
+    """
     if not packed.startswith(_PREFIX):
         return packed
     try:
--- a/packages/entry/src/bluebellusher/rollout/_pages.py
+++ b/packages/entry/src/bluebellusher/rollout/_pages.py
@@ -1,4 +1,4 @@
-"""``/admin/rules`` for operators."""
+"""HTTP routes below ``/admin/rules`` for operators."""
 
 import json
 import re
@@ -29,16 +29,16 @@
 
 
 class RulesPages:
-    """Read and change the rules over HTTP.
+    """HTTP routes that return and change the rules.
 
     Parameters
     ----------
     parser : RequestParser
-        Knows the operators.
+        Authenticates operators.
     runner : ChangeRunner
         Executes changes.
     table : ConfigTable
-        Read for versions and changes.
+        Source of accepted versions and of the states of changes.
     """
 
     def __init__(
@@ -49,7 +49,7 @@
         self._table = table
 
     def add_to(self, app: Sanic[Any, Any]) -> None:
-        """Register the routes."""
+        """Register the routes in the HTTP server."""
         path = "/admin/rules"
         app.add_route(self._post, path, methods=["POST"], name="rules-post")
         app.add_route(self._get, path, name="rules-head")
@@ -58,6 +58,7 @@
         app.add_route(self._get_change, change_path, name="rules-change")
 
     async def _post(self, request: Request) -> HTTPResponse:
+        """Execute a change and return its state."""
         operator = self._parser.find_operator(request.headers)
         if operator is None:
             return _unknown_operator()
@@ -82,6 +83,7 @@
         return _answer(await self._runner.apply(order))
 
     async def _get(self, request: Request) -> HTTPResponse:
+        """Return the last accepted version."""
         if self._parser.find_operator(request.headers) is None:
             return _unknown_operator()
         head = await self._runner.read_head()
@@ -90,6 +92,7 @@
         return _json(_to_json(head))
 
     async def _get_versions(self, request: Request) -> HTTPResponse:
+        """Return all accepted versions."""
         if self._parser.find_operator(request.headers) is None:
             return _unknown_operator()
         try:
@@ -99,12 +102,13 @@
         return _json({"versions": [_to_json(config) for config in versions]})
 
     async def _get_change(self, request: Request, change_id: str) -> HTTPResponse:
+        """Return the state of a change."""
         if self._parser.find_operator(request.headers) is None:
             return _unknown_operator()
         if not re.fullmatch(_CHANGE_ID, change_id):
             return _json({"error": {"reason": "bad_request"}}, 400)
         if self._runner.is_running(change_id):
-            return _json({"state": "unknown", "reason": "it is not decided yet"})
+            return _json({"state": "unknown", "reason": "the change is in progress"})
         try:
             version = await self._table.read_change(change_id)
         except PlatformError as error:
@@ -112,7 +116,7 @@
         if version == 0:
             return _json({"error": {"reason": "unknown_change"}}, 404)
         if version < 0:
-            reason = "it did not reach the table in time"
+            reason = "it was not written to the table in time"
             return _json({"state": "refused", "reason": reason})
         return _json({"state": "accepted", "version": version})
 
--- a/packages/entry/src/bluebellusher/rollout/_rollout.py
+++ b/packages/entry/src/bluebellusher/rollout/_rollout.py
@@ -1,4 +1,4 @@
-"""All parts of the configuration of one entry, connected."""
+"""Assembly of the rollout components of one entry."""
 
 import asyncio
 from collections.abc import Callable
@@ -21,10 +21,20 @@
 
 
 class ConfigRollout:
-    """Take, spread and accept versions of the rules.
+    """Rollout of the rules at one entry: its components and their background tasks.
 
-    ``in_force`` gives the version and its rules to the rest of the entry, and
-    ``pages`` serves the operators.
+    Parameters
+    ----------
+    settings : Settings
+        Settings of this entry; its instance id decides whether it polls the table.
+    in_force : ConfigInForce
+        Version in force and its rules, which the rest of the entry reads.
+    spread : ConfigSpread
+        Exchange of versions with peers and the table.
+    runner : ChangeRunner
+        Execution of the changes that operators send.
+    pages : RulesPages
+        HTTP routes for operators.
     """
 
     def __init__(
@@ -53,7 +63,25 @@
         make_digest: Callable[[], Any],
         random_state: Random,
     ) -> "ConfigRollout":
-        """Build everything from the parts of an entry."""
+        """Build the components from the services of an entry.
+
+        Parameters
+        ----------
+        settings : Settings
+            Settings of this entry.
+        sink : EventSink
+            Receives ``PolicyChanged`` events and log lines.
+        clock : Clock
+            Monotonic and wall time.
+        links : PeerLinks
+            Connections to peers.
+        platform : PlatformClient
+            Client of the table and the instance list.
+        make_digest : callable
+            Returns the current ``Digest`` message of this entry.
+        random_state : Random
+            Chooses peers and the jitter of polls.
+        """
         in_force = ConfigInForce(settings, sink, clock)
         table = ConfigTable(platform)
         domains = DomainView(settings, links, platform)
@@ -65,7 +93,7 @@
         return cls(settings, in_force, spread, runner, pages)
 
     def start(self, exchange: PeerExchange, ticker: LinkTicker) -> None:
-        """Handle the messages of peers, and poll the table."""
+        """Register the handlers of peer messages and start to poll the table."""
         exchange.register(messages.ConfigStage, self._runner.receive_stage)
         exchange.register(messages.ConfigStaged, self._runner.receive_staging_reply)
         self._spread.register(exchange)
@@ -73,7 +101,7 @@
         self._task = asyncio.create_task(self._spread.poll(self._settings.instance_id))
 
     async def close(self) -> None:
-        """End all tasks."""
+        """Cancel all tasks and wait for their end."""
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
--- a/packages/entry/src/bluebellusher/rollout/_spread.py
+++ b/packages/entry/src/bluebellusher/rollout/_spread.py
@@ -1,4 +1,4 @@
-"""Spread of versions between entries and from the table."""
+"""Distribution of versions between entries and from the table to entries."""
 
 import asyncio
 from collections.abc import Callable
@@ -17,34 +17,37 @@
 from bluebellusher_core.rules import RuleSet
 from bluebellusher_core.wire import messages
 
+# Mean time in milliseconds between two reads of the head row by a poller.
 POLL_INTERVAL_MS = 1_000
-# A pull without an answer is sent to another peer after this time.
+# Time in milliseconds after which an unanswered pull is repeated, to any peer that
+# runs a newer version.
 PULL_TIMEOUT_MS = 1_000
 
 
 class ConfigSpread:
-    """Tell peers about a new version, fetch newer ones, and poll the table.
+    """Distributor of versions: announces, pulls and pushes them, and polls the table.
 
-    A new version is announced by a digest, and a peer that lacks it pulls the text
-    from one peer at a time. The text, which is the large part, therefore reaches
-    each entry once, although several peers announce it.
+    A new version is announced by a digest. A peer that has an older version pulls the
+    rules text from one peer at a time. The text is the large part of a version, and
+    each entry receives it only once, although several peers announce the version.
 
     Parameters
     ----------
     in_force : ConfigInForce
-        Takes every version that arrives.
+        Receives every version from peers and from the table.
     table : ConfigTable
-        Polled for the head.
+        Table whose head row is polled.
     domains : DomainView
-        Members for the choice of pollers and of peers to tell.
+        Connected peers, from which the pollers and the receivers of announcements
+        are chosen.
     links : PeerLinks
-        Sends to peers.
+        Connections to peers.
     make_digest : callable
-        Returns the current ``Digest`` message.
+        Returns the current ``Digest`` message of this entry.
     clock : Clock
-        Times the pulls.
+        Monotonic time for the timeout of pulls.
     random_state : Random
-        Chooses peers and jitter.
+        Chooses peers and the jitter of polls.
     """
 
     def __init__(
@@ -68,21 +71,25 @@
         self._pulled_at_ms: int | None = None
 
     def register(self, exchange: PeerExchange) -> None:
-        """Handle the messages of peers."""
+        """Register the handlers of peer messages, and announce every new version."""
         exchange.register(messages.Digest, self._receive_digest)
         exchange.register(messages.ConfigPull, self._receive_pull)
         exchange.register(messages.ConfigPush, self._receive_push)
         self._in_force.add_listener(self._announce)
 
     def tick(self, now_ms: int) -> None:
-        """Repeat a pull that was not answered."""
+        """Repeat a pull that was not answered within ``PULL_TIMEOUT_MS``."""
         pulled_at_ms = self._pulled_at_ms
         if pulled_at_ms is not None and now_ms - pulled_at_ms >= PULL_TIMEOUT_MS:
             self._pulled_at_ms = None
             self._pull()
 
     async def poll(self, own_id: str) -> None:
-        """Read the head once at the start, and then every second as a poller."""
+        """Read the head once, and then about every second while this entry is a poller.
+
+        The interval varies by 20% in both directions, so that the reads of several
+        entries do not coincide. ``own_id`` is the instance id of this entry.
+        """
         await self._poll_once()
         while True:
             jitter = 0.8 + 0.4 * self._random_state.random()
@@ -91,24 +98,27 @@
                 await self._poll_once()
 
     async def _poll_once(self) -> None:
+        """Read the head row, and offer its version if it is newer."""
         try:
             _, head = await self._table.read_head()
             if head is not None and head.version > self._in_force.seen_version:
                 config = await self._table.read_version(head.version)
                 self._in_force.offer(config, ConfigSource("table"))
         except PlatformError:
-            # The age of the last confirmation shows in the status.
+            # The status page shows the growing ``confirmed_age_ms``.
             return
         if head is None or head.version <= self._in_force.version:
             self._in_force.confirm()
 
     def _announce(self, _config: ConfigVersion, _rules: RuleSet) -> None:
+        """Send a digest with the new version number to a few connected peers."""
         connected = self._domains.connected()
         own = self._domains.own_domain
         for peer_id in choose_fan_out(connected, own, self._random_state):
             self._links.send(peer_id, self._make_digest())
 
     def _receive_digest(self, peer_id: str, digest: Any) -> None:
+        """Record a peer's addresses and version, and pull if no pull is pending."""
         members = digest.members or ()
         self._domains.learn(
             peer_id,
@@ -119,7 +129,7 @@
             self._pull()
 
     def _pull(self) -> None:
-        """Ask one of the connected peers that run a newer version."""
+        """Request the rules from one of the connected peers with a newer version."""
         seen = self._in_force.seen_version
         connected = self._domains.connected()
         newer = [
@@ -133,6 +143,7 @@
             self._links.send(peer_id, messages.ConfigPull(above_version=seen))
 
     def _receive_pull(self, peer_id: str, pull: Any) -> None:
+        """Send the version in force if it is newer than that of the peer."""
         current = self._in_force.current
         if current is not None and current.version > (pull.above_version or 0):
             push = messages.ConfigPush(
@@ -145,9 +156,12 @@
             self._links.send(peer_id, push)
 
     def _receive_push(self, peer_id: str, push: Any) -> None:
+        """Offer the version that a peer sent, and pull if a peer has a newer one."""
         self._pulled_at_ms = None
         version = push.version or 0
-        # What the peer can give; a digest that claimed more is not asked again.
+        # The pushed version replaces the announced one. If the digest of this peer
+        # announced a higher version than the peer can send, the next pull would
+        # otherwise ask the same peer again.
         self._version_by_peer_id[peer_id] = version
         config = ConfigVersion(
             version,
--- a/packages/entry/src/bluebellusher/rollout/_table.py
+++ b/packages/entry/src/bluebellusher/rollout/_table.py
@@ -1,4 +1,4 @@
-"""The rows of the configuration in the table."""
+"""Access to the configuration rows in the table."""
 
 from typing import Any
 
@@ -19,34 +19,45 @@
 HEAD_KEY = "config/head"
 VERSION_PREFIX = "config/version/"
 _CHANGE_PREFIX = "config/change/"
-# All versions come in one answer, which grows with the history.
+# Deadline in milliseconds for reading all versions. They arrive in one answer, whose
+# size grows with the number of versions.
 _HISTORY_DEADLINE_MS = 20_000
 
 
 class ConfigTable:
-    """Read and write head, version and change rows; faults raise ``PlatformError``.
+    """Reader and writer of the head, version and change rows.
 
-    The head row names the version without its text, because pollers read it every
-    second; the text is in the row of the version, which never changes.
+    The head row holds the number and author of the last accepted version without its
+    rules text, because pollers read this row every second. The text is in the row of
+    the version, which is never rewritten. All methods except ``write_change`` raise
+    ``PlatformError`` when the platform fails.
+
+    Parameters
+    ----------
+    client : PlatformClient
+        Client of the table.
     """
 
     def __init__(self, client: PlatformClient) -> None:
         self._client = client
 
     async def read_head(self) -> tuple[int, ConfigVersion | None]:
-        """Return row version and head; the head has no rules text."""
+        """Return the version of the head row, and the head without its rules text.
+
+        The head is ``None`` when no version was accepted yet.
+        """
         row = await self._read(HEAD_KEY)
         return row.version, _read_version(row) if row.version else None
 
     async def read_version(self, version: int) -> ConfigVersion:
-        """Return an accepted version with its text."""
+        """Return an accepted version with its rules text."""
         row = await self._read(f"{VERSION_PREFIX}{version}")
         if not row.version:
             raise _malformed(row, "the row is absent")
         return _read_version(row)
 
     async def read_all(self) -> list[ConfigVersion]:
-        """Return all accepted versions by number."""
+        """Return all accepted versions, ordered by number."""
         result = await self._client.read_rows(VERSION_PREFIX, _HISTORY_DEADLINE_MS)
         if not result.is_ok():
             raise result.error
@@ -54,7 +65,11 @@
         return sorted(versions, key=lambda config: config.version)
 
     async def read_change(self, change_id: str) -> int:
-        """Return the version of a change, 0 without a row, -1 for a refused one."""
+        """Return the version number recorded in the row of a change.
+
+        The number is 0 when the row is absent, and -1 when the row records that the
+        change was refused.
+        """
         row = await self._read(_CHANGE_PREFIX + change_id)
         if not row.version:
             return 0
@@ -64,16 +79,22 @@
             raise _malformed(row, str(error)) from None
 
     async def read_rows(self, change_id: str) -> ChangeRows:
-        """Return what decides about a change.
+        """Return the rows that decide about a change.
 
-        The head is read first: a head that this change has written is then always
-        seen together with the row of the change.
+        The head is read first. If this change has written the head that was read, the
+        later read of the change row then always finds the row.
         """
         head_row_version, head = await self.read_head()
         return ChangeRows(head_row_version, head, await self.read_change(change_id))
 
     async def write_change(self, write: WriteChange, operator: str) -> WriteResult:
-        """Accept a change in one transaction, unless a row contradicts."""
+        """Accept a change in one transaction, if its conditions hold.
+
+        The transaction requires that the head row has the expected version and that
+        the row of the change is absent. The result is ``CONFLICT`` with the current
+        rows when a condition failed, and ``NO_ANSWER`` when the platform failed, in
+        which case the change may have been written.
+        """
         config = write.config
         change_key = _CHANGE_PREFIX + config.change_id
         head = _to_value(config)
@@ -99,13 +120,17 @@
         return WriteResult(WriteStatus.CONFLICT, rows)
 
     async def write_refusal(self, change_id: str) -> None:
-        """Make a change without a row final as refused; a row is left as it is."""
+        """Record a change as refused, which is final, if its row is absent.
+
+        An existing row is not modified.
+        """
         key = _CHANGE_PREFIX + change_id
         result = await self._client.transact({key: 0}, {key: {"version": -1}})
         if not result.is_ok() and not isinstance(result.error, TransactConflictError):
             raise result.error
 
     async def _read(self, key: str) -> Row:
+        """Return a row; raise ``PlatformError`` when the platform fails."""
         result = await self._client.read_row(key)
         if not result.is_ok():
             raise result.error
@@ -113,6 +138,7 @@
 
 
 def _to_value(config: ConfigVersion) -> dict[str, Any]:
+    """Return the value of the head row, which has no rules text."""
     return {
         "version": config.version,
         "change_id": config.change_id,
@@ -122,6 +148,7 @@
 
 
 def _read_version(row: Row) -> ConfigVersion:
+    """Decode a head or version row; raise ``PlatformError`` when it is malformed."""
     value = row.value
     try:
         return ConfigVersion(
--- a/packages/entry/src/bluebellusher/rollout/tests/network.py
+++ b/packages/entry/src/bluebellusher/rollout/tests/network.py
@@ -1,4 +1,4 @@
-"""Several entries over loopback, whose failure domains can be cut off."""
+"""Network of entries over loopback, in which failure domains can be cut off."""
 
 import asyncio
 import contextlib
@@ -13,13 +13,16 @@
 from bluebellusher_standins.cluster import HOST, SHARED_SECRET, PortReservations
 from bluebellusher_standins.platform import PlatformServer
 
-# Looks at a condition, 10 ms apart.
+# Number of checks of a condition, 10 ms apart, before a test fails.
 N_LOOKS = 2_000
 OPERATOR = {"Authorization": "Bearer key-of-op"}
 
 
 def rules(weight: int, name: str = "Mio") -> str:
-    """Return a rules text in which customer c1 has this weight."""
+    """Return a rules text that gives customer c1 a weight.
+
+    ``name`` is the author of the share in its comment.
+    """
     return (
         "currency JPY # Haruka: books\n"
         "month-zone Asia/Tokyo # Haruka: invoices\n"
@@ -30,7 +33,7 @@
 
 
 class Wire:
-    """Forward connections to a port until it is cut."""
+    """TCP proxy in front of a port, whose connections can be cut."""
 
     def __init__(self, target_port: int) -> None:
         self.port = 0
@@ -40,23 +43,23 @@
         self._server: asyncio.Server | None = None
 
     async def start(self) -> "Wire":
-        """Listen on a port of its own."""
+        """Listen on a free port, and return the proxy."""
         self._server = await asyncio.start_server(self._accept, HOST, 0)
         self.port = self._server.sockets[0].getsockname()[1]
         return self
 
     def cut(self) -> None:
-        """Drop every connection and refuse new ones."""
+        """Abort all connections, and every new one after it is accepted."""
         self._is_cut = True
         for writer in self._writers:
             writer.transport.abort()
 
     def heal(self) -> None:
-        """Forward again."""
+        """Forward new connections again."""
         self._is_cut = False
 
     async def stop(self) -> None:
-        """End."""
+        """Abort all connections and stop listening."""
         self.cut()
         self._server.close()
 
@@ -82,9 +85,10 @@
 
 
 class Network:
-    """A platform and entries by name; the domain is the first letter of the name.
+    """Platform and several entries, whose connections go through proxies.
 
-    Peers of another domain are reached through a wire of each domain pair.
+    The failure domain of an entry is the first letter of its name. Each entry connects
+    to each peer through a proxy of its own, so that a domain can be cut off.
     """
 
     def __init__(self) -> None:
@@ -111,7 +115,7 @@
         self._reservations.close()
 
     async def start(self, *names: str) -> None:
-        """Start entries that know each other and those that run."""
+        """Start entries, which connect to each other and to those already started."""
         for name in names:
             self._peer_port_by_name[name] = self._reservations.reserve()
         for name in names:
@@ -125,6 +129,7 @@
             await self._start_one(name, peers)
 
     async def _start_one(self, name: str, peers: list[dict]) -> None:
+        """Start an entry with the settings of its peers."""
         port = self._peer_port_by_name[name]
         settings = {
             "instance_id": name,
@@ -151,41 +156,41 @@
         self.url_by_name[name] = f"http://{HOST}:{http_port}/admin"
 
     async def stop(self, name: str) -> None:
-        """Stop an entry."""
+        """Stop an entry and remove it from the network."""
         await self.entry_by_name.pop(name).stop()
 
     def cut_off(self, domain: str) -> None:
-        """Separate a domain from the other domains and from the platform."""
+        """Cut a domain off from the other domains and from the platform."""
         self.platform.faults.cut_off_domains = [domain]
         for ends in self._wires:
             if domain in ends[:2] and ends[0] != ends[1]:
                 ends[2].cut()
 
     def heal(self) -> None:
-        """Connect every domain again."""
+        """Restore the connections between all domains and to the platform."""
         self.platform.faults.cut_off_domains = []
         for _, _, wire in self._wires:
             wire.heal()
 
     def version(self, name: str) -> int:
-        """Return the version in force at an entry."""
+        """Return the number of the version in force at an entry."""
         return self.entry_by_name[name].rollout.in_force.version
 
     async def until(self, condition) -> None:
-        """Wait for a condition, within a bound."""
+        """Wait for a condition; raise ``TimeoutError`` after ``N_LOOKS`` checks."""
         for _ in range(N_LOOKS):
             if condition():
                 return
             await asyncio.sleep(0.01)
-        raise TimeoutError("the condition did not come true")
+        raise TimeoutError("the condition was not met in time")
 
     async def until_in_force(self, version: int) -> None:
-        """Wait until every entry runs a version."""
+        """Wait until a version is in force at every entry."""
         names = list(self.entry_by_name)
         await self.until(lambda: all(self.version(n) == version for n in names))
 
     async def until_connected(self) -> None:
-        """Wait until every entry has told every other one its version."""
+        """Wait until every entry has received the version of every other entry."""
         n_peers = len(self.entry_by_name) - 1
         entries = list(self.entry_by_name.values())
         await self.until(
@@ -197,7 +202,10 @@
         )
 
     async def apply(self, name: str, change_id: str, base: int, text: str, **more):
-        """Send a change; return the status code and the answer."""
+        """Send a change to an entry; return the status code and the body.
+
+        ``more`` are further fields of the request body.
+        """
         body = {"change_id": change_id, "base_version": base, "rules_text": text}
         body = {**body, "author": f"author of {change_id}", **more}
         url = self.url_by_name[name] + "/rules"
@@ -205,6 +213,6 @@
             return answer.status, await answer.json()
 
     async def get(self, name: str, path: str):
-        """Return the status code and the body of an operator's page."""
+        """Return the status code and the body of a page below /admin."""
         async with self.session.get(self.url_by_name[name] + path) as answer:
             return answer.status, await answer.json()
--- a/packages/entry/src/bluebellusher/rollout/tests/test_frozen_entry.py
+++ b/packages/entry/src/bluebellusher/rollout/tests/test_frozen_entry.py
@@ -1,4 +1,4 @@
-"""Guards, with real processes, against changes while an entry is frozen."""
+"""Changes of the rules while an entry is frozen, with real processes."""
 
 import asyncio
 import json
@@ -11,7 +11,7 @@
 
 
 async def apply(session, entry, change_id, base):
-    """Send a change; return the status code and the answer."""
+    """Send a change to an entry; return the status code and the body."""
     body = {
         "change_id": change_id,
         "base_version": base,
@@ -24,7 +24,12 @@
 
 
 def test_frozen_entry_refuses_the_change_and_takes_the_next():
-    """Guards against acceptance while the only entry of a domain is silent."""
+    """Guards against acceptance while the only entry of a domain is unresponsive.
+
+    The entry of domain c is stopped by SIGSTOP and keeps its connections. The change
+    must be refused with the name of the domain. After SIGCONT, the next change must be
+    accepted and come into force at all entries.
+    """
 
     async def scenario(cluster, session):
         await cluster.start_platform()
@@ -43,7 +48,8 @@
         assert (status, answer["version"]) == (409, 0)
         assert "failure domain c does not answer" in answer["reason"]
         entries[2].signal(signal.SIGCONT)
-        # The frozen entry lost its connections meanwhile, or has them still.
+        # The other entries may have closed their connections to the frozen entry. The
+        # change is refused until these are restored, and is repeated under new ids.
         for i in range(200):
             status, answer = await apply(session, entries[0], f"three-{i}", 1)
             if status == 200:
--- a/packages/entry/src/bluebellusher/rollout/tests/test_rollout.py
+++ b/packages/entry/src/bluebellusher/rollout/tests/test_rollout.py
@@ -1,4 +1,4 @@
-"""Guards against a change that is lost, reverted or in force at some sites only."""
+"""Guards against changes that are lost, reverted or in force at some sites only."""
 
 import asyncio
 from dataclasses import replace
@@ -24,7 +24,11 @@
 
 
 def test_change_comes_into_force_at_all_entries():
-    """Guards against entries that keep old rules, and against a wrong operator."""
+    """Guards against entries that keep old rules after a change.
+
+    The test also covers the pages for operators, and the rejection of rules with
+    errors and of credentials that are not an operator's.
+    """
 
     async def scenario(network):
         answer = await network.apply("a1", "one", 0, rules(3))
@@ -55,7 +59,7 @@
 
 
 def test_two_operators_race():
-    """Guards against an accepted change that another one overwrites."""
+    """Guards against two changes of one base version that are both accepted."""
 
     async def scenario(network):
         answers = await asyncio.gather(
@@ -78,7 +82,10 @@
 
 
 def test_lost_answer_of_the_table_is_resolved():
-    """Guards against a change that is written twice or reported as refused."""
+    """Guards against a change that is written twice or reported as refused.
+
+    The platform executes the transaction, but its answer is lost.
+    """
 
     async def scenario(network):
         network.platform.faults.lose_answers = 1
@@ -95,7 +102,11 @@
 
 
 def test_unknown_change_is_settled(monkeypatch):
-    """Guards against a change that stays unknown, or is refused and then written."""
+    """Guards against a change that stays unknown, or is written after its refusal.
+
+    The platform fails before the write of change two. The entry then records the
+    change as refused, and a delayed write of it must conflict.
+    """
     monkeypatch.setattr(_change, "CHANGE_DEADLINE_MS", 500)
     monkeypatch.setattr(_changes, "_SETTLE_INTERVAL_S", 0.05)
 
@@ -131,11 +142,16 @@
 
 
 def test_cut_off_domain_refuses_the_change_by_name():
-    """Guards against a change that a silent site does not run, and one it misses."""
+    """Guards against a change that is accepted without a domain that is cut off.
+
+    An operator can list the domain to apply the change without it. The domain must
+    receive that version when it is connected again.
+    """
 
     async def scenario(network):
         network.cut_off("c")
-        # Refused while the loss is not noticed yet, and after.
+        # The change is refused both before and after a1 detects that the connection to
+        # c1 is lost.
         for change_id in ("one", "two"):
             status, answer = await network.apply("a1", change_id, 0, rules(3))
             assert (status, answer["state"]) == (409, "refused")
@@ -155,7 +171,7 @@
 
 
 def test_domain_known_only_from_the_instance_list_must_answer():
-    """Guards against a domain that is overlooked because no peer is configured."""
+    """Guards against a domain that is ignored because it has no configured peer."""
 
     async def scenario(network):
         network.platform.set_instance(
@@ -175,7 +191,11 @@
 
 
 def test_old_copy_of_the_table_never_lowers_a_version():
-    """Guards against rules that revert when the table answers from an old copy."""
+    """Guards against an older version that replaces the one in force.
+
+    The older version arrives from a stale read of the table and in a delayed push from
+    a peer.
+    """
 
     async def scenario(network):
         await network.apply("a1", "one", 0, rules(3))
@@ -201,7 +221,10 @@
 
 
 def test_entry_starts_from_peers_while_the_table_is_down():
-    """Guards against an entry without rules after a restart in an outage."""
+    """Guards against an entry that starts without rules while the table is down.
+
+    The entry must receive the rules from its peers.
+    """
 
     async def scenario(network):
         await network.apply("a1", "one", 0, rules(3))
@@ -217,7 +240,7 @@
 
 
 def test_entry_alone_takes_versions_from_the_table():
-    """Guards against an entry that no peer reaches and that never polls."""
+    """Guards against an entry without connected peers that never polls the table."""
 
     async def scenario(network):
         network.cut_off("b")
@@ -232,7 +255,11 @@
 
 
 def test_rules_that_one_entry_cannot_parse():
-    """Guards against rules in force that an entry with other software cannot run."""
+    """Guards against a version with unknown syntax that replaces valid rules.
+
+    Such a version arrives when other entries run newer software. It must be logged
+    only once, and the next version that can be parsed must come into force.
+    """
 
     async def scenario(network):
         await network.apply("a1", "one", 0, rules(3))
@@ -252,7 +279,7 @@
 
 
 def test_change_that_a_peer_cannot_parse_is_refused(monkeypatch):
-    """Guards against an accepted change that one site cannot put into force."""
+    """Guards against an accepted change that one entry cannot put into force."""
 
     async def scenario(network):
         runner = network.entry_by_name["b1"].rollout._runner
