--- a/packages/entry/src/bluebellusher/platform/_client.py
+++ b/packages/entry/src/bluebellusher/platform/_client.py
@@ -1,4 +1,4 @@
-"""Operations of the platform as typed results."""
+"""Client that returns the result of each platform operation as a ``Result``."""
 
 import json
 from collections.abc import Callable, Mapping, Sequence
@@ -19,15 +19,17 @@
 from bluebellusher.platform._types import Consistency, Instance, Row
 
 T = TypeVar("T")
+# Deadline of an operation in milliseconds, if neither the client nor the call sets one.
 DEFAULT_DEADLINE_MS = 2_000
 
 
 class PlatformClient:
     """Client of the table, the object store, the instance list and the weight store.
 
-    Every operation returns a ``Result`` and never raises for a platform fault. An
-    error is a ``PlatformNotDoneError`` when the operation certainly had no effect and a
-    ``PlatformOutcomeUnknownError`` when it may have had one.
+    Every operation returns a ``Result`` and raises nothing when the platform fails. The
+    error is a ``PlatformNotDoneError`` when the operation certainly had no effect, and
+    a ``PlatformOutcomeUnknownError`` when it may have had one. Deadlines are times in
+    milliseconds from the start of an operation until its answer is complete.
 
     Parameters
     ----------
@@ -36,7 +38,7 @@
     failure_domain : str
         Failure domain of this instance.
     deadline_ms : int
-        Time for one operation unless the call names another.
+        Deadline of each operation whose call sets none.
 
     Examples
     --------
@@ -73,18 +75,20 @@
         deletes: Sequence[str] = (),
         deadline_ms: int | None = None,
     ) -> Result[int, PlatformError]:
-        """Write all rows if all conditions hold; return the version written.
+        """Write and delete rows if all conditions hold; return their new version.
+
+        A failed condition gives a ``TransactConflictError``, and nothing is written.
 
         Parameters
         ----------
         conditions : mapping of str to int
-            Required version by key; 0 means "absent".
+            Required row version by key; 0 requires that the row is absent.
         puts : mapping of str to JSON value
             Values to write by key.
         deletes : sequence of str
             Keys to delete.
         deadline_ms : int or None
-            Time for this operation.
+            Deadline of this operation; ``None`` for that of the client.
         """
         body = {
             "conditions": [
@@ -99,6 +103,7 @@
         return result.bind(self._read_transact)
 
     def _read_transact(self, reply: Reply) -> Result[int, PlatformError]:
+        """Decode the version written, or the rows that conflict."""
         step = "table-transact"
         if reply.status == 409:
             return self._parse(step, reply, _read_conflicts).bind(
@@ -114,7 +119,7 @@
         consistency: Consistency = Consistency.STRONG,
         deadline_ms: int | None = None,
     ) -> Result[Row, PlatformError]:
-        """Return a row; it has version 0 when it is absent."""
+        """Return a row; its version is 0 when the row is absent."""
         step = "table-read"
         params = {"key": key, "consistency": consistency.value}
         result = await self._transport.exchange(
@@ -137,8 +142,8 @@
     ) -> Result[None, PlatformError]:
         """Create an object that does not exist yet.
 
-        An object with the same content counts as created: its write may have lost
-        its answer, in this call or in an earlier one.
+        The operation also succeeds when the object exists with the same content,
+        because the answer to an earlier write of it may have been lost.
         """
         step = "object-put"
         result = await self._transport.exchange(
@@ -158,9 +163,11 @@
     async def _compare_object(
         self, name: str, data: bytes, deadline_ms: int | None
     ) -> Result[None, PlatformError]:
+        """Succeed if an existing object has the content that was to be written."""
         found = await self.get_object(name, deadline_ms)
         if not found.is_ok():
-            # The write itself is settled by the 412 only when the content is known.
+            # The status 412 does not show whether an earlier write of this content
+            # created the object, so the outcome is unknown without its content.
             error = found.error
             unknown = PlatformOutcomeUnknownError(
                 "object-put", error.peer, error.reason
@@ -184,6 +191,7 @@
     def _read_object(
         self, step: str, reply: Reply
     ) -> Result[bytes | None, PlatformError]:
+        """Return the body, or ``None`` for status 404."""
         if reply.status == 404:
             return Ok(None)
         if reply.status != 200:
@@ -203,7 +211,7 @@
     async def list_instances(
         self, deadline_ms: int | None = None
     ) -> Result[tuple[Instance, ...], PlatformError]:
-        """Return the instance list, which lags."""
+        """Return the instance list, which the platform updates with a delay."""
         step = "instance-list"
         result = await self._transport.exchange(step, "GET", "/instances", deadline_ms)
         return result.bind(lambda reply: self._parse(step, reply, _read_instances))
@@ -211,7 +219,10 @@
     async def fetch_weights(
         self, expert_id: str, n_bytes: int, deadline_ms: int | None = None
     ) -> Result[None, PlatformError]:
-        """Ask the weight store for the weights of one expert."""
+        """Ask the weight store to transfer the weights of one expert.
+
+        A ``WeightRateLimitedError`` gives the time after which to retry.
+        """
         step = "weight-fetch"
         body = {"expert_id": expert_id, "n_bytes": n_bytes}
         result = await self._transport.exchange(
@@ -220,6 +231,7 @@
         return result.bind(lambda reply: self._read_fetch(step, reply))
 
     def _read_fetch(self, step: str, reply: Reply) -> Result[None, PlatformError]:
+        """Return an error with the retry time for status 429."""
         if reply.status != 429:
             return self._parse(step, reply, lambda _: None)
         wait = reply.headers.get("Retry-After", "1")
@@ -229,18 +241,20 @@
     def _parse(
         self, step: str, reply: Reply, read: Callable[[Any], T]
     ) -> Result[T, PlatformError]:
+        """Decode the JSON body of a 200 or 409 answer with ``read``."""
         if reply.status not in (200, 409):
             return Error(self._unexpected(step, reply))
         try:
             return Ok(read(json.loads(reply.body)))
         except (AttributeError, KeyError, TypeError, ValueError) as error:
-            # A malformed answer to a write does not tell whether it was executed.
+            # A malformed answer does not show whether a write was executed.
             reason = f"malformed answer: {type(error).__name__}: {error}"[:200]
             return Error(
                 PlatformOutcomeUnknownError(step, self._transport.peer, reason)
             )
 
     def _unexpected(self, step: str, reply: Reply) -> PlatformError:
+        """Return the error for an unexpected status; 4xx statuses had no effect."""
         reason = f"status {reply.status}: expected 200"
         if 400 <= reply.status < 500:
             return PlatformNotDoneError(step, self._transport.peer, reason)
--- a/packages/entry/src/bluebellusher/platform/_errors.py
+++ b/packages/entry/src/bluebellusher/platform/_errors.py
@@ -1,4 +1,4 @@
-"""Errors of the platform client, by what is known about the operation."""
+"""Errors of the platform client, by whether the operation may have had an effect."""
 
 from bluebellusher.platform._types import Row
 from bluebellusher_core.errors import StepError
@@ -13,13 +13,13 @@
 
 
 class PlatformOutcomeUnknownError(PlatformError):
-    """The operation may have taken effect; read back before repeating it."""
+    """The operation may have taken effect; read the state before repeating it."""
 
 
 class TransactConflictError(PlatformNotDoneError):
     """A condition of a transaction did not hold; nothing was written.
 
-    ``conflicts`` holds the present rows of the conditions that failed.
+    ``conflicts`` holds the current rows whose conditions failed.
     """
 
     def __init__(self, step: str, peer: str, conflicts: tuple[Row, ...]) -> None:
@@ -29,11 +29,11 @@
 
 
 class ObjectExistsError(PlatformNotDoneError):
-    """An object of that name with other content exists."""
+    """The object exists already, with different content."""
 
 
 class WeightRateLimitedError(PlatformNotDoneError):
-    """The weight store asks to come back after ``retry_after_ms``."""
+    """The weight store limits the rate; retry after ``retry_after_ms`` milliseconds."""
 
     def __init__(self, step: str, peer: str, retry_after_ms: int) -> None:
         super().__init__(step, peer, f"rate limited for {retry_after_ms} ms")
--- a/packages/entry/src/bluebellusher/platform/_transport.py
+++ b/packages/entry/src/bluebellusher/platform/_transport.py
@@ -1,4 +1,4 @@
-"""HTTP exchanges with the platform, classified by what is known of their effect."""
+"""HTTP exchanges with the platform, with errors classified by possible effects."""
 
 import asyncio
 from collections.abc import Mapping
@@ -16,14 +16,16 @@
     PlatformOutcomeUnknownError,
 )
 
-# A refused or unreachable address fails well before the deadline of the operation.
+# Time in milliseconds to connect. An unreachable address then fails well before the
+# default deadline of an operation.
 CONNECT_TIMEOUT_MS = 500
+# Size limit for the body of an answer.
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True)
 class Reply:
-    """Status, headers and whole body of an answer."""
+    """Status, headers and complete body of an answer."""
 
     status: int
     headers: Mapping[str, str]
@@ -31,16 +33,17 @@
 
 
 class PlatformTransport:
-    """Send one request and classify every way in which it can fail.
+    """HTTP transport that classifies each failure by its possible effect.
 
     Parameters
     ----------
     base_url : str
-        Address of the platform.
+        Address of the platform, such as ``"http://10.0.0.5:8080"``.
     failure_domain : str
-        Sent in ``X-Failure-Domain``.
+        Failure domain of this instance, sent in ``X-Failure-Domain``.
     deadline_ms : int
-        Default time for a whole exchange.
+        Default deadline of an exchange in milliseconds, from connecting to the last
+        byte of the answer.
     """
 
     def __init__(self, base_url: str, failure_domain: str, deadline_ms: int) -> None:
@@ -64,11 +67,22 @@
         deadline_ms: int | None = None,
         **options: Any,
     ) -> Result[Reply, PlatformError]:
-        """Return any answer below 500, or an error.
-
-        A connection that was never made and a 503, with which the platform says
-        that it is down, had no effect. Everything else that is not an answer may
-        have had one.
+        """Send a request; return an answer with a status below 500, or an error.
+
+        The operation had no effect when no connection was made, and when the status
+        is 503, by which the platform reports that it is down. After any other failure
+        it may have had an effect.
+
+        Parameters
+        ----------
+        step : str
+            Name of the operation for errors.
+        method, path : str
+            HTTP method, and path below the base address.
+        deadline_ms : int or None
+            Deadline of this exchange; ``None`` for the default.
+        **options
+            Further arguments of ``aiohttp.ClientSession.request``.
         """
         if deadline_ms is not None and deadline_ms <= 0:
             reason = f"deadline_ms={deadline_ms}: expected more than 0"
@@ -90,6 +104,7 @@
     async def _send(
         self, method: str, path: str, deadline_ms: int | None, options: dict[str, Any]
     ) -> Reply:
+        """Send a request and read the whole answer; raise the errors of aiohttp."""
         total_s = (deadline_ms or self._deadline_ms) / 1000
         timeout = aiohttp.ClientTimeout(
             total=total_s, sock_connect=min(total_s, CONNECT_TIMEOUT_MS / 1000)
@@ -101,6 +116,7 @@
             return Reply(answer.status, answer.headers, body)
 
     def _open_session(self) -> aiohttp.ClientSession:
+        """Return the session, which is created on first use."""
         if self._session is None:
             headers = {"X-Failure-Domain": self._failure_domain}
             self._session = aiohttp.ClientSession(
@@ -113,6 +129,7 @@
 
 
 def _describe(error: BaseException) -> str:
+    """Return a description of at most 200 characters."""
     if isinstance(error, asyncio.TimeoutError):
         return "no answer within the deadline"
     return f"{type(error).__name__}: {error}"[:200]
--- a/packages/entry/src/bluebellusher/platform/_types.py
+++ b/packages/entry/src/bluebellusher/platform/_types.py
@@ -1,4 +1,4 @@
-"""Values that the platform returns."""
+"""Types of the values that the platform returns."""
 
 from dataclasses import dataclass
 from enum import StrEnum
@@ -6,7 +6,11 @@
 
 
 class Consistency(StrEnum):
-    """Whether a read sees the last transaction or may see an older copy."""
+    """Consistency of a table read.
+
+    A strong read returns the state after the last transaction. An eventual read may
+    return an older state.
+    """
 
     STRONG = "strong"
     EVENTUAL = "eventual"
@@ -14,7 +18,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Row:
-    """One table row; version 0 and value ``None`` mean that the row is absent."""
+    """Table row; an absent row has version 0 and value ``None``."""
 
     key: str
     version: int
@@ -22,13 +26,17 @@
 
     @classmethod
     def from_json(cls, data: dict[str, Any]) -> "Row":
-        """Read a row; raise ``KeyError`` or ``ValueError`` when it is malformed."""
+        """Decode a row.
+
+        A malformed row raises ``AttributeError``, ``KeyError``, ``TypeError`` or
+        ``ValueError``.
+        """
         return cls(str(data["key"]), int(data["version"]), data["value"])
 
 
 @dataclass(frozen=True, slots=True)
 class Instance:
-    """One line of the instance list, which lags."""
+    """Item of the instance list, which the platform updates with a delay."""
 
     instance_id: str
     role: str
@@ -40,7 +48,11 @@
 
     @classmethod
     def from_json(cls, data: dict[str, Any]) -> "Instance":
-        """Read an instance; raise ``KeyError`` or ``ValueError`` when malformed."""
+        """Decode an instance.
+
+        A malformed item raises ``AttributeError``, ``KeyError``, ``TypeError`` or
+        ``ValueError``.
+        """
         return cls(
             instance_id=str(data["instance_id"]),
             role=str(data["role"]),
--- a/packages/entry/src/bluebellusher/platform/tests/test_platform_client.py
+++ b/packages/entry/src/bluebellusher/platform/tests/test_platform_client.py
@@ -1,4 +1,4 @@
-"""Guards against a fault of the platform that is reported as the wrong outcome."""
+"""Guards against platform failures that are reported with the wrong outcome."""
 
 import asyncio
 
@@ -16,7 +16,10 @@
 
 
 def run(scenario, **options):
-    """Run ``scenario(client, server)`` against a platform on a fresh port."""
+    """Run ``scenario(client, server)`` with a new platform on a free port.
+
+    ``options`` are arguments of ``PlatformServer``.
+    """
 
     async def main():
         async with (
@@ -29,7 +32,7 @@
 
 
 def test_transaction_reports_version_and_conflicting_rows():
-    """Guards against a write that ignores its condition."""
+    """Guards against a transaction that ignores its conditions."""
 
     async def scenario(client, server):
         assert (await client.transact({"k": 0}, {"k": {"n": 1}})).ok == 1
@@ -44,7 +47,7 @@
 
 
 def test_lost_answer_is_an_unknown_outcome():
-    """Guards against a write that took effect and is reported as not done."""
+    """Guards against a write that took effect but is reported as not done."""
 
     async def scenario(client, server):
         await client.read_row("k")
@@ -61,7 +64,7 @@
 
 
 def test_down_and_unreachable_platforms_are_certainly_not_done():
-    """Guards against a needless unknown outcome, which a caller cannot repeat."""
+    """Guards against unknown outcomes, which forbid a repeat, without need."""
 
     async def scenario(client, server):
         server.faults.is_down = True
@@ -78,7 +81,7 @@
 
 
 def test_deadline_and_cut_off_are_unknown_outcomes():
-    """Guards against a slow write that is taken for one that was not executed."""
+    """Guards against a slow or cut-off write that is reported as not done."""
 
     async def scenario(client, server):
         server.faults.delay_ms = 300
@@ -93,7 +96,7 @@
 
 
 def test_eventual_read_may_be_stale_and_strong_read_is_not():
-    """Guards against a stand-in whose eventual reads are always fresh."""
+    """Guards against a stand-in whose eventual reads always return the last state."""
     clock = ManualClock(start_ms=10_000)
 
     async def scenario(client, server):
@@ -108,7 +111,10 @@
 
 
 def test_repeated_object_write_with_a_lost_answer_succeeds():
-    """Guards against usage that is reported as lost though it was stored."""
+    """Guards against a stored object whose repeated write is reported as failed.
+
+    Usage would then be reported as lost although it was stored.
+    """
 
     async def scenario(client, server):
         server.faults.lose_answers = 1
@@ -124,7 +130,10 @@
 
 
 def test_instance_list_lags_and_weights_are_rate_limited():
-    """Guards against code that relies on a fresh list or on free fetches."""
+    """Guards against a stand-in without list delay or rate limit for weights.
+
+    Code that relies on a current list or unlimited fetches would pass its tests.
+    """
     clock = ManualClock(start_ms=10_000)
     instance = {
         "instance_id": "e1",
