--- a/packages/entry/src/bluebellusher/ports.py
+++ b/packages/entry/src/bluebellusher/ports.py
@@ -1,7 +1,7 @@
-"""What an adapter to a platform must provide.
+"""Protocols and types that an adapter to a platform implements.
 
-A platform has its own names for headers, fields and calls. An adapter translates
-them, and nothing else; every decision is made behind these types.
+Each platform has its own names for headers, fields and calls. An adapter only
+translates these names. All decisions are made by the entry.
 """
 
 from collections.abc import Mapping, Sequence
@@ -17,23 +17,24 @@
 )
 
 Headers = Sequence[tuple[str, str]]
-"""Header names and values in the order in which they were sent."""
+"""Pairs of header name and value, in the order in which they were sent."""
 
 
 @dataclass(frozen=True, slots=True)
 class StoreError:
-    """A call to the store that gave no usable answer.
+    """Failure of a call to the store.
 
     Parameters
     ----------
     step : str
-        The operation.
+        Name of the operation.
     reason : str
-        What happened, for the log.
+        Description of the failure, for the log.
     may_have_run : bool
-        Whether a write may have taken effect, or still will.
+        Whether a write may have taken effect or may still take effect.
     is_history_lost : bool
-        The changes that were asked for are no longer kept; read the whole table.
+        Whether the store no longer has the requested changes. The caller must then
+        read the whole table.
     """
 
     step: str
@@ -44,7 +45,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TableRows:
-    """Rows of a table, or changes to them, as of ``version``."""
+    """Rows or changed rows of a table, and the table version after them."""
 
     rows: tuple[MirrorRow, ...]
     version: int
@@ -52,7 +53,11 @@
 
 @dataclass(frozen=True, slots=True)
 class RowWrite:
-    """A row to write if its version is ``expected_version``; 0 means absent."""
+    """Conditional write of a row.
+
+    The write takes effect only if the row has version ``expected_version``; 0 requires
+    that the row is absent.
+    """
 
     table: str
     key: str
@@ -61,20 +66,24 @@
 
 
 class RowStore(Protocol):
-    """Tables that outlive every process."""
+    """Store of tables, which persist when every process has ended."""
 
     async def read_table(self, table: str) -> Result[TableRows, StoreError]:
-        """Return all rows of a table."""
+        """Return all rows of a table and the table version."""
 
     async def read_changes(
         self, table: str, above_version: int, wait_ms: int
     ) -> Result[TableRows, StoreError]:
-        """Return the changes above a version, waiting for the first one."""
+        """Return the rows that changed after ``above_version``.
+
+        Without a change, the call waits up to ``wait_ms`` milliseconds for one and then
+        returns no rows.
+        """
 
     async def write_row(self, write: RowWrite) -> Result[MirrorRow, StoreError]:
-        """Write a row under its condition; return the row that is there then.
+        """Write a row if its condition holds; return the row as it then is.
 
-        The returned row has another value than ``write`` when the condition failed.
+        The returned row has a different value than ``write`` when the condition failed.
         """
 
     async def close(self) -> None:
@@ -83,20 +92,22 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerFields:
-    """What a caller's headers say.
+    """Values from the headers of a caller's request.
 
     Parameters
     ----------
     attempt_id : str
-        Id that the caller gave its attempt.
+        Id that the caller gave to its attempt.
     credential : str
-        What authenticates the customer; empty for none.
+        Credential that authenticates the customer; empty when there is none.
     remaining_ms : int or None
-        How long the caller will wait.
+        Time in milliseconds for which the caller waits; ``None`` when not given.
     n_input_tokens, n_max_output_tokens : int
-        Size of a generation; 0 when it is not said.
+        Number of input tokens and highest number of output tokens of a generation;
+        0 when not given.
     last_event_id : str
-        Last event that the caller has of a stream it resumes; empty for none.
+        Id of the last event that the caller received of the stream that it resumes;
+        empty when it resumes none.
     """
 
     attempt_id: str
@@ -109,7 +120,22 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptFields:
-    """What an endpoint is told about an attempt beside the caller's own headers."""
+    """Values that an attempt carries to its endpoint besides the caller's headers.
+
+    Parameters
+    ----------
+    endpoint_id : str
+        Id of the endpoint to which the attempt is sent.
+    remaining_ms : int
+        Time in milliseconds until the deadline of the request.
+    customer_id : str
+        Customer who pays; empty when there is none.
+    last_event_id : str
+        Id of the last event that the caller received of a resumed stream; empty when
+        no stream is resumed.
+    priority : int
+        Priority of the request.
+    """
 
     endpoint_id: str
     remaining_ms: int
@@ -120,24 +146,25 @@
 
 @dataclass(frozen=True, slots=True)
 class AnswerFields:
-    """What the headers of an endpoint's answer say.
+    """Values from the headers of an endpoint's answer.
 
     Parameters
     ----------
     attempt_id : str
-        Attempt that the answer belongs to; empty when it is not said.
+        Id of the attempt that the answer belongs to; empty when not given.
     is_not_run : bool
-        The endpoint states that it did not run the request.
+        Whether the endpoint reports that it did not run the request.
     is_wrong_endpoint : bool
-        Another endpoint has the address now.
+        Whether the address now belongs to another endpoint.
     is_authentic : bool
-        The answer is marked as made by an endpoint, and its body is unchanged.
+        Whether the answer is marked as made by an endpoint, with an unchanged body.
     faulty_endpoint_id : str
-        Endpoint that is to blame for a refusal; empty when it is not said.
+        Id of the endpoint that caused a refusal; empty when not given.
     is_leaving : bool
-        The endpoint that answers will end soon.
+        Whether the endpoint that answers announces its shutdown.
     pause_ms : int
-        How long it wants nothing from this entry; 0 when it is not said.
+        Time in milliseconds for which the endpoint asks for no requests from this
+        entry; 0 when not given.
     """
 
     attempt_id: str
@@ -150,43 +177,58 @@
 
 
 class Dialect(Protocol):
-    """Header names of callers and endpoints."""
+    """Translation of the headers of callers and endpoints."""
 
     def read_caller(self, headers: Mapping[str, str]) -> CallerFields:
-        """Return what a caller's headers say; ``ValueError`` names a bad one."""
+        """Return the values from a caller's headers.
+
+        Raises
+        ------
+        ValueError
+            When a header has an invalid value; the message names the header.
+        """
 
     def read_attempt_id(self, headers: Mapping[str, str]) -> str:
-        """Return the id that the caller gave its attempt; empty when there is none.
+        """Return the id that the caller gave to its attempt; empty when not given.
 
-        Unlike ``read_caller`` it never fails, so that a denial can be logged with it.
+        Unlike ``read_caller``, this method raises nothing, so that the id is available
+        for the log when the other headers are invalid.
         """
 
     def write_attempt(self, headers: Headers, fields: AttemptFields) -> Headers:
-        """Return the headers of an attempt, made from those of the caller."""
+        """Return the headers of an attempt, made from the caller's and ``fields``."""
 
     def read_answer(self, status: int, headers: Mapping[str, str]) -> AnswerFields:
-        """Return what an endpoint's answer says."""
+        """Return the values from the status and headers of an endpoint's answer."""
 
 
 class TableCodec(Protocol):
-    """Names of the shared tables and the form of their values."""
+    """Names of the shared tables and decoders of their values.
+
+    Parameters
+    ----------
+    routing_table, routing_key : str
+        Table and key of the row that holds the routing table.
+    registration_table : str
+        Table of the registrations of endpoints.
+    """
 
     routing_table: str
     routing_key: str
     registration_table: str
 
     def read_routing(self, value: bytes) -> RoutingTable | None:
-        """Return a routing table, or None for a value that cannot be read."""
+        """Return the routing table, or ``None`` when the value is malformed."""
 
     def read_registration(
         self, endpoint_id: str, value: bytes
     ) -> EndpointRegistration | None:
-        """Return a registration, or None for one that names no endpoint to use."""
+        """Return the registration, or ``None`` when it holds no usable endpoint."""
 
 
 @dataclass(frozen=True, slots=True)
 class PlatformPorts:
-    """Everything that an adapter provides to an entry."""
+    """Implementations that an adapter provides to an entry."""
 
     store: RowStore
     dialect: Dialect
