--- a/packages/entry/src/bluebellusher/settings/__init__.py
+++ b/packages/entry/src/bluebellusher/settings/__init__.py
@@ -1,4 +1,4 @@
-"""Settings of an entry: JSON with comments, checked as a whole."""
+"""Settings of an entry: models, and the loading of JSON5 files."""
 
 from bluebellusher.settings._gateway import GatewaySettings, MapSettings, RetrySettings
 from bluebellusher.settings._load import (
--- a/packages/entry/src/bluebellusher/settings/_gateway.py
+++ b/packages/entry/src/bluebellusher/settings/_gateway.py
@@ -12,7 +12,7 @@
 
 
 def _split_address(value: Any) -> Any:
-    """Accept ``host:port`` in place of an object."""
+    """Convert ``host:port`` into an object; leave other values unchanged."""
     if not isinstance(value, str):
         return value
     host, _, port = value.rpartition(":")
@@ -23,33 +23,43 @@
 
 
 class RetrySettings(SettingsModel):
-    """Bounds on what is sent to a service beyond the first attempts.
+    """Bounds on the attempts that all entries send beyond the first of each request.
 
-    ``share`` is a share of the requests, ``n_extra`` a number on top, both within
-    ``window_s`` and summed over all entries. Platforms may state either as fractions.
+    Within ``window_s`` seconds, all entries together may send at most ``share`` times
+    the number of requests plus ``n_extra`` such attempts. Platforms may state
+    ``n_extra`` and ``window_s`` as fractions.
     """
 
     share: Annotated[
         float,
         Field(
-            ge=0, le=1, description="Share of the requests that may be sent once more."
+            ge=0,
+            le=1,
+            description="Extra attempts allowed, as a fraction of the requests.",
         ),
     ] = 0.2
     n_extra: Annotated[
-        float, Field(ge=0, le=1_000_000, description="Further ones on top.")
+        float,
+        Field(
+            ge=0,
+            le=1_000_000,
+            description="Extra attempts allowed in addition to the share.",
+        ),
     ] = 50
     window_s: Annotated[
-        float, Field(ge=0.1, le=600, description="Time over which both are counted.")
+        float,
+        Field(ge=0.1, le=600, description="Time window to which both bounds apply."),
     ] = 10
 
 
 class MapSettings(SettingsModel):
-    """What a change of an expert map may cost.
+    """Cost of weight loads, against which the benefit of a map change is weighed.
 
-    Ranks of a group wait for each other, so that a pass that lasts 1 ms longer costs 1
-    ms on each of them. ``rank_ms_per_gb`` says how much of that time a change has to
-    save for each GB of weights that it copies: a low value follows popularity closely,
-    a high one copies little. docs/decisions/maps.md compares values.
+    Ranks of a group wait for each other, so that a pass that takes 1 ms longer costs
+    1 ms on each of them. ``rank_ms_per_gb`` is the time, summed over the ranks, that a
+    map change must save for each GB of weights that it loads. With a low value, maps
+    follow the popularity of experts closely; with a high value, few weights are
+    loaded. docs/decisions/maps.md compares values.
     """
 
     rank_ms_per_gb: Annotated[
@@ -57,43 +67,54 @@
         Field(
             ge=0,
             le=1_000_000,
-            description="Time of ranks, in ms, that copying a GB has to save.",
+            description="Rank time in ms that a map change must save per GB loaded.",
         ),
     ] = 300
 
 
 class GatewaySettings(ProcessSettings):
-    """Everything that an entry must be told; addresses are ``host:port``."""
+    """Settings of an entry on a platform; addresses are ``host:port``."""
 
-    callers: Annotated[Address, Field(description="Where callers connect.")]
-    readiness: Annotated[Address, Field(description="Where readiness is asked for.")]
-    peers: Annotated[Address, Field(description="Where other entries connect.")]
+    callers: Annotated[Address, Field(description="Address on which callers connect.")]
+    readiness: Annotated[
+        Address, Field(description="Address that serves readiness checks.")
+    ]
+    peers: Annotated[
+        Address, Field(description="Address on which other entries connect.")
+    ]
     metrics: Annotated[
-        Address | None, Field(description="Where figures are served; none without it.")
+        Address | None,
+        Field(description="Address that serves metrics; not served if absent."),
     ] = None
-    store: Annotated[Address, Field(description="The tables that all entries share.")]
+    store: Annotated[
+        Address, Field(description="Address of the store of the shared tables.")
+    ]
     seeds: Annotated[
-        tuple[Address, ...], Field(description="Where some other entries listen.")
+        tuple[Address, ...],
+        Field(
+            description="Peer addresses of some other entries, for the first contact."
+        ),
     ] = ()
     max_endpoint_pause_ms: Annotated[
         int,
         Field(
             ge=0,
             le=600_000,
-            description="Longest pause that an endpoint is granted; 0 for none.",
+            description="Longest pause that an endpoint can request; 0 for none.",
         ),
     ] = 60_000
     agent_port: Annotated[
         int,
-        Field(ge=1, le=65_535, description="Where the agent of every rank listens."),
+        Field(ge=1, le=65_535, description="TCP port of the agent of every rank."),
     ]
     retries: Annotated[
-        RetrySettings, Field(description="Bounds on attempts beyond the first.")
+        RetrySettings,
+        Field(description="Bounds on attempts beyond the first of each request."),
     ] = RetrySettings()
     maps: Annotated[
-        MapSettings, Field(description="What changes of expert maps may cost.")
+        MapSettings, Field(description="Cost of changes of expert maps.")
     ] = MapSettings()
     shutdown_grace_s: Annotated[
         float,
-        Field(ge=1, le=600, description="Time from SIGTERM to the end of the process."),
+        Field(ge=1, le=600, description="Longest time from SIGTERM to exit."),
     ] = 8
--- a/packages/entry/src/bluebellusher/settings/_load.py
+++ b/packages/entry/src/bluebellusher/settings/_load.py
@@ -1,4 +1,4 @@
-"""Reading of a settings file, with every problem reported at once."""
+"""Loading of settings files, with all problems of a file reported together."""
 
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -18,20 +18,39 @@
 
 @dataclass(frozen=True, slots=True)
 class SettingsProblem:
-    """One problem; ``where`` is a path such as ``agents.0.port`` or a line."""
+    """Problem in a settings file.
+
+    Parameters
+    ----------
+    where : str
+        Path of the setting, such as ``agents.0.port``; ``syntax`` when the file is not
+        valid JSON5, and ``file`` when it cannot be read.
+    found : str
+        Value found, as it is shown to an operator; empty to show none.
+    expected : str
+        Valid values, or the error of the parser.
+    """
 
     where: str
     found: str
     expected: str
 
     def __str__(self) -> str:
-        """Return one line for an operator."""
+        """Return the problem as one line for an operator."""
         found = f"found {self.found}: " if self.found else ""
         return f"{self.where}: {found}{self.expected}"
 
 
 class SettingsError(ValueError):
-    """A settings file that cannot be used; ``problems`` holds all of them."""
+    """A settings file that is invalid or cannot be read.
+
+    Parameters
+    ----------
+    path : str
+        Path of the file.
+    problems : sequence of SettingsProblem
+        All problems of the file.
+    """
 
     def __init__(self, path: str, problems: Sequence[SettingsProblem]) -> None:
         lines = [f"{path}: {problem}" for problem in problems]
@@ -46,8 +65,9 @@
     Raises
     ------
     SettingsError
-        Names the file, and for each problem its path or line, the value found
-        (never a secret) and what is expected.
+        When the file is invalid or cannot be read. The message has a line for each
+        problem, with the file, the path of the setting or the line in the file, the
+        value found (never a secret) and the expected values.
     """
     return parse_settings(_read(path), str(path))
 
@@ -58,17 +78,18 @@
     Raises
     ------
     SettingsError
-        As ``load_settings`` does.
+        As for ``load_settings``.
     """
     return _parse(GatewaySettings, _read(path), str(path))
 
 
 def parse_settings(text: str, path: str) -> Settings:
-    """Check the text of a settings file; ``path`` is named in errors."""
+    """Parse and check the text of a settings file; ``path`` is shown in errors."""
     return _parse(Settings, text, path)
 
 
 def _read(path: str | Path) -> str:
+    """Return the text of a file; raise ``SettingsError`` if it cannot be read."""
     try:
         return Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
@@ -77,6 +98,7 @@
 
 
 def _parse(model: type[M], text: str, path: str) -> M:
+    """Parse JSON5 text into ``model``; raise ``SettingsError`` with all problems."""
     try:
         document = json5.loads(text, allow_duplicate_keys=False)
     except (ValueError, RecursionError) as error:
@@ -90,13 +112,15 @@
 
 
 def _syntax_message(error: Exception) -> str:
+    """Return the message for an operator about text that is not valid JSON5."""
     if isinstance(error, RecursionError):
         return "nested too deeply, expected at most a few levels"
-    # json5 names the position as "<string>:LINE ... at column N".
+    # json5 reports the position as "<string>:LINE ... at column N".
     return str(error).replace("<string>:", "line ")
 
 
 def _to_problem(detail: dict[str, Any]) -> SettingsProblem:
+    """Convert an item of ``ValidationError.errors()`` into a problem."""
     where = ".".join(str(part) for part in detail["loc"]) or "settings"
     is_unknown_key = detail["type"] == "extra_forbidden"
     found = "" if is_unknown_key else _describe(where, detail["type"], detail["input"])
@@ -106,6 +130,7 @@
 
 
 def _describe(where: str, error_type: str, value: Any) -> str:
+    """Return the value found as text, with secrets hidden and objects left out."""
     if error_type == "missing":
         return "nothing"
     if any(word in where.lower() for word in _SECRET_WORDS):
--- a/packages/entry/src/bluebellusher/settings/tests/test_gateway_settings.py
+++ b/packages/entry/src/bluebellusher/settings/tests/test_gateway_settings.py
@@ -1,11 +1,11 @@
-"""Settings of an entry on a platform."""
+"""Guards against wrong reading and checking of the settings on a platform."""
 
 import pytest
 
 from bluebellusher.settings import SettingsError, load_gateway_settings
 
 TEXT = """
-// As a platform fills it in.
+// Values in the form in which a platform writes them.
 {
   instance_id: "edge-1", failure_domain: "d",
   shared_secret: "a-secret-of-sixteen-characters",
@@ -18,14 +18,14 @@
 
 
 def load(tmp_path, text):
-    """Load settings from a text."""
+    """Return the settings of a file with this text."""
     path = tmp_path / "entry.json5"
     path.write_text(text)
     return load_gateway_settings(path)
 
 
 def test_settings_are_read(tmp_path):
-    """Guards against addresses that are taken apart wrongly."""
+    """Guards against addresses that are split into a wrong host or port."""
     settings = load(tmp_path, TEXT)
     assert (settings.callers.host, settings.callers.port) == ("10.0.0.1", 80)
     assert str(settings.seeds[0]) == "10.0.0.2:82"
@@ -42,7 +42,7 @@
 def test_fractions_are_taken(tmp_path, found, replaced):
     """Guards against entries that do not start because a bound is a fraction.
 
-    On the small twins of the grown deployments no entry started.
+    Platforms of small deployments scale the bounds of larger ones down to fractions.
     """
     load(tmp_path, TEXT.replace(found, replaced))
 
@@ -59,7 +59,7 @@
     ],
 )
 def test_bad_settings_are_named(tmp_path, found, replaced, message):
-    """Guards against an error that does not say what to correct."""
+    """Guards against an error that does not name the invalid setting."""
     with pytest.raises(SettingsError) as caught:
         load(tmp_path, TEXT.replace(found, replaced))
     assert message in str(caught.value)
--- a/packages/entry/src/bluebellusher/settings/tests/test_settings.py
+++ b/packages/entry/src/bluebellusher/settings/tests/test_settings.py
@@ -1,4 +1,4 @@
-"""Guards against settings that are accepted wrongly or leak a secret."""
+"""Guards against invalid settings that are accepted, and against leaked secrets."""
 
 import copy
 import json
@@ -36,7 +36,7 @@
 
 
 def test_all_problems_are_reported_at_once_without_secret_values():
-    """Guards against one error at a time, and against a secret in an error."""
+    """Guards against errors that report one problem only, or contain a secret."""
     document = copy.deepcopy(VALID)
     document["shared_secret"] = "too-short"
     document["http"]["port"] = 70000
@@ -57,7 +57,7 @@
 
 
 def test_a_credential_shared_by_two_customers_is_refused():
-    """Guards against a request that is billed to the wrong customer."""
+    """Guards against requests that are billed to the wrong customer."""
     document = copy.deepcopy(VALID)
     document["customers"].append({"customer_id": "c2", "credentials": ["key-of-c1"]})
     with pytest.raises(SettingsError, match="credentials"):
@@ -65,20 +65,20 @@
 
 
 def test_a_syntax_error_names_file_and_line():
-    """Guards against an error that does not say where to look."""
+    """Guards against a syntax error without its position in the file."""
     with pytest.raises(SettingsError, match=r"entry\.json5: syntax: line 2"):
         parse_settings('{"instance_id": "a",\n "b" 3}', "entry.json5")
 
 
 @given(st.text(max_size=80))
 def test_property_any_text_gives_settings_error_only(text):
-    """Guards against a traceback on a damaged settings file."""
+    """Guards against exceptions other than ``SettingsError`` for a damaged file."""
     with pytest.raises(SettingsError):
         parse_settings(text, "entry.json5")
 
 
 def test_the_example_can_be_used():
-    """Guards against an example that no longer fits the settings."""
+    """Guards against an example file that does not match the settings models."""
     root = Path(__file__).resolve().parents[6]
     settings = load_settings(root / "examples/settings/entry-obihiro-1.json5")
     assert settings.failure_domain == "obihiro"
