--- a/packages/entry/src/bluebellusher/tests/test_processes.py
+++ b/packages/entry/src/bluebellusher/tests/test_processes.py
@@ -1,4 +1,4 @@
-"""Guards against faults between the real processes: kills, freezes, outages."""
+"""Guards against wrong handling of kills, freezes and outages by real processes."""
 
 import asyncio
 import json
@@ -15,19 +15,19 @@
 
 
 def model_body(n_tokens: int, text: str = "hello") -> bytes:
-    """Return the body of a streamed model request."""
+    """Return the body of a streamed model request for ``n_tokens`` output tokens."""
     message = {"role": "user", "content": text}
     body = {"model": "model-a", "messages": [message], "stream": True}
     return json.dumps({**body, "max_tokens": n_tokens}).encode()
 
 
 def url(process, path: str) -> str:
-    """Return the address of a path at a process."""
+    """Return the URL of a path at a process."""
     return f"http://127.0.0.1:{process.port}{path}"
 
 
 async def read_until(response, n_events: int) -> bytes:
-    """Read a stream until it has shown ``n_events``."""
+    """Read a stream until ``n_events`` events are complete; return the bytes read."""
     data = b""
     while data.count(b"\n\n") < n_events:
         part = await response.content.readany()
@@ -37,7 +37,11 @@
 
 
 async def open_raw(entry, body: bytes, deadline_ms: int = 60_000):
-    """Send the head of a request and return the connection, which buffers little."""
+    """Send the head of a request; return the reader and writer of the connection.
+
+    The buffers of the connection hold only 4096 bytes, so that a caller that reads
+    slowly delays the entry.
+    """
     sock = socket.socket()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
     sock.connect(("127.0.0.1", entry.port))
@@ -52,20 +56,20 @@
 
 
 async def set_faults(process, **faults) -> None:
-    """Switch faults of a stand-in on or off."""
+    """Set faults of a stand-in process."""
     async with aiohttp.ClientSession() as session:
         await session.post(url(process, "/faults"), json=faults)
 
 
 async def count_executions(session, service, body: bytes) -> int:
-    """Ask a plain service how often it executed a body."""
+    """Return the number of times that a plain service executed a body."""
     target = url(service, "/executions")
     async with session.get(target, params={"body": body.decode()}) as answer:
         return (await answer.json())["n_executions"]
 
 
 def run(scenario) -> None:
-    """Run a scenario with a client, in a cluster of its own."""
+    """Run ``scenario(cluster, session)`` with a new cluster and an HTTP client."""
 
     async def inner() -> None:
         async with (
@@ -78,7 +82,10 @@
 
 
 def test_killed_agent_never_gives_a_complete_answer():
-    """Guards against an answer cut by a killed agent that looks whole (I2)."""
+    """Guards against a truncated answer that appears complete to the caller (I2).
+
+    The agent is killed while it relays the answer.
+    """
 
     async def scenario(cluster, session):
         agent = await cluster.start_engine("engine-1", "a", token_interval_ms=20)
@@ -98,7 +105,10 @@
 
 
 def test_frozen_agent_is_replaced_and_its_stream_resumed():
-    """Guards against a silent connection that holds a stream for ever."""
+    """Guards against a stream that waits without end for an unresponsive agent.
+
+    The agent is stopped by SIGSTOP and keeps its connection.
+    """
 
     async def scenario(cluster, session):
         agent = await cluster.start_engine("engine-1", "a", token_interval_ms=20)
@@ -117,14 +127,17 @@
 
 
 def test_sigterm_of_an_entry_cuts_no_stream():
-    """Guards against a graceful shutdown that interrupts a request (I6)."""
+    """Guards against a graceful shutdown that interrupts a request (I6).
+
+    A stream is in progress, and another request has sent only its head.
+    """
 
     async def scenario(cluster, session):
         await cluster.start_engine("engine-1", "a", token_interval_ms=20)
         entry = await cluster.start_entry("entry-1", "a")
         body = model_body(100)
         target = url(entry, "/v1/chat/completions")
-        # One more request has sent its head and waits with its body.
+        # This request sends its head now and its body after SIGTERM.
         reader, writer = await open_raw(entry, body)
         async with session.post(target, data=body) as response:
             data = await read_until(response, 2)
@@ -149,7 +162,10 @@
 
 
 def test_same_key_at_two_entries_runs_once():
-    """Guards against a booking that runs twice (I4)."""
+    """Guards against a booking that runs twice (I4).
+
+    Requests with the same idempotency key arrive at two entries at the same time.
+    """
 
     async def scenario(cluster, session):
         await cluster.start_platform()
@@ -178,7 +194,10 @@
 
 
 def test_a_call_whose_answer_is_lost_is_not_run_again():
-    """Guards against a retry of work that may have run (I3, I4)."""
+    """Guards against a retry of work that may have run (I3, I4).
+
+    The service executes the request and then closes the connection without an answer.
+    """
 
     async def scenario(cluster, session):
         await cluster.start_platform()
@@ -202,7 +221,7 @@
         async with session.get(url(entry, "/v1/requests/payment-1")) as answer:
             assert (await answer.json())["outcome"] == "unknown"
         assert await count_executions(session, service, b"pay 1") == 1
-        # An idempotent call is tried again after the same loss.
+        # An idempotent request is retried after a lost connection.
         await set_faults(service, drop_before_execute=1)
         async with session.get(target) as answer:
             assert answer.status == 200
@@ -211,7 +230,7 @@
 
 
 def test_platform_down_refuses_only_what_needs_a_claim():
-    """Guards against an outage of the table that stops idempotent work."""
+    """Guards against an outage of the table that stops requests without a claim."""
 
     async def scenario(cluster, session):
         platform = await cluster.start_platform()
@@ -242,7 +261,7 @@
 
 
 def test_a_slow_caller_stops_the_engine():
-    """Guards against an entry that buffers without bound for a slow caller."""
+    """Guards against an entry that buffers without limit for a slow caller."""
 
     async def scenario(cluster, session):
         await cluster.start_engine("engine-1", "a", token_interval_ms=0.1)
@@ -257,8 +276,9 @@
         status_url = url(entry, "/admin/status")
         operator = {"Authorization": "Bearer key-of-op"}
         seen = []
-        # The caller reads nothing; the relayed bytes must come to rest below the
-        # whole answer. The same count in many readings in a row is taken as rest.
+        # The caller reads nothing more, so the number of relayed bytes must stop
+        # growing before half of the answer. It has stopped when 20 readings in a row
+        # are equal.
         while len(seen) < 20 or len(set(seen[-20:])) > 1:
             async with session.get(status_url, headers=operator) as answer:
                 seen.append((await answer.json())["n_bytes_relayed"])
@@ -268,14 +288,14 @@
         n_lines = len(entry.lines)
         _, writer = await open_raw(entry, body, deadline_ms=8_000)
         writer.write(body)
-        # This one neither reads nor leaves; the entry cuts it off.
+        # This caller neither reads nor disconnects; the entry closes its connection.
         await entry.wait_for("a_outcome=caller_left", n_lines)
 
     run(scenario)
 
 
 def test_a_request_that_crashes_engines_costs_at_most_two():
-    """Guards against a poison request that is sent from engine to engine."""
+    """Guards against a poison request that crashes one engine after another."""
 
     async def scenario(cluster, session):
         names = [f"engine-{i}" for i in range(5)]
@@ -301,7 +321,10 @@
 
 
 def test_answers_of_other_attempts_are_never_delivered():
-    """Guards against an engine that crosses two answers (I2)."""
+    """Guards against the answer of another attempt, or a truncated one (I2).
+
+    The engine sends the id of another attempt with its answer, or truncates streams.
+    """
 
     async def scenario(cluster, session):
         await cluster.start_engine("engine-1", "a")
