--- a/packages/entry/src/bluebellusher/rollout/_spread.py
+++ b/packages/entry/src/bluebellusher/rollout/_distributor.py
@@ -7,9 +7,9 @@
 
 from bluebellusher.links import PeerLinks
 from bluebellusher.platform import PlatformError
+from bluebellusher.rollout._compression import compress_text, decompress_text
 from bluebellusher.rollout._domains import DomainView
 from bluebellusher.rollout._in_force import ConfigInForce, ConfigSource
-from bluebellusher.rollout._packed import pack_text, unpack_text
 from bluebellusher.rollout._table import ConfigTable
 from bluebellusher.runtime import PeerExchange
 from bluebellusher_core.clock import Clock
@@ -24,7 +24,7 @@
 PULL_TIMEOUT_MS = 1_000
 
 
-class ConfigSpread:
+class ConfigDistributor:
     """Distributor of versions: announces, pulls and pushes them, and polls the table.
 
     A new version is announced by a digest. A peer that has an older version pulls the
@@ -75,7 +75,7 @@
         exchange.register(messages.Digest, self._receive_digest)
         exchange.register(messages.ConfigPull, self._receive_pull)
         exchange.register(messages.ConfigPush, self._receive_push)
-        self._in_force.add_listener(self._announce)
+        self._in_force.add_listener(self._announce_version)
 
     def tick(self, now_ms: int) -> None:
         """Repeat a pull that was not answered within ``PULL_TIMEOUT_MS``."""
@@ -94,33 +94,36 @@
         while True:
             jitter = 0.8 + 0.4 * self._random_state.random()
             await asyncio.sleep(POLL_INTERVAL_MS / 1000 * jitter)
-            if is_poller(own_id, self._domains.own_members()):
+            if is_poller(own_id, self._domains.own_domain_peers()):
                 await self._poll_once()
 
     async def _poll_once(self) -> None:
         """Read the head row, and offer its version if it is newer."""
         try:
             _, head = await self._table.read_head()
-            if head is not None and head.version > self._in_force.seen_version:
+            if (
+                head is not None
+                and head.version > self._in_force.highest_offered_version
+            ):
                 config = await self._table.read_version(head.version)
                 self._in_force.offer(config, ConfigSource("table"))
         except PlatformError:
             # The status page shows the growing ``confirmed_age_ms``.
             return
         if head is None or head.version <= self._in_force.version:
-            self._in_force.confirm()
+            self._in_force.record_confirmation()
 
-    def _announce(self, _config: ConfigVersion, _rules: RuleSet) -> None:
+    def _announce_version(self, _config: ConfigVersion, _rules: RuleSet) -> None:
         """Send a digest with the new version number to a few connected peers."""
-        connected = self._domains.connected()
-        own = self._domains.own_domain
-        for peer_id in choose_fan_out(connected, own, self._random_state):
+        domain_by_peer = self._domains.domain_by_peer()
+        own_domain = self._domains.own_domain
+        for peer_id in choose_fan_out(domain_by_peer, own_domain, self._random_state):
             self._links.send(peer_id, self._make_digest())
 
     def _receive_digest(self, peer_id: str, digest: Any) -> None:
         """Record a peer's addresses and version, and pull if no pull is pending."""
         members = digest.members or ()
-        self._domains.learn(
+        self._domains.record_addresses(
             peer_id,
             (f"{m.host}:{m.port}" for m in members if m.instance_id == peer_id),
         )
@@ -130,17 +133,19 @@
 
     def _pull(self) -> None:
         """Request the rules from one of the connected peers with a newer version."""
-        seen = self._in_force.seen_version
-        connected = self._domains.connected()
-        newer = [
+        highest_offered_version = self._in_force.highest_offered_version
+        domain_by_peer = self._domains.domain_by_peer()
+        newer_peers = [
             peer_id
             for peer_id, version in sorted(self._version_by_peer_id.items())
-            if version > seen and peer_id in connected
+            if version > highest_offered_version and peer_id in domain_by_peer
         ]
-        if newer:
-            peer_id = self._random_state.choice(newer)
+        if newer_peers:
+            peer_id = self._random_state.choice(newer_peers)
             self._pulled_at_ms = self._clock.now_ms()
-            self._links.send(peer_id, messages.ConfigPull(above_version=seen))
+            self._links.send(
+                peer_id, messages.ConfigPull(above_version=highest_offered_version)
+            )
 
     def _receive_pull(self, peer_id: str, pull: Any) -> None:
         """Send the version in force if it is newer than that of the peer."""
@@ -149,7 +154,7 @@
             push = messages.ConfigPush(
                 version=current.version,
                 change_id=current.change_id,
-                rules_text=pack_text(current.rules_text),
+                rules_text=compress_text(current.rules_text),
                 author=current.author,
                 accepted_wall_ms=current.accepted_wall_ms,
             )
@@ -166,7 +171,7 @@
         config = ConfigVersion(
             version,
             push.change_id or "",
-            unpack_text(push.rules_text or ""),
+            decompress_text(push.rules_text or ""),
             push.author or "",
             push.accepted_wall_ms or 0,
         )
--- a/packages/entry/src/bluebellusher/rollout/_domains.py
+++ b/packages/entry/src/bluebellusher/rollout/_domains.py
@@ -33,7 +33,7 @@
         self._domain_by_address = {
             str(peer): peer.failure_domain for peer in settings.peers
         }
-        self._seen_domains: set[str] = set()
+        self._observed_domains: set[str] = set()
         self._listed_domains: set[str] = set()
 
     @property
@@ -41,19 +41,23 @@
         """Return the failure domain of this entry."""
         return self._settings.failure_domain
 
-    def connected(self) -> dict[str, str]:
+    def domain_by_peer(self) -> dict[str, str]:
         """Return the failure domain of each connected peer."""
         return {
             peer_id: connections[-1].hello.failure_domain
             for peer_id, connections in self._links.connections_by_peer_id.items()
         }
 
-    def own_members(self) -> list[str]:
+    def own_domain_peers(self) -> list[str]:
         """Return the connected peers in the failure domain of this entry."""
-        own = self._settings.failure_domain
-        return [peer for peer, domain in self.connected().items() if domain == own]
-
-    def learn(self, peer_id: str, addresses: Iterable[str]) -> None:
+        own_domain = self._settings.failure_domain
+        return [
+            peer
+            for peer, domain in self.domain_by_peer().items()
+            if domain == own_domain
+        ]
+
+    def record_addresses(self, peer_id: str, addresses: Iterable[str]) -> None:
         """Record the failure domain of a connected peer for its addresses.
 
         Parameters
@@ -64,10 +68,10 @@
             Addresses, as ``host:port``, at which the peer listens. Addresses that are
             not configured are ignored.
         """
-        domain = self.connected().get(peer_id)
+        domain = self.domain_by_peer().get(peer_id)
         if domain is None:
             return
-        self._seen_domains.add(domain)
+        self._observed_domains.add(domain)
         for address in addresses:
             if address in self._domain_by_address:
                 self._domain_by_address[address] = domain
@@ -85,7 +89,9 @@
                 if instance.role == "entry" and instance.state == "running"
             }
 
-    def peers_by_domain(self, without: Collection[str]) -> Mapping[str, list[str]]:
+    def peers_by_domain(
+        self, excluded_domains: Collection[str]
+    ) -> Mapping[str, list[str]]:
         """Return the connected peers of each other failure domain.
 
         A domain without a connected peer has an empty list. If a configured peer has
@@ -94,16 +100,20 @@
 
         Parameters
         ----------
-        without : collection of str
+        excluded_domains : collection of str
             Domains that the operator listed as cut off, which are left out.
         """
-        domains = self._seen_domains | self._listed_domains
+        domains = self._observed_domains | self._listed_domains
         for address, domain in self._domain_by_address.items():
             domains.add(domain or address)
-        connected = self.connected()
-        domains |= set(connected.values())
-        domains -= {self._settings.failure_domain, *without}
+        domain_by_peer = self.domain_by_peer()
+        domains |= set(domain_by_peer.values())
+        domains -= {self._settings.failure_domain, *excluded_domains}
         return {
-            domain: [peer for peer, home in connected.items() if home == domain]
+            domain: [
+                peer
+                for peer, peer_domain in domain_by_peer.items()
+                if peer_domain == domain
+            ]
             for domain in sorted(domains)
         }
--- a/packages/entry/src/bluebellusher/rollout/_in_force.py
+++ b/packages/entry/src/bluebellusher/rollout/_in_force.py
@@ -12,7 +12,7 @@
 from bluebellusher_core.rules import RuleSet, Share, parse_rules
 
 RulesListener = Callable[[ConfigVersion, RuleSet], None]
-_N_ERRORS_SHOWN = 20
+_MAX_LOGGED_ERRORS = 20
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,7 +73,7 @@
         return self._tracker.version
 
     @property
-    def seen_version(self) -> int:
+    def highest_offered_version(self) -> int:
         """Return the highest version number that was offered, in force or rejected.
 
         Only versions above this number are fetched, so that a version that this entry
@@ -85,7 +85,7 @@
         """Call ``listener(config, rules)`` with each version that comes into force."""
         self._listeners.append(listener)
 
-    def confirm(self) -> None:
+    def record_confirmation(self) -> None:
         """Record that the table has no higher version than the one in force."""
         self._confirmed_at_ms = self._clock.now_ms()
 
@@ -96,7 +96,7 @@
         whose rules cannot be parsed, and versions that have the number of the version
         in force but another change id. The last two are logged.
         """
-        if config.version < self.seen_version:
+        if config.version < self.highest_offered_version:
             return False
         if config.version == self._rejected_version:
             return False
@@ -113,7 +113,7 @@
         self.rules = result.ok
         self._source = source
         self._changed_at_ms = self._clock.now_ms()
-        self._announce(config)
+        self._publish(config)
         return True
 
     def status(self) -> dict[str, Any]:
@@ -148,10 +148,10 @@
             version=config.version,
             kept_version=self.version,
             source=source.name,
-            error="; ".join(errors[:_N_ERRORS_SHOWN]),
+            error="; ".join(errors[:_MAX_LOGGED_ERRORS]),
         )
 
-    def _announce(self, config: ConfigVersion) -> None:
+    def _publish(self, config: ConfigVersion) -> None:
         """Log the new version, post the new weights and call the listeners."""
         self._sink.log(
             "config-in-force",
@@ -159,19 +159,22 @@
             change_id=config.change_id,
             source=self._source.name,
         )
-        self._sink.post(PolicyChanged(config.version, self._policies()))
+        self._sink.post(PolicyChanged(config.version, self._build_policies()))
         for listener in self._listeners:
             listener(config, self.rules)
 
-    def _policies(self) -> tuple[CustomerPolicy, ...]:
+    def _build_policies(self) -> tuple[CustomerPolicy, ...]:
         """Return the weight of each customer of the settings or the rules.
 
         A share in the rules has precedence over the weight in the settings, and a
         customer with neither has weight 1.
         """
-        weights = {c.customer_id: c.weight for c in self._settings.customers}
+        weight_by_customer = {c.customer_id: c.weight for c in self._settings.customers}
         for customer in self.rules.customers:
-            weights.setdefault(customer, 1.0)
+            weight_by_customer.setdefault(customer, 1.0)
         for share in self.rules.of_type(Share):
-            weights[share.customer] = float(share.weight)
-        return tuple(CustomerPolicy(name, weights[name]) for name in sorted(weights))
+            weight_by_customer[share.customer] = float(share.weight)
+        return tuple(
+            CustomerPolicy(name, weight_by_customer[name])
+            for name in sorted(weight_by_customer)
+        )
--- a/packages/entry/src/bluebellusher/rollout/_pages.py
+++ b/packages/entry/src/bluebellusher/rollout/_pages.py
@@ -9,7 +9,7 @@
 from sanic.response import HTTPResponse
 
 from bluebellusher.platform import PlatformError
-from bluebellusher.rollout._changes import ChangeAnswer, ChangeOrder, ChangeRunner
+from bluebellusher.rollout._changes import ChangeRequest, ChangeResult, ChangeRunner
 from bluebellusher.rollout._in_force import find_rules_errors
 from bluebellusher.rollout._table import ConfigTable
 from bluebellusher.server import RequestParser
@@ -51,28 +51,32 @@
     def add_to(self, app: Sanic[Any, Any]) -> None:
         """Register the routes in the HTTP server."""
         path = "/admin/rules"
-        app.add_route(self._post, path, methods=["POST"], name="rules-post")
-        app.add_route(self._get, path, name="rules-head")
+        app.add_route(self._post_change, path, methods=["POST"], name="rules-post")
+        app.add_route(self._get_head, path, name="rules-head")
         app.add_route(self._get_versions, f"{path}/versions", name="rules-versions")
         change_path = f"{path}/changes/<change_id:str>"
         app.add_route(self._get_change, change_path, name="rules-change")
 
-    async def _post(self, request: Request) -> HTTPResponse:
+    async def _post_change(self, request: Request) -> HTTPResponse:
         """Execute a change and return its state."""
         operator = self._parser.find_operator(request.headers)
         if operator is None:
-            return _unknown_operator()
+            return _unknown_operator_response()
         try:
             body = _ChangeBody.model_validate_json(request.body)
         except ValidationError as error:
             details = error.errors(
                 include_url=False, include_context=False, include_input=False
             )
-            return _json({"error": {"reason": "bad_request", "detail": details}}, 400)
+            return _json_response(
+                {"error": {"reason": "bad_request", "detail": details}}, 400
+            )
         errors = find_rules_errors(body.rules_text)
         if errors:
-            return _json({"error": {"reason": "rules_errors", "detail": errors}}, 400)
-        order = ChangeOrder(
+            return _json_response(
+                {"error": {"reason": "rules_errors", "detail": errors}}, 400
+            )
+        change = ChangeRequest(
             body.change_id,
             body.base_version,
             body.rules_text,
@@ -80,58 +84,60 @@
             operator,
             tuple(body.without_domains),
         )
-        return _answer(await self._runner.apply(order))
+        return _result_response(await self._runner.apply(change))
 
-    async def _get(self, request: Request) -> HTTPResponse:
+    async def _get_head(self, request: Request) -> HTTPResponse:
         """Return the last accepted version."""
         if self._parser.find_operator(request.headers) is None:
-            return _unknown_operator()
+            return _unknown_operator_response()
         head = await self._runner.read_head()
         if head is None:
-            return _json({"version": 0, "rules_text": ""})
-        return _json(_to_json(head))
+            return _json_response({"version": 0, "rules_text": ""})
+        return _json_response(_to_json(head))
 
     async def _get_versions(self, request: Request) -> HTTPResponse:
         """Return all accepted versions."""
         if self._parser.find_operator(request.headers) is None:
-            return _unknown_operator()
+            return _unknown_operator_response()
         try:
             versions = await self._table.read_all()
         except PlatformError as error:
-            return _table_failed(error)
-        return _json({"versions": [_to_json(config) for config in versions]})
+            return _table_unavailable_response(error)
+        return _json_response({"versions": [_to_json(config) for config in versions]})
 
     async def _get_change(self, request: Request, change_id: str) -> HTTPResponse:
         """Return the state of a change."""
         if self._parser.find_operator(request.headers) is None:
-            return _unknown_operator()
+            return _unknown_operator_response()
         if not re.fullmatch(_CHANGE_ID, change_id):
-            return _json({"error": {"reason": "bad_request"}}, 400)
+            return _json_response({"error": {"reason": "bad_request"}}, 400)
         if self._runner.is_running(change_id):
-            return _json({"state": "unknown", "reason": "the change is in progress"})
+            return _json_response(
+                {"state": "unknown", "reason": "the change is in progress"}
+            )
         try:
             version = await self._table.read_change(change_id)
         except PlatformError as error:
-            return _table_failed(error)
+            return _table_unavailable_response(error)
         if version == 0:
-            return _json({"error": {"reason": "unknown_change"}}, 404)
+            return _json_response({"error": {"reason": "unknown_change"}}, 404)
         if version < 0:
             reason = "it was not written to the table in time"
-            return _json({"state": "refused", "reason": reason})
-        return _json({"state": "accepted", "version": version})
+            return _json_response({"state": "refused", "reason": reason})
+        return _json_response({"state": "accepted", "version": version})
 
 
-def _answer(answer: ChangeAnswer) -> HTTPResponse:
-    head = answer.head
+def _result_response(result: ChangeResult) -> HTTPResponse:
+    head = result.head
     body = {
-        "state": answer.state.value,
-        "version": answer.version,
-        "reason": answer.reason,
+        "state": result.state.value,
+        "version": result.version,
+        "reason": result.reason,
         "head_version": head.version if head else 0,
         "rules_text": head.rules_text if head else "",
     }
     status_by_state = {ChangeState.ACCEPTED: 200, ChangeState.REFUSED: 409}
-    return _json(body, status_by_state.get(answer.state, 503))
+    return _json_response(body, status_by_state.get(result.state, 503))
 
 
 def _to_json(config: ConfigVersion) -> dict[str, Any]:
@@ -143,14 +149,14 @@
     }
 
 
-def _unknown_operator() -> HTTPResponse:
-    return _json({"error": {"reason": "unknown_operator"}}, 401)
+def _unknown_operator_response() -> HTTPResponse:
+    return _json_response({"error": {"reason": "unknown_operator"}}, 401)
 
 
-def _table_failed(error: PlatformError) -> HTTPResponse:
+def _table_unavailable_response(error: PlatformError) -> HTTPResponse:
     detail = {"reason": "table_unavailable", "detail": str(error)}
-    return _json({"error": detail}, 503)
+    return _json_response({"error": detail}, 503)
 
 
-def _json(body: dict[str, Any], status: int = 200) -> HTTPResponse:
+def _json_response(body: dict[str, Any], status: int = 200) -> HTTPResponse:
     return HTTPResponse(json.dumps(body), status, content_type="application/json")
--- a/packages/entry/src/bluebellusher/rollout/_rollout.py
+++ b/packages/entry/src/bluebellusher/rollout/_rollout.py
@@ -8,10 +8,10 @@
 from bluebellusher.links import EventSink, LinkTicker, PeerLinks
 from bluebellusher.platform import PlatformClient
 from bluebellusher.rollout._changes import ChangeRunner
+from bluebellusher.rollout._distributor import ConfigDistributor
 from bluebellusher.rollout._domains import DomainView
 from bluebellusher.rollout._in_force import ConfigInForce
 from bluebellusher.rollout._pages import RulesPages
-from bluebellusher.rollout._spread import ConfigSpread
 from bluebellusher.rollout._table import ConfigTable
 from bluebellusher.runtime import PeerExchange
 from bluebellusher.server import RequestParser
@@ -29,7 +29,7 @@
         Settings of this entry; its instance id decides whether it polls the table.
     in_force : ConfigInForce
         Version in force and its rules, which the rest of the entry reads.
-    spread : ConfigSpread
+    spread : ConfigDistributor
         Exchange of versions with peers and the table.
     runner : ChangeRunner
         Execution of the changes that operators send.
@@ -41,16 +41,16 @@
         self,
         settings: Settings,
         in_force: ConfigInForce,
-        spread: ConfigSpread,
+        distributor: ConfigDistributor,
         runner: ChangeRunner,
         pages: RulesPages,
     ) -> None:
         self.in_force = in_force
         self.pages = pages
         self._settings = settings
-        self._spread = spread
+        self._distributor = distributor
         self._runner = runner
-        self._task: asyncio.Task[None] | None = None
+        self._poll_task: asyncio.Task[None] | None = None
 
     @classmethod
     def from_parts(
@@ -85,24 +85,26 @@
         in_force = ConfigInForce(settings, sink, clock)
         table = ConfigTable(platform)
         domains = DomainView(settings, links, platform)
-        spread = ConfigSpread(
+        distributor = ConfigDistributor(
             in_force, table, domains, links, make_digest, clock, random_state
         )
         runner = ChangeRunner(in_force, table, domains, links, sink, clock)
         pages = RulesPages(RequestParser(settings), runner, table)
-        return cls(settings, in_force, spread, runner, pages)
+        return cls(settings, in_force, distributor, runner, pages)
 
     def start(self, exchange: PeerExchange, ticker: LinkTicker) -> None:
         """Register the handlers of peer messages and start to poll the table."""
         exchange.register(messages.ConfigStage, self._runner.receive_stage)
         exchange.register(messages.ConfigStaged, self._runner.receive_staging_reply)
-        self._spread.register(exchange)
-        ticker.add_callback(self._spread.tick)
-        self._task = asyncio.create_task(self._spread.poll(self._settings.instance_id))
+        self._distributor.register(exchange)
+        ticker.add_callback(self._distributor.tick)
+        self._poll_task = asyncio.create_task(
+            self._distributor.poll(self._settings.instance_id)
+        )
 
     async def close(self) -> None:
         """Cancel all tasks and wait for their end."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        if self._poll_task is not None:
+            self._poll_task.cancel()
+            await asyncio.gather(self._poll_task, return_exceptions=True)
         await self._runner.close()
--- a/packages/entry/src/bluebellusher/rollout/_table.py
+++ b/packages/entry/src/bluebellusher/rollout/_table.py
@@ -46,22 +46,22 @@
 
         The head is ``None`` when no version was accepted yet.
         """
-        row = await self._read(HEAD_KEY)
-        return row.version, _read_version(row) if row.version else None
+        row = await self._read_row(HEAD_KEY)
+        return row.version, _decode_version(row) if row.version else None
 
     async def read_version(self, version: int) -> ConfigVersion:
         """Return an accepted version with its rules text."""
-        row = await self._read(f"{VERSION_PREFIX}{version}")
+        row = await self._read_row(f"{VERSION_PREFIX}{version}")
         if not row.version:
-            raise _malformed(row, "the row is absent")
-        return _read_version(row)
+            raise _malformed_row_error(row, "the row is absent")
+        return _decode_version(row)
 
     async def read_all(self) -> list[ConfigVersion]:
         """Return all accepted versions, ordered by number."""
         result = await self._client.read_rows(VERSION_PREFIX, _HISTORY_DEADLINE_MS)
         if not result.is_ok():
             raise result.error
-        versions = [_read_version(row) for row in result.ok]
+        versions = [_decode_version(row) for row in result.ok]
         return sorted(versions, key=lambda config: config.version)
 
     async def read_change(self, change_id: str) -> int:
@@ -70,13 +70,13 @@
         The number is 0 when the row is absent, and -1 when the row records that the
         change was refused.
         """
-        row = await self._read(_CHANGE_PREFIX + change_id)
+        row = await self._read_row(_CHANGE_PREFIX + change_id)
         if not row.version:
             return 0
         try:
             return int(row.value["version"])
         except (KeyError, TypeError, ValueError) as error:
-            raise _malformed(row, str(error)) from None
+            raise _malformed_row_error(row, str(error)) from None
 
     async def read_rows(self, change_id: str) -> ChangeRows:
         """Return the rows that decide about a change.
@@ -97,15 +97,15 @@
         """
         config = write.config
         change_key = _CHANGE_PREFIX + config.change_id
-        head = _to_value(config)
-        change = {"version": config.version, "operator": operator}
+        head = _to_head_value(config)
+        change_value = {"version": config.version, "operator": operator}
         puts = {
             HEAD_KEY: head,
             f"{VERSION_PREFIX}{config.version}": {
                 **head,
                 "rules_text": config.rules_text,
             },
-            change_key: change,
+            change_key: change_value,
         }
         conditions = {HEAD_KEY: write.head_row_version, change_key: 0}
         result = await self._client.transact(conditions, puts)
@@ -129,7 +129,7 @@
         if not result.is_ok() and not isinstance(result.error, TransactConflictError):
             raise result.error
 
-    async def _read(self, key: str) -> Row:
+    async def _read_row(self, key: str) -> Row:
         """Return a row; raise ``PlatformError`` when the platform fails."""
         result = await self._client.read_row(key)
         if not result.is_ok():
@@ -137,7 +137,7 @@
         return result.ok
 
 
-def _to_value(config: ConfigVersion) -> dict[str, Any]:
+def _to_head_value(config: ConfigVersion) -> dict[str, Any]:
     """Return the value of the head row, which has no rules text."""
     return {
         "version": config.version,
@@ -147,7 +147,7 @@
     }
 
 
-def _read_version(row: Row) -> ConfigVersion:
+def _decode_version(row: Row) -> ConfigVersion:
     """Decode a head or version row; raise ``PlatformError`` when it is malformed."""
     value = row.value
     try:
@@ -159,8 +159,8 @@
             accepted_wall_ms=int(value["accepted_wall_ms"]),
         )
     except (AttributeError, KeyError, TypeError, ValueError) as error:
-        raise _malformed(row, f"{type(error).__name__}: {error}") from None
+        raise _malformed_row_error(row, f"{type(error).__name__}: {error}") from None
 
 
-def _malformed(row: Row, reason: str) -> PlatformError:
+def _malformed_row_error(row: Row, reason: str) -> PlatformError:
     return PlatformError("config-read", "table", f"row {row.key}: {reason}")
--- a/packages/entry/src/bluebellusher/rollout/tests/network.py
+++ b/packages/entry/src/bluebellusher/rollout/tests/network.py
@@ -14,11 +14,11 @@
 from bluebellusher_standins.platform import PlatformServer
 
 # Number of checks of a condition, 10 ms apart, before a test fails.
-N_LOOKS = 2_000
+N_CONDITION_CHECKS = 2_000
 OPERATOR = {"Authorization": "Bearer key-of-op"}
 
 
-def rules(weight: int, name: str = "Mio") -> str:
+def make_rules(weight: int, name: str = "Mio") -> str:
     """Return a rules text that gives customer c1 a weight.
 
     ``name`` is the author of the share in its comment.
@@ -32,7 +32,7 @@
     )
 
 
-class Wire:
+class CuttableProxy:
     """TCP proxy in front of a port, whose connections can be cut."""
 
     def __init__(self, target_port: int) -> None:
@@ -42,7 +42,7 @@
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
 
-    async def start(self) -> "Wire":
+    async def start(self) -> "CuttableProxy":
         """Listen on a free port, and return the proxy."""
         self._server = await asyncio.start_server(self._accept, HOST, 0)
         self.port = self._server.sockets[0].getsockname()[1]
@@ -68,15 +68,16 @@
             writer.transport.abort()
             return
         with contextlib.suppress(OSError):
-            far_reader, far_writer = await asyncio.open_connection(
+            target_reader, target_writer = await asyncio.open_connection(
                 HOST, self._target_port
             )
-            self._writers |= {writer, far_writer}
+            self._writers |= {writer, target_writer}
             await asyncio.gather(
-                self._copy(reader, far_writer), self._copy(far_reader, writer)
+                self._forward(reader, target_writer),
+                self._forward(target_reader, writer),
             )
 
-    async def _copy(self, reader, writer) -> None:
+    async def _forward(self, reader, writer) -> None:
         with contextlib.suppress(OSError):
             while data := await reader.read(65_536):
                 writer.write(data)
@@ -98,7 +99,7 @@
         self.url_by_name: dict[str, str] = {}
         self._peer_port_by_name: dict[str, int] = {}
         self._reservations = PortReservations()
-        self._wires: list[tuple[str, str, Wire]] = []
+        self._proxies: list[tuple[str, str, CuttableProxy]] = []
 
     async def __aenter__(self) -> "Network":
         await self.platform.start()
@@ -109,8 +110,8 @@
         await self.session.close()
         for name in list(self.entry_by_name):
             await self.stop(name)
-        for _, _, wire in self._wires:
-            await wire.stop()
+        for _, _, proxy in self._proxies:
+            await proxy.stop()
         await self.platform.stop()
         self._reservations.close()
 
@@ -122,13 +123,13 @@
             peers = []
             for peer, port in self._peer_port_by_name.items():
                 if peer != name:
-                    wire = await Wire(port).start()
-                    self._wires.append((name[0], peer[0], wire))
-                    address = {"host": HOST, "port": wire.port}
+                    proxy = await CuttableProxy(port).start()
+                    self._proxies.append((name[0], peer[0], proxy))
+                    address = {"host": HOST, "port": proxy.port}
                     peers.append({**address, "failure_domain": peer[0]})
-            await self._start_one(name, peers)
+            await self._start_entry(name, peers)
 
-    async def _start_one(self, name: str, peers: list[dict]) -> None:
+    async def _start_entry(self, name: str, peers: list[dict]) -> None:
         """Start an entry with the settings of its peers."""
         port = self._peer_port_by_name[name]
         settings = {
@@ -162,38 +163,40 @@
     def cut_off(self, domain: str) -> None:
         """Cut a domain off from the other domains and from the platform."""
         self.platform.faults.cut_off_domains = [domain]
-        for ends in self._wires:
-            if domain in ends[:2] and ends[0] != ends[1]:
-                ends[2].cut()
+        for link in self._proxies:
+            if domain in link[:2] and link[0] != link[1]:
+                link[2].cut()
 
     def heal(self) -> None:
         """Restore the connections between all domains and to the platform."""
         self.platform.faults.cut_off_domains = []
-        for _, _, wire in self._wires:
-            wire.heal()
+        for _, _, proxy in self._proxies:
+            proxy.heal()
 
-    def version(self, name: str) -> int:
+    def get_version(self, name: str) -> int:
         """Return the number of the version in force at an entry."""
         return self.entry_by_name[name].rollout.in_force.version
 
-    async def until(self, condition) -> None:
-        """Wait for a condition; raise ``TimeoutError`` after ``N_LOOKS`` checks."""
-        for _ in range(N_LOOKS):
+    async def wait_until(self, condition) -> None:
+        """Wait for a condition; raise ``TimeoutError`` if it is not met in time."""
+        for _ in range(N_CONDITION_CHECKS):
             if condition():
                 return
             await asyncio.sleep(0.01)
         raise TimeoutError("the condition was not met in time")
 
-    async def until_in_force(self, version: int) -> None:
+    async def wait_until_in_force(self, version: int) -> None:
         """Wait until a version is in force at every entry."""
         names = list(self.entry_by_name)
-        await self.until(lambda: all(self.version(n) == version for n in names))
+        await self.wait_until(
+            lambda: all(self.get_version(n) == version for n in names)
+        )
 
-    async def until_connected(self) -> None:
+    async def wait_until_connected(self) -> None:
         """Wait until every entry has received the version of every other entry."""
         n_peers = len(self.entry_by_name) - 1
         entries = list(self.entry_by_name.values())
-        await self.until(
+        await self.wait_until(
             lambda: all(
                 len(e.peer_exchange.config_version_by_peer_id) >= n_peers
                 and len(e.peers.connections_by_peer_id) == n_peers
@@ -201,13 +204,19 @@
             )
         )
 
-    async def apply(self, name: str, change_id: str, base: int, text: str, **more):
+    async def apply(
+        self, name: str, change_id: str, base_version: int, text: str, **extra_fields
+    ):
         """Send a change to an entry; return the status code and the body.
 
-        ``more`` are further fields of the request body.
+        ``extra_fields`` are further fields of the request body.
         """
-        body = {"change_id": change_id, "base_version": base, "rules_text": text}
-        body = {**body, "author": f"author of {change_id}", **more}
+        body = {
+            "change_id": change_id,
+            "base_version": base_version,
+            "rules_text": text,
+        }
+        body = {**body, "author": f"author of {change_id}", **extra_fields}
         url = self.url_by_name[name] + "/rules"
         async with self.session.post(url, json=body) as answer:
             return answer.status, await answer.json()
--- a/packages/entry/src/bluebellusher/rollout/tests/test_frozen_entry.py
+++ b/packages/entry/src/bluebellusher/rollout/tests/test_frozen_entry.py
@@ -6,16 +6,16 @@
 
 import aiohttp
 
-from bluebellusher.rollout.tests.network import OPERATOR, rules
+from bluebellusher.rollout.tests.network import OPERATOR, make_rules
 from bluebellusher_standins.cluster import HOST, Cluster
 
 
-async def apply(session, entry, change_id, base):
+async def apply(session, entry, change_id, base_version):
     """Send a change to an entry; return the status code and the body."""
     body = {
         "change_id": change_id,
-        "base_version": base,
-        "rules_text": rules(3 + base),
+        "base_version": base_version,
+        "rules_text": make_rules(3 + base_version),
         "author": "Mio",
     }
     url = f"http://{HOST}:{entry.port}/admin/rules"
@@ -23,7 +23,7 @@
         return answer.status, await answer.json()
 
 
-def test_frozen_entry_refuses_the_change_and_takes_the_next():
+def test_change_is_refused_only_while_an_entry_is_frozen():
     """Guards against acceptance while the only entry of a domain is unresponsive.
 
     The entry of domain c is stopped by SIGSTOP and keeps its connections. The change
@@ -59,11 +59,11 @@
         for entry in entries:
             await entry.wait_for("event=config-in-force version=2")
 
-    async def inner():
+    async def run_scenario():
         async with (
             Cluster() as cluster,
             aiohttp.ClientSession(headers=OPERATOR) as session,
         ):
             await scenario(cluster, session)
 
-    asyncio.run(inner())
+    asyncio.run(run_scenario())
