--- a/packages/entry/src/bluebellusher/platform/_client.py
+++ b/packages/entry/src/bluebellusher/platform/_client.py
@@ -100,18 +100,18 @@
         result = await self._transport.exchange(
             "table-transact", "POST", "/table/transact", deadline_ms, json=body
         )
-        return result.bind(self._read_transact)
+        return result.bind(self._decode_transact_reply)
 
-    def _read_transact(self, reply: Reply) -> Result[int, PlatformError]:
+    def _decode_transact_reply(self, reply: Reply) -> Result[int, PlatformError]:
         """Decode the version written, or the rows that conflict."""
         step = "table-transact"
         if reply.status == 409:
-            return self._parse(step, reply, _read_conflicts).bind(
+            return self._decode_json(step, reply, _decode_conflicts).bind(
                 lambda rows: Error(
                     TransactConflictError(step, self._transport.peer, rows)
                 )
             )
-        return self._parse(step, reply, lambda data: int(data["version"]))
+        return self._decode_json(step, reply, lambda data: int(data["version"]))
 
     async def read_row(
         self,
@@ -125,7 +125,7 @@
         result = await self._transport.exchange(
             step, "GET", "/table/row", deadline_ms, params=params
         )
-        return result.bind(lambda reply: self._parse(step, reply, Row.from_json))
+        return result.bind(lambda reply: self._decode_json(step, reply, Row.from_json))
 
     async def read_rows(
         self, prefix: str, deadline_ms: int | None = None
@@ -135,7 +135,7 @@
         result = await self._transport.exchange(
             step, "GET", "/table/rows", deadline_ms, params={"prefix": prefix}
         )
-        return result.bind(lambda reply: self._parse(step, reply, _read_rows))
+        return result.bind(lambda reply: self._decode_json(step, reply, _decode_rows))
 
     async def put_object(
         self, name: str, data: bytes, deadline_ms: int | None = None
@@ -157,23 +157,23 @@
         if not result.is_ok():
             return Error(result.error)
         if result.ok.status == 412:
-            return await self._compare_object(name, data, deadline_ms)
-        return self._parse(step, result.ok, lambda _: None)
+            return await self._check_existing_object(name, data, deadline_ms)
+        return self._decode_json(step, result.ok, lambda _: None)
 
-    async def _compare_object(
+    async def _check_existing_object(
         self, name: str, data: bytes, deadline_ms: int | None
     ) -> Result[None, PlatformError]:
         """Succeed if an existing object has the content that was to be written."""
-        found = await self.get_object(name, deadline_ms)
-        if not found.is_ok():
+        existing = await self.get_object(name, deadline_ms)
+        if not existing.is_ok():
             # The status 412 does not show whether an earlier write of this content
             # created the object, so the outcome is unknown without its content.
-            error = found.error
-            unknown = PlatformOutcomeUnknownError(
+            error = existing.error
+            unknown_error = PlatformOutcomeUnknownError(
                 "object-put", error.peer, error.reason
             )
-            return Error(unknown)
-        if found.ok == data:
+            return Error(unknown_error)
+        if existing.ok == data:
             return Ok(None)
         reason = f"{name} exists with other content"
         return Error(ObjectExistsError("object-put", self._transport.peer, reason))
@@ -186,16 +186,16 @@
         result = await self._transport.exchange(
             step, "GET", _object_path(name), deadline_ms
         )
-        return result.bind(lambda reply: self._read_object(step, reply))
+        return result.bind(lambda reply: self._decode_object(step, reply))
 
-    def _read_object(
+    def _decode_object(
         self, step: str, reply: Reply
     ) -> Result[bytes | None, PlatformError]:
         """Return the body, or ``None`` for status 404."""
         if reply.status == 404:
             return Ok(None)
         if reply.status != 200:
-            return Error(self._unexpected(step, reply))
+            return Error(self._to_status_error(step, reply))
         return Ok(reply.body)
 
     async def list_objects(
@@ -206,7 +206,9 @@
         result = await self._transport.exchange(
             step, "GET", "/objects", deadline_ms, params={"prefix": prefix}
         )
-        return result.bind(lambda reply: self._parse(step, reply, _read_names))
+        return result.bind(
+            lambda reply: self._decode_json(step, reply, _decode_object_names)
+        )
 
     async def list_instances(
         self, deadline_ms: int | None = None
@@ -214,7 +216,9 @@
         """Return the instance list, which the platform updates with a delay."""
         step = "instance-list"
         result = await self._transport.exchange(step, "GET", "/instances", deadline_ms)
-        return result.bind(lambda reply: self._parse(step, reply, _read_instances))
+        return result.bind(
+            lambda reply: self._decode_json(step, reply, _decode_instances)
+        )
 
     async def fetch_weights(
         self, expert_id: str, n_bytes: int, deadline_ms: int | None = None
@@ -228,24 +232,26 @@
         result = await self._transport.exchange(
             step, "POST", "/weights/fetch", deadline_ms, json=body
         )
-        return result.bind(lambda reply: self._read_fetch(step, reply))
+        return result.bind(lambda reply: self._decode_weight_reply(step, reply))
 
-    def _read_fetch(self, step: str, reply: Reply) -> Result[None, PlatformError]:
+    def _decode_weight_reply(
+        self, step: str, reply: Reply
+    ) -> Result[None, PlatformError]:
         """Return an error with the retry time for status 429."""
         if reply.status != 429:
-            return self._parse(step, reply, lambda _: None)
-        wait = reply.headers.get("Retry-After", "1")
-        wait_ms = int(wait) * 1000 if wait.isdigit() else 1000
-        return Error(WeightRateLimitedError(step, self._transport.peer, wait_ms))
+            return self._decode_json(step, reply, lambda _: None)
+        retry_after = reply.headers.get("Retry-After", "1")
+        retry_after_ms = int(retry_after) * 1000 if retry_after.isdigit() else 1000
+        return Error(WeightRateLimitedError(step, self._transport.peer, retry_after_ms))
 
-    def _parse(
-        self, step: str, reply: Reply, read: Callable[[Any], T]
+    def _decode_json(
+        self, step: str, reply: Reply, decode: Callable[[Any], T]
     ) -> Result[T, PlatformError]:
-        """Decode the JSON body of a 200 or 409 answer with ``read``."""
+        """Decode the JSON body of a 200 or 409 answer with ``decode``."""
         if reply.status not in (200, 409):
-            return Error(self._unexpected(step, reply))
+            return Error(self._to_status_error(step, reply))
         try:
-            return Ok(read(json.loads(reply.body)))
+            return Ok(decode(json.loads(reply.body)))
         except (AttributeError, KeyError, TypeError, ValueError) as error:
             # A malformed answer does not show whether a write was executed.
             reason = f"malformed answer: {type(error).__name__}: {error}"[:200]
@@ -253,7 +259,7 @@
                 PlatformOutcomeUnknownError(step, self._transport.peer, reason)
             )
 
-    def _unexpected(self, step: str, reply: Reply) -> PlatformError:
+    def _to_status_error(self, step: str, reply: Reply) -> PlatformError:
         """Return the error for an unexpected status; 4xx statuses had no effect."""
         reason = f"status {reply.status}: expected 200"
         if 400 <= reply.status < 500:
@@ -265,17 +271,17 @@
     return "/objects/" + quote(name, safe="/")
 
 
-def _read_conflicts(data: Any) -> tuple[Row, ...]:
+def _decode_conflicts(data: Any) -> tuple[Row, ...]:
     return tuple(Row.from_json(row) for row in data["conflicts"])
 
 
-def _read_rows(data: Any) -> tuple[Row, ...]:
+def _decode_rows(data: Any) -> tuple[Row, ...]:
     return tuple(Row.from_json(row) for row in data["rows"])
 
 
-def _read_names(data: Any) -> tuple[str, ...]:
+def _decode_object_names(data: Any) -> tuple[str, ...]:
     return tuple(str(name) for name in data["objects"])
 
 
-def _read_instances(data: Any) -> tuple[Instance, ...]:
+def _decode_instances(data: Any) -> tuple[Instance, ...]:
     return tuple(Instance.from_json(item) for item in data["instances"])
--- a/packages/entry/src/bluebellusher/platform/_transport.py
+++ b/packages/entry/src/bluebellusher/platform/_transport.py
@@ -65,7 +65,7 @@
         method: str,
         path: str,
         deadline_ms: int | None = None,
-        **options: Any,
+        **request_options: Any,
     ) -> Result[Reply, PlatformError]:
         """Send a request; return an answer with a status below 500, or an error.
 
@@ -81,18 +81,20 @@
             HTTP method, and path below the base address.
         deadline_ms : int or None
             Deadline of this exchange; ``None`` for the default.
-        **options
+        **request_options
             Further arguments of ``aiohttp.ClientSession.request``.
         """
         if deadline_ms is not None and deadline_ms <= 0:
             reason = f"deadline_ms={deadline_ms}: expected more than 0"
             return Error(PlatformNotDoneError(step, self.peer, reason))
         try:
-            reply = await self._send(method, path, deadline_ms, options)
+            reply = await self._send(method, path, deadline_ms, request_options)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            return Error(PlatformNotDoneError(step, self.peer, _describe(error)))
+            return Error(PlatformNotDoneError(step, self.peer, _describe_error(error)))
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
-            return Error(PlatformOutcomeUnknownError(step, self.peer, _describe(error)))
+            return Error(
+                PlatformOutcomeUnknownError(step, self.peer, _describe_error(error))
+            )
         if reply.status == 503:
             reason = "status 503: the platform is down"
             return Error(PlatformNotDoneError(step, self.peer, reason))
@@ -102,7 +104,11 @@
         return Ok(reply)
 
     async def _send(
-        self, method: str, path: str, deadline_ms: int | None, options: dict[str, Any]
+        self,
+        method: str,
+        path: str,
+        deadline_ms: int | None,
+        request_options: dict[str, Any],
     ) -> Reply:
         """Send a request and read the whole answer; raise the errors of aiohttp."""
         total_s = (deadline_ms or self._deadline_ms) / 1000
@@ -111,9 +117,11 @@
         )
         url = self._base_url + path
         session = self._open_session()
-        async with session.request(method, url, timeout=timeout, **options) as answer:
-            body = await read_whole(answer, MAX_ANSWER_BYTES)
-            return Reply(answer.status, answer.headers, body)
+        async with session.request(
+            method, url, timeout=timeout, **request_options
+        ) as response:
+            body = await read_whole(response, MAX_ANSWER_BYTES)
+            return Reply(response.status, response.headers, body)
 
     def _open_session(self) -> aiohttp.ClientSession:
         """Return the session, which is created on first use."""
@@ -128,7 +136,7 @@
         return self._session
 
 
-def _describe(error: BaseException) -> str:
+def _describe_error(error: BaseException) -> str:
     """Return a description of at most 200 characters."""
     if isinstance(error, asyncio.TimeoutError):
         return "no answer within the deadline"
--- a/packages/entry/src/bluebellusher/platform/tests/test_platform_client.py
+++ b/packages/entry/src/bluebellusher/platform/tests/test_platform_client.py
@@ -21,14 +21,14 @@
     ``options`` are arguments of ``PlatformServer``.
     """
 
-    async def main():
+    async def run_scenario():
         async with (
             PlatformServer(**options) as server,
             PlatformClient(server.base_url, "a", 2000) as client,
         ):
             await scenario(client, server)
 
-    asyncio.run(main())
+    asyncio.run(run_scenario())
 
 
 def test_transaction_reports_version_and_conflicting_rows():
@@ -63,7 +63,7 @@
     run(scenario)
 
 
-def test_down_and_unreachable_platforms_are_certainly_not_done():
+def test_down_or_unreachable_platform_is_reported_as_not_done():
     """Guards against unknown outcomes, which forbid a repeat, without need."""
 
     async def scenario(client, server):
