--- a/packages/entry/src/bluebellusher/settings/_load.py
+++ b/packages/entry/src/bluebellusher/settings/_load.py
@@ -22,7 +22,7 @@
 
     Parameters
     ----------
-    where : str
+    location : str
         Path of the setting, such as ``agents.0.port``; ``syntax`` when the file is not
         valid JSON5, and ``file`` when it cannot be read.
     found : str
@@ -31,14 +31,14 @@
         Valid values, or the error of the parser.
     """
 
-    where: str
+    location: str
     found: str
     expected: str
 
     def __str__(self) -> str:
         """Return the problem as one line for an operator."""
         found = f"found {self.found}: " if self.found else ""
-        return f"{self.where}: {found}{self.expected}"
+        return f"{self.location}: {found}{self.expected}"
 
 
 class SettingsError(ValueError):
@@ -69,7 +69,7 @@
         problem, with the file, the path of the setting or the line in the file, the
         value found (never a secret) and the expected values.
     """
-    return parse_settings(_read(path), str(path))
+    return parse_settings(_read_text(path), str(path))
 
 
 def load_gateway_settings(path: str | Path) -> GatewaySettings:
@@ -80,7 +80,7 @@
     SettingsError
         As for ``load_settings``.
     """
-    return _parse(GatewaySettings, _read(path), str(path))
+    return _parse(GatewaySettings, _read_text(path), str(path))
 
 
 def parse_settings(text: str, path: str) -> Settings:
@@ -88,7 +88,7 @@
     return _parse(Settings, text, path)
 
 
-def _read(path: str | Path) -> str:
+def _read_text(path: str | Path) -> str:
     """Return the text of a file; raise ``SettingsError`` if it cannot be read."""
     try:
         return Path(path).read_text(encoding="utf-8")
@@ -102,7 +102,7 @@
     try:
         document = json5.loads(text, allow_duplicate_keys=False)
     except (ValueError, RecursionError) as error:
-        problem = SettingsProblem("syntax", "", _syntax_message(error))
+        problem = SettingsProblem("syntax", "", _format_syntax_error(error))
         raise SettingsError(path, [problem]) from None
     try:
         return model.model_validate(document)
@@ -111,7 +111,7 @@
         raise SettingsError(path, problems) from None
 
 
-def _syntax_message(error: Exception) -> str:
+def _format_syntax_error(error: Exception) -> str:
     """Return the message for an operator about text that is not valid JSON5."""
     if isinstance(error, RecursionError):
         return "nested too deeply, expected at most a few levels"
@@ -121,19 +121,26 @@
 
 def _to_problem(detail: dict[str, Any]) -> SettingsProblem:
     """Convert an item of ``ValidationError.errors()`` into a problem."""
-    where = ".".join(str(part) for part in detail["loc"]) or "settings"
+    location = ".".join(str(part) for part in detail["loc"]) or "settings"
     is_unknown_key = detail["type"] == "extra_forbidden"
-    found = "" if is_unknown_key else _describe(where, detail["type"], detail["input"])
+    found = (
+        ""
+        if is_unknown_key
+        else _describe_value(location, detail["type"], detail["input"])
+    )
     message = str(detail["msg"]).removeprefix("Value error, ")
     expected = "unknown key, expected a documented one" if is_unknown_key else message
-    return SettingsProblem(where, found, expected)
+    return SettingsProblem(location, found, expected)
 
 
-def _describe(where: str, error_type: str, value: Any) -> str:
-    """Return the value found as text, with secrets hidden and objects left out."""
+def _describe_value(location: str, error_type: str, value: Any) -> str:
+    """Return the text that shows the value found in an error.
+
+    Secrets are hidden. Objects give an empty text, and lists the name of their type.
+    """
     if error_type == "missing":
         return "nothing"
-    if any(word in where.lower() for word in _SECRET_WORDS):
+    if any(word in location.lower() for word in _SECRET_WORDS):
         return "a hidden value"
     if isinstance(value, dict | list | tuple) or not isinstance(
         value, str | int | float | bool | None
--- a/packages/entry/src/bluebellusher/settings/_models.py
+++ b/packages/entry/src/bluebellusher/settings/_models.py
@@ -237,11 +237,11 @@
     def _check_names(self) -> "Settings":
         """Reject repeated names, addresses and credentials, and empty credentials."""
         problems = [
-            *_repeated("services", (s.service_id for s in self.services)),
-            *_repeated("models", (m for s in self.services for m in s.models)),
-            *_repeated("customers", (c.customer_id for c in self.customers)),
-            *_repeated("agents", (str(a) for a in self.agents)),
-            *_repeated("peers", (str(p) for p in self.peers)),
+            *_find_repeated("services", (s.service_id for s in self.services)),
+            *_find_repeated("models", (m for s in self.services for m in s.models)),
+            *_find_repeated("customers", (c.customer_id for c in self.customers)),
+            *_find_repeated("agents", (str(a) for a in self.agents)),
+            *_find_repeated("peers", (str(p) for p in self.peers)),
         ]
         credentials = [c for customer in self.customers for c in customer.credentials]
         credentials += [operator.credential for operator in self.operators]
@@ -255,7 +255,7 @@
         return self
 
 
-def _repeated(name: str, values: Iterable[str]) -> list[str]:
+def _find_repeated(name: str, values: Iterable[str]) -> list[str]:
     """Return an error for each value that appears more than once."""
     n_by_value = Counter(values)
     return [
--- a/packages/entry/src/bluebellusher/settings/tests/test_gateway_settings.py
+++ b/packages/entry/src/bluebellusher/settings/tests/test_gateway_settings.py
@@ -17,38 +17,38 @@
 """
 
 
-def load(tmp_path, text):
+def load_text(tmp_path, text):
     """Return the settings of a file with this text."""
     path = tmp_path / "entry.json5"
     path.write_text(text)
     return load_gateway_settings(path)
 
 
-def test_settings_are_read(tmp_path):
+def test_addresses_are_split_into_host_and_port(tmp_path):
     """Guards against addresses that are split into a wrong host or port."""
-    settings = load(tmp_path, TEXT)
+    settings = load_text(tmp_path, TEXT)
     assert (settings.callers.host, settings.callers.port) == ("10.0.0.1", 80)
     assert str(settings.seeds[0]) == "10.0.0.2:82"
 
 
 @pytest.mark.parametrize(
-    ("found", "replaced"),
+    ("old_text", "new_text"),
     [
         ("n_extra: 88", "n_extra: 45.90909090909091"),
         ("window_s: 10", "window_s: 2.5"),
         ("shutdown_grace_s: 8", "shutdown_grace_s: 8.5"),
     ],
 )
-def test_fractions_are_taken(tmp_path, found, replaced):
+def test_fractional_bounds_are_accepted(tmp_path, old_text, new_text):
     """Guards against entries that do not start because a bound is a fraction.
 
     Platforms of small deployments scale the bounds of larger ones down to fractions.
     """
-    load(tmp_path, TEXT.replace(found, replaced))
+    load_text(tmp_path, TEXT.replace(old_text, new_text))
 
 
 @pytest.mark.parametrize(
-    ("found", "replaced", "message"),
+    ("old_text", "new_text", "message"),
     [
         ('callers: "10.0.0.1:80"', 'callers: "10.0.0.1"', "callers"),
         ('store: "10.0.0.9:90",', "", "store: found nothing"),
@@ -58,8 +58,8 @@
         ("agent_port", "agent_prot", "agent_prot: unknown key"),
     ],
 )
-def test_bad_settings_are_named(tmp_path, found, replaced, message):
+def test_errors_name_the_invalid_setting(tmp_path, old_text, new_text, message):
     """Guards against an error that does not name the invalid setting."""
     with pytest.raises(SettingsError) as caught:
-        load(tmp_path, TEXT.replace(found, replaced))
+        load_text(tmp_path, TEXT.replace(old_text, new_text))
     assert message in str(caught.value)
--- a/packages/entry/src/bluebellusher/settings/tests/test_settings.py
+++ b/packages/entry/src/bluebellusher/settings/tests/test_settings.py
@@ -23,14 +23,14 @@
 }
 
 
-def _parse(document):
+def _parse_document(document):
 
     return parse_settings("// comment\n" + json.dumps(document), "entry.json5")
 
 
 def test_secrets_are_hidden_in_representations():
     """Guards against a secret in a log line or a traceback."""
-    settings = _parse(VALID)
+    settings = _parse_document(VALID)
     assert "s3cr3t" not in repr(settings)
     assert "key-of-c1" not in str(settings.customers)
 
@@ -43,9 +43,9 @@
     document["shared_sekret"] = "s3cr3t-of-this-test"
     del document["failure_domain"]
     with pytest.raises(SettingsError) as caught:
-        _parse(document)
+        _parse_document(document)
     message = str(caught.value)
-    assert {p.where for p in caught.value.problems} == {
+    assert {p.location for p in caught.value.problems} == {
         "shared_secret",
         "http.port",
         "shared_sekret",
@@ -56,15 +56,15 @@
     assert "s3cr3t" not in message
 
 
-def test_a_credential_shared_by_two_customers_is_refused():
+def test_credential_shared_by_two_customers_is_rejected():
     """Guards against requests that are billed to the wrong customer."""
     document = copy.deepcopy(VALID)
     document["customers"].append({"customer_id": "c2", "credentials": ["key-of-c1"]})
     with pytest.raises(SettingsError, match="credentials"):
-        _parse(document)
+        _parse_document(document)
 
 
-def test_a_syntax_error_names_file_and_line():
+def test_syntax_error_names_file_and_line():
     """Guards against a syntax error without its position in the file."""
     with pytest.raises(SettingsError, match=r"entry\.json5: syntax: line 2"):
         parse_settings('{"instance_id": "a",\n "b" 3}', "entry.json5")
@@ -77,7 +77,7 @@
         parse_settings(text, "entry.json5")
 
 
-def test_the_example_can_be_used():
+def test_example_settings_are_valid():
     """Guards against an example file that does not match the settings models."""
     root = Path(__file__).resolve().parents[6]
     settings = load_settings(root / "examples/settings/entry-obihiro-1.json5")
