--- a/packages/entry/src/bluebellusher/tests/test_processes.py
+++ b/packages/entry/src/bluebellusher/tests/test_processes.py
@@ -14,7 +14,7 @@
 TIMEOUT = aiohttp.ClientTimeout(total=30)
 
 
-def model_body(n_tokens: int, text: str = "hello") -> bytes:
+def make_model_body(n_tokens: int, text: str = "hello") -> bytes:
     """Return the body of a streamed model request for ``n_tokens`` output tokens."""
     message = {"role": "user", "content": text}
     body = {"model": "model-a", "messages": [message], "stream": True}
@@ -71,14 +71,14 @@
 def run(scenario) -> None:
     """Run ``scenario(cluster, session)`` with a new cluster and an HTTP client."""
 
-    async def inner() -> None:
+    async def run_scenario() -> None:
         async with (
             Cluster() as cluster,
             aiohttp.ClientSession(headers=KEY, timeout=TIMEOUT) as session,
         ):
             await scenario(cluster, session)
 
-    asyncio.run(inner())
+    asyncio.run(run_scenario())
 
 
 def test_killed_agent_never_gives_a_complete_answer():
@@ -91,7 +91,7 @@
         agent = await cluster.start_engine("engine-1", "a", token_interval_ms=20)
         entry = await cluster.start_entry("entry-1", "a")
         target = url(entry, "/v1/chat/completions")
-        async with session.post(target, data=model_body(500)) as response:
+        async with session.post(target, data=make_model_body(500)) as response:
             data = await read_until(response, 3)
             agent.signal(signal.SIGKILL)
             data += await response.content.read()
@@ -113,7 +113,7 @@
     async def scenario(cluster, session):
         agent = await cluster.start_engine("engine-1", "a", token_interval_ms=20)
         entry = await cluster.start_entry("entry-1", "a")
-        body = model_body(400)
+        body = make_model_body(400)
         target = url(entry, "/v1/chat/completions")
         async with session.post(target, data=body) as response:
             data = await read_until(response, 3)
@@ -126,7 +126,7 @@
     run(scenario)
 
 
-def test_sigterm_of_an_entry_cuts_no_stream():
+def test_sigterm_of_an_entry_interrupts_no_stream():
     """Guards against a graceful shutdown that interrupts a request (I6).
 
     A stream is in progress, and another request has sent only its head.
@@ -135,7 +135,7 @@
     async def scenario(cluster, session):
         await cluster.start_engine("engine-1", "a", token_interval_ms=20)
         entry = await cluster.start_entry("entry-1", "a")
-        body = model_body(100)
+        body = make_model_body(100)
         target = url(entry, "/v1/chat/completions")
         # This request sends its head now and its body after SIGTERM.
         reader, writer = await open_raw(entry, body)
@@ -143,19 +143,19 @@
             data = await read_until(response, 2)
             entry.signal(signal.SIGTERM)
             await entry.wait_for("event=stopping")
-            with_new = aiohttp.ClientSession(timeout=TIMEOUT)
-            async with with_new as other:
+            new_session = aiohttp.ClientSession(timeout=TIMEOUT)
+            async with new_session as session_after_sigterm:
                 try:
-                    await other.get(url(entry, "/healthz"))
+                    await session_after_sigterm.get(url(entry, "/healthz"))
                 except aiohttp.ClientConnectorError:
                     pass
                 else:
                     raise AssertionError("a stopping entry accepted a connection")
             data += await response.content.read()
             writer.write(body)
-            late = await reader.read()
+            late_answer = await reader.read()
         assert data == expect_answer(body)
-        assert b"connection: close" in late and b"data: [DONE]" in late
+        assert b"connection: close" in late_answer and b"data: [DONE]" in late_answer
         assert await entry.wait() == 0
 
     run(scenario)
@@ -193,7 +193,7 @@
     run(scenario)
 
 
-def test_a_call_whose_answer_is_lost_is_not_run_again():
+def test_request_with_a_lost_answer_is_not_run_again():
     """Guards against a retry of work that may have run (I3, I4).
 
     The service executes the request and then closes the connection without an answer.
@@ -205,15 +205,15 @@
         entry = await cluster.start_entry("entry-1", "a")
         service = cluster.process_by_name["desk-1.service"]
         target = url(entry, "/services/order-desk/pay")
-        key = {"Idempotency-Key": "payment-1"}
-        for headers in (key, {}):
+        key_headers = {"Idempotency-Key": "payment-1"}
+        for headers in (key_headers, {}):
             body = b"pay 1" if headers else b"pay 2"
             await set_faults(service, drop_after_execute=1)
             async with session.post(target, data=body, headers=headers) as answer:
                 error = (await answer.json())["error"]
                 assert (answer.status, error["outcome"]) == (502, "unknown")
             assert await count_executions(session, service, body) == 1
-        async with session.post(target, data=b"pay 1", headers=key) as answer:
+        async with session.post(target, data=b"pay 1", headers=key_headers) as answer:
             assert (answer.status, (await answer.json())["error"]["outcome"]) == (
                 409,
                 "unknown",
@@ -229,7 +229,7 @@
     run(scenario)
 
 
-def test_platform_down_refuses_only_what_needs_a_claim():
+def test_platform_outage_rejects_only_requests_that_need_a_claim():
     """Guards against an outage of the table that stops requests without a claim."""
 
     async def scenario(cluster, session):
@@ -239,8 +239,8 @@
         service = cluster.process_by_name["desk-1.service"]
         await set_faults(platform, is_down=True)
         target = url(entry, "/services/order-desk/book")
-        key = {"Idempotency-Key": "booking-1"}
-        async with session.post(target, data=b"seat 1", headers=key) as answer:
+        key_headers = {"Idempotency-Key": "booking-1"}
+        async with session.post(target, data=b"seat 1", headers=key_headers) as answer:
             error = (await answer.json())["error"]
             assert (answer.status, error["outcome"]) == (503, "not_run")
             assert error["reason"] == "claim_store_unavailable"
@@ -260,7 +260,7 @@
     run(scenario)
 
 
-def test_a_slow_caller_stops_the_engine():
+def test_slow_caller_bounds_the_relayed_bytes():
     """Guards against an entry that buffers without limit for a slow caller."""
 
     async def scenario(cluster, session):
@@ -268,21 +268,21 @@
         entry = await cluster.start_entry(
             "entry-1", "a", limits={"stream_window_bytes": 131_072}
         )
-        body = model_body(8000)
+        body = make_model_body(8000)
         n_bytes = len(expect_answer(body))
         reader, writer = await open_raw(entry, body)
         writer.write(body)
         await reader.readuntil(b"\n\n")
         status_url = url(entry, "/admin/status")
         operator = {"Authorization": "Bearer key-of-op"}
-        seen = []
+        relayed_counts = []
         # The caller reads nothing more, so the number of relayed bytes must stop
         # growing before half of the answer. It has stopped when 20 readings in a row
         # are equal.
-        while len(seen) < 20 or len(set(seen[-20:])) > 1:
+        while len(relayed_counts) < 20 or len(set(relayed_counts[-20:])) > 1:
             async with session.get(status_url, headers=operator) as answer:
-                seen.append((await answer.json())["n_bytes_relayed"])
-        assert seen[-1] < n_bytes / 2
+                relayed_counts.append((await answer.json())["n_bytes_relayed"])
+        assert relayed_counts[-1] < n_bytes / 2
         writer.close()
         await entry.wait_for("a_outcome=caller_left")
         n_lines = len(entry.lines)
@@ -294,7 +294,7 @@
     run(scenario)
 
 
-def test_a_request_that_crashes_engines_costs_at_most_two():
+def test_poison_request_crashes_at_most_two_engines():
     """Guards against a poison request that crashes one engine after another."""
 
     async def scenario(cluster, session):
@@ -306,15 +306,17 @@
             await cluster.start_entry(f"entry-{i}", "a", port)
             for i, port in enumerate(ports)
         ]
-        body = model_body(20, "poison")
+        body = make_model_body(20, "poison")
         for entry in entries * 2:
             target = url(entry, "/v1/chat/completions")
             async with session.post(target, data=body) as answer:
                 error = (await answer.json())["error"]
                 assert (answer.status, error["reason"]) == (422, "crashes_endpoints")
-            async with session.post(target, data=model_body(3)) as answer:
-                assert await answer.read() == expect_answer(model_body(3))
-        crashes = [x for a in agents for x in a.lines if "event=engine-crash" in x]
+            async with session.post(target, data=make_model_body(3)) as answer:
+                assert await answer.read() == expect_answer(make_model_body(3))
+        crashes = [
+            line for a in agents for line in a.lines if "event=engine-crash" in line
+        ]
         assert 1 <= len(crashes) <= 2
 
     run(scenario)
@@ -333,7 +335,7 @@
         target = url(entry, "/v1/chat/completions")
         for fault in ("cross_attempts", "truncate_streams"):
             await set_faults(engine, **{fault: 2})
-            bodies = [model_body(30, f"{fault} {i}") for i in range(6)]
+            bodies = [make_model_body(30, f"{fault} {i}") for i in range(6)]
             posts = [session.post(target, data=body) for body in bodies]
             for body, answer in zip(bodies, await asyncio.gather(*posts), strict=True):
                 data = await answer.read()
