--- a/packages/entry/src/bluebellusher/platform/_client.py
+++ b/packages/entry/src/bluebellusher/platform/_client.py
@@ -75,7 +75,7 @@
         deletes: Sequence[str] = (),
         deadline_ms: int | None = None,
     ) -> Result[int, PlatformError]:
-        """Write and delete rows if all conditions hold; return their new version.
+        """Write and delete rows if all conditions hold; return the version written.
 
         A failed condition gives a ``TransactConflictError``, and nothing is written.
 
--- a/packages/entry/src/bluebellusher/rollout/_changes.py
+++ b/packages/entry/src/bluebellusher/rollout/_changes.py
@@ -40,7 +40,23 @@
 
 @dataclass(frozen=True, slots=True)
 class ChangeRequest:
-    """Change that an operator sent, with a rules text that has no errors."""
+    """Change that an operator sent, with a rules text that this entry can parse.
+
+    Parameters
+    ----------
+    change_id : str
+        Id that the operator's command gave to the change.
+    base_version : int
+        Number of the version that the operator edited.
+    rules_text : str
+        Text of the whole new rules file.
+    author : str
+        Author named in the request.
+    operator : str
+        Name of the operator whose credential the request has.
+    without_domains : tuple of str
+        Failure domains that are cut off and need not stage the change.
+    """
 
     change_id: str
     base_version: int
@@ -52,7 +68,19 @@
 
 @dataclass(frozen=True, slots=True)
 class ChangeResult:
-    """State of a change for the operator; ``head`` is set when it was refused."""
+    """State of a change for the operator.
+
+    Parameters
+    ----------
+    state : ChangeState
+        Accepted, refused or unknown.
+    version : int
+        Number of the accepted version; 0 when the change is not accepted.
+    reason : str
+        Reason why the change is refused or unknown.
+    head : ConfigVersion or None
+        Last accepted version, for a refused change.
+    """
 
     state: ChangeState
     version: int = 0
@@ -267,6 +295,7 @@
         return self._in_force.current
 
     def _start_resolving(self, change_id: str) -> None:
+        """Start a background task that resolves an unknown change."""
         task = asyncio.create_task(self._resolve(change_id))
         self._resolve_tasks.add(task)
         task.add_done_callback(self._resolve_tasks.discard)
@@ -293,11 +322,13 @@
             await asyncio.sleep(_RESOLVE_INTERVAL_S)
 
     def _discard(self, change_id: str) -> None:
+        """Discard the state of a change whose execution has ended."""
         self._task_by_id.pop(change_id, None)
         self._running_by_id.pop(change_id, None)
 
 
 def _to_stage_message(change: ChangeRequest) -> Any:
+    """Return the message that asks a peer to stage a change."""
     return messages.ConfigStage(
         change_id=change.change_id,
         base_version=change.base_version,
--- a/packages/entry/src/bluebellusher/rollout/_distributor.py
+++ b/packages/entry/src/bluebellusher/rollout/_distributor.py
@@ -108,7 +108,8 @@
                 config = await self._table.read_version(head.version)
                 self._in_force.offer(config, ConfigSource("table"))
         except PlatformError:
-            # The status page shows the growing ``confirmed_age_ms``.
+            # The version is then not confirmed, which the status shows by the growing
+            # ``confirmed_age_ms``.
             return
         if head is None or head.version <= self._in_force.version:
             self._in_force.record_confirmation()
--- a/packages/entry/src/bluebellusher/rollout/_domains.py
+++ b/packages/entry/src/bluebellusher/rollout/_domains.py
@@ -12,7 +12,8 @@
 
     The domains are those of the configured peers, of the instance list and of all
     peers that were connected at any time since the start. A domain is kept when the
-    connections to all its peers are lost, because a change must be refused then.
+    connections to all its peers are lost, so that a change is refused and not accepted
+    without the domain.
 
     Parameters
     ----------
--- a/packages/entry/src/bluebellusher/rollout/_in_force.py
+++ b/packages/entry/src/bluebellusher/rollout/_in_force.py
@@ -12,6 +12,7 @@
 from bluebellusher_core.rules import RuleSet, Share, parse_rules
 
 RulesListener = Callable[[ConfigVersion, RuleSet], None]
+# Number of errors of a rejected version that are logged.
 _MAX_LOGGED_ERRORS = 20
 
 
@@ -29,7 +30,7 @@
 
 
 def find_rules_errors(rules_text: str) -> list[str]:
-    """Return the syntax errors of a rules text, each with its line and column."""
+    """Return the errors of a rules text, each with its line and column."""
     result = parse_rules(rules_text)
     if result.is_ok():
         return []
@@ -64,7 +65,7 @@
 
     @property
     def current(self) -> ConfigVersion | None:
-        """Return the version in force."""
+        """Return the version in force; ``None`` when there is none."""
         return self._tracker.current
 
     @property
@@ -74,7 +75,7 @@
 
     @property
     def highest_offered_version(self) -> int:
-        """Return the highest version number that was offered, in force or rejected.
+        """Return the higher number of the version in force and the last rejected one.
 
         Only versions above this number are fetched, so that a version that this entry
         cannot parse is fetched only once.
--- a/packages/entry/src/bluebellusher/rollout/_rollout.py
+++ b/packages/entry/src/bluebellusher/rollout/_rollout.py
@@ -29,7 +29,7 @@
         Settings of this entry; its instance id decides whether it polls the table.
     in_force : ConfigInForce
         Version in force and its rules, which the rest of the entry reads.
-    spread : ConfigDistributor
+    distributor : ConfigDistributor
         Exchange of versions with peers and the table.
     runner : ChangeRunner
         Execution of the changes that operators send.
--- a/packages/entry/src/bluebellusher/rollout/tests/network.py
+++ b/packages/entry/src/bluebellusher/rollout/tests/network.py
@@ -64,6 +64,7 @@
         self._server.close()
 
     async def _accept(self, reader, writer) -> None:
+        """Forward a new connection in both directions, or abort it while cut."""
         if self._is_cut:
             writer.transport.abort()
             return
@@ -78,6 +79,7 @@
             )
 
     async def _forward(self, reader, writer) -> None:
+        """Copy bytes in one direction until the connection ends."""
         with contextlib.suppress(OSError):
             while data := await reader.read(65_536):
                 writer.write(data)
