--- a/packages/entry/src/bluebellusher/settings/tests/test_gateway_settings.py
+++ b/packages/entry/src/bluebellusher/settings/tests/test_gateway_settings.py
@@ -42,7 +42,7 @@
 def test_fractional_bounds_are_accepted(tmp_path, old_text, new_text):
     """Guards against entries that do not start because a bound is a fraction.
 
-    Platforms of small deployments scale the bounds of larger ones down to fractions.
+    No entry started on small replicas of larger deployments, which have such bounds.
     """
     load_text(tmp_path, TEXT.replace(old_text, new_text))
 
