Merge the wording of entry/rollout, platform, settings and tests

Comments, messages and names of entry/rollout, platform, settings and tests; renames replayed over the other packages. Behaviour does not change (compare of definitions).

--- a/packages/entry/src/bluebellusher/rollout/_in_force.py
+++ b/packages/entry/src/bluebellusher/rollout/_in_force.py
@@ -1,4 +1,4 @@
-"""The version that this entry runs, with its parsed rules."""
+"""Version in force at this entry, with its parsed rules."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -12,12 +12,16 @@
 from bluebellusher_core.rules import RuleSet, Share, parse_rules
 
 RulesListener = Callable[[ConfigVersion, RuleSet], None]
-_N_ERRORS_SHOWN = 20
+# Number of errors of a rejected version that are logged.
+_MAX_LOGGED_ERRORS = 20
 
 
 @dataclass(frozen=True, slots=True)
 class ConfigSource:
-    """Where a version came from: ``settings``, ``table``, ``operator`` or a peer."""
+    """Origin of a version, as shown in the status and in the log.
+
+    ``name`` is ``settings``, ``table``, ``operator`` or ``peer:`` and the id of a peer.
+    """
 
     name: str
 
@@ -26,7 +30,7 @@
 
 
 def find_rules_errors(rules_text: str) -> list[str]:
-    """Return the errors of a rules text, each with line and column."""
+    """Return the errors of a rules text, each with its line and column."""
     result = parse_rules(rules_text)
     if result.is_ok():
         return []
@@ -34,16 +38,17 @@
 
 
 class ConfigInForce:
-    """Check versions that arrive from anywhere and put newer ones into force.
+    """Version in force; replaced by every newer version whose rules are valid.
 
     Parameters
     ----------
     settings : Settings
-        Customers whose weights hold where the rules give none.
+        Customers and their weights, which apply to customers for which the rules
+        have no share.
     sink : EventSink
         Receives ``PolicyChanged`` and log lines.
     clock : Clock
-        Times the age of the version.
+        Monotonic and wall time for the ages in the status.
     """
 
     def __init__(self, settings: Settings, sink: EventSink, clock: Clock) -> None:
@@ -60,7 +65,7 @@
 
     @property
     def current(self) -> ConfigVersion | None:
-        """Return the version in force."""
+        """Return the version in force; ``None`` when there is none."""
         return self._tracker.current
 
     @property
@@ -69,10 +74,11 @@
         return self._tracker.version
 
     @property
-    def seen_version(self) -> int:
-        """Return the highest version that was offered, in force or rejected.
+    def highest_offered_version(self) -> int:
+        """Return the higher number of the version in force and the last rejected one.
 
-        A version that this entry cannot parse is not fetched again.
+        Only versions above this number are fetched, so that a version that this entry
+        cannot parse is fetched only once.
         """
         return max(self.version, self._rejected_version)
 
@@ -80,13 +86,18 @@
         """Call ``listener(config, rules)`` with each version that comes into force."""
         self._listeners.append(listener)
 
-    def confirm(self) -> None:
-        """Note that the table named no higher version than the one in force."""
+    def record_confirmation(self) -> None:
+        """Record that the table has no higher version than the one in force."""
         self._confirmed_at_ms = self._clock.now_ms()
 
     def offer(self, config: ConfigVersion, source: ConfigSource) -> bool:
-        """Put a newer version into force; return whether it is."""
-        if config.version < self.seen_version:
+        """Put a version into force if it is newer; return whether this was done.
+
+        Three kinds of versions are ignored: versions that are not newer, versions
+        whose rules cannot be parsed, and versions that have the number of the version
+        in force but another change id. The last two are logged.
+        """
+        if config.version < self.highest_offered_version:
             return False
         if config.version == self._rejected_version:
             return False
@@ -103,15 +114,16 @@
         self.rules = result.ok
         self._source = source
         self._changed_at_ms = self._clock.now_ms()
-        self._announce(config)
+        self._publish(config)
         return True
 
     def status(self) -> dict[str, Any]:
-        """Return version, source and ages in milliseconds.
+        """Return the version in force, its source and its ages in milliseconds.
 
-        ``age_ms`` counts from acceptance, by wall clocks; ``in_force_ms`` counts from
-        when this entry took the version, and ``confirmed_age_ms`` from when the table
-        last named no higher one.
+        ``age_ms`` is the time since the version was accepted, by wall clocks.
+        ``in_force_ms`` is the time since this entry put it into force.
+        ``confirmed_age_ms`` is the time since a read of the table last found no
+        higher version.
         """
         now_ms = self._clock.now_ms()
         current, confirmed_at_ms = self.current, self._confirmed_at_ms
@@ -130,31 +142,40 @@
     def _reject(
         self, config: ConfigVersion, errors: list[str], source: ConfigSource
     ) -> None:
+        """Record a version whose rules cannot be parsed, and log its errors."""
         self._rejected_version = config.version
         self._sink.log(
             "config-rejected",
             version=config.version,
             kept_version=self.version,
             source=source.name,
-            error="; ".join(errors[:_N_ERRORS_SHOWN]),
+            error="; ".join(errors[:_MAX_LOGGED_ERRORS]),
         )
 
-    def _announce(self, config: ConfigVersion) -> None:
+    def _publish(self, config: ConfigVersion) -> None:
+        """Log the new version, post the new weights and call the listeners."""
         self._sink.log(
             "config-in-force",
             version=config.version,
             change_id=config.change_id,
             source=self._source.name,
         )
-        self._sink.post(PolicyChanged(config.version, self._policies()))
+        self._sink.post(PolicyChanged(config.version, self._build_policies()))
         for listener in self._listeners:
             listener(config, self.rules)
 
-    def _policies(self) -> tuple[CustomerPolicy, ...]:
-        """Return the weights of all customers of the settings and of the rules."""
-        weights = {c.customer_id: c.weight for c in self._settings.customers}
+    def _build_policies(self) -> tuple[CustomerPolicy, ...]:
+        """Return the weight of each customer of the settings or the rules.
+
+        A share in the rules has precedence over the weight in the settings, and a
+        customer with neither has weight 1.
+        """
+        weight_by_customer = {c.customer_id: c.weight for c in self._settings.customers}
         for customer in self.rules.customers:
-            weights.setdefault(customer, 1.0)
+            weight_by_customer.setdefault(customer, 1.0)
         for share in self.rules.of_type(Share):
-            weights[share.customer] = float(share.weight)
-        return tuple(CustomerPolicy(name, weights[name]) for name in sorted(weights))
+            weight_by_customer[share.customer] = float(share.weight)
+        return tuple(
+            CustomerPolicy(name, weight_by_customer[name])
+            for name in sorted(weight_by_customer)
+        )
