Reword remaining comments of core/requests

Names an undocumented parameter correctly and states when requests are requeued, held or rejected. Comments only; behaviour does not change.

--- a/packages/core/src/bluebellusher_core/requests/_attempts.py
+++ b/packages/core/src/bluebellusher_core/requests/_attempts.py
@@ -1,7 +1,7 @@
 """Handlers of events about attempts.
 
-A late or repeated event, or one from another endpoint than the attempt's, has no effect
-on the request.
+A late or repeated event, or one from an endpoint other than the attempt's, has no
+effect on the request.
 """
 
 from bluebellusher_core.effects import ClaimState, CloseConnection, Effect
@@ -42,7 +42,7 @@
 
 
 def started(state: EntryState, event: AttemptStarted, now_ms: int) -> list[Effect]:
-    """Record the first output of an attempt and cancel the request's other ones."""
+    """Record the first output of an attempt and cancel the request's other attempts."""
     attempt = _find_attempt(state, event)
     if attempt is None:
         return _handle_unmatched(state, event)
@@ -61,8 +61,8 @@
 def finished(state: EntryState, event: AttemptFinished, now_ms: int) -> list[Effect]:
     """Complete a request with the complete answer of an attempt.
 
-    An answer with a server error is discarded and the request is tried on another
-    endpoint where that is possible.
+    An answer with a server error is discarded and the request is requeued if another
+    attempt is allowed.
     """
     attempt = _find_attempt(state, event)
     if attempt is None:
@@ -83,8 +83,8 @@
 def refused(state: EntryState, event: AttemptRefused, now_ms: int) -> list[Effect]:
     """Retry a request elsewhere after an endpoint or agent refused its attempt.
 
-    The attempt has certainly not run. A closed port, or another start that answers at
-    the address, also confirms the suspected crashes of the endpoint.
+    A refused attempt has not run. A closed port, or a later start that answers at the
+    address, also confirms the suspected crashes of the endpoint.
     """
     attempt = _find_attempt(state, event)
     if attempt is None:
@@ -156,7 +156,7 @@
 def _record_refusal(
     state: EntryState, event: AttemptRefused, endpoint_id: str, now_ms: int
 ) -> None:
-    """Keep new work from an endpoint that refused an attempt, by the reason given."""
+    """Stop or defer new work for an endpoint that refused an attempt, by its reason."""
     if event.reason is Reason.ENDPOINT_DRAINING:
         state.endpoints.drain(endpoint_id)
         return
--- a/packages/core/src/bluebellusher_core/requests/_crash_evidence.py
+++ b/packages/core/src/bluebellusher_core/requests/_crash_evidence.py
@@ -68,7 +68,8 @@
     """Handle the result of an address check.
 
     A closed port confirms the suspected crashes of the endpoint. A listening port
-    dismisses those before the check. An address that did not answer decides nothing.
+    dismisses those before the check. An address that did not answer neither confirms
+    nor dismisses a crash.
     """
     endpoint_id = event.endpoint_id
     asked_at_ms = state.check_started_at_ms.pop(endpoint_id, None)
--- a/packages/core/src/bluebellusher_core/requests/_final.py
+++ b/packages/core/src/bluebellusher_core/requests/_final.py
@@ -62,10 +62,10 @@
     peer: str = "",
     retry_after_ms: int | None = None,
 ) -> list[Effect]:
-    """Reject a request; the outcome it reports follows from the request's attempts.
+    """Reject a request with an outcome that follows from its attempts.
 
-    Attempts in flight are cancelled. With a granted claim they go on instead, so that
-    the claim's outcome can be recorded.
+    Attempts in flight are cancelled. With a granted claim they continue instead, so
+    that the claim's outcome can be recorded.
     """
     may_have_run = request.may_have_run or bool(request.attempts)
     outcome = Outcome.UNKNOWN if may_have_run else Outcome.NOT_RUN
@@ -145,8 +145,8 @@
 ) -> list[Effect]:
     """Cancel an attempt whose answer is no longer needed.
 
-    The request may have run from then on. If the attempt was isolated, its fingerprint
-    is held.
+    The cancelled attempt may have run, so the request counts as one that may have run.
+    If the attempt was isolated, its fingerprint is held.
     """
     end_attempt(state, request, attempt, now_ms)
     request.may_have_run = True
@@ -163,7 +163,7 @@
     is_lost: bool,
     now_ms: int,
 ) -> None:
-    """Hold a fingerprint: start no run of it while a crash may still be confirmed.
+    """Hold a fingerprint, so that no run of it starts before a crash can be confirmed.
 
     ``is_lost`` states whether the connection was lost during the isolated run.
     """
--- a/packages/core/src/bluebellusher_core/requests/_links.py
+++ b/packages/core/src/bluebellusher_core/requests/_links.py
@@ -94,10 +94,10 @@
 def handle_crashed(
     state: EntryState, event: EndpointCrashed, now_ms: int
 ) -> list[Effect]:
-    """Handle a crash of an engine whose agent goes on running.
+    """Handle a crash of an engine whose agent continues to run.
 
-    The fingerprints that were running become suspects. A fingerprint that ran isolated
-    is blocked. The endpoint gets no new work for ``CRASH_WAIT_MS``.
+    The fingerprints of its running requests become suspects. The fingerprint of an
+    isolated run is blocked. The endpoint gets no new work for ``CRASH_WAIT_MS``.
     """
     effects: list[Effect] = []
     for fingerprint in event.fingerprints[:N_MAX_CRASHED]:
--- a/packages/core/src/bluebellusher_core/requests/_model.py
+++ b/packages/core/src/bluebellusher_core/requests/_model.py
@@ -74,13 +74,13 @@
     attempts : list of Attempt
         Attempts in flight.
     may_have_run : bool
-        Whether an earlier attempt ended without certainty that it did not run.
+        Whether an ended attempt of this request may have run.
     n_refused : int
         Number of attempts that an endpoint or agent refused; refusals because of
         another isolated run do not count.
     n_broken : int
         Number of attempts that broke or ended with a server error.
-    avoided : set of str
+    avoided_endpoint_ids : set of str
         Ids of endpoints that refused or broke an attempt of this request.
     n_bytes_relayed : int
         Number of answer bytes that the caller has received.
