--- a/packages/core/src/bluebellusher_core/reducer/__init__.py
+++ b/packages/core/src/bluebellusher_core/reducer/__init__.py
@@ -1,4 +1,4 @@
-"""The one function that changes the state of an entry."""
+"""Function that applies events to the state of an entry."""
 
 from bluebellusher_core.reducer._reduce import reduce
 from bluebellusher_core.state import EntryConfig, EntryState
--- a/packages/core/src/bluebellusher_core/reducer/_reduce.py
+++ b/packages/core/src/bluebellusher_core/reducer/_reduce.py
@@ -1,4 +1,4 @@
-"""Dispatch of each event to the handler of its subject."""
+"""Dispatch of each event to its handler."""
 
 from bluebellusher_core.effects import Effect
 from bluebellusher_core.events import (
@@ -48,16 +48,24 @@
 
 
 def reduce(state: EntryState, event: Event, now_ms: int) -> list[Effect]:
-    """Change the state by one event and return the effects to execute, in order.
+    """Apply one event to the state and return the effects to execute, in order.
+
+    Waiting requests are placed after every event, because most events change the free
+    capacity or the queues.
 
     Parameters
     ----------
     state : EntryState
         State of the entry; it is changed in place.
     event : Event
-        What happened.
+        The event to apply.
     now_ms : int
-        Monotonic time at which the event is handled.
+        Monotonic time at which the event is handled, in ms.
+
+    Returns
+    -------
+    list of Effect
+        Effects for the runtime to execute in this order.
     """
     effects = _handle(state, event, now_ms)
     effects += _placing.place_waiting(state, now_ms)
@@ -65,6 +73,7 @@
 
 
 def _handle(state: EntryState, event: Event, now_ms: int) -> list[Effect]:
+    """Call the handler of an event and return its effects."""
     match event:
         case RequestArrived():
             return _arrival.handle_arrival(state, event.request, now_ms)
@@ -127,7 +136,11 @@
 
 
 def _handle_timer(state: EntryState, timer_id: str, now_ms: int) -> list[Effect]:
-    """Handle a timer; one whose subject has ended does nothing."""
+    """Handle a timer by the kind that its id begins with.
+
+    A timer of a request, attempt, batch or endpoint whose state no longer exists has no
+    effect.
+    """
     kind, _, subject = timer_id.partition(":")
     match kind:
         case "deadline":
@@ -153,12 +166,14 @@
 
 
 def _share_retries(state: EntryState) -> None:
+    """Resize the retry budget to this entry's equal share of the shared retries."""
     n_shared = state.config.n_shared_retries
     if n_shared is not None:
         state.retry_budget.resize(n_shared // state.n_entries)
 
 
 def _change_policy(state: EntryState, event: PolicyChanged) -> None:
+    """Replace the customers' weights, unless the configuration version is not newer."""
     if event.config_version <= state.config_version:
         return
     state.config_version = event.config_version
--- a/packages/core/src/bluebellusher_core/reducer/tests/_crash_world.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/_crash_world.py
@@ -1,8 +1,8 @@
-"""Entries, endpoints that crash, and what the entries tell each other.
+"""Simulation of entries that share crash records of endpoints without agents.
 
 Each entry has a real ``EntryState`` and real ``Registrations``. Crashes, runs and the
-time of the third crash are counted at the endpoints, so that nothing here depends on
-what the entries believe.
+time of the third crash are counted at the endpoints, independently of the entries'
+records.
 """
 
 import heapq
@@ -37,21 +37,24 @@
 from bluebellusher_core.reducer.tests._specs import make_spec
 
 N_TO_BLOCK = 3
+# Time that an entry in contact with the store needs to receive the third crash, in ms.
 CONTACT_MS = 3_000
 DIGEST_INTERVAL_MS = 500
-# Three heartbeats without word.
+# A registration expires after three missed heartbeats, in ms.
 LAPSE_AFTER_MS = 3_600
+# Delay from a write in the store until the entries read it, in ms.
 WATCH_LAG_MS = 50
 CONNECT_TIMEOUT_MS = 500
-# How long work stands still when the way to its endpoint is cut.
+# Time from a cut between failure domains until the runs across it break, in ms.
 STALL_MS = 1_500
+# Time from the start of a poison run until it crashes its endpoint, in ms.
 CRASH_AFTER_MS = 20
 POISON = "poison"
 
 
 @dataclass
 class Run:
-    """One attempt that an endpoint works on."""
+    """One attempt that an endpoint runs."""
 
     entry: "Entry"
     attempt_id: str
@@ -61,7 +64,10 @@
 
 @dataclass
 class Host:
-    """An address; an endpoint may listen there."""
+    """One address, at which at most one endpoint listens.
+
+    ``registration`` is None while no endpoint listens.
+    """
 
     index: int
     domain: str
@@ -71,7 +77,7 @@
 
 @dataclass
 class Entry:
-    """An entry process."""
+    """One start of an entry process."""
 
     entry_id: str
     domain: str
@@ -83,16 +89,16 @@
 
 
 class CrashWorld:
-    """A deployment in virtual time.
+    """Entries, endpoints and a store in virtual time.
 
     Parameters
     ----------
     seed : int
         Seed of all random choices.
     n_entries, n_hosts : int
-        Size; hosts and entries are spread over three failure domains.
+        Number of entries and hosts, which are spread over three failure domains.
     keeps_id : bool
-        Whether endpoints start again under the id that they had.
+        Whether an endpoint keeps its id when it restarts.
     """
 
     def __init__(self, seed=0, n_entries=4, n_hosts=12, keeps_id=False):
@@ -128,13 +134,13 @@
     # Time.
 
     def at(self, delay_ms, action, *args):
-        """Do something later."""
+        """Schedule a call after a delay in ms."""
         self._order += 1
         due_ms = self.now_ms + delay_ms
         heapq.heappush(self._schedule, (due_ms, self._order, action, args))
 
     def run(self, duration_ms):
-        """Let time pass."""
+        """Advance the virtual time and execute the calls that become due."""
         end_ms = self.now_ms + duration_ms
         while self._schedule and self._schedule[0][0] <= end_ms:
             self.now_ms, _, action, args = heapq.heappop(self._schedule)
@@ -144,7 +150,10 @@
     # Entries.
 
     def start_entry(self, entry_id, domain):
-        """Start an entry that knows nothing; it reads the store and greets peers."""
+        """Start an entry with empty state.
+
+        It reads the store, and each reachable peer sends it its crash records.
+        """
         config = EntryConfig(
             entry_id,
             incarnation=self.now_ms,
@@ -163,7 +172,7 @@
             self.tell(other, entry, other.state.crashes.records(self.now_ms))
 
     def stop_entry(self, entry_id):
-        """Kill an entry; what it knew and the requests in progress are gone."""
+        """Kill an entry; its state and its requests in progress are lost."""
         entry = self.entry_by_id[entry_id]
         entry.is_alive = False
         for host in self.hosts:
@@ -171,7 +180,7 @@
         return entry
 
     def restart_entry(self, entry_id, down_ms=500):
-        """Kill an entry and start it again."""
+        """Kill an entry and restart it after ``down_ms``."""
         entry = self.stop_entry(entry_id)
         self.at(down_ms, self.start_entry, entry_id, entry.domain)
 
@@ -187,21 +196,24 @@
                 self._execute(entry, effect)
 
     def tell(self, entry, other, records):
-        """Bring crashes that one entry knows to another one."""
+        """Deliver crash records of one entry to another one."""
         self.handle(other, CrashesReceived(entry.entry_id, records))
 
     def _tell_all(self, entry, records):
+        """Deliver crash records of an entry to its reachable peers."""
         if not entry.is_alive:
             return
         for other in self._peers_of(entry):
             self.tell(entry, other, records)
 
     def _exchange_all(self):
+        """Deliver the crash records of all entries to their peers, at each interval."""
         for entry in list(self.entry_by_id.values()):
             self._tell_all(entry, entry.state.crashes.records(self.now_ms))
         self.at(DIGEST_INTERVAL_MS, self._exchange_all)
 
     def _write_crashes(self, entry, records):
+        """Merge crash records into the store; retry while the entry cannot reach it."""
         if not entry.is_alive:
             return
         if not self.has_store(entry):
@@ -213,11 +225,13 @@
                 self.at(WATCH_LAG_MS, self._read_crashes, other)
 
     def _read_crashes(self, entry):
+        """Deliver the crash records of the store to an entry that can reach it."""
         if entry.is_alive and self.has_store(entry):
             records = self.crash_table.records(self.now_ms)
             self.handle(entry, CrashesReceived("store", records))
 
     def _peers_of(self, entry):
+        """Return the running entries that an entry can reach."""
         return [
             other
             for other in self.entry_by_id.values()
@@ -231,7 +245,10 @@
         return domain != other and bool({domain, other} & self.cut_domains)
 
     def cut(self, domain):
-        """Cut a failure domain off; what goes on across the cut stands still."""
+        """Cut a failure domain off from the others and from the store.
+
+        Runs across the cut break, and registrations in the domain expire.
+        """
         self.cut_domains.add(domain)
         for host in self.hosts:
             for run in list(host.runs):
@@ -241,7 +258,7 @@
                 self.at(LAPSE_AFTER_MS, self._lapse_if_cut, host)
 
     def heal(self, domain):
-        """End a cut; endpoints whose registrations lapsed register again."""
+        """End a cut; the endpoints of the failure domain register again."""
         self.cut_domains.discard(domain)
         self.healed_at_ms_by_domain[domain] = self.now_ms
         for host in self.hosts:
@@ -251,6 +268,7 @@
             self._read_registrations(entry)
 
     def _lapse_if_cut(self, host):
+        """Expire the registration at a host if its domain is still cut off."""
         if host.domain in self.cut_domains and host.registration is not None:
             self._write_registration(host.registration, is_removed=True)
 
@@ -274,7 +292,10 @@
             self._write_registration(host.registration)
 
     def crash(self, host):
-        """End an endpoint; it is back after some seconds."""
+        """Crash the endpoint at a host; it restarts after a random time.
+
+        ``down_ms`` holds the bounds of that time, in ms.
+        """
         gone = host.registration
         host.registration = None
         runs, host.runs = host.runs, []
@@ -284,7 +305,10 @@
         self.at(self.random.randint(*self.down_ms), self.start_endpoint, host)
 
     def leave(self, host):
-        """End an endpoint by plan: it says so, and another start takes its place."""
+        """Shut an endpoint down by plan.
+
+        It registers as draining, ends after 2 s and is replaced by another start.
+        """
         gone = host.registration
         leaving = EndpointRegistration(
             **{name: getattr(gone, name) for name in gone.__slots__}
@@ -295,6 +319,7 @@
         self.at(2_000, self._end_left, host)
 
     def _end_left(self, host):
+        """End a draining endpoint; break its runs and start its replacement."""
         gone = host.registration
         host.registration = None
         runs, host.runs = host.runs, []
@@ -304,10 +329,12 @@
         self.at(500, self.start_endpoint, host)
 
     def _lapse(self, gone):
+        """Expire the registration of a crashed endpoint unless a newer one exists."""
         if self.row_by_endpoint_id.get(gone.endpoint_id) is gone:
             self._write_registration(gone, is_removed=True)
 
     def _write_registration(self, registration, is_removed=False):
+        """Write or remove a registration in the store; entries read it later."""
         if is_removed:
             self.row_by_endpoint_id.pop(registration.endpoint_id, None)
         else:
@@ -316,6 +343,7 @@
             self.at(WATCH_LAG_MS, self._read_registrations, entry)
 
     def _read_registrations(self, entry):
+        """Apply the registrations of the store to an entry that can reach it."""
         if not entry.is_alive or not self.has_store(entry):
             return
         known = entry.registrations.registration_by_id
@@ -327,6 +355,7 @@
             self.handle(entry, self._with_age(event))
 
     def _with_age(self, event):
+        """Return the event with the time since the endpoint's start, in ms."""
         if isinstance(event, EndpointRegistered):
             return replace(event, age_ms=self.now_ms - event.endpoint.incarnation)
         return event
@@ -336,7 +365,7 @@
         return not self.is_store_away and entry.domain not in self.cut_domains
 
     def is_in_touch(self, entry):
-        """Return whether an entry has run and reached the store for long enough."""
+        """Return whether an entry ran and reached the store during ``CONTACT_MS``."""
         since_ms = max(
             entry.started_at_ms,
             self.store_back_at_ms,
@@ -345,7 +374,7 @@
         return self.has_store(entry) and self.now_ms - since_ms >= CONTACT_MS
 
     def store_returns(self):
-        """Let entries read the store again."""
+        """End an outage of the store; all entries read the registrations."""
         self.is_store_away = False
         self.store_back_at_ms = self.now_ms
         for entry in list(self.entry_by_id.values()):
@@ -354,7 +383,7 @@
     # Requests.
 
     def send(self, entry_id, fingerprint=POISON, is_idempotent=False):
-        """Hand a request to an entry; return its id."""
+        """Send a request to an entry; return its id."""
         self._n_requests += 1
         spec = make_spec(
             f"r{self._n_requests}",
@@ -367,13 +396,14 @@
         return spec.request_id
 
     def is_refused(self, entry_id, fingerprint=POISON):
-        """Return whether an entry refuses a request as one that crashes endpoints."""
+        """Send a request and return whether it is rejected as crashing endpoints."""
         n_before = len(self.refusals)
         self.send(entry_id, fingerprint)
         found = [rejection.reason for _, rejection in self.refusals[n_before:]]
         return found == [Reason.CRASHES_ENDPOINTS]
 
     def _execute(self, entry, effect):
+        """Execute one effect of an entry; effects of other types are ignored."""
         match effect:
             case Dispatch():
                 self.at(1, self._begin, entry, effect)
@@ -394,6 +424,7 @@
                 self.at(delay_ms, self.handle, entry, TimerFired(effect.timer_id))
 
     def _check(self, entry, endpoint_id):
+        """Check an endpoint's address for an entry; it times out across a cut."""
         host = self.hosts[entry.address_by_endpoint_id[endpoint_id]]
         if self.is_cut(entry.domain, host.domain):
             event = EndpointChecked(endpoint_id, None)
@@ -403,7 +434,7 @@
             self.handle(entry, EndpointChecked(endpoint_id, is_listening))
 
     def _begin(self, entry, effect):
-        """Let an attempt arrive at its address."""
+        """Deliver an attempt to its address, where it runs or is refused."""
         request = entry.state.request_by_id.get(effect.request_id)
         if request is None or not entry.is_alive:
             return
@@ -430,6 +461,11 @@
                 self.at(self.random.randint(20, 400), self._finish, host, run)
 
     def _count(self, run):
+        """Count a poison run, and a late one if its entry should have blocked it.
+
+        A run is late when it starts more than ``CONTACT_MS`` after the third crash at
+        an entry that has been in contact with the store.
+        """
         if run.fingerprint != POISON:
             return
         self.n_runs += 1
@@ -440,11 +476,13 @@
         self.n_late_runs += is_late and self.is_in_touch(run.entry)
 
     def _crash_by(self, host, run):
+        """Crash the endpoint at a host if the poison run still runs there."""
         if run in host.runs:
             self.crash_times_ms.append(self.now_ms)
             self.crash(host)
 
     def _finish(self, host, run):
+        """Answer a run if it still runs at a host."""
         if run not in host.runs:
             return
         host.runs.remove(run)
@@ -454,11 +492,13 @@
         self.handle(run.entry, event)
 
     def _break(self, host, run):
+        """Break a run if it still runs at a host."""
         if run in host.runs:
             host.runs.remove(run)
             self._tell_broken(run)
 
     def _tell_broken(self, run):
+        """Report the lost connection of a run to its entry."""
         event = AttemptBroken(
             run.attempt_id, Reason.CONNECTION_LOST, 0, False, run.endpoint_id
         )
--- a/packages/core/src/bluebellusher_core/reducer/tests/_entries.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/_entries.py
@@ -1,7 +1,8 @@
-"""A small independent world around the reducer: entries and their effects.
+"""Simulated entries that execute the effects of the reducer and check them.
 
-Nothing here uses the reducer's own tables: executions, bytes and crashes are counted
-where they happen, so that the promises are checked from outside.
+The simulation counts executions, relayed bytes and crashes where they happen, at the
+endpoints and callers. It does not read the reducer's own tables, so that its checks are
+independent of them.
 """
 
 from collections import Counter
@@ -34,7 +35,45 @@
 
 @dataclass
 class Entry:
-    """An entry process: the reducer's state and what the runtime keeps."""
+    """An entry process: the reducer's state and the state of its runtime.
+
+    Parameters
+    ----------
+    entry_id : str
+        Id of the entry.
+    incarnation : int
+        Number of the entry's start.
+    state : EntryState
+        State that the reducer changes.
+    timers : list of (int, str)
+        Due time in ms and id of each timer that is set.
+    endpoint_by_attempt : dict
+        Endpoint of each attempt whose messages the runtime still accepts.
+    spec_by_id : dict
+        Request specification of each request that arrived.
+    request_by_attempt : dict
+        Request of each attempt that was ever dispatched.
+    sent : dict
+        Text that was relayed to the caller, by request.
+    operations : list of WriteClaims
+        Claim writes that the table has not answered yet.
+    limbo : list
+        Claim writes that were reported as unanswered and may still take effect.
+    drained : set of str
+        Endpoints that reported that they are draining.
+    open_attempts : dict
+        Request of each attempt that has not ended.
+    last_end : dict
+        How the last attempt of a request ended: ``lost``, ``broken`` or ``refused``.
+    crashed : set of str
+        Attempts that a crash report named.
+    n_fresh : int
+        Number of requests that arrived.
+    n_budgeted : int
+        Number of attempts that must have used the retry budget.
+    is_stopping : bool
+        Whether the entry was ordered to shut down.
+    """
 
     entry_id: str
     incarnation: int
@@ -56,7 +95,18 @@
 
 
 class EntryWorld:
-    """Executes effects, delivers events and counts what really happened."""
+    """Executes the effects of entries and checks each dispatch and final answer.
+
+    Parameters
+    ----------
+    n_entries, n_endpoints : int
+        Number of entries and of endpoints.
+    poison : collection of str
+        Fingerprints of the requests that crash endpoints.
+    **options
+        ``retry_percent``, ``hedge_after_ms``, ``make_queue`` and ``make_policy`` of
+        the entries.
+    """
 
     def __init__(self, n_entries, n_endpoints, poison=(), **options):
         self.now_ms = 1_000
@@ -98,18 +148,21 @@
             self.links[entry_id, endpoint_id] = Link()
 
     def restart_entry(self, entry_id):
-        """Lose everything that the entry knew; its callers get no answer."""
+        """Replace an entry by a new start with empty state.
+
+        Its callers without a final answer get none and are no longer checked.
+        """
         old = self.entry_by_id[entry_id]
         for request_id in old.spec_by_id:
             if not self.finals[request_id]:
                 del self.finals[request_id]
-        # Writes that were under way may still take effect.
+        # Writes in flight may still take effect.
         limbo = old.limbo + [op.writes for op in old.operations]
         self.start_entry(entry_id, old.incarnation + 1)
         self.entry_by_id[entry_id].limbo = limbo
 
     def arrive(self, entry_id, spec):
-        """Hand a request to an entry."""
+        """Send a request to an entry; an entry that shuts down must reject it."""
         entry = self.entry_by_id[entry_id]
         entry.spec_by_id[spec.request_id] = spec
         entry.sent[spec.request_id] = ""
@@ -118,7 +171,9 @@
         self.step(entry, RequestArrived(spec))
         if entry.is_stopping:
             final = self.finals[spec.request_id][0]
-            assert final.rejection.outcome is Outcome.NOT_RUN, "accepted while stopping"
+            assert final.rejection.outcome is Outcome.NOT_RUN, (
+                "request not rejected during the shutdown"
+            )
 
     def make_spec(self, fingerprint, is_idempotent, key, lifetime_ms):
         """Return a request with a new id."""
@@ -140,12 +195,12 @@
         )
 
     def step(self, entry, event):
-        """Feed one event and execute the effects."""
+        """Apply one event to an entry and execute the effects."""
         for effect in reduce(entry.state, event, self.now_ms):
             self.execute(entry, effect)
 
     def execute(self, entry, effect):
-        """Do what an effect says."""
+        """Execute one effect and check it against the request's expected answer."""
         match effect:
             case Dispatch():
                 self.dispatch(entry, effect)
@@ -157,17 +212,17 @@
             case Complete():
                 spec = entry.spec_by_id[effect.request_id]
                 right = answer_to(spec.fingerprint)
-                assert entry.sent[effect.request_id] == right, "I2"
+                assert entry.sent[effect.request_id] == right, "wrong complete answer"
                 self.end(effect.request_id, effect)
             case Reject():
                 self.end(effect.request_id, effect)
             case ReplayAnswer():
                 spec = entry.spec_by_id[effect.request_id]
-                assert effect.answer_ref == spec.fingerprint, "I2 replay"
+                assert effect.answer_ref == spec.fingerprint, "wrong replayed answer"
                 self.end(effect.request_id, effect)
             case WriteClaims():
                 rows = [(w.customer_id, w.idempotency_key) for w in effect.writes]
-                assert len(rows) == len(set(rows)), "one row twice in a batch"
+                assert len(rows) == len(set(rows)), "two writes to one row in a batch"
                 entry.operations.append(effect)
             case SetTimer():
                 entry.timers.append((effect.due_ms, effect.timer_id))
@@ -175,27 +230,33 @@
                 self.cut(entry.entry_id, effect.endpoint_id)
 
     def end(self, request_id, effect):
-        """Note a final answer."""
+        """Record a final answer and check that it is the only one."""
         self.finals[request_id].append(effect)
         self.final_at_ms[request_id] = self.now_ms
         assert len(self.finals[request_id]) == 1, "second final answer"
 
     def dispatch(self, entry, effect):
-        """Check a dispatch against the promises and send it."""
+        """Check a dispatch and send it to its endpoint.
+
+        Checks the deadline, the resume offset, the draining state of the endpoint, the
+        isolation of suspects and the retry budget.
+        """
         spec = entry.spec_by_id[effect.request_id]
         is_fresh = effect.resume_offset == 0
         assert not self.finals[effect.request_id], "dispatch after the final answer"
         assert spec.deadline_ms > self.now_ms, "dispatch after the deadline"
-        assert effect.resume_offset == len(entry.sent[effect.request_id]), "offset"
+        assert effect.resume_offset == len(entry.sent[effect.request_id]), (
+            "wrong offset"
+        )
         if is_fresh:
-            assert effect.endpoint_id not in entry.drained, "I5"
+            assert effect.endpoint_id not in entry.drained, "endpoint is draining"
             self.check_copies(entry, effect, spec)
         is_hedge = effect.request_id in entry.open_attempts.values()
         last_end = entry.last_end.get(effect.request_id, "refused")
         if is_hedge or (is_fresh and last_end == "broken"):
             entry.n_budgeted += 1
             n_allowed = N_MIN_RETRIES + entry.n_fresh * self.retry_percent / 100
-            assert entry.n_budgeted <= n_allowed, "retry budget"
+            assert entry.n_budgeted <= n_allowed, "retry budget exceeded"
         entry.open_attempts[effect.attempt_id] = effect.request_id
         entry.request_by_attempt[effect.attempt_id] = effect.request_id
         entry.endpoint_by_attempt[effect.attempt_id] = effect.endpoint_id
@@ -203,21 +264,26 @@
         link.to_endpoint.append(("dispatch", effect, spec))
 
     def check_copies(self, entry, effect, spec):
-        """Check that suspects run one at a time, alone among this entry's work."""
+        """Check that no other request with the fingerprint of an isolated run is open.
+
+        A hedge may run beside the first attempt of its own request.
+        """
         if not effect.is_isolated:
             return
         for attempt_id, request_id in entry.open_attempts.items():
             if attempt_id in entry.crashed:
-                # It died with its engine; the word on the attempt is on its way.
+                # The attempt ended with its engine; its report has not arrived yet.
                 continue
             other = entry.spec_by_id[request_id]
             is_copy = other.fingerprint == spec.fingerprint
             is_hedge = request_id == effect.request_id
-            assert not is_copy or is_hedge, "two copies of a suspect"
+            assert not is_copy or is_hedge, (
+                "two requests of one suspect fingerprint run"
+            )
             assert attempt_id != effect.attempt_id
 
     def fire_timer(self, entry):
-        """Fire the timer that is due longest; return whether there was one."""
+        """Fire the timer with the earliest due time; return whether one was due."""
         due = min(entry.timers, default=None)
         if due is None or due[0] > self.now_ms:
             return False
--- a/packages/core/src/bluebellusher_core/reducer/tests/_model.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/_model.py
@@ -1,4 +1,4 @@
-"""Fakes that the world is made of: endpoints that run requests, and the table."""
+"""Fake endpoints, connections and claim table of the simulation."""
 
 from collections import deque
 from dataclasses import dataclass, field
@@ -7,17 +7,18 @@
 from bluebellusher_core.errors import Reason
 from bluebellusher_core.events import ClaimOutcome, ClaimResult, RequestSpec
 
+# Characters that a run sends in one chunk.
 CHUNK = 4
 
 
 def answer_to(fingerprint):
-    """Return the only right answer to a request."""
+    """Return the answer that every complete run of a request must produce."""
     return (fingerprint * 12)[: 3 * CHUNK]
 
 
 @dataclass
 class Run:
-    """One execution on an endpoint."""
+    """Execution of one attempt on an endpoint."""
 
     attempt_id: str
     entry_id: str
@@ -29,7 +30,7 @@
 
 @dataclass
 class Endpoint:
-    """An agent and its engine."""
+    """Agent and engine of one endpoint."""
 
     endpoint_id: str
     incarnation: int = 1
@@ -43,7 +44,7 @@
         return [run for run in self.run_by_attempt.values() if not run.is_over]
 
     def accept(self, entry_id, effect, spec):
-        """Run, resume or refuse what an entry sent; return the message for it."""
+        """Start, resume or refuse an attempt; return the reply to the entry, if any."""
         if effect.resume_offset:
             return self._resume(entry_id, effect, spec)
         reason = self._refusal(effect)
@@ -54,6 +55,10 @@
         return ("accepted", effect.attempt_id) if effect.is_isolated else None
 
     def _refusal(self, effect):
+        """Return the reason to refuse a new attempt, or None.
+
+        An isolated run shares the endpoint with no other run.
+        """
         runs = self.active()
         if self.is_draining:
             return Reason.ENDPOINT_DRAINING
@@ -64,6 +69,7 @@
         return None
 
     def _resume(self, entry_id, effect, spec):
+        """Continue an earlier run of the same request; refuse when there is none."""
         for run in list(self.run_by_attempt.values()):
             if (run.entry_id, run.spec.request_id) == (entry_id, spec.request_id):
                 del self.run_by_attempt[run.attempt_id]
@@ -74,7 +80,10 @@
         return ("refused", effect.attempt_id, Reason.ENDPOINT_LOST)
 
     def produce(self, run):
-        """Return the next messages of a run."""
+        """Advance a run by one chunk and return the messages that it sends.
+
+        A run that has sent its whole answer finishes.
+        """
         answer = answer_to(run.spec.fingerprint)
         if run.n_sent == len(answer):
             run.is_over = True
@@ -88,7 +97,11 @@
 
 @dataclass
 class Link:
-    """A connection; ``is_noticed`` tells whether the entry knows that it is cut."""
+    """Connection between an entry and an endpoint, with the messages in flight.
+
+    ``is_noticed`` states whether the entry has been informed of the loss of the last
+    connection.
+    """
 
     is_open: bool = False
     is_noticed: bool = True
@@ -97,7 +110,7 @@
 
 
 class Table:
-    """Claim rows, as the platform and the runtime resolve them."""
+    """Rows of claims with the conditional writes of the store and the runtime."""
 
     def __init__(self):
         self.row_by_key = {}
@@ -107,7 +120,7 @@
         return (write.customer_id, write.idempotency_key) in self.row_by_key
 
     def apply(self, write):
-        """Write a row where its condition holds; return what the runtime reports."""
+        """Apply a conditional write and return the result that the runtime reports."""
         key = (write.customer_id, write.idempotency_key)
         row = self.row_by_key.get(key)
         is_ours = row is not None and row.claim_id == write.claim_id
@@ -122,6 +135,7 @@
 
 
 def _read(row, write):
+    """Return the outcome of a claim and, if it is done, the reference of the answer."""
     if row.claim_id == write.claim_id and row.state is ClaimState.CLAIMED:
         return (ClaimOutcome.GRANTED,)
     if row.fingerprint != write.fingerprint:
--- a/packages/core/src/bluebellusher_core/reducer/tests/_pause_world.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/_pause_world.py
@@ -1,9 +1,9 @@
-"""Replay of a service whose endpoints ask for pauses and are released, under overload.
+"""Simulation of an overloaded service whose endpoints ask for pauses and leave.
 
-Four entries send to eight endpoints. Half of the endpoints turn away everything in
-pauses of 0.5 to 5 s, while callers come at twice the capacity of the others. Two of
-the others leave, one after the other, while the store is away: what they say in their
-answers is all that tells of it.
+Four entries send to eight endpoints. Half of the endpoints refuse all attempts in
+pauses of 0.5 to 5 s, while callers arrive at twice the capacity of the others. Two of
+the others leave, one after the other, while the store is unavailable, so that only the
+answers of these endpoints announce it.
 """
 
 import heapq
@@ -45,20 +45,40 @@
 N_QUEUED = 3
 OBJECTIVE_MS = 400
 DEADLINE_MS = 4_000
-# A run answers after its first part; the whole of it takes a place.
+# Time until the first output of a run and duration of the whole run, which occupies a
+# slot, in ms.
 FIRST_MS = 60
 SERVICE_MS = 240
+# One-way latency between entries and endpoints, in ms.
 TRIP_MS = 2
+# Time during which callers arrive, in ms.
 LENGTH_MS = 10_000
+# Arrival rate divided by the capacity of the endpoints that never pause.
 LOAD = 2.0
 LEAVES_AT_MS = (3_000, 5_000)
-# How long an endpoint serves on after it has begun to say that it leaves.
+# Time from the first announcement of a shutdown to the end of the endpoint, in ms.
 DRAIN_MS = 3_000
 
 
 @dataclass
 class Result:
-    """What became of the callers, and what reached endpoints against their word."""
+    """Counts of callers by result, and of attempts that ignored an announcement.
+
+    Parameters
+    ----------
+    n_asked : int
+        Number of callers.
+    n_on_time, n_late : int
+        Callers with a complete answer within, and not within, the objective.
+    n_refused : int
+        Callers whose request did not run and that stopped retrying.
+    n_failed : int
+        Callers whose request was rejected and may have run.
+    n_in_pause : int
+        Attempts that reached an endpoint during an announced pause.
+    n_after_leaving : int
+        Attempts that reached an endpoint after it had announced its shutdown.
+    """
 
     n_asked: int = 0
     n_on_time: int = 0
@@ -75,41 +95,48 @@
 
 @dataclass
 class _Endpoint:
+    """An endpoint with its pauses, the time of its shutdown and its runs."""
+
     endpoint_id: str
     pauses: list[tuple[int, int]] = field(default_factory=list)
     leaves_at_ms: int | None = None
     runs: dict = field(default_factory=dict)
 
     def pause_left_ms(self, now_ms):
+        """Return the time until the pause ends, in ms; 0 or less outside a pause."""
         return max(
             (end - now_ms for begin, end in self.pauses if begin <= now_ms), default=0
         )
 
     def is_leaving(self, now_ms):
+        """Return whether the endpoint announces its shutdown."""
         return self.leaves_at_ms is not None and now_ms >= self.leaves_at_ms
 
     def is_gone(self, now_ms):
+        """Return whether the endpoint has ended."""
         return self.is_leaving(now_ms) and now_ms >= self.leaves_at_ms + DRAIN_MS
 
 
 @dataclass
 class _Caller:
+    """A caller that retries a rejected request once."""
+
     first_ms: int
     n_refusals: int
     is_on_time: bool = False
 
 
 class PauseWorld:
-    """One replay.
+    """Entries, endpoints and callers in virtual time.
 
     Parameters
     ----------
     seed : int
         Seed of all random choices.
     honours : bool
-        Whether entries are told what endpoints say; the baseline is not.
+        Whether entries receive the announcements of endpoints; the baseline does not.
     leaves_at_ms : tuple of int
-        When endpoints begin to leave.
+        Times at which endpoints begin to announce their shutdown, in ms.
     """
 
     def __init__(self, seed, honours, leaves_at_ms=LEAVES_AT_MS):
@@ -133,16 +160,18 @@
         self._plan_callers()
 
     def run(self):
-        """Play to the end; return the result."""
+        """Run the simulation to its end and return the result."""
         while self._schedule:
             self.now_ms, _, action, args = heapq.heappop(self._schedule)
             action(*args)
         return self.result
 
     def _at(self, at_ms, action, *args):
+        """Schedule a call at a virtual time in ms."""
         heapq.heappush(self._schedule, (int(at_ms), next(self._order), action, args))
 
     def _make_entry(self, number):
+        """Return the state of an entry with all endpoints registered."""
         config = EntryConfig(
             f"e{number}",
             seed=number,
@@ -161,6 +190,7 @@
         return state
 
     def _plan_pauses(self, endpoint):
+        """Add random pauses to an endpoint."""
         at_ms = self.random.randint(0, 3_000)
         while at_ms < LENGTH_MS:
             end_ms = at_ms + self.random.randint(500, 5_000)
@@ -168,6 +198,7 @@
             at_ms = end_ms + self.random.randint(500, 3_000)
 
     def _plan_callers(self):
+        """Schedule the callers as a Poisson process."""
         per_ms = LOAD * N_SLOTS * (N_ENDPOINTS // 2) / SERVICE_MS
         at_ms = 0.0
         while at_ms < LENGTH_MS:
@@ -176,6 +207,7 @@
             self._at(at_ms, self._ask, _Caller(int(at_ms), 0))
 
     def _ask(self, caller):
+        """Send the request of a caller to a random entry."""
         state = self.random.choice(self.entries)
         request_id = f"r{next(self._ids)}"
         self._caller_by_request[request_id] = caller
@@ -189,6 +221,7 @@
         self._handle(state, RequestArrived(spec))
 
     def _handle(self, state, event):
+        """Apply an event to an entry and execute the effects."""
         for effect in reduce(state, event, self.now_ms):
             match effect:
                 case Dispatch():
@@ -211,6 +244,7 @@
                         self._at(self.now_ms + TRIP_MS, self._handle, other, news)
 
     def _arrive(self, state, dispatch):
+        """Deliver an attempt to its endpoint, which runs or refuses it."""
         endpoint = self.endpoints[dispatch.endpoint_id]
         attempt_id, endpoint_id = dispatch.attempt_id, dispatch.endpoint_id
         if attempt_id not in state.attempt_by_id:
@@ -234,6 +268,10 @@
         self._at(self.now_ms + wait_ms + FIRST_MS, self._start, endpoint, dispatch)
 
     def _count_against_word(self, state, endpoint):
+        """Count an attempt that an entry sent despite the endpoint's announcement.
+
+        Attempts that were in flight when the announcement arrived are not counted.
+        """
         heard = self._heard.get((id(state), endpoint.endpoint_id))
         if heard is None:
             return
@@ -244,6 +282,7 @@
             self.result.n_after_leaving += self.now_ms > left_at_ms + 2 * TRIP_MS
 
     def _announce(self, state, endpoint, pause_ms):
+        """Announce a pause or a shutdown in an endpoint's answer to an entry."""
         is_leaving = endpoint.is_leaving(self.now_ms)
         if not (is_leaving or pause_ms):
             return
@@ -260,6 +299,7 @@
             self._handle(state, event)
 
     def _start(self, endpoint, dispatch):
+        """Send the first output of a run."""
         state = endpoint.runs.get(dispatch.attempt_id)
         if state is None:
             return
@@ -271,6 +311,7 @@
         self._at(self.now_ms + rest_ms, self._finish, endpoint, dispatch, is_on_time)
 
     def _finish(self, endpoint, dispatch, is_on_time):
+        """Send the end of a run's answer."""
         state = endpoint.runs.pop(dispatch.attempt_id, None)
         if state is None:
             return
@@ -279,7 +320,7 @@
         self._handle(state, AttemptFinished(ids[0], 200, 1, Usage(), ids[1]))
 
     def _end_endpoint(self, endpoint):
-        """End a process; what still runs there is cut."""
+        """End an endpoint; the connections of its runs are lost."""
         runs, endpoint.runs = endpoint.runs, {}
         for attempt_id, state in runs.items():
             event = AttemptBroken(
@@ -288,11 +329,16 @@
             self._handle(state, event)
 
     def _end(self, request_id):
+        """Count a caller with a complete answer."""
         caller = self._caller_by_request[request_id]
         self.result.n_on_time += caller.is_on_time
         self.result.n_late += not caller.is_on_time
 
     def _refuse(self, effect):
+        """Schedule the caller's retry of a rejected request, or count the rejection.
+
+        The caller waits for ``retry_after_ms``, at most a third of its remaining time.
+        """
         caller = self._caller_by_request[effect.request_id]
         rejection = effect.rejection
         if rejection.outcome is not Outcome.NOT_RUN:
--- a/packages/core/src/bluebellusher_core/reducer/tests/_specs.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/_specs.py
@@ -1,4 +1,4 @@
-"""Requests as the tests of the reducer send them."""
+"""Request specifications that the tests of the reducer share."""
 
 from bluebellusher_core.events import Priority, RequestSpec
 
--- a/packages/core/src/bluebellusher_core/reducer/tests/_world.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/_world.py
@@ -1,4 +1,4 @@
-"""The rest of the world: connections, endpoints, table and promises."""
+"""Simulated connections, endpoints and claim table, and the checked invariants."""
 
 from bluebellusher_core.effects import (
     ClaimState,
@@ -27,7 +27,7 @@
 
 
 class World(EntryWorld):
-    """Delivers messages with all their faults and counts what really happened."""
+    """Delivers messages between entries and endpoints, with faults, and counts runs."""
 
     # Connections.
 
@@ -37,7 +37,10 @@
             self.connect(entry_id, endpoint_id)
 
     def connect(self, entry_id, endpoint_id):
-        """Open a connection to a living agent."""
+        """Open a connection to a running agent, unless it is open.
+
+        The entry observes the loss of the previous connection first.
+        """
         link = self.links[entry_id, endpoint_id]
         endpoint = self.endpoint_by_id[endpoint_id]
         if link.is_open or not endpoint.is_up:
@@ -53,14 +56,20 @@
         self.step(entry, EndpointConnected(info))
 
     def cut(self, entry_id, endpoint_id):
-        """Lose a connection and what is on it."""
+        """Cut a connection and lose its messages in flight.
+
+        The entry does not observe the loss yet.
+        """
         link = self.links[entry_id, endpoint_id]
         link.is_open = False
         link.to_endpoint.clear()
         link.to_entry.clear()
 
     def notice(self, entry_id, endpoint_id):
-        """Let the entry see that a connection is gone."""
+        """Report the loss of a connection to its entry, unless that was done before.
+
+        Its attempts break first, as the relay reports them.
+        """
         link = self.links[entry_id, endpoint_id]
         if link.is_open or link.is_noticed:
             return
@@ -74,14 +83,14 @@
         self.step(entry, EndpointLost(endpoint_id))
 
     def check_winner(self, entry, attempt_id):
-        """Check that nobody runs on beside the attempt that answers."""
+        """Check that a started attempt is the only open attempt of its request."""
         request_id = entry.open_attempts.get(attempt_id)
         if request_id is not None:
             n_open = list(entry.open_attempts.values()).count(request_id)
-            assert n_open == 1, "hedge not cancelled"
+            assert n_open == 1, "another attempt of the request is not cancelled"
 
     def break_at(self, entry, endpoint_id, attempt_id, reason, is_held=False):
-        """Report an attempt as broken, as the relay does."""
+        """Report an attempt as broken to its entry, as the relay does."""
         entry.endpoint_by_attempt.pop(attempt_id, None)
         request_id = entry.open_attempts.pop(attempt_id, None)
         is_loss = reason is Reason.ENDPOINT_LOST
@@ -96,7 +105,10 @@
         )
 
     def deliver_to_entry(self, entry_id, endpoint_id, is_repeated=False):
-        """Deliver one message; return whether there was one."""
+        """Deliver the oldest message to an entry; return whether there was one.
+
+        ``is_repeated`` delivers a message other than a chunk twice.
+        """
         link = self.links[entry_id, endpoint_id]
         if not link.to_entry:
             return False
@@ -108,7 +120,7 @@
         return True
 
     def handle(self, entry, endpoint_id, message):
-        """Turn a message into an event."""
+        """Translate an endpoint's message into an event and apply it to the entry."""
         kind, *rest = message
         if kind == "chunk":
             return self.relay(entry, endpoint_id, *rest)
@@ -137,7 +149,7 @@
         return self.step(entry, event)
 
     def relay(self, entry, endpoint_id, attempt_id, offset, data):
-        """Pass bytes on, as the runtime does, when attempt and offset are right."""
+        """Relay a chunk to the caller if its attempt is open and its offset is next."""
         if entry.endpoint_by_attempt.get(attempt_id) != endpoint_id:
             return
         request_id = entry.request_by_attempt[attempt_id]
@@ -149,7 +161,7 @@
     # Endpoints.
 
     def deliver_to_endpoint(self, entry_id, endpoint_id):
-        """Deliver one message; return whether there was one."""
+        """Deliver the oldest message to an endpoint; return whether there was one."""
         link = self.links[entry_id, endpoint_id]
         if not link.to_endpoint:
             return False
@@ -170,13 +182,16 @@
         return True
 
     def count_run(self, spec):
-        """Count an execution, for the promises."""
+        """Count an execution by its request and by its idempotency key."""
         self.n_runs[spec.request_id] += 1
         if spec.idempotency_key is not None and not spec.is_idempotent:
             self.n_key_runs[spec.idempotency_key] += 1
 
     def progress(self, endpoint, run, is_agent_dying=False):
-        """Let a run go on by one step; a poison request takes the endpoint down."""
+        """Advance a run by one chunk, or crash its endpoint if the request is poison.
+
+        ``is_agent_dying`` states whether the agent ends together with the engine.
+        """
         if endpoint.is_frozen:
             return
         if run.spec.fingerprint not in self.poison:
@@ -190,20 +205,23 @@
             self.crash_engine(endpoint)
 
     def send(self, endpoint, run, message):
-        """Write to the connection of a run, if it is open."""
+        """Send a message to the entry of a run if their connection is open."""
         link = self.links[run.entry_id, endpoint.endpoint_id]
         if link.is_open:
             link.to_entry.append(message)
 
     def break_run(self, endpoint, run, is_held):
-        """End one stream early, without a crash; the engine may still hold it."""
+        """Break one stream without a crash.
+
+        ``is_held`` states whether the engine keeps the run, so that it can be resumed.
+        """
         if not is_held:
             del endpoint.run_by_attempt[run.attempt_id]
         reason = Reason.STREAM_CORRUPT if is_held else Reason.ENGINE_ERROR
         self.send(endpoint, run, ("broken", run.attempt_id, reason, is_held))
 
     def crash_engine(self, endpoint):
-        """End every run; the agent lives on and tells."""
+        """End every run of an engine; its agent reports the crash to all entries."""
         runs = endpoint.active()
         endpoint.run_by_attempt.clear()
         isolated = [r.spec.fingerprint for r in runs if r.is_isolated]
@@ -222,17 +240,17 @@
             self.send(endpoint, run, broken)
 
     def kill(self, endpoint):
-        """Lose agent and engine together."""
+        """End the agent and the engine of an endpoint together."""
         endpoint.is_up = False
         endpoint.run_by_attempt.clear()
         for entry_id in self.entry_by_id:
-            # What the agent has written still arrives before the end of the stream.
+            # Messages that the agent sent before its end still arrive.
             while self.deliver_to_entry(entry_id, endpoint.endpoint_id):
                 pass
             self.cut(entry_id, endpoint.endpoint_id)
 
     def revive(self, endpoint):
-        """Start a dead agent again."""
+        """Restart the agent and engine of an endpoint that has ended."""
         if not endpoint.is_up:
             endpoint.is_up = True
             endpoint.is_draining = endpoint.is_frozen = False
@@ -241,7 +259,11 @@
     # Table.
 
     def answer_claims(self, entry, mode):
-        """Handle the oldest write: ``answer``, ``lose`` the answer, delay, or fail."""
+        """Handle the oldest claim write of an entry.
+
+        ``mode`` is ``answer`` to apply and answer it, ``lose`` to apply it and lose the
+        answer, ``delay`` to leave it for ``apply_late``; any other value discards it.
+        """
         operation = entry.operations.pop(0)
         if mode in ("answer", "lose"):
             results = tuple(self.table.apply(write) for write in operation.writes)
@@ -253,30 +275,43 @@
             self.step(entry, ClaimsUnanswered(operation.batch_id))
 
     def apply_late(self, entry):
-        """Let a delayed claim take effect; its condition was an absent row."""
+        """Apply the oldest delayed writes whose rows are still absent.
+
+        The absence of the row is the condition of a claim.
+        """
         for write in entry.limbo.pop(0):
             if not self.table.has_row(write):
                 self.table.apply(write)
 
-    # Promises.
+    # Invariants.
 
     def check(self):
-        """Check what must hold at every moment."""
+        """Check the invariants that hold after every event.
+
+        Relayed bytes are a prefix of the right answer. A request that is not
+        idempotent, and an idempotency key, run at most once. The outcome ``not_run``
+        is only reported for requests that did not run.
+        """
         for entry in self.entry_by_id.values():
             for request_id, spec in entry.spec_by_id.items():
                 sent = entry.sent[request_id]
-                assert answer_to(spec.fingerprint).startswith(sent), "I2"
+                assert answer_to(spec.fingerprint).startswith(sent), (
+                    "wrong bytes relayed"
+                )
                 if not spec.is_idempotent:
-                    assert self.n_runs[request_id] <= 1, "I4"
-        assert all(n == 1 for n in self.n_key_runs.values()), "I4 by key"
+                    assert self.n_runs[request_id] <= 1, "request ran twice"
+        assert all(n == 1 for n in self.n_key_runs.values()), "key ran twice"
         for request_id, finals in self.finals.items():
             for final in finals:
                 is_reject = isinstance(final, Reject)
                 if is_reject and final.rejection.outcome is Outcome.NOT_RUN:
-                    assert self.n_runs[request_id] == 0, "I3"
+                    assert self.n_runs[request_id] == 0, "reported as not run"
 
     def check_row(self, row):
-        """Check that a row says what the caller was told, if its entry lived on."""
+        """Check that a claim row agrees with the final answer of its request.
+
+        Rows of entries that were replaced are not checked.
+        """
         owners = [
             e for e in self.entry_by_id.values() if row.request_id in e.spec_by_id
         ]
@@ -289,7 +324,7 @@
             assert row.state is ClaimState.ABANDONED, "key not freed"
 
     def exchange_digests(self):
-        """Let the entries tell each other what they saw."""
+        """Deliver the digest of each entry to all other entries."""
         for entry in self.entry_by_id.values():
             blocked, suspects = entry.state.digest(self.now_ms)
             event = DigestReceived(entry.entry_id, 1, blocked, suspects)
@@ -298,7 +333,7 @@
                     self.step(other, event)
 
     def deliver_all(self):
-        """Deliver everything under way; return whether anything was."""
+        """Deliver all messages in flight; return whether there were any."""
         is_busy = False
         for key in self.links:
             self.notice(*key)
@@ -309,12 +344,15 @@
         return is_busy
 
     def active_runs(self):
-        """Return the runs that still produce something."""
+        """Return the unfinished runs of endpoints that are not frozen."""
         endpoints = self.endpoint_by_id.values()
         return [r for e in endpoints if not e.is_frozen for r in e.active()]
 
     def settle(self):
-        """Heal everything and run until nothing is left to do."""
+        """Restart and reconnect endpoints and run until nothing is left to do.
+
+        That is, until no message, active run, claim write or timer is left.
+        """
         for i in range(10_000):
             for endpoint in self.endpoint_by_id.values():
                 self.revive(endpoint)
@@ -337,17 +375,17 @@
             if not due:
                 return
             self.now_ms = max(self.now_ms, min(due))
-        raise AssertionError("the world did not come to rest")
+        raise AssertionError("the simulation did not become idle")
 
     def check_at_rest(self):
-        """Check that every request was answered and that nothing is left over."""
+        """Check that every request has one final answer and that no state is left."""
         for request_id, finals in self.finals.items():
             assert len(finals) == 1, f"{request_id} has no final answer"
         for row in self.table.row_by_key.values():
             self.check_row(row)
         for entry in self.entry_by_id.values():
             state = entry.state
-            assert state.is_idle, "work left over"
+            assert state.is_idle, "entry is not idle"
             assert not state.attempt_by_id
             assert not state.isolate_at_ms
             assert not state.poison._n_running
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_announcement_replay.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_announcement_replay.py
@@ -1,4 +1,4 @@
-"""What honouring pauses and leaving endpoints does for callers under overload."""
+"""Effect of announced pauses and shutdowns on callers under overload."""
 
 from bluebellusher_core.reducer.tests._pause_world import PauseWorld
 
@@ -6,7 +6,7 @@
 
 
 def test_pauses_that_are_honoured_serve_more_callers():
-    """Guards against retries spent on endpoints that asked for none."""
+    """Guards against attempts, and so retries, wasted on endpoints in a pause."""
     ignored = PauseWorld(SEED, honours=False, leaves_at_ms=()).run()
     honoured = PauseWorld(SEED, honours=True, leaves_at_ms=()).run()
     assert ignored.n_in_pause > 0
@@ -16,7 +16,10 @@
 
 
 def test_release_that_only_answers_tell_of_fails_no_caller():
-    """Guards against answers cut at endpoints that had said they would end."""
+    """Guards against streams that break at endpoints that announced their shutdown.
+
+    The store is unavailable, so that only answers announce the shutdowns.
+    """
     ignored = PauseWorld(SEED, honours=False).run()
     honoured = PauseWorld(SEED, honours=True).run()
     assert ignored.n_after_leaving > 0
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_announcements.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_announcements.py
@@ -1,4 +1,4 @@
-"""Endpoints that say in their answers that they leave, or want nothing for a while."""
+"""Endpoints that announce a shutdown or ask for a pause in their answers."""
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -28,7 +28,7 @@
 
 
 class Entry:
-    """One entry in virtual time; runs end only when the test says so."""
+    """One entry in virtual time; a run ends only when a test calls ``finish``."""
 
     def __init__(self, n_endpoints=2):
         config = EntryConfig("e", n_min_retries=999, max_pause_ms=MAX_PAUSE_MS)
@@ -40,24 +40,24 @@
             self.register(f"x{i}")
 
     def handle(self, event):
-        """Reduce an event; return the effects."""
+        """Apply an event; return the effects."""
         effects = reduce(self.state, event, self.now_ms)
         self.dispatches += [e for e in effects if isinstance(e, Dispatch)]
         return effects
 
     def register(self, endpoint_id, incarnation=1):
-        """Register an endpoint."""
+        """Register an endpoint or renew its registration."""
         names = frozenset({"s"}), frozenset(), frozenset()
         info = EndpointInfo(endpoint_id, "d", *names, N_SLOTS, incarnation)
         return self.handle(EndpointRegistered(info))
 
     def say(self, endpoint_id, is_leaving=False, pause_ms=0, incarnation=1):
-        """Let an endpoint say something with an answer."""
+        """Announce a shutdown or a pause in an answer; return the effects."""
         event = EndpointAnnounced(endpoint_id, incarnation, is_leaving, pause_ms)
         return self.handle(event)
 
     def send(self, objective_ms=8_000, deadline_ms=8_000):
-        """Hand in a request; return the effects."""
+        """Send a request; return the effects."""
         self.n_requests += 1
         spec = make_spec(
             f"r{self.n_requests}",
@@ -69,29 +69,29 @@
         return self.handle(RequestArrived(spec))
 
     def finish(self, dispatch):
-        """End a run with a whole answer."""
+        """End a run with a complete answer."""
         ids = dispatch.attempt_id, dispatch.endpoint_id
         self.handle(AttemptStarted(*ids))
         self.handle(AttemptFinished(ids[0], 200, 1, Usage(), ids[1]))
 
     def wake(self, after_ms):
-        """Let time pass and the timer fire."""
+        """Advance the time and fire the wake timer; return the effects."""
         self.now_ms += after_ms
         return self.handle(TimerFired("wake"))
 
 
 def endpoints_of(effects):
-    """Return where attempts were sent."""
+    """Return the endpoints of the dispatches among effects."""
     return [e.endpoint_id for e in effects if isinstance(e, Dispatch)]
 
 
 def refusals(effects):
-    """Return the refusals among effects."""
+    """Return the rejections among effects."""
     return [e.rejection for e in effects if isinstance(e, Reject)]
 
 
 def test_endpoint_that_says_it_leaves_gets_nothing_more():
-    """Guards against requests to an endpoint that the store still lists as ready."""
+    """Guards against requests to a leaving endpoint that the store lists as ready."""
     entry = Entry()
     effects = entry.say("x0", is_leaving=True)
     assert [e.marks[0].endpoint_id for e in effects if isinstance(e, BroadcastLeaving)]
@@ -102,7 +102,7 @@
 
 
 def test_return_of_a_lapsed_registration_keeps_the_mark():
-    """Guards against a mark that is lost with the view of its endpoint."""
+    """Guards against a leaving mark that is discarded with its endpoint's view."""
     entry = Entry(n_endpoints=1)
     entry.say("x0", is_leaving=True)
     entry.handle(EndpointDraining("x0"))
@@ -114,7 +114,7 @@
 
 
 def test_mark_of_a_peer_counts_and_is_not_told_again():
-    """Guards against entries that tell each other one mark for ever."""
+    """Guards against entries that broadcast one mark to each other without end."""
     heard, told = Entry(), Entry()
     (news,) = [
         e for e in heard.say("x0", is_leaving=True) if isinstance(e, BroadcastLeaving)
@@ -128,7 +128,7 @@
 
 
 def test_endpoint_gets_nothing_during_its_pause():
-    """Guards against arrivals at an endpoint that asked for none."""
+    """Guards against dispatches to an endpoint before its pause ends."""
     entry = Entry(n_endpoints=2)
     entry.say("x0", pause_ms=1_500)
     for _ in range(N_SLOTS):
@@ -139,7 +139,7 @@
 
 
 def test_absurd_pause_ends():
-    """Guards against a service that one value stops for good."""
+    """Guards against a pause beyond ``max_pause_ms`` that stops a service for good."""
     entry = Entry(n_endpoints=1)
     entry.say("x0", pause_ms=10**12)
     (refused,) = refusals(entry.send())
@@ -149,7 +149,10 @@
 
 
 def test_callers_are_refused_at_once_while_every_endpoint_pauses():
-    """Guards against callers held for a service that wants nothing in time."""
+    """Guards against requests that wait although all pauses outlast the objective.
+
+    The rejection names the time until the first pause ends.
+    """
     entry = Entry()
     entry.say("x0", pause_ms=5_000)
     entry.say("x1", pause_ms=3_000)
@@ -161,7 +164,10 @@
 
 
 def test_request_that_cannot_outwait_the_pause_is_not_held():
-    """Guards against callers that wait for a refusal which is certain."""
+    """Guards against a waiting request that is rejected only at its deadline.
+
+    It is rejected as soon as an announced pause outlasts the deadline.
+    """
     entry = Entry(n_endpoints=1)
     for _ in range(N_SLOTS):
         entry.send()
@@ -172,7 +178,7 @@
 
 
 def test_waiting_requests_are_not_released_all_at_once():
-    """Guards against a full endpoint that every entry fills again in one moment."""
+    """Guards against entries that fill an endpoint at once at the end of its pause."""
     entry = Entry(n_endpoints=1)
     entry.say("x0", pause_ms=500)
     for _ in range(3 * N_SLOTS):
@@ -189,7 +195,7 @@
 
 
 def test_answers_without_a_body_end_the_slow_start():
-    """Guards against an endpoint that takes one request at a time for ever."""
+    """Guards against a slow start that never ends, because no output was recorded."""
     entry = Entry(n_endpoints=1)
     entry.say("x0", pause_ms=500)
     for _ in range(4 * N_SLOTS):
@@ -203,7 +209,7 @@
 
 
 def test_refusal_with_a_pause_sends_the_request_elsewhere():
-    """Guards against a repeat at the endpoint that has just asked for none."""
+    """Guards against a retry at the endpoint that has just asked for a pause."""
     entry = Entry()
     entry.send()
     first = entry.dispatches[-1]
@@ -234,7 +240,7 @@
 
 @given(STEPS)
 def test_nothing_begins_after_a_mark_or_within_a_pause(steps):
-    """Guards against any order of answers, registrations, digests and starts."""
+    """Guards against dispatches to leaving or paused endpoints in any event order."""
     entry = Entry(n_endpoints=3)
     incarnation_by_id = dict.fromkeys(["x0", "x1", "x2"], 1)
     leaving, paused_until_ms = set(), {}
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_crash_counting.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_crash_counting.py
@@ -1,4 +1,4 @@
-"""Requests that crash endpoints which no agent watches."""
+"""Counting of the crashes that a request causes at endpoints without agents."""
 
 import itertools
 
@@ -27,9 +27,10 @@
 
 
 class Entry:
-    """One entry; time goes on with each step.
+    """One entry in virtual time, which advances by 10 ms with each event.
 
-    Its endpoints have names of their own, because one start crashes once only.
+    The endpoint ids contain the entry id, because one start of an endpoint counts as
+    one crash only, whichever entry observed it.
     """
 
     def __init__(self, entry_id="e1", n_endpoints=8):
@@ -41,18 +42,18 @@
             self.register(f"{entry_id}-x{i}")
 
     def register(self, endpoint_id, incarnation=1):
-        """Register an endpoint, or a new start of one."""
+        """Register an endpoint or a restart of it."""
         names = frozenset({"s"}), frozenset(), frozenset()
         info = EndpointInfo(endpoint_id, "d", *names, 4, incarnation)
         return self.handle(EndpointRegistered(info))
 
     def handle(self, event):
-        """Reduce an event 10 ms later than the last one."""
+        """Apply an event 10 ms after the last one; return the effects."""
         self.now_ms += 10
         return reduce(self.state, event, self.now_ms)
 
     def send(self, fingerprint="poison"):
-        """Hand in a booking; return its dispatch or its refusal."""
+        """Send a non-idempotent request; return its dispatch or its rejection."""
         self.n_requests += 1
         spec = make_spec(
             f"r{self.n_requests}",
@@ -66,7 +67,7 @@
         return next(e for e in own if e.request_id == spec.request_id)
 
     def break_run(self, dispatch):
-        """Cut the connection of an attempt."""
+        """Break the connection of an attempt; return the effects."""
         return self.handle(
             AttemptBroken(
                 dispatch.attempt_id,
@@ -78,7 +79,7 @@
         )
 
     def crash(self, dispatch):
-        """Cut the attempt because its endpoint died; nothing listens there then."""
+        """Crash the endpoint of an attempt; its address check finds the port closed."""
         effects = self.break_run(dispatch)
         assert CheckEndpoint(dispatch.endpoint_id) in effects
         effects += self.handle(EndpointChecked(dispatch.endpoint_id, False))
@@ -86,13 +87,13 @@
 
 
 def exchange(entry, other):
-    """Tell ``other`` what ``entry`` knows."""
+    """Deliver the crash records of ``entry`` to ``other``; return the effects."""
     records = entry.state.crashes.records(entry.now_ms)
     return other.handle(CrashesReceived(entry.state.config.entry_id, records))
 
 
 def test_request_that_crashed_three_endpoints_is_refused():
-    """Guards against one request that takes down endpoint after endpoint."""
+    """Guards against one request that crashes endpoint after endpoint."""
     entry = Entry()
     for _ in range(N_TO_BLOCK):
         entry.crash(entry.send())
@@ -103,7 +104,7 @@
 
 
 def test_blocked_request_is_told_when_the_block_ends():
-    """Guards against callers that repeat at once what is refused for minutes."""
+    """Guards against callers that retry at once while a block lasts for minutes."""
     entry = Entry()
     for _ in range(N_TO_BLOCK):
         entry.crash(entry.send())
@@ -116,7 +117,7 @@
 
 
 def test_copy_in_flight_is_answered_when_its_fingerprint_is_blocked():
-    """Guards against callers that wait for a run which is not wanted any more."""
+    """Guards against callers that wait for a run of a fingerprint blocked since."""
     entry = Entry()
     for _ in range(N_TO_BLOCK - 1):
         entry.crash(entry.send())
@@ -128,7 +129,7 @@
 
 
 def test_crashes_that_several_entries_saw_add_up():
-    """Guards against repeats that reach another entry each time."""
+    """Guards against retries that reach another entry each time and are not counted."""
     entries = [Entry(f"e{i}") for i in range(3)]
     for entry in entries:
         entry.crash(entry.send())
@@ -140,7 +141,7 @@
 
 
 def test_two_crashes_here_and_one_elsewhere_block():
-    """Guards against a split of the crashes that no entry counts as three."""
+    """Guards against three crashes at two entries that neither counts as three."""
     first, second = Entry("e1"), Entry("e2")
     for _ in range(2):
         first.crash(first.send())
@@ -150,7 +151,7 @@
 
 
 def test_broken_runs_at_endpoints_that_answer_on_do_not_count():
-    """Guards against blocked callers where endpoints reset connections."""
+    """Guards against callers blocked because endpoints reset connections."""
     entry = Entry(n_endpoints=1)
     for i in range(2 * N_TO_BLOCK):
         broken = entry.send()
@@ -163,7 +164,7 @@
 
 
 def test_whole_run_takes_the_counts_back():
-    """Guards against a common request blocked for crashes over a long time."""
+    """Guards against a frequent harmless request blocked by unrelated crashes."""
     entry, peer = Entry("e1"), Entry("e2")
     for _ in range(N_TO_BLOCK - 1):
         entry.crash(entry.send())
@@ -196,7 +197,7 @@
 
 
 def test_refused_connection_shows_the_crash_before_the_registration_lapses():
-    """Guards against crashes that count only after the next ones have happened."""
+    """Guards against crashes that count only when the registration has expired."""
     entry = Entry(n_endpoints=1)
     for _ in range(N_TO_BLOCK):
         entry.break_run(entry.send())
@@ -211,14 +212,14 @@
 
 
 def test_suspects_of_peers_do_not_run_isolated():
-    """Guards against endpoints reserved for single requests after a large crash."""
+    """Guards against endpoints reserved for isolated runs after many crashes."""
     entry = Entry()
     entry.handle(DigestReceived("peer", 1, (), ("poison",)))
     assert not entry.send().is_isolated
 
 
 def test_timeout_of_a_connection_is_no_crash():
-    """Guards against callers refused because links to endpoints were cut."""
+    """Guards against callers rejected because connections to endpoints were cut."""
     entry = Entry(n_endpoints=1)
     for _ in range(N_TO_BLOCK):
         broken = entry.send()
@@ -235,7 +236,7 @@
 
 
 def test_endpoint_that_listens_on_did_not_crash():
-    """Guards against callers refused because an endpoint resets connections."""
+    """Guards against callers rejected because an endpoint resets connections."""
     entry = Entry(n_endpoints=1)
     for incarnation in range(2, 3 * N_TO_BLOCK):
         broken = entry.send()
@@ -247,7 +248,7 @@
 
 
 def test_run_that_breaks_during_a_check_is_checked_too():
-    """Guards against a crash that an earlier check of its endpoint hides."""
+    """Guards against a crash dismissed by a check that began before it."""
     entry = Entry(n_endpoints=1)
     first, second = entry.send("sound"), entry.send()
     entry.break_run(first)
@@ -260,7 +261,7 @@
 
 
 def test_refusal_that_names_another_endpoint_shows_the_crash():
-    """Guards against a crash forgotten because its address answers again."""
+    """Guards against a crash not counted because another endpoint has its address."""
     entry = Entry(n_endpoints=N_TO_BLOCK)
     for i in range(N_TO_BLOCK):
         entry.break_run(entry.send())
@@ -280,7 +281,7 @@
 
 
 def test_address_taken_by_a_later_start_shows_the_crash():
-    """Guards against crashes that no connection meets before the next start."""
+    """Guards against crashes not counted because no connection was tried meanwhile."""
     entry = Entry()
     for _ in range(N_TO_BLOCK):
         broken = entry.send()
@@ -290,7 +291,7 @@
 
 
 def test_run_that_hangs_when_a_later_start_has_its_address_counts():
-    """Guards against callers that wait for an endpoint that is gone without a word."""
+    """Guards against callers that wait for an endpoint that ended without a report."""
     entry = Entry()
     for _ in range(N_TO_BLOCK):
         hanging = entry.send()
@@ -316,7 +317,7 @@
 
 
 def test_whole_run_elsewhere_takes_the_block_back_everywhere():
-    """Guards against a block that outlives the proof that it was wrong."""
+    """Guards against a block that remains although a run has completed elsewhere."""
     first, second = Entry("e1"), Entry("e2")
     copy = second.send()
     for _ in range(N_TO_BLOCK):
@@ -330,7 +331,7 @@
 
 
 def test_records_meet_in_any_order_with_the_same_result():
-    """Guards against counts that depend on who told whom first."""
+    """Guards against counts that depend on the order of the received records."""
     records = [
         CrashRecord("f", (Crash("x1@1", 50, 40),)),
         CrashRecord("f", (Crash("x2@1", 100, 90), Crash("x1@1", 50, 40))),
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_crash_sharing.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_crash_sharing.py
@@ -1,22 +1,23 @@
-"""Requests that crash endpoints, while entries start again, are cut off or join."""
+"""Sharing of crash records while entries restart, join or are cut off."""
 
 import pytest
 
 from bluebellusher_core.reducer.tests._crash_world import N_TO_BLOCK, POISON, CrashWorld
 
-# Runs that the platform tolerates after the third crash.
+# Upper bound of the poison runs that start more than 3 s after the third crash, at
+# entries in contact with the store.
 N_MAX_LATE_RUNS = 3
 
 
 def crash_three(world, entry_id="e0"):
-    """Let one entry see three crashes of the request, one after the other."""
+    """Send the poison request three times to one entry, one after the other."""
     for _ in range(N_TO_BLOCK):
         world.send(entry_id)
         world.run(1_500)
 
 
 def send_everywhere(world, n_rounds=8, gap_ms=400):
-    """Send the request to each entry in turn, again and again."""
+    """Send the poison request to each entry in turn, for several rounds."""
     for _ in range(n_rounds):
         for entry_id in list(world.entry_by_id):
             world.send(entry_id)
@@ -24,7 +25,7 @@
 
 
 def test_block_outlives_the_entry_that_saw_the_crashes():
-    """Guards against a block that ends with one process and is told by no other."""
+    """Guards against a block that is lost with the entry that observed the crashes."""
     world = CrashWorld()
     crash_three(world)
     world.run(8_000)
@@ -36,7 +37,7 @@
 
 
 def test_block_outlives_all_entries_killed_at_once():
-    """Guards against a block that no process is left to remember."""
+    """Guards against a block that only the memory of the entries records."""
     world = CrashWorld()
     crash_three(world)
     world.run(4_000)
@@ -47,7 +48,7 @@
 
 
 def test_crashes_count_although_all_entries_are_killed_between_them():
-    """Guards against crashes that are forgotten before the third one."""
+    """Guards against crashes that a restart of all entries discards."""
     world = CrashWorld()
     for _ in range(3 * N_TO_BLOCK):
         world.send("e1")
@@ -59,7 +60,7 @@
 
 @pytest.mark.parametrize("keeps_id", [False, True])
 def test_answer_of_the_next_start_hides_no_crash(keeps_id):
-    """Guards against a crash forgotten because its address answers again."""
+    """Guards against a crash dismissed by the answer of a restarted endpoint."""
     world = CrashWorld(n_entries=1, n_hosts=1, keeps_id=keeps_id)
     world.down_ms = (300, 300)
     world.is_store_away = True
@@ -75,7 +76,7 @@
 
 
 def test_crash_at_an_endpoint_that_gets_no_other_request_is_counted():
-    """Guards against crashes that count only if somebody meets the closed port."""
+    """Guards against crashes counted only if another request finds the port closed."""
     world = CrashWorld()
     for _ in range(2 * N_TO_BLOCK):
         world.send("e0")
@@ -84,7 +85,7 @@
 
 
 def test_copies_at_once_that_crash_three_endpoints_are_enough():
-    """Guards against further crashes because copies in flight count once."""
+    """Guards against further crashes because simultaneous runs count as one crash."""
     world = CrashWorld()
     for _ in range(N_TO_BLOCK):
         world.send("e0")
@@ -95,19 +96,21 @@
 
 
 def test_copies_at_once_at_several_entries_are_enough():
-    """Guards against crashes that each entry sees one of."""
+    """Guards against crashes of which each entry observes only one."""
     world = CrashWorld()
     for entry_id in world.entry_by_id:
         world.send(entry_id)
         world.send(entry_id)
     world.run(8_000)
-    assert len(world.crash_times_ms) >= N_TO_BLOCK, "copies met at one endpoint"
+    assert len(world.crash_times_ms) >= N_TO_BLOCK, (
+        "several runs crashed the same endpoint"
+    )
     assert all(world.is_refused(entry_id) for entry_id in world.entry_by_id)
 
 
 @pytest.mark.parametrize("seed", range(40))
 def test_request_that_crashes_endpoints_is_stopped_whatever_else_happens(seed):
-    """Guards against a history of restarts, cuts and returns that hides crashes."""
+    """Guards against restarts, cuts and store outages that hide crashes."""
     world = CrashWorld(seed, keeps_id=bool(seed % 2))
     for _ in range(60):
         alive = [e.entry_id for e in world.entry_by_id.values() if e.is_alive]
@@ -121,6 +124,7 @@
 
 
 def _disturb(world):
+    """Cause or end a random fault of the entries, the store or a failure domain."""
     choice = world.random.random()
     entry_ids = list(world.entry_by_id)
     if choice < 0.1:
@@ -139,7 +143,7 @@
 
 
 def test_sound_request_near_a_cut_is_not_blocked():
-    """Guards against callers refused because a failure domain was cut off."""
+    """Guards against callers rejected because a failure domain was cut off."""
     world = CrashWorld(n_hosts=3)
     for domain in ("d1", "d2", "d1"):
         for _ in range(6):
@@ -152,7 +156,7 @@
 
 
 def test_sound_request_near_a_release_is_not_blocked():
-    """Guards against callers refused because endpoints left by plan."""
+    """Guards against callers rejected because endpoints shut down by plan."""
     world = CrashWorld()
     for host in world.hosts:
         world.leave(host)
@@ -166,7 +170,10 @@
 
 
 def test_popular_sound_request_near_a_lost_domain_is_not_blocked():
-    """Guards against callers refused because the machines of a domain lost power."""
+    """Guards against callers rejected because all endpoints of a domain crashed.
+
+    Many runs of a frequent request are in flight when the domain loses power.
+    """
     world = CrashWorld()
     for _ in range(6):
         world.send("e0", "sound")
@@ -182,7 +189,7 @@
 
 
 def meet_three_crashes(world, fingerprint):
-    """Let endpoints crash by themselves while they run a request."""
+    """Crash endpoints for another reason while they run a request."""
     n_met = 0
     while n_met < N_TO_BLOCK:
         world.send("e0", fingerprint)
@@ -195,7 +202,7 @@
 
 
 def test_sound_request_near_endpoints_that_flap_is_served_after_a_while():
-    """Guards against minutes of refusals after three crashes met by chance."""
+    """Guards against a long block of a harmless request after three chance crashes."""
     world = CrashWorld()
     meet_three_crashes(world, "sound")
     assert all(world.is_refused(entry_id, "sound") for entry_id in world.entry_by_id)
@@ -210,7 +217,7 @@
 
 
 def test_request_that_crashes_endpoints_gets_one_trial_whoever_starts_again():
-    """Guards against trials that add up over entries and restarts."""
+    """Guards against more than one trial run over all entries and restarts."""
     world = CrashWorld()
     crash_three(world)
     for i in range(14):
@@ -223,7 +230,7 @@
 
 
 def test_model_plays_what_it_claims():
-    """Guards against a model in which nothing crashes or nothing is answered."""
+    """Guards against a simulation in which nothing crashes or completes."""
     world = CrashWorld()
     world.send("e0")
     world.send("e0", "sound")
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_direct_endpoints.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_direct_endpoints.py
@@ -1,4 +1,4 @@
-"""Decisions about endpoints that register themselves and are reached directly."""
+"""Requests to endpoints that register themselves and have no agent."""
 
 from dataclasses import replace
 
@@ -22,7 +22,7 @@
 
 
 def make_info(endpoint_id, incarnation=1):
-    """Return what an endpoint registers."""
+    """Return the registration of an endpoint with 4 slots."""
     services = frozenset({"s"})
     return EndpointInfo(
         endpoint_id, "d", services, frozenset(), frozenset(), 4, incarnation
@@ -30,7 +30,7 @@
 
 
 def start(n_endpoints=2, **options):
-    """Return an entry with registered endpoints."""
+    """Return the state of an entry with registered endpoints ``x0``, ``x1``, ..."""
     state = EntryState.from_config(EntryConfig("e", **options))
     for i in range(n_endpoints):
         reduce(state, EndpointRegistered(make_info(f"x{i}")), 0)
@@ -43,31 +43,31 @@
 
 
 def rejected(effects):
-    """Return the refusal among effects, or None."""
+    """Return the rejection among effects, or None."""
     return next((e.rejection for e in effects if isinstance(e, Reject)), None)
 
 
 def finish(dispatch, status):
-    """Return the end of an attempt."""
+    """Return the event of a finished attempt with an HTTP status."""
     return AttemptFinished(
         dispatch.attempt_id, status, 10, Usage(), dispatch.endpoint_id
     )
 
 
 def test_failure_of_an_endpoint_is_replaced_by_another_attempt():
-    """Guards against callers that see an error which a repeat would have avoided."""
+    """Guards against a server error relayed where a retry elsewhere was allowed."""
     state = start()
     first = dispatched(reduce(state, RequestArrived(make_spec()), 0))
     effects = reduce(state, finish(first, 500), 50)
     assert DiscardAnswer("r") in effects
     second = dispatched(effects)
     assert second.endpoint_id != first.endpoint_id
-    # The route allows two endpoints; the second failure is passed on.
+    # The route allows two attempts, so the second error is relayed.
     assert dispatched(reduce(state, finish(second, 500), 100)) is None
 
 
 def test_failure_of_a_booking_is_passed_on():
-    """Guards against a second run of what may run once."""
+    """Guards against a second run of a non-idempotent request after a server error."""
     state = start()
     spec = make_spec(is_idempotent=False)
     first = dispatched(reduce(state, RequestArrived(spec), 0))
@@ -75,7 +75,7 @@
 
 
 def test_broken_attempts_stay_within_the_bound_of_their_route():
-    """Guards against a request that runs on more endpoints than its route allows."""
+    """Guards against a request with more broken attempts than its route allows."""
     state = start(4)
     dispatch = dispatched(reduce(state, RequestArrived(make_spec()), 0))
     n_attempts = 0
@@ -91,7 +91,7 @@
 
 
 def test_refusals_of_endpoints_are_paid_from_the_retry_budget():
-    """Guards against a closed group that all entries knock at without end."""
+    """Guards against endless retries of all entries while endpoints refuse."""
     state = start(2, n_min_retries=3, n_shared_retries=12, retry_percent=0)
     reduce(state, EntriesCounted(4), 0)
     n_sent, now_ms = 0, 0
@@ -116,7 +116,7 @@
 
 
 def test_attempt_that_never_arrived_costs_no_retry():
-    """Guards against a budget that is spent on endpoints that are gone."""
+    """Guards against a retry budget spent on endpoints that cannot be connected."""
     state = start(2, n_min_retries=1, retry_percent=0)
     first = dispatched(reduce(state, RequestArrived(make_spec()), 0))
     event = AttemptRefused(
@@ -127,7 +127,7 @@
 
 
 def test_broken_stream_resumes_on_any_endpoint_from_what_was_relayed():
-    """Guards against a stream that ends because one endpoint did."""
+    """Guards against a stream that ends with the connection to one endpoint."""
     state = start()
     spec = make_spec(can_resume_elsewhere=True)
     first = dispatched(reduce(state, RequestArrived(spec), 0))
@@ -140,7 +140,7 @@
 
 
 def test_endpoint_that_registers_again_keeps_its_requests():
-    """Guards against requests that break because a registration lapsed."""
+    """Guards against attempts that break because a registration expired."""
     state = start(1)
     first = dispatched(reduce(state, RequestArrived(make_spec()), 0))
     reduce(state, EndpointDraining("x0"), 10)
@@ -151,7 +151,7 @@
 
 
 def test_new_start_of_an_endpoint_breaks_its_requests():
-    """Guards against requests that wait for a process that has forgotten them."""
+    """Guards against requests that wait for an earlier start of an endpoint."""
     state = start(2)
     first = dispatched(reduce(state, RequestArrived(make_spec()), 0))
     info = make_info(first.endpoint_id, incarnation=2)
@@ -160,7 +160,7 @@
 
 
 def test_closed_group_gets_no_requests():
-    """Guards against work for ranks that state that they cannot run it."""
+    """Guards against dispatches to ranks that report a closed group."""
     state = start(1)
     report = LoadReported(
         "x0", 1, 0, 0, 0, 4, 0.0, frozenset(), frozenset(), 0, is_open=False
@@ -175,7 +175,7 @@
 def make_group_report(
     endpoint_id, sequence, is_open=True, epoch=1, step=0, n_running=0
 ):
-    """Return the report of a rank of the only group."""
+    """Return the load report of one rank of group ``g``."""
     return LoadReported(
         endpoint_id,
         sequence,
@@ -195,9 +195,9 @@
 
 
 def test_silent_rank_of_a_closed_group_gets_no_requests():
-    """Guards against requests that wait for connections to a domain that is cut off.
+    """Guards against requests dispatched to a rank in a domain that is cut off.
 
-    The rank there says nothing, and its last report was of an open group.
+    That rank sends no reports, and its last report was of an open group.
     """
     state = start(3)
     for i in range(3):
@@ -210,7 +210,7 @@
 
 
 def start_group(n_ranks, **options):
-    """Return an entry before one open group, with the queue of the gateway."""
+    """Return the state of an entry with one open group and an objective queue."""
     config = EntryConfig("e", **options)
     state = EntryState.from_config(config, make_queue=ObjectiveQueue)
     for i in range(n_ranks):
@@ -220,7 +220,7 @@
 
 
 def refuse_closed(dispatch):
-    """Return the answer of a rank that names another one as faulty."""
+    """Return the refusal of a rank that reports its group as closed."""
     return AttemptRefused(
         dispatch.attempt_id,
         Reason.ENDPOINTS_CLOSED,
@@ -231,9 +231,10 @@
 
 
 def test_answer_that_names_a_faulty_rank_closes_the_group():
-    """Guards against a closed group that is asked rank by rank until a report comes.
+    """Guards against attempts at each rank of a closed group until a report arrives.
 
-    Each answer costs a retry and time, and the caller could come back instead.
+    Each refused attempt costs time and a token of the retry budget. The caller is
+    rejected at once and can retry instead.
     """
     state = start_group(4)
     first = dispatched(reduce(state, RequestArrived(make_spec()), 10))
@@ -247,9 +248,10 @@
 
 
 def test_answers_of_a_closed_group_are_paid_when_the_request_is_sent_again():
-    """Guards against repeats without end while reports and answers contradict.
+    """Guards against endless retries while reports contradict the refusals.
 
-    duna-barcas-grown, fresh-64d9: 1,069 repeats in 10 s where 682 are allowed.
+    A run (duna-barcas-grown, fresh-64d9) had 1,069 retries in 10 s where 682 are
+    allowed.
     """
     state = start_group(8, n_min_retries=3, n_shared_retries=12, retry_percent=0)
     reduce(state, EntriesCounted(4), 0)
@@ -265,7 +267,7 @@
             now_ms += 1_500
             effects = reduce(state, refuse_closed(dispatch), now_ms)
             if dispatched(effects) is None:
-                # The next report says that the group is open.
+                # The next report states that the group is open.
                 report = make_group_report(
                     dispatch.endpoint_id, 100 * i + sequence, epoch=100 * i + sequence
                 )
@@ -274,7 +276,7 @@
 
 
 def test_lost_rank_of_an_earlier_epoch_does_not_close_the_next_one():
-    """Guards against a group that stays closed after it was formed anew."""
+    """Guards against a group that stays closed after its epoch has changed."""
     state = start(2)
     reduce(state, make_group_report("x0", 1, is_open=False), 0)
     reduce(state, make_group_report("x1", 1, is_open=True, epoch=2), 100)
@@ -282,10 +284,11 @@
 
 
 def test_callers_that_came_back_wait_for_a_closed_group_by_its_later_rate():
-    """Guards against a last refusal because nothing runs at the moment.
+    """Guards against rejected retries because no request runs in a closed group.
 
-    The group of 12 places takes 1 s for a request and opens with all of them free;
-    half of them are this entry's. Six callers fit into the 2 s that they wait.
+    The group has 12 slots, a request takes 1 s, and the group opens with all slots
+    free. Half of them are this entry's share, so that six requests can start within
+    the 2 s that they may wait.
     """
     state = EntryState.from_config(EntryConfig("e"), make_queue=ObjectiveQueue)
     reduce(state, EntriesCounted(2), 0)
@@ -304,10 +307,11 @@
 
 
 def test_group_that_stands_still_gets_no_fresh_requests():
-    """Guards against callers that leave without a byte while a step stays held.
+    """Guards against callers that get no output because a group has stalled.
 
-    The ranks say that the group is open; only its passes show that it is not. One that
-    came back has no other chance and goes to a rank, which runs it with the next pass.
+    The ranks report the group as open, but a rank with running requests reports no new
+    pass. New requests are rejected. A retried request is not rejected again but
+    dispatched to a rank, which runs it in the next pass.
     """
     state = EntryState.from_config(EntryConfig("e"), make_queue=ObjectiveQueue)
     for i in range(2):
@@ -326,7 +330,7 @@
 
 
 def test_idle_group_makes_no_passes_and_is_open():
-    """Guards against an idle group that is taken for a stopped one."""
+    """Guards against an idle group, which runs no passes, classified as stalled."""
     state = start(2)
     for sequence, at_ms in enumerate((0, 600, 1_200, 1_800), 1):
         reduce(state, make_group_report("x0", sequence, step=7), at_ms)
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_machine_poison.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_machine_poison.py
@@ -1,4 +1,4 @@
-"""Two requests that crash endpoints, among innocent ones, at two entries."""
+"""State machine: two poison requests among innocent requests at two entries."""
 
 from random import Random
 
@@ -27,20 +27,21 @@
 }
 ACTIONS = tuple(WEIGHT_BY_ACTION)
 LIFETIME_MS = 3_600_000
+# Longest time until a lost agent restarts, in ms.
 REVIVAL_MS = 3_000
 
 
 class PoisonMachine(RuleBasedStateMachine):
-    """Guards against more than 2 lost endpoints and against refused innocents.
+    """Guards against a third lost endpoint and against rejected innocent requests.
 
-    Each caller of a poison request sends it again, to any entry, after its final
-    answer and the Retry-After. What is under way then reaches the entries first,
-    because the limit holds for entries that can exchange digests.
+    The caller of a poison request retries it, at any entry, after its final answer and
+    the ``retry_after_ms``. Messages in flight and digests are delivered before, because
+    the limit of two lost endpoints holds only for entries that can exchange digests.
     """
 
     @initialize(hedge_after_ms=st.sampled_from([0, 10]))
     def start(self, hedge_after_ms):
-        """Start with healthy endpoints."""
+        """Start two entries and six running endpoints."""
         self.world = World(2, 6, set(POISON_NAMES), hedge_after_ms=hedge_after_ms)
         self.request_by_poison = {}
         self.innocent_ids = []
@@ -48,9 +49,9 @@
 
     @rule(seed=st.integers(0, 2**32), n=st.integers(20, 120))
     def churn(self, seed, n):
-        """Do many small steps in an arbitrary order."""
+        """Execute ``n`` random actions."""
         chance = Random(seed)
-        # One way of dying for each stretch; mixed ones are left to the other rules.
+        # All crashes of one call are of the same kind; the other rules mix the kinds.
         is_agent_dying = chance.random() < 0.5
         for name in chance.choices(ACTIONS, WEIGHT_BY_ACTION.values(), k=n):
             entry_id = chance.choice(ENTRY_IDS)
@@ -74,7 +75,7 @@
 
     @rule(entry_id=ENTRIES, n=st.integers(1, 5), number=st.integers(0, 5))
     def ask_innocently(self, entry_id, n, number):
-        """Send requests, several of them with the same body."""
+        """Send ``n`` innocent requests with at most three different fingerprints."""
         for i in range(n):
             spec = self.world.make_spec(f"i{number + i % 3}.", True, None, LIFETIME_MS)
             self.innocent_ids.append(spec.request_id)
@@ -82,7 +83,7 @@
 
     @rule(entry_id=ENTRIES, name=POISON)
     def ask_for_trouble(self, entry_id, name):
-        """Send a poison request, or send it again when that is allowed."""
+        """Send a poison request, or retry it once its caller may."""
         before = self.request_by_poison.get(name)
         if before is not None and not self.may_repeat(before):
             return
@@ -93,7 +94,7 @@
         self.world.arrive(entry_id, spec)
 
     def may_repeat(self, request_id):
-        """Return whether the caller has its answer and waited as it was told."""
+        """Return whether a request has its final answer and its retry time has come."""
         finals = self.world.finals[request_id]
         if not finals:
             return False
@@ -101,7 +102,7 @@
         return self.world.now_ms >= self.world.final_at_ms[request_id] + pause_ms
 
     def hear_news(self):
-        """Let both entries learn what the endpoints and the other entry know."""
+        """Deliver the messages of all endpoints and the digests to both entries."""
         for key in self.world.links:
             self.world.notice(*key)
             while self.world.deliver_to_entry(*key):
@@ -121,7 +122,7 @@
 
     @rule(endpoint_id=ENDPOINTS, is_agent_dying=st.booleans())
     def progress(self, endpoint_id, is_agent_dying):
-        """Let the runs of an endpoint go on."""
+        """Advance the runs of an endpoint."""
         endpoint = self.world.endpoint_by_id[endpoint_id]
         for run in endpoint.active():
             if run.attempt_id in endpoint.run_by_attempt:
@@ -131,7 +132,7 @@
 
     @rule(n=st.integers(1, 5), is_agent_dying=st.booleans())
     def work(self, n, is_agent_dying):
-        """Let everything go on by a few steps."""
+        """Advance all endpoints and entries ``n`` times by 6 ms."""
         for _ in range(n):
             for key in self.world.links:
                 while self.world.deliver_to_endpoint(*key):
@@ -143,7 +144,7 @@
 
     @rule(endpoint_id=ENDPOINTS)
     def revive(self, endpoint_id):
-        """Start a dead agent again."""
+        """Restart a lost agent and reconnect it to all entries."""
         self.world.revive(self.world.endpoint_by_id[endpoint_id])
         self.died_at_ms.pop(endpoint_id, None)
         for entry_id in self.world.entry_by_id:
@@ -151,7 +152,7 @@
 
     @rule(ms=st.sampled_from([1, 20, 500, 2_000]))
     def pass_time(self, ms):
-        """Pass time; a dead agent is back within ``REVIVAL_MS``."""
+        """Advance the time by ``ms``; agents restart within ``REVIVAL_MS``."""
         self.world.now_ms += ms
         for endpoint_id, at_ms in list(self.died_at_ms.items()):
             if self.world.now_ms - at_ms > REVIVAL_MS:
@@ -162,7 +163,7 @@
 
     @invariant()
     def promises_hold(self):
-        """Check the bound on lost endpoints and that no innocent is blocked."""
+        """Check the bound on lost endpoints and that no innocent request is blocked."""
         if not hasattr(self, "world"):
             return
         self.world.check()
@@ -173,10 +174,10 @@
                     isinstance(final, Reject)
                     and final.rejection.reason is Reason.CRASHES_ENDPOINTS
                 )
-                assert not is_blocked, "innocent blocked"
+                assert not is_blocked, "innocent request blocked"
 
     def teardown(self):
-        """Run to the end; innocents complete unless their stream was broken."""
+        """Run until idle; innocent requests complete unless their stream broke."""
         if not hasattr(self, "world"):
             return
         self.world.settle()
@@ -185,11 +186,13 @@
         for request_id in self.innocent_ids:
             final = self.world.finals[request_id][0]
             is_whole = isinstance(final, Complete)
-            assert is_whole or request_id in self.world.had_bytes, "innocent refused"
+            assert is_whole or request_id in self.world.had_bytes, (
+                "innocent request rejected"
+            )
 
 
 def test_innocent_suspect_does_not_share_an_endpoint_with_poison():
-    """Guards against an innocent that is refused because of a request beside it."""
+    """Guards against an innocent suspect that runs beside a poison request."""
     machine = PoisonMachine()
     machine.start(hedge_after_ms=0)
     machine.ask_for_trouble("e1", "q.")
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_machine_requests.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_machine_requests.py
@@ -1,4 +1,4 @@
-"""The promises about one request, under any interleaving of events and faults."""
+"""State machine: invariants of a request under any order of events and faults."""
 
 from random import Random
 
@@ -20,7 +20,7 @@
 ENDPOINTS = ("x0", "x1", "x2")
 KINDS = ("idempotent", "idempotent", "keyed", "plain")
 TABLE_MODES = ("answer", "answer", "answer", "lose", "delay", "down")
-# Faults are rarer than progress, so that requests get far enough to be disturbed.
+# Faults are rarer than progress, so that requests are running when a fault occurs.
 WEIGHT_BY_ACTION = {
     "arrive": 10,
     "accept": 20,
@@ -50,18 +50,19 @@
 
 
 class LazyQueue(FifoQueue):
-    """A queue that leaves deadlines to others."""
+    """A queue that never rejects expired requests, as only timers then do."""
 
     def expire(self, now_ms):
-        """Keep everything."""
+        """Return no rejections."""
         return []
 
 
 class RequestMachine(RuleBasedStateMachine):
-    """Two entries share a table and three endpoints.
+    """Two entries that share a claim table and three endpoints.
 
-    Guards against wrong or missing answers, work that runs twice or after a refusal,
-    work for leaving endpoints, and retries beyond the budget.
+    Guards against wrong or missing answers, requests that run twice or although they
+    were reported as not run, dispatches to draining endpoints, and retries beyond the
+    budget.
     """
 
     @initialize(
@@ -71,7 +72,7 @@
         make_policy=st.sampled_from([PredictedLatency, LeastInFlight]),
     )
     def start(self, **options):
-        """Start with healthy endpoints."""
+        """Start two entries and three running endpoints."""
         self.world = World(2, 3, **options)
 
     @rule(
@@ -81,14 +82,14 @@
         seed=st.integers(0, 2**16),
     )
     def act(self, name, entry_id, endpoint_id, seed):
-        """Do one small step."""
+        """Execute one action."""
         entry = self.world.entry_by_id[entry_id]
         endpoint = self.world.endpoint_by_id[endpoint_id]
         getattr(self, f"do_{name}")(entry, endpoint, Random(seed))
 
     @rule(seed=st.integers(0, 2**32), n=st.integers(20, 120))
     def churn(self, seed, n):
-        """Do many small steps in an arbitrary order."""
+        """Execute ``n`` random actions."""
         chance = Random(seed)
         for name in chance.choices(ACTIONS, WEIGHT_BY_ACTION.values(), k=n):
             entry = self.world.entry_by_id[chance.choice(ENTRIES)]
@@ -97,7 +98,7 @@
         self.world.check()
 
     def do_arrive(self, entry, _endpoint, chance):
-        """Send a request; a key may come again, with another body or elsewhere."""
+        """Send a request; its key may be in use, also with another body or entry."""
         kind, number = chance.choice(KINDS), chance.randrange(4)
         key = f"k{number}" if kind == "keyed" else None
         fingerprint = f"{kind[0]}{number}{chance.choice(['', '', '', 'b'])}."
@@ -107,23 +108,23 @@
         self.world.arrive(entry.entry_id, spec)
 
     def do_leave(self, entry, _endpoint, chance):
-        """Let a caller close its connection."""
+        """Disconnect a caller that has no final answer."""
         waiting = [r for r in entry.spec_by_id if not self.world.finals[r]]
         if waiting:
             self.world.step(entry, CallerDisconnected(chance.choice(waiting)))
 
     def do_accept(self, entry, endpoint, chance):
-        """Deliver messages to an endpoint."""
+        """Deliver up to 4 messages to an endpoint."""
         for _ in range(chance.randint(1, 4)):
             self.world.deliver_to_endpoint(entry.entry_id, endpoint.endpoint_id)
 
     def do_produce(self, _entry, endpoint, _chance):
-        """Let the runs of an endpoint go on."""
+        """Advance the runs of an endpoint."""
         for run in endpoint.active():
             self.world.progress(endpoint, run)
 
     def do_answer(self, entry, endpoint, chance):
-        """Deliver messages to an entry."""
+        """Deliver up to 6 messages to an entry."""
         for _ in range(chance.randint(1, 6)):
             self.world.deliver_to_entry(entry.entry_id, endpoint.endpoint_id)
 
@@ -132,40 +133,40 @@
         self.world.deliver_to_entry(entry.entry_id, endpoint.endpoint_id, True)
 
     def do_break_stream(self, _entry, endpoint, chance):
-        """End a stream early, without a crash."""
+        """Break a stream without a crash."""
         if endpoint.active():
             run = chance.choice(endpoint.active())
             self.world.break_run(endpoint, run, chance.random() < 0.5)
 
     def do_crash(self, _entry, endpoint, _chance):
-        """Crash an engine; its agent tells."""
+        """Crash an engine whose agent continues to run."""
         if endpoint.is_up:
             self.world.crash_engine(endpoint)
 
     def do_kill(self, _entry, endpoint, _chance):
-        """Kill agent and engine."""
+        """Kill an agent and its engine."""
         self.world.kill(endpoint)
 
     def do_freeze(self, _entry, endpoint, _chance):
-        """Keep every connection open and produce nothing any more."""
+        """Stop the output of an endpoint but keep its connections open."""
         endpoint.is_frozen = True
 
     def do_cut(self, entry, endpoint, _chance):
-        """Cut a connection without the entry noticing."""
+        """Cut a connection; the entry does not observe the loss yet."""
         self.world.cut(entry.entry_id, endpoint.endpoint_id)
 
     def do_notice(self, entry, endpoint, _chance):
-        """Let the entry notice a cut connection."""
+        """Report the loss of a cut connection to its entry."""
         self.world.notice(entry.entry_id, endpoint.endpoint_id)
 
     def do_heal(self, _entry, endpoint, _chance):
-        """Bring an endpoint and its connections back."""
+        """Restart an endpoint that has ended and restore its connections."""
         self.world.revive(endpoint)
         for entry_id in ENTRIES:
             self.world.connect(entry_id, endpoint.endpoint_id)
 
     def do_drain(self, _entry, endpoint, _chance):
-        """Announce that an endpoint leaves."""
+        """Drain an endpoint and report that to the connected entries."""
         endpoint.is_draining = True
         for entry_id in ENTRIES:
             link = self.world.links[entry_id, endpoint.endpoint_id]
@@ -173,7 +174,10 @@
                 link.to_entry.append(("drain",))
 
     def do_cross(self, entry, endpoint, chance):
-        """Send the answer of an attempt that another endpoint runs."""
+        """Send an answer to an attempt that another endpoint runs.
+
+        The entry must close the connection.
+        """
         attempts = entry.endpoint_by_attempt.items()
         foreign = sorted(a for a, e in attempts if e != endpoint.endpoint_id)
         link = self.world.links[entry.entry_id, endpoint.endpoint_id]
@@ -182,54 +186,54 @@
                 chance.choice(foreign), 200, 12, Usage(), endpoint.endpoint_id
             )
             self.world.step(entry, event)
-            assert not link.is_open, "connection of a crossed answer not closed"
+            assert not link.is_open, "connection not closed after a foreign answer"
 
     def do_table(self, entry, _endpoint, chance):
-        """Let the table take a write, or fail, or lose its answer."""
+        """Apply, delay or fail a claim write, or lose its answer."""
         if entry.operations:
             self.world.answer_claims(entry, chance.choice(TABLE_MODES))
 
     def do_late_write(self, entry, _endpoint, _chance):
-        """Let a write take effect after it was reported as unanswered."""
+        """Apply a claim write that was reported as unanswered."""
         if entry.limbo:
             self.world.apply_late(entry)
 
     def do_tick(self, _entry, _endpoint, chance):
-        """Pass a little time."""
+        """Advance the time by 1 to 300 ms."""
         self.world.now_ms += chance.choice([1, 6, 50, 300])
 
     def do_pause(self, _entry, _endpoint, chance):
-        """Pass much time without firing timers, as a pause of the entries does."""
+        """Advance the time by 1 to 20 s without firing timers, as if entries paused."""
         self.world.now_ms += chance.choice([1_000, 3_000, 20_000])
 
     def do_fire(self, entry, _endpoint, chance):
-        """Fire timers that are due."""
+        """Fire up to 5 timers that are due."""
         for _ in range(chance.randint(1, 5)):
             self.world.fire_timer(entry)
 
     def do_gossip(self, _entry, _endpoint, _chance):
-        """Exchange digests."""
+        """Exchange the digests of the entries."""
         self.world.exchange_digests()
 
     def do_restart(self, entry, _endpoint, _chance):
-        """Replace an entry; its callers get no answer."""
+        """Restart an entry without its state; its callers get no answer."""
         self.world.restart_entry(entry.entry_id)
         for endpoint_id in ENDPOINTS:
             self.world.connect(entry.entry_id, endpoint_id)
 
     def do_shut_down(self, entry, _endpoint, _chance):
-        """Tell an entry to stop."""
+        """Start the shutdown of an entry."""
         entry.is_stopping = True
         self.world.step(entry, ShutdownStarted())
 
     @invariant()
     def promises_hold(self):
-        """Check what must hold at every moment."""
+        """Check the invariants that hold after every event."""
         if hasattr(self, "world"):
             self.world.check()
 
     def teardown(self):
-        """Heal everything; every request must then have its one final answer."""
+        """Run until idle; each request must then have exactly one final answer."""
         if hasattr(self, "world"):
             self.world.settle()
             self.world.check()
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_reduce.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_reduce.py
@@ -1,4 +1,4 @@
-"""Single rules that the state machines reach too rarely to rely on."""
+"""Behaviour of the reducer that the state machines rarely reach."""
 
 from bluebellusher_core.claims import ClaimTable
 from bluebellusher_core.effects import (
@@ -51,14 +51,14 @@
 
 
 def connect(state, endpoint_id, incarnation=1, now_ms=0):
-    """Connect an endpoint."""
+    """Connect an endpoint; return the effects."""
     names = frozenset("s"), frozenset("m"), frozenset()
     info = EndpointInfo(endpoint_id, "d", *names, 4, incarnation)
     return reduce(state, EndpointConnected(info), now_ms)
 
 
 def start(n_endpoints=3, **options):
-    """Return an entry with endpoints ``x0``, ``x1``, ..."""
+    """Return the state of an entry with endpoints ``x0``, ``x1``, ..."""
     state = EntryState.from_config(EntryConfig("e", **options))
     for i in range(n_endpoints):
         connect(state, f"x{i}")
@@ -66,13 +66,13 @@
 
 
 def arrive(state, spec, now_ms=0):
-    """Hand in a request; return its dispatch, if it was dispatched."""
+    """Send a request; return its dispatch, or None if it was not dispatched."""
     effects = reduce(state, RequestArrived(spec), now_ms)
     return next((e for e in effects if isinstance(e, Dispatch)), None)
 
 
 def lose(state, dispatch, now_ms, n_bytes=0):
-    """Lose the endpoint of an attempt, as the runtime reports it."""
+    """Lose the endpoint of an attempt in the order in which the runtime reports it."""
     event = AttemptBroken(
         dispatch.attempt_id, Reason.ENDPOINT_LOST, n_bytes, True, dispatch.endpoint_id
     )
@@ -86,7 +86,7 @@
 
 
 def test_late_answer_is_ignored_and_unknown_attempt_closes_the_connection():
-    """Guards against a second answer and against closing on a mere delay."""
+    """Guards against a second answer and a connection closed for a late answer."""
     state = start()
     sent = arrive(state, make_spec("r"))
     done = AttemptFinished(sent.attempt_id, 200, 1, Usage(), sent.endpoint_id)
@@ -97,7 +97,10 @@
 
 
 def test_stream_that_cannot_be_resumed_is_given_up_before_its_deadline():
-    """Guards against a caller held until the deadline, and against a restart."""
+    """Guards against a broken stream that waits until the request's deadline.
+
+    The endpoint does not reconnect in time, or has restarted and lost the stream.
+    """
     state = start()
     for request_id, event in (("a", TimerFired("resume:a")), ("b", None)):
         sent = arrive(state, make_spec(request_id, request_id), 10)
@@ -113,7 +116,7 @@
 
 
 def test_table_that_is_down_refuses_keyed_requests_only_and_promptly():
-    """Guards against claims that hold callers until their deadline."""
+    """Guards against requests that wait for a claim until their deadline."""
     state = start()
     assert arrive(state, make_spec("keyed", key="k")) is None
     (write,) = pick(reduce(state, TimerFired("claims:flush"), 5), WriteClaims)
@@ -132,7 +135,7 @@
 
 
 def test_no_copy_runs_before_the_end_of_an_isolated_run_is_understood():
-    """Guards against a third endpoint lost while the evidence is on its way."""
+    """Guards against a third endpoint lost before a crash can be confirmed."""
     state = start()
     reduce(state, DigestReceived("peer", 1, (), ("p",)), 0)
     sent = arrive(state, make_spec("r1", "p"), 1)
@@ -140,7 +143,7 @@
     reduce(state, AttemptAccepted(sent.attempt_id, sent.endpoint_id), 2)
     (final,) = pick(lose(state, sent, 3), Reject)
     assert final.rejection.reason is Reason.ENDPOINT_LOST
-    # Other entries do not know of the hold, so the caller must wait for it.
+    # Other entries do not hold the fingerprint, so the caller must wait for the hold.
     assert final.rejection.retry_after_ms == HOLD_MS
     assert arrive(state, make_spec("r2", "p"), 4) is None
     effects = connect(state, sent.endpoint_id, 2, 5)
@@ -150,7 +153,7 @@
 
 
 def test_hedge_runs_isolated_and_keeps_the_minimum_of_the_budget():
-    """Guards against a hedge that loses a third endpoint or eats the retries."""
+    """Guards against a hedge that loses a third endpoint or uses up the retries."""
     state = start(hedge_after_ms=10)
     first = arrive(state, make_spec("r0", "f0"))
     assert not pick(
@@ -165,7 +168,7 @@
 
 
 def test_block_expires_though_peers_repeat_it_and_tables_stay_bounded():
-    """Guards against a block that entries keep alive among themselves."""
+    """Guards against a block that entries renew through each other's digests."""
     table = PoisonTable(n_max=2)
     for now_ms in range(0, 600_000, 100_000):
         table.block("f", now_ms, is_own=False)
@@ -181,7 +184,7 @@
 
 
 def test_restart_convicts_only_right_after_the_loss():
-    """Guards against blocking an innocent for a later, unrelated restart."""
+    """Guards against a fingerprint blocked for a later, unrelated restart."""
     table = PoisonTable()
     table.hold("f", "x", 1, True, 0)
     assert table.resolve_holds("x", 1, 10) == []
@@ -191,7 +194,7 @@
 
 
 def test_requests_of_a_pool_without_endpoints_are_refused_after_the_grace_period():
-    """Guards against requests that wait for their deadline without a chance."""
+    """Guards against requests that wait until their deadline for no endpoint."""
     state = start(n_endpoints=1)
     for i in range(5):
         arrive(state, make_spec(f"r{i}", f"f{i}"))
@@ -203,7 +206,7 @@
 
 
 def test_every_table_is_bounded():
-    """Guards against memory that grows with traffic or with a long outage."""
+    """Guards against memory that grows with the traffic or during a store outage."""
     state = start(n_endpoints=2, n_max_requests=3, n_max_endpoints=2)
     assert connect(state, "x2") == [CloseConnection("x2")]
     for i in range(9_000):
@@ -223,7 +226,7 @@
 
 
 def test_budget_spends_its_minimum_and_a_tenth_of_fresh_requests():
-    """Guards against retry storms."""
+    """Guards against retry storms: the budget is a minimum plus a share of requests."""
     budget = RetryBudget(n_min=2, percent=10)
     n_spent = sum(budget.try_spend() for _ in range(5))
     for _ in range(100):
