Name the attempt handlers handle_* and the canceller cancel_attempt

accepted, started, finished, refused and broken of requests/_attempts.py become handle_accepted and so on; cancel of requests/_final.py becomes cancel_attempt. Names only; behaviour does not change.

--- a/packages/core/src/bluebellusher_core/reducer/_reduce.py
+++ b/packages/core/src/bluebellusher_core/reducer/_reduce.py
@@ -44,7 +44,7 @@
 )
 from bluebellusher_core.state import EntryState
 
-CLAIM_RETRY = "claims:retry:"
+CLAIM_RETRY_PREFIX = "claims:retry:"
 
 
 def reduce(state: EntryState, event: Event, now_ms: int) -> list[Effect]:
@@ -67,20 +67,20 @@
     list of Effect
         Effects for the runtime to execute in this order.
     """
-    effects = _handle(state, event, now_ms)
+    effects = _handle_event(state, event, now_ms)
     effects += _placing.place_waiting(state, now_ms)
     return effects
 
 
-def _handle(state: EntryState, event: Event, now_ms: int) -> list[Effect]:
+def _handle_event(state: EntryState, event: Event, now_ms: int) -> list[Effect]:
     """Call the handler of an event and return its effects."""
     match event:
         case RequestArrived():
             return _arrival.handle_arrival(state, event.request, now_ms)
         case AttemptStarted():
-            return _attempts.started(state, event, now_ms)
+            return _attempts.handle_started(state, event, now_ms)
         case AttemptFinished():
-            return _attempts.finished(state, event, now_ms)
+            return _attempts.handle_finished(state, event, now_ms)
         case TimerFired():
             return _handle_timer(state, event.timer_id, now_ms)
         case LoadReported():
@@ -89,11 +89,11 @@
         case CacheReported():
             state.endpoints.record_cache_report(event, now_ms)
         case AttemptAccepted():
-            return _attempts.accepted(state, event)
+            return _attempts.handle_accepted(state, event)
         case AttemptRefused():
-            return _attempts.refused(state, event, now_ms)
+            return _attempts.handle_refused(state, event, now_ms)
         case AttemptBroken():
-            return _attempts.broken(state, event, now_ms)
+            return _attempts.handle_broken(state, event, now_ms)
         case CallerDisconnected():
             return _arrival.handle_caller_disconnected(state, event.request_id, now_ms)
         case ClaimsAnswered():
@@ -124,10 +124,10 @@
         case DigestReceived():
             return _isolation.handle_digest(state, event, now_ms)
         case PolicyChanged():
-            _change_policy(state, event)
+            _handle_policy_changed(state, event)
         case EntriesCounted():
             state.n_entries = max(1, event.n_entries)
-            _share_retries(state)
+            _resize_retry_budget(state)
         case MembersListed():
             state.member_ids = event.member_ids
         case ShutdownStarted():
@@ -148,8 +148,8 @@
         case "claim":
             return _claiming.handle_claim_timeout(state, subject, now_ms)
         case "claims":
-            if timer_id.startswith(CLAIM_RETRY):
-                return state.claims.resend(timer_id.removeprefix(CLAIM_RETRY))
+            if timer_id.startswith(CLAIM_RETRY_PREFIX):
+                return state.claims.resend(timer_id.removeprefix(CLAIM_RETRY_PREFIX))
             return state.claims.flush()
         case "resume":
             return _recovery.handle_resume_timeout(state, subject, now_ms)
@@ -165,14 +165,14 @@
     return []
 
 
-def _share_retries(state: EntryState) -> None:
+def _resize_retry_budget(state: EntryState) -> None:
     """Resize the retry budget to this entry's equal share of the shared retries."""
     n_shared = state.config.n_shared_retries
     if n_shared is not None:
         state.retry_budget.resize(n_shared // state.n_entries)
 
 
-def _change_policy(state: EntryState, event: PolicyChanged) -> None:
+def _handle_policy_changed(state: EntryState, event: PolicyChanged) -> None:
     """Replace the customers' weights, unless the configuration version is not newer."""
     if event.config_version <= state.config_version:
         return
--- a/packages/core/src/bluebellusher_core/requests/_attempts.py
+++ b/packages/core/src/bluebellusher_core/requests/_attempts.py
@@ -32,7 +32,7 @@
 )
 
 
-def accepted(state: EntryState, event: AttemptAccepted) -> list[Effect]:
+def handle_accepted(state: EntryState, event: AttemptAccepted) -> list[Effect]:
     """Record that the agent confirmed the start of an isolated run."""
     attempt = _find_attempt(state, event)
     if attempt is None:
@@ -41,7 +41,9 @@
     return []
 
 
-def started(state: EntryState, event: AttemptStarted, now_ms: int) -> list[Effect]:
+def handle_started(
+    state: EntryState, event: AttemptStarted, now_ms: int
+) -> list[Effect]:
     """Record the first output of an attempt and cancel the request's other attempts."""
     attempt = _find_attempt(state, event)
     if attempt is None:
@@ -54,11 +56,13 @@
     state.endpoints.record_output(attempt.endpoint_id)
     state.endpoints.tracker.apply(event, now_ms)
     for other in [a for a in request.attempts if a is not attempt]:
-        effects += _final.cancel(state, request, other, now_ms)
+        effects += _final.cancel_attempt(state, request, other, now_ms)
     return effects
 
 
-def finished(state: EntryState, event: AttemptFinished, now_ms: int) -> list[Effect]:
+def handle_finished(
+    state: EntryState, event: AttemptFinished, now_ms: int
+) -> list[Effect]:
     """Complete a request with the complete answer of an attempt.
 
     An answer with a server error is discarded and the request is requeued if another
@@ -80,7 +84,9 @@
     return effects + _final.complete_request(state, request, attempt, now_ms)
 
 
-def refused(state: EntryState, event: AttemptRefused, now_ms: int) -> list[Effect]:
+def handle_refused(
+    state: EntryState, event: AttemptRefused, now_ms: int
+) -> list[Effect]:
     """Retry a request elsewhere after an endpoint or agent refused its attempt.
 
     A refused attempt has not run. A closed port, or a later start that answers at the
@@ -145,7 +151,7 @@
     return _placing.requeue(state, request, now_ms)
 
 
-def broken(state: EntryState, event: AttemptBroken, now_ms: int) -> list[Effect]:
+def handle_broken(state: EntryState, event: AttemptBroken, now_ms: int) -> list[Effect]:
     """Resume, retry or reject a request whose attempt broke and may have run."""
     attempt = _find_attempt(state, event)
     if attempt is None:
--- a/packages/core/src/bluebellusher_core/requests/_final.py
+++ b/packages/core/src/bluebellusher_core/requests/_final.py
@@ -132,7 +132,7 @@
     """Discard the state of a request and cancel its attempts in flight."""
     effects: list[Effect] = []
     for attempt in list(request.attempts):
-        effects += cancel(state, request, attempt, now_ms)
+        effects += cancel_attempt(state, request, attempt, now_ms)
     release_endpoint(state, request)
     state.next_placement_ms = 0
     state.isolate_at_ms.pop(request.spec.request_id, None)
@@ -140,7 +140,7 @@
     return effects
 
 
-def cancel(
+def cancel_attempt(
     state: EntryState, request: Request, attempt: Attempt, now_ms: int
 ) -> list[Effect]:
     """Cancel an attempt whose answer is no longer needed.
