--- a/packages/core/src/bluebellusher_core/reducer/tests/_crash_world.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/_crash_simulation.py
@@ -38,15 +38,15 @@
 
 N_TO_BLOCK = 3
 # Time that an entry in contact with the store needs to receive the third crash, in ms.
-CONTACT_MS = 3_000
+MIN_CONTACT_MS = 3_000
 DIGEST_INTERVAL_MS = 500
 # A registration expires after three missed heartbeats, in ms.
-LAPSE_AFTER_MS = 3_600
+EXPIRE_AFTER_MS = 3_600
 # Delay from a write in the store until the entries read it, in ms.
-WATCH_LAG_MS = 50
+WATCH_DELAY_MS = 50
 CONNECT_TIMEOUT_MS = 500
 # Time from a cut between failure domains until the runs across it break, in ms.
-STALL_MS = 1_500
+BREAK_AFTER_CUT_MS = 1_500
 # Time from the start of a poison run until it crashes its endpoint, in ms.
 CRASH_AFTER_MS = 20
 POISON = "poison"
@@ -88,7 +88,7 @@
     is_alive: bool = True
 
 
-class CrashWorld:
+class CrashSimulation:
     """Entries, endpoints and a store in virtual time.
 
     Parameters
@@ -106,44 +106,44 @@
         self.now_ms = 10_000
         self.keeps_id = keeps_id
         self.n_entries = n_entries
-        self.down_ms = (2_000, 6_000)
-        self.is_store_away = False
-        self.store_back_at_ms = 0
-        self.healed_at_ms_by_domain = {}
+        self.downtime_range_ms = (2_000, 6_000)
+        self.is_store_unavailable = False
+        self.store_restored_at_ms = 0
+        self.reconnected_at_ms_by_domain = {}
         self.row_by_endpoint_id = {}
         self.crash_table = CrashCounter()
         self.cut_domains = set()
         self.crash_times_ms = []
         self.n_late_runs = 0
         self.n_runs = 0
-        self.refusals = []
-        self.answers = []
+        self.rejections = []
+        self.completed_fingerprints = []
         self._n_requests = 0
         self._n_starts = 0
-        self._schedule = []
-        self._order = 0
+        self._pending_calls = []
+        self._n_scheduled = 0
         self.hosts = [Host(i, f"d{i % 3}") for i in range(n_hosts)]
         self.entry_by_id = {}
         for host in self.hosts:
             self.start_endpoint(host)
         for i in range(n_entries):
             self.start_entry(f"e{i}", f"d{i % 3}")
-        self.at(DIGEST_INTERVAL_MS, self._exchange_all)
+        self.call_later(DIGEST_INTERVAL_MS, self._broadcast_all_crashes)
         self.run(200)
 
     # Time.
 
-    def at(self, delay_ms, action, *args):
+    def call_later(self, delay_ms, action, *args):
         """Schedule a call after a delay in ms."""
-        self._order += 1
+        self._n_scheduled += 1
         due_ms = self.now_ms + delay_ms
-        heapq.heappush(self._schedule, (due_ms, self._order, action, args))
+        heapq.heappush(self._pending_calls, (due_ms, self._n_scheduled, action, args))
 
     def run(self, duration_ms):
         """Advance the virtual time and execute the calls that become due."""
         end_ms = self.now_ms + duration_ms
-        while self._schedule and self._schedule[0][0] <= end_ms:
-            self.now_ms, _, action, args = heapq.heappop(self._schedule)
+        while self._pending_calls and self._pending_calls[0][0] <= end_ms:
+            self.now_ms, _, action, args = heapq.heappop(self._pending_calls)
             action(*args)
         self.now_ms = end_ms
 
@@ -168,10 +168,10 @@
         self.handle(entry, MembersListed(member_ids))
         self._read_registrations(entry)
         self._read_crashes(entry)
-        for other in self._peers_of(entry):
-            self.tell(other, entry, other.state.crashes.records(self.now_ms))
+        for other in self._reachable_peers(entry):
+            self.deliver_crashes(other, entry, other.state.crashes.records(self.now_ms))
 
-    def stop_entry(self, entry_id):
+    def kill_entry(self, entry_id):
         """Kill an entry; its state and its requests in progress are lost."""
         entry = self.entry_by_id[entry_id]
         entry.is_alive = False
@@ -181,56 +181,58 @@
 
     def restart_entry(self, entry_id, down_ms=500):
         """Kill an entry and restart it after ``down_ms``."""
-        entry = self.stop_entry(entry_id)
-        self.at(down_ms, self.start_entry, entry_id, entry.domain)
+        entry = self.kill_entry(entry_id)
+        self.call_later(down_ms, self.start_entry, entry_id, entry.domain)
 
-    def restart_all(self, down_ms=500):
+    def restart_all_entries(self, down_ms=500):
         """Kill all entries at the same moment."""
         for entry_id in list(self.entry_by_id):
             self.restart_entry(entry_id, down_ms)
 
     def handle(self, entry, event):
-        """Reduce an event and execute the effects, unless the entry has ended."""
+        """Apply an event and execute the effects, unless the entry has ended."""
         if entry.is_alive:
             for effect in reduce(entry.state, event, self.now_ms):
-                self._execute(entry, effect)
+                self._execute_effect(entry, effect)
 
-    def tell(self, entry, other, records):
+    def deliver_crashes(self, entry, other, records):
         """Deliver crash records of one entry to another one."""
         self.handle(other, CrashesReceived(entry.entry_id, records))
 
-    def _tell_all(self, entry, records):
+    def _broadcast_crashes(self, entry, records):
         """Deliver crash records of an entry to its reachable peers."""
         if not entry.is_alive:
             return
-        for other in self._peers_of(entry):
-            self.tell(entry, other, records)
+        for other in self._reachable_peers(entry):
+            self.deliver_crashes(entry, other, records)
 
-    def _exchange_all(self):
+    def _broadcast_all_crashes(self):
         """Deliver the crash records of all entries to their peers, at each interval."""
         for entry in list(self.entry_by_id.values()):
-            self._tell_all(entry, entry.state.crashes.records(self.now_ms))
-        self.at(DIGEST_INTERVAL_MS, self._exchange_all)
+            self._broadcast_crashes(entry, entry.state.crashes.records(self.now_ms))
+        self.call_later(DIGEST_INTERVAL_MS, self._broadcast_all_crashes)
 
     def _write_crashes(self, entry, records):
         """Merge crash records into the store; retry while the entry cannot reach it."""
         if not entry.is_alive:
             return
-        if not self.has_store(entry):
-            self.at(DIGEST_INTERVAL_MS, self._write_crashes, entry, records)
+        if not self.can_reach_store(entry):
+            self.call_later(DIGEST_INTERVAL_MS, self._write_crashes, entry, records)
             return
-        is_news = [self.crash_table.merge(record, self.now_ms) for record in records]
-        if any(is_news):
+        are_changed = [
+            self.crash_table.merge(record, self.now_ms) for record in records
+        ]
+        if any(are_changed):
             for other in list(self.entry_by_id.values()):
-                self.at(WATCH_LAG_MS, self._read_crashes, other)
+                self.call_later(WATCH_DELAY_MS, self._read_crashes, other)
 
     def _read_crashes(self, entry):
         """Deliver the crash records of the store to an entry that can reach it."""
-        if entry.is_alive and self.has_store(entry):
+        if entry.is_alive and self.can_reach_store(entry):
             records = self.crash_table.records(self.now_ms)
             self.handle(entry, CrashesReceived("store", records))
 
-    def _peers_of(self, entry):
+    def _reachable_peers(self, entry):
         """Return the running entries that an entry can reach."""
         return [
             other
@@ -244,7 +246,7 @@
         """Return whether two failure domains cannot reach each other."""
         return domain != other and bool({domain, other} & self.cut_domains)
 
-    def cut(self, domain):
+    def cut_domain(self, domain):
         """Cut a failure domain off from the others and from the store.
 
         Runs across the cut break, and registrations in the domain expire.
@@ -253,21 +255,21 @@
         for host in self.hosts:
             for run in list(host.runs):
                 if self.is_cut(host.domain, run.entry.domain):
-                    self.at(STALL_MS, self._break, host, run)
+                    self.call_later(BREAK_AFTER_CUT_MS, self._break_run, host, run)
             if host.domain == domain and host.registration is not None:
-                self.at(LAPSE_AFTER_MS, self._lapse_if_cut, host)
+                self.call_later(EXPIRE_AFTER_MS, self._expire_if_cut, host)
 
-    def heal(self, domain):
+    def reconnect_domain(self, domain):
         """End a cut; the endpoints of the failure domain register again."""
         self.cut_domains.discard(domain)
-        self.healed_at_ms_by_domain[domain] = self.now_ms
+        self.reconnected_at_ms_by_domain[domain] = self.now_ms
         for host in self.hosts:
             if host.domain == domain and host.registration is not None:
                 self._write_registration(host.registration)
         for entry in list(self.entry_by_id.values()):
             self._read_registrations(entry)
 
-    def _lapse_if_cut(self, host):
+    def _expire_if_cut(self, host):
         """Expire the registration at a host if its domain is still cut off."""
         if host.domain in self.cut_domains and host.registration is not None:
             self._write_registration(host.registration, is_removed=True)
@@ -291,47 +293,49 @@
         if host.domain not in self.cut_domains:
             self._write_registration(host.registration)
 
-    def crash(self, host):
+    def crash_endpoint(self, host):
         """Crash the endpoint at a host; it restarts after a random time.
 
-        ``down_ms`` holds the bounds of that time, in ms.
+        ``downtime_range_ms`` holds the bounds of that time, in ms.
         """
-        gone = host.registration
+        registration = host.registration
         host.registration = None
         runs, host.runs = host.runs, []
         for run in runs:
-            self.at(1, self._tell_broken, run)
-        self.at(LAPSE_AFTER_MS, self._lapse, gone)
-        self.at(self.random.randint(*self.down_ms), self.start_endpoint, host)
+            self.call_later(1, self._report_broken, run)
+        self.call_later(EXPIRE_AFTER_MS, self._expire_registration, registration)
+        self.call_later(
+            self.random.randint(*self.downtime_range_ms), self.start_endpoint, host
+        )
 
-    def leave(self, host):
+    def shut_down_endpoint(self, host):
         """Shut an endpoint down by plan.
 
         It registers as draining, ends after 2 s and is replaced by another start.
         """
-        gone = host.registration
+        registration = host.registration
         leaving = EndpointRegistration(
-            **{name: getattr(gone, name) for name in gone.__slots__}
+            **{name: getattr(registration, name) for name in registration.__slots__}
             | {"is_draining": True}
         )
         host.registration = leaving
         self._write_registration(leaving)
-        self.at(2_000, self._end_left, host)
+        self.call_later(2_000, self._end_draining_endpoint, host)
 
-    def _end_left(self, host):
+    def _end_draining_endpoint(self, host):
         """End a draining endpoint; break its runs and start its replacement."""
-        gone = host.registration
+        registration = host.registration
         host.registration = None
         runs, host.runs = host.runs, []
         for run in runs:
-            self._tell_broken(run)
-        self._write_registration(gone, is_removed=True)
-        self.at(500, self.start_endpoint, host)
+            self._report_broken(run)
+        self._write_registration(registration, is_removed=True)
+        self.call_later(500, self.start_endpoint, host)
 
-    def _lapse(self, gone):
+    def _expire_registration(self, registration):
         """Expire the registration of a crashed endpoint unless a newer one exists."""
-        if self.row_by_endpoint_id.get(gone.endpoint_id) is gone:
-            self._write_registration(gone, is_removed=True)
+        if self.row_by_endpoint_id.get(registration.endpoint_id) is registration:
+            self._write_registration(registration, is_removed=True)
 
     def _write_registration(self, registration, is_removed=False):
         """Write or remove a registration in the store; entries read it later."""
@@ -340,43 +344,43 @@
         else:
             self.row_by_endpoint_id[registration.endpoint_id] = registration
         for entry in list(self.entry_by_id.values()):
-            self.at(WATCH_LAG_MS, self._read_registrations, entry)
+            self.call_later(WATCH_DELAY_MS, self._read_registrations, entry)
 
     def _read_registrations(self, entry):
         """Apply the registrations of the store to an entry that can reach it."""
-        if not entry.is_alive or not self.has_store(entry):
+        if not entry.is_alive or not self.can_reach_store(entry):
             return
-        known = entry.registrations.registration_by_id
+        registration_by_id = entry.registrations.registration_by_id
         changes = dict(self.row_by_endpoint_id)
-        changes |= {i: None for i in known if i not in changes}
+        changes |= {i: None for i in registration_by_id if i not in changes}
         for row in self.row_by_endpoint_id.values():
             entry.address_by_endpoint_id[row.endpoint_id] = row.port - 1
         for event in entry.registrations.update(changes, self.now_ms):
-            self.handle(entry, self._with_age(event))
+            self.handle(entry, self._add_age(event))
 
-    def _with_age(self, event):
+    def _add_age(self, event):
         """Return the event with the time since the endpoint's start, in ms."""
         if isinstance(event, EndpointRegistered):
             return replace(event, age_ms=self.now_ms - event.endpoint.incarnation)
         return event
 
-    def has_store(self, entry):
-        """Return whether an entry reaches the store."""
-        return not self.is_store_away and entry.domain not in self.cut_domains
+    def can_reach_store(self, entry):
+        """Return whether the store is available to an entry."""
+        return not self.is_store_unavailable and entry.domain not in self.cut_domains
 
-    def is_in_touch(self, entry):
-        """Return whether an entry ran and reached the store during ``CONTACT_MS``."""
+    def is_in_contact(self, entry):
+        """Return whether an entry has reached the store for ``MIN_CONTACT_MS``."""
         since_ms = max(
             entry.started_at_ms,
-            self.store_back_at_ms,
-            self.healed_at_ms_by_domain.get(entry.domain, 0),
+            self.store_restored_at_ms,
+            self.reconnected_at_ms_by_domain.get(entry.domain, 0),
         )
-        return self.has_store(entry) and self.now_ms - since_ms >= CONTACT_MS
+        return self.can_reach_store(entry) and self.now_ms - since_ms >= MIN_CONTACT_MS
 
-    def store_returns(self):
+    def restore_store(self):
         """End an outage of the store; all entries read the registrations."""
-        self.is_store_away = False
-        self.store_back_at_ms = self.now_ms
+        self.is_store_unavailable = False
+        self.store_restored_at_ms = self.now_ms
         for entry in list(self.entry_by_id.values()):
             self._read_registrations(entry)
 
@@ -395,45 +399,47 @@
         self.handle(self.entry_by_id[entry_id], RequestArrived(spec))
         return spec.request_id
 
-    def is_refused(self, entry_id, fingerprint=POISON):
+    def is_rejected(self, entry_id, fingerprint=POISON):
         """Send a request and return whether it is rejected as crashing endpoints."""
-        n_before = len(self.refusals)
+        n_before = len(self.rejections)
         self.send(entry_id, fingerprint)
-        found = [rejection.reason for _, rejection in self.refusals[n_before:]]
-        return found == [Reason.CRASHES_ENDPOINTS]
+        reasons = [rejection.reason for _, rejection in self.rejections[n_before:]]
+        return reasons == [Reason.CRASHES_ENDPOINTS]
 
-    def _execute(self, entry, effect):
+    def _execute_effect(self, entry, effect):
         """Execute one effect of an entry; effects of other types are ignored."""
         match effect:
             case Dispatch():
-                self.at(1, self._begin, entry, effect)
+                self.call_later(1, self._deliver_dispatch, entry, effect)
             case Reject():
-                self.refusals.append((effect.request_id, effect.rejection))
+                self.rejections.append((effect.request_id, effect.rejection))
             case CancelAttempt():
                 for host in self.hosts:
                     host.runs = [
                         r for r in host.runs if r.attempt_id != effect.attempt_id
                     ]
             case CheckEndpoint():
-                self.at(1, self._check, entry, effect.endpoint_id)
+                self.call_later(1, self._check_address, entry, effect.endpoint_id)
             case BroadcastCrashes():
-                self.at(1, self._tell_all, entry, effect.records)
-                self.at(1, self._write_crashes, entry, effect.records)
+                self.call_later(1, self._broadcast_crashes, entry, effect.records)
+                self.call_later(1, self._write_crashes, entry, effect.records)
             case SetTimer():
                 delay_ms = max(0, effect.due_ms - self.now_ms)
-                self.at(delay_ms, self.handle, entry, TimerFired(effect.timer_id))
+                self.call_later(
+                    delay_ms, self.handle, entry, TimerFired(effect.timer_id)
+                )
 
-    def _check(self, entry, endpoint_id):
+    def _check_address(self, entry, endpoint_id):
         """Check an endpoint's address for an entry; it times out across a cut."""
         host = self.hosts[entry.address_by_endpoint_id[endpoint_id]]
         if self.is_cut(entry.domain, host.domain):
             event = EndpointChecked(endpoint_id, None)
-            self.at(CONNECT_TIMEOUT_MS, self.handle, entry, event)
+            self.call_later(CONNECT_TIMEOUT_MS, self.handle, entry, event)
         else:
             is_listening = host.registration is not None
             self.handle(entry, EndpointChecked(endpoint_id, is_listening))
 
-    def _begin(self, entry, effect):
+    def _deliver_dispatch(self, entry, effect):
         """Deliver an attempt to its address, where it runs or is refused."""
         request = entry.state.request_by_id.get(effect.request_id)
         if request is None or not entry.is_alive:
@@ -442,7 +448,7 @@
         attempt_id, endpoint_id = effect.attempt_id, effect.endpoint_id
         if self.is_cut(entry.domain, host.domain):
             event = AttemptRefused(attempt_id, Reason.CONNECT_FAILED, 0, endpoint_id)
-            self.at(CONNECT_TIMEOUT_MS, self.handle, entry, event)
+            self.call_later(CONNECT_TIMEOUT_MS, self.handle, entry, event)
         elif host.registration is None:
             event = AttemptRefused(attempt_id, Reason.CONNECT_REFUSED, 0, endpoint_id)
             self.handle(entry, event)
@@ -454,17 +460,19 @@
             fingerprint = request.spec.fingerprint
             run = Run(entry, attempt_id, fingerprint, endpoint_id)
             host.runs.append(run)
-            self._count(run)
+            self._count_poison_run(run)
             if fingerprint == POISON:
-                self.at(CRASH_AFTER_MS, self._crash_by, host, run)
+                self.call_later(CRASH_AFTER_MS, self._crash_by_run, host, run)
             else:
-                self.at(self.random.randint(20, 400), self._finish, host, run)
+                self.call_later(
+                    self.random.randint(20, 400), self._finish_run, host, run
+                )
 
-    def _count(self, run):
+    def _count_poison_run(self, run):
         """Count a poison run, and a late one if its entry should have blocked it.
 
-        A run is late when it starts more than ``CONTACT_MS`` after the third crash at
-        an entry that has been in contact with the store.
+        A run is late when it starts more than ``MIN_CONTACT_MS`` after the third crash,
+        at an entry that has been in contact with the store.
         """
         if run.fingerprint != POISON:
             return
@@ -472,32 +480,32 @@
         n_crashed = len(self.crash_times_ms)
         if n_crashed < N_TO_BLOCK:
             return
-        is_late = self.now_ms > self.crash_times_ms[N_TO_BLOCK - 1] + CONTACT_MS
-        self.n_late_runs += is_late and self.is_in_touch(run.entry)
+        is_late = self.now_ms > self.crash_times_ms[N_TO_BLOCK - 1] + MIN_CONTACT_MS
+        self.n_late_runs += is_late and self.is_in_contact(run.entry)
 
-    def _crash_by(self, host, run):
+    def _crash_by_run(self, host, run):
         """Crash the endpoint at a host if the poison run still runs there."""
         if run in host.runs:
             self.crash_times_ms.append(self.now_ms)
-            self.crash(host)
+            self.crash_endpoint(host)
 
-    def _finish(self, host, run):
+    def _finish_run(self, host, run):
         """Answer a run if it still runs at a host."""
         if run not in host.runs:
             return
         host.runs.remove(run)
-        self.answers.append(run.fingerprint)
+        self.completed_fingerprints.append(run.fingerprint)
         self.handle(run.entry, AttemptStarted(run.attempt_id, run.endpoint_id))
         event = AttemptFinished(run.attempt_id, 200, 1, Usage(), run.endpoint_id)
         self.handle(run.entry, event)
 
-    def _break(self, host, run):
+    def _break_run(self, host, run):
         """Break a run if it still runs at a host."""
         if run in host.runs:
             host.runs.remove(run)
-            self._tell_broken(run)
+            self._report_broken(run)
 
-    def _tell_broken(self, run):
+    def _report_broken(self, run):
         """Report the lost connection of a run to its entry."""
         event = AttemptBroken(
             run.attempt_id, Reason.CONNECTION_LOST, 0, False, run.endpoint_id
--- a/packages/core/src/bluebellusher_core/reducer/tests/_entries.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/_entry_simulation.py
@@ -27,7 +27,12 @@
     TimerFired,
 )
 from bluebellusher_core.reducer import EntryConfig, EntryState, reduce
-from bluebellusher_core.reducer.tests._model import Endpoint, Link, Table, answer_to
+from bluebellusher_core.reducer.tests._fakes import (
+    Endpoint,
+    FakeClaimTable,
+    Link,
+    expected_answer,
+)
 from bluebellusher_core.routing import PredictedLatency
 
 N_MIN_RETRIES = 1
@@ -53,23 +58,23 @@
         Request specification of each request that arrived.
     request_by_attempt : dict
         Request of each attempt that was ever dispatched.
-    sent : dict
+    text_by_request : dict
         Text that was relayed to the caller, by request.
-    operations : list of WriteClaims
+    unanswered_writes : list of WriteClaims
         Claim writes that the table has not answered yet.
-    limbo : list
-        Claim writes that were reported as unanswered and may still take effect.
-    drained : set of str
+    delayed_batches : list of tuple of ClaimWrite
+        Batches of claim writes that were reported as unanswered and may still apply.
+    draining_endpoint_ids : set of str
         Endpoints that reported that they are draining.
-    open_attempts : dict
+    request_by_open_attempt : dict
         Request of each attempt that has not ended.
-    last_end : dict
+    last_end_by_request : dict
         How the last attempt of a request ended: ``lost``, ``broken`` or ``refused``.
-    crashed : set of str
+    crashed_attempt_ids : set of str
         Attempts that a crash report named.
-    n_fresh : int
+    n_arrived : int
         Number of requests that arrived.
-    n_budgeted : int
+    n_budget_spent : int
         Number of attempts that must have used the retry budget.
     is_stopping : bool
         Whether the entry was ordered to shut down.
@@ -82,19 +87,19 @@
     endpoint_by_attempt: dict = field(default_factory=dict)
     spec_by_id: dict = field(default_factory=dict)
     request_by_attempt: dict = field(default_factory=dict)
-    sent: dict = field(default_factory=dict)
-    operations: list = field(default_factory=list)
-    limbo: list = field(default_factory=list)
-    drained: set = field(default_factory=set)
-    open_attempts: dict = field(default_factory=dict)
-    last_end: dict = field(default_factory=dict)
-    crashed: set = field(default_factory=set)
-    n_fresh: int = 0
-    n_budgeted: int = 0
+    text_by_request: dict = field(default_factory=dict)
+    unanswered_writes: list = field(default_factory=list)
+    delayed_batches: list = field(default_factory=list)
+    draining_endpoint_ids: set = field(default_factory=set)
+    request_by_open_attempt: dict = field(default_factory=dict)
+    last_end_by_request: dict = field(default_factory=dict)
+    crashed_attempt_ids: set = field(default_factory=set)
+    n_arrived: int = 0
+    n_budget_spent: int = 0
     is_stopping: bool = False
 
 
-class EntryWorld:
+class EntrySimulation:
     """Executes the effects of entries and checks each dispatch and final answer.
 
     Parameters
@@ -114,14 +119,14 @@
         self.hedge_after_ms = options.get("hedge_after_ms", 0)
         self.make_queue = options.get("make_queue", FairQueue)
         self.make_policy = options.get("make_policy", PredictedLatency)
-        self.poison = set(poison)
-        self.table = Table()
-        self.n_runs = Counter()
-        self.n_key_runs = Counter()
-        self.lost_to = Counter()
-        self.finals = {}
+        self.poison_fingerprints = set(poison)
+        self.table = FakeClaimTable()
+        self.n_runs_by_request = Counter()
+        self.n_runs_by_key = Counter()
+        self.n_lost_by_fingerprint = Counter()
+        self.finals_by_request = {}
         self.final_at_ms = {}
-        self.had_bytes = set()
+        self.relayed_request_ids = set()
         self.n_requests = 0
         names = [f"x{i}" for i in range(n_endpoints)]
         self.endpoint_by_id = {name: Endpoint(name) for name in names}
@@ -152,25 +157,27 @@
 
         Its callers without a final answer get none and are no longer checked.
         """
-        old = self.entry_by_id[entry_id]
-        for request_id in old.spec_by_id:
-            if not self.finals[request_id]:
-                del self.finals[request_id]
+        previous = self.entry_by_id[entry_id]
+        for request_id in previous.spec_by_id:
+            if not self.finals_by_request[request_id]:
+                del self.finals_by_request[request_id]
         # Writes in flight may still take effect.
-        limbo = old.limbo + [op.writes for op in old.operations]
-        self.start_entry(entry_id, old.incarnation + 1)
-        self.entry_by_id[entry_id].limbo = limbo
+        delayed_batches = previous.delayed_batches + [
+            batch.writes for batch in previous.unanswered_writes
+        ]
+        self.start_entry(entry_id, previous.incarnation + 1)
+        self.entry_by_id[entry_id].delayed_batches = delayed_batches
 
-    def arrive(self, entry_id, spec):
+    def submit(self, entry_id, spec):
         """Send a request to an entry; an entry that shuts down must reject it."""
         entry = self.entry_by_id[entry_id]
         entry.spec_by_id[spec.request_id] = spec
-        entry.sent[spec.request_id] = ""
-        entry.n_fresh += 1
-        self.finals[spec.request_id] = []
-        self.step(entry, RequestArrived(spec))
+        entry.text_by_request[spec.request_id] = ""
+        entry.n_arrived += 1
+        self.finals_by_request[spec.request_id] = []
+        self.handle_event(entry, RequestArrived(spec))
         if entry.is_stopping:
-            final = self.finals[spec.request_id][0]
+            final = self.finals_by_request[spec.request_id][0]
             assert final.rejection.outcome is Outcome.NOT_RUN, (
                 "request not rejected during the shutdown"
             )
@@ -194,84 +201,90 @@
             n_max_output_tokens=3,
         )
 
-    def step(self, entry, event):
+    def handle_event(self, entry, event):
         """Apply one event to an entry and execute the effects."""
         for effect in reduce(entry.state, event, self.now_ms):
-            self.execute(entry, effect)
+            self.execute_effect(entry, effect)
 
-    def execute(self, entry, effect):
+    def execute_effect(self, entry, effect):
         """Execute one effect and check it against the request's expected answer."""
         match effect:
             case Dispatch():
-                self.dispatch(entry, effect)
+                self.send_dispatch(entry, effect)
             case CancelAttempt():
-                entry.open_attempts.pop(effect.attempt_id, None)
+                entry.request_by_open_attempt.pop(effect.attempt_id, None)
                 entry.endpoint_by_attempt.pop(effect.attempt_id, None)
                 link = self.links[entry.entry_id, effect.endpoint_id]
                 link.to_endpoint.append(("cancel", effect.attempt_id))
             case Complete():
                 spec = entry.spec_by_id[effect.request_id]
-                right = answer_to(spec.fingerprint)
-                assert entry.sent[effect.request_id] == right, "wrong complete answer"
-                self.end(effect.request_id, effect)
+                expected = expected_answer(spec.fingerprint)
+                assert entry.text_by_request[effect.request_id] == expected, (
+                    "wrong complete answer"
+                )
+                self.record_final(effect.request_id, effect)
             case Reject():
-                self.end(effect.request_id, effect)
+                self.record_final(effect.request_id, effect)
             case ReplayAnswer():
                 spec = entry.spec_by_id[effect.request_id]
                 assert effect.answer_ref == spec.fingerprint, "wrong replayed answer"
-                self.end(effect.request_id, effect)
+                self.record_final(effect.request_id, effect)
             case WriteClaims():
                 rows = [(w.customer_id, w.idempotency_key) for w in effect.writes]
                 assert len(rows) == len(set(rows)), "two writes to one row in a batch"
-                entry.operations.append(effect)
+                entry.unanswered_writes.append(effect)
             case SetTimer():
                 entry.timers.append((effect.due_ms, effect.timer_id))
             case CloseConnection():
-                self.cut(entry.entry_id, effect.endpoint_id)
+                self.cut_connection(entry.entry_id, effect.endpoint_id)
 
-    def end(self, request_id, effect):
+    def record_final(self, request_id, effect):
         """Record a final answer and check that it is the only one."""
-        self.finals[request_id].append(effect)
+        self.finals_by_request[request_id].append(effect)
         self.final_at_ms[request_id] = self.now_ms
-        assert len(self.finals[request_id]) == 1, "second final answer"
+        assert len(self.finals_by_request[request_id]) == 1, "second final answer"
 
-    def dispatch(self, entry, effect):
+    def send_dispatch(self, entry, effect):
         """Check a dispatch and send it to its endpoint.
 
         Checks the deadline, the resume offset, the draining state of the endpoint, the
         isolation of suspects and the retry budget.
         """
         spec = entry.spec_by_id[effect.request_id]
-        is_fresh = effect.resume_offset == 0
-        assert not self.finals[effect.request_id], "dispatch after the final answer"
+        is_new_run = effect.resume_offset == 0
+        assert not self.finals_by_request[effect.request_id], (
+            "dispatch after the final answer"
+        )
         assert spec.deadline_ms > self.now_ms, "dispatch after the deadline"
-        assert effect.resume_offset == len(entry.sent[effect.request_id]), (
+        assert effect.resume_offset == len(entry.text_by_request[effect.request_id]), (
             "wrong offset"
         )
-        if is_fresh:
-            assert effect.endpoint_id not in entry.drained, "endpoint is draining"
-            self.check_copies(entry, effect, spec)
-        is_hedge = effect.request_id in entry.open_attempts.values()
-        last_end = entry.last_end.get(effect.request_id, "refused")
-        if is_hedge or (is_fresh and last_end == "broken"):
-            entry.n_budgeted += 1
-            n_allowed = N_MIN_RETRIES + entry.n_fresh * self.retry_percent / 100
-            assert entry.n_budgeted <= n_allowed, "retry budget exceeded"
-        entry.open_attempts[effect.attempt_id] = effect.request_id
+        if is_new_run:
+            assert effect.endpoint_id not in entry.draining_endpoint_ids, (
+                "endpoint is draining"
+            )
+            self.check_isolation(entry, effect, spec)
+        is_hedge = effect.request_id in entry.request_by_open_attempt.values()
+        last_end = entry.last_end_by_request.get(effect.request_id, "refused")
+        if is_hedge or (is_new_run and last_end == "broken"):
+            entry.n_budget_spent += 1
+            n_allowed = N_MIN_RETRIES + entry.n_arrived * self.retry_percent / 100
+            assert entry.n_budget_spent <= n_allowed, "retry budget exceeded"
+        entry.request_by_open_attempt[effect.attempt_id] = effect.request_id
         entry.request_by_attempt[effect.attempt_id] = effect.request_id
         entry.endpoint_by_attempt[effect.attempt_id] = effect.endpoint_id
         link = self.links[entry.entry_id, effect.endpoint_id]
         link.to_endpoint.append(("dispatch", effect, spec))
 
-    def check_copies(self, entry, effect, spec):
+    def check_isolation(self, entry, effect, spec):
         """Check that no other request with the fingerprint of an isolated run is open.
 
         A hedge may run beside the first attempt of its own request.
         """
         if not effect.is_isolated:
             return
-        for attempt_id, request_id in entry.open_attempts.items():
-            if attempt_id in entry.crashed:
+        for attempt_id, request_id in entry.request_by_open_attempt.items():
+            if attempt_id in entry.crashed_attempt_ids:
                 # The attempt ended with its engine; its report has not arrived yet.
                 continue
             other = entry.spec_by_id[request_id]
@@ -288,5 +301,5 @@
         if due is None or due[0] > self.now_ms:
             return False
         entry.timers.remove(due)
-        self.step(entry, TimerFired(due[1]))
+        self.handle_event(entry, TimerFired(due[1]))
         return True
--- a/packages/core/src/bluebellusher_core/reducer/tests/_pause_world.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/_pause_simulation.py
@@ -42,20 +42,21 @@
 N_ENTRIES = 4
 N_ENDPOINTS = 8
 N_SLOTS = 6
-N_QUEUED = 3
+N_MAX_QUEUED = 3
 OBJECTIVE_MS = 400
 DEADLINE_MS = 4_000
 # Time until the first output of a run and duration of the whole run, which occupies a
 # slot, in ms.
-FIRST_MS = 60
+FIRST_OUTPUT_MS = 60
 SERVICE_MS = 240
 # One-way latency between entries and endpoints, in ms.
-TRIP_MS = 2
+LATENCY_MS = 2
 # Time during which callers arrive, in ms.
-LENGTH_MS = 10_000
+ARRIVAL_PERIOD_MS = 10_000
 # Arrival rate divided by the capacity of the endpoints that never pause.
-LOAD = 2.0
-LEAVES_AT_MS = (3_000, 5_000)
+RELATIVE_LOAD = 2.0
+# Times at which two endpoints begin to announce their shutdown, in ms.
+LEAVING_AT_MS = (3_000, 5_000)
 # Time from the first announcement of a shutdown to the end of the endpoint, in ms.
 DRAIN_MS = 3_000
 
@@ -66,31 +67,31 @@
 
     Parameters
     ----------
-    n_asked : int
+    n_callers : int
         Number of callers.
     n_on_time, n_late : int
         Callers with a complete answer within, and not within, the objective.
-    n_refused : int
+    n_rejected : int
         Callers whose request did not run and that stopped retrying.
     n_failed : int
         Callers whose request was rejected and may have run.
-    n_in_pause : int
+    n_sent_in_pause : int
         Attempts that reached an endpoint during an announced pause.
-    n_after_leaving : int
+    n_sent_after_leaving : int
         Attempts that reached an endpoint after it had announced its shutdown.
     """
 
-    n_asked: int = 0
+    n_callers: int = 0
     n_on_time: int = 0
     n_late: int = 0
-    n_refused: int = 0
+    n_rejected: int = 0
     n_failed: int = 0
-    n_in_pause: int = 0
-    n_after_leaving: int = 0
+    n_sent_in_pause: int = 0
+    n_sent_after_leaving: int = 0
 
     def share(self, name):
         """Return a count as a share of the callers."""
-        return getattr(self, name) / self.n_asked
+        return getattr(self, name) / self.n_callers
 
 
 @dataclass
@@ -99,10 +100,10 @@
 
     endpoint_id: str
     pauses: list[tuple[int, int]] = field(default_factory=list)
-    leaves_at_ms: int | None = None
-    runs: dict = field(default_factory=dict)
+    leaving_at_ms: int | None = None
+    state_by_attempt: dict = field(default_factory=dict)
 
-    def pause_left_ms(self, now_ms):
+    def pause_remaining_ms(self, now_ms):
         """Return the time until the pause ends, in ms; 0 or less outside a pause."""
         return max(
             (end - now_ms for begin, end in self.pauses if begin <= now_ms), default=0
@@ -110,65 +111,72 @@
 
     def is_leaving(self, now_ms):
         """Return whether the endpoint announces its shutdown."""
-        return self.leaves_at_ms is not None and now_ms >= self.leaves_at_ms
+        return self.leaving_at_ms is not None and now_ms >= self.leaving_at_ms
 
-    def is_gone(self, now_ms):
+    def has_ended(self, now_ms):
         """Return whether the endpoint has ended."""
-        return self.is_leaving(now_ms) and now_ms >= self.leaves_at_ms + DRAIN_MS
+        return self.is_leaving(now_ms) and now_ms >= self.leaving_at_ms + DRAIN_MS
 
 
 @dataclass
 class _Caller:
-    """A caller that retries a rejected request once."""
+    """A caller that retries a rejected request once.
 
-    first_ms: int
-    n_refusals: int
+    ``first_sent_at_ms`` is the time of its first request, from which its deadline and
+    objective count. ``is_on_time`` states whether the first output of the completed run
+    met the objective.
+    """
+
+    first_sent_at_ms: int
+    n_rejections: int
     is_on_time: bool = False
 
 
-class PauseWorld:
+class PauseSimulation:
     """Entries, endpoints and callers in virtual time.
 
     Parameters
     ----------
     seed : int
         Seed of all random choices.
-    honours : bool
+    honours_announcements : bool
         Whether entries receive the announcements of endpoints; the baseline does not.
-    leaves_at_ms : tuple of int
+    leaving_at_ms : tuple of int
         Times at which endpoints begin to announce their shutdown, in ms.
     """
 
-    def __init__(self, seed, honours, leaves_at_ms=LEAVES_AT_MS):
+    def __init__(self, seed, honours_announcements, leaving_at_ms=LEAVING_AT_MS):
         self.random = Random(seed)
-        self.honours = honours
+        self.honours_announcements = honours_announcements
         self.result = Result()
         self.now_ms = 0
-        self._schedule, self._order = [], itertools.count()
-        self._ids = itertools.count(1)
-        self._heard = {}
+        self._pending_calls, self._call_numbers = [], itertools.count()
+        self._request_numbers = itertools.count(1)
+        self._announced = {}
         self._caller_by_request = {}
         self.endpoints = {f"x{i}": _Endpoint(f"x{i}") for i in range(N_ENDPOINTS)}
         self.entries = [self._make_entry(i) for i in range(N_ENTRIES)]
         for endpoint in list(self.endpoints.values())[: N_ENDPOINTS // 2]:
-            self._plan_pauses(endpoint)
+            self._generate_pauses(endpoint)
         for at_ms, endpoint in zip(
-            leaves_at_ms, reversed(self.endpoints.values()), strict=False
+            leaving_at_ms, reversed(self.endpoints.values()), strict=False
         ):
-            endpoint.leaves_at_ms = at_ms
-            self._at(at_ms + DRAIN_MS, self._end_endpoint, endpoint)
-        self._plan_callers()
+            endpoint.leaving_at_ms = at_ms
+            self._call_at(at_ms + DRAIN_MS, self._end_endpoint, endpoint)
+        self._schedule_callers()
 
     def run(self):
         """Run the simulation to its end and return the result."""
-        while self._schedule:
-            self.now_ms, _, action, args = heapq.heappop(self._schedule)
+        while self._pending_calls:
+            self.now_ms, _, action, args = heapq.heappop(self._pending_calls)
             action(*args)
         return self.result
 
-    def _at(self, at_ms, action, *args):
+    def _call_at(self, at_ms, action, *args):
         """Schedule a call at a virtual time in ms."""
-        heapq.heappush(self._schedule, (int(at_ms), next(self._order), action, args))
+        heapq.heappush(
+            self._pending_calls, (int(at_ms), next(self._call_numbers), action, args)
+        )
 
     def _make_entry(self, number):
         """Return the state of an entry with all endpoints registered."""
@@ -189,34 +197,34 @@
         reduce(state, EntriesCounted(N_ENTRIES), 0)
         return state
 
-    def _plan_pauses(self, endpoint):
+    def _generate_pauses(self, endpoint):
         """Add random pauses to an endpoint."""
         at_ms = self.random.randint(0, 3_000)
-        while at_ms < LENGTH_MS:
+        while at_ms < ARRIVAL_PERIOD_MS:
             end_ms = at_ms + self.random.randint(500, 5_000)
             endpoint.pauses.append((at_ms, end_ms))
             at_ms = end_ms + self.random.randint(500, 3_000)
 
-    def _plan_callers(self):
+    def _schedule_callers(self):
         """Schedule the callers as a Poisson process."""
-        per_ms = LOAD * N_SLOTS * (N_ENDPOINTS // 2) / SERVICE_MS
+        callers_per_ms = RELATIVE_LOAD * N_SLOTS * (N_ENDPOINTS // 2) / SERVICE_MS
         at_ms = 0.0
-        while at_ms < LENGTH_MS:
-            at_ms += self.random.expovariate(per_ms)
-            self.result.n_asked += 1
-            self._at(at_ms, self._ask, _Caller(int(at_ms), 0))
+        while at_ms < ARRIVAL_PERIOD_MS:
+            at_ms += self.random.expovariate(callers_per_ms)
+            self.result.n_callers += 1
+            self._call_at(at_ms, self._send_request, _Caller(int(at_ms), 0))
 
-    def _ask(self, caller):
+    def _send_request(self, caller):
         """Send the request of a caller to a random entry."""
         state = self.random.choice(self.entries)
-        request_id = f"r{next(self._ids)}"
+        request_id = f"r{next(self._request_numbers)}"
         self._caller_by_request[request_id] = caller
         spec = make_spec(
             request_id,
-            deadline_ms=caller.first_ms + DEADLINE_MS,
-            objective_at_ms=caller.first_ms + OBJECTIVE_MS,
-            start_by_ms=caller.first_ms + DEADLINE_MS - SERVICE_MS,
-            is_returning=caller.n_refusals > 0,
+            deadline_ms=caller.first_sent_at_ms + DEADLINE_MS,
+            objective_at_ms=caller.first_sent_at_ms + OBJECTIVE_MS,
+            start_by_ms=caller.first_sent_at_ms + DEADLINE_MS - SERVICE_MS,
+            is_returning=caller.n_rejections > 0,
         )
         self._handle(state, RequestArrived(spec))
 
@@ -225,61 +233,74 @@
         for effect in reduce(state, event, self.now_ms):
             match effect:
                 case Dispatch():
-                    self._at(self.now_ms + TRIP_MS, self._arrive, state, effect)
+                    self._call_at(
+                        self.now_ms + LATENCY_MS, self._deliver_dispatch, state, effect
+                    )
                 case SetTimer():
                     event = TimerFired(effect.timer_id)
-                    self._at(
+                    self._call_at(
                         max(self.now_ms, effect.due_ms), self._handle, state, event
                     )
                 case CancelAttempt():
                     endpoint = self.endpoints[effect.endpoint_id]
-                    endpoint.runs.pop(effect.attempt_id, None)
+                    endpoint.state_by_attempt.pop(effect.attempt_id, None)
                 case Complete():
-                    self._end(effect.request_id)
+                    self._record_completion(effect.request_id)
                 case Reject():
-                    self._refuse(effect)
+                    self._handle_rejection(effect)
                 case BroadcastLeaving():
                     for other in self.entries:
-                        news = LeavingReceived("peer", effect.marks)
-                        self._at(self.now_ms + TRIP_MS, self._handle, other, news)
+                        received = LeavingReceived("peer", effect.marks)
+                        self._call_at(
+                            self.now_ms + LATENCY_MS, self._handle, other, received
+                        )
 
-    def _arrive(self, state, dispatch):
+    def _deliver_dispatch(self, state, dispatch):
         """Deliver an attempt to its endpoint, which runs or refuses it."""
         endpoint = self.endpoints[dispatch.endpoint_id]
         attempt_id, endpoint_id = dispatch.attempt_id, dispatch.endpoint_id
         if attempt_id not in state.attempt_by_id:
             return
-        if endpoint.is_gone(self.now_ms):
+        if endpoint.has_ended(self.now_ms):
             refused = AttemptRefused(attempt_id, Reason.CONNECT_REFUSED, 0, endpoint_id)
             self._handle(state, refused)
             return
-        self._count_against_word(state, endpoint)
-        left_ms = endpoint.pause_left_ms(self.now_ms)
-        is_full = len(endpoint.runs) >= N_SLOTS + N_QUEUED
-        if left_ms > 0 or is_full:
-            self._announce(state, endpoint, max(0, left_ms))
+        self._count_ignored_announcement(state, endpoint)
+        remaining_ms = endpoint.pause_remaining_ms(self.now_ms)
+        is_full = len(endpoint.state_by_attempt) >= N_SLOTS + N_MAX_QUEUED
+        if remaining_ms > 0 or is_full:
+            self._announce(state, endpoint, max(0, remaining_ms))
             refused = AttemptRefused(
                 attempt_id, Reason.ENDPOINT_FULL, 0, endpoint_id, True
             )
             self._handle(state, refused)
             return
-        endpoint.runs[attempt_id] = state
-        wait_ms = SERVICE_MS * max(0, len(endpoint.runs) - N_SLOTS) / N_SLOTS
-        self._at(self.now_ms + wait_ms + FIRST_MS, self._start, endpoint, dispatch)
+        endpoint.state_by_attempt[attempt_id] = state
+        wait_ms = (
+            SERVICE_MS * max(0, len(endpoint.state_by_attempt) - N_SLOTS) / N_SLOTS
+        )
+        self._call_at(
+            self.now_ms + wait_ms + FIRST_OUTPUT_MS,
+            self._send_first_output,
+            endpoint,
+            dispatch,
+        )
 
-    def _count_against_word(self, state, endpoint):
+    def _count_ignored_announcement(self, state, endpoint):
         """Count an attempt that an entry sent despite the endpoint's announcement.
 
         Attempts that were in flight when the announcement arrived are not counted.
         """
-        heard = self._heard.get((id(state), endpoint.endpoint_id))
-        if heard is None:
+        announced = self._announced.get((id(state), endpoint.endpoint_id))
+        if announced is None:
             return
-        heard_at_ms, paused_until_ms, left_at_ms = heard
-        is_pausing = heard_at_ms + TRIP_MS < self.now_ms < paused_until_ms
-        self.result.n_in_pause += is_pausing
-        if left_at_ms is not None:
-            self.result.n_after_leaving += self.now_ms > left_at_ms + 2 * TRIP_MS
+        announced_at_ms, paused_until_ms, leaving_since_ms = announced
+        is_pausing = announced_at_ms + LATENCY_MS < self.now_ms < paused_until_ms
+        self.result.n_sent_in_pause += is_pausing
+        if leaving_since_ms is not None:
+            self.result.n_sent_after_leaving += (
+                self.now_ms > leaving_since_ms + 2 * LATENCY_MS
+            )
 
     def _announce(self, state, endpoint, pause_ms):
         """Announce a pause or a shutdown in an endpoint's answer to an entry."""
@@ -287,32 +308,40 @@
         if not (is_leaving or pause_ms):
             return
         key = (id(state), endpoint.endpoint_id)
-        heard_at_ms, known_until_ms, left_at_ms = self._heard.get(key, (0, 0, None))
-        if is_leaving and left_at_ms is None:
-            left_at_ms = self.now_ms
+        announced_at_ms, recorded_until_ms, leaving_since_ms = self._announced.get(
+            key, (0, 0, None)
+        )
+        if is_leaving and leaving_since_ms is None:
+            leaving_since_ms = self.now_ms
         until_ms = self.now_ms + pause_ms
-        if until_ms > known_until_ms:
-            heard_at_ms = self.now_ms
-        self._heard[key] = (heard_at_ms, until_ms, left_at_ms)
-        if self.honours:
+        if until_ms > recorded_until_ms:
+            announced_at_ms = self.now_ms
+        self._announced[key] = (announced_at_ms, until_ms, leaving_since_ms)
+        if self.honours_announcements:
             event = EndpointAnnounced(endpoint.endpoint_id, 1, is_leaving, pause_ms)
             self._handle(state, event)
 
-    def _start(self, endpoint, dispatch):
+    def _send_first_output(self, endpoint, dispatch):
         """Send the first output of a run."""
-        state = endpoint.runs.get(dispatch.attempt_id)
+        state = endpoint.state_by_attempt.get(dispatch.attempt_id)
         if state is None:
             return
         self._announce(state, endpoint, 0)
         self._handle(state, AttemptStarted(dispatch.attempt_id, dispatch.endpoint_id))
         caller = self._caller_by_request[dispatch.request_id]
-        is_on_time = self.now_ms <= caller.first_ms + OBJECTIVE_MS
-        rest_ms = SERVICE_MS - FIRST_MS
-        self._at(self.now_ms + rest_ms, self._finish, endpoint, dispatch, is_on_time)
+        is_on_time = self.now_ms <= caller.first_sent_at_ms + OBJECTIVE_MS
+        remaining_service_ms = SERVICE_MS - FIRST_OUTPUT_MS
+        self._call_at(
+            self.now_ms + remaining_service_ms,
+            self._finish_run,
+            endpoint,
+            dispatch,
+            is_on_time,
+        )
 
-    def _finish(self, endpoint, dispatch, is_on_time):
+    def _finish_run(self, endpoint, dispatch, is_on_time):
         """Send the end of a run's answer."""
-        state = endpoint.runs.pop(dispatch.attempt_id, None)
+        state = endpoint.state_by_attempt.pop(dispatch.attempt_id, None)
         if state is None:
             return
         self._caller_by_request[dispatch.request_id].is_on_time = is_on_time
@@ -321,20 +350,20 @@
 
     def _end_endpoint(self, endpoint):
         """End an endpoint; the connections of its runs are lost."""
-        runs, endpoint.runs = endpoint.runs, {}
-        for attempt_id, state in runs.items():
+        broken_runs, endpoint.state_by_attempt = endpoint.state_by_attempt, {}
+        for attempt_id, state in broken_runs.items():
             event = AttemptBroken(
                 attempt_id, Reason.CONNECTION_LOST, 1, False, endpoint.endpoint_id
             )
             self._handle(state, event)
 
-    def _end(self, request_id):
+    def _record_completion(self, request_id):
         """Count a caller with a complete answer."""
         caller = self._caller_by_request[request_id]
         self.result.n_on_time += caller.is_on_time
         self.result.n_late += not caller.is_on_time
 
-    def _refuse(self, effect):
+    def _handle_rejection(self, effect):
         """Schedule the caller's retry of a rejected request, or count the rejection.
 
         The caller waits for ``retry_after_ms``, at most a third of its remaining time.
@@ -344,10 +373,10 @@
         if rejection.outcome is not Outcome.NOT_RUN:
             self.result.n_failed += 1
             return
-        left_ms = caller.first_ms + DEADLINE_MS - self.now_ms
-        pause_ms = min(rejection.retry_after_ms or 0, left_ms / 3)
-        if caller.n_refusals >= 1 or left_ms <= 0:
-            self.result.n_refused += 1
+        remaining_ms = caller.first_sent_at_ms + DEADLINE_MS - self.now_ms
+        pause_ms = min(rejection.retry_after_ms or 0, remaining_ms / 3)
+        if caller.n_rejections >= 1 or remaining_ms <= 0:
+            self.result.n_rejected += 1
             return
-        caller.n_refusals += 1
-        self._at(self.now_ms + pause_ms, self._ask, caller)
+        caller.n_rejections += 1
+        self._call_at(self.now_ms + pause_ms, self._send_request, caller)
--- a/packages/core/src/bluebellusher_core/reducer/tests/_world.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/_simulation.py
@@ -22,11 +22,11 @@
     EndpointLost,
     Usage,
 )
-from bluebellusher_core.reducer.tests._entries import EntryWorld
-from bluebellusher_core.reducer.tests._model import answer_to
+from bluebellusher_core.reducer.tests._entry_simulation import EntrySimulation
+from bluebellusher_core.reducer.tests._fakes import expected_answer
 
 
-class World(EntryWorld):
+class Simulation(EntrySimulation):
     """Delivers messages between entries and endpoints, with faults, and counts runs."""
 
     # Connections.
@@ -45,17 +45,17 @@
         endpoint = self.endpoint_by_id[endpoint_id]
         if link.is_open or not endpoint.is_up:
             return
-        self.notice(entry_id, endpoint_id)
-        link.is_open, link.is_noticed = True, False
+        self.report_loss(entry_id, endpoint_id)
+        link.is_open, link.is_loss_reported = True, False
         entry = self.entry_by_id[entry_id]
-        entry.drained.discard(endpoint_id)
+        entry.draining_endpoint_ids.discard(endpoint_id)
         names = frozenset("s"), frozenset("m"), frozenset()
         info = EndpointInfo(endpoint_id, "d", *names, 3, endpoint.incarnation)
         if endpoint.is_draining:
             link.to_entry.append(("drain",))
-        self.step(entry, EndpointConnected(info))
+        self.handle_event(entry, EndpointConnected(info))
 
-    def cut(self, entry_id, endpoint_id):
+    def cut_connection(self, entry_id, endpoint_id):
         """Cut a connection and lose its messages in flight.
 
         The entry does not observe the loss yet.
@@ -65,43 +65,45 @@
         link.to_endpoint.clear()
         link.to_entry.clear()
 
-    def notice(self, entry_id, endpoint_id):
+    def report_loss(self, entry_id, endpoint_id):
         """Report the loss of a connection to its entry, unless that was done before.
 
         Its attempts break first, as the relay reports them.
         """
         link = self.links[entry_id, endpoint_id]
-        if link.is_open or link.is_noticed:
+        if link.is_open or link.is_loss_reported:
             return
-        link.is_noticed = True
+        link.is_loss_reported = True
         link.to_endpoint.clear()
         entry = self.entry_by_id[entry_id]
-        entry.drained.discard(endpoint_id)
+        entry.draining_endpoint_ids.discard(endpoint_id)
         attempts = entry.endpoint_by_attempt.items()
         for attempt_id in [a for a, e in attempts if e == endpoint_id]:
-            self.break_at(entry, endpoint_id, attempt_id, Reason.ENDPOINT_LOST)
-        self.step(entry, EndpointLost(endpoint_id))
+            self.break_attempt(entry, endpoint_id, attempt_id, Reason.ENDPOINT_LOST)
+        self.handle_event(entry, EndpointLost(endpoint_id))
 
-    def check_winner(self, entry, attempt_id):
+    def check_other_attempts_ended(self, entry, attempt_id):
         """Check that a started attempt is the only open attempt of its request."""
-        request_id = entry.open_attempts.get(attempt_id)
+        request_id = entry.request_by_open_attempt.get(attempt_id)
         if request_id is not None:
-            n_open = list(entry.open_attempts.values()).count(request_id)
+            n_open = list(entry.request_by_open_attempt.values()).count(request_id)
             assert n_open == 1, "another attempt of the request is not cancelled"
 
-    def break_at(self, entry, endpoint_id, attempt_id, reason, is_held=False):
+    def break_attempt(self, entry, endpoint_id, attempt_id, reason, is_resumable=False):
         """Report an attempt as broken to its entry, as the relay does."""
         entry.endpoint_by_attempt.pop(attempt_id, None)
-        request_id = entry.open_attempts.pop(attempt_id, None)
+        request_id = entry.request_by_open_attempt.pop(attempt_id, None)
         is_loss = reason is Reason.ENDPOINT_LOST
         if request_id is not None:
-            is_crash = is_loss or attempt_id in entry.crashed
-            entry.last_end[request_id] = "lost" if is_crash else "broken"
+            is_crash = is_loss or attempt_id in entry.crashed_attempt_ids
+            entry.last_end_by_request[request_id] = "lost" if is_crash else "broken"
         request_id = entry.request_by_attempt.get(attempt_id)
-        n_bytes = len(entry.sent.get(request_id, ""))
-        self.step(
+        n_bytes = len(entry.text_by_request.get(request_id, ""))
+        self.handle_event(
             entry,
-            AttemptBroken(attempt_id, reason, n_bytes, is_loss or is_held, endpoint_id),
+            AttemptBroken(
+                attempt_id, reason, n_bytes, is_loss or is_resumable, endpoint_id
+            ),
         )
 
     def deliver_to_entry(self, entry_id, endpoint_id, is_repeated=False):
@@ -114,49 +116,51 @@
             return False
         message = link.to_entry.popleft()
         entry = self.entry_by_id[entry_id]
-        self.handle(entry, endpoint_id, message)
+        self.handle_message(entry, endpoint_id, message)
         if is_repeated and message[0] != "chunk":
-            self.handle(entry, endpoint_id, message)
+            self.handle_message(entry, endpoint_id, message)
         return True
 
-    def handle(self, entry, endpoint_id, message):
+    def handle_message(self, entry, endpoint_id, message):
         """Translate an endpoint's message into an event and apply it to the entry."""
         kind, *rest = message
         if kind == "chunk":
-            return self.relay(entry, endpoint_id, *rest)
+            return self.relay_chunk(entry, endpoint_id, *rest)
         if kind == "drain":
-            entry.drained.add(endpoint_id)
-            return self.step(entry, EndpointDraining(endpoint_id))
+            entry.draining_endpoint_ids.add(endpoint_id)
+            return self.handle_event(entry, EndpointDraining(endpoint_id))
         if kind == "crash":
-            entry.crashed.update(rest[1])
-            return self.step(entry, EndpointCrashed(endpoint_id, *rest))
+            entry.crashed_attempt_ids.update(rest[1])
+            return self.handle_event(entry, EndpointCrashed(endpoint_id, *rest))
         attempt_id = rest[0]
         if kind == "started":
-            self.step(entry, AttemptStarted(attempt_id, endpoint_id))
-            return self.check_winner(entry, attempt_id)
+            self.handle_event(entry, AttemptStarted(attempt_id, endpoint_id))
+            return self.check_other_attempts_ended(entry, attempt_id)
         if kind == "accepted":
-            return self.step(entry, AttemptAccepted(attempt_id, endpoint_id))
+            return self.handle_event(entry, AttemptAccepted(attempt_id, endpoint_id))
         if kind == "broken":
-            return self.break_at(entry, endpoint_id, *rest)
+            return self.break_attempt(entry, endpoint_id, *rest)
         if entry.endpoint_by_attempt.get(attempt_id) == endpoint_id:
             del entry.endpoint_by_attempt[attempt_id]
-            request_id = entry.open_attempts.pop(attempt_id)
-            entry.last_end[request_id] = "refused"
+            request_id = entry.request_by_open_attempt.pop(attempt_id)
+            entry.last_end_by_request[request_id] = "refused"
         if kind == "refused":
             event = AttemptRefused(attempt_id, rest[1], 30, endpoint_id)
         else:
             event = AttemptFinished(attempt_id, 200, rest[1], Usage(), endpoint_id)
-        return self.step(entry, event)
+        return self.handle_event(entry, event)
 
-    def relay(self, entry, endpoint_id, attempt_id, offset, data):
+    def relay_chunk(self, entry, endpoint_id, attempt_id, offset, data):
         """Relay a chunk to the caller if its attempt is open and its offset is next."""
         if entry.endpoint_by_attempt.get(attempt_id) != endpoint_id:
             return
         request_id = entry.request_by_attempt[attempt_id]
-        if self.finals[request_id] or offset != len(entry.sent[request_id]):
+        if self.finals_by_request[request_id] or offset != len(
+            entry.text_by_request[request_id]
+        ):
             return
-        self.had_bytes.add(request_id)
-        entry.sent[request_id] += data
+        self.relayed_request_ids.add(request_id)
+        entry.text_by_request[request_id] += data
 
     # Endpoints.
 
@@ -173,7 +177,7 @@
             endpoint.run_by_attempt.pop(rest[0], None)
             return True
         effect, spec = rest
-        message = endpoint.accept(entry_id, effect, spec)
+        message = endpoint.receive_dispatch(entry_id, effect, spec)
         if message is not None:
             link.to_entry.append(message)
         is_started = message is None or message[0] == "accepted"
@@ -183,46 +187,48 @@
 
     def count_run(self, spec):
         """Count an execution by its request and by its idempotency key."""
-        self.n_runs[spec.request_id] += 1
+        self.n_runs_by_request[spec.request_id] += 1
         if spec.idempotency_key is not None and not spec.is_idempotent:
-            self.n_key_runs[spec.idempotency_key] += 1
+            self.n_runs_by_key[spec.idempotency_key] += 1
 
-    def progress(self, endpoint, run, is_agent_dying=False):
+    def advance_run(self, endpoint, run, is_agent_lost=False):
         """Advance a run by one chunk, or crash its endpoint if the request is poison.
 
-        ``is_agent_dying`` states whether the agent ends together with the engine.
+        ``is_agent_lost`` states whether the agent ends together with the engine.
         """
         if endpoint.is_frozen:
             return
-        if run.spec.fingerprint not in self.poison:
-            for message in endpoint.produce(run):
-                self.send(endpoint, run, message)
+        if run.spec.fingerprint not in self.poison_fingerprints:
+            for message in endpoint.produce_messages(run):
+                self.send_to_entry(endpoint, run, message)
             return
-        self.lost_to[run.spec.fingerprint] += 1
-        if is_agent_dying:
-            self.kill(endpoint)
+        self.n_lost_by_fingerprint[run.spec.fingerprint] += 1
+        if is_agent_lost:
+            self.kill_endpoint(endpoint)
         else:
             self.crash_engine(endpoint)
 
-    def send(self, endpoint, run, message):
+    def send_to_entry(self, endpoint, run, message):
         """Send a message to the entry of a run if their connection is open."""
         link = self.links[run.entry_id, endpoint.endpoint_id]
         if link.is_open:
             link.to_entry.append(message)
 
-    def break_run(self, endpoint, run, is_held):
+    def break_run(self, endpoint, run, is_resumable):
         """Break one stream without a crash.
 
-        ``is_held`` states whether the engine keeps the run, so that it can be resumed.
+        ``is_resumable`` states whether the engine keeps the run for a resumed attempt.
         """
-        if not is_held:
+        if not is_resumable:
             del endpoint.run_by_attempt[run.attempt_id]
-        reason = Reason.STREAM_CORRUPT if is_held else Reason.ENGINE_ERROR
-        self.send(endpoint, run, ("broken", run.attempt_id, reason, is_held))
+        reason = Reason.STREAM_CORRUPT if is_resumable else Reason.ENGINE_ERROR
+        self.send_to_entry(
+            endpoint, run, ("broken", run.attempt_id, reason, is_resumable)
+        )
 
     def crash_engine(self, endpoint):
         """End every run of an engine; its agent reports the crash to all entries."""
-        runs = endpoint.active()
+        runs = endpoint.unfinished_runs()
         endpoint.run_by_attempt.clear()
         isolated = [r.spec.fingerprint for r in runs if r.is_isolated]
         message = (
@@ -237,9 +243,9 @@
                 link.to_entry.append(message)
         for run in runs:
             broken = ("broken", run.attempt_id, Reason.ENGINE_ERROR)
-            self.send(endpoint, run, broken)
+            self.send_to_entry(endpoint, run, broken)
 
-    def kill(self, endpoint):
+    def kill_endpoint(self, endpoint):
         """End the agent and the engine of an endpoint together."""
         endpoint.is_up = False
         endpoint.run_by_attempt.clear()
@@ -247,45 +253,46 @@
             # Messages that the agent sent before its end still arrive.
             while self.deliver_to_entry(entry_id, endpoint.endpoint_id):
                 pass
-            self.cut(entry_id, endpoint.endpoint_id)
+            self.cut_connection(entry_id, endpoint.endpoint_id)
 
-    def revive(self, endpoint):
+    def restart_endpoint(self, endpoint):
         """Restart the agent and engine of an endpoint that has ended."""
         if not endpoint.is_up:
             endpoint.is_up = True
             endpoint.is_draining = endpoint.is_frozen = False
             endpoint.incarnation += 1
 
-    # Table.
+    # Claim table.
 
     def answer_claims(self, entry, mode):
         """Handle the oldest claim write of an entry.
 
         ``mode`` is ``answer`` to apply and answer it, ``lose`` to apply it and lose the
-        answer, ``delay`` to leave it for ``apply_late``; any other value discards it.
+        answer, or ``delay`` to leave it for ``apply_delayed``. Any other value discards
+        the write. The entry observes an unanswered write in all modes but ``answer``.
         """
-        operation = entry.operations.pop(0)
+        batch = entry.unanswered_writes.pop(0)
         if mode in ("answer", "lose"):
-            results = tuple(self.table.apply(write) for write in operation.writes)
+            results = tuple(self.table.apply(write) for write in batch.writes)
         if mode == "delay":
-            entry.limbo.append(operation.writes)
+            entry.delayed_batches.append(batch.writes)
         if mode == "answer":
-            self.step(entry, ClaimsAnswered(operation.batch_id, results))
+            self.handle_event(entry, ClaimsAnswered(batch.batch_id, results))
         else:
-            self.step(entry, ClaimsUnanswered(operation.batch_id))
+            self.handle_event(entry, ClaimsUnanswered(batch.batch_id))
 
-    def apply_late(self, entry):
+    def apply_delayed(self, entry):
         """Apply the oldest delayed writes whose rows are still absent.
 
         The absence of the row is the condition of a claim.
         """
-        for write in entry.limbo.pop(0):
+        for write in entry.delayed_batches.pop(0):
             if not self.table.has_row(write):
                 self.table.apply(write)
 
     # Invariants.
 
-    def check(self):
+    def check_invariants(self):
         """Check the invariants that hold after every event.
 
         Relayed bytes are a prefix of the right answer. A request that is not
@@ -294,20 +301,22 @@
         """
         for entry in self.entry_by_id.values():
             for request_id, spec in entry.spec_by_id.items():
-                sent = entry.sent[request_id]
-                assert answer_to(spec.fingerprint).startswith(sent), (
+                sent = entry.text_by_request[request_id]
+                assert expected_answer(spec.fingerprint).startswith(sent), (
                     "wrong bytes relayed"
                 )
                 if not spec.is_idempotent:
-                    assert self.n_runs[request_id] <= 1, "request ran twice"
-        assert all(n == 1 for n in self.n_key_runs.values()), "key ran twice"
-        for request_id, finals in self.finals.items():
+                    assert self.n_runs_by_request[request_id] <= 1, "request ran twice"
+        assert all(n == 1 for n in self.n_runs_by_key.values()), "key ran twice"
+        for request_id, finals in self.finals_by_request.items():
             for final in finals:
                 is_reject = isinstance(final, Reject)
                 if is_reject and final.rejection.outcome is Outcome.NOT_RUN:
-                    assert self.n_runs[request_id] == 0, "reported as not run"
+                    assert self.n_runs_by_request[request_id] == 0, (
+                        "reported as not run"
+                    )
 
-    def check_row(self, row):
+    def check_claim_row(self, row):
         """Check that a claim row agrees with the final answer of its request.
 
         Rows of entries that were replaced are not checked.
@@ -317,7 +326,7 @@
         ]
         if not owners:
             return
-        final = self.finals[row.request_id][0]
+        final = self.finals_by_request[row.request_id][0]
         if isinstance(final, Complete):
             assert row.state is ClaimState.DONE, "outcome not recorded"
         elif final.rejection.outcome is Outcome.NOT_RUN:
@@ -330,46 +339,46 @@
             event = DigestReceived(entry.entry_id, 1, blocked, suspects)
             for other in self.entry_by_id.values():
                 if other is not entry:
-                    self.step(other, event)
+                    self.handle_event(other, event)
 
     def deliver_all(self):
         """Deliver all messages in flight; return whether there were any."""
         is_busy = False
         for key in self.links:
-            self.notice(*key)
+            self.report_loss(*key)
             while self.deliver_to_entry(*key):
                 is_busy = True
             while self.deliver_to_endpoint(*key):
                 is_busy = True
         return is_busy
 
-    def active_runs(self):
+    def producing_runs(self):
         """Return the unfinished runs of endpoints that are not frozen."""
         endpoints = self.endpoint_by_id.values()
-        return [r for e in endpoints if not e.is_frozen for r in e.active()]
+        return [r for e in endpoints if not e.is_frozen for r in e.unfinished_runs()]
 
-    def settle(self):
+    def run_until_idle(self):
         """Restart and reconnect endpoints and run until nothing is left to do.
 
         That is, until no message, active run, claim write or timer is left.
         """
         for i in range(10_000):
             for endpoint in self.endpoint_by_id.values():
-                self.revive(endpoint)
-                for run in endpoint.active():
+                self.restart_endpoint(endpoint)
+                for run in endpoint.unfinished_runs():
                     if run.attempt_id in endpoint.run_by_attempt:
-                        self.progress(endpoint, run)
+                        self.advance_run(endpoint, run)
             self.connect_all()
             is_busy = self.deliver_all()
             if i % 20 == 0:
                 self.exchange_digests()
             for entry in self.entry_by_id.values():
-                while entry.operations:
+                while entry.unanswered_writes:
                     self.answer_claims(entry, "answer")
                     is_busy = True
                 while self.fire_timer(entry):
                     is_busy = True
-            if is_busy or any(self.active_runs()):
+            if is_busy or any(self.producing_runs()):
                 continue
             due = [t[0] for e in self.entry_by_id.values() for t in e.timers]
             if not due:
@@ -377,12 +386,12 @@
             self.now_ms = max(self.now_ms, min(due))
         raise AssertionError("the simulation did not become idle")
 
-    def check_at_rest(self):
+    def check_idle(self):
         """Check that every request has one final answer and that no state is left."""
-        for request_id, finals in self.finals.items():
+        for request_id, finals in self.finals_by_request.items():
             assert len(finals) == 1, f"{request_id} has no final answer"
         for row in self.table.row_by_key.values():
-            self.check_row(row)
+            self.check_claim_row(row)
         for entry in self.entry_by_id.values():
             state = entry.state
             assert state.is_idle, "entry is not idle"
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_announcement_replay.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_announcement_replay.py
@@ -1,28 +1,28 @@
 """Effect of announced pauses and shutdowns on callers under overload."""
 
-from bluebellusher_core.reducer.tests._pause_world import PauseWorld
+from bluebellusher_core.reducer.tests._pause_simulation import PauseSimulation
 
 SEED = 0
 
 
-def test_pauses_that_are_honoured_serve_more_callers():
+def test_honoured_pauses_serve_more_callers():
     """Guards against attempts, and so retries, wasted on endpoints in a pause."""
-    ignored = PauseWorld(SEED, honours=False, leaves_at_ms=()).run()
-    honoured = PauseWorld(SEED, honours=True, leaves_at_ms=()).run()
-    assert ignored.n_in_pause > 0
-    assert honoured.n_in_pause == 0
+    ignored = PauseSimulation(SEED, honours_announcements=False, leaving_at_ms=()).run()
+    honoured = PauseSimulation(SEED, honours_announcements=True, leaving_at_ms=()).run()
+    assert ignored.n_sent_in_pause > 0
+    assert honoured.n_sent_in_pause == 0
     assert honoured.share("n_on_time") >= ignored.share("n_on_time")
-    assert honoured.share("n_refused") <= ignored.share("n_refused")
+    assert honoured.share("n_rejected") <= ignored.share("n_rejected")
 
 
-def test_release_that_only_answers_tell_of_fails_no_caller():
+def test_shutdown_announced_only_in_answers_fails_no_caller():
     """Guards against streams that break at endpoints that announced their shutdown.
 
     The store is unavailable, so that only answers announce the shutdowns.
     """
-    ignored = PauseWorld(SEED, honours=False).run()
-    honoured = PauseWorld(SEED, honours=True).run()
-    assert ignored.n_after_leaving > 0
+    ignored = PauseSimulation(SEED, honours_announcements=False).run()
+    honoured = PauseSimulation(SEED, honours_announcements=True).run()
+    assert ignored.n_sent_after_leaving > 0
     assert ignored.n_failed > 0
-    assert (honoured.n_in_pause, honoured.n_after_leaving) == (0, 0)
+    assert (honoured.n_sent_in_pause, honoured.n_sent_after_leaving) == (0, 0)
     assert honoured.n_failed == 0
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_announcements.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_announcements.py
@@ -51,7 +51,7 @@
         info = EndpointInfo(endpoint_id, "d", *names, N_SLOTS, incarnation)
         return self.handle(EndpointRegistered(info))
 
-    def say(self, endpoint_id, is_leaving=False, pause_ms=0, incarnation=1):
+    def announce(self, endpoint_id, is_leaving=False, pause_ms=0, incarnation=1):
         """Announce a shutdown or a pause in an answer; return the effects."""
         event = EndpointAnnounced(endpoint_id, incarnation, is_leaving, pause_ms)
         return self.handle(event)
@@ -80,90 +80,92 @@
         return self.handle(TimerFired("wake"))
 
 
-def endpoints_of(effects):
+def dispatched_endpoints(effects):
     """Return the endpoints of the dispatches among effects."""
     return [e.endpoint_id for e in effects if isinstance(e, Dispatch)]
 
 
-def refusals(effects):
+def rejections(effects):
     """Return the rejections among effects."""
     return [e.rejection for e in effects if isinstance(e, Reject)]
 
 
-def test_endpoint_that_says_it_leaves_gets_nothing_more():
+def test_leaving_endpoint_gets_no_further_dispatches():
     """Guards against requests to a leaving endpoint that the store lists as ready."""
     entry = Entry()
-    effects = entry.say("x0", is_leaving=True)
+    effects = entry.announce("x0", is_leaving=True)
     assert [e.marks[0].endpoint_id for e in effects if isinstance(e, BroadcastLeaving)]
     assert any(isinstance(e, LogEvent) for e in effects)
     entry.register("x0")
     for _ in range(N_SLOTS):
-        assert endpoints_of(entry.send()) == ["x1"]
+        assert dispatched_endpoints(entry.send()) == ["x1"]
 
 
-def test_return_of_a_lapsed_registration_keeps_the_mark():
+def test_leaving_mark_survives_an_expired_registration():
     """Guards against a leaving mark that is discarded with its endpoint's view."""
     entry = Entry(n_endpoints=1)
-    entry.say("x0", is_leaving=True)
+    entry.announce("x0", is_leaving=True)
     entry.handle(EndpointDraining("x0"))
     entry.handle(EndpointLost("x0"))
     entry.register("x0")
-    assert refusals(entry.send())[0].reason is Reason.NO_ENDPOINT
+    assert rejections(entry.send())[0].reason is Reason.NO_ENDPOINT
     entry.register("x0", incarnation=2)
-    assert endpoints_of(entry.send()) == ["x0"]
+    assert dispatched_endpoints(entry.send()) == ["x0"]
 
 
-def test_mark_of_a_peer_counts_and_is_not_told_again():
+def test_leaving_mark_of_a_peer_applies_and_is_not_forwarded():
     """Guards against entries that broadcast one mark to each other without end."""
-    heard, told = Entry(), Entry()
-    (news,) = [
-        e for e in heard.say("x0", is_leaving=True) if isinstance(e, BroadcastLeaving)
+    first, receiver = Entry(), Entry()
+    (broadcast,) = [
+        e
+        for e in first.announce("x0", is_leaving=True)
+        if isinstance(e, BroadcastLeaving)
     ]
-    effects = told.handle(LeavingReceived("peer", news.marks))
+    effects = receiver.handle(LeavingReceived("peer", broadcast.marks))
     assert not [e for e in effects if isinstance(e, BroadcastLeaving)]
-    assert endpoints_of(told.send()) == ["x1"]
-    heard.now_ms += 700
-    (mark,) = heard.state.endpoints.announcements.leaving_marks(heard.now_ms)
+    assert dispatched_endpoints(receiver.send()) == ["x1"]
+    first.now_ms += 700
+    (mark,) = first.state.endpoints.announcements.leaving_marks(first.now_ms)
     assert mark.age_ms == 700
 
 
-def test_endpoint_gets_nothing_during_its_pause():
+def test_paused_endpoint_gets_no_dispatches():
     """Guards against dispatches to an endpoint before its pause ends."""
     entry = Entry(n_endpoints=2)
-    entry.say("x0", pause_ms=1_500)
+    entry.announce("x0", pause_ms=1_500)
     for _ in range(N_SLOTS):
-        assert endpoints_of(entry.send()) == ["x1"]
-    assert not endpoints_of(entry.send())
-    assert not endpoints_of(entry.wake(1_499))
-    assert endpoints_of(entry.wake(1)) == ["x0"]
+        assert dispatched_endpoints(entry.send()) == ["x1"]
+    assert not dispatched_endpoints(entry.send())
+    assert not dispatched_endpoints(entry.wake(1_499))
+    assert dispatched_endpoints(entry.wake(1)) == ["x0"]
 
 
-def test_absurd_pause_ends():
+def test_pause_is_limited_to_the_maximum():
     """Guards against a pause beyond ``max_pause_ms`` that stops a service for good."""
     entry = Entry(n_endpoints=1)
-    entry.say("x0", pause_ms=10**12)
-    (refused,) = refusals(entry.send())
-    assert refused.retry_after_ms <= MAX_PAUSE_MS
+    entry.announce("x0", pause_ms=10**12)
+    (rejection,) = rejections(entry.send())
+    assert rejection.retry_after_ms <= MAX_PAUSE_MS
     entry.now_ms += MAX_PAUSE_MS
-    assert endpoints_of(entry.send()) == ["x0"]
+    assert dispatched_endpoints(entry.send()) == ["x0"]
 
 
-def test_callers_are_refused_at_once_while_every_endpoint_pauses():
+def test_requests_are_rejected_at_once_while_every_endpoint_is_paused():
     """Guards against requests that wait although all pauses outlast the objective.
 
     The rejection names the time until the first pause ends.
     """
     entry = Entry()
-    entry.say("x0", pause_ms=5_000)
-    entry.say("x1", pause_ms=3_000)
-    (refused,) = refusals(entry.send(objective_ms=400))
-    assert refused.reason is Reason.ENDPOINTS_PAUSED
-    assert refused.outcome is Outcome.NOT_RUN
-    assert refused.retry_after_ms == 3_000
-    assert not refusals(entry.send(objective_ms=6_000))
+    entry.announce("x0", pause_ms=5_000)
+    entry.announce("x1", pause_ms=3_000)
+    (rejection,) = rejections(entry.send(objective_ms=400))
+    assert rejection.reason is Reason.ENDPOINTS_PAUSED
+    assert rejection.outcome is Outcome.NOT_RUN
+    assert rejection.retry_after_ms == 3_000
+    assert not rejections(entry.send(objective_ms=6_000))
 
 
-def test_request_that_cannot_outwait_the_pause_is_not_held():
+def test_waiting_request_is_rejected_when_a_pause_outlasts_its_deadline():
     """Guards against a waiting request that is rejected only at its deadline.
 
     It is rejected as soon as an announced pause outlasts the deadline.
@@ -172,18 +174,18 @@
     for _ in range(N_SLOTS):
         entry.send()
     waiting = entry.send(objective_ms=2_000, deadline_ms=2_000)
-    assert not refusals(waiting)
-    effects = entry.say("x0", pause_ms=4_000)
-    assert [r.reason for r in refusals(effects)] == [Reason.ENDPOINTS_PAUSED]
+    assert not rejections(waiting)
+    effects = entry.announce("x0", pause_ms=4_000)
+    assert [r.reason for r in rejections(effects)] == [Reason.ENDPOINTS_PAUSED]
 
 
-def test_waiting_requests_are_not_released_all_at_once():
+def test_waiting_requests_are_dispatched_gradually_after_a_pause():
     """Guards against entries that fill an endpoint at once at the end of its pause."""
     entry = Entry(n_endpoints=1)
-    entry.say("x0", pause_ms=500)
+    entry.announce("x0", pause_ms=500)
     for _ in range(3 * N_SLOTS):
         entry.send()
-    n_sent = [len(endpoints_of(entry.wake(500)))]
+    n_sent = [len(dispatched_endpoints(entry.wake(500)))]
     while len(n_sent) < 3:
         n_before = len(entry.dispatches)
         running = entry.dispatches[-1]
@@ -197,7 +199,7 @@
 def test_answers_without_a_body_end_the_slow_start():
     """Guards against a slow start that never ends, because no output was recorded."""
     entry = Entry(n_endpoints=1)
-    entry.say("x0", pause_ms=500)
+    entry.announce("x0", pause_ms=500)
     for _ in range(4 * N_SLOTS):
         entry.send()
     entry.wake(500)
@@ -208,16 +210,16 @@
     assert entry.state.endpoints.view_by_id["x0"].n_own_in_flight == N_SLOTS
 
 
-def test_refusal_with_a_pause_sends_the_request_elsewhere():
+def test_request_refused_with_a_pause_is_retried_elsewhere():
     """Guards against a retry at the endpoint that has just asked for a pause."""
     entry = Entry()
     entry.send()
     first = entry.dispatches[-1]
-    entry.say(first.endpoint_id, pause_ms=2_000)
+    entry.announce(first.endpoint_id, pause_ms=2_000)
     refused = AttemptRefused(
         first.attempt_id, Reason.ENDPOINT_FULL, 0, first.endpoint_id, True
     )
-    assert endpoints_of(entry.handle(refused)) != [first.endpoint_id]
+    assert dispatched_endpoints(entry.handle(refused)) != [first.endpoint_id]
 
 
 ENDPOINT_IDS = st.sampled_from(["x0", "x1", "x2"])
@@ -227,9 +229,9 @@
         st.tuples(st.just("leave"), ENDPOINT_IDS, st.just(0)),
         st.tuples(st.just("peer"), ENDPOINT_IDS, st.just(0)),
         st.tuples(st.just("pause"), ENDPOINT_IDS, st.integers(1, 5_000)),
-        st.tuples(st.just("lapse"), ENDPOINT_IDS, st.just(0)),
+        st.tuples(st.just("expire"), ENDPOINT_IDS, st.just(0)),
         st.tuples(st.just("register"), ENDPOINT_IDS, st.just(0)),
-        st.tuples(st.just("start"), ENDPOINT_IDS, st.just(0)),
+        st.tuples(st.just("restart"), ENDPOINT_IDS, st.just(0)),
         st.tuples(st.just("refuse"), ENDPOINT_IDS, st.just(0)),
         st.tuples(st.just("finish"), ENDPOINT_IDS, st.just(0)),
         st.tuples(st.just("wait"), ENDPOINT_IDS, st.integers(1, 2_000)),
@@ -239,7 +241,7 @@
 
 
 @given(STEPS)
-def test_nothing_begins_after_a_mark_or_within_a_pause(steps):
+def test_no_dispatch_to_leaving_or_paused_endpoints(steps):
     """Guards against dispatches to leaving or paused endpoints in any event order."""
     entry = Entry(n_endpoints=3)
     incarnation_by_id = dict.fromkeys(["x0", "x1", "x2"], 1)
@@ -247,30 +249,32 @@
     for kind, endpoint_id, value in steps:
         n_before = len(entry.dispatches)
         incarnation = incarnation_by_id[endpoint_id]
-        start = (endpoint_id, incarnation)
+        endpoint_start = (endpoint_id, incarnation)
         running = [e for e in entry.dispatches if e.endpoint_id == endpoint_id]
         match kind:
             case "send":
                 entry.send()
             case "leave":
-                leaving.add(start)
-                entry.say(endpoint_id, is_leaving=True, incarnation=incarnation)
+                leaving.add(endpoint_start)
+                entry.announce(endpoint_id, is_leaving=True, incarnation=incarnation)
             case "peer":
-                leaving.add(start)
-                marks = Entry(0)
-                marks.say(endpoint_id, is_leaving=True, incarnation=incarnation)
-                told = marks.state.endpoints.announcements.leaving_marks(marks.now_ms)
-                entry.handle(LeavingReceived("peer", told))
+                leaving.add(endpoint_start)
+                peer = Entry(0)
+                peer.announce(endpoint_id, is_leaving=True, incarnation=incarnation)
+                marks = peer.state.endpoints.announcements.leaving_marks(peer.now_ms)
+                entry.handle(LeavingReceived("peer", marks))
             case "pause":
                 until_ms = entry.now_ms + value
-                paused_until_ms[start] = max(until_ms, paused_until_ms.get(start, 0))
-                entry.say(endpoint_id, pause_ms=value, incarnation=incarnation)
-            case "lapse":
+                paused_until_ms[endpoint_start] = max(
+                    until_ms, paused_until_ms.get(endpoint_start, 0)
+                )
+                entry.announce(endpoint_id, pause_ms=value, incarnation=incarnation)
+            case "expire":
                 entry.handle(EndpointDraining(endpoint_id))
                 entry.handle(EndpointLost(endpoint_id))
             case "register":
                 entry.register(endpoint_id, incarnation)
-            case "start":
+            case "restart":
                 incarnation_by_id[endpoint_id] += 1
                 entry.register(endpoint_id, incarnation + 1)
             case "refuse" if running:
@@ -283,7 +287,7 @@
             case "wait":
                 entry.wake(value)
         for dispatch in entry.dispatches[n_before:]:
-            target = dispatch.endpoint_id
-            start = (target, incarnation_by_id[target])
-            assert start not in leaving
-            assert paused_until_ms.get(start, 0) <= entry.now_ms
+            target_id = dispatch.endpoint_id
+            endpoint_start = (target_id, incarnation_by_id[target_id])
+            assert endpoint_start not in leaving
+            assert paused_until_ms.get(endpoint_start, 0) <= entry.now_ms
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_crash_counting.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_crash_counting.py
@@ -63,8 +63,8 @@
             n_max_attempts=1,
         )
         effects = self.handle(RequestArrived(spec))
-        own = [e for e in effects if isinstance(e, Dispatch | Reject)]
-        return next(e for e in own if e.request_id == spec.request_id)
+        decisions = [e for e in effects if isinstance(e, Dispatch | Reject)]
+        return next(e for e in decisions if e.request_id == spec.request_id)
 
     def break_run(self, dispatch):
         """Break the connection of an attempt; return the effects."""
@@ -86,71 +86,71 @@
         return effects + self.handle(EndpointLost(dispatch.endpoint_id))
 
 
-def exchange(entry, other):
+def send_records(entry, other):
     """Deliver the crash records of ``entry`` to ``other``; return the effects."""
     records = entry.state.crashes.records(entry.now_ms)
     return other.handle(CrashesReceived(entry.state.config.entry_id, records))
 
 
-def test_request_that_crashed_three_endpoints_is_refused():
+def test_request_that_crashed_three_endpoints_is_rejected():
     """Guards against one request that crashes endpoint after endpoint."""
     entry = Entry()
     for _ in range(N_TO_BLOCK):
         entry.crash(entry.send())
-    refused = entry.send()
-    assert refused.rejection.reason is Reason.CRASHES_ENDPOINTS
-    assert refused.rejection.outcome is Outcome.NOT_RUN
+    rejected = entry.send()
+    assert rejected.rejection.reason is Reason.CRASHES_ENDPOINTS
+    assert rejected.rejection.outcome is Outcome.NOT_RUN
     assert isinstance(entry.send("another"), Dispatch)
 
 
-def test_blocked_request_is_told_when_the_block_ends():
+def test_rejection_states_the_remaining_time_of_the_block():
     """Guards against callers that retry at once while a block lasts for minutes."""
     entry = Entry()
     for _ in range(N_TO_BLOCK):
         entry.crash(entry.send())
     first = entry.send().rejection.retry_after_ms
     entry.now_ms += first // 2
-    left_ms = entry.send().rejection.retry_after_ms
-    assert left_ms == first - first // 2 - 10
-    entry.now_ms += left_ms
+    remaining_ms = entry.send().rejection.retry_after_ms
+    assert remaining_ms == first - first // 2 - 10
+    entry.now_ms += remaining_ms
     assert isinstance(entry.send(), Dispatch)
 
 
-def test_copy_in_flight_is_answered_when_its_fingerprint_is_blocked():
+def test_request_in_flight_is_rejected_when_its_fingerprint_is_blocked():
     """Guards against callers that wait for a run of a fingerprint blocked since."""
     entry = Entry()
     for _ in range(N_TO_BLOCK - 1):
         entry.crash(entry.send())
-    third, copy = entry.send(), entry.send()
+    third, dispatch = entry.send(), entry.send()
     effects = entry.crash(third)
     finals = {e.request_id: e.rejection for e in effects if isinstance(e, Reject)}
-    assert finals[copy.request_id].reason is Reason.CRASHES_ENDPOINTS
-    assert finals[copy.request_id].outcome is Outcome.UNKNOWN
+    assert finals[dispatch.request_id].reason is Reason.CRASHES_ENDPOINTS
+    assert finals[dispatch.request_id].outcome is Outcome.UNKNOWN
 
 
-def test_crashes_that_several_entries_saw_add_up():
+def test_crashes_observed_by_several_entries_add_up():
     """Guards against retries that reach another entry each time and are not counted."""
     entries = [Entry(f"e{i}") for i in range(3)]
     for entry in entries:
         entry.crash(entry.send())
     for entry in entries[1:]:
-        exchange(entry, entries[0])
+        send_records(entry, entries[0])
     assert entries[0].send().rejection.reason is Reason.CRASHES_ENDPOINTS
-    exchange(entries[0], entries[1])
+    send_records(entries[0], entries[1])
     assert entries[1].send().rejection.reason is Reason.CRASHES_ENDPOINTS
 
 
-def test_two_crashes_here_and_one_elsewhere_block():
+def test_two_own_crashes_and_one_of_a_peer_block():
     """Guards against three crashes at two entries that neither counts as three."""
     first, second = Entry("e1"), Entry("e2")
     for _ in range(2):
         first.crash(first.send())
     second.crash(second.send())
-    exchange(second, first)
+    send_records(second, first)
     assert first.send().rejection.reason is Reason.CRASHES_ENDPOINTS
 
 
-def test_broken_runs_at_endpoints_that_answer_on_do_not_count():
+def test_broken_runs_at_endpoints_that_still_answer_do_not_count():
     """Guards against callers blocked because endpoints reset connections."""
     entry = Entry(n_endpoints=1)
     for i in range(2 * N_TO_BLOCK):
@@ -163,7 +163,7 @@
     assert isinstance(entry.send(), Dispatch)
 
 
-def test_whole_run_takes_the_counts_back():
+def test_complete_run_clears_the_crashes():
     """Guards against a frequent harmless request blocked by unrelated crashes."""
     entry, peer = Entry("e1"), Entry("e2")
     for _ in range(N_TO_BLOCK - 1):
@@ -173,30 +173,30 @@
     entry.handle(
         AttemptFinished(done.attempt_id, 200, 1, Usage(), done.endpoint_id),
     )
-    exchange(peer, entry)
+    send_records(peer, entry)
     entry.crash(entry.send())
     assert isinstance(entry.send(), Dispatch)
 
 
-def test_copies_cut_by_one_fault_count_once():
+def test_simultaneous_runs_broken_by_one_fault_do_not_block():
     """Guards against a popular request blocked because a failure domain was cut."""
     entry = Entry()
-    copies = [entry.send() for _ in range(N_TO_BLOCK)]
-    for copy in copies:
-        entry.break_run(copy)
-    for copy in copies:
-        entry.handle(EndpointChecked(copy.endpoint_id, None))
-        entry.handle(EndpointLost(copy.endpoint_id))
+    dispatches = [entry.send() for _ in range(N_TO_BLOCK)]
+    for dispatch in dispatches:
+        entry.break_run(dispatch)
+    for dispatch in dispatches:
+        entry.handle(EndpointChecked(dispatch.endpoint_id, None))
+        entry.handle(EndpointLost(dispatch.endpoint_id))
     assert isinstance(entry.send(), Dispatch)
-    for copy in copies:
-        entry.register(copy.endpoint_id)
-    for copy in copies:
-        entry.handle(EndpointLost(copy.endpoint_id))
-        entry.register(copy.endpoint_id, 2)
+    for dispatch in dispatches:
+        entry.register(dispatch.endpoint_id)
+    for dispatch in dispatches:
+        entry.handle(EndpointLost(dispatch.endpoint_id))
+        entry.register(dispatch.endpoint_id, 2)
     assert isinstance(entry.send(), Dispatch)
 
 
-def test_refused_connection_shows_the_crash_before_the_registration_lapses():
+def test_refused_connection_confirms_a_crash_before_the_registration_expires():
     """Guards against crashes that count only when the registration has expired."""
     entry = Entry(n_endpoints=1)
     for _ in range(N_TO_BLOCK):
@@ -218,7 +218,7 @@
     assert not entry.send().is_isolated
 
 
-def test_timeout_of_a_connection_is_no_crash():
+def test_connection_timeout_confirms_no_crash():
     """Guards against callers rejected because connections to endpoints were cut."""
     entry = Entry(n_endpoints=1)
     for _ in range(N_TO_BLOCK):
@@ -235,7 +235,7 @@
     assert isinstance(entry.send(), Dispatch)
 
 
-def test_endpoint_that_listens_on_did_not_crash():
+def test_listening_port_dismisses_a_crash():
     """Guards against callers rejected because an endpoint resets connections."""
     entry = Entry(n_endpoints=1)
     for incarnation in range(2, 3 * N_TO_BLOCK):
@@ -247,7 +247,7 @@
     assert isinstance(entry.send(), Dispatch)
 
 
-def test_run_that_breaks_during_a_check_is_checked_too():
+def test_run_broken_during_an_address_check_gets_a_second_check():
     """Guards against a crash dismissed by a check that began before it."""
     entry = Entry(n_endpoints=1)
     first, second = entry.send("sound"), entry.send()
@@ -260,12 +260,14 @@
     assert entry.state.crashes.count("sound", entry.now_ms) == 0
 
 
-def test_refusal_that_names_another_endpoint_shows_the_crash():
+def test_refusal_by_a_later_start_confirms_a_crash():
     """Guards against a crash not counted because another endpoint has its address."""
     entry = Entry(n_endpoints=N_TO_BLOCK)
     for i in range(N_TO_BLOCK):
         entry.break_run(entry.send())
-        while (probe := entry.send(f"another-{i}")).endpoint_id not in _broken(entry):
+        while (
+            probe := entry.send(f"another-{i}")
+        ).endpoint_id not in _endpoints_under_check(entry):
             entry.handle(
                 AttemptFinished(probe.attempt_id, 200, 1, Usage(), probe.endpoint_id)
             )
@@ -276,11 +278,11 @@
     assert entry.send().rejection.reason is Reason.CRASHES_ENDPOINTS
 
 
-def _broken(entry):
+def _endpoints_under_check(entry):
     return entry.state.check_started_at_ms
 
 
-def test_address_taken_by_a_later_start_shows_the_crash():
+def test_registration_of_a_later_start_at_the_address_confirms_a_crash():
     """Guards against crashes not counted because no connection was tried meanwhile."""
     entry = Entry()
     for _ in range(N_TO_BLOCK):
@@ -290,7 +292,7 @@
     assert entry.send().rejection.reason is Reason.CRASHES_ENDPOINTS
 
 
-def test_run_that_hangs_when_a_later_start_has_its_address_counts():
+def test_run_in_flight_when_a_later_start_takes_its_address_counts():
     """Guards against callers that wait for an endpoint that ended without a report."""
     entry = Entry()
     for _ in range(N_TO_BLOCK):
@@ -301,36 +303,44 @@
     assert entry.send().rejection.reason is Reason.CRASHES_ENDPOINTS
 
 
-def test_entry_that_starts_again_takes_over_the_block_and_its_end():
+def test_restarted_entry_receives_the_block_with_its_remaining_time():
     """Guards against a block that is lost, or renewed, by each restart."""
     first, second = Entry("e1"), Entry("e2")
     for _ in range(N_TO_BLOCK):
         first.crash(first.send())
     retry_after_ms = first.send().rejection.retry_after_ms
-    exchange(first, second)
+    send_records(first, second)
     for _ in range(20):
         first, second = second, Entry("e1")
         first.now_ms += 10_000
-        exchange(first, second)
-    left_ms = second.send().rejection.retry_after_ms
-    assert retry_after_ms - 20 * 10_100 <= left_ms < retry_after_ms - 20 * 9_900
+        send_records(first, second)
+    remaining_ms = second.send().rejection.retry_after_ms
+    assert retry_after_ms - 20 * 10_100 <= remaining_ms < retry_after_ms - 20 * 9_900
 
 
-def test_whole_run_elsewhere_takes_the_block_back_everywhere():
+def test_complete_run_at_one_entry_unblocks_all_entries():
     """Guards against a block that remains although a run has completed elsewhere."""
     first, second = Entry("e1"), Entry("e2")
-    copy = second.send()
+    dispatch = second.send()
     for _ in range(N_TO_BLOCK):
         first.crash(first.send())
-    second.handle(AttemptFinished(copy.attempt_id, 200, 1, Usage(), copy.endpoint_id))
-    effects = exchange(first, second)
-    (told,) = [e.records for e in effects if isinstance(e, BroadcastCrashes)]
-    first.handle(CrashesReceived("e2", told))
+    second.handle(
+        AttemptFinished(
+            dispatch.attempt_id,
+            200,
+            1,
+            Usage(),
+            dispatch.endpoint_id,
+        )
+    )
+    effects = send_records(first, second)
+    (own_records,) = [e.records for e in effects if isinstance(e, BroadcastCrashes)]
+    first.handle(CrashesReceived("e2", own_records))
     assert isinstance(first.send(), Dispatch)
     assert isinstance(second.send(), Dispatch)
 
 
-def test_records_meet_in_any_order_with_the_same_result():
+def test_merged_records_do_not_depend_on_their_order():
     """Guards against counts that depend on the order of the received records."""
     records = [
         CrashRecord("f", (Crash("x1@1", 50, 40),)),
@@ -345,7 +355,7 @@
         assert counter.count("f", 1_000) == 2
 
 
-def test_tables_stay_bounded():
+def test_crash_tables_stay_bounded():
     """Guards against memory that grows with every broken run."""
     counter = CrashCounter(n_max=3)
     for i in range(10):
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_machine_requests.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_machine_requests.py
@@ -13,44 +13,44 @@
     ShutdownStarted,
     Usage,
 )
-from bluebellusher_core.reducer.tests._world import World
+from bluebellusher_core.reducer.tests._simulation import Simulation
 from bluebellusher_core.routing import LeastInFlight, PredictedLatency
 
 ENTRIES = ("e0", "e1")
 ENDPOINTS = ("x0", "x1", "x2")
 KINDS = ("idempotent", "idempotent", "keyed", "plain")
-TABLE_MODES = ("answer", "answer", "answer", "lose", "delay", "down")
+CLAIM_MODES = ("answer", "answer", "answer", "lose", "delay", "down")
 # Faults are rarer than progress, so that requests are running when a fault occurs.
 WEIGHT_BY_ACTION = {
-    "arrive": 10,
-    "accept": 20,
-    "produce": 20,
-    "answer": 20,
-    "answer_twice": 2,
-    "table": 8,
-    "late_write": 2,
-    "tick": 8,
-    "fire": 8,
-    "pause": 0.4,
+    "send_request": 10,
+    "deliver_to_endpoint": 20,
+    "advance_runs": 20,
+    "deliver_to_entry": 20,
+    "deliver_twice": 2,
+    "answer_claims": 8,
+    "apply_delayed_write": 2,
+    "pass_time": 8,
+    "fire_timers": 8,
+    "skip_time": 0.4,
     "break_stream": 3,
-    "crash": 0.4,
-    "kill": 0.4,
-    "freeze": 0.2,
-    "cut": 1,
-    "notice": 4,
-    "heal": 4,
-    "drain": 0.4,
-    "leave": 0.6,
-    "cross": 0.4,
-    "gossip": 2,
-    "restart": 0.1,
-    "shut_down": 0.03,
+    "crash_engine": 0.4,
+    "kill_endpoint": 0.4,
+    "freeze_endpoint": 0.2,
+    "cut_connection": 1,
+    "report_loss": 4,
+    "reconnect": 4,
+    "drain_endpoint": 0.4,
+    "disconnect_caller": 0.6,
+    "send_foreign_answer": 0.4,
+    "exchange_digests": 2,
+    "restart_entry": 0.1,
+    "shut_down_entry": 0.03,
 }
 ACTIONS = tuple(WEIGHT_BY_ACTION)
 
 
-class LazyQueue(FifoQueue):
-    """A queue that never rejects expired requests, as only timers then do."""
+class NonExpiringQueue(FifoQueue):
+    """A queue that leaves the rejection of expired requests to the deadline timers."""
 
     def expire(self, now_ms):
         """Return no rejections."""
@@ -68,176 +68,180 @@
     @initialize(
         hedge_after_ms=st.sampled_from([0, 40]),
         retry_percent=st.sampled_from([1, 30]),
-        make_queue=st.sampled_from([FairQueue, LazyQueue]),
+        make_queue=st.sampled_from([FairQueue, NonExpiringQueue]),
         make_policy=st.sampled_from([PredictedLatency, LeastInFlight]),
     )
     def start(self, **options):
         """Start two entries and three running endpoints."""
-        self.world = World(2, 3, **options)
+        self.simulation = Simulation(2, 3, **options)
 
     @rule(
-        name=st.sampled_from(ACTIONS),
+        action=st.sampled_from(ACTIONS),
         entry_id=st.sampled_from(ENTRIES),
         endpoint_id=st.sampled_from(ENDPOINTS),
         seed=st.integers(0, 2**16),
     )
-    def act(self, name, entry_id, endpoint_id, seed):
+    def run_action(self, action, entry_id, endpoint_id, seed):
         """Execute one action."""
-        entry = self.world.entry_by_id[entry_id]
-        endpoint = self.world.endpoint_by_id[endpoint_id]
-        getattr(self, f"do_{name}")(entry, endpoint, Random(seed))
+        entry = self.simulation.entry_by_id[entry_id]
+        endpoint = self.simulation.endpoint_by_id[endpoint_id]
+        getattr(self, f"do_{action}")(entry, endpoint, Random(seed))
 
     @rule(seed=st.integers(0, 2**32), n=st.integers(20, 120))
-    def churn(self, seed, n):
+    def run_random_actions(self, seed, n):
         """Execute ``n`` random actions."""
-        chance = Random(seed)
-        for name in chance.choices(ACTIONS, WEIGHT_BY_ACTION.values(), k=n):
-            entry = self.world.entry_by_id[chance.choice(ENTRIES)]
-            endpoint = self.world.endpoint_by_id[chance.choice(ENDPOINTS)]
-            getattr(self, f"do_{name}")(entry, endpoint, chance)
-        self.world.check()
-
-    def do_arrive(self, entry, _endpoint, chance):
-        """Send a request; its key may be in use, also with another body or entry."""
-        kind, number = chance.choice(KINDS), chance.randrange(4)
+        random = Random(seed)
+        for action in random.choices(ACTIONS, WEIGHT_BY_ACTION.values(), k=n):
+            entry = self.simulation.entry_by_id[random.choice(ENTRIES)]
+            endpoint = self.simulation.endpoint_by_id[random.choice(ENDPOINTS)]
+            getattr(self, f"do_{action}")(entry, endpoint, random)
+        self.simulation.check_invariants()
+
+    def do_send_request(self, entry, _endpoint, random):
+        """Send a request; its key may be in use with another body or entry."""
+        kind, number = random.choice(KINDS), random.randrange(4)
         key = f"k{number}" if kind == "keyed" else None
-        fingerprint = f"{kind[0]}{number}{chance.choice(['', '', '', 'b'])}."
-        lifetime_ms = chance.choice([30, 2_000, 60_000, 60_000])
+        fingerprint = f"{kind[0]}{number}{random.choice(['', '', '', 'b'])}."
+        lifetime_ms = random.choice([30, 2_000, 60_000, 60_000])
         is_idempotent = kind == "idempotent"
-        spec = self.world.make_spec(fingerprint, is_idempotent, key, lifetime_ms)
-        self.world.arrive(entry.entry_id, spec)
+        spec = self.simulation.make_spec(fingerprint, is_idempotent, key, lifetime_ms)
+        self.simulation.submit(entry.entry_id, spec)
 
-    def do_leave(self, entry, _endpoint, chance):
+    def do_disconnect_caller(self, entry, _endpoint, random):
         """Disconnect a caller that has no final answer."""
-        waiting = [r for r in entry.spec_by_id if not self.world.finals[r]]
-        if waiting:
-            self.world.step(entry, CallerDisconnected(chance.choice(waiting)))
+        open_ids = [
+            r for r in entry.spec_by_id if not self.simulation.finals_by_request[r]
+        ]
+        if open_ids:
+            self.simulation.handle_event(
+                entry, CallerDisconnected(random.choice(open_ids))
+            )
 
-    def do_accept(self, entry, endpoint, chance):
+    def do_deliver_to_endpoint(self, entry, endpoint, random):
         """Deliver up to 4 messages to an endpoint."""
-        for _ in range(chance.randint(1, 4)):
-            self.world.deliver_to_endpoint(entry.entry_id, endpoint.endpoint_id)
+        for _ in range(random.randint(1, 4)):
+            self.simulation.deliver_to_endpoint(entry.entry_id, endpoint.endpoint_id)
 
-    def do_produce(self, _entry, endpoint, _chance):
+    def do_advance_runs(self, _entry, endpoint, _random):
         """Advance the runs of an endpoint."""
-        for run in endpoint.active():
-            self.world.progress(endpoint, run)
+        for run in endpoint.unfinished_runs():
+            self.simulation.advance_run(endpoint, run)
 
-    def do_answer(self, entry, endpoint, chance):
+    def do_deliver_to_entry(self, entry, endpoint, random):
         """Deliver up to 6 messages to an entry."""
-        for _ in range(chance.randint(1, 6)):
-            self.world.deliver_to_entry(entry.entry_id, endpoint.endpoint_id)
+        for _ in range(random.randint(1, 6)):
+            self.simulation.deliver_to_entry(entry.entry_id, endpoint.endpoint_id)
 
-    def do_answer_twice(self, entry, endpoint, _chance):
+    def do_deliver_twice(self, entry, endpoint, _random):
         """Deliver a message to an entry twice."""
-        self.world.deliver_to_entry(entry.entry_id, endpoint.endpoint_id, True)
+        self.simulation.deliver_to_entry(entry.entry_id, endpoint.endpoint_id, True)
 
-    def do_break_stream(self, _entry, endpoint, chance):
+    def do_break_stream(self, _entry, endpoint, random):
         """Break a stream without a crash."""
-        if endpoint.active():
-            run = chance.choice(endpoint.active())
-            self.world.break_run(endpoint, run, chance.random() < 0.5)
+        if endpoint.unfinished_runs():
+            run = random.choice(endpoint.unfinished_runs())
+            self.simulation.break_run(endpoint, run, random.random() < 0.5)
 
-    def do_crash(self, _entry, endpoint, _chance):
+    def do_crash_engine(self, _entry, endpoint, _random):
         """Crash an engine whose agent continues to run."""
         if endpoint.is_up:
-            self.world.crash_engine(endpoint)
+            self.simulation.crash_engine(endpoint)
 
-    def do_kill(self, _entry, endpoint, _chance):
+    def do_kill_endpoint(self, _entry, endpoint, _random):
         """Kill an agent and its engine."""
-        self.world.kill(endpoint)
+        self.simulation.kill_endpoint(endpoint)
 
-    def do_freeze(self, _entry, endpoint, _chance):
+    def do_freeze_endpoint(self, _entry, endpoint, _random):
         """Stop the output of an endpoint but keep its connections open."""
         endpoint.is_frozen = True
 
-    def do_cut(self, entry, endpoint, _chance):
+    def do_cut_connection(self, entry, endpoint, _random):
         """Cut a connection; the entry does not observe the loss yet."""
-        self.world.cut(entry.entry_id, endpoint.endpoint_id)
+        self.simulation.cut_connection(entry.entry_id, endpoint.endpoint_id)
 
-    def do_notice(self, entry, endpoint, _chance):
+    def do_report_loss(self, entry, endpoint, _random):
         """Report the loss of a cut connection to its entry."""
-        self.world.notice(entry.entry_id, endpoint.endpoint_id)
+        self.simulation.report_loss(entry.entry_id, endpoint.endpoint_id)
 
-    def do_heal(self, _entry, endpoint, _chance):
+    def do_reconnect(self, _entry, endpoint, _random):
         """Restart an endpoint that has ended and restore its connections."""
-        self.world.revive(endpoint)
+        self.simulation.restart_endpoint(endpoint)
         for entry_id in ENTRIES:
-            self.world.connect(entry_id, endpoint.endpoint_id)
+            self.simulation.connect(entry_id, endpoint.endpoint_id)
 
-    def do_drain(self, _entry, endpoint, _chance):
+    def do_drain_endpoint(self, _entry, endpoint, _random):
         """Drain an endpoint and report that to the connected entries."""
         endpoint.is_draining = True
         for entry_id in ENTRIES:
-            link = self.world.links[entry_id, endpoint.endpoint_id]
+            link = self.simulation.links[entry_id, endpoint.endpoint_id]
             if link.is_open:
                 link.to_entry.append(("drain",))
 
-    def do_cross(self, entry, endpoint, chance):
+    def do_send_foreign_answer(self, entry, endpoint, random):
         """Send an answer to an attempt that another endpoint runs.
 
         The entry must close the connection.
         """
         attempts = entry.endpoint_by_attempt.items()
-        foreign = sorted(a for a, e in attempts if e != endpoint.endpoint_id)
-        link = self.world.links[entry.entry_id, endpoint.endpoint_id]
-        if foreign and link.is_open:
+        foreign_ids = sorted(a for a, e in attempts if e != endpoint.endpoint_id)
+        link = self.simulation.links[entry.entry_id, endpoint.endpoint_id]
+        if foreign_ids and link.is_open:
             event = AttemptFinished(
-                chance.choice(foreign), 200, 12, Usage(), endpoint.endpoint_id
+                random.choice(foreign_ids), 200, 12, Usage(), endpoint.endpoint_id
             )
-            self.world.step(entry, event)
+            self.simulation.handle_event(entry, event)
             assert not link.is_open, "connection not closed after a foreign answer"
 
-    def do_table(self, entry, _endpoint, chance):
+    def do_answer_claims(self, entry, _endpoint, random):
         """Apply, delay or fail a claim write, or lose its answer."""
-        if entry.operations:
-            self.world.answer_claims(entry, chance.choice(TABLE_MODES))
+        if entry.unanswered_writes:
+            self.simulation.answer_claims(entry, random.choice(CLAIM_MODES))
 
-    def do_late_write(self, entry, _endpoint, _chance):
+    def do_apply_delayed_write(self, entry, _endpoint, _random):
         """Apply a claim write that was reported as unanswered."""
-        if entry.limbo:
-            self.world.apply_late(entry)
+        if entry.delayed_batches:
+            self.simulation.apply_delayed(entry)
 
-    def do_tick(self, _entry, _endpoint, chance):
+    def do_pass_time(self, _entry, _endpoint, random):
         """Advance the time by 1 to 300 ms."""
-        self.world.now_ms += chance.choice([1, 6, 50, 300])
+        self.simulation.now_ms += random.choice([1, 6, 50, 300])
 
-    def do_pause(self, _entry, _endpoint, chance):
+    def do_skip_time(self, _entry, _endpoint, random):
         """Advance the time by 1 to 20 s without firing timers, as if entries paused."""
-        self.world.now_ms += chance.choice([1_000, 3_000, 20_000])
+        self.simulation.now_ms += random.choice([1_000, 3_000, 20_000])
 
-    def do_fire(self, entry, _endpoint, chance):
+    def do_fire_timers(self, entry, _endpoint, random):
         """Fire up to 5 timers that are due."""
-        for _ in range(chance.randint(1, 5)):
-            self.world.fire_timer(entry)
+        for _ in range(random.randint(1, 5)):
+            self.simulation.fire_timer(entry)
 
-    def do_gossip(self, _entry, _endpoint, _chance):
+    def do_exchange_digests(self, _entry, _endpoint, _random):
         """Exchange the digests of the entries."""
-        self.world.exchange_digests()
+        self.simulation.exchange_digests()
 
-    def do_restart(self, entry, _endpoint, _chance):
+    def do_restart_entry(self, entry, _endpoint, _random):
         """Restart an entry without its state; its callers get no answer."""
-        self.world.restart_entry(entry.entry_id)
+        self.simulation.restart_entry(entry.entry_id)
         for endpoint_id in ENDPOINTS:
-            self.world.connect(entry.entry_id, endpoint_id)
+            self.simulation.connect(entry.entry_id, endpoint_id)
 
-    def do_shut_down(self, entry, _endpoint, _chance):
+    def do_shut_down_entry(self, entry, _endpoint, _random):
         """Start the shutdown of an entry."""
         entry.is_stopping = True
-        self.world.step(entry, ShutdownStarted())
+        self.simulation.handle_event(entry, ShutdownStarted())
 
     @invariant()
-    def promises_hold(self):
+    def assert_invariants(self):
         """Check the invariants that hold after every event."""
-        if hasattr(self, "world"):
-            self.world.check()
+        if hasattr(self, "simulation"):
+            self.simulation.check_invariants()
 
     def teardown(self):
         """Run until idle; each request must then have exactly one final answer."""
-        if hasattr(self, "world"):
-            self.world.settle()
-            self.world.check()
-            self.world.check_at_rest()
+        if hasattr(self, "simulation"):
+            self.simulation.run_until_idle()
+            self.simulation.check_invariants()
+            self.simulation.check_idle()
 
 
 TestRequestMachine = RequestMachine.TestCase
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_reduce.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_reduce.py
@@ -57,7 +57,7 @@
     return reduce(state, EndpointConnected(info), now_ms)
 
 
-def start(n_endpoints=3, **options):
+def start_entry(n_endpoints=3, **options):
     """Return the state of an entry with endpoints ``x0``, ``x1``, ..."""
     state = EntryState.from_config(EntryConfig("e", **options))
     for i in range(n_endpoints):
@@ -65,13 +65,13 @@
     return state
 
 
-def arrive(state, spec, now_ms=0):
+def submit(state, spec, now_ms=0):
     """Send a request; return its dispatch, or None if it was not dispatched."""
     effects = reduce(state, RequestArrived(spec), now_ms)
     return next((e for e in effects if isinstance(e, Dispatch)), None)
 
 
-def lose(state, dispatch, now_ms, n_bytes=0):
+def lose_endpoint(state, dispatch, now_ms, n_bytes=0):
     """Lose the endpoint of an attempt in the order in which the runtime reports it."""
     event = AttemptBroken(
         dispatch.attempt_id, Reason.ENDPOINT_LOST, n_bytes, True, dispatch.endpoint_id
@@ -80,94 +80,102 @@
     return effects + reduce(state, EndpointLost(dispatch.endpoint_id), now_ms)
 
 
-def pick(effects, kind):
-    """Return the effects of one kind."""
+def select_effects(effects, kind):
+    """Return the effects of one type, or of one of several types."""
     return [effect for effect in effects if isinstance(effect, kind)]
 
 
 def test_late_answer_is_ignored_and_unknown_attempt_closes_the_connection():
     """Guards against a second answer and a connection closed for a late answer."""
-    state = start()
-    sent = arrive(state, make_spec("r"))
-    done = AttemptFinished(sent.attempt_id, 200, 1, Usage(), sent.endpoint_id)
-    assert pick(reduce(state, done, 1), Complete)
-    assert reduce(state, done, 2) == []
+    state = start_entry()
+    dispatch = submit(state, make_spec("r"))
+    finished = AttemptFinished(
+        dispatch.attempt_id, 200, 1, Usage(), dispatch.endpoint_id
+    )
+    assert select_effects(reduce(state, finished, 1), Complete)
+    assert reduce(state, finished, 2) == []
     foreign = AttemptFinished("other.1.1", 200, 1, Usage(), "x0")
     assert reduce(state, foreign, 3) == [CloseConnection("x0")]
 
 
-def test_stream_that_cannot_be_resumed_is_given_up_before_its_deadline():
+def test_stream_that_cannot_be_resumed_is_rejected_before_its_deadline():
     """Guards against a broken stream that waits until the request's deadline.
 
     The endpoint does not reconnect in time, or has restarted and lost the stream.
     """
-    state = start()
+    state = start_entry()
     for request_id, event in (("a", TimerFired("resume:a")), ("b", None)):
-        sent = arrive(state, make_spec(request_id, request_id), 10)
-        assert not pick(lose(state, sent, 20, n_bytes=9), (Dispatch, Reject))
+        dispatch = submit(state, make_spec(request_id, request_id), 10)
+        assert not select_effects(
+            lose_endpoint(state, dispatch, 20, n_bytes=9), (Dispatch, Reject)
+        )
         if event is not None:
             effects = reduce(state, event, 3_020)
-            connect(state, sent.endpoint_id, 1, 3_030)
+            connect(state, dispatch.endpoint_id, 1, 3_030)
         else:
-            effects = connect(state, sent.endpoint_id, 2, 30)
-        (final,) = pick(effects, Reject)
+            effects = connect(state, dispatch.endpoint_id, 2, 30)
+        (final,) = select_effects(effects, Reject)
         assert final.rejection.outcome is Outcome.UNKNOWN
         assert final.rejection.reason is Reason.ENDPOINT_LOST
 
 
-def test_table_that_is_down_refuses_keyed_requests_only_and_promptly():
+def test_unavailable_table_rejects_only_keyed_requests_before_their_deadline():
     """Guards against requests that wait for a claim until their deadline."""
-    state = start()
-    assert arrive(state, make_spec("keyed", key="k")) is None
-    (write,) = pick(reduce(state, TimerFired("claims:flush"), 5), WriteClaims)
+    state = start_entry()
+    assert submit(state, make_spec("keyed", key="k")) is None
+    (write,) = select_effects(reduce(state, TimerFired("claims:flush"), 5), WriteClaims)
     reduce(state, ClaimsUnanswered(write.batch_id), 6)
-    assert arrive(state, make_spec("later", key="l"), 7) is None
-    assert not pick(reduce(state, TimerFired("claims:flush"), 12), WriteClaims)
-    assert arrive(state, make_spec("idempotent"), 13) is not None
+    assert submit(state, make_spec("later", key="l"), 7) is None
+    assert not select_effects(
+        reduce(state, TimerFired("claims:flush"), 12), WriteClaims
+    )
+    assert submit(state, make_spec("idempotent"), 13) is not None
     for request_id in ("keyed", "later"):
         (final,) = reduce(state, TimerFired(f"claim:{request_id}"), 1_010)[:1]
         assert final.rejection.reason is Reason.CLAIM_STORE_UNAVAILABLE
         assert final.rejection.outcome is Outcome.NOT_RUN
-    (again,) = pick(reduce(state, TimerFired("claims:flush"), 1_020), WriteClaims)
+    (retried,) = select_effects(
+        reduce(state, TimerFired("claims:flush"), 1_020), WriteClaims
+    )
     # A claim that was never sent needs no further write.
-    assert [w.request_id for w in again.writes] == ["keyed"]
-    assert again.writes[0].state is ClaimState.ABANDONED
+    assert [w.request_id for w in retried.writes] == ["keyed"]
+    assert retried.writes[0].state is ClaimState.ABANDONED
 
 
-def test_no_copy_runs_before_the_end_of_an_isolated_run_is_understood():
+def test_suspect_does_not_run_while_its_fingerprint_is_held():
     """Guards against a third endpoint lost before a crash can be confirmed."""
-    state = start()
+    state = start_entry()
     reduce(state, DigestReceived("peer", 1, (), ("p",)), 0)
-    sent = arrive(state, make_spec("r1", "p"), 1)
-    assert sent.is_isolated
-    reduce(state, AttemptAccepted(sent.attempt_id, sent.endpoint_id), 2)
-    (final,) = pick(lose(state, sent, 3), Reject)
+    dispatch = submit(state, make_spec("r1", "p"), 1)
+    assert dispatch.is_isolated
+    reduce(state, AttemptAccepted(dispatch.attempt_id, dispatch.endpoint_id), 2)
+    (final,) = select_effects(lose_endpoint(state, dispatch, 3), Reject)
     assert final.rejection.reason is Reason.ENDPOINT_LOST
     # Other entries do not hold the fingerprint, so the caller must wait for the hold.
     assert final.rejection.retry_after_ms == HOLD_MS
-    assert arrive(state, make_spec("r2", "p"), 4) is None
-    effects = connect(state, sent.endpoint_id, 2, 5)
-    (final,) = pick(effects, Reject)
+    assert submit(state, make_spec("r2", "p"), 4) is None
+    effects = connect(state, dispatch.endpoint_id, 2, 5)
+    (final,) = select_effects(effects, Reject)
     assert final.request_id == "r2"
     assert final.rejection.reason is Reason.CRASHES_ENDPOINTS
 
 
 def test_hedge_runs_isolated_and_keeps_the_minimum_of_the_budget():
     """Guards against a hedge that loses a third endpoint or uses up the retries."""
-    state = start(hedge_after_ms=10)
-    first = arrive(state, make_spec("r0", "f0"))
-    assert not pick(
+    state = start_entry(hedge_after_ms=10)
+    first = submit(state, make_spec("r0", "f0"))
+    assert not select_effects(
         reduce(state, TimerFired(f"hedge:{first.attempt_id}"), 10), Dispatch
     )
     for i in range(1, 10):
-        sent = arrive(state, make_spec(f"r{i}", f"f{i}"))
-    effects = reduce(state, TimerFired(f"hedge:{sent.attempt_id}"), 10)
-    (hedge,) = pick(effects, Dispatch)
+        dispatch = submit(state, make_spec(f"r{i}", f"f{i}"))
+    effects = reduce(state, TimerFired(f"hedge:{dispatch.attempt_id}"), 10)
+    (hedge,) = select_effects(effects, Dispatch)
     assert hedge.is_isolated
-    assert hedge.endpoint_id != sent.endpoint_id
+    assert hedge.endpoint_id != dispatch.endpoint_id
 
 
-def test_block_expires_though_peers_repeat_it_and_tables_stay_bounded():
+def test_block_expires_although_peers_repeat_it_and_tables_stay_bounded():
     """Guards against a block that entries renew through each other's digests."""
     table = PoisonTable(n_max=2)
     for now_ms in range(0, 600_000, 100_000):
@@ -183,7 +191,7 @@
     assert len(table._holds) == 2
 
 
-def test_restart_convicts_only_right_after_the_loss():
+def test_restart_confirms_a_crash_only_right_after_the_loss():
     """Guards against a fingerprint blocked for a later, unrelated restart."""
     table = PoisonTable()
     table.hold("f", "x", 1, True, 0)
@@ -193,13 +201,13 @@
     assert table.resolve_holds("x", 2, 40) == ["f"]
 
 
-def test_requests_of_a_pool_without_endpoints_are_refused_after_the_grace_period():
+def test_requests_of_a_pool_without_endpoints_are_rejected_after_the_grace_period():
     """Guards against requests that wait until their deadline for no endpoint."""
-    state = start(n_endpoints=1)
+    state = start_entry(n_endpoints=1)
     for i in range(5):
-        arrive(state, make_spec(f"r{i}", f"f{i}"))
+        submit(state, make_spec(f"r{i}", f"f{i}"))
     reduce(state, EndpointDraining("x0"), 10)
-    (final,) = pick(reduce(state, TimerFired("wake"), 1_010), Reject)
+    (final,) = select_effects(reduce(state, TimerFired("wake"), 1_010), Reject)
     assert final.rejection.reason is Reason.NO_ENDPOINT
     (final,) = reduce(state, RequestArrived(make_spec("late")), 1_011)
     assert final.rejection.reason is Reason.NO_ENDPOINT
@@ -207,15 +215,15 @@
 
 def test_every_table_is_bounded():
     """Guards against memory that grows with the traffic or during a store outage."""
-    state = start(n_endpoints=2, n_max_requests=3, n_max_endpoints=2)
+    state = start_entry(n_endpoints=2, n_max_requests=3, n_max_endpoints=2)
     assert connect(state, "x2") == [CloseConnection("x2")]
     for i in range(9_000):
-        sent = arrive(state, make_spec(f"r{i}", f"f{i}"))
-        reduce(state, AttemptFinished(sent.attempt_id, 200, 1, Usage()), 1)
+        dispatch = submit(state, make_spec(f"r{i}", f"f{i}"))
+        reduce(state, AttemptFinished(dispatch.attempt_id, 200, 1, Usage()), 1)
     assert len(state.ended_attempts) <= 4_096
     assert not state.request_by_id and not state.poison._n_running
     for i in range(4):
-        arrive(state, make_spec(f"held{i}", f"f{i}"))
+        submit(state, make_spec(f"held{i}", f"f{i}"))
     assert len(state.request_by_id) == 3
     claims = ClaimTable("e")
     for i in range(20_050):
@@ -225,7 +233,7 @@
     assert len(claims._outcomes) == 20_000
 
 
-def test_budget_spends_its_minimum_and_a_tenth_of_fresh_requests():
+def test_budget_spends_its_minimum_and_a_tenth_of_the_requests():
     """Guards against retry storms: the budget is a minimum plus a share of requests."""
     budget = RetryBudget(n_min=2, percent=10)
     n_spent = sum(budget.try_spend() for _ in range(5))
