Reword remaining names and comments of core/reducer and core/requests

Names the handlers of received announcements after them, and uses harmless for requests that crash nothing. Names and comments only; behaviour does not change.

--- a/packages/core/src/bluebellusher_core/reducer/_reduce.py
+++ b/packages/core/src/bluebellusher_core/reducer/_reduce.py
@@ -44,6 +44,7 @@
 )
 from bluebellusher_core.state import EntryState
 
+# Prefix of the ids of timers that resend a batch of claims; the batch id follows.
 CLAIM_RETRY_PREFIX = "claims:retry:"
 
 
@@ -118,9 +119,9 @@
         case EndpointAnnounced():
             return _announced.handle_announced(state, event, now_ms)
         case LeavingReceived():
-            return _announced.handle_received(state, event, now_ms)
+            return _announced.handle_leaving_received(state, event, now_ms)
         case CrashesReceived():
-            return _crash_evidence.handle_received(state, event, now_ms)
+            return _crash_evidence.handle_crashes_received(state, event, now_ms)
         case DigestReceived():
             return _isolation.handle_digest(state, event, now_ms)
         case PolicyChanged():
--- a/packages/core/src/bluebellusher_core/reducer/tests/_crash_simulation.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/_crash_simulation.py
@@ -36,9 +36,11 @@
 from bluebellusher_core.reducer import EntryConfig, EntryState, reduce
 from bluebellusher_core.reducer.tests._specs import make_spec
 
+# Number of confirmed crashes that block a fingerprint.
 N_TO_BLOCK = 3
 # Time that an entry in contact with the store needs to receive the third crash, in ms.
 MIN_CONTACT_MS = 3_000
+# Interval of the crash records that entries send to each other, in ms.
 DIGEST_INTERVAL_MS = 500
 # A registration expires after three missed heartbeats, in ms.
 EXPIRE_AFTER_MS = 3_600
@@ -165,7 +167,7 @@
         entry = Entry(entry_id, domain, state, Registrations(), self.now_ms)
         self.entry_by_id[entry_id] = entry
         member_ids = frozenset(f"e{i}" for i in range(self.n_entries))
-        self.handle(entry, MembersListed(member_ids))
+        self.handle_event(entry, MembersListed(member_ids))
         self._read_registrations(entry)
         self._read_crashes(entry)
         for other in self._reachable_peers(entry):
@@ -189,7 +191,7 @@
         for entry_id in list(self.entry_by_id):
             self.restart_entry(entry_id, down_ms)
 
-    def handle(self, entry, event):
+    def handle_event(self, entry, event):
         """Apply an event and execute the effects, unless the entry has ended."""
         if entry.is_alive:
             for effect in reduce(entry.state, event, self.now_ms):
@@ -197,7 +199,7 @@
 
     def deliver_crashes(self, entry, other, records):
         """Deliver crash records of one entry to another one."""
-        self.handle(other, CrashesReceived(entry.entry_id, records))
+        self.handle_event(other, CrashesReceived(entry.entry_id, records))
 
     def _broadcast_crashes(self, entry, records):
         """Deliver crash records of an entry to its reachable peers."""
@@ -230,7 +232,7 @@
         """Deliver the crash records of the store to an entry that can reach it."""
         if entry.is_alive and self.can_reach_store(entry):
             records = self.crash_table.records(self.now_ms)
-            self.handle(entry, CrashesReceived("store", records))
+            self.handle_event(entry, CrashesReceived("store", records))
 
     def _reachable_peers(self, entry):
         """Return the running entries that an entry can reach."""
@@ -356,7 +358,7 @@
         for row in self.row_by_endpoint_id.values():
             entry.address_by_endpoint_id[row.endpoint_id] = row.port - 1
         for event in entry.registrations.update(changes, self.now_ms):
-            self.handle(entry, self._add_age(event))
+            self.handle_event(entry, self._add_age(event))
 
     def _add_age(self, event):
         """Return the event with the time since the endpoint's start, in ms."""
@@ -396,7 +398,7 @@
             is_idempotent=is_idempotent,
             n_max_attempts=2 if is_idempotent else 1,
         )
-        self.handle(self.entry_by_id[entry_id], RequestArrived(spec))
+        self.handle_event(self.entry_by_id[entry_id], RequestArrived(spec))
         return spec.request_id
 
     def is_rejected(self, entry_id, fingerprint=POISON):
@@ -426,7 +428,7 @@
             case SetTimer():
                 delay_ms = max(0, effect.due_ms - self.now_ms)
                 self.call_later(
-                    delay_ms, self.handle, entry, TimerFired(effect.timer_id)
+                    delay_ms, self.handle_event, entry, TimerFired(effect.timer_id)
                 )
 
     def _check_address(self, entry, endpoint_id):
@@ -434,10 +436,10 @@
         host = self.hosts[entry.address_by_endpoint_id[endpoint_id]]
         if self.is_cut(entry.domain, host.domain):
             event = EndpointChecked(endpoint_id, None)
-            self.call_later(CONNECT_TIMEOUT_MS, self.handle, entry, event)
+            self.call_later(CONNECT_TIMEOUT_MS, self.handle_event, entry, event)
         else:
             is_listening = host.registration is not None
-            self.handle(entry, EndpointChecked(endpoint_id, is_listening))
+            self.handle_event(entry, EndpointChecked(endpoint_id, is_listening))
 
     def _deliver_dispatch(self, entry, effect):
         """Deliver an attempt to its address, where it runs or is refused."""
@@ -448,14 +450,14 @@
         attempt_id, endpoint_id = effect.attempt_id, effect.endpoint_id
         if self.is_cut(entry.domain, host.domain):
             event = AttemptRefused(attempt_id, Reason.CONNECT_FAILED, 0, endpoint_id)
-            self.call_later(CONNECT_TIMEOUT_MS, self.handle, entry, event)
+            self.call_later(CONNECT_TIMEOUT_MS, self.handle_event, entry, event)
         elif host.registration is None:
             event = AttemptRefused(attempt_id, Reason.CONNECT_REFUSED, 0, endpoint_id)
-            self.handle(entry, event)
+            self.handle_event(entry, event)
         elif host.registration.endpoint_id != endpoint_id:
             reason = Reason.ENDPOINT_DRAINING
             event = AttemptRefused(attempt_id, reason, 0, endpoint_id, True)
-            self.handle(entry, event)
+            self.handle_event(entry, event)
         else:
             fingerprint = request.spec.fingerprint
             run = Run(entry, attempt_id, fingerprint, endpoint_id)
@@ -495,9 +497,9 @@
             return
         host.runs.remove(run)
         self.completed_fingerprints.append(run.fingerprint)
-        self.handle(run.entry, AttemptStarted(run.attempt_id, run.endpoint_id))
+        self.handle_event(run.entry, AttemptStarted(run.attempt_id, run.endpoint_id))
         event = AttemptFinished(run.attempt_id, 200, 1, Usage(), run.endpoint_id)
-        self.handle(run.entry, event)
+        self.handle_event(run.entry, event)
 
     def _break_run(self, host, run):
         """Break a run if it still runs at a host."""
@@ -510,4 +512,4 @@
         event = AttemptBroken(
             run.attempt_id, Reason.CONNECTION_LOST, 0, False, run.endpoint_id
         )
-        self.handle(run.entry, event)
+        self.handle_event(run.entry, event)
--- a/packages/core/src/bluebellusher_core/reducer/tests/_entry_simulation.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/_entry_simulation.py
@@ -288,9 +288,9 @@
                 # The attempt ended with its engine; its report has not arrived yet.
                 continue
             other = entry.spec_by_id[request_id]
-            is_copy = other.fingerprint == spec.fingerprint
+            is_same_fingerprint = other.fingerprint == spec.fingerprint
             is_hedge = request_id == effect.request_id
-            assert not is_copy or is_hedge, (
+            assert not is_same_fingerprint or is_hedge, (
                 "two requests of one suspect fingerprint run"
             )
             assert attempt_id != effect.attempt_id
--- a/packages/core/src/bluebellusher_core/reducer/tests/_pause_simulation.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/_pause_simulation.py
@@ -226,9 +226,9 @@
             start_by_ms=caller.first_sent_at_ms + DEADLINE_MS - SERVICE_MS,
             is_returning=caller.n_rejections > 0,
         )
-        self._handle(state, RequestArrived(spec))
+        self._handle_event(state, RequestArrived(spec))
 
-    def _handle(self, state, event):
+    def _handle_event(self, state, event):
         """Apply an event to an entry and execute the effects."""
         for effect in reduce(state, event, self.now_ms):
             match effect:
@@ -239,7 +239,10 @@
                 case SetTimer():
                     event = TimerFired(effect.timer_id)
                     self._call_at(
-                        max(self.now_ms, effect.due_ms), self._handle, state, event
+                        max(self.now_ms, effect.due_ms),
+                        self._handle_event,
+                        state,
+                        event,
                     )
                 case CancelAttempt():
                     endpoint = self.endpoints[effect.endpoint_id]
@@ -252,7 +255,10 @@
                     for other in self.entries:
                         received = LeavingReceived("peer", effect.marks)
                         self._call_at(
-                            self.now_ms + LATENCY_MS, self._handle, other, received
+                            self.now_ms + LATENCY_MS,
+                            self._handle_event,
+                            other,
+                            received,
                         )
 
     def _deliver_dispatch(self, state, dispatch):
@@ -263,7 +269,7 @@
             return
         if endpoint.has_ended(self.now_ms):
             refused = AttemptRefused(attempt_id, Reason.CONNECT_REFUSED, 0, endpoint_id)
-            self._handle(state, refused)
+            self._handle_event(state, refused)
             return
         self._count_ignored_announcement(state, endpoint)
         remaining_ms = endpoint.pause_remaining_ms(self.now_ms)
@@ -273,7 +279,7 @@
             refused = AttemptRefused(
                 attempt_id, Reason.ENDPOINT_FULL, 0, endpoint_id, True
             )
-            self._handle(state, refused)
+            self._handle_event(state, refused)
             return
         endpoint.state_by_attempt[attempt_id] = state
         wait_ms = (
@@ -319,7 +325,7 @@
         self._announced[key] = (announced_at_ms, until_ms, leaving_since_ms)
         if self.honours_announcements:
             event = EndpointAnnounced(endpoint.endpoint_id, 1, is_leaving, pause_ms)
-            self._handle(state, event)
+            self._handle_event(state, event)
 
     def _send_first_output(self, endpoint, dispatch):
         """Send the first output of a run."""
@@ -327,7 +333,9 @@
         if state is None:
             return
         self._announce(state, endpoint, 0)
-        self._handle(state, AttemptStarted(dispatch.attempt_id, dispatch.endpoint_id))
+        self._handle_event(
+            state, AttemptStarted(dispatch.attempt_id, dispatch.endpoint_id)
+        )
         caller = self._caller_by_request[dispatch.request_id]
         is_on_time = self.now_ms <= caller.first_sent_at_ms + OBJECTIVE_MS
         remaining_service_ms = SERVICE_MS - FIRST_OUTPUT_MS
@@ -346,7 +354,7 @@
             return
         self._caller_by_request[dispatch.request_id].is_on_time = is_on_time
         ids = dispatch.attempt_id, dispatch.endpoint_id
-        self._handle(state, AttemptFinished(ids[0], 200, 1, Usage(), ids[1]))
+        self._handle_event(state, AttemptFinished(ids[0], 200, 1, Usage(), ids[1]))
 
     def _end_endpoint(self, endpoint):
         """End an endpoint; the connections of its runs are lost."""
@@ -355,7 +363,7 @@
             event = AttemptBroken(
                 attempt_id, Reason.CONNECTION_LOST, 1, False, endpoint.endpoint_id
             )
-            self._handle(state, event)
+            self._handle_event(state, event)
 
     def _record_completion(self, request_id):
         """Count a caller with a complete answer."""
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_announcements.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_announcements.py
@@ -74,7 +74,7 @@
         self.handle(AttemptStarted(*ids))
         self.handle(AttemptFinished(ids[0], 200, 1, Usage(), ids[1]))
 
-    def wake(self, after_ms):
+    def advance(self, after_ms):
         """Advance the time and fire the wake timer; return the effects."""
         self.now_ms += after_ms
         return self.handle(TimerFired("wake"))
@@ -136,8 +136,8 @@
     for _ in range(N_SLOTS):
         assert dispatched_endpoints(entry.send()) == ["x1"]
     assert not dispatched_endpoints(entry.send())
-    assert not dispatched_endpoints(entry.wake(1_499))
-    assert dispatched_endpoints(entry.wake(1)) == ["x0"]
+    assert not dispatched_endpoints(entry.advance(1_499))
+    assert dispatched_endpoints(entry.advance(1)) == ["x0"]
 
 
 def test_pause_is_limited_to_the_maximum():
@@ -185,7 +185,7 @@
     entry.announce("x0", pause_ms=500)
     for _ in range(3 * N_SLOTS):
         entry.send()
-    n_sent = [len(dispatched_endpoints(entry.wake(500)))]
+    n_sent = [len(dispatched_endpoints(entry.advance(500)))]
     while len(n_sent) < 3:
         n_before = len(entry.dispatches)
         running = entry.dispatches[-1]
@@ -202,7 +202,7 @@
     entry.announce("x0", pause_ms=500)
     for _ in range(4 * N_SLOTS):
         entry.send()
-    entry.wake(500)
+    entry.advance(500)
     for _ in range(3):
         last = entry.dispatches[-1]
         ids = last.attempt_id, last.endpoint_id
@@ -285,7 +285,7 @@
             case "finish" if running:
                 entry.finish(running[-1])
             case "wait":
-                entry.wake(value)
+                entry.advance(value)
         for dispatch in entry.dispatches[n_before:]:
             target_id = dispatch.endpoint_id
             endpoint_start = (target_id, incarnation_by_id[target_id])
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_crash_counting.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_crash_counting.py
@@ -23,6 +23,7 @@
 from bluebellusher_core.reducer import EntryConfig, EntryState, reduce
 from bluebellusher_core.reducer.tests._specs import make_spec
 
+# Number of confirmed crashes that block a fingerprint.
 N_TO_BLOCK = 3
 
 
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_crash_sharing.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_crash_sharing.py
@@ -1,4 +1,8 @@
-"""Sharing of crash records while entries restart, join or are cut off."""
+"""Sharing of crash records while entries restart, join or are cut off.
+
+The request with the fingerprint ``poison`` crashes its endpoint; the one with the
+fingerprint ``sound`` is harmless.
+"""
 
 import pytest
 
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_machine_poison.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_machine_poison.py
@@ -1,4 +1,4 @@
-"""State machine: two poison requests among innocent requests at two entries."""
+"""State machine: two poison requests among harmless requests at two entries."""
 
 from random import Random
 
@@ -17,7 +17,7 @@
 ENDPOINTS = st.sampled_from(ENDPOINT_IDS)
 POISON = st.sampled_from(POISON_FINGERPRINTS)
 WEIGHT_BY_ACTION = {
-    "send_innocent": 3,
+    "send_harmless": 3,
     "send_poison": 2,
     "deliver_to_endpoint": 12,
     "deliver_to_entry": 6,
@@ -32,7 +32,7 @@
 
 
 class PoisonMachine(RuleBasedStateMachine):
-    """Guards against a third lost endpoint and against rejected innocent requests.
+    """Guards against a third lost endpoint and against rejected harmless requests.
 
     The caller of a poison request retries it, at any entry, after its final answer and
     the ``retry_after_ms``. Messages in flight and digests are delivered before the
@@ -47,7 +47,7 @@
             2, 6, set(POISON_FINGERPRINTS), hedge_after_ms=hedge_after_ms
         )
         self.request_by_poison = {}
-        self.innocent_ids = []
+        self.harmless_ids = []
         self.lost_at_ms_by_endpoint = {}
 
     @rule(seed=st.integers(0, 2**32), n=st.integers(20, 120))
@@ -60,8 +60,8 @@
             entry_id = random.choice(ENTRY_IDS)
             endpoint_id = random.choice(ENDPOINT_IDS)
             match action:
-                case "send_innocent":
-                    self.send_innocent_requests(entry_id, 1, random.randrange(6))
+                case "send_harmless":
+                    self.send_harmless_requests(entry_id, 1, random.randrange(6))
                 case "send_poison":
                     self.send_poison_request(
                         entry_id, random.choice(POISON_FINGERPRINTS)
@@ -79,13 +79,13 @@
             self.assert_invariants()
 
     @rule(entry_id=ENTRIES, n=st.integers(1, 5), first_number=st.integers(0, 5))
-    def send_innocent_requests(self, entry_id, n, first_number):
-        """Send ``n`` innocent requests with at most three different fingerprints."""
+    def send_harmless_requests(self, entry_id, n, first_number):
+        """Send ``n`` harmless requests with at most three different fingerprints."""
         for i in range(n):
             spec = self.simulation.make_spec(
                 f"i{first_number + i % 3}.", True, None, LIFETIME_MS
             )
-            self.innocent_ids.append(spec.request_id)
+            self.harmless_ids.append(spec.request_id)
             self.simulation.submit(entry_id, spec)
 
     @rule(entry_id=ENTRIES, fingerprint=POISON)
@@ -172,38 +172,38 @@
 
     @invariant()
     def assert_invariants(self):
-        """Check the bound on lost endpoints and that no innocent request is blocked."""
+        """Check the bound on lost endpoints and that no harmless request is blocked."""
         if not hasattr(self, "simulation"):
             return
         self.simulation.check_invariants()
         assert all(n <= 2 for n in self.simulation.n_lost_by_fingerprint.values()), (
             "third endpoint lost"
         )
-        for request_id in self.innocent_ids:
+        for request_id in self.harmless_ids:
             for final in self.simulation.finals_by_request[request_id]:
                 is_blocked = (
                     isinstance(final, Reject)
                     and final.rejection.reason is Reason.CRASHES_ENDPOINTS
                 )
-                assert not is_blocked, "innocent request blocked"
+                assert not is_blocked, "harmless request blocked"
 
     def teardown(self):
-        """Run until idle; innocent requests complete unless their stream broke."""
+        """Run until idle; harmless requests complete unless their stream broke."""
         if not hasattr(self, "simulation"):
             return
         self.simulation.run_until_idle()
         self.assert_invariants()
         self.simulation.check_idle()
-        for request_id in self.innocent_ids:
+        for request_id in self.harmless_ids:
             final = self.simulation.finals_by_request[request_id][0]
             is_complete = isinstance(final, Complete)
             assert is_complete or request_id in self.simulation.relayed_request_ids, (
-                "innocent request rejected"
+                "harmless request rejected"
             )
 
 
-def test_innocent_suspect_does_not_share_an_endpoint_with_poison():
-    """Guards against an innocent suspect that runs beside a poison request."""
+def test_harmless_suspect_does_not_share_an_endpoint_with_poison():
+    """Guards against a harmless suspect that runs beside a poison request."""
     machine = PoisonMachine()
     machine.start(hedge_after_ms=0)
     machine.send_poison_request("e1", "q.")
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_reduce.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_reduce.py
@@ -202,7 +202,7 @@
 
 
 def test_requests_of_a_pool_without_endpoints_are_rejected_after_the_grace_period():
-    """Guards against requests that wait until their deadline for no endpoint."""
+    """Guards against requests that wait until their deadline without any endpoint."""
     state = start_entry(n_endpoints=1)
     for i in range(5):
         submit(state, make_spec(f"r{i}", f"f{i}"))
--- a/packages/core/src/bluebellusher_core/requests/_claiming.py
+++ b/packages/core/src/bluebellusher_core/requests/_claiming.py
@@ -7,6 +7,7 @@
 from bluebellusher_core.requests._model import Phase, Request
 from bluebellusher_core.state import EntryState
 
+# Step and peer of the rejections because of a claim.
 STEP = "claim"
 PEER = "table"
 
--- a/packages/core/src/bluebellusher_core/requests/_crash_evidence.py
+++ b/packages/core/src/bluebellusher_core/requests/_crash_evidence.py
@@ -95,7 +95,10 @@
 def _dismiss_crashes(
     state: EntryState, endpoint_id: str, asked_at_ms: int, evidence: str, now_ms: int
 ) -> list[Effect]:
-    """Dismiss and log the suspected crashes of an endpoint up to ``asked_at_ms``."""
+    """Dismiss and log the crashes of an endpoint suspected up to ``asked_at_ms``.
+
+    That is the time at which the attempt or check that the endpoint answered was sent.
+    """
     effects: list[Effect] = []
     for fingerprint in state.crashes.record_answer(endpoint_id, asked_at_ms, now_ms):
         fields = (
@@ -146,7 +149,7 @@
     return effects
 
 
-def handle_received(
+def handle_crashes_received(
     state: EntryState, event: CrashesReceived, now_ms: int
 ) -> list[Effect]:
     """Merge crash records from a peer or the store.
@@ -177,7 +180,7 @@
 def may_start_trial(state: EntryState, fingerprint: str, now_ms: int) -> bool:
     """Return whether this entry may start the trial run of a blocked fingerprint.
 
-    A harmless request may have been running in about three crashes by chance, where
+    A harmless request may have been running during three crashes by chance, where
     endpoints fail one after the other for another reason. One trial run decides. It
     starts only while the number of crashes is exactly the number to block, and only
     ``TRIAL_AFTER_MS`` after the block. Rendezvous hashing selects the single entry that
--- a/packages/core/src/bluebellusher_core/requests/_final.py
+++ b/packages/core/src/bluebellusher_core/requests/_final.py
@@ -163,7 +163,7 @@
     is_lost: bool,
     now_ms: int,
 ) -> None:
-    """Hold a fingerprint, so that no run of it starts before a crash can be confirmed.
+    """Hold a fingerprint: no run of it starts while a crash can still be confirmed.
 
     ``is_lost`` states whether the connection was lost during the isolated run.
     """
