--- a/packages/core/src/bluebellusher_core/reducer/_reduce.py
+++ b/packages/core/src/bluebellusher_core/reducer/_reduce.py
@@ -119,9 +119,9 @@
         case EndpointAnnounced():
             return _announced.handle_announced(state, event, now_ms)
         case LeavingReceived():
-            return _announced.handle_leaving_received(state, event, now_ms)
+            return _announced.handle_received(state, event, now_ms)
         case CrashesReceived():
-            return _crash_evidence.handle_crashes_received(state, event, now_ms)
+            return _crash_evidence.handle_received(state, event, now_ms)
         case DigestReceived():
             return _isolation.handle_digest(state, event, now_ms)
         case PolicyChanged():
--- a/packages/core/src/bluebellusher_core/requests/_announced.py
+++ b/packages/core/src/bluebellusher_core/requests/_announced.py
@@ -47,7 +47,7 @@
     return effects
 
 
-def handle_leaving_received(
+def handle_received(
     state: EntryState, event: LeavingReceived, now_ms: int
 ) -> list[Effect]:
     """Record the leaving endpoints that a peer announced."""
--- a/packages/core/src/bluebellusher_core/requests/_crash_evidence.py
+++ b/packages/core/src/bluebellusher_core/requests/_crash_evidence.py
@@ -149,7 +149,7 @@
     return effects
 
 
-def handle_crashes_received(
+def handle_received(
     state: EntryState, event: CrashesReceived, now_ms: int
 ) -> list[Effect]:
     """Merge crash records from a peer or the store.
