--- a/packages/core/src/bluebellusher_core/reducer/_reduce.py
+++ b/packages/core/src/bluebellusher_core/reducer/_reduce.py
@@ -51,8 +51,7 @@
 def reduce(state: EntryState, event: Event, now_ms: int) -> list[Effect]:
     """Apply one event to the state and return the effects to execute, in order.
 
-    Waiting requests are placed after every event, because most events change the free
-    capacity or the queues.
+    After each event, waiting requests are dispatched to endpoints with free capacity.
 
     Parameters
     ----------
