Merge the wording of core/reducer and its simulations

Comments, messages and names of core/reducer and its simulations; renames replayed over the other packages. Behaviour does not change (compare of definitions).

--- a/packages/core/src/bluebellusher_core/reducer/tests/test_crash_counting.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_crash_counting.py
@@ -1,4 +1,4 @@
-"""Requests that crash endpoints which no agent watches."""
+"""Counting of the crashes that a request causes at endpoints without agents."""
 
 import itertools
 
@@ -23,13 +23,15 @@
 from bluebellusher_core.reducer import EntryConfig, EntryState, reduce
 from bluebellusher_core.reducer.tests._specs import make_spec
 
+# Number of confirmed crashes that block a fingerprint.
 N_TO_BLOCK = 3
 
 
 class Entry:
-    """One entry; time goes on with each step.
+    """One entry in virtual time, which advances by 10 ms with each event.
 
-    Its endpoints have names of their own, because one start crashes once only.
+    The endpoint ids contain the entry id, because one start of an endpoint counts as
+    one crash only, whichever entry observed it.
     """
 
     def __init__(self, entry_id="e1", n_endpoints=8):
@@ -41,18 +43,18 @@
             self.register(f"{entry_id}-x{i}")
 
     def register(self, endpoint_id, incarnation=1):
-        """Register an endpoint, or a new start of one."""
+        """Register an endpoint or a restart of it."""
         names = frozenset({"s"}), frozenset(), frozenset()
         info = EndpointInfo(endpoint_id, "d", *names, 4, incarnation)
         return self.handle(EndpointRegistered(info))
 
     def handle(self, event):
-        """Reduce an event 10 ms later than the last one."""
+        """Apply an event 10 ms after the last one; return the effects."""
         self.now_ms += 10
         return reduce(self.state, event, self.now_ms)
 
     def send(self, fingerprint="poison"):
-        """Hand in a booking; return its dispatch or its refusal."""
+        """Send a non-idempotent request; return its dispatch or its rejection."""
         self.n_requests += 1
         spec = make_spec(
             f"r{self.n_requests}",
@@ -62,11 +64,11 @@
             n_max_attempts=1,
         )
         effects = self.handle(RequestArrived(spec))
-        own = [e for e in effects if isinstance(e, Dispatch | Reject)]
-        return next(e for e in own if e.request_id == spec.request_id)
+        decisions = [e for e in effects if isinstance(e, Dispatch | Reject)]
+        return next(e for e in decisions if e.request_id == spec.request_id)
 
     def break_run(self, dispatch):
-        """Cut the connection of an attempt."""
+        """Break the connection of an attempt; return the effects."""
         return self.handle(
             AttemptBroken(
                 dispatch.attempt_id,
@@ -78,79 +80,79 @@
         )
 
     def crash(self, dispatch):
-        """Cut the attempt because its endpoint died; nothing listens there then."""
+        """Crash the endpoint of an attempt; its address check finds the port closed."""
         effects = self.break_run(dispatch)
         assert CheckEndpoint(dispatch.endpoint_id) in effects
         effects += self.handle(EndpointChecked(dispatch.endpoint_id, False))
         return effects + self.handle(EndpointLost(dispatch.endpoint_id))
 
 
-def exchange(entry, other):
-    """Tell ``other`` what ``entry`` knows."""
+def send_records(entry, other):
+    """Deliver the crash records of ``entry`` to ``other``; return the effects."""
     records = entry.state.crashes.records(entry.now_ms)
     return other.handle(CrashesReceived(entry.state.config.entry_id, records))
 
 
-def test_request_that_crashed_three_endpoints_is_refused():
-    """Guards against one request that takes down endpoint after endpoint."""
+def test_request_that_crashed_three_endpoints_is_rejected():
+    """Guards against one request that crashes endpoint after endpoint."""
     entry = Entry()
     for _ in range(N_TO_BLOCK):
         entry.crash(entry.send())
-    refused = entry.send()
-    assert refused.rejection.reason is Reason.CRASHES_ENDPOINTS
-    assert refused.rejection.outcome is Outcome.NOT_RUN
+    rejected = entry.send()
+    assert rejected.rejection.reason is Reason.CRASHES_ENDPOINTS
+    assert rejected.rejection.outcome is Outcome.NOT_RUN
     assert isinstance(entry.send("another"), Dispatch)
 
 
-def test_blocked_request_is_told_when_the_block_ends():
-    """Guards against callers that repeat at once what is refused for minutes."""
+def test_rejection_states_the_remaining_time_of_the_block():
+    """Guards against callers that retry at once while a block lasts for minutes."""
     entry = Entry()
     for _ in range(N_TO_BLOCK):
         entry.crash(entry.send())
     first = entry.send().rejection.retry_after_ms
     entry.now_ms += first // 2
-    left_ms = entry.send().rejection.retry_after_ms
-    assert left_ms == first - first // 2 - 10
-    entry.now_ms += left_ms
+    remaining_ms = entry.send().rejection.retry_after_ms
+    assert remaining_ms == first - first // 2 - 10
+    entry.now_ms += remaining_ms
     assert isinstance(entry.send(), Dispatch)
 
 
-def test_copy_in_flight_is_answered_when_its_fingerprint_is_blocked():
-    """Guards against callers that wait for a run which is not wanted any more."""
+def test_request_in_flight_is_rejected_when_its_fingerprint_is_blocked():
+    """Guards against callers that wait for a run of a fingerprint blocked since."""
     entry = Entry()
     for _ in range(N_TO_BLOCK - 1):
         entry.crash(entry.send())
-    third, copy = entry.send(), entry.send()
+    third, dispatch = entry.send(), entry.send()
     effects = entry.crash(third)
     finals = {e.request_id: e.rejection for e in effects if isinstance(e, Reject)}
-    assert finals[copy.request_id].reason is Reason.CRASHES_ENDPOINTS
-    assert finals[copy.request_id].outcome is Outcome.UNKNOWN
+    assert finals[dispatch.request_id].reason is Reason.CRASHES_ENDPOINTS
+    assert finals[dispatch.request_id].outcome is Outcome.UNKNOWN
 
 
-def test_crashes_that_several_entries_saw_add_up():
-    """Guards against repeats that reach another entry each time."""
+def test_crashes_observed_by_several_entries_add_up():
+    """Guards against retries that reach another entry each time and are not counted."""
     entries = [Entry(f"e{i}") for i in range(3)]
     for entry in entries:
         entry.crash(entry.send())
     for entry in entries[1:]:
-        exchange(entry, entries[0])
+        send_records(entry, entries[0])
     assert entries[0].send().rejection.reason is Reason.CRASHES_ENDPOINTS
-    exchange(entries[0], entries[1])
+    send_records(entries[0], entries[1])
     assert entries[1].send().rejection.reason is Reason.CRASHES_ENDPOINTS
 
 
-def test_two_crashes_here_and_one_elsewhere_block():
-    """Guards against a split of the crashes that no entry counts as three."""
+def test_two_own_crashes_and_one_of_a_peer_block():
+    """Guards against three crashes at two entries that neither counts as three."""
     first, second = Entry("e1"), Entry("e2")
     for _ in range(2):
         first.crash(first.send())
     second.crash(second.send())
-    exchange(second, first)
+    send_records(second, first)
     assert first.send().rejection.reason is Reason.CRASHES_ENDPOINTS
 
 
-def test_broken_runs_at_endpoints_that_answer_on_do_not_count():
-    """Guards against blocked callers where endpoints reset connections."""
+def test_broken_runs_at_endpoints_that_still_answer_do_not_count():
+    """Guards against callers blocked because endpoints reset connections."""
     entry = Entry(n_endpoints=1)
     for i in range(2 * N_TO_BLOCK):
         broken = entry.send()
@@ -162,8 +164,8 @@
     assert isinstance(entry.send(), Dispatch)
 
 
-def test_whole_run_takes_the_counts_back():
-    """Guards against a common request blocked for crashes over a long time."""
+def test_complete_run_clears_the_crashes():
+    """Guards against a frequent harmless request blocked by unrelated crashes."""
     entry, peer = Entry("e1"), Entry("e2")
     for _ in range(N_TO_BLOCK - 1):
         entry.crash(entry.send())
@@ -172,31 +174,31 @@
     entry.handle(
         AttemptFinished(done.attempt_id, 200, 1, Usage(), done.endpoint_id),
     )
-    exchange(peer, entry)
+    send_records(peer, entry)
     entry.crash(entry.send())
     assert isinstance(entry.send(), Dispatch)
 
 
-def test_copies_cut_by_one_fault_count_once():
+def test_simultaneous_runs_broken_by_one_fault_do_not_block():
     """Guards against a popular request blocked because a failure domain was cut."""
     entry = Entry()
-    copies = [entry.send() for _ in range(N_TO_BLOCK)]
-    for copy in copies:
-        entry.break_run(copy)
-    for copy in copies:
-        entry.handle(EndpointChecked(copy.endpoint_id, None))
-        entry.handle(EndpointLost(copy.endpoint_id))
+    dispatches = [entry.send() for _ in range(N_TO_BLOCK)]
+    for dispatch in dispatches:
+        entry.break_run(dispatch)
+    for dispatch in dispatches:
+        entry.handle(EndpointChecked(dispatch.endpoint_id, None))
+        entry.handle(EndpointLost(dispatch.endpoint_id))
     assert isinstance(entry.send(), Dispatch)
-    for copy in copies:
-        entry.register(copy.endpoint_id)
-    for copy in copies:
-        entry.handle(EndpointLost(copy.endpoint_id))
-        entry.register(copy.endpoint_id, 2)
+    for dispatch in dispatches:
+        entry.register(dispatch.endpoint_id)
+    for dispatch in dispatches:
+        entry.handle(EndpointLost(dispatch.endpoint_id))
+        entry.register(dispatch.endpoint_id, 2)
     assert isinstance(entry.send(), Dispatch)
 
 
-def test_refused_connection_shows_the_crash_before_the_registration_lapses():
-    """Guards against crashes that count only after the next ones have happened."""
+def test_refused_connection_confirms_a_crash_before_the_registration_expires():
+    """Guards against crashes that count only when the registration has expired."""
     entry = Entry(n_endpoints=1)
     for _ in range(N_TO_BLOCK):
         entry.break_run(entry.send())
@@ -211,14 +213,14 @@
 
 
 def test_suspects_of_peers_do_not_run_isolated():
-    """Guards against endpoints reserved for single requests after a large crash."""
+    """Guards against endpoints reserved for isolated runs after many crashes."""
     entry = Entry()
     entry.handle(DigestReceived("peer", 1, (), ("poison",)))
     assert not entry.send().is_isolated
 
 
-def test_timeout_of_a_connection_is_no_crash():
-    """Guards against callers refused because links to endpoints were cut."""
+def test_connection_timeout_confirms_no_crash():
+    """Guards against callers rejected because connections to endpoints were cut."""
     entry = Entry(n_endpoints=1)
     for _ in range(N_TO_BLOCK):
         broken = entry.send()
@@ -234,8 +236,8 @@
     assert isinstance(entry.send(), Dispatch)
 
 
-def test_endpoint_that_listens_on_did_not_crash():
-    """Guards against callers refused because an endpoint resets connections."""
+def test_listening_port_dismisses_a_crash():
+    """Guards against callers rejected because an endpoint resets connections."""
     entry = Entry(n_endpoints=1)
     for incarnation in range(2, 3 * N_TO_BLOCK):
         broken = entry.send()
@@ -246,8 +248,8 @@
     assert isinstance(entry.send(), Dispatch)
 
 
-def test_run_that_breaks_during_a_check_is_checked_too():
-    """Guards against a crash that an earlier check of its endpoint hides."""
+def test_run_broken_during_an_address_check_gets_a_second_check():
+    """Guards against a crash dismissed by a check that began before it."""
     entry = Entry(n_endpoints=1)
     first, second = entry.send("sound"), entry.send()
     entry.break_run(first)
@@ -259,12 +261,14 @@
     assert entry.state.crashes.count("sound", entry.now_ms) == 0
 
 
-def test_refusal_that_names_another_endpoint_shows_the_crash():
-    """Guards against a crash forgotten because its address answers again."""
+def test_refusal_by_a_later_start_confirms_a_crash():
+    """Guards against a crash not counted because another endpoint has its address."""
     entry = Entry(n_endpoints=N_TO_BLOCK)
     for i in range(N_TO_BLOCK):
         entry.break_run(entry.send())
-        while (probe := entry.send(f"another-{i}")).endpoint_id not in _broken(entry):
+        while (
+            probe := entry.send(f"another-{i}")
+        ).endpoint_id not in _endpoints_under_check(entry):
             entry.handle(
                 AttemptFinished(probe.attempt_id, 200, 1, Usage(), probe.endpoint_id)
             )
@@ -275,12 +279,12 @@
     assert entry.send().rejection.reason is Reason.CRASHES_ENDPOINTS
 
 
-def _broken(entry):
+def _endpoints_under_check(entry):
     return entry.state.check_started_at_ms
 
 
-def test_address_taken_by_a_later_start_shows_the_crash():
-    """Guards against crashes that no connection meets before the next start."""
+def test_registration_of_a_later_start_at_the_address_confirms_a_crash():
+    """Guards against crashes not counted because no connection was tried meanwhile."""
     entry = Entry()
     for _ in range(N_TO_BLOCK):
         broken = entry.send()
@@ -289,8 +293,8 @@
     assert entry.send().rejection.reason is Reason.CRASHES_ENDPOINTS
 
 
-def test_run_that_hangs_when_a_later_start_has_its_address_counts():
-    """Guards against callers that wait for an endpoint that is gone without a word."""
+def test_run_in_flight_when_a_later_start_takes_its_address_counts():
+    """Guards against callers that wait for an endpoint that ended without a report."""
     entry = Entry()
     for _ in range(N_TO_BLOCK):
         hanging = entry.send()
@@ -300,37 +304,45 @@
     assert entry.send().rejection.reason is Reason.CRASHES_ENDPOINTS
 
 
-def test_entry_that_starts_again_takes_over_the_block_and_its_end():
+def test_restarted_entry_receives_the_block_with_its_remaining_time():
     """Guards against a block that is lost, or renewed, by each restart."""
     first, second = Entry("e1"), Entry("e2")
     for _ in range(N_TO_BLOCK):
         first.crash(first.send())
     retry_after_ms = first.send().rejection.retry_after_ms
-    exchange(first, second)
+    send_records(first, second)
     for _ in range(20):
         first, second = second, Entry("e1")
         first.now_ms += 10_000
-        exchange(first, second)
-    left_ms = second.send().rejection.retry_after_ms
-    assert retry_after_ms - 20 * 10_100 <= left_ms < retry_after_ms - 20 * 9_900
+        send_records(first, second)
+    remaining_ms = second.send().rejection.retry_after_ms
+    assert retry_after_ms - 20 * 10_100 <= remaining_ms < retry_after_ms - 20 * 9_900
 
 
-def test_whole_run_elsewhere_takes_the_block_back_everywhere():
-    """Guards against a block that outlives the proof that it was wrong."""
+def test_complete_run_at_one_entry_unblocks_all_entries():
+    """Guards against a block that remains although a run has completed elsewhere."""
     first, second = Entry("e1"), Entry("e2")
-    copy = second.send()
+    dispatch = second.send()
     for _ in range(N_TO_BLOCK):
         first.crash(first.send())
-    second.handle(AttemptFinished(copy.attempt_id, 200, 1, Usage(), copy.endpoint_id))
-    effects = exchange(first, second)
-    (told,) = [e.records for e in effects if isinstance(e, BroadcastCrashes)]
-    first.handle(CrashesReceived("e2", told))
+    second.handle(
+        AttemptFinished(
+            dispatch.attempt_id,
+            200,
+            1,
+            Usage(),
+            dispatch.endpoint_id,
+        )
+    )
+    effects = send_records(first, second)
+    (own_records,) = [e.records for e in effects if isinstance(e, BroadcastCrashes)]
+    first.handle(CrashesReceived("e2", own_records))
     assert isinstance(first.send(), Dispatch)
     assert isinstance(second.send(), Dispatch)
 
 
-def test_records_meet_in_any_order_with_the_same_result():
-    """Guards against counts that depend on who told whom first."""
+def test_merged_records_do_not_depend_on_their_order():
+    """Guards against counts that depend on the order of the received records."""
     records = [
         CrashRecord("f", (Crash("x1@1", 50, 40),)),
         CrashRecord("f", (Crash("x2@1", 100, 90), Crash("x1@1", 50, 40))),
@@ -344,7 +356,7 @@
         assert counter.count("f", 1_000) == 2
 
 
-def test_tables_stay_bounded():
+def test_crash_tables_stay_bounded():
     """Guards against memory that grows with every broken run."""
     counter = CrashCounter(n_max=3)
     for i in range(10):
--- a/packages/core/src/bluebellusher_core/requests/_crash_evidence.py
+++ b/packages/core/src/bluebellusher_core/requests/_crash_evidence.py
@@ -68,7 +68,8 @@
     """Handle the result of an address check.
 
     A closed port confirms the suspected crashes of the endpoint. A listening port
-    dismisses those before the check. An address that did not answer decides nothing.
+    dismisses those before the check. An address that did not answer neither confirms
+    nor dismisses a crash.
     """
     endpoint_id = event.endpoint_id
     asked_at_ms = state.check_started_at_ms.pop(endpoint_id, None)
@@ -94,7 +95,10 @@
 def _dismiss_crashes(
     state: EntryState, endpoint_id: str, asked_at_ms: int, evidence: str, now_ms: int
 ) -> list[Effect]:
-    """Dismiss and log the suspected crashes of an endpoint up to ``asked_at_ms``."""
+    """Dismiss and log the crashes of an endpoint suspected up to ``asked_at_ms``.
+
+    That is the time at which the attempt or check that the endpoint answered was sent.
+    """
     effects: list[Effect] = []
     for fingerprint in state.crashes.record_answer(endpoint_id, asked_at_ms, now_ms):
         fields = (
@@ -176,7 +180,7 @@
 def may_start_trial(state: EntryState, fingerprint: str, now_ms: int) -> bool:
     """Return whether this entry may start the trial run of a blocked fingerprint.
 
-    A harmless request may have been running in about three crashes by chance, where
+    A harmless request may have been running during about three crashes by chance, where
     endpoints fail one after the other for another reason. One trial run decides. It
     starts only while the number of crashes is exactly the number to block, and only
     ``TRIAL_AFTER_MS`` after the block. Rendezvous hashing selects the single entry that
