Reword the comments of entry/ranks

Comments, doc comments and messages of the map leader, its lease and the connections to rank agents name their subject, quantities and units, and use the project's terms. The reasons for closing a connection are reworded. Behaviour does not change.

--- a/packages/entry/src/bluebellusher/ranks/__init__.py
+++ b/packages/entry/src/bluebellusher/ranks/__init__.py
@@ -1,4 +1,4 @@
-"""Ranks of groups: links to their agents, and the entry that leads their maps."""
+"""Connections to the agents beside ranks, and the leader that changes expert maps."""
 
 from bluebellusher.ranks._leader import MapLeader
 from bluebellusher.ranks._lease import LeaseKeeper
--- a/packages/entry/src/bluebellusher/ranks/_leader.py
+++ b/packages/entry/src/bluebellusher/ranks/_leader.py
@@ -1,4 +1,4 @@
-"""The entry that keeps expert load even across the ranks of all groups."""
+"""Leader that balances the expert load of all groups by changing their maps."""
 
 import asyncio
 from collections.abc import Callable, Sequence
@@ -36,38 +36,48 @@
 )
 from bluebellusher_core.wire import messages
 
+# Maximum interval between two decisions about the orders to send. A report of a rank
+# causes a decision at once.
 DECIDE_INTERVAL_MS = 50
-# Popularity can change from one pass to the next and holds for seconds. The group is
-# slow until a change is counted; with shorter intervals counts cost more bytes than
-# they save time.
+# Interval between two counts of expert choices. Popularity can change from one pass to
+# the next and then stays the same for seconds. The group is slow until the counts show
+# the change; at shorter intervals, the bytes of the counts cost more than the time that
+# they save.
 COUNT_INTERVAL_MS = 250
-# Time from a plan to its map beside the copies, until changes have been seen.
+# Initial estimate of the duration of a map change without its weight loads, and weight
+# of the newest change in the moving average that replaces the estimate.
 CHANGE_FIXED_MS = 300.0
 FIXED_SMOOTHING = 0.3
-# A rank that has not reported for this long is not known well enough to act on.
+# Maximum age of the reported state of a rank. The leader sends no orders to a group
+# while the last state of any of its ranks is older.
 STATE_MAX_AGE_MS = 1_500
-# An order that was accepted and whose effect is not seen is given again after this
-# time; a copy takes seconds.
+# Time after which an accepted order is sent again if the reported states do not show
+# its effect. Orders to prepare load weights, which takes seconds.
 REPEAT_ORDER_MS = 400
 REPEAT_PREPARE_MS = 6_000
-# One that was refused or got no answer is given again after this time.
+# Time after which an order that was refused or not answered is sent again.
 RETRY_ORDER_MS = 50
-# A map that is not prepared everywhere by then is given up.
+# Time after which a change is aborted if not all ranks have prepared the target map.
 PREPARE_TIMEOUT_MS = 15_000
-# Passes take this much longer while experts are copied.
+# Relative increase of the duration of a pass while experts are loaded.
 COPY_SLOWDOWN = 0.15
-# Popularity has been seen to hold for a few seconds.
+# Time for which a new map is expected to be useful; the popularity of experts stays the
+# same for a few seconds.
 POPULARITY_HORIZON_MS = 3_500.0
-# A search that found nothing is repeated after this time, or when the skew has risen.
+# A search that found no useful change is repeated after this interval, or earlier when
+# the mean skew of the layers has increased by at least the second value.
 SEARCH_AGAIN_MS = 1_500
 SEARCH_AGAIN_SKEW = 0.1
-# After a pause of the group its popularity is still mostly what it was.
+# Maximum age of the estimated popularity for the first plan after a group has been
+# formed again. The popularity is mostly the same as before the interruption.
 LOADS_MAX_AGE_MS = 15_000
-# From this size on, the ranks of the leader's own failure domain are sample enough, and
-# counts are not sent between domains.
+# In groups with at least this number of ranks, only the ranks in the leader's failure
+# domain are counted, if it has at least the second number of them. They are a
+# sufficient sample, and no counts are sent between failure domains.
 MIN_RANKS_TO_SAMPLE = 32
 MIN_SAMPLED_RANKS = 8
-# With fewer choices counted, their shares are mostly chance.
+# Minimum mean number of choices of an expert of one layer in a count. With fewer
+# choices, the shares of the experts are mostly random.
 MIN_COUNTED_PER_EXPERT = 20
 MS_PER_S = 1_000
 BYTES_PER_GB = 1_000_000_000
@@ -75,7 +85,44 @@
 
 @dataclass(slots=True)
 class _Group:
-    """What the leader keeps of one group."""
+    """State that the leader keeps of one group.
+
+    All times are monotonic.
+
+    Parameters
+    ----------
+    change : MapChange
+        State machine that decides the orders for the group.
+    counted_at_ms : int
+        Time at which the last count was started.
+    is_counting : bool
+        Whether a count or the plan that follows it is in progress.
+    searched_at_ms : int
+        Time of the last search; 0 if it found a useful change.
+    searched_skew : float
+        Mean skew of the layers at the last search.
+    wanted_at_ms : int
+        Time at which the target map was set; 0 after the duration of its change has
+        been recorded.
+    epoch : int
+        Epoch of the group in its last complete view.
+    experts_by_rank : dict of int to sequence
+        Experts of each rank, by layer, in the map ``placed_version``.
+    placed_version : int
+        Version of the map that ``experts_by_rank`` describes; -1 when the map is not
+        known.
+    due_at_ms : dict of tuple to int
+        Earliest time at which an order may be sent again, by rank id, action, map
+        version and step of the order.
+    wanted_load_ms : float
+        Expected duration of the weight loads of the target map.
+    fixed_ms : float
+        Average duration of a change without its weight loads.
+    popularity : PopularityTracker
+        Estimated popularity of the experts.
+    counts_at_ms : int
+        Time at which the popularity was last updated with counts.
+    """
 
     change: MapChange
     counted_at_ms: int = 0
@@ -86,7 +133,6 @@
     epoch: int = -1
     experts_by_rank: dict[int, Sequence[Sequence[int]]] = field(default_factory=dict)
     placed_version: int = -1
-    # Earliest time at which an order may be given again.
     due_at_ms: dict[tuple[str, OrderAction, int, int], int] = field(
         default_factory=dict
     )
@@ -97,23 +143,36 @@
 
 
 class MapLeader:
-    """Plan maps from counted choices, and lead every group to them.
+    """Planner of expert maps that sends the orders to switch every group to them.
+
+    The leader counts how often the ranks choose each expert, plans a map with a lower
+    skew and drives a ``MapChange`` of the group to this map.
 
     Parameters
     ----------
     lease : LeaseKeeper
-        Only its holder acts.
+        Lease of the leader. An entry without the lease sends no orders.
     links : RankLinks
-        Reaches the ranks.
+        Connections to the agents of the ranks.
     find_group_model : callable
-        Returns the sizes of the group that an endpoint belongs to.
+        Returns the sizes of the group that an endpoint belongs to, or None if the
+        endpoint has no group.
     failure_domain : str
-        Domain of this entry.
+        Failure domain of this entry.
     rank_ms_per_gb : float
-        Time that a change has to save for each GB that it copies, summed over the
-        ranks of its group.
-    clock, random_state, log
-        Time, random choices and log lines.
+        Time in ms, summed over the ranks of a group, that a change must save for each
+        GB of weights that it loads.
+    clock : Clock
+        Source of monotonic time.
+    random_state : Random
+        Source of random choices of the planner.
+    log : LogSink
+        Receives log events.
+
+    Attributes
+    ----------
+    skew_by_group : dict of str to float
+        Mean skew of the layers of each group at the last count.
     """
 
     def __init__(
@@ -143,7 +202,16 @@
         self._is_retiring = False
 
     async def retire(self, timeout_ms: int) -> None:
-        """Begin no new change, and wait for those that are under way."""
+        """Start no new change, and wait until the changes in progress are complete.
+
+        Blocked groups still get a target map, because their held step cannot be
+        released without one.
+
+        Parameters
+        ----------
+        timeout_ms : int
+            Maximum time to wait.
+        """
         self._is_retiring = True
         until_ms = self._clock.now_ms() + timeout_ms
         while self._has_change():
@@ -153,12 +221,13 @@
             await asyncio.sleep(min(left_ms, DECIDE_INTERVAL_MS) / MS_PER_S)
 
     def _has_change(self) -> bool:
+        """Return whether this entry leads and a change of any group is in progress."""
         if self._lease.leading_token is None:
             return False
         return any(not g.change.is_idle for g in self._group_by_id.values())
 
     async def run(self) -> None:
-        """Lead while the lease is held, until cancelled."""
+        """Plan and send orders whenever this entry is the leader, until cancelled."""
         self._links.on_state = lambda _state: self._wake.set()
         while True:
             self._wake.clear()
@@ -172,6 +241,14 @@
                 continue
 
     def _lead(self, token: int) -> None:
+        """Send the orders that are due to all groups with a complete view.
+
+        Parameters
+        ----------
+        token : int
+            Fencing token of the lease. With a new token, the leader starts again from
+            the states that the ranks report.
+        """
         if token != self._token:
             self._token = token
             self._group_by_id.clear()
@@ -186,6 +263,7 @@
                 self._lead_group(group_id, view, now_ms)
 
     def _lead_group(self, group_id: str, view: GroupView, now_ms: int) -> None:
+        """Send the due orders of one group, and start a count when it is due."""
         group = self._group_by_id.get(group_id)
         if group is None:
             group = self._group_by_id[group_id] = _Group(MapChange(self._token))
@@ -203,7 +281,8 @@
         is_due = now_ms - group.counted_at_ms >= COUNT_INTERVAL_MS
         may_plan = not self._is_retiring or group.change.is_blocked
         if is_due and not group.is_counting and may_plan:
-            # Also during a change, so that the next plan is for what is popular then.
+            # Counting continues during a change, so that the next plan uses the
+            # popularity at that time.
             group.counted_at_ms = now_ms
             group.is_counting = True
             self._start(self._count_and_plan(group_id, group, view))
@@ -211,7 +290,10 @@
     def _end_late_change(
         self, group_id: str, group: _Group, view: GroupView, now_ms: int
     ) -> None:
-        """Give up a map that some rank does not prepare, while none is armed."""
+        """Abort a change when a rank has not prepared the target map in time.
+
+        A change with a held step or an armed rank must be completed instead.
+        """
         change = group.change
         is_late = now_ms - group.wanted_at_ms > PREPARE_TIMEOUT_MS
         if (
@@ -224,6 +306,7 @@
             change.clear_target()
 
     def _give(self, group: _Group, order: RankOrder, now_ms: int) -> None:
+        """Start sending an order, unless it has just been sent."""
         key = (order.rank_id, order.action, order.map_version, order.step)
         if now_ms < group.due_at_ms.get(key, now_ms):
             return
@@ -239,6 +322,10 @@
         key: tuple[str, OrderAction, int, int],
         order: RankOrder,
     ) -> None:
+        """Send an order and log the answer.
+
+        Orders to prepare are logged only when they are refused or not answered.
+        """
         if self._lease.leading_token != self._token:
             return
         answer = await self._links.give(order)
@@ -259,6 +346,7 @@
     async def _count_and_plan(
         self, group_id: str, group: _Group, view: GroupView
     ) -> None:
+        """Count the expert choices of a group, then plan a change if none is needed."""
         try:
             loads = await self._count(group, view)
             if group.change.is_blocked:
@@ -269,7 +357,17 @@
             group.is_counting = False
 
     async def _count(self, group: _Group, view: GroupView) -> Loads | None:
-        """Return the shares of the experts, or None when the counts are not whole."""
+        """Request counts from the ranks and return the estimated popularity.
+
+        When the experts of the current map are not known, the ranks are requested to
+        list them too.
+
+        Returns
+        -------
+        Loads or None
+            Share of the choices of a layer for each expert; None when the counts are
+            incomplete or too few.
+        """
         model = self._find_group_model(view.states[0].rank_id)
         if model is None:
             return None
@@ -293,7 +391,7 @@
             group.counts_at_ms = now_ms
             loads = group.popularity.shares
         elif with_map and now_ms - group.counts_at_ms < LOADS_MAX_AGE_MS:
-            # A group that was formed anew has map 0 and no counts yet.
+            # A group that has been formed again has map 0 and no counts yet.
             loads = group.popularity.shares
         is_known = loads is not None or group.change.is_blocked
         if with_map and map_version is not None and is_known:
@@ -301,11 +399,16 @@
         return loads
 
     def _want_present_map(self, group_id: str, group: _Group, view: GroupView) -> None:
-        """Use a step that was held late for the present map, which copies nothing."""
+        """Set the current map, under a new version, as target of a blocked group.
+
+        A group is blocked when a step is held and no map can be armed for it, such as
+        after an engine has carried out an order to hold too late. The held step is used
+        to switch to the current map, which needs no weight loads.
+        """
         model = self._find_group_model(view.states[0].rank_id)
         placement = self._present_placement(group, view, model)
         if placement is None:
-            # Some rank gave no answer; all are asked again.
+            # A rank has not answered; the next count requests the experts of all ranks.
             group.placed_version = -1
             return
         experts = to_expert_map(placement, len(view.states))
@@ -317,7 +420,7 @@
     def _present_placement(
         self, group: _Group, view: GroupView, model: GroupModel | None
     ) -> Placement | None:
-        """Return the placement in use, or None when it is not known as a whole."""
+        """Return the placement in use, or None when it is not completely known."""
         is_present = group.placed_version == view.common_map_version
         is_whole = len(group.experts_by_rank) == len(view.states)
         if model is None or not is_present or not is_whole:
@@ -325,11 +428,12 @@
         return to_placement(group.experts_by_rank, model.n_layers, model.n_experts)
 
     def _choose_counted(self, view: GroupView) -> list[RankState]:
-        """Return the ranks whose choices are counted.
+        """Return the states of the ranks from which counts are requested.
 
         Load pattern: groups of tens of ranks in several failure domains. Every rank
-        serves callers of all kinds, and the counts of all ranks would cost more bytes
-        between the domains than their requests do.
+        serves callers of all kinds, so that some ranks are a representative sample.
+        The counts of all ranks would need more bytes between the failure domains than
+        the requests of callers.
         """
         near = [
             state
@@ -348,7 +452,30 @@
         with_map: bool,
         model: GroupModel,
     ) -> list[list[float]] | None:
-        """Return the choices since the last count by layer and expert."""
+        """Record the listed experts, and return the choices since the last count.
+
+        Parameters
+        ----------
+        group : _Group
+            Group in which the experts of each rank are recorded.
+        epoch : int
+            Epoch of the group when the counts were requested.
+        states : sequence of RankState
+            States of the ranks that were requested to send counts.
+        answers : sequence of RankCounts or None
+            Answer of each of these ranks; None for a rank that has not answered.
+        with_map : bool
+            Whether the ranks were requested to list their experts.
+        model : GroupModel
+            Sizes of the group.
+
+        Returns
+        -------
+        list of list of float or None
+            Number of choices by layer and expert. None when an answer is missing, is
+            from another epoch or has no usable counts, or when there are too few
+            choices.
+        """
         n_total = model.n_layers * model.n_experts
         totals = [0] * n_total
         is_whole = True
@@ -370,10 +497,11 @@
         ]
 
     def _read_counts(self, rank_id: str, answer: Any, n_total: int) -> list[int] | None:
-        """Return the choices counted by a rank, empty when there were none.
+        """Return the number of choices of each expert in the answer of one rank.
 
-        None when the agent had nothing to compare with, or the counts cannot be used;
-        the plan then waits for the next ones.
+        The list is empty when the rank has made no choices. The result is None when the
+        agent had no earlier counts of this epoch to subtract, or when the counts cannot
+        be decoded; no plan is made then until the next count.
         """
         if answer.packed_counts is None:
             return None
@@ -393,6 +521,7 @@
         view: GroupView,
         loads: Loads,
     ) -> None:
+        """Search for a map that saves time, and set it as the target of the group."""
         model = self._find_group_model(view.states[0].rank_id)
         if model is None or group.placed_version != view.common_map_version:
             return
@@ -429,7 +558,7 @@
         planner = RankBoundedPlanner(shape, cost, model.n_max_new)
         planner.observe(loads)
         conditions = Conditions(self._clock.now_ms())
-        # The search takes longer than the pauses that streams can bear.
+        # In the event loop, the search would interrupt streamed responses for too long.
         plan = await asyncio.to_thread(
             planner.plan, placement, conditions, self._random_state
         )
@@ -452,7 +581,7 @@
     def _want(
         self, group: _Group, epoch: int, n_ranks: int, placement: Placement
     ) -> None:
-        """Begin to lead a group to a placement, under a version of its own."""
+        """Set a placement as the target map of a group, under a new version."""
         experts = to_expert_map(placement, n_ranks)
         group.placed_version = group.change.set_target(experts, epoch)
         group.wanted_at_ms = self._clock.now_ms()
@@ -461,16 +590,17 @@
         }
 
     def _start(self, coroutine: Any) -> None:
+        """Run a coroutine as a task, with a reference that keeps the task alive."""
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
 
 def _note_end(group: _Group, view: GroupView, now_ms: int) -> None:
-    """Learn how long a change takes beside its copies.
+    """Update the average duration of changes of a group without their weight loads.
 
-    Where orders get lost, changes take long and hold the group, and only large gains
-    justify one.
+    When orders are lost, changes take longer and make the group wait at the held step.
+    With the longer duration, the planner makes only changes with a large gain.
     """
     if view.common_map_version != group.placed_version or not group.wanted_at_ms:
         return
@@ -482,6 +612,7 @@
 def _mean_skew(
     n_ranks: int, placement: Placement, loads: Sequence[Sequence[float]]
 ) -> float:
+    """Return the mean of the skews of all layers."""
     skews = [
         compute_skew(compute_rank_loads(n_ranks, ranks, of_layer))
         for ranks, of_layer in zip(placement, loads, strict=True)
--- a/packages/entry/src/bluebellusher/ranks/_lease.py
+++ b/packages/entry/src/bluebellusher/ranks/_lease.py
@@ -1,4 +1,4 @@
-"""A lease in the store, held by at most one entry."""
+"""Lease in the store, held by at most one entry at a time."""
 
 import asyncio
 import json
@@ -13,32 +13,39 @@
 from bluebellusher_core.lease import LeaseRow, LeaseTracker, LeaseWrite
 
 LEASES_TABLE = "leases"
-# A group whose leader is gone keeps its map; a held step waits for the next leader.
+# Duration of the lease. After the failure of a leader, groups keep their maps and held
+# steps are not released until another entry has acquired the lease.
 TERM_MS = 3_000
+# Time after which the holder renews the lease.
 RENEW_AFTER_MS = 1_000
+# Time that other entries wait after the lease has expired, because clocks run at
+# different rates.
 GUARD_MS = 500
+# Interval between two checks in an entry that holds the lease or has a peer that
+# reports that it holds it.
 HOLDER_POLL_MS = 250
+# Interval between two reads of the lease in all other entries.
 FOLLOWER_POLL_MS = 1_500
 
 
 class LeaseKeeper:
-    """Acquire and renew one lease as long as the process runs.
+    """Background task that acquires and renews one lease while the process runs.
 
     Parameters
     ----------
     store : RowStore
-        Keeps the lease.
+        Store that contains the lease.
     tracker : LeaseTracker
-        Decides when to write.
+        State machine that decides when to write the lease.
     name : str
         Key of the lease's row.
     clock : Clock
-        Measures terms.
+        Source of monotonic time.
     log : LogSink
-        Takes log lines.
+        Receives log events.
     is_held_elsewhere : callable
-        Returns whether a connected entry says that it holds the lease; the store is
-        then not asked.
+        Returns whether a connected entry reports that it holds the lease. The lease is
+        not read from the store then.
     """
 
     def __init__(
@@ -72,7 +79,25 @@
         log: LogSink,
         is_held_elsewhere: Callable[[], bool],
     ) -> "LeaseKeeper":
-        """Return a keeper with the terms of this module."""
+        """Return a keeper whose lease has the durations defined in this module.
+
+        Parameters
+        ----------
+        store : RowStore
+            Store that contains the lease.
+        name : str
+            Key of the lease's row.
+        holder_id : str
+            Instance id and incarnation of this entry, separated by a slash.
+        takeover_delay_ms : int
+            Additional time to wait before a free or expired lease is acquired.
+        clock : Clock
+            Source of monotonic time.
+        log : LogSink
+            Receives log events.
+        is_held_elsewhere : callable
+            Returns whether a connected entry reports that it holds the lease.
+        """
         tracker = LeaseTracker(
             name, holder_id, takeover_delay_ms, TERM_MS, RENEW_AFTER_MS, GUARD_MS
         )
@@ -80,16 +105,17 @@
 
     @property
     def token(self) -> int | None:
-        """Return the fencing token while the lease is held."""
+        """Fencing token of the lease; None when this entry does not hold it."""
         return self._tracker.held_token(self._clock.now_ms())
 
     @property
     def leading_token(self) -> int | None:
-        """Return the token to lead with, also beyond the lease while the store is away.
+        """Fencing token of the leader; None when this entry does not lead.
 
-        Nobody else can acquire the lease then, and a group without a leader keeps a
-        map that no longer fits. Orders stay safe without the lease: another leader has
-        a higher token, and agents refuse the lower one.
+        While the store is unavailable, an entry whose lease has expired continues to
+        lead. No other entry can acquire the lease, and a group without a leader would
+        keep a map that no longer suits its load. Orders remain safe without the lease:
+        another leader would have a higher token, and agents refuse the lower one.
         """
         token = self.token
         if token is None and self._is_store_away and not self._is_released:
@@ -97,16 +123,22 @@
         return token
 
     def note_token_seen(self, token: int) -> None:
-        """Stop leading when an agent has seen a higher token than the own one.
+        """Record a fencing token that an agent has accepted.
 
-        Where the own lease is held nevertheless, the next write raises its token.
+        A token above that of this entry shows that another entry has led since. This
+        entry then stops leading without a lease. If it still holds the lease, its next
+        write raises the token of the lease.
         """
         self._tracker.note_token_seen(token)
         if self._last_led_token is not None and token > self._last_led_token:
             self._last_led_token = None
 
     async def run(self) -> None:
-        """Hold the lease whenever it is free, until cancelled."""
+        """Acquire the lease when it is free, and renew it, until released or cancelled.
+
+        While a connected entry reports that it holds the lease, this entry does not
+        read the lease from the store.
+        """
         while not self._is_released:
             if self.token is None and self._is_held_elsewhere():
                 self._note_token()
@@ -122,7 +154,7 @@
             await asyncio.sleep(poll_ms / 1000)
 
     async def release(self) -> None:
-        """Let another entry acquire the lease at once; ``run`` ends."""
+        """End ``run``, and release the lease so that another entry can acquire it."""
         self._is_released = True
         write = self._tracker.plan_release(self._clock.now_ms())
         if write is not None:
@@ -130,6 +162,7 @@
         self._note_token()
 
     async def _observe(self) -> None:
+        """Read the lease from the store and pass it to the tracker."""
         result = await self._store.read_table(LEASES_TABLE)
         self._is_store_away = not result.is_ok()
         if not result.is_ok():
@@ -139,6 +172,7 @@
         self._tracker.observe(version, self._read_row(row), self._clock.now_ms())
 
     async def _write(self, write: LeaseWrite) -> None:
+        """Write the lease to the store and pass the result to the tracker."""
         result = await self._store.write_row(_to_write(write))
         self._is_store_away = not result.is_ok()
         now_ms = self._clock.now_ms()
@@ -155,10 +189,11 @@
                 )
 
     def _read_row(self, row: MirrorRow | None) -> LeaseRow | None:
-        """Return who holds the lease; a row that cannot be read counts as free.
+        """Return the content of the lease's row; None for a free lease.
 
-        Agents tell the tokens that they have seen, so that the next token is higher
-        than that of the unreadable row.
+        A row that cannot be decoded is logged and treated as a free lease. Agents
+        report the highest token that they have accepted, so that the next token is
+        higher than that of the damaged row.
         """
         if row is None or row.is_removed:
             return None
@@ -175,6 +210,7 @@
             return None
 
     def _note_token(self) -> None:
+        """Store the current token, and log when the lease was acquired or lost."""
         token = self.token
         if token is not None:
             self._last_led_token = token
@@ -187,6 +223,7 @@
 
 
 def _to_write(write: LeaseWrite) -> RowWrite:
+    """Return the write of the table row that corresponds to a write of the lease."""
     row = write.row
     value = json.dumps([row.holder, row.fencing_token, row.renewal]).encode()
     return RowWrite(LEASES_TABLE, write.name, value, write.row_version)
--- a/packages/entry/src/bluebellusher/ranks/_links.py
+++ b/packages/entry/src/bluebellusher/ranks/_links.py
@@ -1,4 +1,4 @@
-"""Connections to the agents beside ranks."""
+"""Connections of an entry to the agents beside the ranks."""
 
 import asyncio
 import itertools
@@ -19,12 +19,27 @@
 )
 from bluebellusher_core.wire import NEAR_PACE, messages
 
+# Time to wait for the answer of an agent to an order or a request for counts.
 CALL_TIMEOUT_MS = 1_000
 
 
 @dataclass(slots=True)
 class _Agent:
-    """The agent on one host, and the endpoint that runs there now."""
+    """Connection to the agent on one host, and the endpoint that runs there.
+
+    Parameters
+    ----------
+    endpoint : EndpointRegistration
+        Endpoint on this host that was started last.
+    task : asyncio.Task
+        Task that keeps the connection open.
+    connection : FrameConnection or None
+        Open connection; None while the agent is not connected.
+    state : RankState or None
+        Last reported state of the endpoint's rank.
+    n_reports : int
+        Number of received reports.
+    """
 
     endpoint: EndpointRegistration
     task: asyncio.Task[None]
@@ -36,7 +51,25 @@
 class RankLinks:
     """Connections to the agents of all endpoints of services with engines.
 
-    Parameters are those of ``PeerLinks``; ``port`` is where every agent listens.
+    Parameters
+    ----------
+    identity : Identity
+        Identity of this entry, which it announces in the handshake.
+    sink : EventSink
+        Receives log events, and the load of each endpoint as events of the entry.
+    ticker : LinkTicker
+        Drives the heartbeats of the connections.
+    clock : Clock
+        Source of monotonic time.
+    random_state : Random
+        Source of the random delays between connection attempts.
+    port : int
+        Port on which every agent listens.
+
+    Attributes
+    ----------
+    on_state : callable or None
+        Called with each reported state of a rank.
     """
 
     def __init__(
@@ -62,17 +95,21 @@
 
     @property
     def n_connected(self) -> int:
-        """Return how many agents are connected."""
+        """Number of connected agents."""
         agents = self._agent_by_host.values()
         return sum(agent.connection is not None for agent in agents)
 
     def states(self) -> list[RankState]:
-        """Return the latest state of every rank that is connected."""
+        """Return the last reported state of every rank whose agent is connected."""
         agents = self._agent_by_host.values()
         return [a.state for a in agents if a.state is not None and a.connection]
 
     def update(self, endpoints: Iterable[EndpointRegistration]) -> None:
-        """Keep connections to the agents beside these endpoints, and no others."""
+        """Connect to the agents beside these endpoints, and close other connections.
+
+        If several endpoints are registered on one host, the one that was started last
+        is used.
+        """
         newest_by_host: dict[str, EndpointRegistration] = {}
         for endpoint in endpoints:
             known = newest_by_host.get(endpoint.host)
@@ -92,12 +129,16 @@
         }
 
     def find_domain(self, rank_id: str) -> str:
-        """Return the failure domain of a rank; empty when it is not known."""
+        """Return the failure domain of a rank; empty if the rank is not registered."""
         agent = self._agent_by_host.get(self._host_by_endpoint_id.get(rank_id, ""))
         return agent.endpoint.failure_domain if agent is not None else ""
 
     async def call(self, rank_id: str, message: Any) -> Any:
-        """Send a message and return the answer; None when there is none in time."""
+        """Send a message to the agent of a rank and return the answer.
+
+        Returns None when the agent is not connected or does not answer within
+        ``CALL_TIMEOUT_MS``.
+        """
         host = self._host_by_endpoint_id.get(rank_id, "")
         agent = self._agent_by_host.get(host)
         connection = agent.connection if agent is not None else None
@@ -111,16 +152,21 @@
             async with asyncio.timeout(CALL_TIMEOUT_MS / 1000):
                 return await future
         except TimeoutError:
-            # The heartbeats of another failure domain would show it later.
+            # With agents in other failure domains, heartbeats have longer intervals and
+            # detect a broken connection later than this check.
             silent_ms = self._clock.now_ms() - connection.received_at_ms
             if silent_ms > NEAR_PACE.silence_limit_ms:
-                connection.close(f"no answer to a call, silent for {silent_ms} ms")
+                connection.close(f"call not answered, no message for {silent_ms} ms")
             return None
         finally:
             del self._future_by_call_id[message.call_id]
 
     async def give(self, order: RankOrder) -> Any:
-        """Give an order through the agent of its rank; return the agent's answer."""
+        """Send an order to the agent of its rank and return the agent's answer.
+
+        Returns None when the agent is not connected or does not answer within
+        ``CALL_TIMEOUT_MS``.
+        """
         is_prepare = order.action is OrderAction.PREPARE
         message = messages.RankOrder(
             fencing_token=order.fencing_token,
@@ -133,23 +179,23 @@
         return await self.call(order.rank_id, message)
 
     async def close(self) -> None:
-        """Close every connection."""
+        """Close all connections."""
         tasks = [agent.task for agent in self._agent_by_host.values()]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
     def on_open(self, connection: FrameConnection) -> None:
-        """Use the connection to an agent."""
+        """Use a new connection to an agent, or close it if its endpoint has ended."""
         agent = self._agent_by_host.get(connection.host)
         if agent is None:
-            connection.close("endpoint is gone")
+            connection.close("endpoint is deregistered")
             return
         agent.connection = connection
         self._sink.log("agent-connected", peer=connection.peer, host=connection.host)
 
     def on_message(self, connection: FrameConnection, message: Any) -> None:
-        """Take a report or an answer."""
+        """Handle a report of an agent, or its answer to a call."""
         agent = self._agent_by_host.get(connection.host)
         if agent is None:
             return
@@ -161,18 +207,22 @@
             future.set_result(message)
 
     def on_closed(self, connection: FrameConnection, error: str) -> None:
-        """Forget the connection; the last state no longer counts."""
+        """Discard a lost connection; ``states`` then omits the rank."""
         agent = self._agent_by_host.get(connection.host)
         if agent is not None and agent.connection is connection:
             agent.connection = None
             self._sink.log("agent-lost", peer=connection.peer, error=error)
 
     def _take_report(self, agent: _Agent, report: Any) -> None:
+        """Post the reported load as an event, and store the state of the rank.
+
+        A report without a group contains no state of a rank.
+        """
         agent.n_reports += 1
         endpoint = agent.endpoint
         starts = {report.started_wall_ms or 0, endpoint.started_wall_ms, 0}
         if len(starts) > 2:
-            # Another start than the one that is registered.
+            # The report is from another start of the endpoint than the registered one.
             return
         is_open = bool(report.is_open)
         self._sink.post(
@@ -215,6 +265,8 @@
             self.on_state(agent.state)
 
     async def _dial(self, host: str) -> None:
+        """Keep a connection to the agent on a host open until cancelled."""
+
         def make_connection() -> FrameConnection:
             connection = FrameConnection(
                 self._identity,
--- a/packages/entry/src/bluebellusher/ranks/tests/test_leader.py
+++ b/packages/entry/src/bluebellusher/ranks/tests/test_leader.py
@@ -1,4 +1,4 @@
-"""The leader of the maps against a model of a group."""
+"""Tests of the map leader with a model of a group."""
 
 import asyncio
 from dataclasses import replace
@@ -33,16 +33,21 @@
 
 
 class Lease:
-    """A lease that the test gives and takes."""
+    """Fake lease; a test ends the leadership by setting ``leading_token`` to None."""
 
     leading_token = 1
 
     def note_token_seen(self, token):
-        """Ignore tokens of others."""
+        """Ignore a token that an agent has accepted."""
 
 
 class Links:
-    """Agents of a model group; ``lose`` decides which orders get no answer."""
+    """Fake connections to the agents of a model group.
+
+    ``lose`` returns whether an order is lost, so that it has no effect and no answer.
+    ``counts`` are the counts that every rank returns, and ``counted_ids`` are the ranks
+    from which counts were requested without the experts.
+    """
 
     def __init__(self, group, lose=lambda order: False):
         self.on_state = None
@@ -54,7 +59,7 @@
         self._clock = SystemClock()
 
     def states(self):
-        """Return fresh states of every rank."""
+        """Return the current states of all ranks."""
         now_ms = self._clock.now_ms()
         return [
             replace(self.group.get_state(rank), received_at_ms=now_ms)
@@ -62,11 +67,11 @@
         ]
 
     def find_domain(self, rank_id):
-        """Return the domain of a rank; each has a quarter of the group."""
+        """Return the failure domain of a rank; each of four has a quarter of them."""
         return f"d{int(rank_id) % 4}"
 
     async def call(self, rank_id, message):
-        """Answer a question for counts."""
+        """Answer a request for counts, with the rank's experts if requested."""
         if not message.with_map:
             self.counted_ids.add(rank_id)
         await asyncio.sleep(0)
@@ -85,7 +90,7 @@
         )
 
     async def give(self, order: RankOrder):
-        """Carry out an order, with or without an answer."""
+        """Carry out an order and answer it, unless the order is lost."""
         await asyncio.sleep(0)
         self.n_orders += 1
         rank = int(order.rank_id)
@@ -98,7 +103,7 @@
 
 
 def run(links, scenario):
-    """Run a leader and the passes of its group beside a scenario."""
+    """Run a scenario concurrently with a leader and the passes of its group."""
 
     async def go_on():
         while True:
@@ -125,7 +130,7 @@
 
 
 def test_hot_expert_is_spread_over_the_ranks():
-    """Guards against a straggler that nobody relieves."""
+    """Guards against a rank that stays overloaded and delays every pass."""
     links = Links(Group(N_RANKS))
 
     async def scenario(leader, log):
@@ -140,7 +145,7 @@
 
 
 def test_lost_orders_are_given_again():
-    """Guards against a group that waits seconds for an order that was lost."""
+    """Guards against a group that waits for seconds after an order was lost."""
     chance = Random(2)
     links = Links(Group(N_RANKS), lose=lambda order: chance.random() < 0.35)
 
@@ -151,7 +156,7 @@
 
 
 def test_even_load_gets_no_orders():
-    """Guards against copies and pauses that save nothing."""
+    """Guards against map changes that load weights without reducing the skew."""
     links = Links(Group(N_RANKS))
     links.counts = [100] * N_EXPERTS
 
@@ -163,7 +168,7 @@
 
 
 def test_unreadable_counts_are_logged_and_cause_no_change():
-    """Guards against damaged counts that are taken for no load without a trace."""
+    """Guards against damaged counts that are treated as zero load and not logged."""
     links = Links(Group(N_RANKS))
     answer = links.call
 
@@ -187,7 +192,7 @@
 
 
 def test_entry_without_the_lease_gives_no_orders():
-    """Guards against two leaders."""
+    """Guards against two entries that send orders to the same group."""
     links = Links(Group(N_RANKS))
 
     async def scenario(leader, log):
@@ -199,7 +204,7 @@
 
 
 def test_group_that_is_formed_anew_is_planned_for_from_its_first_map():
-    """Guards against a plan for a map that the group has forgotten."""
+    """Guards against a plan based on the map of the previous epoch."""
     links = Links(Group(N_RANKS))
 
     async def scenario(leader, log):
@@ -212,7 +217,7 @@
 
 
 def test_retiring_leader_finishes_its_change():
-    """Guards against a held step that waits for the next leader."""
+    """Guards against a step that stays held until there is another leader."""
     held = []
 
     def lose(order):
@@ -233,7 +238,12 @@
 
 @pytest.mark.parametrize("n_unanswered", [0, 1, 3])
 def test_step_that_was_held_late_is_used_for_the_present_map(n_unanswered):
-    """Guards against a release that is late in turn, and against a group held on."""
+    """Guards against a late hold that blocks its group or is released unsafely.
+
+    A release could be carried out late as well, so the held step is used to switch to
+    the current map. This must also work when a rank does not answer the request for its
+    experts.
+    """
     links = Links(Group(N_RANKS))
     links.counts = [100] * N_EXPERTS
     answer, unanswered = links.call, []
@@ -258,7 +268,7 @@
 
 
 def test_large_group_is_counted_in_the_domain_of_its_leader():
-    """Guards against counts that cost more bytes between domains than requests do."""
+    """Guards against counts that need more bytes between domains than requests."""
     links = Links(Group(32))
 
     async def scenario(leader, log):
--- a/packages/entry/src/bluebellusher/ranks/tests/test_lease.py
+++ b/packages/entry/src/bluebellusher/ranks/tests/test_lease.py
@@ -1,4 +1,4 @@
-"""The lease of the entry that leads the maps."""
+"""Tests of the keeper of the map leader's lease."""
 
 import asyncio
 
@@ -9,14 +9,14 @@
 
 
 def make_keeper(store, clock, name, is_held_elsewhere=lambda: False):
-    """Return a keeper without a takeover delay."""
+    """Return a keeper of the entry ``name``, without a takeover delay."""
     return LeaseKeeper.from_parts(
         store, "lease", name, 0, clock, FakeLog(), is_held_elsewhere
     )
 
 
 def run(scenario):
-    """Run a scenario with a store and a clock."""
+    """Run a scenario with a fake store and a manual clock."""
 
     async def main():
         await scenario(FakeStore(), ManualClock(1_000))
@@ -25,7 +25,7 @@
 
 
 def test_one_of_two_holds_the_lease():
-    """Guards against two leaders with one token."""
+    """Guards against two leaders that use the same fencing token."""
 
     async def scenario(store, clock):
         keepers = [make_keeper(store, clock, name) for name in ("a", "b")]
@@ -40,7 +40,7 @@
 
 
 def test_holder_that_cannot_renew_stops_before_another_begins():
-    """Guards against a leader that goes on after its lease has ended."""
+    """Guards against a holder whose lease another entry acquires before it expires."""
 
     async def scenario(store, clock):
         keeper = make_keeper(store, clock, "a")
@@ -65,10 +65,10 @@
 
 
 def test_holder_goes_on_leading_while_the_store_is_away():
-    """Guards against maps that nobody adapts during an outage of the store.
+    """Guards against groups without a leader during an outage of the store.
 
-    On arrullo-oax trouble-3 nobody led for 8 s of an outage, and how many requests
-    were late depended on the map that was in use when it began.
+    In the run trouble-3 of arrullo-oax, no entry led for 8 s of an outage, and the
+    number of late requests depended on the map that was in use when the outage began.
     """
 
     async def scenario(store, clock):
@@ -82,7 +82,7 @@
         keeper.note_token_seen(token)
         assert keeper.leading_token == token
         keeper.note_token_seen(token + 1)
-        assert keeper.leading_token is None, "another leader has begun"
+        assert keeper.leading_token is None, "another entry leads"
         store.fault = None
         await until(lambda: keeper.token is not None, clock)
         assert keeper.token > token
@@ -92,7 +92,7 @@
 
 
 def test_holder_that_lost_the_lease_to_another_stops_leading():
-    """Guards against two entries that both lead for long."""
+    """Guards against two entries that lead at the same time after a lost lease."""
 
     async def scenario(store, clock):
         keeper = make_keeper(store, clock, "a/1")
@@ -107,7 +107,7 @@
 
 
 def test_lost_answer_to_the_write_does_not_lose_the_lease():
-    """Guards against an entry that holds a lease and does not know."""
+    """Guards against an entry that holds a lease without having recorded it."""
 
     async def scenario(store, clock):
         keeper = make_keeper(store, clock, "a")
@@ -122,7 +122,7 @@
 
 
 def test_follower_does_not_ask_the_store_while_the_holder_is_heard():
-    """Guards against calls of every entry for a lease that is held."""
+    """Guards against store calls of every entry while one of them holds the lease."""
 
     async def scenario(store, clock):
         keeper = make_keeper(store, clock, "b", is_held_elsewhere=lambda: True)
@@ -135,7 +135,7 @@
 
 
 def test_released_lease_is_not_taken_again_by_the_same_entry():
-    """Guards against an entry that leads again while it stops."""
+    """Guards against an entry that acquires the lease again during its shutdown."""
 
     async def scenario(store, clock):
         keeper = make_keeper(store, clock, "a")
@@ -149,9 +149,9 @@
 
 
 def test_unreadable_lease_is_logged_and_taken_over():
-    """Guards against a damaged row that is taken for a free lease without a trace.
+    """Guards against a damaged row that is treated as a free lease and not logged.
 
-    The agents still know the token of the damaged row.
+    The agents still report the token of the damaged row, and the next token is higher.
     """
 
     async def scenario(store, clock):
