Reword the comments of agent/ranks

Comments, doc comments and messages of the rank agent, its settings and its metrics page use the project's terms. Behaviour does not change.

--- a/packages/agent/src/bluebellusher_agent/ranks/__init__.py
+++ b/packages/agent/src/bluebellusher_agent/ranks/__init__.py
@@ -1,7 +1,8 @@
-"""Agent beside one rank of a group: its state, counts and orders.
+"""Agent beside one rank of a group, which reports its state and carries out orders.
 
-Requests do not pass through this agent. It reads what is free to read on the rank's own
-instance, tells it to every entry, and carries out the orders of the leading entry.
+Requests of callers do not pass through this agent. It reads the state and the counts of
+the engine on its own instance, where reading costs no traffic between instances,
+reports the state to all entries, and carries out the orders of the leader.
 """
 
 from bluebellusher_agent._http import ExchangeError, HttpClient, NotSentError
--- a/packages/agent/src/bluebellusher_agent/ranks/_agent.py
+++ b/packages/agent/src/bluebellusher_agent/ranks/_agent.py
@@ -1,4 +1,4 @@
-"""The rank agent: entries on one side, the engine on the other."""
+"""Agent of one rank, between the entries and the engine on its instance."""
 
 import asyncio
 import signal
@@ -31,21 +31,29 @@
 from bluebellusher_core.supervision import supervise
 from bluebellusher_core.wire import messages
 
+# Interval of the heartbeats and timeouts of all connections, and number of these
+# intervals between two trims of the memory.
 TICK_MS = 500
 TRIM_TICKS = 20
-# Entries correct a report by what they sent since; a shorter interval costs bytes.
+# Interval between two reads of the engine's state. Entries correct a reported load by
+# the requests that they have sent since; a shorter interval would cost more bytes.
 READ_INTERVAL_MS = 200
-# While a map is copied the group waits for its end.
+# Interval between two reads while the engine loads the weights of a map, because the
+# map change waits for the end of the loading.
 READ_INTERVAL_COPYING_MS = 40
-# A copy takes seconds; one that takes longer was lost and is ordered again.
+# Time after an order to prepare for which the shorter interval is used. Loading takes
+# seconds; if it takes longer, the order was lost and the leader sends it again.
 MAX_COPYING_MS = 6_000
-# An engine on the same machine answers within a few milliseconds.
+# Time to wait for the engine's answer to an order, and number of tries. An engine on
+# the same instance answers within a few milliseconds.
 ORDER_TIMEOUT_MS = 25
 N_ORDER_TRIES = 8
-# An unchanged state is told this often, so that entries can tell it is current.
+# Interval at which an unchanged state is reported to the entries of the agent's failure
+# domain and to the leader, so that they can recognize that it is current.
 REPEAT_INTERVAL_MS = 600
-# Entries elsewhere prefer their own endpoints, and bytes between failure domains are
-# dear.
+# Interval at which an unchanged state is reported to all entries. Entries in other
+# failure domains prefer endpoints of their own domain, and traffic between failure
+# domains is expensive.
 REMOTE_REPEAT_INTERVAL_MS = 2_400
 MAX_CONNECTIONS = 4_096
 _BACKLOG = 512
@@ -53,10 +61,19 @@
 
 @dataclass(frozen=True, slots=True)
 class _Seen:
-    """A reading of the engine, with what was known when it was begun.
+    """State of the engine, with the agent's fencing token at the start of the read.
 
-    Leaders take a state with their token as read after the agent was fenced, so that
-    a reading that was under way then must not carry the new token.
+    Leaders assume that a state with their token was read after the agent had accepted
+    the token. A read that was in progress at that time must therefore not carry it.
+
+    Parameters
+    ----------
+    reading : RankReading
+        State of the engine.
+    fencing_token : int
+        Highest fencing token that the agent had accepted when the read started.
+    n_begun : int
+        Number of the read; reads are numbered in the sequence of their starts.
     """
 
     reading: RankReading
@@ -65,16 +82,20 @@
 
 
 class RankAgent:
-    """Agent of one rank; one on each engine's instance.
+    """Agent that reports the state of one engine and passes orders to the engine.
+
+    One agent runs on the instance of each engine. It reports the engine's state to all
+    entries, sends them the counts of expert choices that they request, and carries out
+    the orders of the leader.
 
     Parameters
     ----------
     settings : RankAgentSettings
-        What the agent is told.
+        Settings of the agent.
     engine : EngineControl
-        The engine on the same instance.
+        Engine on the same instance.
     clock : Clock or None
-        Time source.
+        Source of monotonic and wall-clock time; None for the system clock.
     """
 
     def __init__(
@@ -90,7 +111,7 @@
         self.fencing_token = 0
         self._engine = engine
         self._connections: set[EntryConnection] = set()
-        # Where the last order with the present token came from.
+        # Connection that sent the last order with the current fencing token.
         self._leader: EntryConnection | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._servers: list[asyncio.Server] = []
@@ -108,7 +129,13 @@
         self._memory = MemoryTrimmer()
 
     async def start(self) -> None:
-        """Listen for entries and start reading the engine."""
+        """Listen for entries, serve the metrics and start reading the engine's state.
+
+        Raises
+        ------
+        OSError
+            When an address cannot be bound.
+        """
         loop = asyncio.get_running_loop()
         settings = self.settings
         self._servers.append(
@@ -138,12 +165,12 @@
         )
 
     async def stop(self) -> None:
-        """Close everything at once; no request passes through this process."""
+        """Close all connections without a drain; no requests run in this process."""
         log("stopping", n_connections=len(self._connections))
         for server in self._servers:
             server.close()
         for connection in list(self._connections):
-            connection.close("agent stops")
+            connection.close("agent is stopping")
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -166,33 +193,42 @@
         )
 
     def on_open(self, connection: EntryConnection) -> None:
-        """Keep a connection, or refuse it above the limit."""
+        """Add a new connection, or close it at the limit of ``MAX_CONNECTIONS``."""
         if len(self._connections) >= MAX_CONNECTIONS:
             connection.close("too many connections")
             return
         self._connections.add(connection)
 
     def on_ready(self, connection: EntryConnection) -> None:
-        """Tell a new entry the present state."""
+        """Report the last known state to an entry that has completed the handshake."""
         log("entry-connected", peer=connection.peer_id)
         if self._seen is not None:
             connection.send(self._make_report(self._seen))
 
     def on_message(self, connection: EntryConnection, message: Any) -> None:
-        """Carry out what an entry asks for."""
+        """Start to handle an order or a request for counts.
+
+        Raises
+        ------
+        StepError
+            When the message has another type; the connection is closed then.
+        """
         if isinstance(message, messages.RankOrder):
             self._spawn(self._execute(connection, message))
         elif isinstance(message, messages.RankPull):
             self._spawn(self._send_counts(connection, message))
         else:
-            reason = f"message of type {type(message).__name__}: expected an order"
+            reason = (
+                f"message of type {type(message).__name__}: "
+                "expected RankOrder or RankPull"
+            )
             raise StepError("handle-message", connection.peer_id, reason)
 
     def on_writable(self, connection: EntryConnection) -> None:
-        """Nothing waits for room."""
+        """Do nothing, because this agent queues no messages for a blocked entry."""
 
     def on_closed(self, connection: EntryConnection) -> None:
-        """Forget a connection."""
+        """Discard a lost connection, with its last counts."""
         self._connections.discard(connection)
         self._counts_by_connection.pop(connection, None)
         if connection is self._leader:
@@ -201,6 +237,11 @@
             log("entry-lost", peer=connection.peer_id)
 
     async def _execute(self, connection: EntryConnection, message: Any) -> None:
+        """Carry out an order, answer it and report the state of the engine after it.
+
+        An order that is malformed, or whose fencing token is lower than one that was
+        accepted earlier, is refused.
+        """
         try:
             order = _to_order(message)
         except StepError as error:
@@ -224,17 +265,19 @@
             self._answer(connection, message, answer.is_accepted, answer.reason)
         else:
             self._answer(connection, message, True, "fenced")
-        # The leader goes on from what is seen, not from the answer. An earlier one
-        # must see that it was replaced.
+        # The leader acts on reported states, not on answers to orders. After a change
+        # of the leader, the report shows the new token to the previous leader.
         seen = await self._read_once()
         if seen is not None:
             self._tell_news(seen, self._connections if is_new_leader else {connection})
 
     async def _give(self, order: RankOrder) -> OrderAnswer:
-        """Give an order until it is answered; a repeat of it does no harm.
+        """Send an order to the engine until it answers or the tries are used up.
+
+        It is harmless when an engine receives the same order more than once.
 
-        Load pattern: engines that leave a part of the orders unanswered while their
-        group waits at a held step.
+        Load pattern: engines leave some of the orders unanswered while their group
+        waits at a held step.
         """
         reason = ""
         for _ in range(N_ORDER_TRIES):
@@ -248,6 +291,7 @@
     def _answer(
         self, connection: EntryConnection, message: Any, is_accepted: bool, reason: str
     ) -> None:
+        """Count and log an order, and answer it."""
         self._n_by_name["orders" if is_accepted else "orders_refused"] += 1
         log(
             "order",
@@ -267,6 +311,10 @@
         )
 
     async def _send_counts(self, connection: EntryConnection, message: Any) -> None:
+        """Send the expert choices since the last request on the same connection.
+
+        If the engine returns no counts, the answer contains only the reason.
+        """
         try:
             counts = await self._engine.read_counts(bool(message.with_map))
         except StepError as error:
@@ -288,6 +336,7 @@
         )
 
     async def _read_forever(self) -> None:
+        """Read the engine's state at intervals and report it when a report is due."""
         while True:
             seen = await self._read_once()
             if seen is not None:
@@ -298,9 +347,9 @@
             await asyncio.sleep(interval_ms / 1000)
 
     async def _read_once(self) -> _Seen | None:
-        """Read the engine; None when it does not answer.
+        """Read the engine's state; return None when the engine does not answer.
 
-        Returns the newer reading when one that was begun later is there already.
+        If a read that started later has already ended, its state is returned.
         """
         self._n_reads_begun += 1
         n_begun, token = self._n_reads_begun, self.fencing_token
@@ -319,13 +368,22 @@
         return self._seen
 
     def _tell_news(self, seen: _Seen, always: set[EntryConnection]) -> None:
-        """Tell what has changed to those who act on it, and all of it at intervals.
-
-        ``always`` are told in any case.
-
-        Load pattern: hundreds of agents and tens of entries in several failure
-        domains. Everything told to everybody would cost more bytes between the domains
-        than the requests do.
+        """Report a state to the entries for which a report is due.
+
+        All entries receive changes of the group, the leader receives changes of the
+        map, and the leader and the entries of this failure domain receive changes of
+        the load. An unchanged state is reported at intervals.
+
+        Load pattern: hundreds of agents and tens of entries in several failure domains.
+        Reports of every change to every entry would need more bytes between the domains
+        than the requests of callers.
+
+        Parameters
+        ----------
+        seen : _Seen
+            State to report.
+        always : set of EntryConnection
+            Connections to report to even if no report is due.
         """
         now_ms = self.clock.now_ms()
         told, reading = self._told, seen.reading
@@ -341,21 +399,23 @@
         if _map_state(told) != _map_state(reading) and self._leader is not None:
             listeners.add(self._leader)
         if _load(told) != _load(reading):
-            # Entries elsewhere prefer their own endpoints; to them the load is told
-            # with the next report.
+            # Entries in other failure domains prefer endpoints of their own domain;
+            # they receive the load with the next report that is due.
             listeners |= {c for c in self._connections if self._is_near(c)}
         if listeners:
             self._tell(seen, listeners)
 
     def _is_near(self, connection: EntryConnection) -> bool:
-        """Return whether an entry needs the present load and passes.
+        """Return whether an entry needs the current load and step of the rank.
 
-        The leader does too, wherever it is.
+        These are the entries in the failure domain of this agent, and the leader in any
+        failure domain.
         """
         is_own_domain = connection.peer_domain == self.settings.failure_domain
         return is_own_domain or connection is self._leader
 
     def _tell(self, seen: _Seen, connections: Iterable[EntryConnection]) -> None:
+        """Send a report of a state on all given connections that are ready."""
         self._told = seen.reading
         report = self._make_report(seen)
         for connection in connections:
@@ -363,12 +423,14 @@
                 connection.send(report)
 
     def _note_engine(self, is_answering: bool, reason: str) -> None:
+        """Record whether the engine has answered a read, and log a change."""
         if is_answering != self._is_engine_answering:
             self._is_engine_answering = is_answering
             name = "engine-regained" if is_answering else "engine-lost"
             log(name, reason=reason)
 
     def _note_group(self, reading: RankReading) -> None:
+        """Log a change of the group's epoch, of its openness or of its map."""
         old = self._seen.reading if self._seen else None
         before = (old.epoch, old.is_open, old.map_version) if old else None
         now = (reading.epoch, reading.is_open, reading.map_version)
@@ -384,6 +446,7 @@
             )
 
     def _make_report(self, seen: _Seen) -> Any:
+        """Return the next ``RankReport``, with a state of the engine."""
         reading = seen.reading
         self._sequence += 1
         return messages.RankReport(
@@ -407,6 +470,7 @@
         )
 
     async def _tick_forever(self) -> None:
+        """Drive the heartbeats and timeouts of all connections, and trim the memory."""
         n_ticks = 0
         while True:
             await asyncio.sleep(TICK_MS / 1000)
@@ -418,6 +482,7 @@
                 self._memory.trim()
 
     def _gauges(self) -> dict[str, int]:
+        """Return the values of the gauges by name; 0 for a state not yet read."""
         reading = self._seen.reading if self._seen else None
         return {
             "entries": len(self._connections),
@@ -432,23 +497,29 @@
         }
 
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        """Run a coroutine as a task, with a reference that keeps the task alive."""
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._on_task_done)
 
     def _on_task_done(self, task: asyncio.Task[None]) -> None:
+        """Discard a task that has ended, and log the exception that it raised."""
         self._tasks.discard(task)
         error = None if task.cancelled() else task.exception()
         if isinstance(error, Exception):
             self._report_fault(error)
 
     def _report_fault(self, error: Exception) -> None:
+        """Count and log an unexpected exception."""
         self._n_by_name["internal_faults"] += 1
         log("internal-fault", error=f"{type(error).__name__}: {error}")
 
 
 def _pack_new(before: RankCounts | None, counts: RankCounts) -> bytes | None:
-    """Return the choices since an earlier answer, or None when there is none."""
+    """Return the encoded number of choices of each expert since earlier counts.
+
+    None when there are no earlier counts, or when they are from another epoch.
+    """
     if before is None or before.epoch != counts.epoch:
         return None
     pairs = zip(counts.n_by_expert, before.n_by_expert, strict=True)
@@ -456,16 +527,17 @@
 
 
 def _load(reading: RankReading) -> int:
+    """Return the number of running and queued requests."""
     return reading.n_running + reading.n_queued
 
 
 def _group_state(reading: RankReading) -> tuple[object, ...]:
-    """Return what every entry must learn at once."""
+    """Return the fields whose changes are reported to every entry at once."""
     return reading.epoch, reading.is_open, reading.started_wall_ms
 
 
 def _map_state(reading: RankReading) -> tuple[object, ...]:
-    """Return what the leader of the maps must learn at once."""
+    """Return the fields whose changes are reported to the leader at once."""
     return (
         reading.map_version,
         reading.prepared_version,
@@ -475,6 +547,13 @@
 
 
 def _to_order(message: Any) -> RankOrder:
+    """Return the order in a ``RankOrder`` message.
+
+    Raises
+    ------
+    StepError
+        When the action is unknown, or when the map cannot be decoded.
+    """
     try:
         action = OrderAction(message.action)
     except ValueError:
@@ -500,6 +579,7 @@
     settings: RankAgentSettings,
     make_engine: Callable[[RankAgentSettings], EngineControl],
 ) -> None:
+    """Run an agent until SIGTERM or SIGINT."""
     agent = RankAgent(settings, make_engine(settings))
     is_told_to_stop = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -515,5 +595,13 @@
     settings: RankAgentSettings,
     make_engine: Callable[[RankAgentSettings], EngineControl],
 ) -> None:
-    """Run until SIGTERM or SIGINT; ``make_engine`` is called on the event loop."""
+    """Run a rank agent until SIGTERM or SIGINT.
+
+    Parameters
+    ----------
+    settings : RankAgentSettings
+        Settings of the agent.
+    make_engine : callable
+        Returns the connection to the engine; it is called in the event loop.
+    """
     uvloop.run(_run(settings, make_engine))
--- a/packages/agent/src/bluebellusher_agent/ranks/_engine.py
+++ b/packages/agent/src/bluebellusher_agent/ranks/_engine.py
@@ -1,4 +1,4 @@
-"""What an adapter must provide to reach the engine on the same instance."""
+"""Interface of adapters to the engine on the same instance, and their results."""
 
 from dataclasses import dataclass
 from typing import Protocol
@@ -8,24 +8,26 @@
 
 @dataclass(frozen=True, slots=True)
 class RankReading:
-    """State of an engine, and of its rank where it has one.
+    """State of an engine, and of its rank if it belongs to a group.
 
     Parameters
     ----------
     n_running, n_queued : int
-        Requests in the batch and waiting.
+        Number of requests in the batch, and waiting for it.
     pace : float
-        Over 1 for an engine that is slower than usual.
+        Slowness of the engine relative to its usual speed; above 1 when the engine is
+        slower than usual.
     started_wall_ms : int
-        Unix time of the engine's start.
+        Unix time in ms at which the engine was started.
     group_id : str
-        Its group; empty for none. The fields below then say nothing.
+        Id of the engine's group; empty for none, and the following fields then have no
+        meaning.
     epoch, rank, n_ranks, is_open, step : int, int, int, bool, int
-        As in ``RankState``.
+        See ``bluebellusher_core.ranks.RankState``.
     map_version, prepared_version, armed_version, armed_step : int
-        As in ``RankState``.
+        See ``bluebellusher_core.ranks.RankState``.
     held_step : int or None
-        As in ``RankState``.
+        See ``bluebellusher_core.ranks.RankState``.
     """
 
     n_running: int
@@ -47,10 +49,20 @@
 
 @dataclass(frozen=True, slots=True)
 class RankCounts:
-    """How often the rank's requests chose each expert since the rank started.
+    """Number of times that the rank's requests have chosen each expert since its start.
 
-    ``n_by_expert`` goes through the layers in turn. ``experts`` are those that the
-    rank holds by layer, when they were asked for.
+    Parameters
+    ----------
+    epoch : int
+        Epoch of the group.
+    step : int
+        Number of the last pass that the rank had started.
+    n_by_expert : tuple of int
+        Number of choices of each expert, layer after layer.
+    experts : tuple of tuple of int
+        Experts that the rank holds, by layer; empty unless they were requested.
+    map_version : int
+        Version of the map in use.
     """
 
     epoch: int
@@ -62,26 +74,41 @@
 
 @dataclass(frozen=True, slots=True)
 class OrderAnswer:
-    """Whether an order was accepted; ``reason`` says what the engine answered."""
+    """Answer of the engine to an order.
+
+    Parameters
+    ----------
+    is_accepted : bool
+        Whether the engine has accepted the order.
+    reason : str
+        Status and text of the engine's answer, or the fault that prevented one.
+    """
 
     is_accepted: bool
     reason: str
 
 
 class EngineControl(Protocol):
-    """The engine on the same instance.
+    """Adapter to the engine on the same instance.
 
-    Every method raises ``StepError`` when the engine gives no usable answer.
+    Every coroutine raises ``StepError`` when the engine does not answer, or when its
+    answer cannot be used.
     """
 
     async def read(self) -> RankReading:
-        """Return the present state."""
+        """Return the current state of the engine."""
 
     async def read_counts(self, with_map: bool) -> RankCounts:
-        """Return the counts, and the experts of the rank when they are wanted."""
+        """Return the counts, including the rank's experts if ``with_map`` is True."""
 
     async def execute(self, order: RankOrder, timeout_ms: int) -> OrderAnswer:
-        """Give an order once; ``StepError`` when no answer comes in time."""
+        """Send an order once and return the answer to it.
+
+        Raises
+        ------
+        StepError
+            When the engine does not answer within ``timeout_ms``.
+        """
 
     def close(self) -> None:
-        """Close all connections."""
+        """Close all connections to the engine."""
--- a/packages/agent/src/bluebellusher_agent/ranks/_metrics.py
+++ b/packages/agent/src/bluebellusher_agent/ranks/_metrics.py
@@ -1,22 +1,24 @@
-"""Figures of an agent as Prometheus text."""
+"""HTTP page with the metrics of a rank agent, in Prometheus text format."""
 
 import asyncio
 from collections import Counter
 from collections.abc import Callable, Mapping
 
+# Time in which a request for the page must be received and answered.
 READ_TIMEOUT_MS = 2_000
 _PREFIX = "bluebellusher_agent_"
 
 
 class MetricsPage:
-    """Answer every HTTP request with the present figures.
+    """HTTP handler that answers every request with the current metrics.
 
     Parameters
     ----------
     read_gauges : callable
-        Returns levels by name.
+        Returns the current values of the gauges by name.
     n_by_name : Counter of str to int
-        Counters by name; failed requests for the page are added.
+        Counters by name. Failed requests for the page are counted in it as
+        ``metrics_failed``.
     """
 
     def __init__(
@@ -37,13 +39,14 @@
             writer.write(head.encode() + b"connection: close\r\n\r\n" + body)
             await writer.drain()
         except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
-            # A scraper that went away or sent no request gets no answer.
+            # The scraper has closed the connection, or has sent no complete request
+            # within the timeout.
             self._n_by_name["metrics_failed"] += 1
         finally:
             writer.close()
 
     def format(self) -> str:
-        """Return one line for each figure."""
+        """Return the page, with one line for each metric."""
         gauges = self._read_gauges().items()
         lines = [f"{_PREFIX}{name} {level}" for name, level in gauges]
         for name, n in sorted(self._n_by_name.items()):
--- a/packages/agent/src/bluebellusher_agent/ranks/_settings.py
+++ b/packages/agent/src/bluebellusher_agent/ranks/_settings.py
@@ -1,4 +1,7 @@
-"""Settings of a rank agent: plain JSON, because a parser for comments costs memory."""
+"""Settings of a rank agent.
+
+The file is plain JSON, because a parser that supports comments would need more memory.
+"""
 
 import json
 from dataclasses import dataclass, field
@@ -12,20 +15,21 @@
 
 @dataclass(frozen=True, slots=True)
 class RankAgentSettings:
-    """Everything that a rank agent must be told.
+    """Settings of a rank agent.
 
     Parameters
     ----------
     instance_id, failure_domain : str
-        Identity of the instance.
+        Id and failure domain of the instance.
     shared_secret : str
-        Known to all processes of the deployment; at least 16 characters.
+        Secret that authenticates the processes of the deployment to each other; at
+        least 16 characters.
     listen : Address
-        Where entries connect.
+        Address on which the agent accepts connections from entries.
     engine : Address
-        The engine on the same instance.
+        Address of the engine on the same instance.
     metrics : Address
-        Where counters are served.
+        Address on which the metrics page is served.
     """
 
     instance_id: str
@@ -37,12 +41,14 @@
 
     @classmethod
     def from_file(cls, path: str) -> "RankAgentSettings":
-        """Read a settings file.
+        """Read and validate a settings file.
 
         Raises
         ------
         StepError
-            Names the file, the key, what was found and what is expected.
+            When the file cannot be read or a setting is missing or invalid. The message
+            contains the file, the key, the found value and the expected one. It does
+            not contain the value of a secret.
         """
         try:
             with open(path, encoding="utf-8") as file:
@@ -64,11 +70,24 @@
 
 
 class _Reader:
+    """Reader of the values of a settings file.
+
+    Its methods raise ``StepError`` when a value is missing or invalid.
+
+    Parameters
+    ----------
+    path : str
+        Path of the settings file, for error messages.
+    document : dict of str to Any
+        Content of the settings file.
+    """
+
     def __init__(self, path: str, document: dict[str, Any]) -> None:
         self._path = path
         self._document = document
 
     def text(self, key: str, n_min: int = 1) -> str:
+        """Return a string of at least ``n_min`` characters."""
         value = self._document.get(key)
         if not isinstance(value, str) or len(value) < n_min:
             shown = type(value).__name__ if "secret" in key else repr(value)
@@ -76,6 +95,7 @@
         return value
 
     def address(self, key: str) -> Address:
+        """Return an address in the form ``host:port``."""
         value = self.text(key)
         host, _, port = value.rpartition(":")
         if not host or not port.isdigit() or int(port) > 65_535:
@@ -83,5 +103,6 @@
         return Address(host, int(port))
 
     def _error(self, key: str, found: str, expected: str) -> StepError:
+        """Return an error that contains the key, the found and the expected value."""
         reason = f"{key}: found {found}: expected {expected}"
         return StepError("read-settings", self._path, reason)
--- a/packages/agent/src/bluebellusher_agent/ranks/tests/test_rank_agent.py
+++ b/packages/agent/src/bluebellusher_agent/ranks/tests/test_rank_agent.py
@@ -1,4 +1,4 @@
-"""The agent beside a rank, with an entry that speaks to it over a connection."""
+"""Tests of the rank agent, over a connection from an entry, with a fake engine."""
 
 import asyncio
 import contextlib
@@ -31,7 +31,11 @@
 
 
 class Engine:
-    """An engine whose answers the test sets."""
+    """Fake engine with the state, counts and faults that a test sets.
+
+    A read that starts while ``gate`` is set waits for it, and sets ``is_waiting``. The
+    next ``n_unanswered`` orders are not answered.
+    """
 
     def __init__(self):
         self.reading = RankReading(1, 0, 1.0, 100, "g", 1, 0, 2, True, 5)
@@ -43,7 +47,7 @@
         self.is_waiting = asyncio.Event()
 
     async def read(self):
-        """Return the reading; a read that waits at the gate returns what was then."""
+        """Return the state at the start of the read, after waiting for the gate."""
         if self.is_down:
             raise StepError("read", "engine", "refused")
         reading, gate = self.reading, self.gate
@@ -53,13 +57,16 @@
         return reading
 
     async def read_counts(self, with_map):
-        """Return the counts."""
+        """Return the counts, with or without the experts of the rank."""
         if self.is_down:
             raise StepError("read-counts", "engine", "refused")
         return self.counts
 
     async def execute(self, order, timeout_ms):
-        """Keep an order, or leave it without an answer."""
+        """Record an order, or fail as if the engine had not answered.
+
+        Orders with map version 409 are refused.
+        """
         if self.n_unanswered:
             self.n_unanswered -= 1
             raise StepError("order", "engine", f"no answer within {timeout_ms} ms")
@@ -67,11 +74,11 @@
         return OrderAnswer(order.map_version != 409, "status")
 
     def close(self):
-        """Nothing is open."""
+        """Do nothing, because no connection is open."""
 
 
 def run(scenario):
-    """Run a scenario with an agent, its engine and an entry."""
+    """Run a scenario with an agent, its fake engine and a connected entry."""
 
     async def main():
         engine = Engine()
@@ -90,14 +97,14 @@
 
 
 def make_order(token, action="hold", **fields):
-    """Return an order."""
+    """Return a message with an order for epoch 1."""
     return messages.RankOrder(
         call_id="c", fencing_token=token, action=action, epoch=1, **fields
     )
 
 
 def test_state_is_told_on_connect_and_when_it_changes():
-    """Guards against entries that place work by an old state."""
+    """Guards against entries that place requests based on an outdated state."""
 
     async def scenario(agent, engine, entry):
         first = await entry.next(messages.RankReport)
@@ -110,7 +117,7 @@
 
 
 async def next_report(entry, timeout_s):
-    """Return the next report, or None when none comes in time."""
+    """Return the next report, or None if none arrives within the timeout."""
     try:
         async with asyncio.timeout(timeout_s):
             return await entry.next(messages.RankReport)
@@ -119,7 +126,10 @@
 
 
 def test_state_of_maps_is_told_to_the_leader_and_to_others_at_intervals():
-    """Guards against a leader that waits, and bytes for entries that do not lead."""
+    """Guards against delayed map changes and needless reports to other entries.
+
+    Only the leader acts on a prepared map, so only the leader needs the report at once.
+    """
 
     async def scenario(agent, engine, entry):
         port = agent._servers[0].sockets[0].getsockname()[1]
@@ -128,7 +138,7 @@
             for each in (entry, other):
                 while (await each.next(messages.RankReport)).fencing_token != 5:
                     continue
-            # Both have the same state; a repeat is due long after.
+            # Both entries have received the state, and no periodic report is due soon.
             agent._told_at_ms = agent.clock.now_ms() + 60_000
             engine.reading = replace(engine.reading, prepared_version=77)
             while (await entry.next(messages.RankReport)).prepared_version != 77:
@@ -141,7 +151,7 @@
 
 
 def test_reading_goes_on_after_an_unexpected_error():
-    """Guards against an agent that tells an old state for ever after one bad answer."""
+    """Guards against an agent that reports an outdated state after one failed read."""
 
     async def scenario(agent, engine, entry):
         await entry.next(messages.RankReport)
@@ -149,7 +159,7 @@
 
         async def fail_once():
             engine.read = read
-            raise RuntimeError("an answer that nobody foresaw")
+            raise RuntimeError("unexpected answer of the engine")
 
         engine.read = fail_once
         engine.reading = RankReading(0, 0, 1.0, 100, "g", 1, 0, 2, False, 6)
@@ -160,9 +170,10 @@
 
 
 def test_unchanged_state_is_repeated_to_near_entries_more_often():
-    """Guards against reports that cost more bytes between domains than requests do.
+    """Guards against reports that need more bytes between domains than requests.
 
-    Their number grows with entries times endpoints.
+    The number of reports is proportional to the number of entries times the number of
+    endpoints.
     """
 
     async def scenario(agent, engine, entry):
@@ -182,7 +193,7 @@
 
 
 def test_every_entry_learns_at_once_that_a_group_is_closed():
-    """Guards against entries that send work to a group without a rank."""
+    """Guards against entries that send requests to a group that lacks a rank."""
 
     async def scenario(agent, engine, entry):
         port = agent._servers[0].sockets[0].getsockname()[1]
@@ -199,7 +210,7 @@
 
 
 def test_order_of_an_earlier_leader_is_refused():
-    """Guards against a leader that returns after its lease has ended."""
+    """Guards against orders of a previous leader whose lease has expired."""
 
     async def scenario(agent, engine, entry):
         entry.send(make_order(5, step=9))
@@ -214,7 +225,7 @@
 
 
 def test_unknown_action_is_refused_and_changes_nothing():
-    """Guards against a leader that waits for an answer, and a token raised for it."""
+    """Guards against invalid orders that are not answered or raise the token."""
 
     async def scenario(agent, engine, entry):
         entry.send(make_order(5, action="turn"))
@@ -227,7 +238,11 @@
 
 
 def test_fence_reaches_no_engine_and_shows_in_the_report():
-    """Guards against a new leader that acts before the old one is shut out."""
+    """Guards against a new leader that acts before its predecessor is fenced.
+
+    The leader waits until reports contain its token, and engines know no order to
+    fence.
+    """
 
     async def scenario(agent, engine, entry):
         entry.send(make_order(8, action="fence"))
@@ -240,7 +255,7 @@
 
 
 def test_reading_that_was_under_way_does_not_carry_the_token_of_a_later_fence():
-    """Guards against a leader that acts on a state from before its fence."""
+    """Guards against a leader that acts on a state that was read before its fence."""
 
     async def scenario(agent, engine, entry):
         await entry.next(messages.RankReport)
@@ -262,7 +277,7 @@
 
 
 def test_refusal_of_the_engine_is_passed_on():
-    """Guards against a leader that takes a refused order for done."""
+    """Guards against a leader that treats a refused order as accepted."""
 
     async def scenario(agent, engine, entry):
         entry.send(make_order(1, action="arm", map_version=409, step=3))
@@ -273,9 +288,9 @@
 
 
 def test_order_without_an_answer_is_repeated_at_once():
-    """Guards against a group that waits at a held step for a lost order.
+    """Guards against a group that waits at a held step for an unanswered order.
 
-    With half of the orders lost, each change held a group of 12 ranks for a second.
+    With half of the orders lost, each change made a group of 12 ranks wait for 1 s.
     """
 
     async def scenario(agent, engine, entry):
@@ -288,7 +303,7 @@
 
 
 def test_counts_are_those_since_the_last_question():
-    """Guards against old popularity in new plans."""
+    """Guards against plans for the popularity of the whole time since the start."""
 
     async def scenario(agent, engine, entry):
         entry.send(messages.RankPull(call_id="1", with_map=True))
@@ -304,7 +319,7 @@
 
 
 def test_engine_that_does_not_answer_is_told_as_a_reason():
-    """Guards against a leader that waits for counts that do not come."""
+    """Guards against a leader that waits for the counts of an unresponsive engine."""
 
     async def scenario(agent, engine, entry):
         engine.is_down = True
@@ -316,7 +331,7 @@
 
 
 def test_unknown_message_closes_the_connection():
-    """Guards against requests that are sent to an agent that cannot run them."""
+    """Guards against attempts sent to a rank agent, which cannot run requests."""
 
     async def scenario(agent, engine, entry):
         entry.send(messages.Dispatch(attempt_id="a"))
@@ -335,7 +350,10 @@
     ],
 )
 def test_bad_settings_are_named(tmp_path, change, found):
-    """Guards against an agent that starts with half of its settings."""
+    """Guards against an agent that starts with missing or invalid settings.
+
+    The error names the setting and contains no secret.
+    """
     import json
 
     document = {
