Rename private names in entry/ranks

Constants, private methods, local variables and tests of the map leader, its lease and the connections to rank agents are named after what they do, in the project's terms. No name outside this folder changes. Behaviour does not change.

--- a/packages/entry/src/bluebellusher/ranks/_leader.py
+++ b/packages/entry/src/bluebellusher/ranks/_leader.py
@@ -46,31 +46,31 @@
 COUNT_INTERVAL_MS = 250
 # Initial estimate of the duration of a map change without its weight loads, and weight
 # of the newest change in the moving average that replaces the estimate.
-CHANGE_FIXED_MS = 300.0
-FIXED_SMOOTHING = 0.3
+INITIAL_FIXED_MS = 300.0
+FIXED_MS_SMOOTHING = 0.3
 # Maximum age of the reported state of a rank. The leader sends no orders to a group
 # while the last state of any of its ranks is older.
-STATE_MAX_AGE_MS = 1_500
+MAX_STATE_AGE_MS = 1_500
 # Time after which an accepted order is sent again if the reported states do not show
 # its effect. Orders to prepare load weights, which takes seconds.
-REPEAT_ORDER_MS = 400
-REPEAT_PREPARE_MS = 6_000
+ORDER_REPEAT_MS = 400
+PREPARE_REPEAT_MS = 6_000
 # Time after which an order that was refused or not answered is sent again.
-RETRY_ORDER_MS = 50
+ORDER_RETRY_MS = 50
 # Time after which a change is aborted if not all ranks have prepared the target map.
 PREPARE_TIMEOUT_MS = 15_000
 # Relative increase of the duration of a pass while experts are loaded.
-COPY_SLOWDOWN = 0.15
+WEIGHT_LOAD_SLOWDOWN = 0.15
 # Time for which a new map is expected to be useful; the popularity of experts stays the
 # same for a few seconds.
 POPULARITY_HORIZON_MS = 3_500.0
 # A search that found no useful change is repeated after this interval, or earlier when
 # the mean skew of the layers has increased by at least the second value.
-SEARCH_AGAIN_MS = 1_500
-SEARCH_AGAIN_SKEW = 0.1
+SEARCH_INTERVAL_MS = 1_500
+SEARCH_SKEW_INCREASE = 0.1
 # Maximum age of the estimated popularity for the first plan after a group has been
 # formed again. The popularity is mostly the same as before the interruption.
-LOADS_MAX_AGE_MS = 15_000
+MAX_POPULARITY_AGE_MS = 15_000
 # In groups with at least this number of ranks, only the ranks in the leader's failure
 # domain are counted, if it has at least the second number of them. They are a
 # sufficient sample, and no counts are sent between failure domains.
@@ -78,13 +78,13 @@
 MIN_SAMPLED_RANKS = 8
 # Minimum mean number of choices of an expert of one layer in a count. With fewer
 # choices, the shares of the experts are mostly random.
-MIN_COUNTED_PER_EXPERT = 20
+MIN_CHOICES_PER_EXPERT = 20
 MS_PER_S = 1_000
 BYTES_PER_GB = 1_000_000_000
 
 
 @dataclass(slots=True)
-class _Group:
+class _GroupState:
     """State that the leader keeps of one group.
 
     All times are monotonic.
@@ -93,7 +93,7 @@
     ----------
     change : MapChange
         State machine that decides the orders for the group.
-    counted_at_ms : int
+    count_started_at_ms : int
         Time at which the last count was started.
     is_counting : bool
         Whether a count or the plan that follows it is in progress.
@@ -101,45 +101,45 @@
         Time of the last search; 0 if it found a useful change.
     searched_skew : float
         Mean skew of the layers at the last search.
-    wanted_at_ms : int
+    target_set_at_ms : int
         Time at which the target map was set; 0 after the duration of its change has
         been recorded.
     epoch : int
         Epoch of the group in its last complete view.
     experts_by_rank : dict of int to sequence
-        Experts of each rank, by layer, in the map ``placed_version``.
-    placed_version : int
+        Experts of each rank, by layer, in the map ``placement_version``.
+    placement_version : int
         Version of the map that ``experts_by_rank`` describes; -1 when the map is not
         known.
-    due_at_ms : dict of tuple to int
+    next_send_ms_by_order : dict of tuple to int
         Earliest time at which an order may be sent again, by rank id, action, map
         version and step of the order.
-    wanted_load_ms : float
+    target_load_ms : float
         Expected duration of the weight loads of the target map.
     fixed_ms : float
         Average duration of a change without its weight loads.
     popularity : PopularityTracker
         Estimated popularity of the experts.
-    counts_at_ms : int
+    popularity_updated_at_ms : int
         Time at which the popularity was last updated with counts.
     """
 
     change: MapChange
-    counted_at_ms: int = 0
+    count_started_at_ms: int = 0
     is_counting: bool = False
     searched_at_ms: int = 0
     searched_skew: float = 0.0
-    wanted_at_ms: int = 0
+    target_set_at_ms: int = 0
     epoch: int = -1
     experts_by_rank: dict[int, Sequence[Sequence[int]]] = field(default_factory=dict)
-    placed_version: int = -1
-    due_at_ms: dict[tuple[str, OrderAction, int, int], int] = field(
+    placement_version: int = -1
+    next_send_ms_by_order: dict[tuple[str, OrderAction, int, int], int] = field(
         default_factory=dict
     )
-    wanted_load_ms: float = 0.0
-    fixed_ms: float = CHANGE_FIXED_MS
+    target_load_ms: float = 0.0
+    fixed_ms: float = INITIAL_FIXED_MS
     popularity: PopularityTracker = field(default_factory=PopularityTracker)
-    counts_at_ms: int = 0
+    popularity_updated_at_ms: int = 0
 
 
 class MapLeader:
@@ -196,10 +196,10 @@
         self._random_state = random_state
         self._log = log
         self._token = 0
-        self._group_by_id: dict[str, _Group] = {}
+        self._group_by_id: dict[str, _GroupState] = {}
         self._wake = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
-        self._is_retiring = False
+        self._is_stopping = False
 
     async def retire(self, timeout_ms: int) -> None:
         """Start no new change, and wait until the changes in progress are complete.
@@ -212,15 +212,15 @@
         timeout_ms : int
             Maximum time to wait.
         """
-        self._is_retiring = True
-        until_ms = self._clock.now_ms() + timeout_ms
-        while self._has_change():
-            left_ms = until_ms - self._clock.now_ms()
-            if left_ms <= 0:
+        self._is_stopping = True
+        stop_at_ms = self._clock.now_ms() + timeout_ms
+        while self._is_change_in_progress():
+            remaining_ms = stop_at_ms - self._clock.now_ms()
+            if remaining_ms <= 0:
                 break
-            await asyncio.sleep(min(left_ms, DECIDE_INTERVAL_MS) / MS_PER_S)
+            await asyncio.sleep(min(remaining_ms, DECIDE_INTERVAL_MS) / MS_PER_S)
 
-    def _has_change(self) -> bool:
+    def _is_change_in_progress(self) -> bool:
         """Return whether this entry leads and a change of any group is in progress."""
         if self._lease.leading_token is None:
             return False
@@ -233,14 +233,14 @@
             self._wake.clear()
             token = self._lease.leading_token
             if token is not None:
-                self._lead(token)
+                self._lead_groups(token)
             try:
                 async with asyncio.timeout(DECIDE_INTERVAL_MS / MS_PER_S):
                     await self._wake.wait()
             except TimeoutError:
                 continue
 
-    def _lead(self, token: int) -> None:
+    def _lead_groups(self, token: int) -> None:
         """Send the orders that are due to all groups with a complete view.
 
         Parameters
@@ -254,11 +254,11 @@
             self._group_by_id.clear()
         now_ms = self._clock.now_ms()
         states_by_group: dict[str, list[RankState]] = {}
-        for state in self._links.states():
+        for state in self._links.get_states():
             self._lease.note_token_seen(to_leader_token(state.fencing_token))
             states_by_group.setdefault(state.group_id, []).append(state)
         for group_id, states in states_by_group.items():
-            view = GroupView.from_states(states, now_ms, STATE_MAX_AGE_MS)
+            view = GroupView.from_states(states, now_ms, MAX_STATE_AGE_MS)
             if view is not None:
                 self._lead_group(group_id, view, now_ms)
 
@@ -266,36 +266,36 @@
         """Send the due orders of one group, and start a count when it is due."""
         group = self._group_by_id.get(group_id)
         if group is None:
-            group = self._group_by_id[group_id] = _Group(MapChange(self._token))
+            group = self._group_by_id[group_id] = _GroupState(MapChange(self._token))
         if view.epoch != group.epoch:
             group.epoch = view.epoch
-            group.placed_version = -1
-            group.due_at_ms.clear()
+            group.placement_version = -1
+            group.next_send_ms_by_order.clear()
         was_idle = group.change.is_idle
         for order in group.change.decide(view, now_ms):
-            self._give(group, order, now_ms)
+            self._send_order_if_due(group, order, now_ms)
         if group.change.is_idle and not was_idle:
-            _note_end(group, view, now_ms)
-            group.counted_at_ms = 0
-        self._end_late_change(group_id, group, view, now_ms)
-        is_due = now_ms - group.counted_at_ms >= COUNT_INTERVAL_MS
-        may_plan = not self._is_retiring or group.change.is_blocked
+            _update_fixed_ms(group, view, now_ms)
+            group.count_started_at_ms = 0
+        self._abort_late_change(group_id, group, view, now_ms)
+        is_due = now_ms - group.count_started_at_ms >= COUNT_INTERVAL_MS
+        may_plan = not self._is_stopping or group.change.is_blocked
         if is_due and not group.is_counting and may_plan:
             # Counting continues during a change, so that the next plan uses the
             # popularity at that time.
-            group.counted_at_ms = now_ms
+            group.count_started_at_ms = now_ms
             group.is_counting = True
-            self._start(self._count_and_plan(group_id, group, view))
+            self._spawn(self._count_and_plan(group_id, group, view))
 
-    def _end_late_change(
-        self, group_id: str, group: _Group, view: GroupView, now_ms: int
+    def _abort_late_change(
+        self, group_id: str, group: _GroupState, view: GroupView, now_ms: int
     ) -> None:
         """Abort a change when a rank has not prepared the target map in time.
 
         A change with a held step or an armed rank must be completed instead.
         """
         change = group.change
-        is_late = now_ms - group.wanted_at_ms > PREPARE_TIMEOUT_MS
+        is_late = now_ms - group.target_set_at_ms > PREPARE_TIMEOUT_MS
         if (
             change.target_version
             and is_late
@@ -305,20 +305,22 @@
             self._log.log("map-given-up", group=group_id, version=change.target_version)
             change.clear_target()
 
-    def _give(self, group: _Group, order: RankOrder, now_ms: int) -> None:
-        """Start sending an order, unless it has just been sent."""
+    def _send_order_if_due(
+        self, group: _GroupState, order: RankOrder, now_ms: int
+    ) -> None:
+        """Start sending an order, unless it was sent before and is not due again."""
         key = (order.rank_id, order.action, order.map_version, order.step)
-        if now_ms < group.due_at_ms.get(key, now_ms):
+        if now_ms < group.next_send_ms_by_order.get(key, now_ms):
             return
-        pause_ms = REPEAT_ORDER_MS
+        repeat_ms = ORDER_REPEAT_MS
         if order.action is OrderAction.PREPARE:
-            pause_ms = REPEAT_PREPARE_MS
-        group.due_at_ms[key] = now_ms + pause_ms
-        self._start(self._give_now(group, key, order))
+            repeat_ms = PREPARE_REPEAT_MS
+        group.next_send_ms_by_order[key] = now_ms + repeat_ms
+        self._spawn(self._send_order(group, key, order))
 
-    async def _give_now(
+    async def _send_order(
         self,
-        group: _Group,
+        group: _GroupState,
         key: tuple[str, OrderAction, int, int],
         order: RankOrder,
     ) -> None:
@@ -328,9 +330,9 @@
         """
         if self._lease.leading_token != self._token:
             return
-        answer = await self._links.give(order)
+        answer = await self._links.send_order(order)
         if answer is None or not answer.is_accepted:
-            group.due_at_ms[key] = self._clock.now_ms() + RETRY_ORDER_MS
+            group.next_send_ms_by_order[key] = self._clock.now_ms() + ORDER_RETRY_MS
         elif order.action is OrderAction.PREPARE:
             return
         self._log.log(
@@ -344,19 +346,25 @@
         )
 
     async def _count_and_plan(
-        self, group_id: str, group: _Group, view: GroupView
+        self, group_id: str, group: _GroupState, view: GroupView
     ) -> None:
-        """Count the expert choices of a group, then plan a change if none is needed."""
+        """Count the expert choices of a group, then set a target map if it needs one.
+
+        An idle group gets a target if a change saves time, and a blocked group gets its
+        current map.
+        """
         try:
-            loads = await self._count(group, view)
+            loads = await self._update_popularity(group, view)
             if group.change.is_blocked:
-                self._want_present_map(group_id, group, view)
+                self._set_current_map_as_target(group_id, group, view)
             elif loads is not None and group.change.is_idle:
-                await self._plan(group_id, group, view, loads)
+                await self._plan_change(group_id, group, view, loads)
         finally:
             group.is_counting = False
 
-    async def _count(self, group: _Group, view: GroupView) -> Loads | None:
+    async def _update_popularity(
+        self, group: _GroupState, view: GroupView
+    ) -> Loads | None:
         """Request counts from the ranks and return the estimated popularity.
 
         When the experts of the current map are not known, the ranks are requested to
@@ -365,40 +373,48 @@
         Returns
         -------
         Loads or None
-            Share of the choices of a layer for each expert; None when the counts are
-            incomplete or too few.
+            Share of the choices of a layer for each expert, by layer and expert. None
+            when the counts are incomplete or too few; after the group has been formed
+            again, an earlier estimate up to ``MAX_POPULARITY_AGE_MS`` old is returned
+            instead.
         """
         model = self._find_group_model(view.states[0].rank_id)
         if model is None:
             return None
         map_version = view.common_map_version
-        is_wanted = group.change.is_idle or group.change.is_blocked
-        with_map = is_wanted and group.placed_version != map_version
+        may_set_target = group.change.is_idle or group.change.is_blocked
+        with_map = may_set_target and group.placement_version != map_version
         if with_map:
             group.experts_by_rank.clear()
-        states = view.states if with_map else self._choose_counted(view)
+        states = view.states if with_map else self._choose_sampled_ranks(view)
         answers = await asyncio.gather(
             *(
                 self._links.call(state.rank_id, messages.RankPull(with_map=with_map))
                 for state in states
             )
         )
-        counts = self._take_counts(group, view.epoch, states, answers, with_map, model)
+        counts = self._collect_counts(
+            group, view.epoch, states, answers, with_map, model
+        )
         now_ms = self._clock.now_ms()
         loads: Loads | None = None
         if counts is not None:
             group.popularity.observe(counts)
-            group.counts_at_ms = now_ms
+            group.popularity_updated_at_ms = now_ms
             loads = group.popularity.shares
-        elif with_map and now_ms - group.counts_at_ms < LOADS_MAX_AGE_MS:
+        elif (
+            with_map and now_ms - group.popularity_updated_at_ms < MAX_POPULARITY_AGE_MS
+        ):
             # A group that has been formed again has map 0 and no counts yet.
             loads = group.popularity.shares
-        is_known = loads is not None or group.change.is_blocked
-        if with_map and map_version is not None and is_known:
-            group.placed_version = map_version
+        is_usable = loads is not None or group.change.is_blocked
+        if with_map and map_version is not None and is_usable:
+            group.placement_version = map_version
         return loads
 
-    def _want_present_map(self, group_id: str, group: _Group, view: GroupView) -> None:
+    def _set_current_map_as_target(
+        self, group_id: str, group: _GroupState, view: GroupView
+    ) -> None:
         """Set the current map, under a new version, as target of a blocked group.
 
         A group is blocked when a step is held and no map can be armed for it, such as
@@ -406,28 +422,28 @@
         to switch to the current map, which needs no weight loads.
         """
         model = self._find_group_model(view.states[0].rank_id)
-        placement = self._present_placement(group, view, model)
+        placement = self._get_current_placement(group, view, model)
         if placement is None:
             # A rank has not answered; the next count requests the experts of all ranks.
-            group.placed_version = -1
+            group.placement_version = -1
             return
         experts = to_expert_map(placement, len(view.states))
         version = group.change.set_target(experts, view.epoch)
-        group.wanted_at_ms = self._clock.now_ms()
-        group.placed_version = -1
+        group.target_set_at_ms = self._clock.now_ms()
+        group.placement_version = -1
         self._log.log("map-repeated", group=group_id, version=version, epoch=view.epoch)
 
-    def _present_placement(
-        self, group: _Group, view: GroupView, model: GroupModel | None
+    def _get_current_placement(
+        self, group: _GroupState, view: GroupView, model: GroupModel | None
     ) -> Placement | None:
         """Return the placement in use, or None when it is not completely known."""
-        is_present = group.placed_version == view.common_map_version
-        is_whole = len(group.experts_by_rank) == len(view.states)
-        if model is None or not is_present or not is_whole:
+        is_current_map = group.placement_version == view.common_map_version
+        is_complete = len(group.experts_by_rank) == len(view.states)
+        if model is None or not is_current_map or not is_complete:
             return None
         return to_placement(group.experts_by_rank, model.n_layers, model.n_experts)
 
-    def _choose_counted(self, view: GroupView) -> list[RankState]:
+    def _choose_sampled_ranks(self, view: GroupView) -> list[RankState]:
         """Return the states of the ranks from which counts are requested.
 
         Load pattern: groups of tens of ranks in several failure domains. Every rank
@@ -435,17 +451,21 @@
         The counts of all ranks would need more bytes between the failure domains than
         the requests of callers.
         """
-        near = [
+        near_states = [
             state
             for state in view.states
             if self._links.find_domain(state.rank_id) == self._failure_domain
         ]
         is_large = len(view.states) >= MIN_RANKS_TO_SAMPLE
-        return near if is_large and len(near) >= MIN_SAMPLED_RANKS else view.states
+        return (
+            near_states
+            if is_large and len(near_states) >= MIN_SAMPLED_RANKS
+            else view.states
+        )
 
-    def _take_counts(
+    def _collect_counts(
         self,
-        group: _Group,
+        group: _GroupState,
         epoch: int,
         states: Sequence[RankState],
         answers: Sequence[Any],
@@ -456,7 +476,7 @@
 
         Parameters
         ----------
-        group : _Group
+        group : _GroupState
             Group in which the experts of each rank are recorded.
         epoch : int
             Epoch of the group when the counts were requested.
@@ -478,25 +498,27 @@
         """
         n_total = model.n_layers * model.n_experts
         totals = [0] * n_total
-        is_whole = True
+        is_complete = True
         for state, answer in zip(states, answers, strict=True):
             if answer is None or answer.epoch != epoch:
-                is_whole = False
+                is_complete = False
                 continue
             if with_map:
                 group.experts_by_rank[state.rank] = answer.experts
-            counts = self._read_counts(state.rank_id, answer, n_total)
-            is_whole = is_whole and counts is not None
+            counts = self._decode_counts(state.rank_id, answer, n_total)
+            is_complete = is_complete and counts is not None
             if counts:
                 totals = [a + b for a, b in zip(totals, counts, strict=True)]
-        if not is_whole or sum(totals) < MIN_COUNTED_PER_EXPERT * n_total:
+        if not is_complete or sum(totals) < MIN_CHOICES_PER_EXPERT * n_total:
             return None
         return [
-            [float(n) for n in totals[at : at + model.n_experts]]
-            for at in range(0, n_total, model.n_experts)
+            [float(n) for n in totals[start : start + model.n_experts]]
+            for start in range(0, n_total, model.n_experts)
         ]
 
-    def _read_counts(self, rank_id: str, answer: Any, n_total: int) -> list[int] | None:
+    def _decode_counts(
+        self, rank_id: str, answer: Any, n_total: int
+    ) -> list[int] | None:
         """Return the number of choices of each expert in the answer of one rank.
 
         The list is empty when the rank has made no choices. The result is None when the
@@ -514,21 +536,21 @@
             return None
         return counts
 
-    async def _plan(
+    async def _plan_change(
         self,
         group_id: str,
-        group: _Group,
+        group: _GroupState,
         view: GroupView,
         loads: Loads,
     ) -> None:
         """Search for a map that saves time, and set it as the target of the group."""
         model = self._find_group_model(view.states[0].rank_id)
-        if model is None or group.placed_version != view.common_map_version:
+        if model is None or group.placement_version != view.common_map_version:
             return
         n_ranks = len(view.states)
-        placement = self._present_placement(group, view, model)
+        placement = self._get_current_placement(group, view, model)
         if placement is None:
-            group.placed_version = -1
+            group.placement_version = -1
             return
         shape = GroupShape(
             n_ranks,
@@ -540,7 +562,7 @@
         cost = ChangeCost(
             load_ms=model.load_ms,
             fixed_ms=group.fixed_ms,
-            slowdown=COPY_SLOWDOWN,
+            slowdown=WEIGHT_LOAD_SLOWDOWN,
             expert_share=model.expert_share,
             horizon_ms=POPULARITY_HORIZON_MS,
             price_ms_per_load=self._rank_ms_per_gb
@@ -548,13 +570,16 @@
             / BYTES_PER_GB
             / n_ranks,
         )
-        before = _mean_skew(n_ranks, placement, loads)
-        self.skew_by_group[group_id] = before
+        current_skew = _compute_mean_skew(n_ranks, placement, loads)
+        self.skew_by_group[group_id] = current_skew
         now_ms = self._clock.now_ms()
-        is_searched = now_ms - group.searched_at_ms < SEARCH_AGAIN_MS
-        if is_searched and before < group.searched_skew + SEARCH_AGAIN_SKEW:
+        was_searched_recently = now_ms - group.searched_at_ms < SEARCH_INTERVAL_MS
+        if (
+            was_searched_recently
+            and current_skew < group.searched_skew + SEARCH_SKEW_INCREASE
+        ):
             return
-        group.searched_at_ms, group.searched_skew = now_ms, before
+        group.searched_at_ms, group.searched_skew = now_ms, current_skew
         planner = RankBoundedPlanner(shape, cost, model.n_max_new)
         planner.observe(loads)
         conditions = Conditions(self._clock.now_ms())
@@ -565,56 +590,56 @@
         if not group.change.is_idle or group.epoch != view.epoch or not plan.moves:
             return
         group.searched_at_ms = 0
-        n_most = count_max_new_experts(n_ranks, placement, plan.placement)
-        group.wanted_load_ms = n_most * model.load_ms
-        self._want(group, view.epoch, n_ranks, plan.placement)
+        max_loads_per_rank = count_max_new_experts(n_ranks, placement, plan.placement)
+        group.target_load_ms = max_loads_per_rank * model.load_ms
+        self._set_target(group, view.epoch, n_ranks, plan.placement)
         self._log.log(
             "map-wanted",
             group=group_id,
-            version=group.placed_version,
+            version=group.placement_version,
             epoch=view.epoch,
-            skew=before,
-            planned_skew=_mean_skew(n_ranks, plan.placement, loads),
+            skew=current_skew,
+            planned_skew=_compute_mean_skew(n_ranks, plan.placement, loads),
             n_loads=plan.n_loads,
         )
 
-    def _want(
-        self, group: _Group, epoch: int, n_ranks: int, placement: Placement
+    def _set_target(
+        self, group: _GroupState, epoch: int, n_ranks: int, placement: Placement
     ) -> None:
         """Set a placement as the target map of a group, under a new version."""
         experts = to_expert_map(placement, n_ranks)
-        group.placed_version = group.change.set_target(experts, epoch)
-        group.wanted_at_ms = self._clock.now_ms()
+        group.placement_version = group.change.set_target(experts, epoch)
+        group.target_set_at_ms = self._clock.now_ms()
         group.experts_by_rank = {
             rank: [layer[rank] for layer in experts] for rank in range(n_ranks)
         }
 
-    def _start(self, coroutine: Any) -> None:
+    def _spawn(self, coroutine: Any) -> None:
         """Run a coroutine as a task, with a reference that keeps the task alive."""
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
 
-def _note_end(group: _Group, view: GroupView, now_ms: int) -> None:
+def _update_fixed_ms(group: _GroupState, view: GroupView, now_ms: int) -> None:
     """Update the average duration of changes of a group without their weight loads.
 
     When orders are lost, changes take longer and make the group wait at the held step.
     With the longer duration, the planner makes only changes with a large gain.
     """
-    if view.common_map_version != group.placed_version or not group.wanted_at_ms:
+    if view.common_map_version != group.placement_version or not group.target_set_at_ms:
         return
-    fixed_ms = now_ms - group.wanted_at_ms - group.wanted_load_ms
-    group.fixed_ms += FIXED_SMOOTHING * (max(0.0, fixed_ms) - group.fixed_ms)
-    group.wanted_at_ms = 0
+    fixed_ms = now_ms - group.target_set_at_ms - group.target_load_ms
+    group.fixed_ms += FIXED_MS_SMOOTHING * (max(0.0, fixed_ms) - group.fixed_ms)
+    group.target_set_at_ms = 0
 
 
-def _mean_skew(
+def _compute_mean_skew(
     n_ranks: int, placement: Placement, loads: Sequence[Sequence[float]]
 ) -> float:
     """Return the mean of the skews of all layers."""
     skews = [
-        compute_skew(compute_rank_loads(n_ranks, ranks, of_layer))
-        for ranks, of_layer in zip(placement, loads, strict=True)
+        compute_skew(compute_rank_loads(n_ranks, ranks, layer_loads))
+        for ranks, layer_loads in zip(placement, loads, strict=True)
     ]
     return sum(skews) / len(skews)
--- a/packages/entry/src/bluebellusher/ranks/_lease.py
+++ b/packages/entry/src/bluebellusher/ranks/_lease.py
@@ -63,10 +63,10 @@
         self._clock = clock
         self._log = log
         self._is_held_elsewhere = is_held_elsewhere
-        self._last_token: int | None = None
+        self._last_logged_token: int | None = None
         self._is_released = False
-        self._is_store_away = False
-        self._last_led_token: int | None = None
+        self._is_store_unavailable = False
+        self._last_leading_token: int | None = None
 
     @classmethod
     def from_parts(
@@ -118,8 +118,8 @@
         another leader would have a higher token, and agents refuse the lower one.
         """
         token = self.token
-        if token is None and self._is_store_away and not self._is_released:
-            return self._last_led_token
+        if token is None and self._is_store_unavailable and not self._is_released:
+            return self._last_leading_token
         return token
 
     def note_token_seen(self, token: int) -> None:
@@ -130,8 +130,8 @@
         write raises the token of the lease.
         """
         self._tracker.note_token_seen(token)
-        if self._last_led_token is not None and token > self._last_led_token:
-            self._last_led_token = None
+        if self._last_leading_token is not None and token > self._last_leading_token:
+            self._last_leading_token = None
 
     async def run(self) -> None:
         """Acquire the lease when it is free, and renew it, until released or cancelled.
@@ -141,15 +141,15 @@
         """
         while not self._is_released:
             if self.token is None and self._is_held_elsewhere():
-                self._note_token()
+                self._record_token()
                 await asyncio.sleep(HOLDER_POLL_MS / 1000)
                 continue
             if self.token is None:
-                await self._observe()
+                await self._read_lease()
             write = self._tracker.plan_write(self._clock.now_ms())
             if write is not None:
-                await self._write(write)
-            self._note_token()
+                await self._write_lease(write)
+            self._record_token()
             poll_ms = FOLLOWER_POLL_MS if self.token is None else HOLDER_POLL_MS
             await asyncio.sleep(poll_ms / 1000)
 
@@ -159,36 +159,38 @@
         write = self._tracker.plan_release(self._clock.now_ms())
         if write is not None:
             await self._store.write_row(_to_write(write))
-        self._note_token()
+        self._record_token()
 
-    async def _observe(self) -> None:
+    async def _read_lease(self) -> None:
         """Read the lease from the store and pass it to the tracker."""
         result = await self._store.read_table(LEASES_TABLE)
-        self._is_store_away = not result.is_ok()
+        self._is_store_unavailable = not result.is_ok()
         if not result.is_ok():
             return
         row = next((r for r in result.ok.rows if r.key == self._name), None)
         version = row.version if row else 0
-        self._tracker.observe(version, self._read_row(row), self._clock.now_ms())
+        self._tracker.observe(version, self._decode_row(row), self._clock.now_ms())
 
-    async def _write(self, write: LeaseWrite) -> None:
+    async def _write_lease(self, write: LeaseWrite) -> None:
         """Write the lease to the store and pass the result to the tracker."""
         result = await self._store.write_row(_to_write(write))
-        self._is_store_away = not result.is_ok()
+        self._is_store_unavailable = not result.is_ok()
         now_ms = self._clock.now_ms()
         match result:
             case Result(tag="ok", ok=row):
-                found = self._read_row(row)
-                if found == write.row:
+                stored_row = self._decode_row(row)
+                if stored_row == write.row:
                     self._tracker.write_succeeded(write, row.version, now_ms)
                 else:
-                    self._tracker.write_conflicted(write, row.version, found, now_ms)
+                    self._tracker.write_conflicted(
+                        write, row.version, stored_row, now_ms
+                    )
             case Result(error=error):
                 self._log.log(
                     "lease-write-failed", step=error.step, reason=error.reason
                 )
 
-    def _read_row(self, row: MirrorRow | None) -> LeaseRow | None:
+    def _decode_row(self, row: MirrorRow | None) -> LeaseRow | None:
         """Return the content of the lease's row; None for a free lease.
 
         A row that cannot be decoded is logged and treated as a free lease. Agents
@@ -209,17 +211,19 @@
             )
             return None
 
-    def _note_token(self) -> None:
+    def _record_token(self) -> None:
         """Store the current token, and log when the lease was acquired or lost."""
         token = self.token
         if token is not None:
-            self._last_led_token = token
-        if token != self._last_token:
-            name = "lease-held" if token is not None else "lease-lost"
-            shown = token if token is not None else self._last_token or 0
+            self._last_leading_token = token
+        if token != self._last_logged_token:
+            event_name = "lease-held" if token is not None else "lease-lost"
+            logged_token = token if token is not None else self._last_logged_token or 0
             is_leading = self.leading_token is not None
-            self._log.log(name, lease=self._name, token=shown, is_leading=is_leading)
-            self._last_token = token
+            self._log.log(
+                event_name, lease=self._name, token=logged_token, is_leading=is_leading
+            )
+            self._last_logged_token = token
 
 
 def _to_write(write: LeaseWrite) -> RowWrite:
--- a/packages/entry/src/bluebellusher/ranks/_links.py
+++ b/packages/entry/src/bluebellusher/ranks/_links.py
@@ -24,7 +24,7 @@
 
 
 @dataclass(slots=True)
-class _Agent:
+class _AgentConnection:
     """Connection to the agent on one host, and the endpoint that runs there.
 
     Parameters
@@ -88,7 +88,7 @@
         self._clock = clock
         self._random_state = random_state
         self._port = port
-        self._agent_by_host: dict[str, _Agent] = {}
+        self._agent_by_host: dict[str, _AgentConnection] = {}
         self._host_by_endpoint_id: dict[str, str] = {}
         self._future_by_call_id: dict[str, asyncio.Future[Any]] = {}
         self._call_ids = itertools.count(1)
@@ -99,7 +99,7 @@
         agents = self._agent_by_host.values()
         return sum(agent.connection is not None for agent in agents)
 
-    def states(self) -> list[RankState]:
+    def get_states(self) -> list[RankState]:
         """Return the last reported state of every rank whose agent is connected."""
         agents = self._agent_by_host.values()
         return [a.state for a in agents if a.state is not None and a.connection]
@@ -112,8 +112,8 @@
         """
         newest_by_host: dict[str, EndpointRegistration] = {}
         for endpoint in endpoints:
-            known = newest_by_host.get(endpoint.host)
-            if known is None or endpoint.started_wall_ms > known.started_wall_ms:
+            newest = newest_by_host.get(endpoint.host)
+            if newest is None or endpoint.started_wall_ms > newest.started_wall_ms:
                 newest_by_host[endpoint.host] = endpoint
         for host in self._agent_by_host.keys() - newest_by_host.keys():
             self._agent_by_host.pop(host).task.cancel()
@@ -121,7 +121,7 @@
             agent = self._agent_by_host.get(host)
             if agent is None:
                 task = asyncio.create_task(self._dial(host))
-                self._agent_by_host[host] = _Agent(endpoint, task)
+                self._agent_by_host[host] = _AgentConnection(endpoint, task)
             elif agent.endpoint.endpoint_id != endpoint.endpoint_id:
                 agent.endpoint, agent.state = endpoint, None
         self._host_by_endpoint_id = {
@@ -154,14 +154,14 @@
         except TimeoutError:
             # With agents in other failure domains, heartbeats have longer intervals and
             # detect a broken connection later than this check.
-            silent_ms = self._clock.now_ms() - connection.received_at_ms
-            if silent_ms > NEAR_PACE.silence_limit_ms:
-                connection.close(f"call not answered, no message for {silent_ms} ms")
+            idle_ms = self._clock.now_ms() - connection.received_at_ms
+            if idle_ms > NEAR_PACE.silence_limit_ms:
+                connection.close(f"call not answered, no message for {idle_ms} ms")
             return None
         finally:
             del self._future_by_call_id[message.call_id]
 
-    async def give(self, order: RankOrder) -> Any:
+    async def send_order(self, order: RankOrder) -> Any:
         """Send an order to the agent of its rank and return the agent's answer.
 
         Returns None when the agent is not connected or does not answer within
@@ -200,28 +200,28 @@
         if agent is None:
             return
         if isinstance(message, messages.RankReport):
-            self._take_report(agent, message)
+            self._handle_report(agent, message)
             return
         future = self._future_by_call_id.get(getattr(message, "call_id", None) or "")
         if future is not None and not future.done():
             future.set_result(message)
 
     def on_closed(self, connection: FrameConnection, error: str) -> None:
-        """Discard a lost connection; ``states`` then omits the rank."""
+        """Discard a lost connection; the state of its rank is not used any more."""
         agent = self._agent_by_host.get(connection.host)
         if agent is not None and agent.connection is connection:
             agent.connection = None
             self._sink.log("agent-lost", peer=connection.peer, error=error)
 
-    def _take_report(self, agent: _Agent, report: Any) -> None:
+    def _handle_report(self, agent: _AgentConnection, report: Any) -> None:
         """Post the reported load as an event, and store the state of the rank.
 
         A report without a group contains no state of a rank.
         """
         agent.n_reports += 1
         endpoint = agent.endpoint
-        starts = {report.started_wall_ms or 0, endpoint.started_wall_ms, 0}
-        if len(starts) > 2:
+        start_times = {report.started_wall_ms or 0, endpoint.started_wall_ms, 0}
+        if len(start_times) > 2:
             # The report is from another start of the endpoint than the registered one.
             return
         is_open = bool(report.is_open)
--- a/packages/entry/src/bluebellusher/ranks/tests/test_leader.py
+++ b/packages/entry/src/bluebellusher/ranks/tests/test_leader.py
@@ -32,7 +32,7 @@
 HOT = [1_000, 10, 10, 10, 10, 10, 10, 10]
 
 
-class Lease:
+class FakeLease:
     """Fake lease; a test ends the leadership by setting ``leading_token`` to None."""
 
     leading_token = 1
@@ -41,24 +41,24 @@
         """Ignore a token that an agent has accepted."""
 
 
-class Links:
+class FakeLinks:
     """Fake connections to the agents of a model group.
 
-    ``lose`` returns whether an order is lost, so that it has no effect and no answer.
+    ``is_lost`` returns whether an order is lost; a lost order has no effect or answer.
     ``counts`` are the counts that every rank returns, and ``counted_ids`` are the ranks
     from which counts were requested without the experts.
     """
 
-    def __init__(self, group, lose=lambda order: False):
+    def __init__(self, group, is_lost=lambda order: False):
         self.on_state = None
         self.group = group
-        self.lose = lose
+        self.is_lost = is_lost
         self.counts = HOT
         self.n_orders = 0
         self.counted_ids = set()
         self._clock = SystemClock()
 
-    def states(self):
+    def get_states(self):
         """Return the current states of all ranks."""
         now_ms = self._clock.now_ms()
         return [
@@ -89,12 +89,12 @@
             map_version=engine.map_version,
         )
 
-    async def give(self, order: RankOrder):
+    async def send_order(self, order: RankOrder):
         """Carry out an order and answer it, unless the order is lost."""
         await asyncio.sleep(0)
         self.n_orders += 1
         rank = int(order.rank_id)
-        if self.lose(order):
+        if self.is_lost(order):
             return None
         token = max(self.group.token_by_rank[rank], order.fencing_token)
         self.group.token_by_rank[rank] = token
@@ -105,7 +105,7 @@
 def run(links, scenario):
     """Run a scenario concurrently with a leader and the passes of its group."""
 
-    async def go_on():
+    async def run_passes():
         while True:
             links.group.start_pass()
             await asyncio.sleep(0.02)
@@ -116,9 +116,9 @@
     async def main():
         log = FakeLog()
         leader = MapLeader(
-            Lease(), links, find_model, "d0", 300.0, SystemClock(), Random(1), log
+            FakeLease(), links, find_model, "d0", 300.0, SystemClock(), Random(1), log
         )
-        tasks = [asyncio.create_task(leader.run()), asyncio.create_task(go_on())]
+        tasks = [asyncio.create_task(leader.run()), asyncio.create_task(run_passes())]
         try:
             async with asyncio.timeout(20):
                 await scenario(leader, log)
@@ -129,9 +129,9 @@
     asyncio.run(main())
 
 
-def test_hot_expert_is_spread_over_the_ranks():
+def test_hot_expert_gets_replicas_on_several_ranks():
     """Guards against a rank that stays overloaded and delays every pass."""
-    links = Links(Group(N_RANKS))
+    links = FakeLinks(Group(N_RANKS))
 
     async def scenario(leader, log):
         await until(lambda: links.group.n_switches >= 1)
@@ -144,10 +144,10 @@
     run(links, scenario)
 
 
-def test_lost_orders_are_given_again():
+def test_lost_orders_are_sent_again():
     """Guards against a group that waits for seconds after an order was lost."""
-    chance = Random(2)
-    links = Links(Group(N_RANKS), lose=lambda order: chance.random() < 0.35)
+    rng = Random(2)
+    links = FakeLinks(Group(N_RANKS), is_lost=lambda order: rng.random() < 0.35)
 
     async def scenario(leader, log):
         await until(lambda: links.group.n_switches >= 1)
@@ -155,9 +155,9 @@
     run(links, scenario)
 
 
-def test_even_load_gets_no_orders():
+def test_balanced_load_causes_no_orders():
     """Guards against map changes that load weights without reducing the skew."""
-    links = Links(Group(N_RANKS))
+    links = FakeLinks(Group(N_RANKS))
     links.counts = [100] * N_EXPERTS
 
     async def scenario(leader, log):
@@ -169,11 +169,11 @@
 
 def test_unreadable_counts_are_logged_and_cause_no_change():
     """Guards against damaged counts that are treated as zero load and not logged."""
-    links = Links(Group(N_RANKS))
-    answer = links.call
+    links = FakeLinks(Group(N_RANKS))
+    original_call = links.call
 
     async def call_damaged(rank_id, message):
-        counts = await answer(rank_id, message)
+        counts = await original_call(rank_id, message)
         counts.packed_counts = b"?"
         return counts
 
@@ -191,9 +191,9 @@
     run(links, scenario)
 
 
-def test_entry_without_the_lease_gives_no_orders():
+def test_entry_without_the_lease_sends_no_orders():
     """Guards against two entries that send orders to the same group."""
-    links = Links(Group(N_RANKS))
+    links = FakeLinks(Group(N_RANKS))
 
     async def scenario(leader, log):
         leader._lease.leading_token = None
@@ -203,9 +203,9 @@
     run(links, scenario)
 
 
-def test_group_that_is_formed_anew_is_planned_for_from_its_first_map():
+def test_plan_for_a_group_formed_again_starts_from_its_first_map():
     """Guards against a plan based on the map of the previous epoch."""
-    links = Links(Group(N_RANKS))
+    links = FakeLinks(Group(N_RANKS))
 
     async def scenario(leader, log):
         await until(lambda: links.group.n_switches >= 1)
@@ -216,19 +216,19 @@
     run(links, scenario)
 
 
-def test_retiring_leader_finishes_its_change():
+def test_leader_completes_its_change_before_it_stops():
     """Guards against a step that stays held until there is another leader."""
-    held = []
+    hold_orders = []
 
-    def lose(order):
+    def is_lost(order):
         if order.action is OrderAction.HOLD:
-            held.append(order)
+            hold_orders.append(order)
         return False
 
-    links = Links(Group(N_RANKS), lose)
+    links = FakeLinks(Group(N_RANKS), is_lost)
 
     async def scenario(leader, log):
-        await until(lambda: held)
+        await until(lambda: hold_orders)
         await leader.retire(2_000)
         assert not any(e.held_step for e in links.group.engines)
         assert not any(e.armed for e in links.group.engines)
@@ -237,22 +237,22 @@
 
 
 @pytest.mark.parametrize("n_unanswered", [0, 1, 3])
-def test_step_that_was_held_late_is_used_for_the_present_map(n_unanswered):
+def test_late_hold_is_used_to_switch_to_the_current_map(n_unanswered):
     """Guards against a late hold that blocks its group or is released unsafely.
 
     A release could be carried out late as well, so the held step is used to switch to
     the current map. This must also work when a rank does not answer the request for its
     experts.
     """
-    links = Links(Group(N_RANKS))
+    links = FakeLinks(Group(N_RANKS))
     links.counts = [100] * N_EXPERTS
-    answer, unanswered = links.call, []
+    original_call, unanswered = links.call, []
 
     async def call(rank_id, message):
         if message.with_map and rank_id == "2" and len(unanswered) < n_unanswered:
             unanswered.append(message)
             return None
-        return await answer(rank_id, message)
+        return await original_call(rank_id, message)
 
     links.call = call
 
@@ -267,9 +267,9 @@
     run(links, scenario)
 
 
-def test_large_group_is_counted_in_the_domain_of_its_leader():
+def test_large_group_is_counted_only_in_the_domain_of_its_leader():
     """Guards against counts that need more bytes between domains than requests."""
-    links = Links(Group(32))
+    links = FakeLinks(Group(32))
 
     async def scenario(leader, log):
         await until(lambda: links.group.n_switches >= 1)
--- a/packages/entry/src/bluebellusher/ranks/tests/test_lease.py
+++ b/packages/entry/src/bluebellusher/ranks/tests/test_lease.py
@@ -24,7 +24,7 @@
     asyncio.run(main())
 
 
-def test_one_of_two_holds_the_lease():
+def test_only_one_entry_acquires_the_lease():
     """Guards against two leaders that use the same fencing token."""
 
     async def scenario(store, clock):
@@ -39,7 +39,7 @@
     run(scenario)
 
 
-def test_holder_that_cannot_renew_stops_before_another_begins():
+def test_lease_expires_before_another_entry_acquires_it():
     """Guards against a holder whose lease another entry acquires before it expires."""
 
     async def scenario(store, clock):
@@ -64,7 +64,7 @@
     run(scenario)
 
 
-def test_holder_goes_on_leading_while_the_store_is_away():
+def test_holder_continues_to_lead_while_the_store_is_unavailable():
     """Guards against groups without a leader during an outage of the store.
 
     In the run trouble-3 of arrullo-oax, no entry led for 8 s of an outage, and the
@@ -121,7 +121,7 @@
     run(scenario)
 
 
-def test_follower_does_not_ask_the_store_while_the_holder_is_heard():
+def test_lease_is_not_read_while_a_peer_reports_holding_it():
     """Guards against store calls of every entry while one of them holds the lease."""
 
     async def scenario(store, clock):
@@ -134,7 +134,7 @@
     run(scenario)
 
 
-def test_released_lease_is_not_taken_again_by_the_same_entry():
+def test_released_lease_is_not_acquired_again_by_the_same_entry():
     """Guards against an entry that acquires the lease again during its shutdown."""
 
     async def scenario(store, clock):
@@ -148,7 +148,7 @@
     run(scenario)
 
 
-def test_unreadable_lease_is_logged_and_taken_over():
+def test_unreadable_lease_is_logged_and_acquired():
     """Guards against a damaged row that is treated as a free lease and not logged.
 
     The agents still report the token of the damaged row, and the next token is higher.
