Rename private names in agent/ranks

Constants, private methods, local variables and tests of the rank agent are named after what they do, in the project's terms. No name outside this folder changes. Behaviour does not change.

--- a/packages/agent/src/bluebellusher_agent/ranks/_agent.py
+++ b/packages/agent/src/bluebellusher_agent/ranks/_agent.py
@@ -33,34 +33,34 @@
 
 # Interval of the heartbeats and timeouts of all connections, and number of these
 # intervals between two trims of the memory.
-TICK_MS = 500
-TRIM_TICKS = 20
+TICK_INTERVAL_MS = 500
+N_TICKS_PER_TRIM = 20
 # Interval between two reads of the engine's state. Entries correct a reported load by
 # the requests that they have sent since; a shorter interval would cost more bytes.
 READ_INTERVAL_MS = 200
 # Interval between two reads while the engine loads the weights of a map, because the
 # map change waits for the end of the loading.
-READ_INTERVAL_COPYING_MS = 40
+LOADING_READ_INTERVAL_MS = 40
 # Time after an order to prepare for which the shorter interval is used. Loading takes
 # seconds; if it takes longer, the order was lost and the leader sends it again.
-MAX_COPYING_MS = 6_000
+MAX_LOADING_MS = 6_000
 # Time to wait for the engine's answer to an order, and number of tries. An engine on
 # the same instance answers within a few milliseconds.
 ORDER_TIMEOUT_MS = 25
-N_ORDER_TRIES = 8
+MAX_ORDER_TRIES = 8
 # Interval at which an unchanged state is reported to the entries of the agent's failure
 # domain and to the leader, so that they can recognize that it is current.
-REPEAT_INTERVAL_MS = 600
+NEAR_REPORT_INTERVAL_MS = 600
 # Interval at which an unchanged state is reported to all entries. Entries in other
 # failure domains prefer endpoints of their own domain, and traffic between failure
 # domains is expensive.
-REMOTE_REPEAT_INTERVAL_MS = 2_400
+REMOTE_REPORT_INTERVAL_MS = 2_400
 MAX_CONNECTIONS = 4_096
 _BACKLOG = 512
 
 
 @dataclass(frozen=True, slots=True)
-class _Seen:
+class _EngineSnapshot:
     """State of the engine, with the agent's fencing token at the start of the read.
 
     Leaders assume that a state with their token was read after the agent had accepted
@@ -72,13 +72,13 @@
         State of the engine.
     fencing_token : int
         Highest fencing token that the agent had accepted when the read started.
-    n_begun : int
+    read_number : int
         Number of the read; reads are numbered in the sequence of their starts.
     """
 
     reading: RankReading
     fencing_token: int
-    n_begun: int
+    read_number: int
 
 
 class RankAgent:
@@ -115,17 +115,17 @@
         self._leader: EntryConnection | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._servers: list[asyncio.Server] = []
-        self._seen: _Seen | None = None
-        self._told: RankReading | None = None
-        self._n_reads_begun = 0
-        self._told_at_ms = 0
-        self._told_everyone_at_ms = 0
+        self._latest_snapshot: _EngineSnapshot | None = None
+        self._last_reported_state: RankReading | None = None
+        self._n_reads_started = 0
+        self._last_near_report_ms = 0
+        self._last_full_report_ms = 0
         self._sequence = 0
         self._is_engine_answering = True
-        self._copying_until_ms = 0
-        self._copying_version = 0
+        self._loading_until_ms = 0
+        self._loading_version = 0
         self._n_by_name: Counter[str] = Counter()
-        self._counts_by_connection: dict[EntryConnection, RankCounts] = {}
+        self._last_counts_by_connection: dict[EntryConnection, RankCounts] = {}
         self._memory = MemoryTrimmer()
 
     async def start(self) -> None:
@@ -146,10 +146,10 @@
                 backlog=_BACKLOG,
             )
         )
-        pages = MetricsPage(self._gauges, self._n_by_name)
+        metrics_page = MetricsPage(self._read_gauges, self._n_by_name)
         self._servers.append(
             await asyncio.start_server(
-                pages.serve, settings.metrics.host, settings.metrics.port
+                metrics_page.serve, settings.metrics.host, settings.metrics.port
             )
         )
         self._spawn(supervise(self._tick_forever, self._report_fault))
@@ -202,8 +202,8 @@
     def on_ready(self, connection: EntryConnection) -> None:
         """Report the last known state to an entry that has completed the handshake."""
         log("entry-connected", peer=connection.peer_id)
-        if self._seen is not None:
-            connection.send(self._make_report(self._seen))
+        if self._latest_snapshot is not None:
+            connection.send(self._make_report(self._latest_snapshot))
 
     def on_message(self, connection: EntryConnection, message: Any) -> None:
         """Start to handle an order or a request for counts.
@@ -214,7 +214,7 @@
             When the message has another type; the connection is closed then.
         """
         if isinstance(message, messages.RankOrder):
-            self._spawn(self._execute(connection, message))
+            self._spawn(self._handle_order(connection, message))
         elif isinstance(message, messages.RankPull):
             self._spawn(self._send_counts(connection, message))
         else:
@@ -230,27 +230,27 @@
     def on_closed(self, connection: EntryConnection) -> None:
         """Discard a lost connection, with its last counts."""
         self._connections.discard(connection)
-        self._counts_by_connection.pop(connection, None)
+        self._last_counts_by_connection.pop(connection, None)
         if connection is self._leader:
             self._leader = None
         if connection.peer_id:
             log("entry-lost", peer=connection.peer_id)
 
-    async def _execute(self, connection: EntryConnection, message: Any) -> None:
+    async def _handle_order(self, connection: EntryConnection, message: Any) -> None:
         """Carry out an order, answer it and report the state of the engine after it.
 
         An order that is malformed, or whose fencing token is lower than one that was
         accepted earlier, is refused.
         """
         try:
-            order = _to_order(message)
+            order = _decode_order(message)
         except StepError as error:
-            self._answer(connection, message, False, error.reason)
+            self._answer_order(connection, message, False, error.reason)
             return
         token = message.fencing_token or 0
         if token < self.fencing_token:
             reason = f"token {token} is older than {self.fencing_token}"
-            self._answer(connection, message, False, reason)
+            self._answer_order(connection, message, False, reason)
             return
         is_new_leader = token > self.fencing_token
         if is_new_leader:
@@ -258,20 +258,22 @@
             self.fencing_token = token
         self._leader = connection
         if order.action is OrderAction.PREPARE:
-            self._copying_version = order.map_version
-            self._copying_until_ms = self.clock.now_ms() + MAX_COPYING_MS
+            self._loading_version = order.map_version
+            self._loading_until_ms = self.clock.now_ms() + MAX_LOADING_MS
         if order.action is not OrderAction.FENCE:
-            answer = await self._give(order)
-            self._answer(connection, message, answer.is_accepted, answer.reason)
+            answer = await self._execute_with_retries(order)
+            self._answer_order(connection, message, answer.is_accepted, answer.reason)
         else:
-            self._answer(connection, message, True, "fenced")
+            self._answer_order(connection, message, True, "fenced")
         # The leader acts on reported states, not on answers to orders. After a change
         # of the leader, the report shows the new token to the previous leader.
-        seen = await self._read_once()
-        if seen is not None:
-            self._tell_news(seen, self._connections if is_new_leader else {connection})
+        snapshot = await self._read_engine()
+        if snapshot is not None:
+            self._send_due_reports(
+                snapshot, self._connections if is_new_leader else {connection}
+            )
 
-    async def _give(self, order: RankOrder) -> OrderAnswer:
+    async def _execute_with_retries(self, order: RankOrder) -> OrderAnswer:
         """Send an order to the engine until it answers or the tries are used up.
 
         It is harmless when an engine receives the same order more than once.
@@ -280,15 +282,15 @@
         waits at a held step.
         """
         reason = ""
-        for _ in range(N_ORDER_TRIES):
+        for _ in range(MAX_ORDER_TRIES):
             try:
                 return await self._engine.execute(order, ORDER_TIMEOUT_MS)
             except StepError as error:
                 reason = error.reason
         self._n_by_name["orders_unanswered"] += 1
-        return OrderAnswer(False, f"{reason}, {N_ORDER_TRIES} tries")
+        return OrderAnswer(False, f"{reason}, {MAX_ORDER_TRIES} tries")
 
-    def _answer(
+    def _answer_order(
         self, connection: EntryConnection, message: Any, is_accepted: bool, reason: str
     ) -> None:
         """Count and log an order, and answer it."""
@@ -322,14 +324,14 @@
                 messages.RankCounts(call_id=message.call_id, reason=error.reason)
             )
             return
-        before = self._counts_by_connection.get(connection)
-        self._counts_by_connection[connection] = counts
+        previous = self._last_counts_by_connection.get(connection)
+        self._last_counts_by_connection[connection] = counts
         connection.send(
             messages.RankCounts(
                 call_id=message.call_id,
                 epoch=counts.epoch,
                 step=counts.step,
-                packed_counts=_pack_new(before, counts),
+                packed_counts=_pack_new_counts(previous, counts),
                 experts=[list(layer) for layer in counts.experts],
                 map_version=counts.map_version,
             )
@@ -338,36 +340,41 @@
     async def _read_forever(self) -> None:
         """Read the engine's state at intervals and report it when a report is due."""
         while True:
-            seen = await self._read_once()
-            if seen is not None:
-                self._tell_news(seen, set())
+            snapshot = await self._read_engine()
+            if snapshot is not None:
+                self._send_due_reports(snapshot, set())
             interval_ms = READ_INTERVAL_MS
-            if self.clock.now_ms() < self._copying_until_ms:
-                interval_ms = READ_INTERVAL_COPYING_MS
+            if self.clock.now_ms() < self._loading_until_ms:
+                interval_ms = LOADING_READ_INTERVAL_MS
             await asyncio.sleep(interval_ms / 1000)
 
-    async def _read_once(self) -> _Seen | None:
+    async def _read_engine(self) -> _EngineSnapshot | None:
         """Read the engine's state; return None when the engine does not answer.
 
         If a read that started later has already ended, its state is returned.
         """
-        self._n_reads_begun += 1
-        n_begun, token = self._n_reads_begun, self.fencing_token
+        self._n_reads_started += 1
+        read_number, token = self._n_reads_started, self.fencing_token
         try:
             reading = await self._engine.read()
         except StepError as error:
-            self._note_engine(False, error.reason)
+            self._record_engine_contact(False, error.reason)
             return None
-        self._note_engine(True, "")
-        if self._seen is not None and n_begun < self._seen.n_begun:
-            return self._seen
-        self._note_group(reading)
-        self._seen = _Seen(reading, token, n_begun)
-        if reading.prepared_version == self._copying_version:
-            self._copying_until_ms = 0
-        return self._seen
-
-    def _tell_news(self, seen: _Seen, always: set[EntryConnection]) -> None:
+        self._record_engine_contact(True, "")
+        if (
+            self._latest_snapshot is not None
+            and read_number < self._latest_snapshot.read_number
+        ):
+            return self._latest_snapshot
+        self._log_group_change(reading)
+        self._latest_snapshot = _EngineSnapshot(reading, token, read_number)
+        if reading.prepared_version == self._loading_version:
+            self._loading_until_ms = 0
+        return self._latest_snapshot
+
+    def _send_due_reports(
+        self, snapshot: _EngineSnapshot, recipients: set[EntryConnection]
+    ) -> None:
         """Report a state to the entries for which a report is due.
 
         All entries receive changes of the group, the leader receives changes of the
@@ -380,32 +387,43 @@
 
         Parameters
         ----------
-        seen : _Seen
+        snapshot : _EngineSnapshot
             State to report.
-        always : set of EntryConnection
+        recipients : set of EntryConnection
             Connections to report to even if no report is due.
         """
         now_ms = self.clock.now_ms()
-        told, reading = self._told, seen.reading
-        is_due = now_ms - self._told_everyone_at_ms >= REMOTE_REPEAT_INTERVAL_MS
-        if is_due or told is None or _group_state(told) != _group_state(reading):
-            self._told_at_ms = self._told_everyone_at_ms = now_ms
-            self._tell(seen, self._connections)
+        reported, reading = self._last_reported_state, snapshot.reading
+        is_due = now_ms - self._last_full_report_ms >= REMOTE_REPORT_INTERVAL_MS
+        if (
+            is_due
+            or reported is None
+            or _get_group_fields(reported) != _get_group_fields(reading)
+        ):
+            self._last_near_report_ms = self._last_full_report_ms = now_ms
+            self._send_report(snapshot, self._connections)
             return
-        listeners = set(always)
-        if now_ms - self._told_at_ms >= REPEAT_INTERVAL_MS:
-            self._told_at_ms = now_ms
-            listeners |= {c for c in self._connections if self._is_near(c)}
-        if _map_state(told) != _map_state(reading) and self._leader is not None:
-            listeners.add(self._leader)
-        if _load(told) != _load(reading):
+        due_connections = set(recipients)
+        if now_ms - self._last_near_report_ms >= NEAR_REPORT_INTERVAL_MS:
+            self._last_near_report_ms = now_ms
+            due_connections |= {
+                c for c in self._connections if self._needs_current_load(c)
+            }
+        if (
+            _get_map_fields(reported) != _get_map_fields(reading)
+            and self._leader is not None
+        ):
+            due_connections.add(self._leader)
+        if _count_requests(reported) != _count_requests(reading):
             # Entries in other failure domains prefer endpoints of their own domain;
             # they receive the load with the next report that is due.
-            listeners |= {c for c in self._connections if self._is_near(c)}
-        if listeners:
-            self._tell(seen, listeners)
+            due_connections |= {
+                c for c in self._connections if self._needs_current_load(c)
+            }
+        if due_connections:
+            self._send_report(snapshot, due_connections)
 
-    def _is_near(self, connection: EntryConnection) -> bool:
+    def _needs_current_load(self, connection: EntryConnection) -> bool:
         """Return whether an entry needs the current load and step of the rank.
 
         These are the entries in the failure domain of this agent, and the leader in any
@@ -414,27 +432,29 @@
         is_own_domain = connection.peer_domain == self.settings.failure_domain
         return is_own_domain or connection is self._leader
 
-    def _tell(self, seen: _Seen, connections: Iterable[EntryConnection]) -> None:
+    def _send_report(
+        self, snapshot: _EngineSnapshot, connections: Iterable[EntryConnection]
+    ) -> None:
         """Send a report of a state on all given connections that are ready."""
-        self._told = seen.reading
-        report = self._make_report(seen)
+        self._last_reported_state = snapshot.reading
+        report = self._make_report(snapshot)
         for connection in connections:
             if connection.is_ready:
                 connection.send(report)
 
-    def _note_engine(self, is_answering: bool, reason: str) -> None:
+    def _record_engine_contact(self, is_answering: bool, reason: str) -> None:
         """Record whether the engine has answered a read, and log a change."""
         if is_answering != self._is_engine_answering:
             self._is_engine_answering = is_answering
-            name = "engine-regained" if is_answering else "engine-lost"
-            log(name, reason=reason)
-
-    def _note_group(self, reading: RankReading) -> None:
-        """Log a change of the group's epoch, of its openness or of its map."""
-        old = self._seen.reading if self._seen else None
-        before = (old.epoch, old.is_open, old.map_version) if old else None
-        now = (reading.epoch, reading.is_open, reading.map_version)
-        if before != now:
+            event_name = "engine-regained" if is_answering else "engine-lost"
+            log(event_name, reason=reason)
+
+    def _log_group_change(self, reading: RankReading) -> None:
+        """Log the state if the epoch, the open state or the map version has changed."""
+        old = self._latest_snapshot.reading if self._latest_snapshot else None
+        old_values = (old.epoch, old.is_open, old.map_version) if old else None
+        new_values = (reading.epoch, reading.is_open, reading.map_version)
+        if old_values != new_values:
             log(
                 "group",
                 group=reading.group_id,
@@ -445,9 +465,9 @@
                 step=reading.step,
             )
 
-    def _make_report(self, seen: _Seen) -> Any:
+    def _make_report(self, snapshot: _EngineSnapshot) -> Any:
         """Return the next ``RankReport``, with a state of the engine."""
-        reading = seen.reading
+        reading = snapshot.reading
         self._sequence += 1
         return messages.RankReport(
             sequence=self._sequence,
@@ -465,7 +485,7 @@
             armed_step=reading.armed_step or None,
             held_step=reading.held_step,
             pace=reading.pace,
-            fencing_token=seen.fencing_token,
+            fencing_token=snapshot.fencing_token,
             started_wall_ms=reading.started_wall_ms,
         )
 
@@ -473,17 +493,17 @@
         """Drive the heartbeats and timeouts of all connections, and trim the memory."""
         n_ticks = 0
         while True:
-            await asyncio.sleep(TICK_MS / 1000)
+            await asyncio.sleep(TICK_INTERVAL_MS / 1000)
             now_ms = self.clock.now_ms()
             for connection in list(self._connections):
                 connection.tick(now_ms)
             n_ticks += 1
-            if n_ticks % TRIM_TICKS == 0:
+            if n_ticks % N_TICKS_PER_TRIM == 0:
                 self._memory.trim()
 
-    def _gauges(self) -> dict[str, int]:
+    def _read_gauges(self) -> dict[str, int]:
         """Return the values of the gauges by name; 0 for a state not yet read."""
-        reading = self._seen.reading if self._seen else None
+        reading = self._latest_snapshot.reading if self._latest_snapshot else None
         return {
             "entries": len(self._connections),
             "engine_answers": int(self._is_engine_answering),
@@ -515,28 +535,28 @@
         log("internal-fault", error=f"{type(error).__name__}: {error}")
 
 
-def _pack_new(before: RankCounts | None, counts: RankCounts) -> bytes | None:
-    """Return the encoded number of choices of each expert since earlier counts.
+def _pack_new_counts(previous: RankCounts | None, counts: RankCounts) -> bytes | None:
+    """Return the encoded number of choices of each expert since the previous counts.
 
-    None when there are no earlier counts, or when they are from another epoch.
+    None when there are no previous counts, or when they are from another epoch.
     """
-    if before is None or before.epoch != counts.epoch:
+    if previous is None or previous.epoch != counts.epoch:
         return None
-    pairs = zip(counts.n_by_expert, before.n_by_expert, strict=True)
-    return pack_counts([now - then for now, then in pairs])
+    pairs = zip(counts.n_by_expert, previous.n_by_expert, strict=True)
+    return pack_counts([new - old for new, old in pairs])
 
 
-def _load(reading: RankReading) -> int:
+def _count_requests(reading: RankReading) -> int:
     """Return the number of running and queued requests."""
     return reading.n_running + reading.n_queued
 
 
-def _group_state(reading: RankReading) -> tuple[object, ...]:
+def _get_group_fields(reading: RankReading) -> tuple[object, ...]:
     """Return the fields whose changes are reported to every entry at once."""
     return reading.epoch, reading.is_open, reading.started_wall_ms
 
 
-def _map_state(reading: RankReading) -> tuple[object, ...]:
+def _get_map_fields(reading: RankReading) -> tuple[object, ...]:
     """Return the fields whose changes are reported to the leader at once."""
     return (
         reading.map_version,
@@ -546,7 +566,7 @@
     )
 
 
-def _to_order(message: Any) -> RankOrder:
+def _decode_order(message: Any) -> RankOrder:
     """Return the order in a ``RankOrder`` message.
 
     Raises
@@ -575,19 +595,19 @@
     )
 
 
-async def _run(
+async def _run_agent(
     settings: RankAgentSettings,
     make_engine: Callable[[RankAgentSettings], EngineControl],
 ) -> None:
     """Run an agent until SIGTERM or SIGINT."""
     agent = RankAgent(settings, make_engine(settings))
-    is_told_to_stop = asyncio.Event()
+    stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, is_told_to_stop.set)
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signal_number, stop_requested.set)
     loop.add_signal_handler(signal.SIGHUP, lambda: log("settings-reloaded"))
     await agent.start()
-    await is_told_to_stop.wait()
+    await stop_requested.wait()
     await agent.stop()
 
 
@@ -604,4 +624,4 @@
     make_engine : callable
         Returns the connection to the engine; it is called in the event loop.
     """
-    uvloop.run(_run(settings, make_engine))
+    uvloop.run(_run_agent(settings, make_engine))
--- a/packages/agent/src/bluebellusher_agent/ranks/_metrics.py
+++ b/packages/agent/src/bluebellusher_agent/ranks/_metrics.py
@@ -48,7 +48,7 @@
     def format(self) -> str:
         """Return the page, with one line for each metric."""
         gauges = self._read_gauges().items()
-        lines = [f"{_PREFIX}{name} {level}" for name, level in gauges]
+        lines = [f"{_PREFIX}{name} {value}" for name, value in gauges]
         for name, n in sorted(self._n_by_name.items()):
             lines.append(f"{_PREFIX}{name}_total {n}")
         return "\n".join(lines) + "\n"
--- a/packages/agent/src/bluebellusher_agent/ranks/_settings.py
+++ b/packages/agent/src/bluebellusher_agent/ranks/_settings.py
@@ -58,18 +58,18 @@
             raise StepError("read-settings", path, reason) from error
         if not isinstance(document, dict):
             raise StepError("read-settings", path, "expected an object")
-        reader = _Reader(path, document)
+        reader = _SettingsReader(path, document)
         return cls(
-            instance_id=reader.text("instance_id"),
-            failure_domain=reader.text("failure_domain"),
-            shared_secret=reader.text("shared_secret", MIN_SECRET_CHARACTERS),
-            listen=reader.address("listen"),
-            engine=reader.address("engine"),
-            metrics=reader.address("metrics"),
+            instance_id=reader.read_text("instance_id"),
+            failure_domain=reader.read_text("failure_domain"),
+            shared_secret=reader.read_text("shared_secret", MIN_SECRET_CHARACTERS),
+            listen=reader.read_address("listen"),
+            engine=reader.read_address("engine"),
+            metrics=reader.read_address("metrics"),
         )
 
 
-class _Reader:
+class _SettingsReader:
     """Reader of the values of a settings file.
 
     Its methods raise ``StepError`` when a value is missing or invalid.
@@ -86,17 +86,19 @@
         self._path = path
         self._document = document
 
-    def text(self, key: str, n_min: int = 1) -> str:
-        """Return a string of at least ``n_min`` characters."""
+    def read_text(self, key: str, min_length: int = 1) -> str:
+        """Return a string of at least ``min_length`` characters."""
         value = self._document.get(key)
-        if not isinstance(value, str) or len(value) < n_min:
-            shown = type(value).__name__ if "secret" in key else repr(value)
-            raise self._error(key, shown, f"text of at least {n_min} characters")
+        if not isinstance(value, str) or len(value) < min_length:
+            shown_value = type(value).__name__ if "secret" in key else repr(value)
+            raise self._error(
+                key, shown_value, f"text of at least {min_length} characters"
+            )
         return value
 
-    def address(self, key: str) -> Address:
+    def read_address(self, key: str) -> Address:
         """Return an address in the form ``host:port``."""
-        value = self.text(key)
+        value = self.read_text(key)
         host, _, port = value.rpartition(":")
         if not host or not port.isdigit() or int(port) > 65_535:
             raise self._error(key, repr(value), "host:port")
--- a/packages/agent/src/bluebellusher_agent/ranks/tests/test_rank_agent.py
+++ b/packages/agent/src/bluebellusher_agent/ranks/tests/test_rank_agent.py
@@ -30,7 +30,7 @@
 )
 
 
-class Engine:
+class FakeEngine:
     """Fake engine with the state, counts and faults that a test sets.
 
     A read that starts while ``gate`` is set waits for it, and sets ``is_waiting``. The
@@ -81,7 +81,7 @@
     """Run a scenario with an agent, its fake engine and a connected entry."""
 
     async def main():
-        engine = Engine()
+        engine = FakeEngine()
         agent = RankAgent(SETTINGS, engine)
         await agent.start()
         port = agent._servers[0].sockets[0].getsockname()[1]
@@ -103,7 +103,7 @@
     )
 
 
-def test_state_is_told_on_connect_and_when_it_changes():
+def test_state_is_reported_on_connect_and_on_change():
     """Guards against entries that place requests based on an outdated state."""
 
     async def scenario(agent, engine, entry):
@@ -125,7 +125,7 @@
         return None
 
 
-def test_state_of_maps_is_told_to_the_leader_and_to_others_at_intervals():
+def test_map_state_is_reported_at_once_only_to_the_leader():
     """Guards against delayed map changes and needless reports to other entries.
 
     Only the leader acts on a prepared map, so only the leader needs the report at once.
@@ -135,22 +135,22 @@
         port = agent._servers[0].sockets[0].getsockname()[1]
         async with EntryClient(port, secret=SECRET) as other:
             entry.send(make_order(5, action="fence"))
-            for each in (entry, other):
-                while (await each.next(messages.RankReport)).fencing_token != 5:
+            for client in (entry, other):
+                while (await client.next(messages.RankReport)).fencing_token != 5:
                     continue
             # Both entries have received the state, and no periodic report is due soon.
-            agent._told_at_ms = agent.clock.now_ms() + 60_000
+            agent._last_near_report_ms = agent.clock.now_ms() + 60_000
             engine.reading = replace(engine.reading, prepared_version=77)
             while (await entry.next(messages.RankReport)).prepared_version != 77:
                 continue
             assert await next_report(other, 0.5) is None
-            agent._told_at_ms = 0
+            agent._last_near_report_ms = 0
             assert (await next_report(other, 2.0)).prepared_version == 77
 
     run(scenario)
 
 
-def test_reading_goes_on_after_an_unexpected_error():
+def test_reads_continue_after_an_unexpected_error():
     """Guards against an agent that reports an outdated state after one failed read."""
 
     async def scenario(agent, engine, entry):
@@ -169,7 +169,7 @@
     run(scenario)
 
 
-def test_unchanged_state_is_repeated_to_near_entries_more_often():
+def test_unchanged_state_is_reported_more_often_in_the_same_domain():
     """Guards against reports that need more bytes between domains than requests.
 
     The number of reports is proportional to the number of entries times the number of
@@ -180,19 +180,19 @@
         port = agent._servers[0].sockets[0].getsockname()[1]
         near_client = EntryClient(port, "near", SECRET, SETTINGS.failure_domain)
         async with near_client as near:
-            for each in (entry, near):
-                await each.next(messages.RankReport)
-            agent._told_everyone_at_ms = agent.clock.now_ms() + 60_000
-            agent._told_at_ms = 0
+            for client in (entry, near):
+                await client.next(messages.RankReport)
+            agent._last_full_report_ms = agent.clock.now_ms() + 60_000
+            agent._last_near_report_ms = 0
             assert await next_report(near, 2.0) is not None
             assert await next_report(entry, 0.5) is None
-            agent._told_everyone_at_ms = 0
+            agent._last_full_report_ms = 0
             assert await next_report(entry, 2.0) is not None
 
     run(scenario)
 
 
-def test_every_entry_learns_at_once_that_a_group_is_closed():
+def test_closed_group_is_reported_to_every_entry_at_once():
     """Guards against entries that send requests to a group that lacks a rank."""
 
     async def scenario(agent, engine, entry):
@@ -200,10 +200,10 @@
         async with EntryClient(port, secret=SECRET) as other:
             entry.send(make_order(5, action="fence"))
             await next_report(other, 2.0)
-            agent._told_at_ms = agent.clock.now_ms() + 60_000
+            agent._last_near_report_ms = agent.clock.now_ms() + 60_000
             engine.reading = replace(engine.reading, is_open=False)
-            for each in (entry, other):
-                while (await each.next(messages.RankReport)).is_open:
+            for client in (entry, other):
+                while (await client.next(messages.RankReport)).is_open:
                     continue
 
     run(scenario)
@@ -237,7 +237,7 @@
     run(scenario)
 
 
-def test_fence_reaches_no_engine_and_shows_in_the_report():
+def test_fence_is_reported_and_not_sent_to_the_engine():
     """Guards against a new leader that acts before its predecessor is fenced.
 
     The leader waits until reports contain its token, and engines know no order to
@@ -254,7 +254,7 @@
     run(scenario)
 
 
-def test_reading_that_was_under_way_does_not_carry_the_token_of_a_later_fence():
+def test_read_started_before_a_fence_does_not_carry_its_token():
     """Guards against a leader that acts on a state that was read before its fence."""
 
     async def scenario(agent, engine, entry):
@@ -276,7 +276,7 @@
     run(scenario)
 
 
-def test_refusal_of_the_engine_is_passed_on():
+def test_refusal_by_the_engine_is_sent_to_the_leader():
     """Guards against a leader that treats a refused order as accepted."""
 
     async def scenario(agent, engine, entry):
@@ -287,7 +287,7 @@
     run(scenario)
 
 
-def test_order_without_an_answer_is_repeated_at_once():
+def test_unanswered_order_is_retried_at_once():
     """Guards against a group that waits at a held step for an unanswered order.
 
     With half of the orders lost, each change made a group of 12 ranks wait for 1 s.
@@ -302,7 +302,7 @@
     run(scenario)
 
 
-def test_counts_are_those_since_the_last_question():
+def test_counts_are_relative_to_the_previous_request():
     """Guards against plans for the popularity of the whole time since the start."""
 
     async def scenario(agent, engine, entry):
@@ -318,7 +318,7 @@
     run(scenario)
 
 
-def test_engine_that_does_not_answer_is_told_as_a_reason():
+def test_failed_read_of_counts_is_answered_with_the_reason():
     """Guards against a leader that waits for the counts of an unresponsive engine."""
 
     async def scenario(agent, engine, entry):
@@ -330,7 +330,7 @@
     run(scenario)
 
 
-def test_unknown_message_closes_the_connection():
+def test_unexpected_message_closes_the_connection():
     """Guards against attempts sent to a rank agent, which cannot run requests."""
 
     async def scenario(agent, engine, entry):
@@ -349,7 +349,7 @@
         ({"instance_id": None}, "instance_id: found None"),
     ],
 )
-def test_bad_settings_are_named(tmp_path, change, found):
+def test_error_names_the_invalid_setting(tmp_path, change, found):
     """Guards against an agent that starts with missing or invalid settings.
 
     The error names the setting and contains no secret.
