--- a/packages/entry/src/bluebellusher/gateway/_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -252,7 +252,7 @@
         stopped_at_ms = self.clock.now_ms()
         self.runtime.is_shutting_down = True
         self.log.event("stopping", n_requests=len(self.runtime.exchange_by_request_id))
-        await self.leader.retire(MAP_CHANGE_GRACE_MS)
+        await self.leader.finish_changes(MAP_CHANGE_GRACE_MS)
         await self.lease.release()
         accepted_ms = self.clock.now_ms() - stopped_at_ms
         await asyncio.sleep(max(0, STOP_ACCEPTING_AFTER_MS - accepted_ms) / 1000)
--- a/packages/entry/src/bluebellusher/ranks/_leader.py
+++ b/packages/entry/src/bluebellusher/ranks/_leader.py
@@ -201,7 +201,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._is_stopping = False
 
-    async def retire(self, timeout_ms: int) -> None:
+    async def finish_changes(self, timeout_ms: int) -> None:
         """Start no new change, and wait until the changes in progress are complete.
 
         Blocked groups still get a target map, because their held step cannot be
--- a/packages/entry/src/bluebellusher/ranks/tests/test_leader.py
+++ b/packages/entry/src/bluebellusher/ranks/tests/test_leader.py
@@ -229,7 +229,7 @@
 
     async def scenario(leader, log):
         await until(lambda: hold_orders)
-        await leader.retire(2_000)
+        await leader.finish_changes(2_000)
         assert not any(e.held_step for e in links.group.engines)
         assert not any(e.armed for e in links.group.engines)
 
