--- a/packages/agent/src/bluebellusher_agent/ranks/__init__.py
+++ b/packages/agent/src/bluebellusher_agent/ranks/__init__.py
@@ -9,14 +9,15 @@
 from bluebellusher_agent.ranks._agent import RankAgent, run_rank_agent
 from bluebellusher_agent.ranks._engine import (
     EngineControl,
+    EngineState,
     OrderAnswer,
     RankCounts,
-    RankReading,
 )
 from bluebellusher_agent.ranks._settings import RankAgentSettings
 
 __all__ = [
     "EngineControl",
+    "EngineState",
     "ExchangeError",
     "HttpClient",
     "NotSentError",
@@ -24,6 +25,5 @@
     "RankAgent",
     "RankAgentSettings",
     "RankCounts",
-    "RankReading",
     "run_rank_agent",
 ]
--- a/packages/agent/src/bluebellusher_agent/ranks/_agent.py
+++ b/packages/agent/src/bluebellusher_agent/ranks/_agent.py
@@ -14,9 +14,9 @@
 from bluebellusher_agent._memory import MemoryTrimmer
 from bluebellusher_agent.ranks._engine import (
     EngineControl,
+    EngineState,
     OrderAnswer,
     RankCounts,
-    RankReading,
 )
 from bluebellusher_agent.ranks._metrics import MetricsPage
 from bluebellusher_agent.ranks._settings import RankAgentSettings
@@ -68,7 +68,7 @@
 
     Parameters
     ----------
-    reading : RankReading
+    state : EngineState
         State of the engine.
     fencing_token : int
         Highest fencing token that the agent had accepted when the read started.
@@ -76,7 +76,7 @@
         Number of the read; reads are numbered in the sequence of their starts.
     """
 
-    reading: RankReading
+    state: EngineState
     fencing_token: int
     read_number: int
 
@@ -116,7 +116,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._servers: list[asyncio.Server] = []
         self._latest_snapshot: _EngineSnapshot | None = None
-        self._last_reported_state: RankReading | None = None
+        self._last_reported_state: EngineState | None = None
         self._n_reads_started = 0
         self._last_near_report_ms = 0
         self._last_full_report_ms = 0
@@ -356,7 +356,7 @@
         self._n_reads_started += 1
         read_number, token = self._n_reads_started, self.fencing_token
         try:
-            reading = await self._engine.read()
+            state = await self._engine.read_state()
         except StepError as error:
             self._record_engine_contact(False, error.reason)
             return None
@@ -366,9 +366,9 @@
             and read_number < self._latest_snapshot.read_number
         ):
             return self._latest_snapshot
-        self._log_group_change(reading)
-        self._latest_snapshot = _EngineSnapshot(reading, token, read_number)
-        if reading.prepared_version == self._loading_version:
+        self._log_group_change(state)
+        self._latest_snapshot = _EngineSnapshot(state, token, read_number)
+        if state.prepared_version == self._loading_version:
             self._loading_until_ms = 0
         return self._latest_snapshot
 
@@ -393,12 +393,12 @@
             Connections to report to even if no report is due.
         """
         now_ms = self.clock.now_ms()
-        reported, reading = self._last_reported_state, snapshot.reading
+        reported_state, state = self._last_reported_state, snapshot.state
         is_due = now_ms - self._last_full_report_ms >= REMOTE_REPORT_INTERVAL_MS
         if (
             is_due
-            or reported is None
-            or _get_group_fields(reported) != _get_group_fields(reading)
+            or reported_state is None
+            or _get_group_fields(reported_state) != _get_group_fields(state)
         ):
             self._last_near_report_ms = self._last_full_report_ms = now_ms
             self._send_report(snapshot, self._connections)
@@ -410,11 +410,11 @@
                 c for c in self._connections if self._needs_current_load(c)
             }
         if (
-            _get_map_fields(reported) != _get_map_fields(reading)
+            _get_map_fields(reported_state) != _get_map_fields(state)
             and self._leader is not None
         ):
             due_connections.add(self._leader)
-        if _count_requests(reported) != _count_requests(reading):
+        if _count_requests(reported_state) != _count_requests(state):
             # Entries in other failure domains prefer endpoints of their own domain;
             # they receive the load with the next report that is due.
             due_connections |= {
@@ -436,7 +436,7 @@
         self, snapshot: _EngineSnapshot, connections: Iterable[EntryConnection]
     ) -> None:
         """Send a report of a state on all given connections that are ready."""
-        self._last_reported_state = snapshot.reading
+        self._last_reported_state = snapshot.state
         report = self._make_report(snapshot)
         for connection in connections:
             if connection.is_ready:
@@ -449,44 +449,48 @@
             event_name = "engine-regained" if is_answering else "engine-lost"
             log(event_name, reason=reason)
 
-    def _log_group_change(self, reading: RankReading) -> None:
+    def _log_group_change(self, state: EngineState) -> None:
         """Log the state if the epoch, the open state or the map version has changed."""
-        old = self._latest_snapshot.reading if self._latest_snapshot else None
-        old_values = (old.epoch, old.is_open, old.map_version) if old else None
-        new_values = (reading.epoch, reading.is_open, reading.map_version)
+        old_state = self._latest_snapshot.state if self._latest_snapshot else None
+        old_values = (
+            (old_state.epoch, old_state.is_open, old_state.map_version)
+            if old_state
+            else None
+        )
+        new_values = (state.epoch, state.is_open, state.map_version)
         if old_values != new_values:
             log(
                 "group",
-                group=reading.group_id,
-                rank=reading.rank,
-                epoch=reading.epoch,
-                is_open=reading.is_open,
-                map_version=reading.map_version,
-                step=reading.step,
+                group=state.group_id,
+                rank=state.rank,
+                epoch=state.epoch,
+                is_open=state.is_open,
+                map_version=state.map_version,
+                step=state.step,
             )
 
     def _make_report(self, snapshot: _EngineSnapshot) -> Any:
         """Return the next ``RankReport``, with a state of the engine."""
-        reading = snapshot.reading
+        state = snapshot.state
         self._sequence += 1
         return messages.RankReport(
             sequence=self._sequence,
-            n_running=reading.n_running,
-            n_queued=reading.n_queued,
-            group_id=reading.group_id,
-            epoch=reading.epoch,
-            rank=reading.rank,
-            n_ranks=reading.n_ranks,
-            is_open=reading.is_open,
-            step=reading.step,
-            map_version=reading.map_version,
-            prepared_version=reading.prepared_version,
-            armed_version=reading.armed_version or None,
-            armed_step=reading.armed_step or None,
-            held_step=reading.held_step,
-            pace=reading.pace,
+            n_running=state.n_running,
+            n_queued=state.n_queued,
+            group_id=state.group_id,
+            epoch=state.epoch,
+            rank=state.rank,
+            n_ranks=state.n_ranks,
+            is_open=state.is_open,
+            step=state.step,
+            map_version=state.map_version,
+            prepared_version=state.prepared_version,
+            armed_version=state.armed_version or None,
+            armed_step=state.armed_step or None,
+            held_step=state.held_step,
+            pace=state.pace,
             fencing_token=snapshot.fencing_token,
-            started_wall_ms=reading.started_wall_ms,
+            started_wall_ms=state.started_wall_ms,
         )
 
     async def _tick_forever(self) -> None:
@@ -503,16 +507,16 @@
 
     def _read_gauges(self) -> dict[str, int]:
         """Return the values of the gauges by name; 0 for a state not yet read."""
-        reading = self._latest_snapshot.reading if self._latest_snapshot else None
+        state = self._latest_snapshot.state if self._latest_snapshot else None
         return {
             "entries": len(self._connections),
             "engine_answers": int(self._is_engine_answering),
-            "requests_running": reading.n_running if reading else 0,
-            "requests_queued": reading.n_queued if reading else 0,
-            "group_open": int(reading.is_open) if reading else 0,
-            "group_epoch": reading.epoch if reading else 0,
-            "group_step": reading.step if reading else 0,
-            "map_version": reading.map_version if reading else 0,
+            "requests_running": state.n_running if state else 0,
+            "requests_queued": state.n_queued if state else 0,
+            "group_open": int(state.is_open) if state else 0,
+            "group_epoch": state.epoch if state else 0,
+            "group_step": state.step if state else 0,
+            "map_version": state.map_version if state else 0,
             "fencing_token": self.fencing_token,
         }
 
@@ -546,23 +550,23 @@
     return pack_counts([new - old for new, old in pairs])
 
 
-def _count_requests(reading: RankReading) -> int:
+def _count_requests(state: EngineState) -> int:
     """Return the number of running and queued requests."""
-    return reading.n_running + reading.n_queued
+    return state.n_running + state.n_queued
 
 
-def _get_group_fields(reading: RankReading) -> tuple[object, ...]:
+def _get_group_fields(state: EngineState) -> tuple[object, ...]:
     """Return the fields whose changes are reported to every entry at once."""
-    return reading.epoch, reading.is_open, reading.started_wall_ms
+    return state.epoch, state.is_open, state.started_wall_ms
 
 
-def _get_map_fields(reading: RankReading) -> tuple[object, ...]:
+def _get_map_fields(state: EngineState) -> tuple[object, ...]:
     """Return the fields whose changes are reported to the leader at once."""
     return (
-        reading.map_version,
-        reading.prepared_version,
-        reading.armed_version,
-        reading.held_step,
+        state.map_version,
+        state.prepared_version,
+        state.armed_version,
+        state.held_step,
     )
 
 
--- a/packages/agent/src/bluebellusher_agent/ranks/_engine.py
+++ b/packages/agent/src/bluebellusher_agent/ranks/_engine.py
@@ -7,7 +7,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class RankReading:
+class EngineState:
     """State of an engine, and of its rank if it belongs to a group.
 
     Parameters
@@ -95,7 +95,7 @@
     answer cannot be used.
     """
 
-    async def read(self) -> RankReading:
+    async def read_state(self) -> EngineState:
         """Return the current state of the engine."""
 
     async def read_counts(self, with_map: bool) -> RankCounts:
--- a/packages/agent/src/bluebellusher_agent/ranks/tests/test_rank_agent.py
+++ b/packages/agent/src/bluebellusher_agent/ranks/tests/test_rank_agent.py
@@ -8,11 +8,11 @@
 
 from bluebellusher_agent._settings import Address
 from bluebellusher_agent.ranks import (
+    EngineState,
     OrderAnswer,
     RankAgent,
     RankAgentSettings,
     RankCounts,
-    RankReading,
 )
 from bluebellusher_agent.tests.entry_client import EntryClient
 from bluebellusher_core.errors import StepError
@@ -38,7 +38,7 @@
     """
 
     def __init__(self):
-        self.reading = RankReading(1, 0, 1.0, 100, "g", 1, 0, 2, True, 5)
+        self.state = EngineState(1, 0, 1.0, 100, "g", 1, 0, 2, True, 5)
         self.counts = RankCounts(1, 5, (10, 20, 30), ((0, 1, 2),), 7)
         self.orders = []
         self.is_down = False
@@ -46,15 +46,15 @@
         self.gate = None
         self.is_waiting = asyncio.Event()
 
-    async def read(self):
+    async def read_state(self):
         """Return the state at the start of the read, after waiting for the gate."""
         if self.is_down:
             raise StepError("read", "engine", "refused")
-        reading, gate = self.reading, self.gate
+        state, gate = self.state, self.gate
         if gate is not None:
             self.is_waiting.set()
             await gate.wait()
-        return reading
+        return state
 
     async def read_counts(self, with_map):
         """Return the counts, with or without the experts of the rank."""
@@ -109,7 +109,7 @@
     async def scenario(agent, engine, entry):
         first = await entry.next(messages.RankReport)
         assert (first.group_id, first.n_running, first.is_open) == ("g", 1, True)
-        engine.reading = RankReading(0, 0, 1.0, 100, "g", 1, 0, 2, False, 6)
+        engine.state = EngineState(0, 0, 1.0, 100, "g", 1, 0, 2, False, 6)
         while (await entry.next(messages.RankReport)).is_open:
             continue
 
@@ -140,7 +140,7 @@
                     continue
             # Both entries have received the state, and no periodic report is due soon.
             agent._last_near_report_ms = agent.clock.now_ms() + 60_000
-            engine.reading = replace(engine.reading, prepared_version=77)
+            engine.state = replace(engine.state, prepared_version=77)
             while (await entry.next(messages.RankReport)).prepared_version != 77:
                 continue
             assert await next_report(other, 0.5) is None
@@ -155,14 +155,14 @@
 
     async def scenario(agent, engine, entry):
         await entry.next(messages.RankReport)
-        read = engine.read
+        read_state = engine.read_state
 
         async def fail_once():
-            engine.read = read
+            engine.read_state = read_state
             raise RuntimeError("unexpected answer of the engine")
 
-        engine.read = fail_once
-        engine.reading = RankReading(0, 0, 1.0, 100, "g", 1, 0, 2, False, 6)
+        engine.read_state = fail_once
+        engine.state = EngineState(0, 0, 1.0, 100, "g", 1, 0, 2, False, 6)
         while (await entry.next(messages.RankReport)).is_open:
             continue
 
@@ -201,7 +201,7 @@
             entry.send(make_order(5, action="fence"))
             await next_report(other, 2.0)
             agent._last_near_report_ms = agent.clock.now_ms() + 60_000
-            engine.reading = replace(engine.reading, is_open=False)
+            engine.state = replace(engine.state, is_open=False)
             for client in (entry, other):
                 while (await client.next(messages.RankReport)).is_open:
                     continue
@@ -262,7 +262,7 @@
         gate = engine.gate = asyncio.Event()
         await engine.is_waiting.wait()
         engine.gate = None
-        engine.reading = replace(engine.reading, held_step=9)
+        engine.state = replace(engine.state, held_step=9)
         entry.send(make_order(8, action="fence"))
         report = await entry.next(messages.RankReport)
         while report.fencing_token != 8:
