--- a/packages/entry/src/bluebellusher/ranks/_leader.py
+++ b/packages/entry/src/bluebellusher/ranks/_leader.py
@@ -44,16 +44,17 @@
 # the change; at shorter intervals, the bytes of the counts cost more than the time that
 # they save.
 COUNT_INTERVAL_MS = 250
-# Initial estimate of the duration of a map change without its weight loads, and weight
-# of the newest change in the moving average that replaces the estimate.
+# Initial estimate of the duration of a map change without its weight loads.
 INITIAL_FIXED_MS = 300.0
+# Weight of the newest change in the moving average of this duration.
 FIXED_MS_SMOOTHING = 0.3
 # Maximum age of the reported state of a rank. The leader sends no orders to a group
 # while the last state of any of its ranks is older.
 MAX_STATE_AGE_MS = 1_500
 # Time after which an accepted order is sent again if the reported states do not show
-# its effect. Orders to prepare load weights, which takes seconds.
+# its effect.
 ORDER_REPEAT_MS = 400
+# The same for orders to prepare a map, whose weight loads take seconds.
 PREPARE_REPEAT_MS = 6_000
 # Time after which an order that was refused or not answered is sent again.
 ORDER_RETRY_MS = 50
@@ -64,15 +65,15 @@
 # Time for which a new map is expected to be useful; the popularity of experts stays the
 # same for a few seconds.
 POPULARITY_HORIZON_MS = 3_500.0
-# A search that found no useful change is repeated after this interval, or earlier when
-# the mean skew of the layers has increased by at least the second value.
+# A search that found no useful change is repeated after this interval, or as soon as
+# the mean skew of the layers has increased by ``SEARCH_SKEW_INCREASE``.
 SEARCH_INTERVAL_MS = 1_500
 SEARCH_SKEW_INCREASE = 0.1
 # Maximum age of the estimated popularity for the first plan after a group has been
 # formed again. The popularity is mostly the same as before the interruption.
 MAX_POPULARITY_AGE_MS = 15_000
 # In groups with at least this number of ranks, only the ranks in the leader's failure
-# domain are counted, if it has at least the second number of them. They are a
+# domain are counted if there are at least ``MIN_SAMPLED_RANKS`` of them. They are a
 # sufficient sample, and no counts are sent between failure domains.
 MIN_RANKS_TO_SAMPLE = 32
 MIN_SAMPLED_RANKS = 8
@@ -87,7 +88,7 @@
 class _GroupState:
     """State that the leader keeps of one group.
 
-    All times are monotonic.
+    All times are values of the monotonic clock, in ms.
 
     Parameters
     ----------
@@ -109,8 +110,8 @@
     experts_by_rank : dict of int to sequence
         Experts of each rank, by layer, in the map ``placement_version``.
     placement_version : int
-        Version of the map that ``experts_by_rank`` describes; -1 when the map is not
-        known.
+        Version of the map that ``experts_by_rank`` describes; -1 when the ranks must
+        list their experts again.
     next_send_ms_by_order : dict of tuple to int
         Earliest time at which an order may be sent again, by rank id, action, map
         version and step of the order.
@@ -151,7 +152,8 @@
     Parameters
     ----------
     lease : LeaseKeeper
-        Lease of the leader. An entry without the lease sends no orders.
+        Lease that decides whether this entry is the leader. Other entries send no
+        orders.
     links : RankLinks
         Connections to the agents of the ranks.
     find_group_model : callable
@@ -210,7 +212,7 @@
         Parameters
         ----------
         timeout_ms : int
-            Maximum time to wait.
+            Maximum time to wait, after which changes may still be in progress.
         """
         self._is_stopping = True
         stop_at_ms = self._clock.now_ms() + timeout_ms
@@ -263,7 +265,10 @@
                 self._lead_group(group_id, view, now_ms)
 
     def _lead_group(self, group_id: str, view: GroupView, now_ms: int) -> None:
-        """Send the due orders of one group, and start a count when it is due."""
+        """Send the due orders of one group, and start a count when it is due.
+
+        A change that is not prepared in time is aborted.
+        """
         group = self._group_by_id.get(group_id)
         if group is None:
             group = self._group_by_id[group_id] = _GroupState(MapChange(self._token))
@@ -281,8 +286,8 @@
         is_due = now_ms - group.count_started_at_ms >= COUNT_INTERVAL_MS
         may_plan = not self._is_stopping or group.change.is_blocked
         if is_due and not group.is_counting and may_plan:
-            # Counting continues during a change, so that the next plan uses the
-            # popularity at that time.
+            # Counting continues during a change, so that the plan after it uses the
+            # latest popularity.
             group.count_started_at_ms = now_ms
             group.is_counting = True
             self._spawn(self._count_and_plan(group_id, group, view))
@@ -367,8 +372,8 @@
     ) -> Loads | None:
         """Request counts from the ranks and return the estimated popularity.
 
-        When the experts of the current map are not known, the ranks are requested to
-        list them too.
+        When the experts of the current map are not recorded yet, the ranks are
+        requested to list them too.
 
         Returns
         -------
@@ -436,7 +441,7 @@
     def _get_current_placement(
         self, group: _GroupState, view: GroupView, model: GroupModel | None
     ) -> Placement | None:
-        """Return the placement in use, or None when it is not completely known."""
+        """Return the placement in use, or None unless all experts are recorded."""
         is_current_map = group.placement_version == view.common_map_version
         is_complete = len(group.experts_by_rank) == len(view.states)
         if model is None or not is_current_map or not is_complete:
--- a/packages/entry/src/bluebellusher/ranks/_lease.py
+++ b/packages/entry/src/bluebellusher/ranks/_lease.py
@@ -21,10 +21,11 @@
 # Time that other entries wait after the lease has expired, because clocks run at
 # different rates.
 GUARD_MS = 500
-# Interval between two checks in an entry that holds the lease or has a peer that
-# reports that it holds it.
+# Interval at which the holder checks whether it must renew the lease, and at which the
+# other entries check whether a connected entry still reports that it holds the lease.
 HOLDER_POLL_MS = 250
-# Interval between two reads of the lease in all other entries.
+# Interval at which an entry reads the lease from the store while no connected entry
+# reports that it holds the lease.
 FOLLOWER_POLL_MS = 1_500
 
 
