--- a/packages/agent/src/bluebellusher_agent/ranks/_agent.py
+++ b/packages/agent/src/bluebellusher_agent/ranks/_agent.py
@@ -31,9 +31,9 @@
 from bluebellusher_core.supervision import supervise
 from bluebellusher_core.wire import messages
 
-# Interval of the heartbeats and timeouts of all connections, and number of these
-# intervals between two trims of the memory.
+# Interval at which the heartbeats and timeouts of all connections are checked.
 TICK_INTERVAL_MS = 500
+# Number of these checks between two trims of the memory.
 N_TICKS_PER_TRIM = 20
 # Interval between two reads of the engine's state. Entries correct a reported load by
 # the requests that they have sent since; a shorter interval would cost more bytes.
@@ -44,9 +44,10 @@
 # Time after an order to prepare for which the shorter interval is used. Loading takes
 # seconds; if it takes longer, the order was lost and the leader sends it again.
 MAX_LOADING_MS = 6_000
-# Time to wait for the engine's answer to an order, and number of tries. An engine on
-# the same instance answers within a few milliseconds.
+# Time to wait for the engine's answer to an order. An engine on the same instance
+# answers within a few milliseconds.
 ORDER_TIMEOUT_MS = 25
+# Maximum number of times that an unanswered order is sent to the engine.
 MAX_ORDER_TRIES = 8
 # Interval at which an unchanged state is reported to the entries of the agent's failure
 # domain and to the leader, so that they can recognize that it is current.
@@ -424,7 +425,7 @@
             self._send_report(snapshot, due_connections)
 
     def _needs_current_load(self, connection: EntryConnection) -> bool:
-        """Return whether an entry needs the current load and step of the rank.
+        """Return whether an entry needs frequent reports of the load and the step.
 
         These are the entries in the failure domain of this agent, and the leader in any
         failure domain.
@@ -494,7 +495,7 @@
         )
 
     async def _tick_forever(self) -> None:
-        """Drive the heartbeats and timeouts of all connections, and trim the memory."""
+        """Check heartbeats and timeouts of all connections, and trim the memory."""
         n_ticks = 0
         while True:
             await asyncio.sleep(TICK_INTERVAL_MS / 1000)
--- a/packages/agent/src/bluebellusher_agent/ranks/tests/test_rank_agent.py
+++ b/packages/agent/src/bluebellusher_agent/ranks/tests/test_rank_agent.py
@@ -57,7 +57,7 @@
         return state
 
     async def read_counts(self, with_map):
-        """Return the counts, with or without the experts of the rank."""
+        """Return the counts and experts that the test has set."""
         if self.is_down:
             raise StepError("read-counts", "engine", "refused")
         return self.counts
@@ -216,9 +216,9 @@
         entry.send(make_order(5, step=9))
         assert (await entry.next(messages.RankOrderDone)).is_accepted
         entry.send(make_order(4, step=10))
-        refused = await entry.next(messages.RankOrderDone)
-        assert not refused.is_accepted
-        assert "older" in refused.reason
+        answer = await entry.next(messages.RankOrderDone)
+        assert not answer.is_accepted
+        assert "older" in answer.reason
         assert [(o.step, o.fencing_token) for o in engine.orders] == [(9, 5)]
 
     run(scenario)
@@ -229,9 +229,9 @@
 
     async def scenario(agent, engine, entry):
         entry.send(make_order(5, action="turn"))
-        refused = await entry.next(messages.RankOrderDone)
-        assert not refused.is_accepted
-        assert "action='turn'" in refused.reason
+        answer = await entry.next(messages.RankOrderDone)
+        assert not answer.is_accepted
+        assert "action='turn'" in answer.reason
         assert (agent.fencing_token, engine.orders) == (0, [])
 
     run(scenario)
@@ -240,8 +240,8 @@
 def test_fence_is_reported_and_not_sent_to_the_engine():
     """Guards against a new leader that acts before its predecessor is fenced.
 
-    The leader waits until reports contain its token, and engines know no order to
-    fence.
+    The leader waits until reports contain its token. Engines do not support the order
+    to fence, so the agent must not send it to them.
     """
 
     async def scenario(agent, engine, entry):
@@ -368,8 +368,8 @@
     path.write_text(json.dumps(document))
     assert RankAgentSettings.from_file(str(path)).listen.port == 7340
     path.write_text(json.dumps({**document, **change}))
-    with pytest.raises(StepError) as caught:
+    with pytest.raises(StepError) as error_info:
         RankAgentSettings.from_file(str(path))
-    assert found in str(caught.value)
+    assert found in str(error_info.value)
     if "shared_secret" in change:
-        assert "short" not in str(caught.value)
+        assert "short" not in str(error_info.value)
