--- a/packages/agent/src/bluebellusher_agent/ranks/tests/test_rank_agent.py
+++ b/packages/agent/src/bluebellusher_agent/ranks/tests/test_rank_agent.py
@@ -303,7 +303,7 @@
 
 
 def test_counts_are_relative_to_the_previous_request():
-    """Guards against plans for the popularity of the whole time since the start."""
+    """Guards against plans based on all choices since the start of the rank."""
 
     async def scenario(agent, engine, entry):
         entry.send(messages.RankPull(call_id="1", with_map=True))
--- a/packages/entry/src/bluebellusher/ranks/_lease.py
+++ b/packages/entry/src/bluebellusher/ranks/_lease.py
@@ -126,9 +126,9 @@
     def note_token_seen(self, token: int) -> None:
         """Record a fencing token that an agent has accepted.
 
-        A token above that of this entry shows that another entry has led since. This
-        entry then stops leading without a lease. If it still holds the lease, its next
-        write raises the token of the lease.
+        A token above that of this entry belongs to another leader. If the lease of this
+        entry has expired, the entry then stops leading. If it still holds the lease,
+        its next write raises the token of the lease.
         """
         self._tracker.note_token_seen(token)
         if self._last_leading_token is not None and token > self._last_leading_token:
--- a/packages/entry/src/bluebellusher/ranks/tests/test_leader.py
+++ b/packages/entry/src/bluebellusher/ranks/tests/test_leader.py
@@ -67,7 +67,7 @@
         ]
 
     def find_domain(self, rank_id):
-        """Return the failure domain of a rank; each of four has a quarter of them."""
+        """Return the failure domain of a rank; each of four domains has a quarter."""
         return f"d{int(rank_id) % 4}"
 
     async def call(self, rank_id, message):
@@ -156,7 +156,7 @@
 
 
 def test_balanced_load_causes_no_orders():
-    """Guards against map changes that load weights without reducing the skew."""
+    """Guards against weight loads and held steps that save no time."""
     links = FakeLinks(Group(N_RANKS))
     links.counts = [100] * N_EXPERTS
 
