Merge the wording of entry/ranks and agent/ranks

Comments, messages and names of entry/ranks and agent/ranks; renames replayed over the other packages. Behaviour does not change (compare of definitions).

--- a/packages/agent/src/bluebellusher_agent/ranks/__init__.py
+++ b/packages/agent/src/bluebellusher_agent/ranks/__init__.py
@@ -1,21 +1,23 @@
-"""Agent beside one rank of a group: its state, counts and orders.
+"""Agent beside one rank of a group, which reports its state and carries out orders.
 
-Requests do not pass through this agent. It reads what is free to read on the rank's own
-instance, tells it to every entry, and carries out the orders of the leading entry.
+Requests of callers do not pass through this agent. It reads the state and the counts of
+the engine on its own instance, where reading costs no traffic between instances,
+reports the state to all entries, and carries out the orders of the leader.
 """
 
 from bluebellusher_agent._http import ExchangeError, HttpClient, NotSentError
 from bluebellusher_agent.ranks._agent import RankAgent, run_rank_agent
 from bluebellusher_agent.ranks._engine import (
     EngineControl,
+    EngineState,
     OrderAnswer,
     RankCounts,
-    RankReading,
 )
 from bluebellusher_agent.ranks._settings import RankAgentSettings
 
 __all__ = [
     "EngineControl",
+    "EngineState",
     "ExchangeError",
     "HttpClient",
     "NotSentError",
@@ -23,6 +25,5 @@
     "RankAgent",
     "RankAgentSettings",
     "RankCounts",
-    "RankReading",
     "run_rank_agent",
 ]
--- a/packages/agent/src/bluebellusher_agent/ranks/tests/test_rank_agent.py
+++ b/packages/agent/src/bluebellusher_agent/ranks/tests/test_rank_agent.py
@@ -1,4 +1,4 @@
-"""The agent beside a rank, with an entry that speaks to it over a connection."""
+"""Tests of the rank agent, over a connection from an entry, with a fake engine."""
 
 import asyncio
 import contextlib
@@ -8,11 +8,11 @@
 
 from bluebellusher_agent._settings import Address
 from bluebellusher_agent.ranks import (
+    EngineState,
     OrderAnswer,
     RankAgent,
     RankAgentSettings,
     RankCounts,
-    RankReading,
 )
 from bluebellusher_agent.tests.entry_client import EntryClient
 from bluebellusher_core.errors import StepError
@@ -30,11 +30,15 @@
 )
 
 
-class Engine:
-    """An engine whose answers the test sets."""
+class FakeEngine:
+    """Fake engine with the state, counts and faults that a test sets.
+
+    A read that starts while ``gate`` is set waits for it, and sets ``is_waiting``. The
+    next ``n_unanswered`` orders are not answered.
+    """
 
     def __init__(self):
-        self.reading = RankReading(1, 0, 1.0, 100, "g", 1, 0, 2, True, 5)
+        self.state = EngineState(1, 0, 1.0, 100, "g", 1, 0, 2, True, 5)
         self.counts = RankCounts(1, 5, (10, 20, 30), ((0, 1, 2),), 7)
         self.orders = []
         self.is_down = False
@@ -42,24 +46,27 @@
         self.gate = None
         self.is_waiting = asyncio.Event()
 
-    async def read(self):
-        """Return the reading; a read that waits at the gate returns what was then."""
+    async def read_state(self):
+        """Return the state at the start of the read, after waiting for the gate."""
         if self.is_down:
             raise StepError("read", "engine", "refused")
-        reading, gate = self.reading, self.gate
+        state, gate = self.state, self.gate
         if gate is not None:
             self.is_waiting.set()
             await gate.wait()
-        return reading
+        return state
 
     async def read_counts(self, with_map):
-        """Return the counts."""
+        """Return the counts and experts that the test has set."""
         if self.is_down:
             raise StepError("read-counts", "engine", "refused")
         return self.counts
 
     async def execute(self, order, timeout_ms):
-        """Keep an order, or leave it without an answer."""
+        """Record an order, or fail as if the engine had not answered.
+
+        Orders with map version 409 are refused.
+        """
         if self.n_unanswered:
             self.n_unanswered -= 1
             raise StepError("order", "engine", f"no answer within {timeout_ms} ms")
@@ -67,14 +74,14 @@
         return OrderAnswer(order.map_version != 409, "status")
 
     def close(self):
-        """Nothing is open."""
+        """Do nothing, because no connection is open."""
 
 
 def run(scenario):
-    """Run a scenario with an agent, its engine and an entry."""
+    """Run a scenario with an agent, its fake engine and a connected entry."""
 
     async def main():
-        engine = Engine()
+        engine = FakeEngine()
         agent = RankAgent(SETTINGS, engine)
         await agent.start()
         port = agent._servers[0].sockets[0].getsockname()[1]
@@ -90,19 +97,19 @@
 
 
 def make_order(token, action="hold", **fields):
-    """Return an order."""
+    """Return a message with an order for epoch 1."""
     return messages.RankOrder(
         call_id="c", fencing_token=token, action=action, epoch=1, **fields
     )
 
 
-def test_state_is_told_on_connect_and_when_it_changes():
-    """Guards against entries that place work by an old state."""
+def test_state_is_reported_on_connect_and_on_change():
+    """Guards against entries that place requests based on an outdated state."""
 
     async def scenario(agent, engine, entry):
         first = await entry.next(messages.RankReport)
         assert (first.group_id, first.n_running, first.is_open) == ("g", 1, True)
-        engine.reading = RankReading(0, 0, 1.0, 100, "g", 1, 0, 2, False, 6)
+        engine.state = EngineState(0, 0, 1.0, 100, "g", 1, 0, 2, False, 6)
         while (await entry.next(messages.RankReport)).is_open:
             continue
 
@@ -110,7 +117,7 @@
 
 
 async def next_report(entry, timeout_s):
-    """Return the next report, or None when none comes in time."""
+    """Return the next report, or None if none arrives within the timeout."""
     try:
         async with asyncio.timeout(timeout_s):
             return await entry.next(messages.RankReport)
@@ -118,116 +125,124 @@
         return None
 
 
-def test_state_of_maps_is_told_to_the_leader_and_to_others_at_intervals():
-    """Guards against a leader that waits, and bytes for entries that do not lead."""
+def test_map_state_is_reported_at_once_only_to_the_leader():
+    """Guards against delayed map changes and needless reports to other entries.
+
+    Only the leader acts on a prepared map, so only the leader needs the report at once.
+    """
 
     async def scenario(agent, engine, entry):
         port = agent._servers[0].sockets[0].getsockname()[1]
         async with EntryClient(port, secret=SECRET) as other:
             entry.send(make_order(5, action="fence"))
-            for each in (entry, other):
-                while (await each.next(messages.RankReport)).fencing_token != 5:
+            for client in (entry, other):
+                while (await client.next(messages.RankReport)).fencing_token != 5:
                     continue
-            # Both have the same state; a repeat is due long after.
-            agent._told_at_ms = agent.clock.now_ms() + 60_000
-            engine.reading = replace(engine.reading, prepared_version=77)
+            # Both entries have received the state, and no periodic report is due soon.
+            agent._last_near_report_ms = agent.clock.now_ms() + 60_000
+            engine.state = replace(engine.state, prepared_version=77)
             while (await entry.next(messages.RankReport)).prepared_version != 77:
                 continue
             assert await next_report(other, 0.5) is None
-            agent._told_at_ms = 0
+            agent._last_near_report_ms = 0
             assert (await next_report(other, 2.0)).prepared_version == 77
 
     run(scenario)
 
 
-def test_reading_goes_on_after_an_unexpected_error():
-    """Guards against an agent that tells an old state for ever after one bad answer."""
+def test_reads_continue_after_an_unexpected_error():
+    """Guards against an agent that reports an outdated state after one failed read."""
 
     async def scenario(agent, engine, entry):
         await entry.next(messages.RankReport)
-        read = engine.read
+        read_state = engine.read_state
 
         async def fail_once():
-            engine.read = read
-            raise RuntimeError("an answer that nobody foresaw")
+            engine.read_state = read_state
+            raise RuntimeError("unexpected answer of the engine")
 
-        engine.read = fail_once
-        engine.reading = RankReading(0, 0, 1.0, 100, "g", 1, 0, 2, False, 6)
+        engine.read_state = fail_once
+        engine.state = EngineState(0, 0, 1.0, 100, "g", 1, 0, 2, False, 6)
         while (await entry.next(messages.RankReport)).is_open:
             continue
 
     run(scenario)
 
 
-def test_unchanged_state_is_repeated_to_near_entries_more_often():
-    """Guards against reports that cost more bytes between domains than requests do.
+def test_unchanged_state_is_reported_more_often_in_the_same_domain():
+    """Guards against reports that need more bytes between domains than requests.
 
-    Their number grows with entries times endpoints.
+    The number of reports is proportional to the number of entries times the number of
+    endpoints.
     """
 
     async def scenario(agent, engine, entry):
         port = agent._servers[0].sockets[0].getsockname()[1]
         near_client = EntryClient(port, "near", SECRET, SETTINGS.failure_domain)
         async with near_client as near:
-            for each in (entry, near):
-                await each.next(messages.RankReport)
-            agent._told_everyone_at_ms = agent.clock.now_ms() + 60_000
-            agent._told_at_ms = 0
+            for client in (entry, near):
+                await client.next(messages.RankReport)
+            agent._last_full_report_ms = agent.clock.now_ms() + 60_000
+            agent._last_near_report_ms = 0
             assert await next_report(near, 2.0) is not None
             assert await next_report(entry, 0.5) is None
-            agent._told_everyone_at_ms = 0
+            agent._last_full_report_ms = 0
             assert await next_report(entry, 2.0) is not None
 
     run(scenario)
 
 
-def test_every_entry_learns_at_once_that_a_group_is_closed():
-    """Guards against entries that send work to a group without a rank."""
+def test_closed_group_is_reported_to_every_entry_at_once():
+    """Guards against entries that send requests to a group that lacks a rank."""
 
     async def scenario(agent, engine, entry):
         port = agent._servers[0].sockets[0].getsockname()[1]
         async with EntryClient(port, secret=SECRET) as other:
             entry.send(make_order(5, action="fence"))
             await next_report(other, 2.0)
-            agent._told_at_ms = agent.clock.now_ms() + 60_000
-            engine.reading = replace(engine.reading, is_open=False)
-            for each in (entry, other):
-                while (await each.next(messages.RankReport)).is_open:
+            agent._last_near_report_ms = agent.clock.now_ms() + 60_000
+            engine.state = replace(engine.state, is_open=False)
+            for client in (entry, other):
+                while (await client.next(messages.RankReport)).is_open:
                     continue
 
     run(scenario)
 
 
 def test_order_of_an_earlier_leader_is_refused():
-    """Guards against a leader that returns after its lease has ended."""
+    """Guards against orders of a previous leader whose lease has expired."""
 
     async def scenario(agent, engine, entry):
         entry.send(make_order(5, step=9))
         assert (await entry.next(messages.RankOrderDone)).is_accepted
         entry.send(make_order(4, step=10))
-        refused = await entry.next(messages.RankOrderDone)
-        assert not refused.is_accepted
-        assert "older" in refused.reason
+        answer = await entry.next(messages.RankOrderDone)
+        assert not answer.is_accepted
+        assert "older" in answer.reason
         assert [(o.step, o.fencing_token) for o in engine.orders] == [(9, 5)]
 
     run(scenario)
 
 
 def test_unknown_action_is_refused_and_changes_nothing():
-    """Guards against a leader that waits for an answer, and a token raised for it."""
+    """Guards against invalid orders that are not answered or raise the token."""
 
     async def scenario(agent, engine, entry):
         entry.send(make_order(5, action="turn"))
-        refused = await entry.next(messages.RankOrderDone)
-        assert not refused.is_accepted
-        assert "action='turn'" in refused.reason
+        answer = await entry.next(messages.RankOrderDone)
+        assert not answer.is_accepted
+        assert "action='turn'" in answer.reason
         assert (agent.fencing_token, engine.orders) == (0, [])
 
     run(scenario)
 
 
-def test_fence_reaches_no_engine_and_shows_in_the_report():
-    """Guards against a new leader that acts before the old one is shut out."""
+def test_fence_is_reported_and_not_sent_to_the_engine():
+    """Guards against a new leader that acts before its predecessor is fenced.
+
+    The leader waits until reports contain its token. Engines do not support the order
+    to fence, so the agent must not send it to them.
+    """
 
     async def scenario(agent, engine, entry):
         entry.send(make_order(8, action="fence"))
@@ -239,15 +254,15 @@
     run(scenario)
 
 
-def test_reading_that_was_under_way_does_not_carry_the_token_of_a_later_fence():
-    """Guards against a leader that acts on a state from before its fence."""
+def test_read_started_before_a_fence_does_not_carry_its_token():
+    """Guards against a leader that acts on a state that was read before its fence."""
 
     async def scenario(agent, engine, entry):
         await entry.next(messages.RankReport)
         gate = engine.gate = asyncio.Event()
         await engine.is_waiting.wait()
         engine.gate = None
-        engine.reading = replace(engine.reading, held_step=9)
+        engine.state = replace(engine.state, held_step=9)
         entry.send(make_order(8, action="fence"))
         report = await entry.next(messages.RankReport)
         while report.fencing_token != 8:
@@ -261,8 +276,8 @@
     run(scenario)
 
 
-def test_refusal_of_the_engine_is_passed_on():
-    """Guards against a leader that takes a refused order for done."""
+def test_refusal_by_the_engine_is_sent_to_the_leader():
+    """Guards against a leader that treats a refused order as accepted."""
 
     async def scenario(agent, engine, entry):
         entry.send(make_order(1, action="arm", map_version=409, step=3))
@@ -272,10 +287,10 @@
     run(scenario)
 
 
-def test_order_without_an_answer_is_repeated_at_once():
-    """Guards against a group that waits at a held step for a lost order.
+def test_unanswered_order_is_retried_at_once():
+    """Guards against a group that waits at a held step for an unanswered order.
 
-    With half of the orders lost, each change held a group of 12 ranks for a second.
+    With half of the orders lost, each change made a group of 12 ranks wait for 1 s.
     """
 
     async def scenario(agent, engine, entry):
@@ -287,8 +302,8 @@
     run(scenario)
 
 
-def test_counts_are_those_since_the_last_question():
-    """Guards against old popularity in new plans."""
+def test_counts_are_relative_to_the_previous_request():
+    """Guards against plans based on all choices since the start of the rank."""
 
     async def scenario(agent, engine, entry):
         entry.send(messages.RankPull(call_id="1", with_map=True))
@@ -303,8 +318,8 @@
     run(scenario)
 
 
-def test_engine_that_does_not_answer_is_told_as_a_reason():
-    """Guards against a leader that waits for counts that do not come."""
+def test_failed_read_of_counts_is_answered_with_the_reason():
+    """Guards against a leader that waits for the counts of an unresponsive engine."""
 
     async def scenario(agent, engine, entry):
         engine.is_down = True
@@ -315,8 +330,8 @@
     run(scenario)
 
 
-def test_unknown_message_closes_the_connection():
-    """Guards against requests that are sent to an agent that cannot run them."""
+def test_unexpected_message_closes_the_connection():
+    """Guards against attempts sent to a rank agent, which cannot run requests."""
 
     async def scenario(agent, engine, entry):
         entry.send(messages.Dispatch(attempt_id="a"))
@@ -334,8 +349,11 @@
         ({"instance_id": None}, "instance_id: found None"),
     ],
 )
-def test_bad_settings_are_named(tmp_path, change, found):
-    """Guards against an agent that starts with half of its settings."""
+def test_error_names_the_invalid_setting(tmp_path, change, found):
+    """Guards against an agent that starts with missing or invalid settings.
+
+    The error names the setting and contains no secret.
+    """
     import json
 
     document = {
@@ -350,8 +368,8 @@
     path.write_text(json.dumps(document))
     assert RankAgentSettings.from_file(str(path)).listen.port == 7340
     path.write_text(json.dumps({**document, **change}))
-    with pytest.raises(StepError) as caught:
+    with pytest.raises(StepError) as error_info:
         RankAgentSettings.from_file(str(path))
-    assert found in str(caught.value)
+    assert found in str(error_info.value)
     if "shared_secret" in change:
-        assert "short" not in str(caught.value)
+        assert "short" not in str(error_info.value)
--- a/packages/entry/src/bluebellusher/gateway/_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -293,7 +293,7 @@
         stop_started_at_ms = self.clock.now_ms()
         self.runtime.is_shutting_down = True
         self.log.event("stopping", n_requests=len(self.runtime.exchange_by_request_id))
-        await self.leader.retire(MAP_CHANGE_GRACE_MS)
+        await self.leader.finish_changes(MAP_CHANGE_GRACE_MS)
         await self.lease.release()
         elapsed_ms = self.clock.now_ms() - stop_started_at_ms
         await asyncio.sleep(max(0, STOP_ACCEPTING_AFTER_MS - elapsed_ms) / 1000)
--- a/packages/entry/src/bluebellusher/ranks/tests/test_leader.py
+++ b/packages/entry/src/bluebellusher/ranks/tests/test_leader.py
@@ -1,4 +1,4 @@
-"""The leader of the maps against a model of a group."""
+"""Tests of the map leader with a model of a group."""
 
 import asyncio
 from dataclasses import replace
@@ -32,29 +32,34 @@
 HOT = [1_000, 10, 10, 10, 10, 10, 10, 10]
 
 
-class Lease:
-    """A lease that the test gives and takes."""
+class FakeLease:
+    """Fake lease; a test ends the leadership by setting ``leading_token`` to None."""
 
     leading_token = 1
 
     def record_seen_token(self, token):
-        """Ignore tokens of others."""
+        """Ignore a token that an agent has accepted."""
 
 
-class Links:
-    """Agents of a model group; ``lose`` decides which orders get no answer."""
+class FakeLinks:
+    """Fake connections to the agents of a model group.
 
-    def __init__(self, group, lose=lambda order: False):
+    ``is_lost`` returns whether an order is lost; a lost order has no effect or answer.
+    ``counts`` are the counts that every rank returns, and ``counted_ids`` are the ranks
+    from which counts were requested without the experts.
+    """
+
+    def __init__(self, group, is_lost=lambda order: False):
         self.on_state = None
         self.group = group
-        self.lose = lose
+        self.is_lost = is_lost
         self.counts = HOT
         self.n_orders = 0
         self.counted_ids = set()
         self._clock = SystemClock()
 
-    def states(self):
-        """Return fresh states of every rank."""
+    def get_states(self):
+        """Return the current states of all ranks."""
         now_ms = self._clock.now_ms()
         return [
             replace(self.group.get_state(rank), received_at_ms=now_ms)
@@ -62,11 +67,11 @@
         ]
 
     def find_domain(self, rank_id):
-        """Return the domain of a rank; each has a quarter of the group."""
+        """Return the failure domain of a rank; each of four domains has a quarter."""
         return f"d{int(rank_id) % 4}"
 
     async def call(self, rank_id, message):
-        """Answer a question for counts."""
+        """Answer a request for counts, with the rank's experts if requested."""
         if not message.with_map:
             self.counted_ids.add(rank_id)
         await asyncio.sleep(0)
@@ -84,12 +89,12 @@
             map_version=engine.map_version,
         )
 
-    async def give(self, order: RankOrder):
-        """Carry out an order, with or without an answer."""
+    async def send_order(self, order: RankOrder):
+        """Carry out an order and answer it, unless the order is lost."""
         await asyncio.sleep(0)
         self.n_orders += 1
         rank = int(order.rank_id)
-        if self.lose(order):
+        if self.is_lost(order):
             return None
         token = max(self.group.token_by_rank[rank], order.fencing_token)
         self.group.token_by_rank[rank] = token
@@ -98,9 +103,9 @@
 
 
 def run(links, scenario):
-    """Run a leader and the passes of its group beside a scenario."""
+    """Run a scenario concurrently with a leader and the passes of its group."""
 
-    async def go_on():
+    async def run_passes():
         while True:
             links.group.start_pass()
             await asyncio.sleep(0.02)
@@ -111,9 +116,9 @@
     async def main():
         log = FakeLog()
         leader = MapLeader(
-            Lease(), links, find_model, "d0", 300.0, SystemClock(), Random(1), log
+            FakeLease(), links, find_model, "d0", 300.0, SystemClock(), Random(1), log
         )
-        tasks = [asyncio.create_task(leader.run()), asyncio.create_task(go_on())]
+        tasks = [asyncio.create_task(leader.run()), asyncio.create_task(run_passes())]
         try:
             async with asyncio.timeout(20):
                 await scenario(leader, log)
@@ -124,9 +129,9 @@
     asyncio.run(main())
 
 
-def test_hot_expert_is_spread_over_the_ranks():
-    """Guards against a straggler that nobody relieves."""
-    links = Links(Group(N_RANKS))
+def test_hot_expert_gets_replicas_on_several_ranks():
+    """Guards against a rank that stays overloaded and delays every pass."""
+    links = FakeLinks(Group(N_RANKS))
 
     async def scenario(leader, log):
         await until(lambda: links.group.n_switches >= 1)
@@ -139,10 +144,10 @@
     run(links, scenario)
 
 
-def test_lost_orders_are_given_again():
-    """Guards against a group that waits seconds for an order that was lost."""
-    chance = Random(2)
-    links = Links(Group(N_RANKS), lose=lambda order: chance.random() < 0.35)
+def test_lost_orders_are_sent_again():
+    """Guards against a group that waits for seconds after an order was lost."""
+    rng = Random(2)
+    links = FakeLinks(Group(N_RANKS), is_lost=lambda order: rng.random() < 0.35)
 
     async def scenario(leader, log):
         await until(lambda: links.group.n_switches >= 1)
@@ -150,9 +155,9 @@
     run(links, scenario)
 
 
-def test_even_load_gets_no_orders():
-    """Guards against copies and pauses that save nothing."""
-    links = Links(Group(N_RANKS))
+def test_balanced_load_causes_no_orders():
+    """Guards against weight loads and held steps that save no time."""
+    links = FakeLinks(Group(N_RANKS))
     links.counts = [100] * N_EXPERTS
 
     async def scenario(leader, log):
@@ -163,12 +168,12 @@
 
 
 def test_unreadable_counts_are_logged_and_cause_no_change():
-    """Guards against damaged counts that are taken for no load without a trace."""
-    links = Links(Group(N_RANKS))
-    answer = links.call
+    """Guards against damaged counts that are treated as zero load and not logged."""
+    links = FakeLinks(Group(N_RANKS))
+    original_call = links.call
 
     async def call_damaged(rank_id, message):
-        counts = await answer(rank_id, message)
+        counts = await original_call(rank_id, message)
         counts.packed_counts = b"?"
         return counts
 
@@ -186,9 +191,9 @@
     run(links, scenario)
 
 
-def test_entry_without_the_lease_gives_no_orders():
-    """Guards against two leaders."""
-    links = Links(Group(N_RANKS))
+def test_entry_without_the_lease_sends_no_orders():
+    """Guards against two entries that send orders to the same group."""
+    links = FakeLinks(Group(N_RANKS))
 
     async def scenario(leader, log):
         leader._lease.leading_token = None
@@ -198,9 +203,9 @@
     run(links, scenario)
 
 
-def test_group_that_is_formed_anew_is_planned_for_from_its_first_map():
-    """Guards against a plan for a map that the group has forgotten."""
-    links = Links(Group(N_RANKS))
+def test_plan_for_a_group_formed_again_starts_from_its_first_map():
+    """Guards against a plan based on the map of the previous epoch."""
+    links = FakeLinks(Group(N_RANKS))
 
     async def scenario(leader, log):
         await until(lambda: links.group.n_switches >= 1)
@@ -211,20 +216,20 @@
     run(links, scenario)
 
 
-def test_retiring_leader_finishes_its_change():
-    """Guards against a held step that waits for the next leader."""
-    held = []
+def test_leader_completes_its_change_before_it_stops():
+    """Guards against a step that stays held until there is another leader."""
+    hold_orders = []
 
-    def lose(order):
+    def is_lost(order):
         if order.action is OrderAction.HOLD:
-            held.append(order)
+            hold_orders.append(order)
         return False
 
-    links = Links(Group(N_RANKS), lose)
+    links = FakeLinks(Group(N_RANKS), is_lost)
 
     async def scenario(leader, log):
-        await until(lambda: held)
-        await leader.retire(2_000)
+        await until(lambda: hold_orders)
+        await leader.finish_changes(2_000)
         assert not any(e.held_step for e in links.group.engines)
         assert not any(e.armed for e in links.group.engines)
 
@@ -232,17 +237,22 @@
 
 
 @pytest.mark.parametrize("n_unanswered", [0, 1, 3])
-def test_step_that_was_held_late_is_used_for_the_present_map(n_unanswered):
-    """Guards against a release that is late in turn, and against a group held on."""
-    links = Links(Group(N_RANKS))
+def test_late_hold_is_used_to_switch_to_the_current_map(n_unanswered):
+    """Guards against a late hold that blocks its group or is released unsafely.
+
+    A release could be carried out late as well, so the held step is used to switch to
+    the current map. This must also work when a rank does not answer the request for its
+    experts.
+    """
+    links = FakeLinks(Group(N_RANKS))
     links.counts = [100] * N_EXPERTS
-    answer, unanswered = links.call, []
+    original_call, unanswered = links.call, []
 
     async def call(rank_id, message):
         if message.with_map and rank_id == "2" and len(unanswered) < n_unanswered:
             unanswered.append(message)
             return None
-        return await answer(rank_id, message)
+        return await original_call(rank_id, message)
 
     links.call = call
 
@@ -257,9 +267,9 @@
     run(links, scenario)
 
 
-def test_large_group_is_counted_in_the_domain_of_its_leader():
-    """Guards against counts that cost more bytes between domains than requests do."""
-    links = Links(Group(32))
+def test_large_group_is_counted_only_in_the_domain_of_its_leader():
+    """Guards against counts that need more bytes between domains than requests."""
+    links = FakeLinks(Group(32))
 
     async def scenario(leader, log):
         await until(lambda: links.group.n_switches >= 1)
