--- a/packages/agent/src/bluebellusher_agent/tests/entry_client.py
+++ b/packages/agent/src/bluebellusher_agent/tests/entry_client.py
@@ -1,4 +1,4 @@
-"""A minimal entry for tests: connects to an agent and records what it sends."""
+"""A minimal entry for tests, which records the messages of an agent."""
 
 import asyncio
 import contextlib
@@ -22,7 +22,7 @@
 
 
 class EntryClient:
-    """One connection to an agent."""
+    """Connection of a test entry to an agent."""
 
     def __init__(self, port, entry_id="entry-1", secret=SECRET, domain="a"):
         self.port, self.entry_id, self.secret = port, entry_id, secret.encode()
@@ -60,7 +60,7 @@
             task.cancel()
 
     def abort(self):
-        """Lose the connection."""
+        """Abort the connection, as a network fault would."""
         self.writer.transport.abort()
 
     def send(self, message):
@@ -93,14 +93,14 @@
         self._changed.set()
 
     async def wait(self, condition):
-        """Wait until ``condition()`` is true; the bound only ends a failed test."""
+        """Wait until ``condition()`` is true; after 20 s the test fails."""
         async with asyncio.timeout(20):
             while not condition():
                 self._changed.clear()
                 await self._changed.wait()
 
     def find(self, kind, attempt_id=None):
-        """Return a received message of this kind, or None."""
+        """Return the first received message of a type and an attempt, else None."""
         for message in self.received:
             is_kind = isinstance(message, kind)
             if is_kind and attempt_id in (None, getattr(message, "attempt_id", None)):
@@ -108,7 +108,7 @@
         return None
 
     async def next(self, kind, attempt_id=None):
-        """Wait for a message of this kind and take it."""
+        """Wait for a message of a type, remove it from ``received`` and return it."""
         await self.wait(lambda: self.find(kind, attempt_id) or self.is_closed)
         message = self.find(kind, attempt_id)
         assert message is not None, f"closed; received {self.received}"
@@ -116,11 +116,11 @@
         return message
 
     def data(self, attempt_id):
-        """Return the bytes received for an attempt."""
+        """Return the received bytes of an attempt."""
         return bytes(self.data_by_attempt.get(attempt_id, (0, b""))[1])
 
     def dispatch(self, attempt_id, body, **changes):
-        """Send a dispatch with usual values."""
+        """Send a dispatch with default values, which ``changes`` override."""
         values = {
             "attempt_id": attempt_id,
             "request_id": "r-" + attempt_id,
@@ -141,7 +141,7 @@
         self.send(messages.Dispatch(**{**values, **changes}))
 
     async def finish(self, attempt_id):
-        """Wait for the end; check length and CRC; return the bytes."""
+        """Wait for ``Finish``, check length and CRC, and return the received bytes."""
         finish = await self.next(messages.Finish, attempt_id)
         start, data = self.data_by_attempt.get(attempt_id, (0, b""))
         assert start + len(data) == finish.n_bytes
@@ -151,7 +151,7 @@
 
 
 def make_body(text="hello", n_tokens=8, is_stream=True):
-    """Return a chat completion request."""
+    """Return the body of a chat completion request."""
     body = {
         "model": "model-a",
         "stream": is_stream,
--- a/packages/agent/src/bluebellusher_agent/tests/test_agent_border.py
+++ b/packages/agent/src/bluebellusher_agent/tests/test_agent_border.py
@@ -1,4 +1,4 @@
-"""Guards against hostile input that stops the agent or reaches the target."""
+"""Guards against malicious input that stops the agent or reaches the target."""
 
 import asyncio
 import os
@@ -37,7 +37,7 @@
 
 @pytest.mark.parametrize("name", HOSTILE_FRAMES)
 def test_bad_first_frame_closes_only_its_connection(name):
-    """Guards against an unauthenticated peer that harms others."""
+    """Guards against an unauthenticated peer that disturbs other connections."""
 
     async def scenario(entry, agent, engine):
         reader, writer = await asyncio.open_connection("127.0.0.1", agent.port)
@@ -59,7 +59,7 @@
 
 
 def test_connection_without_handshake_is_closed():
-    """Guards against idle connections that exhaust descriptors."""
+    """Guards against unauthenticated connections that exhaust the file descriptors."""
 
     async def scenario(entry, agent, engine):
         reader, writer = await asyncio.open_connection("127.0.0.1", agent.port)
@@ -71,7 +71,7 @@
 
 
 def test_wrong_secret_is_refused():
-    """Guards against an entry of another system."""
+    """Guards against an agent that accepts work from an entry of another system."""
 
     async def scenario(entry, agent, engine):
         with pytest.raises(AssertionError, match="closed"):
@@ -96,7 +96,10 @@
     ],
 )
 def test_malformed_dispatch_is_refused_as_not_run(changes):
-    """Guards against header injection and orders in disguise."""
+    """Guards against header injection and against dispatches to control paths.
+
+    A dispatch to another method or path of an engine could order or cancel work.
+    """
 
     async def scenario(entry, agent, engine):
         entry.dispatch("a1", make_body(), **changes)
@@ -119,7 +122,7 @@
     ],
 )
 def test_hostile_message_of_an_entry_harms_no_other(message):
-    """Guards against a faulty entry that stops the agent."""
+    """Guards against a faulty entry whose message stops the agent for other entries."""
 
     async def scenario(entry, agent, engine):
         async with EntryClient(agent.port, "entry-2") as other:
@@ -131,7 +134,10 @@
 
 
 def test_malformed_repeat_of_a_running_attempt_is_not_called_not_run():
-    """Guards against a false "not run" for work in progress (I3)."""
+    """Guards against a refusal that reports work in progress as not run (I3).
+
+    The repeated dispatch is malformed and would be refused if its attempt were new.
+    """
 
     async def scenario(entry, agent, engine):
         async with EntryClient(agent.port, "entry-2") as other:
@@ -145,7 +151,7 @@
 
 
 def test_log_never_waits_for_its_reader():
-    """Guards against an agent that stops because nobody reads its log."""
+    """Guards against an agent that blocks when its log pipe is full."""
     reader, writer = os.pipe()
     log_writer = LogWriter(writer)
     for _ in range(100):
@@ -159,7 +165,7 @@
 
 
 def test_settings_errors_name_file_key_value_and_expectation():
-    """Guards against settings that are accepted or refused without a reason."""
+    """Guards against invalid settings that pass or fail without a reason."""
     text = '{"instance_id": "e 1", "n_slots": 0, "colour": 1, "shared_secret": "abc"}'
     with pytest.raises(StepError) as caught:
         AgentSettings.from_text(text, "agent.json")
@@ -173,7 +179,7 @@
 
 
 def test_comments_are_stripped_outside_strings_only():
-    """Guards against a secret that contains the start of a comment."""
+    """Guards against strings, such as a secret, that are cut at ``//`` or ``/*``."""
     text = '{"a": "x // y /* z */ \\" //", // note\n "b": [1, /* two */ ], }'
     assert strip_comments(text).count("\n") == 1
     stripped = strip_comments(text)
--- a/packages/agent/src/bluebellusher_agent/tests/test_agent_drain.py
+++ b/packages/agent/src/bluebellusher_agent/tests/test_agent_drain.py
@@ -1,4 +1,4 @@
-"""Guards against interrupted answers and late work when an endpoint leaves."""
+"""Guards against interrupted answers and new work during a drain."""
 
 import asyncio
 import json
@@ -20,7 +20,7 @@
 
 
 def test_drain_refuses_new_work_and_finishes_the_old():
-    """Guards against interrupted answers and late work on leaving (I5, I6)."""
+    """Guards against interrupted answers and new work during a drain (I5, I6)."""
 
     async def scenario(entry, agent, engine):
         body = make_body(n_tokens=60)
@@ -39,7 +39,7 @@
 
 
 def test_sigterm_drains_the_process_and_ends_it(tmp_path):
-    """Guards against a process that exits before its streams were delivered."""
+    """Guards against a process that exits before its answers are complete."""
 
     async def main():
         engine_settings = EngineSettings(token_interval_ms=10.0)
@@ -72,7 +72,10 @@
 
 
 def test_settings_file_starts_a_drain(tmp_path):
-    """Guards against an operator's drain that a running agent ignores."""
+    """Guards against an agent that ignores ``is_draining`` until it is restarted.
+
+    A malformed settings file in between must not stop the polling.
+    """
 
     async def scenario(entry, agent, engine):
         path = tmp_path / "agent.json"
--- a/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
+++ b/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
@@ -1,4 +1,4 @@
-"""Guards against work that runs twice, is refused wrongly or outlives a drain."""
+"""Guards against work that runs twice or is wrongly refused after faults."""
 
 import asyncio
 
@@ -23,7 +23,7 @@
 
 
 def with_service(scenario, **changes):
-    """Run ``scenario(entry, agent, service)`` with a plain service."""
+    """Run ``scenario(entry, agent, service)`` with a plain service and an agent."""
 
     async def main():
         async with (
@@ -37,7 +37,11 @@
 
 
 def test_duplicate_attempt_runs_once():
-    """Guards against a booking that is made twice (I4)."""
+    """Guards against a call that runs twice after repeated dispatches (I4).
+
+    Dispatches are repeated on one connection, on a new connection, and with a new
+    attempt id of the same request.
+    """
 
     async def scenario(entry, agent, service):
         service.faults.stall_ms = 50
@@ -65,7 +69,7 @@
 
 
 def test_cancelled_call_is_not_run_again_for_its_request():
-    """Guards against a second execution by a new attempt of a booking (I4)."""
+    """Guards against a second execution by a new attempt of a cancelled call (I4)."""
 
     async def scenario(entry, agent, service):
         service.faults.stall_ms = 2_000
@@ -82,7 +86,10 @@
 
 @pytest.mark.parametrize("fault", ["drop_after_execute", "drop_before_execute"])
 def test_call_with_a_lost_answer_is_not_repeated_or_called_not_run(fault):
-    """Guards against a second execution and a false "not run" (I3, I4)."""
+    """Guards against a second execution and a false refusal as not run (I3, I4).
+
+    The service closes the connection before or after it executes the call.
+    """
 
     async def scenario(entry, agent, service):
         setattr(service.faults, fault, 1)
@@ -95,7 +102,7 @@
 
 
 def test_call_in_progress_survives_the_loss_of_its_entry():
-    """Guards against a call that is cut in the middle of its work."""
+    """Guards against a call that is interrupted because its entry disconnected."""
 
     async def scenario(entry, agent, service):
         service.faults.stall_ms = 1_500
@@ -111,7 +118,10 @@
 
 
 def test_call_gets_a_connection_of_its_own():
-    """Guards against a call lost on a kept connection that is just being closed."""
+    """Guards against a call that is lost on an idle connection.
+
+    The service may close an idle connection just as the call is written.
+    """
 
     async def scenario(entry, agent, service):
         for attempt_id in ("a1", "a2"):
@@ -126,7 +136,10 @@
 
 
 def test_crash_is_told_to_all_entries_with_its_victims():
-    """Guards against requests that crash one endpoint after another."""
+    """Guards against a poison request that crashes one endpoint after another.
+
+    Each entry must receive the fingerprints of all requests that a crash ended.
+    """
 
     async def scenario(entry, agent, engine):
         async with EntryClient(agent.port, "entry-2") as other:
@@ -146,7 +159,7 @@
 
 
 def test_fast_restart_of_the_engine_is_seen_as_a_crash():
-    """Guards against a crash that looks like a broken stream."""
+    """Guards against a crash that is taken for a broken stream after a restart."""
 
     async def scenario(entry, agent, engine):
         entry.dispatch("a1", make_body("CRASH"))
@@ -157,7 +170,7 @@
 
 
 def test_runs_on_a_restarted_engine_are_not_blamed_for_the_crash():
-    """Guards against innocent requests that are suspected after a fast restart."""
+    """Guards against false suspects: requests that run after the engine restarted."""
 
     async def scenario(entry, agent, engine):
         body = make_body(n_tokens=300)
@@ -172,7 +185,11 @@
 
 
 def test_frames_received_before_a_pause_of_the_agent_are_not_executed():
-    """Guards against stale work after the entry gave its requests up."""
+    """Guards against work that runs after the entry has abandoned its attempts.
+
+    The entry sends a dispatch while the agent is paused for longer than the receive
+    timeout.
+    """
 
     async def main():
         clock = PausedClock()
@@ -191,17 +208,17 @@
 
 
 class PausedClock(SystemClock):
-    """A clock that jumps as it does for a process that was stopped."""
+    """A clock that jumps forward, as for a process that was paused."""
 
     offset_ms = 0
 
     def now_ms(self):
-        """Return the jumped time."""
+        """Return the time in ms, advanced by ``offset_ms``."""
         return super().now_ms() + self.offset_ms
 
 
 def test_probe_does_not_take_the_end_of_a_kept_connection_for_a_crash():
-    """Guards against requests that are suspected because a connection was idle."""
+    """Guards against false crashes when the target closes an idle connection."""
 
     async def answer_once(reader, writer):
         await reader.readuntil(b"\r\n\r\n")
@@ -224,7 +241,11 @@
 
 
 def test_isolated_run_excludes_new_work_and_names_the_culprit():
-    """Guards against innocent requests that share the fate of a suspect."""
+    """Guards against other requests that run beside an isolated suspect.
+
+    They would end with its crash. The crash must be reported with the fingerprint of
+    the isolated request.
+    """
 
     async def scenario(entry, agent, engine):
         entry.dispatch("a1", make_body("x" * 4000, 10))
@@ -252,7 +273,10 @@
 
 
 def test_isolated_run_is_accepted_before_it_starts():
-    """Guards against an agent that dies with a suspect of which no entry knows."""
+    """Guards against an unreported suspect when the agent terminates with the engine.
+
+    ``Accepted`` must reach the entry before the isolated attempt can crash anything.
+    """
 
     async def scenario(entry, agent, engine):
         entry.dispatch("a1", make_body(), is_isolated=True)
@@ -270,7 +294,7 @@
 
 
 def test_isolation_ends_with_the_suspect():
-    """Guards against an endpoint that refuses all work for ever."""
+    """Guards against an endpoint that refuses all work after an isolated run."""
 
     async def scenario(entry, agent, engine):
         entry.dispatch("a1", make_body(), is_isolated=True)
@@ -286,14 +310,18 @@
 
 
 def test_isolation_outlives_a_cancel_that_the_engine_did_not_hear():
-    """Guards against work beside a suspect that still runs on a silent engine."""
+    """Guards against work beside a suspect on an unresponsive engine.
+
+    The engine does not answer the cancellation, so that the suspect may still run.
+    """
 
     async def scenario(entry, agent, engine):
         entry.dispatch("a1", make_body("x", 4000), is_isolated=True)
         await entry.next(messages.Started, "a1")
         engine.set_faults(is_frozen=True)
         entry.send(messages.Cancel("a1"))
-        # A request to the engine times out after 1 s; a heartbeat comes each 500 ms.
+        # A request to the engine times out after 1 s; the agent sends a heartbeat every
+        # 500 ms.
         for _ in range(5):
             await entry.next(messages.Heartbeat)
         entry.dispatch("a2", make_body())
@@ -308,7 +336,7 @@
 
 
 def test_old_token_is_refused_for_an_engine_that_ignores_tokens():
-    """Guards against a paused lease holder that acts after it was replaced."""
+    """Guards against orders of a lease holder that was paused and then replaced."""
 
     async def scenario(entry, agent, engine):
         async def order(order_id, lease, token):
@@ -339,7 +367,7 @@
 
 
 def test_deadline_ends_an_attempt_on_a_stalled_engine():
-    """Guards against attempts that occupy a stalled engine for ever."""
+    """Guards against attempts that occupy a stalled engine beyond their deadline."""
 
     async def scenario(entry, agent, engine):
         engine.set_faults(is_stalled=True)
@@ -366,7 +394,7 @@
 
 
 def test_informational_answers_without_end_are_given_up():
-    """Guards against a server in trouble that keeps the agent reading for seconds."""
+    """Guards against a faulty server that keeps the agent reading for seconds."""
 
     async def main():
         async def answer(reader, writer):
--- a/packages/agent/src/bluebellusher_agent/tests/test_agent_streams.py
+++ b/packages/agent/src/bluebellusher_agent/tests/test_agent_streams.py
@@ -1,4 +1,4 @@
-"""Guards against answers that are lost, cut, mixed or sent twice by the agent."""
+"""Guards against answers that the agent loses, truncates, mixes or repeats."""
 
 import asyncio
 
@@ -15,7 +15,7 @@
 
 
 def test_concurrent_answers_arrive_whole_and_unmixed():
-    """Guards against answers that are mixed up in shared batches."""
+    """Guards against bytes of one answer in another when they share a batch."""
 
     async def scenario(entry, agent, engine):
         bodies = {
@@ -32,7 +32,7 @@
 
 
 def test_usage_of_the_engine_is_reported():
-    """Guards against answers that are billed as empty."""
+    """Guards against answers that are billed without their tokens."""
 
     async def scenario(entry, agent, engine):
         entry.dispatch("a1", make_body("x" * 400, n_tokens=5))
@@ -46,7 +46,7 @@
 
 
 def test_no_byte_is_sent_beyond_the_credit():
-    """Guards against a slow caller that makes the entry buffer without bound."""
+    """Guards against unbounded buffers in the entry when a caller reads slowly."""
 
     async def scenario(entry, agent, engine):
         body = make_body(n_tokens=30)
@@ -64,7 +64,7 @@
 
 
 async def agent_settled(agent):
-    """Let several flush periods pass, in which a faulty agent would send more."""
+    """Wait for several flush intervals, in which a faulty agent would send more."""
     await asyncio.sleep(0.1)
 
 
@@ -73,7 +73,7 @@
 
     async def scenario(entry, agent, engine):
         engine.set_faults(break_streams=3, truncate_streams=2)
-        # Long enough to go on while all faults come, also on a busy machine.
+        # The stream must last until all faults have occurred, also on a busy machine.
         body = make_body(n_tokens=800)
         entry.dispatch("a1", body)
         assert await entry.finish("a1") == expect_answer(body)
@@ -84,7 +84,7 @@
 
 
 def test_silent_engine_connection_is_replaced():
-    """Guards against a stream that hangs on a dead connection to its deadline."""
+    """Guards against a stream that stalls on a dead connection until its deadline."""
 
     async def scenario(entry, agent, engine):
         engine.set_faults(mute_streams=1)
@@ -97,7 +97,7 @@
 
 
 def test_stream_that_ends_early_is_never_finished():
-    """Guards against a cut answer that is taken for a whole one."""
+    """Guards against a truncated answer that is relayed as complete."""
 
     async def scenario(entry, agent, engine):
         engine.set_faults(truncate_streams=1, refuse_resumes=True)
@@ -110,7 +110,7 @@
 
 
 def test_answer_of_another_attempt_is_not_relayed():
-    """Guards against a caller that receives another caller's answer."""
+    """Guards against a caller that receives the answer to another caller."""
 
     async def scenario(entry, agent, engine):
         engine.set_faults(cross_attempts=1)
@@ -123,7 +123,7 @@
 
 
 def test_entry_resumes_after_a_lost_connection():
-    """Guards against an answer that is lost or run again with its connection."""
+    """Guards against an answer that is lost or generated again with its connection."""
 
     async def scenario(entry, agent, engine):
         body = make_body(n_tokens=60)
@@ -145,7 +145,7 @@
 
 
 def test_silent_connection_is_closed_and_its_answer_can_be_resumed():
-    """Guards against a dead connection that keeps an answer for itself."""
+    """Guards against an answer that stays bound to an unresponsive connection."""
 
     async def scenario(entry, agent, engine):
         body = make_body(n_tokens=20)
@@ -161,7 +161,7 @@
 
 
 def test_only_the_same_entry_and_request_can_resume():
-    """Guards against an answer that is given to another caller."""
+    """Guards against an answer that is relayed to another entry or request."""
 
     async def scenario(entry, agent, engine):
         body = make_body(n_tokens=200)
@@ -183,7 +183,7 @@
 
 
 def test_abandoned_answer_is_cancelled_after_the_resume_window():
-    """Guards against engine slots that are held for entries that never return."""
+    """Guards against engine slots occupied for entries that do not reconnect."""
 
     async def scenario(entry, agent, engine):
         entry.dispatch("a1", make_body(n_tokens=8000))
@@ -197,7 +197,7 @@
 
 
 def test_cancel_frees_the_engine_and_silences_the_attempt():
-    """Guards against work that goes on after its caller left."""
+    """Guards against work that continues after its caller disconnected."""
 
     async def scenario(entry, agent, engine):
         entry.dispatch("a1", make_body(n_tokens=8000))
@@ -212,7 +212,7 @@
 
 
 def test_unreachable_target_is_refused_as_not_run():
-    """Guards against a needless unknown outcome."""
+    """Guards against an unknown outcome for an attempt that was never sent."""
 
     async def main():
         async with run_agent(1) as agent, EntryClient(agent.port) as entry:
--- a/packages/agent/src/bluebellusher_agent/tests/test_run.py
+++ b/packages/agent/src/bluebellusher_agent/tests/test_run.py
@@ -14,7 +14,7 @@
 
 
 class FakeRelay:
-    """An entry's side of a connection that loses what is still on its way."""
+    """Receiving side of a connection that records and checks the relayed answer."""
 
     peer_id = "entry-1"
     is_writable = True
@@ -26,23 +26,23 @@
         self.finish = None
 
     def queue_started(self, message):
-        """Count."""
+        """Count the messages."""
         self.n_started += 1
 
     def queue_chunk(self, attempt_id, offset, data):
-        """Check continuity as an entry does."""
+        """Check that the offset follows the received bytes, as an entry does."""
         assert self.n_started == 1
         assert offset == self.offset + len(self.data)
         self.data += data
 
     def queue_finish(self, message):
-        """Take the end."""
+        """Record the message, which must be the only one."""
         assert self.finish is None
         self.finish = message
 
 
 def make_run():
-    """Return a run that was sent."""
+    """Return a run for a test dispatch."""
     dispatch = messages.Dispatch(
         attempt_id="a1", request_id="r1", method="POST", path="/", remaining_ms=1000
     )
@@ -61,7 +61,7 @@
 
 
 async def check_steps(steps, random_state):
-    """Apply the steps and compare what the entry put together."""
+    """Apply the steps and compare the bytes that the entry received."""
     run, sent, kept = make_run(), bytearray(), bytearray()
     relay, credit = FakeRelay(0), 100
     run.attach(relay, "a1", 0, credit)
@@ -75,7 +75,7 @@
             credit += number
             run.add_credit(number)
         elif kind == "lose" and relay is not None:
-            # What is lost on the way is bounded by what the agent keeps.
+            # At most KEEP_BYTES may be lost in transit: the agent retains only these.
             n_lost = min(number, KEEP_BYTES, len(relay.data))
             kept += relay.data[: len(relay.data) - n_lost]
             relay = None
