--- a/packages/agent/src/bluebellusher_agent/_agent.py
+++ b/packages/agent/src/bluebellusher_agent/_agent.py
@@ -1,4 +1,4 @@
-"""The agent: connections of entries on one side, the target on the other."""
+"""Endpoint agent: relays requests from entries to the engine or plain service."""
 
 import asyncio
 import contextlib
@@ -34,14 +34,18 @@
 
 
 class Agent:
-    """Endpoint agent; one per endpoint instance.
+    """Endpoint agent, one process per endpoint instance.
+
+    The agent accepts connections from entries, runs their attempts on the target
+    (the engine or plain service on the same instance), relays the answers, and
+    reports the load and the cache contents of the target to all entries.
 
     Parameters
     ----------
     settings : AgentSettings
-        What the agent is told.
+        Validated settings.
     clock : Clock or None
-        Time source.
+        Time source; None for the system clock.
 
     Examples
     --------
@@ -82,7 +86,10 @@
         self._memory = MemoryTrimmer()
 
     async def start(self) -> None:
-        """Listen for entries and start reporting."""
+        """Listen for entries and start the periodic tasks.
+
+        They send heartbeats, reports of load and cache, and check for time-outs.
+        """
         loop = asyncio.get_running_loop()
         listen = self.settings.listen
         self._server = await loop.create_server(
@@ -97,7 +104,7 @@
         log("listening", host=listen.host, port=self.port)
 
     async def stop(self) -> None:
-        """Close everything at once."""
+        """Close all connections and cancel all tasks without a drain."""
         if self._server is not None:
             self._server.close()
         for connection in list(self._connections):
@@ -109,7 +116,7 @@
         self._client.close_idle(is_all=True)
 
     def start_drain(self) -> None:
-        """Take no new work from now on and say so to all entries."""
+        """Refuse new attempts from now on and broadcast ``Drain`` to all entries."""
         if self.runs.is_draining:
             return
         self.runs.is_draining = True
@@ -117,13 +124,17 @@
         self._broadcast(messages.Drain(self.settings.instance_id))
 
     async def wait_idle(self) -> None:
-        """Wait until every answer was sent whole or is no longer wanted."""
+        """Wait until every run has ended or its complete answer is queued."""
         while any(not run.is_finish_queued for run in self.runs):
             self._changed.clear()
             await self._changed.wait()
 
     async def finish_connections(self) -> None:
-        """Deliver what is queued; entries that do not close are cut off later."""
+        """Flush all connections and wait for the entries to close them.
+
+        The wait is limited to ``FINISH_TIMEOUT_MS``; ``stop`` aborts connections
+        that are still open then.
+        """
         for connection in self._connections:
             connection.finish()
         loop = asyncio.get_running_loop()
@@ -150,13 +161,16 @@
         )
 
     def on_open(self, connection: EntryConnection) -> None:
-        """Watch a new connection, which must authenticate itself soon."""
+        """Register a new connection, or close it above ``MAX_CONNECTIONS``.
+
+        ``EntryConnection.tick`` closes it if the handshake does not complete in time.
+        """
         self._connections.add(connection)
         if len(self._connections) > MAX_CONNECTIONS:
             connection.close("too many connections")
 
     def on_ready(self, connection: EntryConnection) -> None:
-        """Tell an entry what it needs to know at once."""
+        """Send the last load report, the cached blocks and the drain state."""
         log("entry-connected", peer=connection.peer_id, address=connection.address)
         for message in (self._load.report, self._cache.snapshot()):
             if message is not None:
@@ -165,7 +179,7 @@
             connection.send(messages.Drain(self.settings.instance_id))
 
     def on_closed(self, connection: EntryConnection) -> None:
-        """Hold the answers of a lost connection for resumption."""
+        """Detach the runs of a lost connection and start their resume windows."""
         self._connections.discard(connection)
         held = [run for run in self.runs if run.connection is connection]
         for run in held:
@@ -175,7 +189,7 @@
         log("entry-lost", peer=connection.peer_id or "-", n_held=len(held))
 
     def on_writable(self, connection: EntryConnection) -> None:
-        """Send what waited for room."""
+        """Send buffered output of the runs of this connection."""
         for run in self.runs:
             if run.connection is connection:
                 run.pump()
@@ -203,7 +217,8 @@
         problem = find_dispatch_problem(dispatch, self.is_model)
         if problem:
             log("bad-dispatch", attempt_id=dispatch.attempt_id, reason=problem)
-            # Work that runs under this id cannot be called "not run".
+            # A refusal would state that the attempt was not run, which is false for
+            # an attempt that already runs under this id.
             is_known = self.runs.get(dispatch.attempt_id) is not None
             decision = Decision(Verdict.CLOSE if is_known else Verdict.REFUSE)
         else:
@@ -238,8 +253,8 @@
             if run is not None:
                 self._keeper.cancel(run)
             if dispatch.is_isolated:
-                # If this process dies during the run, the entry knows from this
-                # message that the suspect had arrived and was running alone.
+                # If this process terminates during the run, this message shows the
+                # entry that the suspect had arrived and was running alone.
                 connection.send(messages.Accepted(attempt_id))
             self._keeper.start(connection, dispatch, now_ms)
 
@@ -257,7 +272,7 @@
             self._keeper.cancel(run)
 
     def _find(self, connection: EntryConnection, attempt_id: Any) -> Run | None:
-        """Return a run of this connection; others may not touch it."""
+        """Return the run of an attempt if it belongs to this connection, else None."""
         run = self.runs.get(attempt_id) if is_id(attempt_id) else None
         return run if run is not None and run.connection is connection else None
 
@@ -273,7 +288,7 @@
         connection.send(await self._orders.execute(order))
 
     def _on_crash(self) -> None:
-        """Tell all entries which attempts were running when the target died."""
+        """Broadcast the attempts that a crash of the target ended; end their runs."""
         victims = [run for run in self.runs.running() if run.is_hit_by_crash]
         if victims:
             isolated = next((r.fingerprint for r in victims if r.is_isolated), None)
@@ -349,5 +364,5 @@
     def _on_task_done(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            # A fault in one run must not stop the others.
+            # An unexpected exception in one task must not stop the other tasks.
             log("task-failed", error=repr(task.exception()))
--- a/packages/agent/src/bluebellusher_agent/_checks.py
+++ b/packages/agent/src/bluebellusher_agent/_checks.py
@@ -1,4 +1,4 @@
-"""Checks of received messages; any field may be missing or hostile."""
+"""Validation of received messages, whose fields may be missing or malicious."""
 
 from typing import Any
 
@@ -11,27 +11,31 @@
 
 
 def is_id(text: Any) -> bool:
-    """Return whether ``text`` may be an attempt or request id."""
+    """Return whether ``text`` is a valid attempt, request or order id."""
     if not isinstance(text, str) or not 0 < len(text) <= MAX_ID_CHARACTERS:
         return False
     return all(c.isascii() and (c.isalnum() or c in "-_.:~") for c in text)
 
 
 def find_id_problem(dispatch: Any) -> str:
-    """Return what is wrong with the ids of a ``Dispatch``, or an empty string."""
+    """Return an error message for the ids of a ``Dispatch``, empty if valid."""
     if not (is_id(dispatch.attempt_id) and is_id(dispatch.request_id)):
         return "attempt_id or request_id: expected letters, digits and -_.:~"
     return ""
 
 
 def find_dispatch_problem(dispatch: Any, is_model: bool) -> str:
-    """Return what is wrong with a ``Dispatch`` that has ids, or an empty string."""
+    """Return an error message for an invalid ``Dispatch``, else an empty string.
+
+    The ids of the dispatch must have passed ``find_id_problem``. ``is_model`` is
+    whether the target is an engine.
+    """
     if not is_token(dispatch.method):
         return f"method={dispatch.method!r}: expected an HTTP method"
     if not is_path(dispatch.path):
         return "path: expected printable ASCII that starts with /"
     if is_model and (dispatch.method != "POST" or not dispatch.path.startswith("/v1/")):
-        # The other paths of an engine cancel attempts or change its state.
+        # Other methods and paths of an engine cancel attempts or change its state.
         return f"{dispatch.method} {dispatch.path}: expected POST below /v1/"
     headers = dispatch.headers or {}
     is_valid = all(is_token(n) and is_header_value(v) for n, v in headers.items())
@@ -58,7 +62,7 @@
 
 
 def is_order(order: Any) -> bool:
-    """Return whether an ``Order`` has all its fields."""
+    """Return whether an ``Order`` has valid ids, a lease name and a fencing token."""
     is_named = is_id(order.order_id) and is_id(order.action)
     lease_name = order.lease_name
     is_leased = isinstance(lease_name, str) and 0 < len(lease_name) <= 256
--- a/packages/agent/src/bluebellusher_agent/_connection.py
+++ b/packages/agent/src/bluebellusher_agent/_connection.py
@@ -1,4 +1,4 @@
-"""Connection of one entry: handshake, frames, batches, silence."""
+"""Connection from one entry: handshake, framing, batched writes and time-outs."""
 
 import asyncio
 import os
@@ -21,7 +21,8 @@
 
 PROTOCOL_VERSION = 1
 FLUSH_S = 0.005
-# An entry that does not read for this long is broken even if it sends heartbeats.
+# Time in ms after which a connection whose write buffer stays full is closed: the
+# entry does not read, even if it still sends heartbeats.
 BLOCKED_LIMIT_MS = 10_000
 MAX_HELLO_BYTES = 16_384
 MAX_BATCH_BYTES = 1_048_576
@@ -29,7 +30,7 @@
 
 
 class ConnectionOwner(Protocol):
-    """The agent, as a connection sees it."""
+    """Interface of the agent that an ``EntryConnection`` uses."""
 
     secret: bytes
     clock: Clock
@@ -38,16 +39,16 @@
         """Return the ``Hello`` of this agent without nonce and MAC."""
 
     def on_open(self, connection: "EntryConnection") -> None:
-        """Handle a connection that has not authenticated itself yet."""
+        """Handle a new connection, which is not authenticated yet."""
 
     def on_ready(self, connection: "EntryConnection") -> None:
-        """Handle the end of a handshake."""
+        """Handle a completed handshake."""
 
     def on_message(self, connection: "EntryConnection", message: Any) -> None:
         """Handle one message of an authenticated entry."""
 
     def on_writable(self, connection: "EntryConnection") -> None:
-        """Send what waited for room."""
+        """Send buffered output after the write buffer of a connection has drained."""
 
     def on_closed(self, connection: "EntryConnection") -> None:
         """Handle the loss of the connection."""
@@ -59,9 +60,10 @@
     Parameters
     ----------
     owner : ConnectionOwner
-        Receives messages and events.
+        Agent that receives the messages and events of the connection.
     near_domain : str
-        Entries of other failure domains use the slower pace; empty for none.
+        Failure domain of the agent. Connections to entries of other domains use
+        ``SLOW_HEARTBEAT``; if empty, all connections use ``FAST_HEARTBEAT``.
     """
 
     def __init__(self, owner: ConnectionOwner, near_domain: str = "") -> None:
@@ -97,7 +99,7 @@
         return not self._is_blocked and self._transport is not None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Send the challenge."""
+        """Send a ``Hello`` with the nonce that the entry must authenticate."""
         # uvloop's transport has these methods without being a subclass.
         transport = cast(asyncio.Transport, transport)
         self._transport = transport
@@ -111,7 +113,7 @@
         self.send(hello)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Tell the owner, which holds the answers for resumption."""
+        """Report the loss of the connection to the agent, which retains the answers."""
         self._transport = None
         if self._flush_handle is not None:
             self._flush_handle.cancel()
@@ -119,20 +121,20 @@
         self._owner.on_closed(self)
 
     def pause_writing(self) -> None:
-        """Stop queueing chunks; the entry does not keep up."""
+        """Stop queueing chunks, because the write buffer is full."""
         self._is_blocked = True
         self._blocked_since_ms = self._owner.clock.now_ms()
 
     def resume_writing(self) -> None:
-        """Go on with what waited."""
+        """Continue to queue chunks, because the write buffer has drained."""
         self._is_blocked = False
         self._owner.on_writable(self)
 
     def data_received(self, data: bytes) -> None:
         """Handle received frames; a malformed one closes the connection."""
         now_ms = self._owner.clock.now_ms()
-        # After a pause of this process the entry has given its requests up; the
-        # frames that it sent before are not executed any more.
+        # If this process was paused for longer than the receive timeout, the entry
+        # has abandoned its attempts; frames received before the pause must not run.
         if now_ms - self._last_received_ms > self._pace.receive_timeout_ms:
             self.close("silent")
             return
@@ -145,7 +147,7 @@
         except StepError as error:
             self.close(f"{error.step}: {error.reason}")
         except Exception as error:
-            # A message that meets a fault of this process ends one connection only.
+            # A bug of the agent in handling a message closes only this connection.
             self.close(f"handle-message: {type(error).__name__}: {error}")
 
     def _receive_hello(self, data: bytes) -> None:
@@ -199,18 +201,18 @@
                 self._owner.on_message(self, message)
 
     def send(self, message: Any) -> None:
-        """Send one message now."""
+        """Write one message to the transport without batching."""
         if self._transport is not None and not self._transport.is_closing():
             self._sent_at_ms = self._owner.clock.now_ms()
             self._transport.write(encode(message))
 
     def queue_started(self, message: Any) -> None:
-        """Send ``Started`` before the next batch."""
+        """Queue a ``Started``, which the next flush writes before all chunks."""
         self._started.append(message)
         self._schedule_flush()
 
     def queue_chunk(self, attempt_id: str, offset: int, data: bytes) -> None:
-        """Send a part of an answer with the next batch."""
+        """Queue a part of an answer; the flush joins the parts of one attempt."""
         queued = self._chunk_parts_by_id.get(attempt_id)
         if queued is None:
             self._chunk_parts_by_id[attempt_id] = (offset, [data])
@@ -223,12 +225,12 @@
             self._schedule_flush()
 
     def queue_finish(self, message: Any) -> None:
-        """Send ``Finish`` after the next batch."""
+        """Queue a ``Finish``, which the next flush writes after all chunks."""
         self._finished.append(message)
         self._schedule_flush()
 
     def drop_queued(self, attempt_id: str) -> None:
-        """Forget what is queued for an attempt that ended early."""
+        """Discard all queued messages of an attempt that ended early."""
         queued = self._chunk_parts_by_id.pop(attempt_id, None)
         if queued is not None:
             self._n_batch_bytes -= sum(len(part) for part in queued[1])
@@ -241,7 +243,10 @@
             self._flush_handle = loop.call_later(FLUSH_S, self.flush)
 
     def flush(self) -> None:
-        """Write everything that is queued, in the order that entries rely on."""
+        """Write all queued messages: ``Started``, then chunks, then ``Finish``.
+
+        Entries rely on this order.
+        """
         if self._flush_handle is not None:
             self._flush_handle.cancel()
             self._flush_handle = None
@@ -261,7 +266,7 @@
             self._transport.write(b"".join(frames))
 
     def tick(self, now_ms: int) -> None:
-        """Send a heartbeat; close the connection when the entry is silent."""
+        """Send a due heartbeat; close the connection when a timeout has expired."""
         if now_ms - self._last_received_ms > self._pace.receive_timeout_ms:
             self.close("silent")
             return
@@ -276,10 +281,10 @@
             self.close("no handshake")
 
     def finish(self) -> None:
-        """Send what is queued, then the end of the stream; the entry closes.
+        """Write all queued messages and half-close; the entry closes the connection.
 
-        Closing with unread input would reset the connection and could destroy
-        frames that the entry has not read yet.
+        Closing the socket while it has unread input would reset the connection, and
+        the entry could lose frames that it has not read yet.
         """
         self.flush()
         transport = self._transport
@@ -287,7 +292,7 @@
             transport.write_eof()
 
     def close(self, reason: str) -> None:
-        """Abort the connection."""
+        """Log the reason and abort the connection."""
         if self._transport is None or self._transport.is_closing():
             return
         peer = self.peer_id or self.address
--- a/packages/agent/src/bluebellusher_agent/_executor.py
+++ b/packages/agent/src/bluebellusher_agent/_executor.py
@@ -1,4 +1,4 @@
-"""Execution of one attempt on the target."""
+"""Execution of attempts on the target: requests, stream resumption, validation."""
 
 import asyncio
 import json
@@ -10,7 +10,8 @@
 from bluebellusher_agent._run import Run
 from bluebellusher_core.errors import Reason, StepError
 
-# Reconnections in a row to an engine that holds the stream, without progress.
+# Maximum number of consecutive reconnections to an engine that resume a stream without
+# receiving any byte.
 N_STREAM_RESUMES = 3
 RESUME_DELAY_S = 0.01
 USAGE_TAIL_BYTES = 4_096
@@ -36,20 +37,20 @@
 
 
 class RunListener(Protocol):
-    """Receives the end of a run."""
+    """Interface for the results of runs."""
 
     def on_not_run(self, run: Run) -> None:
         """Handle an attempt of which no byte was sent to the target."""
 
     def on_broken(self, run: Run, reason: Reason) -> None:
-        """Handle an attempt that ended without a whole answer."""
+        """Handle an attempt that failed before its answer was complete."""
 
     def on_complete(self, run: Run) -> None:
-        """Handle an attempt whose answer is whole."""
+        """Handle an attempt whose answer is complete."""
 
 
 class _CorruptError(StepError):
-    """The answer is not that of this attempt."""
+    """The engine sent the answer of another attempt."""
 
 
 class Executor:
@@ -60,9 +61,9 @@
     client : HttpClient
         Connections to the target.
     monitor : TargetMonitor
-        Decides what a broken exchange means.
+        Detects whether the target crashed when an exchange fails.
     listener : RunListener
-        Receives the end of each run.
+        Receives the result of each run.
     is_model : bool
         Whether the target is an engine, which can resume streams.
     """
@@ -80,7 +81,11 @@
         self._is_model = is_model
 
     async def execute(self, run: Run) -> None:
-        """Run one attempt to its end."""
+        """Run one attempt and report its result to the listener.
+
+        A stream that breaks is resumed from its current offset while the engine is
+        alive, up to ``N_STREAM_RESUMES`` times in a row without progress.
+        """
         n_failures = 0
         while n_failures <= N_STREAM_RESUMES:
             offset = run.buffer.end
@@ -101,7 +106,8 @@
                 self._log_break(run, error)
             n_failures = 1 if run.buffer.end > offset else n_failures + 1
             state = await self._monitor.probe()
-            # A crash ends every run that it hit, this one included.
+            # When the probe detects a crash, the agent ends all affected runs before
+            # the probe returns; this run may be one of them.
             if run.is_ended:
                 return
             if state is not TargetState.ALIVE or not self._is_resumable(run):
@@ -110,15 +116,21 @@
         self._listener.on_broken(run, Reason.ENGINE_ERROR)
 
     def resume_silent(self, run: Run) -> None:
-        """Replace a connection to an engine on which a stream fell silent."""
+        """Close the engine connection of a stalled stream, so that it is resumed."""
         if run.exchange is not None and self._is_resumable(run):
             log("stream-silent", attempt_id=run.attempt_id, n_bytes=run.buffer.end)
             run.exchange.close()
 
     async def cancel_on_target(self, run: Run) -> bool:
-        """Tell an engine that an answer is no longer wanted.
+        """Cancel an attempt on the engine.
 
-        Returns whether the run is certainly over or cannot be ended this way.
+        Returns
+        -------
+        bool
+            False if the engine did not answer the cancellation, so that the attempt
+            may still run there. True if the engine answered it or accepts no
+            connection, and if there is nothing to cancel: the target is a plain
+            service, the answer is complete, or no byte was sent.
         """
         if not self._is_model or run.is_complete or not run.is_sent:
             return True
@@ -208,16 +220,23 @@
             raise ExchangeError("resume-stream", peer, reason)
 
     def _check_end(self, run: Run) -> None:
-        """Refuse an event stream that ends without its terminating event."""
+        """Raise ``ExchangeError`` for an event stream without its final ``[DONE]``."""
         if not self._is_resumable(run):
             return
         tail_start = max(run.buffer.start, run.buffer.end - 64)
         tail = run.buffer.read(tail_start, 64)
         if not tail.rstrip().endswith(b"data: [DONE]"):
-            raise ExchangeError("read-answer", self._client.peer, "stream cut short")
+            raise ExchangeError(
+                "read-answer",
+                self._client.peer,
+                "event stream ended without data: [DONE]",
+            )
 
     def _read_usage(self, run: Run, exchange: Exchange) -> tuple[int, int, int]:
-        """Return input, cached and output tokens from the end of the answer."""
+        """Return the input, cached and output token counts, or zeros if there are none.
+
+        The engine reports them at the end of its answer.
+        """
         if not self._is_model:
             return (0, 0, 0)
         tail_start = max(run.buffer.start, run.buffer.end - USAGE_TAIL_BYTES)
@@ -228,7 +247,20 @@
 
 
 def parse_usage(tail: bytes, n_cached_tokens: int) -> tuple[int, int, int]:
-    """Return the token counts in the last ``usage`` object of an answer."""
+    """Return the token counts in the last ``usage`` object of an answer.
+
+    Parameters
+    ----------
+    tail : bytes
+        Last bytes of the answer.
+    n_cached_tokens : int
+        Number of cached input tokens if the ``usage`` object does not contain it.
+
+    Returns
+    -------
+    tuple of int
+        Input, cached and output tokens; zeros if there is no valid ``usage`` object.
+    """
     position = tail.rfind(b'"usage":')
     if position < 0:
         return (0, 0, 0)
--- a/packages/agent/src/bluebellusher_agent/_http.py
+++ b/packages/agent/src/bluebellusher_agent/_http.py
@@ -1,4 +1,4 @@
-"""Small HTTP/1.1 client for the engine or plain service on the same instance."""
+"""HTTP/1.1 client for the engine or plain service on the same instance."""
 
 import asyncio
 import time
@@ -12,25 +12,27 @@
 CONNECT_TIMEOUT_S = 1.0
 READ_BYTES = 65_536
 MAX_HEADER_BYTES = 65_536
-# Informational answers (1xx) before the real one; servers send one or two.
+# Limit of informational answers (1xx) before the final answer; servers usually send one
+# or two, and a faulty server could send them without end.
 MAX_INTERIM_ANSWERS = 16
 MAX_CONTROL_BODY_BYTES = 4 * 1024 * 1024
-# Servers commonly close idle connections after 5 s or more; reusing only younger
-# ones avoids the race between their close and our next request.
+# Servers commonly close idle connections after 5 s or more. Reusing only connections
+# that were idle for less than 2 s avoids a request that is written just as the server
+# closes the connection.
 MAX_IDLE_S = 2.0
 MAX_IDLE_CONNECTIONS = 64
 
 
 class NotSentError(StepError):
-    """No byte of the request was written; it has certainly not run."""
+    """The request failed before its first byte was written, so it has not run."""
 
 
 class ExchangeError(StepError):
-    """The exchange failed after the first byte; the request may have run."""
+    """The exchange failed when the request may have been sent and may have run."""
 
 
 class HttpConnection:
-    """One TCP connection with the parser state of its current answer."""
+    """One TCP connection to the target and the time since which it is idle."""
 
     def __init__(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -41,23 +43,32 @@
 
     @property
     def is_dead(self) -> bool:
-        """Return whether the peer ended the connection."""
+        """Return whether the connection has failed or was closed by either side."""
         has_failed = self.reader.exception() is not None or self.reader.at_eof()
         return has_failed or self.writer.is_closing()
 
     def is_fresh(self, now_s: float) -> bool:
-        """Return whether the connection can carry another request."""
+        """Return whether the connection is open and idle for under ``MAX_IDLE_S``."""
         return not self.is_dead and now_s - self.idle_since_s < MAX_IDLE_S
 
     def close(self) -> None:
-        """Abort the connection."""
+        """Abort the connection without flushing its write buffer."""
         self.writer.transport.abort()
 
 
 class Exchange:
-    """One request that was written and the answer that is being read.
+    """A written request and the parser of its answer.
 
-    The methods whose names start with ``on_`` are called by the parser.
+    ``HttpResponseParser`` calls the methods whose names start with ``on_``.
+
+    Parameters
+    ----------
+    client : HttpClient
+        Client that receives the connection back for reuse.
+    connection : HttpConnection
+        Connection on which the request was written.
+    is_bodiless : bool
+        Whether the answer has no body, as for a HEAD request.
     """
 
     def __init__(
@@ -78,12 +89,18 @@
         self.header_by_name: dict[str, str] = {}
 
     def on_message_begin(self) -> None:
-        """Refuse bytes after the answer; they belong to no request."""
+        """Raise ``ValueError`` for bytes after the complete answer."""
         if self._is_complete:
             raise ValueError("bytes after the answer")
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store one header; names are lower case."""
+        """Store one header under its lower-case name.
+
+        Raises
+        ------
+        ValueError
+            If the names and values together exceed ``MAX_HEADER_BYTES``.
+        """
         self._n_header_bytes += len(name) + len(value)
         if self._n_header_bytes > MAX_HEADER_BYTES:
             raise ValueError("headers too long")
@@ -91,7 +108,13 @@
         self.header_by_name[key] = value.decode("latin-1")
 
     def on_headers_complete(self) -> None:
-        """Note the status; informational answers precede the real one."""
+        """Record the status of the final answer; discard informational answers.
+
+        Raises
+        ------
+        ValueError
+            If there are more than ``MAX_INTERIM_ANSWERS`` informational answers.
+        """
         self.status = self._parser.get_status_code()
         if self.status < 200:
             self.header_by_name.clear()
@@ -100,39 +123,51 @@
                 raise ValueError("too many informational answers")
             return
         self._is_head_complete = True
-        # The parser cannot know that an answer to HEAD has no body.
+        # The parser does not recognise that an answer to HEAD has no body.
         self._is_complete = self._is_bodiless
         names = ("content-length", "transfer-encoding")
         self._is_delimited = any(name in self.header_by_name for name in names)
 
     def on_body(self, data: bytes) -> None:
-        """Keep a part of the body until it is read."""
+        """Store a part of the body for ``read_body``."""
         if data:
             self._parts.append(data)
 
     def on_message_complete(self) -> None:
-        """Note the end of the answer."""
+        """Record the end of the final answer and whether the connection stays open."""
         if self._is_head_complete:
             self._is_complete = True
-            # The parser forgets this when it is ready for the next answer.
+            # The parser resets this state before it accepts the next answer.
             self._is_kept_alive = self._parser.should_keep_alive()
 
     @property
     def is_broken(self) -> bool:
-        """Return whether the connection ended before the answer did."""
+        """Return whether the connection closed before the answer was complete."""
         if self._is_complete:
             return False
         connection = self._connection
         return connection is None or connection.is_dead
 
     async def read_head(self) -> int:
-        """Wait for the status and headers; return the status."""
+        """Receive the status and headers of the answer and return the status.
+
+        Raises
+        ------
+        ExchangeError
+            If the connection fails or the answer is not valid HTTP.
+        """
         while not self._is_head_complete:
             await self._receive()
         return self.status
 
     async def read_body(self) -> bytes:
-        """Return the next part of the body; empty at the end of the answer."""
+        """Return the next part of the body, empty at the end of the answer.
+
+        Raises
+        ------
+        ExchangeError
+            If the connection fails or the answer is not valid HTTP.
+        """
         while not self._parts and not self._is_complete:
             await self._receive()
         if self._parts:
@@ -143,7 +178,7 @@
         return b""
 
     def close(self) -> None:
-        """Give the connection up unless the answer was read to its end."""
+        """Abort the connection, unless the answer was read to its end."""
         connection, self._connection = self._connection, None
         if connection is not None:
             connection.close()
@@ -178,12 +213,12 @@
 
 
 class HttpClient:
-    """Connections to one address.
+    """HTTP client for one address with a pool of idle connections.
 
     Parameters
     ----------
     host, port : str, int
-        The engine or plain service.
+        Address of the engine or plain service.
     """
 
     def __init__(self, host: str, port: int) -> None:
@@ -193,15 +228,16 @@
         self._idle: deque[HttpConnection] = deque()
 
     async def acquire(self, is_idempotent: bool = True) -> HttpConnection:
-        """Return a connection on which nothing was written for the next request.
+        """Return an idle connection, or a new one if no idle connection can be reused.
 
-        A request that is not idempotent gets a connection of its own, because on a
-        kept connection the server may close just as the request is written.
+        A request that is not idempotent gets a new connection. The server may close
+        an idle connection just as the request is written, and the request could then
+        not be repeated.
 
         Raises
         ------
         NotSentError
-            When no connection could be made.
+            If the connection cannot be established within ``CONNECT_TIMEOUT_S``.
         """
         connection = self._take_idle() if is_idempotent else None
         return connection or await self._connect()
@@ -214,12 +250,12 @@
         header_by_name: dict[str, str],
         body: bytes,
     ) -> Exchange:
-        """Write a request; the answer is read from the returned exchange.
+        """Write a request and return the exchange from which its answer is read.
 
         Raises
         ------
         ExchangeError
-            When writing failed.
+            If writing fails.
         """
         head = self._encode_head(method, path, header_by_name, len(body))
         try:
@@ -242,14 +278,31 @@
         timeout_ms: int = 1000,
         is_reusing: bool = True,
     ) -> tuple[int, bytes]:
-        """Return status and whole body of a short exchange.
-
-        With ``is_reusing`` a kept connection may carry a GET or DELETE.
+        """Send a request and return the status and the complete body of its answer.
+
+        Parameters
+        ----------
+        method, path : str
+            Method and request target.
+        body : bytes
+            JSON body; empty for none.
+        timeout_ms : int
+            Timeout of the whole exchange, in milliseconds.
+        is_reusing : bool
+            Whether a GET or DELETE may use an idle connection.
+
+        Returns
+        -------
+        tuple of int and bytes
+            Status and body.
 
         Raises
         ------
-        NotSentError, ExchangeError
-            As ``acquire`` and ``send`` do; a timeout is an ``ExchangeError``.
+        NotSentError
+            If the connection cannot be established.
+        ExchangeError
+            If the exchange fails later, the timeout expires, or the body is longer
+            than ``MAX_CONTROL_BODY_BYTES``.
         """
         try:
             async with asyncio.timeout(timeout_ms / 1000):
@@ -277,14 +330,14 @@
             exchange.close()
 
     def keep(self, connection: HttpConnection) -> None:
-        """Keep a connection for the next request."""
+        """Store an idle connection for reuse; close the oldest one above the limit."""
         connection.idle_since_s = time.monotonic()
         self._idle.append(connection)
         if len(self._idle) > MAX_IDLE_CONNECTIONS:
             self._idle.popleft().close()
 
     def close_idle(self, is_all: bool = False) -> None:
-        """Close connections that were kept too long, or all of them."""
+        """Close idle connections older than ``MAX_IDLE_S``, or all of them."""
         now_s = time.monotonic()
         while self._idle and (is_all or not self._idle[0].is_fresh(now_s)):
             self._idle.popleft().close()
@@ -320,21 +373,21 @@
 
 
 def is_token(text: Any) -> bool:
-    """Return whether ``text`` may be a method or a header name."""
+    """Return whether ``text`` is valid as an HTTP method or header name."""
     if not isinstance(text, str) or not 0 < len(text) <= 256:
         return False
     return all(c.isascii() and (c.isalnum() or c in "!#$%&'*+-.^_`|~") for c in text)
 
 
 def is_header_value(text: Any) -> bool:
-    """Return whether ``text`` can be sent as a header value."""
+    """Return whether ``text`` is valid as a header value."""
     if not isinstance(text, str) or len(text) > 16_384:
         return False
     return all(c == "\t" or (" " <= c <= "ÿ" and c != "\x7f") for c in text)
 
 
 def is_path(text: Any) -> bool:
-    """Return whether ``text`` is a request target in origin form."""
+    """Return whether ``text`` is a valid request target in origin form."""
     if not isinstance(text, str) or not 0 < len(text) <= 16_384:
         return False
     return text[0] == "/" and all("!" <= c <= "~" for c in text)
--- a/packages/agent/src/bluebellusher_agent/_keeper.py
+++ b/packages/agent/src/bluebellusher_agent/_keeper.py
@@ -1,4 +1,4 @@
-"""Life of runs: start, resumption, holding, cancellation, end."""
+"""Lifecycle of runs: start, resumption, resume window, cancellation and end."""
 
 import asyncio
 from collections.abc import Callable, Coroutine
@@ -16,26 +16,29 @@
 
 NOT_RUN_RETRY_MS = 1_000
 CANCEL_RETRY_S = 0.5
-# Answers that were sent whole are held for entries that lose them on the way.
+# Limit in bytes for retained answers that were sent completely. They are retained
+# because an entry that loses its connection may not have received all of an answer.
 MAX_HELD_BYTES = 8 * 1024 * 1024
 Spawn = Callable[[Coroutine[Any, Any, None]], asyncio.Task[None]]
 
 
 class RunKeeper:
-    """Own the runs of an agent and the timers that end them.
+    """Start, resume, cancel and end the runs of an agent.
+
+    It also handles the results of the runs as the ``RunListener`` of the executor.
 
     Parameters
     ----------
     runs : RunTable
-        The runs.
+        Table of the runs.
     settings : AgentSettings
-        Resume window and buffer.
+        Settings of the agent: resume window, resume buffer, stream silence.
     clock : Clock
         Time source.
     spawn : callable
-        Starts a task that the agent awaits when it stops.
+        Starts a task that the agent cancels and awaits when it stops.
     on_change : callable
-        Called when a run ended or was sent whole.
+        Called when a run has been resumed, completed or ended.
     """
 
     def __init__(
@@ -54,11 +57,11 @@
         self._executor: Executor | None = None
 
     def bind(self, executor: Executor) -> None:
-        """Set the executor, which in turn reports to this object."""
+        """Set the executor, which needs this object as its listener."""
         self._executor = executor
 
     def start(self, connection: EntryConnection, dispatch: Any, now_ms: int) -> None:
-        """Run a dispatch that was accepted."""
+        """Start the run of an accepted dispatch and the timer of its deadline."""
         keep_bytes = self._settings.resume_buffer_bytes
         run = Run(dispatch, connection.peer_id, now_ms, keep_bytes)
         run.attach(connection, run.attempt_id, 0, dispatch.credit_bytes)
@@ -71,14 +74,14 @@
         run.deadline_handle = loop.call_later(delay_s, self._on_deadline, run)
 
     def _on_task_done(self, run: Run, task: asyncio.Task[None]) -> None:
-        """End a run whose task failed, so that its entry does not wait for it."""
+        """End a run whose task raised an exception; send ``Broken`` to its entry."""
         if not task.cancelled() and task.exception() is not None:
             self.on_broken(run, Reason.ENGINE_ERROR)
 
     def resume(
         self, run: Run, connection: EntryConnection, dispatch: Any, now_ms: int
     ) -> None:
-        """Send the rest of an answer to the connection that asks for it."""
+        """Send an answer from the offset of the dispatch on to its connection."""
         if run.attempt_id != dispatch.attempt_id:
             self._runs.rename(run, dispatch.attempt_id, now_ms)
         offset, credit = dispatch.resume_offset, dispatch.credit_bytes
@@ -88,7 +91,10 @@
         self._on_change()
 
     def cancel(self, run: Run) -> None:
-        """Stop a run; it counts as running until the target was told."""
+        """Cancel a run here and on the target.
+
+        The run counts as running until the request to the target has ended.
+        """
         if run.is_cancelled or run.is_ended:
             return
         run.is_cancelled = True
@@ -103,7 +109,8 @@
     async def _finish_cancel(self, run: Run) -> None:
         assert self._executor is not None
         is_over = await self._executor.cancel_on_target(run)
-        # A suspect that may still run on a silent engine goes on excluding others.
+        # An isolated suspect may still run on an unresponsive engine. It excludes other
+        # work until the engine answers the cancellation or the deadline passes.
         while run.is_isolated and not is_over and not self._is_overdue(run):
             await asyncio.sleep(CANCEL_RETRY_S)
             is_over = await self._executor.cancel_on_target(run)
@@ -113,7 +120,7 @@
         return self._clock.now_ms() >= run.deadline_ms
 
     def on_not_run(self, run: Run) -> None:
-        """Refuse an attempt of which no byte was sent to the target."""
+        """Send ``Refuse`` for an attempt of which no byte was sent to the target."""
         connection = run.connection
         if connection is not None:
             reason = Reason.ENGINE_ERROR.value
@@ -122,7 +129,7 @@
         self.end(run)
 
     def on_broken(self, run: Run, reason: Reason) -> None:
-        """Tell the entry that an answer ended early."""
+        """Send ``Broken`` for an attempt whose answer ended early, and end the run."""
         connection = run.connection
         if connection is not None:
             broken = messages.Broken(run.attempt_id, reason.value, False)
@@ -134,7 +141,7 @@
         connection.send(message)
 
     def on_complete(self, run: Run) -> None:
-        """Hold a whole answer for a while."""
+        """Retain a complete answer for the resume window."""
         log(
             "run-complete",
             attempt_id=run.attempt_id,
@@ -155,7 +162,12 @@
             self.end(run)
 
     def resume_silent(self, tick_ms: int) -> None:
-        """Replace engine connections that are silent while others may work."""
+        """Close the engine connections of stalled streams, so that they are resumed.
+
+        Called once per tick; ``tick_ms`` is the time between two ticks. A stream is
+        stalled after ``stream_silence_ms`` without progress. Only its connection may
+        have failed, while the engine still serves other streams.
+        """
         assert self._executor is not None
         n_max_ticks = max(1, self._settings.stream_silence_ms // tick_ms)
         for run in self._runs:
@@ -164,13 +176,13 @@
                 self._executor.resume_silent(run)
 
     def hold(self, run: Run) -> None:
-        """End the run after the resume window unless it is wanted again."""
+        """End the run after the resume window unless an entry resumes it earlier."""
         loop = asyncio.get_running_loop()
         delay_s = self._settings.resume_window_ms / 1000
         loop.call_later(delay_s, self._release, run, run.connection)
 
     def _release(self, run: Run, connection: Any) -> None:
-        """End a run whose answer nobody asked for within the resume window."""
+        """End or cancel a run that was not resumed within its resume window."""
         is_wanted = run.connection is not connection or run.is_ended
         if is_wanted:
             return
@@ -182,8 +194,8 @@
         elif run.is_idempotent:
             log("run-abandoned", attempt_id=run.attempt_id)
             self.cancel(run)
-        # A call that must not be repeated goes on until its deadline, so that it is
-        # not cut in the middle of its work.
+        # A run that is not idempotent continues until its deadline, because it cannot
+        # be repeated and must not be interrupted halfway.
 
     def _on_deadline(self, run: Run) -> None:
         if run.is_ended or run.is_finish_queued:
@@ -196,7 +208,7 @@
         self.cancel(run)
 
     def end(self, run: Run) -> None:
-        """Forget a run and stop its execution."""
+        """Remove a run from the table and cancel its task."""
         if run.is_ended:
             return
         run.is_ended = True
--- a/packages/agent/src/bluebellusher_agent/_log.py
+++ b/packages/agent/src/bluebellusher_agent/_log.py
@@ -1,4 +1,4 @@
-"""Log lines of key=value pairs, one per event, on standard output."""
+"""Logging to standard output: one line of key=value pairs per event."""
 
 import os
 import select
@@ -10,10 +10,16 @@
 
 
 class LogWriter:
-    """Write lines to a descriptor without ever waiting for its reader.
+    """Write lines to a file descriptor without blocking.
 
-    A supervisor that stops reading would otherwise stop the agent. Lines that
-    cannot be written are counted and the count is written later.
+    A blocking write would stop the agent when its supervisor stops reading the log.
+    Lines that cannot be written are dropped; the next line that is written contains
+    their number.
+
+    Parameters
+    ----------
+    descriptor : int
+        File descriptor that is open for writing.
     """
 
     def __init__(self, descriptor: int) -> None:
@@ -23,8 +29,8 @@
         self._n_dropped = 0
 
     def write(self, line: str) -> None:
-        """Write one line, or drop it when the reader does not keep up."""
-        # A pipe that is ready takes at least 4096 bytes without blocking.
+        """Write one line, or drop it if the descriptor is not ready for writing."""
+        # A pipe that polls as ready accepts at least 4096 bytes without blocking.
         if not self._poll.poll(0):
             self._n_dropped += 1
             return
@@ -41,9 +47,9 @@
 
 
 def log(event: str, **fields: object) -> None:
-    """Write one line; values are quoted when they are not plain words.
+    """Write one log line; values that are not plain words are quoted.
 
-    Bodies, headers and secrets are never passed to this function.
+    Callers must not pass request bodies, headers or secrets.
     """
     parts = [f"time_ms={time.time_ns() // 1_000_000}", f"event={event}"]
     parts += [f"{key}={_quote(value)}" for key, value in fields.items()]
--- a/packages/agent/src/bluebellusher_agent/_memory.py
+++ b/packages/agent/src/bluebellusher_agent/_memory.py
@@ -1,16 +1,17 @@
-"""Resident memory of this process."""
+"""Measurement and reduction of the resident memory of this process."""
 
 import os
 
 from bluebellusher_agent._log import log
 
-# The bound for control on a node is 32 MB; the margin is for what follows.
+# The processes for control on a node may use 32 MB of resident memory. Trimming starts
+# below this limit, so that memory allocated afterwards stays within it.
 TRIM_ABOVE_BYTES = 29_000_000
 TRIM_STEP_BYTES = 1_000_000
 
 
 def read_resident_bytes() -> int:
-    """Return resident memory in bytes; 0 where the system does not tell."""
+    """Return the resident memory in bytes, 0 if the system does not report it."""
     try:
         with open("/proc/self/statm", encoding="ascii") as file:
             return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
@@ -19,18 +20,22 @@
 
 
 class MemoryTrimmer:
-    """Give free heap pages back when the process is larger than it should be.
+    """Return free heap pages to the system when the process exceeds a size limit.
 
-    Compiling modules without a bytecode cache, or a burst of load, leaves about
-    8 MB of free heap that the C library keeps. ``ctypes`` is imported only then,
-    because it costs more than 1 MB itself.
+    The C library retains about 8 MB of free heap after modules were compiled without
+    a bytecode cache or after a burst of load. ``ctypes`` is imported only when memory
+    is trimmed, because it costs more than 1 MB itself.
     """
 
     def __init__(self) -> None:
         self._limit_bytes = TRIM_ABOVE_BYTES
 
     def trim(self) -> None:
-        """Trim when memory has grown since the last time."""
+        """Trim the heap if the resident memory exceeds the limit.
+
+        Afterwards the limit is at least ``TRIM_STEP_BYTES`` above the remaining size,
+        so that memory that cannot be freed does not cause a trim in each call.
+        """
         before = read_resident_bytes()
         if before <= self._limit_bytes:
             return
--- a/packages/agent/src/bluebellusher_agent/_monitor.py
+++ b/packages/agent/src/bluebellusher_agent/_monitor.py
@@ -1,4 +1,4 @@
-"""Health of the target: tells a crash from a broken stream."""
+"""Health checks of the target, which distinguish crashes from broken streams."""
 
 import asyncio
 import json
@@ -12,7 +12,7 @@
 
 
 class TargetState(Enum):
-    """What a probe found."""
+    """Result of a health check."""
 
     ALIVE = "alive"
     CRASHED = "crashed"
@@ -20,18 +20,19 @@
 
 
 class TargetMonitor:
-    """Probe the target after a stream broke.
+    """Check the health of the target and detect its crashes.
 
-    A target that refuses connections, or answers with another boot id than before,
-    has crashed. One that accepts a connection and does not answer is silent, which
-    proves nothing about the requests that run there.
+    A target has crashed if it refuses connections, closes the connection without an
+    answer, or answers with another boot id than before. A target that accepts a
+    connection but does not answer within ``PROBE_TIMEOUT_MS`` is unresponsive; the
+    requests on it may still be running.
 
     Parameters
     ----------
     client : HttpClient
         Connections to the target.
     on_crash : callable
-        Called once for each crash, while the runs that it hit are still known.
+        Called once for each detected crash, before the affected runs end.
     """
 
     def __init__(self, client: HttpClient, on_crash: Callable[[], None]) -> None:
@@ -41,14 +42,14 @@
         self.boot_id = ""
 
     async def probe(self) -> TargetState:
-        """Return the state of the target; concurrent callers share one probe."""
+        """Return the state of the target; concurrent callers share one health check."""
         if self._probe is None:
             loop = asyncio.get_running_loop()
             self._probe = loop.create_task(self._run_probe())
         return await asyncio.shield(self._probe)
 
     def observe_boot_id(self, boot_id: str) -> None:
-        """Take note of a boot id that a report carried."""
+        """Record the boot id of a report; a changed boot id is a crash."""
         is_restarted = bool(self.boot_id and boot_id) and boot_id != self.boot_id
         self.boot_id = boot_id or self.boot_id
         if is_restarted:
@@ -69,7 +70,8 @@
 
     async def _ask(self) -> tuple[TargetState, str]:
         try:
-            # The end of a kept connection would prove nothing.
+            # A new connection is needed: the target may close an idle connection at
+            # any time, so its end would not show a crash.
             _, body = await self._client.fetch(
                 "GET", "/healthz", b"", PROBE_TIMEOUT_MS, is_reusing=False
             )
@@ -87,7 +89,7 @@
 
 
 def read_boot_id(body: bytes) -> str:
-    """Return the boot id in a JSON answer, or an empty string."""
+    """Return the boot id of a JSON answer, empty if it has none."""
     try:
         data = json.loads(body)
     except ValueError:
--- a/packages/agent/src/bluebellusher_agent/_orders.py
+++ b/packages/agent/src/bluebellusher_agent/_orders.py
@@ -1,4 +1,4 @@
-"""Orders to the engine under fencing tokens."""
+"""Forwarding of orders to the engine, protected by fencing tokens."""
 
 import asyncio
 import json
@@ -16,11 +16,12 @@
 
 
 class OrderDesk:
-    """Forward orders one at a time, never one with an old fencing token.
+    """Forward orders one at a time and refuse outdated fencing tokens.
 
-    Orders are serialised: an order with a lower token that is still on its way to
-    the engine could otherwise arrive after one with a higher token, and an engine
-    that ignores tokens would execute it last.
+    The minimum token of a lease is the highest token that was received for it. Orders
+    are serialised because an order with a lower token that is in transit to the
+    engine could otherwise arrive after one with a higher token, and an engine that
+    ignores tokens would execute it last.
 
     Parameters
     ----------
@@ -35,8 +36,12 @@
         self._result_by_id: OrderedDict[str, Any] = OrderedDict()
 
     async def execute(self, order: Any) -> Any:
-        """Return the ``OrderResult``; a repeated order is not executed again."""
-        # The floor is raised before waiting, so that a queued older order is refused.
+        """Forward an order and return its ``OrderResult``.
+
+        A repeated order gets its recorded result and is not forwarded again.
+        """
+        # The minimum token is raised before waiting for the lock, so that orders with
+        # lower tokens that already wait for the lock are refused.
         floor = self._raise_floor(order)
         if order.fencing_token < floor:
             return self._refuse(order, floor)
@@ -91,7 +96,7 @@
         return self._remember(order, is_accepted, reason, token)
 
     def _remember(self, order: Any, is_accepted: bool, reason: str, token: int) -> Any:
-        """Keep the result of an order that may have been executed."""
+        """Record and return the result of an order that may have been executed."""
         result = messages.OrderResult(order.order_id, is_accepted, reason, token)
         self._result_by_id[order.order_id] = result
         if len(self._result_by_id) > MAX_REMEMBERED_ORDERS:
--- a/packages/agent/src/bluebellusher_agent/_reports.py
+++ b/packages/agent/src/bluebellusher_agent/_reports.py
@@ -1,4 +1,4 @@
-"""Load and cache reports of the target for the entries."""
+"""Reports of the load and the cache of the target to the entries."""
 
 import json
 from typing import Any
@@ -7,22 +7,26 @@
 from bluebellusher_core.errors import StepError
 from bluebellusher_core.wire import messages
 
-# Blocks that are told to an entry that connects later; older ones are forgotten.
+# Number of cached blocks that are recorded for the report to an entry that connects
+# later; the oldest ones are evicted.
 MAX_KNOWN_BLOCKS = 4_096
 MAX_NAMES = 1_000
 
 
 class LoadReader:
-    """Read ``GET /load`` and tell which readings differ.
+    """Read the load of the target and build reports when it has changed.
+
+    The load of an engine comes from ``GET /load``. For a plain service the agent
+    passes its own counts to ``update``.
 
     Parameters
     ----------
     client : HttpClient
         Connections to the engine.
     models, adapters : tuple of str
-        What the endpoint offers until the engine reports.
+        Models and adapters of the endpoint until the engine reports its own.
     n_slots : int
-        Batch limit until the engine reports.
+        Batch limit until the engine reports its own.
     """
 
     def __init__(
@@ -43,12 +47,12 @@
         self.report: Any = None
 
     async def read_engine(self, is_draining: bool) -> Any:
-        """Return a ``LoadReport`` when the reading changed, otherwise ``None``.
+        """Read the load of the engine and return a ``LoadReport``, None if unchanged.
 
         Raises
         ------
         StepError
-            When the engine does not answer as expected.
+            If the exchange fails or the answer is malformed.
         """
         status, body = await self._client.fetch("GET", "/load")
         try:
@@ -70,7 +74,19 @@
     def update(
         self, counts: list[int], kv_use: float, age_ms: int, is_draining: bool
     ) -> Any:
-        """Return a ``LoadReport`` when anything but the age changed."""
+        """Return a ``LoadReport``, None if nothing but the age has changed.
+
+        Parameters
+        ----------
+        counts : list of int
+            Running requests, queued requests and queued tokens.
+        kv_use : float
+            Used share of the KV cache.
+        age_ms : int
+            Age of the measurement, in milliseconds.
+        is_draining : bool
+            Whether the agent drains.
+        """
         is_draining = is_draining or self.is_engine_draining
         content = (
             *counts,
@@ -100,7 +116,15 @@
 
 
 class CacheReader:
-    """Read ``GET /cache-events`` and keep what a later entry needs to know."""
+    """Read the cache events of the engine and record its cached blocks.
+
+    Entries that connect later receive the recorded blocks in one report.
+
+    Parameters
+    ----------
+    client : HttpClient
+        Connections to the engine.
+    """
 
     def __init__(self, client: HttpClient) -> None:
         self._client = client
@@ -108,12 +132,12 @@
         self._known: dict[int, None] = {}
 
     async def read(self) -> Any:
-        """Return a ``CacheReport`` when there are new events, otherwise ``None``.
+        """Read new cache events and return a ``CacheReport``, None if there are none.
 
         Raises
         ------
         StepError
-            When the engine does not answer as expected.
+            If the exchange fails or the answer is malformed.
         """
         path = f"/cache-events?after={self._last_sequence}"
         status, body = await self._client.fetch("GET", path)
@@ -157,14 +181,14 @@
             del self._known[next(iter(self._known))]
 
     def reset(self) -> Any:
-        """Forget everything after a crash; return the report that says so."""
+        """Discard all recorded blocks after a crash and return a report of it."""
         removed = list(self._known)
         self._known.clear()
         self._last_sequence = 0
         return messages.CacheReport([], removed, 0, 0, True)
 
     def snapshot(self) -> Any:
-        """Return a report of the known blocks for an entry that connects."""
+        """Return a report of the recorded blocks, None if there are none."""
         if not self._known:
             return None
         known = list(self._known)
--- a/packages/agent/src/bluebellusher_agent/_run.py
+++ b/packages/agent/src/bluebellusher_agent/_run.py
@@ -1,4 +1,4 @@
-"""One attempt that runs on the target, and the relay of its answer."""
+"""State of one attempt on the target and the relay of its answer."""
 
 import asyncio
 import zlib
@@ -7,31 +7,36 @@
 from bluebellusher_agent._http import Exchange
 from bluebellusher_core.wire import messages
 
-# Bytes that are read ahead of what an entry has taken, per attempt.
+# Maximum number of bytes of an answer, per attempt, that are read from the target but
+# not yet queued to the entry.
 MAX_UNSENT_BYTES = 262_144
 
 
 class Relay(Protocol):
-    """The connection to the entry that receives an answer."""
+    """Interface of the connection to the entry that receives an answer."""
 
     peer_id: str
 
     @property
     def is_writable(self) -> bool:
-        """Return whether more may be queued."""
+        """Return whether the connection accepts more chunks."""
 
     def queue_started(self, message: Any) -> None:
-        """Send ``Started`` before any chunk that is queued later."""
+        """Queue a ``Started``, which is sent before later chunks."""
 
     def queue_chunk(self, attempt_id: str, offset: int, data: bytes) -> None:
-        """Send a part of an answer with the next batch."""
+        """Queue a part of an answer for the next batch."""
 
     def queue_finish(self, message: Any) -> None:
-        """Send ``Finish`` after every chunk that was queued earlier."""
+        """Queue a ``Finish``, which is sent after earlier chunks."""
 
 
 class StreamBuffer:
-    """The held part of an answer; offsets count from its first byte."""
+    """Buffer of the last part of an answer.
+
+    ``start`` and ``end`` are the offsets of the buffered part from the first byte of
+    the answer. ``crc32`` is the checksum of all bytes that were received.
+    """
 
     def __init__(self) -> None:
         self._data = bytearray()
@@ -40,24 +45,24 @@
         self.crc32 = 0
 
     def append(self, data: bytes) -> None:
-        """Add received bytes."""
+        """Append received bytes."""
         self._data += data
         self.end += len(data)
         self.crc32 = zlib.crc32(data, self.crc32)
 
     def read(self, offset: int, n_bytes: int) -> bytes:
-        """Return up to ``n_bytes`` from ``offset``, which must be held."""
+        """Return up to ``n_bytes`` from ``offset``, which must be in the buffer."""
         begin = offset - self.start
         return bytes(self._data[begin : begin + n_bytes])
 
     def trim(self, offset: int) -> None:
-        """Drop the bytes before ``offset``."""
+        """Discard the bytes before ``offset``."""
         if offset > self.start:
             del self._data[: offset - self.start]
             self.start = offset
 
     def holds(self, offset: int) -> bool:
-        """Return whether sending can go on at ``offset``."""
+        """Return whether the answer can be sent from ``offset`` on."""
         return self.start <= offset <= self.end
 
     def __len__(self) -> int:
@@ -67,20 +72,20 @@
 class Run:
     """State of one attempt.
 
-    The target knows the attempt by ``target_attempt_id``. The entry knows it by
-    ``attempt_id``, which changes when the entry resumes the answer with a new
-    attempt after it lost its connection.
+    ``target_attempt_id`` identifies the attempt on the target and never changes.
+    ``attempt_id`` identifies it to the entry and changes when the entry resumes the
+    answer with a new attempt after a lost connection.
 
     Parameters
     ----------
     dispatch : Dispatch
-        The message that asked for the run.
+        Message that requested the run.
     entry_id : str
         Instance id of the entry.
     now_ms : int
-        Monotonic time.
+        Current time of the monotonic clock, in milliseconds.
     keep_bytes : int
-        Sent bytes that stay held for resumption.
+        Number of sent bytes that are retained for resumption.
     """
 
     __slots__ = (
@@ -165,48 +170,62 @@
 
     @property
     def has_output(self) -> bool:
-        """Return whether the target has begun to answer."""
+        """Return whether the status and headers of the answer were received."""
         return self.status != 0
 
     def attach(
         self, connection: Relay, attempt_id: str, offset: int, credit_bytes: int
     ) -> None:
-        """Send the answer from ``offset`` on to this connection."""
+        """Send the answer from ``offset`` on to a connection.
+
+        ``credit_bytes`` is the number of bytes that may be sent before the entry
+        grants more credit.
+        """
         self.connection = connection
         self.attempt_id = attempt_id
         self._reset_relay(offset, credit_bytes)
         self.pump()
 
     def detach(self) -> None:
-        """Hold the answer; its connection was lost, and with it perhaps the end."""
+        """Stop sending after a lost connection, and retain the answer.
+
+        The entry may not have received a ``Finish`` that was sent, so that the run
+        counts as unfinished again.
+        """
         self.connection = None
         self.is_finish_queued = False
         self._update_room()
 
     def add_credit(self, n_bytes: int) -> None:
-        """Allow further bytes to be sent."""
+        """Allow ``n_bytes`` more bytes to be sent."""
         self.credit_end += n_bytes
         self.pump()
 
     def set_head(self, status: int, header_by_name: dict[str, str]) -> None:
-        """Record the start of the answer."""
+        """Record the status and headers of the answer and send them."""
         self.status = status
         self.header_by_name = header_by_name
         self.pump()
 
     def append(self, data: bytes) -> None:
-        """Record received bytes and send what may be sent."""
+        """Buffer received bytes and send as many as credit and the connection allow."""
         self.buffer.append(data)
         self.pump()
 
     def complete(self, usage: tuple[int, int, int]) -> None:
-        """Record that the answer is whole."""
+        """Record that the answer is complete.
+
+        ``usage`` is the number of input, cached and output tokens.
+        """
         self.usage = usage
         self.is_complete = True
         self.pump()
 
     def pump(self) -> None:
-        """Send what credit and the connection allow."""
+        """Send buffered bytes as far as credit and the connection allow.
+
+        Sent bytes that are no longer needed for resumption are discarded.
+        """
         connection = self.connection
         if connection is not None and self.has_output:
             self._send(connection)
@@ -244,17 +263,21 @@
 
     @property
     def is_hit_by_crash(self) -> bool:
-        """Return whether a crash of the target that was just found ended this run.
+        """Return whether a crash of the target that was just detected ended this run.
 
-        A connection that is not being read, for want of credit, does not show its
-        end; such a run counts as hit.
+        The end of a connection is not detected while the connection is not read for
+        lack of credit or buffer space, so that such a run counts as ended.
         """
         if not self.is_sent or self.exchange is None:
             return False
         return self.exchange.is_broken or not self.room.is_set()
 
     def count_silent_ticks(self) -> int:
-        """Return how many calls in a row found a begun answer without progress."""
+        """Return the number of consecutive ticks without progress of a started answer.
+
+        Called once per tick. Ticks in which the answer is not read for lack of credit
+        or buffer space do not count.
+        """
         is_waiting = self.has_output and self.room.is_set() and not self.is_complete
         if is_waiting and self.n_ticked == self.buffer.end:
             self.n_silent_ticks += 1
@@ -264,7 +287,7 @@
         return self.n_silent_ticks
 
     def release(self) -> None:
-        """Free what the run holds; timers may refer to it for a while."""
+        """Free the memory of an ended run, to which timers may still refer."""
         self.connection = None
         self.body = b""
         self.buffer = StreamBuffer()
--- a/packages/agent/src/bluebellusher_agent/_runs.py
+++ b/packages/agent/src/bluebellusher_agent/_runs.py
@@ -1,4 +1,4 @@
-"""The attempts of an agent: which may start, resume or be refused."""
+"""Table of the runs of an agent and decisions about new dispatches."""
 
 from collections import OrderedDict
 from collections.abc import Iterator
@@ -9,8 +9,9 @@
 from bluebellusher_agent._run import Run
 from bluebellusher_core.errors import Reason
 
-# An entry never repeats an attempt id on purpose; a repeat can only come from a
-# connection that was replaced, and a connection is dropped after 2 s of silence.
+# Time in ms for which the ids of ended attempts are recorded. Entries never reuse an
+# attempt id on purpose. A repeated dispatch can only arrive from a connection that was
+# replaced, and a connection is closed when it is unresponsive for 2 s.
 ATTEMPT_MEMORY_MS = 60_000
 MAX_REMEMBERED_ATTEMPTS = 50_000
 ISOLATION_RETRY_MS = 200
@@ -19,7 +20,7 @@
 
 
 class Verdict(Enum):
-    """What to do with a dispatch."""
+    """Action for a dispatch."""
 
     START = "start"
     RESUME = "resume"
@@ -32,7 +33,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Decision:
-    """A verdict with the run it concerns or the reason for it."""
+    """Action for a dispatch, with the run that it affects or the reason to send."""
 
     verdict: Verdict
     run: Run | None = None
@@ -41,17 +42,17 @@
 
 
 class RunTable:
-    """All attempts that run or whose answers are held.
+    """Table of the attempts that run or whose answers are retained.
 
-    An entry that lost its connection resumes an answer by a new ``Dispatch`` of the
-    same request id and fingerprint with a new attempt id and the offset it has. The
-    run goes on under the new attempt id. Only the entry that started a run can
-    resume it.
+    An entry that lost its connection resumes an answer by a new ``Dispatch`` with the
+    same request id and fingerprint, a new attempt id, and the number of bytes that it
+    has received as the offset. The run continues under the new attempt id. Only the
+    entry that started a run can resume it.
 
     Parameters
     ----------
     max_runs : int
-        Attempts that may run at once.
+        Maximum number of concurrent attempts.
     """
 
     def __init__(self, max_runs: int) -> None:
@@ -68,20 +69,20 @@
         return len(self._run_by_attempt)
 
     def get(self, attempt_id: str) -> Run | None:
-        """Return the run that an entry knows by this attempt id."""
+        """Return the run whose current attempt id is ``attempt_id``, else None."""
         return self._run_by_attempt.get(attempt_id)
 
     def running(self) -> list[Run]:
-        """Return the runs whose answer is not whole yet."""
+        """Return the runs whose answers are not complete."""
         return [run for run in self if not (run.is_complete or run.is_ended)]
 
     @property
     def isolated(self) -> Run | None:
-        """Return the isolated run that is in progress."""
+        """Return the isolated run in progress, else None."""
         return next((run for run in self.running() if run.is_isolated), None)
 
     def decide(self, dispatch: Any, connection: Any, now_ms: int) -> Decision:
-        """Return what to do with a dispatch that was checked for form."""
+        """Return the decision about a validated dispatch."""
         known = self._run_by_attempt.get(dispatch.attempt_id)
         if known is not None:
             return self._decide_repeat(known, dispatch, connection)
@@ -95,7 +96,7 @@
         if _name_request(key) in self._expiry_ms_by_attempt:
             return Decision(Verdict.BREAK, reason=Reason.OUTCOME_UNKNOWN)
         if dispatch.resume_offset:
-            # The answer is no longer held, or this agent started after it.
+            # The answer is no longer retained, or this agent was restarted since.
             return Decision(Verdict.BREAK, reason=Reason.OUTCOME_UNKNOWN)
         return self._decide_start(dispatch)
 
@@ -119,8 +120,9 @@
         is_fresh_start = dispatch.is_idempotent and not dispatch.resume_offset
         is_rejected = run.connection is connection
         if is_fresh_start and (is_rejected or not run.buffer.holds(0)):
-            # The entry rejects the answer that it has, such as a corrupt one, or
-            # the start of the answer is no longer held.
+            # The request runs again from the start: the entry has discarded the answer
+            # that it received on this connection, for example because it was corrupt,
+            # or the start of the answer is no longer retained.
             decision = self._decide_start(dispatch)
             is_start = decision.verdict is Verdict.START
             return Decision(Verdict.REPLACE, run) if is_start else decision
@@ -139,7 +141,8 @@
         running = self.running()
         if any(run.is_isolated for run in running):
             return _refuse(Reason.ENDPOINT_ISOLATING, ISOLATION_RETRY_MS)
-        # An earlier request beside the suspect could be what kills the endpoint.
+        # A suspect must run alone: a crash could otherwise be caused by a request that
+        # was running before it.
         if dispatch.is_isolated and running:
             return _refuse(Reason.ENDPOINT_ISOLATING, ISOLATION_RETRY_MS)
         n_remembered = len(self._expiry_ms_by_attempt)
@@ -149,19 +152,19 @@
         return Decision(Verdict.START)
 
     def add(self, run: Run) -> None:
-        """Add a run that is to start."""
+        """Add a run that is about to start."""
         self._run_by_attempt[run.attempt_id] = run
         self._run_by_request[run.entry_id, run.request_id] = run
 
     def rename(self, run: Run, attempt_id: str, now_ms: int) -> None:
-        """Give a resumed run its new attempt id; the old one is not run again."""
+        """Assign a new attempt id to a resumed run and record the old id as used."""
         del self._run_by_attempt[run.attempt_id]
         self._remember(run.attempt_id, now_ms)
         run.attempt_id = attempt_id
         self._run_by_attempt[attempt_id] = run
 
     def remove(self, run: Run, now_ms: int) -> None:
-        """Remove a run; its attempt id is remembered unless it was never sent."""
+        """Remove a run and, if it was sent to the target, record its attempt id."""
         if self._run_by_attempt.get(run.attempt_id) is run:
             del self._run_by_attempt[run.attempt_id]
         self.unlink(run, now_ms)
@@ -169,7 +172,11 @@
             self._remember(run.attempt_id, now_ms)
 
     def unlink(self, run: Run, now_ms: int) -> None:
-        """Make sure that no later dispatch resumes or repeats this run."""
+        """Prevent later dispatches of the request from resuming or repeating this run.
+
+        The request id of a run that is not idempotent is recorded as used if a byte
+        was sent to the target.
+        """
         key = (run.entry_id, run.request_id)
         if self._run_by_request.get(key) is run:
             del self._run_by_request[key]
@@ -189,7 +196,7 @@
 
 
 def _name_request(key: tuple[str, str]) -> str:
-    # A space cannot occur in an attempt id, so the two kinds of names differ.
+    # Attempt ids contain no space, so that a request key never equals an attempt id.
     return f"{key[0]} {key[1]}"
 
 
--- a/packages/agent/src/bluebellusher_agent/_settings.py
+++ b/packages/agent/src/bluebellusher_agent/_settings.py
@@ -1,4 +1,4 @@
-"""Settings of the agent: JSON with comments, checked by hand."""
+"""Settings of the agent, read from JSON with comments and validated."""
 
 import json
 from collections.abc import Callable
@@ -20,35 +20,39 @@
 
 @dataclass(frozen=True, slots=True)
 class AgentSettings:
-    """Everything that an agent must be told.
+    """Settings of an agent.
 
     Parameters
     ----------
     instance_id, failure_domain : str
         Identity of the endpoint instance.
     shared_secret : str
-        Known to all processes of the system; at least 16 characters.
+        Secret of the whole system, which authenticates connections; at least 16
+        characters.
     listen : Address
-        Where entries connect; port 0 lets the system choose.
+        Address on which entries connect; for port 0 the system chooses a free port.
     target : Address
-        The engine or plain service on the same instance.
+        Address of the engine or plain service on the same instance.
     kind : str
         ``"model"`` for an engine, ``"plain"`` for a plain service.
     services, models, adapters : tuple of str
-        What the endpoint offers until the engine reports otherwise.
+        Services of the endpoint; models and adapters until the engine reports its
+        own.
     n_slots : int
-        Batch limit until the engine reports otherwise.
+        Batch limit until the engine reports its own.
     is_draining : bool
-        Take no new work; read again while the agent runs.
+        Whether to refuse new attempts. While the agent runs, a change from false to
+        true in the file starts a drain.
     max_runs : int
-        Attempts that may run at once; further ones are refused as not run.
+        Maximum number of concurrent attempts; further ones are refused as not run.
     resume_window_ms : int
-        How long an answer is held after its connection was lost or it was sent.
+        Time in milliseconds for which an answer is retained after its connection was
+        lost or after it was sent.
     resume_buffer_bytes : int
-        Bytes of each answer that are held for resumption.
+        Number of sent bytes of each answer that are retained for resumption.
     stream_silence_ms : int
-        A connection to the engine on which a begun stream makes no progress for
-        this long is replaced.
+        Time in milliseconds without progress of a started stream after which its
+        connection to the engine is replaced.
     """
 
     instance_id: str
@@ -74,7 +78,8 @@
         Raises
         ------
         StepError
-            With one line for each problem: file, key, value and expectation.
+            If the file cannot be read or is not valid. The error names the file and,
+            for each problem, the key, the value and the expected value.
         """
         try:
             with open(path, encoding="utf-8") as file:
@@ -85,7 +90,13 @@
 
     @classmethod
     def from_text(cls, text: str, path: str) -> "AgentSettings":
-        """Read settings from text; ``path`` is named in errors."""
+        """Parse settings from text; errors name ``path``.
+
+        Raises
+        ------
+        StepError
+            If the text is not valid; see ``from_file``.
+        """
         try:
             data = json.loads(strip_comments(text))
         except ValueError as error:
@@ -101,7 +112,7 @@
 def strip_comments(text: str) -> str:
     """Replace ``//`` and ``/* */`` comments by spaces and drop trailing commas.
 
-    Positions are kept so that JSON errors name the right line and column.
+    Line and column numbers do not change, so that JSON errors name the right position.
     """
     characters = list(text)
     position = 0
@@ -166,7 +177,7 @@
 
 
 def _is_ip(value: Any) -> bool:
-    # The ipaddress module alone would cost about 1 MB of resident memory.
+    # Importing the ipaddress module would cost about 1 MB of resident memory.
     if not isinstance(value, str):
         return False
     parts = value.split(".")
--- a/packages/agent/src/bluebellusher_agent/main.py
+++ b/packages/agent/src/bluebellusher_agent/main.py
@@ -16,7 +16,10 @@
 
 
 async def run_agent(path: str) -> None:
-    """Run until SIGTERM or SIGINT, then drain and return."""
+    """Run an agent until SIGTERM or SIGINT, then drain it and return.
+
+    ``path`` is the path of the settings file.
+    """
     agent = Agent(AgentSettings.from_file(path))
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -34,7 +37,7 @@
 
 
 async def watch_settings(path: str, agent: Agent) -> None:
-    """Start draining when the settings file comes to say so."""
+    """Poll the settings file and start a drain when ``is_draining`` becomes true."""
     read_at = _modified_at(path)
     while not agent.runs.is_draining:
         await asyncio.sleep(SETTINGS_POLL_S)
@@ -59,7 +62,10 @@
 
 
 def main() -> int:
-    """Run the agent; return 2 when the settings cannot be used."""
+    """Run the command line; return the exit status.
+
+    The status is 2 for wrong arguments, invalid settings and a failure to listen.
+    """
     arguments = sys.argv[1:]
     if len(arguments) != 2 or arguments[0] != "--config":
         print("usage: bluebellusher-agent --config FILE", file=sys.stderr)
