--- a/packages/agent/src/bluebellusher_agent/_agent.py
+++ b/packages/agent/src/bluebellusher_agent/_agent.py
@@ -14,11 +14,11 @@
 from bluebellusher_agent._connection import EntryConnection
 from bluebellusher_agent._executor import Executor
 from bluebellusher_agent._http import HttpClient
-from bluebellusher_agent._keeper import RunKeeper
+from bluebellusher_agent._keeper import RunManager
 from bluebellusher_agent._log import log
 from bluebellusher_agent._memory import MemoryTrimmer
 from bluebellusher_agent._monitor import TargetMonitor
-from bluebellusher_agent._orders import OrderDesk
+from bluebellusher_agent._orders import OrderForwarder
 from bluebellusher_agent._reports import CacheReader, LoadReader
 from bluebellusher_agent._run import Run
 from bluebellusher_agent._runs import Decision, RunTable, Verdict
@@ -68,17 +68,19 @@
         self.runs = RunTable(settings.max_runs)
         self._client = HttpClient(settings.target.host, settings.target.port)
         self._monitor = TargetMonitor(self._client, self._on_crash)
-        self._changed = asyncio.Event()
-        self._keeper = RunKeeper(
-            self.runs, settings, self.clock, self._spawn, self._changed.set
+        self._state_changed = asyncio.Event()
+        self._run_manager = RunManager(
+            self.runs, settings, self.clock, self._spawn, self._state_changed.set
         )
-        executor = Executor(self._client, self._monitor, self._keeper, self.is_model)
-        self._keeper.bind(executor)
+        executor = Executor(
+            self._client, self._monitor, self._run_manager, self.is_model
+        )
+        self._run_manager.set_executor(executor)
         self._load = LoadReader(
             self._client, settings.models, settings.adapters, settings.n_slots
         )
         self._cache = CacheReader(self._client)
-        self._orders = OrderDesk(self._client)
+        self._orders = OrderForwarder(self._client)
         self._connections: set[EntryConnection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
@@ -126,8 +128,8 @@
     async def wait_idle(self) -> None:
         """Wait until every run has ended or its complete answer is queued."""
         while any(not run.is_finish_queued for run in self.runs):
-            self._changed.clear()
-            await self._changed.wait()
+            self._state_changed.clear()
+            await self._state_changed.wait()
 
     async def finish_connections(self) -> None:
         """Flush all connections and wait for the entries to close them.
@@ -138,12 +140,12 @@
         for connection in self._connections:
             connection.finish()
         loop = asyncio.get_running_loop()
-        end_s = loop.time() + FINISH_TIMEOUT_MS / 1000
-        while self._connections and loop.time() < end_s:
-            self._changed.clear()
+        end_time_s = loop.time() + FINISH_TIMEOUT_MS / 1000
+        while self._connections and loop.time() < end_time_s:
+            self._state_changed.clear()
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout_at(end_s):
-                    await self._changed.wait()
+                async with asyncio.timeout_at(end_time_s):
+                    await self._state_changed.wait()
 
     def build_hello(self) -> Any:
         """Return the ``Hello`` of this agent without nonce and MAC."""
@@ -172,7 +174,7 @@
     def on_ready(self, connection: EntryConnection) -> None:
         """Send the last load report, the cached blocks and the drain state."""
         log("entry-connected", peer=connection.peer_id, address=connection.address)
-        for message in (self._load.report, self._cache.snapshot()):
+        for message in (self._load.last_report, self._cache.build_snapshot()):
             if message is not None:
                 connection.send(message)
         if self.runs.is_draining:
@@ -181,19 +183,19 @@
     def on_closed(self, connection: EntryConnection) -> None:
         """Detach the runs of a lost connection and start their resume windows."""
         self._connections.discard(connection)
-        held = [run for run in self.runs if run.connection is connection]
-        for run in held:
+        detached_runs = [run for run in self.runs if run.connection is connection]
+        for run in detached_runs:
             run.detach()
-            self._keeper.hold(run)
-        self._changed.set()
-        log("entry-lost", peer=connection.peer_id or "-", n_held=len(held))
+            self._run_manager.start_resume_window(run)
+        self._state_changed.set()
+        log("entry-lost", peer=connection.peer_id or "-", n_held=len(detached_runs))
 
     def on_writable(self, connection: EntryConnection) -> None:
         """Send buffered output of the runs of this connection."""
         for run in self.runs:
             if run.connection is connection:
-                run.pump()
-        self._changed.set()
+                run.send_available()
+        self._state_changed.set()
 
     def on_message(self, connection: EntryConnection, message: Any) -> None:
         """Handle one message of an entry."""
@@ -219,13 +221,15 @@
             log("bad-dispatch", attempt_id=dispatch.attempt_id, reason=problem)
             # A refusal would state that the attempt was not run, which is false for
             # an attempt that already runs under this id.
-            is_known = self.runs.get(dispatch.attempt_id) is not None
-            decision = Decision(Verdict.CLOSE if is_known else Verdict.REFUSE)
+            is_existing_attempt = self.runs.get(dispatch.attempt_id) is not None
+            decision = Decision(
+                Verdict.CLOSE if is_existing_attempt else Verdict.REFUSE
+            )
         else:
             decision = self.runs.decide(dispatch, connection, now_ms)
-        self._apply(decision, connection, dispatch, now_ms)
+        self._apply_decision(decision, connection, dispatch, now_ms)
 
-    def _apply(
+    def _apply_decision(
         self,
         decision: Decision,
         connection: EntryConnection,
@@ -248,30 +252,30 @@
         elif verdict is Verdict.BREAK:
             connection.send(messages.Broken(attempt_id, decision.reason.value, False))
         elif verdict is Verdict.RESUME and run is not None:
-            self._keeper.resume(run, connection, dispatch, now_ms)
+            self._run_manager.resume(run, connection, dispatch, now_ms)
         elif verdict in (Verdict.START, Verdict.REPLACE):
             if run is not None:
-                self._keeper.cancel(run)
+                self._run_manager.cancel(run)
             if dispatch.is_isolated:
                 # If this process terminates during the run, this message shows the
                 # entry that the suspect had arrived and was running alone.
                 connection.send(messages.Accepted(attempt_id))
-            self._keeper.start(connection, dispatch, now_ms)
+            self._run_manager.start(connection, dispatch, now_ms)
 
     def _on_credit(self, connection: EntryConnection, message: Any) -> None:
-        run = self._find(connection, message.attempt_id)
+        run = self._find_run(connection, message.attempt_id)
         n_bytes = message.n_bytes
         if run is not None and n_bytes is not None and n_bytes > 0:
             run.add_credit(n_bytes)
-            self._changed.set()
+            self._state_changed.set()
 
     def _on_cancel(self, connection: EntryConnection, message: Any) -> None:
-        run = self._find(connection, message.attempt_id)
+        run = self._find_run(connection, message.attempt_id)
         if run is not None:
             log("cancelled", attempt_id=run.attempt_id)
-            self._keeper.cancel(run)
+            self._run_manager.cancel(run)
 
-    def _find(self, connection: EntryConnection, attempt_id: Any) -> Run | None:
+    def _find_run(self, connection: EntryConnection, attempt_id: Any) -> Run | None:
         """Return the run of an attempt if it belongs to this connection, else None."""
         run = self.runs.get(attempt_id) if is_id(attempt_id) else None
         return run if run is not None and run.connection is connection else None
@@ -289,22 +293,24 @@
 
     def _on_crash(self) -> None:
         """Broadcast the attempts that a crash of the target ended; end their runs."""
-        victims = [run for run in self.runs.running() if run.is_hit_by_crash]
-        if victims:
-            isolated = next((r.fingerprint for r in victims if r.is_isolated), None)
+        affected_runs = [run for run in self.runs.running() if run.is_affected_by_crash]
+        if affected_runs:
+            isolated = next(
+                (r.fingerprint for r in affected_runs if r.is_isolated), None
+            )
             crash = messages.EngineCrash(
-                attempt_ids=[run.attempt_id for run in victims],
-                fingerprints=sorted({run.fingerprint for run in victims}),
+                attempt_ids=[run.attempt_id for run in affected_runs],
+                fingerprints=sorted({run.fingerprint for run in affected_runs}),
                 isolated_fingerprint=isolated,
             )
             for connection in self._connections:
                 connection.flush()
             self._broadcast(crash)
-            log("engine-crash", n_attempts=len(victims), isolated=isolated or "-")
-        for run in victims:
-            self._keeper.on_broken(run, Reason.ENGINE_ERROR)
+            log("engine-crash", n_attempts=len(affected_runs), isolated=isolated or "-")
+        for run in affected_runs:
+            self._run_manager.on_broken(run, Reason.ENGINE_ERROR)
         if self.is_model:
-            self._broadcast(self._cache.reset())
+            self._broadcast(self._cache.discard_blocks())
 
     def _broadcast(self, message: Any) -> None:
         for connection in list(self._connections):
@@ -317,7 +323,7 @@
             now_ms = self.clock.now_ms()
             for connection in list(self._connections):
                 connection.tick(now_ms)
-            self._keeper.resume_silent(TICK_MS)
+            self._run_manager.reconnect_stalled_streams(TICK_MS)
             self._client.close_idle()
             n_ticks += 1
             if n_ticks % TRIM_TICKS == 0 and not len(self.runs):
@@ -328,12 +334,12 @@
         while True:
             try:
                 await self._report()
-                self._note_target(True, "")
+                self._record_target_state(True, "")
             except StepError as error:
-                self._note_target(False, error.reason)
+                self._record_target_state(False, error.reason)
             await asyncio.sleep(TICK_MS / 1000)
 
-    def _note_target(self, is_answering: bool, reason: str) -> None:
+    def _record_target_state(self, is_answering: bool, reason: str) -> None:
         if is_answering != self._is_target_answering:
             self._is_target_answering = is_answering
             log("target-reports", is_answering=is_answering, reason=reason)
--- a/packages/agent/src/bluebellusher_agent/_checks.py
+++ b/packages/agent/src/bluebellusher_agent/_checks.py
@@ -38,8 +38,10 @@
         # Other methods and paths of an engine cancel attempts or change its state.
         return f"{dispatch.method} {dispatch.path}: expected POST below /v1/"
     headers = dispatch.headers or {}
-    is_valid = all(is_token(n) and is_header_value(v) for n, v in headers.items())
-    if not is_valid or len(headers) > MAX_HEADERS:
+    are_headers_valid = all(
+        is_token(n) and is_header_value(v) for n, v in headers.items()
+    )
+    if not are_headers_valid or len(headers) > MAX_HEADERS:
         return "headers: expected HTTP names and values"
     if not is_header_value(dispatch.traceparent or ""):
         return "traceparent: expected a header value"
@@ -63,8 +65,13 @@
 
 def is_order(order: Any) -> bool:
     """Return whether an ``Order`` has valid ids, a lease name and a fencing token."""
-    is_named = is_id(order.order_id) and is_id(order.action)
+    has_valid_ids = is_id(order.order_id) and is_id(order.action)
     lease_name = order.lease_name
-    is_leased = isinstance(lease_name, str) and 0 < len(lease_name) <= 256
+    has_valid_lease = isinstance(lease_name, str) and 0 < len(lease_name) <= 256
     token = order.fencing_token
-    return is_named and is_leased and token is not None and 0 <= token < MAX_INT64
+    return (
+        has_valid_ids
+        and has_valid_lease
+        and token is not None
+        and 0 <= token < MAX_INT64
+    )
--- a/packages/agent/src/bluebellusher_agent/_connection.py
+++ b/packages/agent/src/bluebellusher_agent/_connection.py
@@ -20,10 +20,10 @@
 )
 
 PROTOCOL_VERSION = 1
-FLUSH_S = 0.005
+FLUSH_DELAY_S = 0.005
 # Time in ms after which a connection whose write buffer stays full is closed: the
 # entry does not read, even if it still sends heartbeats.
-BLOCKED_LIMIT_MS = 10_000
+MAX_BLOCKED_MS = 10_000
 MAX_HELLO_BYTES = 16_384
 MAX_BATCH_BYTES = 1_048_576
 WRITE_HIGH_WATER_BYTES = 1_048_576
@@ -61,23 +61,23 @@
     ----------
     owner : ConnectionOwner
         Agent that receives the messages and events of the connection.
-    near_domain : str
+    local_domain : str
         Failure domain of the agent. Connections to entries of other domains use
         ``SLOW_HEARTBEAT``; if empty, all connections use ``FAST_HEARTBEAT``.
     """
 
-    def __init__(self, owner: ConnectionOwner, near_domain: str = "") -> None:
+    def __init__(self, owner: ConnectionOwner, local_domain: str = "") -> None:
         self._owner = owner
-        self._near_domain = near_domain
-        self._pace = FAST_HEARTBEAT
+        self._local_domain = local_domain
+        self._heartbeat_timing = FAST_HEARTBEAT
         self._sent_at_ms = 0
         self._transport: asyncio.Transport | None = None
         self._nonce = os.urandom(NONCE_BYTES)
         self._hello_buffer = bytearray()
         self._decoder: FrameDecoder | None = None
-        self._started: list[Any] = []
+        self._queued_started: list[Any] = []
         self._chunk_parts_by_id: dict[str, tuple[int, list[bytes]]] = {}
-        self._finished: list[Any] = []
+        self._queued_finished: list[Any] = []
         self._n_batch_bytes = 0
         self._flush_handle: asyncio.TimerHandle | None = None
         self._blocked_since_ms = 0
@@ -135,7 +135,7 @@
         now_ms = self._owner.clock.now_ms()
         # If this process was paused for longer than the receive timeout, the entry
         # has abandoned its attempts; frames received before the pause must not run.
-        if now_ms - self._last_received_ms > self._pace.receive_timeout_ms:
+        if now_ms - self._last_received_ms > self._heartbeat_timing.receive_timeout_ms:
             self.close("silent")
             return
         self._last_received_ms = now_ms
@@ -161,19 +161,21 @@
         if len(self._hello_buffer) < 4 + length:
             return
         hello = decode_message(bytes(self._hello_buffer[4 : 4 + length]), self.address)
-        rest = bytes(self._hello_buffer[4 + length :])
+        remaining_data = bytes(self._hello_buffer[4 + length :])
         self._hello_buffer.clear()
         self._authenticate(hello)
-        if rest:
-            self._receive(rest)
+        if remaining_data:
+            self._receive(remaining_data)
 
     def _authenticate(self, hello: Any) -> None:
         if not isinstance(hello, messages.Hello):
             raise StepError("handshake", self.address, "expected Hello")
-        texts = (hello.instance_id, hello.failure_domain, hello.incarnation)
-        is_whole = None not in texts and hello.role == messages.Role.ENTRY
+        required_fields = (hello.instance_id, hello.failure_domain, hello.incarnation)
+        is_entry_hello = (
+            None not in required_fields and hello.role == messages.Role.ENTRY
+        )
         nonce = hello.nonce or b""
-        if not is_whole or hello.protocol_version != PROTOCOL_VERSION:
+        if not is_entry_hello or hello.protocol_version != PROTOCOL_VERSION:
             reason = f"expected Hello of an entry, protocol {PROTOCOL_VERSION}"
             raise StepError("handshake", self.address, reason)
         if len(nonce) != NONCE_BYTES or not hello.instance_id:
@@ -181,14 +183,14 @@
             raise StepError("handshake", self.address, reason)
         if not verify_hello(self._owner.secret, self._nonce, hello):
             raise StepError("handshake", self.address, "wrong MAC")
-        answer = self._owner.build_hello()
-        answer.nonce = self._nonce
-        answer.mac = compute_hello_mac(self._owner.secret, nonce, answer)
-        self.send(answer)
+        reply = self._owner.build_hello()
+        reply.nonce = self._nonce
+        reply.mac = compute_hello_mac(self._owner.secret, nonce, reply)
+        self.send(reply)
         self.peer_id = hello.instance_id
         self.peer_domain = hello.failure_domain
-        if self._near_domain and self._near_domain != self.peer_domain:
-            self._pace = SLOW_HEARTBEAT
+        if self._local_domain and self._local_domain != self.peer_domain:
+            self._heartbeat_timing = SLOW_HEARTBEAT
         self._decoder = FrameDecoder(self.address)
         self._owner.on_ready(self)
 
@@ -208,7 +210,7 @@
 
     def queue_started(self, message: Any) -> None:
         """Queue a ``Started``, which the next flush writes before all chunks."""
-        self._started.append(message)
+        self._queued_started.append(message)
         self._schedule_flush()
 
     def queue_chunk(self, attempt_id: str, offset: int, data: bytes) -> None:
@@ -226,21 +228,25 @@
 
     def queue_finish(self, message: Any) -> None:
         """Queue a ``Finish``, which the next flush writes after all chunks."""
-        self._finished.append(message)
+        self._queued_finished.append(message)
         self._schedule_flush()
 
-    def drop_queued(self, attempt_id: str) -> None:
+    def discard_queued(self, attempt_id: str) -> None:
         """Discard all queued messages of an attempt that ended early."""
         queued = self._chunk_parts_by_id.pop(attempt_id, None)
         if queued is not None:
             self._n_batch_bytes -= sum(len(part) for part in queued[1])
-        self._started = [m for m in self._started if m.attempt_id != attempt_id]
-        self._finished = [m for m in self._finished if m.attempt_id != attempt_id]
+        self._queued_started = [
+            m for m in self._queued_started if m.attempt_id != attempt_id
+        ]
+        self._queued_finished = [
+            m for m in self._queued_finished if m.attempt_id != attempt_id
+        ]
 
     def _schedule_flush(self) -> None:
         if self._flush_handle is None:
             loop = asyncio.get_running_loop()
-            self._flush_handle = loop.call_later(FLUSH_S, self.flush)
+            self._flush_handle = loop.call_later(FLUSH_DELAY_S, self.flush)
 
     def flush(self) -> None:
         """Write all queued messages: ``Started``, then chunks, then ``Finish``.
@@ -250,34 +256,34 @@
         if self._flush_handle is not None:
             self._flush_handle.cancel()
             self._flush_handle = None
-        frames = [encode(message) for message in self._started]
+        frames = [encode(message) for message in self._queued_started]
         if self._chunk_parts_by_id:
             chunks = [
                 messages.Chunk(attempt_id, offset, b"".join(parts))
                 for attempt_id, (offset, parts) in self._chunk_parts_by_id.items()
             ]
             frames.append(encode(messages.ChunkBatch(chunks)))
-        frames += [encode(message) for message in self._finished]
-        self._started.clear()
+        frames += [encode(message) for message in self._queued_finished]
+        self._queued_started.clear()
         self._chunk_parts_by_id.clear()
-        self._finished.clear()
+        self._queued_finished.clear()
         self._n_batch_bytes = 0
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(b"".join(frames))
 
     def tick(self, now_ms: int) -> None:
         """Send a due heartbeat; close the connection when a timeout has expired."""
-        if now_ms - self._last_received_ms > self._pace.receive_timeout_ms:
+        if now_ms - self._last_received_ms > self._heartbeat_timing.receive_timeout_ms:
             self.close("silent")
             return
-        if self._is_blocked and now_ms - self._blocked_since_ms > BLOCKED_LIMIT_MS:
+        if self._is_blocked and now_ms - self._blocked_since_ms > MAX_BLOCKED_MS:
             self.close("entry does not read")
             return
         if self.is_ready:
-            if self._pace.is_heartbeat_due(self._sent_at_ms, now_ms):
+            if self._heartbeat_timing.is_heartbeat_due(self._sent_at_ms, now_ms):
                 self._sequence += 1
                 self.send(messages.Heartbeat(self._sequence))
-        elif now_ms - self._opened_at_ms > self._pace.receive_timeout_ms:
+        elif now_ms - self._opened_at_ms > self._heartbeat_timing.receive_timeout_ms:
             self.close("no handshake")
 
     def finish(self) -> None:
--- a/packages/agent/src/bluebellusher_agent/_executor.py
+++ b/packages/agent/src/bluebellusher_agent/_executor.py
@@ -12,11 +12,11 @@
 
 # Maximum number of consecutive reconnections to an engine that resume a stream without
 # receiving any byte.
-N_STREAM_RESUMES = 3
+MAX_STREAM_RESUMES = 3
 RESUME_DELAY_S = 0.01
 USAGE_TAIL_BYTES = 4_096
 PRIORITY_NAMES = ("high", "normal", "low")
-HOP_HEADERS = frozenset(
+HOP_BY_HOP_HEADERS = frozenset(
     (
         "connection",
         "content-length",
@@ -49,7 +49,7 @@
         """Handle an attempt whose answer is complete."""
 
 
-class _CorruptError(StepError):
+class _CorruptAnswerError(StepError):
     """The engine sent the answer of another attempt."""
 
 
@@ -84,10 +84,10 @@
         """Run one attempt and report its result to the listener.
 
         A stream that breaks is resumed from its current offset while the engine is
-        alive, up to ``N_STREAM_RESUMES`` times in a row without progress.
+        alive, up to ``MAX_STREAM_RESUMES`` times in a row without progress.
         """
         n_failures = 0
-        while n_failures <= N_STREAM_RESUMES:
+        while n_failures <= MAX_STREAM_RESUMES:
             offset = run.buffer.end
             try:
                 await self._exchange(run)
@@ -97,13 +97,13 @@
                 if not run.is_sent:
                     self._listener.on_not_run(run)
                     return
-                self._log_break(run, error)
-            except _CorruptError as error:
-                self._log_break(run, error)
+                self._log_broken_exchange(run, error)
+            except _CorruptAnswerError as error:
+                self._log_broken_exchange(run, error)
                 self._listener.on_broken(run, Reason.STREAM_CORRUPT)
                 return
             except ExchangeError as error:
-                self._log_break(run, error)
+                self._log_broken_exchange(run, error)
             n_failures = 1 if run.buffer.end > offset else n_failures + 1
             state = await self._monitor.probe()
             # When the probe detects a crash, the agent ends all affected runs before
@@ -115,7 +115,7 @@
             await asyncio.sleep(RESUME_DELAY_S * n_failures)
         self._listener.on_broken(run, Reason.ENGINE_ERROR)
 
-    def resume_silent(self, run: Run) -> None:
+    def reconnect_stream(self, run: Run) -> None:
         """Close the engine connection of a stalled stream, so that it is resumed."""
         if run.exchange is not None and self._is_resumable(run):
             log("stream-silent", attempt_id=run.attempt_id, n_bytes=run.buffer.end)
@@ -148,7 +148,7 @@
         is_stream = content_type.startswith("text/event-stream")
         return self._is_model and run.status == 200 and is_stream
 
-    def _log_break(self, run: Run, error: StepError) -> None:
+    def _log_broken_exchange(self, run: Run, error: StepError) -> None:
         log(
             "exchange-broken",
             step=error.step,
@@ -169,28 +169,30 @@
         run.exchange = exchange
         try:
             status = await exchange.read_head()
-            self._check_head(run, exchange, status, offset)
+            self._check_answer_head(run, exchange, status, offset)
             if not run.has_output:
-                run.set_head(status, _end_to_end(exchange.header_by_name))
+                run.set_head(
+                    status, _select_end_to_end_headers(exchange.header_by_name)
+                )
                 if not self._is_resumable(run):
                     run.body = b""
             await self._receive_body(run, exchange)
         finally:
             exchange.close()
-        self._check_end(run)
+        self._check_stream_end(run)
         run.complete(self._read_usage(run, exchange))
 
     async def _receive_body(self, run: Run, exchange: Exchange) -> None:
         while True:
-            if not run.room.is_set():
-                await run.room.wait()
+            if not run.reading_allowed.is_set():
+                await run.reading_allowed.wait()
             data = await exchange.read_body()
             if not data:
                 return
             run.append(data)
 
     def _build_headers(self, run: Run, offset: int) -> dict[str, str]:
-        header_by_name = _end_to_end(
+        header_by_name = _select_end_to_end_headers(
             {name.lower(): value for name, value in run.request_header_by_name.items()}
         )
         if run.traceparent:
@@ -202,24 +204,24 @@
                 header_by_name["x-resume-offset"] = str(offset)
         return header_by_name
 
-    def _check_head(
+    def _check_answer_head(
         self, run: Run, exchange: Exchange, status: int, offset: int
     ) -> None:
         if not self._is_model:
             return
         peer = self._client.peer
-        answered = exchange.header_by_name.get("x-attempt-id", run.target_attempt_id)
-        if answered != run.target_attempt_id:
-            reason = f"answer of attempt {answered}: expected {run.target_attempt_id}"
-            raise _CorruptError("read-answer", peer, reason)
+        answer_id = exchange.header_by_name.get("x-attempt-id", run.target_attempt_id)
+        if answer_id != run.target_attempt_id:
+            reason = f"answer of attempt {answer_id}: expected {run.target_attempt_id}"
+            raise _CorruptAnswerError("read-answer", peer, reason)
         if not run.has_output:
             return
-        resumed_at = exchange.header_by_name.get("x-resume-offset", "0")
-        if status != run.status or resumed_at != str(offset):
-            reason = f"status {status} at offset {resumed_at}: expected {offset}"
+        answered_offset = exchange.header_by_name.get("x-resume-offset", "0")
+        if status != run.status or answered_offset != str(offset):
+            reason = f"status {status} at offset {answered_offset}: expected {offset}"
             raise ExchangeError("resume-stream", peer, reason)
 
-    def _check_end(self, run: Run) -> None:
+    def _check_stream_end(self, run: Run) -> None:
         """Raise ``ExchangeError`` for an event stream without its final ``[DONE]``."""
         if not self._is_resumable(run):
             return
@@ -241,8 +243,12 @@
             return (0, 0, 0)
         tail_start = max(run.buffer.start, run.buffer.end - USAGE_TAIL_BYTES)
         tail = run.buffer.read(tail_start, USAGE_TAIL_BYTES)
-        cached = exchange.header_by_name.get("x-cached-tokens", "0")
-        n_cached = int(cached) if cached.isascii() and cached.isdigit() else 0
+        cached_header = exchange.header_by_name.get("x-cached-tokens", "0")
+        n_cached = (
+            int(cached_header)
+            if cached_header.isascii() and cached_header.isdigit()
+            else 0
+        )
         return parse_usage(tail, n_cached)
 
 
@@ -275,5 +281,5 @@
         return (0, 0, 0)
 
 
-def _end_to_end(header_by_name: dict[str, str]) -> dict[str, str]:
-    return {n: v for n, v in header_by_name.items() if n not in HOP_HEADERS}
+def _select_end_to_end_headers(header_by_name: dict[str, str]) -> dict[str, str]:
+    return {n: v for n, v in header_by_name.items() if n not in HOP_BY_HOP_HEADERS}
--- a/packages/agent/src/bluebellusher_agent/_http.py
+++ b/packages/agent/src/bluebellusher_agent/_http.py
@@ -14,7 +14,7 @@
 MAX_HEADER_BYTES = 65_536
 # Limit of informational answers (1xx) before the final answer; servers usually send one
 # or two, and a faulty server could send them without end.
-MAX_INTERIM_ANSWERS = 16
+MAX_INFORMATIONAL_ANSWERS = 16
 MAX_CONTROL_BODY_BYTES = 4 * 1024 * 1024
 # Servers commonly close idle connections after 5 s or more. Reusing only connections
 # that were idle for less than 2 s avoids a request that is written just as the server
@@ -42,14 +42,14 @@
         self.idle_since_s = 0.0
 
     @property
-    def is_dead(self) -> bool:
+    def is_closed(self) -> bool:
         """Return whether the connection has failed or was closed by either side."""
         has_failed = self.reader.exception() is not None or self.reader.at_eof()
         return has_failed or self.writer.is_closing()
 
-    def is_fresh(self, now_s: float) -> bool:
+    def can_be_reused(self, now_s: float) -> bool:
         """Return whether the connection is open and idle for under ``MAX_IDLE_S``."""
-        return not self.is_dead and now_s - self.idle_since_s < MAX_IDLE_S
+        return not self.is_closed and now_s - self.idle_since_s < MAX_IDLE_S
 
     def close(self) -> None:
         """Abort the connection without flushing its write buffer."""
@@ -78,13 +78,13 @@
         self._is_bodiless = is_bodiless
         self._connection: HttpConnection | None = connection
         self._parser = httptools.HttpResponseParser(self)
-        self._parts: deque[bytes] = deque()
+        self._body_parts: deque[bytes] = deque()
         self._n_header_bytes = 0
-        self._n_interim = 0
+        self._n_informational = 0
         self._is_head_complete = False
         self._is_complete = False
         self._is_delimited = False
-        self._is_kept_alive = False
+        self._is_keep_alive = False
         self.status = 0
         self.header_by_name: dict[str, str] = {}
 
@@ -113,13 +113,13 @@
         Raises
         ------
         ValueError
-            If there are more than ``MAX_INTERIM_ANSWERS`` informational answers.
+            If there are more than ``MAX_INFORMATIONAL_ANSWERS`` informational answers.
         """
         self.status = self._parser.get_status_code()
         if self.status < 200:
             self.header_by_name.clear()
-            self._n_interim += 1
-            if self._n_interim > MAX_INTERIM_ANSWERS:
+            self._n_informational += 1
+            if self._n_informational > MAX_INFORMATIONAL_ANSWERS:
                 raise ValueError("too many informational answers")
             return
         self._is_head_complete = True
@@ -131,14 +131,14 @@
     def on_body(self, data: bytes) -> None:
         """Store a part of the body for ``read_body``."""
         if data:
-            self._parts.append(data)
+            self._body_parts.append(data)
 
     def on_message_complete(self) -> None:
         """Record the end of the final answer and whether the connection stays open."""
         if self._is_head_complete:
             self._is_complete = True
             # The parser resets this state before it accepts the next answer.
-            self._is_kept_alive = self._parser.should_keep_alive()
+            self._is_keep_alive = self._parser.should_keep_alive()
 
     @property
     def is_broken(self) -> bool:
@@ -146,7 +146,7 @@
         if self._is_complete:
             return False
         connection = self._connection
-        return connection is None or connection.is_dead
+        return connection is None or connection.is_closed
 
     async def read_head(self) -> int:
         """Receive the status and headers of the answer and return the status.
@@ -168,13 +168,13 @@
         ExchangeError
             If the connection fails or the answer is not valid HTTP.
         """
-        while not self._parts and not self._is_complete:
+        while not self._body_parts and not self._is_complete:
             await self._receive()
-        if self._parts:
-            data = b"".join(self._parts)
-            self._parts.clear()
+        if self._body_parts:
+            data = b"".join(self._body_parts)
+            self._body_parts.clear()
             return data
-        self._release()
+        self._release_connection()
         return b""
 
     def close(self) -> None:
@@ -201,13 +201,13 @@
         self.close()
         raise ExchangeError("read-answer", self._client.peer, "connection closed")
 
-    def _release(self) -> None:
+    def _release_connection(self) -> None:
         connection, self._connection = self._connection, None
         if connection is None:
             return
         is_reusable = self._is_delimited and not self._is_bodiless
-        if is_reusable and self._is_kept_alive:
-            self._client.keep(connection)
+        if is_reusable and self._is_keep_alive:
+            self._client.store_idle(connection)
         else:
             connection.close()
 
@@ -239,7 +239,7 @@
         NotSentError
             If the connection cannot be established within ``CONNECT_TIMEOUT_S``.
         """
-        connection = self._take_idle() if is_idempotent else None
+        connection = self._pop_idle() if is_idempotent else None
         return connection or await self._connect()
 
     async def send(
@@ -329,7 +329,7 @@
         finally:
             exchange.close()
 
-    def keep(self, connection: HttpConnection) -> None:
+    def store_idle(self, connection: HttpConnection) -> None:
         """Store an idle connection for reuse; close the oldest one above the limit."""
         connection.idle_since_s = time.monotonic()
         self._idle.append(connection)
@@ -339,14 +339,14 @@
     def close_idle(self, is_all: bool = False) -> None:
         """Close idle connections older than ``MAX_IDLE_S``, or all of them."""
         now_s = time.monotonic()
-        while self._idle and (is_all or not self._idle[0].is_fresh(now_s)):
+        while self._idle and (is_all or not self._idle[0].can_be_reused(now_s)):
             self._idle.popleft().close()
 
-    def _take_idle(self) -> HttpConnection | None:
+    def _pop_idle(self) -> HttpConnection | None:
         now_s = time.monotonic()
         while self._idle:
             connection = self._idle.pop()
-            if connection.is_fresh(now_s):
+            if connection.can_be_reused(now_s):
                 return connection
             connection.close()
         return None
--- a/packages/agent/src/bluebellusher_agent/_keeper.py
+++ b/packages/agent/src/bluebellusher_agent/_keeper.py
@@ -18,11 +18,11 @@
 CANCEL_RETRY_S = 0.5
 # Limit in bytes for retained answers that were sent completely. They are retained
 # because an entry that loses its connection may not have received all of an answer.
-MAX_HELD_BYTES = 8 * 1024 * 1024
+MAX_RETAINED_BYTES = 8 * 1024 * 1024
 Spawn = Callable[[Coroutine[Any, Any, None]], asyncio.Task[None]]
 
 
-class RunKeeper:
+class RunManager:
     """Start, resume, cancel and end the runs of an agent.
 
     It also handles the results of the runs as the ``RunListener`` of the executor.
@@ -56,14 +56,14 @@
         self._on_change = on_change
         self._executor: Executor | None = None
 
-    def bind(self, executor: Executor) -> None:
+    def set_executor(self, executor: Executor) -> None:
         """Set the executor, which needs this object as its listener."""
         self._executor = executor
 
     def start(self, connection: EntryConnection, dispatch: Any, now_ms: int) -> None:
         """Start the run of an accepted dispatch and the timer of its deadline."""
-        keep_bytes = self._settings.resume_buffer_bytes
-        run = Run(dispatch, connection.peer_id, now_ms, keep_bytes)
+        n_retained_bytes = self._settings.resume_buffer_bytes
+        run = Run(dispatch, connection.peer_id, now_ms, n_retained_bytes)
         run.attach(connection, run.attempt_id, 0, dispatch.credit_bytes)
         assert self._executor is not None
         self._runs.add(run)
@@ -87,7 +87,7 @@
         offset, credit = dispatch.resume_offset, dispatch.credit_bytes
         run.attach(connection, dispatch.attempt_id, offset, credit)
         if run.is_complete:
-            self.hold(run)
+            self.start_resume_window(run)
         self._on_change()
 
     def cancel(self, run: Run) -> None:
@@ -100,23 +100,27 @@
         run.is_cancelled = True
         connection, run.connection = run.connection, None
         if isinstance(connection, EntryConnection):
-            connection.drop_queued(run.attempt_id)
-        self._runs.unlink(run, self._clock.now_ms())
+            connection.discard_queued(run.attempt_id)
+        self._runs.remove_request(run, self._clock.now_ms())
         if run.task is not None:
             run.task.cancel()
-        self._spawn(self._finish_cancel(run))
+        self._spawn(self._cancel_on_target(run))
 
-    async def _finish_cancel(self, run: Run) -> None:
+    async def _cancel_on_target(self, run: Run) -> None:
         assert self._executor is not None
-        is_over = await self._executor.cancel_on_target(run)
+        is_cancelled_on_target = await self._executor.cancel_on_target(run)
         # An isolated suspect may still run on an unresponsive engine. It excludes other
         # work until the engine answers the cancellation or the deadline passes.
-        while run.is_isolated and not is_over and not self._is_overdue(run):
+        while (
+            run.is_isolated
+            and not is_cancelled_on_target
+            and not self._is_deadline_passed(run)
+        ):
             await asyncio.sleep(CANCEL_RETRY_S)
-            is_over = await self._executor.cancel_on_target(run)
+            is_cancelled_on_target = await self._executor.cancel_on_target(run)
         self.end(run)
 
-    def _is_overdue(self, run: Run) -> bool:
+    def _is_deadline_passed(self, run: Run) -> bool:
         return self._clock.now_ms() >= run.deadline_ms
 
     def on_not_run(self, run: Run) -> None:
@@ -125,7 +129,7 @@
         if connection is not None:
             reason = Reason.ENGINE_ERROR.value
             refusal = messages.Refuse(run.attempt_id, reason, NOT_RUN_RETRY_MS)
-            self._send_last(connection, run, refusal)
+            self._send_final_message(connection, run, refusal)
         self.end(run)
 
     def on_broken(self, run: Run, reason: Reason) -> None:
@@ -133,10 +137,10 @@
         connection = run.connection
         if connection is not None:
             broken = messages.Broken(run.attempt_id, reason.value, False)
-            self._send_last(connection, run, broken)
+            self._send_final_message(connection, run, broken)
         self.end(run)
 
-    def _send_last(self, connection: Any, run: Run, message: Any) -> None:
+    def _send_final_message(self, connection: Any, run: Run, message: Any) -> None:
         connection.flush()
         connection.send(message)
 
@@ -148,20 +152,20 @@
             status=run.status,
             n_bytes=run.buffer.end,
         )
-        self._limit_held()
-        self.hold(run)
+        self._evict_sent_answers()
+        self.start_resume_window(run)
         self._on_change()
 
-    def _limit_held(self) -> None:
-        held = [run for run in self._runs if run.is_finish_queued]
-        n_bytes = sum(len(run.buffer) for run in held)
-        for run in held:
-            if n_bytes <= MAX_HELD_BYTES:
+    def _evict_sent_answers(self) -> None:
+        sent_runs = [run for run in self._runs if run.is_finish_queued]
+        n_bytes = sum(len(run.buffer) for run in sent_runs)
+        for run in sent_runs:
+            if n_bytes <= MAX_RETAINED_BYTES:
                 return
             n_bytes -= len(run.buffer)
             self.end(run)
 
-    def resume_silent(self, tick_ms: int) -> None:
+    def reconnect_stalled_streams(self, tick_ms: int) -> None:
         """Close the engine connections of stalled streams, so that they are resumed.
 
         Called once per tick; ``tick_ms`` is the time between two ticks. A stream is
@@ -171,23 +175,23 @@
         assert self._executor is not None
         n_max_ticks = max(1, self._settings.stream_silence_ms // tick_ms)
         for run in self._runs:
-            if run.count_silent_ticks() >= n_max_ticks:
-                run.n_silent_ticks = 0
-                self._executor.resume_silent(run)
+            if run.count_stalled_ticks() >= n_max_ticks:
+                run.n_stalled_ticks = 0
+                self._executor.reconnect_stream(run)
 
-    def hold(self, run: Run) -> None:
+    def start_resume_window(self, run: Run) -> None:
         """End the run after the resume window unless an entry resumes it earlier."""
         loop = asyncio.get_running_loop()
         delay_s = self._settings.resume_window_ms / 1000
-        loop.call_later(delay_s, self._release, run, run.connection)
+        loop.call_later(delay_s, self._on_resume_window_end, run, run.connection)
 
-    def _release(self, run: Run, connection: Any) -> None:
+    def _on_resume_window_end(self, run: Run, connection: Any) -> None:
         """End or cancel a run that was not resumed within its resume window."""
-        is_wanted = run.connection is not connection or run.is_ended
-        if is_wanted:
+        is_resumed_or_ended = run.connection is not connection or run.is_ended
+        if is_resumed_or_ended:
             return
         if run.connection is not None and not run.is_finish_queued:
-            self.hold(run)
+            self.start_resume_window(run)
             return
         if run.is_complete:
             self.end(run)
@@ -204,7 +208,7 @@
         if run.connection is not None:
             reason = Reason.DEADLINE_EXCEEDED.value
             broken = messages.Broken(run.attempt_id, reason, False)
-            self._send_last(run.connection, run, broken)
+            self._send_final_message(run.connection, run, broken)
         self.cancel(run)
 
     def end(self, run: Run) -> None:
@@ -212,7 +216,7 @@
         if run.is_ended:
             return
         run.is_ended = True
-        run.release()
+        run.release_resources()
         self._runs.remove(run, self._clock.now_ms())
         task = run.task
         if task is not None and task is not asyncio.current_task():
--- a/packages/agent/src/bluebellusher_agent/_memory.py
+++ b/packages/agent/src/bluebellusher_agent/_memory.py
@@ -36,14 +36,14 @@
         Afterwards the limit is at least ``TRIM_STEP_BYTES`` above the remaining size,
         so that memory that cannot be freed does not cause a trim in each call.
         """
-        before = read_resident_bytes()
-        if before <= self._limit_bytes:
+        size_before = read_resident_bytes()
+        if size_before <= self._limit_bytes:
             return
         import ctypes
 
         trim = getattr(ctypes.CDLL(None), "malloc_trim", None)
         if trim is not None:
             trim(0)
-        after = read_resident_bytes()
-        self._limit_bytes = max(TRIM_ABOVE_BYTES, after + TRIM_STEP_BYTES)
-        log("memory-trimmed", before_bytes=before, after_bytes=after)
+        size_after = read_resident_bytes()
+        self._limit_bytes = max(TRIM_ABOVE_BYTES, size_after + TRIM_STEP_BYTES)
+        log("memory-trimmed", before_bytes=size_before, after_bytes=size_after)
--- a/packages/agent/src/bluebellusher_agent/_monitor.py
+++ b/packages/agent/src/bluebellusher_agent/_monitor.py
@@ -16,7 +16,7 @@
 
     ALIVE = "alive"
     CRASHED = "crashed"
-    SILENT = "silent"
+    UNRESPONSIVE = "silent"
 
 
 class TargetMonitor:
@@ -38,37 +38,37 @@
     def __init__(self, client: HttpClient, on_crash: Callable[[], None]) -> None:
         self._client = client
         self._on_crash = on_crash
-        self._probe: asyncio.Task[TargetState] | None = None
+        self._probe_task: asyncio.Task[TargetState] | None = None
         self.boot_id = ""
 
     async def probe(self) -> TargetState:
         """Return the state of the target; concurrent callers share one health check."""
-        if self._probe is None:
+        if self._probe_task is None:
             loop = asyncio.get_running_loop()
-            self._probe = loop.create_task(self._run_probe())
-        return await asyncio.shield(self._probe)
+            self._probe_task = loop.create_task(self._run_probe())
+        return await asyncio.shield(self._probe_task)
 
     def observe_boot_id(self, boot_id: str) -> None:
         """Record the boot id of a report; a changed boot id is a crash."""
         is_restarted = bool(self.boot_id and boot_id) and boot_id != self.boot_id
         self.boot_id = boot_id or self.boot_id
         if is_restarted:
-            self._declare_crash()
+            self._handle_crash()
 
     async def _run_probe(self) -> TargetState:
         try:
-            state, boot_id = await self._ask()
+            state, boot_id = await self._check_health()
             is_restarted = bool(self.boot_id and boot_id) and boot_id != self.boot_id
             if state is TargetState.CRASHED or is_restarted:
                 self.boot_id = boot_id
-                self._declare_crash()
+                self._handle_crash()
                 return TargetState.CRASHED
             self.boot_id = boot_id or self.boot_id
             return state
         finally:
-            self._probe = None
+            self._probe_task = None
 
-    async def _ask(self) -> tuple[TargetState, str]:
+    async def _check_health(self) -> tuple[TargetState, str]:
         try:
             # A new connection is needed: the target may close an idle connection at
             # any time, so its end would not show a crash.
@@ -78,11 +78,14 @@
         except NotSentError:
             return TargetState.CRASHED, ""
         except ExchangeError as error:
-            is_silent = "no answer" in error.reason
-            return TargetState.SILENT if is_silent else TargetState.CRASHED, ""
+            is_unresponsive = "no answer" in error.reason
+            return (
+                TargetState.UNRESPONSIVE if is_unresponsive else TargetState.CRASHED,
+                "",
+            )
         return TargetState.ALIVE, read_boot_id(body)
 
-    def _declare_crash(self) -> None:
+    def _handle_crash(self) -> None:
         log("target-crashed", peer=self._client.peer)
         self._client.close_idle(is_all=True)
         self._on_crash()
--- a/packages/agent/src/bluebellusher_agent/_orders.py
+++ b/packages/agent/src/bluebellusher_agent/_orders.py
@@ -11,11 +11,11 @@
 from bluebellusher_core.wire import messages
 
 ORDER_TIMEOUT_MS = 10_000
-MAX_REMEMBERED_ORDERS = 256
+MAX_RECORDED_ORDERS = 256
 MAX_LEASES = 1_024
 
 
-class OrderDesk:
+class OrderForwarder:
     """Forward orders one at a time and refuse outdated fencing tokens.
 
     The minimum token of a lease is the highest token that was received for it. Orders
@@ -32,7 +32,7 @@
     def __init__(self, client: HttpClient) -> None:
         self._client = client
         self._lock = asyncio.Lock()
-        self._floor_by_lease: dict[str, int] = {}
+        self._min_token_by_lease: dict[str, int] = {}
         self._result_by_id: OrderedDict[str, Any] = OrderedDict()
 
     async def execute(self, order: Any) -> Any:
@@ -42,30 +42,30 @@
         """
         # The minimum token is raised before waiting for the lock, so that orders with
         # lower tokens that already wait for the lock are refused.
-        floor = self._raise_floor(order)
-        if order.fencing_token < floor:
-            return self._refuse(order, floor)
+        min_token = self._raise_min_token(order)
+        if order.fencing_token < min_token:
+            return self._refuse(order, min_token)
         async with self._lock:
-            known = self._result_by_id.get(order.order_id)
-            if known is not None:
-                return known
-            floor = self._floor_by_lease.get(order.lease_name, 0)
-            if order.fencing_token < floor:
-                return self._refuse(order, floor)
+            recorded_result = self._result_by_id.get(order.order_id)
+            if recorded_result is not None:
+                return recorded_result
+            min_token = self._min_token_by_lease.get(order.lease_name, 0)
+            if order.fencing_token < min_token:
+                return self._refuse(order, min_token)
             return await self._forward(order)
 
-    def _raise_floor(self, order: Any) -> int:
-        floor = self._floor_by_lease.get(order.lease_name, 0)
-        if floor == 0 and len(self._floor_by_lease) >= MAX_LEASES:
+    def _raise_min_token(self, order: Any) -> int:
+        min_token = self._min_token_by_lease.get(order.lease_name, 0)
+        if min_token == 0 and len(self._min_token_by_lease) >= MAX_LEASES:
             return order.fencing_token + 1
-        floor = max(floor, order.fencing_token)
-        self._floor_by_lease[order.lease_name] = floor
-        return floor
+        min_token = max(min_token, order.fencing_token)
+        self._min_token_by_lease[order.lease_name] = min_token
+        return min_token
 
-    def _refuse(self, order: Any, floor: int) -> Any:
+    def _refuse(self, order: Any, min_token: int) -> Any:
         log("order-refused", order_id=order.order_id, token=order.fencing_token)
-        reason = f"fencing_token={order.fencing_token}: expected at least {floor}"
-        return messages.OrderResult(order.order_id, False, reason, floor)
+        reason = f"fencing_token={order.fencing_token}: expected at least {min_token}"
+        return messages.OrderResult(order.order_id, False, reason, min_token)
 
     async def _forward(self, order: Any) -> Any:
         token = order.fencing_token
@@ -86,20 +86,22 @@
             return messages.OrderResult(order.order_id, False, reason, token)
         except StepError as error:
             reason = f"outcome unknown: {error.reason}"
-            return self._remember(order, False, reason, token)
+            return self._record_result(order, False, reason, token)
         if status == 409:
             token = _read_token(answer, token)
-            floor = max(self._floor_by_lease[order.lease_name], token)
-            self._floor_by_lease[order.lease_name] = floor
+            min_token = max(self._min_token_by_lease[order.lease_name], token)
+            self._min_token_by_lease[order.lease_name] = min_token
         is_accepted = status == 200
         reason = "" if is_accepted else f"engine answered {status}"
-        return self._remember(order, is_accepted, reason, token)
+        return self._record_result(order, is_accepted, reason, token)
 
-    def _remember(self, order: Any, is_accepted: bool, reason: str, token: int) -> Any:
+    def _record_result(
+        self, order: Any, is_accepted: bool, reason: str, token: int
+    ) -> Any:
         """Record and return the result of an order that may have been executed."""
         result = messages.OrderResult(order.order_id, is_accepted, reason, token)
         self._result_by_id[order.order_id] = result
-        if len(self._result_by_id) > MAX_REMEMBERED_ORDERS:
+        if len(self._result_by_id) > MAX_RECORDED_ORDERS:
             self._result_by_id.popitem(last=False)
         return result
 
--- a/packages/agent/src/bluebellusher_agent/_reports.py
+++ b/packages/agent/src/bluebellusher_agent/_reports.py
@@ -9,7 +9,7 @@
 
 # Number of cached blocks that are recorded for the report to an entry that connects
 # later; the oldest ones are evicted.
-MAX_KNOWN_BLOCKS = 4_096
+MAX_RECORDED_BLOCKS = 4_096
 MAX_NAMES = 1_000
 
 
@@ -38,13 +38,13 @@
     ) -> None:
         self._client = client
         self._sequence = 0
-        self._content: tuple[Any, ...] = ()
+        self._last_content: tuple[Any, ...] = ()
         self.models = list(models)
         self.adapters = list(adapters)
         self.n_slots = n_slots
         self.boot_id = ""
         self.is_engine_draining = False
-        self.report: Any = None
+        self.last_report: Any = None
 
     async def read_engine(self, is_draining: bool) -> Any:
         """Read the load of the engine and return a ``LoadReport``, None if unchanged.
@@ -96,11 +96,11 @@
             tuple(self.adapters),
             is_draining,
         )
-        if content == self._content:
+        if content == self._last_content:
             return None
-        self._content = content
+        self._last_content = content
         self._sequence += 1
-        self.report = messages.LoadReport(
+        self.last_report = messages.LoadReport(
             sequence=self._sequence,
             n_running=counts[0],
             n_queued=counts[1],
@@ -112,7 +112,7 @@
             is_draining=is_draining,
             age_ms=age_ms,
         )
-        return self.report
+        return self.last_report
 
 
 class CacheReader:
@@ -129,7 +129,7 @@
     def __init__(self, client: HttpClient) -> None:
         self._client = client
         self._last_sequence = 0
-        self._known: dict[int, None] = {}
+        self._recorded_blocks: dict[int, None] = {}
 
     async def read(self) -> Any:
         """Read new cache events and return a ``CacheReport``, None if there are none.
@@ -143,7 +143,7 @@
         status, body = await self._client.fetch("GET", path)
         try:
             events = json.loads(body)["events"]
-            rows = [
+            changes = [
                 (
                     int(event["sequence"]),
                     _read_hashes(event["added"]),
@@ -154,45 +154,47 @@
         except (KeyError, TypeError, ValueError) as error:
             reason = f"status {status}, {type(error).__name__}: expected cache events"
             raise StepError("read-cache", self._client.peer, reason) from error
-        rows = [row for row in rows if row[0] > self._last_sequence]
-        return self._merge(rows) if rows else None
+        changes = [change for change in changes if change[0] > self._last_sequence]
+        return self._build_cache_report(changes) if changes else None
 
-    def _merge(self, rows: list[tuple[int, list[int], list[int]]]) -> Any:
+    def _build_cache_report(
+        self, changes: list[tuple[int, list[int], list[int]]]
+    ) -> Any:
         has_gap = False
         is_added_by_hash: dict[int, bool] = {}
-        first = rows[0][0]
-        for sequence, added, removed in rows:
+        first = changes[0][0]
+        for sequence, added, removed in changes:
             has_gap = has_gap or sequence != self._last_sequence + 1
             self._last_sequence = sequence
             is_added_by_hash.update(dict.fromkeys(added, True))
             is_added_by_hash.update(dict.fromkeys(removed, False))
         added = [value for value, is_added in is_added_by_hash.items() if is_added]
         removed = [v for v, is_added in is_added_by_hash.items() if not is_added]
-        self._update_known(added, removed)
+        self._update_recorded_blocks(added, removed)
         return messages.CacheReport(added, removed, first, self._last_sequence, has_gap)
 
-    def _update_known(self, added: list[int], removed: list[int]) -> None:
+    def _update_recorded_blocks(self, added: list[int], removed: list[int]) -> None:
         for value in removed:
-            self._known.pop(value, None)
+            self._recorded_blocks.pop(value, None)
         for value in added:
-            self._known.pop(value, None)
-            self._known[value] = None
-        while len(self._known) > MAX_KNOWN_BLOCKS:
-            del self._known[next(iter(self._known))]
+            self._recorded_blocks.pop(value, None)
+            self._recorded_blocks[value] = None
+        while len(self._recorded_blocks) > MAX_RECORDED_BLOCKS:
+            del self._recorded_blocks[next(iter(self._recorded_blocks))]
 
-    def reset(self) -> Any:
+    def discard_blocks(self) -> Any:
         """Discard all recorded blocks after a crash and return a report of it."""
-        removed = list(self._known)
-        self._known.clear()
+        removed = list(self._recorded_blocks)
+        self._recorded_blocks.clear()
         self._last_sequence = 0
         return messages.CacheReport([], removed, 0, 0, True)
 
-    def snapshot(self) -> Any:
+    def build_snapshot(self) -> Any:
         """Return a report of the recorded blocks, None if there are none."""
-        if not self._known:
+        if not self._recorded_blocks:
             return None
-        known = list(self._known)
-        return messages.CacheReport(known, [], 0, self._last_sequence, True)
+        blocks = list(self._recorded_blocks)
+        return messages.CacheReport(blocks, [], 0, self._last_sequence, True)
 
 
 def _read_names(data: Any) -> list[str]:
--- a/packages/agent/src/bluebellusher_agent/_run.py
+++ b/packages/agent/src/bluebellusher_agent/_run.py
@@ -52,8 +52,8 @@
 
     def read(self, offset: int, n_bytes: int) -> bytes:
         """Return up to ``n_bytes`` from ``offset``, which must be in the buffer."""
-        begin = offset - self.start
-        return bytes(self._data[begin : begin + n_bytes])
+        position = offset - self.start
+        return bytes(self._data[position : position + n_bytes])
 
     def trim(self, offset: int) -> None:
         """Discard the bytes before ``offset``."""
@@ -61,7 +61,7 @@
             del self._data[: offset - self.start]
             self.start = offset
 
-    def holds(self, offset: int) -> bool:
+    def contains(self, offset: int) -> bool:
         """Return whether the answer can be sent from ``offset`` on."""
         return self.start <= offset <= self.end
 
@@ -84,7 +84,7 @@
         Instance id of the entry.
     now_ms : int
         Current time of the monotonic clock, in milliseconds.
-    keep_bytes : int
+    n_retained_bytes : int
         Number of sent bytes that are retained for resumption.
     """
 
@@ -93,9 +93,10 @@
         "body",
         "buffer",
         "connection",
-        "credit_end",
+        "credit_end_offset",
         "deadline_handle",
         "deadline_ms",
+        "end_at_last_tick",
         "entry_id",
         "exchange",
         "fingerprint",
@@ -108,16 +109,15 @@
         "is_isolated",
         "is_sent",
         "is_started_queued",
-        "keep_bytes",
         "method",
+        "n_retained_bytes",
         "n_sent",
-        "n_silent_ticks",
-        "n_ticked",
+        "n_stalled_ticks",
         "path",
         "priority",
+        "reading_allowed",
         "request_header_by_name",
         "request_id",
-        "room",
         "started_at_ms",
         "status",
         "target_attempt_id",
@@ -127,7 +127,7 @@
     )
 
     def __init__(
-        self, dispatch: Any, entry_id: str, now_ms: int, keep_bytes: int
+        self, dispatch: Any, entry_id: str, now_ms: int, n_retained_bytes: int
     ) -> None:
         self.attempt_id: str = dispatch.attempt_id
         self.target_attempt_id: str = dispatch.attempt_id
@@ -144,14 +144,14 @@
         self.is_isolated = bool(dispatch.is_isolated)
         self.deadline_ms: int = now_ms + dispatch.remaining_ms
         self.started_at_ms = now_ms
-        self.keep_bytes = keep_bytes
+        self.n_retained_bytes = n_retained_bytes
         self.buffer = StreamBuffer()
         self.status = 0
         self.header_by_name: dict[str, str] = {}
         self.usage = (0, 0, 0)
         self.exchange: Exchange | None = None
-        self.n_ticked = 0
-        self.n_silent_ticks = 0
+        self.end_at_last_tick = 0
+        self.n_stalled_ticks = 0
         self.is_sent = False
         self.is_complete = False
         self.is_cancelled = False
@@ -159,12 +159,12 @@
         self.deadline_handle: asyncio.TimerHandle | None = None
         self.task: asyncio.Task[None] | None = None
         self.connection: Relay | None = None
-        self.room = asyncio.Event()
-        self._reset_relay(0, 0)
+        self.reading_allowed = asyncio.Event()
+        self._reset_sending(0, 0)
 
-    def _reset_relay(self, offset: int, credit_bytes: int) -> None:
+    def _reset_sending(self, offset: int, credit_bytes: int) -> None:
         self.n_sent = offset
-        self.credit_end = offset + credit_bytes
+        self.credit_end_offset = offset + credit_bytes
         self.is_started_queued = False
         self.is_finish_queued = False
 
@@ -183,8 +183,8 @@
         """
         self.connection = connection
         self.attempt_id = attempt_id
-        self._reset_relay(offset, credit_bytes)
-        self.pump()
+        self._reset_sending(offset, credit_bytes)
+        self.send_available()
 
     def detach(self) -> None:
         """Stop sending after a lost connection, and retain the answer.
@@ -194,23 +194,23 @@
         """
         self.connection = None
         self.is_finish_queued = False
-        self._update_room()
+        self._update_reading_allowed()
 
     def add_credit(self, n_bytes: int) -> None:
         """Allow ``n_bytes`` more bytes to be sent."""
-        self.credit_end += n_bytes
-        self.pump()
+        self.credit_end_offset += n_bytes
+        self.send_available()
 
     def set_head(self, status: int, header_by_name: dict[str, str]) -> None:
         """Record the status and headers of the answer and send them."""
         self.status = status
         self.header_by_name = header_by_name
-        self.pump()
+        self.send_available()
 
     def append(self, data: bytes) -> None:
         """Buffer received bytes and send as many as credit and the connection allow."""
         self.buffer.append(data)
-        self.pump()
+        self.send_available()
 
     def complete(self, usage: tuple[int, int, int]) -> None:
         """Record that the answer is complete.
@@ -219,9 +219,9 @@
         """
         self.usage = usage
         self.is_complete = True
-        self.pump()
+        self.send_available()
 
-    def pump(self) -> None:
+    def send_available(self) -> None:
         """Send buffered bytes as far as credit and the connection allow.
 
         Sent bytes that are no longer needed for resumption are discarded.
@@ -229,8 +229,8 @@
         connection = self.connection
         if connection is not None and self.has_output:
             self._send(connection)
-        self.buffer.trim(self.n_sent - self.keep_bytes)
-        self._update_room()
+        self.buffer.trim(self.n_sent - self.n_retained_bytes)
+        self._update_reading_allowed()
 
     def _send(self, connection: Relay) -> None:
         if not self.is_started_queued:
@@ -238,7 +238,7 @@
             connection.queue_started(
                 messages.Started(self.attempt_id, self.status, self.header_by_name)
             )
-        n_bytes = min(self.buffer.end, self.credit_end) - self.n_sent
+        n_bytes = min(self.buffer.end, self.credit_end_offset) - self.n_sent
         if n_bytes > 0 and connection.is_writable:
             data = self.buffer.read(self.n_sent, n_bytes)
             connection.queue_chunk(self.attempt_id, self.n_sent, data)
@@ -246,9 +246,9 @@
         is_all_sent = self.is_complete and self.n_sent == self.buffer.end
         if is_all_sent and not self.is_finish_queued:
             self.is_finish_queued = True
-            connection.queue_finish(self._finish_message())
+            connection.queue_finish(self._build_finish())
 
-    def _finish_message(self) -> Any:
+    def _build_finish(self) -> Any:
         n_input, n_cached, n_output = self.usage
         return messages.Finish(
             attempt_id=self.attempt_id,
@@ -262,7 +262,7 @@
         )
 
     @property
-    def is_hit_by_crash(self) -> bool:
+    def is_affected_by_crash(self) -> bool:
         """Return whether a crash of the target that was just detected ended this run.
 
         The end of a connection is not detected while the connection is not read for
@@ -270,34 +270,39 @@
         """
         if not self.is_sent or self.exchange is None:
             return False
-        return self.exchange.is_broken or not self.room.is_set()
+        return self.exchange.is_broken or not self.reading_allowed.is_set()
 
-    def count_silent_ticks(self) -> int:
+    def count_stalled_ticks(self) -> int:
         """Return the number of consecutive ticks without progress of a started answer.
 
         Called once per tick. Ticks in which the answer is not read for lack of credit
         or buffer space do not count.
         """
-        is_waiting = self.has_output and self.room.is_set() and not self.is_complete
-        if is_waiting and self.n_ticked == self.buffer.end:
-            self.n_silent_ticks += 1
+        is_expecting_data = (
+            self.has_output and self.reading_allowed.is_set() and not self.is_complete
+        )
+        if is_expecting_data and self.end_at_last_tick == self.buffer.end:
+            self.n_stalled_ticks += 1
         else:
-            self.n_silent_ticks = 0
-        self.n_ticked = self.buffer.end
-        return self.n_silent_ticks
+            self.n_stalled_ticks = 0
+        self.end_at_last_tick = self.buffer.end
+        return self.n_stalled_ticks
+
+    def release_resources(self) -> None:
+        """Release the connection, buffers and deadline timer of an ended run.
 
-    def release(self) -> None:
-        """Free the memory of an ended run, to which timers may still refer."""
+        Other timers may still refer to the run and would keep its memory allocated.
+        """
         self.connection = None
         self.body = b""
         self.buffer = StreamBuffer()
         if self.deadline_handle is not None:
             self.deadline_handle.cancel()
 
-    def _update_room(self) -> None:
+    def _update_reading_allowed(self) -> None:
         n_unsent = self.buffer.end - self.n_sent
-        has_credit = self.connection is None or self.credit_end > self.buffer.end
+        has_credit = self.connection is None or self.credit_end_offset > self.buffer.end
         if has_credit and n_unsent < MAX_UNSENT_BYTES:
-            self.room.set()
+            self.reading_allowed.set()
         else:
-            self.room.clear()
+            self.reading_allowed.clear()
--- a/packages/agent/src/bluebellusher_agent/_runs.py
+++ b/packages/agent/src/bluebellusher_agent/_runs.py
@@ -12,11 +12,11 @@
 # Time in ms for which the ids of ended attempts are recorded. Entries never reuse an
 # attempt id on purpose. A repeated dispatch can only arrive from a connection that was
 # replaced, and a connection is closed when it is unresponsive for 2 s.
-ATTEMPT_MEMORY_MS = 60_000
-MAX_REMEMBERED_ATTEMPTS = 50_000
+ATTEMPT_RECORD_MS = 60_000
+MAX_RECORDED_ATTEMPTS = 50_000
 ISOLATION_RETRY_MS = 200
 DRAIN_RETRY_MS = 1_000
-ROOM_RETRY_MS = 500
+CAPACITY_RETRY_MS = 500
 
 
 class Verdict(Enum):
@@ -59,7 +59,7 @@
         self._max_runs = max_runs
         self._run_by_attempt: dict[str, Run] = {}
         self._run_by_request: dict[tuple[str, str], Run] = {}
-        self._expiry_ms_by_attempt: OrderedDict[str, int] = OrderedDict()
+        self._expiry_ms_by_used_id: OrderedDict[str, int] = OrderedDict()
         self.is_draining = False
 
     def __iter__(self) -> Iterator[Run]:
@@ -83,17 +83,17 @@
 
     def decide(self, dispatch: Any, connection: Any, now_ms: int) -> Decision:
         """Return the decision about a validated dispatch."""
-        known = self._run_by_attempt.get(dispatch.attempt_id)
-        if known is not None:
-            return self._decide_repeat(known, dispatch, connection)
-        self._forget(now_ms)
-        if dispatch.attempt_id in self._expiry_ms_by_attempt:
+        run_of_attempt = self._run_by_attempt.get(dispatch.attempt_id)
+        if run_of_attempt is not None:
+            return self._decide_repeat(run_of_attempt, dispatch, connection)
+        self._discard_expired(now_ms)
+        if dispatch.attempt_id in self._expiry_ms_by_used_id:
             return Decision(Verdict.BREAK, reason=Reason.OUTCOME_UNKNOWN)
         key = (connection.peer_id, dispatch.request_id)
-        held = self._run_by_request.get(key)
-        if held is not None:
-            return self._decide_resume(held, dispatch, connection)
-        if _name_request(key) in self._expiry_ms_by_attempt:
+        run_of_request = self._run_by_request.get(key)
+        if run_of_request is not None:
+            return self._decide_resume(run_of_request, dispatch, connection)
+        if _format_request_key(key) in self._expiry_ms_by_used_id:
             return Decision(Verdict.BREAK, reason=Reason.OUTCOME_UNKNOWN)
         if dispatch.resume_offset:
             # The answer is no longer retained, or this agent was restarted since.
@@ -103,12 +103,12 @@
     def _decide_repeat(self, run: Run, dispatch: Any, connection: Any) -> Decision:
         if run.is_cancelled:
             return Decision(Verdict.BREAK, run, Reason.OUTCOME_UNKNOWN)
-        is_same = (run.entry_id, run.request_id, run.fingerprint) == (
+        is_same_request = (run.entry_id, run.request_id, run.fingerprint) == (
             connection.peer_id,
             dispatch.request_id,
             dispatch.fingerprint or "",
         )
-        if not is_same:
+        if not is_same_request:
             return Decision(Verdict.CLOSE, run)
         if run.connection is connection:
             return Decision(Verdict.IGNORE, run)
@@ -117,19 +117,19 @@
     def _decide_resume(self, run: Run, dispatch: Any, connection: Any) -> Decision:
         if run.fingerprint != (dispatch.fingerprint or ""):
             return Decision(Verdict.CLOSE, run)
-        is_fresh_start = dispatch.is_idempotent and not dispatch.resume_offset
-        is_rejected = run.connection is connection
-        if is_fresh_start and (is_rejected or not run.buffer.holds(0)):
+        can_run_again = dispatch.is_idempotent and not dispatch.resume_offset
+        is_same_connection = run.connection is connection
+        if can_run_again and (is_same_connection or not run.buffer.contains(0)):
             # The request runs again from the start: the entry has discarded the answer
             # that it received on this connection, for example because it was corrupt,
             # or the start of the answer is no longer retained.
             decision = self._decide_start(dispatch)
-            is_start = decision.verdict is Verdict.START
-            return Decision(Verdict.REPLACE, run) if is_start else decision
+            can_start = decision.verdict is Verdict.START
+            return Decision(Verdict.REPLACE, run) if can_start else decision
         return self._decide_offset(run, dispatch)
 
     def _decide_offset(self, run: Run, dispatch: Any) -> Decision:
-        if run.buffer.holds(dispatch.resume_offset):
+        if run.buffer.contains(dispatch.resume_offset):
             return Decision(Verdict.RESUME, run)
         return Decision(Verdict.BREAK, run, Reason.OUTCOME_UNKNOWN)
 
@@ -145,10 +145,10 @@
         # was running before it.
         if dispatch.is_isolated and running:
             return _refuse(Reason.ENDPOINT_ISOLATING, ISOLATION_RETRY_MS)
-        n_remembered = len(self._expiry_ms_by_attempt)
-        has_room = len(running) < self._max_runs
-        if not has_room or n_remembered >= MAX_REMEMBERED_ATTEMPTS:
-            return _refuse(Reason.NO_ENDPOINT, ROOM_RETRY_MS)
+        n_recorded = len(self._expiry_ms_by_used_id)
+        has_capacity = len(running) < self._max_runs
+        if not has_capacity or n_recorded >= MAX_RECORDED_ATTEMPTS:
+            return _refuse(Reason.NO_ENDPOINT, CAPACITY_RETRY_MS)
         return Decision(Verdict.START)
 
     def add(self, run: Run) -> None:
@@ -159,7 +159,7 @@
     def rename(self, run: Run, attempt_id: str, now_ms: int) -> None:
         """Assign a new attempt id to a resumed run and record the old id as used."""
         del self._run_by_attempt[run.attempt_id]
-        self._remember(run.attempt_id, now_ms)
+        self._record_used(run.attempt_id, now_ms)
         run.attempt_id = attempt_id
         self._run_by_attempt[attempt_id] = run
 
@@ -167,11 +167,11 @@
         """Remove a run and, if it was sent to the target, record its attempt id."""
         if self._run_by_attempt.get(run.attempt_id) is run:
             del self._run_by_attempt[run.attempt_id]
-        self.unlink(run, now_ms)
+        self.remove_request(run, now_ms)
         if run.is_sent:
-            self._remember(run.attempt_id, now_ms)
+            self._record_used(run.attempt_id, now_ms)
 
-    def unlink(self, run: Run, now_ms: int) -> None:
+    def remove_request(self, run: Run, now_ms: int) -> None:
         """Prevent later dispatches of the request from resuming or repeating this run.
 
         The request id of a run that is not idempotent is recorded as used if a byte
@@ -181,21 +181,21 @@
         if self._run_by_request.get(key) is run:
             del self._run_by_request[key]
         if run.is_sent and not run.is_idempotent:
-            self._remember(_name_request(key), now_ms)
+            self._record_used(_format_request_key(key), now_ms)
 
-    def _remember(self, name: str, now_ms: int) -> None:
-        self._expiry_ms_by_attempt[name] = now_ms + ATTEMPT_MEMORY_MS
+    def _record_used(self, name: str, now_ms: int) -> None:
+        self._expiry_ms_by_used_id[name] = now_ms + ATTEMPT_RECORD_MS
 
-    def _forget(self, now_ms: int) -> None:
-        expiry_ms_by_attempt = self._expiry_ms_by_attempt
-        while expiry_ms_by_attempt:
-            attempt_id = next(iter(expiry_ms_by_attempt))
-            if expiry_ms_by_attempt[attempt_id] > now_ms:
+    def _discard_expired(self, now_ms: int) -> None:
+        expiry_ms_by_used_id = self._expiry_ms_by_used_id
+        while expiry_ms_by_used_id:
+            attempt_id = next(iter(expiry_ms_by_used_id))
+            if expiry_ms_by_used_id[attempt_id] > now_ms:
                 return
-            del expiry_ms_by_attempt[attempt_id]
+            del expiry_ms_by_used_id[attempt_id]
 
 
-def _name_request(key: tuple[str, str]) -> str:
+def _format_request_key(key: tuple[str, str]) -> str:
     # Attempt ids contain no space, so that a request key never equals an attempt id.
     return f"{key[0]} {key[1]}"
 
--- a/packages/agent/src/bluebellusher_agent/_settings.py
+++ b/packages/agent/src/bluebellusher_agent/_settings.py
@@ -125,8 +125,8 @@
             continue
         end = _find_comment_end(text, position)
         if end > position:
-            blank = (c if c == "\n" else " " for c in text[position:end])
-            characters[position:end] = blank
+            spaces = (c if c == "\n" else " " for c in text[position:end])
+            characters[position:end] = spaces
             position = end
             continue
         if character in "]}" and last_comma >= 0:
@@ -167,7 +167,7 @@
     return is_text and all("!" <= c <= "~" for c in value)
 
 
-def _is_names(value: Any) -> bool:
+def _is_name_list(value: Any) -> bool:
     return isinstance(value, list) and all(_is_name(item) for item in value)
 
 
@@ -201,9 +201,9 @@
     "listen": (_is_address, '{"host": IP address, "port": 0 to 65535}'),
     "target": (_is_address, '{"host": IP address, "port": 0 to 65535}'),
     "kind": (lambda value: value in ("model", "plain"), '"model" or "plain"'),
-    "services": (_is_names, "a list of names"),
-    "models": (_is_names, "a list of names"),
-    "adapters": (_is_names, "a list of names"),
+    "services": (_is_name_list, "a list of names"),
+    "models": (_is_name_list, "a list of names"),
+    "adapters": (_is_name_list, "a list of names"),
     "n_slots": (lambda value: _is_int(value, 1, 100_000), "1 to 100000"),
     "is_draining": (lambda value: isinstance(value, bool), "true or false"),
     "max_runs": (lambda value: _is_int(value, 1, 100_000), "1 to 100000"),
@@ -220,13 +220,13 @@
 def _find_problems(data: dict[str, Any]) -> list[str]:
     required = ("instance_id", "failure_domain", "shared_secret", "listen", "target")
     problems = [f"{key}: missing" for key in required if key not in data]
-    known = {item.name for item in fields(AgentSettings)}
+    known_keys = {item.name for item in fields(AgentSettings)}
     for key, value in data.items():
-        if key not in known:
+        if key not in known_keys:
             problems.append(f"{key}: unknown key")
             continue
         is_valid, expectation = _CHECK_BY_KEY[key]
         if not is_valid(value):
-            shown = "(hidden)" if key in _SECRET_KEYS else repr(value)[:100]
-            problems.append(f"{key}={shown}: expected {expectation}")
+            displayed_value = "(hidden)" if key in _SECRET_KEYS else repr(value)[:100]
+            problems.append(f"{key}={displayed_value}: expected {expectation}")
     return problems
--- a/packages/agent/src/bluebellusher_agent/main.py
+++ b/packages/agent/src/bluebellusher_agent/main.py
@@ -21,13 +21,13 @@
     ``path`` is the path of the settings file.
     """
     agent = Agent(AgentSettings.from_file(path))
-    stopped = asyncio.Event()
+    stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, stopped.set)
+        loop.add_signal_handler(signal_number, stop_requested.set)
     await agent.start()
     watcher = loop.create_task(watch_settings(path, agent))
-    await stopped.wait()
+    await stop_requested.wait()
     watcher.cancel()
     agent.start_drain()
     await agent.wait_idle()
@@ -38,13 +38,13 @@
 
 async def watch_settings(path: str, agent: Agent) -> None:
     """Poll the settings file and start a drain when ``is_draining`` becomes true."""
-    read_at = _modified_at(path)
+    last_modified_ns = _read_modified_ns(path)
     while not agent.runs.is_draining:
         await asyncio.sleep(SETTINGS_POLL_S)
-        modified_at = _modified_at(path)
-        if modified_at == read_at:
+        modified_ns = _read_modified_ns(path)
+        if modified_ns == last_modified_ns:
             continue
-        read_at = modified_at
+        last_modified_ns = modified_ns
         try:
             settings = AgentSettings.from_file(path)
         except StepError as error:
@@ -54,7 +54,7 @@
             agent.start_drain()
 
 
-def _modified_at(path: str) -> int:
+def _read_modified_ns(path: str) -> int:
     try:
         return os.stat(path).st_mtime_ns
     except OSError:
--- a/packages/agent/src/bluebellusher_agent/tests/entry_client.py
+++ b/packages/agent/src/bluebellusher_agent/tests/entry_client.py
@@ -51,7 +51,7 @@
         self.send(hello)
         self.hello = await self.next(messages.Hello)
         assert verify_hello(self.secret, hello.nonce, self.hello)
-        self._tasks.append(asyncio.create_task(self._beat()))
+        self._tasks.append(asyncio.create_task(self._send_heartbeats()))
         return self
 
     async def __aexit__(self, *_):
@@ -67,7 +67,7 @@
         """Send one message."""
         self.writer.write(encode(message))
 
-    async def _beat(self):
+    async def _send_heartbeats(self):
         while True:
             await asyncio.sleep(0.5)
             if self.sends_heartbeats:
@@ -85,11 +85,11 @@
         self.received.append(message)
         if isinstance(message, messages.ChunkBatch):
             for chunk in message.chunks:
-                held = self.data_by_attempt.setdefault(
+                received_part = self.data_by_attempt.setdefault(
                     chunk.attempt_id, [chunk.offset, bytearray()]
                 )
-                assert chunk.offset == held[0] + len(held[1])
-                held[1] += chunk.data
+                assert chunk.offset == received_part[0] + len(received_part[1])
+                received_part[1] += chunk.data
         self._changed.set()
 
     async def wait(self, condition):
@@ -119,8 +119,8 @@
         """Return the received bytes of an attempt."""
         return bytes(self.data_by_attempt.get(attempt_id, (0, b""))[1])
 
-    def dispatch(self, attempt_id, body, **changes):
-        """Send a dispatch with default values, which ``changes`` override."""
+    def dispatch(self, attempt_id, body, **overrides):
+        """Send a dispatch with default values, some replaced by ``overrides``."""
         values = {
             "attempt_id": attempt_id,
             "request_id": "r-" + attempt_id,
@@ -138,7 +138,7 @@
             "credit_bytes": CREDIT,
             "service_id": "s",
         }
-        self.send(messages.Dispatch(**{**values, **changes}))
+        self.send(messages.Dispatch(**{**values, **overrides}))
 
     async def finish(self, attempt_id):
         """Wait for ``Finish``, check length and CRC, and return the received bytes."""
@@ -161,7 +161,7 @@
     return json.dumps(body).encode()
 
 
-def make_settings(port, **changes):
+def make_settings(port, **overrides):
     """Return settings of an agent beside the target on ``port``."""
     values = {
         "instance_id": "endpoint-1",
@@ -171,13 +171,13 @@
         "target": Address("127.0.0.1", port),
         "services": ("s",),
     }
-    return AgentSettings(**{**values, **changes})
+    return AgentSettings(**{**values, **overrides})
 
 
 @contextlib.asynccontextmanager
-async def run_agent(port, clock=None, **changes):
+async def run_agent(port, clock=None, **overrides):
     """Run an agent beside the target on ``port``."""
-    agent = Agent(make_settings(port, **changes), clock)
+    agent = Agent(make_settings(port, **overrides), clock)
     await agent.start()
     try:
         yield agent
@@ -185,7 +185,7 @@
         await agent.stop()
 
 
-def with_engine(scenario, settings=None, **changes):
+def with_engine(scenario, settings=None, **overrides):
     """Run ``scenario(entry, agent, engine)`` with an engine behind an agent."""
     values = {"token_interval_ms": 2.0, "crash_marker": "CRASH", "restart_ms": 100}
     engine_settings = EngineSettings(**{**values, **(settings or {})})
@@ -193,7 +193,7 @@
     async def main():
         async with (
             EngineServer(engine_settings) as engine,
-            run_agent(engine.port, **changes) as agent,
+            run_agent(engine.port, **overrides) as agent,
             EntryClient(agent.port) as entry,
         ):
             await entry.next(messages.LoadReport)
--- a/packages/agent/src/bluebellusher_agent/tests/test_agent_border.py
+++ b/packages/agent/src/bluebellusher_agent/tests/test_agent_border.py
@@ -121,7 +121,7 @@
         messages.Finish("a1"),
     ],
 )
-def test_hostile_message_of_an_entry_harms_no_other(message):
+def test_hostile_message_does_not_affect_other_entries(message):
     """Guards against a faulty entry whose message stops the agent for other entries."""
 
     async def scenario(entry, agent, engine):
@@ -133,7 +133,7 @@
     with_engine(scenario)
 
 
-def test_malformed_repeat_of_a_running_attempt_is_not_called_not_run():
+def test_malformed_repeat_of_a_running_attempt_is_not_refused():
     """Guards against a refusal that reports work in progress as not run (I3).
 
     The repeated dispatch is malformed and would be refused if its attempt were new.
@@ -150,7 +150,7 @@
     with_engine(scenario)
 
 
-def test_log_never_waits_for_its_reader():
+def test_log_does_not_block_on_a_full_pipe():
     """Guards against an agent that blocks when its log pipe is full."""
     reader, writer = os.pipe()
     log_writer = LogWriter(writer)
@@ -164,7 +164,7 @@
     os.close(writer)
 
 
-def test_settings_errors_name_file_key_value_and_expectation():
+def test_settings_errors_name_file_key_value_and_expected_value():
     """Guards against invalid settings that pass or fail without a reason."""
     text = '{"instance_id": "e 1", "n_slots": 0, "colour": 1, "shared_secret": "abc"}'
     with pytest.raises(StepError) as caught:
--- a/packages/agent/src/bluebellusher_agent/tests/test_agent_drain.py
+++ b/packages/agent/src/bluebellusher_agent/tests/test_agent_drain.py
@@ -19,7 +19,7 @@
 from bluebellusher_standins.engine import EngineServer, EngineSettings, expect_answer
 
 
-def test_drain_refuses_new_work_and_finishes_the_old():
+def test_drain_refuses_new_attempts_and_finishes_running_ones():
     """Guards against interrupted answers and new work during a drain (I5, I6)."""
 
     async def scenario(entry, agent, engine):
@@ -32,13 +32,13 @@
         refusal = await entry.next(messages.Refuse, "a2")
         assert refusal.reason == "endpoint_draining"
         assert await entry.finish("a1") == expect_answer(body)
-        async with EntryClient(agent.port) as later:
-            assert later.hello.is_draining
+        async with EntryClient(agent.port) as late_entry:
+            assert late_entry.hello.is_draining
 
     with_engine(scenario, settings={"token_interval_ms": 20.0})
 
 
-def test_sigterm_drains_the_process_and_ends_it(tmp_path):
+def test_sigterm_drains_and_ends_the_process(tmp_path):
     """Guards against a process that exits before its answers are complete."""
 
     async def main():
@@ -56,7 +56,7 @@
                 stdout=asyncio.subprocess.PIPE,
             )
             port = await _read_port(process)
-            drain = asyncio.create_task(process.stdout.read())
+            log_output = asyncio.create_task(process.stdout.read())
             async with EntryClient(port) as entry:
                 body = make_body(n_tokens=50)
                 entry.dispatch("a1", body)
@@ -65,7 +65,7 @@
                 await entry.next(messages.Drain)
                 assert await entry.finish("a1") == expect_answer(body)
                 await entry.wait(lambda: entry.is_closed)
-            assert SECRET.encode() not in await drain
+            assert SECRET.encode() not in await log_output
             assert await process.wait() == 0
 
     uvloop.run(main())
--- a/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
+++ b/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
@@ -19,7 +19,7 @@
 from bluebellusher_standins.engine import EngineServer, expect_answer
 from bluebellusher_standins.plain_service import PlainServiceServer
 
-CALL = {"path": "/book", "is_idempotent": False}
+NON_IDEMPOTENT_CALL = {"path": "/book", "is_idempotent": False}
 
 
 def with_service(scenario, **changes):
@@ -46,22 +46,26 @@
     async def scenario(entry, agent, service):
         service.faults.stall_ms = 50
         for _ in range(3):
-            entry.dispatch("a1", b"booking", **CALL)
+            entry.dispatch("a1", b"booking", **NON_IDEMPOTENT_CALL)
         await entry.finish("a1")
-        entry.dispatch("a1", b"booking", **CALL)
+        entry.dispatch("a1", b"booking", **NON_IDEMPOTENT_CALL)
         entry.abort()
-        async with EntryClient(agent.port) as again:
-            again.dispatch("a1", b"booking", **CALL)
-            await again.finish("a1")
-            again.dispatch("a2", b"booking", request_id="r-a1", **CALL)
-            await again.finish("a2")
-            again.dispatch("a1", b"booking", request_id="r-a1", **CALL)
-            assert (await again.next(messages.Broken)).reason == "outcome_unknown"
+        async with EntryClient(agent.port) as reconnected:
+            reconnected.dispatch("a1", b"booking", **NON_IDEMPOTENT_CALL)
+            await reconnected.finish("a1")
+            reconnected.dispatch(
+                "a2", b"booking", request_id="r-a1", **NON_IDEMPOTENT_CALL
+            )
+            await reconnected.finish("a2")
+            reconnected.dispatch(
+                "a1", b"booking", request_id="r-a1", **NON_IDEMPOTENT_CALL
+            )
+            assert (await reconnected.next(messages.Broken)).reason == "outcome_unknown"
             service.faults.stall_ms = 1_500
-            again.dispatch("a3", b"reading", path="/read")
-            await again.wait(lambda: service.n_executions_by_body[b"reading"])
-            again.dispatch("a3", b"reading", path="/read")
-            await again.finish("a3")
+            reconnected.dispatch("a3", b"reading", path="/read")
+            await reconnected.wait(lambda: service.n_executions_by_body[b"reading"])
+            reconnected.dispatch("a3", b"reading", path="/read")
+            await reconnected.finish("a3")
         assert service.n_executions_by_body[b"reading"] == 1
         assert service.n_executions_by_body[b"booking"] == 1
 
@@ -73,10 +77,10 @@
 
     async def scenario(entry, agent, service):
         service.faults.stall_ms = 2_000
-        entry.dispatch("a1", b"booking", request_id="r1", **CALL)
+        entry.dispatch("a1", b"booking", request_id="r1", **NON_IDEMPOTENT_CALL)
         await entry.wait(lambda: service.n_executions_by_body[b"booking"])
         entry.send(messages.Cancel("a1"))
-        entry.dispatch("a2", b"booking", request_id="r1", **CALL)
+        entry.dispatch("a2", b"booking", request_id="r1", **NON_IDEMPOTENT_CALL)
         broken = await entry.next(messages.Broken, "a2")
         assert broken.reason == "outcome_unknown"
         assert service.n_executions_by_body[b"booking"] == 1
@@ -85,7 +89,7 @@
 
 
 @pytest.mark.parametrize("fault", ["drop_after_execute", "drop_before_execute"])
-def test_call_with_a_lost_answer_is_not_repeated_or_called_not_run(fault):
+def test_call_with_a_lost_answer_is_not_repeated_or_refused(fault):
     """Guards against a second execution and a false refusal as not run (I3, I4).
 
     The service closes the connection before or after it executes the call.
@@ -93,7 +97,7 @@
 
     async def scenario(entry, agent, service):
         setattr(service.faults, fault, 1)
-        entry.dispatch("a1", b"booking", **CALL)
+        entry.dispatch("a1", b"booking", **NON_IDEMPOTENT_CALL)
         assert (await entry.next(messages.Broken)).reason == "engine_error"
         expected = 1 if fault == "drop_after_execute" else 0
         assert service.n_executions_by_body[b"booking"] == expected
@@ -101,23 +105,23 @@
     with_service(scenario)
 
 
-def test_call_in_progress_survives_the_loss_of_its_entry():
+def test_call_in_progress_continues_after_its_entry_disconnects():
     """Guards against a call that is interrupted because its entry disconnected."""
 
     async def scenario(entry, agent, service):
         service.faults.stall_ms = 1_500
-        entry.dispatch("a1", b"booking", **CALL)
+        entry.dispatch("a1", b"booking", **NON_IDEMPOTENT_CALL)
         await entry.wait(lambda: service.n_executions_by_body[b"booking"])
         entry.abort()
-        async with EntryClient(agent.port) as again:
-            await again.wait(lambda: service.n_finished_calls)
+        async with EntryClient(agent.port) as reconnected:
+            await reconnected.wait(lambda: service.n_finished_calls)
         assert service.n_executions_by_body[b"booking"] == 1
         assert service.n_cut_calls == 0
 
     with_service(scenario, resume_window_ms=50)
 
 
-def test_call_gets_a_connection_of_its_own():
+def test_non_idempotent_call_gets_a_new_connection():
     """Guards against a call that is lost on an idle connection.
 
     The service may close an idle connection just as the call is written.
@@ -127,7 +131,7 @@
         for attempt_id in ("a1", "a2"):
             entry.dispatch(attempt_id, b"", method="GET", path="/read")
             await entry.finish(attempt_id)
-        entry.dispatch("a3", b"booking", **CALL)
+        entry.dispatch("a3", b"booking", **NON_IDEMPOTENT_CALL)
         await entry.finish("a3")
         first, second, third = service.client_ports
         assert first == second != third
@@ -135,7 +139,7 @@
     with_service(scenario)
 
 
-def test_crash_is_told_to_all_entries_with_its_victims():
+def test_crash_is_broadcast_with_all_affected_attempts():
     """Guards against a poison request that crashes one endpoint after another.
 
     Each entry must receive the fingerprints of all requests that a crash ended.
@@ -158,7 +162,7 @@
     with_engine(scenario)
 
 
-def test_fast_restart_of_the_engine_is_seen_as_a_crash():
+def test_fast_restart_of_the_engine_is_detected_as_a_crash():
     """Guards against a crash that is taken for a broken stream after a restart."""
 
     async def scenario(entry, agent, engine):
@@ -169,7 +173,7 @@
     with_engine(scenario, settings={"restart_ms": 0})
 
 
-def test_runs_on_a_restarted_engine_are_not_blamed_for_the_crash():
+def test_runs_on_a_restarted_engine_are_not_reported_as_crashed():
     """Guards against false suspects: requests that run after the engine restarted."""
 
     async def scenario(entry, agent, engine):
@@ -199,9 +203,9 @@
                 clock.offset_ms = 3_000
                 entry.dispatch("a1", make_body())
                 await entry.wait(lambda: entry.is_closed)
-            async with EntryClient(agent.port) as again:
-                again.dispatch("a2", make_body("after"))
-                await again.finish("a2")
+            async with EntryClient(agent.port) as reconnected:
+                reconnected.dispatch("a2", make_body("after"))
+                await reconnected.finish("a2")
             assert engine.received_bodies == [make_body("after")]
 
     uvloop.run(main())
@@ -217,7 +221,7 @@
         return super().now_ms() + self.offset_ms
 
 
-def test_probe_does_not_take_the_end_of_a_kept_connection_for_a_crash():
+def test_closed_idle_connection_is_not_detected_as_a_crash():
     """Guards against false crashes when the target closes an idle connection."""
 
     async def answer_once(reader, writer):
@@ -240,7 +244,7 @@
     uvloop.run(main())
 
 
-def test_isolated_run_excludes_new_work_and_names_the_culprit():
+def test_isolated_run_excludes_other_work_and_is_named_in_its_crash():
     """Guards against other requests that run beside an isolated suspect.
 
     They would end with its crash. The crash must be reported with the fingerprint of
@@ -293,7 +297,7 @@
     with_engine(scenario)
 
 
-def test_isolation_ends_with_the_suspect():
+def test_isolation_ends_with_the_isolated_run():
     """Guards against an endpoint that refuses all work after an isolated run."""
 
     async def scenario(entry, agent, engine):
@@ -309,7 +313,7 @@
     with_engine(scenario)
 
 
-def test_isolation_outlives_a_cancel_that_the_engine_did_not_hear():
+def test_isolation_lasts_until_the_engine_answers_the_cancellation():
     """Guards against work beside a suspect on an unresponsive engine.
 
     The engine does not answer the cancellation, so that the suspect may still run.
@@ -386,14 +390,14 @@
         entry.dispatch("a1", make_body("x" * 200))
         report = await entry.next(messages.CacheReport)
         assert len(report.added) == 3
-        async with EntryClient(agent.port) as later:
-            snapshot = await later.next(messages.CacheReport)
+        async with EntryClient(agent.port) as late_entry:
+            snapshot = await late_entry.next(messages.CacheReport)
             assert (snapshot.added, snapshot.has_gap) == (report.added, True)
 
     with_engine(scenario, settings={"cache_event_lag_ms": 0})
 
 
-def test_informational_answers_without_end_are_given_up():
+def test_endless_informational_answers_raise_an_error():
     """Guards against a faulty server that keeps the agent reading for seconds."""
 
     async def main():
--- a/packages/agent/src/bluebellusher_agent/tests/test_agent_streams.py
+++ b/packages/agent/src/bluebellusher_agent/tests/test_agent_streams.py
@@ -14,7 +14,7 @@
 from bluebellusher_standins.engine import expect_answer
 
 
-def test_concurrent_answers_arrive_whole_and_unmixed():
+def test_concurrent_answers_arrive_complete_and_unmixed():
     """Guards against bytes of one answer in another when they share a batch."""
 
     async def scenario(entry, agent, engine):
@@ -52,7 +52,7 @@
         body = make_body(n_tokens=30)
         entry.dispatch("a1", body, credit_bytes=100)
         await entry.wait(lambda: len(entry.data("a1")) >= 100)
-        await agent_settled(agent)
+        await wait_for_flushes(agent)
         assert len(entry.data("a1")) == 100
         entry.send(messages.Credit("a1", 50))
         await entry.wait(lambda: len(entry.data("a1")) >= 150)
@@ -63,7 +63,7 @@
     with_engine(scenario)
 
 
-async def agent_settled(agent):
+async def wait_for_flushes(agent):
     """Wait for several flush intervals, in which a faulty agent would send more."""
     await asyncio.sleep(0.1)
 
@@ -83,7 +83,7 @@
     with_engine(scenario)
 
 
-def test_silent_engine_connection_is_replaced():
+def test_stalled_engine_connection_is_replaced():
     """Guards against a stream that stalls on a dead connection until its deadline."""
 
     async def scenario(entry, agent, engine):
@@ -96,7 +96,7 @@
     with_engine(scenario, stream_silence_ms=500)
 
 
-def test_stream_that_ends_early_is_never_finished():
+def test_truncated_stream_is_not_relayed_as_finished():
     """Guards against a truncated answer that is relayed as complete."""
 
     async def scenario(entry, agent, engine):
@@ -131,10 +131,10 @@
         await entry.wait(lambda: len(entry.data("a1")) > 500)
         entry.abort()
         await entry.wait(lambda: entry.is_closed)
-        async with EntryClient(agent.port) as again:
+        async with EntryClient(agent.port) as reconnected:
             offset = len(entry.data("a1")) - 100
-            again.dispatch("a2", body, request_id="r1", resume_offset=offset)
-            rest = await again.finish("a2")
+            reconnected.dispatch("a2", body, request_id="r1", resume_offset=offset)
+            rest = await reconnected.finish("a2")
             assert entry.data("a1")[:offset] + rest == expect_answer(body)
         async with EntryClient(agent.port) as third:
             third.dispatch("a3", body, request_id="r1", resume_offset=5)
@@ -144,7 +144,7 @@
     with_engine(scenario)
 
 
-def test_silent_connection_is_closed_and_its_answer_can_be_resumed():
+def test_unresponsive_connection_is_closed_and_its_answer_can_be_resumed():
     """Guards against an answer that stays bound to an unresponsive connection."""
 
     async def scenario(entry, agent, engine):
@@ -152,9 +152,9 @@
         entry.dispatch("a1", body, request_id="r1", credit_bytes=10)
         entry.sends_heartbeats = False
         await entry.wait(lambda: entry.is_closed)
-        async with EntryClient(agent.port) as again:
-            again.dispatch("a2", body, request_id="r1", resume_offset=10)
-            rest = await again.finish("a2")
+        async with EntryClient(agent.port) as reconnected:
+            reconnected.dispatch("a2", body, request_id="r1", resume_offset=10)
+            rest = await reconnected.finish("a2")
             assert entry.data("a1") + rest == expect_answer(body)
 
     with_engine(scenario)
@@ -182,7 +182,7 @@
     with_engine(scenario)
 
 
-def test_abandoned_answer_is_cancelled_after_the_resume_window():
+def test_detached_answer_is_cancelled_after_the_resume_window():
     """Guards against engine slots occupied for entries that do not reconnect."""
 
     async def scenario(entry, agent, engine):
@@ -196,7 +196,7 @@
     with_engine(scenario, resume_window_ms=100)
 
 
-def test_cancel_frees_the_engine_and_silences_the_attempt():
+def test_cancel_frees_the_engine_slot_and_ends_the_attempt():
     """Guards against work that continues after its caller disconnected."""
 
     async def scenario(entry, agent, engine):
--- a/packages/agent/src/bluebellusher_agent/tests/test_run.py
+++ b/packages/agent/src/bluebellusher_agent/tests/test_run.py
@@ -10,7 +10,7 @@
 from bluebellusher_agent._run import Run
 from bluebellusher_core.wire import messages
 
-KEEP_BYTES = 500
+RETAINED_BYTES = 500
 
 
 class FakeRelay:
@@ -46,7 +46,7 @@
     dispatch = messages.Dispatch(
         attempt_id="a1", request_id="r1", method="POST", path="/", remaining_ms=1000
     )
-    return Run(dispatch, "entry-1", 0, KEEP_BYTES)
+    return Run(dispatch, "entry-1", 0, RETAINED_BYTES)
 
 
 STEP = st.tuples(
@@ -55,14 +55,14 @@
 
 
 @given(st.lists(STEP, max_size=40), st.integers(0, 2**32))
-def test_property_resumed_answers_are_whole_and_within_their_credit(steps, seed):
+def test_property_resumed_answers_are_complete_and_within_their_credit(steps, seed):
     """Guards against a resumed answer with a gap or a repeated part."""
-    asyncio.run(check_steps(steps, random.Random(seed)))
+    asyncio.run(run_steps(steps, random.Random(seed)))
 
 
-async def check_steps(steps, random_state):
+async def run_steps(steps, random_state):
     """Apply the steps and compare the bytes that the entry received."""
-    run, sent, kept = make_run(), bytearray(), bytearray()
+    run, sent, received = make_run(), bytearray(), bytearray()
     relay, credit = FakeRelay(0), 100
     run.attach(relay, "a1", 0, credit)
     run.set_head(200, {})
@@ -75,22 +75,22 @@
             credit += number
             run.add_credit(number)
         elif kind == "lose" and relay is not None:
-            # At most KEEP_BYTES may be lost in transit: the agent retains only these.
-            n_lost = min(number, KEEP_BYTES, len(relay.data))
-            kept += relay.data[: len(relay.data) - n_lost]
+            # The agent retains RETAINED_BYTES, so that no more may be lost in transit.
+            n_lost = min(number, RETAINED_BYTES, len(relay.data))
+            received += relay.data[: len(relay.data) - n_lost]
             relay = None
             run.detach()
         elif kind == "resume" and relay is None:
-            relay, credit = FakeRelay(len(kept)), number
-            assert run.buffer.holds(relay.offset)
+            relay, credit = FakeRelay(len(received)), number
+            assert run.buffer.contains(relay.offset)
             run.attach(relay, "a2", relay.offset, credit)
         if relay is not None:
             assert len(relay.data) <= credit
     if relay is None:
-        relay = FakeRelay(len(kept))
+        relay = FakeRelay(len(received))
         run.attach(relay, "a3", relay.offset, 0)
     run.complete((1, 0, 1))
     run.add_credit(1 << 20)
-    assert kept + relay.data == sent
+    assert received + relay.data == sent
     assert relay.finish.n_bytes == len(sent)
     assert relay.finish.crc32 == zlib.crc32(sent)
