Document private functions of the agent

Private functions whose name does not state their effect get a first line, and the actions for a dispatch are described one by one. Doc comments only; behaviour does not change.

--- a/packages/agent/src/bluebellusher_agent/_agent.py
+++ b/packages/agent/src/bluebellusher_agent/_agent.py
@@ -90,7 +90,7 @@
     async def start(self) -> None:
         """Listen for entries and start the periodic tasks.
 
-        They send heartbeats, reports of load and cache, and check for time-outs.
+        The tasks send heartbeats and reports of load and cache, and check timeouts.
         """
         loop = asyncio.get_running_loop()
         listen = self.settings.listen
@@ -340,11 +340,13 @@
             await asyncio.sleep(TICK_MS / 1000)
 
     def _record_target_state(self, is_answering: bool, reason: str) -> None:
+        """Log when the target starts or stops answering the requests for reports."""
         if is_answering != self._is_target_answering:
             self._is_target_answering = is_answering
             log("target-reports", is_answering=is_answering, reason=reason)
 
     async def _report(self) -> None:
+        """Read the state of the target and broadcast the reports that have changed."""
         if not self.is_model:
             counts = [len(self.runs.running()), 0, 0]
             report = self._load.update(counts, 0.0, 0, self.runs.is_draining)
--- a/packages/agent/src/bluebellusher_agent/_connection.py
+++ b/packages/agent/src/bluebellusher_agent/_connection.py
@@ -1,4 +1,4 @@
-"""Connection from one entry: handshake, framing, batched writes and time-outs."""
+"""Connection from one entry: handshake, framing, batched writes and timeouts."""
 
 import asyncio
 import os
@@ -151,6 +151,7 @@
             self.close(f"handle-message: {type(error).__name__}: {error}")
 
     def _receive_hello(self, data: bytes) -> None:
+        """Buffer data up to the end of the first frame, then authenticate the entry."""
         self._hello_buffer += data
         if len(self._hello_buffer) < 4:
             return
@@ -168,6 +169,13 @@
             self._receive(remaining_data)
 
     def _authenticate(self, hello: Any) -> None:
+        """Verify the ``Hello`` of an entry and send the authenticated ``Hello``.
+
+        Raises
+        ------
+        StepError
+            If the message is not a valid ``Hello`` of an entry with the right MAC.
+        """
         if not isinstance(hello, messages.Hello):
             raise StepError("handshake", self.address, "expected Hello")
         required_fields = (hello.instance_id, hello.failure_domain, hello.incarnation)
@@ -195,6 +203,7 @@
         self._owner.on_ready(self)
 
     def _receive(self, data: bytes) -> None:
+        """Decode frames and pass all messages but heartbeats to the agent."""
         assert self._decoder is not None
         for message in self._decoder.feed(data):
             if self._transport is None or self._transport.is_closing():
--- a/packages/agent/src/bluebellusher_agent/_executor.py
+++ b/packages/agent/src/bluebellusher_agent/_executor.py
@@ -144,6 +144,7 @@
         return True
 
     def _is_resumable(self, run: Run) -> bool:
+        """Return whether the answer is an event stream that the engine can resume."""
         content_type = run.header_by_name.get("content-type", "")
         is_stream = content_type.startswith("text/event-stream")
         return self._is_model and run.status == 200 and is_stream
@@ -159,6 +160,7 @@
         )
 
     async def _exchange(self, run: Run) -> None:
+        """Send the attempt once and receive its answer from the current offset on."""
         offset = run.buffer.end
         connection = await self._client.acquire(run.is_idempotent)
         run.is_sent = True
@@ -183,6 +185,7 @@
         run.complete(self._read_usage(run, exchange))
 
     async def _receive_body(self, run: Run, exchange: Exchange) -> None:
+        """Receive the body, with pauses while the run allows no reading."""
         while True:
             if not run.reading_allowed.is_set():
                 await run.reading_allowed.wait()
@@ -207,6 +210,15 @@
     def _check_answer_head(
         self, run: Run, exchange: Exchange, status: int, offset: int
     ) -> None:
+        """Check that the answer of an engine belongs to the attempt and its offset.
+
+        Raises
+        ------
+        _CorruptAnswerError
+            If it is the answer of another attempt.
+        ExchangeError
+            If a resumed stream has another status or starts at another offset.
+        """
         if not self._is_model:
             return
         peer = self._client.peer
@@ -282,4 +294,5 @@
 
 
 def _select_end_to_end_headers(header_by_name: dict[str, str]) -> dict[str, str]:
+    """Return the headers that may be relayed, without hop-by-hop headers."""
     return {n: v for n, v in header_by_name.items() if n not in HOP_BY_HOP_HEADERS}
--- a/packages/agent/src/bluebellusher_agent/_http.py
+++ b/packages/agent/src/bluebellusher_agent/_http.py
@@ -184,6 +184,7 @@
             connection.close()
 
     async def _receive(self) -> None:
+        """Read from the connection and pass the data to the parser."""
         if self._connection is None:
             raise ExchangeError("read-answer", self._client.peer, "closed")
         try:
@@ -202,6 +203,7 @@
         raise ExchangeError("read-answer", self._client.peer, "connection closed")
 
     def _release_connection(self) -> None:
+        """Return the connection to the client if it can be reused, else close it."""
         connection, self._connection = self._connection, None
         if connection is None:
             return
@@ -343,6 +345,7 @@
             self._idle.popleft().close()
 
     def _pop_idle(self) -> HttpConnection | None:
+        """Return the most recently used idle connection, None if none can be reused."""
         now_s = time.monotonic()
         while self._idle:
             connection = self._idle.pop()
@@ -365,6 +368,7 @@
     def _encode_head(
         self, method: str, path: str, header_by_name: dict[str, str], n_bytes: int
     ) -> bytes:
+        """Return the request line and headers for a body of ``n_bytes``."""
         lines = [f"{method} {path} HTTP/1.1", f"host: {self.peer}"]
         lines += [f"{name}: {value}" for name, value in header_by_name.items()]
         if n_bytes or method in ("POST", "PUT", "PATCH"):
--- a/packages/agent/src/bluebellusher_agent/_keeper.py
+++ b/packages/agent/src/bluebellusher_agent/_keeper.py
@@ -107,6 +107,7 @@
         self._spawn(self._cancel_on_target(run))
 
     async def _cancel_on_target(self, run: Run) -> None:
+        """Cancel a run on the target, then end it."""
         assert self._executor is not None
         is_cancelled_on_target = await self._executor.cancel_on_target(run)
         # An isolated suspect may still run on an unresponsive engine. It excludes other
@@ -141,6 +142,7 @@
         self.end(run)
 
     def _send_final_message(self, connection: Any, run: Run, message: Any) -> None:
+        """Send the last message of a run after all messages that are queued."""
         connection.flush()
         connection.send(message)
 
@@ -157,6 +159,10 @@
         self._on_change()
 
     def _evict_sent_answers(self) -> None:
+        """End sent runs until their answers fit into ``MAX_RETAINED_BYTES``.
+
+        Runs are ended in the order of their start or, if resumed, last resumption.
+        """
         sent_runs = [run for run in self._runs if run.is_finish_queued]
         n_bytes = sum(len(run.buffer) for run in sent_runs)
         for run in sent_runs:
@@ -202,6 +208,7 @@
         # be repeated and must not be interrupted halfway.
 
     def _on_deadline(self, run: Run) -> None:
+        """Cancel a run at its deadline, unless its complete answer is queued."""
         if run.is_ended or run.is_finish_queued:
             return
         log("deadline-exceeded", attempt_id=run.attempt_id)
--- a/packages/agent/src/bluebellusher_agent/_memory.py
+++ b/packages/agent/src/bluebellusher_agent/_memory.py
@@ -4,8 +4,8 @@
 
 from bluebellusher_agent._log import log
 
-# The processes for control on a node may use 32 MB of resident memory. Trimming starts
-# below this limit, so that memory allocated afterwards stays within it.
+# The limit of resident memory for control on a node is 32 MB. Trimming starts below it
+# so that memory that is allocated afterwards stays within the limit.
 TRIM_ABOVE_BYTES = 29_000_000
 TRIM_STEP_BYTES = 1_000_000
 
--- a/packages/agent/src/bluebellusher_agent/_monitor.py
+++ b/packages/agent/src/bluebellusher_agent/_monitor.py
@@ -69,6 +69,7 @@
             self._probe_task = None
 
     async def _check_health(self) -> tuple[TargetState, str]:
+        """Request ``GET /healthz``; return the state of the target and its boot id."""
         try:
             # A new connection is needed: the target may close an idle connection at
             # any time, so its end would not show a crash.
--- a/packages/agent/src/bluebellusher_agent/_orders.py
+++ b/packages/agent/src/bluebellusher_agent/_orders.py
@@ -55,6 +55,11 @@
             return await self._forward(order)
 
     def _raise_min_token(self, order: Any) -> int:
+        """Raise the minimum token of a lease to that of an order and return it.
+
+        For a new lease above ``MAX_LEASES`` nothing is recorded, and the returned token
+        is higher than that of the order, so that the order is refused.
+        """
         min_token = self._min_token_by_lease.get(order.lease_name, 0)
         if min_token == 0 and len(self._min_token_by_lease) >= MAX_LEASES:
             return order.fencing_token + 1
@@ -68,6 +73,11 @@
         return messages.OrderResult(order.order_id, False, reason, min_token)
 
     async def _forward(self, order: Any) -> Any:
+        """Send an order to the engine and return its ``OrderResult``.
+
+        The result is recorded unless no byte of the order was sent. Status 409 means
+        that the engine has received a higher token, which the answer contains.
+        """
         token = order.fencing_token
         body = {
             "order_id": order.order_id,
--- a/packages/agent/src/bluebellusher_agent/_reports.py
+++ b/packages/agent/src/bluebellusher_agent/_reports.py
@@ -7,8 +7,8 @@
 from bluebellusher_core.errors import StepError
 from bluebellusher_core.wire import messages
 
-# Number of cached blocks that are recorded for the report to an entry that connects
-# later; the oldest ones are evicted.
+# Maximum number of cached blocks that are recorded for the report to an entry that
+# connects later; the oldest ones are evicted.
 MAX_RECORDED_BLOCKS = 4_096
 MAX_NAMES = 1_000
 
@@ -160,6 +160,10 @@
     def _build_cache_report(
         self, changes: list[tuple[int, list[int], list[int]]]
     ) -> Any:
+        """Combine cache changes into one ``CacheReport`` and record them.
+
+        Each change consists of its sequence number, the added and the removed hashes.
+        """
         has_gap = False
         is_added_by_hash: dict[int, bool] = {}
         first = changes[0][0]
--- a/packages/agent/src/bluebellusher_agent/_run.py
+++ b/packages/agent/src/bluebellusher_agent/_run.py
@@ -163,6 +163,7 @@
         self._reset_sending(0, 0)
 
     def _reset_sending(self, offset: int, credit_bytes: int) -> None:
+        """Reset the state of sending, so that sending starts at ``offset``."""
         self.n_sent = offset
         self.credit_end_offset = offset + credit_bytes
         self.is_started_queued = False
@@ -300,6 +301,10 @@
             self.deadline_handle.cancel()
 
     def _update_reading_allowed(self) -> None:
+        """Allow reading from the target while there is credit and buffer space.
+
+        A run without a connection needs no credit.
+        """
         n_unsent = self.buffer.end - self.n_sent
         has_credit = self.connection is None or self.credit_end_offset > self.buffer.end
         if has_credit and n_unsent < MAX_UNSENT_BYTES:
--- a/packages/agent/src/bluebellusher_agent/_runs.py
+++ b/packages/agent/src/bluebellusher_agent/_runs.py
@@ -20,7 +20,13 @@
 
 
 class Verdict(Enum):
-    """Action for a dispatch."""
+    """Action for a dispatch.
+
+    ``START`` starts a run, ``RESUME`` sends the answer of an existing run to another
+    connection, and ``REPLACE`` cancels an existing run and starts a new one. ``REFUSE``
+    and ``BREAK`` send ``Refuse`` and ``Broken``. ``IGNORE`` does nothing. ``CLOSE``
+    closes the connection, because the dispatch contradicts an existing run.
+    """
 
     START = "start"
     RESUME = "resume"
@@ -101,6 +107,7 @@
         return self._decide_start(dispatch)
 
     def _decide_repeat(self, run: Run, dispatch: Any, connection: Any) -> Decision:
+        """Decide about a dispatch with the current attempt id of a run."""
         if run.is_cancelled:
             return Decision(Verdict.BREAK, run, Reason.OUTCOME_UNKNOWN)
         is_same_request = (run.entry_id, run.request_id, run.fingerprint) == (
@@ -115,6 +122,7 @@
         return self._decide_offset(run, dispatch)
 
     def _decide_resume(self, run: Run, dispatch: Any, connection: Any) -> Decision:
+        """Decide about a dispatch with a new attempt id for the request of a run."""
         if run.fingerprint != (dispatch.fingerprint or ""):
             return Decision(Verdict.CLOSE, run)
         can_run_again = dispatch.is_idempotent and not dispatch.resume_offset
@@ -129,11 +137,13 @@
         return self._decide_offset(run, dispatch)
 
     def _decide_offset(self, run: Run, dispatch: Any) -> Decision:
+        """Resume a run if its answer is still retained from the requested offset on."""
         if run.buffer.contains(dispatch.resume_offset):
             return Decision(Verdict.RESUME, run)
         return Decision(Verdict.BREAK, run, Reason.OUTCOME_UNKNOWN)
 
     def _decide_start(self, dispatch: Any) -> Decision:
+        """Start a new run, or refuse it when the agent cannot run it now."""
         if self.is_draining:
             return _refuse(Reason.ENDPOINT_DRAINING, DRAIN_RETRY_MS)
         if dispatch.remaining_ms <= 0:
@@ -184,9 +194,11 @@
             self._record_used(_format_request_key(key), now_ms)
 
     def _record_used(self, name: str, now_ms: int) -> None:
+        """Record an attempt id or request key as used for ``ATTEMPT_RECORD_MS``."""
         self._expiry_ms_by_used_id[name] = now_ms + ATTEMPT_RECORD_MS
 
     def _discard_expired(self, now_ms: int) -> None:
+        """Discard the used ids and keys whose recording time has expired."""
         expiry_ms_by_used_id = self._expiry_ms_by_used_id
         while expiry_ms_by_used_id:
             attempt_id = next(iter(expiry_ms_by_used_id))
@@ -196,6 +208,7 @@
 
 
 def _format_request_key(key: tuple[str, str]) -> str:
+    """Return the name under which a request key is recorded as used."""
     # Attempt ids contain no space, so that a request key never equals an attempt id.
     return f"{key[0]} {key[1]}"
 
--- a/packages/agent/src/bluebellusher_agent/_settings.py
+++ b/packages/agent/src/bluebellusher_agent/_settings.py
@@ -218,6 +218,7 @@
 
 
 def _find_problems(data: dict[str, Any]) -> list[str]:
+    """Return an error message for each missing, unknown or invalid key."""
     required = ("instance_id", "failure_domain", "shared_secret", "listen", "target")
     problems = [f"{key}: missing" for key in required if key not in data]
     known_keys = {item.name for item in fields(AgentSettings)}
--- a/packages/agent/src/bluebellusher_agent/main.py
+++ b/packages/agent/src/bluebellusher_agent/main.py
@@ -55,6 +55,7 @@
 
 
 def _read_modified_ns(path: str) -> int:
+    """Return the modification time in nanoseconds, 0 if the file cannot be read."""
     try:
         return os.stat(path).st_mtime_ns
     except OSError:
