--- a/packages/agent/src/bluebellusher_agent/_reports.py
+++ b/packages/agent/src/bluebellusher_agent/_reports.py
@@ -166,7 +166,7 @@
         """
         has_gap = False
         is_added_by_hash: dict[int, bool] = {}
-        first = changes[0][0]
+        first_sequence = changes[0][0]
         for sequence, added, removed in changes:
             has_gap = has_gap or sequence != self._last_sequence + 1
             self._last_sequence = sequence
@@ -175,7 +175,9 @@
         added = [value for value, is_added in is_added_by_hash.items() if is_added]
         removed = [v for v, is_added in is_added_by_hash.items() if not is_added]
         self._update_recorded_blocks(added, removed)
-        return messages.CacheReport(added, removed, first, self._last_sequence, has_gap)
+        return messages.CacheReport(
+            added, removed, first_sequence, self._last_sequence, has_gap
+        )
 
     def _update_recorded_blocks(self, added: list[int], removed: list[int]) -> None:
         for value in removed:
--- a/packages/agent/src/bluebellusher_agent/tests/test_agent_streams.py
+++ b/packages/agent/src/bluebellusher_agent/tests/test_agent_streams.py
@@ -134,8 +134,8 @@
         async with EntryClient(agent.port) as reconnected:
             offset = len(entry.data("a1")) - 100
             reconnected.dispatch("a2", body, request_id="r1", resume_offset=offset)
-            rest = await reconnected.finish("a2")
-            assert entry.data("a1")[:offset] + rest == expect_answer(body)
+            remaining_data = await reconnected.finish("a2")
+            assert entry.data("a1")[:offset] + remaining_data == expect_answer(body)
         async with EntryClient(agent.port) as third:
             third.dispatch("a3", body, request_id="r1", resume_offset=5)
             assert await third.finish("a3") == expect_answer(body)[5:]
@@ -154,8 +154,8 @@
         await entry.wait(lambda: entry.is_closed)
         async with EntryClient(agent.port) as reconnected:
             reconnected.dispatch("a2", body, request_id="r1", resume_offset=10)
-            rest = await reconnected.finish("a2")
-            assert entry.data("a1") + rest == expect_answer(body)
+            remaining_data = await reconnected.finish("a2")
+            assert entry.data("a1") + remaining_data == expect_answer(body)
 
     with_engine(scenario)
 
