--- a/packages/agent/src/bluebellusher_agent/_monitor.py
+++ b/packages/agent/src/bluebellusher_agent/_monitor.py
@@ -1,4 +1,4 @@
-"""Health of the target: tells a crash from a broken stream."""
+"""Health checks of the target, which distinguish crashes from broken streams."""
 
 import asyncio
 import json
@@ -12,82 +12,88 @@
 
 
 class TargetState(Enum):
-    """What a probe found."""
+    """Result of a health check."""
 
     ALIVE = "alive"
     CRASHED = "crashed"
-    SILENT = "silent"
+    UNRESPONSIVE = "silent"
 
 
 class TargetMonitor:
-    """Probe the target after a stream broke.
+    """Check the health of the target and detect its crashes.
 
-    A target that refuses connections, or answers with another boot id than before,
-    has crashed. One that accepts a connection and does not answer is silent, which
-    proves nothing about the requests that run there.
+    A target has crashed if it refuses connections, closes the connection without an
+    answer, or answers with another boot id than before. A target that accepts a
+    connection but does not answer within ``PROBE_TIMEOUT_MS`` is unresponsive; the
+    requests on it may still be running.
 
     Parameters
     ----------
     client : HttpClient
         Connections to the target.
     on_crash : callable
-        Called once for each crash, while the runs that it hit are still known.
+        Called once for each detected crash, before the affected runs end.
     """
 
     def __init__(self, client: HttpClient, on_crash: Callable[[], None]) -> None:
         self._client = client
         self._on_crash = on_crash
-        self._probe: asyncio.Task[TargetState] | None = None
+        self._probe_task: asyncio.Task[TargetState] | None = None
         self.boot_id = ""
 
     async def probe(self) -> TargetState:
-        """Return the state of the target; concurrent callers share one probe."""
-        if self._probe is None:
+        """Return the state of the target; concurrent callers share one health check."""
+        if self._probe_task is None:
             loop = asyncio.get_running_loop()
-            self._probe = loop.create_task(self._run_probe())
-        return await asyncio.shield(self._probe)
+            self._probe_task = loop.create_task(self._run_probe())
+        return await asyncio.shield(self._probe_task)
 
     def observe_boot_id(self, boot_id: str) -> None:
-        """Take note of a boot id that a report carried."""
+        """Record the boot id of a report; a changed boot id is a crash."""
         is_restarted = bool(self.boot_id and boot_id) and boot_id != self.boot_id
         self.boot_id = boot_id or self.boot_id
         if is_restarted:
-            self._declare_crash()
+            self._handle_crash()
 
     async def _run_probe(self) -> TargetState:
         try:
-            state, boot_id = await self._ask()
+            state, boot_id = await self._check_health()
             is_restarted = bool(self.boot_id and boot_id) and boot_id != self.boot_id
             if state is TargetState.CRASHED or is_restarted:
                 self.boot_id = boot_id
-                self._declare_crash()
+                self._handle_crash()
                 return TargetState.CRASHED
             self.boot_id = boot_id or self.boot_id
             return state
         finally:
-            self._probe = None
+            self._probe_task = None
 
-    async def _ask(self) -> tuple[TargetState, str]:
+    async def _check_health(self) -> tuple[TargetState, str]:
+        """Request ``GET /healthz``; return the state of the target and its boot id."""
         try:
-            # The end of a kept connection would prove nothing.
+            # A new connection is needed: the target may close an idle connection at
+            # any time, so its end would not show a crash.
             _, body = await self._client.fetch(
                 "GET", "/healthz", b"", PROBE_TIMEOUT_MS, is_reusing=False
             )
         except NotSentError:
             return TargetState.CRASHED, ""
         except ExchangeError as error:
-            is_silent = "no answer" in error.reason
-            return TargetState.SILENT if is_silent else TargetState.CRASHED, ""
+            is_unresponsive = "no answer" in error.reason
+            return (
+                TargetState.UNRESPONSIVE if is_unresponsive else TargetState.CRASHED,
+                "",
+            )
         return TargetState.ALIVE, read_boot_id(body)
 
-    def _declare_crash(self) -> None:
+    def _handle_crash(self) -> None:
         log("target-crashed", peer=self._client.peer)
         self._client.close_idle(is_all=True)
         self._on_crash()
 
 
 def read_boot_id(body: bytes) -> str:
-    """Return the boot id in a JSON answer, or an empty string."""
+    """Return the boot id of a JSON answer, empty if it has none."""
     try:
         data = json.loads(body)
     except ValueError:
--- a/packages/agent/src/bluebellusher_agent/_orders.py
+++ b/packages/agent/src/bluebellusher_agent/_orders.py
@@ -1,4 +1,4 @@
-"""Orders to the engine under fencing tokens."""
+"""Forwarding of orders to the engine, protected by fencing tokens."""
 
 import asyncio
 import json
@@ -11,16 +11,17 @@
 from bluebellusher_core.wire import messages
 
 ORDER_TIMEOUT_MS = 10_000
-MAX_REMEMBERED_ORDERS = 256
+MAX_RECORDED_ORDERS = 256
 MAX_LEASES = 1_024
 
 
-class OrderDesk:
-    """Forward orders one at a time, never one with an old fencing token.
+class OrderForwarder:
+    """Forward orders one at a time and refuse outdated fencing tokens.
 
-    Orders are serialised: an order with a lower token that is still on its way to
-    the engine could otherwise arrive after one with a higher token, and an engine
-    that ignores tokens would execute it last.
+    The minimum token of a lease is the highest token that was received for it. Orders
+    are serialised because an order with a lower token that is in transit to the
+    engine could otherwise arrive after one with a higher token, and an engine that
+    ignores tokens would execute it last.
 
     Parameters
     ----------
@@ -31,38 +32,52 @@
     def __init__(self, client: HttpClient) -> None:
         self._client = client
         self._lock = asyncio.Lock()
-        self._floor_by_lease: dict[str, int] = {}
+        self._min_token_by_lease: dict[str, int] = {}
         self._result_by_id: OrderedDict[str, Any] = OrderedDict()
 
     async def execute(self, order: Any) -> Any:
-        """Return the ``OrderResult``; a repeated order is not executed again."""
-        # The floor is raised before waiting, so that a queued older order is refused.
-        floor = self._raise_floor(order)
-        if order.fencing_token < floor:
-            return self._refuse(order, floor)
+        """Forward an order and return its ``OrderResult``.
+
+        A repeated order gets its recorded result and is not forwarded again.
+        """
+        # The minimum token is raised before waiting for the lock, so that orders with
+        # lower tokens that already wait for the lock are refused.
+        min_token = self._raise_min_token(order)
+        if order.fencing_token < min_token:
+            return self._refuse(order, min_token)
         async with self._lock:
-            known = self._result_by_id.get(order.order_id)
-            if known is not None:
-                return known
-            floor = self._floor_by_lease.get(order.lease_name, 0)
-            if order.fencing_token < floor:
-                return self._refuse(order, floor)
+            recorded_result = self._result_by_id.get(order.order_id)
+            if recorded_result is not None:
+                return recorded_result
+            min_token = self._min_token_by_lease.get(order.lease_name, 0)
+            if order.fencing_token < min_token:
+                return self._refuse(order, min_token)
             return await self._forward(order)
 
-    def _raise_floor(self, order: Any) -> int:
-        floor = self._floor_by_lease.get(order.lease_name, 0)
-        if floor == 0 and len(self._floor_by_lease) >= MAX_LEASES:
+    def _raise_min_token(self, order: Any) -> int:
+        """Raise the minimum token of a lease to that of an order and return it.
+
+        For a new lease above ``MAX_LEASES`` nothing is recorded, and the returned token
+        is higher than that of the order, so that the order is refused.
+        """
+        min_token = self._min_token_by_lease.get(order.lease_name, 0)
+        if min_token == 0 and len(self._min_token_by_lease) >= MAX_LEASES:
             return order.fencing_token + 1
-        floor = max(floor, order.fencing_token)
-        self._floor_by_lease[order.lease_name] = floor
-        return floor
+        min_token = max(min_token, order.fencing_token)
+        self._min_token_by_lease[order.lease_name] = min_token
+        return min_token
 
-    def _refuse(self, order: Any, floor: int) -> Any:
+    def _refuse(self, order: Any, min_token: int) -> Any:
         log("order-refused", order_id=order.order_id, token=order.fencing_token)
-        reason = f"fencing_token={order.fencing_token}: expected at least {floor}"
-        return messages.OrderResult(order.order_id, False, reason, floor)
+        reason = f"fencing_token={order.fencing_token}: expected at least {min_token}"
+        return messages.OrderResult(order.order_id, False, reason, min_token)
 
     async def _forward(self, order: Any) -> Any:
+        """Send an order to the engine and return its ``OrderResult``.
+
+        The result is recorded unless no byte of the order was sent. Status 409 means
+        that the engine has received a higher token, which the answer contains.
+        """
         token = order.fencing_token
         body = {
             "order_id": order.order_id,
@@ -81,20 +96,22 @@
             return messages.OrderResult(order.order_id, False, reason, token)
         except StepError as error:
             reason = f"outcome unknown: {error.reason}"
-            return self._remember(order, False, reason, token)
+            return self._record_result(order, False, reason, token)
         if status == 409:
             token = _read_token(answer, token)
-            floor = max(self._floor_by_lease[order.lease_name], token)
-            self._floor_by_lease[order.lease_name] = floor
+            min_token = max(self._min_token_by_lease[order.lease_name], token)
+            self._min_token_by_lease[order.lease_name] = min_token
         is_accepted = status == 200
         reason = "" if is_accepted else f"engine answered {status}"
-        return self._remember(order, is_accepted, reason, token)
+        return self._record_result(order, is_accepted, reason, token)
 
-    def _remember(self, order: Any, is_accepted: bool, reason: str, token: int) -> Any:
-        """Keep the result of an order that may have been executed."""
+    def _record_result(
+        self, order: Any, is_accepted: bool, reason: str, token: int
+    ) -> Any:
+        """Record and return the result of an order that may have been executed."""
         result = messages.OrderResult(order.order_id, is_accepted, reason, token)
         self._result_by_id[order.order_id] = result
-        if len(self._result_by_id) > MAX_REMEMBERED_ORDERS:
+        if len(self._result_by_id) > MAX_RECORDED_ORDERS:
             self._result_by_id.popitem(last=False)
         return result
 
--- a/packages/agent/src/bluebellusher_agent/_reports.py
+++ b/packages/agent/src/bluebellusher_agent/_reports.py
@@ -1,4 +1,4 @@
-"""Load and cache reports of the target for the entries."""
+"""Reports of the load and the cache of the target to the entries."""
 
 import json
 from typing import Any
@@ -7,22 +7,26 @@
 from bluebellusher_core.errors import StepError
 from bluebellusher_core.wire import messages
 
-# Blocks that are told to an entry that connects later; older ones are forgotten.
-MAX_KNOWN_BLOCKS = 4_096
+# Maximum number of cached blocks that are recorded for the report to an entry that
+# connects later; the oldest ones are evicted.
+MAX_RECORDED_BLOCKS = 4_096
 MAX_NAMES = 1_000
 
 
 class LoadReader:
-    """Read ``GET /load`` and tell which readings differ.
+    """Read the load of the target and build reports when it has changed.
+
+    The load of an engine comes from ``GET /load``. For a plain service the agent
+    passes its own counts to ``update``.
 
     Parameters
     ----------
     client : HttpClient
         Connections to the engine.
     models, adapters : tuple of str
-        What the endpoint offers until the engine reports.
+        Models and adapters of the endpoint until the engine reports its own.
     n_slots : int
-        Batch limit until the engine reports.
+        Batch limit until the engine reports its own.
     """
 
     def __init__(
@@ -34,21 +38,21 @@
     ) -> None:
         self._client = client
         self._sequence = 0
-        self._content: tuple[Any, ...] = ()
+        self._last_content: tuple[Any, ...] = ()
         self.models = list(models)
         self.adapters = list(adapters)
         self.n_slots = n_slots
         self.boot_id = ""
         self.is_engine_draining = False
-        self.report: Any = None
+        self.last_report: Any = None
 
     async def read_engine(self, is_draining: bool) -> Any:
-        """Return a ``LoadReport`` when the reading changed, otherwise ``None``.
+        """Read the load of the engine and return a ``LoadReport``, None if unchanged.
 
         Raises
         ------
         StepError
-            When the engine does not answer as expected.
+            If the exchange fails or the answer is malformed.
         """
         status, body = await self._client.fetch("GET", "/load")
         try:
@@ -70,7 +74,19 @@
     def update(
         self, counts: list[int], kv_use: float, age_ms: int, is_draining: bool
     ) -> Any:
-        """Return a ``LoadReport`` when anything but the age changed."""
+        """Return a ``LoadReport``, None if nothing but the age has changed.
+
+        Parameters
+        ----------
+        counts : list of int
+            Running requests, queued requests and queued tokens.
+        kv_use : float
+            Used share of the KV cache.
+        age_ms : int
+            Age of the measurement, in milliseconds.
+        is_draining : bool
+            Whether the agent drains.
+        """
         is_draining = is_draining or self.is_engine_draining
         content = (
             *counts,
@@ -80,11 +96,11 @@
             tuple(self.adapters),
             is_draining,
         )
-        if content == self._content:
+        if content == self._last_content:
             return None
-        self._content = content
+        self._last_content = content
         self._sequence += 1
-        self.report = messages.LoadReport(
+        self.last_report = messages.LoadReport(
             sequence=self._sequence,
             n_running=counts[0],
             n_queued=counts[1],
@@ -96,30 +112,38 @@
             is_draining=is_draining,
             age_ms=age_ms,
         )
-        return self.report
+        return self.last_report
 
 
 class CacheReader:
-    """Read ``GET /cache-events`` and keep what a later entry needs to know."""
+    """Read the cache events of the engine and record its cached blocks.
+
+    Entries that connect later receive the recorded blocks in one report.
+
+    Parameters
+    ----------
+    client : HttpClient
+        Connections to the engine.
+    """
 
     def __init__(self, client: HttpClient) -> None:
         self._client = client
         self._last_sequence = 0
-        self._known: dict[int, None] = {}
+        self._recorded_blocks: dict[int, None] = {}
 
     async def read(self) -> Any:
-        """Return a ``CacheReport`` when there are new events, otherwise ``None``.
+        """Read new cache events and return a ``CacheReport``, None if there are none.
 
         Raises
         ------
         StepError
-            When the engine does not answer as expected.
+            If the exchange fails or the answer is malformed.
         """
         path = f"/cache-events?after={self._last_sequence}"
         status, body = await self._client.fetch("GET", path)
         try:
             events = json.loads(body)["events"]
-            rows = [
+            changes = [
                 (
                     int(event["sequence"]),
                     _read_hashes(event["added"]),
@@ -130,45 +154,53 @@
         except (KeyError, TypeError, ValueError) as error:
             reason = f"status {status}, {type(error).__name__}: expected cache events"
             raise StepError("read-cache", self._client.peer, reason) from error
-        rows = [row for row in rows if row[0] > self._last_sequence]
-        return self._merge(rows) if rows else None
+        changes = [change for change in changes if change[0] > self._last_sequence]
+        return self._build_cache_report(changes) if changes else None
+
+    def _build_cache_report(
+        self, changes: list[tuple[int, list[int], list[int]]]
+    ) -> Any:
+        """Combine cache changes into one ``CacheReport`` and record them.
 
-    def _merge(self, rows: list[tuple[int, list[int], list[int]]]) -> Any:
+        Each change consists of its sequence number, the added and the removed hashes.
+        """
         has_gap = False
         is_added_by_hash: dict[int, bool] = {}
-        first = rows[0][0]
-        for sequence, added, removed in rows:
+        first_sequence = changes[0][0]
+        for sequence, added, removed in changes:
             has_gap = has_gap or sequence != self._last_sequence + 1
             self._last_sequence = sequence
             is_added_by_hash.update(dict.fromkeys(added, True))
             is_added_by_hash.update(dict.fromkeys(removed, False))
         added = [value for value, is_added in is_added_by_hash.items() if is_added]
         removed = [v for v, is_added in is_added_by_hash.items() if not is_added]
-        self._update_known(added, removed)
-        return messages.CacheReport(added, removed, first, self._last_sequence, has_gap)
+        self._update_recorded_blocks(added, removed)
+        return messages.CacheReport(
+            added, removed, first_sequence, self._last_sequence, has_gap
+        )
 
-    def _update_known(self, added: list[int], removed: list[int]) -> None:
+    def _update_recorded_blocks(self, added: list[int], removed: list[int]) -> None:
         for value in removed:
-            self._known.pop(value, None)
+            self._recorded_blocks.pop(value, None)
         for value in added:
-            self._known.pop(value, None)
-            self._known[value] = None
-        while len(self._known) > MAX_KNOWN_BLOCKS:
-            del self._known[next(iter(self._known))]
-
-    def reset(self) -> Any:
-        """Forget everything after a crash; return the report that says so."""
-        removed = list(self._known)
-        self._known.clear()
+            self._recorded_blocks.pop(value, None)
+            self._recorded_blocks[value] = None
+        while len(self._recorded_blocks) > MAX_RECORDED_BLOCKS:
+            del self._recorded_blocks[next(iter(self._recorded_blocks))]
+
+    def discard_blocks(self) -> Any:
+        """Discard all recorded blocks after a crash and return a report of it."""
+        removed = list(self._recorded_blocks)
+        self._recorded_blocks.clear()
         self._last_sequence = 0
         return messages.CacheReport([], removed, 0, 0, True)
 
-    def snapshot(self) -> Any:
-        """Return a report of the known blocks for an entry that connects."""
-        if not self._known:
+    def build_snapshot(self) -> Any:
+        """Return a report of the recorded blocks, None if there are none."""
+        if not self._recorded_blocks:
             return None
-        known = list(self._known)
-        return messages.CacheReport(known, [], 0, self._last_sequence, True)
+        blocks = list(self._recorded_blocks)
+        return messages.CacheReport(blocks, [], 0, self._last_sequence, True)
 
 
 def _read_names(data: Any) -> list[str]:
--- a/packages/agent/src/bluebellusher_agent/_settings.py
+++ b/packages/agent/src/bluebellusher_agent/_settings.py
@@ -1,4 +1,4 @@
-"""Settings of the agent: JSON with comments, checked by hand."""
+"""Settings of the agent, read from JSON with comments and validated."""
 
 import json
 from collections.abc import Callable
@@ -20,35 +20,39 @@
 
 @dataclass(frozen=True, slots=True)
 class AgentSettings:
-    """Everything that an agent must be told.
+    """Settings of an agent.
 
     Parameters
     ----------
     instance_id, failure_domain : str
         Identity of the endpoint instance.
     shared_secret : str
-        Known to all processes of the system; at least 16 characters.
+        Secret of the whole system, which authenticates connections; at least 16
+        characters.
     listen : Address
-        Where entries connect; port 0 lets the system choose.
+        Address on which entries connect; for port 0 the system chooses a free port.
     target : Address
-        The engine or plain service on the same instance.
+        Address of the engine or plain service on the same instance.
     kind : str
         ``"model"`` for an engine, ``"plain"`` for a plain service.
     services, models, adapters : tuple of str
-        What the endpoint offers until the engine reports otherwise.
+        Services of the endpoint; models and adapters until the engine reports its
+        own.
     n_slots : int
-        Batch limit until the engine reports otherwise.
+        Batch limit until the engine reports its own.
     is_draining : bool
-        Take no new work; read again while the agent runs.
+        Whether to refuse new attempts. While the agent runs, a change from false to
+        true in the file starts a drain.
     max_runs : int
-        Attempts that may run at once; further ones are refused as not run.
+        Maximum number of concurrent attempts; further ones are refused as not run.
     resume_window_ms : int
-        How long an answer is held after its connection was lost or it was sent.
+        Time in milliseconds for which an answer is retained after its connection was
+        lost or after it was sent.
     resume_buffer_bytes : int
-        Bytes of each answer that are held for resumption.
+        Number of sent bytes of each answer that are retained for resumption.
     stream_silence_ms : int
-        A connection to the engine on which a begun stream makes no progress for
-        this long is replaced.
+        Time in milliseconds without progress of a started stream after which its
+        connection to the engine is replaced.
     """
 
     instance_id: str
@@ -74,7 +78,8 @@
         Raises
         ------
         StepError
-            With one line for each problem: file, key, value and expectation.
+            If the file cannot be read or is not valid. The error names the file and,
+            for each problem, the key, the value and the expected value.
         """
         try:
             with open(path, encoding="utf-8") as file:
@@ -85,7 +90,13 @@
 
     @classmethod
     def from_text(cls, text: str, path: str) -> "AgentSettings":
-        """Read settings from text; ``path`` is named in errors."""
+        """Parse settings from text; errors name ``path``.
+
+        Raises
+        ------
+        StepError
+            If the text is not valid; see ``from_file``.
+        """
         try:
             data = json.loads(strip_comments(text))
         except ValueError as error:
@@ -101,7 +112,7 @@
 def strip_comments(text: str) -> str:
     """Replace ``//`` and ``/* */`` comments by spaces and drop trailing commas.
 
-    Positions are kept so that JSON errors name the right line and column.
+    Line and column numbers do not change, so that JSON errors name the right position.
     """
     characters = list(text)
     position = 0
@@ -114,8 +125,8 @@
             continue
         end = _find_comment_end(text, position)
         if end > position:
-            blank = (c if c == "\n" else " " for c in text[position:end])
-            characters[position:end] = blank
+            spaces = (c if c == "\n" else " " for c in text[position:end])
+            characters[position:end] = spaces
             position = end
             continue
         if character in "]}" and last_comma >= 0:
@@ -156,7 +167,7 @@
     return is_text and all("!" <= c <= "~" for c in value)
 
 
-def _is_names(value: Any) -> bool:
+def _is_name_list(value: Any) -> bool:
     return isinstance(value, list) and all(_is_name(item) for item in value)
 
 
@@ -166,7 +177,7 @@
 
 
 def _is_ip(value: Any) -> bool:
-    # The ipaddress module alone would cost about 1 MB of resident memory.
+    # Importing the ipaddress module would cost about 1 MB of resident memory.
     if not isinstance(value, str):
         return False
     parts = value.split(".")
@@ -190,9 +201,9 @@
     "listen": (_is_address, '{"host": IP address, "port": 0 to 65535}'),
     "target": (_is_address, '{"host": IP address, "port": 0 to 65535}'),
     "kind": (lambda value: value in ("model", "plain"), '"model" or "plain"'),
-    "services": (_is_names, "a list of names"),
-    "models": (_is_names, "a list of names"),
-    "adapters": (_is_names, "a list of names"),
+    "services": (_is_name_list, "a list of names"),
+    "models": (_is_name_list, "a list of names"),
+    "adapters": (_is_name_list, "a list of names"),
     "n_slots": (lambda value: _is_int(value, 1, 100_000), "1 to 100000"),
     "is_draining": (lambda value: isinstance(value, bool), "true or false"),
     "max_runs": (lambda value: _is_int(value, 1, 100_000), "1 to 100000"),
@@ -207,15 +218,16 @@
 
 
 def _find_problems(data: dict[str, Any]) -> list[str]:
+    """Return an error message for each missing, unknown or invalid key."""
     required = ("instance_id", "failure_domain", "shared_secret", "listen", "target")
     problems = [f"{key}: missing" for key in required if key not in data]
-    known = {item.name for item in fields(AgentSettings)}
+    known_keys = {item.name for item in fields(AgentSettings)}
     for key, value in data.items():
-        if key not in known:
+        if key not in known_keys:
             problems.append(f"{key}: unknown key")
             continue
         is_valid, expectation = _CHECK_BY_KEY[key]
         if not is_valid(value):
-            shown = "(hidden)" if key in _SECRET_KEYS else repr(value)[:100]
-            problems.append(f"{key}={shown}: expected {expectation}")
+            displayed_value = "(hidden)" if key in _SECRET_KEYS else repr(value)[:100]
+            problems.append(f"{key}={displayed_value}: expected {expectation}")
     return problems
--- a/packages/agent/src/bluebellusher_agent/main.py
+++ b/packages/agent/src/bluebellusher_agent/main.py
@@ -16,15 +16,18 @@
 
 
 async def run_agent(path: str) -> None:
-    """Run until SIGTERM or SIGINT, then drain and return."""
+    """Run an agent until SIGTERM or SIGINT, then drain it and return.
+
+    ``path`` is the path of the settings file.
+    """
     agent = Agent(AgentSettings.from_file(path))
-    stopped = asyncio.Event()
+    stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, stopped.set)
+        loop.add_signal_handler(signal_number, stop_requested.set)
     await agent.start()
     watcher = loop.create_task(watch_settings(path, agent))
-    await stopped.wait()
+    await stop_requested.wait()
     watcher.cancel()
     agent.start_drain()
     await agent.wait_idle()
@@ -34,14 +37,14 @@
 
 
 async def watch_settings(path: str, agent: Agent) -> None:
-    """Start draining when the settings file comes to say so."""
-    read_at = _modified_at(path)
+    """Poll the settings file and start a drain when ``is_draining`` becomes true."""
+    last_modified_ns = _read_modified_ns(path)
     while not agent.runs.is_draining:
         await asyncio.sleep(SETTINGS_POLL_S)
-        modified_at = _modified_at(path)
-        if modified_at == read_at:
+        modified_ns = _read_modified_ns(path)
+        if modified_ns == last_modified_ns:
             continue
-        read_at = modified_at
+        last_modified_ns = modified_ns
         try:
             settings = AgentSettings.from_file(path)
         except StepError as error:
@@ -51,7 +54,8 @@
             agent.start_drain()
 
 
-def _modified_at(path: str) -> int:
+def _read_modified_ns(path: str) -> int:
+    """Return the modification time in nanoseconds, 0 if the file cannot be read."""
     try:
         return os.stat(path).st_mtime_ns
     except OSError:
@@ -59,7 +63,10 @@
 
 
 def main() -> int:
-    """Run the agent; return 2 when the settings cannot be used."""
+    """Run the command line; return the exit status.
+
+    The status is 2 for wrong arguments, invalid settings and a failure to listen.
+    """
     arguments = sys.argv[1:]
     if len(arguments) != 2 or arguments[0] != "--config":
         print("usage: bluebellusher-agent --config FILE", file=sys.stderr)
--- a/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
+++ b/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
@@ -1,4 +1,4 @@
-"""Guards against work that runs twice, is refused wrongly or outlives a drain."""
+"""Guards against work that runs twice or is wrongly refused after faults."""
 
 import asyncio
 
@@ -19,11 +19,11 @@
 from bluebellusher_standins.engine import EngineServer, expect_answer
 from bluebellusher_standins.plain_service import PlainServiceServer
 
-CALL = {"path": "/book", "is_idempotent": False}
+NON_IDEMPOTENT_CALL = {"path": "/book", "is_idempotent": False}
 
 
 def with_service(scenario, **changes):
-    """Run ``scenario(entry, agent, service)`` with a plain service."""
+    """Run ``scenario(entry, agent, service)`` with a plain service and an agent."""
 
     async def main():
         async with (
@@ -37,27 +37,35 @@
 
 
 def test_duplicate_attempt_runs_once():
-    """Guards against a booking that is made twice (I4)."""
+    """Guards against a call that runs twice after repeated dispatches (I4).
+
+    Dispatches are repeated on one connection, on a new connection, and with a new
+    attempt id of the same request.
+    """
 
     async def scenario(entry, agent, service):
         service.faults.stall_ms = 50
         for _ in range(3):
-            entry.dispatch("a1", b"booking", **CALL)
+            entry.dispatch("a1", b"booking", **NON_IDEMPOTENT_CALL)
         await entry.finish("a1")
-        entry.dispatch("a1", b"booking", **CALL)
+        entry.dispatch("a1", b"booking", **NON_IDEMPOTENT_CALL)
         entry.abort()
-        async with EntryClient(agent.port) as again:
-            again.dispatch("a1", b"booking", **CALL)
-            await again.finish("a1")
-            again.dispatch("a2", b"booking", request_id="r-a1", **CALL)
-            await again.finish("a2")
-            again.dispatch("a1", b"booking", request_id="r-a1", **CALL)
-            assert (await again.next(messages.Broken)).reason == "outcome_unknown"
+        async with EntryClient(agent.port) as reconnected:
+            reconnected.dispatch("a1", b"booking", **NON_IDEMPOTENT_CALL)
+            await reconnected.finish("a1")
+            reconnected.dispatch(
+                "a2", b"booking", request_id="r-a1", **NON_IDEMPOTENT_CALL
+            )
+            await reconnected.finish("a2")
+            reconnected.dispatch(
+                "a1", b"booking", request_id="r-a1", **NON_IDEMPOTENT_CALL
+            )
+            assert (await reconnected.next(messages.Broken)).reason == "outcome_unknown"
             service.faults.stall_ms = 1_500
-            again.dispatch("a3", b"reading", path="/read")
-            await again.wait(lambda: service.n_executions_by_body[b"reading"])
-            again.dispatch("a3", b"reading", path="/read")
-            await again.finish("a3")
+            reconnected.dispatch("a3", b"reading", path="/read")
+            await reconnected.wait(lambda: service.n_executions_by_body[b"reading"])
+            reconnected.dispatch("a3", b"reading", path="/read")
+            await reconnected.finish("a3")
         assert service.n_executions_by_body[b"reading"] == 1
         assert service.n_executions_by_body[b"booking"] == 1
 
@@ -65,14 +73,14 @@
 
 
 def test_cancelled_call_is_not_run_again_for_its_request():
-    """Guards against a second execution by a new attempt of a booking (I4)."""
+    """Guards against a second execution by a new attempt of a cancelled call (I4)."""
 
     async def scenario(entry, agent, service):
         service.faults.stall_ms = 2_000
-        entry.dispatch("a1", b"booking", request_id="r1", **CALL)
+        entry.dispatch("a1", b"booking", request_id="r1", **NON_IDEMPOTENT_CALL)
         await entry.wait(lambda: service.n_executions_by_body[b"booking"])
         entry.send(messages.Cancel("a1"))
-        entry.dispatch("a2", b"booking", request_id="r1", **CALL)
+        entry.dispatch("a2", b"booking", request_id="r1", **NON_IDEMPOTENT_CALL)
         broken = await entry.next(messages.Broken, "a2")
         assert broken.reason == "outcome_unknown"
         assert service.n_executions_by_body[b"booking"] == 1
@@ -81,12 +89,15 @@
 
 
 @pytest.mark.parametrize("fault", ["drop_after_execute", "drop_before_execute"])
-def test_call_with_a_lost_answer_is_not_repeated_or_called_not_run(fault):
-    """Guards against a second execution and a false "not run" (I3, I4)."""
+def test_call_with_a_lost_answer_is_not_repeated_or_refused(fault):
+    """Guards against a second execution and a false refusal as not run (I3, I4).
+
+    The service closes the connection before or after it executes the call.
+    """
 
     async def scenario(entry, agent, service):
         setattr(service.faults, fault, 1)
-        entry.dispatch("a1", b"booking", **CALL)
+        entry.dispatch("a1", b"booking", **NON_IDEMPOTENT_CALL)
         assert (await entry.next(messages.Broken)).reason == "engine_error"
         expected = 1 if fault == "drop_after_execute" else 0
         assert service.n_executions_by_body[b"booking"] == expected
@@ -94,30 +105,33 @@
     with_service(scenario)
 
 
-def test_call_in_progress_survives_the_loss_of_its_entry():
-    """Guards against a call that is cut in the middle of its work."""
+def test_call_in_progress_continues_after_its_entry_disconnects():
+    """Guards against a call that is interrupted because its entry disconnected."""
 
     async def scenario(entry, agent, service):
         service.faults.stall_ms = 1_500
-        entry.dispatch("a1", b"booking", **CALL)
+        entry.dispatch("a1", b"booking", **NON_IDEMPOTENT_CALL)
         await entry.wait(lambda: service.n_executions_by_body[b"booking"])
         entry.abort()
-        async with EntryClient(agent.port) as again:
-            await again.wait(lambda: service.n_finished_calls)
+        async with EntryClient(agent.port) as reconnected:
+            await reconnected.wait(lambda: service.n_finished_calls)
         assert service.n_executions_by_body[b"booking"] == 1
         assert service.n_cut_calls == 0
 
     with_service(scenario, resume_window_ms=50)
 
 
-def test_call_gets_a_connection_of_its_own():
-    """Guards against a call lost on a kept connection that is just being closed."""
+def test_non_idempotent_call_gets_a_new_connection():
+    """Guards against a call that is lost on an idle connection.
+
+    The service may close an idle connection just as the call is written.
+    """
 
     async def scenario(entry, agent, service):
         for attempt_id in ("a1", "a2"):
             entry.dispatch(attempt_id, b"", method="GET", path="/read")
             await entry.finish(attempt_id)
-        entry.dispatch("a3", b"booking", **CALL)
+        entry.dispatch("a3", b"booking", **NON_IDEMPOTENT_CALL)
         await entry.finish("a3")
         first, second, third = service.client_ports
         assert first == second != third
@@ -125,8 +139,11 @@
     with_service(scenario)
 
 
-def test_crash_is_told_to_all_entries_with_its_victims():
-    """Guards against requests that crash one endpoint after another."""
+def test_crash_is_broadcast_with_all_affected_attempts():
+    """Guards against a poison request that crashes one endpoint after another.
+
+    Each entry must receive the fingerprints of all requests that a crash ended.
+    """
 
     async def scenario(entry, agent, engine):
         async with EntryClient(agent.port, "entry-2") as other:
@@ -145,8 +162,8 @@
     with_engine(scenario)
 
 
-def test_fast_restart_of_the_engine_is_seen_as_a_crash():
-    """Guards against a crash that looks like a broken stream."""
+def test_fast_restart_of_the_engine_is_detected_as_a_crash():
+    """Guards against a crash that is taken for a broken stream after a restart."""
 
     async def scenario(entry, agent, engine):
         entry.dispatch("a1", make_body("CRASH"))
@@ -156,8 +173,8 @@
     with_engine(scenario, settings={"restart_ms": 0})
 
 
-def test_runs_on_a_restarted_engine_are_not_blamed_for_the_crash():
-    """Guards against innocent requests that are suspected after a fast restart."""
+def test_runs_on_a_restarted_engine_are_not_reported_as_crashed():
+    """Guards against false suspects: requests that run after the engine restarted."""
 
     async def scenario(entry, agent, engine):
         body = make_body(n_tokens=300)
@@ -172,7 +189,11 @@
 
 
 def test_frames_received_before_a_pause_of_the_agent_are_not_executed():
-    """Guards against stale work after the entry gave its requests up."""
+    """Guards against work that runs after the entry has abandoned its attempts.
+
+    The entry sends a dispatch while the agent is paused for longer than the receive
+    timeout.
+    """
 
     async def main():
         clock = PausedClock()
@@ -182,26 +203,26 @@
                 clock.offset_ms = 3_000
                 entry.dispatch("a1", make_body())
                 await entry.wait(lambda: entry.is_closed)
-            async with EntryClient(agent.port) as again:
-                again.dispatch("a2", make_body("after"))
-                await again.finish("a2")
+            async with EntryClient(agent.port) as reconnected:
+                reconnected.dispatch("a2", make_body("after"))
+                await reconnected.finish("a2")
             assert engine.received_bodies == [make_body("after")]
 
     uvloop.run(main())
 
 
 class PausedClock(SystemClock):
-    """A clock that jumps as it does for a process that was stopped."""
+    """A clock that jumps forward, as for a process that was paused."""
 
     offset_ms = 0
 
     def now_ms(self):
-        """Return the jumped time."""
+        """Return the time in ms, advanced by ``offset_ms``."""
         return super().now_ms() + self.offset_ms
 
 
-def test_probe_does_not_take_the_end_of_a_kept_connection_for_a_crash():
-    """Guards against requests that are suspected because a connection was idle."""
+def test_closed_idle_connection_is_not_detected_as_a_crash():
+    """Guards against false crashes when the target closes an idle connection."""
 
     async def answer_once(reader, writer):
         await reader.readuntil(b"\r\n\r\n")
@@ -223,8 +244,12 @@
     uvloop.run(main())
 
 
-def test_isolated_run_excludes_new_work_and_names_the_culprit():
-    """Guards against innocent requests that share the fate of a suspect."""
+def test_isolated_run_excludes_other_work_and_is_named_in_its_crash():
+    """Guards against other requests that run beside an isolated suspect.
+
+    They would end with its crash. The crash must be reported with the fingerprint of
+    the isolated request.
+    """
 
     async def scenario(entry, agent, engine):
         entry.dispatch("a1", make_body("x" * 4000, 10))
@@ -252,7 +277,10 @@
 
 
 def test_isolated_run_is_accepted_before_it_starts():
-    """Guards against an agent that dies with a suspect of which no entry knows."""
+    """Guards against an unreported suspect when the agent terminates with the engine.
+
+    ``Accepted`` must reach the entry before the isolated attempt can crash anything.
+    """
 
     async def scenario(entry, agent, engine):
         entry.dispatch("a1", make_body(), is_isolated=True)
@@ -269,8 +297,8 @@
     with_engine(scenario)
 
 
-def test_isolation_ends_with_the_suspect():
-    """Guards against an endpoint that refuses all work for ever."""
+def test_isolation_ends_with_the_isolated_run():
+    """Guards against an endpoint that refuses all work after an isolated run."""
 
     async def scenario(entry, agent, engine):
         entry.dispatch("a1", make_body(), is_isolated=True)
@@ -285,15 +313,19 @@
     with_engine(scenario)
 
 
-def test_isolation_outlives_a_cancel_that_the_engine_did_not_hear():
-    """Guards against work beside a suspect that still runs on a silent engine."""
+def test_isolation_lasts_until_the_engine_answers_the_cancellation():
+    """Guards against work beside a suspect on an unresponsive engine.
+
+    The engine does not answer the cancellation, so that the suspect may still run.
+    """
 
     async def scenario(entry, agent, engine):
         entry.dispatch("a1", make_body("x", 4000), is_isolated=True)
         await entry.next(messages.Started, "a1")
         engine.set_faults(is_frozen=True)
         entry.send(messages.Cancel("a1"))
-        # A request to the engine times out after 1 s; a heartbeat comes each 500 ms.
+        # A request to the engine times out after 1 s; the agent sends a heartbeat every
+        # 500 ms.
         for _ in range(5):
             await entry.next(messages.Heartbeat)
         entry.dispatch("a2", make_body())
@@ -308,7 +340,7 @@
 
 
 def test_old_token_is_refused_for_an_engine_that_ignores_tokens():
-    """Guards against a paused lease holder that acts after it was replaced."""
+    """Guards against orders of a lease holder that was paused and then replaced."""
 
     async def scenario(entry, agent, engine):
         async def order(order_id, lease, token):
@@ -339,7 +371,7 @@
 
 
 def test_deadline_ends_an_attempt_on_a_stalled_engine():
-    """Guards against attempts that occupy a stalled engine for ever."""
+    """Guards against attempts that occupy a stalled engine beyond their deadline."""
 
     async def scenario(entry, agent, engine):
         engine.set_faults(is_stalled=True)
@@ -358,15 +390,15 @@
         entry.dispatch("a1", make_body("x" * 200))
         report = await entry.next(messages.CacheReport)
         assert len(report.added) == 3
-        async with EntryClient(agent.port) as later:
-            snapshot = await later.next(messages.CacheReport)
+        async with EntryClient(agent.port) as late_entry:
+            snapshot = await late_entry.next(messages.CacheReport)
             assert (snapshot.added, snapshot.has_gap) == (report.added, True)
 
     with_engine(scenario, settings={"cache_event_lag_ms": 0})
 
 
-def test_informational_answers_without_end_are_given_up():
-    """Guards against a server in trouble that keeps the agent reading for seconds."""
+def test_endless_informational_answers_raise_an_error():
+    """Guards against a faulty server that keeps the agent reading for seconds."""
 
     async def main():
         async def answer(reader, writer):
--- a/packages/agent/src/bluebellusher_agent/tests/test_agent_streams.py
+++ b/packages/agent/src/bluebellusher_agent/tests/test_agent_streams.py
@@ -1,4 +1,4 @@
-"""Guards against answers that are lost, cut, mixed or sent twice by the agent."""
+"""Guards against answers that the agent loses, truncates, mixes or repeats."""
 
 import asyncio
 
@@ -14,8 +14,8 @@
 from bluebellusher_standins.engine import expect_answer
 
 
-def test_concurrent_answers_arrive_whole_and_unmixed():
-    """Guards against answers that are mixed up in shared batches."""
+def test_concurrent_answers_arrive_complete_and_unmixed():
+    """Guards against bytes of one answer in another when they share a batch."""
 
     async def scenario(entry, agent, engine):
         bodies = {
@@ -32,7 +32,7 @@
 
 
 def test_usage_of_the_engine_is_reported():
-    """Guards against answers that are billed as empty."""
+    """Guards against answers that are billed without their tokens."""
 
     async def scenario(entry, agent, engine):
         entry.dispatch("a1", make_body("x" * 400, n_tokens=5))
@@ -46,13 +46,13 @@
 
 
 def test_no_byte_is_sent_beyond_the_credit():
-    """Guards against a slow caller that makes the entry buffer without bound."""
+    """Guards against unbounded buffers in the entry when a caller reads slowly."""
 
     async def scenario(entry, agent, engine):
         body = make_body(n_tokens=30)
         entry.dispatch("a1", body, credit_bytes=100)
         await entry.wait(lambda: len(entry.data("a1")) >= 100)
-        await agent_settled(agent)
+        await wait_for_flushes(agent)
         assert len(entry.data("a1")) == 100
         entry.send(messages.Credit("a1", 50))
         await entry.wait(lambda: len(entry.data("a1")) >= 150)
@@ -63,8 +63,8 @@
     with_engine(scenario)
 
 
-async def agent_settled(agent):
-    """Let several flush periods pass, in which a faulty agent would send more."""
+async def wait_for_flushes(agent):
+    """Wait for several flush intervals, in which a faulty agent would send more."""
     await asyncio.sleep(0.1)
 
 
@@ -73,7 +73,7 @@
 
     async def scenario(entry, agent, engine):
         engine.set_faults(break_streams=3, truncate_streams=2)
-        # Long enough to go on while all faults come, also on a busy machine.
+        # The stream must last until all faults have occurred, also on a busy machine.
         body = make_body(n_tokens=800)
         entry.dispatch("a1", body)
         assert await entry.finish("a1") == expect_answer(body)
@@ -83,8 +83,8 @@
     with_engine(scenario)
 
 
-def test_silent_engine_connection_is_replaced():
-    """Guards against a stream that hangs on a dead connection to its deadline."""
+def test_stalled_engine_connection_is_replaced():
+    """Guards against a stream that stalls on a dead connection until its deadline."""
 
     async def scenario(entry, agent, engine):
         engine.set_faults(mute_streams=1)
@@ -96,8 +96,8 @@
     with_engine(scenario, stream_silence_ms=500)
 
 
-def test_stream_that_ends_early_is_never_finished():
-    """Guards against a cut answer that is taken for a whole one."""
+def test_truncated_stream_is_not_relayed_as_finished():
+    """Guards against a truncated answer that is relayed as complete."""
 
     async def scenario(entry, agent, engine):
         engine.set_faults(truncate_streams=1, refuse_resumes=True)
@@ -110,7 +110,7 @@
 
 
 def test_answer_of_another_attempt_is_not_relayed():
-    """Guards against a caller that receives another caller's answer."""
+    """Guards against a caller that receives the answer to another caller."""
 
     async def scenario(entry, agent, engine):
         engine.set_faults(cross_attempts=1)
@@ -123,7 +123,7 @@
 
 
 def test_entry_resumes_after_a_lost_connection():
-    """Guards against an answer that is lost or run again with its connection."""
+    """Guards against an answer that is lost or generated again with its connection."""
 
     async def scenario(entry, agent, engine):
         body = make_body(n_tokens=60)
@@ -131,11 +131,11 @@
         await entry.wait(lambda: len(entry.data("a1")) > 500)
         entry.abort()
         await entry.wait(lambda: entry.is_closed)
-        async with EntryClient(agent.port) as again:
+        async with EntryClient(agent.port) as reconnected:
             offset = len(entry.data("a1")) - 100
-            again.dispatch("a2", body, request_id="r1", resume_offset=offset)
-            rest = await again.finish("a2")
-            assert entry.data("a1")[:offset] + rest == expect_answer(body)
+            reconnected.dispatch("a2", body, request_id="r1", resume_offset=offset)
+            remaining_data = await reconnected.finish("a2")
+            assert entry.data("a1")[:offset] + remaining_data == expect_answer(body)
         async with EntryClient(agent.port) as third:
             third.dispatch("a3", body, request_id="r1", resume_offset=5)
             assert await third.finish("a3") == expect_answer(body)[5:]
@@ -144,24 +144,24 @@
     with_engine(scenario)
 
 
-def test_silent_connection_is_closed_and_its_answer_can_be_resumed():
-    """Guards against a dead connection that keeps an answer for itself."""
+def test_unresponsive_connection_is_closed_and_its_answer_can_be_resumed():
+    """Guards against an answer that stays bound to an unresponsive connection."""
 
     async def scenario(entry, agent, engine):
         body = make_body(n_tokens=20)
         entry.dispatch("a1", body, request_id="r1", credit_bytes=10)
         entry.sends_heartbeats = False
         await entry.wait(lambda: entry.is_closed)
-        async with EntryClient(agent.port) as again:
-            again.dispatch("a2", body, request_id="r1", resume_offset=10)
-            rest = await again.finish("a2")
-            assert entry.data("a1") + rest == expect_answer(body)
+        async with EntryClient(agent.port) as reconnected:
+            reconnected.dispatch("a2", body, request_id="r1", resume_offset=10)
+            remaining_data = await reconnected.finish("a2")
+            assert entry.data("a1") + remaining_data == expect_answer(body)
 
     with_engine(scenario)
 
 
 def test_only_the_same_entry_and_request_can_resume():
-    """Guards against an answer that is given to another caller."""
+    """Guards against an answer that is relayed to another entry or request."""
 
     async def scenario(entry, agent, engine):
         body = make_body(n_tokens=200)
@@ -182,8 +182,8 @@
     with_engine(scenario)
 
 
-def test_abandoned_answer_is_cancelled_after_the_resume_window():
-    """Guards against engine slots that are held for entries that never return."""
+def test_detached_answer_is_cancelled_after_the_resume_window():
+    """Guards against engine slots occupied for entries that do not reconnect."""
 
     async def scenario(entry, agent, engine):
         entry.dispatch("a1", make_body(n_tokens=8000))
@@ -196,8 +196,8 @@
     with_engine(scenario, resume_window_ms=100)
 
 
-def test_cancel_frees_the_engine_and_silences_the_attempt():
-    """Guards against work that goes on after its caller left."""
+def test_cancel_frees_the_engine_slot_and_ends_the_attempt():
+    """Guards against work that continues after its caller disconnected."""
 
     async def scenario(entry, agent, engine):
         entry.dispatch("a1", make_body(n_tokens=8000))
@@ -212,7 +212,7 @@
 
 
 def test_unreachable_target_is_refused_as_not_run():
-    """Guards against a needless unknown outcome."""
+    """Guards against an unknown outcome for an attempt that was never sent."""
 
     async def main():
         async with run_agent(1) as agent, EntryClient(agent.port) as entry:
