--- a/packages/entry/src/bluebellusher/links/__init__.py
+++ b/packages/entry/src/bluebellusher/links/__init__.py
@@ -1,4 +1,7 @@
-"""Thrift connections to agents and to other entries, and the relay of streams."""
+"""Connections to agents and peers, and the relay of answers to callers.
+
+Agents and peers exchange Thrift messages; endpoints without an agent answer over HTTP.
+"""
 
 from bluebellusher.links._agents import AgentLinks, EventSink
 from bluebellusher.links._answer import AnswerStream
--- a/packages/entry/src/bluebellusher/links/_agents.py
+++ b/packages/entry/src/bluebellusher/links/_agents.py
@@ -1,4 +1,4 @@
-"""Connections to agents."""
+"""Connections to agents and the attempts that run on them."""
 
 import asyncio
 from collections import OrderedDict
@@ -28,14 +28,14 @@
 )
 from bluebellusher_core.wire import messages
 
-# Ended attempts that may still send: late bytes of these are dropped, while an
-# attempt id that was never used on a connection closes it.
+# Number of ended attempts to keep for each connection. Late messages of these attempts
+# are ignored, while an attempt id that was never used on the connection closes it.
 _MAX_ENDED_ATTEMPTS = 4096
 _REASONS = frozenset(Reason)
 
 
 class EventSink(Protocol):
-    """Where the links report."""
+    """Destination of the events and log lines of the connections."""
 
     def post(self, event: Event) -> None:
         """Queue an event for the reducer."""
@@ -45,7 +45,7 @@
 
 
 class AgentLink:
-    """One open connection to the agent of one endpoint."""
+    """Open connection to the agent of one endpoint, with its attempts in progress."""
 
     def __init__(self, connection: FrameConnection, sink: EventSink) -> None:
         self.connection = connection
@@ -67,25 +67,25 @@
         }
 
     def dispatch(self, relay: AttemptRelay, message: Any) -> None:
-        """Send an attempt and take its answer."""
+        """Send an attempt to the agent and register the relay of its answer."""
         self.connection.send(message)
         self.relay_by_attempt_id[relay.attempt_id] = relay
 
     def cancel(self, attempt_id: str) -> None:
-        """Stop an attempt; what it still sends is dropped."""
+        """Cancel an attempt; late messages about it are ignored."""
         relay = self._end(attempt_id)
         if relay is not None:
             relay.release()
             self.connection.send(messages.Cancel(attempt_id=attempt_id))
 
     def receive(self, message: Any) -> None:
-        """Handle one message of the agent."""
+        """Handle one message from the agent; ignore messages of other types."""
         handle = self._handler_by_type.get(type(message))
         if handle is not None:
             handle(message)
 
     def break_all(self) -> None:
-        """Report every attempt as broken because the connection is gone."""
+        """Report every attempt in progress as broken because the connection is lost."""
         for attempt_id in list(self.relay_by_attempt_id):
             self._break(attempt_id, Reason.ENDPOINT_LOST, is_resumable=True)
 
@@ -172,9 +172,9 @@
         relay = self._find(refuse.attempt_id)
         if relay is None:
             return
-        # An agent that has already sent bytes of an attempt cannot take it back.
+        # An agent cannot refuse an attempt whose answer it has started to send.
         if relay.answer.owner_attempt_id == refuse.attempt_id:
-            self._fail_check(refuse.attempt_id, "refused after it had started")
+            self._fail_check(refuse.attempt_id, "refused after its answer had started")
             return
         self._end(refuse.attempt_id)
         reason = _to_reason(refuse.reason, Reason.NO_ENDPOINT)
@@ -204,20 +204,20 @@
 
 
 class AgentLinks:
-    """All connections to agents, by endpoint id.
+    """Connections to all agents, by endpoint id.
 
     Parameters
     ----------
     identity : Identity
-        What this entry says about itself.
+        Description of this entry for its ``Hello``.
     sink : EventSink
         Receives events and log lines.
     ticker : LinkTicker
-        Sends the heartbeats.
+        Timer that sends the heartbeats.
     clock : Clock
-        Measures silence.
+        Clock for the heartbeats and the receive timeouts.
     random_state : random.Random
-        Spreads reconnects.
+        Source of the random delays between reconnects.
     """
 
     def __init__(
@@ -238,14 +238,17 @@
         self._connection_by_address: dict[tuple[str, int], FrameConnection] = {}
 
     def dial(self, addresses: Iterable[tuple[str, int]]) -> None:
-        """Keep a connection to each address; known ones are left alone."""
+        """Start to keep a connection to each address that is not dialed yet."""
         for address in addresses:
             if address not in self._task_by_address:
                 task = asyncio.create_task(self._run_dialer(*address))
                 self._task_by_address[address] = task
 
     def forget(self, address: tuple[str, int]) -> bool:
-        """Stop dialing an address; return False when its connection is open."""
+        """Stop dialing an address, unless its connection is open.
+
+        Return False when the connection is open.
+        """
         connection = self._connection_by_address.get(address)
         if connection is not None and connection.is_open:
             return False
@@ -263,16 +266,16 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     def close_endpoint(self, endpoint_id: str, error: str) -> None:
-        """Close the connection to an endpoint; the dialer opens a new one."""
+        """Close the connection to an endpoint; its dialer reconnects."""
         link = self.link_by_endpoint_id.get(endpoint_id)
         if link is not None:
             link.connection.close(error)
 
     def on_open(self, connection: FrameConnection) -> None:
-        """Report the endpoint; a second connection to it is closed.
+        """Report the endpoint as connected, or close a second connection to it.
 
-        A dialer connects again only after its connection ended, so that a second
-        one means that two addresses lead to one endpoint id.
+        A dialer reconnects only after its connection has ended. A second connection
+        therefore means that two addresses lead to the same endpoint id.
         """
         hello = connection.hello
         if hello.instance_id in self.link_by_endpoint_id:
@@ -284,13 +287,13 @@
         self._sink.post(EndpointConnected(_to_endpoint_info(hello)))
 
     def on_message(self, connection: FrameConnection, message: Any) -> None:
-        """Pass a message to its link."""
+        """Pass a message to the ``AgentLink`` of its connection."""
         link = self._link_of(connection)
         if link is not None:
             link.receive(message)
 
     def on_closed(self, connection: FrameConnection, error: str) -> None:
-        """Report the endpoint as lost and let the dialer go on."""
+        """Report the endpoint as lost; its dialer reconnects."""
         link = self._link_of(connection)
         if link is not None:
             del self.link_by_endpoint_id[link.endpoint_id]
@@ -303,8 +306,8 @@
         self._sink.log(
             "agent-lost", step="read-frame", peer=link.endpoint_id, error=error
         )
-        # The reducer must know how many bytes each caller has before it learns that
-        # the endpoint is gone.
+        # The reducer needs the number of bytes that each caller has received before it
+        # handles the loss of the endpoint.
         link.break_all()
         self._sink.post(EndpointLost(link.endpoint_id))
 
--- a/packages/entry/src/bluebellusher/links/_answer.py
+++ b/packages/entry/src/bluebellusher/links/_answer.py
@@ -1,4 +1,4 @@
-"""The answer of one request on its way from the relay to the caller."""
+"""Buffer for one answer between the relay and the HTTP handler."""
 
 import asyncio
 import zlib
@@ -9,22 +9,24 @@
 
 _DONE_MARK = b"data: [DONE]"
 _SSE_TYPE = "text/event-stream"
-# An answer that is not a stream of events is held back up to this size, so that an
-# attempt that fails can still be replaced and its refusal has a proper status.
+# Size in bytes up to which an answer that is not a stream of events is held back. Until
+# the caller has received a byte, another attempt can replace a failed one, and a
+# rejection can have its own status code.
 HOLD_BYTES = 64 * 1024
 
 
 class AnswerStream:
-    """Bytes that were checked and wait for the caller.
+    """Answer of one request, written by the relay and read by the HTTP handler.
 
-    The relay writes, the HTTP handler reads. The terminating ``data: [DONE]`` of a
-    stream of events is kept back until ``complete`` is called, so that an answer
-    that fails its last check never looks complete.
+    The relay checks the bytes before it writes them. The terminating ``data: [DONE]``
+    of a stream of events is held back until ``complete`` is called, so that an answer
+    that fails its final check never appears complete to the caller.
 
     Parameters
     ----------
     max_kept_bytes : int
-        How much of the answer is kept for a repeat of the key; 0 keeps nothing.
+        Size limit in bytes of the copy that is kept for repeats of the idempotency
+        key. A longer answer is not kept; 0 keeps no answer.
     """
 
     def __init__(self, max_kept_bytes: int = 0) -> None:
@@ -54,11 +56,14 @@
 
     @property
     def is_ended(self) -> bool:
-        """Whether the final outcome is known."""
+        """Whether the answer is complete or the request was rejected."""
         return self.is_complete or self.refusal is not None
 
     def start(self, status: int, headers: dict[str, str]) -> bool:
-        """Note status and headers; return False when they contradict earlier ones."""
+        """Set status and headers unless the caller has already received them.
+
+        Return False when the caller has received another status.
+        """
         is_contradicting = self.is_committed and status != self.status
         if not self.is_committed:
             self.status = status
@@ -67,12 +72,13 @@
         return not is_contradicting
 
     def write(self, data: bytes) -> None:
-        """Add the bytes that follow ``n_bytes``."""
+        """Append bytes to the answer, at the offset ``n_bytes``."""
         self.n_bytes += len(data)
         self.crc32 = zlib.crc32(data, self.crc32)
         self._keep(data)
         if self.refusal is not None:
-            # The caller has its final answer; only the outcome is still awaited.
+            # The caller has its rejection. The bytes count as sent, so that the agent
+            # sends the rest and the outcome of the attempt can be recorded.
             self.note_sent(len(data))
             return
         self._push(self._split_done_mark(data) if self._is_events else data)
@@ -80,7 +86,11 @@
             self._changed.set()
 
     def reset(self) -> bool:
-        """Forget everything unless the caller has received a part of it."""
+        """Discard the answer so that another attempt can start from the beginning.
+
+        Return False and discard nothing when the caller has received a part of the
+        answer, or when the answer is complete or rejected.
+        """
         if self.is_committed or self.is_ended:
             return False
         self.status, self.headers = 0, {}
@@ -91,7 +101,7 @@
         return True
 
     def complete(self) -> None:
-        """Declare the answer whole."""
+        """Mark the answer as complete and release its last bytes to the caller."""
         if not self.is_ended:
             self.is_complete = True
             self._push(self._tail)
@@ -99,17 +109,17 @@
             self._changed.set()
 
     def refuse(self, refusal: Rejection) -> None:
-        """End the answer without its remainder; only the first outcome counts."""
+        """End the answer with a rejection, unless it is complete or rejected."""
         if not self.is_ended:
             self.refusal = refusal
             self._changed.set()
             self._taken.set()
 
     async def take(self) -> bytes:
-        """Return what can be sent now; empty when the outcome is known.
+        """Return the bytes that can be sent; wait until there are any.
 
-        Taking commits status and headers. When the answer was refused, nothing
-        more is returned.
+        Returned bytes commit the answer to its status and headers. The result is empty
+        when the answer is complete and has been read, or when it was rejected.
         """
         while not self._is_takeable():
             self._changed.clear()
@@ -124,13 +134,13 @@
         return data
 
     async def wait_for_room(self, max_bytes: int) -> None:
-        """Wait until at most ``max_bytes`` wait for the caller, or the answer ended."""
+        """Wait until at most ``max_bytes`` are unread or the answer has ended."""
         while self._n_ready > max_bytes and not self.is_ended:
             self._taken.clear()
             await self._taken.wait()
 
     def note_sent(self, n_bytes: int) -> None:
-        """Tell the relay that the caller's socket took ``n_bytes``."""
+        """Record that the caller's socket accepted ``n_bytes``."""
         if self.on_drained is not None:
             self.on_drained(n_bytes)
 
@@ -153,7 +163,10 @@
             self.kept = None
 
     def _split_done_mark(self, data: bytes) -> bytes:
-        """Return what may go out; a line that is or may become the mark stays."""
+        """Return the bytes that may be sent to the caller.
+
+        The rest, from a line that is or may become ``data: [DONE]``, is held back.
+        """
         data = self._tail + data
         at = self._find_done_mark(data)
         self._tail = data[at:]
--- a/packages/entry/src/bluebellusher/links/_connection.py
+++ b/packages/entry/src/bluebellusher/links/_connection.py
@@ -1,4 +1,4 @@
-"""One authenticated connection that carries frames in both directions."""
+"""Authenticated connections that carry framed messages in both directions."""
 
 import asyncio
 import secrets
@@ -19,13 +19,29 @@
 )
 
 PROTOCOL_VERSION = 1
-# Who has not proved to know the secret must not make this process buffer much.
+# Limits the memory that an unauthenticated peer can make this process buffer.
 MAX_HANDSHAKE_BYTES = 16_384
 
 
 @dataclass(frozen=True, slots=True)
 class Identity:
-    """What this process says about itself in ``Hello``."""
+    """Description of this process that its ``Hello`` messages carry.
+
+    Parameters
+    ----------
+    instance_id : str
+        Instance on which the process runs.
+    incarnation : int
+        Number of this start of the process.
+    failure_domain : str
+        Failure domain of the instance.
+    secret : bytes
+        Secret shared by the deployment, from which the MAC is computed.
+    role : int
+        ``messages.Role`` of the process.
+    services, models : tuple of str
+        Services and models that the process offers; empty for an entry.
+    """
 
     instance_id: str
     incarnation: int
@@ -36,7 +52,11 @@
     models: tuple[str, ...] = ()
 
     def make_hello(self, nonce: bytes, challenge: bytes | None) -> Any:
-        """Return a ``Hello``; without a ``challenge`` its MAC is empty."""
+        """Build a ``Hello`` message.
+
+        ``nonce`` is the challenge to the other side. ``challenge`` is the nonce of the
+        other side, over which the MAC is computed; with None the MAC is empty.
+        """
         hello = messages.Hello(
             protocol_version=PROTOCOL_VERSION,
             instance_id=self.instance_id,
@@ -57,37 +77,41 @@
 
 
 class ConnectionHandler(Protocol):
-    """What happens on a connection, in order, on the event loop."""
+    """Callbacks of a connection.
+
+    They run on the event loop, in the order in which the events occur.
+    """
 
     def on_open(self, connection: "FrameConnection") -> None:
-        """Handle the end of the handshake; ``connection.hello`` is verified."""
+        """Handle a completed handshake; ``connection.hello`` is verified."""
 
     def on_message(self, connection: "FrameConnection", message: Any) -> None:
-        """Handle one message; ``StepError`` closes the connection."""
+        """Handle one message; raising ``StepError`` closes the connection."""
 
     def on_closed(self, connection: "FrameConnection", error: str) -> None:
-        """Handle the end of the connection, whether it was open or not."""
+        """Handle the end of a connection, even if its handshake never completed."""
 
 
 class FrameConnection(asyncio.Protocol):
-    """Handshake, framing, heartbeats and the limit on silence.
+    """Connection with handshake, framing, heartbeats and a receive timeout.
 
     Parameters
     ----------
     identity : Identity
-        What this process says about itself.
+        Description of this process for its ``Hello``.
     expected_role : int
-        Role that the other side must have.
+        ``messages.Role`` that the other side must have.
     is_accepting : bool
         Whether the other side opened the connection.
     handler : ConnectionHandler
-        Receives what happens.
+        Receives the events of the connection.
     clock : Clock
-        Measures silence.
+        Clock for the heartbeats and the receive timeout.
     peer : str
-        Named in errors until the other side is known.
+        Name of the other side in errors until its ``Hello`` is verified.
     has_far_pace : bool
-        Whether the slower pace is used with other failure domains.
+        Whether ``SLOW_HEARTBEAT`` applies when the other side is in another failure
+        domain. Otherwise every connection uses ``FAST_HEARTBEAT``.
     """
 
     def __init__(
@@ -101,7 +125,7 @@
         has_far_pace: bool = False,
     ) -> None:
         self.peer = peer
-        # Host that was dialed; empty for an accepted connection.
+        # Dialed host, if the dialing code sets it; empty for accepted connections.
         self.host = ""
         self.hello: Any = None
         self.is_open = False
@@ -126,13 +150,13 @@
         self._n_handshake_bytes = 0
 
     def send(self, message: Any) -> None:
-        """Write one message; it is dropped when the connection is closed."""
+        """Write one message; discard it when the connection is closed or closing."""
         if self._transport is not None and not self.is_closed and not self._error:
             self._sent_at_ms = self._clock.now_ms()
             self._transport.write(encode(message))
 
     def close(self, error: str) -> None:
-        """Close at once; what is still buffered is dropped."""
+        """Close the connection at once and discard the bytes not yet sent."""
         if self.is_closed or self._error:
             return
         self._error = error
@@ -140,31 +164,42 @@
             self._transport.abort()
 
     def tick(self, now_ms: int, has_paused: bool) -> None:
-        """Send a heartbeat, or close the connection after too long a silence.
+        """Send a due heartbeat, or close the connection after a timeout.
+
+        The connection is closed when no message arrives, or the handshake does not
+        complete, within the receive timeout of the connection.
 
-        ``has_paused`` says that this process itself did not run for a while; what
-        the other side sent meanwhile has not been read yet, so that silence is not
-        judged until the next tick.
+        Parameters
+        ----------
+        now_ms : int
+            Current time in ms.
+        has_paused : bool
+            Whether this process itself was suspended since the last tick. Messages
+            that arrived in that time are not read yet, so the receive timeout is
+            checked only in the next tick.
         """
         silent_ms = now_ms - self.received_at_ms
         limit_ms = self._pace.receive_timeout_ms
         if silent_ms > limit_ms and not has_paused:
-            self.close(f"silent for {silent_ms} ms")
+            self.close(f"no message received for {silent_ms} ms")
         elif not self.is_open and now_ms - self.made_at_ms > limit_ms:
-            self.close(f"no handshake within {limit_ms} ms")
+            self.close(f"handshake not completed within {limit_ms} ms")
         elif self.is_open and self._pace.is_heartbeat_due(self._sent_at_ms, now_ms):
             self._sequence += 1
             self.send(messages.Heartbeat(sequence=self._sequence))
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Start the handshake."""
+        """Start the handshake; the accepting side sends the first ``Hello``."""
         self._transport = cast(asyncio.Transport, transport)
         self.received_at_ms = self.made_at_ms = self._clock.now_ms()
         if self._is_accepting:
             self.send(self._identity.make_hello(self._nonce, None))
 
     def data_received(self, data: bytes) -> None:
-        """Handle what arrived; a message that must not come closes the connection."""
+        """Decode the received bytes and handle their messages.
+
+        An invalid or unexpected message closes the connection.
+        """
         self.received_at_ms = self._clock.now_ms()
         try:
             if not self.is_open:
@@ -176,12 +211,12 @@
         except StepError as error:
             self.close(str(error))
         except Exception as error:
-            # A message with missing fields can fail anywhere in a handler; the
-            # other connections must not suffer from it.
-            self.close(f"message not understood: {type(error).__name__}: {error}")
+            # A message with missing fields can raise any exception in a handler. Only
+            # the connection that it arrived on is closed.
+            self.close(f"message not handled: {type(error).__name__}: {error}")
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Tell the handler once that the connection is gone."""
+        """Report the lost connection to the handler, once."""
         self.is_closed = True
         self.is_open = False
         self.closed.set()
@@ -226,11 +261,11 @@
             return f"protocol_version={hello.protocol_version}: expected 1"
         if hello.role != self._expected_role:
             return f"role={hello.role}: expected {self._expected_role}"
-        # A process that is connected to itself, or that is sent its own Hello back.
+        # The process is connected to itself, or the other side returned its Hello.
         if hello.instance_id == self._identity.instance_id:
-            return "instance id is our own: expected another"
+            return "instance_id of this process: expected that of another process"
         if not verify_hello(self._identity.secret, self._nonce, hello):
-            return "MAC does not match: expected the same shared secret"
+            return "MAC does not match: expected the shared secret of this deployment"
         return ""
 
     def _open(self, hello: Any) -> None:
--- a/packages/entry/src/bluebellusher/links/_dialer.py
+++ b/packages/entry/src/bluebellusher/links/_dialer.py
@@ -1,4 +1,4 @@
-"""Keeping a connection to one address open."""
+"""Connections that are reopened whenever they end."""
 
 import asyncio
 from collections.abc import Callable
@@ -10,16 +10,18 @@
 FIRST_BACKOFF_MS = 100
 MAX_BACKOFF_MS = 5_000
 CONNECT_TIMEOUT_MS = 2_000
-# A connection that ends sooner counts as a failure, so that two processes which
-# always drop each other do not do so ten times a second.
+# Minimum lifetime of a connection; a shorter one counts as a failed attempt and
+# increases the backoff. Otherwise two processes that always close their connection
+# would reconnect ten times per second.
 STABLE_MS = 2_000
 
 
 class Dialer:
-    """Connect to an address, and again whenever the connection ends.
+    """Dialer that connects to an address and reconnects when the connection ends.
 
-    The pause between attempts doubles up to ``MAX_BACKOFF_MS`` and is drawn at
-    random from its upper half, so that many entries do not return in step.
+    The backoff between failed attempts doubles up to ``MAX_BACKOFF_MS``. The delay is
+    drawn at random from the upper half of the backoff, so that many entries do not
+    reconnect at the same time.
     """
 
     def __init__(
@@ -37,7 +39,7 @@
         self._random_state = random_state
 
     async def run(self) -> None:
-        """Keep the connection open until cancelled."""
+        """Connect and reconnect until cancelled."""
         n_failures = 0
         while True:
             is_stable = await self._connect_once()
@@ -45,7 +47,10 @@
             await asyncio.sleep(self._backoff_ms(n_failures) / 1000)
 
     async def _connect_once(self) -> bool:
-        """Return whether the connection was open for a while."""
+        """Connect and wait until the connection ends.
+
+        Return whether the handshake completed and the connection lasted ``STABLE_MS``.
+        """
         connection = self._make_connection()
         loop = asyncio.get_running_loop()
         try:
--- a/packages/entry/src/bluebellusher/links/_headers.py
+++ b/packages/entry/src/bluebellusher/links/_headers.py
@@ -1,4 +1,4 @@
-"""Headers that concern one connection."""
+"""HTTP headers that apply to one connection only."""
 
 CONNECTION_HEADERS = frozenset(
     (
@@ -14,4 +14,4 @@
         "upgrade",
     )
 )
-"""Lower-case names that a server does not pass on, because it sets its own."""
+"""Lower-case names of headers that an entry sets itself instead of relaying them."""
--- a/packages/entry/src/bluebellusher/links/_peers.py
+++ b/packages/entry/src/bluebellusher/links/_peers.py
@@ -1,4 +1,4 @@
-"""Connections between entries."""
+"""Connections to peers."""
 
 import asyncio
 from collections.abc import Iterable
@@ -14,22 +14,23 @@
 
 
 class PeerHandler(Protocol):
-    """What an entry does with messages of other entries."""
+    """Callbacks for the connections and messages of peers."""
 
     def on_peer_open(self, peer_id: str, hello: Any) -> None:
-        """Handle a peer's connection that has passed its handshake."""
+        """Handle a connection to a peer whose handshake is complete."""
 
     def on_peer_message(self, peer_id: str, message: Any) -> None:
-        """Handle one message; ``StepError`` closes the connection."""
+        """Handle one message; raising ``StepError`` closes the connection."""
 
     def on_peer_lost(self, peer_id: str) -> None:
         """Handle the end of the last connection to a peer."""
 
 
 class PeerLinks:
-    """All connections to peers; both sides dial, so a peer may have two.
+    """Connections to all peers, by instance id.
 
-    Parameters are those of ``AgentLinks``, with a ``handler`` for messages.
+    Both sides dial, so there may be two connections to a peer. The parameters are those
+    of ``AgentLinks``, with a ``handler`` for the connections and messages of peers.
     """
 
     def __init__(
@@ -53,20 +54,20 @@
         self._accepted: set[FrameConnection] = set()
 
     async def listen(self, host: str, port: int) -> int:
-        """Accept peers; return the port."""
+        """Start to accept connections of peers; return the port."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(self._accept, host, port)
         return int(self._server.sockets[0].getsockname()[1])
 
     def dial(self, addresses: Iterable[tuple[str, int]]) -> None:
-        """Keep a connection to each address; known ones are left alone."""
+        """Start to keep a connection to each address that is not dialed yet."""
         for address in addresses:
             if address not in self._task_by_address:
                 task = asyncio.create_task(self._run_dialer(*address))
                 self._task_by_address[address] = task
 
     def send(self, peer_id: str, message: Any) -> bool:
-        """Send to one peer; return False when it is not connected."""
+        """Send a message to one peer; return False when the peer is not connected."""
         connections = self.connections_by_peer_id.get(peer_id)
         if not connections:
             return False
@@ -74,7 +75,7 @@
         return True
 
     def broadcast(self, message: Any) -> None:
-        """Send to every connected peer."""
+        """Send a message to every connected peer."""
         for peer_id in self.connections_by_peer_id:
             self.send(peer_id, message)
 
@@ -90,7 +91,7 @@
             connection.close("shutdown")
 
     def on_open(self, connection: FrameConnection) -> None:
-        """Add the connection to its peer."""
+        """Add the connection to those of its peer."""
         peer_id = connection.hello.instance_id
         connections = self.connections_by_peer_id.setdefault(peer_id, [])
         connections.append(connection)
@@ -103,7 +104,7 @@
         self._handler.on_peer_message(connection.hello.instance_id, message)
 
     def on_closed(self, connection: FrameConnection, error: str) -> None:
-        """Remove the connection from its peer."""
+        """Remove the connection; report the peer as lost after its last one."""
         self._accepted.discard(connection)
         if connection.hello is None:
             return
--- a/packages/entry/src/bluebellusher/links/_relay.py
+++ b/packages/entry/src/bluebellusher/links/_relay.py
@@ -1,4 +1,4 @@
-"""Checks on the bytes of one attempt."""
+"""Relay of one attempt's answer, with checks of its bytes."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -9,18 +9,22 @@
 
 @dataclass(slots=True)
 class AttemptRelay:
-    """One attempt that an agent was asked to run.
+    """Relay of the answer of one attempt that was sent to an agent.
+
+    Several attempts of a request may share its answer, for example after a hedge. Only
+    the first attempt that starts to answer writes to it.
 
     Parameters
     ----------
     attempt_id, request_id, fingerprint : str
-        What is run.
+        Id of the attempt, and id and fingerprint of its request.
     answer : AnswerStream
-        Where its bytes go.
+        Answer of the request.
     is_isolated : bool
-        Whether it runs as a suspect.
+        Whether the attempt runs in isolation because its request is a suspect.
     on_drained : callable or None
-        Told how many bytes the caller's socket took, while this attempt writes.
+        Called with the number of bytes that the caller's socket accepted, while this
+        attempt writes the answer.
     """
 
     attempt_id: str
@@ -31,7 +35,11 @@
     on_drained: Callable[[int], None] | None = None
 
     def start(self, started: Any) -> str:
-        """Take status and headers; return what is wrong, or an empty string."""
+        """Check and set status and headers.
+
+        Return a description of the fault, or an empty string. The message is ignored
+        when another attempt writes the answer.
+        """
         if not self._owns():
             return ""
         headers = {k.lower(): v for k, v in (started.headers or {}).items()}
@@ -45,20 +53,27 @@
         return ""
 
     def accept(self, chunk: Any) -> str:
-        """Pass a chunk on; return what is wrong, or an empty string."""
+        """Check the offset of a chunk and append its bytes to the answer.
+
+        Return a description of the fault, or an empty string. The chunk is ignored when
+        another attempt writes the answer.
+        """
         if not self._owns():
             return ""
         if chunk.offset != self.answer.n_bytes:
             return f"offset={chunk.offset}: expected {self.answer.n_bytes}"
         if not self.answer.status:
-            return "chunk before status: expected Started first"
+            return "chunk before the status: expected Started first"
         self.answer.write(chunk.data or b"")
         return ""
 
     def finish(self, finish: Any) -> str:
-        """Check the whole; return what is wrong, or an empty string."""
+        """Check length and CRC of the whole answer.
+
+        Return a description of the fault, or an empty string.
+        """
         if not self._owns():
-            return "another attempt gave the answer"
+            return "another attempt writes the answer"
         if not self.answer.status:
             problem = self.start(finish)
             if problem:
@@ -70,9 +85,10 @@
         return ""
 
     def release(self) -> int:
-        """End without a whole answer; return the bytes the caller keeps.
+        """End the attempt without a complete answer.
 
-        When the caller has received nothing, what was held back is dropped, so
+        Return the number of answer bytes that were relayed, which is the offset for a
+        resume. When the caller has received no byte, the held bytes are discarded, so
         that another attempt can start from the beginning.
         """
         if self.answer.owner_attempt_id != self.attempt_id:
@@ -82,7 +98,10 @@
         return self.answer.n_bytes
 
     def _owns(self) -> bool:
-        """Return whether this attempt writes the answer; the first to start does."""
+        """Return whether this attempt writes the answer.
+
+        An incomplete answer without a writer is assigned to this attempt.
+        """
         if not self.answer.owner_attempt_id and not self.answer.is_complete:
             self.answer.owner_attempt_id = self.attempt_id
             self.answer.on_drained = self.on_drained
--- a/packages/entry/src/bluebellusher/links/_reports.py
+++ b/packages/entry/src/bluebellusher/links/_reports.py
@@ -1,4 +1,4 @@
-"""Translation of agents' reports to events."""
+"""Conversion of agents' reports to events for the reducer."""
 
 from typing import Any
 
@@ -6,7 +6,10 @@
 
 
 def to_load_event(endpoint_id: str, report: Any) -> LoadReported:
-    """Return the event for a ``LoadReport``; missing numbers count as zero."""
+    """Return the event for a ``LoadReport``.
+
+    Missing and negative numbers become 0, and ``n_slots`` becomes at least 1.
+    """
     return LoadReported(
         endpoint_id=endpoint_id,
         sequence=report.sequence or 0,
--- a/packages/entry/src/bluebellusher/links/_responses.py
+++ b/packages/entry/src/bluebellusher/links/_responses.py
@@ -1,4 +1,4 @@
-"""Answers over HTTP, read within bounds on bytes and time."""
+"""HTTP responses, read with limits on their size and time."""
 
 import asyncio
 from typing import Any
@@ -7,23 +7,24 @@
 
 from bluebellusher.links._sse import EventSplitter
 
-# Informational answers (1xx) before the real one; endpoints send one or two.
+# Number of informational responses (1xx) accepted before the final response; endpoints
+# send one or two.
 MAX_INTERIM_ANSWERS = 16
 _READ_BYTES = 256 * 1024
 
 
 class BoundedResponse(aiohttp.ClientResponse):
-    """A response with few informational answers that knows how its connection ended.
+    """Response with a limit on informational responses and a check of its end.
 
-    An answer without a length ends with its connection; aiohttp takes it as whole
-    even when the connection was reset. It also reads informational answers for as long
-    as they come.
+    A response without a length ends with its connection, and aiohttp treats it as
+    complete even when the connection was reset. aiohttp also reads an unlimited number
+    of informational responses.
     """
 
     _connection_ended: asyncio.Future[None] | None = None
 
     async def start(self, connection: Any) -> aiohttp.ClientResponse:
-        """Begin to read the answer."""
+        """Read the head of the response."""
         protocol = connection.protocol
         self._connection_ended = protocol.closed if protocol is not None else None
         if self._connection_ended is not None:
@@ -32,7 +33,7 @@
         return await super().start(bounded)
 
     async def check_end(self) -> None:
-        """Raise ``ClientConnectionError`` when an answer without a length was cut."""
+        """Raise ``ClientConnectionError`` when a response without a length was cut."""
         is_framed = "Content-Length" in self.headers
         is_framed |= "chunked" in self.headers.get("Transfer-Encoding", "")
         if not is_framed and self._connection_ended is not None:
@@ -40,7 +41,7 @@
 
 
 class _BoundedConnection:
-    """A connection whose protocol gives up endless informational answers."""
+    """Connection whose protocol limits the number of informational responses."""
 
     def __init__(self, connection: Any) -> None:
         self._connection = connection
@@ -51,12 +52,12 @@
 
     @property
     def protocol(self) -> "_BoundedProtocol | None":
-        """Return what answers are read from; None once the connection is released."""
+        """Protocol to read responses from; None once the connection is released."""
         return self._protocol if self._connection.protocol is not None else None
 
 
 class _BoundedProtocol:
-    """The protocol of a connection, from which few heads can be read."""
+    """Protocol of a connection that limits the number of response heads."""
 
     def __init__(self, connection: Any) -> None:
         self._connection = connection
@@ -66,29 +67,29 @@
         return getattr(self._connection.protocol, name)
 
     async def read(self) -> Any:
-        """Return the next head."""
+        """Return the next response head; close the connection above the limit."""
         self._n_heads += 1
         if self._n_heads > MAX_INTERIM_ANSWERS + 1:
             self._connection.close()
-            message = f"more than {MAX_INTERIM_ANSWERS} informational answers"
+            message = f"more than {MAX_INTERIM_ANSWERS} informational responses"
             raise aiohttp.ClientPayloadError(message)
         return await self._connection.protocol.read()
 
 
 class EventReader:
-    """Whole events of a stream, each within a time.
+    """Reader of the complete events of a stream, with a timeout for each event.
 
-    A stream that sends bytes and never a whole event has stopped for its caller, whose
-    patience only ends with the next event.
+    Bytes that do not complete an event do not reset the timeout, because the caller
+    receives complete events only.
 
     Parameters
     ----------
     content : aiohttp.StreamReader
-        Body of the answer.
+        Body of the response.
     max_silence_ms : int
-        Longest time to the next whole event.
+        Timeout for the next complete event, in ms.
     last_event_id : str
-        Id of the last event of an earlier attempt; empty for none.
+        Id of the last event of the previous attempt; empty when there is none.
     """
 
     def __init__(
@@ -100,23 +101,23 @@
 
     @property
     def last_event_id(self) -> str:
-        """Id of the last whole event."""
+        """Id of the last complete event."""
         return self._splitter.last_event_id
 
     @property
     def n_pending(self) -> int:
-        """Bytes of an event that is not whole yet."""
+        """Number of bytes of the incomplete event at the end of the stream."""
         return self._splitter.n_pending
 
     async def read(self) -> bytes:
-        """Return the next whole events; empty at the end of the stream.
+        """Return the next complete events, or no bytes at the end of the stream.
 
         Raises
         ------
         TimeoutError
-            When no event is whole in time.
+            When no event is complete within the timeout.
         ValueError
-            When an event is longer than any engine sends.
+            When an event is longer than 256 KiB, which no engine sends.
         """
         async with asyncio.timeout(self._max_silence_s):
             while data := await self._content.readany():
@@ -126,7 +127,7 @@
 
 
 async def read_whole(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
-    """Return the whole body.
+    """Read the whole body of a response.
 
     Raises
     ------
@@ -137,11 +138,14 @@
     async for part in response.content.iter_chunked(_READ_BYTES):
         body += part
         if len(body) > max_bytes:
-            raise aiohttp.ClientPayloadError(f"answer above {max_bytes} bytes")
+            raise aiohttp.ClientPayloadError(f"body of more than {max_bytes} bytes")
     return bytes(body)
 
 
 def _retrieve(future: asyncio.Future[None]) -> None:
-    """Take a result that nobody may wait for."""
+    """Retrieve the exception of a future that may never be awaited.
+
+    Otherwise asyncio logs that the exception was never retrieved.
+    """
     if not future.cancelled():
         future.exception()
--- a/packages/entry/src/bluebellusher/links/_sockets.py
+++ b/packages/entry/src/bluebellusher/links/_sockets.py
@@ -1,19 +1,21 @@
-"""Sockets that notice a peer which is gone."""
+"""Sockets that detect a peer that no longer responds."""
 
 import asyncio
 import socket
 from typing import Any
 
-# Seconds of silence before the first probe, between probes, and probes without an
-# answer after which the connection fails. Other disturbances are over in 3 s.
+# TCP keepalive: idle time before the first probe, interval between probes, and number
+# of unanswered probes after which the connection fails. An unresponsive peer is thus
+# detected in 3 s, the time in which other faults are over.
 _KEEPALIVE_IDLE_S = 1
 _KEEPALIVE_INTERVAL_S = 1
 _N_KEEPALIVE_PROBES = 2
+# Time, in ms, in which the peer must acknowledge sent data.
 _USER_TIMEOUT_MS = 2_500
 
 
 def make_socket(address_info: Any) -> socket.socket:
-    """Return a socket for an address, as ``aiohttp.TCPConnector`` asks for it."""
+    """Create a socket with keepalive, as ``socket_factory`` of an aiohttp connector."""
     family, kind, protocol, *_ = address_info
     sock = socket.socket(family, kind, protocol)
     sock.setblocking(False)
@@ -24,8 +26,8 @@
 async def is_listening(host: str, port: int, timeout_ms: int) -> bool | None:
     """Return whether a process listens at an address.
 
-    Returns None when nothing answers within ``timeout_ms`` or the address cannot be
-    reached, which says nothing of the process.
+    Return None when the address does not answer within ``timeout_ms`` or cannot be
+    reached; the process may then be running or not.
     """
     sock = make_socket((socket.AF_INET, socket.SOCK_STREAM, 0))
     loop = asyncio.get_running_loop()
@@ -35,7 +37,7 @@
     except ConnectionRefusedError:
         return False
     except OSError:
-        # TimeoutError is one too.
+        # TimeoutError is a subclass of OSError.
         return None
     finally:
         sock.close()
@@ -43,7 +45,10 @@
 
 
 def watch_peer(sock: socket.socket) -> None:
-    """Let a connection fail when its peer does not answer any more."""
+    """Make a connection fail when its peer no longer responds.
+
+    Nagle's algorithm is disabled too.
+    """
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     options = (
         (socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S),
--- a/packages/entry/src/bluebellusher/links/_sse.py
+++ b/packages/entry/src/bluebellusher/links/_sse.py
@@ -1,8 +1,9 @@
-"""Server-sent events as whole units."""
+"""Splitting of byte streams into server-sent events."""
 
 from dataclasses import dataclass, field
 
-# Events hold a few tokens; each of many requests may have one that is not whole.
+# An event carries a few tokens. The limit bounds the memory for incomplete events, of
+# which each of many requests may have one.
 _MAX_EVENT_BYTES = 256 * 1024
 _MARKS = (b"\n\n", b"\r\n\r\n")
 _LONGEST_MARK = max(len(mark) for mark in _MARKS)
@@ -10,12 +11,12 @@
 
 @dataclass(slots=True)
 class EventSplitter:
-    r"""Split a byte stream into whole events and remember the last id.
+    r"""Splitter of a byte stream into complete events that records the last event id.
 
     Parameters
     ----------
     last_event_id : str
-        Id of the last whole event; empty before the first one.
+        Id of the last complete event; empty before the first event with an id.
 
     Examples
     --------
@@ -31,16 +32,16 @@
 
     @property
     def n_pending(self) -> int:
-        """Bytes of an event that is not whole yet."""
+        """Number of bytes of the incomplete event at the end of the stream."""
         return len(self._pending)
 
     def feed(self, data: bytes) -> bytes:
-        """Add bytes; return the events that are whole now.
+        """Add bytes and return the events that they complete.
 
         Raises
         ------
         ValueError
-            When an event is longer than any engine sends.
+            When an event is longer than 256 KiB, which no engine sends.
         """
         n_searched = max(0, len(self._pending) - _LONGEST_MARK + 1)
         self._pending += data
@@ -62,6 +63,9 @@
 
 
 def _end_of_last_event(data: bytearray, start: int) -> int:
-    """Return the end of the last event that ends behind ``start``, or 0."""
+    """Return the offset behind the last event whose end mark is at or after ``start``.
+
+    Return 0 when there is none.
+    """
     found = [(data.rfind(mark, start), mark) for mark in _MARKS]
     return max((at + len(mark) for at, mark in found if at >= 0), default=0)
--- a/packages/entry/src/bluebellusher/links/_ticker.py
+++ b/packages/entry/src/bluebellusher/links/_ticker.py
@@ -1,4 +1,4 @@
-"""One timer for the heartbeats of all connections."""
+"""Shared timer for the heartbeats and timeouts of all connections."""
 
 import asyncio
 from collections.abc import Callable
@@ -7,14 +7,15 @@
 from bluebellusher_core.clock import Clock
 
 HEARTBEAT_INTERVAL_MS = 500
-# A tick that is late by this much means that the process was paused.
+# Delay of a tick, in ms, above which the process is assumed to have been suspended.
 _PAUSE_MS = 1_000
 
 
 class LinkTicker:
-    """Send heartbeats on, and watch the silence of, every registered connection.
+    """Timer that sends heartbeats and checks the timeouts of its connections.
 
-    One timer for all connections costs less CPU when idle than one for each.
+    One timer for all connections costs less CPU time when they are idle than one timer
+    for each.
     """
 
     def __init__(self, clock: Clock, loop: asyncio.AbstractEventLoop) -> None:
@@ -26,21 +27,21 @@
         self._handle: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
-        """Begin to tick."""
+        """Start the timer."""
         self._ticked_at_ms = self._clock.now_ms()
         self._schedule()
 
     def stop(self) -> None:
-        """End; no further heartbeat is sent."""
+        """Stop the timer; no further heartbeat is sent."""
         if self._handle is not None:
             self._handle.cancel()
 
     def add(self, connection: FrameConnection) -> None:
-        """Watch a connection until it is closed."""
+        """Tick a connection until it is closed."""
         self._connections.add(connection)
 
     def add_callback(self, callback: Callable[[int], None]) -> None:
-        """Call ``callback(now_ms)`` with every tick."""
+        """Call ``callback(now_ms)`` on every tick."""
         self._callbacks.append(callback)
 
     def _schedule(self) -> None:
--- a/packages/entry/src/bluebellusher/links/tests/test_connections.py
+++ b/packages/entry/src/bluebellusher/links/tests/test_connections.py
@@ -1,4 +1,4 @@
-"""Guards against forged, silent, crossed and late messages on connections."""
+"""Guards against forged, mixed up and late messages, and against dead connections."""
 
 import asyncio
 import zlib
@@ -30,7 +30,7 @@
 
 
 class Sink:
-    """Collect events and tell when one has come."""
+    """Event sink that collects events and lets a test wait for them."""
 
     def __init__(self) -> None:
         self.events = []
@@ -42,10 +42,10 @@
         self._came.set()
 
     def log(self, name, **fields) -> None:
-        """Drop a log line."""
+        """Ignore a log line."""
 
     async def wait_for(self, kind, n_events=1):
-        """Return the ``n_events``-th event of a kind."""
+        """Wait for the ``n_events``-th event of a kind and return it."""
         async with asyncio.timeout(20):
             while True:
                 found = [event for event in self.events if isinstance(event, kind)]
@@ -56,7 +56,7 @@
 
 
 class FakeAgent:
-    """The accepting side, driven by the test."""
+    """Accepting side of the connections, driven by the test."""
 
     def __init__(self, identity: Identity = AGENT) -> None:
         self.identity = identity
@@ -64,18 +64,18 @@
         self.received: list[object] = []
 
     def on_open(self, connection) -> None:
-        """Remember the connection."""
+        """Record the connection."""
         self.connections.append(connection)
 
     def on_message(self, connection, message) -> None:
-        """Remember the message."""
+        """Record the message."""
         self.received.append(message)
 
     def on_closed(self, connection, error) -> None:
         """Do nothing."""
 
     async def listen(self) -> int:
-        """Accept connections; return the port."""
+        """Start to accept connections; return the port."""
         role, clock = messages.Role.ENTRY, ManualClock()
         self.server = await asyncio.get_running_loop().create_server(
             lambda: FrameConnection(self.identity, role, True, self, clock, "entry"),
@@ -84,12 +84,12 @@
         return self.server.sockets[0].getsockname()[1]
 
     def send(self, message) -> None:
-        """Send on the newest connection."""
+        """Send a message on the newest connection."""
         self.connections[-1].send(message)
 
 
 def run(scenario, identity: Identity = AGENT, clock=None) -> None:
-    """Connect an entry's links to a fake agent and run a scenario."""
+    """Connect an entry to a fake agent and run a scenario of a test."""
 
     async def inner() -> None:
         sink, agent, used_clock = Sink(), FakeAgent(identity), clock or ManualClock()
@@ -106,7 +106,7 @@
 
 
 async def dispatch(links, sink, attempt_id="a1", answer=None) -> AnswerStream:
-    """Send an attempt to the fake agent."""
+    """Send an attempt to the fake agent; return the answer that it writes."""
     await sink.wait_for(EndpointConnected)
     relay = AttemptRelay(attempt_id, "r1", "f", answer or AnswerStream())
     message = messages.Dispatch(attempt_id=attempt_id, request_id="r1")
@@ -115,18 +115,18 @@
 
 
 def start(attempt_id: str):
-    """Return the head of an answer."""
+    """Create the message with the head of an answer."""
     return messages.Started(attempt_id=attempt_id, status=200, headers=HEADERS)
 
 
 def batch(attempt_id: str, offset: int, data: bytes):
-    """Return one part of an answer."""
+    """Create the message with one part of an answer."""
     part = messages.Chunk(attempt_id=attempt_id, offset=offset, data=data)
     return messages.ChunkBatch(chunks=[part])
 
 
 def end(attempt_id: str, data: bytes):
-    """Return the end of an answer that consists of ``data``."""
+    """Create the final message of an answer that consists of ``data``."""
     return messages.Finish(
         attempt_id=attempt_id,
         status=200,
@@ -137,7 +137,7 @@
 
 
 def test_an_answer_of_a_foreign_attempt_closes_the_connection():
-    """Guards against another caller's answer (I2)."""
+    """Guards against bytes of another caller's answer (I2)."""
 
     async def scenario(agent, links, sink, ticker):
         answer = await dispatch(links, sink)
@@ -155,7 +155,10 @@
 
 
 def test_acceptance_reaches_the_decisions():
-    """Guards against a suspect whose isolated run counts as never started."""
+    """Guards against an isolated run of a suspect that is recorded as never started.
+
+    The entry has to post the agent's ``Accepted`` message as an event.
+    """
 
     async def scenario(agent, links, sink, ticker):
         await dispatch(links, sink)
@@ -167,7 +170,10 @@
 
 
 def test_late_bytes_of_a_cancelled_attempt_are_dropped():
-    """Guards against late bytes in a later answer, and a needless disconnect."""
+    """Guards against late bytes of a cancelled attempt.
+
+    They must neither enter the answer of the next attempt nor close the connection.
+    """
 
     async def scenario(agent, links, sink, ticker):
         answer = await dispatch(links, sink)
@@ -192,14 +198,14 @@
 
 
 def test_a_silent_connection_is_replaced():
-    """Guards against a connection that stays open without a sign of life."""
+    """Guards against a connection that stays open after its receive timeout."""
     clock = ManualClock()
 
     async def scenario(agent, links, sink, ticker):
         await dispatch(links, sink)
         connection = links.link_by_endpoint_id["engine-1"].connection
         clock.advance(2_001)
-        # The entry itself was paused: what the agent sent may be unread.
+        # The entry itself was suspended, so messages of the agent may be unread.
         connection.tick(clock.now_ms(), has_paused=True)
         agent.send(start("a1"))
         await sink.wait_for(AttemptStarted)
@@ -212,7 +218,7 @@
 
 
 def test_wrong_secret_wrong_role_and_own_id_are_refused():
-    """Guards against a process that is not an agent of this deployment."""
+    """Guards against connections to processes that are no agents of the deployment."""
     forged = Identity("engine-1", 7, "a", b"other-secret", messages.Role.AGENT)
     entry = Identity("entry-9", 7, "a", SECRET)
     mirror = Identity("entry-1", 7, "a", SECRET, messages.Role.AGENT)
--- a/packages/entry/src/bluebellusher/links/tests/test_relay.py
+++ b/packages/entry/src/bluebellusher/links/tests/test_relay.py
@@ -1,4 +1,4 @@
-"""Guards against answers that are cut, crossed or repeated and look whole."""
+"""Guards against answers that appear complete but are cut, mixed up or repeated."""
 
 import asyncio
 import zlib
@@ -15,7 +15,7 @@
 
 
 def take_all(answer: AnswerStream) -> bytes:
-    """Return what the caller would have received by now."""
+    """Read all bytes that the caller can receive so far."""
 
     async def take() -> bytes:
         data = b""
@@ -27,23 +27,23 @@
 
 
 def make_relay(attempt_id="a1", answer=None) -> AttemptRelay:
-    """Return a relay of one attempt."""
+    """Create the relay of one attempt."""
     return AttemptRelay(attempt_id, "r1", "f", answer or AnswerStream())
 
 
 def started(status=200, headers=None):
-    """Return the head of an answer."""
+    """Create the message with the head of an answer."""
     headers = EVENTS if headers is None else headers
     return messages.Started(attempt_id="a1", status=status, headers=headers)
 
 
 def chunk(offset: int, data: bytes):
-    """Return a part of an answer."""
+    """Create the message with one part of an answer."""
     return messages.Chunk(attempt_id="a1", offset=offset, data=data)
 
 
 def finish(data: bytes):
-    """Return the end of an answer that consists of ``data``."""
+    """Create the final message of an answer that consists of ``data``."""
     crc = zlib.crc32(data)
     return messages.Finish(
         attempt_id="a1", status=200, headers=EVENTS, n_bytes=len(data), crc32=crc
@@ -59,7 +59,7 @@
 
 @given(texts, st.integers(1, 20))
 def test_property_done_mark_waits_for_the_last_check(text, size):
-    """Guards against [DONE] that is shown before the whole answer is checked."""
+    """Guards against a ``[DONE]`` that is sent before the whole answer is checked."""
     relay = make_relay()
     relay.start(started())
     shown = b""
@@ -79,7 +79,7 @@
     st.data(),
 )
 def test_property_a_damaged_stream_is_never_whole(parts, fault, data):
-    """Guards against lost, repeated, crossed or changed bytes (I2)."""
+    """Guards against lost, repeated, reordered or changed bytes (I2)."""
     text = b"".join(parts)
     offsets = [sum(map(len, parts[:i])) for i in range(len(parts))]
     chunks = [chunk(at, part) for at, part in zip(offsets, parts, strict=True)]
@@ -107,7 +107,7 @@
 
 @given(st.binary(min_size=2, max_size=60), st.data())
 def test_property_resume_gives_the_same_bytes_or_nothing(text, data):
-    """Guards against bytes repeated or left out when a stream is resumed."""
+    """Guards against repeated or missing bytes when a stream is resumed."""
     cut = data.draw(st.integers(1, len(text) - 1))
     resumed_at = data.draw(st.integers(0, len(text)))
     first = make_relay()
@@ -127,7 +127,7 @@
 
 
 def test_another_attempt_cannot_write_into_an_answer():
-    """Guards against a hedge whose loser mixes its bytes in."""
+    """Guards against bytes of a hedge's losing attempt in the answer of the winner."""
     winner = make_relay()
     winner.start(started())
     loser = make_relay("a2", winner.answer)
@@ -139,7 +139,7 @@
 
 
 def test_nothing_follows_a_refusal():
-    """Guards against a late answer after the final one."""
+    """Guards against late bytes of an attempt after its request was rejected."""
     relay = make_relay()
     relay.start(started())
     relay.accept(chunk(0, b"data: 1\n\n"))
@@ -151,7 +151,7 @@
 
 
 def test_an_answer_without_events_is_held_until_it_is_whole():
-    """Guards against a cut JSON answer with status 200."""
+    """Guards against a truncated JSON answer with status 200."""
     relay = make_relay()
     relay.start(started(headers={"content-type": "application/json"}))
     relay.accept(chunk(0, b'{"a":'))
