--- a/packages/entry/src/bluebellusher/server/__init__.py
+++ b/packages/entry/src/bluebellusher/server/__init__.py
@@ -1,4 +1,4 @@
-"""HTTP interface for callers and operators."""
+"""HTTP server of ``bluebellusher serve`` for callers and operators."""
 
 from bluebellusher.server._app import HttpServer
 from bluebellusher.server._parse import BadRequestError, RequestDraft, RequestParser
--- a/packages/entry/src/bluebellusher/server/_app.py
+++ b/packages/entry/src/bluebellusher/server/_app.py
@@ -1,4 +1,4 @@
-"""The HTTP server of an entry."""
+"""HTTP server of an entry."""
 
 import asyncio
 import logging
@@ -40,35 +40,36 @@
     408: Reason.SLOW_SENDER,
     413: Reason.BODY_TOO_LARGE,
 }
-# Longer than any deadline, which ends every request earlier.
+# Sanic's response timeout. It is longer than the longest deadline, at which the entry
+# itself ends a request.
 _RESPONSE_TIMEOUT_S = 3_600
 _KEEP_ALIVE_TIMEOUT_S = 75
 _BACKLOG = 1024
 _SEND_BUFFER_BYTES = 128 * 1024
-# A caller that has not read its answer this long after the deadline is cut off; it
-# would otherwise hold its connection for as long as it likes.
+# Time in ms after the deadline in which a caller must read its answer. Its connection
+# is then aborted, because the caller could otherwise hold it without a time limit.
 _DELIVERY_GRACE_MS = 5_000
 
 
 class HttpServer:
-    """Serve callers and operators on one address.
+    """HTTP server for callers and operators on one address.
 
     Parameters
     ----------
     settings : Settings
         Addresses, credentials and limits.
     runtime : Runtime
-        Decides and executes.
+        Runs the requests.
     store : ClaimStore
-        Read by ``GET /v1/requests/{key}``.
+        Store of the claims that ``GET /v1/requests/{key}`` reads.
     status : StatusSource
-        Shown to operators.
+        State of the entry for operators and load balancers.
     make_request_id : callable
-        Returns a new id with each call.
+        Returns a new request id on each call.
     more_pages : sequence of Pages
-        Routes of other parts of the entry.
+        Routes that other parts of the entry serve.
     spending : SpendingGate or None
-        Lets requests in within the budgets.
+        Admits requests within the rates and budgets; None admits every request.
     """
 
     def __init__(
@@ -91,17 +92,18 @@
         self._server: AsyncioServer | None = None
 
     async def start(self) -> int:
-        """Listen; return the port."""
+        """Start to accept connections; return the port."""
         app = self._build_app()
-        # Sanic would replace port 0 by its own default, hence a bound socket.
+        # Sanic replaces port 0 by its own default, so the socket is bound here.
         address = self._settings.http
         sock = socket.create_server(
             (address.host, address.port),
             family=socket.AF_INET6 if ":" in address.host else socket.AF_INET,
             backlog=_BACKLOG,
         )
-        # Accepted sockets inherit it. The system would otherwise grow the buffer to
-        # megabytes, and a slow caller would stop the engine only after that.
+        # Accepted sockets inherit the buffer size. The kernel would otherwise grow the
+        # buffer to megabytes, and the engine of a slow caller would be throttled only
+        # when that buffer is full.
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BUFFER_BYTES)
         port = int(sock.getsockname()[1])
         self._server = await app.create_server(
@@ -112,7 +114,7 @@
             backlog=_BACKLOG,
         )
         assert self._server is not None
-        # Tells sanic that HTTP/1.1 is all there is, or it adds an empty Alt-Svc.
+        # Sanic adds an empty Alt-Svc header unless HTTP/1.1 is the only version.
         info = ApplicationServerInfo({"version": HTTP.VERSION_1, "port": port})
         app.state.server_info.append(info)
         await self._server.startup()
@@ -121,16 +123,16 @@
 
     @property
     def n_connections(self) -> int:
-        """Return how many callers are connected."""
+        """Number of open connections of callers."""
         return len(self._server.connections) if self._server else 0
 
     def stop_accepting(self) -> None:
-        """Accept no new connection; requests in progress go on."""
+        """Accept no new connections; requests in progress continue."""
         if self._server is not None and self._server.server is not None:
             self._server.server.close()
 
     def close_idle(self) -> int:
-        """Close connections without a request; return how many are left."""
+        """Close connections without a request; return the number of open ones."""
         connections = list(self._server.connections) if self._server else []
         for connection in connections:
             connection.close_if_idle()
@@ -152,8 +154,8 @@
         return app
 
     def _add_caller_routes(self, app: Sanic[Any, Any]) -> None:
-        # Functions, because sanic marks a streamed handler by an attribute, which
-        # a bound method cannot take.
+        # These are functions because sanic sets an attribute on the handler of a
+        # streamed route, and bound methods do not accept attributes.
         async def serve_model(request: Request) -> HTTPResponse | None:
             return await self._serve_model(request)
 
@@ -169,15 +171,15 @@
 
     def _make_config(self) -> Config:
         limits = self._settings.limits
-        # Without a prefix no environment variable changes the settings.
+        # With an empty prefix, sanic reads no settings from environment variables.
         config = Config(env_prefix="")
         config.update(
             {
                 "MOTD": False,
                 "ACCESS_LOG": False,
                 "AUTO_EXTEND": False,
-                # Removes unused hooks from the path of every chunk; sanic can do it
-                # only once in a process.
+                # Touch-up removes unused hooks from the code that sends chunks. Sanic
+                # can do it only once in a process.
                 "TOUCHUP": not getattr(HttpProtocol, "__touched__", False),
                 "REQUEST_MAX_SIZE": limits.max_body_bytes,
                 "REQUEST_TIMEOUT": limits.slow_sender_timeout_ms / 1000,
@@ -219,7 +221,8 @@
         except BadRequestError as error:
             return self._refuse(error, request_id)
         if self._runtime.is_shutting_down:
-            # The caller is told to use another connection for its next request.
+            # The answer carries ``Connection: close``, so that the caller opens another
+            # connection for its next request.
             cast(Any, request.stream).keep_alive = False
         exchange = self._make_exchange(draft, request_id, request)
         self._runtime.submit(exchange)
@@ -269,7 +272,11 @@
 def make_refusal(
     reason: Reason, request_id: str, detail: str, retry_after_ms: int | None = None
 ) -> HTTPResponse:
-    """Return the answer to a request that was not admitted."""
+    """Create the response to a request that was rejected before admission.
+
+    Responses with status 408, 429 or 503 ask for a retry after ``retry_after_ms``, by
+    default 1 s.
+    """
     if retry_after_ms is None and status_of(reason) in (408, 429, 503):
         retry_after_ms = 1_000
     refusal = Rejection(Outcome.NOT_RUN, reason, "receive", "", retry_after_ms)
@@ -282,14 +289,14 @@
 
 
 class _FinalErrorHandler(ErrorHandler):
-    """Answer every error that sanic finds in the form of a refusal."""
+    """Error handler that answers errors raised in sanic with a rejection."""
 
     def __init__(self, runtime: Runtime) -> None:
         super().__init__()
         self._runtime = runtime
 
     def response(self, request: Request, exception: Exception) -> HTTPResponse:
-        """Return a refusal; the exception's text is not shown to the caller."""
+        """Create a rejection that names the type of the exception but not its text."""
         status = getattr(exception, "status_code", 500)
         detail = type(exception).__name__
         if isinstance(exception, SanicException) and status < 500:
@@ -299,7 +306,7 @@
             return answer
         if not isinstance(exception, asyncio.CancelledError):
             self._runtime.report_fault("serve", request, exception)
-        # The request may have been dispatched before the fault.
+        # The request may have been dispatched before the exception was raised.
         reason = Reason.OUTCOME_UNKNOWN
         refusal = Rejection(Outcome.UNKNOWN, reason, "serve", "", None)
         body = refusal_body(refusal, "", detail)
@@ -307,7 +314,7 @@
 
 
 def _cut_off(request: Request) -> None:
-    """End the connection of a caller that does not read its answer."""
+    """Abort the connection of a caller that has not read its answer in time."""
     transport: Any = request.transport
     if transport is not None:
         transport.abort()
@@ -332,7 +339,7 @@
 
 
 def _silence_sanic() -> None:
-    """Switch sanic's own log off; it would show callers' input and tracebacks."""
+    """Disable sanic's loggers, which would log callers' input and tracebacks."""
     for name in ("root", "error", "access", "server", "websockets"):
         logger = logging.getLogger(f"sanic.{name}")
         logger.handlers = [logging.NullHandler()]
--- a/packages/entry/src/bluebellusher/server/_body.py
+++ b/packages/entry/src/bluebellusher/server/_body.py
@@ -1,4 +1,4 @@
-"""Reading of a caller's body under limits."""
+"""Reading of request bodies with limits on size and time."""
 
 import asyncio
 from typing import Any
@@ -11,11 +11,16 @@
 
 
 async def read_body(request: Request, limits: LimitSettings) -> bytes:
-    """Return the whole body.
+    """Read the whole body of a request.
 
-    The time limit is on the whole body, because a sender that trickles bytes
-    would otherwise hold a connection for as long as it likes. Sanic lifts its
-    limit on the size for handlers that read the body themselves.
+    The time limit applies to the whole body, because a sender of single bytes could
+    otherwise hold a connection without a limit. The size limit is set here, because
+    sanic disables its own for handlers that read the body themselves.
+
+    Raises
+    ------
+    BadRequestError
+        When the body does not arrive within the time limit.
     """
     stream: Any = request.stream
     timeout_ms = limits.slow_sender_timeout_ms
@@ -28,7 +33,7 @@
                 if data:
                     parts.append(data)
     except TimeoutError:
-        # The rest is not awaited, and the connection closes after the answer.
+        # The rest of the body is not read, and the connection closes after the answer.
         stream.request_body = None
         stream.keep_alive = False
         detail = f"body: expected within {timeout_ms} ms"
--- a/packages/entry/src/bluebellusher/server/_operator.py
+++ b/packages/entry/src/bluebellusher/server/_operator.py
@@ -1,4 +1,4 @@
-"""Pages for operators, load balancers and callers who ask for an outcome."""
+"""Read-only routes for operators, load balancers and callers."""
 
 import json
 from typing import Any
@@ -21,7 +21,7 @@
 
 
 class OperatorPages:
-    """Read-only pages."""
+    """Routes for health, readiness, metrics, status and the outcomes of requests."""
 
     def __init__(
         self,
@@ -36,7 +36,7 @@
         self._status = status
 
     def add_to(self, app: Sanic[Any, Any]) -> None:
-        """Register the routes."""
+        """Register the routes with a sanic application."""
         app.add_route(self._health, "/healthz")
         app.add_route(self._ready, "/readyz")
         app.add_route(self._metrics, "/metrics")
@@ -68,7 +68,7 @@
         except BadRequestError as error:
             return _error(error.reason, error.detail)
         except StoreError:
-            return _error(Reason.CLAIM_STORE_UNAVAILABLE, "the table does not answer")
+            return _error(Reason.CLAIM_STORE_UNAVAILABLE, "claim table unavailable")
         value = row.value if isinstance(row.value, dict) else {}
         state = str(value.get("state", "absent"))
         if state not in _OUTCOME_BY_STATE:
--- a/packages/entry/src/bluebellusher/server/_parse.py
+++ b/packages/entry/src/bluebellusher/server/_parse.py
@@ -1,4 +1,4 @@
-"""Checks on a caller's request; whatever is sent, the result is clear."""
+"""Parsing and validation of callers' requests."""
 
 import json
 import re
@@ -24,7 +24,8 @@
 _VISIBLE = re.compile(r"^[\x20-\x7e\t]*\Z")
 _PRIORITY_BY_NAME = {p.name.lower(): p for p in Priority}
 _IDEMPOTENT_METHODS = frozenset(("GET", "HEAD"))
-# Headers that belong to one connection or to this entry.
+# Request headers that are not forwarded to endpoints, because they apply to one
+# connection or to this entry.
 _NOT_FORWARDED = frozenset(
     (
         "authorization",
@@ -49,7 +50,18 @@
 
 
 class BadRequestError(Exception):
-    """A request that is refused before it is admitted."""
+    """Rejection of a request before its admission.
+
+    Parameters
+    ----------
+    reason : Reason
+        Reason in the answer to the caller.
+    detail : str
+        Description of the fault for the caller.
+    retry_after_ms : int or None
+        Time after which the caller may retry the request, in ms; None uses the
+        default of the status code.
+    """
 
     def __init__(
         self, reason: Reason, detail: str, retry_after_ms: int | None = None
@@ -62,7 +74,10 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestDraft:
-    """A valid request, before it has an id and a deadline on the clock."""
+    """Valid request that has no request id and no absolute deadline yet.
+
+    ``remaining_ms`` is the time until the deadline, in ms.
+    """
 
     customer_id: str
     service_id: str
@@ -83,7 +98,7 @@
 
 
 class RequestParser:
-    """Check requests against the settings.
+    """Parser that validates requests against the settings.
 
     Parameters
     ----------
@@ -106,7 +121,13 @@
         self._n_default_output_tokens = settings.limits.n_default_output_tokens
 
     def authenticate(self, headers: Mapping[str, str]) -> str:
-        """Return the customer that the credential belongs to."""
+        """Return the id of the customer whose credential the request carries.
+
+        Raises
+        ------
+        BadRequestError
+            When no customer has the credential.
+        """
         customer_id = self._customer_by_credential.get(_bearer(headers))
         if customer_id is None:
             raise BadRequestError(
@@ -115,11 +136,17 @@
         return customer_id
 
     def find_operator(self, headers: Mapping[str, str]) -> str | None:
-        """Return the operator that the credential belongs to, or ``None``."""
+        """Return the name of the operator whose credential is given, or ``None``."""
         return self._operator_by_credential.get(_bearer(headers))
 
     def parse_model(self, headers: Mapping[str, str], body: bytes) -> RequestDraft:
-        """Check a model request."""
+        """Parse a request to a model.
+
+        Raises
+        ------
+        BadRequestError
+            When the request is invalid.
+        """
         customer_id = self.authenticate(headers)
         document = _parse_json(body)
         model, _, adapter = _read_text(document, "model").partition(":")
@@ -153,7 +180,13 @@
         path: str,
         body: bytes,
     ) -> RequestDraft:
-        """Check a call to a plain service."""
+        """Parse a request to a plain service.
+
+        Raises
+        ------
+        BadRequestError
+            When the request is invalid.
+        """
         customer_id = self.authenticate(headers)
         service = self._service_by_id.get(service_id)
         if service is None or service.kind is not ServiceKind.PLAIN:
@@ -161,8 +194,8 @@
                 Reason.UNKNOWN_SERVICE,
                 f"service={service_id[:80]!r}: expected a known plain service",
             )
-        # The fingerprint covers method and path, because a plain service gives
-        # different answers to one body on different paths.
+        # The fingerprint covers method and path, because a plain service answers the
+        # same body differently on different paths.
         signed = f"{method} {path}\n".encode(errors="replace") + body
         common = self._read_common(headers, customer_id, service, signed)
         return RequestDraft(
@@ -205,7 +238,13 @@
 
 
 def read_key(value: str | None) -> str | None:
-    """Check an idempotency key."""
+    """Return an idempotency key without surrounding spaces.
+
+    Raises
+    ------
+    BadRequestError
+        When the key is not 1 to 255 visible ASCII characters.
+    """
     value = value.strip() if value is not None else None
     if value is not None and not _KEY.match(value):
         raise _bad("Idempotency-Key: expected 1 to 255 visible ASCII characters")
--- a/packages/entry/src/bluebellusher/server/_protocol.py
+++ b/packages/entry/src/bluebellusher/server/_protocol.py
@@ -1,4 +1,4 @@
-"""Sanic's connection protocol with a limit on the time for a request's head."""
+"""Connection protocol with limits on connections and on the time for a head."""
 
 from typing import Any
 
@@ -7,20 +7,21 @@
 
 
 class EntryProtocol(HttpProtocol):
-    """Count the time limit from the first byte of a request.
+    """Protocol that measures the request timeout from the first byte of a request.
 
-    Sanic restarts its limit with every byte, so that a sender of one byte per
-    second could hold a connection for hours.
+    Sanic restarts the timeout with every byte, so that a sender of one byte per second
+    could hold a connection for hours. Connections above ``limits.max_connections`` are
+    closed.
     """
 
     def connection_made(self, transport: Any) -> None:
-        """Close a connection above the limit at once."""
+        """Register a new connection, or close it when there are too many."""
         super().connection_made(transport)
         if len(self.connections) > self.app.ctx.n_max_connections:
             self.close()
 
     def data_received(self, data: bytes) -> None:
-        """Keep the time of the first byte while the head is incomplete."""
+        """Process bytes without restarting the timeout while the head is incomplete."""
         before = self._time
         super().data_received(data)
         http: Any = self.http
--- a/packages/entry/src/bluebellusher/server/_respond.py
+++ b/packages/entry/src/bluebellusher/server/_respond.py
@@ -1,4 +1,4 @@
-"""Status codes and bodies of final answers."""
+"""Status codes, headers and bodies of the responses to callers."""
 
 import json
 from collections.abc import Mapping
@@ -25,17 +25,17 @@
     Reason.CLAIM_KEY_REUSED: 422,
     Reason.CRASHES_ENDPOINTS: 422,
 }
-# Headers of an answer that callers do not get.
+# Headers of an endpoint's answer that are not sent to the caller.
 _NOT_RETURNED = CONNECTION_HEADERS | {"x-attempt-id", "x-resume-offset"}
 
 
 def status_of(reason: Reason) -> int:
-    """Return the status code; overload and outages are 503."""
+    """Return the status code for a reason; overload and outages are 503."""
     return _STATUS_BY_REASON.get(reason, HTTPStatus.SERVICE_UNAVAILABLE)
 
 
 def refusal_body(refusal: Rejection, request_id: str, detail: str = "") -> bytes:
-    """Return the JSON body of a refusal."""
+    """Create the JSON body of the response to a rejected request."""
     error: dict[str, Any] = {
         "outcome": refusal.outcome.value,
         "reason": refusal.reason.value,
@@ -50,14 +50,17 @@
 
 
 def refusal_headers(refusal: Rejection) -> dict[str, str]:
-    """Return ``Retry-After`` in whole seconds, rounded up."""
+    """Create the ``Retry-After`` header, in whole seconds rounded up.
+
+    The result is empty when the rejection has no time for a retry.
+    """
     if refusal.retry_after_ms is None:
         return {}
     return {"retry-after": str(max(1, -(-refusal.retry_after_ms // 1000)))}
 
 
 def returned_headers(headers: Mapping[str, str], request_id: str) -> dict[str, str]:
-    """Return the headers of an endpoint's answer that the caller gets."""
+    """Return the headers of an endpoint's answer that are sent to the caller."""
     returned = {
         name: value
         for name, value in headers.items()
--- a/packages/entry/src/bluebellusher/server/_status.py
+++ b/packages/entry/src/bluebellusher/server/_status.py
@@ -1,4 +1,4 @@
-"""What the server shows of the entry."""
+"""Interfaces of the entry that the HTTP server uses."""
 
 from collections.abc import Callable, Mapping
 from typing import Any, Protocol
@@ -13,24 +13,24 @@
     """State of the entry for operators and load balancers."""
 
     def is_ready(self) -> bool:
-        """Return whether the platform's load balancer should send callers."""
+        """Return whether the platform's load balancer should route callers here."""
 
     def status(self) -> dict[str, Any]:
         """Return members, endpoints, configuration version, claims and ages."""
 
     def gauges(self) -> Mapping[str, float]:
-        """Return current figures by Prometheus name."""
+        """Return the current gauge values by Prometheus metric name."""
 
 
 class Pages(Protocol):
-    """Routes that another part of the entry serves."""
+    """Set of routes that another part of the entry serves."""
 
     def add_to(self, app: Sanic[Any, Any]) -> None:
-        """Register the routes."""
+        """Register the routes with a sanic application."""
 
 
 class SpendingGate(Protocol):
-    """Budgets of the customers."""
+    """Admission of requests by the rates and budgets of customers."""
 
     async def admit(
         self,
@@ -38,7 +38,16 @@
         draft: RequestDraft,
         reparse: Callable[[bytes], RequestDraft],
     ) -> RequestDraft:
-        """Return the request to run, or raise ``BadRequestError``."""
+        """Reserve the cost of a request and return the request to run.
+
+        A rule may replace the model by a cheaper one; ``reparse`` then parses the
+        changed body.
+
+        Raises
+        ------
+        BadRequestError
+            When a rate or the budget does not cover the request.
+        """
 
     def settle(self, request_id: str, outcome: str, exchange: Exchange | None) -> None:
-        """Charge what an admitted request used."""
+        """Charge the actual usage of an admitted request and release the rest."""
--- a/packages/entry/src/bluebellusher/server/_stream.py
+++ b/packages/entry/src/bluebellusher/server/_stream.py
@@ -1,4 +1,4 @@
-"""Sending an answer to its caller."""
+"""Transmission of an answer to its caller."""
 
 from time import monotonic_ns
 from typing import Any
@@ -18,7 +18,7 @@
 
 
 class AnswerSender:
-    """Send what the relay has checked, at the pace of the caller's socket."""
+    """Sender of an answer to its caller, at the rate of the caller's socket."""
 
     def __init__(self, request: Request, exchange: Exchange, metrics: Metrics) -> None:
         self._request = request
@@ -28,7 +28,7 @@
         self._response: HTTPResponse | None = None
 
     async def send(self) -> str:
-        """Send the whole answer; return how it ended, for metrics."""
+        """Send the whole answer or a rejection; return the outcome for metrics."""
         answer = self._exchange.answer
         while data := await answer.take():
             if answer.is_complete and self._response is None:
@@ -83,12 +83,12 @@
             headers["x-request-id"] = request_id
             await self._respond_once(status_of(refusal.reason), headers, body)
         elif self._exchange.answer.is_events:
-            # No terminating [DONE]: the caller sees that the answer is not whole.
-            # The answer may have been cut within a line, hence the empty line first.
+            # Without the terminating [DONE] the caller detects an incomplete answer.
+            # The empty line comes first because the answer may end within a line.
             await self._response.send(b"\n\nevent: error\ndata: " + body + b"\n\n")
             await self._response.eof()
         else:
-            # Without the last chunk the caller's HTTP client reports a cut answer.
+            # Without the last chunk the caller's HTTP client reports a truncated body.
             self._abort()
         return refusal.outcome.value
 
--- a/packages/entry/src/bluebellusher/server/tests/test_http.py
+++ b/packages/entry/src/bluebellusher/server/tests/test_http.py
@@ -1,4 +1,4 @@
-"""Guards against caller input that raises a traceback or stops the process."""
+"""Guards against requests that raise a traceback, stop the process or hold it up."""
 
 import asyncio
 import http.client
@@ -37,7 +37,7 @@
 
 
 class Server:
-    """One entry without endpoints in a thread of its own."""
+    """Entry without endpoints that runs in its own thread."""
 
     def __init__(self) -> None:
         self.log = io.StringIO()
@@ -71,7 +71,7 @@
         log.close()
 
     def ask(self, method, path, headers=KEY, body=b""):
-        """Send one request; return status, body and headers."""
+        """Send one request; return the status, body and headers of the response."""
         connection = http.client.HTTPConnection("127.0.0.1", self.port, timeout=20)
         try:
             connection.request(method, path, body, headers)
@@ -81,7 +81,7 @@
             connection.close()
 
     def send_raw(self, data: bytes) -> bytes:
-        """Send bytes, end the input and return everything that is answered."""
+        """Send bytes, close the sending side and return all received bytes."""
         with socket.create_connection(("127.0.0.1", self.port), timeout=20) as sock:
             received = b""
             try:
@@ -94,7 +94,7 @@
             return received
 
     def check_alive(self) -> None:
-        """Assert that the process serves and has met no fault."""
+        """Assert that the entry serves requests and has logged no fault."""
         assert self.ask("GET", "/healthz")[0] == 200
         assert "internal-fault" not in self.log.getvalue()
         assert "Traceback" not in self.log.getvalue()
@@ -102,7 +102,7 @@
 
 @pytest.fixture(scope="module")
 def server():
-    """Run one entry for all tests of this module."""
+    """Start one entry for all tests of this module."""
     with Server() as running:
         yield running
 
@@ -141,7 +141,7 @@
     ],
 )
 def test_refusals_are_clear(server, method, path, headers, body, status, reason):
-    """Guards against a wrong status or an unclear body of a refusal."""
+    """Guards against rejections with a wrong status code, reason or outcome."""
     found, answer, returned = server.ask(method, path, headers, body)
     assert (found, _error(answer)["reason"]) == (status, reason)
     assert _error(answer)["outcome"] == "not_run"
@@ -150,7 +150,7 @@
 
 
 def test_a_slow_sender_is_refused(server):
-    """Guards against senders that hold connections by trickling bytes."""
+    """Guards against senders that hold a connection with an unfinished request."""
     for sent in (
         b"POST /v1/ch",
         b"POST " + MODEL.encode() + b" HTTP/1.1\r\n"
@@ -163,7 +163,7 @@
 
 
 def test_operator_pages_need_an_operator(server):
-    """Guards against a customer who reads the state of the entry."""
+    """Guards against a customer that reads the status page of the entry."""
     assert server.ask("GET", "/admin/status")[0] == 401
     headers = {"Authorization": "Bearer key-of-op"}
     status, body, _ = server.ask("GET", "/admin/status", headers)
@@ -187,7 +187,7 @@
 @settings(max_examples=60)
 @given(documents.map(lambda d: json.dumps(d).encode()) | st.binary(max_size=200))
 def test_property_any_model_body_gets_a_refusal(server, body):
-    """Guards against a body that raises a traceback."""
+    """Guards against model request bodies that raise a traceback."""
     status, answer, _ = server.ask("POST", MODEL, KEY, body)
     assert status in (400, 404, 503)
     assert _error(answer)["outcome"] == "not_run"
@@ -223,7 +223,7 @@
 def test_property_any_bytes_leave_the_server_running(
     server, method, path, headers, body
 ):
-    """Guards against raw input that stops the process or one of its tasks."""
+    """Guards against raw bytes that stop the process or one of its tasks."""
     lines = [method + b" " + path + b" HTTP/1.1", b"Authorization: Bearer key-of-c1"]
     lines += [name + b": " + value for name, value in headers]
     answer = server.send_raw(b"\r\n".join(lines) + b"\r\n\r\n" + body)
