Rename the internals of the links to agents and peers

Private methods, locals, constants and test names say what they hold or do: heartbeat timing, handshake steps, unread parts of an answer, ended attempts and the backoff of a dialer. No behaviour changes.

--- a/packages/entry/src/bluebellusher/links/__init__.py
+++ b/packages/entry/src/bluebellusher/links/__init__.py
@@ -10,7 +10,11 @@
 from bluebellusher.links._headers import CONNECTION_HEADERS
 from bluebellusher.links._peers import PeerHandler, PeerLinks
 from bluebellusher.links._relay import AttemptRelay
-from bluebellusher.links._responses import BoundedResponse, EventReader, read_whole
+from bluebellusher.links._responses import (
+    BoundedResponse,
+    EventReader,
+    read_whole,
+)
 from bluebellusher.links._sockets import is_listening, make_socket
 from bluebellusher.links._sse import EventSplitter
 from bluebellusher.links._ticker import LinkTicker
--- a/packages/entry/src/bluebellusher/links/_agents.py
+++ b/packages/entry/src/bluebellusher/links/_agents.py
@@ -52,7 +52,7 @@
         self.endpoint_id: str = connection.hello.instance_id
         self.relay_by_attempt_id: dict[str, AttemptRelay] = {}
         self._sink = sink
-        self._ended: OrderedDict[str, None] = OrderedDict()
+        self._ended_attempt_ids: OrderedDict[str, None] = OrderedDict()
         self._handler_by_type = {
             messages.ChunkBatch: self._on_chunks,
             messages.Accepted: self._on_accepted,
@@ -60,9 +60,9 @@
             messages.Finish: self._on_finish,
             messages.Refuse: self._on_refuse,
             messages.Broken: self._on_broken,
-            messages.LoadReport: self._on_load,
-            messages.CacheReport: self._on_cache,
-            messages.EngineCrash: self._on_crash,
+            messages.LoadReport: self._on_load_report,
+            messages.CacheReport: self._on_cache_report,
+            messages.EngineCrash: self._on_engine_crash,
             messages.Drain: self._on_drain,
         }
 
@@ -73,39 +73,41 @@
 
     def cancel(self, attempt_id: str) -> None:
         """Cancel an attempt; late messages about it are ignored."""
-        relay = self._end(attempt_id)
+        relay = self._end_attempt(attempt_id)
         if relay is not None:
             relay.release()
             self.connection.send(messages.Cancel(attempt_id=attempt_id))
 
-    def receive(self, message: Any) -> None:
+    def handle_message(self, message: Any) -> None:
         """Handle one message from the agent; ignore messages of other types."""
         handle = self._handler_by_type.get(type(message))
         if handle is not None:
             handle(message)
 
-    def break_all(self) -> None:
+    def break_all_attempts(self) -> None:
         """Report every attempt in progress as broken because the connection is lost."""
         for attempt_id in list(self.relay_by_attempt_id):
-            self._break(attempt_id, Reason.ENDPOINT_LOST, is_resumable=True)
+            self._break_attempt(attempt_id, Reason.ENDPOINT_LOST, is_resumable=True)
 
-    def _find(self, attempt_id: str) -> AttemptRelay | None:
+    def _find_relay(self, attempt_id: str) -> AttemptRelay | None:
         relay = self.relay_by_attempt_id.get(attempt_id)
-        if relay is None and attempt_id not in self._ended:
+        if relay is None and attempt_id not in self._ended_attempt_ids:
             reason = f"attempt_id={attempt_id!r}: expected one sent on this connection"
             raise StepError("relay", self.endpoint_id, reason)
         return relay
 
-    def _end(self, attempt_id: str) -> AttemptRelay | None:
+    def _end_attempt(self, attempt_id: str) -> AttemptRelay | None:
         relay = self.relay_by_attempt_id.pop(attempt_id, None)
         if relay is not None:
-            self._ended[attempt_id] = None
-            if len(self._ended) > _MAX_ENDED_ATTEMPTS:
-                self._ended.popitem(last=False)
+            self._ended_attempt_ids[attempt_id] = None
+            if len(self._ended_attempt_ids) > _MAX_ENDED_ATTEMPTS:
+                self._ended_attempt_ids.popitem(last=False)
         return relay
 
-    def _break(self, attempt_id: str, reason: Reason, is_resumable: bool) -> None:
-        relay = self._end(attempt_id)
+    def _break_attempt(
+        self, attempt_id: str, reason: Reason, is_resumable: bool
+    ) -> None:
+        relay = self._end_attempt(attempt_id)
         if relay is not None:
             n_bytes = relay.release()
             self._sink.post(
@@ -114,7 +116,7 @@
                 )
             )
 
-    def _fail_check(self, attempt_id: str, problem: str) -> None:
+    def _fail_attempt(self, attempt_id: str, problem: str) -> None:
         self._sink.log(
             "stream-corrupt",
             step="relay",
@@ -123,39 +125,39 @@
             problem=problem,
         )
         self.connection.send(messages.Cancel(attempt_id=attempt_id))
-        self._break(attempt_id, Reason.STREAM_CORRUPT, is_resumable=False)
+        self._break_attempt(attempt_id, Reason.STREAM_CORRUPT, is_resumable=False)
 
     def _on_chunks(self, batch: Any) -> None:
         for chunk in batch.chunks or ():
-            relay = self._find(chunk.attempt_id)
+            relay = self._find_relay(chunk.attempt_id)
             problem = relay.accept(chunk) if relay is not None else ""
             if problem:
-                self._fail_check(chunk.attempt_id, problem)
+                self._fail_attempt(chunk.attempt_id, problem)
 
     def _on_accepted(self, accepted: Any) -> None:
-        if self._find(accepted.attempt_id) is not None:
+        if self._find_relay(accepted.attempt_id) is not None:
             event = AttemptAccepted(accepted.attempt_id, self.endpoint_id)
             self._sink.post(event)
 
     def _on_started(self, started: Any) -> None:
-        relay = self._find(started.attempt_id)
+        relay = self._find_relay(started.attempt_id)
         if relay is None:
             return
         problem = relay.start(started)
         if problem:
-            self._fail_check(started.attempt_id, problem)
+            self._fail_attempt(started.attempt_id, problem)
         else:
             self._sink.post(AttemptStarted(started.attempt_id, self.endpoint_id))
 
     def _on_finish(self, finish: Any) -> None:
-        relay = self._find(finish.attempt_id)
+        relay = self._find_relay(finish.attempt_id)
         if relay is None:
             return
         problem = relay.finish(finish)
         if problem:
-            self._fail_check(finish.attempt_id, problem)
+            self._fail_attempt(finish.attempt_id, problem)
             return
-        self._end(finish.attempt_id)
+        self._end_attempt(finish.attempt_id)
         usage = Usage(
             finish.n_input_tokens or 0,
             finish.n_cached_tokens or 0,
@@ -169,14 +171,16 @@
         )
 
     def _on_refuse(self, refuse: Any) -> None:
-        relay = self._find(refuse.attempt_id)
+        relay = self._find_relay(refuse.attempt_id)
         if relay is None:
             return
         # An agent cannot refuse an attempt whose answer it has started to send.
         if relay.answer.owner_attempt_id == refuse.attempt_id:
-            self._fail_check(refuse.attempt_id, "refused after its answer had started")
+            self._fail_attempt(
+                refuse.attempt_id, "refused after its answer had started"
+            )
             return
-        self._end(refuse.attempt_id)
+        self._end_attempt(refuse.attempt_id)
         reason = _to_reason(refuse.reason, Reason.NO_ENDPOINT)
         retry_after_ms = max(0, refuse.retry_after_ms or 0)
         self._sink.post(
@@ -184,19 +188,19 @@
         )
 
     def _on_broken(self, broken: Any) -> None:
-        if self._find(broken.attempt_id) is not None:
+        if self._find_relay(broken.attempt_id) is not None:
             reason = _to_reason(broken.reason, Reason.ENGINE_ERROR)
-            self._break(broken.attempt_id, reason, bool(broken.is_resumable))
+            self._break_attempt(broken.attempt_id, reason, bool(broken.is_resumable))
 
-    def _on_load(self, report: Any) -> None:
+    def _on_load_report(self, report: Any) -> None:
         self._sink.post(to_load_event(self.endpoint_id, report))
         if report.is_draining:
             self._sink.post(EndpointDraining(self.endpoint_id))
 
-    def _on_cache(self, report: Any) -> None:
+    def _on_cache_report(self, report: Any) -> None:
         self._sink.post(to_cache_event(self.endpoint_id, report))
 
-    def _on_crash(self, crash: Any) -> None:
+    def _on_engine_crash(self, crash: Any) -> None:
         self._sink.post(to_crash_event(self.endpoint_id, crash))
 
     def _on_drain(self, _drain: Any) -> None:
@@ -288,30 +292,30 @@
 
     def on_message(self, connection: FrameConnection, message: Any) -> None:
         """Pass a message to the ``AgentLink`` of its connection."""
-        link = self._link_of(connection)
+        link = self._find_link(connection)
         if link is not None:
-            link.receive(message)
+            link.handle_message(message)
 
     def on_closed(self, connection: FrameConnection, error: str) -> None:
         """Report the endpoint as lost; its dialer reconnects."""
-        link = self._link_of(connection)
+        link = self._find_link(connection)
         if link is not None:
             del self.link_by_endpoint_id[link.endpoint_id]
-            self._lose(link, error)
+            self._remove_link(link, error)
         elif connection.hello is None:
             self._sink.log("agent-not-connected", peer=connection.peer, error=error)
 
-    def _lose(self, link: AgentLink, error: str) -> None:
+    def _remove_link(self, link: AgentLink, error: str) -> None:
         link.connection.close(error)
         self._sink.log(
             "agent-lost", step="read-frame", peer=link.endpoint_id, error=error
         )
         # The reducer needs the number of bytes that each caller has received before it
         # handles the loss of the endpoint.
-        link.break_all()
+        link.break_all_attempts()
         self._sink.post(EndpointLost(link.endpoint_id))
 
-    def _link_of(self, connection: FrameConnection) -> AgentLink | None:
+    def _find_link(self, connection: FrameConnection) -> AgentLink | None:
         if connection.hello is None:
             return None
         link = self.link_by_endpoint_id.get(connection.hello.instance_id)
--- a/packages/entry/src/bluebellusher/links/_answer.py
+++ b/packages/entry/src/bluebellusher/links/_answer.py
@@ -12,7 +12,7 @@
 # Size in bytes up to which an answer that is not a stream of events is held back. Until
 # the caller has received a byte, another attempt can replace a failed one, and a
 # rejection can have its own status code.
-HOLD_BYTES = 64 * 1024
+MAX_HELD_BYTES = 64 * 1024
 
 
 class AnswerStream:
@@ -38,16 +38,16 @@
         self.is_committed = False
         self.is_complete = False
         self.refusal: Rejection | None = None
-        self.on_drained: Callable[[int], None] | None = None
+        self.on_sent: Callable[[int], None] | None = None
         self.kept: bytearray | None = bytearray() if max_kept_bytes else None
         self._max_kept_bytes = max_kept_bytes
         self._is_events = False
-        self._ready: deque[bytes] = deque()
-        self._n_ready = 0
-        self._tail = b""
+        self._unread_parts: deque[bytes] = deque()
+        self._n_unread_bytes = 0
+        self._held_tail = b""
         self._is_line_start = True
-        self._changed = asyncio.Event()
-        self._taken = asyncio.Event()
+        self._readable_event = asyncio.Event()
+        self._read_event = asyncio.Event()
 
     @property
     def is_events(self) -> bool:
@@ -75,15 +75,15 @@
         """Append bytes to the answer, at the offset ``n_bytes``."""
         self.n_bytes += len(data)
         self.crc32 = zlib.crc32(data, self.crc32)
-        self._keep(data)
+        self._append_kept(data)
         if self.refusal is not None:
             # The caller has its rejection. The bytes count as sent, so that the agent
             # sends the rest and the outcome of the attempt can be recorded.
             self.note_sent(len(data))
             return
-        self._push(self._split_done_mark(data) if self._is_events else data)
-        if self._is_takeable():
-            self._changed.set()
+        self._append_unread(self._hold_done_mark(data) if self._is_events else data)
+        if self._is_readable():
+            self._readable_event.set()
 
     def reset(self) -> bool:
         """Discard the answer so that another attempt can start from the beginning.
@@ -94,9 +94,9 @@
         if self.is_committed or self.is_ended:
             return False
         self.status, self.headers = 0, {}
-        self.n_bytes = self.crc32 = self._n_ready = 0
-        self._ready.clear()
-        self._tail, self._is_line_start = b"", True
+        self.n_bytes = self.crc32 = self._n_unread_bytes = 0
+        self._unread_parts.clear()
+        self._held_tail, self._is_line_start = b"", True
         self.kept = bytearray() if self._max_kept_bytes else None
         return True
 
@@ -104,16 +104,16 @@
         """Mark the answer as complete and release its last bytes to the caller."""
         if not self.is_ended:
             self.is_complete = True
-            self._push(self._tail)
-            self._tail = b""
-            self._changed.set()
+            self._append_unread(self._held_tail)
+            self._held_tail = b""
+            self._readable_event.set()
 
     def refuse(self, refusal: Rejection) -> None:
         """End the answer with a rejection, unless it is complete or rejected."""
         if not self.is_ended:
             self.refusal = refusal
-            self._changed.set()
-            self._taken.set()
+            self._readable_event.set()
+            self._read_event.set()
 
     async def take(self) -> bytes:
         """Return the bytes that can be sent; wait until there are any.
@@ -121,56 +121,64 @@
         Returned bytes commit the answer to its status and headers. The result is empty
         when the answer is complete and has been read, or when it was rejected.
         """
-        while not self._is_takeable():
-            self._changed.clear()
-            await self._changed.wait()
-        if self.refusal is not None or not self._ready:
+        while not self._is_readable():
+            self._readable_event.clear()
+            await self._readable_event.wait()
+        if self.refusal is not None or not self._unread_parts:
             return b""
         self.is_committed = True
-        data = self._ready[0] if len(self._ready) == 1 else b"".join(self._ready)
-        self._ready.clear()
-        self._n_ready = 0
-        self._taken.set()
+        data = (
+            self._unread_parts[0]
+            if len(self._unread_parts) == 1
+            else b"".join(self._unread_parts)
+        )
+        self._unread_parts.clear()
+        self._n_unread_bytes = 0
+        self._read_event.set()
         return data
 
     async def wait_for_room(self, max_bytes: int) -> None:
         """Wait until at most ``max_bytes`` are unread or the answer has ended."""
-        while self._n_ready > max_bytes and not self.is_ended:
-            self._taken.clear()
-            await self._taken.wait()
+        while self._n_unread_bytes > max_bytes and not self.is_ended:
+            self._read_event.clear()
+            await self._read_event.wait()
 
     def note_sent(self, n_bytes: int) -> None:
         """Record that the caller's socket accepted ``n_bytes``."""
-        if self.on_drained is not None:
-            self.on_drained(n_bytes)
+        if self.on_sent is not None:
+            self.on_sent(n_bytes)
 
-    def _is_takeable(self) -> bool:
+    def _is_readable(self) -> bool:
         if self.is_ended:
             return True
-        is_open = self._is_events or self.is_committed or self._n_ready > HOLD_BYTES
-        return is_open and bool(self._ready)
-
-    def _push(self, data: bytes) -> None:
+        is_released = (
+            self._is_events
+            or self.is_committed
+            or self._n_unread_bytes > MAX_HELD_BYTES
+        )
+        return is_released and bool(self._unread_parts)
+
+    def _append_unread(self, data: bytes) -> None:
         if data:
-            self._ready.append(data)
-            self._n_ready += len(data)
+            self._unread_parts.append(data)
+            self._n_unread_bytes += len(data)
 
-    def _keep(self, data: bytes) -> None:
+    def _append_kept(self, data: bytes) -> None:
         if self.kept is None:
             return
         self.kept += data
         if len(self.kept) > self._max_kept_bytes:
             self.kept = None
 
-    def _split_done_mark(self, data: bytes) -> bytes:
+    def _hold_done_mark(self, data: bytes) -> bytes:
         """Return the bytes that may be sent to the caller.
 
         The rest, from a line that is or may become ``data: [DONE]``, is held back.
         """
-        data = self._tail + data
-        at = self._find_done_mark(data)
-        self._tail = data[at:]
-        data = data[:at]
+        data = self._held_tail + data
+        offset = self._find_done_mark(data)
+        self._held_tail = data[offset:]
+        data = data[:offset]
         if data:
             self._is_line_start = data.endswith(b"\n")
         return data
@@ -178,11 +186,11 @@
     def _find_done_mark(self, data: bytes) -> int:
         if self._is_line_start and data.startswith(_DONE_MARK):
             return 0
-        at = data.find(b"\n" + _DONE_MARK)
-        if at >= 0:
-            return at + 1
-        last_line_at = data.rfind(b"\n") + 1
-        is_at_start = last_line_at > 0 or self._is_line_start
-        if is_at_start and _DONE_MARK.startswith(data[last_line_at:]):
-            return last_line_at
+        offset = data.find(b"\n" + _DONE_MARK)
+        if offset >= 0:
+            return offset + 1
+        last_line_offset = data.rfind(b"\n") + 1
+        is_at_start = last_line_offset > 0 or self._is_line_start
+        if is_at_start and _DONE_MARK.startswith(data[last_line_offset:]):
+            return last_line_offset
         return len(data)
--- a/packages/entry/src/bluebellusher/links/_connection.py
+++ b/packages/entry/src/bluebellusher/links/_connection.py
@@ -131,10 +131,10 @@
         self.is_open = False
         self.is_closed = False
         self.received_at_ms = clock.now_ms()
-        self.made_at_ms = clock.now_ms()
+        self.handshake_started_at_ms = clock.now_ms()
         self.closed = asyncio.Event()
         self._has_far_pace = has_far_pace
-        self._pace = FAST_HEARTBEAT
+        self._heartbeat_timing = FAST_HEARTBEAT
         self._sent_at_ms = 0
         self._identity = identity
         self._expected_role = expected_role
@@ -163,7 +163,7 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def tick(self, now_ms: int, has_paused: bool) -> None:
+    def tick(self, now_ms: int, was_suspended: bool) -> None:
         """Send a due heartbeat, or close the connection after a timeout.
 
         The connection is closed when no message arrives, or the handshake does not
@@ -173,25 +173,27 @@
         ----------
         now_ms : int
             Current time in ms.
-        has_paused : bool
+        was_suspended : bool
             Whether this process itself was suspended since the last tick. Messages
             that arrived in that time are not read yet, so the receive timeout is
             checked only in the next tick.
         """
-        silent_ms = now_ms - self.received_at_ms
-        limit_ms = self._pace.receive_timeout_ms
-        if silent_ms > limit_ms and not has_paused:
-            self.close(f"no message received for {silent_ms} ms")
-        elif not self.is_open and now_ms - self.made_at_ms > limit_ms:
-            self.close(f"handshake not completed within {limit_ms} ms")
-        elif self.is_open and self._pace.is_heartbeat_due(self._sent_at_ms, now_ms):
+        since_received_ms = now_ms - self.received_at_ms
+        timeout_ms = self._heartbeat_timing.receive_timeout_ms
+        if since_received_ms > timeout_ms and not was_suspended:
+            self.close(f"no message received for {since_received_ms} ms")
+        elif not self.is_open and now_ms - self.handshake_started_at_ms > timeout_ms:
+            self.close(f"handshake not completed within {timeout_ms} ms")
+        elif self.is_open and self._heartbeat_timing.is_heartbeat_due(
+            self._sent_at_ms, now_ms
+        ):
             self._sequence += 1
             self.send(messages.Heartbeat(sequence=self._sequence))
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the handshake; the accepting side sends the first ``Hello``."""
         self._transport = cast(asyncio.Transport, transport)
-        self.received_at_ms = self.made_at_ms = self._clock.now_ms()
+        self.received_at_ms = self.handshake_started_at_ms = self._clock.now_ms()
         if self._is_accepting:
             self.send(self._identity.make_hello(self._nonce, None))
 
@@ -203,11 +205,11 @@
         self.received_at_ms = self._clock.now_ms()
         try:
             if not self.is_open:
-                self._count_handshake(len(data))
+                self._limit_handshake_bytes(len(data))
             for message in self._decoder.feed(data):
                 if self.is_closed or self._error:
                     return
-                self._receive(message)
+                self._handle_message(message)
         except StepError as error:
             self.close(str(error))
         except Exception as error:
@@ -222,38 +224,38 @@
         self.closed.set()
         self._handler.on_closed(self, self._error or str(exc or "closed by peer"))
 
-    def _count_handshake(self, n_bytes: int) -> None:
+    def _limit_handshake_bytes(self, n_bytes: int) -> None:
         self._n_handshake_bytes += n_bytes
         if self._n_handshake_bytes > MAX_HANDSHAKE_BYTES:
             reason = f"more than {MAX_HANDSHAKE_BYTES} bytes: expected a Hello"
             raise StepError("handshake", self.peer, reason)
 
-    def _receive(self, message: Any) -> None:
+    def _handle_message(self, message: Any) -> None:
         if not self.is_open:
-            self._shake_hands(message)
+            self._continue_handshake(message)
         elif not isinstance(message, messages.Heartbeat):
             self._handler.on_message(self, message)
 
-    def _shake_hands(self, message: Any) -> None:
+    def _continue_handshake(self, message: Any) -> None:
         if not isinstance(message, messages.Hello):
             raise StepError("handshake", self.peer, "expected a Hello")
         if self._is_accepting:
-            self._verify(message)
+            self._verify_hello(message)
             self.send(self._identity.make_hello(self._nonce, message.nonce))
             self._open(message)
         elif self._challenge is None:
             self._challenge = message.nonce or b""
             self.send(self._identity.make_hello(self._nonce, self._challenge))
         else:
-            self._verify(message)
+            self._verify_hello(message)
             self._open(message)
 
-    def _verify(self, hello: Any) -> None:
-        problem = self._find_problem(hello)
+    def _verify_hello(self, hello: Any) -> None:
+        problem = self._check_hello(hello)
         if problem:
             raise StepError("handshake", self.peer, problem)
 
-    def _find_problem(self, hello: Any) -> str:
+    def _check_hello(self, hello: Any) -> str:
         fields = (hello.nonce, hello.instance_id, hello.failure_domain)
         if None in fields or hello.incarnation is None:
             return "Hello with missing fields: expected all"
@@ -272,7 +274,7 @@
         self.hello = hello
         self.is_open = True
         self.peer = hello.instance_id
-        is_far = hello.failure_domain != self._identity.failure_domain
-        if self._has_far_pace and is_far:
-            self._pace = SLOW_HEARTBEAT
+        is_other_domain = hello.failure_domain != self._identity.failure_domain
+        if self._has_far_pace and is_other_domain:
+            self._heartbeat_timing = SLOW_HEARTBEAT
         self._handler.on_open(self)
--- a/packages/entry/src/bluebellusher/links/_dialer.py
+++ b/packages/entry/src/bluebellusher/links/_dialer.py
@@ -13,7 +13,7 @@
 # Minimum lifetime of a connection; a shorter one counts as a failed attempt and
 # increases the backoff. Otherwise two processes that always close their connection
 # would reconnect ten times per second.
-STABLE_MS = 2_000
+MIN_STABLE_MS = 2_000
 
 
 class Dialer:
@@ -44,12 +44,13 @@
         while True:
             is_stable = await self._connect_once()
             n_failures = 0 if is_stable else n_failures + 1
-            await asyncio.sleep(self._backoff_ms(n_failures) / 1000)
+            await asyncio.sleep(self._draw_backoff_ms(n_failures) / 1000)
 
     async def _connect_once(self) -> bool:
         """Connect and wait until the connection ends.
 
-        Return whether the handshake completed and the connection lasted ``STABLE_MS``.
+        Return whether the handshake completed and the connection lasted at least
+        ``MIN_STABLE_MS``.
         """
         connection = self._make_connection()
         loop = asyncio.get_running_loop()
@@ -59,14 +60,14 @@
         except (OSError, TimeoutError):
             return False
         self._ticker.add(connection)
-        opened_s = loop.time()
+        connected_at_s = loop.time()
         try:
             await connection.closed.wait()
         finally:
             connection.close("shutdown")
-        lived_ms = (loop.time() - opened_s) * 1000
-        return connection.hello is not None and lived_ms >= STABLE_MS
+        lifetime_ms = (loop.time() - connected_at_s) * 1000
+        return connection.hello is not None and lifetime_ms >= MIN_STABLE_MS
 
-    def _backoff_ms(self, n_failures: int) -> float:
-        limit_ms = min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS * 2 ** min(n_failures, 16))
-        return limit_ms * (0.5 + self._random_state.random() / 2)
+    def _draw_backoff_ms(self, n_failures: int) -> float:
+        backoff_ms = min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS * 2 ** min(n_failures, 16))
+        return backoff_ms * (0.5 + self._random_state.random() / 2)
--- a/packages/entry/src/bluebellusher/links/_peers.py
+++ b/packages/entry/src/bluebellusher/links/_peers.py
@@ -51,12 +51,14 @@
         self._handler = handler
         self._server: asyncio.Server | None = None
         self._task_by_address: dict[tuple[str, int], asyncio.Task[None]] = {}
-        self._accepted: set[FrameConnection] = set()
+        self._accepted_connections: set[FrameConnection] = set()
 
     async def listen(self, host: str, port: int) -> int:
         """Start to accept connections of peers; return the port."""
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(self._accept, host, port)
+        self._server = await loop.create_server(
+            self._make_accepted_connection, host, port
+        )
         return int(self._server.sockets[0].getsockname()[1])
 
     def dial(self, addresses: Iterable[tuple[str, int]]) -> None:
@@ -87,7 +89,7 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        for connection in list(self._accepted):
+        for connection in list(self._accepted_connections):
             connection.close("shutdown")
 
     def on_open(self, connection: FrameConnection) -> None:
@@ -105,7 +107,7 @@
 
     def on_closed(self, connection: FrameConnection, error: str) -> None:
         """Remove the connection; report the peer as lost after its last one."""
-        self._accepted.discard(connection)
+        self._accepted_connections.discard(connection)
         if connection.hello is None:
             return
         peer_id = connection.hello.instance_id
@@ -125,9 +127,9 @@
             self._identity, role, is_accepting, self, self._clock, peer
         )
 
-    def _accept(self) -> FrameConnection:
+    def _make_accepted_connection(self) -> FrameConnection:
         connection = self._make_connection(True, "incoming")
-        self._accepted.add(connection)
+        self._accepted_connections.add(connection)
         self._ticker.add(connection)
         return connection
 
--- a/packages/entry/src/bluebellusher/links/_relay.py
+++ b/packages/entry/src/bluebellusher/links/_relay.py
@@ -22,7 +22,7 @@
         Answer of the request.
     is_isolated : bool
         Whether the attempt runs in isolation because its request is a suspect.
-    on_drained : callable or None
+    on_sent : callable or None
         Called with the number of bytes that the caller's socket accepted, while this
         attempt writes the answer.
     """
@@ -32,7 +32,7 @@
     fingerprint: str
     answer: AnswerStream
     is_isolated: bool = False
-    on_drained: Callable[[int], None] | None = None
+    on_sent: Callable[[int], None] | None = None
 
     def start(self, started: Any) -> str:
         """Check and set status and headers.
@@ -40,7 +40,7 @@
         Return a description of the fault, or an empty string. The message is ignored
         when another attempt writes the answer.
         """
-        if not self._owns():
+        if not self._acquire_answer():
             return ""
         headers = {k.lower(): v for k, v in (started.headers or {}).items()}
         status = started.status or 0
@@ -58,7 +58,7 @@
         Return a description of the fault, or an empty string. The chunk is ignored when
         another attempt writes the answer.
         """
-        if not self._owns():
+        if not self._acquire_answer():
             return ""
         if chunk.offset != self.answer.n_bytes:
             return f"offset={chunk.offset}: expected {self.answer.n_bytes}"
@@ -72,7 +72,7 @@
 
         Return a description of the fault, or an empty string.
         """
-        if not self._owns():
+        if not self._acquire_answer():
             return "another attempt writes the answer"
         if not self.answer.status:
             problem = self.start(finish)
@@ -97,12 +97,12 @@
         self.answer.reset()
         return self.answer.n_bytes
 
-    def _owns(self) -> bool:
+    def _acquire_answer(self) -> bool:
         """Return whether this attempt writes the answer.
 
         An incomplete answer without a writer is assigned to this attempt.
         """
         if not self.answer.owner_attempt_id and not self.answer.is_complete:
             self.answer.owner_attempt_id = self.attempt_id
-            self.answer.on_drained = self.on_drained
+            self.answer.on_sent = self.on_sent
         return self.answer.owner_attempt_id == self.attempt_id
--- a/packages/entry/src/bluebellusher/links/_responses.py
+++ b/packages/entry/src/bluebellusher/links/_responses.py
@@ -9,7 +9,7 @@
 
 # Number of informational responses (1xx) accepted before the final response; endpoints
 # send one or two.
-MAX_INTERIM_ANSWERS = 16
+MAX_INTERIM_RESPONSES = 16
 _READ_BYTES = 256 * 1024
 
 
@@ -28,7 +28,7 @@
         protocol = connection.protocol
         self._connection_ended = protocol.closed if protocol is not None else None
         if self._connection_ended is not None:
-            self._connection_ended.add_done_callback(_retrieve)
+            self._connection_ended.add_done_callback(_retrieve_exception)
         bounded: Any = _BoundedConnection(connection)
         return await super().start(bounded)
 
@@ -69,9 +69,9 @@
     async def read(self) -> Any:
         """Return the next response head; close the connection above the limit."""
         self._n_heads += 1
-        if self._n_heads > MAX_INTERIM_ANSWERS + 1:
+        if self._n_heads > MAX_INTERIM_RESPONSES + 1:
             self._connection.close()
-            message = f"more than {MAX_INTERIM_ANSWERS} informational responses"
+            message = f"more than {MAX_INTERIM_RESPONSES} informational responses"
             raise aiohttp.ClientPayloadError(message)
         return await self._connection.protocol.read()
 
@@ -86,17 +86,17 @@
     ----------
     content : aiohttp.StreamReader
         Body of the response.
-    max_silence_ms : int
+    event_timeout_ms : int
         Timeout for the next complete event, in ms.
     last_event_id : str
         Id of the last event of the previous attempt; empty when there is none.
     """
 
     def __init__(
-        self, content: aiohttp.StreamReader, max_silence_ms: int, last_event_id: str
+        self, content: aiohttp.StreamReader, event_timeout_ms: int, last_event_id: str
     ) -> None:
         self._content = content
-        self._max_silence_s = max_silence_ms / 1000
+        self._event_timeout_s = event_timeout_ms / 1000
         self._splitter = EventSplitter(last_event_id)
 
     @property
@@ -119,7 +119,7 @@
         ValueError
             When an event is longer than 256 KiB, which no engine sends.
         """
-        async with asyncio.timeout(self._max_silence_s):
+        async with asyncio.timeout(self._event_timeout_s):
             while data := await self._content.readany():
                 if events := self._splitter.feed(data):
                     return events
@@ -142,7 +142,7 @@
     return bytes(body)
 
 
-def _retrieve(future: asyncio.Future[None]) -> None:
+def _retrieve_exception(future: asyncio.Future[None]) -> None:
     """Retrieve the exception of a future that may never be awaited.
 
     Otherwise asyncio logs that the exception was never retrieved.
--- a/packages/entry/src/bluebellusher/links/_sockets.py
+++ b/packages/entry/src/bluebellusher/links/_sockets.py
@@ -19,7 +19,7 @@
     family, kind, protocol, *_ = address_info
     sock = socket.socket(family, kind, protocol)
     sock.setblocking(False)
-    watch_peer(sock)
+    enable_keepalive(sock)
     return sock
 
 
@@ -44,7 +44,7 @@
     return True
 
 
-def watch_peer(sock: socket.socket) -> None:
+def enable_keepalive(sock: socket.socket) -> None:
     """Make a connection fail when its peer no longer responds.
 
     Nagle's algorithm is disabled too.
--- a/packages/entry/src/bluebellusher/links/_sse.py
+++ b/packages/entry/src/bluebellusher/links/_sse.py
@@ -5,8 +5,8 @@
 # An event carries a few tokens. The limit bounds the memory for incomplete events, of
 # which each of many requests may have one.
 _MAX_EVENT_BYTES = 256 * 1024
-_MARKS = (b"\n\n", b"\r\n\r\n")
-_LONGEST_MARK = max(len(mark) for mark in _MARKS)
+_END_MARKS = (b"\n\n", b"\r\n\r\n")
+_MAX_MARK_BYTES = max(len(mark) for mark in _END_MARKS)
 
 
 @dataclass(slots=True)
@@ -43,29 +43,31 @@
         ValueError
             When an event is longer than 256 KiB, which no engine sends.
         """
-        n_searched = max(0, len(self._pending) - _LONGEST_MARK + 1)
+        n_searched = max(0, len(self._pending) - _MAX_MARK_BYTES + 1)
         self._pending += data
-        end = _end_of_last_event(self._pending, n_searched)
+        end = _find_end_of_last_event(self._pending, n_searched)
         if end == 0:
             if len(self._pending) > _MAX_EVENT_BYTES:
                 raise ValueError(f"event of more than {_MAX_EVENT_BYTES} bytes")
             return b""
-        whole = bytes(self._pending[:end])
+        complete = bytes(self._pending[:end])
         del self._pending[:end]
-        self._note_id(whole)
-        return whole
+        self._record_event_id(complete)
+        return complete
 
-    def _note_id(self, events: bytes) -> None:
+    def _record_event_id(self, events: bytes) -> None:
         for line in reversed(events.splitlines()):
             if line.startswith(b"id:"):
                 self.last_event_id = line[3:].strip().decode("latin-1")
                 return
 
 
-def _end_of_last_event(data: bytearray, start: int) -> int:
+def _find_end_of_last_event(data: bytearray, start: int) -> int:
     """Return the offset behind the last event whose end mark is at or after ``start``.
 
     Return 0 when there is none.
     """
-    found = [(data.rfind(mark, start), mark) for mark in _MARKS]
-    return max((at + len(mark) for at, mark in found if at >= 0), default=0)
+    end_offsets = [(data.rfind(mark, start), mark) for mark in _END_MARKS]
+    return max(
+        (offset + len(mark) for offset, mark in end_offsets if offset >= 0), default=0
+    )
--- a/packages/entry/src/bluebellusher/links/_ticker.py
+++ b/packages/entry/src/bluebellusher/links/_ticker.py
@@ -6,9 +6,9 @@
 from bluebellusher.links._connection import FrameConnection
 from bluebellusher_core.clock import Clock
 
-HEARTBEAT_INTERVAL_MS = 500
+TICK_INTERVAL_MS = 500
 # Delay of a tick, in ms, above which the process is assumed to have been suspended.
-_PAUSE_MS = 1_000
+_SUSPENSION_MS = 1_000
 
 
 class LinkTicker:
@@ -24,7 +24,7 @@
         self._connections: set[FrameConnection] = set()
         self._callbacks: list[Callable[[int], None]] = []
         self._ticked_at_ms = clock.now_ms()
-        self._handle: asyncio.TimerHandle | None = None
+        self._timer: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
         """Start the timer."""
@@ -33,8 +33,8 @@
 
     def stop(self) -> None:
         """Stop the timer; no further heartbeat is sent."""
-        if self._handle is not None:
-            self._handle.cancel()
+        if self._timer is not None:
+            self._timer.cancel()
 
     def add(self, connection: FrameConnection) -> None:
         """Tick a connection until it is closed."""
@@ -45,18 +45,18 @@
         self._callbacks.append(callback)
 
     def _schedule(self) -> None:
-        delay_s = HEARTBEAT_INTERVAL_MS / 1000
-        self._handle = self._loop.call_later(delay_s, self._tick)
+        delay_s = TICK_INTERVAL_MS / 1000
+        self._timer = self._loop.call_later(delay_s, self._tick)
 
     def _tick(self) -> None:
         self._schedule()
         now_ms = self._clock.now_ms()
-        late_ms = now_ms - self._ticked_at_ms - HEARTBEAT_INTERVAL_MS
+        late_ms = now_ms - self._ticked_at_ms - TICK_INTERVAL_MS
         self._ticked_at_ms = now_ms
         for connection in list(self._connections):
             if connection.is_closed:
                 self._connections.discard(connection)
             else:
-                connection.tick(now_ms, has_paused=late_ms > _PAUSE_MS)
+                connection.tick(now_ms, was_suspended=late_ms > _SUSPENSION_MS)
         for callback in self._callbacks:
             callback(now_ms)
--- a/packages/entry/src/bluebellusher/links/tests/test_connections.py
+++ b/packages/entry/src/bluebellusher/links/tests/test_connections.py
@@ -34,12 +34,12 @@
 
     def __init__(self) -> None:
         self.events = []
-        self._came = asyncio.Event()
+        self._event_posted = asyncio.Event()
 
     def post(self, event) -> None:
         """Collect an event."""
         self.events.append(event)
-        self._came.set()
+        self._event_posted.set()
 
     def log(self, name, **fields) -> None:
         """Ignore a log line."""
@@ -48,11 +48,13 @@
         """Wait for the ``n_events``-th event of a kind and return it."""
         async with asyncio.timeout(20):
             while True:
-                found = [event for event in self.events if isinstance(event, kind)]
-                if len(found) >= n_events:
-                    return found[n_events - 1]
-                self._came.clear()
-                await self._came.wait()
+                matching_events = [
+                    event for event in self.events if isinstance(event, kind)
+                ]
+                if len(matching_events) >= n_events:
+                    return matching_events[n_events - 1]
+                self._event_posted.clear()
+                await self._event_posted.wait()
 
 
 class FakeAgent:
@@ -88,13 +90,13 @@
         self.connections[-1].send(message)
 
 
-def run(scenario, identity: Identity = AGENT, clock=None) -> None:
+def run_scenario(scenario, identity: Identity = AGENT, clock=None) -> None:
     """Connect an entry to a fake agent and run a scenario of a test."""
 
-    async def inner() -> None:
-        sink, agent, used_clock = Sink(), FakeAgent(identity), clock or ManualClock()
-        ticker = LinkTicker(used_clock, asyncio.get_running_loop())
-        links = AgentLinks(ENTRY, sink, ticker, used_clock, Random(1))
+    async def connect_and_run() -> None:
+        sink, agent, shared_clock = Sink(), FakeAgent(identity), clock or ManualClock()
+        ticker = LinkTicker(shared_clock, asyncio.get_running_loop())
+        links = AgentLinks(ENTRY, sink, ticker, shared_clock, Random(1))
         links.dial([("127.0.0.1", await agent.listen())])
         try:
             await scenario(agent, links, sink, ticker)
@@ -102,7 +104,7 @@
             await links.close()
             agent.server.close()
 
-    asyncio.run(inner())
+    asyncio.run(connect_and_run())
 
 
 async def dispatch(links, sink, attempt_id="a1", answer=None) -> AnswerStream:
@@ -114,18 +116,18 @@
     return relay.answer
 
 
-def start(attempt_id: str):
+def make_started(attempt_id: str):
     """Create the message with the head of an answer."""
     return messages.Started(attempt_id=attempt_id, status=200, headers=HEADERS)
 
 
-def batch(attempt_id: str, offset: int, data: bytes):
+def make_chunk_batch(attempt_id: str, offset: int, data: bytes):
     """Create the message with one part of an answer."""
     part = messages.Chunk(attempt_id=attempt_id, offset=offset, data=data)
     return messages.ChunkBatch(chunks=[part])
 
 
-def end(attempt_id: str, data: bytes):
+def make_finish(attempt_id: str, data: bytes):
     """Create the final message of an answer that consists of ``data``."""
     return messages.Finish(
         attempt_id=attempt_id,
@@ -136,25 +138,25 @@
     )
 
 
-def test_an_answer_of_a_foreign_attempt_closes_the_connection():
+def test_chunk_of_unknown_attempt_closes_the_connection():
     """Guards against bytes of another caller's answer (I2)."""
 
     async def scenario(agent, links, sink, ticker):
         answer = await dispatch(links, sink)
-        agent.send(start("a1"))
-        agent.send(batch("a1", 0, b"data: own\n\n"))
-        agent.send(batch("other", 0, b"data: foreign\n\n"))
-        agent.send(end("a1", b"data: own\n\n"))
+        agent.send(make_started("a1"))
+        agent.send(make_chunk_batch("a1", 0, b"data: own\n\n"))
+        agent.send(make_chunk_batch("other", 0, b"data: foreign\n\n"))
+        agent.send(make_finish("a1", b"data: own\n\n"))
         broken = await sink.wait_for(AttemptBroken)
         await sink.wait_for(EndpointLost)
         assert (broken.attempt_id, broken.n_bytes_relayed) == ("a1", 0)
         assert not any(isinstance(e, AttemptFinished) for e in sink.events)
-        assert b"foreign" not in b"".join(answer._ready)
+        assert b"foreign" not in b"".join(answer._unread_parts)
 
-    run(scenario)
+    run_scenario(scenario)
 
 
-def test_acceptance_reaches_the_decisions():
+def test_accepted_message_is_posted_as_event():
     """Guards against an isolated run of a suspect that is recorded as never started.
 
     The entry has to post the agent's ``Accepted`` message as an event.
@@ -166,10 +168,10 @@
         event = await sink.wait_for(AttemptAccepted)
         assert (event.attempt_id, event.endpoint_id) == ("a1", "engine-1")
 
-    run(scenario)
+    run_scenario(scenario)
 
 
-def test_late_bytes_of_a_cancelled_attempt_are_dropped():
+def test_late_bytes_of_a_cancelled_attempt_are_ignored():
     """Guards against late bytes of a cancelled attempt.
 
     They must neither enter the answer of the next attempt nor close the connection.
@@ -180,12 +182,12 @@
         links.link_by_endpoint_id["engine-1"].cancel("a1")
         await dispatch(links, sink, "a2", answer)
         for message in (
-            start("a1"),
-            batch("a1", 0, b"late"),
-            end("a1", b"late"),
-            start("a2"),
-            batch("a2", 0, b"data: new\n\n"),
-            end("a2", b"data: new\n\n"),
+            make_started("a1"),
+            make_chunk_batch("a1", 0, b"late"),
+            make_finish("a1", b"late"),
+            make_started("a2"),
+            make_chunk_batch("a2", 0, b"data: new\n\n"),
+            make_finish("a2", b"data: new\n\n"),
         ):
             agent.send(message)
         finished = await sink.wait_for(AttemptFinished)
@@ -194,10 +196,10 @@
         assert await answer.take() == b"data: new\n\n"
         assert not any(isinstance(e, EndpointLost) for e in sink.events)
 
-    run(scenario)
+    run_scenario(scenario)
 
 
-def test_a_silent_connection_is_replaced():
+def test_unresponsive_connection_is_closed_and_reopened():
     """Guards against a connection that stays open after its receive timeout."""
     clock = ManualClock()
 
@@ -206,18 +208,18 @@
         connection = links.link_by_endpoint_id["engine-1"].connection
         clock.advance(2_001)
         # The entry itself was suspended, so messages of the agent may be unread.
-        connection.tick(clock.now_ms(), has_paused=True)
-        agent.send(start("a1"))
+        connection.tick(clock.now_ms(), was_suspended=True)
+        agent.send(make_started("a1"))
         await sink.wait_for(AttemptStarted)
         clock.advance(2_001)
-        connection.tick(clock.now_ms(), has_paused=False)
+        connection.tick(clock.now_ms(), was_suspended=False)
         await sink.wait_for(EndpointLost)
         await sink.wait_for(EndpointConnected, 2)
 
-    run(scenario, clock=clock)
+    run_scenario(scenario, clock=clock)
 
 
-def test_wrong_secret_wrong_role_and_own_id_are_refused():
+def test_wrong_secret_wrong_role_and_own_id_fail_the_handshake():
     """Guards against connections to processes that are no agents of the deployment."""
     forged = Identity("engine-1", 7, "a", b"other-secret", messages.Role.AGENT)
     entry = Identity("entry-9", 7, "a", SECRET)
@@ -232,4 +234,4 @@
             assert not links.link_by_endpoint_id
             assert sink.events == []
 
-        run(scenario, identity)
+        run_scenario(scenario, identity)
--- a/packages/entry/src/bluebellusher/links/tests/test_relay.py
+++ b/packages/entry/src/bluebellusher/links/tests/test_relay.py
@@ -11,19 +11,19 @@
 from bluebellusher_core.wire import messages
 
 EVENTS = {"content-type": "text/event-stream"}
-REFUSAL = Rejection(Outcome.UNKNOWN, Reason.STREAM_CORRUPT, "relay")
+REJECTION = Rejection(Outcome.UNKNOWN, Reason.STREAM_CORRUPT, "relay")
 
 
-def take_all(answer: AnswerStream) -> bytes:
+def read_all(answer: AnswerStream) -> bytes:
     """Read all bytes that the caller can receive so far."""
 
-    async def take() -> bytes:
+    async def read_available() -> bytes:
         data = b""
-        while answer._is_takeable() and (part := await answer.take()):
+        while answer._is_readable() and (part := await answer.take()):
             data += part
         return data
 
-    return asyncio.run(take())
+    return asyncio.run(read_available())
 
 
 def make_relay(attempt_id="a1", answer=None) -> AttemptRelay:
@@ -31,18 +31,18 @@
     return AttemptRelay(attempt_id, "r1", "f", answer or AnswerStream())
 
 
-def started(status=200, headers=None):
+def make_started(status=200, headers=None):
     """Create the message with the head of an answer."""
     headers = EVENTS if headers is None else headers
     return messages.Started(attempt_id="a1", status=status, headers=headers)
 
 
-def chunk(offset: int, data: bytes):
+def make_chunk(offset: int, data: bytes):
     """Create the message with one part of an answer."""
     return messages.Chunk(attempt_id="a1", offset=offset, data=data)
 
 
-def finish(data: bytes):
+def make_finish(data: bytes):
     """Create the final message of an answer that consists of ``data``."""
     crc = zlib.crc32(data)
     return messages.Finish(
@@ -50,27 +50,29 @@
     )
 
 
-texts = st.lists(
+answer_bodies = st.lists(
     st.sampled_from([b"data: x\n\n", b"data: [DONE]\n\n", b"da", b"\n", b"[DONE]"]),
     min_size=1,
     max_size=8,
 ).map(b"".join)
 
 
-@given(texts, st.integers(1, 20))
-def test_property_done_mark_waits_for_the_last_check(text, size):
+@given(answer_bodies, st.integers(1, 20))
+def test_property_done_mark_is_held_until_the_final_check(text, size):
     """Guards against a ``[DONE]`` that is sent before the whole answer is checked."""
     relay = make_relay()
-    relay.start(started())
-    shown = b""
-    for at in range(0, len(text), size):
-        assert relay.accept(chunk(at, text[at : at + size])) == ""
-        shown += take_all(relay.answer)
-        assert not any(line.startswith(b"data: [DONE]") for line in shown.split(b"\n"))
-        assert text.startswith(shown)
-    assert relay.finish(finish(text)) == ""
+    relay.start(make_started())
+    received = b""
+    for offset in range(0, len(text), size):
+        assert relay.accept(make_chunk(offset, text[offset : offset + size])) == ""
+        received += read_all(relay.answer)
+        assert not any(
+            line.startswith(b"data: [DONE]") for line in received.split(b"\n")
+        )
+        assert text.startswith(received)
+    assert relay.finish(make_finish(text)) == ""
     relay.answer.complete()
-    assert shown + take_all(relay.answer) == text
+    assert received + read_all(relay.answer) == text
 
 
 @given(
@@ -78,11 +80,13 @@
     st.sampled_from(["drop", "repeat", "swap", "flip", "truncate"]),
     st.data(),
 )
-def test_property_a_damaged_stream_is_never_whole(parts, fault, data):
+def test_property_damaged_stream_never_passes_the_checks(parts, fault, data):
     """Guards against lost, repeated, reordered or changed bytes (I2)."""
     text = b"".join(parts)
     offsets = [sum(map(len, parts[:i])) for i in range(len(parts))]
-    chunks = [chunk(at, part) for at, part in zip(offsets, parts, strict=True)]
+    chunks = [
+        make_chunk(offset, part) for offset, part in zip(offsets, parts, strict=True)
+    ]
     index = data.draw(st.integers(0, len(chunks) - 1))
     if fault == "drop":
         del chunks[index]
@@ -92,69 +96,69 @@
         chunks[index:] = reversed(chunks[index:])
     elif fault == "flip":
         changed = bytes([parts[index][0] ^ 1]) + parts[index][1:]
-        chunks[index] = chunk(offsets[index], changed)
+        chunks[index] = make_chunk(offsets[index], changed)
     else:
         chunks = chunks[:index]
     is_changed = [(c.offset, c.data) for c in chunks] != [
-        (at, part) for at, part in zip(offsets, parts, strict=True)
+        (offset, part) for offset, part in zip(offsets, parts, strict=True)
     ]
     relay = make_relay()
-    relay.start(started())
+    relay.start(make_started())
     problems = [relay.accept(c) for c in chunks]
-    is_whole = not any(problems) and relay.finish(finish(text)) == ""
+    is_whole = not any(problems) and relay.finish(make_finish(text)) == ""
     assert is_whole is not is_changed
 
 
 @given(st.binary(min_size=2, max_size=60), st.data())
-def test_property_resume_gives_the_same_bytes_or_nothing(text, data):
+def test_property_resume_continues_only_at_the_relayed_offset(text, data):
     """Guards against repeated or missing bytes when a stream is resumed."""
     cut = data.draw(st.integers(1, len(text) - 1))
     resumed_at = data.draw(st.integers(0, len(text)))
     first = make_relay()
-    first.start(started())
-    first.accept(chunk(0, text[:cut]))
-    shown = take_all(first.answer)
+    first.start(make_started())
+    first.accept(make_chunk(0, text[:cut]))
+    received = read_all(first.answer)
     n_kept = first.release()
     second = make_relay("a2", first.answer)
-    second.start(started())
-    problem = second.accept(chunk(resumed_at, text[resumed_at:]))
+    second.start(make_started())
+    problem = second.accept(make_chunk(resumed_at, text[resumed_at:]))
     if resumed_at == n_kept:
-        assert problem == "" and second.finish(finish(text)) == ""
+        assert problem == "" and second.finish(make_finish(text)) == ""
         second.answer.complete()
-        assert shown + take_all(second.answer) == text
+        assert received + read_all(second.answer) == text
     else:
         assert problem or not text[resumed_at:]
 
 
-def test_another_attempt_cannot_write_into_an_answer():
+def test_losing_attempt_cannot_write_to_the_answer():
     """Guards against bytes of a hedge's losing attempt in the answer of the winner."""
     winner = make_relay()
-    winner.start(started())
+    winner.start(make_started())
     loser = make_relay("a2", winner.answer)
-    assert loser.start(started()) == ""
-    loser.accept(chunk(0, b"data: 2\n\n"))
-    winner.accept(chunk(0, b"data: 1\n\n"))
-    assert take_all(winner.answer) == b"data: 1\n\n"
-    assert loser.finish(finish(b"data: 2\n\n")) != ""
+    assert loser.start(make_started()) == ""
+    loser.accept(make_chunk(0, b"data: 2\n\n"))
+    winner.accept(make_chunk(0, b"data: 1\n\n"))
+    assert read_all(winner.answer) == b"data: 1\n\n"
+    assert loser.finish(make_finish(b"data: 2\n\n")) != ""
 
 
-def test_nothing_follows_a_refusal():
+def test_no_bytes_follow_a_rejection():
     """Guards against late bytes of an attempt after its request was rejected."""
     relay = make_relay()
-    relay.start(started())
-    relay.accept(chunk(0, b"data: 1\n\n"))
-    relay.answer.refuse(REFUSAL)
-    relay.accept(chunk(9, b"data: 2\n\n"))
+    relay.start(make_started())
+    relay.accept(make_chunk(0, b"data: 1\n\n"))
+    relay.answer.refuse(REJECTION)
+    relay.accept(make_chunk(9, b"data: 2\n\n"))
     relay.answer.complete()
-    assert take_all(relay.answer) == b""
+    assert read_all(relay.answer) == b""
     assert not relay.answer.is_complete
 
 
-def test_an_answer_without_events_is_held_until_it_is_whole():
+def test_json_answer_is_held_until_it_is_complete():
     """Guards against a truncated JSON answer with status 200."""
     relay = make_relay()
-    relay.start(started(headers={"content-type": "application/json"}))
-    relay.accept(chunk(0, b'{"a":'))
-    assert take_all(relay.answer) == b""
+    relay.start(make_started(headers={"content-type": "application/json"}))
+    relay.accept(make_chunk(0, b'{"a":'))
+    assert read_all(relay.answer) == b""
     assert relay.release() == 0
     assert not relay.answer.is_committed
