--- a/packages/entry/src/bluebellusher/server/_app.py
+++ b/packages/entry/src/bluebellusher/server/_app.py
@@ -27,7 +27,11 @@
     RequestParser,
 )
 from bluebellusher.server._protocol import EntryProtocol
-from bluebellusher.server._respond import refusal_body, refusal_headers, status_of
+from bluebellusher.server._respond import (
+    make_rejection_body,
+    make_rejection_headers,
+    to_status_code,
+)
 from bluebellusher.server._status import Pages, SpendingGate, StatusSource
 from bluebellusher.server._stream import AnswerSender
 from bluebellusher.settings import Settings
@@ -66,7 +70,7 @@
         State of the entry for operators and load balancers.
     make_request_id : callable
         Returns a new request id on each call.
-    more_pages : sequence of Pages
+    extra_pages : sequence of Pages
         Routes that other parts of the entry serve.
     spending : SpendingGate or None
         Admits requests within the rates and budgets; None admits every request.
@@ -79,7 +83,7 @@
         store: ClaimStore,
         status: StatusSource,
         make_request_id: Callable[[], str],
-        more_pages: Sequence[Pages] = (),
+        extra_pages: Sequence[Pages] = (),
         spending: SpendingGate | None = None,
     ) -> None:
         self._settings = settings
@@ -87,7 +91,7 @@
         self._make_request_id = make_request_id
         self._parser = RequestParser(settings)
         self._operator_pages = OperatorPages(self._parser, runtime, store, status)
-        self._more_pages = more_pages
+        self._extra_pages = extra_pages
         self._spending = spending
         self._server: AsyncioServer | None = None
 
@@ -115,8 +119,8 @@
         )
         assert self._server is not None
         # Sanic adds an empty Alt-Svc header unless HTTP/1.1 is the only version.
-        info = ApplicationServerInfo({"version": HTTP.VERSION_1, "port": port})
-        app.state.server_info.append(info)
+        version_info = ApplicationServerInfo({"version": HTTP.VERSION_1, "port": port})
+        app.state.server_info.append(version_info)
         await self._server.startup()
         await self._server.start_serving()
         return port
@@ -139,17 +143,17 @@
         return self.n_connections
 
     def _build_app(self) -> Sanic[Any, Any]:
-        _silence_sanic()
+        _disable_sanic_loggers()
         app: Sanic[Any, Any] = Sanic(
             f"entry-{id(self):x}",
             config=self._make_config(),
             configure_logging=False,
-            error_handler=_FinalErrorHandler(self._runtime),
+            error_handler=_RejectingErrorHandler(self._runtime),
         )
         app.ctx.n_max_connections = self._settings.limits.max_connections
         self._add_caller_routes(app)
         self._operator_pages.add_to(app)
-        for pages in self._more_pages:
+        for pages in self._extra_pages:
             pages.add_to(app)
         return app
 
@@ -165,8 +169,11 @@
             return await self._serve_plain(request, service_id, path)
 
         app.add_route(serve_model, MODEL_PATH, methods=["POST"], stream=True)
-        plain = "/services/<service_id:str>"
-        for name, path in (("root", plain), ("path", plain + "/<path:path>")):
+        service_path = "/services/<service_id:str>"
+        for name, path in (
+            ("root", service_path),
+            ("path", service_path + "/<path:path>"),
+        ):
             app.add_route(serve_plain, path, _METHODS, stream=True, name=name)
 
     def _make_config(self) -> Config:
@@ -219,7 +226,7 @@
             if self._spending is not None:
                 draft = await self._spending.admit(request_id, draft, parse)
         except BadRequestError as error:
-            return self._refuse(error, request_id)
+            return self._reject(error, request_id)
         if self._runtime.is_shutting_down:
             # The answer carries ``Connection: close``, so that the caller opens another
             # connection for its next request.
@@ -227,8 +234,10 @@
         exchange = self._make_exchange(draft, request_id, request)
         self._runtime.submit(exchange)
         outcome = "caller_left"
-        limit_s = (draft.remaining_ms + _DELIVERY_GRACE_MS) / 1000
-        watchdog = asyncio.get_running_loop().call_later(limit_s, _cut_off, request)
+        timeout_s = (draft.remaining_ms + _DELIVERY_GRACE_MS) / 1000
+        watchdog = asyncio.get_running_loop().call_later(
+            timeout_s, _abort_connection, request
+        )
         try:
             sender = AnswerSender(request, exchange, self._runtime.metrics)
             outcome = await sender.send()
@@ -243,11 +252,11 @@
             exchange.span.end(request_id=request_id, outcome=outcome)
         return None
 
-    def _refuse(self, error: BadRequestError, request_id: str) -> HTTPResponse:
+    def _reject(self, error: BadRequestError, request_id: str) -> HTTPResponse:
         self._runtime.metrics.count(
             "bluebellusher_bad_requests_total", "reason", error.reason.value
         )
-        return make_refusal(
+        return make_rejection(
             error.reason, request_id, error.detail, error.retry_after_ms
         )
 
@@ -269,7 +278,7 @@
         )
 
 
-def make_refusal(
+def make_rejection(
     reason: Reason, request_id: str, detail: str, retry_after_ms: int | None = None
 ) -> HTTPResponse:
     """Create the response to a request that was rejected before admission.
@@ -277,18 +286,18 @@
     Responses with status 408, 429 or 503 ask for a retry after ``retry_after_ms``, by
     default 1 s.
     """
-    if retry_after_ms is None and status_of(reason) in (408, 429, 503):
+    if retry_after_ms is None and to_status_code(reason) in (408, 429, 503):
         retry_after_ms = 1_000
-    refusal = Rejection(Outcome.NOT_RUN, reason, "receive", "", retry_after_ms)
+    rejection = Rejection(Outcome.NOT_RUN, reason, "receive", "", retry_after_ms)
     return HTTPResponse(
-        refusal_body(refusal, request_id, detail),
-        status_of(reason),
-        refusal_headers(refusal),
+        make_rejection_body(rejection, request_id, detail),
+        to_status_code(reason),
+        make_rejection_headers(rejection),
         "application/json",
     )
 
 
-class _FinalErrorHandler(ErrorHandler):
+class _RejectingErrorHandler(ErrorHandler):
     """Error handler that answers errors raised in sanic with a rejection."""
 
     def __init__(self, runtime: Runtime) -> None:
@@ -301,19 +310,19 @@
         detail = type(exception).__name__
         if isinstance(exception, SanicException) and status < 500:
             reason = _REASON_BY_STATUS.get(status, Reason.BAD_REQUEST)
-            answer = make_refusal(reason, "", detail)
+            answer = make_rejection(reason, "", detail)
             answer.status = status
             return answer
         if not isinstance(exception, asyncio.CancelledError):
             self._runtime.report_fault("serve", request, exception)
         # The request may have been dispatched before the exception was raised.
         reason = Reason.OUTCOME_UNKNOWN
-        refusal = Rejection(Outcome.UNKNOWN, reason, "serve", "", None)
-        body = refusal_body(refusal, "", detail)
+        rejection = Rejection(Outcome.UNKNOWN, reason, "serve", "", None)
+        body = make_rejection_body(rejection, "", detail)
         return HTTPResponse(body, 500, None, "application/json")
 
 
-def _cut_off(request: Request) -> None:
+def _abort_connection(request: Request) -> None:
     """Abort the connection of a caller that has not read its answer in time."""
     transport: Any = request.transport
     if transport is not None:
@@ -338,7 +347,7 @@
     )
 
 
-def _silence_sanic() -> None:
+def _disable_sanic_loggers() -> None:
     """Disable sanic's loggers, which would log callers' input and tracebacks."""
     for name in ("root", "error", "access", "server", "websockets"):
         logger = logging.getLogger(f"sanic.{name}")
--- a/packages/entry/src/bluebellusher/server/_operator.py
+++ b/packages/entry/src/bluebellusher/server/_operator.py
@@ -8,8 +8,12 @@
 from sanic.response import HTTPResponse, text
 
 from bluebellusher.runtime import ClaimStore, Runtime, StoreError
-from bluebellusher.server._parse import BadRequestError, RequestParser, read_key
-from bluebellusher.server._respond import status_of
+from bluebellusher.server._parse import (
+    BadRequestError,
+    RequestParser,
+    parse_idempotency_key,
+)
+from bluebellusher.server._respond import to_status_code
 from bluebellusher.server._status import StatusSource
 from bluebellusher_core.errors import Outcome, Reason
 
@@ -37,53 +41,55 @@
 
     def add_to(self, app: Sanic[Any, Any]) -> None:
         """Register the routes with a sanic application."""
-        app.add_route(self._health, "/healthz")
-        app.add_route(self._ready, "/readyz")
-        app.add_route(self._metrics, "/metrics")
-        app.add_route(self._admin_status, "/admin/status")
-        app.add_route(self._outcome, "/v1/requests/<key:path>")
+        app.add_route(self._serve_health, "/healthz")
+        app.add_route(self._serve_readiness, "/readyz")
+        app.add_route(self._serve_metrics, "/metrics")
+        app.add_route(self._serve_status, "/admin/status")
+        app.add_route(self._serve_outcome, "/v1/requests/<key:path>")
 
-    async def _health(self, _request: Request) -> HTTPResponse:
+    async def _serve_health(self, _request: Request) -> HTTPResponse:
         return text("ok\n")
 
-    async def _ready(self, _request: Request) -> HTTPResponse:
+    async def _serve_readiness(self, _request: Request) -> HTTPResponse:
         is_ready = self._status.is_ready()
         return text("ready\n" if is_ready else "not ready\n", 200 if is_ready else 503)
 
-    async def _metrics(self, _request: Request) -> HTTPResponse:
+    async def _serve_metrics(self, _request: Request) -> HTTPResponse:
         body = self._runtime.metrics.to_prometheus(self._status.gauges())
         return text(body, content_type="text/plain; version=0.0.4")
 
-    async def _admin_status(self, request: Request) -> HTTPResponse:
+    async def _serve_status(self, request: Request) -> HTTPResponse:
         if self._parser.find_operator(request.headers) is None:
-            return _json({"error": {"reason": "unknown_operator"}}, 401)
-        return _json(self._status.status())
+            return _json_response({"error": {"reason": "unknown_operator"}}, 401)
+        return _json_response(self._status.status())
 
-    async def _outcome(self, request: Request, key: str) -> HTTPResponse:
+    async def _serve_outcome(self, request: Request, key: str) -> HTTPResponse:
         try:
             customer_id = self._parser.authenticate(request.headers)
             key = unquote(key)
-            read_key(key)
+            parse_idempotency_key(key)
             row = await self._store.read_row(f"claim/{customer_id}/{key}")
         except BadRequestError as error:
-            return _error(error.reason, error.detail)
+            return _error_response(error.reason, error.detail)
         except StoreError:
-            return _error(Reason.CLAIM_STORE_UNAVAILABLE, "claim table unavailable")
+            return _error_response(
+                Reason.CLAIM_STORE_UNAVAILABLE, "claim table unavailable"
+            )
         value = row.value if isinstance(row.value, dict) else {}
         state = str(value.get("state", "absent"))
         if state not in _OUTCOME_BY_STATE:
-            return _json({"key": key, "state": "absent"}, 404)
+            return _json_response({"key": key, "state": "absent"}, 404)
         outcome = _OUTCOME_BY_STATE[state].value
         answer = value.get("answer")
         status = answer.get("status") if isinstance(answer, dict) else None
         body = {"key": key, "state": state, "outcome": outcome, "status": status}
-        return _json(body)
+        return _json_response(body)
 
 
-def _json(body: dict[str, Any], status: int = 200) -> HTTPResponse:
+def _json_response(body: dict[str, Any], status: int = 200) -> HTTPResponse:
     return HTTPResponse(json.dumps(body), status, content_type="application/json")
 
 
-def _error(reason: Reason, detail: str) -> HTTPResponse:
+def _error_response(reason: Reason, detail: str) -> HTTPResponse:
     body = {"error": {"reason": reason.value, "detail": detail}}
-    return _json(body, status_of(reason))
+    return _json_response(body, to_status_code(reason))
--- a/packages/entry/src/bluebellusher/server/_parse.py
+++ b/packages/entry/src/bluebellusher/server/_parse.py
@@ -8,8 +8,8 @@
 
 from bluebellusher.server._prompt import (
     compute_fingerprint,
-    count_tokens,
-    hash_prefix,
+    compute_prompt_hashes,
+    estimate_tokens,
 )
 from bluebellusher.settings import ServiceKind, ServiceSettings, Settings
 from bluebellusher_core.errors import Reason
@@ -19,9 +19,9 @@
 MODEL_PATH = "/v1/chat/completions"
 DEFAULT_DEADLINE_MS = 60_000
 MAX_DEADLINE_MS = 600_000
-_KEY = re.compile(r"^[\x21-\x7e]{1,255}\Z")
+_VISIBLE_WORD = re.compile(r"^[\x21-\x7e]{1,255}\Z")
 _DIGITS = re.compile(r"^[0-9]{1,6}\Z")
-_VISIBLE = re.compile(r"^[\x20-\x7e\t]*\Z")
+_VISIBLE_TEXT = re.compile(r"^[\x20-\x7e\t]*\Z")
 _PRIORITY_BY_NAME = {p.name.lower(): p for p in Priority}
 _IDEMPOTENT_METHODS = frozenset(("GET", "HEAD"))
 # Request headers that are not forwarded to endpoints, because they apply to one
@@ -128,7 +128,7 @@
         BadRequestError
             When no customer has the credential.
         """
-        customer_id = self._customer_by_credential.get(_bearer(headers))
+        customer_id = self._customer_by_credential.get(_read_bearer_credential(headers))
         if customer_id is None:
             raise BadRequestError(
                 Reason.UNKNOWN_CUSTOMER, "Authorization: expected a known credential"
@@ -137,7 +137,7 @@
 
     def find_operator(self, headers: Mapping[str, str]) -> str | None:
         """Return the name of the operator whose credential is given, or ``None``."""
-        return self._operator_by_credential.get(_bearer(headers))
+        return self._operator_by_credential.get(_read_bearer_credential(headers))
 
     def parse_model(self, headers: Mapping[str, str], body: bytes) -> RequestDraft:
         """Parse a request to a model.
@@ -155,19 +155,21 @@
             raise BadRequestError(
                 Reason.UNKNOWN_SERVICE, f"model={model[:80]!r}: expected a known model"
             )
-        if adapter and not _KEY.match(adapter):
-            raise _bad("model: expected visible ASCII characters after the colon")
-        n_max = self._read_max_tokens(document)
+        if adapter and not _VISIBLE_WORD.match(adapter):
+            raise _bad_request_error(
+                "model: expected visible ASCII characters after the colon"
+            )
+        n_max_tokens = self._read_max_tokens(document)
         prompt = _read_prompt(document)
-        common = self._read_common(headers, customer_id, service, body)
+        common_fields = self._read_common_fields(headers, customer_id, service, body)
         return RequestDraft(
-            **common,
+            **common_fields,
             model=model,
             adapter=adapter,
             is_idempotent=True,
-            prefix_hashes=hash_prefix(document["model"], prompt),
-            n_input_tokens=count_tokens(prompt),
-            n_max_output_tokens=n_max,
+            prefix_hashes=compute_prompt_hashes(document["model"], prompt),
+            n_input_tokens=estimate_tokens(prompt),
+            n_max_output_tokens=n_max_tokens,
             method="POST",
             path=MODEL_PATH,
         )
@@ -196,10 +198,12 @@
             )
         # The fingerprint covers method and path, because a plain service answers the
         # same body differently on different paths.
-        signed = f"{method} {path}\n".encode(errors="replace") + body
-        common = self._read_common(headers, customer_id, service, signed)
+        fingerprint_input = f"{method} {path}\n".encode(errors="replace") + body
+        common_fields = self._read_common_fields(
+            headers, customer_id, service, fingerprint_input
+        )
         return RequestDraft(
-            **{**common, "body": body},
+            **{**common_fields, "body": body},
             model="",
             adapter="",
             is_idempotent=service.is_idempotent or method in _IDEMPOTENT_METHODS,
@@ -210,22 +214,22 @@
             path=path,
         )
 
-    def _read_common(
+    def _read_common_fields(
         self,
         headers: Mapping[str, str],
         customer_id: str,
         service: ServiceSettings,
-        signed: bytes,
+        fingerprint_input: bytes,
     ) -> dict[str, Any]:
         return {
             "customer_id": customer_id,
             "service_id": service.service_id,
             "priority": _read_priority(headers),
             "remaining_ms": _read_deadline(headers),
-            "idempotency_key": read_key(headers.get("idempotency-key")),
-            "fingerprint": compute_fingerprint(service.service_id, signed),
-            "headers": _forwarded(headers),
-            "body": signed,
+            "idempotency_key": parse_idempotency_key(headers.get("idempotency-key")),
+            "fingerprint": compute_fingerprint(service.service_id, fingerprint_input),
+            "headers": _select_forwarded_headers(headers),
+            "body": fingerprint_input,
         }
 
     def _read_max_tokens(self, document: Mapping[str, Any]) -> int:
@@ -233,11 +237,11 @@
         if value is None:
             return self._n_default_output_tokens
         if isinstance(value, bool) or not isinstance(value, int) or value < 1:
-            raise _bad("max_tokens: expected a whole number above 0")
+            raise _bad_request_error("max_tokens: expected a whole number above 0")
         return min(value, 1_000_000)
 
 
-def read_key(value: str | None) -> str | None:
+def parse_idempotency_key(value: str | None) -> str | None:
     """Return an idempotency key without surrounding spaces.
 
     Raises
@@ -246,16 +250,18 @@
         When the key is not 1 to 255 visible ASCII characters.
     """
     value = value.strip() if value is not None else None
-    if value is not None and not _KEY.match(value):
-        raise _bad("Idempotency-Key: expected 1 to 255 visible ASCII characters")
+    if value is not None and not _VISIBLE_WORD.match(value):
+        raise _bad_request_error(
+            "Idempotency-Key: expected 1 to 255 visible ASCII characters"
+        )
     return value
 
 
-def _bad(detail: str) -> BadRequestError:
+def _bad_request_error(detail: str) -> BadRequestError:
     return BadRequestError(Reason.BAD_REQUEST, detail)
 
 
-def _bearer(headers: Mapping[str, str]) -> str:
+def _read_bearer_credential(headers: Mapping[str, str]) -> str:
     scheme, _, credential = headers.get("authorization", "").partition(" ")
     return credential.strip() if scheme.lower() == "bearer" else ""
 
@@ -264,32 +270,32 @@
     try:
         document = json.loads(body)
     except (ValueError, RecursionError):
-        raise _bad("body: expected JSON in UTF-8") from None
+        raise _bad_request_error("body: expected JSON in UTF-8") from None
     if not isinstance(document, dict):
-        raise _bad("body: expected a JSON object")
+        raise _bad_request_error("body: expected a JSON object")
     return document
 
 
 def _read_prompt(document: Mapping[str, Any]) -> bytes:
     if "messages" not in document:
-        raise _bad("messages: expected a list")
+        raise _bad_request_error("messages: expected a list")
     try:
         return read_prompt(document)
     except ValueError as error:
-        raise _bad(str(error)) from None
+        raise _bad_request_error(str(error)) from None
 
 
 def _read_text(document: Mapping[str, Any], name: str) -> str:
     value = document.get(name)
     if not isinstance(value, str) or not value:
-        raise _bad(f"{name}: expected non-empty text")
+        raise _bad_request_error(f"{name}: expected non-empty text")
     return value
 
 
 def _read_priority(headers: Mapping[str, str]) -> Priority:
     name = headers.get("x-priority", "normal").lower()
     if name not in _PRIORITY_BY_NAME:
-        raise _bad("X-Priority: expected high, normal or low")
+        raise _bad_request_error("X-Priority: expected high, normal or low")
     return _PRIORITY_BY_NAME[name]
 
 
@@ -299,17 +305,17 @@
         return DEFAULT_DEADLINE_MS
     value = int(text) if _DIGITS.match(text) else 0
     if not 1 <= value <= MAX_DEADLINE_MS:
-        raise _bad(f"X-Deadline-Ms: expected 1 to {MAX_DEADLINE_MS}")
+        raise _bad_request_error(f"X-Deadline-Ms: expected 1 to {MAX_DEADLINE_MS}")
     return value
 
 
-def _forwarded(headers: Mapping[str, str]) -> dict[str, str]:
+def _select_forwarded_headers(headers: Mapping[str, str]) -> dict[str, str]:
     forwarded = {}
     for name, value in headers.items():
-        lower = name.lower()
-        if lower in _NOT_FORWARDED:
+        lower_name = name.lower()
+        if lower_name in _NOT_FORWARDED:
             continue
-        if not _VISIBLE.match(value) or not _KEY.match(lower):
-            raise _bad("headers: expected visible ASCII characters")
-        forwarded[lower] = value
+        if not _VISIBLE_TEXT.match(value) or not _VISIBLE_WORD.match(lower_name):
+            raise _bad_request_error("headers: expected visible ASCII characters")
+        forwarded[lower_name] = value
     return forwarded
--- a/packages/entry/src/bluebellusher/server/_prompt.py
+++ b/packages/entry/src/bluebellusher/server/_prompt.py
@@ -10,12 +10,12 @@
 _BYTES_PER_TOKEN = 4
 
 
-def hash_prefix(model: str, prompt: bytes) -> tuple[int, ...]:
+def compute_prompt_hashes(model: str, prompt: bytes) -> tuple[int, ...]:
     """Return the hashes of a prompt's blocks, by which engines report cached blocks."""
     return compute_prefix_hashes(model, prompt[:N_MAX_PREFIX_BYTES])
 
 
-def count_tokens(prompt: bytes) -> int:
+def estimate_tokens(prompt: bytes) -> int:
     """Return an estimate of the prompt's length in tokens, at 4 bytes per token."""
     return max(1, len(prompt) // _BYTES_PER_TOKEN)
 
--- a/packages/entry/src/bluebellusher/server/_protocol.py
+++ b/packages/entry/src/bluebellusher/server/_protocol.py
@@ -22,8 +22,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Process bytes without restarting the timeout while the head is incomplete."""
-        before = self._time
+        previous_time = self._time
         super().data_received(data)
         http: Any = self.http
         if http is not None and http.stage is Stage.REQUEST:
-            self._time = before
+            self._time = previous_time
--- a/packages/entry/src/bluebellusher/server/_respond.py
+++ b/packages/entry/src/bluebellusher/server/_respond.py
@@ -29,19 +29,21 @@
 _NOT_RETURNED = CONNECTION_HEADERS | {"x-attempt-id", "x-resume-offset"}
 
 
-def status_of(reason: Reason) -> int:
+def to_status_code(reason: Reason) -> int:
     """Return the status code for a reason; overload and outages are 503."""
     return _STATUS_BY_REASON.get(reason, HTTPStatus.SERVICE_UNAVAILABLE)
 
 
-def refusal_body(refusal: Rejection, request_id: str, detail: str = "") -> bytes:
+def make_rejection_body(
+    rejection: Rejection, request_id: str, detail: str = ""
+) -> bytes:
     """Create the JSON body of the response to a rejected request."""
     error: dict[str, Any] = {
-        "outcome": refusal.outcome.value,
-        "reason": refusal.reason.value,
-        "step": refusal.step,
-        "peer": refusal.peer,
-        "retry_after_ms": refusal.retry_after_ms,
+        "outcome": rejection.outcome.value,
+        "reason": rejection.reason.value,
+        "step": rejection.step,
+        "peer": rejection.peer,
+        "retry_after_ms": rejection.retry_after_ms,
         "request_id": request_id,
     }
     if detail:
@@ -49,17 +51,19 @@
     return json.dumps({"error": error}).encode()
 
 
-def refusal_headers(refusal: Rejection) -> dict[str, str]:
+def make_rejection_headers(rejection: Rejection) -> dict[str, str]:
     """Create the ``Retry-After`` header, in whole seconds rounded up.
 
     The result is empty when the rejection has no time for a retry.
     """
-    if refusal.retry_after_ms is None:
+    if rejection.retry_after_ms is None:
         return {}
-    return {"retry-after": str(max(1, -(-refusal.retry_after_ms // 1000)))}
+    return {"retry-after": str(max(1, -(-rejection.retry_after_ms // 1000)))}
 
 
-def returned_headers(headers: Mapping[str, str], request_id: str) -> dict[str, str]:
+def select_returned_headers(
+    headers: Mapping[str, str], request_id: str
+) -> dict[str, str]:
     """Return the headers of an endpoint's answer that are sent to the caller."""
     returned = {
         name: value
--- a/packages/entry/src/bluebellusher/server/_stream.py
+++ b/packages/entry/src/bluebellusher/server/_stream.py
@@ -9,10 +9,10 @@
 from bluebellusher.observability import Metrics
 from bluebellusher.runtime import Exchange
 from bluebellusher.server._respond import (
-    refusal_body,
-    refusal_headers,
-    returned_headers,
-    status_of,
+    make_rejection_body,
+    make_rejection_headers,
+    select_returned_headers,
+    to_status_code,
 )
 from bluebellusher_core.errors import Rejection
 
@@ -24,7 +24,7 @@
         self._request = request
         self._exchange = exchange
         self._metrics = metrics
-        self._started_ns = self._sent_ns = monotonic_ns()
+        self._started_ns = self._last_sent_ns = monotonic_ns()
         self._response: HTTPResponse | None = None
 
     async def send(self) -> str:
@@ -37,23 +37,23 @@
             await self._send_part(data)
             answer.note_sent(len(data))
         if answer.refusal is not None:
-            return await self._send_refusal(answer.refusal)
+            return await self._send_rejection(answer.refusal)
         if self._response is None:
             await self._send_whole(b"")
         else:
             await self._response.eof()
-        self._record_total()
+        self._record_total_time()
         return "completed"
 
     async def _send_whole(self, data: bytes) -> None:
         answer = self._exchange.answer
         request_id = self._exchange.spec.request_id
-        headers = returned_headers(answer.headers, request_id)
-        await self._respond_once(answer.status, headers, data)
-        self._record_first()
-        self._record_total()
+        headers = select_returned_headers(answer.headers, request_id)
+        await self._send_response(answer.status, headers, data)
+        self._record_first_part()
+        self._record_total_time()
 
-    async def _respond_once(
+    async def _send_response(
         self, status: int, headers: dict[str, str], body: bytes
     ) -> None:
         content_type = headers.pop("content-type", "application/octet-stream")
@@ -65,23 +65,26 @@
         if self._response is None:
             answer = self._exchange.answer
             request_id = self._exchange.spec.request_id
-            headers = returned_headers(answer.headers, request_id)
+            headers = select_returned_headers(answer.headers, request_id)
             content_type = headers.pop("content-type", "application/octet-stream")
             self._response = await self._request.respond(
                 status=answer.status, headers=headers, content_type=content_type
             )
-            self._record_first()
+            self._record_first_part()
         else:
-            self._record_between()
+            self._record_gap()
         await self._response.send(data)
 
-    async def _send_refusal(self, refusal: Rejection) -> str:
+    async def _send_rejection(self, rejection: Rejection) -> str:
         request_id = self._exchange.spec.request_id
-        body = refusal_body(refusal, request_id)
+        body = make_rejection_body(rejection, request_id)
         if self._response is None:
-            headers = {**refusal_headers(refusal), "content-type": "application/json"}
+            headers = {
+                **make_rejection_headers(rejection),
+                "content-type": "application/json",
+            }
             headers["x-request-id"] = request_id
-            await self._respond_once(status_of(refusal.reason), headers, body)
+            await self._send_response(to_status_code(rejection.reason), headers, body)
         elif self._exchange.answer.is_events:
             # Without the terminating [DONE] the caller detects an incomplete answer.
             # The empty line comes first because the answer may end within a line.
@@ -89,24 +92,26 @@
             await self._response.eof()
         else:
             # Without the last chunk the caller's HTTP client reports a truncated body.
-            self._abort()
-        return refusal.outcome.value
+            self._abort_connection()
+        return rejection.outcome.value
 
-    def _abort(self) -> None:
+    def _abort_connection(self) -> None:
         transport: Any = self._request.transport
         if transport is not None:
             transport.abort()
 
-    def _record_first(self) -> None:
-        self._sent_ns = monotonic_ns()
-        duration_ms = (self._sent_ns - self._started_ns) // 1_000_000
+    def _record_first_part(self) -> None:
+        self._last_sent_ns = monotonic_ns()
+        duration_ms = (self._last_sent_ns - self._started_ns) // 1_000_000
         self._metrics.first_token.record_value(max(1, duration_ms))
 
-    def _record_between(self) -> None:
+    def _record_gap(self) -> None:
         now_ns = monotonic_ns()
-        self._metrics.n_chunks_by_gap_ms[(now_ns - self._sent_ns) // 1_000_000] += 1
-        self._sent_ns = now_ns
+        self._metrics.n_chunks_by_gap_ms[
+            (now_ns - self._last_sent_ns) // 1_000_000
+        ] += 1
+        self._last_sent_ns = now_ns
 
-    def _record_total(self) -> None:
+    def _record_total_time(self) -> None:
         duration_ms = (monotonic_ns() - self._started_ns) // 1_000_000
         self._metrics.total.record_value(max(1, duration_ms))
--- a/packages/entry/src/bluebellusher/server/tests/test_http.py
+++ b/packages/entry/src/bluebellusher/server/tests/test_http.py
@@ -32,11 +32,11 @@
     "operators": [{"name": "op", "credential": "key-of-op"}],
     "limits": {"max_body_bytes": 100_000, "slow_sender_timeout_ms": 300},
 }
-KEY = {"Authorization": "Bearer key-of-c1"}
-MODEL = "/v1/chat/completions"
+AUTH = {"Authorization": "Bearer key-of-c1"}
+MODEL_PATH = "/v1/chat/completions"
 
 
-class Server:
+class EntryThread:
     """Entry without endpoints that runs in its own thread."""
 
     def __init__(self) -> None:
@@ -45,7 +45,7 @@
         self._ready = threading.Event()
         self._thread = threading.Thread(target=lambda: uvloop.run(self._run()))
 
-    def __enter__(self) -> "Server":
+    def __enter__(self) -> "EntryThread":
         self._thread.start()
         assert self._ready.wait(20)
         return self
@@ -70,7 +70,7 @@
         await entry.stop()
         log.close()
 
-    def ask(self, method, path, headers=KEY, body=b""):
+    def send_request(self, method, path, headers=AUTH, body=b""):
         """Send one request; return the status, body and headers of the response."""
         connection = http.client.HTTPConnection("127.0.0.1", self.port, timeout=20)
         try:
@@ -93,9 +93,9 @@
                 pass
             return received
 
-    def check_alive(self) -> None:
+    def assert_no_fault(self) -> None:
         """Assert that the entry serves requests and has logged no fault."""
-        assert self.ask("GET", "/healthz")[0] == 200
+        assert self.send_request("GET", "/healthz")[0] == 200
         assert "internal-fault" not in self.log.getvalue()
         assert "Traceback" not in self.log.getvalue()
 
@@ -103,73 +103,91 @@
 @pytest.fixture(scope="module")
 def server():
     """Start one entry for all tests of this module."""
-    with Server() as running:
-        yield running
+    with EntryThread() as entry_thread:
+        yield entry_thread
 
 
-def _error(body: bytes) -> dict:
+def read_error(body: bytes) -> dict:
     return json.loads(body)["error"]
 
 
 @pytest.mark.parametrize(
     ("method", "path", "headers", "body", "status", "reason"),
     [
-        ("POST", MODEL, {}, b"{}", 401, "unknown_customer"),
-        ("POST", MODEL, {"Authorization": "Bearer x"}, b"{}", 401, "unknown_customer"),
-        ("POST", MODEL, KEY, b"{", 400, "bad_request"),
-        ("POST", MODEL, KEY, b"[" * 50_000, 400, "bad_request"),
-        ("POST", MODEL, KEY, b"\xff\xfe", 400, "bad_request"),
-        ("POST", MODEL, KEY, b'{"model": 3}', 400, "bad_request"),
-        ("POST", MODEL, KEY, b'{"model": "m", "messages": 1}', 400, "bad_request"),
-        ("POST", MODEL, KEY, b'{"model": "z"}', 404, "unknown_service"),
-        ("POST", MODEL, KEY, b"x" * 100_001, 413, "body_too_large"),
-        ("POST", MODEL, {**KEY, "X-Deadline-Ms": "0"}, b"", 400, "bad_request"),
-        ("GET", "/services/none/a", KEY, b"", 404, "unknown_service"),
-        ("GET", "/services/writer/a", KEY, b"", 404, "unknown_service"),
-        ("GET", "/services/desk", {**KEY, "X-Priority": "?"}, b"", 400, "bad_request"),
-        ("PUT", "/services/desk/a%20b", KEY, b"x", 503, "no_endpoint"),
-        ("POST", "/nothing", KEY, b"", 404, "unknown_service"),
-        ("DELETE", MODEL, KEY, b"", 405, "bad_request"),
+        ("POST", MODEL_PATH, {}, b"{}", 401, "unknown_customer"),
         (
             "POST",
-            MODEL,
-            KEY,
+            MODEL_PATH,
+            {"Authorization": "Bearer x"},
+            b"{}",
+            401,
+            "unknown_customer",
+        ),
+        ("POST", MODEL_PATH, AUTH, b"{", 400, "bad_request"),
+        ("POST", MODEL_PATH, AUTH, b"[" * 50_000, 400, "bad_request"),
+        ("POST", MODEL_PATH, AUTH, b"\xff\xfe", 400, "bad_request"),
+        ("POST", MODEL_PATH, AUTH, b'{"model": 3}', 400, "bad_request"),
+        (
+            "POST",
+            MODEL_PATH,
+            AUTH,
+            b'{"model": "m", "messages": 1}',
+            400,
+            "bad_request",
+        ),
+        ("POST", MODEL_PATH, AUTH, b'{"model": "z"}', 404, "unknown_service"),
+        ("POST", MODEL_PATH, AUTH, b"x" * 100_001, 413, "body_too_large"),
+        ("POST", MODEL_PATH, {**AUTH, "X-Deadline-Ms": "0"}, b"", 400, "bad_request"),
+        ("GET", "/services/none/a", AUTH, b"", 404, "unknown_service"),
+        ("GET", "/services/writer/a", AUTH, b"", 404, "unknown_service"),
+        ("GET", "/services/desk", {**AUTH, "X-Priority": "?"}, b"", 400, "bad_request"),
+        ("PUT", "/services/desk/a%20b", AUTH, b"x", 503, "no_endpoint"),
+        ("POST", "/nothing", AUTH, b"", 404, "unknown_service"),
+        ("DELETE", MODEL_PATH, AUTH, b"", 405, "bad_request"),
+        (
+            "POST",
+            MODEL_PATH,
+            AUTH,
             b'{"model": "m", "messages": [{"content": "\\ud800"}]}',
             503,
             "no_endpoint",
         ),
     ],
 )
-def test_refusals_are_clear(server, method, path, headers, body, status, reason):
+def test_rejected_requests_get_a_specific_reason(
+    server, method, path, headers, body, status, reason
+):
     """Guards against rejections with a wrong status code, reason or outcome."""
-    found, answer, returned = server.ask(method, path, headers, body)
-    assert (found, _error(answer)["reason"]) == (status, reason)
-    assert _error(answer)["outcome"] == "not_run"
-    assert ("retry-after" in returned) is (status == 503)
-    server.check_alive()
+    response_status, answer, response_headers = server.send_request(
+        method, path, headers, body
+    )
+    assert (response_status, read_error(answer)["reason"]) == (status, reason)
+    assert read_error(answer)["outcome"] == "not_run"
+    assert ("retry-after" in response_headers) is (status == 503)
+    server.assert_no_fault()
 
 
-def test_a_slow_sender_is_refused(server):
+def test_unfinished_request_gets_status_408(server):
     """Guards against senders that hold a connection with an unfinished request."""
-    for sent in (
+    for unfinished_request in (
         b"POST /v1/ch",
-        b"POST " + MODEL.encode() + b" HTTP/1.1\r\n"
+        b"POST " + MODEL_PATH.encode() + b" HTTP/1.1\r\n"
         b"Authorization: Bearer key-of-c1\r\nContent-Length: 9\r\n\r\n{",
     ):
         with socket.create_connection(("127.0.0.1", server.port), timeout=20) as sock:
-            sock.sendall(sent)
+            sock.sendall(unfinished_request)
             assert sock.recv(100).startswith(b"HTTP/1.1 408 ")
-    server.check_alive()
+    server.assert_no_fault()
 
 
-def test_operator_pages_need_an_operator(server):
+def test_status_page_requires_an_operator_credential(server):
     """Guards against a customer that reads the status page of the entry."""
-    assert server.ask("GET", "/admin/status")[0] == 401
+    assert server.send_request("GET", "/admin/status")[0] == 401
     headers = {"Authorization": "Bearer key-of-op"}
-    status, body, _ = server.ask("GET", "/admin/status", headers)
+    status, body, _ = server.send_request("GET", "/admin/status", headers)
     assert (status, json.loads(body)["instance_id"]) == (200, "entry-1")
-    assert server.ask("GET", "/readyz")[0] == 200
-    assert server.ask("GET", "/v1/requests/k")[0] == 503
+    assert server.send_request("GET", "/readyz")[0] == 200
+    assert server.send_request("GET", "/v1/requests/k")[0] == 503
 
 
 json_values = st.recursive(
@@ -180,18 +198,18 @@
     ),
     max_leaves=8,
 )
-names = st.sampled_from(["model", "messages", "max_tokens", "stream", "x"])
-documents = st.dictionaries(names, json_values | st.just("m"), max_size=5)
+field_names = st.sampled_from(["model", "messages", "max_tokens", "stream", "x"])
+model_documents = st.dictionaries(field_names, json_values | st.just("m"), max_size=5)
 
 
 @settings(max_examples=60)
-@given(documents.map(lambda d: json.dumps(d).encode()) | st.binary(max_size=200))
-def test_property_any_model_body_gets_a_refusal(server, body):
+@given(model_documents.map(lambda d: json.dumps(d).encode()) | st.binary(max_size=200))
+def test_property_any_model_body_is_rejected(server, body):
     """Guards against model request bodies that raise a traceback."""
-    status, answer, _ = server.ask("POST", MODEL, KEY, body)
+    status, answer, _ = server.send_request("POST", MODEL_PATH, AUTH, body)
     assert status in (400, 404, 503)
-    assert _error(answer)["outcome"] == "not_run"
-    server.check_alive()
+    assert read_error(answer)["outcome"] == "not_run"
+    server.assert_no_fault()
 
 
 header_names = st.sampled_from(
@@ -215,18 +233,18 @@
 @settings(max_examples=80)
 @given(
     st.sampled_from([b"GET", b"POST", b"HEAD", b"\xff", b""]),
-    st.sampled_from([MODEL.encode(), b"/services/desk/x", b"/v1/requests/%ff", b"*"])
+    st.sampled_from(
+        [MODEL_PATH.encode(), b"/services/desk/x", b"/v1/requests/%ff", b"*"]
+    )
     | st.binary(max_size=30),
     raw_headers,
     st.binary(max_size=80),
 )
-def test_property_any_bytes_leave_the_server_running(
-    server, method, path, headers, body
-):
+def test_property_server_survives_any_bytes(server, method, path, headers, body):
     """Guards against raw bytes that stop the process or one of its tasks."""
     lines = [method + b" " + path + b" HTTP/1.1", b"Authorization: Bearer key-of-c1"]
     lines += [name + b": " + value for name, value in headers]
     answer = server.send_raw(b"\r\n".join(lines) + b"\r\n\r\n" + body)
     assert not answer or answer.startswith(b"HTTP/1.1 ")
     assert b"Traceback" not in answer
-    server.check_alive()
+    server.assert_no_fault()
