--- a/packages/entry/src/bluebellusher/links/_connection.py
+++ b/packages/entry/src/bluebellusher/links/_connection.py
@@ -109,7 +109,7 @@
         Clock for the heartbeats and the receive timeout.
     peer : str
         Name of the other side in errors until its ``Hello`` is verified.
-    has_far_pace : bool
+    has_slow_heartbeat_across_domains : bool
         Whether ``SLOW_HEARTBEAT`` applies when the other side is in another failure
         domain. Otherwise every connection uses ``FAST_HEARTBEAT``.
     """
@@ -122,7 +122,7 @@
         handler: ConnectionHandler,
         clock: Clock,
         peer: str,
-        has_far_pace: bool = False,
+        has_slow_heartbeat_across_domains: bool = False,
     ) -> None:
         self.peer = peer
         # Dialed host, if the dialing code sets it; empty for accepted connections.
@@ -133,7 +133,7 @@
         self.received_at_ms = clock.now_ms()
         self.handshake_started_at_ms = clock.now_ms()
         self.closed = asyncio.Event()
-        self._has_far_pace = has_far_pace
+        self._has_far_pace = has_slow_heartbeat_across_domains
         self._heartbeat_timing = FAST_HEARTBEAT
         self._sent_at_ms = 0
         self._identity = identity
--- a/packages/entry/src/bluebellusher/ranks/_links.py
+++ b/packages/entry/src/bluebellusher/ranks/_links.py
@@ -223,7 +223,7 @@
                 self,
                 self._clock,
                 f"{host}:{self._port}",
-                has_far_pace=True,
+                has_slow_heartbeat_across_domains=True,
             )
             connection.host = host
             return connection
