--- a/packages/entry/src/bluebellusher/gateway/_answers.py
+++ b/packages/entry/src/bluebellusher/gateway/_answers.py
@@ -52,8 +52,8 @@
                 return self._whole(data)
             await self._write_part(data)
             answer.note_sent(len(data))
-        if answer.refusal is not None:
-            return self._refuse(answer.refusal)
+        if answer.rejection is not None:
+            return self._refuse(answer.rejection)
         if self._response is None:
             return self._whole(b"")
         self.outcome = Outcome.COMPLETED.value
--- a/packages/entry/src/bluebellusher/gateway/_server.py
+++ b/packages/entry/src/bluebellusher/gateway/_server.py
@@ -179,17 +179,17 @@
         spec, answer = exchange.spec, exchange.answer
         metrics = self._runtime.metrics
         metrics.count("bluebellusher_requests_total", "outcome", outcome)
-        if answer.refusal is not None:
-            reason = answer.refusal.reason.value
+        if answer.rejection is not None:
+            reason = answer.rejection.reason.value
             metrics.count("bluebellusher_refusals_total", "reason", reason)
         self._runtime.log(
             "request-ended",
             request=spec.request_id,
             outcome=outcome,
             status=writer.status,
-            reason=answer.refusal.reason.value if answer.refusal else "",
-            step=answer.refusal.step if answer.refusal else "",
-            peer=answer.refusal.peer if answer.refusal else "",
+            reason=answer.rejection.reason.value if answer.rejection else "",
+            step=answer.rejection.step if answer.rejection else "",
+            peer=answer.rejection.peer if answer.rejection else "",
             retry_after_ms=writer.retry_after_ms,
             took_ms=writer.took_ms,
             first_ms=writer.first_ms,
--- a/packages/entry/src/bluebellusher/links/_answer.py
+++ b/packages/entry/src/bluebellusher/links/_answer.py
@@ -37,7 +37,7 @@
         self.owner_attempt_id = ""
         self.is_committed = False
         self.is_complete = False
-        self.refusal: Rejection | None = None
+        self.rejection: Rejection | None = None
         self.on_sent: Callable[[int], None] | None = None
         self.kept: bytearray | None = bytearray() if max_kept_bytes else None
         self._max_kept_bytes = max_kept_bytes
@@ -57,7 +57,7 @@
     @property
     def is_ended(self) -> bool:
         """Whether the answer is complete or the request was rejected."""
-        return self.is_complete or self.refusal is not None
+        return self.is_complete or self.rejection is not None
 
     def start(self, status: int, headers: dict[str, str]) -> bool:
         """Set status and headers unless the caller has already received them.
@@ -76,7 +76,7 @@
         self.n_bytes += len(data)
         self.crc32 = zlib.crc32(data, self.crc32)
         self._append_kept(data)
-        if self.refusal is not None:
+        if self.rejection is not None:
             # The caller has its rejection. The bytes count as sent, so that the agent
             # sends the rest and the outcome of the attempt can be recorded.
             self.note_sent(len(data))
@@ -108,10 +108,10 @@
             self._held_tail = b""
             self._readable_event.set()
 
-    def refuse(self, refusal: Rejection) -> None:
+    def reject(self, rejection: Rejection) -> None:
         """End the answer with a rejection, unless it is complete or rejected."""
         if not self.is_ended:
-            self.refusal = refusal
+            self.rejection = rejection
             self._readable_event.set()
             self._read_event.set()
 
@@ -124,7 +124,7 @@
         while not self._is_readable():
             self._readable_event.clear()
             await self._readable_event.wait()
-        if self.refusal is not None or not self._unread_parts:
+        if self.rejection is not None or not self._unread_parts:
             return b""
         self.is_committed = True
         data = (
--- a/packages/entry/src/bluebellusher/links/tests/test_relay.py
+++ b/packages/entry/src/bluebellusher/links/tests/test_relay.py
@@ -147,7 +147,7 @@
     relay = make_relay()
     relay.start(make_started())
     relay.accept(make_chunk(0, b"data: 1\n\n"))
-    relay.answer.refuse(REJECTION)
+    relay.answer.reject(REJECTION)
     relay.accept(make_chunk(9, b"data: 2\n\n"))
     relay.answer.complete()
     assert read_all(relay.answer) == b""
--- a/packages/entry/src/bluebellusher/runtime/_replay.py
+++ b/packages/entry/src/bluebellusher/runtime/_replay.py
@@ -12,16 +12,16 @@
     """Give a caller the kept answer, or say that it cannot be read."""
     kept = read_kept(row.get("answer")) if isinstance(row, dict) else None
     if kept is None:
-        return answer.refuse(_refusal(Reason.OUTCOME_UNKNOWN, None))
+        return answer.reject(_refusal(Reason.OUTCOME_UNKNOWN, None))
     head, object_name = kept
     body = head.body
     try:
         if object_name:
             body = await store.read_object(object_name)
     except StoreError:
-        return answer.refuse(_refusal(Reason.CLAIM_STORE_UNAVAILABLE, 1_000))
+        return answer.reject(_refusal(Reason.CLAIM_STORE_UNAVAILABLE, 1_000))
     if body is None:
-        return answer.refuse(_refusal(Reason.OUTCOME_UNKNOWN, None))
+        return answer.reject(_refusal(Reason.OUTCOME_UNKNOWN, None))
     answer.start(head.status, {**head.headers, "x-replayed": "true"})
     answer.write(body)
     answer.complete()
--- a/packages/entry/src/bluebellusher/runtime/_runtime.py
+++ b/packages/entry/src/bluebellusher/runtime/_runtime.py
@@ -219,7 +219,7 @@
         is_sent = False
         try:
             # A caller that has its final answer was told what ran.
-            if exchange is not None and exchange.answer.refusal is None:
+            if exchange is not None and exchange.answer.rejection is None:
                 is_sent = self._dispatcher.start(effect, exchange)
         finally:
             if not is_sent:
@@ -246,7 +246,7 @@
     def _reject(self, effect: Reject) -> None:
         exchange = self.exchange_by_request_id.get(effect.request_id)
         if exchange is not None:
-            exchange.answer.refuse(effect.rejection)
+            exchange.answer.reject(effect.rejection)
 
     def _replay(self, effect: ReplayAnswer) -> None:
         exchange = self.exchange_by_request_id.get(effect.request_id)
--- a/packages/entry/src/bluebellusher/server/_stream.py
+++ b/packages/entry/src/bluebellusher/server/_stream.py
@@ -36,8 +36,8 @@
                 return "completed"
             await self._send_part(data)
             answer.note_sent(len(data))
-        if answer.refusal is not None:
-            return await self._send_rejection(answer.refusal)
+        if answer.rejection is not None:
+            return await self._send_rejection(answer.rejection)
         if self._response is None:
             await self._send_whole(b"")
         else:
