--- a/packages/entry/src/bluebellusher/gateway/_answers.py
+++ b/packages/entry/src/bluebellusher/gateway/_answers.py
@@ -47,11 +47,11 @@
     async def write(self) -> web.StreamResponse:
         """Write the whole answer and return the response."""
         answer = self._exchange.answer
-        while data := await answer.take():
+        while data := await answer.read():
             if answer.is_complete and self._response is None:
                 return self._whole(data)
             await self._write_part(data)
-            answer.note_sent(len(data))
+            answer.record_sent(len(data))
         if answer.rejection is not None:
             return self._refuse(answer.rejection)
         if self._response is None:
--- a/packages/entry/src/bluebellusher/gateway/_attempts.py
+++ b/packages/entry/src/bluebellusher/gateway/_attempts.py
@@ -390,7 +390,7 @@
         answer.write(data)
         if answer.n_bytes > MAX_BODY_BYTES:
             raise _BrokenError(Reason.STREAM_CORRUPT, "answer too long")
-        await answer.wait_for_room(MAX_WAITING_BYTES)
+        await answer.wait_for_capacity(MAX_WAITING_BYTES)
 
     def _started(self, attempt: _Attempt) -> None:
         effect = attempt.effect
--- a/packages/entry/src/bluebellusher/links/_answer.py
+++ b/packages/entry/src/bluebellusher/links/_answer.py
@@ -39,7 +39,7 @@
         self.is_complete = False
         self.rejection: Rejection | None = None
         self.on_sent: Callable[[int], None] | None = None
-        self.kept: bytearray | None = bytearray() if max_kept_bytes else None
+        self.kept_body: bytearray | None = bytearray() if max_kept_bytes else None
         self._max_kept_bytes = max_kept_bytes
         self._is_events = False
         self._unread_parts: deque[bytes] = deque()
@@ -79,7 +79,7 @@
         if self.rejection is not None:
             # The caller has its rejection. The bytes count as sent, so that the agent
             # sends the rest and the outcome of the attempt can be recorded.
-            self.note_sent(len(data))
+            self.record_sent(len(data))
             return
         self._append_unread(self._hold_done_mark(data) if self._is_events else data)
         if self._is_readable():
@@ -97,7 +97,7 @@
         self.n_bytes = self.crc32 = self._n_unread_bytes = 0
         self._unread_parts.clear()
         self._held_tail, self._is_line_start = b"", True
-        self.kept = bytearray() if self._max_kept_bytes else None
+        self.kept_body = bytearray() if self._max_kept_bytes else None
         return True
 
     def complete(self) -> None:
@@ -115,7 +115,7 @@
             self._readable_event.set()
             self._read_event.set()
 
-    async def take(self) -> bytes:
+    async def read(self) -> bytes:
         """Return the bytes that can be sent; wait until there are any.
 
         Returned bytes commit the answer to its status and headers. The result is empty
@@ -137,13 +137,13 @@
         self._read_event.set()
         return data
 
-    async def wait_for_room(self, max_bytes: int) -> None:
+    async def wait_for_capacity(self, max_bytes: int) -> None:
         """Wait until at most ``max_bytes`` are unread or the answer has ended."""
         while self._n_unread_bytes > max_bytes and not self.is_ended:
             self._read_event.clear()
             await self._read_event.wait()
 
-    def note_sent(self, n_bytes: int) -> None:
+    def record_sent(self, n_bytes: int) -> None:
         """Record that the caller's socket accepted ``n_bytes``."""
         if self.on_sent is not None:
             self.on_sent(n_bytes)
@@ -164,11 +164,11 @@
             self._n_unread_bytes += len(data)
 
     def _append_kept(self, data: bytes) -> None:
-        if self.kept is None:
+        if self.kept_body is None:
             return
-        self.kept += data
-        if len(self.kept) > self._max_kept_bytes:
-            self.kept = None
+        self.kept_body += data
+        if len(self.kept_body) > self._max_kept_bytes:
+            self.kept_body = None
 
     def _hold_done_mark(self, data: bytes) -> bytes:
         """Return the bytes that may be sent to the caller.
--- a/packages/entry/src/bluebellusher/links/tests/test_connections.py
+++ b/packages/entry/src/bluebellusher/links/tests/test_connections.py
@@ -193,7 +193,7 @@
         finished = await sink.wait_for(AttemptFinished)
         assert (finished.attempt_id, finished.endpoint_id) == ("a2", "engine-1")
         answer.complete()
-        assert await answer.take() == b"data: new\n\n"
+        assert await answer.read() == b"data: new\n\n"
         assert not any(isinstance(e, EndpointLost) for e in sink.events)
 
     run_scenario(scenario)
--- a/packages/entry/src/bluebellusher/links/tests/test_relay.py
+++ b/packages/entry/src/bluebellusher/links/tests/test_relay.py
@@ -19,7 +19,7 @@
 
     async def read_available() -> bytes:
         data = b""
-        while answer._is_readable() and (part := await answer.take()):
+        while answer._is_readable() and (part := await answer.read()):
             data += part
         return data
 
--- a/packages/entry/src/bluebellusher/runtime/_exchange.py
+++ b/packages/entry/src/bluebellusher/runtime/_exchange.py
@@ -42,5 +42,5 @@
     def keep(self) -> KeptAnswer:
         """Return the answer for a repeat of the idempotency key."""
         answer = self.answer
-        body = None if answer.kept is None else bytes(answer.kept)
+        body = None if answer.kept_body is None else bytes(answer.kept_body)
         return KeptAnswer(answer.status, answer.headers, body)
--- a/packages/entry/src/bluebellusher/server/_stream.py
+++ b/packages/entry/src/bluebellusher/server/_stream.py
@@ -30,12 +30,12 @@
     async def send(self) -> str:
         """Send the whole answer or a rejection; return the outcome for metrics."""
         answer = self._exchange.answer
-        while data := await answer.take():
+        while data := await answer.read():
             if answer.is_complete and self._response is None:
                 await self._send_whole(data)
                 return "completed"
             await self._send_part(data)
-            answer.note_sent(len(data))
+            answer.record_sent(len(data))
         if answer.rejection is not None:
             return await self._send_rejection(answer.rejection)
         if self._response is None:
