--- a/packages/entry/src/bluebellusher/gateway/_attempts.py
+++ b/packages/entry/src/bluebellusher/gateway/_attempts.py
@@ -361,7 +361,7 @@
         else:
             await self._relay_body(attempt, response)
         assert isinstance(response, BoundedResponse)
-        await response.check_end()
+        await response.check_complete()
 
     async def _relay_body(
         self, attempt: _Attempt, response: aiohttp.ClientResponse
@@ -379,7 +379,7 @@
         while events := await reader.read():
             exchange.last_event_id = reader.last_event_id
             await self._pass_on(attempt, events)
-        if reader.n_pending:
+        if reader.n_pending_bytes:
             raise _BrokenError(Reason.STREAM_CORRUPT, "stream ends within an event")
 
     async def _pass_on(self, attempt: _Attempt, data: bytes) -> None:
--- a/packages/entry/src/bluebellusher/links/__init__.py
+++ b/packages/entry/src/bluebellusher/links/__init__.py
@@ -13,7 +13,7 @@
 from bluebellusher.links._responses import (
     BoundedResponse,
     EventReader,
-    read_whole,
+    read_response_body,
 )
 from bluebellusher.links._sockets import is_listening, make_socket
 from bluebellusher.links._sse import EventSplitter
@@ -36,5 +36,5 @@
     "PeerLinks",
     "is_listening",
     "make_socket",
-    "read_whole",
+    "read_response_body",
 ]
--- a/packages/entry/src/bluebellusher/links/_responses.py
+++ b/packages/entry/src/bluebellusher/links/_responses.py
@@ -32,7 +32,7 @@
         bounded: Any = _BoundedConnection(connection)
         return await super().start(bounded)
 
-    async def check_end(self) -> None:
+    async def check_complete(self) -> None:
         """Raise ``ClientConnectionError`` when a response without a length was cut."""
         is_framed = "Content-Length" in self.headers
         is_framed |= "chunked" in self.headers.get("Transfer-Encoding", "")
@@ -105,9 +105,9 @@
         return self._splitter.last_event_id
 
     @property
-    def n_pending(self) -> int:
+    def n_pending_bytes(self) -> int:
         """Number of bytes of the incomplete event at the end of the stream."""
-        return self._splitter.n_pending
+        return self._splitter.n_pending_bytes
 
     async def read(self) -> bytes:
         """Return the next complete events, or no bytes at the end of the stream.
@@ -126,7 +126,7 @@
         return b""
 
 
-async def read_whole(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
+async def read_response_body(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
     """Read the whole body of a response.
 
     Raises
--- a/packages/entry/src/bluebellusher/links/_sse.py
+++ b/packages/entry/src/bluebellusher/links/_sse.py
@@ -23,7 +23,7 @@
     >>> splitter = EventSplitter()
     >>> splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda")
     b'id: 1\ndata: a\n\n'
-    >>> splitter.last_event_id, splitter.n_pending
+    >>> splitter.last_event_id, splitter.n_pending_bytes
     ('1', 8)
     """
 
@@ -31,7 +31,7 @@
     _pending: bytearray = field(default_factory=bytearray)
 
     @property
-    def n_pending(self) -> int:
+    def n_pending_bytes(self) -> int:
         """Number of bytes of the incomplete event at the end of the stream."""
         return len(self._pending)
 
--- a/packages/entry/src/bluebellusher/platform/_transport.py
+++ b/packages/entry/src/bluebellusher/platform/_transport.py
@@ -9,7 +9,7 @@
 import aiohttp
 from expression import Error, Ok, Result
 
-from bluebellusher.links import BoundedResponse, read_whole
+from bluebellusher.links import BoundedResponse, read_response_body
 from bluebellusher.platform._errors import (
     PlatformError,
     PlatformNotDoneError,
@@ -97,7 +97,7 @@
         url = self._base_url + path
         session = self._open_session()
         async with session.request(method, url, timeout=timeout, **options) as answer:
-            body = await read_whole(answer, MAX_ANSWER_BYTES)
+            body = await read_response_body(answer, MAX_ANSWER_BYTES)
             return Reply(answer.status, answer.headers, body)
 
     def _open_session(self) -> aiohttp.ClientSession:
