--- a/packages/entry/src/bluebellusher/gateway/_attempts.py
+++ b/packages/entry/src/bluebellusher/gateway/_attempts.py
@@ -18,7 +18,7 @@
     EventReader,
     EventSink,
     is_listening,
-    make_socket,
+    make_keepalive_socket,
 )
 from bluebellusher.observability import Metrics, Tracer
 from bluebellusher.ports import AnswerFields, AttemptFields, Dialect
@@ -145,7 +145,7 @@
     async def open(self) -> None:
         """Make the client session; call it on the event loop."""
         connector = aiohttp.TCPConnector(
-            limit=0, force_close=True, socket_factory=make_socket
+            limit=0, force_close=True, socket_factory=make_keepalive_socket
         )
         self._session = aiohttp.ClientSession(
             connector=connector,
--- a/packages/entry/src/bluebellusher/links/__init__.py
+++ b/packages/entry/src/bluebellusher/links/__init__.py
@@ -15,7 +15,7 @@
     EventReader,
     read_response_body,
 )
-from bluebellusher.links._sockets import is_listening, make_socket
+from bluebellusher.links._sockets import is_listening, make_keepalive_socket
 from bluebellusher.links._sse import EventSplitter
 from bluebellusher.links._ticker import LinkTicker
 
@@ -35,6 +35,6 @@
     "PeerHandler",
     "PeerLinks",
     "is_listening",
-    "make_socket",
+    "make_keepalive_socket",
     "read_response_body",
 ]
--- a/packages/entry/src/bluebellusher/links/_sockets.py
+++ b/packages/entry/src/bluebellusher/links/_sockets.py
@@ -14,7 +14,7 @@
 _USER_TIMEOUT_MS = 2_500
 
 
-def make_socket(address_info: Any) -> socket.socket:
+def make_keepalive_socket(address_info: Any) -> socket.socket:
     """Create a socket with keepalive, as ``socket_factory`` of an aiohttp connector."""
     family, kind, protocol, *_ = address_info
     sock = socket.socket(family, kind, protocol)
@@ -29,7 +29,7 @@
     Return None when the address does not answer within ``timeout_ms`` or cannot be
     reached; the process may then be running or not.
     """
-    sock = make_socket((socket.AF_INET, socket.SOCK_STREAM, 0))
+    sock = make_keepalive_socket((socket.AF_INET, socket.SOCK_STREAM, 0))
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(timeout_ms / 1000):
