--- a/packages/entry/src/bluebellusher/links/_agents.py
+++ b/packages/entry/src/bluebellusher/links/_agents.py
@@ -248,7 +248,7 @@
                 task = asyncio.create_task(self._run_dialer(*address))
                 self._task_by_address[address] = task
 
-    def forget(self, address: tuple[str, int]) -> bool:
+    def stop_dialing(self, address: tuple[str, int]) -> bool:
         """Stop dialing an address, unless its connection is open.
 
         Return False when the connection is open.
--- a/packages/entry/src/bluebellusher/runtime/_discovery.py
+++ b/packages/entry/src/bluebellusher/runtime/_discovery.py
@@ -72,7 +72,7 @@
             return
         wanted = self._choose(result.ok) - self._configured
         gone = self._dialed - wanted
-        kept = {address for address in gone if not self._agents.forget(address)}
+        kept = {address for address in gone if not self._agents.stop_dialing(address)}
         self._agents.dial(wanted)
         self._dialed = wanted | kept
 
