--- a/packages/entry/src/bluebellusher/runtime/tests/test_discovery.py
+++ b/packages/entry/src/bluebellusher/runtime/tests/test_discovery.py
@@ -32,7 +32,7 @@
         """Remember the addresses."""
         self.dialed |= set(addresses)
 
-    def forget(self, address) -> bool:
+    def stop_dialing(self, address) -> bool:
         """Forget an address that is not connected."""
         if address in self.connected:
             return False
