Complete the doc comments of the links and the HTTP server

Attributes of AnswerStream, the handshake and the private methods whose names do not say everything are described; remaining vague names of tests are replaced. No behaviour changes.

--- a/packages/entry/src/bluebellusher/links/_agents.py
+++ b/packages/entry/src/bluebellusher/links/_agents.py
@@ -90,6 +90,13 @@
             self._break_attempt(attempt_id, Reason.ENDPOINT_LOST, is_resumable=True)
 
     def _find_relay(self, attempt_id: str) -> AttemptRelay | None:
+        """Return the relay of an attempt; None when the attempt has ended.
+
+        Raises
+        ------
+        StepError
+            When the attempt was never sent on this connection.
+        """
         relay = self.relay_by_attempt_id.get(attempt_id)
         if relay is None and attempt_id not in self._ended_attempt_ids:
             reason = f"attempt_id={attempt_id!r}: expected one sent on this connection"
@@ -97,6 +104,7 @@
         return relay
 
     def _end_attempt(self, attempt_id: str) -> AttemptRelay | None:
+        """Remove an attempt in progress and record its id; return its relay."""
         relay = self.relay_by_attempt_id.pop(attempt_id, None)
         if relay is not None:
             self._ended_attempt_ids[attempt_id] = None
@@ -107,6 +115,7 @@
     def _break_attempt(
         self, attempt_id: str, reason: Reason, is_resumable: bool
     ) -> None:
+        """End an attempt and report it as broken."""
         relay = self._end_attempt(attempt_id)
         if relay is not None:
             n_bytes = relay.release()
@@ -117,6 +126,7 @@
             )
 
     def _fail_attempt(self, attempt_id: str, problem: str) -> None:
+        """Cancel an attempt whose answer failed a check and report it as broken."""
         self._sink.log(
             "stream-corrupt",
             step="relay",
@@ -306,6 +316,7 @@
             self._sink.log("agent-not-connected", peer=connection.peer, error=error)
 
     def _remove_link(self, link: AgentLink, error: str) -> None:
+        """Report the attempts in progress as broken and the endpoint as lost."""
         link.connection.close(error)
         self._sink.log(
             "agent-lost", step="read-frame", peer=link.endpoint_id, error=error
@@ -316,6 +327,7 @@
         self._sink.post(EndpointLost(link.endpoint_id))
 
     def _find_link(self, connection: FrameConnection) -> AgentLink | None:
+        """Return the link of a connection; None for a closed or second connection."""
         if connection.hello is None:
             return None
         link = self.link_by_endpoint_id.get(connection.hello.instance_id)
@@ -349,4 +361,5 @@
 
 
 def _to_reason(value: str | None, default: Reason) -> Reason:
+    """Return the reason of an agent's message; ``default`` for an unknown value."""
     return Reason(value) if value in _REASONS else default
--- a/packages/entry/src/bluebellusher/links/_answer.py
+++ b/packages/entry/src/bluebellusher/links/_answer.py
@@ -27,6 +27,27 @@
     max_kept_bytes : int
         Size limit in bytes of the copy that is kept for repeats of the idempotency
         key. A longer answer is not kept; 0 keeps no answer.
+
+    Attributes
+    ----------
+    status : int
+        Status code; 0 before the head of the answer arrives.
+    headers : dict
+        Headers by lower-case name.
+    n_bytes, crc32 : int
+        Number of bytes written and their CRC-32.
+    owner_attempt_id : str
+        Attempt that writes the answer; empty when there is none.
+    is_committed : bool
+        Whether the HTTP handler has read a part, so that status and headers are fixed.
+    is_complete : bool
+        Whether the whole answer was written and checked.
+    rejection : Rejection or None
+        Rejection that ended the answer.
+    on_sent : callable or None
+        Called with the number of bytes that the caller's socket accepted.
+    kept_body : bytearray or None
+        Copy of the body for repeats of the idempotency key; None when it is not kept.
     """
 
     def __init__(self, max_kept_bytes: int = 0) -> None:
@@ -60,9 +81,9 @@
         return self.is_complete or self.rejection is not None
 
     def start(self, status: int, headers: dict[str, str]) -> bool:
-        """Set status and headers unless the caller has already received them.
+        """Set status and headers, unless the HTTP handler has read a part already.
 
-        Return False when the caller has received another status.
+        Return False when the part was read with another status.
         """
         is_contradicting = self.is_committed and status != self.status
         if not self.is_committed:
@@ -88,7 +109,7 @@
     def reset(self) -> bool:
         """Discard the answer so that another attempt can start from the beginning.
 
-        Return False and discard nothing when the caller has received a part of the
+        Return False and discard nothing when the HTTP handler has read a part of the
         answer, or when the answer is complete or rejected.
         """
         if self.is_committed or self.is_ended:
@@ -149,6 +170,7 @@
             self.on_sent(n_bytes)
 
     def _is_readable(self) -> bool:
+        """Return whether ``read`` has bytes to return or the answer has ended."""
         if self.is_ended:
             return True
         is_released = (
@@ -164,6 +186,7 @@
             self._n_unread_bytes += len(data)
 
     def _append_kept(self, data: bytes) -> None:
+        """Extend the kept copy; discard it above ``max_kept_bytes``."""
         if self.kept_body is None:
             return
         self.kept_body += data
@@ -184,6 +207,7 @@
         return data
 
     def _find_done_mark(self, data: bytes) -> int:
+        """Return the offset of a line that is or may become the mark, or the length."""
         if self._is_line_start and data.startswith(_DONE_MARK):
             return 0
         offset = data.find(b"\n" + _DONE_MARK)
--- a/packages/entry/src/bluebellusher/links/_connection.py
+++ b/packages/entry/src/bluebellusher/links/_connection.py
@@ -133,7 +133,7 @@
         self.received_at_ms = clock.now_ms()
         self.handshake_started_at_ms = clock.now_ms()
         self.closed = asyncio.Event()
-        self._has_far_pace = has_slow_heartbeat_across_domains
+        self._has_slow_heartbeat_across_domains = has_slow_heartbeat_across_domains
         self._heartbeat_timing = FAST_HEARTBEAT
         self._sent_at_ms = 0
         self._identity = identity
@@ -225,6 +225,7 @@
         self._handler.on_closed(self, self._error or str(exc or "closed by peer"))
 
     def _limit_handshake_bytes(self, n_bytes: int) -> None:
+        """Add received bytes; raise ``StepError`` above ``MAX_HANDSHAKE_BYTES``."""
         self._n_handshake_bytes += n_bytes
         if self._n_handshake_bytes > MAX_HANDSHAKE_BYTES:
             reason = f"more than {MAX_HANDSHAKE_BYTES} bytes: expected a Hello"
@@ -237,6 +238,12 @@
             self._handler.on_message(self, message)
 
     def _continue_handshake(self, message: Any) -> None:
+        """Handle the next message of the handshake, which must be a ``Hello``.
+
+        The accepting side sends a nonce without a MAC. The dialing side answers with
+        its own nonce and a MAC over the received one, and the accepting side confirms
+        with a MAC over the dialing side's nonce.
+        """
         if not isinstance(message, messages.Hello):
             raise StepError("handshake", self.peer, "expected a Hello")
         if self._is_accepting:
@@ -256,6 +263,7 @@
             raise StepError("handshake", self.peer, problem)
 
     def _check_hello(self, hello: Any) -> str:
+        """Return a description of the fault in a ``Hello``, or an empty string."""
         fields = (hello.nonce, hello.instance_id, hello.failure_domain)
         if None in fields or hello.incarnation is None:
             return "Hello with missing fields: expected all"
@@ -275,6 +283,6 @@
         self.is_open = True
         self.peer = hello.instance_id
         is_other_domain = hello.failure_domain != self._identity.failure_domain
-        if self._has_far_pace and is_other_domain:
+        if self._has_slow_heartbeat_across_domains and is_other_domain:
             self._heartbeat_timing = SLOW_HEARTBEAT
         self._handler.on_open(self)
--- a/packages/entry/src/bluebellusher/links/_dialer.py
+++ b/packages/entry/src/bluebellusher/links/_dialer.py
@@ -69,5 +69,6 @@
         return connection.hello is not None and lifetime_ms >= MIN_STABLE_MS
 
     def _draw_backoff_ms(self, n_failures: int) -> float:
+        """Return the random delay, in ms, after a number of failed attempts."""
         backoff_ms = min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS * 2 ** min(n_failures, 16))
         return backoff_ms * (0.5 + self._random_state.random() / 2)
--- a/packages/entry/src/bluebellusher/links/_sse.py
+++ b/packages/entry/src/bluebellusher/links/_sse.py
@@ -43,6 +43,7 @@
         ValueError
             When an event is longer than 256 KiB, which no engine sends.
         """
+        # An end mark may begin in the pending bytes and end in the new ones.
         n_searched = max(0, len(self._pending) - _MAX_MARK_BYTES + 1)
         self._pending += data
         end = _find_end_of_last_event(self._pending, n_searched)
@@ -67,7 +68,7 @@
 
     Return 0 when there is none.
     """
-    end_offsets = [(data.rfind(mark, start), mark) for mark in _END_MARKS]
+    mark_offsets = [(data.rfind(mark, start), mark) for mark in _END_MARKS]
     return max(
-        (offset + len(mark) for offset, mark in end_offsets if offset >= 0), default=0
+        (offset + len(mark) for offset, mark in mark_offsets if offset >= 0), default=0
     )
--- a/packages/entry/src/bluebellusher/links/_ticker.py
+++ b/packages/entry/src/bluebellusher/links/_ticker.py
@@ -6,6 +6,7 @@
 from bluebellusher.links._connection import FrameConnection
 from bluebellusher_core.clock import Clock
 
+# Interval of the ticks, equal to the shortest heartbeat interval.
 TICK_INTERVAL_MS = 500
 # Delay of a tick, in ms, above which the process is assumed to have been suspended.
 _SUSPENSION_MS = 1_000
--- a/packages/entry/src/bluebellusher/links/tests/test_connections.py
+++ b/packages/entry/src/bluebellusher/links/tests/test_connections.py
@@ -1,4 +1,4 @@
-"""Guards against forged, mixed up and late messages, and against dead connections."""
+"""Guards against forged, mixed up and late messages and unresponsive connections."""
 
 import asyncio
 import zlib
@@ -29,7 +29,7 @@
 HEADERS = {"content-type": "text/event-stream"}
 
 
-class Sink:
+class RecordingSink:
     """Event sink that collects events and lets a test wait for them."""
 
     def __init__(self) -> None:
@@ -74,7 +74,7 @@
         self.received.append(message)
 
     def on_closed(self, connection, error) -> None:
-        """Do nothing."""
+        """Ignore the end of a connection."""
 
     async def listen(self) -> int:
         """Start to accept connections; return the port."""
@@ -94,7 +94,11 @@
     """Connect an entry to a fake agent and run a scenario of a test."""
 
     async def connect_and_run() -> None:
-        sink, agent, shared_clock = Sink(), FakeAgent(identity), clock or ManualClock()
+        sink, agent, shared_clock = (
+            RecordingSink(),
+            FakeAgent(identity),
+            clock or ManualClock(),
+        )
         ticker = LinkTicker(shared_clock, asyncio.get_running_loop())
         links = AgentLinks(ENTRY, sink, ticker, shared_clock, Random(1))
         links.dial([("127.0.0.1", await agent.listen())])
--- a/packages/entry/src/bluebellusher/links/tests/test_relay.py
+++ b/packages/entry/src/bluebellusher/links/tests/test_relay.py
@@ -58,21 +58,21 @@
 
 
 @given(answer_bodies, st.integers(1, 20))
-def test_property_done_mark_is_held_until_the_final_check(text, size):
+def test_property_done_mark_is_held_until_the_final_check(body, size):
     """Guards against a ``[DONE]`` that is sent before the whole answer is checked."""
     relay = make_relay()
     relay.start(make_started())
     received = b""
-    for offset in range(0, len(text), size):
-        assert relay.accept(make_chunk(offset, text[offset : offset + size])) == ""
+    for offset in range(0, len(body), size):
+        assert relay.accept(make_chunk(offset, body[offset : offset + size])) == ""
         received += read_all(relay.answer)
         assert not any(
             line.startswith(b"data: [DONE]") for line in received.split(b"\n")
         )
-        assert text.startswith(received)
-    assert relay.finish(make_finish(text)) == ""
+        assert body.startswith(received)
+    assert relay.finish(make_finish(body)) == ""
     relay.answer.complete()
-    assert received + read_all(relay.answer) == text
+    assert received + read_all(relay.answer) == body
 
 
 @given(
@@ -82,7 +82,7 @@
 )
 def test_property_damaged_stream_never_passes_the_checks(parts, fault, data):
     """Guards against lost, repeated, reordered or changed bytes (I2)."""
-    text = b"".join(parts)
+    body = b"".join(parts)
     offsets = [sum(map(len, parts[:i])) for i in range(len(parts))]
     chunks = [
         make_chunk(offset, part) for offset, part in zip(offsets, parts, strict=True)
@@ -95,8 +95,8 @@
     elif fault == "swap":
         chunks[index:] = reversed(chunks[index:])
     elif fault == "flip":
-        changed = bytes([parts[index][0] ^ 1]) + parts[index][1:]
-        chunks[index] = make_chunk(offsets[index], changed)
+        changed_part = bytes([parts[index][0] ^ 1]) + parts[index][1:]
+        chunks[index] = make_chunk(offsets[index], changed_part)
     else:
         chunks = chunks[:index]
     is_changed = [(c.offset, c.data) for c in chunks] != [
@@ -105,29 +105,29 @@
     relay = make_relay()
     relay.start(make_started())
     problems = [relay.accept(c) for c in chunks]
-    is_whole = not any(problems) and relay.finish(make_finish(text)) == ""
-    assert is_whole is not is_changed
+    is_accepted = not any(problems) and relay.finish(make_finish(body)) == ""
+    assert is_accepted is not is_changed
 
 
 @given(st.binary(min_size=2, max_size=60), st.data())
-def test_property_resume_continues_only_at_the_relayed_offset(text, data):
+def test_property_resume_continues_only_at_the_relayed_offset(body, data):
     """Guards against repeated or missing bytes when a stream is resumed."""
-    cut = data.draw(st.integers(1, len(text) - 1))
-    resumed_at = data.draw(st.integers(0, len(text)))
+    cut_offset = data.draw(st.integers(1, len(body) - 1))
+    resume_offset = data.draw(st.integers(0, len(body)))
     first = make_relay()
     first.start(make_started())
-    first.accept(make_chunk(0, text[:cut]))
+    first.accept(make_chunk(0, body[:cut_offset]))
     received = read_all(first.answer)
-    n_kept = first.release()
+    n_relayed_bytes = first.release()
     second = make_relay("a2", first.answer)
     second.start(make_started())
-    problem = second.accept(make_chunk(resumed_at, text[resumed_at:]))
-    if resumed_at == n_kept:
-        assert problem == "" and second.finish(make_finish(text)) == ""
+    problem = second.accept(make_chunk(resume_offset, body[resume_offset:]))
+    if resume_offset == n_relayed_bytes:
+        assert problem == "" and second.finish(make_finish(body)) == ""
         second.answer.complete()
-        assert received + read_all(second.answer) == text
+        assert received + read_all(second.answer) == body
     else:
-        assert problem or not text[resumed_at:]
+        assert problem or not body[resume_offset:]
 
 
 def test_losing_attempt_cannot_write_to_the_answer():
--- a/packages/entry/src/bluebellusher/server/_app.py
+++ b/packages/entry/src/bluebellusher/server/_app.py
@@ -136,7 +136,10 @@
             self._server.server.close()
 
     def close_idle(self) -> int:
-        """Close connections without a request; return the number of open ones."""
+        """Close connections without a request in progress.
+
+        Return the number of connections that are still open.
+        """
         connections = list(self._server.connections) if self._server else []
         for connection in connections:
             connection.close_if_idle()
@@ -283,8 +286,7 @@
 ) -> HTTPResponse:
     """Create the response to a request that was rejected before admission.
 
-    Responses with status 408, 429 or 503 ask for a retry after ``retry_after_ms``, by
-    default 1 s.
+    ``retry_after_ms`` defaults to 1 s for the status codes 408, 429 and 503.
     """
     if retry_after_ms is None and to_status_code(reason) in (408, 429, 503):
         retry_after_ms = 1_000
--- a/packages/entry/src/bluebellusher/server/_operator.py
+++ b/packages/entry/src/bluebellusher/server/_operator.py
@@ -51,6 +51,7 @@
         return text("ok\n")
 
     async def _serve_readiness(self, _request: Request) -> HTTPResponse:
+        """Serve 200 or 503 to the load balancer of the platform."""
         is_ready = self._status.is_ready()
         return text("ready\n" if is_ready else "not ready\n", 200 if is_ready else 503)
 
@@ -59,11 +60,13 @@
         return text(body, content_type="text/plain; version=0.0.4")
 
     async def _serve_status(self, request: Request) -> HTTPResponse:
+        """Serve the status page, to operators only."""
         if self._parser.find_operator(request.headers) is None:
             return _json_response({"error": {"reason": "unknown_operator"}}, 401)
         return _json_response(self._status.status())
 
     async def _serve_outcome(self, request: Request, key: str) -> HTTPResponse:
+        """Serve the state of the claim of an idempotency key, to its customer."""
         try:
             customer_id = self._parser.authenticate(request.headers)
             key = unquote(key)
--- a/packages/entry/src/bluebellusher/server/_parse.py
+++ b/packages/entry/src/bluebellusher/server/_parse.py
@@ -221,6 +221,7 @@
         service: ServiceSettings,
         fingerprint_input: bytes,
     ) -> dict[str, Any]:
+        """Return the fields that drafts of model and plain requests share."""
         return {
             "customer_id": customer_id,
             "service_id": service.service_id,
@@ -233,6 +234,7 @@
         }
 
     def _read_max_tokens(self, document: Mapping[str, Any]) -> int:
+        """Return the limit on output tokens, at most 1 million."""
         value = document.get("max_tokens")
         if value is None:
             return self._n_default_output_tokens
@@ -262,6 +264,7 @@
 
 
 def _read_bearer_credential(headers: Mapping[str, str]) -> str:
+    """Return the bearer credential of a request; empty when it carries none."""
     scheme, _, credential = headers.get("authorization", "").partition(" ")
     return credential.strip() if scheme.lower() == "bearer" else ""
 
@@ -300,6 +303,7 @@
 
 
 def _read_deadline(headers: Mapping[str, str]) -> int:
+    """Return the time until the deadline, in ms."""
     text = headers.get("x-deadline-ms")
     if text is None:
         return DEFAULT_DEADLINE_MS
@@ -310,6 +314,7 @@
 
 
 def _select_forwarded_headers(headers: Mapping[str, str]) -> dict[str, str]:
+    """Return the headers for the endpoint, by lower-case name."""
     forwarded = {}
     for name, value in headers.items():
         lower_name = name.lower()
--- a/packages/entry/src/bluebellusher/server/_respond.py
+++ b/packages/entry/src/bluebellusher/server/_respond.py
@@ -30,7 +30,7 @@
 
 
 def to_status_code(reason: Reason) -> int:
-    """Return the status code for a reason; overload and outages are 503."""
+    """Return the status code for a reason; it is 503 for overload and outages."""
     return _STATUS_BY_REASON.get(reason, HTTPStatus.SERVICE_UNAVAILABLE)
 
 
--- a/packages/entry/src/bluebellusher/server/_stream.py
+++ b/packages/entry/src/bluebellusher/server/_stream.py
@@ -46,6 +46,7 @@
         return "completed"
 
     async def _send_whole(self, data: bytes) -> None:
+        """Send a complete answer of which nothing was sent yet, with its length."""
         answer = self._exchange.answer
         request_id = self._exchange.spec.request_id
         headers = select_returned_headers(answer.headers, request_id)
@@ -56,12 +57,14 @@
     async def _send_response(
         self, status: int, headers: dict[str, str], body: bytes
     ) -> None:
+        """Send a response whose body is complete."""
         content_type = headers.pop("content-type", "application/octet-stream")
         response = HTTPResponse(body, status, headers, content_type)
         self._response = await self._request.respond(response)
         await self._response.send(body, end_stream=True)
 
     async def _send_part(self, data: bytes) -> None:
+        """Send a part of the answer, before the first one the status and headers."""
         if self._response is None:
             answer = self._exchange.answer
             request_id = self._exchange.spec.request_id
@@ -76,6 +79,11 @@
         await self._response.send(data)
 
     async def _send_rejection(self, rejection: Rejection) -> str:
+        """Send a rejection and return its outcome.
+
+        After a part of the answer was sent, the rejection is an error event in a stream
+        of events, and an aborted connection in any other answer.
+        """
         request_id = self._exchange.spec.request_id
         body = make_rejection_body(rejection, request_id)
         if self._response is None:
@@ -101,11 +109,13 @@
             transport.abort()
 
     def _record_first_part(self) -> None:
+        """Record the time to the first part of the answer, in ms."""
         self._last_sent_ns = monotonic_ns()
         duration_ms = (self._last_sent_ns - self._started_ns) // 1_000_000
         self._metrics.first_token.record_value(max(1, duration_ms))
 
     def _record_gap(self) -> None:
+        """Record the time since the previous part of the answer, in ms."""
         now_ns = monotonic_ns()
         self._metrics.n_chunks_by_gap_ms[
             (now_ns - self._last_sent_ns) // 1_000_000
@@ -113,5 +123,6 @@
         self._last_sent_ns = now_ns
 
     def _record_total_time(self) -> None:
+        """Record the time to the end of the answer, in ms."""
         duration_ms = (monotonic_ns() - self._started_ns) // 1_000_000
         self._metrics.total.record_value(max(1, duration_ms))
--- a/packages/entry/src/bluebellusher/server/tests/test_http.py
+++ b/packages/entry/src/bluebellusher/server/tests/test_http.py
@@ -1,4 +1,4 @@
-"""Guards against requests that raise a traceback, stop the process or hold it up."""
+"""Guards against requests that raise a traceback or stop or block the process."""
 
 import asyncio
 import http.client
@@ -108,6 +108,7 @@
 
 
 def read_error(body: bytes) -> dict:
+    """Return the error object of a rejection's body."""
     return json.loads(body)["error"]
 
 
