Merge the wording of entry/links and entry/server

Comments, messages and names of entry/links and entry/server; renames replayed over the other packages. Behaviour does not change (compare of definitions).

--- a/packages/entry/src/bluebellusher/gateway/_answers.py
+++ b/packages/entry/src/bluebellusher/gateway/_answers.py
@@ -67,13 +67,13 @@
         that point, is returned as a response for the server to send.
         """
         answer = self._exchange.answer
-        while data := await answer.take():
+        while data := await answer.read():
             if answer.is_complete and self._response is None:
                 return self._make_complete_response(data)
             await self._write_part(data)
-            answer.note_sent(len(data))
-        if answer.refusal is not None:
-            return self._finish_rejected(answer.refusal)
+            answer.record_sent(len(data))
+        if answer.rejection is not None:
+            return self._finish_rejected(answer.rejection)
         if self._response is None:
             return self._make_complete_response(b"")
         self.outcome = Outcome.COMPLETED.value
--- a/packages/entry/src/bluebellusher/gateway/_attempts.py
+++ b/packages/entry/src/bluebellusher/gateway/_attempts.py
@@ -18,7 +18,7 @@
     EventReader,
     EventSink,
     is_listening,
-    make_socket,
+    make_keepalive_socket,
 )
 from bluebellusher.observability import Metrics, Tracer
 from bluebellusher.ports import AnswerFields, AttemptFields, Dialect
@@ -161,7 +161,7 @@
     async def open(self) -> None:
         """Create the client session; must be called on the event loop."""
         connector = aiohttp.TCPConnector(
-            limit=0, force_close=True, socket_factory=make_socket
+            limit=0, force_close=True, socket_factory=make_keepalive_socket
         )
         self._session = aiohttp.ClientSession(
             connector=connector,
@@ -441,7 +441,7 @@
         else:
             await self._relay_body(attempt, response)
         assert isinstance(response, BoundedResponse)
-        await response.check_end()
+        await response.check_complete()
 
     async def _relay_body(
         self, attempt: _Attempt, response: aiohttp.ClientResponse
@@ -461,7 +461,7 @@
         while events := await reader.read():
             exchange.last_event_id = reader.last_event_id
             await self._relay_part(attempt, events)
-        if reader.n_pending:
+        if reader.n_pending_bytes:
             raise _BrokenAttemptError(
                 Reason.STREAM_CORRUPT, "stream ended inside an event"
             )
@@ -476,7 +476,7 @@
             raise _BrokenAttemptError(
                 Reason.STREAM_CORRUPT, "answer above the body size limit"
             )
-        await answer.wait_for_room(MAX_UNREAD_BYTES)
+        await answer.wait_for_capacity(MAX_UNREAD_BYTES)
 
     def _post_started(self, attempt: _Attempt) -> None:
         """Post the event of an attempt's first output."""
--- a/packages/entry/src/bluebellusher/links/__init__.py
+++ b/packages/entry/src/bluebellusher/links/__init__.py
@@ -1,4 +1,7 @@
-"""Thrift connections to agents and to other entries, and the relay of streams."""
+"""Connections to agents and peers, and the relay of answers to callers.
+
+Agents and peers exchange Thrift messages; endpoints without an agent answer over HTTP.
+"""
 
 from bluebellusher.links._agents import AgentLinks, EventSink
 from bluebellusher.links._answer import AnswerStream
@@ -7,8 +10,12 @@
 from bluebellusher.links._headers import CONNECTION_HEADERS
 from bluebellusher.links._peers import PeerHandler, PeerLinks
 from bluebellusher.links._relay import AttemptRelay
-from bluebellusher.links._responses import BoundedResponse, EventReader, read_whole
-from bluebellusher.links._sockets import is_listening, make_socket
+from bluebellusher.links._responses import (
+    BoundedResponse,
+    EventReader,
+    read_response_body,
+)
+from bluebellusher.links._sockets import is_listening, make_keepalive_socket
 from bluebellusher.links._sse import EventSplitter
 from bluebellusher.links._ticker import LinkTicker
 
@@ -28,6 +35,6 @@
     "PeerHandler",
     "PeerLinks",
     "is_listening",
-    "make_socket",
-    "read_whole",
+    "make_keepalive_socket",
+    "read_response_body",
 ]
--- a/packages/entry/src/bluebellusher/links/_agents.py
+++ b/packages/entry/src/bluebellusher/links/_agents.py
@@ -1,4 +1,4 @@
-"""Connections to agents."""
+"""Connections to agents and the attempts that run on them."""
 
 import asyncio
 from collections import OrderedDict
@@ -28,14 +28,14 @@
 )
 from bluebellusher_core.wire import messages
 
-# Ended attempts that may still send: late bytes of these are dropped, while an
-# attempt id that was never used on a connection closes it.
+# Number of ended attempts to keep for each connection. Late messages of these attempts
+# are ignored, while an attempt id that was never used on the connection closes it.
 _MAX_ENDED_ATTEMPTS = 4096
 _REASONS = frozenset(Reason)
 
 
 class EventSink(Protocol):
-    """Where the links report."""
+    """Destination of the events and log lines of the connections."""
 
     def post(self, event: Event) -> None:
         """Queue an event for the reducer."""
@@ -45,14 +45,14 @@
 
 
 class AgentLink:
-    """One open connection to the agent of one endpoint."""
+    """Open connection to the agent of one endpoint, with its attempts in progress."""
 
     def __init__(self, connection: FrameConnection, sink: EventSink) -> None:
         self.connection = connection
         self.endpoint_id: str = connection.hello.instance_id
         self.relay_by_attempt_id: dict[str, AttemptRelay] = {}
         self._sink = sink
-        self._ended: OrderedDict[str, None] = OrderedDict()
+        self._ended_attempt_ids: OrderedDict[str, None] = OrderedDict()
         self._handler_by_type = {
             messages.ChunkBatch: self._on_chunks,
             messages.Accepted: self._on_accepted,
@@ -60,52 +60,63 @@
             messages.Finish: self._on_finish,
             messages.Refuse: self._on_refuse,
             messages.Broken: self._on_broken,
-            messages.LoadReport: self._on_load,
-            messages.CacheReport: self._on_cache,
-            messages.EngineCrash: self._on_crash,
+            messages.LoadReport: self._on_load_report,
+            messages.CacheReport: self._on_cache_report,
+            messages.EngineCrash: self._on_engine_crash,
             messages.Drain: self._on_drain,
         }
 
     def dispatch(self, relay: AttemptRelay, message: Any) -> None:
-        """Send an attempt and take its answer."""
+        """Send an attempt to the agent and register the relay of its answer."""
         self.connection.send(message)
         self.relay_by_attempt_id[relay.attempt_id] = relay
 
     def cancel(self, attempt_id: str) -> None:
-        """Stop an attempt; what it still sends is dropped."""
-        relay = self._end(attempt_id)
+        """Cancel an attempt; late messages about it are ignored."""
+        relay = self._end_attempt(attempt_id)
         if relay is not None:
             relay.release()
             self.connection.send(messages.Cancel(attempt_id=attempt_id))
 
-    def receive(self, message: Any) -> None:
-        """Handle one message of the agent."""
+    def handle_message(self, message: Any) -> None:
+        """Handle one message from the agent; ignore messages of other types."""
         handle = self._handler_by_type.get(type(message))
         if handle is not None:
             handle(message)
 
-    def break_all(self) -> None:
-        """Report every attempt as broken because the connection is gone."""
+    def break_all_attempts(self) -> None:
+        """Report every attempt in progress as broken because the connection is lost."""
         for attempt_id in list(self.relay_by_attempt_id):
-            self._break(attempt_id, Reason.ENDPOINT_LOST, is_resumable=True)
+            self._break_attempt(attempt_id, Reason.ENDPOINT_LOST, is_resumable=True)
 
-    def _find(self, attempt_id: str) -> AttemptRelay | None:
+    def _find_relay(self, attempt_id: str) -> AttemptRelay | None:
+        """Return the relay of an attempt; None when the attempt has ended.
+
+        Raises
+        ------
+        StepError
+            When the attempt was never sent on this connection.
+        """
         relay = self.relay_by_attempt_id.get(attempt_id)
-        if relay is None and attempt_id not in self._ended:
+        if relay is None and attempt_id not in self._ended_attempt_ids:
             reason = f"attempt_id={attempt_id!r}: expected one sent on this connection"
             raise StepError("relay", self.endpoint_id, reason)
         return relay
 
-    def _end(self, attempt_id: str) -> AttemptRelay | None:
+    def _end_attempt(self, attempt_id: str) -> AttemptRelay | None:
+        """Remove an attempt in progress and record its id; return its relay."""
         relay = self.relay_by_attempt_id.pop(attempt_id, None)
         if relay is not None:
-            self._ended[attempt_id] = None
-            if len(self._ended) > _MAX_ENDED_ATTEMPTS:
-                self._ended.popitem(last=False)
+            self._ended_attempt_ids[attempt_id] = None
+            if len(self._ended_attempt_ids) > _MAX_ENDED_ATTEMPTS:
+                self._ended_attempt_ids.popitem(last=False)
         return relay
 
-    def _break(self, attempt_id: str, reason: Reason, is_resumable: bool) -> None:
-        relay = self._end(attempt_id)
+    def _break_attempt(
+        self, attempt_id: str, reason: Reason, is_resumable: bool
+    ) -> None:
+        """End an attempt and report it as broken."""
+        relay = self._end_attempt(attempt_id)
         if relay is not None:
             n_bytes = relay.release()
             self._sink.post(
@@ -114,7 +125,8 @@
                 )
             )
 
-    def _fail_check(self, attempt_id: str, problem: str) -> None:
+    def _fail_attempt(self, attempt_id: str, problem: str) -> None:
+        """Cancel an attempt whose answer failed a check and report it as broken."""
         self._sink.log(
             "stream-corrupt",
             step="relay",
@@ -123,39 +135,39 @@
             problem=problem,
         )
         self.connection.send(messages.Cancel(attempt_id=attempt_id))
-        self._break(attempt_id, Reason.STREAM_CORRUPT, is_resumable=False)
+        self._break_attempt(attempt_id, Reason.STREAM_CORRUPT, is_resumable=False)
 
     def _on_chunks(self, batch: Any) -> None:
         for chunk in batch.chunks or ():
-            relay = self._find(chunk.attempt_id)
+            relay = self._find_relay(chunk.attempt_id)
             problem = relay.accept(chunk) if relay is not None else ""
             if problem:
-                self._fail_check(chunk.attempt_id, problem)
+                self._fail_attempt(chunk.attempt_id, problem)
 
     def _on_accepted(self, accepted: Any) -> None:
-        if self._find(accepted.attempt_id) is not None:
+        if self._find_relay(accepted.attempt_id) is not None:
             event = AttemptAccepted(accepted.attempt_id, self.endpoint_id)
             self._sink.post(event)
 
     def _on_started(self, started: Any) -> None:
-        relay = self._find(started.attempt_id)
+        relay = self._find_relay(started.attempt_id)
         if relay is None:
             return
         problem = relay.start(started)
         if problem:
-            self._fail_check(started.attempt_id, problem)
+            self._fail_attempt(started.attempt_id, problem)
         else:
             self._sink.post(AttemptStarted(started.attempt_id, self.endpoint_id))
 
     def _on_finish(self, finish: Any) -> None:
-        relay = self._find(finish.attempt_id)
+        relay = self._find_relay(finish.attempt_id)
         if relay is None:
             return
         problem = relay.finish(finish)
         if problem:
-            self._fail_check(finish.attempt_id, problem)
+            self._fail_attempt(finish.attempt_id, problem)
             return
-        self._end(finish.attempt_id)
+        self._end_attempt(finish.attempt_id)
         usage = Usage(
             finish.n_input_tokens or 0,
             finish.n_cached_tokens or 0,
@@ -169,14 +181,16 @@
         )
 
     def _on_refuse(self, refuse: Any) -> None:
-        relay = self._find(refuse.attempt_id)
+        relay = self._find_relay(refuse.attempt_id)
         if relay is None:
             return
-        # An agent that has already sent bytes of an attempt cannot take it back.
+        # An agent cannot refuse an attempt whose answer it has started to send.
         if relay.answer.owner_attempt_id == refuse.attempt_id:
-            self._fail_check(refuse.attempt_id, "refused after it had started")
+            self._fail_attempt(
+                refuse.attempt_id, "refused after its answer had started"
+            )
             return
-        self._end(refuse.attempt_id)
+        self._end_attempt(refuse.attempt_id)
         reason = _to_reason(refuse.reason, Reason.NO_ENDPOINT)
         retry_after_ms = max(0, refuse.retry_after_ms or 0)
         self._sink.post(
@@ -184,19 +198,19 @@
         )
 
     def _on_broken(self, broken: Any) -> None:
-        if self._find(broken.attempt_id) is not None:
+        if self._find_relay(broken.attempt_id) is not None:
             reason = _to_reason(broken.reason, Reason.ENGINE_ERROR)
-            self._break(broken.attempt_id, reason, bool(broken.is_resumable))
+            self._break_attempt(broken.attempt_id, reason, bool(broken.is_resumable))
 
-    def _on_load(self, report: Any) -> None:
+    def _on_load_report(self, report: Any) -> None:
         self._sink.post(to_load_event(self.endpoint_id, report))
         if report.is_draining:
             self._sink.post(EndpointDraining(self.endpoint_id))
 
-    def _on_cache(self, report: Any) -> None:
+    def _on_cache_report(self, report: Any) -> None:
         self._sink.post(to_cache_event(self.endpoint_id, report))
 
-    def _on_crash(self, crash: Any) -> None:
+    def _on_engine_crash(self, crash: Any) -> None:
         self._sink.post(to_crash_event(self.endpoint_id, crash))
 
     def _on_drain(self, _drain: Any) -> None:
@@ -204,20 +218,20 @@
 
 
 class AgentLinks:
-    """All connections to agents, by endpoint id.
+    """Connections to all agents, by endpoint id.
 
     Parameters
     ----------
     identity : Identity
-        What this entry says about itself.
+        Description of this entry for its ``Hello``.
     sink : EventSink
         Receives events and log lines.
     ticker : LinkTicker
-        Sends the heartbeats.
+        Timer that sends the heartbeats.
     clock : Clock
-        Measures silence.
+        Clock for the heartbeats and the receive timeouts.
     random_state : random.Random
-        Spreads reconnects.
+        Source of the random delays between reconnects.
     """
 
     def __init__(
@@ -238,14 +252,17 @@
         self._connection_by_address: dict[tuple[str, int], FrameConnection] = {}
 
     def dial(self, addresses: Iterable[tuple[str, int]]) -> None:
-        """Keep a connection to each address; known ones are left alone."""
+        """Start to keep a connection to each address that is not dialed yet."""
         for address in addresses:
             if address not in self._task_by_address:
                 task = asyncio.create_task(self._run_dialer(*address))
                 self._task_by_address[address] = task
 
-    def forget(self, address: tuple[str, int]) -> bool:
-        """Stop dialing an address; return False when its connection is open."""
+    def stop_dialing(self, address: tuple[str, int]) -> bool:
+        """Stop dialing an address, unless its connection is open.
+
+        Return False when the connection is open.
+        """
         connection = self._connection_by_address.get(address)
         if connection is not None and connection.is_open:
             return False
@@ -263,16 +280,16 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     def close_endpoint(self, endpoint_id: str, error: str) -> None:
-        """Close the connection to an endpoint; the dialer opens a new one."""
+        """Close the connection to an endpoint; its dialer reconnects."""
         link = self.link_by_endpoint_id.get(endpoint_id)
         if link is not None:
             link.connection.close(error)
 
     def on_open(self, connection: FrameConnection) -> None:
-        """Report the endpoint; a second connection to it is closed.
+        """Report the endpoint as connected, or close a second connection to it.
 
-        A dialer connects again only after its connection ended, so that a second
-        one means that two addresses lead to one endpoint id.
+        A dialer reconnects only after its connection has ended. A second connection
+        therefore means that two addresses lead to the same endpoint id.
         """
         hello = connection.hello
         if hello.instance_id in self.link_by_endpoint_id:
@@ -284,31 +301,33 @@
         self._sink.post(EndpointConnected(_to_endpoint_info(hello)))
 
     def on_message(self, connection: FrameConnection, message: Any) -> None:
-        """Pass a message to its link."""
-        link = self._link_of(connection)
+        """Pass a message to the ``AgentLink`` of its connection."""
+        link = self._find_link(connection)
         if link is not None:
-            link.receive(message)
+            link.handle_message(message)
 
     def on_closed(self, connection: FrameConnection, error: str) -> None:
-        """Report the endpoint as lost and let the dialer go on."""
-        link = self._link_of(connection)
+        """Report the endpoint as lost; its dialer reconnects."""
+        link = self._find_link(connection)
         if link is not None:
             del self.link_by_endpoint_id[link.endpoint_id]
-            self._lose(link, error)
+            self._remove_link(link, error)
         elif connection.hello is None:
             self._sink.log("agent-not-connected", peer=connection.peer, error=error)
 
-    def _lose(self, link: AgentLink, error: str) -> None:
+    def _remove_link(self, link: AgentLink, error: str) -> None:
+        """Report the attempts in progress as broken and the endpoint as lost."""
         link.connection.close(error)
         self._sink.log(
             "agent-lost", step="read-frame", peer=link.endpoint_id, error=error
         )
-        # The reducer must know how many bytes each caller has before it learns that
-        # the endpoint is gone.
-        link.break_all()
+        # The reducer needs the number of bytes that each caller has received before it
+        # handles the loss of the endpoint.
+        link.break_all_attempts()
         self._sink.post(EndpointLost(link.endpoint_id))
 
-    def _link_of(self, connection: FrameConnection) -> AgentLink | None:
+    def _find_link(self, connection: FrameConnection) -> AgentLink | None:
+        """Return the link of a connection; None for a closed or second connection."""
         if connection.hello is None:
             return None
         link = self.link_by_endpoint_id.get(connection.hello.instance_id)
@@ -342,4 +361,5 @@
 
 
 def _to_reason(value: str | None, default: Reason) -> Reason:
+    """Return the reason of an agent's message; ``default`` for an unknown value."""
     return Reason(value) if value in _REASONS else default
--- a/packages/entry/src/bluebellusher/links/_answer.py
+++ b/packages/entry/src/bluebellusher/links/_answer.py
@@ -1,4 +1,4 @@
-"""The answer of one request on its way from the relay to the caller."""
+"""Buffer for one answer between the relay and the HTTP handler."""
 
 import asyncio
 import zlib
@@ -9,22 +9,45 @@
 
 _DONE_MARK = b"data: [DONE]"
 _SSE_TYPE = "text/event-stream"
-# An answer that is not a stream of events is held back up to this size, so that an
-# attempt that fails can still be replaced and its refusal has a proper status.
-HOLD_BYTES = 64 * 1024
+# Size in bytes up to which an answer that is not a stream of events is held back. Until
+# the caller has received a byte, another attempt can replace a failed one, and a
+# rejection can have its own status code.
+MAX_HELD_BYTES = 64 * 1024
 
 
 class AnswerStream:
-    """Bytes that were checked and wait for the caller.
+    """Answer of one request, written by the relay and read by the HTTP handler.
 
-    The relay writes, the HTTP handler reads. The terminating ``data: [DONE]`` of a
-    stream of events is kept back until ``complete`` is called, so that an answer
-    that fails its last check never looks complete.
+    The relay checks the bytes before it writes them. The terminating ``data: [DONE]``
+    of a stream of events is held back until ``complete`` is called, so that an answer
+    that fails its final check never appears complete to the caller.
 
     Parameters
     ----------
     max_kept_bytes : int
-        How much of the answer is kept for a repeat of the key; 0 keeps nothing.
+        Size limit in bytes of the copy that is kept for repeats of the idempotency
+        key. A longer answer is not kept; 0 keeps no answer.
+
+    Attributes
+    ----------
+    status : int
+        Status code; 0 before the head of the answer arrives.
+    headers : dict
+        Headers by lower-case name.
+    n_bytes, crc32 : int
+        Number of bytes written and their CRC-32.
+    owner_attempt_id : str
+        Attempt that writes the answer; empty when there is none.
+    is_committed : bool
+        Whether the HTTP handler has read a part, so that status and headers are fixed.
+    is_complete : bool
+        Whether the whole answer was written and checked.
+    rejection : Rejection or None
+        Rejection that ended the answer.
+    on_sent : callable or None
+        Called with the number of bytes that the caller's socket accepted.
+    kept_body : bytearray or None
+        Copy of the body for repeats of the idempotency key; None when it is not kept.
     """
 
     def __init__(self, max_kept_bytes: int = 0) -> None:
@@ -35,17 +58,17 @@
         self.owner_attempt_id = ""
         self.is_committed = False
         self.is_complete = False
-        self.refusal: Rejection | None = None
-        self.on_drained: Callable[[int], None] | None = None
-        self.kept: bytearray | None = bytearray() if max_kept_bytes else None
+        self.rejection: Rejection | None = None
+        self.on_sent: Callable[[int], None] | None = None
+        self.kept_body: bytearray | None = bytearray() if max_kept_bytes else None
         self._max_kept_bytes = max_kept_bytes
         self._is_events = False
-        self._ready: deque[bytes] = deque()
-        self._n_ready = 0
-        self._tail = b""
+        self._unread_parts: deque[bytes] = deque()
+        self._n_unread_bytes = 0
+        self._held_tail = b""
         self._is_line_start = True
-        self._changed = asyncio.Event()
-        self._taken = asyncio.Event()
+        self._readable_event = asyncio.Event()
+        self._read_event = asyncio.Event()
 
     @property
     def is_events(self) -> bool:
@@ -54,11 +77,14 @@
 
     @property
     def is_ended(self) -> bool:
-        """Whether the final outcome is known."""
-        return self.is_complete or self.refusal is not None
+        """Whether the answer is complete or the request was rejected."""
+        return self.is_complete or self.rejection is not None
 
     def start(self, status: int, headers: dict[str, str]) -> bool:
-        """Note status and headers; return False when they contradict earlier ones."""
+        """Set status and headers, unless the HTTP handler has read a part already.
+
+        Return False when the part was read with another status.
+        """
         is_contradicting = self.is_committed and status != self.status
         if not self.is_committed:
             self.status = status
@@ -67,109 +93,128 @@
         return not is_contradicting
 
     def write(self, data: bytes) -> None:
-        """Add the bytes that follow ``n_bytes``."""
+        """Append bytes to the answer, at the offset ``n_bytes``."""
         self.n_bytes += len(data)
         self.crc32 = zlib.crc32(data, self.crc32)
-        self._keep(data)
-        if self.refusal is not None:
-            # The caller has its final answer; only the outcome is still awaited.
-            self.note_sent(len(data))
+        self._append_kept(data)
+        if self.rejection is not None:
+            # The caller has its rejection. The bytes count as sent, so that the agent
+            # sends the rest and the outcome of the attempt can be recorded.
+            self.record_sent(len(data))
             return
-        self._push(self._split_done_mark(data) if self._is_events else data)
-        if self._is_takeable():
-            self._changed.set()
+        self._append_unread(self._hold_done_mark(data) if self._is_events else data)
+        if self._is_readable():
+            self._readable_event.set()
 
     def reset(self) -> bool:
-        """Forget everything unless the caller has received a part of it."""
+        """Discard the answer so that another attempt can start from the beginning.
+
+        Return False and discard nothing when the HTTP handler has read a part of the
+        answer, or when the answer is complete or rejected.
+        """
         if self.is_committed or self.is_ended:
             return False
         self.status, self.headers = 0, {}
-        self.n_bytes = self.crc32 = self._n_ready = 0
-        self._ready.clear()
-        self._tail, self._is_line_start = b"", True
-        self.kept = bytearray() if self._max_kept_bytes else None
+        self.n_bytes = self.crc32 = self._n_unread_bytes = 0
+        self._unread_parts.clear()
+        self._held_tail, self._is_line_start = b"", True
+        self.kept_body = bytearray() if self._max_kept_bytes else None
         return True
 
     def complete(self) -> None:
-        """Declare the answer whole."""
+        """Mark the answer as complete and release its last bytes to the caller."""
         if not self.is_ended:
             self.is_complete = True
-            self._push(self._tail)
-            self._tail = b""
-            self._changed.set()
+            self._append_unread(self._held_tail)
+            self._held_tail = b""
+            self._readable_event.set()
 
-    def refuse(self, refusal: Rejection) -> None:
-        """End the answer without its remainder; only the first outcome counts."""
+    def reject(self, rejection: Rejection) -> None:
+        """End the answer with a rejection, unless it is complete or rejected."""
         if not self.is_ended:
-            self.refusal = refusal
-            self._changed.set()
-            self._taken.set()
+            self.rejection = rejection
+            self._readable_event.set()
+            self._read_event.set()
 
-    async def take(self) -> bytes:
-        """Return what can be sent now; empty when the outcome is known.
+    async def read(self) -> bytes:
+        """Return the bytes that can be sent; wait until there are any.
 
-        Taking commits status and headers. When the answer was refused, nothing
-        more is returned.
+        Returned bytes commit the answer to its status and headers. The result is empty
+        when the answer is complete and has been read, or when it was rejected.
         """
-        while not self._is_takeable():
-            self._changed.clear()
-            await self._changed.wait()
-        if self.refusal is not None or not self._ready:
+        while not self._is_readable():
+            self._readable_event.clear()
+            await self._readable_event.wait()
+        if self.rejection is not None or not self._unread_parts:
             return b""
         self.is_committed = True
-        data = self._ready[0] if len(self._ready) == 1 else b"".join(self._ready)
-        self._ready.clear()
-        self._n_ready = 0
-        self._taken.set()
+        data = (
+            self._unread_parts[0]
+            if len(self._unread_parts) == 1
+            else b"".join(self._unread_parts)
+        )
+        self._unread_parts.clear()
+        self._n_unread_bytes = 0
+        self._read_event.set()
         return data
 
-    async def wait_for_room(self, max_bytes: int) -> None:
-        """Wait until at most ``max_bytes`` wait for the caller, or the answer ended."""
-        while self._n_ready > max_bytes and not self.is_ended:
-            self._taken.clear()
-            await self._taken.wait()
+    async def wait_for_capacity(self, max_bytes: int) -> None:
+        """Wait until at most ``max_bytes`` are unread or the answer has ended."""
+        while self._n_unread_bytes > max_bytes and not self.is_ended:
+            self._read_event.clear()
+            await self._read_event.wait()
 
-    def note_sent(self, n_bytes: int) -> None:
-        """Tell the relay that the caller's socket took ``n_bytes``."""
-        if self.on_drained is not None:
-            self.on_drained(n_bytes)
+    def record_sent(self, n_bytes: int) -> None:
+        """Record that the caller's socket accepted ``n_bytes``."""
+        if self.on_sent is not None:
+            self.on_sent(n_bytes)
 
-    def _is_takeable(self) -> bool:
+    def _is_readable(self) -> bool:
+        """Return whether ``read`` has bytes to return or the answer has ended."""
         if self.is_ended:
             return True
-        is_open = self._is_events or self.is_committed or self._n_ready > HOLD_BYTES
-        return is_open and bool(self._ready)
-
-    def _push(self, data: bytes) -> None:
+        is_released = (
+            self._is_events
+            or self.is_committed
+            or self._n_unread_bytes > MAX_HELD_BYTES
+        )
+        return is_released and bool(self._unread_parts)
+
+    def _append_unread(self, data: bytes) -> None:
         if data:
-            self._ready.append(data)
-            self._n_ready += len(data)
+            self._unread_parts.append(data)
+            self._n_unread_bytes += len(data)
 
-    def _keep(self, data: bytes) -> None:
-        if self.kept is None:
+    def _append_kept(self, data: bytes) -> None:
+        """Extend the kept copy; discard it above ``max_kept_bytes``."""
+        if self.kept_body is None:
             return
-        self.kept += data
-        if len(self.kept) > self._max_kept_bytes:
-            self.kept = None
-
-    def _split_done_mark(self, data: bytes) -> bytes:
-        """Return what may go out; a line that is or may become the mark stays."""
-        data = self._tail + data
-        at = self._find_done_mark(data)
-        self._tail = data[at:]
-        data = data[:at]
+        self.kept_body += data
+        if len(self.kept_body) > self._max_kept_bytes:
+            self.kept_body = None
+
+    def _hold_done_mark(self, data: bytes) -> bytes:
+        """Return the bytes that may be sent to the caller.
+
+        The rest, from a line that is or may become ``data: [DONE]``, is held back.
+        """
+        data = self._held_tail + data
+        offset = self._find_done_mark(data)
+        self._held_tail = data[offset:]
+        data = data[:offset]
         if data:
             self._is_line_start = data.endswith(b"\n")
         return data
 
     def _find_done_mark(self, data: bytes) -> int:
+        """Return the offset of a line that is or may become the mark, or the length."""
         if self._is_line_start and data.startswith(_DONE_MARK):
             return 0
-        at = data.find(b"\n" + _DONE_MARK)
-        if at >= 0:
-            return at + 1
-        last_line_at = data.rfind(b"\n") + 1
-        is_at_start = last_line_at > 0 or self._is_line_start
-        if is_at_start and _DONE_MARK.startswith(data[last_line_at:]):
-            return last_line_at
+        offset = data.find(b"\n" + _DONE_MARK)
+        if offset >= 0:
+            return offset + 1
+        last_line_offset = data.rfind(b"\n") + 1
+        is_at_start = last_line_offset > 0 or self._is_line_start
+        if is_at_start and _DONE_MARK.startswith(data[last_line_offset:]):
+            return last_line_offset
         return len(data)
--- a/packages/entry/src/bluebellusher/platform/_transport.py
+++ b/packages/entry/src/bluebellusher/platform/_transport.py
@@ -9,7 +9,7 @@
 import aiohttp
 from expression import Error, Ok, Result
 
-from bluebellusher.links import BoundedResponse, read_whole
+from bluebellusher.links import BoundedResponse, read_response_body
 from bluebellusher.platform._errors import (
     PlatformError,
     PlatformNotDoneError,
@@ -120,7 +120,7 @@
         async with session.request(
             method, url, timeout=timeout, **request_options
         ) as response:
-            body = await read_whole(response, MAX_ANSWER_BYTES)
+            body = await read_response_body(response, MAX_ANSWER_BYTES)
             return Reply(response.status, response.headers, body)
 
     def _open_session(self) -> aiohttp.ClientSession:
--- a/packages/entry/src/bluebellusher/server/_app.py
+++ b/packages/entry/src/bluebellusher/server/_app.py
@@ -1,4 +1,4 @@
-"""The HTTP server of an entry."""
+"""HTTP server of an entry."""
 
 import asyncio
 import logging
@@ -27,7 +27,11 @@
     RequestParser,
 )
 from bluebellusher.server._protocol import EntryProtocol
-from bluebellusher.server._respond import refusal_body, refusal_headers, status_of
+from bluebellusher.server._respond import (
+    make_rejection_body,
+    make_rejection_headers,
+    to_status_code,
+)
 from bluebellusher.server._status import Pages, SpendingGate, StatusSource
 from bluebellusher.server._stream import AnswerSender
 from bluebellusher.settings import Settings
@@ -40,35 +44,36 @@
     408: Reason.SLOW_SENDER,
     413: Reason.BODY_TOO_LARGE,
 }
-# Longer than any deadline, which ends every request earlier.
+# Sanic's response timeout. It is longer than the longest deadline, at which the entry
+# itself ends a request.
 _RESPONSE_TIMEOUT_S = 3_600
 _KEEP_ALIVE_TIMEOUT_S = 75
 _BACKLOG = 1024
 _SEND_BUFFER_BYTES = 128 * 1024
-# A caller that has not read its answer this long after the deadline is cut off; it
-# would otherwise hold its connection for as long as it likes.
+# Time in ms after the deadline in which a caller must read its answer. Its connection
+# is then aborted, because the caller could otherwise hold it without a time limit.
 _DELIVERY_GRACE_MS = 5_000
 
 
 class HttpServer:
-    """Serve callers and operators on one address.
+    """HTTP server for callers and operators on one address.
 
     Parameters
     ----------
     settings : Settings
         Addresses, credentials and limits.
     runtime : Runtime
-        Decides and executes.
+        Runs the requests.
     store : ClaimStore
-        Read by ``GET /v1/requests/{key}``.
+        Store of the claims that ``GET /v1/requests/{key}`` reads.
     status : StatusSource
-        Shown to operators.
+        State of the entry for operators and load balancers.
     make_request_id : callable
-        Returns a new id with each call.
-    more_pages : sequence of Pages
-        Routes of other parts of the entry.
+        Returns a new request id on each call.
+    extra_pages : sequence of Pages
+        Routes that other parts of the entry serve.
     spending : SpendingGate or None
-        Lets requests in within the budgets.
+        Admits requests within the rates and budgets; None admits every request.
     """
 
     def __init__(
@@ -78,7 +83,7 @@
         store: ClaimStore,
         status: StatusSource,
         make_request_id: Callable[[], str],
-        more_pages: Sequence[Pages] = (),
+        extra_pages: Sequence[Pages] = (),
         spending: SpendingGate | None = None,
     ) -> None:
         self._settings = settings
@@ -86,22 +91,23 @@
         self._make_request_id = make_request_id
         self._parser = RequestParser(settings)
         self._operator_pages = OperatorPages(self._parser, runtime, store, status)
-        self._more_pages = more_pages
+        self._extra_pages = extra_pages
         self._spending = spending
         self._server: AsyncioServer | None = None
 
     async def start(self) -> int:
-        """Listen; return the port."""
+        """Start to accept connections; return the port."""
         app = self._build_app()
-        # Sanic would replace port 0 by its own default, hence a bound socket.
+        # Sanic replaces port 0 by its own default, so the socket is bound here.
         address = self._settings.http
         sock = socket.create_server(
             (address.host, address.port),
             family=socket.AF_INET6 if ":" in address.host else socket.AF_INET,
             backlog=_BACKLOG,
         )
-        # Accepted sockets inherit it. The system would otherwise grow the buffer to
-        # megabytes, and a slow caller would stop the engine only after that.
+        # Accepted sockets inherit the buffer size. The kernel would otherwise grow the
+        # buffer to megabytes, and the engine of a slow caller would be throttled only
+        # when that buffer is full.
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BUFFER_BYTES)
         port = int(sock.getsockname()[1])
         self._server = await app.create_server(
@@ -112,48 +118,51 @@
             backlog=_BACKLOG,
         )
         assert self._server is not None
-        # Tells sanic that HTTP/1.1 is all there is, or it adds an empty Alt-Svc.
-        info = ApplicationServerInfo({"version": HTTP.VERSION_1, "port": port})
-        app.state.server_info.append(info)
+        # Sanic adds an empty Alt-Svc header unless HTTP/1.1 is the only version.
+        version_info = ApplicationServerInfo({"version": HTTP.VERSION_1, "port": port})
+        app.state.server_info.append(version_info)
         await self._server.startup()
         await self._server.start_serving()
         return port
 
     @property
     def n_connections(self) -> int:
-        """Return how many callers are connected."""
+        """Number of open connections of callers."""
         return len(self._server.connections) if self._server else 0
 
     def stop_accepting(self) -> None:
-        """Accept no new connection; requests in progress go on."""
+        """Accept no new connections; requests in progress continue."""
         if self._server is not None and self._server.server is not None:
             self._server.server.close()
 
     def close_idle(self) -> int:
-        """Close connections without a request; return how many are left."""
+        """Close connections without a request in progress.
+
+        Return the number of connections that are still open.
+        """
         connections = list(self._server.connections) if self._server else []
         for connection in connections:
             connection.close_if_idle()
         return self.n_connections
 
     def _build_app(self) -> Sanic[Any, Any]:
-        _silence_sanic()
+        _disable_sanic_loggers()
         app: Sanic[Any, Any] = Sanic(
             f"entry-{id(self):x}",
             config=self._make_config(),
             configure_logging=False,
-            error_handler=_FinalErrorHandler(self._runtime),
+            error_handler=_RejectingErrorHandler(self._runtime),
         )
         app.ctx.n_max_connections = self._settings.limits.max_connections
         self._add_caller_routes(app)
         self._operator_pages.add_to(app)
-        for pages in self._more_pages:
+        for pages in self._extra_pages:
             pages.add_to(app)
         return app
 
     def _add_caller_routes(self, app: Sanic[Any, Any]) -> None:
-        # Functions, because sanic marks a streamed handler by an attribute, which
-        # a bound method cannot take.
+        # These are functions because sanic sets an attribute on the handler of a
+        # streamed route, and bound methods do not accept attributes.
         async def serve_model(request: Request) -> HTTPResponse | None:
             return await self._serve_model(request)
 
@@ -163,21 +172,24 @@
             return await self._serve_plain(request, service_id, path)
 
         app.add_route(serve_model, MODEL_PATH, methods=["POST"], stream=True)
-        plain = "/services/<service_id:str>"
-        for name, path in (("root", plain), ("path", plain + "/<path:path>")):
+        service_path = "/services/<service_id:str>"
+        for name, path in (
+            ("root", service_path),
+            ("path", service_path + "/<path:path>"),
+        ):
             app.add_route(serve_plain, path, _METHODS, stream=True, name=name)
 
     def _make_config(self) -> Config:
         limits = self._settings.limits
-        # Without a prefix no environment variable changes the settings.
+        # With an empty prefix, sanic reads no settings from environment variables.
         config = Config(env_prefix="")
         config.update(
             {
                 "MOTD": False,
                 "ACCESS_LOG": False,
                 "AUTO_EXTEND": False,
-                # Removes unused hooks from the path of every chunk; sanic can do it
-                # only once in a process.
+                # Touch-up removes unused hooks from the code that sends chunks. Sanic
+                # can do it only once in a process.
                 "TOUCHUP": not getattr(HttpProtocol, "__touched__", False),
                 "REQUEST_MAX_SIZE": limits.max_body_bytes,
                 "REQUEST_TIMEOUT": limits.slow_sender_timeout_ms / 1000,
@@ -217,15 +229,18 @@
             if self._spending is not None:
                 draft = await self._spending.admit(request_id, draft, parse)
         except BadRequestError as error:
-            return self._refuse(error, request_id)
+            return self._reject(error, request_id)
         if self._runtime.is_shutting_down:
-            # The caller is told to use another connection for its next request.
+            # The answer carries ``Connection: close``, so that the caller opens another
+            # connection for its next request.
             cast(Any, request.stream).keep_alive = False
         exchange = self._make_exchange(draft, request_id, request)
         self._runtime.submit(exchange)
         outcome = "caller_left"
-        limit_s = (draft.remaining_ms + _DELIVERY_GRACE_MS) / 1000
-        watchdog = asyncio.get_running_loop().call_later(limit_s, _cut_off, request)
+        timeout_s = (draft.remaining_ms + _DELIVERY_GRACE_MS) / 1000
+        watchdog = asyncio.get_running_loop().call_later(
+            timeout_s, _abort_connection, request
+        )
         try:
             sender = AnswerSender(request, exchange, self._runtime.metrics)
             outcome = await sender.send()
@@ -240,11 +255,11 @@
             exchange.span.end(request_id=request_id, outcome=outcome)
         return None
 
-    def _refuse(self, error: BadRequestError, request_id: str) -> HTTPResponse:
+    def _reject(self, error: BadRequestError, request_id: str) -> HTTPResponse:
         self._runtime.metrics.count(
             "bluebellusher_bad_requests_total", "reason", error.reason.value
         )
-        return make_refusal(
+        return make_rejection(
             error.reason, request_id, error.detail, error.retry_after_ms
         )
 
@@ -266,48 +281,51 @@
         )
 
 
-def make_refusal(
+def make_rejection(
     reason: Reason, request_id: str, detail: str, retry_after_ms: int | None = None
 ) -> HTTPResponse:
-    """Return the answer to a request that was not admitted."""
-    if retry_after_ms is None and status_of(reason) in (408, 429, 503):
+    """Create the response to a request that was rejected before admission.
+
+    ``retry_after_ms`` defaults to 1 s for the status codes 408, 429 and 503.
+    """
+    if retry_after_ms is None and to_status_code(reason) in (408, 429, 503):
         retry_after_ms = 1_000
-    refusal = Rejection(Outcome.NOT_RUN, reason, "receive", "", retry_after_ms)
+    rejection = Rejection(Outcome.NOT_RUN, reason, "receive", "", retry_after_ms)
     return HTTPResponse(
-        refusal_body(refusal, request_id, detail),
-        status_of(reason),
-        refusal_headers(refusal),
+        make_rejection_body(rejection, request_id, detail),
+        to_status_code(reason),
+        make_rejection_headers(rejection),
         "application/json",
     )
 
 
-class _FinalErrorHandler(ErrorHandler):
-    """Answer every error that sanic finds in the form of a refusal."""
+class _RejectingErrorHandler(ErrorHandler):
+    """Error handler that answers errors raised in sanic with a rejection."""
 
     def __init__(self, runtime: Runtime) -> None:
         super().__init__()
         self._runtime = runtime
 
     def response(self, request: Request, exception: Exception) -> HTTPResponse:
-        """Return a refusal; the exception's text is not shown to the caller."""
+        """Create a rejection that names the type of the exception but not its text."""
         status = getattr(exception, "status_code", 500)
         detail = type(exception).__name__
         if isinstance(exception, SanicException) and status < 500:
             reason = _REASON_BY_STATUS.get(status, Reason.BAD_REQUEST)
-            answer = make_refusal(reason, "", detail)
+            answer = make_rejection(reason, "", detail)
             answer.status = status
             return answer
         if not isinstance(exception, asyncio.CancelledError):
             self._runtime.report_fault("serve", request, exception)
-        # The request may have been dispatched before the fault.
+        # The request may have been dispatched before the exception was raised.
         reason = Reason.OUTCOME_UNKNOWN
-        refusal = Rejection(Outcome.UNKNOWN, reason, "serve", "", None)
-        body = refusal_body(refusal, "", detail)
+        rejection = Rejection(Outcome.UNKNOWN, reason, "serve", "", None)
+        body = make_rejection_body(rejection, "", detail)
         return HTTPResponse(body, 500, None, "application/json")
 
 
-def _cut_off(request: Request) -> None:
-    """End the connection of a caller that does not read its answer."""
+def _abort_connection(request: Request) -> None:
+    """Abort the connection of a caller that has not read its answer in time."""
     transport: Any = request.transport
     if transport is not None:
         transport.abort()
@@ -331,8 +349,8 @@
     )
 
 
-def _silence_sanic() -> None:
-    """Switch sanic's own log off; it would show callers' input and tracebacks."""
+def _disable_sanic_loggers() -> None:
+    """Disable sanic's loggers, which would log callers' input and tracebacks."""
     for name in ("root", "error", "access", "server", "websockets"):
         logger = logging.getLogger(f"sanic.{name}")
         logger.handlers = [logging.NullHandler()]
