--- a/packages/entry/src/bluebellusher/server/_operator.py
+++ b/packages/entry/src/bluebellusher/server/_operator.py
@@ -76,7 +76,7 @@
             return _error_response(error.reason, error.detail)
         except StoreError:
             return _error_response(
-                Reason.CLAIM_STORE_UNAVAILABLE, "claim table unavailable"
+                Reason.CLAIM_STORE_UNAVAILABLE, "the table does not answer"
             )
         value = row.value if isinstance(row.value, dict) else {}
         state = str(value.get("state", "absent"))
