--- a/deploy/tests/conftest.py
+++ b/deploy/tests/conftest.py
@@ -1,7 +1,7 @@
-"""Tests of the adapter, which is a folder of programs and not a package.
+"""Import path for the tests of the adapter in ``platform/``, which is not a package.
 
-They lie here because pytest would register a module ``platform`` for tests below a
-folder of that name, in place of the one of the standard library.
+These tests are not in ``platform/`` itself: pytest would register that folder as the
+module ``platform`` and hide the module of that name in the standard library.
 """
 
 import pathlib
--- a/deploy/tests/test_announcements.py
+++ b/deploy/tests/test_announcements.py
@@ -1,4 +1,4 @@
-"""Answers in which engines say that they leave or pause, as bytes on a real socket."""
+"""Routing after answers that announce an engine's shutdown or pause, over sockets."""
 
 import asyncio
 
@@ -8,15 +8,18 @@
 
 from dialect import PlatformDialect
 
-ATTEMPT = "t1"
-CALLER = {"X-Bluebellusher-Attempt-Id": ATTEMPT, "X-Bluebellusher-Deadline-Ms": "3000"}
-SEALED = (
-    f"X-Bluebellusher-Attempt-Id: {ATTEMPT}\r\nX-Bluebellusher-Response-Seal: s\r\n"
+ATTEMPT_ID = "t1"
+CALLER_HEADERS = {
+    "X-Bluebellusher-Attempt-Id": ATTEMPT_ID,
+    "X-Bluebellusher-Deadline-Ms": "3000",
+}
+SEALED_HEADERS = (
+    f"X-Bluebellusher-Attempt-Id: {ATTEMPT_ID}\r\nX-Bluebellusher-Response-Seal: s\r\n"
 )
 
 
 class RawEndpoint:
-    """Answers every request with the same bytes and closes."""
+    """Endpoint that sends the same bytes for every request, then disconnects."""
 
     def __init__(self, endpoint_id, answer):
         self.endpoint_id = endpoint_id
@@ -26,7 +29,7 @@
         self._server = None
 
     async def start(self):
-        """Listen."""
+        """Listen on a free port."""
         self._server = await asyncio.start_server(self._handle, HOST, 0)
         self.port = self._server.sockets[0].getsockname()[1]
 
@@ -38,79 +41,89 @@
         writer.close()
 
     def close(self):
-        """Accept no more."""
+        """Stop accepting connections."""
         self._server.close()
 
 
-def whole(headers="", status="200 OK"):
-    """Return an answer with a body."""
+def complete_answer(headers="", status="200 OK"):
+    """Return a complete answer with the body ``complete_answer``."""
     return f"HTTP/1.1 {status}\r\n{headers}Content-Length: 5\r\n\r\nwhole"
 
 
 def refusal(headers):
-    """Return an answer of an engine that has not run the request."""
-    return whole(
+    """Return the answer of an engine that refuses a request without running it."""
+    return complete_answer(
         f"X-Bluebellusher-Not-Executed: 1\r\n{headers}", "503 Service Unavailable"
     )
 
 
-TRAILER = (
-    f"HTTP/1.1 200 OK\r\n{SEALED}Transfer-Encoding: chunked\r\n\r\n"
+ANSWER_WITH_TRAILER = (
+    f"HTTP/1.1 200 OK\r\n{SEALED_HEADERS}Transfer-Encoding: chunked\r\n\r\n"
     "5\r\nwhole\r\n0\r\nServer-Leaving: 1\r\nRetry-After: 9\r\n\r\n"
 )
 N_REQUESTS = 12
 
 
 def count_received(answer):
-    """Return how many of some requests a first endpoint gets, beside a sound one."""
-    counts = []
+    """Return how many of ``N_REQUESTS`` reach an endpoint that sends ``answer``.
+
+    A second endpoint answers normally, so every request succeeds.
+    """
+    received_counts = []
 
     async def scenario(harness):
         for _ in range(N_REQUESTS):
-            status, _, body = await harness.fetch(headers=CALLER)
+            status, _, body = await harness.fetch(headers=CALLER_HEADERS)
             assert (status, body) == (200, b"whole")
-        counts.append(harness.endpoints[0].n_received)
+        received_counts.append(harness.endpoints[0].n_received)
 
-    endpoints = [RawEndpoint("x0", answer), RawEndpoint("x1", whole(SEALED))]
+    endpoints = [
+        RawEndpoint("x0", answer),
+        RawEndpoint("x1", complete_answer(SEALED_HEADERS)),
+    ]
     run_scenario(scenario, [], endpoints, dialect=PlatformDialect())
-    return counts[0]
+    return received_counts[0]
 
 
 @pytest.mark.parametrize(
     "answer",
     [
-        whole(f"{SEALED}Server-Leaving: 1\r\n"),
-        whole(f"{SEALED}server-leaving:1\r\n"),
-        whole(f"{SEALED}SERVER-LEAVING: 1\r\nServer-Leaving: 1\r\n"),
+        complete_answer(f"{SEALED_HEADERS}Server-Leaving: 1\r\n"),
+        complete_answer(f"{SEALED_HEADERS}server-leaving:1\r\n"),
+        complete_answer(f"{SEALED_HEADERS}SERVER-LEAVING: 1\r\nServer-Leaving: 1\r\n"),
         refusal("Server-Leaving: 1\r\n"),
         refusal("Retry-After: 5\r\n"),
         refusal("retry-after: 0.9\r\nRetry-After: 0\r\n"),
         refusal("Retry-After: 1e9\r\n"),
     ],
 )
-def test_word_of_an_engine_keeps_requests_away(answer):
-    """Guards against requests to an engine that leaves or pauses."""
+def test_leaving_or_paused_engine_receives_no_further_requests(answer):
+    """Guards against requests to an engine that announced its shutdown or a pause."""
     assert count_received(answer) == 1
 
 
 @pytest.mark.parametrize(
     "answer",
     [
-        whole(SEALED),
-        whole(f"{SEALED}Retry-After: 9\r\n"),
-        whole(f"{SEALED}Server-Leaving: 0\r\n"),
-        whole(f"{SEALED}Server-Leaving: \r\nRetry-After: 9\r\n"),
-        TRAILER,
+        complete_answer(SEALED_HEADERS),
+        complete_answer(f"{SEALED_HEADERS}Retry-After: 9\r\n"),
+        complete_answer(f"{SEALED_HEADERS}Server-Leaving: 0\r\n"),
+        complete_answer(f"{SEALED_HEADERS}Server-Leaving: \r\nRetry-After: 9\r\n"),
+        ANSWER_WITH_TRAILER,
     ],
 )
-def test_what_is_no_word_of_an_engine_costs_no_capacity(answer):
-    """Guards against sound engines that get nothing for a header that says nothing."""
+def test_answer_without_announcement_keeps_the_engine_in_use(answer):
+    """Guards against healthy engines excluded because of a header without effect.
+
+    ``Retry-After`` counts only in refusals, ``Server-Leaving`` only with the value 1,
+    and neither counts in the trailer of an answer.
+    """
     assert count_received(answer) > 1
 
 
 @pytest.mark.parametrize(
     "value", ["0", "-1", "inf", "nan", "soon", "Wed, 21 Oct 2026 07:28:00 GMT"]
 )
-def test_value_that_is_no_pause_is_a_plain_refusal(value):
-    """Guards against a service that one malformed value stops."""
+def test_requests_succeed_after_refusal_with_invalid_retry_after(value):
+    """Guards against failed requests after one invalid value of ``Retry-After``."""
     assert 1 <= count_received(refusal(f"Retry-After: {value}\r\n")) <= N_REQUESTS
--- a/deploy/tests/test_codec.py
+++ b/deploy/tests/test_codec.py
@@ -1,4 +1,4 @@
-"""Translation of rows, with entries that other programs wrote."""
+"""Decoding of configuration and registration rows, including malformed rows."""
 
 import json
 
@@ -8,7 +8,7 @@
 
 from codec import PlatformCodec
 
-CONFIG = {
+CONFIG_BODY = {
     "version": 7,
     "new_field": {"of": "a later version"},
     "routes": [
@@ -62,7 +62,7 @@
     ],
     "tenants": [{"name": "t", "api_keys": ["k1", "k2"], "priority": 1}],
 }
-SERVER = {
+REGISTRATION = {
     "backend": "x",
     "address": "10.128.0.9:8080",
     "zone": "obihiro",
@@ -76,8 +76,8 @@
 
 
 def test_configuration_becomes_a_routing_table():
-    """Guards against routes, kinds and groups that are read wrongly."""
-    table = PlatformCodec().read_routing(json.dumps(CONFIG).encode())
+    """Guards against wrong values in decoded routes, request kinds and groups."""
+    table = PlatformCodec().read_routing(json.dumps(CONFIG_BODY).encode())
     route = table.match("h.example", "/a/x")
     assert route.kind is RequestKind.STREAMING
     assert route.is_idempotent
@@ -91,27 +91,29 @@
 
 
 def test_configuration_without_tenants_needs_no_credential():
-    """Guards against 401 where no credentials are used."""
-    body = {key: value for key, value in CONFIG.items() if key != "tenants"}
+    """Guards against answers with status 401 when no credentials are configured."""
+    body = {key: value for key, value in CONFIG_BODY.items() if key != "tenants"}
     assert not PlatformCodec().read_routing(json.dumps(body).encode()).needs_credential
 
 
 @pytest.mark.parametrize("value", [b"", b"{", b"[]", b'{"version": 3, "routes": 1}'])
 def test_unreadable_configuration_is_none(value):
-    """Guards against a stop because of a row that cannot be read."""
+    """Guards against an exception that stops the entry because of a malformed row."""
     assert PlatformCodec().read_routing(value) is None
 
 
-def test_registration_is_read_strictly():
-    """Guards against endpoints that other programs made up."""
-    found = PlatformCodec().read_registration("i-1", json.dumps(SERVER).encode())
-    assert (found.host, found.port, found.n_slots) == ("10.128.0.9", 8080, 6)
-    assert found.started_wall_ms == 1767541241250
-    assert not found.is_draining
+def test_registration_is_decoded():
+    """Guards against wrong values in the decoded registration of an endpoint."""
+    endpoint = PlatformCodec().read_registration(
+        "i-1", json.dumps(REGISTRATION).encode()
+    )
+    assert (endpoint.host, endpoint.port, endpoint.n_slots) == ("10.128.0.9", 8080, 6)
+    assert endpoint.started_wall_ms == 1767541241250
+    assert not endpoint.is_draining
 
 
 @pytest.mark.parametrize(
-    "change",
+    "changed_fields",
     [
         {"backend": None},
         {"backend": 5},
@@ -127,16 +129,18 @@
         {"born": "now"},
     ],
 )
-def test_malformed_registration_names_no_endpoint(change):
-    """Guards against work for entries with missing or wrong fields."""
-    body = json.dumps({**SERVER, **change}).encode()
+def test_malformed_registration_names_no_endpoint(changed_fields):
+    """Guards against requests to endpoints whose registration has invalid fields."""
+    body = json.dumps({**REGISTRATION, **changed_fields}).encode()
     assert PlatformCodec().read_registration("i-1", body) is None
 
 
-@pytest.mark.parametrize("missing", ["backend", "address", "slots", "state", "zone"])
-def test_registration_with_a_missing_field_names_no_endpoint(missing):
-    """Guards against defaults for what an entry does not say."""
-    body = {key: value for key, value in SERVER.items() if key != missing}
-    found = PlatformCodec().read_registration("i-1", json.dumps(body).encode())
-    assert found is None
+@pytest.mark.parametrize(
+    "missing_field", ["backend", "address", "slots", "state", "zone"]
+)
+def test_registration_with_a_missing_field_names_no_endpoint(missing_field):
+    """Guards against default values in place of missing required fields."""
+    body = {key: value for key, value in REGISTRATION.items() if key != missing_field}
+    endpoint = PlatformCodec().read_registration("i-1", json.dumps(body).encode())
+    assert endpoint is None
     assert PlatformCodec().read_registration("i-1", b"\xff\xfe") is None
--- a/deploy/tests/test_dialect.py
+++ b/deploy/tests/test_dialect.py
@@ -1,4 +1,4 @@
-"""Translation of headers."""
+"""Translation of the HTTP headers of callers and engines."""
 
 import pytest
 from multidict import CIMultiDict
@@ -7,11 +7,11 @@
 
 from dialect import PlatformDialect
 
-FIELDS = AttemptFields("i-1", 900, "hule930", "12", 1)
+ATTEMPT_FIELDS = AttemptFields("i-1", 900, "hule930", "12", 1)
 
 
 def test_caller_headers_are_read_in_any_case():
-    """Guards against callers that are denied for the case of a name."""
+    """Guards against requests denied because of the case of a header name."""
     headers = CIMultiDict(
         {
             "x-bluebellusher-attempt-id": "9c41",
@@ -29,14 +29,14 @@
     assert fields.last_event_id == "12"
 
 
-def test_bad_deadline_is_named():
-    """Guards against a request that is given time without end."""
+def test_malformed_deadline_is_an_error():
+    """Guards against a request without a time limit because of a malformed deadline."""
     headers = CIMultiDict({"X-Bluebellusher-Deadline-Ms": "soon"})
     with pytest.raises(ValueError, match=r"Deadline-Ms: found 'soon'"):
         PlatformDialect().read_caller(headers)
 
 
-def test_attempt_carries_what_the_entry_knows_and_hides_the_key():
+def test_attempt_has_the_headers_of_the_entry_and_no_credential():
     """Guards against leaked credentials, forged customers and request smuggling."""
     headers = [
         ("Host", "h.example"),
@@ -53,10 +53,10 @@
         ("X-Bluebellusher-Prompt-Prefix", "5c1e07a2:800"),
         ("X-Other", "kept"),
     ]
-    sent = PlatformDialect().write_attempt(headers, FIELDS)
-    names = [name for name, _ in sent]
+    attempt_headers = PlatformDialect().write_attempt(headers, ATTEMPT_FIELDS)
+    names = [name for name, _ in attempt_headers]
     assert len(names) == len(set(names))
-    by_name = dict(sent)
+    by_name = dict(attempt_headers)
     assert by_name == {
         "Host": "h.example",
         "X-Bluebellusher-Model": "m",
@@ -71,7 +71,7 @@
 
 
 def test_anonymous_attempt_names_no_customer():
-    """Guards against a customer that the caller chose itself."""
+    """Guards against an anonymous caller that sets the customer by a header."""
     fields = AttemptFields("i-1", 900, "", "", 0)
     headers = [("X-Bluebellusher-Tenant", "forged")]
     names = dict(PlatformDialect().write_attempt(headers, fields))
@@ -92,13 +92,13 @@
         ),
     ],
 )
-def test_answers_are_told_apart(status, headers, expected):
-    """Guards against the promise that nothing ran where none was made."""
-    found = PlatformDialect().read_answer(status, CIMultiDict(headers))
+def test_answer_kinds_are_distinguished(status, headers, expected):
+    """Guards against an answer wrongly taken as proof that the request did not run."""
+    fields = PlatformDialect().read_answer(status, CIMultiDict(headers))
     assert (
-        found.is_not_run,
-        found.is_wrong_endpoint,
-        found.is_authentic,
+        fields.is_not_run,
+        fields.is_wrong_endpoint,
+        fields.is_authentic,
     ) == expected
 
 
@@ -120,7 +120,7 @@
     ],
 )
 def test_pause_is_read_from_refusals_only(status, value, pause_ms):
-    """Guards against values that are no pause, and against pauses nobody asked for."""
+    """Guards against pauses from invalid values and from answers other than 503."""
     headers = CIMultiDict({"retry-after": value})
     assert PlatformDialect().read_answer(status, headers).pause_ms == pause_ms
 
@@ -135,7 +135,7 @@
     ],
 )
 def test_leaving_is_read_from_any_answer(name, value, is_leaving):
-    """Guards against an engine that ends and gets new requests."""
+    """Guards against new requests to an engine that announced its shutdown."""
     for status in (200, 421, 500, 503):
         headers = CIMultiDict({name: value})
         assert PlatformDialect().read_answer(status, headers).is_leaving is is_leaving
--- a/deploy/tests/test_engine.py
+++ b/deploy/tests/test_engine.py
@@ -1,11 +1,11 @@
-"""Translation of reports, counts and orders."""
+"""Translation of engine reports, expert counts and orders."""
 
 import pytest
 
 from bluebellusher_core.errors import StepError
 from bluebellusher_core.ranks import OrderAction, RankOrder
 
-from engine import read_picked, read_report, write_order
+from engine import read_rank_counts, read_report, write_order
 
 REPORT = {
     "group": {"name": "g0-0", "epoch": 2, "rank": 8, "state": "open"},
@@ -22,26 +22,26 @@
 }
 
 
-def test_report_becomes_a_reading():
-    """Guards against orders by a state that is read wrongly."""
-    reading = read_report(REPORT, "engine")
-    assert (reading.group_id, reading.epoch, reading.rank) == ("g0-0", 2, 8)
-    assert (reading.map_version, reading.prepared_version) == (5, 6)
-    assert (reading.armed_version, reading.armed_step) == (6, 99)
-    assert reading.held_step == 99
-    assert reading.is_open
+def test_report_is_decoded():
+    """Guards against orders that are based on a wrongly decoded state."""
+    state = read_report(REPORT, "engine")
+    assert (state.group_id, state.epoch, state.rank) == ("g0-0", 2, 8)
+    assert (state.map_version, state.prepared_version) == (5, 6)
+    assert (state.armed_version, state.armed_step) == (6, 99)
+    assert state.held_step == 99
+    assert state.is_open
 
 
-def test_absent_values_are_none():
-    """Guards against step 0 that is taken for a held step."""
+def test_absent_versions_are_zero_and_absent_held_step_is_none():
+    """Guards against an engine without a held step that seems held at step 0."""
     body = {**REPORT, "prepared": None, "armed": None, "held": None}
-    reading = read_report(body, "engine")
-    assert reading.prepared_version == reading.armed_version == 0
-    assert reading.held_step is None
+    state = read_report(body, "engine")
+    assert state.prepared_version == state.armed_version == 0
+    assert state.held_step is None
 
 
 def test_broken_group_is_closed_and_an_engine_without_group_is_open():
-    """Guards against work for a group that cannot run it."""
+    """Guards against requests to a broken group, and idle engines without a group."""
     group = {**REPORT["group"], "state": "broken"}
     assert not read_report({**REPORT, "group": group}, "engine").is_open
     assert read_report({"queued": 0, "in_flight": 0}, "engine").is_open
@@ -49,23 +49,25 @@
 
 @pytest.mark.parametrize("body", [{}, {"queued": "x", "in_flight": 1}])
 def test_report_without_its_fields_is_an_error(body):
-    """Guards against zeros in place of what an engine did not say."""
+    """Guards against zeros in place of missing required fields of a report."""
     with pytest.raises(StepError, match="read-report"):
         read_report(body, "engine")
 
 
 @pytest.mark.parametrize("counts", [[1, 2, 3, 4], [[1, 2], [3, 4]]])
 def test_counts_are_read_flat_or_by_set(counts):
-    """Guards against counts of one set that are taken for another's."""
-    lists = {"map": {"version": 5, "experts": [[0, 2], [1]]}}
-    found = read_picked({"step": 1, "epoch": 2, "counts": counts}, lists, "engine")
-    assert found.n_by_expert == (1, 2, 3, 4)
-    assert found.experts == ((0, 2), (1,))
-    assert found.map_version == 5
+    """Guards against counts that are assigned to the experts of another set."""
+    map_body = {"map": {"version": 5, "experts": [[0, 2], [1]]}}
+    rank_counts = read_rank_counts(
+        {"step": 1, "epoch": 2, "counts": counts}, map_body, "engine"
+    )
+    assert rank_counts.n_by_expert == (1, 2, 3, 4)
+    assert rank_counts.experts == ((0, 2), (1,))
+    assert rank_counts.map_version == 5
 
 
 def test_orders_carry_only_their_fields():
-    """Guards against orders that engines do not know."""
+    """Guards against orders that an engine refuses because of unknown fields."""
     prepare = RankOrder("x", OrderAction.PREPARE, 2, 7, 0, (((0,), (1,)),))
     assert write_order(prepare) == {
         "operation": "prepare",
--- a/deploy/tests/test_store.py
+++ b/deploy/tests/test_store.py
@@ -1,4 +1,4 @@
-"""The client of the store against a stand-in that speaks its calls."""
+"""Calls of the store client to a small HTTP server that imitates the store."""
 
 import asyncio
 import base64
@@ -12,8 +12,8 @@
 from store import MAX_ANSWER_BYTES, FleetStore
 
 
-class Store:
-    """Answers the calls of the store; ``fault`` replaces an answer."""
+class StandInStore:
+    """Stand-in of the store; ``fault`` replaces the handler of all calls."""
 
     def __init__(self):
         self.row_by_key = {}
@@ -23,7 +23,7 @@
         self.queries = []
 
     async def handle(self, request):
-        """Answer one call."""
+        """Handle one call."""
         self.queries.append((request.path, dict(request.query)))
         if self.fault is not None:
             return await self.fault(request)
@@ -39,7 +39,7 @@
         return web.json_response({**body, "schema_version": self.version})
 
     async def transact(self, request):
-        """Apply a transaction with one row."""
+        """Apply a transaction with one condition and one write."""
         body = await request.json()
         (condition,), (write,) = body["expected_revision"], body["writes"]
         row = self.row_by_key.get(write["key"])
@@ -52,18 +52,18 @@
         return web.json_response({"schema_version": self.version})
 
     def add(self, key, **fields):
-        """Add a row that another program wrote."""
+        """Add a row as if another program had written it."""
         self.version += 1
         value = base64.b64encode(b"v").decode()
         row = {"table": "op", "part": "", "key": key, "value": value}
         self.row_by_key[key] = {**row, "schema_version": self.version, **fields}
 
 
-def run(scenario):
-    """Run a scenario with a client and its store."""
+def run_scenario(scenario):
+    """Run ``scenario(client, store)`` with a client that is connected to the store."""
 
     async def main():
-        store = Store()
+        store = StandInStore()
         server = web.Server(store.handle, access_log=None)
         listener = await asyncio.get_running_loop().create_server(
             server, "127.0.0.1", 0
@@ -82,7 +82,7 @@
 
 
 def test_written_row_is_read_back():
-    """Guards against values that change on their way."""
+    """Guards against values altered by the encoding to and from JSON."""
 
     async def scenario(client, store):
         write = RowWrite("leases", "a", b"\x00\xff", 0)
@@ -92,11 +92,11 @@
         assert rows.rows == (written,)
         assert rows.version == 1
 
-    run(scenario)
+    run_scenario(scenario)
 
 
-def test_failed_condition_returns_the_row_that_is_there():
-    """Guards against a lease that two entries believe to hold."""
+def test_failed_condition_returns_the_stored_row():
+    """Guards against two entries that both take a lease as theirs."""
 
     async def scenario(client, store):
         await client.write_row(RowWrite("leases", "a", b"first", 0))
@@ -106,11 +106,11 @@
         assert absent.is_removed
         assert absent.version == 0
 
-    run(scenario)
+    run_scenario(scenario)
 
 
-def test_own_tables_are_apart_from_those_of_the_platform():
-    """Guards against writes to the operator's tables."""
+def test_own_tables_have_a_prefix():
+    """Guards against writes to tables of other programs in the same store."""
 
     async def scenario(client, store):
         await client.read_table("op")
@@ -118,11 +118,11 @@
         tables = [query["table"] for _, query in store.queries]
         assert tables == ["op", "bluebellusher-leases"]
 
-    run(scenario)
+    run_scenario(scenario)
 
 
-def test_table_of_several_pages_is_read_whole_and_other_parts_are_left_out():
-    """Guards against endpoints that are missing beyond the first page."""
+def test_all_pages_of_a_table_are_read_without_rows_of_other_parts():
+    """Guards against missing endpoints whose rows are not on the first page."""
 
     async def scenario(client, store):
         store.page_rows = 2
@@ -132,11 +132,11 @@
         rows = (await client.read_table("op")).ok.rows
         assert sorted(row.key for row in rows) == list("abcde")
 
-    run(scenario)
+    run_scenario(scenario)
 
 
 def test_changes_mark_removed_rows():
-    """Guards against endpoints that stay in use after they left."""
+    """Guards against endpoints that stay in use after their row was removed."""
 
     async def scenario(client, store):
         store.add("a")
@@ -148,27 +148,27 @@
         }
         assert changes.version == 2
 
-    run(scenario)
+    run_scenario(scenario)
 
 
-def test_lost_history_is_told_apart_from_an_outage():
-    """Guards against a copy that is never read again as a whole."""
+def test_lost_history_is_distinguished_from_an_outage():
+    """Guards against a table copy that is never reloaded and stays out of date."""
 
-    async def answer_gone(request):
+    async def answer_history_lost(request):
         return web.json_response({}, status=410)
 
     async def scenario(client, store):
-        store.fault = answer_gone
+        store.fault = answer_history_lost
         assert (await client.read_changes("op", 5, 10)).error.is_history_lost
 
-    run(scenario)
+    run_scenario(scenario)
 
 
 @pytest.mark.parametrize(
     ("status", "may_have_run"), [(503, False), (429, False), (500, True)]
 )
-def test_write_that_failed_says_whether_it_may_have_run(status, may_have_run):
-    """Guards against a write that is taken as undone though it took effect."""
+def test_failed_write_reports_whether_it_may_have_run(status, may_have_run):
+    """Guards against a write that took effect but is reported as not run."""
 
     async def answer(request):
         return web.json_response({}, status=status)
@@ -178,28 +178,28 @@
         error = (await client.write_row(RowWrite("leases", "a", b"", 0))).error
         assert error.may_have_run is may_have_run
 
-    run(scenario)
+    run_scenario(scenario)
 
 
-def test_lost_answer_leaves_the_outcome_open():
-    """Guards against a write without an answer that counts as not done."""
+def test_write_with_lost_answer_may_have_run():
+    """Guards against a write reported as not run because its answer was lost."""
 
-    async def cut(request):
+    async def drop_connection(request):
         request.transport.abort()
         return web.Response()
 
     async def scenario(client, store):
-        store.fault = cut
+        store.fault = drop_connection
         error = (await client.write_row(RowWrite("leases", "a", b"", 0))).error
         assert error.may_have_run
         assert not (await client.read_table("op")).is_ok()
 
-    run(scenario)
+    run_scenario(scenario)
 
 
 @pytest.mark.parametrize("text", ["", "[]", "{}", '{"schema_version": "x"}'])
-def test_malformed_answer_is_an_error(text):
-    """Guards against a stop because of an answer that cannot be read."""
+def test_malformed_answer_to_changes_is_an_error(text):
+    """Guards against an exception that stops the entry on a malformed answer."""
 
     async def answer(request):
         return web.Response(text=text)
@@ -208,10 +208,10 @@
         store.fault = answer
         assert not (await client.read_changes("op", 0, 10)).is_ok()
 
-    run(scenario)
+    run_scenario(scenario)
 
 
-BAD_ROW = {"part": "", "key": "a", "schema_version": 1, "value": "?"}
+MALFORMED_ROW = {"part": "", "key": "a", "schema_version": 1, "value": "?"}
 
 
 @pytest.mark.parametrize(
@@ -223,12 +223,12 @@
         "{}",
         json.dumps({"schema_version": "x"}),
         json.dumps({"schema_version": 1, "rows": [{"part": "", "key": "a"}]}),
-        json.dumps({"schema_version": 1, "rows": [BAD_ROW]}),
+        json.dumps({"schema_version": 1, "rows": [MALFORMED_ROW]}),
         json.dumps({"schema_version": 1, "rows": ["a"]}),
     ],
 )
-def test_malformed_answer_is_an_error_of_the_call(body):
-    """Guards against a watcher or lease that ends because of one bad answer."""
+def test_malformed_answer_to_a_read_is_an_error(body):
+    """Guards against a table watcher or lease that ends on one malformed answer."""
 
     async def scenario(client, store):
         async def answer(request):
@@ -241,12 +241,12 @@
         ):
             assert "malformed" in result.error.reason
 
-    run(scenario)
+    run_scenario(scenario)
 
 
 @pytest.mark.parametrize(("status", "may_have_run"), [(200, True), (412, False)])
 def test_malformed_answer_to_a_write_is_an_error(status, may_have_run):
-    """Guards against a lease keeper that ends, and a write taken for not done."""
+    """Guards against a lease that ends, and a write wrongly reported as not run."""
 
     async def scenario(client, store):
         async def answer(request):
@@ -257,11 +257,11 @@
         assert "malformed" in error.reason
         assert error.may_have_run is may_have_run
 
-    run(scenario)
+    run_scenario(scenario)
 
 
-def test_answer_without_end_is_given_up():
-    """Guards against a store in trouble whose bytes fill the memory of an entry."""
+def test_endless_answer_is_an_error():
+    """Guards against a faulty store whose endless answer fills the entry's memory."""
 
     async def scenario(client, store):
         n_sent = 0
@@ -279,4 +279,4 @@
         assert result.error.reason == "ClientPayloadError"
         assert n_sent < 4 * MAX_ANSWER_BYTES
 
-    run(scenario)
+    run_scenario(scenario)
