--- a/packages/standins/src/bluebellusher_standins/__init__.py
+++ b/packages/standins/src/bluebellusher_standins/__init__.py
@@ -1,1 +1,1 @@
-"""Stand-ins for engines, plain services and the platform, for tests and demos."""
+"""Stand-ins for engines, plain services and the platform, used in tests and demos."""
--- a/packages/standins/src/bluebellusher_standins/_batching.py
+++ b/packages/standins/src/bluebellusher_standins/_batching.py
@@ -1,4 +1,4 @@
-"""Continuous batching of the engine stand-in."""
+"""Continuous batching of generations in the engine stand-in."""
 
 import asyncio
 from collections.abc import Callable, Sequence
@@ -12,25 +12,26 @@
 
 
 class Batcher:
-    """Run generations in a bounded batch, one step at a time.
+    """Runner of generations in a batch of bounded size, one step at a time.
 
-    In each step every generation whose prompt is loaded gets one token, and the
-    others share the prefill budget of the step in order of arrival.
+    In each step, every generation whose prompt has been read emits one token. The other
+    generations share the prefill budget of the step, in the order in which they entered
+    the batch.
 
     Parameters
     ----------
     n_slots : int
-        Generations that run at once.
+        Maximum number of generations in the batch.
     token_interval_ms : float
-        Duration of a step.
+        Duration of a step, in ms.
     prefill_tokens_per_ms : float
-        Prefill pace, shared by all prompts that are being loaded.
+        Prefill speed in tokens per ms, shared by all prompts that are being read.
     cache : PrefixCache
-        Prompt blocks in memory.
+        Cache of the prompt blocks in memory.
     on_cache_change : callable
-        Receives the blocks that were added and removed.
+        Called with the hashes of the blocks that were added and of those removed.
     on_admit : callable
-        Receives each generation as it enters the batch; may crash the engine.
+        Called with each generation that enters the batch; may crash the engine.
     """
 
     def __init__(
@@ -56,21 +57,24 @@
 
     @property
     def running(self) -> Sequence[Generation]:
-        """Return the generations in the batch."""
+        """Return the generations that are in the batch."""
         return self._running
 
     @property
     def n_waiting(self) -> int:
-        """Return how many generations wait for a slot."""
+        """Return the number of generations that wait for a slot."""
         return len(self._waiting)
 
     def count_queued_tokens(self) -> int:
-        """Return prompt tokens that are not loaded yet."""
+        """Return the number of prompt tokens that have not been read yet."""
         waiting = sum(g.n_prompt_tokens for g in self._waiting)
         return waiting + int(sum(g.n_uncached_tokens for g in self._running))
 
     def submit(self, generation: Generation) -> None:
-        """Queue a generation; the highest priority and earliest goes first."""
+        """Queue a generation.
+
+        The queue is ordered by priority, where 0 is the highest, and then by arrival.
+        """
         self._waiting.append(generation)
         self._changed.set()
         self._waiting.sort(key=lambda item: item.priority)
@@ -78,13 +82,16 @@
             self._task = asyncio.get_running_loop().create_task(self._run())
 
     async def wait_for(self, n_running: int, n_waiting: int) -> None:
-        """Wait until so many generations run and wait, as tests need it."""
+        """Wait until exactly ``n_running`` generations run and ``n_waiting`` wait.
+
+        Only tests use this method.
+        """
         while (len(self._running), len(self._waiting)) != (n_running, n_waiting):
             self._changed.clear()
             await self._changed.wait()
 
     def clear(self) -> None:
-        """Cancel everything, as a crash does."""
+        """Cancel all generations, as a crash of the engine does."""
         for generation in (*self._waiting, *self._running):
             generation.cancel()
         self._waiting.clear()
--- a/packages/standins/src/bluebellusher_standins/_engine_settings.py
+++ b/packages/standins/src/bluebellusher_standins/_engine_settings.py
@@ -1,41 +1,43 @@
-"""Properties and faults of the engine stand-in."""
+"""Settings and faults of the engine stand-in."""
 
 from dataclasses import dataclass, field
 
 
 @dataclass(slots=True)
 class EngineSettings:
-    """Properties of the simulated engine.
+    """Settings of the simulated engine.
 
     Parameters
     ----------
     models, adapters : list of str
-        What is loaded at the start.
+        Names of the models and adapters that are loaded at the start.
     n_slots : int
-        Batch limit.
+        Maximum number of generations in the batch.
     token_interval_ms : float
-        Time between tokens of one stream.
+        Time between two tokens of a stream, in ms.
     prefill_tokens_per_ms : float
-        Prefill pace.
+        Prefill speed in prompt tokens per ms, for the whole batch.
     n_cache_blocks : int
-        Prompt blocks of 64 bytes that fit into memory.
+        Capacity of the prefix cache, in prompt blocks of 64 bytes.
     load_lag_ms : int
-        Age of the load that is reported.
+        Minimum age of the load readings that are reported, in ms.
     cache_event_lag_ms : int
-        Delay of cache events.
+        Delay after which a cache event is reported, in ms.
     cache_gap_every : int
-        Every that many cache events one is lost; 0 loses none.
+        Of every ``cache_gap_every`` cache events, one is lost; with 0, none is lost.
     checks_fencing_token : bool
-        Whether an order with an old token is refused with 409.
+        Whether an order with an old fencing token is refused with status 409.
     crash_marker : str
-        A request whose body contains it crashes the engine; empty for none.
+        Text that crashes the engine when a request body contains it; with an empty
+        text, no request crashes the engine.
     restart_ms : int
-        Time from a crash until the engine listens again; with 0 it never stops
+        Time from a crash until the engine listens again, in ms. With 0 the engine keeps
         listening and only loses its connections and state.
     hold_ms : int
-        How long a stream without a reader is held for resumption.
+        Time in ms for which a stream without a connection is held for resumption, and
+        a finished answer is kept.
     exits_on_crash : bool
-        End the whole process instead of simulating the crash.
+        Whether a crash ends the process instead of being simulated.
     """
 
     models: list[str] = field(default_factory=lambda: ["model-a"])
@@ -56,28 +58,28 @@
 
 @dataclass(slots=True)
 class EngineFaults:
-    """Faults that are in force.
+    """Faults that the engine stand-in currently simulates.
 
     Parameters
     ----------
     is_stalled : bool
-        No tokens are produced; other paths answer.
+        No tokens are produced. The other paths still answer.
     is_frozen : bool
         No tokens are produced and no path answers.
     break_streams : int
-        That many streams lose their connection at their next token; they are held
-        for resumption.
+        Number of streams that lose their connection at their next token. They are
+        held for resumption.
     truncate_streams : int
-        That many next streams end as if complete after their first token.
+        Number of streams that end after their first token as if they were complete.
     cross_attempts : int
-        That many next answers carry another attempt's id.
+        Number of the next answers that have the id of another attempt.
     mute_streams : int
-        That many streams send nothing more after their first token, on an open
-        connection; they are held for resumption.
+        Number of streams that send nothing after their first token and keep their
+        connection open. They are held for resumption.
     refuse_resumes : bool
-        No stream is held for resumption.
+        Every resumption is refused, as if no stream were held.
     is_draining : bool
-        Shown in the load report.
+        Whether the load report shows the engine as draining.
     """
 
     is_stalled: bool = False
--- a/packages/standins/src/bluebellusher_standins/_engine_state.py
+++ b/packages/standins/src/bluebellusher_standins/_engine_state.py
@@ -1,10 +1,13 @@
-"""What the engine stand-in reports late, and the orders that it received."""
+"""Delayed cache events and load readings, and executed orders, of the engine."""
 
 from typing import Any
 
 
 class CacheEventLog:
-    """Cache events that become visible after a lag and with gaps."""
+    """Log of cache events that are reported after ``lag_ms`` and with gaps.
+
+    The log keeps the last 1000 events.
+    """
 
     def __init__(self, lag_ms: int) -> None:
         self._lag_ms = lag_ms
@@ -12,14 +15,17 @@
         self._sequence = 0
 
     def append(self, now_ms: int, added: list[int], removed: list[int]) -> None:
-        """Record one change of the cache."""
+        """Record the hashes of the blocks added to and removed from the cache."""
         self._sequence += 1
         event = {"sequence": self._sequence, "added": added, "removed": removed}
         self._events.append((now_ms, event))
         del self._events[:-1000]
 
     def read(self, after: int, now_ms: int, gap_every: int) -> list[dict[str, Any]]:
-        """Return visible events above ``after``, without each ``gap_every``-th."""
+        """Return the events with a sequence number above ``after`` that are old enough.
+
+        Each ``gap_every``-th event is left out, as if it were lost; 0 leaves out none.
+        """
         return [
             event
             for at_ms, event in self._events
@@ -30,12 +36,12 @@
 
 
 class LoadLog:
-    """Load readings that are shown after a lag.
+    """Log of load readings that are reported after a lag.
 
     Parameters
     ----------
     lag_ms : int
-        A reading is shown once it is at least this old.
+        Minimum age in ms of a reading that is reported.
     """
 
     def __init__(self, lag_ms: int) -> None:
@@ -43,7 +49,11 @@
         self._readings: list[tuple[int, dict[str, Any]]] = []
 
     def exchange(self, now_ms: int, reading: dict[str, Any]) -> dict[str, Any]:
-        """Store a reading and return the newest one that is old enough."""
+        """Record a reading and return the newest one that is old enough.
+
+        The oldest reading is returned when none is old enough. The result has the
+        reading's age in the field ``age_ms``.
+        """
         self._readings.append((now_ms, reading))
         due_ms = now_ms - self._lag_ms
         while len(self._readings) > 1 and self._readings[1][0] <= due_ms:
@@ -53,7 +63,7 @@
 
 
 class OrderBook:
-    """Orders that the engine executed, with an optional check of the token."""
+    """Orders that the engine executed, with an optional check of the fencing token."""
 
     def __init__(self, checks_fencing_token: bool) -> None:
         self.executed: list[dict[str, Any]] = []
@@ -61,7 +71,11 @@
         self._floor_by_lease: dict[str, int] = {}
 
     def receive(self, order: dict[str, Any]) -> int | None:
-        """Execute the order and return ``None``, or return the token required."""
+        """Record an order as executed, unless its fencing token is too low.
+
+        Returns ``None`` for an executed order and the lowest valid fencing token for a
+        refused one.
+        """
         token = int(order["fencing_token"])
         lease = str(order.get("lease_name", ""))
         str(order["order_id"] + order["action"])
--- a/packages/standins/src/bluebellusher_standins/_generation.py
+++ b/packages/standins/src/bluebellusher_standins/_generation.py
@@ -1,4 +1,4 @@
-"""One generation of the engine stand-in and the answer it is to give."""
+"""Generations of the engine stand-in and their predictable answers."""
 
 import asyncio
 import hashlib
@@ -14,27 +14,30 @@
 
 
 def count_prompt_tokens(body: dict[str, Any]) -> int:
-    """Return the prompt length in tokens, with a fixed number of bytes each."""
+    """Return the prompt length in tokens of ``BYTES_PER_TOKEN`` bytes, at least 1."""
     return max(1, len(read_prompt(body)) // BYTES_PER_TOKEN)
 
 
 def read_n_output_tokens(body: dict[str, Any]) -> int:
-    """Return how many tokens the answer has."""
+    """Return the number of tokens of the answer, from ``max_tokens`` of the request.
+
+    The number is limited to 1 to ``N_MAX_OUTPUT_TOKENS``.
+    """
     wanted = int(body.get("max_tokens") or N_DEFAULT_OUTPUT_TOKENS)
     return max(1, min(wanted, N_MAX_OUTPUT_TOKENS))
 
 
 def expect_tokens(raw_body: bytes) -> list[str]:
-    """Return the tokens of the answer, which depend on the request body only."""
+    """Return the tokens of the answer, which depend only on the request body."""
     digest = hashlib.sha256(raw_body).hexdigest()[:8]
     n_tokens = read_n_output_tokens(json.loads(raw_body))
     return [f"{digest}.{index} " for index in range(n_tokens)]
 
 
 def expect_answer(raw_body: bytes) -> bytes:
-    """Return the whole answer, byte for byte, streamed or not.
+    """Return all bytes of the answer to a request, streamed or not.
 
-    Tests compare what a caller received with this.
+    Tests compare the answer that a caller received with the result.
     """
     body = json.loads(raw_body)
     if body.get("stream"):
@@ -93,7 +96,11 @@
 
 @dataclass(slots=True, eq=False)
 class Generation:
-    """State of one request in the engine."""
+    """State of one request in the engine.
+
+    ``data`` holds the bytes of the answer that have been produced so far, and
+    ``changed`` is set when bytes are added or the generation is cancelled.
+    """
 
     attempt_id: str
     raw_body: bytes
@@ -116,7 +123,13 @@
     def from_request(
         cls, attempt_id: str, raw_body: bytes, priority: int
     ) -> "Generation":
-        """Read the parameters of the request body; raise when it is malformed."""
+        """Return the generation for a request body.
+
+        Raises
+        ------
+        AttributeError, TypeError or ValueError
+            When the body is malformed.
+        """
         body = json.loads(raw_body)
         hashes = compute_prefix_hashes(str(body.get("model", "")), read_prompt(body))
         is_stream = bool(body.get("stream"))
@@ -137,7 +150,7 @@
         )
 
     def emit_token(self) -> None:
-        """Produce one token; the last one finishes the answer."""
+        """Emit one token; the last token finishes the answer."""
         if self.is_stream:
             self.data += self.events[self.n_tokens_done]
         self.n_tokens_done += 1
@@ -150,6 +163,6 @@
             self.changed.set()
 
     def cancel(self) -> None:
-        """Stop; nothing more is produced."""
+        """Cancel the generation, which emits no further tokens."""
         self.is_cancelled = True
         self.changed.set()
--- a/packages/standins/src/bluebellusher_standins/_prefix_cache.py
+++ b/packages/standins/src/bluebellusher_standins/_prefix_cache.py
@@ -1,16 +1,16 @@
-"""Prefix cache with limited memory, as an engine keeps it."""
+"""Prefix cache of limited size, like that of a model engine."""
 
 from collections import OrderedDict
 from collections.abc import Sequence
 
 
 class PrefixCache:
-    """Blocks of prompt prefixes; the least recently used leave first.
+    """Cache of prompt prefix blocks that evicts the least recently used blocks first.
 
     Parameters
     ----------
     n_blocks : int
-        Blocks that fit into memory.
+        Maximum number of blocks.
     """
 
     def __init__(self, n_blocks: int) -> None:
@@ -21,15 +21,19 @@
         return len(self._blocks)
 
     def use(self, hashes: Sequence[int]) -> tuple[int, list[int], list[int]]:
-        """Load a prompt; return the blocks found, those added and those removed."""
+        """Put the blocks of a prompt into the cache.
+
+        Returns the number of leading blocks that were cached already, the hashes of the
+        blocks that were added, and the hashes of the blocks that were evicted.
+        """
         n_found = 0
         for value in hashes:
             if value not in self._blocks:
                 break
             n_found += 1
         added = [value for value in hashes if value not in self._blocks]
-        # Later blocks are touched first so that they also leave first: a block is
-        # useless without those before it.
+        # Later blocks are marked as used first, so that they are also evicted first: a
+        # block is useless without the blocks before it.
         for value in reversed(hashes):
             self._blocks[value] = None
             self._blocks.move_to_end(value)
@@ -39,5 +43,5 @@
         return n_found, added, removed
 
     def clear(self) -> None:
-        """Forget everything, as after a crash."""
+        """Discard all blocks, as a crash of the engine does."""
         self._blocks.clear()
--- a/packages/standins/src/bluebellusher_standins/_server.py
+++ b/packages/standins/src/bluebellusher_standins/_server.py
@@ -1,4 +1,4 @@
-"""Common base of the HTTP stand-ins."""
+"""Base class and helpers of the HTTP stand-ins."""
 
 import argparse
 import asyncio
@@ -11,12 +11,12 @@
 
 
 class StandInServer:
-    """An HTTP server that runs inside the current event loop.
+    """HTTP server that runs in the current event loop.
 
     Examples
     --------
     ``async with PlainServiceServer() as service: ...`` starts the service on a port
-    chosen by the kernel; ``service.base_url`` names it.
+    that the kernel chooses; ``service.base_url`` contains the port.
     """
 
     def __init__(self, host: str = "127.0.0.1", port: int = 0) -> None:
@@ -26,15 +26,15 @@
 
     @property
     def base_url(self) -> str:
-        """Return the address for clients."""
+        """Return the URL at which clients reach the server."""
         return f"http://{self.host}:{self.port}"
 
     def build_app(self) -> web.Application:
-        """Return the application that is served."""
+        """Return the application that the server runs."""
         raise NotImplementedError
 
     async def start(self) -> Self:
-        """Listen; a port of 0 is replaced by the one that the kernel chose."""
+        """Start listening; port 0 is replaced by the port that the kernel chose."""
         runner = web.AppRunner(self.build_app(), access_log=None, shutdown_timeout=0.1)
         await runner.setup()
         site = web.TCPSite(runner, self.host, self.port, reuse_address=True)
@@ -44,11 +44,12 @@
         return self
 
     async def stop(self) -> None:
-        """Abort every connection and stop listening."""
+        """Stop listening and abort all connections."""
         runner = self._runner
         if runner is None:
             return
-        # Sites are stopped first so that nobody connects in between.
+        # Sites are stopped first, so that no client connects after the connections were
+        # aborted.
         for site in list(runner.sites):
             await site.stop()
         self.abort_connections()
@@ -56,7 +57,7 @@
         await runner.cleanup()
 
     def abort_connections(self) -> None:
-        """Drop every open connection."""
+        """Abort all open connections."""
         server = self._runner.server if self._runner is not None else None
         if server is None:
             return
@@ -72,14 +73,17 @@
 
 
 def abort_request(request: web.Request) -> web.Response:
-    """Cut the connection without an answer, as a crash or a lost answer does."""
+    """Abort the request's connection without an answer, as a crash does.
+
+    The returned response is not sent; aiohttp requires a handler to return one.
+    """
     if request.transport is not None:
         request.transport.abort()
     return web.Response(status=500)
 
 
 def build_parser(description: str) -> argparse.ArgumentParser:
-    """Return a command line parser with the options that all stand-ins have."""
+    """Return a command line parser with the options ``--host`` and ``--port``."""
     parser = argparse.ArgumentParser(description=description)
     parser.add_argument("--host", default="127.0.0.1")
     parser.add_argument("--port", type=int, default=0)
@@ -87,7 +91,7 @@
 
 
 def run_server(server: StandInServer) -> None:
-    """Serve until SIGTERM or SIGINT; print the port once it is known."""
+    """Run the server until SIGTERM or SIGINT; print a line once it listens."""
     asyncio.run(_serve(server))
 
 
--- a/packages/standins/src/bluebellusher_standins/_table.py
+++ b/packages/standins/src/bluebellusher_standins/_table.py
@@ -1,4 +1,4 @@
-"""Transactional table of the platform stand-in, usable without HTTP as a fake."""
+"""Transactional table of the platform stand-in, also usable in tests without HTTP."""
 
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
@@ -6,13 +6,13 @@
 
 from bluebellusher_core.clock import Clock
 
-# Older copies that are kept of each row, for eventual reads.
+# Number of recent versions that are kept of each row, for eventual reads.
 N_COPIES_KEPT = 64
 
 
 @dataclass(frozen=True, slots=True)
 class TableRow:
-    """One row; version 0 and value ``None`` mean that the row is absent."""
+    """Row of a table; an absent row has version 0 and value ``None``."""
 
     key: str
     version: int
@@ -20,12 +20,12 @@
 
 
 class Table:
-    """Rows with versions, changed in transactions under conditions.
+    """Table of versioned rows that are changed by conditional transactions.
 
     Parameters
     ----------
     clock : Clock
-        Decides which copy an eventual read sees.
+        Time source that decides which version of a row an eventual read returns.
 
     Examples
     --------
@@ -49,7 +49,11 @@
         puts: Mapping[str, Any],
         deletes: Sequence[str] = (),
     ) -> int | list[TableRow]:
-        """Write everything and return the version, or return the conflicts."""
+        """Apply all writes if every row has the version in ``conditions``.
+
+        Returns the new version of the table. When a condition fails, nothing is written
+        and the rows with another version are returned.
+        """
         rows = [self.read(key) for key in conditions]
         conflicts = [row for row in rows if row.version != conditions[row.key]]
         if conflicts:
@@ -62,13 +66,13 @@
         return self._version
 
     def read(self, key: str, stale_ms: int = 0) -> TableRow:
-        """Return the row as it was ``stale_ms`` ago."""
+        """Return the row as it was ``stale_ms`` milliseconds ago."""
         if stale_ms > 0:
             return self._read_copy(key, self._clock.now_ms() - stale_ms)
         return self._row_by_key.get(key, TableRow(key, 0, None))
 
     def read_prefix(self, prefix: str) -> list[TableRow]:
-        """Return all present rows whose key starts with ``prefix``, by key."""
+        """Return the rows whose key starts with ``prefix``, ordered by key."""
         keys = sorted(key for key in self._row_by_key if key.startswith(prefix))
         return [self._row_by_key[key] for key in keys]
 
--- a/packages/standins/src/bluebellusher_standins/cluster.py
+++ b/packages/standins/src/bluebellusher_standins/cluster.py
@@ -1,4 +1,4 @@
-"""Start of real processes over loopback, for the demonstration and for tests."""
+"""Deployments of real processes on the loopback interface, for tests and the demo."""
 
 import asyncio
 import json
@@ -19,17 +19,18 @@
 
 
 class PortReservations:
-    """Ports that are kept free for processes that start later.
+    """Ports that are reserved for processes that start later.
 
-    Each port stays bound, but not listening, by a socket that allows address reuse.
-    The kernel gives it to nobody else meanwhile, and a server that names it can listen.
+    Each port is bound, without listening, by a socket that allows address reuse. While
+    it is bound, the kernel does not assign it to another process as a free port, but a
+    server that names the port can listen on it.
     """
 
     def __init__(self) -> None:
         self._sockets: list[socket.socket] = []
 
     def reserve(self) -> int:
-        """Return a port that only a server that names it can take."""
+        """Return a reserved port, on which only a server that names it can listen."""
         holder = socket.socket()
         holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         holder.bind((HOST, 0))
@@ -37,13 +38,16 @@
         return int(holder.getsockname()[1])
 
     def close(self) -> None:
-        """Give all ports back."""
+        """Release all reserved ports."""
         for holder in self._sockets:
             holder.close()
 
 
 class ManagedProcess:
-    """One child process and the lines that it prints."""
+    """Child process with the lines of its output.
+
+    ``port`` is the port on which the process listens, once it is known.
+    """
 
     def __init__(self, name: str, process: asyncio.subprocess.Process) -> None:
         self.name = name
@@ -62,14 +66,24 @@
     async def wait_for(
         self, pattern: str, start: int = 0, timeout_s: float = START_TIMEOUT_S
     ) -> str:
-        """Return the first line from index ``start`` on that matches ``pattern``."""
+        """Wait for a line that matches ``pattern`` and return it.
+
+        The search begins at line index ``start``.
+
+        Raises
+        ------
+        TimeoutError
+            When no line matches within ``timeout_s`` seconds.
+        EOFError
+            When the process ends without a matching line.
+        """
         expression = re.compile(pattern)
         try:
             async with asyncio.timeout(timeout_s):
                 return await self._find(expression, start)
         except TimeoutError:
             last = "\n".join(self.lines[-20:])
-            message = f"{self.name}: no line {pattern!r}; the last are:\n{last}"
+            message = f"{self.name}: no line matches {pattern!r}; last lines:\n{last}"
             raise TimeoutError(message) from None
 
     async def _find(self, expression: re.Pattern[str], start: int) -> str:
@@ -78,19 +92,23 @@
                 if expression.search(line):
                     return line
             if self._is_ended:
-                raise EOFError(f"{self.name} ended without {expression.pattern!r}")
+                raise EOFError(f"{self.name} ended; no line {expression.pattern!r}")
             start = max(start, len(self.lines))
             async with self._grown:
                 if len(self.lines) == start and not self._is_ended:
                     await self._grown.wait()
 
     def signal(self, number: int) -> None:
-        """Send a signal to this process, if it still runs."""
+        """Send a signal to the process if it is still running."""
         if self.process.returncode is None:
             self.process.send_signal(number)
 
     async def stop(self) -> int:
-        """End the process with SIGTERM, or SIGKILL after a while; return its code."""
+        """End the process and return its exit code.
+
+        SIGTERM is sent first, and SIGKILL if the process still runs after
+        ``STOP_TIMEOUT_S``. SIGCONT makes sure that a suspended process handles SIGTERM.
+        """
         self.signal(signal.SIGCONT)
         self.signal(signal.SIGTERM)
         try:
@@ -101,7 +119,10 @@
         return await self.wait()
 
     async def wait(self) -> int:
-        """Wait for the end of the process and of its output; return its code."""
+        """Wait until the process has ended and return its exit code.
+
+        All lines of its output have then been read.
+        """
         code = await self.process.wait()
         await self._reader
         return code
@@ -118,7 +139,9 @@
 
 
 class Cluster:
-    """Processes that know each other; all of them end with the context.
+    """Deployment of processes that are configured with each other's addresses.
+
+    All processes are stopped when the context manager exits.
 
     Examples
     --------
@@ -146,7 +169,8 @@
         return self
 
     async def __aexit__(self, *_: object) -> None:
-        # Entries first: they finish their streams before the endpoints go.
+        # Entries are stopped first, so that they finish their streams while the
+        # endpoints still run.
         processes = self.process_by_name.values()
         entries = [p for p in processes if p.name.startswith("entry")]
         others = [p for p in processes if not p.name.startswith("entry")]
@@ -156,7 +180,13 @@
         self._reservations.close()
 
     async def start(self, name: str, module: str, *arguments: str) -> ManagedProcess:
-        """Start ``python -m module`` and wait until it listens."""
+        """Start ``python -m module`` and wait until it listens.
+
+        Raises
+        ------
+        RuntimeError
+            When the process ends or does not listen within ``START_TIMEOUT_S``.
+        """
         process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
@@ -188,7 +218,10 @@
     async def start_engine(
         self, name: str, domain: str, **options: object
     ) -> ManagedProcess:
-        """Start an engine stand-in and its agent; return the agent."""
+        """Start an engine stand-in and its agent; return the agent.
+
+        ``options`` are settings of the engine, as in ``EngineSettings``.
+        """
         arguments = []
         for key, value in options.items():
             arguments += ["--" + key.replace("_", "-"), str(value)]
@@ -205,7 +238,10 @@
     async def start_agent(
         self, name: str, domain: str, target_port: int, kind: str, port: int = 0
     ) -> ManagedProcess:
-        """Start an agent; with ``port`` it takes the place of an earlier one."""
+        """Start an agent for the engine or plain service on ``target_port``.
+
+        With ``port``, the agent replaces an earlier one that listened on that port.
+        """
         is_model = kind == "model"
         settings = {
             "instance_id": name,
@@ -224,14 +260,21 @@
         return managed
 
     def reserve_peer_ports(self, n_ports: int) -> list[int]:
-        """Choose the peer ports of the entries, which must know each other's."""
+        """Reserve the ports for connections between entries.
+
+        They are chosen before the entries start, because the settings of each entry
+        contain the ports of the others.
+        """
         self.peer_ports = [self._reservations.reserve() for _ in range(n_ports)]
         return self.peer_ports
 
     async def start_entry(
         self, name: str, domain: str, peer_port: int = 0, **more: object
     ) -> ManagedProcess:
-        """Start an entry that knows every agent started so far."""
+        """Start an entry and wait until it is connected to all agents started so far.
+
+        ``more`` are further settings of the entry.
+        """
         settings = self.entry_settings(name, domain, peer_port)
         path = self._write(f"{name}.json5", {**settings, **more})
         module = "bluebellusher.cli"
@@ -244,7 +287,7 @@
     def entry_settings(
         self, name: str, domain: str, peer_port: int
     ) -> Mapping[str, Any]:
-        """Return the settings of an entry."""
+        """Return the settings of an entry, with the addresses of other processes."""
         peers = [port for port in self.peer_ports if port != peer_port]
         return {
             "instance_id": name,
--- a/packages/standins/src/bluebellusher_standins/demo.py
+++ b/packages/standins/src/bluebellusher_standins/demo.py
@@ -1,9 +1,9 @@
-"""Demonstration: a whole deployment as separate processes over loopback.
+"""Demonstration of a deployment of separate processes on the loopback interface.
 
-Run it with ``make demo``. It starts a platform, 4 entries in 3 failure domains,
-4 engines and a plain service with their agents, shows what happens to requests
-under a drain and a kill, and stops everything again. The exit code is 0 only if
-every shown expectation held.
+Run it with ``make demo``. It starts the platform stand-in, 4 entries in 3 failure
+domains, 4 engines and a plain service with their agents. It then shows how requests are
+handled while an engine is drained and while another is killed, and stops all processes.
+The exit code is 0 only if every printed expectation is met.
 """
 
 import asyncio
@@ -38,7 +38,7 @@
 
 
 class Demo:
-    """The steps of the demonstration and the count of failed expectations."""
+    """Steps of the demonstration, with the number of expectations that failed."""
 
     def __init__(self, cluster: Cluster, session: aiohttp.ClientSession) -> None:
         self.cluster = cluster
@@ -46,24 +46,24 @@
         self.n_failed = 0
 
     def say(self, text: str) -> None:
-        """Print a line of the story."""
+        """Print an indented line."""
         print(f"  {text}", flush=True)
 
     def expect(self, is_met: bool, text: str) -> None:
-        """Print an expectation and whether it held."""
+        """Print an expectation and whether it is met; count the ones that are not."""
         self.n_failed += 0 if is_met else 1
         print(f"  [{'ok' if is_met else 'FAILED'}] {text}", flush=True)
 
     def process(self, name: str) -> ManagedProcess:
-        """Return a process by its name."""
+        """Return the process with the given name."""
         return self.cluster.process_by_name[name]
 
     def url(self, entry: str, path: str) -> str:
-        """Return the address of a path at an entry."""
+        """Return the URL of a path at an entry."""
         return f"http://127.0.0.1:{self.process(entry).port}{path}"
 
     async def start(self) -> None:
-        """Start every process."""
+        """Start all processes and print their process ids and ports."""
         print("Starting 15 processes", flush=True)
         await self.cluster.start_platform()
         engines = [
@@ -82,8 +82,8 @@
             self.say(f"{name:16} process {process.pid}, port {process.port}")
 
     async def show_stream(self) -> None:
-        """Send one streamed request and follow it hop by hop."""
-        print("A streamed request, hop by hop", flush=True)
+        """Send a streamed request and print its way through the processes."""
+        print("A streamed request through all processes", flush=True)
         entry = self.process("entry-1")
         n_lines = len(entry.lines)
         body = make_body("What grows in Memuro?", 20)
@@ -100,16 +100,16 @@
         endpoint = read_field(line, "a_endpoint_id")
         attempt = read_field(line, "a_attempt_id")
         self.say(f"2. entry-1 chooses {endpoint} and sends Dispatch {attempt}")
-        self.say(f"3. the agent of {endpoint} asks its engine over HTTP")
-        self.say("4. tokens come back in batches; entry-1 checks offset and CRC-32")
-        self.say(f"5. the caller has the first token after {first_ms:.0f} ms")
-        self.say(f"6. the whole answer, {len(answer)} bytes, after {total_ms:.0f} ms")
-        self.say(f"   one trace joins the hops: {read_field(line, 'trace_id')}")
-        self.expect(answer == expect_answer(body), "the answer is whole, byte for byte")
+        self.say(f"3. the agent of {endpoint} calls its engine over HTTP")
+        self.say("4. entry-1 receives batches of tokens and checks offset and CRC-32")
+        self.say(f"5. the caller receives the first token after {first_ms:.0f} ms")
+        self.say(f"6. the answer, {len(answer)} bytes, ends after {total_ms:.0f} ms")
+        self.say(f"   trace id of all processes: {read_field(line, 'trace_id')}")
+        self.expect(answer == expect_answer(body), "the answer has the expected bytes")
 
     async def show_booking(self) -> None:
-        """Send a request that may not be repeated twice with the same key."""
-        print("A booking that must not run twice", flush=True)
+        """Send a request that is not idempotent twice with the same idempotency key."""
+        print("A booking that must run only once", flush=True)
         body = b'{"room": 12, "night": "2027-02-14"}'
         headers = {"Idempotency-Key": "booking-77"}
         bodies = []
@@ -118,16 +118,16 @@
             async with self.session.post(url, data=body, headers=headers) as answer:
                 bodies.append(await answer.read())
                 is_replayed = "x-replayed" in answer.headers
-                text = "replayed the kept answer" if is_replayed else "ran it"
+                text = "replayed the stored answer" if is_replayed else "ran it"
                 self.say(f"{entry} claimed key booking-77 in the table and {text}")
             await self._wait_for_done()
         n_executions = await self._count_executions(body)
-        self.say(f"the service counted {n_executions} execution")
+        self.say(f"executions counted by the service: {n_executions}")
         self.expect(n_executions == 1, "the booking ran exactly once")
-        self.expect(bodies[0] == bodies[1], "both callers have the same answer")
+        self.expect(bodies[0] == bodies[1], "both callers received the same answer")
 
     async def _wait_for_done(self) -> None:
-        """Ask for the outcome until the row of the claim holds the answer."""
+        """Poll the outcome until the claim is stored with the answer."""
         url = self.url("entry-2", "/v1/requests/booking-77")
         async with asyncio.timeout(10):
             while True:
@@ -142,8 +142,8 @@
             return int((await answer.json())["n_executions"])
 
     async def show_drain(self) -> None:
-        """Drain an endpoint while it streams."""
-        print("A drain: engine-2 leaves while it streams", flush=True)
+        """Drain an endpoint while streams run on it."""
+        print("A drain of engine-2 while streams run on it", flush=True)
         starts = self._line_counts()
         streams = [asyncio.create_task(self._stream(i, 120)) for i in range(12)]
         await self._wait_for_starts("engine-2")
@@ -154,35 +154,36 @@
         whole = sum(await asyncio.gather(*streams))
         counts = self._endpoint_counts(starts)
         self.say("12 streams ran on " + describe(counts))
-        self.expect(whole == 12, "every stream in progress was finished whole")
-        self.expect(counts["engine-2"] > 0, "engine-2 had streams when it left")
+        self.expect(whole == 12, "every stream in progress was completed")
+        self.expect(counts["engine-2"] > 0, "engine-2 had streams when its drain began")
         starts = self._line_counts()
         whole = sum(await asyncio.gather(*(self._stream(i, 5) for i in range(12))))
         counts = self._endpoint_counts(starts)
         self.say("12 new requests ran on " + describe(counts))
         self.expect(whole == 12, "every new request was answered")
-        self.expect(counts["engine-2"] == 0, "none of them went to engine-2")
+        self.expect(counts["engine-2"] == 0, "none of them ran on engine-2")
 
     async def show_kill(self) -> None:
-        """Kill an engine while it streams."""
+        """Kill an engine while streams run on it."""
         print(
-            "A kill: the engine process of engine-3 dies while it streams", flush=True
+            "A kill of the process of engine-3 while streams run on it",
+            flush=True,
         )
         streams = [asyncio.create_task(self._stream(i, 120)) for i in range(12)]
         await self._wait_for_starts("engine-3")
         self.process("engine-3.engine").signal(signal.SIGKILL)
         whole = await asyncio.gather(*streams)
         n_cut = whole.count(False)
-        self.say(f"{whole.count(True)} streams were whole, {n_cut} ended with an error")
+        self.say(f"{whole.count(True)} streams completed, {n_cut} ended with an error")
         self.expect(n_cut > 0, "the streams of engine-3 ended with an error event")
-        self.expect(n_cut < 12, "the streams of the other engines went on")
+        self.expect(n_cut < 12, "the streams of the other engines completed")
         whole = list(await asyncio.gather(*(self._stream(i, 5) for i in range(12))))
         self.expect(all(whole), "12 new requests were answered by the other engines")
 
     async def _stream(self, number: int, n_tokens: int) -> bool:
-        """Send a request to one of the entries; return whether it was whole.
+        """Send a streamed request to an entry; return whether its answer is complete.
 
-        A cut answer that looks whole counts as a failed expectation.
+        An incomplete answer with the marker of a complete one is a failed expectation.
         """
         body = make_body(f"question {number}", n_tokens)
         entry = f"entry-{number % 4 + 1}"
@@ -190,11 +191,11 @@
             data = await answer.read()
         is_whole = data == expect_answer(body)
         if not is_whole and b"data: [DONE]" in data:
-            self.expect(False, "an answer that is cut does not look whole")
+            self.expect(False, "an incomplete answer has no marker of a complete one")
         return is_whole
 
     async def _wait_for_starts(self, endpoint: str) -> None:
-        """Wait until entries report attempts in progress at an endpoint."""
+        """Wait until an entry reports attempts in progress at an endpoint."""
         headers = {"Authorization": "Bearer key-of-op"}
         async with asyncio.timeout(10):
             while True:
@@ -221,8 +222,8 @@
         return counts
 
     async def show_forecast(self) -> None:
-        """Show next month's bill, as the rules allow it."""
-        print("Next month's bill, read from " + str(RULES), flush=True)
+        """Print the first lines of the forecast of next month's bill."""
+        print("Forecast of next month's bill by the rules in " + str(RULES), flush=True)
         process = await asyncio.create_subprocess_exec(
             *(sys.executable, "-m", "bluebellusher.cli", "rules", "forecast"),
             str(RULES),
@@ -231,18 +232,18 @@
         output, _ = await process.communicate()
         for line in output.decode().splitlines()[:16]:
             self.say(line)
-        self.expect(process.returncode == 0, "the forecast could be made")
+        self.expect(process.returncode == 0, "the forecast succeeded")
 
 
 def make_body(text: str, n_tokens: int) -> bytes:
-    """Return the body of a streamed model request."""
+    """Return the body of a request for a streamed answer of ``n_tokens`` tokens."""
     message = {"role": "user", "content": text}
     body = {"model": "model-a", "messages": [message], "stream": True}
     return json.dumps({**body, "max_tokens": n_tokens}).encode()
 
 
 def read_field(line: str, name: str) -> str:
-    """Return the value of a field in a log line."""
+    """Return the value of a field in a log line; empty when it is absent."""
     for part in line.split():
         if part.startswith(name + "="):
             return part.removeprefix(name + "=")
@@ -250,12 +251,12 @@
 
 
 def describe(counts: Counter[str]) -> str:
-    """Return counts by name as text."""
+    """Return the counts as text, ordered by name."""
     return ", ".join(f"{name}: {n}" for name, n in sorted(counts.items()))
 
 
 async def run_demo() -> int:
-    """Run every step; return how many expectations failed."""
+    """Run all steps; return the number of expectations that failed."""
     timeout = aiohttp.ClientTimeout(total=20)
     async with (
         Cluster() as cluster,
@@ -268,19 +269,19 @@
         await demo.show_drain()
         await demo.show_kill()
         await demo.show_forecast()
-        print("Stopping everything", flush=True)
+        print("Stopping all processes", flush=True)
         for name in DOMAIN_BY_ENTRY:
             code = await demo.process(name).stop()
-            demo.expect(code == 0, f"{name} stopped by itself after SIGTERM")
+            demo.expect(code == 0, f"{name} exited with code 0 after SIGTERM")
     return demo.n_failed
 
 
 def main() -> int:
-    """Run the demonstration; return 0 only if every expectation held."""
+    """Run the demonstration; return 0 only if every expectation is met."""
     started = time.monotonic()
     n_failed = asyncio.run(run_demo())
     duration_s = time.monotonic() - started
-    verdict = "every expectation held" if not n_failed else f"{n_failed} failed"
+    verdict = "all expectations met" if not n_failed else f"{n_failed} failed"
     print(f"{verdict} after {duration_s:.1f} s", flush=True)
     return 1 if n_failed else 0
 
--- a/packages/standins/src/bluebellusher_standins/engine.py
+++ b/packages/standins/src/bluebellusher_standins/engine.py
@@ -1,4 +1,4 @@
-"""Stand-in of a model engine: batching, prefix cache, streams, faults."""
+"""Stand-in of a model engine with batching, prefix cache, streams and faults."""
 
 import asyncio
 import contextlib
@@ -33,7 +33,11 @@
 
 
 class EngineServer(StandInServer):
-    """A model engine on one port."""
+    """HTTP server that imitates a model engine.
+
+    For tests, ``received_bodies`` records the bodies of accepted requests and
+    ``cancelled_attempts`` the attempt ids of all cancel calls.
+    """
 
     def __init__(
         self,
@@ -74,7 +78,7 @@
         )
 
     def build_app(self) -> web.Application:
-        """Return the application with all routes."""
+        """Return the application with the routes of an engine and of the faults."""
         app = web.Application(
             middlewares=[self._apply_faults], client_max_size=MAX_BODY_BYTES
         )
@@ -97,7 +101,16 @@
         return response
 
     def set_faults(self, **values: Any) -> None:
-        """Change the faults that are in force; the only way to change them."""
+        """Change the simulated faults.
+
+        Faults must be changed only by this method, which also applies them to the
+        batch and to frozen requests.
+
+        Raises
+        ------
+        ValueError
+            When a fault does not exist.
+        """
         known = {item.name for item in fields(EngineFaults)}
         if set(values) - known:
             raise ValueError(f"faults {sorted(values)}: expected {sorted(known)}")
@@ -110,7 +123,7 @@
             self._thawed.set()
 
     async def crash(self) -> None:
-        """Drop all connections and all state; listen again after a while."""
+        """Lose all connections and state; listen again after ``restart_ms``."""
         self.n_crashes += 1
         if self.settings.exits_on_crash:
             os._exit(70)
@@ -125,7 +138,7 @@
         await self.start()
 
     def start_crash(self) -> None:
-        """Crash in the background."""
+        """Start a crash in a background task."""
         task = asyncio.get_running_loop().create_task(self.crash())
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -229,7 +242,7 @@
         if self.faults.break_streams > 0:
             self.faults.break_streams -= 1
             abort_request(request)
-            raise ConnectionResetError("stream broken by a fault")
+            raise ConnectionResetError("connection lost by the fault break_streams")
         if self.faults.truncate_streams > 0:
             self.faults.truncate_streams -= 1
             return True
@@ -310,7 +323,7 @@
 
 
 def main() -> None:
-    """Run the engine as a process; each setting has an option of its name."""
+    """Run the engine as a process; each setting is an option of the same name."""
     parser = build_parser("engine stand-in")
     for item in fields(EngineSettings):
         parser.add_argument("--" + item.name.replace("_", "-"), default=None)
--- a/packages/standins/src/bluebellusher_standins/plain_service.py
+++ b/packages/standins/src/bluebellusher_standins/plain_service.py
@@ -1,4 +1,4 @@
-"""Stand-in of a plain HTTP service that counts what it executes."""
+"""Stand-in of a plain HTTP service that counts the requests that it executes."""
 
 import asyncio
 import hashlib
@@ -18,16 +18,16 @@
 
 @dataclass(slots=True)
 class PlainServiceFaults:
-    """Faults that are in force.
+    """Faults that the plain service currently simulates.
 
     Parameters
     ----------
     stall_ms : int
-        Each call waits this long after it was executed and before its answer.
+        Time in ms between the execution of a call and its answer.
     drop_after_execute : int
-        That many next calls are executed and then lose their connection.
+        Number of the next calls that are executed and then lose their connection.
     drop_before_execute : int
-        That many next calls lose their connection without being executed.
+        Number of the next calls that lose their connection without being executed.
     """
 
     stall_ms: int = 0
@@ -36,12 +36,13 @@
 
 
 class PlainServiceServer(StandInServer):
-    """Execute GET and POST on any path and count executions by body.
+    """HTTP server that executes calls of any method and path and counts them.
 
-    ``n_executions_by_body`` holds POST bodies; ``n_executions_by_path`` holds all
-    calls. ``n_cut_calls`` counts finished calls whose connection was closed before
-    they were answered; ``client_ports`` tells the connection of each call.
-    ``GET /executions?body=TEXT`` tells the count over HTTP.
+    ``n_executions_by_path`` counts all calls, and ``n_executions_by_body`` the calls of
+    other methods than GET. ``n_cut_calls`` counts finished calls whose connection was
+    closed before they were answered. ``client_ports`` holds the client's port of each
+    call, by which tests distinguish connections. ``GET /executions?body=TEXT`` returns
+    the number of executions of a body.
     """
 
     def __init__(self, host: str = "127.0.0.1", port: int = 0) -> None:
@@ -54,7 +55,7 @@
         self.client_ports: list[int] = []
 
     def build_app(self) -> web.Application:
-        """Return the application; fixed paths go before the catch-all."""
+        """Return the application; the fixed paths precede the route for any path."""
         app = web.Application(client_max_size=MAX_BODY_BYTES)
         app.router.add_get("/healthz", self._get_health)
         app.router.add_get("/executions", self._get_executions)
--- a/packages/standins/src/bluebellusher_standins/platform.py
+++ b/packages/standins/src/bluebellusher_standins/platform.py
@@ -1,4 +1,4 @@
-"""Stand-in of the platform: table, object store, instance list, weight store."""
+"""Stand-in of the platform: table, object store, instance list and weight store."""
 
 import asyncio
 import json
@@ -26,22 +26,23 @@
 
 @dataclass(slots=True)
 class PlatformFaults:
-    """Faults that are in force.
+    """Faults that the platform currently simulates.
 
     Parameters
     ----------
     is_down : bool
-        Every request gets 503 and has no effect.
+        Every request is answered with status 503 and has no effect.
     delay_ms : int
-        Each request waits this long before it takes effect.
+        Time in ms before each request takes effect.
     lose_answers : int
-        That many next writes take effect and then lose their answer.
+        Number of the next writes that take effect but lose their answer.
     stale_ms : int
-        Age of the copy that eventual reads see.
+        Age in ms of the rows that eventual reads return.
     refuse_objects : bool
-        Object writes get 503.
+        Writes of objects are answered with status 503.
     cut_off_domains : list of str
-        Requests whose ``X-Failure-Domain`` is listed get no answer and no effect.
+        Failure domains that cannot reach the platform: requests with one of them in
+        ``X-Failure-Domain`` have no effect and lose their connection.
     """
 
     is_down: bool = False
@@ -53,7 +54,10 @@
 
 
 class WeightBudget:
-    """Token bucket of the weight store, in bytes."""
+    """Rate limit of the weight store: a token bucket that counts bytes.
+
+    The bucket holds at most the bytes of one second.
+    """
 
     def __init__(self, n_bytes_per_second: int, clock: Clock) -> None:
         self._rate = n_bytes_per_second
@@ -62,13 +66,13 @@
         self._at_ms = clock.now_ms()
 
     def take(self, n_bytes: int) -> int:
-        """Take the bytes and return 0, or return the wait in milliseconds."""
+        """Consume ``n_bytes`` and return 0, or return the time to wait in ms."""
         now_ms = self._clock.now_ms()
         earned = (now_ms - self._at_ms) * self._rate / 1000
         self._available = min(float(self._rate), self._available + earned)
         self._at_ms = now_ms
-        # A fetch larger than one second's budget is let through on a full bucket
-        # and leaves a debt; otherwise it could never succeed.
+        # A fetch larger than the bytes of one second is allowed when the bucket is full
+        # and makes its level negative; otherwise it could never succeed.
         if self._available >= min(n_bytes, self._rate):
             self._available -= n_bytes
             return 0
@@ -77,18 +81,18 @@
 
 
 class PlatformServer(StandInServer):
-    """All four services of the platform on one port.
+    """HTTP server that imitates the four services of the platform on one port.
 
     Parameters
     ----------
     host, port : str, int
-        Where to listen; port 0 lets the kernel choose.
+        Address to listen on; with port 0, the kernel chooses the port.
     clock : Clock or None
-        Time source for lag and staleness.
+        Time source of the lag and of eventual reads; ``None`` for the system clock.
     instance_lag_ms : int
-        Age of the instance list that is shown.
+        Age of the instance list that is returned, in ms.
     weight_bytes_per_second : int
-        Rate limit of the weight store.
+        Rate limit of the weight store, in bytes per second.
     """
 
     def __init__(
@@ -111,12 +115,12 @@
         self._weights = WeightBudget(weight_bytes_per_second, self.clock)
 
     def set_instance(self, instance: dict[str, Any]) -> None:
-        """Add or replace an instance by its ``instance_id``."""
+        """Add an instance, or replace the instance with the same ``instance_id``."""
         self._instance_by_id[instance["instance_id"]] = instance
         self._copy_instances()
 
     def remove_instance(self, instance_id: str) -> None:
-        """Take an instance off the list."""
+        """Remove an instance from the list."""
         self._instance_by_id.pop(instance_id, None)
         self._copy_instances()
 
@@ -126,7 +130,7 @@
         del self._instance_copies[:-200]
 
     def build_app(self) -> web.Application:
-        """Return the application with all routes."""
+        """Return the application with the routes of all services and of the faults."""
         app = web.Application(
             middlewares=[self._apply_faults], client_max_size=MAX_BODY_BYTES
         )
--- a/packages/standins/src/bluebellusher_standins/tests/test_engine.py
+++ b/packages/standins/src/bluebellusher_standins/tests/test_engine.py
@@ -1,4 +1,4 @@
-"""Guards against a stand-in that is kinder than the engines it stands for."""
+"""Behaviour of the engine stand-in, which must be as strict as that of real engines."""
 
 import asyncio
 import json
@@ -11,14 +11,14 @@
 
 
 def make_body(text="hello", n_tokens=4, is_stream=True):
-    """Return a chat completion request."""
+    """Return the body of a chat completion request."""
     messages = [{"role": "user", "content": text}]
     body = {"model": "m", "stream": is_stream, "max_tokens": n_tokens}
     return json.dumps({**body, "messages": messages}).encode()
 
 
 def run(scenario, **settings):
-    """Run ``scenario(engine, post)``; ``post`` sends a chat completion."""
+    """Run ``scenario(engine, post)``; ``post`` sends a chat completion request."""
 
     async def main():
         async with (
@@ -39,7 +39,7 @@
 
 
 def test_answer_depends_on_the_body_only():
-    """Guards against tests that cannot tell whose answer arrived."""
+    """Guards against equal answers, with which tests would miss mixed-up answers."""
 
     async def scenario(engine, post):
         for is_stream in (True, False):
@@ -52,8 +52,8 @@
     run(scenario)
 
 
-def test_batch_is_bounded_and_priorities_go_first():
-    """Guards against an engine with unlimited room."""
+def test_batch_is_bounded_and_higher_priorities_run_first():
+    """Guards against a stand-in with unlimited capacity or without priorities."""
 
     async def scenario(engine, post):
         ends = []
@@ -74,7 +74,7 @@
 
 
 def test_cache_memory_is_limited_and_events_have_gaps():
-    """Guards against a cache that never forgets and events that are complete."""
+    """Guards against a cache that never evicts a block, and events without gaps."""
 
     async def scenario(engine, post):
         prompts = [make_body(f"{i}" * 250) for i in (1, 2, 3)]
@@ -93,7 +93,7 @@
 
 
 def test_stream_resumes_at_its_offset_until_it_is_released():
-    """Guards against a resumed stream that starts again or never ends."""
+    """Guards against resumed streams that restart, and streams held after a cancel."""
 
     async def scenario(engine, post):
         body = make_body(n_tokens=30)
@@ -113,7 +113,7 @@
 
 
 def test_crash_drops_all_connections_and_the_cache():
-    """Guards against a crash that leaves innocent streams running."""
+    """Guards against a crash after which the streams of other requests continue."""
 
     async def scenario(engine, post):
         innocent = asyncio.create_task(post(make_body("x" * 500, 500), "a1"))
@@ -131,8 +131,8 @@
 
 
 @pytest.mark.parametrize(("is_checked", "status"), [(True, 409), (False, 200)])
-def test_orders_with_and_without_a_check_of_the_token(is_checked, status):
-    """Guards against an engine that always checks the fencing token."""
+def test_old_fencing_token_is_refused_only_if_it_is_checked(is_checked, status):
+    """Guards against an engine stand-in that always or never checks fencing tokens."""
 
     async def scenario(engine, post):
         for order_id, token, expected in (("o1", 5, 200), ("o2", 4, status)):
@@ -146,8 +146,8 @@
 
 
 @pytest.mark.parametrize("body", [b"", b"[]", b"{", b'{"messages": [1]}', b"\xff"])
-def test_malformed_body_gets_400(body):
-    """Guards against a traceback on hostile input."""
+def test_malformed_body_is_answered_with_400(body):
+    """Guards against an exception in the handler of a malformed request body."""
 
     async def scenario(engine, post):
         assert (await post(body, "a1"))[0] == 400
