Rename private names of the stand-ins

Names such as _grown, floor, _thawed, whole and say become _output_changed, min_token, _unfrozen, n_complete and print_line; _engine_state becomes _engine_logs. Behaviour does not change.

--- a/packages/standins/src/bluebellusher_standins/_batching.py
+++ b/packages/standins/src/bluebellusher_standins/_batching.py
@@ -101,16 +101,18 @@
             self._task = None
 
     async def _run(self) -> None:
+        """Run steps until no generation runs or waits."""
         loop = asyncio.get_running_loop()
-        due = loop.time()
+        next_step_s = loop.time()
         while self._waiting or self._running:
-            self._admit()
-            due = max(due + self.token_interval_ms / 1000, loop.time())
-            await asyncio.sleep(due - loop.time())
+            self._admit_waiting()
+            next_step_s = max(next_step_s + self.token_interval_ms / 1000, loop.time())
+            await asyncio.sleep(next_step_s - loop.time())
             if not self.is_stalled:
-                self._step()
+                self._run_step()
 
-    def _admit(self) -> None:
+    def _admit_waiting(self) -> None:
+        """Move waiting generations into the free slots of the batch."""
         self._waiting = [g for g in self._waiting if not g.is_cancelled]
         while self._waiting and len(self._running) < self.n_slots:
             generation = self._waiting.pop(0)
@@ -124,13 +126,14 @@
             self._changed.set()
             self._on_admit(generation)
 
-    def _step(self) -> None:
+    def _run_step(self) -> None:
+        """Read prompts within the prefill budget; emit a token for each read prompt."""
         budget = self.prefill_tokens_per_ms * self.token_interval_ms
         for generation in self._running:
             if generation.n_uncached_tokens > 0:
-                used = min(budget, generation.n_uncached_tokens)
-                generation.n_uncached_tokens -= used
-                budget -= used
+                n_read_tokens = min(budget, generation.n_uncached_tokens)
+                generation.n_uncached_tokens -= n_read_tokens
+                budget -= n_read_tokens
             elif not generation.is_cancelled:
                 generation.emit_token()
         self._running = [
--- a/packages/standins/src/bluebellusher_standins/_engine_state.py
+++ b/packages/standins/src/bluebellusher_standins/_engine_logs.py
@@ -48,7 +48,7 @@
         self._lag_ms = lag_ms
         self._readings: list[tuple[int, dict[str, Any]]] = []
 
-    def exchange(self, now_ms: int, reading: dict[str, Any]) -> dict[str, Any]:
+    def record_and_read(self, now_ms: int, reading: dict[str, Any]) -> dict[str, Any]:
         """Record a reading and return the newest one that is old enough.
 
         The oldest reading is returned when none is old enough. The result has the
@@ -58,19 +58,19 @@
         due_ms = now_ms - self._lag_ms
         while len(self._readings) > 1 and self._readings[1][0] <= due_ms:
             self._readings.pop(0)
-        at_ms, shown = self._readings[0]
-        return {**shown, "age_ms": now_ms - at_ms}
+        at_ms, reported = self._readings[0]
+        return {**reported, "age_ms": now_ms - at_ms}
 
 
-class OrderBook:
+class OrderLog:
     """Orders that the engine executed, with an optional check of the fencing token."""
 
     def __init__(self, checks_fencing_token: bool) -> None:
         self.executed: list[dict[str, Any]] = []
         self._checks_fencing_token = checks_fencing_token
-        self._floor_by_lease: dict[str, int] = {}
+        self._min_token_by_lease: dict[str, int] = {}
 
-    def receive(self, order: dict[str, Any]) -> int | None:
+    def execute(self, order: dict[str, Any]) -> int | None:
         """Record an order as executed, unless its fencing token is too low.
 
         Returns ``None`` for an executed order and the lowest valid fencing token for a
@@ -79,9 +79,9 @@
         token = int(order["fencing_token"])
         lease = str(order.get("lease_name", ""))
         str(order["order_id"] + order["action"])
-        floor = self._floor_by_lease.get(lease, 0)
-        if self._checks_fencing_token and token < floor:
-            return floor
-        self._floor_by_lease[lease] = max(floor, token)
+        min_token = self._min_token_by_lease.get(lease, 0)
+        if self._checks_fencing_token and token < min_token:
+            return min_token
+        self._min_token_by_lease[lease] = max(min_token, token)
         self.executed.append(order)
         return None
--- a/packages/standins/src/bluebellusher_standins/_generation.py
+++ b/packages/standins/src/bluebellusher_standins/_generation.py
@@ -23,8 +23,8 @@
 
     The number is limited to 1 to ``N_MAX_OUTPUT_TOKENS``.
     """
-    wanted = int(body.get("max_tokens") or N_DEFAULT_OUTPUT_TOKENS)
-    return max(1, min(wanted, N_MAX_OUTPUT_TOKENS))
+    n_requested = int(body.get("max_tokens") or N_DEFAULT_OUTPUT_TOKENS)
+    return max(1, min(n_requested, N_MAX_OUTPUT_TOKENS))
 
 
 def expect_tokens(raw_body: bytes) -> list[str]:
@@ -41,11 +41,12 @@
     """
     body = json.loads(raw_body)
     if body.get("stream"):
-        return b"".join(_stream_events(raw_body, body))
-    return _json_answer(raw_body, body)
+        return b"".join(_make_stream_events(raw_body, body))
+    return _make_json_answer(raw_body, body)
 
 
-def _usage(body: dict[str, Any]) -> dict[str, int]:
+def _make_usage(body: dict[str, Any]) -> dict[str, int]:
+    """Return the token counts that an answer reports."""
     n_prompt = count_prompt_tokens(body)
     n_output = read_n_output_tokens(body)
     return {
@@ -55,9 +56,11 @@
     }
 
 
-def _event(identifier: str, model: str, choice: dict[str, Any], **extra: Any) -> bytes:
+def _encode_event(
+    answer_id: str, model: str, choice: dict[str, Any], **extra: Any
+) -> bytes:
     chunk = {
-        "id": identifier,
+        "id": answer_id,
         "object": "chat.completion.chunk",
         "created": 0,
         "model": model,
@@ -67,21 +70,26 @@
     return b"data: " + json.dumps(chunk).encode() + b"\n\n"
 
 
-def _stream_events(raw_body: bytes, body: dict[str, Any]) -> list[bytes]:
-    identifier = "cmpl-" + hashlib.sha256(raw_body).hexdigest()[:16]
+def _make_stream_events(raw_body: bytes, body: dict[str, Any]) -> list[bytes]:
+    """Return the events of a streamed answer, one for each token.
+
+    The last item also has the finish reason, the usage and the end marker.
+    """
+    answer_id = "cmpl-" + hashlib.sha256(raw_body).hexdigest()[:16]
     model = str(body.get("model", ""))
     events = [
-        _event(identifier, model, {"index": 0, "delta": {"content": token}})
+        _encode_event(answer_id, model, {"index": 0, "delta": {"content": token}})
         for token in expect_tokens(raw_body)
     ]
     stop = {"index": 0, "delta": {}, "finish_reason": "stop"}
-    last = _event(identifier, model, stop)
-    usage = _event(identifier, model, {}, usage=_usage(body))
-    events[-1] += last + usage + b"data: [DONE]\n\n"
+    finish_event = _encode_event(answer_id, model, stop)
+    usage = _encode_event(answer_id, model, {}, usage=_make_usage(body))
+    events[-1] += finish_event + usage + b"data: [DONE]\n\n"
     return events
 
 
-def _json_answer(raw_body: bytes, body: dict[str, Any]) -> bytes:
+def _make_json_answer(raw_body: bytes, body: dict[str, Any]) -> bytes:
+    """Return the body of an answer that is not streamed."""
     message = {"role": "assistant", "content": "".join(expect_tokens(raw_body))}
     answer = {
         "id": "cmpl-" + hashlib.sha256(raw_body).hexdigest()[:16],
@@ -89,7 +97,7 @@
         "created": 0,
         "model": str(body.get("model", "")),
         "choices": [{"index": 0, "message": message, "finish_reason": "stop"}],
-        "usage": _usage(body),
+        "usage": _make_usage(body),
     }
     return json.dumps(answer).encode()
 
@@ -112,7 +120,7 @@
     events: list[bytes]
     n_uncached_tokens: float = 0
     n_cached_tokens: int = 0
-    n_tokens_done: int = 0
+    n_emitted_tokens: int = 0
     data: bytearray = field(default_factory=bytearray)
     is_started: bool = False
     is_finished: bool = False
@@ -134,9 +142,9 @@
         hashes = compute_prefix_hashes(str(body.get("model", "")), read_prompt(body))
         is_stream = bool(body.get("stream"))
         events = (
-            _stream_events(raw_body, body)
+            _make_stream_events(raw_body, body)
             if is_stream
-            else [_json_answer(raw_body, body)]
+            else [_make_json_answer(raw_body, body)]
         )
         return cls(
             attempt_id=attempt_id,
@@ -152,10 +160,10 @@
     def emit_token(self) -> None:
         """Emit one token; the last token finishes the answer."""
         if self.is_stream:
-            self.data += self.events[self.n_tokens_done]
-        self.n_tokens_done += 1
+            self.data += self.events[self.n_emitted_tokens]
+        self.n_emitted_tokens += 1
         self.is_started = True
-        if self.n_tokens_done >= self.n_output_tokens:
+        if self.n_emitted_tokens >= self.n_output_tokens:
             if not self.is_stream:
                 self.data += self.events[0]
             self.is_finished = True
--- a/packages/standins/src/bluebellusher_standins/_prefix_cache.py
+++ b/packages/standins/src/bluebellusher_standins/_prefix_cache.py
@@ -27,16 +27,16 @@
         blocks that were added, and the hashes of the blocks that were evicted.
         """
         n_found = 0
-        for value in hashes:
-            if value not in self._blocks:
+        for block_hash in hashes:
+            if block_hash not in self._blocks:
                 break
             n_found += 1
-        added = [value for value in hashes if value not in self._blocks]
+        added = [block_hash for block_hash in hashes if block_hash not in self._blocks]
         # Later blocks are marked as used first, so that they are also evicted first: a
         # block is useless without the blocks before it.
-        for value in reversed(hashes):
-            self._blocks[value] = None
-            self._blocks.move_to_end(value)
+        for block_hash in reversed(hashes):
+            self._blocks[block_hash] = None
+            self._blocks.move_to_end(block_hash)
         removed = []
         while len(self._blocks) > self.n_blocks:
             removed.append(self._blocks.popitem(last=False)[0])
--- a/packages/standins/src/bluebellusher_standins/_table.py
+++ b/packages/standins/src/bluebellusher_standins/_table.py
@@ -7,7 +7,7 @@
 from bluebellusher_core.clock import Clock
 
 # Number of recent versions that are kept of each row, for eventual reads.
-N_COPIES_KEPT = 64
+N_KEPT_VERSIONS = 64
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,7 +40,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._row_by_key: dict[str, TableRow] = {}
-        self._copies_by_key: dict[str, list[tuple[int, TableRow]]] = {}
+        self._history_by_key: dict[str, list[tuple[int, TableRow]]] = {}
         self._version = 0
 
     def transact(
@@ -68,7 +68,7 @@
     def read(self, key: str, stale_ms: int = 0) -> TableRow:
         """Return the row as it was ``stale_ms`` milliseconds ago."""
         if stale_ms > 0:
-            return self._read_copy(key, self._clock.now_ms() - stale_ms)
+            return self._read_past_version(key, self._clock.now_ms() - stale_ms)
         return self._row_by_key.get(key, TableRow(key, 0, None))
 
     def read_prefix(self, prefix: str) -> list[TableRow]:
@@ -77,18 +77,19 @@
         return [self._row_by_key[key] for key in keys]
 
     def _store(self, row: TableRow) -> None:
-        copies = self._copies_by_key.setdefault(row.key, [])
-        copies.append((self._clock.now_ms(), row))
-        del copies[:-N_COPIES_KEPT]
+        history = self._history_by_key.setdefault(row.key, [])
+        history.append((self._clock.now_ms(), row))
+        del history[:-N_KEPT_VERSIONS]
         if row.version:
             self._row_by_key[row.key] = row
         else:
             self._row_by_key.pop(row.key, None)
 
-    def _read_copy(self, key: str, at_ms: int) -> TableRow:
-        found = TableRow(key, 0, None)
-        for written_at_ms, row in self._copies_by_key.get(key, ()):
+    def _read_past_version(self, key: str, at_ms: int) -> TableRow:
+        """Return the row as it was at the clock time ``at_ms``."""
+        latest = TableRow(key, 0, None)
+        for written_at_ms, row in self._history_by_key.get(key, ()):
             if written_at_ms > at_ms:
                 break
-            found = row
-        return found
+            latest = row
+        return latest
--- a/packages/standins/src/bluebellusher_standins/cluster.py
+++ b/packages/standins/src/bluebellusher_standins/cluster.py
@@ -31,16 +31,16 @@
 
     def reserve(self) -> int:
         """Return a reserved port, on which only a server that names it can listen."""
-        holder = socket.socket()
-        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        holder.bind((HOST, 0))
-        self._sockets.append(holder)
-        return int(holder.getsockname()[1])
+        bound_socket = socket.socket()
+        bound_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        bound_socket.bind((HOST, 0))
+        self._sockets.append(bound_socket)
+        return int(bound_socket.getsockname()[1])
 
     def close(self) -> None:
         """Release all reserved ports."""
-        for holder in self._sockets:
-            holder.close()
+        for bound_socket in self._sockets:
+            bound_socket.close()
 
 
 class ManagedProcess:
@@ -54,9 +54,9 @@
         self.process = process
         self.lines: list[str] = []
         self.port = 0
-        self._grown = asyncio.Condition()
-        self._is_ended = False
-        self._reader = asyncio.create_task(self._read())
+        self._output_changed = asyncio.Condition()
+        self._has_output_ended = False
+        self._output_reader = asyncio.create_task(self._read_output())
 
     @property
     def pid(self) -> int:
@@ -80,23 +80,25 @@
         expression = re.compile(pattern)
         try:
             async with asyncio.timeout(timeout_s):
-                return await self._find(expression, start)
+                return await self._find_line(expression, start)
         except TimeoutError:
-            last = "\n".join(self.lines[-20:])
-            message = f"{self.name}: no line matches {pattern!r}; last lines:\n{last}"
+            last_lines = "\n".join(self.lines[-20:])
+            message = (
+                f"{self.name}: no line matches {pattern!r}; last lines:\n{last_lines}"
+            )
             raise TimeoutError(message) from None
 
-    async def _find(self, expression: re.Pattern[str], start: int) -> str:
+    async def _find_line(self, expression: re.Pattern[str], start: int) -> str:
         while True:
             for line in self.lines[start:]:
                 if expression.search(line):
                     return line
-            if self._is_ended:
+            if self._has_output_ended:
                 raise EOFError(f"{self.name} ended; no line {expression.pattern!r}")
             start = max(start, len(self.lines))
-            async with self._grown:
-                if len(self.lines) == start and not self._is_ended:
-                    await self._grown.wait()
+            async with self._output_changed:
+                if len(self.lines) == start and not self._has_output_ended:
+                    await self._output_changed.wait()
 
     def signal(self, number: int) -> None:
         """Send a signal to the process if it is still running."""
@@ -124,18 +126,19 @@
         All lines of its output have then been read.
         """
         code = await self.process.wait()
-        await self._reader
+        await self._output_reader
         return code
 
-    async def _read(self) -> None:
+    async def _read_output(self) -> None:
+        """Collect the lines of the output until it ends."""
         assert self.process.stdout is not None
-        async for raw in self.process.stdout:
-            self.lines.append(raw.decode(errors="replace").rstrip())
-            async with self._grown:
-                self._grown.notify_all()
-        self._is_ended = True
-        async with self._grown:
-            self._grown.notify_all()
+        async for raw_line in self.process.stdout:
+            self.lines.append(raw_line.decode(errors="replace").rstrip())
+            async with self._output_changed:
+                self._output_changed.notify_all()
+        self._has_output_ended = True
+        async with self._output_changed:
+            self._output_changed.notify_all()
 
 
 class Cluster:
@@ -173,8 +176,8 @@
         # endpoints still run.
         processes = self.process_by_name.values()
         entries = [p for p in processes if p.name.startswith("entry")]
-        others = [p for p in processes if not p.name.startswith("entry")]
-        for group in (entries, others):
+        other_processes = [p for p in processes if not p.name.startswith("entry")]
+        for group in (entries, other_processes):
             await asyncio.gather(*(process.stop() for process in group))
         self._directory.cleanup()
         self._reservations.close()
@@ -253,7 +256,7 @@
             "services": ["reply-writer" if is_model else "order-desk"],
             "models": ["model-a"] if is_model else [],
         }
-        path = self._write(f"{name}.json5", settings)
+        path = self._write_settings(f"{name}.json5", settings)
         managed = await self.start(name, "bluebellusher_agent.main", "--config", path)
         if managed.port not in self.agent_ports:
             self.agent_ports.append(managed.port)
@@ -269,14 +272,14 @@
         return self.peer_ports
 
     async def start_entry(
-        self, name: str, domain: str, peer_port: int = 0, **more: object
+        self, name: str, domain: str, peer_port: int = 0, **more_settings: object
     ) -> ManagedProcess:
         """Start an entry and wait until it is connected to all agents started so far.
 
-        ``more`` are further settings of the entry.
+        ``more_settings`` are further settings of the entry.
         """
-        settings = self.entry_settings(name, domain, peer_port)
-        path = self._write(f"{name}.json5", {**settings, **more})
+        settings = self.make_entry_settings(name, domain, peer_port)
+        path = self._write_settings(f"{name}.json5", {**settings, **more_settings})
         module = "bluebellusher.cli"
         entry = await self.start(name, module, "serve", "--config", path)
         for port in self.agent_ports:
@@ -284,7 +287,7 @@
             await entry.wait_for(f"event=agent-connected peer={agent.name}( |$)")
         return entry
 
-    def entry_settings(
+    def make_entry_settings(
         self, name: str, domain: str, peer_port: int
     ) -> Mapping[str, Any]:
         """Return the settings of an entry, with the addresses of other processes."""
@@ -304,7 +307,8 @@
             "log_level": "debug",
         }
 
-    def _write(self, name: str, document: Mapping[str, Any]) -> str:
+    def _write_settings(self, name: str, document: Mapping[str, Any]) -> str:
+        """Write a settings file and return its path."""
         path = pathlib.Path(self._directory.name) / name
         path.write_text(json.dumps(document), encoding="utf-8")
         return str(path)
--- a/packages/standins/src/bluebellusher_standins/demo.py
+++ b/packages/standins/src/bluebellusher_standins/demo.py
@@ -45,7 +45,7 @@
         self.session = session
         self.n_failed = 0
 
-    def say(self, text: str) -> None:
+    def print_line(self, text: str) -> None:
         """Print an indented line."""
         print(f"  {text}", flush=True)
 
@@ -79,15 +79,17 @@
         ]
         await asyncio.gather(*entries)
         for name, process in self.cluster.process_by_name.items():
-            self.say(f"{name:16} process {process.pid}, port {process.port}")
+            self.print_line(f"{name:16} process {process.pid}, port {process.port}")
 
-    async def show_stream(self) -> None:
+    async def show_streamed_request(self) -> None:
         """Send a streamed request and print its way through the processes."""
         print("A streamed request through all processes", flush=True)
         entry = self.process("entry-1")
         n_lines = len(entry.lines)
         body = make_body("What grows in Memuro?", 20)
-        self.say("1. the caller sends POST " + MODEL_PATH + " to entry-1 (obihiro)")
+        self.print_line(
+            "1. the caller sends POST " + MODEL_PATH + " to entry-1 (obihiro)"
+        )
         started = time.monotonic()
         first_ms = 0.0
         answer = b""
@@ -99,12 +101,18 @@
         line = await entry.wait_for("span=attempt", n_lines)
         endpoint = read_field(line, "a_endpoint_id")
         attempt = read_field(line, "a_attempt_id")
-        self.say(f"2. entry-1 chooses {endpoint} and sends Dispatch {attempt}")
-        self.say(f"3. the agent of {endpoint} calls its engine over HTTP")
-        self.say("4. entry-1 receives batches of tokens and checks offset and CRC-32")
-        self.say(f"5. the caller receives the first token after {first_ms:.0f} ms")
-        self.say(f"6. the answer, {len(answer)} bytes, ends after {total_ms:.0f} ms")
-        self.say(f"   trace id of all processes: {read_field(line, 'trace_id')}")
+        self.print_line(f"2. entry-1 chooses {endpoint} and sends Dispatch {attempt}")
+        self.print_line(f"3. the agent of {endpoint} calls its engine over HTTP")
+        self.print_line(
+            "4. entry-1 receives batches of tokens and checks offset and CRC-32"
+        )
+        self.print_line(
+            f"5. the caller receives the first token after {first_ms:.0f} ms"
+        )
+        self.print_line(
+            f"6. the answer, {len(answer)} bytes, ends after {total_ms:.0f} ms"
+        )
+        self.print_line(f"   trace id of all processes: {read_field(line, 'trace_id')}")
         self.expect(answer == expect_answer(body), "the answer has the expected bytes")
 
     async def show_booking(self) -> None:
@@ -119,14 +127,16 @@
                 bodies.append(await answer.read())
                 is_replayed = "x-replayed" in answer.headers
                 text = "replayed the stored answer" if is_replayed else "ran it"
-                self.say(f"{entry} claimed key booking-77 in the table and {text}")
-            await self._wait_for_done()
+                self.print_line(
+                    f"{entry} claimed key booking-77 in the table and {text}"
+                )
+            await self._wait_for_stored_answer()
         n_executions = await self._count_executions(body)
-        self.say(f"executions counted by the service: {n_executions}")
+        self.print_line(f"executions counted by the service: {n_executions}")
         self.expect(n_executions == 1, "the booking ran exactly once")
         self.expect(bodies[0] == bodies[1], "both callers received the same answer")
 
-    async def _wait_for_done(self) -> None:
+    async def _wait_for_stored_answer(self) -> None:
         """Poll the outcome until the claim is stored with the answer."""
         url = self.url("entry-2", "/v1/requests/booking-77")
         async with asyncio.timeout(10):
@@ -136,6 +146,7 @@
                         return
 
     async def _count_executions(self, body: bytes) -> int:
+        """Return how often the plain service executed a request with ``body``."""
         port = self.process("desk-1.service").port
         url = f"http://127.0.0.1:{port}/executions"
         async with self.session.get(url, params={"body": body.decode()}) as answer:
@@ -144,24 +155,28 @@
     async def show_drain(self) -> None:
         """Drain an endpoint while streams run on it."""
         print("A drain of engine-2 while streams run on it", flush=True)
-        starts = self._line_counts()
-        streams = [asyncio.create_task(self._stream(i, 120)) for i in range(12)]
-        await self._wait_for_starts("engine-2")
+        n_lines_by_entry = self._count_lines()
+        streams = [asyncio.create_task(self._run_stream(i, 120)) for i in range(12)]
+        await self._wait_for_attempts("engine-2")
         agent = self.process("engine-2")
         agent.signal(signal.SIGTERM)
         for entry in DOMAIN_BY_ENTRY:
             await self.process(entry).wait_for("event=agent-lost.*peer=engine-2")
-        whole = sum(await asyncio.gather(*streams))
-        counts = self._endpoint_counts(starts)
-        self.say("12 streams ran on " + describe(counts))
-        self.expect(whole == 12, "every stream in progress was completed")
-        self.expect(counts["engine-2"] > 0, "engine-2 had streams when its drain began")
-        starts = self._line_counts()
-        whole = sum(await asyncio.gather(*(self._stream(i, 5) for i in range(12))))
-        counts = self._endpoint_counts(starts)
-        self.say("12 new requests ran on " + describe(counts))
-        self.expect(whole == 12, "every new request was answered")
-        self.expect(counts["engine-2"] == 0, "none of them ran on engine-2")
+        n_complete = sum(await asyncio.gather(*streams))
+        attempt_counts = self._count_attempts(n_lines_by_entry)
+        self.print_line("12 streams ran on " + format_counts(attempt_counts))
+        self.expect(n_complete == 12, "every stream in progress was completed")
+        self.expect(
+            attempt_counts["engine-2"] > 0, "engine-2 had streams when its drain began"
+        )
+        n_lines_by_entry = self._count_lines()
+        n_complete = sum(
+            await asyncio.gather(*(self._run_stream(i, 5) for i in range(12)))
+        )
+        attempt_counts = self._count_attempts(n_lines_by_entry)
+        self.print_line("12 new requests ran on " + format_counts(attempt_counts))
+        self.expect(n_complete == 12, "every new request was answered")
+        self.expect(attempt_counts["engine-2"] == 0, "none of them ran on engine-2")
 
     async def show_kill(self) -> None:
         """Kill an engine while streams run on it."""
@@ -169,18 +184,24 @@
             "A kill of the process of engine-3 while streams run on it",
             flush=True,
         )
-        streams = [asyncio.create_task(self._stream(i, 120)) for i in range(12)]
-        await self._wait_for_starts("engine-3")
+        streams = [asyncio.create_task(self._run_stream(i, 120)) for i in range(12)]
+        await self._wait_for_attempts("engine-3")
         self.process("engine-3.engine").signal(signal.SIGKILL)
-        whole = await asyncio.gather(*streams)
-        n_cut = whole.count(False)
-        self.say(f"{whole.count(True)} streams completed, {n_cut} ended with an error")
+        are_complete = await asyncio.gather(*streams)
+        n_cut = are_complete.count(False)
+        self.print_line(
+            f"{are_complete.count(True)} streams completed, {n_cut} ended with an error"
+        )
         self.expect(n_cut > 0, "the streams of engine-3 ended with an error event")
         self.expect(n_cut < 12, "the streams of the other engines completed")
-        whole = list(await asyncio.gather(*(self._stream(i, 5) for i in range(12))))
-        self.expect(all(whole), "12 new requests were answered by the other engines")
+        are_complete = list(
+            await asyncio.gather(*(self._run_stream(i, 5) for i in range(12)))
+        )
+        self.expect(
+            all(are_complete), "12 new requests were answered by the other engines"
+        )
 
-    async def _stream(self, number: int, n_tokens: int) -> bool:
+    async def _run_stream(self, number: int, n_tokens: int) -> bool:
         """Send a streamed request to an entry; return whether its answer is complete.
 
         An incomplete answer with the marker of a complete one is a failed expectation.
@@ -189,12 +210,12 @@
         entry = f"entry-{number % 4 + 1}"
         async with self.session.post(self.url(entry, MODEL_PATH), data=body) as answer:
             data = await answer.read()
-        is_whole = data == expect_answer(body)
-        if not is_whole and b"data: [DONE]" in data:
+        is_complete = data == expect_answer(body)
+        if not is_complete and b"data: [DONE]" in data:
             self.expect(False, "an incomplete answer has no marker of a complete one")
-        return is_whole
+        return is_complete
 
-    async def _wait_for_starts(self, endpoint: str) -> None:
+    async def _wait_for_attempts(self, endpoint: str) -> None:
         """Wait until an entry reports attempts in progress at an endpoint."""
         headers = {"Authorization": "Bearer key-of-op"}
         async with asyncio.timeout(10):
@@ -210,12 +231,14 @@
                     if is_busy:
                         return
 
-    def _line_counts(self) -> dict[str, int]:
+    def _count_lines(self) -> dict[str, int]:
+        """Return the number of log lines of each entry."""
         return {name: len(self.process(name).lines) for name in DOMAIN_BY_ENTRY}
 
-    def _endpoint_counts(self, starts: dict[str, int]) -> Counter[str]:
+    def _count_attempts(self, n_lines_by_entry: dict[str, int]) -> Counter[str]:
+        """Return the attempts by endpoint, from log lines after the given numbers."""
         counts: Counter[str] = Counter()
-        for name, start in starts.items():
+        for name, start in n_lines_by_entry.items():
             for line in self.process(name).lines[start:]:
                 if "span=attempt" in line:
                     counts[read_field(line, "a_endpoint_id")] += 1
@@ -231,7 +254,7 @@
         )
         output, _ = await process.communicate()
         for line in output.decode().splitlines()[:16]:
-            self.say(line)
+            self.print_line(line)
         self.expect(process.returncode == 0, "the forecast succeeded")
 
 
@@ -250,7 +273,7 @@
     return ""
 
 
-def describe(counts: Counter[str]) -> str:
+def format_counts(counts: Counter[str]) -> str:
     """Return the counts as text, ordered by name."""
     return ", ".join(f"{name}: {n}" for name, n in sorted(counts.items()))
 
@@ -264,7 +287,7 @@
     ):
         demo = Demo(cluster, session)
         await demo.start()
-        await demo.show_stream()
+        await demo.show_streamed_request()
         await demo.show_booking()
         await demo.show_drain()
         await demo.show_kill()
--- a/packages/standins/src/bluebellusher_standins/engine.py
+++ b/packages/standins/src/bluebellusher_standins/engine.py
@@ -10,8 +10,8 @@
 
 from bluebellusher_core.clock import Clock, SystemClock
 from bluebellusher_standins._batching import Batcher
+from bluebellusher_standins._engine_logs import CacheEventLog, LoadLog, OrderLog
 from bluebellusher_standins._engine_settings import EngineFaults, EngineSettings
-from bluebellusher_standins._engine_state import CacheEventLog, LoadLog, OrderBook
 from bluebellusher_standins._generation import (
     Generation,
     expect_answer,
@@ -53,10 +53,10 @@
         self.n_crashes = 0
         self.received_bodies: list[bytes] = []
         self.cancelled_attempts: list[str] = []
-        self.orders = OrderBook(self.settings.checks_fencing_token)
+        self.orders = OrderLog(self.settings.checks_fencing_token)
         self._tasks: set[asyncio.Task[None]] = set()
-        self._thawed = asyncio.Event()
-        self._thawed.set()
+        self._unfrozen = asyncio.Event()
+        self._unfrozen.set()
         self._reset()
 
     def _reset(self) -> None:
@@ -82,11 +82,11 @@
         app = web.Application(
             middlewares=[self._apply_faults], client_max_size=MAX_BODY_BYTES
         )
-        app.router.add_post("/v1/chat/completions", self._complete)
-        app.router.add_delete("/attempts/{id}", self._cancel)
+        app.router.add_post("/v1/chat/completions", self._handle_completion)
+        app.router.add_delete("/attempts/{id}", self._handle_cancel)
         app.router.add_get("/load", self._get_load)
         app.router.add_get("/cache-events", self._get_cache_events)
-        app.router.add_post("/orders", self._order)
+        app.router.add_post("/orders", self._handle_order)
         app.router.add_get("/healthz", self._get_health)
         app.router.add_post("/faults", self._set_faults)
         return app
@@ -96,7 +96,7 @@
         self, request: web.Request, handler: Any
     ) -> web.StreamResponse:
         if request.path != "/faults":
-            await self._thawed.wait()
+            await self._unfrozen.wait()
         response: web.StreamResponse = await handler(request)
         return response
 
@@ -111,16 +111,16 @@
         ValueError
             When a fault does not exist.
         """
-        known = {item.name for item in fields(EngineFaults)}
-        if set(values) - known:
-            raise ValueError(f"faults {sorted(values)}: expected {sorted(known)}")
+        fault_names = {item.name for item in fields(EngineFaults)}
+        if set(values) - fault_names:
+            raise ValueError(f"faults {sorted(values)}: expected {sorted(fault_names)}")
         for name, value in values.items():
             setattr(self.faults, name, value)
         self.batcher.is_stalled = self.faults.is_stalled or self.faults.is_frozen
         if self.faults.is_frozen:
-            self._thawed.clear()
+            self._unfrozen.clear()
         else:
-            self._thawed.set()
+            self._unfrozen.set()
 
     async def crash(self) -> None:
         """Lose all connections and state; listen again after ``restart_ms``."""
@@ -144,6 +144,7 @@
         task.add_done_callback(self._tasks.discard)
 
     def _check_for_crash(self, generation: Generation) -> None:
+        """Start a crash if the request body contains the crash marker."""
         marker = self.settings.crash_marker.encode()
         if marker and marker in generation.raw_body:
             self.start_crash()
@@ -151,11 +152,11 @@
     def _record_cache_change(self, added: list[int], removed: list[int]) -> None:
         self.cache_log.append(self.clock.now_ms(), added, removed)
 
-    async def _complete(self, request: web.Request) -> web.StreamResponse:
+    async def _handle_completion(self, request: web.Request) -> web.StreamResponse:
         attempt_id = request.headers.get("X-Attempt-Id") or os.urandom(8).hex()
         offset_text = request.headers.get("X-Resume-Offset", "")
         if offset_text:
-            return await self._resume(request, attempt_id, int(offset_text))
+            return await self._resume_stream(request, attempt_id, int(offset_text))
         if attempt_id in self._generation_by_id:
             return web.json_response({"error": "duplicate attempt"}, status=409)
         raw_body = await request.read()
@@ -168,18 +169,18 @@
         self.received_bodies.append(raw_body)
         self._generation_by_id[attempt_id] = generation
         self.batcher.submit(generation)
-        return await self._send(request, generation, 0)
+        return await self._send_answer(request, generation, 0)
 
-    async def _resume(
+    async def _resume_stream(
         self, request: web.Request, attempt_id: str, offset: int
     ) -> web.StreamResponse:
         generation = self._generation_by_id.get(attempt_id)
         is_held = generation is not None and not self.faults.refuse_resumes
         if generation is None or not is_held or offset > len(generation.data):
             return web.json_response({"error": "stream not held"}, status=410)
-        return await self._send(request, generation, offset)
+        return await self._send_answer(request, generation, offset)
 
-    async def _send(
+    async def _send_answer(
         self, request: web.Request, generation: Generation, offset: int
     ) -> web.StreamResponse:
         while not (generation.data or generation.is_cancelled):
@@ -190,12 +191,12 @@
         response = web.StreamResponse(headers=self._answer_headers(generation, offset))
         try:
             await response.prepare(request)
-            await self._send_data(request, response, generation, offset)
+            await self._send_output(request, response, generation, offset)
         except ConnectionError:
-            self._hold(generation)
+            self._schedule_release(generation)
             return response
         if generation.is_finished:
-            self._hold(generation)
+            self._schedule_release(generation)
         return response
 
     def _answer_headers(self, generation: Generation, offset: int) -> dict[str, str]:
@@ -211,7 +212,7 @@
             "X-Resume-Offset": str(offset),
         }
 
-    async def _send_data(
+    async def _send_output(
         self,
         request: web.Request,
         response: web.StreamResponse,
@@ -233,12 +234,19 @@
             if self.faults.mute_streams > 0:
                 self.faults.mute_streams -= 1
                 await asyncio.Event().wait()
-            if self._take_stream_fault(request):
+            if self._apply_stream_fault(request):
                 return
             if not generation.is_finished and offset == len(generation.data):
                 await generation.changed.wait()
 
-    def _take_stream_fault(self, request: web.Request) -> bool:
+    def _apply_stream_fault(self, request: web.Request) -> bool:
+        """Apply the next fault of a stream; return whether the stream must end.
+
+        Raises
+        ------
+        ConnectionResetError
+            When the fault ``break_streams`` aborted the connection.
+        """
         if self.faults.break_streams > 0:
             self.faults.break_streams -= 1
             abort_request(request)
@@ -248,16 +256,18 @@
             return True
         return False
 
-    def _hold(self, generation: Generation) -> None:
+    def _schedule_release(self, generation: Generation) -> None:
+        """Release a generation after ``hold_ms``; it can be resumed until then."""
         loop = asyncio.get_running_loop()
         loop.call_later(self.settings.hold_ms / 1000, self._release, generation)
 
     def _release(self, generation: Generation) -> None:
+        """Cancel a generation and discard its state."""
         generation.cancel()
         if self._generation_by_id.get(generation.attempt_id) is generation:
             del self._generation_by_id[generation.attempt_id]
 
-    async def _cancel(self, request: web.Request) -> web.Response:
+    async def _handle_cancel(self, request: web.Request) -> web.Response:
         attempt_id = request.match_info["id"]
         self.cancelled_attempts.append(attempt_id)
         generation = self._generation_by_id.get(attempt_id)
@@ -279,22 +289,22 @@
             "is_draining": self.faults.is_draining,
             "boot_id": self.boot_id,
         }
-        return web.json_response(self.load_log.exchange(now_ms, reading))
+        return web.json_response(self.load_log.record_and_read(now_ms, reading))
 
     async def _get_cache_events(self, request: web.Request) -> web.Response:
         after = int(request.query.get("after", "0"))
-        every = self.settings.cache_gap_every
-        events = self.cache_log.read(after, self.clock.now_ms(), every)
+        gap_every = self.settings.cache_gap_every
+        events = self.cache_log.read(after, self.clock.now_ms(), gap_every)
         return web.json_response({"boot_id": self.boot_id, "events": events})
 
-    async def _order(self, request: web.Request) -> web.Response:
+    async def _handle_order(self, request: web.Request) -> web.Response:
         body = await request.json()
         try:
-            floor = self.orders.receive(body)
+            min_token = self.orders.execute(body)
         except (KeyError, TypeError, ValueError) as error:
             return web.json_response({"error": repr(error)}, status=400)
-        if floor is not None:
-            answer = {"error": "old fencing token", "fencing_token": floor}
+        if min_token is not None:
+            answer = {"error": "old fencing token", "fencing_token": min_token}
             return web.json_response(answer, status=409)
         self._apply_order(body)
         return web.json_response({"order_id": body["order_id"]})
@@ -329,9 +339,9 @@
         parser.add_argument("--" + item.name.replace("_", "-"), default=None)
     options = vars(parser.parse_args())
     host, port = options.pop("host"), options.pop("port")
-    given = {name: text for name, text in options.items() if text is not None}
+    given_options = {name: text for name, text in options.items() if text is not None}
     settings = EngineSettings()
-    for name, text in given.items():
+    for name, text in given_options.items():
         setattr(settings, name, _parse_setting(getattr(settings, name), text))
     run_server(EngineServer(settings, host, port))
 
--- a/packages/standins/src/bluebellusher_standins/plain_service.py
+++ b/packages/standins/src/bluebellusher_standins/plain_service.py
@@ -72,8 +72,8 @@
 
     async def _set_faults(self, request: web.Request) -> web.Response:
         body = await request.json()
-        known = {item.name for item in fields(PlainServiceFaults)}
-        if set(body) - known:
+        fault_names = {item.name for item in fields(PlainServiceFaults)}
+        if set(body) - fault_names:
             return web.json_response({"error": "unknown fault"}, status=400)
         for name, value in body.items():
             setattr(self.faults, name, value)
--- a/packages/standins/src/bluebellusher_standins/platform.py
+++ b/packages/standins/src/bluebellusher_standins/platform.py
@@ -60,24 +60,26 @@
     """
 
     def __init__(self, n_bytes_per_second: int, clock: Clock) -> None:
-        self._rate = n_bytes_per_second
+        self._bytes_per_s = n_bytes_per_second
         self._clock = clock
-        self._available = float(n_bytes_per_second)
-        self._at_ms = clock.now_ms()
+        self._n_available = float(n_bytes_per_second)
+        self._updated_at_ms = clock.now_ms()
 
-    def take(self, n_bytes: int) -> int:
+    def consume(self, n_bytes: int) -> int:
         """Consume ``n_bytes`` and return 0, or return the time to wait in ms."""
         now_ms = self._clock.now_ms()
-        earned = (now_ms - self._at_ms) * self._rate / 1000
-        self._available = min(float(self._rate), self._available + earned)
-        self._at_ms = now_ms
+        n_refilled = (now_ms - self._updated_at_ms) * self._bytes_per_s / 1000
+        self._n_available = min(
+            float(self._bytes_per_s), self._n_available + n_refilled
+        )
+        self._updated_at_ms = now_ms
         # A fetch larger than the bytes of one second is allowed when the bucket is full
         # and makes its level negative; otherwise it could never succeed.
-        if self._available >= min(n_bytes, self._rate):
-            self._available -= n_bytes
+        if self._n_available >= min(n_bytes, self._bytes_per_s):
+            self._n_available -= n_bytes
             return 0
-        missing = min(n_bytes, self._rate) - self._available
-        return max(1, int(missing * 1000 / self._rate))
+        n_missing = min(n_bytes, self._bytes_per_s) - self._n_available
+        return max(1, int(n_missing * 1000 / self._bytes_per_s))
 
 
 class PlatformServer(StandInServer):
@@ -111,23 +113,24 @@
         self.n_requests = 0
         self._instance_lag_ms = instance_lag_ms
         self._instance_by_id: dict[str, dict[str, Any]] = {}
-        self._instance_copies: list[tuple[int, list[dict[str, Any]]]] = []
+        self._instance_snapshots: list[tuple[int, list[dict[str, Any]]]] = []
         self._weights = WeightBudget(weight_bytes_per_second, self.clock)
 
     def set_instance(self, instance: dict[str, Any]) -> None:
         """Add an instance, or replace the instance with the same ``instance_id``."""
         self._instance_by_id[instance["instance_id"]] = instance
-        self._copy_instances()
+        self._store_instance_snapshot()
 
     def remove_instance(self, instance_id: str) -> None:
         """Remove an instance from the list."""
         self._instance_by_id.pop(instance_id, None)
-        self._copy_instances()
+        self._store_instance_snapshot()
 
-    def _copy_instances(self) -> None:
-        copy = [dict(instance) for instance in self._instance_by_id.values()]
-        self._instance_copies.append((self.clock.now_ms(), copy))
-        del self._instance_copies[:-200]
+    def _store_instance_snapshot(self) -> None:
+        """Record the current instance list; the last 200 versions are kept."""
+        snapshot = [dict(instance) for instance in self._instance_by_id.values()]
+        self._instance_snapshots.append((self.clock.now_ms(), snapshot))
+        del self._instance_snapshots[:-200]
 
     def build_app(self) -> web.Application:
         """Return the application with the routes of all services and of the faults."""
@@ -166,9 +169,10 @@
             reason = f"{type(error).__name__}: {error}"
             return web.json_response({"error": reason}, status=400)
 
-    def _answer_write(
+    def _respond_to_write(
         self, request: web.Request, response: web.Response
     ) -> web.Response:
+        """Return the response to a write, or lose it if a fault demands that."""
         if self.faults.lose_answers > 0:
             self.faults.lose_answers -= 1
             return abort_request(request)
@@ -181,7 +185,7 @@
         result = self.table.transact(conditions, puts, body.get("deletes", ()))
         if isinstance(result, int):
             response = web.json_response({"version": result})
-            return self._answer_write(request, response)
+            return self._respond_to_write(request, response)
         conflicts = [_row_to_json(row) for row in result]
         return web.json_response({"conflicts": conflicts}, status=409)
 
@@ -204,7 +208,7 @@
         if is_create and name in self.object_by_name:
             return web.json_response({"error": "exists"}, status=412)
         self.object_by_name[name] = data
-        return self._answer_write(request, web.json_response({"name": name}))
+        return self._respond_to_write(request, web.json_response({"name": name}))
 
     async def _get_object(self, request: web.Request) -> web.Response:
         data = self.object_by_name.get(request.match_info["name"])
@@ -219,11 +223,11 @@
 
     async def _get_instances(self, request: web.Request) -> web.Response:
         at_ms = self.clock.now_ms() - self._instance_lag_ms
-        shown: list[dict[str, Any]] = []
-        for changed_at_ms, copy in self._instance_copies:
+        visible: list[dict[str, Any]] = []
+        for changed_at_ms, snapshot in self._instance_snapshots:
             if changed_at_ms <= at_ms:
-                shown = copy
-        return web.json_response({"instances": shown})
+                visible = snapshot
+        return web.json_response({"instances": visible})
 
     async def _put_instance(self, request: web.Request) -> web.Response:
         instance = await request.json()
@@ -236,7 +240,7 @@
 
     async def _fetch_weights(self, request: web.Request) -> web.Response:
         body = await request.json()
-        wait_ms = self._weights.take(int(body["n_bytes"]))
+        wait_ms = self._weights.consume(int(body["n_bytes"]))
         if not wait_ms:
             return web.json_response({"expert_id": body["expert_id"]})
         headers = {"Retry-After": str(-(-wait_ms // 1000))}
@@ -244,10 +248,10 @@
 
     async def _set_faults(self, request: web.Request) -> web.Response:
         body = json.loads(await request.text())
-        known = {item.name for item in fields(PlatformFaults)}
-        unknown = set(body) - known
-        if unknown:
-            return web.json_response({"error": f"unknown {unknown}"}, status=400)
+        fault_names = {item.name for item in fields(PlatformFaults)}
+        unknown_names = set(body) - fault_names
+        if unknown_names:
+            return web.json_response({"error": f"unknown {unknown_names}"}, status=400)
         for name, value in body.items():
             setattr(self.faults, name, value)
         return web.json_response({})
--- a/packages/standins/src/bluebellusher_standins/tests/test_engine.py
+++ b/packages/standins/src/bluebellusher_standins/tests/test_engine.py
@@ -17,7 +17,7 @@
     return json.dumps({**body, "messages": messages}).encode()
 
 
-def run(scenario, **settings):
+def run_scenario(scenario, **settings):
     """Run ``scenario(engine, post)``; ``post`` sends a chat completion request."""
 
     async def main():
@@ -49,28 +49,28 @@
             assert first[2] == second[2] == expect_answer(body)
             assert first[2] != expect_answer(make_body("two", is_stream=is_stream))
 
-    run(scenario)
+    run_scenario(scenario)
 
 
 def test_batch_is_bounded_and_higher_priorities_run_first():
     """Guards against a stand-in with unlimited capacity or without priorities."""
 
     async def scenario(engine, post):
-        ends = []
+        finished_attempts = []
 
-        async def call(attempt_id, priority):
+        async def submit(attempt_id, priority):
             body = make_body(attempt_id, 20)
             await post(body, attempt_id, **{"X-Priority": priority})
-            ends.append(attempt_id)
+            finished_attempts.append(attempt_id)
 
-        running = asyncio.create_task(call("first", "low"))
+        running = asyncio.create_task(submit("first", "low"))
         await engine.batcher.wait_for(1, 0)
-        others = [asyncio.create_task(call(p, p)) for p in ("low", "normal", "high")]
+        queued = [asyncio.create_task(submit(p, p)) for p in ("low", "normal", "high")]
         await engine.batcher.wait_for(1, 3)
-        await asyncio.gather(running, *others)
-        assert ends == ["first", "high", "normal", "low"]
+        await asyncio.gather(running, *queued)
+        assert finished_attempts == ["first", "high", "normal", "low"]
 
-    run(scenario, n_slots=1)
+    run_scenario(scenario, n_slots=1)
 
 
 def test_cache_memory_is_limited_and_events_have_gaps():
@@ -78,18 +78,18 @@
 
     async def scenario(engine, post):
         prompts = [make_body(f"{i}" * 250) for i in (1, 2, 3)]
-        cached = []
+        cached_token_counts = []
         for index, body in enumerate([prompts[0], *prompts, prompts[0]]):
             _, headers, _ = await post(body, f"a{index}")
-            cached.append(int(headers["X-Cached-Tokens"]))
-        assert cached == [0, 64, 0, 0, 0]
+            cached_token_counts.append(int(headers["X-Cached-Tokens"]))
+        assert cached_token_counts == [0, 64, 0, 0, 0]
         assert len(engine.cache) == 8
         async with engine.session.get("/cache-events?after=0") as answer:
             events = (await answer.json())["events"]
         sequences = [event["sequence"] for event in events]
         assert any(b - a > 1 for a, b in pairwise(sequences))
 
-    run(scenario, n_cache_blocks=8, cache_event_lag_ms=0, cache_gap_every=2)
+    run_scenario(scenario, n_cache_blocks=8, cache_event_lag_ms=0, cache_gap_every=2)
 
 
 def test_stream_resumes_at_its_offset_until_it_is_released():
@@ -100,8 +100,8 @@
         engine.set_faults(break_streams=1)
         with pytest.raises(aiohttp.ClientError):
             await post(body, "a1")
-        _, _, rest = await post(b"", "a1", **{"X-Resume-Offset": "100"})
-        assert rest == expect_answer(body)[100:]
+        _, _, remaining_bytes = await post(b"", "a1", **{"X-Resume-Offset": "100"})
+        assert remaining_bytes == expect_answer(body)[100:]
         status, _, _ = await post(b"", "unknown", **{"X-Resume-Offset": "1"})
         assert status == 410
         assert (await post(body, "a1"))[0] == 409
@@ -109,7 +109,7 @@
             assert answer.status == 200
         assert (await post(b"", "a1", **{"X-Resume-Offset": "1"}))[0] == 410
 
-    run(scenario)
+    run_scenario(scenario)
 
 
 def test_crash_drops_all_connections_and_the_cache():
@@ -127,7 +127,7 @@
             assert (await answer.json())["boot_id"] == boot_id
         assert (engine.n_crashes, len(engine.cache)) == (1, 0)
 
-    run(scenario, crash_marker="CRASH", restart_ms=0)
+    run_scenario(scenario, crash_marker="CRASH", restart_ms=0)
 
 
 @pytest.mark.parametrize(("is_checked", "status"), [(True, 409), (False, 200)])
@@ -142,7 +142,7 @@
                 assert answer.status == expected
         assert ("o2" in engine.models) == (not is_checked)
 
-    run(scenario, checks_fencing_token=is_checked)
+    run_scenario(scenario, checks_fencing_token=is_checked)
 
 
 @pytest.mark.parametrize("body", [b"", b"[]", b"{", b'{"messages": [1]}', b"\xff"])
@@ -152,4 +152,4 @@
     async def scenario(engine, post):
         assert (await post(body, "a1"))[0] == 400
 
-    run(scenario)
+    run_scenario(scenario)
