--- a/features/steps/main_path.py
+++ b/features/steps/main_path.py
@@ -6,7 +6,7 @@
 
 from behave import given, step, then, when
 
-from bluebellusher_standins.engine import expect_answer
+from bluebellusher_standins.engine import compute_expected_answer
 
 
 def run(context, coroutine):
@@ -30,7 +30,8 @@
         cluster = context.cluster
         await cluster.start_platform()
         await asyncio.gather(
-            cluster.start_engine("engine-1", "a"), cluster.start_plain("desk-1", "a")
+            cluster.start_engine("engine-1", "a"),
+            cluster.start_plain_service("desk-1", "a"),
         )
         ports = cluster.reserve_peer_ports(2)
         entries = [cluster.start_entry(f"entry-{i + 1}", "a", ports[i]) for i in (0, 1)]
@@ -89,7 +90,7 @@
 
 @then("the answer is the engine's, byte for byte")
 def check_answer(context):
-    assert context.answers == [(200, expect_answer(context.body))]
+    assert context.answers == [(200, compute_expected_answer(context.body))]
 
 
 @then("both answers are the same")
--- a/packages/agent/src/bluebellusher_agent/tests/test_agent_drain.py
+++ b/packages/agent/src/bluebellusher_agent/tests/test_agent_drain.py
@@ -16,7 +16,11 @@
     with_engine,
 )
 from bluebellusher_core.wire import messages
-from bluebellusher_standins.engine import EngineServer, EngineSettings, expect_answer
+from bluebellusher_standins.engine import (
+    EngineServer,
+    EngineSettings,
+    compute_expected_answer,
+)
 
 
 def test_drain_refuses_new_work_and_finishes_the_old():
@@ -31,7 +35,7 @@
         entry.dispatch("a2", make_body())
         refusal = await entry.next(messages.Refuse, "a2")
         assert refusal.reason == "endpoint_draining"
-        assert await entry.finish("a1") == expect_answer(body)
+        assert await entry.finish("a1") == compute_expected_answer(body)
         async with EntryClient(agent.port) as later:
             assert later.hello.is_draining
 
@@ -63,7 +67,7 @@
                 await entry.next(messages.Started, "a1")
                 process.send_signal(signal.SIGTERM)
                 await entry.next(messages.Drain)
-                assert await entry.finish("a1") == expect_answer(body)
+                assert await entry.finish("a1") == compute_expected_answer(body)
                 await entry.wait(lambda: entry.is_closed)
             assert SECRET.encode() not in await drain
             assert await process.wait() == 0
--- a/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
+++ b/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
@@ -16,7 +16,7 @@
 from bluebellusher_core.clock import SystemClock
 from bluebellusher_core.errors import StepError
 from bluebellusher_core.wire import messages
-from bluebellusher_standins.engine import EngineServer, expect_answer
+from bluebellusher_standins.engine import EngineServer, compute_expected_answer
 from bluebellusher_standins.plain_service import PlainServiceServer
 
 CALL = {"path": "/book", "is_idempotent": False}
@@ -105,7 +105,7 @@
         async with EntryClient(agent.port) as again:
             await again.wait(lambda: service.n_finished_calls)
         assert service.n_executions_by_body[b"booking"] == 1
-        assert service.n_cut_calls == 0
+        assert service.n_disconnected_calls == 0
 
     with_service(scenario, resume_window_ms=50)
 
@@ -164,7 +164,7 @@
         entry.dispatch("a1", body)
         await entry.next(messages.Started, "a1")
         engine.boot_id = "restarted"
-        assert await entry.finish("a1") == expect_answer(body)
+        assert await entry.finish("a1") == compute_expected_answer(body)
         await entry.next(messages.CacheReport)
         assert entry.find(messages.EngineCrash) is None
 
@@ -280,7 +280,7 @@
         entry.send(messages.Cancel("a2"))
         await entry.wait(lambda: len(agent.runs.running()) == 0)
         entry.dispatch("a3", make_body())
-        assert await entry.finish("a3") == expect_answer(make_body())
+        assert await entry.finish("a3") == compute_expected_answer(make_body())
 
     with_engine(scenario)
 
--- a/packages/agent/src/bluebellusher_agent/tests/test_agent_streams.py
+++ b/packages/agent/src/bluebellusher_agent/tests/test_agent_streams.py
@@ -11,7 +11,7 @@
     with_engine,
 )
 from bluebellusher_core.wire import messages
-from bluebellusher_standins.engine import expect_answer
+from bluebellusher_standins.engine import compute_expected_answer
 
 
 def test_concurrent_answers_arrive_whole_and_unmixed():
@@ -26,7 +26,7 @@
         for attempt_id, body in bodies.items():
             started = await entry.next(messages.Started, attempt_id)
             assert started.status == 200
-            assert await entry.finish(attempt_id) == expect_answer(body)
+            assert await entry.finish(attempt_id) == compute_expected_answer(body)
 
     with_engine(scenario)
 
@@ -58,7 +58,7 @@
         await entry.wait(lambda: len(entry.data("a1")) >= 150)
         assert len(entry.data("a1")) == 150
         entry.send(messages.Credit("a1", 1 << 20))
-        assert await entry.finish("a1") == expect_answer(body)
+        assert await entry.finish("a1") == compute_expected_answer(body)
 
     with_engine(scenario)
 
@@ -76,7 +76,7 @@
         # Long enough to go on while all faults come, also on a busy machine.
         body = make_body(n_tokens=800)
         entry.dispatch("a1", body)
-        assert await entry.finish("a1") == expect_answer(body)
+        assert await entry.finish("a1") == compute_expected_answer(body)
         assert (engine.faults.break_streams, engine.faults.truncate_streams) == (0, 0)
         assert len(engine.received_bodies) == 1
 
@@ -90,7 +90,7 @@
         engine.set_faults(mute_streams=1)
         body = make_body(n_tokens=40)
         entry.dispatch("a1", body)
-        assert await entry.finish("a1") == expect_answer(body)
+        assert await entry.finish("a1") == compute_expected_answer(body)
         assert len(engine.received_bodies) == 1
 
     with_engine(scenario, stream_silence_ms=500)
@@ -135,10 +135,10 @@
             offset = len(entry.data("a1")) - 100
             again.dispatch("a2", body, request_id="r1", resume_offset=offset)
             rest = await again.finish("a2")
-            assert entry.data("a1")[:offset] + rest == expect_answer(body)
+            assert entry.data("a1")[:offset] + rest == compute_expected_answer(body)
         async with EntryClient(agent.port) as third:
             third.dispatch("a3", body, request_id="r1", resume_offset=5)
-            assert await third.finish("a3") == expect_answer(body)[5:]
+            assert await third.finish("a3") == compute_expected_answer(body)[5:]
         assert len(engine.received_bodies) == 1
 
     with_engine(scenario)
@@ -155,7 +155,7 @@
         async with EntryClient(agent.port) as again:
             again.dispatch("a2", body, request_id="r1", resume_offset=10)
             rest = await again.finish("a2")
-            assert entry.data("a1") + rest == expect_answer(body)
+            assert entry.data("a1") + rest == compute_expected_answer(body)
 
     with_engine(scenario)
 
@@ -177,7 +177,7 @@
         async with EntryClient(agent.port) as same:
             same.dispatch("b2", make_body("other"), request_id="r1")
             await same.wait(lambda: same.is_closed)
-        assert await entry.finish("a1") == expect_answer(body)
+        assert await entry.finish("a1") == compute_expected_answer(body)
 
     with_engine(scenario)
 
@@ -204,7 +204,7 @@
         await entry.next(messages.Started, "a1")
         entry.send(messages.Cancel("a1"))
         entry.dispatch("a2", make_body("next"))
-        assert await entry.finish("a2") == expect_answer(make_body("next"))
+        assert await entry.finish("a2") == compute_expected_answer(make_body("next"))
         assert engine.cancelled_attempts == ["a1"]
         assert entry.find(messages.Finish, "a1") is None
 
--- a/packages/entry/src/bluebellusher/tests/test_processes.py
+++ b/packages/entry/src/bluebellusher/tests/test_processes.py
@@ -8,7 +8,7 @@
 import aiohttp
 
 from bluebellusher_standins.cluster import Cluster
-from bluebellusher_standins.engine import expect_answer
+from bluebellusher_standins.engine import compute_expected_answer
 
 KEY = {"Authorization": "Bearer key-of-c1"}
 TIMEOUT = aiohttp.ClientTimeout(total=30)
@@ -121,7 +121,7 @@
             await entry.wait_for("event=agent-lost.*silent")
             agent.signal(signal.SIGCONT)
             data += await response.content.read()
-        assert data == expect_answer(body)
+        assert data == compute_expected_answer(body)
 
     run(scenario)
 
@@ -154,7 +154,7 @@
             data += await response.content.read()
             writer.write(body)
             late_answer = await reader.read()
-        assert data == expect_answer(body)
+        assert data == compute_expected_answer(body)
         assert b"connection: close" in late_answer and b"data: [DONE]" in late_answer
         assert await entry.wait() == 0
 
@@ -169,7 +169,7 @@
 
     async def scenario(cluster, session):
         await cluster.start_platform()
-        await cluster.start_plain("desk-1", "a")
+        await cluster.start_plain_service("desk-1", "a")
         entries = [await cluster.start_entry(f"entry-{i}", "a") for i in (1, 2)]
         service = cluster.process_by_name["desk-1.service"]
         for i in range(5):
@@ -201,7 +201,7 @@
 
     async def scenario(cluster, session):
         await cluster.start_platform()
-        await cluster.start_plain("desk-1", "a")
+        await cluster.start_plain_service("desk-1", "a")
         entry = await cluster.start_entry("entry-1", "a")
         service = cluster.process_by_name["desk-1.service"]
         target = url(entry, "/services/order-desk/pay")
@@ -234,7 +234,7 @@
 
     async def scenario(cluster, session):
         platform = await cluster.start_platform()
-        await cluster.start_plain("desk-1", "a")
+        await cluster.start_plain_service("desk-1", "a")
         entry = await cluster.start_entry("entry-1", "a")
         service = cluster.process_by_name["desk-1.service"]
         await set_faults(platform, is_down=True)
@@ -269,7 +269,7 @@
             "entry-1", "a", limits={"stream_window_bytes": 131_072}
         )
         body = make_model_body(8000)
-        n_bytes = len(expect_answer(body))
+        n_bytes = len(compute_expected_answer(body))
         reader, writer = await open_raw(entry, body)
         writer.write(body)
         await reader.readuntil(b"\n\n")
@@ -313,7 +313,9 @@
                 error = (await answer.json())["error"]
                 assert (answer.status, error["reason"]) == (422, "crashes_endpoints")
             async with session.post(target, data=make_model_body(3)) as answer:
-                assert await answer.read() == expect_answer(make_model_body(3))
+                assert await answer.read() == compute_expected_answer(
+                    make_model_body(3)
+                )
         crashes = [
             line for a in agents for line in a.lines if "event=engine-crash" in line
         ]
@@ -339,7 +341,7 @@
             posts = [session.post(target, data=body) for body in bodies]
             for body, answer in zip(bodies, await asyncio.gather(*posts), strict=True):
                 data = await answer.read()
-                is_whole = data == expect_answer(body)
+                is_whole = data == compute_expected_answer(body)
                 assert is_whole or b"[DONE]" not in data
                 assert is_whole or b"outcome" in data
 
--- a/packages/standins/src/bluebellusher_standins/_batching.py
+++ b/packages/standins/src/bluebellusher_standins/_batching.py
@@ -81,7 +81,7 @@
         if self._task is None or self._task.done():
             self._task = asyncio.get_running_loop().create_task(self._run())
 
-    async def wait_for(self, n_running: int, n_waiting: int) -> None:
+    async def wait_for_counts(self, n_running: int, n_waiting: int) -> None:
         """Wait until exactly ``n_running`` generations run and ``n_waiting`` wait.
 
         Only tests use this method.
--- a/packages/standins/src/bluebellusher_standins/_generation.py
+++ b/packages/standins/src/bluebellusher_standins/_generation.py
@@ -27,14 +27,14 @@
     return max(1, min(n_requested, N_MAX_OUTPUT_TOKENS))
 
 
-def expect_tokens(raw_body: bytes) -> list[str]:
+def compute_expected_tokens(raw_body: bytes) -> list[str]:
     """Return the tokens of the answer, which depend only on the request body."""
     digest = hashlib.sha256(raw_body).hexdigest()[:8]
     n_tokens = read_n_output_tokens(json.loads(raw_body))
     return [f"{digest}.{index} " for index in range(n_tokens)]
 
 
-def expect_answer(raw_body: bytes) -> bytes:
+def compute_expected_answer(raw_body: bytes) -> bytes:
     """Return all bytes of the answer to a request, streamed or not.
 
     Tests compare the answer that a caller received with the result.
@@ -79,7 +79,7 @@
     model = str(body.get("model", ""))
     events = [
         _encode_event(answer_id, model, {"index": 0, "delta": {"content": token}})
-        for token in expect_tokens(raw_body)
+        for token in compute_expected_tokens(raw_body)
     ]
     stop = {"index": 0, "delta": {}, "finish_reason": "stop"}
     finish_event = _encode_event(answer_id, model, stop)
@@ -90,7 +90,10 @@
 
 def _make_json_answer(raw_body: bytes, body: dict[str, Any]) -> bytes:
     """Return the body of an answer that is not streamed."""
-    message = {"role": "assistant", "content": "".join(expect_tokens(raw_body))}
+    message = {
+        "role": "assistant",
+        "content": "".join(compute_expected_tokens(raw_body)),
+    }
     answer = {
         "id": "cmpl-" + hashlib.sha256(raw_body).hexdigest()[:16],
         "object": "chat.completion",
--- a/packages/standins/src/bluebellusher_standins/cluster.py
+++ b/packages/standins/src/bluebellusher_standins/cluster.py
@@ -232,7 +232,7 @@
         engine = await self.start(f"{name}.engine", module, *arguments)
         return await self.start_agent(name, domain, engine.port, "model")
 
-    async def start_plain(self, name: str, domain: str) -> ManagedProcess:
+    async def start_plain_service(self, name: str, domain: str) -> ManagedProcess:
         """Start a plain service stand-in and its agent; return the agent."""
         module = "bluebellusher_standins.plain_service"
         service = await self.start(f"{name}.service", module)
--- a/packages/standins/src/bluebellusher_standins/demo.py
+++ b/packages/standins/src/bluebellusher_standins/demo.py
@@ -17,7 +17,7 @@
 import aiohttp
 
 from bluebellusher_standins.cluster import Cluster, ManagedProcess
-from bluebellusher_standins.engine import expect_answer
+from bluebellusher_standins.engine import compute_expected_answer
 
 DOMAIN_BY_ENTRY = {
     "entry-1": "obihiro",
@@ -70,7 +70,7 @@
             self.cluster.start_engine(name, domain, token_interval_ms=10)
             for name, domain in DOMAIN_BY_ENGINE.items()
         ]
-        desk = self.cluster.start_plain("desk-1", "obihiro")
+        desk = self.cluster.start_plain_service("desk-1", "obihiro")
         await asyncio.gather(desk, *engines)
         ports = self.cluster.reserve_peer_ports(len(DOMAIN_BY_ENTRY))
         entries = [
@@ -113,7 +113,9 @@
             f"6. the answer, {len(answer)} bytes, ends after {total_ms:.0f} ms"
         )
         self.print_line(f"   trace id of all processes: {read_field(line, 'trace_id')}")
-        self.expect(answer == expect_answer(body), "the answer has the expected bytes")
+        self.expect(
+            answer == compute_expected_answer(body), "the answer has the expected bytes"
+        )
 
     async def show_booking(self) -> None:
         """Send a request that is not idempotent twice with the same idempotency key."""
@@ -210,7 +212,7 @@
         entry = f"entry-{number % 4 + 1}"
         async with self.session.post(self.url(entry, MODEL_PATH), data=body) as answer:
             data = await answer.read()
-        is_complete = data == expect_answer(body)
+        is_complete = data == compute_expected_answer(body)
         if not is_complete and b"data: [DONE]" in data:
             self.expect(False, "an incomplete answer has no marker of a complete one")
         return is_complete
--- a/packages/standins/src/bluebellusher_standins/engine.py
+++ b/packages/standins/src/bluebellusher_standins/engine.py
@@ -14,8 +14,8 @@
 from bluebellusher_standins._engine_settings import EngineFaults, EngineSettings
 from bluebellusher_standins._generation import (
     Generation,
-    expect_answer,
-    expect_tokens,
+    compute_expected_answer,
+    compute_expected_tokens,
 )
 from bluebellusher_standins._prefix_cache import PrefixCache
 from bluebellusher_standins._server import (
@@ -26,8 +26,8 @@
     run_server,
 )
 
-__all__ = ["EngineFaults", "EngineServer", "EngineSettings", "expect_answer"]
-__all__ += ["expect_tokens"]
+__all__ = ["EngineFaults", "EngineServer", "EngineSettings", "compute_expected_answer"]
+__all__ += ["compute_expected_tokens"]
 
 PRIORITY_BY_NAME = {"high": 0, "normal": 1, "low": 2, "0": 0, "1": 1, "2": 2}
 
--- a/packages/standins/src/bluebellusher_standins/plain_service.py
+++ b/packages/standins/src/bluebellusher_standins/plain_service.py
@@ -39,10 +39,10 @@
     """HTTP server that executes calls of any method and path and counts them.
 
     ``n_executions_by_path`` counts all calls, and ``n_executions_by_body`` the calls of
-    other methods than GET. ``n_cut_calls`` counts finished calls whose connection was
-    closed before they were answered. ``client_ports`` holds the client's port of each
-    call, by which tests distinguish connections. ``GET /executions?body=TEXT`` returns
-    the number of executions of a body.
+    other methods than GET. ``n_disconnected_calls`` counts finished calls whose
+    connection was closed before they were answered. ``client_ports`` holds the client's
+    port of each call, by which tests distinguish connections.
+    ``GET /executions?body=TEXT`` returns the number of executions of a body.
     """
 
     def __init__(self, host: str = "127.0.0.1", port: int = 0) -> None:
@@ -51,7 +51,7 @@
         self.n_executions_by_body: Counter[bytes] = Counter()
         self.n_executions_by_path: Counter[str] = Counter()
         self.n_finished_calls = 0
-        self.n_cut_calls = 0
+        self.n_disconnected_calls = 0
         self.client_ports: list[int] = []
 
     def build_app(self) -> web.Application:
@@ -93,7 +93,7 @@
             await asyncio.sleep(self.faults.stall_ms / 1000)
         self.n_finished_calls += 1
         if request.transport is None or request.transport.is_closing():
-            self.n_cut_calls += 1
+            self.n_disconnected_calls += 1
         if self.faults.drop_after_execute > 0:
             self.faults.drop_after_execute -= 1
             return abort_request(request)
--- a/packages/standins/src/bluebellusher_standins/tests/test_engine.py
+++ b/packages/standins/src/bluebellusher_standins/tests/test_engine.py
@@ -7,7 +7,11 @@
 import aiohttp
 import pytest
 
-from bluebellusher_standins.engine import EngineServer, EngineSettings, expect_answer
+from bluebellusher_standins.engine import (
+    EngineServer,
+    EngineSettings,
+    compute_expected_answer,
+)
 
 
 def make_body(text="hello", n_tokens=4, is_stream=True):
@@ -46,8 +50,10 @@
             body = make_body("one", is_stream=is_stream)
             first = await post(body, f"a{is_stream}")
             second = await post(body, f"b{is_stream}")
-            assert first[2] == second[2] == expect_answer(body)
-            assert first[2] != expect_answer(make_body("two", is_stream=is_stream))
+            assert first[2] == second[2] == compute_expected_answer(body)
+            assert first[2] != compute_expected_answer(
+                make_body("two", is_stream=is_stream)
+            )
 
     run_scenario(scenario)
 
@@ -64,9 +70,9 @@
             finished_attempts.append(attempt_id)
 
         running = asyncio.create_task(submit("first", "low"))
-        await engine.batcher.wait_for(1, 0)
+        await engine.batcher.wait_for_counts(1, 0)
         queued = [asyncio.create_task(submit(p, p)) for p in ("low", "normal", "high")]
-        await engine.batcher.wait_for(1, 3)
+        await engine.batcher.wait_for_counts(1, 3)
         await asyncio.gather(running, *queued)
         assert finished_attempts == ["first", "high", "normal", "low"]
 
@@ -101,7 +107,7 @@
         with pytest.raises(aiohttp.ClientError):
             await post(body, "a1")
         _, _, remaining_bytes = await post(b"", "a1", **{"X-Resume-Offset": "100"})
-        assert remaining_bytes == expect_answer(body)[100:]
+        assert remaining_bytes == compute_expected_answer(body)[100:]
         status, _, _ = await post(b"", "unknown", **{"X-Resume-Offset": "1"})
         assert status == 410
         assert (await post(body, "a1"))[0] == 409
@@ -117,7 +123,7 @@
 
     async def scenario(engine, post):
         innocent = asyncio.create_task(post(make_body("x" * 500, 500), "a1"))
-        await engine.batcher.wait_for(1, 0)
+        await engine.batcher.wait_for_counts(1, 0)
         results = await asyncio.gather(
             innocent, post(make_body("CRASH"), "a2"), return_exceptions=True
         )
