--- a/deploy/tests/test_announcements.py
+++ b/deploy/tests/test_announcements.py
@@ -46,7 +46,7 @@
 
 
 def complete_answer(headers="", status="200 OK"):
-    """Return a complete answer with the body ``complete_answer``."""
+    """Return a complete answer with the body ``whole``."""
     return f"HTTP/1.1 {status}\r\n{headers}Content-Length: 5\r\n\r\nwhole"
 
 
--- a/packages/standins/src/bluebellusher_standins/cluster.py
+++ b/packages/standins/src/bluebellusher_standins/cluster.py
@@ -89,12 +89,15 @@
             raise TimeoutError(message) from None
 
     async def _find_line(self, expression: re.Pattern[str], start: int) -> str:
+        """Return the first matching line; wait for further output if there is none."""
         while True:
             for line in self.lines[start:]:
                 if expression.search(line):
                     return line
             if self._has_output_ended:
-                raise EOFError(f"{self.name} ended; no line {expression.pattern!r}")
+                raise EOFError(
+                    f"{self.name} ended; no line matches {expression.pattern!r}"
+                )
             start = max(start, len(self.lines))
             async with self._output_changed:
                 if len(self.lines) == start and not self._has_output_ended:
--- a/packages/standins/src/bluebellusher_standins/demo.py
+++ b/packages/standins/src/bluebellusher_standins/demo.py
@@ -134,7 +134,7 @@
                 )
             await self._wait_for_stored_answer()
         n_executions = await self._count_executions(body)
-        self.print_line(f"executions counted by the service: {n_executions}")
+        self.print_line(f"the service reports {n_executions} execution(s)")
         self.expect(n_executions == 1, "the booking ran exactly once")
         self.expect(bodies[0] == bodies[1], "both callers received the same answer")
 
