--- a/packages/standins/src/bluebellusher_standins/_generation.py
+++ b/packages/standins/src/bluebellusher_standins/_generation.py
@@ -1,4 +1,4 @@
-"""One generation of the engine stand-in and the answer it is to give."""
+"""Generations of the engine stand-in and their predictable answers."""
 
 import asyncio
 import hashlib
@@ -14,35 +14,39 @@
 
 
 def count_prompt_tokens(body: dict[str, Any]) -> int:
-    """Return the prompt length in tokens, with a fixed number of bytes each."""
+    """Return the prompt length in tokens of ``BYTES_PER_TOKEN`` bytes, at least 1."""
     return max(1, len(read_prompt(body)) // BYTES_PER_TOKEN)
 
 
 def read_n_output_tokens(body: dict[str, Any]) -> int:
-    """Return how many tokens the answer has."""
-    wanted = int(body.get("max_tokens") or N_DEFAULT_OUTPUT_TOKENS)
-    return max(1, min(wanted, N_MAX_OUTPUT_TOKENS))
+    """Return the number of tokens of the answer, from ``max_tokens`` of the request.
+
+    The number is limited to 1 to ``N_MAX_OUTPUT_TOKENS``.
+    """
+    n_requested = int(body.get("max_tokens") or N_DEFAULT_OUTPUT_TOKENS)
+    return max(1, min(n_requested, N_MAX_OUTPUT_TOKENS))
 
 
-def expect_tokens(raw_body: bytes) -> list[str]:
-    """Return the tokens of the answer, which depend on the request body only."""
+def compute_expected_tokens(raw_body: bytes) -> list[str]:
+    """Return the tokens of the answer, which depend only on the request body."""
     digest = hashlib.sha256(raw_body).hexdigest()[:8]
     n_tokens = read_n_output_tokens(json.loads(raw_body))
     return [f"{digest}.{index} " for index in range(n_tokens)]
 
 
-def expect_answer(raw_body: bytes) -> bytes:
-    """Return the whole answer, byte for byte, streamed or not.
+def compute_expected_answer(raw_body: bytes) -> bytes:
+    """Return all bytes of the answer to a request, streamed or not.
 
-    Tests compare what a caller received with this.
+    Tests compare the answer that a caller received with the result.
     """
     body = json.loads(raw_body)
     if body.get("stream"):
-        return b"".join(_stream_events(raw_body, body))
-    return _json_answer(raw_body, body)
+        return b"".join(_make_stream_events(raw_body, body))
+    return _make_json_answer(raw_body, body)
 
 
-def _usage(body: dict[str, Any]) -> dict[str, int]:
+def _make_usage(body: dict[str, Any]) -> dict[str, int]:
+    """Return the token counts that an answer reports."""
     n_prompt = count_prompt_tokens(body)
     n_output = read_n_output_tokens(body)
     return {
@@ -52,9 +56,11 @@
     }
 
 
-def _event(identifier: str, model: str, choice: dict[str, Any], **extra: Any) -> bytes:
+def _encode_event(
+    answer_id: str, model: str, choice: dict[str, Any], **extra: Any
+) -> bytes:
     chunk = {
-        "id": identifier,
+        "id": answer_id,
         "object": "chat.completion.chunk",
         "created": 0,
         "model": model,
@@ -64,36 +70,48 @@
     return b"data: " + json.dumps(chunk).encode() + b"\n\n"
 
 
-def _stream_events(raw_body: bytes, body: dict[str, Any]) -> list[bytes]:
-    identifier = "cmpl-" + hashlib.sha256(raw_body).hexdigest()[:16]
+def _make_stream_events(raw_body: bytes, body: dict[str, Any]) -> list[bytes]:
+    """Return the events of a streamed answer, one for each token.
+
+    The last item also has the finish reason, the usage and the end marker.
+    """
+    answer_id = "cmpl-" + hashlib.sha256(raw_body).hexdigest()[:16]
     model = str(body.get("model", ""))
     events = [
-        _event(identifier, model, {"index": 0, "delta": {"content": token}})
-        for token in expect_tokens(raw_body)
+        _encode_event(answer_id, model, {"index": 0, "delta": {"content": token}})
+        for token in compute_expected_tokens(raw_body)
     ]
     stop = {"index": 0, "delta": {}, "finish_reason": "stop"}
-    last = _event(identifier, model, stop)
-    usage = _event(identifier, model, {}, usage=_usage(body))
-    events[-1] += last + usage + b"data: [DONE]\n\n"
+    finish_event = _encode_event(answer_id, model, stop)
+    usage = _encode_event(answer_id, model, {}, usage=_make_usage(body))
+    events[-1] += finish_event + usage + b"data: [DONE]\n\n"
     return events
 
 
-def _json_answer(raw_body: bytes, body: dict[str, Any]) -> bytes:
-    message = {"role": "assistant", "content": "".join(expect_tokens(raw_body))}
+def _make_json_answer(raw_body: bytes, body: dict[str, Any]) -> bytes:
+    """Return the body of an answer that is not streamed."""
+    message = {
+        "role": "assistant",
+        "content": "".join(compute_expected_tokens(raw_body)),
+    }
     answer = {
         "id": "cmpl-" + hashlib.sha256(raw_body).hexdigest()[:16],
         "object": "chat.completion",
         "created": 0,
         "model": str(body.get("model", "")),
         "choices": [{"index": 0, "message": message, "finish_reason": "stop"}],
-        "usage": _usage(body),
+        "usage": _make_usage(body),
     }
     return json.dumps(answer).encode()
 
 
 @dataclass(slots=True, eq=False)
 class Generation:
-    """State of one request in the engine."""
+    """State of one request in the engine.
+
+    ``data`` holds the bytes of the answer that have been produced so far, and
+    ``changed`` is set when bytes are added or the generation is cancelled.
+    """
 
     attempt_id: str
     raw_body: bytes
@@ -105,7 +123,7 @@
     events: list[bytes]
     n_uncached_tokens: float = 0
     n_cached_tokens: int = 0
-    n_tokens_done: int = 0
+    n_emitted_tokens: int = 0
     data: bytearray = field(default_factory=bytearray)
     is_started: bool = False
     is_finished: bool = False
@@ -116,14 +134,20 @@
     def from_request(
         cls, attempt_id: str, raw_body: bytes, priority: int
     ) -> "Generation":
-        """Read the parameters of the request body; raise when it is malformed."""
+        """Return the generation for a request body.
+
+        Raises
+        ------
+        AttributeError, TypeError or ValueError
+            When the body is malformed.
+        """
         body = json.loads(raw_body)
         hashes = compute_prefix_hashes(str(body.get("model", "")), read_prompt(body))
         is_stream = bool(body.get("stream"))
         events = (
-            _stream_events(raw_body, body)
+            _make_stream_events(raw_body, body)
             if is_stream
-            else [_json_answer(raw_body, body)]
+            else [_make_json_answer(raw_body, body)]
         )
         return cls(
             attempt_id=attempt_id,
@@ -137,12 +161,12 @@
         )
 
     def emit_token(self) -> None:
-        """Produce one token; the last one finishes the answer."""
+        """Emit one token; the last token finishes the answer."""
         if self.is_stream:
-            self.data += self.events[self.n_tokens_done]
-        self.n_tokens_done += 1
+            self.data += self.events[self.n_emitted_tokens]
+        self.n_emitted_tokens += 1
         self.is_started = True
-        if self.n_tokens_done >= self.n_output_tokens:
+        if self.n_emitted_tokens >= self.n_output_tokens:
             if not self.is_stream:
                 self.data += self.events[0]
             self.is_finished = True
@@ -150,6 +174,6 @@
             self.changed.set()
 
     def cancel(self) -> None:
-        """Stop; nothing more is produced."""
+        """Cancel the generation, which emits no further tokens."""
         self.is_cancelled = True
         self.changed.set()
--- a/packages/standins/src/bluebellusher_standins/plain_service.py
+++ b/packages/standins/src/bluebellusher_standins/plain_service.py
@@ -1,4 +1,4 @@
-"""Stand-in of a plain HTTP service that counts what it executes."""
+"""Stand-in of a plain HTTP service that counts the requests that it executes."""
 
 import asyncio
 import hashlib
@@ -18,16 +18,16 @@
 
 @dataclass(slots=True)
 class PlainServiceFaults:
-    """Faults that are in force.
+    """Faults that the plain service currently simulates.
 
     Parameters
     ----------
     stall_ms : int
-        Each call waits this long after it was executed and before its answer.
+        Time in ms between the execution of a call and its answer.
     drop_after_execute : int
-        That many next calls are executed and then lose their connection.
+        Number of the next calls that are executed and then lose their connection.
     drop_before_execute : int
-        That many next calls lose their connection without being executed.
+        Number of the next calls that lose their connection without being executed.
     """
 
     stall_ms: int = 0
@@ -36,12 +36,13 @@
 
 
 class PlainServiceServer(StandInServer):
-    """Execute GET and POST on any path and count executions by body.
+    """HTTP server that executes calls of any method and path and counts them.
 
-    ``n_executions_by_body`` holds POST bodies; ``n_executions_by_path`` holds all
-    calls. ``n_cut_calls`` counts finished calls whose connection was closed before
-    they were answered; ``client_ports`` tells the connection of each call.
-    ``GET /executions?body=TEXT`` tells the count over HTTP.
+    ``n_executions_by_path`` counts all calls, and ``n_executions_by_body`` the calls of
+    other methods than GET. ``n_disconnected_calls`` counts finished calls whose
+    connection was closed before they were answered. ``client_ports`` holds the client's
+    port of each call, by which tests distinguish connections.
+    ``GET /executions?body=TEXT`` returns the number of executions of a body.
     """
 
     def __init__(self, host: str = "127.0.0.1", port: int = 0) -> None:
@@ -50,11 +51,11 @@
         self.n_executions_by_body: Counter[bytes] = Counter()
         self.n_executions_by_path: Counter[str] = Counter()
         self.n_finished_calls = 0
-        self.n_cut_calls = 0
+        self.n_disconnected_calls = 0
         self.client_ports: list[int] = []
 
     def build_app(self) -> web.Application:
-        """Return the application; fixed paths go before the catch-all."""
+        """Return the application; the fixed paths precede the route for any path."""
         app = web.Application(client_max_size=MAX_BODY_BYTES)
         app.router.add_get("/healthz", self._get_health)
         app.router.add_get("/executions", self._get_executions)
@@ -71,8 +72,8 @@
 
     async def _set_faults(self, request: web.Request) -> web.Response:
         body = await request.json()
-        known = {item.name for item in fields(PlainServiceFaults)}
-        if set(body) - known:
+        fault_names = {item.name for item in fields(PlainServiceFaults)}
+        if set(body) - fault_names:
             return web.json_response({"error": "unknown fault"}, status=400)
         for name, value in body.items():
             setattr(self.faults, name, value)
@@ -92,7 +93,7 @@
             await asyncio.sleep(self.faults.stall_ms / 1000)
         self.n_finished_calls += 1
         if request.transport is None or request.transport.is_closing():
-            self.n_cut_calls += 1
+            self.n_disconnected_calls += 1
         if self.faults.drop_after_execute > 0:
             self.faults.drop_after_execute -= 1
             return abort_request(request)
--- a/packages/standins/src/bluebellusher_standins/platform.py
+++ b/packages/standins/src/bluebellusher_standins/platform.py
@@ -1,4 +1,4 @@
-"""Stand-in of the platform: table, object store, instance list, weight store."""
+"""Stand-in of the platform: table, object store, instance list and weight store."""
 
 import asyncio
 import json
@@ -26,22 +26,23 @@
 
 @dataclass(slots=True)
 class PlatformFaults:
-    """Faults that are in force.
+    """Faults that the platform currently simulates.
 
     Parameters
     ----------
     is_down : bool
-        Every request gets 503 and has no effect.
+        Every request is answered with status 503 and has no effect.
     delay_ms : int
-        Each request waits this long before it takes effect.
+        Time in ms before each request takes effect.
     lose_answers : int
-        That many next writes take effect and then lose their answer.
+        Number of the next writes that take effect but lose their answer.
     stale_ms : int
-        Age of the copy that eventual reads see.
+        Age in ms of the rows that eventual reads return.
     refuse_objects : bool
-        Object writes get 503.
+        Writes of objects are answered with status 503.
     cut_off_domains : list of str
-        Requests whose ``X-Failure-Domain`` is listed get no answer and no effect.
+        Failure domains that cannot reach the platform: requests with one of them in
+        ``X-Failure-Domain`` have no effect and lose their connection.
     """
 
     is_down: bool = False
@@ -53,42 +54,47 @@
 
 
 class WeightBudget:
-    """Token bucket of the weight store, in bytes."""
+    """Rate limit of the weight store: a token bucket that counts bytes.
+
+    The bucket holds at most the bytes of one second.
+    """
 
     def __init__(self, n_bytes_per_second: int, clock: Clock) -> None:
-        self._rate = n_bytes_per_second
+        self._bytes_per_s = n_bytes_per_second
         self._clock = clock
-        self._available = float(n_bytes_per_second)
-        self._at_ms = clock.now_ms()
+        self._n_available = float(n_bytes_per_second)
+        self._updated_at_ms = clock.now_ms()
 
-    def take(self, n_bytes: int) -> int:
-        """Take the bytes and return 0, or return the wait in milliseconds."""
+    def consume(self, n_bytes: int) -> int:
+        """Consume ``n_bytes`` and return 0, or return the time to wait in ms."""
         now_ms = self._clock.now_ms()
-        earned = (now_ms - self._at_ms) * self._rate / 1000
-        self._available = min(float(self._rate), self._available + earned)
-        self._at_ms = now_ms
-        # A fetch larger than one second's budget is let through on a full bucket
-        # and leaves a debt; otherwise it could never succeed.
-        if self._available >= min(n_bytes, self._rate):
-            self._available -= n_bytes
+        n_refilled = (now_ms - self._updated_at_ms) * self._bytes_per_s / 1000
+        self._n_available = min(
+            float(self._bytes_per_s), self._n_available + n_refilled
+        )
+        self._updated_at_ms = now_ms
+        # A fetch larger than the bytes of one second is allowed when the bucket is full
+        # and makes its level negative; otherwise it could never succeed.
+        if self._n_available >= min(n_bytes, self._bytes_per_s):
+            self._n_available -= n_bytes
             return 0
-        missing = min(n_bytes, self._rate) - self._available
-        return max(1, int(missing * 1000 / self._rate))
+        n_missing = min(n_bytes, self._bytes_per_s) - self._n_available
+        return max(1, int(n_missing * 1000 / self._bytes_per_s))
 
 
 class PlatformServer(StandInServer):
-    """All four services of the platform on one port.
+    """HTTP server that imitates the four services of the platform on one port.
 
     Parameters
     ----------
     host, port : str, int
-        Where to listen; port 0 lets the kernel choose.
+        Address to listen on; with port 0, the kernel chooses the port.
     clock : Clock or None
-        Time source for lag and staleness.
+        Time source of the lag and of eventual reads; ``None`` for the system clock.
     instance_lag_ms : int
-        Age of the instance list that is shown.
+        Age of the instance list that is returned, in ms.
     weight_bytes_per_second : int
-        Rate limit of the weight store.
+        Rate limit of the weight store, in bytes per second.
     """
 
     def __init__(
@@ -107,26 +113,27 @@
         self.n_requests = 0
         self._instance_lag_ms = instance_lag_ms
         self._instance_by_id: dict[str, dict[str, Any]] = {}
-        self._instance_copies: list[tuple[int, list[dict[str, Any]]]] = []
+        self._instance_snapshots: list[tuple[int, list[dict[str, Any]]]] = []
         self._weights = WeightBudget(weight_bytes_per_second, self.clock)
 
     def set_instance(self, instance: dict[str, Any]) -> None:
-        """Add or replace an instance by its ``instance_id``."""
+        """Add an instance, or replace the instance with the same ``instance_id``."""
         self._instance_by_id[instance["instance_id"]] = instance
-        self._copy_instances()
+        self._store_instance_snapshot()
 
     def remove_instance(self, instance_id: str) -> None:
-        """Take an instance off the list."""
+        """Remove an instance from the list."""
         self._instance_by_id.pop(instance_id, None)
-        self._copy_instances()
+        self._store_instance_snapshot()
 
-    def _copy_instances(self) -> None:
-        copy = [dict(instance) for instance in self._instance_by_id.values()]
-        self._instance_copies.append((self.clock.now_ms(), copy))
-        del self._instance_copies[:-200]
+    def _store_instance_snapshot(self) -> None:
+        """Record the current instance list; the last 200 versions are kept."""
+        snapshot = [dict(instance) for instance in self._instance_by_id.values()]
+        self._instance_snapshots.append((self.clock.now_ms(), snapshot))
+        del self._instance_snapshots[:-200]
 
     def build_app(self) -> web.Application:
-        """Return the application with all routes."""
+        """Return the application with the routes of all services and of the faults."""
         app = web.Application(
             middlewares=[self._apply_faults], client_max_size=MAX_BODY_BYTES
         )
@@ -162,9 +169,10 @@
             reason = f"{type(error).__name__}: {error}"
             return web.json_response({"error": reason}, status=400)
 
-    def _answer_write(
+    def _respond_to_write(
         self, request: web.Request, response: web.Response
     ) -> web.Response:
+        """Return the response to a write, or lose it if a fault demands that."""
         if self.faults.lose_answers > 0:
             self.faults.lose_answers -= 1
             return abort_request(request)
@@ -177,7 +185,7 @@
         result = self.table.transact(conditions, puts, body.get("deletes", ()))
         if isinstance(result, int):
             response = web.json_response({"version": result})
-            return self._answer_write(request, response)
+            return self._respond_to_write(request, response)
         conflicts = [_row_to_json(row) for row in result]
         return web.json_response({"conflicts": conflicts}, status=409)
 
@@ -200,7 +208,7 @@
         if is_create and name in self.object_by_name:
             return web.json_response({"error": "exists"}, status=412)
         self.object_by_name[name] = data
-        return self._answer_write(request, web.json_response({"name": name}))
+        return self._respond_to_write(request, web.json_response({"name": name}))
 
     async def _get_object(self, request: web.Request) -> web.Response:
         data = self.object_by_name.get(request.match_info["name"])
@@ -215,11 +223,11 @@
 
     async def _get_instances(self, request: web.Request) -> web.Response:
         at_ms = self.clock.now_ms() - self._instance_lag_ms
-        shown: list[dict[str, Any]] = []
-        for changed_at_ms, copy in self._instance_copies:
+        visible: list[dict[str, Any]] = []
+        for changed_at_ms, snapshot in self._instance_snapshots:
             if changed_at_ms <= at_ms:
-                shown = copy
-        return web.json_response({"instances": shown})
+                visible = snapshot
+        return web.json_response({"instances": visible})
 
     async def _put_instance(self, request: web.Request) -> web.Response:
         instance = await request.json()
@@ -232,7 +240,7 @@
 
     async def _fetch_weights(self, request: web.Request) -> web.Response:
         body = await request.json()
-        wait_ms = self._weights.take(int(body["n_bytes"]))
+        wait_ms = self._weights.consume(int(body["n_bytes"]))
         if not wait_ms:
             return web.json_response({"expert_id": body["expert_id"]})
         headers = {"Retry-After": str(-(-wait_ms // 1000))}
@@ -240,10 +248,10 @@
 
     async def _set_faults(self, request: web.Request) -> web.Response:
         body = json.loads(await request.text())
-        known = {item.name for item in fields(PlatformFaults)}
-        unknown = set(body) - known
-        if unknown:
-            return web.json_response({"error": f"unknown {unknown}"}, status=400)
+        fault_names = {item.name for item in fields(PlatformFaults)}
+        unknown_names = set(body) - fault_names
+        if unknown_names:
+            return web.json_response({"error": f"unknown {unknown_names}"}, status=400)
         for name, value in body.items():
             setattr(self.faults, name, value)
         return web.json_response({})
