Reword the comments and messages of entry/runtime

Comments, doc comments, three messages of store errors, and the local name of a rejection. Doc comments state units, limits and the results of failed calls. Behaviour does not change.

--- a/packages/entry/src/bluebellusher/runtime/__init__.py
+++ b/packages/entry/src/bluebellusher/runtime/__init__.py
@@ -1,4 +1,4 @@
-"""Integration of decisions and input and output: events in, effects out."""
+"""Runtime of an entry: queues events for the reducer and executes its effects."""
 
 from bluebellusher.runtime._claims import ClaimWriter
 from bluebellusher.runtime._discovery import EndpointDiscovery
--- a/packages/entry/src/bluebellusher/runtime/_claims.py
+++ b/packages/entry/src/bluebellusher/runtime/_claims.py
@@ -1,4 +1,4 @@
-"""Claims of non-idempotent requests in the platform's table."""
+"""Writing of claims and outcomes of non-idempotent requests to the table."""
 
 import asyncio
 from collections import OrderedDict
@@ -16,24 +16,27 @@
     ClaimsUnanswered,
 )
 
+# Upper bound of the kept answers, and of the rows with state ``done``, in memory.
 _MAX_STASHED = 1_000
+# Upper bound of the bodies of all kept answers in memory, in bytes.
 _MAX_STASHED_BYTES = 32 * 1024 * 1024
-# A row changes at most twice after it was claimed; more conflicts than this mean
-# that the group is to be sent again later.
+# Number of tries to write rows while others change them. A row changes at most twice
+# after it was claimed. After this number of conflicts, the batch counts as unanswered
+# and is sent again later.
 _MAX_ROUNDS = 8
 
 
 def claim_key(write: ClaimWrite) -> str:
-    """Return the key of the row."""
+    """Return the key of the row of a claim."""
     return f"claim/{write.customer_id}/{write.idempotency_key}"
 
 
 class ClaimWriter:
-    """Write one batch of claims or outcomes and report what became of it.
+    """Write batches of claims or outcomes to the table and post their results.
 
-    A batch whose answer is lost is reported as unanswered; the decisions send it
-    again with the same claim ids, and a row with our claim id is then known to be
-    ours.
+    A batch whose answer is lost is posted as unanswered. The reducer sends the batch
+    again with the same claim ids. A row with the claim id of a write was written by an
+    earlier try of that write.
 
     Parameters
     ----------
@@ -42,7 +45,7 @@
     sink : EventSink
         Receives ``ClaimsAnswered`` and ``ClaimsUnanswered``.
     entry_id : str
-        Noted in each row, for operators.
+        Id of this entry, which is stored in each row for operators.
     """
 
     def __init__(self, store: ClaimStore, sink: EventSink, entry_id: str) -> None:
@@ -56,27 +59,31 @@
 
     @property
     def n_in_flight(self) -> int:
-        """Return how many batches are being written."""
+        """Return the number of batches that are being written."""
         return len(self._tasks)
 
     def keep(self, request_id: str, kept: KeptAnswer) -> None:
-        """Hold the answer of a finished request until its outcome is written."""
+        """Keep the answer of a finished request until its outcome is written.
+
+        Above the limits of kept answers, the oldest ones are evicted.
+        """
         self._kept_by_request_id[request_id] = kept
         self._n_kept_bytes += kept.n_bytes
         while (
             len(self._kept_by_request_id) > _MAX_STASHED
             or self._n_kept_bytes > _MAX_STASHED_BYTES
         ):
-            # The oldest is not replayed; its row still says that it was done.
+            # The evicted answer cannot be replayed, but the outcome ``done`` is still
+            # written to its row.
             _, dropped = self._kept_by_request_id.popitem(last=False)
             self._n_kept_bytes -= dropped.n_bytes
 
     def take_done_row(self, request_id: str) -> Any:
-        """Return the row that made the result of a claim ``DONE``."""
+        """Return and discard the row value that made the result of a claim ``DONE``."""
         return self._done_row_by_request_id.pop(request_id, None)
 
     def submit(self, batch_id: str, writes: tuple[ClaimWrite, ...]) -> None:
-        """Write a batch, which holds either claims or outcomes."""
+        """Start to write a batch, which contains either claims or outcomes."""
         is_claims = all(w.state is ClaimState.CLAIMED for w in writes)
         work = self._claim(writes) if is_claims else self._settle(writes)
         task = asyncio.create_task(self._run(batch_id, work))
@@ -84,7 +91,7 @@
         task.add_done_callback(self._tasks.discard)
 
     def close(self) -> None:
-        """Stop writing."""
+        """Cancel the writes in progress."""
         for task in self._tasks:
             task.cancel()
 
@@ -94,7 +101,8 @@
         try:
             results = await work
         except Exception as error:
-            # Whatever went wrong, the batch must be answered or it blocks others.
+            # Every batch needs an event, also after an unexpected error. The number of
+            # batches in flight is limited, and one without an event would block others.
             self._sink.log(
                 "claims-unanswered",
                 step="claim",
@@ -106,7 +114,11 @@
             self._sink.post(ClaimsAnswered(batch_id, results))
 
     async def _claim(self, writes: tuple[ClaimWrite, ...]) -> tuple[ClaimResult, ...]:
-        """Write claims; resend without those that are decided by a conflict."""
+        """Write claims in one transaction and return their results.
+
+        After a conflict, the transaction is sent again without the claims whose results
+        follow from the conflicting rows.
+        """
         open_by_key = {claim_key(write): write for write in writes}
         version_by_key = dict.fromkeys(open_by_key, 0)
         results: list[ClaimResult] = []
@@ -130,17 +142,20 @@
                 else:
                     results.append(result)
                     del open_by_key[row.key]
-        raise StoreError("the rows change all the time", is_refused=False)
+        raise StoreError("claim rows kept changing", is_refused=False)
 
     def _read_conflict(self, write: ClaimWrite, row: Row) -> ClaimResult | None:
-        """Return the result that follows from a row; ``None`` to write over it."""
+        """Return the result of a claim from the existing row.
+
+        Returns None when the claim may overwrite the row.
+        """
         value = row.value if isinstance(row.value, dict) else {}
         state = value.get("state")
         request_id = write.request_id
         if row.version == 0:
             return None
         if value.get("claim_id") == write.claim_id:
-            # Our own write took effect and its answer was lost.
+            # An earlier try of this write took effect and its answer was lost.
             return ClaimResult(request_id, ClaimOutcome.GRANTED)
         if state == ClaimState.ABANDONED:
             return None
@@ -154,7 +169,10 @@
         return ClaimResult(request_id, ClaimOutcome.DONE, row.key)
 
     async def _settle(self, writes: tuple[ClaimWrite, ...]) -> tuple[ClaimResult, ...]:
-        """Write outcomes; each row is read first, because only ours may change."""
+        """Write outcomes to the rows of their claims.
+
+        Each row is read first, because a row of another claim must not be changed.
+        """
         async with asyncio.TaskGroup() as group:
             for write in writes:
                 if write.state is ClaimState.DONE:
@@ -164,7 +182,11 @@
         return ()
 
     async def _finish(self, write: ClaimWrite) -> None:
-        """Make our ``claimed`` row ``done``, with the answer where it is kept."""
+        """Write ``done`` and the kept answer to the row of a claim.
+
+        Nothing is written when the row is not in state ``claimed`` or belongs to
+        another claim.
+        """
         key = claim_key(write)
         value = self._row(write)
         kept = self._kept_by_request_id.get(write.request_id)
@@ -178,13 +200,13 @@
             if not _is_claimed_by(row, write) or await self._write(row, value):
                 self._forget_kept(write.request_id)
                 return
-        raise StoreError(f"row {key} changes all the time", is_refused=False)
+        raise StoreError(f"row {key} kept changing", is_refused=False)
 
     async def _abandon(self, write: ClaimWrite) -> None:
-        """Make the row ``abandoned`` while it is absent or ours.
+        """Write ``abandoned`` to a row that does not exist or belongs to the claim.
 
-        A row is written even when there is none: it stops a claim write that is
-        still on its way from taking effect.
+        The row is written even when it does not exist, because a claim write that is
+        still in transit must not take effect afterwards.
         """
         key = claim_key(write)
         for _ in range(_MAX_ROUNDS):
@@ -193,7 +215,7 @@
                 return
             if await self._write(row, self._row(write)):
                 return
-        raise StoreError(f"row {key} changes all the time", is_refused=False)
+        raise StoreError(f"row {key} kept changing", is_refused=False)
 
     async def _write(self, row: Row, value: dict[str, Any]) -> bool:
         answer = await self._store.transact({row.key: row.version}, {row.key: value})
--- a/packages/entry/src/bluebellusher/runtime/_discovery.py
+++ b/packages/entry/src/bluebellusher/runtime/_discovery.py
@@ -1,4 +1,4 @@
-"""Endpoints that the platform's instance list names."""
+"""Discovery of endpoints in the platform's instance list."""
 
 import asyncio
 from collections.abc import Iterable
@@ -8,6 +8,7 @@
 from bluebellusher_core.events import EndpointInfo
 from bluebellusher_core.membership import choose_subset
 
+# Interval at which the instance list is read, in s.
 POLL_INTERVAL_S = 5.0
 Address = tuple[str, int]
 
@@ -15,9 +16,10 @@
 class EndpointDiscovery:
     """Connect to a bounded subset of the listed endpoints.
 
-    The list lags, so that it only tells where to look: whether an endpoint runs or
-    drains is learnt from its agent. A connection stays open when its endpoint is no
-    longer listed, and while the list cannot be read nothing changes.
+    The list lags behind the instances, so that it serves only to find their addresses.
+    The agent of an endpoint reports whether the endpoint runs or drains. A connection
+    stays open when its endpoint is no longer listed. While the list cannot be read, the
+    set of dialed endpoints does not change.
 
     Parameters
     ----------
@@ -26,15 +28,16 @@
     agents : AgentLinks
         Connects to agents.
     sink : EventSink
-        Takes log lines.
+        Receives the log lines.
     entry_id, failure_domain : str
-        Decide, with the endpoint ids, which endpoints this entry uses.
+        Id and failure domain of this entry, which determine its subset of the
+        endpoints.
     service_ids : iterable of str
         Services of this deployment; endpoints of others are not used.
     n_per_service : int
-        Upper bound of endpoints for each service.
+        Upper bound of the endpoints of each service.
     configured : iterable of tuple
-        Addresses that are dialed whatever the list says.
+        Addresses from the settings, which are dialed independently of the list.
     """
 
     def __init__(
@@ -59,13 +62,17 @@
         self._dialed: set[Address] = set()
 
     async def run(self) -> None:
-        """Read the list at an interval until cancelled."""
+        """Read the list every ``POLL_INTERVAL_S`` seconds until cancelled."""
         while True:
             await self.poll()
             await asyncio.sleep(POLL_INTERVAL_S)
 
     async def poll(self) -> None:
-        """Read the list once and follow it."""
+        """Read the list once, dial new endpoints and stop dialing removed ones.
+
+        An address that is still connected remains in the set of dialed endpoints until
+        its connection has ended.
+        """
         result = await self._client.list_instances()
         if not result.is_ok():
             self._sink.log("instances-unread", step="list", error=str(result.error))
@@ -77,6 +84,7 @@
         self._dialed = wanted | kept
 
     def _choose(self, instances: Iterable[Instance]) -> set[Address]:
+        """Return the addresses of this entry's subset of the running endpoints."""
         instance_by_id = {
             instance.instance_id: instance
             for instance in instances
@@ -89,6 +97,11 @@
         return {(instance_by_id[i].host, instance_by_id[i].port) for i in chosen}
 
     def _to_info(self, instance: Instance) -> EndpointInfo:
+        """Return an instance in the form that ``choose_subset`` takes.
+
+        Its number of slots, models and adapters are placeholders; the subset does not
+        depend on them.
+        """
         return EndpointInfo(
             endpoint_id=instance.instance_id,
             failure_domain=instance.failure_domain,
--- a/packages/entry/src/bluebellusher/runtime/_dispatch.py
+++ b/packages/entry/src/bluebellusher/runtime/_dispatch.py
@@ -1,4 +1,4 @@
-"""Attempts on their way to agents."""
+"""Sending of attempts to endpoints through their agents."""
 
 from typing import TYPE_CHECKING, Protocol
 
@@ -14,26 +14,40 @@
 
 
 class AttemptDispatcher(Protocol):
-    """Carries attempts to endpoints, by whatever link reaches them."""
+    """Sends attempts to endpoints, through agents or directly."""
 
     def start(self, effect: Dispatch, exchange: Exchange) -> bool:
         """Send an attempt; return False when it was certainly not sent."""
 
     def cancel(self, effect: CancelAttempt) -> None:
-        """Stop an attempt whose answer is no longer wanted."""
+        """Cancel an attempt whose answer is no longer needed."""
 
     def find(self, attempt_id: str) -> Exchange | None:
         """Return the exchange of an attempt that has not ended."""
 
     def end(self, attempt_id: str) -> Exchange | None:
-        """Forget an attempt; return its exchange, if it was still counted."""
+        """Discard an attempt that has ended.
+
+        Returns the exchange of the attempt, or None if it was discarded before.
+        """
 
     def close_endpoint(self, endpoint_id: str, reason: str) -> None:
-        """Close the connection to an endpoint that sent what it must not."""
+        """Close the connection to an endpoint; ``reason`` is logged."""
 
 
 class AgentDispatcher:
-    """Send attempts through agents and keep count of them for each exchange."""
+    """Send attempts through agents and count them for each exchange.
+
+    Parameters
+    ----------
+    clock : Clock
+        Clock of the deadlines.
+    tracer : Tracer
+        Starts the spans of attempts.
+    window_bytes : int
+        Bytes of an answer that an agent may send before the caller's socket has
+        accepted them.
+    """
 
     def __init__(self, clock: Clock, tracer: Tracer, window_bytes: int) -> None:
         self.agents: AgentLinks | None = None
@@ -43,7 +57,11 @@
         self._exchange_by_attempt_id: dict[str, Exchange] = {}
 
     def start(self, effect: Dispatch, exchange: Exchange) -> bool:
-        """Send an attempt; return False when it was certainly not sent."""
+        """Send an attempt; return False when it was certainly not sent.
+
+        An attempt is not sent to an endpoint whose agent is not connected, nor when it
+        would resume the answer at another byte than the next one.
+        """
         links = self.agents.link_by_endpoint_id if self.agents else {}
         link = links.get(effect.endpoint_id)
         answer = exchange.answer
@@ -69,7 +87,7 @@
         return True
 
     def cancel(self, effect: CancelAttempt) -> None:
-        """Tell the agent to stop."""
+        """Send the agent a cancellation of the attempt, if it is connected."""
         links = self.agents.link_by_endpoint_id if self.agents else {}
         link = links.get(effect.endpoint_id)
         if link is not None:
@@ -85,7 +103,10 @@
         return self._exchange_by_attempt_id.get(attempt_id)
 
     def end(self, attempt_id: str) -> Exchange | None:
-        """Forget an attempt; return its exchange, if it was still counted."""
+        """Discard an attempt that has ended and end its span.
+
+        Returns the exchange of the attempt, or None if it was discarded before.
+        """
         exchange = self._exchange_by_attempt_id.pop(attempt_id, None)
         if exchange is not None:
             exchange.n_attempts -= 1
@@ -121,7 +142,11 @@
 
 
 class _CreditCounter:
-    """Return credit in portions, so that not every chunk costs a message."""
+    """Grant an agent new credit for the bytes that the caller's socket accepted.
+
+    The credit is sent in portions of a quarter of the window, which saves one message
+    for each chunk.
+    """
 
     def __init__(self, link: "AgentLink", attempt_id: str, window_bytes: int) -> None:
         self._link = link
@@ -130,7 +155,7 @@
         self._n_bytes = 0
 
     def __call__(self, n_bytes: int) -> None:
-        """Count bytes that the caller's socket took."""
+        """Count bytes that the caller's socket accepted; send credit when due."""
         self._n_bytes += n_bytes
         if self._n_bytes < self._portion:
             return
--- a/packages/entry/src/bluebellusher/runtime/_exchange.py
+++ b/packages/entry/src/bluebellusher/runtime/_exchange.py
@@ -1,4 +1,4 @@
-"""One request of a caller and the answer that it is given."""
+"""State of one request in progress."""
 
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
@@ -11,14 +11,43 @@
 
 @dataclass(slots=True)
 class Exchange:
-    """What the runtime holds of a request while it is in progress.
-
-    ``n_attempts`` counts attempts whose end the reducer has not handled yet; the
-    exchange is forgotten when the caller is served and no attempt is left. ``usage`` is
-    that of the attempt whose whole answer arrived. ``header_items`` are the caller's
-    headers for endpoints that are reached directly, ``caller_attempt_id`` is the id
-    that the caller gave, and ``last_event_id`` the last event that it has of a stream;
-    ``max_silence_ms`` is how long its next event may take.
+    """Request in progress with its answer and attempts.
+
+    It is discarded when the caller is served and all attempts have ended.
+
+    Parameters
+    ----------
+    spec : RequestSpec
+        Description of the request for the reducer.
+    method, path, body : str, str, bytes
+        The request as it is sent to the endpoint.
+    headers : mapping of str to str
+        Headers for endpoints with an agent.
+    answer : AnswerStream
+        The answer on its way to the caller.
+    span : Span
+        Span of the request.
+    is_kept : bool
+        Whether the answer is kept for repeats of the idempotency key.
+    n_attempts : int
+        Number of attempts whose end the reducer has not handled yet.
+    is_caller_served : bool
+        Whether the caller received its answer or has disconnected.
+    usage : Usage or None
+        Usage of the attempt that finished.
+    attempt_spans : dict of str to Span
+        Spans of the attempts that have not ended, by attempt id.
+    endpoint_by_attempt_id : dict of str to str
+        Endpoint ids by attempt id.
+    header_items : sequence of tuple
+        Names and values of the caller's headers, for endpoints without an agent.
+    caller_attempt_id : str
+        Id that the caller gave its attempt; empty for none.
+    last_event_id : str
+        Id of the last event that the caller has of a stream; empty for none. It starts
+        with the event after which the caller resumes, and follows the relayed events.
+    max_silence_ms : int
+        Time within which the next event of a stream must arrive, in ms.
     """
 
     spec: RequestSpec
@@ -40,7 +69,7 @@
     max_silence_ms: int = 0
 
     def keep(self) -> KeptAnswer:
-        """Return the answer for a repeat of the idempotency key."""
+        """Return the answer in the form that is kept for the idempotency key."""
         answer = self.answer
         body = None if answer.kept is None else bytes(answer.kept)
         return KeptAnswer(answer.status, answer.headers, body)
--- a/packages/entry/src/bluebellusher/runtime/_peers.py
+++ b/packages/entry/src/bluebellusher/runtime/_peers.py
@@ -1,4 +1,4 @@
-"""What entries tell each other."""
+"""Digests and announcements that entries exchange."""
 
 from collections.abc import Callable, Iterable
 from typing import Any
@@ -14,35 +14,46 @@
 from bluebellusher_core.poison import Crash, CrashRecord
 from bluebellusher_core.wire import messages
 
+# Interval at which an unchanged digest is sent, in ms.
 DIGEST_INTERVAL_MS = 2_000
-# News of crashes and of leaving endpoints are told at once, and again for some time, in
-# case an entry was cut off from the one that told them. Bytes between failure domains
-# are priced, so that single crashes, which mostly hit sound requests, are not told for
-# as long as they count.
+# Interval at which crashes and leaving endpoints are announced again, in ms. They are
+# first announced immediately. The repeats reach entries that were disconnected from the
+# announcing entry at that time.
 REPEAT_INTERVAL_MS = 10_000
+# Age up to which a crash or a leaving endpoint is announced again, in ms. Bytes between
+# failure domains are billed, so that single crashes, which mostly occur while harmless
+# requests run, are not repeated until they expire.
 REPEAT_FOR_MS = 30_000
+# Number of crashes from which a record is repeated regardless of its age.
 N_CRASHES_TO_REPEAT = 2
+# Upper bound of the crash records, and of the leaving endpoints, that are read from one
+# digest.
 N_MAX_NEWS = 1_000
-# A longer row than any start of an endpoint can make.
+# Upper bound of the crashes that are read from one record of a peer. Restarts of
+# endpoints cannot produce as many crashes of one request.
 N_MAX_CRASHES_BY_RECORD = 100
 MessageHandler = Callable[[str, Any], None]
 
 
 class PeerExchange:
-    """Send digests, pass received ones to the decisions, and others to handlers.
+    """Exchange digests with peers, and pass their other messages to handlers.
+
+    A digest contains the state of an entry. An announcement is a digest that also
+    contains crash records or leaving endpoints.
 
     Parameters
     ----------
     sink : EventSink
-        Receives ``DigestReceived``.
+        Receives ``DigestReceived``, ``CrashesReceived`` and ``LeavingReceived``.
     clock : Clock
-        Times the digests.
+        Clock of the arrival times of digests.
     make_digest : callable
         Returns the current ``Digest`` message.
     find_crashes : callable
-        Returns the records of crashes; entries with agents have none.
+        Returns the current crash records. Entries that use agents have none, because
+        agents report crashes themselves.
     find_leaving : callable
-        Returns the endpoints that said they leave.
+        Returns the endpoints that have announced their shutdown.
     """
 
     def __init__(
@@ -71,7 +82,7 @@
         self._handler_by_type[message_type] = handler
 
     def on_peer_open(self, peer_id: str, _hello: Any) -> None:
-        """Send a new peer what it may not know."""
+        """Send a peer that has connected all crash records and leaving endpoints."""
         if self.links is not None:
             self.links.send(peer_id, self._make_whole_digest())
 
@@ -82,19 +93,19 @@
         return digest
 
     def tell_crashes(self, records: Iterable[CrashRecord]) -> None:
-        """Send news of crashes to all peers."""
+        """Broadcast crash records to all peers."""
         digest = self._make_digest()
         digest.crashes = _to_messages(records)
         self._broadcast_news(digest)
 
     def tell_leaving(self, marks: Iterable[LeavingMark]) -> None:
-        """Send news of endpoints that leave to all peers."""
+        """Broadcast leaving endpoints to all peers."""
         digest = self._make_digest()
         digest.leaving = _to_marks(marks)
         self._broadcast_news(digest)
 
     def _repeat_news(self) -> None:
-        """Tell again what an entry that was cut off may have missed."""
+        """Broadcast recent announcements again for entries that were disconnected."""
         digest = self._make_digest()
         records = filter(_is_worth_repeating, self._find_crashes())
         marks = (m for m in self._find_leaving() if m.age_ms < REPEAT_FOR_MS)
@@ -106,7 +117,7 @@
             self.links.broadcast(digest)
 
     def on_peer_message(self, peer_id: str, message: Any) -> None:
-        """Handle a digest, or pass the message to its handler."""
+        """Post the events of a digest, and call the handler of the message's type."""
         if isinstance(message, messages.Digest):
             self._receive_digest(peer_id, message)
         handler = self._handler_by_type.get(type(message))
@@ -114,10 +125,16 @@
             handler(peer_id, message)
 
     def on_peer_lost(self, peer_id: str) -> None:
-        """Keep what the peer told; its age shows in the status."""
+        """Keep the last digest of the peer; the status page shows its age."""
 
     def tick(self, now_ms: int) -> None:
-        """Send a digest when it has changed, and otherwise at an interval."""
+        """Broadcast a digest when it has changed or is due, and repeat announcements.
+
+        Parameters
+        ----------
+        now_ms : int
+            Monotonic time, in ms.
+        """
         digest = self._make_digest()
         is_due = now_ms - self._sent_at_ms >= DIGEST_INTERVAL_MS
         if self.links is not None and (is_due or digest != self._sent):
@@ -128,6 +145,11 @@
             self._repeat_news()
 
     def _receive_digest(self, peer_id: str, digest: Any) -> None:
+        """Record the state of a peer and post the events of its digest.
+
+        Negative ages are read as 0, and lists are limited in length, because the
+        values come from another process.
+        """
         self.digest_at_ms_by_peer_id[peer_id] = self._clock.now_ms()
         version = digest.config_version or 0
         self.config_version_by_peer_id[peer_id] = version
@@ -165,6 +187,7 @@
 
 
 def _is_worth_repeating(record: CrashRecord) -> bool:
+    """Return whether a record has a recent crash or several crashes."""
     is_new = any(crash.age_ms < REPEAT_FOR_MS for crash in record.crashes)
     return is_new or len(record.crashes) >= N_CRASHES_TO_REPEAT
 
@@ -188,6 +211,7 @@
 
 
 def _from_messages(found: Iterable[Any]) -> tuple[CrashRecord, ...]:
+    """Return the crash records of a digest, within the limits of their number."""
     return tuple(
         CrashRecord(
             fingerprint=record.fingerprint or "",
--- a/packages/entry/src/bluebellusher/runtime/_replay.py
+++ b/packages/entry/src/bluebellusher/runtime/_replay.py
@@ -1,4 +1,4 @@
-"""Replay of a kept answer to a repeat of its idempotency key."""
+"""Replay of a kept answer when its idempotency key is used again."""
 
 from typing import Any
 
@@ -9,7 +9,17 @@
 
 
 async def replay(answer: AnswerStream, row: Any, store: ClaimStore) -> None:
-    """Give a caller the kept answer, or say that it cannot be read."""
+    """Send a caller the kept answer, or reject the request when it cannot be read.
+
+    Parameters
+    ----------
+    answer : AnswerStream
+        Answer of the repeated request.
+    row : object
+        Value of the claim row, in state ``done``.
+    store : ClaimStore
+        Contains the bodies that are too long for the row.
+    """
     kept = read_kept(row.get("answer")) if isinstance(row, dict) else None
     if kept is None:
         return answer.refuse(_refusal(Reason.OUTCOME_UNKNOWN, None))
--- a/packages/entry/src/bluebellusher/runtime/_runtime.py
+++ b/packages/entry/src/bluebellusher/runtime/_runtime.py
@@ -1,4 +1,4 @@
-"""The event queue, the executor of effects and the timers."""
+"""Event queue, execution of the reducer's effects, and timers."""
 
 import asyncio
 from collections import Counter, deque
@@ -37,15 +37,32 @@
 )
 from bluebellusher_core.reducer import EntryState, reduce
 
-# Events handled before other callbacks of the event loop get a turn.
+# Upper bound of the events that are handled before other callbacks of the event loop
+# run.
 _MAX_EVENTS_PER_TURN = 200
 
 
 class Runtime:
-    """Turn events into decisions and decisions into actions.
-
-    Everything runs on one event loop; ``reduce`` and the execution of its effects
-    never overlap. An effect that fails is logged and never stops the others.
+    """Pass events to the reducer and execute the effects that it returns.
+
+    Everything runs on one event loop, so that ``reduce`` and the execution of its
+    effects never overlap. An effect that fails is counted and logged, and the other
+    effects are still executed.
+
+    Parameters
+    ----------
+    state : EntryState
+        State that the reducer reads and changes.
+    clock : Clock
+        Clock of the events and timers.
+    log : KeyValueLog
+        Receives the log lines.
+    metrics : Metrics
+        Counts log events of the reducer and internal faults.
+    tracer : Tracer
+        Starts the spans of requests.
+    dispatcher : AttemptDispatcher
+        Sends attempts to endpoints and cancels them.
     """
 
     def __init__(
@@ -61,7 +78,8 @@
         self.metrics = metrics
         self.tracer = tracer
         self.exchange_by_request_id: dict[str, Exchange] = {}
-        # Set while the entry stops: it reports unready and keeps no connection.
+        # True from the start of the shutdown. The entry then reports itself unready and
+        # closes each caller's connection after the response.
         self.is_shutting_down = False
         self.request_ended = asyncio.Event()
         self._clock = clock
@@ -88,30 +106,37 @@
         }
 
     def attach(self, claims: ClaimWriter, store: ClaimStore) -> None:
-        """Connect what executes effects; they themselves report to this runtime."""
+        """Set the writer of claims and the store, from which answers are replayed.
+
+        They are set after the construction, because the writer posts its events to
+        this runtime. Without them, effects on claims are ignored.
+        """
         self._claims = claims
         self._store = store
 
     def register(self, effect_type: type[Any], execute: Callable[[Any], None]) -> None:
-        """Execute effects of a type that only some entries can execute."""
+        """Set the function that executes effects of a type.
+
+        Used for the effects that only some kinds of entries support.
+        """
         self._executor_by_type[effect_type] = execute
 
     @property
     def n_claims_in_flight(self) -> int:
-        """Return how many batches of claim rows are being written."""
+        """Return the number of batches of claim rows that are being written."""
         return self._claims.n_in_flight if self._claims else 0
 
     @property
     def is_settled(self) -> bool:
-        """Return whether no claim and no outcome waits for the table."""
+        """Return whether every claim and every outcome is written to the table."""
         return self.state.claims.is_idle
 
     def now_ms(self) -> int:
-        """Return monotonic time."""
+        """Return the monotonic time, in ms."""
         return self._clock.now_ms()
 
     def post(self, event: Event) -> None:
-        """Queue an event; it is handled in the order of arrival."""
+        """Queue an event; events are handled in the order in which they are posted."""
         self._events.append(event)
         if not self._is_scheduled:
             self._is_scheduled = True
@@ -122,19 +147,22 @@
         self._log.event(name, "info", **fields)
 
     def submit(self, exchange: Exchange) -> None:
-        """Begin a request."""
+        """Register a request and post its arrival to the reducer."""
         self.exchange_by_request_id[exchange.spec.request_id] = exchange
         self.post(RequestArrived(exchange.spec))
 
     def end(self, exchange: Exchange) -> None:
-        """Note that the caller is served or gone."""
+        """Record that the caller received its answer or has disconnected.
+
+        The request is discarded when its last attempt has ended as well.
+        """
         exchange.is_caller_served = True
         if not exchange.answer.is_ended:
             self.post(CallerDisconnected(exchange.spec.request_id))
         self._forget_if_over(exchange)
 
     def close(self) -> None:
-        """Cancel timers and tasks."""
+        """Cancel all timers and tasks, including the writes of claims."""
         for handle in self._timer_by_id.values():
             handle.cancel()
         for task in self._tasks:
@@ -143,6 +171,7 @@
             self._claims.close()
 
     def _drain(self) -> None:
+        """Handle queued events, at most ``_MAX_EVENTS_PER_TURN``; then reschedule."""
         for _ in range(_MAX_EVENTS_PER_TURN):
             if not self._events:
                 self._is_scheduled = False
@@ -151,6 +180,11 @@
         self._loop.call_soon(self._drain)
 
     def _handle(self, event: Event) -> None:
+        """Pass an event to the reducer and execute its effects.
+
+        When the reducer raises an error, the fault is reported and a request that has
+        just arrived is rejected.
+        """
         if isinstance(event, AttemptFinished):
             self._keep_answer(event.attempt_id)
             self._note_usage(event)
@@ -169,11 +203,22 @@
         try:
             self._executor_by_type[type(effect)](effect)
         except Exception as error:
-            # One faulty effect must not stop the loop that serves all callers.
+            # An error in one effect must not stop the event loop, which serves all
+            # callers.
             self.report_fault("execute", effect, error)
 
     def report_fault(self, step: str, subject: object, error: Exception) -> None:
-        """Count and log an error that should not have happened."""
+        """Count and log an unexpected error.
+
+        Parameters
+        ----------
+        step : str
+            Operation that failed.
+        subject : object
+            Event, effect or request that was being handled; its type is logged.
+        error : Exception
+            The error.
+        """
         self.metrics.count("bluebellusher_internal_faults_total")
         self._log.event(
             "internal-fault",
@@ -184,28 +229,32 @@
         )
 
     def _refuse_after_fault(self, event: Event) -> None:
+        """Reject a request whose arrival the reducer could not handle."""
         if isinstance(event, RequestArrived):
             reason = Reason.SHUTTING_DOWN
-            refusal = Rejection(Outcome.NOT_RUN, reason, "admission", "", 1_000)
-            self._reject(Reject(event.request.request_id, refusal))
+            rejection = Rejection(Outcome.NOT_RUN, reason, "admission", "", 1_000)
+            self._reject(Reject(event.request.request_id, rejection))
 
     def _keep_answer(self, attempt_id: str) -> None:
+        """Pass the answer of a claimed request to the writer of claims."""
         exchange = self._dispatcher.find(attempt_id)
         if exchange is not None and exchange.is_kept and self._claims is not None:
             self._claims.keep(exchange.spec.request_id, exchange.keep())
 
     def _note_usage(self, event: AttemptFinished) -> None:
+        """Record the usage of the first attempt that finished."""
         exchange = self._dispatcher.find(event.attempt_id)
         if exchange is not None and exchange.usage is None:
             exchange.usage = event.usage
 
     def _end_attempt(self, attempt_id: str) -> None:
-        """Forget an attempt whose end the reducer has handled."""
+        """Discard an attempt whose end the reducer has handled."""
         exchange = self._dispatcher.end(attempt_id)
         if exchange is not None:
             self._forget_if_over(exchange)
 
     def _forget_if_over(self, exchange: Exchange) -> None:
+        """Discard a request when its caller is served and its attempts have ended."""
         if exchange.is_caller_served and not exchange.n_attempts:
             request_id = exchange.spec.request_id
             self.exchange_by_request_id.pop(request_id, None)
@@ -215,10 +264,12 @@
             self.request_ended.set()
 
     def _dispatch(self, effect: Dispatch) -> None:
+        """Send an attempt; post it as refused if it was not sent."""
         exchange = self.exchange_by_request_id.get(effect.request_id)
         is_sent = False
         try:
-            # A caller that has its final answer was told what ran.
+            # A rejection states whether the request was run, so that no attempt may
+            # start after it.
             if exchange is not None and exchange.answer.refusal is None:
                 is_sent = self._dispatcher.start(effect, exchange)
         finally:
@@ -260,6 +311,7 @@
             self._claims.submit(effect.batch_id, effect.writes)
 
     def _set_timer(self, effect: SetTimer) -> None:
+        """Start a timer; a timer of the same id is replaced."""
         old = self._timer_by_id.pop(effect.timer_id, None)
         if old is not None:
             old.cancel()
@@ -272,9 +324,13 @@
         self.post(TimerFired(timer_id))
 
     def _close_connection(self, effect: CloseConnection) -> None:
-        self._dispatcher.close_endpoint(effect.endpoint_id, "closed by a decision")
+        self._dispatcher.close_endpoint(effect.endpoint_id, "closed by the reducer")
 
     def _log_event(self, effect: LogEvent) -> None:
+        """Count and log a decision of the reducer.
+
+        Fields whose names occur twice or are parameters of the log are left out.
+        """
         counts = Counter(key for key, _ in effect.fields)
         fields = {key: value for key, value in effect.fields if counts[key] == 1}
         fields.pop("name", None)
--- a/packages/entry/src/bluebellusher/runtime/tests/test_claims.py
+++ b/packages/entry/src/bluebellusher/runtime/tests/test_claims.py
@@ -1,4 +1,4 @@
-"""Guards against a claim that two entries believe to hold."""
+"""Tests that a claim is granted to one entry only and that its answer is kept."""
 
 import asyncio
 
@@ -21,7 +21,12 @@
 
 
 class LossyStore:
-    """A table that follows a script: does it, loses the answer, or is down."""
+    """Table whose transactions fail as a script demands.
+
+    A step of the script is ``ok``, ``lost`` when the transaction takes effect and its
+    answer is lost, or ``down`` when the table refuses the transaction. Transactions
+    after the end of the script succeed.
+    """
 
     def __init__(self, table: Table, script: list[str]) -> None:
         self.table = table
@@ -29,7 +34,7 @@
         self.object_by_name: dict[str, bytes] = {}
 
     async def transact(self, conditions, puts):
-        """Follow the next step of the script."""
+        """Run a transaction as the next step of the script demands."""
         step = self.script.pop(0) if self.script else "ok"
         if step == "down":
             raise StoreError("down", is_refused=True)
@@ -41,7 +46,7 @@
         return Conflict(tuple(Row(r.key, r.version, r.value) for r in answer))
 
     async def read_row(self, key):
-        """Read without faults."""
+        """Return a row; reads never fail."""
         row = self.table.read(key)
         return Row(row.key, row.version, row.value)
 
@@ -50,12 +55,12 @@
         self.object_by_name[name] = data
 
     async def read_object(self, name):
-        """Return an object."""
+        """Return the content of an object."""
         return self.object_by_name[name]
 
 
 class Sink:
-    """Collect events."""
+    """Sink that collects events and discards log lines."""
 
     def __init__(self) -> None:
         self.events = []
@@ -65,19 +70,19 @@
         self.events.append(event)
 
     def log(self, name, **fields) -> None:
-        """Drop a log line."""
+        """Discard a log line."""
         pass
 
 
 def make_write(entry: str, key: str, state=ClaimState.CLAIMED, fingerprint="f"):
-    """Return one claim row to write."""
+    """Return the write of a claim row by an entry."""
     return ClaimWrite(
         f"{entry}.{key}", "c1", key, f"claim-{entry}-{key}", fingerprint, state
     )
 
 
 async def write(store, writes, kept=None):
-    """Write one batch until it is answered, as the decisions do."""
+    """Write a batch until it is answered, as the reducer does; return its results."""
     sink = Sink()
     writer = ClaimWriter(store, sink, "entry")
     if kept is not None:
@@ -100,7 +105,7 @@
     )
 )
 def test_property_a_key_is_granted_to_one_entry_only(entries):
-    """Guards against a lost answer or a conflict that grants a claim twice (I4)."""
+    """Guards against a claim granted twice after a lost answer or a conflict (I4)."""
     table = Table(ManualClock())
     granted = []
     for number, (script, keys) in enumerate(entries):
@@ -116,7 +121,7 @@
 
 
 def test_abandoned_blocks_a_late_write_and_frees_the_key_for_others():
-    """Guards against a claim write that takes effect after its entry gave up."""
+    """Guards against a claim write that takes effect after its claim was abandoned."""
     table = Table(ManualClock())
     store = LossyStore(table, [])
     late = make_write("1", "a")
@@ -130,7 +135,7 @@
 
 
 def test_done_never_replaces_the_claim_of_another_entry():
-    """Guards against an outcome that is written over a foreign claim."""
+    """Guards against an outcome that overwrites the claim of another entry."""
     table = Table(ManualClock())
     store = LossyStore(table, [])
     asyncio.run(write(store, [make_write("1", "a")]))
@@ -140,7 +145,7 @@
 
 @given(st.integers(0, 2 * MAX_ROW_ANSWER_BYTES), scripts)
 def test_property_a_kept_answer_is_replayed_whole(n_bytes, script):
-    """Guards against a replay that is cut, or a row that is too large."""
+    """Guards against a truncated replay and against a row above the size limit."""
     table = Table(ManualClock())
     store = LossyStore(table, [])
     asyncio.run(write(store, [make_write("1", "a")]))
--- a/packages/entry/src/bluebellusher/runtime/tests/test_discovery.py
+++ b/packages/entry/src/bluebellusher/runtime/tests/test_discovery.py
@@ -1,4 +1,4 @@
-"""Guards against endpoints that are never found, or dialed for ever."""
+"""Tests that listed endpoints are dialed and removed endpoints no longer are."""
 
 import asyncio
 
@@ -9,47 +9,54 @@
 
 
 class Platform:
-    """An instance list that the test changes; ``None`` means down."""
+    """Platform with an instance list; it is unavailable while the list is None."""
 
     def __init__(self) -> None:
         self.instances: list[Instance] | None = []
 
     async def list_instances(self):
-        """Return the list."""
+        """Return the instances, or an error while the platform is unavailable."""
         if self.instances is None:
             return Error(PlatformNotDoneError("list", "platform", "down"))
         return Ok(tuple(self.instances))
 
 
 class Links:
-    """Remember what is dialed; ``connected`` addresses cannot be forgotten."""
+    """Agent links that record the dialed addresses.
+
+    Addresses in ``connected`` have an open connection and remain dialed.
+    """
 
     def __init__(self) -> None:
         self.dialed: set = set()
         self.connected: set = set()
 
     def dial(self, addresses) -> None:
-        """Remember the addresses."""
+        """Record the addresses."""
         self.dialed |= set(addresses)
 
     def forget(self, address) -> bool:
-        """Forget an address that is not connected."""
+        """Stop dialing an address; return False while it is connected."""
         if address in self.connected:
             return False
         self.dialed.discard(address)
         return True
 
     def log(self, name, **fields) -> None:
-        """Drop a log line."""
+        """Discard a log line."""
 
 
 def make_instance(number: int, state="running", role="endpoint", service="desk"):
-    """Return a line of the instance list."""
+    """Return an entry of the instance list; its id and port contain ``number``."""
     return Instance(f"e{number}", role, state, "a", "10.0.0.1", number, (service,))
 
 
 def test_the_list_is_followed_but_connections_are_kept():
-    """Guards against a lagging list that breaks streams, or dials the dead."""
+    """Guards against closed connections to endpoints that a lagging list omits.
+
+    Also guards against dialing instances that are leaving, not endpoints or of other
+    services, and against dialing removed endpoints or too many of them.
+    """
     platform, links = Platform(), Links()
     configured = [("10.0.0.1", 9)]
     discovery = EndpointDiscovery(
--- a/packages/entry/src/bluebellusher/runtime/tests/test_peer_news.py
+++ b/packages/entry/src/bluebellusher/runtime/tests/test_peer_news.py
@@ -1,4 +1,4 @@
-"""What entries tell each other of crashes and of endpoints that leave."""
+"""Tests of the announcements of crashes and leaving endpoints between entries."""
 
 from bluebellusher.runtime import PeerExchange
 from bluebellusher_core.clock import ManualClock
@@ -14,25 +14,25 @@
 
 
 class Links:
-    """Passes every message through the wire format to one other entry."""
+    """Links that deliver every message, encoded and decoded, to one other entry."""
 
     def __init__(self, other):
         self.other = other
         self.n_sent = 0
 
     def send(self, _peer_id, message):
-        """Send to a peer."""
+        """Deliver a message to the other entry."""
         self.broadcast(message)
 
     def broadcast(self, message):
-        """Send to all peers."""
+        """Deliver a message to the other entry and count it."""
         self.n_sent += 1
         (found,) = FrameDecoder("peer").feed(encode(message))
         self.other.on_peer_message("e1", found)
 
 
 class Events(list):
-    """Keeps events."""
+    """List of posted events."""
 
     post = list.append
 
@@ -42,7 +42,7 @@
 
 
 def make_pair(records=RECORDS, marks=MARKS):
-    """Return an entry that knows something, its links and what the other one gets."""
+    """Return a sending entry, its clock and the events that another entry posts."""
     clock, events = ManualClock(1_000), Events()
     other = PeerExchange(events, clock, messages.Digest)
     entry = PeerExchange(
@@ -53,7 +53,7 @@
 
 
 def test_entry_that_connects_is_told_everything():
-    """Guards against news that only those hear who were there at the time."""
+    """Guards against announcements that never reach entries that connect later."""
     entry, _, events = make_pair()
     entry.on_peer_open("e2", None)
     assert events.of(CrashesReceived) == [CrashesReceived("e1", RECORDS)]
@@ -61,7 +61,7 @@
 
 
 def test_news_are_told_at_once():
-    """Guards against an entry that repeats for seconds what others know better."""
+    """Guards against peers that act on outdated state until the next digest is due."""
     entry, _, events = make_pair()
     entry.tell_crashes(RECORDS[:1])
     entry.tell_leaving(MARKS)
@@ -70,14 +70,14 @@
 
 
 def tick(entry, clock, n_ticks):
-    """Let time pass."""
+    """Advance the clock by ``n_ticks`` times 500 ms and tick the entry each time."""
     for _ in range(n_ticks):
         clock.advance(500)
         entry.tick(clock.now_ms())
 
 
 def test_news_are_told_again_after_a_while():
-    """Guards against an entry that was cut off when the news came."""
+    """Guards against a missed announcement when an entry was disconnected."""
     entry, clock, events = make_pair()
     tick(entry, clock, 25)
     assert events.of(CrashesReceived)
@@ -85,7 +85,7 @@
 
 
 def test_old_marks_and_single_old_crashes_are_told_no_more():
-    """Guards against bytes for minutes about what concerns nobody."""
+    """Guards against minutes of traffic for announcements that are no longer useful."""
     old = CrashRecord("old", (Crash("x1@5", 99_000, 99_000),))
     blocked = CrashRecord("blocked", (*old.crashes, Crash("x2@7", 99_000, 99_000)))
     entry, clock, events = make_pair((old, blocked), (LeavingMark("x1", 1, 99_000),))
@@ -95,7 +95,7 @@
 
 
 def test_ages_cost_no_digests():
-    """Guards against a digest with every tick because ages have changed."""
+    """Guards against a digest at each tick only because the ages have changed."""
     entry, clock, _ = make_pair()
     tick(entry, clock, 40)
     n_sent = entry.links.n_sent
