--- a/packages/entry/src/bluebellusher/shared/__init__.py
+++ b/packages/entry/src/bluebellusher/shared/__init__.py
@@ -1,4 +1,4 @@
-"""Tables of the store that every entry holds a copy of, and their exchange."""
+"""Tables of the store that every entry copies, and their exchange between entries."""
 
 from bluebellusher.shared._crashes import CRASH_TABLE, CrashTable
 from bluebellusher.shared._directory import Directory
--- a/packages/entry/src/bluebellusher/shared/_crashes.py
+++ b/packages/entry/src/bluebellusher/shared/_crashes.py
@@ -1,7 +1,7 @@
-"""Crashes that all entries remember, in a table of the store.
+"""Crash records of all entries in a table of the store.
 
-Entries tell each other of crashes at once. The table is for those that start when no
-peer is left to ask, and for those that reach the store and no peer.
+Entries announce crashes to their peers immediately. The table serves entries that start
+while no peer runs, and entries that can reach the store but no peer.
 """
 
 import asyncio
@@ -19,16 +19,25 @@
 
 CRASH_TABLE = "crashes"
 CRASH_KEY = "recent"
-# Of a row of at most 65,536 bytes; a record with three crashes takes about 250.
+# Upper bound of the stored fingerprints. A row has at most 65,536 bytes, and a
+# fingerprint with three crashes takes about 250 bytes.
 N_MAX_STORED = 200
-# The entry that saw a crash writes it; others only if it has not done so by then.
+# Least delay before an entry writes a crash that a peer announced, in ms. The peer
+# itself normally writes the crash within this time.
 WRITE_FOR_OTHERS_AFTER_MS = 3_000
+# Upper bound of the random delay before an entry writes a crash that it observed, in
+# ms. It spreads the writes of entries that observed the same crash.
 MAX_WRITE_DELAY_MS = 200
+# Delay before a write is retried that failed or met a conflict, in ms.
 RETRY_INTERVAL_MS = 1_000
 
 
 class _StoredCrash(BaseModel):
-    """One crash; times are Unix milliseconds."""
+    """Crash of one start of an endpoint.
+
+    ``sent_at`` and ``broken_at`` are the Unix times, in ms, at which the run was sent
+    and at which it broke.
+    """
 
     model_config = ConfigDict(frozen=True)
 
@@ -38,7 +47,7 @@
 
 
 class _StoredTable(BaseModel):
-    """The value of the only row."""
+    """Value of the table's only row."""
 
     model_config = ConfigDict(frozen=True)
 
@@ -48,24 +57,25 @@
 
 
 class CrashTable:
-    """Keep the entry's records of crashes and those of the store united.
+    """Merge the crash records of this entry with those of the store, in both places.
 
     Parameters
     ----------
     store : RowStore
-        Keeps the row.
+        Contains the table.
     mirror : TableMirror
-        Copy of the table, which a watcher follows.
+        Copy of the table, which a watcher updates.
     find_records : callable
-        Returns what this entry knows.
+        Returns the crash records of this entry.
     post : callable
         Receives ``CrashesReceived``.
     clock : Clock
-        Turns ages into Unix time; only differences within minutes matter.
+        Clock of the delays. Its wall time converts ages to Unix times and back; only
+        differences of a few minutes are computed from it.
     random_state : random.Random
-        Spreads the writes of entries that saw the same crash.
+        Spreads the writes of entries that observed the same crash.
     log : LogSink
-        Takes log lines.
+        Receives the log lines.
     """
 
     def __init__(
@@ -89,7 +99,7 @@
         self._write_at_ms: int | None = None
 
     def take_rows(self, rows: Iterable[MirrorRow]) -> None:
-        """Pass on what the store remembers."""
+        """Post the crash records in changed rows of the table."""
         for row in rows:
             if row.key == CRASH_KEY and not row.is_removed:
                 table = self._read(row)
@@ -100,22 +110,33 @@
                 self._post(CrashesReceived("store", records))
 
     def note_own(self) -> None:
-        """Write soon, because this entry saw something."""
+        """Schedule a write of crashes that this entry observed.
+
+        The write is due within ``MAX_WRITE_DELAY_MS``.
+        """
         self._plan(self._random_state.randrange(MAX_WRITE_DELAY_MS))
 
     def note_others(self) -> None:
-        """Write later, in case the entry that saw something cannot."""
+        """Schedule a write of crashes that a peer announced.
+
+        The write is due after at least ``WRITE_FOR_OTHERS_AFTER_MS`` and makes no call
+        when the peer has stored the crashes itself.
+        """
         spread_ms = self._random_state.randrange(WRITE_FOR_OTHERS_AFTER_MS)
         self._plan(WRITE_FOR_OTHERS_AFTER_MS + spread_ms)
 
     def _plan(self, delay_ms: int) -> None:
+        """Schedule a write after ``delay_ms`` unless an earlier one is scheduled."""
         due_ms = self._clock.now_ms() + delay_ms
         if self._write_at_ms is None or due_ms < self._write_at_ms:
             self._write_at_ms = due_ms
             self._is_changed.set()
 
     async def run(self) -> None:
-        """Write what the store lacks, until cancelled."""
+        """Write scheduled changes to the store, and retry failed writes.
+
+        Runs until it is cancelled.
+        """
         while True:
             self._is_changed.clear()
             if self._write_at_ms is None:
@@ -130,15 +151,16 @@
                 self._plan(RETRY_INTERVAL_MS)
 
     async def _wait_for_change(self, timeout_ms: int) -> None:
+        """Wait until the schedule changes or ``timeout_ms`` has passed."""
         try:
             async with asyncio.timeout(timeout_ms / 1000):
                 await self._is_changed.wait()
         except TimeoutError:
-            # The write is due.
+            # The scheduled write is due.
             return
 
     async def _write(self) -> bool:
-        """Write once; return whether the store has everything now."""
+        """Write the merged records once; return whether the store contains them now."""
         row = self._mirror.row_by_key.get(CRASH_KEY)
         stored = self._read(row) if row is not None else _StoredTable()
         table = unite(stored, self._find_records(), self._clock.wall_ms())
@@ -156,15 +178,17 @@
         n_records = len(table.crashes_by_fingerprint)
         if is_written:
             self._log.log("crashes-stored", n_records=n_records, version=found.version)
-        # The copy's own version stays: it vouches for all rows up to it.
+        # The version of the copy is not raised to that of the row, because the copy may
+        # lack changes of other rows between the two.
         self.take_rows(self._mirror.apply([found], self._mirror.version))
         return is_written
 
     def _read(self, row: MirrorRow) -> _StoredTable:
+        """Return the value of the row; an unreadable value counts as empty."""
         try:
             return _StoredTable.model_validate_json(row.value)
         except ValidationError as error:
-            # The next write replaces it.
+            # The next write replaces the unreadable value.
             self._log.log(
                 "crashes-unreadable", version=row.version, n_errors=error.error_count()
             )
@@ -174,10 +198,21 @@
 def unite(
     stored: _StoredTable, records: Iterable[CrashRecord], wall_ms: int
 ) -> _StoredTable:
-    """Return a stored table with what an entry knows, without what is over.
+    """Return a stored table merged with an entry's crash records.
 
-    What is stored already keeps its times, so that entries which know the same leave
-    the table as it is.
+    Expired crashes and crashes before the last completed run are left out. Crashes that
+    are already stored keep their times, so that entries with the same crashes compute
+    the same table and need not write it. At most ``N_MAX_STORED`` fingerprints remain:
+    those with the most crashes, and among equals those with the latest crash.
+
+    Parameters
+    ----------
+    stored : _StoredTable
+        Current value of the row.
+    records : iterable of CrashRecord
+        Crash records of this entry.
+    wall_ms : int
+        Unix time, in ms.
     """
     united = {
         fingerprint: _without_old(crashes, wall_ms - CRASH_MAX_AGE_MS)
@@ -197,6 +232,11 @@
 def _unite_one(
     known: tuple[_StoredCrash, ...], record: CrashRecord, wall_ms: int
 ) -> tuple[_StoredCrash, ...]:
+    """Return the stored crashes of a fingerprint merged with an entry's record.
+
+    The result is ordered by the time of the crashes, without those that have expired or
+    happened before the last completed run.
+    """
     crash_by_start_id = {crash.start_id: crash for crash in known}
     for crash in record.crashes:
         stored = _StoredCrash(
@@ -215,12 +255,14 @@
 def _without_old(
     crashes: tuple[_StoredCrash, ...], since_wall_ms: int
 ) -> tuple[_StoredCrash, ...]:
+    """Return the crashes that happened after a Unix time in ms."""
     return tuple(crash for crash in crashes if crash.broken_at > since_wall_ms)
 
 
 def _to_record(
     fingerprint: str, crashes: tuple[_StoredCrash, ...], wall_ms: int
 ) -> CrashRecord:
+    """Return a crash record with the ages of stored crashes at a Unix time in ms."""
     return CrashRecord(
         fingerprint,
         tuple(
--- a/packages/entry/src/bluebellusher/shared/_directory.py
+++ b/packages/entry/src/bluebellusher/shared/_directory.py
@@ -1,4 +1,4 @@
-"""Routes, customers and endpoints in force on this entry."""
+"""Routing configuration and endpoint registrations that this entry uses."""
 
 from collections.abc import Callable
 from dataclasses import replace
@@ -29,7 +29,7 @@
 
 
 class Directory:
-    """Decode shared rows once and pass on what they change.
+    """Decode changed rows of the shared tables and apply them to this entry.
 
     Parameters
     ----------
@@ -38,9 +38,9 @@
     post : callable
         Receives events for the reducer.
     clock : Clock
-        Times lapses.
+        Clock of grace times and of the ages of endpoints.
     log : LogSink
-        Takes log lines.
+        Receives the log lines.
     """
 
     def __init__(
@@ -61,15 +61,19 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether any configuration is known."""
+        """Whether a routing configuration is in force."""
         return self.routing is not None
 
     def find(self, endpoint_id: str) -> EndpointRegistration | None:
-        """Return the registration of an endpoint that may be used."""
+        """Return the registration of an endpoint, or None if it must not be used."""
         return self.registrations.registration_by_id.get(endpoint_id)
 
     def take_routing(self, rows: list[MirrorRow]) -> None:
-        """Put a newer configuration in force; versions never go back."""
+        """Put a newer routing configuration in force.
+
+        A configuration that cannot be read, or whose version is not above the current
+        one, is logged and ignored.
+        """
         for row in rows:
             if row.key != self._codec.routing_key or row.is_removed:
                 continue
@@ -94,7 +98,10 @@
             )
 
     def take_registrations(self, rows: list[MirrorRow]) -> None:
-        """Pass on which endpoints came, drain or went."""
+        """Apply changed registrations and post the events that follow.
+
+        A registration that cannot be read counts as ended.
+        """
         changes: dict[str, EndpointRegistration | None] = {}
         for row in rows:
             found = None
@@ -110,23 +117,33 @@
         self._emit(self.registrations.update(changes, self._clock.now_ms()))
 
     def note_contact(self, is_in_contact: bool) -> None:
-        """Note whether the store answers."""
+        """Record whether the store is available, for the grace of registrations."""
         if is_in_contact:
             self.registrations.record_store_available(self._clock.now_ms())
         else:
             self.registrations.record_store_unavailable()
 
     def tick(self, now_ms: int) -> None:
-        """End the grace of lapsed registrations."""
+        """Post the events of grace times and drain times that have ended.
+
+        Parameters
+        ----------
+        now_ms : int
+            Monotonic time, in ms.
+        """
         self._emit(self.registrations.tick(now_ms))
 
     def _age_ms(self, started_wall_ms: int) -> int:
-        """Return how long ago an endpoint started; 0 when it does not say."""
+        """Return the time since an endpoint started, in ms.
+
+        Returns 0 when the endpoint does not report its start.
+        """
         if not started_wall_ms:
             return 0
         return max(0, self._clock.wall_ms() - started_wall_ms)
 
     def _emit(self, events: list[Event]) -> None:
+        """Log and post events; call ``on_endpoints`` if there were any."""
         for event in events:
             match event:
                 case EndpointRegistered(endpoint=info):
--- a/packages/entry/src/bluebellusher/shared/_members.py
+++ b/packages/entry/src/bluebellusher/shared/_members.py
@@ -1,4 +1,4 @@
-"""Entries that know each other through the store."""
+"""Discovery of other entries through a table of the store."""
 
 import asyncio
 import json
@@ -11,24 +11,26 @@
 from bluebellusher_core.events import MembersListed
 
 MEMBERS_TABLE = "members"
-# Entries that start dial the others, so that a list that is read rarely suffices.
+# Interval at which the table is read, in ms. It may be long, because an entry that
+# starts dials the other entries.
 REFRESH_INTERVAL_MS = 30_000
+# Time after which a failed read or write of the table is retried, in ms.
 RETRY_INTERVAL_MS = 1_000
 
 
 class Members:
-    """Write the own address to the store, and dial the others that stand there.
+    """Write this entry's address to the store, and dial the other entries listed there.
 
     Parameters
     ----------
     store : RowStore
-        Keeps one row for each entry.
+        Contains one row for each entry.
     links : PeerLinks
         Dials peers.
     instance_id, host, port : str, str, int
-        The own row.
+        Id of this entry and the address at which it accepts peers.
     log : LogSink
-        Takes log lines.
+        Receives the log lines.
     post : callable
         Receives ``MembersListed``.
     """
@@ -51,13 +53,20 @@
         self._post = post
 
     async def run(self) -> None:
-        """Keep the own row written and the others dialed, until cancelled."""
+        """Write this entry's row and dial listed entries at an interval.
+
+        Runs until it is cancelled.
+        """
         while True:
             is_done = await self._refresh()
             pause_ms = REFRESH_INTERVAL_MS if is_done else RETRY_INTERVAL_MS
             await asyncio.sleep(pause_ms / 1000)
 
     async def _refresh(self) -> bool:
+        """Read the table, dial its entries and write this entry's row if it differs.
+
+        Returns whether all calls to the store succeeded.
+        """
         result = await self._store.read_table(MEMBERS_TABLE)
         if not result.is_ok():
             return False
@@ -78,9 +87,10 @@
 
 
 def _read_address(row: MirrorRow) -> tuple[str, int] | None:
+    """Return the host and port of a row, or None when it contains no address."""
     try:
         host, port = json.loads(row.value)
         return str(host), int(port)
     except (ValueError, TypeError):
-        # Another program's row; it names no entry.
+        # The row was written by another program and does not describe an entry.
         return None
--- a/packages/entry/src/bluebellusher/shared/_peers.py
+++ b/packages/entry/src/bluebellusher/shared/_peers.py
@@ -1,8 +1,9 @@
 """Exchange of shared tables between entries.
 
-The store may turn one entry away while it serves the others, and an entry may start
-while the store is down. Entries therefore tell each other the versions of their
-copies in every digest, and who is behind asks for the difference.
+The store may be unavailable to one entry while it answers the others, and an entry may
+start while the store is unavailable. Each digest of an entry therefore contains the
+versions of its copies. An entry whose copy has a lower version requests the changes
+from the peer that sent the digest.
 """
 
 from collections.abc import Callable, Iterable
@@ -16,13 +17,22 @@
 
 OnNews = Callable[[list[MirrorRow]], None]
 
-# An entry that follows the store itself usually learns a change milliseconds after
-# its peers; only when that has not happened does the difference justify its bytes.
+# Time for which a copy may have a lower version than a peer's before the changes are
+# requested from the peer, in ms. It applies while the store is available, which usually
+# returns a change milliseconds after the peer received it. A transfer between peers
+# that duplicates the store's answer would waste bytes.
 CATCH_UP_MS = 400
 
 
 @dataclass(slots=True)
 class _Shared:
+    """Copy of a table and the latest known version of its peers.
+
+    ``behind_version`` is the highest version that a peer reported, and
+    ``behind_since_ms`` the monotonic time at which a peer first reported a version
+    above the one of the copy. ``behind_peer_id`` is the peer to request changes from.
+    """
+
     mirror: TableMirror
     on_news: OnNews
     is_in_contact: Callable[[], bool]
@@ -32,14 +42,14 @@
 
 
 class TableExchange:
-    """Bring copies of tables up to date from peers.
+    """Update copies of tables with changes that peers have received.
 
     Parameters
     ----------
     links : PeerLinks
         Connections to peers.
     clock : Clock
-        Times how long a copy is behind.
+        Clock of the delay before changes are requested.
     """
 
     def __init__(self, links: PeerLinks, clock: Clock) -> None:
@@ -50,25 +60,29 @@
     def add(
         self, mirror: TableMirror, on_news: OnNews, is_in_contact: Callable[[], bool]
     ) -> None:
-        """Exchange a table.
+        """Add a table to the exchange.
 
         Parameters
         ----------
         mirror : TableMirror
-            The own copy.
+            This entry's copy of the table.
         on_news : callable
-            Receives the rows that are new to it.
+            Receives the rows that a peer's changes replaced, added or removed.
         is_in_contact : callable
-            Returns whether the store itself brings the copy up to date.
+            Returns whether the store is available and updates the copy.
         """
         self._shared_by_table[mirror.table] = _Shared(mirror, on_news, is_in_contact)
 
     def versions(self) -> dict[str, int]:
-        """Return the version of each copy, for the digest."""
+        """Return the version of each copy by table name, for the digest."""
         return {name: one.mirror.version for name, one in self._shared_by_table.items()}
 
     def on_digest(self, peer_id: str, digest: Any) -> None:
-        """Ask a peer for what it knows beyond the own copies."""
+        """Record the versions of a peer's copies.
+
+        Changes are requested immediately when the store is unavailable to this entry,
+        and otherwise by ``tick``.
+        """
         for table, version in (digest.version_by_table or {}).items():
             shared = self._shared_by_table.get(table)
             if shared is None or version <= shared.mirror.version:
@@ -81,19 +95,26 @@
                 self._pull(shared)
 
     def tick(self, now_ms: int) -> None:
-        """Catch up where the store did not bring a change that a peer knows."""
+        """Request changes that the store has not returned within ``CATCH_UP_MS``.
+
+        Parameters
+        ----------
+        now_ms : int
+            Monotonic time, in ms.
+        """
         for shared in self._shared_by_table.values():
             is_behind = shared.behind_version > shared.mirror.version
             if is_behind and now_ms - shared.behind_since_ms >= CATCH_UP_MS:
                 self._pull(shared)
 
     def _pull(self, shared: _Shared) -> None:
+        """Request the changes above this entry's version from the recorded peer."""
         version = shared.mirror.version
         pull = messages.TablePull(table=shared.mirror.table, above_version=version)
         self._links.send(shared.behind_peer_id, pull)
 
     def on_pull(self, peer_id: str, pull: Any) -> None:
-        """Send the changes that a peer asks for."""
+        """Send a peer the changes that it requested."""
         shared = self._shared_by_table.get(pull.table)
         if shared is None:
             return
@@ -108,9 +129,9 @@
         self._links.send(peer_id, delta)
 
     def on_delta(self, _peer_id: str, delta: Any) -> None:
-        """Take the changes that a peer sent."""
+        """Apply the changes that a peer sent."""
         shared = self._shared_by_table.get(delta.table)
-        # A difference to a version that this copy has not reached has a gap.
+        # Changes above a version that this copy has not reached would leave a gap.
         if shared is None or (delta.above_version or 0) > shared.mirror.version:
             return
         news = shared.mirror.apply(_to_rows(delta.rows or ()), delta.version or 0)
--- a/packages/entry/src/bluebellusher/shared/_watcher.py
+++ b/packages/entry/src/bluebellusher/shared/_watcher.py
@@ -1,4 +1,4 @@
-"""Keeping the copy of one table up to date from the store."""
+"""Update of the copy of a table from the store."""
 
 import asyncio
 from collections.abc import Callable
@@ -11,46 +11,54 @@
 from bluebellusher_core.clock import Clock
 from bluebellusher_core.directory import MirrorRow, TableMirror
 
-# A wait whose answer is lost hears nothing more, and a change must be in force 2 s
-# after a disturbance of up to 3 s; a shorter wait costs calls.
+# Time for which one call asks the store to wait for a change, in ms. When the answer is
+# lost, the entry receives no changes until the wait ends, and a change must be in force
+# 2 s after a network fault of up to 3 s. A shorter wait requires more calls.
 WAIT_MS = 2_500
+# Bounds of the delay before a failed call is retried, in ms.
 FIRST_BACKOFF_MS = 50
 MAX_BACKOFF_MS = 500
-# Endpoints register one after the other when a deployment starts, and every entry
-# follows them; a change may take 2 s to be in force.
+# Delay after changes before the next call, in ms, so that one call returns several
+# changes. Endpoints register one after the other when a deployment starts, and every
+# entry reads each change. The delay is short because a change must be in force within
+# 2 s.
 GATHER_MS = 150
-# A read right after a loss of history may be stale.
+# Delay before the table is read again after the store has lost the history of changes,
+# in ms. A read immediately after the loss may be stale.
 STALE_READ_PAUSE_MS = 150
 
 
 class LogSink(Protocol):
-    """Takes log lines."""
+    """Receiver of log lines."""
 
     def log(self, name: str, **fields: str | int | float) -> None:
         """Write one log line."""
 
 
 class TableWatcher:
-    """Read a table once, then follow its changes; start over when they are lost.
+    """Read a table once and then its changes.
+
+    The whole table is read again when the store no longer keeps the changes since the
+    version of the copy.
 
     Parameters
     ----------
     store : RowStore
-        Where the table is kept.
+        Contains the table.
     mirror : TableMirror
-        The copy to keep up to date.
+        Copy of the table to update.
     on_news : callable
-        Receives the rows that are new to the copy.
+        Receives the rows that changed in the copy.
     on_contact : callable
-        Told whether the store answers, whenever that changes.
+        Called with whether the store is available when that changes.
     clock : Clock
-        Times the contact.
+        Clock of the time of the store's last answer.
     random_state : random.Random
         Spreads the retries of many entries.
     log : LogSink
-        Takes log lines.
+        Receives the log lines.
     wait_ms : int
-        How long the store is asked to wait for a change.
+        Time for which one call asks the store to wait for a change, in ms.
     """
 
     def __init__(
@@ -78,7 +86,7 @@
         self._n_failures = 0
 
     async def run(self) -> None:
-        """Follow the table until cancelled."""
+        """Read the table and its changes until cancelled."""
         while True:
             result = await self._read()
             match result:
@@ -90,12 +98,14 @@
                     await self._fail(error)
 
     async def _read(self) -> Result[TableRows, StoreError]:
+        """Read the whole table if necessary, otherwise wait for changes."""
         if self._needs_snapshot:
             return await self._store.read_table(self.mirror.table)
         version = self.mirror.version
         return await self._store.read_changes(self.mirror.table, version, self._wait_ms)
 
     def _take(self, found: TableRows) -> None:
+        """Apply an answer of the store to the copy and report the changed rows."""
         self._note_contact()
         if self._needs_snapshot:
             news = self.mirror.replace(found.rows, found.version)
@@ -106,10 +116,14 @@
             self._on_news(news)
 
     async def _pause_after_news(self) -> None:
-        """Let changes that come together be read together, which saves calls."""
+        """Wait ``GATHER_MS``, so that the next call returns several changes."""
         await asyncio.sleep(GATHER_MS / 1000)
 
     async def _fail(self, error: StoreError) -> None:
+        """Record a failed call and wait before the next one.
+
+        Only the first failure of an outage is logged.
+        """
         if error.is_history_lost:
             self._needs_snapshot = True
             self._log.log("store-history-lost", table=self.mirror.table)
@@ -129,6 +143,7 @@
         await asyncio.sleep(self._backoff_ms() / 1000)
 
     def _note_contact(self) -> None:
+        """Record an answer of the store; report it if the store was unavailable."""
         self.contact_at_ms = self._clock.now_ms()
         self._n_failures = 0
         if not self.is_in_contact:
@@ -138,6 +153,11 @@
             self._on_contact(True)
 
     def _backoff_ms(self) -> float:
+        """Return the delay before the next retry, in ms.
+
+        It is random between half and all of a limit that doubles with each failure up
+        to ``MAX_BACKOFF_MS``.
+        """
         limit_ms = FIRST_BACKOFF_MS * 2 ** min(self._n_failures, 8)
         limit_ms = min(MAX_BACKOFF_MS, limit_ms)
         return limit_ms * (0.5 + self._random_state.random() / 2)
--- a/packages/entry/src/bluebellusher/shared/tests/fakes.py
+++ b/packages/entry/src/bluebellusher/shared/tests/fakes.py
@@ -1,4 +1,4 @@
-"""A store and a log for tests of shared tables."""
+"""In-memory store and log for tests of shared tables."""
 
 import asyncio
 
@@ -7,14 +7,24 @@
 from bluebellusher.ports import StoreError, TableRows
 from bluebellusher_core.directory import MirrorRow
 
-# No condition of these tests takes longer than a few seconds.
+# Time limit for a condition of a test, in s. The conditions take a few seconds at most.
 MAX_WAIT_S = 10
 
 
 async def until(condition, clock=None):
-    """Wait until a condition holds; a given clock goes on meanwhile.
-
-    Raises ``TimeoutError`` after ``MAX_WAIT_S`` seconds.
+    """Wait until a condition holds.
+
+    Parameters
+    ----------
+    condition : callable
+        Returns whether the condition holds.
+    clock : ManualClock or None
+        Clock to advance by 50 ms every 10 ms while waiting.
+
+    Raises
+    ------
+    TimeoutError
+        When the condition does not hold within ``MAX_WAIT_S`` seconds.
     """
     async with asyncio.timeout(MAX_WAIT_S):
         while not condition():
@@ -24,7 +34,12 @@
 
 
 class FakeStore:
-    """Tables in memory; ``fault`` makes every call fail."""
+    """Store with tables in memory.
+
+    While ``fault`` is set, every call fails with it. While ``loses_answers`` is set,
+    writes take effect but return an error. ``oldest_kept`` is the lowest version from
+    which changes can still be read.
+    """
 
     def __init__(self):
         self.rows_by_table = {}
@@ -36,7 +51,7 @@
         self._changed = asyncio.Event()
 
     def put(self, table, key, value, is_removed=False):
-        """Write a row as another program does."""
+        """Write a row without a condition, as another program does."""
         self.version += 1
         row = MirrorRow(key, self.version, value, is_removed)
         self.rows_by_table.setdefault(table, {})[key] = row
@@ -48,7 +63,7 @@
         return list(self.rows_by_table.get(table, {}).values())
 
     async def read_table(self, table):
-        """Return all rows."""
+        """Return all rows of a table."""
         self.n_calls += 1
         if self.fault is not None:
             return Error(self.fault)
@@ -56,7 +71,7 @@
         return Ok(TableRows(rows, self.version))
 
     async def read_changes(self, table, above_version, wait_ms):
-        """Return changes, or wait for one."""
+        """Return the changes above a version, or wait up to ``wait_ms`` for one."""
         self.n_calls += 1
         if self.fault is not None:
             return Error(self.fault)
@@ -75,7 +90,7 @@
         return Ok(TableRows(tuple(rows), self.version))
 
     async def write_row(self, write):
-        """Write under a condition."""
+        """Write a row if its version is the expected one; return the current row."""
         self.n_calls += 1
         if self.fault is not None:
             return Error(self.fault)
@@ -88,26 +103,26 @@
         return Ok(row)
 
     async def close(self):
-        """Nothing is open."""
+        """Do nothing; there are no connections."""
 
 
 class FakeLog:
-    """Keeps log lines and events."""
+    """Log and event sink that collects log lines and events."""
 
     def __init__(self):
         self.lines = []
         self.events = []
 
     def log(self, name, **fields):
-        """Keep a line."""
+        """Collect a log line."""
         self.lines.append((name, fields))
 
     def post(self, event):
-        """Keep an event."""
+        """Collect an event."""
         self.events.append(event)
 
     def names(self):
-        """Return the names of the lines."""
+        """Return the names of the collected log lines."""
         return [name for name, _ in self.lines]
 
 
--- a/packages/entry/src/bluebellusher/shared/tests/test_crash_table.py
+++ b/packages/entry/src/bluebellusher/shared/tests/test_crash_table.py
@@ -1,4 +1,4 @@
-"""Crashes kept in the store while it and the entries fail."""
+"""Tests that crash records survive restarts of entries and faults of the store."""
 
 import asyncio
 from random import Random
@@ -10,12 +10,13 @@
 from bluebellusher_core.directory import TableMirror
 from bluebellusher_core.poison import CRASH_MAX_AGE_MS, Crash, CrashCounter, CrashRecord
 
-# A row of the users' store; its text is counted before it is encoded.
+# Size limit of a row in the store, in bytes, which applies before the encoding for
+# transport.
 MAX_ROW_BYTES = 65_536
 
 
 class Entry:
-    """The part of an entry that remembers crashes."""
+    """Components of an entry that record crashes."""
 
     def __init__(self, store, clock):
         self.log = FakeLog()
@@ -35,30 +36,30 @@
         self.task = asyncio.create_task(self.table.run())
 
     def learn(self, event):
-        """Take records in, as the reducer does."""
+        """Merge received crash records, as the reducer does."""
         for record in event.records:
             self.counter.merge(record, self.clock.now_ms())
 
     def see(self, fingerprint, n_crashes, sound_age_ms=None):
-        """Observe crashes."""
+        """Record crashes of a fingerprint that this entry observed."""
         now_ms = self.clock.now_ms()
         crashes = tuple(Crash(f"x{i}@1", 20, 10) for i in range(n_crashes))
         self.counter.merge(CrashRecord(fingerprint, crashes, sound_age_ms), now_ms)
         self.table.note_own()
 
     async def start(self):
-        """Read the store."""
+        """Read the crash table from the store; return the entry."""
         found = (await self.store.read_table(CRASH_TABLE)).ok
         self.table.take_rows(self.mirror.replace(found.rows, found.version))
         return self
 
     def count(self, fingerprint):
-        """Return how many crashes are remembered."""
+        """Return the number of recorded crashes of a fingerprint."""
         return self.counter.count(fingerprint, self.clock.now_ms())
 
 
 def run(scenario):
-    """Run a scenario with a store and a clock."""
+    """Run a scenario with a store and a clock, then cancel the tasks it started."""
 
     async def main():
         await scenario(FakeStore(), ManualClock(1_000_000))
@@ -69,12 +70,12 @@
 
 
 def row_of(store):
-    """Return what is stored, or None."""
+    """Return the stored row of the crash table, or None."""
     return store.rows_by_table.get(CRASH_TABLE, {}).get(CRASH_KEY)
 
 
 def test_entry_that_starts_alone_knows_the_crashes_of_earlier_ones():
-    """Guards against a block that no process is left to remember."""
+    """Guards against a blocked request that runs again after all entries ended."""
 
     async def scenario(store, clock):
         (await Entry(store, clock).start()).see("f", 3)
@@ -88,7 +89,7 @@
 
 
 def test_entries_that_write_at_once_lose_nothing():
-    """Guards against a row that the last writer wins."""
+    """Guards against crash records that a concurrent write overwrites."""
 
     async def scenario(store, clock):
         first = await Entry(store, clock).start()
@@ -103,11 +104,12 @@
 
 
 def _has_both(row):
+    """Return whether a row contains the crashes of ``f`` and ``g``."""
     return row is not None and b'"f"' in row.value and b'"g"' in row.value
 
 
 def test_crash_is_stored_when_the_store_is_back():
-    """Guards against crashes forgotten because the store was away."""
+    """Guards against crashes that are lost because the store was unavailable."""
 
     async def scenario(store, clock):
         entry = await Entry(store, clock).start()
@@ -121,7 +123,7 @@
 
 
 def test_lost_answer_of_the_store_changes_nothing():
-    """Guards against endless writes of what is there already."""
+    """Guards against repeated writes of records that are already stored."""
 
     async def scenario(store, clock):
         entry = await Entry(store, clock).start()
@@ -140,11 +142,12 @@
 
 
 def _versions(entry):
+    """Return the versions of the rows in an entry's copy."""
     return {row.version for row in entry.mirror.row_by_key.values()}
 
 
 def test_entries_that_know_the_same_write_once():
-    """Guards against a call to the store by every entry for each crash."""
+    """Guards against a write by every entry for each crash."""
 
     async def scenario(store, clock):
         entries = [await Entry(store, clock).start() for _ in range(8)]
@@ -163,7 +166,7 @@
 
 
 def test_whole_run_takes_stored_crashes_back():
-    """Guards against a block that comes back with the next start."""
+    """Guards against a cleared block that is restored from the store at a restart."""
 
     async def scenario(store, clock):
         entry = await Entry(store, clock).start()
@@ -180,7 +183,7 @@
 
 
 def test_row_that_cannot_be_read_is_replaced():
-    """Guards against crashes that another program's bytes hide for good."""
+    """Guards against crashes that are never stored after another program's write."""
 
     async def scenario(store, clock):
         store.put(CRASH_TABLE, CRASH_KEY, b"\xff{")
@@ -194,7 +197,10 @@
 
 
 def test_row_stays_within_the_limit_of_the_store():
-    """Guards against a row that the store refuses; the worst requests are kept."""
+    """Guards against a row above the size limit, which the store would refuse.
+
+    The fingerprints with the most crashes are stored.
+    """
 
     async def scenario(store, clock):
         entry = await Entry(store, clock).start()
--- a/packages/entry/src/bluebellusher/shared/tests/test_shared.py
+++ b/packages/entry/src/bluebellusher/shared/tests/test_shared.py
@@ -1,4 +1,4 @@
-"""Shared tables while the store is down, forgets, or turns one entry away."""
+"""Tests of shared tables while the store is unavailable or has lost its history."""
 
 import asyncio
 from random import Random
@@ -17,7 +17,7 @@
 
 
 class Follower:
-    """One entry's copy of a table."""
+    """An entry's copy of a table with its watcher, changed rows and availability."""
 
     def __init__(self, store, clock):
         self.log = FakeLog()
@@ -37,7 +37,7 @@
 
 
 def run(scenario):
-    """Run a scenario with a store."""
+    """Run a scenario with a store and a clock."""
 
     async def main():
         await scenario(FakeStore(), ManualClock())
@@ -46,7 +46,7 @@
 
 
 def test_changes_arrive_and_a_loss_of_history_is_repaired():
-    """Guards against entries that miss what happened while they were cut off."""
+    """Guards against changes that entries miss while the store is unavailable."""
 
     async def scenario(store, clock):
         store.put("t", "a", b"1")
@@ -69,7 +69,7 @@
 
 
 def test_outage_is_told_once_and_calls_are_spread():
-    """Guards against a log and a store that are flooded during an outage."""
+    """Guards against a flood of log lines and calls while the store is unavailable."""
 
     async def scenario(store, clock):
         store.fault = DOWN
@@ -83,14 +83,14 @@
 
 
 class Wire:
-    """Links between exchanges that deliver at once."""
+    """Network between table exchanges that delivers messages immediately."""
 
     def __init__(self):
         self.exchange_by_id = {}
         self.n_deltas = 0
 
     def links_of(self, own_id):
-        """Return links on which others hear from ``own_id``."""
+        """Return the links of an entry; its messages are delivered with its id."""
         wire = self
 
         class Links:
@@ -106,7 +106,11 @@
 
 
 def make_exchanges(clock, is_in_contact):
-    """Return an entry that knows a change, and one that does not."""
+    """Return a network of an entry with a change and one without, and changed rows.
+
+    ``is_in_contact`` states whether the store is available to the entry without the
+    change.
+    """
     wire, news = Wire(), []
     for entry_id, contact in (("ahead", True), ("behind", is_in_contact)):
         exchange = TableExchange(wire.links_of(entry_id), clock)
@@ -119,12 +123,12 @@
 
 
 def make_digest(exchange):
-    """Return what an entry tells its peers."""
+    """Return the digest that an exchange's entry sends to its peers."""
     return messages.Digest(version_by_table=exchange.versions())
 
 
 def test_entry_that_the_store_turns_away_learns_from_its_peers_at_once():
-    """Guards against old routes and keys on an entry without the store."""
+    """Guards against outdated routes and keys while the store is unavailable."""
     wire, news = make_exchanges(ManualClock(), is_in_contact=False)
     digest = make_digest(wire.exchange_by_id["ahead"])
     wire.exchange_by_id["behind"].on_digest("ahead", digest)
@@ -133,7 +137,7 @@
 
 
 def test_entry_in_contact_asks_its_peers_only_when_it_stays_behind():
-    """Guards against bytes that repeat what the store sends anyway."""
+    """Guards against transfers between peers that duplicate the store's answers."""
     clock = ManualClock()
     wire, news = make_exchanges(clock, is_in_contact=True)
     behind = wire.exchange_by_id["behind"]
@@ -146,12 +150,15 @@
 
 
 class Codec:
-    """Rows whose values are versions, or registrations by slots."""
+    """Codec of rows whose values are numbers.
+
+    The number is the version of a routing table or the slots of a registration.
+    """
 
     routing_table, routing_key, registration_table = "op", "config", "servers"
 
     def read_routing(self, value):
-        """Return a table with the version in the row."""
+        """Return a routing table of the version in the row, or None for a bad row."""
         if not value.isdigit():
             return None
         return RoutingTable.from_parts(int(value), [], [], None)
@@ -166,13 +173,13 @@
 
 
 def make_directory():
-    """Return a directory and its log."""
+    """Return a directory and the log that collects its lines and events."""
     log = FakeLog()
     return Directory(Codec(), log.post, ManualClock(), log), log
 
 
 def test_configuration_never_goes_back():
-    """Guards against routes and keys that were taken away and come back."""
+    """Guards against removed routes and keys that are put in force again."""
     directory, log = make_directory()
     assert not directory.is_ready
     for row_version, value in ((1, b"5"), (2, b"4"), (3, b"junk"), (4, b"9")):
@@ -182,7 +189,7 @@
 
 
 def test_unreadable_registration_takes_an_endpoint_out_of_use():
-    """Guards against work for an entry that names no endpoint."""
+    """Guards against requests sent to an endpoint whose registration is unreadable."""
     directory, log = make_directory()
     directory.take_registrations([MirrorRow("x", 1, b"4")])
     directory.take_registrations([MirrorRow("x", 2, b"torn")])
