--- a/packages/entry/src/bluebellusher/runtime/__init__.py
+++ b/packages/entry/src/bluebellusher/runtime/__init__.py
@@ -4,7 +4,7 @@
 from bluebellusher.runtime._discovery import EndpointDiscovery
 from bluebellusher.runtime._dispatch import AgentDispatcher, AttemptDispatcher
 from bluebellusher.runtime._exchange import Exchange
-from bluebellusher.runtime._kept import KeptAnswer
+from bluebellusher.runtime._kept_answer import KeptAnswer
 from bluebellusher.runtime._peers import PeerExchange
 from bluebellusher.runtime._platform_store import PlatformStore
 from bluebellusher.runtime._runtime import Runtime
--- a/packages/entry/src/bluebellusher/runtime/_discovery.py
+++ b/packages/entry/src/bluebellusher/runtime/_discovery.py
@@ -77,13 +77,15 @@
         if not result.is_ok():
             self._sink.log("instances-unread", step="list", error=str(result.error))
             return
-        wanted = self._choose(result.ok) - self._configured
-        gone = self._dialed - wanted
-        kept = {address for address in gone if not self._agents.forget(address)}
-        self._agents.dial(wanted)
-        self._dialed = wanted | kept
+        target_addresses = self._choose_addresses(result.ok) - self._configured
+        removed_addresses = self._dialed - target_addresses
+        connected_addresses = {
+            address for address in removed_addresses if not self._agents.forget(address)
+        }
+        self._agents.dial(target_addresses)
+        self._dialed = target_addresses | connected_addresses
 
-    def _choose(self, instances: Iterable[Instance]) -> set[Address]:
+    def _choose_addresses(self, instances: Iterable[Instance]) -> set[Address]:
         """Return the addresses of this entry's subset of the running endpoints."""
         instance_by_id = {
             instance.instance_id: instance
@@ -91,10 +93,10 @@
             if instance.role == "endpoint" and instance.state == "running"
         }
         infos = [self._to_info(instance) for instance in instance_by_id.values()]
-        chosen = choose_subset(
+        chosen_ids = choose_subset(
             self._entry_id, self._failure_domain, infos, self._n_per_service
         )
-        return {(instance_by_id[i].host, instance_by_id[i].port) for i in chosen}
+        return {(instance_by_id[i].host, instance_by_id[i].port) for i in chosen_ids}
 
     def _to_info(self, instance: Instance) -> EndpointInfo:
         """Return an instance in the form that ``choose_subset`` takes.
--- a/packages/entry/src/bluebellusher/runtime/_dispatch.py
+++ b/packages/entry/src/bluebellusher/runtime/_dispatch.py
@@ -151,15 +151,17 @@
     def __init__(self, link: "AgentLink", attempt_id: str, window_bytes: int) -> None:
         self._link = link
         self._attempt_id = attempt_id
-        self._portion = window_bytes // 4
-        self._n_bytes = 0
+        self._portion_bytes = window_bytes // 4
+        self._n_unsent_bytes = 0
 
     def __call__(self, n_bytes: int) -> None:
         """Count bytes that the caller's socket accepted; send credit when due."""
-        self._n_bytes += n_bytes
-        if self._n_bytes < self._portion:
+        self._n_unsent_bytes += n_bytes
+        if self._n_unsent_bytes < self._portion_bytes:
             return
         if self._attempt_id in self._link.relay_by_attempt_id:
-            credit = messages.Credit(attempt_id=self._attempt_id, n_bytes=self._n_bytes)
+            credit = messages.Credit(
+                attempt_id=self._attempt_id, n_bytes=self._n_unsent_bytes
+            )
             self._link.connection.send(credit)
-        self._n_bytes = 0
+        self._n_unsent_bytes = 0
--- a/packages/entry/src/bluebellusher/runtime/_exchange.py
+++ b/packages/entry/src/bluebellusher/runtime/_exchange.py
@@ -5,7 +5,7 @@
 
 from bluebellusher.links import AnswerStream
 from bluebellusher.observability import Span
-from bluebellusher.runtime._kept import KeptAnswer
+from bluebellusher.runtime._kept_answer import KeptAnswer
 from bluebellusher_core.events import RequestSpec, Usage
 
 
@@ -68,7 +68,7 @@
     last_event_id: str = ""
     max_silence_ms: int = 0
 
-    def keep(self) -> KeptAnswer:
+    def to_kept_answer(self) -> KeptAnswer:
         """Return the answer in the form that is kept for the idempotency key."""
         answer = self.answer
         body = None if answer.kept is None else bytes(answer.kept)
--- a/packages/entry/src/bluebellusher/runtime/_kept.py
+++ b/packages/entry/src/bluebellusher/runtime/_kept_answer.py
@@ -46,7 +46,7 @@
         return self.body is not None and len(self.body) > MAX_ROW_ANSWER_BYTES
 
 
-def read_kept(row: Any) -> tuple[KeptAnswer, str] | None:
+def read_kept_answer(row: Any) -> tuple[KeptAnswer, str] | None:
     """Return a stored answer and the name of the object that holds its body.
 
     The name is empty when the body is not stored as an object. Returns None when
--- a/packages/entry/src/bluebellusher/runtime/_peers.py
+++ b/packages/entry/src/bluebellusher/runtime/_peers.py
@@ -23,15 +23,15 @@
 # Age up to which a crash or a leaving endpoint is announced again, in ms. Bytes between
 # failure domains are billed, so that single crashes, which mostly occur while harmless
 # requests run, are not repeated until they expire.
-REPEAT_FOR_MS = 30_000
+MAX_REPEAT_AGE_MS = 30_000
 # Number of crashes from which a record is repeated regardless of its age.
 N_CRASHES_TO_REPEAT = 2
 # Upper bound of the crash records, and of the leaving endpoints, that are read from one
 # digest.
-N_MAX_NEWS = 1_000
+N_MAX_RECEIVED = 1_000
 # Upper bound of the crashes that are read from one record of a peer. Restarts of
 # endpoints cannot produce as many crashes of one request.
-N_MAX_CRASHES_BY_RECORD = 100
+N_MAX_CRASHES_PER_RECORD = 100
 MessageHandler = Callable[[str, Any], None]
 
 
@@ -73,7 +73,7 @@
         self._handler_by_type: dict[type, MessageHandler] = {}
         self._find_crashes = find_crashes
         self._find_leaving = find_leaving
-        self._sent: Any = None
+        self._sent_digest: Any = None
         self._sent_at_ms = 0
         self._repeated_at_ms = 0
 
@@ -84,35 +84,38 @@
     def on_peer_open(self, peer_id: str, _hello: Any) -> None:
         """Send a peer that has connected all crash records and leaving endpoints."""
         if self.links is not None:
-            self.links.send(peer_id, self._make_whole_digest())
+            self.links.send(peer_id, self._make_full_digest())
 
-    def _make_whole_digest(self) -> Any:
+    def _make_full_digest(self) -> Any:
         digest = self._make_digest()
-        digest.crashes = _to_messages(self._find_crashes())
-        digest.leaving = _to_marks(self._find_leaving())
+        digest.crashes = _to_crash_messages(self._find_crashes())
+        digest.leaving = _to_leaving_messages(self._find_leaving())
         return digest
 
     def tell_crashes(self, records: Iterable[CrashRecord]) -> None:
         """Broadcast crash records to all peers."""
         digest = self._make_digest()
-        digest.crashes = _to_messages(records)
-        self._broadcast_news(digest)
+        digest.crashes = _to_crash_messages(records)
+        self._broadcast_announcement(digest)
 
     def tell_leaving(self, marks: Iterable[LeavingMark]) -> None:
         """Broadcast leaving endpoints to all peers."""
         digest = self._make_digest()
-        digest.leaving = _to_marks(marks)
-        self._broadcast_news(digest)
+        digest.leaving = _to_leaving_messages(marks)
+        self._broadcast_announcement(digest)
 
-    def _repeat_news(self) -> None:
+    def _repeat_announcements(self) -> None:
         """Broadcast recent announcements again for entries that were disconnected."""
         digest = self._make_digest()
-        records = filter(_is_worth_repeating, self._find_crashes())
-        marks = (m for m in self._find_leaving() if m.age_ms < REPEAT_FOR_MS)
-        digest.crashes, digest.leaving = _to_messages(records), _to_marks(marks)
-        self._broadcast_news(digest)
+        records = filter(_should_repeat, self._find_crashes())
+        marks = (m for m in self._find_leaving() if m.age_ms < MAX_REPEAT_AGE_MS)
+        digest.crashes, digest.leaving = (
+            _to_crash_messages(records),
+            _to_leaving_messages(marks),
+        )
+        self._broadcast_announcement(digest)
 
-    def _broadcast_news(self, digest: Any) -> None:
+    def _broadcast_announcement(self, digest: Any) -> None:
         if self.links is not None and (digest.crashes or digest.leaving):
             self.links.broadcast(digest)
 
@@ -137,12 +140,12 @@
         """
         digest = self._make_digest()
         is_due = now_ms - self._sent_at_ms >= DIGEST_INTERVAL_MS
-        if self.links is not None and (is_due or digest != self._sent):
-            self._sent, self._sent_at_ms = digest, now_ms
+        if self.links is not None and (is_due or digest != self._sent_digest):
+            self._sent_digest, self._sent_at_ms = digest, now_ms
             self.links.broadcast(digest)
         if now_ms - self._repeated_at_ms >= REPEAT_INTERVAL_MS:
             self._repeated_at_ms = now_ms
-            self._repeat_news()
+            self._repeat_announcements()
 
     def _receive_digest(self, peer_id: str, digest: Any) -> None:
         """Record the state of a peer and post the events of its digest.
@@ -161,7 +164,7 @@
         )
         self._sink.post(event)
         if digest.crashes:
-            records = _from_messages(digest.crashes)
+            records = _read_crash_records(digest.crashes)
             self._sink.post(CrashesReceived(peer_id, records))
         if digest.leaving:
             marks = tuple(
@@ -170,12 +173,12 @@
                     mark.incarnation or 0,
                     max(0, mark.age_ms or 0),
                 )
-                for mark in digest.leaving[:N_MAX_NEWS]
+                for mark in digest.leaving[:N_MAX_RECEIVED]
             )
             self._sink.post(LeavingReceived(peer_id, marks))
 
 
-def _to_marks(marks: Iterable[LeavingMark]) -> list[Any]:
+def _to_leaving_messages(marks: Iterable[LeavingMark]) -> list[Any]:
     return [
         messages.LeavingMark(
             endpoint_id=mark.endpoint_id,
@@ -186,13 +189,13 @@
     ]
 
 
-def _is_worth_repeating(record: CrashRecord) -> bool:
+def _should_repeat(record: CrashRecord) -> bool:
     """Return whether a record has a recent crash or several crashes."""
-    is_new = any(crash.age_ms < REPEAT_FOR_MS for crash in record.crashes)
+    is_new = any(crash.age_ms < MAX_REPEAT_AGE_MS for crash in record.crashes)
     return is_new or len(record.crashes) >= N_CRASHES_TO_REPEAT
 
 
-def _to_messages(records: Iterable[CrashRecord]) -> list[Any]:
+def _to_crash_messages(records: Iterable[CrashRecord]) -> list[Any]:
     return [
         messages.CrashRecord(
             fingerprint=record.fingerprint,
@@ -210,7 +213,7 @@
     ]
 
 
-def _from_messages(found: Iterable[Any]) -> tuple[CrashRecord, ...]:
+def _read_crash_records(record_messages: Iterable[Any]) -> tuple[CrashRecord, ...]:
     """Return the crash records of a digest, within the limits of their number."""
     return tuple(
         CrashRecord(
@@ -221,9 +224,9 @@
                     max(0, crash.sent_age_ms or 0),
                     max(0, crash.age_ms or 0),
                 )
-                for crash in (record.crashes or ())[:N_MAX_CRASHES_BY_RECORD]
+                for crash in (record.crashes or ())[:N_MAX_CRASHES_PER_RECORD]
             ),
             sound_age_ms=record.sound_age_ms,
         )
-        for record in list(found)[:N_MAX_NEWS]
+        for record in list(record_messages)[:N_MAX_RECEIVED]
     )
--- a/packages/entry/src/bluebellusher/runtime/_replay.py
+++ b/packages/entry/src/bluebellusher/runtime/_replay.py
@@ -3,7 +3,7 @@
 from typing import Any
 
 from bluebellusher.links import AnswerStream
-from bluebellusher.runtime._kept import read_kept
+from bluebellusher.runtime._kept_answer import read_kept_answer
 from bluebellusher.runtime._store import ClaimStore, StoreError
 from bluebellusher_core.errors import Outcome, Reason, Rejection
 
@@ -20,22 +20,22 @@
     store : ClaimStore
         Contains the bodies that are too long for the row.
     """
-    kept = read_kept(row.get("answer")) if isinstance(row, dict) else None
-    if kept is None:
-        return answer.refuse(_refusal(Reason.OUTCOME_UNKNOWN, None))
-    head, object_name = kept
-    body = head.body
+    stored = read_kept_answer(row.get("answer")) if isinstance(row, dict) else None
+    if stored is None:
+        return answer.refuse(_make_rejection(Reason.OUTCOME_UNKNOWN, None))
+    kept_answer, object_name = stored
+    body = kept_answer.body
     try:
         if object_name:
             body = await store.read_object(object_name)
     except StoreError:
-        return answer.refuse(_refusal(Reason.CLAIM_STORE_UNAVAILABLE, 1_000))
+        return answer.refuse(_make_rejection(Reason.CLAIM_STORE_UNAVAILABLE, 1_000))
     if body is None:
-        return answer.refuse(_refusal(Reason.OUTCOME_UNKNOWN, None))
-    answer.start(head.status, {**head.headers, "x-replayed": "true"})
+        return answer.refuse(_make_rejection(Reason.OUTCOME_UNKNOWN, None))
+    answer.start(kept_answer.status, {**kept_answer.headers, "x-replayed": "true"})
     answer.write(body)
     answer.complete()
 
 
-def _refusal(reason: Reason, retry_after_ms: int | None) -> Rejection:
+def _make_rejection(reason: Reason, retry_after_ms: int | None) -> Rejection:
     return Rejection(Outcome.UNKNOWN, reason, "replay", "table", retry_after_ms)
--- a/packages/entry/src/bluebellusher/runtime/_runtime.py
+++ b/packages/entry/src/bluebellusher/runtime/_runtime.py
@@ -85,7 +85,7 @@
         self._clock = clock
         self._log = log
         self._events: deque[Event] = deque()
-        self._is_scheduled = False
+        self._is_handling_scheduled = False
         self._timer_by_id: dict[str, asyncio.TimerHandle] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._loop = asyncio.get_running_loop()
@@ -138,9 +138,9 @@
     def post(self, event: Event) -> None:
         """Queue an event; events are handled in the order in which they are posted."""
         self._events.append(event)
-        if not self._is_scheduled:
-            self._is_scheduled = True
-            self._loop.call_soon(self._drain)
+        if not self._is_handling_scheduled:
+            self._is_handling_scheduled = True
+            self._loop.call_soon(self._handle_queued_events)
 
     def log(self, name: str, **fields: str | int | float) -> None:
         """Write one log line."""
@@ -159,7 +159,7 @@
         exchange.is_caller_served = True
         if not exchange.answer.is_ended:
             self.post(CallerDisconnected(exchange.spec.request_id))
-        self._forget_if_over(exchange)
+        self._discard_if_ended(exchange)
 
     def close(self) -> None:
         """Cancel all timers and tasks, including the writes of claims."""
@@ -170,14 +170,14 @@
         if self._claims is not None:
             self._claims.close()
 
-    def _drain(self) -> None:
+    def _handle_queued_events(self) -> None:
         """Handle queued events, at most ``_MAX_EVENTS_PER_TURN``; then reschedule."""
         for _ in range(_MAX_EVENTS_PER_TURN):
             if not self._events:
-                self._is_scheduled = False
+                self._is_handling_scheduled = False
                 return
             self._handle(self._events.popleft())
-        self._loop.call_soon(self._drain)
+        self._loop.call_soon(self._handle_queued_events)
 
     def _handle(self, event: Event) -> None:
         """Pass an event to the reducer and execute its effects.
@@ -187,13 +187,13 @@
         """
         if isinstance(event, AttemptFinished):
             self._keep_answer(event.attempt_id)
-            self._note_usage(event)
+            self._record_usage(event)
         try:
             effects = reduce(self.state, event, self._clock.now_ms())
         except Exception as error:
             effects = []
             self.report_fault("reduce", event, error)
-            self._refuse_after_fault(event)
+            self._reject_after_fault(event)
         for effect in effects:
             self._execute(effect)
         if isinstance(event, AttemptFinished | AttemptRefused | AttemptBroken):
@@ -228,7 +228,7 @@
             error=f"{type(error).__name__}: {error}",
         )
 
-    def _refuse_after_fault(self, event: Event) -> None:
+    def _reject_after_fault(self, event: Event) -> None:
         """Reject a request whose arrival the reducer could not handle."""
         if isinstance(event, RequestArrived):
             reason = Reason.SHUTTING_DOWN
@@ -239,9 +239,11 @@
         """Pass the answer of a claimed request to the writer of claims."""
         exchange = self._dispatcher.find(attempt_id)
         if exchange is not None and exchange.is_kept and self._claims is not None:
-            self._claims.keep(exchange.spec.request_id, exchange.keep())
+            self._claims.keep_answer(
+                exchange.spec.request_id, exchange.to_kept_answer()
+            )
 
-    def _note_usage(self, event: AttemptFinished) -> None:
+    def _record_usage(self, event: AttemptFinished) -> None:
         """Record the usage of the first attempt that finished."""
         exchange = self._dispatcher.find(event.attempt_id)
         if exchange is not None and exchange.usage is None:
@@ -251,9 +253,9 @@
         """Discard an attempt whose end the reducer has handled."""
         exchange = self._dispatcher.end(attempt_id)
         if exchange is not None:
-            self._forget_if_over(exchange)
+            self._discard_if_ended(exchange)
 
-    def _forget_if_over(self, exchange: Exchange) -> None:
+    def _discard_if_ended(self, exchange: Exchange) -> None:
         """Discard a request when its caller is served and its attempts have ended."""
         if exchange.is_caller_served and not exchange.n_attempts:
             request_id = exchange.spec.request_id
@@ -303,7 +305,7 @@
         exchange = self.exchange_by_request_id.get(effect.request_id)
         if exchange is None or self._claims is None or self._store is None:
             return
-        row = self._claims.take_done_row(effect.request_id)
+        row = self._claims.pop_done_row(effect.request_id)
         self._start_task(replay(exchange.answer, row, self._store))
 
     def _write_claims(self, effect: WriteClaims) -> None:
@@ -312,14 +314,16 @@
 
     def _set_timer(self, effect: SetTimer) -> None:
         """Start a timer; a timer of the same id is replaced."""
-        old = self._timer_by_id.pop(effect.timer_id, None)
-        if old is not None:
-            old.cancel()
+        previous_handle = self._timer_by_id.pop(effect.timer_id, None)
+        if previous_handle is not None:
+            previous_handle.cancel()
         delay_ms = max(0, effect.due_ms - self._clock.now_ms())
-        handle = self._loop.call_later(delay_ms / 1000, self._fire, effect.timer_id)
+        handle = self._loop.call_later(
+            delay_ms / 1000, self._post_timer_fired, effect.timer_id
+        )
         self._timer_by_id[effect.timer_id] = handle
 
-    def _fire(self, timer_id: str) -> None:
+    def _post_timer_fired(self, timer_id: str) -> None:
         self._timer_by_id.pop(timer_id, None)
         self.post(TimerFired(timer_id))
 
--- a/packages/entry/src/bluebellusher/runtime/tests/test_claims.py
+++ b/packages/entry/src/bluebellusher/runtime/tests/test_claims.py
@@ -13,7 +13,7 @@
     Row,
     StoreError,
 )
-from bluebellusher.runtime._kept import MAX_ROW_ANSWER_BYTES, read_kept
+from bluebellusher.runtime._kept_answer import MAX_ROW_ANSWER_BYTES, read_kept_answer
 from bluebellusher_core.clock import ManualClock
 from bluebellusher_core.effects import ClaimState, ClaimWrite
 from bluebellusher_core.events import ClaimOutcome, ClaimsAnswered, ClaimsUnanswered
@@ -81,12 +81,12 @@
     )
 
 
-async def write(store, writes, kept=None):
+async def write_batch(store, writes, kept=None):
     """Write a batch until it is answered, as the reducer does; return its results."""
     sink = Sink()
     writer = ClaimWriter(store, sink, "entry")
     if kept is not None:
-        writer.keep(writes[0].request_id, kept)
+        writer.keep_answer(writes[0].request_id, kept)
     for attempt in range(10):
         writer.submit(f"b{attempt}", tuple(writes))
         await asyncio.gather(*writer._tasks)
@@ -96,67 +96,70 @@
     return {}
 
 
-scripts = st.lists(st.sampled_from(["ok", "lost", "down"]), max_size=5)
+fault_scripts = st.lists(st.sampled_from(["ok", "lost", "down"]), max_size=5)
 
 
 @given(
     st.lists(
-        st.tuples(scripts, st.sets(st.sampled_from("abc"), min_size=1)), max_size=4
+        st.tuples(fault_scripts, st.sets(st.sampled_from("abc"), min_size=1)),
+        max_size=4,
     )
 )
-def test_property_a_key_is_granted_to_one_entry_only(entries):
+def test_property_claim_of_a_key_is_granted_to_one_entry_only(entries):
     """Guards against a claim granted twice after a lost answer or a conflict (I4)."""
     table = Table(ManualClock())
     granted = []
     for number, (script, keys) in enumerate(entries):
         store = LossyStore(table, list(script))
         writes = [make_write(str(number), key) for key in sorted(keys)]
-        results = asyncio.run(write(store, writes))
+        results = asyncio.run(write_batch(store, writes))
         assert set(results) == {w.request_id for w in writes}
-        for item in writes:
-            if results[item.request_id].outcome is ClaimOutcome.GRANTED:
-                granted.append(item.idempotency_key)
+        for claim_write in writes:
+            if results[claim_write.request_id].outcome is ClaimOutcome.GRANTED:
+                granted.append(claim_write.idempotency_key)
     assert sorted(granted) == sorted(set(granted))
     assert set(granted) == {key for _, keys in entries for key in keys}
 
 
-def test_abandoned_blocks_a_late_write_and_frees_the_key_for_others():
+def test_abandoned_row_blocks_a_late_claim_write_and_frees_the_key():
     """Guards against a claim write that takes effect after its claim was abandoned."""
     table = Table(ManualClock())
     store = LossyStore(table, [])
-    late = make_write("1", "a")
-    asyncio.run(write(store, [make_write("1", "a", ClaimState.ABANDONED)]))
+    late_write = make_write("1", "a")
+    asyncio.run(write_batch(store, [make_write("1", "a", ClaimState.ABANDONED)]))
     assert isinstance(table.transact({"claim/c1/a": 0}, {"claim/c1/a": {}}), list)
-    results = asyncio.run(write(store, [make_write("2", "a")]))
+    results = asyncio.run(write_batch(store, [make_write("2", "a")]))
     assert results["2.a"].outcome is ClaimOutcome.GRANTED
-    asyncio.run(write(store, [make_write("1", "a", ClaimState.ABANDONED)]))
+    asyncio.run(write_batch(store, [make_write("1", "a", ClaimState.ABANDONED)]))
     assert table.read("claim/c1/a").value["claim_id"] == "claim-2-a"
-    assert late.claim_id == "claim-1-a"
+    assert late_write.claim_id == "claim-1-a"
 
 
-def test_done_never_replaces_the_claim_of_another_entry():
+def test_outcome_never_replaces_the_claim_of_another_entry():
     """Guards against an outcome that overwrites the claim of another entry."""
     table = Table(ManualClock())
     store = LossyStore(table, [])
-    asyncio.run(write(store, [make_write("1", "a")]))
-    asyncio.run(write(store, [make_write("2", "a", ClaimState.DONE)]))
+    asyncio.run(write_batch(store, [make_write("1", "a")]))
+    asyncio.run(write_batch(store, [make_write("2", "a", ClaimState.DONE)]))
     assert table.read("claim/c1/a").value["state"] == "claimed"
 
 
-@given(st.integers(0, 2 * MAX_ROW_ANSWER_BYTES), scripts)
-def test_property_a_kept_answer_is_replayed_whole(n_bytes, script):
+@given(st.integers(0, 2 * MAX_ROW_ANSWER_BYTES), fault_scripts)
+def test_property_kept_answer_is_replayed_completely(n_bytes, script):
     """Guards against a truncated replay and against a row above the size limit."""
     table = Table(ManualClock())
     store = LossyStore(table, [])
-    asyncio.run(write(store, [make_write("1", "a")]))
+    asyncio.run(write_batch(store, [make_write("1", "a")]))
     kept = KeptAnswer(201, {"content-type": "text/plain"}, b"x" * n_bytes)
     store.script = list(script)
-    asyncio.run(write(store, [make_write("1", "a", ClaimState.DONE)], kept))
-    results = asyncio.run(write(store, [make_write("2", "a")]))
+    asyncio.run(write_batch(store, [make_write("1", "a", ClaimState.DONE)], kept))
+    results = asyncio.run(write_batch(store, [make_write("2", "a")]))
     assert results["2.a"].outcome is ClaimOutcome.DONE
-    head, name = read_kept(table.read("claim/c1/a").value["answer"])
-    body = store.object_by_name[name] if name else head.body
-    assert (head.status, body) == (201, kept.body)
+    kept_answer, name = read_kept_answer(table.read("claim/c1/a").value["answer"])
+    body = store.object_by_name[name] if name else kept_answer.body
+    assert (kept_answer.status, body) == (201, kept.body)
     assert bool(name) is (n_bytes > MAX_ROW_ANSWER_BYTES)
-    reused = asyncio.run(write(store, [make_write("3", "a", fingerprint="other")]))
+    reused = asyncio.run(
+        write_batch(store, [make_write("3", "a", fingerprint="other")])
+    )
     assert reused["3.a"].outcome is ClaimOutcome.KEY_REUSED
--- a/packages/entry/src/bluebellusher/runtime/tests/test_discovery.py
+++ b/packages/entry/src/bluebellusher/runtime/tests/test_discovery.py
@@ -8,7 +8,7 @@
 from bluebellusher.runtime import EndpointDiscovery
 
 
-class Platform:
+class FakePlatform:
     """Platform with an instance list; it is unavailable while the list is None."""
 
     def __init__(self) -> None:
@@ -21,7 +21,7 @@
         return Ok(tuple(self.instances))
 
 
-class Links:
+class FakeAgentLinks:
     """Agent links that record the dialed addresses.
 
     Addresses in ``connected`` have an open connection and remain dialed.
@@ -51,13 +51,13 @@
     return Instance(f"e{number}", role, state, "a", "10.0.0.1", number, (service,))
 
 
-def test_the_list_is_followed_but_connections_are_kept():
+def test_listed_endpoints_are_dialed_and_connections_stay_open():
     """Guards against closed connections to endpoints that a lagging list omits.
 
     Also guards against dialing instances that are leaving, not endpoints or of other
     services, and against dialing removed endpoints or too many of them.
     """
-    platform, links = Platform(), Links()
+    platform, links = FakePlatform(), FakeAgentLinks()
     configured = [("10.0.0.1", 9)]
     discovery = EndpointDiscovery(
         platform, links, links, "entry-1", "a", ["desk"], 2, configured
--- a/packages/entry/src/bluebellusher/runtime/tests/test_peer_news.py
+++ b/packages/entry/src/bluebellusher/runtime/tests/test_peer_announcements.py
@@ -13,7 +13,7 @@
 MARKS = (LeavingMark("x1", 1_700_000_000_000, 250),)
 
 
-class Links:
+class FakeLinks:
     """Links that deliver every message, encoded and decoded, to one other entry."""
 
     def __init__(self, other):
@@ -27,46 +27,46 @@
     def broadcast(self, message):
         """Deliver a message to the other entry and count it."""
         self.n_sent += 1
-        (found,) = FrameDecoder("peer").feed(encode(message))
-        self.other.on_peer_message("e1", found)
+        (decoded,) = FrameDecoder("peer").feed(encode(message))
+        self.other.on_peer_message("e1", decoded)
 
 
-class Events(list):
+class EventList(list):
     """List of posted events."""
 
     post = list.append
 
-    def of(self, event_type):
+    def of_type(self, event_type):
         """Return the events of a type."""
         return [event for event in self if isinstance(event, event_type)]
 
 
-def make_pair(records=RECORDS, marks=MARKS):
+def make_connected_entries(records=RECORDS, marks=MARKS):
     """Return a sending entry, its clock and the events that another entry posts."""
-    clock, events = ManualClock(1_000), Events()
+    clock, events = ManualClock(1_000), EventList()
     other = PeerExchange(events, clock, messages.Digest)
     entry = PeerExchange(
-        Events(), clock, messages.Digest, lambda: records, lambda: marks
+        EventList(), clock, messages.Digest, lambda: records, lambda: marks
     )
-    entry.links = Links(other)
+    entry.links = FakeLinks(other)
     return entry, clock, events
 
 
-def test_entry_that_connects_is_told_everything():
+def test_peer_that_connects_receives_all_announcements():
     """Guards against announcements that never reach entries that connect later."""
-    entry, _, events = make_pair()
+    entry, _, events = make_connected_entries()
     entry.on_peer_open("e2", None)
-    assert events.of(CrashesReceived) == [CrashesReceived("e1", RECORDS)]
-    assert events.of(LeavingReceived) == [LeavingReceived("e1", MARKS)]
+    assert events.of_type(CrashesReceived) == [CrashesReceived("e1", RECORDS)]
+    assert events.of_type(LeavingReceived) == [LeavingReceived("e1", MARKS)]
 
 
-def test_news_are_told_at_once():
+def test_announcements_are_broadcast_immediately():
     """Guards against peers that act on outdated state until the next digest is due."""
-    entry, _, events = make_pair()
+    entry, _, events = make_connected_entries()
     entry.tell_crashes(RECORDS[:1])
     entry.tell_leaving(MARKS)
-    assert events.of(CrashesReceived) == [CrashesReceived("e1", RECORDS[:1])]
-    assert events.of(LeavingReceived) == [LeavingReceived("e1", MARKS)]
+    assert events.of_type(CrashesReceived) == [CrashesReceived("e1", RECORDS[:1])]
+    assert events.of_type(LeavingReceived) == [LeavingReceived("e1", MARKS)]
 
 
 def tick(entry, clock, n_ticks):
@@ -76,29 +76,31 @@
         entry.tick(clock.now_ms())
 
 
-def test_news_are_told_again_after_a_while():
+def test_recent_announcements_are_repeated():
     """Guards against a missed announcement when an entry was disconnected."""
-    entry, clock, events = make_pair()
+    entry, clock, events = make_connected_entries()
     tick(entry, clock, 25)
-    assert events.of(CrashesReceived)
-    assert events.of(LeavingReceived)
+    assert events.of_type(CrashesReceived)
+    assert events.of_type(LeavingReceived)
 
 
-def test_old_marks_and_single_old_crashes_are_told_no_more():
+def test_old_leaving_marks_and_single_old_crashes_are_not_repeated():
     """Guards against minutes of traffic for announcements that are no longer useful."""
     old = CrashRecord("old", (Crash("x1@5", 99_000, 99_000),))
     blocked = CrashRecord("blocked", (*old.crashes, Crash("x2@7", 99_000, 99_000)))
-    entry, clock, events = make_pair((old, blocked), (LeavingMark("x1", 1, 99_000),))
+    entry, clock, events = make_connected_entries(
+        (old, blocked), (LeavingMark("x1", 1, 99_000),)
+    )
     tick(entry, clock, 25)
-    assert events.of(CrashesReceived)[0].records == (blocked,)
-    assert not events.of(LeavingReceived)
+    assert events.of_type(CrashesReceived)[0].records == (blocked,)
+    assert not events.of_type(LeavingReceived)
 
 
-def test_ages_cost_no_digests():
+def test_changed_ages_cause_no_digests():
     """Guards against a digest at each tick only because the ages have changed."""
-    entry, clock, _ = make_pair()
+    entry, clock, _ = make_connected_entries()
     tick(entry, clock, 40)
     n_sent = entry.links.n_sent
-    quiet, clock, _ = make_pair((), ())
-    tick(quiet, clock, 40)
-    assert n_sent <= quiet.links.n_sent + 3
+    idle_entry, clock, _ = make_connected_entries((), ())
+    tick(idle_entry, clock, 40)
+    assert n_sent <= idle_entry.links.n_sent + 3
--- a/packages/entry/src/bluebellusher/shared/_crashes.py
+++ b/packages/entry/src/bluebellusher/shared/_crashes.py
@@ -21,13 +21,13 @@
 CRASH_KEY = "recent"
 # Upper bound of the stored fingerprints. A row has at most 65,536 bytes, and a
 # fingerprint with three crashes takes about 250 bytes.
-N_MAX_STORED = 200
+N_MAX_STORED_FINGERPRINTS = 200
 # Least delay before an entry writes a crash that a peer announced, in ms. The peer
 # itself normally writes the crash within this time.
-WRITE_FOR_OTHERS_AFTER_MS = 3_000
+MIN_PEER_WRITE_DELAY_MS = 3_000
 # Upper bound of the random delay before an entry writes a crash that it observed, in
 # ms. It spreads the writes of entries that observed the same crash.
-MAX_WRITE_DELAY_MS = 200
+MAX_OWN_WRITE_DELAY_MS = 200
 # Delay before a write is retried that failed or met a conflict, in ms.
 RETRY_INTERVAL_MS = 1_000
 
@@ -95,14 +95,14 @@
         self._clock = clock
         self._random_state = random_state
         self._log = log
-        self._is_changed = asyncio.Event()
-        self._write_at_ms: int | None = None
+        self._schedule_changed = asyncio.Event()
+        self._write_due_ms: int | None = None
 
     def take_rows(self, rows: Iterable[MirrorRow]) -> None:
         """Post the crash records in changed rows of the table."""
         for row in rows:
             if row.key == CRASH_KEY and not row.is_removed:
-                table = self._read(row)
+                table = self._read_table(row)
                 records = tuple(
                     _to_record(fingerprint, crashes, self._clock.wall_ms())
                     for fingerprint, crashes in table.crashes_by_fingerprint.items()
@@ -112,25 +112,25 @@
     def note_own(self) -> None:
         """Schedule a write of crashes that this entry observed.
 
-        The write is due within ``MAX_WRITE_DELAY_MS``.
+        The write is due within ``MAX_OWN_WRITE_DELAY_MS``.
         """
-        self._plan(self._random_state.randrange(MAX_WRITE_DELAY_MS))
+        self._schedule_write_after(self._random_state.randrange(MAX_OWN_WRITE_DELAY_MS))
 
     def note_others(self) -> None:
         """Schedule a write of crashes that a peer announced.
 
-        The write is due after at least ``WRITE_FOR_OTHERS_AFTER_MS`` and makes no call
+        The write is due after at least ``MIN_PEER_WRITE_DELAY_MS`` and makes no call
         when the peer has stored the crashes itself.
         """
-        spread_ms = self._random_state.randrange(WRITE_FOR_OTHERS_AFTER_MS)
-        self._plan(WRITE_FOR_OTHERS_AFTER_MS + spread_ms)
+        spread_ms = self._random_state.randrange(MIN_PEER_WRITE_DELAY_MS)
+        self._schedule_write_after(MIN_PEER_WRITE_DELAY_MS + spread_ms)
 
-    def _plan(self, delay_ms: int) -> None:
+    def _schedule_write_after(self, delay_ms: int) -> None:
         """Schedule a write after ``delay_ms`` unless an earlier one is scheduled."""
         due_ms = self._clock.now_ms() + delay_ms
-        if self._write_at_ms is None or due_ms < self._write_at_ms:
-            self._write_at_ms = due_ms
-            self._is_changed.set()
+        if self._write_due_ms is None or due_ms < self._write_due_ms:
+            self._write_due_ms = due_ms
+            self._schedule_changed.set()
 
     async def run(self) -> None:
         """Write scheduled changes to the store, and retry failed writes.
@@ -138,23 +138,23 @@
         Runs until it is cancelled.
         """
         while True:
-            self._is_changed.clear()
-            if self._write_at_ms is None:
-                await self._is_changed.wait()
+            self._schedule_changed.clear()
+            if self._write_due_ms is None:
+                await self._schedule_changed.wait()
                 continue
-            left_ms = self._write_at_ms - self._clock.now_ms()
-            if left_ms > 0:
-                await self._wait_for_change(left_ms)
+            remaining_ms = self._write_due_ms - self._clock.now_ms()
+            if remaining_ms > 0:
+                await self._wait_for_schedule_change(remaining_ms)
                 continue
-            self._write_at_ms = None
+            self._write_due_ms = None
             if not await self._write():
-                self._plan(RETRY_INTERVAL_MS)
+                self._schedule_write_after(RETRY_INTERVAL_MS)
 
-    async def _wait_for_change(self, timeout_ms: int) -> None:
+    async def _wait_for_schedule_change(self, timeout_ms: int) -> None:
         """Wait until the schedule changes or ``timeout_ms`` has passed."""
         try:
             async with asyncio.timeout(timeout_ms / 1000):
-                await self._is_changed.wait()
+                await self._schedule_changed.wait()
         except TimeoutError:
             # The scheduled write is due.
             return
@@ -162,8 +162,8 @@
     async def _write(self) -> bool:
         """Write the merged records once; return whether the store contains them now."""
         row = self._mirror.row_by_key.get(CRASH_KEY)
-        stored = self._read(row) if row is not None else _StoredTable()
-        table = unite(stored, self._find_records(), self._clock.wall_ms())
+        stored = self._read_table(row) if row is not None else _StoredTable()
+        table = merge_records(stored, self._find_records(), self._clock.wall_ms())
         if table == stored:
             return True
         value = table.model_dump_json().encode()
@@ -173,17 +173,19 @@
         if not result.is_ok():
             self._log.log("crashes-not-stored", reason=result.error.reason)
             return False
-        found = result.ok
-        is_written = found.value == value
+        current = result.ok
+        is_written = current.value == value
         n_records = len(table.crashes_by_fingerprint)
         if is_written:
-            self._log.log("crashes-stored", n_records=n_records, version=found.version)
+            self._log.log(
+                "crashes-stored", n_records=n_records, version=current.version
+            )
         # The version of the copy is not raised to that of the row, because the copy may
         # lack changes of other rows between the two.
-        self.take_rows(self._mirror.apply([found], self._mirror.version))
+        self.take_rows(self._mirror.apply([current], self._mirror.version))
         return is_written
 
-    def _read(self, row: MirrorRow) -> _StoredTable:
+    def _read_table(self, row: MirrorRow) -> _StoredTable:
         """Return the value of the row; an unreadable value counts as empty."""
         try:
             return _StoredTable.model_validate_json(row.value)
@@ -195,15 +197,16 @@
             return _StoredTable()
 
 
-def unite(
+def merge_records(
     stored: _StoredTable, records: Iterable[CrashRecord], wall_ms: int
 ) -> _StoredTable:
     """Return a stored table merged with an entry's crash records.
 
     Expired crashes and crashes before the last completed run are left out. Crashes that
     are already stored keep their times, so that entries with the same crashes compute
-    the same table and need not write it. At most ``N_MAX_STORED`` fingerprints remain:
-    those with the most crashes, and among equals those with the latest crash.
+    the same table and need not write it. The result contains at most
+    ``N_MAX_STORED_FINGERPRINTS`` fingerprints: those with the most crashes, and among
+    equals those with the latest crash.
 
     Parameters
     ----------
@@ -214,30 +217,32 @@
     wall_ms : int
         Unix time, in ms.
     """
-    united = {
-        fingerprint: _without_old(crashes, wall_ms - CRASH_MAX_AGE_MS)
+    merged = {
+        fingerprint: _select_after(crashes, wall_ms - CRASH_MAX_AGE_MS)
         for fingerprint, crashes in stored.crashes_by_fingerprint.items()
     }
     for record in records:
-        known = united.get(record.fingerprint, ())
-        united[record.fingerprint] = _unite_one(known, record, wall_ms)
-    most_first = sorted(
-        ((f, crashes) for f, crashes in united.items() if crashes),
+        stored_crashes = merged.get(record.fingerprint, ())
+        merged[record.fingerprint] = _merge_record(stored_crashes, record, wall_ms)
+    sorted_items = sorted(
+        ((f, crashes) for f, crashes in merged.items() if crashes),
         key=lambda item: (len(item[1]), item[1][-1].broken_at),
         reverse=True,
     )
-    return _StoredTable(crashes_by_fingerprint=dict(most_first[:N_MAX_STORED]))
+    return _StoredTable(
+        crashes_by_fingerprint=dict(sorted_items[:N_MAX_STORED_FINGERPRINTS])
+    )
 
 
-def _unite_one(
-    known: tuple[_StoredCrash, ...], record: CrashRecord, wall_ms: int
+def _merge_record(
+    stored_crashes: tuple[_StoredCrash, ...], record: CrashRecord, wall_ms: int
 ) -> tuple[_StoredCrash, ...]:
     """Return the stored crashes of a fingerprint merged with an entry's record.
 
     The result is ordered by the time of the crashes, without those that have expired or
     happened before the last completed run.
     """
-    crash_by_start_id = {crash.start_id: crash for crash in known}
+    crash_by_start_id = {crash.start_id: crash for crash in stored_crashes}
     for crash in record.crashes:
         stored = _StoredCrash(
             start_id=crash.start_id,
@@ -249,10 +254,10 @@
     sound_age_ms = (
         CRASH_MAX_AGE_MS if record.sound_age_ms is None else record.sound_age_ms
     )
-    return _without_old(tuple(crashes), wall_ms - min(sound_age_ms, CRASH_MAX_AGE_MS))
+    return _select_after(tuple(crashes), wall_ms - min(sound_age_ms, CRASH_MAX_AGE_MS))
 
 
-def _without_old(
+def _select_after(
     crashes: tuple[_StoredCrash, ...], since_wall_ms: int
 ) -> tuple[_StoredCrash, ...]:
     """Return the crashes that happened after a Unix time in ms."""
--- a/packages/entry/src/bluebellusher/shared/_directory.py
+++ b/packages/entry/src/bluebellusher/shared/_directory.py
@@ -20,7 +20,7 @@
     Event,
 )
 
-_EVENT_NAMES = {
+_LOG_NAME_BY_EVENT_TYPE = {
     EndpointRegistered: "endpoint-ready",
     EndpointDraining: "endpoint-draining",
     EndpointLost: "endpoint-forgotten",
@@ -78,12 +78,12 @@
             if row.key != self._codec.routing_key or row.is_removed:
                 continue
             table = self._codec.read_routing(row.value)
-            known = self.routing.version if self.routing else -1
-            if table is None or table.version <= known:
+            current_version = self.routing.version if self.routing else -1
+            if table is None or table.version <= current_version:
                 self._log.log(
                     "configuration-ignored",
                     found=table.version if table else "unreadable",
-                    in_force=known,
+                    in_force=current_version,
                     row_version=row.version,
                 )
                 continue
@@ -114,7 +114,7 @@
                         row_version=row.version,
                     )
             changes[row.key] = found
-        self._emit(self.registrations.update(changes, self._clock.now_ms()))
+        self._log_and_post(self.registrations.update(changes, self._clock.now_ms()))
 
     def note_contact(self, is_in_contact: bool) -> None:
         """Record whether the store is available, for the grace of registrations."""
@@ -131,7 +131,7 @@
         now_ms : int
             Monotonic time, in ms.
         """
-        self._emit(self.registrations.tick(now_ms))
+        self._log_and_post(self.registrations.tick(now_ms))
 
     def _age_ms(self, started_wall_ms: int) -> int:
         """Return the time since an endpoint started, in ms.
@@ -142,7 +142,7 @@
             return 0
         return max(0, self._clock.wall_ms() - started_wall_ms)
 
-    def _emit(self, events: list[Event]) -> None:
+    def _log_and_post(self, events: list[Event]) -> None:
         """Log and post events; call ``on_endpoints`` if there were any."""
         for event in events:
             match event:
@@ -155,7 +155,7 @@
                     endpoint_id = ""
             registration = self.find(endpoint_id)
             self._log.log(
-                _EVENT_NAMES.get(type(event), "endpoint-changed"),
+                _LOG_NAME_BY_EVENT_TYPE.get(type(event), "endpoint-changed"),
                 endpoint=endpoint_id,
                 service=registration.service_id if registration else "",
                 domain=registration.failure_domain if registration else "",
--- a/packages/entry/src/bluebellusher/shared/_peers.py
+++ b/packages/entry/src/bluebellusher/shared/_peers.py
@@ -15,17 +15,17 @@
 from bluebellusher_core.directory import MirrorRow, TableMirror
 from bluebellusher_core.wire import messages
 
-OnNews = Callable[[list[MirrorRow]], None]
+ChangedRowsCallback = Callable[[list[MirrorRow]], None]
 
 # Time for which a copy may have a lower version than a peer's before the changes are
 # requested from the peer, in ms. It applies while the store is available, which usually
 # returns a change milliseconds after the peer received it. A transfer between peers
 # that duplicates the store's answer would waste bytes.
-CATCH_UP_MS = 400
+PULL_DELAY_MS = 400
 
 
 @dataclass(slots=True)
-class _Shared:
+class _SharedTable:
     """Copy of a table and the latest known version of its peers.
 
     ``behind_version`` is the highest version that a peer reported, and
@@ -34,7 +34,7 @@
     """
 
     mirror: TableMirror
-    on_news: OnNews
+    on_changed_rows: ChangedRowsCallback
     is_in_contact: Callable[[], bool]
     behind_since_ms: int = 0
     behind_peer_id: str = ""
@@ -55,10 +55,13 @@
     def __init__(self, links: PeerLinks, clock: Clock) -> None:
         self._links = links
         self._clock = clock
-        self._shared_by_table: dict[str, _Shared] = {}
+        self._shared_by_table: dict[str, _SharedTable] = {}
 
     def add(
-        self, mirror: TableMirror, on_news: OnNews, is_in_contact: Callable[[], bool]
+        self,
+        mirror: TableMirror,
+        on_changed_rows: ChangedRowsCallback,
+        is_in_contact: Callable[[], bool],
     ) -> None:
         """Add a table to the exchange.
 
@@ -66,16 +69,21 @@
         ----------
         mirror : TableMirror
             This entry's copy of the table.
-        on_news : callable
+        on_changed_rows : callable
             Receives the rows that a peer's changes replaced, added or removed.
         is_in_contact : callable
             Returns whether the store is available and updates the copy.
         """
-        self._shared_by_table[mirror.table] = _Shared(mirror, on_news, is_in_contact)
+        self._shared_by_table[mirror.table] = _SharedTable(
+            mirror, on_changed_rows, is_in_contact
+        )
 
     def versions(self) -> dict[str, int]:
         """Return the version of each copy by table name, for the digest."""
-        return {name: one.mirror.version for name, one in self._shared_by_table.items()}
+        return {
+            name: shared.mirror.version
+            for name, shared in self._shared_by_table.items()
+        }
 
     def on_digest(self, peer_id: str, digest: Any) -> None:
         """Record the versions of a peer's copies.
@@ -95,7 +103,7 @@
                 self._pull(shared)
 
     def tick(self, now_ms: int) -> None:
-        """Request changes that the store has not returned within ``CATCH_UP_MS``.
+        """Request changes that the store has not returned within ``PULL_DELAY_MS``.
 
         Parameters
         ----------
@@ -104,10 +112,10 @@
         """
         for shared in self._shared_by_table.values():
             is_behind = shared.behind_version > shared.mirror.version
-            if is_behind and now_ms - shared.behind_since_ms >= CATCH_UP_MS:
+            if is_behind and now_ms - shared.behind_since_ms >= PULL_DELAY_MS:
                 self._pull(shared)
 
-    def _pull(self, shared: _Shared) -> None:
+    def _pull(self, shared: _SharedTable) -> None:
         """Request the changes above this entry's version from the recorded peer."""
         version = shared.mirror.version
         pull = messages.TablePull(table=shared.mirror.table, above_version=version)
@@ -134,9 +142,11 @@
         # Changes above a version that this copy has not reached would leave a gap.
         if shared is None or (delta.above_version or 0) > shared.mirror.version:
             return
-        news = shared.mirror.apply(_to_rows(delta.rows or ()), delta.version or 0)
-        if news:
-            shared.on_news(news)
+        changed_rows = shared.mirror.apply(
+            _to_rows(delta.rows or ()), delta.version or 0
+        )
+        if changed_rows:
+            shared.on_changed_rows(changed_rows)
 
 
 def _to_message(row: MirrorRow) -> Any:
--- a/packages/entry/src/bluebellusher/shared/_watcher.py
+++ b/packages/entry/src/bluebellusher/shared/_watcher.py
@@ -14,7 +14,7 @@
 # Time for which one call asks the store to wait for a change, in ms. When the answer is
 # lost, the entry receives no changes until the wait ends, and a change must be in force
 # 2 s after a network fault of up to 3 s. A shorter wait requires more calls.
-WAIT_MS = 2_500
+CHANGES_WAIT_MS = 2_500
 # Bounds of the delay before a failed call is retried, in ms.
 FIRST_BACKOFF_MS = 50
 MAX_BACKOFF_MS = 500
@@ -22,10 +22,10 @@
 # changes. Endpoints register one after the other when a deployment starts, and every
 # entry reads each change. The delay is short because a change must be in force within
 # 2 s.
-GATHER_MS = 150
+CHANGE_BATCHING_MS = 150
 # Delay before the table is read again after the store has lost the history of changes,
 # in ms. A read immediately after the loss may be stale.
-STALE_READ_PAUSE_MS = 150
+HISTORY_LOSS_PAUSE_MS = 150
 
 
 class LogSink(Protocol):
@@ -47,9 +47,9 @@
         Contains the table.
     mirror : TableMirror
         Copy of the table to update.
-    on_news : callable
+    on_changed_rows : callable
         Receives the rows that changed in the copy.
-    on_contact : callable
+    on_availability_change : callable
         Called with whether the store is available when that changes.
     clock : Clock
         Clock of the time of the store's last answer.
@@ -65,19 +65,19 @@
         self,
         store: RowStore,
         mirror: TableMirror,
-        on_news: Callable[[list[MirrorRow]], None],
-        on_contact: Callable[[bool], None],
+        on_changed_rows: Callable[[list[MirrorRow]], None],
+        on_availability_change: Callable[[bool], None],
         clock: Clock,
         random_state: Random,
         log: LogSink,
-        wait_ms: int = WAIT_MS,
+        wait_ms: int = CHANGES_WAIT_MS,
     ) -> None:
         self.mirror = mirror
         self.is_in_contact = False
-        self.contact_at_ms = 0
+        self.store_answered_at_ms = 0
         self._store = store
-        self._on_news = on_news
-        self._on_contact = on_contact
+        self._on_changed_rows = on_changed_rows
+        self._on_availability_change = on_availability_change
         self._clock = clock
         self._random_state = random_state
         self._log = log
@@ -91,11 +91,11 @@
             result = await self._read()
             match result:
                 case Result(tag="ok", ok=rows):
-                    self._take(rows)
+                    self._apply(rows)
                     if rows.rows:
-                        await self._pause_after_news()
+                        await self._wait_for_further_changes()
                 case Result(error=error):
-                    await self._fail(error)
+                    await self._handle_error(error)
 
     async def _read(self) -> Result[TableRows, StoreError]:
         """Read the whole table if necessary, otherwise wait for changes."""
@@ -104,22 +104,22 @@
         version = self.mirror.version
         return await self._store.read_changes(self.mirror.table, version, self._wait_ms)
 
-    def _take(self, found: TableRows) -> None:
+    def _apply(self, table_rows: TableRows) -> None:
         """Apply an answer of the store to the copy and report the changed rows."""
-        self._note_contact()
+        self._record_answer()
         if self._needs_snapshot:
-            news = self.mirror.replace(found.rows, found.version)
+            changed_rows = self.mirror.replace(table_rows.rows, table_rows.version)
             self._needs_snapshot = False
         else:
-            news = self.mirror.apply(found.rows, found.version)
-        if news:
-            self._on_news(news)
+            changed_rows = self.mirror.apply(table_rows.rows, table_rows.version)
+        if changed_rows:
+            self._on_changed_rows(changed_rows)
 
-    async def _pause_after_news(self) -> None:
-        """Wait ``GATHER_MS``, so that the next call returns several changes."""
-        await asyncio.sleep(GATHER_MS / 1000)
+    async def _wait_for_further_changes(self) -> None:
+        """Wait so that the next call returns several changes, which saves calls."""
+        await asyncio.sleep(CHANGE_BATCHING_MS / 1000)
 
-    async def _fail(self, error: StoreError) -> None:
+    async def _handle_error(self, error: StoreError) -> None:
         """Record a failed call and wait before the next one.
 
         Only the first failure of an outage is logged.
@@ -127,7 +127,7 @@
         if error.is_history_lost:
             self._needs_snapshot = True
             self._log.log("store-history-lost", table=self.mirror.table)
-            await asyncio.sleep(STALE_READ_PAUSE_MS / 1000)
+            await asyncio.sleep(HISTORY_LOSS_PAUSE_MS / 1000)
             return
         if self.is_in_contact or not self._n_failures:
             self.is_in_contact = False
@@ -138,19 +138,19 @@
                 reason=error.reason,
                 version=self.mirror.version,
             )
-            self._on_contact(False)
+            self._on_availability_change(False)
         self._n_failures += 1
         await asyncio.sleep(self._backoff_ms() / 1000)
 
-    def _note_contact(self) -> None:
+    def _record_answer(self) -> None:
         """Record an answer of the store; report it if the store was unavailable."""
-        self.contact_at_ms = self._clock.now_ms()
+        self.store_answered_at_ms = self._clock.now_ms()
         self._n_failures = 0
         if not self.is_in_contact:
             self.is_in_contact = True
             version = self.mirror.version
             self._log.log("store-regained", table=self.mirror.table, version=version)
-            self._on_contact(True)
+            self._on_availability_change(True)
 
     def _backoff_ms(self) -> float:
         """Return the delay before the next retry, in ms.
--- a/packages/entry/src/bluebellusher/shared/tests/fakes.py
+++ b/packages/entry/src/bluebellusher/shared/tests/fakes.py
@@ -37,8 +37,8 @@
     """Store with tables in memory.
 
     While ``fault`` is set, every call fails with it. While ``loses_answers`` is set,
-    writes take effect but return an error. ``oldest_kept`` is the lowest version from
-    which changes can still be read.
+    writes take effect but return an error. ``oldest_readable_version`` is the lowest
+    version from which changes can still be read.
     """
 
     def __init__(self):
@@ -47,7 +47,7 @@
         self.fault = None
         self.loses_answers = False
         self.n_calls = 0
-        self.oldest_kept = 0
+        self.oldest_readable_version = 0
         self._changed = asyncio.Event()
 
     def put(self, table, key, value, is_removed=False):
@@ -75,7 +75,7 @@
         self.n_calls += 1
         if self.fault is not None:
             return Error(self.fault)
-        if above_version < self.oldest_kept:
+        if above_version < self.oldest_readable_version:
             return Error(StoreError("read-changes", "history", is_history_lost=True))
         rows = [r for r in self._rows(table) if r.version > above_version]
         if not rows:
@@ -94,9 +94,9 @@
         self.n_calls += 1
         if self.fault is not None:
             return Error(self.fault)
-        known = self.rows_by_table.get(write.table, {}).get(write.key)
-        if (known.version if known else 0) != write.expected_version:
-            return Ok(known or MirrorRow(write.key, 0, b"", is_removed=True))
+        current = self.rows_by_table.get(write.table, {}).get(write.key)
+        if (current.version if current else 0) != write.expected_version:
+            return Ok(current or MirrorRow(write.key, 0, b"", is_removed=True))
         row = self.put(write.table, write.key, write.value)
         if self.loses_answers:
             return Error(StoreError("write-row", "lost", may_have_run=True))
--- a/packages/entry/src/bluebellusher/shared/tests/test_crash_table.py
+++ b/packages/entry/src/bluebellusher/shared/tests/test_crash_table.py
@@ -4,7 +4,7 @@
 from random import Random
 
 from bluebellusher.shared import CRASH_TABLE, CrashTable
-from bluebellusher.shared._crashes import CRASH_KEY, N_MAX_STORED
+from bluebellusher.shared._crashes import CRASH_KEY, N_MAX_STORED_FINGERPRINTS
 from bluebellusher.shared.tests.fakes import DOWN, FakeLog, FakeStore, until
 from bluebellusher_core.clock import ManualClock
 from bluebellusher_core.directory import TableMirror
@@ -28,19 +28,19 @@
             store,
             self.mirror,
             lambda: self.counter.records(clock.now_ms()),
-            self.learn,
+            self.merge_received,
             clock,
             Random(1),
             self.log,
         )
         self.task = asyncio.create_task(self.table.run())
 
-    def learn(self, event):
+    def merge_received(self, event):
         """Merge received crash records, as the reducer does."""
         for record in event.records:
             self.counter.merge(record, self.clock.now_ms())
 
-    def see(self, fingerprint, n_crashes, sound_age_ms=None):
+    def record_crashes(self, fingerprint, n_crashes, sound_age_ms=None):
         """Record crashes of a fingerprint that this entry observed."""
         now_ms = self.clock.now_ms()
         crashes = tuple(Crash(f"x{i}@1", 20, 10) for i in range(n_crashes))
@@ -49,8 +49,8 @@
 
     async def start(self):
         """Read the crash table from the store; return the entry."""
-        found = (await self.store.read_table(CRASH_TABLE)).ok
-        self.table.take_rows(self.mirror.replace(found.rows, found.version))
+        stored = (await self.store.read_table(CRASH_TABLE)).ok
+        self.table.take_rows(self.mirror.replace(stored.rows, stored.version))
         return self
 
     def count(self, fingerprint):
@@ -69,17 +69,17 @@
     asyncio.run(main())
 
 
-def row_of(store):
+def get_stored_row(store):
     """Return the stored row of the crash table, or None."""
     return store.rows_by_table.get(CRASH_TABLE, {}).get(CRASH_KEY)
 
 
-def test_entry_that_starts_alone_knows_the_crashes_of_earlier_ones():
+def test_entry_that_starts_alone_reads_the_crashes_of_earlier_entries():
     """Guards against a blocked request that runs again after all entries ended."""
 
     async def scenario(store, clock):
-        (await Entry(store, clock).start()).see("f", 3)
-        await until(lambda: row_of(store), clock)
+        (await Entry(store, clock).start()).record_crashes("f", 3)
+        await until(lambda: get_stored_row(store), clock)
         clock.advance(CRASH_MAX_AGE_MS // 2)
         assert (await Entry(store, clock).start()).count("f") == 3
         clock.advance(CRASH_MAX_AGE_MS // 2)
@@ -88,15 +88,15 @@
     run(scenario)
 
 
-def test_entries_that_write_at_once_lose_nothing():
+def test_concurrent_writes_lose_no_crashes():
     """Guards against crash records that a concurrent write overwrites."""
 
     async def scenario(store, clock):
         first = await Entry(store, clock).start()
         second = await Entry(store, clock).start()
-        first.see("f", 2)
-        second.see("g", 1)
-        await until(lambda: _has_both(row_of(store)), clock)
+        first.record_crashes("f", 2)
+        second.record_crashes("g", 1)
+        await until(lambda: _has_both(get_stored_row(store)), clock)
         third = await Entry(store, clock).start()
         assert (third.count("f"), third.count("g")) == (2, 1)
 
@@ -108,30 +108,32 @@
     return row is not None and b'"f"' in row.value and b'"g"' in row.value
 
 
-def test_crash_is_stored_when_the_store_is_back():
+def test_crash_is_stored_when_the_store_is_available_again():
     """Guards against crashes that are lost because the store was unavailable."""
 
     async def scenario(store, clock):
         entry = await Entry(store, clock).start()
         store.fault = DOWN
-        entry.see("f", 2)
+        entry.record_crashes("f", 2)
         await until(lambda: "crashes-not-stored" in entry.log.names(), clock)
         store.fault = None
-        await until(lambda: row_of(store), clock)
+        await until(lambda: get_stored_row(store), clock)
 
     run(scenario)
 
 
-def test_lost_answer_of_the_store_changes_nothing():
+def test_lost_answer_of_the_store_causes_no_further_writes():
     """Guards against repeated writes of records that are already stored."""
 
     async def scenario(store, clock):
         entry = await Entry(store, clock).start()
         store.loses_answers = True
-        entry.see("f", 2)
-        await until(lambda: row_of(store), clock)
+        entry.record_crashes("f", 2)
+        await until(lambda: get_stored_row(store), clock)
         store.loses_answers = False
-        await until(lambda: row_of(store).version in _versions(entry), clock)
+        await until(
+            lambda: get_stored_row(store).version in _list_versions(entry), clock
+        )
         n_calls = store.n_calls
         for _ in range(20):
             clock.advance(1_000)
@@ -141,18 +143,18 @@
     run(scenario)
 
 
-def _versions(entry):
+def _list_versions(entry):
     """Return the versions of the rows in an entry's copy."""
     return {row.version for row in entry.mirror.row_by_key.values()}
 
 
-def test_entries_that_know_the_same_write_once():
+def test_entries_with_the_same_crashes_write_them_once():
     """Guards against a write by every entry for each crash."""
 
     async def scenario(store, clock):
         entries = [await Entry(store, clock).start() for _ in range(8)]
-        entries[0].see("f", 1)
-        await until(lambda: row_of(store), clock)
+        entries[0].record_crashes("f", 1)
+        await until(lambda: get_stored_row(store), clock)
         n_calls = store.n_calls
         for entry in entries[1:]:
             await entry.start()
@@ -165,38 +167,38 @@
     run(scenario)
 
 
-def test_whole_run_takes_stored_crashes_back():
+def test_completed_run_clears_stored_crashes():
     """Guards against a cleared block that is restored from the store at a restart."""
 
     async def scenario(store, clock):
         entry = await Entry(store, clock).start()
-        entry.see("f", 3)
-        await until(lambda: row_of(store), clock)
-        version = row_of(store).version
+        entry.record_crashes("f", 3)
+        await until(lambda: get_stored_row(store), clock)
+        version = get_stored_row(store).version
         clock.advance(100)
         entry.counter.clear("f", clock.now_ms())
         entry.table.note_own()
-        await until(lambda: row_of(store).version > version, clock)
+        await until(lambda: get_stored_row(store).version > version, clock)
         assert not (await Entry(store, clock).start()).count("f")
 
     run(scenario)
 
 
-def test_row_that_cannot_be_read_is_replaced():
+def test_unreadable_row_is_replaced():
     """Guards against crashes that are never stored after another program's write."""
 
     async def scenario(store, clock):
         store.put(CRASH_TABLE, CRASH_KEY, b"\xff{")
         entry = await Entry(store, clock).start()
         assert "crashes-unreadable" in entry.log.names()
-        entry.see("f", 2)
-        await until(lambda: row_of(store).version > 1, clock)
+        entry.record_crashes("f", 2)
+        await until(lambda: get_stored_row(store).version > 1, clock)
         assert (await Entry(store, clock).start()).count("f") == 2
 
     run(scenario)
 
 
-def test_row_stays_within_the_limit_of_the_store():
+def test_row_stays_within_the_size_limit_of_the_store():
     """Guards against a row above the size limit, which the store would refuse.
 
     The fingerprints with the most crashes are stored.
@@ -204,11 +206,11 @@
 
     async def scenario(store, clock):
         entry = await Entry(store, clock).start()
-        entry.see("f" * 32, 3)
-        for i in range(2 * N_MAX_STORED):
-            entry.see(f"{i:032}", 1)
-        await until(lambda: row_of(store), clock)
-        assert len(row_of(store).value) < MAX_ROW_BYTES
+        entry.record_crashes("f" * 32, 3)
+        for i in range(2 * N_MAX_STORED_FINGERPRINTS):
+            entry.record_crashes(f"{i:032}", 1)
+        await until(lambda: get_stored_row(store), clock)
+        assert len(get_stored_row(store).value) < MAX_ROW_BYTES
         assert (await Entry(store, clock).start()).count("f" * 32) == 3
 
     run(scenario)
--- a/packages/entry/src/bluebellusher/shared/tests/test_shared.py
+++ b/packages/entry/src/bluebellusher/shared/tests/test_shared.py
@@ -16,19 +16,19 @@
 from bluebellusher_core.wire import messages
 
 
-class Follower:
+class TableCopy:
     """An entry's copy of a table with its watcher, changed rows and availability."""
 
     def __init__(self, store, clock):
         self.log = FakeLog()
-        self.news = []
-        self.contacts = []
+        self.changed_rows = []
+        self.availability_changes = []
         self.mirror = TableMirror("t")
         self.watcher = TableWatcher(
             store,
             self.mirror,
-            self.news.extend,
-            self.contacts.append,
+            self.changed_rows.extend,
+            self.availability_changes.append,
             clock,
             Random(1),
             self.log,
@@ -45,64 +45,64 @@
     asyncio.run(main())
 
 
-def test_changes_arrive_and_a_loss_of_history_is_repaired():
+def test_copy_recovers_from_an_outage_and_a_loss_of_history():
     """Guards against changes that entries miss while the store is unavailable."""
 
     async def scenario(store, clock):
         store.put("t", "a", b"1")
-        follower = Follower(store, clock)
-        await until(lambda: "a" in follower.mirror.row_by_key)
+        table_copy = TableCopy(store, clock)
+        await until(lambda: "a" in table_copy.mirror.row_by_key)
         store.put("t", "b", b"2")
-        await until(lambda: "b" in follower.mirror.row_by_key)
+        await until(lambda: "b" in table_copy.mirror.row_by_key)
         store.fault = DOWN
         store.put("t", "a", b"", is_removed=True)
         store.put("t", "c", b"3")
-        store.oldest_kept = store.version
-        await until(lambda: "store-lost" in follower.log.names())
+        store.oldest_readable_version = store.version
+        await until(lambda: "store-lost" in table_copy.log.names())
         store.fault = None
-        await until(lambda: set(follower.mirror.row_by_key) == {"b", "c"})
-        assert "store-history-lost" in follower.log.names()
-        assert follower.contacts == [True, False, True]
-        follower.task.cancel()
+        await until(lambda: set(table_copy.mirror.row_by_key) == {"b", "c"})
+        assert "store-history-lost" in table_copy.log.names()
+        assert table_copy.availability_changes == [True, False, True]
+        table_copy.task.cancel()
 
     run(scenario)
 
 
-def test_outage_is_told_once_and_calls_are_spread():
+def test_outage_is_logged_once_and_calls_are_spread():
     """Guards against a flood of log lines and calls while the store is unavailable."""
 
     async def scenario(store, clock):
         store.fault = DOWN
-        follower = Follower(store, clock)
+        table_copy = TableCopy(store, clock)
         await asyncio.sleep(1.5)
-        assert follower.log.names().count("store-lost") == 1
+        assert table_copy.log.names().count("store-lost") == 1
         assert store.n_calls <= 12
-        follower.task.cancel()
+        table_copy.task.cancel()
 
     run(scenario)
 
 
-class Wire:
+class FakeNetwork:
     """Network between table exchanges that delivers messages immediately."""
 
     def __init__(self):
         self.exchange_by_id = {}
         self.n_deltas = 0
 
-    def links_of(self, own_id):
+    def make_links(self, own_id):
         """Return the links of an entry; its messages are delivered with its id."""
-        wire = self
+        network = self
 
-        class Links:
+        class NetworkLinks:
             def send(self, peer_id, message):
-                other = wire.exchange_by_id[peer_id]
+                other = network.exchange_by_id[peer_id]
                 if isinstance(message, messages.TablePull):
                     other.on_pull(own_id, message)
                 else:
-                    wire.n_deltas += 1
+                    network.n_deltas += 1
                     other.on_delta(own_id, message)
 
-        return Links()
+        return NetworkLinks()
 
 
 def make_exchanges(clock, is_in_contact):
@@ -111,15 +111,17 @@
     ``is_in_contact`` states whether the store is available to the entry without the
     change.
     """
-    wire, news = Wire(), []
-    for entry_id, contact in (("ahead", True), ("behind", is_in_contact)):
-        exchange = TableExchange(wire.links_of(entry_id), clock)
+    network, changed_rows = FakeNetwork(), []
+    for entry_id, is_available in (("ahead", True), ("behind", is_in_contact)):
+        exchange = TableExchange(network.make_links(entry_id), clock)
         mirror = TableMirror("t")
-        exchange.add(mirror, news.extend, lambda contact=contact: contact)
-        wire.exchange_by_id[entry_id] = exchange
+        exchange.add(
+            mirror, changed_rows.extend, lambda is_available=is_available: is_available
+        )
+        network.exchange_by_id[entry_id] = exchange
         if entry_id == "ahead":
             mirror.apply([MirrorRow("a", 3, b"new")], 3)
-    return wire, news
+    return network, changed_rows
 
 
 def make_digest(exchange):
@@ -127,29 +129,29 @@
     return messages.Digest(version_by_table=exchange.versions())
 
 
-def test_entry_that_the_store_turns_away_learns_from_its_peers_at_once():
+def test_entry_without_the_store_gets_changes_from_peers_immediately():
     """Guards against outdated routes and keys while the store is unavailable."""
-    wire, news = make_exchanges(ManualClock(), is_in_contact=False)
-    digest = make_digest(wire.exchange_by_id["ahead"])
-    wire.exchange_by_id["behind"].on_digest("ahead", digest)
-    assert [row.key for row in news] == ["a"]
-    assert wire.exchange_by_id["behind"].versions() == {"t": 3}
+    network, changed_rows = make_exchanges(ManualClock(), is_in_contact=False)
+    digest = make_digest(network.exchange_by_id["ahead"])
+    network.exchange_by_id["behind"].on_digest("ahead", digest)
+    assert [row.key for row in changed_rows] == ["a"]
+    assert network.exchange_by_id["behind"].versions() == {"t": 3}
 
 
-def test_entry_in_contact_asks_its_peers_only_when_it_stays_behind():
+def test_entry_with_the_store_requests_changes_from_peers_only_after_a_delay():
     """Guards against transfers between peers that duplicate the store's answers."""
     clock = ManualClock()
-    wire, news = make_exchanges(clock, is_in_contact=True)
-    behind = wire.exchange_by_id["behind"]
-    behind.on_digest("ahead", make_digest(wire.exchange_by_id["ahead"]))
+    network, changed_rows = make_exchanges(clock, is_in_contact=True)
+    behind = network.exchange_by_id["behind"]
+    behind.on_digest("ahead", make_digest(network.exchange_by_id["ahead"]))
     behind.tick(clock.now_ms())
-    assert wire.n_deltas == 0
+    assert network.n_deltas == 0
     clock.advance(500)
     behind.tick(clock.now_ms())
-    assert [row.key for row in news] == ["a"]
+    assert [row.key for row in changed_rows] == ["a"]
 
 
-class Codec:
+class FakeCodec:
     """Codec of rows whose values are numbers.
 
     The number is the version of a routing table or the slots of a registration.
@@ -175,10 +177,10 @@
 def make_directory():
     """Return a directory and the log that collects its lines and events."""
     log = FakeLog()
-    return Directory(Codec(), log.post, ManualClock(), log), log
+    return Directory(FakeCodec(), log.post, ManualClock(), log), log
 
 
-def test_configuration_never_goes_back():
+def test_configuration_version_never_decreases():
     """Guards against removed routes and keys that are put in force again."""
     directory, log = make_directory()
     assert not directory.is_ready
@@ -188,7 +190,7 @@
     assert log.names().count("configuration-ignored") == 2
 
 
-def test_unreadable_registration_takes_an_endpoint_out_of_use():
+def test_unreadable_registration_drains_its_endpoint():
     """Guards against requests sent to an endpoint whose registration is unreadable."""
     directory, log = make_directory()
     directory.take_registrations([MirrorRow("x", 1, b"4")])
