Rename the interfaces of entry/runtime and entry/shared

Announcements are broadcast, rows are applied, and the store is available or unavailable. Behaviour does not change.

--- a/packages/entry/src/bluebellusher/cli/_entry.py
+++ b/packages/entry/src/bluebellusher/cli/_entry.py
@@ -136,7 +136,10 @@
             await self._wait_for_progress()
         self.runtime.post(ShutdownStarted())
         claims_deadline_ms = self.clock.now_ms() + _CLAIMS_GRACE_MS
-        while not self.runtime.is_settled and self.clock.now_ms() < claims_deadline_ms:
+        while (
+            not self.runtime.are_claims_settled
+            and self.clock.now_ms() < claims_deadline_ms
+        ):
             await self._wait_for_progress()
         if self._discovery_task is not None:
             self._discovery_task.cancel()
--- a/packages/entry/src/bluebellusher/gateway/_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -146,11 +146,11 @@
         self.peer_exchange.links = self.peers
         self.tables = TableExchange(self.peers, clock)
         self.routing_watcher = self._make_watcher(
-            ports.codec.routing_table, self.directory.take_routing, random_state
+            ports.codec.routing_table, self.directory.apply_routing_rows, random_state
         )
         self.registration_watcher = self._make_watcher(
             ports.codec.registration_table,
-            self.directory.take_registrations,
+            self.directory.apply_registration_rows,
             random_state,
         )
         crash_mirror = TableMirror(CRASH_TABLE)
@@ -166,10 +166,10 @@
         self.crash_watcher = TableWatcher(
             ports.store,
             crash_mirror,
-            self.crash_table.take_rows,
+            self.crash_table.post_stored_crashes,
             # Losing contact with this table does not affect the endpoints, which are
             # registered in another one.
-            lambda is_in_contact: None,
+            lambda is_store_available: None,
             clock,
             random_state,
             self.runtime,
@@ -195,7 +195,7 @@
             random_state,
             settings.agent_port,
         )
-        self.directory.on_endpoints = self._update_ranks
+        self.directory.on_endpoints_changed = self._update_ranks
         self.lease = LeaseKeeper.from_parts(
             ports.store,
             MAP_LEASE,
@@ -337,21 +337,21 @@
         self._is_leader_by_peer_id[peer_id] = MAP_LEASE in (digest.held_leases or ())
         self.tables.on_digest(peer_id, digest)
         if digest.crashes:
-            self.crash_table.note_others()
+            self.crash_table.schedule_peer_write()
 
     def _find_crashes(self) -> tuple[CrashRecord, ...]:
         return self.state.crashes.records(self.clock.now_ms())
 
     def _broadcast_crashes(self, effect: BroadcastCrashes) -> None:
         """Broadcast new crash records to the peers and write them to the store."""
-        self.peer_exchange.tell_crashes(effect.records)
-        self.crash_table.note_own()
+        self.peer_exchange.broadcast_crashes(effect.records)
+        self.crash_table.schedule_own_write()
 
     def _find_leaving(self) -> tuple[LeavingMark, ...]:
         return self.state.endpoints.announcements.leaving_marks(self.clock.now_ms())
 
     def _broadcast_leaving(self, effect: BroadcastLeaving) -> None:
-        self.peer_exchange.tell_leaving(effect.marks)
+        self.peer_exchange.broadcast_leaving(effect.marks)
 
     def _find_endpoint(self, endpoint_id: str) -> Any:
         return self.directory.find(endpoint_id)
@@ -396,12 +396,12 @@
             self._store,
             mirror,
             on_rows,
-            self.directory.note_contact,
+            self.directory.record_store_availability,
             self.clock,
             random_state,
             self.runtime,
         )
-        self.tables.add(mirror, on_rows, lambda: watcher.is_in_contact)
+        self.tables.add(mirror, on_rows, lambda: watcher.is_store_available)
         return watcher
 
     def _tick(self, now_ms: int) -> None:
--- a/packages/entry/src/bluebellusher/gateway/_server.py
+++ b/packages/entry/src/bluebellusher/gateway/_server.py
@@ -181,7 +181,7 @@
             outcome = writer.outcome
             return response
         finally:
-            self._runtime.end(exchange)
+            self._runtime.end_exchange(exchange)
             self._record_end(exchange, outcome, writer)
 
     def _record_end(
--- a/packages/entry/src/bluebellusher/gateway/_view.py
+++ b/packages/entry/src/bluebellusher/gateway/_view.py
@@ -88,7 +88,10 @@
             ),
             "bluebellusher_retries_left": gateway.state.retry_budget.n_available,
             "bluebellusher_config_version": routing.version if routing else 0,
-            "bluebellusher_config_age_ms": now_ms - gateway.directory.routing_at_ms,
-            "bluebellusher_store_contact": float(gateway.routing_watcher.is_in_contact),
+            "bluebellusher_config_age_ms": now_ms
+            - gateway.directory.routing_applied_at_ms,
+            "bluebellusher_store_contact": float(
+                gateway.routing_watcher.is_store_available
+            ),
             "bluebellusher_log_lines_dropped": gateway.log.n_dropped,
         }
--- a/packages/entry/src/bluebellusher/gateway/tests/test_crashes.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_crashes.py
@@ -15,8 +15,8 @@
 from bluebellusher.observability import KeyValueLog
 from bluebellusher.ports import PlatformPorts
 from bluebellusher.shared import CRASH_TABLE
-from bluebellusher.shared._crashes import CRASH_KEY
-from bluebellusher.shared.tests.fakes import FakeStore, until
+from bluebellusher.shared._crashes import CRASH_ROW_KEY
+from bluebellusher.shared.tests.fakes import FakeStore, wait_until
 from bluebellusher_core.clock import SystemClock
 from bluebellusher_core.directory import RequestKind
 
@@ -68,7 +68,7 @@
     async def scenario(harness):
         for n_crashes in range(1, 4):
             assert (await harness.fetch(**POISON_REQUEST))[0] == 502
-            await until(
+            await wait_until(
                 lambda n=n_crashes: harness.recorder.count("crash-counted") == n
             )
         status, headers, body = await harness.fetch(**POISON_REQUEST)
@@ -90,7 +90,7 @@
     async def scenario(harness):
         for n_broken in range(1, 6):
             assert (await harness.fetch(**POISON_REQUEST))[0] == 502
-            await until(
+            await wait_until(
                 lambda n=n_broken: harness.recorder.count("crash-ruled-out") == n
             )
         assert not harness.recorder.count("crash-counted")
@@ -110,16 +110,16 @@
 
     async def main():
         store = FakeStore()
-        store.put(CRASH_TABLE, CRASH_KEY, stored_crashes)
+        store.put(CRASH_TABLE, CRASH_ROW_KEY, stored_crashes)
         log = KeyValueLog.from_config("info", LogRecorder())
         ports = PlatformPorts(store, PlainDialect(), CODEC)
         gateway = Gateway(make_settings(), ports, SystemClock(), log)
         assert not gateway.has_received_crashes
         await gateway.start()
         try:
-            await until(lambda: gateway.has_received_crashes)
+            await wait_until(lambda: gateway.has_received_crashes)
             now_ms = gateway.clock.now_ms()
-            await until(lambda: gateway.state.poison.is_blocked("f", now_ms))
+            await wait_until(lambda: gateway.state.poison.is_blocked("f", now_ms))
         finally:
             await gateway.stop()
             log.close()
@@ -144,6 +144,6 @@
 
         endpoint.answer = crash_with_delay
         assert (await harness.fetch(**POISON_REQUEST))[0] == 502
-        await until(lambda: harness.recorder.count("crash-counted"))
+        await wait_until(lambda: harness.recorder.count("crash-counted"))
 
     run_scenario(scenario, [answer_sealed], routes=NON_IDEMPOTENT, n_crashes_to_block=3)
--- a/packages/entry/src/bluebellusher/gateway/tests/test_task_restart.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_task_restart.py
@@ -11,7 +11,7 @@
 )
 from bluebellusher.observability import KeyValueLog
 from bluebellusher.ports import PlatformPorts
-from bluebellusher.shared.tests.fakes import FakeStore, until
+from bluebellusher.shared.tests.fakes import FakeStore, wait_until
 from bluebellusher_core.clock import SystemClock
 
 
@@ -40,11 +40,11 @@
         watcher.run = fail_once
         await gateway.start()
         try:
-            await until(lambda: recorder.count("internal-fault"))
+            await wait_until(lambda: recorder.count("internal-fault"))
             (line,) = recorder.get_lines("internal-fault")
             assert "step=task" in line
             assert "KeyError" in line
-            await until(lambda: n_runs == 2)
+            await wait_until(lambda: n_runs == 2)
         finally:
             await gateway.stop()
             log.close()
--- a/packages/entry/src/bluebellusher/links/_agents.py
+++ b/packages/entry/src/bluebellusher/links/_agents.py
@@ -244,7 +244,7 @@
                 task = asyncio.create_task(self._run_dialer(*address))
                 self._task_by_address[address] = task
 
-    def forget(self, address: tuple[str, int]) -> bool:
+    def stop_dialing(self, address: tuple[str, int]) -> bool:
         """Stop dialing an address; return False when its connection is open."""
         connection = self._connection_by_address.get(address)
         if connection is not None and connection.is_open:
--- a/packages/entry/src/bluebellusher/ranks/tests/test_leader.py
+++ b/packages/entry/src/bluebellusher/ranks/tests/test_leader.py
@@ -7,7 +7,7 @@
 import pytest
 
 from bluebellusher.ranks import MapLeader
-from bluebellusher.shared.tests.fakes import FakeLog, until
+from bluebellusher.shared.tests.fakes import FakeLog, wait_until
 from bluebellusher_core.clock import SystemClock
 from bluebellusher_core.directory import GroupModel
 from bluebellusher_core.ranks import (
@@ -129,7 +129,7 @@
     links = Links(Group(N_RANKS))
 
     async def scenario(leader, log):
-        await until(lambda: links.group.n_switches >= 1)
+        await wait_until(lambda: links.group.n_switches >= 1)
         content = links.group.engines[0].map_content
         holders = [rank for rank in range(N_RANKS) if 0 in content[0][rank]]
         assert len(holders) > 1
@@ -145,7 +145,7 @@
     links = Links(Group(N_RANKS), lose=lambda order: chance.random() < 0.35)
 
     async def scenario(leader, log):
-        await until(lambda: links.group.n_switches >= 1)
+        await wait_until(lambda: links.group.n_switches >= 1)
 
     run(links, scenario)
 
@@ -175,8 +175,8 @@
     links.call = call_damaged
 
     async def scenario(leader, log):
-        await until(lambda: any(n == "counts-unreadable" for n, _ in log.lines))
-        await until(lambda: links.n_orders >= N_FENCES)
+        await wait_until(lambda: any(n == "counts-unreadable" for n, _ in log.lines))
+        await wait_until(lambda: links.n_orders >= N_FENCES)
         await asyncio.sleep(0.5)
         assert links.n_orders == N_FENCES, "only the fences"
         fields = next(f for n, f in log.lines if n == "counts-unreadable")
@@ -203,10 +203,10 @@
     links = Links(Group(N_RANKS))
 
     async def scenario(leader, log):
-        await until(lambda: links.group.n_switches >= 1)
+        await wait_until(lambda: links.group.n_switches >= 1)
         links.group.form_again()
         n_before = links.group.n_switches
-        await until(lambda: links.group.n_switches > n_before)
+        await wait_until(lambda: links.group.n_switches > n_before)
 
     run(links, scenario)
 
@@ -223,7 +223,7 @@
     links = Links(Group(N_RANKS), lose)
 
     async def scenario(leader, log):
-        await until(lambda: held)
+        await wait_until(lambda: held)
         await leader.retire(2_000)
         assert not any(e.held_step for e in links.group.engines)
         assert not any(e.armed for e in links.group.engines)
@@ -247,11 +247,11 @@
     links.call = call
 
     async def scenario(leader, log):
-        await until(lambda: links.n_orders >= N_FENCES)
+        await wait_until(lambda: links.n_orders >= N_FENCES)
         links.group.engines[0].held_step = links.group.step + 1
-        await until(lambda: links.group.n_switches >= 1)
+        await wait_until(lambda: links.group.n_switches >= 1)
         held_step = links.group.step
-        await until(lambda: links.group.step > held_step + 3)
+        await wait_until(lambda: links.group.step > held_step + 3)
         assert any(name == "map-repeated" for name, _ in log.lines)
 
     run(links, scenario)
@@ -262,7 +262,7 @@
     links = Links(Group(32))
 
     async def scenario(leader, log):
-        await until(lambda: links.group.n_switches >= 1)
+        await wait_until(lambda: links.group.n_switches >= 1)
         assert links.counted_ids == {str(rank) for rank in range(0, 32, 4)}
 
     run(links, scenario)
--- a/packages/entry/src/bluebellusher/ranks/tests/test_lease.py
+++ b/packages/entry/src/bluebellusher/ranks/tests/test_lease.py
@@ -4,7 +4,7 @@
 
 from bluebellusher.ranks import LeaseKeeper
 from bluebellusher.ranks._lease import GUARD_MS, TERM_MS
-from bluebellusher.shared.tests.fakes import DOWN, FakeLog, FakeStore, until
+from bluebellusher.shared.tests.fakes import DOWN, FakeLog, FakeStore, wait_until
 from bluebellusher_core.clock import ManualClock
 
 
@@ -30,7 +30,7 @@
     async def scenario(store, clock):
         keepers = [make_keeper(store, clock, name) for name in ("a", "b")]
         tasks = [asyncio.create_task(keeper.run()) for keeper in keepers]
-        await until(lambda: any(k.token is not None for k in keepers))
+        await wait_until(lambda: any(k.token is not None for k in keepers))
         await asyncio.sleep(0.3)
         assert sum(k.token is not None for k in keepers) == 1
         for task in tasks:
@@ -45,7 +45,7 @@
     async def scenario(store, clock):
         keeper = make_keeper(store, clock, "a")
         task = asyncio.create_task(keeper.run())
-        await until(lambda: keeper.token is not None)
+        await wait_until(lambda: keeper.token is not None)
         token = keeper.token
         store.fault = DOWN
         clock.advance(TERM_MS)
@@ -57,7 +57,7 @@
         await asyncio.sleep(0.1)
         assert other.token is None
         clock.advance(TERM_MS + GUARD_MS)
-        await until(lambda: other.token is not None, clock)
+        await wait_until(lambda: other.token is not None, clock)
         assert other.token > token
         task.cancel()
 
@@ -74,17 +74,17 @@
     async def scenario(store, clock):
         keeper = make_keeper(store, clock, "a/1")
         task = asyncio.create_task(keeper.run())
-        await until(lambda: keeper.token is not None)
+        await wait_until(lambda: keeper.token is not None)
         token = keeper.token
         store.fault = DOWN
         clock.advance(TERM_MS + GUARD_MS)
-        await until(lambda: keeper.leading_token == token and keeper.token is None)
+        await wait_until(lambda: keeper.leading_token == token and keeper.token is None)
         keeper.record_seen_token(token)
         assert keeper.leading_token == token
         keeper.record_seen_token(token + 1)
         assert keeper.leading_token is None, "another leader has begun"
         store.fault = None
-        await until(lambda: keeper.token is not None, clock)
+        await wait_until(lambda: keeper.token is not None, clock)
         assert keeper.token > token
         task.cancel()
 
@@ -97,10 +97,10 @@
     async def scenario(store, clock):
         keeper = make_keeper(store, clock, "a/1")
         task = asyncio.create_task(keeper.run())
-        await until(lambda: keeper.token is not None)
+        await wait_until(lambda: keeper.token is not None)
         store.put("leases", "lease", b'["b/1", 9, 1]')
         clock.advance(TERM_MS)
-        await until(lambda: keeper.leading_token is None)
+        await wait_until(lambda: keeper.leading_token is None)
         task.cancel()
 
     run(scenario)
@@ -113,9 +113,9 @@
         keeper = make_keeper(store, clock, "a")
         store.loses_answers = True
         task = asyncio.create_task(keeper.run())
-        await until(lambda: store.version > 0)
+        await wait_until(lambda: store.version > 0)
         store.loses_answers = False
-        await until(lambda: keeper.token is not None)
+        await wait_until(lambda: keeper.token is not None)
         task.cancel()
 
     run(scenario)
@@ -140,7 +140,7 @@
     async def scenario(store, clock):
         keeper = make_keeper(store, clock, "a")
         task = asyncio.create_task(keeper.run())
-        await until(lambda: keeper.token is not None)
+        await wait_until(lambda: keeper.token is not None)
         await keeper.release()
         await asyncio.wait_for(task, 5)
         assert keeper.token is None
@@ -158,11 +158,11 @@
         store.put("leases", "lease", b"not json")
         keeper = make_keeper(store, clock, "a")
         task = asyncio.create_task(keeper.run())
-        await until(lambda: keeper.token is not None)
+        await wait_until(lambda: keeper.token is not None)
         names = [name for name, _ in keeper._log.lines]
         assert names.index("lease-unreadable") < names.index("lease-held")
         keeper.record_seen_token(57)
-        await until(lambda: keeper.leading_token == 58)
+        await wait_until(lambda: keeper.leading_token == 58)
         task.cancel()
 
     run(scenario)
--- a/packages/entry/src/bluebellusher/runtime/_claims.py
+++ b/packages/entry/src/bluebellusher/runtime/_claims.py
@@ -228,6 +228,7 @@
         raise StoreError(f"row {key} kept changing", is_refused=False)
 
     async def _write_row(self, row: Row, value: dict[str, Any]) -> bool:
+        """Write a row if its version is unchanged; return whether it was written."""
         answer = await self._store.transact({row.key: row.version}, {row.key: value})
         return isinstance(answer, Committed)
 
@@ -237,6 +238,7 @@
             self._n_kept_bytes -= kept.n_bytes
 
     def _make_row_value(self, write: ClaimWrite) -> dict[str, Any]:
+        """Return the stored form of a claim or outcome, without a kept answer."""
         return {
             "state": write.state.value,
             "claim_id": write.claim_id,
@@ -247,6 +249,7 @@
 
 
 def _is_claimed_by(row: Row, write: ClaimWrite) -> bool:
+    """Return whether a row belongs to a claim and has no outcome yet."""
     value = row.value if isinstance(row.value, dict) else {}
     is_same_claim = value.get("claim_id") == write.claim_id
     return is_same_claim and value.get("state") == ClaimState.CLAIMED
--- a/packages/entry/src/bluebellusher/runtime/_discovery.py
+++ b/packages/entry/src/bluebellusher/runtime/_discovery.py
@@ -80,7 +80,9 @@
         target_addresses = self._choose_addresses(result.ok) - self._configured
         removed_addresses = self._dialed - target_addresses
         connected_addresses = {
-            address for address in removed_addresses if not self._agents.forget(address)
+            address
+            for address in removed_addresses
+            if not self._agents.stop_dialing(address)
         }
         self._agents.dial(target_addresses)
         self._dialed = target_addresses | connected_addresses
--- a/packages/entry/src/bluebellusher/runtime/_exchange.py
+++ b/packages/entry/src/bluebellusher/runtime/_exchange.py
@@ -27,7 +27,7 @@
         The answer on its way to the caller.
     span : Span
         Span of the request.
-    is_kept : bool
+    is_answer_kept : bool
         Whether the answer is kept for repeats of the idempotency key.
     n_attempts : int
         Number of attempts whose end the reducer has not handled yet.
@@ -57,7 +57,7 @@
     body: bytes = field(repr=False)
     answer: AnswerStream
     span: Span
-    is_kept: bool = False
+    is_answer_kept: bool = False
     n_attempts: int = 0
     is_caller_served: bool = False
     usage: Usage | None = None
--- a/packages/entry/src/bluebellusher/runtime/_peers.py
+++ b/packages/entry/src/bluebellusher/runtime/_peers.py
@@ -21,8 +21,8 @@
 # announcing entry at that time.
 REPEAT_INTERVAL_MS = 10_000
 # Age up to which a crash or a leaving endpoint is announced again, in ms. Bytes between
-# failure domains are billed, so that single crashes, which mostly occur while harmless
-# requests run, are not repeated until they expire.
+# failure domains are billed. Single crashes, which mostly occur while harmless requests
+# run, are therefore repeated for this time only, and not until they expire.
 MAX_REPEAT_AGE_MS = 30_000
 # Number of crashes from which a record is repeated regardless of its age.
 N_CRASHES_TO_REPEAT = 2
@@ -78,7 +78,7 @@
         self._repeated_at_ms = 0
 
     def register(self, message_type: type, handler: MessageHandler) -> None:
-        """Call ``handler(peer_id, message)`` for messages of this type."""
+        """Call ``handler(peer_id, message)`` for each message of a type."""
         self._handler_by_type[message_type] = handler
 
     def on_peer_open(self, peer_id: str, _hello: Any) -> None:
@@ -87,18 +87,19 @@
             self.links.send(peer_id, self._make_full_digest())
 
     def _make_full_digest(self) -> Any:
+        """Return a digest with all crash records and leaving endpoints."""
         digest = self._make_digest()
         digest.crashes = _to_crash_messages(self._find_crashes())
         digest.leaving = _to_leaving_messages(self._find_leaving())
         return digest
 
-    def tell_crashes(self, records: Iterable[CrashRecord]) -> None:
+    def broadcast_crashes(self, records: Iterable[CrashRecord]) -> None:
         """Broadcast crash records to all peers."""
         digest = self._make_digest()
         digest.crashes = _to_crash_messages(records)
         self._broadcast_announcement(digest)
 
-    def tell_leaving(self, marks: Iterable[LeavingMark]) -> None:
+    def broadcast_leaving(self, marks: Iterable[LeavingMark]) -> None:
         """Broadcast leaving endpoints to all peers."""
         digest = self._make_digest()
         digest.leaving = _to_leaving_messages(marks)
@@ -116,6 +117,7 @@
         self._broadcast_announcement(digest)
 
     def _broadcast_announcement(self, digest: Any) -> None:
+        """Broadcast a digest unless it contains neither crashes nor leaving marks."""
         if self.links is not None and (digest.crashes or digest.leaving):
             self.links.broadcast(digest)
 
--- a/packages/entry/src/bluebellusher/runtime/_runtime.py
+++ b/packages/entry/src/bluebellusher/runtime/_runtime.py
@@ -127,7 +127,7 @@
         return self._claims.n_in_flight if self._claims else 0
 
     @property
-    def is_settled(self) -> bool:
+    def are_claims_settled(self) -> bool:
         """Return whether every claim and every outcome is written to the table."""
         return self.state.claims.is_idle
 
@@ -151,7 +151,7 @@
         self.exchange_by_request_id[exchange.spec.request_id] = exchange
         self.post(RequestArrived(exchange.spec))
 
-    def end(self, exchange: Exchange) -> None:
+    def end_exchange(self, exchange: Exchange) -> None:
         """Record that the caller received its answer or has disconnected.
 
         The request is discarded when its last attempt has ended as well.
@@ -238,7 +238,11 @@
     def _keep_answer(self, attempt_id: str) -> None:
         """Pass the answer of a claimed request to the writer of claims."""
         exchange = self._dispatcher.find(attempt_id)
-        if exchange is not None and exchange.is_kept and self._claims is not None:
+        if (
+            exchange is not None
+            and exchange.is_answer_kept
+            and self._claims is not None
+        ):
             self._claims.keep_answer(
                 exchange.spec.request_id, exchange.to_kept_answer()
             )
--- a/packages/entry/src/bluebellusher/runtime/tests/test_discovery.py
+++ b/packages/entry/src/bluebellusher/runtime/tests/test_discovery.py
@@ -35,7 +35,7 @@
         """Record the addresses."""
         self.dialed |= set(addresses)
 
-    def forget(self, address) -> bool:
+    def stop_dialing(self, address) -> bool:
         """Stop dialing an address; return False while it is connected."""
         if address in self.connected:
             return False
--- a/packages/entry/src/bluebellusher/runtime/tests/test_peer_announcements.py
+++ b/packages/entry/src/bluebellusher/runtime/tests/test_peer_announcements.py
@@ -63,8 +63,8 @@
 def test_announcements_are_broadcast_immediately():
     """Guards against peers that act on outdated state until the next digest is due."""
     entry, _, events = make_connected_entries()
-    entry.tell_crashes(RECORDS[:1])
-    entry.tell_leaving(MARKS)
+    entry.broadcast_crashes(RECORDS[:1])
+    entry.broadcast_leaving(MARKS)
     assert events.of_type(CrashesReceived) == [CrashesReceived("e1", RECORDS[:1])]
     assert events.of_type(LeavingReceived) == [LeavingReceived("e1", MARKS)]
 
--- a/packages/entry/src/bluebellusher/server/_app.py
+++ b/packages/entry/src/bluebellusher/server/_app.py
@@ -231,7 +231,7 @@
             outcome = await sender.send()
         finally:
             watchdog.cancel()
-            self._runtime.end(exchange)
+            self._runtime.end_exchange(exchange)
             if self._spending is not None:
                 self._spending.settle(request_id, outcome, exchange)
             self._runtime.metrics.count(
@@ -252,7 +252,7 @@
         self, draft: RequestDraft, request_id: str, request: Request
     ) -> Exchange:
         limits = self._settings.limits
-        is_kept = bool(draft.idempotency_key) and not draft.is_idempotent
+        is_answer_kept = bool(draft.idempotency_key) and not draft.is_idempotent
         traceparent = request.headers.get("traceparent", "")
         return Exchange(
             spec=_to_spec(draft, request_id, self._runtime.now_ms()),
@@ -260,9 +260,9 @@
             path=draft.path,
             headers=draft.headers,
             body=draft.body,
-            answer=AnswerStream(limits.max_kept_answer_bytes if is_kept else 0),
+            answer=AnswerStream(limits.max_kept_answer_bytes if is_answer_kept else 0),
             span=self._runtime.tracer.start("request", traceparent),
-            is_kept=is_kept,
+            is_answer_kept=is_answer_kept,
         )
 
 
--- a/packages/entry/src/bluebellusher/shared/_crashes.py
+++ b/packages/entry/src/bluebellusher/shared/_crashes.py
@@ -18,7 +18,7 @@
 from bluebellusher_core.poison import CRASH_MAX_AGE_MS, Crash, CrashRecord
 
 CRASH_TABLE = "crashes"
-CRASH_KEY = "recent"
+CRASH_ROW_KEY = "recent"
 # Upper bound of the stored fingerprints. A row has at most 65,536 bytes, and a
 # fingerprint with three crashes takes about 250 bytes.
 N_MAX_STORED_FINGERPRINTS = 200
@@ -98,10 +98,10 @@
         self._schedule_changed = asyncio.Event()
         self._write_due_ms: int | None = None
 
-    def take_rows(self, rows: Iterable[MirrorRow]) -> None:
+    def post_stored_crashes(self, rows: Iterable[MirrorRow]) -> None:
         """Post the crash records in changed rows of the table."""
         for row in rows:
-            if row.key == CRASH_KEY and not row.is_removed:
+            if row.key == CRASH_ROW_KEY and not row.is_removed:
                 table = self._read_table(row)
                 records = tuple(
                     _to_record(fingerprint, crashes, self._clock.wall_ms())
@@ -109,14 +109,14 @@
                 )
                 self._post(CrashesReceived("store", records))
 
-    def note_own(self) -> None:
+    def schedule_own_write(self) -> None:
         """Schedule a write of crashes that this entry observed.
 
         The write is due within ``MAX_OWN_WRITE_DELAY_MS``.
         """
         self._schedule_write_after(self._random_state.randrange(MAX_OWN_WRITE_DELAY_MS))
 
-    def note_others(self) -> None:
+    def schedule_peer_write(self) -> None:
         """Schedule a write of crashes that a peer announced.
 
         The write is due after at least ``MIN_PEER_WRITE_DELAY_MS`` and makes no call
@@ -161,14 +161,14 @@
 
     async def _write(self) -> bool:
         """Write the merged records once; return whether the store contains them now."""
-        row = self._mirror.row_by_key.get(CRASH_KEY)
+        row = self._mirror.row_by_key.get(CRASH_ROW_KEY)
         stored = self._read_table(row) if row is not None else _StoredTable()
         table = merge_records(stored, self._find_records(), self._clock.wall_ms())
         if table == stored:
             return True
         value = table.model_dump_json().encode()
         version = row.version if row is not None else 0
-        write = RowWrite(CRASH_TABLE, CRASH_KEY, value, version)
+        write = RowWrite(CRASH_TABLE, CRASH_ROW_KEY, value, version)
         result = await self._store.write_row(write)
         if not result.is_ok():
             self._log.log("crashes-not-stored", reason=result.error.reason)
@@ -182,7 +182,7 @@
             )
         # The version of the copy is not raised to that of the row, because the copy may
         # lack changes of other rows between the two.
-        self.take_rows(self._mirror.apply([current], self._mirror.version))
+        self.post_stored_crashes(self._mirror.apply([current], self._mirror.version))
         return is_written
 
     def _read_table(self, row: MirrorRow) -> _StoredTable:
--- a/packages/entry/src/bluebellusher/shared/_directory.py
+++ b/packages/entry/src/bluebellusher/shared/_directory.py
@@ -51,9 +51,9 @@
         log: LogSink,
     ) -> None:
         self.routing: RoutingTable | None = None
-        self.routing_at_ms = 0
+        self.routing_applied_at_ms = 0
         self.registrations = Registrations()
-        self.on_endpoints: Callable[[], None] | None = None
+        self.on_endpoints_changed: Callable[[], None] | None = None
         self._codec = codec
         self._post = post
         self._clock = clock
@@ -68,7 +68,7 @@
         """Return the registration of an endpoint, or None if it must not be used."""
         return self.registrations.registration_by_id.get(endpoint_id)
 
-    def take_routing(self, rows: list[MirrorRow]) -> None:
+    def apply_routing_rows(self, rows: list[MirrorRow]) -> None:
         """Put a newer routing configuration in force.
 
         A configuration that cannot be read, or whose version is not above the current
@@ -88,7 +88,7 @@
                 )
                 continue
             self.routing = table
-            self.routing_at_ms = self._clock.now_ms()
+            self.routing_applied_at_ms = self._clock.now_ms()
             self._log.log(
                 "configuration-in-force",
                 version=table.version,
@@ -97,7 +97,7 @@
                 n_credentials=len(table.customer_by_credential),
             )
 
-    def take_registrations(self, rows: list[MirrorRow]) -> None:
+    def apply_registration_rows(self, rows: list[MirrorRow]) -> None:
         """Apply changed registrations and post the events that follow.
 
         A registration that cannot be read counts as ended.
@@ -116,9 +116,9 @@
             changes[row.key] = found
         self._log_and_post(self.registrations.update(changes, self._clock.now_ms()))
 
-    def note_contact(self, is_in_contact: bool) -> None:
+    def record_store_availability(self, is_store_available: bool) -> None:
         """Record whether the store is available, for the grace of registrations."""
-        if is_in_contact:
+        if is_store_available:
             self.registrations.record_store_available(self._clock.now_ms())
         else:
             self.registrations.record_store_unavailable()
@@ -143,7 +143,7 @@
         return max(0, self._clock.wall_ms() - started_wall_ms)
 
     def _log_and_post(self, events: list[Event]) -> None:
-        """Log and post events; call ``on_endpoints`` if there were any."""
+        """Log and post events; call ``on_endpoints_changed`` if there were any."""
         for event in events:
             match event:
                 case EndpointRegistered(endpoint=info):
@@ -162,5 +162,5 @@
                 started=registration.started_wall_ms if registration else 0,
             )
             self._post(event)
-        if events and self.on_endpoints is not None:
-            self.on_endpoints()
+        if events and self.on_endpoints_changed is not None:
+            self.on_endpoints_changed()
--- a/packages/entry/src/bluebellusher/shared/_peers.py
+++ b/packages/entry/src/bluebellusher/shared/_peers.py
@@ -35,7 +35,7 @@
 
     mirror: TableMirror
     on_changed_rows: ChangedRowsCallback
-    is_in_contact: Callable[[], bool]
+    is_store_available: Callable[[], bool]
     behind_since_ms: int = 0
     behind_peer_id: str = ""
     behind_version: int = 0
@@ -61,7 +61,7 @@
         self,
         mirror: TableMirror,
         on_changed_rows: ChangedRowsCallback,
-        is_in_contact: Callable[[], bool],
+        is_store_available: Callable[[], bool],
     ) -> None:
         """Add a table to the exchange.
 
@@ -71,11 +71,11 @@
             This entry's copy of the table.
         on_changed_rows : callable
             Receives the rows that a peer's changes replaced, added or removed.
-        is_in_contact : callable
+        is_store_available : callable
             Returns whether the store is available and updates the copy.
         """
         self._shared_by_table[mirror.table] = _SharedTable(
-            mirror, on_changed_rows, is_in_contact
+            mirror, on_changed_rows, is_store_available
         )
 
     def versions(self) -> dict[str, int]:
@@ -99,7 +99,7 @@
                 shared.behind_since_ms = self._clock.now_ms()
             shared.behind_version = max(shared.behind_version, version)
             shared.behind_peer_id = peer_id
-            if not shared.is_in_contact():
+            if not shared.is_store_available():
                 self._pull(shared)
 
     def tick(self, now_ms: int) -> None:
@@ -150,12 +150,14 @@
 
 
 def _to_message(row: MirrorRow) -> Any:
+    """Return a row as a message for a peer."""
     return messages.TableRow(
         key=row.key, version=row.version, value=row.value, is_removed=row.is_removed
     )
 
 
 def _to_rows(rows: Iterable[Any]) -> list[MirrorRow]:
+    """Return the rows of a peer's message."""
     return [
         MirrorRow(row.key, row.version, row.value or b"", bool(row.is_removed))
         for row in rows
--- a/packages/entry/src/bluebellusher/shared/_watcher.py
+++ b/packages/entry/src/bluebellusher/shared/_watcher.py
@@ -73,7 +73,7 @@
         wait_ms: int = CHANGES_WAIT_MS,
     ) -> None:
         self.mirror = mirror
-        self.is_in_contact = False
+        self.is_store_available = False
         self.store_answered_at_ms = 0
         self._store = store
         self._on_changed_rows = on_changed_rows
@@ -129,8 +129,8 @@
             self._log.log("store-history-lost", table=self.mirror.table)
             await asyncio.sleep(HISTORY_LOSS_PAUSE_MS / 1000)
             return
-        if self.is_in_contact or not self._n_failures:
-            self.is_in_contact = False
+        if self.is_store_available or not self._n_failures:
+            self.is_store_available = False
             self._log.log(
                 "store-lost",
                 table=self.mirror.table,
@@ -146,8 +146,8 @@
         """Record an answer of the store; report it if the store was unavailable."""
         self.store_answered_at_ms = self._clock.now_ms()
         self._n_failures = 0
-        if not self.is_in_contact:
-            self.is_in_contact = True
+        if not self.is_store_available:
+            self.is_store_available = True
             version = self.mirror.version
             self._log.log("store-regained", table=self.mirror.table, version=version)
             self._on_availability_change(True)
--- a/packages/entry/src/bluebellusher/shared/tests/fakes.py
+++ b/packages/entry/src/bluebellusher/shared/tests/fakes.py
@@ -11,7 +11,7 @@
 MAX_WAIT_S = 10
 
 
-async def until(condition, clock=None):
+async def wait_until(condition, clock=None):
     """Wait until a condition holds.
 
     Parameters
--- a/packages/entry/src/bluebellusher/shared/tests/test_crash_table.py
+++ b/packages/entry/src/bluebellusher/shared/tests/test_crash_table.py
@@ -4,8 +4,8 @@
 from random import Random
 
 from bluebellusher.shared import CRASH_TABLE, CrashTable
-from bluebellusher.shared._crashes import CRASH_KEY, N_MAX_STORED_FINGERPRINTS
-from bluebellusher.shared.tests.fakes import DOWN, FakeLog, FakeStore, until
+from bluebellusher.shared._crashes import CRASH_ROW_KEY, N_MAX_STORED_FINGERPRINTS
+from bluebellusher.shared.tests.fakes import DOWN, FakeLog, FakeStore, wait_until
 from bluebellusher_core.clock import ManualClock
 from bluebellusher_core.directory import TableMirror
 from bluebellusher_core.poison import CRASH_MAX_AGE_MS, Crash, CrashCounter, CrashRecord
@@ -45,12 +45,12 @@
         now_ms = self.clock.now_ms()
         crashes = tuple(Crash(f"x{i}@1", 20, 10) for i in range(n_crashes))
         self.counter.merge(CrashRecord(fingerprint, crashes, sound_age_ms), now_ms)
-        self.table.note_own()
+        self.table.schedule_own_write()
 
     async def start(self):
         """Read the crash table from the store; return the entry."""
         stored = (await self.store.read_table(CRASH_TABLE)).ok
-        self.table.take_rows(self.mirror.replace(stored.rows, stored.version))
+        self.table.post_stored_crashes(self.mirror.replace(stored.rows, stored.version))
         return self
 
     def count(self, fingerprint):
@@ -71,7 +71,7 @@
 
 def get_stored_row(store):
     """Return the stored row of the crash table, or None."""
-    return store.rows_by_table.get(CRASH_TABLE, {}).get(CRASH_KEY)
+    return store.rows_by_table.get(CRASH_TABLE, {}).get(CRASH_ROW_KEY)
 
 
 def test_entry_that_starts_alone_reads_the_crashes_of_earlier_entries():
@@ -79,7 +79,7 @@
 
     async def scenario(store, clock):
         (await Entry(store, clock).start()).record_crashes("f", 3)
-        await until(lambda: get_stored_row(store), clock)
+        await wait_until(lambda: get_stored_row(store), clock)
         clock.advance(CRASH_MAX_AGE_MS // 2)
         assert (await Entry(store, clock).start()).count("f") == 3
         clock.advance(CRASH_MAX_AGE_MS // 2)
@@ -96,7 +96,7 @@
         second = await Entry(store, clock).start()
         first.record_crashes("f", 2)
         second.record_crashes("g", 1)
-        await until(lambda: _has_both(get_stored_row(store)), clock)
+        await wait_until(lambda: _has_both(get_stored_row(store)), clock)
         third = await Entry(store, clock).start()
         assert (third.count("f"), third.count("g")) == (2, 1)
 
@@ -115,9 +115,9 @@
         entry = await Entry(store, clock).start()
         store.fault = DOWN
         entry.record_crashes("f", 2)
-        await until(lambda: "crashes-not-stored" in entry.log.names(), clock)
+        await wait_until(lambda: "crashes-not-stored" in entry.log.names(), clock)
         store.fault = None
-        await until(lambda: get_stored_row(store), clock)
+        await wait_until(lambda: get_stored_row(store), clock)
 
     run(scenario)
 
@@ -129,9 +129,9 @@
         entry = await Entry(store, clock).start()
         store.loses_answers = True
         entry.record_crashes("f", 2)
-        await until(lambda: get_stored_row(store), clock)
+        await wait_until(lambda: get_stored_row(store), clock)
         store.loses_answers = False
-        await until(
+        await wait_until(
             lambda: get_stored_row(store).version in _list_versions(entry), clock
         )
         n_calls = store.n_calls
@@ -154,11 +154,11 @@
     async def scenario(store, clock):
         entries = [await Entry(store, clock).start() for _ in range(8)]
         entries[0].record_crashes("f", 1)
-        await until(lambda: get_stored_row(store), clock)
+        await wait_until(lambda: get_stored_row(store), clock)
         n_calls = store.n_calls
         for entry in entries[1:]:
             await entry.start()
-            entry.table.note_others()
+            entry.table.schedule_peer_write()
         for _ in range(20):
             clock.advance(1_000)
             await asyncio.sleep(0.01)
@@ -173,12 +173,12 @@
     async def scenario(store, clock):
         entry = await Entry(store, clock).start()
         entry.record_crashes("f", 3)
-        await until(lambda: get_stored_row(store), clock)
+        await wait_until(lambda: get_stored_row(store), clock)
         version = get_stored_row(store).version
         clock.advance(100)
         entry.counter.clear("f", clock.now_ms())
-        entry.table.note_own()
-        await until(lambda: get_stored_row(store).version > version, clock)
+        entry.table.schedule_own_write()
+        await wait_until(lambda: get_stored_row(store).version > version, clock)
         assert not (await Entry(store, clock).start()).count("f")
 
     run(scenario)
@@ -188,11 +188,11 @@
     """Guards against crashes that are never stored after another program's write."""
 
     async def scenario(store, clock):
-        store.put(CRASH_TABLE, CRASH_KEY, b"\xff{")
+        store.put(CRASH_TABLE, CRASH_ROW_KEY, b"\xff{")
         entry = await Entry(store, clock).start()
         assert "crashes-unreadable" in entry.log.names()
         entry.record_crashes("f", 2)
-        await until(lambda: get_stored_row(store).version > 1, clock)
+        await wait_until(lambda: get_stored_row(store).version > 1, clock)
         assert (await Entry(store, clock).start()).count("f") == 2
 
     run(scenario)
@@ -209,7 +209,7 @@
         entry.record_crashes("f" * 32, 3)
         for i in range(2 * N_MAX_STORED_FINGERPRINTS):
             entry.record_crashes(f"{i:032}", 1)
-        await until(lambda: get_stored_row(store), clock)
+        await wait_until(lambda: get_stored_row(store), clock)
         assert len(get_stored_row(store).value) < MAX_ROW_BYTES
         assert (await Entry(store, clock).start()).count("f" * 32) == 3
 
--- a/packages/entry/src/bluebellusher/shared/tests/test_shared.py
+++ b/packages/entry/src/bluebellusher/shared/tests/test_shared.py
@@ -4,7 +4,7 @@
 from random import Random
 
 from bluebellusher.shared import Directory, TableExchange, TableWatcher
-from bluebellusher.shared.tests.fakes import DOWN, FakeLog, FakeStore, until
+from bluebellusher.shared.tests.fakes import DOWN, FakeLog, FakeStore, wait_until
 from bluebellusher_core.clock import ManualClock
 from bluebellusher_core.directory import (
     EndpointRegistration,
@@ -51,16 +51,16 @@
     async def scenario(store, clock):
         store.put("t", "a", b"1")
         table_copy = TableCopy(store, clock)
-        await until(lambda: "a" in table_copy.mirror.row_by_key)
+        await wait_until(lambda: "a" in table_copy.mirror.row_by_key)
         store.put("t", "b", b"2")
-        await until(lambda: "b" in table_copy.mirror.row_by_key)
+        await wait_until(lambda: "b" in table_copy.mirror.row_by_key)
         store.fault = DOWN
         store.put("t", "a", b"", is_removed=True)
         store.put("t", "c", b"3")
         store.oldest_readable_version = store.version
-        await until(lambda: "store-lost" in table_copy.log.names())
+        await wait_until(lambda: "store-lost" in table_copy.log.names())
         store.fault = None
-        await until(lambda: set(table_copy.mirror.row_by_key) == {"b", "c"})
+        await wait_until(lambda: set(table_copy.mirror.row_by_key) == {"b", "c"})
         assert "store-history-lost" in table_copy.log.names()
         assert table_copy.availability_changes == [True, False, True]
         table_copy.task.cancel()
@@ -105,14 +105,14 @@
         return NetworkLinks()
 
 
-def make_exchanges(clock, is_in_contact):
+def make_exchanges(clock, is_store_available):
     """Return a network of an entry with a change and one without, and changed rows.
 
-    ``is_in_contact`` states whether the store is available to the entry without the
-    change.
+    ``is_store_available`` states whether the store is available to the entry that lacks
+    the change.
     """
     network, changed_rows = FakeNetwork(), []
-    for entry_id, is_available in (("ahead", True), ("behind", is_in_contact)):
+    for entry_id, is_available in (("ahead", True), ("behind", is_store_available)):
         exchange = TableExchange(network.make_links(entry_id), clock)
         mirror = TableMirror("t")
         exchange.add(
@@ -131,7 +131,7 @@
 
 def test_entry_without_the_store_gets_changes_from_peers_immediately():
     """Guards against outdated routes and keys while the store is unavailable."""
-    network, changed_rows = make_exchanges(ManualClock(), is_in_contact=False)
+    network, changed_rows = make_exchanges(ManualClock(), is_store_available=False)
     digest = make_digest(network.exchange_by_id["ahead"])
     network.exchange_by_id["behind"].on_digest("ahead", digest)
     assert [row.key for row in changed_rows] == ["a"]
@@ -141,7 +141,7 @@
 def test_entry_with_the_store_requests_changes_from_peers_only_after_a_delay():
     """Guards against transfers between peers that duplicate the store's answers."""
     clock = ManualClock()
-    network, changed_rows = make_exchanges(clock, is_in_contact=True)
+    network, changed_rows = make_exchanges(clock, is_store_available=True)
     behind = network.exchange_by_id["behind"]
     behind.on_digest("ahead", make_digest(network.exchange_by_id["ahead"]))
     behind.tick(clock.now_ms())
@@ -185,7 +185,7 @@
     directory, log = make_directory()
     assert not directory.is_ready
     for row_version, value in ((1, b"5"), (2, b"4"), (3, b"junk"), (4, b"9")):
-        directory.take_routing([MirrorRow("config", row_version, value)])
+        directory.apply_routing_rows([MirrorRow("config", row_version, value)])
     assert directory.routing.version == 9
     assert log.names().count("configuration-ignored") == 2
 
@@ -193,8 +193,8 @@
 def test_unreadable_registration_drains_its_endpoint():
     """Guards against requests sent to an endpoint whose registration is unreadable."""
     directory, log = make_directory()
-    directory.take_registrations([MirrorRow("x", 1, b"4")])
-    directory.take_registrations([MirrorRow("x", 2, b"torn")])
+    directory.apply_registration_rows([MirrorRow("x", 1, b"4")])
+    directory.apply_registration_rows([MirrorRow("x", 2, b"torn")])
     kinds = [type(event) for event in log.events]
     assert kinds == [EndpointRegistered, EndpointDraining]
     assert directory.find("x") is None
