--- a/packages/entry/src/bluebellusher/runtime/_claims.py
+++ b/packages/entry/src/bluebellusher/runtime/_claims.py
@@ -102,6 +102,7 @@
         batch_id: str,
         write_coroutine: Coroutine[Any, Any, tuple[ClaimResult, ...]],
     ) -> None:
+        """Await the write of a batch and post its results, also after an error."""
         try:
             results = await write_coroutine
         except Exception as error:
--- a/packages/entry/src/bluebellusher/runtime/_exchange.py
+++ b/packages/entry/src/bluebellusher/runtime/_exchange.py
@@ -68,7 +68,7 @@
     last_event_id: str = ""
     max_silence_ms: int = 0
 
-    def to_kept_answer(self) -> KeptAnswer:
+    def keep_answer(self) -> KeptAnswer:
         """Return the answer in the form that is kept for the idempotency key."""
         answer = self.answer
         body = None if answer.kept is None else bytes(answer.kept)
--- a/packages/entry/src/bluebellusher/runtime/_runtime.py
+++ b/packages/entry/src/bluebellusher/runtime/_runtime.py
@@ -128,7 +128,7 @@
 
     @property
     def are_claims_settled(self) -> bool:
-        """Return whether every claim and every outcome is written to the table."""
+        """Return whether no claim or outcome still has to be written to the table."""
         return self.state.claims.is_idle
 
     def now_ms(self) -> int:
@@ -200,6 +200,7 @@
             self._end_attempt(event.attempt_id)
 
     def _execute(self, effect: Effect) -> None:
+        """Execute an effect; report an error instead of raising it."""
         try:
             self._executor_by_type[type(effect)](effect)
         except Exception as error:
@@ -243,9 +244,7 @@
             and exchange.is_answer_kept
             and self._claims is not None
         ):
-            self._claims.keep_answer(
-                exchange.spec.request_id, exchange.to_kept_answer()
-            )
+            self._claims.keep_answer(exchange.spec.request_id, exchange.keep_answer())
 
     def _record_usage(self, event: AttemptFinished) -> None:
         """Record the usage of the first attempt that finished."""
@@ -286,6 +285,7 @@
                 self.post(refused)
 
     def _cancel_attempt(self, effect: CancelAttempt) -> None:
+        """Cancel an attempt and discard it without waiting for its end."""
         self._dispatcher.cancel(effect)
         self._end_attempt(effect.attempt_id)
 
@@ -295,17 +295,20 @@
             exchange.answer.complete()
 
     def _discard_answer(self, effect: DiscardAnswer) -> None:
+        """Discard an unsent answer, so that another attempt can write one."""
         exchange = self.exchange_by_request_id.get(effect.request_id)
         if exchange is not None:
             exchange.answer.owner_attempt_id = ""
             exchange.answer.reset()
 
     def _reject(self, effect: Reject) -> None:
+        """End the answer of a request with a rejection."""
         exchange = self.exchange_by_request_id.get(effect.request_id)
         if exchange is not None:
             exchange.answer.refuse(effect.rejection)
 
     def _replay(self, effect: ReplayAnswer) -> None:
+        """Start a task that replays the kept answer in the row of the claim."""
         exchange = self.exchange_by_request_id.get(effect.request_id)
         if exchange is None or self._claims is None or self._store is None:
             return
@@ -328,11 +331,14 @@
         self._timer_by_id[effect.timer_id] = handle
 
     def _post_timer_fired(self, timer_id: str) -> None:
+        """Discard the timer and post its event."""
         self._timer_by_id.pop(timer_id, None)
         self.post(TimerFired(timer_id))
 
     def _close_connection(self, effect: CloseConnection) -> None:
-        self._dispatcher.close_endpoint(effect.endpoint_id, "closed by the reducer")
+        self._dispatcher.close_endpoint(
+            effect.endpoint_id, "closed by a decision of the reducer"
+        )
 
     def _log_event(self, effect: LogEvent) -> None:
         """Count and log a decision of the reducer.
@@ -347,6 +353,7 @@
         self._log.event(effect.name, "info", **fields)
 
     def _start_task(self, coroutine: Any) -> None:
+        """Start a task that is cancelled when the runtime closes."""
         task: asyncio.Task[None] = self._loop.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/packages/entry/src/bluebellusher/shared/_directory.py
+++ b/packages/entry/src/bluebellusher/shared/_directory.py
@@ -104,16 +104,16 @@
         """
         changes: dict[str, EndpointRegistration | None] = {}
         for row in rows:
-            found = None
+            registration = None
             if not row.is_removed:
-                found = self._codec.read_registration(row.key, row.value)
-                if found is None:
+                registration = self._codec.read_registration(row.key, row.value)
+                if registration is None:
                     self._log.log(
                         "registration-unreadable",
                         endpoint=row.key,
                         row_version=row.version,
                     )
-            changes[row.key] = found
+            changes[row.key] = registration
         self._log_and_post(self.registrations.update(changes, self._clock.now_ms()))
 
     def record_store_availability(self, is_store_available: bool) -> None:
--- a/packages/entry/src/bluebellusher/shared/_peers.py
+++ b/packages/entry/src/bluebellusher/shared/_peers.py
@@ -26,19 +26,19 @@
 
 @dataclass(slots=True)
 class _SharedTable:
-    """Copy of a table and the latest known version of its peers.
+    """Copy of a table and the highest version that peers reported.
 
-    ``behind_version`` is the highest version that a peer reported, and
-    ``behind_since_ms`` the monotonic time at which a peer first reported a version
-    above the one of the copy. ``behind_peer_id`` is the peer to request changes from.
+    ``latest_peer_version`` is that version, ``latest_peer_id`` the peer that changes
+    are requested from, and ``outdated_since_ms`` the monotonic time, in ms, at which a
+    peer first reported a version above the one of the copy.
     """
 
     mirror: TableMirror
     on_changed_rows: ChangedRowsCallback
     is_store_available: Callable[[], bool]
-    behind_since_ms: int = 0
-    behind_peer_id: str = ""
-    behind_version: int = 0
+    outdated_since_ms: int = 0
+    latest_peer_id: str = ""
+    latest_peer_version: int = 0
 
 
 class TableExchange:
@@ -95,10 +95,10 @@
             shared = self._shared_by_table.get(table)
             if shared is None or version <= shared.mirror.version:
                 continue
-            if shared.behind_version <= shared.mirror.version:
-                shared.behind_since_ms = self._clock.now_ms()
-            shared.behind_version = max(shared.behind_version, version)
-            shared.behind_peer_id = peer_id
+            if shared.latest_peer_version <= shared.mirror.version:
+                shared.outdated_since_ms = self._clock.now_ms()
+            shared.latest_peer_version = max(shared.latest_peer_version, version)
+            shared.latest_peer_id = peer_id
             if not shared.is_store_available():
                 self._pull(shared)
 
@@ -111,15 +111,15 @@
             Monotonic time, in ms.
         """
         for shared in self._shared_by_table.values():
-            is_behind = shared.behind_version > shared.mirror.version
-            if is_behind and now_ms - shared.behind_since_ms >= PULL_DELAY_MS:
+            is_outdated = shared.latest_peer_version > shared.mirror.version
+            if is_outdated and now_ms - shared.outdated_since_ms >= PULL_DELAY_MS:
                 self._pull(shared)
 
     def _pull(self, shared: _SharedTable) -> None:
         """Request the changes above this entry's version from the recorded peer."""
         version = shared.mirror.version
         pull = messages.TablePull(table=shared.mirror.table, above_version=version)
-        self._links.send(shared.behind_peer_id, pull)
+        self._links.send(shared.latest_peer_id, pull)
 
     def on_pull(self, peer_id: str, pull: Any) -> None:
         """Send a peer the changes that it requested."""
