Merge the wording of entry/runtime and entry/shared

Comments, messages and names of entry/runtime and entry/shared; renames replayed over the other packages. Behaviour does not change (compare of definitions).

--- a/packages/entry/src/bluebellusher/ranks/tests/test_leader.py
+++ b/packages/entry/src/bluebellusher/ranks/tests/test_leader.py
@@ -7,7 +7,7 @@
 import pytest
 
 from bluebellusher.ranks import MapLeader
-from bluebellusher.shared.tests.fakes import FakeLog, until
+from bluebellusher.shared.tests.fakes import FakeLog, wait_until
 from bluebellusher_core.clock import SystemClock
 from bluebellusher_core.directory import GroupModel
 from bluebellusher_core.ranks import (
@@ -134,7 +134,7 @@
     links = FakeLinks(Group(N_RANKS))
 
     async def scenario(leader, log):
-        await until(lambda: links.group.n_switches >= 1)
+        await wait_until(lambda: links.group.n_switches >= 1)
         content = links.group.engines[0].map_content
         holders = [rank for rank in range(N_RANKS) if 0 in content[0][rank]]
         assert len(holders) > 1
@@ -150,7 +150,7 @@
     links = FakeLinks(Group(N_RANKS), is_lost=lambda order: rng.random() < 0.35)
 
     async def scenario(leader, log):
-        await until(lambda: links.group.n_switches >= 1)
+        await wait_until(lambda: links.group.n_switches >= 1)
 
     run(links, scenario)
 
@@ -180,8 +180,8 @@
     links.call = call_damaged
 
     async def scenario(leader, log):
-        await until(lambda: any(n == "counts-unreadable" for n, _ in log.lines))
-        await until(lambda: links.n_orders >= N_FENCES)
+        await wait_until(lambda: any(n == "counts-unreadable" for n, _ in log.lines))
+        await wait_until(lambda: links.n_orders >= N_FENCES)
         await asyncio.sleep(0.5)
         assert links.n_orders == N_FENCES, "only the fences"
         fields = next(f for n, f in log.lines if n == "counts-unreadable")
@@ -208,10 +208,10 @@
     links = FakeLinks(Group(N_RANKS))
 
     async def scenario(leader, log):
-        await until(lambda: links.group.n_switches >= 1)
+        await wait_until(lambda: links.group.n_switches >= 1)
         links.group.form_again()
         n_before = links.group.n_switches
-        await until(lambda: links.group.n_switches > n_before)
+        await wait_until(lambda: links.group.n_switches > n_before)
 
     run(links, scenario)
 
@@ -228,7 +228,7 @@
     links = FakeLinks(Group(N_RANKS), is_lost)
 
     async def scenario(leader, log):
-        await until(lambda: hold_orders)
+        await wait_until(lambda: hold_orders)
         await leader.finish_changes(2_000)
         assert not any(e.held_step for e in links.group.engines)
         assert not any(e.armed for e in links.group.engines)
@@ -257,11 +257,11 @@
     links.call = call
 
     async def scenario(leader, log):
-        await until(lambda: links.n_orders >= N_FENCES)
+        await wait_until(lambda: links.n_orders >= N_FENCES)
         links.group.engines[0].held_step = links.group.step + 1
-        await until(lambda: links.group.n_switches >= 1)
+        await wait_until(lambda: links.group.n_switches >= 1)
         held_step = links.group.step
-        await until(lambda: links.group.step > held_step + 3)
+        await wait_until(lambda: links.group.step > held_step + 3)
         assert any(name == "map-repeated" for name, _ in log.lines)
 
     run(links, scenario)
@@ -272,7 +272,7 @@
     links = FakeLinks(Group(32))
 
     async def scenario(leader, log):
-        await until(lambda: links.group.n_switches >= 1)
+        await wait_until(lambda: links.group.n_switches >= 1)
         assert links.counted_ids == {str(rank) for rank in range(0, 32, 4)}
 
     run(links, scenario)
--- a/packages/entry/src/bluebellusher/runtime/_peers.py
+++ b/packages/entry/src/bluebellusher/runtime/_peers.py
@@ -1,4 +1,4 @@
-"""What entries tell each other."""
+"""Digests and announcements that entries exchange."""
 
 from collections.abc import Callable, Iterable
 from typing import Any
@@ -14,35 +14,46 @@
 from bluebellusher_core.poison import Crash, CrashRecord
 from bluebellusher_core.wire import messages
 
+# Interval at which an unchanged digest is sent, in ms.
 DIGEST_INTERVAL_MS = 2_000
-# News of crashes and of leaving endpoints are told at once, and again for some time, in
-# case an entry was cut off from the one that told them. Bytes between failure domains
-# are priced, so that single crashes, which mostly hit sound requests, are not told for
-# as long as they count.
+# Interval at which crashes and leaving endpoints are announced again, in ms. They are
+# first announced immediately. The repeats reach entries that were disconnected from the
+# announcing entry at that time.
 REPEAT_INTERVAL_MS = 10_000
-REPEAT_FOR_MS = 30_000
+# Age up to which a crash or a leaving endpoint is announced again, in ms. Bytes between
+# failure domains are billed. Single crashes, which mostly occur while harmless requests
+# run, are therefore repeated for this time only, and not until they expire.
+MAX_REPEAT_AGE_MS = 30_000
+# Number of crashes from which a record is repeated regardless of its age.
 N_CRASHES_TO_REPEAT = 2
-N_MAX_NEWS = 1_000
-# A longer row than any start of an endpoint can make.
-N_MAX_CRASHES_BY_RECORD = 100
+# Upper bound of the crash records, and of the leaving endpoints, that are read from one
+# digest.
+N_MAX_RECEIVED = 1_000
+# Upper bound of the crashes that are read from one record of a peer. Restarts of
+# endpoints cannot produce as many crashes of one request.
+N_MAX_CRASHES_PER_RECORD = 100
 MessageHandler = Callable[[str, Any], None]
 
 
 class PeerExchange:
-    """Send digests, pass received ones to the decisions, and others to handlers.
+    """Exchange digests with peers, and pass their other messages to handlers.
+
+    A digest contains the state of an entry. An announcement is a digest that also
+    contains crash records or leaving endpoints.
 
     Parameters
     ----------
     sink : EventSink
-        Receives ``DigestReceived``.
+        Receives ``DigestReceived``, ``CrashesReceived`` and ``LeavingReceived``.
     clock : Clock
-        Times the digests.
+        Clock of the arrival times of digests.
     make_digest : callable
         Returns the current ``Digest`` message.
     find_crashes : callable
-        Returns the records of crashes; entries with agents have none.
+        Returns the current crash records. Entries that use agents have none, because
+        agents report crashes themselves.
     find_leaving : callable
-        Returns the endpoints that said they leave.
+        Returns the endpoints that have announced their shutdown.
     """
 
     def __init__(
@@ -62,51 +73,56 @@
         self._handler_by_type: dict[type, MessageHandler] = {}
         self._find_crashes = find_crashes
         self._find_leaving = find_leaving
-        self._sent: Any = None
+        self._sent_digest: Any = None
         self._sent_at_ms = 0
         self._repeated_at_ms = 0
 
     def register(self, message_type: type, handler: MessageHandler) -> None:
-        """Call ``handler(peer_id, message)`` for messages of this type."""
+        """Call ``handler(peer_id, message)`` for each message of a type."""
         self._handler_by_type[message_type] = handler
 
     def on_peer_open(self, peer_id: str, _hello: Any) -> None:
-        """Send a new peer what it may not know."""
+        """Send a peer that has connected all crash records and leaving endpoints."""
         if self.links is not None:
-            self.links.send(peer_id, self._make_whole_digest())
+            self.links.send(peer_id, self._make_full_digest())
 
-    def _make_whole_digest(self) -> Any:
+    def _make_full_digest(self) -> Any:
+        """Return a digest with all crash records and leaving endpoints."""
         digest = self._make_digest()
-        digest.crashes = _to_messages(self._find_crashes())
-        digest.leaving = _to_marks(self._find_leaving())
+        digest.crashes = _to_crash_messages(self._find_crashes())
+        digest.leaving = _to_leaving_messages(self._find_leaving())
         return digest
 
-    def tell_crashes(self, records: Iterable[CrashRecord]) -> None:
-        """Send news of crashes to all peers."""
+    def broadcast_crashes(self, records: Iterable[CrashRecord]) -> None:
+        """Broadcast crash records to all peers."""
         digest = self._make_digest()
-        digest.crashes = _to_messages(records)
-        self._broadcast_news(digest)
+        digest.crashes = _to_crash_messages(records)
+        self._broadcast_announcement(digest)
 
-    def tell_leaving(self, marks: Iterable[LeavingMark]) -> None:
-        """Send news of endpoints that leave to all peers."""
+    def broadcast_leaving(self, marks: Iterable[LeavingMark]) -> None:
+        """Broadcast leaving endpoints to all peers."""
         digest = self._make_digest()
-        digest.leaving = _to_marks(marks)
-        self._broadcast_news(digest)
+        digest.leaving = _to_leaving_messages(marks)
+        self._broadcast_announcement(digest)
 
-    def _repeat_news(self) -> None:
-        """Tell again what an entry that was cut off may have missed."""
+    def _repeat_announcements(self) -> None:
+        """Broadcast recent announcements again for entries that were disconnected."""
         digest = self._make_digest()
-        records = filter(_is_worth_repeating, self._find_crashes())
-        marks = (m for m in self._find_leaving() if m.age_ms < REPEAT_FOR_MS)
-        digest.crashes, digest.leaving = _to_messages(records), _to_marks(marks)
-        self._broadcast_news(digest)
+        records = filter(_should_repeat, self._find_crashes())
+        marks = (m for m in self._find_leaving() if m.age_ms < MAX_REPEAT_AGE_MS)
+        digest.crashes, digest.leaving = (
+            _to_crash_messages(records),
+            _to_leaving_messages(marks),
+        )
+        self._broadcast_announcement(digest)
 
-    def _broadcast_news(self, digest: Any) -> None:
+    def _broadcast_announcement(self, digest: Any) -> None:
+        """Broadcast a digest unless it contains neither crashes nor leaving marks."""
         if self.links is not None and (digest.crashes or digest.leaving):
             self.links.broadcast(digest)
 
     def on_peer_message(self, peer_id: str, message: Any) -> None:
-        """Handle a digest, or pass the message to its handler."""
+        """Post the events of a digest, and call the handler of the message's type."""
         if isinstance(message, messages.Digest):
             self._receive_digest(peer_id, message)
         handler = self._handler_by_type.get(type(message))
@@ -114,20 +130,31 @@
             handler(peer_id, message)
 
     def on_peer_lost(self, peer_id: str) -> None:
-        """Keep what the peer told; its age shows in the status."""
+        """Keep the last digest of the peer; the status page shows its age."""
 
     def tick(self, now_ms: int) -> None:
-        """Send a digest when it has changed, and otherwise at an interval."""
+        """Broadcast a digest when it has changed or is due, and repeat announcements.
+
+        Parameters
+        ----------
+        now_ms : int
+            Monotonic time, in ms.
+        """
         digest = self._make_digest()
         is_due = now_ms - self._sent_at_ms >= DIGEST_INTERVAL_MS
-        if self.links is not None and (is_due or digest != self._sent):
-            self._sent, self._sent_at_ms = digest, now_ms
+        if self.links is not None and (is_due or digest != self._sent_digest):
+            self._sent_digest, self._sent_at_ms = digest, now_ms
             self.links.broadcast(digest)
         if now_ms - self._repeated_at_ms >= REPEAT_INTERVAL_MS:
             self._repeated_at_ms = now_ms
-            self._repeat_news()
+            self._repeat_announcements()
 
     def _receive_digest(self, peer_id: str, digest: Any) -> None:
+        """Record the state of a peer and post the events of its digest.
+
+        Negative ages are read as 0, and lists are limited in length, because the
+        values come from another process.
+        """
         self.digest_at_ms_by_peer_id[peer_id] = self._clock.now_ms()
         version = digest.config_version or 0
         self.config_version_by_peer_id[peer_id] = version
@@ -139,7 +166,7 @@
         )
         self._sink.post(event)
         if digest.crashes:
-            records = _from_messages(digest.crashes)
+            records = _read_crash_records(digest.crashes)
             self._sink.post(CrashesReceived(peer_id, records))
         if digest.leaving:
             marks = tuple(
@@ -148,12 +175,12 @@
                     mark.incarnation or 0,
                     max(0, mark.age_ms or 0),
                 )
-                for mark in digest.leaving[:N_MAX_NEWS]
+                for mark in digest.leaving[:N_MAX_RECEIVED]
             )
             self._sink.post(LeavingReceived(peer_id, marks))
 
 
-def _to_marks(marks: Iterable[LeavingMark]) -> list[Any]:
+def _to_leaving_messages(marks: Iterable[LeavingMark]) -> list[Any]:
     return [
         messages.LeavingMark(
             endpoint_id=mark.endpoint_id,
@@ -164,12 +191,13 @@
     ]
 
 
-def _is_worth_repeating(record: CrashRecord) -> bool:
-    is_new = any(crash.age_ms < REPEAT_FOR_MS for crash in record.crashes)
+def _should_repeat(record: CrashRecord) -> bool:
+    """Return whether a record has a recent crash or several crashes."""
+    is_new = any(crash.age_ms < MAX_REPEAT_AGE_MS for crash in record.crashes)
     return is_new or len(record.crashes) >= N_CRASHES_TO_REPEAT
 
 
-def _to_messages(records: Iterable[CrashRecord]) -> list[Any]:
+def _to_crash_messages(records: Iterable[CrashRecord]) -> list[Any]:
     return [
         messages.CrashRecord(
             fingerprint=record.fingerprint,
@@ -187,7 +215,8 @@
     ]
 
 
-def _from_messages(found: Iterable[Any]) -> tuple[CrashRecord, ...]:
+def _read_crash_records(record_messages: Iterable[Any]) -> tuple[CrashRecord, ...]:
+    """Return the crash records of a digest, within the limits of their number."""
     return tuple(
         CrashRecord(
             fingerprint=record.fingerprint or "",
@@ -197,9 +226,9 @@
                     max(0, crash.sent_age_ms or 0),
                     max(0, crash.age_ms or 0),
                 )
-                for crash in (record.crashes or ())[:N_MAX_CRASHES_BY_RECORD]
+                for crash in (record.crashes or ())[:N_MAX_CRASHES_PER_RECORD]
             ),
             sound_age_ms=record.sound_age_ms,
         )
-        for record in list(found)[:N_MAX_NEWS]
+        for record in list(record_messages)[:N_MAX_RECEIVED]
     )
--- a/packages/entry/src/bluebellusher/shared/_directory.py
+++ b/packages/entry/src/bluebellusher/shared/_directory.py
@@ -1,4 +1,4 @@
-"""Routes, customers and endpoints in force on this entry."""
+"""Routing configuration and endpoint registrations that this entry uses."""
 
 from collections.abc import Callable
 from dataclasses import replace
@@ -20,7 +20,7 @@
     Event,
 )
 
-_EVENT_NAMES = {
+_LOG_NAME_BY_EVENT_TYPE = {
     EndpointRegistered: "endpoint-ready",
     EndpointDraining: "endpoint-draining",
     EndpointLost: "endpoint-forgotten",
@@ -29,7 +29,7 @@
 
 
 class Directory:
-    """Decode shared rows once and pass on what they change.
+    """Decode changed rows of the shared tables and apply them to this entry.
 
     Parameters
     ----------
@@ -38,9 +38,9 @@
     post : callable
         Receives events for the reducer.
     clock : Clock
-        Times lapses.
+        Clock of grace times and of the ages of endpoints.
     log : LogSink
-        Takes log lines.
+        Receives the log lines.
     """
 
     def __init__(
@@ -51,9 +51,9 @@
         log: LogSink,
     ) -> None:
         self.routing: RoutingTable | None = None
-        self.routing_at_ms = 0
+        self.routing_applied_at_ms = 0
         self.registrations = Registrations()
-        self.on_endpoints: Callable[[], None] | None = None
+        self.on_endpoints_changed: Callable[[], None] | None = None
         self._codec = codec
         self._post = post
         self._clock = clock
@@ -61,30 +61,34 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether any configuration is known."""
+        """Whether a routing configuration is in force."""
         return self.routing is not None
 
     def find(self, endpoint_id: str) -> EndpointRegistration | None:
-        """Return the registration of an endpoint that may be used."""
+        """Return the registration of an endpoint, or None if it must not be used."""
         return self.registrations.registration_by_id.get(endpoint_id)
 
-    def take_routing(self, rows: list[MirrorRow]) -> None:
-        """Put a newer configuration in force; versions never go back."""
+    def apply_routing_rows(self, rows: list[MirrorRow]) -> None:
+        """Put a newer routing configuration in force.
+
+        A configuration that cannot be read, or whose version is not above the current
+        one, is logged and ignored.
+        """
         for row in rows:
             if row.key != self._codec.routing_key or row.is_removed:
                 continue
             table = self._codec.read_routing(row.value)
-            known = self.routing.version if self.routing else -1
-            if table is None or table.version <= known:
+            current_version = self.routing.version if self.routing else -1
+            if table is None or table.version <= current_version:
                 self._log.log(
                     "configuration-ignored",
                     found=table.version if table else "unreadable",
-                    in_force=known,
+                    in_force=current_version,
                     row_version=row.version,
                 )
                 continue
             self.routing = table
-            self.routing_at_ms = self._clock.now_ms()
+            self.routing_applied_at_ms = self._clock.now_ms()
             self._log.log(
                 "configuration-in-force",
                 version=table.version,
@@ -93,40 +97,53 @@
                 n_credentials=len(table.customer_by_credential),
             )
 
-    def take_registrations(self, rows: list[MirrorRow]) -> None:
-        """Pass on which endpoints came, drain or went."""
+    def apply_registration_rows(self, rows: list[MirrorRow]) -> None:
+        """Apply changed registrations and post the events that follow.
+
+        A registration that cannot be read counts as ended.
+        """
         changes: dict[str, EndpointRegistration | None] = {}
         for row in rows:
-            found = None
+            registration = None
             if not row.is_removed:
-                found = self._codec.read_registration(row.key, row.value)
-                if found is None:
+                registration = self._codec.read_registration(row.key, row.value)
+                if registration is None:
                     self._log.log(
                         "registration-unreadable",
                         endpoint=row.key,
                         row_version=row.version,
                     )
-            changes[row.key] = found
-        self._emit(self.registrations.update(changes, self._clock.now_ms()))
+            changes[row.key] = registration
+        self._log_and_post(self.registrations.update(changes, self._clock.now_ms()))
 
-    def note_contact(self, is_in_contact: bool) -> None:
-        """Note whether the store answers."""
-        if is_in_contact:
+    def record_store_availability(self, is_store_available: bool) -> None:
+        """Record whether the store is available, for the grace of registrations."""
+        if is_store_available:
             self.registrations.record_store_available(self._clock.now_ms())
         else:
             self.registrations.record_store_unavailable()
 
     def tick(self, now_ms: int) -> None:
-        """End the grace of lapsed registrations."""
-        self._emit(self.registrations.tick(now_ms))
+        """Post the events of grace times and drain times that have ended.
+
+        Parameters
+        ----------
+        now_ms : int
+            Monotonic time, in ms.
+        """
+        self._log_and_post(self.registrations.tick(now_ms))
 
     def _age_ms(self, started_wall_ms: int) -> int:
-        """Return how long ago an endpoint started; 0 when it does not say."""
+        """Return the time since an endpoint started, in ms.
+
+        Returns 0 when the endpoint does not report its start.
+        """
         if not started_wall_ms:
             return 0
         return max(0, self._clock.wall_ms() - started_wall_ms)
 
-    def _emit(self, events: list[Event]) -> None:
+    def _log_and_post(self, events: list[Event]) -> None:
+        """Log and post events; call ``on_endpoints_changed`` if there were any."""
         for event in events:
             match event:
                 case EndpointRegistered(endpoint=info):
@@ -138,12 +155,12 @@
                     endpoint_id = ""
             registration = self.find(endpoint_id)
             self._log.log(
-                _EVENT_NAMES.get(type(event), "endpoint-changed"),
+                _LOG_NAME_BY_EVENT_TYPE.get(type(event), "endpoint-changed"),
                 endpoint=endpoint_id,
                 service=registration.service_id if registration else "",
                 domain=registration.failure_domain if registration else "",
                 started=registration.started_wall_ms if registration else 0,
             )
             self._post(event)
-        if events and self.on_endpoints is not None:
-            self.on_endpoints()
+        if events and self.on_endpoints_changed is not None:
+            self.on_endpoints_changed()
--- a/packages/entry/src/bluebellusher/shared/_watcher.py
+++ b/packages/entry/src/bluebellusher/shared/_watcher.py
@@ -1,4 +1,4 @@
-"""Keeping the copy of one table up to date from the store."""
+"""Update of the copy of a table from the store."""
 
 import asyncio
 from collections.abc import Callable
@@ -11,65 +11,73 @@
 from bluebellusher_core.clock import Clock
 from bluebellusher_core.directory import MirrorRow, TableMirror
 
-# A wait whose answer is lost hears nothing more, and a change must be in force 2 s
-# after a disturbance of up to 3 s; a shorter wait costs calls.
-WAIT_MS = 2_500
+# Time for which one call asks the store to wait for a change, in ms. When the answer is
+# lost, the entry receives no changes until the wait ends, and a change must be in force
+# 2 s after a network fault of up to 3 s. A shorter wait requires more calls.
+CHANGES_WAIT_MS = 2_500
+# Bounds of the delay before a failed call is retried, in ms.
 FIRST_BACKOFF_MS = 50
 MAX_BACKOFF_MS = 500
-# Endpoints register one after the other when a deployment starts, and every entry
-# follows them; a change may take 2 s to be in force.
-GATHER_MS = 150
-# A read right after a loss of history may be stale.
-STALE_READ_PAUSE_MS = 150
+# Delay after changes before the next call, in ms, so that one call returns several
+# changes. Endpoints register one after the other when a deployment starts, and every
+# entry reads each change. The delay is short because a change must be in force within
+# 2 s.
+CHANGE_BATCHING_MS = 150
+# Delay before the table is read again after the store has lost the history of changes,
+# in ms. A read immediately after the loss may be stale.
+HISTORY_LOSS_PAUSE_MS = 150
 
 
 class LogSink(Protocol):
-    """Takes log lines."""
+    """Receiver of log lines."""
 
     def log(self, name: str, **fields: str | int | float) -> None:
         """Write one log line."""
 
 
 class TableWatcher:
-    """Read a table once, then follow its changes; start over when they are lost.
+    """Read a table once and then its changes.
+
+    The whole table is read again when the store no longer keeps the changes since the
+    version of the copy.
 
     Parameters
     ----------
     store : RowStore
-        Where the table is kept.
+        Contains the table.
     mirror : TableMirror
-        The copy to keep up to date.
-    on_news : callable
-        Receives the rows that are new to the copy.
-    on_contact : callable
-        Told whether the store answers, whenever that changes.
+        Copy of the table to update.
+    on_changed_rows : callable
+        Receives the rows that changed in the copy.
+    on_availability_change : callable
+        Called with whether the store is available when that changes.
     clock : Clock
-        Times the contact.
+        Clock of the time of the store's last answer.
     random_state : random.Random
         Spreads the retries of many entries.
     log : LogSink
-        Takes log lines.
+        Receives the log lines.
     wait_ms : int
-        How long the store is asked to wait for a change.
+        Time for which one call asks the store to wait for a change, in ms.
     """
 
     def __init__(
         self,
         store: RowStore,
         mirror: TableMirror,
-        on_news: Callable[[list[MirrorRow]], None],
-        on_contact: Callable[[bool], None],
+        on_changed_rows: Callable[[list[MirrorRow]], None],
+        on_availability_change: Callable[[bool], None],
         clock: Clock,
         random_state: Random,
         log: LogSink,
-        wait_ms: int = WAIT_MS,
+        wait_ms: int = CHANGES_WAIT_MS,
     ) -> None:
         self.mirror = mirror
-        self.is_in_contact = False
-        self.contact_at_ms = 0
+        self.is_store_available = False
+        self.store_answered_at_ms = 0
         self._store = store
-        self._on_news = on_news
-        self._on_contact = on_contact
+        self._on_changed_rows = on_changed_rows
+        self._on_availability_change = on_availability_change
         self._clock = clock
         self._random_state = random_state
         self._log = log
@@ -78,45 +86,51 @@
         self._n_failures = 0
 
     async def run(self) -> None:
-        """Follow the table until cancelled."""
+        """Read the table and its changes until cancelled."""
         while True:
             result = await self._read()
             match result:
                 case Result(tag="ok", ok=rows):
-                    self._take(rows)
+                    self._apply(rows)
                     if rows.rows:
-                        await self._pause_after_news()
+                        await self._wait_for_further_changes()
                 case Result(error=error):
-                    await self._fail(error)
+                    await self._handle_error(error)
 
     async def _read(self) -> Result[TableRows, StoreError]:
+        """Read the whole table if necessary, otherwise wait for changes."""
         if self._needs_snapshot:
             return await self._store.read_table(self.mirror.table)
         version = self.mirror.version
         return await self._store.read_changes(self.mirror.table, version, self._wait_ms)
 
-    def _take(self, found: TableRows) -> None:
-        self._note_contact()
+    def _apply(self, table_rows: TableRows) -> None:
+        """Apply an answer of the store to the copy and report the changed rows."""
+        self._record_answer()
         if self._needs_snapshot:
-            news = self.mirror.replace(found.rows, found.version)
+            changed_rows = self.mirror.replace(table_rows.rows, table_rows.version)
             self._needs_snapshot = False
         else:
-            news = self.mirror.apply(found.rows, found.version)
-        if news:
-            self._on_news(news)
+            changed_rows = self.mirror.apply(table_rows.rows, table_rows.version)
+        if changed_rows:
+            self._on_changed_rows(changed_rows)
+
+    async def _wait_for_further_changes(self) -> None:
+        """Wait so that the next call returns several changes, which saves calls."""
+        await asyncio.sleep(CHANGE_BATCHING_MS / 1000)
 
-    async def _pause_after_news(self) -> None:
-        """Let changes that come together be read together, which saves calls."""
-        await asyncio.sleep(GATHER_MS / 1000)
+    async def _handle_error(self, error: StoreError) -> None:
+        """Record a failed call and wait before the next one.
 
-    async def _fail(self, error: StoreError) -> None:
+        Only the first failure of an outage is logged.
+        """
         if error.is_history_lost:
             self._needs_snapshot = True
             self._log.log("store-history-lost", table=self.mirror.table)
-            await asyncio.sleep(STALE_READ_PAUSE_MS / 1000)
+            await asyncio.sleep(HISTORY_LOSS_PAUSE_MS / 1000)
             return
-        if self.is_in_contact or not self._n_failures:
-            self.is_in_contact = False
+        if self.is_store_available or not self._n_failures:
+            self.is_store_available = False
             self._log.log(
                 "store-lost",
                 table=self.mirror.table,
@@ -124,20 +138,26 @@
                 reason=error.reason,
                 version=self.mirror.version,
             )
-            self._on_contact(False)
+            self._on_availability_change(False)
         self._n_failures += 1
         await asyncio.sleep(self._backoff_ms() / 1000)
 
-    def _note_contact(self) -> None:
-        self.contact_at_ms = self._clock.now_ms()
+    def _record_answer(self) -> None:
+        """Record an answer of the store; report it if the store was unavailable."""
+        self.store_answered_at_ms = self._clock.now_ms()
         self._n_failures = 0
-        if not self.is_in_contact:
-            self.is_in_contact = True
+        if not self.is_store_available:
+            self.is_store_available = True
             version = self.mirror.version
             self._log.log("store-regained", table=self.mirror.table, version=version)
-            self._on_contact(True)
+            self._on_availability_change(True)
 
     def _backoff_ms(self) -> float:
+        """Return the delay before the next retry, in ms.
+
+        It is random between half and all of a limit that doubles with each failure up
+        to ``MAX_BACKOFF_MS``.
+        """
         limit_ms = FIRST_BACKOFF_MS * 2 ** min(self._n_failures, 8)
         limit_ms = min(MAX_BACKOFF_MS, limit_ms)
         return limit_ms * (0.5 + self._random_state.random() / 2)
--- a/packages/entry/src/bluebellusher/shared/tests/test_crash_table.py
+++ b/packages/entry/src/bluebellusher/shared/tests/test_crash_table.py
@@ -1,21 +1,22 @@
-"""Crashes kept in the store while it and the entries fail."""
+"""Tests that crash records survive restarts of entries and faults of the store."""
 
 import asyncio
 from random import Random
 
 from bluebellusher.shared import CRASH_TABLE, CrashTable
-from bluebellusher.shared._crashes import CRASH_KEY, N_MAX_STORED
-from bluebellusher.shared.tests.fakes import DOWN, FakeLog, FakeStore, until
+from bluebellusher.shared._crashes import CRASH_ROW_KEY, N_MAX_STORED_FINGERPRINTS
+from bluebellusher.shared.tests.fakes import DOWN, FakeLog, FakeStore, wait_until
 from bluebellusher_core.clock import ManualClock
 from bluebellusher_core.directory import TableMirror
 from bluebellusher_core.poison import CRASH_MAX_AGE_MS, Crash, CrashCounter, CrashRecord
 
-# A row of the users' store; its text is counted before it is encoded.
+# Size limit of a row in the store, in bytes, which applies before the encoding for
+# transport.
 MAX_ROW_BYTES = 65_536
 
 
 class Entry:
-    """The part of an entry that remembers crashes."""
+    """Components of an entry that record crashes."""
 
     def __init__(self, store, clock):
         self.log = FakeLog()
@@ -27,38 +28,38 @@
             store,
             self.mirror,
             lambda: self.counter.records(clock.now_ms()),
-            self.learn,
+            self.merge_received,
             clock,
             Random(1),
             self.log,
         )
         self.task = asyncio.create_task(self.table.run())
 
-    def learn(self, event):
-        """Take records in, as the reducer does."""
+    def merge_received(self, event):
+        """Merge received crash records, as the reducer does."""
         for record in event.records:
             self.counter.merge(record, self.clock.now_ms())
 
-    def see(self, fingerprint, n_crashes, sound_age_ms=None):
-        """Observe crashes."""
+    def record_crashes(self, fingerprint, n_crashes, sound_age_ms=None):
+        """Record crashes of a fingerprint that this entry observed."""
         now_ms = self.clock.now_ms()
         crashes = tuple(Crash(f"x{i}@1", 20, 10) for i in range(n_crashes))
         self.counter.merge(CrashRecord(fingerprint, crashes, sound_age_ms), now_ms)
-        self.table.note_own()
+        self.table.schedule_own_write()
 
     async def start(self):
-        """Read the store."""
-        found = (await self.store.read_table(CRASH_TABLE)).ok
-        self.table.take_rows(self.mirror.replace(found.rows, found.version))
+        """Read the crash table from the store; return the entry."""
+        stored = (await self.store.read_table(CRASH_TABLE)).ok
+        self.table.post_stored_crashes(self.mirror.replace(stored.rows, stored.version))
         return self
 
     def count(self, fingerprint):
-        """Return how many crashes are remembered."""
+        """Return the number of recorded crashes of a fingerprint."""
         return self.counter.count(fingerprint, self.clock.now_ms())
 
 
 def run(scenario):
-    """Run a scenario with a store and a clock."""
+    """Run a scenario with a store and a clock, then cancel the tasks it started."""
 
     async def main():
         await scenario(FakeStore(), ManualClock(1_000_000))
@@ -68,17 +69,17 @@
     asyncio.run(main())
 
 
-def row_of(store):
-    """Return what is stored, or None."""
-    return store.rows_by_table.get(CRASH_TABLE, {}).get(CRASH_KEY)
+def get_stored_row(store):
+    """Return the stored row of the crash table, or None."""
+    return store.rows_by_table.get(CRASH_TABLE, {}).get(CRASH_ROW_KEY)
 
 
-def test_entry_that_starts_alone_knows_the_crashes_of_earlier_ones():
-    """Guards against a block that no process is left to remember."""
+def test_entry_that_starts_alone_reads_the_crashes_of_earlier_entries():
+    """Guards against a blocked request that runs again after all entries ended."""
 
     async def scenario(store, clock):
-        (await Entry(store, clock).start()).see("f", 3)
-        await until(lambda: row_of(store), clock)
+        (await Entry(store, clock).start()).record_crashes("f", 3)
+        await wait_until(lambda: get_stored_row(store), clock)
         clock.advance(CRASH_MAX_AGE_MS // 2)
         assert (await Entry(store, clock).start()).count("f") == 3
         clock.advance(CRASH_MAX_AGE_MS // 2)
@@ -87,15 +88,15 @@
     run(scenario)
 
 
-def test_entries_that_write_at_once_lose_nothing():
-    """Guards against a row that the last writer wins."""
+def test_concurrent_writes_lose_no_crashes():
+    """Guards against crash records that a concurrent write overwrites."""
 
     async def scenario(store, clock):
         first = await Entry(store, clock).start()
         second = await Entry(store, clock).start()
-        first.see("f", 2)
-        second.see("g", 1)
-        await until(lambda: _has_both(row_of(store)), clock)
+        first.record_crashes("f", 2)
+        second.record_crashes("g", 1)
+        await wait_until(lambda: _has_both(get_stored_row(store)), clock)
         third = await Entry(store, clock).start()
         assert (third.count("f"), third.count("g")) == (2, 1)
 
@@ -103,33 +104,36 @@
 
 
 def _has_both(row):
+    """Return whether a row contains the crashes of ``f`` and ``g``."""
     return row is not None and b'"f"' in row.value and b'"g"' in row.value
 
 
-def test_crash_is_stored_when_the_store_is_back():
-    """Guards against crashes forgotten because the store was away."""
+def test_crash_is_stored_when_the_store_is_available_again():
+    """Guards against crashes that are lost because the store was unavailable."""
 
     async def scenario(store, clock):
         entry = await Entry(store, clock).start()
         store.fault = DOWN
-        entry.see("f", 2)
-        await until(lambda: "crashes-not-stored" in entry.log.names(), clock)
+        entry.record_crashes("f", 2)
+        await wait_until(lambda: "crashes-not-stored" in entry.log.names(), clock)
         store.fault = None
-        await until(lambda: row_of(store), clock)
+        await wait_until(lambda: get_stored_row(store), clock)
 
     run(scenario)
 
 
-def test_lost_answer_of_the_store_changes_nothing():
-    """Guards against endless writes of what is there already."""
+def test_lost_answer_of_the_store_causes_no_further_writes():
+    """Guards against repeated writes of records that are already stored."""
 
     async def scenario(store, clock):
         entry = await Entry(store, clock).start()
         store.loses_answers = True
-        entry.see("f", 2)
-        await until(lambda: row_of(store), clock)
+        entry.record_crashes("f", 2)
+        await wait_until(lambda: get_stored_row(store), clock)
         store.loses_answers = False
-        await until(lambda: row_of(store).version in _versions(entry), clock)
+        await wait_until(
+            lambda: get_stored_row(store).version in _list_versions(entry), clock
+        )
         n_calls = store.n_calls
         for _ in range(20):
             clock.advance(1_000)
@@ -139,21 +143,22 @@
     run(scenario)
 
 
-def _versions(entry):
+def _list_versions(entry):
+    """Return the versions of the rows in an entry's copy."""
     return {row.version for row in entry.mirror.row_by_key.values()}
 
 
-def test_entries_that_know_the_same_write_once():
-    """Guards against a call to the store by every entry for each crash."""
+def test_entries_with_the_same_crashes_write_them_once():
+    """Guards against a write by every entry for each crash."""
 
     async def scenario(store, clock):
         entries = [await Entry(store, clock).start() for _ in range(8)]
-        entries[0].see("f", 1)
-        await until(lambda: row_of(store), clock)
+        entries[0].record_crashes("f", 1)
+        await wait_until(lambda: get_stored_row(store), clock)
         n_calls = store.n_calls
         for entry in entries[1:]:
             await entry.start()
-            entry.table.note_others()
+            entry.table.schedule_peer_write()
         for _ in range(20):
             clock.advance(1_000)
             await asyncio.sleep(0.01)
@@ -162,47 +167,50 @@
     run(scenario)
 
 
-def test_whole_run_takes_stored_crashes_back():
-    """Guards against a block that comes back with the next start."""
+def test_completed_run_clears_stored_crashes():
+    """Guards against a cleared block that is restored from the store at a restart."""
 
     async def scenario(store, clock):
         entry = await Entry(store, clock).start()
-        entry.see("f", 3)
-        await until(lambda: row_of(store), clock)
-        version = row_of(store).version
+        entry.record_crashes("f", 3)
+        await wait_until(lambda: get_stored_row(store), clock)
+        version = get_stored_row(store).version
         clock.advance(100)
         entry.counter.clear("f", clock.now_ms())
-        entry.table.note_own()
-        await until(lambda: row_of(store).version > version, clock)
+        entry.table.schedule_own_write()
+        await wait_until(lambda: get_stored_row(store).version > version, clock)
         assert not (await Entry(store, clock).start()).count("f")
 
     run(scenario)
 
 
-def test_row_that_cannot_be_read_is_replaced():
-    """Guards against crashes that another program's bytes hide for good."""
+def test_unreadable_row_is_replaced():
+    """Guards against crashes that are never stored after another program's write."""
 
     async def scenario(store, clock):
-        store.put(CRASH_TABLE, CRASH_KEY, b"\xff{")
+        store.put(CRASH_TABLE, CRASH_ROW_KEY, b"\xff{")
         entry = await Entry(store, clock).start()
         assert "crashes-unreadable" in entry.log.names()
-        entry.see("f", 2)
-        await until(lambda: row_of(store).version > 1, clock)
+        entry.record_crashes("f", 2)
+        await wait_until(lambda: get_stored_row(store).version > 1, clock)
         assert (await Entry(store, clock).start()).count("f") == 2
 
     run(scenario)
 
 
-def test_row_stays_within_the_limit_of_the_store():
-    """Guards against a row that the store refuses; the worst requests are kept."""
+def test_row_stays_within_the_size_limit_of_the_store():
+    """Guards against a row above the size limit, which the store would refuse.
+
+    The fingerprints with the most crashes are stored.
+    """
 
     async def scenario(store, clock):
         entry = await Entry(store, clock).start()
-        entry.see("f" * 32, 3)
-        for i in range(2 * N_MAX_STORED):
-            entry.see(f"{i:032}", 1)
-        await until(lambda: row_of(store), clock)
-        assert len(row_of(store).value) < MAX_ROW_BYTES
+        entry.record_crashes("f" * 32, 3)
+        for i in range(2 * N_MAX_STORED_FINGERPRINTS):
+            entry.record_crashes(f"{i:032}", 1)
+        await wait_until(lambda: get_stored_row(store), clock)
+        assert len(get_stored_row(store).value) < MAX_ROW_BYTES
         assert (await Entry(store, clock).start()).count("f" * 32) == 3
 
     run(scenario)
