Correct the wording on waiting attempts in PredictedLatency

The lower bound of a prediction is the time that own attempts have waited without progress, not the time since the last progress of the endpoint.

--- a/packages/core/src/bluebellusher_core/routing/_predicted_latency.py
+++ b/packages/core/src/bluebellusher_core/routing/_predicted_latency.py
@@ -53,8 +53,8 @@
 
     The prediction is scaled by the observed speed of the endpoint relative to the
     median. When own attempts wait for a first byte, the prediction is at least the time
-    since the endpoint last made progress. A frozen endpoint therefore receives no new
-    work after about the normal time of an answer.
+    for which they have waited without any progress of the endpoint. A frozen endpoint
+    therefore receives no new work after about the normal time of an answer.
 
     Parameters
     ----------
