--- a/packages/core/src/bluebellusher_core/directory/_registrations.py
+++ b/packages/core/src/bluebellusher_core/directory/_registrations.py
@@ -12,8 +12,10 @@
     Event,
 )
 
-# Time that the endpoint of an expired registration stays in use after the store is
-# available again, in ms. A running endpoint registers again within about two seconds.
+# Time that an endpoint without a registration stays in use, in ms. It counts from the
+# time at which the store is available again, or from the end of the registration while
+# the store is unavailable. After an outage of the store, a running endpoint registers
+# again within about two seconds.
 EXPIRY_GRACE_MS = 2_000
 # Time from the deregistration of an endpoint until it counts as lost, in ms. It is
 # longer than any request that the endpoint may still be serving.
@@ -45,8 +47,9 @@
     An endpoint whose registration ends is leaving: it gets no new work, and its
     requests in progress continue. A registration that ends while the store is
     unavailable, or within ``EXPIRY_GRACE_MS`` after it is available again, may have
-    expired only because it could not be renewed, so its endpoint stays in use during
-    that time.
+    expired only because it could not be renewed. Its endpoint then stays in use for
+    ``EXPIRY_GRACE_MS`` from the end of the registration in the first case, and from the
+    time at which the store became available in the second.
 
     An endpoint whose address now belongs to an endpoint that started later no longer
     runs. It is drained before its registration expires, because an entry that has just
