--- a/packages/core/src/bluebellusher_core/mapswitch/tests/test_mapswitch_properties.py
+++ b/packages/core/src/bluebellusher_core/mapswitch/tests/test_mapswitch_properties.py
@@ -196,7 +196,7 @@
         group.check_one_map_per_step()
 
 
-def test_schedules_reach_switches_and_refusals():
+def test_schedules_reach_switches():
     """Guards against a property that holds only because no schedule switches maps."""
     n_switches = 0
     for seed in range(100):
