Correct the wording of the layer search and of two test texts

The layer search stops at the first rank that allows a reduction, and two kinds of its steps need not reduce the highest load. The test of the rank-bounded planner checks slots, loads of a rank and the mean skew, not every limit, and its last message names the amounts that it compares. A set of experts was named experts_by_rank.

--- a/packages/core/src/bluebellusher_core/balance/_layer_search.py
+++ b/packages/core/src/bluebellusher_core/balance/_layer_search.py
@@ -54,13 +54,19 @@
 
 
 class LayerSearch:
-    """Search of one layer in steps that each reduce the load of the most loaded rank.
+    """Search of one layer for steps that reduce the load of the most loaded rank.
 
     A step moves an expert of the most loaded rank to one of the least loaded ranks, or
     adds a replica of the expert there. The expert goes into a free slot or replaces a
     redundant replica, which takes one weight load, or it is exchanged with another
-    expert, which takes two weight loads. The search takes the step with the largest
-    reduction of the maximum rank load per weight load.
+    expert, which takes two weight loads. The ranks that receive the expert are tried
+    from the least loaded one on. For the first one that allows a reduction of the
+    maximum rank load, the search takes the step with the largest reduction per weight
+    load.
+
+    Two kinds of steps need not reduce that load: up to ``MAX_SPREADING_REPLICAS`` steps
+    lower the concentration, and up to ``MAX_LARGE_REPLICAS`` steps add a replica of a
+    large expert when no other step is left.
 
     Parameters
     ----------
--- a/packages/core/src/bluebellusher_core/balance/_rank_bounded.py
+++ b/packages/core/src/bluebellusher_core/balance/_rank_bounded.py
@@ -269,7 +269,7 @@
             shape.n_ranks, ranks_by_expert
         )
         self._experts_by_rank = [
-            set(experts_by_rank) for experts_by_rank in self._initial_experts_by_rank
+            set(experts) for experts in self._initial_experts_by_rank
         ]
         self._ranks_by_expert = [set(ranks) for ranks in ranks_by_expert]
         self._rank_loads = compute_rank_loads(shape.n_ranks, ranks_by_expert, loads)
--- a/packages/core/src/bluebellusher_core/balance/tests/test_rank_bounded.py
+++ b/packages/core/src/bluebellusher_core/balance/tests/test_rank_bounded.py
@@ -44,8 +44,8 @@
 
 
 @given(st.integers(0, 10_000))
-def test_plans_keep_every_limit_and_never_raise_the_skew(seed):
-    """Guards against plans that exceed a limit of the ranks or raise the skew."""
+def test_plans_fit_the_ranks_and_never_raise_the_skew(seed):
+    """Guards against plans that exceed slots or load limits or raise the mean skew."""
     loads, placement = make_loads(seed), ROUND_ROBIN_PLACEMENT
     planner = RankBoundedPlanner(SHAPE, COST, max_new_per_layer=4)
     for _ in range(3):
@@ -109,5 +109,5 @@
         saved_skews.append(saved)
     assert n_loads[0] > n_loads[1] > n_loads[2] > 0
     assert saved_skews[2] > saved_skews[0] / 2, (
-        "the first weight loads save less than half of the skew"
+        "the smallest plan saves at most half as much skew as the largest"
     )
