--- a/packages/core/src/bluebellusher_core/allowance/_holder.py
+++ b/packages/core/src/bluebellusher_core/allowance/_holder.py
@@ -7,7 +7,8 @@
 # Time without use, in milliseconds, after which an entry returns its unspent grant.
 IDLE_RETURN_MS = 30_000
 # All holders together keep at most 1/20 of a budget in unspent grants. When the rest of
-# the budget is used up, at most 5% of it is therefore out of reach of other entries.
+# the budget is used up, at most 5% of the budget is therefore unspent and out of reach
+# of other entries.
 _MAX_UNSPENT_DIVISOR = 20
 
 
--- a/packages/core/src/bluebellusher_core/allowance/_rate.py
+++ b/packages/core/src/bluebellusher_core/allowance/_rate.py
@@ -100,7 +100,10 @@
         self._n_used_units -= n_unused
 
     def ms_until_next_share(self, wall_ms: int) -> int:
-        """Return the time in milliseconds until a period whose share is above 0."""
+        """Return the time in ms until the next period with a share above 0.
+
+        Without such a period, the result is the length of one period.
+        """
         period = wall_ms // self.period_ms
         for n_periods_ahead in range(1, self.n_entries + 1):
             if self.units_in_period(period + n_periods_ahead) > 0:
