Correct two reasons in the checks of rules

The admission queue refuses a weight of 0. All models are compared when no load of the customer is on a model, also when it has other loads.

--- a/packages/core/src/bluebellusher_core/rules/_check_limits.py
+++ b/packages/core/src/bluebellusher_core/rules/_check_limits.py
@@ -63,7 +63,8 @@
 ) -> Iterator[Finding]:
     """Yield a ``cheaper-model`` that is not cheaper than the models of the customer.
 
-    These are the models of the customer's loads, or all models if it has no load.
+    These are the models of the customer's loads, or all models if no load of the
+    customer is on a model.
     """
     loads = rules.loads_by_customer.get(rule.customer, [])
     targets = [load.target for load in loads if load.target in rules.service_by_model]
--- a/packages/core/src/bluebellusher_core/rules/_grammar.py
+++ b/packages/core/src/bluebellusher_core/rules/_grammar.py
@@ -161,7 +161,8 @@
 
 def _parse_share(cursor: Cursor, common_fields: _CommonFields) -> Rule:
     customer = cursor.read_name("customer")
-    # The admission queue would never serve a customer of weight 0.
+    # A customer of weight 0 would wait forever in the admission queue, which refuses
+    # such a weight.
     if not cursor.peek().strip("0."):
         raise cursor.make_error("a weight above 0")
     weight = cursor.read_amount("the weight of the customer")
