Correct the wording of requests and poison

A hold lasts HOLD_MS and stops isolated runs only; it does not last as long as a crash can be confirmed. Isolated runs are at most one for each endpoint, too. An isolated attempt is evidence also when its engine failed, and its request is not rejected while another attempt is in flight. A trial follows three chance crashes, not about three. Refusals of isolated attempts do not count. Stalled groups count as closed for a queue, and queues without a rule for closed endpoints are left alone.

--- a/packages/core/src/bluebellusher_core/poison/_table.py
+++ b/packages/core/src/bluebellusher_core/poison/_table.py
@@ -28,9 +28,9 @@
 class _Hold:
     """An isolated run whose end was not observed.
 
-    No run of its fingerprint starts before ``held_until_ms``. While ``is_lost`` is
-    set, a restart of the endpoint before ``expires_at_ms`` confirms that the run
-    crashed it.
+    No isolated run of its fingerprint starts before ``held_until_ms``. While
+    ``is_lost`` is set, a restart of the endpoint before ``expires_at_ms`` confirms that
+    the run crashed it.
     """
 
     endpoint_id: str
@@ -133,7 +133,7 @@
     ) -> None:
         """Hold a fingerprint after an isolated run whose end was not observed.
 
-        No run of it starts for ``HOLD_MS``, in which the endpoint may restart.
+        No isolated run of it starts for ``HOLD_MS``, in which the endpoint may restart.
 
         Parameters
         ----------
--- a/packages/core/src/bluebellusher_core/requests/_crash_evidence.py
+++ b/packages/core/src/bluebellusher_core/requests/_crash_evidence.py
@@ -180,8 +180,8 @@
 def may_start_trial(state: EntryState, fingerprint: str, now_ms: int) -> bool:
     """Return whether this entry may start the trial run of a blocked fingerprint.
 
-    A harmless request may have been running during about three crashes by chance, where
-    endpoints fail one after the other for another reason. One trial run decides. It
+    A harmless request may have been running in three crashes by chance, where endpoints
+    failed one after the other for another reason. One trial run decides. It
     starts only while the number of crashes is exactly the number to block, and only
     ``TRIAL_AFTER_MS`` after the block. Rendezvous hashing selects the single entry that
     may start it, so that all entries select the same one. An entry that has not
--- a/packages/core/src/bluebellusher_core/requests/_final.py
+++ b/packages/core/src/bluebellusher_core/requests/_final.py
@@ -163,9 +163,11 @@
     is_lost: bool,
     now_ms: int,
 ) -> None:
-    """Hold a fingerprint: no run of it starts while a crash can still be confirmed.
+    """Hold a fingerprint after an isolated run whose end was not observed.
 
-    ``is_lost`` states whether the connection was lost during the isolated run.
+    No isolated run of it starts for ``HOLD_MS``. ``is_lost`` states whether the
+    connection was lost during the run, so that a restart of the endpoint confirms a
+    crash.
     """
     state.poison.hold(
         request.spec.fingerprint,
--- a/packages/core/src/bluebellusher_core/requests/_isolation.py
+++ b/packages/core/src/bluebellusher_core/requests/_isolation.py
@@ -22,7 +22,10 @@
 
 
 def place_suspects(state: EntryState, now_ms: int) -> list[Effect]:
-    """Start the isolated runs that are due, at most one for each fingerprint."""
+    """Start the isolated runs that are due.
+
+    At most one runs for each endpoint and for each fingerprint.
+    """
     effects: list[Effect] = []
     for request_id, at_ms in list(state.isolate_at_ms.items()):
         if at_ms <= now_ms:
@@ -92,8 +95,9 @@
 
     An endpoint refuses while older attempts have produced no output yet. It stays
     reserved, because new attempts would otherwise keep the isolated run from ever
-    starting. The wait doubles with each refusal, from ``MIN_RETRY_WAIT_MS`` or the
-    endpoint's own ``retry_after_ms`` to ``MAX_RETRY_WAIT_MS``. After
+    starting. The wait doubles with each refusal, from the longer of
+    ``MIN_RETRY_WAIT_MS`` and the endpoint's own ``retry_after_ms`` to
+    ``MAX_RETRY_WAIT_MS``. After
     ``N_MAX_RESERVED_REFUSALS`` refusals the request avoids the endpoint.
     """
     request.phase = Phase.WAITING
--- a/packages/core/src/bluebellusher_core/requests/_model.py
+++ b/packages/core/src/bluebellusher_core/requests/_model.py
@@ -77,7 +77,7 @@
         Whether an ended attempt of this request may have run.
     n_refused : int
         Number of attempts that an endpoint or agent refused; refusals because of
-        another isolated run do not count.
+        another isolated run, and refusals of isolated attempts, do not count.
     n_broken : int
         Number of attempts that broke or ended with a server error.
     avoided_endpoint_ids : set of str
--- a/packages/core/src/bluebellusher_core/requests/_placing.py
+++ b/packages/core/src/bluebellusher_core/requests/_placing.py
@@ -30,7 +30,7 @@
     """A queue with an admission rule of its own while every endpoint is closed."""
 
     def observe_closed(self, is_closed: bool) -> None:
-        """Record whether every endpoint of the pool reports that it is closed."""
+        """Record whether no endpoint of the pool can run a request now."""
 
 
 @runtime_checkable
@@ -70,9 +70,10 @@
 
     The time at which closed endpoints open is unknown. The queue therefore rejects the
     request with a ``retry_after_ms`` after which a retried request can still be served
-    in time. Returns None, and does nothing, when an endpoint is open, when the request
-    may have run, or when it is itself a retried request. The request is then handled
-    as after any other refusal.
+    in time. Returns None, and does nothing, when an endpoint is open, when the queue
+    has no admission rule for closed endpoints, when the request may have run, or when
+    it is itself a retried request. The request is then handled as after any other
+    refusal.
     """
     pool = pool_of(request.spec)
     can_wait = request.may_have_run or request.spec.is_returning
--- a/packages/core/src/bluebellusher_core/requests/_recovery.py
+++ b/packages/core/src/bluebellusher_core/requests/_recovery.py
@@ -19,8 +19,9 @@
 ) -> list[Effect]:
     """End an attempt that may have run, and recover its request.
 
-    The loss of an isolated attempt that had begun to run is evidence that the request
-    crashes endpoints. Such a request is rejected and its fingerprint held.
+    An isolated attempt that the agent had accepted is evidence that its request crashes
+    endpoints when the endpoint was lost or its engine failed. The fingerprint is then
+    held, and the request is rejected unless another attempt of it is in flight.
     """
     request = state.request_by_id[attempt.request_id]
     is_loss = event.reason is Reason.ENDPOINT_LOST or attempt.is_crashed
