Correct the wording of claims, state, events, errors and reduce

max_pause_ms shortens a pause and does not limit what an endpoint may ask for. The time in isolate_at_ms is the earliest one. Waiting requests are placed only after events that may allow it or at the next check. n_slots is an upper bound of the batch.

--- a/packages/core/src/bluebellusher_core/claims/_table.py
+++ b/packages/core/src/bluebellusher_core/claims/_table.py
@@ -189,8 +189,8 @@
     def _send_outcomes(self) -> list[Effect]:
         """Send unsent outcomes unless a batch of outcomes is in flight."""
         effects: list[Effect] = []
-        # No caller waits for the write of an outcome, so the batches may be large and
-        # one in flight at a time is enough.
+        # No caller waits for the write of an outcome, so the batches may be large: one
+        # is in flight at a time.
         if self._n_in_flight(is_outcome=True) == 0:
             writes = self._dequeue_outcomes()
             if writes:
--- a/packages/core/src/bluebellusher_core/errors/_errors.py
+++ b/packages/core/src/bluebellusher_core/errors/_errors.py
@@ -5,7 +5,7 @@
 
 
 class Outcome(StrEnum):
-    """Whether a request has run."""
+    """Whether a request has run, as far as the entry can tell."""
 
     COMPLETED = "completed"
     NOT_RUN = "not_run"
--- a/packages/core/src/bluebellusher_core/events/_endpoint_events.py
+++ b/packages/core/src/bluebellusher_core/events/_endpoint_events.py
@@ -20,7 +20,7 @@
     adapters : frozenset of str
         Adapters that are loaded.
     n_slots : int
-        Number of requests that the engine runs in one batch.
+        Upper bound of the requests that the engine runs in one batch.
     incarnation : int
         Number of the start of the agent or endpoint, which grows with each start; a
         higher one proves a restart.
--- a/packages/core/src/bluebellusher_core/reducer/_reduce.py
+++ b/packages/core/src/bluebellusher_core/reducer/_reduce.py
@@ -51,7 +51,8 @@
 def reduce(state: EntryState, event: Event, now_ms: int) -> list[Effect]:
     """Apply one event to the state and return the effects to execute, in order.
 
-    After each event, waiting requests are dispatched to endpoints with free capacity.
+    Afterwards, waiting requests are dispatched to endpoints with free capacity, if the
+    event may allow that or the next placement is due.
 
     Parameters
     ----------
--- a/packages/core/src/bluebellusher_core/state/_config.py
+++ b/packages/core/src/bluebellusher_core/state/_config.py
@@ -27,7 +27,7 @@
         Upper bound of broken attempts of each request.
     n_max_refusals : int
         Upper bound of refused attempts of each request; refusals because of another
-        isolated run do not count.
+        isolated run, and refusals of isolated attempts, do not count.
     n_min_retries : int
         Retries that are allowed before any new request has earned one.
     retry_percent : int
@@ -50,7 +50,8 @@
         Number of crashes of one fingerprint, without a completed run between them, that
         blocks it; 0 where agents report crashes, so that suspects run isolated instead.
     max_pause_ms : int
-        Upper bound of the pause that an endpoint may ask for, in ms.
+        Upper bound of a pause, in ms; a longer one that an endpoint asks for is
+        shortened to it.
     no_endpoint_grace_ms : int
         Time for which requests wait after the last endpoint of their pool was lost, in
         ms; an unresponsive connection is replaced within this time.
--- a/packages/core/src/bluebellusher_core/state/_state.py
+++ b/packages/core/src/bluebellusher_core/state/_state.py
@@ -67,8 +67,8 @@
     waiting_pools : set of Pool
         Pools whose queue is not empty.
     isolate_at_ms : dict of str to int
-        Monotonic time of the next isolated attempt of each waiting suspect, by request
-        id.
+        Earliest monotonic time of the next isolated attempt of each waiting suspect, by
+        request id.
     weight_by_customer : dict of str to float
         Weights of the customers in the admission queues.
     config_version : int
