Correct the wording of admission and membership

The pause of a pool ends with its first endpoint; requeued requests stay in a closed queue; the stall time runs up to now without a recent report; the pause of a lost endpoint is discarded with its attempt limit. The 5 s of a report's age are back in the test of freed capacity.

--- a/packages/core/src/bluebellusher_core/admission/_objective_queue.py
+++ b/packages/core/src/bluebellusher_core/admission/_objective_queue.py
@@ -140,7 +140,7 @@
 
         These are requests that cannot start before the timeout of their caller. While
         every endpoint is closed, they are also the fresh requests, whose callers can
-        retry.
+        retry, except those that were requeued.
         """
         expired: list[tuple[RequestSpec, Rejection]] = []
         for waiting in list(self._waiting_by_id.values()):
--- a/packages/core/src/bluebellusher_core/membership/_announcements.py
+++ b/packages/core/src/bluebellusher_core/membership/_announcements.py
@@ -110,7 +110,7 @@
         return bool(self._pause_by_id or self._attempt_limit_by_id)
 
     def discard_ended_pause(self, endpoint_id: str, now_ms: int) -> None:
-        """Discard the attempt limit of a lost endpoint once its pause has ended."""
+        """Discard a lost endpoint's pause, if it has ended, and its attempt limit."""
         pause = self._pause_by_id.get(endpoint_id)
         if pause is None or pause.until_ms <= now_ms:
             self._pause_by_id.pop(endpoint_id, None)
--- a/packages/core/src/bluebellusher_core/membership/_endpoints.py
+++ b/packages/core/src/bluebellusher_core/membership/_endpoints.py
@@ -120,7 +120,7 @@
         )
 
     def pause_remaining_ms(self, pool: Pool, now_ms: int) -> int:
-        """Return the time until an endpoint of a pool ends its pause, in ms.
+        """Return the time until the first endpoint of a pool ends its pause, in ms.
 
         The time is 0 unless every endpoint of the pool pauses.
         """
--- a/packages/core/src/bluebellusher_core/membership/_groups.py
+++ b/packages/core/src/bluebellusher_core/membership/_groups.py
@@ -120,8 +120,8 @@
         return any(not rank.is_open for rank in recent if rank.epoch == epoch)
 
     def _is_stalled(self, group: _Group, now_ms: int) -> bool:
-        # The time without a pass is measured up to the latest report, because passes
-        # are unknown after it.
+        # The time without a pass is measured up to the latest recent report, because
+        # passes are unknown after it, or up to now without a recent report.
         recent = self._find_recent_ranks(group, now_ms)
         last_reported_at_ms = max(
             (rank.reported_at_ms for rank in recent), default=now_ms
--- a/packages/core/src/bluebellusher_core/membership/tests/test_membership.py
+++ b/packages/core/src/bluebellusher_core/membership/tests/test_membership.py
@@ -58,7 +58,10 @@
 
 
 def test_ended_attempts_free_capacity_before_the_next_report():
-    """Guards against ended attempts that count as running until the next report."""
+    """Guards against ended attempts that count as running until the next report.
+
+    They would fill an endpoint for up to 5 s, the maximum age of a report.
+    """
     endpoints = Endpoints(n_max=4)
     endpoints.connect(EndpointConnected(make_info(0, "a")), 0)
     names = frozenset("m"), frozenset()
