Correct the first lines of reducer tests

A harmless suspect must not be rejected for a poison request beside it; a broken stream must not start again; messages and digests reach the entries before each poison request, not only before retries.

--- a/packages/core/src/bluebellusher_core/reducer/tests/_crash_simulation.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/_crash_simulation.py
@@ -42,7 +42,7 @@
 MIN_CONTACT_MS = 3_000
 # Interval of the crash records that entries send to each other, in ms.
 DIGEST_INTERVAL_MS = 500
-# A registration expires after three missed heartbeats, in ms.
+# Time until a registration expires, which is three missed heartbeats, in ms.
 EXPIRE_AFTER_MS = 3_600
 # Delay from a write in the store until the entries read it, in ms.
 WATCH_DELAY_MS = 50
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_machine_poison.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_machine_poison.py
@@ -35,9 +35,9 @@
     """Guards against a third lost endpoint and against rejected harmless requests.
 
     The caller of a poison request retries it, at any entry, after its final answer and
-    the ``retry_after_ms``. Messages in flight and digests are delivered before the
-    retry, because the limit of two lost endpoints holds only for entries that can
-    exchange digests.
+    the ``retry_after_ms``. Messages in flight to the entries and digests are delivered
+    before each poison request, because the limit of two lost endpoints holds only for
+    entries that can exchange digests.
     """
 
     @initialize(hedge_after_ms=st.sampled_from([0, 10]))
@@ -203,7 +203,7 @@
 
 
 def test_harmless_suspect_does_not_share_an_endpoint_with_poison():
-    """Guards against a harmless suspect that runs beside a poison request."""
+    """Guards against a harmless suspect rejected for a poison request beside it."""
     machine = PoisonMachine()
     machine.start(hedge_after_ms=0)
     machine.send_poison_request("e1", "q.")
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_reduce.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_reduce.py
@@ -99,7 +99,7 @@
 
 
 def test_stream_that_cannot_be_resumed_is_rejected_before_its_deadline():
-    """Guards against a broken stream that waits until the request's deadline.
+    """Guards against a broken stream that waits until its deadline or starts again.
 
     The endpoint does not reconnect in time, or has restarted and lost the stream.
     """
