--- a/soak/__init__.py
+++ b/soak/__init__.py
@@ -1,1 +1,1 @@
-"""Fault soak: real processes on loopback, with faults from outside them."""
+"""Fault runs of real entry and endpoint processes on the loopback interface."""
--- a/soak/endpoint.py
+++ b/soak/endpoint.py
@@ -1,4 +1,4 @@
-"""A plain service that notes each run, and ends when it runs a certain request."""
+"""A plain service that logs each run and crashes when it runs the poison request."""
 
 import argparse
 import asyncio
@@ -15,23 +15,34 @@
 
 POISON = b"poison"
 N_SLOTS = 6
-# Served on after the word that it leaves.
+# Time in seconds between SIGTERM and the exit, in which requests are still served.
 DRAIN_S = 1.5
 
 
 class Endpoint:
-    """One start of an endpoint."""
+    """One start of an endpoint process.
+
+    Parameters
+    ----------
+    options : argparse.Namespace
+        Arguments of the command line: ``id``, ``host``, ``port``, ``domain``,
+        ``store`` (host and port) and ``notes`` (the file of runs).
+    """
 
     def __init__(self, options: argparse.Namespace) -> None:
         self.options = options
         self.is_leaving = False
         self.n_running = 0
         self.random = Random(options.id)
-        self.born_ms = time.time_ns() // 1_000_000
+        self.started_ms = time.time_ns() // 1_000_000
         self.notes = os.open(options.notes, os.O_WRONLY | os.O_APPEND | os.O_CREAT)
 
-    def note(self, kind: str, attempt: str) -> None:
-        """Append a line that outlives the process."""
+    def append_note(self, kind: str, attempt: str) -> None:
+        """Append one run to the notes file.
+
+        The line is written without a buffer, so it is kept when the process crashes
+        right after the call. ``kind`` is ``run`` or ``poison``.
+        """
         line = {
             "at_ms": time.time_ns() // 1_000_000,
             "kind": kind,
@@ -41,7 +52,11 @@
         os.write(self.notes, json.dumps(line).encode() + b"\n")
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Answer a request of an entry."""
+        """Run a request of an entry and answer with the attempt id as the body.
+
+        The status is 421 if the request is addressed to another endpoint, and 503 with
+        the header ``Not-Run`` if no slot is free. The poison request ends the process.
+        """
         attempt = request.headers.get("Attempt", "")
         body = await request.read()
         headers = {"Attempt": attempt}
@@ -53,9 +68,9 @@
             headers |= {"Not-Run": "1", "Pause-Ms": str(self.random.randint(50, 300))}
             return web.Response(status=503, headers=headers)
         if body == POISON:
-            self.note("poison", attempt)
+            self.append_note("poison", attempt)
             os._exit(1)
-        self.note("run", attempt)
+        self.append_note("run", attempt)
         self.n_running += 1
         try:
             await asyncio.sleep(self.random.uniform(0.005, 0.08))
@@ -64,7 +79,10 @@
         return web.Response(body=attempt.encode(), headers={**headers, "Seal": "s"})
 
     async def register(self) -> None:
-        """Say that it lives, until the process ends."""
+        """Send a heartbeat to the store every ``HEARTBEAT_MS``, without end.
+
+        A heartbeat that fails is printed and not repeated before the next period.
+        """
         async with aiohttp.ClientSession() as session:
             while True:
                 value = json.dumps(
@@ -75,7 +93,7 @@
                         "failure_domain": self.options.domain,
                         "n_slots": N_SLOTS,
                         "is_draining": self.is_leaving,
-                        "started_wall_ms": self.born_ms,
+                        "started_wall_ms": self.started_ms,
                     }
                 )
                 body = {"key": self.options.id, "value": value}
@@ -89,12 +107,12 @@
                 await asyncio.sleep(HEARTBEAT_MS / 1000)
 
     def leave(self) -> None:
-        """End soon, and say so until then."""
+        """Announce the shutdown in all reports, and exit after ``DRAIN_S`` seconds."""
         self.is_leaving = True
         asyncio.get_running_loop().call_later(DRAIN_S, os._exit, 0)
 
     async def run(self) -> None:
-        """Serve until the process ends."""
+        """Serve requests and send heartbeats until the process ends."""
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.leave)
         server = web.Server(self.handle, access_log=None)
@@ -105,7 +123,7 @@
 
 
 def main() -> None:
-    """Read the command line and serve."""
+    """Parse the command line and serve until the process ends."""
     parser = argparse.ArgumentParser()
     for name in ("id", "host", "domain", "store", "notes"):
         parser.add_argument(f"--{name}", required=True)
--- a/soak/entry.py
+++ b/soak/entry.py
@@ -1,4 +1,4 @@
-"""An entry as the users run it, on the soak's store and header names."""
+"""An entry on a platform, with the store and the header names of the soak."""
 
 import json
 import sys
@@ -21,14 +21,17 @@
 
 
 class Codec:
-    """Rows of the soak's store; see ``bluebellusher.ports.TableCodec``."""
+    """Decoder of the rows in the soak's store.
+
+    The interface is ``bluebellusher.ports.TableCodec``.
+    """
 
     routing_table = "routing"
     routing_key = "current"
     registration_table = ENDPOINTS_TABLE
 
     def read_routing(self, value: bytes) -> RoutingTable | None:
-        """Return the routing table of a version."""
+        """Return the fixed routes under the version number in ``value``."""
         routes = [
             _make_route("/once/", RequestKind.NON_IDEMPOTENT, 1),
             _make_route("/any/", RequestKind.IDEMPOTENT, 2),
@@ -38,7 +41,7 @@
     def read_registration(
         self, endpoint_id: str, value: bytes
     ) -> EndpointRegistration | None:
-        """Return a registration."""
+        """Return the registration of an endpoint from its JSON fields."""
         fields = json.loads(value)
         return EndpointRegistration(endpoint_id=endpoint_id, **fields)
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -1,4 +1,4 @@
-"""One seeded run: processes, faults from outside, callers, and what must hold."""
+"""One seeded run: processes, injected faults, callers and the checked guarantees."""
 
 import asyncio
 import json
@@ -24,20 +24,22 @@
 N_ENTRIES = 3
 N_ENDPOINTS = 6
 N_CALLERS = 6
-# What the users' platform allows: runs of a request after its third crash, sent by an
-# entry that has run, and reached the store, for this long.
+# The users' platform blocks a request after its third crash and allows at most three
+# late runs of it. A run is late if it started more than 3,000 ms after that crash, and
+# its entry had been running and had reached the store in the 3,000 ms before.
 N_CRASHES_TO_BLOCK = 3
 N_MAX_LATE_RUNS = 3
-CONTACT_MS = 3_000
+MIN_CONTACT_MS = 3_000
+# Time in seconds in which callers still send requests after the last fault.
 SETTLE_S = 4.0
 START_POLL_S = 0.2
 CALLER_TIMEOUT_S = 5.0
-# An entry that is told to stop may take this long.
-GRACE_S = 6
+# Time in seconds that an entry has for its shutdown after SIGTERM.
+SHUTDOWN_GRACE_S = 6
 
 
 def find_free_ports(n_ports: int) -> list[int]:
-    """Return ports that were free a moment ago."""
+    """Return distinct ports of ``HOST`` that were free during this call."""
     sockets = [socket.socket() for _ in range(n_ports)]
     for sock in sockets:
         sock.bind((HOST, 0))
@@ -48,18 +50,25 @@
 
 
 def _make_entry_command(path: pathlib.Path) -> Callable[[int], list[str]]:
-    """Return how an entry is started, each time in the same way."""
+    """Return a function that makes the arguments of an entry process.
+
+    They are the same for every start.
+    """
     return lambda _n_starts: ["-m", "soak.entry", str(path)]
 
 
 def now_ms() -> int:
-    """Return Unix time, which all processes of one machine share."""
+    """Return Unix time in milliseconds, a clock that all processes here share."""
     return time.time_ns() // 1_000_000
 
 
 @dataclass
 class Process:
-    """One process, started again with the same command or with a new id."""
+    """One process and its restarts.
+
+    ``make_command`` returns the arguments of the Python interpreter for the given
+    number of the start, counted from 1. Output of all starts is appended to ``log``.
+    """
 
     name: str
     make_command: Callable[[int], list[str]]
@@ -70,7 +79,7 @@
     handle: asyncio.subprocess.Process | None = None
 
     async def start(self) -> None:
-        """Start the process."""
+        """Start the process and record the time."""
         self.n_starts += 1
         self.started_at_ms.append(now_ms())
         with self.log.open("ab") as log:
@@ -82,12 +91,12 @@
             )
 
     def send(self, number: signal.Signals) -> None:
-        """Send a signal, unless the process has ended."""
+        """Send a signal, unless the process has not started or has ended."""
         if self.handle is not None and self.handle.returncode is None:
             self.handle.send_signal(number)
 
     async def wait(self) -> None:
-        """Wait for the end."""
+        """Wait until the process ends and record the time."""
         assert self.handle is not None
         await self.handle.wait()
         self.ended_at_ms.append(now_ms())
@@ -95,7 +104,11 @@
 
 @dataclass
 class Call:
-    """What a caller sent and what it got; status 0 is a broken connection."""
+    """One request of a caller and its answer.
+
+    A ``status`` of 0 stands for a connection that broke before the answer was whole;
+    ``answer`` is then the name of the exception.
+    """
 
     attempt: str
     entry: str
@@ -108,7 +121,11 @@
 
 @dataclass
 class Report:
-    """Outcome of a run."""
+    """Counts and violations of one run.
+
+    ``n_poison_runs`` counts all runs of the poison request, and ``n_late_runs`` those
+    that the entries should have prevented.
+    """
 
     seed: int
     faults: Counter[str] = field(default_factory=Counter)
@@ -119,21 +136,22 @@
 
 
 class Soak:
-    """One run.
+    """One run of entries, endpoints and callers with injected faults.
 
     Parameters
     ----------
     seed : int
-        Chooses faults and requests.
+        Seed of the random choice of faults and requests.
     directory : pathlib.Path
-        Takes settings, logs and notes.
+        Folder in which settings, logs and the notes of runs are written.
     seconds : float
-        Length, without start and end.
+        Time in seconds in which faults are injected. Start and end take extra time.
 
     Attributes
     ----------
     faults : list of (str, callable)
-        What is chosen from; a test may take some out.
+        Names and functions of the faults from which one is chosen each time. Tests may
+        remove some.
     """
 
     def __init__(self, seed: int, directory: pathlib.Path, seconds: float) -> None:
@@ -142,55 +160,61 @@
         self._directory = directory
         self._seconds = seconds
         self._store = StoreServer()
-        self._store_away_ms: list[tuple[int, int]] = []
+        self._store_outages_ms: list[tuple[int, int]] = []
         self._calls: list[Call] = []
         self._entries: dict[str, Process] = {}
         self._endpoints: list[Process] = []
         self._ports_by_entry: dict[str, list[int]] = {}
-        self._is_over = False
+        self._is_finished = False
         self.faults: list[tuple[str, Callable[[], Awaitable[None]]]] = [
             ("kill-entry", self._kill_entry),
             ("kill-all-entries", self._kill_all_entries),
             ("stop-entry", self._stop_entry),
             ("freeze-entry", self._freeze_entry),
             ("kill-endpoint", self._kill_endpoint),
-            ("leave-endpoint", self._leave_endpoint),
-            ("store-away", self._lose_store),
+            ("leave-endpoint", self._terminate_endpoint),
+            ("store-away", self._interrupt_store),
         ]
 
     async def run(self) -> Report:
-        """Play, and check what must hold."""
+        """Run all processes and callers under faults, and check the guarantees.
+
+        Raises ``TimeoutError`` if the entries do not answer within 60 seconds.
+        """
         await self._store.start(HOST)
         self._store.put("routing", "current", b"1")
         self._make_processes()
         processes = [*self._entries.values(), *self._endpoints]
-        keepers = [asyncio.create_task(self._keep(p)) for p in processes]
+        supervisors = [asyncio.create_task(self._supervise(p)) for p in processes]
         try:
             async with asyncio.timeout(60):
-                await self._wait_until_served()
+                await self._wait_until_entries_answer()
             callers = [
-                asyncio.create_task(self._call_often(i)) for i in range(N_CALLERS)
+                asyncio.create_task(self._run_caller(i)) for i in range(N_CALLERS)
             ]
             callers.append(asyncio.create_task(self._send_poison()))
-            faults = asyncio.create_task(self._disturb())
+            fault_task = asyncio.create_task(self._inject_faults())
             await asyncio.sleep(self._seconds)
-            faults.cancel()
-            self._store.is_away = False
+            fault_task.cancel()
+            self._store.is_unavailable = False
             for process in processes:
                 process.send(signal.SIGCONT)
             await asyncio.sleep(SETTLE_S)
-            self._is_over = True
+            self._is_finished = True
             await asyncio.gather(*callers)
         finally:
-            self._is_over = True
-            await self._end_processes(keepers)
+            self._is_finished = True
+            await self._end_processes(supervisors)
             await self._store.stop()
-        self._check()
+        self._check_guarantees()
         return self.report
 
-    async def _end_processes(self, keepers: list[asyncio.Task[None]]) -> None:
-        """End every process, also one that is being started just now."""
-        running = set(keepers)
+    async def _end_processes(self, supervisors: list[asyncio.Task[None]]) -> None:
+        """Kill all processes until every supervisor has ended.
+
+        The signals are repeated, because a supervisor may be starting a process.
+        """
+        running = set(supervisors)
         while running:
             for process in (*self._entries.values(), *self._endpoints):
                 process.send(signal.SIGCONT)
@@ -211,7 +235,7 @@
                 "peers": f"{HOST}:{ports[2]}",
                 "store": f"{HOST}:{self._store.port}",
                 "agent_port": 1,
-                "shutdown_grace_s": GRACE_S,
+                "shutdown_grace_s": SHUTDOWN_GRACE_S,
             }
             path = self._directory / f"{name}.json5"
             path.write_text(json.dumps(settings))
@@ -223,7 +247,8 @@
 
     def _make_endpoint(self, number: int, port: int) -> Process:
         def make_command(n_starts: int) -> list[str]:
-            # Some start again under the id that they had.
+            # Endpoints with an odd number keep their id over restarts. The others get
+            # a new one at each start.
             suffix = "" if number % 2 else f".{n_starts}"
             return [
                 "-m",
@@ -239,52 +264,56 @@
         name = f"endpoint-{number}"
         return Process(name, make_command, self._directory / f"{name}.log")
 
-    async def _keep(self, process: Process) -> None:
-        """Start a process again whenever it has ended."""
-        while not self._is_over:
+    async def _supervise(self, process: Process) -> None:
+        """Start a process and restart it whenever it ends, after a random delay."""
+        while not self._is_finished:
             await process.start()
             await process.wait()
             await asyncio.sleep(self._random.uniform(0.2, 1.5))
 
-    async def _wait_until_served(self) -> None:
-        waiting = list(self._entries)
-        while waiting:
-            call = await self._call_once(waiting[0], "/any/start", b"")
+    async def _wait_until_entries_answer(self) -> None:
+        pending = list(self._entries)
+        while pending:
+            call = await self._send_on_new_connection(pending[0], "/any/start", b"")
             if call.status == 200:
-                waiting.pop(0)
+                pending.pop(0)
             else:
                 await asyncio.sleep(START_POLL_S)
         self._calls.clear()
 
     # Callers.
 
-    async def _call_often(self, number: int) -> None:
+    async def _run_caller(self, number: int) -> None:
         random = Random(f"{self.report.seed}.{number}")
         sessions: dict[str, aiohttp.ClientSession] = {}
-        while not self._is_over:
+        while not self._is_finished:
             entry = random.choice(list(self._entries))
             path = random.choice(["/any/", "/once/"]) + str(random.randrange(50))
             body = random.randbytes(8).hex().encode()
-            await self._call(entry, path, body, sessions)
+            await self._send_request(entry, path, body, sessions)
             await asyncio.sleep(random.uniform(0.005, 0.06))
         for session in sessions.values():
             await session.close()
 
     async def _send_poison(self) -> None:
         random = Random(f"{self.report.seed}.poison")
-        while not self._is_over:
+        while not self._is_finished:
             entry = random.choice(list(self._entries))
-            await self._call_once(entry, "/once/poison", POISON)
+            await self._send_on_new_connection(entry, "/once/poison", POISON)
             await asyncio.sleep(random.uniform(0.1, 0.6))
 
-    async def _call(
+    async def _send_request(
         self,
         entry: str,
         path: str,
         body: bytes,
         sessions: dict[str, aiohttp.ClientSession],
     ) -> Call:
-        """Send a request; connections in ``sessions`` are kept until they break."""
+        """Send a request to an entry and record it with its answer.
+
+        Sessions by entry are taken from ``sessions`` or added there. The session of a
+        request that got no answer is closed and removed.
+        """
         attempt = f"{len(self._calls)}.{self._random.randrange(1 << 30):x}"
         call = Call(attempt, entry, path, now_ms(), body)
         self._calls.append(call)
@@ -306,17 +335,17 @@
             await sessions.pop(entry).close()
         return call
 
-    async def _call_once(self, entry: str, path: str, body: bytes) -> Call:
-        """Send a request on a connection of its own."""
+    async def _send_on_new_connection(self, entry: str, path: str, body: bytes) -> Call:
+        """Send a request on a new connection, and close the connection."""
         sessions: dict[str, aiohttp.ClientSession] = {}
-        call = await self._call(entry, path, body, sessions)
+        call = await self._send_request(entry, path, body, sessions)
         for session in sessions.values():
             await session.close()
         return call
 
     # Faults.
 
-    async def _disturb(self) -> None:
+    async def _inject_faults(self) -> None:
         while self.faults:
             await asyncio.sleep(self._random.uniform(0.3, 2.0))
             name, fault = self._random.choice(self.faults)
@@ -345,34 +374,34 @@
     async def _kill_endpoint(self) -> None:
         self._random.choice(self._endpoints).send(signal.SIGKILL)
 
-    async def _leave_endpoint(self) -> None:
+    async def _terminate_endpoint(self) -> None:
         self._random.choice(self._endpoints).send(signal.SIGTERM)
 
-    async def _lose_store(self) -> None:
-        begun_ms = now_ms()
-        self._store.is_away = True
+    async def _interrupt_store(self) -> None:
+        outage_start_ms = now_ms()
+        self._store.is_unavailable = True
         try:
             await asyncio.sleep(self._random.uniform(0.5, 3.0))
         finally:
-            self._store.is_away = False
-            self._store_away_ms.append((begun_ms, now_ms()))
+            self._store.is_unavailable = False
+            self._store_outages_ms.append((outage_start_ms, now_ms()))
 
-    # Promises.
+    # Guarantees.
 
-    def _check(self) -> None:
+    def _check_guarantees(self) -> None:
         path = self._directory / "notes.jsonl"
         notes = [json.loads(line) for line in path.read_text().splitlines()]
         n_runs = Counter(note["attempt"] for note in notes)
         for call in self._calls:
             self.report.statuses[call.status] += 1
             if call.status == 200 and call.answer != call.attempt.encode():
-                self._violate(call, "answer of another request")
+                self._add_violation(call, "received the answer of another request")
             if not call.path.startswith("/once/"):
                 continue
             if n_runs[call.attempt] > 1:
-                self._violate(call, f"ran {n_runs[call.attempt]} times")
+                self._add_violation(call, f"ran {n_runs[call.attempt]} times")
             if call.status in (429, 503) and n_runs[call.attempt]:
-                self._violate(call, "refused as not run, and has run")
+                self._add_violation(call, "rejected as not run, although it ran")
         self._check_poison([note for note in notes if note["kind"] == "poison"])
 
     def _check_poison(self, runs: list[dict[str, str]]) -> None:
@@ -380,40 +409,48 @@
         self.report.n_poison_runs = len(runs)
         if len(runs) <= N_CRASHES_TO_BLOCK:
             return
-        since_ms = int(runs[N_CRASHES_TO_BLOCK - 1]["at_ms"]) + CONTACT_MS
+        blocked_at_ms = int(runs[N_CRASHES_TO_BLOCK - 1]["at_ms"]) + MIN_CONTACT_MS
         call_by_attempt = {call.attempt: call for call in self._calls}
-        late = [
+        late_calls = [
             call_by_attempt[note["attempt"]]
             for note in runs[N_CRASHES_TO_BLOCK:]
-            if int(note["at_ms"]) > since_ms
+            if int(note["at_ms"]) > blocked_at_ms
         ]
-        in_touch = [call for call in late if self._was_in_touch(call)]
-        self.report.n_late_runs = len(in_touch)
-        if len(in_touch) > N_MAX_LATE_RUNS:
-            self._violate(in_touch[-1], f"{len(in_touch)} late runs of poison")
-
-    def _was_in_touch(self, call: Call) -> bool:
-        """Return whether an entry had run and reached the store for long enough."""
-        since_ms = call.sent_at_ms - CONTACT_MS
+        informed = [call for call in late_calls if self._had_contact(call)]
+        self.report.n_late_runs = len(informed)
+        if len(informed) > N_MAX_LATE_RUNS:
+            self._add_violation(
+                informed[-1],
+                f"{len(informed)} late runs of poison request",
+            )
+
+    def _had_contact(self, call: Call) -> bool:
+        """Return whether the entry of a call could have received the block in time.
+
+        That is, the store was available in the last ``MIN_CONTACT_MS`` before the call,
+        and the entry neither started nor ended from then until ``MIN_CONTACT_MS`` after
+        the call.
+        """
+        contact_start_ms = call.sent_at_ms - MIN_CONTACT_MS
         process = self._entries[call.entry]
-        has_run = not any(
-            since_ms <= at_ms <= call.sent_at_ms + CONTACT_MS
+        was_running = not any(
+            contact_start_ms <= at_ms <= call.sent_at_ms + MIN_CONTACT_MS
             for at_ms in (*process.started_at_ms, *process.ended_at_ms)
         )
-        has_store = not any(
-            begun <= call.sent_at_ms and ended >= since_ms
-            for begun, ended in self._store_away_ms
+        had_store = not any(
+            start_ms <= call.sent_at_ms and end_ms >= contact_start_ms
+            for start_ms, end_ms in self._store_outages_ms
         )
-        return has_run and has_store
+        return was_running and had_store
 
-    def _violate(self, call: Call, what: str) -> None:
+    def _add_violation(self, call: Call, description: str) -> None:
         self.report.violations.append(
-            f"{what}: attempt={call.attempt} entry={call.entry} path={call.path}"
+            f"{description}: attempt={call.attempt} entry={call.entry} path={call.path}"
             f" status={call.status} sent_at_ms={call.sent_at_ms}"
         )
 
 
-def make_environment() -> None:
-    """Let child processes find the sources of this work tree."""
+def set_python_path() -> None:
+    """Set ``PYTHONPATH`` so that child processes import from this work tree."""
     paths = [path for path in sys.path if path]
     os.environ["PYTHONPATH"] = os.pathsep.join(dict.fromkeys([os.getcwd(), *paths]))
--- a/soak/store.py
+++ b/soak/store.py
@@ -1,4 +1,4 @@
-"""A store of shared tables with outages, and the client that entries use."""
+"""Server and client of an in-memory store of shared tables that can be interrupted."""
 
 import asyncio
 import base64
@@ -13,35 +13,43 @@
 from bluebellusher_core.directory import MirrorRow
 
 CALL_TIMEOUT_MS = 1_500
-# Registrations end after three heartbeats without word.
+# A registration is removed after a time of three heartbeat periods without a heartbeat.
 HEARTBEAT_MS = 400
-LAPSE_MS = 3 * HEARTBEAT_MS
+REGISTRATION_TTL_MS = 3 * HEARTBEAT_MS
 ENDPOINTS_TABLE = "endpoints"
-UNAVAILABLE = 503
+UNAVAILABLE_STATUS = 503
 
 
 class StoreServer:
-    """Rows in memory, served over HTTP; away when told so."""
+    """HTTP server of rows that are kept in memory.
+
+    Attributes
+    ----------
+    is_unavailable : bool
+        If True, the server answers every new call with status 503.
+    port : int
+        Port of the server after ``start``.
+    """
 
     def __init__(self) -> None:
-        self.is_away = False
+        self.is_unavailable = False
         self.port = 0
         self._version = 0
         self._row_by_key: dict[tuple[str, str], MirrorRow] = {}
-        self._heard_at_s: dict[str, float] = {}
+        self._heartbeat_at_s_by_key: dict[str, float] = {}
         self._changed = asyncio.Event()
         self._runner: web.AppRunner | None = None
-        self._lapses: asyncio.Task[None] | None = None
+        self._expiry_task: asyncio.Task[None] | None = None
 
     async def start(self, host: str) -> None:
-        """Listen on a port that the kernel chooses."""
+        """Listen on a port that the kernel assigns, and expire registrations."""
         app = web.Application()
         app.add_routes(
             [
-                web.get("/rows", self._read),
-                web.get("/changes", self._read_changes),
-                web.post("/row", self._write),
-                web.post("/heartbeat", self._take_heartbeat),
+                web.get("/rows", self._handle_read),
+                web.get("/changes", self._handle_read_changes),
+                web.post("/row", self._handle_write),
+                web.post("/heartbeat", self._record_heartbeat),
             ]
         )
         self._runner = web.AppRunner(app, access_log=None)
@@ -49,88 +57,97 @@
         site = web.TCPSite(self._runner, host, 0)
         await site.start()
         self.port = self._runner.addresses[0][1]
-        self._lapses = asyncio.create_task(self._end_lapsed())
+        self._expiry_task = asyncio.create_task(self._expire_registrations())
 
     async def stop(self) -> None:
-        """Close."""
-        if self._lapses is not None:
-            self._lapses.cancel()
+        """Stop the expiry of registrations and close the server."""
+        if self._expiry_task is not None:
+            self._expiry_task.cancel()
         if self._runner is not None:
             await self._runner.cleanup()
 
     def put(self, table: str, key: str, value: bytes, is_removed: bool = False) -> None:
-        """Write a row as an operator does."""
+        """Write or remove a row without a condition, and wake waiting readers."""
         self._version += 1
         row = MirrorRow(key, self._version, value, is_removed)
         self._row_by_key[table, key] = row
         self._changed.set()
         self._changed = asyncio.Event()
 
-    async def _end_lapsed(self) -> None:
+    async def _expire_registrations(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(HEARTBEAT_MS / 1000)
-            for key, at_s in list(self._heard_at_s.items()):
-                if loop.time() - at_s > LAPSE_MS / 1000:
-                    del self._heard_at_s[key]
+            for key, at_s in list(self._heartbeat_at_s_by_key.items()):
+                if loop.time() - at_s > REGISTRATION_TTL_MS / 1000:
+                    del self._heartbeat_at_s_by_key[key]
                     self.put(ENDPOINTS_TABLE, key, b"", is_removed=True)
 
-    async def _take_heartbeat(self, request: web.Request) -> web.Response:
-        if self.is_away:
-            return web.Response(status=UNAVAILABLE)
+    async def _record_heartbeat(self, request: web.Request) -> web.Response:
+        if self.is_unavailable:
+            return web.Response(status=UNAVAILABLE_STATUS)
         body = await request.json()
         key, value = body["key"], body["value"].encode()
-        self._heard_at_s[key] = asyncio.get_running_loop().time()
-        known = self._row_by_key.get((ENDPOINTS_TABLE, key))
-        if known is None or known.value != value:
+        self._heartbeat_at_s_by_key[key] = asyncio.get_running_loop().time()
+        current_row = self._row_by_key.get((ENDPOINTS_TABLE, key))
+        if current_row is None or current_row.value != value:
             self.put(ENDPOINTS_TABLE, key, value)
         return web.Response()
 
-    async def _read(self, request: web.Request) -> web.Response:
-        if self.is_away:
-            return web.Response(status=UNAVAILABLE)
-        rows = self._rows(request.query["table"], 0)
-        return self._answer([row for row in rows if not row.is_removed])
+    async def _handle_read(self, request: web.Request) -> web.Response:
+        if self.is_unavailable:
+            return web.Response(status=UNAVAILABLE_STATUS)
+        rows = self._rows_above(request.query["table"], 0)
+        return self._make_response([row for row in rows if not row.is_removed])
 
-    async def _read_changes(self, request: web.Request) -> web.Response:
-        if self.is_away:
-            return web.Response(status=UNAVAILABLE)
+    async def _handle_read_changes(self, request: web.Request) -> web.Response:
+        if self.is_unavailable:
+            return web.Response(status=UNAVAILABLE_STATUS)
         table, above = request.query["table"], int(request.query["above"])
-        if not self._rows(table, above):
+        if not self._rows_above(table, above):
             try:
                 async with asyncio.timeout(int(request.query["wait_ms"]) / 1000):
-                    while not self._rows(table, above):
+                    while not self._rows_above(table, above):
                         await self._changed.wait()
             except TimeoutError:
-                return self._answer([])
-        return self._answer(self._rows(table, above))
+                return self._make_response([])
+        return self._make_response(self._rows_above(table, above))
 
-    async def _write(self, request: web.Request) -> web.Response:
-        if self.is_away:
-            return web.Response(status=UNAVAILABLE)
+    async def _handle_write(self, request: web.Request) -> web.Response:
+        if self.is_unavailable:
+            return web.Response(status=UNAVAILABLE_STATUS)
         body = await request.json()
         table, key = body["table"], body["key"]
-        known = self._row_by_key.get((table, key))
-        if body["expected_version"] == (known.version if known else 0):
+        current_row = self._row_by_key.get((table, key))
+        if body["expected_version"] == (current_row.version if current_row else 0):
             self.put(table, key, base64.b64decode(body["value"]))
-        return self._answer(
-            [r for r in self._rows(table, 0) if r.key == key and not r.is_removed]
+        return self._make_response(
+            [r for r in self._rows_above(table, 0) if r.key == key and not r.is_removed]
         )
 
-    def _rows(self, table: str, above: int) -> list[MirrorRow]:
+    def _rows_above(self, table: str, above: int) -> list[MirrorRow]:
         rows = [r for (t, _), r in self._row_by_key.items() if t == table]
         return sorted((r for r in rows if r.version > above), key=lambda r: r.version)
 
-    def _answer(self, rows: list[MirrorRow]) -> web.Response:
-        found = [
+    def _make_response(self, rows: list[MirrorRow]) -> web.Response:
+        encoded_rows = [
             [r.key, r.version, base64.b64encode(r.value).decode(), r.is_removed]
             for r in rows
         ]
-        return web.json_response({"version": self._version, "rows": found})
+        return web.json_response({"version": self._version, "rows": encoded_rows})
 
 
 class StoreClient:
-    """Rows of the store; see ``bluebellusher.ports.RowStore``."""
+    """Client of a ``StoreServer``; implements ``bluebellusher.ports.RowStore``.
+
+    Reads and writes return a ``StoreError`` if the store is unavailable or does not
+    answer within the call's timeout.
+
+    Parameters
+    ----------
+    address : str
+        Host and port of the store, such as ``127.0.0.1:8080``.
+    """
 
     def __init__(self, address: str) -> None:
         self._base_url = f"http://{address}"
@@ -148,13 +165,20 @@
     async def read_changes(
         self, table: str, above_version: int, wait_ms: int
     ) -> Result[TableRows, StoreError]:
-        """Return the changes above a version, waiting for the first one."""
+        """Return the changes above a version.
+
+        If there is none, wait up to ``wait_ms`` milliseconds for the first one.
+        """
         query = {"table": table, "above": str(above_version), "wait_ms": str(wait_ms)}
         timeout_ms = wait_ms + CALL_TIMEOUT_MS
         return await self._call("get", "/changes", timeout_ms, params=query)
 
     async def write_row(self, write: RowWrite) -> Result[MirrorRow, StoreError]:
-        """Write a row under its condition; return the row that is there then."""
+        """Write a row if its version is still the expected one.
+
+        Return the stored row after the call, which is the earlier one if the write was
+        refused, or a removed row of version 0 if there is none.
+        """
         body = {
             "table": write.table,
             "key": write.key,
@@ -163,7 +187,7 @@
         }
         result = await self._call("post", "/row", CALL_TIMEOUT_MS, json=body)
         absent = MirrorRow(write.key, 0, b"", is_removed=True)
-        return result.map(lambda found: found.rows[0] if found.rows else absent)
+        return result.map(lambda table: table.rows[0] if table.rows else absent)
 
     async def _call(
         self, method: str, path: str, timeout_ms: int, **options: Any
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -1,18 +1,22 @@
-"""A short seeded run of the soak, with the same promises as a long one."""
+"""Short seeded runs of the soak, which check the same guarantees as a long one."""
 
 import asyncio
 
 import pytest
 
-from soak.run import N_CRASHES_TO_BLOCK, Soak, make_environment
+from soak.run import N_CRASHES_TO_BLOCK, Soak, set_python_path
 
 SECONDS = 6.0
 
 
 @pytest.mark.parametrize("seed", [1, 102])
-def test_processes_keep_their_promises_under_faults(seed, tmp_path):
-    """Guards against what only real processes, sockets and restarts show."""
-    make_environment()
+def test_guarantees_hold_under_faults_of_processes_and_store(seed, tmp_path):
+    """Guards against faults that appear only with real processes and sockets.
+
+    Examples are a request that runs twice, or an answer of another request, after a
+    process was killed, frozen or restarted.
+    """
+    set_python_path()
     report = asyncio.run(Soak(seed, tmp_path, SECONDS).run())
     assert report.violations == []
     assert report.statuses[200] > 0
@@ -20,9 +24,12 @@
     assert report.faults.total() > 0
 
 
-def test_crash_of_an_endpoint_is_counted_by_processes(tmp_path):
-    """Guards against a run in which nothing is blocked because nothing crashes."""
-    make_environment()
+def test_poison_request_crashes_endpoints_without_other_faults(tmp_path):
+    """Guards against a soak that never checks the blocking of poison requests.
+
+    That happens if the poison request crashes too few endpoints to be blocked.
+    """
+    set_python_path()
     soak = Soak(7, tmp_path, SECONDS)
     soak.faults = []
     report = asyncio.run(soak.run())
