--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -1,7 +1,7 @@
-"""Run every test and print one closing line with the number passed and failed.
+"""Run all tests and print the numbers of passed and failed tests as the last line.
 
-Tests that are listed in KNOWN-RED.txt may fail; they are printed by name. A listed
-test that passes fails the run, so that the list cannot go stale.
+Tests that are listed in KNOWN-RED.txt may fail; the failed ones are printed by name. A
+listed test that passes or is missing fails the run, so the list stays up to date.
 """
 
 import os
@@ -17,7 +17,10 @@
 
 
 def read_known_red(path: pathlib.Path) -> set[str]:
-    """Return the test names on lines that start with ``test: ``."""
+    """Return the test names that a file lists on lines starting with ``test: ``.
+
+    The set is empty if the file does not exist.
+    """
     if not path.exists():
         return set()
     lines = path.read_text(encoding="utf-8").splitlines()
@@ -25,7 +28,7 @@
 
 
 def run_pytest(report: pathlib.Path) -> int:
-    """Run the unit and property tests and write a JUnit report."""
+    """Run pytest, write its JUnit report and return its exit code."""
     command = [
         sys.executable,
         "-m",
@@ -40,7 +43,10 @@
 
 
 def run_behave(report_dir: pathlib.Path) -> int:
-    """Run the scenarios and write JUnit reports, one per feature."""
+    """Run the behave scenarios and return the exit code of behave.
+
+    One JUnit report per feature is written into ``report_dir``.
+    """
     if not any((ROOT / "features").glob("*.feature")):
         return 0
     command = [sys.executable, "-m", "behave", "features", "--format=progress"]
@@ -49,7 +55,10 @@
 
 
 def read_results(report_dir: pathlib.Path) -> dict[str, bool]:
-    """Return whether each test passed, by test name."""
+    """Return whether each test in the JUnit reports passed, by test name.
+
+    Skipped tests count as passed.
+    """
     is_passed_by_name: dict[str, bool] = {}
     for report in sorted(report_dir.glob("*.xml")):
         for case in ET.parse(report).getroot().iter("testcase"):
@@ -60,7 +69,10 @@
 
 
 def main() -> int:
-    """Run all tests; return 0 only when nothing but known failures failed."""
+    """Run all tests and return the exit code.
+
+    It is 0 if the failed tests are exactly those listed in KNOWN-RED.txt, else 1.
+    """
     known_red = read_known_red(KNOWN_RED)
     with tempfile.TemporaryDirectory() as directory:
         report_dir = pathlib.Path(directory)
@@ -76,13 +88,13 @@
         print(f"failed: {name}")
     for name in stale:
         print(f"listed in KNOWN-RED.txt but did not fail: {name}")
-    # A run that broke before its report was written has no failed case to name.
-    is_broken = (pytest_code or behave_code) and not failed
-    if is_broken:
-        print(f"test runners ended with {pytest_code} and {behave_code}")
-    n_bad = len(unexpected) + len(stale) + (1 if is_broken else 0)
-    print(f"{len(is_passed_by_name) - len(failed)} passed, {n_bad} failed")
-    return 1 if n_bad else 0
+    # A runner that ended before it wrote its report leaves no failed test to print.
+    has_runner_failed = (pytest_code or behave_code) and not failed
+    if has_runner_failed:
+        print(f"pytest exited with code {pytest_code}, behave with {behave_code}")
+    n_problems = len(unexpected) + len(stale) + (1 if has_runner_failed else 0)
+    print(f"{len(is_passed_by_name) - len(failed)} passed, {n_problems} failed")
+    return 1 if n_problems else 0
 
 
 if __name__ == "__main__":
