--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements; each figure is one line with its target and baseline."""
+"""Measurements that print one line per figure, with its target and baseline."""
--- a/bench/agent_load.py
+++ b/bench/agent_load.py
@@ -1,4 +1,4 @@
-"""A minimal engine and entry that load an agent process for measurements."""
+"""A minimal engine and entry that put load on an agent process for measurements."""
 
 import asyncio
 import json
@@ -54,26 +54,26 @@
             head = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
             self._transport.write(head + b"transfer-encoding: chunked\r\n\r\n")
             self._engine.streams.add(self._transport)
-            self._engine.changed.set()
+            self._engine.stream_opened.set()
 
 
 class MinimalEngine:
-    """Streams one event of fixed size per stream and period, without end."""
+    """Engine that accepts streaming requests and sends events of a fixed size."""
 
     def __init__(self) -> None:
         self.streams: set[Any] = set()
         self.n_events = 0
         self.port = 0
-        self.changed = asyncio.Event()
+        self.stream_opened = asyncio.Event()
 
     async def wait_for_streams(self, n_streams: int) -> None:
-        """Wait until that many streams are open."""
+        """Wait until at least ``n_streams`` streams are open."""
         while len(self.streams) < n_streams:
-            self.changed.clear()
-            await self.changed.wait()
+            self.stream_opened.clear()
+            await self.stream_opened.wait()
 
     async def start(self) -> None:
-        """Listen on a port chosen by the kernel."""
+        """Listen on a port that the kernel assigns."""
         loop = asyncio.get_running_loop()
         server = await loop.create_server(
             lambda: _EngineConnection(self), "127.0.0.1", 0
@@ -81,38 +81,38 @@
         self.port = server.sockets[0].getsockname()[1]
 
     async def stream(self, n_events_per_second: int, duration_s: float) -> None:
-        """Send events at a rate, spread evenly over the streams."""
+        """Send events at a fixed rate, spread evenly over the open streams."""
         body = b"data: " + b"x" * (EVENT_BYTES - 8) + b"\n\n"
         event = f"{len(body):x}\r\n".encode() + body + b"\r\n"
         loop = asyncio.get_running_loop()
         start_s = loop.time()
         n_sent = 0
-        order = list(self.streams)
+        transports = list(self.streams)
         while (elapsed_s := loop.time() - start_s) < duration_s:
             while n_sent < elapsed_s * n_events_per_second:
-                order[n_sent % len(order)].write(event)
+                transports[n_sent % len(transports)].write(event)
                 n_sent += 1
             await asyncio.sleep(0.001)
         self.n_events += n_sent
 
 
 class MinimalEntry:
-    """Connects to an agent, dispatches streams and counts what comes back."""
+    """Entry that connects to an agent, dispatches streams and counts received bytes."""
 
     def __init__(self, port: int, entry_id: str) -> None:
         self._port = port
         self._entry_id = entry_id
         self.n_bytes_received = 0
         self.n_stream_bytes = 0
-        self._changed = asyncio.Event()
+        self._bytes_received = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
 
     async def __aenter__(self) -> Self:
         streams = await asyncio.open_connection("127.0.0.1", self._port)
         self._reader, self._writer = streams
-        await self._shake_hands()
-        self._tasks = [asyncio.create_task(self._read())]
-        self._tasks.append(asyncio.create_task(self._beat()))
+        await self._perform_handshake()
+        self._tasks = [asyncio.create_task(self._read_messages())]
+        self._tasks.append(asyncio.create_task(self._send_heartbeats()))
         return self
 
     async def __aexit__(self, *_: object) -> None:
@@ -120,7 +120,7 @@
             task.cancel()
         self._writer.transport.abort()
 
-    async def _shake_hands(self) -> None:
+    async def _perform_handshake(self) -> None:
         challenge = await self._read_hello()
         hello = messages.Hello(
             protocol_version=1,
@@ -140,28 +140,28 @@
         payload = await self._reader.readexactly(int.from_bytes(head, "big"))
         return FrameDecoder("agent").feed(head + payload)[0]
 
-    async def _read(self) -> None:
+    async def _read_messages(self) -> None:
         decoder = FrameDecoder("agent")
         while data := await self._reader.read(262_144):
             self.n_bytes_received += len(data)
-            self._changed.set()
+            self._bytes_received.set()
             for message in decoder.feed(data):
                 if isinstance(message, messages.ChunkBatch):
                     self.n_stream_bytes += sum(len(c.data) for c in message.chunks)
 
-    async def _beat(self) -> None:
+    async def _send_heartbeats(self) -> None:
         while True:
             self._writer.write(encode(messages.Heartbeat(1)))
             await asyncio.sleep(0.5)
 
     async def wait_for_bytes(self, n_bytes: int) -> None:
-        """Wait until that many bytes of streams were received."""
+        """Wait until at least ``n_bytes`` bytes of streams were received."""
         while self.n_stream_bytes < n_bytes:
-            self._changed.clear()
-            await self._changed.wait()
+            self._bytes_received.clear()
+            await self._bytes_received.wait()
 
     def dispatch(self, attempt_id: str) -> None:
-        """Start one stream."""
+        """Send one streaming request to the agent."""
         dispatch = messages.Dispatch(
             attempt_id=attempt_id,
             request_id="r-" + attempt_id,
@@ -183,7 +183,7 @@
 
 
 class AgentProcess:
-    """An agent process with a bytecode cache, as an installed one has."""
+    """An agent process that uses a bytecode cache, like an installed agent."""
 
     def __init__(self, engine_port: int) -> None:
         self._engine_port = engine_port
@@ -191,7 +191,7 @@
         self.port = 0
 
     async def __aenter__(self) -> Self:
-        # The first start fills the bytecode cache; the second one is measured.
+        # The first start fills the bytecode cache; the second process is measured.
         await self._start()
         await self._stop()
         await self._start()
@@ -225,22 +225,22 @@
         assert self._process.stdout is not None
         while line := await self._process.stdout.readline():
             if b"event=listening" in line:
-                self._drain = asyncio.create_task(self._process.stdout.read())
+                self._output_reader = asyncio.create_task(self._process.stdout.read())
                 return int(line.split(b"port=")[1])
-        raise RuntimeError("the agent did not start")
+        raise RuntimeError("the agent ended before it was listening")
 
     async def _stop(self) -> None:
         self._process.kill()
         await self._process.wait()
-        await self._drain
+        await self._output_reader
 
     def read_cpu_s(self) -> float:
-        """Return user and system time of the process, in seconds."""
+        """Return the processor time that the process has used, in seconds."""
         path = pathlib.Path(f"/proc/{self._process.pid}/schedstat")
         return int(path.read_text(encoding="ascii").split()[0]) / 1e9
 
     def read_resident_mb(self) -> float:
-        """Return ``VmRSS`` in megabytes of 1,000,000 bytes."""
+        """Return the resident memory (``VmRSS``) in megabytes of 1,000,000 bytes."""
         path = pathlib.Path(f"/proc/{self._process.pid}/status")
         lines = path.read_text(encoding="ascii").splitlines()
         row = next(line for line in lines if line.startswith("VmRSS"))
--- a/bench/bench_agent.py
+++ b/bench/bench_agent.py
@@ -1,4 +1,4 @@
-"""Memory and processor time of the agent, idle and per relayed token event."""
+"""Memory and processor time of the agent, when idle and per relayed token event."""
 
 import asyncio
 
--- a/bench/bench_balance.py
+++ b/bench/bench_balance.py
@@ -1,6 +1,6 @@
-"""Expert balance: skew and moved bytes of all policies, and time of a plan.
+"""Expert placement: skew and moved bytes of all policies, and time of a plan.
 
-All figures but the processor times repeat to the digit. Sizes of the comparison:
+All figures except processor times are deterministic. Sizes of the comparison:
 32 ranks, 256 experts, 9 slots, 4 layers, 40 intervals, 3 seeds.
 """
 
@@ -32,8 +32,8 @@
 )
 
 KINDS = ("drifting", "bursty", "adversarial")
-REFERENCE = "full-resolve"
-CHOSEN = "incremental"
+REFERENCE_POLICY = "full-resolve"
+SELECTED = "incremental"
 MAX_SKEW_RATIO = 1.02
 MAX_BYTES_RATIO = 0.1
 MAX_PLAN_MS = 100.0
@@ -44,7 +44,7 @@
 
 
 def main() -> None:
-    """Print every figure."""
+    """Print the figures of all policies and the processor times of plans."""
     for kind in KINDS:
         print_comparison(kind)
     print_plan_times()
@@ -52,37 +52,37 @@
 
 def print_comparison(kind: str) -> None:
     """Print the figures of all policies on one kind of popularity."""
-    result_by_policy = {name: run_seeds(kind, name) for name in POLICIES}
-    reference = result_by_policy[REFERENCE]
+    result_by_policy = {name: average_over_seeds(kind, name) for name in POLICIES}
+    reference = result_by_policy[REFERENCE_POLICY]
     for name, result in result_by_policy.items():
-        is_chosen = name == CHOSEN
+        is_selected = name == SELECTED
         print_figure(f"balance.{kind}.skew.{name}", result.mean_skew, "max/mean")
         print_figure(f"balance.{kind}.moved.{name}", result.n_bytes / 1e9, "GB")
         print_figure(
             f"balance.{kind}.skew_over_full.{name}",
             result.mean_skew / reference.mean_skew,
             "ratio",
-            target=f"<={MAX_SKEW_RATIO}" if is_chosen else "none",
+            target=f"<={MAX_SKEW_RATIO}" if is_selected else "none",
         )
         print_figure(
             f"balance.{kind}.moved_over_full.{name}",
             result.n_bytes / reference.n_bytes,
             "ratio",
-            target=f"<={MAX_BYTES_RATIO}" if is_chosen else "none",
+            target=f"<={MAX_BYTES_RATIO}" if is_selected else "none",
         )
 
 
-def run_seeds(kind: str, name: str) -> RunResult:
-    """Return the means over all seeds."""
+def average_over_seeds(kind: str, name: str) -> RunResult:
+    """Return the means of skew and moved bytes over all seeds."""
     results = [run_policy(kind, POLICIES[name], seed) for seed in SEEDS]
     skew = sum(result.mean_skew for result in results) / len(results)
     return RunResult(skew, sum(result.n_bytes for result in results) // len(results))
 
 
 def print_plan_times() -> None:
-    """Print processor time of plans of 32 ranks, 256 experts and 58 layers.
+    """Print the processor time of plans for 32 ranks, 256 experts and 58 layers.
 
-    The baseline is a plan of the full re-solve in the same run.
+    The baseline is the time of one plan by ``FullResolve`` in the same run.
     """
     full = FullResolve(PLAN_SHAPE, UNLIMITED)
     baseline = f"{measure_plan_times_ms(full, KINDS[0], n_plans=1)[0]:.4g}"
@@ -99,7 +99,7 @@
 def measure_plan_times_ms(
     policy: PlacementPolicy, kind: str, n_plans: int
 ) -> list[float]:
-    """Return the processor time of ``observe`` and ``plan`` in each interval."""
+    """Return the processor time of ``observe`` and ``plan`` in each interval, in ms."""
     popularity = Popularity(kind, PLAN_SHAPE, seed=SEEDS[0])
     placement = make_initial_placement(PLAN_SHAPE)
     random_state = Random(1)
--- a/bench/bench_capacity.py
+++ b/bench/bench_capacity.py
@@ -1,4 +1,4 @@
-"""Slopes of control state, messages and processor time behind docs/CAPACITY.md."""
+"""Growth of state, messages and processor time with size, used by docs/CAPACITY.md."""
 
 import gc
 import time
@@ -35,33 +35,37 @@
 N_REPEATS = 5
 
 
-def time_us(call: Callable[[], object], n_calls: int = 1) -> float:
-    """Return the least processor time of a call in microseconds over repeats."""
-    least_ns = None
+def measure_time_us(call: Callable[[], object], n_calls: int = 1) -> float:
+    """Return the processor time of a call in microseconds.
+
+    It is the minimum over ``N_REPEATS`` measurements, each the mean of ``n_calls``
+    calls.
+    """
+    min_ns = None
     for _ in range(N_REPEATS):
         started_ns = time.process_time_ns()
         for _ in range(n_calls):
             call()
         used_ns = time.process_time_ns() - started_ns
-        least_ns = used_ns if least_ns is None else min(least_ns, used_ns)
-    assert least_ns is not None
-    return least_ns / n_calls / 1_000
+        min_ns = used_ns if min_ns is None else min(min_ns, used_ns)
+    assert min_ns is not None
+    return min_ns / n_calls / 1_000
 
 
-def memory_kb(make: Callable[[], object]) -> float:
-    """Return the size of what ``make`` returns, in kilobytes of 1,000 bytes."""
+def measure_memory_kb(make: Callable[[], object]) -> float:
+    """Return the memory that the result of ``make`` uses, in units of 1,000 bytes."""
     gc.collect()
     tracemalloc.start()
-    kept = make()
+    retained_object = make()
     gc.collect()
     size, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
-    del kept
+    del retained_object
     return size / 1_000
 
 
 def make_entry(n_endpoints: int) -> EntryState:
-    """Return an entry that tracks endpoints with reports and cached prefixes."""
+    """Return the state of an entry whose endpoints have reported load and caches."""
     state = EntryState.from_config(EntryConfig("entry-1"))
     for i in range(n_endpoints):
         info = EndpointInfo(
@@ -81,7 +85,7 @@
 
 
 def make_report(index: int, sequence: int) -> LoadReported:
-    """Return a load report of one endpoint."""
+    """Return a load report of the endpoint with the given index."""
     return LoadReported(
         endpoint_id=f"endpoint-{index}",
         sequence=sequence,
@@ -96,8 +100,8 @@
     )
 
 
-def report_round_us(n_endpoints: int) -> float:
-    """Return the time to receive and apply one load report of each endpoint."""
+def measure_report_round_us(n_endpoints: int) -> float:
+    """Return the time in microseconds to decode and apply a report of each endpoint."""
     state = make_entry(n_endpoints)
     frame = encode(
         messages.LoadReport(
@@ -119,11 +123,11 @@
             FrameDecoder("endpoint").feed(frame)
             reduce(state, make_report(i, 2), 10)
 
-    return time_us(receive_all)
+    return measure_time_us(receive_all)
 
 
 def make_digest(n_fingerprints: int) -> bytes:
-    """Return the frame of a digest that names this many blocked requests."""
+    """Return the frame of a digest with ``n_fingerprints`` blocked fingerprints."""
     blocked = [f"{i:032x}" for i in range(n_fingerprints)]
     digest = messages.Digest(
         config_version=7,
@@ -134,8 +138,8 @@
     return encode(digest)
 
 
-def digest_us(n_fingerprints: int) -> float:
-    """Return the time to decode and apply a digest."""
+def measure_digest_us(n_fingerprints: int) -> float:
+    """Return the time in microseconds to decode and apply a digest."""
     state = EntryState.from_config(EntryConfig("entry-1"))
     frame = make_digest(n_fingerprints)
 
@@ -144,33 +148,35 @@
         blocked = tuple(digest.blocked_fingerprints)
         reduce(state, DigestReceived("entry-2", 7, blocked, ()), 0)
 
-    return time_us(receive, n_calls=20)
+    return measure_time_us(receive, n_calls=20)
 
 
-def push_hops(n_entries: int) -> tuple[int, int]:
-    """Return after how many hops a push ends, and how many entries it reached.
+def simulate_push(n_entries: int) -> tuple[int, int]:
+    """Simulate the push of one configuration version from one entry to all others.
 
-    Each entry that receives the version for the first time pushes it on.
+    Each entry that receives the version for the first time forwards it to the peers
+    that ``choose_fan_out`` returns. The result is the number of hops until no entry is
+    new, and the number of entries reached.
     """
     random_state = Random(1)
     domain_by_entry = {f"e{i}": f"d{i % N_DOMAINS}" for i in range(n_entries)}
-    reached, wave, n_hops = {"e0"}, ["e0"], 0
-    while wave:
-        next_wave: list[str] = []
-        for entry in wave:
+    reached, frontier, n_hops = {"e0"}, ["e0"], 0
+    while frontier:
+        next_frontier: list[str] = []
+        for entry in frontier:
             peers = {e: d for e, d in domain_by_entry.items() if e != entry}
             for peer in choose_fan_out(peers, domain_by_entry[entry], random_state):
                 if peer not in reached:
                     reached.add(peer)
-                    next_wave.append(peer)
-        if next_wave:
+                    next_frontier.append(peer)
+        if next_frontier:
             n_hops += 1
-        wave = next_wave
+        frontier = next_frontier
     return n_hops, len(reached)
 
 
 def make_rules(n_customers: int) -> str:
-    """Return a rules file with four rules for each customer."""
+    """Return the text of a rules file with four rules for each customer."""
     lines = [
         "currency JPY",
         "month-zone Asia/Tokyo",
@@ -194,7 +200,11 @@
 
 
 def parse_valid_rules(n_customers: int) -> RuleSet:
-    """Return the parsed rules; invalid rules would measure only their errors."""
+    """Return the parsed rules of ``make_rules``.
+
+    Raises ``ValueError`` if they are invalid, because the measurement would then cover
+    only the errors.
+    """
     match parse_rules(make_rules(n_customers)):
         case Result(tag="ok", ok=rule_set):
             return rule_set
@@ -202,27 +212,30 @@
             raise ValueError(f"n_customers={n_customers}: {result.error[0]}")
 
 
-def allowance_row_bytes(n_holders: int) -> float:
-    """Return the size of the text of a budget row with this many holders."""
+def compute_allowance_row_bytes(n_holders: int) -> float:
+    """Return the size in bytes of a budget row with grants of ``n_holders`` entries.
+
+    The row is measured as the text of its ``repr``.
+    """
     grants = {f"entry-{i}/1790000000000": Grant(100, 10**9) for i in range(n_holders)}
     row = AllowanceRow(10**12, 7, grants)
     return float(len(repr(row)))
 
 
 def main() -> None:
-    """Print all figures."""
+    """Measure and print all figures."""
     measure_line(
         "capacity.entry_endpoint_memory",
         "KB",
         N_ENDPOINT_SIZES,
-        lambda n: memory_kb(lambda: make_entry(n)),
+        lambda n: measure_memory_kb(lambda: make_entry(n)),
         N_TRACKED_ENDPOINTS,
     )
     measure_line(
         "capacity.entry_report_round",
         "us",
         N_ENDPOINT_SIZES,
-        report_round_us,
+        measure_report_round_us,
         N_TRACKED_ENDPOINTS,
     )
     measure_line(
@@ -232,9 +245,11 @@
         lambda n: float(len(make_digest(n))),
         100,
     )
-    measure_line("capacity.digest_cpu", "us", N_FINGERPRINT_SIZES, digest_us, 100)
+    measure_line(
+        "capacity.digest_cpu", "us", N_FINGERPRINT_SIZES, measure_digest_us, 100
+    )
     for n_entries in N_ENTRY_SIZES:
-        n_hops, n_reached = push_hops(n_entries)
+        n_hops, n_reached = simulate_push(n_entries)
         print_figure(f"capacity.push_hops.at{n_entries}", n_hops, "hops")
         share = 100 * n_reached / n_entries
         print_figure(f"capacity.push_reached.at{n_entries}", share, "%")
@@ -242,21 +257,21 @@
         "capacity.allowance_row",
         "B",
         N_ENTRY_SIZES,
-        allowance_row_bytes,
+        compute_allowance_row_bytes,
         N_ENTRIES,
     )
     measure_line(
         "capacity.rules_memory",
         "KB",
         N_CUSTOMER_SIZES,
-        lambda n: memory_kb(lambda: parse_valid_rules(n)),
+        lambda n: measure_memory_kb(lambda: parse_valid_rules(n)),
         N_CUSTOMERS,
     )
     measure_line(
         "capacity.rules_parse",
         "us",
         N_CUSTOMER_SIZES,
-        lambda n: time_us(lambda: parse_valid_rules(n)),
+        lambda n: measure_time_us(lambda: parse_valid_rules(n)),
         N_CUSTOMERS,
     )
     size = len(make_rules(N_CUSTOMERS).encode())
--- a/bench/bench_entry.py
+++ b/bench/bench_entry.py
@@ -1,4 +1,4 @@
-"""Cost of an entry: CPU for each relayed token, memory and CPU when idle."""
+"""Processor time of an entry per relayed token, and its memory and load when idle."""
 
 import asyncio
 import json
@@ -19,21 +19,24 @@
 
 
 def read_cpu_s(pid: int) -> float:
-    """Return user and system time of a process in seconds."""
+    """Return the user and system time of a process, in seconds."""
     stat = pathlib.Path(f"/proc/{pid}/stat").read_text(encoding="ascii")
     fields = stat.rsplit(")", 1)[1].split()
     return (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
 
 
 def read_memory_mb(pid: int) -> float:
-    """Return resident memory in megabytes of 1e6 bytes."""
+    """Return the resident memory of a process, in megabytes of 1,000,000 bytes."""
     status = pathlib.Path(f"/proc/{pid}/status").read_text(encoding="ascii")
     line = next(line for line in status.splitlines() if line.startswith("VmRSS"))
     return int(line.split()[1]) * 1024 / 1e6
 
 
 async def send_streams(entry: ManagedProcess) -> None:
-    """Send concurrent streams and read them to their end."""
+    """Send ``N_STREAMS`` concurrent streaming requests and read the answers.
+
+    Raises ``RuntimeError`` if a stream ends without its last event.
+    """
     url = f"http://127.0.0.1:{entry.port}/v1/chat/completions"
     connector = aiohttp.TCPConnector(limit=0)
     async with aiohttp.ClientSession(headers=HEADERS, connector=connector) as session:
@@ -45,13 +48,16 @@
             async with session.post(url, data=data) as answer:
                 text = await answer.read()
             if not text.endswith(b"data: [DONE]\n\n"):
-                raise RuntimeError(f"stream {number} was not whole: {text[-200:]!r}")
+                raise RuntimeError(f"stream {number} is incomplete: {text[-200:]!r}")
 
         await asyncio.gather(*(send(number) for number in range(N_STREAMS)))
 
 
 async def measure() -> None:
-    """Start a deployment on this machine and measure its entry."""
+    """Start a deployment on this machine and print the figures of one entry.
+
+    The first batch of streams is a warm-up that is not measured.
+    """
     async with Cluster() as cluster:
         await cluster.start_platform()
         for number in range(N_ENGINES):
@@ -78,7 +84,7 @@
 
 
 def main() -> None:
-    """Print the figures."""
+    """Run the measurement in an event loop."""
     asyncio.run(measure())
 
 
--- a/bench/bench_maps.py
+++ b/bench/bench_maps.py
@@ -1,4 +1,4 @@
-"""Maps of experts under sudden changes: duration of passes and copies by policy."""
+"""Duration of passes and size of weight loads under sudden changes of popularity."""
 
 from bench.map_runs import POLICIES, SITES, MapRun, run_map_policy
 from bench.report import print_figure
@@ -11,18 +11,18 @@
     for site_name, site in SITES.items():
         for name in POLICIES:
             runs = [run_map_policy(site, name, seed) for seed in SEEDS]
-            _print(f"{site_name}.{name}", runs)
+            _print_means(f"{site_name}.{name}", runs)
 
 
-def _print(name: str, runs: list[MapRun]) -> None:
+def _print_means(name: str, runs: list[MapRun]) -> None:
     n_runs = len(runs)
     mean_pass = sum(run.mean_pass for run in runs) / n_runs
     slow_share = sum(run.slow_share for run in runs) / n_runs
     mean_skew = sum(run.mean_skew for run in runs) / n_runs
     n_changes = sum(run.n_changes for run in runs) / n_runs
-    n_gb = sum(run.n_gb for run in runs) / n_runs
+    loaded_gb = sum(run.loaded_gb for run in runs) / n_runs
     print_figure(f"maps.pass.{name}", mean_pass, "of an even one")
     print_figure(f"maps.slow.{name}", slow_share, "share above twice")
     print_figure(f"maps.skew.{name}", mean_skew, "mean")
     print_figure(f"maps.changes.{name}", n_changes, "maps")
-    print_figure(f"maps.copied.{name}", n_gb, "GB")
+    print_figure(f"maps.copied.{name}", loaded_gb, "GB")
--- a/bench/bench_routing.py
+++ b/bench/bench_routing.py
@@ -1,4 +1,4 @@
-"""Routing: figures of all policies, the target ratio, and CPU per decision."""
+"""Routing policies: figures, ratio to the oracles and processor time of a decision."""
 
 from random import Random
 from time import process_time_ns
@@ -12,16 +12,16 @@
     POLICIES,
     POLICIES_WITH_REPORTS,
     TARGET_LOAD,
-    lookup,
-    mean,
+    compute_ttft_ratio,
+    find_cell_figures,
+    mean_figure,
     measure_capacity,
-    ttft_ratio,
 )
 from bench.workload_model import make_jobs
 from bluebellusher_core.events import EndpointInfo, LoadReported, RequestSpec
 from bluebellusher_core.routing import EndpointView, PredictedLatency
 
-CHOSEN = "predicted-latency"
+SELECTED = "predicted-latency"
 TARGET_RATIO = 1.3
 UNIT_BY_FIGURE = {
     "ttft_p50_ms": "ms",
@@ -36,7 +36,7 @@
 
 
 def main() -> None:
-    """Print every figure; CPU times are the only ones that vary between runs."""
+    """Print all figures. All except the processor times are deterministic."""
     print_figure("routing.capacity", measure_capacity(), "1/s")
     print_ratios()
     for policy in POLICIES:
@@ -49,39 +49,42 @@
 
 
 def print_ratios() -> None:
-    """Print the target figures; the baseline is the best simple policy."""
-    simple = [name for name in POLICIES if name not in (*ORACLES, CHOSEN)]
+    """Print the target figures, with the best of the simple policies as baseline."""
+    simple_policies = [name for name in POLICIES if name not in (*ORACLES, SELECTED)]
     for fault in FAULTS:
         for lag_ms in LAGS_MS:
-            value = ttft_ratio(CHOSEN, TARGET_LOAD, fault, lag_ms)
-            best = min(ttft_ratio(p, TARGET_LOAD, fault, lag_ms) for p in simple)
+            value = compute_ttft_ratio(SELECTED, TARGET_LOAD, fault, lag_ms)
+            best_simple_ratio = min(
+                compute_ttft_ratio(p, TARGET_LOAD, fault, lag_ms)
+                for p in simple_policies
+            )
             print_figure(
                 f"routing.ttft_p95_over_oracle.load80.{fault}.lag{lag_ms:.0f}ms",
                 value,
                 "ratio",
                 target=f"<={TARGET_RATIO}",
-                baseline=f"{best:.4g}",
+                baseline=f"{best_simple_ratio:.4g}",
             )
 
 
 def print_cell(policy: str, load: float, fault: str, lag_ms: float) -> None:
-    """Print the figures of one policy in one condition."""
-    runs = lookup((policy, load, fault, lag_ms))
-    place = f"load{load * 100:.0f}.{fault}.lag{lag_ms:.0f}ms"
+    """Print the figures of one policy at one load, fault and report lag."""
+    runs = find_cell_figures((policy, load, fault, lag_ms))
+    condition = f"load{load * 100:.0f}.{fault}.lag{lag_ms:.0f}ms"
     for figure, unit in UNIT_BY_FIGURE.items():
-        name = f"routing.{figure.removesuffix('_ms')}.{policy}.{place}"
-        print_figure(name, mean(runs, figure), unit)
+        name = f"routing.{figure.removesuffix('_ms')}.{policy}.{condition}"
+        print_figure(name, mean_figure(runs, figure), unit)
 
 
 def print_cpu() -> None:
-    """Print processor time per decision at several numbers of candidates."""
+    """Print the processor time of a decision for several numbers of candidates."""
     for n_candidates in CANDIDATE_COUNTS:
         value = measure_decision_us(n_candidates)
         print_figure(f"routing.cpu_per_decision.{n_candidates}", value, "us")
 
 
 def measure_decision_us(n_candidates: int, n_decisions: int = 2000) -> float:
-    """Return the mean processor time of one decision in microseconds."""
+    """Return the mean processor time of one decision, in microseconds."""
     random_state = Random(5)
     requests = [job.request for job in make_jobs(50.0, 4000.0, seed=5)]
     views = [_make_view(index, requests, random_state) for index in range(n_candidates)]
@@ -95,20 +98,31 @@
 def _make_view(
     index: int, requests: list[RequestSpec], random_state: Random
 ) -> EndpointView:
-    sets = frozenset({"chat"}), frozenset({"model"}), frozenset[str]()
+    capabilities = frozenset({"chat"}), frozenset({"model"}), frozenset[str]()
     endpoint_id = f"e{index}"
-    info = EndpointInfo(endpoint_id, f"d{index % 3}", *sets, n_slots=16)
+    info = EndpointInfo(endpoint_id, f"d{index % 3}", *capabilities, n_slots=16)
     n_running = random_state.randrange(12)
     report = LoadReported(
-        endpoint_id, 1, n_running, 0, 0, 16, 0.5, sets[1], sets[2], age_ms=500
+        endpoint_id,
+        1,
+        n_running,
+        0,
+        0,
+        16,
+        0.5,
+        capabilities[1],
+        capabilities[2],
+        age_ms=500,
     )
-    held = random_state.sample(requests, 10)
+    cached_requests = random_state.sample(requests, 10)
     return EndpointView(
         info=info,
         report=report,
         reported_at_ms=900,
         n_own_in_flight=n_running // 4,
-        cached_prefixes={one for request in held for one in request.prefix_hashes},
+        cached_prefixes={
+            prefix for request in cached_requests for prefix in request.prefix_hashes
+        },
     )
 
 
--- a/bench/bench_rules.py
+++ b/bench/bench_rules.py
@@ -1,4 +1,4 @@
-"""Time to check and to forecast rules files of four sizes."""
+"""Time to validate rules files of four sizes and to compute their forecasts."""
 
 import time
 from collections.abc import Callable
@@ -8,7 +8,7 @@
 from bluebellusher_core.billing import Month, compute_forecast
 from bluebellusher_core.rules import parse_rules
 
-# Customers and models: the current users, two sizes between, the target.
+# Numbers of customers and models: today's deployment, two sizes between, the target.
 SIZES = ((10, 2), (50, 6), (150, 12), (470, 27))
 N_REPEATS = 3
 COMMENT = "# Kenji Ono: size of a measurement"
@@ -16,15 +16,18 @@
 
 
 def build_rules(n_customers: int, n_models: int) -> str:
-    """Return a rules file; every third customer uses up its budget."""
+    """Return the text of a rules file in which every third customer uses up its budget.
+
+    ``n_models`` must be at least 2.
+    """
     lines = ["currency JPY", f"month-zone {ZONE}"]
-    lines += _model_lines(n_models)
+    lines += _make_model_lines(n_models)
     for i in range(n_customers):
-        lines += _customer_lines(i, n_models)
+        lines += _make_customer_lines(i, n_models)
     return "".join(f"{line} {COMMENT}\n" for line in lines)
 
 
-def _model_lines(n_models: int) -> list[str]:
+def _make_model_lines(n_models: int) -> list[str]:
     lines = []
     for i in range(n_models):
         service, model = f"service-{i}", f"model-{i}"
@@ -41,7 +44,7 @@
     return lines
 
 
-def _customer_lines(i: int, n_models: int) -> list[str]:
+def _make_customer_lines(i: int, n_models: int) -> list[str]:
     customer = f"customer-{i}"
     first, second = 1 + i % (n_models - 1), 1 + (i + 1) % (n_models - 1)
     budget = 10_000 if i % 3 == 0 else 1_000_000
@@ -57,18 +60,21 @@
     ]
 
 
-def best_ms(action: Callable[[], object]) -> float:
-    """Return the shortest of several runs, the one least disturbed by others."""
-    times = []
+def measure_min_ms(action: Callable[[], object]) -> float:
+    """Return the shortest time in milliseconds of ``N_REPEATS`` calls.
+
+    The minimum is the time least affected by other processes.
+    """
+    times_ms = []
     for _ in range(N_REPEATS):
-        begin = time.perf_counter()
+        start_s = time.perf_counter()
         action()
-        times.append((time.perf_counter() - begin) * 1000)
-    return min(times)
+        times_ms.append((time.perf_counter() - start_s) * 1000)
+    return min(times_ms)
 
 
 def main() -> None:
-    """Print the time for each size, and how time per rule grows with size."""
+    """Print the times for each size, and how the time per rule grows with the size."""
     month = Month(2027, 1, ZONE)
     per_rule: dict[str, list[float]] = {"check": [], "forecast": []}
     for n_customers, n_models in SIZES:
@@ -77,8 +83,8 @@
         size = f"{n_customers}_customers"
         print_figure(f"rules_{size}", len(rules.rules), "rules")
         elapsed_ms = {
-            "check": best_ms(partial(parse_rules, text)),
-            "forecast": best_ms(partial(compute_forecast, rules, month)),
+            "check": measure_min_ms(partial(parse_rules, text)),
+            "forecast": measure_min_ms(partial(compute_forecast, rules, month)),
         }
         for name, value in elapsed_ms.items():
             print_figure(f"rules_{name}_{size}", value, "ms")
--- a/bench/engine_model.py
+++ b/bench/engine_model.py
@@ -1,9 +1,9 @@
-"""Virtual-time model of one engine, for the measurements only.
+"""Simulation of one engine in virtual time.
 
-An engine batches continuously: up to ``N_SLOTS`` requests are in the batch, one
-prompt at a time is in its prefill, and all others produce tokens in common steps.
-Between two events every pace is constant, so that the model moves from event to
-event instead of from step to step.
+The engine uses continuous batching: up to ``N_SLOTS`` requests are in the batch, one
+prompt at a time is in prefill, and all other requests produce one token in each step.
+Rates are constant between two events, so the simulation advances from event to event
+instead of from step to step. Times are in milliseconds.
 """
 
 import heapq
@@ -15,7 +15,7 @@
 N_SLOTS = 16
 PREFILL_TOKENS_PER_MS = 10.0
 STEP_MS = 18.0
-# Each further request in the batch and a running prefill lengthen the step.
+# Additional time of a step for each request in the batch and for a running prefill.
 STEP_MS_PER_REQUEST = 0.4
 STEP_MS_IN_PREFILL = 8.0
 BLOCK_TOKENS = 256
@@ -24,9 +24,10 @@
 
 @dataclass(slots=True, eq=False)
 class Job:
-    """One request through the system.
+    """One request and its progress.
 
-    ``output_tokens`` is the real length of the answer, which no policy knows.
+    ``n_output_tokens`` is the actual length of the answer, which is not available to
+    policies. Times are in milliseconds and -1 until they are set.
     """
 
     request: RequestSpec
@@ -37,7 +38,7 @@
     attempt_id: str = ""
     state: str = "waiting"
     dispatched_at: float = -1.0
-    first_at: float = -1.0
+    first_token_at: float = -1.0
     finished_at: float = -1.0
     n_cached_blocks: int = 0
     outcome: str = ""
@@ -45,7 +46,28 @@
 
 @dataclass(slots=True, eq=False)
 class Engine:
-    """State of one engine; ``speed`` 1 is normal and 0 is frozen."""
+    """State of one engine.
+
+    Attributes
+    ----------
+    speed : float
+        Factor on all rates: 1 is normal and 0 is frozen.
+    version : int
+        Number of the latest scheduled event. Events with a lower number are outdated.
+    prefills : deque of Job
+        Requests in the batch that have not produced a token; the first is in prefill.
+    remaining_prefill_tokens : float
+        Tokens of the first prompt that are still to be processed.
+    decode_heap : list of (float, int, Job)
+        Last step, number and job of each request that produces tokens. Cancelled jobs
+        stay in the heap until they are at its top.
+    n_steps_done : float
+        Number of decode steps since the start.
+    cache : OrderedDict
+        Hashes of cached prefix blocks, least recently used first.
+    added, removed : list of int
+        Changes of the cache since the last cache report.
+    """
 
     engine_id: str
     failure_domain: str
@@ -55,29 +77,29 @@
     version: int = 0
     queue: deque[Job] = field(default_factory=deque)
     prefills: deque[Job] = field(default_factory=deque)
-    prefill_left: float = 0.0
-    decodes: list[tuple[float, int, Job]] = field(default_factory=list)
+    remaining_prefill_tokens: float = 0.0
+    decode_heap: list[tuple[float, int, Job]] = field(default_factory=list)
     n_decoding: int = 0
-    progress: float = 0.0
+    n_steps_done: float = 0.0
     cache: OrderedDict[int, None] = field(default_factory=OrderedDict)
     added: list[int] = field(default_factory=list)
     removed: list[int] = field(default_factory=list)
-    n_jobs: int = 0
+    n_prefilled_jobs: int = 0
 
     @property
     def n_running(self) -> int:
-        """Return how many requests are in the batch."""
+        """Return the number of requests in the batch."""
         return len(self.prefills) + self.n_decoding
 
     @property
     def n_queued_tokens(self) -> int:
-        """Return the prompt tokens that wait for their prefill."""
+        """Return the number of prompt tokens that are still to be processed."""
         waiting = [*self.queue, *list(self.prefills)[1:]]
         n_tokens = sum(self.uncached_tokens(job.request) for job in waiting)
-        return n_tokens + int(self.prefill_left)
+        return n_tokens + int(self.remaining_prefill_tokens)
 
     def uncached_tokens(self, request: RequestSpec) -> int:
-        """Return the prompt tokens that are not in the cache."""
+        """Return the number of prompt tokens to process, which is at least 1."""
         n_cached = self.count_cached_blocks(request) * BLOCK_TOKENS
         return max(1, request.n_input_tokens - n_cached)
 
@@ -91,38 +113,43 @@
         return n_blocks
 
     def step_ms(self) -> float:
-        """Return the present time of one decode step."""
+        """Return the current duration of one decode step, in milliseconds."""
         in_prefill = STEP_MS_IN_PREFILL if self.prefills else 0.0
         return STEP_MS + STEP_MS_PER_REQUEST * self.n_running + in_prefill
 
     def advance(self, now: float) -> None:
-        """Move the work in progress to ``now``."""
+        """Advance prefill and decoding to the time ``now``."""
         elapsed = (now - self.now) * self.speed
         self.now = now
         if elapsed <= 0:
             return
         if self.n_decoding:
-            self.progress += elapsed / self.step_ms()
+            self.n_steps_done += elapsed / self.step_ms()
         if self.prefills:
-            left = self.prefill_left - elapsed * PREFILL_TOKENS_PER_MS
-            self.prefill_left = max(0.0, left)
+            n_remaining = (
+                self.remaining_prefill_tokens - elapsed * PREFILL_TOKENS_PER_MS
+            )
+            self.remaining_prefill_tokens = max(0.0, n_remaining)
 
     def next_event_at(self) -> float | None:
-        """Return when the next prefill or answer ends, if any."""
-        while self.decodes and self.decodes[0][2].state != "decode":
-            heapq.heappop(self.decodes)
+        """Return the time at which the next prefill or answer ends.
+
+        The result is None if the engine is idle, frozen or lost.
+        """
+        while self.decode_heap and self.decode_heap[0][2].state != "decode":
+            heapq.heappop(self.decode_heap)
         if self.speed <= 0 or self.is_lost:
             return None
         times = []
         if self.prefills:
-            times.append(self.prefill_left / PREFILL_TOKENS_PER_MS)
-        if self.decodes:
-            n_steps = max(0.0, self.decodes[0][0] - self.progress)
+            times.append(self.remaining_prefill_tokens / PREFILL_TOKENS_PER_MS)
+        if self.decode_heap:
+            n_steps = max(0.0, self.decode_heap[0][0] - self.n_steps_done)
             times.append(n_steps * self.step_ms())
         return self.now + min(times) / self.speed if times else None
 
     def submit(self, job: Job) -> None:
-        """Accept a request; the caller has advanced the engine."""
+        """Add a request to the queue. The engine must have been advanced before."""
         job.engine = self
         job.state = "queued"
         self.queue.append(job)
@@ -137,25 +164,31 @@
             if len(self.prefills) == 1:
                 self._begin_prefill()
 
-    def end_prefill(self) -> Job | None:
-        """Return the request whose prompt has just been read, if any."""
-        if not self.prefills or self.prefill_left > 1e-6:
+    def finish_prefill(self) -> Job | None:
+        """Move the first request from prefill to decoding if its prompt is processed.
+
+        Return that request, or None.
+        """
+        if not self.prefills or self.remaining_prefill_tokens > 1e-6:
             return None
         job = self.prefills.popleft()
-        self._store(job.request)
+        self._cache_prefixes(job.request)
         job.state = "decode"
         self.n_decoding += 1
-        self.n_jobs += 1
-        end = self.progress + job.n_output_tokens - 1
-        heapq.heappush(self.decodes, (end, self.n_jobs, job))
+        self.n_prefilled_jobs += 1
+        end_step = self.n_steps_done + job.n_output_tokens - 1
+        heapq.heappush(self.decode_heap, (end_step, self.n_prefilled_jobs, job))
         self._begin_prefill()
         return job
 
-    def end_decode(self) -> Job | None:
-        """Return a request whose answer has just ended, if any."""
-        if not self.decodes or self.decodes[0][0] > self.progress + 1e-9:
+    def finish_decode(self) -> Job | None:
+        """Remove one request whose answer is complete from the batch and return it.
+
+        The result is None if there is no such request.
+        """
+        if not self.decode_heap or self.decode_heap[0][0] > self.n_steps_done + 1e-9:
             return None
-        job = heapq.heappop(self.decodes)[2]
+        job = heapq.heappop(self.decode_heap)[2]
         if job.state != "decode":
             return None
         job.state = "done"
@@ -164,7 +197,7 @@
         return job
 
     def cancel(self, job: Job) -> None:
-        """Remove a request in any state; the caller has advanced the engine."""
+        """Remove a request in any state. The engine must have been advanced before."""
         if job.state == "queued":
             self.queue.remove(job)
         elif job.state == "prefill":
@@ -181,9 +214,9 @@
         if self.prefills:
             job = self.prefills[0]
             job.n_cached_blocks = self.count_cached_blocks(job.request)
-            self.prefill_left = float(self.uncached_tokens(job.request))
+            self.remaining_prefill_tokens = float(self.uncached_tokens(job.request))
 
-    def _store(self, request: RequestSpec) -> None:
+    def _cache_prefixes(self, request: RequestSpec) -> None:
         for prefix in request.prefix_hashes:
             if prefix in self.cache:
                 self.cache.move_to_end(prefix)
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -10,21 +10,24 @@
 class Line:
     """A fitted line ``y = intercept + slope * x``.
 
-    ``error`` is the largest distance of a point from the line, as a share of the
-    largest measured value.
+    ``error`` is the largest vertical distance of a measured point from the line,
+    divided by the largest measured value.
     """
 
     slope: float
     intercept: float
     error: float
 
-    def at(self, x: float) -> float:
+    def value_at(self, x: float) -> float:
         """Return the value of the line at ``x``."""
         return self.intercept + self.slope * x
 
 
 def fit_line(xs: Sequence[float], ys: Sequence[float]) -> Line:
-    """Fit a line by least squares; at least two different ``xs`` are needed."""
+    """Fit a line by least squares.
+
+    Raises ``ValueError`` unless ``xs`` has at least two different values.
+    """
     n = len(xs)
     mean_x, mean_y = sum(xs) / n, sum(ys) / n
     spread = sum((x - mean_x) ** 2 for x in xs)
@@ -46,18 +49,21 @@
     target_size: int,
     target: str = "none",
 ) -> Line:
-    """Measure at each size, print points and fit, and the value at the target size.
+    """Measure a figure at several sizes and fit a line through the points.
+
+    The measured points, the slope, the fit error and the value of the line at the
+    target size are printed.
 
     Parameters
     ----------
     name, unit : str
-        What is measured, and in which unit.
+        Name of the figure and its unit.
     sizes : sequence of int
         At least four sizes.
     measure : callable
-        Returns the value at a size.
+        Function that returns the measured value at a size.
     target_size : int
-        Size that the deployment has in two years.
+        Size that the deployment is planned to have in two years.
     target : str
         Target for the value at ``target_size``, with its direction.
     """
@@ -67,5 +73,7 @@
     line = fit_line(sizes, values)
     print_figure(f"{name}.slope", line.slope, f"{unit}_per_unit")
     print_figure(f"{name}.fit_error", 100 * line.error, "%")
-    print_figure(f"{name}.fit_at{target_size}", line.at(target_size), unit, target)
+    print_figure(
+        f"{name}.fit_at{target_size}", line.value_at(target_size), unit, target
+    )
     return line
--- a/bench/system_model.py
+++ b/bench/system_model.py
@@ -1,4 +1,4 @@
-"""Four entries before twelve engines in virtual time, for the measurements only."""
+"""Simulation of four entries and twelve engines in virtual time, in milliseconds."""
 
 import heapq
 from collections.abc import Callable
@@ -31,20 +31,21 @@
 REPORT_PERIOD_MS = 250.0
 CACHE_REPORT_PERIOD_MS = 1_000.0
 CACHE_REPORT_DELAY_MS = 1_000.0
-# One in this many cache reports is lost; the next one has the gap flag.
+# One of ``CACHE_REPORT_LOSS`` cache reports is lost; the next one has the gap flag.
 CACHE_REPORT_LOSS = 20
-# A silent connection is closed after this time.
+# Time from the loss of an engine until its connection is closed as unresponsive.
 LOSS_DETECTION_MS = 2_000.0
 ONE_WAY_LOCAL_MS = 0.2
 ONE_WAY_REMOTE_MS = 1.0
 
 
 @dataclass(frozen=True, slots=True)
-class PerfectKnowledge:
-    """Choice with perfect and instant knowledge of every engine.
+class OraclePolicy:
+    """Policy that uses the actual current state of every engine.
 
-    The lowest time to first token alone fills caches with copies and forgets what
-    later requests need; ``load_ms`` for each request in the batch counters that.
+    An oracle that only minimizes time to first token fills the caches with duplicates
+    and evicts the prefixes that later requests need. To counter that, ``load_ms``
+    milliseconds are added for each request of the engine.
     """
 
     load_ms: float = 0.0
@@ -52,7 +53,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Scenario:
-    """What happens in one run; ``fault`` is none, slow, frozen or lost."""
+    """Conditions of one simulation.
+
+    ``fault`` is ``none``, ``slow``, ``frozen`` or ``lost``, and affects the first
+    engine from ``fault_at_ms`` on.
+    """
 
     fault: str = "none"
     report_lag_ms: float = 0.0
@@ -62,12 +67,16 @@
 
 @dataclass(slots=True, eq=False)
 class Entry:
-    """One entry with its own queue, views and random state."""
+    """State of one entry: queue, policy, endpoint tracker and jobs in progress.
+
+    ``service_ms`` is the smoothed time of a request at an engine. The tracker gets the
+    predictions of ``predictor`` under every policy.
+    """
 
     index: int
     failure_domain: str
     queue: AdmissionQueue
-    policy: RoutingPolicy | PerfectKnowledge
+    policy: RoutingPolicy | OraclePolicy
     random_state: Random
     tracker: EndpointTracker = field(default_factory=EndpointTracker)
     job_by_attempt: dict[str, Job] = field(default_factory=dict)
@@ -82,13 +91,25 @@
 
 
 class System:
-    """The served system; ``run`` moves it through all arrivals."""
+    """Event-driven simulation of all entries and engines.
+
+    Parameters
+    ----------
+    scenario : Scenario
+        Fault, report lag and length.
+    make_queue : callable
+        Creates the admission queue of an entry.
+    make_policy : callable
+        Creates the routing policy of an entry from its failure domain.
+    seed : int
+        Seed of all random choices.
+    """
 
     def __init__(
         self,
         scenario: Scenario,
         make_queue: Callable[[], AdmissionQueue],
-        make_policy: Callable[[str], RoutingPolicy | PerfectKnowledge],
+        make_policy: Callable[[str], RoutingPolicy | OraclePolicy],
         seed: int,
     ) -> None:
         self.scenario = scenario
@@ -98,7 +119,7 @@
         self._n_attempts = 0
         self._sequence = 0
         self._cache_random = Random(seed + 1)
-        self._has_gap: set[str] = set()
+        self._engine_ids_with_gap: set[str] = set()
         self.engines = [
             Engine(f"engine-{i:02}", DOMAINS[i % len(DOMAINS)])
             for i in range(N_ENGINES)
@@ -115,17 +136,19 @@
         self.skews: list[float] = []
 
     def run(self, jobs: list[Job]) -> None:
-        """Run all arrivals, the reports and the fault."""
+        """Run the arrivals, the periodic reports and the fault until ``end_ms``."""
         for job in jobs:
-            self._at(job.arrived_at, self._arrive, job)
-        self._at(self.scenario.fault_at_ms, self._fail)
-        self._at(REPORT_PERIOD_MS, self._tick)
-        self._at(CACHE_REPORT_PERIOD_MS, self._report_caches)
+            self._call_at(job.arrived_at, self._offer_request, job)
+        self._call_at(self.scenario.fault_at_ms, self._apply_fault)
+        self._call_at(REPORT_PERIOD_MS, self._run_periodic_tasks)
+        self._call_at(CACHE_REPORT_PERIOD_MS, self._report_caches)
         while self._events and self._events[0][0] <= self.scenario.end_ms:
             self.now, _, action, arguments = heapq.heappop(self._events)
             action(*arguments)
 
-    def _at(self, time: float, action: Callable[..., None], *arguments: object) -> None:
+    def _call_at(
+        self, time: float, action: Callable[..., None], *arguments: object
+    ) -> None:
         self._n_events += 1
         heapq.heappush(self._events, (time, self._n_events, action, arguments))
 
@@ -137,16 +160,19 @@
             )
             entry.tracker.apply(EndpointConnected(info), now_ms=0)
 
-    def _arrive(self, job: Job) -> None:
+    def _offer_request(self, job: Job) -> None:
         entry = self.entries[job.entry_index]
         if entry.queue.offer(job.request, int(self.now)) is not None:
-            job.outcome = "refused"
+            job.outcome = "rejected"
             return
         entry.job_by_request[job.request.request_id] = job
-        self._pump(entry)
+        self._dispatch_waiting(entry)
 
-    def _pump(self, entry: Entry) -> None:
-        """Dispatch waiting requests until no endpoint takes more."""
+    def _dispatch_waiting(self, entry: Entry) -> None:
+        """Dispatch waiting requests until the policy chooses no endpoint.
+
+        Expired requests are removed first.
+        """
         if not len(entry.queue):
             return
         now_ms = int(self.now)
@@ -164,17 +190,17 @@
             self._dispatch(entry, job, engine_id, now_ms)
 
     def _choose(self, entry: Entry, job: Job, now_ms: int) -> str | None:
-        if isinstance(entry.policy, PerfectKnowledge):
-            return self._choose_perfectly(entry, job, entry.policy.load_ms)
+        if isinstance(entry.policy, OraclePolicy):
+            return self._choose_as_oracle(entry, job, entry.policy.load_ms)
         views = list(entry.tracker.view_by_id.values())
         if not isinstance(entry.policy, PredictedLatency):
-            # The baselines have no limit of their own; an entry does not send more
-            # than a whole batch of its own to an endpoint.
+            # The baseline policies have no limit on dispatches, so that an entry keeps
+            # at most one batch of its own requests at an endpoint.
             views = [view for view in views if view.n_own_in_flight < N_SLOTS]
         random_state = entry.random_state
         return entry.policy.choose(job.request, views, now_ms, random_state)
 
-    def _choose_perfectly(self, entry: Entry, job: Job, load_ms: float) -> str | None:
+    def _choose_as_oracle(self, entry: Entry, job: Job, load_ms: float) -> str | None:
         best_id, best_ms = None, float("inf")
         for engine in self.engines:
             if engine.is_lost or engine.speed <= 0:
@@ -182,9 +208,9 @@
             if engine.n_running + len(engine.queue) >= N_SLOTS:
                 continue
             engine.advance(self.now)
-            n_tokens = engine.prefill_left if engine.prefills else 0.0
-            for ahead in list(engine.prefills)[1:]:
-                n_tokens += engine.uncached_tokens(ahead.request)
+            n_tokens = engine.remaining_prefill_tokens if engine.prefills else 0.0
+            for waiting_job in list(engine.prefills)[1:]:
+                n_tokens += engine.uncached_tokens(waiting_job.request)
             n_tokens += engine.uncached_tokens(job.request)
             ttft_ms = n_tokens / PREFILL_TOKENS_PER_MS / engine.speed
             ttft_ms += 2 * _one_way_ms(entry, engine)
@@ -207,40 +233,42 @@
         engine = self.engine_by_id[engine_id]
         engine.advance(self.now)
         engine.submit(job)
-        self._schedule(engine)
+        self._schedule_engine(engine)
 
-    def _schedule(self, engine: Engine) -> None:
+    def _schedule_engine(self, engine: Engine) -> None:
         engine.version += 1
         time = engine.next_event_at()
         if time is not None:
-            self._at(max(time, self.now), self._move, engine, engine.version)
+            self._call_at(
+                max(time, self.now), self._advance_engine, engine, engine.version
+            )
 
-    def _move(self, engine: Engine, version: int) -> None:
+    def _advance_engine(self, engine: Engine, version: int) -> None:
         if engine.version != version:
             return
         engine.advance(self.now)
-        started = engine.end_prefill()
-        if started is not None:
-            self._start(started)
+        started_job = engine.finish_prefill()
+        if started_job is not None:
+            self._record_first_token(started_job)
         has_finished = False
-        while (finished := engine.end_decode()) is not None:
+        while (finished_job := engine.finish_decode()) is not None:
             has_finished = True
-            self._finish(finished)
-        self._schedule(engine)
-        if has_finished and isinstance(self.entries[0].policy, PerfectKnowledge):
-            first = int(self.now) % N_ENTRIES
+            self._record_completion(finished_job)
+        self._schedule_engine(engine)
+        if has_finished and isinstance(self.entries[0].policy, OraclePolicy):
+            first_index = int(self.now) % N_ENTRIES
             for offset in range(N_ENTRIES):
-                self._pump(self.entries[(first + offset) % N_ENTRIES])
+                self._dispatch_waiting(self.entries[(first_index + offset) % N_ENTRIES])
 
-    def _start(self, job: Job) -> None:
+    def _record_first_token(self, job: Job) -> None:
         entry = self.entries[job.entry_index]
         assert job.engine is not None
-        # The first token leaves with the step that follows the prefill.
+        # The first token is produced by the step after the prefill.
         step_ms = job.engine.step_ms() / job.engine.speed
-        job.first_at = self.now + step_ms + 2 * _one_way_ms(entry, job.engine)
+        job.first_token_at = self.now + step_ms + 2 * _one_way_ms(entry, job.engine)
         entry.tracker.apply(AttemptStarted(job.attempt_id), int(self.now))
 
-    def _finish(self, job: Job) -> None:
+    def _record_completion(self, job: Job) -> None:
         entry = self.entries[job.entry_index]
         job.finished_at = self.now
         job.outcome = "completed"
@@ -249,7 +277,7 @@
         del entry.job_by_attempt[job.attempt_id]
         del entry.job_by_request[job.request.request_id]
         self._observe_service(entry, job)
-        self._pump(entry)
+        self._dispatch_waiting(entry)
 
     def _observe_service(self, entry: Entry, job: Job) -> None:
         service_ms = job.finished_at - job.dispatched_at
@@ -258,9 +286,9 @@
         n_in_flight = max(1, len(entry.job_by_attempt) + 1)
         entry.queue.observe_service(n_in_flight, max(1.0, entry.service_ms))
 
-    def _tick(self) -> None:
-        """Read all loads, cancel overdue attempts and note the skew."""
-        self._at(self.now + REPORT_PERIOD_MS, self._tick)
+    def _run_periodic_tasks(self) -> None:
+        """Send load reports, cancel overdue attempts and record the skew."""
+        self._call_at(self.now + REPORT_PERIOD_MS, self._run_periodic_tasks)
         self._sequence += 1
         reports = []
         for engine in self.engines:
@@ -268,14 +296,14 @@
                 engine.advance(self.now)
                 reports.append(self._read_load(engine))
         lag_ms = self.scenario.report_lag_ms
-        self._at(self.now + lag_ms, self._deliver_loads, reports)
+        self._call_at(self.now + lag_ms, self._deliver_loads, reports)
         for entry in self.entries:
             self._cancel_overdue(entry)
-            self._pump(entry)
-        self._note_skew()
+            self._dispatch_waiting(entry)
+        self._record_skew()
 
     def _read_load(self, engine: Engine) -> LoadReported:
-        # The agent of a frozen engine goes on reporting the last reading.
+        # A frozen engine still has load reports: its agent repeats the last state.
         return LoadReported(
             endpoint_id=engine.engine_id,
             sequence=self._sequence,
@@ -293,7 +321,7 @@
         for entry in self.entries:
             for report in reports:
                 entry.tracker.apply(report, int(self.now))
-            self._pump(entry)
+            self._dispatch_waiting(entry)
 
     def _cancel_overdue(self, entry: Entry) -> None:
         while entry.deadlines and entry.deadlines[0][0] <= self.now:
@@ -308,16 +336,16 @@
             if not job.engine.is_lost:
                 job.engine.advance(self.now)
                 job.engine.cancel(job)
-                self._schedule(job.engine)
+                self._schedule_engine(job.engine)
 
-    def _note_skew(self) -> None:
-        live = [engine for engine in self.engines if not engine.is_lost]
-        loads = [engine.n_running + len(engine.queue) for engine in live]
+    def _record_skew(self) -> None:
+        connected_engines = [engine for engine in self.engines if not engine.is_lost]
+        loads = [engine.n_running + len(engine.queue) for engine in connected_engines]
         if self.now >= self.scenario.fault_at_ms and any(loads):
             self.skews.append(max(loads) * len(loads) / sum(loads))
 
     def _report_caches(self) -> None:
-        self._at(self.now + CACHE_REPORT_PERIOD_MS, self._report_caches)
+        self._call_at(self.now + CACHE_REPORT_PERIOD_MS, self._report_caches)
         events = []
         for engine in self.engines:
             added, removed = tuple(engine.added), tuple(engine.removed)
@@ -326,19 +354,19 @@
             if engine.is_lost or not (added or removed):
                 continue
             if self._cache_random.randrange(CACHE_REPORT_LOSS) == 0:
-                self._has_gap.add(engine.engine_id)
+                self._engine_ids_with_gap.add(engine.engine_id)
                 continue
-            has_gap = engine.engine_id in self._has_gap
-            self._has_gap.discard(engine.engine_id)
+            has_gap = engine.engine_id in self._engine_ids_with_gap
+            self._engine_ids_with_gap.discard(engine.engine_id)
             events.append(CacheReported(engine.engine_id, added, removed, has_gap))
-        self._at(self.now + CACHE_REPORT_DELAY_MS, self._deliver_caches, events)
+        self._call_at(self.now + CACHE_REPORT_DELAY_MS, self._deliver_caches, events)
 
     def _deliver_caches(self, events: list[CacheReported]) -> None:
         for entry in self.entries:
             for event in events:
                 entry.tracker.apply(event, int(self.now))
 
-    def _fail(self) -> None:
+    def _apply_fault(self) -> None:
         """Apply the fault to the first engine."""
         engine = self.engines[0]
         engine.advance(self.now)
@@ -350,13 +378,13 @@
         elif fault == "lost":
             engine.is_lost = True
             for entry in self.entries:
-                is_instant = isinstance(entry.policy, PerfectKnowledge)
+                is_instant = isinstance(entry.policy, OraclePolicy)
                 delay_ms = 0.0 if is_instant else LOSS_DETECTION_MS
-                self._at(self.now + delay_ms, self._detect_loss, entry, engine)
-        self._schedule(engine)
+                self._call_at(self.now + delay_ms, self._detect_loss, entry, engine)
+        self._schedule_engine(engine)
 
     def _detect_loss(self, entry: Entry, engine: Engine) -> None:
-        """Retry what has not answered; a broken answer is a failure."""
+        """Requeue requests without a first token; fail those with a broken answer."""
         for attempt_id, job in list(entry.job_by_attempt.items()):
             if job.engine is not engine:
                 continue
@@ -364,13 +392,13 @@
             reason = Reason.ENDPOINT_LOST
             event = AttemptBroken(attempt_id, reason, 0, is_resumable=False)
             entry.tracker.apply(event, int(self.now))
-            if job.first_at < 0:
+            if job.first_token_at < 0:
                 entry.queue.requeue(job.request, int(self.now))
             else:
                 del entry.job_by_request[job.request.request_id]
                 job.outcome = "broken"
         entry.tracker.apply(EndpointLost(engine.engine_id), int(self.now))
-        self._pump(entry)
+        self._dispatch_waiting(entry)
 
 
 def _one_way_ms(entry: Entry, engine: Engine) -> float:
--- a/bench/tests/test_map_runs.py
+++ b/bench/tests/test_map_runs.py
@@ -1,31 +1,32 @@
-"""Replays of sudden changes of popularity with counts that are samples."""
+"""Policies of expert placement under sudden changes of the popular experts."""
 
 import pytest
 
 from bench.map_runs import SITES, run_map_policy
 
-MAX_COPIED_SHARE = 1 / 3
+MAX_LOADED_SHARE = 1 / 3
 MAX_SKEW_RATIO = 1.05
 
 
 @pytest.mark.parametrize("site_name", ["12x4x72", "12x3x96"])
 @pytest.mark.parametrize("seed", [1, 2])
-def test_copies_pay_for_themselves(site_name, seed):
-    """Guards against weights that are copied after every sample of a few prompts.
+def test_price_of_loads_reduces_loaded_bytes_without_more_skew(site_name, seed):
+    """Guards against weight loads that only follow the noise of the counts.
 
-    The bounds are those asked for: a third of the bytes that plans on the last counts
-    move without a price, at a mean skew at most 5 in 100 higher.
+    A planner that has a price of loads and averages the counts may load at most a third
+    of the bytes of a planner that has no price and uses the last counts. Its mean skew
+    may be at most 5% higher.
     """
     site = SITES[site_name]
-    before = run_map_policy(site, "rank-bounded.last-counts.free", seed)
-    after = run_map_policy(site, "rank-bounded", seed)
-    assert after.n_gb <= MAX_COPIED_SHARE * before.n_gb
-    assert after.mean_skew <= MAX_SKEW_RATIO * before.mean_skew
+    without_price = run_map_policy(site, "rank-bounded.last-counts.free", seed)
+    with_price = run_map_policy(site, "rank-bounded", seed)
+    assert with_price.loaded_gb <= MAX_LOADED_SHARE * without_price.loaded_gb
+    assert with_price.mean_skew <= MAX_SKEW_RATIO * without_price.mean_skew
 
 
-def test_maps_that_change_at_a_price_still_beat_none():
-    """Guards against a price that leaves popular experts on one rank."""
+def test_price_of_loads_still_allows_map_changes_that_shorten_passes():
+    """Guards against a price so high that popular experts stay on one rank."""
     site = SITES["12x4x72"]
-    none = run_map_policy(site, "none", 1)
-    priced = run_map_policy(site, "rank-bounded", 1)
-    assert priced.mean_pass < none.mean_pass / 1.5
+    without_changes = run_map_policy(site, "none", 1)
+    with_price = run_map_policy(site, "rank-bounded", 1)
+    assert with_price.mean_pass < without_changes.mean_pass / 1.5
--- a/bench/workload_model.py
+++ b/bench/workload_model.py
@@ -1,4 +1,4 @@
-"""Seeded arrivals of about ten customers, for the measurements only."""
+"""Random arrivals of requests from ten customers, for simulations."""
 
 from dataclasses import dataclass
 from random import Random
@@ -6,7 +6,7 @@
 from bench.engine_model import BLOCK_TOKENS, Job
 from bluebellusher_core.events import Priority, RequestSpec
 
-# Three large customers and seven small ones; shares of the arrivals.
+# Share of the arrivals of each customer: three large customers and seven small ones.
 SHARE_BY_CUSTOMER = {
     "big-a": 0.30,
     "big-b": 0.25,
@@ -32,10 +32,19 @@
 def make_jobs(
     rate_per_s: float, duration_ms: float, seed: int, deadline_factor: float = 1.0
 ) -> list[Job]:
-    """Return Poisson arrivals at ``rate_per_s`` over four entries.
+    """Return Poisson arrivals of requests, spread at random over four entries.
 
-    The n-th request does not depend on the rate, so that two rates see the same
-    requests at other times. ``deadline_factor`` stretches every deadline.
+    Parameters
+    ----------
+    rate_per_s : float
+        Mean number of requests per second. The n-th request is the same for every
+        rate, apart from its time of arrival and its deadline.
+    duration_ms : float
+        Length of the simulation in milliseconds.
+    seed : int
+        Seed of all random choices.
+    deadline_factor : float
+        Factor on the time from the arrival of each request to its deadline.
     """
     random = Random(seed)
     prefixes_by_customer = _make_prefixes(random)
@@ -73,7 +82,7 @@
     index: int,
     deadline_factor: float,
 ) -> Job:
-    # The n-th prefix is used in proportion to 1 / n.
+    # The n-th prefix is chosen with a probability proportional to 1 / n.
     weights = [1.0 / (n + 1) for n in range(len(prefixes))]
     prefix = random.choices(prefixes, weights)[0]
     hashes = prefix.hashes + _make_hashes(random, random.randint(1, 3))
--- a/bench/write_notes.py
+++ b/bench/write_notes.py
@@ -1,13 +1,13 @@
-"""Write the measured tables and plots into docs/decisions.
+"""Write the measured tables and charts into the notes in docs/decisions.
 
-Usage: ``python -m bench.write_notes``. The text between two marker lines of each
-note is replaced; everything else stays.
+Usage: ``python -m bench.write_notes``. Only the text between the two marker lines of
+each note is replaced.
 """
 
 from pathlib import Path
 
 from bench import bench_admission
-from bench.bench_routing import CHOSEN, TARGET_RATIO
+from bench.bench_routing import SELECTED, TARGET_RATIO
 from bench.routing_runs import (
     FAULTS,
     LAGS_MS,
@@ -16,10 +16,10 @@
     POLICIES,
     POLICIES_WITH_REPORTS,
     TARGET_LOAD,
-    lookup,
-    mean,
+    compute_ttft_ratio,
+    find_cell_figures,
+    mean_figure,
     measure_capacity,
-    ttft_ratio,
 )
 from bench.svg_plot import Chart, draw_chart
 
@@ -29,78 +29,87 @@
 
 
 def main() -> None:
-    """Measure everything and write both notes."""
-    replace_measured(DECISIONS / "routing.md", routing_tables())
-    (DECISIONS / "routing.svg").write_text(draw_chart(routing_chart()))
-    replace_measured(DECISIONS / "admission.md", admission_tables())
-    (DECISIONS / "admission.svg").write_text(draw_chart(admission_chart()))
+    """Run all routing and admission simulations and write both notes."""
+    replace_measured(DECISIONS / "routing.md", format_routing_tables())
+    (DECISIONS / "routing.svg").write_text(draw_chart(make_routing_chart()))
+    replace_measured(DECISIONS / "admission.md", format_admission_tables())
+    (DECISIONS / "admission.svg").write_text(draw_chart(make_admission_chart()))
 
 
 def replace_measured(path: Path, text: str) -> None:
-    """Replace what stands between the markers of a note."""
+    """Replace the text between the markers of a note."""
     before, _, rest = path.read_text(encoding="utf-8").partition(BEGIN)
     _, _, after = rest.partition(END)
     path.write_text(f"{before}{BEGIN}\n\n{text}\n{END}{after}", encoding="utf-8")
 
 
-def table(header: list[str], rows: list[list[str]]) -> str:
+def make_table(header: list[str], rows: list[list[str]]) -> str:
     """Return a Markdown table."""
     lines = [header, ["---"] * len(header), *rows]
     return "".join(f"| {' | '.join(line)} |\n" for line in lines)
 
 
-def routing_tables() -> str:
-    """Return the target figures and all cells of all policies."""
-    parts = [f"Capacity: {measure_capacity():.4g} requests/s.\n", ratio_table()]
+def format_routing_tables() -> str:
+    """Return the tables of the target figures and of all figures at every load."""
+    parts = [f"Capacity: {measure_capacity():.4g} requests/s.\n", format_ratio_table()]
     for load in LOADS:
         parts.append(f"Load {load:.0%} of capacity:\n")
-        parts.append(load_table(load))
+        parts.append(format_load_table(load))
     return "\n".join(parts)
 
 
-def ratio_table() -> str:
-    """Return p95 time to first token over the oracle's, with the verdict."""
+def format_ratio_table() -> str:
+    """Return a table of p95 time to first token over that of the oracle.
+
+    The last column states whether the selected policy meets the target.
+    """
     names = [name for name in POLICIES if name not in ORACLES]
     rows = []
     for fault in FAULTS:
         for lag_ms in LAGS_MS:
-            ratios = [ttft_ratio(name, TARGET_LOAD, fault, lag_ms) for name in names]
-            is_met = ratios[names.index(CHOSEN)] <= TARGET_RATIO
+            ratios = [
+                compute_ttft_ratio(name, TARGET_LOAD, fault, lag_ms) for name in names
+            ]
+            is_met = ratios[names.index(SELECTED)] <= TARGET_RATIO
             verdict = "met" if is_met else "missed"
             cells = [f"{ratio:.2f}" for ratio in ratios]
             rows.append([fault, f"{lag_ms / 1000:.0f} s", *cells, verdict])
-    title = f"p95 time to first token at 80% load over the oracle's, target {CHOSEN} "
+    title = f"p95 time to first token at 80% load over the oracle's, target {SELECTED} "
     header = ["fault", "report lag", *names, f"<= {TARGET_RATIO}"]
-    return f"{title}<= {TARGET_RATIO}:\n\n{table(header, rows)}"
+    return f"{title}<= {TARGET_RATIO}:\n\n{make_table(header, rows)}"
 
 
-def load_table(load: float) -> str:
-    """Return every figure of every policy at one load."""
+def format_load_table(load: float) -> str:
+    """Return a table of all figures of all policies at one load."""
     rows = []
     for fault in FAULTS:
         for policy in POLICIES:
             lags = LAGS_MS if policy in POLICIES_WITH_REPORTS else LAGS_MS[:1]
             for lag_ms in lags:
-                is_read = policy in POLICIES_WITH_REPORTS
-                lag = f"{lag_ms / 1000:.0f} s" if is_read else "-"
-                cells = figure_cells(policy, load, fault, lag_ms)
+                reads_reports = policy in POLICIES_WITH_REPORTS
+                lag = f"{lag_ms / 1000:.0f} s" if reads_reports else "-"
+                cells = format_figure_cells(policy, load, fault, lag_ms)
                 rows.append([fault, policy, lag, *cells])
     header = ["fault", "policy", "lag", "TTFT p50 ms", "p95 ms", "p99 ms"]
     header += ["TBT p95 ms", "cache hits", "skew", "goodput 1/s"]
-    return table(header, rows)
-
-
-def figure_cells(policy: str, load: float, fault: str, lag_ms: float) -> list[str]:
-    """Return the figures of one cell as text."""
-    runs = lookup((policy, load, fault, lag_ms))
-    cells = [f"{mean(runs, f'ttft_{p}_ms'):.0f}" for p in ("p50", "p95", "p99")]
-    cells.append(f"{mean(runs, 'tbt_p95_ms'):.1f}")
-    cells += [f"{mean(runs, name):.2f}" for name in ("cache_hit_share", "load_skew")]
-    return [*cells, f"{mean(runs, 'goodput_per_s'):.1f}"]
+    return make_table(header, rows)
+
+
+def format_figure_cells(
+    policy: str, load: float, fault: str, lag_ms: float
+) -> list[str]:
+    """Return the figures of one cell as text, one per column."""
+    runs = find_cell_figures((policy, load, fault, lag_ms))
+    cells = [f"{mean_figure(runs, f'ttft_{p}_ms'):.0f}" for p in ("p50", "p95", "p99")]
+    cells.append(f"{mean_figure(runs, 'tbt_p95_ms'):.1f}")
+    cells += [
+        f"{mean_figure(runs, name):.2f}" for name in ("cache_hit_share", "load_skew")
+    ]
+    return [*cells, f"{mean_figure(runs, 'goodput_per_s'):.1f}"]
 
 
-def routing_chart() -> Chart:
-    """Return the target ratio over all faults and lags."""
+def make_routing_chart() -> Chart:
+    """Return a chart of the target ratio for every fault and report lag."""
     conditions = [(fault, lag_ms) for fault in FAULTS for lag_ms in LAGS_MS]
     names = [name for name in POLICIES if name not in ORACLES]
     return Chart(
@@ -109,7 +118,10 @@
         y_label="ratio",
         x_names=tuple(f"{f[0]}{lag_ms / 1000:.0f}" for f, lag_ms in conditions),
         values_by_series={
-            name: [ttft_ratio(name, TARGET_LOAD, *one) for one in conditions]
+            name: [
+                compute_ttft_ratio(name, TARGET_LOAD, *condition)
+                for condition in conditions
+            ]
             for name in reversed(names)
         },
         y_max=8.0,
@@ -117,37 +129,38 @@
     )
 
 
-def admission_tables() -> str:
-    """Return the figures of both queues over the load."""
+def format_admission_tables() -> str:
+    """Return the verdict on the target and a table of both queues at every load."""
     rows = []
     for load in bench_admission.LOADS:
         for queue in bench_admission.QUEUES:
-            rows.append([f"{load:.0%}", queue, *admission_cells(queue, load)])
+            rows.append([f"{load:.0%}", queue, *format_admission_cells(queue, load)])
     header = ["load", "queue", "goodput / capacity", "tokens / capacity"]
     header += ["small customers answered", "refused at once", "TTFT p95 ms"]
-    value = bench_admission.goodput_share("fair", bench_admission.TARGET_LOAD)
+    value = bench_admission.compute_goodput_share("fair", bench_admission.TARGET_LOAD)
     is_met = value >= bench_admission.TARGET_SHARE
     verdict = "met" if is_met else "missed"
     target = f"Target at 150% load: goodput >= {bench_admission.TARGET_SHARE} of "
     return (
-        f"{target}capacity; measured {value:.3f}, {verdict}.\n\n{table(header, rows)}"
+        f"{target}capacity; measured {value:.3f}, {verdict}.\n\n"
+        f"{make_table(header, rows)}"
     )
 
 
-def admission_cells(queue: str, load: float) -> list[str]:
-    """Return the figures of one queue at one load as text."""
+def format_admission_cells(queue: str, load: float) -> list[str]:
+    """Return the figures of one queue at one load as text, one per column."""
     figures = [figures for figures, _ in bench_admission.measure(queue, load)]
     return [
-        f"{bench_admission.goodput_share(queue, load):.3f}",
-        f"{bench_admission.token_share(queue, load):.3f}",
-        f"{bench_admission.small_customer_share(queue, load):.3f}",
-        f"{mean(figures, 'refused_share'):.3f}",
-        f"{mean(figures, 'ttft_p95_ms'):.0f}",
+        f"{bench_admission.compute_goodput_share(queue, load):.3f}",
+        f"{bench_admission.compute_token_share(queue, load):.3f}",
+        f"{bench_admission.compute_small_customer_share(queue, load):.3f}",
+        f"{mean_figure(figures, 'rejected_share'):.3f}",
+        f"{mean_figure(figures, 'ttft_p95_ms'):.0f}",
     ]
 
 
-def admission_chart() -> Chart:
-    """Return goodput over load for both queues."""
+def make_admission_chart() -> Chart:
+    """Return a chart of goodput over load for both queues."""
     return Chart(
         title="Answers within their deadline over capacity",
         x_label="offered load over capacity",
@@ -155,7 +168,7 @@
         x_names=tuple(f"{load:.0%}" for load in bench_admission.LOADS),
         values_by_series={
             queue: [
-                bench_admission.goodput_share(queue, load)
+                bench_admission.compute_goodput_share(queue, load)
                 for load in bench_admission.LOADS
             ]
             for queue in bench_admission.QUEUES
