--- a/bench/map_runs.py
+++ b/bench/map_runs.py
@@ -50,9 +50,8 @@
 # Standard deviations of the logarithms of prompt and answer sizes.
 PROMPT_SPREAD = 0.9
 ANSWER_SPREAD = 0.7
-# A prompt is processed in one step. One of median size counts as ``PROMPT_WEIGHT``
-# steps of an answer.
-# The median answer has ``ANSWER_STEPS`` steps.
+# A prompt is processed in one step. A prompt of median size counts as ``PROMPT_WEIGHT``
+# steps of an answer, and an answer of median size has ``ANSWER_STEPS`` steps.
 PROMPT_WEIGHT = 32.0
 ANSWER_STEPS = 20.0
 
@@ -96,7 +95,7 @@
 def make_rank_bounded_planner(
     site: MapSite, rank_ms_per_gb: float
 ) -> RankBoundedPlanner:
-    """Return a planner with the settings that the entry leading map changes uses."""
+    """Return a planner with the parameters of the entry that leads map changes."""
     shape = site.shape
     price_ms_per_load = (
         rank_ms_per_gb * shape.n_expert_bytes / BYTES_PER_GB / shape.n_ranks
@@ -266,7 +265,7 @@
 
 @dataclass
 class _PendingMap:
-    """A map change: the time its weight loads end and the time it is in use."""
+    """A new map, and the times at which it is loaded and at which its use starts."""
 
     placement: Placement
     loaded_at_ms: float = 0.0
@@ -296,8 +295,8 @@
 def run_map_policy(site: MapSite, name: str, seed: int) -> MapRun:
     """Simulate one policy of ``POLICIES`` on a site.
 
-    Popularity and policy each have a random state with the same ``seed``, so that all
-    policies see the same prompts.
+    Popularity has a random state of its own, so that all policies are simulated with
+    the same prompts.
     """
     make_policy, make_tracker = POLICIES[name]
     policy, tracker = make_policy(site), make_tracker()
--- a/bench/system_model.py
+++ b/bench/system_model.py
@@ -31,7 +31,8 @@
 REPORT_PERIOD_MS = 250.0
 CACHE_REPORT_PERIOD_MS = 1_000.0
 CACHE_REPORT_DELAY_MS = 1_000.0
-# One of ``CACHE_REPORT_LOSS`` cache reports is lost; the next one has the gap flag.
+# On average one of ``CACHE_REPORT_LOSS`` cache reports is lost. The next report of that
+# engine has the gap flag.
 CACHE_REPORT_LOSS = 20
 # Time from the loss of an engine until its connection is closed as unresponsive.
 LOSS_DETECTION_MS = 2_000.0
--- a/bench/tests/test_map_runs.py
+++ b/bench/tests/test_map_runs.py
@@ -10,7 +10,7 @@
 
 @pytest.mark.parametrize("site_name", ["12x4x72", "12x3x96"])
 @pytest.mark.parametrize("seed", [1, 2])
-def test_price_of_loads_reduces_loaded_bytes_without_more_skew(site_name, seed):
+def test_price_of_loads_reduces_loaded_bytes_at_similar_skew(site_name, seed):
     """Guards against weight loads that only follow the noise of the counts.
 
     A planner that has a price of loads and averages the counts may load at most a third
