--- a/soak/run.py
+++ b/soak/run.py
@@ -26,8 +26,8 @@
 N_CALLERS = 6
 # The users' platform blocks a request after its third crash and allows at most three
 # late runs of it. A run is late if it started more than 3,000 ms after that crash, and
-# its entry had been running and had reached the store in the 3,000 ms before it received
-# the request.
+# its entry had been running, and could reach the store, in the 3,000 ms before the
+# caller sent the request.
 N_CRASHES_TO_BLOCK = 3
 N_MAX_LATE_RUNS = 3
 MIN_CONTACT_MS = 3_000
