Correct facts in the comments of entry/gateway

Two tests claimed more than they check: a shortest of several pauses, and the readiness of an entry without the earlier crashes.

--- a/packages/entry/src/bluebellusher/gateway/_attempts.py
+++ b/packages/entry/src/bluebellusher/gateway/_attempts.py
@@ -50,7 +50,8 @@
 MAX_UNREAD_BYTES = 256 * 1024
 EVENT_STREAM_TYPE = "text/event-stream"
 # ``AttemptRefused`` contains no pause. A pause that an endpoint asks for is posted as
-# ``EndpointAnnounced``, and the reducer doubles its own pause with each refusal.
+# ``EndpointAnnounced``. Apart from it, the reducer sends no new attempts to an endpoint
+# for a time that doubles with each refusal.
 _NO_PAUSE_MS = 0
 
 FindEndpoint = Callable[[str], EndpointRegistration | None]
--- a/packages/entry/src/bluebellusher/gateway/_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -245,7 +245,7 @@
 
     @property
     def has_received_crashes(self) -> bool:
-        """Whether earlier crashes were received from the store or a peer."""
+        """Whether the store's crash table or a peer's digest has been received."""
         digests = self.peer_exchange.digest_at_ms_by_peer_id
         return self.crash_watcher.mirror.version > 0 or bool(digests)
 
@@ -333,7 +333,10 @@
         )
 
     def _on_digest(self, peer_id: str, digest: Any) -> None:
-        """Record a peer's lease, table versions and crashes from its digest."""
+        """Record the lease and table versions in a peer's digest.
+
+        A digest with crashes also schedules a write of the crash table.
+        """
         self._is_leader_by_peer_id[peer_id] = MAP_LEASE in (digest.held_leases or ())
         self.tables.on_digest(peer_id, digest)
         if digest.crashes:
--- a/packages/entry/src/bluebellusher/gateway/_server.py
+++ b/packages/entry/src/bluebellusher/gateway/_server.py
@@ -18,7 +18,8 @@
 # Idle timeout of a caller's connection, in s. Callers reuse a connection for up to four
 # fifths of the configured idle time.
 KEEP_ALIVE_TIMEOUT_S = 75.0
-# Timeout of the complete body of a request, in ms.
+# Timeout of the complete body of a request, in ms. A request whose body is still
+# incomplete by then is denied, and its connection ends.
 BODY_TIMEOUT_MS = 15_000
 # Upper bound of the request line and of each header field, in bytes.
 MAX_HEADER_BYTES = 65_536
--- a/packages/entry/src/bluebellusher/gateway/tests/test_announcements.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_announcements.py
@@ -97,7 +97,7 @@
     run_scenario(scenario, [refuse_with_pause, answer_sealed])
 
 
-def test_rejection_contains_the_remaining_time_of_the_shortest_pause():
+def test_rejection_contains_the_remaining_time_of_the_pause():
     """Guards against requests that wait, or are retried too early, during a pause.
 
     The only endpoint has asked for 5 s without work, so that requests are rejected
--- a/packages/entry/src/bluebellusher/gateway/tests/test_crashes.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_crashes.py
@@ -101,7 +101,8 @@
 def test_restarted_entry_receives_earlier_crashes_from_the_store():
     """Guards against a restarted entry that runs a request which others have blocked.
 
-    The entry reports itself unready until it has received the crashes in the store.
+    The entry starts without crashes, receives those in the store and then blocks the
+    request. Its readiness requires ``has_received_crashes``, among other conditions.
     """
     stored_crashes = b'{"crashes_by_fingerprint":{"f":[%s]}}' % b",".join(
         b'{"start_id":"x%d@1","sent_at":%d,"broken_at":%d}' % (i, now, now)
