Correct facts in the comments of entry/links

The receive timeout counts received bytes, not messages. Keepalive detects an unresponsive peer after 3 s, when other disturbances are over.

--- a/packages/entry/src/bluebellusher/links/_connection.py
+++ b/packages/entry/src/bluebellusher/links/_connection.py
@@ -166,7 +166,7 @@
     def tick(self, now_ms: int, was_suspended: bool) -> None:
         """Send a due heartbeat, or close the connection after a timeout.
 
-        The connection is closed when no message arrives, or the handshake does not
+        The connection is closed when no bytes arrive, or the handshake does not
         complete, within the receive timeout of the connection.
 
         Parameters
@@ -174,14 +174,14 @@
         now_ms : int
             Current time in ms.
         was_suspended : bool
-            Whether this process itself was suspended since the last tick. Messages
-            that arrived in that time are not read yet, so the receive timeout is
-            checked only in the next tick.
+            Whether this process itself was suspended since the last tick. Bytes that
+            arrived in that time are not read yet, so the receive timeout is checked
+            only in the next tick.
         """
         since_received_ms = now_ms - self.received_at_ms
         timeout_ms = self._heartbeat_timing.receive_timeout_ms
         if since_received_ms > timeout_ms and not was_suspended:
-            self.close(f"no message received for {since_received_ms} ms")
+            self.close(f"no data received for {since_received_ms} ms")
         elif not self.is_open and now_ms - self.handshake_started_at_ms > timeout_ms:
             self.close(f"handshake not completed within {timeout_ms} ms")
         elif self.is_open and self._heartbeat_timing.is_heartbeat_due(
--- a/packages/entry/src/bluebellusher/links/_sockets.py
+++ b/packages/entry/src/bluebellusher/links/_sockets.py
@@ -6,7 +6,7 @@
 
 # TCP keepalive: idle time before the first probe, interval between probes, and number
 # of unanswered probes after which the connection fails. An unresponsive peer is thus
-# detected in 3 s, the time in which other faults are over.
+# detected after 3 s; other disturbances of a connection are over by then.
 _KEEPALIVE_IDLE_S = 1
 _KEEPALIVE_INTERVAL_S = 1
 _N_KEEPALIVE_PROBES = 2
