Correct facts in the comments of entry/ranks

An earlier popularity is used whenever the ranks had to list their experts. The skew is that of the last considered change.

--- a/packages/entry/src/bluebellusher/ranks/_leader.py
+++ b/packages/entry/src/bluebellusher/ranks/_leader.py
@@ -69,7 +69,8 @@
 # the mean skew of the layers has increased by ``SEARCH_SKEW_INCREASE``.
 SEARCH_INTERVAL_MS = 1_500
 SEARCH_SKEW_INCREASE = 0.1
-# Maximum age of the estimated popularity for the first plan after a group has been
+# Maximum age of the estimated popularity for a plan without new counts. Such a plan is
+# made only when the ranks had to list their experts again, as after a group has been
 # formed again. The popularity is mostly the same as before the interruption.
 MAX_POPULARITY_AGE_MS = 15_000
 # In groups with at least this number of ranks, only the ranks in the leader's failure
@@ -174,7 +175,7 @@
     Attributes
     ----------
     skew_by_group : dict of str to float
-        Mean skew of the layers of each group at the last count.
+        Mean skew of the layers of each group when a change was last considered.
     """
 
     def __init__(
@@ -379,9 +380,9 @@
         -------
         Loads or None
             Share of the choices of a layer for each expert, by layer and expert. None
-            when the counts are incomplete or too few; after the group has been formed
-            again, an earlier estimate up to ``MAX_POPULARITY_AGE_MS`` old is returned
-            instead.
+            when the counts are incomplete or too few. If the ranks were requested to
+            list their experts, as after the group has been formed again, an earlier
+            estimate up to ``MAX_POPULARITY_AGE_MS`` old is returned instead.
         """
         model = self._find_group_model(view.states[0].rank_id)
         if model is None:
