--- a/packages/entry/src/bluebellusher/server/_app.py
+++ b/packages/entry/src/bluebellusher/server/_app.py
@@ -300,7 +300,7 @@
 
 
 class _RejectingErrorHandler(ErrorHandler):
-    """Error handler that answers errors raised in sanic with a rejection."""
+    """Error handler that answers every error that sanic catches with a rejection."""
 
     def __init__(self, runtime: Runtime) -> None:
         super().__init__()
--- a/packages/entry/src/bluebellusher/server/_status.py
+++ b/packages/entry/src/bluebellusher/server/_status.py
@@ -50,4 +50,7 @@
         """
 
     def settle(self, request_id: str, outcome: str, exchange: Exchange | None) -> None:
-        """Charge the actual usage of an admitted request and release the rest."""
+        """Replace the reservation of an admitted request by the cost of its usage.
+
+        When the usage is unknown, the whole reservation is charged.
+        """
