--- a/packages/entry/src/bluebellusher/runtime/_runtime.py
+++ b/packages/entry/src/bluebellusher/runtime/_runtime.py
@@ -216,7 +216,8 @@
         step : str
             Operation that failed.
         subject : object
-            Event, effect or request that was being handled; its type is logged.
+            Event, effect or request that was being handled, or the function that a
+            task ran; its type is logged.
         error : Exception
             The error.
         """
--- a/packages/entry/src/bluebellusher/runtime/tests/test_discovery.py
+++ b/packages/entry/src/bluebellusher/runtime/tests/test_discovery.py
@@ -55,7 +55,8 @@
     """Guards against closed connections to endpoints that a lagging list omits.
 
     Also guards against dialing instances that are leaving, not endpoints or of other
-    services, and against dialing removed endpoints or too many of them.
+    services, against dialing removed endpoints or too many of them, and against a
+    changed set of endpoints while the list cannot be read.
     """
     platform, links = FakePlatform(), FakeAgentLinks()
     configured = [("10.0.0.1", 9)]
