--- a/packages/entry/src/bluebellusher/ranks/tests/test_leader.py
+++ b/packages/entry/src/bluebellusher/ranks/tests/test_leader.py
@@ -155,7 +155,7 @@
     run(links, scenario)
 
 
-def test_balanced_load_causes_no_orders():
+def test_balanced_load_causes_no_orders_except_fences():
     """Guards against weight loads and held steps that save no time."""
     links = FakeLinks(Group(N_RANKS))
     links.counts = [100] * N_EXPERTS
