Correct the wording of the agent

State what the code does where sentences were wrong: RESUME uses the connection of the dispatch, also the same one; only requests that are not idempotent are kept from a repetition; the minimum token also comes from an engine's refusal; an invalid health answer counts as a crash; isolation also ends when the engine accepts no connection; sent answers are ordered by resumption with a new attempt id only. Restore that a lost connection's answers are retained for resumption, that bytes after an answer belong to no request, and that a run which is not idempotent must not be repeated.

--- a/packages/agent/src/bluebellusher_agent/_checks.py
+++ b/packages/agent/src/bluebellusher_agent/_checks.py
@@ -64,7 +64,7 @@
 
 
 def is_order(order: Any) -> bool:
-    """Return whether an ``Order`` has valid ids, a lease name and a fencing token."""
+    """Return whether an ``Order`` has a valid id, action, lease name and token."""
     has_valid_ids = is_id(order.order_id) and is_id(order.action)
     lease_name = order.lease_name
     has_valid_lease = isinstance(lease_name, str) and 0 < len(lease_name) <= 256
--- a/packages/agent/src/bluebellusher_agent/_connection.py
+++ b/packages/agent/src/bluebellusher_agent/_connection.py
@@ -113,7 +113,7 @@
         self.send(hello)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Report the loss of the connection to the agent, which retains the answers."""
+        """Report the loss to the agent, which retains the answers for resumption."""
         self._transport = None
         if self._flush_handle is not None:
             self._flush_handle.cancel()
--- a/packages/agent/src/bluebellusher_agent/_executor.py
+++ b/packages/agent/src/bluebellusher_agent/_executor.py
@@ -249,7 +249,8 @@
     def _read_usage(self, run: Run, exchange: Exchange) -> tuple[int, int, int]:
         """Return the input, cached and output token counts, or zeros if there are none.
 
-        The engine reports them at the end of its answer.
+        The engine reports them at the end of its answer. If the cached tokens are
+        missing there, the header ``x-cached-tokens`` is used.
         """
         if not self._is_model:
             return (0, 0, 0)
--- a/packages/agent/src/bluebellusher_agent/_http.py
+++ b/packages/agent/src/bluebellusher_agent/_http.py
@@ -28,7 +28,7 @@
 
 
 class ExchangeError(StepError):
-    """The exchange failed when the request may have been sent and may have run."""
+    """The exchange failed; the request may have been sent and may have run."""
 
 
 class HttpConnection:
@@ -89,7 +89,7 @@
         self.header_by_name: dict[str, str] = {}
 
     def on_message_begin(self) -> None:
-        """Raise ``ValueError`` for bytes after the complete answer."""
+        """Raise ``ValueError`` for bytes after the answer: they fit no request."""
         if self._is_complete:
             raise ValueError("bytes after the answer")
 
@@ -339,7 +339,7 @@
             self._idle.popleft().close()
 
     def close_idle(self, is_all: bool = False) -> None:
-        """Close idle connections older than ``MAX_IDLE_S``, or all of them."""
+        """Close connections idle for ``MAX_IDLE_S`` or longer, or all idle ones."""
         now_s = time.monotonic()
         while self._idle and (is_all or not self._idle[0].can_be_reused(now_s)):
             self._idle.popleft().close()
--- a/packages/agent/src/bluebellusher_agent/_keeper.py
+++ b/packages/agent/src/bluebellusher_agent/_keeper.py
@@ -111,7 +111,8 @@
         assert self._executor is not None
         is_cancelled_on_target = await self._executor.cancel_on_target(run)
         # An isolated suspect may still run on an unresponsive engine. It excludes other
-        # work until the engine answers the cancellation or the deadline passes.
+        # work until the engine answers the cancellation or accepts no connection, or
+        # until the deadline passes.
         while (
             run.is_isolated
             and not is_cancelled_on_target
@@ -161,7 +162,8 @@
     def _evict_sent_answers(self) -> None:
         """End sent runs until their answers fit into ``MAX_RETAINED_BYTES``.
 
-        Runs are ended in the order of their start or, if resumed, last resumption.
+        Runs are ended in the order of their start or, if resumed with a new attempt
+        id, of their last such resumption.
         """
         sent_runs = [run for run in self._runs if run.is_finish_queued]
         n_bytes = sum(len(run.buffer) for run in sent_runs)
@@ -192,7 +194,10 @@
         loop.call_later(delay_s, self._on_resume_window_end, run, run.connection)
 
     def _on_resume_window_end(self, run: Run, connection: Any) -> None:
-        """End or cancel a run that was not resumed within its resume window."""
+        """End or cancel a run that was not resumed within its resume window.
+
+        The window restarts while an answer is still being sent to its connection.
+        """
         is_resumed_or_ended = run.connection is not connection or run.is_ended
         if is_resumed_or_ended:
             return
@@ -204,8 +209,8 @@
         elif run.is_idempotent:
             log("run-abandoned", attempt_id=run.attempt_id)
             self.cancel(run)
-        # A run that is not idempotent continues until its deadline, because it cannot
-        # be repeated and must not be interrupted halfway.
+        # A run that is not idempotent continues until its deadline, because it must
+        # be neither repeated nor interrupted halfway.
 
     def _on_deadline(self, run: Run) -> None:
         """Cancel a run at its deadline, unless its complete answer is queued."""
--- a/packages/agent/src/bluebellusher_agent/_monitor.py
+++ b/packages/agent/src/bluebellusher_agent/_monitor.py
@@ -22,7 +22,7 @@
 class TargetMonitor:
     """Check the health of the target and detect its crashes.
 
-    A target has crashed if it refuses connections, closes the connection without an
+    A target has crashed if it accepts no connection, closes one without a valid
     answer, or answers with another boot id than before. A target that accepts a
     connection but does not answer within ``PROBE_TIMEOUT_MS`` is unresponsive; the
     requests on it may still be running.
--- a/packages/agent/src/bluebellusher_agent/_orders.py
+++ b/packages/agent/src/bluebellusher_agent/_orders.py
@@ -18,10 +18,10 @@
 class OrderForwarder:
     """Forward orders one at a time and refuse outdated fencing tokens.
 
-    The minimum token of a lease is the highest token that was received for it. Orders
-    are serialised because an order with a lower token that is in transit to the
-    engine could otherwise arrive after one with a higher token, and an engine that
-    ignores tokens would execute it last.
+    The minimum token of a lease is the highest token that was received for it, in an
+    order or in a refusal of the engine. Orders are serialised because an order with a
+    lower token that is in transit to the engine could otherwise arrive after one with
+    a higher token, and an engine that ignores tokens would execute it last.
 
     Parameters
     ----------
--- a/packages/agent/src/bluebellusher_agent/_runs.py
+++ b/packages/agent/src/bluebellusher_agent/_runs.py
@@ -22,10 +22,11 @@
 class Verdict(Enum):
     """Action for a dispatch.
 
-    ``START`` starts a run, ``RESUME`` sends the answer of an existing run to another
-    connection, and ``REPLACE`` cancels an existing run and starts a new one. ``REFUSE``
-    and ``BREAK`` send ``Refuse`` and ``Broken``. ``IGNORE`` does nothing. ``CLOSE``
-    closes the connection, because the dispatch contradicts an existing run.
+    ``START`` starts a run, ``RESUME`` sends the answer of an existing run from the
+    requested offset on to the connection of the dispatch, and ``REPLACE`` cancels an
+    existing run and starts a new one. ``REFUSE`` and ``BREAK`` send ``Refuse`` and
+    ``Broken``. ``IGNORE`` does nothing. ``CLOSE`` closes the connection, because the
+    dispatch contradicts an existing run.
     """
 
     START = "start"
@@ -137,13 +138,13 @@
         return self._decide_offset(run, dispatch)
 
     def _decide_offset(self, run: Run, dispatch: Any) -> Decision:
-        """Resume a run if its answer is still retained from the requested offset on."""
+        """Decide to resume a run if its answer is retained from the offset on."""
         if run.buffer.contains(dispatch.resume_offset):
             return Decision(Verdict.RESUME, run)
         return Decision(Verdict.BREAK, run, Reason.OUTCOME_UNKNOWN)
 
     def _decide_start(self, dispatch: Any) -> Decision:
-        """Start a new run, or refuse it when the agent cannot run it now."""
+        """Decide to start a new run, or to refuse it if the agent cannot run it now."""
         if self.is_draining:
             return _refuse(Reason.ENDPOINT_DRAINING, DRAIN_RETRY_MS)
         if dispatch.remaining_ms <= 0:
@@ -182,10 +183,10 @@
             self._record_used(run.attempt_id, now_ms)
 
     def remove_request(self, run: Run, now_ms: int) -> None:
-        """Prevent later dispatches of the request from resuming or repeating this run.
+        """Prevent later dispatches of the request from resuming this run.
 
         The request id of a run that is not idempotent is recorded as used if a byte
-        was sent to the target.
+        was sent to the target, so that a later dispatch does not repeat the run.
         """
         key = (run.entry_id, run.request_id)
         if self._run_by_request.get(key) is run:
--- a/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
+++ b/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
@@ -22,13 +22,13 @@
 NON_IDEMPOTENT_CALL = {"path": "/book", "is_idempotent": False}
 
 
-def with_service(scenario, **changes):
+def with_service(scenario, **overrides):
     """Run ``scenario(entry, agent, service)`` with a plain service and an agent."""
 
     async def main():
         async with (
             PlainServiceServer() as service,
-            run_agent(service.port, kind="plain", **changes) as agent,
+            run_agent(service.port, kind="plain", **overrides) as agent,
             EntryClient(agent.port) as entry,
         ):
             await scenario(entry, agent, service)
@@ -277,9 +277,9 @@
 
 
 def test_isolated_run_is_accepted_before_it_starts():
-    """Guards against an unreported suspect when the agent terminates with the engine.
+    """Guards against an unreported suspect if the agent terminates during its run.
 
-    ``Accepted`` must reach the entry before the isolated attempt can crash anything.
+    ``Accepted`` must arrive before ``Started``, and only for an isolated attempt.
     """
 
     async def scenario(entry, agent, engine):
