--- a/packages/agent/src/bluebellusher_agent/_http.py
+++ b/packages/agent/src/bluebellusher_agent/_http.py
@@ -89,7 +89,7 @@
         self.header_by_name: dict[str, str] = {}
 
     def on_message_begin(self) -> None:
-        """Raise ``ValueError`` for bytes after the answer: they fit no request."""
+        """Raise ``ValueError`` for data after the answer; it belongs to no request."""
         if self._is_complete:
             raise ValueError("bytes after the answer")
 
