--- a/packages/entry/src/bluebellusher/links/_connection.py
+++ b/packages/entry/src/bluebellusher/links/_connection.py
@@ -181,7 +181,7 @@
         since_received_ms = now_ms - self.received_at_ms
         timeout_ms = self._heartbeat_timing.receive_timeout_ms
         if since_received_ms > timeout_ms and not was_suspended:
-            self.close(f"no data received for {since_received_ms} ms")
+            self.close(f"silent for {since_received_ms} ms")
         elif not self.is_open and now_ms - self.handshake_started_at_ms > timeout_ms:
             self.close(f"handshake not completed within {timeout_ms} ms")
         elif self.is_open and self._heartbeat_timing.is_heartbeat_due(
--- a/packages/entry/src/bluebellusher/ranks/_links.py
+++ b/packages/entry/src/bluebellusher/ranks/_links.py
@@ -156,7 +156,7 @@
             # detect a broken connection later than this check.
             idle_ms = self._clock.now_ms() - connection.received_at_ms
             if idle_ms > FAST_HEARTBEAT.receive_timeout_ms:
-                connection.close(f"call not answered, no data for {idle_ms} ms")
+                connection.close(f"call not answered, silent for {idle_ms} ms")
             return None
         finally:
             del self._future_by_call_id[message.call_id]
