Correct comments of allowance and rollout

A reservation fails when the budget has too few free units, not only when it has none. The accepted change without a write of its own may have had a conflict as answer. The head row holds more than number and author. A rules version that cannot be parsed is logged only when it is first offered.

--- a/packages/entry/src/bluebellusher/allowance/_grants.py
+++ b/packages/entry/src/bluebellusher/allowance/_grants.py
@@ -68,8 +68,8 @@
         Returns
         -------
         bool
-            False when the budget has no free units, the month has ended, the table is
-            unavailable or the timeout ``GRANT_TIMEOUT_MS`` has passed.
+            False when the budget has too few free units, the month has ended, the
+            table is unavailable or the timeout ``GRANT_TIMEOUT_MS`` has passed.
         """
         timeout_at_ms = self._clock.now_ms() + GRANT_TIMEOUT_MS
         while True:
@@ -128,7 +128,7 @@
         return is_any_due
 
     async def _wait_for_cycle(self, timeout_s: float) -> None:
-        """Start a cycle of writes and wait for its end, at most ``timeout_s`` s."""
+        """Wake ``run`` and wait until a write cycle ends, at most ``timeout_s`` s."""
         cycle_ended = self._cycle_ended
         self._wake_event.set()
         with contextlib.suppress(TimeoutError):
--- a/packages/entry/src/bluebellusher/rollout/_changes.py
+++ b/packages/entry/src/bluebellusher/rollout/_changes.py
@@ -266,9 +266,10 @@
         version = running.proposal.accepted_version
         config = running.written_version
         if config is None:
-            # The row of the change was present, but no write of this proposal was
-            # answered. Either the answer was lost, or the operator repeated an earlier
-            # change id, perhaps with another rules text.
+            # The row of the change records its acceptance, but no write of this
+            # proposal was reported as applied. Either the answer to a write was lost,
+            # or the operator repeated an earlier change id, perhaps with another rules
+            # text.
             try:
                 config = await self._table.read_version(version)
             except PlatformError:
--- a/packages/entry/src/bluebellusher/rollout/_in_force.py
+++ b/packages/entry/src/bluebellusher/rollout/_in_force.py
@@ -95,7 +95,8 @@
 
         Three kinds of versions are ignored: versions that are not newer, versions
         whose rules cannot be parsed, and versions that have the number of the version
-        in force but another change id. The last two are logged.
+        in force but another change id. The last two are logged; a version that cannot
+        be parsed is logged only when it is first offered.
         """
         if config.version < self.highest_offered_version:
             return False
--- a/packages/entry/src/bluebellusher/rollout/_table.py
+++ b/packages/entry/src/bluebellusher/rollout/_table.py
@@ -27,10 +27,10 @@
 class ConfigTable:
     """Reader and writer of the head, version and change rows.
 
-    The head row holds the number and author of the last accepted version without its
-    rules text, because pollers read this row every second. The text is in the row of
-    the version, which is never rewritten. All methods except ``write_change`` raise
-    ``PlatformError`` when the platform fails.
+    The head row describes the last accepted version without its rules text, because
+    pollers read this row every second. The text is in the row of the version, which is
+    never rewritten. All methods except ``write_change`` raise ``PlatformError`` when
+    the platform fails or a row is malformed.
 
     Parameters
     ----------
