--- a/packages/entry/src/bluebellusher/cli/rules_commands.py
+++ b/packages/entry/src/bluebellusher/cli/rules_commands.py
@@ -71,7 +71,7 @@
 
 
 class RulesPlanCommand(RulesCommand):
-    """Command that prints the differences of two files and their cost."""
+    """Command that prints how two files differ and the effect on the bill."""
 
     name = "rules plan"
     description = "Show how two rules files differ and how that affects the bill"
--- a/packages/entry/src/bluebellusher/platform/_client.py
+++ b/packages/entry/src/bluebellusher/platform/_client.py
@@ -29,7 +29,8 @@
     Every operation returns a ``Result`` and raises nothing when the platform fails. The
     error is a ``PlatformNotDoneError`` when the operation certainly had no effect, and
     a ``PlatformOutcomeUnknownError`` when it may have had one. Deadlines are times in
-    milliseconds from the start of an operation until its answer is complete.
+    milliseconds from the start of an HTTP exchange until its answer is complete;
+    ``put_object`` makes a second exchange when the object exists already.
 
     Parameters
     ----------
