--- a/packages/entry/src/bluebellusher/tests/test_processes.py
+++ b/packages/entry/src/bluebellusher/tests/test_processes.py
@@ -39,8 +39,8 @@
 async def open_raw(entry, body: bytes, deadline_ms: int = 60_000):
     """Send the head of a request; return the reader and writer of the connection.
 
-    The buffers of the connection hold only 4096 bytes, so that a caller that reads
-    slowly delays the entry.
+    The receive buffers of the connection are set to 4096 bytes, so that a caller that
+    reads slowly delays the entry.
     """
     sock = socket.socket()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
