Correct comments and a line of the demo in the stand-ins

Restore that a lost answer also aborts a connection, that run_server prints the port, and that the demo kills the engine process, not the agent.

--- a/packages/standins/src/bluebellusher_standins/_server.py
+++ b/packages/standins/src/bluebellusher_standins/_server.py
@@ -73,7 +73,7 @@
 
 
 def abort_request(request: web.Request) -> web.Response:
-    """Abort the request's connection without an answer, as a crash does.
+    """Abort the request's connection, as a crash or a lost answer does.
 
     The returned response is not sent; aiohttp requires a handler to return one.
     """
@@ -91,7 +91,7 @@
 
 
 def run_server(server: StandInServer) -> None:
-    """Run the server until SIGTERM or SIGINT; print a line once it listens."""
+    """Run the server until SIGTERM or SIGINT; print the port once it listens."""
     asyncio.run(_serve(server))
 
 
--- a/packages/standins/src/bluebellusher_standins/demo.py
+++ b/packages/standins/src/bluebellusher_standins/demo.py
@@ -183,7 +183,7 @@
     async def show_kill(self) -> None:
         """Kill an engine while streams run on it."""
         print(
-            "A kill of the process of engine-3 while streams run on it",
+            "A kill of the engine process of engine-3 while streams run on it",
             flush=True,
         )
         streams = [asyncio.create_task(self._run_stream(i, 120)) for i in range(12)]
