--- a/packages/core/src/bluebellusher_core/rollout/_change.py
+++ b/packages/core/src/bluebellusher_core/rollout/_change.py
@@ -234,8 +234,8 @@
                 continue
             if not staging.remaining_peers:
                 self._refuse(
-                    f"failure domain {domain} does not answer; list it in "
-                    "without_domains to apply the change without it"
+                    f"failure domain {domain} does not answer; name it as cut off "
+                    "to apply the change without it"
                 )
                 return []
             staging.requested_peer = staging.remaining_peers.pop(0)
@@ -249,7 +249,7 @@
         """Return the write if it is due; end as unknown after the deadline."""
         if now_ms - self.started_at_ms >= CHANGE_DEADLINE_MS:
             self.state = ChangeState.UNKNOWN
-            self.reason = "the table did not answer; query this change id later"
+            self.reason = "the table did not answer; ask again with the change id"
             return []
         written_at_ms = self._written_at_ms
         if written_at_ms is not None and now_ms - written_at_ms < WRITE_RETRY_MS:
@@ -273,12 +273,12 @@
         if rows.change_version > 0:
             self._accept(rows.change_version)
         elif rows.change_version < 0:
-            self._refuse("this change id was refused before")
+            self._refuse("it was refused before")
         elif head_version != self.base_version:
             # Writes of this change that are still in flight require the earlier
             # version of the head row and will fail, so that the refusal is final.
             self._refuse(
-                f"base version {self.base_version}: the head version is {head_version}"
+                f"base version {self.base_version}: the head is {head_version}"
             )
 
     def _accept(self, version: int) -> None:
--- a/packages/entry/src/bluebellusher/allowance/_spending.py
+++ b/packages/entry/src/bluebellusher/allowance/_spending.py
@@ -280,7 +280,7 @@
     def _exhausted_error(self, rules: RuleSet) -> BadRequestError:
         """Return the rejection of a request that the budget does not cover."""
         if self._grants.is_table_unavailable:
-            detail = "the grant of this entry is used up, and the table is unavailable"
+            detail = "the grant of this entry is used up, and the table is down"
             return BadRequestError(Reason.BUDGET_EXHAUSTED, detail, OUTAGE_RETRY_MS)
         until_month_end_ms = (
             self._registry.month_end_ms(rules.month_zone) - self._clock.wall_ms()
--- a/packages/entry/src/bluebellusher/rollout/_changes.py
+++ b/packages/entry/src/bluebellusher/rollout/_changes.py
@@ -192,9 +192,7 @@
         except PlatformError as error:
             # The state is unknown, because an earlier attempt of the operator with the
             # same change id may have been accepted.
-            return ChangeResult(
-                ChangeState.UNKNOWN, reason=f"the table could not be read: {error}"
-            )
+            return ChangeResult(ChangeState.UNKNOWN, reason=f"the table: {error}")
         await self._domains.refresh()
         proposal = ChangeProposal(
             change_id=change.change_id,
--- a/packages/entry/src/bluebellusher/rollout/_pages.py
+++ b/packages/entry/src/bluebellusher/rollout/_pages.py
@@ -113,7 +113,7 @@
             return _json_response({"error": {"reason": "bad_request"}}, 400)
         if self._runner.is_running(change_id):
             return _json_response(
-                {"state": "unknown", "reason": "the change is in progress"}
+                {"state": "unknown", "reason": "it is not decided yet"}
             )
         try:
             version = await self._table.read_change(change_id)
@@ -122,7 +122,7 @@
         if version == 0:
             return _json_response({"error": {"reason": "unknown_change"}}, 404)
         if version < 0:
-            reason = "it was not written to the table in time"
+            reason = "it did not reach the table in time"
             return _json_response({"state": "refused", "reason": reason})
         return _json_response({"state": "accepted", "version": version})
 
