Reword comments and help texts of deploy, Makefile and examples

Use rejection, refusal, announce, record, expire and the other agreed terms, name the subject of each sentence, and replace figurative phrasing. Only prose and comments change; commands, names, figures and rules are the same, and behaviour does not change.

--- a/Makefile
+++ b/Makefile
@@ -2,21 +2,21 @@
 PY = $(VENV)/bin/python
 PACKAGES = core entry agent standins
 PACKAGE_DIRS = $(addprefix packages/,$(PACKAGES))
-# The tree's own sources go before any installed copy, so that every work tree
-# can share one environment.
+# The sources of this work tree precede installed packages on the path, so that several
+# work trees can share one environment.
 export PYTHONPATH = $(CURDIR)/packages/core/src:$(CURDIR)/packages/entry/src:$(CURDIR)/packages/agent/src:$(CURDIR)/packages/standins/src
 
 .PHONY: help setup demo test format check unit scenarios bench fuzz soak generate
 
 help:
-	@echo "make demo   install what is needed and run the demonstration"
-	@echo "make test   install what is needed, run formatter, linter, types and tests"
+	@echo "make demo   install the dependencies and run the demonstration"
+	@echo "make test   install the dependencies, run formatter, linter, types and tests"
 	@echo "make bench  print one line for each measured figure"
 	@echo "make fuzz   run the property tests with fresh seeds"
-	@echo "make soak   run real processes under faults; SEEDS=1-50 SECONDS=30"
+	@echo "make soak   run real processes under injected faults; SEEDS=1-50 SECONDS=30"
 
-# An environment that is named on the command line is used as it is, because it may
-# be shared by several work trees.
+# An environment given on the command line is not modified, because several work trees
+# may share it.
 ifeq ($(origin VENV),command line)
 setup:
 else
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,5 +1,5 @@
-# Installs the libraries and this repository's packages under target/deps, which the
-# platform puts on the path of Python.
+# Installs the libraries and this repository's packages into target/deps, which the
+# platform adds to Python's path.
 set -e
 deps=target/deps
 if [ ! "$deps/.installed" -nt deploy/requirements.txt ]; then
@@ -14,6 +14,7 @@
     rm -rf "$deps/$name"
     cp -r "$directory/$name" "$deps/$name"
 done
-# The bytecode is written here because the programs cannot write to their directory.
+# Compile the bytecode during the build, because the running programs cannot write to
+# this directory.
 python3 -m compileall -q "$deps/bluebellusher" "$deps/bluebellusher_core" \
     "$deps/bluebellusher_agent"
