Move requests away from ranks that send nothing while their group advances

Cause: an attempt without a response head was given up only when its caller left, and a stream 300 ms before. Meanwhile the rank attracted more requests, because attempts that end and reports that grow old make a silent endpoint appear idle.

Why this works: ranks advance in lock-step, so the output of the others shows how much a rank should have sent. A clock for each group advances only with its output, so that a stalled group has no silent ranks; a report of the agent ends the silence. All entries are told, because an entry without running streams at a rank notices last.

--- a/packages/core/src/bluebellusher_core/effects/__init__.py
+++ b/packages/core/src/bluebellusher_core/effects/__init__.py
@@ -1,9 +1,11 @@
 """Effects that the reducer returns and the runtime executes."""
 
 from bluebellusher_core.effects._effects import (
+    AbandonAttempt,
     BroadcastCrashes,
     BroadcastEnded,
     BroadcastLeaving,
+    BroadcastSilent,
     CancelAttempt,
     CheckEndpoint,
     ClaimState,
@@ -21,9 +23,11 @@
 )
 
 __all__ = [
+    "AbandonAttempt",
     "BroadcastCrashes",
     "BroadcastEnded",
     "BroadcastLeaving",
+    "BroadcastSilent",
     "CancelAttempt",
     "CheckEndpoint",
     "ClaimState",
--- a/packages/core/src/bluebellusher_core/effects/_effects.py
+++ b/packages/core/src/bluebellusher_core/effects/_effects.py
@@ -33,6 +33,14 @@
     endpoint_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class AbandonAttempt:
+    """Cancel an attempt and post it as broken, with the bytes that it relayed."""
+
+    attempt_id: str
+    endpoint_id: str
+
+
 @dataclass(frozen=True, slots=True)
 class Complete:
     """Complete the answer to the caller, which the attempt ``attempt_id`` produced."""
@@ -146,6 +154,13 @@
     requests: tuple[EndedRequest, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class BroadcastSilent:
+    """Tell all entries which ranks send nothing while their group advances."""
+
+    endpoint_ids: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class LogEvent:
     """Write one log line; ``fields`` are key and value pairs."""
@@ -157,6 +172,7 @@
 Effect = (
     Dispatch
     | CancelAttempt
+    | AbandonAttempt
     | Complete
     | DiscardAnswer
     | Reject
@@ -168,5 +184,6 @@
     | BroadcastCrashes
     | BroadcastEnded
     | BroadcastLeaving
+    | BroadcastSilent
     | LogEvent
 )
--- a/packages/core/src/bluebellusher_core/events/__init__.py
+++ b/packages/core/src/bluebellusher_core/events/__init__.py
@@ -9,11 +9,13 @@
     EndpointDraining,
     EndpointInfo,
     EndpointLost,
+    EndpointProgressed,
     EndpointRegistered,
     EndpointReplaced,
     LeavingMark,
     LeavingReceived,
     LoadReported,
+    SilentReceived,
 )
 from bluebellusher_core.events._request_events import (
     AttemptAccepted,
@@ -57,6 +59,8 @@
     | EndpointRegistered
     | EndpointReplaced
     | EndpointChecked
+    | EndpointProgressed
+    | SilentReceived
     | EndpointAnnounced
     | LeavingReceived
     | EndpointDraining
@@ -97,6 +101,7 @@
     "EndpointDraining",
     "EndpointInfo",
     "EndpointLost",
+    "EndpointProgressed",
     "EndpointRegistered",
     "EndpointReplaced",
     "EntriesCounted",
@@ -110,6 +115,7 @@
     "RequestArrived",
     "RequestSpec",
     "ShutdownStarted",
+    "SilentReceived",
     "TimerFired",
     "Usage",
 ]
--- a/packages/core/src/bluebellusher_core/events/_endpoint_events.py
+++ b/packages/core/src/bluebellusher_core/events/_endpoint_events.py
@@ -65,6 +65,26 @@
     endpoint_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointProgressed:
+    """A started attempt on an endpoint produced more output.
+
+    Relays post it a few times a second for each endpoint. ``gap_ms`` is the time since
+    the previous output of the same attempt, in ms.
+    """
+
+    endpoint_id: str
+    gap_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class SilentReceived:
+    """A peer told which ranks send it nothing; ``source`` names the peer."""
+
+    source: str
+    endpoint_ids: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class EndpointChecked:
     """Result of a ``CheckEndpoint`` effect.
--- a/packages/core/src/bluebellusher_core/membership/__init__.py
+++ b/packages/core/src/bluebellusher_core/membership/__init__.py
@@ -7,6 +7,7 @@
     Pool,
     pool_of,
 )
+from bluebellusher_core.membership._silence import RankSilence, SilentRank
 from bluebellusher_core.membership._subset import choose_subset
 
 __all__ = [
@@ -14,6 +15,8 @@
     "Announcements",
     "Endpoints",
     "Pool",
+    "RankSilence",
+    "SilentRank",
     "choose_subset",
     "pool_of",
 ]
--- a/packages/core/src/bluebellusher_core/membership/_endpoints.py
+++ b/packages/core/src/bluebellusher_core/membership/_endpoints.py
@@ -13,6 +13,7 @@
 )
 from bluebellusher_core.membership._announcements import Announcements
 from bluebellusher_core.membership._groups import GroupStates
+from bluebellusher_core.membership._silence import RankSilence
 from bluebellusher_core.routing import EndpointTracker, EndpointView
 
 Pool = tuple[str, str, str]
@@ -53,6 +54,8 @@
         Holds and updates the views; it receives only valid events.
     groups : GroupStates
         Groups of ranks that are closed or stalled.
+    silence : RankSilence
+        Ranks that send nothing while their group advances.
     """
 
     n_max: int
@@ -62,6 +65,7 @@
     )
     tracker: EndpointTracker = field(default_factory=EndpointTracker)
     groups: GroupStates = field(default_factory=lambda: GroupStates(REPORT_MAX_AGE_MS))
+    silence: RankSilence = field(default_factory=RankSilence)
     _deferred_until_ms: dict[str, int] = field(default_factory=dict)
     _n_refusals: dict[str, int] = field(default_factory=dict)
     _views_by_pool: dict[Pool, list[EndpointView]] = field(default_factory=dict)
@@ -149,6 +153,7 @@
         self._deferred_until_ms.pop(endpoint_id, None)
         self._n_refusals.pop(endpoint_id, None)
         self.groups.discard(endpoint_id)
+        self.silence.discard(endpoint_id)
         self.announcements.discard_ended_pause(endpoint_id, now_ms)
         self.tracker.apply(EndpointLost(endpoint_id), now_ms)
 
@@ -190,6 +195,7 @@
             and (not has_limits or self._allows_attempt(view, now_ms))
             and view.info.endpoint_id not in closed_ids
             and deferred_until_ms.get(view.info.endpoint_id, 0) <= now_ms
+            and not self.silence.is_excluded(view.info.endpoint_id, now_ms)
         ]
 
     def is_pool_closed(self, pool: Pool, now_ms: int) -> bool:
@@ -220,6 +226,7 @@
         if view is None or view.report is not event:
             return
         self.groups.record_report(event, now_ms)
+        self.silence.record_report(event.endpoint_id, event.group_id)
         info = view.info
         recorded = (info.models, info.adapters, info.n_slots)
         if recorded != (event.models, event.adapters, event.n_slots):
@@ -248,6 +255,14 @@
         if view is not None:
             self.announcements.record_output(endpoint_id, view.info.n_slots)
 
+    def record_first_output(
+        self, endpoint_id: str, waited_ms: int, now_ms: int
+    ) -> None:
+        """Record the first output of an attempt, ``waited_ms`` after its dispatch."""
+        view = self.view_by_id.get(endpoint_id)
+        if view is not None:
+            self.silence.record_first_output(view, waited_ms, now_ms)
+
 
 def _is_closed(view: EndpointView, now_ms: int) -> bool:
     """Return whether the endpoint recently reported that it can run no request."""
--- a/packages/core/src/bluebellusher_core/reducer/_reduce.py
+++ b/packages/core/src/bluebellusher_core/reducer/_reduce.py
@@ -20,6 +20,7 @@
     EndpointCrashed,
     EndpointDraining,
     EndpointLost,
+    EndpointProgressed,
     EndpointRegistered,
     EndpointReplaced,
     EntriesCounted,
@@ -30,6 +31,7 @@
     PolicyChanged,
     RequestArrived,
     ShutdownStarted,
+    SilentReceived,
     TimerFired,
 )
 from bluebellusher_core.requests import (
@@ -43,6 +45,7 @@
     _placing,
     _recovery,
     _retries,
+    _silence,
 )
 from bluebellusher_core.state import EntryState
 
@@ -118,6 +121,10 @@
             return _links.handle_replaced(state, event, now_ms)
         case EndpointChecked():
             return _crash_evidence.handle_endpoint_checked(state, event, now_ms)
+        case EndpointProgressed():
+            return _silence.handle_progressed(state, event, now_ms)
+        case SilentReceived():
+            return _silence.handle_received(state, event, now_ms)
         case EndpointAnnounced():
             return _announced.handle_announced(state, event, now_ms)
         case EndedReceived():
--- a/packages/core/src/bluebellusher_core/requests/_attempts.py
+++ b/packages/core/src/bluebellusher_core/requests/_attempts.py
@@ -54,6 +54,8 @@
     attempt.is_accepted = attempt.is_started = True
     effects = _crash_evidence.dismiss_before_attempt(state, attempt, "output", now_ms)
     state.endpoints.record_output(attempt.endpoint_id)
+    waited_ms = now_ms - attempt.dispatched_at_ms
+    state.endpoints.record_first_output(attempt.endpoint_id, waited_ms, now_ms)
     state.endpoints.tracker.apply(event, now_ms)
     for other in [a for a in request.attempts if a is not attempt]:
         effects += _final.cancel_attempt(state, request, other, now_ms)
--- a/packages/core/src/bluebellusher_core/requests/_placing.py
+++ b/packages/core/src/bluebellusher_core/requests/_placing.py
@@ -200,6 +200,7 @@
     request.attempts.append(attempt)
     state.attempt_by_id[attempt_id] = attempt
     state.poison.start(request.spec.fingerprint)
+    state.endpoints.silence.record_dispatch(view)
     predicted_ms = 0.0
     if state.predictor is not None and not is_resumed:
         predicted_ms = state.predictor.predict_normal_ms(request.spec, view, now_ms)
@@ -221,14 +222,18 @@
 ) -> str | None:
     """Choose an endpoint for a request by the routing policy.
 
-    Endpoints that refused or broke an attempt of this request are chosen only when no
-    other one is among ``views``. Returns None when the policy chooses none.
+    Endpoints that refused or broke an attempt of this request, and after a broken
+    attempt those that have not sent anything lately, are chosen only when no other one
+    is among ``views``. Several machines may have stopped responding at the same time.
+    Returns None when the policy chooses none.
     """
     if request.avoided_endpoint_ids:
         untried = [
             v for v in views if v.info.endpoint_id not in request.avoided_endpoint_ids
         ]
         views = untried or views
+    if request.n_broken:
+        views = [v for v in views if state.endpoints.silence.is_heard(v)] or views
     return state.policy.choose(request.spec, views, now_ms, state.random_state)
 
 
--- a/packages/core/src/bluebellusher_core/wire/_generated/bluebellusher/ttypes.py
+++ b/packages/core/src/bluebellusher_core/wire/_generated/bluebellusher/ttypes.py
@@ -3454,6 +3454,7 @@
      - crashes
      - leaving
      - ended
+     - silent_endpoint_ids
 
     """
 
@@ -3467,10 +3468,11 @@
         'crashes',
         'leaving',
         'ended',
+        'silent_endpoint_ids',
     )
 
 
-    def __init__(self, config_version=None, members=None, blocked_fingerprints=None, suspect_fingerprints=None, version_by_table=None, held_leases=None, crashes=None, leaving=None, ended=None,):
+    def __init__(self, config_version=None, members=None, blocked_fingerprints=None, suspect_fingerprints=None, version_by_table=None, held_leases=None, crashes=None, leaving=None, ended=None, silent_endpoint_ids=None,):
         self.config_version = config_version
         self.members = members
         self.blocked_fingerprints = blocked_fingerprints
@@ -3480,6 +3482,7 @@
         self.crashes = crashes
         self.leaving = leaving
         self.ended = ended
+        self.silent_endpoint_ids = silent_endpoint_ids
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3580,6 +3583,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.silent_endpoint_ids = []
+                    (_etype179, _size176) = iprot.readListBegin()
+                    for _i180 in range(_size176):
+                        _elem181 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.silent_endpoint_ids.append(_elem181)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3597,58 +3610,65 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter176 in self.members:
-                iter176.write(oprot)
+            for iter182 in self.members:
+                iter182.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.blocked_fingerprints is not None:
             oprot.writeFieldBegin('blocked_fingerprints', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.blocked_fingerprints))
-            for iter177 in self.blocked_fingerprints:
-                oprot.writeString(iter177.encode('utf-8') if sys.version_info[0] == 2 else iter177)
+            for iter183 in self.blocked_fingerprints:
+                oprot.writeString(iter183.encode('utf-8') if sys.version_info[0] == 2 else iter183)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspect_fingerprints is not None:
             oprot.writeFieldBegin('suspect_fingerprints', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.suspect_fingerprints))
-            for iter178 in self.suspect_fingerprints:
-                oprot.writeString(iter178.encode('utf-8') if sys.version_info[0] == 2 else iter178)
+            for iter184 in self.suspect_fingerprints:
+                oprot.writeString(iter184.encode('utf-8') if sys.version_info[0] == 2 else iter184)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.version_by_table is not None:
             oprot.writeFieldBegin('version_by_table', TType.MAP, 5)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.version_by_table))
-            for kiter179, viter180 in self.version_by_table.items():
-                oprot.writeString(kiter179.encode('utf-8') if sys.version_info[0] == 2 else kiter179)
-                oprot.writeI64(viter180)
+            for kiter185, viter186 in self.version_by_table.items():
+                oprot.writeString(kiter185.encode('utf-8') if sys.version_info[0] == 2 else kiter185)
+                oprot.writeI64(viter186)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.held_leases is not None:
             oprot.writeFieldBegin('held_leases', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.held_leases))
-            for iter181 in self.held_leases:
-                oprot.writeString(iter181.encode('utf-8') if sys.version_info[0] == 2 else iter181)
+            for iter187 in self.held_leases:
+                oprot.writeString(iter187.encode('utf-8') if sys.version_info[0] == 2 else iter187)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter182 in self.crashes:
-                iter182.write(oprot)
+            for iter188 in self.crashes:
+                iter188.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.leaving))
-            for iter183 in self.leaving:
-                iter183.write(oprot)
+            for iter189 in self.leaving:
+                iter189.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ended is not None:
             oprot.writeFieldBegin('ended', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.ended))
-            for iter184 in self.ended:
-                iter184.write(oprot)
+            for iter190 in self.ended:
+                iter190.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.silent_endpoint_ids is not None:
+            oprot.writeFieldBegin('silent_endpoint_ids', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRING, len(self.silent_endpoint_ids))
+            for iter191 in self.silent_endpoint_ids:
+                oprot.writeString(iter191.encode('utf-8') if sys.version_info[0] == 2 else iter191)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3831,11 +3851,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype188, _size185) = iprot.readListBegin()
-                    for _i189 in range(_size185):
-                        _elem190 = TableRow()
-                        _elem190.read(iprot)
-                        self.rows.append(_elem190)
+                    (_etype195, _size192) = iprot.readListBegin()
+                    for _i196 in range(_size192):
+                        _elem197 = TableRow()
+                        _elem197.read(iprot)
+                        self.rows.append(_elem197)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3864,8 +3884,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter191 in self.rows:
-                iter191.write(oprot)
+            for iter198 in self.rows:
+                iter198.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4378,15 +4398,15 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.experts = []
-                    (_etype195, _size192) = iprot.readListBegin()
-                    for _i196 in range(_size192):
-                        _elem197 = []
-                        (_etype201, _size198) = iprot.readListBegin()
-                        for _i202 in range(_size198):
-                            _elem203 = iprot.readI32()
-                            _elem197.append(_elem203)
+                    (_etype202, _size199) = iprot.readListBegin()
+                    for _i203 in range(_size199):
+                        _elem204 = []
+                        (_etype208, _size205) = iprot.readListBegin()
+                        for _i209 in range(_size205):
+                            _elem210 = iprot.readI32()
+                            _elem204.append(_elem210)
                         iprot.readListEnd()
-                        self.experts.append(_elem197)
+                        self.experts.append(_elem204)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4429,10 +4449,10 @@
         if self.experts is not None:
             oprot.writeFieldBegin('experts', TType.LIST, 5)
             oprot.writeListBegin(TType.LIST, len(self.experts))
-            for iter204 in self.experts:
-                oprot.writeListBegin(TType.I32, len(iter204))
-                for iter205 in iter204:
-                    oprot.writeI32(iter205)
+            for iter211 in self.experts:
+                oprot.writeListBegin(TType.I32, len(iter211))
+                for iter212 in iter211:
+                    oprot.writeI32(iter212)
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
@@ -5866,6 +5886,7 @@
     (7, TType.LIST, 'crashes', (TType.STRUCT, [CrashRecord, None], False), None, ),  # 7
     (8, TType.LIST, 'leaving', (TType.STRUCT, [LeavingMark, None], False), None, ),  # 8
     (9, TType.LIST, 'ended', (TType.STRUCT, [EndedRequest, None], False), None, ),  # 9
+    (10, TType.LIST, 'silent_endpoint_ids', (TType.STRING, 'UTF8', False), None, ),  # 10
 )
 all_structs.append(TableRow)
 TableRow.thrift_spec = (
--- a/packages/core/src/bluebellusher_core/wire/bluebellusher.thrift
+++ b/packages/core/src/bluebellusher_core/wire/bluebellusher.thrift
@@ -99,7 +99,9 @@
   3: list<string> blocked_fingerprints, 4: list<string> suspect_fingerprints,
   5: map<string, i64> version_by_table, 6: list<string> held_leases,
   7: list<CrashRecord> crashes, 8: list<LeavingMark> leaving,
-  9: list<EndedRequest> ended
+  9: list<EndedRequest> ended,
+  /* Ids of ranks that send nothing while their group advances. */
+  10: list<string> silent_endpoint_ids
 }
 
 /* Shared tables: an entry that the store turns away catches up with its peers. */
--- a/packages/entry/src/bluebellusher/gateway/_attempts.py
+++ b/packages/entry/src/bluebellusher/gateway/_attempts.py
@@ -25,7 +25,12 @@
 from bluebellusher.runtime import Exchange
 from bluebellusher_core.clock import Clock
 from bluebellusher_core.directory import EndpointRegistration
-from bluebellusher_core.effects import CancelAttempt, CheckEndpoint, Dispatch
+from bluebellusher_core.effects import (
+    AbandonAttempt,
+    CancelAttempt,
+    CheckEndpoint,
+    Dispatch,
+)
 from bluebellusher_core.errors import Reason
 from bluebellusher_core.events import (
     AttemptBroken,
@@ -34,6 +39,7 @@
     AttemptStarted,
     EndpointAnnounced,
     EndpointChecked,
+    EndpointProgressed,
     Event,
     Usage,
 )
@@ -48,6 +54,9 @@
 # Upper bound of the relayed bytes of an answer that the caller has not taken yet. Above
 # it, reading from the endpoint pauses.
 MAX_UNREAD_BYTES = 256 * 1024
+# Shortest interval between two reports of one attempt's progress, in ms. It bounds the
+# number of events when an engine sends each token by itself.
+PROGRESS_INTERVAL_MS = 50
 EVENT_STREAM_TYPE = "text/event-stream"
 # ``AttemptRefused`` contains no pause. A pause that an endpoint asks for is posted as
 # ``EndpointAnnounced``. Apart from it, the reducer sends no new attempts to an endpoint
@@ -73,6 +82,8 @@
     exchange: Exchange
     endpoint: EndpointRegistration
     sent_at_ms: int
+    last_output_at_ms: int = 0
+    progressed_at_ms: int = 0
     task: asyncio.Task[None] | None = None
 
     @property
@@ -231,6 +242,14 @@
             attempt.task.cancel()
             self._log("attempt-cancelled", attempt)
 
+    def abandon(self, effect: AbandonAttempt) -> None:
+        """Cancel an attempt and post it as broken, so that its request is retried."""
+        attempt = self._attempt_by_id.get(effect.attempt_id)
+        if attempt is not None and attempt.task is not None:
+            attempt.task.cancel()
+            self._log("attempt-abandoned", attempt)
+            self._post(self._make_broken(attempt, Reason.CONNECTION_LOST))
+
     def check_endpoint(self, effect: CheckEndpoint) -> None:
         """Check whether a process listens at an endpoint's address; post the result."""
         task = asyncio.create_task(self._run_check(effect.endpoint_id))
@@ -461,6 +480,7 @@
         )
         while events := await reader.read():
             exchange.last_event_id = reader.last_event_id
+            self._record_progress(attempt)
             await self._relay_part(attempt, events)
         if reader.n_pending_bytes:
             raise _BrokenAttemptError(
@@ -479,6 +499,22 @@
             )
         await answer.wait_for_capacity(MAX_UNREAD_BYTES)
 
+    def _record_progress(self, attempt: _Attempt) -> None:
+        """Record an output of a stream; post the endpoint's progress when it is due.
+
+        The first output is posted as ``AttemptStarted``.
+        """
+        now_ms = self._clock.now_ms()
+        previous_at_ms, attempt.last_output_at_ms = attempt.last_output_at_ms, now_ms
+        if (
+            not previous_at_ms
+            or now_ms - attempt.progressed_at_ms < PROGRESS_INTERVAL_MS
+        ):
+            return
+        attempt.progressed_at_ms = now_ms
+        gap_ms = now_ms - previous_at_ms
+        self._post(EndpointProgressed(attempt.effect.endpoint_id, gap_ms))
+
     def _post_started(self, attempt: _Attempt) -> None:
         """Post the event of an attempt's first output."""
         effect = attempt.effect
--- a/packages/entry/src/bluebellusher/gateway/_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -34,9 +34,11 @@
 from bluebellusher_core.clock import Clock, SystemClock
 from bluebellusher_core.directory import GroupModel, TableMirror
 from bluebellusher_core.effects import (
+    AbandonAttempt,
     BroadcastCrashes,
     BroadcastEnded,
     BroadcastLeaving,
+    BroadcastSilent,
     CheckEndpoint,
 )
 from bluebellusher_core.events import EntriesCounted, LeavingMark
@@ -182,7 +184,9 @@
             CRASH_TABLE_WAIT_MS,
         )
         self.runtime.register(CheckEndpoint, self.dispatcher.check_endpoint)
+        self.runtime.register(AbandonAttempt, self.dispatcher.abandon)
         self.runtime.register(BroadcastCrashes, self._broadcast_crashes)
+        self.runtime.register(BroadcastSilent, self._broadcast_silent)
         self.runtime.register(BroadcastEnded, self._broadcast_ended)
         self.runtime.register(BroadcastLeaving, self._broadcast_leaving)
         self.members = Members(
@@ -363,6 +367,9 @@
     def _broadcast_leaving(self, effect: BroadcastLeaving) -> None:
         self.peer_exchange.broadcast_leaving(effect.marks)
 
+    def _broadcast_silent(self, effect: BroadcastSilent) -> None:
+        self.peer_exchange.broadcast_silent(effect.endpoint_ids)
+
     def _broadcast_ended(self, effect: BroadcastEnded) -> None:
         self.peer_exchange.broadcast_ended(effect.requests)
 
--- a/packages/entry/src/bluebellusher/gateway/tests/harness.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/harness.py
@@ -29,9 +29,11 @@
     Service,
 )
 from bluebellusher_core.effects import (
+    AbandonAttempt,
     BroadcastCrashes,
     BroadcastEnded,
     BroadcastLeaving,
+    BroadcastSilent,
     CheckEndpoint,
 )
 from bluebellusher_core.events import EndpointInfo, EndpointRegistered
@@ -209,8 +211,10 @@
         )
         self.dispatcher.sink = self.runtime
         self.runtime.register(CheckEndpoint, self.dispatcher.check_endpoint)
+        self.runtime.register(AbandonAttempt, self.dispatcher.abandon)
         self.runtime.register(BroadcastCrashes, self.ignore_effect)
         self.runtime.register(BroadcastEnded, self.ignore_effect)
+        self.runtime.register(BroadcastSilent, self.ignore_effect)
         self.runtime.register(BroadcastLeaving, self.ignore_effect)
         self.directory = Directory(None, self.runtime.post, clock, self.runtime)
         services = [Service("desk", 10)]
--- a/packages/entry/src/bluebellusher/runtime/_peers.py
+++ b/packages/entry/src/bluebellusher/runtime/_peers.py
@@ -11,6 +11,7 @@
     EndedReceived,
     LeavingMark,
     LeavingReceived,
+    SilentReceived,
 )
 from bluebellusher_core.poison import Crash, CrashRecord
 from bluebellusher_core.retry import EndedRequest
@@ -48,8 +49,8 @@
     Parameters
     ----------
     sink : EventSink
-        Receives ``DigestReceived``, ``CrashesReceived``, ``LeavingReceived`` and
-        ``EndedReceived``.
+        Receives ``DigestReceived``, ``CrashesReceived``, ``LeavingReceived``,
+        ``EndedReceived`` and ``SilentReceived``.
     clock : Clock
         Clock of the arrival times of digests.
     make_digest : callable
@@ -133,6 +134,13 @@
             if self.links is not None:
                 self.links.send(peer_id, digest)
 
+    def broadcast_silent(self, endpoint_ids: Iterable[str]) -> None:
+        """Tell all peers which ranks send nothing while their group advances."""
+        digest = self._make_digest()
+        digest.silent_endpoint_ids = list(endpoint_ids)
+        if self.links is not None:
+            self.links.broadcast(digest)
+
     def _repeat_announcements(self) -> None:
         """Broadcast recent announcements again for entries that were disconnected."""
         digest = self._make_digest()
@@ -207,6 +215,9 @@
                 for mark in digest.leaving[:N_MAX_RECEIVED]
             )
             self._sink.post(LeavingReceived(peer_id, marks))
+        if digest.silent_endpoint_ids:
+            endpoint_ids = tuple(digest.silent_endpoint_ids[:N_MAX_RECEIVED])
+            self._sink.post(SilentReceived(peer_id, endpoint_ids))
         if digest.ended:
             requests = tuple(
                 EndedRequest(
