Block prompt parts with which engines crash before their first output

What callers saw: requests of one kind crashed an engine every few seconds, and each crash closed the whole group for 3.5 s.

Cause: crashes were counted by the hash of a whole request, so that what different requests have in common was never counted.

Excluded: retries of one request.

Why this works: an engine crashes before it writes the first output. So only runs without output accuse their parts, and any output on any entry clears all parts of its request. A part that no run has had output with is blocked after one crash; parts in use need three separate ones without an output in between. Single trial runs, at growing intervals, free a part that was blocked by chance.

--- a/deploy/tests/test_dialect.py
+++ b/deploy/tests/test_dialect.py
@@ -29,6 +29,33 @@
     assert fields.last_event_id == "12"
 
 
+@pytest.mark.parametrize(
+    ("prefix", "part_ids"),
+    [
+        ("5c1e07a2:800,91BD3F06:410,e4402b7d:250", ("5c1e07a2", "91bd3f06")),
+        ("5c1e07a2:40, e4402b7d:250", ("5c1e07a2",)),
+        ("e4402b7d:250", ()),
+        ("", ()),
+        ("5c1e07a2,e4402b7d:250", ()),
+        (":40,e4402b7d:250", ()),
+        ("a b:40,e4402b7d:250", ()),
+        ("a" * 65 + ":40,e4402b7d:250", ()),
+        ("5c1e07a2:x,e4402b7d:250", ()),
+    ],
+)
+def test_shared_parts_of_a_prompt_are_all_but_the_last(prefix, part_ids):
+    """Guards against a block of a request's own part, and against forged log fields."""
+    headers = CIMultiDict({"X-Bluebellusher-Prompt-Prefix": prefix})
+    assert PlatformDialect().read_caller(headers).shared_part_ids == part_ids
+
+
+def test_prompt_with_many_parts_has_a_bounded_number_of_ids():
+    """Guards against a header that makes the entry count thousands of parts."""
+    prefix = ",".join(f"{number:x}:1" for number in range(5_000))
+    headers = CIMultiDict({"X-Bluebellusher-Prompt-Prefix": prefix})
+    assert len(PlatformDialect().read_caller(headers).shared_part_ids) < 64
+
+
 def test_malformed_deadline_is_an_error():
     """Guards against a request without a time limit because of a malformed deadline."""
     headers = CIMultiDict({"X-Bluebellusher-Deadline-Ms": "soon"})
--- a/packages/core/src/bluebellusher_core/events/__init__.py
+++ b/packages/core/src/bluebellusher_core/events/__init__.py
@@ -31,6 +31,7 @@
     Usage,
 )
 from bluebellusher_core.events._state_events import (
+    STORE_SOURCE,
     ClaimOutcome,
     ClaimResult,
     ClaimsAnswered,
@@ -79,6 +80,7 @@
 )
 
 __all__ = [
+    "STORE_SOURCE",
     "AttemptAccepted",
     "AttemptBroken",
     "AttemptFinished",
--- a/packages/core/src/bluebellusher_core/events/_request_events.py
+++ b/packages/core/src/bluebellusher_core/events/_request_events.py
@@ -64,6 +64,8 @@
         Whether this is a retry of a request that ended without an answer.
     can_resume_elsewhere : bool
         Whether any endpoint can continue the stream after the relayed bytes.
+    shared_part_ids : tuple of str
+        Ids of the parts of the prompt that other requests may share, in their order.
     """
 
     request_id: str
@@ -86,6 +88,7 @@
     arrived_at_ms: int = 0
     is_returning: bool = False
     can_resume_elsewhere: bool = False
+    shared_part_ids: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/bluebellusher_core/events/_state_events.py
+++ b/packages/core/src/bluebellusher_core/events/_state_events.py
@@ -56,6 +56,10 @@
     suspect_fingerprints: tuple[str, ...]
 
 
+# Sender of the records that were read from the store.
+STORE_SOURCE = "store"
+
+
 @dataclass(frozen=True, slots=True)
 class CrashesReceived:
     """Crash records arrived from a peer or the store; ``source`` names the sender."""
--- a/packages/core/src/bluebellusher_core/poison/__init__.py
+++ b/packages/core/src/bluebellusher_core/poison/__init__.py
@@ -5,6 +5,7 @@
     TRIAL_AFTER_MS,
     CrashCounter,
 )
+from bluebellusher_core.poison._parts import PartBlocks, is_part_key, part_key
 from bluebellusher_core.poison._records import Crash, CrashRecord
 from bluebellusher_core.poison._table import BLOCK_MS, HOLD_MS, PoisonTable
 
@@ -16,5 +17,8 @@
     "Crash",
     "CrashCounter",
     "CrashRecord",
+    "PartBlocks",
     "PoisonTable",
+    "is_part_key",
+    "part_key",
 ]
--- a/packages/core/src/bluebellusher_core/poison/_crashes.py
+++ b/packages/core/src/bluebellusher_core/poison/_crashes.py
@@ -27,6 +27,8 @@
 N_MAX_COUNTED = 4_096
 # Upper bound of the crash records in one announcement.
 N_MAX_ANNOUNCED = 1_000
+# Prefix of the ids under which trial runs of prompt parts are recorded.
+_TRIAL_PREFIX = "trial:"
 
 
 @dataclass(slots=True)
@@ -219,8 +221,49 @@
 
         Returns whether there were any.
         """
+        completed_at_ms = self._completed_at_ms.get(fingerprint)
+        runs = self._run_by_start_id_by_fingerprint.get(fingerprint, {}).values()
+        is_cleared = any(_is_valid(run, completed_at_ms, now_ms) for run in runs)
         self._record_completed(fingerprint, now_ms)
-        return bool(self._run_by_start_id_by_fingerprint.get(fingerprint))
+        return is_cleared
+
+    def has_crashes(self, fingerprint: str) -> bool:
+        """Return whether runs are recorded that may count as crashes."""
+        return fingerprint in self._run_by_start_id_by_fingerprint
+
+    def has_completed(self, fingerprint: str) -> bool:
+        """Return whether a completed run is recorded here or was by a peer."""
+        return fingerprint in self._completed_at_ms
+
+    def find_crashed_starts(
+        self, fingerprint: str, now_ms: int
+    ) -> dict[str, tuple[int, int]]:
+        """Return when each crashed run since the last completed one was sent and broke.
+
+        The keys are the ids of the starts that crashed. Trial runs are left out.
+        """
+        completed_at_ms = self._completed_at_ms.get(fingerprint)
+        runs = self._run_by_start_id_by_fingerprint.get(fingerprint, {})
+        return {
+            start_id: (run.sent_at_ms, run.broken_at_ms)
+            for start_id, run in runs.items()
+            if not start_id.startswith(_TRIAL_PREFIX)
+            and _is_valid(run, completed_at_ms, now_ms)
+        }
+
+    def list_fingerprints(self) -> list[str]:
+        """Return the fingerprints of all recorded runs."""
+        return list(self._run_by_start_id_by_fingerprint)
+
+    def last_run_at_ms(self, fingerprint: str) -> int:
+        """Return the time of the last crash or trial run of a fingerprint."""
+        runs = self._run_by_start_id_by_fingerprint[fingerprint].values()
+        return max(run.broken_at_ms for run in runs)
+
+    def record_part_trial(self, key: str, trial_id: str, now_ms: int) -> None:
+        """Record a trial run of a prompt part, which is not counted as a crash."""
+        run = _CrashedRun(now_ms, now_ms)
+        self._get_or_add_runs(key)[f"{_TRIAL_PREFIX}{trial_id}"] = run
 
     def count(self, fingerprint: str, now_ms: int) -> int:
         """Return the number of crashes since the last completed run.
--- a/packages/core/src/bluebellusher_core/reducer/_reduce.py
+++ b/packages/core/src/bluebellusher_core/reducer/_reduce.py
@@ -42,6 +42,7 @@
     _crash_evidence,
     _isolation,
     _links,
+    _parts,
     _placing,
     _recovery,
     _retries,
@@ -175,6 +176,8 @@
             return _retries.broadcast_ended(state, now_ms)
         case "check":
             return _crash_evidence.handle_check_due(state, subject, now_ms)
+        case _parts.TIMER_ID:
+            return _placing.reject_blocked(state, now_ms)
         case "wake":
             state.wake_at_ms = 0
             state.next_placement_ms = 0
--- a/packages/core/src/bluebellusher_core/requests/_arrival.py
+++ b/packages/core/src/bluebellusher_core/requests/_arrival.py
@@ -4,7 +4,13 @@
 from bluebellusher_core.errors import Reason, Rejection
 from bluebellusher_core.events import RequestSpec
 from bluebellusher_core.membership import pool_of
-from bluebellusher_core.requests import _crash_evidence, _final, _placing, _retries
+from bluebellusher_core.requests import (
+    _crash_evidence,
+    _final,
+    _parts,
+    _placing,
+    _retries,
+)
 from bluebellusher_core.requests._model import Phase, Request
 from bluebellusher_core.state import EntryState
 
@@ -50,6 +56,9 @@
         state, spec.fingerprint, now_ms
     ):
         return _final.make_blocked_rejection(state, spec.fingerprint, now_ms)
+    block_ms = _parts.find_block_ms(state, spec, now_ms)
+    if block_ms:
+        return _parts.make_rejection(block_ms)
     if len(state.request_by_id) >= state.config.n_max_requests:
         return _final.make_rejection(state, Reason.DEADLINE_UNREACHABLE, "admission")
     if not state.endpoints.views_of(pool_of(spec)):
--- a/packages/core/src/bluebellusher_core/requests/_attempts.py
+++ b/packages/core/src/bluebellusher_core/requests/_attempts.py
@@ -17,6 +17,7 @@
     _crash_evidence,
     _final,
     _isolation,
+    _parts,
     _placing,
     _recovery,
 )
@@ -57,6 +58,7 @@
     waited_ms = now_ms - attempt.dispatched_at_ms
     state.endpoints.record_first_output(attempt.endpoint_id, waited_ms, now_ms)
     state.endpoints.tracker.apply(event, now_ms)
+    effects += _parts.record_output(state, request.spec, now_ms)
     for other in [a for a in request.attempts if a is not attempt]:
         effects += _final.cancel_attempt(state, request, other, now_ms)
     return effects
--- a/packages/core/src/bluebellusher_core/requests/_crash_evidence.py
+++ b/packages/core/src/bluebellusher_core/requests/_crash_evidence.py
@@ -13,9 +13,14 @@
     SetTimer,
 )
 from bluebellusher_core.events import CrashesReceived, EndpointChecked
-from bluebellusher_core.poison import BLOCK_MS, TRIAL_AFTER_MS, CrashRecord
+from bluebellusher_core.poison import (
+    BLOCK_MS,
+    TRIAL_AFTER_MS,
+    CrashRecord,
+    is_part_key,
+)
 from bluebellusher_core.rendezvous import choose
-from bluebellusher_core.requests import _isolation
+from bluebellusher_core.requests import _isolation, _parts
 from bluebellusher_core.requests._model import Attempt, Request
 from bluebellusher_core.state import EntryState
 
@@ -53,6 +58,7 @@
         attempt.dispatched_at_ms,
         now_ms,
     )
+    _parts.suspect_parts(state, request, attempt, now_ms)
     fields = (
         ("request", request.spec.request_id),
         ("fingerprint", fingerprint),
@@ -169,7 +175,9 @@
         Monotonic start time of the process that replaced the endpoint, if known.
     """
     effects: list[Effect] = []
-    for fingerprint in state.crashes.confirm(endpoint_id, now_ms, started_at_ms):
+    confirmed = state.crashes.confirm(endpoint_id, now_ms, started_at_ms)
+    # Several runs at the endpoint may share a part of their prompts.
+    for fingerprint in dict.fromkeys(confirmed):
         fields = (
             ("fingerprint", fingerprint),
             ("endpoint", endpoint_id),
@@ -204,6 +212,7 @@
             )
             effects.append(LogEvent("crash-learned", fields))
             effects += _update_block(state, fingerprint, event.source, now_ms)
+        effects += _parts.answer_accusation(state, event, record, now_ms)
         own_record = state.crashes.record(fingerprint, now_ms)
         if _is_outdated(record, own_record):
             effects.append(BroadcastCrashes((own_record,)))
@@ -257,6 +266,8 @@
     state: EntryState, fingerprint: str, peer: str, now_ms: int
 ) -> list[Effect]:
     """Block or unblock a fingerprint by its current number of crashes."""
+    if is_part_key(fingerprint):
+        return _parts.handle_counted(state, fingerprint, now_ms)
     n_to_block = state.config.n_crashes_to_block
     remaining_ms = state.crashes.block_remaining_ms(fingerprint, n_to_block, now_ms)
     if remaining_ms > 0:
--- a/packages/core/src/bluebellusher_core/requests/_final.py
+++ b/packages/core/src/bluebellusher_core/requests/_final.py
@@ -78,7 +78,7 @@
     is_retry_safe = (
         outcome is Outcome.NOT_RUN or spec.is_idempotent or spec.idempotency_key
     )
-    if reason in NO_RETRY_REASONS:
+    if reason in NO_RETRY_REASONS and retry_after_ms is None:
         retry_after_ms = _blocked_retry_after_ms(state, spec.fingerprint, now_ms)
     elif retry_after_ms is None and is_retry_safe:
         retry_after_ms = state.config.retry_after_ms
@@ -104,7 +104,7 @@
     end_attempt(state, request, finished_attempt, now_ms)
     record_service_time(state, request, finished_attempt, now_ms)
     state.poison.clear(request.spec.fingerprint, now_ms)
-    effects += _clear_crashes(state, request.spec.fingerprint, now_ms)
+    effects += clear_crashes(state, request.spec.fingerprint, now_ms)
     if request.claim is not None:
         effects += state.claims.record(
             request.claim, ClaimState.DONE, finished_attempt.attempt_id, now_ms
@@ -112,7 +112,7 @@
     return effects + discard_request(state, request, now_ms)
 
 
-def _clear_crashes(state: EntryState, fingerprint: str, now_ms: int) -> list[Effect]:
+def clear_crashes(state: EntryState, fingerprint: str, now_ms: int) -> list[Effect]:
     """Clear the crashes and the block of a fingerprint after a completed run.
 
     The new crash record is broadcast when there were crashes.
--- a/packages/core/src/bluebellusher_core/requests/_placing.py
+++ b/packages/core/src/bluebellusher_core/requests/_placing.py
@@ -8,7 +8,7 @@
 from bluebellusher_core.errors import Reason, Rejection
 from bluebellusher_core.events import RequestSpec
 from bluebellusher_core.membership import Pool, pool_of
-from bluebellusher_core.requests import _final, _isolation
+from bluebellusher_core.requests import _final, _isolation, _parts
 from bluebellusher_core.requests._model import Attempt, Phase, Request
 from bluebellusher_core.routing import EndpointView
 from bluebellusher_core.state import EntryState
@@ -138,6 +138,19 @@
         queue.remove(request.spec.request_id)
 
 
+def reject_blocked(state: EntryState, now_ms: int) -> list[Effect]:
+    """Reject the waiting requests with a blocked part of their prompt."""
+    effects: list[Effect] = []
+    for request in list(state.request_by_id.values()):
+        if request.phase is not Phase.WAITING or request.is_trial:
+            continue
+        block_ms = _parts.find_block_ms(state, request.spec, now_ms)
+        if block_ms:
+            remove_waiting(state, request)
+            effects += _parts.reject(state, request, block_ms, now_ms)
+    return effects
+
+
 def set_weights(state: EntryState) -> None:
     """Update the customers' weights in every queue that uses them."""
     for queue in state.queue_by_pool.values():
@@ -268,6 +281,10 @@
         if endpoint_id is None:
             queue.requeue(next_spec, now_ms)
             break
+        effects += _parts.prepare_dispatch(state, request, now_ms)
+        if next_spec.request_id not in state.request_by_id:
+            # A part of its prompt is blocked.
+            continue
         effects += dispatch(state, request, endpoint_id, now_ms)
     return effects
 
--- a/packages/core/src/bluebellusher_core/state/_state.py
+++ b/packages/core/src/bluebellusher_core/state/_state.py
@@ -10,7 +10,7 @@
 from bluebellusher_core.claims import ClaimTable
 from bluebellusher_core.events import RequestSpec
 from bluebellusher_core.membership import Announcements, Endpoints, Pool
-from bluebellusher_core.poison import CrashCounter, PoisonTable
+from bluebellusher_core.poison import CrashCounter, PartBlocks, PoisonTable
 from bluebellusher_core.requests import Attempt, Request
 from bluebellusher_core.retry import EndedRequests, RetryBudget
 from bluebellusher_core.routing import EndpointView, LeastInFlight, RoutingPolicy
@@ -55,7 +55,10 @@
     poison : PoisonTable
         Suspect, blocked and held fingerprints.
     crashes : CrashCounter
-        Crashes by fingerprint, where endpoints have no agent that reports them.
+        Crashes by fingerprint and by prompt part, where endpoints have no agent that
+        reports them.
+    part_blocks : PartBlocks
+        Prompt parts that are blocked because of their crashes.
     check_started_at_ms : dict of str to int
         Monotonic start time of the address check in progress, by endpoint id.
     next_check_at_ms : dict of str to int
@@ -104,6 +107,7 @@
     ended_requests: EndedRequests = field(default_factory=EndedRequests)
     poison: PoisonTable = field(default_factory=PoisonTable)
     crashes: CrashCounter = field(default_factory=CrashCounter)
+    part_blocks: PartBlocks = field(init=False)
     check_started_at_ms: dict[str, int] = field(default_factory=dict)
     next_check_at_ms: dict[str, int] = field(default_factory=dict)
     request_by_id: dict[str, Request] = field(default_factory=dict)
@@ -123,6 +127,10 @@
     member_ids: frozenset[str] = frozenset()
     is_shutting_down: bool = False
 
+    def __post_init__(self) -> None:
+        """Derive the blocked parts from the counted crashes."""
+        self.part_blocks = PartBlocks(self.crashes)
+
     @classmethod
     def from_config(
         cls,
--- a/packages/entry/src/bluebellusher/gateway/_admission.py
+++ b/packages/entry/src/bluebellusher/gateway/_admission.py
@@ -183,6 +183,7 @@
             start_by_ms=start_by_ms,
             caller_deadline_ms=now_ms + remaining_ms,
             can_resume_elsewhere=route.is_resumable,
+            shared_part_ids=fields.shared_part_ids,
         )
 
 
--- a/packages/entry/src/bluebellusher/gateway/_server.py
+++ b/packages/entry/src/bluebellusher/gateway/_server.py
@@ -164,6 +164,7 @@
             service=spec.service_id,
             customer=spec.customer_id,
             fingerprint=spec.fingerprint,
+            parts=",".join(spec.shared_part_ids),
             version=table.version,
             remaining_ms=spec.deadline_ms - now_ms,
         )
--- a/packages/entry/src/bluebellusher/ports.py
+++ b/packages/entry/src/bluebellusher/ports.py
@@ -108,6 +108,8 @@
     last_event_id : str
         Id of the last event that the caller received of the stream that it resumes;
         empty when it resumes none.
+    shared_part_ids : tuple of str
+        Ids of the parts of the prompt that other requests may share, in their order.
     """
 
     attempt_id: str
@@ -116,6 +118,7 @@
     n_input_tokens: int = 0
     n_max_output_tokens: int = 0
     last_event_id: str = ""
+    shared_part_ids: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/entry/src/bluebellusher/shared/_crashes.py
+++ b/packages/entry/src/bluebellusher/shared/_crashes.py
@@ -14,7 +14,7 @@
 from bluebellusher.shared._watcher import LogSink
 from bluebellusher_core.clock import Clock
 from bluebellusher_core.directory import MirrorRow, TableMirror
-from bluebellusher_core.events import CrashesReceived
+from bluebellusher_core.events import STORE_SOURCE, CrashesReceived
 from bluebellusher_core.poison import CRASH_MAX_AGE_MS, Crash, CrashRecord
 
 CRASH_TABLE = "crashes"
@@ -107,7 +107,7 @@
                     _to_record(fingerprint, crashes, self._clock.wall_ms())
                     for fingerprint, crashes in table.crashes_by_fingerprint.items()
                 )
-                self._post(CrashesReceived("store", records))
+                self._post(CrashesReceived(STORE_SOURCE, records))
 
     def schedule_own_write(self) -> None:
         """Schedule a write of crashes that this entry observed.
