Test streams that have neither a length nor chunks

The users' pages say that a stream may end with its connection, and that one that ends inside an event has been broken off. Complete streams are relayed whole; broken ones are resumed, or end without the final chunk for their callers.

--- a/packages/entry/src/bluebellusher/gateway/tests/test_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_gateway.py
@@ -247,10 +247,14 @@
     The connection is reset instead of closed if ``is_reset`` is set.
     """
 
-    def __init__(self, endpoint_id, is_reset):
+    def __init__(self, endpoint_id, is_reset, head_lines=b"", body=b"part"):
         self.endpoint_id = endpoint_id
         self.port = 0
         self._is_reset = is_reset
+        self._answer_bytes = b"HTTP/1.1 200 OK\r\nSeal: s\r\n%s\r\n%s" % (
+            head_lines,
+            body,
+        )
         self._server = None
 
     async def start(self):
@@ -260,7 +264,7 @@
 
     async def _answer(self, reader, writer):
         await reader.readuntil(b"\r\n\r\n")
-        writer.write(b"HTTP/1.1 200 OK\r\nSeal: s\r\n\r\npart")
+        writer.write(self._answer_bytes)
         await writer.drain()
         await asyncio.sleep(0.05)
         if self._is_reset:
@@ -342,6 +346,56 @@
     run_scenario(scenario, answers, routes=STREAMING)
 
 
+@pytest.mark.parametrize("version", [b"HTTP/1.1", b"HTTP/1.0"])
+@pytest.mark.parametrize(
+    ("is_reset", "last_event", "is_complete"),
+    [
+        (False, b"id: 2\ndata: piece\n\n", True),
+        (False, b"id: 2\r\ndata: piece\r\n\r\n", True),
+        (False, b"id: 2\ndata: piece\n", False),
+        (False, b"id: 2\nda", False),
+        (False, b"id: 2\r\ndata: piece\r\n\r", False),
+        (True, b"id: 2\ndata: piece\n\n", False),
+        (True, b"id: 2\nda", False),
+    ],
+)
+@pytest.mark.parametrize("is_resumable", [True, False])
+def test_stream_without_length_is_complete_only_at_the_end_of_an_event(
+    is_resumable, is_reset, last_event, is_complete, version
+):
+    """Guards against a broken stream that looks complete to its caller.
+
+    A stream may have neither a length nor chunks and end with its connection. One that
+    ends inside an event, or is reset, has been broken off: it is resumed, or its
+    caller's connection ends without the final chunk.
+    """
+    endpoint = UnframedEndpoint(
+        "x9",
+        is_reset,
+        b"Content-Type: text/event-stream\r\n",
+        b"id: 1\ndata: piece\n\n" + last_event,
+    )
+    endpoint._answer_bytes = endpoint._answer_bytes.replace(b"HTTP/1.1", version, 1)
+    routes = [make_route(RequestKind.STREAMING, is_resumable=is_resumable)]
+
+    async def scenario(harness):
+        # The first attempt goes to the other endpoint, which answers after 50 ms.
+        harness.state.endpoints.defer("x0", 30, harness.runtime.now_ms())
+        if is_complete:
+            _, _, body = await harness.fetch(**POST)
+            assert read_ids(body) == [1, 2]
+        elif is_resumable:
+            _, _, body = await harness.fetch(**POST)
+            assert read_ids(body) == list(range(1, 7))
+            assert body.count(b"data: piece") == 6
+        else:
+            with pytest.raises(aiohttp.ClientError):
+                await harness.fetch(**POST)
+        assert harness.recorder.count("attempt-broken") == (not is_complete)
+
+    run_scenario(scenario, [make_stream_answer(6)], endpoints=[endpoint], routes=routes)
+
+
 def test_caller_resumes_after_its_last_event():
     """Guards against a resumed stream that starts from its first event."""
 
