Pay the retries of several silent ranks from one budget

What callers saw: when several machines froze at once, streams at the later ranks were ended although no retry was left for them, and their callers got an error instead of an answer that might still have come.

Cause: a retry is paid when the relay reports the end of an abandoned attempt. The attempts at each rank were compared with the whole budget before any of them was paid.

The new test sees three ended attempts for one retry on the code before.

Change: attempts that are abandoned and not paid yet count against the budget.

--- a/packages/core/src/bluebellusher_core/reducer/tests/test_silent_ranks.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_silent_ranks.py
@@ -333,6 +333,19 @@
     assert not group.abandoned
 
 
+def test_silent_ranks_share_the_retry_budget():
+    """Guards against attempts that end at several ranks although one retry is paid for.
+
+    The requests of the others would be rejected.
+    """
+    group = Group(n_min_retries=1)
+    group.state.retry_budget.percent = 0
+    group.start_streams()
+    group.stream_all(1_000)
+    group.stream([group.other_ids[-1]], 1_000)
+    assert len(group.abandoned) == 1
+
+
 def test_silent_rank_ends_no_more_attempts_than_the_retry_budget_pays_for():
     """Guards against requests that are rejected although they may still be answered."""
     group = Group(n_min_retries=0)
--- a/packages/core/src/bluebellusher_core/requests/_model.py
+++ b/packages/core/src/bluebellusher_core/requests/_model.py
@@ -45,6 +45,8 @@
         Whether the first bytes of the answer arrived.
     is_leaving : bool
         Whether the endpoint was draining or leaving when its connection was lost.
+    is_abandoned : bool
+        Whether the entry has ended the attempt because its endpoint is silent.
     """
 
     attempt_id: str
@@ -58,6 +60,7 @@
     is_crashed: bool = False
     is_started: bool = False
     is_leaving: bool = False
+    is_abandoned: bool = False
 
 
 @dataclass(slots=True)
--- a/packages/core/src/bluebellusher_core/requests/_silence.py
+++ b/packages/core/src/bluebellusher_core/requests/_silence.py
@@ -76,7 +76,9 @@
         for attempt in state.attempt_by_id.values()
         if attempt.endpoint_id == endpoint_id and _may_move(state, attempt, now_ms)
     ]
-    abandoned = movable[: max(0, state.retry_budget.n_available)]
+    abandoned = movable[: _count_payable_retries(state)]
+    for attempt in abandoned:
+        attempt.is_abandoned = True
     fields = (
         ("endpoint", endpoint_id),
         *evidence,
@@ -88,8 +90,19 @@
     return effects
 
 
+def _count_payable_retries(state: EntryState) -> int:
+    """Return how many more attempts may end.
+
+    The retry of an abandoned attempt is paid when its relay reports the end.
+    """
+    n_unpaid = sum(attempt.is_abandoned for attempt in state.attempt_by_id.values())
+    return max(0, state.retry_budget.n_available - n_unpaid)
+
+
 def _may_move(state: EntryState, attempt: Attempt, now_ms: int) -> bool:
     """Return whether the request of an attempt may run again at another endpoint."""
+    if attempt.is_abandoned:
+        return False
     request = state.request_by_id[attempt.request_id]
     spec = request.spec
     if not spec.is_idempotent or request.is_trial or request.phase is Phase.DETACHED:
