Do not take a long wait for a first output for a silent machine

What callers saw: while the other ranks of a group were overloaded, requests that waited 1.2 s for their prefill were moved and waited again elsewhere, and all entries stopped using the rank for some seconds.

Cause: a rank whose attempts have not begun may be busy with long prompts, and its reports to other failure domains come every 2.4 s only.

--- a/packages/core/src/bluebellusher_core/membership/_silence.py
+++ b/packages/core/src/bluebellusher_core/membership/_silence.py
@@ -10,7 +10,7 @@
 # Limits of a silence, as multiples of the group's usual gap between two outputs of an
 # attempt and of its usual time to first output.
 GAP_FACTOR = 2
-FIRST_OUTPUT_FACTOR = 3
+FIRST_OUTPUT_FACTOR = 5
 # Weight of the latest observation in the smoothed times, and upper bound of one
 # observation in ms, so that a single stall does not raise the limits for long.
 SMOOTHING = 0.2
@@ -45,9 +45,14 @@
 
 @dataclass(frozen=True, slots=True)
 class SilentRank:
-    """Rank that sent nothing for longer than its limit; times are in ms."""
+    """Rank that sent nothing for longer than its limit; times are in ms.
+
+    ``has_streams`` states whether an attempt there had begun to produce output. Without
+    one, its requests may also wait for their prefill.
+    """
 
     endpoint_id: str
+    has_streams: bool
     silent_ms: float
     limit_ms: float
 
@@ -137,10 +142,11 @@
                 self._heard_clock_ms.get(endpoint_id, 0.0),
                 self._awaited_clock_ms.get(endpoint_id, 0.0),
             )
-            limit_ms = _compute_limit_ms(progress, view)
+            has_streams = view.n_own_in_flight > len(view.unanswered_at_ms)
+            limit_ms = _compute_limit_ms(progress, has_streams)
             if silent_ms > limit_ms:
                 self.exclude(endpoint_id, now_ms)
-                silent.append(SilentRank(endpoint_id, silent_ms, limit_ms))
+                silent.append(SilentRank(endpoint_id, has_streams, silent_ms, limit_ms))
         return silent
 
     def exclude(self, endpoint_id: str, now_ms: int) -> None:
@@ -174,14 +180,13 @@
     return view.report.group_id if view.report is not None else ""
 
 
-def _compute_limit_ms(progress: _GroupProgress, view: EndpointView) -> float:
+def _compute_limit_ms(progress: _GroupProgress, has_streams: bool) -> float:
     """Return how long a rank may send nothing while its group advances, in ms.
 
     A started attempt produces output in each gap; one that waits for its prefill needs
     the time to first output.
     """
-    n_started = view.n_own_in_flight - len(view.unanswered_at_ms)
-    if n_started and progress.gap_ms:
+    if has_streams and progress.gap_ms:
         return MARGIN_MS + GAP_FACTOR * progress.gap_ms
     return MARGIN_MS + FIRST_OUTPUT_FACTOR * progress.first_output_ms
 
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_silent_ranks.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_silent_ranks.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from bluebellusher_core.effects import AbandonAttempt, Dispatch
+from bluebellusher_core.effects import AbandonAttempt, BroadcastSilent, Dispatch
 from bluebellusher_core.errors import Reason
 from bluebellusher_core.events import (
     AttemptBroken,
@@ -346,6 +346,26 @@
     assert len(group.abandoned) == 1
 
 
+def test_peers_are_not_told_of_a_rank_that_only_makes_requests_wait():
+    """Guards against work that all entries move because one request waits for long.
+
+    A rank whose attempts have not begun may be busy with long prompts.
+    """
+    group = Group()
+    dispatch_by_id = group.start_streams()
+    group.stream_all(1_000)
+    silent_stream = dispatch_by_id[SILENT_ID]
+    group.reduce(
+        AttemptBroken(
+            silent_stream.attempt_id, Reason.CONNECTION_LOST, 10, True, SILENT_ID
+        )
+    )
+    send_to_silent_rank(group)
+    group.stream(group.other_ids, CALLER_TIMEOUT_MS)
+    assert group.abandoned
+    assert not [e for e in group.effects if isinstance(e, BroadcastSilent)]
+
+
 def test_silent_rank_ends_no_more_attempts_than_the_retry_budget_pays_for():
     """Guards against requests that are rejected although they may still be answered."""
     group = Group(n_min_retries=0)
--- a/packages/core/src/bluebellusher_core/requests/_silence.py
+++ b/packages/core/src/bluebellusher_core/requests/_silence.py
@@ -38,8 +38,9 @@
             ("limit_ms", int(rank.limit_ms)),
         )
         effects += _end_attempts(state, rank.endpoint_id, fields, now_ms)
-    if silent:
-        effects.append(BroadcastSilent(tuple(rank.endpoint_id for rank in silent)))
+    told_ids = tuple(rank.endpoint_id for rank in silent if rank.has_streams)
+    if told_ids:
+        effects.append(BroadcastSilent(told_ids))
     return effects
 
 
