Remember which prompt parts were in use when all entries start again

What callers saw: nothing yet; found by a property test with random histories of restarts, cuts and crashes.

Cause: an entry that had just started noted that a part had had output before its crash although it did not know. That note, which peers believed, made the part that crashes engines a part in use as well, so that after three crashes it could not be told from a frequent part beside it. And when all entries had started again, none knew any part that had had output, and a frequent part that was running in the last crash was blocked for 30 s.

Evidence: hypothesis, actions restart(0), deadly(0), sound(0) twice, deadly(0), sound(0) twice, deadly(0).

Change: a new entry presumes nothing in its records. It needs three crashes for a part, unless the crash is older than its start; the row of the store keeps the time of the last output before the crashes; and among parts with as many crashes in the same starts, one that never had output explains the crashes of the others. The row holds 180 fingerprints instead of 200, because each takes more bytes.

--- a/packages/core/src/bluebellusher_core/poison/_parts.py
+++ b/packages/core/src/bluebellusher_core/poison/_parts.py
@@ -1,6 +1,6 @@
 """Blocks of prompt parts that crash engines."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from bluebellusher_core.poison._crashes import TRIAL_AFTER_MS, CrashCounter
@@ -45,10 +45,13 @@
         Crashes by the key of a part, merged from all entries.
     n_outputs : int
         Number of runs that have produced output on this entry.
+    started_at_ms : int or None
+        Monotonic time of the entry's first event; None before it.
     """
 
     counter: CrashCounter
     n_outputs: int = 0
+    started_at_ms: int | None = None
 
     def find_block_ms(self, part_id: str, now_ms: int) -> int | None:
         """Return the time until a run with a part may start, in ms.
@@ -60,43 +63,54 @@
         if not self.counter.has_crashes(key):
             return None
         n_crashes = _count_incidents(self._find_unexplained_starts(key, now_ms))
-        n_excess = n_crashes - self._get_n_crashes_to_block(key)
+        n_excess = n_crashes - self._get_n_crashes_to_block(key, now_ms)
         if n_excess < 0:
             return None
         wait_ms = TRIAL_AFTER_MS * TRIAL_FACTOR**n_excess
         return max(0, self.counter.last_run_at_ms(key) + wait_ms - now_ms)
 
-    def presume_in_use(self, part_id: str, until_ms: int) -> None:
-        """Presume that a part was in use until a time, if this entry cannot know.
+    def record_start(self, now_ms: int) -> None:
+        """Record the time of the entry's first event."""
+        if self.started_at_ms is None:
+            self.started_at_ms = now_ms
+
+    def _get_n_crashes_to_block(self, key: str, now_ms: int) -> int:
+        """Return the number of crashes that blocks a part.
 
         An entry that has just started has seen output with few parts, and would take
-        frequent ones for new ones.
+        frequent ones for new ones. Crashes before its start were judged by others.
         """
-        key = part_key(part_id)
-        if self.n_outputs < MIN_OUTPUTS and not self.counter.has_crashes(key):
-            self.counter.clear(key, until_ms)
-
-    def _get_n_crashes_to_block(self, key: str) -> int:
         if self.counter.has_completed(key):
             return N_CRASHES_OF_USED_PART
+        crashed_at_ms = self.counter.find_crashed_starts(key, now_ms).values()
+        started_at_ms = self.started_at_ms or 0
+        is_judged = any(broken_ms < started_at_ms for _, broken_ms in crashed_at_ms)
+        if self.n_outputs < MIN_OUTPUTS and not is_judged:
+            return N_CRASHES_OF_USED_PART
         return N_CRASHES_OF_NEW_PART
 
     def _find_unexplained_starts(self, key: str, now_ms: int) -> list[tuple[int, int]]:
         """Return the crashed runs of a part that no other part explains.
 
         Another part explains a crash when it was also running there and has crashed
-        more engines.
+        more engines, or as many without ever having had output.
         """
         starts = self.counter.find_crashed_starts(key, now_ms)
-        n_crashes = _count_incidents(starts.values())
-        for other_key in self.counter.list_fingerprints() if n_crashes else ():
+        rank = self._rank(key, starts)
+        for other_key in self.counter.list_fingerprints() if starts else ():
             if other_key == key or not is_part_key(other_key):
                 continue
             other_starts = self.counter.find_crashed_starts(other_key, now_ms)
-            if _count_incidents(other_starts.values()) > n_crashes:
+            if self._rank(other_key, other_starts) > rank:
                 starts = {s: run for s, run in starts.items() if s not in other_starts}
         return list(starts.values())
 
+    def _rank(
+        self, key: str, starts: Mapping[str, tuple[int, int]]
+    ) -> tuple[int, bool]:
+        """Return the weight of the evidence that a part crashes engines."""
+        return _count_incidents(starts.values()), not self.counter.has_completed(key)
+
 
 def _count_incidents(runs: Iterable[tuple[int, int]]) -> int:
     """Return the number of separate crashes among runs, as times sent and broken.
--- a/packages/core/src/bluebellusher_core/reducer/_reduce.py
+++ b/packages/core/src/bluebellusher_core/reducer/_reduce.py
@@ -74,6 +74,7 @@
     list of Effect
         Effects for the runtime to execute in this order.
     """
+    state.part_blocks.record_start(now_ms)
     effects = _handle_event(state, event, now_ms)
     effects += _placing.place_waiting(state, now_ms)
     return effects
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_part_crashes.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_part_crashes.py
@@ -3,6 +3,8 @@
 from itertools import count
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from bluebellusher_core.effects import BroadcastCrashes, Dispatch, Reject
 from bluebellusher_core.errors import Outcome, Reason
@@ -67,9 +69,10 @@
         for endpoint_id in self.incarnation_by_id:
             self._register(state, endpoint_id)
         reduce(state, EntriesCounted(len(self.entries)), self.now_ms)
-        for peer in self.entries.values():
-            records = peer.crashes.records(self.now_ms)
-            self._handle(state, CrashesReceived("peer", records))
+        for peer_id, peer in self.entries.items():
+            if not {entry_id, peer_id} & self.cut_off:
+                records = peer.crashes.records(self.now_ms)
+                self._handle(state, CrashesReceived(peer_id, records))
 
     def _register(self, state, endpoint_id):
         info = EndpointInfo(
@@ -352,3 +355,47 @@
     assert rejected == [Outcome.NOT_RUN]
     waiting = [r for r in state.request_by_id.values() if not r.attempts]
     assert not any(DEADLY in r.spec.shared_part_ids for r in waiting)
+
+
+ENTRY_ACTIONS = ("deadly", "sound", "new", "restart", "cut", "reconnect")
+
+
+@given(
+    st.lists(st.tuples(st.sampled_from(ENTRY_ACTIONS), st.integers(0, 2)), max_size=60)
+)
+def test_deadly_part_crashes_few_engines_in_any_history_of_the_entries(actions):
+    """Guards against histories in which the crashes by a part are forgotten.
+
+    An entry that is cut off, or starts while it is, can only learn from crashes of its
+    own. Frequent parts are served again after a trial run, even if all entries had
+    forgotten that they are in use when they ran beside the deadly one.
+    """
+    fleet = Fleet()
+    n_isolations = 0
+    for number, (action, index) in enumerate(actions):
+        entry_id = f"e{index}"
+        match action:
+            case "deadly":
+                fleet.send(entry_id, (f"frequent{number % 3}", DEADLY))
+            case "sound":
+                fleet.send(entry_id, (f"frequent{number % 3}",))
+            case "new":
+                fleet.send(entry_id, (f"new{number}",))
+            case "restart":
+                n_isolations += entry_id in fleet.cut_off
+                fleet.start_entry(entry_id)
+            case "cut":
+                n_isolations += entry_id not in fleet.cut_off
+                fleet.cut_off.add(entry_id)
+            case "reconnect":
+                fleet.reconnect(entry_id)
+    # Trial runs are due 30, 120 and 390 s after the first crash.
+    n_trials = sum(fleet.now_ms > TRIAL_AFTER_MS * factor for factor in (1, 4, 13))
+    assert fleet.n_crashes <= MAX_CRASHES * (1 + n_isolations) + n_trials
+    for entry_id in fleet.entries:
+        fleet.reconnect(entry_id)
+    fleet.now_ms += 9 * TRIAL_AFTER_MS
+    for part in range(3):
+        served = [fleet.send(f"e{i}", (f"frequent{part}",)) for i in range(3)]
+        assert any(served)
+        assert all(fleet.send(f"e{i}", (f"frequent{part}",)) for i in range(3))
--- a/packages/core/src/bluebellusher_core/requests/_parts.py
+++ b/packages/core/src/bluebellusher_core/requests/_parts.py
@@ -82,7 +82,6 @@
     if attempt.is_started:
         return
     for part_id in request.spec.shared_part_ids:
-        state.part_blocks.presume_in_use(part_id, attempt.dispatched_at_ms - 1)
         state.crashes.suspect(
             part_key(part_id),
             attempt.endpoint_id,
--- a/packages/entry/src/bluebellusher/shared/_crashes.py
+++ b/packages/entry/src/bluebellusher/shared/_crashes.py
@@ -20,8 +20,8 @@
 CRASH_TABLE = "crashes"
 CRASH_ROW_KEY = "recent"
 # Upper bound of the stored fingerprints. A row has at most 65,536 bytes, and a
-# fingerprint with three crashes takes about 250 bytes.
-N_MAX_STORED_FINGERPRINTS = 200
+# fingerprint with three crashes and a completed run takes about 310 bytes.
+N_MAX_STORED_FINGERPRINTS = 180
 # Least delay before an entry writes a crash that a peer announced, in ms. The peer
 # itself normally writes the crash within this time.
 MIN_PEER_WRITE_DELAY_MS = 3_000
@@ -47,13 +47,19 @@
 
 
 class _StoredTable(BaseModel):
-    """Value of the table's only row."""
+    """Value of the table's only row.
+
+    ``sound_at_by_fingerprint`` contains the Unix time, in ms, of the last completed run
+    before the crashes, where there was one. Entries that have forgotten which prompt
+    parts are in use read it from here.
+    """
 
     model_config = ConfigDict(frozen=True)
 
     crashes_by_fingerprint: dict[str, tuple[_StoredCrash, ...]] = Field(
         default_factory=dict
     )
+    sound_at_by_fingerprint: dict[str, int] = Field(default_factory=dict)
 
 
 class CrashTable:
@@ -104,7 +110,12 @@
             if row.key == CRASH_ROW_KEY and not row.is_removed:
                 table = self._read_table(row)
                 records = tuple(
-                    _to_record(fingerprint, crashes, self._clock.wall_ms())
+                    _to_record(
+                        fingerprint,
+                        crashes,
+                        table.sound_at_by_fingerprint.get(fingerprint),
+                        self._clock.wall_ms(),
+                    )
                     for fingerprint, crashes in table.crashes_by_fingerprint.items()
                 )
                 self._post(CrashesReceived(STORE_SOURCE, records))
@@ -221,16 +232,26 @@
         fingerprint: _select_after(crashes, wall_ms - CRASH_MAX_AGE_MS)
         for fingerprint, crashes in stored.crashes_by_fingerprint.items()
     }
+    sound_at_by_fingerprint = dict(stored.sound_at_by_fingerprint)
     for record in records:
         stored_crashes = merged.get(record.fingerprint, ())
         merged[record.fingerprint] = _merge_record(stored_crashes, record, wall_ms)
+        if record.sound_age_ms is not None:
+            sound_at = wall_ms - record.sound_age_ms
+            sound_at_by_fingerprint.setdefault(record.fingerprint, sound_at)
     sorted_items = sorted(
         ((f, crashes) for f, crashes in merged.items() if crashes),
         key=lambda item: (len(item[1]), item[1][-1].broken_at),
         reverse=True,
     )
+    crashes_by_fingerprint = dict(sorted_items[:N_MAX_STORED_FINGERPRINTS])
     return _StoredTable(
-        crashes_by_fingerprint=dict(sorted_items[:N_MAX_STORED_FINGERPRINTS])
+        crashes_by_fingerprint=crashes_by_fingerprint,
+        sound_at_by_fingerprint={
+            fingerprint: sound_at
+            for fingerprint, sound_at in sound_at_by_fingerprint.items()
+            if fingerprint in crashes_by_fingerprint
+        },
     )
 
 
@@ -265,9 +286,12 @@
 
 
 def _to_record(
-    fingerprint: str, crashes: tuple[_StoredCrash, ...], wall_ms: int
+    fingerprint: str,
+    crashes: tuple[_StoredCrash, ...],
+    sound_at: int | None,
+    wall_ms: int,
 ) -> CrashRecord:
-    """Return a crash record with the ages of stored crashes at a Unix time in ms."""
+    """Return a crash record with the ages of stored times at a Unix time in ms."""
     return CrashRecord(
         fingerprint,
         tuple(
@@ -278,4 +302,5 @@
             )
             for crash in crashes
         ),
+        None if sound_at is None else max(0, wall_ms - sound_at),
     )
--- a/packages/entry/src/bluebellusher/shared/tests/test_crash_table.py
+++ b/packages/entry/src/bluebellusher/shared/tests/test_crash_table.py
@@ -74,6 +74,24 @@
     return store.rows_by_table.get(CRASH_TABLE, {}).get(CRASH_ROW_KEY)
 
 
+def test_entry_that_starts_alone_knows_which_parts_had_output_before_their_crash():
+    """Guards against frequent prompt parts that all new entries take for new ones."""
+
+    async def scenario(store, clock):
+        entry = Entry(store, clock)
+        entry.record_crashes("part:frequent", 1, sound_age_ms=5_000)
+        entry.record_crashes("part:new", 1)
+        await wait_until(lambda: get_stored_row(store), clock)
+        clock.advance(4_000)
+        later_entry = await Entry(store, clock).start()
+        assert later_entry.count("part:frequent") == 1
+        assert later_entry.counter.has_completed("part:frequent")
+        assert later_entry.counter.count("part:new", clock.now_ms()) == 1
+        assert not later_entry.counter.has_completed("part:new")
+
+    run(scenario)
+
+
 def test_entry_that_starts_alone_reads_the_crashes_of_earlier_entries():
     """Guards against a blocked request that runs again after all entries ended."""
 
