--- a/packages/agent/src/bluebellusher_agent/ranks/_agent.py
+++ b/packages/agent/src/bluebellusher_agent/ranks/_agent.py
@@ -45,8 +45,8 @@
 # seconds; if it takes longer, the order was lost and the leader sends it again.
 MAX_LOADING_MS = 6_000
 # Time to wait for the engine's answer to an order. An engine on the same instance
-# answers within a few milliseconds. The group waits for the slowest rank while a step is
-# held, and until its machine resumes if that freezes before the answer.
+# answers within a few milliseconds. While a step is held, the group waits for the
+# slowest rank, and for a machine that freezes before the answer until it resumes.
 ORDER_TIMEOUT_MS = 10
 # Maximum number of times that an unanswered order is sent to the engine.
 MAX_ORDER_TRIES = 20
