Close connections of the test proxy whose entry does not listen yet

Cause: SystemError "AST constructor recursion depth mismatch". The proxy between test entries left a connection open when its entry did not listen yet. The garbage collector ended it in a later test, with an error because its event loop was closed; when that happens while sanic or pytest parse code, this Python version raises the SystemError. When the collector runs depends on the number of objects, which the new code changed. Excluded: load (it fails on an idle machine) and the code under test (the landed code leaves the same connection open, as its warnings show).

Change: the proxy aborts the connection.

--- a/packages/entry/src/bluebellusher/rollout/tests/network.py
+++ b/packages/entry/src/bluebellusher/rollout/tests/network.py
@@ -68,15 +68,19 @@
         if self._is_cut:
             writer.transport.abort()
             return
-        with contextlib.suppress(OSError):
+        try:
             target_reader, target_writer = await asyncio.open_connection(
                 HOST, self._target_port
             )
-            self._writers |= {writer, target_writer}
-            await asyncio.gather(
-                self._forward(reader, target_writer),
-                self._forward(target_reader, writer),
-            )
+        except OSError:
+            # The entry behind the proxy does not listen yet.
+            writer.transport.abort()
+            return
+        self._writers |= {writer, target_writer}
+        await asyncio.gather(
+            self._forward(reader, target_writer),
+            self._forward(target_reader, writer),
+        )
 
     async def _forward(self, reader, writer) -> None:
         """Copy bytes in one direction until the connection ends."""
