--- a/packages/core/src/bluebellusher_core/membership/_silence.py
+++ b/packages/core/src/bluebellusher_core/membership/_silence.py
@@ -18,6 +18,8 @@
 # Largest advance of a group's progress clock between two outputs, in ms. Above it, the
 # group may have made no pass in between.
 MAX_ADVANCE_MS = 150
+# Upper bound of the groups whose progress is kept; the oldest is discarded first.
+N_MAX_GROUPS = 1_024
 # Time after which a silent endpoint that reports nothing is used again, in ms. Its
 # agent may have ended alone.
 RETRY_MS = 3_000
@@ -115,6 +117,8 @@
             return None
         endpoint_id = view.info.endpoint_id
         progress = self._progress_by_group.setdefault(group_id, _GroupProgress())
+        if len(self._progress_by_group) > N_MAX_GROUPS:
+            del self._progress_by_group[next(iter(self._progress_by_group))]
         progress.advance(now_ms)
         self._heard_clock_ms[endpoint_id] = progress.clock_ms
         self._silent_until_ms.pop(endpoint_id, None)
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_part_crashes.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_part_crashes.py
@@ -26,7 +26,7 @@
 from bluebellusher_core.reducer import EntryConfig, EntryState, reduce
 from bluebellusher_core.reducer.tests._specs import make_spec
 
-DEADLY = "dead"
+CRASHING = "bad"
 N_ENDPOINTS = 6
 # Crashes that callers may see before a part is blocked on every entry.
 MAX_CRASHES = 3
@@ -67,14 +67,14 @@
         )
         self.entries[entry_id] = state
         for endpoint_id in self.incarnation_by_id:
-            self._register(state, endpoint_id)
+            self.register(state, endpoint_id)
         reduce(state, EntriesCounted(len(self.entries)), self.now_ms)
         for peer_id, peer in self.entries.items():
             if not {entry_id, peer_id} & self.cut_off:
                 records = peer.crashes.records(self.now_ms)
-                self._handle(state, CrashesReceived(peer_id, records))
+                self.handle(state, CrashesReceived(peer_id, records))
 
-    def _register(self, state, endpoint_id):
+    def register(self, state, endpoint_id):
         info = EndpointInfo(
             endpoint_id,
             "d",
@@ -84,9 +84,9 @@
             20,
             self.incarnation_by_id[endpoint_id],
         )
-        self._handle(state, EndpointRegistered(info))
+        self.handle(state, EndpointRegistered(info))
 
-    def _handle(self, state, event):
+    def handle(self, state, event):
         """Apply an event and deliver its broadcasts; return its effects."""
         effects = reduce(state, event, self.now_ms)
         for effect in effects:
@@ -99,7 +99,7 @@
     def _deliver(self, sender_id, records):
         for entry_id, state in self.entries.items():
             if entry_id != sender_id and not {entry_id, sender_id} & self.cut_off:
-                self._handle(state, CrashesReceived(sender_id, records))
+                self.handle(state, CrashesReceived(sender_id, records))
 
     def reconnect(self, entry_id):
         """Connect an entry again; it and its peers exchange all their records."""
@@ -108,9 +108,9 @@
         for peer_id, peer in list(self.entries.items()):
             if peer_id != entry_id:
                 records = state.crashes.records(self.now_ms)
-                self._handle(peer, CrashesReceived(entry_id, records))
+                self.handle(peer, CrashesReceived(entry_id, records))
                 records = peer.crashes.records(self.now_ms)
-                self._handle(state, CrashesReceived(peer_id, records))
+                self.handle(state, CrashesReceived(peer_id, records))
 
     def dispatch(self, entry_id, part_ids):
         """Send a request with shared parts; return its dispatch, or None."""
@@ -121,7 +121,7 @@
             shared_part_ids=part_ids,
             n_max_attempts=1,
         )
-        effects = self._handle(self.entries[entry_id], RequestArrived(spec))
+        effects = self.handle(self.entries[entry_id], RequestArrived(spec))
         return next((e for e in effects if isinstance(e, Dispatch)), None)
 
     def send(self, entry_id, part_ids):
@@ -129,7 +129,7 @@
         dispatch = self.dispatch(entry_id, part_ids)
         if dispatch is None:
             return False
-        if DEADLY in part_ids:
+        if CRASHING in part_ids:
             self.crash(dispatch.endpoint_id)
             return False
         self.answer(entry_id, dispatch)
@@ -140,9 +140,9 @@
         state = self.entries[entry_id]
         endpoint_id = dispatch.endpoint_id
         self.now_ms += 200
-        self._handle(state, AttemptStarted(dispatch.attempt_id, endpoint_id))
+        self.handle(state, AttemptStarted(dispatch.attempt_id, endpoint_id))
         finished = AttemptFinished(dispatch.attempt_id, 200, 9, Usage(), endpoint_id)
-        self._handle(state, finished)
+        self.handle(state, finished)
 
     def crash(self, *endpoint_ids):
         """Crash engines at the same time; they start again afterwards."""
@@ -154,9 +154,9 @@
         for endpoint_id in endpoint_ids:
             self.incarnation_by_id[endpoint_id] += 1
             for state in self.entries.values():
-                self._register(state, endpoint_id)
+                self.register(state, endpoint_id)
         for state in self.entries.values():
-            self._handle(state, TimerFired("parts"))
+            self.handle(state, TimerFired("parts"))
 
     def _break_runs(self, state, endpoint_id):
         """Break the runs on an engine; its port is closed to those that follow."""
@@ -164,13 +164,13 @@
             event = AttemptBroken(
                 run.attempt_id, Reason.CONNECTION_LOST, 0, False, endpoint_id
             )
-            self._handle(state, event)
-        self._handle(state, EndpointChecked(endpoint_id, False))
+            self.handle(state, event)
+        self.handle(state, EndpointChecked(endpoint_id, False))
         for run in _find_runs(state, endpoint_id):
             refused = AttemptRefused(
                 run.attempt_id, Reason.CONNECT_REFUSED, 0, endpoint_id, False
             )
-            self._handle(state, refused)
+            self.handle(state, refused)
 
 
 def _find_runs(state, endpoint_id):
@@ -178,21 +178,21 @@
     return [a for a in state.attempt_by_id.values() if a.endpoint_id == endpoint_id]
 
 
-def send_deadly(fleet, n_requests, first_part="first"):
-    """Send requests with the deadly part, no two alike, to each entry in turn."""
+def send_crashing(fleet, n_requests, first_part="first"):
+    """Send requests with the crashing part, no two alike, to each entry in turn."""
     entry_ids = list(fleet.entries)
     for i in range(n_requests):
         entry_id = entry_ids[i % len(entry_ids)]
-        fleet.send(entry_id, (f"{first_part}{i % 5}", DEADLY))
+        fleet.send(entry_id, (f"{first_part}{i % 5}", CRASHING))
 
 
-def test_requests_that_share_a_deadly_part_crash_few_engines():
+def test_requests_that_share_a_crashing_part_crash_few_engines():
     """Guards against requests that crash engines one after the other.
 
     Crashes are counted by the hash of a request, and no two of these are alike.
     """
     fleet = Fleet()
-    send_deadly(fleet, 40)
+    send_crashing(fleet, 40)
     assert fleet.n_crashes <= MAX_CRASHES
     rejection = fleet.rejections[-1].rejection
     assert rejection.outcome is Outcome.NOT_RUN
@@ -201,48 +201,48 @@
 
 
 @pytest.mark.parametrize("at_request", [1, 2, 5, 12])
-def test_entry_that_starts_meanwhile_knows_the_deadly_part(at_request):
+def test_entry_that_starts_meanwhile_knows_the_crashing_part(at_request):
     """Guards against an entry that has forgotten the part and crashes engines again."""
     fleet = Fleet()
-    send_deadly(fleet, at_request)
+    send_crashing(fleet, at_request)
     for entry_id in list(fleet.entries):
         fleet.start_entry(entry_id)
-        send_deadly(fleet, 6)
+        send_crashing(fleet, 6)
     assert fleet.n_crashes <= MAX_CRASHES
 
 
-def test_entry_that_was_cut_off_knows_the_deadly_part_when_it_is_back():
+def test_entry_that_was_cut_off_knows_the_crashing_part_when_it_is_back():
     """Guards against an entry that missed the crashes and crashes engines again."""
     fleet = Fleet()
     fleet.cut_off.add("e2")
     for i in range(20):
-        fleet.send(f"e{i % 2}", (f"first{i}", DEADLY))
+        fleet.send(f"e{i % 2}", (f"first{i}", CRASHING))
     fleet.reconnect("e2")
     for i in range(20):
-        fleet.send("e2", (f"other{i}", DEADLY))
+        fleet.send("e2", (f"other{i}", CRASHING))
     assert fleet.n_crashes <= MAX_CRASHES
 
 
 def test_sound_requests_that_share_the_other_parts_are_served():
-    """Guards against sound requests that are rejected beside the deadly ones."""
+    """Guards against sound requests that are rejected beside the crashing ones."""
     fleet = Fleet()
     n_served = 0
     for i in range(30):
-        fleet.send(f"e{i % 3}", (f"frequent{i % 3}", DEADLY))
+        fleet.send(f"e{i % 3}", (f"frequent{i % 3}", CRASHING))
         n_served += fleet.send(f"e{i % 3}", (f"frequent{i % 3}",))
     assert n_served == 30
 
 
-def test_other_new_parts_of_a_deadly_request_are_freed_by_the_next_crash():
-    """Guards against a rare part that stays blocked for minutes beside the deadly one.
+def test_other_new_parts_of_a_crashing_request_are_freed_by_the_next_crash():
+    """Guards against a rare part that stays blocked beside the crashing one.
 
     After the first crash nothing distinguishes two new parts of the same request.
     """
     fleet = Fleet()
-    fleet.send("e0", ("rare", DEADLY))
+    fleet.send("e0", ("rare", CRASHING))
     assert not fleet.send("e1", ("rare",))
     fleet.now_ms += TRIAL_AFTER_MS
-    fleet.send("e1", ("another", DEADLY))
+    fleet.send("e1", ("another", CRASHING))
     assert fleet.n_crashes == 2
     assert fleet.send("e2", ("rare",))
     assert fleet.send("e2", ("another",))
@@ -307,21 +307,21 @@
     refused = AttemptRefused(
         trial.attempt_id, Reason.ENDPOINT_FULL, 0, trial.endpoint_id, has_arrived=True
     )
-    fleet._handle(fleet.entries["e1"], refused)
+    fleet.handle(fleet.entries["e1"], refused)
     fleet.now_ms += TRIAL_AFTER_MS
     assert fleet.send("e2", ("new",))
 
 
-def test_trials_of_a_deadly_part_become_rare():
+def test_trials_of_a_crashing_part_become_rare():
     """Guards against a part that crashes an engine every few seconds for long."""
     fleet = Fleet()
     for i in range(600):
         fleet.now_ms += 1_000
-        fleet.send(f"e{i % 3}", (f"first{i}", DEADLY))
+        fleet.send(f"e{i % 3}", (f"first{i}", CRASHING))
     assert fleet.n_crashes <= 5
 
 
-def test_part_in_use_that_becomes_deadly_is_blocked():
+def test_part_in_use_that_begins_to_crash_engines_is_blocked():
     """Guards against a part that is trusted for good because it once had output."""
     fleet = Fleet()
     for i in range(6):
@@ -334,18 +334,18 @@
     assert fleet.n_crashes <= MAX_CRASHES
 
 
-def test_requests_that_wait_with_a_deadly_part_are_rejected_at_once():
+def test_requests_that_wait_with_a_crashing_part_are_rejected_at_once():
     """Guards against requests that wait for an endpoint although their part is blocked.
 
     They are sent to the engines together when the group opens again.
     """
     fleet = Fleet()
     state = fleet.entries["e0"]
-    running = fleet.dispatch("e0", ("first", DEADLY))
+    running = fleet.dispatch("e0", ("first", CRASHING))
     while fleet.dispatch("e0", ("frequent0",)) is not None:
         # All slots are taken in the end.
         continue
-    assert fleet.dispatch("e0", ("second", DEADLY)) is None
+    assert fleet.dispatch("e0", ("second", CRASHING)) is None
     fleet.crash(running.endpoint_id)
     rejected = [
         effect.rejection.outcome
@@ -354,29 +354,29 @@
     ]
     assert rejected == [Outcome.NOT_RUN]
     waiting = [r for r in state.request_by_id.values() if not r.attempts]
-    assert not any(DEADLY in r.spec.shared_part_ids for r in waiting)
+    assert not any(CRASHING in r.spec.shared_part_ids for r in waiting)
 
 
-ENTRY_ACTIONS = ("deadly", "sound", "new", "restart", "cut", "reconnect")
+ENTRY_ACTIONS = ("crashing", "sound", "new", "restart", "cut", "reconnect")
 
 
 @given(
     st.lists(st.tuples(st.sampled_from(ENTRY_ACTIONS), st.integers(0, 2)), max_size=60)
 )
-def test_deadly_part_crashes_few_engines_in_any_history_of_the_entries(actions):
+def test_part_crashes_few_engines_in_any_history_of_the_entries(actions):
     """Guards against histories in which the crashes by a part are forgotten.
 
     An entry that is cut off, or starts while it is, can only learn from crashes of its
     own. Frequent parts are served again after a trial run, even if all entries had
-    forgotten that they are in use when they ran beside the deadly one.
+    forgotten that they are in use when they ran beside the crashing one.
     """
     fleet = Fleet()
     n_isolations = 0
     for number, (action, index) in enumerate(actions):
         entry_id = f"e{index}"
         match action:
-            case "deadly":
-                fleet.send(entry_id, (f"frequent{number % 3}", DEADLY))
+            case "crashing":
+                fleet.send(entry_id, (f"frequent{number % 3}", CRASHING))
             case "sound":
                 fleet.send(entry_id, (f"frequent{number % 3}",))
             case "new":
--- a/packages/core/src/bluebellusher_core/requests/_crash_evidence.py
+++ b/packages/core/src/bluebellusher_core/requests/_crash_evidence.py
@@ -212,7 +212,7 @@
             )
             effects.append(LogEvent("crash-learned", fields))
             effects += _update_block(state, fingerprint, event.source, now_ms)
-        effects += _parts.answer_accusation(state, event, record, now_ms)
+        effects += _parts.tell_of_output(state, event, record, now_ms)
         own_record = state.crashes.record(fingerprint, now_ms)
         if _is_outdated(record, own_record):
             effects.append(BroadcastCrashes((own_record,)))
@@ -267,7 +267,7 @@
 ) -> list[Effect]:
     """Block or unblock a fingerprint by its current number of crashes."""
     if is_part_key(fingerprint):
-        return _parts.handle_counted(state, fingerprint, now_ms)
+        return _parts.handle_crash_counted(state, fingerprint, now_ms)
     n_to_block = state.config.n_crashes_to_block
     remaining_ms = state.crashes.block_remaining_ms(fingerprint, n_to_block, now_ms)
     if remaining_ms > 0:
--- a/packages/core/src/bluebellusher_core/requests/_parts.py
+++ b/packages/core/src/bluebellusher_core/requests/_parts.py
@@ -102,7 +102,7 @@
     return effects
 
 
-def handle_counted(state: EntryState, key: str, now_ms: int) -> list[Effect]:
+def handle_crash_counted(state: EntryState, key: str, now_ms: int) -> list[Effect]:
     """Log a part that has become blocked, and schedule the end of waiting requests."""
     part_id = key.removeprefix(part_key(""))
     block_ms = state.part_blocks.find_block_ms(part_id, now_ms)
@@ -115,15 +115,15 @@
     ]
 
 
-def answer_accusation(
+def tell_of_output(
     state: EntryState, event: CrashesReceived, record: CrashRecord, now_ms: int
 ) -> list[Effect]:
-    """Tell a peer that has counted a crash by a part that runs with it produce output.
+    """Tell a peer that takes a crashed part for a new one that it has had output.
 
     Where there are many entries, a few of those that know answer.
     """
-    is_accusation = bool(record.crashes) and record.sound_age_ms is None
-    if not is_accusation or not is_part_key(record.fingerprint):
+    is_new_there = bool(record.crashes) and record.sound_age_ms is None
+    if not is_new_there or not is_part_key(record.fingerprint):
         return []
     if event.source == STORE_SOURCE:
         # The store cannot be told, and its row may name the crash for minutes.
