Keep the ports of the soak's processes reserved

Cause: the log of entry-0 shows "address already in use" for its port 57445 at each of its 30 starts. The soak chose free ports and released them before its processes started, and another socket got the port in between. Excluded: the entry (the two others served at once).

Change: PortReservations of the stand-ins keeps each port bound without listening, so that only the process that names it can listen. A connection to it is refused as before while the process is not running. The soak's own function is removed.

--- a/soak/run.py
+++ b/soak/run.py
@@ -5,7 +5,6 @@
 import os
 import pathlib
 import signal
-import socket
 import sys
 import time
 from collections import Counter
@@ -15,6 +14,7 @@
 
 import aiohttp
 
+from bluebellusher_standins.cluster import PortReservations
 from soak.endpoint import POISON
 from soak.entry import HOST_NAME
 from soak.store import StoreServer
@@ -39,17 +39,6 @@
 SHUTDOWN_GRACE_S = 6
 
 
-def find_free_ports(n_ports: int) -> list[int]:
-    """Return distinct ports of ``HOST`` that were free during this call."""
-    sockets = [socket.socket() for _ in range(n_ports)]
-    for sock in sockets:
-        sock.bind((HOST, 0))
-    ports = [int(sock.getsockname()[1]) for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
-
-
 def _make_entry_command(path: pathlib.Path) -> Callable[[int], list[str]]:
     """Return a function that makes the arguments of an entry process.
 
@@ -165,6 +154,7 @@
         self._calls: list[Call] = []
         self._entries: dict[str, Process] = {}
         self._endpoints: list[Process] = []
+        self._reservations = PortReservations()
         self._ports_by_entry: dict[str, list[int]] = {}
         self._is_finished = False
         self.faults: list[tuple[str, Callable[[], Awaitable[None]]]] = [
@@ -207,6 +197,7 @@
             self._is_finished = True
             await self._end_processes(supervisors)
             await self._store.stop()
+            self._reservations.close()
         self._check_guarantees()
         return self.report
 
@@ -225,7 +216,7 @@
     def _make_processes(self) -> None:
         for i in range(N_ENTRIES):
             name = f"entry-{i}"
-            ports = find_free_ports(3)
+            ports = [self._reservations.reserve() for _ in range(3)]
             self._ports_by_entry[name] = ports
             settings = {
                 "instance_id": name,
@@ -243,7 +234,8 @@
             command = _make_entry_command(path)
             log = self._directory / f"{name}.log"
             self._entries[name] = Process(name, command, log)
-        for i, port in enumerate(find_free_ports(N_ENDPOINTS)):
+        for i in range(N_ENDPOINTS):
+            port = self._reservations.reserve()
             self._endpoints.append(self._make_endpoint(i, port))
 
     def _make_endpoint(self, number: int, port: int) -> Process:
