--- a/deploy/tests/test_store.py
+++ b/deploy/tests/test_store.py
@@ -9,7 +9,7 @@
 
 from bluebellusher.ports import RowWrite
 
-from store import MAX_ANSWER_BYTES, FleetStore
+from store import MAX_ANSWER_BYTES, MAX_IDLE_S, FleetStore
 
 
 class StandInStore:
@@ -280,3 +280,29 @@
         assert n_sent < 4 * MAX_ANSWER_BYTES
 
     run_scenario(scenario)
+
+
+def test_call_does_not_use_an_idle_connection_that_has_become_silent():
+    """Guards against changes read late because open connections went silent for good.
+
+    Each idle connection that is used again costs one more timeout.
+    """
+    open_connections, silent_connections = set(), set()
+
+    async def answer(request):
+        if request.transport in silent_connections:
+            await asyncio.sleep(60)
+        # Concurrent calls use different connections.
+        await asyncio.sleep(0.1)
+        open_connections.add(request.transport)
+        return web.json_response({"rows": [], "schema_version": 1})
+
+    async def scenario(client, store):
+        store.fault = answer
+        await asyncio.gather(*(client.read_table(str(i)) for i in range(3)))
+        silent_connections.update(open_connections)
+        assert len(silent_connections) == 3
+        await asyncio.sleep(MAX_IDLE_S * 1.1)
+        assert (await client.read_table("op")).is_ok()
+
+    run_scenario(scenario)
