Do not take an answer with an error for a run that clears crashes

Cause: every complete answer counted as a completed run, and every first output as evidence for the parts of its request, also an answer with an error. An endpoint that fails part of its requests answers 500 to a request that crashes others, which cleared its crashes on all entries.

Excluded: evidence by part that replaces that of the request (they have different keys).

Change: only an answer with a status below 400 clears crashes; AttemptStarted states whether the status is an error. The line crash-cleared says when it happens.

test_error_answer_does_not_clear_the_crashes_of_its_request (three cases) and test_error_answers_do_not_clear_a_crashing_part failed before.

--- a/packages/core/src/bluebellusher_core/events/_request_events.py
+++ b/packages/core/src/bluebellusher_core/events/_request_events.py
@@ -126,6 +126,7 @@
 class AttemptStarted:
     """The first bytes of an attempt's answer arrived.
 
+    ``is_error`` states whether the status of the answer is an error (400 or above).
     In every event about an attempt, ``endpoint_id`` names the endpoint whose connection
     the message arrived on. It is compared with the attempt's endpoint unless it is
     empty.
@@ -133,6 +134,7 @@
 
     attempt_id: str
     endpoint_id: str = ""
+    is_error: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_crash_counting.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_crash_counting.py
@@ -2,6 +2,8 @@
 
 import itertools
 
+import pytest
+
 from bluebellusher_core.effects import (
     BroadcastCrashes,
     CheckEndpoint,
@@ -426,3 +428,21 @@
         counter.confirm(f"x{i}", 20)
     assert counter.confirm("x", 20) == ["g7", "g8", "g9"]
     assert [record.fingerprint for record in counter.records(21)] == ["g7", "g8", "g9"]
+
+
+@pytest.mark.parametrize("status", [404, 500, 504])
+def test_error_answer_does_not_clear_the_crashes_of_its_request(status):
+    """Guards against a request that crashes on after an endpoint answered an error.
+
+    An endpoint that fails part of its requests says nothing about what a request does
+    to the endpoints that run it.
+    """
+    entry = Entry()
+    for _ in range(N_TO_BLOCK - 1):
+        entry.crash(entry.send())
+    failed = entry.send()
+    entry.handle(
+        AttemptFinished(failed.attempt_id, status, 7, Usage(), failed.endpoint_id)
+    )
+    entry.crash(entry.send())
+    assert isinstance(entry.send(), Reject)
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_part_crashes.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_part_crashes.py
@@ -135,13 +135,14 @@
         self.answer(entry_id, dispatch)
         return True
 
-    def answer(self, entry_id, dispatch):
+    def answer(self, entry_id, dispatch, status=200):
         """Produce the output of a run and complete it."""
         state = self.entries[entry_id]
         endpoint_id = dispatch.endpoint_id
         self.now_ms += 200
-        self.handle(state, AttemptStarted(dispatch.attempt_id, endpoint_id))
-        finished = AttemptFinished(dispatch.attempt_id, 200, 9, Usage(), endpoint_id)
+        is_error = status >= 400
+        self.handle(state, AttemptStarted(dispatch.attempt_id, endpoint_id, is_error))
+        finished = AttemptFinished(dispatch.attempt_id, status, 9, Usage(), endpoint_id)
         self.handle(state, finished)
 
     def crash(self, *endpoint_ids):
@@ -399,3 +400,21 @@
         served = [fleet.send(f"e{i}", (f"frequent{part}",)) for i in range(3)]
         assert any(served)
         assert all(fleet.send(f"e{i}", (f"frequent{part}",)) for i in range(3))
+
+
+def test_error_answers_do_not_clear_a_crashing_part():
+    """Guards against a crashing part that an endpoint's error answer takes for sound.
+
+    An endpoint that fails part of its requests answers instead of crashing.
+    """
+    fleet = Fleet()
+    for i in range(30):
+        entry_id = f"e{i % 3}"
+        dispatch = fleet.dispatch(entry_id, (f"first{i}", CRASHING))
+        if dispatch is None:
+            continue
+        if i % 2:
+            fleet.crash(dispatch.endpoint_id)
+        else:
+            fleet.answer(entry_id, dispatch, status=500)
+    assert fleet.n_crashes <= MAX_CRASHES
--- a/packages/core/src/bluebellusher_core/requests/_attempts.py
+++ b/packages/core/src/bluebellusher_core/requests/_attempts.py
@@ -24,7 +24,8 @@
 from bluebellusher_core.requests._model import Attempt, Phase, Request
 from bluebellusher_core.state import EntryState
 
-# Lowest HTTP status of a server error.
+# Lowest HTTP status of an error, and of a server error.
+ERROR = 400
 SERVER_ERROR = 500
 _NOT_CONNECTED = frozenset((Reason.CONNECT_FAILED, Reason.CONNECT_REFUSED))
 
@@ -45,7 +46,10 @@
 def handle_started(
     state: EntryState, event: AttemptStarted, now_ms: int
 ) -> list[Effect]:
-    """Record the first output of an attempt and cancel the request's other attempts."""
+    """Record the first output of an attempt and cancel the request's other attempts.
+
+    An error shows that the endpoint runs, but not that it has run the request.
+    """
     attempt = _find_attempt(state, event)
     if attempt is None:
         return _handle_unmatched(state, event)
@@ -58,7 +62,8 @@
     waited_ms = now_ms - attempt.dispatched_at_ms
     state.endpoints.record_first_output(attempt.endpoint_id, waited_ms, now_ms)
     state.endpoints.tracker.apply(event, now_ms)
-    effects += _parts.record_output(state, request.spec, now_ms)
+    if not event.is_error:
+        effects += _parts.record_output(state, request.spec, now_ms)
     for other in [a for a in request.attempts if a is not attempt]:
         effects += _final.cancel_attempt(state, request, other, now_ms)
     return effects
@@ -85,6 +90,9 @@
         state.endpoints.tracker.record_failure(attempt.endpoint_id, now_ms)
         if _recovery.can_replace_failure(state, request):
             return effects + _recovery.replace_failure(state, request, attempt, now_ms)
+    if event.status < ERROR:
+        fingerprint = request.spec.fingerprint
+        effects += _final.clear_crashes(state, fingerprint, now_ms)
     return effects + _final.complete_request(state, request, attempt, now_ms)
 
 
--- a/packages/core/src/bluebellusher_core/requests/_final.py
+++ b/packages/core/src/bluebellusher_core/requests/_final.py
@@ -96,7 +96,7 @@
 ) -> list[Effect]:
     """End a request with the complete answer of one attempt and cancel the others.
 
-    The completed run clears the suspicions and crashes of the request's fingerprint.
+    The completed run clears the suspicions of the request's fingerprint.
     """
     effects: list[Effect] = []
     if request.phase is not Phase.DETACHED:
@@ -104,7 +104,6 @@
     end_attempt(state, request, finished_attempt, now_ms)
     record_service_time(state, request, finished_attempt, now_ms)
     state.poison.clear(request.spec.fingerprint, now_ms)
-    effects += clear_crashes(state, request.spec.fingerprint, now_ms)
     if request.claim is not None:
         effects += state.claims.record(
             request.claim, ClaimState.DONE, finished_attempt.attempt_id, now_ms
@@ -122,6 +121,7 @@
     if not state.crashes.clear(fingerprint, now_ms):
         return []
     effects: list[Effect] = [
+        LogEvent("crash-cleared", (("fingerprint", fingerprint),)),
         BroadcastCrashes((state.crashes.record(fingerprint, now_ms),)),
     ]
     if state.poison.unblock(fingerprint):
--- a/packages/entry/src/bluebellusher/gateway/_attempts.py
+++ b/packages/entry/src/bluebellusher/gateway/_attempts.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+from http import HTTPStatus
 
 import aiohttp
 from yarl import URL
@@ -518,7 +519,8 @@
     def _post_started(self, attempt: _Attempt) -> None:
         """Post the event of an attempt's first output."""
         effect = attempt.effect
-        self._post(AttemptStarted(effect.attempt_id, effect.endpoint_id))
+        is_error = attempt.answer.status >= HTTPStatus.BAD_REQUEST
+        self._post(AttemptStarted(effect.attempt_id, effect.endpoint_id, is_error))
 
     def _make_refused(
         self, attempt: _Attempt, reason: Reason, has_arrived: bool
--- a/packages/entry/src/bluebellusher/links/_agents.py
+++ b/packages/entry/src/bluebellusher/links/_agents.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import OrderedDict
 from collections.abc import Iterable
+from http import HTTPStatus
 from random import Random
 from typing import Any, Protocol
 
@@ -157,7 +158,10 @@
         if problem:
             self._fail_attempt(started.attempt_id, problem)
         else:
-            self._sink.post(AttemptStarted(started.attempt_id, self.endpoint_id))
+            is_error = (started.status or 0) >= HTTPStatus.BAD_REQUEST
+            self._sink.post(
+                AttemptStarted(started.attempt_id, self.endpoint_id, is_error)
+            )
 
     def _on_finish(self, finish: Any) -> None:
         relay = self._find_relay(finish.attempt_id)
