Play error answers beside a crashing request under random faults

The simulation of crashing requests had no endpoints that answer with errors, so that it could not show crashes cleared by them.

--- a/packages/core/src/bluebellusher_core/reducer/tests/_crash_simulation.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/_crash_simulation.py
@@ -109,6 +109,8 @@
         self.keeps_id = keeps_id
         self.n_entries = n_entries
         self.downtime_range_ms = (2_000, 6_000)
+        # Share of the runs that an endpoint answers with an error instead.
+        self.error_share = 0.0
         self.is_store_unavailable = False
         self.store_restored_at_ms = 0
         self.reconnected_at_ms_by_domain = {}
@@ -463,7 +465,9 @@
             run = Run(entry, attempt_id, fingerprint, endpoint_id)
             host.runs.append(run)
             self._count_poison_run(run)
-            if fingerprint == POISON:
+            if self.random.random() < self.error_share:
+                self.call_later(CRASH_AFTER_MS, self._finish_run, host, run, 500)
+            elif fingerprint == POISON:
                 self.call_later(CRASH_AFTER_MS, self._crash_by_run, host, run)
             else:
                 self.call_later(
@@ -491,14 +495,17 @@
             self.crash_times_ms.append(self.now_ms)
             self.crash_endpoint(host)
 
-    def _finish_run(self, host, run):
+    def _finish_run(self, host, run, status=200):
         """Answer a run if it still runs at a host."""
         if run not in host.runs:
             return
         host.runs.remove(run)
-        self.completed_fingerprints.append(run.fingerprint)
-        self.handle_event(run.entry, AttemptStarted(run.attempt_id, run.endpoint_id))
-        event = AttemptFinished(run.attempt_id, 200, 1, Usage(), run.endpoint_id)
+        is_error = status >= 400
+        if not is_error:
+            self.completed_fingerprints.append(run.fingerprint)
+        attempt_id, endpoint_id = run.attempt_id, run.endpoint_id
+        self.handle_event(run.entry, AttemptStarted(attempt_id, endpoint_id, is_error))
+        event = AttemptFinished(attempt_id, status, 1, Usage(), endpoint_id)
         self.handle_event(run.entry, event)
 
     def _break_run(self, host, run):
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_crash_sharing.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_crash_sharing.py
@@ -120,6 +120,21 @@
 def test_poison_request_is_blocked_under_random_faults(seed):
     """Guards against restarts, cuts and store outages that hide crashes."""
     simulation = CrashSimulation(seed, keeps_id=bool(seed % 2))
+    run_random_faults(simulation)
+    assert simulation.n_late_runs <= N_MAX_LATE_RUNS
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_poison_request_is_blocked_beside_error_answers(seed):
+    """Guards against error answers of endpoints that clear crashes."""
+    simulation = CrashSimulation(seed, keeps_id=bool(seed % 2))
+    simulation.error_share = 0.3
+    run_random_faults(simulation)
+    assert simulation.n_late_runs <= N_MAX_LATE_RUNS
+
+
+def run_random_faults(simulation):
+    """Send poison and harmless requests while faults come and go at random."""
     for _ in range(60):
         running_ids = [
             e.entry_id for e in simulation.entry_by_id.values() if e.is_alive
@@ -130,7 +145,6 @@
         simulation.send(simulation.random.choice(list(simulation.entry_by_id)), "sound")
         _change_faults(simulation)
         simulation.run(simulation.random.randint(100, 1_200))
-    assert simulation.n_late_runs <= N_MAX_LATE_RUNS
 
 
 def _change_faults(simulation):
