--- a/deploy/tests/test_dialect.py
+++ b/deploy/tests/test_dialect.py
@@ -166,3 +166,14 @@
     for status in (200, 421, 500, 503):
         headers = CIMultiDict({name: value})
         assert PlatformDialect().read_answer(status, headers).is_leaving is is_leaving
+
+
+@pytest.mark.parametrize(
+    ("value", "limit"),
+    [("1.2", 1.2), ("0", 0.0), ("", None), ("-1", None), ("inf", None), ("x", None)],
+)
+def test_limit_is_read_from_any_answer(value, limit):
+    """Guards against limits from invalid values, and limits in refusals ignored."""
+    for status in (200, 500, 503):
+        fields = PlatformDialect().read_answer(status, {"Server-Limit": value})
+        assert fields.max_requests_per_s == limit
--- a/packages/core/src/bluebellusher_core/effects/_effects.py
+++ b/packages/core/src/bluebellusher_core/effects/_effects.py
@@ -4,7 +4,7 @@
 from enum import StrEnum
 
 from bluebellusher_core.errors import Rejection
-from bluebellusher_core.events import LeavingMark
+from bluebellusher_core.events import LeavingMark, LimitMark
 from bluebellusher_core.poison import CrashRecord
 from bluebellusher_core.retry import EndedRequest
 
@@ -147,6 +147,13 @@
     marks: tuple[LeavingMark, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class BroadcastLimits:
+    """Broadcast to the other entries which limits endpoints have named."""
+
+    marks: tuple[LimitMark, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class BroadcastEnded:
     """Tell the entries of the own failure domain which requests ended unanswered."""
@@ -184,6 +191,7 @@
     | BroadcastCrashes
     | BroadcastEnded
     | BroadcastLeaving
+    | BroadcastLimits
     | BroadcastSilent
     | LogEvent
 )
--- a/packages/core/src/bluebellusher_core/events/__init__.py
+++ b/packages/core/src/bluebellusher_core/events/__init__.py
@@ -8,12 +8,15 @@
     EndpointCrashed,
     EndpointDraining,
     EndpointInfo,
+    EndpointLimited,
     EndpointLost,
     EndpointProgressed,
     EndpointRegistered,
     EndpointReplaced,
     LeavingMark,
     LeavingReceived,
+    LimitMark,
+    LimitsReceived,
     LoadReported,
     SilentReceived,
 )
@@ -41,6 +44,7 @@
     DigestReceived,
     EntriesCounted,
     MembersListed,
+    PeersConnected,
     PolicyChanged,
     ShutdownStarted,
     TimerFired,
@@ -63,6 +67,8 @@
     | EndpointProgressed
     | SilentReceived
     | EndpointAnnounced
+    | EndpointLimited
+    | LimitsReceived
     | LeavingReceived
     | EndpointDraining
     | EndpointCrashed
@@ -74,6 +80,7 @@
     | CrashesReceived
     | EntriesCounted
     | MembersListed
+    | PeersConnected
     | PolicyChanged
     | ShutdownStarted
     | TimerFired
@@ -102,6 +109,7 @@
     "EndpointCrashed",
     "EndpointDraining",
     "EndpointInfo",
+    "EndpointLimited",
     "EndpointLost",
     "EndpointProgressed",
     "EndpointRegistered",
@@ -110,8 +118,11 @@
     "Event",
     "LeavingMark",
     "LeavingReceived",
+    "LimitMark",
+    "LimitsReceived",
     "LoadReported",
     "MembersListed",
+    "PeersConnected",
     "PolicyChanged",
     "Priority",
     "RequestArrived",
--- a/packages/core/src/bluebellusher_core/events/_endpoint_events.py
+++ b/packages/core/src/bluebellusher_core/events/_endpoint_events.py
@@ -181,6 +181,51 @@
     marks: tuple[LeavingMark, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointLimited:
+    """An answer of an endpoint named a limit of its request rate, or no limit any more.
+
+    Parameters
+    ----------
+    endpoint_id : str
+        The endpoint that answered.
+    incarnation : int
+        Last known incarnation of the endpoint.
+    requests_per_s : float or None
+        Requests that the endpoint takes from all entries together, per second; None
+        when the answer names no limit.
+    sent_at_ms : int
+        Monotonic time at which the answered attempt was sent, in ms.
+    """
+
+    endpoint_id: str
+    incarnation: int
+    requests_per_s: float | None
+    sent_at_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class LimitMark:
+    """Limit that one start of an endpoint named in an answer.
+
+    ``requests_per_s`` is None when the answer ended the limit. ``age_ms`` is the time
+    since the answer, in ms.
+    """
+
+    endpoint_id: str
+    incarnation: int
+    requests_per_s: float | None
+    age_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class LimitsReceived:
+    """A peer told which limits endpoints have named; ``source`` names the peer."""
+
+    source: str
+    marks: tuple[LimitMark, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class LoadReported:
     """A load report of an endpoint arrived.
--- a/packages/core/src/bluebellusher_core/events/_state_events.py
+++ b/packages/core/src/bluebellusher_core/events/_state_events.py
@@ -83,6 +83,13 @@
     n_entries: int
 
 
+@dataclass(frozen=True, slots=True)
+class PeersConnected:
+    """The set of connected peers changed to ``peer_ids``."""
+
+    peer_ids: frozenset[str]
+
+
 @dataclass(frozen=True, slots=True)
 class MembersListed:
     """The store listed all entries of the deployment."""
--- a/packages/core/src/bluebellusher_core/membership/__init__.py
+++ b/packages/core/src/bluebellusher_core/membership/__init__.py
@@ -7,15 +7,20 @@
     Pool,
     pool_of,
 )
+from bluebellusher_core.membership._entries import ActiveEntries, Share
+from bluebellusher_core.membership._limits import RequestLimits
 from bluebellusher_core.membership._silence import RankSilence, SilentRank
 from bluebellusher_core.membership._subset import choose_subset
 
 __all__ = [
     "MAX_PAUSE_MS",
+    "ActiveEntries",
     "Announcements",
     "Endpoints",
     "Pool",
     "RankSilence",
+    "RequestLimits",
+    "Share",
     "SilentRank",
     "choose_subset",
     "pool_of",
--- a/packages/core/src/bluebellusher_core/membership/_endpoints.py
+++ b/packages/core/src/bluebellusher_core/membership/_endpoints.py
@@ -1,6 +1,7 @@
 """Views of the connected endpoints and their availability for new attempts."""
 
 from dataclasses import dataclass, field, replace
+from math import inf
 
 from bluebellusher_core.effects import CloseConnection, Effect
 from bluebellusher_core.events import (
@@ -12,7 +13,9 @@
     RequestSpec,
 )
 from bluebellusher_core.membership._announcements import Announcements
+from bluebellusher_core.membership._entries import ActiveEntries
 from bluebellusher_core.membership._groups import GroupStates
+from bluebellusher_core.membership._limits import MS_PER_S, RequestLimits
 from bluebellusher_core.membership._silence import RankSilence
 from bluebellusher_core.routing import EndpointTracker, EndpointView
 
@@ -50,6 +53,8 @@
         its slots.
     announcements : Announcements
         Shutdowns and pauses that endpoints announced in their answers.
+    limits : RequestLimits
+        Limits of the request rate that endpoints named in their answers.
     tracker : EndpointTracker
         Holds and updates the views; it receives only valid events.
     groups : GroupStates
@@ -63,6 +68,9 @@
     announcements: Announcements = field(
         default_factory=lambda: Announcements(MAX_PAUSE_MS)
     )
+    limits: RequestLimits = field(
+        default_factory=lambda: RequestLimits(ActiveEntries(""))
+    )
     tracker: EndpointTracker = field(default_factory=EndpointTracker)
     groups: GroupStates = field(default_factory=lambda: GroupStates(REPORT_MAX_AGE_MS))
     silence: RankSilence = field(default_factory=RankSilence)
@@ -124,14 +132,34 @@
         )
 
     def pause_remaining_ms(self, pool: Pool, now_ms: int) -> int:
-        """Return the time until the first endpoint of a pool ends its pause, in ms.
+        """Return the time until the first endpoint of a pool may get an attempt, in ms.
 
-        The time is 0 unless every endpoint of the pool pauses.
+        The time is 0 unless every endpoint of the pool pauses or has a limit that is
+        used up. It is at most the longest pause.
         """
-        if not self.announcements.has_limits:
+        if not self.announcements.has_limits and self.limits.is_empty:
             return 0
-        end_times_ms = [self._paused_until_ms(v, now_ms) for v in self.views_of(pool)]
-        return max(0, min(end_times_ms, default=0) - now_ms)
+        waits_ms = [self._wait_ms(v, now_ms) for v in self.views_of(pool)]
+        return int(min(min(waits_ms, default=0), self.announcements.max_pause_ms))
+
+    def _wait_ms(self, view: EndpointView, now_ms: int) -> float:
+        """Return the time until a pause and a limit allow an attempt, in ms."""
+        info = view.info
+        pause_ms = max(0, self._paused_until_ms(view, now_ms) - now_ms)
+        limit_ms = self.limits.wait_ms(info.endpoint_id, info.incarnation, now_ms)
+        return max(pause_ms, limit_ms)
+
+    def find_limited_slots(
+        self, view: EndpointView, service_ms: float, now_ms: int
+    ) -> float:
+        """Return the mean number of own attempts that an endpoint's limit allows.
+
+        It is infinite for an endpoint without a limit. ``service_ms`` is the mean time
+        of an attempt, in ms.
+        """
+        info = view.info
+        rate = self.limits.find_rate(info.endpoint_id, info.incarnation, now_ms)
+        return inf if rate is None else rate * service_ms / MS_PER_S
 
     def _paused_until_ms(self, view: EndpointView, now_ms: int) -> int:
         info = view.info
@@ -140,10 +168,12 @@
         )
 
     def _allows_attempt(self, view: EndpointView, now_ms: int) -> bool:
-        """Return whether pauses and the limit after them allow another attempt."""
+        """Return whether pauses and limits allow another attempt."""
         if self._paused_until_ms(view, now_ms):
             return False
         info = view.info
+        if self.limits.is_exhausted(info.endpoint_id, info.incarnation, now_ms):
+            return False
         attempt_limit = self.announcements.attempt_limit(info.endpoint_id, info.n_slots)
         return view.n_own_in_flight < attempt_limit
 
@@ -171,23 +201,26 @@
         self._deferred_until_ms[endpoint_id] = now_ms + min(defer_ms, MAX_DEFER_MS)
 
     def next_available_at_ms(self, now_ms: int) -> int | None:
-        """Return the earliest end of a pause or deferral in monotonic ms, if any."""
-        pause_end_ms = self.announcements.next_pause_end_ms(now_ms)
-        if not self._deferred_until_ms:
-            return pause_end_ms
+        """Return the next time at which an endpoint may get an attempt again.
+
+        It is the earliest end of a pause or deferral, or the earliest time at which a
+        limit allows a request, in monotonic ms; None when nothing ends.
+        """
         ended = [e for e, at in self._deferred_until_ms.items() if at <= now_ms]
         for endpoint_id in ended:
             del self._deferred_until_ms[endpoint_id]
-        end_times_ms = list(self._deferred_until_ms.values())
-        if pause_end_ms is not None:
-            end_times_ms.append(pause_end_ms)
-        return min(end_times_ms, default=None)
+        times_ms: list[int | None] = [
+            *self._deferred_until_ms.values(),
+            self.announcements.next_pause_end_ms(now_ms),
+            self.limits.next_available_at_ms(now_ms),
+        ]
+        return min((at_ms for at_ms in times_ms if at_ms is not None), default=None)
 
     def views_with_capacity(self, pool: Pool, now_ms: int) -> list[EndpointView]:
         """Return the endpoints of a pool that have capacity for another attempt."""
         deferred_until_ms = self._deferred_until_ms
         closed_ids = self.groups.find_closed(now_ms)
-        has_limits = self.announcements.has_limits
+        has_limits = self.announcements.has_limits or not self.limits.is_empty
         return [
             view
             for view in self.views_of(pool)
--- /dev/null
+++ b/packages/core/src/bluebellusher_core/membership/_entries.py
@@ -0,0 +1,85 @@
+"""Entries that share the endpoints with this one."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from heapq import nsmallest
+
+from bluebellusher_core.rendezvous import score
+
+# Time for which a lost peer counts as an entry that uses its shares, in ms. It may
+# only be unreachable, and an entry that restarts is back within seconds.
+LOST_PEER_TIMEOUT_MS = 60_000
+
+
+@dataclass(frozen=True, slots=True)
+class Share:
+    """Place of an entry among the ``n_holders`` entries with equal shares.
+
+    ``position`` is from 0 to ``n_holders - 1`` and differs between the holders.
+    """
+
+    position: int
+    n_holders: int
+
+
+@dataclass(slots=True)
+class ActiveEntries:
+    """Entries that may be sending requests now, and their shares of an endpoint.
+
+    Parameters
+    ----------
+    own_id : str
+        Id of this entry, which always counts as active.
+
+    Examples
+    --------
+    >>> entries = ActiveEntries("e1")
+    >>> entries.record_connected(["e2", "e3"], now_ms=0)
+    >>> entries.find_share("x1", n_max=8, now_ms=0).n_holders
+    3
+    """
+
+    own_id: str
+    _connected_ids: frozenset[str] = frozenset()
+    _lost_at_ms: dict[str, int] = field(default_factory=dict)
+    _share_by_key: dict[tuple[str, int], Share | None] = field(default_factory=dict)
+
+    def record_connected(self, peer_ids: Iterable[str], now_ms: int) -> None:
+        """Record the peers that are connected now."""
+        connected_ids = frozenset(peer_ids)
+        for peer_id in self._connected_ids - connected_ids:
+            self._lost_at_ms[peer_id] = now_ms
+        for peer_id in connected_ids:
+            self._lost_at_ms.pop(peer_id, None)
+        self._connected_ids = connected_ids
+        self._share_by_key.clear()
+
+    def find_share(self, endpoint_id: str, n_max: int, now_ms: int) -> Share | None:
+        """Return this entry's share of what an endpoint takes from all entries.
+
+        At most ``n_max`` entries have a share; None is returned to the others.
+        Rendezvous hashing selects the same ones on all entries, and other ones for each
+        endpoint.
+        """
+        self._forget_lost(now_ms)
+        key = (endpoint_id, n_max)
+        if key not in self._share_by_key:
+            ids = {self.own_id, *self._connected_ids, *self._lost_at_ms}
+            holders = nsmallest(n_max, ids, key=lambda i: score(endpoint_id, i))
+            share = None
+            if self.own_id in holders:
+                share = Share(holders.index(self.own_id), len(holders))
+            self._share_by_key[key] = share
+        return self._share_by_key[key]
+
+    def _forget_lost(self, now_ms: int) -> None:
+        """Discard the peers that were lost ``LOST_PEER_TIMEOUT_MS`` ago."""
+        forgotten_ids = [
+            peer_id
+            for peer_id, lost_at_ms in self._lost_at_ms.items()
+            if now_ms - lost_at_ms >= LOST_PEER_TIMEOUT_MS
+        ]
+        for peer_id in forgotten_ids:
+            del self._lost_at_ms[peer_id]
+        if forgotten_ids:
+            self._share_by_key.clear()
--- a/packages/core/src/bluebellusher_core/reducer/_reduce.py
+++ b/packages/core/src/bluebellusher_core/reducer/_reduce.py
@@ -19,6 +19,7 @@
     EndpointConnected,
     EndpointCrashed,
     EndpointDraining,
+    EndpointLimited,
     EndpointLost,
     EndpointProgressed,
     EndpointRegistered,
@@ -26,8 +27,10 @@
     EntriesCounted,
     Event,
     LeavingReceived,
+    LimitsReceived,
     LoadReported,
     MembersListed,
+    PeersConnected,
     PolicyChanged,
     RequestArrived,
     ShutdownStarted,
@@ -131,6 +134,10 @@
             return _announced.handle_announced(state, event, now_ms)
         case EndedReceived():
             return _retries.handle_received(state, event, now_ms)
+        case EndpointLimited():
+            return _announced.handle_limited(state, event, now_ms)
+        case LimitsReceived():
+            return _announced.handle_limits_received(state, event, now_ms)
         case LeavingReceived():
             return _announced.handle_received(state, event, now_ms)
         case CrashesReceived():
@@ -142,6 +149,9 @@
         case EntriesCounted():
             state.n_entries = max(1, event.n_entries)
             _resize_retry_budget(state)
+        case PeersConnected():
+            state.endpoints.limits.entries.record_connected(event.peer_ids, now_ms)
+            state.next_placement_ms = 0
         case MembersListed():
             state.member_ids = event.member_ids
         case ShutdownStarted():
--- a/packages/core/src/bluebellusher_core/requests/_announced.py
+++ b/packages/core/src/bluebellusher_core/requests/_announced.py
@@ -1,20 +1,28 @@
-"""Handlers of endpoints that announce their shutdown or ask for a pause.
+"""Handlers of endpoints that announce their shutdown, a pause or a limit.
 
-Endpoints do both in the headers of their answers. Entries broadcast shutdowns to each
-other.
+Endpoints do so in the headers of their answers. Entries broadcast shutdowns and limits
+to each other.
 """
 
-from bluebellusher_core.effects import BroadcastLeaving, Effect, LogEvent
+from bluebellusher_core.effects import (
+    BroadcastLeaving,
+    BroadcastLimits,
+    Effect,
+    LogEvent,
+)
 from bluebellusher_core.events import (
     EndpointAnnounced,
+    EndpointLimited,
     LeavingMark,
     LeavingReceived,
+    LimitsReceived,
 )
 from bluebellusher_core.state import EntryState
 
 LogField = tuple[str, str | int | float]
 
-# Upper bound of the leaving endpoints that are read from one announcement.
+# Upper bound of the leaving endpoints, and of the limits, that are read from one
+# announcement.
 N_MAX_MARKS = 1_000
 
 
@@ -58,6 +66,59 @@
     return effects
 
 
+def handle_limited(
+    state: EntryState, event: EndpointLimited, now_ms: int
+) -> list[Effect]:
+    """Record the limit that an endpoint named, or its end, by its own answer."""
+    limits, endpoint_id = state.endpoints.limits, event.endpoint_id
+    was_limited = limits.is_limited(endpoint_id)
+    has_news = limits.record_answer(
+        endpoint_id,
+        event.incarnation,
+        event.requests_per_s,
+        event.sent_at_ms,
+        now_ms,
+    )
+    state.next_placement_ms = 0
+    effects: list[Effect] = []
+    if was_limited != limits.is_limited(endpoint_id):
+        effects += _log_limit(state, endpoint_id, "answer", now_ms)
+    if has_news:
+        mark = limits.make_mark(endpoint_id, now_ms)
+        effects.append(BroadcastLimits((mark,)))
+    return effects
+
+
+def handle_limits_received(
+    state: EntryState, event: LimitsReceived, now_ms: int
+) -> list[Effect]:
+    """Record the limits that a peer was told."""
+    effects: list[Effect] = []
+    for mark in event.marks[:N_MAX_MARKS]:
+        if state.endpoints.limits.merge(mark, now_ms):
+            effects += _log_limit(state, mark.endpoint_id, event.source, now_ms)
+    state.next_placement_ms = 0
+    return effects
+
+
+def _log_limit(
+    state: EntryState, endpoint_id: str, source: str, now_ms: int
+) -> list[Effect]:
+    """Log that a limit begins, with this entry's share, or ends."""
+    limits = state.endpoints.limits
+    mark = limits.make_mark(endpoint_id, now_ms)
+    fields: list[LogField] = [("endpoint", endpoint_id), ("source", source)]
+    if mark.requests_per_s is None:
+        return [LogEvent("endpoint-unlimited", tuple(fields))]
+    rate = limits.find_rate(endpoint_id, mark.incarnation, now_ms) or 0.0
+    fields += [
+        ("requests_per_s", mark.requests_per_s),
+        ("own_requests_per_s", round(rate, 3)),
+        ("age_ms", mark.age_ms),
+    ]
+    return [LogEvent("endpoint-limited", tuple(fields))]
+
+
 def _record_leaving(
     state: EntryState, mark: LeavingMark, source: str, now_ms: int
 ) -> list[Effect]:
--- a/packages/core/src/bluebellusher_core/requests/_placing.py
+++ b/packages/core/src/bluebellusher_core/requests/_placing.py
@@ -1,6 +1,7 @@
 """Queues of waiting requests and their placement on endpoints."""
 
 from dataclasses import replace
+from math import inf
 from typing import Protocol, runtime_checkable
 
 from bluebellusher_core.admission import AdmissionQueue
@@ -214,6 +215,7 @@
     state.attempt_by_id[attempt_id] = attempt
     state.poison.start(request.spec.fingerprint)
     state.endpoints.silence.record_dispatch(view)
+    state.endpoints.limits.record_dispatch(endpoint_id, view.info.incarnation, now_ms)
     predicted_ms = 0.0
     if state.predictor is not None and not is_resumed:
         predicted_ms = state.predictor.predict_normal_ms(request.spec, view, now_ms)
@@ -322,15 +324,22 @@
 
     An endpoint with free capacity counts with all its slots. An endpoint without free
     capacity counts only with the attempts of this entry, because the other entries
-    use its remaining slots.
+    use its remaining slots. An endpoint with a limit counts at most with the attempts
+    that the limit allows.
     """
     service_ms = state.service_ms_by_pool.get(pool)
     if service_ms is None or not len(queue):
         return
-    n_slots = sum(view.n_own_in_flight for view in state.endpoints.views_of(pool))
-    free_views = state.endpoints.views_with_capacity(pool, now_ms)
-    n_slots += sum(view.info.n_slots - view.n_own_in_flight for view in free_views)
-    queue.observe_service(max(1, n_slots), service_ms)
+    endpoints = state.endpoints
+    free_views = endpoints.views_with_capacity(pool, now_ms)
+    free_ids = {view.info.endpoint_id for view in free_views}
+    n_slots = 0.0
+    for view in endpoints.views_of(pool):
+        is_free = view.info.endpoint_id in free_ids
+        n_usable = view.info.n_slots if is_free else view.n_own_in_flight
+        n_limited = endpoints.find_limited_slots(view, service_ms, now_ms)
+        n_slots += min(n_usable if n_limited == inf else view.info.n_slots, n_limited)
+    queue.observe_service(max(1, round(n_slots)), service_ms)
 
 
 def _reject_waiting(
--- a/packages/core/src/bluebellusher_core/state/_state.py
+++ b/packages/core/src/bluebellusher_core/state/_state.py
@@ -9,7 +9,13 @@
 from bluebellusher_core.admission import AdmissionQueue, FifoQueue
 from bluebellusher_core.claims import ClaimTable
 from bluebellusher_core.events import RequestSpec
-from bluebellusher_core.membership import Announcements, Endpoints, Pool
+from bluebellusher_core.membership import (
+    ActiveEntries,
+    Announcements,
+    Endpoints,
+    Pool,
+    RequestLimits,
+)
 from bluebellusher_core.poison import CrashCounter, PartBlocks, PoisonTable
 from bluebellusher_core.requests import Attempt, Request
 from bluebellusher_core.retry import EndedRequests, RetryBudget
@@ -157,6 +163,7 @@
                 config.n_max_endpoints,
                 config.queue_factor,
                 Announcements(config.max_pause_ms),
+                RequestLimits(ActiveEntries(config.entry_id)),
             ),
             retry_budget=RetryBudget(config.n_min_retries, config.retry_percent),
             claims=ClaimTable(f"{config.entry_id}.{config.incarnation}"),
--- a/packages/core/src/bluebellusher_core/wire/_generated/bluebellusher/ttypes.py
+++ b/packages/core/src/bluebellusher_core/wire/_generated/bluebellusher/ttypes.py
@@ -3350,6 +3350,110 @@
         return not (self == other)
 
 
+class LimitMark(object):
+    """
+    Attributes:
+     - endpoint_id
+     - incarnation
+     - requests_per_s
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'endpoint_id',
+        'incarnation',
+        'requests_per_s',
+        'age_ms',
+    )
+
+
+    def __init__(self, endpoint_id=None, incarnation=None, requests_per_s=None, age_ms=None,):
+        self.endpoint_id = endpoint_id
+        self.incarnation = incarnation
+        self.requests_per_s = requests_per_s
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.requests_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LimitMark')
+        if self.endpoint_id is not None:
+            oprot.writeFieldBegin('endpoint_id', TType.STRING, 1)
+            oprot.writeString(self.endpoint_id.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint_id)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.requests_per_s is not None:
+            oprot.writeFieldBegin('requests_per_s', TType.DOUBLE, 3)
+            oprot.writeDouble(self.requests_per_s)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 4)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class EndedRequest(object):
     """
     Attributes:
@@ -3455,6 +3559,7 @@
      - leaving
      - ended
      - silent_endpoint_ids
+     - limits
 
     """
 
@@ -3469,10 +3574,11 @@
         'leaving',
         'ended',
         'silent_endpoint_ids',
+        'limits',
     )
 
 
-    def __init__(self, config_version=None, members=None, blocked_fingerprints=None, suspect_fingerprints=None, version_by_table=None, held_leases=None, crashes=None, leaving=None, ended=None, silent_endpoint_ids=None,):
+    def __init__(self, config_version=None, members=None, blocked_fingerprints=None, suspect_fingerprints=None, version_by_table=None, held_leases=None, crashes=None, leaving=None, ended=None, silent_endpoint_ids=None, limits=None,):
         self.config_version = config_version
         self.members = members
         self.blocked_fingerprints = blocked_fingerprints
@@ -3483,6 +3589,7 @@
         self.leaving = leaving
         self.ended = ended
         self.silent_endpoint_ids = silent_endpoint_ids
+        self.limits = limits
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3593,6 +3700,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.LIST:
+                    self.limits = []
+                    (_etype185, _size182) = iprot.readListBegin()
+                    for _i186 in range(_size182):
+                        _elem187 = LimitMark()
+                        _elem187.read(iprot)
+                        self.limits.append(_elem187)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3610,65 +3728,72 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter182 in self.members:
-                iter182.write(oprot)
+            for iter188 in self.members:
+                iter188.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.blocked_fingerprints is not None:
             oprot.writeFieldBegin('blocked_fingerprints', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.blocked_fingerprints))
-            for iter183 in self.blocked_fingerprints:
-                oprot.writeString(iter183.encode('utf-8') if sys.version_info[0] == 2 else iter183)
+            for iter189 in self.blocked_fingerprints:
+                oprot.writeString(iter189.encode('utf-8') if sys.version_info[0] == 2 else iter189)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspect_fingerprints is not None:
             oprot.writeFieldBegin('suspect_fingerprints', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.suspect_fingerprints))
-            for iter184 in self.suspect_fingerprints:
-                oprot.writeString(iter184.encode('utf-8') if sys.version_info[0] == 2 else iter184)
+            for iter190 in self.suspect_fingerprints:
+                oprot.writeString(iter190.encode('utf-8') if sys.version_info[0] == 2 else iter190)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.version_by_table is not None:
             oprot.writeFieldBegin('version_by_table', TType.MAP, 5)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.version_by_table))
-            for kiter185, viter186 in self.version_by_table.items():
-                oprot.writeString(kiter185.encode('utf-8') if sys.version_info[0] == 2 else kiter185)
-                oprot.writeI64(viter186)
+            for kiter191, viter192 in self.version_by_table.items():
+                oprot.writeString(kiter191.encode('utf-8') if sys.version_info[0] == 2 else kiter191)
+                oprot.writeI64(viter192)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.held_leases is not None:
             oprot.writeFieldBegin('held_leases', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.held_leases))
-            for iter187 in self.held_leases:
-                oprot.writeString(iter187.encode('utf-8') if sys.version_info[0] == 2 else iter187)
+            for iter193 in self.held_leases:
+                oprot.writeString(iter193.encode('utf-8') if sys.version_info[0] == 2 else iter193)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter188 in self.crashes:
-                iter188.write(oprot)
+            for iter194 in self.crashes:
+                iter194.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.leaving))
-            for iter189 in self.leaving:
-                iter189.write(oprot)
+            for iter195 in self.leaving:
+                iter195.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ended is not None:
             oprot.writeFieldBegin('ended', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.ended))
-            for iter190 in self.ended:
-                iter190.write(oprot)
+            for iter196 in self.ended:
+                iter196.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.silent_endpoint_ids is not None:
             oprot.writeFieldBegin('silent_endpoint_ids', TType.LIST, 10)
             oprot.writeListBegin(TType.STRING, len(self.silent_endpoint_ids))
-            for iter191 in self.silent_endpoint_ids:
-                oprot.writeString(iter191.encode('utf-8') if sys.version_info[0] == 2 else iter191)
+            for iter197 in self.silent_endpoint_ids:
+                oprot.writeString(iter197.encode('utf-8') if sys.version_info[0] == 2 else iter197)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.limits is not None:
+            oprot.writeFieldBegin('limits', TType.LIST, 11)
+            oprot.writeListBegin(TType.STRUCT, len(self.limits))
+            for iter198 in self.limits:
+                iter198.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3851,11 +3976,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype195, _size192) = iprot.readListBegin()
-                    for _i196 in range(_size192):
-                        _elem197 = TableRow()
-                        _elem197.read(iprot)
-                        self.rows.append(_elem197)
+                    (_etype202, _size199) = iprot.readListBegin()
+                    for _i203 in range(_size199):
+                        _elem204 = TableRow()
+                        _elem204.read(iprot)
+                        self.rows.append(_elem204)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3884,8 +4009,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter198 in self.rows:
-                iter198.write(oprot)
+            for iter205 in self.rows:
+                iter205.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4398,15 +4523,15 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.experts = []
-                    (_etype202, _size199) = iprot.readListBegin()
-                    for _i203 in range(_size199):
-                        _elem204 = []
-                        (_etype208, _size205) = iprot.readListBegin()
-                        for _i209 in range(_size205):
-                            _elem210 = iprot.readI32()
-                            _elem204.append(_elem210)
+                    (_etype209, _size206) = iprot.readListBegin()
+                    for _i210 in range(_size206):
+                        _elem211 = []
+                        (_etype215, _size212) = iprot.readListBegin()
+                        for _i216 in range(_size212):
+                            _elem217 = iprot.readI32()
+                            _elem211.append(_elem217)
                         iprot.readListEnd()
-                        self.experts.append(_elem204)
+                        self.experts.append(_elem211)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4449,10 +4574,10 @@
         if self.experts is not None:
             oprot.writeFieldBegin('experts', TType.LIST, 5)
             oprot.writeListBegin(TType.LIST, len(self.experts))
-            for iter211 in self.experts:
-                oprot.writeListBegin(TType.I32, len(iter211))
-                for iter212 in iter211:
-                    oprot.writeI32(iter212)
+            for iter218 in self.experts:
+                oprot.writeListBegin(TType.I32, len(iter218))
+                for iter219 in iter218:
+                    oprot.writeI32(iter219)
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
@@ -5867,6 +5992,14 @@
     (2, TType.I64, 'incarnation', None, None, ),  # 2
     (3, TType.I64, 'age_ms', None, None, ),  # 3
 )
+all_structs.append(LimitMark)
+LimitMark.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.DOUBLE, 'requests_per_s', None, None, ),  # 3
+    (4, TType.I64, 'age_ms', None, None, ),  # 4
+)
 all_structs.append(EndedRequest)
 EndedRequest.thrift_spec = (
     None,  # 0
@@ -5887,6 +6020,7 @@
     (8, TType.LIST, 'leaving', (TType.STRUCT, [LeavingMark, None], False), None, ),  # 8
     (9, TType.LIST, 'ended', (TType.STRUCT, [EndedRequest, None], False), None, ),  # 9
     (10, TType.LIST, 'silent_endpoint_ids', (TType.STRING, 'UTF8', False), None, ),  # 10
+    (11, TType.LIST, 'limits', (TType.STRUCT, [LimitMark, None], False), None, ),  # 11
 )
 all_structs.append(TableRow)
 TableRow.thrift_spec = (
--- a/packages/core/src/bluebellusher_core/wire/bluebellusher.thrift
+++ b/packages/core/src/bluebellusher_core/wire/bluebellusher.thrift
@@ -92,6 +92,11 @@
   1: string fingerprint, 2: list<Crash> crashes, 3: optional i64 sound_age_ms
 }
 struct LeavingMark { 1: string endpoint_id, 2: i64 incarnation, 3: i64 age_ms }
+/* requests_per_s is absent when the endpoint no longer names a limit. */
+struct LimitMark {
+  1: string endpoint_id, 2: i64 incarnation, 3: optional double requests_per_s,
+  4: i64 age_ms
+}
 /* A request without a complete answer, whose caller may retry at another entry. */
 struct EndedRequest { 1: string fingerprint, 2: i64 remaining_ms, 3: i64 age_ms }
 struct Digest {
@@ -101,7 +106,8 @@
   7: list<CrashRecord> crashes, 8: list<LeavingMark> leaving,
   9: list<EndedRequest> ended,
   /* Ids of ranks that send nothing while their group advances. */
-  10: list<string> silent_endpoint_ids
+  10: list<string> silent_endpoint_ids,
+  11: list<LimitMark> limits
 }
 
 /* Shared tables: an entry that the store turns away catches up with its peers. */
--- a/packages/entry/src/bluebellusher/gateway/_attempts.py
+++ b/packages/entry/src/bluebellusher/gateway/_attempts.py
@@ -40,6 +40,7 @@
     AttemptStarted,
     EndpointAnnounced,
     EndpointChecked,
+    EndpointLimited,
     EndpointProgressed,
     Event,
     Usage,
@@ -64,6 +65,7 @@
 # for a time that doubles with each refusal.
 _NO_PAUSE_MS = 0
 
+IsLimited = Callable[[str], bool]
 FindEndpoint = Callable[[str], EndpointRegistration | None]
 
 
@@ -144,6 +146,9 @@
         Counts the log events of attempts by name.
     describe_endpoint : callable or None
         Returns the routing inputs of an endpoint as log fields; None for no fields.
+    is_limited : callable
+        Returns whether a limit of the request rate is in force for an endpoint, which
+        an answer without one ends.
 
     Attributes
     ----------
@@ -159,6 +164,7 @@
         tracer: Tracer,
         metrics: Metrics,
         describe_endpoint: Callable[[str], dict[str, str | int | float]] | None = None,
+        is_limited: IsLimited = lambda endpoint_id: False,
     ) -> None:
         self.sink: EventSink | None = None
         self._dialect = dialect
@@ -167,6 +173,7 @@
         self._tracer = tracer
         self._metrics = metrics
         self._describe_endpoint = describe_endpoint
+        self._is_limited = is_limited
         self._attempt_by_id: dict[str, _Attempt] = {}
         self._check_tasks: set[asyncio.Task[None]] = set()
         self._session: aiohttp.ClientSession | None = None
@@ -374,25 +381,39 @@
     def _post_announcement(
         self, attempt: _Attempt, answer_fields: AnswerFields
     ) -> None:
-        """Post an endpoint's announcement that it is leaving or asks for a pause.
+        """Post what an endpoint announces: its shutdown, a pause or a limit.
 
         It is posted before the answer is checked, so that refusals and invalid answers
         count as well.
         """
         # An answer from another endpoint, which has the address now, contains no
         # announcement of the endpoint that the attempt was sent to.
-        if answer_fields.is_wrong_endpoint or not (
-            answer_fields.is_leaving or answer_fields.pause_ms
-        ):
+        if answer_fields.is_wrong_endpoint:
             return
-        self._post(
-            EndpointAnnounced(
-                attempt.effect.endpoint_id,
-                attempt.endpoint.started_wall_ms,
-                answer_fields.is_leaving,
-                answer_fields.pause_ms,
+        endpoint_id = attempt.effect.endpoint_id
+        incarnation = attempt.endpoint.started_wall_ms
+        if answer_fields.is_leaving or answer_fields.pause_ms:
+            self._post(
+                EndpointAnnounced(
+                    endpoint_id,
+                    incarnation,
+                    answer_fields.is_leaving,
+                    answer_fields.pause_ms,
+                )
             )
+        max_requests_per_s = answer_fields.max_requests_per_s
+        # Only an answer that is certainly the endpoint's own ends its limit.
+        is_own_answer = (
+            answer_fields.attempt_id != ""
+            and answer_fields.attempt_id == attempt.exchange.caller_attempt_id
         )
+        ends_limit = is_own_answer and self._is_limited(endpoint_id)
+        if max_requests_per_s is not None or ends_limit:
+            self._post(
+                EndpointLimited(
+                    endpoint_id, incarnation, max_requests_per_s, attempt.sent_at_ms
+                )
+            )
 
     def _check_answer(
         self,
--- a/packages/entry/src/bluebellusher/gateway/_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -38,10 +38,16 @@
     BroadcastCrashes,
     BroadcastEnded,
     BroadcastLeaving,
+    BroadcastLimits,
     BroadcastSilent,
     CheckEndpoint,
 )
-from bluebellusher_core.events import EntriesCounted, LeavingMark
+from bluebellusher_core.events import (
+    EntriesCounted,
+    LeavingMark,
+    LimitMark,
+    PeersConnected,
+)
 from bluebellusher_core.poison import CrashRecord
 from bluebellusher_core.reducer import EntryConfig, EntryState
 from bluebellusher_core.routing import SlotAware
@@ -129,6 +135,7 @@
             tracer,
             metrics,
             self.view.describe_endpoint,
+            self.state.endpoints.limits.is_limited,
         )
         self.runtime = Runtime(self.state, clock, log, metrics, tracer, self.dispatcher)
         self.dispatcher.sink = self.runtime
@@ -147,6 +154,7 @@
             self._find_crashes,
             self._find_leaving,
             settings.failure_domain,
+            self._find_limits,
         )
         self.peers = PeerLinks(
             identity, self.runtime, self.ticker, clock, random_state, self.peer_exchange
@@ -189,6 +197,7 @@
         self.runtime.register(BroadcastSilent, self._broadcast_silent)
         self.runtime.register(BroadcastEnded, self._broadcast_ended)
         self.runtime.register(BroadcastLeaving, self._broadcast_leaving)
+        self.runtime.register(BroadcastLimits, self._broadcast_limits)
         self.members = Members(
             ports.store,
             self.peers,
@@ -236,6 +245,7 @@
         )
         self._tasks: list[asyncio.Task[None]] = []
         self._n_entries = 0
+        self._peer_ids: frozenset[str] = frozenset()
         self._is_leader_by_peer_id: dict[str, bool] = {}
 
     @property
@@ -367,6 +377,12 @@
     def _broadcast_leaving(self, effect: BroadcastLeaving) -> None:
         self.peer_exchange.broadcast_leaving(effect.marks)
 
+    def _find_limits(self) -> tuple[LimitMark, ...]:
+        return self.state.endpoints.limits.make_marks(self.clock.now_ms())
+
+    def _broadcast_limits(self, effect: BroadcastLimits) -> None:
+        self.peer_exchange.broadcast_limits(effect.marks)
+
     def _broadcast_silent(self, effect: BroadcastSilent) -> None:
         self.peer_exchange.broadcast_silent(effect.endpoint_ids)
 
@@ -435,6 +451,10 @@
             # connection to this one still uses its share of the retries.
             self._n_entries = n_entries
             self.runtime.post(EntriesCounted(n_entries))
+        peer_ids = frozenset(self.peers.connections_by_peer_id)
+        if peer_ids != self._peer_ids:
+            self._peer_ids = peer_ids
+            self.runtime.post(PeersConnected(peer_ids))
 
     async def _serve_pages(self) -> None:
         """Listen for readiness checks and, if configured, for metrics requests."""
--- a/packages/entry/src/bluebellusher/gateway/tests/harness.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/harness.py
@@ -33,6 +33,7 @@
     BroadcastCrashes,
     BroadcastEnded,
     BroadcastLeaving,
+    BroadcastLimits,
     BroadcastSilent,
     CheckEndpoint,
 )
@@ -104,6 +105,7 @@
             is_authentic="Seal" in headers,
             is_leaving="Leaving" in headers,
             pause_ms=int(headers.get("Pause-Ms", "0")),
+            max_requests_per_s=float(headers["Limit"]) if "Limit" in headers else None,
         )
 
 
@@ -204,7 +206,12 @@
         dialect = dialect or PlainDialect()
         metrics = Metrics()
         self.dispatcher = HttpDispatcher(
-            dialect, self.find_registration, clock, tracer, metrics
+            dialect,
+            self.find_registration,
+            clock,
+            tracer,
+            metrics,
+            is_limited=self.state.endpoints.limits.is_limited,
         )
         self.runtime = Runtime(
             self.state, clock, self.log, metrics, tracer, self.dispatcher
@@ -216,6 +223,7 @@
         self.runtime.register(BroadcastEnded, self.ignore_effect)
         self.runtime.register(BroadcastSilent, self.ignore_effect)
         self.runtime.register(BroadcastLeaving, self.ignore_effect)
+        self.runtime.register(BroadcastLimits, self.ignore_effect)
         self.directory = Directory(None, self.runtime.post, clock, self.runtime)
         services = [Service("desk", 10)]
         self.directory.routing = RoutingTable.from_parts(
--- a/packages/entry/src/bluebellusher/gateway/tests/test_announcements.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_announcements.py
@@ -116,3 +116,45 @@
         assert len(harness.endpoints[0].received) == 1
 
     run_scenario(scenario, [refuse_with_pause], routes=NON_IDEMPOTENT)
+
+
+def make_limited_answer(*limits):
+    """Return an answer function of an endpoint that names limits, one after the other.
+
+    The last one, or None for no limit, is repeated.
+    """
+    remaining = list(limits)
+
+    async def answer(request, body):
+        limit = remaining.pop(0) if len(remaining) > 1 else remaining[0]
+        response = await answer_sealed(request, body)
+        if limit is not None:
+            response.headers["Limit"] = limit
+        return response
+
+    return answer
+
+
+def test_endpoint_gets_no_request_above_the_limit_that_it_names():
+    """Guards against limits in answers that are ignored."""
+
+    async def scenario(harness):
+        for _ in range(20):
+            assert (await harness.fetch())[0] == 200
+        assert len(harness.endpoints[0].received) <= 1
+        assert len(harness.endpoints[1].received) >= 19
+
+    run_scenario(scenario, [make_limited_answer("0.001"), answer_sealed])
+
+
+def test_answer_without_a_limit_ends_it():
+    """Guards against an endpoint that stays limited after it has recovered."""
+
+    async def scenario(harness):
+        for _ in range(10):
+            assert (await harness.fetch())[0] == 200
+            await asyncio.sleep(0.01)
+        assert harness.recorder.count("endpoint-limited") == 1
+        assert harness.recorder.count("endpoint-unlimited") == 1
+
+    run_scenario(scenario, [make_limited_answer("1000", "1000", None)])
--- a/packages/entry/src/bluebellusher/ports.py
+++ b/packages/entry/src/bluebellusher/ports.py
@@ -168,6 +168,9 @@
     pause_ms : int
         Time in milliseconds for which the endpoint asks for no requests from this
         entry; 0 when not given.
+    max_requests_per_s : float or None
+        Number of requests that the endpoint takes from all entries together, per
+        second; ``None`` when it names no limit.
     """
 
     attempt_id: str
@@ -177,6 +180,7 @@
     faulty_endpoint_id: str = ""
     is_leaving: bool = False
     pause_ms: int = 0
+    max_requests_per_s: float | None = None
 
 
 class Dialect(Protocol):
--- a/packages/entry/src/bluebellusher/runtime/_peers.py
+++ b/packages/entry/src/bluebellusher/runtime/_peers.py
@@ -1,6 +1,7 @@
 """Digests and announcements that entries exchange."""
 
 from collections.abc import Callable, Iterable
+from math import inf
 from typing import Any
 
 from bluebellusher.links import EventSink, PeerLinks
@@ -11,6 +12,8 @@
     EndedReceived,
     LeavingMark,
     LeavingReceived,
+    LimitMark,
+    LimitsReceived,
     SilentReceived,
 )
 from bluebellusher_core.poison import Crash, CrashRecord
@@ -19,18 +22,19 @@
 
 # Interval at which an unchanged digest is sent, in ms.
 DIGEST_INTERVAL_MS = 2_000
-# Interval at which crashes and leaving endpoints are announced again, in ms. They are
-# first announced immediately. The repeats reach entries that were disconnected from the
-# announcing entry at that time.
+# Interval at which crashes, leaving endpoints and limits are announced again, in ms.
+# They are first announced immediately. The repeats reach entries that were disconnected
+# from the announcing entry at that time.
 REPEAT_INTERVAL_MS = 10_000
-# Age up to which a crash or a leaving endpoint is announced again, in ms. Bytes between
-# failure domains are billed. Single crashes, which mostly occur while harmless requests
-# run, are therefore repeated for this time only, and not until they expire.
+# Age up to which a crash, a leaving endpoint or a limit is announced again, in ms.
+# Bytes between failure domains are billed. Single crashes, which mostly occur while
+# harmless requests run, are therefore repeated for this time only, and not until they
+# expire.
 MAX_REPEAT_AGE_MS = 30_000
 # Number of crashes from which a record is repeated regardless of its age.
 N_CRASHES_TO_REPEAT = 2
-# Upper bound of the crash records, and of the leaving endpoints, that are read from one
-# digest.
+# Upper bound of the crash records, of the leaving endpoints, and of the limits that are
+# read from one digest.
 N_MAX_RECEIVED = 1_000
 # Upper bound of the ended requests that are read from one digest.
 N_MAX_ENDED = 10_000
@@ -44,13 +48,13 @@
     """Exchange digests with peers, and pass their other messages to handlers.
 
     A digest contains the state of an entry. An announcement is a digest that also
-    contains crash records or leaving endpoints.
+    contains crash records, leaving endpoints or limits.
 
     Parameters
     ----------
     sink : EventSink
         Receives ``DigestReceived``, ``CrashesReceived``, ``LeavingReceived``,
-        ``EndedReceived`` and ``SilentReceived``.
+        ``LimitsReceived``, ``EndedReceived`` and ``SilentReceived``.
     clock : Clock
         Clock of the arrival times of digests.
     make_digest : callable
@@ -63,6 +67,8 @@
     failure_domain : str
         Failure domain of this entry. Only its entries are told of ended requests,
         because callers retry within their own failure domain while an entry serves it.
+    find_limits : callable
+        Returns the limits that endpoints have named.
     """
 
     def __init__(
@@ -73,6 +79,7 @@
         find_crashes: Callable[[], tuple[CrashRecord, ...]] = tuple,
         find_leaving: Callable[[], tuple[LeavingMark, ...]] = tuple,
         failure_domain: str = "",
+        find_limits: Callable[[], tuple[LimitMark, ...]] = tuple,
     ) -> None:
         self.links: PeerLinks | None = None
         self.digest_at_ms_by_peer_id: dict[str, int] = {}
@@ -83,6 +90,7 @@
         self._handler_by_type: dict[type, MessageHandler] = {}
         self._find_crashes = find_crashes
         self._find_leaving = find_leaving
+        self._find_limits = find_limits
         self._failure_domain = failure_domain
         self._domain_peer_ids: set[str] = set()
         self._sent_digest: Any = None
@@ -94,17 +102,18 @@
         self._handler_by_type[message_type] = handler
 
     def on_peer_open(self, peer_id: str, hello: Any) -> None:
-        """Send a peer that has connected all crash records and leaving endpoints."""
+        """Send a peer that has connected all crashes, leaving endpoints and limits."""
         if hello.failure_domain == self._failure_domain:
             self._domain_peer_ids.add(peer_id)
         if self.links is not None:
             self.links.send(peer_id, self._make_full_digest())
 
     def _make_full_digest(self) -> Any:
-        """Return a digest with all crash records and leaving endpoints."""
+        """Return a digest with all crash records, leaving endpoints and limits."""
         digest = self._make_digest()
         digest.crashes = _to_crash_messages(self._find_crashes())
         digest.leaving = _to_leaving_messages(self._find_leaving())
+        digest.limits = _to_limit_messages(self._find_limits())
         return digest
 
     def broadcast_crashes(self, records: Iterable[CrashRecord]) -> None:
@@ -119,6 +128,12 @@
         digest.leaving = _to_leaving_messages(marks)
         self._broadcast_announcement(digest)
 
+    def broadcast_limits(self, marks: Iterable[LimitMark]) -> None:
+        """Broadcast limits of endpoints to all peers."""
+        digest = self._make_digest()
+        digest.limits = _to_limit_messages(marks)
+        self._broadcast_announcement(digest)
+
     def broadcast_ended(self, requests: Iterable[EndedRequest]) -> None:
         """Tell the peers of the own failure domain which requests ended unanswered."""
         digest = self._make_digest()
@@ -150,11 +165,15 @@
             _to_crash_messages(records),
             _to_leaving_messages(marks),
         )
+        digest.limits = _to_limit_messages(
+            m for m in self._find_limits() if m.age_ms < MAX_REPEAT_AGE_MS
+        )
         self._broadcast_announcement(digest)
 
     def _broadcast_announcement(self, digest: Any) -> None:
-        """Broadcast a digest unless it contains neither crashes nor leaving marks."""
-        if self.links is not None and (digest.crashes or digest.leaving):
+        """Broadcast a digest that contains crashes, leaving endpoints or limits."""
+        is_announcement = digest.crashes or digest.leaving or digest.limits
+        if self.links is not None and is_announcement:
             self.links.broadcast(digest)
 
     def on_peer_message(self, peer_id: str, message: Any) -> None:
@@ -215,6 +234,9 @@
                 for mark in digest.leaving[:N_MAX_RECEIVED]
             )
             self._sink.post(LeavingReceived(peer_id, marks))
+        if digest.limits:
+            limits = _read_limits(digest.limits[:N_MAX_RECEIVED])
+            self._sink.post(LimitsReceived(peer_id, limits))
         if digest.silent_endpoint_ids:
             endpoint_ids = tuple(digest.silent_endpoint_ids[:N_MAX_RECEIVED])
             self._sink.post(SilentReceived(peer_id, endpoint_ids))
@@ -241,6 +263,32 @@
     ]
 
 
+def _to_limit_messages(marks: Iterable[LimitMark]) -> list[Any]:
+    return [
+        messages.LimitMark(
+            endpoint_id=mark.endpoint_id,
+            incarnation=mark.incarnation,
+            requests_per_s=mark.requests_per_s,
+            age_ms=mark.age_ms,
+        )
+        for mark in marks
+    ]
+
+
+def _read_limits(limit_messages: Iterable[Any]) -> tuple[LimitMark, ...]:
+    """Return the limits of a digest, without those that are not a valid number."""
+    return tuple(
+        LimitMark(
+            mark.endpoint_id or "",
+            mark.incarnation or 0,
+            mark.requests_per_s,
+            max(0, mark.age_ms or 0),
+        )
+        for mark in limit_messages
+        if mark.requests_per_s is None or 0 <= mark.requests_per_s < inf
+    )
+
+
 def _should_repeat(record: CrashRecord) -> bool:
     """Return whether a record has a recent crash or several crashes."""
     is_new = any(crash.age_ms < MAX_REPEAT_AGE_MS for crash in record.crashes)
--- a/packages/entry/src/bluebellusher/runtime/tests/test_peer_announcements.py
+++ b/packages/entry/src/bluebellusher/runtime/tests/test_peer_announcements.py
@@ -7,6 +7,8 @@
     EndedReceived,
     LeavingMark,
     LeavingReceived,
+    LimitMark,
+    LimitsReceived,
 )
 from bluebellusher_core.poison import Crash, CrashRecord
 from bluebellusher_core.retry import EndedRequest
@@ -16,6 +18,7 @@
     CrashRecord("f", (Crash("x1@5", 30, 20), Crash("x2@7", 3, 2)), None),
     CrashRecord("g", (), 0),
 )
+LIMITS = (LimitMark("x1", 7, 1.5, 30), LimitMark("x2", 8, None, 4))
 MARKS = (LeavingMark("x1", 1_700_000_000_000, 250),)
 
 
@@ -127,3 +130,17 @@
     idle_entry, clock, _ = make_connected_entries((), ())
     tick(idle_entry, clock, 40)
     assert n_sent <= idle_entry.links.n_sent + 3
+
+
+def test_limits_are_broadcast_unchanged_also_to_a_new_peer():
+    """Guards against limits that only the entry knows that received the answer."""
+    clock, events = ManualClock(1_000), EventList()
+    other = PeerExchange(events, clock, messages.Digest)
+    entry = PeerExchange(
+        EventList(), clock, messages.Digest, find_limits=lambda: LIMITS
+    )
+    entry.links = FakeLinks(other)
+    entry.broadcast_limits(LIMITS)
+    entry.on_peer_open("e2", messages.Hello(failure_domain="d"))
+    expected = LimitsReceived("e1", LIMITS)
+    assert events.of_type(LimitsReceived) == [expected, expected]
