Ignore registrations with numbers, ports or hosts out of range

One odd row among those of the endpoints was taken for an endpoint: with a port of 99999, a host that is no address, a start time beyond the range of the wire protocol, or 10^30 slots. The last made the reducer raise OverflowError when it placed requests, and a start time of 10^30 could not be encoded for the peers.

Change: numbers of a registration are bounded, its address is an IPv4 address and a port. The readers of engine reports, of rows of the store and of the list of entries treat numbers out of range and deep nesting as malformed.

--- a/deploy/tests/test_codec.py
+++ b/deploy/tests/test_codec.py
@@ -144,3 +144,36 @@
     endpoint = PlatformCodec().read_registration("i-1", json.dumps(body).encode())
     assert endpoint is None
     assert PlatformCodec().read_registration("i-1", b"\xff\xfe") is None
+
+
+DEEP_JSON = "[" * 100_000 + "]" * 100_000
+
+
+@pytest.mark.parametrize(
+    ("field", "text"),
+    [
+        ("new_field", DEEP_JSON),
+        ("slots", DEEP_JSON),
+        ("slots", "9" * 400),
+        ("slots", "9" * 5_000),
+        ("slots", "9223372036854775808"),
+        ("sequence", "9" * 400),
+        ("born", "9" * 400),
+        ("born", "9223372036854775808"),
+        ("born", "-1"),
+        ("cold_remaining_ms", "9" * 400),
+        ("cold_remaining_ms", "1e400"),
+        ("cold_remaining_ms", "NaN"),
+        ("address", '"10.0.0.1:65536"'),
+        ("address", '"10.0.0.1:99999"'),
+        ("address", '"10.0.0.1:0"'),
+        ("address", '"256.0.0.1:80"'),
+        ("address", '"10.0.0.1:\\u0663"'),
+    ],
+    ids=lambda value: value[:20],
+)
+def test_registration_with_an_extreme_value_names_no_endpoint(field, text):
+    """Guards against entries that end, or use an endpoint, because of one odd row."""
+    others = {name: value for name, value in REGISTRATION.items() if name != field}
+    body = json.dumps(others)[:-1] + f', "{field}": {text}}}'
+    assert PlatformCodec().read_registration("x", body.encode()) is None
--- a/deploy/tests/test_engine.py
+++ b/deploy/tests/test_engine.py
@@ -1,5 +1,7 @@
 """Translation of engine reports, expert counts and orders."""
 
+from math import inf
+
 import pytest
 
 from bluebellusher_core.errors import StepError
@@ -47,7 +49,16 @@
     assert read_report({"queued": 0, "in_flight": 0}, "engine").is_open
 
 
-@pytest.mark.parametrize("body", [{}, {"queued": "x", "in_flight": 1}])
+@pytest.mark.parametrize(
+    "body",
+    [
+        {},
+        {"queued": "x", "in_flight": 1},
+        {"queued": inf, "in_flight": 1},
+        {**REPORT, "born": inf},
+        {**REPORT, "pace": 10**400},
+    ],
+)
 def test_report_without_its_fields_is_an_error(body):
     """Guards against zeros in place of missing required fields of a report."""
     with pytest.raises(StepError, match="read-report"):
--- a/packages/entry/src/bluebellusher/shared/_members.py
+++ b/packages/entry/src/bluebellusher/shared/_members.py
@@ -16,6 +16,7 @@
 REFRESH_INTERVAL_MS = 30_000
 # Time after which a failed read or write of the table is retried, in ms.
 RETRY_INTERVAL_MS = 1_000
+MAX_PORT = 65_535
 
 
 class Members:
@@ -90,7 +91,8 @@
     """Return the host and port of a row, or None when it contains no address."""
     try:
         host, port = json.loads(row.value)
-        return str(host), int(port)
-    except (ValueError, TypeError):
+        port = int(port)
+        return (str(host), port) if 0 < port <= MAX_PORT else None
+    except (OverflowError, RecursionError, TypeError, ValueError):
         # The row was written by another program and does not describe an entry.
         return None
