Do not continue a broken stream with an answer that does not continue it

A stream had begun and broke off, and the next endpoint answered 200 with a text, with an event without an id, or with the stream from its first event: callers found the text or repeated events in the middle of their stream. Answers with an error status were discarded before.

Change: an answer continues a stream only if it has the same status and is a stream of events as well, and if its first event has an id that follows the last one. Otherwise the attempt counts as broken, and the stream is resumed elsewhere or cut off.

--- a/packages/entry/src/bluebellusher/gateway/_attempts.py
+++ b/packages/entry/src/bluebellusher/gateway/_attempts.py
@@ -474,9 +474,9 @@
                 raise _BrokenAttemptError(
                     Reason.STREAM_CORRUPT, "status differs from that already sent"
                 )
-        elif response.status >= 300:
+        elif response.status != answer.status or is_events != answer.is_events:
             raise _BrokenAttemptError(
-                Reason.STREAM_CORRUPT, "error status for a resumed stream"
+                Reason.STREAM_CORRUPT, "status or type differs from that already sent"
             )
         if is_events:
             await self._relay_events(attempt, response)
@@ -501,6 +501,10 @@
             response.content, exchange.max_silence_ms, exchange.last_event_id
         )
         while events := await reader.read():
+            if not reader.is_continuous:
+                raise _BrokenAttemptError(
+                    Reason.STREAM_CORRUPT, "first event does not follow the last one"
+                )
             exchange.last_event_id = reader.last_event_id
             self._record_progress(attempt)
             await self._relay_part(attempt, events)
--- a/packages/entry/src/bluebellusher/links/_responses.py
+++ b/packages/entry/src/bluebellusher/links/_responses.py
@@ -104,6 +104,11 @@
         """Id of the last complete event."""
         return self._splitter.last_event_id
 
+    @property
+    def is_continuous(self) -> bool:
+        """Whether the stream goes on after the last event of the previous attempt."""
+        return self._splitter.is_continuous
+
     @property
     def n_pending_bytes(self) -> int:
         """Number of bytes of the incomplete event at the end of the stream."""
--- a/packages/entry/src/bluebellusher/links/_sse.py
+++ b/packages/entry/src/bluebellusher/links/_sse.py
@@ -18,6 +18,12 @@
     last_event_id : str
         Id of the last complete event; empty before the first event with an id.
 
+    Attributes
+    ----------
+    is_continuous : bool
+        Whether the first event, apart from comments, has an id that follows the initial
+        ``last_event_id``. It is true without an initial id and before that event.
+
     Examples
     --------
     >>> splitter = EventSplitter()
@@ -28,7 +34,9 @@
     """
 
     last_event_id: str = ""
+    is_continuous: bool = field(default=True, init=False)
     _pending: bytearray = field(default_factory=bytearray)
+    _is_first_event_checked: bool = field(default=False, init=False)
 
     @property
     def n_pending_bytes(self) -> int:
@@ -53,9 +61,21 @@
             return b""
         complete = bytes(self._pending[:end])
         del self._pending[:end]
+        self._check_first_event(complete)
         self._record_event_id(complete)
         return complete
 
+    def _check_first_event(self, events: bytes) -> None:
+        """Compare the id of the first event with the initial last event id."""
+        if self._is_first_event_checked:
+            return
+        first_id = _find_first_id(events)
+        if first_id is None:
+            return
+        self._is_first_event_checked = True
+        if self.last_event_id:
+            self.is_continuous = _follows(first_id, self.last_event_id)
+
     def _record_event_id(self, events: bytes) -> None:
         for line in reversed(events.splitlines()):
             if line.startswith(b"id:"):
@@ -63,6 +83,25 @@
                 return
 
 
+def _find_first_id(events: bytes) -> str | None:
+    """Return the id of the first event, empty for none; None for comments only."""
+    has_field = False
+    for line in events.splitlines():
+        if line.startswith(b"id:"):
+            return line[3:].strip().decode("latin-1")
+        if not line and has_field:
+            return ""
+        has_field |= bool(line) and not line.startswith(b":")
+    return None
+
+
+def _follows(event_id: str, previous_id: str) -> bool:
+    """Return whether an event id may come after another one in a stream."""
+    if event_id.isdecimal() and previous_id.isdecimal():
+        return int(event_id) > int(previous_id)
+    return event_id not in ("", previous_id)
+
+
 def _find_end_of_last_event(data: bytearray, start: int) -> int:
     """Return the offset behind the last event whose end mark is at or after ``start``.
 
