Do not read an answer from bytes that arrived on an idle connection

A faulty server wrote an earlier refusal once more on a connection that the agent kept open. The agent took it for the answer to its next request: a request reported as not run although the server ran it, or an old state of the engine.

Entries are not affected, because each of their attempts has its own connection.

Change: a kept connection on which bytes have arrived is closed and not used again. Bytes behind a complete answer no longer turn that answer into an error.

test_repeated_answer_on_an_idle_connection_is_not_read failed in both cases before.

--- a/packages/agent/src/bluebellusher_agent/_http.py
+++ b/packages/agent/src/bluebellusher_agent/_http.py
@@ -51,6 +51,22 @@
         """Return whether the connection is open and idle for under ``MAX_IDLE_S``."""
         return not self.is_closed and now_s - self.idle_since_s < MAX_IDLE_S
 
+    async def has_unread_bytes(self) -> bool:
+        """Return whether the server has written or closed since the last answer.
+
+        Such bytes belong to no request. They are consumed, so that the connection must
+        not be used again.
+        """
+        try:
+            async with asyncio.timeout(0):
+                await self.reader.read(1)
+        except TimeoutError:
+            return False
+        except OSError:
+            # The connection has failed, so that it cannot be used either.
+            return True
+        return True
+
     def close(self) -> None:
         """Abort the connection without flushing its write buffer."""
         self.writer.transport.abort()
@@ -193,6 +209,10 @@
                 self._parser.feed_data(data)
                 return
         except (OSError, ValueError, httptools.HttpParserError) as error:
+            if self._is_complete:
+                # The bytes after the answer belong to no request.
+                self._is_keep_alive = False
+                return
             self.close()
             reason = f"{type(error).__name__}: expected an HTTP answer"
             raise ExchangeError("read-answer", self._client.peer, reason) from error
@@ -241,7 +261,7 @@
         NotSentError
             If the connection cannot be established within ``CONNECT_TIMEOUT_S``.
         """
-        connection = self._pop_idle() if is_idempotent else None
+        connection = await self._pop_idle() if is_idempotent else None
         return connection or await self._connect()
 
     async def send(
@@ -344,12 +364,13 @@
         while self._idle and (is_all or not self._idle[0].can_be_reused(now_s)):
             self._idle.popleft().close()
 
-    def _pop_idle(self) -> HttpConnection | None:
+    async def _pop_idle(self) -> HttpConnection | None:
         """Return the most recently used idle connection, None if none can be reused."""
         now_s = time.monotonic()
         while self._idle:
             connection = self._idle.pop()
-            if connection.can_be_reused(now_s):
+            is_usable = connection.can_be_reused(now_s)
+            if is_usable and not await connection.has_unread_bytes():
                 return connection
             connection.close()
         return None
--- a/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
+++ b/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
@@ -1,6 +1,7 @@
 """Guards against work that runs twice or is wrongly refused after faults."""
 
 import asyncio
+import contextlib
 
 import pytest
 import uvloop
@@ -414,3 +415,42 @@
         server.close()
 
     uvloop.run(main())
+
+
+@pytest.mark.parametrize("pause_s", [0.0, 0.05])
+def test_repeated_answer_on_an_idle_connection_is_not_read(pause_s):
+    """Guards against an earlier refusal that is taken for the answer to a new request.
+
+    A faulty server writes an answer once more on the connection that it keeps open.
+    """
+    n_requests = 0
+    has_closed = asyncio.Event()
+
+    async def serve(reader, writer):
+        nonlocal n_requests
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while await reader.readuntil(b"\r\n\r\n"):
+                n_requests += 1
+                body = b"refused" if n_requests == 1 else b"whole"
+                status = b"503 Full" if n_requests == 1 else b"200 OK"
+                answer = b"HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s"
+                answer %= status, len(body), body
+                writer.write(answer)
+                if n_requests == 1:
+                    await asyncio.sleep(pause_s)
+                    writer.write(answer)
+        writer.close()
+        if n_requests == 2:
+            has_closed.set()
+
+    async def main():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        client = HttpClient("127.0.0.1", server.sockets[0].getsockname()[1])
+        assert await client.fetch("GET", "/load") == (503, b"refused")
+        await asyncio.sleep(0.1)
+        assert await client.fetch("GET", "/load") == (200, b"whole")
+        client.close_idle(is_all=True)
+        await has_closed.wait()
+        server.close()
+
+    uvloop.run(main())
