Read the list of entries again after writing the own row

Entries that start at the same time read the list before the others have written their rows, and read it again after 30 s.

Change: an entry reads the list again 1 s after it has written its row.

test_entries_that_start_at_the_same_time_find_each_other failed before.

--- a/packages/entry/src/bluebellusher/shared/_members.py
+++ b/packages/entry/src/bluebellusher/shared/_members.py
@@ -14,7 +14,9 @@
 # Interval at which the table is read, in ms. It may be long, because an entry that
 # starts dials the other entries.
 REFRESH_INTERVAL_MS = 30_000
-# Time after which a failed read or write of the table is retried, in ms.
+# Time after which the table is read again after a failure, or after this entry has
+# written its row, in ms. Entries that start at the same time read the table before the
+# others have written their rows.
 RETRY_INTERVAL_MS = 1_000
 MAX_PORT = 65_535
 
@@ -59,14 +61,14 @@
         Runs until it is cancelled.
         """
         while True:
-            is_done = await self._refresh()
-            pause_ms = REFRESH_INTERVAL_MS if is_done else RETRY_INTERVAL_MS
+            is_current = await self._refresh()
+            pause_ms = REFRESH_INTERVAL_MS if is_current else RETRY_INTERVAL_MS
             await asyncio.sleep(pause_ms / 1000)
 
     async def _refresh(self) -> bool:
         """Read the table, dial its entries and write this entry's row if it differs.
 
-        Returns whether all calls to the store succeeded.
+        Returns whether the table was read and contains this entry's row.
         """
         result = await self._store.read_table(MEMBERS_TABLE)
         if not result.is_ok():
@@ -83,8 +85,9 @@
             return True
         version = own.version if own else 0
         write = RowWrite(MEMBERS_TABLE, self._instance_id, value, version)
-        written = await self._store.write_row(write)
-        return bool(written.is_ok())
+        # The next refresh finds out whether the write has succeeded.
+        await self._store.write_row(write)
+        return False
 
 
 def _read_address(row: MirrorRow) -> tuple[str, int] | None:
--- a/packages/entry/src/bluebellusher/shared/tests/test_shared.py
+++ b/packages/entry/src/bluebellusher/shared/tests/test_shared.py
@@ -3,8 +3,9 @@
 import asyncio
 from random import Random
 
-from bluebellusher.shared import Directory, TableExchange, TableWatcher
+from bluebellusher.shared import Directory, Members, TableExchange, TableWatcher
 from bluebellusher.shared.tests.fakes import DOWN, FakeLog, FakeStore, wait_until
+from bluebellusher.shared.tests.virtual_time import run_in_virtual_time
 from bluebellusher_core.clock import ManualClock
 from bluebellusher_core.directory import (
     EndpointRegistration,
@@ -199,3 +200,47 @@
     assert kinds == [EndpointRegistered, EndpointDraining]
     assert directory.find("x") is None
     assert "registration-unreadable" in log.names()
+
+
+class DistantStore(FakeStore):
+    """Store that answers each call after 4 ms."""
+
+    async def read_table(self, table):
+        """Return all rows of a table."""
+        await asyncio.sleep(0.004)
+        return await super().read_table(table)
+
+    async def write_row(self, write):
+        """Write a row if its version is the expected one; return the current row."""
+        await asyncio.sleep(0.004)
+        return await super().write_row(write)
+
+
+class DialedAddresses(set):
+    """Addresses that an entry has dialed; stands for its connections to peers."""
+
+    dial = set.update
+
+
+def test_entries_that_start_at_the_same_time_find_each_other():
+    """Guards against entries that share limits and retries with a few peers only.
+
+    Each of them reads the table before the others have written their rows.
+    """
+
+    async def scenario():
+        store = DistantStore()
+        dialed_by_port = {port: DialedAddresses() for port in range(1, 9)}
+        tasks = []
+        for port, dialed in dialed_by_port.items():
+            log = FakeLog()
+            members = Members(store, dialed, f"e{port}", "h", port, log, log.post)
+            tasks.append(asyncio.create_task(members.run()))
+        await asyncio.sleep(3)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        return dialed_by_port
+
+    for port, dialed in run_in_virtual_time(scenario()).items():
+        assert dialed == {("h", other) for other in range(1, 9) if other != port}
