Apply a limit of 0 requests as one request in 10 s

Only the answer to a request ends a limit, so that an endpoint that had named 0 would have got no request for 10 minutes.

--- a/packages/core/src/bluebellusher_core/membership/_limits.py
+++ b/packages/core/src/bluebellusher_core/membership/_limits.py
@@ -11,6 +11,9 @@
 # Age from which a limit that no answer has named again is discarded, in ms. The next
 # answer names it again, if it still holds.
 LIMIT_MAX_AGE_MS = 600_000
+# Lowest limit that is applied, in requests per second. Only the answer to a request can
+# end a limit, so that a limit of 0 would last until its maximum age.
+MIN_REQUESTS_PER_S = 0.1
 # Shortest interval between two announcements of an unchanged limit of an endpoint, in
 # ms.
 ANNOUNCE_INTERVAL_MS = 1_000
@@ -223,7 +226,7 @@
 
     def _rate(self, endpoint_id: str, limit: _Limit, now_ms: int) -> float:
         """Return the requests that this entry may send, per second."""
-        requests_per_s = limit.requests_per_s or 0.0
+        requests_per_s = max(limit.requests_per_s or 0.0, MIN_REQUESTS_PER_S)
         share = self._find_share(endpoint_id, requests_per_s, now_ms)
         return requests_per_s / share.n_holders if share else 0.0
 
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_limits.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_limits.py
@@ -43,14 +43,16 @@
     assert n_arrivals >= 0.8 * 2.0 * 20
 
 
-@pytest.mark.parametrize("n_entries", [1, 4, 16])
-def test_traffic_returns_after_the_end_of_a_limit(n_entries):
+@pytest.mark.parametrize(
+    ("n_entries", "limit"), [(1, 0.0), (1, 1.0), (4, 1.0), (16, 1.0)]
+)
+def test_traffic_returns_after_the_end_of_a_limit(n_entries, limit):
     """Guards against a limit that is believed although no answer names it any more."""
     simulation = LimitSimulation(n_entries=n_entries)
-    simulation.limit_by_id["x0"] = 1.0
+    simulation.limit_by_id["x0"] = limit
     simulation.send_for(10_000, 60)
     del simulation.limit_by_id["x0"]
-    simulation.send_for(3_000, 60)
+    simulation.send_for(3_000 if limit else 10_000, 60)
     since_ms = simulation.now_ms
     simulation.send_for(4_000, 60)
     n_arrivals = sum(at >= since_ms for at, _ in simulation.arrivals_by_id["x0"])
