--- a/packages/entry/src/bluebellusher/ports.py
+++ b/packages/entry/src/bluebellusher/ports.py
@@ -16,6 +16,7 @@
     RoutingTable,
 )
 
+MAX_PORT = 65_535
 Headers = Sequence[tuple[str, str]]
 """Pairs of header name and value, in the order in which they were sent."""
 
--- a/packages/entry/src/bluebellusher/shared/_members.py
+++ b/packages/entry/src/bluebellusher/shared/_members.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from bluebellusher.links import PeerLinks
-from bluebellusher.ports import RowStore, RowWrite
+from bluebellusher.ports import MAX_PORT, RowStore, RowWrite
 from bluebellusher.shared._watcher import LogSink
 from bluebellusher_core.directory import MirrorRow
 from bluebellusher_core.events import MembersListed
@@ -18,7 +18,6 @@
 # written its row, in ms. Entries that start at the same time read the table before the
 # others have written their rows.
 RETRY_INTERVAL_MS = 1_000
-MAX_PORT = 65_535
 
 
 class Members:
