--- a/packages/entry/src/bluebellusher/shared/_watcher.py
+++ b/packages/entry/src/bluebellusher/shared/_watcher.py
@@ -112,6 +112,13 @@
         """Apply an answer of the store to the copy and report the changed rows."""
         self._record_answer()
         if self._needs_snapshot:
+            if table_rows.version < self.mirror.version:
+                self._log.log(
+                    "table-snapshot-ignored",
+                    table=self.mirror.table,
+                    found=table_rows.version,
+                    version=self.mirror.version,
+                )
             changed_rows = self.mirror.replace(table_rows.rows, table_rows.version)
             self._needs_snapshot = False
         else:
--- a/packages/entry/src/bluebellusher/shared/tests/fakes.py
+++ b/packages/entry/src/bluebellusher/shared/tests/fakes.py
@@ -44,6 +44,7 @@
     def __init__(self):
         self.rows_by_table = {}
         self.version = 0
+        self.store_epoch = 1
         self.fault = None
         self.loses_answers = False
         self.n_calls = 0
@@ -59,6 +60,18 @@
         self._changed = asyncio.Event()
         return row
 
+    def copy(self):
+        """Return a copy of all rows, to which ``restore`` returns later."""
+        return self.version, {t: dict(rows) for t, rows in self.rows_by_table.items()}
+
+    def restore(self, copy):
+        """Replace all rows and the version by those of a copy, as after a disaster."""
+        self.version, rows_by_table = copy
+        self.rows_by_table = {t: dict(rows) for t, rows in rows_by_table.items()}
+        self.store_epoch += 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def _rows(self, table):
         return list(self.rows_by_table.get(table, {}).values())
 
@@ -75,7 +88,8 @@
         self.n_calls += 1
         if self.fault is not None:
             return Error(self.fault)
-        if above_version < self.oldest_readable_version:
+        is_unknown = above_version > self.version
+        if is_unknown or above_version < self.oldest_readable_version:
             return Error(StoreError("read-changes", "history", is_history_lost=True))
         rows = [r for r in self._rows(table) if r.version > above_version]
         if not rows:
