Replace the copies of tables when the store was restored from a copy

The store went back to a copy 9 s old, and its versions with it. Copies of tables took each answer for a stale read, since its version was lower than theirs, until the versions had caught up, 30 reads of each table later; rows with lower versions were then missed for good.

Answers now carry the store epoch, which rises with each restoration.

--- a/deploy/tests/test_outages.py
+++ b/deploy/tests/test_outages.py
@@ -76,7 +76,14 @@
             was_read.set()
 
     watcher = TableWatcher(
-        store, mirror, on_rows, lambda _: None, LoopClock(), Random(1), FakeLog()
+        store,
+        mirror,
+        on_rows,
+        on_rows,
+        lambda _: None,
+        LoopClock(),
+        Random(1),
+        FakeLog(),
     )
     task = asyncio.create_task(watcher.run())
     await asyncio.sleep(outage_at_s)
--- a/deploy/tests/test_store.py
+++ b/deploy/tests/test_store.py
@@ -86,7 +86,7 @@
 
     async def scenario(client, store):
         write = RowWrite("leases", "a", b"\x00\xff", 0)
-        written = (await client.write_row(write)).ok
+        written = (await client.write_row(write)).ok.row
         assert (written.value, written.version) == (b"\x00\xff", 1)
         rows = (await client.read_table("leases")).ok
         assert rows.rows == (written,)
@@ -100,9 +100,9 @@
 
     async def scenario(client, store):
         await client.write_row(RowWrite("leases", "a", b"first", 0))
-        found = (await client.write_row(RowWrite("leases", "a", b"second", 0))).ok
+        found = (await client.write_row(RowWrite("leases", "a", b"second", 0))).ok.row
         assert found.value == b"first"
-        absent = (await client.write_row(RowWrite("leases", "b", b"x", 5))).ok
+        absent = (await client.write_row(RowWrite("leases", "b", b"x", 5))).ok.row
         assert absent.is_removed
         assert absent.version == 0
 
@@ -260,6 +260,63 @@
     run_scenario(scenario)
 
 
+def make_answer(text):
+    """Return a handler that answers every call with a store epoch."""
+
+    async def answer(request):
+        body = {"rows": [], "schema_version": 1}
+        return web.json_response(body, headers={"Store-Era": text})
+
+    return answer
+
+
+def test_store_epoch_of_each_answer_is_returned():
+    """Guards against versions that are compared across a restoration of the store."""
+
+    async def scenario(client, store):
+        assert (await client.read_table("op")).ok.store_epoch == 0
+        store.fault = make_answer("7")
+        assert (await client.read_table("op")).ok.store_epoch == 7
+        assert (await client.read_changes("op", 0, 10)).ok.store_epoch == 7
+        written = (await client.write_row(RowWrite("leases", "a", b"", 0))).ok
+        assert written.store_epoch == 7
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("text", ["", "x", "-1", "1.5", "9" * 30, "9" * 5_000])
+def test_store_epoch_that_is_no_number_is_an_error(text):
+    """Guards against a reader of a table that ends on a malformed header."""
+
+    async def scenario(client, store):
+        store.fault = make_answer(text)
+        for result in (
+            await client.read_table("op"),
+            await client.read_changes("op", 0, 10),
+            await client.write_row(RowWrite("leases", "a", b"", 0)),
+        ):
+            assert "malformed" in result.error.reason
+
+    run_scenario(scenario)
+
+
+def test_table_restored_between_two_pages_is_an_error():
+    """Guards against a copy with rows from before and after a restoration."""
+
+    async def scenario(client, store):
+        epochs = iter(("1", "2"))
+
+        async def answer(request):
+            row = {**MALFORMED_ROW, "value": ""}
+            body = {"rows": [row], "schema_version": 1, "has_more": True}
+            return web.json_response(body, headers={"Store-Era": next(epochs)})
+
+        store.fault = answer
+        assert "restored" in (await client.read_table("op")).error.reason
+
+    run_scenario(scenario)
+
+
 def test_endless_answer_is_an_error():
     """Guards against a faulty store whose endless answer fills the entry's memory."""
 
--- a/packages/core/src/bluebellusher_core/directory/_mirror.py
+++ b/packages/core/src/bluebellusher_core/directory/_mirror.py
@@ -23,7 +23,9 @@
     """Rows of one table as of ``version``.
 
     A row is replaced only by one of a higher version, so that late, repeated and stale
-    answers never revert a change.
+    answers never revert a change. Versions are comparable only within one store epoch:
+    a store that is restored from an earlier copy assigns them again. ``restore``
+    therefore replaces all rows, whatever their versions.
 
     Parameters
     ----------
@@ -32,6 +34,9 @@
     version : int
         Version of the store up to which every change is included; 0 before the first
         answer.
+    store_epoch : int
+        Number of the store's history that ``version`` belongs to. It rises each time
+        the store is restored from a copy; 0 when the store does not report it.
     row_by_key : dict of str to MirrorRow
         Current rows by key.
 
@@ -48,9 +53,15 @@
 
     table: str
     version: int = 0
+    store_epoch: int = 0
     row_by_key: dict[str, MirrorRow] = field(default_factory=dict)
     _removed_by_key: dict[str, MirrorRow] = field(default_factory=dict)
 
+    @property
+    def position(self) -> tuple[int, int]:
+        """Store epoch and version of this copy; a later copy has a higher position."""
+        return self.store_epoch, self.version
+
     def apply(self, rows: Iterable[MirrorRow], version: int) -> list[MirrorRow]:
         """Apply changes; return the rows that are newer than those of this copy."""
         changed_rows = [row for row in rows if self._apply_row(row)]
@@ -75,6 +86,29 @@
                 changed_rows.append(removed)
         return changed_rows
 
+    def restore(
+        self, rows: Iterable[MirrorRow], version: int, store_epoch: int
+    ) -> list[MirrorRow]:
+        """Replace all rows by a snapshot of a later store epoch.
+
+        Returns the rows whose value differs from the previous one, and the removed
+        rows.
+        """
+        previous_by_key = self.row_by_key
+        self.row_by_key = {row.key: row for row in rows}
+        self.version, self.store_epoch = version, store_epoch
+        self._removed_by_key = {
+            key: MirrorRow(key, version, b"", is_removed=True)
+            for key in previous_by_key
+            if key not in self.row_by_key
+        }
+        changed_rows = [
+            row
+            for key, row in self.row_by_key.items()
+            if key not in previous_by_key or previous_by_key[key].value != row.value
+        ]
+        return [*changed_rows, *self._removed_by_key.values()]
+
     def changes_since(self, version: int) -> list[MirrorRow]:
         """Return every recorded change above ``version``, oldest first."""
         rows = [*self.row_by_key.values(), *self._removed_by_key.values()]
--- a/packages/entry/src/bluebellusher/gateway/_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -183,6 +183,7 @@
             ports.store,
             crash_mirror,
             self.crash_table.post_stored_crashes,
+            self.crash_table.post_stored_crashes,
             # Losing contact with this table does not affect the endpoints, which are
             # registered in another one.
             lambda is_store_available: None,
@@ -432,6 +433,7 @@
             self._store,
             mirror,
             on_rows,
+            on_rows,
             self.directory.record_store_availability,
             self.clock,
             random_state,
--- a/packages/entry/src/bluebellusher/ports.py
+++ b/packages/entry/src/bluebellusher/ports.py
@@ -46,10 +46,34 @@
 
 @dataclass(frozen=True, slots=True)
 class TableRows:
-    """Rows or changed rows of a table, and the table version after them."""
+    """Rows or changed rows of a table, and the table version after them.
+
+    Parameters
+    ----------
+    rows : tuple of MirrorRow
+        All rows, or the changed ones.
+    version : int
+        Version of the table that includes them.
+    store_epoch : int
+        Number that rises each time the store is restored from an earlier copy of its
+        rows, which assigns versions again; 0 when the store does not report it.
+    """
 
     rows: tuple[MirrorRow, ...]
     version: int
+    store_epoch: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class StoredRow:
+    """Row after a write, and the store epoch (see ``TableRows``) of the answer.
+
+    When ``store_epoch`` differs from that in which the expected version was read, the
+    condition of the write was checked against a version of another history.
+    """
+
+    row: MirrorRow
+    store_epoch: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,7 +105,7 @@
         returns no rows.
         """
 
-    async def write_row(self, write: RowWrite) -> Result[MirrorRow, StoreError]:
+    async def write_row(self, write: RowWrite) -> Result[StoredRow, StoreError]:
         """Write a row if its condition holds; return the row as it then is.
 
         The returned row has a different value than ``write`` when the condition failed.
--- a/packages/entry/src/bluebellusher/ranks/_lease.py
+++ b/packages/entry/src/bluebellusher/ranks/_lease.py
@@ -187,7 +187,8 @@
         self._is_store_unavailable = not result.is_ok()
         now_ms = self._clock.now_ms()
         match result:
-            case Result(tag="ok", ok=row):
+            case Result(tag="ok", ok=stored):
+                row = stored.row
                 stored_row = self._decode_row(row)
                 if stored_row == write.row:
                     self._tracker.write_succeeded(write, row.version, now_ms)
--- a/packages/entry/src/bluebellusher/shared/_crashes.py
+++ b/packages/entry/src/bluebellusher/shared/_crashes.py
@@ -184,7 +184,7 @@
         if not result.is_ok():
             self._log.log("crashes-not-stored", reason=result.error.reason)
             return False
-        current = result.ok
+        current = result.ok.row
         is_written = current.value == value
         n_records = len(table.crashes_by_fingerprint)
         if is_written:
--- a/packages/entry/src/bluebellusher/shared/_watcher.py
+++ b/packages/entry/src/bluebellusher/shared/_watcher.py
@@ -39,7 +39,8 @@
     """Read a table once and then its changes.
 
     The whole table is read again when the store no longer keeps the changes since the
-    version of the copy.
+    version of the copy, and when the store was restored from an earlier copy of its
+    rows (``TableRows.store_epoch``).
 
     Parameters
     ----------
@@ -49,6 +50,9 @@
         Copy of the table to update.
     on_changed_rows : callable
         Receives the rows that changed in the copy.
+    on_restored : callable
+        Receives, in place of ``on_changed_rows``, the rows that differ from those of
+        the copy after the store was restored.
     on_availability_change : callable
         Called with whether the store is available when that changes.
     clock : Clock
@@ -66,6 +70,7 @@
         store: RowStore,
         mirror: TableMirror,
         on_changed_rows: Callable[[list[MirrorRow]], None],
+        on_restored: Callable[[list[MirrorRow]], None],
         on_availability_change: Callable[[bool], None],
         clock: Clock,
         random_state: Random,
@@ -77,6 +82,7 @@
         self.store_answered_at_ms = 0
         self._store = store
         self._on_changed_rows = on_changed_rows
+        self._on_restored = on_restored
         self._on_availability_change = on_availability_change
         self._clock = clock
         self._random_state = random_state
@@ -88,10 +94,14 @@
     async def run(self) -> None:
         """Read the table and its changes until cancelled."""
         while True:
+            asked_epoch = self.mirror.store_epoch
             result = await self._read()
             match result:
                 case Result(tag="ok", ok=rows):
-                    self._apply(rows)
+                    if rows.store_epoch < self.mirror.store_epoch:
+                        await self._handle_error(self._make_outdated_error(rows))
+                        continue
+                    self._apply(rows, asked_epoch)
                     if rows.rows:
                         await self._wait_for_further_changes()
                 case Result(error=error):
@@ -108,24 +118,77 @@
         version = self.mirror.version
         return await self._store.read_changes(self.mirror.table, version, wait_ms)
 
-    def _apply(self, table_rows: TableRows) -> None:
-        """Apply an answer of the store to the copy and report the changed rows."""
+    def _make_outdated_error(self, table_rows: TableRows) -> StoreError:
+        """Return the error for an answer from before the restoration of the store."""
+        reason = (
+            f"answer of store epoch {table_rows.store_epoch}:"
+            f" expected {self.mirror.store_epoch} or above"
+        )
+        return StoreError("read-changes", reason)
+
+    def _apply(self, table_rows: TableRows, asked_epoch: int) -> None:
+        """Apply an answer of the store to the copy and report the changed rows.
+
+        Parameters
+        ----------
+        table_rows : TableRows
+            Answer of the store.
+        asked_epoch : int
+            Store epoch of the version that was sent with the call.
+        """
         self._record_answer()
-        if self._needs_snapshot:
-            if table_rows.version < self.mirror.version:
-                self._log.log(
-                    "table-snapshot-ignored",
-                    table=self.mirror.table,
-                    found=table_rows.version,
-                    version=self.mirror.version,
-                )
-            changed_rows = self.mirror.replace(table_rows.rows, table_rows.version)
-            self._needs_snapshot = False
-        else:
+        if not self._needs_snapshot and table_rows.store_epoch != asked_epoch:
+            # The version in the call belongs to another history, so that the changes
+            # above it may not be complete.
+            self._needs_snapshot = True
+            return
+        if not self._needs_snapshot:
             changed_rows = self.mirror.apply(table_rows.rows, table_rows.version)
+        else:
+            self._needs_snapshot = False
+            if table_rows.store_epoch > self.mirror.store_epoch:
+                self._restore(table_rows)
+                return
+            changed_rows = self._replace(table_rows)
         if changed_rows:
             self._on_changed_rows(changed_rows)
 
+    def _replace(self, table_rows: TableRows) -> list[MirrorRow]:
+        """Replace the copy by a snapshot of the same store epoch, unless it is stale.
+
+        Returns the rows that changed in the copy.
+        """
+        if table_rows.version < self.mirror.version:
+            self._log.log(
+                "table-snapshot-ignored",
+                table=self.mirror.table,
+                found=table_rows.version,
+                version=self.mirror.version,
+            )
+        return self.mirror.replace(table_rows.rows, table_rows.version)
+
+    def _restore(self, table_rows: TableRows) -> None:
+        """Replace the copy by a snapshot of a later store epoch."""
+        mirror = self.mirror
+        had_rows = mirror.version > 0
+        previous_epoch, previous_version = mirror.position
+        changed_rows = mirror.restore(
+            table_rows.rows, table_rows.version, table_rows.store_epoch
+        )
+        if not had_rows:
+            self._on_changed_rows(changed_rows)
+            return
+        self._log.log(
+            "store-restored",
+            table=mirror.table,
+            store_epoch=mirror.store_epoch,
+            previous_epoch=previous_epoch,
+            version=mirror.version,
+            previous_version=previous_version,
+            n_changed=len(changed_rows),
+        )
+        self._on_restored(changed_rows)
+
     async def _wait_for_further_changes(self) -> None:
         """Wait so that the next call returns several changes, which saves calls."""
         await asyncio.sleep(CHANGE_BATCHING_MS / 1000)
--- a/packages/entry/src/bluebellusher/shared/tests/fakes.py
+++ b/packages/entry/src/bluebellusher/shared/tests/fakes.py
@@ -4,7 +4,7 @@
 
 from expression import Error, Ok
 
-from bluebellusher.ports import StoreError, TableRows
+from bluebellusher.ports import StoredRow, StoreError, TableRows
 from bluebellusher_core.directory import MirrorRow
 
 # Time limit for a condition of a test, in s. The conditions take a few seconds at most.
@@ -81,7 +81,7 @@
         if self.fault is not None:
             return Error(self.fault)
         rows = tuple(r for r in self._rows(table) if not r.is_removed)
-        return Ok(TableRows(rows, self.version))
+        return Ok(TableRows(rows, self.version, self.store_epoch))
 
     async def read_changes(self, table, above_version, wait_ms):
         """Return the changes above a version, or wait up to ``wait_ms`` for one."""
@@ -101,7 +101,7 @@
             rows = [r for r in self._rows(table) if r.version > above_version]
         if self.fault is not None:
             return Error(self.fault)
-        return Ok(TableRows(tuple(rows), self.version))
+        return Ok(TableRows(tuple(rows), self.version, self.store_epoch))
 
     async def write_row(self, write):
         """Write a row if its version is the expected one; return the current row."""
@@ -110,11 +110,12 @@
             return Error(self.fault)
         current = self.rows_by_table.get(write.table, {}).get(write.key)
         if (current.version if current else 0) != write.expected_version:
-            return Ok(current or MirrorRow(write.key, 0, b"", is_removed=True))
+            absent_row = MirrorRow(write.key, 0, b"", is_removed=True)
+            return Ok(StoredRow(current or absent_row, self.store_epoch))
         row = self.put(write.table, write.key, write.value)
         if self.loses_answers:
             return Error(StoreError("write-row", "lost", may_have_run=True))
-        return Ok(row)
+        return Ok(StoredRow(row, self.store_epoch))
 
     async def close(self):
         """Do nothing; there are no connections."""
--- a/packages/entry/src/bluebellusher/shared/tests/test_restored_store.py
+++ b/packages/entry/src/bluebellusher/shared/tests/test_restored_store.py
@@ -3,10 +3,14 @@
 import asyncio
 from random import Random
 
+import pytest
+from expression import Ok
+
+from bluebellusher.ports import TableRows
 from bluebellusher.shared import TableWatcher
-from bluebellusher.shared.tests.fakes import FakeLog, FakeStore
+from bluebellusher.shared.tests.fakes import DOWN, FakeLog, FakeStore
 from bluebellusher.shared.tests.virtual_time import LoopClock, run_in_virtual_time
-from bluebellusher_core.directory import TableMirror
+from bluebellusher_core.directory import MirrorRow, TableMirror
 
 # Time within which a change must be in the copy of an entry that reaches the store.
 MAX_DELAY_S = 1.0
@@ -22,7 +26,8 @@
         self.watcher = TableWatcher(
             store,
             self.mirror,
-            lambda rows: self.values.extend(row.value for row in rows),
+            self._record_values,
+            self._record_values,
             lambda _: None,
             LoopClock(),
             Random(1),
@@ -30,6 +35,9 @@
         )
         self.task = asyncio.create_task(self.watcher.run())
 
+    def _record_values(self, rows):
+        self.values.extend(row.value for row in rows)
+
     def value(self, key):
         """Return the value of a row of the copy, or None."""
         row = self.mirror.row_by_key.get(key)
@@ -56,3 +64,117 @@
         table.task.cancel()
 
     run_in_virtual_time(scenario())
+
+
+async def run_random_restorations(random, n_restorations):
+    """Restore a store from random copies while it is written and read.
+
+    Each copy is 1 to 18 s old, and each outage takes 0.2 to 6 s. Some watchers start in
+    between. Returns the store and the watched tables, ``MAX_DELAY_S`` after the last
+    restoration and write.
+    """
+    loop, store = asyncio.get_running_loop(), FakeStore()
+    copies, tables = [], [WatchedTable(store)]
+
+    async def write_for(seconds):
+        end_s = loop.time() + seconds
+        while loop.time() < end_s:
+            copies.append((loop.time(), store.copy()))
+            is_removed = random.random() < 0.3
+            value = b"" if is_removed else random.randbytes(2)
+            store.put("t", random.choice("abcdef"), value, is_removed)
+            await asyncio.sleep(random.uniform(0.01, 0.6))
+
+    await write_for(random.uniform(2, 20))
+    for _ in range(n_restorations):
+        store.fault = DOWN
+        outage_start_s = loop.time()
+        await asyncio.sleep(random.uniform(0.2, 6))
+        age_s = random.uniform(1, 18)
+        candidates = [c for at_s, c in copies if at_s <= outage_start_s - age_s]
+        store.restore(candidates[-1] if candidates else copies[0][1])
+        store.fault = None
+        if random.random() < 0.5:
+            tables.append(WatchedTable(store))
+        await write_for(random.choice([0.05, 0.5, 5.0]))
+    await asyncio.sleep(MAX_DELAY_S)
+    for table in tables:
+        table.task.cancel()
+    return store, tables
+
+
+@pytest.mark.parametrize("n_restorations", [1, 2, 3])
+def test_copies_equal_the_store_after_random_restorations(n_restorations):
+    """Guards against rows that stay outdated, or are missing, for good."""
+    for seed in range(40):
+        store, tables = run_in_virtual_time(
+            run_random_restorations(Random(seed), n_restorations)
+        )
+        expected = {k: r for k, r in store.rows_by_table["t"].items() if r.value}
+        for table in tables:
+            assert table.mirror.row_by_key == expected, f"seed {seed}"
+
+
+class AnsweringStore(FakeStore):
+    """Store whose answers to reads of changes are replaced by given ones, in turn."""
+
+    def __init__(self, answers):
+        super().__init__()
+        self.answers = answers
+
+    async def read_changes(self, table, above_version, wait_ms):
+        """Return the next given answer, or that of the store when there is none."""
+        await asyncio.sleep(0.01)
+        if self.answers:
+            return Ok(self.answers.pop(0))
+        return await super().read_changes(table, above_version, wait_ms)
+
+
+@pytest.mark.parametrize("late_epoch", [0, 1, 4])
+def test_late_answer_of_an_earlier_store_epoch_changes_nothing(late_epoch):
+    """Guards against an old answer, or one without the epoch, that reverts rows."""
+
+    async def scenario():
+        late_row = MirrorRow("route", 90, b"old")
+        store = AnsweringStore([TableRows((late_row,), 90, late_epoch)])
+        store.store_epoch = 5
+        store.put("t", "route", b"new")
+        table = WatchedTable(store)
+        await asyncio.sleep(MAX_DELAY_S)
+        assert table.value("route") == b"new"
+        assert table.mirror.position == (5, 1)
+        store.put("t", "route", b"newer")
+        await asyncio.sleep(MAX_DELAY_S)
+        assert table.value("route") == b"newer"
+        table.task.cancel()
+
+    run_in_virtual_time(scenario())
+
+
+def test_changes_of_a_later_store_epoch_are_not_applied_to_an_older_copy():
+    """Guards against missing rows when versions have caught up before the next read.
+
+    The store knows the version of the copy again, so that it does not report that its
+    history is lost.
+    """
+
+    async def scenario():
+        store = FakeStore()
+        store.put("t", "removed", b"1")
+        copy = store.copy()
+        for value in (b"2", b"3", b"4"):
+            store.put("t", "lost", value)
+        table = WatchedTable(store)
+        await asyncio.sleep(0.5)
+        store.fault = DOWN
+        await asyncio.sleep(0.5)
+        store.restore(copy)
+        for value in (b"5", b"6", b"7", b"8"):
+            store.put("t", "other", value)
+        store.put("t", "removed", b"", is_removed=True)
+        store.fault = None
+        await asyncio.sleep(MAX_DELAY_S)
+        assert set(table.mirror.row_by_key) == {"other"}
+        table.task.cancel()
+
+    run_in_virtual_time(scenario())
--- a/packages/entry/src/bluebellusher/shared/tests/test_shared.py
+++ b/packages/entry/src/bluebellusher/shared/tests/test_shared.py
@@ -29,6 +29,7 @@
             store,
             self.mirror,
             self.changed_rows.extend,
+            self.changed_rows.extend,
             self.availability_changes.append,
             clock,
             Random(1),
--- a/soak/store.py
+++ b/soak/store.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 from expression import Error, Ok, Result
 
-from bluebellusher.ports import RowWrite, StoreError, TableRows
+from bluebellusher.ports import RowWrite, StoredRow, StoreError, TableRows
 from bluebellusher_core.directory import MirrorRow
 
 CALL_TIMEOUT_MS = 1_500
@@ -173,7 +173,7 @@
         timeout_ms = wait_ms + CALL_TIMEOUT_MS
         return await self._call("get", "/changes", timeout_ms, params=query)
 
-    async def write_row(self, write: RowWrite) -> Result[MirrorRow, StoreError]:
+    async def write_row(self, write: RowWrite) -> Result[StoredRow, StoreError]:
         """Write a row if its version is still the expected one.
 
         Return the stored row after the call, which is the earlier one if the write was
@@ -187,7 +187,11 @@
         }
         result = await self._call("post", "/row", CALL_TIMEOUT_MS, json=body)
         absent = MirrorRow(write.key, 0, b"", is_removed=True)
-        return result.map(lambda table: table.rows[0] if table.rows else absent)
+        return result.map(
+            lambda table: StoredRow(
+                table.rows[0] if table.rows else absent, table.store_epoch
+            )
+        )
 
     async def _call(
         self, method: str, path: str, timeout_ms: int, **options: Any
