Keep what is known of endpoints when the store was restored from a copy

Requests reached endpoints that had left (DRAIN): the copy contains their registrations again, or has an endpoint as ready that has announced its shutdown since.

An endpoint that drains continues to drain until its next start. One that had ended is used only if its registration stays for 6 s, longer than the store keeps one without heartbeats; earlier starts of an endpoint or at its address are treated alike. An endpoint whose registration is missing stays in use for 2 s from the restoration, also when the entry did not notice the outage.

--- a/packages/core/src/bluebellusher_core/directory/_registrations.py
+++ b/packages/core/src/bluebellusher_core/directory/_registrations.py
@@ -20,6 +20,12 @@
 # Time from the deregistration of an endpoint until it counts as lost, in ms. It is
 # longer than any request that the endpoint may still be serving.
 DRAIN_TIMEOUT_MS = 30_000
+# Time after which an endpoint is in use again that had ended before the store was
+# restored and whose registration the store has again, in ms. The store removes the
+# registration of an endpoint that does not run earlier, after three missed heartbeats.
+RESTORED_CONFIRMATION_MS = 6_000
+# Upper bound of the remembered endpoints that have ended.
+N_MAX_ENDED = 4_096
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +61,10 @@
     runs. It is drained before its registration expires, because an entry that has just
     started would otherwise send it requests.
 
+    A store that was restored from an earlier copy contains registrations of endpoints
+    that have left since, and lacks those of endpoints that have started since.
+    ``update_restored`` keeps what is known of both until they register again.
+
     Parameters
     ----------
     registration_by_id : dict of str to EndpointRegistration
@@ -67,6 +77,10 @@
     _registration_by_address: dict[tuple[str, int], EndpointRegistration] = field(
         default_factory=dict
     )
+    _ended_start_by_id: dict[str, int] = field(default_factory=dict)
+    _unconfirmed_by_id: dict[str, tuple[EndpointRegistration, int]] = field(
+        default_factory=dict
+    )
     _store_available_at_ms: int | None = None
     _is_store_unavailable: bool = False
 
@@ -93,6 +107,8 @@
             Monotonic time, in ms.
         """
         events: list[Event] = []
+        for endpoint_id in changes:
+            self._unconfirmed_by_id.pop(endpoint_id, None)
         registered = [r for r in changes.values() if r is not None]
         for registration in sorted(registered, key=lambda r: r.started_wall_ms):
             events += self._register(registration)
@@ -102,9 +118,68 @@
                 events += self._deregister(endpoint_id, now_ms)
         return events
 
+    def update_restored(
+        self, changes: Mapping[str, EndpointRegistration | None], now_ms: int
+    ) -> list[Event]:
+        """Apply the registrations of a restored store; return the events that follow.
+
+        An endpoint that was draining continues to drain. One that had ended is used
+        only if its registration stays for ``RESTORED_CONFIRMATION_MS``, and one whose
+        registration is missing stays in use for ``EXPIRY_GRACE_MS``.
+
+        Parameters
+        ----------
+        changes : mapping of str to EndpointRegistration or None
+            Registrations that differ from the previous ones, by endpoint id; None for
+            those that are missing.
+        now_ms : int
+            Monotonic time, in ms.
+        """
+        self._store_available_at_ms = now_ms
+        confirmed: dict[str, EndpointRegistration | None] = {}
+        unconfirmed = [
+            registration for registration, _ in self._unconfirmed_by_id.values()
+        ]
+        for endpoint_id, registration in changes.items():
+            if registration is not None and self._has_ended(registration):
+                unconfirmed.append(registration)
+            elif registration is None or not self._is_known_draining(registration):
+                confirmed[endpoint_id] = registration
+        confirm_at_ms = now_ms + RESTORED_CONFIRMATION_MS
+        self._unconfirmed_by_id = {
+            registration.endpoint_id: (registration, confirm_at_ms)
+            for registration in unconfirmed
+        }
+        return self.update(confirmed, now_ms)
+
+    def _has_ended(self, registration: EndpointRegistration) -> bool:
+        """Return whether this start ended, or its address was taken over, before."""
+        started_wall_ms = registration.started_wall_ms
+        ended_start = self._ended_start_by_id.get(registration.endpoint_id)
+        if ended_start is not None and started_wall_ms <= ended_start:
+            return True
+        address = (registration.host, registration.port)
+        latest = self._registration_by_address.get(address)
+        return latest is not None and 0 < started_wall_ms < latest.started_wall_ms
+
+    def _is_known_draining(self, registration: EndpointRegistration) -> bool:
+        """Return whether this start is draining, which it never takes back."""
+        known = self.registration_by_id.get(registration.endpoint_id)
+        return (
+            known is not None
+            and known.is_draining
+            and known.started_wall_ms == registration.started_wall_ms
+        )
+
     def tick(self, now_ms: int) -> list[Event]:
-        """Return the events of grace times and drain times that have ended."""
+        """Return the events of grace, drain and confirmation times that have ended."""
         events: list[Event] = []
+        confirmed = {
+            endpoint_id: registration
+            for endpoint_id, (registration, at_ms) in self._unconfirmed_by_id.items()
+            if at_ms <= now_ms
+        }
+        events += self.update(confirmed, now_ms)
         for endpoint_id, at_ms in list(self._deregister_at_ms.items()):
             if at_ms <= now_ms:
                 del self._deregister_at_ms[endpoint_id]
@@ -124,6 +199,7 @@
             return []
         self._deregister_at_ms.pop(endpoint_id, None)
         self._lost_at_ms.pop(endpoint_id, None)
+        self._ended_start_by_id.pop(endpoint_id, None)
         self.registration_by_id[endpoint_id] = registration
         if registration.is_draining:
             was_used = previous is not None and not previous.is_draining
@@ -183,6 +259,9 @@
         registration = self.registration_by_id.pop(endpoint_id)
         self._deregister_at_ms.pop(endpoint_id, None)
         self._lost_at_ms[endpoint_id] = now_ms + DRAIN_TIMEOUT_MS
+        self._ended_start_by_id[endpoint_id] = registration.started_wall_ms
+        if len(self._ended_start_by_id) > N_MAX_ENDED:
+            del self._ended_start_by_id[next(iter(self._ended_start_by_id))]
         return [] if registration.is_draining else [EndpointDraining(endpoint_id)]
 
 
--- a/packages/core/src/bluebellusher_core/directory/tests/test_registrations.py
+++ b/packages/core/src/bluebellusher_core/directory/tests/test_registrations.py
@@ -6,6 +6,7 @@
 from bluebellusher_core.directory._registrations import (
     DRAIN_TIMEOUT_MS,
     EXPIRY_GRACE_MS,
+    RESTORED_CONFIRMATION_MS,
 )
 from bluebellusher_core.events import (
     EndpointDraining,
@@ -109,3 +110,73 @@
     events = registrations.update({"y": successor}, 10)
     assert [type(event) for event in events] == [EndpointRegistered]
     assert registrations.update({"x": None}, 20) == [EndpointDraining("x")]
+
+
+DRAINING = replace(READY, is_draining=True)
+
+
+def test_endpoint_that_drains_is_not_ready_again_after_a_restoration():
+    """Guards against requests to a leaving endpoint that an old copy has as ready."""
+    registrations = make_registrations()
+    registrations.update({"x": DRAINING}, 10)
+    assert registrations.update_restored({"x": READY}, 20) == []
+    assert registrations.registration_by_id["x"].is_draining
+    assert registrations.update({"x": DRAINING}, 30) == []
+
+
+def test_endpoint_that_had_ended_is_not_used_again_after_a_restoration():
+    """Guards against requests to an endpoint that left before the store was restored.
+
+    Its registration is in the copy, until the store removes it.
+    """
+    registrations = make_registrations()
+    registrations.update({"x": None}, 10)
+    assert registrations.update_restored({"x": READY}, 20) == []
+    assert registrations.tick(20 + RESTORED_CONFIRMATION_MS - 1) == []
+    assert "x" not in registrations.registration_by_id
+    registrations.update({"x": None}, 20 + RESTORED_CONFIRMATION_MS - 1)
+    assert registrations.tick(20 + RESTORED_CONFIRMATION_MS) == []
+
+
+def test_second_restoration_delays_the_use_of_an_endpoint_that_had_ended():
+    """Guards against use of an ended endpoint when copies are restored in a row."""
+    registrations = make_registrations()
+    registrations.update({"x": None}, 10)
+    registrations.update_restored({"x": READY}, 20)
+    registrations.update_restored({}, 4_000)
+    assert registrations.tick(20 + RESTORED_CONFIRMATION_MS) == []
+    registered = registrations.tick(4_000 + RESTORED_CONFIRMATION_MS)
+    assert [type(event) for event in registered] == [EndpointRegistered]
+
+
+def test_endpoint_that_runs_is_used_although_it_seemed_to_have_ended():
+    """Guards against an endpoint that stays unused when its renewals were cut off."""
+    registrations = make_registrations()
+    registrations.update({"x": None}, 10)
+    registrations.update_restored({"x": READY}, 20)
+    registered = registrations.tick(20 + RESTORED_CONFIRMATION_MS)
+    assert [type(event) for event in registered] == [EndpointRegistered]
+    assert registrations.registration_by_id["x"] == READY
+
+
+def test_endpoint_that_started_after_the_copy_stays_in_use():
+    """Guards against running endpoints that are drained until they register again."""
+    registrations = make_registrations()
+    assert registrations.update_restored({"x": None}, 5_000) == []
+    assert registrations.tick(5_000 + EXPIRY_GRACE_MS - 1) == []
+    assert registrations.update({"x": READY}, 6_000) == []
+    assert registrations.tick(5_000 + EXPIRY_GRACE_MS) == []
+    registrations.update_restored({"x": None}, 9_000)
+    assert registrations.tick(9_000 + EXPIRY_GRACE_MS) == [EndpointDraining("x")]
+
+
+def test_earlier_start_in_a_restored_store_is_ignored():
+    """Guards against the use of a previous start of an endpoint, or of its address."""
+    registrations = make_registrations()
+    restarted = replace(READY, started_wall_ms=200)
+    registrations.update({"x": restarted}, 10)
+    assert registrations.update_restored({"x": READY}, 20) == []
+    assert registrations.registration_by_id["x"] == restarted
+    other = replace(READY, endpoint_id="y")
+    assert registrations.update_restored({"y": other}, 30) == []
+    assert "y" not in registrations.registration_by_id
--- a/packages/entry/src/bluebellusher/gateway/_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -162,11 +162,15 @@
         self.peer_exchange.links = self.peers
         self.tables = TableExchange(self.peers, clock)
         self.routing_watcher = self._make_watcher(
-            ports.codec.routing_table, self.directory.apply_routing_rows, random_state
+            ports.codec.routing_table,
+            self.directory.apply_routing_rows,
+            self.directory.apply_routing_rows,
+            random_state,
         )
         self.registration_watcher = self._make_watcher(
             ports.codec.registration_table,
             self.directory.apply_registration_rows,
+            self.directory.apply_restored_registration_rows,
             random_state,
         )
         crash_mirror = TableMirror(CRASH_TABLE)
@@ -417,23 +421,31 @@
         self,
         table: str,
         apply_rows: Callable[[list[Any]], None],
+        apply_restored_rows: Callable[[list[Any]], None],
         random_state: Random,
     ) -> TableWatcher:
         """Return the watcher of a table that is also exchanged with peers."""
 
-        def on_rows(rows: list[Any]) -> None:
-            apply_rows(rows)
+        def announce() -> None:
             self._update_ranks()
             # Announce the new table version. Peers that the store does not serve
             # request the changes from this entry.
             self.peer_exchange.tick(self.clock.now_ms())
 
+        def on_rows(rows: list[Any]) -> None:
+            apply_rows(rows)
+            announce()
+
+        def on_restored(rows: list[Any]) -> None:
+            apply_restored_rows(rows)
+            announce()
+
         mirror = TableMirror(table)
         watcher = TableWatcher(
             self._store,
             mirror,
             on_rows,
-            on_rows,
+            on_restored,
             self.directory.record_store_availability,
             self.clock,
             random_state,
--- a/packages/entry/src/bluebellusher/shared/_directory.py
+++ b/packages/entry/src/bluebellusher/shared/_directory.py
@@ -102,6 +102,19 @@
 
         A registration that cannot be read counts as ended.
         """
+        changes = self._read_registrations(rows)
+        self._log_and_post(self.registrations.update(changes, self._clock.now_ms()))
+
+    def apply_restored_registration_rows(self, rows: list[MirrorRow]) -> None:
+        """Apply the registrations that differ after the store was restored."""
+        changes = self._read_registrations(rows)
+        now_ms = self._clock.now_ms()
+        self._log_and_post(self.registrations.update_restored(changes, now_ms))
+
+    def _read_registrations(
+        self, rows: list[MirrorRow]
+    ) -> dict[str, EndpointRegistration | None]:
+        """Return the registration in each row, or None when it ended."""
         changes: dict[str, EndpointRegistration | None] = {}
         for row in rows:
             registration = None
@@ -114,7 +127,7 @@
                         row_version=row.version,
                     )
             changes[row.key] = registration
-        self._log_and_post(self.registrations.update(changes, self._clock.now_ms()))
+        return changes
 
     def record_store_availability(self, is_store_available: bool) -> None:
         """Record whether the store is available, for the grace of registrations."""
