Compare store epochs in the exchange of tables between entries

Digests, requests and deltas carry the store epoch. An entry requests changes from a peer whose store epoch, or version in the same epoch, is higher; it gets all rows of a later epoch, and ignores rows of an earlier one. An entry that cannot reach the store thus follows the restored store through its peers. TableCopy now reports the changes of a copy, whether they come from the store or from a peer.

The test with four entries of which some are cut off fails with the comparison by version alone.

--- a/deploy/tests/test_outages.py
+++ b/deploy/tests/test_outages.py
@@ -7,7 +7,7 @@
 from expression import Error
 
 from bluebellusher.ports import StoreError
-from bluebellusher.shared import TableWatcher
+from bluebellusher.shared import TableCopy, TableWatcher
 from bluebellusher.shared.tests.fakes import FakeLog, FakeStore
 from bluebellusher.shared.tests.virtual_time import LoopClock, run_in_virtual_time
 from bluebellusher_core.directory import TableMirror
@@ -77,9 +77,7 @@
 
     watcher = TableWatcher(
         store,
-        mirror,
-        on_rows,
-        on_rows,
+        TableCopy(mirror, on_rows, on_rows, FakeLog()),
         lambda _: None,
         LoopClock(),
         Random(1),
--- a/packages/core/src/bluebellusher_core/wire/_generated/bluebellusher/ttypes.py
+++ b/packages/core/src/bluebellusher_core/wire/_generated/bluebellusher/ttypes.py
@@ -3560,6 +3560,7 @@
      - ended
      - silent_endpoint_ids
      - limits
+     - store_epoch_by_table
 
     """
 
@@ -3575,10 +3576,11 @@
         'ended',
         'silent_endpoint_ids',
         'limits',
+        'store_epoch_by_table',
     )
 
 
-    def __init__(self, config_version=None, members=None, blocked_fingerprints=None, suspect_fingerprints=None, version_by_table=None, held_leases=None, crashes=None, leaving=None, ended=None, silent_endpoint_ids=None, limits=None,):
+    def __init__(self, config_version=None, members=None, blocked_fingerprints=None, suspect_fingerprints=None, version_by_table=None, held_leases=None, crashes=None, leaving=None, ended=None, silent_endpoint_ids=None, limits=None, store_epoch_by_table=None,):
         self.config_version = config_version
         self.members = members
         self.blocked_fingerprints = blocked_fingerprints
@@ -3590,6 +3592,7 @@
         self.ended = ended
         self.silent_endpoint_ids = silent_endpoint_ids
         self.limits = limits
+        self.store_epoch_by_table = store_epoch_by_table
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3711,6 +3714,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.MAP:
+                    self.store_epoch_by_table = {}
+                    (_ktype189, _vtype190, _size188) = iprot.readMapBegin()
+                    for _i192 in range(_size188):
+                        _key193 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val194 = iprot.readI64()
+                        self.store_epoch_by_table[_key193] = _val194
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3728,74 +3742,82 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter188 in self.members:
-                iter188.write(oprot)
+            for iter195 in self.members:
+                iter195.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.blocked_fingerprints is not None:
             oprot.writeFieldBegin('blocked_fingerprints', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.blocked_fingerprints))
-            for iter189 in self.blocked_fingerprints:
-                oprot.writeString(iter189.encode('utf-8') if sys.version_info[0] == 2 else iter189)
+            for iter196 in self.blocked_fingerprints:
+                oprot.writeString(iter196.encode('utf-8') if sys.version_info[0] == 2 else iter196)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspect_fingerprints is not None:
             oprot.writeFieldBegin('suspect_fingerprints', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.suspect_fingerprints))
-            for iter190 in self.suspect_fingerprints:
-                oprot.writeString(iter190.encode('utf-8') if sys.version_info[0] == 2 else iter190)
+            for iter197 in self.suspect_fingerprints:
+                oprot.writeString(iter197.encode('utf-8') if sys.version_info[0] == 2 else iter197)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.version_by_table is not None:
             oprot.writeFieldBegin('version_by_table', TType.MAP, 5)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.version_by_table))
-            for kiter191, viter192 in self.version_by_table.items():
-                oprot.writeString(kiter191.encode('utf-8') if sys.version_info[0] == 2 else kiter191)
-                oprot.writeI64(viter192)
+            for kiter198, viter199 in self.version_by_table.items():
+                oprot.writeString(kiter198.encode('utf-8') if sys.version_info[0] == 2 else kiter198)
+                oprot.writeI64(viter199)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.held_leases is not None:
             oprot.writeFieldBegin('held_leases', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.held_leases))
-            for iter193 in self.held_leases:
-                oprot.writeString(iter193.encode('utf-8') if sys.version_info[0] == 2 else iter193)
+            for iter200 in self.held_leases:
+                oprot.writeString(iter200.encode('utf-8') if sys.version_info[0] == 2 else iter200)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter194 in self.crashes:
-                iter194.write(oprot)
+            for iter201 in self.crashes:
+                iter201.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.leaving))
-            for iter195 in self.leaving:
-                iter195.write(oprot)
+            for iter202 in self.leaving:
+                iter202.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ended is not None:
             oprot.writeFieldBegin('ended', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.ended))
-            for iter196 in self.ended:
-                iter196.write(oprot)
+            for iter203 in self.ended:
+                iter203.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.silent_endpoint_ids is not None:
             oprot.writeFieldBegin('silent_endpoint_ids', TType.LIST, 10)
             oprot.writeListBegin(TType.STRING, len(self.silent_endpoint_ids))
-            for iter197 in self.silent_endpoint_ids:
-                oprot.writeString(iter197.encode('utf-8') if sys.version_info[0] == 2 else iter197)
+            for iter204 in self.silent_endpoint_ids:
+                oprot.writeString(iter204.encode('utf-8') if sys.version_info[0] == 2 else iter204)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter198 in self.limits:
-                iter198.write(oprot)
+            for iter205 in self.limits:
+                iter205.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.store_epoch_by_table is not None:
+            oprot.writeFieldBegin('store_epoch_by_table', TType.MAP, 12)
+            oprot.writeMapBegin(TType.STRING, TType.I64, len(self.store_epoch_by_table))
+            for kiter206, viter207 in self.store_epoch_by_table.items():
+                oprot.writeString(kiter206.encode('utf-8') if sys.version_info[0] == 2 else kiter206)
+                oprot.writeI64(viter207)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3932,6 +3954,7 @@
      - above_version
      - version
      - rows
+     - store_epoch
 
     """
 
@@ -3940,14 +3963,16 @@
         'above_version',
         'version',
         'rows',
+        'store_epoch',
     )
 
 
-    def __init__(self, table=None, above_version=None, version=None, rows=None,):
+    def __init__(self, table=None, above_version=None, version=None, rows=None, store_epoch=None,):
         self.table = table
         self.above_version = above_version
         self.version = version
         self.rows = rows
+        self.store_epoch = store_epoch
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3976,14 +4001,19 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype202, _size199) = iprot.readListBegin()
-                    for _i203 in range(_size199):
-                        _elem204 = TableRow()
-                        _elem204.read(iprot)
-                        self.rows.append(_elem204)
+                    (_etype211, _size208) = iprot.readListBegin()
+                    for _i212 in range(_size208):
+                        _elem213 = TableRow()
+                        _elem213.read(iprot)
+                        self.rows.append(_elem213)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.store_epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4009,10 +4039,14 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter205 in self.rows:
-                iter205.write(oprot)
+            for iter214 in self.rows:
+                iter214.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.store_epoch is not None:
+            oprot.writeFieldBegin('store_epoch', TType.I64, 5)
+            oprot.writeI64(self.store_epoch)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4043,18 +4077,21 @@
     Attributes:
      - table
      - above_version
+     - store_epoch
 
     """
 
     __slots__ = (
         'table',
         'above_version',
+        'store_epoch',
     )
 
 
-    def __init__(self, table=None, above_version=None,):
+    def __init__(self, table=None, above_version=None, store_epoch=None,):
         self.table = table
         self.above_version = above_version
+        self.store_epoch = store_epoch
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4075,6 +4112,11 @@
                     self.above_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.store_epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4093,6 +4135,10 @@
             oprot.writeFieldBegin('above_version', TType.I64, 2)
             oprot.writeI64(self.above_version)
             oprot.writeFieldEnd()
+        if self.store_epoch is not None:
+            oprot.writeFieldBegin('store_epoch', TType.I64, 3)
+            oprot.writeI64(self.store_epoch)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4523,15 +4569,15 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.experts = []
-                    (_etype209, _size206) = iprot.readListBegin()
-                    for _i210 in range(_size206):
-                        _elem211 = []
-                        (_etype215, _size212) = iprot.readListBegin()
-                        for _i216 in range(_size212):
-                            _elem217 = iprot.readI32()
-                            _elem211.append(_elem217)
+                    (_etype218, _size215) = iprot.readListBegin()
+                    for _i219 in range(_size215):
+                        _elem220 = []
+                        (_etype224, _size221) = iprot.readListBegin()
+                        for _i225 in range(_size221):
+                            _elem226 = iprot.readI32()
+                            _elem220.append(_elem226)
                         iprot.readListEnd()
-                        self.experts.append(_elem211)
+                        self.experts.append(_elem220)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4574,10 +4620,10 @@
         if self.experts is not None:
             oprot.writeFieldBegin('experts', TType.LIST, 5)
             oprot.writeListBegin(TType.LIST, len(self.experts))
-            for iter218 in self.experts:
-                oprot.writeListBegin(TType.I32, len(iter218))
-                for iter219 in iter218:
-                    oprot.writeI32(iter219)
+            for iter227 in self.experts:
+                oprot.writeListBegin(TType.I32, len(iter227))
+                for iter228 in iter227:
+                    oprot.writeI32(iter228)
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
@@ -6021,6 +6067,7 @@
     (9, TType.LIST, 'ended', (TType.STRUCT, [EndedRequest, None], False), None, ),  # 9
     (10, TType.LIST, 'silent_endpoint_ids', (TType.STRING, 'UTF8', False), None, ),  # 10
     (11, TType.LIST, 'limits', (TType.STRUCT, [LimitMark, None], False), None, ),  # 11
+    (12, TType.MAP, 'store_epoch_by_table', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 12
 )
 all_structs.append(TableRow)
 TableRow.thrift_spec = (
@@ -6037,12 +6084,14 @@
     (2, TType.I64, 'above_version', None, None, ),  # 2
     (3, TType.I64, 'version', None, None, ),  # 3
     (4, TType.LIST, 'rows', (TType.STRUCT, [TableRow, None], False), None, ),  # 4
+    (5, TType.I64, 'store_epoch', None, None, ),  # 5
 )
 all_structs.append(TablePull)
 TablePull.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'table', 'UTF8', None, ),  # 1
     (2, TType.I64, 'above_version', None, None, ),  # 2
+    (3, TType.I64, 'store_epoch', None, None, ),  # 3
 )
 all_structs.append(RankReport)
 RankReport.thrift_spec = (
--- a/packages/core/src/bluebellusher_core/wire/bluebellusher.thrift
+++ b/packages/core/src/bluebellusher_core/wire/bluebellusher.thrift
@@ -107,15 +107,18 @@
   9: list<EndedRequest> ended,
   /* Ids of ranks that send nothing while their group advances. */
   10: list<string> silent_endpoint_ids,
-  11: list<LimitMark> limits
+  11: list<LimitMark> limits,
+  /* Epoch of the store that each version of version_by_table belongs to. */
+  12: map<string, i64> store_epoch_by_table
 }
 
 /* Shared tables: an entry that the store turns away catches up with its peers. */
 struct TableRow { 1: string key, 2: i64 version, 3: binary value, 4: bool is_removed }
 struct TableDelta {
-  1: string table, 2: i64 above_version, 3: i64 version, 4: list<TableRow> rows
+  1: string table, 2: i64 above_version, 3: i64 version, 4: list<TableRow> rows,
+  5: i64 store_epoch
 }
-struct TablePull { 1: string table, 2: i64 above_version }
+struct TablePull { 1: string table, 2: i64 above_version, 3: i64 store_epoch }
 
 /* State of one rank, as its agent reads it. Fields that do not apply are absent. */
 struct RankReport {
--- a/packages/entry/src/bluebellusher/gateway/_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -27,6 +27,7 @@
     CrashTable,
     Directory,
     Members,
+    TableCopy,
     TableExchange,
     TableWatcher,
 )
@@ -185,9 +186,12 @@
         )
         self.crash_watcher = TableWatcher(
             ports.store,
-            crash_mirror,
-            self.crash_table.post_stored_crashes,
-            self.crash_table.post_stored_crashes,
+            TableCopy(
+                crash_mirror,
+                self.crash_table.post_stored_crashes,
+                self.crash_table.post_stored_crashes,
+                self.runtime,
+            ),
             # Losing contact with this table does not affect the endpoints, which are
             # registered in another one.
             lambda is_store_available: None,
@@ -440,18 +444,16 @@
             apply_restored_rows(rows)
             announce()
 
-        mirror = TableMirror(table)
+        copy = TableCopy(TableMirror(table), on_rows, on_restored, self.runtime)
         watcher = TableWatcher(
             self._store,
-            mirror,
-            on_rows,
-            on_restored,
+            copy,
             self.directory.record_store_availability,
             self.clock,
             random_state,
             self.runtime,
         )
-        self.tables.add(mirror, on_rows, lambda: watcher.is_store_available)
+        self.tables.add(copy, lambda: watcher.is_store_available)
         return watcher
 
     def _tick(self, now_ms: int) -> None:
--- a/packages/entry/src/bluebellusher/gateway/_view.py
+++ b/packages/entry/src/bluebellusher/gateway/_view.py
@@ -41,6 +41,7 @@
             blocked_fingerprints=list(blocked),
             suspect_fingerprints=list(suspects),
             version_by_table=gateway.tables.versions(),
+            store_epoch_by_table=gateway.tables.store_epochs(),
             held_leases=[MAP_LEASE] if gateway.lease.leading_token is not None else [],
         )
 
--- a/packages/entry/src/bluebellusher/shared/__init__.py
+++ b/packages/entry/src/bluebellusher/shared/__init__.py
@@ -1,10 +1,12 @@
 """Tables of the store that every entry copies, and their exchange between entries."""
 
+from bluebellusher.shared._copy import TableCopy
 from bluebellusher.shared._crashes import CRASH_TABLE, CrashTable
 from bluebellusher.shared._directory import Directory
+from bluebellusher.shared._log import LogSink
 from bluebellusher.shared._members import Members
 from bluebellusher.shared._peers import TableExchange
-from bluebellusher.shared._watcher import LogSink, TableWatcher
+from bluebellusher.shared._watcher import TableWatcher
 
 __all__ = [
     "CRASH_TABLE",
@@ -12,6 +14,7 @@
     "Directory",
     "LogSink",
     "Members",
+    "TableCopy",
     "TableExchange",
     "TableWatcher",
 ]
--- a/packages/entry/src/bluebellusher/shared/_crashes.py
+++ b/packages/entry/src/bluebellusher/shared/_crashes.py
@@ -11,7 +11,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from bluebellusher.ports import RowStore, RowWrite
-from bluebellusher.shared._watcher import LogSink
+from bluebellusher.shared._log import LogSink
 from bluebellusher_core.clock import Clock
 from bluebellusher_core.directory import MirrorRow, TableMirror
 from bluebellusher_core.events import STORE_SOURCE, CrashesReceived
--- a/packages/entry/src/bluebellusher/shared/_directory.py
+++ b/packages/entry/src/bluebellusher/shared/_directory.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 from bluebellusher.ports import TableCodec
-from bluebellusher.shared._watcher import LogSink
+from bluebellusher.shared._log import LogSink
 from bluebellusher_core.clock import Clock
 from bluebellusher_core.directory import (
     EndpointRegistration,
--- a/packages/entry/src/bluebellusher/shared/_members.py
+++ b/packages/entry/src/bluebellusher/shared/_members.py
@@ -6,7 +6,7 @@
 
 from bluebellusher.links import PeerLinks
 from bluebellusher.ports import MAX_PORT, RowStore, RowWrite
-from bluebellusher.shared._watcher import LogSink
+from bluebellusher.shared._log import LogSink
 from bluebellusher_core.directory import MirrorRow
 from bluebellusher_core.events import MembersListed
 
--- a/packages/entry/src/bluebellusher/shared/_peers.py
+++ b/packages/entry/src/bluebellusher/shared/_peers.py
@@ -2,22 +2,22 @@
 
 The store may be unavailable to one entry while it answers the others, and an entry may
 start while the store is unavailable. Each digest of an entry therefore contains the
-versions of its copies. An entry whose copy has a lower version requests the changes
-from the peer that sent the digest.
+positions of its copies, which are the store epoch and the version. An entry whose copy
+has a lower position requests the changes from the peer that sent the digest. A copy of
+an earlier store epoch never replaces rows of a later one, whatever its version.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from typing import Any
 
 from bluebellusher.links import PeerLinks
+from bluebellusher.shared._copy import TableCopy
 from bluebellusher_core.clock import Clock
-from bluebellusher_core.directory import MirrorRow, TableMirror
+from bluebellusher_core.directory import MirrorRow
 from bluebellusher_core.wire import messages
 
-ChangedRowsCallback = Callable[[list[MirrorRow]], None]
-
-# Time for which a copy may have a lower version than a peer's before the changes are
+# Time for which a copy may have a lower position than a peer's before the changes are
 # requested from the peer, in ms. It applies while the store is available, which usually
 # returns a change milliseconds after the peer received it. A transfer between peers
 # that duplicates the store's answer would waste bytes.
@@ -26,19 +26,23 @@
 
 @dataclass(slots=True)
 class _SharedTable:
-    """Copy of a table and the highest version that peers reported.
+    """Copy of a table and the highest position that peers reported.
 
-    ``latest_peer_version`` is that version, ``latest_peer_id`` the peer that changes
+    ``latest_peer_position`` is that position, ``latest_peer_id`` the peer that changes
     are requested from, and ``outdated_since_ms`` the monotonic time, in ms, at which a
-    peer first reported a version above the one of the copy.
+    peer first reported a position above the one of the copy.
     """
 
-    mirror: TableMirror
-    on_changed_rows: ChangedRowsCallback
+    copy: TableCopy
     is_store_available: Callable[[], bool]
     outdated_since_ms: int = 0
     latest_peer_id: str = ""
-    latest_peer_version: int = 0
+    latest_peer_position: tuple[int, int] = (0, 0)
+
+    @property
+    def position(self) -> tuple[int, int]:
+        """Store epoch and version of the copy."""
+        return self.copy.mirror.position
 
 
 class TableExchange:
@@ -59,45 +63,48 @@
 
     def add(
         self,
-        mirror: TableMirror,
-        on_changed_rows: ChangedRowsCallback,
+        copy: TableCopy,
         is_store_available: Callable[[], bool],
     ) -> None:
         """Add a table to the exchange.
 
         Parameters
         ----------
-        mirror : TableMirror
+        copy : TableCopy
             This entry's copy of the table.
-        on_changed_rows : callable
-            Receives the rows that a peer's changes replaced, added or removed.
         is_store_available : callable
             Returns whether the store is available and updates the copy.
         """
-        self._shared_by_table[mirror.table] = _SharedTable(
-            mirror, on_changed_rows, is_store_available
-        )
+        shared = _SharedTable(copy, is_store_available)
+        self._shared_by_table[copy.mirror.table] = shared
 
     def versions(self) -> dict[str, int]:
         """Return the version of each copy by table name, for the digest."""
         return {
-            name: shared.mirror.version
+            name: shared.copy.mirror.version
+            for name, shared in self._shared_by_table.items()
+        }
+
+    def store_epochs(self) -> dict[str, int]:
+        """Return the store epoch of each copy by table name, for the digest."""
+        return {
+            name: shared.copy.mirror.store_epoch
             for name, shared in self._shared_by_table.items()
         }
 
     def on_digest(self, peer_id: str, digest: Any) -> None:
-        """Record the versions of a peer's copies.
+        """Record the positions of a peer's copies.
 
         Changes are requested immediately when the store is unavailable to this entry,
         and otherwise by ``tick``.
         """
-        for table, version in (digest.version_by_table or {}).items():
+        for table, position in _read_positions(digest).items():
             shared = self._shared_by_table.get(table)
-            if shared is None or version <= shared.mirror.version:
+            if shared is None or position <= shared.position:
                 continue
-            if shared.latest_peer_version <= shared.mirror.version:
+            if shared.latest_peer_position <= shared.position:
                 shared.outdated_since_ms = self._clock.now_ms()
-            shared.latest_peer_version = max(shared.latest_peer_version, version)
+            shared.latest_peer_position = max(shared.latest_peer_position, position)
             shared.latest_peer_id = peer_id
             if not shared.is_store_available():
                 self._pull(shared)
@@ -111,42 +118,64 @@
             Monotonic time, in ms.
         """
         for shared in self._shared_by_table.values():
-            is_outdated = shared.latest_peer_version > shared.mirror.version
+            is_outdated = shared.latest_peer_position > shared.position
             if is_outdated and now_ms - shared.outdated_since_ms >= PULL_DELAY_MS:
                 self._pull(shared)
 
     def _pull(self, shared: _SharedTable) -> None:
-        """Request the changes above this entry's version from the recorded peer."""
-        version = shared.mirror.version
-        pull = messages.TablePull(table=shared.mirror.table, above_version=version)
+        """Request the changes above this entry's position from the recorded peer."""
+        mirror = shared.copy.mirror
+        pull = messages.TablePull(
+            table=mirror.table,
+            above_version=mirror.version,
+            store_epoch=mirror.store_epoch,
+        )
         self._links.send(shared.latest_peer_id, pull)
 
     def on_pull(self, peer_id: str, pull: Any) -> None:
-        """Send a peer the changes that it requested."""
+        """Send a peer the changes that it requested, or all rows of a later epoch."""
         shared = self._shared_by_table.get(pull.table)
         if shared is None:
             return
-        mirror = shared.mirror
-        rows = mirror.changes_since(pull.above_version or 0)
+        mirror = shared.copy.mirror
+        is_same_epoch = (pull.store_epoch or 0) == mirror.store_epoch
+        above_version = (pull.above_version or 0) if is_same_epoch else 0
         delta = messages.TableDelta(
             table=pull.table,
-            above_version=pull.above_version or 0,
+            above_version=above_version,
             version=mirror.version,
-            rows=[_to_message(row) for row in rows],
+            rows=[_to_message(row) for row in mirror.changes_since(above_version)],
+            store_epoch=mirror.store_epoch,
         )
         self._links.send(peer_id, delta)
 
     def on_delta(self, _peer_id: str, delta: Any) -> None:
-        """Apply the changes that a peer sent."""
+        """Apply the changes that a peer sent.
+
+        Changes of an earlier store epoch, and changes above a version that the copy has
+        not reached, are ignored.
+        """
         shared = self._shared_by_table.get(delta.table)
-        # Changes above a version that this copy has not reached would leave a gap.
-        if shared is None or (delta.above_version or 0) > shared.mirror.version:
+        if shared is None:
             return
-        changed_rows = shared.mirror.apply(
-            _to_rows(delta.rows or ()), delta.version or 0
-        )
-        if changed_rows:
-            shared.on_changed_rows(changed_rows)
+        mirror = shared.copy.mirror
+        store_epoch, version = delta.store_epoch or 0, delta.version or 0
+        above_version = delta.above_version or 0
+        rows = _to_rows(delta.rows or ())
+        if store_epoch == mirror.store_epoch and above_version <= mirror.version:
+            shared.copy.apply(rows, version)
+        elif store_epoch > mirror.store_epoch and not above_version:
+            current_rows = [row for row in rows if not row.is_removed]
+            shared.copy.replace(current_rows, version, store_epoch)
+
+
+def _read_positions(digest: Any) -> Mapping[str, tuple[int, int]]:
+    """Return the store epoch and version of each table in a peer's digest."""
+    epoch_by_table = digest.store_epoch_by_table or {}
+    return {
+        table: (epoch_by_table.get(table, 0), version)
+        for table, version in (digest.version_by_table or {}).items()
+    }
 
 
 def _to_message(row: MirrorRow) -> Any:
--- a/packages/entry/src/bluebellusher/shared/_watcher.py
+++ b/packages/entry/src/bluebellusher/shared/_watcher.py
@@ -3,13 +3,13 @@
 import asyncio
 from collections.abc import Callable
 from random import Random
-from typing import Protocol
 
 from expression import Result
 
 from bluebellusher.ports import RowStore, StoreError, TableRows
+from bluebellusher.shared._copy import TableCopy
+from bluebellusher.shared._log import LogSink
 from bluebellusher_core.clock import Clock
-from bluebellusher_core.directory import MirrorRow, TableMirror
 
 # Time for which one call asks the store to wait for a change, in ms. An outage may
 # swallow the call, and the entry then receives no changes until the call's timeout. A
@@ -28,13 +28,6 @@
 HISTORY_LOSS_PAUSE_MS = 150
 
 
-class LogSink(Protocol):
-    """Receiver of log lines."""
-
-    def log(self, name: str, **fields: str | int | float) -> None:
-        """Write one log line."""
-
-
 class TableWatcher:
     """Read a table once and then its changes.
 
@@ -46,13 +39,8 @@
     ----------
     store : RowStore
         Contains the table.
-    mirror : TableMirror
+    copy : TableCopy
         Copy of the table to update.
-    on_changed_rows : callable
-        Receives the rows that changed in the copy.
-    on_restored : callable
-        Receives, in place of ``on_changed_rows``, the rows that differ from those of
-        the copy after the store was restored.
     on_availability_change : callable
         Called with whether the store is available when that changes.
     clock : Clock
@@ -68,21 +56,18 @@
     def __init__(
         self,
         store: RowStore,
-        mirror: TableMirror,
-        on_changed_rows: Callable[[list[MirrorRow]], None],
-        on_restored: Callable[[list[MirrorRow]], None],
+        copy: TableCopy,
         on_availability_change: Callable[[bool], None],
         clock: Clock,
         random_state: Random,
         log: LogSink,
         wait_ms: int = CHANGES_WAIT_MS,
     ) -> None:
-        self.mirror = mirror
+        self.mirror = copy.mirror
         self.is_store_available = False
         self.store_answered_at_ms = 0
         self._store = store
-        self._on_changed_rows = on_changed_rows
-        self._on_restored = on_restored
+        self._copy = copy
         self._on_availability_change = on_availability_change
         self._clock = clock
         self._random_state = random_state
@@ -127,7 +112,7 @@
         return StoreError("read-changes", reason)
 
     def _apply(self, table_rows: TableRows, asked_epoch: int) -> None:
-        """Apply an answer of the store to the copy and report the changed rows.
+        """Apply an answer of the store to the copy.
 
         Parameters
         ----------
@@ -142,52 +127,13 @@
             # above it may not be complete.
             self._needs_snapshot = True
             return
-        if not self._needs_snapshot:
-            changed_rows = self.mirror.apply(table_rows.rows, table_rows.version)
-        else:
+        if self._needs_snapshot:
             self._needs_snapshot = False
-            if table_rows.store_epoch > self.mirror.store_epoch:
-                self._restore(table_rows)
-                return
-            changed_rows = self._replace(table_rows)
-        if changed_rows:
-            self._on_changed_rows(changed_rows)
-
-    def _replace(self, table_rows: TableRows) -> list[MirrorRow]:
-        """Replace the copy by a snapshot of the same store epoch, unless it is stale.
-
-        Returns the rows that changed in the copy.
-        """
-        if table_rows.version < self.mirror.version:
-            self._log.log(
-                "table-snapshot-ignored",
-                table=self.mirror.table,
-                found=table_rows.version,
-                version=self.mirror.version,
+            self._copy.replace(
+                table_rows.rows, table_rows.version, table_rows.store_epoch
             )
-        return self.mirror.replace(table_rows.rows, table_rows.version)
-
-    def _restore(self, table_rows: TableRows) -> None:
-        """Replace the copy by a snapshot of a later store epoch."""
-        mirror = self.mirror
-        had_rows = mirror.version > 0
-        previous_epoch, previous_version = mirror.position
-        changed_rows = mirror.restore(
-            table_rows.rows, table_rows.version, table_rows.store_epoch
-        )
-        if not had_rows:
-            self._on_changed_rows(changed_rows)
-            return
-        self._log.log(
-            "store-restored",
-            table=mirror.table,
-            store_epoch=mirror.store_epoch,
-            previous_epoch=previous_epoch,
-            version=mirror.version,
-            previous_version=previous_version,
-            n_changed=len(changed_rows),
-        )
-        self._on_restored(changed_rows)
+        else:
+            self._copy.apply(table_rows.rows, table_rows.version)
 
     async def _wait_for_further_changes(self) -> None:
         """Wait so that the next call returns several changes, which saves calls."""
--- a/packages/entry/src/bluebellusher/shared/tests/test_restored_store.py
+++ b/packages/entry/src/bluebellusher/shared/tests/test_restored_store.py
@@ -4,13 +4,14 @@
 from random import Random
 
 import pytest
-from expression import Ok
+from expression import Error, Ok
 
 from bluebellusher.ports import TableRows
-from bluebellusher.shared import TableWatcher
+from bluebellusher.shared import TableCopy, TableExchange, TableWatcher
 from bluebellusher.shared.tests.fakes import DOWN, FakeLog, FakeStore
 from bluebellusher.shared.tests.virtual_time import LoopClock, run_in_virtual_time
 from bluebellusher_core.directory import MirrorRow, TableMirror
+from bluebellusher_core.wire import messages
 
 # Time within which a change must be in the copy of an entry that reaches the store.
 MAX_DELAY_S = 1.0
@@ -23,11 +24,12 @@
         self.mirror = TableMirror("t")
         self.log = FakeLog()
         self.values = []
+        self.copy = TableCopy(
+            self.mirror, self._record_values, self._record_values, self.log
+        )
         self.watcher = TableWatcher(
             store,
-            self.mirror,
-            self._record_values,
-            self._record_values,
+            self.copy,
             lambda _: None,
             LoopClock(),
             Random(1),
@@ -178,3 +180,128 @@
         table.task.cancel()
 
     run_in_virtual_time(scenario())
+
+
+class CutStore:
+    """Access of one entry to a store, which fails while the entry is cut off."""
+
+    def __init__(self, store):
+        self.is_cut = False
+        self._store = store
+
+    async def read_table(self, table):
+        """Return all rows of a table."""
+        return DOWN_RESULT if self.is_cut else await self._store.read_table(table)
+
+    async def read_changes(self, table, above_version, wait_ms):
+        """Return the changes above a version."""
+        if self.is_cut:
+            return DOWN_RESULT
+        result = await self._store.read_changes(table, above_version, wait_ms)
+        return DOWN_RESULT if self.is_cut else result
+
+
+DOWN_RESULT = Error(DOWN)
+DIGEST_INTERVAL_S = 0.1
+
+
+class ConnectedEntries:
+    """Entries that read a store and exchange their copies with random delays."""
+
+    def __init__(self, store, n_entries, random):
+        self.store_by_id = {f"e{i}": CutStore(store) for i in range(n_entries)}
+        self.table_by_id = {i: WatchedTable(s) for i, s in self.store_by_id.items()}
+        self.exchange_by_id = {}
+        self._random = random
+        for own_id, table in self.table_by_id.items():
+            exchange = TableExchange(EntryLinks(self, own_id), LoopClock())
+            watcher = table.watcher
+            exchange.add(table.copy, lambda w=watcher: w.is_store_available)
+            self.exchange_by_id[own_id] = exchange
+        self._task = asyncio.create_task(self._send_digests())
+
+    async def _send_digests(self):
+        while True:
+            await asyncio.sleep(DIGEST_INTERVAL_S)
+            for own_id, exchange in self.exchange_by_id.items():
+                exchange.tick(LoopClock().now_ms())
+                digest = messages.Digest(
+                    version_by_table=exchange.versions(),
+                    store_epoch_by_table=exchange.store_epochs(),
+                )
+                for peer_id in self.exchange_by_id:
+                    if peer_id != own_id:
+                        self.deliver(own_id, peer_id, digest)
+
+    def deliver(self, own_id, peer_id, message):
+        """Deliver a message after a random delay, so that messages overtake others."""
+        peer = self.exchange_by_id[peer_id]
+        receive = {
+            messages.Digest: peer.on_digest,
+            messages.TablePull: peer.on_pull,
+            messages.TableDelta: peer.on_delta,
+        }[type(message)]
+        delay_s = self._random.choice([0.001, 0.05, 0.8])
+        asyncio.get_running_loop().call_later(delay_s, receive, own_id, message)
+
+    def stop(self):
+        """Cancel all tasks."""
+        self._task.cancel()
+        for table in self.table_by_id.values():
+            table.task.cancel()
+
+
+class EntryLinks:
+    """Links of one entry to its peers."""
+
+    def __init__(self, entries, own_id):
+        self._entries = entries
+        self._own_id = own_id
+
+    def send(self, peer_id, message):
+        """Send a message to a peer."""
+        self._entries.deliver(self._own_id, peer_id, message)
+
+
+async def run_cut_entries(random):
+    """Restore a store twice while some of four entries cannot reach it.
+
+    One entry stays cut off. Returns the store and the copies at the end.
+    """
+    store = FakeStore()
+    entries = ConnectedEntries(store, 4, random)
+    cut_stores = list(entries.store_by_id.values())
+    for _ in range(2):
+        for _ in range(random.randrange(1, 8)):
+            store.put("t", random.choice("abc"), random.randbytes(2))
+            await asyncio.sleep(random.uniform(0.05, 0.5))
+        copy = store.copy()
+        for _ in range(random.randrange(1, 8)):
+            store.put("t", random.choice("abcd"), random.randbytes(2))
+            await asyncio.sleep(random.uniform(0.05, 0.5))
+        for cut_store in cut_stores[1:]:
+            cut_store.is_cut = random.random() < 0.6
+        store.fault = DOWN
+        await asyncio.sleep(random.uniform(0.1, 3))
+        store.restore(copy)
+        store.fault = None
+        store.put("t", "written again", random.randbytes(2))
+        await asyncio.sleep(random.uniform(0.1, 2))
+    for cut_store in cut_stores[1:-1]:
+        cut_store.is_cut = False
+    cut_stores[-1].is_cut = True
+    await asyncio.sleep(5)
+    entries.stop()
+    return store, entries
+
+
+def test_entries_that_are_cut_off_follow_a_restored_store():
+    """Guards against rows of an earlier store epoch that peers pass on.
+
+    An entry that had applied them took all later answers of the store for stale ones.
+    """
+    for seed in range(60):
+        store, entries = run_in_virtual_time(run_cut_entries(Random(seed)))
+        for entry_id, table in entries.table_by_id.items():
+            rows = table.mirror.row_by_key
+            assert rows == store.rows_by_table["t"], f"seed {seed}, {entry_id}"
--- a/packages/entry/src/bluebellusher/shared/tests/test_shared.py
+++ b/packages/entry/src/bluebellusher/shared/tests/test_shared.py
@@ -3,7 +3,13 @@
 import asyncio
 from random import Random
 
-from bluebellusher.shared import Directory, Members, TableExchange, TableWatcher
+from bluebellusher.shared import (
+    Directory,
+    Members,
+    TableCopy,
+    TableExchange,
+    TableWatcher,
+)
 from bluebellusher.shared.tests.fakes import DOWN, FakeLog, FakeStore, wait_until
 from bluebellusher.shared.tests.virtual_time import run_in_virtual_time
 from bluebellusher_core.clock import ManualClock
@@ -17,7 +23,7 @@
 from bluebellusher_core.wire import messages
 
 
-class TableCopy:
+class WatchedTable:
     """An entry's copy of a table with its watcher, changed rows and availability."""
 
     def __init__(self, store, clock):
@@ -27,9 +33,12 @@
         self.mirror = TableMirror("t")
         self.watcher = TableWatcher(
             store,
-            self.mirror,
-            self.changed_rows.extend,
-            self.changed_rows.extend,
+            TableCopy(
+                self.mirror,
+                self.changed_rows.extend,
+                self.changed_rows.extend,
+                self.log,
+            ),
             self.availability_changes.append,
             clock,
             Random(1),
@@ -52,7 +61,7 @@
 
     async def scenario(store, clock):
         store.put("t", "a", b"1")
-        table_copy = TableCopy(store, clock)
+        table_copy = WatchedTable(store, clock)
         await wait_until(lambda: "a" in table_copy.mirror.row_by_key)
         store.put("t", "b", b"2")
         await wait_until(lambda: "b" in table_copy.mirror.row_by_key)
@@ -75,7 +84,7 @@
 
     async def scenario(store, clock):
         store.fault = DOWN
-        table_copy = TableCopy(store, clock)
+        table_copy = WatchedTable(store, clock)
         await asyncio.sleep(1.5)
         assert table_copy.log.names().count("store-lost") == 1
         assert store.n_calls <= 12
@@ -118,7 +127,8 @@
         exchange = TableExchange(network.make_links(entry_id), clock)
         mirror = TableMirror("t")
         exchange.add(
-            mirror, changed_rows.extend, lambda is_available=is_available: is_available
+            TableCopy(mirror, changed_rows.extend, changed_rows.extend, FakeLog()),
+            lambda is_available=is_available: is_available,
         )
         network.exchange_by_id[entry_id] = exchange
         if entry_id == "ahead":
@@ -128,7 +138,10 @@
 
 def make_digest(exchange):
     """Return the digest that an exchange's entry sends to its peers."""
-    return messages.Digest(version_by_table=exchange.versions())
+    return messages.Digest(
+        version_by_table=exchange.versions(),
+        store_epoch_by_table=exchange.store_epochs(),
+    )
 
 
 def test_entry_without_the_store_gets_changes_from_peers_immediately():
