Do not take an earlier row of the same holder for the answer to a new write

Found by the state machine of the lease while restorations were added to it: after a release and a stale read, an entry plans a write with the content of an earlier one whose answer was lost. The conflict returns that earlier row, the entry takes it for its own write of just now, and holds a lease that another entry acquires as expired.

Each planned acquisition now has its own renewal number. The test failed before. Entries release the lease only when they end, so that callers cannot have seen this.

--- a/packages/core/src/bluebellusher_core/lease/_tracker.py
+++ b/packages/core/src/bluebellusher_core/lease/_tracker.py
@@ -21,7 +21,8 @@
     fencing_token : int
         Number that increases with each acquisition of the lease.
     renewal : int
-        Number that increases with each write under the same fencing token.
+        Number that increases with each write under the same fencing token, and that
+        distinguishes the acquisitions which one holder plans.
     """
 
     holder: str
@@ -106,6 +107,7 @@
         self._held_until_ms: int | None = None
         self._renewed_at_ms = 0
         self._highest_recorded_token = 0
+        self._n_acquisitions_planned = 0
 
     def record_seen_token(self, token: int) -> None:
         """Record a fencing token that a receiver of orders has seen.
@@ -198,7 +200,8 @@
         """Return a row that acquires the lease with a new, higher token."""
         last_token = self._row.fencing_token if self._row else 0
         token = max(last_token, self._highest_recorded_token) + 1
-        return LeaseRow(self._holder_id, token, 1)
+        self._n_acquisitions_planned += 1
+        return LeaseRow(self._holder_id, token, self._n_acquisitions_planned)
 
     def _is_other_instance(self, holder: str) -> bool:
         """Return whether ``holder`` is another instance, which may still be running.
--- a/packages/core/src/bluebellusher_core/lease/tests/test_lease_machine.py
+++ b/packages/core/src/bluebellusher_core/lease/tests/test_lease_machine.py
@@ -193,3 +193,19 @@
     assert tracker.plan_write(expired_ms) != first
     tracker.write_succeeded(first, 1, expired_ms + 5)
     assert tracker.held_token(expired_ms + 5) is None
+
+
+def test_row_of_an_earlier_write_does_not_confirm_a_later_one():
+    """Guards against a lease that a holder takes from a row that it wrote long ago.
+
+    After a release and a stale read, a new write had the same content as an earlier one
+    whose answer was lost.
+    """
+    tracker = LeaseTracker("x", "a/1")
+    tracker.observe(0, None, 0)
+    first = tracker.plan_write(0)
+    tracker.plan_release(30_000)
+    tracker.observe(0, None, 30_000)
+    second = tracker.plan_write(30_000)
+    tracker.write_conflicted(second, 1, first.row, 30_000)
+    assert tracker.held_token(30_000) is None
