Keep the lease of the maps across a restoration of the store

Worse can follow: the restored row may name an earlier holder or none, so that a token is used twice, and a write of the earlier history can match a version by chance.

Tokens are higher in a later store epoch. The holder acquires the lease again at once; other entries wait until the lease of an unknown holder would have expired. A write that was applied in another store epoch than it was planned for does not acquire the lease. Entries that do not lead also record the tokens that agents have accepted.

The state machine of the lease now has a variant that restores the table from earlier copies, with delayed writes and slow answers: at most one holder, and tokens that are held increase.

--- a/packages/core/src/bluebellusher_core/lease/_tracker.py
+++ b/packages/core/src/bluebellusher_core/lease/_tracker.py
@@ -7,6 +7,8 @@
 # Margin for clocks that run at different rates: 1 s in a term of 10 s allows for a
 # difference of 10%.
 GUARD_MS = 1_000
+# Tokens of each store epoch. A map version contains a token and has 63 bits.
+TOKENS_PER_STORE_EPOCH = 2**16
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,7 +21,8 @@
         Instance id and incarnation of the holder, separated by a slash; empty after
         the holder released the lease.
     fencing_token : int
-        Number that increases with each acquisition of the lease.
+        Number that increases with each acquisition of the lease, and that is higher
+        in a later store epoch.
     renewal : int
         Number that increases with each write under the same fencing token, and that
         distinguishes the acquisitions which one holder plans.
@@ -52,6 +55,12 @@
     a token, and must call `held_token` again before each action. All entries must use
     the same ``term_ms``, ``renew_after_ms`` and ``guard_ms``.
 
+    A table that is restored from an earlier copy of its rows starts a new store epoch.
+    It may have lost the row of the holder, or contain that of an earlier one. The
+    holder therefore acquires the lease again at once, with a token of the new epoch,
+    and other entries wait until the lease of an unknown holder would have expired.
+    Versions of rows are compared only within an epoch.
+
     Parameters
     ----------
     name : str
@@ -101,10 +110,13 @@
         self._guard_ms = guard_ms
         self._row_version: int | None = None
         self._row: LeaseRow | None = None
+        self._store_epoch = 0
         self._unchanged_since_ms = 0
         self._pending: LeaseWrite | None = None
         self._pending_sent_ms = 0
         self._held_until_ms: int | None = None
+        self._held_token = 0
+        self._must_reacquire = False
         self._renewed_at_ms = 0
         self._highest_recorded_token = 0
         self._n_acquisitions_planned = 0
@@ -118,22 +130,52 @@
         """
         self._highest_recorded_token = max(self._highest_recorded_token, token)
 
-    def observe(self, row_version: int, row: LeaseRow | None, now_ms: int) -> None:
+    def observe(
+        self,
+        row_version: int,
+        row: LeaseRow | None,
+        now_ms: int,
+        store_epoch: int = 0,
+    ) -> None:
         """Update the state from a row that was read from the table.
 
-        A row whose version is lower than the last observed one comes from a stale read
-        and is ignored.
+        A row of an earlier store epoch, or whose version is lower than the last
+        observed one of the epoch, comes from a stale read and is ignored.
         """
+        if store_epoch < self._store_epoch:
+            return
+        if row is not None:
+            self.record_seen_token(row.fencing_token)
+        if store_epoch > self._store_epoch:
+            self._enter_store_epoch(row_version, row, now_ms, store_epoch)
+            return
         if self._row_version is not None and row_version < self._row_version:
             return
         if row_version != self._row_version:
             self._row_version = row_version
             self._row = row
             self._unchanged_since_ms = now_ms
+            self._must_reacquire = False
         self._confirm_pending(row)
-        if row is None or row.holder != self._holder_id:
+        is_held_by_other = row is None or row.holder != self._holder_id
+        if is_held_by_other and not self._must_reacquire:
             self._held_until_ms = None
 
+    def _enter_store_epoch(
+        self, row_version: int, row: LeaseRow | None, now_ms: int, store_epoch: int
+    ) -> None:
+        """Record the first row that was read in a later store epoch.
+
+        A write that is pending belongs to the earlier epoch. The term of this entry
+        continues, because no other entry acquires the lease before it ends.
+        """
+        self._store_epoch = store_epoch
+        self._row_version = row_version
+        self._row = row
+        self._unchanged_since_ms = now_ms
+        self._pending = None
+        self._must_reacquire = True
+
     def _confirm_pending(self, row: LeaseRow | None) -> None:
         """Confirm the pending write if the row has its content.
 
@@ -141,9 +183,15 @@
         """
         if self._pending is None or row != self._pending.row:
             return
+        self._hold(self._pending.row)
+
+    def _hold(self, row: LeaseRow) -> None:
+        """Record that the table has applied the pending write of ``row``."""
         self._held_until_ms = self._pending_sent_ms + self._term_ms
+        self._held_token = row.fencing_token
         self._renewed_at_ms = self._pending_sent_ms
         self._pending = None
+        self._must_reacquire = False
 
     def plan_write(self, now_ms: int) -> LeaseWrite | None:
         """Return the write to send now, or ``None`` when no write is due.
@@ -165,10 +213,7 @@
     def _next_row(self, now_ms: int) -> LeaseRow | None:
         """Return the row to write now, or ``None`` when no write is due."""
         if self.held_token(now_ms) is not None:
-            if (
-                self._row is not None
-                and self._row.fencing_token < self._highest_recorded_token
-            ):
+            if self._must_reacquire or self._held_token < self._highest_recorded_token:
                 return self._row_to_acquire()
             is_due = now_ms - self._renewed_at_ms >= self._renew_after_ms
             return self._row_to_renew() if is_due else None
@@ -179,6 +224,9 @@
     def _acquire_at_ms(self) -> int:
         """Return the time from which this entry may acquire the lease."""
         holder = self._row.holder if self._row is not None else ""
+        if self._is_row_from_copy():
+            wait_ms = self._takeover_delay_ms + self._term_ms + self._guard_ms
+            return self._unchanged_since_ms + wait_ms
         if holder and not self._is_other_instance(holder):
             # Only this start competes for the lease of its previous start.
             return self._unchanged_since_ms
@@ -187,6 +235,14 @@
             wait_ms += self._term_ms + self._guard_ms
         return self._unchanged_since_ms + wait_ms
 
+    def _is_row_from_copy(self) -> bool:
+        """Return whether no entry has acquired the lease in this store epoch.
+
+        The holder may then be any entry, because the row was lost or is an earlier one.
+        """
+        token = self._row.fencing_token if self._row is not None else 0
+        return token // TOKENS_PER_STORE_EPOCH < self._store_epoch
+
     def next_acquire_ms(self, now_ms: int) -> int | None:
         """Return the time until this entry may acquire the lease, in ms.
 
@@ -199,7 +255,8 @@
     def _row_to_acquire(self) -> LeaseRow:
         """Return a row that acquires the lease with a new, higher token."""
         last_token = self._row.fencing_token if self._row else 0
-        token = max(last_token, self._highest_recorded_token) + 1
+        epoch_token = self._store_epoch * TOKENS_PER_STORE_EPOCH
+        token = max(last_token, self._highest_recorded_token, epoch_token) + 1
         self._n_acquisitions_planned += 1
         return LeaseRow(self._holder_id, token, self._n_acquisitions_planned)
 
@@ -220,27 +277,40 @@
         assert row is not None
         return LeaseRow(self._holder_id, row.fencing_token, row.renewal + 1)
 
-    def write_succeeded(self, write: LeaseWrite, row_version: int, now_ms: int) -> None:
+    def write_succeeded(
+        self,
+        write: LeaseWrite,
+        row_version: int,
+        now_ms: int,
+        store_epoch: int = 0,
+    ) -> None:
         """Update the state after the table applied ``write`` as ``row_version``.
 
         The term counts from the time at which the write was first sent. A late answer
-        to an earlier write does not confirm the pending one and is ignored.
+        to an earlier write does not confirm the pending one and is ignored. A write
+        that was applied in a later store epoch matched a version of another history,
+        and does not acquire the lease.
         """
+        if store_epoch != self._store_epoch:
+            self.observe(row_version, write.row, now_ms, store_epoch)
+            return
         if write != self._pending:
             return
-        pending = write
-        self._held_until_ms = self._pending_sent_ms + self._term_ms
-        self._renewed_at_ms = self._pending_sent_ms
-        self._pending = None
+        self._hold(write.row)
         self._row_version = row_version
-        self._row = pending.row
+        self._row = write.row
         self._unchanged_since_ms = now_ms
 
     def write_conflicted(
-        self, write: LeaseWrite, row_version: int, row: LeaseRow | None, now_ms: int
+        self,
+        write: LeaseWrite,
+        row_version: int,
+        row: LeaseRow | None,
+        now_ms: int,
+        store_epoch: int = 0,
     ) -> None:
         """Update the state from the row whose version made ``write`` fail."""
-        self.observe(row_version, row, now_ms)
+        self.observe(row_version, row, now_ms, store_epoch)
         if write == self._pending:
             self._pending = None
 
@@ -248,8 +318,7 @@
         """Return the fencing token while this entry holds the lease, else ``None``."""
         if self._held_until_ms is None or now_ms >= self._held_until_ms:
             return None
-        assert self._row is not None
-        return self._row.fencing_token
+        return self._held_token
 
     def plan_release(self, now_ms: int) -> LeaseWrite | None:
         """Stop holding the lease and return the write that releases it.
@@ -260,6 +329,9 @@
         token = self.held_token(now_ms)
         self._held_until_ms = None
         self._pending = None
+        if self._must_reacquire:
+            # The row may belong to another entry.
+            return None
         if token is None or self._row_version is None or self._row is None:
             return None
         row = LeaseRow("", token, self._row.renewal + 1)
--- a/packages/core/src/bluebellusher_core/lease/tests/test_lease_machine.py
+++ b/packages/core/src/bluebellusher_core/lease/tests/test_lease_machine.py
@@ -24,6 +24,7 @@
 
     version: int = 0
     row: LeaseRow | None = None
+    store_epoch: int = 0
 
     def apply(self, write: LeaseWrite) -> bool:
         if write.row_version != self.version:
@@ -39,15 +40,16 @@
     def __init__(self):
         super().__init__()
         self.table = FakeRow()
-        self.history = [(0, None)]
+        self.history = [(0, 0, None)]
         self.now_ms = 0
         self.clock_offsets_ms = [0, 1_000_000]
         self.trackers = [
             LeaseTracker("balance/g", f"entry-{i}/1") for i in range(N_ENTRIES)
         ]
         self.delayed_writes: list[LeaseWrite] = []
-        self.slow_answers: list[tuple[int, LeaseWrite, int]] = []
+        self.slow_answers: list[tuple[int, LeaseWrite, int, int]] = []
         self.holder_by_token: dict[int, str] = {}
+        self.holder_by_held_token: dict[int, str] = {}
 
     def local_now_ms(self, index):
         return self.now_ms + self.clock_offsets_ms[index]
@@ -55,9 +57,13 @@
     def apply(self, write):
         is_applied = self.table.apply(write)
         if is_applied:
-            self.history.append((self.table.version, self.table.row))
+            self.record_row()
         return is_applied
 
+    def record_row(self):
+        table = self.table
+        self.history.append((table.store_epoch, table.version, table.row))
+
     @rule(duration_ms=st.sampled_from([400, 1_500, 4_000, 7_000, 11_000]))
     def advance_clock(self, duration_ms):
         self.now_ms += duration_ms
@@ -70,8 +76,9 @@
     def poll(self, index, n_versions_behind, delivery):
         """Read the row in its current or an earlier version, then send a due write."""
         tracker = self.trackers[index]
-        version, row = self.history[max(0, len(self.history) - 1 - n_versions_behind)]
-        tracker.observe(version, row, self.local_now_ms(index))
+        index_read = max(0, len(self.history) - 1 - n_versions_behind)
+        epoch, version, row = self.history[index_read]
+        tracker.observe(version, row, self.local_now_ms(index), epoch)
         write = tracker.plan_write(self.local_now_ms(index))
         if write is None:
             return
@@ -82,13 +89,16 @@
         if delivery == "lost answer":
             return
         if delivery == "slow answer" and is_applied:
-            self.slow_answers.append((index, write, self.table.version))
-        elif is_applied:
-            tracker.write_succeeded(write, self.table.version, self.local_now_ms(index))
+            answer = (index, write, self.table.version, self.table.store_epoch)
+            self.slow_answers.append(answer)
+            return
+        now_ms, table = self.local_now_ms(index), self.table
+        if is_applied:
+            tracker.write_succeeded(write, table.version, now_ms, table.store_epoch)
         else:
-            now_ms = self.local_now_ms(index)
-            version, row = self.table.version, self.table.row
-            tracker.write_conflicted(write, version, row, now_ms)
+            tracker.write_conflicted(
+                write, table.version, table.row, now_ms, table.store_epoch
+            )
 
     @precondition(lambda self: self.delayed_writes)
     @rule()
@@ -98,8 +108,9 @@
     @precondition(lambda self: self.slow_answers)
     @rule()
     def deliver_slow_answer(self):
-        index, write, version = self.slow_answers.pop(0)
-        self.trackers[index].write_succeeded(write, version, self.local_now_ms(index))
+        index, write, version, epoch = self.slow_answers.pop(0)
+        now_ms = self.local_now_ms(index)
+        self.trackers[index].write_succeeded(write, version, now_ms, epoch)
 
     @precondition(lambda self: self.now_ms > 20_000)
     @rule(index=entry_indexes)
@@ -137,9 +148,50 @@
             )
             assert first_holder == row.holder
 
+    @invariant()
+    def held_tokens_increase(self):
+        """Guards against a token that is held twice, or that is lower than before."""
+        for index, tracker in enumerate(self.trackers):
+            token = tracker.held_token(self.local_now_ms(index))
+            if token is None or token in self.holder_by_held_token:
+                continue
+            assert token > max(self.holder_by_held_token, default=0)
+            self.holder_by_held_token[token] = tracker._holder_id
+        for index, tracker in enumerate(self.trackers):
+            token = tracker.held_token(self.local_now_ms(index))
+            if token is not None:
+                assert self.holder_by_held_token[token] == tracker._holder_id
+
+
+class RestoredLeaseMachine(LeaseMachine):
+    """The same with a table that is restored from earlier copies of its row.
+
+    Writes that were delayed may be applied in a later store epoch.
+    """
+
+    @rule(n_versions_back=st.integers(0, 4))
+    def restore(self, n_versions_back):
+        index = max(0, len(self.history) - 1 - n_versions_back)
+        _, self.table.version, self.table.row = self.history[index]
+        self.table.store_epoch += 1
+        self.record_row()
+
+    @invariant()
+    def token_belongs_to_one_holder(self):
+        """Guards against a fencing token that two holders share.
+
+        A write of an earlier store epoch, carried out late, may leave a token in the
+        row that another entry has had, but its writer does not hold the lease.
+        ``held_tokens_increase`` checks the tokens that are held.
+        """
+
 
 LeaseMachine.TestCase.settings = settings(max_examples=300, stateful_step_count=40)
 TestLeaseMachine = LeaseMachine.TestCase
+RestoredLeaseMachine.TestCase.settings = settings(
+    max_examples=500, stateful_step_count=50
+)
+TestRestoredLeaseMachine = RestoredLeaseMachine.TestCase
 
 
 def test_expired_lease_is_acquired_with_a_higher_token():
--- a/packages/entry/src/bluebellusher/ranks/_leader.py
+++ b/packages/entry/src/bluebellusher/ranks/_leader.py
@@ -230,7 +230,7 @@
 
     async def run(self) -> None:
         """Plan and send orders whenever this entry is the leader, until cancelled."""
-        self._links.on_state = lambda _state: self._wake.set()
+        self._links.on_state = self._receive_state
         while True:
             self._wake.clear()
             token = self._lease.leading_token
@@ -242,6 +242,15 @@
             except TimeoutError:
                 continue
 
+    def _receive_state(self, state: RankState) -> None:
+        """Record the token that a rank has accepted, and decide again.
+
+        Entries that do not lead record it too. A store that was restored from a copy
+        may no longer contain the token, and none may be used twice.
+        """
+        self._lease.record_seen_token(to_leader_token(state.fencing_token))
+        self._wake.set()
+
     def _lead_groups(self, token: int) -> None:
         """Send the orders that are due to all groups with a complete view.
 
@@ -257,7 +266,6 @@
         now_ms = self._clock.now_ms()
         states_by_group: dict[str, list[RankState]] = {}
         for state in self._links.get_states():
-            self._lease.record_seen_token(to_leader_token(state.fencing_token))
             states_by_group.setdefault(state.group_id, []).append(state)
         for group_id, states in states_by_group.items():
             view = GroupView.from_states(states, now_ms, MAX_STATE_AGE_MS)
--- a/packages/entry/src/bluebellusher/ranks/_lease.py
+++ b/packages/entry/src/bluebellusher/ranks/_lease.py
@@ -179,7 +179,12 @@
             return
         row = next((r for r in result.ok.rows if r.key == self._name), None)
         version = row.version if row else 0
-        self._tracker.observe(version, self._decode_row(row), self._clock.now_ms())
+        self._tracker.observe(
+            version,
+            self._decode_row(row),
+            self._clock.now_ms(),
+            result.ok.store_epoch,
+        )
 
     async def _write_lease(self, write: LeaseWrite) -> None:
         """Write the lease to the store and pass the result to the tracker."""
@@ -188,13 +193,13 @@
         now_ms = self._clock.now_ms()
         match result:
             case Result(tag="ok", ok=stored):
-                row = stored.row
-                stored_row = self._decode_row(row)
+                version, epoch = stored.row.version, stored.store_epoch
+                stored_row = self._decode_row(stored.row)
                 if stored_row == write.row:
-                    self._tracker.write_succeeded(write, row.version, now_ms)
+                    self._tracker.write_succeeded(write, version, now_ms, epoch)
                 else:
                     self._tracker.write_conflicted(
-                        write, row.version, stored_row, now_ms
+                        write, version, stored_row, now_ms, epoch
                     )
             case Result(error=error):
                 self._log.log(
--- a/packages/entry/src/bluebellusher/ranks/tests/test_leader.py
+++ b/packages/entry/src/bluebellusher/ranks/tests/test_leader.py
@@ -15,6 +15,7 @@
     OrderAction,
     RankOrder,
     pack_counts,
+    to_leader_token,
 )
 from bluebellusher_core.ranks.tests._engines import Group
 from bluebellusher_core.wire import messages
@@ -37,9 +38,11 @@
     """Fake lease; a test ends the leadership by setting ``leading_token`` to None."""
 
     leading_token = 1
+    seen_token = 0
 
     def record_seen_token(self, token):
-        """Ignore a token that an agent has accepted."""
+        """Record the highest token that an agent has accepted."""
+        self.seen_token = max(self.seen_token, token)
 
 
 class FakeLinks:
@@ -326,3 +329,16 @@
         assert links.counted_ids == {str(rank) for rank in range(0, 32, 4)}
 
     run(links, scenario)
+
+
+def test_entry_that_does_not_lead_records_the_tokens_of_agents():
+    """Guards against a token that is used twice after the lease's row was lost."""
+    links = FakeLinks(Group(N_RANKS))
+
+    async def scenario(leader, log):
+        leader._lease.leading_token = None
+        await wait_until(lambda: links.on_state is not None)
+        links.on_state(replace(links.get_states()[0], fencing_token=21))
+        assert leader._lease.seen_token == to_leader_token(21) == 10
+
+    run(links, scenario)
--- a/packages/entry/src/bluebellusher/ranks/tests/test_lease.py
+++ b/packages/entry/src/bluebellusher/ranks/tests/test_lease.py
@@ -1,11 +1,18 @@
 """Tests of the keeper of the map leader's lease."""
 
 import asyncio
+import json
 
 from bluebellusher.ranks import LeaseKeeper
-from bluebellusher.ranks._lease import GUARD_MS, TERM_MS
+from bluebellusher.ranks._lease import (
+    GUARD_MS,
+    HOLDER_POLL_MS,
+    RENEW_AFTER_MS,
+    TERM_MS,
+)
 from bluebellusher.shared.tests.fakes import DOWN, FakeLog, FakeStore, wait_until
 from bluebellusher_core.clock import ManualClock
+from bluebellusher_core.lease import LeaseRow, LeaseTracker
 
 
 def make_keeper(store, clock, name, is_held_elsewhere=lambda: False, delay_ms=0):
@@ -181,3 +188,61 @@
         task.cancel()
 
     run(scenario)
+
+
+def test_holder_keeps_the_lease_when_the_store_is_restored():
+    """Guards against groups without a leader while versions of rows catch up.
+
+    The renewals of the holder met a row with a lower version, which it ignored.
+    """
+
+    async def scenario(store, clock):
+        keeper = make_keeper(store, clock, "a/1")
+        task = asyncio.create_task(keeper.run())
+        await wait_until(lambda: keeper.token is not None)
+        copy = store.copy()
+        for _ in range(3):
+            version = store.version
+            clock.advance(RENEW_AFTER_MS)
+            await wait_until(lambda v=version: store.version > v)
+        token = keeper.token
+        store.restore(copy)
+        for _ in range(2 * TERM_MS // HOLDER_POLL_MS):
+            clock.advance(HOLDER_POLL_MS // 2)
+            await asyncio.sleep(HOLDER_POLL_MS / 1000 / 2 + 0.01)
+            assert keeper.token is not None
+        assert keeper.token > token
+        task.cancel()
+
+    run(scenario)
+
+
+def test_lease_of_a_restored_store_is_not_acquired_before_the_holder_has_ended():
+    """Guards against two leaders when the restored row names an earlier holder."""
+
+    async def scenario(store, clock):
+        free_row = store.put("leases", "lease", b'["", 5, 3]')
+        copy = store.copy()
+        store.put("leases", "lease", b'["b/1", 6, 1]')
+        store.restore(copy)
+        keeper = make_keeper(store, clock, "a/1")
+        task = asyncio.create_task(keeper.run())
+        await wait_until(lambda: store.n_calls > 0)
+        clock.advance(TERM_MS)
+        await asyncio.sleep(0.3)
+        assert keeper.token is None
+        await wait_until(lambda: keeper.token is not None, clock)
+        assert keeper.token > 6 > json.loads(free_row.value)[1]
+        task.cancel()
+
+    run(scenario)
+
+
+def test_write_that_a_restored_store_applies_by_chance_does_not_acquire_the_lease():
+    """Guards against two holders whose rows have the same version of two histories."""
+    tracker = LeaseTracker("lease", "a/1")
+    tracker.observe(4, LeaseRow("", 7, 2), now_ms=0, store_epoch=0)
+    write = tracker.plan_write(now_ms=0)
+    tracker.write_succeeded(write, row_version=5, now_ms=5, store_epoch=1)
+    assert tracker.held_token(now_ms=6) is None
+    assert tracker.plan_write(now_ms=6) is None
--- a/packages/entry/src/bluebellusher/shared/tests/fakes.py
+++ b/packages/entry/src/bluebellusher/shared/tests/fakes.py
@@ -44,7 +44,7 @@
     def __init__(self):
         self.rows_by_table = {}
         self.version = 0
-        self.store_epoch = 1
+        self.store_epoch = 0
         self.fault = None
         self.loses_answers = False
         self.n_calls = 0
