Write the crash records to a restored store again

Found while going through the state in docs/design.md: after a restoration the table of crashes lacks the crashes of the last seconds, and no entry writes them again until a further crash.

An entry that learns of a later store epoch, from any table or answer, reads the crash table and writes the records that it lacks within 1 s, and checks the table once more after 7 s, because a late write from before the restoration may overwrite the row. The answer to a write that was planned in another store epoch is not applied to the copy.

--- a/packages/entry/src/bluebellusher/gateway/_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -174,10 +174,9 @@
             self.directory.apply_restored_registration_rows,
             random_state,
         )
-        crash_mirror = TableMirror(CRASH_TABLE)
         self.crash_table = CrashTable(
             ports.store,
-            crash_mirror,
+            TableMirror(CRASH_TABLE),
             self._find_crashes,
             self.runtime.post,
             clock,
@@ -186,12 +185,7 @@
         )
         self.crash_watcher = TableWatcher(
             ports.store,
-            TableCopy(
-                crash_mirror,
-                self.crash_table.post_stored_crashes,
-                self.crash_table.post_stored_crashes,
-                self.runtime,
-            ),
+            self.crash_table.copy,
             # Losing contact with this table does not affect the endpoints, which are
             # registered in another one.
             lambda is_store_available: None,
@@ -443,8 +437,10 @@
         def on_restored(rows: list[Any]) -> None:
             apply_restored_rows(rows)
             announce()
+            self.crash_table.record_store_epoch(mirror.store_epoch)
 
-        copy = TableCopy(TableMirror(table), on_rows, on_restored, self.runtime)
+        mirror = TableMirror(table)
+        copy = TableCopy(mirror, on_rows, on_restored, self.runtime)
         watcher = TableWatcher(
             self._store,
             copy,
--- a/packages/entry/src/bluebellusher/shared/_crashes.py
+++ b/packages/entry/src/bluebellusher/shared/_crashes.py
@@ -11,6 +11,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from bluebellusher.ports import RowStore, RowWrite
+from bluebellusher.shared._copy import TableCopy
 from bluebellusher.shared._log import LogSink
 from bluebellusher_core.clock import Clock
 from bluebellusher_core.directory import MirrorRow, TableMirror
@@ -28,6 +29,12 @@
 # Upper bound of the random delay before an entry writes a crash that it observed, in
 # ms. It spreads the writes of entries that observed the same crash.
 MAX_OWN_WRITE_DELAY_MS = 200
+# Upper bound of the random delay before an entry writes its records to a restored
+# store, in ms. Usually the first entry writes the records of all.
+MAX_RESTORED_WRITE_DELAY_MS = 1_000
+# Delay before the table is checked again after it was restored, in ms. A write from
+# before the restoration whose condition still holds may be carried out 6 s late.
+RESTORED_CHECK_DELAY_MS = 7_000
 # Delay before a write is retried that failed or met a conflict, in ms.
 RETRY_INTERVAL_MS = 1_000
 
@@ -94,6 +101,9 @@
         random_state: Random,
         log: LogSink,
     ) -> None:
+        self.copy = TableCopy(
+            mirror, self.post_stored_crashes, self._receive_restored_rows, log
+        )
         self._store = store
         self._mirror = mirror
         self._find_records = find_records
@@ -101,6 +111,8 @@
         self._clock = clock
         self._random_state = random_state
         self._log = log
+        self._known_store_epoch = 0
+        self._needs_check = False
         self._schedule_changed = asyncio.Event()
         self._write_due_ms: int | None = None
 
@@ -120,6 +132,26 @@
                 )
                 self._post(CrashesReceived(STORE_SOURCE, records))
 
+    def _receive_restored_rows(self, rows: list[MirrorRow]) -> None:
+        """Post the records of a restored store, and schedule a write to it.
+
+        The store has lost the crashes that were written after its copy.
+        """
+        self.post_stored_crashes(rows)
+        self.record_store_epoch(self._mirror.store_epoch)
+
+    def record_store_epoch(self, store_epoch: int) -> None:
+        """Record the store epoch of another table; schedule a write if it is later.
+
+        The watcher of this table may learn of the restoration many seconds later.
+        """
+        if store_epoch <= self._known_store_epoch:
+            return
+        self._known_store_epoch = store_epoch
+        self._needs_check = True
+        delay_ms = self._random_state.randrange(MAX_RESTORED_WRITE_DELAY_MS)
+        self._schedule_write_after(delay_ms)
+
     def schedule_own_write(self) -> None:
         """Schedule a write of crashes that this entry observed.
 
@@ -160,6 +192,9 @@
             self._write_due_ms = None
             if not await self._write():
                 self._schedule_write_after(RETRY_INTERVAL_MS)
+            elif self._needs_check:
+                self._needs_check = False
+                self._schedule_write_after(RESTORED_CHECK_DELAY_MS)
 
     async def _wait_for_schedule_change(self, timeout_ms: int) -> None:
         """Wait until the schedule changes or ``timeout_ms`` has passed."""
@@ -172,6 +207,10 @@
 
     async def _write(self) -> bool:
         """Write the merged records once; return whether the store contains them now."""
+        if self._known_store_epoch > self._mirror.store_epoch:
+            await self._read_restored_table()
+        if self._known_store_epoch > self._mirror.store_epoch:
+            return False
         row = self._mirror.row_by_key.get(CRASH_ROW_KEY)
         stored = self._read_table(row) if row is not None else _StoredTable()
         table = merge_records(stored, self._find_records(), self._clock.wall_ms())
@@ -184,7 +223,10 @@
         if not result.is_ok():
             self._log.log("crashes-not-stored", reason=result.error.reason)
             return False
-        current = result.ok.row
+        current, store_epoch = result.ok.row, result.ok.store_epoch
+        if store_epoch != self._mirror.store_epoch:
+            self.record_store_epoch(store_epoch)
+            return False
         is_written = current.value == value
         n_records = len(table.crashes_by_fingerprint)
         if is_written:
@@ -196,6 +238,13 @@
         self.post_stored_crashes(self._mirror.apply([current], self._mirror.version))
         return is_written
 
+    async def _read_restored_table(self) -> None:
+        """Read the table of a restored store into the copy."""
+        result = await self._store.read_table(CRASH_TABLE)
+        if result.is_ok() and result.ok.store_epoch > self._mirror.store_epoch:
+            rows = result.ok
+            self.copy.replace(rows.rows, rows.version, rows.store_epoch)
+
     def _read_table(self, row: MirrorRow) -> _StoredTable:
         """Return the value of the row; an unreadable value counts as empty."""
         try:
--- a/packages/entry/src/bluebellusher/shared/tests/test_crash_table.py
+++ b/packages/entry/src/bluebellusher/shared/tests/test_crash_table.py
@@ -232,3 +232,66 @@
         assert (await Entry(store, clock).start()).count("f" * 32) == 3
 
     run(scenario)
+
+
+def test_crashes_that_a_restored_store_has_lost_are_written_again():
+    """Guards against a blocked request that runs again after all entries ended.
+
+    The store was restored before that from a copy without the crashes. The watcher of
+    the table has not noticed it, because its call waits for a change.
+    """
+
+    async def scenario(store, clock):
+        store.put("other", "row", b"")
+        copy = store.copy()
+        entry = await Entry(store, clock).start()
+        entry.record_crashes("f", 3)
+        await wait_until(lambda: get_stored_row(store), clock)
+        store.restore(copy)
+        entry.table.record_store_epoch(store.store_epoch)
+        await wait_until(lambda: get_stored_row(store), clock)
+        assert (await Entry(store, clock).start()).count("f") == 3
+
+    run(scenario)
+
+
+def test_late_write_to_a_restored_store_loses_no_crashes():
+    """Guards against crashes that a write from before the restoration overwrites.
+
+    Its condition holds by chance, as versions are assigned again.
+    """
+
+    async def scenario(store, clock):
+        entry = await Entry(store, clock).start()
+        copy = store.copy()
+        entry.record_crashes("f", 3)
+        await wait_until(lambda: get_stored_row(store), clock)
+        store.restore(copy)
+        entry.table.record_store_epoch(store.store_epoch)
+        await wait_until(lambda: get_stored_row(store), clock)
+        late_row = store.put(CRASH_TABLE, CRASH_ROW_KEY, b"{}")
+        entry.table.post_stored_crashes(entry.mirror.apply([late_row], store.version))
+        await wait_until(lambda: get_stored_row(store).value != b"{}", clock)
+        assert (await Entry(store, clock).start()).count("f") == 3
+
+    run(scenario)
+
+
+def test_crashes_are_stored_when_an_answer_shows_the_restoration():
+    """Guards against a copy of the table that mixes rows of two store epochs."""
+
+    async def scenario(store, clock):
+        entry = await Entry(store, clock).start()
+        entry.record_crashes("f", 3)
+        await wait_until(lambda: get_stored_row(store), clock)
+        copy = store.copy()
+        entry.record_crashes("g", 3)
+        await wait_until(lambda: b'"g"' in get_stored_row(store).value, clock)
+        store.restore(copy)
+        entry.record_crashes("h", 3)
+        await wait_until(lambda: b'"h"' in get_stored_row(store).value, clock)
+        assert entry.mirror.store_epoch == store.store_epoch
+        later_entry = await Entry(store, clock).start()
+        assert [later_entry.count(name) for name in "fgh"] == [3, 3, 3]
+
+    run(scenario)
