List the entries again in a restored store

The list of entries is read every 30 s. After a restoration it lacked the entries that had started after the copy was made, so that others counted too few entries for up to 30 s, and new entries could not dial them.

Entries refresh the list at once when they learn of a later store epoch, and once more 1 s later.

--- a/packages/entry/src/bluebellusher/gateway/_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -438,6 +438,7 @@
             apply_restored_rows(rows)
             announce()
             self.crash_table.record_store_epoch(mirror.store_epoch)
+            self.members.record_store_epoch(mirror.store_epoch)
 
         mirror = TableMirror(table)
         copy = TableCopy(mirror, on_rows, on_restored, self.runtime)
--- a/packages/entry/src/bluebellusher/shared/_members.py
+++ b/packages/entry/src/bluebellusher/shared/_members.py
@@ -53,6 +53,8 @@
         self._address = (host, port)
         self._log = log
         self._post = post
+        self._known_store_epoch = 0
+        self._restored = asyncio.Event()
 
     async def run(self) -> None:
         """Write this entry's row and dial listed entries at an interval.
@@ -60,9 +62,26 @@
         Runs until it is cancelled.
         """
         while True:
-            is_current = await self._refresh()
+            is_restored = self._restored.is_set()
+            self._restored.clear()
+            is_current = await self._refresh() and not is_restored
             pause_ms = REFRESH_INTERVAL_MS if is_current else RETRY_INTERVAL_MS
-            await asyncio.sleep(pause_ms / 1000)
+            try:
+                async with asyncio.timeout(pause_ms / 1000):
+                    await self._restored.wait()
+            except TimeoutError:
+                # The next refresh is due.
+                continue
+
+    def record_store_epoch(self, store_epoch: int) -> None:
+        """Record the store epoch of another table; refresh at once if it is later.
+
+        A restored store lacks the rows of entries that started after its copy was made.
+        They write them again, so that the table is read a second time soon.
+        """
+        if store_epoch > self._known_store_epoch:
+            self._known_store_epoch = store_epoch
+            self._restored.set()
 
     async def _refresh(self) -> bool:
         """Read the table, dial its entries and write this entry's row if it differs.
--- a/packages/entry/src/bluebellusher/shared/tests/test_shared.py
+++ b/packages/entry/src/bluebellusher/shared/tests/test_shared.py
@@ -258,3 +258,32 @@
 
     for port, dialed in run_in_virtual_time(scenario()).items():
         assert dialed == {("h", other) for other in range(1, 9) if other != port}
+
+
+def test_entries_that_a_restored_store_has_lost_are_listed_again():
+    """Guards against entries that new ones cannot find after a restoration."""
+
+    async def scenario():
+        store = DistantStore()
+        copy = store.copy()
+        entries, tasks = [], []
+        for port in range(1, 4):
+            log = FakeLog()
+            members = Members(
+                store, DialedAddresses(), f"e{port}", "h", port, log, log.post
+            )
+            entries.append((members, log))
+            tasks.append(asyncio.create_task(members.run()))
+        await asyncio.sleep(5)
+        store.restore(copy)
+        for members, _ in entries:
+            members.record_store_epoch(store.store_epoch)
+        await asyncio.sleep(3)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        return store, [log.events[-1].member_ids for _, log in entries]
+
+    store, listed_ids = run_in_virtual_time(scenario())
+    assert set(store.rows_by_table["members"]) == {"e1", "e2", "e3"}
+    assert listed_ids == [{"e1", "e2", "e3"}] * 3
