Pass on the configuration in force that a restored store lacks

Found while going through the state in docs/design.md. Entries keep a configuration until one with a higher version is written. An entry that started after a restoration, before the operator had written the last configuration again, read an earlier one, with withdrawn keys and without new routes, although its peers had the later one.

Peers now send the row in force to an entry with a lower version of the configuration, if their copy of the table no longer contains it; the entry asks at most once a second. A configuration with the version of the one in force and another content is put in force: the operator may use a version again that the store has lost.

The two tests of the change fail without it, the third one guards against requests without end.

--- a/packages/core/src/bluebellusher_core/wire/_generated/bluebellusher/ttypes.py
+++ b/packages/core/src/bluebellusher_core/wire/_generated/bluebellusher/ttypes.py
@@ -3955,6 +3955,7 @@
      - version
      - rows
      - store_epoch
+     - retained_rows
 
     """
 
@@ -3964,15 +3965,17 @@
         'version',
         'rows',
         'store_epoch',
+        'retained_rows',
     )
 
 
-    def __init__(self, table=None, above_version=None, version=None, rows=None, store_epoch=None,):
+    def __init__(self, table=None, above_version=None, version=None, rows=None, store_epoch=None, retained_rows=None,):
         self.table = table
         self.above_version = above_version
         self.version = version
         self.rows = rows
         self.store_epoch = store_epoch
+        self.retained_rows = retained_rows
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4014,6 +4017,17 @@
                     self.store_epoch = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.retained_rows = []
+                    (_etype217, _size214) = iprot.readListBegin()
+                    for _i218 in range(_size214):
+                        _elem219 = TableRow()
+                        _elem219.read(iprot)
+                        self.retained_rows.append(_elem219)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4039,14 +4053,21 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter214 in self.rows:
-                iter214.write(oprot)
+            for iter220 in self.rows:
+                iter220.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.store_epoch is not None:
             oprot.writeFieldBegin('store_epoch', TType.I64, 5)
             oprot.writeI64(self.store_epoch)
             oprot.writeFieldEnd()
+        if self.retained_rows is not None:
+            oprot.writeFieldBegin('retained_rows', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.retained_rows))
+            for iter221 in self.retained_rows:
+                iter221.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4569,15 +4590,15 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.experts = []
-                    (_etype218, _size215) = iprot.readListBegin()
-                    for _i219 in range(_size215):
-                        _elem220 = []
-                        (_etype224, _size221) = iprot.readListBegin()
-                        for _i225 in range(_size221):
-                            _elem226 = iprot.readI32()
-                            _elem220.append(_elem226)
+                    (_etype225, _size222) = iprot.readListBegin()
+                    for _i226 in range(_size222):
+                        _elem227 = []
+                        (_etype231, _size228) = iprot.readListBegin()
+                        for _i232 in range(_size228):
+                            _elem233 = iprot.readI32()
+                            _elem227.append(_elem233)
                         iprot.readListEnd()
-                        self.experts.append(_elem220)
+                        self.experts.append(_elem227)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4620,10 +4641,10 @@
         if self.experts is not None:
             oprot.writeFieldBegin('experts', TType.LIST, 5)
             oprot.writeListBegin(TType.LIST, len(self.experts))
-            for iter227 in self.experts:
-                oprot.writeListBegin(TType.I32, len(iter227))
-                for iter228 in iter227:
-                    oprot.writeI32(iter228)
+            for iter234 in self.experts:
+                oprot.writeListBegin(TType.I32, len(iter234))
+                for iter235 in iter234:
+                    oprot.writeI32(iter235)
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
@@ -6085,6 +6106,7 @@
     (3, TType.I64, 'version', None, None, ),  # 3
     (4, TType.LIST, 'rows', (TType.STRUCT, [TableRow, None], False), None, ),  # 4
     (5, TType.I64, 'store_epoch', None, None, ),  # 5
+    (6, TType.LIST, 'retained_rows', (TType.STRUCT, [TableRow, None], False), None, ),  # 6
 )
 all_structs.append(TablePull)
 TablePull.thrift_spec = (
--- a/packages/core/src/bluebellusher_core/wire/bluebellusher.thrift
+++ b/packages/core/src/bluebellusher_core/wire/bluebellusher.thrift
@@ -116,7 +116,9 @@
 struct TableRow { 1: string key, 2: i64 version, 3: binary value, 4: bool is_removed }
 struct TableDelta {
   1: string table, 2: i64 above_version, 3: i64 version, 4: list<TableRow> rows,
-  5: i64 store_epoch
+  5: i64 store_epoch,
+  /* Rows of an earlier store epoch that are in force until they are written again. */
+  6: list<TableRow> retained_rows
 }
 struct TablePull { 1: string table, 2: i64 above_version, 3: i64 store_epoch }
 
--- a/packages/entry/src/bluebellusher/gateway/_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -27,6 +27,7 @@
     CrashTable,
     Directory,
     Members,
+    RetainedRow,
     TableCopy,
     TableExchange,
     TableWatcher,
@@ -167,6 +168,7 @@
             self.directory.apply_routing_rows,
             self.directory.apply_routing_rows,
             random_state,
+            self.directory,
         )
         self.registration_watcher = self._make_watcher(
             ports.codec.registration_table,
@@ -421,6 +423,7 @@
         apply_rows: Callable[[list[Any]], None],
         apply_restored_rows: Callable[[list[Any]], None],
         random_state: Random,
+        retained: RetainedRow | None = None,
     ) -> TableWatcher:
         """Return the watcher of a table that is also exchanged with peers."""
 
@@ -450,7 +453,7 @@
             random_state,
             self.runtime,
         )
-        self.tables.add(copy, lambda: watcher.is_store_available)
+        self.tables.add(copy, lambda: watcher.is_store_available, retained)
         return watcher
 
     def _tick(self, now_ms: int) -> None:
--- a/packages/entry/src/bluebellusher/shared/__init__.py
+++ b/packages/entry/src/bluebellusher/shared/__init__.py
@@ -5,7 +5,7 @@
 from bluebellusher.shared._directory import Directory
 from bluebellusher.shared._log import LogSink
 from bluebellusher.shared._members import Members
-from bluebellusher.shared._peers import TableExchange
+from bluebellusher.shared._peers import RetainedRow, TableExchange
 from bluebellusher.shared._watcher import TableWatcher
 
 __all__ = [
@@ -14,6 +14,7 @@
     "Directory",
     "LogSink",
     "Members",
+    "RetainedRow",
     "TableCopy",
     "TableExchange",
     "TableWatcher",
--- a/packages/entry/src/bluebellusher/shared/_directory.py
+++ b/packages/entry/src/bluebellusher/shared/_directory.py
@@ -11,6 +11,7 @@
     MirrorRow,
     Registrations,
     RoutingTable,
+    TableMirror,
 )
 from bluebellusher_core.events import (
     EndpointDraining,
@@ -51,6 +52,7 @@
         log: LogSink,
     ) -> None:
         self.routing: RoutingTable | None = None
+        self.routing_row: MirrorRow | None = None
         self.routing_applied_at_ms = 0
         self.registrations = Registrations()
         self.on_endpoints_changed: Callable[[], None] | None = None
@@ -71,15 +73,21 @@
     def apply_routing_rows(self, rows: list[MirrorRow]) -> None:
         """Put a newer routing configuration in force.
 
-        A configuration that cannot be read, or whose version is not above the current
-        one, is logged and ignored.
+        A configuration that cannot be read, or whose version is below the current one,
+        is logged and ignored. The operator may assign the same version to another
+        content after the store has lost the first one, and the content that was written
+        last is in force.
         """
         for row in rows:
             if row.key != self._codec.routing_key or row.is_removed:
                 continue
             table = self._codec.read_routing(row.value)
             current_version = self.routing.version if self.routing else -1
-            if table is None or table.version <= current_version:
+            if (
+                table is None
+                or table.version < current_version
+                or table == self.routing
+            ):
                 self._log.log(
                     "configuration-ignored",
                     found=table.version if table else "unreadable",
@@ -87,15 +95,43 @@
                     row_version=row.version,
                 )
                 continue
-            self.routing = table
-            self.routing_applied_at_ms = self._clock.now_ms()
-            self._log.log(
-                "configuration-in-force",
-                version=table.version,
-                row_version=row.version,
-                n_hosts=len(table.routes_by_host),
-                n_credentials=len(table.customer_by_credential),
-            )
+            self._put_in_force(table, row)
+
+    def _put_in_force(self, table: RoutingTable, row: MirrorRow) -> None:
+        self.routing, self.routing_row = table, row
+        self.routing_applied_at_ms = self._clock.now_ms()
+        self._log.log(
+            "configuration-in-force",
+            version=table.version,
+            row_version=row.version,
+            n_hosts=len(table.routes_by_host),
+            n_credentials=len(table.customer_by_credential),
+        )
+
+    @property
+    def version_in_force(self) -> int:
+        """Version of the configuration in force; 0 when there is none."""
+        return self.routing.version if self.routing else 0
+
+    def find_retained_row(self, mirror: TableMirror) -> MirrorRow | None:
+        """Return the row of the configuration in force if ``mirror`` has another one.
+
+        That is so while a store that was restored from an earlier copy lacks the
+        configuration, until the operator writes it again.
+        """
+        stored_row = mirror.row_by_key.get(self._codec.routing_key)
+        row = self.routing_row
+        if row is None or (stored_row and stored_row.value == row.value):
+            return None
+        return row
+
+    def apply_retained_row(self, row: MirrorRow) -> None:
+        """Put the configuration in force that a peer has and the store lacks."""
+        table = self._codec.read_routing(row.value)
+        if table is not None and table.version > self.version_in_force:
+            self._put_in_force(table, row)
+            if self.on_endpoints_changed is not None:
+                self.on_endpoints_changed()
 
     def apply_registration_rows(self, rows: list[MirrorRow]) -> None:
         """Apply changed registrations and post the events that follow.
--- a/packages/entry/src/bluebellusher/shared/_peers.py
+++ b/packages/entry/src/bluebellusher/shared/_peers.py
@@ -9,14 +9,16 @@
 
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Protocol
 
 from bluebellusher.links import PeerLinks
 from bluebellusher.shared._copy import TableCopy
 from bluebellusher_core.clock import Clock
-from bluebellusher_core.directory import MirrorRow
+from bluebellusher_core.directory import MirrorRow, TableMirror
 from bluebellusher_core.wire import messages
 
+# Interval at which a row that the restored store lacks is requested from peers, in ms.
+RETAINED_ROW_INTERVAL_MS = 1_000
 # Time for which a copy may have a lower position than a peer's before the changes are
 # requested from the peer, in ms. It applies while the store is available, which usually
 # returns a change milliseconds after the peer received it. A transfer between peers
@@ -24,6 +26,23 @@
 PULL_DELAY_MS = 400
 
 
+class RetainedRow(Protocol):
+    """Row that stays in force although the restored store has an earlier one.
+
+    An entry that starts before the row is written again gets it from its peers.
+    """
+
+    @property
+    def version_in_force(self) -> int:
+        """Version of the row's content, which rises across store epochs."""
+
+    def find_retained_row(self, mirror: TableMirror) -> MirrorRow | None:
+        """Return the row in force, or None if the copy of the table contains it."""
+
+    def apply_retained_row(self, row: MirrorRow) -> None:
+        """Put a peer's row in force if its content has a higher version."""
+
+
 @dataclass(slots=True)
 class _SharedTable:
     """Copy of a table and the highest position that peers reported.
@@ -35,6 +54,8 @@
 
     copy: TableCopy
     is_store_available: Callable[[], bool]
+    retained: RetainedRow | None = None
+    retained_requested_at_ms: int | None = None
     outdated_since_ms: int = 0
     latest_peer_id: str = ""
     latest_peer_position: tuple[int, int] = (0, 0)
@@ -65,6 +86,7 @@
         self,
         copy: TableCopy,
         is_store_available: Callable[[], bool],
+        retained: RetainedRow | None = None,
     ) -> None:
         """Add a table to the exchange.
 
@@ -74,8 +96,10 @@
             This entry's copy of the table.
         is_store_available : callable
             Returns whether the store is available and updates the copy.
+        retained : RetainedRow or None
+            Row of the table that stays in force across restorations.
         """
-        shared = _SharedTable(copy, is_store_available)
+        shared = _SharedTable(copy, is_store_available, retained)
         self._shared_by_table[copy.mirror.table] = shared
 
     def versions(self) -> dict[str, int]:
@@ -100,7 +124,10 @@
         """
         for table, position in _read_positions(digest).items():
             shared = self._shared_by_table.get(table)
-            if shared is None or position <= shared.position:
+            if shared is None:
+                continue
+            if position <= shared.position:
+                self._pull_retained_row(shared, peer_id, digest.config_version or 0)
                 continue
             if shared.latest_peer_position <= shared.position:
                 shared.outdated_since_ms = self._clock.now_ms()
@@ -109,6 +136,25 @@
             if not shared.is_store_available():
                 self._pull(shared)
 
+    def _pull_retained_row(
+        self, shared: _SharedTable, peer_id: str, version_in_force: int
+    ) -> None:
+        """Request the row that a peer has in force if its content is newer.
+
+        The copy of this entry is not behind that of the peer, so that the store lacks
+        the row.
+        """
+        retained, now_ms = shared.retained, self._clock.now_ms()
+        if retained is None or version_in_force <= retained.version_in_force:
+            return
+        requested_at_ms = shared.retained_requested_at_ms
+        if (
+            requested_at_ms is None
+            or now_ms - requested_at_ms >= RETAINED_ROW_INTERVAL_MS
+        ):
+            shared.retained_requested_at_ms = now_ms
+            self._send_pull(shared, peer_id)
+
     def tick(self, now_ms: int) -> None:
         """Request changes that the store has not returned within ``PULL_DELAY_MS``.
 
@@ -124,13 +170,17 @@
 
     def _pull(self, shared: _SharedTable) -> None:
         """Request the changes above this entry's position from the recorded peer."""
+        self._send_pull(shared, shared.latest_peer_id)
+
+    def _send_pull(self, shared: _SharedTable, peer_id: str) -> None:
+        """Send a request for changes to a peer."""
         mirror = shared.copy.mirror
         pull = messages.TablePull(
             table=mirror.table,
             above_version=mirror.version,
             store_epoch=mirror.store_epoch,
         )
-        self._links.send(shared.latest_peer_id, pull)
+        self._links.send(peer_id, pull)
 
     def on_pull(self, peer_id: str, pull: Any) -> None:
         """Send a peer the changes that it requested, or all rows of a later epoch."""
@@ -146,6 +196,7 @@
             version=mirror.version,
             rows=[_to_message(row) for row in mirror.changes_since(above_version)],
             store_epoch=mirror.store_epoch,
+            retained_rows=_find_retained_rows(shared),
         )
         self._links.send(peer_id, delta)
 
@@ -167,6 +218,9 @@
         elif store_epoch > mirror.store_epoch and not above_version:
             current_rows = [row for row in rows if not row.is_removed]
             shared.copy.replace(current_rows, version, store_epoch)
+        if shared.retained is not None:
+            for row in _to_rows(delta.retained_rows or ()):
+                shared.retained.apply_retained_row(row)
 
 
 def _read_positions(digest: Any) -> Mapping[str, tuple[int, int]]:
@@ -178,6 +232,14 @@
     }
 
 
+def _find_retained_rows(shared: _SharedTable) -> list[Any]:
+    """Return, as messages, the rows in force that the copy of the table lacks."""
+    if shared.retained is None:
+        return []
+    row = shared.retained.find_retained_row(shared.copy.mirror)
+    return [] if row is None else [_to_message(row)]
+
+
 def _to_message(row: MirrorRow) -> Any:
     """Return a row as a message for a peer."""
     return messages.TableRow(
--- a/packages/entry/src/bluebellusher/shared/tests/test_shared.py
+++ b/packages/entry/src/bluebellusher/shared/tests/test_shared.py
@@ -14,6 +14,7 @@
 from bluebellusher.shared.tests.virtual_time import run_in_virtual_time
 from bluebellusher_core.clock import ManualClock
 from bluebellusher_core.directory import (
+    CallerLimits,
     EndpointRegistration,
     MirrorRow,
     RoutingTable,
@@ -216,6 +217,80 @@
     assert "registration-unreadable" in log.names()
 
 
+class SharedDirectory:
+    """Entry whose directory and copy of the routing table are shared with peers."""
+
+    def __init__(self, network, entry_id, clock):
+        self.directory, log = make_directory()
+        self.mirror = TableMirror("op")
+        apply_rows = self.directory.apply_routing_rows
+        self.copy = TableCopy(self.mirror, apply_rows, apply_rows, log)
+        self.exchange = TableExchange(network.make_links(entry_id), clock)
+        self.exchange.add(self.copy, lambda: True, self.directory)
+        network.exchange_by_id[entry_id] = self.exchange
+
+    def make_digest(self):
+        """Return the digest that the entry sends to its peers."""
+        return messages.Digest(
+            config_version=self.directory.version_in_force,
+            version_by_table=self.exchange.versions(),
+            store_epoch_by_table=self.exchange.store_epochs(),
+        )
+
+
+def test_entry_gets_the_configuration_that_a_restored_store_lacks_from_a_peer():
+    """Guards against withdrawn keys that entries accept after a restoration.
+
+    The store has an earlier configuration until the operator writes the last one again.
+    Entries that start in between read the earlier one.
+    """
+    network, clock = FakeNetwork(), ManualClock()
+    old = SharedDirectory(network, "old", clock)
+    old.copy.apply([MirrorRow("config", 8, b"13")], 9)
+    restored_row = MirrorRow("config", 5, b"10")
+    old.copy.replace([restored_row], 6, 1)
+    assert old.directory.routing.version == 13
+    new = SharedDirectory(network, "new", clock)
+    new.copy.replace([restored_row], 6, 1)
+    assert new.directory.routing.version == 10
+    new.exchange.on_digest("old", old.make_digest())
+    assert new.directory.routing.version == 13
+    assert new.mirror.row_by_key["config"] == restored_row
+    assert network.n_deltas == 1
+    old.exchange.on_digest("new", new.make_digest())
+    new.exchange.on_digest("old", old.make_digest())
+    assert network.n_deltas == 1
+    written_again = MirrorRow("config", 7, b"13")
+    for entry in (old, new):
+        entry.copy.apply([written_again], 7)
+        assert entry.directory.find_retained_row(entry.mirror) is None
+
+
+def test_configuration_that_an_entry_cannot_read_is_not_requested_all_the_time():
+    """Guards against requests to peers that cannot put their answer in force."""
+    network, clock = FakeNetwork(), ManualClock()
+    old = SharedDirectory(network, "old", clock)
+    old.copy.apply([MirrorRow("config", 8, b"13")], 9)
+    new = SharedDirectory(network, "new", clock)
+    new.directory._codec.read_routing = lambda value: None
+    for _ in range(10):
+        new.exchange.on_digest("old", old.make_digest())
+        new.copy.apply([], 9)
+        clock.advance(100)
+    assert network.n_deltas <= 2
+
+
+def test_configuration_with_the_same_version_and_other_content_is_put_in_force():
+    """Guards against a change that is ignored because a lost one had its version."""
+    directory, _ = make_directory()
+    directory._codec.read_routing = lambda value: RoutingTable.from_parts(
+        7, [], [], None, CallerLimits(max_body_bytes=int(value))
+    )
+    directory.apply_routing_rows([MirrorRow("config", 3, b"100")])
+    directory.apply_routing_rows([MirrorRow("config", 2, b"200")])
+    assert directory.routing.limits.max_body_bytes == 200
+
+
 class DistantStore(FakeStore):
     """Store that answers each call after 4 ms."""
 
