Reject requests that may outlast an entry which shuts down

Reported by other operators: requests that came late in the grace period of a planned stop were passed on and cut at its end with no answer (LOST). It happens here: a request whose head arrived in the first 2.6 s and whose body came later was passed on until the end, and every request without an answer at the end was cut.

Once callers have been directed to other entries, 2.6 s after SIGTERM, requests whose deadline is after the end of the grace period are rejected as not run with Retry-After 0, also those that wait for an endpoint. At the end, requests that still run get 502, and streams are broken off. The reducer decides both, so that 'not run' follows from its attempts.

--- a/packages/core/src/bluebellusher_core/events/__init__.py
+++ b/packages/core/src/bluebellusher_core/events/__init__.py
@@ -35,6 +35,7 @@
 )
 from bluebellusher_core.events._state_events import (
     STORE_SOURCE,
+    ArrivalsEnded,
     ClaimOutcome,
     ClaimResult,
     ClaimsAnswered,
@@ -83,11 +84,13 @@
     | PeersConnected
     | PolicyChanged
     | ShutdownStarted
+    | ArrivalsEnded
     | TimerFired
 )
 
 __all__ = [
     "STORE_SOURCE",
+    "ArrivalsEnded",
     "AttemptAccepted",
     "AttemptBroken",
     "AttemptFinished",
--- a/packages/core/src/bluebellusher_core/events/_state_events.py
+++ b/packages/core/src/bluebellusher_core/events/_state_events.py
@@ -110,6 +110,19 @@
     """The entry was asked to shut down; requests in progress are completed."""
 
 
+@dataclass(frozen=True, slots=True)
+class ArrivalsEnded:
+    """The entry shuts down, and callers have been directed to other entries.
+
+    Parameters
+    ----------
+    answer_by_ms : int
+        Monotonic time, in ms, by which the remaining requests must be answered.
+    """
+
+    answer_by_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class TimerFired:
     """A timer that a ``SetTimer`` effect set has expired."""
--- a/packages/core/src/bluebellusher_core/reducer/_reduce.py
+++ b/packages/core/src/bluebellusher_core/reducer/_reduce.py
@@ -2,6 +2,7 @@
 
 from bluebellusher_core.effects import Effect
 from bluebellusher_core.events import (
+    ArrivalsEnded,
     AttemptAccepted,
     AttemptBroken,
     AttemptFinished,
@@ -49,6 +50,7 @@
     _placing,
     _recovery,
     _retries,
+    _shutdown,
     _silence,
 )
 from bluebellusher_core.state import EntryState
@@ -156,6 +158,8 @@
             state.member_ids = event.member_ids
         case ShutdownStarted():
             state.is_shutting_down = True
+        case ArrivalsEnded():
+            return _shutdown.handle_arrivals_ended(state, event.answer_by_ms, now_ms)
     return []
 
 
@@ -187,6 +191,8 @@
             return _retries.broadcast_ended(state, now_ms)
         case "check":
             return _crash_evidence.handle_check_due(state, subject, now_ms)
+        case _shutdown.TIMER_ID:
+            return _shutdown.handle_timeout(state, now_ms)
         case _parts.TIMER_ID:
             return _placing.reject_blocked(state, now_ms)
         case "wake":
--- a/packages/core/src/bluebellusher_core/requests/_arrival.py
+++ b/packages/core/src/bluebellusher_core/requests/_arrival.py
@@ -10,6 +10,7 @@
     _parts,
     _placing,
     _retries,
+    _shutdown,
 )
 from bluebellusher_core.requests._model import Phase, Request
 from bluebellusher_core.state import EntryState
@@ -49,6 +50,8 @@
     """Return the rejection of a request that cannot be admitted, or None."""
     if state.is_shutting_down:
         return _final.make_rejection(state, Reason.SHUTTING_DOWN, "admission")
+    if _shutdown.may_outlast(state, spec):
+        return _shutdown.make_rejection()
     if spec.deadline_ms <= now_ms:
         return _final.make_rejection(state, Reason.DEADLINE_EXCEEDED, "admission")
     is_blocked = state.poison.is_blocked(spec.fingerprint, now_ms)
--- a/packages/core/src/bluebellusher_core/state/_state.py
+++ b/packages/core/src/bluebellusher_core/state/_state.py
@@ -100,6 +100,9 @@
         Ids of all entries of the deployment, reachable or not.
     is_shutting_down : bool
         Whether new requests are rejected because the entry shuts down.
+    answer_by_ms : int or None
+        Monotonic time, in ms, by which an entry that shuts down answers all requests;
+        None until callers have been directed to other entries.
     """
 
     config: EntryConfig
@@ -132,6 +135,7 @@
     n_entries: int = 1
     member_ids: frozenset[str] = frozenset()
     is_shutting_down: bool = False
+    answer_by_ms: int | None = None
 
     def __post_init__(self) -> None:
         """Derive the blocked parts from the counted crashes."""
--- a/packages/entry/src/bluebellusher/gateway/_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -15,6 +15,7 @@
 from bluebellusher.gateway._admission import Admission, StreamTimeouts
 from bluebellusher.gateway._attempts import HttpDispatcher
 from bluebellusher.gateway._server import CallerServer, PageServer
+from bluebellusher.gateway._shutdown import finish_requests
 from bluebellusher.gateway._view import MAP_LEASE, GatewayView
 from bluebellusher.links import Identity, LinkTicker, PeerLinks
 from bluebellusher.observability import KeyValueLog, Metrics, Tracer
@@ -56,12 +57,6 @@
 from bluebellusher_core.supervision import supervise
 from bluebellusher_core.wire import messages
 
-# Time from SIGTERM until the entry stops accepting connections, in ms. The platform
-# sends new connections until it has detected the shutdown, which takes up to two
-# readiness checks of one second each.
-STOP_ACCEPTING_AFTER_MS = 2_600
-# Part of the grace period that is reserved for closing connections and exiting, in ms.
-EXIT_MARGIN_MS = 500
 # Share of the retries in the settings, which are common to all entries, that the
 # connected entries may use. The remainder is a reserve for entries that have not
 # connected yet. If callers are distributed unevenly, entries with few of them also
@@ -94,8 +89,6 @@
 # keeps. Only entries that cannot reach a peer depend on the table, because peers
 # announce crashes immediately.
 CRASH_TABLE_WAIT_MS = 15_000
-# Interval at which a shutdown checks whether all requests have ended, in s.
-_STOP_POLL_S = 0.02
 
 
 class Gateway:
@@ -321,15 +314,9 @@
         self.log.event("stopping", n_requests=len(self.runtime.exchange_by_request_id))
         await self.leader.finish_changes(MAP_CHANGE_GRACE_MS)
         await self.lease.release()
-        elapsed_ms = self.clock.now_ms() - stop_started_at_ms
-        await asyncio.sleep(max(0, STOP_ACCEPTING_AFTER_MS - elapsed_ms) / 1000)
-        self.server.stop_accepting()
-        self.server.close_idle()
         grace_ms = int(self.settings.shutdown_grace_s * 1000)
-        grace_end_ms = stop_started_at_ms + grace_ms - EXIT_MARGIN_MS
-        while self._has_work() and self.clock.now_ms() < grace_end_ms:
-            self.server.close_idle()
-            await asyncio.sleep(_STOP_POLL_S)
+        end_ms = stop_started_at_ms + grace_ms
+        await finish_requests(self.server, self.runtime, self.clock, end_ms, grace_ms)
         n_unfinished = len(self.runtime.exchange_by_request_id)
         for task in self._tasks:
             task.cancel()
@@ -489,10 +476,6 @@
             text=self.runtime.metrics.to_prometheus(self.view.compute_gauges())
         )
 
-    def _has_work(self) -> bool:
-        """Return whether a request is in progress or a caller is connected."""
-        return bool(self.runtime.exchange_by_request_id or self.server.n_connections)
-
     def _start_task(self, run: Callable[[], Awaitable[None]]) -> None:
         """Run a component as a task that is restarted after an unexpected error."""
 
