Restore the soak's store from earlier copies, and check new routes

The store of the soak can return with the rows and versions of some seconds before, as the users' platform does in a drill; endpoints and the operator then write their rows again. An operator adds routes, and a caller checks that entries in contact know each one 2 s after it was written.

--- a/soak/entry.py
+++ b/soak/entry.py
@@ -31,12 +31,20 @@
     registration_table = ENDPOINTS_TABLE
 
     def read_routing(self, value: bytes) -> RoutingTable | None:
-        """Return the fixed routes under the version number in ``value``."""
+        """Return the routes of the version in ``value``.
+
+        Each version adds a route to those of the versions before.
+        """
+        version = int(value)
         routes = [
+            *(
+                _make_route(make_prefix(n), RequestKind.IDEMPOTENT, 2)
+                for n in range(1, version + 1)
+            ),
             _make_route("/once/", RequestKind.NON_IDEMPOTENT, 1),
             _make_route("/any/", RequestKind.IDEMPOTENT, 2),
         ]
-        return RoutingTable.from_parts(int(value), routes, [Service(SERVICE, 0)], None)
+        return RoutingTable.from_parts(version, routes, [Service(SERVICE, 0)], None)
 
     def read_registration(
         self, endpoint_id: str, value: bytes
@@ -46,6 +54,11 @@
         return EndpointRegistration(endpoint_id=endpoint_id, **fields)
 
 
+def make_prefix(version: int) -> str:
+    """Return the path prefix of the route that a configuration version adds."""
+    return f"/v{version}/"
+
+
 def _make_route(prefix: str, kind: RequestKind, n_max_attempts: int) -> Route:
     return Route(
         route_id=prefix,
--- a/soak/run.py
+++ b/soak/run.py
@@ -16,7 +16,7 @@
 
 from bluebellusher_standins.cluster import PortReservations
 from soak.endpoint import POISON
-from soak.entry import HOST_NAME
+from soak.entry import HOST_NAME, make_prefix
 from soak.store import StoreServer
 
 HOST = "127.0.0.1"
@@ -31,8 +31,13 @@
 N_CRASHES_TO_BLOCK = 3
 N_MAX_LATE_RUNS = 3
 MIN_CONTACT_MS = 3_000
+# Time in ms after which a configuration must be in force on entries in contact.
+CONFIG_APPLY_MS = 2_000
+# Time in seconds within which the operator writes the configuration again that a
+# restored store has lost.
+MAX_REWRITE_S = 0.5
 # Time in seconds in which callers still send requests after the last fault.
-SETTLE_S = 4.0
+SETTLE_S = 5.0
 START_POLL_S = 0.2
 CALLER_TIMEOUT_S = 5.0
 # Time in seconds that an entry has for its shutdown after SIGTERM.
@@ -151,6 +156,10 @@
         self._seconds = seconds
         self._store = StoreServer()
         self._store_outages_ms: list[tuple[int, int]] = []
+        self._freezes_ms: dict[str, list[tuple[int, int]]] = {}
+        self._config_version = 0
+        self._config_written_at_ms: list[int] = []
+        self._expected_calls: list[Call] = []
         self._calls: list[Call] = []
         self._entries: dict[str, Process] = {}
         self._endpoints: list[Process] = []
@@ -165,6 +174,7 @@
             ("kill-endpoint", self._kill_endpoint),
             ("leave-endpoint", self._terminate_endpoint),
             ("store-away", self._interrupt_store),
+            ("store-restored", self._restore_store),
         ]
 
     async def run(self) -> Report:
@@ -173,7 +183,7 @@
         Raises ``TimeoutError`` if the entries do not answer within 60 seconds.
         """
         await self._store.start(HOST)
-        self._store.put("routing", "current", b"1")
+        self._change_configuration()
         self._make_processes()
         processes = [*self._entries.values(), *self._endpoints]
         supervisors = [asyncio.create_task(self._supervise(p)) for p in processes]
@@ -184,6 +194,8 @@
                 asyncio.create_task(self._run_caller(i)) for i in range(N_CALLERS)
             ]
             callers.append(asyncio.create_task(self._send_poison()))
+            callers.append(asyncio.create_task(self._send_to_new_routes()))
+            operator_task = asyncio.create_task(self._change_configurations())
             fault_task = asyncio.create_task(self._inject_faults())
             await asyncio.sleep(self._seconds)
             fault_task.cancel()
@@ -191,6 +203,7 @@
             for process in processes:
                 process.send(signal.SIGCONT)
             await asyncio.sleep(SETTLE_S)
+            operator_task.cancel()
             self._is_finished = True
             await asyncio.gather(*callers)
         finally:
@@ -336,6 +349,36 @@
             await session.close()
         return call
 
+    # Operator.
+
+    def _change_configuration(self) -> None:
+        """Write the next configuration version, which adds a route."""
+        self._config_version += 1
+        self._config_written_at_ms.append(now_ms())
+        self._write_configuration()
+
+    def _write_configuration(self) -> None:
+        self._store.put("routing", "current", str(self._config_version).encode())
+
+    async def _change_configurations(self) -> None:
+        while True:
+            await asyncio.sleep(self._random.uniform(0.3, 2.0))
+            if not self._store.is_unavailable:
+                self._change_configuration()
+
+    async def _send_to_new_routes(self) -> None:
+        """Send requests to the newest route that all entries must have in force."""
+        random = Random(f"{self.report.seed}.routes")
+        while not self._is_finished:
+            latest_ms = now_ms() - CONFIG_APPLY_MS
+            version = sum(at_ms < latest_ms for at_ms in self._config_written_at_ms)
+            if version:
+                entry = random.choice(list(self._entries))
+                path = make_prefix(version) + "x"
+                call = await self._send_on_new_connection(entry, path, b"")
+                self._expected_calls.append(call)
+            await asyncio.sleep(0.05)
+
     # Faults.
 
     async def _inject_faults(self) -> None:
@@ -360,9 +403,14 @@
 
     async def _freeze_entry(self) -> None:
         entry = self._choose_entry()
+        frozen_at_ms = now_ms()
         entry.send(signal.SIGSTOP)
-        await asyncio.sleep(self._random.uniform(0.5, 2.5))
-        entry.send(signal.SIGCONT)
+        try:
+            await asyncio.sleep(self._random.uniform(0.5, 2.5))
+        finally:
+            entry.send(signal.SIGCONT)
+            freezes = self._freezes_ms.setdefault(entry.name, [])
+            freezes.append((frozen_at_ms, now_ms()))
 
     async def _kill_endpoint(self) -> None:
         self._random.choice(self._endpoints).send(signal.SIGKILL)
@@ -379,6 +427,21 @@
             self._store.is_unavailable = False
             self._store_outages_ms.append((outage_start_ms, now_ms()))
 
+    async def _restore_store(self) -> None:
+        """Interrupt the store, and let it return from a copy of its rows."""
+        outage_start_ms = now_ms()
+        self._store.is_unavailable = True
+        try:
+            await asyncio.sleep(self._random.uniform(0.2, 3.0))
+        finally:
+            self._store.restore(self._random.uniform(1.0, 18.0))
+            self._store.is_unavailable = False
+            self._store_outages_ms.append((outage_start_ms, now_ms()))
+            # Also when the faults have ended meanwhile.
+            asyncio.get_running_loop().call_later(
+                self._random.uniform(0.0, MAX_REWRITE_S), self._write_configuration
+            )
+
     # Guarantees.
 
     def _check_guarantees(self) -> None:
@@ -395,6 +458,9 @@
                 self._add_violation(call, f"ran {n_runs[call.attempt]} times")
             if call.status in (429, 503) and n_runs[call.attempt]:
                 self._add_violation(call, "rejected as not run, although it ran")
+        for call in self._expected_calls:
+            if call.status == 404 and self._had_contact(call):
+                self._add_violation(call, "a route is missing that was added before")
         self._check_poison([note for note in notes if note["kind"] == "poison"])
 
     def _check_poison(self, runs: list[dict[str, str]]) -> None:
@@ -421,8 +487,8 @@
         """Return whether the entry of a call could have received the block in time.
 
         That is, the store was available in the last ``MIN_CONTACT_MS`` before the call,
-        and the entry neither started nor ended from then until ``MIN_CONTACT_MS`` after
-        the call.
+        the entry was not frozen in this time, and it neither started nor ended from
+        then until ``MIN_CONTACT_MS`` after the call.
         """
         contact_start_ms = call.sent_at_ms - MIN_CONTACT_MS
         process = self._entries[call.entry]
@@ -430,9 +496,13 @@
             contact_start_ms <= at_ms <= call.sent_at_ms + MIN_CONTACT_MS
             for at_ms in (*process.started_at_ms, *process.ended_at_ms)
         )
+        interruptions_ms = [
+            *self._store_outages_ms,
+            *self._freezes_ms.get(call.entry, ()),
+        ]
         had_store = not any(
             start_ms <= call.sent_at_ms and end_ms >= contact_start_ms
-            for start_ms, end_ms in self._store_outages_ms
+            for start_ms, end_ms in interruptions_ms
         )
         return was_running and had_store
 
--- a/soak/store.py
+++ b/soak/store.py
@@ -3,6 +3,8 @@
 import asyncio
 import base64
 import json
+from collections import deque
+from dataclasses import dataclass
 from typing import Any
 
 import aiohttp
@@ -18,6 +20,19 @@
 REGISTRATION_TTL_MS = 3 * HEARTBEAT_MS
 ENDPOINTS_TABLE = "endpoints"
 UNAVAILABLE_STATUS = 503
+HISTORY_LOST_STATUS = 410
+# Time for which earlier contents are kept, in s.
+COPIES_S = 20.0
+_Key = tuple[str, str]
+
+
+@dataclass(frozen=True)
+class _StoreCopy:
+    """Content of the store at a time of the event loop, in s."""
+
+    made_at_s: float
+    version: int
+    row_by_key: dict[_Key, MirrorRow]
 
 
 class StoreServer:
@@ -35,7 +50,9 @@
         self.is_unavailable = False
         self.port = 0
         self._version = 0
-        self._row_by_key: dict[tuple[str, str], MirrorRow] = {}
+        self._store_epoch = 1
+        self._copies: deque[_StoreCopy] = deque()
+        self._row_by_key: dict[_Key, MirrorRow] = {}
         self._heartbeat_at_s_by_key: dict[str, float] = {}
         self._changed = asyncio.Event()
         self._runner: web.AppRunner | None = None
@@ -71,9 +88,39 @@
         self._version += 1
         row = MirrorRow(key, self._version, value, is_removed)
         self._row_by_key[table, key] = row
+        self._copy_rows()
+        self._wake_readers()
+
+    def _wake_readers(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def _copy_rows(self) -> None:
+        """Keep a copy of all rows, and discard those older than ``COPIES_S``."""
+        now_s = asyncio.get_running_loop().time()
+        self._copies.append(_StoreCopy(now_s, self._version, dict(self._row_by_key)))
+        while now_s - self._copies[0].made_at_s > COPIES_S:
+            self._copies.popleft()
+
+    def restore(self, age_s: float) -> None:
+        """Return to the rows and the version of ``age_s`` seconds ago.
+
+        Without a copy of that age, the oldest one is used. Heartbeats of endpoints
+        count from now.
+        """
+        now_s = asyncio.get_running_loop().time()
+        while len(self._copies) > 1 and self._copies[-1].made_at_s > now_s - age_s:
+            self._copies.pop()
+        copy = self._copies[-1]
+        self._version, self._row_by_key = copy.version, dict(copy.row_by_key)
+        self._store_epoch += 1
+        self._heartbeat_at_s_by_key = {
+            key: now_s
+            for (table, key), row in self._row_by_key.items()
+            if table == ENDPOINTS_TABLE and not row.is_removed
+        }
+        self._wake_readers()
+
     async def _expire_registrations(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
@@ -104,6 +151,8 @@
         if self.is_unavailable:
             return web.Response(status=UNAVAILABLE_STATUS)
         table, above = request.query["table"], int(request.query["above"])
+        if above > self._version:
+            return web.Response(status=HISTORY_LOST_STATUS)
         if not self._rows_above(table, above):
             try:
                 async with asyncio.timeout(int(request.query["wait_ms"]) / 1000):
@@ -134,7 +183,8 @@
             [r.key, r.version, base64.b64encode(r.value).decode(), r.is_removed]
             for r in rows
         ]
-        return web.json_response({"version": self._version, "rows": encoded_rows})
+        body = {"version": self._version, "rows": encoded_rows}
+        return web.json_response({**body, "store_epoch": self._store_epoch})
 
 
 class StoreClient:
@@ -201,6 +251,8 @@
             async with self._session.request(
                 method, self._base_url + path, timeout=timeout, **options
             ) as response:
+                if response.status == HISTORY_LOST_STATUS:
+                    return Error(StoreError(path, "history", is_history_lost=True))
                 if response.status != 200:
                     return Error(StoreError(path, f"status {response.status}"))
                 body = json.loads(await response.read())
@@ -210,4 +262,4 @@
             MirrorRow(key, version, base64.b64decode(value), is_removed)
             for key, version, value, is_removed in body["rows"]
         ]
-        return Ok(TableRows(tuple(rows), body["version"]))
+        return Ok(TableRows(tuple(rows), body["version"], body["store_epoch"]))
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -24,6 +24,17 @@
     assert report.faults.total() > 0
 
 
+def test_routes_are_in_force_although_the_store_is_restored_from_copies(tmp_path):
+    """Guards against entries that miss changes after a restoration of the store."""
+    set_python_path()
+    soak = Soak(3, tmp_path, SECONDS)
+    names = ("store-restored", "kill-entry")
+    soak.faults = [fault for fault in soak.faults if fault[0] in names]
+    report = asyncio.run(soak.run())
+    assert report.faults["store-restored"] > 0
+    assert report.violations == []
+
+
 def test_poison_request_crashes_endpoints_without_other_faults(tmp_path):
     """Guards against a soak that never checks the blocking of poison requests.
 
