Keep endpoints in use that a restored store lacks until they can register

The grace time of such an endpoint is 5 s, longer than an entry takes to notice an outage, and starts again when the store is available. A removal that a peer reports again does not shorten it.

--- a/packages/core/src/bluebellusher_core/directory/_registrations.py
+++ b/packages/core/src/bluebellusher_core/directory/_registrations.py
@@ -17,6 +17,10 @@
 # the store is unavailable. After an outage of the store, a running endpoint registers
 # again within about two seconds.
 EXPIRY_GRACE_MS = 2_000
+# Time that an endpoint stays in use whose registration is missing in a restored store,
+# in ms. Within it, a running endpoint registers again, or an entry notices that the
+# store is unavailable once more, which takes up to 3 s.
+RESTORED_GRACE_MS = 5_000
 # Time from the deregistration of an endpoint until it counts as lost, in ms. It is
 # longer than any request that the endpoint may still be serving.
 DRAIN_TIMEOUT_MS = 30_000
@@ -81,6 +85,8 @@
     _unconfirmed_by_id: dict[str, tuple[EndpointRegistration, int]] = field(
         default_factory=dict
     )
+    # Endpoints in their grace time that cannot register while the store is unavailable.
+    _missing_in_copy: set[str] = field(default_factory=set)
     _store_available_at_ms: int | None = None
     _is_store_unavailable: bool = False
 
@@ -93,6 +99,8 @@
         if self._is_store_unavailable:
             self._is_store_unavailable = False
             self._store_available_at_ms = now_ms
+            for endpoint_id in self._missing_in_copy:
+                self._deregister_at_ms[endpoint_id] = now_ms + RESTORED_GRACE_MS
 
     def update(
         self, changes: Mapping[str, EndpointRegistration | None], now_ms: int
@@ -125,7 +133,8 @@
 
         An endpoint that was draining continues to drain. One that had ended is used
         only if its registration stays for ``RESTORED_CONFIRMATION_MS``, and one whose
-        registration is missing stays in use for ``EXPIRY_GRACE_MS``.
+        registration is missing stays in use until the store has been available for
+        ``RESTORED_GRACE_MS``.
 
         Parameters
         ----------
@@ -150,6 +159,11 @@
             registration.endpoint_id: (registration, confirm_at_ms)
             for registration in unconfirmed
         }
+        for endpoint_id, registration in list(confirmed.items()):
+            if registration is None and endpoint_id in self.registration_by_id:
+                del confirmed[endpoint_id]
+                self._missing_in_copy.add(endpoint_id)
+                self._deregister_at_ms[endpoint_id] = now_ms + RESTORED_GRACE_MS
         return self.update(confirmed, now_ms)
 
     def _has_ended(self, registration: EndpointRegistration) -> bool:
@@ -181,8 +195,10 @@
         }
         events += self.update(confirmed, now_ms)
         for endpoint_id, at_ms in list(self._deregister_at_ms.items()):
-            if at_ms <= now_ms:
-                del self._deregister_at_ms[endpoint_id]
+            is_held = (
+                self._is_store_unavailable and endpoint_id in self._missing_in_copy
+            )
+            if at_ms <= now_ms and not is_held:
                 events += self._drain(endpoint_id, now_ms)
         for endpoint_id, at_ms in list(self._lost_at_ms.items()):
             if at_ms <= now_ms:
@@ -197,7 +213,7 @@
         if previous and registration.started_wall_ms < previous.started_wall_ms:
             # A late write by the previous start of the endpoint.
             return []
-        self._deregister_at_ms.pop(endpoint_id, None)
+        self._end_grace(endpoint_id)
         self._lost_at_ms.pop(endpoint_id, None)
         self._ended_start_by_id.pop(endpoint_id, None)
         self.registration_by_id[endpoint_id] = registration
@@ -236,6 +252,9 @@
         """Drain an endpoint whose registration ended, or start its grace time."""
         if endpoint_id not in self.registration_by_id:
             return []
+        if endpoint_id in self._missing_in_copy:
+            # A peer reports again what the restored store lacks.
+            return []
         grace_end_ms = self._compute_grace_end_ms(now_ms)
         if grace_end_ms > now_ms:
             self._deregister_at_ms[endpoint_id] = grace_end_ms
@@ -254,10 +273,15 @@
             return now_ms
         return self._store_available_at_ms + EXPIRY_GRACE_MS
 
+    def _end_grace(self, endpoint_id: str) -> None:
+        """End the grace time of an endpoint that registered again or is drained."""
+        self._deregister_at_ms.pop(endpoint_id, None)
+        self._missing_in_copy.discard(endpoint_id)
+
     def _drain(self, endpoint_id: str, now_ms: int) -> list[Event]:
         """Remove a registration; its endpoint is lost after ``DRAIN_TIMEOUT_MS``."""
         registration = self.registration_by_id.pop(endpoint_id)
-        self._deregister_at_ms.pop(endpoint_id, None)
+        self._end_grace(endpoint_id)
         self._lost_at_ms[endpoint_id] = now_ms + DRAIN_TIMEOUT_MS
         self._ended_start_by_id[endpoint_id] = registration.started_wall_ms
         if len(self._ended_start_by_id) > N_MAX_ENDED:
--- a/packages/core/src/bluebellusher_core/directory/tests/test_registrations.py
+++ b/packages/core/src/bluebellusher_core/directory/tests/test_registrations.py
@@ -7,6 +7,7 @@
     DRAIN_TIMEOUT_MS,
     EXPIRY_GRACE_MS,
     RESTORED_CONFIRMATION_MS,
+    RESTORED_GRACE_MS,
 )
 from bluebellusher_core.events import (
     EndpointDraining,
@@ -163,11 +164,27 @@
     """Guards against running endpoints that are drained until they register again."""
     registrations = make_registrations()
     assert registrations.update_restored({"x": None}, 5_000) == []
-    assert registrations.tick(5_000 + EXPIRY_GRACE_MS - 1) == []
+    assert registrations.tick(5_000 + RESTORED_GRACE_MS - 1) == []
     assert registrations.update({"x": READY}, 6_000) == []
-    assert registrations.tick(5_000 + EXPIRY_GRACE_MS) == []
+    assert registrations.tick(5_000 + RESTORED_GRACE_MS) == []
     registrations.update_restored({"x": None}, 9_000)
-    assert registrations.tick(9_000 + EXPIRY_GRACE_MS) == [EndpointDraining("x")]
+    assert registrations.tick(9_000 + RESTORED_GRACE_MS) == [EndpointDraining("x")]
+
+
+def test_endpoint_missing_in_a_copy_stays_in_use_during_another_outage():
+    """Guards against running endpoints that are drained between two restorations.
+
+    They cannot register again while the store is unavailable.
+    """
+    registrations = make_registrations()
+    registrations.update_restored({"x": None}, 5_000)
+    assert registrations.update({"x": None}, 6_000) == []
+    registrations.record_store_unavailable()
+    assert registrations.tick(20_000) == []
+    registrations.record_store_available(20_000)
+    assert registrations.tick(20_000 + RESTORED_GRACE_MS - 1) == []
+    events = registrations.tick(20_000 + RESTORED_GRACE_MS)
+    assert events == [EndpointDraining("x")]
 
 
 def test_earlier_start_in_a_restored_store_is_ignored():
--- a/packages/entry/src/bluebellusher/shared/tests/fakes.py
+++ b/packages/entry/src/bluebellusher/shared/tests/fakes.py
@@ -121,6 +121,25 @@
         """Do nothing; there are no connections."""
 
 
+class CutStore:
+    """Access of one entry to a store, which fails while the entry is cut off."""
+
+    def __init__(self, store):
+        self.is_cut = False
+        self._store = store
+
+    async def read_table(self, table):
+        """Return all rows of a table."""
+        return Error(DOWN) if self.is_cut else await self._store.read_table(table)
+
+    async def read_changes(self, table, above_version, wait_ms):
+        """Return the changes above a version."""
+        if self.is_cut:
+            return Error(DOWN)
+        result = await self._store.read_changes(table, above_version, wait_ms)
+        return Error(DOWN) if self.is_cut else result
+
+
 class FakeLog:
     """Log and event sink that collects log lines and events."""
 
--- a/packages/entry/src/bluebellusher/shared/tests/test_restored_store.py
+++ b/packages/entry/src/bluebellusher/shared/tests/test_restored_store.py
@@ -4,11 +4,11 @@
 from random import Random
 
 import pytest
-from expression import Error, Ok
+from expression import Ok
 
 from bluebellusher.ports import TableRows
 from bluebellusher.shared import TableCopy, TableExchange, TableWatcher
-from bluebellusher.shared.tests.fakes import DOWN, FakeLog, FakeStore
+from bluebellusher.shared.tests.fakes import DOWN, CutStore, FakeLog, FakeStore
 from bluebellusher.shared.tests.virtual_time import LoopClock, run_in_virtual_time
 from bluebellusher_core.directory import MirrorRow, TableMirror
 from bluebellusher_core.wire import messages
@@ -182,26 +182,6 @@
     run_in_virtual_time(scenario())
 
 
-class CutStore:
-    """Access of one entry to a store, which fails while the entry is cut off."""
-
-    def __init__(self, store):
-        self.is_cut = False
-        self._store = store
-
-    async def read_table(self, table):
-        """Return all rows of a table."""
-        return DOWN_RESULT if self.is_cut else await self._store.read_table(table)
-
-    async def read_changes(self, table, above_version, wait_ms):
-        """Return the changes above a version."""
-        if self.is_cut:
-            return DOWN_RESULT
-        result = await self._store.read_changes(table, above_version, wait_ms)
-        return DOWN_RESULT if self.is_cut else result
-
-
-DOWN_RESULT = Error(DOWN)
 DIGEST_INTERVAL_S = 0.1
 
 
