Stop using endpoints that a restored store lacks 2 s after its return

The grace time is 2 s again. It ends only once the store has answered after it, so that another outage, in which endpoints cannot register, is not taken for their end. Entries read changes with waits of 0.3 s in the first 4 s after a restoration, and after a later outage, so that this answer comes soon. An entry without the store waits 8 s at most.

--- a/packages/core/src/bluebellusher_core/directory/_registrations.py
+++ b/packages/core/src/bluebellusher_core/directory/_registrations.py
@@ -17,10 +17,9 @@
 # the store is unavailable. After an outage of the store, a running endpoint registers
 # again within about two seconds.
 EXPIRY_GRACE_MS = 2_000
-# Time that an endpoint stays in use whose registration is missing in a restored store,
-# in ms. Within it, a running endpoint registers again, or an entry notices that the
-# store is unavailable once more, which takes up to 3 s.
-RESTORED_GRACE_MS = 5_000
+# Upper bound of the time by which the grace time of an endpoint that a restored store
+# lacks is exceeded while the store does not answer, in ms.
+MAX_UNCONFIRMED_MS = 8_000
 # Time from the deregistration of an endpoint until it counts as lost, in ms. It is
 # longer than any request that the endpoint may still be serving.
 DRAIN_TIMEOUT_MS = 30_000
@@ -85,7 +84,7 @@
     _unconfirmed_by_id: dict[str, tuple[EndpointRegistration, int]] = field(
         default_factory=dict
     )
-    # Endpoints in their grace time that cannot register while the store is unavailable.
+    # Endpoints that a restored store lacks, in their grace time.
     _missing_in_copy: set[str] = field(default_factory=set)
     _store_available_at_ms: int | None = None
     _is_store_unavailable: bool = False
@@ -100,7 +99,7 @@
             self._is_store_unavailable = False
             self._store_available_at_ms = now_ms
             for endpoint_id in self._missing_in_copy:
-                self._deregister_at_ms[endpoint_id] = now_ms + RESTORED_GRACE_MS
+                self._deregister_at_ms[endpoint_id] = now_ms + EXPIRY_GRACE_MS
 
     def update(
         self, changes: Mapping[str, EndpointRegistration | None], now_ms: int
@@ -133,8 +132,8 @@
 
         An endpoint that was draining continues to drain. One that had ended is used
         only if its registration stays for ``RESTORED_CONFIRMATION_MS``, and one whose
-        registration is missing stays in use until the store has been available for
-        ``RESTORED_GRACE_MS``.
+        registration is missing stays in use for ``EXPIRY_GRACE_MS``, and until the
+        store has answered after that.
 
         Parameters
         ----------
@@ -163,7 +162,7 @@
             if registration is None and endpoint_id in self.registration_by_id:
                 del confirmed[endpoint_id]
                 self._missing_in_copy.add(endpoint_id)
-                self._deregister_at_ms[endpoint_id] = now_ms + RESTORED_GRACE_MS
+                self._deregister_at_ms[endpoint_id] = now_ms + EXPIRY_GRACE_MS
         return self.update(confirmed, now_ms)
 
     def _has_ended(self, registration: EndpointRegistration) -> bool:
@@ -185,8 +184,18 @@
             and known.started_wall_ms == registration.started_wall_ms
         )
 
-    def tick(self, now_ms: int) -> list[Event]:
-        """Return the events of grace, drain and confirmation times that have ended."""
+    def tick(self, now_ms: int, store_answered_at_ms: int | None = None) -> list[Event]:
+        """Return the events of grace, drain and confirmation times that have ended.
+
+        Parameters
+        ----------
+        now_ms : int
+            Monotonic time, in ms.
+        store_answered_at_ms : int or None
+            Time of the store's last answer about registrations; None stands for now.
+        """
+        if store_answered_at_ms is None:
+            store_answered_at_ms = now_ms
         events: list[Event] = []
         confirmed = {
             endpoint_id: registration
@@ -195,10 +204,9 @@
         }
         events += self.update(confirmed, now_ms)
         for endpoint_id, at_ms in list(self._deregister_at_ms.items()):
-            is_held = (
-                self._is_store_unavailable and endpoint_id in self._missing_in_copy
-            )
-            if at_ms <= now_ms and not is_held:
+            if endpoint_id in self._missing_in_copy and store_answered_at_ms < at_ms:
+                at_ms += MAX_UNCONFIRMED_MS
+            if at_ms <= now_ms:
                 events += self._drain(endpoint_id, now_ms)
         for endpoint_id, at_ms in list(self._lost_at_ms.items()):
             if at_ms <= now_ms:
--- a/packages/core/src/bluebellusher_core/directory/tests/test_registrations.py
+++ b/packages/core/src/bluebellusher_core/directory/tests/test_registrations.py
@@ -6,8 +6,8 @@
 from bluebellusher_core.directory._registrations import (
     DRAIN_TIMEOUT_MS,
     EXPIRY_GRACE_MS,
+    MAX_UNCONFIRMED_MS,
     RESTORED_CONFIRMATION_MS,
-    RESTORED_GRACE_MS,
 )
 from bluebellusher_core.events import (
     EndpointDraining,
@@ -164,26 +164,38 @@
     """Guards against running endpoints that are drained until they register again."""
     registrations = make_registrations()
     assert registrations.update_restored({"x": None}, 5_000) == []
-    assert registrations.tick(5_000 + RESTORED_GRACE_MS - 1) == []
+    assert registrations.tick(5_000 + EXPIRY_GRACE_MS - 1) == []
     assert registrations.update({"x": READY}, 6_000) == []
-    assert registrations.tick(5_000 + RESTORED_GRACE_MS) == []
+    assert registrations.tick(5_000 + EXPIRY_GRACE_MS) == []
     registrations.update_restored({"x": None}, 9_000)
-    assert registrations.tick(9_000 + RESTORED_GRACE_MS) == [EndpointDraining("x")]
+    assert registrations.tick(9_000 + EXPIRY_GRACE_MS) == [EndpointDraining("x")]
 
 
 def test_endpoint_missing_in_a_copy_stays_in_use_during_another_outage():
     """Guards against running endpoints that are drained between two restorations.
 
-    They cannot register again while the store is unavailable.
+    They cannot register again while the store is unavailable, which an entry may notice
+    only after their grace time.
     """
     registrations = make_registrations()
     registrations.update_restored({"x": None}, 5_000)
     assert registrations.update({"x": None}, 6_000) == []
+    assert registrations.tick(8_000, store_answered_at_ms=6_900) == []
     registrations.record_store_unavailable()
-    assert registrations.tick(20_000) == []
-    registrations.record_store_available(20_000)
-    assert registrations.tick(20_000 + RESTORED_GRACE_MS - 1) == []
-    events = registrations.tick(20_000 + RESTORED_GRACE_MS)
+    registrations.record_store_available(12_000)
+    end_ms = 12_000 + EXPIRY_GRACE_MS
+    assert registrations.tick(end_ms, store_answered_at_ms=end_ms - 1) == []
+    events = registrations.tick(end_ms, store_answered_at_ms=end_ms)
+    assert events == [EndpointDraining("x")]
+
+
+def test_endpoint_missing_in_a_copy_is_drained_although_the_store_is_silent():
+    """Guards against ended endpoints that an entry without the store uses for good."""
+    registrations = make_registrations()
+    registrations.update_restored({"x": None}, 5_000)
+    end_ms = 5_000 + EXPIRY_GRACE_MS + MAX_UNCONFIRMED_MS
+    assert registrations.tick(end_ms - 1, store_answered_at_ms=5_000) == []
+    events = registrations.tick(end_ms, store_answered_at_ms=5_000)
     assert events == [EndpointDraining("x")]
 
 
--- a/packages/entry/src/bluebellusher/gateway/_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -447,7 +447,7 @@
         """Run the periodic work of the peer exchange, tables and directory."""
         self.peer_exchange.tick(now_ms)
         self.tables.tick(now_ms)
-        self.directory.tick(now_ms)
+        self.directory.tick(now_ms, self.registration_watcher.store_answered_at_ms)
         n_entries = 1 + len(self.peers.connections_by_peer_id)
         if n_entries > self._n_entries:
             # The number never decreases, because an entry that has lost its
--- a/packages/entry/src/bluebellusher/shared/_directory.py
+++ b/packages/entry/src/bluebellusher/shared/_directory.py
@@ -172,15 +172,17 @@
         else:
             self.registrations.record_store_unavailable()
 
-    def tick(self, now_ms: int) -> None:
+    def tick(self, now_ms: int, store_answered_at_ms: int) -> None:
         """Post the events of grace times and drain times that have ended.
 
         Parameters
         ----------
         now_ms : int
             Monotonic time, in ms.
+        store_answered_at_ms : int
+            Time of the store's last answer about registrations.
         """
-        self._log_and_post(self.registrations.tick(now_ms))
+        self._log_and_post(self.registrations.tick(now_ms, store_answered_at_ms))
 
     def _age_ms(self, started_wall_ms: int) -> int:
         """Return the time since an endpoint started, in ms.
--- a/packages/entry/src/bluebellusher/shared/_watcher.py
+++ b/packages/entry/src/bluebellusher/shared/_watcher.py
@@ -15,6 +15,10 @@
 # swallow the call, and the entry then receives no changes until the call's timeout. A
 # change must be in force 3 s after the outage. A shorter wait requires more calls.
 CHANGES_WAIT_MS = 2_000
+# The same, in the first seconds after the store was restored. Another outage must then
+# be noticed before the grace time of endpoints ends that have not registered again.
+RESTORED_WAIT_MS = 300
+RESTORED_PERIOD_MS = 4_000
 # Bounds of the delay before a failed call is retried, in ms.
 FIRST_BACKOFF_MS = 50
 MAX_BACKOFF_MS = 500
@@ -75,6 +79,8 @@
         self._wait_ms = wait_ms
         self._needs_snapshot = True
         self._n_failures = 0
+        self._watched_epoch: int | None = None
+        self._restored_at_ms: int | None = None
 
     async def run(self) -> None:
         """Read the table and its changes until cancelled."""
@@ -99,10 +105,22 @@
         """
         if self._needs_snapshot:
             return await self._store.read_table(self.mirror.table)
-        wait_ms = 0 if self._n_failures else self._wait_ms
+        wait_ms = 0 if self._n_failures else self._choose_wait_ms()
         version = self.mirror.version
         return await self._store.read_changes(self.mirror.table, version, wait_ms)
 
+    def _choose_wait_ms(self) -> int:
+        """Return the time for which the store waits for a change, in ms."""
+        now_ms = self._clock.now_ms()
+        if self.mirror.store_epoch != self._watched_epoch:
+            is_first = self._watched_epoch is None
+            self._watched_epoch = self.mirror.store_epoch
+            self._restored_at_ms = None if is_first else now_ms
+        if self._restored_at_ms is None:
+            return self._wait_ms
+        is_recent = now_ms - self._restored_at_ms < RESTORED_PERIOD_MS
+        return min(self._wait_ms, RESTORED_WAIT_MS) if is_recent else self._wait_ms
+
     def _make_outdated_error(self, table_rows: TableRows) -> StoreError:
         """Return the error for an answer from before the restoration of the store."""
         reason = (
@@ -168,6 +186,9 @@
         self._n_failures = 0
         if not self.is_store_available:
             self.is_store_available = True
+            if self._restored_at_ms is not None:
+                # Endpoints that a restored store lacked can register again only now.
+                self._restored_at_ms = self.store_answered_at_ms
             version = self.mirror.version
             self._log.log("store-regained", table=self.mirror.table, version=version)
             self._on_availability_change(True)
--- a/packages/entry/src/bluebellusher/shared/tests/test_restored_entries.py
+++ b/packages/entry/src/bluebellusher/shared/tests/test_restored_entries.py
@@ -23,7 +23,7 @@
 HEARTBEAT_S = 1.2
 REGISTRATION_TTL_S = 3.6
 # Time for which an endpoint serves after its shutdown was announced, in s.
-LEAVE_S = 6.0
+LEAVE_S = 12.0
 CHECK_INTERVAL_S = 0.05
 DIGEST_INTERVAL_S = 0.2
 
@@ -49,6 +49,7 @@
         self.endpoint_id = endpoint_id
         self.port = port
         self.is_draining = False
+        self.is_unregistered = False
         self.started_ms = LoopClock().now_ms()
         self.ready_at_s = None
         self.left_at_s = None
@@ -56,10 +57,13 @@
         self.task = asyncio.create_task(self._run())
 
     def write(self):
-        """Write the registration if the store answers."""
+        """Write the registration, or its removal, if the store answers."""
         store, now_s = self._world.store, self._world.now_s()
         if store.fault is not None:
             return
+        if self.is_unregistered:
+            self._remove()
+            return
         fields = {
             "service_id": "s",
             "host": "h",
@@ -88,6 +92,24 @@
         """Announce the shutdown, and end later."""
         self.is_draining = True
         self.write()
+        self._end_later()
+
+    def unregister(self):
+        """Remove the registration without having announced the shutdown."""
+        if self._world.store.fault is None:
+            self.is_unregistered = self.is_draining = True
+            self.left_at_s = self._world.now_s()
+            self._remove()
+            self._end_later()
+
+    def _remove(self):
+        """Remove the registration unless the store lacks it."""
+        store = self._world.store
+        row = store.rows_by_table.get("servers", {}).get(self.endpoint_id)
+        if row is not None and not row.is_removed:
+            store.put("servers", self.endpoint_id, b"", is_removed=True)
+
+    def _end_later(self):
         asyncio.get_running_loop().call_later(LEAVE_S, self.task.cancel)
 
 
@@ -127,6 +149,7 @@
             Random(len(self.world.entries)),
             self.log,
         )
+        self.registration_watcher = watcher
         self.exchange.add(copy, lambda: watcher.is_store_available, retained)
         return asyncio.create_task(watcher.run())
 
@@ -212,7 +235,8 @@
             now_ms = LoopClock().now_ms()
             for entry in list(self.entries.values()):
                 entry.exchange.tick(now_ms)
-                entry.directory.tick(now_ms)
+                answered_at_ms = entry.registration_watcher.store_answered_at_ms
+                entry.directory.tick(now_ms, answered_at_ms)
                 for peer_id in self.entries:
                     if peer_id != entry.entry_id:
                         entry.send(peer_id, entry.make_digest())
@@ -279,8 +303,9 @@
         """Let an endpoint drain, crash or restart, and start another at its port."""
         running = [e for e in self.endpoints if not e.task.done() and not e.is_draining]
         endpoint = self.random.choice(running)
-        if self.random.random() < 0.5:
-            endpoint.drain()
+        change = self.random.choice(["drain", "unregister", "crash"])
+        if change != "crash":
+            endpoint.drain() if change == "drain" else endpoint.unregister()
             self.start_endpoint(len(self.endpoints))
             return
         endpoint.task.cancel()
