--- a/packages/core/src/bluebellusher_core/directory/_registrations.py
+++ b/packages/core/src/bluebellusher_core/directory/_registrations.py
@@ -85,7 +85,7 @@
         default_factory=dict
     )
     # Endpoints that a restored store lacks, in their grace time.
-    _missing_in_copy: set[str] = field(default_factory=set)
+    _missing_since_restoration: set[str] = field(default_factory=set)
     _store_available_at_ms: int | None = None
     _is_store_unavailable: bool = False
 
@@ -98,7 +98,7 @@
         if self._is_store_unavailable:
             self._is_store_unavailable = False
             self._store_available_at_ms = now_ms
-            for endpoint_id in self._missing_in_copy:
+            for endpoint_id in self._missing_since_restoration:
                 self._deregister_at_ms[endpoint_id] = now_ms + EXPIRY_GRACE_MS
 
     def update(
@@ -144,26 +144,26 @@
             Monotonic time, in ms.
         """
         self._store_available_at_ms = now_ms
-        confirmed: dict[str, EndpointRegistration | None] = {}
-        unconfirmed = [
-            registration for registration, _ in self._unconfirmed_by_id.values()
-        ]
-        for endpoint_id, registration in changes.items():
-            if registration is not None and self._has_ended(registration):
-                unconfirmed.append(registration)
-            elif registration is None or not self._is_known_draining(registration):
-                confirmed[endpoint_id] = registration
         confirm_at_ms = now_ms + RESTORED_CONFIRMATION_MS
-        self._unconfirmed_by_id = {
-            registration.endpoint_id: (registration, confirm_at_ms)
-            for registration in unconfirmed
-        }
-        for endpoint_id, registration in list(confirmed.items()):
-            if registration is None and endpoint_id in self.registration_by_id:
-                del confirmed[endpoint_id]
-                self._missing_in_copy.add(endpoint_id)
-                self._deregister_at_ms[endpoint_id] = now_ms + EXPIRY_GRACE_MS
-        return self.update(confirmed, now_ms)
+        for endpoint_id, (registration, _) in self._unconfirmed_by_id.items():
+            # The store removes the registration later than after one restoration.
+            self._unconfirmed_by_id[endpoint_id] = (registration, confirm_at_ms)
+        registered: dict[str, EndpointRegistration | None] = {}
+        for endpoint_id, change in changes.items():
+            if change is None:
+                self._keep_missing(endpoint_id, now_ms)
+            elif self._has_ended(change):
+                self._unconfirmed_by_id[endpoint_id] = (change, confirm_at_ms)
+            elif not self._is_known_draining(change):
+                registered[endpoint_id] = change
+        return self.update(registered, now_ms)
+
+    def _keep_missing(self, endpoint_id: str, now_ms: int) -> None:
+        """Keep an endpoint in use, if it is, whose registration the store lacks."""
+        self._unconfirmed_by_id.pop(endpoint_id, None)
+        if endpoint_id in self.registration_by_id:
+            self._missing_since_restoration.add(endpoint_id)
+            self._deregister_at_ms[endpoint_id] = now_ms + EXPIRY_GRACE_MS
 
     def _has_ended(self, registration: EndpointRegistration) -> bool:
         """Return whether this start ended, or its address was taken over, before."""
@@ -204,7 +204,8 @@
         }
         events += self.update(confirmed, now_ms)
         for endpoint_id, at_ms in list(self._deregister_at_ms.items()):
-            if endpoint_id in self._missing_in_copy and store_answered_at_ms < at_ms:
+            is_confirmed = store_answered_at_ms >= at_ms
+            if endpoint_id in self._missing_since_restoration and not is_confirmed:
                 at_ms += MAX_UNCONFIRMED_MS
             if at_ms <= now_ms:
                 events += self._drain(endpoint_id, now_ms)
@@ -260,7 +261,7 @@
         """Drain an endpoint whose registration ended, or start its grace time."""
         if endpoint_id not in self.registration_by_id:
             return []
-        if endpoint_id in self._missing_in_copy:
+        if endpoint_id in self._missing_since_restoration:
             # A peer reports again what the restored store lacks.
             return []
         grace_end_ms = self._compute_grace_end_ms(now_ms)
@@ -284,7 +285,7 @@
     def _end_grace(self, endpoint_id: str) -> None:
         """End the grace time of an endpoint that registered again or is drained."""
         self._deregister_at_ms.pop(endpoint_id, None)
-        self._missing_in_copy.discard(endpoint_id)
+        self._missing_since_restoration.discard(endpoint_id)
 
     def _drain(self, endpoint_id: str, now_ms: int) -> list[Event]:
         """Remove a registration; its endpoint is lost after ``DRAIN_TIMEOUT_MS``."""
--- a/packages/entry/src/bluebellusher/shared/_watcher.py
+++ b/packages/entry/src/bluebellusher/shared/_watcher.py
@@ -85,6 +85,7 @@
     async def run(self) -> None:
         """Read the table and its changes until cancelled."""
         while True:
+            self._record_store_epoch()
             asked_epoch = self.mirror.store_epoch
             result = await self._read()
             match result:
@@ -111,16 +112,19 @@
 
     def _choose_wait_ms(self) -> int:
         """Return the time for which the store waits for a change, in ms."""
-        now_ms = self._clock.now_ms()
-        if self.mirror.store_epoch != self._watched_epoch:
-            is_first = self._watched_epoch is None
-            self._watched_epoch = self.mirror.store_epoch
-            self._restored_at_ms = None if is_first else now_ms
         if self._restored_at_ms is None:
             return self._wait_ms
-        is_recent = now_ms - self._restored_at_ms < RESTORED_PERIOD_MS
+        is_recent = self._clock.now_ms() - self._restored_at_ms < RESTORED_PERIOD_MS
         return min(self._wait_ms, RESTORED_WAIT_MS) if is_recent else self._wait_ms
 
+    def _record_store_epoch(self) -> None:
+        """Record a restoration that the store or a peer has reported to the copy."""
+        if not self.mirror.version or self.mirror.store_epoch == self._watched_epoch:
+            return
+        if self._watched_epoch is not None:
+            self._restored_at_ms = self._clock.now_ms()
+        self._watched_epoch = self.mirror.store_epoch
+
     def _make_outdated_error(self, table_rows: TableRows) -> StoreError:
         """Return the error for an answer from before the restoration of the store."""
         reason = (
