Get the configuration in force also from a peer that the store refuses

A peer whose copy is still from before the restoration has the configuration in force in that copy, so that it did not send it as a retained row, and its copy is ignored. An entry that started after the restoration then used a lower configuration until the operator or the peer reached the store. The test failed before.

--- a/packages/entry/src/bluebellusher/shared/_directory.py
+++ b/packages/entry/src/bluebellusher/shared/_directory.py
@@ -11,7 +11,6 @@
     MirrorRow,
     Registrations,
     RoutingTable,
-    TableMirror,
 )
 from bluebellusher_core.events import (
     EndpointDraining,
@@ -52,7 +51,7 @@
         log: LogSink,
     ) -> None:
         self.routing: RoutingTable | None = None
-        self.routing_row: MirrorRow | None = None
+        self.row_in_force: MirrorRow | None = None
         self.routing_applied_at_ms = 0
         self.registrations = Registrations()
         self.on_endpoints_changed: Callable[[], None] | None = None
@@ -98,7 +97,7 @@
             self._put_in_force(table, row)
 
     def _put_in_force(self, table: RoutingTable, row: MirrorRow) -> None:
-        self.routing, self.routing_row = table, row
+        self.routing, self.row_in_force = table, row
         self.routing_applied_at_ms = self._clock.now_ms()
         self._log.log(
             "configuration-in-force",
@@ -113,18 +112,6 @@
         """Version of the configuration in force; 0 when there is none."""
         return self.routing.version if self.routing else 0
 
-    def find_retained_row(self, mirror: TableMirror) -> MirrorRow | None:
-        """Return the row of the configuration in force if ``mirror`` has another one.
-
-        That is so while a store that was restored from an earlier copy lacks the
-        configuration, until the operator writes it again.
-        """
-        stored_row = mirror.row_by_key.get(self._codec.routing_key)
-        row = self.routing_row
-        if row is None or (stored_row and stored_row.value == row.value):
-            return None
-        return row
-
     def apply_retained_row(self, row: MirrorRow) -> None:
         """Put the configuration in force that a peer has and the store lacks."""
         table = self._codec.read_routing(row.value)
--- a/packages/entry/src/bluebellusher/shared/_peers.py
+++ b/packages/entry/src/bluebellusher/shared/_peers.py
@@ -14,7 +14,7 @@
 from bluebellusher.links import PeerLinks
 from bluebellusher.shared._copy import TableCopy
 from bluebellusher_core.clock import Clock
-from bluebellusher_core.directory import MirrorRow, TableMirror
+from bluebellusher_core.directory import MirrorRow
 from bluebellusher_core.wire import messages
 
 # Interval at which a row that the restored store lacks is requested from peers, in ms.
@@ -32,13 +32,12 @@
     An entry that starts before the row is written again gets it from its peers.
     """
 
+    row_in_force: MirrorRow | None
+
     @property
     def version_in_force(self) -> int:
         """Version of the row's content, which rises across store epochs."""
 
-    def find_retained_row(self, mirror: TableMirror) -> MirrorRow | None:
-        """Return the row in force, or None if the copy of the table contains it."""
-
     def apply_retained_row(self, row: MirrorRow) -> None:
         """Put a peer's row in force if its content has a higher version."""
 
@@ -49,7 +48,9 @@
 
     ``latest_peer_position`` is that position, ``latest_peer_id`` the peer that changes
     are requested from, and ``outdated_since_ms`` the monotonic time, in ms, at which a
-    peer first reported a position above the one of the copy.
+    peer first reported a position above the one of the copy. ``retained`` is the row
+    that stays in force across restorations, and ``retained_requested_at_ms`` the time
+    at which it was last requested.
     """
 
     copy: TableCopy
@@ -183,20 +184,26 @@
         self._links.send(peer_id, pull)
 
     def on_pull(self, peer_id: str, pull: Any) -> None:
-        """Send a peer the changes that it requested, or all rows of a later epoch."""
+        """Send a peer the changes that it requested, or all rows of a later epoch.
+
+        A peer whose copy is of a later epoch gets only the row in force.
+        """
         shared = self._shared_by_table.get(pull.table)
         if shared is None:
             return
         mirror = shared.copy.mirror
-        is_same_epoch = (pull.store_epoch or 0) == mirror.store_epoch
+        peer_epoch = pull.store_epoch or 0
+        is_same_epoch = peer_epoch == mirror.store_epoch
         above_version = (pull.above_version or 0) if is_same_epoch else 0
+        is_useful = peer_epoch <= mirror.store_epoch
+        rows = mirror.changes_since(above_version) if is_useful else []
         delta = messages.TableDelta(
             table=pull.table,
             above_version=above_version,
             version=mirror.version,
-            rows=[_to_message(row) for row in mirror.changes_since(above_version)],
+            rows=[_to_message(row) for row in rows],
             store_epoch=mirror.store_epoch,
-            retained_rows=_find_retained_rows(shared),
+            retained_rows=_find_retained_rows(shared, peer_epoch),
         )
         self._links.send(peer_id, delta)
 
@@ -232,12 +239,21 @@
     }
 
 
-def _find_retained_rows(shared: _SharedTable) -> list[Any]:
-    """Return, as messages, the rows in force that the copy of the table lacks."""
-    if shared.retained is None:
+def _find_retained_rows(shared: _SharedTable, peer_epoch: int) -> list[Any]:
+    """Return, as messages, the row in force if the peer may not get it otherwise.
+
+    That is so if the copy of the table lacks the row, or is of an earlier epoch than
+    that of the peer.
+    """
+    row = shared.retained.row_in_force if shared.retained is not None else None
+    if row is None:
+        return []
+    mirror = shared.copy.mirror
+    stored_row = mirror.row_by_key.get(row.key)
+    is_stored = stored_row is not None and stored_row.value == row.value
+    if is_stored and peer_epoch <= mirror.store_epoch:
         return []
-    row = shared.retained.find_retained_row(shared.copy.mirror)
-    return [] if row is None else [_to_message(row)]
+    return [_to_message(row)]
 
 
 def _to_message(row: MirrorRow) -> Any:
--- a/packages/entry/src/bluebellusher/shared/tests/test_shared.py
+++ b/packages/entry/src/bluebellusher/shared/tests/test_shared.py
@@ -263,7 +263,19 @@
     written_again = MirrorRow("config", 7, b"13")
     for entry in (old, new):
         entry.copy.apply([written_again], 7)
-        assert entry.directory.find_retained_row(entry.mirror) is None
+        assert entry.directory.version_in_force == 13
+
+
+def test_entry_gets_the_configuration_from_a_peer_that_the_store_refuses():
+    """Guards against a lower configuration beside a peer before the restoration."""
+    network, clock = FakeNetwork(), ManualClock()
+    old = SharedDirectory(network, "old", clock)
+    old.copy.apply([MirrorRow("config", 8, b"13")], 9)
+    new = SharedDirectory(network, "new", clock)
+    new.copy.replace([MirrorRow("config", 5, b"10")], 6, 1)
+    new.exchange.on_digest("old", old.make_digest())
+    assert new.directory.version_in_force == 13
+    assert new.mirror.position == (1, 6)
 
 
 def test_configuration_that_an_entry_cannot_read_is_not_requested_all_the_time():
