Keep fencing tokens within 43 bits for any store epoch

A map version of 63 bits contains the token of its leader. The test failed before. Tokens use the epoch modulo 2^27; across a wrap they still increase, because agents and the row report the highest one.

--- a/packages/core/src/bluebellusher_core/lease/_tracker.py
+++ b/packages/core/src/bluebellusher_core/lease/_tracker.py
@@ -7,8 +7,10 @@
 # Margin for clocks that run at different rates: 1 s in a term of 10 s allows for a
 # difference of 10%.
 GUARD_MS = 1_000
-# Tokens of each store epoch. A map version contains a token and has 63 bits.
+# Tokens of each store epoch, and number of epochs with different tokens. Together they
+# have 43 bits, because a map version of 63 bits contains a token and 20 other bits.
 TOKENS_PER_STORE_EPOCH = 2**16
+N_TOKEN_EPOCHS = 2**27
 
 
 @dataclass(frozen=True, slots=True)
@@ -241,7 +243,11 @@
         The holder may then be any entry, because the row was lost or is an earlier one.
         """
         token = self._row.fencing_token if self._row is not None else 0
-        return token // TOKENS_PER_STORE_EPOCH < self._store_epoch
+        return token < self._first_token_of_epoch()
+
+    def _first_token_of_epoch(self) -> int:
+        """Return the number above which the tokens of the store epoch are."""
+        return self._store_epoch % N_TOKEN_EPOCHS * TOKENS_PER_STORE_EPOCH
 
     def next_acquire_ms(self, now_ms: int) -> int | None:
         """Return the time until this entry may acquire the lease, in ms.
@@ -255,8 +261,8 @@
     def _row_to_acquire(self) -> LeaseRow:
         """Return a row that acquires the lease with a new, higher token."""
         last_token = self._row.fencing_token if self._row else 0
-        epoch_token = self._store_epoch * TOKENS_PER_STORE_EPOCH
-        token = max(last_token, self._highest_recorded_token, epoch_token) + 1
+        first_token = self._first_token_of_epoch()
+        token = max(last_token, self._highest_recorded_token, first_token) + 1
         self._n_acquisitions_planned += 1
         return LeaseRow(self._holder_id, token, self._n_acquisitions_planned)
 
--- a/packages/core/src/bluebellusher_core/lease/tests/test_lease_restart.py
+++ b/packages/core/src/bluebellusher_core/lease/tests/test_lease_restart.py
@@ -76,3 +76,12 @@
     tracker.write_succeeded(write, row_version=2, now_ms=4)
     assert tracker.held_token(now_ms=5) == 58
     assert tracker.plan_write(now_ms=6) is None
+
+
+def test_token_fits_into_a_map_version_for_any_store_epoch():
+    """Guards against orders that cannot be encoded because their token is too high."""
+    for store_epoch in (1, 1_790_000_000, 2**63 - 1):
+        tracker = LeaseTracker("maps", "entry-1/7")
+        tracker.observe(0, None, now_ms=0, store_epoch=store_epoch)
+        write = tracker.plan_write(now_ms=TERM_MS + GUARD_MS)
+        assert 0 < write.row.fencing_token < 2**43
