--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -29,6 +29,7 @@
 KEY = "n2ctnfzs989anu6wsjnb"
 TENANT = "hule930"
 READY_S = 30.0
+METRICS_PORT = 9100
 EXIT_BROKEN, EXIT_HELD, EXIT_NOT_RUN = 1, 0, 2
 BOUNDS = {
     "retry_budget_ratio": 0.2,
@@ -76,6 +77,7 @@
     ) -> None:
         self.deployment = deployment
         self.role, self.name, self.host = role, name, host
+        self.metrics_port, self.agent_port = find_port(host), find_port(host)
         self.process: asyncio.subprocess.Process | None = None
         self.log_path = deployment.folder / f"{name}.log"
         self.settings_path = deployment.folder / f"{name}.conf"
@@ -84,6 +86,8 @@
         """Write the settings and start the process."""
         role = self.deployment.deploy["roles"][self.role]
         template = (ROOT / role["template"]).read_text()
+        # The templates name the port of the metrics, which may be in use here.
+        template = template.replace(f":{METRICS_PORT}", f":{self.metrics_port}")
         self.settings_path.write_text(_fill(template, self._fields()))
         command = role["run"].split()
         command[0] = sys.executable
@@ -104,7 +108,7 @@
             "node_name": self.name,
             "zone": "z1",
             "ip": self.host,
-            "internal_ports": [7340, 7355],
+            "internal_ports": [self.agent_port, self.agent_port],
             "bounds": BOUNDS,
         }
 
