--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,6 +1,7 @@
 """A request that may not be repeated runs twice when its answer is lost."""
 
 import asyncio
+import os
 import pathlib
 import sys
 from collections import Counter
@@ -81,4 +82,5 @@
         await deployment.stop()
 
 
-run_case(play, FOLDER)
+# TROUBLE=0 plays the case without its disruption.
+run_case(play, FOLDER, os.environ.get("TROUBLE", "1") != "0")
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -366,14 +366,16 @@
 
 
 def run_case(
-    case: Callable[[Record, bool], Awaitable[bool]], folder: pathlib.Path
+    case: Callable[[Record, bool], Awaitable[bool]],
+    folder: pathlib.Path,
+    is_troubled: bool,
 ) -> None:
     """Run a case and exit: 1 if the rule was broken, 0 if it held, 2 if it can't run.
 
     The case gets whether the disruption is played, and returns whether the rule held.
     """
     record = Record(folder / "record.txt")
-    is_troubled = os.environ.get("TROUBLE", "1") != "0"
+    record.write("case", case=folder.name, is_troubled=is_troubled)
 
     async def run() -> bool:
         async with asyncio.timeout(115):
