Send each attempt to an endpoint once, whatever its method

On idempotent routes the repeat was in no log line and not charged to the retry budget.

Cause: aiohttp repeats a request by itself when its connection fails before the head of the answer is complete and its method is GET, HEAD, OPTIONS, TRACE, PUT or DELETE. The reducer decides by the kind of the route, the library below it by the method. An error of the connection of the repeat then looked like proof that the request was not sent.

Evidence: the entry's log has one attempt-sent and one attempt-finished where the endpoint has two arrivals; POST, PATCH and PROPFIND run once in the same cases.

Sessions of open_session replace the errors that lead to the repeat by ConnectionLostError in a middleware, the documented extension point. One connection is made for each request, so that a failed one proves again that nothing was sent. The log line attempt-broken still names the original error.

--- a/packages/entry/src/bluebellusher/gateway/_attempts.py
+++ b/packages/entry/src/bluebellusher/gateway/_attempts.py
@@ -14,12 +14,15 @@
 from yarl import URL
 
 from bluebellusher.links import (
+    NOT_CONNECTED_ERRORS,
     AnswerStream,
     BoundedResponse,
+    ConnectionLostError,
     EventReader,
     EventSink,
     is_listening,
     make_keepalive_socket,
+    open_session,
 )
 from bluebellusher.observability import Metrics, Tracer
 from bluebellusher.ports import AnswerFields, AttemptFields, Dialect
@@ -183,7 +186,7 @@
         connector = aiohttp.TCPConnector(
             limit=0, force_close=True, socket_factory=make_keepalive_socket
         )
-        self._session = aiohttp.ClientSession(
+        self._session = open_session(
             connector=connector,
             response_class=BoundedResponse,
             cookie_jar=aiohttp.DummyCookieJar(),
@@ -318,7 +321,7 @@
         """Send an attempt and post the event that ends it, also after an error."""
         try:
             event = await self._send_and_relay(attempt)
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+        except NOT_CONNECTED_ERRORS as error:
             reason = _choose_connect_reason(error)
             self._log(
                 "attempt-not-connected",
@@ -330,6 +333,9 @@
         except _BrokenAttemptError as error:
             self._log("attempt-broken", attempt, error=str(error))
             event = self._make_broken(attempt, error.reason)
+        except ConnectionLostError as error:
+            self._log("attempt-broken", attempt, error=str(error))
+            event = self._make_broken(attempt, Reason.CONNECTION_LOST)
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             self._log("attempt-broken", attempt, error=f"{type(error).__name__}")
             event = self._make_broken(attempt, Reason.CONNECTION_LOST)
--- a/packages/entry/src/bluebellusher/links/__init__.py
+++ b/packages/entry/src/bluebellusher/links/__init__.py
@@ -15,16 +15,23 @@
     EventReader,
     read_response_body,
 )
+from bluebellusher.links._sessions import (
+    NOT_CONNECTED_ERRORS,
+    ConnectionLostError,
+    open_session,
+)
 from bluebellusher.links._sockets import is_listening, make_keepalive_socket
 from bluebellusher.links._sse import EventSplitter
 from bluebellusher.links._ticker import LinkTicker
 
 __all__ = [
     "CONNECTION_HEADERS",
+    "NOT_CONNECTED_ERRORS",
     "AgentLinks",
     "AnswerStream",
     "AttemptRelay",
     "BoundedResponse",
+    "ConnectionLostError",
     "Dialer",
     "EventReader",
     "EventSink",
@@ -36,5 +43,6 @@
     "PeerLinks",
     "is_listening",
     "make_keepalive_socket",
+    "open_session",
     "read_response_body",
 ]
