Send each write to the platform once, and follow no redirect

Operators and entries could take a write for not done although it took effect: an object (PUT) whose answer was lost was written again by aiohttp, and a closed port or a 503 at the repeat gave PlatformNotDoneError. A redirect sent writes (POST and PUT) a second time, with the same effect when its target was closed.

An error of a later exchange was taken for proof that the first one had no effect.

All clients use open_session now and follow no redirect. Reads of the platform and the store may be repeated once as before, now as a setting of the session: they have no effect, and these servers close idle connections.

That the operator's commands follow no redirect has no test.

--- a/deploy/tests/test_store.py
+++ b/deploy/tests/test_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import functools
 import json
 
 import pytest
@@ -192,11 +193,43 @@
         store.fault = drop_connection
         error = (await client.write_row(RowWrite("leases", "a", b"", 0))).error
         assert error.may_have_run
+        assert len(store.queries) == 1
         assert not (await client.read_table("op")).is_ok()
 
     run_scenario(scenario)
 
 
+def test_redirected_write_is_sent_once_and_may_have_run():
+    """Guards against a write that a redirect sends a second time."""
+
+    async def redirect(request):
+        raise web.HTTPTemporaryRedirect("/elsewhere")
+
+    async def scenario(client, store):
+        store.fault = redirect
+        error = (await client.write_row(RowWrite("leases", "a", b"", 0))).error
+        assert error.may_have_run
+        assert len(store.queries) == 1
+
+    run_scenario(scenario)
+
+
+def test_read_is_repeated_once_after_a_closed_connection():
+    """Guards against a store that counts as lost when it closes one connection."""
+
+    async def close_first_connection(store, request):
+        if len(store.queries) == 1:
+            request.transport.abort()
+        return web.json_response({"rows": [], "schema_version": 1})
+
+    async def scenario(client, store):
+        store.fault = functools.partial(close_first_connection, store)
+        assert (await client.read_table("leases")).is_ok()
+        assert len(store.queries) == 2
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize("text", ["", "[]", "{}", '{"schema_version": "x"}'])
 def test_malformed_answer_to_changes_is_an_error(text):
     """Guards against an exception that stops the entry on a malformed answer."""
--- a/packages/entry/src/bluebellusher/cli/rules_client.py
+++ b/packages/entry/src/bluebellusher/cli/rules_client.py
@@ -8,6 +8,7 @@
 from pydantic import BaseModel, ValidationError
 
 from bluebellusher.cli.rules_base import CommandError, ExitCode, parse_or_fail
+from bluebellusher.links import open_session
 from bluebellusher_core.billing import RulesVersion
 
 TOKEN_VARIABLE = "BLUEBELLUSHER_ADMIN_TOKEN"
@@ -151,9 +152,13 @@
         if token:
             headers["Authorization"] = f"Bearer {token}"
         async with (
-            aiohttp.ClientSession(timeout=self._timeout) as session,
+            open_session(repeats_reads=True, timeout=self._timeout) as session,
             session.request(
-                method, self._url + path, data=body, headers=headers
+                method,
+                self._url + path,
+                data=body,
+                headers=headers,
+                allow_redirects=False,
             ) as answer,
         ):
             return answer.status, await answer.text(errors="replace")
--- a/packages/entry/src/bluebellusher/platform/_transport.py
+++ b/packages/entry/src/bluebellusher/platform/_transport.py
@@ -9,7 +9,12 @@
 import aiohttp
 from expression import Error, Ok, Result
 
-from bluebellusher.links import BoundedResponse, read_response_body
+from bluebellusher.links import (
+    NOT_CONNECTED_ERRORS,
+    BoundedResponse,
+    open_session,
+    read_response_body,
+)
 from bluebellusher.platform._errors import (
     PlatformError,
     PlatformNotDoneError,
@@ -89,7 +94,7 @@
             return Error(PlatformNotDoneError(step, self.peer, reason))
         try:
             reply = await self._send(method, path, deadline_ms, request_options)
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+        except NOT_CONNECTED_ERRORS as error:
             return Error(PlatformNotDoneError(step, self.peer, _describe_error(error)))
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             return Error(
@@ -110,7 +115,16 @@
         deadline_ms: int | None,
         request_options: dict[str, Any],
     ) -> Reply:
-        """Send a request and read the whole answer; raise the errors of aiohttp."""
+        """Send a request and read the whole answer.
+
+        Redirects are not followed: an error at their target would not show whether the
+        platform has executed the request.
+
+        Raises
+        ------
+        aiohttp.ClientError, TimeoutError, OSError, ValueError
+            When the exchange fails.
+        """
         total_s = (deadline_ms or self._deadline_ms) / 1000
         timeout = aiohttp.ClientTimeout(
             total=total_s, sock_connect=min(total_s, CONNECT_TIMEOUT_MS / 1000)
@@ -118,7 +132,7 @@
         url = self._base_url + path
         session = self._open_session()
         async with session.request(
-            method, url, timeout=timeout, **request_options
+            method, url, timeout=timeout, allow_redirects=False, **request_options
         ) as response:
             body = await read_response_body(response, MAX_ANSWER_BYTES)
             return Reply(response.status, response.headers, body)
@@ -127,7 +141,8 @@
         """Return the session, which is created on first use."""
         if self._session is None:
             headers = {"X-Failure-Domain": self._failure_domain}
-            self._session = aiohttp.ClientSession(
+            self._session = open_session(
+                repeats_reads=True,
                 headers=headers,
                 connector=aiohttp.TCPConnector(limit=64, keepalive_timeout=15),
                 response_class=BoundedResponse,
