Let the soak send all methods and lose answers

The soak counts runs at the endpoints and would have found requests that run twice, but its callers sent POST only, and answers were lost only with a killed endpoint. Callers choose one of six methods now, and endpoints reset the connection of one answer in 100 after the run.

The callers of the soak and of the gateway's tests also send each request once, because a caller's own repeat would hide a connection that the entry closed without an answer.

--- a/packages/entry/src/bluebellusher/gateway/tests/harness.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/harness.py
@@ -5,7 +5,6 @@
 from random import Random
 from types import SimpleNamespace
 
-import aiohttp
 import uvloop
 from aiohttp import web
 from yarl import URL
@@ -13,6 +12,7 @@
 from bluebellusher.gateway._admission import Admission, StreamTimeouts
 from bluebellusher.gateway._attempts import HttpDispatcher
 from bluebellusher.gateway._server import CallerServer
+from bluebellusher.links import open_session
 from bluebellusher.observability import KeyValueLog, Metrics, Tracer
 from bluebellusher.ports import AnswerFields, CallerFields
 from bluebellusher.runtime import Runtime
@@ -265,7 +265,8 @@
             self.runtime.post(EndpointRegistered(info))
         await self.server.listen(HOST, 0)
         self.port = self.server._listener.sockets[0].getsockname()[1]
-        self.session = aiohttp.ClientSession(auto_decompress=False)
+        # The caller must see each failure, so that it sends each request once, too.
+        self.session = open_session(auto_decompress=False)
 
     async def stop(self):
         """Close the session, the entry and the endpoints."""
--- a/soak/endpoint.py
+++ b/soak/endpoint.py
@@ -11,10 +11,13 @@
 import aiohttp
 from aiohttp import web
 
+from bluebellusher.links import open_session
 from soak.store import HEARTBEAT_MS
 
 POISON = b"poison"
 N_SLOTS = 6
+# Share of the runs whose answer is lost, because the connection is reset.
+LOST_SHARE = 0.01
 # Time in seconds between SIGTERM and the exit, in which requests are still served.
 DRAIN_S = 1.5
 
@@ -56,6 +59,7 @@
 
         The status is 421 if the request is addressed to another endpoint, and 503 with
         the header ``Not-Run`` if no slot is free. The poison request ends the process.
+        ``LOST_SHARE`` of the other answers are lost.
         """
         attempt = request.headers.get("Attempt", "")
         body = await request.read()
@@ -76,6 +80,8 @@
             await asyncio.sleep(self.random.uniform(0.005, 0.08))
         finally:
             self.n_running -= 1
+        if self.random.random() < LOST_SHARE and request.transport is not None:
+            request.transport.abort()
         return web.Response(body=attempt.encode(), headers={**headers, "Seal": "s"})
 
     async def register(self) -> None:
@@ -83,7 +89,7 @@
 
         A heartbeat that fails is printed and not repeated before the next period.
         """
-        async with aiohttp.ClientSession() as session:
+        async with open_session() as session:
             while True:
                 value = json.dumps(
                     {
--- a/soak/run.py
+++ b/soak/run.py
@@ -14,6 +14,7 @@
 
 import aiohttp
 
+from bluebellusher.links import open_session
 from bluebellusher_standins.cluster import PortReservations
 from soak.endpoint import POISON
 from soak.entry import HOST_NAME, make_prefix
@@ -36,6 +37,8 @@
 # Time in seconds within which the operator writes the configuration again that a
 # restored store has lost.
 MAX_REWRITE_S = 0.5
+# Methods of the callers' requests; an answer to HEAD would have no body to check.
+METHODS = ("GET", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
 # Time in seconds in which callers still send requests after the last fault.
 SETTLE_S = 5.0
 START_POLL_S = 0.2
@@ -280,7 +283,7 @@
     async def _wait_until_entries_answer(self) -> None:
         pending = list(self._entries)
         while pending:
-            call = await self._send_on_new_connection(pending[0], "/any/start", b"")
+            call = await self._send_on_new_connection(pending[0], "/any/start")
             if call.status == 200:
                 pending.pop(0)
             else:
@@ -296,7 +299,8 @@
             entry = random.choice(list(self._entries))
             path = random.choice(["/any/", "/once/"]) + str(random.randrange(50))
             body = random.randbytes(8).hex().encode()
-            await self._send_request(entry, path, body, sessions)
+            method = random.choice(METHODS)
+            await self._send_request(entry, method, path, body, sessions)
             await asyncio.sleep(random.uniform(0.005, 0.06))
         for session in sessions.values():
             await session.close()
@@ -311,6 +315,7 @@
     async def _send_request(
         self,
         entry: str,
+        method: str,
         path: str,
         body: bytes,
         sessions: dict[str, aiohttp.ClientSession],
@@ -325,13 +330,13 @@
         self._calls.append(call)
         session = sessions.get(entry)
         if session is None:
-            session = sessions[entry] = aiohttp.ClientSession()
+            session = sessions[entry] = open_session()
         headers = {"Host": HOST_NAME, "Attempt": attempt, "Remaining": "3000"}
         url = f"http://{HOST}:{self._ports_by_entry[entry][0]}{path}"
         timeout = aiohttp.ClientTimeout(total=CALLER_TIMEOUT_S)
         try:
-            async with session.post(
-                url, data=body, headers=headers, timeout=timeout
+            async with session.request(
+                method, url, data=body, headers=headers, timeout=timeout
             ) as response:
                 call.answer = await response.read()
                 call.status = response.status
@@ -341,10 +346,12 @@
             await sessions.pop(entry).close()
         return call
 
-    async def _send_on_new_connection(self, entry: str, path: str, body: bytes) -> Call:
-        """Send a request on a new connection, and close the connection."""
+    async def _send_on_new_connection(
+        self, entry: str, path: str, body: bytes = b""
+    ) -> Call:
+        """Send a POST request on a new connection, and close the connection."""
         sessions: dict[str, aiohttp.ClientSession] = {}
-        call = await self._send_request(entry, path, body, sessions)
+        call = await self._send_request(entry, "POST", path, body, sessions)
         for session in sessions.values():
             await session.close()
         return call
@@ -375,7 +382,7 @@
             if version:
                 entry = random.choice(list(self._entries))
                 path = make_prefix(version) + "x"
-                call = await self._send_on_new_connection(entry, path, b"")
+                call = await self._send_on_new_connection(entry, path)
                 self._expected_calls.append(call)
             await asyncio.sleep(0.05)
 
--- a/soak/store.py
+++ b/soak/store.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 from expression import Error, Ok, Result
 
+from bluebellusher.links import open_session
 from bluebellusher.ports import RowWrite, StoredRow, StoreError, TableRows
 from bluebellusher_core.directory import MirrorRow
 
@@ -201,7 +202,7 @@
 
     def __init__(self, address: str) -> None:
         self._base_url = f"http://{address}"
-        self._session = aiohttp.ClientSession()
+        self._session = open_session(repeats_reads=True)
 
     async def close(self) -> None:
         """Close all connections."""
