--- a/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
+++ b/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
@@ -89,8 +89,9 @@
     with_service(scenario)
 
 
+@pytest.mark.parametrize("method", ["POST", "PUT", "DELETE"])
 @pytest.mark.parametrize("fault", ["drop_after_execute", "drop_before_execute"])
-def test_call_with_a_lost_answer_is_not_repeated_or_refused(fault):
+def test_call_with_a_lost_answer_is_not_repeated_or_refused(fault, method):
     """Guards against a second execution and a false refusal as not run (I3, I4).
 
     The service closes the connection before or after it executes the call.
@@ -98,7 +99,7 @@
 
     async def scenario(entry, agent, service):
         setattr(service.faults, fault, 1)
-        entry.dispatch("a1", b"booking", **NON_IDEMPOTENT_CALL)
+        entry.dispatch("a1", b"booking", method=method, **NON_IDEMPOTENT_CALL)
         assert (await entry.next(messages.Broken)).reason == "engine_error"
         expected = 1 if fault == "drop_after_execute" else 0
         assert service.n_executions_by_body[b"booking"] == expected
--- a/packages/entry/src/bluebellusher/gateway/tests/test_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_gateway.py
@@ -150,14 +150,17 @@
     run_scenario(scenario, [failing_answer, answer_sealed])
 
 
+@pytest.mark.parametrize("method", ["POST", "GET", "PUT", "DELETE"])
 @pytest.mark.parametrize(
     "failing_answer", [truncate, answer_unsealed, answer_other_request]
 )
-def test_non_idempotent_request_that_may_have_run_is_not_retried(failing_answer):
+def test_non_idempotent_request_that_may_have_run_is_not_retried(
+    failing_answer, method
+):
     """Guards against a second run, and against a ``Retry-After`` that invites one."""
 
     async def scenario(harness):
-        status, headers, _ = await harness.fetch(**POST)
+        status, headers, _ = await harness.fetch(method, data=b"order")
         assert status == 502
         assert "Retry-After" not in headers
         assert sum(len(e.received) for e in harness.endpoints) == 1
