Take only a refused connection for an engine that has ended

An agent without a free file descriptor took every failed connection for a crash of its engine: the probe ended all runs of a sound engine and reported them to all entries as crashed, and a cancellation that could not be sent counted as confirmed, so that other work ran beside an isolated request.

Cause: NotSentError proves that a request was not sent, and was also taken for proof that the engine has ended. Nobody reported this; it was found by reading for the postmortem of requests that run twice. Only ECONNREFUSED shows that no process listens, as docs/agent.md says.

Both tests failed before.

--- a/packages/agent/src/bluebellusher_agent/_executor.py
+++ b/packages/agent/src/bluebellusher_agent/_executor.py
@@ -4,7 +4,13 @@
 import json
 from typing import Protocol
 
-from bluebellusher_agent._http import Exchange, ExchangeError, HttpClient, NotSentError
+from bluebellusher_agent._http import (
+    Exchange,
+    ExchangeError,
+    HttpClient,
+    NotSentError,
+    PortClosedError,
+)
 from bluebellusher_agent._log import log
 from bluebellusher_agent._monitor import TargetMonitor, TargetState
 from bluebellusher_agent._run import Run
@@ -128,15 +134,15 @@
         -------
         bool
             False if the engine did not answer the cancellation, so that the attempt
-            may still run there. True if the engine answered it or accepts no
-            connection, and if there is nothing to cancel: the target is a plain
-            service, the answer is complete, or no byte was sent.
+            may still run there. True if the engine answered it or its port is closed,
+            and if there is nothing to cancel: the target is a plain service, the answer
+            is complete, or no byte was sent.
         """
         if not self._is_model or run.is_complete or not run.is_sent:
             return True
         try:
             await self._client.fetch("DELETE", "/attempts/" + run.target_attempt_id)
-        except NotSentError:
+        except PortClosedError:
             return True
         except StepError as error:
             log("cancel-failed", attempt_id=run.attempt_id, reason=error.reason)
--- a/packages/agent/src/bluebellusher_agent/_http.py
+++ b/packages/agent/src/bluebellusher_agent/_http.py
@@ -27,6 +27,10 @@
     """The request failed before its first byte was written, so it has not run."""
 
 
+class PortClosedError(NotSentError):
+    """No process listens at the address, which shows that the server has ended."""
+
+
 class ExchangeError(StepError):
     """The exchange failed; the request may have been sent and may have run."""
 
@@ -381,6 +385,9 @@
                 streams = await asyncio.open_connection(
                     self._host, self._port, limit=READ_BYTES
                 )
+        except ConnectionRefusedError as error:
+            reason = "connection refused: expected a listener"
+            raise PortClosedError("connect", self.peer, reason) from error
         except (OSError, TimeoutError) as error:
             reason = f"{type(error).__name__}: expected a connection"
             raise NotSentError("connect", self.peer, reason) from error
--- a/packages/agent/src/bluebellusher_agent/_keeper.py
+++ b/packages/agent/src/bluebellusher_agent/_keeper.py
@@ -111,7 +111,7 @@
         assert self._executor is not None
         is_cancelled_on_target = await self._executor.cancel_on_target(run)
         # An isolated suspect may still run on an unresponsive engine. It excludes other
-        # work until the engine answers the cancellation or accepts no connection, or
+        # work until the engine answers the cancellation or its port is closed, or
         # until the deadline passes.
         while (
             run.is_isolated
--- a/packages/agent/src/bluebellusher_agent/_monitor.py
+++ b/packages/agent/src/bluebellusher_agent/_monitor.py
@@ -5,7 +5,12 @@
 from collections.abc import Callable
 from enum import Enum
 
-from bluebellusher_agent._http import ExchangeError, HttpClient, NotSentError
+from bluebellusher_agent._http import (
+    ExchangeError,
+    HttpClient,
+    NotSentError,
+    PortClosedError,
+)
 from bluebellusher_agent._log import log
 
 PROBE_TIMEOUT_MS = 1_000
@@ -22,10 +27,10 @@
 class TargetMonitor:
     """Check the health of the target and detect its crashes.
 
-    A target has crashed if it accepts no connection, closes one without a valid
-    answer, or answers with another boot id than before. A target that accepts a
-    connection but does not answer within ``PROBE_TIMEOUT_MS`` is unresponsive; the
-    requests on it may still be running.
+    A target has crashed if its port is closed, if it closes a connection without a
+    valid answer, or answers with another boot id than before. A target that does not
+    answer within ``PROBE_TIMEOUT_MS``, or to which no connection can be opened, is
+    unresponsive; the requests on it may still be running.
 
     Parameters
     ----------
@@ -76,8 +81,12 @@
             _, body = await self._client.fetch(
                 "GET", "/healthz", b"", PROBE_TIMEOUT_MS, is_reusing=False
             )
-        except NotSentError:
+        except PortClosedError:
             return TargetState.CRASHED, ""
+        except NotSentError as error:
+            # The cause may be in this process, such as a lack of file descriptors.
+            log("probe-failed", peer=error.peer, reason=error.reason)
+            return TargetState.UNRESPONSIVE, ""
         except ExchangeError as error:
             is_unresponsive = "no answer" in error.reason
             return (
--- a/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
+++ b/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import os
+import resource
 
 import pytest
 import uvloop
@@ -37,6 +39,19 @@
     uvloop.run(main())
 
 
+@contextlib.contextmanager
+def limit_descriptors():
+    """Let this process open no further file descriptors."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    next_descriptor = os.dup(0)
+    os.close(next_descriptor)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (next_descriptor, hard))
+    try:
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
 def test_duplicate_attempt_runs_once():
     """Guards against a call that runs twice after repeated dispatches (I4).
 
@@ -246,6 +261,24 @@
     uvloop.run(main())
 
 
+def test_agent_without_free_descriptors_detects_no_crash():
+    """Guards against a sound engine that counts as crashed with all of its runs.
+
+    A connection that the agent cannot open does not show that the engine has ended.
+    """
+
+    async def scenario(entry, agent, engine):
+        client = HttpClient("127.0.0.1", engine.port)
+        crashes = []
+        monitor = TargetMonitor(client, lambda: crashes.append(1))
+        with limit_descriptors():
+            assert await monitor.probe() is TargetState.UNRESPONSIVE
+        assert await monitor.probe() is TargetState.ALIVE
+        assert crashes == []
+
+    with_engine(scenario)
+
+
 def test_isolated_run_excludes_other_work_and_is_named_in_its_crash():
     """Guards against other requests that run beside an isolated suspect.
 
@@ -341,6 +374,21 @@
     with_engine(scenario)
 
 
+def test_cancellation_that_cannot_be_sent_is_not_confirmed():
+    """Guards against work beside a suspect that the agent could not cancel."""
+
+    async def scenario(entry, agent, engine):
+        entry.dispatch("a1", make_body("x", 4000), is_isolated=True)
+        await entry.next(messages.Started, "a1")
+        (run,) = agent.runs.running()
+        with limit_descriptors():
+            agent._client.close_idle(is_all=True)
+            assert not await agent._run_manager._executor.cancel_on_target(run)
+        assert await agent._run_manager._executor.cancel_on_target(run)
+
+    with_engine(scenario)
+
+
 def test_old_token_is_refused_for_an_engine_that_ignores_tokens():
     """Guards against orders of a lease holder that was paused and then replaced."""
 
