--- a/packages/entry/src/bluebellusher/cli/rules_client.py
+++ b/packages/entry/src/bluebellusher/cli/rules_client.py
@@ -108,7 +108,7 @@
             raise self._make_error(f"no connection: {e}") from e
         except (aiohttp.ClientError, TimeoutError) as e:
             return ChangeState(state="unknown", reason=f"no answer: {e!r}")
-        if status in _UNKNOWN_STATUSES:
+        if 300 <= status < 400 or status in _UNKNOWN_STATUSES:
             reason = f"HTTP status {status}: {body[:2000]}"
             return ChangeState(state="unknown", reason=reason)
         if status not in (200, 409):
--- a/packages/entry/src/bluebellusher/cli/tests/test_rules_commands.py
+++ b/packages/entry/src/bluebellusher/cli/tests/test_rules_commands.py
@@ -21,7 +21,7 @@
     """HTTP server that stores rules versions in memory, in place of an entry.
 
     With ``fault`` set, a change is stored but its answer is lost (``lose``) or replaced
-    by status 504 (``504``).
+    by status 504 (``504``) or by a redirect to the same path (``307``).
     """
 
     def __init__(self) -> None:
@@ -97,13 +97,15 @@
         if self.server.fault == "lose":
             self.close_connection = True
             return
-        self.answer(504 if self.server.fault == "504" else status, content)
+        self.answer(int(self.server.fault or status), content)
 
     def answer(self, status: int, content: dict) -> None:
         """Send a JSON answer."""
         body = json.dumps(content).encode()
         self.send_response(status)
         self.send_header("Content-Length", str(len(body)))
+        if status == 307:
+            self.send_header("Location", self.path)
         self.end_headers()
         self.wfile.write(body)
 
@@ -254,6 +256,18 @@
     assert run_command("rules status", f"never-sent --url {entry.url}")[0] == 4
 
 
+def test_redirect_does_not_send_a_change_again(
+    entry: FakeEntry, edited_path: pathlib.Path
+) -> None:
+    """Guards against a change that a redirect sends a second time.
+
+    A redirect does not show whether the change was accepted.
+    """
+    entry.fault = "307"
+    assert apply_rules(edited_path, entry.url, "--without-domain memuro")[0] == 4
+    assert len(entry.requests) == 1
+
+
 def test_unreachable_entry_is_not_an_unknown_state(edited_path: pathlib.Path) -> None:
     """Guards against the state "unknown" for a change that was never sent."""
     assert apply_rules(edited_path, "http://127.0.0.1:9")[0] == 5
