--- a/packages/entry/src/bluebellusher/cli/rules_client.py
+++ b/packages/entry/src/bluebellusher/cli/rules_client.py
@@ -17,7 +17,7 @@
 ANSWER_TIMEOUT_S = 30.0
 CONNECT_TIMEOUT_S = 5.0
 # HTTP statuses that leave open whether a change was accepted.
-_UNKNOWN_STATUSES = (502, 503, 504)
+_UNKNOWN_STATUSES = frozenset((*range(300, 400), 502, 503, 504))
 
 ModelT = TypeVar("ModelT", bound=BaseModel)
 
@@ -108,7 +108,7 @@
             raise self._make_error(f"no connection: {e}") from e
         except (aiohttp.ClientError, TimeoutError) as e:
             return ChangeState(state="unknown", reason=f"no answer: {e!r}")
-        if 300 <= status < 400 or status in _UNKNOWN_STATUSES:
+        if status in _UNKNOWN_STATUSES:
             reason = f"HTTP status {status}: {body[:2000]}"
             return ChangeState(state="unknown", reason=reason)
         if status not in (200, 409):
--- a/packages/entry/src/bluebellusher/links/_sessions.py
+++ b/packages/entry/src/bluebellusher/links/_sessions.py
@@ -4,8 +4,9 @@
 
 import aiohttp
 
-# Errors of a session of ``open_session`` that prove that a request was not sent. The
-# session makes one connection for each request and sends nothing before it is made.
+# Errors of a session of ``open_session`` that prove that a request was not sent, unless
+# it is a read that was repeated. The session makes one connection for each request and
+# sends nothing before it is made.
 NOT_CONNECTED_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 
 
@@ -25,7 +26,10 @@
     answer is complete, if its method is GET, HEAD, OPTIONS, TRACE, PUT or DELETE. The
     method does not tell whether a request may run again, and a repeat has no attempt
     id, deadline and share of the retry budget of its own. Requests fail with
-    ``ConnectionLostError`` instead. Redirects must be switched off in each call.
+    ``ConnectionLostError`` instead.
+
+    Callers pass ``allow_redirects=False`` with each request. The session cannot set it,
+    and a redirect would send the request again.
 
     Parameters
     ----------
