--- a/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
+++ b/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
@@ -43,7 +43,7 @@
 def limit_descriptors():
     """Let this process open no further file descriptors."""
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    next_descriptor = os.dup(0)
+    next_descriptor = os.open(os.devnull, os.O_RDONLY)
     os.close(next_descriptor)
     resource.setrlimit(resource.RLIMIT_NOFILE, (next_descriptor, hard))
     try:
--- a/packages/entry/src/bluebellusher/gateway/tests/test_lost_answers.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_lost_answers.py
@@ -60,7 +60,7 @@
         Whether the body is read before the request runs.
     """
 
-    def __init__(self, endpoint_id, part, is_reset, afterwards, reads_body=True):
+    def __init__(self, endpoint_id, part, is_reset, afterwards, *, reads_body=True):
         self.endpoint_id = endpoint_id
         self.port = 0
         self.n_arrived = 0
@@ -146,14 +146,18 @@
 def test_request_whose_body_was_not_read_runs_once(method, afterwards):
     """Guards against a second run when the connection fails while a body is sent."""
     kind = RequestKind.NON_IDEMPOTENT
-    check_runs_once(kind, method, b"", True, afterwards, LARGE_BODY)
+    check_runs_once(
+        kind, method, b"", True, afterwards, reads_body=False, body=LARGE_BODY
+    )
 
 
-def check_runs_once(kind, method, part, is_reset, afterwards, body=b"order"):
-    """Check that a request runs once, and that its caller is not told otherwise."""
-    reads_body = body is not LARGE_BODY
+def check_runs_once(kind, method, *endpoint_options, reads_body=True, body=b"order"):
+    """Check that a request runs once, and that its caller is not told otherwise.
+
+    ``endpoint_options`` are those of ``LosingEndpoint`` after the id.
+    """
     endpoints = [
-        LosingEndpoint(name, part, is_reset, afterwards, reads_body)
+        LosingEndpoint(name, *endpoint_options, reads_body=reads_body)
         for name in ("x0", "x1")
     ]
 
