--- a/soak/endpoint.py
+++ b/soak/endpoint.py
@@ -16,7 +16,7 @@
 
 POISON = b"poison"
 N_SLOTS = 6
-# Share of the runs whose answer is lost, because the connection is reset.
+# Share of the runs whose answer is lost, because the connection is closed.
 LOST_SHARE = 0.01
 # Time in seconds between SIGTERM and the exit, in which requests are still served.
 DRAIN_S = 1.5
