Bound the bytes of the row that stores crashes

Entries that started alone then did not know the crashes. The row is bounded by bytes now. The test fails before the change with a row above 65,536 bytes.

--- a/packages/entry/src/bluebellusher/shared/_crashes.py
+++ b/packages/entry/src/bluebellusher/shared/_crashes.py
@@ -20,9 +20,15 @@
 
 CRASH_TABLE = "crashes"
 CRASH_ROW_KEY = "recent"
-# Upper bound of the stored fingerprints. A row has at most 65,536 bytes, and a
-# fingerprint with three crashes and a completed run takes about 310 bytes.
+# Upper bound of the stored fingerprints, and of the bytes of their crashes. A row has
+# at most 65,536 bytes, and a fingerprint with three crashes and a completed run takes
+# about 310 bytes.
 N_MAX_STORED_FINGERPRINTS = 180
+MAX_STORED_BYTES = 60_000
+# Upper bounds of the encoded bytes of a fingerprint with its completed run, and of a
+# crash without its start id.
+_FINGERPRINT_BYTES = 120
+_CRASH_BYTES = 72
 # Least delay before an entry writes a crash that a peer announced, in ms. The peer
 # itself normally writes the crash within this time.
 MIN_PEER_WRITE_DELAY_MS = 3_000
@@ -265,8 +271,8 @@
     Expired crashes and crashes before the last completed run are left out. Crashes that
     are already stored keep their times, so that entries with the same crashes compute
     the same table and need not write it. The result contains at most
-    ``N_MAX_STORED_FINGERPRINTS`` fingerprints: those with the most crashes, and among
-    equals those with the latest crash.
+    ``N_MAX_STORED_FINGERPRINTS`` fingerprints and ``MAX_STORED_BYTES`` bytes: those
+    with the most crashes, and among equals those with the latest crash.
 
     Parameters
     ----------
@@ -293,7 +299,7 @@
         key=lambda item: (len(item[1]), item[1][-1].broken_at),
         reverse=True,
     )
-    crashes_by_fingerprint = dict(sorted_items[:N_MAX_STORED_FINGERPRINTS])
+    crashes_by_fingerprint = _select_within_row(sorted_items)
     return _StoredTable(
         crashes_by_fingerprint=crashes_by_fingerprint,
         sound_at_by_fingerprint={
@@ -304,6 +310,23 @@
     )
 
 
+def _select_within_row(
+    sorted_items: Iterable[tuple[str, tuple[_StoredCrash, ...]]],
+) -> dict[str, tuple[_StoredCrash, ...]]:
+    """Return the first fingerprints with their crashes that fit into one row."""
+    crashes_by_fingerprint: dict[str, tuple[_StoredCrash, ...]] = {}
+    n_bytes = 0
+    for fingerprint, crashes in sorted_items:
+        n_item_bytes = _FINGERPRINT_BYTES + len(fingerprint)
+        n_item_bytes += sum(_CRASH_BYTES + len(crash.start_id) for crash in crashes)
+        if len(crashes_by_fingerprint) == N_MAX_STORED_FINGERPRINTS:
+            break
+        if n_bytes + n_item_bytes <= MAX_STORED_BYTES:
+            n_bytes += n_item_bytes
+            crashes_by_fingerprint[fingerprint] = crashes
+    return crashes_by_fingerprint
+
+
 def _merge_record(
     stored_crashes: tuple[_StoredCrash, ...], record: CrashRecord, wall_ms: int
 ) -> tuple[_StoredCrash, ...]:
--- a/packages/entry/src/bluebellusher/shared/tests/test_crash_table.py
+++ b/packages/entry/src/bluebellusher/shared/tests/test_crash_table.py
@@ -234,6 +234,22 @@
     run(scenario)
 
 
+def test_row_with_many_crashes_of_each_fingerprint_stays_within_the_size_limit():
+    """Guards against crashes that are never stored because their row is too long.
+
+    Ranks that crash again and again break all requests of their group each time.
+    """
+
+    async def scenario(store, clock):
+        entry = await Entry(store, clock).start()
+        for i in range(N_MAX_STORED_FINGERPRINTS):
+            entry.record_crashes(f"{i:032}", 9)
+        await wait_until(lambda: get_stored_row(store), clock)
+        assert len(get_stored_row(store).value) < MAX_ROW_BYTES
+
+    run(scenario)
+
+
 def test_crashes_that_a_restored_store_has_lost_are_written_again():
     """Guards against a blocked request that runs again after all entries ended.
 
