Count all ranks of a group as open once one reports the opening

After a restart of all entries, a group of 32 ranks opened while about 500 requests waited. Each rank counted as closed until its own report arrived, so that all entries sent their requests to the first ranks that reported: 7 ranks got 33 to 52 requests in the first second.

With Endpoints.opens_groups_at_once, a report of a later epoch in which the group is open replaces the earlier reports of its other ranks. Off by default.

--- a/packages/core/src/bluebellusher_core/membership/_endpoints.py
+++ b/packages/core/src/bluebellusher_core/membership/_endpoints.py
@@ -61,6 +61,9 @@
         Groups of ranks that are closed or stalled.
     silence : RankSilence
         Ranks that send nothing while their group advances.
+    opens_groups_at_once : bool
+        Whether all ranks of a group count as open as soon as one of them reports that
+        the group has opened.
     """
 
     n_max: int
@@ -74,6 +77,7 @@
     tracker: EndpointTracker = field(default_factory=EndpointTracker)
     groups: GroupStates = field(default_factory=lambda: GroupStates(REPORT_MAX_AGE_MS))
     silence: RankSilence = field(default_factory=RankSilence)
+    opens_groups_at_once: bool = False
     _deferred_until_ms: dict[str, int] = field(default_factory=dict)
     _n_refusals: dict[str, int] = field(default_factory=dict)
     _views_by_pool: dict[Pool, list[EndpointView]] = field(default_factory=dict)
@@ -220,17 +224,35 @@
         """Return the endpoints of a pool that have capacity for another attempt."""
         deferred_until_ms = self._deferred_until_ms
         closed_ids = self.groups.find_closed(now_ms)
+        reopened_ids = self._find_reopened(now_ms)
         has_limits = self.announcements.has_limits or not self.limits.is_empty
         return [
             view
             for view in self.views_of(pool)
-            if _has_capacity(view, self.queue_factor, now_ms)
+            if self._has_capacity(view, reopened_ids, now_ms)
             and (not has_limits or self._allows_attempt(view, now_ms))
             and view.info.endpoint_id not in closed_ids
             and deferred_until_ms.get(view.info.endpoint_id, 0) <= now_ms
             and not self.silence.is_excluded(view.info.endpoint_id, now_ms)
         ]
 
+    def _find_reopened(self, now_ms: int) -> frozenset[str]:
+        """Return the ranks that count as open because their group has opened."""
+        if not self.opens_groups_at_once:
+            return frozenset()
+        return self.groups.find_reopened(now_ms)
+
+    def _has_capacity(
+        self, view: EndpointView, reopened_ids: frozenset[str], now_ms: int
+    ) -> bool:
+        """Return whether an endpoint has free capacity.
+
+        Only own attempts count for a rank whose report is from an earlier epoch.
+        """
+        if view.info.endpoint_id in reopened_ids:
+            return _has_own_capacity(view)
+        return _has_reported_capacity(view, self.queue_factor, now_ms)
+
     def is_pool_closed(self, pool: Pool, now_ms: int) -> bool:
         """Return whether no endpoint of a pool can run a request now.
 
@@ -305,9 +327,16 @@
     return not report.is_open
 
 
-def _has_capacity(view: EndpointView, queue_factor: float, now_ms: int) -> bool:
+def _has_own_capacity(view: EndpointView) -> bool:
+    """Return whether the own attempts leave free capacity."""
+    return not view.is_isolating and view.n_own_in_flight < view.info.n_slots
+
+
+def _has_reported_capacity(
+    view: EndpointView, queue_factor: float, now_ms: int
+) -> bool:
     """Return whether the own attempts and the latest report leave free capacity."""
-    if view.is_isolating or view.n_own_in_flight >= view.info.n_slots:
+    if not _has_own_capacity(view):
         return False
     report = view.report
     if report is None or now_ms - view.reported_at_ms > REPORT_MAX_AGE_MS:
--- a/packages/core/src/bluebellusher_core/membership/_groups.py
+++ b/packages/core/src/bluebellusher_core/membership/_groups.py
@@ -106,6 +106,30 @@
         """Return the ids of the endpoints of all groups that start no pass."""
         return self._find_endpoint_ids(self._is_stalled, now_ms)
 
+    def find_reopened(self, now_ms: int) -> frozenset[str]:
+        """Return the ids of the ranks whose report precedes the opening of their group.
+
+        Another rank of the group has reported a later epoch, in which the group is
+        open. The earlier report no longer describes the rank.
+
+        Load pattern: a group opens while requests wait on every entry. The reports of
+        its ranks arrive within some 10 ms to 2 s. If a rank counted as closed until its
+        own report, all entries would send their waiting requests to the first ranks
+        that report. With 13 entries, 7 of 32 ranks got 33 to 52 requests in a second,
+        which crashed those that had just started.
+        """
+        reopened_ids: set[str] = set()
+        for group in self._group_by_id.values():
+            if self._is_closed(group, now_ms):
+                continue
+            epoch = self._find_latest_epoch(group, now_ms)
+            reopened_ids.update(
+                endpoint_id
+                for endpoint_id in group.endpoint_ids
+                if self._rank_by_id[endpoint_id].epoch < epoch
+            )
+        return frozenset(reopened_ids)
+
     def _find_endpoint_ids(
         self, matches: Callable[[_Group, int], bool], now_ms: int
     ) -> frozenset[str]:
@@ -116,9 +140,14 @@
     def _is_closed(self, group: _Group, now_ms: int) -> bool:
         """Return whether a rank in the latest epoch reports the group as closed."""
         recent = self._find_recent_ranks(group, now_ms)
-        epoch = max((rank.epoch for rank in recent), default=0)
+        epoch = self._find_latest_epoch(group, now_ms)
         return any(not rank.is_open for rank in recent if rank.epoch == epoch)
 
+    def _find_latest_epoch(self, group: _Group, now_ms: int) -> int:
+        """Return the latest epoch that a recent report of the group names."""
+        recent = self._find_recent_ranks(group, now_ms)
+        return max((rank.epoch for rank in recent), default=0)
+
     def _is_stalled(self, group: _Group, now_ms: int) -> bool:
         # The time without a pass is measured up to the latest recent report, because
         # passes are unknown after it. Without a recent report the agents may have
