Do not count a rank without a report as an open endpoint of a closed pool

A rank that has just started reports to remote entries after up to 2.4 s. Until then it counted as open while all other ranks of its pool were closed: the queue did not apply its rule for closed endpoints, and all entries sent their waiting requests to the few ranks without a report, 65 to 85 in a second, which refused them. With opens_groups_at_once, only ranks with a recent report count.

--- a/packages/core/src/bluebellusher_core/membership/_endpoints.py
+++ b/packages/core/src/bluebellusher_core/membership/_endpoints.py
@@ -222,8 +222,11 @@
 
     def views_with_capacity(self, pool: Pool, now_ms: int) -> list[EndpointView]:
         """Return the endpoints of a pool that have capacity for another attempt."""
-        deferred_until_ms = self._deferred_until_ms
         closed_ids = self.groups.find_closed(now_ms)
+        if self.opens_groups_at_once and self._are_all_closed(pool, closed_ids, now_ms):
+            # A rank without a report belongs to one of the closed groups.
+            return []
+        deferred_until_ms = self._deferred_until_ms
         reopened_ids = self._find_reopened(now_ms)
         has_limits = self.announcements.has_limits or not self.limits.is_empty
         return [
@@ -257,13 +260,26 @@
         """Return whether no endpoint of a pool can run a request now.
 
         This is the case when each endpoint reports that it is closed or belongs to a
-        group that is closed or stalled. A pool without endpoints is not closed.
+        group that is closed or stalled. A pool without endpoints is not closed. With
+        ``opens_groups_at_once``, endpoints without a recent report do not count: ranks
+        that have just started send their first report seconds later, and would
+        otherwise make a closed pool appear open.
         """
         groups = self.groups
         closed_ids = groups.find_closed(now_ms) | groups.find_stalled(now_ms)
+        return self._are_all_closed(pool, closed_ids, now_ms)
+
+    def _are_all_closed(
+        self, pool: Pool, closed_ids: frozenset[str], now_ms: int
+    ) -> bool:
+        """Return whether each endpoint of a pool is closed or in ``closed_ids``."""
+        reopened_ids = self._find_reopened(now_ms)
         views = self.views_of(pool)
+        if self.opens_groups_at_once:
+            views = [v for v in views if _has_recent_report(v, now_ms)]
         return bool(views) and all(
-            view.info.endpoint_id in closed_ids or _is_closed(view, now_ms)
+            view.info.endpoint_id in closed_ids
+            or (_is_closed(view, now_ms) and view.info.endpoint_id not in reopened_ids)
             for view in views
         )
 
@@ -319,12 +335,18 @@
             self.silence.record_first_output(view, waited_ms, now_ms)
 
 
+def _has_recent_report(view: EndpointView, now_ms: int) -> bool:
+    """Return whether the endpoint's latest report still counts."""
+    is_recent = now_ms - view.reported_at_ms <= REPORT_MAX_AGE_MS
+    return view.report is not None and is_recent
+
+
 def _is_closed(view: EndpointView, now_ms: int) -> bool:
     """Return whether the endpoint recently reported that it can run no request."""
     report = view.report
-    if report is None or now_ms - view.reported_at_ms > REPORT_MAX_AGE_MS:
-        return False
-    return not report.is_open
+    return (
+        report is not None and _has_recent_report(view, now_ms) and not report.is_open
+    )
 
 
 def _has_own_capacity(view: EndpointView) -> bool:
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_group_opening.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_group_opening.py
@@ -101,3 +101,14 @@
     entry.report(1, OPEN_EPOCH, is_open=False, now_ms=500)
     entry.report(0, OPEN_EPOCH, is_open=is_open, now_ms=600)
     assert not entry.rank_by_attempt_id
+
+
+def test_rank_that_has_just_started_does_not_open_a_closed_pool():
+    """Guards against requests to a rank that has not reported its closed group."""
+    entry = Entry(0, opens_groups_at_once=True)
+    names = frozenset("s"), frozenset(), frozenset()
+    info = EndpointInfo("x3", "d0", *names, N_SLOTS, 2)
+    entry.reduce(EndpointRegistered(info), 500)
+    assert not entry.rank_by_attempt_id
+    entry.report(0, OPEN_EPOCH, is_open=True, now_ms=600)
+    assert "x3" in entry.rank_by_attempt_id.values()
