Send no attempts to failure domains that the operator has evacuated

Cause: nothing read the operator's rows evacuate/ZONE, and requests reached the endpoints of evacuated domains.

Change: the codec reads the domain from a row's key, the directory posts the set of evacuated domains when it changes, and Endpoints leaves their endpoints out of every choice. Streams are not resumed there, requests without another domain are rejected as not run, and the share of a restored domain returns by a ramp. The dispatcher checks the domain again right before it writes an attempt. After a suspension of the process, this check waits for a read of the table that was made afterwards.

--- a/packages/core/src/bluebellusher_core/errors/_errors.py
+++ b/packages/core/src/bluebellusher_core/errors/_errors.py
@@ -25,6 +25,7 @@
     DEADLINE_UNREACHABLE = "deadline_unreachable"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     NO_ENDPOINT = "no_endpoint"
+    DOMAIN_EVACUATED = "domain_evacuated"
     ENDPOINT_DRAINING = "endpoint_draining"
     ENDPOINT_ISOLATING = "endpoint_isolating"
     ENDPOINT_LOST = "endpoint_lost"
--- a/packages/core/src/bluebellusher_core/events/__init__.py
+++ b/packages/core/src/bluebellusher_core/events/__init__.py
@@ -43,6 +43,7 @@
     CrashesReceived,
     CustomerPolicy,
     DigestReceived,
+    DomainsEvacuated,
     EntriesCounted,
     MembersListed,
     PeersConnected,
@@ -79,6 +80,7 @@
     | ClaimsUnanswered
     | DigestReceived
     | CrashesReceived
+    | DomainsEvacuated
     | EntriesCounted
     | MembersListed
     | PeersConnected
@@ -105,6 +107,7 @@
     "CrashesReceived",
     "CustomerPolicy",
     "DigestReceived",
+    "DomainsEvacuated",
     "EndedReceived",
     "EndpointAnnounced",
     "EndpointChecked",
--- a/packages/core/src/bluebellusher_core/events/_state_events.py
+++ b/packages/core/src/bluebellusher_core/events/_state_events.py
@@ -90,6 +90,29 @@
     peer_ids: frozenset[str]
 
 
+@dataclass(frozen=True, slots=True)
+class DomainsEvacuated:
+    """The set of failure domains that the operator has evacuated changed.
+
+    Parameters
+    ----------
+    domains : frozenset of str
+        All evacuated domains.
+    row_versions : tuple of (str, int)
+        Each domain that changed, with the version of the row or removal that did it.
+    cause : str
+        ``row`` for a change by the operator, ``store-restored`` for a difference
+        between the store and the earlier copy that it was restored from.
+    known_at_ms : int
+        Monotonic time at which the entry received the change, in ms.
+    """
+
+    domains: frozenset[str]
+    row_versions: tuple[tuple[str, int], ...]
+    cause: str
+    known_at_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class MembersListed:
     """The store listed all entries of the deployment."""
--- a/packages/core/src/bluebellusher_core/membership/__init__.py
+++ b/packages/core/src/bluebellusher_core/membership/__init__.py
@@ -8,15 +8,18 @@
     pool_of,
 )
 from bluebellusher_core.membership._entries import ActiveEntries, Share
+from bluebellusher_core.membership._evacuation import RAMP_MS, EvacuatedDomains
 from bluebellusher_core.membership._limits import RequestLimits
 from bluebellusher_core.membership._silence import RankSilence, SilentRank
 from bluebellusher_core.membership._subset import choose_subset
 
 __all__ = [
     "MAX_PAUSE_MS",
+    "RAMP_MS",
     "ActiveEntries",
     "Announcements",
     "Endpoints",
+    "EvacuatedDomains",
     "Pool",
     "RankSilence",
     "RequestLimits",
--- a/packages/core/src/bluebellusher_core/membership/_endpoints.py
+++ b/packages/core/src/bluebellusher_core/membership/_endpoints.py
@@ -14,6 +14,7 @@
 )
 from bluebellusher_core.membership._announcements import Announcements
 from bluebellusher_core.membership._entries import ActiveEntries
+from bluebellusher_core.membership._evacuation import EvacuatedDomains
 from bluebellusher_core.membership._groups import GroupStates
 from bluebellusher_core.membership._limits import MS_PER_S, RequestLimits
 from bluebellusher_core.membership._silence import RankSilence
@@ -61,6 +62,8 @@
         Groups of ranks that are closed or stalled.
     silence : RankSilence
         Ranks that send nothing while their group advances.
+    evacuated : EvacuatedDomains
+        Failure domains whose endpoints get no attempts.
     """
 
     n_max: int
@@ -74,6 +77,7 @@
     tracker: EndpointTracker = field(default_factory=EndpointTracker)
     groups: GroupStates = field(default_factory=lambda: GroupStates(REPORT_MAX_AGE_MS))
     silence: RankSilence = field(default_factory=RankSilence)
+    evacuated: EvacuatedDomains = field(default_factory=lambda: EvacuatedDomains(""))
     _deferred_until_ms: dict[str, int] = field(default_factory=dict)
     _n_refusals: dict[str, int] = field(default_factory=dict)
     _views_by_pool: dict[Pool, list[EndpointView]] = field(default_factory=dict)
@@ -111,6 +115,22 @@
         )
         return info.is_draining or has_announced
 
+    def set_evacuated(self, domains: frozenset[str], now_ms: int) -> None:
+        """Replace the set of evacuated failure domains."""
+        self.evacuated.replace(domains, now_ms)
+        self._views_by_pool.clear()
+
+    def is_evacuated(self, endpoint_id: str) -> bool:
+        """Return whether a connected endpoint is in an evacuated domain."""
+        view = self.view_by_id.get(endpoint_id)
+        return view is not None and view.info.failure_domain in self.evacuated.domains
+
+    def is_pool_evacuated(self, pool: Pool) -> bool:
+        """Return whether only endpoints of evacuated domains serve a pool."""
+        if not self.evacuated.domains or self.views_of(pool):
+            return False
+        return any(_serves(view, pool) for view in self.view_by_id.values())
+
     def record_leaving(
         self, endpoint_id: str, incarnation: int, announced_at_ms: int
     ) -> bool:
@@ -223,7 +243,7 @@
         has_limits = self.announcements.has_limits or not self.limits.is_empty
         return [
             view
-            for view in self.views_of(pool)
+            for view in self.evacuated.select_usable(self.views_of(pool), now_ms)
             if _has_capacity(view, self.queue_factor, now_ms)
             and (not has_limits or self._allows_attempt(view, now_ms))
             and view.info.endpoint_id not in closed_ids
@@ -271,10 +291,18 @@
         self.tracker.apply(event, now_ms)
 
     def views_of(self, pool: Pool) -> list[EndpointView]:
-        """Return the endpoints that serve a pool and are not draining."""
+        """Return the endpoints that serve a pool.
+
+        Endpoints that are draining or in an evacuated domain are left out.
+        """
         views = self._views_by_pool.get(pool)
         if views is None:
-            views = [v for v in self.view_by_id.values() if _serves(v, pool)]
+            domains = self.evacuated.domains
+            views = [
+                view
+                for view in self.view_by_id.values()
+                if _serves(view, pool) and view.info.failure_domain not in domains
+            ]
             # Callers choose the names in a pool, so empty results are not stored:
             # arbitrary names would use unbounded memory.
             if views:
--- a/packages/core/src/bluebellusher_core/reducer/_reduce.py
+++ b/packages/core/src/bluebellusher_core/reducer/_reduce.py
@@ -14,6 +14,7 @@
     ClaimsUnanswered,
     CrashesReceived,
     DigestReceived,
+    DomainsEvacuated,
     EndedReceived,
     EndpointAnnounced,
     EndpointChecked,
@@ -44,6 +45,7 @@
     _attempts,
     _claiming,
     _crash_evidence,
+    _evacuation,
     _isolation,
     _links,
     _parts,
@@ -146,6 +148,8 @@
             return _crash_evidence.handle_received(state, event, now_ms)
         case DigestReceived():
             return _isolation.handle_digest(state, event, now_ms)
+        case DomainsEvacuated():
+            return _evacuation.handle_evacuated(state, event, now_ms)
         case PolicyChanged():
             _handle_policy_changed(state, event)
         case EntriesCounted():
--- a/packages/core/src/bluebellusher_core/requests/_arrival.py
+++ b/packages/core/src/bluebellusher_core/requests/_arrival.py
@@ -64,8 +64,11 @@
         return _parts.make_rejection(block_ms)
     if len(state.request_by_id) >= state.config.n_max_requests:
         return _final.make_rejection(state, Reason.DEADLINE_UNREACHABLE, "admission")
-    if not state.endpoints.views_of(pool_of(spec)):
-        return _final.make_rejection(state, Reason.NO_ENDPOINT, "admission")
+    pool = pool_of(spec)
+    if not state.endpoints.views_of(pool):
+        return _final.make_rejection(
+            state, _placing.find_unserved_reason(state, pool), "admission"
+        )
     return None
 
 
--- a/packages/core/src/bluebellusher_core/requests/_attempts.py
+++ b/packages/core/src/bluebellusher_core/requests/_attempts.py
@@ -140,9 +140,11 @@
         return []
     if request.phase is Phase.DETACHED:
         return _end_detached(state, request, now_ms)
+    is_evacuated = event.reason is Reason.DOMAIN_EVACUATED
     if attempt.is_resumed:
+        reason = event.reason if is_evacuated else Reason.ENDPOINT_LOST
         return _final.reject_request(
-            state, request, Reason.ENDPOINT_LOST, "resume", now_ms, endpoint_id
+            state, request, reason, "resume", now_ms, endpoint_id
         )
     if attempt.is_isolated:
         retry_after_ms = event.retry_after_ms
@@ -154,7 +156,8 @@
         rejected = _placing.reject_if_closed(state, request, now_ms)
         if rejected is not None:
             return rejected
-    request.n_refused += event.reason is not Reason.ENDPOINT_ISOLATING
+    is_counted = event.reason is not Reason.ENDPOINT_ISOLATING and not is_evacuated
+    request.n_refused += is_counted
     is_in_budget = not event.has_arrived or state.retry_budget.try_spend()
     if request.n_refused > state.config.n_max_refusals or not is_in_budget:
         return _final.reject_request(
@@ -175,6 +178,9 @@
     state: EntryState, event: AttemptRefused, endpoint_id: str, now_ms: int
 ) -> None:
     """Stop or defer new work for an endpoint that refused an attempt, by its reason."""
+    if event.reason is Reason.DOMAIN_EVACUATED:
+        # The dispatcher held the attempt back; the endpoint itself refused nothing.
+        return
     if event.reason is Reason.ENDPOINT_DRAINING:
         state.endpoints.drain(endpoint_id)
         return
--- a/packages/core/src/bluebellusher_core/requests/_placing.py
+++ b/packages/core/src/bluebellusher_core/requests/_placing.py
@@ -360,6 +360,7 @@
 def _reject_unserved(state: EntryState, now_ms: int) -> list[Effect]:
     """Reject the requests of pools that had no endpoint for the grace period.
 
+    There is no grace period when only evacuated domains could serve a pool.
     Other pools without an endpoint keep waiting. The time since which a pool has had no
     endpoint is discarded once an endpoint serves it or no request waits for it.
     """
@@ -372,13 +373,22 @@
             state.unserved_since_ms.pop(pool, None)
             continue
         since_ms = state.unserved_since_ms.setdefault(pool, now_ms)
-        if now_ms - since_ms >= state.config.no_endpoint_grace_ms:
+        is_grace_over = now_ms - since_ms >= state.config.no_endpoint_grace_ms
+        # An evacuation lasts until the operator ends it, so that waiting is useless.
+        if is_grace_over or state.endpoints.is_pool_evacuated(pool):
             effects += _reject_pool(state, pool, now_ms)
     for pool in [p for p in state.unserved_since_ms if p not in waiting]:
         del state.unserved_since_ms[pool]
     return effects
 
 
+def find_unserved_reason(state: EntryState, pool: Pool) -> Reason:
+    """Return the reason of rejecting the requests of a pool without an endpoint."""
+    if state.endpoints.is_pool_evacuated(pool):
+        return Reason.DOMAIN_EVACUATED
+    return Reason.NO_ENDPOINT
+
+
 def _reject_pool(state: EntryState, pool: Pool, now_ms: int) -> list[Effect]:
     """Reject every waiting request of a pool and discard the pool's state."""
     state.queue_by_pool.pop(pool, None)
@@ -387,9 +397,9 @@
     del state.unserved_since_ms[pool]
     waiting = [r for r in state.request_by_id.values() if r.phase is Phase.WAITING]
     rejected = [r for r in waiting if pool_of(r.spec) == pool]
+    reason = find_unserved_reason(state, pool)
     effects: list[Effect] = []
     for request in rejected:
-        reason = Reason.NO_ENDPOINT
         effects += _final.reject_request(state, request, reason, "routing", now_ms)
     return effects
 
--- a/packages/core/src/bluebellusher_core/requests/_recovery.py
+++ b/packages/core/src/bluebellusher_core/requests/_recovery.py
@@ -135,9 +135,12 @@
 ) -> list[Effect]:
     """Fetch the rest of a broken stream from the endpoint that holds it.
 
-    If the endpoint is not connected, wait ``resume_wait_ms`` for it to reconnect.
+    If the endpoint is not connected, wait ``resume_wait_ms`` for it to reconnect. If it
+    is in an evacuated domain, reject the request.
     """
     endpoint_id = attempt.endpoint_id
+    if state.endpoints.is_evacuated(endpoint_id):
+        return _reject(state, request, attempt, Reason.DOMAIN_EVACUATED, now_ms)
     if endpoint_id in state.endpoints.view_by_id:
         return _placing.dispatch(state, request, endpoint_id, now_ms, is_resumed=True)
     request.phase = Phase.RESUMING
@@ -150,7 +153,8 @@
 def resume_streams(state: EntryState, info: EndpointInfo, now_ms: int) -> list[Effect]:
     """Resume the broken streams of an endpoint that reconnected.
 
-    An endpoint of another incarnation holds no streams, so their requests are rejected.
+    An endpoint of another incarnation holds no streams, and one in an evacuated domain
+    gets no attempts, so their requests are rejected.
     """
     effects: list[Effect] = []
     for request in list(state.request_by_id.values()):
@@ -160,7 +164,10 @@
         if request.spec.deadline_ms <= now_ms:
             # The deadline timer rejects this request.
             continue
-        if info.incarnation == request.resume_incarnation:
+        if state.endpoints.is_evacuated(info.endpoint_id):
+            reason = Reason.DOMAIN_EVACUATED
+            effects += _reject_resume(state, request, now_ms, reason)
+        elif info.incarnation == request.resume_incarnation:
             effects += _placing.dispatch(
                 state, request, info.endpoint_id, now_ms, is_resumed=True
             )
@@ -179,10 +186,14 @@
     return _reject_resume(state, request, now_ms)
 
 
-def _reject_resume(state: EntryState, request: Request, now_ms: int) -> list[Effect]:
+def _reject_resume(
+    state: EntryState,
+    request: Request,
+    now_ms: int,
+    reason: Reason = Reason.ENDPOINT_LOST,
+) -> list[Effect]:
     """Reject a request whose stream can no longer be resumed."""
     peer = request.resume_endpoint_id
-    reason = Reason.ENDPOINT_LOST
     return _final.reject_request(state, request, reason, "resume", now_ms, peer)
 
 
--- a/packages/core/src/bluebellusher_core/state/_state.py
+++ b/packages/core/src/bluebellusher_core/state/_state.py
@@ -13,6 +13,7 @@
     ActiveEntries,
     Announcements,
     Endpoints,
+    EvacuatedDomains,
     Pool,
     RequestLimits,
 )
@@ -168,6 +169,7 @@
                 config.queue_factor,
                 Announcements(config.max_pause_ms),
                 RequestLimits(ActiveEntries(config.entry_id)),
+                evacuated=EvacuatedDomains(config.entry_id),
             ),
             retry_budget=RetryBudget(config.n_min_retries, config.retry_percent),
             claims=ClaimTable(f"{config.entry_id}.{config.incarnation}"),
--- a/packages/entry/src/bluebellusher/cli/explain.py
+++ b/packages/entry/src/bluebellusher/cli/explain.py
@@ -20,6 +20,8 @@
 STATE_EVENTS = frozenset(
     (
         "configuration-in-force",
+        "domain-evacuated",
+        "domain-restored",
         "endpoint-ready",
         "endpoint-draining",
         "endpoint-leaving",
@@ -54,7 +56,7 @@
 # Maximum number of words that a log collector may put before a line.
 N_MAX_PREFIX_WORDS = 3
 # Fields that name the subject of an event; the first one that is present counts.
-SUBJECT_FIELDS = ("endpoint", "table", "peer", "lease", "group")
+SUBJECT_FIELDS = ("endpoint", "table", "peer", "lease", "group", "domain")
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/entry/src/bluebellusher/gateway/_attempts.py
+++ b/packages/entry/src/bluebellusher/gateway/_attempts.py
@@ -8,15 +8,18 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from http import HTTPStatus
 
 import aiohttp
 from yarl import URL
 
 from bluebellusher.links import (
+    BEFORE_WRITE,
     NOT_CONNECTED_ERRORS,
     AnswerStream,
     BoundedResponse,
+    CheckedRequest,
     ConnectionLostError,
     EventReader,
     EventSink,
@@ -27,6 +30,7 @@
 from bluebellusher.observability import Metrics, Tracer
 from bluebellusher.ports import AnswerFields, AttemptFields, Dialect
 from bluebellusher.runtime import Exchange
+from bluebellusher.shared import CheckDomain
 from bluebellusher_core.clock import Clock
 from bluebellusher_core.directory import EndpointRegistration
 from bluebellusher_core.effects import (
@@ -72,6 +76,10 @@
 FindEndpoint = Callable[[str], EndpointRegistration | None]
 
 
+class _DomainEvacuatedError(Exception):
+    """Attempt that is not written because its endpoint's domain is evacuated."""
+
+
 class _BrokenAttemptError(Exception):
     """Attempt that may have run but did not give a complete, valid answer."""
 
@@ -152,6 +160,9 @@
     is_limited : callable
         Returns whether a limit of the request rate is in force for an endpoint, which
         an answer without one ends.
+    is_evacuated : callable or None
+        Returns whether a failure domain is evacuated, right before an attempt is
+        written; None when there are no evacuations.
 
     Attributes
     ----------
@@ -168,6 +179,7 @@
         metrics: Metrics,
         describe_endpoint: Callable[[str], dict[str, str | int | float]] | None = None,
         is_limited: IsLimited = lambda endpoint_id: False,
+        is_evacuated: CheckDomain | None = None,
     ) -> None:
         self.sink: EventSink | None = None
         self._dialect = dialect
@@ -177,6 +189,7 @@
         self._metrics = metrics
         self._describe_endpoint = describe_endpoint
         self._is_limited = is_limited
+        self.is_evacuated = is_evacuated
         self._attempt_by_id: dict[str, _Attempt] = {}
         self._check_tasks: set[asyncio.Task[None]] = set()
         self._session: aiohttp.ClientSession | None = None
@@ -188,6 +201,7 @@
         )
         self._session = open_session(
             connector=connector,
+            request_class=CheckedRequest,
             response_class=BoundedResponse,
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
@@ -321,6 +335,11 @@
         """Send an attempt and post the event that ends it, also after an error."""
         try:
             event = await self._send_and_relay(attempt)
+        except _DomainEvacuatedError:
+            domain = attempt.endpoint.failure_domain
+            self._log("attempt-withheld", attempt, domain=domain)
+            reason = Reason.DOMAIN_EVACUATED
+            event = self._make_refused(attempt, reason, has_arrived=False)
         except NOT_CONNECTED_ERRORS as error:
             reason = _choose_connect_reason(error)
             self._log(
@@ -350,6 +369,7 @@
         """Send an attempt, relay its answer and return the event that ends it."""
         assert self._session is not None
         exchange, endpoint = attempt.exchange, attempt.endpoint
+        BEFORE_WRITE.set(partial(self._check_domain, endpoint.failure_domain))
         remaining_ms = max(1, exchange.spec.deadline_ms - self._clock.now_ms())
         fields = AttemptFields(
             endpoint_id=endpoint.endpoint_id,
@@ -384,6 +404,11 @@
             attempt.effect.endpoint_id,
         )
 
+    async def _check_domain(self, domain: str) -> None:
+        """Raise ``_DomainEvacuatedError`` if a failure domain is evacuated."""
+        if self.is_evacuated is not None and await self.is_evacuated(domain):
+            raise _DomainEvacuatedError
+
     def _post_announcement(
         self, attempt: _Attempt, answer_fields: AnswerFields
     ) -> None:
--- a/packages/entry/src/bluebellusher/gateway/_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -27,6 +27,7 @@
     CRASH_TABLE,
     CrashTable,
     Directory,
+    DomainCheck,
     Members,
     RetainedRow,
     TableCopy,
@@ -159,10 +160,14 @@
         self.routing_watcher = self._make_watcher(
             ports.codec.routing_table,
             self.directory.apply_routing_rows,
-            self.directory.apply_routing_rows,
+            self.directory.apply_restored_routing_rows,
             random_state,
             self.directory,
         )
+        self.domain_check = DomainCheck(
+            self.directory.evacuations, self.routing_watcher, clock, self.runtime
+        )
+        self.dispatcher.is_evacuated = self.domain_check.is_evacuated
         self.registration_watcher = self._make_watcher(
             ports.codec.registration_table,
             self.directory.apply_registration_rows,
@@ -276,6 +281,7 @@
         self.peer_exchange.register(messages.Digest, self._on_digest)
         self.peer_exchange.register(messages.TablePull, self.tables.on_pull)
         self.peer_exchange.register(messages.TableDelta, self.tables.on_delta)
+        self.ticker.add_callback(self.domain_check.observe)
         self.ticker.add_callback(self._tick)
         self.ticker.start()
         self.peers.dial(
--- a/packages/entry/src/bluebellusher/gateway/_view.py
+++ b/packages/entry/src/bluebellusher/gateway/_view.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from typing import TYPE_CHECKING, Any
 
+from bluebellusher.observability import name_series
 from bluebellusher_core.routing import count_occupied_slots
 from bluebellusher_core.wire import messages
 
@@ -95,4 +96,16 @@
                 gateway.routing_watcher.is_store_available
             ),
             "bluebellusher_log_lines_dropped": gateway.log.n_dropped,
+            **self._compute_evacuation_gauges(),
+        }
+
+    def _compute_evacuation_gauges(self) -> dict[str, float]:
+        """Return 1 for each evacuated domain and 0 for those that were evacuated."""
+        evacuations = self._gateway.directory.evacuations
+        evacuated_domains = self._gateway.state.endpoints.evacuated.domains
+        return {
+            name_series("bluebellusher_domain_evacuated", "domain", domain): float(
+                domain in evacuated_domains
+            )
+            for domain in evacuations.known_domains
         }
--- a/packages/entry/src/bluebellusher/links/__init__.py
+++ b/packages/entry/src/bluebellusher/links/__init__.py
@@ -5,6 +5,7 @@
 
 from bluebellusher.links._agents import AgentLinks, EventSink
 from bluebellusher.links._answer import AnswerStream
+from bluebellusher.links._checked_request import BEFORE_WRITE, CheckedRequest
 from bluebellusher.links._connection import FrameConnection, Identity
 from bluebellusher.links._dialer import Dialer
 from bluebellusher.links._headers import CONNECTION_HEADERS
@@ -25,12 +26,14 @@
 from bluebellusher.links._ticker import LinkTicker
 
 __all__ = [
+    "BEFORE_WRITE",
     "CONNECTION_HEADERS",
     "NOT_CONNECTED_ERRORS",
     "AgentLinks",
     "AnswerStream",
     "AttemptRelay",
     "BoundedResponse",
+    "CheckedRequest",
     "ConnectionLostError",
     "Dialer",
     "EventReader",
--- a/packages/entry/src/bluebellusher/observability/_metrics.py
+++ b/packages/entry/src/bluebellusher/observability/_metrics.py
@@ -47,18 +47,23 @@
         Parameters
         ----------
         gauges : mapping of str to float
-            Current values of the gauges by metric name.
+            Current values of the gauges by the name of their series.
         """
         lines: list[str] = []
-        for name, gauge_value in sorted(gauges.items()):
-            lines += [f"# TYPE {name} gauge", f"{name} {gauge_value:g}"]
+        last_name = ""
+        for series, gauge_value in sorted(gauges.items()):
+            name = series.partition("{")[0]
+            if name != last_name:
+                lines.append(f"# TYPE {name} gauge")
+            last_name = name
+            lines.append(f"{series} {gauge_value:g}")
         last_name = ""
         for (name, label, value), n in sorted(self._n_by_series.items()):
             if name != last_name:
                 lines.append(f"# TYPE {name} counter")
             last_name = name
-            selector = f'{{{label}="{_escape_label(value)}"}}' if label else ""
-            lines.append(f"{name}{selector} {n}")
+            series = name_series(name, label, value) if label else name
+            lines.append(f"{series} {n}")
         for name, histogram in self._histograms().items():
             lines += _summary_lines(f"bluebellusher_{name}", histogram)
         return "\n".join(lines) + "\n"
@@ -77,6 +82,17 @@
         }
 
 
+def name_series(name: str, label: str, value: str) -> str:
+    """Return the name of a series of a metric with one label.
+
+    Examples
+    --------
+    >>> name_series("requests", "reason", "full")
+    'requests{reason="full"}'
+    """
+    return f'{name}{{{label}="{_escape_label(value)}"}}'
+
+
 def _summary_lines(name: str, histogram: HdrHistogram) -> list[str]:
     """Format a histogram as a Prometheus summary: quantiles, sum and count."""
     n_values = histogram.get_total_count()
--- a/packages/entry/src/bluebellusher/ports.py
+++ b/packages/entry/src/bluebellusher/ports.py
@@ -252,6 +252,12 @@
     def read_routing(self, value: bytes) -> RoutingTable | None:
         """Return the routing table, or ``None`` when the value is malformed."""
 
+    def read_evacuation(self, key: str) -> str | None:
+        """Return the failure domain that a row evacuates by its key.
+
+        The row is in ``routing_table``. The result is ``None`` for any other row.
+        """
+
     def read_registration(
         self, endpoint_id: str, value: bytes
     ) -> EndpointRegistration | None:
--- a/packages/entry/src/bluebellusher/shared/_directory.py
+++ b/packages/entry/src/bluebellusher/shared/_directory.py
@@ -4,6 +4,11 @@
 from dataclasses import replace
 
 from bluebellusher.ports import TableCodec
+from bluebellusher.shared._evacuations import (
+    CHANGED_ROW,
+    RESTORED_STORE,
+    Evacuations,
+)
 from bluebellusher.shared._log import LogSink
 from bluebellusher_core.clock import Clock
 from bluebellusher_core.directory import (
@@ -54,6 +59,7 @@
         self.row_in_force: MirrorRow | None = None
         self.routing_applied_at_ms = 0
         self.registrations = Registrations()
+        self.evacuations = Evacuations(codec, post, clock)
         self.on_endpoints_changed: Callable[[], None] | None = None
         self._codec = codec
         self._post = post
@@ -70,6 +76,22 @@
         return self.registrations.registration_by_id.get(endpoint_id)
 
     def apply_routing_rows(self, rows: list[MirrorRow]) -> None:
+        """Put a newer routing configuration and the evacuations in force."""
+        # Evacuations come first, so that an entry that starts does not place a request
+        # between the two.
+        self.evacuations.apply_rows(rows, CHANGED_ROW)
+        self._apply_configuration(rows)
+
+    def apply_restored_routing_rows(self, rows: list[MirrorRow]) -> None:
+        """Apply the rows that differ after the store was restored.
+
+        The configuration in force stays until a newer one is written. Evacuations are
+        those of the restored store.
+        """
+        self.evacuations.apply_rows(rows, RESTORED_STORE)
+        self._apply_configuration(rows)
+
+    def _apply_configuration(self, rows: list[MirrorRow]) -> None:
         """Put a newer routing configuration in force.
 
         A configuration that cannot be read, or whose version is below the current one,
--- a/packages/entry/src/bluebellusher/shared/_watcher.py
+++ b/packages/entry/src/bluebellusher/shared/_watcher.py
@@ -55,6 +55,12 @@
         Receives the log lines.
     wait_ms : int
         Time for which one call asks the store to wait for a change, in ms.
+
+    Attributes
+    ----------
+    asked_at_ms : int
+        Start of the latest call that has ended, with an answer or an error, in
+        monotonic ms; -1 before the first. A later answer cannot be older.
     """
 
     def __init__(
@@ -70,6 +76,7 @@
         self.mirror = copy.mirror
         self.is_store_available = False
         self.store_answered_at_ms = 0
+        self.asked_at_ms = -1
         self._store = store
         self._copy = copy
         self._on_availability_change = on_availability_change
@@ -87,7 +94,9 @@
         while True:
             self._record_store_epoch()
             asked_epoch = self.mirror.store_epoch
+            asked_at_ms = self._clock.now_ms()
             result = await self._read()
+            self._record_call(asked_at_ms)
             match result:
                 case Result(tag="ok", ok=rows):
                     if rows.store_epoch < self.mirror.store_epoch:
@@ -99,6 +108,23 @@
                 case Result(error=error):
                     await self._handle_error(error)
 
+    async def refresh(self) -> None:
+        """Read the whole table at once, beside the call that waits for changes.
+
+        An error is left to ``run``, which notices and logs it by its own call.
+        """
+        asked_at_ms = self._clock.now_ms()
+        result = await self._store.read_table(self.mirror.table)
+        match result:
+            case Result(tag="ok", ok=rows):
+                if rows.store_epoch >= self.mirror.store_epoch:
+                    self._copy.replace(rows.rows, rows.version, rows.store_epoch)
+        self._record_call(asked_at_ms)
+
+    def _record_call(self, asked_at_ms: int) -> None:
+        """Record a call that has ended."""
+        self.asked_at_ms = max(self.asked_at_ms, asked_at_ms)
+
     async def _read(self) -> Result[TableRows, StoreError]:
         """Read the whole table if necessary, otherwise wait for changes.
 
--- a/packages/entry/src/bluebellusher/shared/tests/test_restored_entries.py
+++ b/packages/entry/src/bluebellusher/shared/tests/test_restored_entries.py
@@ -37,6 +37,10 @@
         """Return an empty routing table of the version in a row."""
         return RoutingTable.from_parts(int(value), [], [], None)
 
+    def read_evacuation(self, key):
+        """Return the domain in a key ``evacuate/DOMAIN``, or None."""
+        return key.removeprefix("evacuate/") if "/" in key else None
+
     def read_registration(self, endpoint_id, value):
         """Return the registration in a row."""
         return EndpointRegistration(endpoint_id, **json.loads(value))
--- a/packages/entry/src/bluebellusher/shared/tests/test_shared.py
+++ b/packages/entry/src/bluebellusher/shared/tests/test_shared.py
@@ -181,6 +181,10 @@
             return None
         return RoutingTable.from_parts(int(value), [], [], None)
 
+    def read_evacuation(self, key):
+        """Return the domain in a key ``evacuate/DOMAIN``, or None."""
+        return key.removeprefix("evacuate/") if "/" in key else None
+
     def read_registration(self, endpoint_id, value):
         """Return a registration, or None for a bad row."""
         if not value.isdigit():
--- a/soak/entry.py
+++ b/soak/entry.py
@@ -46,6 +46,10 @@
         ]
         return RoutingTable.from_parts(version, routes, [Service(SERVICE, 0)], None)
 
+    def read_evacuation(self, key: str) -> str | None:
+        """Return no failure domain, because the soak evacuates none."""
+        return None
+
     def read_registration(
         self, endpoint_id: str, value: bytes
     ) -> EndpointRegistration | None:
