Test the evacuation of failure domains, and bound its ramp over all entries

Cause: the first ramp limited each entry by itself, so that 64 entries could run many times an endpoint's slots shortly after its domain was restored.

Change: the attempts that all entries together run at an endpoint of a restored domain rise to its slots over 4 s, divided by the same rendezvous shares as the limits that endpoints name.

--- a/deploy/tests/test_codec.py
+++ b/deploy/tests/test_codec.py
@@ -177,3 +177,19 @@
     others = {name: value for name, value in REGISTRATION.items() if name != field}
     body = json.dumps(others)[:-1] + f', "{field}": {text}}}'
     assert PlatformCodec().read_registration("x", body.encode()) is None
+
+
+@pytest.mark.parametrize(
+    ("key", "domain"),
+    [
+        ("evacuate/zone-1", "zone-1"),
+        ("evacuate/a/b", "a/b"),
+        ("evacuate/", None),
+        ("evacuate", None),
+        ("config", None),
+        ("other/evacuate/a", None),
+    ],
+)
+def test_evacuation_is_read_from_the_key(key, domain):
+    """Guards against other rows of the table that are taken for evacuations."""
+    assert PlatformCodec().read_evacuation(key) == domain
--- a/packages/core/src/bluebellusher_core/membership/_endpoints.py
+++ b/packages/core/src/bluebellusher_core/membership/_endpoints.py
@@ -77,7 +77,9 @@
     tracker: EndpointTracker = field(default_factory=EndpointTracker)
     groups: GroupStates = field(default_factory=lambda: GroupStates(REPORT_MAX_AGE_MS))
     silence: RankSilence = field(default_factory=RankSilence)
-    evacuated: EvacuatedDomains = field(default_factory=lambda: EvacuatedDomains(""))
+    evacuated: EvacuatedDomains = field(
+        default_factory=lambda: EvacuatedDomains(ActiveEntries(""))
+    )
     _deferred_until_ms: dict[str, int] = field(default_factory=dict)
     _n_refusals: dict[str, int] = field(default_factory=dict)
     _views_by_pool: dict[Pool, list[EndpointView]] = field(default_factory=dict)
--- a/packages/core/src/bluebellusher_core/membership/_evacuation.py
+++ b/packages/core/src/bluebellusher_core/membership/_evacuation.py
@@ -4,13 +4,12 @@
 from dataclasses import dataclass, field
 from math import ceil
 
-from bluebellusher_core.rendezvous import score
+from bluebellusher_core.membership._entries import ActiveEntries
 from bluebellusher_core.routing import EndpointView
 
 # Time in which a restored domain returns to its whole share, in ms. Engines are cold
 # for 3 s from the first requests on, and get no more than a part of the share by then.
 RAMP_MS = 4_000
-_N_SCORES = float(2**64)
 
 
 @dataclass(slots=True)
@@ -19,23 +18,22 @@
 
     Load pattern: when an evacuation ends, the endpoints of the domain are idle and may
     be cold, while the queues of all entries may be full. Every entry would choose these
-    endpoints first, all at the same moment. The share of a restored domain therefore
-    rises over ``RAMP_MS``: each endpoint is used by a part of the entries that grows
-    with the time, in an order that differs between endpoints, and each of them has a
-    growing limit of concurrent attempts. A pool whose endpoints are all in restored
-    domains is used by every entry at once, under the limit of attempts alone, because
-    its requests have no other endpoint.
+    endpoints first, all at the same moment. The number of attempts that all entries
+    together run at an endpoint of a restored domain therefore rises over ``RAMP_MS`` to
+    its slots, divided among as many entries as the number allows. A pool whose
+    endpoints are all in restored domains is used by every entry at once, each of which
+    has the whole number, because its requests have no other endpoint.
 
     Parameters
     ----------
-    entry_id : str
-        Id of this entry, from which its place in the order of the entries follows.
+    entries : ActiveEntries
+        Entries that share the endpoints.
     domains : frozenset of str
         Failure domains that are evacuated.
 
     Examples
     --------
-    >>> evacuated = EvacuatedDomains("e1")
+    >>> evacuated = EvacuatedDomains(ActiveEntries("e1"))
     >>> evacuated.replace(frozenset({"north"}), now_ms=0)
     >>> evacuated.replace(frozenset(), now_ms=10_000)
     >>> evacuated.is_ramping("north", now_ms=11_000)
@@ -44,7 +42,7 @@
     False
     """
 
-    entry_id: str
+    entries: ActiveEntries
     domains: frozenset[str] = frozenset()
     _restored_at_ms: dict[str, int] = field(default_factory=dict)
 
@@ -81,14 +79,12 @@
         restored_at_ms = self._restored_at_ms.get(info.failure_domain)
         if restored_at_ms is None:
             return True
-        share = (now_ms - restored_at_ms) / RAMP_MS
-        if has_other and self._find_start(info.endpoint_id) > share:
-            return False
-        return view.n_own_in_flight < max(1, ceil(share * info.n_slots))
-
-    def _find_start(self, endpoint_id: str) -> float:
-        """Return the part of the ramp, 0 to 1, after which the entry uses an endpoint.
-
-        The parts of all entries are spread evenly, and differ between endpoints.
-        """
-        return int.from_bytes(score(endpoint_id, self.entry_id)) / _N_SCORES
+        progress = (now_ms - restored_at_ms) / RAMP_MS
+        n_attempts = max(1, ceil(progress * info.n_slots))
+        if has_other:
+            share = self.entries.find_share(info.endpoint_id, n_attempts, now_ms)
+            if share is None:
+                return False
+            n_more = share.position < n_attempts % share.n_holders
+            n_attempts = n_attempts // share.n_holders + n_more
+        return view.n_own_in_flight < n_attempts
--- a/packages/core/src/bluebellusher_core/state/_state.py
+++ b/packages/core/src/bluebellusher_core/state/_state.py
@@ -158,6 +158,7 @@
         0
         """
         policy = policy or LeastInFlight()
+        entries = ActiveEntries(config.entry_id)
         return cls(
             config=config,
             random_state=Random(config.seed),
@@ -168,8 +169,8 @@
                 config.n_max_endpoints,
                 config.queue_factor,
                 Announcements(config.max_pause_ms),
-                RequestLimits(ActiveEntries(config.entry_id)),
-                evacuated=EvacuatedDomains(config.entry_id),
+                RequestLimits(entries),
+                evacuated=EvacuatedDomains(entries),
             ),
             retry_budget=RetryBudget(config.n_min_retries, config.retry_percent),
             claims=ClaimTable(f"{config.entry_id}.{config.incarnation}"),
--- a/packages/entry/src/bluebellusher/cli/tests/test_explain.py
+++ b/packages/entry/src/bluebellusher/cli/tests/test_explain.py
@@ -111,3 +111,23 @@
     assert tester.execute(f"explain e1.r1 {path}") == 0
     assert tester.execute(f"explain e1.r9 {path}") == 1
     assert tester.execute(f"explain e1.r1 {tmp_path}/missing.log") == 2
+
+
+EVACUATION_LOG = """\
+ts=10.000 event=started instance=e1 domain=d1
+ts=20.000 event=domain-evacuated domain=d1 row_version=7 took_ms=1
+ts=20.001 event=domain-evacuated domain=d2 row_version=8 took_ms=1
+ts=20.500 event=domain-restored domain=d2 row_version=9 took_ms=1
+ts=21.000 event=request-arrived request=e1.r1
+ts=21.001 event=request-ended request=e1.r1 outcome=not_run reason=domain_evacuated
+ts=22.000 event=domain-evacuated domain=d3 row_version=11 took_ms=1
+"""
+
+
+def test_evacuated_domains_are_shown():
+    """Guards against a rejection whose cause is not in the timeline."""
+    text = "\n".join(explain("e1.r1", parse_log(EVACUATION_LOG)))
+    assert "reason=domain_evacuated" in text
+    assert "domain-evacuated domain=d1 row_version=7" in text
+    assert "domain-restored domain=d2 row_version=9" in text
+    assert "d3" not in text
