--- a/packages/core/src/bluebellusher_core/reducer/tests/test_evacuation.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_evacuation.py
@@ -334,6 +334,57 @@
     assert entry.count_sent(20) != dict.fromkeys(DOMAINS, 0)
 
 
+def test_remaining_domains_take_over_at_their_rate():
+    """Guards against an admission that counts the slots of an evacuated domain.
+
+    Load pattern: 190 requests/s arrive, where all three domains can serve 240 and two
+    of them 160. While one is evacuated, the others stay fully used, and the excess is
+    rejected as not run before its deadline. After the ramp all are served again.
+    """
+    entry = Entry()
+    service_ms, interval_ms = 100, 1_000 / 190
+    answered_at_ms, calls = [], []
+    n_started, start_ms = 0, entry.now_ms
+    arrival_ms_by_id = {}
+    changes = [(1_000, "a"), (4_000, "")]
+    while entry.now_ms < start_ms + 4_000 + RAMP_MS + 2_000:
+        entry.now_ms += 1
+        at_ms = entry.now_ms - start_ms
+        if changes and at_ms >= changes[0][0]:
+            entry.evacuate(changes.pop(0)[1])
+        while calls and calls[0][0] <= entry.now_ms:
+            _, dispatch = calls.pop(0)
+            entry.finish(dispatch)
+            answered_at_ms.append(at_ms)
+        for timer in [t for t in entry.timers if t[0] <= entry.now_ms]:
+            entry.timers.remove(timer)
+            entry.handle(TimerFired(timer[1]))
+        while len(arrival_ms_by_id) * interval_ms <= at_ms:
+            request_id = f"r{len(arrival_ms_by_id)}"
+            arrival_ms_by_id[request_id] = at_ms
+            entry.send(
+                request_id,
+                objective_at_ms=entry.now_ms + 300,
+                start_by_ms=entry.now_ms + 700,
+                deadline_ms=entry.now_ms + 700,
+            )
+        for dispatch in entry.dispatches[n_started:]:
+            calls.append((entry.now_ms + service_ms, dispatch))
+        n_started = len(entry.dispatches)
+
+    def count(times_ms, from_ms, to_ms):
+        return sum(from_ms <= t < to_ms for t in times_ms)
+
+    assert count(answered_at_ms, 1_200, 4_000) >= 0.95 * 160 * 2.8
+    rejected_at_ms = [arrival_ms_by_id[i] for i in entry.rejection_by_id]
+    assert count(rejected_at_ms, 1_000, 4_000) <= 1.2 * 30 * 3
+    for rejection in entry.rejection_by_id.values():
+        assert rejection.outcome is Outcome.NOT_RUN
+        assert rejection.reason is not Reason.DEADLINE_EXCEEDED
+        assert rejection.retry_after_ms > 0
+    assert not count(rejected_at_ms, 4_000 + RAMP_MS, 4_000 + RAMP_MS + 2_000)
+
+
 class RandomEntry(Entry):
     """Entry with random events, each of which may come at any time."""
 
