Count a withheld attempt as a refusal of its request

Cause: a fault in the reducer's handler could leave its set without a domain that the dispatcher withholds attempts to. The request would have been placed there again and again, each time with a new connection, until its deadline.

--- a/packages/core/src/bluebellusher_core/requests/_attempts.py
+++ b/packages/core/src/bluebellusher_core/requests/_attempts.py
@@ -140,8 +140,8 @@
         return []
     if request.phase is Phase.DETACHED:
         return _end_detached(state, request, now_ms)
-    is_evacuated = event.reason is Reason.DOMAIN_EVACUATED
     if attempt.is_resumed:
+        is_evacuated = event.reason is Reason.DOMAIN_EVACUATED
         reason = event.reason if is_evacuated else Reason.ENDPOINT_LOST
         return _final.reject_request(
             state, request, reason, "resume", now_ms, endpoint_id
@@ -156,8 +156,7 @@
         rejected = _placing.reject_if_closed(state, request, now_ms)
         if rejected is not None:
             return rejected
-    is_counted = event.reason is not Reason.ENDPOINT_ISOLATING and not is_evacuated
-    request.n_refused += is_counted
+    request.n_refused += event.reason is not Reason.ENDPOINT_ISOLATING
     is_in_budget = not event.has_arrived or state.retry_budget.try_spend()
     if request.n_refused > state.config.n_max_refusals or not is_in_budget:
         return _final.reject_request(
--- a/packages/entry/src/bluebellusher/gateway/tests/test_evacuation.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_evacuation.py
@@ -60,6 +60,28 @@
     run_scenario(scenario, [answer_sealed] * 2, routes=NON_IDEMPOTENT)
 
 
+def test_attempts_that_are_always_withheld_end_with_a_rejection():
+    """Guards against connections without end for a request that is never sent.
+
+    The reducer does not know the evacuation, as after a fault in its handler.
+    """
+    n_checks = 0
+
+    async def scenario(harness):
+        async def is_evacuated(domain):
+            nonlocal n_checks
+            n_checks += 1
+            return True
+
+        harness.dispatcher.is_evacuated = is_evacuated
+        status, headers, _ = await harness.fetch()
+        assert status == 503
+        assert "Retry-After" in headers
+        assert n_checks == harness.state.config.n_max_refusals + 1
+
+    run_scenario(scenario, [answer_sealed])
+
+
 class RawEndpoint:
     """Endpoint that records all bytes of its connections and answers none."""
 
