--- a/packages/core/src/bluebellusher_core/requests/_attempts.py
+++ b/packages/core/src/bluebellusher_core/requests/_attempts.py
@@ -141,8 +141,10 @@
     if request.phase is Phase.DETACHED:
         return _end_detached(state, request, now_ms)
     if attempt.is_resumed:
+        is_evacuated = event.reason is Reason.DOMAIN_EVACUATED
+        reason = event.reason if is_evacuated else Reason.ENDPOINT_LOST
         return _final.reject_request(
-            state, request, Reason.ENDPOINT_LOST, "resume", now_ms, endpoint_id
+            state, request, reason, "resume", now_ms, endpoint_id
         )
     if attempt.is_isolated:
         retry_after_ms = event.retry_after_ms
@@ -175,6 +177,9 @@
     state: EntryState, event: AttemptRefused, endpoint_id: str, now_ms: int
 ) -> None:
     """Stop or defer new work for an endpoint that refused an attempt, by its reason."""
+    if event.reason is Reason.DOMAIN_EVACUATED:
+        # The dispatcher held the attempt back; the endpoint itself refused nothing.
+        return
     if event.reason is Reason.ENDPOINT_DRAINING:
         state.endpoints.drain(endpoint_id)
         return
