Limit the requests to endpoints that warm up, over all entries

Cause: entries that start together have no memory and no peers, so that each sent up to the slots of the only idle endpoint, and sent refused requests again. In virtual time an endpoint got 78 requests in a second from 13 entries and 65 from 64; 32 are allowed.

Change: RequestLimits also applies the rate that a service states for cold endpoints. The shares are those of the entries that may exist: listed ones count without contact, and an entry that others may not know has no share. Saved requests are one type for both limits.

Nothing reports a warm-up yet outside of the tests.

--- a/packages/core/src/bluebellusher_core/events/__init__.py
+++ b/packages/core/src/bluebellusher_core/events/__init__.py
@@ -19,6 +19,9 @@
     LimitsReceived,
     LoadReported,
     SilentReceived,
+    WarmUpMark,
+    WarmUpSource,
+    WarmUpsReported,
 )
 from bluebellusher_core.events._request_events import (
     AttemptAccepted,
@@ -73,6 +76,7 @@
     | LeavingReceived
     | EndpointDraining
     | EndpointCrashed
+    | WarmUpsReported
     | LoadReported
     | CacheReported
     | ClaimsAnswered
@@ -134,4 +138,7 @@
     "SilentReceived",
     "TimerFired",
     "Usage",
+    "WarmUpMark",
+    "WarmUpSource",
+    "WarmUpsReported",
 ]
--- a/packages/core/src/bluebellusher_core/events/_endpoint_events.py
+++ b/packages/core/src/bluebellusher_core/events/_endpoint_events.py
@@ -1,6 +1,7 @@
 """Events about endpoints."""
 
 from dataclasses import dataclass
+from enum import StrEnum
 
 
 @dataclass(frozen=True, slots=True)
@@ -226,6 +227,59 @@
     marks: tuple[LimitMark, ...]
 
 
+class WarmUpSource(StrEnum):
+    """What a ``WarmUpMark`` comes from.
+
+    ``FIRST`` is the first registration of a start, or the first one after it was
+    missing; it may have been written long before. ``RENEWAL`` is a later one.
+    ``CONFIGURATION`` is a changed rate of the service.
+    """
+
+    FIRST = "first"
+    RENEWAL = "renewal"
+    CONFIGURATION = "configuration"
+
+
+@dataclass(frozen=True, slots=True)
+class WarmUpMark:
+    """What a registration states about the warm-up of one start of an endpoint.
+
+    Parameters
+    ----------
+    endpoint_id : str
+        The endpoint.
+    incarnation : int
+        Its start.
+    requests_per_s : float
+        Requests that the endpoint takes from all entries together while it is cold, per
+        second; 0 when its service states no rate.
+    duration_ms : int
+        Time for which an endpoint of the service is cold after its start, in ms.
+    remaining_ms : int
+        Time for which the endpoint stays cold, in ms, when the registration was
+        written.
+    source : WarmUpSource
+        Whether the mark shows that the endpoint is warm.
+    """
+
+    endpoint_id: str
+    incarnation: int
+    requests_per_s: float
+    duration_ms: int
+    remaining_ms: int
+    source: WarmUpSource
+
+
+@dataclass(frozen=True, slots=True)
+class WarmUpsReported:
+    """Registrations of endpoints whose service states a rate for cold ones arrived.
+
+    An event without marks only reports endpoints that became warm or unknown by time.
+    """
+
+    marks: tuple[WarmUpMark, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class LoadReported:
     """A load report of an endpoint arrived.
--- a/packages/core/src/bluebellusher_core/events/_state_events.py
+++ b/packages/core/src/bluebellusher_core/events/_state_events.py
@@ -92,9 +92,14 @@
 
 @dataclass(frozen=True, slots=True)
 class MembersListed:
-    """The store listed all entries of the deployment."""
+    """The store listed all entries of the deployment.
+
+    ``is_from_peer`` states that a peer passed the list on, which serves only to divide
+    limits until the store has answered.
+    """
 
     member_ids: frozenset[str]
+    is_from_peer: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/bluebellusher_core/membership/__init__.py
+++ b/packages/core/src/bluebellusher_core/membership/__init__.py
@@ -11,6 +11,7 @@
 from bluebellusher_core.membership._limits import RequestLimits
 from bluebellusher_core.membership._silence import RankSilence, SilentRank
 from bluebellusher_core.membership._subset import choose_subset
+from bluebellusher_core.membership._warm_up import WarmUpBounds, WarmUps
 
 __all__ = [
     "MAX_PAUSE_MS",
@@ -22,6 +23,8 @@
     "RequestLimits",
     "Share",
     "SilentRank",
+    "WarmUpBounds",
+    "WarmUps",
     "choose_subset",
     "pool_of",
 ]
--- a/packages/core/src/bluebellusher_core/membership/_endpoints.py
+++ b/packages/core/src/bluebellusher_core/membership/_endpoints.py
@@ -15,7 +15,8 @@
 from bluebellusher_core.membership._announcements import Announcements
 from bluebellusher_core.membership._entries import ActiveEntries
 from bluebellusher_core.membership._groups import GroupStates
-from bluebellusher_core.membership._limits import MS_PER_S, RequestLimits
+from bluebellusher_core.membership._limits import RequestLimits
+from bluebellusher_core.membership._saved import MS_PER_S
 from bluebellusher_core.membership._silence import RankSilence
 from bluebellusher_core.routing import EndpointTracker, EndpointView
 
--- a/packages/core/src/bluebellusher_core/membership/_limits.py
+++ b/packages/core/src/bluebellusher_core/membership/_limits.py
@@ -1,13 +1,14 @@
-"""Limits of the request rate that endpoints name in their answers."""
+"""Limits of the request rate: named by endpoints, or in force while they warm up."""
 
 from collections import OrderedDict
 from dataclasses import dataclass, field
-from math import ceil, inf
+from math import inf
 
 from bluebellusher_core.events import LimitMark
 from bluebellusher_core.membership._entries import ActiveEntries, Share
+from bluebellusher_core.membership._saved import SavedRequests
+from bluebellusher_core.membership._warm_up import WarmUps
 
-MS_PER_S = 1_000
 # Age from which a limit that no answer has named again is discarded, in ms. The next
 # answer names it again, if it still holds.
 LIMIT_MAX_AGE_MS = 600_000
@@ -31,17 +32,15 @@
 class _Limit:
     """Limit of one start of an endpoint, and the requests that this entry may send.
 
-    ``requests_per_s`` is None after an answer without a limit. ``n_saved`` is the
-    number of requests that this entry may send now; it grows by the entry's share of
-    the limit up to 1, and is negative after requests that could not wait.
+    ``requests_per_s`` is None after an answer without a limit. ``saved`` grows by the
+    entry's share of the limit.
     """
 
     incarnation: int
     requests_per_s: float | None
     named_at_ms: int
     announced_at_ms: int | None = None
-    n_saved: float = 0.0
-    updated_at_ms: int = 0
+    saved: SavedRequests = field(default_factory=SavedRequests)
 
 
 @dataclass(slots=True)
@@ -57,10 +56,15 @@
     while a burst arrives. It looks idle, because it has few requests, and every entry
     would choose it.
 
+    An endpoint that warms up has the limit of its service as well; the lower one of the
+    two applies.
+
     Parameters
     ----------
     entries : ActiveEntries
         Entries among which a limit is divided.
+    warm_ups : WarmUps
+        Limits of endpoints that warm up; by default with the usual bounds.
 
     Examples
     --------
@@ -74,12 +78,18 @@
     """
 
     entries: ActiveEntries
+    warm_ups: WarmUps = field(default=None)  # type: ignore[assignment]
     _limit_by_id: OrderedDict[str, _Limit] = field(default_factory=OrderedDict)
 
+    def __post_init__(self) -> None:
+        """Divide the limits of endpoints that warm up among the same entries."""
+        if self.warm_ups is None:
+            self.warm_ups = WarmUps(self.entries)
+
     @property
     def is_empty(self) -> bool:
-        """Whether no endpoint has named a limit."""
-        return not self._limit_by_id
+        """Whether no endpoint has named a limit or may have to warm up."""
+        return not self._limit_by_id and self.warm_ups.is_empty
 
     def is_limited(self, endpoint_id: str) -> bool:
         """Return whether an endpoint has named a limit that is in force."""
@@ -167,18 +177,21 @@
 
     def is_exhausted(self, endpoint_id: str, incarnation: int, now_ms: int) -> bool:
         """Return whether this entry may send no request to an endpoint now."""
+        if self.warm_ups.is_exhausted(endpoint_id, now_ms):
+            return True
         limit = self._find(endpoint_id, incarnation)
         if limit is None:
             return False
         self._save(endpoint_id, limit, now_ms)
-        return limit.n_saved < 1
+        return limit.saved.n_saved < 1
 
     def record_dispatch(self, endpoint_id: str, incarnation: int, now_ms: int) -> None:
         """Record a request that this entry sends to an endpoint."""
+        self.warm_ups.record_dispatch(endpoint_id, now_ms)
         limit = self._find(endpoint_id, incarnation)
         if limit is not None:
             self._save(endpoint_id, limit, now_ms)
-            limit.n_saved -= 1
+            limit.saved.n_saved -= 1
 
     def find_rate(
         self, endpoint_id: str, incarnation: int, now_ms: int
@@ -187,19 +200,25 @@
 
         Returns None for an endpoint without a limit.
         """
+        rate = self.warm_ups.find_rate(endpoint_id, now_ms)
         limit = self._find(endpoint_id, incarnation)
-        return None if limit is None else self._rate(endpoint_id, limit, now_ms)
+        if limit is None:
+            return rate
+        named_rate = self._rate(endpoint_id, limit, now_ms)
+        return named_rate if rate is None else min(rate, named_rate)
 
     def wait_ms(self, endpoint_id: str, incarnation: int, now_ms: int) -> float:
         """Return the time until this entry may send a request to an endpoint, in ms.
 
         The time is infinite for an entry without a share of the limit.
         """
-        if not self.is_exhausted(endpoint_id, incarnation, now_ms):
-            return 0
-        limit = self._limit_by_id[endpoint_id]
+        warm_up_ms = self.warm_ups.wait_ms(endpoint_id, now_ms)
+        limit = self._find(endpoint_id, incarnation)
+        if limit is None:
+            return warm_up_ms
+        self._save(endpoint_id, limit, now_ms)
         rate = self._rate(endpoint_id, limit, now_ms)
-        return ceil((1 - limit.n_saved) * MS_PER_S / rate) if rate else inf
+        return max(warm_up_ms, limit.saved.wait_ms(rate))
 
     def next_available_at_ms(self, now_ms: int) -> int | None:
         """Return the next time at which a request may be sent, or None without one."""
@@ -208,7 +227,11 @@
             for endpoint_id, limit in self._limit_by_id.items()
         ]
         future_ms = [wait_ms for wait_ms in waits_ms if 0 < wait_ms < inf]
-        return now_ms + int(min(future_ms)) if future_ms else None
+        times_ms = [now_ms + int(wait_ms) for wait_ms in future_ms]
+        warm_up_at_ms = self.warm_ups.next_available_at_ms(now_ms)
+        if warm_up_at_ms is not None:
+            times_ms.append(warm_up_at_ms)
+        return min(times_ms, default=None)
 
     def _find(self, endpoint_id: str, incarnation: int) -> _Limit | None:
         """Return the limit that is in force for a start of an endpoint."""
@@ -235,12 +258,7 @@
 
         An entry without a share keeps none.
         """
-        rate = self._rate(endpoint_id, limit, now_ms)
-        elapsed_ms = now_ms - limit.updated_at_ms
-        limit.updated_at_ms = now_ms
-        limit.n_saved = min(1.0, limit.n_saved + rate * elapsed_ms / MS_PER_S)
-        if not rate:
-            limit.n_saved = min(0.0, limit.n_saved)
+        limit.saved.grow(self._rate(endpoint_id, limit, now_ms), now_ms)
 
     def _replace(
         self,
@@ -258,12 +276,11 @@
             and limit.requests_per_s is not None
         )
         if limit is None or not is_continued:
-            limit = _Limit(
-                incarnation, requests_per_s, named_at_ms, updated_at_ms=now_ms
-            )
+            saved = SavedRequests(updated_at_ms=now_ms)
+            limit = _Limit(incarnation, requests_per_s, named_at_ms, saved=saved)
             share = self._find_share(endpoint_id, requests_per_s or 0.0, now_ms)
             if share is not None:
-                limit.n_saved = share.position / share.n_holders
+                saved.n_saved = share.position / share.n_holders
             self._limit_by_id[endpoint_id] = limit
         else:
             self._save(endpoint_id, limit, now_ms)
--- a/packages/core/src/bluebellusher_core/reducer/_reduce.py
+++ b/packages/core/src/bluebellusher_core/reducer/_reduce.py
@@ -37,6 +37,7 @@
     ShutdownStarted,
     SilentReceived,
     TimerFired,
+    WarmUpsReported,
 )
 from bluebellusher_core.requests import (
     _announced,
@@ -52,6 +53,7 @@
     _retries,
     _shutdown,
     _silence,
+    _warm_up,
 )
 from bluebellusher_core.state import EntryState
 
@@ -118,7 +120,10 @@
         case EndpointRegistered():
             return _links.handle_registered(state, event, now_ms)
         case EndpointLost():
+            state.endpoints.limits.warm_ups.discard(event.endpoint_id)
             return _links.handle_lost(state, event.endpoint_id, now_ms)
+        case WarmUpsReported():
+            return _warm_up.handle_reported(state, event, now_ms)
         case EndpointDraining():
             state.endpoints.drain(event.endpoint_id)
             state.next_placement_ms = 0
@@ -155,7 +160,10 @@
             state.endpoints.limits.entries.record_connected(event.peer_ids, now_ms)
             state.next_placement_ms = 0
         case MembersListed():
-            state.member_ids = event.member_ids
+            entries = state.endpoints.limits.entries
+            entries.record_listed(event.member_ids, now_ms)
+            if not event.is_from_peer:
+                state.member_ids = event.member_ids
         case ShutdownStarted():
             state.is_shutting_down = True
         case ArrivalsEnded():
--- a/packages/core/src/bluebellusher_core/requests/_attempts.py
+++ b/packages/core/src/bluebellusher_core/requests/_attempts.py
@@ -181,6 +181,7 @@
     if event.reason is Reason.ENDPOINTS_CLOSED:
         state.endpoints.groups.record_closed(endpoint_id, now_ms)
     if event.reason in _NOT_CONNECTED:
+        state.endpoints.limits.warm_ups.record_cut(endpoint_id, now_ms)
         state.endpoints.tracker.record_failure(endpoint_id, now_ms)
     state.endpoints.defer(endpoint_id, event.retry_after_ms, now_ms)
 
--- a/packages/core/src/bluebellusher_core/requests/_isolation.py
+++ b/packages/core/src/bluebellusher_core/requests/_isolation.py
@@ -65,7 +65,9 @@
     views = state.endpoints.views_of(pool)
     if request.reserved_endpoint_id:
         if any(v.info.endpoint_id == request.reserved_endpoint_id for v in views):
-            return request.reserved_endpoint_id
+            warm_ups = state.endpoints.limits.warm_ups
+            is_exhausted = warm_ups.is_exhausted(request.reserved_endpoint_id, now_ms)
+            return None if is_exhausted else request.reserved_endpoint_id
         _final.release_endpoint(state, request)
     if not has_isolation_capacity(state, pool):
         return None
--- a/packages/core/src/bluebellusher_core/requests/_recovery.py
+++ b/packages/core/src/bluebellusher_core/requests/_recovery.py
@@ -33,6 +33,7 @@
     request.may_have_run = True
     request.n_broken += 1
     state.endpoints.tracker.record_failure(attempt.endpoint_id, now_ms)
+    state.endpoints.limits.warm_ups.record_cut(attempt.endpoint_id, now_ms)
     request.avoided_endpoint_ids.add(attempt.endpoint_id)
     request.n_bytes_relayed = max(request.n_bytes_relayed, event.n_bytes_relayed)
     is_fatal = is_loss or event.reason is Reason.ENGINE_ERROR
--- /dev/null
+++ b/packages/core/src/bluebellusher_core/requests/_warm_up.py
@@ -0,0 +1,33 @@
+"""Handlers of registrations and attempts that show whether endpoints are cold."""
+
+from bluebellusher_core.effects import Effect, LogEvent
+from bluebellusher_core.events import WarmUpsReported
+from bluebellusher_core.state import EntryState
+
+
+def handle_reported(
+    state: EntryState, event: WarmUpsReported, now_ms: int
+) -> list[Effect]:
+    """Record reports, and log the endpoints that began or ended to count as cold."""
+    warm_ups = state.endpoints.limits.warm_ups
+    for mark in event.marks:
+        warm_ups.record(mark, now_ms)
+    effects: list[Effect] = []
+    for change in warm_ups.pop_changes(now_ms):
+        state.next_placement_ms = 0
+        if not change.is_warming:
+            fields = (("endpoint", change.endpoint_id),)
+            effects.append(LogEvent("endpoint-warm", fields))
+            continue
+        effects.append(
+            LogEvent(
+                "endpoint-warming",
+                (
+                    ("endpoint", change.endpoint_id),
+                    ("requests_per_s", change.requests_per_s),
+                    ("own_requests_per_s", round(change.own_requests_per_s, 3)),
+                    ("remaining_ms", change.remaining_ms),
+                ),
+            )
+        )
+    return effects
--- a/packages/core/src/bluebellusher_core/state/_config.py
+++ b/packages/core/src/bluebellusher_core/state/_config.py
@@ -55,6 +55,10 @@
     no_endpoint_grace_ms : int
         Time for which requests wait after the last endpoint of their pool was lost, in
         ms; an unresponsive connection is replaced within this time.
+    warm_up_overage, warm_up_tolerance : float
+        Largest number of requests that may reach an endpoint that warms up within any
+        second, from all entries: the first times the service's rate for such endpoints,
+        plus the second.
     retry_after_ms : int
         Default time after which a caller may retry a rejected request, in ms.
     """
@@ -77,6 +81,8 @@
     n_crashes_to_block: int = 0
     max_pause_ms: int = 60_000
     no_endpoint_grace_ms: int = 1_000
+    warm_up_overage: float = 1.5
+    warm_up_tolerance: float = 5.0
     retry_after_ms: int = 1_000
 
     def __post_init__(self) -> None:
