Read the warm-up of endpoints from configuration, registrations and answers

Cause: nothing told the reducer which endpoints are cold.

Change: the directory reports each registration of a service with a rate, before the endpoint is used, and whether it is a renewal. The first one of a start, after a gap, a restored store or a freeze may be old and does not show that the endpoint is warm. Answers may state the remaining time. Members of the deployment go to peers that connect. The bound comes from the settings.

--- a/deploy/tests/test_codec.py
+++ b/deploy/tests/test_codec.py
@@ -177,3 +177,17 @@
     others = {name: value for name, value in REGISTRATION.items() if name != field}
     body = json.dumps(others)[:-1] + f', "{field}": {text}}}'
     assert PlatformCodec().read_registration("x", body.encode()) is None
+
+
+def test_warm_up_is_decoded():
+    """Guards against a rate, duration or remaining time that is lost or misread."""
+    cold = {"name": "x", "cold_start_s": 3.0, "cold_per_s": 18.0}
+    body = {**CONFIG_BODY, "services": [cold, {"name": "y"}]}
+    services = PlatformCodec().read_routing(json.dumps(body).encode()).service_by_id
+    assert services["x"].warm_up_ms == 3_000
+    assert services["x"].warm_up_requests_per_s == 18.0
+    assert services["y"].warm_up_requests_per_s == 0
+    registration = {**REGISTRATION, "cold_remaining_ms": 1_200.5}
+    value = json.dumps(registration).encode()
+    endpoint = PlatformCodec().read_registration("i-1", value)
+    assert endpoint.warm_up_remaining_ms == 1_201
--- a/deploy/tests/test_dialect.py
+++ b/deploy/tests/test_dialect.py
@@ -177,3 +177,15 @@
     for status in (200, 500, 503):
         fields = PlatformDialect().read_answer(status, {"Server-Limit": value})
         assert fields.max_requests_per_s == limit
+
+
+@pytest.mark.parametrize(
+    ("value", "remaining_ms"),
+    [("900", 900), ("0.5", 1), ("0", 0), ("", 0), ("-1", 0), ("inf", 0), ("x", 0)],
+)
+def test_remaining_warm_up_is_read_from_any_answer(value, remaining_ms):
+    """Guards against invalid values, and against cold engines that refuse requests."""
+    headers = {"X-Bluebellusher-Cold-Ms": value}
+    for status in (200, 503):
+        fields = PlatformDialect().read_answer(status, headers)
+        assert fields.warm_up_remaining_ms == remaining_ms
--- a/packages/core/src/bluebellusher_core/directory/_registrations.py
+++ b/packages/core/src/bluebellusher_core/directory/_registrations.py
@@ -37,6 +37,8 @@
 
     ``started_wall_ms`` is the Unix time, in ms, at which the endpoint started. It
     distinguishes two starts under the same id; 0 when the endpoint does not report it.
+    ``warm_up_remaining_ms`` is the time, in ms, for which the endpoint stays cold after
+    it wrote the registration.
     """
 
     endpoint_id: str
@@ -47,6 +49,7 @@
     n_slots: int
     is_draining: bool
     started_wall_ms: int = 0
+    warm_up_remaining_ms: int = 0
 
 
 @dataclass(slots=True)
--- a/packages/core/src/bluebellusher_core/directory/_routes.py
+++ b/packages/core/src/bluebellusher_core/directory/_routes.py
@@ -89,11 +89,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Service:
-    """A service and the model of its engines; ``engine`` is None for a plain one."""
+    """A service and the model of its engines; ``engine`` is None for a plain one.
+
+    An endpoint that has just started takes ``warm_up_requests_per_s`` requests per
+    second from all entries together for ``warm_up_ms``. A rate of 0 states no limit.
+    """
 
     service_id: str
     n_max_connections: int
     engine: EngineModel | None = None
+    warm_up_ms: int = 0
+    warm_up_requests_per_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/bluebellusher_core/events/_endpoint_events.py
+++ b/packages/core/src/bluebellusher_core/events/_endpoint_events.py
@@ -232,11 +232,13 @@
 
     ``FIRST`` is the first registration of a start, or the first one after it was
     missing; it may have been written long before. ``RENEWAL`` is a later one.
+    ``ANSWER`` is the header of an answer, which states only ``remaining_ms``.
     ``CONFIGURATION`` is a changed rate of the service.
     """
 
     FIRST = "first"
     RENEWAL = "renewal"
+    ANSWER = "answer"
     CONFIGURATION = "configuration"
 
 
--- a/packages/core/src/bluebellusher_core/membership/_endpoints.py
+++ b/packages/core/src/bluebellusher_core/membership/_endpoints.py
@@ -162,6 +162,12 @@
         rate = self.limits.find_rate(info.endpoint_id, info.incarnation, now_ms)
         return inf if rate is None else rate * service_ms / MS_PER_S
 
+    def count_warming(self, now_ms: int) -> int:
+        """Return the number of endpoints in use that may be cold."""
+        find_ms = self.limits.warm_ups.find_remaining_ms
+        views = (v for v in self.view_by_id.values() if not v.is_draining)
+        return sum(find_ms(v.info.endpoint_id, now_ms) > 0 for v in views)
+
     def _paused_until_ms(self, view: EndpointView, now_ms: int) -> int:
         info = view.info
         return self.announcements.paused_until_ms(
--- a/packages/core/src/bluebellusher_core/membership/_entries.py
+++ b/packages/core/src/bluebellusher_core/membership/_entries.py
@@ -63,6 +63,11 @@
         self._share_by_key.clear()
         self._possible_by_key.clear()
 
+    @property
+    def listed_ids(self) -> frozenset[str]:
+        """Entries that the store or a peer has listed."""
+        return self._listed_ids
+
     def record_listed(self, listed_ids: Iterable[str], now_ms: int) -> None:
         """Record the entries that the store or a peer lists, in contact or not.
 
--- a/packages/core/src/bluebellusher_core/membership/_warm_up.py
+++ b/packages/core/src/bluebellusher_core/membership/_warm_up.py
@@ -1,6 +1,6 @@
 """Endpoints that warm up, and the requests that this entry may send them."""
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from dataclasses import dataclass, field, replace
 from math import inf
 
@@ -10,7 +10,7 @@
 
 # Age from which a registration no longer shows that an endpoint is warm, in ms. An
 # endpoint writes it about every 1,200 ms, and it arrives up to 800 ms late.
-REGISTRATION_MAX_AGE_MS = 3_000
+REGISTRATION_MAX_AGE_MS = 2_200
 # Time after a connection to an endpoint was cut in which a registration that arrives
 # may have been written before, in ms.
 REGISTRATION_DELAY_MS = 1_000
@@ -135,12 +135,16 @@
     def record(self, mark: WarmUpMark, now_ms: int) -> None:
         """Record what a registration or the configuration states of an endpoint.
 
-        A mark without a rate ends the record of the endpoint. The first registration
+        A mark of an answer only extends the time for which the endpoint counts as cold.
+        Any other mark without a rate ends the record of the endpoint. The first one
         may be older than a start of the endpoint and shows only that it may be cold. A
         later one shows the state, unless it may have been written before a connection
         was cut.
         """
         endpoint_id = mark.endpoint_id
+        if mark.source is WarmUpSource.ANSWER:
+            self._extend(endpoint_id, mark.remaining_ms, now_ms)
+            return
         if mark.requests_per_s <= 0:
             self._warm_up_by_id.pop(endpoint_id, None)
             return
@@ -181,7 +185,14 @@
         known = self._warm_up_by_id.get(endpoint_id)
         if known is not None:
             known.cut_at_ms = now_ms
-            known.warm_at_ms = max(known.warm_at_ms, now_ms + known.mark.duration_ms)
+            self._extend(endpoint_id, known.mark.duration_ms, now_ms)
+
+    def _extend(self, endpoint_id: str, remaining_ms: int, now_ms: int) -> None:
+        """Count an endpoint as cold for a time, at most that of a start."""
+        known = self._warm_up_by_id.get(endpoint_id)
+        if known is not None:
+            remaining_ms = min(remaining_ms, known.mark.duration_ms)
+            known.warm_at_ms = max(known.warm_at_ms, now_ms + remaining_ms)
 
     def record_dispatch(self, endpoint_id: str, now_ms: int) -> None:
         """Record a request that this entry sends to an endpoint, cold or warm.
@@ -239,13 +250,16 @@
         first_ms = min((w for w in waits_ms if w > 0), default=inf)
         return None if first_ms == inf else now_ms + int(first_ms)
 
-    def count_warming(self, now_ms: int) -> int:
-        """Return the number of endpoints that may be cold."""
-        return sum(w.remaining_ms(now_ms) > 0 for w in self._warm_up_by_id.values())
+    def pop_changes(
+        self, used_ids: Container[str], now_ms: int
+    ) -> Iterable[WarmUpChange]:
+        """Return the endpoints that began or ended to count as cold since the call.
 
-    def pop_changes(self, now_ms: int) -> Iterable[WarmUpChange]:
-        """Return the endpoints that began or ended to count as cold since the call."""
+        Others than ``used_ids`` are left out until they are in use again.
+        """
         for endpoint_id, known in self._warm_up_by_id.items():
+            if endpoint_id not in used_ids:
+                continue
             remaining_ms = known.remaining_ms(now_ms)
             is_warming = remaining_ms > 0
             if is_warming != known.was_warming:
--- a/packages/core/src/bluebellusher_core/reducer/tests/_warm_up_simulation.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/_warm_up_simulation.py
@@ -46,6 +46,7 @@
 
     def __init__(self, n_entries, n_endpoints, requests_per_s=REQUESTS_PER_S):
         self.n_entries = n_entries
+        self.stream_ms = STREAM_MS
         self.full_ids = set()
         self.n_running_by_id = {}
         self.cold_until_by_id = {}
@@ -121,7 +122,7 @@
             self.call_later(LATENCY_MS, self.handle, state, refused)
             return
         self.n_running_by_id[endpoint_id] = n_running + 1
-        self.call_later(STREAM_MS, self._end, state, effect)
+        self.call_later(self.stream_ms, self._end, state, effect)
 
     def _end(self, state, effect):
         endpoint_id, attempt_id = effect.endpoint_id, effect.attempt_id
--- a/packages/core/src/bluebellusher_core/requests/_warm_up.py
+++ b/packages/core/src/bluebellusher_core/requests/_warm_up.py
@@ -13,7 +13,9 @@
     for mark in event.marks:
         warm_ups.record(mark, now_ms)
     effects: list[Effect] = []
-    for change in warm_ups.pop_changes(now_ms):
+    views = state.endpoints.view_by_id.values()
+    used_ids = {v.info.endpoint_id for v in views if not v.is_draining}
+    for change in warm_ups.pop_changes(used_ids, now_ms):
         state.next_placement_ms = 0
         if not change.is_warming:
             fields = (("endpoint", change.endpoint_id),)
--- a/packages/entry/src/bluebellusher/gateway/_attempts.py
+++ b/packages/entry/src/bluebellusher/gateway/_attempts.py
@@ -47,6 +47,9 @@
     EndpointProgressed,
     Event,
     Usage,
+    WarmUpMark,
+    WarmUpSource,
+    WarmUpsReported,
 )
 
 # Timeout of connecting to an endpoint, in ms. It is far above a round trip between
@@ -407,6 +410,11 @@
                     answer_fields.pause_ms,
                 )
             )
+        remaining_ms = answer_fields.warm_up_remaining_ms
+        if remaining_ms:
+            source = WarmUpSource.ANSWER
+            mark = WarmUpMark(endpoint_id, incarnation, 0.0, 0, remaining_ms, source)
+            self._post(WarmUpsReported((mark,)))
         max_requests_per_s = answer_fields.max_requests_per_s
         # Only an answer that is certainly the endpoint's own ends its limit.
         is_own_answer = (
--- a/packages/entry/src/bluebellusher/gateway/_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -49,6 +49,7 @@
     EntriesCounted,
     LeavingMark,
     LimitMark,
+    MembersListed,
     PeersConnected,
 )
 from bluebellusher_core.poison import CrashRecord
@@ -82,6 +83,8 @@
 # Time for which an entry that shuts down waits for its map changes to end, in ms. A
 # group with a held step would otherwise have to wait for the next leader.
 MAP_CHANGE_GRACE_MS = 1_500
+# Upper bound of the entries that are read from a peer's list.
+N_MAX_MEMBERS = 1_000
 # Interval at which the settings file is checked for changes, in ms.
 SETTINGS_POLL_MS = 1_000
 # Time for which a call to the store waits for a change of the crash table, in ms. The
@@ -150,6 +153,7 @@
             self._find_leaving,
             settings.failure_domain,
             self._find_limits,
+            self._find_members,
         )
         self.peers = PeerLinks(
             identity, self.runtime, self.ticker, clock, random_state, self.peer_exchange
@@ -352,6 +356,10 @@
         """
         self._is_leader_by_peer_id[peer_id] = MAP_LEASE in (digest.held_leases or ())
         self.tables.on_digest(peer_id, digest)
+        if digest.members and not self.state.endpoints.limits.entries.listed_ids:
+            member_ids = (m.instance_id or "" for m in digest.members[:N_MAX_MEMBERS])
+            event = MembersListed(frozenset(filter(None, member_ids)), True)
+            self.runtime.post(event)
         if digest.crashes:
             self.crash_table.schedule_peer_write()
 
@@ -372,6 +380,11 @@
     def _find_limits(self) -> tuple[LimitMark, ...]:
         return self.state.endpoints.limits.make_marks(self.clock.now_ms())
 
+    def _find_members(self) -> frozenset[str]:
+        """Return the listed entries, if a limit is divided among all of them."""
+        limits = self.state.endpoints.limits
+        return frozenset() if limits.warm_ups.is_empty else limits.entries.listed_ids
+
     def _broadcast_limits(self, effect: BroadcastLimits) -> None:
         self.peer_exchange.broadcast_limits(effect.marks)
 
@@ -502,6 +515,8 @@
         resume_wait_ms=RESUME_WAIT_MS,
         n_crashes_to_block=N_CRASHES_TO_BLOCK,
         max_pause_ms=settings.max_endpoint_pause_ms,
+        warm_up_overage=settings.warm_up.overage,
+        warm_up_tolerance=settings.warm_up.tolerance,
     )
     policy = SlotAware(failure_domain=settings.failure_domain)
     return EntryState.from_config(config, policy, ObjectiveQueue)
--- a/packages/entry/src/bluebellusher/gateway/_view.py
+++ b/packages/entry/src/bluebellusher/gateway/_view.py
@@ -81,6 +81,9 @@
             "bluebellusher_connections": gateway.server.n_connections,
             "bluebellusher_endpoints": sum(not v.is_draining for v in views),
             "bluebellusher_endpoints_draining": sum(v.is_draining for v in views),
+            "bluebellusher_endpoints_warming": (
+                gateway.state.endpoints.count_warming(now_ms)
+            ),
             "bluebellusher_members": len(gateway.peers.connections_by_peer_id),
             "bluebellusher_agents": gateway.ranks.n_connected,
             "bluebellusher_map_lease_held": float(gateway.lease.token is not None),
--- a/packages/entry/src/bluebellusher/ports.py
+++ b/packages/entry/src/bluebellusher/ports.py
@@ -196,6 +196,9 @@
     max_requests_per_s : float or None
         Number of requests that the endpoint takes from all entries together, per
         second; ``None`` when it names no limit.
+    warm_up_remaining_ms : int
+        Time in milliseconds for which the endpoint states that it stays cold; 0 when
+        not given.
     """
 
     attempt_id: str
@@ -206,6 +209,7 @@
     is_leaving: bool = False
     pause_ms: int = 0
     max_requests_per_s: float | None = None
+    warm_up_remaining_ms: int = 0
 
 
 class Dialect(Protocol):
--- a/packages/entry/src/bluebellusher/runtime/_peers.py
+++ b/packages/entry/src/bluebellusher/runtime/_peers.py
@@ -69,6 +69,9 @@
         because callers retry within their own failure domain while an entry serves it.
     find_limits : callable
         Returns the limits that endpoints have named.
+    find_members : callable
+        Returns the ids of all entries, for peers that have connected and cannot read
+        them from the store.
     """
 
     def __init__(
@@ -80,6 +83,7 @@
         find_leaving: Callable[[], tuple[LeavingMark, ...]] = tuple,
         failure_domain: str = "",
         find_limits: Callable[[], tuple[LimitMark, ...]] = tuple,
+        find_members: Callable[[], Iterable[str]] = tuple,
     ) -> None:
         self.links: PeerLinks | None = None
         self.digest_at_ms_by_peer_id: dict[str, int] = {}
@@ -91,6 +95,7 @@
         self._find_crashes = find_crashes
         self._find_leaving = find_leaving
         self._find_limits = find_limits
+        self._find_members = find_members
         self._failure_domain = failure_domain
         self._domain_peer_ids: set[str] = set()
         self._sent_digest: Any = None
@@ -114,6 +119,9 @@
         digest.crashes = _to_crash_messages(self._find_crashes())
         digest.leaving = _to_leaving_messages(self._find_leaving())
         digest.limits = _to_limit_messages(self._find_limits())
+        member_ids = sorted(self._find_members())
+        if member_ids:
+            digest.members = [messages.Member(instance_id=i) for i in member_ids]
         return digest
 
     def broadcast_crashes(self, records: Iterable[CrashRecord]) -> None:
--- a/packages/entry/src/bluebellusher/settings/_gateway.py
+++ b/packages/entry/src/bluebellusher/settings/_gateway.py
@@ -52,6 +52,31 @@
     ] = 10
 
 
+class WarmUpSettings(SettingsModel):
+    """Bound on the requests to an endpoint that warms up.
+
+    Within any second, all entries together may send at most ``overage`` times the rate
+    that the service's configuration states for cold endpoints, plus ``tolerance``.
+    """
+
+    overage: Annotated[
+        float,
+        Field(
+            ge=1,
+            le=1_000,
+            description="Requests to a cold endpoint, as a multiple of its rate.",
+        ),
+    ] = 1.5
+    tolerance: Annotated[
+        float,
+        Field(
+            ge=0,
+            le=1_000_000,
+            description="Requests to a cold endpoint in addition to the multiple.",
+        ),
+    ] = 5
+
+
 class MapSettings(SettingsModel):
     """Cost of weight loads, against which the benefit of a map change is weighed.
 
@@ -111,6 +136,10 @@
         RetrySettings,
         Field(description="Bounds on attempts beyond the first of each request."),
     ] = RetrySettings()
+    warm_up: Annotated[
+        WarmUpSettings,
+        Field(description="Bound on the requests to an endpoint that warms up."),
+    ] = WarmUpSettings()
     maps: Annotated[
         MapSettings, Field(description="Cost of changes of expert maps.")
     ] = MapSettings()
--- a/packages/entry/src/bluebellusher/shared/_directory.py
+++ b/packages/entry/src/bluebellusher/shared/_directory.py
@@ -5,6 +5,7 @@
 
 from bluebellusher.ports import TableCodec
 from bluebellusher.shared._log import LogSink
+from bluebellusher.shared._warm_up import WarmUpReports
 from bluebellusher_core.clock import Clock
 from bluebellusher_core.directory import (
     EndpointRegistration,
@@ -59,6 +60,7 @@
         self._post = post
         self._clock = clock
         self._log = log
+        self._warm_ups = WarmUpReports(post, clock)
 
     @property
     def is_ready(self) -> bool:
@@ -99,6 +101,8 @@
     def _put_in_force(self, table: RoutingTable, row: MirrorRow) -> None:
         self.routing, self.row_in_force = table, row
         self.routing_applied_at_ms = self._clock.now_ms()
+        registrations = self.registrations.registration_by_id.values()
+        self._warm_ups.set_routing(table, registrations)
         self._log.log(
             "configuration-in-force",
             version=table.version,
@@ -126,12 +130,15 @@
         A registration that cannot be read counts as ended.
         """
         changes = self._read_registrations(rows)
+        # Comes first, so that no request is sent before the endpoint counts as cold.
+        self._warm_ups.apply(changes)
         self._log_and_post(self.registrations.update(changes, self._clock.now_ms()))
 
     def apply_restored_registration_rows(self, rows: list[MirrorRow]) -> None:
         """Apply the registrations that differ after the store was restored."""
         changes = self._read_registrations(rows)
         now_ms = self._clock.now_ms()
+        self._warm_ups.apply(changes, is_restored=True)
         self._log_and_post(self.registrations.update_restored(changes, now_ms))
 
     def _read_registrations(
@@ -169,6 +176,7 @@
         store_answered_at_ms : int
             Time of the store's last answer about registrations.
         """
+        self._warm_ups.tick()
         self._log_and_post(self.registrations.tick(now_ms, store_answered_at_ms))
 
     def _age_ms(self, started_wall_ms: int) -> int:
@@ -189,6 +197,8 @@
                     event = replace(event, age_ms=self._age_ms(info.incarnation))
                 case EndpointDraining() | EndpointLost() | EndpointReplaced():
                     endpoint_id = event.endpoint_id
+                    if isinstance(event, EndpointLost):
+                        self._warm_ups.discard(endpoint_id)
                 case _:
                     endpoint_id = ""
             registration = self.find(endpoint_id)
