Place attempts again that were chosen before a freeze of the entry

Cause: an entry that is frozen between the choice of an endpoint and the write sends attempts when it resumes that its share of a cold endpoint no longer allows.

Change: where the service states a rate, an attempt that was chosen more than 1 s before its connection is open is not written. The log names the cause for which an endpoint counts as cold. A test shows that an endpoint counts as cold before it is used.

--- a/packages/core/src/bluebellusher_core/membership/_warm_up.py
+++ b/packages/core/src/bluebellusher_core/membership/_warm_up.py
@@ -14,6 +14,9 @@
 # Time after a connection to an endpoint was cut in which a registration that arrives
 # may have been written before, in ms.
 REGISTRATION_DELAY_MS = 1_000
+# Age from which the choice of an endpoint is made again, in ms. It is longer than the
+# timeout of a connection, so that only a process that was frozen exceeds it.
+MAX_CHOICE_AGE_MS = 1_000
 # Entries with a share that the others may not know yet, for which a part of the bound
 # stays free.
 N_SPARE_ENTRIES = 1
@@ -67,6 +70,7 @@
     heard_at_ms: int
     saved: SavedRequests
     cut_at_ms: int | None = None
+    cause: str = ""
     was_warming: bool = False
 
     def remaining_ms(self, now_ms: int) -> int:
@@ -81,10 +85,15 @@
 
 @dataclass(frozen=True, slots=True)
 class WarmUpChange:
-    """An endpoint that began or ended to count as cold."""
+    """An endpoint that began or ended to count as cold.
+
+    ``cause`` is the source of the latest report, "connection cut", or "registration
+    old".
+    """
 
     endpoint_id: str
     is_warming: bool
+    cause: str
     requests_per_s: float
     own_requests_per_s: float
     remaining_ms: int
@@ -143,7 +152,7 @@
         """
         endpoint_id = mark.endpoint_id
         if mark.source is WarmUpSource.ANSWER:
-            self._extend(endpoint_id, mark.remaining_ms, now_ms)
+            self._extend(endpoint_id, mark.remaining_ms, mark.source.value, now_ms)
             return
         if mark.requests_per_s <= 0:
             self._warm_up_by_id.pop(endpoint_id, None)
@@ -167,7 +176,7 @@
             source = WarmUpSource.FIRST
         else:
             source = mark.source
-        known.mark, known.heard_at_ms = mark, now_ms
+        known.mark, known.heard_at_ms, known.cause = mark, now_ms, source.value
         warm_at_ms = now_ms + mark.remaining_ms
         if source is WarmUpSource.FIRST:
             known.warm_at_ms = max(warm_at_ms, now_ms + mark.duration_ms)
@@ -185,14 +194,18 @@
         known = self._warm_up_by_id.get(endpoint_id)
         if known is not None:
             known.cut_at_ms = now_ms
-            self._extend(endpoint_id, known.mark.duration_ms, now_ms)
+            duration_ms = known.mark.duration_ms
+            self._extend(endpoint_id, duration_ms, "connection cut", now_ms)
 
-    def _extend(self, endpoint_id: str, remaining_ms: int, now_ms: int) -> None:
+    def _extend(
+        self, endpoint_id: str, remaining_ms: int, cause: str, now_ms: int
+    ) -> None:
         """Count an endpoint as cold for a time, at most that of a start."""
         known = self._warm_up_by_id.get(endpoint_id)
         if known is not None:
             remaining_ms = min(remaining_ms, known.mark.duration_ms)
             known.warm_at_ms = max(known.warm_at_ms, now_ms + remaining_ms)
+            known.cause = cause
 
     def record_dispatch(self, endpoint_id: str, now_ms: int) -> None:
         """Record a request that this entry sends to an endpoint, cold or warm.
@@ -209,6 +222,17 @@
         n_max_owed = max(share_per_s, rate / self.bounds.find_max_holders(rate))
         known.saved.n_saved = max(known.saved.n_saved - 1, -n_max_owed)
 
+    def is_choice_outdated(
+        self, endpoint_id: str, chosen_at_ms: int, now_ms: int
+    ) -> bool:
+        """Return whether a request must not be written after all.
+
+        A process that was frozen between the choice of the endpoint and the write would
+        send it requests that its share no longer allows.
+        """
+        is_known = endpoint_id in self._warm_up_by_id
+        return is_known and now_ms - chosen_at_ms > MAX_CHOICE_AGE_MS
+
     def discard(self, endpoint_id: str) -> None:
         """Discard what is known of an endpoint that has left."""
         self._warm_up_by_id.pop(endpoint_id, None)
@@ -264,9 +288,11 @@
             is_warming = remaining_ms > 0
             if is_warming != known.was_warming:
                 known.was_warming = is_warming
+                is_old = now_ms - known.heard_at_ms > REGISTRATION_MAX_AGE_MS
                 yield WarmUpChange(
                     endpoint_id,
                     is_warming,
+                    "registration old" if is_old else known.cause,
                     known.mark.requests_per_s,
                     self._share_per_s(known, now_ms),
                     remaining_ms,
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_warm_up.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_warm_up.py
@@ -150,3 +150,12 @@
     assert entries.find_possible_share("x0", 13, 1_200) is None
     reduce(state, PeersConnected(frozenset({"e1", "e2"})), 1_300)
     assert entries.find_possible_share("x0", 13, 1_300).n_holders == 3
+
+
+def test_choice_of_a_frozen_entry_is_outdated_only_where_a_rate_is_stated():
+    """Guards against requests that were chosen before a freeze and sent after it."""
+    state, _ = make_state()
+    warm_ups = state.endpoints.limits.warm_ups
+    assert not warm_ups.is_choice_outdated("x0", 100, 900)
+    assert warm_ups.is_choice_outdated("x0", 100, 1_200)
+    assert not warm_ups.is_choice_outdated("other", 100, 1_200)
--- a/packages/core/src/bluebellusher_core/requests/_warm_up.py
+++ b/packages/core/src/bluebellusher_core/requests/_warm_up.py
@@ -26,6 +26,7 @@
                 "endpoint-warming",
                 (
                     ("endpoint", change.endpoint_id),
+                    ("cause", change.cause),
                     ("requests_per_s", change.requests_per_s),
                     ("own_requests_per_s", round(change.own_requests_per_s, 3)),
                     ("remaining_ms", change.remaining_ms),
--- a/packages/entry/src/bluebellusher/gateway/_attempts.py
+++ b/packages/entry/src/bluebellusher/gateway/_attempts.py
@@ -7,10 +7,12 @@
 
 import asyncio
 from collections.abc import Callable
+from contextvars import ContextVar
 from dataclasses import dataclass
 from http import HTTPStatus
 
 import aiohttp
+from aiohttp.connector import Connection
 from yarl import URL
 
 from bluebellusher.links import (
@@ -72,6 +74,7 @@
 _NO_PAUSE_MS = 0
 
 IsLimited = Callable[[str], bool]
+IsOutdated = Callable[[str, int], bool]
 FindEndpoint = Callable[[str], EndpointRegistration | None]
 
 
@@ -135,6 +138,24 @@
     return Reason.CONNECT_FAILED
 
 
+class _OutdatedAttemptError(Exception):
+    """The endpoint of an attempt must not get it any more; nothing was written."""
+
+
+# Whether the attempt of the current task must not be written after all.
+_is_outdated: ContextVar[Callable[[], bool]] = ContextVar("is_outdated")
+
+
+class _CheckedRequest(aiohttp.ClientRequest):
+    """Request that is checked again when its connection is open."""
+
+    async def send(self, conn: Connection) -> aiohttp.ClientResponse:
+        """Write the request; raise ``_OutdatedAttemptError`` if it must not be sent."""
+        if _is_outdated.get()():
+            raise _OutdatedAttemptError
+        return await super().send(conn)
+
+
 class HttpDispatcher:
     """Sender of attempts, which relays the answers and posts events about them.
 
@@ -155,6 +176,9 @@
     is_limited : callable
         Returns whether a limit of the request rate is in force for an endpoint, which
         an answer without one ends.
+    is_outdated : callable
+        Returns whether an attempt at an endpoint, chosen at a monotonic time in ms,
+        must not be sent any more.
 
     Attributes
     ----------
@@ -171,6 +195,7 @@
         metrics: Metrics,
         describe_endpoint: Callable[[str], dict[str, str | int | float]] | None = None,
         is_limited: IsLimited = lambda endpoint_id: False,
+        is_outdated: IsOutdated = lambda endpoint_id, chosen_at_ms: False,
     ) -> None:
         self.sink: EventSink | None = None
         self._dialect = dialect
@@ -180,6 +205,7 @@
         self._metrics = metrics
         self._describe_endpoint = describe_endpoint
         self._is_limited = is_limited
+        self._is_outdated = is_outdated
         self._attempt_by_id: dict[str, _Attempt] = {}
         self._check_tasks: set[asyncio.Task[None]] = set()
         self._session: aiohttp.ClientSession | None = None
@@ -191,6 +217,7 @@
         )
         self._session = open_session(
             connector=connector,
+            request_class=_CheckedRequest,
             response_class=BoundedResponse,
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
@@ -333,6 +360,10 @@
                 reason=reason.value,
             )
             event = self._make_refused(attempt, reason, has_arrived=False)
+        except _OutdatedAttemptError:
+            self._log("attempt-outdated", attempt)
+            reason = Reason.ENDPOINT_FULL
+            event = self._make_refused(attempt, reason, has_arrived=False)
         except _BrokenAttemptError as error:
             self._log("attempt-broken", attempt, error=str(error))
             event = self._make_broken(attempt, error.reason)
@@ -362,6 +393,9 @@
             priority=int(exchange.spec.priority),
         )
         headers = self._dialect.write_attempt(exchange.header_items, fields)
+        _is_outdated.set(
+            lambda: self._is_outdated(endpoint.endpoint_id, attempt.sent_at_ms)
+        )
         url = URL(
             f"http://{endpoint.host}:{endpoint.port}{exchange.path}", encoded=True
         )
--- a/packages/entry/src/bluebellusher/gateway/_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -134,6 +134,7 @@
             metrics,
             self.view.describe_endpoint,
             self.state.endpoints.limits.is_limited,
+            self._is_outdated,
         )
         self.runtime = Runtime(self.state, clock, log, metrics, tracer, self.dispatcher)
         self.dispatcher.sink = self.runtime
@@ -380,6 +381,12 @@
     def _find_limits(self) -> tuple[LimitMark, ...]:
         return self.state.endpoints.limits.make_marks(self.clock.now_ms())
 
+    def _is_outdated(self, endpoint_id: str, chosen_at_ms: int) -> bool:
+        """Return whether an attempt that was chosen earlier must not be sent."""
+        warm_ups = self.state.endpoints.limits.warm_ups
+        now_ms = self.clock.now_ms()
+        return warm_ups.is_choice_outdated(endpoint_id, chosen_at_ms, now_ms)
+
     def _find_members(self) -> frozenset[str]:
         """Return the listed entries, if a limit is divided among all of them."""
         limits = self.state.endpoints.limits
--- a/packages/entry/src/bluebellusher/shared/tests/test_warm_up_reports.py
+++ b/packages/entry/src/bluebellusher/shared/tests/test_warm_up_reports.py
@@ -2,10 +2,17 @@
 
 from dataclasses import replace
 
+from bluebellusher.shared import Directory
 from bluebellusher.shared._warm_up import WarmUpReports
+from bluebellusher.shared.tests.fakes import FakeLog
 from bluebellusher_core.clock import ManualClock
-from bluebellusher_core.directory import EndpointRegistration, RoutingTable, Service
-from bluebellusher_core.events import WarmUpSource
+from bluebellusher_core.directory import (
+    EndpointRegistration,
+    MirrorRow,
+    RoutingTable,
+    Service,
+)
+from bluebellusher_core.events import EndpointRegistered, WarmUpSource, WarmUpsReported
 
 COLD = Service("s", 0, warm_up_ms=3_000, warm_up_requests_per_s=18.0)
 ENDPOINT = EndpointRegistration("x", "s", "10.0.0.1", 80, "d", 4, False, 100)
@@ -68,3 +75,27 @@
         reports.set_routing(table, [ENDPOINT])
         rates += [mark.requests_per_s for event in events for mark in event.marks]
     assert rates == [9.0, 0.0]
+
+
+class ColdCodec:
+    """Codec of a configuration with a rate and of one endpoint."""
+
+    routing_key = "config"
+
+    def read_routing(self, value):
+        """Return the configuration."""
+        return RoutingTable.from_parts(int(value), [], [COLD], None)
+
+    def read_registration(self, endpoint_id, value):
+        """Return the registration of the endpoint."""
+        return ENDPOINT
+
+
+def test_endpoint_counts_as_cold_before_it_is_used():
+    """Guards against requests that wait for an endpoint and are sent all at once."""
+    log = FakeLog()
+    directory = Directory(ColdCodec(), log.post, ManualClock(), log)
+    directory.apply_routing_rows([MirrorRow("config", 1, b"1")])
+    directory.apply_registration_rows([MirrorRow("x", 2, b"")])
+    types = [type(event) for event in log.events]
+    assert types == [WarmUpsReported, EndpointRegistered]
