--- a/packages/core/src/bluebellusher_core/membership/__init__.py
+++ b/packages/core/src/bluebellusher_core/membership/__init__.py
@@ -12,6 +12,7 @@
 from bluebellusher_core.membership._limits import RequestLimits
 from bluebellusher_core.membership._silence import RankSilence, SilentRank
 from bluebellusher_core.membership._subset import choose_subset
+from bluebellusher_core.membership._warm_up import WarmUpBounds, WarmUps
 
 __all__ = [
     "MAX_PAUSE_MS",
@@ -25,6 +26,8 @@
     "RequestLimits",
     "Share",
     "SilentRank",
+    "WarmUpBounds",
+    "WarmUps",
     "choose_subset",
     "pool_of",
 ]
--- a/packages/core/src/bluebellusher_core/state/_state.py
+++ b/packages/core/src/bluebellusher_core/state/_state.py
@@ -16,6 +16,8 @@
     EvacuatedDomains,
     Pool,
     RequestLimits,
+    WarmUpBounds,
+    WarmUps,
 )
 from bluebellusher_core.poison import CrashCounter, PartBlocks, PoisonTable
 from bluebellusher_core.requests import Attempt, Request
@@ -159,6 +161,7 @@
         """
         policy = policy or LeastInFlight()
         entries = ActiveEntries(config.entry_id)
+        bounds = WarmUpBounds(config.warm_up_overage, config.warm_up_tolerance)
         return cls(
             config=config,
             random_state=Random(config.seed),
@@ -169,7 +172,7 @@
                 config.n_max_endpoints,
                 config.queue_factor,
                 Announcements(config.max_pause_ms),
-                RequestLimits(entries),
+                RequestLimits(entries, WarmUps(entries, bounds)),
                 evacuated=EvacuatedDomains(entries),
             ),
             retry_budget=RetryBudget(config.n_min_retries, config.retry_percent),
--- a/packages/entry/src/bluebellusher/gateway/_attempts.py
+++ b/packages/entry/src/bluebellusher/gateway/_attempts.py
@@ -51,6 +51,9 @@
     EndpointProgressed,
     Event,
     Usage,
+    WarmUpMark,
+    WarmUpSource,
+    WarmUpsReported,
 )
 
 # Timeout of connecting to an endpoint, in ms. It is far above a round trip between
@@ -73,6 +76,7 @@
 _NO_PAUSE_MS = 0
 
 IsLimited = Callable[[str], bool]
+IsOutdated = Callable[[str, int], bool]
 FindEndpoint = Callable[[str], EndpointRegistration | None]
 
 
@@ -140,6 +144,10 @@
     return Reason.CONNECT_FAILED
 
 
+class _OutdatedAttemptError(Exception):
+    """The endpoint of an attempt must not get it any more; nothing was written."""
+
+
 class HttpDispatcher:
     """Sender of attempts, which relays the answers and posts events about them.
 
@@ -163,6 +171,9 @@
     is_evacuated : callable or None
         Returns whether a failure domain is evacuated, right before an attempt is
         written; None when there are no evacuations.
+    is_outdated : callable
+        Returns whether an attempt at an endpoint, chosen at a monotonic time in ms,
+        must not be sent any more.
 
     Attributes
     ----------
@@ -180,6 +191,7 @@
         describe_endpoint: Callable[[str], dict[str, str | int | float]] | None = None,
         is_limited: IsLimited = lambda endpoint_id: False,
         is_evacuated: CheckDomain | None = None,
+        is_outdated: IsOutdated = lambda endpoint_id, chosen_at_ms: False,
     ) -> None:
         self.sink: EventSink | None = None
         self._dialect = dialect
@@ -190,6 +202,7 @@
         self._describe_endpoint = describe_endpoint
         self._is_limited = is_limited
         self.is_evacuated = is_evacuated
+        self._is_outdated = is_outdated
         self._attempt_by_id: dict[str, _Attempt] = {}
         self._check_tasks: set[asyncio.Task[None]] = set()
         self._session: aiohttp.ClientSession | None = None
@@ -349,6 +362,10 @@
                 reason=reason.value,
             )
             event = self._make_refused(attempt, reason, has_arrived=False)
+        except _OutdatedAttemptError:
+            self._log("attempt-outdated", attempt)
+            reason = Reason.ENDPOINT_FULL
+            event = self._make_refused(attempt, reason, has_arrived=False)
         except _BrokenAttemptError as error:
             self._log("attempt-broken", attempt, error=str(error))
             event = self._make_broken(attempt, error.reason)
@@ -369,7 +386,7 @@
         """Send an attempt, relay its answer and return the event that ends it."""
         assert self._session is not None
         exchange, endpoint = attempt.exchange, attempt.endpoint
-        BEFORE_WRITE.set(partial(self._check_domain, endpoint.failure_domain))
+        BEFORE_WRITE.set(partial(self._check_before_write, attempt))
         remaining_ms = max(1, exchange.spec.deadline_ms - self._clock.now_ms())
         fields = AttemptFields(
             endpoint_id=endpoint.endpoint_id,
@@ -404,8 +421,16 @@
             attempt.effect.endpoint_id,
         )
 
-    async def _check_domain(self, domain: str) -> None:
-        """Raise ``_DomainEvacuatedError`` if a failure domain is evacuated."""
+    async def _check_before_write(self, attempt: _Attempt) -> None:
+        """Raise an error if an attempt must not be written any more.
+
+        Its failure domain may have been evacuated, and the process may have been frozen
+        since the endpoint was chosen.
+        """
+        endpoint = attempt.endpoint
+        if self._is_outdated(endpoint.endpoint_id, attempt.sent_at_ms):
+            raise _OutdatedAttemptError
+        domain = endpoint.failure_domain
         if self.is_evacuated is not None and await self.is_evacuated(domain):
             raise _DomainEvacuatedError
 
@@ -432,6 +457,11 @@
                     answer_fields.pause_ms,
                 )
             )
+        remaining_ms = answer_fields.warm_up_remaining_ms
+        if remaining_ms:
+            source = WarmUpSource.ANSWER
+            mark = WarmUpMark(endpoint_id, incarnation, 0.0, 0, remaining_ms, source)
+            self._post(WarmUpsReported((mark,)))
         max_requests_per_s = answer_fields.max_requests_per_s
         # Only an answer that is certainly the endpoint's own ends its limit.
         is_own_answer = (
--- a/packages/entry/src/bluebellusher/gateway/_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -50,6 +50,7 @@
     EntriesCounted,
     LeavingMark,
     LimitMark,
+    MembersListed,
     PeersConnected,
 )
 from bluebellusher_core.poison import CrashRecord
@@ -83,6 +84,8 @@
 # Time for which an entry that shuts down waits for its map changes to end, in ms. A
 # group with a held step would otherwise have to wait for the next leader.
 MAP_CHANGE_GRACE_MS = 1_500
+# Upper bound of the entries that are read from a peer's list.
+N_MAX_MEMBERS = 1_000
 # Interval at which the settings file is checked for changes, in ms.
 SETTINGS_POLL_MS = 1_000
 # Time for which a call to the store waits for a change of the crash table, in ms. The
@@ -132,6 +135,7 @@
             metrics,
             self.view.describe_endpoint,
             self.state.endpoints.limits.is_limited,
+            is_outdated=self._is_outdated,
         )
         self.runtime = Runtime(self.state, clock, log, metrics, tracer, self.dispatcher)
         self.dispatcher.sink = self.runtime
@@ -151,6 +155,7 @@
             self._find_leaving,
             settings.failure_domain,
             self._find_limits,
+            self._find_members,
         )
         self.peers = PeerLinks(
             identity, self.runtime, self.ticker, clock, random_state, self.peer_exchange
@@ -167,7 +172,8 @@
         self.domain_check = DomainCheck(
             self.directory.evacuations, self.routing_watcher, clock, self.runtime
         )
-        self.dispatcher.is_evacuated = self.domain_check.is_evacuated
+        if settings.evacuation_ms is not None:
+            self.dispatcher.is_evacuated = self.domain_check.is_evacuated
         self.registration_watcher = self._make_watcher(
             ports.codec.registration_table,
             self.directory.apply_registration_rows,
@@ -358,6 +364,10 @@
         """
         self._is_leader_by_peer_id[peer_id] = MAP_LEASE in (digest.held_leases or ())
         self.tables.on_digest(peer_id, digest)
+        if digest.members and not self.state.endpoints.limits.entries.listed_ids:
+            member_ids = (m.instance_id or "" for m in digest.members[:N_MAX_MEMBERS])
+            event = MembersListed(frozenset(filter(None, member_ids)), True)
+            self.runtime.post(event)
         if digest.crashes:
             self.crash_table.schedule_peer_write()
 
@@ -378,6 +388,17 @@
     def _find_limits(self) -> tuple[LimitMark, ...]:
         return self.state.endpoints.limits.make_marks(self.clock.now_ms())
 
+    def _is_outdated(self, endpoint_id: str, chosen_at_ms: int) -> bool:
+        """Return whether an attempt that was chosen earlier must not be sent."""
+        warm_ups = self.state.endpoints.limits.warm_ups
+        now_ms = self.clock.now_ms()
+        return warm_ups.is_choice_outdated(endpoint_id, chosen_at_ms, now_ms)
+
+    def _find_members(self) -> frozenset[str]:
+        """Return the listed entries, if a limit is divided among all of them."""
+        limits = self.state.endpoints.limits
+        return frozenset() if limits.warm_ups.is_empty else limits.entries.listed_ids
+
     def _broadcast_limits(self, effect: BroadcastLimits) -> None:
         self.peer_exchange.broadcast_limits(effect.marks)
 
@@ -508,6 +529,8 @@
         resume_wait_ms=RESUME_WAIT_MS,
         n_crashes_to_block=N_CRASHES_TO_BLOCK,
         max_pause_ms=settings.max_endpoint_pause_ms,
+        warm_up_overage=settings.warm_up.overage,
+        warm_up_tolerance=settings.warm_up.tolerance,
     )
     policy = SlotAware(failure_domain=settings.failure_domain)
     return EntryState.from_config(config, policy, ObjectiveQueue)
--- a/packages/entry/src/bluebellusher/gateway/tests/test_evacuation.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_evacuation.py
@@ -191,7 +191,7 @@
 
     async def main():
         ports = PlatformPorts(store, PlainDialect(), Codec())
-        gateway = Gateway(make_settings(), ports, SystemClock(), log)
+        gateway = Gateway(make_settings(evacuation_ms=5_000), ports, SystemClock(), log)
         endpoints = gateway.state.endpoints
         assert "domain_evacuated" not in gateway._metrics_page().text
         await gateway.start()
@@ -231,7 +231,7 @@
         await endpoint.start()
         store.put("servers", "x0", str(endpoint.port).encode())
         ports = PlatformPorts(store, PlainDialect(), Codec())
-        gateway = Gateway(make_settings(), ports, SystemClock(), log)
+        gateway = Gateway(make_settings(evacuation_ms=5_000), ports, SystemClock(), log)
         start_attempt = gateway.dispatcher.start
 
         def start_before_suspension(effect, exchange):
