Take registrations as confirmed by the store's answers, and open groups at once

The store changes the row of an endpoint only when more than its heartbeat changes, so that rows do not arrive every 1.2 s: all endpoints would have counted as cold for good. The time of the store's last answer about registrations counts instead, and calls that wait for changes take at most 1.5 s while a service states a rate. Endpoints of a domain that is evacuated or restored count as cold. Groups open at once where a service states a rate.

--- a/packages/core/src/bluebellusher_core/events/_endpoint_events.py
+++ b/packages/core/src/bluebellusher_core/events/_endpoint_events.py
@@ -277,9 +277,12 @@
     """Registrations of endpoints whose service states a rate for cold ones arrived.
 
     An event without marks only reports endpoints that became warm or unknown by time.
+    ``table_read_at_ms`` is the monotonic time, in ms, of the store's last answer with
+    all changes of registrations; None when it is not known.
     """
 
     marks: tuple[WarmUpMark, ...] = ()
+    table_read_at_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/bluebellusher_core/membership/_warm_up.py
+++ b/packages/core/src/bluebellusher_core/membership/_warm_up.py
@@ -8,8 +8,9 @@
 from bluebellusher_core.membership._entries import ActiveEntries
 from bluebellusher_core.membership._saved import SavedRequests
 
-# Age from which a registration no longer shows that an endpoint is warm, in ms. An
-# endpoint writes it about every 1,200 ms, and it arrives up to 800 ms late.
+# Age from which the copy of the registrations no longer shows that an endpoint is warm,
+# in ms. The store answers a call that waits for changes after at most 1,500 ms, and the
+# answer is reported up to 500 ms later.
 REGISTRATION_MAX_AGE_MS = 2_200
 # Time after a connection to an endpoint was cut in which a registration that arrives
 # may have been written before, in ms.
@@ -73,15 +74,20 @@
     cause: str = ""
     was_warming: bool = False
 
-    def remaining_ms(self, now_ms: int) -> int:
+    def remaining_ms(self, now_ms: int, table_read_at_ms: int) -> int:
         """Return how much longer the endpoint may be cold, in ms; 0 for a warm one.
 
         An endpoint whose registration is too old counts as having just started.
         """
-        if now_ms - self.heard_at_ms > REGISTRATION_MAX_AGE_MS:
+        if self.is_old(now_ms, table_read_at_ms):
             return max(self.warm_at_ms - now_ms, self.mark.duration_ms)
         return max(0, self.warm_at_ms - now_ms)
 
+    def is_old(self, now_ms: int, table_read_at_ms: int) -> bool:
+        """Return whether the latest known registration may be out of date."""
+        known_at_ms = max(self.heard_at_ms, table_read_at_ms)
+        return now_ms - known_at_ms > REGISTRATION_MAX_AGE_MS
+
 
 @dataclass(frozen=True, slots=True)
 class WarmUpChange:
@@ -135,6 +141,7 @@
     entries: ActiveEntries
     bounds: WarmUpBounds = field(default_factory=WarmUpBounds)
     _warm_up_by_id: dict[str, _WarmUp] = field(default_factory=dict)
+    _table_read_at_ms: int = 0
 
     @property
     def is_empty(self) -> bool:
@@ -189,6 +196,14 @@
         else:
             known.warm_at_ms = warm_at_ms
 
+    def record_table_read(self, at_ms: int) -> None:
+        """Record when the store last answered with all changes of registrations.
+
+        The store keeps a registration unchanged while the state of its endpoint is the
+        same, and removes it when the endpoint no longer renews it.
+        """
+        self._table_read_at_ms = max(self._table_read_at_ms, at_ms)
+
     def record_cut(self, endpoint_id: str, now_ms: int) -> None:
         """Record that an endpoint may have started: a connection to it was cut."""
         known = self._warm_up_by_id.get(endpoint_id)
@@ -240,12 +255,12 @@
     def find_remaining_ms(self, endpoint_id: str, now_ms: int) -> int:
         """Return how much longer an endpoint may be cold, in ms; 0 for a warm one."""
         known = self._warm_up_by_id.get(endpoint_id)
-        return 0 if known is None else known.remaining_ms(now_ms)
+        return 0 if known is None else self._remaining_ms(known, now_ms)
 
     def is_exhausted(self, endpoint_id: str, now_ms: int) -> bool:
         """Return whether this entry may send no request to an endpoint now."""
         known = self._warm_up_by_id.get(endpoint_id)
-        if known is None or not known.remaining_ms(now_ms):
+        if known is None or not self._remaining_ms(known, now_ms):
             return False
         known.saved.grow(self._share_per_s(known, now_ms), now_ms)
         return known.saved.n_saved < 1
@@ -253,7 +268,7 @@
     def find_rate(self, endpoint_id: str, now_ms: int) -> float | None:
         """Return this entry's share of a cold endpoint's rate, or None for others."""
         known = self._warm_up_by_id.get(endpoint_id)
-        if known is None or not known.remaining_ms(now_ms):
+        if known is None or not self._remaining_ms(known, now_ms):
             return None
         return self._share_per_s(known, now_ms)
 
@@ -266,7 +281,7 @@
             return 0
         known = self._warm_up_by_id[endpoint_id]
         wait_ms = known.saved.wait_ms(self._share_per_s(known, now_ms))
-        return min(wait_ms, known.remaining_ms(now_ms))
+        return min(wait_ms, self._remaining_ms(known, now_ms))
 
     def next_available_at_ms(self, now_ms: int) -> int | None:
         """Return the next time at which a request may be sent, or None without one."""
@@ -284,11 +299,11 @@
         for endpoint_id, known in self._warm_up_by_id.items():
             if endpoint_id not in used_ids:
                 continue
-            remaining_ms = known.remaining_ms(now_ms)
+            remaining_ms = self._remaining_ms(known, now_ms)
             is_warming = remaining_ms > 0
             if is_warming != known.was_warming:
                 known.was_warming = is_warming
-                is_old = now_ms - known.heard_at_ms > REGISTRATION_MAX_AGE_MS
+                is_old = known.is_old(now_ms, self._table_read_at_ms)
                 yield WarmUpChange(
                     endpoint_id,
                     is_warming,
@@ -298,6 +313,9 @@
                     remaining_ms,
                 )
 
+    def _remaining_ms(self, known: _WarmUp, now_ms: int) -> int:
+        return known.remaining_ms(now_ms, self._table_read_at_ms)
+
     def _share_per_s(self, known: _WarmUp, now_ms: int) -> float:
         """Return the requests that this entry may send, per second."""
         rate = known.mark.requests_per_s
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_warm_up.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_warm_up.py
@@ -159,3 +159,18 @@
     assert not warm_ups.is_choice_outdated("x0", 100, 900)
     assert warm_ups.is_choice_outdated("x0", 100, 1_200)
     assert not warm_ups.is_choice_outdated("other", 100, 1_200)
+
+
+def test_unchanged_registration_shows_a_warm_endpoint_while_the_store_answers():
+    """Guards against endpoints that count as cold because nothing has changed.
+
+    The store changes a registration only when more than its heartbeat changes.
+    """
+    state = EntryState.from_config(EntryConfig("e0"))
+    warm_ups = state.endpoints.limits.warm_ups
+    mark = WarmUpMark("x0", 1, 18.0, 3_000, 0, WarmUpSource.FIRST)
+    reduce(state, WarmUpsReported((mark,)), 0)
+    for now_ms in range(500, 10_000, 500):
+        reduce(state, WarmUpsReported(table_read_at_ms=now_ms - 100), now_ms)
+    assert warm_ups.find_remaining_ms("x0", 9_500) == 0
+    assert warm_ups.find_remaining_ms("x0", 12_500) > 0
--- a/packages/core/src/bluebellusher_core/requests/_evacuation.py
+++ b/packages/core/src/bluebellusher_core/requests/_evacuation.py
@@ -27,6 +27,9 @@
             for view in endpoints.view_by_id.values()
             if view.info.failure_domain == domain
         ]
+        for view in views:
+            # Endpoints of the domain may be cold without having started again.
+            endpoints.limits.warm_ups.record_cut(view.info.endpoint_id, now_ms)
         name = "domain-evacuated" if is_evacuated else "domain-restored"
         fields = (
             ("domain", domain),
--- a/packages/core/src/bluebellusher_core/requests/_warm_up.py
+++ b/packages/core/src/bluebellusher_core/requests/_warm_up.py
@@ -10,8 +10,13 @@
 ) -> list[Effect]:
     """Record reports, and log the endpoints that began or ended to count as cold."""
     warm_ups = state.endpoints.limits.warm_ups
+    if event.table_read_at_ms is not None:
+        warm_ups.record_table_read(event.table_read_at_ms)
     for mark in event.marks:
         warm_ups.record(mark, now_ms)
+    # Ranks that have just started crash if all entries send to the first of them that
+    # report the opening of their group.
+    state.endpoints.opens_groups_at_once = not warm_ups.is_empty
     effects: list[Effect] = []
     views = state.endpoints.view_by_id.values()
     used_ids = {v.info.endpoint_id for v in views if not v.is_draining}
--- a/packages/entry/src/bluebellusher/gateway/_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -84,6 +84,10 @@
 # Time for which an entry that shuts down waits for its map changes to end, in ms. A
 # group with a held step would otherwise have to wait for the next leader.
 MAP_CHANGE_GRACE_MS = 1_500
+# Time for which a call to the store waits for a change of the registrations, in ms,
+# while services state a rate for cold endpoints. An endpoint counts as cold when the
+# last answer is too old to show that it is warm.
+WARM_UP_WAIT_MS = 1_500
 # Upper bound of the entries that are read from a peer's list.
 N_MAX_MEMBERS = 1_000
 # Interval at which the settings file is checked for changes, in ms.
@@ -475,6 +479,8 @@
         self.peer_exchange.tick(now_ms)
         self.tables.tick(now_ms)
         self.directory.tick(now_ms, self.registration_watcher.store_answered_at_ms)
+        if self.directory.has_warm_up_rates:
+            self.registration_watcher.wait_ms = WARM_UP_WAIT_MS
         n_entries = 1 + len(self.peers.connections_by_peer_id)
         if n_entries > self._n_entries:
             # The number never decreases, because an entry that has lost its
--- a/packages/entry/src/bluebellusher/shared/_directory.py
+++ b/packages/entry/src/bluebellusher/shared/_directory.py
@@ -181,6 +181,11 @@
             changes[row.key] = registration
         return changes
 
+    @property
+    def has_warm_up_rates(self) -> bool:
+        """Whether a service of a registered endpoint states a rate for cold ones."""
+        return not self._warm_ups.is_empty
+
     def record_store_availability(self, is_store_available: bool) -> None:
         """Record whether the store is available, for the grace of registrations."""
         if is_store_available:
@@ -198,7 +203,7 @@
         store_answered_at_ms : int
             Time of the store's last answer about registrations.
         """
-        self._warm_ups.tick()
+        self._warm_ups.tick(store_answered_at_ms)
         self._log_and_post(self.registrations.tick(now_ms, store_answered_at_ms))
 
     def _age_ms(self, started_wall_ms: int) -> int:
--- a/packages/entry/src/bluebellusher/shared/_warm_up.py
+++ b/packages/entry/src/bluebellusher/shared/_warm_up.py
@@ -71,11 +71,24 @@
         if marks:
             self._post(WarmUpsReported(tuple(marks)))
 
-    def tick(self) -> None:
-        """Report endpoints that became warm, or unknown, by the passing of time."""
+    @property
+    def is_empty(self) -> bool:
+        """Whether no service of a known endpoint states a rate."""
+        return not self._reported_ids
+
+    def tick(self, store_answered_at_ms: int) -> None:
+        """Report endpoints that became warm, or unknown, by the passing of time.
+
+        Parameters
+        ----------
+        store_answered_at_ms : int
+            Time of the store's last answer about registrations. An answer that this
+            process reads after it was frozen may have arrived long before.
+        """
         self._record_call()
         if self._reported_ids:
-            self._post(WarmUpsReported())
+            read_at_ms = None if self._has_resumed() else store_answered_at_ms
+            self._post(WarmUpsReported(table_read_at_ms=read_at_ms))
 
     def discard(self, endpoint_id: str) -> None:
         """Discard the state of an endpoint that has left."""
--- a/packages/entry/src/bluebellusher/shared/_watcher.py
+++ b/packages/entry/src/bluebellusher/shared/_watcher.py
@@ -58,6 +58,8 @@
 
     Attributes
     ----------
+    wait_ms : int
+        Time for which the next call asks the store to wait for a change, in ms.
     asked_at_ms : int
         Start of the latest call that has ended, with an answer or an error, in
         monotonic ms; -1 before the first. A later answer cannot be older.
@@ -83,7 +85,7 @@
         self._clock = clock
         self._random_state = random_state
         self._log = log
-        self._wait_ms = wait_ms
+        self.wait_ms = wait_ms
         self._needs_snapshot = True
         self._n_failures = 0
         self._watched_epoch: int | None = None
@@ -139,9 +141,9 @@
     def _choose_wait_ms(self) -> int:
         """Return the time for which the store waits for a change, in ms."""
         if self._restored_at_ms is None:
-            return self._wait_ms
+            return self.wait_ms
         is_recent = self._clock.now_ms() - self._restored_at_ms < RESTORED_PERIOD_MS
-        return min(self._wait_ms, RESTORED_WAIT_MS) if is_recent else self._wait_ms
+        return min(self.wait_ms, RESTORED_WAIT_MS) if is_recent else self.wait_ms
 
     def _record_store_epoch(self) -> None:
         """Record a restoration that the store or a peer has reported to the copy."""
--- a/packages/entry/src/bluebellusher/shared/tests/test_warm_up_reports.py
+++ b/packages/entry/src/bluebellusher/shared/tests/test_warm_up_reports.py
@@ -48,7 +48,7 @@
     assert apply(reports, events, restarted) is WarmUpSource.FIRST
     assert apply(reports, events, restarted) is WarmUpSource.FIRST
     clock.advance(900)
-    reports.tick()
+    reports.tick(clock.now_ms())
     clock.advance(900)
     assert apply(reports, events, restarted) is WarmUpSource.RENEWAL
     events.clear()
@@ -58,9 +58,9 @@
 
 def test_service_without_a_rate_is_not_reported():
     """Guards against effects on deployments that state no rate."""
-    reports, events, _ = make_reports(Service("s", 0))
+    reports, events, clock = make_reports(Service("s", 0))
     reports.apply({"x": ENDPOINT})
-    reports.tick()
+    reports.tick(clock.now_ms())
     assert not events
 
 
