Divide insufficient capacity by priority

Cause: in a burst of 2.5 times the traffic, entries queue all requests in one order, start too many at each rank, and send to the same free slot. Nearly all answers are late, and the order of the priorities is lost.

Change: the experiment tool simulates passes by the engine's model, priorities, customers, stale reports and ranks that refuse when full. RunningLimits bounds the requests at a rank by the allowed gap and divides free slots among entries. PriorityQueue serves by priority, time left, customer and work, and rejects early. Both apply only to services with an engine to which routes of two priorities with an allowed gap lead. Log line, counters and gauges by priority.

--- a/bench/experiment/__main__.py
+++ b/bench/experiment/__main__.py
@@ -7,10 +7,13 @@
 from statistics import mean, pstdev
 
 from bench.experiment._callers import Caller, CallerResult
+from bench.experiment._experiment import load_experiment
 from bench.experiment._model import ClosedGroupModel
 from bench.experiment._offline import compute_best_share
+from bench.experiment._overload_settings import OverloadLoad
+from bench.experiment._overload_summary import run_overload_day
 from bench.experiment._policies import POLICY_BY_NAME
-from bench.experiment._settings import Load, load_experiment
+from bench.experiment._settings import Load
 
 # Width of the windows of which the two worst ones are reported, in ms.
 WINDOW_MS = 2_000
@@ -42,7 +45,9 @@
 
 
 def run_day(load: Load, policy: str, seed: int) -> dict[str, float]:
-    """Simulate one day and return its summary with the offline bound."""
+    """Simulate one day and return its summary; a closed group's has its bound."""
+    if isinstance(load, OverloadLoad):
+        return run_overload_day(load, policy, seed)
     model = ClosedGroupModel(load, POLICY_BY_NAME[policy], seed)
     summary = summarize(model.run(), load)
     best = compute_best_share(model.callers, model.open_intervals, load)
@@ -61,7 +66,7 @@
         print(error, file=sys.stderr)
         return 2
     days = []
-    for load_name, load in experiment.loads.items():
+    for load_name, load in {**experiment.loads, **experiment.overloads}.items():
         for policy in experiment.policies:
             results = [run_day(load, policy, seed) for seed in experiment.seeds]
             days.append({"load": load_name, "policy": policy, "days": results})
--- a/bench/experiment/_model.py
+++ b/bench/experiment/_model.py
@@ -115,7 +115,7 @@
         self._n_starts = itertools.count(1)
         self._n_reports = itertools.count(1)
         self.ranks = [_Rank(f"x{i}") for i in range(load.n_ranks)]
-        self.callers = draw_callers(load, self._random)
+        self.callers = self._draw_callers()
         self.closures = self._draw_closures()
         self._is_stopped = False
         self._is_open = True
@@ -147,6 +147,9 @@
             action(*args)
         return self.callers
 
+    def _draw_callers(self) -> list[Caller]:
+        return draw_callers(self.load, self._random)
+
     def _call_at(self, at_ms: float, action: Callable[..., None], *args: Any) -> None:
         at_ms = max(self.now_ms, int(at_ms))
         heapq.heappush(self._calls, (at_ms, next(self._n_calls), action, args))
@@ -187,7 +190,7 @@
             n_crashes_to_block=3,
         )
         policy = self._policy
-        state = EntryState.from_config(config, policy.make_routing(), policy.make_queue)
+        state = self._make_state(config)
         if not policy.recognizes_retries:
             state.ended_requests.n_max = 0
         names = frozenset({"s"}), frozenset[str](), frozenset[str]()
@@ -197,6 +200,11 @@
         reduce(state, EntriesCounted(len(self.load.entry_shares)), self.now_ms)
         return _Entry(index, state)
 
+    def _make_state(self, config: EntryConfig) -> EntryState:
+        """Return the state of an entry that starts."""
+        policy = self._policy
+        return EntryState.from_config(config, policy.make_routing(), policy.make_queue)
+
     def _kill_entries(self) -> None:
         """Kill all entries; their callers lose their connections."""
         for entry in self.entries:
@@ -228,7 +236,15 @@
         caller.request_id = f"r{next(self._n_requests)}"
         entry.caller_by_request_id[caller.request_id] = caller
         patience_ms = load.scale(load.patience_ms)
-        spec = RequestSpec(
+        spec = self._make_spec(caller, patience_ms)
+        self._call_at(
+            self.now_ms + patience_ms, self._lose_patience, entry, caller.request_id
+        )
+        self._handle(entry, RequestArrived(spec))
+
+    def _make_spec(self, caller: Caller, patience_ms: int) -> RequestSpec:
+        """Return the properties of a caller's request that entries use."""
+        return RequestSpec(
             request_id=caller.request_id,
             customer_id="c",
             service_id="s",
@@ -243,15 +259,11 @@
             n_input_tokens=1,
             n_max_output_tokens=1,
             n_max_attempts=2,
-            objective_at_ms=self.now_ms + load.scale(load.objective_ms),
+            objective_at_ms=self.now_ms + self.load.scale(self.load.objective_ms),
             start_by_ms=min(caller.deadline_ms, self.now_ms + patience_ms),
             caller_deadline_ms=caller.deadline_ms,
             can_resume_elsewhere=True,
         )
-        self._call_at(
-            self.now_ms + patience_ms, self._lose_patience, entry, caller.request_id
-        )
-        self._handle(entry, RequestArrived(spec))
 
     def _lose_patience(self, entry: _Entry, request_id: str) -> None:
         """Let a caller leave that has received nothing for its patience."""
--- a/bench/experiment/_policies.py
+++ b/bench/experiment/_policies.py
@@ -5,9 +5,16 @@
 from typing import Any
 
 from bluebellusher.gateway import QUEUE_FACTOR
-from bluebellusher_core.admission import AdmissionQueue, FifoQueue, ObjectiveQueue
+from bluebellusher_core.admission import (
+    AdmissionQueue,
+    FifoQueue,
+    ObjectiveQueue,
+    PriorityQueue,
+)
+from bluebellusher_core.directory import EngineModel, GapObjective
 from bluebellusher_core.errors import Reason, Rejection
-from bluebellusher_core.events import RequestSpec
+from bluebellusher_core.events import ObjectivesChanged, RequestSpec
+from bluebellusher_core.reducer import EntryState, reduce
 from bluebellusher_core.routing import RoundRobin, RoutingPolicy, SlotAware
 
 
@@ -45,6 +52,27 @@
         return super()._make_waiting(replace(request, objective_at_ms=None), now_ms)
 
 
+def _keep_state(state: EntryState, engine: EngineModel, max_gap_ms: int) -> None:
+    """Leave an entry's state as it is."""
+
+
+def _apply_objective(state: EntryState, engine: EngineModel, max_gap_ms: int) -> None:
+    """Apply the configuration of a service whose capacity priorities compete for."""
+    objective = GapObjective(engine, max_gap_ms)
+    reduce(state, ObjectivesChanged({"s": objective}), 0)
+
+
+def _limit_running(state: EntryState, engine: EngineModel, max_gap_ms: int) -> None:
+    """Limit the requests that run at a rank at once; keep the queue of the policy."""
+    _apply_objective(state, engine, max_gap_ms)
+    state.queue_by_pool["s", "", ""] = state.make_queue()
+
+
+def _order_by_priority(state: EntryState, engine: EngineModel, max_gap_ms: int) -> None:
+    """Use the admission queue that orders by priority, without limits."""
+    state.queue_by_pool["s", "", ""] = PriorityQueue(engine, max_gap_ms)
+
+
 def _make_slot_aware() -> RoutingPolicy:
     """Return the routing policy of entries in the failure domain of all ranks."""
     return SlotAware("d")
@@ -66,6 +94,8 @@
         Requests that a rank may hold, as a multiple of its slots.
     make_routing : callable
         Returns the routing policy of an entry.
+    configure : callable
+        Applies the engine's model and the allowed gap to an entry that starts.
     """
 
     make_queue: Callable[[], AdmissionQueue]
@@ -73,11 +103,15 @@
     n_shared_retries: int = 75
     queue_factor: float = QUEUE_FACTOR
     make_routing: Callable[[], RoutingPolicy] = _make_slot_aware
+    configure: Callable[[EntryState, EngineModel, int], None] = _keep_state
 
 
 POLICY_BY_NAME = {
     "fifo": Policy(FifoQueue),
     "objective": Policy(ObjectiveQueue),
+    "priority": Policy(ObjectiveQueue, configure=_apply_objective),
+    "limit-only": Policy(ObjectiveQueue, configure=_limit_running),
+    "priority-only": Policy(ObjectiveQueue, configure=_order_by_priority),
     "no-closed-rule": Policy(NoClosedRule),
     "no-early-rejection": Policy(NoEarlyRejection),
     "no-objective": Policy(NoObjective),
--- a/bench/experiment/_settings.py
+++ b/bench/experiment/_settings.py
@@ -1,10 +1,8 @@
-"""Validated settings of an experiment, from a TOML file."""
+"""Validated settings of a simulated day."""
 
-import tomllib
-from pathlib import Path
 from typing import Annotated
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import BaseModel, ConfigDict, Field
 
 PositiveFloat = Annotated[float, Field(gt=0)]
 PositiveInt = Annotated[int, Field(gt=0)]
@@ -70,47 +68,3 @@
     def scale(self, time_ms: float) -> int:
         """Return a time of this load, multiplied by its ``time_scale``."""
         return int(time_ms * self.time_scale)
-
-
-class Experiment(BaseModel):
-    """Policies, loads and seeds to compare.
-
-    Parameters
-    ----------
-    policies : tuple of str
-        Names in ``bench.experiment.POLICY_BY_NAME``.
-    seeds : tuple of int
-        One day is simulated for each seed, load and policy.
-    loads : dict of str to Load
-        Loads by name.
-    """
-
-    model_config = ConfigDict(extra="forbid", frozen=True)
-
-    policies: tuple[str, ...] = Field(min_length=1)
-    seeds: tuple[int, ...] = Field(min_length=1)
-    loads: dict[str, Load] = Field(min_length=1)
-
-
-def load_experiment(path: Path, policy_names: frozenset[str]) -> Experiment:
-    """Return the experiment in a TOML file.
-
-    Raises ``ValueError`` with the file, the key and what was expected when the file is
-    no TOML, has an unknown key or policy, or a value out of range.
-    """
-    try:
-        values = tomllib.loads(path.read_text(encoding="utf-8"))
-        experiment = Experiment.model_validate(values)
-    except tomllib.TOMLDecodeError as error:
-        raise ValueError(f"{path}: {error}") from error
-    except ValidationError as error:
-        first = error.errors()[0]
-        key = ".".join(str(part) for part in first["loc"])
-        raise ValueError(
-            f"{path}: {key}: found {first['input']!r}: {first['msg']}"
-        ) from error
-    unknown = sorted(set(experiment.policies) - policy_names)
-    if unknown:
-        expected = ", ".join(sorted(policy_names))
-        raise ValueError(f"{path}: policies: found {unknown[0]!r}: expected {expected}")
-    return experiment
--- a/packages/core/src/bluebellusher_core/directory/_routes.py
+++ b/packages/core/src/bluebellusher_core/directory/_routes.py
@@ -156,6 +156,14 @@
         return chosen
 
 
+@dataclass(frozen=True, slots=True)
+class GapObjective:
+    """Engine of a service and the longest gap between events that its routes allow."""
+
+    engine: EngineModel
+    max_gap_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class Customer:
     """A customer; its ``priority`` overrides that of the route, 0 is the highest."""
@@ -242,6 +250,30 @@
             limits=limits or CallerLimits(),
         )
 
+    def find_gap_objectives(self) -> dict[str, GapObjective]:
+        """Return the objectives of the services whose capacity priorities compete for.
+
+        These are the services with an engine to which routes of at least two
+        priorities lead that allow a longest gap. The shortest of these gaps counts.
+        """
+        priorities: dict[str, set[int]] = {}
+        max_gap_ms: dict[str, int] = {}
+        for routes in self.routes_by_host.values():
+            for route in routes:
+                if route.max_gap_ms <= 0:
+                    continue
+                for service_id in route.weight_by_service:
+                    priorities.setdefault(service_id, set()).add(route.priority)
+                    shortest_ms = max_gap_ms.get(service_id, route.max_gap_ms)
+                    max_gap_ms[service_id] = min(shortest_ms, route.max_gap_ms)
+        objectives = {}
+        for service_id, found in priorities.items():
+            service = self.service_by_id.get(service_id)
+            if len(found) > 1 and service is not None and service.engine is not None:
+                objective = GapObjective(service.engine, max_gap_ms[service_id])
+                objectives[service_id] = objective
+        return objectives
+
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of the path, or ``None``."""
         for route in self.routes_by_host.get(host, ()):
--- a/packages/core/src/bluebellusher_core/events/__init__.py
+++ b/packages/core/src/bluebellusher_core/events/__init__.py
@@ -45,6 +45,7 @@
     DigestReceived,
     EntriesCounted,
     MembersListed,
+    ObjectivesChanged,
     PeersConnected,
     PolicyChanged,
     ShutdownStarted,
@@ -81,6 +82,7 @@
     | CrashesReceived
     | EntriesCounted
     | MembersListed
+    | ObjectivesChanged
     | PeersConnected
     | PolicyChanged
     | ShutdownStarted
@@ -125,6 +127,7 @@
     "LimitsReceived",
     "LoadReported",
     "MembersListed",
+    "ObjectivesChanged",
     "PeersConnected",
     "PolicyChanged",
     "Priority",
--- a/packages/core/src/bluebellusher_core/events/_state_events.py
+++ b/packages/core/src/bluebellusher_core/events/_state_events.py
@@ -1,10 +1,15 @@
 """Events about shared state, timers and the entry itself."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import StrEnum
+from typing import TYPE_CHECKING
 
 from bluebellusher_core.poison import CrashRecord
 
+if TYPE_CHECKING:
+    from bluebellusher_core.directory import GapObjective
+
 
 class ClaimOutcome(StrEnum):
     """Result of one claim write."""
@@ -83,11 +88,22 @@
     n_entries: int
 
 
+@dataclass(frozen=True, slots=True)
+class ObjectivesChanged:
+    """A configuration named the services whose streams have a longest allowed gap."""
+
+    objective_by_service: Mapping[str, "GapObjective"]
+
+
 @dataclass(frozen=True, slots=True)
 class PeersConnected:
-    """The set of connected peers changed to ``peer_ids``."""
+    """The set of connected peers changed to ``peer_ids``.
+
+    ``domain_peer_ids`` are those in the failure domain of this entry.
+    """
 
     peer_ids: frozenset[str]
+    domain_peer_ids: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/bluebellusher_core/membership/__init__.py
+++ b/packages/core/src/bluebellusher_core/membership/__init__.py
@@ -9,6 +9,7 @@
 )
 from bluebellusher_core.membership._entries import ActiveEntries, Share
 from bluebellusher_core.membership._limits import RequestLimits
+from bluebellusher_core.membership._running_limits import RunningLimit, RunningLimits
 from bluebellusher_core.membership._silence import RankSilence, SilentRank
 from bluebellusher_core.membership._subset import choose_subset
 
@@ -20,6 +21,8 @@
     "Pool",
     "RankSilence",
     "RequestLimits",
+    "RunningLimit",
+    "RunningLimits",
     "Share",
     "SilentRank",
     "choose_subset",
--- a/packages/core/src/bluebellusher_core/membership/_endpoints.py
+++ b/packages/core/src/bluebellusher_core/membership/_endpoints.py
@@ -16,6 +16,7 @@
 from bluebellusher_core.membership._entries import ActiveEntries
 from bluebellusher_core.membership._groups import GroupStates
 from bluebellusher_core.membership._limits import MS_PER_S, RequestLimits
+from bluebellusher_core.membership._running_limits import RunningLimit, RunningLimits
 from bluebellusher_core.membership._silence import RankSilence
 from bluebellusher_core.routing import EndpointTracker, EndpointView
 
@@ -55,6 +56,8 @@
         Shutdowns and pauses that endpoints announced in their answers.
     limits : RequestLimits
         Limits of the request rate that endpoints named in their answers.
+    running_limits : RunningLimits
+        Limits of the requests that run at a rank at once.
     tracker : EndpointTracker
         Holds and updates the views; it receives only valid events.
     groups : GroupStates
@@ -71,6 +74,9 @@
     limits: RequestLimits = field(
         default_factory=lambda: RequestLimits(ActiveEntries(""))
     )
+    running_limits: RunningLimits = field(
+        default_factory=lambda: RunningLimits(ActiveEntries(""))
+    )
     tracker: EndpointTracker = field(default_factory=EndpointTracker)
     groups: GroupStates = field(default_factory=lambda: GroupStates(REPORT_MAX_AGE_MS))
     silence: RankSilence = field(default_factory=RankSilence)
@@ -221,16 +227,42 @@
         deferred_until_ms = self._deferred_until_ms
         closed_ids = self.groups.find_closed(now_ms)
         has_limits = self.announcements.has_limits or not self.limits.is_empty
+        is_limited = self.running_limits.is_active
         return [
             view
             for view in self.views_of(pool)
             if _has_capacity(view, self.queue_factor, now_ms)
             and (not has_limits or self._allows_attempt(view, now_ms))
+            and (not is_limited or self.count_room(view, now_ms).n_top > 0)
             and view.info.endpoint_id not in closed_ids
             and deferred_until_ms.get(view.info.endpoint_id, 0) <= now_ms
             and not self.silence.is_excluded(view.info.endpoint_id, now_ms)
         ]
 
+    def count_room(self, view: EndpointView, now_ms: int) -> RunningLimit:
+        """Return how many more attempts this entry may start at an endpoint.
+
+        An endpoint without a limit on running requests has room.
+        """
+        n_slots = view.info.n_slots
+        room = self.running_limits.count_room(view, now_ms)
+        return RunningLimit(n_slots, n_slots) if room is None else room
+
+    def count_usable_slots(
+        self, view: EndpointView, has_capacity: bool, now_ms: int
+    ) -> int:
+        """Return how many attempts of this entry an endpoint can run at once now.
+
+        An endpoint without free capacity counts with the attempts of this entry,
+        because the other entries use its remaining slots.
+        """
+        if not has_capacity:
+            return view.n_own_in_flight
+        room = self.running_limits.count_room(view, now_ms)
+        if room is None:
+            return view.info.n_slots
+        return view.n_own_in_flight + max(0, room.n_usual)
+
     def is_pool_closed(self, pool: Pool, now_ms: int) -> bool:
         """Return whether no endpoint of a pool can run a request now.
 
--- a/packages/core/src/bluebellusher_core/membership/_entries.py
+++ b/packages/core/src/bluebellusher_core/membership/_entries.py
@@ -41,30 +41,46 @@
 
     own_id: str
     _connected_ids: frozenset[str] = frozenset()
+    _domain_peer_ids: set[str] = field(default_factory=set)
     _lost_at_ms: dict[str, int] = field(default_factory=dict)
-    _share_by_key: dict[tuple[str, int], Share | None] = field(default_factory=dict)
-
-    def record_connected(self, peer_ids: Iterable[str], now_ms: int) -> None:
-        """Record the peers that are connected now."""
+    _share_by_key: dict[tuple[str, int, bool], Share | None] = field(
+        default_factory=dict
+    )
+
+    def record_connected(
+        self,
+        peer_ids: Iterable[str],
+        now_ms: int,
+        domain_peer_ids: Iterable[str] = (),
+    ) -> None:
+        """Record the peers that are connected now, and those in the own domain."""
         connected_ids = frozenset(peer_ids)
         for peer_id in self._connected_ids - connected_ids:
             self._lost_at_ms[peer_id] = now_ms
         for peer_id in connected_ids:
             self._lost_at_ms.pop(peer_id, None)
         self._connected_ids = connected_ids
+        self._domain_peer_ids.update(domain_peer_ids)
+        self._domain_peer_ids &= connected_ids | self._lost_at_ms.keys()
         self._share_by_key.clear()
 
-    def find_share(self, endpoint_id: str, n_max: int, now_ms: int) -> Share | None:
+    def find_share(
+        self, endpoint_id: str, n_max: int, now_ms: int, is_own_domain: bool = False
+    ) -> Share | None:
         """Return this entry's share of what an endpoint takes from all entries.
 
         At most ``n_max`` entries have a share; None is returned to the others.
         Rendezvous hashing selects the same ones on all entries, and other ones for each
-        endpoint.
+        endpoint. ``is_own_domain`` divides among the entries of the own failure domain
+        only.
         """
         self._forget_lost(now_ms)
-        key = (endpoint_id, n_max)
+        key = (endpoint_id, n_max, is_own_domain)
         if key not in self._share_by_key:
-            ids = {self.own_id, *self._connected_ids, *self._lost_at_ms}
+            ids = self._connected_ids | self._lost_at_ms.keys()
+            if is_own_domain:
+                ids &= self._domain_peer_ids
+            ids |= {self.own_id}
             holders = nsmallest(n_max, ids, key=lambda i: score(endpoint_id, i))
             share = None
             if self.own_id in holders:
--- a/packages/core/src/bluebellusher_core/reducer/_reduce.py
+++ b/packages/core/src/bluebellusher_core/reducer/_reduce.py
@@ -31,6 +31,7 @@
     LimitsReceived,
     LoadReported,
     MembersListed,
+    ObjectivesChanged,
     PeersConnected,
     PolicyChanged,
     RequestArrived,
@@ -46,6 +47,7 @@
     _crash_evidence,
     _isolation,
     _links,
+    _objectives,
     _parts,
     _placing,
     _recovery,
@@ -151,8 +153,12 @@
         case EntriesCounted():
             state.n_entries = max(1, event.n_entries)
             _resize_retry_budget(state)
+        case ObjectivesChanged():
+            return _objectives.handle_changed(state, event, now_ms)
         case PeersConnected():
-            state.endpoints.limits.entries.record_connected(event.peer_ids, now_ms)
+            state.endpoints.limits.entries.record_connected(
+                event.peer_ids, now_ms, event.domain_peer_ids
+            )
             state.next_placement_ms = 0
         case MembersListed():
             state.member_ids = event.member_ids
--- a/packages/core/src/bluebellusher_core/requests/_placing.py
+++ b/packages/core/src/bluebellusher_core/requests/_placing.py
@@ -4,8 +4,8 @@
 from math import inf
 from typing import Protocol, runtime_checkable
 
-from bluebellusher_core.admission import AdmissionQueue
-from bluebellusher_core.effects import Dispatch, Effect, SetTimer
+from bluebellusher_core.admission import AdmissionQueue, PriorityQueue
+from bluebellusher_core.effects import Dispatch, Effect, LogEvent, SetTimer
 from bluebellusher_core.errors import Reason, Rejection
 from bluebellusher_core.events import RequestSpec
 from bluebellusher_core.membership import Pool, pool_of
@@ -49,6 +49,18 @@
         """
 
 
+@runtime_checkable
+class ReservingQueue(Protocol):
+    """A queue that keeps slots free for higher priorities."""
+
+    def observe_room(self, n_usual: int, n_top: int) -> None:
+        """Record how many requests this entry may start.
+
+        The requests of the highest priority may use ``n_top`` slots, the others
+        ``n_usual`` of them.
+        """
+
+
 def enqueue(state: EntryState, request: Request, now_ms: int) -> list[Effect]:
     """Offer a request to the queue of its pool.
 
@@ -266,9 +278,13 @@
         effects += _reject_waiting(state, request, rejection, now_ms)
     while len(queue):
         views = state.endpoints.views_with_capacity(pool, now_ms)
+        usual_views = views
+        if isinstance(queue, ReservingQueue):
+            usual_views = _update_room(state, queue, views, now_ms)
         next_spec = queue.dequeue(now_ms) if views else None
         if next_spec is None:
             break
+        views = usual_views or views
         request = state.request_by_id[next_spec.request_id]
         if next_spec.deadline_ms <= now_ms:
             reason = Reason.DEADLINE_EXCEEDED
@@ -291,16 +307,40 @@
     return effects
 
 
+def _update_room(
+    state: EntryState, queue: ReservingQueue, views: list[EndpointView], now_ms: int
+) -> list[EndpointView]:
+    """Update a queue's record of the room; return the endpoints for all priorities."""
+    n_usual = n_top = 0
+    usual_views = []
+    for view in views:
+        room = state.endpoints.count_room(view, now_ms)
+        n_top += room.n_top
+        if room.n_usual > 0:
+            n_usual += room.n_usual
+            usual_views.append(view)
+    queue.observe_room(n_usual, n_top)
+    return usual_views
+
+
 def _get_queue(state: EntryState, pool: Pool) -> AdmissionQueue:
     """Return the queue of a pool; create it on the first call."""
     queue = state.queue_by_pool.get(pool)
     if queue is None:
-        queue = state.queue_by_pool[pool] = state.make_queue()
+        queue = state.queue_by_pool[pool] = _make_queue(state, pool)
         if isinstance(queue, WeightedQueue):
             queue.set_weights(state.weight_by_customer)
     return queue
 
 
+def _make_queue(state: EntryState, pool: Pool) -> AdmissionQueue:
+    """Return an empty queue for a pool, by the objective of its service."""
+    objective = state.endpoints.running_limits.find_objective(pool[0])
+    if objective is None:
+        return state.make_queue()
+    return PriorityQueue(objective.engine, objective.max_gap_ms)
+
+
 def _update_closed(
     state: EntryState, pool: Pool, queue: AdmissionQueue, now_ms: int
 ) -> None:
@@ -336,7 +376,7 @@
     n_slots = 0.0
     for view in endpoints.views_of(pool):
         is_free = view.info.endpoint_id in free_ids
-        n_usable = view.info.n_slots if is_free else view.n_own_in_flight
+        n_usable = endpoints.count_usable_slots(view, is_free, now_ms)
         n_limited = endpoints.find_limited_slots(view, service_ms, now_ms)
         n_slots += min(n_usable if n_limited == inf else view.info.n_slots, n_limited)
     queue.observe_service(max(1, round(n_slots)), service_ms)
@@ -345,8 +385,25 @@
 def _reject_waiting(
     state: EntryState, request: Request, rejection: Rejection, now_ms: int
 ) -> list[Effect]:
-    """Reject a waiting request with the reason that its queue returned."""
-    return _final.reject_request(
+    """Reject a waiting request with the reason that its queue returned.
+
+    The rejection is logged where priorities compete for capacity.
+    """
+    spec = request.spec
+    effects: list[Effect] = []
+    if state.endpoints.running_limits.find_objective(spec.service_id) is not None:
+        queue = state.queue_by_pool.get(pool_of(spec))
+        fields = (
+            ("request", spec.request_id),
+            ("priority", int(spec.priority)),
+            ("reason", rejection.reason.value),
+            ("waited_ms", now_ms - spec.arrived_at_ms),
+            ("n_waiting", len(queue) if queue is not None else 0),
+            ("retry_after_ms", rejection.retry_after_ms or 0),
+            ("is_returning", int(spec.is_returning)),
+        )
+        effects.append(LogEvent("request-not-admitted", fields))
+    return effects + _final.reject_request(
         state,
         request,
         rejection.reason,
--- a/packages/core/src/bluebellusher_core/requests/_silence.py
+++ b/packages/core/src/bluebellusher_core/requests/_silence.py
@@ -28,6 +28,10 @@
     if view is None or view.report is None:
         return []
     endpoints.silence.record_progress(view, event.gap_ms, now_ms)
+    if endpoints.running_limits.is_active:
+        endpoints.running_limits.record_gap(
+            view, event.gap_ms, endpoints.view_by_id.values(), now_ms
+        )
     silent = endpoints.silence.find_silent(
         view.report.group_id, endpoints.view_by_id.values(), now_ms
     )
--- a/packages/core/src/bluebellusher_core/state/_config.py
+++ b/packages/core/src/bluebellusher_core/state/_config.py
@@ -57,6 +57,8 @@
         ms; an unresponsive connection is replaced within this time.
     retry_after_ms : int
         Default time after which a caller may retry a rejected request, in ms.
+    failure_domain : str
+        Failure domain of the entry.
     """
 
     entry_id: str
@@ -78,6 +80,7 @@
     max_pause_ms: int = 60_000
     no_endpoint_grace_ms: int = 1_000
     retry_after_ms: int = 1_000
+    failure_domain: str = ""
 
     def __post_init__(self) -> None:
         """Validate the id and the upper bounds."""
--- a/packages/core/src/bluebellusher_core/state/_state.py
+++ b/packages/core/src/bluebellusher_core/state/_state.py
@@ -15,6 +15,7 @@
     Endpoints,
     Pool,
     RequestLimits,
+    RunningLimits,
 )
 from bluebellusher_core.poison import CrashCounter, PartBlocks, PoisonTable
 from bluebellusher_core.requests import Attempt, Request
@@ -157,6 +158,7 @@
         0
         """
         policy = policy or LeastInFlight()
+        entries = ActiveEntries(config.entry_id)
         return cls(
             config=config,
             random_state=Random(config.seed),
@@ -167,7 +169,8 @@
                 config.n_max_endpoints,
                 config.queue_factor,
                 Announcements(config.max_pause_ms),
-                RequestLimits(ActiveEntries(config.entry_id)),
+                RequestLimits(entries),
+                RunningLimits(entries, config.failure_domain),
             ),
             retry_budget=RetryBudget(config.n_min_retries, config.retry_percent),
             claims=ClaimTable(f"{config.entry_id}.{config.incarnation}"),
--- a/packages/entry/src/bluebellusher/gateway/_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -457,7 +457,8 @@
         peer_ids = frozenset(self.peers.connections_by_peer_id)
         if peer_ids != self._peer_ids:
             self._peer_ids = peer_ids
-            self.runtime.post(PeersConnected(peer_ids))
+            domain_peer_ids = self.peer_exchange.domain_peer_ids
+            self.runtime.post(PeersConnected(peer_ids, domain_peer_ids))
 
     async def _serve_pages(self) -> None:
         """Listen for readiness checks and, if configured, for metrics requests."""
@@ -502,6 +503,7 @@
         resume_wait_ms=RESUME_WAIT_MS,
         n_crashes_to_block=N_CRASHES_TO_BLOCK,
         max_pause_ms=settings.max_endpoint_pause_ms,
+        failure_domain=settings.failure_domain,
     )
     policy = SlotAware(failure_domain=settings.failure_domain)
     return EntryState.from_config(config, policy, ObjectiveQueue)
--- a/packages/entry/src/bluebellusher/gateway/_server.py
+++ b/packages/entry/src/bluebellusher/gateway/_server.py
@@ -195,6 +195,7 @@
         if answer.rejection is not None:
             reason = answer.rejection.reason.value
             metrics.count("bluebellusher_refusals_total", "reason", reason)
+        self._count_by_priority(exchange)
         self._runtime.log(
             "request-ended",
             request=spec.request_id,
@@ -211,6 +212,19 @@
         )
         exchange.span.end(request_id=spec.request_id, outcome=outcome)
 
+    def _count_by_priority(self, exchange: Exchange) -> None:
+        """Count a request by its priority where priorities compete for capacity."""
+        spec, rejection = exchange.spec, exchange.answer.rejection
+        limits = self._runtime.state.endpoints.running_limits
+        if limits.find_objective(spec.service_id) is None:
+            return
+        name = f"bluebellusher_priority_{int(spec.priority)}"
+        metrics = self._runtime.metrics
+        if rejection is None:
+            metrics.count(f"{name}_admitted_total")
+        else:
+            metrics.count(f"{name}_rejected_total", "reason", rejection.reason.value)
+
     def _reject_not_ready(
         self, request_id: str, request: web.BaseRequest
     ) -> web.StreamResponse:
--- a/packages/entry/src/bluebellusher/gateway/_view.py
+++ b/packages/entry/src/bluebellusher/gateway/_view.py
@@ -1,8 +1,11 @@
 """Gauges, digests and log fields computed from the state of an entry."""
 
+from collections import Counter
 from collections.abc import Mapping
 from typing import TYPE_CHECKING, Any
 
+from bluebellusher_core.admission import PriorityQueue
+from bluebellusher_core.events import Priority
 from bluebellusher_core.routing import count_occupied_slots
 from bluebellusher_core.wire import messages
 
@@ -95,4 +98,32 @@
                 gateway.routing_watcher.is_store_available
             ),
             "bluebellusher_log_lines_dropped": gateway.log.n_dropped,
+            **self._compute_priority_gauges(now_ms),
         }
+
+    def _compute_priority_gauges(self, now_ms: int) -> dict[str, float]:
+        """Return the gauges of services whose capacity priorities compete for.
+
+        The limit is the lowest one of all endpoints. There are no such gauges without
+        such a service.
+        """
+        state = self._gateway.state
+        limits = state.endpoints.running_limits
+        if not limits.is_active:
+            return {}
+        found = (
+            limits.find_limit(v, now_ms) for v in state.endpoints.view_by_id.values()
+        )
+        gauges = {
+            "bluebellusher_running_limit": float(
+                min((limit.n_usual for limit in found if limit is not None), default=0)
+            )
+        }
+        n_waiting = Counter[Priority]()
+        for queue in state.queue_by_pool.values():
+            if isinstance(queue, PriorityQueue):
+                n_waiting.update(queue.count_by_priority())
+        for priority in Priority:
+            name = f"bluebellusher_priority_{int(priority)}_waiting"
+            gauges[name] = float(n_waiting[priority])
+        return gauges
--- a/packages/entry/src/bluebellusher/runtime/_peers.py
+++ b/packages/entry/src/bluebellusher/runtime/_peers.py
@@ -97,6 +97,11 @@
         self._sent_at_ms = 0
         self._repeated_at_ms = 0
 
+    @property
+    def domain_peer_ids(self) -> frozenset[str]:
+        """Ids of the connected peers in the failure domain of this entry."""
+        return frozenset(self._domain_peer_ids)
+
     def register(self, message_type: type, handler: MessageHandler) -> None:
         """Call ``handler(peer_id, message)`` for each message of a type."""
         self._handler_by_type[message_type] = handler
--- a/packages/entry/src/bluebellusher/shared/_directory.py
+++ b/packages/entry/src/bluebellusher/shared/_directory.py
@@ -18,6 +18,7 @@
     EndpointRegistered,
     EndpointReplaced,
     Event,
+    ObjectivesChanged,
 )
 
 _LOG_NAME_BY_EVENT_TYPE = {
@@ -97,6 +98,10 @@
             self._put_in_force(table, row)
 
     def _put_in_force(self, table: RoutingTable, row: MirrorRow) -> None:
+        previous = self.routing.find_gap_objectives() if self.routing else {}
+        objectives = table.find_gap_objectives()
+        if objectives != previous:
+            self._post(ObjectivesChanged(objectives))
         self.routing, self.row_in_force = table, row
         self.routing_applied_at_ms = self._clock.now_ms()
         self._log.log(
