Keep long prompts out of the reserve and bound large customers

Cause: a long prompt at a full rank makes one pass exceed the allowed gap of all streams of the group. A large customer got nearly the share of all others.

Change: long prompts use only the slots below the reserve. A customer with more than 1.5 times the mean work waits behind its whole priority.

--- a/packages/core/src/bluebellusher_core/admission/_priority_queue.py
+++ b/packages/core/src/bluebellusher_core/admission/_priority_queue.py
@@ -33,8 +33,17 @@
 # Time for which slots are kept free for the work of higher priorities that arrives, in
 # ms. It is the time in which another slot becomes free with some certainty.
 RESERVE_MS = 150.0
+# Prompts longer than this multiple of the usual length may not use the reserve.
+LONG_PROMPT_FACTOR = 2.0
+# A customer that has received more than this multiple of the mean of all customers of
+# its priority waits until others have been served.
+MAX_USAGE_FACTOR = 1.5
 # Recent work of higher priorities below which they count as absent.
 MIN_ARRIVED_WORK = 0.1
+# Interval at which the mean usage of customers is computed again, in ms.
+MEAN_INTERVAL_MS = 500
+# Usage below which a customer is discarded.
+MIN_USAGE = 0.05
 
 
 @dataclass(slots=True)
@@ -98,6 +107,8 @@
         self._waiting_by_id: dict[str, _Waiting] = {}
         self._arrivals = {priority: _DecayingRate() for priority in Priority}
         self._usage_by_key: dict[tuple[str, Priority], tuple[float, int]] = {}
+        self._mean_usage = dict.fromkeys(Priority, inf)
+        self._mean_at_ms = 0
         self._work_per_ms = inf
         self._spread_position = 0.0
         self._is_closed = False
@@ -140,8 +151,9 @@
         """Return whether a request may take one of the slots that are free now.
 
         It may use the reserve only if no higher priority arrives, and otherwise leaves
-        slots free for the higher priorities that will arrive soon. While everything is
-        closed, fresh requests wait.
+        slots free for the higher priorities that will arrive soon. A long prompt may
+        not use the reserve, because the pass that reads it would be too long for all
+        streams of the group. While everything is closed, fresh requests wait.
         """
         request = waiting.request
         if self._is_closed and not (request.is_returning or waiting.is_requeued):
@@ -149,11 +161,14 @@
         arriving = self._get_arriving(waiting, now_ms)
         if arriving * RATE_DECAY_MS >= MIN_ARRIVED_WORK and not waiting.is_requeued:
             return self._n_usual > arriving * RESERVE_MS
-        return self._n_top > 0
+        n_usual_tokens = self._engine.n_usual_prompt_tokens
+        is_long = request.n_input_tokens > LONG_PROMPT_FACTOR * n_usual_tokens
+        return (self._n_usual if is_long else self._n_top) > 0
 
     def _get_arriving(self, waiting: _Waiting, now_ms: int) -> float:
         """Return the arriving work per ms that comes before a request."""
-        higher = range(waiting.request.priority)
+        request = waiting.request
+        higher = range(request.priority + self._is_over_share(request, now_ms))
         if waiting.is_late:
             higher = range(len(Priority))
         return sum(self._arrivals[Priority(p)].get(now_ms) for p in higher)
@@ -271,6 +286,28 @@
     def _add_usage(self, request: RequestSpec, work: float, now_ms: int) -> None:
         usage = self._get_usage(request, now_ms) + work
         self._usage_by_key[request.customer_id, request.priority] = (usage, now_ms)
+        if now_ms - self._mean_at_ms >= MEAN_INTERVAL_MS:
+            self._update_mean_usage(now_ms)
+
+    def _update_mean_usage(self, now_ms: int) -> None:
+        """Compute the mean usage by priority again; discard customers without any."""
+        self._mean_at_ms = now_ms
+        usages: dict[Priority, list[float]] = {priority: [] for priority in Priority}
+        for key, (usage, at_ms) in list(self._usage_by_key.items()):
+            usage *= exp((at_ms - now_ms) / USAGE_DECAY_MS)
+            if usage < MIN_USAGE:
+                del self._usage_by_key[key]
+            else:
+                usages[key[1]].append(usage)
+        self._mean_usage = {
+            priority: sum(values) / len(values) if len(values) > 1 else inf
+            for priority, values in usages.items()
+        }
+
+    def _is_over_share(self, request: RequestSpec, now_ms: int) -> bool:
+        """Return whether a customer has received clearly more than the others."""
+        mean_usage = self._mean_usage[request.priority]
+        return self._get_usage(request, now_ms) > MAX_USAGE_FACTOR * mean_usage + 1
 
     def _is_in_time(self, waiting: _Waiting, now_ms: int) -> bool:
         """Return whether a request can start before its next time limit."""
