Describe and test the selection of overload control

Cause: the switch, the change of a queue that holds requests and the log lines had no test and no description for operators.

--- a/packages/core/src/bluebellusher_core/directory/tests/test_routes.py
+++ b/packages/core/src/bluebellusher_core/directory/tests/test_routes.py
@@ -1,6 +1,14 @@
 """Selection of routes and services, and protection of credentials."""
 
-from bluebellusher_core.directory import Customer, RequestKind, Route, RoutingTable
+from bluebellusher_core.directory import (
+    Customer,
+    EngineModel,
+    GapObjective,
+    RequestKind,
+    Route,
+    RoutingTable,
+    Service,
+)
 
 
 def make_route(prefix, **options):
@@ -47,6 +55,24 @@
     assert resumable.is_idempotent
 
 
+def test_priorities_compete_only_for_an_engine_and_with_an_allowed_gap():
+    """Guards against overload control in deployments that do not ask for it."""
+    engine = EngineModel(5, 1, 5, 4.5, 2.2, 0.04, 61.4, 512, 868.0, 96.0, 0.0)
+    services = [Service("a", 10, engine), Service("b", 10)]
+
+    def find(*routes):
+        table = RoutingTable.from_parts(1, routes, services, None)
+        return table.find_gap_objectives()
+
+    first = make_route("/a/", priority=0, max_gap_ms=150)
+    second = make_route("/b/", priority=2, max_gap_ms=120)
+    assert find(first, second) == {"a": GapObjective(engine, 120)}
+    assert find(first, make_route("/b/", priority=2)) == {}
+    assert find(first, make_route("/b/", priority=0, max_gap_ms=120)) == {}
+    only_b = {"weight_by_service": {"b": 1}}
+    assert find(first, make_route("/b/", priority=2, max_gap_ms=150, **only_b)) == {}
+
+
 def test_credentials_are_not_in_representations():
     """Guards against secrets in logs and error messages."""
     customer = Customer("c", ("secret-key",))
--- a/packages/core/src/bluebellusher_core/membership/_running_limits.py
+++ b/packages/core/src/bluebellusher_core/membership/_running_limits.py
@@ -105,6 +105,11 @@
         """Whether any service has a limit on running requests."""
         return bool(self._objective_by_service)
 
+    @property
+    def service_ids(self) -> frozenset[str]:
+        """Services with a limit on running requests."""
+        return frozenset(self._objective_by_service)
+
     def set_objectives(self, objective_by_service: Mapping[str, GapObjective]) -> None:
         """Replace the objectives; other services have no limit."""
         self._objective_by_service = dict(objective_by_service)
--- a/packages/core/src/bluebellusher_core/requests/_objectives.py
+++ b/packages/core/src/bluebellusher_core/requests/_objectives.py
@@ -22,12 +22,16 @@
         for pool in state.queue_by_pool
         if limits.find_objective(pool[0]) != event.objective_by_service.get(pool[0])
     ]
+    ended_ids = limits.service_ids - event.objective_by_service.keys()
     limits.set_objectives(event.objective_by_service)
     state.next_placement_ms = 0
     effects: list[Effect] = []
     for service_id, objective in sorted(event.objective_by_service.items()):
         fields = (("service", service_id), ("max_gap_ms", objective.max_gap_ms))
         effects.append(LogEvent("overload-control-applied", fields))
+    for service_id in sorted(ended_ids):
+        fields_of_end = (("service", service_id),)
+        effects.append(LogEvent("overload-control-ended", fields_of_end))
     for pool in sorted(changed_pools):
         effects += _replace_queue(state, pool, now_ms)
     return effects
