--- a/packages/core/src/bluebellusher_core/events/__init__.py
+++ b/packages/core/src/bluebellusher_core/events/__init__.py
@@ -49,6 +49,7 @@
     DomainsEvacuated,
     EntriesCounted,
     MembersListed,
+    ObjectivesChanged,
     PeersConnected,
     PolicyChanged,
     ShutdownStarted,
@@ -87,6 +88,7 @@
     | DomainsEvacuated
     | EntriesCounted
     | MembersListed
+    | ObjectivesChanged
     | PeersConnected
     | PolicyChanged
     | ShutdownStarted
@@ -132,6 +134,7 @@
     "LimitsReceived",
     "LoadReported",
     "MembersListed",
+    "ObjectivesChanged",
     "PeersConnected",
     "PolicyChanged",
     "Priority",
--- a/packages/core/src/bluebellusher_core/membership/__init__.py
+++ b/packages/core/src/bluebellusher_core/membership/__init__.py
@@ -10,6 +10,7 @@
 from bluebellusher_core.membership._entries import ActiveEntries, Share
 from bluebellusher_core.membership._evacuation import RAMP_MS, EvacuatedDomains
 from bluebellusher_core.membership._limits import RequestLimits
+from bluebellusher_core.membership._running_limits import RunningLimit, RunningLimits
 from bluebellusher_core.membership._silence import RankSilence, SilentRank
 from bluebellusher_core.membership._subset import choose_subset
 from bluebellusher_core.membership._warm_up import WarmUpBounds, WarmUps
@@ -24,6 +25,8 @@
     "Pool",
     "RankSilence",
     "RequestLimits",
+    "RunningLimit",
+    "RunningLimits",
     "Share",
     "SilentRank",
     "WarmUpBounds",
--- a/packages/core/src/bluebellusher_core/state/_config.py
+++ b/packages/core/src/bluebellusher_core/state/_config.py
@@ -61,6 +61,8 @@
         plus the second.
     retry_after_ms : int
         Default time after which a caller may retry a rejected request, in ms.
+    failure_domain : str
+        Failure domain of the entry.
     """
 
     entry_id: str
@@ -84,6 +86,7 @@
     warm_up_overage: float = 1.5
     warm_up_tolerance: float = 5.0
     retry_after_ms: int = 1_000
+    failure_domain: str = ""
 
     def __post_init__(self) -> None:
         """Validate the id and the upper bounds."""
--- a/packages/core/src/bluebellusher_core/state/_state.py
+++ b/packages/core/src/bluebellusher_core/state/_state.py
@@ -16,6 +16,7 @@
     EvacuatedDomains,
     Pool,
     RequestLimits,
+    RunningLimits,
     WarmUpBounds,
     WarmUps,
 )
@@ -173,6 +174,7 @@
                 config.queue_factor,
                 Announcements(config.max_pause_ms),
                 RequestLimits(entries, WarmUps(entries, bounds)),
+                RunningLimits(entries, config.failure_domain),
                 evacuated=EvacuatedDomains(entries),
             ),
             retry_budget=RetryBudget(config.n_min_retries, config.retry_percent),
