Reserve slots for higher priorities only under overload

Cause: a fixed reserve made lower priorities wait at normal load, and kept too few slots for the first priority in a burst.

Change: when arriving work exceeds 1.1 times the capacity, room for the higher priorities of the next 400 ms is kept, and late requests are rejected; below, all slots of the limit are used. Prompts of up to three times the usual length may use the reserve.

--- a/packages/core/src/bluebellusher_core/admission/_priority_queue.py
+++ b/packages/core/src/bluebellusher_core/admission/_priority_queue.py
@@ -27,14 +27,15 @@
 # running pass, the pass that reads the prompt, and the one that makes the event. The
 # remainder is for prompts that wait for others.
 N_FIRST_PASSES = 2.75
-# Arriving work, as a multiple of the capacity, above which late requests are rejected.
-# Below, a queue is short and passes, and a rejected request would be answered later.
-MAX_LOAD_FOR_LATE = 1.15
+# Arriving work, as a multiple of the capacity, from which slots are reserved and late
+# requests rejected. An entry sees few requests a second, so that both vary by a fifth
+# at normal load, and a rejected request would be answered later than one that waits.
+OVERLOAD_FACTOR = 1.1
 # Time for which slots are kept free for the work of higher priorities that arrives, in
 # ms. It is the time in which another slot becomes free with some certainty.
-RESERVE_MS = 150.0
+RESERVE_MS = 400.0
 # Prompts longer than this multiple of the usual length may not use the reserve.
-LONG_PROMPT_FACTOR = 2.0
+LONG_PROMPT_FACTOR = 3.0
 # A customer that has received more than this multiple of the mean of all customers of
 # its priority waits until others have been served.
 MAX_USAGE_FACTOR = 1.5
@@ -150,8 +151,8 @@
     def _is_allowed(self, waiting: _Waiting, now_ms: int) -> bool:
         """Return whether a request may take one of the slots that are free now.
 
-        It may use the reserve only if no higher priority arrives, and otherwise leaves
-        slots free for the higher priorities that will arrive soon. A long prompt may
+        Under overload, it may use the reserve only if no higher priority arrives, and
+        otherwise leaves slots free for those that will arrive soon. A long prompt may
         not use the reserve, because the pass that reads it would be too long for all
         streams of the group. While everything is closed, fresh requests wait.
         """
@@ -159,7 +160,8 @@
         if self._is_closed and not (request.is_returning or waiting.is_requeued):
             return False
         arriving = self._get_arriving(waiting, now_ms)
-        if arriving * RATE_DECAY_MS >= MIN_ARRIVED_WORK and not waiting.is_requeued:
+        has_higher = arriving * RATE_DECAY_MS >= MIN_ARRIVED_WORK
+        if has_higher and not waiting.is_requeued and self._is_overloaded(now_ms):
             return self._n_usual > arriving * RESERVE_MS
         n_usual_tokens = self._engine.n_usual_prompt_tokens
         is_long = request.n_input_tokens > LONG_PROMPT_FACTOR * n_usual_tokens
@@ -190,7 +192,7 @@
     def expire(self, now_ms: int) -> list[tuple[RequestSpec, Rejection]]:
         """Remove and reject requests that would be served too late."""
         expired: list[tuple[RequestSpec, Rejection]] = []
-        has_late_capacity = self._has_late_capacity(now_ms)
+        is_overloaded = self._is_overloaded(now_ms)
         for waiting in list(self._waiting_by_id.values()):
             waiting.is_late |= waiting.on_time_start_ms <= now_ms
             reason = None
@@ -200,8 +202,10 @@
                     reason = Reason.ENDPOINTS_CLOSED
             elif waiting.latest_start_ms <= now_ms + self._pause_ms:
                 reason = Reason.ENDPOINTS_PAUSED
-            elif waiting.is_late and not (
-                has_late_capacity or self._is_closed or waiting.is_requeued
+            elif (
+                waiting.is_late
+                and is_overloaded
+                and not (self._is_closed or waiting.is_requeued)
             ):
                 reason = Reason.DEADLINE_UNREACHABLE
             if reason is not None:
@@ -314,7 +318,7 @@
         limit_ms = waiting.on_time_start_ms
         if waiting.is_late:
             limit_ms = waiting.latest_start_ms
-            if not self._has_late_capacity(now_ms):
+            if self._is_overloaded(now_ms):
                 return False
         key = self._make_key(waiting, now_ms)
         work = sum(
@@ -325,10 +329,10 @@
         arriving = 0.0 if waiting.is_late else self._get_arriving(waiting, now_ms)
         return work <= (self._work_per_ms - arriving) * (limit_ms - now_ms)
 
-    def _has_late_capacity(self, now_ms: int) -> bool:
-        """Return whether arriving requests leave capacity for late ones."""
+    def _is_overloaded(self, now_ms: int) -> bool:
+        """Return whether arriving requests exceed the capacity clearly."""
         arriving = sum(rate.get(now_ms) for rate in self._arrivals.values())
-        return arriving <= MAX_LOAD_FOR_LATE * self._work_per_ms
+        return arriving > OVERLOAD_FACTOR * self._work_per_ms
 
     def _reject(self, request: RequestSpec, reason: Reason, now_ms: int) -> Rejection:
         """Return a rejection whose ``retry_after_ms`` spreads returning callers."""
