Decide which share of a service's requests leaves a failure domain

Change: decide_shares distributes the demand of a domain by the late answers that one more request causes (Erlang C), less the cost of its bytes. DomainAware applies the shares beside SlotAware, which is unchanged.

The policy is not connected to the settings yet.

--- /dev/null
+++ b/packages/core/src/bluebellusher_core/domain_traffic/__init__.py
@@ -0,0 +1,18 @@
+"""Share of the requests of a service that is sent to another failure domain."""
+
+from bluebellusher_core.domain_traffic._lateness import compute_marginal_lateness
+from bluebellusher_core.domain_traffic._price import TrafficPrice, estimate_bytes
+from bluebellusher_core.domain_traffic._shares import (
+    DomainLoad,
+    ShareDecision,
+    decide_shares,
+)
+
+__all__ = [
+    "DomainLoad",
+    "ShareDecision",
+    "TrafficPrice",
+    "compute_marginal_lateness",
+    "decide_shares",
+    "estimate_bytes",
+]
--- a/packages/core/src/bluebellusher_core/membership/_endpoints.py
+++ b/packages/core/src/bluebellusher_core/membership/_endpoints.py
@@ -231,6 +231,34 @@
             and not self.silence.is_excluded(view.info.endpoint_id, now_ms)
         ]
 
+    def list_usable(
+        self, pool: Pool, service_ms: float, now_ms: int
+    ) -> list[tuple[EndpointView, float]]:
+        """Return the endpoints of a pool that may serve requests, full ones included.
+
+        Closed, paused, silent and isolated endpoints are left out. With each endpoint
+        comes the number of own attempts that its limit allows on average, which is
+        infinite without one; ``service_ms`` is the mean time of an attempt, in ms.
+        """
+        closed_ids = self.groups.find_closed(now_ms)
+        has_limits = self.announcements.has_limits or not self.limits.is_empty
+        usable = []
+        for view in self.views_of(pool):
+            endpoint_id = view.info.endpoint_id
+            if view.is_isolating or endpoint_id in closed_ids:
+                continue
+            if _is_closed(view, now_ms) or self.silence.is_excluded(
+                endpoint_id, now_ms
+            ):
+                continue
+            n_limited = inf
+            if has_limits:
+                if self._paused_until_ms(view, now_ms):
+                    continue
+                n_limited = self.find_limited_slots(view, service_ms, now_ms)
+            usable.append((view, n_limited))
+        return usable
+
     def is_pool_closed(self, pool: Pool, now_ms: int) -> bool:
         """Return whether no endpoint of a pool can run a request now.
 
--- a/packages/core/src/bluebellusher_core/routing/__init__.py
+++ b/packages/core/src/bluebellusher_core/routing/__init__.py
@@ -6,12 +6,14 @@
     RoundRobin,
     TwoChoices,
 )
+from bluebellusher_core.routing._domain_aware import DomainAware, UsableEndpoints
 from bluebellusher_core.routing._predicted_latency import PredictedLatency
 from bluebellusher_core.routing._protocol import EndpointView, RoutingPolicy
 from bluebellusher_core.routing._slot_aware import SlotAware, count_occupied_slots
 from bluebellusher_core.routing._tracker import EndpointTracker
 
 __all__ = [
+    "DomainAware",
     "EndpointTracker",
     "EndpointView",
     "LeastInFlight",
@@ -21,5 +23,6 @@
     "RoutingPolicy",
     "SlotAware",
     "TwoChoices",
+    "UsableEndpoints",
     "count_occupied_slots",
 ]
--- a/packages/core/src/bluebellusher_core/routing/_slot_aware.py
+++ b/packages/core/src/bluebellusher_core/routing/_slot_aware.py
@@ -64,7 +64,7 @@
             return None
         sample = self._draw_sample(candidates, random_state)
         return min(
-            sample, key=lambda v: self._compute_occupied_share(v, now_ms)
+            sample, key=lambda v: self.compute_occupied_share(v, now_ms)
         ).info.endpoint_id
 
     def _draw_sample(
@@ -84,7 +84,7 @@
             remote_views, min(n_remote, len(remote_views))
         )
 
-    def _compute_occupied_share(self, view: EndpointView, now_ms: int) -> float:
+    def compute_occupied_share(self, view: EndpointView, now_ms: int) -> float:
         """Return the share of occupied slots, including all penalties."""
         n_slots = view.info.n_slots or 1
         n_occupied = count_occupied_slots(view, now_ms)
