Add the settings domain_traffic and observe the traffic between domains

Cause: the shares that leave a failure domain need a price, which only the operator knows, and were visible nowhere.

Change: with the settings domain_traffic an entry uses DomainAware; without them it uses SlotAware as before. A changed price is applied on reload. The line domain-share, the gauge bluebellusher_domain_traffic_share and two counters show shares and bytes. Gauges may have labels.

Result: the tests of settings, metrics and the new module pass; make check passes.

--- a/packages/entry/src/bluebellusher/gateway/_attempts.py
+++ b/packages/entry/src/bluebellusher/gateway/_attempts.py
@@ -69,6 +69,7 @@
 _NO_PAUSE_MS = 0
 
 IsLimited = Callable[[str], bool]
+CountBytes = Callable[[str, str, int], None]
 FindEndpoint = Callable[[str], EndpointRegistration | None]
 
 
@@ -152,6 +153,9 @@
     is_limited : callable
         Returns whether a limit of the request rate is in force for an endpoint, which
         an answer without one ends.
+    count_bytes : callable or None
+        Receives the service, the failure domain of the endpoint and the bytes of the
+        bodies in both directions when an attempt ends.
 
     Attributes
     ----------
@@ -168,6 +172,7 @@
         metrics: Metrics,
         describe_endpoint: Callable[[str], dict[str, str | int | float]] | None = None,
         is_limited: IsLimited = lambda endpoint_id: False,
+        count_bytes: CountBytes | None = None,
     ) -> None:
         self.sink: EventSink | None = None
         self._dialect = dialect
@@ -177,6 +182,7 @@
         self._metrics = metrics
         self._describe_endpoint = describe_endpoint
         self._is_limited = is_limited
+        self._count_bytes = count_bytes
         self._attempt_by_id: dict[str, _Attempt] = {}
         self._check_tasks: set[asyncio.Task[None]] = set()
         self._session: aiohttp.ClientSession | None = None
@@ -307,6 +313,12 @@
                 endpoint_id=attempt.effect.endpoint_id,
                 n_bytes=exchange.answer.n_bytes,
             )
+        if self._count_bytes is not None:
+            n_bytes = len(exchange.body)
+            if exchange.answer.owner_attempt_id == attempt_id:
+                n_bytes += exchange.answer.n_bytes - attempt.effect.resume_offset
+            service_id = exchange.spec.service_id
+            self._count_bytes(service_id, attempt.endpoint.failure_domain, n_bytes)
         return exchange
 
     def close_endpoint(self, endpoint_id: str, reason: str) -> None:
--- a/packages/entry/src/bluebellusher/gateway/_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -14,6 +14,7 @@
 
 from bluebellusher.gateway._admission import Admission, StreamTimeouts
 from bluebellusher.gateway._attempts import HttpDispatcher
+from bluebellusher.gateway._domain_traffic import DomainTraffic, make_policy
 from bluebellusher.gateway._server import CallerServer, PageServer
 from bluebellusher.gateway._shutdown import finish_requests
 from bluebellusher.gateway._view import MAP_LEASE, GatewayView
@@ -53,7 +54,6 @@
 )
 from bluebellusher_core.poison import CrashRecord
 from bluebellusher_core.reducer import EntryConfig, EntryState
-from bluebellusher_core.routing import SlotAware
 from bluebellusher_core.supervision import supervise
 from bluebellusher_core.wire import messages
 
@@ -131,8 +131,12 @@
             metrics,
             self.view.describe_endpoint,
             self.state.endpoints.limits.is_limited,
+            self._count_bytes if settings.domain_traffic else None,
         )
         self.runtime = Runtime(self.state, clock, log, metrics, tracer, self.dispatcher)
+        self.domain_traffic = DomainTraffic(
+            self.state, settings.failure_domain, self.runtime, metrics
+        )
         self.dispatcher.sink = self.runtime
         self.directory = Directory(ports.codec, self.runtime.post, clock, self.runtime)
         self.ticker = LinkTicker(clock, asyncio.get_running_loop())
@@ -335,6 +339,7 @@
         """Apply changed settings; changed addresses take effect at the next start."""
         is_changed = settings != self.settings
         self.settings = settings
+        self.domain_traffic.reload(settings.domain_traffic)
         self.log.event("settings-reloaded", is_changed=is_changed)
 
     def _is_lease_held_elsewhere(self) -> bool:
@@ -381,6 +386,9 @@
     def _broadcast_ended(self, effect: BroadcastEnded) -> None:
         self.peer_exchange.broadcast_ended(effect.requests)
 
+    def _count_bytes(self, service_id: str, failure_domain: str, n: int) -> None:
+        self.domain_traffic.count_attempt(service_id, failure_domain, n)
+
     def _find_endpoint(self, endpoint_id: str) -> Any:
         return self.directory.find(endpoint_id)
 
@@ -448,6 +456,7 @@
         self.peer_exchange.tick(now_ms)
         self.tables.tick(now_ms)
         self.directory.tick(now_ms, self.registration_watcher.store_answered_at_ms)
+        self.domain_traffic.tick(now_ms)
         n_entries = 1 + len(self.peers.connections_by_peer_id)
         if n_entries > self._n_entries:
             # The number never decreases, because an entry that has lost its
@@ -503,8 +512,7 @@
         n_crashes_to_block=N_CRASHES_TO_BLOCK,
         max_pause_ms=settings.max_endpoint_pause_ms,
     )
-    policy = SlotAware(failure_domain=settings.failure_domain)
-    return EntryState.from_config(config, policy, ObjectiveQueue)
+    return EntryState.from_config(config, make_policy(settings), ObjectiveQueue)
 
 
 async def _run_until_signal(
--- a/packages/entry/src/bluebellusher/gateway/_view.py
+++ b/packages/entry/src/bluebellusher/gateway/_view.py
@@ -95,4 +95,5 @@
                 gateway.routing_watcher.is_store_available
             ),
             "bluebellusher_log_lines_dropped": gateway.log.n_dropped,
+            **gateway.domain_traffic.compute_gauges(),
         }
--- a/packages/entry/src/bluebellusher/observability/__init__.py
+++ b/packages/entry/src/bluebellusher/observability/__init__.py
@@ -1,7 +1,7 @@
 """Log lines, metrics and traces of an entry."""
 
 from bluebellusher.observability._log import DescriptorWriter, KeyValueLog, format_line
-from bluebellusher.observability._metrics import Metrics
+from bluebellusher.observability._metrics import Metrics, format_series
 from bluebellusher.observability._trace import Span, Tracer, parse_traceparent
 
 __all__ = [
@@ -11,5 +11,6 @@
     "Span",
     "Tracer",
     "format_line",
+    "format_series",
     "parse_traceparent",
 ]
--- a/packages/entry/src/bluebellusher/observability/_metrics.py
+++ b/packages/entry/src/bluebellusher/observability/_metrics.py
@@ -47,18 +47,24 @@
         Parameters
         ----------
         gauges : mapping of str to float
-            Current values of the gauges by metric name.
+            Current values of the gauges by metric name, which labels in braces may
+            follow.
         """
         lines: list[str] = []
-        for name, gauge_value in sorted(gauges.items()):
-            lines += [f"# TYPE {name} gauge", f"{name} {gauge_value:g}"]
+        last_name = ""
+        for series, gauge_value in sorted(gauges.items()):
+            name = series.partition("{")[0]
+            if name != last_name:
+                lines.append(f"# TYPE {name} gauge")
+            last_name = name
+            lines.append(f"{series} {gauge_value:g}")
         last_name = ""
         for (name, label, value), n in sorted(self._n_by_series.items()):
             if name != last_name:
                 lines.append(f"# TYPE {name} counter")
             last_name = name
-            selector = f'{{{label}="{_escape_label(value)}"}}' if label else ""
-            lines.append(f"{name}{selector} {n}")
+            series = format_series(name, label, value) if label else name
+            lines.append(f"{series} {n}")
         for name, histogram in self._histograms().items():
             lines += _summary_lines(f"bluebellusher_{name}", histogram)
         return "\n".join(lines) + "\n"
@@ -88,5 +94,16 @@
     return [*lines, f"{name}_sum {mean * n_values:.0f}", f"{name}_count {n_values}"]
 
 
+def format_series(name: str, label: str, value: str) -> str:
+    """Return the name of a series with one label, as ``to_prometheus`` accepts it.
+
+    Examples
+    --------
+    >>> format_series("share", "service", "desk")
+    'share{service="desk"}'
+    """
+    return f'{name}{{{label}="{_escape_label(value)}"}}'
+
+
 def _escape_label(value: str) -> str:
     return value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
--- a/packages/entry/src/bluebellusher/settings/__init__.py
+++ b/packages/entry/src/bluebellusher/settings/__init__.py
@@ -1,6 +1,11 @@
 """Settings of an entry: models, and the loading of JSON5 files."""
 
-from bluebellusher.settings._gateway import GatewaySettings, MapSettings, RetrySettings
+from bluebellusher.settings._gateway import (
+    DomainTrafficSettings,
+    GatewaySettings,
+    MapSettings,
+    RetrySettings,
+)
 from bluebellusher.settings._load import (
     SettingsError,
     SettingsProblem,
@@ -21,6 +26,7 @@
 __all__ = [
     "AddressSettings",
     "CustomerSettings",
+    "DomainTrafficSettings",
     "GatewaySettings",
     "LimitSettings",
     "MapSettings",
--- a/packages/entry/src/bluebellusher/settings/_gateway.py
+++ b/packages/entry/src/bluebellusher/settings/_gateway.py
@@ -72,6 +72,36 @@
     ] = 300
 
 
+class DomainTrafficSettings(SettingsModel):
+    """Price of traffic between failure domains, weighed against what callers gain.
+
+    With it, the entry decides which share of the requests of a service is sent to each
+    other domain: as many as avoid more late answers than their bytes cost. Both amounts
+    are in the same currency. docs/design/domain-traffic.md describes the decision.
+    """
+
+    price_per_gb: Annotated[
+        float,
+        Field(
+            ge=0,
+            le=1_000_000_000,
+            description="Price of 10^9 bytes between domains, in either direction.",
+        ),
+    ]
+    answer_value: Annotated[
+        float,
+        Field(
+            gt=0,
+            le=1_000_000_000,
+            description="Worth of an answer within its objective over a late one.",
+        ),
+    ]
+    round_trip_ms: Annotated[
+        float,
+        Field(ge=0, le=10_000, description="Round trip between two domains."),
+    ] = 2
+
+
 class GatewaySettings(ProcessSettings):
     """Settings of an entry on a platform; addresses are ``host:port``."""
 
@@ -114,6 +144,12 @@
     maps: Annotated[
         MapSettings, Field(description="Cost of changes of expert maps.")
     ] = MapSettings()
+    domain_traffic: Annotated[
+        DomainTrafficSettings | None,
+        Field(
+            description="Price of traffic between domains; absent: it is not weighed."
+        ),
+    ] = None
     shutdown_grace_s: Annotated[
         float,
         Field(ge=1, le=600, description="Longest time from SIGTERM to exit."),
--- a/packages/entry/src/bluebellusher/settings/tests/test_gateway_settings.py
+++ b/packages/entry/src/bluebellusher/settings/tests/test_gateway_settings.py
@@ -37,6 +37,10 @@
         ("n_extra: 88", "n_extra: 45.90909090909091"),
         ("window_s: 10", "window_s: 2.5"),
         ("shutdown_grace_s: 8", "shutdown_grace_s: 8.5"),
+        (
+            "shutdown_grace_s: 8",
+            "domain_traffic: { price_per_gb: 612.5, answer_value: 0.8 }",
+        ),
     ],
 )
 def test_fractional_bounds_are_accepted(tmp_path, old_text, new_text):
