Test the inputs of the decision on shares and the bytes that are counted

Cause: draining, paused, limited, closed and failing endpoints of another domain seem idle, and the bytes of attempts had no test at the sockets.

Change: one test each.

--- a/packages/core/src/bluebellusher_core/routing/tests/test_domain_aware.py
+++ b/packages/core/src/bluebellusher_core/routing/tests/test_domain_aware.py
@@ -3,6 +3,8 @@
 from dataclasses import replace
 from random import Random
 
+import pytest
+
 from bluebellusher_core.domain_traffic import TrafficPrice
 from bluebellusher_core.events import (
     EndpointConnected,
@@ -104,6 +106,41 @@
     assert count_leaving(make_policy(endpoints), n_requests=50, start_ms=20_000) == 0
 
 
+def exclude(endpoints, endpoint_id, cause):
+    """Take an endpoint out of use, or most of its capacity."""
+    if cause == "draining":
+        endpoints.drain(endpoint_id)
+    elif cause == "paused":
+        endpoints.start_pause(endpoint_id, 0, 60_000, 950)
+    elif cause == "limited":
+        endpoints.limits.record_answer(endpoint_id, 0, 0.2, 940, 950)
+    elif cause == "closed":
+        closed = replace(
+            endpoints.view_by_id[endpoint_id].report, sequence=2, is_open=False
+        )
+        endpoints.record_load_report(closed, 950)
+    elif cause == "failing":
+        view = endpoints.view_by_id[endpoint_id]
+        view.failure_rate, view.failure_rate_updated_at_ms = 1.0, 1_000
+
+
+@pytest.mark.parametrize(
+    "cause", ["draining", "paused", "limited", "closed", "failing"]
+)
+def test_domain_that_cannot_serve_is_no_reason_to_send_requests(cause):
+    """Guards against requests for an evacuated, cold, closed or unreachable domain.
+
+    Its endpoints seem idle because nothing is sent there.
+    """
+    endpoints = make_endpoints({"a": 4, "b": 0})
+    for index in range(6):
+        exclude(endpoints, f"b{index}", cause)
+    policy = make_policy(endpoints)
+    assert count_leaving(policy) == 0
+    load = policy.traffic_by_pool[POOL].load_by_domain.get("b")
+    assert load is None or load.n_slots < 6
+
+
 def test_request_stays_where_its_prompt_is_cached():
     """Guards against prompts that are read again in another domain."""
     endpoints = make_endpoints({"a": 3, "b": 1, "c": 1})
--- a/packages/entry/src/bluebellusher/gateway/tests/test_domain_traffic.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_domain_traffic.py
@@ -3,6 +3,7 @@
 from types import SimpleNamespace
 
 from bluebellusher.gateway._domain_traffic import DomainTraffic, make_policy
+from bluebellusher.gateway.tests.harness import answer_sealed, run_scenario
 from bluebellusher.observability import Metrics
 from bluebellusher.settings import DomainTrafficSettings
 from bluebellusher_core.domain_traffic import DomainLoad, ShareDecision
@@ -72,3 +73,15 @@
     assert isinstance(policy, DomainAware)
     traffic.reload(DomainTrafficSettings(price_per_gb=15_000, answer_value=1))
     assert policy.price.price_per_gb == 15_000
+
+
+def test_bytes_of_an_attempt_are_counted_in_both_directions():
+    """Guards against a bill that lacks the bodies of requests or of answers."""
+    counted = []
+
+    async def scenario(harness):
+        harness.dispatcher._count_bytes = lambda *fields: counted.append(fields)
+        _, _, body = await harness.fetch("POST", data=b"x" * 1_000)
+        assert counted == [("desk", "here", 1_000 + len(body))]
+
+    run_scenario(scenario, [answer_sealed])
