Count endpoints of other domains without any report as out of contact

Cause: an entry that starts while a domain is cut off knows the endpoints there by their registrations. They were treated like plain endpoints, which never send load reports.

Change: where the own endpoints of a service send reports, others without one do not count.

Result: the new test fails without the change and passes with it.

--- a/packages/core/src/bluebellusher_core/routing/_domain_load.py
+++ b/packages/core/src/bluebellusher_core/routing/_domain_load.py
@@ -19,8 +19,6 @@
 STALE_REPORT_MS = 5_000
 # Service time that is assumed before an attempt has ended, in ms.
 DEFAULT_SERVICE_MS = 1_000.0
-# Weight of the latest request in the mean bytes and objectives of a service.
-SMOOTHING = 0.05
 # Ratio of the service time at an endpoint to that at the fastest endpoint of the
 # service, from which its requests are regarded as waiting there.
 QUEUED_RATIO = 2.0
@@ -179,6 +177,10 @@
         n_reported = report.n_running + report.n_queued + n_change
         n_own = view.n_own_in_flight
         total.n_occupied += n_reported if n_reported > n_own else n_own
+    reported = sum_by_domain.get(own_domain)
+    if reported is not None and reported.n_slots:
+        # The endpoints of this service send reports; those of others do not arrive.
+        unreported = _discard_remote(unreported, sum_by_domain, own_domain)
     _add_unreported(traffic, unreported, sum_by_domain, n_entries, now_ms)
     own = sum_by_domain.get(own_domain, _DomainSum())
     # Requests that wait at the own endpoints are no part of the demand elsewhere.
@@ -210,6 +212,22 @@
     return sum(times_ms) / len(times_ms) if times_ms else DEFAULT_SERVICE_MS
 
 
+def _discard_remote(
+    unreported: Sequence[tuple[EndpointView, float]],
+    sum_by_domain: Mapping[str, _DomainSum],
+    own_domain: str,
+) -> list[tuple[EndpointView, float]]:
+    """Return the endpoints of the own domain; count the others as out of contact."""
+    kept = []
+    for view, n_limited in unreported:
+        domain = view.info.failure_domain
+        if domain == own_domain:
+            kept.append((view, n_limited))
+        else:
+            sum_by_domain[domain].n_stale_slots += view.info.n_slots or 1
+    return kept
+
+
 def _add_unreported(
     traffic: PoolTraffic,
     unreported: Sequence[tuple[EndpointView, float]],
--- a/packages/core/src/bluebellusher_core/routing/tests/test_domain_aware.py
+++ b/packages/core/src/bluebellusher_core/routing/tests/test_domain_aware.py
@@ -106,6 +106,19 @@
     assert count_leaving(make_policy(endpoints), n_requests=50, start_ms=20_000) == 0
 
 
+def test_nothing_is_sent_to_a_domain_without_any_report():
+    """Guards against a share for a domain that was cut off before this entry started.
+
+    Its endpoints are known from their registrations.
+    """
+    endpoints = make_endpoints({"a": 4, "b": 0})
+    for view in list(endpoints.views_of(POOL)):
+        if view.info.failure_domain == "b":
+            view.report = None
+            endpoints.update_info(replace(view.info, n_slots=20))
+    assert count_leaving(make_policy(endpoints)) == 0
+
+
 def exclude(endpoints, endpoint_id, cause):
     """Take an endpoint out of use, or most of its capacity."""
     if cause == "draining":
