--- a/bench/experiment/_domain_policies.py
+++ b/bench/experiment/_domain_policies.py
@@ -9,7 +9,6 @@
     ShareDecision,
     TrafficPrice,
     decide_shares,
-    estimate_bytes,
 )
 from bluebellusher_core.routing import DomainAware, RoutingPolicy, SlotAware
 from bluebellusher_core.routing._slot_aware import FAILURE_PENALTY_SLOTS
@@ -127,5 +126,3 @@
     "shares-only": _make_shares(decide_shares_only),
     "shares": _make_shares(decide_shares),
 }
-
-__all__ = ["ROUTING_BY_NAME", "MakeRouting", "estimate_bytes"]
