--- a/packages/entry/src/bluebellusher/gateway/_attempts.py
+++ b/packages/entry/src/bluebellusher/gateway/_attempts.py
@@ -77,6 +77,7 @@
 
 IsLimited = Callable[[str], bool]
 IsOutdated = Callable[[str, int], bool]
+CountBytes = Callable[[str, str, int], None]
 FindEndpoint = Callable[[str], EndpointRegistration | None]
 
 
@@ -174,6 +175,9 @@
     is_outdated : callable
         Returns whether an attempt at an endpoint, chosen at a monotonic time in ms,
         must not be sent any more.
+    count_bytes : callable or None
+        Receives the service, the failure domain of the endpoint and the bytes of the
+        bodies in both directions when an attempt ends.
 
     Attributes
     ----------
@@ -192,6 +196,7 @@
         is_limited: IsLimited = lambda endpoint_id: False,
         is_evacuated: CheckDomain | None = None,
         is_outdated: IsOutdated = lambda endpoint_id, chosen_at_ms: False,
+        count_bytes: CountBytes | None = None,
     ) -> None:
         self.sink: EventSink | None = None
         self._dialect = dialect
@@ -203,6 +208,7 @@
         self._is_limited = is_limited
         self.is_evacuated = is_evacuated
         self._is_outdated = is_outdated
+        self._count_bytes = count_bytes
         self._attempt_by_id: dict[str, _Attempt] = {}
         self._check_tasks: set[asyncio.Task[None]] = set()
         self._session: aiohttp.ClientSession | None = None
@@ -334,6 +340,12 @@
                 endpoint_id=attempt.effect.endpoint_id,
                 n_bytes=exchange.answer.n_bytes,
             )
+        if self._count_bytes is not None:
+            n_bytes = len(exchange.body)
+            if exchange.answer.owner_attempt_id == attempt_id:
+                n_bytes += exchange.answer.n_bytes - attempt.effect.resume_offset
+            service_id = exchange.spec.service_id
+            self._count_bytes(service_id, attempt.endpoint.failure_domain, n_bytes)
         return exchange
 
     def close_endpoint(self, endpoint_id: str, reason: str) -> None:
--- a/packages/entry/src/bluebellusher/gateway/_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -14,6 +14,7 @@
 
 from bluebellusher.gateway._admission import Admission, StreamTimeouts
 from bluebellusher.gateway._attempts import HttpDispatcher
+from bluebellusher.gateway._domain_traffic import DomainTraffic, make_policy
 from bluebellusher.gateway._server import CallerServer, PageServer
 from bluebellusher.gateway._shutdown import finish_requests
 from bluebellusher.gateway._view import MAP_LEASE, GatewayView
@@ -55,7 +56,6 @@
 )
 from bluebellusher_core.poison import CrashRecord
 from bluebellusher_core.reducer import EntryConfig, EntryState
-from bluebellusher_core.routing import SlotAware
 from bluebellusher_core.supervision import supervise
 from bluebellusher_core.wire import messages
 
@@ -139,9 +139,13 @@
             metrics,
             self.view.describe_endpoint,
             self.state.endpoints.limits.is_limited,
+            count_bytes=self._count_bytes if settings.domain_traffic else None,
             is_outdated=self._is_outdated,
         )
         self.runtime = Runtime(self.state, clock, log, metrics, tracer, self.dispatcher)
+        self.domain_traffic = DomainTraffic(
+            self.state, settings.failure_domain, self.runtime, metrics
+        )
         self.dispatcher.sink = self.runtime
         self.directory = Directory(ports.codec, self.runtime.post, clock, self.runtime)
         self.ticker = LinkTicker(clock, asyncio.get_running_loop())
@@ -351,6 +355,7 @@
         """Apply changed settings; changed addresses take effect at the next start."""
         is_changed = settings != self.settings
         self.settings = settings
+        self.domain_traffic.reload(settings.domain_traffic)
         self.log.event("settings-reloaded", is_changed=is_changed)
 
     def _is_lease_held_elsewhere(self) -> bool:
@@ -412,6 +417,9 @@
     def _broadcast_ended(self, effect: BroadcastEnded) -> None:
         self.peer_exchange.broadcast_ended(effect.requests)
 
+    def _count_bytes(self, service_id: str, failure_domain: str, n: int) -> None:
+        self.domain_traffic.count_attempt(service_id, failure_domain, n)
+
     def _find_endpoint(self, endpoint_id: str) -> Any:
         return self.directory.find(endpoint_id)
 
@@ -481,6 +489,7 @@
         self.directory.tick(now_ms, self.registration_watcher.store_answered_at_ms)
         if self.directory.has_warm_up_rates:
             self.registration_watcher.wait_ms = WARM_UP_WAIT_MS
+        self.domain_traffic.tick(now_ms)
         n_entries = 1 + len(self.peers.connections_by_peer_id)
         if n_entries > self._n_entries:
             # The number never decreases, because an entry that has lost its
@@ -540,8 +549,7 @@
         warm_up_tolerance=settings.warm_up.tolerance,
         failure_domain=settings.failure_domain,
     )
-    policy = SlotAware(failure_domain=settings.failure_domain)
-    return EntryState.from_config(config, policy, ObjectiveQueue)
+    return EntryState.from_config(config, make_policy(settings), ObjectiveQueue)
 
 
 async def _run_until_signal(
--- a/packages/entry/src/bluebellusher/gateway/_view.py
+++ b/packages/entry/src/bluebellusher/gateway/_view.py
@@ -104,6 +104,7 @@
             "bluebellusher_log_lines_dropped": gateway.log.n_dropped,
             **self._compute_priority_gauges(now_ms),
             **self._compute_evacuation_gauges(),
+            **gateway.domain_traffic.compute_gauges(),
         }
 
     def _compute_evacuation_gauges(self) -> dict[str, float]:
