--- a/soak/entry.py
+++ b/soak/entry.py
@@ -8,6 +8,7 @@
 from bluebellusher.ports import PlatformPorts
 from bluebellusher.settings import GatewaySettings, load_gateway_settings
 from bluebellusher_core.directory import (
+    CallerLimits,
     EndpointRegistration,
     RequestKind,
     Route,
@@ -33,9 +34,13 @@
     def read_routing(self, value: bytes) -> RoutingTable | None:
         """Return the routes of the version in ``value``.
 
-        Each version adds a route to those of the versions before.
+        Each version adds a route to those of the versions before. ``value`` is the
+        version, or an object with the version and the limits on callers.
         """
-        version = int(value)
+        decoded = json.loads(value)
+        fields = decoded if isinstance(decoded, dict) else {"version": decoded}
+        version = fields["version"]
+        limits = CallerLimits(**fields.get("limits", {}))
         routes = [
             *(
                 _make_route(make_prefix(n), RequestKind.IDEMPOTENT, 2)
@@ -44,7 +49,8 @@
             _make_route("/once/", RequestKind.NON_IDEMPOTENT, 1),
             _make_route("/any/", RequestKind.IDEMPOTENT, 2),
         ]
-        return RoutingTable.from_parts(version, routes, [Service(SERVICE, 0)], None)
+        services = [Service(SERVICE, 0)]
+        return RoutingTable.from_parts(version, routes, services, None, limits)
 
     def read_registration(
         self, endpoint_id: str, value: bytes
