Bound what an entry holds for callers that exceed the limits

Cause: aiohttp bounds single header lines but not the bytes of a failed head: each later read was parsed again and its text was kept in an error message. Nothing bounded the bytes of all open bodies, chunk extensions, trailers, the parsing of small chunks or the number of connections.

Change: the connections of callers and of operators' pages follow each request through aiohttp's parser. A head above max_header_bytes gets 431, a body above max_body_bytes 413 as soon as it is known, a caller that stops sending 408 after header_timeout_ms. One budget of bytes, derived from memory_mb, is shared by callers' addresses; connections are bounded by max_descriptors. Bodies of small chunks are parsed in parts of 4 KiB, in turn, a third of the time. Requests behind one in progress wait unparsed. Freed memory is returned.

--- a/packages/entry/src/bluebellusher/gateway/_admission.py
+++ b/packages/entry/src/bluebellusher/gateway/_admission.py
@@ -53,13 +53,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Denial:
-    """Answer with a client error (4xx) to a request that is not admitted.
+    """Answer to a request that is not admitted, such as a client error (4xx).
 
-    ``reason`` is the body of the response and a label of the metrics.
+    ``reason`` is the body of the response and a label of the metrics. The caller may
+    retry after ``retry_after_ms``, unless it is 0.
     """
 
     status: HTTPStatus
     reason: str
+    retry_after_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/entry/src/bluebellusher/gateway/_connections.py
@@ -0,0 +1,410 @@
+"""Connections of callers, with bounds on what they may send before they are served.
+
+aiohttp parses requests and bounds single header lines, the number of headers and the
+parsed parts of a body that wait for their reader. This module adds what it does not
+bound: the size and duration of a whole head, the parts of a chunked body that are not
+data, the work for small chunks, and the bytes that all connections hold together. See
+docs/decisions/http.md.
+"""
+
+import asyncio
+import contextlib
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any
+
+from aiohttp import StreamReader, web
+from aiohttp.http import RawRequestMessage
+from aiohttp.http_exceptions import LineTooLong
+
+from bluebellusher.gateway._admission import Denial
+from bluebellusher_core.memory import Account
+
+if TYPE_CHECKING:
+    from bluebellusher.gateway._connection_guard import ConnectionGuard
+
+# Part of a chunked body, in bytes, that is parsed at once, and the part if its chunks
+# are small. Parsing 4 KiB of chunks of 1 byte takes about as long as a whole ordinary
+# request.
+_PART_BYTES = 16_384
+_DENSE_PART_BYTES = 4_096
+# A part of a chunked body is dense if its data are less than this share of it. Chunks
+# of up to 2 bytes are dense.
+_DENSE_SHARE = 0.35
+# Bytes that are read and discarded after a rejection, and the time for it, so that the
+# client can read the answer before its connection is reset.
+_MAX_DISCARDED_BYTES = 262_144
+LINGER_MS = 1_000
+# Time after which a caller may repeat a request that was rejected for lack of memory.
+MEMORY_RETRY_MS = 1_000
+
+
+# Text of aiohttp's error for a head with more headers than it accepts.
+_TOO_MANY_HEADERS = "Too many headers"
+# Denial of a request whose body is above the limit.
+BODY_TOO_LARGE = Denial(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "body too long")
+
+
+class BodyRefusedError(Exception):
+    """Body that is not read to its end, because the request is rejected."""
+
+    def __init__(self, denial: Denial) -> None:
+        super().__init__(denial.reason)
+        self.denial = denial
+
+
+class CallerConnection(web.RequestHandler):
+    """Connection of a caller, within the limits of a guard.
+
+    Parameters
+    ----------
+    guard : ConnectionGuard
+        Limits, budget and counters that connections share.
+    manager : web.Server
+        Server that handles the requests.
+    options
+        Options of ``web.RequestHandler``.
+
+    Attributes
+    ----------
+    account : Account
+        Bytes that the process holds for the connection.
+    body : bytearray
+        Body of the request in progress, as far as it has been read.
+    idle_since_ms : int
+        Time at which the last request ended or the connection was made.
+    is_refused : bool
+        Whether everything that is still received is discarded.
+    """
+
+    __slots__ = (
+        "_guard",
+        "_held",
+        "_is_body_unread",
+        "_is_chunked",
+        "_is_delayed",
+        "_is_dense",
+        "_is_reading_held",
+        "_n_discarded",
+        "_n_head_bytes",
+        "_n_overhead_bytes",
+        "_payload",
+        "_since_ms",
+        "account",
+        "body",
+        "idle_since_ms",
+        "is_refused",
+    )
+
+    def __init__(
+        self, guard: "ConnectionGuard", manager: web.Server, **options: Any
+    ) -> None:
+        super().__init__(manager, **options)
+        self._guard = guard
+        self.account = Account("")
+        self.body = bytearray()
+        self.idle_since_ms = guard.now_ms
+        self.is_refused = False
+        # Time of the first byte of an incomplete head, of the last byte of data of an
+        # incomplete body, or of the rejection.
+        self._since_ms = 0
+        self._n_head_bytes = 0
+        self._n_overhead_bytes = 0
+        self._n_discarded = 0
+        self._payload: StreamReader | None = None
+        # Whether the request was answered before its body ended. aiohttp discards the
+        # rest as it arrives.
+        self._is_body_unread = False
+        self._is_chunked = False
+        self._is_dense = False
+        # Received bytes that are parsed later.
+        self._held = b""
+        self._is_reading_held = False
+        self._is_delayed = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Register the connection; close it if there are too many."""
+        super().connection_made(transport)
+        peer = transport.get_extra_info("peername")
+        self.account.owner = str(peer[0]) if peer else ""
+        self._guard.add(self)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Release what the process holds for the connection."""
+        super().connection_lost(exc)
+        self._held = b""
+        self._guard.remove(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes in bounded steps, within the limits of the guard."""
+        if not data:
+            # aiohttp continues with bytes that its parser has kept.
+            self._feed(data)
+        elif self.is_refused:
+            self._discard(len(data))
+        elif self._held:
+            self._hold(data)
+        else:
+            self._process(data)
+
+    def resume_reading(self, resume_parser: bool = True) -> None:
+        """Continue after the reader of a body has taken the earlier parts."""
+        super().resume_reading(resume_parser)
+        if self._held and not self._reading_paused and not self._is_delayed:
+            self.resume_held()
+
+    def _resume_transport_reading(self) -> None:
+        if not self._is_reading_held:
+            super()._resume_transport_reading()
+
+    def resume_held(self) -> None:
+        """Process the bytes that were received earlier and are still held."""
+        self._is_delayed = False
+        if self.transport is None:
+            return
+        data, self._held = self._held, b""
+        self._guard.budget.release(self.account, len(data))
+        if self.is_refused:
+            self._discard(len(data))
+        elif data:
+            self._process(data)
+        if not self._held:
+            self._is_reading_held = False
+            if not self._reading_paused and not self._buffer_paused:
+                self._resume_transport_reading()
+
+    def _process(self, data: bytes) -> None:
+        while data and not self.is_refused:
+            if self._payload is not None:
+                data = self._feed_body(self._payload, data)
+            elif self._request_in_progress:
+                self._hold(data)
+                return
+            else:
+                data = self._feed_head(data)
+
+    def _feed(self, data: bytes) -> None:
+        """Pass bytes to aiohttp and follow which part of a request comes next."""
+        n_requests = self._request_count
+        super().data_received(data)
+        if self._request_count != n_requests:
+            self._begin_request()
+        if self._payload is not None and self._payload.is_eof():
+            self._payload = None
+            self._guard.watched.discard(self)
+
+    def _begin_request(self) -> None:
+        """Follow the last request that aiohttp has parsed the head of."""
+        message, payload = self._messages[-1]
+        if not isinstance(message, RawRequestMessage):
+            if self._payload is None or self._payload.is_eof():
+                # aiohttp answers with the response of ``handle_error``.
+                self.refuse("invalid_head")
+            else:
+                self._messages.pop()
+                denial = Denial(HTTPStatus.BAD_REQUEST, "invalid body")
+                self.refuse_body(denial, "invalid_body")
+            return
+        self._n_head_bytes = 0
+        self._n_overhead_bytes = 0
+        if payload.is_eof():
+            self._payload = None
+            self._guard.watched.discard(self)
+            return
+        self._payload = payload
+        self._is_body_unread = False
+        self._is_chunked = message.chunked
+        self._is_dense = False
+        self._watch()
+        self._charge(payload.total_bytes)
+
+    def _feed_head(self, data: bytes) -> bytes:
+        """Pass at most the rest of a head to the parser; return the bytes behind."""
+        room = self._guard.limits.max_header_bytes - self._n_head_bytes
+        part = data[:room] if len(data) > room else data
+        n_requests = self._request_count
+        self._feed(part)
+        if self._request_count != n_requests:
+            return data[len(part) :]
+        if len(part) < len(data):
+            self.refuse_head(
+                HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "head_too_large"
+            )
+            return b""
+        if not self._n_head_bytes:
+            self._watch()
+        self._n_head_bytes += len(part)
+        self._charge(len(part))
+        return b""
+
+    def _feed_body(self, payload: StreamReader, data: bytes) -> bytes:
+        """Pass a part of a body to the parser; return the bytes behind that part."""
+        n_before = payload.total_bytes
+        limits = self._guard.limits
+        part = data
+        if self._is_chunked:
+            part = data[: _DENSE_PART_BYTES if self._is_dense else _PART_BYTES]
+        self._feed(part)
+        if self.is_refused:
+            return b""
+        rest = data[len(part) :]
+        n_data_bytes = payload.total_bytes - n_before
+        if n_data_bytes:
+            self._since_ms = self._guard.now_ms
+            self._n_overhead_bytes = 0
+            if payload.total_bytes > limits.max_body_bytes:
+                self.refuse_body(BODY_TOO_LARGE, "body_too_large")
+                return b""
+            if not self._is_body_unread:
+                self._charge(n_data_bytes)
+        elif self._payload is not None:
+            self._n_overhead_bytes += len(part)
+            if self._n_overhead_bytes > limits.max_header_bytes:
+                denial = Denial(
+                    HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "chunk overhead"
+                )
+                self.refuse_body(denial, "chunk_overhead")
+                return b""
+        if not rest or self._payload is None or self.is_refused:
+            return rest
+        self._is_dense = n_data_bytes < len(part) * _DENSE_SHARE
+        if self._is_dense:
+            self._is_delayed = True
+            self._guard.delay(self)
+        elif not self._reading_paused:
+            return rest
+        self._hold(rest)
+        return b""
+
+    def _hold(self, data: bytes) -> None:
+        """Keep bytes for later; stop reading above the size of a head.
+
+        A client that sends the next request early is read again after its answer. Its
+        disconnection is noticed as long as reading has not stopped.
+        """
+        self._held += data
+        self._charge(len(data))
+        if (
+            self._payload is not None
+            or len(self._held) > self._guard.limits.max_header_bytes
+        ):
+            self._is_reading_held = True
+            self._pause_transport_reading()
+
+    def _charge(self, n_bytes: int) -> None:
+        """Add bytes to the account; others or this connection may be evicted."""
+        if n_bytes:
+            self._guard.charge(self.account, n_bytes)
+
+    def _watch(self) -> None:
+        self._since_ms = self._guard.now_ms
+        self._guard.watched.add(self)
+
+    def check(self, now_ms: int) -> None:
+        """End a request whose caller has stopped sending; called periodically."""
+        age_ms = now_ms - self._since_ms
+        if self.transport is None:
+            self._guard.watched.discard(self)
+        elif self.is_refused:
+            if age_ms > LINGER_MS and not self._request_in_progress:
+                self.force_close()
+        elif self._is_reading_held or self._reading_paused:
+            self._since_ms = now_ms
+        elif age_ms > self._guard.limits.header_timeout_ms:
+            if self._payload is None:
+                self.refuse_head(HTTPStatus.REQUEST_TIMEOUT, "slow_head")
+            else:
+                denial = Denial(HTTPStatus.REQUEST_TIMEOUT, "slow sender")
+                self.refuse_body(denial, "slow_body")
+
+    def evict(self) -> None:
+        """Give up a request that has not been read completely, for its memory."""
+        if self._payload is None:
+            self.refuse("memory")
+            self.force_close()
+        else:
+            denial = Denial(
+                HTTPStatus.SERVICE_UNAVAILABLE, "out of memory", MEMORY_RETRY_MS
+            )
+            self.refuse_body(denial, "memory")
+
+    def refuse_head(self, status: HTTPStatus, reason: str) -> None:
+        """Answer a request without a complete head; read nothing more.
+
+        Behind a request in progress, the connection is closed after its answer.
+        """
+        self.refuse(reason)
+        if self._request_in_progress or self._messages:
+            self.close()
+        elif self.transport is not None:
+            head = f"HTTP/1.1 {status.value} {status.phrase}\r\n"
+            fields = "Content-Length: 0\r\nConnection: close\r\n\r\n"
+            self.transport.write((head + fields).encode())
+
+    def refuse_body(self, denial: Denial, reason: str) -> None:
+        """Let the reader of the body answer with a denial; release the body."""
+        payload = self._payload
+        self.refuse(reason)
+        if payload is not None and payload.exception() is None:
+            # The reader holds no bytes if it waits for some.
+            with contextlib.suppress(RuntimeError):
+                payload.read_nowait()
+            payload.set_exception(BodyRefusedError(denial))
+
+    def refuse(self, reason: str) -> None:
+        """Discard what is received from now on, and release what is held."""
+        self.is_refused = True
+        self._guard.count_refused(reason, self.account.owner)
+        self._watch()
+        self._held = b""
+        self.body = bytearray()
+        self._guard.budget.release(self.account)
+        if self._is_reading_held:
+            self._is_reading_held = False
+            self._resume_transport_reading()
+
+    def _discard(self, n_bytes: int) -> None:
+        self._n_discarded += n_bytes
+        if self._n_discarded > _MAX_DISCARDED_BYTES and self.transport is not None:
+            self.transport.abort()
+
+    async def linger(self) -> None:
+        """Wait until the client of a rejected request has read the answer."""
+        if self.is_refused and self.transport is not None:
+            await asyncio.sleep(LINGER_MS / 1000)
+
+    def end_request(self) -> None:
+        """Release the memory of a request that has been answered."""
+        self.body = bytearray()
+        self._is_body_unread = self._payload is not None
+        self._guard.budget.release(self.account)
+        self.account.is_evictable = True
+        self.idle_since_ms = self._guard.now_ms
+        if self._held:
+            self._charge(len(self._held))
+            # The connection counts as busy until aiohttp has ended the request.
+            self._loop.call_soon(self.resume_held)
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Return a short response to an invalid request.
+
+        aiohttp would repeat the client's bytes in the response and in the log.
+        """
+        if status >= HTTPStatus.INTERNAL_SERVER_ERROR or request.writer.output_size:
+            return super().handle_error(request, status, exc, message)
+        code = HTTPStatus(status)
+        if isinstance(exc, LineTooLong) or _TOO_MANY_HEADERS in str(message):
+            code = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+        response = web.Response(status=code.value, text=code.phrase)
+        response.force_close()
+        return response
+
+    def log_exception(self, *args: Any, **options: Any) -> None:
+        """Log an exception, except that of a body whose rejection has been counted."""
+        if not isinstance(options.get("exc_info"), BodyRefusedError):
+            super().log_exception(*args, **options)
--- a/packages/entry/src/bluebellusher/gateway/_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -14,6 +14,7 @@
 
 from bluebellusher.gateway._admission import Admission, StreamTimeouts
 from bluebellusher.gateway._attempts import HttpDispatcher
+from bluebellusher.gateway._heap import map_large_blocks
 from bluebellusher.gateway._server import CallerServer, PageServer
 from bluebellusher.gateway._shutdown import finish_requests
 from bluebellusher.gateway._view import MAP_LEASE, GatewayView
@@ -51,6 +52,11 @@
     LimitMark,
     PeersConnected,
 )
+from bluebellusher_core.memory import (
+    ByteBudget,
+    choose_budget_bytes,
+    choose_max_connections,
+)
 from bluebellusher_core.poison import CrashRecord
 from bluebellusher_core.reducer import EntryConfig, EntryState
 from bluebellusher_core.routing import SlotAware
@@ -233,6 +239,7 @@
             random_state,
             self.runtime,
         )
+        self.budget = ByteBudget(choose_budget_bytes(int(settings.memory_mb * 1e6)))
         counter = itertools.count(1)
         prefix = f"{settings.instance_id}.{self.incarnation}"
         self.server = CallerServer(
@@ -240,6 +247,8 @@
             self.directory,
             Admission(ports.dialect, StreamTimeouts(), random_state),
             lambda: f"{prefix}.r{next(counter)}",
+            self.budget,
+            choose_max_connections(settings.max_descriptors),
         )
         self._tasks: list[asyncio.Task[None]] = []
         self._n_entries = 0
@@ -462,10 +471,16 @@
     async def _serve_pages(self) -> None:
         """Listen for readiness checks and, if configured, for metrics requests."""
         settings = self.settings
-        ready = PageServer({"/ready": self._ready_page, "/": self._ready_page})
+        ready = PageServer(
+            {"/ready": self._ready_page, "/": self._ready_page},
+            self.runtime,
+            self.budget,
+        )
         await ready.listen(settings.readiness.host, settings.readiness.port)
         if settings.metrics is not None:
-            pages = PageServer({"/metrics": self._metrics_page})
+            pages = PageServer(
+                {"/metrics": self._metrics_page}, self.runtime, self.budget
+            )
             await pages.listen(settings.metrics.host, settings.metrics.port)
 
     def _ready_page(self) -> web.Response:
@@ -585,4 +600,5 @@
     path : str
         Path of the settings file, which is reloaded when it changes and on SIGHUP.
     """
+    map_large_blocks()
     uvloop.run(_run_until_signal(settings, make_ports, path))
--- a/packages/entry/src/bluebellusher/gateway/_server.py
+++ b/packages/entry/src/bluebellusher/gateway/_server.py
@@ -1,6 +1,7 @@
 """HTTP servers for callers, and for readiness checks and metrics."""
 
 import asyncio
+import socket
 from collections.abc import Callable
 from dataclasses import replace
 from http import HTTPStatus
@@ -10,10 +11,26 @@
 
 from bluebellusher.gateway._admission import Admission, Denial, fingerprint
 from bluebellusher.gateway._answers import AnswerWriter, make_rejection_response
+from bluebellusher.gateway._connection_guard import (
+    RECEIVE_BUFFER_BYTES,
+    ConnectionGuard,
+    GuardedServer,
+)
+from bluebellusher.gateway._connections import (
+    BODY_TOO_LARGE,
+    BodyRefusedError,
+    CallerConnection,
+)
 from bluebellusher.links import AnswerStream
 from bluebellusher.runtime import Exchange, Runtime
 from bluebellusher.shared import Directory
+from bluebellusher_core.directory import CallerLimits
 from bluebellusher_core.errors import Outcome, Reason, Rejection
+from bluebellusher_core.memory import (
+    ByteBudget,
+    choose_budget_bytes,
+    choose_max_connections,
+)
 
 # Idle timeout of a caller's connection, in s. Callers reuse a connection for up to four
 # fifths of the configured idle time.
@@ -23,6 +40,13 @@
 BODY_TIMEOUT_MS = 15_000
 # Upper bound of the request line and of each header field, in bytes.
 MAX_HEADER_BYTES = 65_536
+# Memory and descriptors of a process whose settings name none.
+DEFAULT_MEMORY_MB = 512
+DEFAULT_N_DESCRIPTORS = 8_192
+# Connections to each address for operators.
+MAX_PAGE_CONNECTIONS = 64
+# Limits on requests for pages.
+PAGE_LIMITS = CallerLimits(max_body_bytes=65_536)
 # Time after which a caller may retry while the entry has no configuration, in ms.
 NOT_READY_RETRY_MS = 500
 # Connections that the kernel queues until the entry accepts them.
@@ -42,6 +66,10 @@
         Admits or denies requests.
     make_request_id : callable
         Returns a new request id for each call.
+    budget : ByteBudget or None
+        Bytes that the process may hold for all callers.
+    n_max_connections : int or None
+        Upper bound of the open connections.
     """
 
     def __init__(
@@ -50,15 +78,23 @@
         directory: Directory,
         admission: Admission,
         make_request_id: Callable[[], str],
+        budget: ByteBudget | None = None,
+        n_max_connections: int | None = None,
     ) -> None:
         self._runtime = runtime
         self._directory = directory
         self._admission = admission
         self._make_request_id = make_request_id
-        self._server = web.Server(
+        self._guard = ConnectionGuard(
+            budget or ByteBudget(choose_budget_bytes(DEFAULT_MEMORY_MB * 1_000_000)),
+            n_max_connections or choose_max_connections(DEFAULT_N_DESCRIPTORS),
+            runtime,
+            self._find_limits,
+        )
+        self._server = GuardedServer(
+            self._guard,
             self._handle,
             handler_cancellation=True,
-            access_log=None,
             keepalive_timeout=KEEP_ALIVE_TIMEOUT_S,
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
@@ -77,6 +113,8 @@
         self._listener = await loop.create_server(
             self._server, host, port, backlog=_BACKLOG
         )
+        _bound_receive_buffers(self._listener)
+        self._guard.start()
 
     def stop_accepting(self) -> None:
         """Accept no new connections; requests in progress continue."""
@@ -96,13 +134,20 @@
     async def close(self) -> None:
         """Close all connections."""
         await self._server.shutdown(timeout=0.1)
+        self._guard.close()
+
+    def _find_limits(self) -> CallerLimits:
+        table = self._directory.routing
+        return table.limits if table is not None else CallerLimits()
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve one request and mark its connection as busy until the response ends."""
-        self._busy_protocols.add(request.protocol)
+        connection = request.protocol
+        assert isinstance(connection, CallerConnection)
+        self._busy_protocols.add(connection)
         try:
-            response = await self._serve(request)
-            if self._runtime.is_shutting_down:
+            response = await self._serve(request, connection)
+            if self._runtime.is_shutting_down or connection.is_refused:
                 # A stream that started before the shutdown needs this too: its
                 # connection must not be used for another request.
                 response.force_close()
@@ -111,11 +156,15 @@
                 # connection counts as busy until the response has been sent.
                 await response.prepare(request)
                 await response.write_eof()
+                await connection.linger()
             return response
         finally:
-            self._busy_protocols.discard(request.protocol)
+            connection.end_request()
+            self._busy_protocols.discard(connection)
 
-    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _serve(
+        self, request: web.BaseRequest, connection: CallerConnection
+    ) -> web.StreamResponse:
         """Admit a request, read its body and return the answer, or deny it."""
         request_id = self._make_request_id()
         table = self._directory.routing
@@ -130,13 +179,16 @@
             return self._deny(request_id, request, result, table.version)
         try:
             async with asyncio.timeout(BODY_TIMEOUT_MS / 1000):
-                body = await _read_body(request, table.limits.max_body_bytes)
+                max_body_bytes = table.limits.max_body_bytes
+                body = await _read_body(request, connection, max_body_bytes)
         except TimeoutError:
+            connection.refuse("slow_body")
             denial = Denial(HTTPStatus.REQUEST_TIMEOUT, "slow sender")
             return self._deny(request_id, request, denial, table.version)
-        if body is None:
-            denial = Denial(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "body too long")
-            return self._deny(request_id, request, denial, table.version)
+        except BodyRefusedError as error:
+            return self._deny(request_id, request, error.denial, table.version)
+        # The request is sent from here on, so that a rejection would not be true.
+        connection.account.is_evictable = False
         spec = result.spec
         spec = replace(
             spec, fingerprint=fingerprint(spec, request.method, target, body)
@@ -246,7 +298,12 @@
             reason=denial.reason,
             version=version,
         )
-        return web.Response(status=denial.status.value, text=denial.reason)
+        headers = {}
+        if denial.retry_after_ms:
+            headers["Retry-After"] = f"{denial.retry_after_ms / 1000:.3f}"
+        return web.Response(
+            status=denial.status.value, text=denial.reason, headers=headers
+        )
 
 
 class PageServer:
@@ -256,30 +313,60 @@
     ----------
     pages : dict of str to callable
         Function that returns the response, by path. Other paths get a 404.
+    runtime : Runtime
+        Provides the clock, the metrics and the log.
+    budget : ByteBudget
+        Bytes that the process may hold for all clients.
     """
 
-    def __init__(self, pages: dict[str, Callable[[], web.Response]]) -> None:
+    def __init__(
+        self,
+        pages: dict[str, Callable[[], web.Response]],
+        runtime: Runtime,
+        budget: ByteBudget,
+    ) -> None:
         self._pages = pages
-        self._server = web.Server(self._handle, access_log=None)
+        self._guard = ConnectionGuard(
+            budget, MAX_PAGE_CONNECTIONS, runtime, lambda: PAGE_LIMITS
+        )
+        self._server = GuardedServer(self._guard, self._handle)
 
     async def listen(self, host: str, port: int) -> None:
         """Accept connections at an address."""
         loop = asyncio.get_running_loop()
-        await loop.create_server(self._server, host, port)
+        listener = await loop.create_server(self._server, host, port)
+        _bound_receive_buffers(listener)
+        self._guard.start()
 
     async def _handle(self, request: web.BaseRequest) -> web.Response:
         page = self._pages.get(request.path)
+        connection = request.protocol
+        assert isinstance(connection, CallerConnection)
+        connection.end_request()
         return page() if page else web.Response(status=404)
 
 
-async def _read_body(request: web.BaseRequest, max_bytes: int) -> bytes | None:
-    """Return the complete body, or None if it is longer than ``max_bytes``."""
+def _bound_receive_buffers(listener: asyncio.Server) -> None:
+    """Bound the receive buffers of the connections that a listener accepts."""
+    for sock in listener.sockets:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+
+
+async def _read_body(
+    request: web.BaseRequest, connection: CallerConnection, max_bytes: int
+) -> bytes:
+    """Return the complete body; raise ``BodyRefusedError`` above ``max_bytes``."""
     if not request.can_read_body:
         return b""
-    body = bytearray()
+    if (request.content_length or 0) > max_bytes:
+        connection.refuse("body_too_large")
+        raise BodyRefusedError(BODY_TOO_LARGE)
     content: Any = request.content
     while data := await content.readany():
-        body += data
-        if len(body) > max_bytes:
-            return None
-    return bytes(body)
+        connection.body += data
+        if len(connection.body) > max_bytes:
+            connection.refuse("body_too_large")
+            raise BodyRefusedError(BODY_TOO_LARGE)
+    body = bytes(connection.body)
+    connection.body = bytearray()
+    return body
--- a/packages/entry/src/bluebellusher/gateway/_view.py
+++ b/packages/entry/src/bluebellusher/gateway/_view.py
@@ -79,6 +79,8 @@
             ),
             "bluebellusher_requests_waiting": n_waiting,
             "bluebellusher_connections": gateway.server.n_connections,
+            "bluebellusher_held_bytes": gateway.budget.n_bytes,
+            "bluebellusher_held_bytes_max": gateway.budget.n_max_bytes,
             "bluebellusher_endpoints": sum(not v.is_draining for v in views),
             "bluebellusher_endpoints_draining": sum(v.is_draining for v in views),
             "bluebellusher_members": len(gateway.peers.connections_by_peer_id),
--- /dev/null
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_exceeding_callers.py
@@ -0,0 +1,136 @@
+"""Guards against untrue answers to callers at and above the limits."""
+
+import asyncio
+from dataclasses import replace
+
+import pytest
+
+from bluebellusher.gateway.tests.harness import HOST, answer_sealed, run_scenario
+from bluebellusher_core.directory import CallerLimits
+
+LIMITS = CallerLimits(
+    max_header_bytes=4_096, max_body_bytes=100_000, header_timeout_ms=400
+)
+HEAD = b"POST /a/x HTTP/1.1\r\nHost: h.example\r\nAttempt: t1\r\nRemaining: 3000\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+# Last request of a connection, which the entry closes after its answer.
+LAST = HEAD + b"Connection: close\r\n"
+LAST_CHUNKED = LAST + b"Transfer-Encoding: chunked\r\n\r\n"
+LENGTH = HEAD + b"Content-Length: 50000\r\n\r\n"
+
+
+async def send(harness, data):
+    """Send bytes on a new connection; return what the entry answers until its end."""
+    reader, writer = await asyncio.open_connection(HOST, harness.port)
+    writer.write(data)
+    answer = await reader.read()
+    writer.close()
+    return answer
+
+
+def set_limits(harness):
+    """Apply ``LIMITS`` at once."""
+    harness.directory.routing = replace(harness.directory.routing, limits=LIMITS)
+    harness.server._guard.limits = LIMITS
+
+
+def run(scenario):
+    """Run a scenario with one endpoint and ``LIMITS``."""
+
+    async def run_with_limits(harness):
+        set_limits(harness)
+        await scenario(harness)
+
+    run_scenario(run_with_limits, [answer_sealed])
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (HEAD + b"A: " + b"a" * 8_000, 431),
+        (HEAD + b"A: b\r\n" * 2_000, 431),
+        (b"\r\n" * 4_000, 431),
+        (HEAD, 408),
+        (HEAD + b"Content-Length: 100001\r\n\r\n", 413),
+        (CHUNKED + b"186a1\r\n" + b"a" * 100_001, 413),
+        (CHUNKED + b"1;" + b"a" * 20_000, 431),
+        (CHUNKED + b"0\r\nA: " + b"a" * 20_000, 431),
+        (CHUNKED + b"xyz\r\n", 400),
+        (LENGTH + b"a" * 49_999, 408),
+    ],
+)
+def test_requests_above_the_limits_are_rejected_and_never_sent(data, status):
+    """Guards against a wrong status, and against an attempt of a rejected request."""
+
+    async def scenario(harness):
+        answer = await send(harness, data)
+        # aiohttp answers to an invalid head with HTTP/1.0.
+        assert answer.split()[:2] in (
+            [version, str(status).encode()] for version in (b"HTTP/1.0", b"HTTP/1.1")
+        )
+        assert not harness.endpoints[0].received
+        assert (await harness.fetch("POST", data=b"b"))[0] == 200
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        LAST + b"A: " + b"a" * (4_096 - len(LAST) - 7) + b"\r\n\r\n",
+        LAST_CHUNKED + b"186a0\r\n" + b"a" * 100_000 + b"\r\n0\r\n\r\n",
+        LAST_CHUNKED + b"1\r\na\r\n" * 20_000 + b"0\r\nA: b\r\n\r\n",
+        LAST + b"Content-Length: 50000\r\n\r\n" + b"a" * 50_000,
+    ],
+)
+def test_requests_at_the_limits_are_served(data):
+    """Guards against limits that callers within them reach."""
+
+    async def scenario(harness):
+        answer = await send(harness, data)
+        assert answer.startswith(b"HTTP/1.1 200 ")
+
+    run(scenario)
+
+
+def test_pipelined_requests_are_answered_in_order():
+    """Guards against a request that is lost while an earlier one is in progress."""
+
+    async def scenario(harness):
+        data = LENGTH + b"a" * 50_000 + HEAD + b"\r\n" + LAST + b"\r\n"
+        answer = await send(harness, data)
+        assert answer.count(b"HTTP/1.1 200 ") == 3
+        bodies = [body for _, body in harness.endpoints[0].received]
+        assert bodies == [b"a" * 50_000, b"", b""]
+
+    run(scenario)
+
+
+def test_open_body_gives_its_memory_to_an_ordinary_request():
+    """Guards against an ordinary request that is rejected for others' open bodies."""
+
+    async def scenario(harness):
+        harness.server._guard.budget.n_max_bytes = 60_000
+        data = LENGTH + b"a" * 40_000
+        attacks = [asyncio.create_task(send(harness, data)) for _ in range(2)]
+        done, _ = await asyncio.wait(attacks, return_when=asyncio.FIRST_COMPLETED)
+        answer = done.pop().result()
+        assert answer.startswith(b"HTTP/1.1 503 ")
+        assert b"Retry-After: 1.000" in answer
+        assert (await harness.fetch("POST", data=b"b" * 20_000))[0] == 200
+        assert len(harness.endpoints[0].received) == 1
+        await asyncio.wait(attacks)
+
+    run(scenario)
+
+
+def test_answered_requests_hold_no_bytes():
+    """Guards against bytes that stay in the budget after their request has ended."""
+
+    async def scenario(harness):
+        for _ in range(5):
+            await harness.fetch("POST", data=b"b" * 50_000)
+            await harness.fetch("POST", path="/unknown", data=b"b" * 50_000)
+        assert harness.server._guard.budget.n_bytes == 0
+
+    run(scenario)
--- a/packages/entry/src/bluebellusher/settings/_gateway.py
+++ b/packages/entry/src/bluebellusher/settings/_gateway.py
@@ -114,6 +114,22 @@
     maps: Annotated[
         MapSettings, Field(description="Cost of changes of expert maps.")
     ] = MapSettings()
+    memory_mb: Annotated[
+        float,
+        Field(
+            ge=64,
+            le=1_000_000,
+            description="Memory of the process's machine, in MB (10^6 bytes).",
+        ),
+    ] = 512
+    max_descriptors: Annotated[
+        int,
+        Field(
+            ge=256,
+            le=10_000_000,
+            description="File descriptors that the process may have open.",
+        ),
+    ] = 8_192
     shutdown_grace_s: Annotated[
         float,
         Field(ge=1, le=600, description="Longest time from SIGTERM to exit."),
--- a/soak/tests/test_exceeding_clients.py
+++ b/soak/tests/test_exceeding_clients.py
@@ -16,7 +16,6 @@
 import aiohttp
 import pytest
 
-from bluebellusher.settings import GatewaySettings
 from bluebellusher.shared import CRASH_TABLE
 from bluebellusher_standins.cluster import PortReservations
 from soak.entry import HOST_NAME, Codec
@@ -99,9 +98,8 @@
             "max_descriptors": self.n_descriptors,
             **address_by_name,
         }
-        known = {k: v for k, v in settings.items() if k in GatewaySettings.model_fields}
         path = self.directory / "entry.json5"
-        path.write_text(json.dumps(known))
+        path.write_text(json.dumps(settings))
         await self._start("-m", "soak.entry", str(path))
         await self._start(
             *("-m", "soak.endpoint", "--id=x1", f"--host={HOST}", "--domain=north"),
