Bound answers that are not read, and an engine's lines without end

Cause: a caller that does not read its answer held the answer and its connection without end. An engine that sends a header line, trailers or a chunk extension without end filled the memory of its agent. The agent's metrics page did not handle a request above the size limit of its reader.

Change: the entry aborts a connection whose caller reads nothing for the idle timeout, and divides half of the budget among the answers in flight. Time in which an entry was frozen does not count against callers.

--- a/packages/agent/src/bluebellusher_agent/_http.py
+++ b/packages/agent/src/bluebellusher_agent/_http.py
@@ -100,6 +100,8 @@
         self._parser = httptools.HttpResponseParser(self)
         self._body_parts: deque[bytes] = deque()
         self._n_header_bytes = 0
+        # Bytes received since the last part of the body or informational answer.
+        self._n_overhead_bytes = 0
         self._n_informational = 0
         self._is_head_complete = False
         self._is_complete = False
@@ -138,11 +140,13 @@
         self.status = self._parser.get_status_code()
         if self.status < 200:
             self.header_by_name.clear()
+            self._n_overhead_bytes = 0
             self._n_informational += 1
             if self._n_informational > MAX_INFORMATIONAL_ANSWERS:
                 raise ValueError("too many informational answers")
             return
         self._is_head_complete = True
+        self._n_overhead_bytes = 0
         # The parser does not recognise that an answer to HEAD has no body.
         self._is_complete = self._is_bodiless
         names = ("content-length", "transfer-encoding")
@@ -152,6 +156,7 @@
         """Store a part of the body for ``read_body``."""
         if data:
             self._body_parts.append(data)
+            self._n_overhead_bytes = 0
 
     def on_message_complete(self) -> None:
         """Record the end of the final answer and whether the connection stays open."""
@@ -210,7 +215,11 @@
         try:
             data = await self._connection.reader.read(READ_BYTES)
             if data:
+                self._n_overhead_bytes += len(data)
                 self._parser.feed_data(data)
+                # The parser keeps a line without end, of a head or of trailers.
+                if self._n_overhead_bytes > MAX_HEADER_BYTES + READ_BYTES:
+                    raise ValueError("no end of a line")
                 return
         except (OSError, ValueError, httptools.HttpParserError) as error:
             if self._is_complete:
--- a/packages/agent/src/bluebellusher_agent/ranks/_metrics.py
+++ b/packages/agent/src/bluebellusher_agent/ranks/_metrics.py
@@ -38,9 +38,15 @@
             head = f"HTTP/1.1 200 OK\r\ncontent-length: {len(body)}\r\n"
             writer.write(head.encode() + b"connection: close\r\n\r\n" + body)
             await writer.drain()
-        except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
+        except (
+            OSError,
+            TimeoutError,
+            asyncio.IncompleteReadError,
+            asyncio.LimitOverrunError,
+            ValueError,
+        ):
             # The scraper has closed the connection, or has sent no complete request
-            # within the timeout.
+            # within the timeout and the size limit of the reader.
             self._n_by_name["metrics_failed"] += 1
         finally:
             writer.close()
--- a/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
+++ b/packages/agent/src/bluebellusher_agent/tests/test_agent_faults.py
@@ -466,6 +466,43 @@
     uvloop.run(main())
 
 
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"HTTP/1.1 200 OK\r\nA: ",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA: ",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;a=",
+    ],
+    ids=["header", "trailer", "extension"],
+)
+def test_line_without_end_raises_an_error(head):
+    """Guards against an engine that exhausts the memory of the agent."""
+    n_sent_bytes = 0
+    has_closed = asyncio.Event()
+
+    async def main():
+        async def answer(reader, writer):
+            nonlocal n_sent_bytes
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(head)
+            with contextlib.suppress(ConnectionError):
+                while n_sent_bytes < 64 * 1024 * 1024:
+                    writer.write(bytes(65_536).replace(b"\0", b"a"))
+                    n_sent_bytes += 65_536
+                    await writer.drain()
+            has_closed.set()
+
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        client = HttpClient("127.0.0.1", server.sockets[0].getsockname()[1])
+        with pytest.raises(StepError, match="expected an HTTP answer"):
+            await client.fetch("GET", "/load", timeout_ms=30_000)
+        await has_closed.wait()
+        assert n_sent_bytes < 32 * 1024 * 1024
+        server.close()
+
+    uvloop.run(main())
+
+
 @pytest.mark.parametrize("pause_s", [0.0, 0.05])
 def test_repeated_answer_on_an_idle_connection_is_not_read(pause_s):
     """Guards against an earlier refusal that is taken for the answer to a new request.
--- a/packages/entry/src/bluebellusher/gateway/_attempts.py
+++ b/packages/entry/src/bluebellusher/gateway/_attempts.py
@@ -57,8 +57,10 @@
 # Upper bound of the body of an answer, in bytes.
 MAX_BODY_BYTES = 64 * 1024 * 1024
 # Upper bound of the relayed bytes of an answer that the caller has not taken yet. Above
-# it, reading from the endpoint pauses.
+# it, reading from the endpoint pauses. Many answers share the budget for all of them,
+# but each may have the lower bound.
 MAX_UNREAD_BYTES = 256 * 1024
+MIN_UNREAD_BYTES = 16 * 1024
 # Shortest interval between two reports of one attempt's progress, in ms. It bounds the
 # number of events when an engine sends each token by itself.
 PROGRESS_INTERVAL_MS = 50
@@ -152,6 +154,9 @@
     is_limited : callable
         Returns whether a limit of the request rate is in force for an endpoint, which
         an answer without one ends.
+    max_unread_bytes : int or None
+        Upper bound of the relayed bytes of all answers that their callers have not
+        taken yet; None for no common bound.
 
     Attributes
     ----------
@@ -168,6 +173,7 @@
         metrics: Metrics,
         describe_endpoint: Callable[[str], dict[str, str | int | float]] | None = None,
         is_limited: IsLimited = lambda endpoint_id: False,
+        max_unread_bytes: int | None = None,
     ) -> None:
         self.sink: EventSink | None = None
         self._dialect = dialect
@@ -177,6 +183,7 @@
         self._metrics = metrics
         self._describe_endpoint = describe_endpoint
         self._is_limited = is_limited
+        self._max_unread_bytes = max_unread_bytes
         self._attempt_by_id: dict[str, _Attempt] = {}
         self._check_tasks: set[asyncio.Task[None]] = set()
         self._session: aiohttp.ClientSession | None = None
@@ -529,7 +536,17 @@
             raise _BrokenAttemptError(
                 Reason.STREAM_CORRUPT, "answer above the body size limit"
             )
-        await answer.wait_for_capacity(MAX_UNREAD_BYTES)
+        await answer.wait_for_capacity(self._share_unread_bytes())
+
+    def _share_unread_bytes(self) -> int:
+        """Return the unread bytes that one answer may have, by the number of attempts.
+
+        It addresses a load of many callers that read slowly.
+        """
+        if self._max_unread_bytes is None:
+            return MAX_UNREAD_BYTES
+        n_share_bytes = self._max_unread_bytes // max(1, len(self._attempt_by_id))
+        return max(MIN_UNREAD_BYTES, min(MAX_UNREAD_BYTES, n_share_bytes))
 
     def _record_progress(self, attempt: _Attempt) -> None:
         """Record an output of a stream; post the endpoint's progress when it is due.
--- a/packages/entry/src/bluebellusher/gateway/_connection_guard.py
+++ b/packages/entry/src/bluebellusher/gateway/_connection_guard.py
@@ -55,6 +55,8 @@
         and reading the clock for each part received is avoided.
     watched : set of CallerConnection
         Connections with an incomplete request or a rejected one.
+    unread : set of CallerConnection
+        Connections whose callers do not read their answers as fast as they arrive.
     """
 
     def __init__(
@@ -68,6 +70,7 @@
         self.limits = find_limits()
         self.now_ms = runtime.now_ms()
         self.watched: set[CallerConnection] = set()
+        self.unread: set[CallerConnection] = set()
         self._n_max_connections = n_max_connections
         self._runtime = runtime
         self._find_limits = find_limits
@@ -101,6 +104,7 @@
         """Forget a closed connection and release its bytes."""
         self._connection_by_account.pop(connection.account, None)
         self.watched.discard(connection)
+        self.unread.discard(connection)
         self.budget.release(connection.account)
 
     def charge(self, account: Account, n_bytes: int) -> None:
@@ -178,10 +182,18 @@
 
     def _sweep(self) -> None:
         self._schedule_sweep()
-        self.now_ms = now_ms = self._runtime.now_ms()
+        earlier_ms, now_ms = self.now_ms, self._runtime.now_ms()
+        self.now_ms = now_ms
         self.limits = self._find_limits()
+        gap_ms = now_ms - earlier_ms - SWEEP_INTERVAL_MS
+        if gap_ms > SWEEP_INTERVAL_MS:
+            # The process was frozen or busy. What callers sent meanwhile is not read.
+            for connection in self.watched | self.unread:
+                connection.postpone(gap_ms)
         for connection in list(self.watched):
             connection.check(now_ms)
+        for connection in list(self.unread):
+            connection.check_unread(now_ms)
         if self._n_refused and now_ms - self._logged_at_ms >= _LOG_INTERVAL_MS:
             self._logged_at_ms = now_ms
             self._log_refused()
--- a/packages/entry/src/bluebellusher/gateway/_connections.py
+++ b/packages/entry/src/bluebellusher/gateway/_connections.py
@@ -34,6 +34,8 @@
 # client can read the answer before its connection is reset.
 _MAX_DISCARDED_BYTES = 262_144
 LINGER_MS = 1_000
+# Interval at which the end of an answer is awaited that is written slowly, in s.
+_RECHECK_S = 0.01
 # Time after which a caller may repeat a request that was rejected for lack of memory.
 MEMORY_RETRY_MS = 1_000
 
@@ -87,8 +89,10 @@
         "_n_discarded",
         "_n_head_bytes",
         "_n_overhead_bytes",
+        "_n_unsent_bytes",
         "_payload",
         "_since_ms",
+        "_unsent_since_ms",
         "account",
         "body",
         "idle_since_ms",
@@ -116,6 +120,9 @@
         self._is_body_unread = False
         self._is_chunked = False
         self._is_dense = False
+        # Bytes that wait in the transport, and the time of their last change.
+        self._n_unsent_bytes = 0
+        self._unsent_since_ms = 0
         # Received bytes that are parsed later.
         self._held = b""
         self._is_reading_held = False
@@ -138,7 +145,8 @@
         """Parse received bytes in bounded steps, within the limits of the guard."""
         if not data:
             # aiohttp continues with bytes that its parser has kept.
-            self._feed(data)
+            if not self.is_refused:
+                self._feed(data)
         elif self.is_refused:
             self._discard(len(data))
         elif self._held:
@@ -146,6 +154,33 @@
         else:
             self._process(data)
 
+    def pause_writing(self) -> None:
+        """Watch a caller that does not read its answer as fast as it arrives."""
+        super().pause_writing()
+        self._n_unsent_bytes = 0
+        self._guard.unread.add(self)
+
+    def resume_writing(self) -> None:
+        """Stop to watch a caller that has read most of what was sent."""
+        super().resume_writing()
+        self._guard.unread.discard(self)
+
+    def check_unread(self, now_ms: int) -> None:
+        """Abort a connection whose caller reads nothing for the idle timeout.
+
+        Its answer cannot be delivered, and would otherwise be held without end.
+        """
+        if self.transport is None:
+            self._guard.unread.discard(self)
+            return
+        n_unsent_bytes = self.transport.get_write_buffer_size()
+        if n_unsent_bytes != self._n_unsent_bytes:
+            self._n_unsent_bytes = n_unsent_bytes
+            self._unsent_since_ms = now_ms
+        elif now_ms - self._unsent_since_ms > self._guard.limits.idle_timeout_ms:
+            self._guard.count_refused("unread_answer", self.account.owner)
+            self.transport.abort()
+
     def resume_reading(self, resume_parser: bool = True) -> None:
         """Continue after the reader of a body has taken the earlier parts."""
         super().resume_reading(resume_parser)
@@ -159,7 +194,12 @@
     def resume_held(self) -> None:
         """Process the bytes that were received earlier and are still held."""
         self._is_delayed = False
-        if self.transport is None:
+        if self.transport is None or self._reading_paused:
+            # ``resume_reading`` continues when the reader has taken the earlier parts.
+            return
+        if self._held and self._payload is None and self._request_in_progress:
+            # The answer is still being written.
+            self._loop.call_later(_RECHECK_S, self.resume_held)
             return
         data, self._held = self._held, b""
         self._guard.budget.release(self.account, len(data))
@@ -299,6 +339,11 @@
         self._since_ms = self._guard.now_ms
         self._guard.watched.add(self)
 
+    def postpone(self, gap_ms: int) -> None:
+        """Add time to the limits, in which the process was not running."""
+        self._since_ms += gap_ms
+        self._unsent_since_ms += gap_ms
+
     def check(self, now_ms: int) -> None:
         """End a request whose caller has stopped sending; called periodically."""
         age_ms = now_ms - self._since_ms
--- a/packages/entry/src/bluebellusher/gateway/_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -129,6 +129,7 @@
         self._store = ports.store
         self.view = GatewayView(self)
         metrics = Metrics()
+        self.budget = ByteBudget(choose_budget_bytes(int(settings.memory_mb * 1e6)))
         self.dispatcher = HttpDispatcher(
             ports.dialect,
             self._find_endpoint,
@@ -137,6 +138,7 @@
             metrics,
             self.view.describe_endpoint,
             self.state.endpoints.limits.is_limited,
+            self.budget.n_max_bytes // 2,
         )
         self.runtime = Runtime(self.state, clock, log, metrics, tracer, self.dispatcher)
         self.dispatcher.sink = self.runtime
@@ -239,7 +241,6 @@
             random_state,
             self.runtime,
         )
-        self.budget = ByteBudget(choose_budget_bytes(int(settings.memory_mb * 1e6)))
         counter = itertools.count(1)
         prefix = f"{settings.instance_id}.{self.incarnation}"
         self.server = CallerServer(
--- a/packages/entry/src/bluebellusher/gateway/tests/test_exceeding_callers.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_exceeding_callers.py
@@ -4,12 +4,16 @@
 from dataclasses import replace
 
 import pytest
+from aiohttp import web
 
 from bluebellusher.gateway.tests.harness import HOST, answer_sealed, run_scenario
 from bluebellusher_core.directory import CallerLimits
 
 LIMITS = CallerLimits(
-    max_header_bytes=4_096, max_body_bytes=100_000, header_timeout_ms=400
+    max_header_bytes=4_096,
+    max_body_bytes=100_000,
+    header_timeout_ms=400,
+    idle_timeout_ms=600,
 )
 HEAD = b"POST /a/x HTTP/1.1\r\nHost: h.example\r\nAttempt: t1\r\nRemaining: 3000\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -58,6 +62,10 @@
         (CHUNKED + b"xyz\r\n", 400),
         (LENGTH + b"a" * 49_999, 408),
     ],
+    ids=[
+        *("line", "lines", "empty lines", "open head", "length", "chunk"),
+        *("extension", "trailer", "invalid chunk", "open body"),
+    ],
 )
 def test_requests_above_the_limits_are_rejected_and_never_sent(data, status):
     """Guards against a wrong status, and against an attempt of a rejected request."""
@@ -82,6 +90,7 @@
         LAST_CHUNKED + b"1\r\na\r\n" * 20_000 + b"0\r\nA: b\r\n\r\n",
         LAST + b"Content-Length: 50000\r\n\r\n" + b"a" * 50_000,
     ],
+    ids=["head", "chunk", "chunks of one byte", "length"],
 )
 def test_requests_at_the_limits_are_served(data):
     """Guards against limits that callers within them reach."""
@@ -124,6 +133,26 @@
     run(scenario)
 
 
+def test_caller_that_does_not_read_its_answer_is_disconnected():
+    """Guards against answers that are held without end for callers that do not read."""
+
+    async def answer_large(request, body):
+        headers = {"Seal": "s", "Attempt": request.headers["Attempt"]}
+        return web.Response(body=bytes(32 * 1024 * 1024), headers=headers)
+
+    async def scenario(harness):
+        set_limits(harness)
+        _, writer = await asyncio.open_connection(HOST, harness.port, limit=1)
+        writer.write(HEAD + b"\r\n")
+        while not harness.recorder.get_lines("request-ended"):  # noqa: ASYNC110
+            await asyncio.sleep(0.05)
+        while harness.server.n_connections:  # noqa: ASYNC110
+            await asyncio.sleep(0.05)
+        writer.transport.abort()
+
+    run_scenario(scenario, [answer_large])
+
+
 def test_answered_requests_hold_no_bytes():
     """Guards against bytes that stay in the budget after their request has ended."""
 
