--- a/packages/agent/src/bluebellusher_agent/ranks/_agent.py
+++ b/packages/agent/src/bluebellusher_agent/ranks/_agent.py
@@ -57,7 +57,9 @@
 # failure domains prefer endpoints of their own domain, and traffic between failure
 # domains is expensive.
 REMOTE_REPORT_INTERVAL_MS = 2_400
-MAX_CONNECTIONS = 4_096
+# Upper bound of the connections of entries. The smallest machine has 1,124 descriptors,
+# and the largest deployment 64 entries.
+MAX_CONNECTIONS = 512
 _BACKLOG = 512
 
 
--- a/packages/core/src/bluebellusher_core/memory/_budget.py
+++ b/packages/core/src/bluebellusher_core/memory/_budget.py
@@ -26,8 +26,8 @@
     Parameters
     ----------
     owner : str
-        Address of the caller. The connections of an owner are evicted first if it holds
-        the most bytes.
+        Customer, or address of a caller whose customer is unknown. The connections of
+        an owner are evicted first if it holds the most bytes.
     n_bytes : int
         Bytes held.
     held_since_ms : int
@@ -44,7 +44,7 @@
 
 
 class ByteBudget:
-    """Bytes that a process may hold for all callers, shared fairly by address.
+    """Bytes that a process may hold for all callers, shared fairly by owner.
 
     It addresses a load of many clients, from a few addresses, that send most of a large
     request and keep it open while other callers send ordinary requests. When the budget
--- a/packages/entry/src/bluebellusher/gateway/_connection_guard.py
+++ b/packages/entry/src/bluebellusher/gateway/_connection_guard.py
@@ -7,6 +7,7 @@
 
 from aiohttp import web
 
+from bluebellusher.gateway._answering import AnsweringConnection
 from bluebellusher.gateway._connections import CallerConnection
 from bluebellusher.gateway._heap import release_free_memory
 from bluebellusher.runtime import Runtime
@@ -55,7 +56,7 @@
         and reading the clock for each part received is avoided.
     watched : set of CallerConnection
         Connections with an incomplete request or a rejected one.
-    unread : set of CallerConnection
+    unread : set of AnsweringConnection
         Connections whose callers do not read their answers as fast as they arrive.
     """
 
@@ -70,7 +71,7 @@
         self.limits = find_limits()
         self.now_ms = runtime.now_ms()
         self.watched: set[CallerConnection] = set()
-        self.unread: set[CallerConnection] = set()
+        self.unread: set[AnsweringConnection] = set()
         self._n_max_connections = n_max_connections
         self._runtime = runtime
         self._find_limits = find_limits
@@ -119,12 +120,12 @@
         if connection is not None:
             connection.evict()
 
-    def count_refused(self, reason: str, address: str) -> None:
+    def count_refused(self, reason: str, owner: str) -> None:
         """Count a refused request or connection; it is logged by the next sweep."""
         self._runtime.metrics.count(
             "bluebellusher_connections_refused_total", "reason", reason
         )
-        self._n_refused[reason, address] += 1
+        self._n_refused[reason, owner] += 1
         self._is_trim_due = True
 
     def delay(self, connection: CallerConnection) -> None:
@@ -149,7 +150,7 @@
             self._schedule_drain()
 
     def _make_room(self, newest: CallerConnection) -> None:
-        """Close connections of the address that has the most of them.
+        """Close connections of the owner that has the most of them.
 
         Those without a request that has been read are closed, longest idle first. The
         newest one is closed if there is none.
@@ -188,27 +189,27 @@
         gap_ms = now_ms - earlier_ms - SWEEP_INTERVAL_MS
         if gap_ms > SWEEP_INTERVAL_MS:
             # The process was frozen or busy. What callers sent meanwhile is not read.
-            for connection in self.watched | self.unread:
-                connection.postpone(gap_ms)
+            for delayed in self.watched | self.unread:
+                delayed.postpone(gap_ms)
         for connection in list(self.watched):
             connection.check(now_ms)
-        for connection in list(self.unread):
-            connection.check_unread(now_ms)
+        for unread in list(self.unread):
+            unread.check_unread(now_ms)
         if self._n_refused and now_ms - self._logged_at_ms >= _LOG_INTERVAL_MS:
             self._logged_at_ms = now_ms
             self._log_refused()
         self._release_memory(now_ms)
 
     def _log_refused(self) -> None:
-        """Log the refusals since the last line, with the address that had the most."""
-        (reason, address), n_most = self._n_refused.most_common(1)[0]
+        """Log the refusals since the last line, with the owner that had the most."""
+        (reason, owner), n_most = self._n_refused.most_common(1)[0]
         self._runtime.log(
             "connections-refused",
             n=self._n_refused.total(),
             reason=reason,
-            address=address,
-            n_of_address=n_most,
-            n_addresses=len({a for _, a in self._n_refused}),
+            owner=owner,
+            n_of_owner=n_most,
+            n_owners=len({o for _, o in self._n_refused}),
             n_connections=len(self._connection_by_account),
             held_bytes=self.budget.n_bytes,
             max_bytes=self.budget.n_max_bytes,
--- a/packages/entry/src/bluebellusher/gateway/_connections.py
+++ b/packages/entry/src/bluebellusher/gateway/_connections.py
@@ -14,10 +14,13 @@
 
 from aiohttp import StreamReader, web
 from aiohttp.http import RawRequestMessage
-from aiohttp.http_exceptions import LineTooLong
 
 from bluebellusher.gateway._admission import Denial
-from bluebellusher_core.memory import Account
+from bluebellusher.gateway._answering import (
+    LINGER_MS,
+    AnsweringConnection,
+    BodyRefusedError,
+)
 
 if TYPE_CHECKING:
     from bluebellusher.gateway._connection_guard import ConnectionGuard
@@ -30,31 +33,20 @@
 # A part of a chunked body is dense if its data are less than this share of it. Chunks
 # of up to 2 bytes are dense.
 _DENSE_SHARE = 0.35
-# Bytes that are read and discarded after a rejection, and the time for it, so that the
-# client can read the answer before its connection is reset.
+# Bytes that are read and discarded after a rejection, so that the client can read the
+# answer before its connection is reset.
 _MAX_DISCARDED_BYTES = 262_144
-LINGER_MS = 1_000
 # Interval at which the end of an answer is awaited that is written slowly, in s.
 _RECHECK_S = 0.01
 # Time after which a caller may repeat a request that was rejected for lack of memory.
 MEMORY_RETRY_MS = 1_000
 
 
-# Text of aiohttp's error for a head with more headers than it accepts.
-_TOO_MANY_HEADERS = "Too many headers"
 # Denial of a request whose body is above the limit.
 BODY_TOO_LARGE = Denial(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "body too long")
 
 
-class BodyRefusedError(Exception):
-    """Body that is not read to its end, because the request is rejected."""
-
-    def __init__(self, denial: Denial) -> None:
-        super().__init__(denial.reason)
-        self.denial = denial
-
-
-class CallerConnection(web.RequestHandler):
+class CallerConnection(AnsweringConnection):
     """Connection of a caller, within the limits of a guard.
 
     Parameters
@@ -79,7 +71,6 @@
     """
 
     __slots__ = (
-        "_guard",
         "_held",
         "_is_body_unread",
         "_is_chunked",
@@ -89,25 +80,18 @@
         "_n_discarded",
         "_n_head_bytes",
         "_n_overhead_bytes",
-        "_n_unsent_bytes",
         "_payload",
         "_since_ms",
-        "_unsent_since_ms",
-        "account",
         "body",
         "idle_since_ms",
-        "is_refused",
     )
 
     def __init__(
         self, guard: "ConnectionGuard", manager: web.Server, **options: Any
     ) -> None:
-        super().__init__(manager, **options)
-        self._guard = guard
-        self.account = Account("")
+        super().__init__(guard, manager, **options)
         self.body = bytearray()
         self.idle_since_ms = guard.now_ms
-        self.is_refused = False
         # Time of the first byte of an incomplete head, of the last byte of data of an
         # incomplete body, or of the rejection.
         self._since_ms = 0
@@ -120,9 +104,6 @@
         self._is_body_unread = False
         self._is_chunked = False
         self._is_dense = False
-        # Bytes that wait in the transport, and the time of their last change.
-        self._n_unsent_bytes = 0
-        self._unsent_since_ms = 0
         # Received bytes that are parsed later.
         self._held = b""
         self._is_reading_held = False
@@ -154,33 +135,6 @@
         else:
             self._process(data)
 
-    def pause_writing(self) -> None:
-        """Watch a caller that does not read its answer as fast as it arrives."""
-        super().pause_writing()
-        self._n_unsent_bytes = 0
-        self._guard.unread.add(self)
-
-    def resume_writing(self) -> None:
-        """Stop to watch a caller that has read most of what was sent."""
-        super().resume_writing()
-        self._guard.unread.discard(self)
-
-    def check_unread(self, now_ms: int) -> None:
-        """Abort a connection whose caller reads nothing for the idle timeout.
-
-        Its answer cannot be delivered, and would otherwise be held without end.
-        """
-        if self.transport is None:
-            self._guard.unread.discard(self)
-            return
-        n_unsent_bytes = self.transport.get_write_buffer_size()
-        if n_unsent_bytes != self._n_unsent_bytes:
-            self._n_unsent_bytes = n_unsent_bytes
-            self._unsent_since_ms = now_ms
-        elif now_ms - self._unsent_since_ms > self._guard.limits.idle_timeout_ms:
-            self._guard.count_refused("unread_answer", self.account.owner)
-            self.transport.abort()
-
     def resume_reading(self, resume_parser: bool = True) -> None:
         """Continue after the reader of a body has taken the earlier parts."""
         super().resume_reading(resume_parser)
@@ -341,8 +295,8 @@
 
     def postpone(self, gap_ms: int) -> None:
         """Add time to the limits, in which the process was not running."""
+        super().postpone(gap_ms)
         self._since_ms += gap_ms
-        self._unsent_since_ms += gap_ms
 
     def check(self, now_ms: int) -> None:
         """End a request whose caller has stopped sending; called periodically."""
@@ -412,11 +366,6 @@
         if self._n_discarded > _MAX_DISCARDED_BYTES and self.transport is not None:
             self.transport.abort()
 
-    async def linger(self) -> None:
-        """Wait until the client of a rejected request has read the answer."""
-        if self.is_refused and self.transport is not None:
-            await asyncio.sleep(LINGER_MS / 1000)
-
     def end_request(self) -> None:
         """Release the memory of a request that has been answered."""
         self.body = bytearray()
@@ -428,28 +377,3 @@
             self._charge(len(self._held))
             # The connection counts as busy until aiohttp has ended the request.
             self._loop.call_soon(self.resume_held)
-
-    def handle_error(
-        self,
-        request: web.BaseRequest,
-        status: int = 500,
-        exc: BaseException | None = None,
-        message: str | None = None,
-    ) -> web.StreamResponse:
-        """Return a short response to an invalid request.
-
-        aiohttp would repeat the client's bytes in the response and in the log.
-        """
-        if status >= HTTPStatus.INTERNAL_SERVER_ERROR or request.writer.output_size:
-            return super().handle_error(request, status, exc, message)
-        code = HTTPStatus(status)
-        if isinstance(exc, LineTooLong) or _TOO_MANY_HEADERS in str(message):
-            code = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-        response = web.Response(status=code.value, text=code.phrase)
-        response.force_close()
-        return response
-
-    def log_exception(self, *args: Any, **options: Any) -> None:
-        """Log an exception, except that of a body whose rejection has been counted."""
-        if not isinstance(options.get("exc_info"), BodyRefusedError):
-            super().log_exception(*args, **options)
--- a/packages/entry/src/bluebellusher/gateway/_server.py
+++ b/packages/entry/src/bluebellusher/gateway/_server.py
@@ -10,17 +10,14 @@
 from aiohttp import web
 
 from bluebellusher.gateway._admission import Admission, Denial, fingerprint
+from bluebellusher.gateway._answering import BodyRefusedError
 from bluebellusher.gateway._answers import AnswerWriter, make_rejection_response
 from bluebellusher.gateway._connection_guard import (
     RECEIVE_BUFFER_BYTES,
     ConnectionGuard,
     GuardedServer,
 )
-from bluebellusher.gateway._connections import (
-    BODY_TOO_LARGE,
-    BodyRefusedError,
-    CallerConnection,
-)
+from bluebellusher.gateway._connections import BODY_TOO_LARGE, CallerConnection
 from bluebellusher.links import AnswerStream
 from bluebellusher.runtime import Exchange, Runtime
 from bluebellusher.shared import Directory
@@ -177,6 +174,8 @@
         )
         if isinstance(result, Denial):
             return self._deny(request_id, request, result, table.version)
+        if result.spec.customer_id:
+            connection.account.owner = result.spec.customer_id
         try:
             async with asyncio.timeout(BODY_TIMEOUT_MS / 1000):
                 max_body_bytes = table.limits.max_body_bytes
--- a/packages/entry/src/bluebellusher/gateway/tests/test_exceeding_callers.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_exceeding_callers.py
@@ -6,7 +6,12 @@
 import pytest
 from aiohttp import web
 
-from bluebellusher.gateway.tests.harness import HOST, answer_sealed, run_scenario
+from bluebellusher.gateway.tests.harness import (
+    HOST,
+    answer_sealed,
+    make_customer,
+    run_scenario,
+)
 from bluebellusher_core.directory import CallerLimits
 
 LIMITS = CallerLimits(
@@ -133,6 +138,27 @@
     run(scenario)
 
 
+def test_bytes_of_a_known_customer_count_for_it():
+    """Guards against a customer that fills the budget from many addresses."""
+
+    async def scenario(harness):
+        _, writer = await asyncio.open_connection(HOST, harness.port)
+        writer.write(HEAD + b"Key: k\r\nContent-Length: 9\r\n\r\na")
+        await writer.drain()
+        (account,) = await wait_for_accounts(harness)
+        assert account.owner == "tenant"
+        writer.close()
+
+    async def wait_for_accounts(harness):
+        while True:
+            accounts = [c.account for c in harness.server._server.connections]
+            if accounts and accounts[0].owner != HOST:
+                return accounts
+            await asyncio.sleep(0.01)
+
+    run_scenario(scenario, [answer_sealed], customers=[make_customer("k")])
+
+
 def test_caller_that_does_not_read_its_answer_is_disconnected():
     """Guards against answers that are held without end for callers that do not read."""
 
