Bound the accepted connections of peers without a handshake

Cause: idle connections to the address for peers used up the descriptors of an entry until their handshakes timed out: 622 of 512 with 600 clients.

Change: above 96 accepted connections with an incomplete handshake, the oldest is closed. The test disconnects its clients also when it fails.

--- a/packages/entry/src/bluebellusher/links/_peers.py
+++ b/packages/entry/src/bluebellusher/links/_peers.py
@@ -12,6 +12,10 @@
 from bluebellusher_core.clock import Clock
 from bluebellusher_core.wire import messages
 
+# Upper bound of the accepted connections whose handshake is incomplete. It is above the
+# number of entries of the largest deployment, which may all connect at once.
+MAX_PENDING_HANDSHAKES = 96
+
 
 class PeerHandler(Protocol):
     """Callbacks for the connections and messages of peers."""
@@ -128,6 +132,11 @@
         )
 
     def _make_accepted_connection(self) -> FrameConnection:
+        pending = [c for c in self._accepted_connections if not c.is_open]
+        if len(pending) >= MAX_PENDING_HANDSHAKES:
+            oldest = min(pending, key=lambda c: c.handshake_started_at_ms)
+            oldest.close("too many incomplete handshakes")
+            self._accepted_connections.discard(oldest)
         connection = self._make_connection(True, "incoming")
         self._accepted_connections.add(connection)
         self._ticker.add(connection)
--- a/soak/tests/test_exceeding_clients.py
+++ b/soak/tests/test_exceeding_clients.py
@@ -67,6 +67,7 @@
     "empty lines": ("callers", 40, b"", b"\r\n" * 32_768, 128),
     "short header lines": ("callers", 40, HEAD, b"A: b\r\n" * 10_000, 128),
     "idle connections": ("callers", 600, b"", b"", 0),
+    "idle connections to peers": ("peers", 600, b"", b"", 0),
     "pipelined requests": ("callers", 40, b"", (HEAD + b"\r\n") * 100, 100),
 }
 
@@ -82,6 +83,7 @@
         names = ("callers", "readiness", "metrics", "peers")
         self.port_by_name = {name: self.reservations.reserve() for name in names}
         self.processes = []
+        self._writers = []
 
     async def __aenter__(self):
         await self.store.start(HOST)
@@ -112,6 +114,7 @@
         return self
 
     async def __aexit__(self, *error):
+        self.disconnect_clients()
         for process in self.processes:
             if process.returncode is None:
                 process.kill()
@@ -145,8 +148,7 @@
             return 0
 
     async def send(self, name, n_clients, first, repeated, n_repeats):
-        """Send from all clients; return their open connections."""
-        writers = []
+        """Send from all clients; their connections stay open."""
 
         async def run_client():
             with contextlib.suppress(OSError, TimeoutError):
@@ -154,14 +156,18 @@
                     _, writer = await asyncio.open_connection(
                         HOST, self.port_by_name[name]
                     )
-                    writers.append(writer)
+                    self._writers.append(writer)
                     writer.write(first)
                     for _ in range(n_repeats):
                         writer.write(repeated)
                         await writer.drain()
 
         await asyncio.gather(*(run_client() for _ in range(n_clients)))
-        return writers
+
+    def disconnect_clients(self):
+        """Abort the connections of all clients."""
+        while self._writers:
+            self._writers.pop().transport.abort()
 
     def check(self):
         """Check that the entry is alive and within its machine."""
@@ -199,12 +205,11 @@
 
     async def main():
         async with Entry(tmp_path, n_descriptors) as entry:
-            writers = await entry.send(*CLIENTS[kind])
+            await entry.send(*CLIENTS[kind])
             status = await request_repeatedly(entry)
             entry.check()
             assert status == 200
-            for writer in writers:
-                writer.transport.abort()
+            entry.disconnect_clients()
             assert await request_repeatedly(entry) == 200
             entry.check()
 
@@ -220,8 +225,8 @@
             for _ in range(N_SERIES):
                 for kind in ("header line", "trailers", "open chunked body"):
                     name, n_clients, *parts = CLIENTS[kind]
-                    for writer in await entry.send(name, n_clients // 4, *parts):
-                        writer.transport.abort()
+                    await entry.send(name, n_clients // 4, *parts)
+                    entry.disconnect_clients()
                 assert await request_repeatedly(entry) == 200
             await asyncio.sleep(3)
             assert entry.check() < resident_mb + MARGIN_MB
