Count heads behind bodies, and never send a part of a refused body

Cause: a head that began in the same read as the end of a body was neither counted nor limited in time. A connection that was refused between the end of a body and its reader released parts that the reader had taken.

Change: a body of a length is parsed exactly to its end, and a head behind a chunked body is watched. The reader rejects the request of a refused connection. Empty lines alone do not start the time limit of a head.

--- a/packages/entry/src/bluebellusher/gateway/_connections.py
+++ b/packages/entry/src/bluebellusher/gateway/_connections.py
@@ -38,12 +38,12 @@
 _MAX_DISCARDED_BYTES = 262_144
 # Interval at which the end of an answer is awaited that is written slowly, in s.
 _RECHECK_S = 0.01
-# Time after which a caller may repeat a request that was rejected for lack of memory.
-MEMORY_RETRY_MS = 1_000
 
 
 # Denial of a request whose body is above the limit.
 BODY_TOO_LARGE = Denial(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "body too long")
+# Denial of a request that gave up its memory before it was sent.
+GIVEN_UP = Denial(HTTPStatus.SERVICE_UNAVAILABLE, "out of memory", 1_000)
 
 
 class CallerConnection(AnsweringConnection):
@@ -77,6 +77,7 @@
         "_is_delayed",
         "_is_dense",
         "_is_reading_held",
+        "_n_body_bytes",
         "_n_discarded",
         "_n_head_bytes",
         "_n_overhead_bytes",
@@ -98,6 +99,8 @@
         self._n_head_bytes = 0
         self._n_overhead_bytes = 0
         self._n_discarded = 0
+        # Announced length of a body that is not chunked.
+        self._n_body_bytes = 0
         self._payload: StreamReader | None = None
         # Whether the request was answered before its body ended. aiohttp discards the
         # rest as it arrives.
@@ -207,6 +210,7 @@
         self._payload = payload
         self._is_body_unread = False
         self._is_chunked = message.chunked
+        self._n_body_bytes = int(message.headers.get("Content-Length", 0))
         self._is_dense = False
         self._watch()
         self._charge(payload.total_bytes)
@@ -224,12 +228,19 @@
                 HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "head_too_large"
             )
             return b""
-        if not self._n_head_bytes:
+        # Some clients send an empty line behind a body and keep the connection idle.
+        if self not in self._guard.watched and part.strip(b"\r\n"):
             self._watch()
         self._n_head_bytes += len(part)
         self._charge(len(part))
         return b""
 
+    def _begin_head_behind(self, part: bytes) -> None:
+        """Watch the head that begins behind a chunked body in the same part."""
+        if self._is_chunked and not part.endswith(b"\r\n\r\n"):
+            self._n_head_bytes = 1
+            self._watch()
+
     def _feed_body(self, payload: StreamReader, data: bytes) -> bytes:
         """Pass a part of a body to the parser; return the bytes behind that part."""
         n_before = payload.total_bytes
@@ -237,7 +248,13 @@
         part = data
         if self._is_chunked:
             part = data[: _DENSE_PART_BYTES if self._is_dense else _PART_BYTES]
+        elif (n_left := self._n_body_bytes - payload.total_raw_bytes) < len(data):
+            # What follows is a head, whose bytes are counted.
+            part = data[: max(1, n_left)]
+        n_requests = self._request_count
         self._feed(part)
+        if self._payload is None and self._request_count == n_requests:
+            self._begin_head_behind(part)
         if self.is_refused:
             return b""
         rest = data[len(part) :]
@@ -321,10 +338,7 @@
             self.refuse("memory")
             self.force_close()
         else:
-            denial = Denial(
-                HTTPStatus.SERVICE_UNAVAILABLE, "out of memory", MEMORY_RETRY_MS
-            )
-            self.refuse_body(denial, "memory")
+            self.refuse_body(GIVEN_UP, "memory")
 
     def refuse_head(self, status: HTTPStatus, reason: str) -> None:
         """Answer a request without a complete head; read nothing more.
--- a/packages/entry/src/bluebellusher/gateway/_server.py
+++ b/packages/entry/src/bluebellusher/gateway/_server.py
@@ -17,7 +17,11 @@
     ConnectionGuard,
     GuardedServer,
 )
-from bluebellusher.gateway._connections import BODY_TOO_LARGE, CallerConnection
+from bluebellusher.gateway._connections import (
+    BODY_TOO_LARGE,
+    GIVEN_UP,
+    CallerConnection,
+)
 from bluebellusher.links import AnswerStream
 from bluebellusher.runtime import Exchange, Runtime
 from bluebellusher.shared import Directory
@@ -366,6 +370,9 @@
         if len(connection.body) > max_bytes:
             connection.refuse("body_too_large")
             raise BodyRefusedError(BODY_TOO_LARGE)
+    if connection.is_refused:
+        # The parts that had been read were released when the connection was refused.
+        raise BodyRefusedError(GIVEN_UP)
     body = bytes(connection.body)
     connection.body = bytearray()
     return body
--- a/packages/entry/src/bluebellusher/gateway/tests/test_exceeding_callers.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_exceeding_callers.py
@@ -120,6 +120,26 @@
     run(scenario)
 
 
+def test_refused_connection_never_sends_a_part_of_a_body():
+    """Guards against a body that is sent without the parts that were released."""
+    body = b"a" * 50_000
+
+    async def scenario(harness):
+        for n_bytes in (0, 2_000, 20_000, 40_000):
+            head = LENGTH if n_bytes else CHUNKED
+            sent = body if n_bytes else b"c350\r\n" + body + b"\r\n0\r\n\r\n"
+            reader, writer = await asyncio.open_connection(HOST, harness.port)
+            writer.write(head + sent[:n_bytes])
+            await asyncio.sleep(0.05)
+            # The connection is refused for what follows the request.
+            writer.write(sent[n_bytes:] + HEAD + b"A: " + b"a" * 8_000)
+            await reader.read()
+            writer.close()
+        assert all(received == body for _, received in harness.endpoints[0].received)
+
+    run(scenario)
+
+
 def test_open_body_gives_its_memory_to_an_ordinary_request():
     """Guards against an ordinary request that is rejected for others' open bodies."""
 
