--- a/packages/entry/src/bluebellusher/gateway/_attempts.py
+++ b/packages/entry/src/bluebellusher/gateway/_attempts.py
@@ -64,8 +64,10 @@
 # Upper bound of the body of an answer, in bytes.
 MAX_BODY_BYTES = 64 * 1024 * 1024
 # Upper bound of the relayed bytes of an answer that the caller has not taken yet. Above
-# it, reading from the endpoint pauses.
+# it, reading from the endpoint pauses. Many answers share the budget for all of them,
+# but each may have the lower bound.
 MAX_UNREAD_BYTES = 256 * 1024
+MIN_UNREAD_BYTES = 16 * 1024
 # Shortest interval between two reports of one attempt's progress, in ms. It bounds the
 # number of events when an engine sends each token by itself.
 PROGRESS_INTERVAL_MS = 50
@@ -178,6 +180,9 @@
     count_bytes : callable or None
         Receives the service, the failure domain of the endpoint and the bytes of the
         bodies in both directions when an attempt ends.
+    max_unread_bytes : int or None
+        Upper bound of the relayed bytes of all answers that their callers have not
+        taken yet; None for no common bound.
 
     Attributes
     ----------
@@ -197,6 +202,7 @@
         is_evacuated: CheckDomain | None = None,
         is_outdated: IsOutdated = lambda endpoint_id, chosen_at_ms: False,
         count_bytes: CountBytes | None = None,
+        max_unread_bytes: int | None = None,
     ) -> None:
         self.sink: EventSink | None = None
         self._dialect = dialect
@@ -209,6 +215,7 @@
         self.is_evacuated = is_evacuated
         self._is_outdated = is_outdated
         self._count_bytes = count_bytes
+        self._max_unread_bytes = max_unread_bytes
         self._attempt_by_id: dict[str, _Attempt] = {}
         self._check_tasks: set[asyncio.Task[None]] = set()
         self._session: aiohttp.ClientSession | None = None
@@ -596,7 +603,17 @@
             raise _BrokenAttemptError(
                 Reason.STREAM_CORRUPT, "answer above the body size limit"
             )
-        await answer.wait_for_capacity(MAX_UNREAD_BYTES)
+        await answer.wait_for_capacity(self._share_unread_bytes())
+
+    def _share_unread_bytes(self) -> int:
+        """Return the unread bytes that one answer may have, by the number of attempts.
+
+        It addresses a load of many callers that read slowly.
+        """
+        if self._max_unread_bytes is None:
+            return MAX_UNREAD_BYTES
+        n_share_bytes = self._max_unread_bytes // max(1, len(self._attempt_by_id))
+        return max(MIN_UNREAD_BYTES, min(MAX_UNREAD_BYTES, n_share_bytes))
 
     def _record_progress(self, attempt: _Attempt) -> None:
         """Record an output of a stream; post the endpoint's progress when it is due.
