Compute the limits of a group at most every 100 ms

Cause: the limit of every rank was computed again at each placement.

Change: limits are kept by number of slots and pace for 100 ms.

--- a/packages/core/src/bluebellusher_core/membership/_running_limits.py
+++ b/packages/core/src/bluebellusher_core/membership/_running_limits.py
@@ -25,7 +25,8 @@
 # Mean deviations above the mean ratio that a limit leaves for longer passes. A stream
 # of usual length has about 20 gaps, and one long gap makes it late.
 N_DEVIATIONS = 1.0
-# Interval at which the predicted pass of a group is computed again, in ms.
+# Interval at which the predicted pass and the limits of a group are computed again, in
+# ms.
 PREDICTION_INTERVAL_MS = 100
 # Passes after which the free slots of a rank are offered to other entries.
 N_PASSES_PER_TURN = 4
@@ -60,6 +61,8 @@
     observed_at_ms: int = 0
     predicted_ms: float = 0.0
     predicted_at_ms: int = -PREDICTION_INTERVAL_MS
+    limit_by_key: dict[tuple[int, float], RunningLimit] = field(default_factory=dict)
+    limits_at_ms: int = -PREDICTION_INTERVAL_MS
 
 
 @dataclass(slots=True)
@@ -165,24 +168,17 @@
         objective = self._find_objective(view)
         if objective is None:
             return None
-        n_slots = max(1, view.info.n_slots)
         gaps = self._get_gaps(view, objective)
-        mean_ratio, deviation = gaps.mean_ratio, gaps.deviation
-        if now_ms - gaps.observed_at_ms > OBSERVATION_MAX_AGE_MS:
-            mean_ratio = _expect_ratio(objective.engine)
-            deviation = EXPECTED_DEVIATION
-        engine = objective.engine
-        max_pass_ms = objective.max_gap_ms / _get_pace(view, now_ms)
-        if _predict_pass_ms(engine, 1, 0.0) * mean_ratio > max_pass_ms:
-            return RunningLimit(n_slots, n_slots)
-        max_pass_ms /= mean_ratio + N_DEVIATIONS * deviation
-        n_most_read = float(engine.n_steps_per_pass * engine.n_chunk_tokens)
-        n_usual = 1
-        for n_running in range(n_slots, 1, -1):
-            if _predict_pass_ms(engine, n_running, n_most_read) <= max_pass_ms:
-                n_usual = n_running
-                break
-        return RunningLimit(n_usual, min(n_slots, n_usual + 1))
+        if now_ms - gaps.limits_at_ms >= PREDICTION_INTERVAL_MS:
+            gaps.limit_by_key.clear()
+            gaps.limits_at_ms = now_ms
+        # Most ranks of a group have the same pace and thus the same limit.
+        key = view.info.n_slots, _get_pace(view, now_ms)
+        limit = gaps.limit_by_key.get(key)
+        if limit is None:
+            limit = _compute_limit(objective, gaps, *key, now_ms)
+            gaps.limit_by_key[key] = limit
+        return limit
 
     def count_room(self, view: EndpointView, now_ms: int) -> RunningLimit | None:
         """Return how many more requests this entry may start at an endpoint.
@@ -268,6 +264,29 @@
         return longest_ms
 
 
+def _compute_limit(
+    objective: GapObjective, gaps: _GroupGaps, n_slots: int, pace: float, now_ms: int
+) -> RunningLimit:
+    """Return the limit of a rank with a pace; see ``RunningLimits.find_limit``."""
+    n_slots = max(1, n_slots)
+    mean_ratio, deviation = gaps.mean_ratio, gaps.deviation
+    if now_ms - gaps.observed_at_ms > OBSERVATION_MAX_AGE_MS:
+        mean_ratio = _expect_ratio(objective.engine)
+        deviation = EXPECTED_DEVIATION
+    engine = objective.engine
+    max_pass_ms = objective.max_gap_ms / pace
+    if _predict_pass_ms(engine, 1, 0.0) * mean_ratio > max_pass_ms:
+        return RunningLimit(n_slots, n_slots)
+    max_pass_ms /= mean_ratio + N_DEVIATIONS * deviation
+    n_most_read = float(engine.n_steps_per_pass * engine.n_chunk_tokens)
+    n_usual = 1
+    for n_running in range(n_slots, 1, -1):
+        if _predict_pass_ms(engine, n_running, n_most_read) <= max_pass_ms:
+            n_usual = n_running
+            break
+    return RunningLimit(n_usual, min(n_slots, n_usual + 1))
+
+
 def _take_part(n: int, share: Share) -> int:
     """Return a holder's part of ``n`` slots, which is negative if ``n`` is."""
     n_part, n_left = divmod(abs(n), share.n_holders)
