Bound incomplete handshakes of peers by the descriptors of the machine

A fixed bound of 96 is below the number of entries that may connect at the same time at the target size; their handshakes would be closed and repeated. The bound is a quarter of max_descriptors. The tests of idle connections to peers pass (2 passed).

--- a/packages/entry/src/bluebellusher/gateway/_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -94,6 +94,9 @@
 # while services state a rate for cold endpoints. An endpoint counts as cold when the
 # last answer is too old to show that it is warm.
 WARM_UP_WAIT_MS = 1_500
+# Part of the descriptors that accepted connections of peers may occupy before their
+# handshake is complete. All entries may connect at the same time.
+HANDSHAKE_DESCRIPTOR_DIVISOR = 4
 # Upper bound of the entries that are read from a peer's list.
 N_MAX_MEMBERS = 1_000
 # Interval at which the settings file is checked for changes, in ms.
@@ -174,7 +177,13 @@
             self._find_members,
         )
         self.peers = PeerLinks(
-            identity, self.runtime, self.ticker, clock, random_state, self.peer_exchange
+            identity,
+            self.runtime,
+            self.ticker,
+            clock,
+            random_state,
+            self.peer_exchange,
+            settings.max_descriptors // HANDSHAKE_DESCRIPTOR_DIVISOR,
         )
         self.peer_exchange.links = self.peers
         self.tables = TableExchange(self.peers, clock)
--- a/packages/entry/src/bluebellusher/links/_peers.py
+++ b/packages/entry/src/bluebellusher/links/_peers.py
@@ -12,9 +12,8 @@
 from bluebellusher_core.clock import Clock
 from bluebellusher_core.wire import messages
 
-# Upper bound of the accepted connections whose handshake is incomplete. It is above the
-# number of entries of the largest deployment, which may all connect at once.
-MAX_PENDING_HANDSHAKES = 96
+# Default of ``n_max_handshakes``.
+DEFAULT_MAX_HANDSHAKES = 2_048
 
 
 class PeerHandler(Protocol):
@@ -34,7 +33,9 @@
     """Connections to all peers, by instance id.
 
     Both sides dial, so there may be two connections to a peer. The parameters are those
-    of ``AgentLinks``, with a ``handler`` for the connections and messages of peers.
+    of ``AgentLinks``, with a ``handler`` for the connections and messages of peers, and
+    ``n_max_handshakes``, the upper bound of the accepted connections whose handshake is
+    incomplete.
     """
 
     def __init__(
@@ -45,6 +46,7 @@
         clock: Clock,
         random_state: Random,
         handler: PeerHandler,
+        n_max_handshakes: int = DEFAULT_MAX_HANDSHAKES,
     ) -> None:
         self.connections_by_peer_id: dict[str, list[FrameConnection]] = {}
         self._identity = identity
@@ -53,6 +55,7 @@
         self._clock = clock
         self._random_state = random_state
         self._handler = handler
+        self._n_max_handshakes = n_max_handshakes
         self._server: asyncio.Server | None = None
         self._task_by_address: dict[tuple[str, int], asyncio.Task[None]] = {}
         self._accepted_connections: set[FrameConnection] = set()
@@ -133,7 +136,7 @@
 
     def _make_accepted_connection(self) -> FrameConnection:
         pending = [c for c in self._accepted_connections if not c.is_open]
-        if len(pending) >= MAX_PENDING_HANDSHAKES:
+        if len(pending) >= self._n_max_handshakes:
             oldest = min(pending, key=lambda c: c.handshake_started_at_ms)
             oldest.close("too many incomplete handshakes")
             self._accepted_connections.discard(oldest)
