--- a/bench/tests/test_overload.py
+++ b/bench/tests/test_overload.py
@@ -31,6 +31,14 @@
     assert figures["p0"] > 0.9
 
 
+def test_normal_load_is_served_as_before():
+    """Guards against a loss of service by overload control without an overload."""
+    before = run("objective", burst_factor=1.0)
+    after = run("priority", burst_factor=1.0)
+    assert after["lost"] < 0.02
+    assert after["value"] >= before["value"] - 0.02
+
+
 def test_large_customer_takes_no_share_of_others():
     """Guards against one customer whose burst displaces all others."""
     figures = run("priority", large_customer_share=0.5)
