--- a/packages/core/src/bluebellusher_core/admission/_priority_queue.py
+++ b/packages/core/src/bluebellusher_core/admission/_priority_queue.py
@@ -27,6 +27,8 @@
 # running pass, the pass that reads the prompt, and the one that makes the event. The
 # remainder is for prompts that wait for others.
 N_FIRST_PASSES = 2.75
+# Usual time of a pass, as a share of the allowed gap.
+USUAL_PASS_SHARE = 0.65
 # Arriving work, as a multiple of the capacity, from which slots are reserved and late
 # requests rejected. An entry sees few requests a second, so that both vary by a fifth
 # at normal load, and a rejected request would be answered later than one that waits.
@@ -103,8 +105,7 @@
         self._usual_passes = self._count_passes(
             engine.n_usual_prompt_tokens, engine.n_usual_answer_tokens
         )
-        self._first_event_ms = N_FIRST_PASSES * 0.65 * max_gap_ms
-        self._pass_ms = 0.65 * max_gap_ms
+        self._first_event_ms = N_FIRST_PASSES * USUAL_PASS_SHARE * max_gap_ms
         self._waiting_by_id: dict[str, _Waiting] = {}
         self._arrivals = {priority: _DecayingRate() for priority in Priority}
         self._usage_by_key: dict[tuple[str, Priority], tuple[float, int]] = {}
