Set the platform's optional bounds by environment variables

An empty variable leaves the default, and a value of the file goes before. Two tests fail without the change.

--- a/packages/entry/src/bluebellusher/gateway/_gateway.py
+++ b/packages/entry/src/bluebellusher/gateway/_gateway.py
@@ -183,7 +183,7 @@
             clock,
             random_state,
             self.peer_exchange,
-            settings.max_descriptors // HANDSHAKE_DESCRIPTOR_DIVISOR,
+            int(settings.max_descriptors) // HANDSHAKE_DESCRIPTOR_DIVISOR,
         )
         self.peer_exchange.links = self.peers
         self.tables = TableExchange(self.peers, clock)
@@ -277,7 +277,7 @@
             Admission(ports.dialect, StreamTimeouts(), random_state),
             lambda: f"{prefix}.r{next(counter)}",
             self.budget,
-            choose_max_connections(settings.max_descriptors),
+            choose_max_connections(int(settings.max_descriptors)),
         )
         self._tasks: list[asyncio.Task[None]] = []
         self._n_entries = 0
--- a/packages/entry/src/bluebellusher/settings/_gateway.py
+++ b/packages/entry/src/bluebellusher/settings/_gateway.py
@@ -171,7 +171,7 @@
         Field(description="Bound on the requests to an endpoint that warms up."),
     ] = WarmUpSettings()
     evacuation_ms: Annotated[
-        int | None,
+        float | None,
         Field(
             ge=0,
             le=600_000,
@@ -199,7 +199,7 @@
         ),
     ] = 512
     max_descriptors: Annotated[
-        int,
+        float,
         Field(
             ge=256,
             le=10_000_000,
--- a/packages/entry/src/bluebellusher/settings/_load.py
+++ b/packages/entry/src/bluebellusher/settings/_load.py
@@ -1,6 +1,7 @@
 """Loading of settings files, with all problems of a file reported together."""
 
-from collections.abc import Sequence
+import os
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, TypeVar
@@ -14,6 +15,10 @@
 M = TypeVar("M", bound=SettingsModel)
 _SECRET_WORDS = ("secret", "credential", "password", "token", "key")
 _MAX_SHOWN_CHARS = 60
+# Prefix of the environment variables that set values which the file of an entry on a
+# platform lacks, and separator of the levels of their names.
+ENVIRONMENT_PREFIX = "ENTRY_SETTING_"
+_LEVEL_SEPARATOR = "__"
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,12 +80,15 @@
 def load_gateway_settings(path: str | Path) -> GatewaySettings:
     """Read and check the settings file of an entry on a platform.
 
+    An environment variable such as ``ENTRY_SETTING_WARM_UP__OVERAGE`` sets
+    ``warm_up.overage`` unless the file does. An empty variable has no effect.
+
     Raises
     ------
     SettingsError
         As for ``load_settings``.
     """
-    return _parse(GatewaySettings, _read_text(path), str(path))
+    return _parse(GatewaySettings, _read_text(path), str(path), os.environ)
 
 
 def parse_settings(text: str, path: str) -> Settings:
@@ -97,13 +105,17 @@
         raise SettingsError(str(path), [problem]) from None
 
 
-def _parse(model: type[M], text: str, path: str) -> M:
+def _parse(
+    model: type[M], text: str, path: str, environment: Mapping[str, str] | None = None
+) -> M:
     """Parse JSON5 text into ``model``; raise ``SettingsError`` with all problems."""
     try:
         document = json5.loads(text, allow_duplicate_keys=False)
     except (ValueError, RecursionError) as error:
         problem = SettingsProblem("syntax", "", _format_syntax_error(error))
         raise SettingsError(path, [problem]) from None
+    if environment and isinstance(document, dict):
+        _add_environment(document, environment)
     try:
         return model.model_validate(document)
     except ValidationError as error:
@@ -111,6 +123,20 @@
         raise SettingsError(path, problems) from None
 
 
+def _add_environment(document: dict[str, Any], environment: Mapping[str, str]) -> None:
+    """Add the values of environment variables that a document lacks."""
+    for name, text in environment.items():
+        if not name.startswith(ENVIRONMENT_PREFIX) or not text.strip():
+            continue
+        path = name.removeprefix(ENVIRONMENT_PREFIX).lower()
+        *levels, key = path.split(_LEVEL_SEPARATOR)
+        target: Any = document
+        for level in levels:
+            target = target.setdefault(level, {}) if isinstance(target, dict) else None
+        if isinstance(target, dict):
+            target.setdefault(key, text.strip())
+
+
 def _format_syntax_error(error: Exception) -> str:
     """Return the message for an operator about text that is not valid JSON5."""
     if isinstance(error, RecursionError):
--- a/packages/entry/src/bluebellusher/settings/tests/test_gateway_settings.py
+++ b/packages/entry/src/bluebellusher/settings/tests/test_gateway_settings.py
@@ -67,3 +67,29 @@
     with pytest.raises(SettingsError) as caught:
         load_text(tmp_path, TEXT.replace(old_text, new_text))
     assert message in str(caught.value)
+
+
+def test_environment_sets_what_the_file_lacks(tmp_path, monkeypatch):
+    """Guards against bounds of the platform that do not reach an entry."""
+    for name, text in {
+        "MEMORY_MB": "152",
+        "MAX_DESCRIPTORS": "2000",
+        "EVACUATION_MS": "2500.5",
+        "WARM_UP__OVERAGE": "2.5",
+        "WARM_UP__TOLERANCE": "",
+    }.items():
+        monkeypatch.setenv(f"ENTRY_SETTING_{name}", text)
+    text = TEXT.replace("agent_port", "max_descriptors: 1000, agent_port")
+    settings = load_text(tmp_path, text)
+    assert settings.memory_mb == 152
+    assert settings.max_descriptors == 1_000
+    assert settings.evacuation_ms == 2_500.5
+    assert settings.warm_up.overage == 2.5
+    assert settings.warm_up.tolerance == 5
+
+
+def test_wrong_value_in_the_environment_is_reported(tmp_path, monkeypatch):
+    """Guards against a wrong value that is taken for none."""
+    monkeypatch.setenv("ENTRY_SETTING_MEMORY_MB", "much")
+    with pytest.raises(SettingsError, match="memory_mb"):
+        load_text(tmp_path, TEXT)
