Let entries of an evacuated domain use the last free slots of other domains

If its own domain is evacuated, all ranks are remote, and at full load the entry got no slot at all. The check for a choice that is out of date comes last, because the process may be frozen while the check for an evacuation waits. The new test fails without the change.

--- a/packages/core/src/bluebellusher_core/membership/_endpoints.py
+++ b/packages/core/src/bluebellusher_core/membership/_endpoints.py
@@ -131,6 +131,8 @@
     def set_evacuated(self, domains: frozenset[str], now_ms: int) -> None:
         """Replace the set of evacuated failure domains."""
         self.evacuated.replace(domains, now_ms)
+        limits = self.running_limits
+        limits.is_own_domain_usable = limits.failure_domain not in domains
         self._views_by_pool.clear()
 
     def is_evacuated(self, endpoint_id: str) -> bool:
--- a/packages/core/src/bluebellusher_core/membership/_running_limits.py
+++ b/packages/core/src/bluebellusher_core/membership/_running_limits.py
@@ -90,6 +90,9 @@
         Entries among which the free slots of a rank are divided.
     failure_domain : str
         Failure domain of this entry.
+    is_own_domain_usable : bool
+        Whether this entry may use the endpoints of its own failure domain. An entry
+        whose domain is evacuated has only remote slots, and leaves none of them.
 
     Examples
     --------
@@ -100,6 +103,7 @@
 
     entries: ActiveEntries
     failure_domain: str = ""
+    is_own_domain_usable: bool = True
     _objective_by_service: dict[str, GapObjective] = field(default_factory=dict)
     _gaps_by_group: OrderedDict[str, _GroupGaps] = field(default_factory=OrderedDict)
 
@@ -195,7 +199,8 @@
             n_change = n_own
         else:
             n_used = report.n_running + report.n_queued
-            if view.info.failure_domain != self.failure_domain:
+            is_remote = view.info.failure_domain != self.failure_domain
+            if is_remote and self.is_own_domain_usable:
                 n_used += N_REMOTE_SLOTS
             turn = report.step // N_PASSES_PER_TURN
             n_change = len(view.own_dispatched_at_ms) - len(view.own_ended_at_ms)
--- a/packages/core/src/bluebellusher_core/membership/tests/test_running_limits.py
+++ b/packages/core/src/bluebellusher_core/membership/tests/test_running_limits.py
@@ -99,3 +99,10 @@
     """Guards against requests to ranks that have filled since an old report."""
     assert make_limits().count_room(make_view(3, domain="other"), NOW_MS).n_usual == 0
     assert make_limits().count_room(make_view(1, domain="other"), NOW_MS).n_usual > 0
+
+
+def test_entry_of_an_evacuated_domain_uses_the_last_remote_slot():
+    """Guards against entries that get no slot because their own domain is evacuated."""
+    limits, view = make_limits(), make_view(3, domain="other")
+    limits.is_own_domain_usable = False
+    assert limits.count_room(view, NOW_MS).n_usual == 1
--- a/packages/entry/src/bluebellusher/gateway/_attempts.py
+++ b/packages/entry/src/bluebellusher/gateway/_attempts.py
@@ -447,11 +447,12 @@
         since the endpoint was chosen.
         """
         endpoint = attempt.endpoint
-        if self._is_outdated(endpoint.endpoint_id, attempt.sent_at_ms):
-            raise _OutdatedAttemptError
         domain = endpoint.failure_domain
         if self.is_evacuated is not None and await self.is_evacuated(domain):
             raise _DomainEvacuatedError
+        # Comes last, because the process may be frozen while the check above waits.
+        if self._is_outdated(endpoint.endpoint_id, attempt.sent_at_ms):
+            raise _OutdatedAttemptError
 
     def _post_announcement(
         self, attempt: _Attempt, answer_fields: AnswerFields
