Keep idle connections after a body whose end arrives in two parts

The second one was taken for the begin of a head, and after header_timeout_ms the entry sent 408 on an idle connection, or to the next request on it. The body of a request behind one that is answered was released from the budget, and bodies with a Content-Encoding were decoded, so that a few bytes grew to the limit on bodies without being charged. The parser is not entered again from its own callback.

--- a/packages/entry/src/bluebellusher/gateway/_connection_guard.py
+++ b/packages/entry/src/bluebellusher/gateway/_connection_guard.py
@@ -252,7 +252,11 @@
         **options: Any,
     ) -> None:
         super().__init__(
-            handler, access_log=None, read_bufsize=READ_BUFFER_BYTES, **options
+            handler,
+            access_log=None,
+            read_bufsize=READ_BUFFER_BYTES,
+            auto_decompress=False,
+            **options,
         )
         self._guard = guard
 
--- a/packages/entry/src/bluebellusher/gateway/_connections.py
+++ b/packages/entry/src/bluebellusher/gateway/_connections.py
@@ -36,6 +36,8 @@
 # Bytes that are read and discarded after a rejection, so that the client can read the
 # answer before its connection is reset.
 _MAX_DISCARDED_BYTES = 262_144
+# Empty line that ends a chunked body and its trailers.
+_END_OF_BODY = b"\r\n\r\n"
 # Interval at which the end of an answer is awaited that is written slowly, in s.
 _RECHECK_S = 0.01
 
@@ -83,6 +85,7 @@
         "_n_overhead_bytes",
         "_payload",
         "_since_ms",
+        "_tail",
         "body",
         "idle_since_ms",
     )
@@ -107,6 +110,8 @@
         self._is_body_unread = False
         self._is_chunked = False
         self._is_dense = False
+        # Last bytes of a chunked body, which may end between two parts.
+        self._tail = b""
         # Received bytes that are parsed later.
         self._held = b""
         self._is_reading_held = False
@@ -142,7 +147,8 @@
         """Continue after the reader of a body has taken the earlier parts."""
         super().resume_reading(resume_parser)
         if self._held and not self._reading_paused and not self._is_delayed:
-            self.resume_held()
+            # The parser may call this method, and cannot be entered again.
+            self._loop.call_soon(self.resume_held)
 
     def _resume_transport_reading(self) -> None:
         if not self._is_reading_held:
@@ -210,6 +216,7 @@
         self._payload = payload
         self._is_body_unread = False
         self._is_chunked = message.chunked
+        self._tail = b""
         self._n_body_bytes = int(message.headers.get("Content-Length", 0))
         self._is_dense = False
         self._watch()
@@ -236,9 +243,15 @@
         return b""
 
     def _begin_head_behind(self, part: bytes) -> None:
-        """Watch the head that begins behind a chunked body in the same part."""
-        if self._is_chunked and not part.endswith(b"\r\n\r\n"):
-            self._n_head_bytes = 1
+        """Watch the head that begins behind a chunked body in the same part.
+
+        The empty line that ends the body may have begun in the part before.
+        """
+        if not self._is_chunked:
+            return
+        _, end, behind = (self._tail + part).rpartition(_END_OF_BODY)
+        if end and behind.strip(b"\r\n"):
+            self._n_head_bytes = len(behind)
             self._watch()
 
     def _feed_body(self, payload: StreamReader, data: bytes) -> bytes:
@@ -255,6 +268,7 @@
         self._feed(part)
         if self._payload is None and self._request_count == n_requests:
             self._begin_head_behind(part)
+        self._tail = (self._tail + part)[1 - len(_END_OF_BODY) :]
         if self.is_refused:
             return b""
         rest = data[len(part) :]
@@ -380,13 +394,19 @@
         if self._n_discarded > _MAX_DISCARDED_BYTES and self.transport is not None:
             self.transport.abort()
 
-    def end_request(self) -> None:
-        """Release the memory of a request that has been answered."""
+    def end_request(self, payload: StreamReader) -> None:
+        """Release the memory of a request that has been answered.
+
+        ``payload`` is its body. The body of the next request may already arrive, and
+        stays charged.
+        """
         self.body = bytearray()
-        self._is_body_unread = self._payload is not None
+        self._is_body_unread = self._payload is payload
         self._guard.budget.release(self.account)
         self.account.is_evictable = True
         self.idle_since_ms = self._guard.now_ms
+        if self._payload is not None and not self._is_body_unread:
+            self._charge(self._payload.total_bytes)
         if self._held:
             self._charge(len(self._held))
             # The connection counts as busy until aiohttp has ended the request.
--- a/packages/entry/src/bluebellusher/gateway/_server.py
+++ b/packages/entry/src/bluebellusher/gateway/_server.py
@@ -160,7 +160,7 @@
                 await connection.linger()
             return response
         finally:
-            connection.end_request()
+            connection.end_request(request.content)
             self._busy_protocols.discard(connection)
 
     async def _serve(
@@ -359,7 +359,7 @@
         page = self._pages.get(request.path)
         connection = request.protocol
         assert isinstance(connection, CallerConnection)
-        connection.end_request()
+        connection.end_request(request.content)
         return page() if page else web.Response(status=404)
 
 
--- a/packages/entry/src/bluebellusher/gateway/tests/test_exceeding_callers.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_exceeding_callers.py
@@ -1,6 +1,7 @@
 """Guards against untrue answers to callers at and above the limits."""
 
 import asyncio
+import gzip
 from dataclasses import replace
 
 import pytest
@@ -209,3 +210,57 @@
         assert harness.server._guard.budget.n_bytes == 0
 
     run(scenario)
+
+
+@pytest.mark.parametrize("n_last", [1, 2, 3, 4])
+def test_connection_stays_usable_after_the_end_of_a_body_arrives_in_two_parts(n_last):
+    """Guards against a rejection that is sent on an idle connection.
+
+    The end of the body was taken for the begin of a head that does not arrive.
+    """
+
+    async def scenario(harness):
+        reader, writer = await asyncio.open_connection(HOST, harness.port)
+        data = CHUNKED + b"5\r\nabcde\r\n0\r\n\r\n"
+        writer.write(data[:-n_last])
+        await asyncio.sleep(0.1)
+        writer.write(data[-n_last:])
+        assert (await reader.readuntil(b"whole")).startswith(b"HTTP/1.1 200 ")
+        await asyncio.sleep(2 * LIMITS.header_timeout_ms / 1000)
+        writer.write(LAST + b"\r\n")
+        assert (await reader.read()).startswith(b"HTTP/1.1 200 ")
+        writer.close()
+
+    run(scenario)
+
+
+def test_open_body_behind_an_answered_request_stays_charged():
+    """Guards against bodies that are not in the budget, and cannot be given up."""
+
+    async def scenario(harness):
+        reader, writer = await asyncio.open_connection(HOST, harness.port)
+        get = HEAD.replace(b"POST", b"GET") + b"\r\n"
+        writer.write(get + LENGTH + b"a" * 1_000)
+        await reader.readuntil(b"whole")
+        budget = harness.server._guard.budget
+        writer.write(b"a" * 30_000)
+        while budget.n_bytes < 31_000:  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+        writer.transport.abort()
+
+    run(scenario)
+
+
+def test_body_with_a_content_encoding_is_sent_as_it_came():
+    """Guards against a body that is decoded, and grows beyond the limit on bodies."""
+    text = b"a" * 200_000
+    body = gzip.compress(text)
+    head = LAST + b"Content-Encoding: gzip\r\nContent-Length: %d\r\n\r\n" % len(body)
+
+    async def scenario(harness):
+        answer = await send(harness, head + body)
+        assert answer.startswith(b"HTTP/1.1 200 ")
+        # The endpoint decodes the body once more.
+        assert harness.endpoints[0].received[0][1] == text
+
+    run(scenario)
