Show that own failed calls delay the drain of a left engine (review case 7)

A call to the store that times out on a silent connection counts as an outage of the store, so that an engine whose row was removed stays in use for two more seconds.

--- a/review/lib2/fleet.py
+++ b/review/lib2/fleet.py
@@ -258,7 +258,7 @@
         self._is_open = asyncio.Event()
         self._is_open.set()
         self._server: asyncio.Server | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._n_silent = self._n_connections = 0
         self.port = 0
 
     async def listen(self, host: str) -> None:
@@ -274,25 +274,34 @@
         """Let the held bytes and connections pass."""
         self._is_open.set()
 
+    def silence(self) -> None:
+        """Let nothing more pass on the connections that are open now; new ones work."""
+        self._n_silent = self._n_connections
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._n_connections += 1
+        number = self._n_connections
         await self._is_open.wait()
         try:
             far = await asyncio.open_connection("127.0.0.1", self._target_port)
         except OSError:
             writer.transport.abort()
             return
-        await asyncio.gather(self._pump(reader, far[1]), self._pump(far[0], writer))
+        await asyncio.gather(
+            self._pump(number, reader, far[1]), self._pump(number, far[0], writer)
+        )
 
     async def _pump(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         with contextlib.suppress(OSError):
             while data := await reader.read(65536):
                 await self._is_open.wait()
-                writer.write(data)
-                await writer.drain()
+                if number > self._n_silent:
+                    writer.write(data)
+                    await writer.drain()
         await self._is_open.wait()
         writer.close()
 
