--- /dev/null
+++ b/review/9/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+cd "$(dirname "$0")/../.." || exit 2
+PYTHONPATH=target/deps exec timeout 120 python3 review/9/case.py
--- a/review/lib2/fleet.py
+++ b/review/lib2/fleet.py
@@ -369,6 +369,20 @@
         }
         self._store.put("servers", self.server_id, row)
 
+    def copy_row(self, backend: str) -> dict[str, Any]:
+        """Return a row of another writer, for this server's address and now."""
+        return {
+            "backend": backend,
+            "address": f"{self._host}:{self.port}",
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 1,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+            "sequence": 1,
+            "born": int(time.time() * 1000),
+        }
+
     def leave(self) -> None:
         """Remove the registration; the server goes on serving."""
         self._store.put("servers", self.server_id, None)
@@ -658,7 +672,7 @@
         self.headers: Headers = {}
         self.body = b""
         self.error = ""
-        self.sent_s = 0.0
+        self.sent_s = self.ended_s = 0.0
 
 
 async def ask(
@@ -697,6 +711,7 @@
                 writer.close()
     except (OSError, EOFError, TimeoutError, ValueError) as error:
         answer.error = type(error).__name__
+    answer.ended_s = record.now()
     record.line(f"answered {answer.attempt_id} {answer.status} {answer.error}")
     return answer
 
