--- a/review/9/case.py
+++ b/review/9/case.py
@@ -61,7 +61,7 @@
         make_route("r-2", "/book/", "non_idempotent", "desk"),
     ]
     fleet.store.put("op", "config", make_config(7, routes, [make_service("desk")]))
-    for i, zone in enumerate(["obihiro", "otofuke", "memuro"]):
+    for i, zone in enumerate(["obihiro", "otofuke", "memuro", "obihiro"]):
         await fleet.add_service(
             Service(fleet.store, record, f"i-{i}", "desk", zone, work_s=0.1)
         )
