Keep endpoints in use beside registrations that name none

Cause: Directory passed every readable row on, and a later start at an address drains the endpoint that registered there before. A row that could not be read ended the endpoint under its key.

Change: a row is applied only if it can be read and its service is in the configuration in force. Rows of other services wait for a configuration with that service. Unreadable rows change nothing until they are removed.

--- a/packages/entry/src/bluebellusher/shared/_directory.py
+++ b/packages/entry/src/bluebellusher/shared/_directory.py
@@ -1,6 +1,6 @@
 """Routing configuration and endpoint registrations that this entry uses."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import replace
 
 from bluebellusher.ports import TableCodec
@@ -38,6 +38,10 @@
 class Directory:
     """Decode changed rows of the shared tables and apply them to this entry.
 
+    Any program can write to the table of registrations. A row starts a decision only if
+    it names an endpoint to use: it can be read, and the configuration in force has its
+    service. A row of another service waits until a configuration has that service.
+
     Parameters
     ----------
     codec : TableCodec
@@ -68,6 +72,8 @@
         self._clock = clock
         self._log = log
         self._warm_ups = WarmUpReports(post, clock)
+        # Readable registrations whose service the configuration lacks.
+        self._unconfigured_by_id: dict[str, EndpointRegistration] = {}
 
     @property
     def is_ready(self) -> bool:
@@ -137,6 +143,19 @@
             n_hosts=len(table.routes_by_host),
             n_credentials=len(table.customer_by_credential),
         )
+        self._apply_configured_registrations(table)
+
+    def _apply_configured_registrations(self, table: RoutingTable) -> None:
+        """Apply the registrations whose service a new configuration has added."""
+        configured = {
+            endpoint_id: registration
+            for endpoint_id, registration in self._unconfigured_by_id.items()
+            if registration.service_id in table.service_by_id
+        }
+        for endpoint_id in configured:
+            del self._unconfigured_by_id[endpoint_id]
+        if configured:
+            self._apply_registrations(configured)
 
     @property
     def version_in_force(self) -> int:
@@ -154,9 +173,14 @@
     def apply_registration_rows(self, rows: list[MirrorRow]) -> None:
         """Apply changed registrations and post the events that follow.
 
-        A registration that cannot be read counts as ended.
+        A row that names no endpoint to use changes nothing: an endpoint that registered
+        under its key before stays in use until the row is removed.
         """
-        changes = self._read_registrations(rows)
+        self._apply_registrations(self._read_registrations(rows))
+
+    def _apply_registrations(
+        self, changes: Mapping[str, EndpointRegistration | None]
+    ) -> None:
         # Comes first, so that no request is sent before the endpoint counts as cold.
         self._warm_ups.apply(changes)
         self._log_and_post(self.registrations.update(changes, self._clock.now_ms()))
@@ -171,21 +195,46 @@
     def _read_registrations(
         self, rows: list[MirrorRow]
     ) -> dict[str, EndpointRegistration | None]:
-        """Return the registration in each row, or None when it ended."""
+        """Return the registration in each row, or None when it ended.
+
+        Rows that name no endpoint to use are logged and left out.
+        """
         changes: dict[str, EndpointRegistration | None] = {}
         for row in rows:
-            registration = None
-            if not row.is_removed:
-                registration = self._codec.read_registration(row.key, row.value)
-                if registration is None:
-                    self._log.log(
-                        "registration-unreadable",
-                        endpoint=row.key,
-                        row_version=row.version,
-                    )
-            changes[row.key] = registration
+            self._unconfigured_by_id.pop(row.key, None)
+            if row.is_removed:
+                changes[row.key] = None
+                continue
+            registration = self._codec.read_registration(row.key, row.value)
+            if registration is None:
+                self._log.log(
+                    "registration-unreadable",
+                    endpoint=row.key,
+                    row_version=row.version,
+                )
+            elif not self._has_service(registration):
+                self._unconfigured_by_id[row.key] = registration
+                self._log.log(
+                    "registration-unconfigured",
+                    endpoint=row.key,
+                    service=registration.service_id,
+                    row_version=row.version,
+                )
+            else:
+                changes[row.key] = registration
         return changes
 
+    def _has_service(self, registration: EndpointRegistration) -> bool:
+        """Return whether a registration is of a service that is, or was, configured.
+
+        An endpoint in use keeps its service when a configuration drops it, because
+        requests that were accepted before may still be waiting for the endpoint.
+        """
+        if self.routing and registration.service_id in self.routing.service_by_id:
+            return True
+        known = self.find(registration.endpoint_id)
+        return known is not None and known.service_id == registration.service_id
+
     @property
     def has_warm_up_rates(self) -> bool:
         """Whether a service of a registered endpoint states a rate for cold ones."""
