Send all rows to a peer that the history of a copy does not reach

Cause: a peer that had started since answered "changes above N" with what it had recorded, which does not contain what was removed before its first read of the table, and with its full version. The receiver never asked the store for the removal.

Change: a copy knows from which version on its history is complete. Below it, a peer gets all rows, which replace its own.

--- a/packages/core/src/bluebellusher_core/directory/_mirror.py
+++ b/packages/core/src/bluebellusher_core/directory/_mirror.py
@@ -27,6 +27,10 @@
     a store that is restored from an earlier copy assigns them again. ``restore``
     therefore replaces all rows, whatever their versions.
 
+    A copy records the removals that it has seen. It cannot know what was removed before
+    its latest snapshot, so it has a history only from that version on
+    (``has_history_since``). A peer with a lower version needs all rows.
+
     Parameters
     ----------
     table : str
@@ -55,6 +59,7 @@
     version: int = 0
     store_epoch: int = 0
     row_by_key: dict[str, MirrorRow] = field(default_factory=dict)
+    _history_start: int = 0
     _removed_by_key: dict[str, MirrorRow] = field(default_factory=dict)
 
     @property
@@ -83,6 +88,9 @@
         if version < self.version:
             return []
         rows = list(rows)
+        if version > self.version:
+            # A row may have been added and removed since the previous version.
+            self._history_start = version
         changed_rows = [row for row in rows if self._apply_row(row)]
         self.version = version
         snapshot_keys = {row.key for row in rows}
@@ -104,6 +112,7 @@
         previous_by_key = self.row_by_key
         self.row_by_key = {row.key: row for row in rows}
         self.version, self.store_epoch = version, store_epoch
+        self._history_start = version
         self._removed_by_key = {
             key: MirrorRow(key, version, b"", is_removed=True)
             for key in previous_by_key
@@ -116,8 +125,15 @@
         ]
         return [*changed_rows, *self._removed_by_key.values()]
 
+    def has_history_since(self, version: int) -> bool:
+        """Return whether every change above ``version`` is recorded."""
+        return version >= self._history_start
+
     def changes_since(self, version: int) -> list[MirrorRow]:
-        """Return every recorded change above ``version``, oldest first."""
+        """Return every recorded change above ``version``, oldest first.
+
+        Removals may be missing unless ``has_history_since`` is true.
+        """
         rows = [*self.row_by_key.values(), *self._removed_by_key.values()]
         return sorted(
             (row for row in rows if row.version > version), key=lambda r: r.version
@@ -146,3 +162,4 @@
         while len(self._removed_by_key) > N_MAX_REMOVED:
             oldest = min(self._removed_by_key.values(), key=lambda r: r.version)
             del self._removed_by_key[oldest.key]
+            self._history_start = max(self._history_start, oldest.version)
--- a/packages/entry/src/bluebellusher/shared/_peers.py
+++ b/packages/entry/src/bluebellusher/shared/_peers.py
@@ -3,8 +3,10 @@
 The store may be unavailable to one entry while it answers the others, and an entry may
 start while the store is unavailable. Each digest of an entry therefore contains the
 positions of its copies, which are the store epoch and the version. An entry whose copy
-has a lower position requests the changes from the peer that sent the digest. A copy of
-an earlier store epoch never replaces rows of a later one, whatever its version.
+has a lower position requests the changes from the peer that sent the digest. A peer
+whose history does not reach back to that position sends all rows instead, because it
+does not know which ones were removed. A copy of an earlier store epoch never replaces
+rows of a later one, whatever its version.
 """
 
 from collections.abc import Callable, Iterable, Mapping
@@ -24,6 +26,8 @@
 # returns a change milliseconds after the peer received it. A transfer between peers
 # that duplicates the store's answer would waste bytes.
 PULL_DELAY_MS = 400
+# Version in a ``TableDelta`` that contains all rows of a copy instead of changes.
+ALL_ROWS = 0
 
 
 class RetainedRow(Protocol):
@@ -184,17 +188,20 @@
         self._links.send(peer_id, pull)
 
     def on_pull(self, peer_id: str, pull: Any) -> None:
-        """Send a peer the changes that it requested, or all rows of a later epoch.
+        """Send a peer the changes that it requested, or all rows.
 
-        A peer whose copy is of a later epoch gets only the row in force.
+        It gets all rows of a later epoch, and when the history of this copy starts
+        above its version. A peer of a later epoch gets only the row in force.
         """
         shared = self._shared_by_table.get(pull.table)
         if shared is None:
             return
         mirror = shared.copy.mirror
         peer_epoch = pull.store_epoch or 0
-        is_same_epoch = peer_epoch == mirror.store_epoch
-        above_version = (pull.above_version or 0) if is_same_epoch else 0
+        above_version = pull.above_version or 0
+        has_history = mirror.has_history_since(above_version)
+        if peer_epoch != mirror.store_epoch or not has_history:
+            above_version = ALL_ROWS
         is_useful = peer_epoch <= mirror.store_epoch
         rows = mirror.changes_since(above_version) if is_useful else []
         delta = messages.TableDelta(
@@ -210,7 +217,7 @@
     def on_delta(self, _peer_id: str, delta: Any) -> None:
         """Apply the changes that a peer sent.
 
-        Changes of an earlier store epoch, and changes above a version that the copy has
+        Rows of an earlier store epoch, and changes above a version that the copy has
         not reached, are ignored.
         """
         shared = self._shared_by_table.get(delta.table)
@@ -220,11 +227,11 @@
         store_epoch, version = delta.store_epoch or 0, delta.version or 0
         above_version = delta.above_version or 0
         rows = _to_rows(delta.rows or ())
-        if store_epoch == mirror.store_epoch and above_version <= mirror.version:
-            shared.copy.apply(rows, version)
-        elif store_epoch > mirror.store_epoch and not above_version:
+        if store_epoch >= mirror.store_epoch and above_version == ALL_ROWS:
             current_rows = [row for row in rows if not row.is_removed]
             shared.copy.replace(current_rows, version, store_epoch)
+        elif store_epoch == mirror.store_epoch and above_version <= mirror.version:
+            shared.copy.apply(rows, version)
         if shared.retained is not None:
             for row in _to_rows(delta.retained_rows or ()):
                 shared.retained.apply_retained_row(row)
