Take one unanswered call to the store for a lost connection only

Cause: a waiting call whose connection had gone silent timed out and counted as an outage of the store. The next call brought the removal, and a grace time that is meant for registrations that expire in an outage began at that moment.

Change: the store counts as unavailable only if the call after one that timed out fails too or is answered slowly. That call is made on a connection of its own, because idle connections may have gone silent as well. Error statuses and refused or reset connections show an outage at once, as before.

--- a/deploy/tests/test_outages.py
+++ b/deploy/tests/test_outages.py
@@ -1,17 +1,19 @@
-"""Changes that the store acknowledges right after an outage in which it was silent."""
+"""Changes that the store acknowledges during or after silence of its connections."""
 
 import asyncio
+import json
 from random import Random
 
 import pytest
 from expression import Error
 
 from bluebellusher.ports import StoreError
-from bluebellusher.shared import TableCopy, TableWatcher
+from bluebellusher.shared import Directory, TableCopy, TableWatcher
 from bluebellusher.shared.tests.fakes import FakeLog, FakeStore
 from bluebellusher.shared.tests.virtual_time import LoopClock, run_in_virtual_time
-from bluebellusher_core.directory import TableMirror
+from bluebellusher_core.directory import MirrorRow, TableMirror
 
+from codec import PlatformCodec
 from store import CALL_TIMEOUT_MS, CHANGES_MARGIN_MS
 
 # Time after an outage of the store from which every change must be in force, in s. It
@@ -62,7 +64,7 @@
             return answer.result()
         elapsed_s = asyncio.get_running_loop().time() - started_s
         await asyncio.sleep(timeout_ms / 1000 - elapsed_s)
-        return Error(StoreError("read", "TimeoutError"))
+        return Error(StoreError("read", "TimeoutError", is_unanswered=True))
 
 
 async def measure_delay_s(outage_at_s, outage_s):
@@ -103,3 +105,124 @@
         outage_s = hundredth / 100
         delay_s = run_in_virtual_time(measure_delay_s(outage_at_s, outage_s))
         assert delay_s < CONTACT_S, f"after an outage of {outage_s} s"
+
+
+LEAVE_DELAY_S = 0.1
+# Time from the start of an outage until a registration may expire: three intervals of
+# heartbeats after the last one, which came at most one interval earlier, in s.
+EXPIRY_S = 2 * 1.2
+# Time after an outage in which a running endpoint registers again, in s.
+REGISTRATION_S = 1.9
+
+
+class Registration:
+    """Endpoint ``x`` in the store, and the directory of an entry that watches it."""
+
+    def __init__(self):
+        self.store = SilentStore()
+        self.log = FakeLog()
+        self.directory = Directory(
+            PlatformCodec(), self.log.post, LoopClock(), self.log
+        )
+        body = {"version": 1, "services": [{"name": "desk"}]}
+        row = MirrorRow(PlatformCodec.routing_key, 1, json.dumps(body).encode())
+        self.directory.apply_routing_rows([row])
+        self.register()
+        apply_rows = self.directory.apply_registration_rows
+        mirror = TableMirror(PlatformCodec.registration_table)
+        self.watcher = TableWatcher(
+            self.store,
+            TableCopy(mirror, apply_rows, apply_rows, self.log),
+            self.directory.record_store_availability,
+            LoopClock(),
+            Random(1),
+            self.log,
+        )
+
+    def register(self):
+        """Write the registration of the endpoint."""
+        body = {
+            "backend": "desk",
+            "address": "10.0.0.1:80",
+            "zone": "d",
+            "version": "1",
+            "slots": 4,
+            "state": "ready",
+            "sequence": 1,
+            "born": 100,
+        }
+        table = PlatformCodec.registration_table
+        self.store.put(table, "x", json.dumps(body).encode())
+
+    def deregister(self):
+        """Remove the registration of the endpoint."""
+        table = PlatformCodec.registration_table
+        self.store.put(table, "x", b"", is_removed=True)
+
+    async def observe(self, duration_s):
+        """Let time pass, with the ticks of an entry; return the times without it."""
+        loop, unused_at_s = asyncio.get_running_loop(), []
+        end_s = loop.time() + duration_s
+        while loop.time() < end_s:
+            await asyncio.sleep(0.05)
+            now_ms = LoopClock().now_ms()
+            self.directory.tick(now_ms, self.watcher.store_answered_at_ms)
+            if self.directory.find("x") is None:
+                unused_at_s.append(loop.time())
+        return unused_at_s
+
+
+async def run_registration(scenario, *arguments):
+    """Run a scenario beside the watcher of a registration."""
+    registration = Registration()
+    task = asyncio.create_task(registration.watcher.run())
+    await asyncio.sleep(0.5)
+    result = await scenario(registration, *arguments)
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    return result
+
+
+async def leave_after_silence(registration, silent_at_s):
+    """Let open connections go silent and the endpoint leave; return if it is unused."""
+    await registration.observe(silent_at_s)
+    assert registration.directory.find("x") is not None
+    registration.store.start_outage()
+    registration.store.end_outage()
+    await registration.observe(LEAVE_DELAY_S)
+    registration.deregister()
+    await registration.observe(CONTACT_S - LEAVE_DELAY_S)
+    return registration.directory.find("x") is None
+
+
+@pytest.mark.parametrize("silent_at_s", [tenth / 10 for tenth in range(2, 30)])
+def test_endpoint_that_leaves_while_connections_are_silent_is_not_used(silent_at_s):
+    """Guards against a grace time for endpoints that left although the store was up.
+
+    Only the open connections to the store have gone silent. New ones work.
+    """
+    run = run_registration(leave_after_silence, silent_at_s)
+    assert run_in_virtual_time(run)
+
+
+async def expire_in_outage(registration, outage_at_s, outage_s):
+    """Let a registration expire in an outage; return the times without it."""
+    await registration.observe(outage_at_s)
+    registration.store.start_outage()
+    unused_at_s = await registration.observe(EXPIRY_S)
+    registration.deregister()
+    unused_at_s += await registration.observe(outage_s - EXPIRY_S)
+    registration.store.end_outage()
+    unused_at_s += await registration.observe(REGISTRATION_S)
+    registration.register()
+    return unused_at_s + await registration.observe(2 * CONTACT_S)
+
+
+@pytest.mark.parametrize("outage_s", [3.0, 3.3, 4.1, 7.7])
+@pytest.mark.parametrize("outage_at_s", [tenth / 10 for tenth in range(2, 30, 2)])
+def test_endpoint_whose_registration_expired_in_an_outage_stays_in_use(
+    outage_at_s, outage_s
+):
+    """Guards against running endpoints that are drained after a silent outage."""
+    run = run_registration(expire_in_outage, outage_at_s, outage_s)
+    assert run_in_virtual_time(run) == []
--- a/deploy/tests/test_store.py
+++ b/deploy/tests/test_store.py
@@ -396,3 +396,36 @@
         assert (await client.read_table("op")).is_ok()
 
     run_scenario(scenario)
+
+
+def test_call_after_an_unanswered_one_is_made_on_a_new_connection():
+    """Guards against an outage assumed because idle connections have gone silent."""
+    transports = []
+
+    async def scenario(client, store):
+        handle = store.handle
+
+        async def record(request):
+            store.fault = None
+            transports.append(request.transport)
+            answer = await handle(request)
+            store.fault = record
+            return answer
+
+        async def never_answer(request):
+            await asyncio.sleep(60)
+
+        store.fault = record
+        await client.read_table("op")
+        store.fault = never_answer
+        error = (await client.read_changes("op", 0, 10)).error
+        assert error.is_unanswered
+        store.fault = record
+        for _ in range(2):
+            await client.read_table("op")
+            assert (await client.read_changes("op", 0, 0)).is_ok()
+        _, second, third, fourth, fifth = transports
+        assert len({id(t) for t in (second, third, fifth)}) == 3
+        assert fourth is second
+
+    run_scenario(scenario)
--- a/packages/entry/src/bluebellusher/ports.py
+++ b/packages/entry/src/bluebellusher/ports.py
@@ -36,12 +36,15 @@
     is_history_lost : bool
         Whether the store no longer has the requested changes. The caller must then
         read the whole table.
+    is_unanswered : bool
+        Whether the call timed out, so that only its connection may have failed.
     """
 
     step: str
     reason: str
     may_have_run: bool = False
     is_history_lost: bool = False
+    is_unanswered: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/entry/src/bluebellusher/shared/_watcher.py
+++ b/packages/entry/src/bluebellusher/shared/_watcher.py
@@ -22,6 +22,10 @@
 # Bounds of the delay before a failed call is retried, in ms.
 FIRST_BACKOFF_MS = 50
 MAX_BACKOFF_MS = 500
+# Time within which the store must answer the call after one that timed out, in ms, to
+# show that only the connection of that call had failed. The store answers within
+# milliseconds.
+MAX_PROMPT_MS = 300
 # Delay after changes before the next call, in ms, so that one call returns several
 # changes. Endpoints register one after the other when a deployment starts, and every
 # entry reads each change. The delay is short because a change must be in force within
@@ -39,6 +43,10 @@
     version of the copy, and when the store was restored from an earlier copy of its
     rows (``TableRows.store_epoch``).
 
+    A call that times out shows only that its connection failed, because open
+    connections may go silent while the store answers on new ones. The store counts as
+    unavailable if the call after it fails too or takes more than ``MAX_PROMPT_MS``.
+
     Parameters
     ----------
     store : RowStore
@@ -104,7 +112,7 @@
                     if rows.store_epoch < self.mirror.store_epoch:
                         await self._handle_error(self._make_outdated_error(rows))
                         continue
-                    self._apply(rows, asked_epoch)
+                    self._apply(rows, asked_epoch, asked_at_ms)
                     if rows.rows:
                         await self._wait_for_further_changes()
                 case Result(error=error):
@@ -161,7 +169,7 @@
         )
         return StoreError("read-changes", reason)
 
-    def _apply(self, table_rows: TableRows, asked_epoch: int) -> None:
+    def _apply(self, table_rows: TableRows, asked_epoch: int, asked_at_ms: int) -> None:
         """Apply an answer of the store to the copy.
 
         Parameters
@@ -170,8 +178,10 @@
             Answer of the store.
         asked_epoch : int
             Store epoch of the version that was sent with the call.
+        asked_at_ms : int
+            Monotonic time at which the call was sent.
         """
-        self._record_answer()
+        self._record_answer(asked_at_ms)
         if not self._needs_snapshot and table_rows.store_epoch != asked_epoch:
             # The version in the call belongs to another history, so that the changes
             # above it may not be complete.
@@ -192,29 +202,39 @@
     async def _handle_error(self, error: StoreError) -> None:
         """Record a failed call and wait before the next one.
 
-        Only the first failure of an outage is logged.
+        Only the first failures of an outage are logged.
         """
         if error.is_history_lost:
             self._needs_snapshot = True
             self._log.log("store-history-lost", table=self.mirror.table)
             await asyncio.sleep(HISTORY_LOSS_PAUSE_MS / 1000)
             return
-        if self.is_store_available or not self._n_failures:
-            self.is_store_available = False
-            self._log.log(
-                "store-lost",
-                table=self.mirror.table,
-                step=error.step,
-                reason=error.reason,
-                version=self.mirror.version,
-            )
-            self._on_availability_change(False)
+        is_first = not self._n_failures
+        if self.is_store_available and is_first and error.is_unanswered:
+            self._log.log("store-call-unanswered", table=self.mirror.table)
+        elif self.is_store_available or is_first:
+            self._report_lost(error.step, error.reason)
         self._n_failures += 1
         await asyncio.sleep(self._backoff_ms() / 1000)
 
-    def _record_answer(self) -> None:
+    def _report_lost(self, step: str, reason: str) -> None:
+        """Log and report that the store is unavailable."""
+        self.is_store_available = False
+        self._log.log(
+            "store-lost",
+            table=self.mirror.table,
+            step=step,
+            reason=reason,
+            version=self.mirror.version,
+        )
+        self._on_availability_change(False)
+
+    def _record_answer(self, asked_at_ms: int) -> None:
         """Record an answer of the store; report it if the store was unavailable."""
         self.store_answered_at_ms = self._clock.now_ms()
+        took_ms = self.store_answered_at_ms - asked_at_ms
+        if self._n_failures and self.is_store_available and took_ms > MAX_PROMPT_MS:
+            self._report_lost("read-changes", f"answer after {took_ms} ms")
         self._n_failures = 0
         if not self.is_store_available:
             self.is_store_available = True
