End a stalled stream only where another endpoint can take it over

Cause: the time-out between events ends an attempt early so that another endpoint can resume the stream, but it also fired where none can: routes that are not resumable, last attempts, no retry budget, no other endpoint.

Change: the relay reports the stall and goes on reading. The reducer ends the attempt if its request may move, the budget pays for it and another endpoint has capacity.

--- a/packages/core/src/bluebellusher_core/events/__init__.py
+++ b/packages/core/src/bluebellusher_core/events/__init__.py
@@ -28,6 +28,7 @@
     AttemptBroken,
     AttemptFinished,
     AttemptRefused,
+    AttemptStalled,
     AttemptStarted,
     CallerDisconnected,
     EndedReceived,
@@ -65,6 +66,7 @@
     | AttemptFinished
     | AttemptRefused
     | AttemptBroken
+    | AttemptStalled
     | EndpointConnected
     | EndpointLost
     | EndpointRegistered
@@ -103,6 +105,7 @@
     "AttemptBroken",
     "AttemptFinished",
     "AttemptRefused",
+    "AttemptStalled",
     "AttemptStarted",
     "CacheReported",
     "CallerDisconnected",
--- a/packages/core/src/bluebellusher_core/events/_request_events.py
+++ b/packages/core/src/bluebellusher_core/events/_request_events.py
@@ -178,6 +178,25 @@
     has_arrived: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class AttemptStalled:
+    """A stream has had no event for almost as long as its caller waits for one.
+
+    The attempt goes on unless the reducer ends it. It is posted once for each gap.
+
+    Parameters
+    ----------
+    attempt_id, endpoint_id : str
+        The attempt and its endpoint.
+    gap_ms : int
+        Time since the previous event, in ms.
+    """
+
+    attempt_id: str
+    endpoint_id: str
+    gap_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptBroken:
     """An attempt ended without a complete answer; whether it ran is unknown.
--- a/packages/core/src/bluebellusher_core/reducer/_reduce.py
+++ b/packages/core/src/bluebellusher_core/reducer/_reduce.py
@@ -7,6 +7,7 @@
     AttemptBroken,
     AttemptFinished,
     AttemptRefused,
+    AttemptStalled,
     AttemptStarted,
     CacheReported,
     CallerDisconnected,
@@ -139,6 +140,8 @@
             return _crash_evidence.handle_endpoint_checked(state, event, now_ms)
         case EndpointProgressed():
             return _silence.handle_progressed(state, event, now_ms)
+        case AttemptStalled():
+            return _silence.handle_stalled(state, event, now_ms)
         case SilentReceived():
             return _silence.handle_received(state, event, now_ms)
         case EndpointAnnounced():
--- a/packages/core/src/bluebellusher_core/requests/_silence.py
+++ b/packages/core/src/bluebellusher_core/requests/_silence.py
@@ -1,4 +1,8 @@
-"""End of attempts at ranks that send nothing while their group advances."""
+"""End of attempts at endpoints that send nothing.
+
+A silent endpoint may answer later, so that an attempt there ends only if another
+endpoint can take its request over.
+"""
 
 from bluebellusher_core.effects import (
     AbandonAttempt,
@@ -6,7 +10,12 @@
     Effect,
     LogEvent,
 )
-from bluebellusher_core.events import EndpointProgressed, SilentReceived
+from bluebellusher_core.events import (
+    AttemptStalled,
+    EndpointProgressed,
+    SilentReceived,
+)
+from bluebellusher_core.membership import pool_of
 from bluebellusher_core.requests._model import Attempt, Phase
 from bluebellusher_core.state import EntryState
 
@@ -68,6 +77,44 @@
     return effects
 
 
+def handle_stalled(
+    state: EntryState, event: AttemptStalled, now_ms: int
+) -> list[Effect]:
+    """End an attempt whose stream stalls if another endpoint can go on with it.
+
+    Otherwise the end would only lose the stream, which may go on before its caller
+    leaves.
+    """
+    attempt = state.attempt_by_id.get(event.attempt_id)
+    if attempt is None or attempt.endpoint_id != event.endpoint_id:
+        return []
+    can_move = (
+        _may_move(state, attempt, now_ms)
+        and _count_payable_retries(state) > 0
+        and _has_other_endpoint(state, attempt, now_ms)
+    )
+    fields = (
+        ("request", attempt.request_id),
+        ("attempt", attempt.attempt_id),
+        ("endpoint", attempt.endpoint_id),
+        ("gap_ms", event.gap_ms),
+        ("is_abandoned", int(can_move)),
+    )
+    effects: list[Effect] = [LogEvent("stream-stalled", fields)]
+    if can_move:
+        attempt.is_abandoned = True
+        effects.append(AbandonAttempt(attempt.attempt_id, attempt.endpoint_id))
+    return effects
+
+
+def _has_other_endpoint(state: EntryState, attempt: Attempt, now_ms: int) -> bool:
+    """Return whether another endpoint can take over the request of an attempt now."""
+    request = state.request_by_id[attempt.request_id]
+    excluded_ids = request.avoided_endpoint_ids | {attempt.endpoint_id}
+    views = state.endpoints.views_with_capacity(pool_of(request.spec), now_ms)
+    return any(view.info.endpoint_id not in excluded_ids for view in views)
+
+
 def _end_attempts(
     state: EntryState, endpoint_id: str, evidence: tuple[LogField, ...], now_ms: int
 ) -> list[Effect]:
--- a/packages/entry/src/bluebellusher/gateway/_admission.py
+++ b/packages/entry/src/bluebellusher/gateway/_admission.py
@@ -12,8 +12,8 @@
 
 # Remaining time of a request whose headers contain none, in ms.
 DEFAULT_REMAINING_MS = 60_000
-# Time between the end of an attempt whose stream stalls and the timeout of its caller,
-# in ms. The attempt is abandoned early so that another endpoint can resume the stream.
+# Time between the moment at which a stream counts as stalled and the timeout of its
+# caller, in ms, in which another endpoint can resume the stream.
 RESUME_MARGIN_MS = 300
 _FINGERPRINT_BYTES = 16
 
@@ -47,7 +47,7 @@
         return int(max(self.min_ms, by_objective_ms, by_gap_ms))
 
     def get_max_silence_ms(self, route: Route) -> int:
-        """Return the timeout of an attempt for the next event of its stream, in ms."""
+        """Return the time without an event from which a stream stalls, in ms."""
         return self.get_caller_timeout_ms(route) - RESUME_MARGIN_MS
 
 
@@ -68,7 +68,7 @@
 class AdmittedRequest:
     """Request that the reducer may place, with its route and its caller's headers.
 
-    ``max_silence_ms`` is the timeout of an attempt for each event of a stream, in ms.
+    ``max_silence_ms`` is the time without an event from which its stream stalls, in ms.
     """
 
     spec: RequestSpec
--- a/packages/entry/src/bluebellusher/gateway/_attempts.py
+++ b/packages/entry/src/bluebellusher/gateway/_attempts.py
@@ -44,6 +44,7 @@
     AttemptBroken,
     AttemptFinished,
     AttemptRefused,
+    AttemptStalled,
     AttemptStarted,
     EndpointAnnounced,
     EndpointChecked,
@@ -589,10 +590,13 @@
     async def _relay_events(
         self, attempt: _Attempt, response: aiohttp.ClientResponse
     ) -> None:
-        """Relay complete server-sent events, each within the timeout of an event."""
+        """Relay complete server-sent events."""
         exchange = attempt.exchange
         reader = EventReader(
-            response.content, exchange.max_silence_ms, exchange.last_event_id
+            response.content,
+            exchange.max_silence_ms,
+            exchange.last_event_id,
+            partial(self._post_stalled, attempt),
         )
         while events := await reader.read():
             if not reader.is_continuous:
@@ -651,6 +655,11 @@
         is_error = attempt.answer.status >= HTTPStatus.BAD_REQUEST
         self._post(AttemptStarted(effect.attempt_id, effect.endpoint_id, is_error))
 
+    def _post_stalled(self, attempt: _Attempt) -> None:
+        """Post that the stream of an attempt stalls."""
+        effect, gap_ms = attempt.effect, attempt.exchange.max_silence_ms
+        self._post(AttemptStalled(effect.attempt_id, effect.endpoint_id, gap_ms))
+
     def _make_refused(
         self, attempt: _Attempt, reason: Reason, has_arrived: bool
     ) -> Event:
--- a/packages/entry/src/bluebellusher/links/_responses.py
+++ b/packages/entry/src/bluebellusher/links/_responses.py
@@ -1,6 +1,7 @@
 """HTTP responses, read with limits on their size and time."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 import aiohttp
@@ -77,26 +78,34 @@
 
 
 class EventReader:
-    """Reader of the complete events of a stream, with a timeout for each event.
+    """Reader of the complete events of a stream, which reports stalls.
 
-    Bytes that do not complete an event do not reset the timeout, because the caller
-    receives complete events only.
+    Bytes that do not complete an event do not end a stall, because the caller receives
+    complete events only. The reader goes on after a stall, because the silence of an
+    endpoint does not end a stream.
 
     Parameters
     ----------
     content : aiohttp.StreamReader
         Body of the response.
-    event_timeout_ms : int
-        Timeout for the next complete event, in ms.
+    max_gap_ms : int
+        Time without a complete event from which the stream stalls, in ms.
     last_event_id : str
         Id of the last event of the previous attempt; empty when there is none.
+    on_stalled : callable
+        Called once for each stall.
     """
 
     def __init__(
-        self, content: aiohttp.StreamReader, event_timeout_ms: int, last_event_id: str
+        self,
+        content: aiohttp.StreamReader,
+        max_gap_ms: int,
+        last_event_id: str,
+        on_stalled: Callable[[], None],
     ) -> None:
         self._content = content
-        self._event_timeout_s = event_timeout_ms / 1000
+        self._max_gap_s = max_gap_ms / 1000
+        self._on_stalled = on_stalled
         self._splitter = EventSplitter(last_event_id)
 
     @property
@@ -119,15 +128,24 @@
 
         Raises
         ------
-        TimeoutError
-            When no event is complete within the timeout.
         ValueError
             When an event is longer than 256 KiB, which no engine sends.
         """
-        async with asyncio.timeout(self._event_timeout_s):
-            while data := await self._content.readany():
-                if events := self._splitter.feed(data):
-                    return events
+        max_gap = asyncio.timeout(self._max_gap_s)
+        try:
+            async with max_gap:
+                return await self._read_events()
+        except TimeoutError:
+            if not max_gap.expired():
+                raise
+        self._on_stalled()
+        return await self._read_events()
+
+    async def _read_events(self) -> bytes:
+        """Return the next complete events, however long they take."""
+        while data := await self._content.readany():
+            if events := self._splitter.feed(data):
+                return events
         return b""
 
 
--- a/packages/entry/src/bluebellusher/runtime/_exchange.py
+++ b/packages/entry/src/bluebellusher/runtime/_exchange.py
@@ -47,7 +47,7 @@
         Id of the last event that the caller has of a stream; empty for none. It starts
         with the event after which the caller resumes, and follows the relayed events.
     max_silence_ms : int
-        Time within which the next event of a stream must arrive, in ms.
+        Time without an event from which a stream stalls, in ms.
     """
 
     spec: RequestSpec
