Treat an answer whose status no HTTP/1 answer has as broken

Cause: the HTTP library accepts every version and three-digit status, and nothing checked the range. The agent waited after a status below 100.

Change: BoundedResponse, which reads the answers of endpoints, of the store and of the platform, accepts final statuses of 200 to 599 of HTTP/1 only. The agent's client accepts 100 to 599, without 101.

--- a/packages/agent/src/bluebellusher_agent/_http.py
+++ b/packages/agent/src/bluebellusher_agent/_http.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from collections import deque
+from http import HTTPStatus
 from typing import Any
 
 import httptools
@@ -15,6 +16,9 @@
 # Limit of informational answers (1xx) before the final answer; servers usually send one
 # or two, and a faulty server could send them without end.
 MAX_INFORMATIONAL_ANSWERS = 16
+# Bounds of the status of an answer (RFC 9110, section 15).
+MIN_STATUS = 100
+MAX_STATUS = 599
 MAX_CONTROL_BODY_BYTES = 4 * 1024 * 1024
 # Servers commonly close idle connections after 5 s or more. Reusing only connections
 # that were idle for less than 2 s avoids a request that is written just as the server
@@ -135,10 +139,16 @@
         Raises
         ------
         ValueError
-            If there are more than ``MAX_INFORMATIONAL_ANSWERS`` informational answers.
+            If the version or the status is not one of HTTP/1, or if there are more than
+            ``MAX_INFORMATIONAL_ANSWERS`` informational answers.
         """
         self.status = self._parser.get_status_code()
-        if self.status < 200:
+        is_http_1 = self._parser.get_http_version().startswith("1.")
+        is_valid = is_http_1 and MIN_STATUS <= self.status <= MAX_STATUS
+        # No request asks for another protocol.
+        if not is_valid or self.status == HTTPStatus.SWITCHING_PROTOCOLS:
+            raise ValueError(f"status {self.status}: expected one of HTTP/1")
+        if self.status < HTTPStatus.OK:
             self.header_by_name.clear()
             self._n_overhead_bytes = 0
             self._n_informational += 1
--- a/packages/agent/src/bluebellusher_agent/tests/test_truncated_heads.py
+++ b/packages/agent/src/bluebellusher_agent/tests/test_truncated_heads.py
@@ -1,4 +1,4 @@
-"""Answers of an engine that end inside their status line or headers."""
+"""Answers of an engine that end inside their head, or whose head is invalid."""
 
 import asyncio
 import contextlib
@@ -51,3 +51,34 @@
         server.close()
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        "HTTP/1.1 000 None",
+        "HTTP/1.1 099 None",
+        "HTTP/1.1 101 Switching Protocols",
+        "HTTP/1.1 600 None",
+        "HTTP/1.1 999 None",
+        "HTTP/2.0 200 OK",
+    ],
+)
+def test_invalid_status_is_an_error(line):
+    """Guards against a status that no caller can interpret, or a wait after it."""
+
+    async def main():
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(line.encode() + b"\r\nContent-Length: 2\r\n\r\nok")
+            with contextlib.suppress(ConnectionError):
+                await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(serve, HOST, 0)
+        client = HttpClient(HOST, server.sockets[0].getsockname()[1])
+        with pytest.raises(ExchangeError, match="expected an HTTP answer"):
+            await client.fetch("GET", "/x")
+        server.close()
+
+    asyncio.run(main())
--- a/packages/entry/src/bluebellusher/links/_responses.py
+++ b/packages/entry/src/bluebellusher/links/_responses.py
@@ -11,15 +11,23 @@
 # Number of informational responses (1xx) accepted before the final response; endpoints
 # send one or two.
 MAX_INTERIM_RESPONSES = 16
+# Bounds of the status of a final response (RFC 9110, section 15).
+MIN_FINAL_STATUS = 200
+MAX_STATUS = 599
 _READ_BYTES = 256 * 1024
 
 
+class InvalidResponseError(aiohttp.ClientError):
+    """Response whose head is not that of a final HTTP/1 response."""
+
+
 class BoundedResponse(aiohttp.ClientResponse):
-    """Response with a limit on informational responses and a check of its end.
+    """Response with a limit on informational responses and checks of its head and end.
 
     A response without a length ends with its connection, and aiohttp treats it as
     complete even when the connection was reset. aiohttp also reads an unlimited number
-    of informational responses.
+    of informational responses, and accepts every version and every status of up to
+    three digits.
     """
 
     _connection_ended: asyncio.Future[None] | None = None
@@ -31,7 +39,22 @@
         if self._connection_ended is not None:
             self._connection_ended.add_done_callback(_retrieve_exception)
         bounded: Any = _BoundedConnection(connection)
-        return await super().start(bounded)
+        await super().start(bounded)
+        self._check_head()
+        return self
+
+    def _check_head(self) -> None:
+        """Raise ``InvalidResponseError`` unless the head is that of a final response.
+
+        Status 101 is none, because no request asks for another protocol.
+        """
+        version = self.version
+        is_http_1 = version is not None and version.major == 1
+        is_final = MIN_FINAL_STATUS <= self.status <= MAX_STATUS
+        if not (is_http_1 and is_final):
+            raise InvalidResponseError(
+                f"status={self.status} version={version}: expected a final response"
+            )
 
     async def check_complete(self) -> None:
         """Raise ``ClientConnectionError`` when a response without a length was cut."""
