Bound the memory of all answers that endpoints send without end

Callers saw nothing yet; an entry of a machine of 152 MB took 201 to 247 MB for 60 requests at an endpoint that sends without end, so that the platform would end it with the requests of all other callers.

Cause: the bytes of one answer wait in five places, of which only one shared the budget. One read took up to 256 KB, and each place exceeded its bound by a read.

Change: connections to endpoints receive and relay in parts of 16 KiB, and the share of an answer counts both places where it waits for its caller. An answer that is held until it is complete is released when its relay has to wait; with a share below 64 KiB it waited until its deadline. The operators' commands bound what they read.

T entry/links -k held_answer fails without it.

--- a/packages/entry/src/bluebellusher/cli/_commands.py
+++ b/packages/entry/src/bluebellusher/cli/_commands.py
@@ -21,6 +21,8 @@
 EXIT_FAILED = 1
 EXIT_BAD_SETTINGS = 2
 _STATUS_TIMEOUT_S = 5
+# Upper bound of the document of an entry, in bytes.
+MAX_STATUS_BYTES = 16 * 1024 * 1024
 
 
 class ServeCommand(Command):
@@ -163,7 +165,7 @@
     opener = urllib.request.build_opener(urllib.request.ProxyHandler({}))
     try:
         with opener.open(request, timeout=_STATUS_TIMEOUT_S) as answer:
-            document = json.loads(answer.read())
+            document = json.loads(answer.read(MAX_STATUS_BYTES))
     except urllib.error.HTTPError as error:
         hint = "BLUEBELLUSHER_ADMIN_TOKEN: expected an operator's token"
         raise ValueError(hint if error.code == 401 else str(error)) from None
--- a/packages/entry/src/bluebellusher/cli/rules_client.py
+++ b/packages/entry/src/bluebellusher/cli/rules_client.py
@@ -8,7 +8,7 @@
 from pydantic import BaseModel, ValidationError
 
 from bluebellusher.cli.rules_base import CommandError, ExitCode, parse_or_fail
-from bluebellusher.links import open_session
+from bluebellusher.links import BoundedResponse, open_session, read_response_body
 from bluebellusher_core.billing import RulesVersion
 
 TOKEN_VARIABLE = "BLUEBELLUSHER_ADMIN_TOKEN"
@@ -16,6 +16,8 @@
 # each failure domain has staged it, and some domains are slow.
 ANSWER_TIMEOUT_S = 30.0
 CONNECT_TIMEOUT_S = 5.0
+# Upper bound of the body of an answer, in bytes. The history contains all versions.
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
 # HTTP statuses that leave open whether a change was accepted.
 _UNKNOWN_STATUSES = frozenset((*range(300, 400), 502, 503, 504))
 
@@ -152,7 +154,11 @@
         if token:
             headers["Authorization"] = f"Bearer {token}"
         async with (
-            open_session(repeats_reads=True, timeout=self._timeout) as session,
+            open_session(
+                repeats_reads=True,
+                timeout=self._timeout,
+                response_class=BoundedResponse,
+            ) as session,
             session.request(
                 method,
                 self._url + path,
@@ -161,7 +167,8 @@
                 allow_redirects=False,
             ) as answer,
         ):
-            return answer.status, await answer.text(errors="replace")
+            content = await read_response_body(answer, MAX_ANSWER_BYTES)
+            return answer.status, content.decode(errors="replace")
 
 
 def parse_history(text: str, source: str) -> list[AcceptedVersion]:
--- a/packages/entry/src/bluebellusher/gateway/_attempts.py
+++ b/packages/entry/src/bluebellusher/gateway/_attempts.py
@@ -17,6 +17,7 @@
 from bluebellusher.links import (
     BEFORE_WRITE,
     NOT_CONNECTED_ERRORS,
+    READ_PART_BYTES,
     AnswerStream,
     BoundedResponse,
     CheckedRequest,
@@ -24,7 +25,7 @@
     EventReader,
     EventSink,
     is_listening,
-    make_keepalive_socket,
+    make_endpoint_socket,
     open_session,
 )
 from bluebellusher.observability import Metrics, Tracer
@@ -69,6 +70,9 @@
 # but each may have the lower bound.
 MAX_UNREAD_BYTES = 256 * 1024
 MIN_UNREAD_BYTES = 16 * 1024
+# Places in which bytes of one answer wait for its caller: the answer, and the write
+# buffer of the caller's connection.
+N_UNREAD_PLACES = 2
 # Shortest interval between two reports of one attempt's progress, in ms. It bounds the
 # number of events when an engine sends each token by itself.
 PROGRESS_INTERVAL_MS = 50
@@ -234,7 +238,7 @@
     async def open(self) -> None:
         """Create the client session; must be called on the event loop."""
         connector = aiohttp.TCPConnector(
-            limit=0, force_close=True, socket_factory=make_keepalive_socket
+            limit=0, force_close=True, socket_factory=make_endpoint_socket
         )
         self._session = open_session(
             connector=connector,
@@ -242,6 +246,7 @@
             response_class=BoundedResponse,
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
+            read_bufsize=READ_PART_BYTES,
             skip_auto_headers=(
                 "Accept",
                 "Accept-Encoding",
@@ -584,7 +589,7 @@
         self, attempt: _Attempt, response: aiohttp.ClientResponse
     ) -> None:
         """Relay the parts of a body that is not an event stream as they arrive."""
-        while data := await response.content.readany():
+        while data := await response.content.read(READ_PART_BYTES):
             await self._relay_part(attempt, data)
 
     async def _relay_events(
@@ -630,7 +635,8 @@
         """
         if self._max_unread_bytes is None:
             return MAX_UNREAD_BYTES
-        n_share_bytes = self._max_unread_bytes // max(1, len(self._attempt_by_id))
+        n_places = N_UNREAD_PLACES * max(1, len(self._attempt_by_id))
+        n_share_bytes = self._max_unread_bytes // n_places
         return max(MIN_UNREAD_BYTES, min(MAX_UNREAD_BYTES, n_share_bytes))
 
     def _record_progress(self, attempt: _Attempt) -> None:
--- a/packages/entry/src/bluebellusher/links/__init__.py
+++ b/packages/entry/src/bluebellusher/links/__init__.py
@@ -12,6 +12,7 @@
 from bluebellusher.links._peers import PeerHandler, PeerLinks
 from bluebellusher.links._relay import AttemptRelay
 from bluebellusher.links._responses import (
+    READ_PART_BYTES,
     BoundedResponse,
     EventReader,
     read_response_body,
@@ -21,7 +22,11 @@
     ConnectionLostError,
     open_session,
 )
-from bluebellusher.links._sockets import is_listening, make_keepalive_socket
+from bluebellusher.links._sockets import (
+    is_listening,
+    make_endpoint_socket,
+    make_keepalive_socket,
+)
 from bluebellusher.links._sse import EventSplitter
 from bluebellusher.links._ticker import LinkTicker
 
@@ -29,6 +34,7 @@
     "BEFORE_WRITE",
     "CONNECTION_HEADERS",
     "NOT_CONNECTED_ERRORS",
+    "READ_PART_BYTES",
     "AgentLinks",
     "AnswerStream",
     "AttemptRelay",
@@ -45,6 +51,7 @@
     "PeerHandler",
     "PeerLinks",
     "is_listening",
+    "make_endpoint_socket",
     "make_keepalive_socket",
     "open_session",
     "read_response_body",
--- a/packages/entry/src/bluebellusher/links/_answer.py
+++ b/packages/entry/src/bluebellusher/links/_answer.py
@@ -63,6 +63,7 @@
         self.kept_body: bytearray | None = bytearray() if max_kept_bytes else None
         self._max_kept_bytes = max_kept_bytes
         self._is_events = False
+        self._is_released = False
         self._unread_parts: deque[bytes] = deque()
         self._n_unread_bytes = 0
         self._held_tail = b""
@@ -117,6 +118,7 @@
         self.status, self.headers = 0, {}
         self.n_bytes = self.crc32 = self._n_unread_bytes = 0
         self._unread_parts.clear()
+        self._is_released = False
         self._held_tail, self._is_line_start = b"", True
         self.kept_body = bytearray() if self._max_kept_bytes else None
         return True
@@ -159,7 +161,14 @@
         return data
 
     async def wait_for_capacity(self, max_bytes: int) -> None:
-        """Wait until at most ``max_bytes`` are unread or the answer has ended."""
+        """Wait until at most ``max_bytes`` are unread or the answer has ended.
+
+        Bytes that are held until the answer is complete are released to the caller,
+        because the relay reads no further while it waits.
+        """
+        if self._n_unread_bytes > max_bytes and not self._is_released:
+            self._is_released = True
+            self._readable_event.set()
         while self._n_unread_bytes > max_bytes and not self.is_ended:
             self._read_event.clear()
             await self._read_event.wait()
@@ -176,6 +185,7 @@
         is_released = (
             self._is_events
             or self.is_committed
+            or self._is_released
             or self._n_unread_bytes > MAX_HELD_BYTES
         )
         return is_released and bool(self._unread_parts)
--- a/packages/entry/src/bluebellusher/links/_responses.py
+++ b/packages/entry/src/bluebellusher/links/_responses.py
@@ -15,6 +15,9 @@
 MIN_FINAL_STATUS = 200
 MAX_STATUS = 599
 _READ_BYTES = 256 * 1024
+# Upper bound of the part of an answer that is relayed in one step, and of the bytes
+# that wait to be read before the endpoint has to wait, in bytes.
+READ_PART_BYTES = 16 * 1024
 
 
 class InvalidResponseError(aiohttp.ClientError):
@@ -166,7 +169,7 @@
 
     async def _read_events(self) -> bytes:
         """Return the next complete events, however long they take."""
-        while data := await self._content.readany():
+        while data := await self._content.read(READ_PART_BYTES):
             if events := self._splitter.feed(data):
                 return events
         return b""
--- a/packages/entry/src/bluebellusher/links/_sockets.py
+++ b/packages/entry/src/bluebellusher/links/_sockets.py
@@ -12,6 +12,10 @@
 _N_KEEPALIVE_PROBES = 2
 # Time, in ms, in which the peer must acknowledge sent data.
 _USER_TIMEOUT_MS = 2_500
+# Size of the receive buffer of connections to endpoints, in bytes. It bounds a read,
+# and with it the memory of what is read of an answer in one step. An informational
+# answer, for example, occupies a hundred times its bytes once it is parsed.
+_ENDPOINT_RECEIVE_BYTES = 16 * 1024
 
 
 def make_keepalive_socket(address_info: Any) -> socket.socket:
@@ -23,6 +27,16 @@
     return sock
 
 
+def make_endpoint_socket(address_info: Any) -> socket.socket:
+    """Create a socket like ``make_keepalive_socket`` that receives in small parts.
+
+    For connections to endpoints, which may send without end.
+    """
+    sock = make_keepalive_socket(address_info)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _ENDPOINT_RECEIVE_BYTES)
+    return sock
+
+
 async def is_listening(host: str, port: int, timeout_ms: int) -> bool | None:
     """Return whether a process listens at an address.
 
--- a/packages/entry/src/bluebellusher/links/tests/test_relay.py
+++ b/packages/entry/src/bluebellusher/links/tests/test_relay.py
@@ -162,3 +162,21 @@
     assert read_all(relay.answer) == b""
     assert relay.release() == 0
     assert not relay.answer.is_committed
+
+
+def test_held_answer_is_released_when_its_relay_waits():
+    """Guards against an answer that waits for its end while its relay waits for it.
+
+    Many answers share the memory, so that each may have fewer bytes than are held.
+    """
+
+    async def main():
+        answer = AnswerStream()
+        answer.start(200, {"content-type": "text/plain"})
+        answer.write(b"a" * 20_000)
+        waiting = asyncio.create_task(answer.wait_for_capacity(16_384))
+        async with asyncio.timeout(20):
+            assert await answer.read() == b"a" * 20_000
+            await waiting
+
+    asyncio.run(main())
