Use endpoints of services that only a route names

A configuration may name a service in a route and not describe it among the services; such a service was usable before registrations of unknown services were left out. Found by reading; no deployment has such a configuration.

test_endpoint_of_a_service_that_only_a_route_names_is_used fails without the change (it reads a field that did not exist). T entry/shared -k foreign and T core/directory: all pass.

--- a/packages/core/src/bluebellusher_core/directory/_routes.py
+++ b/packages/core/src/bluebellusher_core/directory/_routes.py
@@ -207,6 +207,8 @@
         Whether the configuration has customers, so that requests need a credential.
     limits : CallerLimits
         Limits on requests from callers.
+    named_service_ids : frozenset of str
+        Ids of all services, and of those that only routes name.
     """
 
     version: int
@@ -215,6 +217,7 @@
     customer_by_credential: Mapping[str, Customer] = field(repr=False)
     needs_credential: bool
     limits: CallerLimits = CallerLimits()
+    named_service_ids: frozenset[str] = frozenset()
 
     @classmethod
     def from_parts(
@@ -238,15 +241,18 @@
         'r'
         """
         routes_by_host: dict[str, list[Route]] = {}
+        service_by_id = {service.service_id: service for service in services}
+        named_service_ids = set(service_by_id)
         for route in routes:
             routes_by_host.setdefault(route.host, []).append(route)
+            named_service_ids.update(route.weight_by_service)
         return cls(
             version=version,
             routes_by_host={
                 host: tuple(sorted(found, key=lambda r: -len(r.path_prefix)))
                 for host, found in routes_by_host.items()
             },
-            service_by_id={service.service_id: service for service in services},
+            service_by_id=service_by_id,
             customer_by_credential={
                 credential: customer
                 for customer in customers or ()
@@ -254,6 +260,7 @@
             },
             needs_credential=customers is not None,
             limits=limits or CallerLimits(),
+            named_service_ids=frozenset(named_service_ids),
         )
 
     def find_gap_objectives(self) -> dict[str, GapObjective]:
--- a/packages/entry/src/bluebellusher/shared/_directory.py
+++ b/packages/entry/src/bluebellusher/shared/_directory.py
@@ -39,8 +39,8 @@
     """Decode changed rows of the shared tables and apply them to this entry.
 
     Any program can write to the table of registrations. A row takes effect only if it
-    names an endpoint to use: it can be read, and the configuration in force has its
-    service. A row of another service waits until a configuration has that service.
+    names an endpoint to use: it can be read, and the configuration in force names its
+    service. A row of another service waits until a configuration names that service.
 
     Parameters
     ----------
@@ -150,7 +150,7 @@
         configured = {
             endpoint_id: registration
             for endpoint_id, registration in self._unconfigured_by_id.items()
-            if registration.service_id in table.service_by_id
+            if registration.service_id in table.named_service_ids
         }
         for endpoint_id in configured:
             del self._unconfigured_by_id[endpoint_id]
@@ -231,10 +231,11 @@
         An endpoint in use keeps its service when a configuration drops it, because
         requests that were accepted before may still be waiting for the endpoint.
         """
-        if self.routing and registration.service_id in self.routing.service_by_id:
+        service_id = registration.service_id
+        if self.routing and service_id in self.routing.named_service_ids:
             return True
         known = self.find(registration.endpoint_id)
-        return known is not None and known.service_id == registration.service_id
+        return known is not None and known.service_id == service_id
 
     @property
     def has_warm_up_rates(self) -> bool:
--- a/packages/entry/src/bluebellusher/shared/tests/test_foreign_registrations.py
+++ b/packages/entry/src/bluebellusher/shared/tests/test_foreign_registrations.py
@@ -10,6 +10,8 @@
 from bluebellusher_core.directory import (
     EndpointRegistration,
     MirrorRow,
+    RequestKind,
+    Route,
     RoutingTable,
     Service,
 )
@@ -167,3 +169,16 @@
     assert foreign.take_events() == []
     foreign.apply(make_row("x", 2, state="draining"))
     assert foreign.take_events() == [EndpointDraining]
+
+
+def test_endpoint_of_a_service_that_only_a_route_names_is_used():
+    """Guards against routes whose endpoints are taken for rows of another writer."""
+    route = Route(
+        "r", "h", "/", RequestKind.IDEMPOTENT, 1_000, 100, 0, 0, 1, {"press": 1}
+    )
+    table = RoutingTable.from_parts(1, [route], [], None)
+    log = FakeLog()
+    directory = Directory(JsonCodec(), log.post, ManualClock(), log)
+    directory.routing = table
+    directory.apply_registration_rows([make_row("x", 1, service="press")])
+    assert [type(event) for event in log.events] == [EndpointRegistered]
