review/11: rows without a field drain the engines at their addresses

Rows of another writer that lack cold_remaining_ms are read as engines, and drain those that run at their addresses: no request is served (Fault). The stand-in of an engine writes its row only when more than sequence changes.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,9 +1,8 @@
-"""An engine starts again under its id, and its old address is used again."""
+"""Another writer leaves rows with a missing field at the addresses of engines."""
 
 import asyncio
 import contextlib
 import pathlib
-import signal
 import sys
 import tempfile
 import time
@@ -12,11 +11,8 @@
 sys.path.insert(0, str(HERE.parent / "standins_3"))
 
 from standins import (  # noqa: E402
-    ADDRESS_REUSE_S,
-    CONFIG_APPLY_S,
     CONTACT_S,
-    DRAIN_S,
-    Call,
+    HOST,
     Caller,
     Engine,
     Entry,
@@ -26,124 +22,82 @@
     is_disrupted,
     make_config,
     make_route,
-    make_streaming,
 )
 
-N_CALLERS = 24
-N_EVENTS = 25
-GAP_S = 0.1
-STREAM_S = N_EVENTS * GAP_S
-DEADLINE_MS = 8_000
-MOVED = "i-w1"
+N_ENTRIES = 4
+N_ENGINES = 3
+N_CALLERS = 16
+DEADLINE_MS = 2_500
+TRAFFIC_S = 8.0
 
 
-async def call_repeatedly(caller: Caller, target: str, end_s: float) -> None:
-    """Send one stream request after the other on a kept connection."""
-    while time.monotonic() < end_s:
-        body = f"verse {len(caller.calls)} {id(caller)}".encode()
-        await caller.ask("POST", target, DEADLINE_MS, body)
-        await asyncio.sleep(0.05)
-
+def make_odd_row(engine: Engine) -> dict[str, object]:
+    """Return a row that names the address of an engine and lacks a field.
 
-async def start_entries(store: Store, folder: pathlib.Path) -> tuple[Entry, Entry]:
-    """Start two entries in two zones, and wait until they are ready."""
-    first = Entry(store, folder, "edge-1", "north")
-    second = Entry(store, folder, "edge-2", "south", (first,))
-    for entry in (first, second):
-        await entry.start()
-    for entry in (first, second):
-        await entry.wait_until_ready()
-    return first, second
+    The missing field is ``cold_remaining_ms``.
+    """
+    return {
+        "backend": "desk",
+        "address": f"{HOST}:{engine.port}",
+        "zone": "north",
+        "version": "1",
+        "slots": 12,
+        "state": "ready",
+        "sequence": 1,
+        "born": time.time_ns() // 1_000_000,
+    }
+
+
+async def call_repeatedly(caller: Caller, end_s: float) -> None:
+    """Send one request after the other on a kept connection."""
+    while time.monotonic() < end_s:
+        await caller.ask("GET", "/look/1", DEADLINE_MS)
+        await asyncio.sleep(0.3)
 
 
 async def run(record: Record, folder: pathlib.Path) -> bool:
     """Return whether the rule held."""
     store = Store()
     await store.start()
-    routes = [
-        make_route(
-            *("verse", "/verse/", "streaming", "writer", DEADLINE_MS),
-            target_gap_ms=120,
-        ),
-        make_route("look", "/look/", "idempotent", "desk", 2_500),
-    ]
-    store.put("op", "config", make_config(7, routes, ["writer", "desk"]))
-    stream = make_streaming(N_EVENTS, GAP_S)
+    route = make_route("look", "/look/", "idempotent", "desk", DEADLINE_MS)
+    store.put("op", "config", make_config(7, [route], ["desk"]))
     engines = [
-        Engine(store, "writer", f"i-w{n}", zone, stream, record)
-        for n, zone in ((1, "north"), (2, "south"), (3, "south"))
+        Engine(store, "desk", f"i-d{n + 1}", "north", answer_soundly, record)
+        for n in range(N_ENGINES)
     ]
-    engines.append(Engine(store, "desk", "i-d1", "north", answer_soundly, record))
     for engine in engines:
         await engine.start()
-    entries: tuple[Entry, ...] = ()
+    entries: list[Entry] = []
     tasks: list[asyncio.Task[None]] = []
     try:
-        entries = await start_entries(store, folder)
-        end_s = time.monotonic() + 26
+        for n in range(N_ENTRIES):
+            entry = Entry(store, folder, f"edge-{n + 1}", "north", tuple(entries[:1]))
+            entries.append(entry)
+            await entry.start()
+        for entry in entries:
+            await entry.wait_until_ready()
+        if is_disrupted():
+            for engine in engines:
+                key = f"seen-{engine.engine_id}"
+                store.put("servers", key, make_odd_row(engine))
+                record.note(f"another writer adds servers/{key}")
+        await asyncio.sleep(CONTACT_S + 1)
+        end_s = time.monotonic() + TRAFFIC_S
         callers = [
-            Caller(entry, f"{entry.name}-c{n}", record)
-            for entry in entries
-            for n in range(N_CALLERS // 2)
+            Caller(entries[n % N_ENTRIES], f"c{n}", record) for n in range(N_CALLERS)
         ]
-        for caller in callers:
-            task = call_repeatedly(caller, "/verse/1", end_s)
-            tasks.append(asyncio.create_task(task))
-            await asyncio.sleep(STREAM_S / N_CALLERS)
-        # Planned restart of one of three engines of the service under its id.
-        old = engines[0]
-        old.drain()
-        await asyncio.sleep(DRAIN_S + STREAM_S + 1)
-        await old.stop()
-        ended_at_s = time.monotonic()
-        moved = Engine(store, "writer", MOVED, "north", stream, record)
-        await moved.start()
-        await asyncio.sleep(CONTACT_S + 1)
-        # A settings file changes, and an engine of the other service starts.
-        assert time.monotonic() - ended_at_s > ADDRESS_REUSE_S
-        entries[0].write_settings()
-        assert entries[0].process is not None
-        entries[0].process.send_signal(signal.SIGHUP)
-        hup_at_s = time.monotonic()
-        record.note("SIGHUP to edge-1")
-        await asyncio.sleep(CONFIG_APPLY_S - 0.3)
-        engine = Engine(store, "desk", "i-d2", "north", answer_soundly, record)
-        n_before = len(moved.runs)
-        await engine.start(old.port if is_disrupted() else 0)
+        tasks += [asyncio.create_task(call_repeatedly(c, end_s)) for c in callers]
         await asyncio.gather(*tasks)
-        calls = [call for caller in callers for call in caller.calls]
-        record.note(f"{MOVED} began {n_before} runs before i-d2 started")
-        record.note(f"{MOVED} began {len(moved.runs) - n_before} runs after")
-        return judge(record, calls, hup_at_s)
     finally:
         for task in tasks:
             task.cancel()
         for entry in entries:
             await entry.kill()
-
-
-def judge(record: Record, calls: list[Call], hup_at_s: float) -> bool:
-    """Return whether no request was lost around the SIGHUP.
-
-    Counted are requests that edge-1 got up to ``config_apply_ms`` after the signal and
-    that ended after it without a complete answer, before their deadline.
-    """
-    cut = [call for call in calls if not call.is_complete]
-    lost = [
-        call
-        for call in cut
-        if call.entry == "edge-1"
-        and call.sent_at_s <= hup_at_s + CONFIG_APPLY_S
-        and call.ended_at_s > hup_at_s
-        and call.ended_at_s - call.sent_at_s < DEADLINE_MS / 1000
-    ]
-    for call in lost:
-        after_s = call.ended_at_s - hup_at_s
-        record.note(f"LOST: {call.attempt_id}, cut {after_s:.3f} s after SIGHUP")
-    refused = [call for call in calls if call.is_complete and call.status != 200]
-    record.note(f"{len(calls)} requests, {len(cut)} cut, {len(refused)} refused")
-    print(f"lost around the SIGHUP: {len(lost)}; cut at all: {len(cut)}")
-    return not lost
+    calls = [call for caller in callers for call in caller.calls]
+    n_served = sum(call.status == 200 and call.is_complete for call in calls)
+    record.note(f"{len(calls)} requests, {n_served} served")
+    print(f"{len(calls)} requests, {n_served} served")
+    return n_served > 0
 
 
 def main() -> int:
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,62 +1,69 @@
-"""A caller hides a request in the body of another one, whose method is CONNECT."""
+"""An engine fails requests that it has run, with a 503 that promises nothing."""
 
 import asyncio
 import contextlib
 import pathlib
+import random
 import sys
 import tempfile
+import time
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "standins_3"))
 
 from standins import (  # noqa: E402
-    API_KEY,
     CONTACT_S,
-    HOST,
-    HOST_NAME,
+    Caller,
     Engine,
     Entry,
     Record,
+    Run,
     Store,
     answer_soundly,
     is_disrupted,
     make_config,
     make_route,
-    read_head,
+    write_answer,
 )
 
+N_CALLERS = 8
 DEADLINE_MS = 2_500
-N_REQUESTS = 10
-
-
-def make_request(method: str, target: str, attempt_id: str, body: bytes) -> bytes:
-    """Return a request of a caller."""
-    head = (
-        f"{method} {target} HTTP/1.1\r\nHost: {HOST_NAME}\r\n"
-        f"X-Bluebellusher-Attempt-Id: {attempt_id}\r\n"
-        f"X-Bluebellusher-Deadline-Ms: {DEADLINE_MS}\r\n"
-        f"X-Bluebellusher-Credential: {API_KEY}\r\n"
-        f"Content-Length: {len(body)}\r\n\r\n"
-    )
-    return head.encode() + body
-
-
-async def send(entry: Entry, method: str, number: int, record: Record) -> bytes:
-    """Send a request with another one as its body; return that body."""
-    hidden = make_request("POST", f"/book/hidden-{number}", f"hidden-{number}", b"")
-    request = make_request(method, f"/book/{number}", f"sent-{number}", hidden)
-    reader, writer = await asyncio.open_connection(HOST, entry.front)
-    writer.write(request)
-    await writer.drain()
-    record.note(f"sent-{number} {method} /book/{number}, body of {len(hidden)} B")
-    with contextlib.suppress(TimeoutError):
-        async with asyncio.timeout(1):
-            answer = await read_head(reader)
-            status = answer.status if answer is not None else "nothing"
-            record.note(f"sent-{number} answered {status}")
-            await reader.read()
-    writer.close()
-    return hidden
+BEFORE_S = 2.0
+# Dose of the disruption: one engine of three, this share of its requests, for so long.
+FAILED_SHARE = 0.45
+GREY_S = 6.5
+# Statuses that promise that a request has not run.
+PROMISES = (408, 421, 429, 503)
+
+
+class GreyWork:
+    """Work of an engine that fails a share of its requests while it is grey."""
+
+    def __init__(self, record: Record) -> None:
+        self.grey_until_s = 0.0
+        self._record = record
+        self._random = random.Random(7)
+
+    async def __call__(
+        self, engine: Engine, run: Run, writer: asyncio.StreamWriter
+    ) -> None:
+        """Run a request, and answer it with 200 or with a failure of the engine."""
+        is_grey = time.monotonic() < self.grey_until_s
+        if not is_grey or self._random.random() >= FAILED_SHARE:
+            await answer_soundly(engine, run, writer)
+            return
+        await asyncio.sleep(0.03)
+        self._record.note(f"{engine.engine_id} has run {run.attempt_id} and fails it")
+        write_answer(writer, run, 503, b"the booking database did not confirm")
+        await writer.drain()
+
+
+async def book(caller: Caller, end_s: float) -> None:
+    """Send one booking after the other on a kept connection."""
+    while time.monotonic() < end_s:
+        body = f"booking {len(caller.calls)} of {id(caller)}".encode()
+        await caller.ask("POST", "/book/1", DEADLINE_MS, body)
+        await asyncio.sleep(0.1)
 
 
 async def run(record: Record, folder: pathlib.Path) -> bool:
@@ -65,43 +72,48 @@
     await store.start()
     route = make_route("book", "/book/", "non_idempotent", "desk", DEADLINE_MS)
     store.put("op", "config", make_config(7, [route], ["desk"]))
+    work = GreyWork(record)
     engines = [
-        Engine(store, "desk", f"i-d{n}", "north", answer_soundly, record)
-        for n in (1, 2, 3)
+        Engine(store, "desk", "i-d1", "north", work, record),
+        Engine(store, "desk", "i-d2", "north", answer_soundly, record),
+        Engine(store, "desk", "i-d3", "south", answer_soundly, record),
     ]
     for engine in engines:
         await engine.start()
-    entry = Entry(store, folder, "edge-1", "north")
+    entries: tuple[Entry, ...] = ()
+    tasks: list[asyncio.Task[None]] = []
     try:
-        await entry.start()
-        await entry.wait_until_ready()
+        first = Entry(store, folder, "edge-1", "north")
+        entries = (first, Entry(store, folder, "edge-2", "south", (first,)))
+        for entry in entries:
+            await entry.start()
+        for entry in entries:
+            await entry.wait_until_ready()
         await asyncio.sleep(CONTACT_S)
-        method = "CONNECT" if is_disrupted() else "POST"
-        bodies = {
-            f"sent-{number}": await send(entry, method, number, record)
-            for number in range(N_REQUESTS)
-        }
+        end_s = time.monotonic() + BEFORE_S + GREY_S + 1
+        callers = [Caller(entries[n % 2], f"c{n}", record) for n in range(N_CALLERS)]
+        tasks += [asyncio.create_task(book(caller, end_s)) for caller in callers]
+        await asyncio.sleep(BEFORE_S)
+        if is_disrupted():
+            work.grey_until_s = time.monotonic() + GREY_S
+            record.note("i-d1 turns grey")
+        await asyncio.gather(*tasks)
+        ran_ids = {run.attempt_id for engine in engines for run in engine.runs}
+        calls = [call for caller in callers for call in caller.calls]
+        broken = [
+            call
+            for call in calls
+            if call.status in PROMISES and call.attempt_id in ran_ids
+        ]
+        for call in broken:
+            record.note(f"REFUSED: {call.attempt_id} answered {call.status}, has run")
+        print(f"{len(calls)} bookings, {len(broken)} answered 'not run' that have run")
+        return not broken
     finally:
-        await entry.kill()
-    n_unsent = n_changed = 0
-    for run in (run for engine in engines for run in engine.runs):
-        sent_method, target, _ = run.message.start.split(" ")
-        number = run.attempt_id.rpartition("-")[2]
-        if run.attempt_id not in bodies:
-            n_unsent += 1
-            record.note(f"UNASKED: {run.message.start}, id {run.attempt_id}")
-        elif (sent_method, target, run.message.body) != (
-            method,
-            f"/book/{number}",
-            bodies[run.attempt_id],
-        ):
-            n_changed += 1
-            record.note(
-                f"UNASKED: {run.attempt_id} reached an engine as {run.message.start}, "
-                f"body of {len(run.message.body)} B"
-            )
-    print(f"{n_unsent} requests run that no caller sent, {n_changed} run changed")
-    return not (n_unsent or n_changed)
+        for task in tasks:
+            task.cancel()
+        for entry in entries:
+            await entry.kill()
 
 
 def main() -> int:
--- a/review/standins_3/standins.py
+++ b/review/standins_3/standins.py
@@ -298,6 +298,7 @@
         self._born = time.time_ns() // 1_000_000
         self._sequence = 0
         self._state = "ready"
+        self._registered: dict[str, Any] = {}
         self._server: asyncio.Server | None = None
         self._heartbeat: asyncio.Task[None] | None = None
 
@@ -328,8 +329,9 @@
             await asyncio.sleep(HEARTBEAT_S)
 
     def _register(self) -> None:
+        """Write the registration; it changes when more than ``sequence`` changes."""
         self._sequence += 1
-        body = {
+        body: dict[str, Any] = {
             "backend": self._service,
             "address": f"{HOST}:{self.port}",
             "zone": self._zone,
@@ -340,7 +342,10 @@
             "sequence": self._sequence,
             "born": self._born,
         }
-        self._store.put("servers", self.engine_id, body)
+        fields = {name: value for name, value in body.items() if name != "sequence"}
+        if fields != self._registered:
+            self._registered = fields
+            self._store.put("servers", self.engine_id, body)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
