Require every field of a registration

What callers saw: a program that is not an endpoint wrote rows that lack `cold_remaining_ms` at the addresses of endpoints that run.

Cause: `cold_remaining_ms` and `born` had default values, so that a row without them named an endpoint. The only writer without `cold_remaining_ms` was a stand-in in `deploy/tests`, which now writes all fields that the platform's page lists.

Change: both fields are required, and a start of 0 is invalid, as it stands for an unknown one in the entry. A row without a field is logged as `registration-unreadable` and changes nothing.

This closes one form of the fault.

--- a/deploy/tests/test_codec.py
+++ b/deploy/tests/test_codec.py
@@ -4,7 +4,10 @@
 
 import pytest
 
-from bluebellusher_core.directory import RequestKind
+from bluebellusher.shared import Directory
+from bluebellusher.shared.tests.fakes import FakeLog
+from bluebellusher_core.clock import ManualClock
+from bluebellusher_core.directory import MirrorRow, RequestKind
 
 from codec import PlatformCodec
 
@@ -127,6 +130,7 @@
         {"zone": ""},
         {"sequence": "4"},
         {"born": "now"},
+        {"born": 0},
     ],
 )
 def test_malformed_registration_names_no_endpoint(changed_fields):
@@ -135,9 +139,7 @@
     assert PlatformCodec().read_registration("i-1", body) is None
 
 
-@pytest.mark.parametrize(
-    "missing_field", ["backend", "address", "slots", "state", "zone"]
-)
+@pytest.mark.parametrize("missing_field", REGISTRATION)
 def test_registration_with_a_missing_field_names_no_endpoint(missing_field):
     """Guards against default values in place of missing required fields."""
     body = {key: value for key, value in REGISTRATION.items() if key != missing_field}
@@ -146,6 +148,26 @@
     assert PlatformCodec().read_registration("i-1", b"\xff\xfe") is None
 
 
+@pytest.mark.parametrize("missing_field", ["cold_remaining_ms", "born", "version"])
+def test_incomplete_registration_at_the_address_of_an_endpoint_ends_nothing(
+    missing_field,
+):
+    """Guards against endpoints drained by another writer's row without a field."""
+    log = FakeLog()
+    directory = Directory(PlatformCodec(), log.post, ManualClock(), log)
+    config = json.dumps(CONFIG_BODY).encode()
+    directory.apply_routing_rows([MirrorRow("config", 1, config)])
+    row = MirrorRow("i-1", 2, json.dumps(REGISTRATION).encode())
+    directory.apply_registration_rows([row])
+    log.events.clear()
+    body = {**REGISTRATION, "born": REGISTRATION["born"] + 1}
+    del body[missing_field]
+    row = MirrorRow("seen-i-1", 3, json.dumps(body).encode())
+    directory.apply_registration_rows([row])
+    assert log.events == []
+    assert list(directory.registrations.registration_by_id) == ["i-1"]
+
+
 DEEP_JSON = "[" * 100_000 + "]" * 100_000
 
 
--- a/deploy/tests/test_outages.py
+++ b/deploy/tests/test_outages.py
@@ -148,6 +148,7 @@
             "version": "1",
             "slots": 4,
             "state": "ready",
+            "cold_remaining_ms": 0,
             "sequence": 1,
             "born": 100,
         }
