Keep an endpoint until its address answers for another one

Cause: `Registrations` took a row with a later start at the same address as proof that the endpoint there had ended. It drained the endpoint until its next start, broke its attempts and confirmed its suspected crashes. A row is no proof, as any program can write one.

Change: such a row only contests the address. New attempts go to the claimant, attempts in flight continue, and an answer decides, because an endpoint refuses attempts that are meant for another one (421). A refusal of the claimant, an answer, event or load report of the endpoint, or its registration that the store keeps for 6 s returns it to use. A successful answer of the claimant, or a refusal at the contested endpoint, shows that it was replaced, which breaks its attempts as before. An endpoint that was replaced costs no request of its own. Claimants that may not exist get one attempt at a time, and none while the retry budget is used up and others serve, since their refusal would then be final.

Excluded: a check of the start against the clock (clocks of machines jump); an HTTP check of each address (64 entries by 63 ranks after a restart of a group, and configurations need not name a health check); use of both endpoints at once (each entry would then meet a refusal at each replaced rank).

A contested port that listens no longer dismisses a crash. A restored registration of a start in use is applied at once, whatever another row at its address says.

Tests: the test that expected a drain after the row alone is replaced by test_endpoint_with_a_reused_address_is_contested, and by test_claimant_gets_the_attempts_until_it_answers for the requests. The tests of crashes now let the later start answer. `T core/reducer -k contested`, `T core/directory -k "address or registration"`, `T entry/gateway -k claim`.

--- a/packages/core/src/bluebellusher_core/directory/_registrations.py
+++ b/packages/core/src/bluebellusher_core/directory/_registrations.py
@@ -4,11 +4,12 @@
 from dataclasses import dataclass, field
 
 from bluebellusher_core.events import (
+    AddressContested,
+    EndpointConfirmed,
     EndpointDraining,
     EndpointInfo,
     EndpointLost,
     EndpointRegistered,
-    EndpointReplaced,
     Event,
 )
 
@@ -27,6 +28,10 @@
 # restored and whose registration the store has again, in ms. The store removes the
 # registration of an endpoint that does not run earlier, after three missed heartbeats.
 RESTORED_CONFIRMATION_MS = 6_000
+# Time after which an endpoint whose address is contested is confirmed by its own
+# registration, in ms. The store removes the registration of an endpoint that does not
+# run earlier, after three missed heartbeats.
+CONTEST_TIMEOUT_MS = 6_000
 # Upper bound of the remembered endpoints that have ended.
 N_MAX_ENDED = 4_096
 
@@ -63,9 +68,10 @@
     ``EXPIRY_GRACE_MS`` from the end of the registration in the first case, and from the
     time at which the store became available in the second.
 
-    An endpoint whose address now belongs to an endpoint that started later no longer
-    runs. It is drained before its registration expires, because an entry that has just
-    started would otherwise send it requests.
+    When an endpoint that started later registers the address of another one, the
+    address is contested. The earlier endpoint has usually ended and its registration
+    has not expired yet. Any program can write a registration, however, so that this
+    alone ends nothing.
 
     A store that was restored from an earlier copy contains registrations of endpoints
     that have left since, and lacks those of endpoints that have started since.
@@ -83,6 +89,7 @@
     _registration_by_address: dict[tuple[str, int], EndpointRegistration] = field(
         default_factory=dict
     )
+    _contested_at_ms: dict[str, int] = field(default_factory=dict)
     _ended_start_by_id: dict[str, int] = field(default_factory=dict)
     _unconfirmed_by_id: dict[str, tuple[EndpointRegistration, int]] = field(
         default_factory=dict
@@ -122,7 +129,7 @@
         registered = [r for r in changes.values() if r is not None]
         for registration in sorted(registered, key=lambda r: r.started_wall_ms):
             events += self._register(registration)
-            events += self._drain_previous_at_address(registration, now_ms)
+            events += self._contest_address(registration, now_ms)
         for endpoint_id, change in changes.items():
             if change is None:
                 events += self._deregister(endpoint_id, now_ms)
@@ -171,6 +178,9 @@
     def _has_ended(self, registration: EndpointRegistration) -> bool:
         """Return whether this start ended, or its address was taken over, before."""
         started_wall_ms = registration.started_wall_ms
+        known = self.registration_by_id.get(registration.endpoint_id)
+        if known is not None and known.started_wall_ms == started_wall_ms:
+            return False
         ended_start = self._ended_start_by_id.get(registration.endpoint_id)
         if ended_start is not None and started_wall_ms <= ended_start:
             return True
@@ -206,6 +216,7 @@
             if at_ms <= now_ms
         }
         events += self.update(confirmed, now_ms)
+        events += self._end_contests(min(now_ms, store_answered_at_ms))
         for endpoint_id, at_ms in list(self._deregister_at_ms.items()):
             is_confirmed = store_answered_at_ms >= at_ms
             if endpoint_id in self._missing_since_restoration and not is_confirmed:
@@ -218,6 +229,19 @@
                 events.append(EndpointLost(endpoint_id))
         return events
 
+    def _end_contests(self, store_answered_at_ms: int) -> list[Event]:
+        """Confirm the endpoints whose contested registration the store has kept."""
+        if self._is_store_unavailable:
+            return []
+        kept_ids = [
+            endpoint_id
+            for endpoint_id, contested_at_ms in self._contested_at_ms.items()
+            if contested_at_ms + CONTEST_TIMEOUT_MS <= store_answered_at_ms
+        ]
+        for endpoint_id in kept_ids:
+            del self._contested_at_ms[endpoint_id]
+        return [EndpointConfirmed(endpoint_id) for endpoint_id in kept_ids]
+
     def _register(self, registration: EndpointRegistration) -> list[Event]:
         """Record a registration; return an event when the endpoint's use changes."""
         endpoint_id = registration.endpoint_id
@@ -236,29 +260,35 @@
             return []
         return [EndpointRegistered(_make_info(registration))]
 
-    def _drain_previous_at_address(
+    def _contest_address(
         self, registration: EndpointRegistration, now_ms: int
     ) -> list[Event]:
-        """Drain the endpoint that used the address of ``registration`` before."""
+        """Return an event if an endpoint that started earlier has the address."""
         address = (registration.host, registration.port)
-        previous = self._registration_by_address.get(address)
-        if previous and registration.started_wall_ms < previous.started_wall_ms:
+        earlier = self._registration_by_address.get(address)
+        if earlier and registration.started_wall_ms < earlier.started_wall_ms:
             # A late write by an endpoint that used the address before.
             return []
         self._registration_by_address[address] = registration
-        if previous is None or previous.endpoint_id == registration.endpoint_id:
+        if earlier is None or earlier.endpoint_id == registration.endpoint_id:
             return []
-        if not 0 < previous.started_wall_ms < registration.started_wall_ms:
+        if not 0 < earlier.started_wall_ms < registration.started_wall_ms:
             # Without two different start times, it is unknown which of the two
             # endpoints runs at the address.
             return []
-        # Comes before the drain, because the attempts on the replaced endpoint broke
-        # without a planned shutdown.
-        events: list[Event] = [EndpointReplaced(previous.endpoint_id)]
-        current = self.registration_by_id.get(previous.endpoint_id)
-        if current is not None and (current.host, current.port) == address:
-            events += self._drain(previous.endpoint_id, now_ms)
-        return events
+        if registration.is_draining or self._has_moved(earlier):
+            return []
+        if earlier.endpoint_id in self.registration_by_id:
+            self._contested_at_ms[earlier.endpoint_id] = now_ms
+        return [AddressContested(earlier.endpoint_id, registration.endpoint_id)]
+
+    def _has_moved(self, registration: EndpointRegistration) -> bool:
+        """Return whether an endpoint has registered another start or address since."""
+        known = self.registration_by_id.get(registration.endpoint_id)
+        if known is None:
+            return False
+        former = (registration.host, registration.port, registration.started_wall_ms)
+        return (known.host, known.port, known.started_wall_ms) != former
 
     def _deregister(self, endpoint_id: str, now_ms: int) -> list[Event]:
         """Drain an endpoint whose registration ended, or start its grace time."""
@@ -294,6 +324,7 @@
         """Remove a registration; its endpoint is lost after ``DRAIN_TIMEOUT_MS``."""
         registration = self.registration_by_id.pop(endpoint_id)
         self._end_grace(endpoint_id)
+        self._contested_at_ms.pop(endpoint_id, None)
         self._lost_at_ms[endpoint_id] = now_ms + DRAIN_TIMEOUT_MS
         self._ended_start_by_id[endpoint_id] = registration.started_wall_ms
         if len(self._ended_start_by_id) > N_MAX_ENDED:
--- a/packages/core/src/bluebellusher_core/events/__init__.py
+++ b/packages/core/src/bluebellusher_core/events/__init__.py
@@ -1,9 +1,11 @@
 """Events that the reducer accepts."""
 
 from bluebellusher_core.events._endpoint_events import (
+    AddressContested,
     CacheReported,
     EndpointAnnounced,
     EndpointChecked,
+    EndpointConfirmed,
     EndpointConnected,
     EndpointCrashed,
     EndpointDraining,
@@ -12,7 +14,6 @@
     EndpointLost,
     EndpointProgressed,
     EndpointRegistered,
-    EndpointReplaced,
     LeavingMark,
     LeavingReceived,
     LimitMark,
@@ -70,7 +71,8 @@
     | EndpointConnected
     | EndpointLost
     | EndpointRegistered
-    | EndpointReplaced
+    | AddressContested
+    | EndpointConfirmed
     | EndpointChecked
     | EndpointProgressed
     | SilentReceived
@@ -100,6 +102,7 @@
 
 __all__ = [
     "STORE_SOURCE",
+    "AddressContested",
     "ArrivalsEnded",
     "AttemptAccepted",
     "AttemptBroken",
@@ -120,6 +123,7 @@
     "EndedReceived",
     "EndpointAnnounced",
     "EndpointChecked",
+    "EndpointConfirmed",
     "EndpointConnected",
     "EndpointCrashed",
     "EndpointDraining",
@@ -128,7 +132,6 @@
     "EndpointLost",
     "EndpointProgressed",
     "EndpointRegistered",
-    "EndpointReplaced",
     "EntriesCounted",
     "Event",
     "LeavingMark",
--- a/packages/core/src/bluebellusher_core/events/_endpoint_events.py
+++ b/packages/core/src/bluebellusher_core/events/_endpoint_events.py
@@ -60,8 +60,23 @@
 
 
 @dataclass(frozen=True, slots=True)
-class EndpointReplaced:
-    """Another endpoint, which started later, has taken this endpoint's address."""
+class AddressContested:
+    """Another endpoint, which started later, has registered this endpoint's address.
+
+    Any program can write a registration, so that only an answer shows which of the two
+    runs there. ``claimant_id`` is the id of the one that started later.
+    """
+
+    endpoint_id: str
+    claimant_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointConfirmed:
+    """The store kept the registration of an endpoint whose address is contested.
+
+    It removes the registration of an endpoint that sends no heartbeats.
+    """
 
     endpoint_id: str
 
--- a/packages/core/src/bluebellusher_core/membership/__init__.py
+++ b/packages/core/src/bluebellusher_core/membership/__init__.py
@@ -1,6 +1,7 @@
 """State of an entry's endpoints, and choice of those that it connects to."""
 
 from bluebellusher_core.membership._announcements import Announcements
+from bluebellusher_core.membership._contested import ContestedAddresses
 from bluebellusher_core.membership._endpoints import (
     MAX_PAUSE_MS,
     Endpoints,
@@ -20,6 +21,7 @@
     "RAMP_MS",
     "ActiveEntries",
     "Announcements",
+    "ContestedAddresses",
     "Endpoints",
     "EvacuatedDomains",
     "Pool",
--- /dev/null
+++ b/packages/core/src/bluebellusher_core/membership/_contested.py
@@ -0,0 +1,117 @@
+"""Endpoints whose address another endpoint has registered as well."""
+
+from dataclasses import dataclass, field
+
+from bluebellusher_core.routing import EndpointView
+
+
+@dataclass(frozen=True, slots=True)
+class _Contest:
+    """Endpoint that registered the address later, and when this became known."""
+
+    claimant_id: str
+    since_ms: int
+
+
+@dataclass(slots=True)
+class ContestedAddresses:
+    """Endpoints whose address a claimant, which started later, has registered too.
+
+    Usually the claimant has replaced the endpoint, whose registration has not expired
+    yet. Any program can write a registration, however, so that the endpoint may run and
+    the claimant may not exist. An answer shows which of the two runs there, because an
+    endpoint refuses attempts that are meant for another one. The claimant gets the
+    attempts meanwhile, and those in flight at the contested endpoint continue.
+
+    Load pattern: another program registers the addresses of all endpoints of a service
+    while many requests arrive. Each attempt at a claimant that does not exist costs a
+    retry, so that the claimants of a service get one attempt at a time.
+
+    Examples
+    --------
+    >>> contested = ContestedAddresses()
+    >>> contested.contest("x", "y", now_ms=0)
+    >>> contested.find_claimant("x")
+    'y'
+    >>> contested.end("x")
+    True
+    >>> contested.is_empty
+    True
+    """
+
+    _contest_by_id: dict[str, _Contest] = field(default_factory=dict)
+    _proven_ids: set[str] = field(default_factory=set)
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no address is contested."""
+        return not self._contest_by_id
+
+    def contest(self, endpoint_id: str, claimant_id: str, now_ms: int) -> None:
+        """Record that a claimant has registered the address of an endpoint."""
+        self._contest_by_id[endpoint_id] = _Contest(claimant_id, now_ms)
+
+    def record_report(self, claimant_id: str) -> None:
+        """Record that a claimant has reported its load, so that it exists."""
+        if self.find_claimed(claimant_id):
+            self._proven_ids.add(claimant_id)
+
+    def is_unproven(self, claimant_id: str) -> bool:
+        """Return whether an endpoint is a claimant that may not exist."""
+        is_claimant = bool(self.find_claimed(claimant_id))
+        return is_claimant and claimant_id not in self._proven_ids
+
+    def end(self, endpoint_id: str) -> bool:
+        """End the contest of an endpoint; return whether there was one."""
+        contest = self._contest_by_id.pop(endpoint_id, None)
+        if contest is None:
+            return False
+        if not self.find_claimed(contest.claimant_id):
+            self._proven_ids.discard(contest.claimant_id)
+        return True
+
+    def end_claims(self, claimant_id: str) -> bool:
+        """End the contests by a claimant; return whether there were any."""
+        endpoint_ids = self.find_claimed(claimant_id)
+        for endpoint_id in endpoint_ids:
+            self.end(endpoint_id)
+        return bool(endpoint_ids)
+
+    def find_claimant(self, endpoint_id: str) -> str | None:
+        """Return the claimant of an endpoint's address, or None."""
+        contest = self._contest_by_id.get(endpoint_id)
+        return contest.claimant_id if contest is not None else None
+
+    def find_claimed(self, claimant_id: str) -> list[str]:
+        """Return the endpoints whose address a claimant has registered."""
+        return [
+            endpoint_id
+            for endpoint_id, contest in self._contest_by_id.items()
+            if contest.claimant_id == claimant_id
+        ]
+
+    def select_usable(self, views: list[EndpointView]) -> list[EndpointView]:
+        """Return the endpoints of a service that may get an attempt.
+
+        Contested endpoints get one attempt at a time until they answer, and all
+        unproven claimants together.
+        """
+        if self.is_empty:
+            return views
+        unproven = [v for v in views if self.is_unproven(v.info.endpoint_id)]
+        waits = any(view.unanswered_at_ms for view in unproven)
+        unproven_ids = {view.info.endpoint_id for view in unproven}
+        return [
+            view
+            for view in views
+            if self._allows_attempt(view)
+            and not (waits and view.info.endpoint_id in unproven_ids)
+        ]
+
+    def _allows_attempt(self, view: EndpointView) -> bool:
+        """Return whether no attempt at a contested endpoint waits for its answer."""
+        contest = self._contest_by_id.get(view.info.endpoint_id)
+        if contest is None:
+            return True
+        sent_at_ms = view.unanswered_at_ms.values()
+        return all(at_ms < contest.since_ms for at_ms in sent_at_ms)
--- a/packages/core/src/bluebellusher_core/membership/_endpoints.py
+++ b/packages/core/src/bluebellusher_core/membership/_endpoints.py
@@ -13,6 +13,7 @@
     RequestSpec,
 )
 from bluebellusher_core.membership._announcements import Announcements
+from bluebellusher_core.membership._contested import ContestedAddresses
 from bluebellusher_core.membership._entries import ActiveEntries
 from bluebellusher_core.membership._evacuation import EvacuatedDomains
 from bluebellusher_core.membership._groups import GroupStates
@@ -71,6 +72,8 @@
         the group has opened.
     evacuated : EvacuatedDomains
         Failure domains whose endpoints get no attempts.
+    contested : ContestedAddresses
+        Endpoints whose address another endpoint has registered as well.
     """
 
     n_max: int
@@ -91,6 +94,7 @@
     evacuated: EvacuatedDomains = field(
         default_factory=lambda: EvacuatedDomains(ActiveEntries(""))
     )
+    contested: ContestedAddresses = field(default_factory=ContestedAddresses)
     _deferred_until_ms: dict[str, int] = field(default_factory=dict)
     _n_refusals: dict[str, int] = field(default_factory=dict)
     _views_by_pool: dict[Pool, list[EndpointView]] = field(default_factory=dict)
@@ -223,6 +227,8 @@
         self._views_by_pool.clear()
         self._deferred_until_ms.pop(endpoint_id, None)
         self._n_refusals.pop(endpoint_id, None)
+        self.contested.end(endpoint_id)
+        self.contested.end_claims(endpoint_id)
         self.groups.discard(endpoint_id)
         self.silence.discard(endpoint_id)
         self.announcements.discard_ended_pause(endpoint_id, now_ms)
@@ -267,9 +273,13 @@
         reopened_ids = self._find_reopened(now_ms)
         has_limits = self.announcements.has_limits or not self.limits.is_empty
         is_limited = self.running_limits.is_active
+        views = self.views_of(pool)
+        if not self.contested.is_empty:
+            views = views + self._find_unclaimed(pool, views)
+            views = self.contested.select_usable(views)
         return [
             view
-            for view in self.evacuated.select_usable(self.views_of(pool), now_ms)
+            for view in self.evacuated.select_usable(views, now_ms)
             if self._has_capacity(view, reopened_ids, now_ms)
             and (not has_limits or self._allows_attempt(view, now_ms))
             and (not is_limited or self.count_room(view, now_ms).n_top > 0)
@@ -278,6 +288,41 @@
             and not self.silence.is_excluded(view.info.endpoint_id, now_ms)
         ]
 
+    def contest(self, endpoint_id: str, claimant_id: str, now_ms: int) -> bool:
+        """Record that a claimant has registered the address of an endpoint.
+
+        Returns False and records nothing if one of them is not connected or if the
+        claimant gets no attempts, whose answers would show which of the two runs.
+        """
+        claimant = self.view_by_id.get(claimant_id)
+        if claimant is None or claimant.is_draining:
+            return False
+        if endpoint_id not in self.view_by_id:
+            return False
+        self.contested.contest(endpoint_id, claimant_id, now_ms)
+        self._views_by_pool.clear()
+        return True
+
+    def end_contest(self, endpoint_id: str) -> bool:
+        """Use an endpoint again that runs; return whether its address was contested."""
+        self._views_by_pool.clear()
+        return self.contested.end(endpoint_id)
+
+    def _find_unclaimed(
+        self, pool: Pool, views: list[EndpointView]
+    ) -> list[EndpointView]:
+        """Return the contested endpoints of a pool that no claimant in it replaces.
+
+        No attempt at the claimant would show whether they run.
+        """
+        endpoint_ids = {view.info.endpoint_id for view in views}
+        return [
+            view
+            for view in self._list_serving(pool)
+            if view.info.endpoint_id not in endpoint_ids
+            and self.contested.find_claimant(view.info.endpoint_id) not in endpoint_ids
+        ]
+
     def _find_reopened(self, now_ms: int) -> frozenset[str]:
         """Return the ranks that count as open because their group has opened."""
         if not self.opens_groups_at_once:
@@ -379,6 +424,7 @@
         view = self.view_by_id.get(endpoint_id)
         if view is not None:
             view.is_draining = True
+            self.contested.end_claims(endpoint_id)
             self._views_by_pool.clear()
 
     def record_load_report(self, event: LoadReported, now_ms: int) -> None:
@@ -402,22 +448,30 @@
     def views_of(self, pool: Pool) -> list[EndpointView]:
         """Return the endpoints that serve a pool.
 
-        Endpoints that are draining or in an evacuated domain are left out.
+        Endpoints that are draining or in an evacuated domain are left out, and unless
+        there are no others, those with a contested address.
         """
         views = self._views_by_pool.get(pool)
         if views is None:
-            domains = self.evacuated.domains
-            views = [
-                view
-                for view in self.view_by_id.values()
-                if _serves(view, pool) and view.info.failure_domain not in domains
-            ]
+            serving = self._list_serving(pool)
+            find_claimant = self.contested.find_claimant
+            settled = [v for v in serving if not find_claimant(v.info.endpoint_id)]
+            views = settled or serving
             # Callers choose the names in a pool, so empty results are not stored:
             # arbitrary names would use unbounded memory.
             if views:
                 self._views_by_pool[pool] = views
         return views
 
+    def _list_serving(self, pool: Pool) -> list[EndpointView]:
+        """Return the endpoints of a pool, also those with a contested address."""
+        domains = self.evacuated.domains
+        return [
+            view
+            for view in self.view_by_id.values()
+            if _serves(view, pool) and view.info.failure_domain not in domains
+        ]
+
     def record_output(self, endpoint_id: str) -> None:
         """Record an answer: reset the count of refusals and raise the attempt limit."""
         self._n_refusals.pop(endpoint_id, None)
--- a/packages/core/src/bluebellusher_core/reducer/_reduce.py
+++ b/packages/core/src/bluebellusher_core/reducer/_reduce.py
@@ -2,6 +2,7 @@
 
 from bluebellusher_core.effects import Effect
 from bluebellusher_core.events import (
+    AddressContested,
     ArrivalsEnded,
     AttemptAccepted,
     AttemptBroken,
@@ -19,6 +20,7 @@
     EndedReceived,
     EndpointAnnounced,
     EndpointChecked,
+    EndpointConfirmed,
     EndpointConnected,
     EndpointCrashed,
     EndpointDraining,
@@ -26,7 +28,6 @@
     EndpointLost,
     EndpointProgressed,
     EndpointRegistered,
-    EndpointReplaced,
     EntriesCounted,
     Event,
     LeavingReceived,
@@ -43,6 +44,7 @@
     WarmUpsReported,
 )
 from bluebellusher_core.requests import (
+    _addresses,
     _announced,
     _arrival,
     _attempts,
@@ -106,6 +108,7 @@
         case LoadReported():
             state.endpoints.record_load_report(event, now_ms)
             state.next_placement_ms = 0
+            return _addresses.record_report(state, event.endpoint_id)
         case CacheReported():
             state.endpoints.record_cache_report(event, now_ms)
         case AttemptAccepted():
@@ -134,12 +137,15 @@
             state.next_placement_ms = 0
         case EndpointCrashed():
             return _links.handle_crashed(state, event, now_ms)
-        case EndpointReplaced():
-            return _links.handle_replaced(state, event, now_ms)
+        case AddressContested():
+            return _addresses.handle_contested(state, event, now_ms)
+        case EndpointConfirmed():
+            return _addresses.record_running(state, event.endpoint_id, "registration")
         case EndpointChecked():
             return _crash_evidence.handle_endpoint_checked(state, event, now_ms)
         case EndpointProgressed():
-            return _silence.handle_progressed(state, event, now_ms)
+            effects = _addresses.record_answer(state, event.endpoint_id, now_ms)
+            return effects + _silence.handle_progressed(state, event, now_ms)
         case AttemptStalled():
             return _silence.handle_stalled(state, event, now_ms)
         case SilentReceived():
--- a/packages/core/src/bluebellusher_core/requests/_attempts.py
+++ b/packages/core/src/bluebellusher_core/requests/_attempts.py
@@ -14,6 +14,7 @@
     AttemptStarted,
 )
 from bluebellusher_core.requests import (
+    _addresses,
     _crash_evidence,
     _final,
     _isolation,
@@ -66,6 +67,8 @@
         effects += _parts.record_output(state, request.spec, now_ms)
     for other in [a for a in request.attempts if a is not attempt]:
         effects += _final.cancel_attempt(state, request, other, now_ms)
+    if not event.is_error:
+        effects += _addresses.record_answer(state, attempt.endpoint_id, now_ms)
     return effects
 
 
@@ -93,6 +96,7 @@
     if event.status < ERROR:
         fingerprint = request.spec.fingerprint
         effects += _final.clear_crashes(state, fingerprint, now_ms)
+        effects += _addresses.record_answer(state, attempt.endpoint_id, now_ms)
     return effects + _final.complete_request(state, request, attempt, now_ms)
 
 
@@ -117,9 +121,7 @@
             state, endpoint_id, "port closed", now_ms
         )
     elif event.reason is Reason.ENDPOINT_DRAINING and event.has_arrived:
-        effects += _crash_evidence.confirm_crashes(
-            state, endpoint_id, "address taken", now_ms
-        )
+        effects += _addresses.record_misdirected(state, endpoint_id, now_ms)
     return effects
 
 
@@ -181,7 +183,8 @@
         # The dispatcher held the attempt back; the endpoint itself refused nothing.
         return
     if event.reason is Reason.ENDPOINT_DRAINING:
-        state.endpoints.drain(endpoint_id)
+        if not event.has_arrived:
+            state.endpoints.drain(endpoint_id)
         return
     if event.reason is Reason.ENDPOINTS_CLOSED:
         state.endpoints.groups.record_closed(endpoint_id, now_ms)
--- a/packages/core/src/bluebellusher_core/requests/_crash_evidence.py
+++ b/packages/core/src/bluebellusher_core/requests/_crash_evidence.py
@@ -86,8 +86,8 @@
 
     A closed port confirms the suspected crashes of the endpoint. A listening port
     dismisses those that were suspected ``EXIT_GRACE_MS`` before the check, and the
-    address is checked again for the others. An address that did not answer neither
-    confirms nor dismisses a crash.
+    address is checked again for the others. An address that did not answer, and one
+    that another endpoint has registered too, neither confirms nor dismisses a crash.
     """
     endpoint_id = event.endpoint_id
     asked_at_ms = state.check_started_at_ms.pop(endpoint_id, None)
@@ -95,6 +95,9 @@
         return []
     if not event.is_listening:
         return confirm_crashes(state, endpoint_id, "port closed", now_ms)
+    if state.endpoints.contested.find_claimant(endpoint_id) is not None:
+        # The port may be that of another endpoint.
+        return []
     exited_by_ms = asked_at_ms - EXIT_GRACE_MS
     effects = _dismiss_crashes(state, endpoint_id, exited_by_ms, "listening", now_ms)
     last_broken_at_ms = state.crashes.last_suspected_at_ms(endpoint_id)
--- a/packages/core/src/bluebellusher_core/requests/_links.py
+++ b/packages/core/src/bluebellusher_core/requests/_links.py
@@ -7,7 +7,6 @@
     EndpointConnected,
     EndpointCrashed,
     EndpointRegistered,
-    EndpointReplaced,
 )
 from bluebellusher_core.requests import (
     _crash_evidence,
@@ -69,11 +68,8 @@
     return []
 
 
-def handle_replaced(
-    state: EntryState, event: EndpointReplaced, now_ms: int
-) -> list[Effect]:
+def handle_replaced(state: EntryState, endpoint_id: str, now_ms: int) -> list[Effect]:
     """Break the attempts of an endpoint whose address a later start has taken."""
-    endpoint_id = event.endpoint_id
     effects = handle_lost(state, endpoint_id, now_ms)
     return effects + _crash_evidence.confirm_crashes(
         state, endpoint_id, "address taken", now_ms
--- a/packages/core/src/bluebellusher_core/requests/_placing.py
+++ b/packages/core/src/bluebellusher_core/requests/_placing.py
@@ -252,8 +252,13 @@
     Endpoints that refused or broke an attempt of this request, and after a broken
     attempt those that have not sent anything lately, are chosen only when no other one
     is among ``views``. Several machines may have stopped responding at the same time.
-    Returns None when the policy chooses none.
+    Returns None when the policy chooses none, or when the request waits for an endpoint
+    that is known to exist.
     """
+    if not state.endpoints.contested.is_empty and not state.retry_budget.n_available:
+        views = _omit_unproven(state, request, views)
+        if not views:
+            return None
     if request.avoided_endpoint_ids:
         untried = [
             v for v in views if v.info.endpoint_id not in request.avoided_endpoint_ids
@@ -264,6 +269,21 @@
     return state.policy.choose(request.spec, views, now_ms, state.random_state)
 
 
+def _omit_unproven(
+    state: EntryState, request: Request, views: list[EndpointView]
+) -> list[EndpointView]:
+    """Omit endpoints that may not exist, if the request can wait for another one.
+
+    It addresses requests that find the retry budget used up, so that the refusal of an
+    attempt would be final.
+    """
+    is_unproven = state.endpoints.contested.is_unproven
+    in_pool = state.endpoints.views_of(pool_of(request.spec))
+    if all(is_unproven(view.info.endpoint_id) for view in in_pool):
+        return views
+    return [view for view in views if not is_unproven(view.info.endpoint_id)]
+
+
 def _place_pool(state: EntryState, pool: Pool, now_ms: int) -> list[Effect]:
     """Reject the expired requests of a pool and dispatch as many others as fit.
 
--- a/packages/entry/src/bluebellusher/shared/_directory.py
+++ b/packages/entry/src/bluebellusher/shared/_directory.py
@@ -19,10 +19,11 @@
     RoutingTable,
 )
 from bluebellusher_core.events import (
+    AddressContested,
+    EndpointConfirmed,
     EndpointDraining,
     EndpointLost,
     EndpointRegistered,
-    EndpointReplaced,
     Event,
     ObjectivesChanged,
 )
@@ -31,7 +32,8 @@
     EndpointRegistered: "endpoint-ready",
     EndpointDraining: "endpoint-draining",
     EndpointLost: "endpoint-forgotten",
-    EndpointReplaced: "endpoint-replaced",
+    AddressContested: "registration-contested",
+    EndpointConfirmed: "registration-kept",
 }
 
 
@@ -278,10 +280,11 @@
                 case EndpointRegistered(endpoint=info):
                     endpoint_id = info.endpoint_id
                     event = replace(event, age_ms=self._age_ms(info.incarnation))
-                case EndpointDraining() | EndpointLost() | EndpointReplaced():
+                case EndpointLost():
+                    endpoint_id = event.endpoint_id
+                    self._warm_ups.discard(endpoint_id)
+                case EndpointDraining() | AddressContested() | EndpointConfirmed():
                     endpoint_id = event.endpoint_id
-                    if isinstance(event, EndpointLost):
-                        self._warm_ups.discard(endpoint_id)
                 case _:
                     endpoint_id = ""
             registration = self.find(endpoint_id)
