Assign the reports of an agent to the endpoint with their start

Cause: `RankLinks` used the endpoint on a host that had started last.

Change: all endpoints on a host are kept, and a report belongs to the one with the start that it names. The latest one is used until then, as before.

Tests: `T entry/ranks -k foreign`; test_report_is_that_of_the_endpoint_with_the_same_start failed before.

--- a/packages/entry/src/bluebellusher/ranks/_links.py
+++ b/packages/entry/src/bluebellusher/ranks/_links.py
@@ -35,7 +35,11 @@
     Parameters
     ----------
     endpoint : EndpointRegistration
-        Endpoint on this host that was started last.
+        Endpoint on this host whose start the agent reports, or until it reports one,
+        the endpoint that was started last.
+    endpoints : tuple of EndpointRegistration
+        Endpoints that are registered on this host, the one that was started last
+        first. Any program can register an endpoint, also one that does not exist.
     task : asyncio.Task
         Task that keeps the connection open.
     connection : FrameConnection or None
@@ -47,11 +51,28 @@
     """
 
     endpoint: EndpointRegistration
+    endpoints: tuple[EndpointRegistration, ...]
     task: asyncio.Task[None]
     connection: FrameConnection | None = None
     state: RankState | None = None
     n_reports: int = 0
 
+    def use(self, endpoint: EndpointRegistration) -> None:
+        """Use another endpoint, whose state is unknown until its next report."""
+        if endpoint.endpoint_id != self.endpoint.endpoint_id:
+            self.endpoint, self.state = endpoint, None
+
+    def find_started(self, started_wall_ms: int) -> EndpointRegistration | None:
+        """Return the endpoint with this start, or None.
+
+        A start of 0 is unknown, and could be that of the endpoint in use.
+        """
+        known_ms = self.endpoint.started_wall_ms
+        if not started_wall_ms or not known_ms or started_wall_ms == known_ms:
+            return self.endpoint
+        started = (e for e in self.endpoints if e.started_wall_ms == started_wall_ms)
+        return next(started, None)
+
 
 class RankLinks:
     """Connections to the agents of all endpoints of services with engines.
@@ -113,24 +134,28 @@
         """Connect to the agents beside these endpoints, and close other connections.
 
         If several endpoints are registered on one host, the one that was started last
-        is used.
+        is used until the agent reports the start of another one.
         """
-        newest_by_host: dict[str, EndpointRegistration] = {}
-        for endpoint in endpoints:
-            newest = newest_by_host.get(endpoint.host)
-            if newest is None or endpoint.started_wall_ms > newest.started_wall_ms:
-                newest_by_host[endpoint.host] = endpoint
-        for host in self._agent_by_host.keys() - newest_by_host.keys():
+        endpoints_by_host: dict[str, list[EndpointRegistration]] = {}
+        for endpoint in sorted(endpoints, key=lambda e: -e.started_wall_ms):
+            endpoints_by_host.setdefault(endpoint.host, []).append(endpoint)
+        for host in self._agent_by_host.keys() - endpoints_by_host.keys():
             self._agent_by_host.pop(host).task.cancel()
-        for host, endpoint in newest_by_host.items():
-            agent = self._agent_by_host.get(host)
+        for host, on_host in endpoints_by_host.items():
+            newest, agent = on_host[0], self._agent_by_host.get(host)
             if agent is None:
                 task = asyncio.create_task(self._dial(host))
-                self._agent_by_host[host] = _AgentConnection(endpoint, task)
-            elif agent.endpoint.endpoint_id != endpoint.endpoint_id:
-                agent.endpoint, agent.state = endpoint, None
+                agent = _AgentConnection(newest, tuple(on_host), task)
+                self._agent_by_host[host] = agent
+            used_ids = [endpoint.endpoint_id for endpoint in on_host]
+            is_newest_known = newest.endpoint_id == agent.endpoints[0].endpoint_id
+            if not is_newest_known or agent.endpoint.endpoint_id not in used_ids:
+                agent.use(newest)
+            agent.endpoints = tuple(on_host)
         self._host_by_endpoint_id = {
-            endpoint.endpoint_id: host for host, endpoint in newest_by_host.items()
+            endpoint.endpoint_id: host
+            for host, on_host in endpoints_by_host.items()
+            for endpoint in on_host
         }
 
     def find_domain(self, rank_id: str) -> str:
@@ -224,11 +249,11 @@
         A report without a group contains no state of a rank.
         """
         agent.n_reports += 1
-        endpoint = agent.endpoint
-        start_times = {report.started_wall_ms or 0, endpoint.started_wall_ms, 0}
-        if len(start_times) > 2:
-            # The report is from another start of the endpoint than the registered one.
+        endpoint = agent.find_started(report.started_wall_ms or 0)
+        if endpoint is None:
+            # The report is from another start than the registered ones.
             return
+        agent.use(endpoint)
         is_open = bool(report.is_open)
         pace = _read_pace(report.pace)
         self._sink.post(
