Replace an endpoint's promise of "not run" after a run

What callers saw: an endpoint ran bookings and failed them with a 503 without the statement that it had not run them.

Cause: only the endpoint's statement was looked at, and every status without it was relayed. To callers, 408, 421, 429 and 503 are a promise whoever made the answer.

Change: such an answer counts as a failed run. A request that may be repeated gets another attempt within its attempts and the retry budget, also after 408 and 429, which had none; otherwise the caller gets 502 without the endpoint's headers. No crash is suspected, because the endpoint has answered. Answers through agents are handled alike. `attempt-refusal-unconfirmed` logs the endpoint's status.

--- a/packages/core/src/bluebellusher_core/errors/_errors.py
+++ b/packages/core/src/bluebellusher_core/errors/_errors.py
@@ -3,6 +3,9 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+# HTTP statuses with which an answer promises that the request has not run.
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+
 
 class Outcome(StrEnum):
     """Whether a request has run, as far as the entry can tell."""
@@ -33,6 +36,7 @@
     CONNECT_FAILED = "connect_failed"
     CONNECT_REFUSED = "connect_refused"
     ENDPOINT_FULL = "endpoint_full"
+    UNCONFIRMED_REFUSAL = "unconfirmed_refusal"
     ENDPOINTS_CLOSED = "endpoints_closed"
     ENDPOINTS_PAUSED = "endpoints_paused"
     NOT_READY = "not_ready"
--- a/packages/core/src/bluebellusher_core/events/_request_events.py
+++ b/packages/core/src/bluebellusher_core/events/_request_events.py
@@ -206,7 +206,9 @@
     attempt_id : str
         The attempt that ended.
     reason : Reason
-        ``ENDPOINT_LOST``, ``ENGINE_ERROR`` or ``STREAM_CORRUPT``.
+        ``ENDPOINT_LOST``, ``ENGINE_ERROR``, ``STREAM_CORRUPT``, ``CONNECTION_LOST``, or
+        ``UNCONFIRMED_REFUSAL`` for an answer that promises that the request has not
+        run, without the endpoint's statement.
     n_bytes_relayed : int
         Number of answer bytes that the caller has received.
     is_resumable : bool
--- a/packages/core/src/bluebellusher_core/requests/_recovery.py
+++ b/packages/core/src/bluebellusher_core/requests/_recovery.py
@@ -33,13 +33,20 @@
     request.may_have_run = True
     request.n_broken += 1
     state.endpoints.tracker.record_failure(attempt.endpoint_id, now_ms)
-    state.endpoints.limits.warm_ups.record_cut(attempt.endpoint_id, now_ms)
+    has_answered = event.reason is Reason.UNCONFIRMED_REFUSAL
+    if not has_answered:
+        state.endpoints.limits.warm_ups.record_cut(attempt.endpoint_id, now_ms)
     request.avoided_endpoint_ids.add(attempt.endpoint_id)
     request.n_bytes_relayed = max(request.n_bytes_relayed, event.n_bytes_relayed)
     is_fatal = is_loss or event.reason is Reason.ENGINE_ERROR
-    effects = _crash_evidence.record_broken_run(
-        state, request, attempt, is_fatal, now_ms
-    )
+    if has_answered:
+        effects = _crash_evidence.dismiss_before_attempt(
+            state, attempt, "answer", now_ms
+        )
+    else:
+        effects = _crash_evidence.record_broken_run(
+            state, request, attempt, is_fatal, now_ms
+        )
     # An isolated attempt that was lost before the agent accepted it is no evidence.
     is_crash_evidence = is_fatal and attempt.is_isolated and attempt.is_accepted
     if is_crash_evidence:
--- a/packages/entry/src/bluebellusher/gateway/_attempts.py
+++ b/packages/entry/src/bluebellusher/gateway/_attempts.py
@@ -40,7 +40,7 @@
     CheckEndpoint,
     Dispatch,
 )
-from bluebellusher_core.errors import Reason
+from bluebellusher_core.errors import NOT_RUN_STATUSES, Reason
 from bluebellusher_core.events import (
     AttemptBroken,
     AttemptFinished,
@@ -530,8 +530,8 @@
         Raises
         ------
         _BrokenAttemptError
-            When the answer belongs to another request, or is successful without a
-            valid seal.
+            When the answer belongs to another request, is successful without a valid
+            seal, or has a status that only a request which has not run may get.
         """
         if (
             answer_fields.attempt_id
@@ -549,6 +549,17 @@
                 faulty=answer_fields.faulty_endpoint_id,
             )
             return self._make_refused(attempt, reason, has_arrived=True)
+        if response.status in NOT_RUN_STATUSES:
+            self._log(
+                "attempt-refusal-unconfirmed",
+                attempt,
+                status=response.status,
+                is_sealed=int(answer_fields.is_authentic),
+            )
+            raise _BrokenAttemptError(
+                Reason.UNCONFIRMED_REFUSAL,
+                f"status {response.status} of a request that may have run",
+            )
         if response.status < 300 and not answer_fields.is_authentic:
             raise _BrokenAttemptError(
                 Reason.STREAM_CORRUPT, "answer without a valid seal"
--- a/packages/entry/src/bluebellusher/links/_agents.py
+++ b/packages/entry/src/bluebellusher/links/_agents.py
@@ -13,7 +13,7 @@
 from bluebellusher.links._reports import to_cache_event, to_crash_event, to_load_event
 from bluebellusher.links._ticker import LinkTicker
 from bluebellusher_core.clock import Clock
-from bluebellusher_core.errors import Reason, StepError
+from bluebellusher_core.errors import NOT_RUN_STATUSES, Reason, StepError
 from bluebellusher_core.events import (
     AttemptAccepted,
     AttemptBroken,
@@ -135,8 +135,12 @@
             attempt=attempt_id,
             problem=problem,
         )
+        self._cancel_broken(attempt_id, Reason.STREAM_CORRUPT)
+
+    def _cancel_broken(self, attempt_id: str, reason: Reason) -> None:
+        """Cancel an attempt whose answer is not relayed and report it as broken."""
         self.connection.send(messages.Cancel(attempt_id=attempt_id))
-        self._break_attempt(attempt_id, Reason.STREAM_CORRUPT, is_resumable=False)
+        self._break_attempt(attempt_id, reason, is_resumable=False)
 
     def _on_chunks(self, batch: Any) -> None:
         for chunk in batch.chunks or ():
@@ -154,6 +158,16 @@
         relay = self._find_relay(started.attempt_id)
         if relay is None:
             return
+        if started.status in NOT_RUN_STATUSES:
+            # The agent reports a run that it refuses in a message of its own.
+            self._sink.log(
+                "attempt-refusal-unconfirmed",
+                peer=self.endpoint_id,
+                attempt=started.attempt_id,
+                status=started.status,
+            )
+            self._cancel_broken(started.attempt_id, Reason.UNCONFIRMED_REFUSAL)
+            return
         problem = relay.start(started)
         if problem:
             self._fail_attempt(started.attempt_id, problem)
--- a/packages/entry/src/bluebellusher/links/tests/test_connections.py
+++ b/packages/entry/src/bluebellusher/links/tests/test_connections.py
@@ -4,6 +4,8 @@
 import zlib
 from random import Random
 
+import pytest
+
 from bluebellusher.links import (
     AgentLinks,
     AnswerStream,
@@ -13,6 +15,7 @@
     LinkTicker,
 )
 from bluebellusher_core.clock import ManualClock
+from bluebellusher_core.errors import Reason
 from bluebellusher_core.events import (
     AttemptAccepted,
     AttemptBroken,
@@ -239,3 +242,30 @@
             assert sink.events == []
 
         run_scenario(scenario, identity)
+
+
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+def test_refusal_of_a_run_that_an_agent_reports_is_not_relayed(status):
+    """Guards against a caller that repeats a request which has run.
+
+    An agent reports a run that it has refused in a message of its own.
+    """
+
+    async def scenario(agent, links, sink, ticker):
+        answer = await dispatch(links, sink)
+        started = messages.Started(attempt_id="a1", status=status, headers=HEADERS)
+        agent.send(started)
+        broken = await sink.wait_for(AttemptBroken)
+        assert broken.reason is Reason.UNCONFIRMED_REFUSAL
+        assert (broken.n_bytes_relayed, broken.is_resumable) == (0, False)
+        assert answer.status == 0
+        # Late messages of the run change nothing.
+        agent.send(make_chunk_batch("a1", 0, b"failed"))
+        agent.send(make_finish("a1", b"failed"))
+        await dispatch(links, sink, "a2")
+        agent.send(make_started("a2"))
+        await sink.wait_for(AttemptStarted)
+        assert not any(isinstance(event, AttemptFinished) for event in sink.events)
+        assert any(isinstance(message, messages.Cancel) for message in agent.received)
+
+    run_scenario(scenario)
