Send no promise of "not run" with a rejection of unknown outcome

Cause: the status was chosen by the reason alone.

Change: a status that promises that the request has not run is replaced by 502 if the outcome is unknown, as docs/design.md says.

--- a/packages/entry/src/bluebellusher/server/_respond.py
+++ b/packages/entry/src/bluebellusher/server/_respond.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from bluebellusher.links import CONNECTION_HEADERS
-from bluebellusher_core.errors import Reason, Rejection
+from bluebellusher_core.errors import NOT_RUN_STATUSES, Outcome, Reason, Rejection
 
 _STATUS_BY_REASON = {
     Reason.BAD_REQUEST: 400,
@@ -20,6 +20,7 @@
     Reason.ENDPOINT_LOST: 502,
     Reason.ENGINE_ERROR: 502,
     Reason.STREAM_CORRUPT: 502,
+    Reason.UNCONFIRMED_REFUSAL: 502,
     Reason.OUTCOME_UNKNOWN: 502,
     Reason.CLAIM_IN_PROGRESS: 409,
     Reason.CLAIM_KEY_REUSED: 422,
@@ -34,6 +35,18 @@
     return _STATUS_BY_REASON.get(reason, HTTPStatus.SERVICE_UNAVAILABLE)
 
 
+def choose_status(rejection: Rejection) -> int:
+    """Return the status code of a rejection.
+
+    A status that promises that the request has not run is replaced by 502 for one that
+    may have run.
+    """
+    status = to_status_code(rejection.reason)
+    if rejection.outcome is Outcome.UNKNOWN and status in NOT_RUN_STATUSES:
+        return HTTPStatus.BAD_GATEWAY
+    return status
+
+
 def make_rejection_body(
     rejection: Rejection, request_id: str, detail: str = ""
 ) -> bytes:
--- a/packages/entry/src/bluebellusher/server/_stream.py
+++ b/packages/entry/src/bluebellusher/server/_stream.py
@@ -9,10 +9,10 @@
 from bluebellusher.observability import Metrics
 from bluebellusher.runtime import Exchange
 from bluebellusher.server._respond import (
+    choose_status,
     make_rejection_body,
     make_rejection_headers,
     select_returned_headers,
-    to_status_code,
 )
 from bluebellusher_core.errors import Rejection
 
@@ -92,7 +92,7 @@
                 "content-type": "application/json",
             }
             headers["x-request-id"] = request_id
-            await self._send_response(to_status_code(rejection.reason), headers, body)
+            await self._send_response(choose_status(rejection), headers, body)
         elif self._exchange.answer.is_events:
             # Without the terminating [DONE] the caller detects an incomplete answer.
             # The empty line comes first because the answer may end within a line.
