Find the endpoints that a claimant contests by its id

The search through all contests for each endpoint of a service took time that grows with the square of their number; any program can start one by a row.

--- a/packages/core/src/bluebellusher_core/directory/_registrations.py
+++ b/packages/core/src/bluebellusher_core/directory/_registrations.py
@@ -29,9 +29,8 @@
 # registration of an endpoint that does not run earlier, after three missed heartbeats.
 RESTORED_CONFIRMATION_MS = 6_000
 # Time after which an endpoint whose address is contested is confirmed by its own
-# registration, in ms. The store removes the registration of an endpoint that does not
-# run earlier, after three missed heartbeats.
-CONTEST_TIMEOUT_MS = 6_000
+# registration, in ms, for the same reason.
+CONTEST_TIMEOUT_MS = RESTORED_CONFIRMATION_MS
 # Upper bound of the remembered endpoints that have ended.
 N_MAX_ENDED = 4_096
 
--- a/packages/core/src/bluebellusher_core/membership/_contested.py
+++ b/packages/core/src/bluebellusher_core/membership/_contested.py
@@ -40,6 +40,7 @@
     """
 
     _contest_by_id: dict[str, _Contest] = field(default_factory=dict)
+    _claimed_ids_by_claimant: dict[str, list[str]] = field(default_factory=dict)
     _proven_ids: set[str] = field(default_factory=set)
 
     @property
@@ -49,16 +50,18 @@
 
     def contest(self, endpoint_id: str, claimant_id: str, now_ms: int) -> None:
         """Record that a claimant has registered the address of an endpoint."""
+        self.end(endpoint_id)
         self._contest_by_id[endpoint_id] = _Contest(claimant_id, now_ms)
+        self._claimed_ids_by_claimant.setdefault(claimant_id, []).append(endpoint_id)
 
     def record_report(self, claimant_id: str) -> None:
         """Record that a claimant has reported its load, so that it exists."""
-        if self.find_claimed(claimant_id):
+        if claimant_id in self._claimed_ids_by_claimant:
             self._proven_ids.add(claimant_id)
 
     def is_unproven(self, claimant_id: str) -> bool:
         """Return whether an endpoint is a claimant that may not exist."""
-        is_claimant = bool(self.find_claimed(claimant_id))
+        is_claimant = claimant_id in self._claimed_ids_by_claimant
         return is_claimant and claimant_id not in self._proven_ids
 
     def end(self, endpoint_id: str) -> bool:
@@ -66,16 +69,17 @@
         contest = self._contest_by_id.pop(endpoint_id, None)
         if contest is None:
             return False
-        if not self.find_claimed(contest.claimant_id):
+        claimed_ids = self._claimed_ids_by_claimant[contest.claimant_id]
+        claimed_ids.remove(endpoint_id)
+        if not claimed_ids:
+            del self._claimed_ids_by_claimant[contest.claimant_id]
             self._proven_ids.discard(contest.claimant_id)
         return True
 
-    def end_claims(self, claimant_id: str) -> bool:
-        """End the contests by a claimant; return whether there were any."""
-        endpoint_ids = self.find_claimed(claimant_id)
-        for endpoint_id in endpoint_ids:
+    def end_claims(self, claimant_id: str) -> None:
+        """End the contests by a claimant."""
+        for endpoint_id in self.find_claimed(claimant_id):
             self.end(endpoint_id)
-        return bool(endpoint_ids)
 
     def find_claimant(self, endpoint_id: str) -> str | None:
         """Return the claimant of an endpoint's address, or None."""
@@ -84,11 +88,7 @@
 
     def find_claimed(self, claimant_id: str) -> list[str]:
         """Return the endpoints whose address a claimant has registered."""
-        return [
-            endpoint_id
-            for endpoint_id, contest in self._contest_by_id.items()
-            if contest.claimant_id == claimant_id
-        ]
+        return list(self._claimed_ids_by_claimant.get(claimant_id, ()))
 
     def select_usable(self, views: list[EndpointView]) -> list[EndpointView]:
         """Return the endpoints of a service that may get an attempt.
