Contest an address with the registration that claims it

Cause: the contest was an event of its own, so that requests that waited were sent to the claimant before it, in any number. And a claimant that registered a later start contested nothing any more, because only its own former row was compared.

Change: `EndpointRegistered` names the endpoint whose address it claims. A later start of a claimant claims the address again. A claimant at whose address another endpoint was found to run contests no address any more; it gets one attempt at a time, and none while the retry budget is used up.

Tests: test_claimant_gets_one_of_the_waiting_requests, test_later_start_of_a_claimant_contests_the_address_again and test_claimant_that_was_refuted_contests_no_address_again.

--- a/packages/core/src/bluebellusher_core/directory/_registrations.py
+++ b/packages/core/src/bluebellusher_core/directory/_registrations.py
@@ -1,10 +1,9 @@
 """Conversion of endpoint registrations into events for the reducer."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from bluebellusher_core.events import (
-    AddressContested,
     EndpointConfirmed,
     EndpointDraining,
     EndpointInfo,
@@ -89,6 +88,7 @@
         default_factory=dict
     )
     _contested_at_ms: dict[str, int] = field(default_factory=dict)
+    _earlier_by_claimant: dict[str, EndpointRegistration] = field(default_factory=dict)
     _ended_start_by_id: dict[str, int] = field(default_factory=dict)
     _unconfirmed_by_id: dict[str, tuple[EndpointRegistration, int]] = field(
         default_factory=dict
@@ -127,8 +127,9 @@
             self._unconfirmed_by_id.pop(endpoint_id, None)
         registered = [r for r in changes.values() if r is not None]
         for registration in sorted(registered, key=lambda r: r.started_wall_ms):
-            events += self._register(registration)
-            events += self._contest_address(registration, now_ms)
+            registered_events = self._register(registration)
+            claimed_id = self._claim_address(registration, now_ms)
+            events += [_add_claim(event, claimed_id) for event in registered_events]
         for endpoint_id, change in changes.items():
             if change is None:
                 events += self._deregister(endpoint_id, now_ms)
@@ -259,27 +260,36 @@
             return []
         return [EndpointRegistered(_make_info(registration))]
 
-    def _contest_address(
-        self, registration: EndpointRegistration, now_ms: int
-    ) -> list[Event]:
-        """Return an event if an endpoint that started earlier has the address."""
+    def _claim_address(self, registration: EndpointRegistration, now_ms: int) -> str:
+        """Record the address of a registration.
+
+        Returns the id of the endpoint in use that started earlier and has the same
+        address, or an empty string.
+        """
         address = (registration.host, registration.port)
         earlier = self._registration_by_address.get(address)
         if earlier and registration.started_wall_ms < earlier.started_wall_ms:
             # A late write by an endpoint that used the address before.
-            return []
+            return ""
         self._registration_by_address[address] = registration
-        if earlier is None or earlier.endpoint_id == registration.endpoint_id:
-            return []
+        claimant_id = registration.endpoint_id
+        if earlier is not None and earlier.endpoint_id == claimant_id:
+            if earlier.started_wall_ms == registration.started_wall_ms:
+                return ""
+            # A later start of a claimant contests the address once more.
+            earlier = self._earlier_by_claimant.get(claimant_id)
+        if earlier is None or (earlier.host, earlier.port) != address:
+            return ""
         if not 0 < earlier.started_wall_ms < registration.started_wall_ms:
             # Without two different start times, it is unknown which of the two
             # endpoints runs at the address.
-            return []
+            return ""
         if registration.is_draining or self._has_moved(earlier):
-            return []
+            return ""
+        self._earlier_by_claimant[claimant_id] = earlier
         if earlier.endpoint_id in self.registration_by_id:
             self._contested_at_ms[earlier.endpoint_id] = now_ms
-        return [AddressContested(earlier.endpoint_id, registration.endpoint_id)]
+        return earlier.endpoint_id
 
     def _has_moved(self, registration: EndpointRegistration) -> bool:
         """Return whether an endpoint has registered another start or address since."""
@@ -324,6 +334,7 @@
         registration = self.registration_by_id.pop(endpoint_id)
         self._end_grace(endpoint_id)
         self._contested_at_ms.pop(endpoint_id, None)
+        self._earlier_by_claimant.pop(endpoint_id, None)
         self._lost_at_ms[endpoint_id] = now_ms + DRAIN_TIMEOUT_MS
         self._ended_start_by_id[endpoint_id] = registration.started_wall_ms
         if len(self._ended_start_by_id) > N_MAX_ENDED:
@@ -331,6 +342,13 @@
         return [] if registration.is_draining else [EndpointDraining(endpoint_id)]
 
 
+def _add_claim(event: Event, claimed_id: str) -> Event:
+    """Return the event of a registration with the endpoint whose address it claims."""
+    if isinstance(event, EndpointRegistered):
+        return replace(event, claimed_id=claimed_id)
+    return event
+
+
 def _is_same_active_endpoint(a: EndpointRegistration, b: EndpointRegistration) -> bool:
     """Return whether ``b`` describes the same endpoint and ``a`` is not draining."""
     return not a.is_draining and _make_info(a) == _make_info(b)
--- a/packages/core/src/bluebellusher_core/directory/tests/test_registrations.py
+++ b/packages/core/src/bluebellusher_core/directory/tests/test_registrations.py
@@ -11,7 +11,6 @@
     RESTORED_CONFIRMATION_MS,
 )
 from bluebellusher_core.events import (
-    AddressContested,
     EndpointConfirmed,
     EndpointDraining,
     EndpointLost,
@@ -108,7 +107,7 @@
     ):
         registrations = Registrations()
         events = [e for batch in batches for e in registrations.update(batch, 0)]
-        assert events[2:] == [AddressContested("x", "y")]
+        assert [event.claimed_id for event in events] == ["", "x"]
         assert registrations.update({"x": None}, 50) == [EndpointDraining("x")]
         assert registrations.tick(CONTEST_TIMEOUT_MS) == []
 
@@ -119,7 +118,8 @@
         registrations = make_registrations()
         row = replace(SUCCESSOR, started_wall_ms=started_wall_ms)
         events = registrations.update({"y": row}, 10)
-        assert [type(e) for e in events] == [EndpointRegistered, AddressContested]
+        assert [type(e) for e in events] == [EndpointRegistered]
+        assert events[0].claimed_id == "x"
         assert registrations.registration_by_id["x"] == READY
         assert registrations.tick(10 + CONTEST_TIMEOUT_MS - 1) == []
         events = registrations.tick(10 + CONTEST_TIMEOUT_MS)
@@ -127,6 +127,21 @@
         assert registrations.tick(DRAIN_TIMEOUT_MS) == []
 
 
+def test_later_start_of_a_claimant_contests_the_address_again():
+    """Guards against a claimant that is trusted because it registers repeatedly."""
+    registrations = make_registrations()
+    registrations.update({"y": SUCCESSOR}, 10)
+    (event,) = registrations.update({"y": replace(SUCCESSOR, n_slots=5)}, 20)
+    assert event.claimed_id == ""
+    later = replace(SUCCESSOR, started_wall_ms=300)
+    (event,) = registrations.update({"y": later}, 30)
+    assert event.claimed_id == "x"
+    registrations.update({"x": None}, 40)
+    registrations.update({"y": None}, 50)
+    (event,) = registrations.update({"y": replace(later, started_wall_ms=400)}, 60)
+    assert event.claimed_id == ""
+
+
 def test_kept_registration_confirms_nothing_during_an_outage_of_the_store():
     """Guards against use of an ended endpoint whose registration cannot expire."""
     registrations = make_registrations()
@@ -148,16 +163,16 @@
     """Guards against attempts that are cut when a former address is used again."""
     registrations = make_registrations()
     registrations.update({"x": replace(READY, started_wall_ms=150, port=81)}, 10)
-    events = registrations.update({"y": SUCCESSOR}, 20)
-    assert [type(e) for e in events] == [EndpointRegistered]
+    (event,) = registrations.update({"y": SUCCESSOR}, 20)
+    assert event.claimed_id == ""
 
 
 def test_address_of_an_endpoint_that_has_left_is_contested():
     """Guards against callers that wait for an endpoint whose successor answers."""
     registrations = make_registrations()
     registrations.update({"x": None}, 10)
-    events = registrations.update({"y": SUCCESSOR}, 20)
-    assert events[1:] == [AddressContested("x", "y")]
+    (event,) = registrations.update({"y": SUCCESSOR}, 20)
+    assert event.claimed_id == "x"
 
 
 def test_running_endpoint_at_a_contested_address_drains_after_a_restoration():
--- a/packages/core/src/bluebellusher_core/events/__init__.py
+++ b/packages/core/src/bluebellusher_core/events/__init__.py
@@ -1,7 +1,6 @@
 """Events that the reducer accepts."""
 
 from bluebellusher_core.events._endpoint_events import (
-    AddressContested,
     CacheReported,
     EndpointAnnounced,
     EndpointChecked,
@@ -71,7 +70,6 @@
     | EndpointConnected
     | EndpointLost
     | EndpointRegistered
-    | AddressContested
     | EndpointConfirmed
     | EndpointChecked
     | EndpointProgressed
@@ -102,7 +100,6 @@
 
 __all__ = [
     "STORE_SOURCE",
-    "AddressContested",
     "ArrivalsEnded",
     "AttemptAccepted",
     "AttemptBroken",
--- a/packages/core/src/bluebellusher_core/events/_endpoint_events.py
+++ b/packages/core/src/bluebellusher_core/events/_endpoint_events.py
@@ -51,24 +51,23 @@
     """An endpoint without an agent registered, or renewed its registration.
 
     The attempts in flight on the endpoint continue unless ``endpoint.incarnation`` has
-    changed. ``age_ms`` is the time since the endpoint started, in ms; 0 when it is
-    unknown.
+    changed.
+
+    Parameters
+    ----------
+    endpoint : EndpointInfo
+        The endpoint.
+    age_ms : int
+        Time since the endpoint started, in ms; 0 when it is unknown.
+    claimed_id : str
+        Endpoint that started earlier and has registered the same address; empty for
+        none. Any program can write a registration, so that only an answer shows which
+        of the two runs there.
     """
 
     endpoint: EndpointInfo
     age_ms: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class AddressContested:
-    """Another endpoint, which started later, has registered this endpoint's address.
-
-    Any program can write a registration, so that only an answer shows which of the two
-    runs there. ``claimant_id`` is the id of the one that started later.
-    """
-
-    endpoint_id: str
-    claimant_id: str
+    claimed_id: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/bluebellusher_core/membership/_contested.py
+++ b/packages/core/src/bluebellusher_core/membership/_contested.py
@@ -1,9 +1,13 @@
 """Endpoints whose address another endpoint has registered as well."""
 
+from collections import OrderedDict
 from dataclasses import dataclass, field
 
 from bluebellusher_core.routing import EndpointView
 
+# Upper bound of the remembered claimants that were found not to run.
+N_MAX_REFUTED = 4_096
+
 
 @dataclass(frozen=True, slots=True)
 class _Contest:
@@ -26,7 +30,8 @@
     Load pattern: another program registers the addresses of all endpoints of a service
     while many requests arrive. Each attempt at a claimant that does not exist costs a
     retry, so that the claimants of a service get one attempt at a time until they have
-    answered or reported their load.
+    answered or reported their load. Another program may repeat its registrations, so
+    that a claimant which was found not to run contests no address any more.
 
     Examples
     --------
@@ -43,6 +48,7 @@
     _contest_by_id: dict[str, _Contest] = field(default_factory=dict)
     _claimed_ids_by_claimant: dict[str, list[str]] = field(default_factory=dict)
     _unproven_ids: set[str] = field(default_factory=set)
+    _refuted_ids: OrderedDict[str, None] = field(default_factory=OrderedDict)
 
     @property
     def is_empty(self) -> bool:
@@ -51,14 +57,25 @@
 
     def contest(self, endpoint_id: str, claimant_id: str, now_ms: int) -> None:
         """Record that a claimant has registered the address of an endpoint."""
+        self._unproven_ids.add(claimant_id)
+        if claimant_id in self._refuted_ids:
+            return
         self.end(endpoint_id)
         self._contest_by_id[endpoint_id] = _Contest(claimant_id, now_ms)
         self._claimed_ids_by_claimant.setdefault(claimant_id, []).append(endpoint_id)
-        self._unproven_ids.add(claimant_id)
 
     def record_running(self, endpoint_id: str) -> None:
         """Record that an endpoint exists, because it answered or reported its load."""
         self._unproven_ids.discard(endpoint_id)
+        self._refuted_ids.pop(endpoint_id, None)
+
+    def refute(self, claimant_id: str) -> None:
+        """Record that another endpoint runs at the address of a claimant."""
+        if claimant_id not in self._unproven_ids:
+            return
+        self._refuted_ids[claimant_id] = None
+        if len(self._refuted_ids) > N_MAX_REFUTED:
+            self._refuted_ids.popitem(last=False)
 
     def is_unproven(self, endpoint_id: str) -> bool:
         """Return whether an endpoint is a claimant that may not exist."""
--- a/packages/core/src/bluebellusher_core/membership/_endpoints.py
+++ b/packages/core/src/bluebellusher_core/membership/_endpoints.py
@@ -303,10 +303,10 @@
         self._views_by_pool.clear()
         return True
 
-    def end_contest(self, endpoint_id: str) -> bool:
-        """Use an endpoint again that runs; return whether its address was contested."""
+    def end_contest(self, endpoint_id: str) -> None:
+        """Use an endpoint again that runs at its contested address."""
         self._views_by_pool.clear()
-        return self.contested.end(endpoint_id)
+        self.contested.end(endpoint_id)
 
     def _find_unclaimed(
         self, pool: Pool, views: list[EndpointView]
--- a/packages/core/src/bluebellusher_core/reducer/_reduce.py
+++ b/packages/core/src/bluebellusher_core/reducer/_reduce.py
@@ -2,7 +2,6 @@
 
 from bluebellusher_core.effects import Effect
 from bluebellusher_core.events import (
-    AddressContested,
     ArrivalsEnded,
     AttemptAccepted,
     AttemptBroken,
@@ -126,7 +125,8 @@
         case EndpointConnected():
             return _links.handle_connected(state, event, now_ms)
         case EndpointRegistered():
-            return _links.handle_registered(state, event, now_ms)
+            effects = _links.handle_registered(state, event, now_ms)
+            return effects + _addresses.handle_claimed(state, event, now_ms)
         case EndpointLost():
             state.endpoints.limits.warm_ups.discard(event.endpoint_id)
             return _links.handle_lost(state, event.endpoint_id, now_ms)
@@ -137,8 +137,6 @@
             state.next_placement_ms = 0
         case EndpointCrashed():
             return _links.handle_crashed(state, event, now_ms)
-        case AddressContested():
-            return _addresses.handle_contested(state, event, now_ms)
         case EndpointConfirmed():
             return _addresses.end_contest(state, event.endpoint_id, "registration")
         case EndpointChecked():
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_contested_addresses.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_contested_addresses.py
@@ -5,7 +5,6 @@
 from bluebellusher_core.effects import CancelAttempt, Dispatch, LogEvent
 from bluebellusher_core.errors import Reason
 from bluebellusher_core.events import (
-    AddressContested,
     AttemptBroken,
     AttemptFinished,
     AttemptRefused,
@@ -43,8 +42,7 @@
         self.handle(EndpointRegistered(make_info("x", 100)))
         self.running = [self.send() for _ in range(n_running)]
         self.now_ms = 10
-        self.handle(EndpointRegistered(make_info("y", 200, service)))
-        self.handle(AddressContested("x", "y"))
+        self.claim("x", make_info("y", 200, service))
 
     def handle(self, event):
         """Apply an event a ms later; return its effects."""
@@ -53,6 +51,10 @@
         self.events += [e.name for e in effects if isinstance(e, LogEvent)]
         return effects
 
+    def claim(self, endpoint_id, info):
+        """Register an endpoint at the address of another one."""
+        self.handle(EndpointRegistered(info, claimed_id=endpoint_id))
+
     def send(self):
         """Send a request; return its dispatch, or None."""
         self.n_sent += 1
@@ -114,8 +116,7 @@
     """
     contest = Contest(n_min_retries=1, retry_percent=0)
     contest.handle(EndpointRegistered(make_info("x2", 100)))
-    contest.handle(EndpointRegistered(make_info("y2", 200)))
-    contest.handle(AddressContested("x2", "y2"))
+    contest.claim("x2", make_info("y2", 200))
     first = contest.send()
     assert contest.find_used() == []
     running_id = contest.refuse(first)
@@ -190,8 +191,7 @@
 def test_later_claimant_replaces_all_earlier_ones():
     """Guards against use of an endpoint whose successor was replaced as well."""
     contest = Contest(n_running=1)
-    contest.handle(EndpointRegistered(make_info("z", 300)))
-    contest.handle(AddressContested("y", "z"))
+    contest.claim("y", make_info("z", 300))
     contest.answer(contest.send())
     assert list(contest.state.endpoints.view_by_id) == ["z"]
 
@@ -227,10 +227,41 @@
     assert contest.events[:2] == ["address-contested", "endpoint-replaced"]
 
 
-def test_claimant_that_gets_no_attempts_contests_nothing():
-    """Guards against an endpoint whose claimant was found not to run before."""
+@pytest.mark.parametrize("is_refused", [False, True])
+def test_claimant_that_was_refuted_contests_no_address_again(is_refused):
+    """Guards against a service that is lost while another writer repeats its rows.
+
+    The budget pays for one retry.
+    """
+    contest = Contest(n_running=1, n_min_retries=1, retry_percent=0)
+    if is_refused:
+        contest.refuse(contest.send())
+    else:
+        contest.handle(EndpointProgressed("x", 20))
+    for incarnation in range(300, 310):
+        contest.claim("x", make_info("y", incarnation))
+        contest.find_used()
+        attempts = list(contest.state.attempt_by_id.values())
+        used = [attempt.endpoint_id for attempt in attempts]
+        assert used.count("x") == 4
+        assert used.count("y") <= (0 if is_refused else 1)
+        for attempt in attempts:
+            if attempt.endpoint_id == "x":
+                contest.answer(attempt)
+
+
+def test_claim_to_the_address_of_an_unknown_endpoint_contests_nothing():
+    """Guards against a limit on an endpoint whose predecessor has left long ago."""
     contest = Contest()
     contest.refuse(contest.send())
-    contest.handle(AddressContested("x", "y"))
-    contest.handle(AddressContested("x", "unknown"))
-    assert contest.find_used() == ["x"] * 3
+    contest.claim("unknown", make_info("z", 300))
+    assert contest.find_used() == ["x"] * 3 + ["z"] * 4
+
+
+def test_claimant_gets_one_of_the_waiting_requests():
+    """Guards against many refusals at once when requests wait for an endpoint."""
+    contest = Contest(service="other")
+    contest.find_used()
+    contest.claim("x", make_info("z", 300))
+    used = [a.endpoint_id for a in contest.state.attempt_by_id.values()]
+    assert used == ["x", "z"]
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_crash_counting.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_crash_counting.py
@@ -13,7 +13,6 @@
 )
 from bluebellusher_core.errors import Outcome, Reason
 from bluebellusher_core.events import (
-    AddressContested,
     AttemptBroken,
     AttemptFinished,
     AttemptRefused,
@@ -355,8 +354,7 @@
     info = EndpointInfo(
         claimant_id, "d", services, frozenset(), frozenset(), 4, incarnation=9
     )
-    entry.handle(EndpointRegistered(info))
-    entry.handle(AddressContested(endpoint_id, claimant_id))
+    entry.handle(EndpointRegistered(info, claimed_id=endpoint_id))
     entry.handle(EndpointChecked(endpoint_id, True))
     effects = entry.handle(EndpointProgressed(claimant_id, 20))
     entry.handle(EndpointLost(claimant_id))
@@ -383,7 +381,9 @@
     for _ in range(N_TO_BLOCK):
         broken = entry.send()
         entry.break_run(broken)
-        entry.handle(AddressContested(broken.endpoint_id, "unknown"))
+        services = frozenset({"other"})
+        info = EndpointInfo("seen", "d", services, frozenset(), frozenset(), 4)
+        entry.handle(EndpointRegistered(info, claimed_id=broken.endpoint_id))
     assert isinstance(entry.send(), Dispatch)
 
 
--- a/packages/core/src/bluebellusher_core/requests/_addresses.py
+++ b/packages/core/src/bluebellusher_core/requests/_addresses.py
@@ -5,22 +5,21 @@
 """
 
 from bluebellusher_core.effects import Effect, LogEvent
-from bluebellusher_core.events import AddressContested
+from bluebellusher_core.events import EndpointRegistered
 from bluebellusher_core.requests import _crash_evidence, _links
 from bluebellusher_core.state import EntryState
 
 
-def handle_contested(
-    state: EntryState, event: AddressContested, now_ms: int
+def handle_claimed(
+    state: EntryState, event: EndpointRegistered, now_ms: int
 ) -> list[Effect]:
-    """Send new attempts to the claimant instead of the contested endpoint.
+    """Send new attempts to a claimant instead of the endpoint at its address, if any.
 
     The attempts in flight continue until an answer shows which of the two runs.
     """
-    endpoint_id, claimant_id = event.endpoint_id, event.claimant_id
+    endpoint_id, claimant_id = event.claimed_id, event.endpoint.endpoint_id
     if not state.endpoints.contest(endpoint_id, claimant_id, now_ms):
         return []
-    state.next_placement_ms = 0
     fields = (("endpoint", endpoint_id), ("claimant", claimant_id))
     return [LogEvent("address-contested", fields)]
 
@@ -30,10 +29,12 @@
 
     ``evidence`` states how this was observed, for the log.
     """
-    if state.endpoints.contested.is_empty:
-        return []
-    if not state.endpoints.end_contest(endpoint_id):
+    contested = state.endpoints.contested
+    claimant_id = contested.find_claimant(endpoint_id)
+    if claimant_id is None:
         return []
+    contested.refute(claimant_id)
+    state.endpoints.end_contest(endpoint_id)
     state.next_placement_ms = 0
     fields = (("endpoint", endpoint_id), ("evidence", evidence))
     return [LogEvent("endpoint-confirmed", fields)]
@@ -71,6 +72,7 @@
     """Record that another endpoint answered an attempt at the address of this one."""
     if state.endpoints.contested.find_claimant(endpoint_id) is not None:
         return _replace(state, endpoint_id, now_ms)
+    state.endpoints.contested.refute(endpoint_id)
     state.endpoints.drain(endpoint_id)
     return _crash_evidence.confirm_crashes(state, endpoint_id, "address taken", now_ms)
 
--- a/packages/entry/src/bluebellusher/gateway/tests/test_replaced_endpoints.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_replaced_endpoints.py
@@ -14,7 +14,6 @@
 from bluebellusher.shared.tests.fakes import wait_until
 from bluebellusher_core.directory import RequestKind
 from bluebellusher_core.events import (
-    AddressContested,
     EndpointInfo,
     EndpointLost,
     EndpointProgressed,
@@ -33,7 +32,10 @@
 # The last of the events ends the attempts at the endpoint, although its process runs
 # on.
 EVENTS = {
-    "address taken": (AddressContested("x0", "x1"), EndpointProgressed("x1", 20)),
+    "address taken": (
+        EndpointRegistered(make_info("x1", incarnation=2), claimed_id="x0"),
+        EndpointProgressed("x1", 20),
+    ),
     "later start": (EndpointRegistered(make_info("x0", incarnation=2)),),
     "lapsed": (EndpointLost("x0"),),
 }
@@ -106,8 +108,7 @@
         for endpoint in harness.endpoints:
             running_id = endpoint.endpoint_id
             info = make_info(f"seen-{running_id}", incarnation=2)
-            harness.runtime.post(EndpointRegistered(info))
-            harness.runtime.post(AddressContested(running_id, info.endpoint_id))
+            harness.runtime.post(EndpointRegistered(info, claimed_id=running_id))
         for fetched in (
             await asyncio.gather(*in_flight),
             await asyncio.gather(*(harness.fetch() for _ in range(8))),
--- a/packages/entry/src/bluebellusher/shared/_directory.py
+++ b/packages/entry/src/bluebellusher/shared/_directory.py
@@ -19,7 +19,6 @@
     RoutingTable,
 )
 from bluebellusher_core.events import (
-    AddressContested,
     EndpointConfirmed,
     EndpointDraining,
     EndpointLost,
@@ -32,7 +31,6 @@
     EndpointRegistered: "endpoint-ready",
     EndpointDraining: "endpoint-draining",
     EndpointLost: "endpoint-forgotten",
-    AddressContested: "registration-contested",
     EndpointConfirmed: "registration-kept",
 }
 
@@ -283,7 +281,7 @@
                 case EndpointLost():
                     endpoint_id = event.endpoint_id
                     self._warm_ups.discard(endpoint_id)
-                case EndpointDraining() | AddressContested() | EndpointConfirmed():
+                case EndpointDraining() | EndpointConfirmed():
                     endpoint_id = event.endpoint_id
                 case _:
                     endpoint_id = ""
--- a/packages/entry/src/bluebellusher/shared/tests/test_foreign_registrations.py
+++ b/packages/entry/src/bluebellusher/shared/tests/test_foreign_registrations.py
@@ -17,7 +17,6 @@
 )
 from bluebellusher_core.directory._registrations import DRAIN_TIMEOUT_MS
 from bluebellusher_core.events import (
-    AddressContested,
     EndpointDraining,
     EndpointRegistered,
 )
@@ -142,7 +141,6 @@
     foreign.configure("desk", "press")
     assert foreign.take_events() == [
         EndpointRegistered,
-        AddressContested,
     ]
     assert list(foreign.directory.registrations.registration_by_id) == ["x", "y"]
 
