Return free memory after answers whose callers did not read them

Cause: the C library retains the heap of answers that have been released. The entry called malloc_trim only after refusals and after the budget of callers' requests had fallen; answers are not in that budget.

Change: connections whose callers do not read count with an estimate of 256 KiB when the entry decides whether memory was released.

The new test failed before (no memory was returned within its time limit).

--- a/packages/entry/src/bluebellusher/gateway/_connection_guard.py
+++ b/packages/entry/src/bluebellusher/gateway/_connection_guard.py
@@ -20,6 +20,9 @@
 _LOG_INTERVAL_MS = 1_000
 # Shortest interval between two returns of free memory to the system, in ms.
 _TRIM_INTERVAL_MS = 2_000
+# Bytes of an answer that wait in the write buffer, the unread part and the reader of
+# the HTTP library while the caller does not read.
+_UNREAD_ANSWER_BYTES = 262_144
 # Time in which small chunks are parsed without a pause, and the pause, in s. Other
 # connections get at least the pause.
 _DELAYED_WORK_S = 0.002
@@ -219,16 +222,19 @@
     def _release_memory(self, now_ms: int) -> None:
         """Return free memory to the system after refusals or when bytes were released.
 
-        The C library retains it otherwise.
+        The C library retains it otherwise. Answers that wait for callers that do not
+        read are not in the budget, so their bytes are estimated.
         """
-        is_released = self.budget.n_bytes < self._n_peak_bytes - self._n_peak_bytes // 4
+        n_bytes = self.budget.n_bytes + len(self.unread) * _UNREAD_ANSWER_BYTES
+        self._n_peak_bytes = max(self._n_peak_bytes, n_bytes)
+        is_released = n_bytes < self._n_peak_bytes - self._n_peak_bytes // 4
         is_due = self._is_trim_due or (
             is_released and self._n_peak_bytes > self.budget.n_max_bytes // 4
         )
         if is_due and now_ms - self._trimmed_at_ms >= _TRIM_INTERVAL_MS:
             self._trimmed_at_ms = now_ms
             self._is_trim_due = False
-            self._n_peak_bytes = self.budget.n_bytes
+            self._n_peak_bytes = n_bytes
             release_free_memory()
 
 
--- a/packages/entry/src/bluebellusher/gateway/tests/test_endless_answers.py
+++ b/packages/entry/src/bluebellusher/gateway/tests/test_endless_answers.py
@@ -11,6 +11,7 @@
 import pytest
 from aiohttp.client_proto import ResponseHandler
 
+from bluebellusher.gateway import _connection_guard
 from bluebellusher.gateway.tests.harness import (
     HOST,
     answer_sealed,
@@ -287,6 +288,36 @@
         gc.enable()
 
 
+def test_memory_of_unread_answers_is_returned_to_the_system(monkeypatch):
+    """Guards against answers whose memory stays resident after their callers have left.
+
+    The C library retains it, unless the entry returns it.
+    """
+    released_by_n_unread = []
+    endpoint = RawEndpoint("x9", write_endless_body)
+
+    async def scenario(harness):
+        guard = harness.server._guard
+        # One unread answer exceeds a quarter of it.
+        guard.budget.n_max_bytes = 1_000_000
+        monkeypatch.setattr(
+            _connection_guard,
+            "release_free_memory",
+            lambda: released_by_n_unread.append(len(guard.unread)),
+        )
+        for listener in harness.server._listener.sockets:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+        async with harness.request() as response:
+            await response.content.readany()
+            await wait_until(lambda: guard.unread)
+            await asyncio.sleep(2 * _connection_guard.SWEEP_INTERVAL_MS / 1000)
+            response.close()
+        await wait_until(lambda: released_by_n_unread)
+        assert released_by_n_unread == [0]
+
+    run_scenario(scenario, [], endpoints=[endpoint])
+
+
 def find_answers():
     """Return all answers that are in memory."""
     return [o for o in gc.get_objects() if isinstance(o, AnswerStream)]
