Log address-contested only if the address is contested

Cause: Endpoints.contest returned True without asking ContestedAddresses.

Change: it returns whether the address is contested now. Routing is unchanged.

--- a/packages/core/src/bluebellusher_core/membership/_contested.py
+++ b/packages/core/src/bluebellusher_core/membership/_contested.py
@@ -37,6 +37,7 @@
     --------
     >>> contested = ContestedAddresses()
     >>> contested.contest("x", "y", now_ms=0)
+    True
     >>> contested.find_claimant("x")
     'y'
     >>> contested.end("x")
@@ -55,14 +56,19 @@
         """Whether no address is contested and no claimant is unproven."""
         return not (self._contest_by_id or self._unproven_ids)
 
-    def contest(self, endpoint_id: str, claimant_id: str, now_ms: int) -> None:
-        """Record that a claimant has registered the address of an endpoint."""
+    def contest(self, endpoint_id: str, claimant_id: str, now_ms: int) -> bool:
+        """Record that a claimant has registered the address of an endpoint.
+
+        Return whether the address is contested now, which it is not by a claimant that
+        was found not to run.
+        """
         self._unproven_ids.add(claimant_id)
         if claimant_id in self._refuted_ids:
-            return
+            return False
         self.end(endpoint_id)
         self._contest_by_id[endpoint_id] = _Contest(claimant_id, now_ms)
         self._claimed_ids_by_claimant.setdefault(claimant_id, []).append(endpoint_id)
+        return True
 
     def record_running(self, endpoint_id: str) -> None:
         """Record that an endpoint exists, because it answered or reported its load."""
--- a/packages/core/src/bluebellusher_core/membership/_endpoints.py
+++ b/packages/core/src/bluebellusher_core/membership/_endpoints.py
@@ -291,17 +291,17 @@
     def contest(self, endpoint_id: str, claimant_id: str, now_ms: int) -> bool:
         """Record that a claimant has registered the address of an endpoint.
 
-        Returns False and records nothing if one of them is not connected or if the
-        claimant gets no attempts, whose answers would show which of the two runs.
+        Returns whether the address is contested now. It is not if one of them is not
+        connected, if the claimant was found not to run, or if it gets no attempts,
+        whose answers would show which of the two runs.
         """
         claimant = self.view_by_id.get(claimant_id)
         if claimant is None or claimant.is_draining:
             return False
         if endpoint_id not in self.view_by_id:
             return False
-        self.contested.contest(endpoint_id, claimant_id, now_ms)
         self._views_by_pool.clear()
-        return True
+        return self.contested.contest(endpoint_id, claimant_id, now_ms)
 
     def end_contest(self, endpoint_id: str) -> None:
         """Use an endpoint again that runs at its contested address."""
--- a/packages/core/src/bluebellusher_core/reducer/tests/test_contested_addresses.py
+++ b/packages/core/src/bluebellusher_core/reducer/tests/test_contested_addresses.py
@@ -248,6 +248,7 @@
         for attempt in attempts:
             if attempt.endpoint_id == "x":
                 contest.answer(attempt)
+    assert contest.events.count("address-contested") == 1, "logged without a contest"
 
 
 def test_claim_to_the_address_of_an_unknown_endpoint_contests_nothing():
